--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,11 @@
+import neostandard, { resolveIgnoresFromGitignore } from 'neostandard'
+
+export default [
+  ...neostandard({ ts: true, ignores: [...resolveIgnoresFromGitignore(), 'src/generated/**'] }),
+  {
+    rules: {
+      camelcase: ['error', { properties: 'always' }],
+      'max-lines-per-function': ['warn', { max: 60, skipBlankLines: true, skipComments: true }]
+    }
+  }
+]
--- /dev/null
+++ b/src/lifecycle/lifecycleManager.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava'
+import { LifecycleManager } from './lifecycleManager.ts'
+import type { Component } from './component.ts'
+
+function createRecorder (name: string, events: string[], failing: 'start' | 'stop' | 'hang' | 'none' = 'none'): Component {
+  return {
+    name,
+    async start () {
+      if (failing === 'start') throw new Error(`${name} can not start`)
+      events.push(`start ${name}`)
+    },
+    async stop () {
+      if (failing === 'stop') throw new Error(`${name} can not stop`)
+      if (failing === 'hang') await new Promise(() => {})
+      events.push(`stop ${name}`)
+    }
+  }
+}
+
+test('a component is not stopped before those that depend on it', async t => {
+  const events: string[] = []
+  const manager = new LifecycleManager(1_000)
+  manager.add(createRecorder('store', events))
+  manager.add(createRecorder('server', events))
+  await manager.start()
+  await manager.stop()
+  t.deepEqual(events, ['start store', 'start server', 'stop server', 'stop store'])
+})
+
+test('a failed start does not leave earlier components running', async t => {
+  const events: string[] = []
+  const manager = new LifecycleManager(1_000)
+  manager.add(createRecorder('store', events))
+  manager.add(createRecorder('server', events, 'start'))
+  await t.throwsAsync(manager.start(), { message: 'server can not start' })
+  t.deepEqual(events, ['start store', 'stop store'])
+})
+
+test('a component that hangs or fails in its stop does not keep the others from stopping', async t => {
+  const events: string[] = []
+  const manager = new LifecycleManager(5)
+  manager.add(createRecorder('store', events))
+  manager.add(createRecorder('peers', events, 'stop'))
+  manager.add(createRecorder('server', events, 'hang'))
+  await manager.start()
+  const failures = await manager.stop()
+  t.deepEqual(failures.map(failure => failure.component), ['server', 'peers'])
+  t.deepEqual(events, ['start store', 'start peers', 'start server', 'stop store'])
+})
--- /dev/null
+++ b/src/lifecycle/lifecycleManager.ts
@@ -0,0 +1,71 @@
+/** Starts components in order and stops them in reverse, each with a time limit. */
+import type { Component } from './component.ts'
+
+export interface StopFailure {
+  readonly component: string
+  readonly error: unknown
+}
+
+/**
+ * Owns the components of a process.
+ *
+ * @example
+ * const manager = new LifecycleManager(5_000)
+ * manager.add(callerServer)
+ * await manager.start()
+ * await manager.stop()
+ */
+export class LifecycleManager {
+  readonly #components: Component[] = []
+  readonly #started: Component[] = []
+  readonly #stopTimeoutMs: number
+
+  constructor (stopTimeoutMs: number) {
+    this.#stopTimeoutMs = stopTimeoutMs
+  }
+
+  add (component: Component): void {
+    this.#components.push(component)
+  }
+
+  /** Starts every component; if one fails, stops those already started and rejects with its error. */
+  async start (): Promise<void> {
+    for (const component of this.#components) {
+      try {
+        await component.start()
+        this.#started.push(component)
+      } catch (error) {
+        await this.stop()
+        throw error
+      }
+    }
+  }
+
+  /** Stops what was started, in reverse order, and returns the failures. */
+  async stop (): Promise<readonly StopFailure[]> {
+    const failures: StopFailure[] = []
+    for (let component = this.#started.pop(); component !== undefined; component = this.#started.pop()) {
+      try {
+        await this.#stopOne(component)
+      } catch (error) {
+        failures.push({ component: component.name, error })
+      }
+    }
+    return failures
+  }
+
+  async #stopOne (component: Component): Promise<void> {
+    const abort = new AbortController()
+    const timer = setTimeout(
+      () => abort.abort(new Error(`component ${component.name} did not stop within ${this.#stopTimeoutMs} ms`)),
+      this.#stopTimeoutMs)
+    const aborted = new Promise<never>((_resolve, reject) => {
+      abort.signal.addEventListener('abort', () => reject(abort.signal.reason), { once: true })
+    })
+    try {
+      await Promise.race([component.stop(abort.signal), aborted])
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,7 @@
+/** Entry point of the program. */
+import { runProgram } from './commands/program.ts'
+
+runProgram(process.argv.slice(2)).then(exitCode => { process.exitCode = exitCode }, error => {
+  console.error(error)
+  process.exitCode = 70
+})
--- /dev/null
+++ b/src/ports/peerClient.ts
@@ -0,0 +1,74 @@
+/** Calls from one entry instance to another. A rejected call may have had an effect unless its doc says otherwise. */
+import type { Change, ConfigurationSnapshot } from '../model/change.ts'
+import type { InstanceDigest } from '../model/digest.ts'
+import type { RefusalCode } from '../model/errors.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import type { WorkRequest } from '../model/request.ts'
+import type { Resources } from '../model/resources.ts'
+import type { Verdict } from '../model/verdict.ts'
+
+export interface ExchangeAnswer {
+  /** The callee first, then every instance that it knows. */
+  readonly instances: readonly InstanceDigest[]
+  /** The callee counts the sender among the instances that may accept changes. */
+  readonly acknowledged: boolean
+}
+
+export interface ForwardedRequest {
+  readonly attemptId: string
+  readonly team: string
+  readonly request: WorkRequest
+  readonly remainingMs: number
+  readonly hops: number
+  readonly configurationVersion: number
+}
+
+/** Events of a forwarded request, in order; the stream is whole only if it closes after `end` or `refused`. */
+export type RunEvent =
+  | { readonly type: 'accepted', readonly owner: InstanceRef }
+  | { readonly type: 'head', readonly target: string, readonly contentType: string }
+  | { readonly type: 'chunk', readonly bytes: Uint8Array }
+  | { readonly type: 'end', readonly byteCount: number }
+  | {
+    readonly type: 'refused',
+    readonly code: RefusalCode,
+    readonly message: string,
+    readonly verdict: Verdict,
+    readonly claimed: boolean,
+    readonly retryable: boolean
+  }
+
+export interface ClaimEntry {
+  /** Hash of team and request identity. */
+  readonly identity: string
+  /** The attempt that claims; the same holder may ask again. */
+  readonly holder: string
+}
+
+export type ClaimOutcome = 'claimed' | 'duplicate' | 'unavailable'
+
+export type FetchedChanges =
+  | { readonly type: 'changes', readonly changes: readonly Change[] }
+  | { readonly type: 'snapshot', readonly snapshot: ConfigurationSnapshot }
+
+export interface PeerClient {
+  exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer>
+  run (address: string, forwarded: ForwardedRequest, signal?: AbortSignal): AsyncIterable<RunEvent>
+  cancel (address: string, team: string, requestId: string, attemptId: string, signal?: AbortSignal): Promise<boolean>
+  fetchChanges (address: string, afterVersion: number, signal?: AbortSignal): Promise<FetchedChanges>
+  /** Resolves with what was given, which is already in the store's record. */
+  transferAllotment (address: string, receiver: InstanceRef, team: string, wanted: Resources, signal?: AbortSignal): Promise<Resources>
+  claim (address: string, entries: readonly ClaimEntry[], signal?: AbortSignal): Promise<readonly ClaimOutcome[]>
+  handOver (address: string, from: InstanceRef, dataCentre: string, targets: readonly string[], signal?: AbortSignal): Promise<void>
+}
+
+/** The callee's side of the calls above; implemented by the composition of an instance. */
+export interface PeerHandler {
+  exchange (sender: InstanceDigest, registering: boolean): Promise<ExchangeAnswer>
+  run (forwarded: ForwardedRequest, signal: AbortSignal): AsyncIterable<RunEvent>
+  cancel (team: string, requestId: string, attemptId: string): Promise<boolean>
+  fetchChanges (afterVersion: number): Promise<FetchedChanges>
+  transferAllotment (receiver: InstanceRef, team: string, wanted: Resources): Promise<Resources>
+  claim (entries: readonly ClaimEntry[]): Promise<readonly ClaimOutcome[]>
+  handOver (from: InstanceRef, dataCentre: string, targets: readonly string[]): Promise<void>
+}
