Add the peer protocol's adapters and the callers' server

Cause: entry instances forward requests to the owner of a target, and callers need whole answers or a verdict. Change: connect-es client and server with a shared secret; HTTP server with bounded bodies and connections that resets a connection whose answer is incomplete.

--- /dev/null
+++ b/src/adapters/caller/callerServer.ts
@@ -0,0 +1,191 @@
+/** The HTTP server for callers: bounded bodies and connections, streamed answers, a verdict in every refusal. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import type { Component } from '../../lifecycle/component.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { CallerHandler } from '../../ports/callerHandler.ts'
+import type { RunEvent } from '../../ports/peerClient.ts'
+import { listenOn } from '../network.ts'
+import { REFUSAL_STATUS } from './refusalStatus.ts'
+
+export interface CallerServerOptions {
+  readonly address: string
+  readonly bodyLimitBytes: number
+  readonly connectionLimit: number
+  /** A caller that has not sent its whole request by then is disconnected. */
+  readonly requestTimeoutMs: number
+}
+
+const REQUESTS_PATH = '/v1/requests'
+const HEADERS_TIMEOUT_MS = 10_000
+
+export class CallerServer implements Component {
+  readonly name = 'caller server'
+  readonly #options: CallerServerOptions
+  readonly #handler: CallerHandler
+  readonly #server: Server
+  readonly #open = new Set<Promise<void>>()
+  #closing = false
+
+  constructor (options: CallerServerOptions, handler: CallerHandler) {
+    this.#options = options
+    this.#handler = handler
+    this.#server = createServer({
+      requestTimeout: options.requestTimeoutMs,
+      headersTimeout: Math.min(HEADERS_TIMEOUT_MS, options.requestTimeoutMs)
+    })
+    this.#server.maxConnections = options.connectionLimit
+    this.#server.on('request', (request, response) => this.#track(this.#answer(request, response)))
+  }
+
+  /** The number of requests that have not been answered completely. */
+  get openRequests (): number {
+    return this.#open.size
+  }
+
+  async start (): Promise<void> {
+    await listenOn(this.#server, this.#options.address)
+  }
+
+  /** Stops listening, then waits for the requests that are still open. */
+  async stop (signal: AbortSignal): Promise<void> {
+    this.#closing = true
+    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
+    signal.addEventListener('abort', () => this.#server.closeAllConnections(), { once: true })
+    await Promise.all(this.#open)
+    this.#server.closeIdleConnections()
+    await closed
+  }
+
+  #track (task: Promise<void>): void {
+    this.#open.add(task)
+    task.finally(() => this.#open.delete(task)).catch(() => {})
+  }
+
+  async #answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#closing) response.setHeader('connection', 'close')
+    try {
+      await this.#route(request, response)
+    } catch (error) {
+      sendFailure(response, error)
+    }
+  }
+
+  async #route (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { pathname } = new URL(request.url ?? '/', 'http://instance')
+    const key = readKey(request)
+    if (pathname === REQUESTS_PATH && request.method === 'POST') return await this.#run(key, request, response)
+    const requestId = pathname.startsWith(`${REQUESTS_PATH}/`) ? decodeIdentity(pathname) : ''
+    if (requestId === '') throw createNotFound(`there is nothing at ${pathname}`)
+    if (request.method === 'GET') {
+      const statuses = await this.#handler.find(key, requestId)
+      if (statuses.length === 0) throw createNotFound(`no instance in reach runs request ${requestId}`)
+      return sendJson(response, 200, { id: requestId, attempts: statuses })
+    }
+    if (request.method === 'DELETE') {
+      return sendJson(response, 200, { id: requestId, cancelled: await this.#handler.cancel(key, requestId) })
+    }
+    throw createNotFound(`${request.method} is not supported at ${pathname}`)
+  }
+
+  async #run (key: string | undefined, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readJson(request, this.#options.bodyLimitBytes)
+    const abort = new AbortController()
+    response.on('close', () => {
+      if (!response.writableFinished) abort.abort(new Error('the caller closed the connection'))
+    })
+    await writeAnswer(response, this.#handler.run(key, body, abort.signal))
+  }
+}
+
+/** Writes a stream of events; an answer that does not end properly resets the connection. */
+async function writeAnswer (response: ServerResponse, events: AsyncIterable<RunEvent>): Promise<void> {
+  let written = 0
+  for await (const event of events) {
+    if (event.type === 'refused') throw new RefusalError(event.message, event)
+    if (event.type === 'head') {
+      response.writeHead(200, {
+        'content-type': event.contentType, 'agategauge-verdict': 'ran', 'agategauge-target': event.target
+      })
+    } else if (event.type === 'chunk') {
+      written += event.bytes.byteLength
+      if (!response.write(event.bytes)) await waitForDrain(response)
+    } else if (event.type === 'end') {
+      if (event.byteCount !== written) throw createIncomplete(`${written} of ${event.byteCount} bytes arrived`)
+      response.end()
+      return
+    }
+  }
+  throw createIncomplete('the stream of the answer ended early')
+}
+
+function createIncomplete (message: string): RefusalError {
+  return new RefusalError(message, { code: 'answer-incomplete', verdict: 'may-have-run' })
+}
+
+function createNotFound (message: string): RefusalError {
+  return new RefusalError(message, { code: 'not-found', verdict: 'not-run' })
+}
+
+async function waitForDrain (response: ServerResponse): Promise<void> {
+  const abort = new AbortController()
+  try {
+    await Promise.race([
+      once(response, 'drain', { signal: abort.signal }),
+      once(response, 'close', { signal: abort.signal }).then(() => { throw new Error('the caller closed the connection') })
+    ])
+  } finally {
+    abort.abort()
+  }
+}
+
+function sendFailure (response: ServerResponse, error: unknown): void {
+  if (response.headersSent) {
+    response.destroy()
+    return
+  }
+  const refusal = error instanceof RefusalError
+    ? error
+    : new RefusalError('the request failed inside the instance', { code: 'internal', verdict: 'may-have-run', cause: error })
+  const { code, message, verdict, claimed } = refusal
+  response.setHeader('agategauge-verdict', verdict)
+  if (code === 'too-large') response.setHeader('connection', 'close')
+  sendJson(response, REFUSAL_STATUS[code], { error: { code, message, verdict, ...(claimed ? { claimed } : {}) } })
+}
+
+function sendJson (response: ServerResponse, status: number, body: unknown): void {
+  const text = JSON.stringify(body) + '\n'
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  response.end(text)
+}
+
+function readKey (request: IncomingMessage): string | undefined {
+  const header = request.headers.authorization
+  return header === undefined ? undefined : /^Bearer\s+(\S+)$/i.exec(header)?.[1] ?? ''
+}
+
+function decodeIdentity (pathname: string): string {
+  try {
+    return decodeURIComponent(pathname.slice(REQUESTS_PATH.length + 1))
+  } catch {
+    throw new RefusalError(`${pathname} is not correctly encoded`, { code: 'invalid', verdict: 'not-run' })
+  }
+}
+
+async function readJson (request: IncomingMessage, limitBytes: number): Promise<unknown> {
+  const chunks: Buffer[] = []
+  let size = 0
+  for await (const chunk of request as AsyncIterable<Buffer>) {
+    size += chunk.byteLength
+    if (size > limitBytes) {
+      throw new RefusalError(`the request is larger than ${limitBytes} bytes`, { code: 'too-large', verdict: 'not-run' })
+    }
+    chunks.push(chunk)
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8'))
+  } catch (error) {
+    throw new RefusalError(`the request is not JSON: ${(error as Error).message}`, { code: 'invalid', verdict: 'not-run' })
+  }
+}
--- /dev/null
+++ b/src/adapters/network.ts
@@ -0,0 +1,41 @@
+/** Listening addresses of the form `host:port`. */
+import type { Server } from 'node:net'
+import { InputError } from '../model/errors.ts'
+
+export interface HostAndPort {
+  readonly host: string
+  readonly port: number
+}
+
+const HIGHEST_PORT = 65_535
+
+/**
+ * Splits an address.
+ *
+ * @example
+ * parseAddress('127.0.0.1:7401') // { host: '127.0.0.1', port: 7401 }
+ */
+export function parseAddress (address: string): HostAndPort {
+  const match = /^\[?([^\]]+?)\]?:(\d+)$/.exec(address)
+  const port = Number(match?.[2])
+  if (match?.[1] === undefined || port > HIGHEST_PORT) throw new InputError(`"${address}" is not an address of the form host:port`)
+  return { host: match[1], port }
+}
+
+interface Listener {
+  listen: Server['listen']
+  once: Server['once']
+  off: Server['off']
+}
+
+/** Resolves when the server listens; rejects if the address can't be used. */
+export function listenOn (server: Listener, address: string): Promise<void> {
+  const { host, port } = parseAddress(address)
+  return new Promise((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host, port }, () => {
+      server.off('error', reject)
+      resolve()
+    })
+  })
+}
--- /dev/null
+++ b/src/adapters/peer/connectPeer.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava'
+import { NO_RESOURCES, resources } from '../../model/resources.ts'
+import type { InstanceDigest } from '../../model/digest.ts'
+import type { ForwardedRequest, PeerHandler, RunEvent } from '../../ports/peerClient.ts'
+import { ConnectPeerClient } from './connectPeerClient.ts'
+import { ConnectPeerServer } from './connectPeerServer.ts'
+
+const digest: InstanceDigest = {
+  ref: { name: 'entry-1', incarnation: 'i1' },
+  dataCentre: 'attica-a',
+  region: 'attica',
+  peerAddress: '127.0.0.1:1',
+  state: 'serving',
+  configurationVersion: 7,
+  heardAge: 0,
+  storeReadAge: undefined,
+  quietAge: 12,
+  free: resources({ slots: 8 }),
+  largestFree: resources({ slots: 8 }),
+  queued: 3,
+  teams: [{ team: 'weavers', used: resources({ slots: 2 }), spare: NO_RESOURCES, queued: 1 }]
+}
+
+const forwarded: ForwardedRequest = {
+  attemptId: 'f1.1',
+  team: 'weavers',
+  request: {
+    id: 'q1', kind: 'urgent', name: 'default', size: resources({ slots: 1 }), tasks: 1, deadlineMs: 1_000, repeatable: true, payload: { x: 1 }
+  },
+  remainingMs: 900,
+  hops: 1,
+  configurationVersion: 7
+}
+
+class EchoHandler implements PeerHandler {
+  async exchange (sender: InstanceDigest) { return { instances: [sender], acknowledged: true } }
+  async * run (request: ForwardedRequest): AsyncIterable<RunEvent> {
+    yield { type: 'head', target: 'r1', contentType: 'application/json' }
+    yield { type: 'chunk', bytes: Buffer.from(JSON.stringify(request.request.payload)) }
+    yield { type: 'end', byteCount: 7 }
+  }
+
+  async cancel () { return true }
+  async find () { return [{ instance: 'entry-1', state: 'running' as const, attemptId: 'f1.1', target: 'r1' }] }
+  async fetchChanges () { return { type: 'changes' as const, changes: [] } }
+  async transferAllotment () { return resources({ slots: 2 }) }
+  async claim () { return ['claimed' as const, 'duplicate' as const] }
+  async handOver () {}
+}
+
+test('nothing of a message is lost between two instances, and a wrong secret is refused', async t => {
+  const address = '127.0.0.1:21601'
+  const server = new ConnectPeerServer(address, 'secret', new EchoHandler())
+  await server.start()
+  const client = new ConnectPeerClient('secret')
+  t.deepEqual((await client.exchange(address, digest, true)).instances, [digest])
+  const events: RunEvent[] = []
+  for await (const event of client.run(address, forwarded)) events.push(event)
+  t.deepEqual(events.map(event => event.type), ['head', 'chunk', 'end'])
+  t.deepEqual(await client.transferAllotment(address, digest.ref, 'weavers', resources({ slots: 4 })), resources({ slots: 2 }))
+  t.deepEqual(await client.claim(address, [{ identity: 'a', holder: 'f1' }, { identity: 'b', holder: 'f1' }]), ['claimed', 'duplicate'])
+  t.is((await client.find(address, 'weavers', 'q1'))[0]?.target, 'r1')
+
+  const stranger = new ConnectPeerClient('guess')
+  await t.throwsAsync(stranger.exchange(address, digest, false), { message: /secret/ })
+  await stranger.stop()
+  await client.stop()
+  await server.stop()
+})
+
+test('a refused connection is told from a lost answer, since only the first means that nothing ran', async t => {
+  const client = new ConnectPeerClient('secret')
+  const error = await t.throwsAsync(client.exchange('127.0.0.1:21602', digest, false))
+  let code: unknown
+  for (let cause: unknown = error; cause instanceof Error; cause = cause.cause) code = (cause as NodeJS.ErrnoException).code ?? code
+  t.is(code, 'ECONNREFUSED')
+  await client.stop()
+})
--- /dev/null
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -0,0 +1,122 @@
+/** Calls the other entry instances by `connect-es`; one HTTP/2 session for each peer address. */
+import { create } from '@bufbuild/protobuf'
+import { createClient } from '@connectrpc/connect'
+import type { Client, Interceptor } from '@connectrpc/connect'
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import * as wire from '../../generated/peer_pb.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import type { Change, ConfigurationSnapshot } from '../../model/change.ts'
+import type { InstanceDigest } from '../../model/digest.ts'
+import type { InstanceRef } from '../../model/identity.ts'
+import type { Resources } from '../../model/resources.ts'
+import type {
+  ClaimEntry, ClaimOutcome, ExchangeAnswer, FetchedChanges, ForwardedRequest, PeerClient, RequestStatus, RunEvent
+} from '../../ports/peerClient.ts'
+import { PEER_SECRET_HEADER } from './connectPeerServer.ts'
+import { decodeDigest, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources } from './peerCodec.ts'
+
+interface Connection {
+  readonly sessions: Http2SessionManager
+  readonly client: Client<typeof wire.PeerService>
+}
+
+/** A call without an answer by then has failed; streams of forwarded requests have their own deadlines. */
+const CALL_TIMEOUT_MS = 2_000
+/** Finds dead sessions while streams are open. */
+const PING_INTERVAL_MS = 5_000
+const PING_TIMEOUT_MS = 3_000
+
+export class ConnectPeerClient implements PeerClient, Component {
+  readonly name = 'peer client'
+  readonly #secret: string
+  readonly #connections = new Map<string, Connection>()
+
+  constructor (secret: string) {
+    this.#secret = secret
+  }
+
+  async start (): Promise<void> {}
+
+  async stop (): Promise<void> {
+    for (const { sessions } of this.#connections.values()) sessions.abort()
+    this.#connections.clear()
+  }
+
+  async exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer> {
+    const answer = await this.#connect(address).exchange(
+      create(wire.ExchangeRequestSchema, { sender: encodeDigest(sender), registering }), { signal, timeoutMs: CALL_TIMEOUT_MS })
+    return { instances: answer.instances.map(decodeDigest), acknowledged: answer.acknowledged }
+  }
+
+  async * run (address: string, forwarded: ForwardedRequest, signal?: AbortSignal): AsyncIterable<RunEvent> {
+    const { attemptId, team, remainingMs, hops } = forwarded
+    const message = create(wire.RunRequestSchema, {
+      attemptId,
+      team,
+      requestJson: JSON.stringify(forwarded.request),
+      remainingMs,
+      hops,
+      configurationVersion: BigInt(forwarded.configurationVersion)
+    })
+    for await (const event of this.#connect(address).run(message, { signal })) {
+      if (event.attemptId !== attemptId) throw new Error(`the peer at ${address} answered for another attempt`)
+      yield decodeRunEvent(event)
+    }
+  }
+
+  async cancel (address: string, team: string, requestId: string, attemptId: string, signal?: AbortSignal): Promise<boolean> {
+    const message = create(wire.CancelRequestSchema, { team, requestId, attemptId })
+    const answer = await this.#connect(address).cancel(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    return answer.found
+  }
+
+  async find (address: string, team: string, requestId: string, signal?: AbortSignal): Promise<readonly RequestStatus[]> {
+    const message = create(wire.FindRequestSchema, { team, requestId })
+    const answer = await this.#connect(address).find(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    return answer.statuses.map(({ instance, state, attemptId, target }) =>
+      ({ instance, state: state as RequestStatus['state'], attemptId, target }))
+  }
+
+  async fetchChanges (address: string, afterVersion: number, signal?: AbortSignal): Promise<FetchedChanges> {
+    const message = create(wire.FetchChangesRequestSchema, { afterVersion: BigInt(afterVersion) })
+    const answer = await this.#connect(address).fetchChanges(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    if (answer.snapshotJson !== '') return { type: 'snapshot', snapshot: JSON.parse(answer.snapshotJson) as ConfigurationSnapshot }
+    return { type: 'changes', changes: answer.changesJson.map(change => JSON.parse(change) as Change) }
+  }
+
+  async transferAllotment (address: string, receiver: InstanceRef, team: string, wanted: Resources, signal?: AbortSignal): Promise<Resources> {
+    const message = create(wire.TransferAllotmentRequestSchema, {
+      receiver: encodeRef(receiver), team, wanted: encodeResources(wanted)
+    })
+    const answer = await this.#connect(address).transferAllotment(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    return decodeResources(answer.given)
+  }
+
+  async claim (address: string, entries: readonly ClaimEntry[], signal?: AbortSignal): Promise<readonly ClaimOutcome[]> {
+    const message = create(wire.ClaimRequestSchema, {
+      entries: entries.map(entry => create(wire.ClaimEntrySchema, entry))
+    })
+    const answer = await this.#connect(address).claim(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    return answer.results.map(result => result === 'claimed' || result === 'duplicate' ? result : 'unavailable')
+  }
+
+  async handOver (address: string, from: InstanceRef, dataCentre: string, targets: readonly string[], signal?: AbortSignal): Promise<void> {
+    const message = create(wire.HandOverRequestSchema, { from: encodeRef(from), dataCentre, targets: [...targets] })
+    await this.#connect(address).handOver(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+  }
+
+  #connect (address: string): Client<typeof wire.PeerService> {
+    const known = this.#connections.get(address)
+    if (known !== undefined) return known.client
+    const baseUrl = `http://${address}`
+    const sessions = new Http2SessionManager(baseUrl, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS })
+    const authenticate: Interceptor = next => async request => {
+      request.header.set(PEER_SECRET_HEADER, this.#secret)
+      return await next(request)
+    }
+    const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager: sessions, interceptors: [authenticate] })
+    const client = createClient(wire.PeerService, transport)
+    this.#connections.set(address, { sessions, client })
+    return client
+  }
+}
--- a/src/model/target.ts
+++ b/src/model/target.ts
@@ -13,6 +13,8 @@
   /** Lists the tasks that it runs. */
   readonly inventory: boolean
   readonly checkpoint: boolean
+  /** Reports ended tasks for at least ten minutes, so that an unknown task was never started. */
+  readonly remembersEnded?: boolean
 }
 
 /** An entry of the platform's list. */
--- a/src/ports/peerClient.ts
+++ b/src/ports/peerClient.ts
@@ -38,6 +38,15 @@
     readonly retryable: boolean
   }
 
+/** What an instance knows of one attempt at a request. */
+export interface RequestStatus {
+  readonly instance: string
+  readonly state: 'queued' | 'claiming' | 'running'
+  readonly attemptId: string
+  /** Empty until the attempt is placed. */
+  readonly target: string
+}
+
 export interface ClaimEntry {
   /** Hash of team and request identity. */
   readonly identity: string
@@ -55,6 +64,7 @@
   exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer>
   run (address: string, forwarded: ForwardedRequest, signal?: AbortSignal): AsyncIterable<RunEvent>
   cancel (address: string, team: string, requestId: string, attemptId: string, signal?: AbortSignal): Promise<boolean>
+  find (address: string, team: string, requestId: string, signal?: AbortSignal): Promise<readonly RequestStatus[]>
   fetchChanges (address: string, afterVersion: number, signal?: AbortSignal): Promise<FetchedChanges>
   /** Resolves with what was given, which is already in the store's record. */
   transferAllotment (address: string, receiver: InstanceRef, team: string, wanted: Resources, signal?: AbortSignal): Promise<Resources>
@@ -67,6 +77,7 @@
   exchange (sender: InstanceDigest, registering: boolean): Promise<ExchangeAnswer>
   run (forwarded: ForwardedRequest, signal: AbortSignal): AsyncIterable<RunEvent>
   cancel (team: string, requestId: string, attemptId: string): Promise<boolean>
+  find (team: string, requestId: string): Promise<readonly RequestStatus[]>
   fetchChanges (afterVersion: number): Promise<FetchedChanges>
   transferAllotment (receiver: InstanceRef, team: string, wanted: Resources): Promise<Resources>
   claim (entries: readonly ClaimEntry[]): Promise<readonly ClaimOutcome[]>
