--- /dev/null
+++ b/src/adapters/target/memoryTargetClient.ts
@@ -0,0 +1,164 @@
+/** A target client over stand-ins in this process, with injected faults; for tests and benchmarks. */
+import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { FenceResult, StartResult, TargetClient, TaskCommand, TaskStart } from '../../ports/targetClient.ts'
+import type { StandInAnswer } from './standInWork.ts'
+import type { StandInTarget } from './standInTarget.ts'
+import type { StandInTask } from './standInTask.ts'
+import { IncompleteAnswerError, TargetUnknownError, TargetUnreachableError } from './targetErrors.ts'
+import type { ChooseTargetFault, TargetCall, TargetFault } from './targetFault.ts'
+
+type CallDescription = Omit<TargetCall, 'index'>
+
+/**
+ * Calls stand-in targets by identity. A target that was not added is unreachable.
+ *
+ * @example
+ * const client = new MemoryTargetClient(clock, targets, call => call.method === 'start' ? { type: 'loseAnswer' } : undefined)
+ */
+export class MemoryTargetClient implements TargetClient {
+  /** Replace it to begin or end a fault. */
+  chooseFault: ChooseTargetFault
+  readonly #clock: Clock
+  readonly #targets = new Map<string, StandInTarget>()
+  #index = 0
+
+  constructor (clock: Clock, targets: Iterable<StandInTarget>, chooseFault: ChooseTargetFault = () => undefined) {
+    this.#clock = clock
+    this.chooseFault = chooseFault
+    for (const target of targets) this.add(target)
+  }
+
+  add (target: StandInTarget): void {
+    this.#targets.set(target.info.id, target)
+  }
+
+  fence (target: TargetInfo, epoch: number, signal?: AbortSignal): Promise<FenceResult> {
+    return this.#call({ targetId: target.id, method: 'fence' }, async standIn => standIn.fence(epoch), signal)
+  }
+
+  async start (target: TargetInfo, start: TaskStart, signal?: AbortSignal): Promise<StartResult> {
+    const call = { targetId: target.id, method: 'start' as const, taskId: start.taskId }
+    try {
+      return await this.#call(call, (standIn, fault) => startTask(standIn, start, fault), signal)
+    } catch (error) {
+      if (error instanceof TargetUnreachableError) return { outcome: 'unreachable', message: error.message }
+      if (error instanceof TargetUnknownError) return { outcome: 'unknown', message: error.message }
+      throw error
+    }
+  }
+
+  renew (target: TargetInfo, taskId: string, epoch: number, leaseMs: number, signal?: AbortSignal): Promise<TaskReport | undefined> {
+    const call = { targetId: target.id, method: 'renew' as const, taskId }
+    return this.#call(call, async standIn => standIn.renew(taskId, epoch, leaseMs), signal)
+  }
+
+  command (target: TargetInfo, taskId: string, epoch: number, command: TaskCommand, signal?: AbortSignal): Promise<TaskReport | undefined> {
+    const call = { targetId: target.id, method: 'command' as const, taskId }
+    return this.#call(call, async standIn => standIn.command(taskId, epoch, command), signal)
+  }
+
+  inspect (target: TargetInfo, taskId: string, signal?: AbortSignal): Promise<TaskReport | undefined> {
+    return this.#call({ targetId: target.id, method: 'inspect', taskId }, async standIn => standIn.inspect(taskId), signal)
+  }
+
+  usage (target: TargetInfo, signal?: AbortSignal): Promise<readonly TaskReport[]> {
+    return this.#call({ targetId: target.id, method: 'usage' }, async standIn => standIn.usage(), signal)
+  }
+
+  async #call<T> (
+    call: CallDescription, perform: (target: StandInTarget, fault?: TargetFault) => Promise<T>, signal?: AbortSignal
+  ): Promise<T> {
+    const fault = this.chooseFault({ ...call, index: this.#index++ })
+    if (signal?.aborted) throw new TargetUnreachableError('the call was aborted before it was sent', { cause: signal.reason })
+    if (fault?.type === 'unreachable') throw unreachable(call)
+    const target = this.#reach(call)
+    if (fault?.type === 'loseCall') throw unknown(call)
+    if (fault?.type === 'duplicate') this.#deliver(fault.afterMs, target, call, perform).catch(() => {})
+    const performed = fault?.type === 'delay'
+      ? this.#deliver(fault.durationMs, target, call, perform)
+      : perform(target, fault)
+    if (fault?.type === 'loseAnswer') {
+      performed.catch(() => {})
+      throw unknown(call)
+    }
+    const result = await abortable(performed, call, signal)
+    if (fault?.type === 'delayAnswer') await this.#wait(fault.durationMs, call, signal)
+    return result
+  }
+
+  #reach (call: CallDescription): StandInTarget {
+    const target = this.#targets.get(call.targetId)
+    if (target === undefined || target.crashed) throw unreachable(call)
+    return target
+  }
+
+  async #wait (durationMs: number, call: CallDescription, signal?: AbortSignal): Promise<void> {
+    try {
+      await this.#clock.sleep(durationMs, signal)
+    } catch {
+      throw unknown(call)
+    }
+  }
+
+  /** Performs a call that is on its way for the duration, whether or not its caller still waits. */
+  async #deliver<T> (
+    durationMs: number, target: StandInTarget, call: CallDescription, perform: (target: StandInTarget) => Promise<T>
+  ): Promise<T> {
+    await this.#clock.sleep(durationMs)
+    if (target.crashed) throw unknown(call)
+    return await perform(target)
+  }
+}
+
+async function startTask (target: StandInTarget, start: TaskStart, fault?: TargetFault): Promise<StartResult> {
+  const closeConnection = target.openConnection()
+  try {
+    const started = target.start(start)
+    if (started.outcome === 'refused') return started
+    return await answerOf(started.task, start, fault)
+  } finally {
+    closeConnection()
+  }
+}
+
+async function answerOf (task: StandInTask, start: TaskStart, fault?: TargetFault): Promise<StartResult> {
+  const reply = await task.reply()
+  if (reply.outcome === 'lost') throw new TargetUnknownError(reply.message)
+  if (reply.outcome === 'failed') return reply
+  return {
+    outcome: 'started',
+    answer: {
+      taskId: fault?.type === 'echo' ? fault.taskId : start.taskId,
+      contentType: reply.answer.contentType,
+      body: readBody(reply.answer, fault?.type === 'truncate' ? fault.afterBytes : Infinity)
+    }
+  }
+}
+
+async function * readBody (answer: StandInAnswer, limitBytes: number): AsyncIterable<Uint8Array> {
+  let left = limitBytes
+  for (const chunk of answer.chunks()) {
+    const part = chunk.subarray(0, left)
+    if (part.length > 0) yield part
+    left -= part.length
+    if (part.length < chunk.length) throw new IncompleteAnswerError(`the answer ended after ${limitBytes} of ${answer.byteCount} bytes`)
+  }
+}
+
+function abortable<T> (performed: Promise<T>, call: CallDescription, signal?: AbortSignal): Promise<T> {
+  if (signal === undefined) return performed
+  return new Promise((resolve, reject) => {
+    const onAbort = (): void => reject(unknown(call))
+    signal.addEventListener('abort', onAbort, { once: true })
+    performed.then(resolve, reject).finally(() => signal.removeEventListener('abort', onAbort))
+  })
+}
+
+function unreachable (call: CallDescription): Error {
+  return new TargetUnreachableError(`target ${call.targetId} can not be reached: ${call.method}`)
+}
+
+function unknown (call: CallDescription): Error {
+  return new TargetUnknownError(`target ${call.targetId} gave no answer: ${call.method}`)
+}
--- /dev/null
+++ b/src/adapters/target/standInTask.ts
@@ -0,0 +1,174 @@
+/** One task on a stand-in target: its run, its lease, its usage and its entry in the history. */
+import { minimumResources } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+import type { KindName } from '../../model/request.ts'
+import type { TaskReport, TaskState } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { TaskStart } from '../../ports/targetClient.ts'
+import { jsonAnswer, parseWork } from './standInWork.ts'
+import type { StandInAnswer, StandInWork } from './standInWork.ts'
+
+/** How a task ended. */
+export type TaskEnding = 'finished' | 'failed' | 'stopped' | 'checkpointed' | 'lease-ended' | 'crashed'
+
+/** One run as checkers see it; times by the wall clock, so that targets of several processes compare. */
+export interface TaskHistory {
+  readonly taskId: string
+  readonly requestId: string
+  readonly team: string
+  readonly kind: KindName
+  readonly size: Resources
+  /** Epoch under which the task was started. */
+  readonly epoch: number
+  readonly startedAtWallMs: number
+  /** Absent while the task runs. */
+  readonly endedAtWallMs?: number
+  readonly ending?: TaskEnding
+}
+
+/** The end of a run; the answer is present if it finished. */
+export interface TaskEnd {
+  readonly ending: TaskEnding
+  readonly message: string
+  readonly answer?: StandInAnswer
+}
+
+/** What the caller of a start hears. */
+export type TaskReply =
+  | { readonly outcome: 'answered', readonly answer: StandInAnswer }
+  | { readonly outcome: 'failed', readonly message: string }
+  /** The target crashed: the connection breaks without an answer. */
+  | { readonly outcome: 'lost', readonly message: string }
+
+const STATES: Readonly<Record<TaskEnding, TaskState>> = {
+  finished: 'finished',
+  failed: 'failed',
+  stopped: 'stopped',
+  checkpointed: 'checkpointed',
+  'lease-ended': 'stopped',
+  crashed: 'failed'
+}
+
+export class StandInTask {
+  /** Resolves at the end of the run. */
+  readonly ended: Promise<TaskEnd>
+  readonly #start: Omit<TaskStart, 'payload'>
+  readonly #clock: Clock
+  readonly #work: StandInWork
+  readonly #abort = new AbortController()
+  readonly #startedAtWallMs: number
+  readonly #usages: { readonly sinceMs: number, readonly usage: Resources }[]
+  readonly #resolveEnded: (end: TaskEnd) => void
+  readonly #onEnd: (task: StandInTask) => void
+  #epoch: number
+  #leaseEndsAt: number
+  #endedAtWallMs?: number
+  #ending?: TaskEnding
+
+  constructor (start: TaskStart, clock: Clock, onEnd: (task: StandInTask) => void) {
+    const { payload, ...rest } = start
+    this.#start = rest
+    this.#clock = clock
+    this.#work = parseWork(payload)
+    this.#onEnd = onEnd
+    this.#epoch = start.epoch
+    this.#startedAtWallMs = clock.wallMs()
+    this.#leaseEndsAt = clock.monotonicMs() + start.leaseMs
+    this.#usages = [{ sinceMs: clock.monotonicMs(), usage: this.#work.usage ?? start.size }]
+    let resolveEnded: (end: TaskEnd) => void = () => {}
+    this.ended = new Promise(resolve => { resolveEnded = resolve })
+    this.#resolveEnded = resolveEnded
+  }
+
+  get size (): Resources {
+    return this.#start.size
+  }
+
+  get history (): TaskHistory {
+    const { taskId, requestId, team, kind, size, epoch } = this.#start
+    return {
+      taskId,
+      requestId,
+      team,
+      kind,
+      size,
+      epoch,
+      startedAtWallMs: this.#startedAtWallMs,
+      endedAtWallMs: this.#endedAtWallMs,
+      ending: this.#ending
+    }
+  }
+
+  /** Begins the work and the lease. Work without a duration ends before this returns. */
+  run (): void {
+    if (this.#work.runMs === 0) return this.#finish()
+    this.#clock.sleep(this.#work.runMs, this.#abort.signal).then(() => this.#finish(), () => {})
+    this.#watchLease().catch(() => {})
+  }
+
+  /** Resolves when the target answers the start: at the end of the run, or at once for a detached task. */
+  async reply (): Promise<TaskReply> {
+    if (this.#start.detached && (this.#ending === undefined || this.#ending === 'finished')) {
+      return { outcome: 'answered', answer: jsonAnswer({ taskId: this.#start.taskId }) }
+    }
+    const { ending, message, answer } = await this.ended
+    if (answer !== undefined) return { outcome: 'answered', answer }
+    return { outcome: ending === 'crashed' ? 'lost' : 'failed', message }
+  }
+
+  /** Extends the lease for the holder of the epoch; a task that has ended stays ended. */
+  renew (epoch: number, leaseMs: number): void {
+    this.#epoch = Math.max(this.#epoch, epoch)
+    this.#leaseEndsAt = this.#clock.monotonicMs() + leaseMs
+  }
+
+  /** Lowers usage to the size in every dimension. */
+  throttle (): void {
+    const usage = this.#usages.at(-1)?.usage ?? this.size
+    this.#usages.push({ sinceMs: this.#clock.monotonicMs(), usage: minimumResources(usage, this.size) })
+  }
+
+  /** Ends the run; without effect if it has ended. */
+  end (ending: TaskEnding, message: string, answer?: StandInAnswer): void {
+    if (this.#ending !== undefined) return
+    this.#ending = ending
+    this.#endedAtWallMs = this.#clock.wallMs()
+    this.#abort.abort(new Error(message))
+    this.#onEnd(this)
+    this.#resolveEnded({ ending, message, answer })
+  }
+
+  /** The report with the usage as it was the lag ago. */
+  report (usageLagMs: number): TaskReport {
+    const { taskId, team, kind, requestId, name, size } = this.#start
+    const knownUntil = this.#clock.monotonicMs() - usageLagMs
+    return {
+      taskId,
+      team,
+      kind,
+      requestId,
+      name,
+      size,
+      epoch: this.#epoch,
+      state: this.#ending === undefined ? 'running' : STATES[this.#ending],
+      usage: this.#usages.findLast(({ sinceMs }) => sinceMs <= knownUntil)?.usage
+    }
+  }
+
+  #finish (): void {
+    const { failure, answer } = this.#work
+    if (failure !== undefined) this.end('failed', failure)
+    else this.end('finished', 'the work finished', answer)
+  }
+
+  async #watchLease (): Promise<void> {
+    for (let left = this.#leaseLeftMs(); left > 0; left = this.#leaseLeftMs()) {
+      await this.#clock.sleep(left, this.#abort.signal)
+    }
+    this.end('lease-ended', 'the lease of the task ended')
+  }
+
+  #leaseLeftMs (): number {
+    return this.#leaseEndsAt - this.#clock.monotonicMs()
+  }
+}
--- /dev/null
+++ b/src/adapters/target/standInWork.ts
@@ -0,0 +1,75 @@
+/** The work of a stand-in target: what a payload asks it to do, and the answer that it gives. */
+import { z } from 'zod'
+import { resources } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+
+const usageSchema = z.object({
+  slots: z.number().nonnegative(),
+  processors: z.number().nonnegative(),
+  memory: z.number().nonnegative(),
+  accelerators: z.number().nonnegative()
+}).partial()
+
+/** Longest delay of a Node.js timer in milliseconds. */
+const MAX_RUN_MS = 2 ** 31 - 1
+
+const workSchema = z.object({
+  /** Duration of the run in milliseconds. */
+  runMs: z.number().min(0).max(MAX_RUN_MS).optional(),
+  /** The answer, sent as JSON. */
+  answer: z.json().optional(),
+  /** Size of the answer; takes precedence over `answer`. */
+  bytes: z.number().int().nonnegative().optional(),
+  /** The run fails at its end, with the message if one is given. */
+  fail: z.union([z.boolean(), z.string()]).optional(),
+  /** Real usage while running; the size if left out. */
+  usage: usageSchema.optional()
+})
+
+/** A payload that stand-in targets understand; any other payload is echoed at once. */
+export type StandInPayload = z.input<typeof workSchema>
+
+export interface StandInWork {
+  readonly runMs: number
+  /** Undefined if the work succeeds. */
+  readonly failure?: string
+  /** Undefined if usage is the declared size. */
+  readonly usage?: Resources
+  readonly answer: StandInAnswer
+}
+
+export interface StandInAnswer {
+  readonly contentType: string
+  readonly byteCount: number
+  readonly chunks: () => Iterable<Uint8Array>
+}
+
+const CHUNK_BYTES = 65_536
+const FILLER = new Uint8Array(CHUNK_BYTES).fill('x'.charCodeAt(0))
+
+/** Reads the work from a payload. */
+export function parseWork (payload: unknown): StandInWork {
+  const parsed = workSchema.safeParse(payload)
+  if (!parsed.success) return { runMs: 0, answer: jsonAnswer(payload) }
+  const { runMs = 0, answer, bytes, fail = false, usage } = parsed.data
+  return {
+    runMs,
+    failure: fail === false ? undefined : fail === true ? 'the work failed' : fail,
+    usage: usage && resources(usage),
+    answer: bytes === undefined ? jsonAnswer(answer === undefined ? payload : answer) : filledAnswer(bytes)
+  }
+}
+
+/** An answer with a value as JSON. */
+export function jsonAnswer (value: unknown): StandInAnswer {
+  const bytes = Buffer.from(JSON.stringify(value ?? null))
+  return { contentType: 'application/json', byteCount: bytes.length, chunks: () => [bytes] }
+}
+
+function filledAnswer (byteCount: number): StandInAnswer {
+  return { contentType: 'application/octet-stream', byteCount, chunks: () => fillChunks(byteCount) }
+}
+
+function * fillChunks (byteCount: number): Iterable<Uint8Array> {
+  for (let left = byteCount; left > 0; left -= CHUNK_BYTES) yield FILLER.subarray(0, Math.min(left, CHUNK_BYTES))
+}
--- /dev/null
+++ b/src/adapters/target/targetErrors.ts
@@ -0,0 +1,11 @@
+/** Errors of calls to targets, other than the results that starts report by value. */
+import { BaseError } from '../../model/errors.ts'
+
+/** No connection was made: the target certainly has not seen the call. */
+export const TargetUnreachableError = BaseError.subclass('TargetUnreachableError')
+
+/** The call was sent and no whole answer came back: it may have had an effect. */
+export const TargetUnknownError = BaseError.subclass('TargetUnknownError')
+
+/** The answer's body ended before its announced end. */
+export const IncompleteAnswerError = BaseError.subclass('IncompleteAnswerError')
