--- /dev/null
+++ b/src/adapters/http/jsonServer.ts
@@ -0,0 +1,133 @@
+/** The HTTP server of the stand-ins. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { json } from 'node:stream/consumers'
+import { BaseError, InputError } from '../../model/errors.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import { matchRoute } from './routes.ts'
+import type { JsonAnswer, Route, RouteMatch } from './routes.ts'
+
+/** Idle connections stay open for that long. */
+const KEEP_ALIVE_MS = 60_000
+
+export interface JsonServerOptions {
+  readonly name: string
+  /** `host:port`; port 0 chooses a free one. */
+  readonly listen: string
+  readonly routes: readonly Route[]
+  readonly onConnection?: (socket: Socket) => void
+}
+
+/** Splits `host:port`. */
+export function parseAddress (address: string): { readonly host: string, readonly port: number } {
+  const separator = address.lastIndexOf(':')
+  const port = Number(address.slice(separator + 1))
+  if (separator < 1 || !Number.isInteger(port) || port < 0 || port > 65_535) {
+    throw new InputError(`the address must be host:port, not ${JSON.stringify(address)}`)
+  }
+  return { host: address.slice(0, separator).replace(/^\[(.*)\]$/, '$1'), port }
+}
+
+/**
+ * Serves routes. A handler that throws `InputError` answers 400; after any other error the
+ * connection is reset, as when the server fails in the middle of a call.
+ *
+ * @example
+ * const server = new JsonServer({ name: 'store', listen: '127.0.0.1:0', routes })
+ * await server.start()
+ */
+export class JsonServer implements Component {
+  readonly name: string
+  readonly #options: JsonServerOptions
+  #server: Server | undefined
+  #stopping = new AbortController()
+
+  constructor (options: JsonServerOptions) {
+    this.name = options.name
+    this.#options = options
+  }
+
+  /** `host:port` as bound. */
+  get address (): string {
+    const bound = this.#server?.address() as AddressInfo | null | undefined
+    if (!bound) throw new BaseError(`${this.name} does not listen`)
+    return bound.family === 'IPv6' ? `[${bound.address}]:${bound.port}` : `${bound.address}:${bound.port}`
+  }
+
+  async start (): Promise<void> {
+    const { host, port } = parseAddress(this.#options.listen)
+    this.#stopping = new AbortController()
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      this.#serve(request, response).catch(() => response.destroy())
+    })
+    if (this.#options.onConnection !== undefined) server.on('connection', this.#options.onConnection)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, resolve)
+    })
+    this.#server = server
+  }
+
+  /** Closes every connection at once, also those in the middle of a call. */
+  async stop (): Promise<void> {
+    const server = this.#server
+    if (server === undefined) return
+    this.#server = undefined
+    this.#stopping.abort(new BaseError(`${this.name} stops`))
+    await new Promise<void>(resolve => {
+      server.close(() => resolve())
+      server.closeAllConnections()
+    })
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://localhost')
+    const match = matchRoute(this.#options.routes, request.method ?? '', url.pathname)
+    if (match === undefined) {
+      request.resume()
+      return writeJson(response, { status: 404, body: { message: `no such resource: ${request.method} ${url.pathname}` } })
+    }
+    const answer = await this.#handle(match, url.searchParams, request, response)
+    if (answer !== undefined) writeJson(response, answer)
+  }
+
+  async #handle (
+    { route, parameters }: RouteMatch, query: URLSearchParams, request: IncomingMessage, response: ServerResponse
+  ): Promise<JsonAnswer | undefined> {
+    const abort = new AbortController()
+    const onStop = (): void => abort.abort(this.#stopping.signal.reason)
+    const onClose = (): void => abort.abort(new BaseError('the connection was closed'))
+    this.#stopping.signal.addEventListener('abort', onStop, { once: true })
+    response.once('close', onClose)
+    try {
+      const body = await readBody(request)
+      return await route.handle({ parameters, query, body, signal: abort.signal, response })
+    } catch (error) {
+      if (error instanceof InputError) return { status: 400, body: { message: error.message } }
+      throw error
+    } finally {
+      response.off('close', onClose)
+      this.#stopping.signal.removeEventListener('abort', onStop)
+    }
+  }
+}
+
+async function readBody (request: IncomingMessage): Promise<unknown> {
+  if (request.method === 'GET' || request.method === 'DELETE') {
+    request.resume()
+    return undefined
+  }
+  try {
+    return await json(request)
+  } catch (error) {
+    if (error instanceof SyntaxError) throw new InputError('the body is not JSON:', { cause: error })
+    throw error
+  }
+}
+
+function writeJson (response: ServerResponse, { status, body }: JsonAnswer): void {
+  const bytes = Buffer.from(JSON.stringify(body))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': bytes.length })
+  response.end(bytes)
+}
--- /dev/null
+++ b/src/adapters/http/routes.ts
@@ -0,0 +1,60 @@
+/** Routes of the HTTP stand-ins: patterns of path segments, and handlers that answer with JSON. */
+import type { ServerResponse } from 'node:http'
+
+export interface HttpCall {
+  /** Values of the pattern's `:name` segments, decoded. */
+  readonly parameters: Readonly<Record<string, string>>
+  readonly query: URLSearchParams
+  /** The request's JSON body; undefined if it has none. */
+  readonly body: unknown
+  /** Aborts when the caller's connection closes or the server stops. */
+  readonly signal: AbortSignal
+  readonly response: ServerResponse
+}
+
+export interface JsonAnswer {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** Returns the answer, or undefined if the handler wrote to the response itself. */
+export type HttpHandler = (call: HttpCall) => Promise<JsonAnswer | undefined>
+
+export interface Route {
+  readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE'
+  /** Such as `/v1/tasks/:id/renew`. */
+  readonly pattern: string
+  readonly handle: HttpHandler
+}
+
+export interface RouteMatch {
+  readonly route: Route
+  readonly parameters: Readonly<Record<string, string>>
+}
+
+/**
+ * Finds the route for a request; the first that matches wins.
+ *
+ * @example
+ * matchRoute(routes, 'GET', '/v1/tasks/task-1') // parameters: { id: 'task-1' }
+ */
+export function matchRoute (routes: readonly Route[], method: string, path: string): RouteMatch | undefined {
+  const segments = path.split('/')
+  for (const route of routes) {
+    if (route.method !== method) continue
+    const parameters = matchPattern(route.pattern.split('/'), segments)
+    if (parameters !== undefined) return { route, parameters }
+  }
+  return undefined
+}
+
+function matchPattern (pattern: readonly string[], segments: readonly string[]): Record<string, string> | undefined {
+  if (pattern.length !== segments.length) return undefined
+  const parameters: Record<string, string> = {}
+  for (const [index, part] of pattern.entries()) {
+    const segment = segments[index] ?? ''
+    if (part.startsWith(':')) parameters[part.slice(1)] = decodeURIComponent(segment)
+    else if (part !== segment) return undefined
+  }
+  return parameters
+}
--- a/src/adapters/store/faultyStore.ts
+++ b/src/adapters/store/faultyStore.ts
@@ -85,7 +85,7 @@
   }
 
   async #call<T> (call: Omit<StoreCall, 'index'>, perform: () => Promise<T>, signal?: AbortSignal): Promise<T> {
-    if (signal?.aborted) throw new StoreUnavailableError('the call was aborted', { cause: signal.reason })
+    if (signal?.aborted) throw new StoreUnavailableError('the call was aborted:', { cause: signal.reason })
     const fault = this.chooseFault({ ...call, index: this.#index++ })
     switch (fault?.type) {
       case undefined:
--- /dev/null
+++ b/src/adapters/store/httpStore.test.ts
@@ -0,0 +1,84 @@
+import { createServer } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { InputError, StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
+import { ManualClock } from '../clock/manualClock.ts'
+import { FaultyStore } from './faultyStore.ts'
+import { HttpStore } from './httpStore.ts'
+import { HttpStoreServer } from './httpStoreServer.ts'
+import { MAX_VALUE_BYTES, MemoryStore } from './memoryStore.ts'
+
+async function startStore (t: ExecutionContext): Promise<{
+  clock: ManualClock, memory: MemoryStore, faulty: FaultyStore, server: HttpStoreServer, store: HttpStore
+}> {
+  const clock = new ManualClock()
+  const memory = new MemoryStore(clock)
+  const faulty = new FaultyStore(memory, clock)
+  const server = new HttpStoreServer(faulty, '127.0.0.1:0')
+  await server.start()
+  const store = new HttpStore({ address: server.address })
+  t.teardown(async () => {
+    await store.stop()
+    await server.stop()
+  })
+  return { clock, memory, faulty, server, store }
+}
+
+/** Lets the event loop turn until the condition holds; the test's own time limit ends a wait in vain. */
+async function until (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve))
+}
+
+test('the HTTP store does not differ from the store behind it', async t => {
+  const { clock, memory, store } = await startStore(t)
+  const key = 'ownership/attica-a?x=1&y=%/é'
+  t.is(await store.get(key), undefined)
+  t.deepEqual(await store.put(key, 'a', { expectedVersion: 0 }), { outcome: 'written', version: 1 })
+  t.deepEqual(await store.put(key, 'b', { expectedVersion: 0 }), { outcome: 'conflict', current: { key, value: 'a', version: 1 } })
+  t.deepEqual(await store.list('ownership/'), [{ key, value: 'a', version: 1 }])
+  const watched = store.watch(key, 1, 1_000)
+  await until(() => memory.calls.watch === 1)
+  t.deepEqual(await store.put(key, 'c', { expectedVersion: 1 }), { outcome: 'written', version: 2 })
+  t.like(await watched, { value: 'c' })
+  const lease = await store.grantLease(1_000)
+  t.true(await store.renewLease(lease))
+  t.like(await store.put('leased', '', { expectedVersion: 0, lease }), { outcome: 'written' })
+  await clock.advance(1_000)
+  t.is(await store.get('leased'), undefined)
+  t.false(await store.renewLease(lease))
+  t.deepEqual(await store.delete(key, 2), { outcome: 'written', version: 2 })
+  await t.throwsAsync(store.put(key, 'x'.repeat(MAX_VALUE_BYTES + 1), { expectedVersion: 0 }), { instanceOf: InputError })
+})
+
+test('a write whose answer was lost is not reported as refused, nor a refused one as unknown', async t => {
+  const { faulty, memory, server, store } = await startStore(t)
+  faulty.chooseFault = () => ({ type: 'loseAnswer' })
+  await t.throwsAsync(store.put('key', 'a', { expectedVersion: 0 }), { instanceOf: StoreUnknownError })
+  t.like(await memory.get('key'), { value: 'a' })
+  await t.throwsAsync(store.get('key'), { instanceOf: StoreUnavailableError })
+  faulty.chooseFault = () => ({ type: 'down' })
+  await t.throwsAsync(store.delete('key', 1), { instanceOf: StoreUnavailableError })
+  faulty.chooseFault = () => ({ type: 'delayAnswer', durationMs: 1_000 })
+  const interrupted = store.put('key', 'b', { expectedVersion: 1 })
+  await until(() => memory.calls.put === 2)
+  await server.stop()
+  await t.throwsAsync(interrupted, { instanceOf: StoreUnknownError })
+  await t.throwsAsync(store.put('key', 'c', { expectedVersion: 2 }), { instanceOf: StoreUnavailableError })
+})
+
+test('a store that takes a write and never answers does not hold the call, nor is the write taken as refused', async t => {
+  const sockets: Socket[] = []
+  const silent = createServer(socket => { sockets.push(socket.resume()) })
+  await new Promise<void>(resolve => { silent.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy()
+    silent.close()
+  })
+  const store = new HttpStore({ address: `127.0.0.1:${(silent.address() as AddressInfo).port}`, callTimeoutMs: 50 })
+  t.teardown(() => store.stop())
+  await t.throwsAsync(store.put('key', 'a', { expectedVersion: 0 }), { instanceOf: StoreUnknownError })
+  const abort = new AbortController()
+  abort.abort(new Error('stop'))
+  await t.throwsAsync(store.put('key', 'a', { expectedVersion: 0 }, abort.signal), { instanceOf: StoreUnavailableError })
+})
--- /dev/null
+++ b/src/adapters/store/httpStore.ts
@@ -0,0 +1,125 @@
+/** The platform's store over HTTP. */
+import { z } from 'zod'
+import { InputError, StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import type { Store, StoreEntry, WriteOptions, WriteResult } from '../../ports/store.ts'
+import { HttpCaller, NotSentError } from '../http/httpCaller.ts'
+import type { CallOptions, JsonResponse } from '../http/httpCaller.ts'
+
+const DEFAULT_CALL_TIMEOUT_MS = 2_000
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000
+
+export interface HttpStoreOptions {
+  /** `host:port`. */
+  readonly address: string
+  /** Limit for a call; a watch may take its own time in addition. */
+  readonly callTimeoutMs?: number
+  readonly connectTimeoutMs?: number
+}
+
+const entrySchema = z.object({ key: z.string(), value: z.string(), version: z.number().int().positive() })
+const entryAnswerSchema = z.object({ entry: entrySchema.optional() })
+const listAnswerSchema = z.object({ entries: z.array(entrySchema) })
+const leaseAnswerSchema = z.object({ lease: z.string() })
+const renewAnswerSchema = z.object({ renewed: z.boolean() })
+const writeAnswerSchema = z.discriminatedUnion('outcome', [
+  z.object({ outcome: z.literal('written'), version: z.number().int().positive() }),
+  z.object({ outcome: z.literal('conflict'), current: entrySchema.optional() })
+])
+
+/**
+ * Calls the store. A read fails with `StoreUnavailableError`; a write that was sent and has no
+ * whole answer fails with `StoreUnknownError`.
+ *
+ * @example
+ * const store = new HttpStore({ address: '127.0.0.1:2379' })
+ * const entry = await store.get('registry')
+ */
+export class HttpStore implements Store, Component {
+  readonly name = 'store client'
+  readonly #caller: HttpCaller
+  readonly #callTimeoutMs: number
+
+  constructor (options: HttpStoreOptions) {
+    this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
+    this.#caller = new HttpCaller({
+      address: options.address,
+      connectTimeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS
+    })
+  }
+
+  async start (): Promise<void> {}
+
+  /** Closes the connections; calls in progress fail. */
+  async stop (): Promise<void> {
+    await this.#caller.close()
+  }
+
+  async get (key: string, signal?: AbortSignal): Promise<StoreEntry | undefined> {
+    return (await this.#read(entryPath(key), entryAnswerSchema, this.#callTimeoutMs, signal)).entry
+  }
+
+  async list (prefix: string, signal?: AbortSignal): Promise<readonly StoreEntry[]> {
+    const query = new URLSearchParams({ prefix })
+    return (await this.#read(`/v1/entries?${query}`, listAnswerSchema, this.#callTimeoutMs, signal)).entries
+  }
+
+  async put (key: string, value: string, { expectedVersion, lease }: WriteOptions, signal?: AbortSignal): Promise<WriteResult> {
+    const body = { value, expectedVersion, lease }
+    return await this.#write({ method: 'PUT', path: entryPath(key), body, signal }, writeAnswerSchema)
+  }
+
+  async delete (key: string, expectedVersion: number, signal?: AbortSignal): Promise<WriteResult> {
+    const path = `${entryPath(key)}?expectedVersion=${expectedVersion}`
+    return await this.#write({ method: 'DELETE', path, signal }, writeAnswerSchema)
+  }
+
+  async grantLease (durationMs: number, signal?: AbortSignal): Promise<string> {
+    return (await this.#write({ method: 'POST', path: '/v1/leases', body: { durationMs }, signal }, leaseAnswerSchema)).lease
+  }
+
+  async renewLease (lease: string, signal?: AbortSignal): Promise<boolean> {
+    const path = `/v1/leases/${encodeURIComponent(lease)}/renew`
+    return (await this.#write({ method: 'POST', path, body: {}, signal }, renewAnswerSchema)).renewed
+  }
+
+  async watch (key: string, afterVersion: number, timeoutMs: number, signal?: AbortSignal): Promise<StoreEntry | undefined> {
+    const path = `/v1/watch/${encodeURIComponent(key)}?afterVersion=${afterVersion}&timeoutMs=${timeoutMs}`
+    return (await this.#read(path, entryAnswerSchema, timeoutMs + this.#callTimeoutMs, signal)).entry
+  }
+
+  async #read<T> (path: string, schema: z.ZodType<T>, timeoutMs: number, signal?: AbortSignal): Promise<T> {
+    const options: CallOptions = { method: 'GET', path, timeoutMs, signal }
+    try {
+      return parseAnswer(await this.#caller.callJson(options), schema, options)
+    } catch (error) {
+      throw error instanceof InputError ? error : unavailable(options, error)
+    }
+  }
+
+  async #write<T> (options: CallOptions, schema: z.ZodType<T>): Promise<T> {
+    try {
+      return parseAnswer(await this.#caller.callJson({ ...options, timeoutMs: this.#callTimeoutMs }), schema, options)
+    } catch (error) {
+      if (error instanceof InputError || error instanceof StoreUnavailableError) throw error
+      if (error instanceof NotSentError) throw unavailable(options, error)
+      throw new StoreUnknownError(`the store's answer was lost: ${options.method} ${options.path}:`, { cause: error })
+    }
+  }
+}
+
+function entryPath (key: string): string {
+  return `/v1/entries/${encodeURIComponent(key)}`
+}
+
+/** Answers other than 200, 400 and 503 do not say whether the call took effect. */
+function parseAnswer<T> ({ status, body }: JsonResponse, schema: z.ZodType<T>, { method, path }: CallOptions): T {
+  if (status === 400) throw new InputError(`the store refused ${method} ${path}: ${JSON.stringify(body)}`)
+  if (status === 503) throw new StoreUnavailableError(`the store is not available: ${method} ${path}`)
+  if (status !== 200) throw new StoreUnknownError(`unexpected status ${status}`)
+  return schema.parse(body)
+}
+
+function unavailable ({ method, path }: CallOptions, cause: unknown): Error {
+  return new StoreUnavailableError(`the store can not be reached: ${method} ${path}:`, { cause })
+}
--- a/src/adapters/store/memoryStore.ts
+++ b/src/adapters/store/memoryStore.ts
@@ -156,5 +156,5 @@
 }
 
 function abortedError (signal: AbortSignal): Error {
-  return new StoreUnavailableError('the call was aborted before it took effect', { cause: signal.reason })
+  return new StoreUnavailableError('the call was aborted before it took effect:', { cause: signal.reason })
 }
--- a/src/adapters/target/memoryTargetClient.ts
+++ b/src/adapters/target/memoryTargetClient.ts
@@ -70,7 +70,7 @@
     call: CallDescription, perform: (target: StandInTarget, fault?: TargetFault) => Promise<T>, signal?: AbortSignal
   ): Promise<T> {
     const fault = this.chooseFault({ ...call, index: this.#index++ })
-    if (signal?.aborted) throw new TargetUnreachableError('the call was aborted before it was sent', { cause: signal.reason })
+    if (signal?.aborted) throw new TargetUnreachableError('the call was aborted before it was sent:', { cause: signal.reason })
     if (fault?.type === 'unreachable') throw unreachable(call)
     const target = this.#reach(call)
     if (fault?.type === 'loseCall') throw unknown(call)
