--- /dev/null
+++ b/src/adapters/list/httpInstanceList.ts
@@ -0,0 +1,43 @@
+/** The platform's list over HTTP. */
+import { BaseError } from '../../model/errors.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import type { InstanceList, ListSnapshot } from '../../ports/instanceList.ts'
+import { HttpCaller } from '../http/httpCaller.ts'
+import { parseListSnapshot } from './listSchema.ts'
+
+const DEFAULT_CALL_TIMEOUT_MS = 2_000
+
+export interface HttpInstanceListOptions {
+  /** `host:port`. */
+  readonly address: string
+  readonly callTimeoutMs?: number
+}
+
+/**
+ * Reads the list.
+ *
+ * @example
+ * const { instances } = await new HttpInstanceList({ address: '127.0.0.1:8500' }).read()
+ */
+export class HttpInstanceList implements InstanceList, Component {
+  readonly name = 'instance list client'
+  readonly #caller: HttpCaller
+  readonly #callTimeoutMs: number
+
+  constructor ({ address, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS }: HttpInstanceListOptions) {
+    this.#callTimeoutMs = callTimeoutMs
+    this.#caller = new HttpCaller({ address, connectTimeoutMs: callTimeoutMs })
+  }
+
+  async start (): Promise<void> {}
+
+  async stop (): Promise<void> {
+    await this.#caller.close()
+  }
+
+  async read (signal?: AbortSignal): Promise<ListSnapshot> {
+    const { status, body } = await this.#caller.callJson({ method: 'GET', path: '/v1/list', timeoutMs: this.#callTimeoutMs, signal })
+    if (status !== 200) throw new BaseError(`the instance list answered ${status}: ${JSON.stringify(body)}`)
+    return parseListSnapshot(body, 'the instance list')
+  }
+}
--- /dev/null
+++ b/src/adapters/list/httpInstanceListServer.ts
@@ -0,0 +1,61 @@
+/** The stand-in for the platform's list over HTTP: `GET /v1/list`, and `PUT /v1/list` to change it. */
+import { BaseError } from '../../model/errors.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import { JsonServer } from '../http/jsonServer.ts'
+import type { Route } from '../http/routes.ts'
+import { parseListSnapshot } from './listSchema.ts'
+import type { MemoryInstanceList } from './memoryInstanceList.ts'
+
+/**
+ * Serves a list.
+ *
+ * @example
+ * const server = new HttpInstanceListServer(new MemoryInstanceList(clock, snapshot), '127.0.0.1:0')
+ * await server.start()
+ */
+export class HttpInstanceListServer implements Component {
+  readonly name = 'instance list stand-in'
+  readonly #server: JsonServer
+
+  constructor (list: MemoryInstanceList, listen: string) {
+    this.#server = new JsonServer({ name: this.name, listen, routes: createRoutes(list) })
+  }
+
+  /** `host:port` as bound. */
+  get address (): string {
+    return this.#server.address
+  }
+
+  start (): Promise<void> {
+    return this.#server.start()
+  }
+
+  stop (): Promise<void> {
+    return this.#server.stop()
+  }
+}
+
+function createRoutes (list: MemoryInstanceList): readonly Route[] {
+  return [
+    {
+      method: 'GET',
+      pattern: '/v1/list',
+      handle: async ({ signal }) => {
+        try {
+          return { status: 200, body: await list.read(signal) }
+        } catch (error) {
+          if (error instanceof BaseError) return { status: 503, body: { message: error.message } }
+          throw error
+        }
+      }
+    },
+    {
+      method: 'PUT',
+      pattern: '/v1/list',
+      handle: async ({ body }) => {
+        list.set(parseListSnapshot(body, 'the body'))
+        return { status: 200, body: {} }
+      }
+    }
+  ]
+}
--- /dev/null
+++ b/src/adapters/list/listSchema.ts
@@ -0,0 +1,64 @@
+/** Schemas of the platform's list, for answers and files. */
+import { z } from 'zod'
+import { InputError } from '../../model/errors.ts'
+import type { TargetInfo } from '../../model/target.ts'
+import type { ListSnapshot } from '../../ports/instanceList.ts'
+
+const amountSchema = z.number().nonnegative().default(0)
+
+const resourcesSchema = z.object({
+  slots: amountSchema,
+  processors: amountSchema,
+  memory: amountSchema,
+  accelerators: amountSchema
+})
+
+const targetSchema = z.object({
+  id: z.string().min(1),
+  type: z.enum(['runner', 'worker']),
+  address: z.string().min(1),
+  dataCentre: z.string().min(1),
+  region: z.string().min(1),
+  rack: z.string(),
+  capacity: resourcesSchema,
+  connections: z.number().int().positive(),
+  features: z.object({
+    fencing: z.boolean(),
+    startBy: z.boolean(),
+    inventory: z.boolean(),
+    checkpoint: z.boolean()
+  }),
+  leaving: z.boolean().default(false)
+})
+
+const instanceSchema = z.object({
+  name: z.string().min(1),
+  incarnation: z.string().min(1).optional(),
+  dataCentre: z.string().min(1),
+  region: z.string().min(1),
+  peerAddress: z.string().min(1),
+  leaving: z.boolean().default(false)
+})
+
+const snapshotSchema = z.object({ instances: z.array(instanceSchema), targets: z.array(targetSchema) })
+
+/**
+ * Checks a list that came from outside; dimensions left out are zero.
+ *
+ * @example
+ * const snapshot = parseListSnapshot(JSON.parse(text), 'instances.json')
+ */
+export function parseListSnapshot (value: unknown, source: string): ListSnapshot {
+  return parse(snapshotSchema, value, source)
+}
+
+/** Checks an array of targets that came from outside. */
+export function parseTargets (value: unknown, source: string): readonly TargetInfo[] {
+  return parse(z.array(targetSchema), value, source)
+}
+
+function parse<T> (schema: z.ZodType<T>, value: unknown, source: string): T {
+  const parsed = schema.safeParse(value)
+  if (!parsed.success) throw new InputError(`${source}: ${z.prettifyError(parsed.error)}`)
+  return parsed.data
+}
--- /dev/null
+++ b/src/adapters/list/memoryInstanceList.ts
@@ -0,0 +1,58 @@
+/** The platform's list in this process, with the lag that a real one has; for tests and the HTTP stand-in. */
+import { BaseError } from '../../model/errors.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { InstanceList, ListSnapshot } from '../../ports/instanceList.ts'
+
+const EMPTY: ListSnapshot = { instances: [], targets: [] }
+
+interface TimedSnapshot {
+  readonly sinceMs: number
+  readonly snapshot: ListSnapshot
+}
+
+/**
+ * Shows each snapshot once it is as old as the lag; the first one is shown at once.
+ *
+ * @example
+ * const list = new MemoryInstanceList(clock, snapshot, 10_000)
+ * list.update(current => ({ ...current, instances: [] }))
+ */
+export class MemoryInstanceList implements InstanceList {
+  lagMs: number
+  /** While false, reads fail, as when the platform is cut off. */
+  available = true
+  readonly #clock: Clock
+  #snapshots: readonly TimedSnapshot[]
+
+  constructor (clock: Clock, snapshot: ListSnapshot = EMPTY, lagMs = 0) {
+    this.#clock = clock
+    this.lagMs = lagMs
+    this.#snapshots = [{ sinceMs: -Infinity, snapshot }]
+  }
+
+  /** The truth, without the lag. */
+  get current (): ListSnapshot {
+    return this.#snapshots.at(-1)?.snapshot ?? EMPTY
+  }
+
+  /** Replaces the truth; reads show it after the lag. */
+  set (snapshot: ListSnapshot): void {
+    const shown = this.#shownIndex()
+    this.#snapshots = [...this.#snapshots.slice(shown), { sinceMs: this.#clock.monotonicMs(), snapshot }]
+  }
+
+  update (change: (current: ListSnapshot) => ListSnapshot): void {
+    this.set(change(this.current))
+  }
+
+  async read (signal?: AbortSignal): Promise<ListSnapshot> {
+    signal?.throwIfAborted()
+    if (!this.available) throw new BaseError('the instance list can not be reached')
+    return this.#snapshots[this.#shownIndex()]?.snapshot ?? EMPTY
+  }
+
+  #shownIndex (): number {
+    const knownUntil = this.#clock.monotonicMs() - this.lagMs
+    return Math.max(0, this.#snapshots.findLastIndex(({ sinceMs }) => sinceMs <= knownUntil))
+  }
+}
