--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -15,6 +15,8 @@
   /** Connections open at the same time; calls beyond wait. Unlimited if left out. */
   readonly connections?: number
   readonly connectTimeoutMs: number
+  /** Idle connections close after that time at the latest; as the server announces if left out. */
+  readonly idleConnectionMs?: number
 }
 
 export interface CallOptions {
@@ -67,10 +69,11 @@
   readonly #pool: Pool
   readonly #dispatcher: Dispatcher
 
-  constructor ({ address, connections, connectTimeoutMs }: HttpCallerOptions) {
+  constructor ({ address, connections, connectTimeoutMs, idleConnectionMs }: HttpCallerOptions) {
     this.#pool = new Pool(`http://${address}`, {
       connections: connections ?? null,
       pipelining: 1,
+      ...(idleConnectionMs === undefined ? {} : { keepAliveTimeout: idleConnectionMs, keepAliveMaxTimeout: idleConnectionMs }),
       connect: { timeout: connectTimeoutMs },
       headersTimeout: 0,
       bodyTimeout: 0
--- /dev/null
+++ b/src/adapters/target/standInTargetRoutes.ts
@@ -0,0 +1,98 @@
+/** The HTTP protocol of a stand-in target. */
+import { Readable } from 'node:stream'
+import { pipeline } from 'node:stream/promises'
+import { z } from 'zod'
+import { InputError, RefusalError } from '../../model/errors.ts'
+import type { TaskCommand } from '../../ports/targetClient.ts'
+import type { HttpCall, HttpHandler, JsonAnswer, Route } from '../http/routes.ts'
+import type { StandInTarget } from './standInTarget.ts'
+import type { StandInAnswer } from './standInWork.ts'
+import { FAILED_STATUS, REFUSAL_STATUS, TASK_ID_HEADER, fenceSchema, renewSchema, startSchema } from './targetProtocol.ts'
+
+const COMMANDS: readonly TaskCommand[] = ['stop', 'checkpoint', 'throttle']
+
+/** Routes for one target. */
+export function createTargetRoutes (target: StandInTarget): readonly Route[] {
+  return [
+    { method: 'GET', pattern: '/v1/target', handle: async () => ({ status: 200, body: target.info }) },
+    { method: 'GET', pattern: '/v1/usage', handle: async () => ({ status: 200, body: { tasks: target.usage() } }) },
+    { method: 'GET', pattern: '/v1/history', handle: async () => ({ status: 200, body: describeRecords(target) }) },
+    { method: 'POST', pattern: '/v1/fence', handle: async ({ body }) => fence(target, body) },
+    { method: 'POST', pattern: '/v1/tasks', handle: call => start(target, call) },
+    {
+      method: 'GET',
+      pattern: '/v1/tasks/:id',
+      handle: async ({ parameters: { id = '' } }) => answerReport(target.inspect(id))
+    },
+    {
+      method: 'POST',
+      pattern: '/v1/tasks/:id/renew',
+      handle: refuseFenced(async ({ parameters: { id = '' }, body }) => {
+        const { epoch, leaseMs } = check(renewSchema, body)
+        return answerReport(target.renew(id, epoch, leaseMs))
+      })
+    },
+    ...COMMANDS.map((command): Route => ({
+      method: 'POST',
+      pattern: `/v1/tasks/:id/${command}`,
+      handle: refuseFenced(async ({ parameters: { id = '' }, body }) =>
+        answerReport(target.command(id, check(fenceSchema, body).epoch, command)))
+    }))
+  ]
+}
+
+/** What checkers read: everything that ran, the highest sums and the refusals. */
+export function describeRecords (target: StandInTarget): Record<string, unknown> {
+  const { info, history, highestReserved, highestConnections, refusals, epoch } = target
+  return { target: info.id, capacity: info.capacity, epoch, history, highestReserved, highestConnections, refusals }
+}
+
+function fence (target: StandInTarget, body: unknown): JsonAnswer {
+  const result = target.fence(check(fenceSchema, body).epoch)
+  if (result.outcome === 'refused') return { status: REFUSAL_STATUS.fenced, body: { highestEpoch: result.highestEpoch } }
+  return { status: 200, body: { tasks: result.tasks } }
+}
+
+async function start (target: StandInTarget, { body, response }: HttpCall): Promise<JsonAnswer | undefined> {
+  const given = check(startSchema, body)
+  response.setHeader(TASK_ID_HEADER, encodeURIComponent(given.taskId))
+  const started = target.start(given)
+  if (started.outcome === 'refused') {
+    return { status: REFUSAL_STATUS[started.refusal], body: { refusal: started.refusal } }
+  }
+  const reply = await started.task.reply()
+  if (reply.outcome === 'lost') {
+    response.destroy()
+    return undefined
+  }
+  if (reply.outcome === 'failed') return { status: FAILED_STATUS, body: { message: reply.message } }
+  await writeAnswer(reply.answer, response)
+  return undefined
+}
+
+async function writeAnswer (answer: StandInAnswer, response: HttpCall['response']): Promise<void> {
+  response.writeHead(200, { 'content-type': answer.contentType, 'content-length': answer.byteCount })
+  await pipeline(Readable.from(answer.chunks()), response)
+}
+
+function answerReport (report: unknown): JsonAnswer {
+  if (report === undefined) return { status: REFUSAL_STATUS['unknown-task'], body: { refusal: 'unknown-task' } }
+  return { status: 200, body: report }
+}
+
+function refuseFenced (handle: HttpHandler): HttpHandler {
+  return async call => {
+    try {
+      return await handle(call)
+    } catch (error) {
+      if (!(error instanceof RefusalError)) throw error
+      return { status: REFUSAL_STATUS.fenced, body: { message: error.message } }
+    }
+  }
+}
+
+function check<T> (schema: z.ZodType<T>, value: unknown): T {
+  const parsed = schema.safeParse(value)
+  if (!parsed.success) throw new InputError(z.prettifyError(parsed.error))
+  return parsed.data
+}
--- /dev/null
+++ b/src/adapters/target/targetProtocol.ts
@@ -0,0 +1,71 @@
+/** Schemas, statuses and headers of the stand-in target's protocol, used on both sides. */
+import { z } from 'zod'
+import type { TargetRefusal } from '../../ports/targetClient.ts'
+
+export const resourcesSchema = z.object({
+  slots: z.number().nonnegative(),
+  processors: z.number().nonnegative(),
+  memory: z.number().nonnegative(),
+  accelerators: z.number().nonnegative()
+})
+
+const kindSchema = z.enum(['urgent', 'batch', 'service', 'gang'])
+
+const epochSchema = z.number().int().nonnegative()
+
+export const startSchema = z.object({
+  taskId: z.string().min(1),
+  team: z.string(),
+  requestId: z.string(),
+  kind: kindSchema,
+  name: z.string(),
+  size: resourcesSchema,
+  payload: z.unknown().optional().transform(payload => payload as unknown),
+  epoch: epochSchema,
+  startByWallMs: z.number(),
+  leaseMs: z.number().positive(),
+  detached: z.boolean()
+})
+
+export const fenceSchema = z.object({ epoch: epochSchema })
+
+export const renewSchema = z.object({ epoch: epochSchema, leaseMs: z.number().positive() })
+
+export const reportSchema = z.object({
+  taskId: z.string(),
+  team: z.string(),
+  kind: kindSchema,
+  requestId: z.string(),
+  name: z.string(),
+  size: resourcesSchema,
+  epoch: epochSchema,
+  state: z.enum(['running', 'checkpointed', 'finished', 'failed', 'stopped']),
+  usage: resourcesSchema.optional()
+})
+
+export const fencedSchema = z.object({ tasks: z.array(reportSchema) })
+
+export const refusedFenceSchema = z.object({ highestEpoch: epochSchema })
+
+export const usageSchema = z.object({ tasks: z.array(reportSchema) })
+
+/** Body of a failed start. */
+export const failureSchema = z.object({ message: z.string() })
+
+/** Body of an answer about a task that the target does not know; tells it from a 404 of another server. */
+export const unknownTaskSchema = z.object({ refusal: z.literal('unknown-task') })
+
+/** Status of each refusal; 404 also answers calls about an unknown task. */
+export const REFUSAL_STATUS: Readonly<Record<TargetRefusal, number>> = {
+  'no-capacity': 409,
+  leaving: 410,
+  fenced: 412,
+  'too-late': 408,
+  'unknown-task': 404
+}
+
+/** Status of a start whose task failed. */
+export const FAILED_STATUS = 500
+
+/** Header in which the target echoes the attempt identity, percent-encoded. */
+export const TASK_ID_HEADER = 'x-task-id'
