--- a/src/adapters/store/httpStoreServer.ts
+++ b/src/adapters/store/httpStoreServer.ts
@@ -28,8 +28,11 @@
   readonly name = 'store stand-in'
   readonly #server: JsonServer
 
-  constructor (store: Store, listen: string) {
-    this.#server = new JsonServer({ name: this.name, listen, routes: createRoutes(store) })
+  /** `GET /v1/calls` answers with the counters, if they are given. */
+  constructor (store: Store, listen: string, calls?: Readonly<Record<string, number>>) {
+    const callsRoute: Route = { method: 'GET', pattern: '/v1/calls', handle: async () => ({ status: 200, body: calls }) }
+    const routes = [...createRoutes(store), ...(calls === undefined ? [] : [callsRoute])]
+    this.#server = new JsonServer({ name: this.name, listen, routes })
   }
 
   /** `host:port` as bound. */
