--- /dev/null
+++ b/src/workloads/gang/definition.ts
@@ -0,0 +1,14 @@
+/** Jobs that need all their tasks at the same time; the caller is answered after the last start. */
+import { resources } from '../../model/resources.ts'
+import { gangPolicy } from './policy.ts'
+import type { GangDefinition } from './types.ts'
+
+export const gangDefinition: GangDefinition = {
+  kind: 'gang',
+  urgency: 1,
+  detached: true,
+  checkpointable: false,
+  defaultSize: resources({ processors: 1_000, memory: 1_024 }),
+  policy: gangPolicy,
+  targetType: () => 'worker'
+}
--- /dev/null
+++ b/src/workloads/scores.ts
@@ -0,0 +1,26 @@
+/** Scores shared by the placement policies; the lowest is best. */
+import type { Resources } from '../model/resources.ts'
+import type { PlacementCandidate } from './workloadDefinition.ts'
+
+function leftover (free: number, demand: number, capacity: number): number {
+  return capacity > 0 ? (free - demand) / capacity : 0
+}
+
+/**
+ * The capacity that stays free after the placement, as a sum of fractions: best fit minimises it.
+ *
+ * @example
+ * scoreBestFit(candidate, resources({ processors: 4_000, memory: 8_192 }))
+ */
+export function scoreBestFit (candidate: PlacementCandidate, size: Resources): number {
+  const { free, capacity } = candidate
+  return leftover(free.slots, size.slots, capacity.slots) +
+    leftover(free.processors, size.processors, capacity.processors) +
+    leftover(free.memory, size.memory, capacity.memory) +
+    leftover(free.accelerators, size.accelerators, capacity.accelerators)
+}
+
+/** The negated free capacity after the placement: spreading takes the least loaded target. */
+export function scoreLeastLoaded (candidate: PlacementCandidate, size: Resources): number {
+  return -scoreBestFit(candidate, size)
+}
--- /dev/null
+++ b/src/workloads/urgent/definition.ts
@@ -0,0 +1,14 @@
+/** Price and stock checks: short, streamed, ahead of every other kind. */
+import { resources } from '../../model/resources.ts'
+import { urgentPolicy } from './policy.ts'
+import type { UrgentDefinition } from './types.ts'
+
+export const urgentDefinition: UrgentDefinition = {
+  kind: 'urgent',
+  urgency: 0,
+  detached: false,
+  checkpointable: false,
+  defaultSize: resources({ slots: 1 }),
+  policy: urgentPolicy,
+  targetType: () => 'runner'
+}
