Add the placement index over owned targets

Change: TargetPool indexes usable targets by free processors or slots in logarithmic buckets and samples up to 8 candidates, scanning on until one fits.

--- /dev/null
+++ b/src/scheduler/placement/capacityIndex.ts
@@ -0,0 +1,102 @@
+/** Usable targets of one type in logarithmic buckets of their free processors (or slots). */
+import type { Random } from '../../ports/random.ts'
+import type { Resources } from '../../model/resources.ts'
+import type { PlacementContext, PlacementPolicy } from '../../workloads/registry.ts'
+import type { TargetState } from './targetState.ts'
+
+/** Candidates examined for one decision once one that fits is known. */
+export const SAMPLE_LIMIT = 8
+
+/** Buckets for each doubling of free capacity: the runner's 1 to 8 slots get one bucket each. */
+const BUCKETS_PER_DOUBLING = 4
+
+export interface CapacitySearch {
+  readonly size: Resources
+  readonly policy: PlacementPolicy
+  readonly context: PlacementContext
+  readonly excludeTargets: ReadonlySet<string> | undefined
+}
+
+function bucketOf (amount: number): number {
+  return amount < 1 ? 0 : 1 + Math.floor(Math.log2(amount) * BUCKETS_PER_DOUBLING)
+}
+
+/** The best candidate so far and how many were examined. */
+interface Sample {
+  best: TargetState | undefined
+  bestScore: number
+  examined: number
+}
+
+export class CapacityIndex {
+  readonly #dimension: 'slots' | 'processors'
+  readonly #random: Random
+  readonly #buckets: TargetState[][] = []
+
+  constructor (dimension: 'slots' | 'processors', random: Random) {
+    this.#dimension = dimension
+    this.#random = random
+  }
+
+  insert (target: TargetState): void {
+    const number = bucketOf(target.free[this.#dimension])
+    while (this.#buckets.length <= number) this.#buckets.push([])
+    const bucket = this.#buckets[number]!
+    target.bucket = number
+    target.position = bucket.length
+    bucket.push(target)
+  }
+
+  remove (target: TargetState): void {
+    const bucket = this.#buckets[target.bucket]
+    if (bucket === undefined) return
+    const last = bucket.pop()!
+    if (last !== target) {
+      bucket[target.position] = last
+      last.position = target.position
+    }
+    target.bucket = -1
+    target.position = -1
+  }
+
+  /** Moves a target to the bucket of its present free capacity. */
+  refresh (target: TargetState): void {
+    if (target.bucket === -1 || target.bucket === bucketOf(target.free[this.#dimension])) return
+    this.remove(target)
+    this.insert(target)
+  }
+
+  /**
+   * The best of up to `SAMPLE_LIMIT` candidates. Buckets are examined on past the limit until one target fits, so
+   * that nothing is returned only if no target fits.
+   */
+  find (search: CapacitySearch): TargetState | undefined {
+    const lowest = bucketOf(search.size[this.#dimension])
+    const highest = this.#buckets.length - 1
+    const sample: Sample = { best: undefined, bestScore: Infinity, examined: 0 }
+    const ascending = search.policy.searchOrder === 'tightest-first'
+    for (let step = 0; step <= highest - lowest; step++) {
+      const bucket = this.#buckets[ascending ? lowest + step : highest - step]!
+      if (bucket.length > 0 && this.#examine(bucket, search, sample)) break
+    }
+    return sample.best
+  }
+
+  /** Examines a bucket from a random position; true once the sample is complete. */
+  #examine (bucket: readonly TargetState[], search: CapacitySearch, sample: Sample): boolean {
+    let position = bucket.length > 1 ? this.#random.integer(bucket.length) : 0
+    for (let count = 0; count < bucket.length; count++) {
+      if (sample.best !== undefined && sample.examined >= SAMPLE_LIMIT) return true
+      const target = bucket[position]!
+      position = position + 1 === bucket.length ? 0 : position + 1
+      sample.examined++
+      if (!target.admits(search.size) || search.excludeTargets?.has(target.info.id) === true) continue
+      const score = search.policy.score(target, search.size, search.context)
+      if (score < sample.bestScore) {
+        sample.best = target
+        sample.bestScore = score
+      }
+    }
+    return sample.best !== undefined && sample.examined >= SAMPLE_LIMIT
+  }
+}
