--- /dev/null
+++ b/src/scheduler/shares/preemption.ts
@@ -0,0 +1,201 @@
+/** Which checkpointable tasks give way to underserved teams and to urgent work. */
+import { addResources, DIMENSIONS, dominantFraction, subtractResources } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+import { countFitting } from '../placement/targetState.ts'
+
+/** A running checkpointable task of this instance. */
+export interface PreemptionCandidate {
+  readonly taskId: string
+  readonly targetId: string
+  readonly team: string
+  readonly size: Resources
+  /** Monotonic time of its start. */
+  readonly startedAt: number
+  /** It was told to checkpoint and still holds its reservation; such tasks count as already collected. */
+  readonly checkpointing: boolean
+}
+
+/** Urgent tasks of one size that found no free target. */
+export interface UrgentNeed {
+  readonly size: Resources
+  readonly tasks: number
+  /** Free capacity of the targets on which the candidates run. */
+  freeOn (targetId: string): Resources
+}
+
+export interface PreemptionRequest {
+  /** Monotonic time. */
+  readonly now: number
+  readonly candidates: readonly PreemptionCandidate[]
+  /** If given, the plan is for this need only. */
+  readonly urgent?: UrgentNeed
+}
+
+export interface PreemptionPlan {
+  readonly checkpoints: readonly PreemptionCandidate[]
+}
+
+/** The part of the ledger that preemption reads. */
+export interface ShareView {
+  readonly capacity: Resources
+  teams (): Iterable<string>
+  weight (team: string): number
+  dominantShare (team: string): number
+  entitlement (team: string): number
+  waiting (team: string): Resources
+  localPartOfWaiting (team: string): number
+}
+
+/** Rounds for underserved teams are at least this far apart, so that checkpoints show in the usage before the next. */
+export const PREEMPTION_ROUND_MS = 1_000
+
+/** Rounding errors of shares. */
+const TOLERANCE = 1e-9
+
+interface Debt {
+  readonly team: string
+  readonly needed: Resources
+  /** Dominant share that is still owed to the team. */
+  owed: number
+}
+
+function sharesDimension (left: Resources, right: Resources): boolean {
+  return DIMENSIONS.some(dimension => left[dimension] > 0 && right[dimension] > 0)
+}
+
+export class PreemptionPlanner {
+  readonly #shares: ShareView
+  #lastRound = -Infinity
+
+  constructor (shares: ShareView) {
+    this.#shares = shares
+  }
+
+  plan (request: PreemptionRequest): PreemptionPlan {
+    if (request.urgent !== undefined) return { checkpoints: this.#planUrgent(request.urgent, request.candidates) }
+    if (request.now - this.#lastRound < PREEMPTION_ROUND_MS) return { checkpoints: [] }
+    const checkpoints = this.#planRound(request.candidates)
+    if (checkpoints.length > 0) this.#lastRound = request.now
+    return { checkpoints }
+  }
+
+  /** Dominant share above the entitlement; negative for underserved teams. */
+  #excess (team: string): number {
+    return this.#shares.dominantShare(team) - this.#shares.entitlement(team)
+  }
+
+  #share (size: Resources): number {
+    return dominantFraction(size, this.#shares.capacity)
+  }
+
+  #planRound (candidates: readonly PreemptionCandidate[]): readonly PreemptionCandidate[] {
+    const excess = new Map([...this.#shares.teams()].map(team => [team, this.#excess(team)]))
+    const debts = this.#findDebts(candidates)
+    for (const { team, size, checkpointing } of candidates) {
+      if (checkpointing) excess.set(team, (excess.get(team) ?? 0) - this.#share(size))
+    }
+    const victims = candidates.filter(({ checkpointing }) => !checkpointing).sort((left, right) => right.startedAt - left.startedAt)
+    const chosen = new Set<PreemptionCandidate>()
+    for (const debt of debts) {
+      for (let victim = this.#nextVictim(debt, victims, excess, chosen); victim !== undefined;
+        victim = this.#nextVictim(debt, victims, excess, chosen)) {
+        chosen.add(victim)
+        debt.owed -= this.#share(victim.size)
+        excess.set(victim.team, excess.get(victim.team)! - this.#share(victim.size))
+      }
+    }
+    return [...chosen]
+  }
+
+  /** Teams with waiting work below their entitlement, most underserved first, less what is being collected. */
+  #findDebts (candidates: readonly PreemptionCandidate[]): readonly Debt[] {
+    const debts = [...this.#shares.teams()]
+      .filter(team => this.#excess(team) < 0)
+      .sort((left, right) => this.#excess(left) / this.#shares.weight(left) - this.#excess(right) / this.#shares.weight(right))
+      .map(team => ({
+        team,
+        needed: this.#shares.waiting(team),
+        owed: -this.#excess(team) * this.#shares.localPartOfWaiting(team)
+      }))
+    for (const { size, checkpointing } of candidates) {
+      const debt = checkpointing ? debts.find(({ owed, needed }) => owed > 0 && sharesDimension(size, needed)) : undefined
+      if (debt !== undefined) debt.owed -= this.#share(size)
+    }
+    return debts
+  }
+
+  /** The newest task of the most over-served team that fits into what is owed and into that team's excess. */
+  #nextVictim (debt: Debt, newestFirst: readonly PreemptionCandidate[], excess: ReadonlyMap<string, number>,
+    chosen: ReadonlySet<PreemptionCandidate>): PreemptionCandidate | undefined {
+    let best: PreemptionCandidate | undefined
+    let bestExcess = 0
+    for (const candidate of newestFirst) {
+      const teamExcess = excess.get(candidate.team) ?? 0
+      const weighted = teamExcess / this.#shares.weight(candidate.team)
+      if (weighted <= bestExcess || chosen.has(candidate) || !sharesDimension(candidate.size, debt.needed)) continue
+      if (this.#share(candidate.size) > Math.min(debt.owed, teamExcess) + TOLERANCE) continue
+      best = candidate
+      bestExcess = weighted
+    }
+    return best
+  }
+
+  /** Frees room for the urgent tasks, target by target; nothing beyond what is being freed already and what is needed. */
+  #planUrgent (need: UrgentNeed, candidates: readonly PreemptionCandidate[]): readonly PreemptionCandidate[] {
+    const targets = new Map<string, UrgentTarget>()
+    const targetOf = (targetId: string): UrgentTarget => {
+      const target = targets.get(targetId) ?? new UrgentTarget(need.size, need.freeOn(targetId))
+      targets.set(targetId, target)
+      return target
+    }
+    const useful = candidates.filter(({ size }) => sharesDimension(size, need.size))
+    let missing = need.tasks
+    for (const candidate of useful) if (candidate.checkpointing) missing -= targetOf(candidate.targetId).free(candidate)
+    const order = useful.filter(({ checkpointing }) => !checkpointing)
+      .map(candidate => ({ candidate, excess: this.#excess(candidate.team) / this.#shares.weight(candidate.team) }))
+      .sort((left, right) => right.excess - left.excess || right.candidate.startedAt - left.candidate.startedAt)
+    const chosen: PreemptionCandidate[] = []
+    for (const { candidate } of order) {
+      if (missing <= 0) break
+      const target = targetOf(candidate.targetId)
+      const gained = target.free(candidate)
+      if (gained === 0) continue
+      missing -= gained
+      chosen.push(...target.takeNeeded())
+    }
+    return chosen
+  }
+}
+
+/** What a target has room for as tasks are taken from it. */
+class UrgentTarget {
+  readonly #size: Resources
+  #available: Resources
+  #taken: PreemptionCandidate[] = []
+
+  constructor (size: Resources, free: Resources) {
+    this.#size = size
+    this.#available = free
+  }
+
+  /** Returns how many more of the urgent tasks fit once the candidate is gone. */
+  free (candidate: PreemptionCandidate): number {
+    const before = countFitting(this.#size, this.#available)
+    this.#available = addResources(this.#available, candidate.size)
+    if (!candidate.checkpointing) this.#taken.push(candidate)
+    return countFitting(this.#size, this.#available) - before
+  }
+
+  /** The tasks taken since the last call, without those whose room isn't needed for what fits now. */
+  takeNeeded (): readonly PreemptionCandidate[] {
+    const fitting = countFitting(this.#size, this.#available)
+    const needed = this.#taken.filter(candidate => {
+      const remaining = subtractResources(this.#available, candidate.size)
+      if (countFitting(this.#size, remaining) < fitting) return true
+      this.#available = remaining
+      return false
+    })
+    this.#taken = []
+    return needed
+  }
+}
