Add learning of sizes from usage reports

Cause: declared sizes are far off, so that reservations waste capacity. Change: UsageEstimator keeps one histogram for each dimension and group (team, kind, name), at most 500 groups, and reserves the 95th percentile times 1.1.

--- /dev/null
+++ b/src/scheduler/usage/usageEstimator.ts
@@ -0,0 +1,120 @@
+/** Learns the sizes that tasks really use, by team, kind and name, from usage reports that lag. */
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import { mapResources, minimumResources } from '../../model/resources.ts'
+import type { KindName } from '../../model/request.ts'
+import type { Resources } from '../../model/resources.ts'
+
+/** Dimensions that are measured; slots are a protocol limit and are reserved as declared. */
+const LEARNED = ['processors', 'memory', 'accelerators'] as const
+type Learned = typeof LEARNED[number]
+
+/** Fewer reports say little about a 95th percentile. */
+export const MINIMUM_REPORTS = 20
+/** After this many reports a new window starts, so that a change of behaviour is followed. */
+export const REPORTS_PER_WINDOW = 1_000
+/** A group takes about 14 KB once its tasks vary widely. */
+export const MAXIMUM_GROUPS = 500
+
+const PERCENTILE = 95
+const HEADROOM = 1.1
+/** Accelerators are counted in thousandths, since histograms hold whole numbers. */
+const UNITS: Readonly<Record<Learned, number>> = { processors: 1, memory: 1, accelerators: 1_000 }
+
+/** One dimension's usage: a window that fills and the result of the last full one. */
+class UsageWindow {
+  readonly #histogram: Histogram = build({ bitBucketSize: 16, numberOfSignificantValueDigits: 2, autoResize: true, lowestDiscernibleValue: 1, highestTrackableValue: 2 })
+  readonly #unit: number
+  #settled: UsageLevel | undefined
+
+  constructor (unit: number) {
+    this.#unit = unit
+  }
+
+  add (value: number): void {
+    if (this.#histogram.totalCount >= REPORTS_PER_WINDOW) {
+      this.#settled = this.#measure()
+      this.#histogram.reset()
+    }
+    this.#histogram.recordValue(Math.max(0, Math.ceil(value * this.#unit)))
+  }
+
+  get level (): UsageLevel | undefined {
+    return this.#histogram.totalCount >= MINIMUM_REPORTS ? this.#measure() : this.#settled
+  }
+
+  #measure (): UsageLevel {
+    return {
+      percentile: this.#histogram.getValueAtPercentile(PERCENTILE) / this.#unit,
+      highest: this.#histogram.maxValue / this.#unit
+    }
+  }
+}
+
+interface UsageLevel {
+  readonly percentile: number
+  readonly highest: number
+}
+
+type Group = Readonly<Record<Learned, UsageWindow>>
+
+/**
+ * Estimates reservations; the groups used least recently are forgotten first.
+ *
+ * @example
+ * const estimator = new UsageEstimator()
+ * estimator.report('cooks', 'batch', 'render', usage)
+ * estimator.estimate('cooks', 'batch', 'render', declaredSize, largestCapacity)
+ */
+export class UsageEstimator {
+  readonly #groups = new Map<string, Group>()
+  readonly #maximumGroups: number
+
+  constructor (maximumGroups = MAXIMUM_GROUPS) {
+    this.#maximumGroups = maximumGroups
+  }
+
+  get groups (): number {
+    return this.#groups.size
+  }
+
+  /** Adds the reported usage of one running task. */
+  report (team: string, kind: KindName, name: string, usage: Resources): void {
+    const key = JSON.stringify([team, kind, name])
+    const group = this.#groups.get(key) ?? {
+      processors: new UsageWindow(UNITS.processors),
+      memory: new UsageWindow(UNITS.memory),
+      accelerators: new UsageWindow(UNITS.accelerators)
+    }
+    this.#touch(key, group)
+    for (const dimension of LEARNED) group[dimension].add(usage[dimension])
+    if (this.#groups.size > this.#maximumGroups) this.#groups.delete(this.#groups.keys().next().value!)
+  }
+
+  /**
+   * The size to reserve: the declared one until enough is known, then the 95th percentile of usage times 1.1, which
+   * exceeds the declared size only if usage did. The ceiling is the largest target, so that nothing learned makes
+   * work impossible that was possible as declared.
+   */
+  estimate (team: string, kind: KindName, name: string, declared: Resources, ceiling: Resources): Resources {
+    const key = JSON.stringify([team, kind, name])
+    const group = this.#groups.get(key)
+    if (group === undefined) return declared
+    this.#touch(key, group)
+    const learned = { ...declared }
+    for (const dimension of LEARNED) {
+      const level = group[dimension].level
+      if (level === undefined) continue
+      // A whole number keeps sums of reservations exact.
+      const wanted = Math.ceil(level.percentile * HEADROOM)
+      learned[dimension] = level.highest > declared[dimension] ? wanted : Math.min(wanted, declared[dimension])
+    }
+    return mapResources(minimumResources(learned, ceiling), minimumResources(learned, declared), Math.max)
+  }
+
+  /** Makes the group the one used last. */
+  #touch (key: string, group: Group): void {
+    this.#groups.delete(key)
+    this.#groups.set(key, group)
+  }
+}
