Add the settings schema, tree, INI reader and change validation

Operators had no way to state or check settings. A settings file with any fault is refused as a whole with the line and what would be right.

--- /dev/null
+++ b/src/settings/definition.ts
@@ -0,0 +1,57 @@
+/** Builds one zod schema for each setting, with the unit, range, places and description as its metadata. */
+import { z } from 'zod'
+import type { KindName } from '../model/request.ts'
+import type { SettingUnit } from './units.ts'
+
+/** The levels of the settings tree. */
+export type BranchLevel = 'root' | 'kind' | 'team' | 'teamKind' | 'queue'
+
+export interface SettingMeta {
+  readonly unit: SettingUnit
+  readonly description: string
+  /** Levels of the tree at which the setting may be set. */
+  readonly levels: readonly BranchLevel[]
+  readonly minimum?: number
+  readonly maximum?: number
+  /** Defaults that differ from the general one, for each kind of work. */
+  readonly kindDefaults?: Readonly<Partial<Record<KindName, number | boolean>>>
+  /** What no value means, for settings without a default. */
+  readonly unsetMeaning?: string
+}
+
+export interface NumberRange {
+  readonly minimum: number
+  readonly maximum: number
+}
+
+type NumberMeta = SettingMeta & NumberRange
+
+function boundedNumber (meta: NumberMeta): z.ZodNumber {
+  const number = meta.unit === 'weight' || meta.unit === 'percent' ? z.number() : z.int()
+  return number.min(meta.minimum).max(meta.maximum) as z.ZodNumber
+}
+
+/** A number with a default. */
+export function numberSetting (fallback: number, meta: NumberMeta): z.ZodDefault<z.ZodNumber> {
+  return boundedNumber(meta).default(fallback).meta({ ...meta })
+}
+
+/** A number that may be unset. */
+export function optionalNumber (meta: NumberMeta): z.ZodOptional<z.ZodNumber> {
+  return boundedNumber(meta).optional().meta({ ...meta })
+}
+
+/** Yes or no; written `true` or `false`. */
+export function flagSetting (fallback: boolean, meta: Omit<SettingMeta, 'unit'>): z.ZodDefault<z.ZodBoolean> {
+  return z.boolean().default(fallback).meta({ ...meta, unit: 'flag' })
+}
+
+/** The name of a team. */
+export function optionalName (meta: Omit<SettingMeta, 'unit'>): z.ZodOptional<z.ZodString> {
+  return z.string().regex(NAME_PATTERN).optional().meta({ ...meta, unit: 'name' })
+}
+
+/** Names of teams, queues, instances and data centres; no dot, which separates sections in INI files. */
+export const NAME_PATTERN = /^[a-z0-9](?:[a-z0-9-]{0,61}[a-z0-9])?$/
+
+export const NAME_RULE = 'use 1 to 63 lower-case letters, digits and hyphens, starting and ending with a letter or digit'
--- /dev/null
+++ b/src/settings/iniScan.ts
@@ -0,0 +1,135 @@
+/** Reads INI text strictly: values come from the `ini` library, positions and the structure from a scan of the lines. */
+import { parse } from 'ini'
+import { InputError } from '../model/errors.ts'
+
+/** A fault in a file, with what would be right. */
+export interface Problem {
+  readonly line: number
+  readonly problem: string
+  readonly right: string
+}
+
+export interface IniEntry {
+  /** Empty before the first section. */
+  readonly section: string
+  readonly name: string
+  readonly text: string
+  readonly line: number
+}
+
+export interface IniScan {
+  readonly entries: readonly IniEntry[]
+  readonly sections: ReadonlyMap<string, number>
+  readonly problems: readonly Problem[]
+}
+
+const MOST_FILE_BYTES = 1_048_576
+/** Further problems are counted but not listed. */
+const MOST_LISTED_PROBLEMS = 20
+
+const SECTION = /^\[([A-Za-z0-9/-]+)\]$/
+const ASSIGNMENT = /^([A-Za-z][A-Za-z0-9]*)\s*=(.*)$/
+// eslint-disable-next-line no-control-regex
+const CONTROL_CHARACTER = /[\u0000-\u0008\u000b\u000c\u000e-\u001f\u007f]/
+
+type RawEntry = Omit<IniEntry, 'text'> & { readonly raw: string }
+
+class LineScanner {
+  readonly entries: RawEntry[] = []
+  readonly sections = new Map<string, number>()
+  readonly problems: Problem[] = []
+  readonly #seen = new Map<string, number>()
+  #section = ''
+
+  scan (content: string, line: number): void {
+    if (CONTROL_CHARACTER.test(content)) return this.#report(line, 'the line has a control character', 'write the file as plain UTF-8 text')
+    if (content === '' || content.startsWith(';') || content.startsWith('#')) return
+    if (content.startsWith('[')) this.#scanSection(content, line)
+    else this.#scanAssignment(content, line)
+  }
+
+  #scanSection (content: string, line: number): void {
+    const name = SECTION.exec(content)?.[1]
+    if (name === undefined) return this.#report(line, `"${content.slice(0, 80)}" is not a section`, 'write [/teams/TEAM], with comments on lines of their own')
+    this.#section = name
+    const first = this.sections.get(name)
+    if (first !== undefined) this.#report(line, `section [${name}] is a duplicate of line ${first}`, 'keep one section for each branch')
+    else this.sections.set(name, line)
+  }
+
+  #scanAssignment (content: string, line: number): void {
+    const match = ASSIGNMENT.exec(content)
+    if (match === null) return this.#report(line, 'the line is neither a section, a comment nor NAME = VALUE', 'write NAME = VALUE')
+    const [, name = '', raw = ''] = match
+    const identity = `${this.#section} ${name}`
+    const first = this.#seen.get(identity)
+    if (first !== undefined) return this.#report(line, `${name} is a duplicate of line ${first}`, 'set each name once in a section')
+    this.#seen.set(identity, line)
+    this.entries.push({ section: this.#section, name, raw: raw.trim(), line })
+  }
+
+  #report (line: number, problem: string, right: string): void {
+    this.problems.push({ line, problem, right })
+  }
+}
+
+function toText (value: unknown, raw: string): string {
+  if (typeof value === 'string') return value
+  return value === null || typeof value === 'boolean' ? String(value) : raw
+}
+
+/** Reads sections and assignments; the caller decides which of them are known. */
+export function scanIni (bytes: Uint8Array): IniScan {
+  const empty = { entries: [], sections: new Map<string, number>() }
+  if (bytes.byteLength > MOST_FILE_BYTES) {
+    return { ...empty, problems: [{ line: 1, problem: `the file has ${bytes.byteLength} bytes`, right: `use at most ${MOST_FILE_BYTES} bytes` }] }
+  }
+  let text: string
+  try {
+    text = new TextDecoder('utf-8', { fatal: true }).decode(bytes)
+  } catch {
+    return { ...empty, problems: [{ line: findInvalidLine(bytes), problem: 'the file is not UTF-8', right: 'save it as UTF-8' }] }
+  }
+  const lines = text.split(/\r\n|\n|\r/)
+  const scanner = new LineScanner()
+  lines.forEach((content, index) => scanner.scan(content.trim(), index + 1))
+  if (lines.at(-1) !== '') {
+    scanner.problems.push({ line: lines.length, problem: 'the last line has no newline, so that the file may be cut short', right: 'check that the file is whole and end its last line with a newline' })
+  }
+  if (scanner.problems.length > 0) return { ...empty, problems: scanner.problems }
+  return { entries: readValues(text, scanner.entries), sections: scanner.sections, problems: [] }
+}
+
+function readValues (text: string, entries: readonly RawEntry[]): readonly IniEntry[] {
+  const document: Record<string, unknown> = parse(text)
+  return entries.map(({ raw, ...entry }) => {
+    const holder = entry.section === '' ? document : document[entry.section] as Record<string, unknown> | undefined
+    return { ...entry, text: toText(holder?.[entry.name], raw) }
+  })
+}
+
+function findInvalidLine (bytes: Uint8Array): number {
+  const decoder = new TextDecoder('utf-8', { fatal: true })
+  let line = 1
+  for (let start = 0; start < bytes.length; line++) {
+    const newline = bytes.indexOf(0x0a, start)
+    const end = newline === -1 ? bytes.length : newline + 1
+    try {
+      decoder.decode(bytes.subarray(start, end))
+    } catch {
+      return line
+    }
+    start = end
+  }
+  return line
+}
+
+/** Refuses a file as a whole, naming each line at fault. */
+export function refuseFile (file: string, problems: readonly Problem[]): never {
+  const listed = [...problems].sort((left, right) => left.line - right.line)
+    .slice(0, MOST_LISTED_PROBLEMS)
+    .map(({ line, problem, right }) => `${file}:${line}: ${problem}; ${right}`)
+  const more = problems.length - listed.length
+  if (more > 0) listed.push(`and ${more} more`)
+  throw new InputError(listed.join('\n'))
+}
--- /dev/null
+++ b/src/settings/instanceSettings.ts
@@ -0,0 +1,149 @@
+/** Reads the settings file of one process. */
+import { refuseFile, scanIni } from './iniScan.ts'
+import type { IniEntry, Problem } from './iniScan.ts'
+import { INSTANCE_FIELDS, LOG_LEVELS, SHORTEST_SECRET } from './instanceFields.ts'
+import type { InstanceField, InstanceFieldName } from './instanceFields.ts'
+import { NAME_PATTERN, NAME_RULE } from './definition.ts'
+import { formatQuantity, isQuantityUnit, parseQuantity } from './units.ts'
+import type { Parsed, QuantityUnit } from './units.ts'
+import { suggestName } from './values.ts'
+
+export type LogLevel = typeof LOG_LEVELS[number]
+
+/** What a process needs to know before it can reach anything; addresses are HOST:PORT. */
+export interface InstanceSettings {
+  readonly name: string
+  readonly dataCentre: string
+  readonly region: string
+  readonly callerAddress: string
+  readonly operatorAddress: string
+  readonly peerAddress: string
+  readonly storeAddress: string
+  readonly listAddress: string
+  /** Seeds for the first exchange. */
+  readonly peers: readonly string[]
+  readonly peerSecret: string
+  readonly operatorToken: string
+  readonly logLevel: LogLevel
+  readonly bodyLimitBytes: number
+  readonly connectionLimit: number
+  readonly requestTimeoutMs: number
+  readonly connectTimeoutMs: number
+  readonly storeTimeoutMs: number
+  readonly listTimeoutMs: number
+  readonly peerTimeoutMs: number
+  readonly stopTimeoutMs: number
+}
+
+type FieldValue = string | number | readonly string[]
+
+const ADDRESS = /^(?:[A-Za-z0-9](?:[A-Za-z0-9.-]*[A-Za-z0-9])?|\[[0-9A-Fa-f:.]+\]):(\d{1,5})$/
+const HIGHEST_PORT = 65_535
+const ADDRESS_RULE = 'write HOST:PORT, such as 10.0.0.5:7000 or [fd00::5]:7000'
+
+/** Splits HOST:PORT; undefined if the text is no address. */
+export function parseAddress (text: string): { readonly host: string, readonly port: number } | undefined {
+  const port = Number(ADDRESS.exec(text)?.[1] ?? NaN)
+  if (!(port <= HIGHEST_PORT)) return undefined
+  return { host: text.slice(0, text.lastIndexOf(':')).replace(/^\[|\]$/g, ''), port }
+}
+
+function readAddresses (text: string): Parsed<FieldValue> {
+  const addresses = text.split(',').map(part => part.trim()).filter(part => part !== '')
+  const wrong = addresses.find(address => parseAddress(address) === undefined)
+  return wrong === undefined ? { value: addresses } : { problem: `"${wrong}" is not an address`, right: `${ADDRESS_RULE}, separated by commas` }
+}
+
+function readNumber (field: InstanceField, unit: QuantityUnit, text: string): Parsed<FieldValue> {
+  const { name, minimum = 0, maximum = Number.MAX_SAFE_INTEGER } = field
+  const quantity = parseQuantity(text, unit)
+  if (!('value' in quantity)) return quantity
+  if (quantity.value >= minimum && quantity.value <= maximum) return quantity
+  return { problem: `${name} = ${text} is out of range`, right: `use ${formatQuantity(minimum, unit)} to ${formatQuantity(maximum, unit)}` }
+}
+
+/** Messages never contain the text of a secret. */
+function readField (field: InstanceField, text: string): Parsed<FieldValue> {
+  const { unit, name } = field
+  if (isQuantityUnit(unit)) return readNumber(field, unit, text)
+  switch (unit) {
+    case 'name': return NAME_PATTERN.test(text) ? { value: text } : { problem: `${name} = "${text}" is not a name`, right: NAME_RULE }
+    case 'address': return parseAddress(text) !== undefined ? { value: text } : { problem: `${name} = "${text}" is not an address`, right: ADDRESS_RULE }
+    case 'addresses': return readAddresses(text)
+    case 'secret': return text.length >= SHORTEST_SECRET ? { value: text } : { problem: `${name} is too short`, right: `use at least ${SHORTEST_SECRET} random characters` }
+    default: return (LOG_LEVELS as readonly string[]).includes(text) ? { value: text } : { problem: `${name} = "${text}" is not a level`, right: `use one of ${LOG_LEVELS.join(', ')}` }
+  }
+}
+
+function collectFields (entries: readonly IniEntry[], problems: Problem[]): ReadonlyMap<string, FieldValue> {
+  const values = new Map<string, FieldValue>()
+  for (const { section, name, text, line } of entries) {
+    const field = INSTANCE_FIELDS.find(candidate => candidate.name === name)
+    if (section !== '' || field === undefined) {
+      if (section === '') problems.push({ line, problem: `there is no setting "${name}"`, right: suggestName(name, INSTANCE_FIELDS.map(known => known.name)) })
+      continue
+    }
+    const value = readField(field, text)
+    if ('value' in value) values.set(name, value.value)
+    else problems.push({ line, problem: value.problem, right: value.right })
+  }
+  return values
+}
+
+function takeDefault (field: InstanceField): FieldValue | undefined {
+  if (field.fallback === undefined) return undefined
+  const value = readField(field, field.fallback)
+  return 'value' in value ? value.value : undefined
+}
+
+type TakeField = <Value extends FieldValue>(name: InstanceFieldName) => Value
+
+function assemble (take: TakeField): InstanceSettings {
+  return {
+    name: take('name'),
+    dataCentre: take('dataCentre'),
+    region: take('region'),
+    callerAddress: take('callerAddress'),
+    operatorAddress: take('operatorAddress'),
+    peerAddress: take('peerAddress'),
+    storeAddress: take('storeAddress'),
+    listAddress: take('listAddress'),
+    peers: take('peers'),
+    peerSecret: take('peerSecret'),
+    operatorToken: take('operatorToken'),
+    logLevel: take('logLevel'),
+    bodyLimitBytes: take('bodyLimit'),
+    connectionLimit: take('connectionLimit'),
+    requestTimeoutMs: take('requestTimeout'),
+    connectTimeoutMs: take('connectTimeout'),
+    storeTimeoutMs: take('storeTimeout'),
+    listTimeoutMs: take('listTimeout'),
+    peerTimeoutMs: take('peerTimeout'),
+    stopTimeoutMs: take('stopTimeout')
+  }
+}
+
+/**
+ * Reads the settings of one process, or throws `InputError` with one line for each fault.
+ *
+ * @example
+ * const settings = readInstanceSettings('entry-1.ini', await readFile('entry-1.ini'))
+ * settings.peerTimeoutMs // 1000
+ */
+export function readInstanceSettings (file: string, bytes: Uint8Array): InstanceSettings {
+  const scan = scanIni(bytes)
+  const problems = [...scan.problems]
+  if (problems.length > 0) refuseFile(file, problems)
+  for (const [section, line] of scan.sections) problems.push({ line, problem: `[${section}]: this file has no sections`, right: 'put settings of the cluster into the file for `settings apply`' })
+  const given = collectFields(scan.entries, problems)
+  const stated = new Set(scan.entries.map(entry => entry.name))
+  const take: TakeField = <Value extends FieldValue>(name: InstanceFieldName) => {
+    const field: InstanceField | undefined = INSTANCE_FIELDS.find(candidate => candidate.name === name)
+    const value = given.get(name) ?? (field === undefined ? undefined : takeDefault(field))
+    if (value === undefined && !stated.has(name)) problems.push({ line: 1, problem: `${name} is missing`, right: field?.description ?? '' })
+    return value as Value
+  }
+  const settings = assemble(take)
+  if (problems.length > 0) refuseFile(file, problems)
+  return Object.freeze(settings)
+}
--- /dev/null
+++ b/src/settings/operationSchema.ts
@@ -0,0 +1,48 @@
+/** The shape of operations as they arrive from outside, before their meaning is checked. */
+import { z } from 'zod'
+import type { Operation } from '../model/change.ts'
+import { NAME_PATTERN, NAME_RULE } from './definition.ts'
+import { parseBranch, PATH_RULE } from './paths.ts'
+
+/** Operations that one change may have; a change is one value of the store, of at most 1 MB. */
+export const MOST_OPERATIONS = 1_000
+const MOST_NAMES = 100
+const MOST_NAME_CHARACTERS = 253
+
+const path = z.string().refine(text => parseBranch(text) !== undefined, { error: `not a branch: ${PATH_RULE}` })
+const name = z.string().regex(NAME_PATTERN, { error: `not a name: ${NAME_RULE}` })
+const settingName = z.string().min(1).max(MOST_NAME_CHARACTERS)
+const drained = {
+  scope: z.enum(['target', 'instance', 'dataCentre']),
+  name: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._:/-]*$/, { error: 'not the name of a target, instance or data centre' }).max(MOST_NAME_CHARACTERS)
+}
+
+const operation = z.discriminatedUnion('type', [
+  z.strictObject({
+    type: z.literal('set'),
+    path,
+    values: z.record(settingName, z.union([z.string().max(MOST_NAME_CHARACTERS), z.number(), z.boolean()]))
+  }),
+  z.strictObject({ type: z.literal('unset'), path, names: z.array(settingName).min(1).max(MOST_NAMES) }),
+  z.strictObject({ type: z.literal('removeBranch'), path: path.refine(text => text !== '/', { error: 'the root can not be removed; unset its settings' }) }),
+  z.strictObject({
+    type: z.literal('createKey'),
+    keyId: name,
+    team: name,
+    hash: z.string().regex(/^[0-9a-f]{64}$/, { error: 'not a SHA-256 hash: send 64 hexadecimal digits in lower case, never the key itself' })
+  }),
+  z.strictObject({ type: z.literal('withdrawKey'), keyId: name }),
+  z.strictObject({ type: z.literal('drain'), ...drained }),
+  z.strictObject({ type: z.literal('undrain'), ...drained })
+])
+
+/** A non-empty list of well-formed operations. */
+export const operationsSchema = z.array(operation).min(1).max(MOST_OPERATIONS) as unknown as z.ZodType<readonly Operation[]>
+
+/** Writes where and what a schema refused, such as `operations[0].hash: not a SHA-256 hash`. */
+export function formatIssues (root: string, error: z.ZodError): readonly string[] {
+  return error.issues.map(({ path: steps, message }) => {
+    const place = steps.map(step => typeof step === 'number' ? `[${step}]` : `.${String(step)}`).join('')
+    return `${root}${place}: ${message}`
+  })
+}
--- /dev/null
+++ b/src/settings/validate.ts
@@ -0,0 +1,97 @@
+/** Decides whether a change may be accepted on top of a snapshot. */
+import type { ConfigurationSnapshot, Operation, SettingsPath } from '../model/change.ts'
+import { applyOperation } from './applyOperations.ts'
+import type { ConfigurationContent } from './applyOperations.ts'
+import { formatIssues, operationsSchema } from './operationSchema.ts'
+import { isWithin, parseBranch, teamPath } from './paths.ts'
+import { findOldSetting } from './renamed.ts'
+import { isSettingName, SETTING_NAMES } from './schema.ts'
+import { checkTree } from './treeCheck.ts'
+import { checkValue, findSetting, suggestName } from './values.ts'
+
+type OperationOf<Type extends Operation['type']> = Extract<Operation, { readonly type: Type }>
+
+function checkSet (operation: OperationOf<'set'>): readonly string[] {
+  const branch = parseBranch(operation.path)
+  if (branch === undefined) return []
+  return Object.entries(operation.values).flatMap(([name, value]) => {
+    const found = findSetting(name, branch)
+    if (!('value' in found)) return [`${operation.path}: ${found.problem}; ${found.right}`]
+    if (found.value !== name) return [`${operation.path}: ${name} was renamed; use ${found.value}`]
+    const checked = checkValue(found.value, value)
+    return 'value' in checked ? [] : [`${operation.path}: ${checked.problem}; ${checked.right}`]
+  })
+}
+
+function checkUnset (operation: OperationOf<'unset'>): readonly string[] {
+  return operation.names
+    .filter(name => !isSettingName(name) && findOldSetting(name) === undefined)
+    .map(name => `${operation.path}: there is no setting "${name}"; ${suggestName(name, SETTING_NAMES)}`)
+}
+
+function checkRemoval (content: ConfigurationContent, operation: OperationOf<'removeBranch'>): readonly string[] {
+  const known = Object.keys(content.settings).some(path => isWithin(path, operation.path))
+  if (!known) return [`${operation.path}: there is no such branch`]
+  const branch = parseBranch(operation.path)
+  const valid = branch?.level === 'team' ? content.keys.filter(key => key.team === branch.team && !key.withdrawn) : []
+  if (valid.length === 0) return []
+  return [`${operation.path}: the team still has valid keys; withdraw ${valid.map(key => key.keyId).join(', ')} first`]
+}
+
+function checkNewKey (content: ConfigurationContent, operation: OperationOf<'createKey'>): readonly string[] {
+  const messages: string[] = []
+  if (!Object.hasOwn(content.settings, teamPath(operation.team))) messages.push(`key ${operation.keyId}: there is no team ${operation.team}; create the team first`)
+  if (content.keys.some(key => key.keyId === operation.keyId)) messages.push(`key ${operation.keyId}: a key with this identity exists; choose another identity`)
+  if (content.keys.some(key => key.hash === operation.hash)) messages.push(`key ${operation.keyId}: this key exists already; create a new random key`)
+  return messages
+}
+
+function checkOperation (content: ConfigurationContent, operation: Operation): readonly string[] {
+  switch (operation.type) {
+    case 'set': return checkSet(operation)
+    case 'unset': return checkUnset(operation)
+    case 'removeBranch': return checkRemoval(content, operation)
+    case 'createKey': return checkNewKey(content, operation)
+    case 'withdrawKey':
+      return content.keys.some(key => key.keyId === operation.keyId) ? [] : [`there is no key ${operation.keyId}; list the keys to find its identity`]
+    case 'drain': return []
+    case 'undrain': {
+      const marked = content.drains.some(({ scope, name }) => scope === operation.scope && name === operation.name)
+      return marked ? [] : [`${operation.scope} ${operation.name} is not being drained`]
+    }
+  }
+}
+
+function touchedPaths (operations: readonly Operation[]): readonly SettingsPath[] {
+  return operations.flatMap(operation => 'path' in operation ? [operation.path] : [])
+}
+
+/** A removed team leaves queues behind that name it, so that queues are checked with every branch of teams. */
+function concerns (problemPath: SettingsPath, touched: readonly SettingsPath[]): boolean {
+  const isQueue = parseBranch(problemPath)?.level === 'queue'
+  return touched.some(path => isWithin(problemPath, path) || isWithin(path, problemPath) || (isQueue && path.startsWith('/teams/')))
+}
+
+/**
+ * Lists what is wrong with a change; an empty list means that it may be accepted. Anything may be given
+ * as operations. Problems that the snapshot already has in branches that the change leaves alone are not listed.
+ *
+ * @example
+ * validateOperations(snapshot, [{ type: 'set', path: '/teams/weavers', values: { keyGrace: 10 } }])
+ * // ['/teams/weavers: keyGrace is 10 ms, which is out of range; use 1 s to 1 h']
+ */
+export function validateOperations (snapshot: ConfigurationSnapshot, operations: unknown): readonly string[] {
+  const parsed = operationsSchema.safeParse(operations)
+  if (!parsed.success) return formatIssues('operations', parsed.error)
+  const messages: string[] = []
+  let content: ConfigurationContent = snapshot
+  for (const operation of parsed.data) {
+    messages.push(...checkOperation(content, operation))
+    content = applyOperation(content, operation)
+  }
+  if (messages.length > 0) return messages
+  const touched = touchedPaths(parsed.data)
+  return checkTree(content.settings)
+    .filter(({ path }) => concerns(path, touched))
+    .map(({ path, problem, right }) => `${path}: ${problem}; ${right}`)
+}
--- /dev/null
+++ b/src/settings/values.ts
@@ -0,0 +1,110 @@
+/** Checks single values against the schema, and converts them from and to text. */
+import type { SettingValue } from '../model/change.ts'
+import type { Branch } from './paths.ts'
+import { NAME_PATTERN, NAME_RULE } from './definition.ts'
+import type { BranchLevel, SettingMeta } from './definition.ts'
+import { isSettingName, SETTING_NAMES, settingMeta, settingsSchema } from './schema.ts'
+import type { SettingName } from './schema.ts'
+import { findOldSetting, OLD_SETTINGS } from './renamed.ts'
+import type { OldSettings } from './renamed.ts'
+import { formatQuantity, isQuantityUnit, parseQuantity } from './units.ts'
+import type { Parsed } from './units.ts'
+
+const LEVEL_PATHS: Readonly<Record<BranchLevel, string>> = {
+  root: '/', kind: '/kinds/KIND', team: '/teams/TEAM', teamKind: '/teams/TEAM/kinds/KIND', queue: '/queues/QUEUE'
+}
+
+/** Names the places where a setting may be set. */
+export function describeLevels (levels: readonly BranchLevel[]): string {
+  return levels.map(level => LEVEL_PATHS[level]).join(', ')
+}
+
+/** Writes a value as operators write it. */
+export function formatValue (value: SettingValue | undefined, meta: SettingMeta): string {
+  if (value === undefined) return meta.unsetMeaning ?? 'not set'
+  return typeof value === 'number' && isQuantityUnit(meta.unit) ? formatQuantity(value, meta.unit) : String(value)
+}
+
+export function formatSetting (name: string, value: SettingValue | undefined): string {
+  return isSettingName(name) ? formatValue(value, settingMeta(name)) : String(value)
+}
+
+/** Writes the range of a number; empty for other settings. */
+export function formatRange (meta: SettingMeta): string {
+  if (meta.minimum === undefined || meta.maximum === undefined) return ''
+  return `${formatValue(meta.minimum, meta)} to ${formatValue(meta.maximum, meta)}`
+}
+
+/** Edit distance up to which a wrong name is taken for a spelling mistake. */
+const SPELLING_DISTANCE = 3
+
+function editDistance (left: string, right: string): number {
+  let previous = Array.from({ length: right.length + 1 }, (_, index) => index)
+  for (let row = 1; row <= left.length; row++) {
+    const current = [row]
+    for (let column = 1; column <= right.length; column++) {
+      const substitution = (previous[column - 1] ?? 0) + (left[row - 1] === right[column - 1] ? 0 : 1)
+      current.push(Math.min(substitution, (previous[column] ?? 0) + 1, (current[column - 1] ?? 0) + 1))
+    }
+    previous = current
+  }
+  return previous[right.length] ?? 0
+}
+
+/** The nearest of the known names, or a list of all. */
+export function suggestName (name: string, known: readonly string[]): string {
+  const lower = name.slice(0, 64).toLowerCase()
+  const nearest = known
+    .map(candidate => ({ candidate, distance: editDistance(lower, candidate.toLowerCase()) }))
+    .sort((left, right) => left.distance - right.distance)[0]
+  return nearest !== undefined && nearest.distance <= SPELLING_DISTANCE
+    ? `did you mean ${nearest.candidate}?`
+    : `known here: ${known.join(', ')}`
+}
+
+/** Finds the setting that a name means in a branch; old names lead to the new setting. */
+export function findSetting (name: string, branch: Branch, oldSettings: OldSettings = OLD_SETTINGS): Parsed<SettingName> {
+  const old = findOldSetting(name, oldSettings)
+  if (old?.type === 'retired') return { problem: `${name} was retired in version ${old.since}`, right: old.advice }
+  const current = old?.to ?? name
+  if (!isSettingName(current)) {
+    const known = SETTING_NAMES.filter(candidate => settingMeta(candidate).levels.includes(branch.level))
+    return { problem: `there is no setting "${name}"`, right: suggestName(name, known) }
+  }
+  const { levels } = settingMeta(current)
+  if (!levels.includes(branch.level)) {
+    return { problem: `${name} can not be set in ${branch.path}`, right: `set it in ${describeLevels(levels)}` }
+  }
+  return { value: current }
+}
+
+/** Checks type and range of a value in the program's unit. */
+export function checkValue (name: SettingName, value: unknown): Parsed<SettingValue> {
+  const meta = settingMeta(name)
+  const result = settingsSchema.shape[name].safeParse(value)
+  if (value !== undefined && result.success) return { value: result.data as SettingValue }
+  if (meta.unit === 'flag') return { problem: `${name} is ${describe(value)}`, right: 'write true or false' }
+  if (meta.unit === 'name') return { problem: `${name} is ${describe(value)}`, right: NAME_RULE }
+  const shown = typeof value === 'number' && Number.isFinite(value) ? formatValue(value, meta) : describe(value)
+  return { problem: `${name} is ${shown}, which is out of range`, right: `use ${formatRange(meta)}` }
+}
+
+function describe (value: unknown): string {
+  return (JSON.stringify(value) ?? typeof value).slice(0, 80)
+}
+
+/**
+ * Reads a value with its unit, as operators write it, and checks its range.
+ *
+ * @example
+ * readValue('keyGrace', '5 s') // { value: 5000 }
+ */
+export function readValue (name: SettingName, text: string): Parsed<SettingValue> {
+  const { unit } = settingMeta(name)
+  if (unit === 'flag') return checkValue(name, text === 'true' ? true : text === 'false' ? false : text)
+  if (unit === 'name') return NAME_PATTERN.test(text) ? { value: text } : { problem: `"${text}" is not a name`, right: NAME_RULE }
+  if (!isQuantityUnit(unit)) return checkValue(name, text)
+  const quantity = parseQuantity(text, unit)
+  if ('value' in quantity) return checkValue(name, quantity.value)
+  return { problem: `${name}: ${quantity.problem}`, right: quantity.right }
+}
