--- /dev/null
+++ b/src/adapters/operator/operatorServer.ts
@@ -0,0 +1,147 @@
+/** Serves the operators' HTTP interface of one instance. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { InputError } from '../../model/errors.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import { CHANGE_STATUS, OPERATOR_PATHS } from '../../observability/operatorApi.ts'
+import type { HealthReport, OperatorHandler } from '../../observability/operatorApi.ts'
+import { BodyTooLargeError, checkDrain, checkSubmission, hasToken, LONGEST_WAIT_MS, readJsonBody } from './operatorRequests.ts'
+
+export interface OperatorServerOptions {
+  readonly host: string
+  /** 0 lets the system choose; see `address`. */
+  readonly port: number
+  readonly token: string
+  /** Time in which a client must have sent its whole request. */
+  readonly requestTimeoutMs: number
+  /** Receives errors that are answered with 500. */
+  readonly onError: (error: unknown) => void
+}
+
+interface Answer {
+  readonly status: number
+  readonly body: unknown
+  readonly contentType?: string
+}
+
+const JSON_TYPE = 'application/json; charset=utf-8'
+/** Operators, scrapers and the load balancer's probes are few. */
+const MOST_CONNECTIONS = 256
+const MOST_HEADER_BYTES = 16_384
+
+type Route = (request: IncomingMessage, signal: AbortSignal) => Promise<Answer>
+
+function answerHealth (report: HealthReport): Answer {
+  return { status: report.ok ? 200 : 503, body: report }
+}
+
+/**
+ * The HTTP server for operators. Everything but `/health` and `/ready` requires the operators' token.
+ *
+ * @example
+ * manager.add(new OperatorServer(handler, { host: '127.0.0.1', port: 8001, token, requestTimeoutMs: 15_000, onError }))
+ */
+export class OperatorServer implements Component {
+  readonly name = 'operator server'
+  readonly #handler: OperatorHandler
+  readonly #options: OperatorServerOptions
+  readonly #server: Server
+  readonly #routes: Readonly<Record<string, Route>>
+
+  constructor (handler: OperatorHandler, options: OperatorServerOptions) {
+    this.#handler = handler
+    this.#options = options
+    this.#routes = this.#createRoutes()
+    this.#server = createServer({
+      requestTimeout: options.requestTimeoutMs,
+      headersTimeout: options.requestTimeoutMs,
+      connectionsCheckingInterval: Math.max(50, Math.floor(options.requestTimeoutMs / 4)),
+      maxHeaderSize: MOST_HEADER_BYTES
+    }, (request, response) => { this.#serve(request, response).catch(options.onError) })
+    this.#server.maxConnections = MOST_CONNECTIONS
+    this.#server.timeout = LONGEST_WAIT_MS + options.requestTimeoutMs
+  }
+
+  /** Where the server listens, as HOST:PORT; available after the start. */
+  get address (): string {
+    const { address, port, family } = this.#server.address() as AddressInfo
+    return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
+  }
+
+  async start (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.#options.port, this.#options.host, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  async stop (signal: AbortSignal): Promise<void> {
+    const cut = (): void => this.#server.closeAllConnections()
+    signal.addEventListener('abort', cut, { once: true })
+    try {
+      await new Promise<void>(resolve => {
+        this.#server.close(() => resolve())
+        this.#server.closeIdleConnections()
+        if (signal.aborted) cut()
+      })
+    } finally {
+      signal.removeEventListener('abort', cut)
+    }
+  }
+
+  #createRoutes (): Readonly<Record<string, Route>> {
+    const handler = this.#handler
+    return {
+      [`GET ${OPERATOR_PATHS.health}`]: async () => answerHealth(handler.readHealth()),
+      [`GET ${OPERATOR_PATHS.ready}`]: async () => answerHealth(handler.readReadiness()),
+      [`GET ${OPERATOR_PATHS.configuration}`]: async () => ({ status: 200, body: await handler.readConfiguration() }),
+      [`GET ${OPERATOR_PATHS.status}`]: async () => ({ status: 200, body: await handler.readStatus() }),
+      [`GET ${OPERATOR_PATHS.metrics}`]: async () => ({ status: 200, ...await handler.readMetrics() }),
+      [`POST ${OPERATOR_PATHS.changes}`]: async (request, signal) => {
+        const answer = await handler.submitChange(checkSubmission(await readJsonBody(request)), signal)
+        return { status: CHANGE_STATUS[answer.outcome], body: answer }
+      },
+      [`POST ${OPERATOR_PATHS.drain}`]: async request => {
+        checkDrain(await readJsonBody(request))
+        return { status: 202, body: await handler.drainSelf() }
+      }
+    }
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const gone = new AbortController()
+    response.once('close', () => gone.abort(new Error('the operator closed the connection')))
+    const answer = await this.#answer(request, gone.signal)
+    if (response.destroyed) return
+    const text = answer.contentType === undefined ? JSON.stringify(answer.body) : String(answer.body)
+    response.writeHead(answer.status, {
+      'content-type': answer.contentType ?? JSON_TYPE,
+      'content-length': Buffer.byteLength(text),
+      'cache-control': 'no-store',
+      ...(request.complete ? {} : { connection: 'close' })
+    })
+    response.end(text)
+  }
+
+  async #answer (request: IncomingMessage, signal: AbortSignal): Promise<Answer> {
+    const path = (request.url ?? '').split('?')[0] ?? ''
+    const isProbe = path === OPERATOR_PATHS.health || path === OPERATOR_PATHS.ready
+    if (!isProbe && !hasToken(request, this.#options.token)) {
+      return { status: 401, body: { message: 'the operators\' token is missing or wrong' } }
+    }
+    const route = Object.hasOwn(this.#routes, `${request.method} ${path}`) ? this.#routes[`${request.method} ${path}`] : undefined
+    if (route === undefined) return { status: 404, body: { message: `there is no ${request.method} ${path.slice(0, 100)}` } }
+    try {
+      return await route(request, signal)
+    } catch (error) {
+      if (error instanceof BodyTooLargeError) return { status: 413, body: { outcome: 'invalid', messages: [error.message] } }
+      if (error instanceof InputError) return { status: 400, body: { outcome: 'invalid', messages: error.message.split('\n') } }
+      if (!signal.aborted) this.#options.onError(error)
+      return { status: 500, body: { message: 'internal error; the instance\'s log has the details' } }
+    }
+  }
+}
--- a/src/settings/diff.ts
+++ b/src/settings/diff.ts
@@ -1,5 +1,6 @@
 /** Compares a settings file with the configuration in force. */
-import type { Operation, SettingsPath, SettingValue, ConfigurationSnapshot } from '../model/change.ts'
+import type { ConfigurationSnapshot, Operation, SettingsPath, SettingValue } from '../model/change.ts'
+import { describeOperations } from './describe.ts'
 import { isWithin, parseBranch } from './paths.ts'
 import type { SettingsTree } from './tree.ts'
 import { formatSetting } from './values.ts'
@@ -19,43 +20,44 @@
 
 type Values = Readonly<Record<string, SettingValue>>
 
-interface BranchDiff {
-  readonly set: Values
-  readonly unset: readonly string[]
-  readonly changes: readonly string[]
-  readonly kept: readonly string[]
+function valuesOf (tree: SettingsTree, path: SettingsPath): Values {
+  return (Object.hasOwn(tree, path) ? tree[path] : undefined) ?? {}
 }
 
-function describe (path: string, name: string, before: SettingValue | undefined, after: SettingValue | undefined): string {
-  const written = (value: SettingValue | undefined): string => value === undefined ? '(not set)' : formatSetting(name, value)
-  return `${path} ${name}: ${written(before)} -> ${written(after)}`
+function missingNames (wanted: Values, current: Values): readonly string[] {
+  return Object.keys(current).filter(name => !Object.hasOwn(wanted, name))
 }
 
-function diffBranch (path: SettingsPath, wanted: Values, current: Values, prune: boolean): BranchDiff {
+function diffBranch (path: SettingsPath, file: SettingsTree, settings: SettingsTree, prune: boolean): readonly Operation[] {
+  const wanted = valuesOf(file, path)
+  const current = valuesOf(settings, path)
   const set = Object.entries(wanted).filter(([name, value]) => !Object.hasOwn(current, name) || current[name] !== value)
-  const absent = Object.keys(current).filter(name => !Object.hasOwn(wanted, name))
-  const changes = set.map(([name, value]) => describe(path, name, Object.hasOwn(current, name) ? current[name] : undefined, value))
-  return {
-    set: Object.fromEntries(set),
-    unset: prune ? absent : [],
-    changes: prune ? [...changes, ...absent.map(name => describe(path, name, current[name], undefined))] : changes,
-    kept: prune ? [] : absent.map(name => `${path} ${name} = ${formatSetting(name, current[name])}`)
-  }
+  const unset = prune ? missingNames(wanted, current) : []
+  const isNew = path !== '/' && !Object.hasOwn(settings, path)
+  return [
+    ...(isNew || set.length > 0 ? [{ type: 'set', path, values: Object.fromEntries(set) } as const] : []),
+    ...(unset.length > 0 ? [{ type: 'unset', path, names: unset } as const] : [])
+  ]
 }
 
-function removedBranches (file: SettingsTree, settings: SettingsTree): readonly SettingsPath[] {
+/** Branches to remove; those below another one are removed with it. */
+function listRemoved (file: SettingsTree, settings: SettingsTree): readonly SettingsPath[] {
   const missing = (Object.keys(settings) as SettingsPath[]).filter(path => path !== '/' && !Object.hasOwn(file, path))
   return missing.filter(path => !missing.some(other => other !== path && isWithin(path, other)))
 }
 
-/** Valid keys of a removed team are withdrawn with it. */
-function removeBranch (path: SettingsPath, snapshot: ConfigurationSnapshot): { readonly operations: readonly Operation[], readonly changes: readonly string[] } {
+/** Removes a branch; valid keys of a removed team are withdrawn with it. */
+export function removeBranch (path: SettingsPath, snapshot: ConfigurationSnapshot): readonly Operation[] {
   const branch = parseBranch(path)
   const keys = branch?.level === 'team' ? snapshot.keys.filter(key => key.team === branch.team && !key.withdrawn) : []
-  return {
-    operations: [...keys.map((key): Operation => ({ type: 'withdrawKey', keyId: key.keyId })), { type: 'removeBranch', path }],
-    changes: [...keys.map(key => `key ${key.keyId} of team ${key.team}: withdrawn`), `${path}: removed with everything below it`]
-  }
+  return [...keys.map(({ keyId }): Operation => ({ type: 'withdrawKey', keyId })), { type: 'removeBranch', path }]
+}
+
+function listKept (file: SettingsTree, settings: SettingsTree): readonly string[] {
+  return (Object.keys(settings) as SettingsPath[]).sort().flatMap(path => {
+    const current = valuesOf(settings, path)
+    return missingNames(valuesOf(file, path), current).map(name => `${path} ${name} = ${formatSetting(name, current[name])}`)
+  })
 }
 
 /**
@@ -66,24 +68,15 @@
  * // ['/teams/weavers keyGrace: 5 s -> 10 s']
  */
 export function diffSettings (file: SettingsTree, snapshot: ConfigurationSnapshot, { prune }: DiffOptions): SettingsDiff {
-  const operations: Operation[] = []
-  const changes: string[] = []
-  const kept: string[] = []
-  for (const path of prune ? removedBranches(file, snapshot.settings) : []) {
-    const removal = removeBranch(path, snapshot)
-    operations.push(...removal.operations)
-    changes.push(...removal.changes)
-  }
-  const paths = Object.keys(prune ? { '/': {}, ...file } : { ...file, ...snapshot.settings }) as SettingsPath[]
-  for (const path of paths.sort()) {
-    const known = Object.hasOwn(snapshot.settings, path)
-    const difference = diffBranch(path, (Object.hasOwn(file, path) ? file[path] : undefined) ?? {}, (known ? snapshot.settings[path] : undefined) ?? {}, prune)
-    const isNew = !known && Object.hasOwn(file, path) && path !== '/'
-    if (isNew) changes.push(`${path}: created`)
-    if (isNew || Object.keys(difference.set).length > 0) operations.push({ type: 'set', path, values: difference.set })
-    if (difference.unset.length > 0) operations.push({ type: 'unset', path, names: difference.unset })
-    changes.push(...difference.changes)
-    kept.push(...difference.kept)
+  const removed = prune ? listRemoved(file, snapshot.settings) : []
+  const paths = Object.keys({ '/': {}, ...file }).sort() as SettingsPath[]
+  const operations = [
+    ...removed.flatMap(path => removeBranch(path, snapshot)),
+    ...paths.flatMap(path => diffBranch(path, file, snapshot.settings, prune))
+  ]
+  return {
+    operations,
+    changes: describeOperations(snapshot, operations),
+    kept: prune ? [] : listKept(file, snapshot.settings)
   }
-  return { operations, changes, kept }
 }
