Take the time limits of HTTP calls from the clock

A test of a call that is never answered waited 50 ms of real time. The clients accept a clock now, and the test advances it.

--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -2,6 +2,7 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { BaseError } from '../../model/errors.ts'
+import type { Clock } from '../../ports/clock.ts'
 
 /** No byte of the call was written: the callee certainly has not seen it. */
 export const NotSentError = BaseError.subclass('NotSentError')
@@ -12,6 +13,8 @@
 export interface HttpCallerOptions {
   /** `host:port`. */
   readonly address: string
+  /** For the time limits of calls; the time limit of connecting is undici's own. */
+  readonly clock: Clock
   /** Connections open at the same time; calls beyond wait. Unlimited if left out. */
   readonly connections?: number
   readonly connectTimeoutMs: number
@@ -62,14 +65,16 @@
  * Calls one server through a pool of connections.
  *
  * @example
- * const caller = new HttpCaller({ address: '127.0.0.1:4000', connectTimeoutMs: 1_000 })
+ * const caller = new HttpCaller({ address: '127.0.0.1:4000', clock: new SystemClock(), connectTimeoutMs: 1_000 })
  * const { status, body } = await caller.callJson({ method: 'GET', path: '/v1/list' })
  */
 export class HttpCaller {
+  readonly #clock: Clock
   readonly #pool: Pool
   readonly #dispatcher: Dispatcher
 
-  constructor ({ address, connections, connectTimeoutMs, idleConnectionMs }: HttpCallerOptions) {
+  constructor ({ address, clock, connections, connectTimeoutMs, idleConnectionMs }: HttpCallerOptions) {
+    this.#clock = clock
     this.#pool = new Pool(`http://${address}`, {
       connections: connections ?? null,
       pipelining: 1,
@@ -100,7 +105,7 @@
 
   /** Resolves with the whole answer. */
   async callJson (options: CallOptions): Promise<JsonResponse> {
-    const limit = limitTime(options.timeoutMs, options.signal)
+    const limit = limitTime(this.#clock, options.timeoutMs, options.signal)
     try {
       const response = await this.call({ ...options, signal: limit.signal })
       return { status: response.statusCode, body: await readJson(response, options) }
@@ -123,17 +128,24 @@
   }
 }
 
-function limitTime (timeoutMs?: number, signal?: AbortSignal): { readonly signal?: AbortSignal, readonly clear: () => void } {
+interface TimeLimit {
+  /** Aborts when the time is up or the caller's own signal aborts. */
+  readonly signal?: AbortSignal
+  readonly clear: () => void
+}
+
+function limitTime (clock: Clock, timeoutMs?: number, signal?: AbortSignal): TimeLimit {
   if (timeoutMs === undefined) return { signal, clear: () => {} }
   const abort = new AbortController()
-  const timer = setTimeout(() => abort.abort(new BaseError(`no answer within ${timeoutMs} ms`)), timeoutMs)
+  const timer = new AbortController()
   const onAbort = (): void => abort.abort(signal?.reason)
+  clock.sleep(timeoutMs, timer.signal).then(() => abort.abort(new BaseError(`no answer within ${timeoutMs} ms`)), () => {})
   if (signal?.aborted) onAbort()
   signal?.addEventListener('abort', onAbort, { once: true })
   return {
     signal: abort.signal,
     clear: () => {
-      clearTimeout(timer)
+      timer.abort()
       signal?.removeEventListener('abort', onAbort)
     }
   }
--- a/src/adapters/list/httpInstanceList.ts
+++ b/src/adapters/list/httpInstanceList.ts
@@ -1,6 +1,8 @@
 /** The platform's list over HTTP. */
 import { BaseError } from '../../model/errors.ts'
+import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
+import type { Clock } from '../../ports/clock.ts'
 import type { InstanceList, ListSnapshot } from '../../ports/instanceList.ts'
 import { HttpCaller } from '../http/httpCaller.ts'
 import { parseListSnapshot } from './listSchema.ts'
@@ -11,6 +13,8 @@
   /** `host:port`. */
   readonly address: string
   readonly callTimeoutMs?: number
+  /** The system's clock if left out. */
+  readonly clock?: Clock
 }
 
 /**
@@ -24,9 +28,9 @@
   readonly #caller: HttpCaller
   readonly #callTimeoutMs: number
 
-  constructor ({ address, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS }: HttpInstanceListOptions) {
+  constructor ({ address, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS, clock = new SystemClock() }: HttpInstanceListOptions) {
     this.#callTimeoutMs = callTimeoutMs
-    this.#caller = new HttpCaller({ address, connectTimeoutMs: callTimeoutMs })
+    this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: callTimeoutMs })
   }
 
   async start (): Promise<void> {}
--- a/src/adapters/store/httpStore.test.ts
+++ b/src/adapters/store/httpStore.test.ts
@@ -69,15 +69,20 @@
 
 test('a store that takes a write and never answers does not hold the call, nor is the write taken as refused', async t => {
   const sockets: Socket[] = []
-  const silent = createServer(socket => { sockets.push(socket.resume()) })
+  let receivedBytes = 0
+  const silent = createServer(socket => { sockets.push(socket.on('data', bytes => { receivedBytes += bytes.length })) })
   await new Promise<void>(resolve => { silent.listen(0, '127.0.0.1', resolve) })
   t.teardown(() => {
     for (const socket of sockets) socket.destroy()
     silent.close()
   })
-  const store = new HttpStore({ address: `127.0.0.1:${(silent.address() as AddressInfo).port}`, callTimeoutMs: 50 })
+  const clock = new ManualClock()
+  const store = new HttpStore({ address: `127.0.0.1:${(silent.address() as AddressInfo).port}`, callTimeoutMs: 50, clock })
   t.teardown(() => store.stop())
-  await t.throwsAsync(store.put('key', 'a', { expectedVersion: 0 }), { instanceOf: StoreUnknownError })
+  const unanswered = store.put('key', 'a', { expectedVersion: 0 })
+  await until(() => receivedBytes > 0)
+  await clock.advance(50)
+  await t.throwsAsync(unanswered, { instanceOf: StoreUnknownError })
   const abort = new AbortController()
   abort.abort(new Error('stop'))
   await t.throwsAsync(store.put('key', 'a', { expectedVersion: 0 }, abort.signal), { instanceOf: StoreUnavailableError })
--- a/src/adapters/store/httpStore.ts
+++ b/src/adapters/store/httpStore.ts
@@ -1,7 +1,9 @@
 /** The platform's store over HTTP. */
 import { z } from 'zod'
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
+import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
+import type { Clock } from '../../ports/clock.ts'
 import type { Store, StoreEntry, WriteOptions, WriteResult } from '../../ports/store.ts'
 import { HttpCaller, NotSentError } from '../http/httpCaller.ts'
 import type { CallOptions, JsonResponse } from '../http/httpCaller.ts'
@@ -15,6 +17,8 @@
   /** Limit for a call; a watch may take its own time in addition. */
   readonly callTimeoutMs?: number
   readonly connectTimeoutMs?: number
+  /** The system's clock if left out. */
+  readonly clock?: Clock
 }
 
 const entrySchema = z.object({ key: z.string(), value: z.string(), version: z.number().int().positive() })
@@ -44,6 +48,7 @@
     this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
     this.#caller = new HttpCaller({
       address: options.address,
+      clock: options.clock ?? new SystemClock(),
       connectTimeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS
     })
   }
--- a/src/adapters/target/httpTargetClient.ts
+++ b/src/adapters/target/httpTargetClient.ts
@@ -1,8 +1,10 @@
 /** Calls targets over HTTP, through pools of connections limited for each target. */
 import { z } from 'zod'
 import { InputError, RefusalError } from '../../model/errors.ts'
+import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
 import type { FenceResult, StartResult, TargetClient, TaskCommand, TaskStart } from '../../ports/targetClient.ts'
 import { HttpCaller, NotSentError } from '../http/httpCaller.ts'
 import type { CallOptions, JsonResponse } from '../http/httpCaller.ts'
@@ -23,6 +25,8 @@
   /** Limit for each call other than a start, whose limit is its signal. */
   readonly callTimeoutMs?: number
   readonly connectTimeoutMs?: number
+  /** The system's clock if left out. */
+  readonly clock?: Clock
 }
 
 interface TargetPools {
@@ -49,11 +53,13 @@
 
   readonly #callTimeoutMs: number
   readonly #connectTimeoutMs: number
+  readonly #clock: Clock
   readonly #pools = new Map<string, TargetPools>()
 
   constructor (options: HttpTargetClientOptions = {}) {
     this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
     this.#connectTimeoutMs = options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS
+    this.#clock = options.clock ?? new SystemClock()
   }
 
   async fence (target: TargetInfo, epoch: number, signal?: AbortSignal): Promise<FenceResult> {
@@ -128,6 +134,7 @@
     if (known !== undefined) closePools(known).catch(() => {})
     const create = (limit: number): HttpCaller => new HttpCaller({
       address,
+      clock: this.#clock,
       connections: limit,
       connectTimeoutMs: this.#connectTimeoutMs,
       idleConnectionMs: IDLE_CONNECTION_MS
--- a/src/adapters/target/standInTarget.test.ts
+++ b/src/adapters/target/standInTarget.test.ts
@@ -70,6 +70,18 @@
   t.pass()
 })
 
+test('a target does not start work over more connections than it takes', t => {
+  const { target } = createTarget()
+  const connections = Array.from({ length: RUNNER.connections + 1 }, () => target.openConnection())
+  t.deepEqual(target.start(createStart('task-1')), { outcome: 'refused', refusal: 'no-capacity' })
+  connections[0]?.()
+  connections[0]?.()
+  t.is(target.start(createStart('task-2')).outcome, 'started')
+  target.openConnection()
+  t.is(target.start(createStart('task-3')).outcome, 'refused')
+  t.is(target.highestConnections, RUNNER.connections + 1)
+})
+
 test('the sender with a lower epoch can not start, renew or stop after a fence', async t => {
   const { client, target } = createTarget()
   target.start(createStart('task-1'))
--- a/src/adapters/target/standInTarget.ts
+++ b/src/adapters/target/standInTarget.ts
@@ -42,6 +42,8 @@
   readonly #info: TargetInfo
   readonly #clock: Clock
   readonly #tasks = new Map<string, StandInTask>()
+  /** In order of their starts. */
+  readonly #started: StandInTask[] = []
   readonly #running = new Set<StandInTask>()
   readonly #refused = new Map<string, TargetRefusal>()
   #reserved: Resources = NO_RESOURCES
@@ -65,7 +67,7 @@
 
   /** Every task that ever ran, in order of its start. */
   get history (): readonly TaskHistory[] {
-    return [...this.#tasks.values()].map(task => task.history)
+    return this.#started.map(task => task.history)
   }
 
   get reserved (): Resources {
@@ -120,6 +122,7 @@
     this.#raiseEpoch(start.epoch)
     const task = new StandInTask(start, this.#clock, ended => this.#release(ended))
     this.#tasks.set(start.taskId, task)
+    this.#started.push(task)
     this.#running.add(task)
     this.#reserved = addResources(this.#reserved, start.size)
     this.#highestReserved = maximumResources(this.#highestReserved, this.#reserved)
@@ -205,6 +208,7 @@
   }
 
   #release (task: StandInTask): void {
-    if (this.#running.delete(task)) this.#reserved = subtractResources(this.#reserved, task.size)
+    this.#running.delete(task)
+    this.#reserved = subtractResources(this.#reserved, task.size)
   }
 }
