Check the input of stand-ins in one place

Three modules had their own copy of the schema check, and a start without a payload was refused over HTTP as invalid.

--- a/src/adapters/list/listSchema.ts
+++ b/src/adapters/list/listSchema.ts
@@ -1,8 +1,8 @@
 /** Schemas of the platform's list, for answers and files. */
 import { z } from 'zod'
-import { InputError } from '../../model/errors.ts'
 import type { TargetInfo } from '../../model/target.ts'
 import type { ListSnapshot } from '../../ports/instanceList.ts'
+import { checkInput } from '../http/checkInput.ts'
 
 const amountSchema = z.number().nonnegative().default(0)
 
@@ -49,16 +49,10 @@
  * const snapshot = parseListSnapshot(JSON.parse(text), 'instances.json')
  */
 export function parseListSnapshot (value: unknown, source: string): ListSnapshot {
-  return parse(snapshotSchema, value, source)
+  return checkInput(snapshotSchema, value, source)
 }
 
 /** Checks an array of targets that came from outside. */
 export function parseTargets (value: unknown, source: string): readonly TargetInfo[] {
-  return parse(z.array(targetSchema), value, source)
-}
-
-function parse<T> (schema: z.ZodType<T>, value: unknown, source: string): T {
-  const parsed = schema.safeParse(value)
-  if (!parsed.success) throw new InputError(`${source}: ${z.prettifyError(parsed.error)}`)
-  return parsed.data
+  return checkInput(z.array(targetSchema), value, source)
 }
--- a/src/adapters/store/httpStoreServer.ts
+++ b/src/adapters/store/httpStoreServer.ts
@@ -1,12 +1,13 @@
 /** The stand-in for the platform's store over HTTP. */
 import { z } from 'zod'
-import { InputError, StoreUnavailableError } from '../../model/errors.ts'
+import { StoreUnavailableError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import type { Store } from '../../ports/store.ts'
+import { checkInput } from '../http/checkInput.ts'
 import { JsonServer } from '../http/jsonServer.ts'
-import type { HttpHandler, JsonAnswer, Route } from '../http/routes.ts'
+import type { HttpCall, HttpHandler, Route } from '../http/routes.ts'
 
-const versionSchema = z.coerce.number().int().nonnegative()
+const countSchema = z.coerce.number().int().nonnegative()
 
 const putSchema = z.object({
   value: z.string(),
@@ -50,65 +51,45 @@
 }
 
 function createRoutes (store: Store): readonly Route[] {
-  const answer = (handle: (call: Parameters<HttpHandler>[0]) => Promise<unknown>): HttpHandler => call => answerJson(() => handle(call))
+  return [...createEntryRoutes(store), ...createLeaseRoutes(store)]
+}
+
+function createEntryRoutes (store: Store): readonly Route[] {
   return [
-    {
-      method: 'GET',
-      pattern: '/v1/entries',
-      handle: answer(async ({ query, signal }) => ({ entries: await store.list(query.get('prefix') ?? '', signal) }))
-    },
-    {
-      method: 'GET',
-      pattern: '/v1/entries/:key',
-      handle: answer(async ({ parameters: { key = '' }, signal }) => ({ entry: await store.get(key, signal) }))
-    },
-    {
-      method: 'PUT',
-      pattern: '/v1/entries/:key',
-      handle: answer(async ({ parameters: { key = '' }, body }) => {
-        const { value, ...options } = check(putSchema, body)
-        return await store.put(key, value, options)
-      })
-    },
-    {
-      method: 'DELETE',
-      pattern: '/v1/entries/:key',
-      handle: answer(async ({ parameters: { key = '' }, query }) =>
-        await store.delete(key, check(versionSchema, query.get('expectedVersion'))))
-    },
-    {
-      method: 'GET',
-      pattern: '/v1/watch/:key',
-      handle: answer(async ({ parameters: { key = '' }, query, signal }) => {
-        const afterVersion = check(versionSchema, query.get('afterVersion'))
-        const timeoutMs = check(versionSchema, query.get('timeoutMs'))
-        return { entry: await store.watch(key, afterVersion, timeoutMs, signal) }
-      })
-    },
-    {
-      method: 'POST',
-      pattern: '/v1/leases',
-      handle: answer(async ({ body }) => ({ lease: await store.grantLease(check(grantSchema, body).durationMs) }))
-    },
-    {
-      method: 'POST',
-      pattern: '/v1/leases/:lease/renew',
-      handle: answer(async ({ parameters: { lease = '' } }) => ({ renewed: await store.renewLease(lease) }))
-    }
+    createRoute('GET', '/v1/entries', async ({ query, signal }) => ({ entries: await store.list(query.get('prefix') ?? '', signal) })),
+    createRoute('GET', '/v1/entries/:key', async ({ parameters: { key = '' }, signal }) => ({ entry: await store.get(key, signal) })),
+    createRoute('PUT', '/v1/entries/:key', async ({ parameters: { key = '' }, body }) => {
+      const { value, ...options } = checkInput(putSchema, body, 'body')
+      return await store.put(key, value, options)
+    }),
+    createRoute('DELETE', '/v1/entries/:key', async ({ parameters: { key = '' }, query }) =>
+      await store.delete(key, readCount(query, 'expectedVersion'))),
+    createRoute('GET', '/v1/watch/:key', async ({ parameters: { key = '' }, query, signal }) =>
+      ({ entry: await store.watch(key, readCount(query, 'afterVersion'), readCount(query, 'timeoutMs'), signal) }))
+  ]
+}
+
+function createLeaseRoutes (store: Store): readonly Route[] {
+  return [
+    createRoute('POST', '/v1/leases', async ({ body }) =>
+      ({ lease: await store.grantLease(checkInput(grantSchema, body, 'body').durationMs) })),
+    createRoute('POST', '/v1/leases/:lease/renew', async ({ parameters: { lease = '' } }) =>
+      ({ renewed: await store.renewLease(lease) }))
   ]
 }
 
-async function answerJson (handle: () => Promise<unknown>): Promise<JsonAnswer> {
-  try {
-    return { status: 200, body: await handle() }
-  } catch (error) {
-    if (error instanceof StoreUnavailableError) return { status: 503, body: { message: error.message } }
-    throw error
+function createRoute (method: Route['method'], pattern: string, perform: (call: HttpCall) => Promise<unknown>): Route {
+  const handle: HttpHandler = async call => {
+    try {
+      return { status: 200, body: await perform(call) }
+    } catch (error) {
+      if (error instanceof StoreUnavailableError) return { status: 503, body: { message: error.message } }
+      throw error
+    }
   }
+  return { method, pattern, handle }
 }
 
-function check<T> (schema: z.ZodType<T>, value: unknown): T {
-  const parsed = schema.safeParse(value)
-  if (!parsed.success) throw new InputError(z.prettifyError(parsed.error))
-  return parsed.data
+function readCount (query: URLSearchParams, name: string): number {
+  return checkInput(countSchema, query.get(name) ?? undefined, name)
 }
--- a/src/adapters/target/httpTargetClient.test.ts
+++ b/src/adapters/target/httpTargetClient.test.ts
@@ -89,6 +89,7 @@
   t.like(echoed, { outcome: 'started', answer: { taskId, contentType: 'application/json' } })
   t.is(await readAnswer(echoed), '{"price":3}')
   t.is((await readAnswer(await client.start(info, createStart('large', { payload: { bytes: 300_000 } })))).length, 300_000)
+  t.is(await readAnswer(await client.start(info, createStart('empty', { payload: undefined }))), 'null')
   t.like(await client.start(info, createStart('failing', { payload: { fail: 'no paper' } })), { outcome: 'failed', message: 'no paper' })
   await readAnswer(await client.start(info, createStart('service', { detached: true, payload: { runMs: 60_000 } })))
   await clock.advance(target.usageLagMs)
--- a/src/adapters/target/standInTargetRoutes.ts
+++ b/src/adapters/target/standInTargetRoutes.ts
@@ -1,9 +1,9 @@
 /** The HTTP protocol of a stand-in target. */
 import { Readable } from 'node:stream'
 import { pipeline } from 'node:stream/promises'
-import { z } from 'zod'
-import { InputError, RefusalError } from '../../model/errors.ts'
+import { RefusalError } from '../../model/errors.ts'
 import type { TaskCommand } from '../../ports/targetClient.ts'
+import { checkInput } from '../http/checkInput.ts'
 import type { HttpCall, HttpHandler, JsonAnswer, Route } from '../http/routes.ts'
 import type { StandInTarget } from './standInTarget.ts'
 import type { StandInAnswer } from './standInWork.ts'
@@ -28,7 +28,7 @@
       method: 'POST',
       pattern: '/v1/tasks/:id/renew',
       handle: refuseFenced(async ({ parameters: { id = '' }, body }) => {
-        const { epoch, leaseMs } = check(renewSchema, body)
+        const { epoch, leaseMs } = checkInput(renewSchema, body, 'body')
         return answerReport(target.renew(id, epoch, leaseMs))
       })
     },
@@ -36,7 +36,7 @@
       method: 'POST',
       pattern: `/v1/tasks/:id/${command}`,
       handle: refuseFenced(async ({ parameters: { id = '' }, body }) =>
-        answerReport(target.command(id, check(fenceSchema, body).epoch, command)))
+        answerReport(target.command(id, checkInput(fenceSchema, body, 'body').epoch, command)))
     }))
   ]
 }
@@ -48,13 +48,13 @@
 }
 
 function fence (target: StandInTarget, body: unknown): JsonAnswer {
-  const result = target.fence(check(fenceSchema, body).epoch)
+  const result = target.fence(checkInput(fenceSchema, body, 'body').epoch)
   if (result.outcome === 'refused') return { status: REFUSAL_STATUS.fenced, body: { highestEpoch: result.highestEpoch } }
   return { status: 200, body: { tasks: result.tasks } }
 }
 
 async function start (target: StandInTarget, { body, response }: HttpCall): Promise<JsonAnswer | undefined> {
-  const given = check(startSchema, body)
+  const given = checkInput(startSchema, body, 'body')
   response.setHeader(TASK_ID_HEADER, encodeURIComponent(given.taskId))
   const started = target.start(given)
   if (started.outcome === 'refused') {
@@ -90,9 +90,3 @@
     }
   }
 }
-
-function check<T> (schema: z.ZodType<T>, value: unknown): T {
-  const parsed = schema.safeParse(value)
-  if (!parsed.success) throw new InputError(z.prettifyError(parsed.error))
-  return parsed.data
-}
--- a/src/adapters/target/targetProtocol.ts
+++ b/src/adapters/target/targetProtocol.ts
@@ -20,7 +20,7 @@
   kind: kindSchema,
   name: z.string(),
   size: resourcesSchema,
-  payload: z.unknown().optional().transform(payload => payload as unknown),
+  payload: z.unknown().default(null),
   epoch: epochSchema,
   startByWallMs: z.number(),
   leaseMs: z.number().positive(),
--- a/src/commands/standIn/targetControlServer.ts
+++ b/src/commands/standIn/targetControlServer.ts
@@ -1,7 +1,7 @@
 /** Lets tests read what stand-in targets recorded, and change their state, from another process. */
 import { z } from 'zod'
-import { InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
+import { checkInput } from '../../adapters/http/checkInput.ts'
 import { JsonServer } from '../../adapters/http/jsonServer.ts'
 import type { HttpCall, JsonAnswer, Route } from '../../adapters/http/routes.ts'
 import type { StandInTarget } from '../../adapters/target/standInTarget.ts'
@@ -47,9 +47,8 @@
   async #setState ({ parameters: { id = '' }, body }: HttpCall): Promise<JsonAnswer> {
     const target = this.#targets.find(({ info }) => info.id === id)
     if (target === undefined) return { status: 404, body: { message: `no target has the id ${id}` } }
-    const state = stateSchema.safeParse(body)
-    if (!state.success) throw new InputError(z.prettifyError(state.error))
-    const { leaving = target.leaving, failsEverything = target.failsEverything, crashed = target.crashed } = state.data
+    const { leaving = target.leaving, failsEverything = target.failsEverything, crashed = target.crashed } =
+      checkInput(stateSchema, body, 'body')
     target.leaving = leaving
     target.failsEverything = failsEverything
     if (crashed && !target.crashed) await this.#targetServer.crash(id)
