Free the work of ended stand-in tasks

A target keeps every task for its history, and each held its payload, answer and abort signal. Answers of the last 1,000 ended tasks are kept now.

--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -41,7 +41,7 @@
   readonly name: string
   readonly #options: JsonServerOptions
   #server: Server | undefined
-  #stopping = new AbortController()
+  readonly #calls = new Set<AbortController>()
 
   constructor (options: JsonServerOptions) {
     this.name = options.name
@@ -57,7 +57,6 @@
 
   async start (): Promise<void> {
     const { host, port } = parseAddress(this.#options.listen)
-    this.#stopping = new AbortController()
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       this.#serve(request, response).catch(() => response.destroy())
     })
@@ -74,7 +73,7 @@
     const server = this.#server
     if (server === undefined) return
     this.#server = undefined
-    this.#stopping.abort(new BaseError(`${this.name} stops`))
+    for (const call of this.#calls) call.abort(new BaseError(`${this.name} stops`))
     await new Promise<void>(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
@@ -96,9 +95,8 @@
     { route, parameters }: RouteMatch, query: URLSearchParams, request: IncomingMessage, response: ServerResponse
   ): Promise<JsonAnswer | undefined> {
     const abort = new AbortController()
-    const onStop = (): void => abort.abort(this.#stopping.signal.reason)
     const onClose = (): void => abort.abort(new BaseError('the connection was closed'))
-    this.#stopping.signal.addEventListener('abort', onStop, { once: true })
+    this.#calls.add(abort)
     response.once('close', onClose)
     try {
       const body = await readBody(request)
@@ -108,7 +106,7 @@
       throw error
     } finally {
       response.off('close', onClose)
-      this.#stopping.signal.removeEventListener('abort', onStop)
+      this.#calls.delete(abort)
     }
   }
 }
--- a/src/adapters/store/memoryStore.ts
+++ b/src/adapters/store/memoryStore.ts
@@ -1,5 +1,5 @@
 /** A store in this process: for tests, and behind the HTTP stand-in. */
-import { BaseError, InputError, StoreUnavailableError } from '../../model/errors.ts'
+import { InputError, StoreUnavailableError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { Store, StoreEntry, WriteOptions, WriteResult } from '../../ports/store.ts'
 
@@ -112,20 +112,22 @@
 
   async #waitForWrite (key: string, afterVersion: number, timeoutMs: number, signal?: AbortSignal): Promise<void> {
     const timer = new AbortController()
-    const sleepSignal = signal === undefined ? timer.signal : AbortSignal.any([timer.signal, signal])
+    const onAbort = (): void => timer.abort(signal?.reason)
+    signal?.addEventListener('abort', onAbort, { once: true })
     let watcher: Watcher | undefined
     const written = new Promise<void>(resolve => {
       watcher = { key, afterVersion, wake: resolve }
       this.#watchers.add(watcher)
     })
-    const timeUp = this.#clock.sleep(timeoutMs, sleepSignal).catch(() => {
+    const timeUp = this.#clock.sleep(timeoutMs, timer.signal).catch(() => {
       if (signal?.aborted) throw abortedError(signal)
     })
     try {
       await Promise.race([written, timeUp])
     } finally {
       if (watcher !== undefined) this.#watchers.delete(watcher)
-      timer.abort(new BaseError('the watch has ended'))
+      signal?.removeEventListener('abort', onAbort)
+      timer.abort()
     }
   }
 
--- a/src/adapters/target/standInTarget.ts
+++ b/src/adapters/target/standInTarget.ts
@@ -11,6 +11,9 @@
 /** Time until a task's usage shows in its reports. */
 export const DEFAULT_USAGE_LAG_MS = 2_000
 
+/** Ended tasks whose answers are kept for copies of their starts. */
+const KEPT_ANSWERS = 1_000
+
 /** Refused and stopped task identities that are remembered, so that a copy of the start that arrives late does not run. */
 const REMEMBERED_REFUSALS = 10_000
 
@@ -44,6 +47,7 @@
   readonly #tasks = new Map<string, StandInTask>()
   /** In order of their starts. */
   readonly #started: StandInTask[] = []
+  readonly #answered: StandInTask[] = []
   readonly #running = new Set<StandInTask>()
   readonly #refused = new Map<string, TargetRefusal>()
   #reserved: Resources = NO_RESOURCES
@@ -210,5 +214,7 @@
   #release (task: StandInTask): void {
     this.#running.delete(task)
     this.#reserved = subtractResources(this.#reserved, task.size)
+    this.#answered.push(task)
+    if (this.#answered.length > KEPT_ANSWERS) this.#answered.shift()?.forgetAnswer()
   }
 }
--- a/src/adapters/target/standInTask.ts
+++ b/src/adapters/target/standInTask.ts
@@ -26,8 +26,8 @@
   readonly ending?: TaskEnding
 }
 
-/** The end of a run; the answer is present if it finished. */
-export interface TaskEnd {
+/** The end of a run; the answer is present if it finished, until it is forgotten. */
+interface TaskEnd {
   readonly ending: TaskEnding
   readonly message: string
   readonly answer?: StandInAnswer
@@ -37,7 +37,7 @@
 export type TaskReply =
   | { readonly outcome: 'answered', readonly answer: StandInAnswer }
   | { readonly outcome: 'failed', readonly message: string }
-  /** The target crashed: the connection breaks without an answer. */
+  /** The target crashed or no longer keeps the answer: the connection breaks. */
   | { readonly outcome: 'lost', readonly message: string }
 
 const STATES: Readonly<Record<TaskEnding, TaskState>> = {
@@ -50,34 +50,30 @@
 }
 
 export class StandInTask {
-  /** Resolves at the end of the run. */
-  readonly ended: Promise<TaskEnd>
   readonly #start: Omit<TaskStart, 'payload'>
   readonly #clock: Clock
-  readonly #work: StandInWork
-  readonly #abort = new AbortController()
   readonly #startedAtWallMs: number
   readonly #usages: { readonly sinceMs: number, readonly usage: Resources }[]
-  readonly #resolveEnded: (end: TaskEnd) => void
   readonly #onEnd: (task: StandInTask) => void
   #epoch: number
   #leaseEndsAt: number
+  /** Work and timers; absent after the end, since a target keeps its tasks for the history. */
+  #run?: { readonly work: StandInWork, readonly abort: AbortController }
   #endedAtWallMs?: number
-  #ending?: TaskEnding
+  #end?: TaskEnd
+  #waiting: ((end: TaskEnd) => void)[] = []
 
   constructor (start: TaskStart, clock: Clock, onEnd: (task: StandInTask) => void) {
     const { payload, ...rest } = start
     this.#start = rest
     this.#clock = clock
-    this.#work = parseWork(payload)
+    const work = parseWork(payload)
+    this.#run = { work, abort: new AbortController() }
     this.#onEnd = onEnd
     this.#epoch = start.epoch
     this.#startedAtWallMs = clock.wallMs()
     this.#leaseEndsAt = clock.monotonicMs() + start.leaseMs
-    this.#usages = [{ sinceMs: clock.monotonicMs(), usage: this.#work.usage ?? start.size }]
-    let resolveEnded: (end: TaskEnd) => void = () => {}
-    this.ended = new Promise(resolve => { resolveEnded = resolve })
-    this.#resolveEnded = resolveEnded
+    this.#usages = [{ sinceMs: clock.monotonicMs(), usage: work.usage ?? start.size }]
   }
 
   get size (): Resources {
@@ -95,25 +91,27 @@
       epoch,
       startedAtWallMs: this.#startedAtWallMs,
       endedAtWallMs: this.#endedAtWallMs,
-      ending: this.#ending
+      ending: this.#end?.ending
     }
   }
 
   /** Begins the work and the lease. Work without a duration ends before this returns. */
   run (): void {
-    if (this.#work.runMs === 0) return this.#finish()
-    this.#clock.sleep(this.#work.runMs, this.#abort.signal).then(() => this.#finish(), () => {})
-    this.#watchLease().catch(() => {})
+    if (this.#run === undefined) return
+    const { work, abort } = this.#run
+    if (work.runMs === 0) return this.#finish(work)
+    this.#clock.sleep(work.runMs, abort.signal).then(() => this.#finish(work), () => {})
+    this.#watchLease(abort.signal).catch(() => {})
   }
 
   /** Resolves when the target answers the start: at the end of the run, or at once for a detached task. */
   async reply (): Promise<TaskReply> {
-    if (this.#start.detached && (this.#ending === undefined || this.#ending === 'finished')) {
+    if (this.#start.detached && (this.#end === undefined || this.#end.ending === 'finished')) {
       return { outcome: 'answered', answer: jsonAnswer({ taskId: this.#start.taskId }) }
     }
-    const { ending, message, answer } = await this.ended
+    const { ending, message, answer } = this.#end ?? await new Promise<TaskEnd>(resolve => this.#waiting.push(resolve))
     if (answer !== undefined) return { outcome: 'answered', answer }
-    return { outcome: ending === 'crashed' ? 'lost' : 'failed', message }
+    return { outcome: ending === 'crashed' || ending === 'finished' ? 'lost' : 'failed', message }
   }
 
   /** Extends the lease for the holder of the epoch; a task that has ended stays ended. */
@@ -130,12 +128,20 @@
 
   /** Ends the run; without effect if it has ended. */
   end (ending: TaskEnding, message: string, answer?: StandInAnswer): void {
-    if (this.#ending !== undefined) return
-    this.#ending = ending
+    if (this.#end !== undefined) return
+    const end = { ending, message, answer }
+    this.#end = end
     this.#endedAtWallMs = this.#clock.wallMs()
-    this.#abort.abort(new Error(message))
+    this.#run?.abort.abort()
+    this.#run = undefined
     this.#onEnd(this)
-    this.#resolveEnded({ ending, message, answer })
+    for (const resolve of this.#waiting) resolve(end)
+    this.#waiting = []
+  }
+
+  /** Frees the answer of a task that has ended. */
+  forgetAnswer (): void {
+    if (this.#end !== undefined) this.#end = { ending: this.#end.ending, message: 'the answer is no longer kept' }
   }
 
   /** The report with the usage as it was the lag ago. */
@@ -150,20 +156,19 @@
       name,
       size,
       epoch: this.#epoch,
-      state: this.#ending === undefined ? 'running' : STATES[this.#ending],
+      state: this.#end === undefined ? 'running' : STATES[this.#end.ending],
       usage: this.#usages.findLast(({ sinceMs }) => sinceMs <= knownUntil)?.usage
     }
   }
 
-  #finish (): void {
-    const { failure, answer } = this.#work
+  #finish ({ failure, answer }: StandInWork): void {
     if (failure !== undefined) this.end('failed', failure)
     else this.end('finished', 'the work finished', answer)
   }
 
-  async #watchLease (): Promise<void> {
+  async #watchLease (signal: AbortSignal): Promise<void> {
     for (let left = this.#leaseLeftMs(); left > 0; left = this.#leaseLeftMs()) {
-      await this.#clock.sleep(left, this.#abort.signal)
+      await this.#clock.sleep(left, signal)
     }
     this.end('lease-ended', 'the lease of the task ended')
   }
