--- a/src/adapters/target/standInTarget.ts
+++ b/src/adapters/target/standInTarget.ts
@@ -11,6 +11,9 @@
 /** Time until a task's usage shows in its reports. */
 export const DEFAULT_USAGE_LAG_MS = 2_000
 
+/** Ended tasks whose answers are kept for copies of their starts. */
+const KEPT_ANSWERS = 1_000
+
 /** Refused and stopped task identities that are remembered, so that a copy of the start that arrives late does not run. */
 const REMEMBERED_REFUSALS = 10_000
 
@@ -42,6 +45,9 @@
   readonly #info: TargetInfo
   readonly #clock: Clock
   readonly #tasks = new Map<string, StandInTask>()
+  /** In order of their starts. */
+  readonly #started: StandInTask[] = []
+  readonly #answered: StandInTask[] = []
   readonly #running = new Set<StandInTask>()
   readonly #refused = new Map<string, TargetRefusal>()
   #reserved: Resources = NO_RESOURCES
@@ -65,7 +71,7 @@
 
   /** Every task that ever ran, in order of its start. */
   get history (): readonly TaskHistory[] {
-    return [...this.#tasks.values()].map(task => task.history)
+    return this.#started.map(task => task.history)
   }
 
   get reserved (): Resources {
@@ -120,6 +126,7 @@
     this.#raiseEpoch(start.epoch)
     const task = new StandInTask(start, this.#clock, ended => this.#release(ended))
     this.#tasks.set(start.taskId, task)
+    this.#started.push(task)
     this.#running.add(task)
     this.#reserved = addResources(this.#reserved, start.size)
     this.#highestReserved = maximumResources(this.#highestReserved, this.#reserved)
@@ -205,6 +212,9 @@
   }
 
   #release (task: StandInTask): void {
-    if (this.#running.delete(task)) this.#reserved = subtractResources(this.#reserved, task.size)
+    this.#running.delete(task)
+    this.#reserved = subtractResources(this.#reserved, task.size)
+    this.#answered.push(task)
+    if (this.#answered.length > KEPT_ANSWERS) this.#answered.shift()?.forgetAnswer()
   }
 }
