Add the command line

The program had no subcommands. Each one is a factory registered in commands/registry.ts; client commands check a change against the configuration in force before they send it, and send it again under the same id if the answer is lost. Exit codes 0, 1, 2, 3, 4 and 70 are stated in the help. serve loads src/instance only when it runs.

--- /dev/null
+++ b/src/commands/commandContext.ts
@@ -0,0 +1,89 @@
+/** What subcommands need from the process; tests inject their own. */
+import { randomBytes, randomUUID } from 'node:crypto'
+import { readFile } from 'node:fs/promises'
+import { userInfo } from 'node:os'
+import { SystemClock } from '../adapters/clock/systemClock.ts'
+import { BaseError, InputError } from '../model/errors.ts'
+import type { Clock } from '../ports/clock.ts'
+
+/** Exit codes of the program, as the help states them. */
+export const EXIT_CODES = { done: 0, refused: 1, wrongUse: 2, unconfirmed: 3, unreachable: 4, internal: 70 } as const
+
+export type ExitCode = typeof EXIT_CODES[keyof typeof EXIT_CODES]
+
+export const EXIT_CODE_HELP = 'Exit codes: 0 done, 1 refused or conflict, 2 wrong use, 3 accepted but not yet confirmed everywhere, 4 no instance or store reachable, 70 internal error.'
+
+/** Ends a command with a message for the operator and an exit code. */
+export class CommandError extends Error {
+  readonly exitCode: ExitCode
+
+  constructor (message: string, exitCode: ExitCode, options?: ErrorOptions) {
+    super(message, options)
+    this.name = 'CommandError'
+    this.exitCode = exitCode
+  }
+}
+
+export interface CommandContext {
+  readonly print: (text: string) => void
+  readonly printError: (text: string) => void
+  readonly environment: Readonly<Record<string, string | undefined>>
+  readonly clock: Clock
+  readonly operator: string
+  readonly createChangeId: () => string
+  readonly createRandom: (byteCount: number) => Buffer
+}
+
+function readUserName (): string {
+  try {
+    return userInfo().username
+  } catch {
+    return 'unknown'
+  }
+}
+
+/** The context of the running process. */
+export function createProcessContext (): CommandContext {
+  return {
+    print: text => { process.stdout.write(`${text}\n`) },
+    printError: text => { process.stderr.write(`${text}\n`) },
+    environment: process.env,
+    clock: new SystemClock(),
+    operator: readUserName(),
+    createChangeId: randomUUID,
+    createRandom: randomBytes
+  }
+}
+
+/** Reads a file that the operator named. */
+export async function readNamedFile (file: string): Promise<Uint8Array> {
+  try {
+    return await readFile(file)
+  } catch (cause) {
+    throw new CommandError(`can't read ${file} (${errorCode(cause)}); check the name and the permissions`, EXIT_CODES.wrongUse, { cause })
+  }
+}
+
+/** The system's code of an error, or its class. */
+export function errorCode (error: unknown): string {
+  if (!(error instanceof Error)) return 'unknown error'
+  return 'code' in error && typeof error.code === 'string' ? error.code : error.name
+}
+
+/**
+ * Prints an error as an operator needs it, and returns the exit code. A stack trace is
+ * printed only for errors of the program itself.
+ */
+export function reportError (error: unknown, context: CommandContext): ExitCode {
+  if (error instanceof CommandError) {
+    context.printError(error.message)
+    return error.exitCode
+  }
+  if (error instanceof InputError) {
+    context.printError(error.message)
+    return EXIT_CODES.refused
+  }
+  const normalized = BaseError.normalize(error)
+  context.printError(`internal error, please report it:\n${normalized.stack ?? normalized.message}`)
+  return EXIT_CODES.internal
+}
--- /dev/null
+++ b/src/commands/drainCommand.ts
@@ -0,0 +1,62 @@
+/** `drain` and `undrain`: keep new work away from a target, an instance or a data centre. */
+import type { Argv } from 'yargs'
+import type { DrainScope, Operation } from '../model/change.ts'
+import { withChange } from './commandBuilder.ts'
+import type { ChangeArguments, CommandFactory } from './commandBuilder.ts'
+import { CommandError, EXIT_CODES } from './commandContext.ts'
+import type { CommandContext, ExitCode } from './commandContext.ts'
+import { useOperatorClient } from './operatorClient.ts'
+import { submitChange } from './submitChange.ts'
+
+const SCOPES: Readonly<Record<string, DrainScope>> = { target: 'target', instance: 'instance', 'data-centre': 'dataCentre' }
+
+interface DrainArguments extends ChangeArguments {
+  readonly scope: string
+  readonly name?: string
+}
+
+async function drainSelf (given: DrainArguments, context: CommandContext): Promise<ExitCode> {
+  const { state } = await useOperatorClient(given, context, async client => await client.drainSelf())
+  context.print(given.json ? JSON.stringify({ state }) : `The instance has begun its planned stop and is ${state}. It finishes what runs, hands over its targets and ends.`)
+  return EXIT_CODES.done
+}
+
+function requireName (given: DrainArguments): string {
+  if (given.name === undefined) throw new CommandError(`name the ${given.scope}, as shown by \`status\``, EXIT_CODES.wrongUse)
+  return given.name
+}
+
+async function changeDrain (type: 'drain' | 'undrain', given: DrainArguments, context: CommandContext): Promise<ExitCode> {
+  const scope = SCOPES[given.scope] ?? 'target'
+  const name = requireName(given)
+  return await submitChange(given, context, ({ drains }) => {
+    const isDrained = drains.some(drain => drain.scope === scope && drain.name === name)
+    const operations: readonly Operation[] = isDrained === (type === 'drain') ? [] : [{ type, scope, name }]
+    return { operations, remarks: operations.length === 0 ? [`${given.scope} ${name} is ${isDrained ? 'already' : 'not'} being drained.`] : [] }
+  })
+}
+
+export const createDrainCommand: CommandFactory = ({ context, run }) => ({
+  command: 'drain <scope> [name]',
+  describe: 'Give no new work to a target, an instance or a data centre',
+  builder: (parser: Argv) => withChange(parser)
+    .positional('scope', { choices: [...Object.keys(SCOPES), 'self'], demandOption: true, describe: '`self` is the instance at --address, which then stops' })
+    .positional('name', { type: 'string', describe: 'Name of the target, instance or data centre' })
+    .example('$0 drain target runner-7', 'Before maintenance; running work is finished')
+    .example('$0 drain self --address 10.0.0.5:8001', 'Planned stop of one instance'),
+  handler: async (given: DrainArguments) => await run(async () => {
+    if (given.scope !== 'self') return await changeDrain('drain', given, context)
+    if (given.name !== undefined || given.dryRun) throw new CommandError('`drain self` takes neither a name nor --dry-run; it stops the instance at --address', EXIT_CODES.wrongUse)
+    return await drainSelf(given, context)
+  })
+})
+
+export const createUndrainCommand: CommandFactory = ({ context, run }) => ({
+  command: 'undrain <scope> <name>',
+  describe: 'Give new work again after a drain',
+  builder: (parser: Argv) => withChange(parser)
+    .positional('scope', { choices: Object.keys(SCOPES), demandOption: true, describe: 'What was drained' })
+    .positional('name', { type: 'string', demandOption: true, describe: 'Name of the target, instance or data centre' })
+    .example('$0 undrain target runner-7', 'After maintenance'),
+  handler: async (given: DrainArguments) => await run(async () => await changeDrain('undrain', given, context))
+})
--- /dev/null
+++ b/src/commands/formatTable.ts
@@ -0,0 +1,39 @@
+/** Text for terminals. */
+import { DIMENSIONS } from '../model/resources.ts'
+import type { Limit } from '../model/resources.ts'
+import { formatQuantity } from '../settings/units.ts'
+
+/** Pads cells so that columns line up. */
+export function formatTable (rows: ReadonlyArray<readonly string[]>): string {
+  const widths: number[] = []
+  for (const row of rows) row.forEach((cell, column) => { widths[column] = Math.max(widths[column] ?? 0, cell.length) })
+  return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()).join('\n')
+}
+
+/**
+ * Writes the dimensions that are given, such as `4 slots, 64 GB`.
+ *
+ * @example
+ * formatResources({ slots: 4, memory: 65_536 }) // '4 slots, 64 GB'
+ */
+export function formatResources (given: Limit, none = '-'): string {
+  const parts = DIMENSIONS.flatMap(dimension => {
+    const value = given[dimension]
+    if (value === undefined || value === 0) return []
+    if (dimension === 'memory') return [formatQuantity(Math.round(value), 'memory')]
+    if (dimension === 'processors') return [formatQuantity(Math.round(value), 'processors')]
+    return [`${value} ${dimension}`]
+  })
+  return parts.length === 0 ? none : parts.join(', ')
+}
+
+/** Writes wall-clock time as operators compare it between data centres. */
+export function formatWallTime (wallMs: number): string {
+  return `${new Date(wallMs).toISOString().slice(0, 19).replace('T', ' ')} UTC`
+}
+
+const MS_PER_SECOND = 1_000
+
+export function formatAge (ageMs: number | undefined): string {
+  return ageMs === undefined ? 'never' : `${(ageMs / MS_PER_SECOND).toFixed(1)} s ago`
+}
--- /dev/null
+++ b/src/commands/instanceLoader.ts
@@ -0,0 +1,32 @@
+/** Loads the composition of an instance only when it is needed, so that other subcommands start fast. */
+import { CommandError, EXIT_CODES } from './commandContext.ts'
+import type { InstanceSettings } from '../settings/instanceSettings.ts'
+
+/** A started instance. */
+export interface RunningInstance {
+  /** Begins the planned stop; calling it again changes nothing. */
+  stop (): Promise<void>
+  /** Resolves when everything has stopped, whatever caused it; rejects if the instance failed. */
+  readonly stopped: Promise<void>
+}
+
+export type StartInstance = (settings: InstanceSettings) => Promise<RunningInstance>
+export type StartEmbedded = () => Promise<RunningInstance>
+
+function refuseLoad (cause: unknown): never {
+  throw new CommandError(`this build of the program can't run an instance: ${String(cause)}`, EXIT_CODES.internal, { cause })
+}
+
+/** src/instance/startInstance.ts exports `startInstance`. */
+export async function loadStartInstance (): Promise<StartInstance> {
+  // @ts-ignore src/instance is not part of this change
+  const module = await import('../instance/startInstance.ts').catch(refuseLoad) as { readonly startInstance: StartInstance }
+  return module.startInstance
+}
+
+/** src/instance/startEmbedded.ts exports `startEmbedded`: an instance with stand-ins in one process. */
+export async function loadStartEmbedded (): Promise<StartEmbedded> {
+  // @ts-ignore src/instance is not part of this change
+  const module = await import('../instance/startEmbedded.ts').catch(refuseLoad) as { readonly startEmbedded: StartEmbedded }
+  return module.startEmbedded
+}
--- /dev/null
+++ b/src/commands/operatorClient.ts
@@ -0,0 +1,152 @@
+/** Calls the operators' HTTP interface of an instance. */
+import { Agent, request } from 'undici'
+import type { ConfigurationSnapshot } from '../model/change.ts'
+import { CHANGE_STATUS, OPERATOR_PATHS } from '../observability/operatorApi.ts'
+import type { ChangeAnswer, ChangeSubmission, DrainAnswer, StatusReport } from '../observability/operatorApi.ts'
+import { parseAddress } from '../settings/instanceSettings.ts'
+import { CommandError, errorCode, EXIT_CODES } from './commandContext.ts'
+import type { CommandContext } from './commandContext.ts'
+import type { ConnectionArguments } from './commandBuilder.ts'
+
+const CONNECT_TIMEOUT_MS = 5_000
+/** Beyond the wait that the operator asked for. */
+const ANSWER_TIMEOUT_MS = 15_000
+/** Sendings of one change whose answer is lost; the id makes sure that it is applied once. */
+const MOST_SENDINGS = 3
+
+interface HttpAnswer {
+  readonly status: number
+  readonly body: unknown
+}
+
+/** The answer to a change that was sent did not arrive. */
+class AnswerLostError extends CommandError {}
+
+/**
+ * A client of one instance.
+ *
+ * @example
+ * const client = createOperatorClient({ address: '127.0.0.1:8001', token, json: false }, context)
+ * try { await client.readStatus() } finally { await client.close() }
+ */
+export class OperatorClient {
+  readonly #address: string
+  readonly #token: string
+  readonly #agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, connections: 1 })
+
+  constructor (address: string, token: string) {
+    this.#address = address
+    this.#token = token
+  }
+
+  async readConfiguration (): Promise<ConfigurationSnapshot> {
+    return await this.#callPlain('GET', OPERATOR_PATHS.configuration) as ConfigurationSnapshot
+  }
+
+  async readStatus (): Promise<StatusReport> {
+    return await this.#callPlain('GET', OPERATOR_PATHS.status) as StatusReport
+  }
+
+  async drainSelf (): Promise<DrainAnswer> {
+    return await this.#callPlain('POST', OPERATOR_PATHS.drain, { scope: 'self' }) as DrainAnswer
+  }
+
+  /** Submits a change; if the answer is lost, sends it again under the same id. */
+  async submitChange (submission: ChangeSubmission): Promise<ChangeAnswer> {
+    let lost: ChangeAnswer | undefined
+    for (let sending = 1; sending <= MOST_SENDINGS; sending++) {
+      try {
+        const { status, body } = await this.#call('POST', OPERATOR_PATHS.changes, submission, submission.waitMs)
+        const answer = readChangeAnswer(body)
+        if (answer === undefined) throw this.#unexpected(status, body)
+        if (answer.outcome !== 'unavailable' || !answer.mayHaveBeenAccepted) {
+          if (lost !== undefined && answer.outcome === 'unavailable') return lost
+          return answer
+        }
+        lost = answer
+      } catch (error) {
+        if (error instanceof AnswerLostError) lost = { outcome: 'unavailable', message: error.message, mayHaveBeenAccepted: true }
+        else if (lost === undefined || !(error instanceof CommandError) || error.exitCode !== EXIT_CODES.unreachable) throw error
+      }
+    }
+    return lost ?? { outcome: 'unavailable', message: `${this.#address} can't be reached`, mayHaveBeenAccepted: false }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #callPlain (method: 'GET' | 'POST', path: string, body?: unknown): Promise<unknown> {
+    const answer = await this.#call(method, path, body)
+    if (answer.status >= 300) throw this.#unexpected(answer.status, answer.body)
+    return answer.body
+  }
+
+  async #call (method: 'GET' | 'POST', path: string, body?: unknown, waitMs = 0): Promise<HttpAnswer> {
+    const timeout = ANSWER_TIMEOUT_MS + waitMs
+    try {
+      const response = await request(`http://${this.#address}${path}`, {
+        method,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        headers: { authorization: `Bearer ${this.#token}`, 'content-type': 'application/json' },
+        dispatcher: this.#agent,
+        headersTimeout: timeout,
+        bodyTimeout: timeout
+      })
+      const text = await response.body.text()
+      return { status: response.statusCode, body: parseJson(text) }
+    } catch (cause) {
+      throw this.#describeFailure(method, cause)
+    }
+  }
+
+  #describeFailure (method: string, cause: unknown): CommandError {
+    const code = errorCode(cause)
+    const notSent = ['ECONNREFUSED', 'ENOTFOUND', 'EHOSTUNREACH', 'ENETUNREACH', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'].includes(code)
+    const message = `can't reach an instance at ${this.#address} (${code}); check the address or try another instance`
+    if (method === 'GET' || notSent) return new CommandError(message, EXIT_CODES.unreachable, { cause })
+    return new AnswerLostError(`the answer of ${this.#address} was lost (${code})`, EXIT_CODES.unreachable, { cause })
+  }
+
+  #unexpected (status: number, body: unknown): CommandError {
+    if (status === 401) return new CommandError(`${this.#address} refused the token; check --token or AGATEGAUGE_TOKEN`, EXIT_CODES.refused)
+    const details = typeof body === 'object' && body !== null ? body as { readonly message?: unknown, readonly messages?: unknown } : {}
+    const text = [details.message, ...(Array.isArray(details.messages) ? details.messages : [])].filter(part => typeof part === 'string').join('\n')
+    const message = `${this.#address} answered with HTTP status ${status}${text === '' ? '; is it the operator address of an instance?' : `: ${text}`}`
+    return new CommandError(message, status >= 500 ? EXIT_CODES.unreachable : EXIT_CODES.refused)
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function readChangeAnswer (body: unknown): ChangeAnswer | undefined {
+  const outcome = typeof body === 'object' && body !== null && 'outcome' in body ? body.outcome : undefined
+  return typeof outcome === 'string' && Object.hasOwn(CHANGE_STATUS, outcome) ? body as ChangeAnswer : undefined
+}
+
+/** Creates a client from options or the environment. */
+export function createOperatorClient (given: ConnectionArguments, context: CommandContext): OperatorClient {
+  const address = given.address ?? context.environment.AGATEGAUGE_OPERATOR
+  const token = given.token ?? context.environment.AGATEGAUGE_TOKEN
+  if (address === undefined || address === '') throw new CommandError('give the operator address of an instance: --address HOST:PORT, or set AGATEGAUGE_OPERATOR', EXIT_CODES.wrongUse)
+  if (parseAddress(address) === undefined) throw new CommandError(`"${address}" is not an address; write HOST:PORT, such as 10.0.0.5:8001`, EXIT_CODES.wrongUse)
+  if (token === undefined || token === '') throw new CommandError('give the operators\' token: set AGATEGAUGE_TOKEN, or use --token', EXIT_CODES.wrongUse)
+  if (!/^[\x21-\x7e]+$/.test(token)) throw new CommandError('the operators\' token has characters that can not be sent; check --token or AGATEGAUGE_TOKEN', EXIT_CODES.wrongUse)
+  return new OperatorClient(address, token)
+}
+
+/** Runs a body with a client and closes it afterwards. */
+export async function useOperatorClient<Result> (given: ConnectionArguments, context: CommandContext, body: (client: OperatorClient) => Promise<Result>): Promise<Result> {
+  const client = createOperatorClient(given, context)
+  try {
+    return await body(client)
+  } finally {
+    await client.close()
+  }
+}
--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -1,5 +1,26 @@
-/** The command line: every subcommand is registered here. */
+/** The command line. */
 import yargs from 'yargs'
+import { CommandError, createProcessContext, EXIT_CODES, EXIT_CODE_HELP, reportError } from './commandContext.ts'
+import type { CommandContext, ExitCode } from './commandContext.ts'
+import type { CommandTools } from './commandBuilder.ts'
+import { COMMAND_FACTORIES } from './registry.ts'
+
+/** Width of help texts, the same on every terminal. */
+const HELP_COLUMNS = 100
+
+/** Texts of yargs that operators would not understand. */
+const MESSAGES = {
+  'Not enough non-option arguments: got %s, need at least %s': {
+    one: 'An argument is missing: got %s, need at least %s.',
+    other: 'Arguments are missing: got %s, need at least %s.'
+  }
+}
+
+/** Passes on errors of subcommands, and turns faults of the arguments into wrong use. */
+function refuseUse (message: string, error: Error | undefined): never {
+  if (error !== undefined && error !== null && error.name !== 'YError') throw error
+  throw new CommandError(`${message ?? error?.message}\nAdd --help to see how the command is used.`, EXIT_CODES.wrongUse)
+}
 
 /**
  * Runs the program with its arguments and returns the exit code.
@@ -7,7 +28,29 @@
  * @example
  * process.exitCode = await runProgram(['--help'])
  */
-export async function runProgram (args: readonly string[]): Promise<number> {
-  await yargs([...args]).scriptName('agategauge').strict().demandCommand(1).parseAsync()
-  return 0
+export async function runProgram (args: readonly string[], context: CommandContext = createProcessContext()): Promise<number> {
+  let exitCode: ExitCode = EXIT_CODES.done
+  const tools: CommandTools = { context, run: async body => { exitCode = await body() } }
+  const parser = yargs()
+    .scriptName('agategauge')
+    .locale('en')
+    .updateStrings(MESSAGES as unknown as Record<string, string>)
+    .wrap(HELP_COLUMNS)
+    .usage('$0 <command>\n\nSchedules heterogeneous workloads on one shared cluster.')
+    .epilogue(EXIT_CODE_HELP)
+    .parserConfiguration({ 'parse-positional-numbers': false, 'parse-numbers': false, 'duplicate-arguments-array': false })
+    .strict()
+    .demandCommand(1, 'Name a command.')
+    .version(false)
+    .exitProcess(false)
+    .fail(refuseUse)
+  for (const createCommand of COMMAND_FACTORIES) parser.command(createCommand(tools))
+  try {
+    let output = ''
+    await parser.parseAsync([...args], {}, (_error, _given, text) => { output = text })
+    if (output !== '') context.print(output)
+    return exitCode
+  } catch (error) {
+    return reportError(error, context)
+  }
 }
--- /dev/null
+++ b/src/commands/requireTeam.ts
@@ -0,0 +1,15 @@
+/** Finds a team that a command names. */
+import type { ConfigurationSnapshot, SettingsPath } from '../model/change.ts'
+import { listTeams } from '../settings/tree.ts'
+import { suggestName } from '../settings/values.ts'
+import { CommandError, EXIT_CODES } from './commandContext.ts'
+import { readTeamPath } from './settingArguments.ts'
+
+/** The branch of an existing team; refuses a name that would create one by mistake. */
+export function requireTeam (snapshot: ConfigurationSnapshot, team: string): SettingsPath {
+  const path = readTeamPath(team)
+  const teams = listTeams(snapshot.settings)
+  if (teams.includes(team)) return path
+  const advice = teams.length === 0 ? 'create it with `team create`' : suggestName(team, teams)
+  throw new CommandError(`there is no team ${team}; ${advice}`, EXIT_CODES.refused)
+}
--- /dev/null
+++ b/src/commands/settingsApplyCommand.ts
@@ -0,0 +1,31 @@
+/** `settings apply`: brings the settings of a file into force. */
+import type { Argv } from 'yargs'
+import { diffSettings } from '../settings/diff.ts'
+import { readSettingsFile } from '../settings/ini.ts'
+import { withChange } from './commandBuilder.ts'
+import type { ChangeArguments, CommandFactory } from './commandBuilder.ts'
+import { readNamedFile } from './commandContext.ts'
+import { submitChange } from './submitChange.ts'
+
+interface ApplyArguments extends ChangeArguments {
+  readonly file: string
+  readonly prune: boolean
+}
+
+export const createSettingsApplyCommand: CommandFactory = ({ context, run }) => ({
+  command: 'apply <file>',
+  describe: 'Show what a settings file changes, and change it',
+  builder: (parser: Argv) => withChange(parser)
+    .positional('file', { type: 'string', demandOption: true, describe: 'INI file' })
+    .option('prune', { type: 'boolean', default: false, describe: 'Also remove what the file does not have; keys of removed teams are withdrawn' })
+    .example('$0 settings apply cell.ini --dry-run', 'Look first')
+    .example('$0 settings apply cell.ini', 'Change, and wait for all data centres'),
+  handler: async (given: ApplyArguments) => await run(async () => {
+    const tree = readSettingsFile(given.file, await readNamedFile(given.file))
+    return await submitChange(given, context, snapshot => {
+      const { operations, kept } = diffSettings(tree, snapshot, { prune: given.prune })
+      const remarks = kept.length === 0 ? [] : ['Not in the file and left as it is (--prune removes it):', ...kept.map(line => `  ${line}`)]
+      return { operations, remarks }
+    })
+  })
+})
--- /dev/null
+++ b/src/commands/settingsCheckCommand.ts
@@ -0,0 +1,37 @@
+/** `settings check`: checks a file without contact to the cluster. */
+import type { Argv } from 'yargs'
+import { readSettingsFile } from '../settings/ini.ts'
+import { readInstanceSettings } from '../settings/instanceSettings.ts'
+import { listTeams } from '../settings/tree.ts'
+import type { SettingsTree } from '../settings/tree.ts'
+import type { CommandFactory } from './commandBuilder.ts'
+import { EXIT_CODES, readNamedFile } from './commandContext.ts'
+
+interface CheckArguments {
+  readonly file: string
+  readonly instance: boolean
+}
+
+function summarize (file: string, tree: SettingsTree): string {
+  const settings = Object.values(tree).reduce((sum, values) => sum + Object.keys(values).length, 0)
+  return `${file} is right: ${settings} settings in ${Object.keys(tree).length} branches, ${listTeams(tree).length} teams.`
+}
+
+export const createSettingsCheckCommand: CommandFactory = ({ context, run }) => ({
+  command: 'check <file>',
+  describe: 'Check a settings file; changes nothing',
+  builder: (parser: Argv) => parser
+    .positional('file', { type: 'string', demandOption: true, describe: 'INI file' })
+    .option('instance', { type: 'boolean', default: false, describe: 'The file is for `serve --settings`, not for the cluster' })
+    .example('$0 settings check cell.ini', 'Name every fault with its line'),
+  handler: async ({ file, instance }: CheckArguments) => await run(async () => {
+    const bytes = await readNamedFile(file)
+    if (instance) {
+      const settings = readInstanceSettings(file, bytes)
+      context.print(`${file} is right: instance ${settings.name} in ${settings.dataCentre}, region ${settings.region}.`)
+    } else {
+      context.print(summarize(file, readSettingsFile(file, bytes)))
+    }
+    return EXIT_CODES.done
+  })
+})
--- /dev/null
+++ b/src/commands/settingsExplainCommand.ts
@@ -0,0 +1,69 @@
+/** `settings explain`: says which value applies and which branch set it. */
+import type { Argv } from 'yargs'
+import type { SettingsPath } from '../model/change.ts'
+import type { KindName } from '../model/request.ts'
+import { readSettingsFile } from '../settings/ini.ts'
+import { KIND_NAMES, parseBranch } from '../settings/paths.ts'
+import { SETTING_NAMES, settingMeta } from '../settings/schema.ts'
+import type { SettingName } from '../settings/schema.ts'
+import { listBranches, resolveSetting } from '../settings/tree.ts'
+import type { SettingsScope, SettingsTree } from '../settings/tree.ts'
+import { formatValue, suggestName } from '../settings/values.ts'
+import { withConnection } from './commandBuilder.ts'
+import type { CommandFactory, ConnectionArguments } from './commandBuilder.ts'
+import { CommandError, EXIT_CODES, readNamedFile } from './commandContext.ts'
+import type { CommandContext } from './commandContext.ts'
+import { formatTable } from './formatTable.ts'
+import { useOperatorClient } from './operatorClient.ts'
+
+interface ExplainArguments extends ConnectionArguments {
+  readonly names?: readonly string[]
+  readonly team?: string
+  readonly kind?: KindName
+  readonly queue?: string
+  readonly file?: string
+}
+
+function selectNames (scope: SettingsScope, wanted: readonly string[]): readonly SettingName[] {
+  const levels = listBranches(scope).map(path => parseBranch(path)?.level)
+  const applicable = SETTING_NAMES.filter(name => settingMeta(name).levels.some(level => levels.includes(level)))
+  const wrong = wanted.find(name => !(applicable as readonly string[]).includes(name))
+  if (wrong !== undefined) throw new CommandError(`there is no setting "${wrong}" here; ${suggestName(wrong, applicable)}`, EXIT_CODES.wrongUse)
+  return wanted.length === 0 ? applicable : applicable.filter(name => wanted.includes(name))
+}
+
+function checkScope (values: SettingsTree, scope: SettingsScope): void {
+  const path: SettingsPath | undefined = scope.team !== undefined ? `/teams/${scope.team}` : scope.queue !== undefined ? `/queues/${scope.queue}` : undefined
+  if (path === undefined || Object.hasOwn(values, path)) return
+  const group = path.slice(0, path.lastIndexOf('/') + 1)
+  const known = Object.keys(values).filter(other => other.startsWith(group) && other.split('/').length === 3).map(other => other.slice(group.length))
+  throw new CommandError(`there is no branch ${path}; ${known.length === 0 ? `there is nothing in ${group} yet` : `known: ${known.sort().join(', ')}`}`, EXIT_CODES.refused)
+}
+
+async function readTree (given: ExplainArguments, context: CommandContext): Promise<SettingsTree> {
+  if (given.file !== undefined) return readSettingsFile(given.file, await readNamedFile(given.file))
+  const { settings } = await useOperatorClient(given, context, async client => await client.readConfiguration())
+  return settings
+}
+
+export const createSettingsExplainCommand: CommandFactory = ({ context, run }) => ({
+  command: 'explain [names..]',
+  describe: 'Show each setting with its value and the branch that set it',
+  builder: (parser: Argv) => withConnection(parser)
+    .positional('names', { type: 'string', array: true, describe: 'Settings to show (all if left out)' })
+    .option('team', { type: 'string', requiresArg: true, describe: 'What applies to this team' })
+    .option('kind', { choices: KIND_NAMES, requiresArg: true, describe: 'What applies to this kind of work' })
+    .option('queue', { type: 'string', requiresArg: true, conflicts: ['team', 'kind'], describe: 'What applies to this queue' })
+    .option('file', { type: 'string', requiresArg: true, describe: 'Explain a settings file in place of the settings in force' })
+    .example('$0 settings explain keyGrace --team weavers', 'Find out where a value comes from'),
+  handler: async (given: ExplainArguments) => await run(async () => {
+    const scope: SettingsScope = { team: given.team, kind: given.kind, queue: given.queue }
+    const names = selectNames(scope, given.names ?? [])
+    const values = await readTree(given, context)
+    checkScope(values, scope)
+    const resolved = names.map(name => ({ name, ...resolveSetting(values, scope, name) }))
+    if (given.json) context.print(JSON.stringify(resolved, null, 2))
+    else context.print(formatTable([['SETTING', 'VALUE', 'SET IN'], ...resolved.map(({ name, value, source }) => [name, formatValue(value, settingMeta(name)), source])]))
+    return EXIT_CODES.done
+  })
+})
--- /dev/null
+++ b/src/commands/shareCommand.ts
@@ -0,0 +1,24 @@
+/** `share`: sets the weight of a team. */
+import type { Argv } from 'yargs'
+import { requireTeam } from './requireTeam.ts'
+import { withChange } from './commandBuilder.ts'
+import type { ChangeArguments, CommandFactory } from './commandBuilder.ts'
+import { createSettingOperations } from './settingArguments.ts'
+import { submitChange } from './submitChange.ts'
+
+interface ShareArguments extends ChangeArguments {
+  readonly team: string
+  readonly weight: string
+}
+
+export const createShareCommand: CommandFactory = ({ context, run }) => ({
+  command: 'share <team> <weight>',
+  describe: 'Set a team\'s share of the full cluster',
+  builder: (parser: Argv) => withChange(parser)
+    .positional('team', { type: 'string', demandOption: true, describe: 'Name of the team' })
+    .positional('weight', { type: 'string', demandOption: true, describe: 'A number; 2 gets twice as much as 1' })
+    .example('$0 share weavers 2', 'Give weavers twice the share of a team with 1'),
+  handler: async (given: ShareArguments) => await run(async () => await submitChange(given, context, snapshot => ({
+    operations: createSettingOperations(requireTeam(snapshot, given.team), { share: given.weight })
+  })))
+})
--- /dev/null
+++ b/src/commands/submitChange.ts
@@ -0,0 +1,122 @@
+/** Shows, checks and submits a change, and says what became of it. */
+import type { ConfigurationSnapshot, Operation } from '../model/change.ts'
+import type { ChangeAnswer } from '../observability/operatorApi.ts'
+import { describeOperations } from '../settings/describe.ts'
+import { validateOperations } from '../settings/validate.ts'
+import type { ChangeArguments } from './commandBuilder.ts'
+import { EXIT_CODES } from './commandContext.ts'
+import type { CommandContext, ExitCode } from './commandContext.ts'
+import { formatResources, formatWallTime } from './formatTable.ts'
+import { useOperatorClient } from './operatorClient.ts'
+
+export interface ChangePlan {
+  readonly operations: readonly Operation[]
+  /** Lines that follow the changes, such as what stays as it is. */
+  readonly remarks?: readonly string[]
+  /** Printed only if the change was accepted, such as a new key. */
+  readonly onAccepted?: { readonly lines: readonly string[], readonly fields: Readonly<Record<string, string>> }
+  /** What to do if it stays unknown whether the change was accepted. */
+  readonly onUnknown?: string
+}
+
+type Accepted = Extract<ChangeAnswer, { readonly outcome: 'accepted' }>
+type Conflict = Extract<ChangeAnswer, { readonly outcome: 'conflict' }>
+
+function describeAccepted ({ version, confirmations, aboveLimit }: Accepted): readonly string[] {
+  const confirmed = confirmations.filter(({ confirmed }) => confirmed).map(({ dataCentre }) => dataCentre)
+  return [
+    `Accepted as version ${version}.`,
+    ...(confirmed.length > 0 ? [`In force in: ${confirmed.join(', ')}.`] : []),
+    ...confirmations.filter(({ confirmed }) => !confirmed).map(({ dataCentre, refusesKeyedWorkByWallMs: by }) => by === undefined
+      ? `Not yet confirmed by ${dataCentre}.`
+      : `Not yet confirmed by ${dataCentre}: unless it gets the change, it refuses work with a key from ${formatWallTime(by)} at the latest.`),
+    ...aboveLimit.map(({ team, dataCentre, reachable, held }) =>
+      `Above the lowered limit: team ${team} still holds ${formatResources(held)} in ${dataCentre}${reachable ? '' : ' (cut off)'}. Running work is not stopped; this falls as it ends.`)
+  ]
+}
+
+function describeConflict ({ winner, paths }: Conflict, snapshot: ConfigurationSnapshot): readonly string[] {
+  return [
+    `Refused: lost to a newer change of ${paths.join(', ')}. Nothing was changed.`,
+    `${winner.operator} made it as version ${winner.version} at ${formatWallTime(winner.acceptedAt)}:`,
+    ...describeOperations(snapshot, winner.operations).map(line => `  ${line}`),
+    'Check that your change is still right, then run the command again.'
+  ]
+}
+
+interface Outcome {
+  readonly lines: readonly string[]
+  readonly exitCode: ExitCode
+}
+
+function describeAnswer (answer: ChangeAnswer, snapshot: ConfigurationSnapshot, plan: ChangePlan): Outcome {
+  switch (answer.outcome) {
+    case 'accepted': {
+      const isConfirmed = answer.confirmations.every(({ confirmed }) => confirmed)
+      return { lines: [...describeAccepted(answer), ...plan.onAccepted?.lines ?? []], exitCode: isConfirmed ? EXIT_CODES.done : EXIT_CODES.unconfirmed }
+    }
+    case 'conflict': return { lines: describeConflict(answer, snapshot), exitCode: EXIT_CODES.refused }
+    case 'invalid': return { lines: ['Refused. Nothing was changed.', ...answer.messages.map(message => `  ${message}`)], exitCode: EXIT_CODES.refused }
+    case 'unavailable': {
+      const lines = answer.mayHaveBeenAccepted
+        ? [`Unknown whether the change was accepted: ${answer.message}.`, plan.onUnknown ?? 'Run the command again when the store and an instance can be reached; if it says "Nothing to change", the change was accepted.']
+        : [`Not accepted: ${answer.message}. Nothing was changed; try again later.`]
+      return { lines, exitCode: EXIT_CODES.unreachable }
+    }
+  }
+}
+
+class ChangeReporter {
+  readonly #context: CommandContext
+  readonly #json: boolean
+
+  constructor (context: CommandContext, json: boolean) {
+    this.#context = context
+    this.#json = json
+  }
+
+  print (lines: readonly string[], isError = false): void {
+    if (this.#json || lines.length === 0) return
+    const print = isError ? this.#context.printError : this.#context.print
+    print(lines.join('\n'))
+  }
+
+  printJson (value: unknown): void {
+    if (this.#json) this.#context.print(JSON.stringify(value, null, 2))
+  }
+}
+
+/**
+ * Reads the configuration, plans a change on it, and submits the change.
+ *
+ * @example
+ * await submitChange(given, context, () => ({ operations: [{ type: 'withdrawKey', keyId }] }))
+ */
+export async function submitChange (given: ChangeArguments, context: CommandContext, createPlan: (snapshot: ConfigurationSnapshot) => ChangePlan): Promise<ExitCode> {
+  return await useOperatorClient(given, context, async client => {
+    const reporter = new ChangeReporter(context, given.json)
+    const snapshot = await client.readConfiguration()
+    const plan = createPlan(snapshot)
+    const { operations, remarks = [] } = plan
+    const changes = describeOperations(snapshot, operations)
+    if (changes.length === 0) {
+      reporter.print(['Nothing to change.', ...remarks])
+      reporter.printJson({ outcome: 'unchanged', version: snapshot.version })
+      return EXIT_CODES.done
+    }
+    const messages = validateOperations(snapshot, operations)
+    reporter.print(['Changes:', ...changes.map(line => `  ${line}`), ...remarks])
+    if (messages.length > 0 || given.dryRun) {
+      const outcome = messages.length > 0 ? describeAnswer({ outcome: 'invalid', messages }, snapshot, plan) : { lines: ['Dry run: nothing was changed.'], exitCode: EXIT_CODES.done }
+      reporter.print(outcome.lines, messages.length > 0)
+      reporter.printJson(messages.length > 0 ? { outcome: 'invalid', messages } : { outcome: 'dry-run', changes, operations })
+      return outcome.exitCode
+    }
+    const operator = given.operator ?? context.operator
+    const answer = await client.submitChange({ id: context.createChangeId(), baseVersion: snapshot.version, operator, operations, waitMs: given.wait })
+    const { lines, exitCode } = describeAnswer(answer, snapshot, plan)
+    reporter.print(lines, answer.outcome !== 'accepted')
+    reporter.printJson({ ...answer, changes, ...answer.outcome === 'accepted' ? plan.onAccepted?.fields : {} })
+    return exitCode
+  })
+}
--- /dev/null
+++ b/src/commands/teamCommand.ts
@@ -0,0 +1,83 @@
+/** `team`: creates, removes and lists teams. */
+import type { Argv } from 'yargs'
+import type { ConfigurationSnapshot } from '../model/change.ts'
+import { removeBranch } from '../settings/diff.ts'
+import { listTeams, resolveLimit, resolveSetting } from '../settings/tree.ts'
+import { withChange, withConnection } from './commandBuilder.ts'
+import type { ChangeArguments, CommandFactory, ConnectionArguments, Subcommand } from './commandBuilder.ts'
+import { CommandError, EXIT_CODES } from './commandContext.ts'
+import { formatResources, formatTable } from './formatTable.ts'
+import { readLimits, withLimits } from './limitOptions.ts'
+import type { LimitArguments } from './limitOptions.ts'
+import { useOperatorClient } from './operatorClient.ts'
+import { createSettingOperations, readTeamPath } from './settingArguments.ts'
+import { submitChange } from './submitChange.ts'
+
+interface TeamArguments extends ChangeArguments, LimitArguments {
+  readonly team: string
+  readonly share?: string
+}
+
+const createTeamCreateCommand: CommandFactory = ({ context, run }) => ({
+  command: 'create <team>',
+  describe: 'Create a team with its share and limits',
+  builder: (parser: Argv) => withLimits(withChange(parser))
+    .positional('team', { type: 'string', demandOption: true, describe: 'Name of the team' })
+    .option('share', { type: 'string', requiresArg: true, default: '1', describe: 'Weight when the cluster is full' })
+    .example('$0 team create weavers --share 2 --slots 40 --memory "64 GB"', 'Then create a key: $0 key create weavers'),
+  handler: async (given: TeamArguments) => await run(async () => await submitChange(given, context, snapshot => {
+    const path = readTeamPath(given.team)
+    if (Object.hasOwn(snapshot.settings, path)) throw new CommandError(`team ${given.team} exists already; change it with share, limit or policy`, EXIT_CODES.refused)
+    return { operations: createSettingOperations(path, { share: given.share ?? '1', ...readLimits(given) }) }
+  }))
+})
+
+const createTeamRemoveCommand: CommandFactory = ({ context, run }) => ({
+  command: 'remove <team>',
+  describe: 'Remove a team with its settings, and withdraw its keys',
+  builder: (parser: Argv) => withChange(parser)
+    .positional('team', { type: 'string', demandOption: true, describe: 'Name of the team' })
+    .example('$0 team remove weavers --dry-run', 'See which keys and settings would go'),
+  handler: async (given: TeamArguments) => await run(async () => await submitChange(given, context,
+    snapshot => ({ operations: removeBranch(readTeamPath(given.team), snapshot) })))
+})
+
+function describeTeam (snapshot: ConfigurationSnapshot, team: string): { readonly team: string, readonly share: number, readonly limit: ReturnType<typeof resolveLimit>, readonly validKeys: number } {
+  return {
+    team,
+    share: resolveSetting(snapshot.settings, { team }, 'share').value,
+    limit: resolveLimit(snapshot.settings, team),
+    validKeys: snapshot.keys.filter(key => key.team === team && !key.withdrawn).length
+  }
+}
+
+const createTeamListCommand: CommandFactory = ({ context, run }) => ({
+  command: 'list',
+  describe: 'List teams with share, limits and number of valid keys',
+  builder: (parser: Argv) => withConnection(parser).example('$0 team list', 'Show all teams'),
+  handler: async (given: ConnectionArguments) => await run(async () => {
+    const snapshot = await useOperatorClient(given, context, async client => await client.readConfiguration())
+    const teams = listTeams(snapshot.settings).map(team => describeTeam(snapshot, team))
+    if (given.json) context.print(JSON.stringify(teams, null, 2))
+    else if (teams.length === 0) context.print('There are no teams yet; create one with `team create`.')
+    else context.print(formatTable([['TEAM', 'SHARE', 'LIMIT', 'VALID KEYS'], ...teams.map(({ team, share, limit, validKeys }) => [team, String(share), formatLimit(limit), String(validKeys)])]))
+    return EXIT_CODES.done
+  })
+})
+
+/** A limit of 0 is stated; a dimension without a limit is not. */
+function formatLimit (limit: ReturnType<typeof resolveLimit>): string {
+  const excluded = Object.entries(limit).filter(([, value]) => value === 0).map(([dimension]) => `no ${dimension}`)
+  return [formatResources(limit, ''), ...excluded].filter(text => text !== '').join(', ') || 'not limited'
+}
+
+export const createTeamCommand: CommandFactory = (tools): Subcommand => ({
+  command: 'team',
+  describe: 'Create, remove and list teams',
+  builder: (parser: Argv) => parser
+    .command(createTeamCreateCommand(tools))
+    .command(createTeamRemoveCommand(tools))
+    .command(createTeamListCommand(tools))
+    .demandCommand(1, 'Name one of: create, remove, list.'),
+  handler: () => {}
+})
