Test the command line against a real operator server

A list of positional settings kept only its last entry, because yargs was told to keep the last of repeated arguments; options given twice are now refused and lists are kept. explain no longer lists settings of the whole cluster for one team.

--- a/src/commands/commandBuilder.ts
+++ b/src/commands/commandBuilder.ts
@@ -37,7 +37,7 @@
 
 export interface ChangeArguments extends ConnectionArguments {
   readonly operator?: string
-  readonly wait: number
+  readonly wait: string
   readonly dryRun: boolean
 }
 
@@ -54,16 +54,17 @@
     .option('token', { type: 'string', requiresArg: true, describe: 'Operators\' token (or AGATEGAUGE_TOKEN, which keeps it out of the list of processes)' })
 }
 
-function readWait (text: string): number {
-  const wait = parseQuantity(text, 'duration')
-  if (!('value' in wait)) throw new CommandError(`--wait: ${wait.problem}; ${wait.right}`, EXIT_CODES.wrongUse)
-  if (wait.value > LONGEST_WAIT_MS) throw new CommandError('--wait: the longest wait is 1 min; use 0 s to 1 min', EXIT_CODES.wrongUse)
-  return wait.value
-}
-
 export function withChange<Given> (parser: Argv<Given>): Argv<Given & ChangeArguments> {
   return withConnection(parser)
     .option('operator', { type: 'string', requiresArg: true, describe: 'Name under which the change is kept (your user name if left out)' })
-    .option('wait', { type: 'string', requiresArg: true, default: DEFAULT_WAIT, coerce: readWait, describe: 'How long to wait until every data centre has confirmed' })
+    .option('wait', { type: 'string', requiresArg: true, default: DEFAULT_WAIT, describe: 'How long to wait until every data centre has confirmed' })
     .option('dry-run', { type: 'boolean', default: false, describe: 'Show what would change and change nothing' }) as unknown as Argv<Given & ChangeArguments>
 }
+
+/** Reads the value of `--wait`. */
+export function readWait (text: string): number {
+  const wait = parseQuantity(text, 'duration')
+  if (!('value' in wait)) throw new CommandError(`--wait: ${wait.problem}; ${wait.right}`, EXIT_CODES.wrongUse)
+  if (wait.value > LONGEST_WAIT_MS) throw new CommandError('--wait: the longest wait is 1 min; use 0 s to 1 min', EXIT_CODES.wrongUse)
+  return wait.value
+}
--- /dev/null
+++ b/src/commands/program.test.ts
@@ -0,0 +1,221 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { OperatorServer } from '../adapters/operator/operatorServer.ts'
+import type { ConfigurationSnapshot } from '../model/change.ts'
+import type { ChangeAnswer, ChangeSubmission, OperatorHandler, StatusReport } from '../observability/operatorApi.ts'
+import { resources } from '../model/resources.ts'
+import { runProgram } from './program.ts'
+
+const TOKEN = 'operator-token-0123456789'
+const NOON_MS = Date.UTC(2026, 0, 2, 12)
+
+const SNAPSHOT: ConfigurationSnapshot = {
+  version: 7,
+  settings: { '/': { keyGrace: 6_000 }, '/teams/weavers': { share: 2, limitMemory: 65_536, limitSlots: 0 }, '/teams/dyers': {}, '/queues/kiosk': { open: true, team: 'dyers' } },
+  keys: [{ keyId: 'weavers-1', team: 'weavers', hash: 'a'.repeat(64), withdrawn: false }],
+  drains: [{ scope: 'target', name: 'runner-1' }],
+  recentChangeIds: []
+}
+
+const STATUS: StatusReport = {
+  instance: { name: 'entry-1', incarnation: 'f00d' },
+  dataCentre: 'howrah',
+  region: 'kolkata',
+  state: 'serving',
+  configurationVersion: 7,
+  configurationAgeMs: 420,
+  peers: [{ ref: { name: 'entry-2', incarnation: 'beef' }, dataCentre: 'matigara', state: 'serving', configurationVersion: 7, heardAgeMs: 900 }],
+  targets: [{ id: 'runner-1', type: 'runner', rack: 'r1', capacity: resources({ slots: 8 }), free: resources({ slots: 3 }), state: 'leaving' }],
+  teams: [{ team: 'weavers', used: resources({ slots: 5, memory: 2_048 }), limit: { memory: 65_536 }, held: resources({ memory: 4_096 }), share: 2, queued: 3 }],
+  aboveLimit: [{ team: 'weavers', dataCentre: 'matigara', reachable: false, held: resources({ memory: 1_024 }) }],
+  drains: SNAPSHOT.drains,
+  store: { reachable: false },
+  list: { reachable: true, lastAnswerAgeMs: 1_200 }
+}
+
+class ScriptedHandler implements OperatorHandler {
+  readonly submissions: ChangeSubmission[] = []
+  readonly #answers: Array<ChangeAnswer | Error>
+
+  constructor (answers: ReadonlyArray<ChangeAnswer | Error>) {
+    this.#answers = [...answers]
+  }
+
+  async readConfiguration () { return SNAPSHOT }
+  async readStatus () { return STATUS }
+  async drainSelf () { return { state: 'draining' } as const }
+  async readMetrics () { return { contentType: 'text/plain', body: '' } }
+  readHealth () { return { ok: true, state: 'serving' } as const }
+  readReadiness () { return { ok: true, state: 'serving' } as const }
+
+  async submitChange (submission: ChangeSubmission): Promise<ChangeAnswer> {
+    this.submissions.push(submission)
+    const answer = this.#answers.shift()
+    if (answer === undefined || answer instanceof Error) throw answer ?? new Error('no answer is scripted')
+    return answer
+  }
+}
+
+interface Result {
+  readonly exitCode: number
+  readonly output: string
+  readonly errors: string
+}
+
+async function run (args: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<Result> {
+  const output: string[] = []
+  const errors: string[] = []
+  const exitCode = await runProgram(args, {
+    print: text => { output.push(text) },
+    printError: text => { errors.push(text) },
+    environment,
+    clock: new ManualClock(),
+    operator: 'asha',
+    createChangeId: () => 'change-0001',
+    createRandom: byteCount => Buffer.alloc(byteCount, 7)
+  })
+  return { exitCode, output: output.join('\n'), errors: errors.join('\n') }
+}
+
+interface Cluster {
+  readonly handler: ScriptedHandler
+  readonly runHere: (...args: readonly string[]) => Promise<Result>
+  readonly writeFile: (text: string) => Promise<string>
+}
+
+async function startCluster (t: ExecutionContext, ...answers: ReadonlyArray<ChangeAnswer | Error>): Promise<Cluster> {
+  const handler = new ScriptedHandler(answers)
+  const server = new OperatorServer(handler, { host: '127.0.0.1', port: 0, token: TOKEN, requestTimeoutMs: 10_000, onError: () => {} })
+  await server.start()
+  const directory = await mkdtemp(join(tmpdir(), 'agategauge-'))
+  t.teardown(async () => {
+    await server.stop(AbortSignal.abort())
+    await rm(directory, { recursive: true })
+  })
+  return {
+    handler,
+    async runHere (...args) {
+      const result = await run(args, { AGATEGAUGE_OPERATOR: server.address, AGATEGAUGE_TOKEN: TOKEN })
+      return { ...result, errors: result.errors.replaceAll(server.address, 'HOST:PORT') }
+    },
+    async writeFile (text) {
+      const file = join(directory, 'cell.ini')
+      await writeFile(file, text)
+      return file
+    }
+  }
+}
+
+const ACCEPTED: ChangeAnswer = { outcome: 'accepted', version: 8, confirmations: [{ dataCentre: 'howrah', confirmed: true }, { dataCentre: 'salt-lake', confirmed: true }], aboveLimit: [] }
+
+const HELP = ['', 'serve', 'status', 'settings', 'settings check', 'settings explain', 'settings apply', 'settings reference', 'team', 'team create', 'team remove', 'team list',
+  'key', 'key create', 'key withdraw', 'key list', 'share', 'limit', 'policy', 'drain', 'undrain']
+
+test('a help text does not lose its options, examples or exit codes', async t => {
+  for (const command of HELP) {
+    const { exitCode, output } = await run([...command.split(' ').filter(word => word !== ''), '--help'])
+    t.is(exitCode, 0)
+    t.snapshot(output, command === '' ? 'agategauge' : command)
+  }
+})
+
+test('a mistake of the user is answered with advice and no stack trace', async t => {
+  const { runHere, writeFile, handler } = await startCluster(t)
+  const mistakes = [['bogus'], [], ['settings'], ['status', '--verbose'], ['settings', 'check'], ['drain', 'rack', 'r1'], ['drain', 'target'], ['drain', 'self', 'entry-1'], ['limit', 'weavers'],
+    ['limit', 'weavers', '--memory', '64'], ['limit', 'weaver', '--slots', '4'], ['share', 'weavers', 'much'], ['team', 'create', 'weavers'], ['team', 'create', 'Weavers!'], ['team', 'remove', 'spinners'],
+    ['team', 'remove', 'dyers'], ['key', 'withdraw', 'nobody-1'], ['key', 'create', 'spinners'], ['policy', '/kinds/render', 'share=1'], ['policy', '/kinds/batch', 'share=1'], ['policy', '/teams/weavers', 'keyGrace'],
+    ['policy', '/teams/weavers', 'share=1', 'share=2'], ['status', '--token', 'x', '--token', 'y'], ['share', 'weavers', '3', '--wait', '1 s', '--wait', '2 s'], ['settings', 'explain', 'keyGrase', '--team', 'weavers'], ['settings', 'explain', '--team', 'weaver'], ['status', '--address', 'nowhere'],
+    ['status', '--token', 'wrong'], ['status', '--address', '127.0.0.1:1'], ['share', 'weavers', '3', '--wait', '5'], ['share', 'weavers', '3', '--wait', '1 h'], ['serve'], ['settings', 'check', 'missing.ini']]
+  for (const args of mistakes) {
+    const { exitCode, errors } = await runHere(...args)
+    t.true([1, 2, 4].includes(exitCode), `${args.join(' ')}: ${exitCode}`)
+    t.notRegex(errors, /\n\s+at /)
+    t.snapshot({ exitCode, errors }, args.join(' ') || 'no arguments')
+  }
+  const file = await writeFile('[/teams/weavers]\nshare = 2')
+  const { exitCode, errors } = await runHere('settings', 'apply', file)
+  t.is(exitCode, 1)
+  t.regex(errors, /:2: the last line has no newline/)
+  t.like(await run(['status']), { exitCode: 2 })
+  t.deepEqual(handler.submissions, [], 'nothing reached the cluster')
+})
+
+test('the output that explains the state keeps its form', async t => {
+  const { runHere, writeFile } = await startCluster(t)
+  const file = await writeFile('[/teams/weavers]\nkeyGrace = 9 s\n')
+  for (const args of [['settings', 'explain', '--team', 'weavers', '--kind', 'batch'], ['settings', 'explain', '--queue', 'kiosk'], ['settings', 'explain', 'keyGrace', '--team', 'weavers', '--json'],
+    ['team', 'list'], ['key', 'list', '--team', 'weavers'], ['status']]) {
+    const { exitCode, output } = await runHere(...args)
+    t.is(exitCode, 0)
+    t.snapshot(output, args.join(' '))
+  }
+  t.regex((await runHere('settings', 'explain', 'keyGrace', '--team', 'weavers', '--file', file)).output, /keyGrace +9 s +\/teams\/weavers/)
+  t.deepEqual(JSON.parse((await runHere('status', '--json')).output), STATUS)
+})
+
+test('apply tells acceptance, conflict, missing confirmations and outages apart', async t => {
+  const partly: ChangeAnswer = {
+    outcome: 'accepted',
+    version: 8,
+    confirmations: [{ dataCentre: 'howrah', confirmed: true }, { dataCentre: 'matigara', confirmed: false, refusesKeyedWorkByWallMs: NOON_MS }],
+    aboveLimit: [{ team: 'weavers', dataCentre: 'matigara', reachable: false, held: resources({ memory: 8_192 }) }]
+  }
+  const lost: ChangeAnswer = {
+    outcome: 'conflict',
+    winner: { id: 'change-0009', version: 8, baseVersion: 7, operator: 'birger', acceptedAt: NOON_MS, operations: [{ type: 'set', path: '/teams/weavers', values: { limitMemory: 4_096 } }] },
+    paths: ['/teams/weavers']
+  }
+  const unknown: ChangeAnswer = { outcome: 'unavailable', message: 'the store\'s answer was lost', mayHaveBeenAccepted: true }
+  const down: ChangeAnswer = { outcome: 'unavailable', message: 'the store can\'t be reached', mayHaveBeenAccepted: false }
+  const invalid: ChangeAnswer = { outcome: 'invalid', messages: ['/teams/weavers: refused by the instance'] }
+  const cases: ReadonlyArray<readonly [string, number, readonly ChangeAnswer[]]> = [['accepted', 0, [ACCEPTED]], ['partly confirmed', 3, [partly]], ['lost to a newer change', 1, [lost]],
+    ['refused by the instance', 1, [invalid]], ['store down', 4, [down]], ['unknown, then accepted', 0, [unknown, ACCEPTED]], ['unknown for good', 4, [unknown, unknown, down]]]
+  for (const [name, expected, answers] of cases) {
+    const { runHere, writeFile, handler } = await startCluster(t, ...answers)
+    const file = await writeFile('[/teams/weavers]\nshare = 2\nlimitMemory = 32 GB\n')
+    const { exitCode, output, errors } = await runHere('settings', 'apply', file, '--wait', '0 s')
+    t.is(exitCode, expected, name)
+    t.snapshot({ output, errors }, name)
+    t.is(handler.submissions.length, answers.length)
+    t.true(handler.submissions.every(({ id, baseVersion, operator }) => id === 'change-0001' && baseVersion === 7 && operator === 'asha'), 'a change sent again is the same change')
+  }
+})
+
+test('a dry run, and a file that is in force already, change nothing', async t => {
+  const { runHere, writeFile, handler } = await startCluster(t)
+  const file = await writeFile('[/teams/weavers]\nshare = 3\n')
+  t.snapshot((await runHere('settings', 'apply', file, '--prune', '--dry-run')).output)
+  t.is((await runHere('settings', 'apply', await writeFile('[/teams/weavers]\nshare = 2\n'))).exitCode, 0)
+  t.is((await runHere('drain', 'target', 'runner-1')).exitCode, 0)
+  t.deepEqual(handler.submissions, [])
+})
+
+test('a key is shown once and only its hash leaves the program', async t => {
+  const { runHere, handler } = await startCluster(t, ACCEPTED, new Error('internal'))
+  const { exitCode, output } = await runHere('key', 'create', 'weavers', '--json')
+  t.is(exitCode, 0)
+  const { key, keyId } = JSON.parse(output) as { readonly key: string, readonly keyId: string }
+  t.regex(key, /^agk_[A-Za-z0-9_-]{43}$/)
+  t.is(keyId, 'weavers-07070707')
+  t.false(JSON.stringify(handler.submissions).includes(key))
+  t.regex(JSON.stringify(handler.submissions), /"hash":"[0-9a-f]{64}"/)
+  const failed = await runHere('key', 'create', 'weavers')
+  t.is(failed.exitCode, 4)
+  t.notRegex(failed.output + failed.errors, /agk_/, 'a key that was not accepted is not shown')
+})
+
+test('the commands for single tasks send the operations that they show', async t => {
+  const commands = [['team', 'create', 'spinners', '--share', '2', '--memory', '64 GB'], ['team', 'remove', 'weavers'], ['share', 'weavers', '3'], ['limit', 'weavers', '--memory', 'none', '--slots', '9'],
+    ['policy', '/teams/weavers/kinds/batch', 'crossRegionWait=2 s', 'preemptible=false'], ['key', 'withdraw', 'weavers-1'], ['drain', 'data-centre', 'matigara'], ['undrain', 'target', 'runner-1']]
+  const { runHere, handler } = await startCluster(t, ...commands.map(() => ACCEPTED))
+  for (const args of commands) {
+    const { exitCode, output, errors } = await runHere(...args)
+    t.is(exitCode, 0, errors)
+    t.snapshot({ output, operations: handler.submissions.at(-1)?.operations }, args.join(' '))
+  }
+  t.regex((await runHere('drain', 'self')).output, /draining/)
+})
--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -16,6 +16,16 @@
   }
 }
 
+/** Arguments that take several values. */
+const LIST_ARGUMENTS = ['_', 'names', 'settings']
+
+/** An option given twice would otherwise arrive as a list. */
+function checkRepetition (given: Readonly<Record<string, unknown>>): boolean {
+  const repeated = Object.keys(given).find(name => Array.isArray(given[name]) && !LIST_ARGUMENTS.includes(name))
+  if (repeated !== undefined) throw new CommandError(`--${repeated} is given twice; give it once`, EXIT_CODES.wrongUse)
+  return true
+}
+
 /** Passes on errors of subcommands, and turns faults of the arguments into wrong use. */
 function refuseUse (message: string, error: Error | undefined): never {
   if (error !== undefined && error !== null && error.name !== 'YError') throw error
@@ -38,10 +48,12 @@
     .wrap(HELP_COLUMNS)
     .usage('$0 <command>\n\nSchedules heterogeneous workloads on one shared cluster.')
     .epilogue(EXIT_CODE_HELP)
-    .parserConfiguration({ 'parse-positional-numbers': false, 'parse-numbers': false, 'duplicate-arguments-array': false })
+    .parserConfiguration({ 'parse-positional-numbers': false, 'parse-numbers': false })
     .strict()
     .demandCommand(1, 'Name a command.')
+    .check(checkRepetition)
     .version(false)
+    .recommendCommands()
     .exitProcess(false)
     .fail(refuseUse)
   for (const createCommand of COMMAND_FACTORIES) parser.command(createCommand(tools))
--- a/src/commands/settingsExplainCommand.ts
+++ b/src/commands/settingsExplainCommand.ts
@@ -25,7 +25,8 @@
 }
 
 function selectNames (scope: SettingsScope, wanted: readonly string[]): readonly SettingName[] {
-  const levels = listBranches(scope).map(path => parseBranch(path)?.level)
+  const isWholeCluster = scope.team === undefined && scope.kind === undefined
+  const levels = listBranches(scope).map(path => parseBranch(path)?.level).filter(level => level !== 'root' || isWholeCluster)
   const applicable = SETTING_NAMES.filter(name => settingMeta(name).levels.some(level => levels.includes(level)))
   const wrong = wanted.find(name => !(applicable as readonly string[]).includes(name))
   if (wrong !== undefined) throw new CommandError(`there is no setting "${wrong}" here; ${suggestName(wrong, applicable)}`, EXIT_CODES.wrongUse)
--- a/src/commands/submitChange.ts
+++ b/src/commands/submitChange.ts
@@ -3,6 +3,7 @@
 import type { ChangeAnswer } from '../observability/operatorApi.ts'
 import { describeOperations } from '../settings/describe.ts'
 import { validateOperations } from '../settings/validate.ts'
+import { readWait } from './commandBuilder.ts'
 import type { ChangeArguments } from './commandBuilder.ts'
 import { EXIT_CODES } from './commandContext.ts'
 import type { CommandContext, ExitCode } from './commandContext.ts'
@@ -93,6 +94,7 @@
  * await submitChange(given, context, () => ({ operations: [{ type: 'withdrawKey', keyId }] }))
  */
 export async function submitChange (given: ChangeArguments, context: CommandContext, createPlan: (snapshot: ConfigurationSnapshot) => ChangePlan): Promise<ExitCode> {
+  const waitMs = readWait(given.wait)
   return await useOperatorClient(given, context, async client => {
     const reporter = new ChangeReporter(context, given.json)
     const snapshot = await client.readConfiguration()
@@ -113,7 +115,7 @@
       return outcome.exitCode
     }
     const operator = given.operator ?? context.operator
-    const answer = await client.submitChange({ id: context.createChangeId(), baseVersion: snapshot.version, operator, operations, waitMs: given.wait })
+    const answer = await client.submitChange({ id: context.createChangeId(), baseVersion: snapshot.version, operator, operations, waitMs })
     const { lines, exitCode } = describeAnswer(answer, snapshot, plan)
     reporter.print(lines, answer.outcome !== 'accepted')
     reporter.printJson({ ...answer, changes, ...answer.outcome === 'accepted' ? plan.onAccepted?.fields : {} })
--- a/src/settings/describe.ts
+++ b/src/settings/describe.ts
@@ -1,5 +1,5 @@
 /** Says in words what operations change. */
-import type { ConfigurationSnapshot, Operation, SettingsPath, SettingValue } from '../model/change.ts'
+import type { ConfigurationSnapshot, DrainScope, Operation, SettingsPath, SettingValue } from '../model/change.ts'
 import { applyOperation } from './applyOperations.ts'
 import type { ConfigurationContent } from './applyOperations.ts'
 import type { SettingsTree } from './tree.ts'
@@ -7,6 +7,8 @@
 
 const NOT_SET = '(not set)'
 
+const SCOPE_WORDS: Readonly<Record<DrainScope, string>> = { target: 'target', instance: 'instance', dataCentre: 'data centre' }
+
 /** The value that a branch itself has. */
 export function ownValue (values: SettingsTree, path: SettingsPath, name: string): SettingValue | undefined {
   const branch = Object.hasOwn(values, path) ? values[path] : undefined
@@ -31,8 +33,8 @@
     case 'removeBranch': return [`${operation.path}: removed with everything below it`]
     case 'createKey': return [`key ${operation.keyId} of team ${operation.team}: created`]
     case 'withdrawKey': return [`key ${operation.keyId} of team ${keys.find(key => key.keyId === operation.keyId)?.team ?? '(unknown)'}: withdrawn`]
-    case 'drain': return [`${operation.scope} ${operation.name}: gets no new work`]
-    case 'undrain': return [`${operation.scope} ${operation.name}: gets new work again`]
+    case 'drain': return [`${SCOPE_WORDS[operation.scope]} ${operation.name}: gets no new work`]
+    case 'undrain': return [`${SCOPE_WORDS[operation.scope]} ${operation.name}: gets new work again`]
   }
 }
 
