Cache resolved team settings and refuse ambiguous secrets

Metadata is read once now, and TeamSettingsCache keeps results until the version changes. A secret with ; or # was cut at that character by the INI syntax; secrets are restricted to characters that INI reads as written. Two own addresses that are the same are refused. status shows a limit of 0 as such.

--- a/src/commands/commandContext.ts
+++ b/src/commands/commandContext.ts
@@ -2,9 +2,7 @@
 import { randomBytes, randomUUID } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
 import { userInfo } from 'node:os'
-import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { BaseError, InputError } from '../model/errors.ts'
-import type { Clock } from '../ports/clock.ts'
 
 /** Exit codes of the program, as the help states them. */
 export const EXIT_CODES = { done: 0, refused: 1, wrongUse: 2, unconfirmed: 3, unreachable: 4, internal: 70 } as const
@@ -28,7 +26,6 @@
   readonly print: (text: string) => void
   readonly printError: (text: string) => void
   readonly environment: Readonly<Record<string, string | undefined>>
-  readonly clock: Clock
   readonly operator: string
   readonly createChangeId: () => string
   readonly createRandom: (byteCount: number) => Buffer
@@ -42,13 +39,18 @@
   }
 }
 
+/** A reader such as `head` may close the pipe early. */
+function ignoreClosedPipe (error: Error): void {
+  if (errorCode(error) !== 'EPIPE') throw error
+}
+
 /** The context of the running process. */
 export function createProcessContext (): CommandContext {
+  process.stdout.on('error', ignoreClosedPipe)
   return {
     print: text => { process.stdout.write(`${text}\n`) },
     printError: text => { process.stderr.write(`${text}\n`) },
     environment: process.env,
-    clock: new SystemClock(),
     operator: readUserName(),
     createChangeId: randomUUID,
     createRandom: randomBytes
--- a/src/commands/formatTable.ts
+++ b/src/commands/formatTable.ts
@@ -27,6 +27,17 @@
   return parts.length === 0 ? none : parts.join(', ')
 }
 
+/**
+ * Writes an upper limit; a limit of 0 is stated, a dimension without a limit is not.
+ *
+ * @example
+ * formatLimit({ slots: 0, memory: 65_536 }) // '64 GB, no slots'
+ */
+export function formatLimit (limit: Limit): string {
+  const excluded = DIMENSIONS.filter(dimension => limit[dimension] === 0).map(dimension => `no ${dimension}`)
+  return [formatResources(limit, ''), ...excluded].filter(text => text !== '').join(', ') || 'not limited'
+}
+
 /** Writes wall-clock time as operators compare it between data centres. */
 export function formatWallTime (wallMs: number): string {
   return `${new Date(wallMs).toISOString().slice(0, 19).replace('T', ' ')} UTC`
--- a/src/commands/program.test.ts
+++ b/src/commands/program.test.ts
@@ -3,7 +3,6 @@
 import { join } from 'node:path'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { OperatorServer } from '../adapters/operator/operatorServer.ts'
 import type { ConfigurationSnapshot } from '../model/change.ts'
 import type { ChangeAnswer, ChangeSubmission, OperatorHandler, StatusReport } from '../observability/operatorApi.ts'
@@ -30,7 +29,7 @@
   configurationAgeMs: 420,
   peers: [{ ref: { name: 'entry-2', incarnation: 'beef' }, dataCentre: 'matigara', state: 'serving', configurationVersion: 7, heardAgeMs: 900 }],
   targets: [{ id: 'runner-1', type: 'runner', rack: 'r1', capacity: resources({ slots: 8 }), free: resources({ slots: 3 }), state: 'leaving' }],
-  teams: [{ team: 'weavers', used: resources({ slots: 5, memory: 2_048 }), limit: { memory: 65_536 }, held: resources({ memory: 4_096 }), share: 2, queued: 3 }],
+  teams: [{ team: 'weavers', used: resources({ slots: 5, memory: 2_048 }), limit: { slots: 0, memory: 65_536 }, held: resources({ memory: 4_096 }), share: 2, queued: 3 }],
   aboveLimit: [{ team: 'weavers', dataCentre: 'matigara', reachable: false, held: resources({ memory: 1_024 }) }],
   drains: SNAPSHOT.drains,
   store: { reachable: false },
@@ -73,7 +72,6 @@
     print: text => { output.push(text) },
     printError: text => { errors.push(text) },
     environment,
-    clock: new ManualClock(),
     operator: 'asha',
     createChangeId: () => 'change-0001',
     createRandom: byteCount => Buffer.alloc(byteCount, 7)
--- a/src/commands/settingsExplainCommand.ts
+++ b/src/commands/settingsExplainCommand.ts
@@ -3,7 +3,7 @@
 import type { SettingsPath } from '../model/change.ts'
 import type { KindName } from '../model/request.ts'
 import { readSettingsFile } from '../settings/ini.ts'
-import { KIND_NAMES, parseBranch } from '../settings/paths.ts'
+import { KIND_NAMES } from '../settings/paths.ts'
 import { SETTING_NAMES, settingMeta } from '../settings/schema.ts'
 import type { SettingName } from '../settings/schema.ts'
 import { listBranches, resolveSetting } from '../settings/tree.ts'
@@ -26,7 +26,7 @@
 
 function selectNames (scope: SettingsScope, wanted: readonly string[]): readonly SettingName[] {
   const isWholeCluster = scope.team === undefined && scope.kind === undefined
-  const levels = listBranches(scope).map(path => parseBranch(path)?.level).filter(level => level !== 'root' || isWholeCluster)
+  const levels = listBranches(scope).map(({ level }) => level).filter(level => level !== 'root' || isWholeCluster)
   const applicable = SETTING_NAMES.filter(name => settingMeta(name).levels.some(level => levels.includes(level)))
   const wrong = wanted.find(name => !(applicable as readonly string[]).includes(name))
   if (wrong !== undefined) throw new CommandError(`there is no setting "${wrong}" here; ${suggestName(wrong, applicable)}`, EXIT_CODES.wrongUse)
--- a/src/commands/statusCommand.ts
+++ b/src/commands/statusCommand.ts
@@ -4,7 +4,7 @@
 import { withConnection } from './commandBuilder.ts'
 import type { CommandFactory, ConnectionArguments } from './commandBuilder.ts'
 import { EXIT_CODES } from './commandContext.ts'
-import { formatAge, formatResources, formatTable } from './formatTable.ts'
+import { formatAge, formatLimit, formatResources, formatTable } from './formatTable.ts'
 import { useOperatorClient } from './operatorClient.ts'
 
 function formatContact ({ reachable, lastAnswerAgeMs }: ContactStatus): string {
@@ -31,7 +31,7 @@
   return [
     formatSummary(report),
     ...formatSection('Teams', ['TEAM', 'SHARE', 'USED', 'LIMIT', 'HELD HERE', 'WAITING'], teams.map(team =>
-      [team.team, String(team.share), formatResources(team.used), formatResources(team.limit, 'none'), formatResources(team.held), String(team.queued)])),
+      [team.team, String(team.share), formatResources(team.used), formatLimit(team.limit), formatResources(team.held), String(team.queued)])),
     ...formatSection('Above a lowered limit', ['TEAM', 'DATA CENTRE', 'HELD', 'CONTACT'], aboveLimit.map(entry =>
       [entry.team, entry.dataCentre, formatResources(entry.held), entry.reachable ? 'yes' : 'CUT OFF'])),
     ...formatSection('Targets of this instance', ['TARGET', 'TYPE', 'RACK', 'FREE', 'CAPACITY', 'STATE'], targets.map(target =>
--- a/src/commands/teamCommand.ts
+++ b/src/commands/teamCommand.ts
@@ -1,12 +1,13 @@
 /** `team`: creates, removes and lists teams. */
 import type { Argv } from 'yargs'
 import type { ConfigurationSnapshot } from '../model/change.ts'
+import type { Limit } from '../model/resources.ts'
 import { removeBranch } from '../settings/diff.ts'
 import { listTeams, resolveLimit, resolveSetting } from '../settings/tree.ts'
 import { withChange, withConnection } from './commandBuilder.ts'
 import type { ChangeArguments, CommandFactory, ConnectionArguments, Subcommand } from './commandBuilder.ts'
 import { CommandError, EXIT_CODES } from './commandContext.ts'
-import { formatResources, formatTable } from './formatTable.ts'
+import { formatLimit, formatTable } from './formatTable.ts'
 import { readLimits, withLimits } from './limitOptions.ts'
 import type { LimitArguments } from './limitOptions.ts'
 import { useOperatorClient } from './operatorClient.ts'
@@ -42,7 +43,7 @@
     snapshot => ({ operations: removeBranch(readTeamPath(given.team), snapshot) })))
 })
 
-function describeTeam (snapshot: ConfigurationSnapshot, team: string): { readonly team: string, readonly share: number, readonly limit: ReturnType<typeof resolveLimit>, readonly validKeys: number } {
+function describeTeam (snapshot: ConfigurationSnapshot, team: string): { readonly team: string, readonly share: number, readonly limit: Limit, readonly validKeys: number } {
   return {
     team,
     share: resolveSetting(snapshot.settings, { team }, 'share').value,
@@ -65,12 +66,6 @@
   })
 })
 
-/** A limit of 0 is stated; a dimension without a limit is not. */
-function formatLimit (limit: ReturnType<typeof resolveLimit>): string {
-  const excluded = Object.entries(limit).filter(([, value]) => value === 0).map(([dimension]) => `no ${dimension}`)
-  return [formatResources(limit, ''), ...excluded].filter(text => text !== '').join(', ') || 'not limited'
-}
-
 export const createTeamCommand: CommandFactory = (tools): Subcommand => ({
   command: 'team',
   describe: 'Create, remove and list teams',
--- a/src/settings/ini.test.ts
+++ b/src/settings/ini.test.ts
@@ -84,7 +84,7 @@
     'peerAddress = [::1]:8002', 'storeAddress = store:7000', 'listAddress = list:7001', 'peers = 10.0.0.1:8002, 10.0.0.2:8002',
     'peerSecret = 0123456789abcdef', 'operatorToken = fedcba9876543210']
   t.snapshot(readInstanceSettings('entry-1.ini', encode(right.join('\n') + '\n')))
-  const wrong = [...right.slice(1, -1), 'operatorToken = hunter2', 'storTimeout = 1 s', 'peerTimeout = 1 h', 'logLevel = loud', 'listAdress = x:99999', '[/teams/weavers]', 'share = 2']
+  const wrong = [...right.slice(1, -1).map(line => line.replace(':8001', ':8000')), 'operatorToken = "hunter2;hunter2;hunter2"', 'peerAdress = 127.0.0.1:8000', 'storTimeout = 1 s', 'peerTimeout = 1 h', 'logLevel = loud', 'listAdress = x:99999', '[/teams/weavers]', 'share = 2']
   const error = t.throws(() => readInstanceSettings('entry-1.ini', encode(wrong.join('\n') + '\n')), { instanceOf: InputError })
   t.false(error?.message.includes('hunter2'))
   t.snapshot(error?.message)
--- a/src/settings/iniScan.ts
+++ b/src/settings/iniScan.ts
@@ -14,6 +14,8 @@
   readonly section: string
   readonly name: string
   readonly text: string
+  /** The value as it stands in the file, with quotes and comments. */
+  readonly raw: string
   readonly line: number
 }
 
@@ -32,7 +34,7 @@
 // eslint-disable-next-line no-control-regex
 const CONTROL_CHARACTER = /[\u0000-\u0008\u000b\u000c\u000e-\u001f\u007f]/
 
-type RawEntry = Omit<IniEntry, 'text'> & { readonly raw: string }
+type RawEntry = Omit<IniEntry, 'text'>
 
 class LineScanner {
   readonly entries: RawEntry[] = []
@@ -102,9 +104,9 @@
 
 function readValues (text: string, entries: readonly RawEntry[]): readonly IniEntry[] {
   const document: Record<string, unknown> = parse(text)
-  return entries.map(({ raw, ...entry }) => {
+  return entries.map(entry => {
     const holder = entry.section === '' ? document : document[entry.section] as Record<string, unknown> | undefined
-    return { ...entry, text: toText(holder?.[entry.name], raw) }
+    return { ...entry, text: toText(holder?.[entry.name], entry.raw) }
   })
 }
 
--- a/src/settings/instanceSettings.ts
+++ b/src/settings/instanceSettings.ts
@@ -39,6 +39,7 @@
 
 const ADDRESS = /^(?:[A-Za-z0-9](?:[A-Za-z0-9.-]*[A-Za-z0-9])?|\[[0-9A-Fa-f:.]+\]):(\d{1,5})$/
 const HIGHEST_PORT = 65_535
+const SECRET = new RegExp(`^[A-Za-z0-9+/=_.~-]{${SHORTEST_SECRET},}$`)
 const ADDRESS_RULE = 'write HOST:PORT, such as 10.0.0.5:7000 or [fd00::5]:7000'
 
 /** Splits HOST:PORT; undefined if the text is no address. */
@@ -62,6 +63,12 @@
   return { problem: `${name} = ${text} is out of range`, right: `use ${formatQuantity(minimum, unit)} to ${formatQuantity(maximum, unit)}` }
 }
 
+/** INI would read `;`, `#`, quotes and backslashes in another way than written. The message never contains the secret. */
+function readSecret (name: string, text: string): Parsed<FieldValue> {
+  if (SECRET.test(text)) return { value: text }
+  return { problem: `${name} is too short or has other characters`, right: `use at least ${SHORTEST_SECRET} random letters, digits and characters of + / = _ . ~ -` }
+}
+
 /** Messages never contain the text of a secret. */
 function readField (field: InstanceField, text: string): Parsed<FieldValue> {
   const { unit, name } = field
@@ -70,20 +77,20 @@
     case 'name': return NAME_PATTERN.test(text) ? { value: text } : { problem: `${name} = "${text}" is not a name`, right: NAME_RULE }
     case 'address': return parseAddress(text) !== undefined ? { value: text } : { problem: `${name} = "${text}" is not an address`, right: ADDRESS_RULE }
     case 'addresses': return readAddresses(text)
-    case 'secret': return text.length >= SHORTEST_SECRET ? { value: text } : { problem: `${name} is too short`, right: `use at least ${SHORTEST_SECRET} random characters` }
+    case 'secret': return readSecret(name, text)
     default: return (LOG_LEVELS as readonly string[]).includes(text) ? { value: text } : { problem: `${name} = "${text}" is not a level`, right: `use one of ${LOG_LEVELS.join(', ')}` }
   }
 }
 
 function collectFields (entries: readonly IniEntry[], problems: Problem[]): ReadonlyMap<string, FieldValue> {
   const values = new Map<string, FieldValue>()
-  for (const { section, name, text, line } of entries) {
+  for (const { section, name, text, raw, line } of entries) {
     const field = INSTANCE_FIELDS.find(candidate => candidate.name === name)
     if (section !== '' || field === undefined) {
       if (section === '') problems.push({ line, problem: `there is no setting "${name}"`, right: suggestName(name, INSTANCE_FIELDS.map(known => known.name)) })
       continue
     }
-    const value = readField(field, text)
+    const value = readField(field, field.unit === 'secret' ? raw : text)
     if ('value' in value) values.set(name, value.value)
     else problems.push({ line, problem: value.problem, right: value.right })
   }
@@ -96,6 +103,17 @@
   return 'value' in value ? value.value : undefined
 }
 
+const OWN_ADDRESSES = ['callerAddress', 'operatorAddress', 'peerAddress'] as const
+
+/** One address can not be listened on twice. */
+function checkOwnAddresses (settings: InstanceSettings, entries: readonly IniEntry[]): readonly Problem[] {
+  return OWN_ADDRESSES.flatMap((name, index) => {
+    const other = OWN_ADDRESSES.slice(0, index).find(earlier => settings[earlier] !== undefined && settings[earlier] === settings[name])
+    const line = entries.find(entry => entry.name === name)?.line ?? 1
+    return other === undefined ? [] : [{ line, problem: `${name} is the same as ${other}`, right: 'give each its own port' }]
+  })
+}
+
 type TakeField = <Value extends FieldValue>(name: InstanceFieldName) => Value
 
 function assemble (take: TakeField): InstanceSettings {
@@ -144,6 +162,7 @@
     return value as Value
   }
   const settings = assemble(take)
+  problems.push(...checkOwnAddresses(settings, scan.entries))
   if (problems.length > 0) refuseFile(file, problems)
   return Object.freeze(settings)
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -150,9 +150,13 @@
   return Object.hasOwn(settingsSchema.shape, name)
 }
 
+/** Read once, since the registry of zod is slow to ask for each lookup. */
+const METADATA = Object.freeze(Object.fromEntries(
+  SETTING_NAMES.map(name => [name, settingsSchema.shape[name].meta()]))) as unknown as Readonly<Record<SettingName, SettingMeta>>
+
 /** Unit, range, levels and description of a setting. */
 export function settingMeta (name: SettingName): SettingMeta {
-  return settingsSchema.shape[name].meta() as unknown as SettingMeta
+  return METADATA[name]
 }
 
 const GENERAL_DEFAULTS: ClusterSettings = Object.freeze(settingsSchema.parse({}))
--- a/src/settings/tree.ts
+++ b/src/settings/tree.ts
@@ -3,13 +3,17 @@
 import type { KindName } from '../model/request.ts'
 import { resources } from '../model/resources.ts'
 import type { Dimension, Limit, Resources } from '../model/resources.ts'
-import { defaultValue, settingMeta } from './schema.ts'
+import { defaultValue, SETTING_NAMES, settingMeta } from './schema.ts'
 import type { ClusterSettings, SettingName } from './schema.ts'
+import type { BranchLevel } from './definition.ts'
 import { parseBranch, teamPath } from './paths.ts'
 import { oldNamesOf } from './renamed.ts'
 
 export type SettingsTree = ConfigurationSnapshot['settings']
 
+/** The name of each setting, followed by its old names. */
+const KNOWN_NAMES = Object.fromEntries(SETTING_NAMES.map(name => [name, [name, ...oldNamesOf(name)]])) as unknown as Readonly<Record<SettingName, readonly string[]>>
+
 export interface SettingsScope {
   readonly team?: string
   readonly kind?: KindName
@@ -22,15 +26,21 @@
   readonly source: SettingsPath | 'default'
 }
 
+export interface BranchPlace {
+  readonly path: SettingsPath
+  readonly level: BranchLevel
+}
+
 /** The branches that apply to a scope, nearest first. */
-export function listBranches (scope: SettingsScope): readonly SettingsPath[] {
-  if (scope.queue !== undefined) return [`/queues/${scope.queue}`]
+export function listBranches (scope: SettingsScope): readonly BranchPlace[] {
+  if (scope.queue !== undefined) return [{ path: `/queues/${scope.queue}`, level: 'queue' }]
   const { team, kind } = scope
-  const paths: SettingsPath[] = []
-  if (team !== undefined && kind !== undefined) paths.push(`/teams/${team}/kinds/${kind}`)
-  if (team !== undefined) paths.push(teamPath(team))
-  if (kind !== undefined) paths.push(`/kinds/${kind}`)
-  return [...paths, '/']
+  const places: BranchPlace[] = []
+  if (team !== undefined && kind !== undefined) places.push({ path: `/teams/${team}/kinds/${kind}`, level: 'teamKind' })
+  if (team !== undefined) places.push({ path: teamPath(team), level: 'team' })
+  if (kind !== undefined) places.push({ path: `/kinds/${kind}`, level: 'kind' })
+  places.push({ path: '/', level: 'root' })
+  return places
 }
 
 function valueIn (values: SettingsTree, path: SettingsPath, name: string): SettingValue | undefined {
@@ -46,14 +56,17 @@
  * // { value: 10000, source: '/teams/weavers' }
  */
 export function resolveSetting<Name extends SettingName> (values: SettingsTree, scope: SettingsScope, name: Name): ResolvedSetting<Name> {
-  const levels = settingMeta(name).levels
-  const names = [name, ...oldNamesOf(name)]
-  for (const source of listBranches(scope)) {
-    const level = parseBranch(source)?.level
-    if (level === undefined || !levels.includes(level)) continue
+  return resolveIn(values, listBranches(scope), scope, name)
+}
+
+function resolveIn<Name extends SettingName> (values: SettingsTree, places: readonly BranchPlace[], scope: SettingsScope, name: Name): ResolvedSetting<Name> {
+  const { levels } = settingMeta(name)
+  const names = KNOWN_NAMES[name]
+  for (const { path, level } of places) {
+    if (!levels.includes(level)) continue
     for (const candidate of names) {
-      const value = valueIn(values, source, candidate)
-      if (value !== undefined) return { value: value as ClusterSettings[Name], source }
+      const value = valueIn(values, path, candidate)
+      if (value !== undefined) return { value: value as ClusterSettings[Name], source: path }
     }
   }
   return { value: defaultValue(name, scope.kind), source: 'default' }
@@ -98,8 +111,10 @@
  * resolveTeamSettings(snapshot, 'weavers', 'batch').keyGraceMs // 5000
  */
 export function resolveTeamSettings (snapshot: Pick<ConfigurationSnapshot, 'settings'>, team: string, kind: KindName): TeamSettings {
+  const scope = { team, kind }
+  const places = listBranches(scope)
   const get = <Name extends SettingName>(name: Name): ClusterSettings[Name] =>
-    resolveSetting(snapshot.settings, { team, kind }, name).value
+    resolveIn(snapshot.settings, places, scope, name).value
   return Object.freeze({
     share: get('share'),
     limit: Object.freeze(resolveLimit(snapshot.settings, team)),
@@ -122,6 +137,37 @@
   })
 }
 
+/** Entries after which the cache starts anew; far above 100 teams of 4 kinds. */
+const MOST_CACHED_ENTRIES = 10_000
+
+/**
+ * Keeps resolved settings until the configuration changes, for use in each placement decision.
+ *
+ * @example
+ * const cache = new TeamSettingsCache()
+ * cache.get(state.snapshot, 'weavers', 'batch').share
+ */
+export class TeamSettingsCache {
+  readonly #entries = new Map<string, TeamSettings>()
+  #settings: SettingsTree | undefined
+  #version = -1
+
+  /** The snapshot must not be changed in place without a new version. */
+  get (snapshot: Pick<ConfigurationSnapshot, 'settings' | 'version'>, team: string, kind: KindName): TeamSettings {
+    if (snapshot.settings !== this.#settings || snapshot.version !== this.#version || this.#entries.size >= MOST_CACHED_ENTRIES) {
+      this.#entries.clear()
+      this.#settings = snapshot.settings
+      this.#version = snapshot.version
+    }
+    const key = `${kind}/${team}`
+    const known = this.#entries.get(key)
+    if (known !== undefined) return known
+    const resolved = resolveTeamSettings(snapshot, team, kind)
+    this.#entries.set(key, resolved)
+    return resolved
+  }
+}
+
 export interface QueueSettings {
   readonly open: boolean
   readonly team?: string
--- a/src/settings/validate.test.ts
+++ b/src/settings/validate.test.ts
@@ -3,7 +3,7 @@
 import type { ConfigurationSnapshot, Operation } from '../model/change.ts'
 import { applyOperations } from './applyOperations.ts'
 import { diffSettings } from './diff.ts'
-import { listTeams, resolveQueueSettings, resolveSetting, resolveTeamSettings } from './tree.ts'
+import { listTeams, resolveQueueSettings, resolveSetting, resolveTeamSettings, TeamSettingsCache } from './tree.ts'
 import type { SettingsTree } from './tree.ts'
 import { checkTree } from './treeCheck.ts'
 import { validateOperations } from './validate.ts'
@@ -63,6 +63,15 @@
   t.snapshot(resolveTeamSettings(SNAPSHOT, 'weavers', 'batch'))
 })
 
+test('a cached setting does not outlive a change', t => {
+  const cache = new TeamSettingsCache()
+  t.is(cache.get(SNAPSHOT, 'weavers', 'batch').share, 1)
+  t.is(cache.get(SNAPSHOT, 'weavers', 'batch'), cache.get(SNAPSHOT, 'weavers', 'batch'))
+  const settings = { ...SNAPSHOT.settings, '/teams/weavers': { share: 4 } }
+  t.is(cache.get({ settings, version: 8 }, 'weavers', 'batch').share, 4)
+  t.is(cache.get(SNAPSHOT, 'weavers', 'batch').share, 1)
+})
+
 test('each wrong change is refused with what would be right', t => {
   for (const [fault, operations] of Object.entries(BAD_OPERATIONS)) {
     const messages = validateOperations(SNAPSHOT, operations)
