Treat a failing instance as an unknown outcome of a change

An instance that answers 500 to a change may have accepted it, but the operator was told only of an error. The change is now sent again under its id, and the outcome is stated as unknown if that fails too.

--- a/src/commands/operatorClient.ts
+++ b/src/commands/operatorClient.ts
@@ -58,7 +58,7 @@
       try {
         const { status, body } = await this.#call('POST', OPERATOR_PATHS.changes, submission, submission.waitMs)
         const answer = readChangeAnswer(body)
-        if (answer === undefined) throw this.#unexpected(status, body)
+        if (answer === undefined) throw this.#unexpected(status, body, status >= 500)
         if (answer.outcome !== 'unavailable' || !answer.mayHaveBeenAccepted) {
           if (lost !== undefined && answer.outcome === 'unavailable') return lost
           return answer
@@ -108,11 +108,13 @@
     return new AnswerLostError(`the answer of ${this.#address} was lost (${code})`, EXIT_CODES.unreachable, { cause })
   }
 
-  #unexpected (status: number, body: unknown): CommandError {
+  /** An instance that fails while it handles a change may have accepted it. */
+  #unexpected (status: number, body: unknown, mayHaveEffect = false): CommandError {
     if (status === 401) return new CommandError(`${this.#address} refused the token; check --token or AGATEGAUGE_TOKEN`, EXIT_CODES.refused)
     const details = typeof body === 'object' && body !== null ? body as { readonly message?: unknown, readonly messages?: unknown } : {}
     const text = [details.message, ...(Array.isArray(details.messages) ? details.messages : [])].filter(part => typeof part === 'string').join('\n')
     const message = `${this.#address} answered with HTTP status ${status}${text === '' ? '; is it the operator address of an instance?' : `: ${text}`}`
+    if (mayHaveEffect) return new AnswerLostError(message, EXIT_CODES.unreachable)
     return new CommandError(message, status >= 500 ? EXIT_CODES.unreachable : EXIT_CODES.refused)
   }
 }
--- a/src/commands/program.test.ts
+++ b/src/commands/program.test.ts
@@ -203,6 +203,7 @@
   t.regex(JSON.stringify(handler.submissions), /"hash":"[0-9a-f]{64}"/)
   const failed = await runHere('key', 'create', 'weavers')
   t.is(failed.exitCode, 4)
+  t.regex(failed.errors, /Unknown whether the change was accepted[^]*key list/)
   t.notRegex(failed.output + failed.errors, /agk_/, 'a key that was not accepted is not shown')
 })
 
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -9,7 +9,8 @@
 /** Above the 2,600 workers of 64 cores and 256 GB that are planned. */
 const MOST_SLOTS = 1_000_000
 const MOST_MILLICORES = 1_000_000_000
-const MOST_MEMORY_MB = 10_000_000_000
+/** 10,000 TB. */
+const MOST_MEMORY_MB = 10_485_760_000
 const MOST_ACCELERATORS = 1_000_000
 
 const SLOTS = { unit: 'count', minimum: 0, maximum: MOST_SLOTS } as const
