--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -9,7 +9,8 @@
 /** Above the 2,600 workers of 64 cores and 256 GB that are planned. */
 const MOST_SLOTS = 1_000_000
 const MOST_MILLICORES = 1_000_000_000
-const MOST_MEMORY_MB = 10_000_000_000
+/** 10,000 TB. */
+const MOST_MEMORY_MB = 10_485_760_000
 const MOST_ACCELERATORS = 1_000_000
 
 const SLOTS = { unit: 'count', minimum: 0, maximum: MOST_SLOTS } as const
@@ -150,9 +151,13 @@
   return Object.hasOwn(settingsSchema.shape, name)
 }
 
+/** Read once, since the registry of zod is slow to ask for each lookup. */
+const METADATA = Object.freeze(Object.fromEntries(
+  SETTING_NAMES.map(name => [name, settingsSchema.shape[name].meta()]))) as unknown as Readonly<Record<SettingName, SettingMeta>>
+
 /** Unit, range, levels and description of a setting. */
 export function settingMeta (name: SettingName): SettingMeta {
-  return settingsSchema.shape[name].meta() as unknown as SettingMeta
+  return METADATA[name]
 }
 
 const GENERAL_DEFAULTS: ClusterSettings = Object.freeze(settingsSchema.parse({}))
