State faults of listen addresses and the version

An address in use ended serve with a stack trace, and the program did not tell its version. One core is now written and understood as 1 core.

--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -1,5 +1,6 @@
 /** The command line. */
 import yargs from 'yargs'
+import metadata from '../../package.json' with { type: 'json' }
 import { CommandError, createProcessContext, EXIT_CODES, EXIT_CODE_HELP, reportError } from './commandContext.ts'
 import type { CommandContext, ExitCode } from './commandContext.ts'
 import type { CommandTools } from './commandBuilder.ts'
@@ -52,7 +53,7 @@
     .strict()
     .demandCommand(1, 'Name a command.')
     .check(checkRepetition)
-    .version(false)
+    .version(metadata.version)
     .recommendCommands()
     .exitProcess(false)
     .fail(refuseUse)
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -2,7 +2,7 @@
 import type { Argv } from 'yargs'
 import { readInstanceSettings } from '../settings/instanceSettings.ts'
 import type { CommandFactory } from './commandBuilder.ts'
-import { CommandError, EXIT_CODES, readNamedFile } from './commandContext.ts'
+import { CommandError, errorCode, EXIT_CODES, readNamedFile } from './commandContext.ts'
 import { loadStartEmbedded, loadStartInstance } from './instanceLoader.ts'
 import type { RunningInstance } from './instanceLoader.ts'
 
@@ -11,6 +11,9 @@
   readonly embedded: boolean
 }
 
+/** Faults of the addresses in the settings, not of the program. */
+const LISTEN_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'ENOTFOUND']
+
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const
 
 /** Stops the instance on a signal, and returns when it has stopped. */
@@ -29,7 +32,12 @@
 async function startFromFile (file: string): Promise<RunningInstance> {
   const settings = readInstanceSettings(file, await readNamedFile(file))
   const startInstance = await loadStartInstance()
-  return await startInstance(settings)
+  try {
+    return await startInstance(settings)
+  } catch (cause) {
+    if (!LISTEN_ERRORS.includes(errorCode(cause))) throw cause
+    throw new CommandError(`${file}: can't listen (${cause instanceof Error ? cause.message : errorCode(cause)}); check callerAddress, operatorAddress and peerAddress`, EXIT_CODES.refused, { cause })
+  }
 }
 
 export const createServeCommand: CommandFactory = ({ run }) => ({
--- a/src/settings/units.ts
+++ b/src/settings/units.ts
@@ -26,6 +26,9 @@
 
 export type QuantityUnit = keyof typeof UNITS
 
+/** Other spellings that are understood. */
+const ALIASES: Readonly<Record<string, string>> = { core: 'cores', millicore: 'millicores' }
+
 const QUANTITY = /^(\d{1,15}(?:\.\d{1,6})?)\s*([A-Za-z%/]*)$/
 
 export function isQuantityUnit (unit: SettingUnit): unit is QuantityUnit {
@@ -57,7 +60,8 @@
     : `write a number and one of ${suffixes.join(', ')}, such as ${definition.example}`
   const match = QUANTITY.exec(text.trim())
   if (match === null) return { problem: `"${text}" is not a number with a unit`, right }
-  const [, digits = '', suffix = ''] = match
+  const [, digits = '', written = ''] = match
+  const suffix = Object.hasOwn(ALIASES, written) ? ALIASES[written] ?? written : written
   if (!Object.hasOwn(definition.suffixes, suffix)) {
     const problem = suffix === '' ? `"${text}" has no unit` : `"${suffix}" is not a unit of this setting`
     return { problem, right }
@@ -81,5 +85,7 @@
   if (unit === 'percent') return `${Number((value * 100).toPrecision(10))} %`
   const descending = Object.entries(UNITS[unit].suffixes as Record<string, number>).reverse()
   const [suffix, factor] = descending.find(([, size]) => value !== 0 && value % size === 0) ?? descending.at(-1) ?? ['', 1]
-  return suffix === '' ? String(value) : `${value / factor} ${suffix}`
+  if (suffix === '') return String(value)
+  const count = value / factor
+  return `${count} ${count === 1 && suffix === 'cores' ? 'core' : suffix}`
 }
