--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -41,7 +41,6 @@
   readonly name: string
   readonly #options: JsonServerOptions
   #server: Server | undefined
-  readonly #calls = new Set<AbortController>()
 
   constructor (options: JsonServerOptions) {
     this.name = options.name
@@ -73,7 +72,6 @@
     const server = this.#server
     if (server === undefined) return
     this.#server = undefined
-    for (const call of this.#calls) call.abort(new BaseError(`${this.name} stops`))
     await new Promise<void>(resolve => {
       server.close(() => resolve())
       server.closeAllConnections()
@@ -96,7 +94,6 @@
   ): Promise<JsonAnswer | undefined> {
     const abort = new AbortController()
     const onClose = (): void => abort.abort(new BaseError('the connection was closed'))
-    this.#calls.add(abort)
     response.once('close', onClose)
     try {
       const body = await readBody(request)
@@ -106,7 +103,6 @@
       throw error
     } finally {
       response.off('close', onClose)
-      this.#calls.delete(abort)
     }
   }
 }
--- a/src/adapters/http/routes.ts
+++ b/src/adapters/http/routes.ts
@@ -7,7 +7,7 @@
   readonly query: URLSearchParams
   /** The request's JSON body; undefined if it has none. */
   readonly body: unknown
-  /** Aborts when the caller's connection closes or the server stops. */
+  /** Aborts when the caller's connection closes, as it does when the server stops. */
   readonly signal: AbortSignal
   readonly response: ServerResponse
 }
