--- a/src/adapters/caller/refusalStatus.ts
+++ b/src/adapters/caller/refusalStatus.ts
@@ -16,6 +16,7 @@
   'answer-incomplete': 502,
   'peer-failed': 502,
   fenced: 503,
+  preempted: 503,
   shed: 503,
   'stale-configuration': 503,
   draining: 503,
--- a/src/commands/instanceLoader.ts
+++ b/src/commands/instanceLoader.ts
@@ -19,14 +19,12 @@
 
 /** src/instance/startInstance.ts exports `startInstance`. */
 export async function loadStartInstance (): Promise<StartInstance> {
-  // @ts-ignore src/instance is not part of this change
-  const module = await import('../instance/startInstance.ts').catch(refuseLoad) as { readonly startInstance: StartInstance }
+  const module = await import('../instance/startInstance.ts').catch(refuseLoad)
   return module.startInstance
 }
 
 /** src/instance/startEmbedded.ts exports `startEmbedded`: an instance with stand-ins in one process. */
 export async function loadStartEmbedded (): Promise<StartEmbedded> {
-  // @ts-ignore src/instance is not part of this change
-  const module = await import('../instance/startEmbedded.ts').catch(refuseLoad) as { readonly startEmbedded: StartEmbedded }
+  const module = await import('../instance/startEmbedded.ts').catch(refuseLoad)
   return module.startEmbedded
 }
--- a/src/commands/registry.ts
+++ b/src/commands/registry.ts
@@ -1,5 +1,5 @@
 /** Every subcommand is registered here. */
-import type { CommandFactory } from './commandBuilder.ts'
+import type { CommandFactory, Subcommand } from './commandBuilder.ts'
 import { createDrainCommand, createUndrainCommand } from './drainCommand.ts'
 import { createKeyCommand } from './keyCommand.ts'
 import { createLimitCommand } from './limitCommand.ts'
@@ -8,6 +8,7 @@
 import { createSettingsCommand } from './settingsCommand.ts'
 import { createShareCommand } from './shareCommand.ts'
 import { createStatusCommand } from './statusCommand.ts'
+import { standInCommand } from './standIn/standInCommand.ts'
 import { createTeamCommand } from './teamCommand.ts'
 
 export const COMMAND_FACTORIES: readonly CommandFactory[] = [
@@ -20,5 +21,6 @@
   createLimitCommand,
   createPolicyCommand,
   createDrainCommand,
-  createUndrainCommand
+  createUndrainCommand,
+  () => standInCommand as Subcommand
 ]
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -5,7 +5,7 @@
 export type RefusalCode =
   | 'invalid' | 'unauthenticated' | 'forbidden' | 'not-found' | 'duplicate' | 'too-large' | 'never-runnable'
   | 'limit' | 'shed' | 'stale-configuration' | 'draining' | 'no-capacity' | 'deadline' | 'cancelled'
-  | 'claim-unavailable' | 'target-failed' | 'answer-incomplete' | 'fenced' | 'peer-failed' | 'internal'
+  | 'claim-unavailable' | 'target-failed' | 'answer-incomplete' | 'fenced' | 'preempted' | 'peer-failed' | 'internal'
 
 export const BaseError = ModernError.subclass('AgategaugeError')
 
--- a/src/scheduler/placement/targetPool.ts
+++ b/src/scheduler/placement/targetPool.ts
@@ -154,6 +154,10 @@
     return this.#sumUsable(target => target.free, maximumResources)
   }
 
+  find (id: string): TargetView | undefined {
+    return this.#targets.get(id)
+  }
+
   targets (): Iterable<TargetView> {
     return this.#targets.values()
   }
