Add ownership of targets

Targets are owned whole through one record per data centre. Every write is a compare-and-swap that is settled by moving the key past the expected version, so that a write whose answer was lost can not apply later.

--- /dev/null
+++ b/src/scheduler/ownership/ownershipChanges.ts
@@ -0,0 +1,68 @@
+/** Changes that an instance wants in the record; each applies only if the record is still as it was judged. */
+import type { IncarnationKey } from '../../model/identity.ts'
+import { assignTarget, releaseTarget } from './ownershipRecord.ts'
+import type { OwnershipRecord, TargetOwnership } from './ownershipRecord.ts'
+
+export type OwnershipChange =
+  | { readonly type: 'take', readonly targetId: string, readonly seen: TargetOwnership | undefined }
+  | { readonly type: 'confirm', readonly targetId: string, readonly epoch: number }
+  | { readonly type: 'raiseEpoch', readonly targetId: string, readonly epoch: number, readonly highestEpoch: number }
+  | { readonly type: 'handOver', readonly targetId: string, readonly receiver: IncarnationKey | undefined }
+  | { readonly type: 'forget', readonly targetId: string, readonly seen: TargetOwnership }
+  | { readonly type: 'removeMember', readonly member: IncarnationKey }
+
+interface Draft {
+  members: readonly IncarnationKey[]
+  readonly targets: Record<string, TargetOwnership>
+  changed: boolean
+}
+
+/** Applies what still fits; undefined if nothing does, or if the instance is no longer a member. */
+export function applyChanges (record: OwnershipRecord, self: IncarnationKey, changes: readonly OwnershipChange[]): OwnershipRecord | undefined {
+  if (!record.members.includes(self)) return undefined
+  const draft: Draft = { members: record.members, targets: { ...record.targets }, changed: false }
+  for (const change of changes) applyChange(draft, self, change)
+  return draft.changed ? { members: draft.members, targets: draft.targets } : undefined
+}
+
+function applyChange (draft: Draft, self: IncarnationKey, change: OwnershipChange): void {
+  if (change.type === 'removeMember') return removeMember(draft, change.member)
+  const present = draft.targets[change.targetId]
+  if (change.type === 'take') {
+    if (present?.owner !== change.seen?.owner || present?.epoch !== change.seen?.epoch) return
+    setTarget(draft, change.targetId, assignTarget(present, self))
+    // Forces a paused owner to read the record before it can acquire another target.
+    if (present?.owner !== undefined) removeMember(draft, present.owner)
+  } else if (change.type === 'forget') {
+    if (present === undefined || present.owner !== change.seen.owner || present.epoch !== change.seen.epoch) return
+    delete draft.targets[change.targetId]
+    draft.changed = true
+  } else if (present?.owner === self) {
+    changeOwnTarget(draft, self, present, change)
+  }
+}
+
+function changeOwnTarget (draft: Draft, self: IncarnationKey, present: TargetOwnership,
+  change: Extract<OwnershipChange, { type: 'confirm' | 'raiseEpoch' | 'handOver' }>): void {
+  if (change.type === 'handOver') {
+    if (change.receiver === undefined) return setTarget(draft, change.targetId, releaseTarget(present))
+    if (draft.members.includes(change.receiver)) setTarget(draft, change.targetId, assignTarget(present, change.receiver))
+  } else if (present.epoch === change.epoch) {
+    if (change.type === 'raiseEpoch') {
+      setTarget(draft, change.targetId, { ...assignTarget(present, self), epoch: change.highestEpoch + 1 })
+    } else if (!present.fenced) {
+      setTarget(draft, change.targetId, { ...present, fenced: true, previous: [] })
+    }
+  }
+}
+
+function setTarget (draft: Draft, targetId: string, target: TargetOwnership): void {
+  draft.targets[targetId] = target
+  draft.changed = true
+}
+
+function removeMember (draft: Draft, member: IncarnationKey): void {
+  if (!draft.members.includes(member)) return
+  draft.members = draft.members.filter(other => other !== member)
+  draft.changed = true
+}
--- /dev/null
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -0,0 +1,205 @@
+/** Takes, fences, adopts, hands over and releases the targets of one instance. */
+import { incarnationKey } from '../../model/identity.ts'
+import type { IncarnationKey, InstanceRef } from '../../model/identity.ts'
+import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { Random } from '../../ports/random.ts'
+import type { Store } from '../../ports/store.ts'
+import type { TargetClient } from '../../ports/targetClient.ts'
+import { applyChanges } from './ownershipChanges.ts'
+import { OwnershipPlanner } from './ownershipPlanner.ts'
+import type { MembershipView } from './ownershipPlanner.ts'
+import { addMember, ownershipKey, removeMembers } from './ownershipRecord.ts'
+import type { OwnershipRecord } from './ownershipRecord.ts'
+import { OwnershipView } from './ownershipView.ts'
+import { OwnedTargets } from './ownedTargets.ts'
+import { RETRY_INTERVAL_MS, STEP_INTERVAL_MS } from './ownershipTiming.ts'
+
+export type LossReason = 'fenced' | 'taken' | 'handed-over' | 'removed' | 'delisted'
+
+export interface OwnershipEvents {
+  /** Adopts the tasks and covers them by allotments; the remaining capacity may be used only after it resolves. */
+  onAcquired (target: TargetInfo, epoch: number, tasks: readonly TaskReport[], previousOwner: InstanceRef | undefined,
+    /** Aborts when the target is lost meanwhile: nothing more may be adopted then. */
+    signal: AbortSignal): Promise<void>
+  /** The target may not be used any more. Charges of its tasks stay, see `onSucceeded`. */
+  onLost (targetId: string, reason: LossReason): void
+  /** No start may be under way to a target without fencing when this resolves. */
+  onHandingOver? (target: TargetInfo): Promise<void>
+  /** A successor covers the tasks of a target that this instance handed over: their charges are to be surrendered. */
+  onSucceeded? (targetId: string): void
+  /** The instance has a new incarnation that owns nothing; every allotment of the old one is void. */
+  onRemovedFromMembers (self: InstanceRef): void
+}
+
+export interface OwnershipDependencies {
+  readonly store: Store
+  readonly targetClient: Pick<TargetClient, 'fence'>
+  readonly clock: Clock
+  readonly random: Random
+  readonly self: InstanceRef
+  readonly dataCentre: string
+  readonly membership: MembershipView
+  /** Targets of the data centre as the platform's list shows them. */
+  listedTargets (): readonly TargetInfo[]
+  readonly events: OwnershipEvents
+}
+
+/**
+ * Owns targets for one instance.
+ *
+ * @example
+ * const ownership = new OwnershipManager({ store, targetClient, clock, random, self, dataCentre, membership, listedTargets, events })
+ * await ownership.start()
+ * const epoch = ownership.epochOf('runner-7') // undefined unless the target may be used now
+ */
+export class OwnershipManager implements Component {
+  readonly name = 'ownership'
+  readonly #dependencies: OwnershipDependencies
+  readonly #view: OwnershipView
+  readonly #planner: OwnershipPlanner
+  #owned: OwnedTargets
+  #self: InstanceRef
+  #joined = false
+  #givenUp: IncarnationKey | undefined
+  #draining = false
+  #left = false
+  #abort = new AbortController()
+  #running: Promise<unknown> = Promise.resolve()
+
+  constructor (dependencies: OwnershipDependencies) {
+    this.#dependencies = dependencies
+    this.#self = dependencies.self
+    this.#view = new OwnershipView(dependencies.store, dependencies.clock, ownershipKey(dependencies.dataCentre))
+    this.#planner = new OwnershipPlanner(dependencies.clock, dependencies.membership)
+    this.#owned = this.#createOwned()
+  }
+
+  /** The present incarnation; a new one after the instance found itself removed. */
+  get self (): InstanceRef {
+    return this.#self
+  }
+
+  /** Whether the incarnation is in `members`; before that it may take no allotment. */
+  get joined (): boolean {
+    return this.#joined
+  }
+
+  async start (): Promise<void> {
+    const signal = this.#abort.signal
+    this.#running = Promise.allSettled([this.#view.follow(signal), this.#run(signal)])
+  }
+
+  async stop (): Promise<void> {
+    this.#abort.abort(new Error('ownership manager was stopped'))
+    this.#owned.clear()
+    await this.#running
+  }
+
+  /** The fencing token for sends to the target; undefined unless it may be used now. */
+  epochOf (targetId: string): number | undefined {
+    return this.#owned.epochOf(targetId)
+  }
+
+  ownedTargets (): readonly string[] {
+    return this.#owned.usable()
+  }
+
+  /** Reports that a target refused a send under this instance's epoch. */
+  reportFenced (targetId: string, highestEpoch: number): void {
+    this.#owned.reportFenced(targetId, highestEpoch)
+    this.#view.wake()
+  }
+
+  /** Looks for targets handed over to this instance without waiting for the watch. */
+  takeNow (_targetIds: readonly string[]): void {
+    this.#view.requestRead()
+  }
+
+  /** The record as last seen. */
+  get record (): OwnershipRecord {
+    return this.#view.record
+  }
+
+  /** Reads the record anew, for decisions that need one later than another read. */
+  async readRecord (signal?: AbortSignal): Promise<OwnershipRecord> {
+    await this.#view.read(signal)
+    return this.#view.record
+  }
+
+  /** Hands over every target; settles when successors cover all tasks, rejects when the signal aborts. */
+  async handOverAll (signal: AbortSignal): Promise<void> {
+    this.#draining = true
+    this.#view.wake()
+    while (this.#ownsTargets() || this.#owned.hasUnsucceeded()) await this.#dependencies.clock.sleep(STEP_INTERVAL_MS, signal)
+  }
+
+  /** Leaves the members, after `handOverAll` and after the allotments were released. */
+  async leave (signal: AbortSignal): Promise<void> {
+    const self = incarnationKey(this.#self)
+    this.#left = true
+    this.#joined = false
+    await this.#view.update(record =>
+      record.members.includes(self) && !holdsOwned(record, self) ? removeMembers(record, new Set([self])) : undefined, signal)
+  }
+
+  async #run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        await this.#step(signal)
+        await this.#view.sleep(STEP_INTERVAL_MS, signal)
+      } catch {
+        if (signal.aborted) return
+        await this.#dependencies.clock.sleep(RETRY_INTERVAL_MS, signal).catch(() => {})
+      }
+    }
+  }
+
+  async #step (signal: AbortSignal): Promise<void> {
+    if (!this.#joined && !this.#left) await this.#join(signal)
+    if (this.#joined && !this.#view.record.members.includes(incarnationKey(this.#self))) this.#leaveOldIncarnation()
+    const self = incarnationKey(this.#self)
+    const listed = this.#dependencies.listedTargets()
+    this.#owned.synchronise(this.#view.record, self, listed)
+    if (!this.#joined) return
+    const planned = this.#planner.plan(this.#view.record, self, listed, this.#draining)
+    const changes = [...planned.changes, ...this.#owned.pendingChanges(planned.handOvers)]
+    if (changes.length > 0) {
+      await this.#view.update(record => applyChanges(record, self, changes), signal)
+      this.#owned.synchronise(this.#view.record, self, listed)
+    }
+  }
+
+  async #join (signal: AbortSignal): Promise<void> {
+    const self = incarnationKey(this.#self)
+    await this.#view.update(record => record.members.includes(self) ? undefined : addMember(record, self, this.#givenUp), signal)
+    this.#joined = true
+  }
+
+  #ownsTargets (): boolean {
+    return this.#joined && holdsOwned(this.#view.record, incarnationKey(this.#self))
+  }
+
+  /** An incarnation that was removed is never used again: others reclaim what it held. */
+  #leaveOldIncarnation (): void {
+    this.#givenUp = incarnationKey(this.#self)
+    this.#joined = false
+    this.#left = this.#draining
+    this.#owned.loseAll('removed')
+    const { random, events } = this.#dependencies
+    const incarnation = [0, 1, 2, 3].map(() => random.integer(2 ** 16).toString(16).padStart(4, '0')).join('')
+    this.#self = { name: this.#self.name, incarnation }
+    this.#owned = this.#createOwned()
+    events.onRemovedFromMembers(this.#self)
+  }
+
+  #createOwned (): OwnedTargets {
+    const { targetClient, clock, events } = this.#dependencies
+    return new OwnedTargets(targetClient, clock, events, () => this.#view.wake())
+  }
+}
+
+function holdsOwned (record: OwnershipRecord, key: IncarnationKey): boolean {
+  return Object.values(record.targets).some(target => target.owner === key)
+}
--- /dev/null
+++ b/src/scheduler/ownership/ownershipPlanner.ts
@@ -0,0 +1,136 @@
+/** Decides which changes of the record are due, from the record, the list and the membership. */
+import { incarnationKey, parseIncarnationKey } from '../../model/identity.ts'
+import type { IncarnationKey, InstanceRef } from '../../model/identity.ts'
+import type { TargetInfo } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
+import { planAssignment } from './planAssignment.ts'
+import { HAND_OVER_DELAY_MS, IDLE_MEMBER_GRACE_MS, LONGEST_TASK_LEASE_MS } from './ownershipTiming.ts'
+import type { OwnershipChange } from './ownershipChanges.ts'
+import type { OwnershipRecord, TargetOwnership } from './ownershipRecord.ts'
+import { chooseTakeoverRule } from './takeoverRules.ts'
+import type { OwnerView } from './takeoverRules.ts'
+
+/** What an instance believes about the others of its data centre. */
+export interface MembershipView {
+  /** Instances that serve and should own targets; leaves out those that drain. */
+  liveMembers (): readonly InstanceRef[]
+  isSuspected (ref: InstanceRef): boolean
+  /** The list no longer shows the instance, or shows another incarnation of its name. */
+  isListedGone (ref: InstanceRef): boolean
+}
+
+export interface PlannedChanges {
+  readonly changes: readonly OwnershipChange[]
+  readonly handOvers: ReadonlyMap<string, IncarnationKey | undefined>
+}
+
+export class OwnershipPlanner {
+  readonly #clock: Clock
+  readonly #membership: MembershipView
+  /** When each condition was first seen to hold without a break. */
+  #since = new Map<string, number>()
+  #seen = new Set<string>()
+
+  constructor (clock: Clock, membership: MembershipView) {
+    this.#clock = clock
+    this.#membership = membership
+  }
+
+  plan (record: OwnershipRecord, self: IncarnationKey, listed: readonly TargetInfo[], draining: boolean): PlannedChanges {
+    const live = this.#liveMembers(record, self, draining)
+    const assignment = planAssignment(listed.map(target => target.id), live)
+    const changes: OwnershipChange[] = [
+      ...this.#takes(record, self, listed, assignment),
+      ...this.#forgotten(record, self, new Set(listed.map(target => target.id))),
+      ...this.#removedMembers(record, self, live, listed)
+    ]
+    const handOvers = this.#handOvers(record, self, assignment, draining)
+    this.#forgetEndedConditions()
+    return { changes, handOvers }
+  }
+
+  #liveMembers (record: OwnershipRecord, self: IncarnationKey, draining: boolean): readonly IncarnationKey[] {
+    const live = new Set(this.#membership.liveMembers().filter(ref => !this.#membership.isSuspected(ref)).map(incarnationKey))
+    if (draining) live.delete(self)
+    else live.add(self)
+    return record.members.filter(member => live.has(member))
+  }
+
+  #takes (record: OwnershipRecord, self: IncarnationKey, listed: readonly TargetInfo[],
+    assignment: ReadonlyMap<string, IncarnationKey>): readonly OwnershipChange[] {
+    const takes: OwnershipChange[] = []
+    for (const info of listed) {
+      const seen = record.targets[info.id]
+      const mayTake = seen === undefined ||
+        (seen.owner !== self && chooseTakeoverRule(info.features).mayTake(this.#viewOwner(record, info.id, seen)))
+      if (mayTake && assignment.get(info.id) === self) takes.push({ type: 'take', targetId: info.id, seen })
+    }
+    return takes
+  }
+
+  #viewOwner (record: OwnershipRecord, targetId: string, seen: TargetOwnership): OwnerView {
+    const owner = seen.owner
+    const ref = owner === undefined ? undefined : parseIncarnationKey(owner)
+    return {
+      member: owner !== undefined && record.members.includes(owner),
+      suspected: ref !== undefined && this.#membership.isSuspected(ref),
+      listedGoneForMs: this.#heldForMs(`gone ${owner}`, ref !== undefined && this.#membership.isListedGone(ref)),
+      releasedForMs: this.#heldForMs(`released ${targetId} ${seen.epoch}`, owner === undefined)
+    }
+  }
+
+  #forgotten (record: OwnershipRecord, self: IncarnationKey, listed: ReadonlySet<string>): readonly OwnershipChange[] {
+    return Object.entries(record.targets).flatMap(([targetId, seen]): readonly OwnershipChange[] => {
+      const unlisted = !listed.has(targetId) && (seen.owner === self || this.#ownerEnded(record, seen.owner))
+      const unlistedForMs = this.#heldForMs(`unlisted ${targetId} ${seen.epoch} ${seen.owner}`, unlisted) ?? 0
+      return unlistedForMs >= LONGEST_TASK_LEASE_MS ? [{ type: 'forget', targetId, seen }] : []
+    })
+  }
+
+  /** An owner that was only removed may not know it yet and go on renewing leases. */
+  #ownerEnded (record: OwnershipRecord, owner: IncarnationKey | undefined): boolean {
+    return owner === undefined ||
+      (!record.members.includes(owner) && this.#membership.isListedGone(parseIncarnationKey(owner)))
+  }
+
+  #removedMembers (record: OwnershipRecord, self: IncarnationKey, live: readonly IncarnationKey[],
+    listed: readonly TargetInfo[]): readonly OwnershipChange[] {
+    const owners = new Set(listed.map(info => record.targets[info.id]?.owner))
+    const due = record.members.filter(member => {
+      const ref = parseIncarnationKey(member)
+      const dead = member !== self && (this.#membership.isSuspected(ref) || this.#membership.isListedGone(ref))
+      return (this.#heldForMs(`dead ${member}`, dead && !owners.has(member)) ?? 0) >= IDLE_MEMBER_GRACE_MS
+    })
+    const first = [...live].sort()[0]
+    return first === self ? due.map(member => ({ type: 'removeMember', member })) : []
+  }
+
+  #handOvers (record: OwnershipRecord, self: IncarnationKey, assignment: ReadonlyMap<string, IncarnationKey>,
+    draining: boolean): ReadonlyMap<string, IncarnationKey | undefined> {
+    const handOvers = new Map<string, IncarnationKey | undefined>()
+    for (const [targetId, target] of Object.entries(record.targets)) {
+      if (target.owner !== self) continue
+      const receiver = assignment.get(targetId)
+      const misplaced = receiver !== undefined && receiver !== self
+      const misplacedForMs = this.#heldForMs(`misplaced ${targetId} ${receiver}`, misplaced)
+      if (draining || (misplacedForMs !== undefined && misplacedForMs >= HAND_OVER_DELAY_MS)) handOvers.set(targetId, receiver)
+    }
+    return handOvers
+  }
+
+  #heldForMs (condition: string, holds: boolean): number | undefined {
+    if (!holds) {
+      this.#since.delete(condition)
+      return undefined
+    }
+    const now = this.#clock.monotonicMs()
+    this.#seen.add(condition)
+    if (!this.#since.has(condition)) this.#since.set(condition, now)
+    return now - (this.#since.get(condition) ?? now)
+  }
+
+  #forgetEndedConditions (): void {
+    this.#since = new Map([...this.#since].filter(([condition]) => this.#seen.has(condition)))
+    this.#seen = new Set()
+  }
+}
--- /dev/null
+++ b/src/scheduler/ownership/ownershipTiming.ts
@@ -0,0 +1,28 @@
+/** Times on which the safety of takeovers depends. */
+
+/** A target refuses to start a task later than this after it was sent. */
+export const START_BY_WINDOW_MS = 2_000
+
+/** Allowed difference between the wall clocks of two machines. */
+export const CLOCK_SKEW_MS = 500
+
+/** Task lease of 15 s plus 10% for clock drift. */
+export const LONGEST_TASK_LEASE_MS = 16_500
+
+/** A request to a target is abandoned by its sender after this time. */
+export const LONGEST_REQUEST_MS = 30_000
+
+/** The plan must name another owner for this long before a target is handed over, so that flapping moves nothing. */
+export const HAND_OVER_DELAY_MS = 3_000
+
+/** Longest wait of the one watch that an instance keeps on the record. */
+export const WATCH_TIMEOUT_MS = 10_000
+
+/** Pause after a failed store or target call. */
+export const RETRY_INTERVAL_MS = 500
+
+/** Interval of the checks that depend on time or on membership. */
+export const STEP_INTERVAL_MS = 250
+
+/** A member without targets must be suspected for this long before it is removed; it may have only just joined. */
+export const IDLE_MEMBER_GRACE_MS = 10_000
--- /dev/null
+++ b/src/scheduler/recordUpdate.ts
@@ -0,0 +1,63 @@
+/** Compare-and-swap on one record of the store, safe when answers are lost. */
+import { StoreUnknownError } from '../model/errors.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { Store, StoreEntry } from '../ports/store.ts'
+
+/** Wait between attempts to determine the outcome of a write whose answer was lost. */
+const SETTLE_INTERVAL_MS = 100
+
+/** Returns the next value, or undefined to leave the record as it is. Called again after each conflict. */
+export type RecordChange = (value: string | undefined) => string | undefined
+
+/**
+ * Applies a change to one key.
+ *
+ * A write whose answer was lost may still be applied later. It is settled by moving the key past the version that
+ * this write expected: either it was applied already, which the change must recognise from the value, or it can't
+ * be applied any more. Rejects with `StoreUnknownError` only if the signal aborts before that.
+ *
+ * @example
+ * const entry = await new RecordUpdater(store, clock).update('ownership/howrah', undefined, addMember, signal)
+ */
+export class RecordUpdater {
+  readonly #store: Store
+  readonly #clock: Clock
+
+  constructor (store: Store, clock: Clock) {
+    this.#store = store
+    this.#clock = clock
+  }
+
+  /** The known entry saves a read if it is current; the result is the record after the change. */
+  async update (key: string, known: StoreEntry | undefined, change: RecordChange, signal?: AbortSignal): Promise<StoreEntry | undefined> {
+    let current = known ?? await this.#store.get(key, signal)
+    let unsettledVersion: number | undefined
+    for (;;) {
+      const expectedVersion = current?.version ?? 0
+      const unsettled: boolean = unsettledVersion === expectedVersion
+      const next = change(current?.value) ?? (unsettled ? current?.value : undefined)
+      if (next === undefined) return current
+      try {
+        const result = await this.#store.put(key, next, { expectedVersion }, signal)
+        if (result.outcome === 'written') return { key, value: next, version: result.version }
+        current = result.current
+      } catch (error) {
+        if (!(error instanceof StoreUnknownError) && !unsettled) throw error
+        unsettledVersion = expectedVersion
+        if (signal?.aborted) throw new StoreUnknownError(`write of ${key} was not settled before the end`, { cause: error })
+        current = await this.#readUntilAnswered(key, signal)
+      }
+    }
+  }
+
+  async #readUntilAnswered (key: string, signal?: AbortSignal): Promise<StoreEntry | undefined> {
+    for (;;) {
+      try {
+        await this.#clock.sleep(SETTLE_INTERVAL_MS, signal)
+        return await this.#store.get(key, signal)
+      } catch (error) {
+        if (signal?.aborted) throw new StoreUnknownError(`write of ${key} was not settled before the end`, { cause: error })
+      }
+    }
+  }
+}
