--- /dev/null
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -0,0 +1,222 @@
+/** Keeps every team's usage on this instance within what the instance holds of the team's limit. */
+import type { InstanceRef } from '../../model/identity.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import { addResources, isEmpty, NO_RESOURCES } from '../../model/resources.ts'
+import type { Limit, Resources } from '../../model/resources.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { PeerClient } from '../../ports/peerClient.ts'
+import type { Store } from '../../ports/store.ts'
+import { buildResources, sumHolders } from './allotmentRecord.ts'
+import { CountingStore } from './countingStore.ts'
+import { DeadEntries } from './deadEntries.ts'
+import type { AllotmentAuthority } from './deadEntries.ts'
+import { TeamAllotment } from './teamAllotment.ts'
+
+const DEMAND_INTERVAL_MS = 1_000
+const RECLAIM_INTERVAL_MS = 10_000
+const TRANSFER_TIMEOUT_MS = 2_000
+
+export interface AllotmentDependencies {
+  readonly store: Store
+  readonly clock: Clock
+  readonly dataCentre: string
+  readonly ownership: AllotmentAuthority
+  readonly peerClient: Pick<PeerClient, 'transferAllotment'>
+  /** Address of the peer with the largest known spare amount of the team, if any has some. */
+  findGiver (team: string): string | undefined
+  /** Data centre of a peer; undefined if it is unknown. */
+  dataCentreOf (ref: InstanceRef): string | undefined
+}
+
+export interface AllotmentStatus {
+  readonly limit: Limit
+  readonly held: Resources
+  /** Held above the limit, until work ends. */
+  readonly aboveLimit: Resources
+  readonly byDataCentre: Readonly<Record<string, Resources>>
+}
+
+/**
+ * Spends from the instance's allotments.
+ *
+ * @example
+ * const allotments = new AllotmentManager({ store, clock, dataCentre, ownership, peerClient, findGiver, dataCentreOf })
+ * allotments.setLimit('weavers', { processors: 64_000 }, 17)
+ * if (!allotments.trySpend('weavers', taskId, size)) allotments.setQueuedDemand('weavers', size)
+ */
+export class AllotmentManager implements Component {
+  readonly name = 'allotments'
+  readonly #dependencies: AllotmentDependencies
+  readonly #store: CountingStore
+  readonly #deadEntries: DeadEntries
+  readonly #teams = new Map<string, TeamAllotment>()
+  readonly #teamOfTask = new Map<string, string>()
+  readonly #asking = new Map<string, AbortController>()
+  readonly #abort = new AbortController()
+  #running: Promise<unknown> = Promise.resolve()
+
+  constructor (dependencies: AllotmentDependencies) {
+    this.#dependencies = dependencies
+    this.#store = new CountingStore(dependencies.store)
+    this.#deadEntries = new DeadEntries(this.#store, dependencies.clock, dependencies.dataCentre, dependencies.ownership)
+  }
+
+  /** Calls to the store so far. */
+  get storeCalls (): number {
+    return this.#store.calls
+  }
+
+  async start (): Promise<void> {
+    this.#running = Promise.allSettled([
+      this.#repeat(DEMAND_INTERVAL_MS, () => this.followDemand()),
+      this.#repeat(RECLAIM_INTERVAL_MS, () => this.reclaim())
+    ])
+  }
+
+  async stop (): Promise<void> {
+    this.#abort.abort(new Error('allotment manager was stopped'))
+    for (const call of this.#asking.values()) call.abort()
+    await this.#running
+  }
+
+  /** Sets the limit of a team as of a configuration version; undefined means none. */
+  setLimit (team: string, limit: Limit | undefined, version: number): void {
+    this.#team(team).setLimit(limit ?? {}, version)
+  }
+
+  /** Charges a task if the allotment allows it. Only for tasks on targets that may be used now. */
+  trySpend (team: string, taskId: string, size: Resources): boolean {
+    const spent = this.#team(team).trySpend(taskId, size)
+    if (spent) this.#teamOfTask.set(taskId, team)
+    return spent
+  }
+
+  /** Ends the charge of a task that no longer runs. */
+  refund (taskId: string): void {
+    this.#teamOf(taskId)?.refund(taskId)
+    this.#teamOfTask.delete(taskId)
+  }
+
+  /** Ends the charge of a task that runs on under a successor, together with the amount behind it. */
+  surrender (taskId: string): void {
+    this.#teamOf(taskId)?.surrender(taskId)
+    this.#teamOfTask.delete(taskId)
+  }
+
+  /**
+   * Charges a task found on an acquired target; when it resolves, the own entry in the record covers it.
+   * The previous owner's entry stays untouched: that owner may be alive and spend what its other tasks free.
+   */
+  async adopt (team: string, taskId: string, size: Resources, _from?: InstanceRef): Promise<void> {
+    this.#team(team).charge(taskId, size)
+    this.#teamOfTask.set(taskId, team)
+    await this.#team(team).adjust(this.#abort.signal)
+  }
+
+  /** The giver's side of a transfer; resolves with what the receiver's entry was raised by. */
+  async transfer (receiver: InstanceRef, team: string, wanted: Resources): Promise<Resources> {
+    return await this.#team(team).transfer(receiver, wanted, this.#abort.signal)
+  }
+
+  setQueuedDemand (team: string, queued: Resources): void {
+    const allotment = this.#team(team)
+    allotment.setQueued(queued)
+    if (!isEmpty(allotment.unmet)) this.#follow(team, allotment).catch(() => {})
+  }
+
+  spare (team: string): Resources {
+    return this.#teams.get(team)?.spare ?? NO_RESOURCES
+  }
+
+  used (team: string): Resources {
+    return this.#teams.get(team)?.used ?? NO_RESOURCES
+  }
+
+  /** State of a team's limit as this instance last read it. */
+  status (team: string): AllotmentStatus {
+    const { record, limit } = this.#team(team)
+    const held = sumHolders(record)
+    const byDataCentre: Record<string, Resources> = {}
+    for (const { dataCentre, amount } of Object.values(record.holders)) {
+      byDataCentre[dataCentre] = addResources(byDataCentre[dataCentre] ?? NO_RESOURCES, amount)
+    }
+    const aboveLimit = buildResources(dimension => Math.max(0, held[dimension] - (limit[dimension] ?? Infinity)))
+    return { limit, held, aboveLimit, byDataCentre }
+  }
+
+  /** Drops everything after the instance was removed from the members; others reclaim the old entries. */
+  reset (): void {
+    this.#teamOfTask.clear()
+    for (const allotment of this.#teams.values()) allotment.reset()
+  }
+
+  /** Returns all spare and, as tasks end or are surrendered, the rest; settles when nothing is held. */
+  async releaseAll (signal: AbortSignal): Promise<void> {
+    for (const allotment of this.#teams.values()) allotment.returnAll()
+    while ([...this.#teams.values()].some(allotment => !isEmpty(allotment.used) || allotment.needsAdjustment())) {
+      await this.followDemand()
+      await this.#dependencies.clock.sleep(DEMAND_INTERVAL_MS, signal)
+    }
+  }
+
+  /** Brings every entry in line with usage and demand; runs each second. */
+  async followDemand (): Promise<void> {
+    await Promise.allSettled([...this.#teams].map(async ([team, allotment]) => {
+      if (allotment.needsAdjustment()) await this.#follow(team, allotment)
+    }))
+  }
+
+  /** Returns the entries of dead incarnations to the pool; runs each 10 s. */
+  async reclaim (): Promise<number> {
+    return await this.#deadEntries.reclaim(this.#abort.signal)
+  }
+
+  async #follow (team: string, allotment: TeamAllotment): Promise<void> {
+    await allotment.adjust(this.#abort.signal)
+    if (!isEmpty(allotment.unmet)) this.#askPeer(team, allotment).catch(() => {})
+  }
+
+  async #askPeer (team: string, allotment: TeamAllotment): Promise<void> {
+    const { findGiver, peerClient, ownership } = this.#dependencies
+    const address = findGiver(team)
+    if (address === undefined || this.#asking.has(team) || !ownership.joined) return
+    const call = new AbortController()
+    this.#asking.set(team, call)
+    try {
+      await Promise.race([
+        peerClient.transferAllotment(address, ownership.self, team, allotment.unmet, call.signal),
+        this.#dependencies.clock.sleep(TRANSFER_TIMEOUT_MS, call.signal)
+      ])
+    } finally {
+      call.abort()
+      this.#asking.delete(team)
+      // Whatever was answered, the record tells what was moved.
+      allotment.markStale()
+    }
+    await allotment.adjust(this.#abort.signal)
+  }
+
+  async #repeat (intervalMs: number, action: () => Promise<unknown>): Promise<void> {
+    const { signal } = this.#abort
+    while (!signal.aborted) {
+      await action().catch(() => {})
+      await this.#dependencies.clock.sleep(intervalMs, signal).catch(() => {})
+    }
+  }
+
+  #teamOf (taskId: string): TeamAllotment | undefined {
+    const team = this.#teamOfTask.get(taskId)
+    return team === undefined ? undefined : this.#teams.get(team)
+  }
+
+  #team (team: string): TeamAllotment {
+    const known = this.#teams.get(team)
+    if (known !== undefined) return known
+    const { clock, dataCentre, ownership, dataCentreOf } = this.#dependencies
+    const allotment = new TeamAllotment({
+      store: this.#store, clock, team, dataCentre, dataCentreOf, holder: () => ownership.joined ? ownership.self : undefined
+    })
+    this.#teams.set(team, allotment)
+    return allotment
+  }
+}
--- /dev/null
+++ b/src/scheduler/limits/allotmentRecord.ts
@@ -0,0 +1,61 @@
+/** The record of one team's limit: what each incarnation holds of it. */
+import { InputError } from '../../model/errors.ts'
+import type { IncarnationKey } from '../../model/identity.ts'
+import { addResources, DIMENSIONS, NO_RESOURCES } from '../../model/resources.ts'
+import type { Dimension, Limit, Resources } from '../../model/resources.ts'
+
+export interface AllotmentEntry {
+  readonly dataCentre: string
+  /** At least what the incarnation may spend and what runs on its targets; zero where there is no limit. */
+  readonly amount: Resources
+  /** Number of the holder's own last move; tells it whether a move whose answer was lost took effect. */
+  readonly sequence: number
+}
+
+export interface AllotmentRecord {
+  readonly limit: Limit
+  /** Version of the configuration that the limit comes from. */
+  readonly limitVersion: number
+  readonly holders: Readonly<Record<IncarnationKey, AllotmentEntry>>
+}
+
+export const EMPTY_ALLOTMENT: AllotmentRecord = { limit: {}, limitVersion: 0, holders: {} }
+
+export const ALLOTMENT_PREFIX = 'allotment/'
+
+export function allotmentKey (team: string): string {
+  return `${ALLOTMENT_PREFIX}${team}`
+}
+
+export function parseAllotment (value: string | undefined): AllotmentRecord {
+  if (value === undefined) return EMPTY_ALLOTMENT
+  const parsed = JSON.parse(value) as Partial<AllotmentRecord>
+  if (typeof parsed.holders !== 'object' || typeof parsed.limit !== 'object' || typeof parsed.limitVersion !== 'number') {
+    throw new InputError('allotment record needs limit, limitVersion and holders')
+  }
+  return parsed as AllotmentRecord
+}
+
+export function serialiseAllotment (record: AllotmentRecord): string {
+  return JSON.stringify(record)
+}
+
+export function sumHolders (record: AllotmentRecord): Resources {
+  return Object.values(record.holders).reduce((sum, entry) => addResources(sum, entry.amount), NO_RESOURCES)
+}
+
+/** What no incarnation holds, negative above the limit; unbounded where there is no limit. */
+export function freePool (record: AllotmentRecord): Resources {
+  const sum = sumHolders(record)
+  return buildResources(dimension => (record.limit[dimension] ?? Infinity) - sum[dimension])
+}
+
+export function putHolder (record: AllotmentRecord, key: IncarnationKey, entry: AllotmentEntry | undefined): AllotmentRecord {
+  const { [key]: _replaced, ...others } = record.holders
+  return { ...record, holders: entry === undefined ? others : { ...others, [key]: entry } }
+}
+
+export function buildResources (compute: (dimension: Dimension) => number): Resources {
+  const [slots, processors, memory, accelerators] = DIMENSIONS.map(compute) as [number, number, number, number]
+  return { slots, processors, memory, accelerators }
+}
--- /dev/null
+++ b/src/scheduler/limits/allotmentView.ts
@@ -0,0 +1,80 @@
+/** One team's allotment record as last seen, with paced writes of one caller at a time. */
+import type { Clock } from '../../ports/clock.ts'
+import type { Store, StoreEntry } from '../../ports/store.ts'
+import { RecordUpdater } from '../recordUpdate.ts'
+import { allotmentKey, EMPTY_ALLOTMENT, parseAllotment, serialiseAllotment } from './allotmentRecord.ts'
+import type { AllotmentRecord } from './allotmentRecord.ts'
+
+/** Shortest time between two writes of one team's record by one instance. */
+export const WRITE_INTERVAL_MS = 250
+
+export class AllotmentView {
+  readonly #store: Store
+  readonly #clock: Clock
+  readonly #key: string
+  readonly #updater: RecordUpdater
+  #entry: StoreEntry | undefined
+  #record: AllotmentRecord = EMPTY_ALLOTMENT
+  #stale = true
+  #nextWriteMs = 0
+  #last: Promise<unknown> = Promise.resolve()
+
+  constructor (store: Store, clock: Clock, team: string) {
+    this.#store = store
+    this.#clock = clock
+    this.#key = allotmentKey(team)
+    this.#updater = new RecordUpdater(store, clock)
+  }
+
+  get record (): AllotmentRecord {
+    return this.#record
+  }
+
+  /** The record must be read again before it can justify a raise of the spendable amount. */
+  get stale (): boolean {
+    return this.#stale
+  }
+
+  markStale (): void {
+    this.#stale = true
+  }
+
+  async read (signal?: AbortSignal): Promise<void> {
+    this.#stale = false
+    try {
+      this.#accept(await this.#store.get(this.#key, signal))
+    } catch (error) {
+      this.#stale = true
+      throw error
+    }
+  }
+
+  async update (change: (record: AllotmentRecord) => AllotmentRecord | undefined, signal?: AbortSignal): Promise<void> {
+    try {
+      this.#accept(await this.#updater.update(this.#key, this.#entry, value => {
+        const next = change(parseAllotment(value))
+        if (next !== undefined) this.#nextWriteMs = this.#clock.monotonicMs() + WRITE_INTERVAL_MS
+        return next === undefined ? undefined : serialiseAllotment(next)
+      }, signal))
+    } catch (error) {
+      this.#stale = true
+      throw error
+    }
+  }
+
+  /** Runs operations one after another, each when the next write is allowed. */
+  exclusively<T> (operation: () => Promise<T>, signal?: AbortSignal): Promise<T> {
+    const result = this.#last.then(async () => {
+      const wait = this.#nextWriteMs - this.#clock.monotonicMs()
+      if (wait > 0) await this.#clock.sleep(wait, signal)
+      return await operation()
+    })
+    this.#last = result.catch(() => {})
+    return result
+  }
+
+  #accept (entry: StoreEntry | undefined): void {
+    this.#entry = entry
+    this.#record = parseAllotment(entry?.value)
+  }
+}
--- /dev/null
+++ b/src/scheduler/limits/teamAllotment.ts
@@ -0,0 +1,227 @@
+/** One team's allotment on one instance: local spending, and the own entry of the record. */
+import { incarnationKey } from '../../model/identity.ts'
+import type { IncarnationKey, InstanceRef } from '../../model/identity.ts'
+import { addResources, DIMENSIONS, isEmpty, minimumResources, NO_RESOURCES, subtractResources } from '../../model/resources.ts'
+import type { Limit, Resources } from '../../model/resources.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { Store } from '../../ports/store.ts'
+import { planAdjustment, planTransfer, wantedAmount } from './allotmentPlan.ts'
+import type { Adjustment } from './allotmentPlan.ts'
+import { buildResources, putHolder } from './allotmentRecord.ts'
+import type { AllotmentRecord } from './allotmentRecord.ts'
+import { AllotmentView } from './allotmentView.ts'
+import { roundSize, TaskCharges } from './taskCharges.ts'
+
+export interface TeamAllotmentDependencies {
+  readonly store: Store
+  readonly clock: Clock
+  readonly team: string
+  readonly dataCentre: string
+  /** The incarnation; undefined before it is in `members`, when nothing may be taken. */
+  holder (): InstanceRef | undefined
+  dataCentreOf (ref: InstanceRef): string | undefined
+}
+
+export class TeamAllotment {
+  readonly #dependencies: TeamAllotmentDependencies
+  readonly #view: AllotmentView
+  readonly #charges: TaskCharges
+  #configured: { readonly limit: Limit, readonly version: number } = { limit: {}, version: 0 }
+  /** Spendable in sum; the entry in the record is at least this and at least what is used. */
+  #held = NO_RESOURCES
+  #returning = false
+  #lowerings = 0
+  #sequence = 0
+  #nextAdjustment: Promise<void> | undefined
+
+  constructor (dependencies: TeamAllotmentDependencies) {
+    this.#dependencies = dependencies
+    this.#view = new AllotmentView(dependencies.store, dependencies.clock, dependencies.team)
+    this.#charges = new TaskCharges(dependencies.clock)
+  }
+
+  get record (): AllotmentRecord {
+    return this.#view.record
+  }
+
+  /** The newer of the configured limit and the limit in the record. */
+  get limit (): Limit {
+    return this.record.limitVersion > this.#configured.version ? this.record.limit : this.#configured.limit
+  }
+
+  get used (): Resources {
+    return this.#charges.used
+  }
+
+  get unmet (): Resources {
+    return this.#limited(subtractResources(this.#charges.demand, this.#held))
+  }
+
+  get spare (): Resources {
+    return this.#limited(subtractResources(this.#held, this.#charges.demand))
+  }
+
+  /** The version stays that of the first configuration with this limit, so that other changes cause no writes. */
+  setLimit (limit: Limit, version: number): void {
+    const unchanged = DIMENSIONS.every(dimension => limit[dimension] === this.#configured.limit[dimension])
+    if (version <= this.#configured.version || (unchanged && this.#configured.version > 0)) return
+    this.#configured = { limit, version }
+    this.#view.markStale()
+  }
+
+  setQueued (queued: Resources): void {
+    this.#charges.setQueued(roundSize(queued))
+  }
+
+  markStale (): void {
+    this.#view.markStale()
+  }
+
+  returnAll (): void {
+    this.#returning = true
+  }
+
+  trySpend (taskId: string, size: Resources): boolean {
+    if (this.#charges.has(taskId)) return true
+    const rounded = roundSize(size)
+    const after = addResources(this.#charges.used, rounded)
+    const { limit } = this
+    if (DIMENSIONS.some(dimension => limit[dimension] !== undefined && rounded[dimension] > 0 &&
+      after[dimension] > this.#held[dimension])) return false
+    this.#charges.add(taskId, rounded)
+    return true
+  }
+
+  /** Charges a task that runs already, whether or not it is covered. */
+  charge (taskId: string, size: Resources): void {
+    this.#charges.add(taskId, roundSize(size))
+  }
+
+  refund (taskId: string): boolean {
+    return this.#charges.remove(taskId) !== undefined
+  }
+
+  /** Gives up a charge together with the amount behind it, because a successor covers the task. */
+  surrender (taskId: string): void {
+    const usedBefore = this.#charges.used
+    const size = this.#charges.remove(taskId)
+    if (size === undefined) return
+    this.#lowerTo(buildResources(dimension => Math.max(this.#held[dimension], usedBefore[dimension]) - size[dimension]))
+  }
+
+  /** Drops everything that an earlier incarnation held. */
+  reset (): void {
+    this.#charges.clear()
+    this.#lowerTo(NO_RESOURCES)
+  }
+
+  /** Whether the entry differs from what is wanted, as far as the cached record shows. */
+  needsAdjustment (): boolean {
+    const holder = this.#dependencies.holder()
+    if (holder === undefined) return false
+    const own = this.record.holders[incarnationKey(holder)]
+    const idle = isEmpty(this.#charges.demand) && isEmpty(this.#held) && own === undefined
+    if (idle) return false
+    return this.#view.stale || !isEmpty(this.unmet) || this.record.limitVersion < this.#configured.version ||
+      !sameAmount(this.#plan(this.record, incarnationKey(holder)).entry, own?.amount ?? NO_RESOURCES)
+  }
+
+  /** Brings the entry in line with usage and demand; calls made before it begins share it. */
+  adjust (signal?: AbortSignal): Promise<void> {
+    if (this.#nextAdjustment !== undefined) return this.#nextAdjustment
+    this.#nextAdjustment = this.#view.exclusively(async () => {
+      this.#nextAdjustment = undefined
+      await this.#adjustNow(signal)
+    }, signal)
+    return this.#nextAdjustment
+  }
+
+  /** Moves spare to another incarnation; resolves with what is in its entry now. */
+  transfer (receiver: InstanceRef, wanted: Resources, signal?: AbortSignal): Promise<Resources> {
+    return this.#view.exclusively(() => this.#transferNow(receiver, wanted, signal), signal)
+  }
+
+  async #adjustNow (signal?: AbortSignal): Promise<void> {
+    const holder = this.#dependencies.holder()
+    if (holder === undefined) throw new Error('the instance has not joined yet')
+    const key = incarnationKey(holder)
+    if (this.#view.stale || !isEmpty(this.unmet)) await this.#view.read(signal)
+    const lowerings = this.#lowerings
+    const sequence = ++this.#sequence
+    let held = this.#held
+    await this.#view.update(record => {
+      // A new incarnation must not lower the entry that covers what runs under the old one.
+      if (!this.#isHolder(key)) return undefined
+      const current = this.#withConfiguredLimit(record)
+      const plan = this.#plan(current, key)
+      // What is given back must not be spent while the write is under way.
+      this.#held = minimumResources(this.#held, plan.held)
+      held = plan.held
+      if (current === record && sameAmount(plan.entry, current.holders[key]?.amount ?? NO_RESOURCES)) return undefined
+      const entry = { dataCentre: this.#dependencies.dataCentre, amount: plan.entry, sequence }
+      return putHolder(current, key, isEmpty(plan.entry) ? undefined : entry)
+    }, signal)
+    if (this.#lowerings === lowerings && this.#isHolder(key)) this.#held = held
+  }
+
+  async #transferNow (receiver: InstanceRef, wanted: Resources, signal?: AbortSignal): Promise<Resources> {
+    const holder = this.#dependencies.holder()
+    const given = minimumResources(this.spare, this.#limited(roundSize(wanted)))
+    const receiverDataCentre = this.#dependencies.dataCentreOf(receiver)
+    if (holder === undefined || isEmpty(given) || receiverDataCentre === undefined) return NO_RESOURCES
+    const key = incarnationKey(holder)
+    const sequence = ++this.#sequence
+    const lowerings = this.#lowerings
+    this.#held = subtractResources(this.#held, given)
+    let moved = false
+    const change = (record: AllotmentRecord): AllotmentRecord | undefined => {
+      moved = record.holders[key]?.sequence === sequence
+      const next = moved || !this.#isHolder(key)
+        ? undefined
+        : planTransfer(record, key, { receiver: incarnationKey(receiver), receiverDataCentre, given, sequence })
+      moved ||= next !== undefined
+      return next
+    }
+    try {
+      await this.#view.update(change, signal)
+      return moved ? given : NO_RESOURCES
+    } catch (error) {
+      moved = signal?.aborted === true
+      throw error
+    } finally {
+      if (!moved && lowerings === this.#lowerings) this.#held = addResources(this.#held, given)
+      this.#view.markStale()
+    }
+  }
+
+  #plan (record: AllotmentRecord, key: IncarnationKey): Adjustment {
+    const { used, demand, active } = this.#charges
+    const wanted = this.#returning ? used : wantedAmount(demand, active)
+    return planAdjustment(record, key, { used, held: this.#held, wanted, returning: this.#returning })
+  }
+
+  #isHolder (key: IncarnationKey): boolean {
+    const holder = this.#dependencies.holder()
+    return holder !== undefined && incarnationKey(holder) === key
+  }
+
+  #withConfiguredLimit (record: AllotmentRecord): AllotmentRecord {
+    if (record.limitVersion >= this.#configured.version) return record
+    return { ...record, limit: this.#configured.limit, limitVersion: this.#configured.version }
+  }
+
+  #lowerTo (bound: Resources): void {
+    this.#held = minimumResources(this.#held, buildResources(dimension => Math.max(0, bound[dimension])))
+    this.#view.markStale()
+    this.#lowerings++
+  }
+
+  #limited (amount: Resources): Resources {
+    const { limit } = this
+    return buildResources(dimension => limit[dimension] === undefined ? 0 : Math.max(0, amount[dimension]))
+  }
+}
+
+function sameAmount (left: Resources, right: Resources): boolean {
+  return isEmpty(subtractResources(left, right))
+}
--- a/src/scheduler/ownership/ownershipManager.ts
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -14,7 +14,8 @@
 import type { OwnershipRecord } from './ownershipRecord.ts'
 import { OwnershipView } from './ownershipView.ts'
 import { OwnedTargets } from './ownedTargets.ts'
-import { RETRY_INTERVAL_MS, STEP_INTERVAL_MS } from './ownershipTiming.ts'
+import { RejoinBackoff } from './rejoinBackoff.ts'
+import { RETRY_INTERVAL_MS, SHORTEST_STEP_MS, STEP_INTERVAL_MS } from './ownershipTiming.ts'
 
 export type LossReason = 'fenced' | 'taken' | 'handed-over' | 'removed' | 'delisted'
 
@@ -59,6 +60,7 @@
   readonly #dependencies: OwnershipDependencies
   readonly #view: OwnershipView
   readonly #planner: OwnershipPlanner
+  readonly #backoff: RejoinBackoff
   #owned: OwnedTargets
   #self: InstanceRef
   #joined = false
@@ -73,6 +75,7 @@
     this.#self = dependencies.self
     this.#view = new OwnershipView(dependencies.store, dependencies.clock, ownershipKey(dependencies.dataCentre))
     this.#planner = new OwnershipPlanner(dependencies.clock, dependencies.membership)
+    this.#backoff = new RejoinBackoff(dependencies.clock, dependencies.random)
     this.#owned = this.#createOwned()
   }
 
@@ -88,11 +91,12 @@
 
   async start (): Promise<void> {
     const signal = this.#abort.signal
-    this.#running = Promise.allSettled([this.#view.follow(signal), this.#run(signal)])
+    this.#running = Promise.allSettled([this.#view.follow(), this.#run(signal)])
   }
 
   async stop (): Promise<void> {
     this.#abort.abort(new Error('ownership manager was stopped'))
+    this.#view.close()
     this.#owned.clear()
     await this.#running
   }
@@ -148,7 +152,8 @@
     while (!signal.aborted) {
       try {
         await this.#step(signal)
-        await this.#view.sleep(STEP_INTERVAL_MS, signal)
+        await this.#dependencies.clock.sleep(SHORTEST_STEP_MS, signal)
+        await this.#view.sleep(STEP_INTERVAL_MS - SHORTEST_STEP_MS)
       } catch {
         if (signal.aborted) return
         await this.#dependencies.clock.sleep(RETRY_INTERVAL_MS, signal).catch(() => {})
@@ -157,7 +162,7 @@
   }
 
   async #step (signal: AbortSignal): Promise<void> {
-    if (!this.#joined && !this.#left) await this.#join(signal)
+    if (!this.#joined && !this.#left && this.#backoff.isOver()) await this.#join(signal)
     if (this.#joined && !this.#view.record.members.includes(incarnationKey(this.#self))) this.#leaveOldIncarnation()
     const self = incarnationKey(this.#self)
     const listed = this.#dependencies.listedTargets()
@@ -187,6 +192,7 @@
     this.#joined = false
     this.#left = this.#draining
     this.#owned.loseAll('removed')
+    this.#backoff.noteRemoval()
     const { random, events } = this.#dependencies
     const incarnation = [0, 1, 2, 3].map(() => random.integer(2 ** 16).toString(16).padStart(4, '0')).join('')
     this.#self = { name: this.#self.name, incarnation }
--- a/src/scheduler/ownership/ownershipTiming.ts
+++ b/src/scheduler/ownership/ownershipTiming.ts
@@ -26,3 +26,13 @@
 
 /** A member without targets must be suspected for this long before it is removed; it may have only just joined. */
 export const IDLE_MEMBER_GRACE_MS = 10_000
+
+/** Shortest time between two steps, so that changes by several instances can't answer each other at the store's speed. */
+export const SHORTEST_STEP_MS = 50
+
+/**
+ * Wait before an instance that was removed joins again; doubles with each removal.
+ * Instances that suspect each other while both reach the store would otherwise take each other's targets without end.
+ */
+export const REJOIN_BACKOFF_MS = 1_000
+export const LONGEST_REJOIN_BACKOFF_MS = 60_000
--- a/src/scheduler/ownership/ownershipView.ts
+++ b/src/scheduler/ownership/ownershipView.ts
@@ -15,6 +15,7 @@
   #record: OwnershipRecord = EMPTY_OWNERSHIP
   #wakeUp = new AbortController()
   #readRequested = new AbortController()
+  #closed = false
 
   constructor (store: Store, clock: Clock, key: string) {
     this.#store = store
@@ -31,20 +32,15 @@
     this.#accept(await this.#store.get(this.#key, signal))
   }
 
-  /** Keeps the record in view until the signal aborts. */
-  async follow (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      const either = AbortSignal.any([signal, this.#readRequested.signal])
+  /** Keeps the record in view until `close`. */
+  async follow (): Promise<void> {
+    while (!this.#closed) {
+      const { signal } = this.#readRequested
       try {
-        this.#accept(await this.#store.watch(this.#key, this.#entry?.version ?? 0, WATCH_TIMEOUT_MS, either))
+        this.#accept(await this.#store.watch(this.#key, this.#entry?.version ?? 0, WATCH_TIMEOUT_MS, signal))
       } catch {
-        if (signal.aborted) return
-        if (this.#readRequested.signal.aborted) {
-          this.#readRequested = new AbortController()
-          await this.read(signal).catch(() => {})
-        } else {
-          await this.#clock.sleep(RETRY_INTERVAL_MS, signal).catch(() => {})
-        }
+        if (signal.aborted) await this.#readNow()
+        else await this.#clock.sleep(RETRY_INTERVAL_MS, signal).catch(() => {})
       }
     }
   }
@@ -57,10 +53,9 @@
   }
 
   /** Waits for the time, a newer record or a wake-up. */
-  async sleep (durationMs: number, signal: AbortSignal): Promise<void> {
-    const wakeUp = this.#wakeUp
-    await this.#clock.sleep(durationMs, AbortSignal.any([signal, wakeUp.signal])).catch(() => {})
-    if (wakeUp.signal.aborted) this.#wakeUp = new AbortController()
+  async sleep (durationMs: number): Promise<void> {
+    await this.#clock.sleep(durationMs, this.#wakeUp.signal).catch(() => {})
+    if (this.#wakeUp.signal.aborted && !this.#closed) this.#wakeUp = new AbortController()
   }
 
   wake (): void {
@@ -71,6 +66,18 @@
     this.#readRequested.abort()
   }
 
+  close (): void {
+    this.#closed = true
+    this.#wakeUp.abort()
+    this.#readRequested.abort()
+  }
+
+  async #readNow (): Promise<void> {
+    if (this.#closed) return
+    this.#readRequested = new AbortController()
+    await this.read(this.#readRequested.signal).catch(() => {})
+  }
+
   #accept (entry: StoreEntry | undefined): void {
     if (entry === undefined || entry.version <= (this.#entry?.version ?? 0)) return
     this.#entry = entry
