Add the decision benchmark

Change: bench/decision.ts runs three loads at six sizes with 6 and 100 teams; the accept answer 'limited' also covers sizes that no target has, since ageing must not collect capacity for them.

--- /dev/null
+++ b/bench/decision.ts
@@ -0,0 +1,223 @@
+/** Measures decisions per second on one core and the latency of one decision, beside the naive version. */
+import { performance } from 'node:perf_hooks'
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+import { SeededRandom } from '../src/adapters/random/seededRandom.ts'
+import { resources } from '../src/model/resources.ts'
+import type { Resources } from '../src/model/resources.ts'
+import type { KindName } from '../src/model/request.ts'
+import type { TargetInfo } from '../src/model/target.ts'
+import { findWorkload } from '../src/workloads/registry.ts'
+import { IndexedDecider, NaiveDecider } from './decider.ts'
+import type { BenchEntry, Cell, Decider } from './decider.ts'
+
+const SEED = 42
+const WORKER_COUNTS = [10, 30, 100, 300, 1_000, 2_600]
+const TEAM_COUNTS = [6, 100]
+const RUNNING_PER_WORKER = 11_000 / 2_600
+const QUEUED = 1_000
+const DECISIONS = 20_000
+/** Decisions before the measured ones, in which the code is compiled. */
+const WARM_UP_DECISIONS = 3_000
+/** The naive version scans queue and targets; its decisions are fewer so that a run ends in a minute or two. */
+const NAIVE_DECISIONS = 200
+const NAIVE_WARM_UP_DECISIONS = 20
+const MAXIMUM_RUNNERS = 260
+/** Time between decisions at the peak rate of the target size. */
+const DECISION_INTERVAL_MS = 5
+/** Sizes of tasks on workers. */
+interface Load {
+  readonly name: string
+  readonly cores: readonly number[]
+  readonly megabytesPerCore: readonly number[]
+}
+
+/**
+ * Partly: the workers are never full. Full: processors are used up before the number of running tasks is reached.
+ * Memory: memory is used up first, so that free processors, by which targets are indexed, say little.
+ */
+const LOADS: readonly Load[] = [
+  { name: 'partly', cores: [4, 8, 16, 32], megabytesPerCore: [2_048, 4_096] },
+  { name: 'full', cores: [8, 16, 32, 48], megabytesPerCore: [2_048, 4_096, 5_120] },
+  { name: 'memory', cores: [4, 8, 16, 24], megabytesPerCore: [6_144, 8_192, 10_240] }
+]
+/** Parts of the kinds; a fifth of the running tasks are services. */
+const KINDS: readonly KindName[] = ['urgent', 'urgent', 'service', 'service', 'batch', 'batch', 'batch', 'batch', 'batch', 'gang']
+const LARGEST_GANG = 8
+
+interface Measurement {
+  readonly perSecond: number
+  readonly histogram: Histogram
+  /** Part of the decisions that started something. */
+  readonly placed: number
+  readonly running: number
+}
+
+function describeTarget (id: string, type: TargetInfo['type'], rack: string, capacity: Resources): TargetInfo {
+  const features = { fencing: true, startBy: true, inventory: true, checkpoint: true }
+  return { id, type, address: '', dataCentre: 'd', region: 'r', rack, capacity, connections: 64, features, leaving: false }
+}
+
+function createCell (workers: number, teams: number, clock: Cell['clock']): Cell {
+  const runners = Math.min(workers, MAXIMUM_RUNNERS)
+  return {
+    targets: [
+      ...Array.from({ length: workers }, (_, index) =>
+        describeTarget(`w${index}`, 'worker', `rack${index >> 3}`, resources({ processors: 64_000, memory: 262_144 }))),
+      ...Array.from({ length: runners }, (_, index) => describeTarget(`r${index}`, 'runner', `rack${index >> 3}`, resources({ slots: 8 })))
+    ],
+    weights: new Map(Array.from({ length: teams }, (_, index) => [`team${index}`, 1 + index % 5])),
+    clock
+  }
+}
+
+/** Creates requests of mixed kinds and sizes; a few teams send most of them. */
+class RequestSource {
+  readonly #random: SeededRandom
+  readonly #teams: number
+  readonly #load: Load
+  #created = 0
+
+  constructor (teams: number, load: Load) {
+    this.#random = new SeededRandom(SEED)
+    this.#teams = teams
+    this.#load = load
+  }
+
+  create (): BenchEntry {
+    const kind = KINDS[this.#random.integer(KINDS.length)]!
+    const team = `team${Math.floor(this.#random.next() ** 2 * this.#teams)}`
+    const cores = kind === 'gang' ? this.#load.cores[0]! : this.#pick(this.#load.cores)
+    const memory = cores * this.#pick(this.#load.megabytesPerCore)
+    const size = kind === 'urgent' ? resources({ slots: 1 }) : resources({ processors: cores * 1_000, memory })
+    const tasks = kind === 'gang' ? 2 + this.#random.integer(LARGEST_GANG - 1) : 1
+    const id = this.#created++
+    const value = Array.from({ length: tasks }, (_, index) => `${id}-${index}`)
+    return { team, kind, urgency: findWorkload(kind).urgency, size, tasks, bytes: 1_024, deadlineAt: Infinity, value }
+  }
+
+  #pick (values: readonly number[]): number {
+    return values[this.#random.integer(values.length)]!
+  }
+}
+
+/** A cell that is kept as full as the target says, with a queue of constant length. */
+class Run {
+  readonly #decider: Decider
+  readonly #source: RequestSource
+  readonly #random = new SeededRandom(SEED + 1)
+  readonly #runningTarget: number
+  readonly #clock: { now: number }
+  readonly #running: BenchEntry[] = []
+  #runningTasks = 0
+  #placed = true
+
+  constructor (decider: Decider, source: RequestSource, runningTarget: number, clock: { now: number }) {
+    this.#decider = decider
+    this.#source = source
+    this.#runningTarget = runningTarget
+    this.#clock = clock
+    for (let attempt = 0; attempt < runningTarget * 2 && this.#runningTasks < runningTarget; attempt++) {
+      const entry = source.create()
+      if (decider.place(entry)) this.#note(entry)
+    }
+    while (decider.queued < QUEUED) decider.push(source.create())
+  }
+
+  get running (): number {
+    return this.#runningTasks
+  }
+
+  /** One decision: a task ends, and the queue's next one takes its place. Returns its time in milliseconds. */
+  decide (): { readonly durationMs: number, readonly placed: boolean } {
+    this.#clock.now += DECISION_INTERVAL_MS
+    const ended = this.#runningTasks >= this.#runningTarget || !this.#placed ? this.#takeRunning() : undefined
+    const startedAt = performance.now()
+    if (ended !== undefined) this.#decider.release(ended)
+    const entry = this.#decider.next()
+    const durationMs = performance.now() - startedAt
+    this.#placed = entry !== undefined
+    if (entry !== undefined) {
+      this.#note(entry)
+      this.#decider.push(this.#source.create())
+    }
+    return { durationMs, placed: this.#placed }
+  }
+
+  #note (entry: BenchEntry): void {
+    this.#running.push(entry)
+    this.#runningTasks += entry.tasks
+  }
+
+  #takeRunning (): BenchEntry | undefined {
+    if (this.#running.length === 0) return undefined
+    const index = this.#random.integer(this.#running.length)
+    const entry = this.#running[index]!
+    this.#running[index] = this.#running.at(-1)!
+    this.#running.pop()
+    this.#runningTasks -= entry.tasks
+    return entry
+  }
+}
+
+interface Trial {
+  readonly workers: number
+  readonly teams: number
+  readonly load: Load
+  readonly naive: boolean
+  readonly warmUp: number
+  readonly decisions: number
+}
+
+function measure ({ workers, teams, load, naive, warmUp, decisions }: Trial): Measurement {
+  const clock = { now: 0 }
+  const cell = createCell(workers, teams, { monotonicMs: () => clock.now })
+  const decider = naive ? new NaiveDecider(cell) : new IndexedDecider(cell, new SeededRandom(SEED + 2))
+  const run = new Run(decider, new RequestSource(teams, load), Math.round(workers * RUNNING_PER_WORKER), clock)
+  for (let count = 0; count < warmUp; count++) run.decide()
+  const histogram = build({ numberOfSignificantValueDigits: 3 })
+  let totalMs = 0
+  let placed = 0
+  for (let count = 0; count < decisions; count++) {
+    const decision = run.decide()
+    totalMs += decision.durationMs
+    histogram.recordValue(Math.max(1, Math.round(decision.durationMs * 1e6)))
+    if (decision.placed) placed++
+  }
+  return { perSecond: decisions / totalMs * 1_000, histogram, placed: placed / decisions, running: run.running }
+}
+
+function formatRow (cells: readonly (string | number)[]): string {
+  return cells.map(cell => String(cell).padStart(10)).join(' ')
+}
+
+function formatMs (nanoseconds: number): string {
+  return (nanoseconds / 1e6).toFixed(4)
+}
+
+function measureRow (load: Load, workers: number, teams: number): string {
+  const { perSecond, histogram, placed, running } = measure({ workers, teams, load, naive: false, warmUp: WARM_UP_DECISIONS, decisions: DECISIONS })
+  // The ratio compares the same first decisions, since the cell fills up as a run goes on.
+  const short = { workers, teams, load, warmUp: NAIVE_WARM_UP_DECISIONS, decisions: NAIVE_DECISIONS }
+  const naive = measure({ ...short, naive: true })
+  const indexed = measure({ ...short, naive: false })
+  return formatRow([
+    load.name, workers, teams, running, placed.toFixed(3), Math.round(perSecond), formatMs(histogram.getValueAtPercentile(50)),
+    formatMs(histogram.getValueAtPercentile(99)), formatMs(histogram.maxValue), Math.round(naive.perSecond),
+    (indexed.perSecond / naive.perSecond).toFixed(1)
+  ])
+}
+
+/**
+ * Prints decisions per second and the latency of one decision (release, next of the queue, placement) for each size.
+ *
+ * @example
+ * await runDecisionBench()
+ */
+export async function runDecisionBench (): Promise<void> {
+  console.log(`${QUEUED} entries wait; ${DECISIONS} decisions each; seed ${SEED}; times in milliseconds`)
+  console.log(formatRow(['load', 'workers', 'teams', 'running', 'placed', 'per second', 'p50', 'p99', 'max', 'naive/s', 'ratio']))
+  for (const load of LOADS) {
+    for (const workers of WORKER_COUNTS) for (const teams of TEAM_COUNTS) console.log(measureRow(load, workers, teams))
+  }
+}
--- a/src/scheduler/queue/queueEntry.ts
+++ b/src/scheduler/queue/queueEntry.ts
@@ -19,7 +19,7 @@
 
 /**
  * Why an entry can or can't start now: `limited` is a refusal that free capacity would not change, such as a missing
- * allotment; false means that capacity is missing.
+ * allotment or a size that no target of the pool has; false means that capacity is missing, which ageing may collect.
  */
 export type Acceptance = boolean | 'limited'
 
