Remember demands that found no room

Cause: a full cluster was searched again for every waiting size; where memory runs out first, each search examined most targets, since they are indexed by processors. Change: RefusalCache keeps up to 32 refused demands; equal or larger ones are refused at once until a target gains capacity that could take one of their tasks.

--- a/src/scheduler/placement/targetPool.ts
+++ b/src/scheduler/placement/targetPool.ts
@@ -8,6 +8,7 @@
 import type { WorkloadDefinition } from '../../workloads/registry.ts'
 import { CapacityIndex } from './capacityIndex.ts'
 import { RackCounter } from './rackCounter.ts'
+import { RefusalCache } from './refusalCache.ts'
 import { countFitting, TargetState } from './targetState.ts'
 import type { TargetView } from './targetState.ts'
 
@@ -53,6 +54,7 @@
   readonly #targets = new Map<string, TargetState>()
   readonly #targetOfTask = new Map<string, TargetState>()
   readonly #indexes: Readonly<Record<TargetType, CapacityIndex>>
+  readonly #refusals: Readonly<Record<TargetType, RefusalCache>> = { runner: new RefusalCache(), worker: new RefusalCache() }
   readonly #racks = new RackCounter()
 
   constructor (random: Random) {
@@ -72,7 +74,7 @@
     const target = known ?? new TargetState(info)
     target.update(info)
     this.#targets.set(info.id, target)
-    if (target.usable) this.#indexes[info.type].insert(target)
+    this.#offer(target)
   }
 
   /** Forgets a target together with its reservations. */
@@ -92,9 +94,8 @@
     const target = this.#targets.get(id)
     if (target === undefined) return
     target.setAside = !usable
-    const index = this.#indexes[target.info.type]
-    index.remove(target)
-    if (target.usable) index.insert(target)
+    this.#indexes[target.info.type].remove(target)
+    this.#offer(target)
   }
 
   /**
@@ -118,6 +119,7 @@
     this.#targetOfTask.delete(taskId)
     if (spreadsOverRacks(task.kind)) this.#racks.change(task, -1)
     this.#indexes[target.info.type].refresh(target)
+    if (target.usable) this.#refusals[target.info.type].noteGain(target)
   }
 
   /**
@@ -127,7 +129,9 @@
   place (query: PlacementQuery): PlaceResult {
     const { workload, team, size, taskIds } = query
     this.#checkNew(taskIds)
-    const index = this.#indexes[workload.targetType(size)]
+    const type = workload.targetType(size)
+    if (this.#refusals[type].covers(size, taskIds.length)) return this.#refuse(query)
+    const index = this.#indexes[type]
     const assignments: Assignment[] = []
     while (assignments.length < taskIds.length) {
       const target = index.find({
@@ -136,7 +140,11 @@
         context: this.#racks.context(team, workload.kind),
         excludeTargets: query.excludeTargets
       })
-      if (target === undefined) return this.#undo(query, assignments)
+      if (target === undefined) {
+        for (const { taskId } of assignments) this.release(taskId)
+        if (query.excludeTargets === undefined) this.#refusals[type].add(size, taskIds.length)
+        return this.#refuse(query)
+      }
       const taskId = taskIds[assignments.length]!
       this.#assign(target, taskId, team, size, workload.kind)
       assignments.push({ taskId, targetId: target.info.id })
@@ -158,8 +166,14 @@
     return this.#targets.values()
   }
 
-  #undo (query: PlacementQuery, assignments: readonly Assignment[]): PlaceResult {
-    for (const { taskId } of assignments) this.release(taskId)
+  /** Lets new work be placed on a target, if it is usable. */
+  #offer (target: TargetState): void {
+    if (!target.usable) return
+    this.#indexes[target.info.type].insert(target)
+    this.#refusals[target.info.type].noteGain(target)
+  }
+
+  #refuse (query: PlacementQuery): PlaceResult {
     const reason = this.#neverReason(query)
     return reason === undefined ? FULL : { outcome: 'never', reason }
   }
