--- /dev/null
+++ b/src/instance/configurationParts.ts
@@ -0,0 +1,113 @@
+/** The parts of an instance that know the configuration and the other instances. */
+import { ChangeLog } from '../configuration/changeLog.ts'
+import { toSnapshot } from '../configuration/configurationState.ts'
+import { FreshnessTracker } from '../configuration/freshness.ts'
+import { KeyRing } from '../configuration/keys.ts'
+import { AcceptorRegistry } from '../configuration/registry.ts'
+import { ExchangeLoop } from '../membership/exchangeLoop.ts'
+import { ListLoop } from '../membership/listLoop.ts'
+import { MembershipTable } from '../membership/membershipTable.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import type { TargetInfo } from '../model/target.ts'
+import type { ListSnapshot } from '../ports/instanceList.ts'
+import { validateOperations } from '../settings/validate.ts'
+import type { InstanceOptions } from './instanceOptions.ts'
+import type { SelfDescription } from './selfDescription.ts'
+import { TeamSettingsSource } from './teamSettingsSource.ts'
+
+export interface ConfigurationHooks {
+  /** The present incarnation; it changes when the instance loses its authority. */
+  self (): InstanceRef
+  describeSelf (): SelfDescription
+  /** Called after the configuration or the list changed. */
+  onChanged (): void
+}
+
+export class ConfigurationParts {
+  readonly registry: AcceptorRegistry
+  readonly log: ChangeLog
+  readonly freshness: FreshnessTracker
+  readonly membership: MembershipTable
+  readonly exchange: ExchangeLoop
+  readonly lists: ListLoop
+  readonly settings: TeamSettingsSource
+  readonly #options: InstanceOptions
+  readonly #hooks: ConfigurationHooks
+  #keys: KeyRing
+
+  constructor (options: InstanceOptions, hooks: ConfigurationHooks) {
+    const { store, clock, random, location, peerClient, list, seeds } = options
+    this.#options = options
+    this.#hooks = hooks
+    this.registry = new AcceptorRegistry({ store, clock })
+    this.log = new ChangeLog({
+      store,
+      clock,
+      random,
+      validate: (state, operations) => validateOperations(toSnapshot(state), operations),
+      mayAccept: () => this.registry.mayAccept
+    })
+    this.settings = new TeamSettingsSource(this.log.state)
+    this.#keys = new KeyRing([])
+    this.log.onChange(() => this.#takeConfiguration())
+    this.freshness = new FreshnessTracker({ clock, log: this.log, registry: this.registry, get self () { return hooks.self() } })
+    this.membership = new MembershipTable({ clock, dataCentre: location.dataCentre, get self () { return hooks.self() } })
+    this.lists = new ListLoop({ list, clock, onSnapshot: async (snapshot, startedAt) => await this.#takeList(snapshot, startedAt) })
+    this.exchange = new ExchangeLoop({
+      clock,
+      random,
+      peers: peerClient,
+      table: this.membership,
+      tracker: this.freshness,
+      log: this.log,
+      registry: this.registry,
+      describeSelf: () => hooks.describeSelf(),
+      seeds,
+      readList: () => this.lists.snapshot,
+      keyGraceMs: () => this.settings.shortestKeyGraceMs()
+    })
+  }
+
+  get keys (): KeyRing {
+    return this.#keys
+  }
+
+  /** Targets as last listed, of all data centres. */
+  listedTargets (): readonly TargetInfo[] {
+    return this.lists.snapshot?.targets ?? []
+  }
+
+  listedHere (): readonly TargetInfo[] {
+    const { dataCentre } = this.#options.location
+    return this.listedTargets().filter(target => target.dataCentre === dataCentre)
+  }
+
+  /** Reads the configuration and registers; what the store can't do now is tried again by the loops. */
+  async load (): Promise<void> {
+    try {
+      await this.log.load()
+      await this.register()
+    } catch (error) {
+      this.#options.logger.warn({ err: error }, 'the configuration could not be read from the store; trying again')
+    }
+  }
+
+  /** Registers the present incarnation as one that accepts changes. */
+  async register (): Promise<void> {
+    const { location, peerAddress } = this.#options
+    await this.registry.register({ ref: this.#hooks.self(), dataCentre: location.dataCentre, peerAddress })
+  }
+
+  #takeConfiguration (): void {
+    this.settings.update(this.log.state)
+    this.#keys = new KeyRing(this.log.state.keys.values())
+    this.#hooks.onChanged()
+  }
+
+  async #takeList (snapshot: ListSnapshot, startedAt: number): Promise<void> {
+    this.membership.mergeList(snapshot.instances, startedAt)
+    this.registry.observeList(snapshot.instances, startedAt)
+    this.#hooks.onChanged()
+    await this.registry.maintain()
+  }
+}
--- /dev/null
+++ b/src/instance/coordinationParts.ts
@@ -0,0 +1,147 @@
+/** The parts of an instance that hold authority: ownership of targets, allotments of limits, claims. */
+import { ListPresence } from '../configuration/listPresence.ts'
+import type { Component } from '../lifecycle/component.ts'
+import { parseIncarnationKey } from '../model/identity.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import { DIMENSIONS } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import { ClaimClient } from '../scheduler/claims/claimClient.ts'
+import { ClaimLog } from '../scheduler/claims/claimLog.ts'
+import { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
+import { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
+import type { ConfigurationParts } from './configurationParts.ts'
+import type { InstanceOptions } from './instanceOptions.ts'
+import type { SchedulingParts } from './schedulingParts.ts'
+import { TargetAdoption } from './targetAdoption.ts'
+
+export class CoordinationParts {
+  readonly ownership: OwnershipManager
+  readonly allotments: AllotmentManager
+  readonly claimLog: ClaimLog
+  readonly claimClient: ClaimClient
+  readonly #options: InstanceOptions
+  readonly #configuration: ConfigurationParts
+  readonly #scheduling: SchedulingParts
+  readonly #presence = new ListPresence()
+  #listReadAt = -Infinity
+
+  constructor (options: InstanceOptions, configuration: ConfigurationParts, scheduling: SchedulingParts) {
+    this.#options = options
+    this.#configuration = configuration
+    this.#scheduling = scheduling
+    this.ownership = this.#createOwnership()
+    this.allotments = this.#createAllotments()
+    const { store, clock, peerClient, random } = options
+    this.claimLog = new ClaimLog({ store, clock })
+    this.claimClient = new ClaimClient({ clock, random, peerClient, log: this.claimLog, selfName: options.self.name, membership: () => this.#claimMembers() })
+  }
+
+  get components (): readonly Component[] {
+    return [this.allotments, this.ownership]
+  }
+
+  /** Hands targets and allotments over to the other instances and leaves the members. */
+  async handOver (signal: AbortSignal): Promise<void> {
+    await this.ownership.handOverAll(signal)
+    await this.allotments.releaseAll(signal)
+    await this.ownership.leave(signal)
+  }
+
+  #createOwnership (): OwnershipManager {
+    const { store, targetClient, clock, random, self, location, logger } = this.#options
+    const { membership } = this.#configuration
+    const adoption = this.#createAdoption()
+    return new OwnershipManager({
+      store,
+      targetClient,
+      clock,
+      random,
+      self,
+      dataCentre: location.dataCentre,
+      listedTargets: () => this.#configuration.listedHere(),
+      membership: {
+        liveMembers: () => membership.inDataCentre(location.dataCentre)
+          .filter(({ digest, leaving }) => digest.state !== 'draining' && !leaving).map(({ digest }) => digest.ref),
+        isSuspected: ref => membership.isSuspected(ref),
+        isListedGone: ref => this.#isListedGone(ref)
+      },
+      events: {
+        onAcquired: async (target, epoch, tasks, previousOwner, signal) => {
+          logger.info({ target: target.id, epoch, tasks: tasks.length }, 'a target was acquired')
+          await adoption.onAcquired(target, epoch, tasks, previousOwner, signal)
+        },
+        onLost: (targetId, reason) => {
+          logger.info({ target: targetId, reason }, 'a target was lost')
+          adoption.onLost(targetId, reason)
+        },
+        onSucceeded: targetId => adoption.onSucceeded(targetId),
+        onRemovedFromMembers: ref => {
+          logger.warn({ incarnation: ref.incarnation }, 'the instance was taken for dead and goes on as a new incarnation')
+          adoption.onRemovedFromMembers()
+          this.#configuration.register().catch((error: unknown) => logger.warn({ err: error }, 'the new incarnation is not registered yet'))
+        }
+      }
+    })
+  }
+
+  #createAdoption (): TargetAdoption {
+    const { settings } = this.#configuration
+    const { pool, placements, tracker, targetUse } = this.#scheduling
+    return new TargetAdoption({
+      clock: this.#options.clock,
+      pool,
+      placements,
+      allotments: {
+        surrender: taskId => this.allotments.surrender(taskId),
+        reset: () => this.allotments.reset()
+      },
+      tracker,
+      leaseMs: report => settings.find(report.team, report.kind).taskLeaseMs,
+      onTargetsChanged: () => targetUse.refresh()
+    })
+  }
+
+  #createAllotments (): AllotmentManager {
+    const { store, clock, location, peerClient } = this.#options
+    return new AllotmentManager({
+      store,
+      clock,
+      dataCentre: location.dataCentre,
+      ownership: this.ownership,
+      peerClient,
+      findGiver: team => this.#findGiver(team),
+      dataCentreOf: ref => this.#configuration.membership.find(ref)?.digest.dataCentre
+    })
+  }
+
+  /** The peer with the largest spare amount of the team, as far as the digests tell. */
+  #findGiver (team: string): string | undefined {
+    const candidates = this.#configuration.membership.others().flatMap(({ digest }) => {
+      const entry = digest.teams.find(candidate => candidate.team === team)
+      return entry === undefined ? [] : [{ address: digest.peerAddress, spare: sumDimensions(entry.spare) }]
+    })
+    return candidates.filter(({ spare }) => spare > 0).sort((left, right) => right.spare - left.spare)[0]?.address
+  }
+
+  /** Members of the record are followed through the list, since this instance may never have heard of them. */
+  #isListedGone (ref: InstanceRef): boolean {
+    const { lists } = this.#configuration
+    for (const member of this.ownership.record.members) this.#presence.track(parseIncarnationKey(member))
+    this.#presence.track(ref)
+    if (lists.snapshot !== undefined && lists.readAt !== undefined && lists.readAt > this.#listReadAt) {
+      this.#listReadAt = lists.readAt
+      this.#presence.observe(lists.snapshot.instances, lists.readAt)
+    }
+    return this.#presence.goneSince(ref) !== undefined
+  }
+
+  #claimMembers (): readonly { readonly name: string, readonly address: string }[] {
+    return this.#configuration.membership.live()
+      .filter(({ digest }) => digest.state === 'serving')
+      .map(({ digest }) => ({ name: digest.ref.name, address: digest.peerAddress }))
+  }
+}
+
+function sumDimensions (vector: Resources): number {
+  return DIMENSIONS.reduce((sum, dimension) => sum + vector[dimension], 0)
+}
--- /dev/null
+++ b/src/instance/dispatcher.ts
@@ -0,0 +1,173 @@
+/** Chooses an instance for each attempt at a request, forwards it or runs it here, and retries what may be retried. */
+import { RefusalError } from '../model/errors.ts'
+import type { AdmittedRequest, KindName } from '../model/request.ts'
+import { combineVerdicts } from '../model/verdict.ts'
+import type { Verdict } from '../model/verdict.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { PeerClient, RunEvent } from '../ports/peerClient.ts'
+import type { Route } from '../scheduler/routing/router.ts'
+import type { AttemptOutcome, RetryDecision, RetryQuestion } from '../scheduler/retries/retryPolicy.ts'
+import type { LocalWork } from './localWork.ts'
+
+export interface RouteQuery extends AdmittedRequest {
+  /** Hops that the request has taken, as the router counts them. */
+  readonly hops: number
+  /** Instances that refused an earlier attempt. */
+  readonly excluded: ReadonlySet<string>
+}
+
+type PeerRoute = Extract<Route, { destination: 'peer' }>
+
+export interface DispatcherDependencies {
+  readonly selfName: string
+  readonly clock: Clock
+  readonly peerClient: PeerClient
+  runLocally (work: LocalWork): AsyncIterable<RunEvent>
+  chooseRoute (query: RouteQuery): Route
+  /** Takes from the team's retry budget if the answer is to retry. */
+  decideRetry (question: RetryQuestion): RetryDecision
+  configurationVersion (): number
+  onRetry (team: string, kind: KindName): void
+  onCrossRegionBytes (team: string, bytes: number): void
+}
+
+export interface DispatchContext {
+  readonly admitted: AdmittedRequest
+  /** Prefix of the attempt identities. */
+  readonly flightId: string
+  readonly hops: number
+  readonly signal: AbortSignal
+  onStateChange: LocalWork['onStateChange']
+}
+
+/** Refusals that another instance may not repeat; they cost no retry budget, since nothing was sent to a target. */
+const REROUTED_CODES: ReadonlySet<string> = new Set(['no-capacity', 'draining', 'fenced'])
+/** Bounds re-routing, beside the retry budget. */
+const ATTEMPT_LIMIT = 8
+
+/** Lets allotments and ownership settle before an instance is tried again. */
+const REROUTE_DELAY_MS = 20
+
+export class Dispatcher {
+  readonly #dependencies: DispatcherDependencies
+
+  constructor (dependencies: DispatcherDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  /** The events of the attempt that succeeds; throws a `RefusalError` with the combined verdict of all attempts. */
+  async * run (context: DispatchContext): AsyncIterable<RunEvent> {
+    const excluded = new Set<string>()
+    const attempts: AttemptOutcome[] = []
+    for (let attempt = 1; ; attempt++) {
+      const route = this.#dependencies.chooseRoute({ ...context.admitted, hops: context.hops, excluded })
+      let headPassed = false
+      try {
+        for await (const event of this.#attempt(context, route, `${context.flightId}.${attempt}`)) {
+          headPassed ||= event.type === 'head'
+          yield event
+        }
+        return
+      } catch (error) {
+        const refusal = toRefusal(error, context.signal)
+        if (headPassed) throw refusal
+        // Only what has certainly ended, or never started, is marked as retryable.
+        attempts.push({ verdict: refusal.verdict, stopped: refusal.retryable })
+        if (refusal.verdict === 'not-run') excluded.add(route.destination === 'peer' ? route.instance.ref.name : this.#dependencies.selfName)
+        const delayMs = this.#decide(context, refusal, attempts)
+        if (delayMs === undefined) throw withVerdict(refusal, combineAttempts(attempts))
+        await this.#pause(context, delayMs, attempts)
+        this.#dependencies.onRetry(context.admitted.team, context.admitted.request.kind)
+      }
+    }
+  }
+
+  #decide (context: DispatchContext, refusal: RefusalError, attempts: readonly AttemptOutcome[]): number | undefined {
+    const { team, request, deadlineAt } = context.admitted
+    const now = this.#dependencies.clock.monotonicMs()
+    if (context.hops > 0 || context.signal.aborted || now >= deadlineAt || attempts.length >= ATTEMPT_LIMIT) return undefined
+    const { retryable, verdict, code } = refusal
+    const { repeatable } = request
+    if (retryable && verdict === 'not-run' && REROUTED_CODES.has(code)) return REROUTE_DELAY_MS * (attempts.length - 1)
+    if (retryable && repeatable && code === 'preempted') return REROUTE_DELAY_MS
+    const decision = this.#dependencies.decideRetry({ team, repeatable, attempts, retryable, now, deadlineAt })
+    return decision.action === 'retry' ? decision.afterMs : undefined
+  }
+
+  async #pause (context: DispatchContext, delayMs: number, attempts: readonly AttemptOutcome[]): Promise<void> {
+    if (delayMs === 0) return
+    try {
+      await this.#dependencies.clock.sleep(delayMs, context.signal)
+    } catch (error) {
+      throw new RefusalError('the request was cancelled', { code: 'cancelled', verdict: combineAttempts(attempts), cause: error })
+    }
+  }
+
+  async * #attempt (context: DispatchContext, route: Route, attemptId: string): AsyncIterable<RunEvent> {
+    const { admitted, signal, onStateChange } = context
+    if (route.destination === 'peer') yield * this.#forward(context, route, attemptId)
+    else if (route.destination === 'local') yield * this.#dependencies.runLocally({ ...admitted, attemptId, signal, onStateChange })
+    else throw new RefusalError('no instance in reach can take the request', { code: 'no-capacity', verdict: 'not-run', retryable: true })
+  }
+
+  async * #forward (context: DispatchContext, route: PeerRoute, attemptId: string): AsyncIterable<RunEvent> {
+    const { clock, peerClient } = this.#dependencies
+    const { team, request, deadlineAt } = context.admitted
+    const forwarded = {
+      attemptId,
+      team,
+      request,
+      remainingMs: deadlineAt - clock.monotonicMs(),
+      hops: route.hops,
+      configurationVersion: this.#dependencies.configurationVersion()
+    }
+    let ended = false
+    for await (const event of this.#receive(peerClient.run(route.instance.peerAddress, forwarded, context.signal))) {
+      if (event.type === 'refused') throw new RefusalError(event.message, event)
+      if (event.type === 'chunk' && route.acrossRegions) this.#dependencies.onCrossRegionBytes(team, event.bytes.byteLength)
+      ended = event.type === 'end'
+      yield event
+    }
+    if (!ended) throw new RefusalError('the answer of the other instance ended early', { code: 'peer-failed', verdict: 'may-have-run' })
+  }
+
+  /** A stream that breaks says nothing about the target, unless no connection was made. */
+  async * #receive (events: AsyncIterable<RunEvent>): AsyncIterable<RunEvent> {
+    try {
+      yield * events
+    } catch (error) {
+      const refused = isConnectionRefused(error)
+      throw new RefusalError('the other instance can not be reached', {
+        code: 'peer-failed', verdict: refused ? 'not-run' : 'may-have-run', retryable: refused, cause: error
+      })
+    }
+  }
+}
+
+function combineAttempts (attempts: readonly AttemptOutcome[]): Verdict {
+  return combineVerdicts(attempts.map(attempt => attempt.verdict))
+}
+
+/** A cancellation or a passed deadline is the reason to tell; the attempt says what ran. */
+function toRefusal (error: unknown, { aborted, reason }: AbortSignal): RefusalError {
+  const refusal = error instanceof RefusalError
+    ? error
+    : new RefusalError('the request failed inside the instance', { code: 'internal', verdict: 'may-have-run', cause: error })
+  if (!aborted || !(reason instanceof RefusalError)) return refusal
+  const { verdict, claimed } = refusal
+  return new RefusalError(reason.message, { code: reason.code, verdict, claimed, cause: refusal })
+}
+
+function withVerdict (refusal: RefusalError, verdict: Verdict): RefusalError {
+  if (refusal.verdict === verdict) return refusal
+  const { code, claimed, retryable } = refusal
+  return new RefusalError(refusal.message, { code, verdict, claimed, retryable, cause: refusal })
+}
+
+/** Says whether the error, or one that it came from, is a refused connection: the peer has not seen the request. */
+function isConnectionRefused (error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    if ((cause as NodeJS.ErrnoException).code === 'ECONNREFUSED') return true
+  }
+  return false
+}
--- /dev/null
+++ b/src/instance/entryInstance.ts
@@ -0,0 +1,174 @@
+/** One entry instance: puts its parts together and sees to the order of start, drain and stop. */
+import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
+import type { InstanceState } from '../model/digest.ts'
+import { sameInstance } from '../model/identity.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import type { CallerHandler } from '../ports/callerHandler.ts'
+import type { PeerHandler } from '../ports/peerClient.ts'
+import type { OperatorHandler } from '../observability/operatorApi.ts'
+import { isDraining } from '../configuration/configurationState.ts'
+import { ConfigurationParts } from './configurationParts.ts'
+import { CoordinationParts } from './coordinationParts.ts'
+import type { InstanceOptions } from './instanceOptions.ts'
+import { Housekeeping } from './housekeeping.ts'
+import { OperatorService } from './operatorService.ts'
+import { PeerService } from './peerService.ts'
+import { SchedulingParts } from './schedulingParts.ts'
+import { describeSelf } from './selfDescription.ts'
+import { describeStatus } from './statusReport.ts'
+
+/** Time limit for one component's stop. */
+const COMPONENT_STOP_TIMEOUT_MS = 10_000
+/** Between looks at whether the open requests have ended. */
+const DRAIN_POLL_MS = 50
+
+/**
+ * An entry instance without its servers; callers, peers and operators reach it through the three handlers.
+ *
+ * @example
+ * const instance = new EntryInstance(options)
+ * await instance.start()
+ * await instance.drain(AbortSignal.timeout(60_000))
+ * await instance.stop()
+ */
+export class EntryInstance {
+  readonly callers: CallerHandler
+  readonly peers: PeerHandler
+  readonly operators: OperatorHandler
+  readonly configuration: ConfigurationParts
+  readonly scheduling: SchedulingParts
+  readonly coordination: CoordinationParts
+  readonly #options: InstanceOptions
+  readonly #lifecycle = new LifecycleManager(COMPONENT_STOP_TIMEOUT_MS)
+  #state: InstanceState = 'starting'
+  #drainRequested: () => void = () => {}
+  /** Resolves when an operator asked for a planned stop. */
+  readonly drainRequested = new Promise<void>(resolve => { this.#drainRequested = resolve })
+
+  constructor (options: InstanceOptions) {
+    this.#options = options
+    this.configuration = new ConfigurationParts(options, {
+      self: () => this.self,
+      describeSelf: () => this.#describeSelf(),
+      onChanged: () => this.#onConfigurationChanged()
+    })
+    this.scheduling = new SchedulingParts(options, this.configuration, {
+      ownership: () => this.coordination.ownership,
+      allotments: () => this.coordination.allotments,
+      claims: () => this.coordination.claimClient,
+      self: () => this.self,
+      isDraining: () => this.#state === 'draining'
+    })
+    this.coordination = new CoordinationParts(options, this.configuration, this.scheduling)
+    this.callers = this.scheduling.requests
+    this.peers = this.#createPeerService()
+    this.operators = this.#createOperatorService()
+    this.#addComponents()
+  }
+
+  /** The present incarnation. */
+  get self (): InstanceRef {
+    return this.coordination?.ownership.self ?? this.#options.self
+  }
+
+  get state (): InstanceState {
+    return this.#state
+  }
+
+  async start (): Promise<void> {
+    await this.configuration.load()
+    await this.#lifecycle.start()
+    this.#state = 'serving'
+    this.#options.logger.info('the instance is serving')
+  }
+
+  /** Hands everything over and lets open requests end; rejects when the signal aborts first. */
+  async drain (signal: AbortSignal): Promise<void> {
+    if (this.#state === 'draining') return
+    this.#state = 'draining'
+    this.#options.logger.info('the instance drains')
+    const { placements } = this.scheduling
+    placements.close()
+    await this.coordination.handOver(signal)
+    while (this.scheduling.flights.size > 0) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
+    await this.configuration.registry.deregister()
+  }
+
+  async stop (): Promise<void> {
+    for (const { component, error } of await this.#lifecycle.stop()) {
+      this.#options.logger.warn({ component, err: error }, 'a component did not stop in order')
+    }
+    this.configuration.log.close()
+  }
+
+  #addComponents (): void {
+    const { exchange, lists } = this.configuration
+    const housekeeping = new Housekeeping(this.#options, this.configuration, this.scheduling, this.coordination)
+    for (const component of [lists, exchange, ...this.coordination.components, ...housekeeping.components]) {
+      this.#lifecycle.add(component)
+    }
+  }
+
+  #describeSelf (): ReturnType<typeof describeSelf> {
+    const { location, peerAddress } = this.#options
+    const { pool, placements } = this.scheduling
+    return describeSelf({
+      location,
+      peerAddress,
+      pool,
+      placements,
+      allotments: this.coordination.allotments,
+      self: () => this.self,
+      state: () => this.#state,
+      teams: () => this.configuration.settings.teams()
+    })
+  }
+
+  /** Brings limits, targets and the own drain in line with the configuration and the list. */
+  #onConfigurationChanged (): void {
+    const { log, settings } = this.configuration
+    for (const team of settings.teams()) {
+      this.coordination.allotments.setLimit(team, settings.find(team, 'batch').limit, log.version)
+      this.scheduling.ledger.setWeight(team, Math.max(settings.find(team, 'batch').share, Number.MIN_VALUE))
+    }
+    this.scheduling.targetUse.refresh()
+    this.scheduling.placements.pump()
+    const { name } = this.#options.self
+    const leaving = this.configuration.membership.live().some(member => sameInstance(member.digest.ref, this.self) && member.leaving)
+    if (leaving || isDraining(log.state, 'instance', name)) this.#drainRequested()
+  }
+
+  #createPeerService (): PeerService {
+    const { ownership, allotments, claimLog } = this.coordination
+    return new PeerService({
+      configuration: this.configuration, requests: this.scheduling.requests, allotments, claims: claimLog, ownership
+    })
+  }
+
+  #createOperatorService (): OperatorService {
+    const { clock, metrics } = this.#options
+    const { log, membership, settings } = this.configuration
+    const operators: OperatorService = new OperatorService({
+      clock,
+      log,
+      membership,
+      allotments: this.coordination.allotments,
+      teams: () => settings.teams(),
+      longestKeyGraceMs: () => settings.longestKeyGraceMs(),
+      state: () => this.#state,
+      describeStatus: () => describeStatus({
+        options: this.#options,
+        configuration: this.configuration,
+        scheduling: this.scheduling,
+        coordination: this.coordination,
+        self: this.self,
+        state: this.#state,
+        aboveLimit: operators.listAboveLimit()
+      }),
+      renderMetrics: async () => await metrics.render(),
+      beginDrain: () => this.#drainRequested(),
+      unreadyReason: () => this.#state === 'serving' ? undefined : `the instance is ${this.#state}`
+    })
+    return operators
+  }
+}
--- /dev/null
+++ b/src/instance/housekeeping.ts
@@ -0,0 +1,107 @@
+/** The periodic work of an instance: deadlines of waiting requests, use of targets, shares, usage, gauges. */
+import type { Component } from '../lifecycle/component.ts'
+import { sameInstance } from '../model/identity.ts'
+import { addResources, DIMENSIONS, NO_RESOURCES, subtractResources } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import type { ConfigurationParts } from './configurationParts.ts'
+import type { CoordinationParts } from './coordinationParts.ts'
+import type { InstanceOptions } from './instanceOptions.ts'
+import { PeriodicTask } from './periodicTask.ts'
+import type { SchedulingParts } from './schedulingParts.ts'
+import { UsageCollector } from './usageCollector.ts'
+
+/** Requests whose allotment arrived are started within this time. */
+const QUEUE_INTERVAL_MS = 20
+const TARGET_INTERVAL_MS = 250
+const SHARE_INTERVAL_MS = 1_000
+const USAGE_INTERVAL_MS = 5_000
+
+export class Housekeeping {
+  readonly components: readonly Component[]
+  readonly #options: InstanceOptions
+  readonly #configuration: ConfigurationParts
+  readonly #scheduling: SchedulingParts
+  readonly #coordination: CoordinationParts
+  readonly #usage: UsageCollector
+
+  constructor (options: InstanceOptions, configuration: ConfigurationParts, scheduling: SchedulingParts, coordination: CoordinationParts) {
+    this.#options = options
+    this.#configuration = configuration
+    this.#scheduling = scheduling
+    this.#coordination = coordination
+    this.#usage = this.#createUsageCollector()
+    this.components = [
+      this.#repeat('queue', QUEUE_INTERVAL_MS, () => this.#serveQueue()),
+      this.#repeat('target use', TARGET_INTERVAL_MS, () => this.#refreshTargets()),
+      this.#repeat('shares', SHARE_INTERVAL_MS, () => this.#balanceShares()),
+      this.#repeat('usage', USAGE_INTERVAL_MS, async () => await this.#usage.collect())
+    ]
+  }
+
+  #repeat (name: string, intervalMs: number, action: () => void | Promise<void>): PeriodicTask {
+    const { clock, logger } = this.#options
+    return new PeriodicTask(name, clock, intervalMs, action, error => logger.error({ err: error }, `${name}: the periodic task failed`))
+  }
+
+  #serveQueue (): void {
+    const { placements } = this.#scheduling
+    if (placements.length === 0) return
+    placements.expire(this.#options.clock.monotonicMs())
+    placements.pump()
+  }
+
+  #refreshTargets (): void {
+    for (const target of this.#configuration.listedHere()) {
+      if (this.#scheduling.pool.find(target.id) !== undefined) this.#scheduling.pool.addTarget(target)
+    }
+    this.#scheduling.targetUse.refresh()
+  }
+
+  #balanceShares (): void {
+    const { ledger, placements, preemptor } = this.#scheduling
+    const { membership } = this.#configuration
+    const others = membership.live().map(({ digest }) => digest).filter(({ ref }) => !sameInstance(ref, this.#coordination.ownership.self))
+    ledger.setCapacity(this.#configuration.listedTargets().reduce<Resources>((sum, target) => addResources(sum, target.capacity), NO_RESOURCES))
+    ledger.observe(others)
+    for (const team of this.#configuration.settings.teams()) {
+      const { size, entries } = placements.waiting(team)
+      ledger.setWaiting(team, size, entries)
+      this.#coordination.allotments.setQueuedDemand(team, size)
+    }
+    preemptor.balanceShares()
+    this.#updateGauges()
+  }
+
+  #updateGauges (): void {
+    const { metrics } = this.#options
+    const { ledger, pool, placements } = this.#scheduling
+    const { allotments } = this.#coordination
+    for (const team of this.#configuration.settings.teams()) {
+      metrics.setShare(team, ledger.entitlement(team), ledger.dominantShare(team))
+      const spare = allotments.spare(team)
+      metrics.setAllotment(team, addResources(allotments.used(team), spare), spare)
+      metrics.setQueued(team, 'batch', placements.waiting(team).entries)
+    }
+    const capacity = [...pool.targets()].reduce<Resources>((sum, { info }) => addResources(sum, info.capacity), NO_RESOURCES)
+    const used = subtractResources(capacity, [...pool.targets()].reduce<Resources>((sum, { free }) => addResources(sum, free), NO_RESOURCES))
+    for (const dimension of DIMENSIONS) if (capacity[dimension] > 0) metrics.setPacking(dimension, used[dimension] / capacity[dimension])
+    metrics.setConfiguration(this.#configuration.log.version, this.#configuration.freshness.ageMs())
+  }
+
+  #createUsageCollector (): UsageCollector {
+    const { estimator, placements, tracker, pool } = this.#scheduling
+    return new UsageCollector({
+      targetClient: this.#options.targetClient,
+      estimator,
+      placements,
+      usableTargets: () => [...pool.targets()].flatMap(({ info }) => {
+        const epoch = this.#coordination.ownership.epochOf(info.id)
+        return epoch === undefined ? [] : [{ target: info, epoch }]
+      }),
+      checkpoint: async taskId => {
+        const task = placements.findHeld(taskId)
+        if (task?.repeatable === true) await tracker.checkpoint(taskId)
+      }
+    })
+  }
+}
--- /dev/null
+++ b/src/instance/localScheduler.ts
@@ -0,0 +1,155 @@
+/** Runs requests on the targets that this instance owns: wait, claim, send, stream the answer. */
+import { RefusalError } from '../model/errors.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import type { Resources } from '../model/resources.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { RunEvent } from '../ports/peerClient.ts'
+import type { ClaimClient } from '../scheduler/claims/claimClient.ts'
+import type { Assignment } from '../scheduler/placement/targetPool.ts'
+import { findWorkload } from '../workloads/registry.ts'
+import { claimHolder, createWholeAnswer } from './localWork.ts'
+import type { LocalWork } from './localWork.ts'
+import type { PlacementQueue } from './placementQueue.ts'
+import type { StartedTask, TaskStarter } from './taskStarter.ts'
+import type { TaskTracker } from './taskTracker.ts'
+
+/** Memory of a waiting request beside its payload. */
+const REQUEST_OVERHEAD_BYTES = 1_024
+
+/** What the scheduler reports for metrics. */
+export interface SchedulingObserver {
+  onPlaced (work: LocalWork, waitedMs: number): void
+  onFinished (work: LocalWork, ranMs: number): void
+}
+
+export interface LocalSchedulerDependencies {
+  readonly self: InstanceRef
+  readonly clock: Clock
+  readonly placements: PlacementQueue
+  readonly claims: Pick<ClaimClient, 'claim'>
+  readonly starter: TaskStarter
+  readonly tracker: TaskTracker
+  readonly observer: SchedulingObserver
+  /** The size to reserve, learned from usage. */
+  estimateSize (team: string, work: LocalWork['request']): Resources
+}
+
+export class LocalScheduler {
+  readonly #dependencies: LocalSchedulerDependencies
+
+  constructor (dependencies: LocalSchedulerDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  /** Runs one attempt; throws a `RefusalError` before the answer's head, or breaks off after it. */
+  async * run (work: LocalWork): AsyncIterable<RunEvent> {
+    const { clock, observer, self } = this.#dependencies
+    const arrivedAt = clock.monotonicMs()
+    const size = this.#dependencies.estimateSize(work.team, work.request)
+    const assignments = await this.#place(work, size)
+    const placedAt = clock.monotonicMs()
+    observer.onPlaced(work, placedAt - arrivedAt)
+    await this.#claim(work, assignments)
+    yield { type: 'accepted', owner: self }
+    try {
+      if (findWorkload(work.request.kind).detached) yield * this.#startDetached(work, assignments, size)
+      else yield * this.#runAttached(work, assignments[0]!, size)
+    } catch (error) {
+      throw markClaimed(error, !work.request.repeatable)
+    }
+    observer.onFinished(work, clock.monotonicMs() - placedAt)
+  }
+
+  async #place (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
+    const { team, request, deadlineAt, signal } = work
+    const { kind, tasks, repeatable } = request
+    const taskIds = Array.from({ length: tasks }, (_, index) => tasks === 1 ? work.attemptId : `${work.attemptId}-${index}`)
+    const bytes = REQUEST_OVERHEAD_BYTES + JSON.stringify(request.payload ?? null).length
+    return await this.#dependencies.placements.wait({ team, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
+  }
+
+  /** Claims the identity of a request that must not be repeated; nothing is sent without the claim. */
+  async #claim (work: LocalWork, assignments: readonly Assignment[]): Promise<void> {
+    const { request, team, attemptId, deadlineAt } = work
+    if (request.repeatable) return
+    work.onStateChange('claiming', assignments[0]!.targetId)
+    const outcome = await this.#dependencies.claims.claim(team, request.id, claimHolder(attemptId), deadlineAt)
+      .catch(() => 'unavailable' as const)
+    if (outcome === 'claimed' && !work.signal.aborted) return
+    this.#releaseAll(assignments)
+    if (outcome === 'duplicate') {
+      throw new RefusalError(`request ${request.id} was sent before`, { code: 'duplicate', verdict: 'may-have-run' })
+    }
+    if (outcome === 'claimed') {
+      throw new RefusalError('the request was cancelled before it started', { code: 'cancelled', verdict: 'not-run', claimed: true })
+    }
+    throw new RefusalError('the request could not be recorded as not to be repeated before its deadline', {
+      code: 'claim-unavailable', verdict: 'not-run'
+    })
+  }
+
+  async * #runAttached (work: LocalWork, assignment: Assignment, size: Resources): AsyncIterable<RunEvent> {
+    const { tracker, starter } = this.#dependencies
+    const started = await starter.start(work, assignment.taskId, assignment.targetId, size, false)
+    let complete = false
+    try {
+      yield * streamAnswer(started)
+      complete = true
+    } finally {
+      if (complete) tracker.complete(started.taskId, { outcome: 'ended', state: 'finished' })
+      else tracker.stop(started.taskId).catch(() => {})
+    }
+  }
+
+  /** Starts every task; if one can't be started, stops the others, so that a gang runs as a whole or not at all. */
+  async * #startDetached (work: LocalWork, assignments: readonly Assignment[], size: Resources): AsyncIterable<RunEvent> {
+    const { starter } = this.#dependencies
+    const results = await Promise.allSettled(assignments.map(({ taskId, targetId }) =>
+      starter.start(work, taskId, targetId, size, true)))
+    const failures = results.flatMap(result => result.status === 'rejected' ? [result.reason as unknown] : [])
+    const started = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : [])
+    if (failures.length > 0) throw await this.#stopPartial(work, started, failures)
+    for (const task of started) await drainAnswer(task)
+    const tasks = started.map(({ taskId, target }) => ({ taskId, target: target.id }))
+    const body = Buffer.from(JSON.stringify({ id: work.request.id, started: true, tasks }) + '\n')
+    yield * createWholeAnswer(tasks.map(({ target }) => target).join(','), 'application/json', body)
+  }
+
+  async #stopPartial (work: LocalWork, started: readonly StartedTask[], failures: readonly unknown[]): Promise<RefusalError> {
+    const { tracker } = this.#dependencies
+    await Promise.all(started.map(async ({ taskId }) => await tracker.stop(taskId)))
+    const first = failures[0] instanceof RefusalError
+      ? failures[0]
+      : new RefusalError(`a task could not be started: ${String(failures[0])}`, { code: 'target-failed', verdict: 'may-have-run' })
+    const verdict = started.length > 0 ? 'ran' : first.verdict
+    return new RefusalError(first.message, { code: first.code, verdict, retryable: first.retryable })
+  }
+
+  #releaseAll (assignments: readonly Assignment[]): void {
+    for (const { taskId } of assignments) this.#dependencies.placements.release(taskId)
+  }
+}
+
+async function * streamAnswer ({ answer, target }: StartedTask): AsyncIterable<RunEvent> {
+  yield { type: 'head', target: target.id, contentType: answer.contentType }
+  let byteCount = 0
+  for await (const bytes of answer.body) {
+    byteCount += bytes.byteLength
+    yield { type: 'chunk', bytes }
+  }
+  yield { type: 'end', byteCount }
+}
+
+function markClaimed (error: unknown, claimed: boolean): unknown {
+  if (!claimed || !(error instanceof RefusalError)) return error
+  const { code, verdict, retryable } = error
+  return new RefusalError(error.message, { code, verdict, retryable, claimed, cause: error })
+}
+
+async function drainAnswer ({ answer }: StartedTask): Promise<void> {
+  try {
+    for await (const bytes of answer.body) if (bytes.byteLength === 0) break
+  } catch {
+    // The task has started; only the target's message about it is incomplete.
+  }
+}
--- /dev/null
+++ b/src/instance/periodicTask.ts
@@ -0,0 +1,42 @@
+/** Repeats an action at an interval until it is stopped; one run at a time. */
+import type { Component } from '../lifecycle/component.ts'
+import type { Clock } from '../ports/clock.ts'
+
+export class PeriodicTask implements Component {
+  readonly name: string
+  readonly #clock: Clock
+  readonly #intervalMs: number
+  readonly #action: () => void | Promise<void>
+  readonly #onError: (error: unknown) => void
+  readonly #stopping = new AbortController()
+  #running: Promise<void> = Promise.resolve()
+
+  constructor (name: string, clock: Clock, intervalMs: number, action: () => void | Promise<void>, onError: (error: unknown) => void) {
+    this.name = name
+    this.#clock = clock
+    this.#intervalMs = intervalMs
+    this.#action = action
+    this.#onError = onError
+  }
+
+  async start (): Promise<void> {
+    this.#running = this.#run()
+  }
+
+  async stop (): Promise<void> {
+    this.#stopping.abort()
+    await this.#running
+  }
+
+  async #run (): Promise<void> {
+    const { signal } = this.#stopping
+    while (!signal.aborted) {
+      try {
+        await this.#action()
+      } catch (error) {
+        this.#onError(error)
+      }
+      await this.#clock.sleep(this.#intervalMs, signal).catch(() => {})
+    }
+  }
+}
--- /dev/null
+++ b/src/instance/placementQueue.ts
@@ -0,0 +1,248 @@
+/** Waits for capacity and allotment: joins the queue, the pool of targets and the team's allotment into one decision. */
+import { RefusalError } from '../model/errors.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import type { KindName } from '../model/request.ts'
+import { addResources, NO_RESOURCES, scaleResources } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
+import type { Assignment, TargetPool } from '../scheduler/placement/targetPool.ts'
+import type { Acceptance, FairQueue, QueueEntry } from '../scheduler/queue/fairQueue.ts'
+import type { ShareLedger } from '../scheduler/shares/shareLedger.ts'
+import { findWorkload } from '../workloads/registry.ts'
+
+export interface PlacementRequest {
+  readonly team: string
+  readonly kind: KindName
+  /** Size of each task. */
+  readonly size: Resources
+  readonly taskIds: readonly string[]
+  readonly deadlineAt: number
+  /** Memory that the request holds while it waits. */
+  readonly bytes: number
+  /** Only repeatable work is sent to a target that is being probed. */
+  readonly repeatable: boolean
+}
+
+/** A task whose capacity and allotment are held. */
+export interface HeldTask {
+  readonly taskId: string
+  readonly targetId: string
+  readonly team: string
+  readonly kind: KindName
+  readonly size: Resources
+  readonly repeatable: boolean
+  /** Monotonic time of the placement. */
+  readonly startedAt: number
+}
+
+/** What waits for one team. */
+export interface WaitingSum {
+  readonly size: Resources
+  readonly entries: number
+}
+
+const NOTHING_WAITING: WaitingSum = { size: NO_RESOURCES, entries: 0 }
+
+export interface WaitingRequest {
+  readonly request: PlacementRequest
+  settle (assignments: readonly Assignment[]): void
+  refuse (error: RefusalError): void
+  assignments: readonly Assignment[]
+}
+
+/** Targets that get one task to find out whether they work again. */
+export interface ProbeGate {
+  targets (): ReadonlySet<string>
+  onPlaced (targetId: string, taskId: string): void
+}
+
+export interface PlacementQueueDependencies {
+  readonly clock: Clock
+  readonly pool: TargetPool
+  readonly queue: FairQueue<WaitingRequest>
+  readonly allotments: Pick<AllotmentManager, 'trySpend' | 'refund' | 'adopt' | 'surrender'>
+  readonly ledger: Pick<ShareLedger, 'charge' | 'release'>
+  readonly probes: ProbeGate
+  /** Called when a request could not be placed at once. */
+  onWaiting (request: PlacementRequest): void
+}
+
+export class PlacementQueue {
+  readonly #dependencies: PlacementQueueDependencies
+  readonly #held = new Map<string, HeldTask>()
+  readonly #waiting = new Map<string, WaitingSum>()
+  #closedReason: RefusalError | undefined
+
+  constructor (dependencies: PlacementQueueDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  get length (): number {
+    return this.#dependencies.queue.size
+  }
+
+  /**
+   * Waits until every task has a target; its reservation and allotment are held until `release`.
+   * Rejects with a `RefusalError` that says `not-run`.
+   */
+  async wait (request: PlacementRequest, signal: AbortSignal): Promise<readonly Assignment[]> {
+    if (this.#closedReason !== undefined) throw this.#closedReason
+    if (signal.aborted) throw createAborted(signal)
+    const { queue } = this.#dependencies
+    return await new Promise((resolve, reject) => {
+      const waiting: WaitingRequest = { request, settle: resolve, refuse: reject, assignments: [] }
+      const entry = createEntry(waiting)
+      const { accepted, shed } = queue.push(entry)
+      for (const victim of shed) this.#refuse(victim, createShed())
+      if (!accepted) return reject(createShed())
+      this.#countWaiting(request, 1)
+      signal.addEventListener('abort', () => {
+        if (queue.remove(entry)) this.#refuse(entry, createAborted(signal))
+      }, { once: true })
+      this.pump()
+      if (waiting.assignments.length === 0) this.#dependencies.onWaiting(request)
+    })
+  }
+
+  /** Sum of the sizes of the team's waiting requests, and their number. */
+  waiting (team: string): WaitingSum {
+    return this.#waiting.get(team) ?? NOTHING_WAITING
+  }
+
+  waitingTeams (): Iterable<string> {
+    return this.#waiting.keys()
+  }
+
+  /** Starts everything that fits now. */
+  pump (): void {
+    const { queue } = this.#dependencies
+    for (let entry = queue.next(this.#accept); entry !== undefined; entry = queue.next(this.#accept)) {
+      this.#countWaiting(entry.value.request, -1)
+      entry.value.settle(entry.value.assignments)
+    }
+  }
+
+  /** Tasks whose capacity is held, on one target or on all. */
+  heldTasks (targetId?: string): readonly HeldTask[] {
+    const tasks = [...this.#held.values()]
+    return targetId === undefined ? tasks : tasks.filter(task => task.targetId === targetId)
+  }
+
+  findHeld (taskId: string): HeldTask | undefined {
+    return this.#held.get(taskId)
+  }
+
+  /** Ends the hold of a task that has certainly ended. */
+  release (taskId: string): void {
+    const task = this.#held.get(taskId)
+    if (task === undefined) return
+    this.#held.delete(taskId)
+    this.#dependencies.pool.release(taskId)
+    this.#dependencies.ledger.release(task.team, task.size)
+    this.#dependencies.allotments.refund(taskId)
+    this.pump()
+  }
+
+  /** Holds a task that was found on a target; resolves when the team's allotment covers it. */
+  async adopt (task: HeldTask, previousOwner: InstanceRef | undefined): Promise<void> {
+    const { taskId, targetId, team, size, kind } = task
+    if (!this.#dependencies.pool.reserve(targetId, taskId, team, size, kind)) {
+      throw new Error(`target ${targetId} reports more running than it has: task ${taskId} exceeds its capacity`)
+    }
+    this.#held.set(taskId, task)
+    this.#dependencies.ledger.charge(team, size)
+    await this.#dependencies.allotments.adopt(team, taskId, size, previousOwner)
+  }
+
+  /** Forgets a task that runs on under a successor; its charge stays until `surrender`. */
+  forget (taskId: string): void {
+    const task = this.#held.get(taskId)
+    if (task === undefined) return
+    this.#held.delete(taskId)
+    this.#dependencies.pool.release(taskId)
+    this.#dependencies.ledger.release(task.team, task.size)
+  }
+
+  /** Refuses the requests whose deadline has come. */
+  expire (now: number): void {
+    for (const entry of this.#dependencies.queue.expire(now)) {
+      this.#refuse(entry, new RefusalError('no capacity became free before the deadline', { code: 'deadline', verdict: 'not-run' }))
+    }
+  }
+
+  /** Refuses what waits and what comes, so that other instances take it; used in a drain. */
+  close (): void {
+    this.#closedReason = new RefusalError('the instance is draining', { code: 'draining', verdict: 'not-run', retryable: true })
+    for (const entry of [...this.#dependencies.queue.entries()]) {
+      this.#dependencies.queue.remove(entry)
+      this.#refuse(entry, this.#closedReason)
+    }
+  }
+
+  readonly #accept = (entry: QueueEntry<WaitingRequest>): Acceptance => {
+    const { request } = entry.value
+    if (!this.#trySpend(request)) return 'limited'
+    const { team, size, taskIds, kind, repeatable } = request
+    const { pool, probes } = this.#dependencies
+    const excludeTargets = repeatable ? undefined : probes.targets()
+    const result = pool.place({ workload: findWorkload(kind), team, size, taskIds, excludeTargets })
+    if (result.outcome !== 'placed') {
+      this.#refund(taskIds)
+      return false
+    }
+    entry.value.assignments = result.assignments
+    for (const assignment of result.assignments) this.#hold(request, assignment)
+    return true
+  }
+
+  #hold ({ team, kind, size, repeatable }: PlacementRequest, { taskId, targetId }: Assignment): void {
+    const { clock, ledger, probes } = this.#dependencies
+    this.#held.set(taskId, { taskId, targetId, team, kind, size, repeatable, startedAt: clock.monotonicMs() })
+    ledger.charge(team, size)
+    probes.onPlaced(targetId, taskId)
+  }
+
+  #refuse (entry: QueueEntry<WaitingRequest>, error: RefusalError): void {
+    this.#countWaiting(entry.value.request, -1)
+    entry.value.refuse(error)
+  }
+
+  #countWaiting ({ team, size, taskIds }: PlacementRequest, sign: 1 | -1): void {
+    const { entries, size: sum } = this.waiting(team)
+    const next = { entries: entries + sign, size: addResources(sum, scaleResources(size, sign * taskIds.length)) }
+    if (next.entries === 0) this.#waiting.delete(team)
+    else this.#waiting.set(team, next)
+  }
+
+  #trySpend ({ team, size, taskIds }: PlacementRequest): boolean {
+    const spent: string[] = []
+    for (const taskId of taskIds) {
+      if (!this.#dependencies.allotments.trySpend(team, taskId, size)) {
+        this.#refund(spent)
+        return false
+      }
+      spent.push(taskId)
+    }
+    return true
+  }
+
+  #refund (taskIds: readonly string[]): void {
+    for (const taskId of taskIds) this.#dependencies.allotments.refund(taskId)
+  }
+}
+
+function createEntry (value: WaitingRequest): QueueEntry<WaitingRequest> {
+  const { team, kind, size, taskIds, bytes, deadlineAt } = value.request
+  return { team, kind, urgency: findWorkload(kind).urgency, size, tasks: taskIds.length, bytes, deadlineAt, value }
+}
+
+function createShed (): RefusalError {
+  return new RefusalError('the queue is full', { code: 'shed', verdict: 'not-run' })
+}
+
+/** Nothing was sent, whatever the reason for the abort says. */
+function createAborted ({ reason }: AbortSignal): RefusalError {
+  if (reason instanceof RefusalError) return new RefusalError(reason.message, { code: reason.code, verdict: 'not-run' })
+  return new RefusalError('the request was cancelled before it started', { code: 'cancelled', verdict: 'not-run' })
+}
--- /dev/null
+++ b/src/instance/requestRouter.ts
@@ -0,0 +1,72 @@
+/** Describes this instance to the router and asks it where a request should go. */
+import type { InstanceDigest } from '../model/digest.ts'
+import type { InstanceRef, Location } from '../model/identity.ts'
+import { fits } from '../model/resources.ts'
+import type { MembershipTable } from '../membership/membershipTable.ts'
+import type { Random } from '../ports/random.ts'
+import { countFitting } from '../scheduler/placement/targetState.ts'
+import type { TargetPool } from '../scheduler/placement/targetPool.ts'
+import { chooseInstance } from '../scheduler/routing/router.ts'
+import type { CrossRegionBudget, LocalView, Route } from '../scheduler/routing/router.ts'
+import { findWorkload } from '../workloads/registry.ts'
+import type { RouteQuery } from './dispatcher.ts'
+import type { PlacementQueue } from './placementQueue.ts'
+import type { TeamSettingsSource } from './teamSettingsSource.ts'
+import type { WaitEstimator } from './waitEstimator.ts'
+
+/** Round trip between regions, of which the brief gives 20 ms one way. */
+export const CROSS_REGION_ROUND_TRIP_MS = 40
+/** Headers and framing of a forwarded request. */
+const FORWARDING_OVERHEAD_BYTES = 300
+
+export interface RequestRouterDependencies {
+  readonly self: () => InstanceRef
+  readonly location: Location
+  readonly pool: TargetPool
+  readonly placements: PlacementQueue
+  readonly membership: MembershipTable
+  readonly settings: TeamSettingsSource
+  readonly budget: CrossRegionBudget
+  readonly random: Random
+  readonly waits: WaitEstimator
+  isDraining (): boolean
+}
+
+export class RequestRouter {
+  readonly #dependencies: RequestRouterDependencies
+
+  constructor (dependencies: RequestRouterDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  choose (query: RouteQuery): Route {
+    const { random, budget, settings } = this.#dependencies
+    const { team, request, hops, excluded } = query
+    const bytes = FORWARDING_OVERHEAD_BYTES + JSON.stringify(request).length
+    const routed = { team, size: request.size, tasks: request.tasks, bytes, hops, excluded }
+    const { crossRegionWaitMs } = settings.find(team, request.kind)
+    const context = { random, budget, crossRegionRoundTripMs: CROSS_REGION_ROUND_TRIP_MS, crossRegionWaitMs }
+    return chooseInstance(routed, this.#describeLocal(query), this.#candidates(), context)
+  }
+
+  #describeLocal ({ request, excluded }: RouteQuery): LocalView {
+    const { pool, placements, waits, location, self } = this.#dependencies
+    const workload = findWorkload(request.kind)
+    const ref = self()
+    const refused = excluded.has(ref.name) || this.#dependencies.isDraining()
+    const hasRoom = fits(request.size, pool.largestFree()) && countFitting(request.size, pool.free()) >= request.tasks
+    const type = workload.targetType(request.size)
+    const couldRun = [...pool.targets()].some(({ info }) => info.type === type && fits(request.size, info.capacity))
+    return {
+      ...location,
+      ref,
+      fitsNow: !refused && hasRoom && (workload.urgency === 0 || placements.length === 0),
+      mayWait: !refused && couldRun,
+      waitMs: hasRoom ? 0 : waits.estimate(request.kind)
+    }
+  }
+
+  #candidates (): readonly InstanceDigest[] {
+    return this.#dependencies.membership.live().filter(member => !member.leaving).map(member => member.digest)
+  }
+}
--- /dev/null
+++ b/src/instance/requestService.ts
@@ -0,0 +1,125 @@
+/** Takes requests from callers and from other instances and sees them through. */
+import { randomUUID } from 'node:crypto'
+import { RefusalError } from '../model/errors.ts'
+import type { AdmittedRequest } from '../model/request.ts'
+import type { CallerHandler } from '../ports/callerHandler.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { ForwardedRequest, PeerClient, RequestStatus, RunEvent } from '../ports/peerClient.ts'
+import type { Admission } from '../scheduler/admission/admission.ts'
+import type { DispatchContext, Dispatcher } from './dispatcher.ts'
+import type { Flight, FlightTable } from './flightTable.ts'
+
+/** What becomes of requests, for logs and metrics. */
+export interface RequestObserver {
+  onAccepted (admitted: AdmittedRequest): void
+  onRefused (admitted: AdmittedRequest | undefined, refusal: RefusalError): void
+}
+
+export interface RequestServiceDependencies {
+  readonly clock: Clock
+  readonly admission: Admission
+  readonly dispatcher: Dispatcher
+  readonly flights: FlightTable
+  readonly peerClient: Pick<PeerClient, 'cancel' | 'find'>
+  readonly observer: RequestObserver
+  /** Addresses of the other instances that are alive. */
+  peerAddresses (): readonly string[]
+  isDraining (): boolean
+}
+
+export class RequestService implements CallerHandler {
+  readonly #dependencies: RequestServiceDependencies
+
+  constructor (dependencies: RequestServiceDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  async * run (key: string | undefined, body: unknown, signal: AbortSignal): AsyncIterable<RunEvent> {
+    const { admission, observer } = this.#dependencies
+    let admitted: AdmittedRequest | undefined
+    try {
+      if (this.#dependencies.isDraining()) {
+        throw new RefusalError('the instance is draining; use another one', { code: 'draining', verdict: 'not-run' })
+      }
+      admitted = admission.admit(key, body)
+      observer.onAccepted(admitted)
+      yield * this.#fly(admitted, randomUUID(), 0, signal, true)
+    } catch (error) {
+      if (error instanceof RefusalError) observer.onRefused(admitted, error)
+      throw error
+    }
+  }
+
+  /** Runs a request that another instance took; refusals become events, so that their verdicts arrive. */
+  async * runForwarded (forwarded: ForwardedRequest, signal: AbortSignal): AsyncIterable<RunEvent> {
+    const { team, request, remainingMs, hops, attemptId } = forwarded
+    const deadlineAt = this.#dependencies.clock.monotonicMs() + remainingMs
+    let headPassed = false
+    try {
+      for await (const event of this.#fly({ team, request, deadlineAt }, attemptId, hops, signal, false)) {
+        headPassed ||= event.type === 'head'
+        yield event
+      }
+    } catch (error) {
+      if (!(error instanceof RefusalError) || headPassed) throw error
+      const { code, message, verdict, claimed, retryable } = error
+      yield { type: 'refused', code, message, verdict, claimed, retryable }
+    }
+  }
+
+  async cancel (key: string | undefined, requestId: string): Promise<boolean> {
+    const team = this.#dependencies.admission.identify(key)
+    if (this.cancelHere(team, requestId)) return true
+    const answers = await this.#askPeers(address => this.#dependencies.peerClient.cancel(address, team, requestId, ''))
+    return answers.includes(true)
+  }
+
+  cancelHere (team: string, requestId: string, attemptId?: string): boolean {
+    return this.#dependencies.flights.cancel(team, requestId, attemptId)
+  }
+
+  async find (key: string | undefined, requestId: string): Promise<readonly RequestStatus[]> {
+    const team = this.#dependencies.admission.identify(key)
+    const answers = await this.#askPeers(address => this.#dependencies.peerClient.find(address, team, requestId))
+    return [...this.findHere(team, requestId), ...answers.flat()]
+  }
+
+  findHere (team: string, requestId: string): readonly RequestStatus[] {
+    return this.#dependencies.flights.find(team, requestId)
+  }
+
+  async * #fly (admitted: AdmittedRequest, flightId: string, hops: number, signal: AbortSignal, exclusive: boolean): AsyncIterable<RunEvent> {
+    const { flights, dispatcher } = this.#dependencies
+    const flight = flights.add(admitted.team, admitted.request.id, flightId, exclusive)
+    const ended = new AbortController()
+    this.#abortAtDeadline(admitted, flight, ended.signal)
+    const context: DispatchContext = {
+      admitted,
+      flightId,
+      hops,
+      signal: AbortSignal.any([signal, flight.abort.signal]),
+      onStateChange: (state, target) => {
+        flight.state = state
+        flight.target = target
+      }
+    }
+    try {
+      yield * dispatcher.run(context)
+    } finally {
+      ended.abort()
+      flights.remove(flight)
+    }
+  }
+
+  #abortAtDeadline ({ deadlineAt }: AdmittedRequest, flight: Flight, ended: AbortSignal): void {
+    const { clock } = this.#dependencies
+    clock.sleep(deadlineAt - clock.monotonicMs(), ended).then(() => {
+      flight.abort.abort(new RefusalError('the deadline passed', { code: 'deadline', verdict: 'may-have-run' }))
+    }, () => {})
+  }
+
+  async #askPeers<Answer> (ask: (address: string) => Promise<Answer>): Promise<readonly Answer[]> {
+    const answers = await Promise.allSettled(this.#dependencies.peerAddresses().map(ask))
+    return answers.flatMap(answer => answer.status === 'fulfilled' ? [answer.value] : [])
+  }
+}
--- /dev/null
+++ b/src/instance/schedulingParts.ts
@@ -0,0 +1,266 @@
+/** The parts of an instance that place work on its targets and see it through. */
+import { RefusalError } from '../model/errors.ts'
+import type { InstanceRef } from '../model/identity.ts'
+import { maximumResources, NO_RESOURCES } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import type { AdmittedRequest, WorkRequest } from '../model/request.ts'
+import type { TargetInfo } from '../model/target.ts'
+import { Admission } from '../scheduler/admission/admission.ts'
+import { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
+import type { ClaimClient } from '../scheduler/claims/claimClient.ts'
+import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
+import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
+import { TargetPool } from '../scheduler/placement/targetPool.ts'
+import { FairQueue, MAXIMUM_QUEUE_BYTES, MAXIMUM_QUEUE_ENTRIES } from '../scheduler/queue/fairQueue.ts'
+import { RetryBudget } from '../scheduler/retries/retryBudget.ts'
+import { decideRetry } from '../scheduler/retries/retryPolicy.ts'
+import { CrossRegionBudget } from '../scheduler/routing/router.ts'
+import { ShareLedger } from '../scheduler/shares/shareLedger.ts'
+import { UsageEstimator } from '../scheduler/usage/usageEstimator.ts'
+import type { ConfigurationParts } from './configurationParts.ts'
+import { Dispatcher } from './dispatcher.ts'
+import { FlightTable } from './flightTable.ts'
+import type { InstanceOptions } from './instanceOptions.ts'
+import { LocalScheduler } from './localScheduler.ts'
+import type { LocalWork } from './localWork.ts'
+import { PlacementQueue } from './placementQueue.ts'
+import type { PlacementRequest, WaitingRequest } from './placementQueue.ts'
+import { Preemptor } from './preemptor.ts'
+import { RequestRouter } from './requestRouter.ts'
+import { RequestService } from './requestService.ts'
+import { TargetUse } from './targetUse.ts'
+import { TaskStarter } from './taskStarter.ts'
+import { TaskTracker } from './taskTracker.ts'
+import { WaitEstimator } from './waitEstimator.ts'
+
+/** Traffic over the region link that a team may save up, in seconds of its rate. */
+const CROSS_REGION_BURST_S = 4
+
+/** What the scheduling parts need of the parts that are made after them. */
+export interface Authorities {
+  ownership (): OwnershipManager
+  allotments (): AllotmentManager
+  claims (): ClaimClient
+  self (): InstanceRef
+  isDraining (): boolean
+}
+
+export class SchedulingParts {
+  readonly ledger = new ShareLedger()
+  readonly estimator = new UsageEstimator()
+  readonly retryBudget = new RetryBudget()
+  readonly waits = new WaitEstimator()
+  readonly pool: TargetPool
+  readonly placements: PlacementQueue
+  readonly tracker: TaskTracker
+  readonly breaker: TargetBreaker
+  readonly targetUse: TargetUse
+  readonly preemptor: Preemptor
+  readonly flights: FlightTable
+  readonly crossRegion: CrossRegionBudget
+  readonly admission: Admission
+  readonly dispatcher: Dispatcher
+  readonly requests: RequestService
+  readonly #options: InstanceOptions
+  readonly #configuration: ConfigurationParts
+  readonly #authorities: Authorities
+
+  constructor (options: InstanceOptions, configuration: ConfigurationParts, authorities: Authorities) {
+    const { clock, random, targetClient, self } = options
+    this.#options = options
+    this.#configuration = configuration
+    this.#authorities = authorities
+    this.pool = new TargetPool(random)
+    this.breaker = new TargetBreaker(clock)
+    this.tracker = new TaskTracker(clock, targetClient)
+    this.flights = new FlightTable(self.name)
+    this.targetUse = new TargetUse({
+      pool: this.pool,
+      breaker: this.breaker,
+      ownership: () => authorities.ownership(),
+      configuration: () => configuration.log.state,
+      listedTargets: () => configuration.listedHere()
+    })
+    this.placements = this.#createPlacements()
+    this.preemptor = this.#createPreemptor()
+    this.crossRegion = new CrossRegionBudget(clock, team => {
+      const { crossRegionBytesPerSecond: bytesPerSecond } = configuration.settings.find(team, 'batch')
+      return { bytesPerSecond, burstBytes: bytesPerSecond * CROSS_REGION_BURST_S }
+    })
+    this.admission = this.#createAdmission()
+    this.dispatcher = this.#createDispatcher(this.#createScheduler())
+    this.requests = this.#createRequests()
+  }
+
+  #createPlacements (): PlacementQueue {
+    const { clock } = this.#options
+    const queue = new FairQueue<WaitingRequest>({
+      maximumEntries: MAXIMUM_QUEUE_ENTRIES,
+      maximumBytes: MAXIMUM_QUEUE_BYTES,
+      clock,
+      weightedShare: team => this.ledger.weightedShare(team)
+    })
+    return new PlacementQueue({
+      clock,
+      pool: this.pool,
+      queue,
+      allotments: {
+        trySpend: (team, taskId, size) => this.#authorities.allotments().trySpend(team, taskId, size),
+        refund: taskId => this.#authorities.allotments().refund(taskId),
+        adopt: async (team, taskId, size, from) => await this.#authorities.allotments().adopt(team, taskId, size, from),
+        surrender: taskId => this.#authorities.allotments().surrender(taskId)
+      },
+      ledger: this.ledger,
+      probes: this.targetUse,
+      onWaiting: request => this.#onWaiting(request)
+    })
+  }
+
+  #onWaiting (request: PlacementRequest): void {
+    const { team, kind } = request
+    this.#authorities.allotments().setQueuedDemand(team, this.placements.waiting(team).size)
+    if (kind === 'urgent') this.preemptor.preemptFor(request)
+  }
+
+  #createPreemptor (): Preemptor {
+    const { clock, logger } = this.#options
+    return new Preemptor({
+      clock,
+      ledger: this.ledger,
+      pool: this.pool,
+      placements: () => this.placements,
+      tracker: this.tracker,
+      settings: this.#configuration.settings,
+      onFailure: (taskId, error) => logger.warn({ taskId, err: error }, 'a task could not be checkpointed')
+    })
+  }
+
+  #createAdmission (): Admission {
+    const { settings, freshness } = this.#configuration
+    return new Admission({
+      clock: this.#options.clock,
+      authenticate: key => this.#configuration.keys.authenticate(key),
+      findOpenQueue: queue => settings.findOpenQueue(queue),
+      configurationAge: () => freshness.ageMs(),
+      settings: (team, kind) => {
+        const { defaultSize, defaultDeadlineMs, limit, keyGraceMs } = settings.find(team, kind)
+        return { size: defaultSize, deadlineMs: defaultDeadlineMs, limit, keyGraceMs }
+      },
+      listedTargets: () => this.#configuration.listedTargets()
+    })
+  }
+
+  #createScheduler (): LocalScheduler {
+    const { clock, targetClient, metrics } = this.#options
+    const { ownership, claims } = this.#authorities
+    const starter = new TaskStarter({
+      clock,
+      targetClient,
+      ownership: {
+        epochOf: targetId => ownership().epochOf(targetId),
+        reportFenced: (targetId, epoch) => ownership().reportFenced(targetId, epoch)
+      },
+      breaker: this.breaker,
+      tracker: this.tracker,
+      findTarget: targetId => this.#findTarget(targetId),
+      leaseMs: work => this.#configuration.settings.find(work.team, work.request.kind).taskLeaseMs,
+      onBreakerChange: (targetId, open) => this.#onBreakerChange(targetId, open),
+      onEnded: taskId => this.placements.release(taskId)
+    })
+    return new LocalScheduler({
+      self: this.#options.self,
+      clock,
+      placements: this.placements,
+      claims: { claim: async (team, requestId, holder, deadlineAt) => await claims().claim(team, requestId, holder, deadlineAt) },
+      starter,
+      tracker: this.tracker,
+      estimateSize: (team, request) => this.#estimateSize(team, request),
+      observer: {
+        onPlaced: (work, waitedMs) => this.#onPlaced(work, waitedMs),
+        onFinished: ({ team, request }, ranMs) => metrics.observeRun(team, request.kind, ranMs)
+      }
+    })
+  }
+
+  #createDispatcher (scheduler: LocalScheduler): Dispatcher {
+    const { clock, random, peerClient, metrics } = this.#options
+    const router = new RequestRouter({
+      self: () => this.#authorities.self(),
+      location: this.#options.location,
+      pool: this.pool,
+      placements: this.placements,
+      membership: this.#configuration.membership,
+      settings: this.#configuration.settings,
+      budget: this.crossRegion,
+      random,
+      waits: this.waits,
+      isDraining: () => this.#authorities.isDraining()
+    })
+    return new Dispatcher({
+      selfName: this.#options.self.name,
+      clock,
+      peerClient,
+      runLocally: work => scheduler.run(work),
+      chooseRoute: query => router.choose(query),
+      decideRetry: question => decideRetry(question, this.retryBudget, random),
+      configurationVersion: () => this.#configuration.log.version,
+      onRetry: (team, kind) => metrics.countRetry(team, kind),
+      onCrossRegionBytes: (team, bytes) => {
+        this.crossRegion.record(team, bytes)
+        metrics.countCrossRegionBytes(team, bytes)
+      }
+    })
+  }
+
+  #createRequests (): RequestService {
+    const { clock, peerClient } = this.#options
+    return new RequestService({
+      clock,
+      admission: this.admission,
+      dispatcher: this.dispatcher,
+      flights: this.flights,
+      peerClient,
+      peerAddresses: () => this.#configuration.membership.others().map(({ digest }) => digest.peerAddress),
+      isDraining: () => this.#authorities.isDraining(),
+      observer: {
+        onAccepted: admitted => this.#onAccepted(admitted),
+        onRefused: (admitted, refusal) => this.#onRefused(admitted, refusal)
+      }
+    })
+  }
+
+  #findTarget (targetId: string): TargetInfo | undefined {
+    return this.pool.find(targetId)?.info
+  }
+
+  #onBreakerChange (targetId: string, open: boolean): void {
+    this.#options.logger.warn({ target: targetId }, open ? 'the target fails every start and is taken out of use' : 'the target works again')
+    this.targetUse.refresh()
+    this.placements.pump()
+  }
+
+  #estimateSize (team: string, { kind, name, size }: WorkRequest): Resources {
+    const largest = this.#configuration.listedHere().reduce((most, target) => maximumResources(most, target.capacity), NO_RESOURCES)
+    return this.estimator.estimate(team, kind, name, size, largest)
+  }
+
+  #onPlaced ({ team, request }: LocalWork, waitedMs: number): void {
+    this.waits.record(request.kind, waitedMs)
+    this.#options.metrics.observeWaiting(team, request.kind, waitedMs)
+  }
+
+  #onAccepted ({ team, request }: AdmittedRequest): void {
+    this.retryBudget.recordRequest(team)
+    this.#options.metrics.countRequest(team, request.kind)
+  }
+
+  #onRefused (admitted: AdmittedRequest | undefined, refusal: RefusalError): void {
+    const { metrics, logger } = this.#options
+    const { code, verdict } = refusal
+    const fields = { team: admitted?.team, requestId: admitted?.request.id, code, verdict }
+    logger.info({ ...fields, err: refusal.cause }, refusal.message)
+    if (admitted === undefined) return
+    metrics.countRefusal(admitted.team, admitted.request.kind, code, verdict)
+    if (code === 'shed') metrics.countShed(admitted.team, admitted.request.kind)
+  }
+}
--- /dev/null
+++ b/src/instance/startInstance.ts
@@ -0,0 +1,99 @@
+/** Runs one entry instance as a process: servers, clients, planned stop. */
+import { randomBytes } from 'node:crypto'
+import { CallerServer } from '../adapters/caller/callerServer.ts'
+import { SystemClock } from '../adapters/clock/systemClock.ts'
+import { HttpInstanceList } from '../adapters/list/httpInstanceList.ts'
+import { parseAddress } from '../adapters/network.ts'
+import { OperatorServer } from '../adapters/operator/operatorServer.ts'
+import { ConnectPeerClient } from '../adapters/peer/connectPeerClient.ts'
+import { ConnectPeerServer } from '../adapters/peer/connectPeerServer.ts'
+import { SeededRandom } from '../adapters/random/seededRandom.ts'
+import { HttpStore } from '../adapters/store/httpStore.ts'
+import { HttpTargetClient } from '../adapters/target/httpTargetClient.ts'
+import type { RunningInstance } from '../commands/instanceLoader.ts'
+import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
+import { createLogger } from '../observability/logger.ts'
+import type { Logger } from '../observability/logger.ts'
+import { Metrics } from '../observability/metrics.ts'
+import type { InstanceSettings } from '../settings/instanceSettings.ts'
+import { EntryInstance } from './entryInstance.ts'
+import { MeteredStore } from './meteredStore.ts'
+
+const INCARNATION_BYTES = 8
+
+/**
+ * Starts an instance; it stops on `stop`, on an operator's drain, or when the platform's list says that it leaves.
+ *
+ * @example
+ * const running = await startInstance(readInstanceSettings('entry-1.ini', bytes))
+ * await running.stopped
+ */
+export async function startInstance (settings: InstanceSettings): Promise<RunningInstance> {
+  const { name, dataCentre, region, peerAddress, peerSecret, operatorToken, stopTimeoutMs } = settings
+  const clock = new SystemClock()
+  const logger = createLogger({ level: settings.logLevel, instance: name, dataCentre, secrets: [peerSecret, operatorToken] })
+  const metrics = new Metrics()
+  const store = new HttpStore({ address: settings.storeAddress, callTimeoutMs: settings.storeTimeoutMs, connectTimeoutMs: settings.connectTimeoutMs })
+  const list = new HttpInstanceList({ address: settings.listAddress, callTimeoutMs: settings.listTimeoutMs })
+  const targetClient = new HttpTargetClient({ connectTimeoutMs: settings.connectTimeoutMs })
+  const peerClient = new ConnectPeerClient(peerSecret)
+  const instance = new EntryInstance({
+    self: { name, incarnation: randomBytes(INCARNATION_BYTES).toString('hex') },
+    location: { dataCentre, region },
+    peerAddress,
+    seeds: settings.peers,
+    store: new MeteredStore(store, metrics),
+    list,
+    targetClient,
+    peerClient,
+    clock,
+    random: SeededRandom.fromEntropy(),
+    logger,
+    metrics
+  })
+  const manager = new LifecycleManager(stopTimeoutMs)
+  for (const component of [store, list, targetClient.component, peerClient]) manager.add(component)
+  manager.add(new ConnectPeerServer(peerAddress, peerSecret, instance.peers))
+  manager.add({ name: 'entry instance', start: async () => await instance.start(), stop: async () => await instance.stop() })
+  manager.add(createOperatorServer(settings, instance, logger))
+  manager.add(createCallerServer(settings, instance))
+  await manager.start()
+  return createRunning(instance, manager, logger, stopTimeoutMs)
+}
+
+function createOperatorServer (settings: InstanceSettings, instance: EntryInstance, logger: Logger): OperatorServer {
+  return new OperatorServer(instance.operators, {
+    ...parseAddress(settings.operatorAddress),
+    token: settings.operatorToken,
+    requestTimeoutMs: settings.requestTimeoutMs,
+    onError: error => logger.error({ err: error }, 'an operator\'s request failed')
+  })
+}
+
+function createCallerServer (settings: InstanceSettings, instance: EntryInstance): CallerServer {
+  const { callerAddress: address, bodyLimitBytes, connectionLimit, requestTimeoutMs } = settings
+  return new CallerServer({ address, bodyLimitBytes, connectionLimit, requestTimeoutMs }, instance.callers)
+}
+
+/** The planned stop: readiness drops, everything is handed over, open requests end, then the parts stop. */
+function createRunning (instance: EntryInstance, manager: LifecycleManager, logger: Logger, stopTimeoutMs: number): RunningInstance {
+  let stopping: Promise<void> | undefined
+  let markStopped: () => void = () => {}
+  const stopped = new Promise<void>(resolve => { markStopped = resolve })
+  const stopOnce = async (): Promise<void> => {
+    try {
+      await instance.drain(AbortSignal.timeout(stopTimeoutMs))
+    } catch (error) {
+      logger.warn({ err: error }, 'the planned stop is out of time; requests that still run are cut off')
+    }
+    for (const { component, error } of await manager.stop()) logger.warn({ component, err: error }, 'a part did not stop in order')
+    logger.info('the instance has stopped')
+    markStopped()
+  }
+  const stop = async (): Promise<void> => {
+    stopping ??= stopOnce()
+    await stopping
+  }
+  instance.drainRequested.then(stop).catch((error: unknown) => logger.error({ err: error }, 'the planned stop failed'))
+  return { stop, stopped }
+}
--- /dev/null
+++ b/src/instance/targetUse.ts
@@ -0,0 +1,62 @@
+/** Decides which owned targets take new work: fenced, not leaving, not drained by an operator, and not set aside. */
+import type { ConfigurationState } from '../configuration/configurationState.ts'
+import { isDraining } from '../configuration/configurationState.ts'
+import type { TargetInfo } from '../model/target.ts'
+import type { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
+import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
+import type { TargetPool } from '../scheduler/placement/targetPool.ts'
+import type { ProbeGate } from './placementQueue.ts'
+
+export interface TargetUseDependencies {
+  readonly pool: TargetPool
+  readonly breaker: TargetBreaker
+  ownership (): Pick<OwnershipManager, 'epochOf'>
+  configuration (): ConfigurationState
+  /** Targets of the data centre as last listed. */
+  listedTargets (): readonly TargetInfo[]
+}
+
+export class TargetUse implements ProbeGate {
+  readonly #dependencies: TargetUseDependencies
+  #probes: ReadonlySet<string> = new Set()
+
+  constructor (dependencies: TargetUseDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  targets (): ReadonlySet<string> {
+    return this.#probes
+  }
+
+  /** A target that is being probed gets one task only. */
+  onPlaced (targetId: string, taskId: string): void {
+    if (!this.#probes.has(targetId)) return
+    this.#dependencies.breaker.beginProbe(targetId, taskId)
+    this.#probes = new Set([...this.#probes].filter(id => id !== targetId))
+    this.#dependencies.pool.setUsable(targetId, false)
+  }
+
+  /** Applies the list, the configuration and the breaker to every target of the pool. */
+  refresh (): void {
+    const { pool, breaker } = this.#dependencies
+    const listed = new Map(this.#dependencies.listedTargets().map(target => [target.id, target]))
+    this.#probes = new Set(breaker.dueProbes())
+    for (const { info, usable } of [...pool.targets()]) {
+      const mayUse = this.#mayUse(info.id, listed.get(info.id))
+      if (mayUse !== usable) pool.setUsable(info.id, mayUse)
+    }
+  }
+
+  /** Says whether an operator drains the target, its data centre included. */
+  isDrained (id: string, dataCentre: string): boolean {
+    const state = this.#dependencies.configuration()
+    return isDraining(state, 'target', id) || isDraining(state, 'dataCentre', dataCentre)
+  }
+
+  #mayUse (id: string, info: TargetInfo | undefined): boolean {
+    const { breaker } = this.#dependencies
+    if (this.#dependencies.ownership().epochOf(id) === undefined) return false
+    if (info === undefined || info.leaving || this.isDrained(id, info.dataCentre)) return false
+    return !breaker.isOpen(id) || this.#probes.has(id)
+  }
+}
--- /dev/null
+++ b/src/instance/taskStarter.ts
@@ -0,0 +1,137 @@
+/** Sends one placed task to its target and turns what is known of it into a verdict. */
+import { RefusalError } from '../model/errors.ts'
+import type { Resources } from '../model/resources.ts'
+import type { TargetInfo } from '../model/target.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { StartResult, TargetClient, TargetRefusal, TaskAnswer } from '../ports/targetClient.ts'
+import type { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
+import { START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
+import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
+import type { LocalWork } from './localWork.ts'
+import type { TaskEnd, TaskTracker } from './taskTracker.ts'
+
+export interface TaskStarterDependencies {
+  readonly clock: Clock
+  readonly targetClient: TargetClient
+  readonly ownership: Pick<OwnershipManager, 'epochOf' | 'reportFenced'>
+  readonly breaker: TargetBreaker
+  readonly tracker: TaskTracker
+  findTarget (targetId: string): TargetInfo | undefined
+  leaseMs (work: LocalWork): number
+  /** Called when a target is set aside, or used again. */
+  onBreakerChange (targetId: string, open: boolean): void
+  /** Called once the task has certainly ended, or never starts. */
+  onEnded (taskId: string): void
+}
+
+export interface StartedTask {
+  readonly taskId: string
+  readonly target: TargetInfo
+  readonly answer: TaskAnswer
+  readonly ended: Promise<TaskEnd>
+}
+
+const REFUSAL_MESSAGES: Readonly<Record<TargetRefusal, string>> = {
+  'no-capacity': 'the target has no capacity for the task',
+  fenced: 'the target has another owner',
+  'too-late': 'the request reached the target too late',
+  leaving: 'the target is leaving',
+  'unknown-task': 'the target does not know the task'
+}
+
+export class TaskStarter {
+  readonly #dependencies: TaskStarterDependencies
+
+  constructor (dependencies: TaskStarterDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  /** Resolves when the target has answered with its head; rejects with a `RefusalError` and its verdict. */
+  async start (work: LocalWork, taskId: string, targetId: string, size: Resources, detached: boolean): Promise<StartedTask> {
+    const { clock, targetClient, ownership, tracker } = this.#dependencies
+    const target = this.#dependencies.findTarget(targetId)
+    const epoch = ownership.epochOf(targetId)
+    if (target === undefined || epoch === undefined) throw this.#refuse(taskId, 'fenced', 'the target is not owned any more')
+    const leaseMs = this.#dependencies.leaseMs(work)
+    const startByWallMs = clock.wallMs() + START_BY_WINDOW_MS
+    const ended = tracker.track({ taskId, target, epoch, leaseMs, sentAt: clock.monotonicMs(), startByWallMs })
+    ended.then(() => this.#dependencies.onEnded(taskId), () => {})
+    work.onStateChange('running', targetId)
+    const { team, request } = work
+    const result = await targetClient.start(target, {
+      taskId,
+      team,
+      requestId: request.id,
+      kind: request.kind,
+      name: request.name,
+      size,
+      payload: request.payload,
+      epoch,
+      startByWallMs,
+      leaseMs,
+      detached
+    }, work.signal).catch((error: unknown): StartResult => ({ outcome: 'unknown', message: describe(error) }))
+    const answer = await this.#takeResult(work, taskId, target, epoch, result)
+    return { taskId, target, answer, ended }
+  }
+
+  async #takeResult (work: LocalWork, taskId: string, target: TargetInfo, epoch: number, result: StartResult): Promise<TaskAnswer> {
+    const { breaker, ownership, tracker } = this.#dependencies
+    switch (result.outcome) {
+      case 'started':
+        if (result.answer.taskId !== taskId) throw await this.#settleUnknown(work, taskId, 'the target answered for another task')
+        if (breaker.recordSuccess(target.id) === 'closed') this.#dependencies.onBreakerChange(target.id, false)
+        return result.answer
+      case 'refused':
+        tracker.complete(taskId, { outcome: 'never-started' })
+        if (result.refusal === 'fenced') ownership.reportFenced(target.id, epoch)
+        throw this.#refuse(taskId, result.refusal === 'fenced' ? 'fenced' : 'no-capacity', REFUSAL_MESSAGES[result.refusal])
+      case 'failed':
+        if (tracker.takeCheckpointed(taskId)) {
+          tracker.complete(taskId, { outcome: 'ended', state: 'checkpointed' })
+          throw new RefusalError('the task was checkpointed for other work', { code: 'preempted', verdict: 'ran', retryable: true })
+        }
+        tracker.complete(taskId, { outcome: 'ended', state: 'failed' })
+        this.#recordFailure(target.id, taskId)
+        throw new RefusalError(`the task failed on its target: ${result.message}`, {
+          code: 'target-failed', verdict: 'ran', retryable: true
+        })
+      case 'unreachable':
+        tracker.complete(taskId, { outcome: 'never-started' })
+        this.#recordFailure(target.id, taskId)
+        throw new RefusalError('the target can not be reached', { code: 'target-failed', verdict: 'not-run', retryable: true })
+      case 'unknown':
+        if (!work.signal.aborted) this.#recordFailure(target.id, taskId)
+        throw await this.#settleUnknown(work, taskId, result.message)
+    }
+  }
+
+  #recordFailure (targetId: string, taskId: string): void {
+    if (this.#dependencies.breaker.recordFailure(targetId, taskId) === 'opened') this.#dependencies.onBreakerChange(targetId, true)
+  }
+
+  /** Finds out whether a task without an answer ran; gives up at the request's deadline. */
+  async #settleUnknown (work: LocalWork, taskId: string, message: string): Promise<RefusalError> {
+    const { clock, tracker } = this.#dependencies
+    const settled = tracker.stop(taskId)
+    const waited = new AbortController()
+    const timeout = clock.sleep(Math.max(0, work.deadlineAt - clock.monotonicMs()), waited.signal).then(() => undefined, () => undefined)
+    const end = work.signal.aborted ? undefined : await Promise.race([settled, timeout])
+    waited.abort()
+    if (end === undefined) {
+      return new RefusalError(`the target gave no answer: ${message}`, { code: 'target-failed', verdict: 'may-have-run' })
+    }
+    const verdict = end.outcome === 'never-started' ? 'not-run' : 'may-have-run'
+    return new RefusalError(`the target gave no answer: ${message}`, { code: 'target-failed', verdict, retryable: true })
+  }
+
+  #refuse (taskId: string, code: 'fenced' | 'no-capacity', message: string): RefusalError {
+    if (this.#dependencies.tracker.isTracking(taskId)) this.#dependencies.tracker.complete(taskId, { outcome: 'never-started' })
+    else this.#dependencies.onEnded(taskId)
+    return new RefusalError(message, { code, verdict: 'not-run', retryable: true })
+  }
+}
+
+function describe (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/src/instance/taskTracker.ts
@@ -0,0 +1,178 @@
+/**
+ * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
+ * Capacity and allotment of a task are released only when the task has certainly ended.
+ */
+import type { Clock } from '../ports/clock.ts'
+import type { TargetClient } from '../ports/targetClient.ts'
+import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
+import type { TargetInfo, TaskReport, TaskState } from '../model/target.ts'
+
+/** Renewals are sent each time this part of the lease has passed. */
+const RENEWALS_PER_LEASE = 3
+/** Clocks of instances and targets may differ in rate by this much. */
+const CLOCK_DRIFT_ALLOWANCE = 1.1
+/** Between attempts to settle a task. */
+const SETTLE_INTERVAL_MS = 250
+
+export interface TrackedTask {
+  readonly taskId: string
+  readonly target: TargetInfo
+  readonly epoch: number
+  readonly leaseMs: number
+  /** When the request to start was sent, or the task was adopted, on the monotonic clock. */
+  readonly sentAt: number
+  /** Wall-clock time after which the target can't start the task any more. */
+  readonly startByWallMs: number
+}
+
+/** How a task ended, as far as it matters for its request. */
+export type TaskEnd =
+  | { readonly outcome: 'never-started' }
+  | { readonly outcome: 'ended', readonly state: TaskState | 'lease-ended' }
+
+interface Entry {
+  readonly task: TrackedTask
+  readonly abort: AbortController
+  readonly ended: Promise<TaskEnd>
+  finish (end: TaskEnd): void
+  /** Sending time of the last renewal that may have arrived. */
+  lastRenewalAt: number
+}
+
+const FINAL_STATES: ReadonlySet<TaskState> = new Set(['finished', 'failed', 'stopped', 'checkpointed'])
+
+export class TaskTracker {
+  readonly #clock: Clock
+  readonly #client: TargetClient
+  readonly #entries = new Map<string, Entry>()
+  readonly #checkpointed = new Set<string>()
+  readonly #onReport: (report: TaskReport) => void
+
+  constructor (clock: Clock, client: TargetClient, onReport: (report: TaskReport) => void = () => {}) {
+    this.#clock = clock
+    this.#client = client
+    this.#onReport = onReport
+  }
+
+  get size (): number {
+    return this.#entries.size
+  }
+
+  isTracking (taskId: string): boolean {
+    return this.#entries.has(taskId)
+  }
+
+  /** Begins to renew the task's lease; the result settles when the task has certainly ended or was forgotten. */
+  track (task: TrackedTask): Promise<TaskEnd> {
+    let finish: (end: TaskEnd) => void = () => {}
+    const ended = new Promise<TaskEnd>(resolve => { finish = resolve })
+    const entry: Entry = { task, abort: new AbortController(), ended, finish, lastRenewalAt: task.sentAt }
+    this.#entries.set(task.taskId, entry)
+    this.#renew(entry).catch(() => {})
+    return ended
+  }
+
+  /** Records that the task ended, for example because its whole answer arrived. */
+  complete (taskId: string, end: TaskEnd): void {
+    const entry = this.#entries.get(taskId)
+    if (entry === undefined) return
+    this.#entries.delete(taskId)
+    entry.abort.abort()
+    entry.finish(end)
+  }
+
+  /** Stops caring for a task that another instance has taken over. */
+  forget (taskId: string): void {
+    const entry = this.#entries.get(taskId)
+    if (entry === undefined) return
+    this.#entries.delete(taskId)
+    entry.abort.abort()
+  }
+
+  /** Says whether the task was checkpointed by `checkpoint`; true at most once for each task. */
+  takeCheckpointed (taskId: string): boolean {
+    return this.#checkpointed.delete(taskId)
+  }
+
+  /** Asks the target to checkpoint the task, which frees its capacity; rejects if the target can't be reached. */
+  async checkpoint (taskId: string): Promise<void> {
+    const entry = this.#entries.get(taskId)
+    if (entry === undefined || this.#checkpointed.has(taskId)) return
+    this.#checkpointed.add(taskId)
+    try {
+      const { task } = entry
+      this.#take(entry, await this.#client.command(task.target, taskId, task.epoch, 'checkpoint'))
+    } catch (error) {
+      this.#checkpointed.delete(taskId)
+      throw error
+    }
+  }
+
+  /** Stops the task and waits until it has certainly ended. */
+  async stop (taskId: string): Promise<TaskEnd> {
+    const entry = this.#entries.get(taskId)
+    if (entry === undefined) return { outcome: 'ended', state: 'stopped' }
+    entry.abort.abort()
+    this.#settle(entry).catch(() => {})
+    return await entry.ended
+  }
+
+  async #renew (entry: Entry): Promise<void> {
+    const { task } = entry
+    const { signal } = entry.abort
+    while (this.#isTracked(entry) && !signal.aborted) {
+      await this.#clock.sleep(task.leaseMs / RENEWALS_PER_LEASE, signal)
+      const sentAt = this.#clock.monotonicMs()
+      try {
+        // A renewal without an answer may have arrived, so that the lease may run from its sending.
+        entry.lastRenewalAt = sentAt
+        this.#take(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal))
+      } catch {
+        if (this.#leaseHasEnded(entry)) this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
+      }
+    }
+  }
+
+  async #settle (entry: Entry): Promise<void> {
+    const { task } = entry
+    while (this.#isTracked(entry)) {
+      try {
+        this.#take(entry, await this.#client.command(task.target, task.taskId, task.epoch, 'stop'))
+      } catch {
+        // The target can't be reached; its lease decides.
+      }
+      if (!this.#isTracked(entry)) return
+      if (this.#leaseHasEnded(entry)) return this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
+      await this.#clock.sleep(SETTLE_INTERVAL_MS)
+    }
+  }
+
+  /** Uses a target's report. A task that the target doesn't know may still start until its start-by time has passed. */
+  #take (entry: Entry, report: TaskReport | undefined): void {
+    const { task } = entry
+    if (report !== undefined) {
+      this.#onReport(report)
+      if (FINAL_STATES.has(report.state)) this.complete(task.taskId, { outcome: 'ended', state: report.state })
+      return
+    }
+    if (!this.#startByHasPassed(task)) return
+    const { startBy, remembersEnded } = task.target.features
+    this.complete(task.taskId, startBy && remembersEnded === true
+      ? { outcome: 'never-started' }
+      : { outcome: 'ended', state: 'stopped' })
+  }
+
+  #leaseHasEnded (entry: Entry): boolean {
+    const longestLease = entry.task.leaseMs * CLOCK_DRIFT_ALLOWANCE
+    // A start request that is still under way could begin a lease as late as the start-by time.
+    return this.#startByHasPassed(entry.task) && this.#clock.monotonicMs() > entry.lastRenewalAt + longestLease + START_BY_WINDOW_MS
+  }
+
+  #startByHasPassed (task: TrackedTask): boolean {
+    return this.#clock.wallMs() > task.startByWallMs + CLOCK_SKEW_MS
+  }
+
+  #isTracked (entry: Entry): boolean {
+    return this.#entries.get(entry.task.taskId) === entry
+  }
+}
--- /dev/null
+++ b/src/instance/usageCollector.ts
@@ -0,0 +1,55 @@
+/** Learns sizes from the usage that workers report, and restrains tasks that use more than was reserved for them. */
+import type { TargetInfo, TaskReport } from '../model/target.ts'
+import { fits, scaleResources } from '../model/resources.ts'
+import type { TargetClient } from '../ports/targetClient.ts'
+import type { UsageEstimator } from '../scheduler/usage/usageEstimator.ts'
+import type { HeldTask, PlacementQueue } from './placementQueue.ts'
+
+/** Usage above the reservation by this factor is restrained; below it, measurement noise would throttle tasks. */
+const OVERUSE_FACTOR = 1.1
+
+export interface UsageCollectorDependencies {
+  readonly targetClient: TargetClient
+  readonly estimator: UsageEstimator
+  readonly placements: PlacementQueue
+  /** Owned targets that may be used, with their epochs. */
+  usableTargets (): readonly { readonly target: TargetInfo, readonly epoch: number }[]
+  /** Checkpoints a task that was throttled before and still uses too much. */
+  checkpoint (taskId: string): Promise<void>
+}
+
+export class UsageCollector {
+  readonly #dependencies: UsageCollectorDependencies
+  readonly #throttled = new Set<string>()
+
+  constructor (dependencies: UsageCollectorDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  /** Reads the usage of each worker that runs something; a target that can't be reached is left out. */
+  async collect (): Promise<void> {
+    const { placements } = this.#dependencies
+    const held = new Map(placements.heldTasks().map(task => [task.taskId, task]))
+    for (const taskId of this.#throttled) if (!held.has(taskId)) this.#throttled.delete(taskId)
+    const busy = new Set([...held.values()].map(task => task.targetId))
+    const workers = this.#dependencies.usableTargets().filter(({ target }) => target.type === 'worker' && busy.has(target.id))
+    await Promise.allSettled(workers.map(async ({ target, epoch }) => await this.#collectFrom(target, epoch, held)))
+  }
+
+  async #collectFrom (target: TargetInfo, epoch: number, held: ReadonlyMap<string, HeldTask>): Promise<void> {
+    for (const report of await this.#dependencies.targetClient.usage(target)) {
+      const { team, kind, name, usage, taskId } = report
+      if (usage === undefined) continue
+      this.#dependencies.estimator.report(team, kind, name, usage)
+      const task = held.get(taskId)
+      if (task !== undefined && !fits(usage, scaleResources(task.size, OVERUSE_FACTOR))) await this.#restrain(target, epoch, report)
+    }
+  }
+
+  /** Throttles first, since a checkpoint interrupts the task. */
+  async #restrain (target: TargetInfo, epoch: number, { taskId }: TaskReport): Promise<void> {
+    if (this.#throttled.has(taskId) && target.features.checkpoint) return await this.#dependencies.checkpoint(taskId)
+    this.#throttled.add(taskId)
+    await this.#dependencies.targetClient.command(target, taskId, epoch, 'throttle')
+  }
+}
--- a/src/membership/listLoop.ts
+++ b/src/membership/listLoop.ts
@@ -43,6 +43,11 @@
     return this.#snapshot
   }
 
+  /** Monotonic time at which the reading of the last snapshot started. */
+  get readAt (): number | undefined {
+    return this.#readAt
+  }
+
   /** Milliseconds since the last successful reading started; infinite if there was none. */
   get ageMs (): number {
     return this.#readAt === undefined ? Infinity : this.#options.clock.monotonicMs() - this.#readAt
--- /dev/null
+++ b/src/scheduler/admission/requestSchema.ts
@@ -0,0 +1,57 @@
+/** Checks a caller's JSON against the schema of requests. */
+import { z } from 'zod'
+import { RefusalError } from '../../model/errors.ts'
+import type { WorkRequest } from '../../model/request.ts'
+
+const IDENTITY_LIMIT = 128
+/** Largest gang; keeps one request from taking the decision time of thousands. */
+const TASK_LIMIT = 1_000
+const DEADLINE_LIMIT_MS = 24 * 60 * 60 * 1_000
+
+const identity = z.string().min(1).max(IDENTITY_LIMIT).regex(/^[\w.:@+-]+$/, 'may hold letters, digits and . : @ + - _ only')
+const amount = z.number().finite().min(0)
+
+const sizeSchema = z.strictObject({
+  slots: amount.int().default(0),
+  processors: amount.default(0),
+  memory: amount.default(0),
+  accelerators: amount.int().default(0)
+})
+
+export const requestSchema = z.strictObject({
+  id: identity,
+  kind: z.enum(['urgent', 'batch', 'service', 'gang']),
+  name: identity.default('default'),
+  queue: identity.optional(),
+  size: sizeSchema.optional(),
+  tasks: z.int().min(1).max(TASK_LIMIT).default(1),
+  deadlineMs: z.number().positive().max(DEADLINE_LIMIT_MS).optional(),
+  repeatable: z.boolean(),
+  payload: z.unknown().default(null)
+}).refine(request => request.tasks === 1 || request.kind === 'gang', { path: ['tasks'], message: 'only a gang has more than one task' })
+
+export type CallerRequest = z.infer<typeof requestSchema>
+
+/** Values for what a caller left out; from the workload kind and the team's settings. */
+export interface RequestDefaults {
+  readonly size: WorkRequest['size']
+  readonly deadlineMs: number
+}
+
+/**
+ * Returns the checked request, or throws a refusal that names each wrong field.
+ *
+ * @example
+ * parseRequest({ id: 'quote-17', kind: 'urgent', repeatable: true })
+ */
+export function parseRequest (body: unknown): CallerRequest {
+  const result = requestSchema.safeParse(body)
+  if (result.success) return result.data
+  const problems = result.error.issues.map(issue => `${issue.path.join('.') || 'request'}: ${issue.message}`)
+  throw new RefusalError(`the request is invalid: ${problems.join('; ')}`, { code: 'invalid', verdict: 'not-run' })
+}
+
+/** Fills in the defaults. */
+export function completeRequest (request: CallerRequest, defaults: RequestDefaults): WorkRequest {
+  return { ...request, size: request.size ?? defaults.size, deadlineMs: request.deadlineMs ?? defaults.deadlineMs }
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -90,7 +90,7 @@
   taskLease: numberSetting(15_000, {
     unit: 'duration',
     minimum: 3_000,
-    maximum: 600_000,
+    maximum: 15_000,
     levels: WORK_LEVELS,
     description: 'How long a task runs on without word from its instance. Lost work can start elsewhere only after this time and 10 % more.'
   }),
