--- /dev/null
+++ b/src/configuration/changePaths.ts
@@ -0,0 +1,52 @@
+/** Which branches a change touches, to find conflicts between operators. */
+import type { Change, Operation } from '../model/change.ts'
+import { isWithin } from './configurationState.ts'
+
+interface Touched {
+  readonly path: string
+  /** Everything below the path is touched too. */
+  readonly below: boolean
+}
+
+function touchedBy (operation: Operation): Touched {
+  switch (operation.type) {
+    case 'createKey':
+    case 'withdrawKey': return { path: `/keys/${operation.keyId}`, below: false }
+    case 'drain':
+    case 'undrain': return { path: `/drains/${operation.scope}/${operation.name}`, below: false }
+    default: return { path: operation.path, below: operation.type === 'removeBranch' }
+  }
+}
+
+function overlap (left: Touched, right: Touched): boolean {
+  return left.path === right.path || (left.below && isWithin(right.path, left.path)) ||
+    (right.below && isWithin(left.path, right.path))
+}
+
+/**
+ * Lists the paths of the first operations that overlap with the second ones.
+ *
+ * @example
+ * findOverlaps([{ type: 'unset', path: '/', names: ['share'] }], [{ type: 'removeBranch', path: '/' }]) // ['/']
+ */
+export function findOverlaps (operations: readonly Operation[], others: readonly Operation[]): readonly string[] {
+  const touched = others.map(touchedBy)
+  const paths = operations.map(touchedBy).filter(own => touched.some(other => overlap(own, other)))
+  return [...new Set(paths.map(own => own.path))]
+}
+
+export interface Conflict {
+  readonly winner: Change
+  readonly paths: readonly string[]
+}
+
+/** Finds the newest change above the base version that overlaps with the operations. */
+export function findConflict (
+  operations: readonly Operation[], changes: readonly Change[], baseVersion: number
+): Conflict | undefined {
+  for (const winner of changes.toReversed()) {
+    if (winner.version <= baseVersion) return
+    const paths = findOverlaps(operations, winner.operations)
+    if (paths.length > 0) return { winner, paths }
+  }
+}
--- /dev/null
+++ b/src/configuration/changeRecords.ts
@@ -0,0 +1,94 @@
+/**
+ * The change log's records in the store.
+ *
+ * `configuration/floor` holds the lowest version whose change was never deleted. It rises before changes are deleted,
+ * so a reader that looks at it after a change key knows whether an absent key was never written, and whether a
+ * present one was written by a process that had been paused while the key was deleted.
+ */
+import type { Change, ConfigurationSnapshot } from '../model/change.ts'
+import type { Store, StoreEntry, WriteResult } from '../ports/store.ts'
+
+const CHANGE_PREFIX = 'configuration/change/'
+const SNAPSHOT_KEY = 'configuration/snapshot'
+const FLOOR_KEY = 'configuration/floor'
+
+export const SNAPSHOT_INTERVAL = 256
+
+/** Changes kept below the snapshot's version, so that a reader that is only a little late needs no snapshot. */
+const DELETION_MARGIN = 256
+
+function parseChange (entry: StoreEntry | undefined): Change | undefined {
+  return entry === undefined ? undefined : JSON.parse(entry.value) as Change
+}
+
+export type AppendResult =
+  | { readonly outcome: 'written' }
+  | { readonly outcome: 'taken', readonly change?: Change }
+
+export interface LogTail {
+  readonly changes: readonly Change[]
+  /** Start of the read that found no further change; undefined if the tail was cut off at the limit. */
+  readonly endReadAt?: number
+}
+
+/** Reads and writes the records; every call may reject with the store's errors. */
+export class ChangeRecords {
+  readonly #store: Store
+  readonly #monotonicMs: () => number
+
+  constructor (store: Store, monotonicMs: () => number) {
+    this.#store = store
+    this.#monotonicMs = monotonicMs
+  }
+
+  async readSnapshot (signal?: AbortSignal): Promise<ConfigurationSnapshot | undefined> {
+    const entry = await this.#store.get(SNAPSHOT_KEY, signal)
+    return entry === undefined ? undefined : JSON.parse(entry.value) as ConfigurationSnapshot
+  }
+
+  async readFloor (signal?: AbortSignal): Promise<number> {
+    const entry = await this.#store.get(FLOOR_KEY, signal)
+    return entry === undefined ? 1 : Number(entry.value)
+  }
+
+  /** Reads the changes after a version; undefined if they may have been deleted, so that the snapshot is needed. */
+  async readTail (after: number, limit: number, signal?: AbortSignal): Promise<LogTail | undefined> {
+    const changes: Change[] = []
+    let endReadAt: number | undefined
+    while (changes.length < limit && endReadAt === undefined) {
+      const startedAt = this.#monotonicMs()
+      const change = parseChange(await this.#store.get(`${CHANGE_PREFIX}${after + changes.length + 1}`, signal))
+      if (change === undefined) endReadAt = startedAt
+      else changes.push(change)
+    }
+    if (await this.readFloor(signal) > after + 1) return
+    return { changes, endReadAt }
+  }
+
+  async append (change: Change, signal?: AbortSignal): Promise<AppendResult> {
+    const key = `${CHANGE_PREFIX}${change.version}`
+    const result = await this.#store.put(key, JSON.stringify(change), { expectedVersion: 0 }, signal)
+    return result.outcome === 'written' ? result : { outcome: 'taken', change: parseChange(result.current) }
+  }
+
+  /** Writes a snapshot unless the store's is as new, raises the floor, and deletes changes below it. */
+  async compact (snapshot: ConfigurationSnapshot, signal?: AbortSignal): Promise<number> {
+    const entry = await this.#store.get(SNAPSHOT_KEY, signal)
+    const stored = entry === undefined ? 0 : (JSON.parse(entry.value) as ConfigurationSnapshot).version
+    if (snapshot.version - stored < SNAPSHOT_INTERVAL) return stored
+    const result = await this.#store.put(SNAPSHOT_KEY, JSON.stringify(snapshot), { expectedVersion: entry?.version ?? 0 }, signal)
+    if (result.outcome === 'conflict') return stored
+    await this.#deleteBelow(snapshot.version - DELETION_MARGIN, signal)
+    return snapshot.version
+  }
+
+  async #deleteBelow (floor: number, signal?: AbortSignal): Promise<void> {
+    const entry = await this.#store.get(FLOOR_KEY, signal)
+    if (floor <= Number(entry?.value ?? 1)) return
+    const raised: WriteResult = await this.#store.put(FLOOR_KEY, String(floor), { expectedVersion: entry?.version ?? 0 }, signal)
+    if (raised.outcome === 'conflict') return
+    for (const { key, version } of await this.#store.list(CHANGE_PREFIX, signal)) {
+      if (Number(key.slice(CHANGE_PREFIX.length)) < floor) await this.#store.delete(key, version, signal)
+    }
+  }
+}
--- /dev/null
+++ b/src/configuration/changeSubmitter.ts
@@ -0,0 +1,173 @@
+/** Appends an operator's change to the log exactly once, whatever happens to the store's answers. */
+import type { Change, Operation } from '../model/change.ts'
+import { StoreUnavailableError } from '../model/errors.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { Random } from '../ports/random.ts'
+import { findConflict } from './changePaths.ts'
+import type { ChangeRecords } from './changeRecords.ts'
+import { findVersionOfChange } from './configurationState.ts'
+import type { ConfigurationState } from './configurationState.ts'
+import { withTimeout } from './withTimeout.ts'
+
+/** Attempts at following versions when other changes keep taking them. */
+const MAX_REBASES = 16
+const SETTLE_BACKOFF_MS = 100
+const SETTLE_BACKOFF_LIMIT_MS = 5_000
+
+/** What an operator sends. */
+export interface ChangeDraft {
+  /** A change sent again has the same identity. */
+  readonly id: string
+  readonly baseVersion: number
+  readonly operator: string
+  readonly operations: readonly Operation[]
+}
+
+export type SubmitResult =
+  | { readonly outcome: 'accepted', readonly version: number }
+  /** An overlapping change was accepted after the base version. */
+  | { readonly outcome: 'conflict', readonly winner: Change, readonly paths: readonly string[] }
+  | { readonly outcome: 'invalid', readonly problems: readonly string[] }
+  /** Certainly not accepted. */
+  | { readonly outcome: 'unavailable', readonly reason: string }
+  /** May have been accepted; sending the same change again tells. */
+  | { readonly outcome: 'unknown' }
+
+/** Checks the values of a change against the settings schema; returns the problems found. */
+export type Validate = (state: ConfigurationState, operations: readonly Operation[]) => readonly string[]
+
+/** What the submitter needs from the log. */
+export interface LogAccess {
+  readonly state: ConfigurationState
+  /** Applies every change in the store; false if that is not certain. */
+  catchUp (): Promise<boolean>
+  /** The changes above a version, or undefined if they were deleted. */
+  changesAfter (version: number): Promise<readonly Change[] | undefined>
+}
+
+export interface SubmitterOptions {
+  readonly records: ChangeRecords
+  readonly clock: Clock
+  readonly random: Random
+  readonly validate: Validate
+  readonly mayAccept: () => boolean
+  readonly callTimeoutMs: number
+}
+
+type WriteOutcome = 'accepted' | 'taken' | 'unavailable' | 'unknown'
+
+export class ChangeSubmitter {
+  readonly #log: LogAccess
+  readonly #options: SubmitterOptions
+  readonly #running = new Map<string, Promise<SubmitResult>>()
+  readonly #closing = new AbortController()
+  #turn: Promise<unknown> = Promise.resolve()
+  #pendingId: string | undefined
+
+  constructor (log: LogAccess, options: SubmitterOptions) {
+    this.#log = log
+    this.#options = options
+  }
+
+  /** A write was sent and its outcome is not yet known and applied. */
+  get pending (): boolean {
+    return this.#pendingId !== undefined
+  }
+
+  submit (draft: ChangeDraft): Promise<SubmitResult> {
+    const running = this.#running.get(draft.id)
+    if (running !== undefined) return running
+    const result = this.#turn.then(() => this.#submitInTurn(draft))
+    this.#running.set(draft.id, result)
+    this.#turn = result.catch(() => {}).then(() => this.#running.delete(draft.id))
+    return result
+  }
+
+  /** Ends the settling of an unknown write; the log stays pending, since its outcome is not known. */
+  close (): void {
+    this.#closing.abort()
+  }
+
+  async #submitInTurn (draft: ChangeDraft): Promise<SubmitResult> {
+    if (this.#pendingId === draft.id) return { outcome: 'unknown' }
+    if (this.#pendingId !== undefined) return { outcome: 'unavailable', reason: 'an earlier change is not settled yet' }
+    for (let attempt = 0; attempt < MAX_REBASES; attempt++) {
+      if (!await this.#log.catchUp()) return { outcome: 'unavailable', reason: 'the store can not be read' }
+      const version = findVersionOfChange(this.#log.state, draft.id)
+      if (version !== undefined) return { outcome: 'accepted', version }
+      const next = this.#log.state.version + 1
+      const refusal = await this.#check(draft, attempt > 0)
+      if (refusal !== undefined) return refusal
+      if (!this.#options.mayAccept()) return { outcome: 'unavailable', reason: 'not yet acknowledged by every registered instance' }
+      const outcome = await this.#write(draft, next)
+      if (outcome === 'accepted') return { outcome, version: next }
+      if (outcome === 'unknown') return { outcome }
+      if (outcome === 'unavailable') return { outcome, reason: 'the store can not be written' }
+    }
+    return { outcome: 'unavailable', reason: `other changes took the next version ${MAX_REBASES} times` }
+  }
+
+  async #check (draft: ChangeDraft, written: boolean): Promise<SubmitResult | undefined> {
+    const { state } = this.#log
+    if (draft.baseVersion > state.version) {
+      return { outcome: 'invalid', problems: [`base version ${draft.baseVersion} is above the current version ${state.version}`] }
+    }
+    let changes: readonly Change[] | undefined
+    try {
+      changes = await this.#log.changesAfter(draft.baseVersion)
+    } catch {
+      return { outcome: 'unavailable', reason: 'the store can not be read' }
+    }
+    if (changes === undefined) {
+      // So far behind that an earlier write of this change could have been applied and forgotten.
+      if (written) return { outcome: 'unknown' }
+      return { outcome: 'invalid', problems: [`base version ${draft.baseVersion} is too old; read the configuration again`] }
+    }
+    const conflict = findConflict(draft.operations, changes, draft.baseVersion)
+    if (conflict !== undefined) return { outcome: 'conflict', ...conflict }
+    const problems = this.#options.validate(state, draft.operations)
+    return problems.length > 0 ? { outcome: 'invalid', problems } : undefined
+  }
+
+  async #write (draft: ChangeDraft, version: number): Promise<WriteOutcome> {
+    const { id, baseVersion, operator, operations } = draft
+    const change = { id, version, baseVersion, operator, acceptedAt: this.#options.clock.wallMs(), operations }
+    this.#pendingId = id
+    const outcome = await this.#attempt(change)
+    if (outcome === 'unknown') this.#settle(change)
+    else this.#pendingId = undefined
+    return outcome
+  }
+
+  /** Writes and reads back, since only the read tells that the key had not been deleted before the write. */
+  async #attempt (change: Change): Promise<WriteOutcome> {
+    const { clock, records, callTimeoutMs } = this.#options
+    try {
+      const result = await withTimeout(clock, callTimeoutMs, signal => records.append(change, signal), this.#closing.signal)
+      if (result.outcome === 'taken' && result.change?.id !== change.id) return 'taken'
+    } catch (error) {
+      return error instanceof StoreUnavailableError ? 'unavailable' : 'unknown'
+    }
+    if (!await this.#log.catchUp()) return 'unknown'
+    return findVersionOfChange(this.#log.state, change.id) === change.version ? 'accepted' : 'taken'
+  }
+
+  /**
+   * Repeats the write until its key is taken by this change or another one. Reading alone would not tell:
+   * a key that is absent may still be written by the first call.
+   */
+  async #settle (change: Change): Promise<void> {
+    const { clock, random } = this.#options
+    let outcome: WriteOutcome = 'unknown'
+    for (let backoff = SETTLE_BACKOFF_MS; outcome === 'unknown' || outcome === 'unavailable'; backoff *= 2) {
+      const limited = Math.min(backoff, SETTLE_BACKOFF_LIMIT_MS)
+      try {
+        await clock.sleep(limited * (0.5 + random.next() / 2), this.#closing.signal)
+      } catch {
+        return
+      }
+      outcome = await this.#attempt(change)
+    }
+    this.#pendingId = undefined
+  }
+}
