Add freshness, the acceptor registry and the membership table

Two gaps in rule (c) of the design are closed. An instance that ended is counted until a store read that started after its end is known, since its last change could otherwise be missed in a store outage. Rule (c) also needs a store read after the own registration, since instances that deregistered before it are not counted. Ages in received requests are not used, because the time of sending is unknown. An absence from the list counts after 10 s, or 60 s if the instance was never listed, since the list lags.

--- /dev/null
+++ b/src/configuration/listPresence.ts
@@ -0,0 +1,62 @@
+/** Decides from the platform's list, which lags, that an instance is gone. */
+import { incarnationKey } from '../model/identity.ts'
+import type { IncarnationKey, InstanceRef } from '../model/identity.ts'
+import type { ListedInstance } from '../ports/instanceList.ts'
+
+/** An older list may be read after a newer one, so an absence counts only when it has lasted for the list's lag. */
+export const LIST_LAG_MS = 10_000
+
+/** An instance that was never listed may have started within the lag; several lags allow for a slow start. */
+const NEVER_LISTED_MS = 60_000
+
+interface Presence {
+  readonly ref: InstanceRef
+  listed: boolean
+  absentSince?: number
+  goneAt?: number
+}
+
+/**
+ * Follows a set of instances through readings of the list.
+ *
+ * @example
+ * presence.track(ref)
+ * presence.observe(snapshot.instances, readStartedAt)
+ * presence.goneSince(ref)
+ */
+export class ListPresence {
+  readonly #tracked = new Map<IncarnationKey, Presence>()
+
+  track (ref: InstanceRef): void {
+    const key = incarnationKey(ref)
+    if (!this.#tracked.has(key)) this.#tracked.set(key, { ref, listed: false })
+  }
+
+  forget (ref: InstanceRef): void {
+    this.#tracked.delete(incarnationKey(ref))
+  }
+
+  /** Takes a reading of the list that started at the given monotonic time. */
+  observe (instances: readonly ListedInstance[], readStartedAt: number): void {
+    const newest = new Map([...this.#tracked.values()].map(({ ref }) => [ref.name, ref.incarnation]))
+    const listed = new Set(instances.map(({ name, incarnation }) =>
+      incarnationKey({ name, incarnation: incarnation ?? newest.get(name) ?? '' })))
+    for (const [key, presence] of this.#tracked) observePresence(presence, listed.has(key), readStartedAt)
+  }
+
+  /** Monotonic time at which the instance was known to be gone; undefined while it may run. */
+  goneSince (ref: InstanceRef): number | undefined {
+    return this.#tracked.get(incarnationKey(ref))?.goneAt
+  }
+}
+
+function observePresence (presence: Presence, listed: boolean, readStartedAt: number): void {
+  if (listed) {
+    presence.listed = true
+    presence.absentSince = presence.goneAt = undefined
+    return
+  }
+  presence.absentSince ??= readStartedAt
+  const required = presence.listed ? LIST_LAG_MS : NEVER_LISTED_MS
+  if (readStartedAt - presence.absentSince >= required) presence.goneAt ??= readStartedAt
+}
--- /dev/null
+++ b/src/configuration/registry.test.ts
@@ -0,0 +1,108 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import type { ListedInstance } from '../ports/instanceList.ts'
+import { MemoryStore } from './testing/memoryStore.ts'
+import { createNode } from './testing/testNode.ts'
+import type { TestNode } from './testing/testNode.ts'
+
+function acceptorOf ({ ref, dataCentre }: TestNode): { ref: TestNode['ref'], dataCentre: string, peerAddress: string } {
+  return { ref, dataCentre, peerAddress: `${ref.name}:1` }
+}
+
+function listed (...nodes: readonly TestNode[]): readonly ListedInstance[] {
+  return nodes.map(node => ({ ...acceptorOf(node), ...node.ref, region: 'east', leaving: false }))
+}
+
+async function createNodes (...names: readonly string[]): Promise<{ clock: ManualClock, store: MemoryStore, nodes: TestNode[] }> {
+  const [clock, store] = [new ManualClock(), new MemoryStore()]
+  const nodes = names.map(name => createNode(store, clock, name, 'howrah'))
+  for (const node of nodes) await node.registry.register(acceptorOf(node))
+  return { clock, store, nodes }
+}
+
+function names (node: TestNode | undefined): readonly string[] {
+  return node?.registry.acceptors.map(({ ref }) => `${ref.name}${ref.incarnation}`).sort() ?? []
+}
+
+test('a new instance does not accept changes before those registered earlier count it', async t => {
+  const { clock, nodes: [first, second] } = await createNodes('a', 'b')
+  t.true(first?.registry.mayAccept)
+  t.false(second?.registry.mayAccept)
+  t.is((await second?.log.submit({ id: 'x', baseVersion: 0, operator: 'eleni', operations: [] }))?.outcome, 'unavailable')
+  if (first === undefined || second === undefined) return
+  second.registry.noteAcknowledged(first.ref, clock.monotonicMs() - 1)
+  t.false(second.registry.mayAccept, 'asked for before the registration')
+  second.registry.noteAcknowledged(first.ref, clock.monotonicMs())
+  t.true(second.registry.mayAccept)
+  t.true(first.registry.mayAccept, 'an admitted instance does not wait for later ones')
+})
+
+test('list lags: a new instance that is not listed yet is not taken for gone', async t => {
+  const { clock, nodes: [first, second] } = await createNodes('a', 'b')
+  if (first === undefined || second === undefined) return
+  for (let reading = 0; reading < 10; reading++) {
+    first.registry.observeList(listed(first), clock.monotonicMs())
+    await first.registry.maintain()
+    await clock.advance(5_000)
+  }
+  first.registry.release(clock.monotonicMs())
+  t.deepEqual(names(first), ['b1'])
+  first.registry.observeList(listed(first, second), clock.monotonicMs())
+  for (const passed of [1, 9_000, 2_000]) {
+    await clock.advance(passed)
+    first.registry.observeList(listed(first), clock.monotonicMs())
+    first.registry.release(Infinity)
+    t.deepEqual(names(first), passed === 2_000 ? [] : ['b1'])
+  }
+  first.registry.acknowledge(acceptorOf(second))
+  first.registry.release(Infinity)
+  t.true(first.registry.isCounted(second.ref), 'acknowledged after the list dropped it wrongly')
+})
+
+test('an entry that was acknowledged is not taken for deregistered by a registry read from before its registration', async t => {
+  const { clock, store, nodes: [first] } = await createNodes('a')
+  const second = createNode(store, clock, 'b', 'howrah')
+  first?.registry.acknowledge(acceptorOf(second))
+  await first?.registry.maintain()
+  first?.registry.release(Infinity)
+  t.deepEqual(names(first), ['b1'])
+})
+
+test('an instance that ended counts until the log was read after its end', async t => {
+  const { clock, nodes: [first, second] } = await createNodes('a', 'b')
+  await first?.registry.maintain()
+  await clock.advance(100)
+  await second?.registry.deregister()
+  await first?.registry.maintain()
+  first?.registry.release(clock.monotonicMs())
+  t.deepEqual(names(first), ['b1'])
+  first?.registry.release(clock.monotonicMs() + 1)
+  t.deepEqual(names(first), [])
+})
+
+test('an instance that deregistered before this one registered is covered by a later read of the log', async t => {
+  const { clock, store, nodes: [first] } = await createNodes('a')
+  const second = createNode(store, clock, 'b', 'howrah')
+  await second.log.load()
+  await first?.log.submit({ id: 'x', baseVersion: 0, operator: 'eleni', operations: [] })
+  await first?.registry.deregister()
+  await clock.advance(1_000)
+  await second.registry.register(acceptorOf(second))
+  t.true(second.tracker.ageMs() >= 1_000)
+  await clock.advance(1)
+  await second.log.refresh()
+  t.is(second.tracker.ageMs(), 0)
+})
+
+test('store answer lost after a registration: the instance is registered once and replaces its earlier incarnation', async t => {
+  const { clock, store, nodes: [first] } = await createNodes('a', 'b')
+  await first?.registry.maintain()
+  const restarted = createNode(store, clock, 'b', 'howrah', '2')
+  restarted.client.losesAnswers = true
+  await restarted.registry.register(acceptorOf(restarted))
+  await clock.advance(1)
+  await first?.registry.maintain()
+  t.deepEqual(names(first), ['b1', 'b2'])
+  first?.registry.release(clock.monotonicMs() + 1)
+  t.deepEqual(names(first), ['b2'])
+})
--- a/src/model/digest.ts
+++ b/src/model/digest.ts
@@ -22,7 +22,7 @@
   readonly configurationVersion: number
   /** Since the instance had this state, as far as the describing instance knows. */
   readonly heardAge: number
-  /** Since its last successful store read that found no newer change; undefined if there was none. */
+  /** Since the latest store read known to it, its own or a peer's, that found no newer change; undefined if there was none. */
   readonly storeReadAge?: number
   /** Since it stated to have no pending change at this version; undefined while one is pending. */
   readonly quietAge?: number
