--- /dev/null
+++ b/src/membership/cluster.test.ts
@@ -0,0 +1,133 @@
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { KeyRing, createKey } from '../configuration/keys.ts'
+import { summarizeConfirmations } from '../configuration/confirmations.ts'
+import { Cluster, KEY_GRACE_MS } from './testing/cluster.ts'
+import type { ClusterNode } from './testing/cluster.ts'
+
+const SIZES = { 'attica-a': 3, 'attica-b': 2, 'macedonia-a': 2 }
+
+async function startCluster (t: ExecutionContext, sizes: Readonly<Record<string, number>> = SIZES): Promise<Cluster> {
+  const cluster = new Cluster()
+  await cluster.start(sizes)
+  t.teardown(() => cluster.stopAll())
+  t.true(cluster.nodes.every(node => node.registry.mayAccept))
+  return cluster
+}
+
+function isFresh (node: ClusterNode): boolean {
+  return node.tracker.ageMs() <= KEY_GRACE_MS
+}
+
+function oldest (nodes: readonly ClusterNode[]): number {
+  return Math.max(...nodes.map(node => node.tracker.ageMs()))
+}
+
+test('store outage with all instances in contact does not stop keyed work', async t => {
+  const cluster = await startCluster(t)
+  cluster.setStoreDown(true)
+  let worst = 0
+  await cluster.watch(60_000, () => { worst = Math.max(worst, oldest(cluster.nodes)) })
+  t.true(worst <= KEY_GRACE_MS, `oldest configuration: ${worst} ms`)
+  t.log(`oldest configuration in the outage: ${worst} ms`)
+})
+
+test('store outage with one instance out of contact stops it, and the others, after the grace period', async t => {
+  const cluster = await startCluster(t, { 'attica-a': 2, 'attica-b': 1 })
+  cluster.setStoreDown(true)
+  cluster.cut('attica-b', true)
+  cluster.setStoreDown(true)
+  await cluster.clock.advance(KEY_GRACE_MS + 1)
+  t.false(cluster.nodes.some(isFresh))
+  cluster.cut('attica-b', false)
+  cluster.setStoreDown(true)
+  await cluster.clock.advance(4_000)
+  t.true(cluster.nodes.every(isFresh))
+})
+
+test('an instance that dies in a store outage does not let the others miss what it accepted last', async t => {
+  const cluster = await startCluster(t, { 'attica-a': 3 })
+  const [dying, ...others] = cluster.nodes as [ClusterNode, ...ClusterNode[]]
+  const submitted = dying.log.submit({ id: 'last', baseVersion: 0, operator: 'eleni', operations: [{ type: 'drain', scope: 'target', name: 't1' }] })
+  t.is((await submitted).outcome, 'accepted')
+  await cluster.stop(dying)
+  cluster.setStoreDown(true)
+  await cluster.clock.advance(KEY_GRACE_MS + 1)
+  await cluster.watch(60_000, () => t.false(others.some(isFresh)))
+  cluster.setStoreDown(false)
+  await cluster.clock.advance(3_000)
+  t.true(others.every(node => isFresh(node) && node.log.version === 1))
+  await cluster.clock.advance(30_000)
+  t.is(others[0]?.registry.acceptors.length, 1)
+})
+
+test('a data centre cut off stops keyed work after the grace period and the others do not', async t => {
+  const cluster = await startCluster(t)
+  cluster.cut('macedonia-a', true)
+  await cluster.clock.advance(KEY_GRACE_MS + 1)
+  await cluster.watch(20_000, () => {
+    for (const node of cluster.nodes) t.is(isFresh(node), node.dataCentre !== 'macedonia-a')
+  })
+  cluster.cut('macedonia-a', false)
+  await cluster.clock.advance(4_000)
+  t.true(cluster.nodes.every(isFresh))
+})
+
+test('a key withdrawn while a data centre is cut off works nowhere after the grace period', async t => {
+  const cluster = await startCluster(t)
+  const [accepting] = cluster.nodes as [ClusterNode]
+  const { key, keyId, hash } = createKey()
+  const rings = new Map<ClusterNode, KeyRing>()
+  for (const node of cluster.nodes) node.log.onChange(state => rings.set(node, new KeyRing(state.keys.values())))
+  const works = (node: ClusterNode): boolean => isFresh(node) && rings.get(node)?.authenticate(key)?.team === 'weavers'
+  const draft = { baseVersion: 0, operator: 'eleni' }
+  await accepting.log.submit({ ...draft, id: 'create', operations: [{ type: 'createKey', keyId, hash, team: 'weavers' }] })
+  await cluster.clock.advance(4_000)
+  t.true(cluster.nodes.every(works))
+  cluster.cut('macedonia-a', true)
+  await accepting.log.submit({ ...draft, baseVersion: 1, id: 'withdraw', operations: [{ type: 'withdrawKey', keyId }] })
+  const accepted = { version: 2, acceptedAtWallMs: cluster.clock.wallMs(), keyGraceMs: KEY_GRACE_MS }
+  await cluster.clock.advance(KEY_GRACE_MS + 1)
+  const { unconfirmed, refusesFromWallMs } = summarizeConfirmations(accepted, accepting.table.digests())
+  t.deepEqual(unconfirmed, ['macedonia-a'])
+  t.true((refusesFromWallMs ?? 0) < cluster.clock.wallMs())
+  await cluster.watch(5_000, () => t.false(cluster.nodes.some(works)))
+  cluster.cut('macedonia-a', false)
+  await cluster.watch(5_000, () => t.false(cluster.nodes.some(works)))
+  t.true(cluster.nodes.every(node => isFresh(node) && node.log.version === 2))
+  t.deepEqual(summarizeConfirmations(accepted, accepting.table.digests()).unconfirmed, [])
+})
+
+test('an instance paused and resumed neither uses its old configuration nor suspects those it could not hear', async t => {
+  const cluster = await startCluster(t, { 'attica-a': 3 })
+  const [paused, other] = cluster.nodes as [ClusterNode, ClusterNode]
+  cluster.pause(paused)
+  await cluster.clock.advance(4_500)
+  t.true(other.table.isSuspected(paused.ref))
+  await cluster.clock.advance(5_500)
+  t.false(isFresh(paused))
+  t.false(paused.table.isSuspected(other.ref))
+  paused.gate.resume()
+  await cluster.clock.settle()
+  t.false(paused.table.isSuspected(other.ref))
+  await cluster.clock.advance(2_500)
+  t.true(isFresh(paused))
+  t.false(other.table.isSuspected(paused.ref))
+  t.is(paused.table.inDataCentre('attica-a').length, 3)
+})
+
+test('a change reaches every instance through its peers and few instances read the store', async t => {
+  const cluster = await startCluster(t)
+  const calls = (): number => cluster.nodes.reduce((sum, node) => sum + node.client.calls, 0)
+  const before = calls()
+  const bytesBefore = cluster.nodes.map(({ loop }) => loop.controlBytes.sent + loop.controlBytes.received)
+  await cluster.clock.advance(60_000)
+  const bytes = cluster.nodes.map(({ loop }, index) => loop.controlBytes.sent + loop.controlBytes.received - (bytesBefore[index] ?? 0))
+  t.log(`${(calls() - before) / 60} store calls/s, ${Math.round(Math.max(...bytes) / 60)} JSON bytes/s at most per instance`)
+  const [accepting] = cluster.nodes as [ClusterNode]
+  const operations = [{ type: 'set', path: '/', values: { share: 2 } }] as const
+  t.is((await accepting.log.submit({ id: 'a', baseVersion: 0, operator: 'eleni', operations })).outcome, 'accepted')
+  cluster.setStoreDown(true)
+  await cluster.clock.advance(KEY_GRACE_MS)
+  t.true(cluster.nodes.every(node => node.log.version === 1))
+})
--- /dev/null
+++ b/src/membership/exchangeLoop.ts
@@ -0,0 +1,194 @@
+/** Exchanges digests with peers, takes newer configuration from them, and reads the store when nobody else did. */
+import type { ChangeLog } from '../configuration/changeLog.ts'
+import type { FreshnessTracker } from '../configuration/freshness.ts'
+import type { AcceptorRegistry } from '../configuration/registry.ts'
+import { withTimeout } from '../configuration/withTimeout.ts'
+import type { Component } from '../lifecycle/component.ts'
+import type { InstanceDigest } from '../model/digest.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { ListSnapshot } from '../ports/instanceList.ts'
+import type { ExchangeAnswer, PeerClient } from '../ports/peerClient.ts'
+import type { Random } from '../ports/random.ts'
+import { selectPeers, shuffle } from './peerSelection.ts'
+import type { MembershipTable } from './membershipTable.ts'
+
+export const EXCHANGE_INTERVAL_MS = 1_000
+const EXCHANGE_TIMEOUT_MS = 1_000
+
+/** Without freshness from a peer for this part of the grace period, the instance reads the store itself. */
+const STORE_READ_FRACTION = 1 / 3
+
+/** Part of that time that is added at random, so that one instance of a data centre reads before the others. */
+const STORE_READ_JITTER = 0.5
+const STORE_CHECKS_PER_GRACE = 20
+
+export interface ExchangeLoopOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly peers: PeerClient
+  readonly table: MembershipTable
+  readonly tracker: FreshnessTracker
+  readonly log: ChangeLog
+  readonly registry: AcceptorRegistry
+  /** The own digest without ages of the configuration, which the loop adds. */
+  readonly describeSelf: () => Omit<InstanceDigest, 'heardAge' | 'storeReadAge' | 'quietAge' | 'configurationVersion'>
+  /** Addresses from the settings, tried until the instances there are known. */
+  readonly seeds: readonly string[]
+  readonly readList: () => ListSnapshot | undefined
+  /** Shortest grace period of any team. */
+  readonly keyGraceMs: () => number
+}
+
+/** Bytes of control messages as JSON; the wire format is smaller. */
+export interface ControlBytes {
+  readonly sent: number
+  readonly received: number
+}
+
+/**
+ * One asynchronous task for each peer of the own data centre and one for the remote peers in rotation.
+ *
+ * @example
+ * const loop = new ExchangeLoop(options)
+ * await loop.start()
+ */
+export class ExchangeLoop implements Component {
+  readonly name = 'exchange'
+  readonly #options: ExchangeLoopOptions
+  readonly #stopping = new AbortController()
+  readonly #local = new Map<string, { readonly abort: AbortController, readonly done: Promise<void> }>()
+  readonly #ending = new Set<Promise<void>>()
+  #tasks: readonly Promise<void>[] = []
+  #remoteRound: string[] = []
+  #fetching = false
+  #bytes: ControlBytes = { sent: 0, received: 0 }
+
+  constructor (options: ExchangeLoopOptions) {
+    this.#options = options
+  }
+
+  get controlBytes (): ControlBytes {
+    return this.#bytes
+  }
+
+  async start (): Promise<void> {
+    const { keyGraceMs } = this.#options
+    this.#tasks = [
+      this.#repeat(this.#stopping.signal, () => EXCHANGE_INTERVAL_MS, async () => this.#reconcile()),
+      this.#repeat(this.#stopping.signal, () => EXCHANGE_INTERVAL_MS, () => this.#exchangeWithRemote()),
+      this.#repeat(this.#stopping.signal, () => keyGraceMs() / STORE_CHECKS_PER_GRACE, () => this.#readStoreIfDue())
+    ]
+  }
+
+  async stop (): Promise<void> {
+    this.#stopping.abort()
+    await Promise.all([...this.#tasks, ...this.#ending, ...[...this.#local.values()].map(task => task.done)])
+  }
+
+  /** Answers a peer's exchange. */
+  answer (sender: InstanceDigest, registering: boolean): ExchangeAnswer {
+    const { table, registry, log } = this.#options
+    const { ref, dataCentre, peerAddress } = sender
+    table.noteRequest(sender)
+    if (registering) registry.acknowledge({ ref, dataCentre, peerAddress })
+    if (sender.configurationVersion > log.version) this.#adoptFrom(peerAddress)
+    this.#describe()
+    return { instances: table.digests(), acknowledged: registry.isCounted(ref) }
+  }
+
+  /** Repeats a step, with the time that it took counted in the interval, until the signal aborts. */
+  async #repeat (signal: AbortSignal, intervalMs: () => number, step: () => Promise<void>): Promise<void> {
+    const { clock } = this.#options
+    while (!signal.aborted) {
+      const startedAt = clock.monotonicMs()
+      await step()
+      const rest = Math.max(0, intervalMs() - (clock.monotonicMs() - startedAt))
+      await clock.sleep(rest, signal).catch(() => {})
+    }
+  }
+
+  #describe (): InstanceDigest {
+    const { table, tracker, log, describeSelf } = this.#options
+    const digest = { ...describeSelf(), heardAge: 0, configurationVersion: log.version, ...tracker.ownAges() }
+    table.setOwnDigest(digest)
+    return digest
+  }
+
+  /** Starts tasks for new peers of the data centre and ends those of peers that are gone. */
+  #reconcile (): void {
+    const { table, seeds, readList } = this.#options
+    const { local, remote } = selectPeers({ own: this.#describe(), others: table.others(), list: readList(), seeds })
+    for (const [address, { abort, done }] of this.#local) {
+      if (local.has(address)) continue
+      abort.abort()
+      this.#local.delete(address)
+      this.#ending.add(done)
+      done.then(() => this.#ending.delete(done))
+    }
+    for (const address of local) if (!this.#local.has(address)) this.#startLocal(address)
+    this.#remoteRound = this.#remoteRound.filter(address => remote.has(address))
+    if (this.#remoteRound.length === 0) this.#remoteRound = shuffle([...remote], this.#options.random)
+  }
+
+  #startLocal (address: string): void {
+    const abort = new AbortController()
+    const signal = AbortSignal.any([abort.signal, this.#stopping.signal])
+    const done = this.#repeat(signal, () => EXCHANGE_INTERVAL_MS, () => this.#exchange(address, signal))
+    this.#local.set(address, { abort, done })
+  }
+
+  async #exchangeWithRemote (): Promise<void> {
+    const address = this.#remoteRound.pop()
+    if (address !== undefined) await this.#exchange(address, this.#stopping.signal)
+  }
+
+  async #exchange (address: string, signal: AbortSignal): Promise<void> {
+    const { clock, peers, table, tracker, registry, log } = this.#options
+    const own = this.#describe()
+    const sentAt = clock.monotonicMs()
+    this.#count(own, undefined)
+    try {
+      const answer = await withTimeout(clock, EXCHANGE_TIMEOUT_MS,
+        limited => peers.exchange(address, own, !registry.mayAccept, limited), signal)
+      this.#count(undefined, answer)
+      table.merge(answer.instances, sentAt)
+      tracker.noteAnswer(answer.instances, sentAt)
+      const callee = answer.instances[0]
+      if (callee === undefined) return
+      if (answer.acknowledged) registry.noteAcknowledged(callee.ref, sentAt)
+      if (callee.configurationVersion > log.version) await this.#adoptFrom(address)
+    } catch {
+      // The peer's silence shows as its age in the table.
+    }
+  }
+
+  /** Fetches newer changes; one fetch at a time, since every peer offers the same ones. */
+  async #adoptFrom (address: string): Promise<void> {
+    const { clock, peers, log } = this.#options
+    if (this.#fetching) return
+    this.#fetching = true
+    try {
+      const fetched = await withTimeout(clock, EXCHANGE_TIMEOUT_MS,
+        signal => peers.fetchChanges(address, log.version, signal), this.#stopping.signal)
+      this.#count(undefined, fetched)
+      log.adopt(fetched)
+    } catch {
+      // The next exchange offers the changes again.
+    } finally {
+      this.#fetching = false
+    }
+  }
+
+  async #readStoreIfDue (): Promise<void> {
+    const { tracker, log, random, keyGraceMs } = this.#options
+    const limit = keyGraceMs() * STORE_READ_FRACTION * (1 + STORE_READ_JITTER * random.next())
+    if (tracker.storeReadAgeMs() >= limit) await log.refresh()
+  }
+
+  #count (sent: unknown, received: unknown): void {
+    this.#bytes = {
+      sent: this.#bytes.sent + (sent === undefined ? 0 : JSON.stringify(sent).length),
+      received: this.#bytes.received + (received === undefined ? 0 : JSON.stringify(received).length)
+    }
+  }
+}
