--- a/src/configuration/changeSubmitter.ts
+++ b/src/configuration/changeSubmitter.ts
@@ -95,10 +95,12 @@
       if (!await this.#log.catchUp()) return { outcome: 'unavailable', reason: 'the store can not be read' }
       const version = findVersionOfChange(this.#log.state, draft.id)
       if (version !== undefined) return { outcome: 'accepted', version }
+      const next = this.#log.state.version + 1
       const refusal = await this.#check(draft, attempt > 0)
       if (refusal !== undefined) return refusal
       if (!this.#options.mayAccept()) return { outcome: 'unavailable', reason: 'not yet acknowledged by every registered instance' }
-      const outcome = await this.#write(draft)
+      const outcome = await this.#write(draft, next)
+      if (outcome === 'accepted') return { outcome, version: next }
       if (outcome === 'unknown') return { outcome }
       if (outcome === 'unavailable') return { outcome, reason: 'the store can not be written' }
     }
@@ -127,9 +129,8 @@
     return problems.length > 0 ? { outcome: 'invalid', problems } : undefined
   }
 
-  async #write (draft: ChangeDraft): Promise<WriteOutcome> {
+  async #write (draft: ChangeDraft, version: number): Promise<WriteOutcome> {
     const { id, baseVersion, operator, operations } = draft
-    const version = this.#log.state.version + 1
     const change = { id, version, baseVersion, operator, acceptedAt: this.#options.clock.wallMs(), operations }
     this.#pendingId = id
     const outcome = await this.#attempt(change)
@@ -148,7 +149,7 @@
       return error instanceof StoreUnavailableError ? 'unavailable' : 'unknown'
     }
     if (!await this.#log.catchUp()) return 'unknown'
-    return findVersionOfChange(this.#log.state, change.id) === undefined ? 'taken' : 'accepted'
+    return findVersionOfChange(this.#log.state, change.id) === change.version ? 'accepted' : 'taken'
   }
 
   /**
--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -71,6 +71,7 @@
 
   /** Ages for the own digest; to be read together with the version. */
   ownAges (): OwnAges {
+    this.#options.registry.release(this.#storeReadAt())
     const storeReadAge = this.storeReadAgeMs()
     return {
       storeReadAge: Number.isFinite(storeReadAge) ? storeReadAge : undefined,
@@ -105,7 +106,7 @@
     registry.release(storeReadAt)
     if (!log.pending) this.#ownQuietAt = clock.monotonicMs()
     // An instance that deregistered before the own registration is not counted; only a later read covers its changes.
-    if (registry.registeredAt === undefined || storeReadAt < registry.registeredAt) return -Infinity
+    if (registry.registeredAt === undefined || storeReadAt <= registry.registeredAt) return -Infinity
     const times = registry.acceptors.map(({ ref }) =>
       this.#quiet.get(incarnationKey(ref))?.asOf(log.version) ?? -Infinity)
     return Math.min(this.#ownQuietAt, ...times)
--- a/src/configuration/registry.ts
+++ b/src/configuration/registry.ts
@@ -24,6 +24,8 @@
   seenVersion: number
   /** Monotonic time at which the entry was known to be deregistered. */
   deregisteredAt?: number
+  /** It ended, and everything that it accepted is known. */
+  released: boolean
 }
 
 interface RegistryValue {
@@ -62,7 +64,7 @@
 
   /** Every instance that may have accepted a change that this instance does not know. */
   get acceptors (): readonly Acceptor[] {
-    return [...this.#counted.values()].map(counted => counted.acceptor)
+    return [...this.#counted.values()].filter(counted => !counted.released).map(counted => counted.acceptor)
   }
 
   /** Monotonic time after which every new acceptor needs this instance's acknowledgement; undefined if unregistered. */
@@ -93,13 +95,15 @@
     if (self !== undefined) await this.#update(acceptors => acceptors.filter(({ ref }) => !sameInstance(ref, self.ref)))
   }
 
-  /** Counts an instance that asks to be acknowledged. */
+  /** Counts an instance that asks to be acknowledged; what was known about its end no longer holds. */
   acknowledge (acceptor: Acceptor): void {
+    this.#counted.delete(incarnationKey(acceptor.ref))
+    this.#presence.forget(acceptor.ref)
     this.#count(acceptor, 0)
   }
 
   isCounted (ref: InstanceRef): boolean {
-    return this.#counted.has(incarnationKey(ref))
+    return this.#counted.get(incarnationKey(ref))?.released === false
   }
 
   /** Notes an acknowledgement; one asked for before the registration does not count. */
@@ -124,11 +128,14 @@
    * Without such a read, a change that an instance accepted just before its end could be unknown to all others.
    */
   release (storeReadAt: number): void {
-    for (const [key, { acceptor, deregisteredAt }] of this.#counted) {
-      const endedAt = Math.min(deregisteredAt ?? Infinity, this.#presence.goneSince(acceptor.ref) ?? Infinity)
-      if (endedAt > storeReadAt) continue
+    for (const [key, counted] of this.#counted) {
+      const { ref } = counted.acceptor
+      const endedAt = Math.min(counted.deregisteredAt ?? Infinity, this.#presence.goneSince(ref) ?? Infinity)
+      counted.released = endedAt < storeReadAt
+      // A registered entry is kept, so that its absence from the list is still known when it is removed.
+      if (!counted.released || this.#value.acceptors.some(entry => sameInstance(entry.ref, ref))) continue
       this.#counted.delete(key)
-      this.#presence.forget(acceptor.ref)
+      this.#presence.forget(ref)
     }
   }
 
@@ -141,7 +148,7 @@
     const key = incarnationKey(acceptor.ref)
     const counted = this.#counted.get(key)
     if (counted === undefined) {
-      this.#counted.set(key, { acceptor, seenVersion })
+      this.#counted.set(key, { acceptor, seenVersion, released: false })
       this.#presence.track(acceptor.ref)
     } else if (seenVersion >= counted.seenVersion) {
       counted.seenVersion = seenVersion
--- a/src/configuration/testing/memoryStore.ts
+++ b/src/configuration/testing/memoryStore.ts
@@ -2,9 +2,12 @@
 import { StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
 import type { Store, StoreEntry, WriteOptions, WriteResult } from '../../ports/store.ts'
 
+type WriteListener = (key: string, value?: string) => void
+
 /** Faults of one client's connection. */
 export class StoreClient implements Store {
   readonly #entries: Map<string, StoreEntry>
+  readonly #onWrite: WriteListener
   down = false
   /** Writes take effect and their answers are lost. */
   losesAnswers = false
@@ -14,8 +17,9 @@
   held?: Promise<void>
   calls = 0
 
-  constructor (entries: Map<string, StoreEntry>) {
+  constructor (entries: Map<string, StoreEntry>, onWrite: WriteListener) {
     this.#entries = entries
+    this.#onWrite = onWrite
   }
 
   async #answer<Result> (action: () => Result, writes = false): Promise<Result> {
@@ -34,6 +38,7 @@
     const version = expectedVersion + 1
     if (value === undefined) this.#entries.delete(key)
     else this.#entries.set(key, { key, value, version })
+    this.#onWrite(key, value)
     return { outcome: 'written', version }
   }
 
@@ -68,8 +73,10 @@
 
 export class MemoryStore {
   readonly entries = new Map<string, StoreEntry>()
+  /** Called when a write takes effect. */
+  onWrite: WriteListener = () => {}
 
   connect (): StoreClient {
-    return new StoreClient(this.entries)
+    return new StoreClient(this.entries, (key, value) => this.onWrite(key, value))
   }
 }
