Count equal capacities for never-runnable demands

Cause: each refused demand that can never run, or a large gang, was compared with every target of the pool, to tell 'never' from 'full'. Change: CapacityCatalogue counts targets of equal capacity, so that the answer takes time by the number of different models.

--- a/src/scheduler/placement/targetPool.ts
+++ b/src/scheduler/placement/targetPool.ts
@@ -6,10 +6,11 @@
 import type { Random } from '../../ports/random.ts'
 import { findWorkload } from '../../workloads/registry.ts'
 import type { WorkloadDefinition } from '../../workloads/registry.ts'
+import { CapacityCatalogue } from './capacityCatalogue.ts'
 import { CapacityIndex } from './capacityIndex.ts'
 import { RackCounter } from './rackCounter.ts'
 import { RefusalCache } from './refusalCache.ts'
-import { countFitting, TargetState } from './targetState.ts'
+import { TargetState } from './targetState.ts'
 import type { TargetView } from './targetState.ts'
 
 export type { TargetView } from './targetState.ts'
@@ -55,6 +56,7 @@
   readonly #targetOfTask = new Map<string, TargetState>()
   readonly #indexes: Readonly<Record<TargetType, CapacityIndex>>
   readonly #refusals: Readonly<Record<TargetType, RefusalCache>> = { runner: new RefusalCache(), worker: new RefusalCache() }
+  readonly #catalogue = new CapacityCatalogue()
   readonly #racks = new RackCounter()
 
   constructor (random: Random) {
@@ -72,6 +74,8 @@
     }
     if (known !== undefined) this.#indexes[known.info.type].remove(known)
     const target = known ?? new TargetState(info)
+    if (known !== undefined) this.#catalogue.remove(known.info)
+    this.#catalogue.add(info)
     target.update(info)
     this.#targets.set(info.id, target)
     this.#offer(target)
@@ -86,6 +90,7 @@
       if (spreadsOverRacks(task.kind)) this.#racks.change(task, -1)
     }
     this.#indexes[target.info.type].remove(target)
+    this.#catalogue.remove(target.info)
     this.#targets.delete(id)
   }
 
@@ -181,16 +186,8 @@
   /** Nothing is known to be impossible while the pool has no target of the type. */
   #neverReason (query: PlacementQuery): string | undefined {
     const type = query.workload.targetType(query.size)
-    let known = false
-    let room = 0
-    for (const target of this.#targets.values()) {
-      if (target.info.type !== type) continue
-      known = true
-      const limit = target.countsConnections ? target.info.connections : Infinity
-      room += Math.min(limit, countFitting(query.size, target.capacity))
-      if (room >= query.taskIds.length) return undefined
-    }
-    if (!known) return undefined
+    const room = this.#catalogue.countRoom(type, query.size)
+    if (room === undefined || room >= query.taskIds.length) return undefined
     return room === 0
       ? `a task is larger than every ${type} of this instance`
       : `${query.taskIds.length} tasks are more than the ${room} that all ${type}s of this instance hold`
