Compare refused demands without allocation

Cause: a full cluster asks the refusal cache some hundred times per decision, and each question created an object and a closure for every remembered demand. Change: a plain loop.

--- a/src/scheduler/placement/refusalCache.ts
+++ b/src/scheduler/placement/refusalCache.ts
@@ -23,7 +23,8 @@
 
   /** Says whether an equal or smaller demand found no room since. */
   covers (size: Resources, tasks: number): boolean {
-    return this.#demands.some(refused => isCoveredBy({ size, tasks }, refused))
+    for (const refused of this.#demands) if (refused.tasks <= tasks && fits(refused.size, size)) return true
+    return false
   }
 
   /** Notes a demand that no usable targets together can take now. */
