Keep the present claim segment under one key that is never deleted

A writer paused beyond the retention period could create a deleted segment anew and report its claims; the property test found it after 103 runs (npx ava 'src/scheduler/claims/**/*.test.ts').

--- a/src/scheduler/claims/claimSegment.ts
+++ b/src/scheduler/claims/claimSegment.ts
@@ -19,6 +19,7 @@
 const NUMBER_DIGITS = 10
 
 export interface ClaimSegment {
+  readonly number: number
   /** Wall-clock time of the last write, in milliseconds. */
   readonly writtenAt: number
   readonly entries: readonly ClaimEntry[]
@@ -37,13 +38,17 @@
   return `claim/${shard}/`
 }
 
-/** Numbers are padded, so that keys sort in the order of the segments. */
-export function segmentKey (shard: number, segment: number): string {
-  return shardPrefix(shard) + String(segment).padStart(NUMBER_DIGITS, '0')
+/**
+ * The present segment of a shard. It is one key that is never deleted, so that its version exposes every writer with
+ * an old view; a numbered key could be deleted after the retention period and created anew by such a writer.
+ */
+export function headKey (shard: number): string {
+  return `${shardPrefix(shard)}head`
 }
 
-export function segmentNumber (key: string): number {
-  return Number(key.slice(key.lastIndexOf('/') + 1))
+/** Where a full segment is kept. Numbers are padded, so that keys sort in the order of the segments. */
+export function segmentKey (shard: number, segment: number): string {
+  return shardPrefix(shard) + String(segment).padStart(NUMBER_DIGITS, '0')
 }
 
 /** Whether later claims belong into the next segment; a function of the content, so that all writers agree. */
@@ -51,12 +56,14 @@
   return Buffer.byteLength(value) >= FULL_SEGMENT_BYTES
 }
 
-export function serialiseSegment (segment: ClaimSegment): string {
-  return JSON.stringify([segment.writtenAt, ...segment.entries.map(entry => [entry.identity, entry.holder])])
+export function serialiseSegment ({ number, writtenAt, entries }: ClaimSegment): string {
+  return JSON.stringify([number, writtenAt, ...entries.map(entry => [entry.identity, entry.holder])])
 }
 
 export function parseSegment (value: string): ClaimSegment {
-  const [writtenAt, ...entries] = JSON.parse(value) as readonly [number, ...ReadonlyArray<readonly [string, string]>]
-  if (typeof writtenAt !== 'number') throw new InputError('claim segment must begin with the time of its last write')
-  return { writtenAt, entries: entries.map(([identity, holder]) => ({ identity, holder })) }
+  const [number, writtenAt, ...entries] = JSON.parse(value) as readonly [number, number, ...ReadonlyArray<readonly [string, string]>]
+  if (typeof number !== 'number' || typeof writtenAt !== 'number') {
+    throw new InputError('claim segment must begin with its number and the time of its last write')
+  }
+  return { number, writtenAt, entries: entries.map(([identity, holder]) => ({ identity, holder })) }
 }
--- a/src/scheduler/claims/claimShard.ts
+++ b/src/scheduler/claims/claimShard.ts
@@ -1,17 +1,16 @@
-/** One shard of the claim log as an instance knows it: all segments within the retention period. */
+/** One shard of the claim log as an instance knows it: the present segment and the full ones within the retention period. */
 import type { Clock } from '../../ports/clock.ts'
 import type { ClaimEntry } from '../../ports/peerClient.ts'
 import type { Store, StoreEntry } from '../../ports/store.ts'
-import { CLAIM_RETENTION_MS, isFull, parseSegment, segmentKey, segmentNumber, serialiseSegment, shardPrefix } from './claimSegment.ts'
+import { CLAIM_RETENTION_MS, headKey, isFull, parseSegment, segmentKey, serialiseSegment, shardPrefix } from './claimSegment.ts'
 
 /** Segments are kept this much longer than the retention period, for clock skew and slow writers. */
 const RETENTION_MARGIN_MS = 60_000
 
-/** The known segments must have been the latest ones within this time when a write succeeds. */
-const LONGEST_KNOWLEDGE_MS = CLAIM_RETENTION_MS - RETENTION_MARGIN_MS
-
 interface KnownSegment {
-  readonly entry: StoreEntry | undefined
+  readonly entry: StoreEntry
+  readonly number: number
+  readonly writtenAt: number
   readonly holders: ReadonlyMap<string, string>
 }
 
@@ -19,10 +18,9 @@
   readonly #store: Store
   readonly #clock: Clock
   readonly #shard: number
-  /** In order; the last one is the present segment. */
-  #segments = new Map<number, KnownSegment>()
-  /** When the call began whose answer showed that the present segment was the latest; undefined before loading. */
-  #currentAsOfMs: number | undefined
+  #head: KnownSegment | undefined
+  #full = new Map<string, KnownSegment>()
+  #loaded = false
 
   constructor (store: Store, clock: Clock, shard: number) {
     this.#store = store
@@ -32,15 +30,19 @@
 
   /** Reads the shard's segments unless they are known. */
   async ensureLoaded (signal?: AbortSignal): Promise<void> {
-    if (this.#currentAsOfMs !== undefined) return
-    const startedMs = this.#clock.monotonicMs()
+    if (this.#loaded) return
     const entries = await this.#store.list(shardPrefix(this.#shard), signal)
-    this.#segments = new Map(entries.map(entry => [segmentNumber(entry.key), knowSegment(entry)]))
-    this.#currentAsOfMs = startedMs
+    const segments = new Map(entries.map(entry => [entry.key, knowSegment(entry)]))
+    this.#head = segments.get(headKey(this.#shard))
+    segments.delete(headKey(this.#shard))
+    this.#full = segments
+    this.#loaded = true
   }
 
   findHolder (identity: string): string | undefined {
-    for (const segment of this.#segments.values()) {
+    const inHead = this.#head?.holders.get(identity)
+    if (inHead !== undefined) return inHead
+    for (const segment of this.#full.values()) {
       const holder = segment.holders.get(identity)
       if (holder !== undefined) return holder
     }
@@ -52,44 +54,49 @@
    * and its claims must be looked at. A rejected call leaves the shard unloaded, so that reading settles it.
    */
   async append (claims: readonly ClaimEntry[], signal?: AbortSignal): Promise<boolean> {
-    const startedMs = this.#clock.monotonicMs()
-    const { number, entry } = this.#present()
-    const key = segmentKey(this.#shard, number)
-    const value = serialiseSegment({
-      writtenAt: this.#clock.wallMs(), entries: [...(entry === undefined ? [] : parseSegment(entry.value).entries), ...claims]
-    })
-    const asOfMs = this.#currentAsOfMs
-    this.#currentAsOfMs = undefined
-    const result = await this.#store.put(key, value, { expectedVersion: entry?.version ?? 0 }, signal)
-    const current = result.outcome === 'written' ? { key, value, version: result.version } : result.current
-    // After a longer pause, later segments may exist, and this one may have been deleted and created anew.
-    const known = asOfMs !== undefined && this.#clock.monotonicMs() - asOfMs <= LONGEST_KNOWLEDGE_MS
-    if (!known || current === undefined) return false
-    this.#segments.set(number, knowSegment(current))
-    this.#currentAsOfMs = startedMs
-    return result.outcome === 'written'
+    const head = this.#head
+    this.#loaded = false
+    const rolls = head !== undefined && isFull(head.entry.value)
+    if (rolls) await this.#keepFull(head, signal)
+    const entries = head === undefined || rolls ? claims : [...parseSegment(head.entry.value).entries, ...claims]
+    const number = (head?.number ?? 0) + (rolls ? 1 : 0)
+    const key = headKey(this.#shard)
+    const value = serialiseSegment({ number, writtenAt: this.#clock.wallMs(), entries })
+    const result = await this.#store.put(key, value, { expectedVersion: head?.entry.version ?? 0 }, signal)
+    if (result.outcome === 'written') {
+      this.#head = knowSegment({ key, value, version: result.version })
+      this.#loaded = true
+      return true
+    }
+    const current = result.current === undefined ? undefined : knowSegment(result.current)
+    // Another number means that the known segment may have taken claims that are not known here.
+    if (current !== undefined && head !== undefined && current.number === head.number) {
+      this.#head = current
+      this.#loaded = true
+    }
+    return false
   }
 
-  /** Deletes segments that were last written before the retention period; the latest one stays. */
+  /** Deletes full segments that were last written before the retention period. */
   async deleteOld (signal?: AbortSignal): Promise<void> {
-    const present = this.#present().number
-    for (const [number, { entry }] of [...this.#segments]) {
-      if (number === present || entry === undefined) continue
-      const age = this.#clock.wallMs() - parseSegment(entry.value).writtenAt
-      if (age <= CLAIM_RETENTION_MS + RETENTION_MARGIN_MS) continue
-      await this.#store.delete(entry.key, entry.version, signal)
-      this.#segments.delete(number)
+    for (const [key, { entry, writtenAt }] of [...this.#full]) {
+      if (this.#clock.wallMs() - writtenAt <= CLAIM_RETENTION_MS + RETENTION_MARGIN_MS) continue
+      await this.#store.delete(key, entry.version, signal)
+      this.#full.delete(key)
     }
   }
 
-  /** The segment that takes the next claims. */
-  #present (): { readonly number: number, readonly entry: StoreEntry | undefined } {
-    const number = Math.max(0, ...this.#segments.keys())
-    const entry = this.#segments.get(number)?.entry
-    return entry !== undefined && isFull(entry.value) ? { number: number + 1, entry: undefined } : { number, entry }
+  /** Copies a full segment to its own key before the next one replaces it; every writer copies the same content. */
+  async #keepFull (head: KnownSegment, signal?: AbortSignal): Promise<void> {
+    const key = segmentKey(this.#shard, head.number)
+    const value = head.entry.value
+    const result = await this.#store.put(key, value, { expectedVersion: 0 }, signal)
+    const version = result.outcome === 'written' ? result.version : result.current?.version ?? 0
+    this.#full.set(key, knowSegment({ key, value, version }))
   }
 }
 
 function knowSegment (entry: StoreEntry): KnownSegment {
-  return { entry, holders: new Map(parseSegment(entry.value).entries.map(({ identity, holder }) => [identity, holder])) }
+  const { number, writtenAt, entries } = parseSegment(entry.value)
+  return { entry, number, writtenAt, holders: new Map(entries.map(({ identity, holder }) => [identity, holder])) }
 }
