--- a/src/scheduler/limits/allotmentManager.ts
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -144,6 +144,12 @@
     return { limit, held, aboveLimit, byDataCentre }
   }
 
+  /** Reads the record first, for operators. */
+  async readStatus (team: string): Promise<AllotmentStatus> {
+    await this.#team(team).refresh(this.#abort.signal)
+    return this.status(team)
+  }
+
   /** Drops everything after the instance was removed from the members; others reclaim the old entries. */
   reset (): void {
     this.#teamOfTask.clear()
@@ -183,17 +189,18 @@
     const call = new AbortController()
     this.#asking.set(team, call)
     try {
-      await Promise.race([
-        peerClient.transferAllotment(address, ownership.self, team, allotment.unmet, call.signal),
-        this.#dependencies.clock.sleep(TRANSFER_TIMEOUT_MS, call.signal)
-      ])
+      const timeout = this.#dependencies.clock.sleep(TRANSFER_TIMEOUT_MS, call.signal)
+        .then(() => { throw new Error('no answer to the transfer') })
+      await Promise.race([peerClient.transferAllotment(address, ownership.self, team, allotment.unmet, call.signal), timeout])
+      allotment.markStale()
+      await allotment.adjust(this.#abort.signal)
+    } catch (error) {
+      allotment.noteUncertainTransfer()
+      throw error
     } finally {
       call.abort()
       this.#asking.delete(team)
-      // Whatever was answered, the record tells what was moved.
-      allotment.markStale()
     }
-    await allotment.adjust(this.#abort.signal)
   }
 
   async #repeat (intervalMs: number, action: () => Promise<unknown>): Promise<void> {
--- a/src/scheduler/limits/allotmentRecord.ts
+++ b/src/scheduler/limits/allotmentRecord.ts
@@ -1,7 +1,7 @@
 /** The record of one team's limit: what each incarnation holds of it. */
 import { InputError } from '../../model/errors.ts'
 import type { IncarnationKey } from '../../model/identity.ts'
-import { addResources, DIMENSIONS, NO_RESOURCES } from '../../model/resources.ts'
+import { addResources, DIMENSIONS, isEmpty, NO_RESOURCES, subtractResources } from '../../model/resources.ts'
 import type { Dimension, Limit, Resources } from '../../model/resources.ts'
 
 export interface AllotmentEntry {
@@ -59,3 +59,7 @@
   const [slots, processors, memory, accelerators] = DIMENSIONS.map(compute) as [number, number, number, number]
   return { slots, processors, memory, accelerators }
 }
+
+export function sameAmount (left: Resources, right: Resources): boolean {
+  return isEmpty(subtractResources(left, right))
+}
--- a/src/scheduler/limits/teamAllotment.ts
+++ b/src/scheduler/limits/teamAllotment.ts
@@ -7,11 +7,15 @@
 import type { Store } from '../../ports/store.ts'
 import { planAdjustment, planTransfer, wantedAmount } from './allotmentPlan.ts'
 import type { Adjustment } from './allotmentPlan.ts'
-import { buildResources, putHolder } from './allotmentRecord.ts'
+import { buildResources, putHolder, sameAmount } from './allotmentRecord.ts'
 import type { AllotmentRecord } from './allotmentRecord.ts'
 import { AllotmentView } from './allotmentView.ts'
 import { roundSize, TaskCharges } from './taskCharges.ts'
 
+/** After a transfer without a clear answer, the giver may move the amount late: the record is read at intervals. */
+const REREAD_INTERVAL_MS = 10_000
+const REREAD_PERIOD_MS = 600_000
+
 export interface TeamAllotmentDependencies {
   readonly store: Store
   readonly clock: Clock
@@ -31,6 +35,8 @@
   #held = NO_RESOURCES
   #returning = false
   #lowerings = 0
+  #rereadUntilMs = 0
+  #nextRereadMs = 0
   #sequence = 0
   #nextAdjustment: Promise<void> | undefined
 
@@ -77,6 +83,13 @@
     this.#view.markStale()
   }
 
+  /** What was asked for may be in the own entry now or later, even if this instance no longer uses the limit. */
+  noteUncertainTransfer (): void {
+    const now = this.#dependencies.clock.monotonicMs()
+    this.#rereadUntilMs = now + REREAD_PERIOD_MS
+    this.#nextRereadMs = now
+  }
+
   returnAll (): void {
     this.#returning = true
   }
@@ -115,10 +128,15 @@
     this.#lowerTo(NO_RESOURCES)
   }
 
+  async refresh (signal?: AbortSignal): Promise<void> {
+    await this.#view.exclusively(() => this.#view.read(signal), signal)
+  }
+
   /** Whether the entry differs from what is wanted, as far as the cached record shows. */
   needsAdjustment (): boolean {
     const holder = this.#dependencies.holder()
     if (holder === undefined) return false
+    if (this.#isRereadDue()) return true
     const own = this.record.holders[incarnationKey(holder)]
     const idle = isEmpty(this.#charges.demand) && isEmpty(this.#held) && own === undefined
     if (idle) return false
@@ -145,7 +163,9 @@
     const holder = this.#dependencies.holder()
     if (holder === undefined) throw new Error('the instance has not joined yet')
     const key = incarnationKey(holder)
-    if (this.#view.stale || !isEmpty(this.unmet)) await this.#view.read(signal)
+    const reread = this.#isRereadDue()
+    if (reread || this.#view.stale || !isEmpty(this.unmet)) await this.#view.read(signal)
+    if (reread) this.#nextRereadMs = this.#dependencies.clock.monotonicMs() + REREAD_INTERVAL_MS
     const lowerings = this.#lowerings
     const sequence = ++this.#sequence
     let held = this.#held
@@ -200,6 +220,11 @@
     return planAdjustment(record, key, { used, held: this.#held, wanted, returning: this.#returning })
   }
 
+  #isRereadDue (): boolean {
+    const now = this.#dependencies.clock.monotonicMs()
+    return now >= this.#nextRereadMs && now < this.#rereadUntilMs
+  }
+
   #isHolder (key: IncarnationKey): boolean {
     const holder = this.#dependencies.holder()
     return holder !== undefined && incarnationKey(holder) === key
@@ -221,7 +246,3 @@
     return buildResources(dimension => limit[dimension] === undefined ? 0 : Math.max(0, amount[dimension]))
   }
 }
-
-function sameAmount (left: Resources, right: Resources): boolean {
-  return isEmpty(subtractResources(left, right))
-}
