--- a/src/scheduler/coordination.test.ts
+++ b/src/scheduler/coordination.test.ts
@@ -62,20 +62,69 @@
   ]
 }
 
+async function runFaults (actions: readonly Action[], refusesLowerEpochs: boolean): Promise<SimulatedCell> {
+  const cell = await createCell(7)
+  cell.targets.refusesLowerEpochs = refusesLowerEpochs
+  for (const each of actions) await apply(cell, each)
+  await recover(cell)
+  const faults = [...cell.violations, ...findStranded(cell)]
+  await stop(cell)
+  if (faults.length > 0) throw new Error(faults.slice(0, 5).join('; '))
+  return cell
+}
+
+async function stop (cell: SimulatedCell): Promise<void> {
+  await Promise.all(cell.alive.map(async instance => {
+    await instance.allotments.stop()
+    await instance.ownership.stop()
+  }))
+}
+
+const scenario = fc.array(action, { minLength: 5, maxLength: 25 })
+
 test('faults neither overfill a target, nor break a limit, nor strand what an instance held', async t => {
   let started = 0
-  await fc.assert(fc.asyncProperty(fc.array(action, { minLength: 5, maxLength: 25 }), async actions => {
-    const cell = await createCell(7)
-    for (const each of actions) await apply(cell, each)
-    await recover(cell)
-    started += cell.startedTasks
-    const faults = [...cell.violations, ...findStranded(cell)]
-    await Promise.all(cell.alive.map(async instance => {
-      await instance.allotments.stop()
-      await instance.ownership.stop()
-    }))
-    if (faults.length > 0) throw new Error(faults.slice(0, 5).join('; '))
+  await fc.assert(fc.asyncProperty(scenario, async actions => {
+    started += (await runFaults(actions, true)).startedTasks
   }), { seed: SEED, numRuns: RUNS, includeErrorInReport: true, endOnFailure: true })
   t.log(`${started} tasks started`)
   t.true(started > RUNS * 7)
 })
+
+test('the checks do not pass if targets accept lower epochs', async t => {
+  const details = await fc.check(fc.asyncProperty(scenario, async actions => { await runFaults(actions, false) }),
+    { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  t.true(details.failed)
+  t.regex(String(details.errorInstance), /tasks on runner/)
+})
+
+test('a drain leaves no target, task or allotment behind', async t => {
+  const cell = await createCell(7)
+  const [leaving] = cell.alive
+  const key = incarnationKey(leaving!.ownership.self)
+  let left = false
+  leaving!.drain(AbortSignal.timeout(60_000)).then(() => { left = true }, () => {})
+  // Targets without fencing are taken over at once as well, because their owner hands them over.
+  await cell.run(20_000, false)
+  t.true(left)
+  t.deepEqual(cell.violations, [])
+  t.is(cell.runningTasks, 7)
+  t.false(cell.store.read('ownership/howrah')!.value.includes(key))
+  t.false(cell.store.read(`allotment/${TEAM}`)!.value.includes(key))
+  await stop(cell)
+})
+
+test('a target that comes back to the list is owned again, although its epoch is not in the record any more', async t => {
+  const cell = await createCell(7)
+  const [target, ...others] = cell.listed
+  cell.targets.fence(target!, cell.targets.highestEpoch(target!.id) + 3)
+  cell.listed = others
+  while (cell.targets.tasksOn(target!.id).length > 0) cell.targets.end(target!.id, cell.targets.tasksOn(target!.id)[0]!.taskId)
+  await cell.run(30_000)
+  t.false(cell.store.read('ownership/howrah')!.value.includes(`"${target!.id}"`))
+  cell.listed = [target!, ...others]
+  await cell.run(10_000)
+  t.is(cell.alive.filter(instance => instance.ownership.epochOf(target!.id) !== undefined).length, 1)
+  t.deepEqual(cell.violations, [])
+  await stop(cell)
+})
--- a/src/scheduler/limits/allotmentManager.test.ts
+++ b/src/scheduler/limits/allotmentManager.test.ts
@@ -128,3 +128,19 @@
   t.true(first.trySpend(TEAM, 'unlimited', resources({ processors: 500 })))
   await cell.stop()
 })
+
+test('what is being given back is not spent while the store does not answer', async t => {
+  const cell = new Holders()
+  const [first, second] = [cell.add(), cell.add()]
+  await Promise.all([first.start(), second.start()])
+  first.setQueuedDemand(TEAM, resources({ slots: 16 }))
+  await cell.clock.advance(3_000)
+  cell.faults[0]?.script(['answerLost', ...Array.from({ length: 100 }, () => 'down' as const)])
+  first.setQueuedDemand(TEAM, resources({}))
+  await cell.clock.advance(2_000)
+  second.setQueuedDemand(TEAM, resources({ slots: 15 }))
+  await cell.clock.advance(2_000)
+  t.true(second.trySpend(TEAM, 'task-2', resources({ slots: 15 })))
+  t.false(first.trySpend(TEAM, 'task-1', resources({ slots: 6 })))
+  await cell.stop()
+})
--- a/src/scheduler/ownership/ownershipManager.ts
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -17,6 +17,8 @@
 import { RejoinBackoff } from './rejoinBackoff.ts'
 import { RETRY_INTERVAL_MS, SHORTEST_STEP_MS, STEP_INTERVAL_MS } from './ownershipTiming.ts'
 
+export type { MembershipView } from './ownershipPlanner.ts'
+
 export type LossReason = 'fenced' | 'taken' | 'handed-over' | 'removed' | 'delisted'
 
 export interface OwnershipEvents {
--- a/src/scheduler/ownership/ownershipRecord.ts
+++ b/src/scheduler/ownership/ownershipRecord.ts
@@ -2,6 +2,8 @@
 import { InputError } from '../../model/errors.ts'
 import type { IncarnationKey } from '../../model/identity.ts'
 
+export { planAssignment } from './planAssignment.ts'
+
 export interface TargetOwnership {
   /** Absent after a release. */
   readonly owner?: IncarnationKey
--- a/src/scheduler/testing/fakeTarget.ts
+++ b/src/scheduler/testing/fakeTarget.ts
@@ -10,6 +10,8 @@
 export class FakeTargets {
   readonly #epochs = new Map<string, number>()
   readonly #tasks = new Map<string, TaskReport[]>()
+  /** Switched off to see that the checks notice. */
+  refusesLowerEpochs = true
 
   tasksOn (targetId: string): readonly TaskReport[] {
     return this.#tasks.get(targetId) ?? []
@@ -17,7 +19,7 @@
 
   /** Starts a task, unless the target refuses the epoch. */
   start (target: TargetInfo, task: TaskReport, lateMs: number): boolean {
-    if (target.features.fencing && task.epoch < (this.#epochs.get(target.id) ?? 0)) return false
+    if (this.refusesLowerEpochs && target.features.fencing && task.epoch < (this.#epochs.get(target.id) ?? 0)) return false
     if (target.features.startBy && lateMs > 0) return false
     this.#tasks.set(target.id, [...this.tasksOn(target.id), task])
     return true
--- a/src/scheduler/testing/instanceFaults.ts
+++ b/src/scheduler/testing/instanceFaults.ts
@@ -14,6 +14,7 @@
   #paused = false
   #crashed = false
   #waiting: Array<() => void> = []
+  #scripted: readonly Fault[] = []
 
   constructor (random: Random) {
     this.#random = random
@@ -57,7 +58,15 @@
     while (this.#paused) await new Promise<void>(resolve => this.#waiting.push(resolve))
   }
 
+  /** Faults of the next calls, in order. */
+  script (faults: readonly Fault[]): void {
+    this.#scripted = faults
+  }
+
   next (site: FaultSite): Fault {
+    const [scripted, ...later] = this.#scripted
+    this.#scripted = later
+    if (scripted !== undefined) return scripted
     if (this.#down.has(site)) return 'down'
     if (this.#faultRate === 0 || this.#random.next() >= this.#faultRate) return 'none'
     return (['down', 'answerLost', 'delayed'] as const)[this.#random.integer(3)] ?? 'none'
--- a/src/scheduler/testing/simulatedCell.ts
+++ b/src/scheduler/testing/simulatedCell.ts
@@ -125,7 +125,7 @@
     const hears = (other: SimulatedInstance): boolean =>
       other === viewer || (!viewer.cutFromPeers && this.clock.monotonicMs() - other.lastHeardMs <= SUSPICION_MS)
     return {
-      liveMembers: () => this.alive.filter(hears).map(instance => instance.ownership.self),
+      liveMembers: () => this.alive.filter(other => hears(other) && !other.draining).map(instance => instance.ownership.self),
       isSuspected: ref => !this.instances.some(instance => sameInstance(instance.ownership.self, ref) && hears(instance)),
       isListedGone: ref => this.instances.some(instance => instance.address === ref.name &&
         instance.crashedAtMs !== undefined && this.clock.monotonicMs() - instance.crashedAtMs > LIST_LAG_MS)
--- a/src/scheduler/testing/simulatedInstance.ts
+++ b/src/scheduler/testing/simulatedInstance.ts
@@ -22,6 +22,7 @@
   readonly address: string
   crashedAtMs: number | undefined
   cutFromPeers = false
+  draining = false
   lastHeardMs: number
   readonly #cell: SimulatedCell
   readonly #clock: Clock
@@ -95,6 +96,15 @@
     this.faults.crash()
   }
 
+  /** Hands over all targets and allotments, then leaves. */
+  async drain (signal: AbortSignal): Promise<void> {
+    this.draining = true
+    await this.ownership.handOverAll(signal)
+    this.allotments.setQueuedDemand(TEAM, resources({}))
+    await this.allotments.releaseAll(signal)
+    await this.ownership.leave(signal)
+  }
+
   /** Starts one task on every owned target with room, if the allotment allows it. */
   startTasks (): void {
     let queued = 0
@@ -106,7 +116,7 @@
       if (this.allotments.trySpend(TEAM, taskId, ONE_SLOT)) this.#send(target, epoch, taskId).catch(() => {})
       else queued++
     }
-    this.allotments.setQueuedDemand(TEAM, resources({ slots: queued }))
+    this.allotments.setQueuedDemand(TEAM, resources({ slots: this.draining ? 0 : queued }))
   }
 
   /** Learns which tasks ended, as from the ends of their streams. */
