--- a/src/scheduler/ownership/ownershipPlanner.ts
+++ b/src/scheduler/ownership/ownershipPlanner.ts
@@ -30,6 +30,7 @@
   /** When each condition was first seen to hold without a break. */
   #since = new Map<string, number>()
   #seen = new Set<string>()
+  #lastAssignment: { readonly inputs: string, readonly assignment: ReadonlyMap<string, IncarnationKey> } | undefined
 
   constructor (clock: Clock, membership: MembershipView) {
     this.#clock = clock
@@ -38,7 +39,7 @@
 
   plan (record: OwnershipRecord, self: IncarnationKey, listed: readonly TargetInfo[], draining: boolean): PlannedChanges {
     const live = this.#liveMembers(record, self, draining)
-    const assignment = planAssignment(listed.map(target => target.id), live)
+    const assignment = this.#assign(listed.map(target => target.id), live)
     const changes: OwnershipChange[] = [
       ...this.#takes(record, self, listed, assignment),
       ...this.#forgotten(record, self, new Set(listed.map(target => target.id))),
@@ -49,6 +50,13 @@
     return { changes, handOvers }
   }
 
+  /** Hashes only when the targets or the live members changed. */
+  #assign (targets: readonly string[], live: readonly IncarnationKey[]): ReadonlyMap<string, IncarnationKey> {
+    const inputs = JSON.stringify([targets, live])
+    if (this.#lastAssignment?.inputs !== inputs) this.#lastAssignment = { inputs, assignment: planAssignment(targets, live) }
+    return this.#lastAssignment.assignment
+  }
+
   #liveMembers (record: OwnershipRecord, self: IncarnationKey, draining: boolean): readonly IncarnationKey[] {
     const live = new Set(this.#membership.liveMembers().filter(ref => !this.#membership.isSuspected(ref)).map(incarnationKey))
     if (draining) live.delete(self)
