--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -6,6 +6,7 @@
 import { DIMENSIONS } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import { ClaimClient } from '../scheduler/claims/claimClient.ts'
+import type { ClaimPeer } from '../scheduler/claims/claimClient.ts'
 import { ClaimLog } from '../scheduler/claims/claimLog.ts'
 import { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
 import { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
@@ -31,13 +32,15 @@
     this.#scheduling = scheduling
     this.ownership = this.#createOwnership()
     this.allotments = this.#createAllotments()
-    const { store, clock, peerClient, random } = options
+    const { store, clock, peerClient } = options
     this.claimLog = new ClaimLog({ store, clock })
-    this.claimClient = new ClaimClient({ clock, random, peerClient, log: this.claimLog, selfName: options.self.name, membership: () => this.#claimMembers() })
+    this.claimClient = new ClaimClient({
+      clock, peerClient, claimLog: this.claimLog, self: () => this.ownership.self, liveInstances: () => this.#servingInstances()
+    })
   }
 
   get components (): readonly Component[] {
-    return [this.allotments, this.ownership]
+    return [this.claimLog, this.allotments, this.ownership]
   }
 
   /** Hands targets and allotments over to the other instances and leaves the members. */
@@ -135,10 +138,10 @@
     return this.#presence.goneSince(ref) !== undefined
   }
 
-  #claimMembers (): readonly { readonly name: string, readonly address: string }[] {
+  #servingInstances (): readonly ClaimPeer[] {
     return this.#configuration.membership.live()
       .filter(({ digest }) => digest.state === 'serving')
-      .map(({ digest }) => ({ name: digest.ref.name, address: digest.peerAddress }))
+      .map(({ digest }) => ({ ref: digest.ref, address: digest.peerAddress }))
   }
 }
 
--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -16,6 +16,10 @@
 /** Memory of a waiting request beside its payload. */
 const REQUEST_OVERHEAD_BYTES = 1_024
 
+/** A claim that takes longer gives the reserved capacity back before it is tried again. */
+const CLAIM_PATIENCE_MS = 2_000
+const CLAIM_RETRY_MS = 500
+
 /** What the scheduler reports for metrics. */
 export interface SchedulingObserver {
   onPlaced (work: LocalWork, waitedMs: number): void
@@ -46,10 +50,9 @@
     const { clock, observer, self } = this.#dependencies
     const arrivedAt = clock.monotonicMs()
     const size = this.#dependencies.estimateSize(work.team, work.request)
-    const assignments = await this.#place(work, size)
+    const assignments = await this.#placeAndClaim(work, size)
     const placedAt = clock.monotonicMs()
     observer.onPlaced(work, placedAt - arrivedAt)
-    await this.#claim(work, assignments)
     yield { type: 'accepted', owner: self }
     try {
       if (findWorkload(work.request.kind).detached) yield * this.#startDetached(work, assignments, size)
@@ -60,6 +63,22 @@
     observer.onFinished(work, clock.monotonicMs() - placedAt)
   }
 
+  /** Without the store a request that must be claimed waits for it, but holds no capacity meanwhile. */
+  async #placeAndClaim (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
+    const { clock } = this.#dependencies
+    for (;;) {
+      const assignments = await this.#place(work, size)
+      if (work.request.repeatable || await this.#claim(work, assignments)) return assignments
+      this.#releaseAll(assignments)
+      await clock.sleep(Math.min(CLAIM_RETRY_MS, Math.max(0, work.deadlineAt - clock.monotonicMs())), work.signal).catch(() => {})
+      if (work.signal.aborted || clock.monotonicMs() >= work.deadlineAt) {
+        throw new RefusalError('the request could not be recorded as not to be repeated before its deadline', {
+          code: 'claim-unavailable', verdict: 'not-run', claimed: true
+        })
+      }
+    }
+  }
+
   async #place (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
     const { team, request, deadlineAt, signal } = work
     const { kind, tasks, repeatable } = request
@@ -68,24 +87,20 @@
     return await this.#dependencies.placements.wait({ team, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
   }
 
-  /** Claims the identity of a request that must not be repeated; nothing is sent without the claim. */
-  async #claim (work: LocalWork, assignments: readonly Assignment[]): Promise<void> {
-    const { request, team, attemptId, deadlineAt } = work
-    if (request.repeatable) return
+  /** Claims the identity of the request; false if the outcome could not be found out, so that nothing may be sent. */
+  async #claim (work: LocalWork, assignments: readonly Assignment[]): Promise<boolean> {
+    const { request, team, attemptId, deadlineAt, signal } = work
+    const { clock, claims } = this.#dependencies
     work.onStateChange('claiming', assignments[0]!.targetId)
-    const outcome = await this.#dependencies.claims.claim(team, request.id, claimHolder(attemptId), deadlineAt)
-      .catch(() => 'unavailable' as const)
-    if (outcome === 'claimed' && !work.signal.aborted) return
+    const until = Math.min(deadlineAt, clock.monotonicMs() + CLAIM_PATIENCE_MS)
+    const outcome = await claims.claim(team, request.id, claimHolder(attemptId), until).catch(() => 'unavailable' as const)
+    if (outcome === 'unavailable') return false
+    if (outcome === 'claimed' && !signal.aborted) return true
     this.#releaseAll(assignments)
-    if (outcome === 'duplicate') {
-      throw new RefusalError(`request ${request.id} was sent before`, { code: 'duplicate', verdict: 'may-have-run' })
-    }
     if (outcome === 'claimed') {
       throw new RefusalError('the request was cancelled before it started', { code: 'cancelled', verdict: 'not-run', claimed: true })
     }
-    throw new RefusalError('the request could not be recorded as not to be repeated before its deadline', {
-      code: 'claim-unavailable', verdict: 'not-run'
-    })
+    throw new RefusalError(`request ${request.id} was sent before`, { code: 'duplicate', verdict: 'may-have-run' })
   }
 
   async * #runAttached (work: LocalWork, assignment: Assignment, size: Resources): AsyncIterable<RunEvent> {
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -189,7 +189,8 @@
     const result = pool.place({ workload: findWorkload(kind), team, size, taskIds, excludeTargets })
     if (result.outcome !== 'placed') {
       this.#refund(taskIds)
-      return false
+      // Free capacity would not help what no target here could hold.
+      return result.outcome === 'never' ? 'limited' : false
     }
     entry.value.assignments = result.assignments
     for (const assignment of result.assignments) this.#hold(request, assignment)
--- a/src/scheduler/claims/claimClient.ts
+++ b/src/scheduler/claims/claimClient.ts
@@ -1,88 +1,84 @@
-/** Claims requests at the instance that is responsible for their shard. */
+/** Claims request identities through the instance responsible for the shard, or directly if it can't be reached. */
+import { incarnationKey, sameInstance } from '../../model/identity.ts'
+import type { InstanceRef } from '../../model/identity.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { ClaimEntry, ClaimOutcome, PeerClient } from '../../ports/peerClient.ts'
-import type { Random } from '../../ports/random.ts'
 import { rankNodes } from '../rendezvous.ts'
-import { computeBackoff } from '../retries/backoff.ts'
-import { createClaimIdentity, shardOf } from './claimIdentity.ts'
 import type { ClaimLog } from './claimLog.ts'
+import { hashIdentity, shardOf } from './claimSegment.ts'
 
-/** A live instance that may be responsible for shards. */
-export interface ClaimMember {
-  readonly name: string
+const PEER_TIMEOUT_MS = 1_500
+const RETRY_INTERVAL_MS = 100
+
+export interface ClaimPeer {
+  readonly ref: InstanceRef
   readonly address: string
 }
 
-export interface ClaimClientOptions {
-  readonly clock: Clock
-  readonly random: Random
+export interface ClaimClientDependencies {
+  readonly claimLog: Pick<ClaimLog, 'claim'>
   readonly peerClient: Pick<PeerClient, 'claim'>
-  readonly log: Pick<ClaimLog, 'claim'>
-  readonly selfName: string
-  membership (): readonly ClaimMember[]
+  readonly clock: Clock
+  self (): InstanceRef
+  /** Instances that serve, this one among them. */
+  liveInstances (): readonly ClaimPeer[]
 }
 
-/** A claim that takes longer gives its reservation back and is tried again. */
-export const CLAIM_PATIENCE_MS = 1_000
-
+/**
+ * Claims for the requests of one entry instance.
+ *
+ * @example
+ * const outcome = await claimClient.claim('weavers', request.id, attemptId, deadlineAt)
+ * if (outcome === 'duplicate') refuse('may-have-run')
+ */
 export class ClaimClient {
-  readonly #options: ClaimClientOptions
+  readonly #dependencies: ClaimClientDependencies
 
-  constructor (options: ClaimClientOptions) {
-    this.#options = options
+  constructor (dependencies: ClaimClientDependencies) {
+    this.#dependencies = dependencies
   }
 
   /**
-   * Claims a request for a holder; the same holder may ask again. `unavailable` means that it is not known whether
-   * the claim was recorded, so that the request must not be sent.
-   *
-   * @example
-   * const outcome = await client.claim('weavers', 'stock-2026-12', flightId, deadlineAt)
+   * Claims an identity for a holder; tries until the deadline, in monotonic milliseconds.
+   * After `unavailable` the identity may be claimed, for this holder only.
    */
   async claim (team: string, requestId: string, holder: string, deadlineAt: number): Promise<ClaimOutcome> {
-    const { clock, random } = this.#options
-    const entry = { identity: createClaimIdentity(team, requestId), holder }
-    const until = Math.min(deadlineAt, clock.monotonicMs() + CLAIM_PATIENCE_MS)
-    for (let attempt = 1; ; attempt++) {
-      const outcome = await this.#claimOnce(entry, until)
-      if (outcome !== 'unavailable') return outcome
-      const delayMs = computeBackoff(attempt, random)
-      if (clock.monotonicMs() + delayMs >= until) return outcome
-      await clock.sleep(delayMs)
+    const { clock } = this.#dependencies
+    const entry = { identity: hashIdentity(team, requestId), holder }
+    while (clock.monotonicMs() < deadlineAt) {
+      const remainingMs = deadlineAt - clock.monotonicMs()
+      const outcome = await this.#within(remainingMs, signal => this.#claimOnce(entry, signal))
+      if (outcome !== undefined && outcome !== 'unavailable') return outcome
+      await clock.sleep(Math.min(RETRY_INTERVAL_MS, Math.max(0, deadlineAt - clock.monotonicMs())))
     }
+    return 'unavailable'
   }
 
-  async #claimOnce (entry: ClaimEntry, until: number): Promise<ClaimOutcome> {
-    const { clock } = this.#options
-    const timeout = new AbortController()
-    const expired = clock.sleep(Math.max(0, until - clock.monotonicMs()), timeout.signal)
-      .then((): ClaimOutcome => 'unavailable', (): ClaimOutcome => 'unavailable')
-    try {
-      return await Promise.race([this.#send(entry), expired])
-    } finally {
-      timeout.abort()
+  async #claimOnce (entry: ClaimEntry, signal: AbortSignal): Promise<ClaimOutcome> {
+    const responsible = this.#findResponsible(entry.identity)
+    if (responsible !== undefined && !sameInstance(responsible.ref, this.#dependencies.self())) {
+      const answer = await this.#within(PEER_TIMEOUT_MS, timeout =>
+        this.#dependencies.peerClient.claim(responsible.address, [entry], AbortSignal.any([signal, timeout]))).catch(() => undefined)
+      if (answer?.[0] !== undefined && answer[0] !== 'unavailable') return answer[0]
     }
+    const [outcome] = await this.#dependencies.claimLog.claim([entry])
+    return outcome ?? 'unavailable'
   }
 
-  /** Writes the claim itself if the responsible instance does not answer: the record keeps two writers apart. */
-  async #send (entry: ClaimEntry): Promise<ClaimOutcome> {
-    const { peerClient, log, selfName } = this.#options
-    const responsible = this.#findResponsible(shardOf(entry.identity))
-    if (responsible !== undefined && responsible.name !== selfName) {
-      try {
-        const [outcome] = await peerClient.claim(responsible.address, [entry])
-        if (outcome === 'claimed' || outcome === 'duplicate') return outcome
-      } catch {
-        // The claim may have been recorded; the same holder asks again below.
-      }
-    }
-    const [outcome] = await log.claim([entry])
-    return outcome ?? 'unavailable'
+  #findResponsible (identity: string): ClaimPeer | undefined {
+    const peers = new Map(this.#dependencies.liveInstances().map(peer => [incarnationKey(peer.ref) as string, peer]))
+    const [first] = rankNodes(`claim/${shardOf(identity)}`, [...peers.keys()])
+    return first === undefined ? undefined : peers.get(first)
   }
 
-  #findResponsible (shard: number): ClaimMember | undefined {
-    const members = this.#options.membership()
-    const [name] = rankNodes(`claim/${shard}`, members.map(member => member.name))
-    return members.find(member => member.name === name)
+  /** Undefined when the time is up first. */
+  async #within<T> (durationMs: number, operation: (signal: AbortSignal) => Promise<T>): Promise<T | undefined> {
+    const abort = new AbortController()
+    const timer = this.#dependencies.clock.sleep(durationMs, abort.signal).then(() => undefined, () => undefined)
+    try {
+      return await Promise.race([operation(abort.signal), timer])
+    } finally {
+      abort.abort()
+    }
   }
 }
