--- a/src/scheduler/claims/claimShard.ts
+++ b/src/scheduler/claims/claimShard.ts
@@ -28,14 +28,13 @@
     this.#shard = shard
   }
 
-  /** Reads the shard's segments unless they are known. */
+  /** Reads the shard's segments unless they are known; the head first, so that what leaves it later is in the list. */
   async ensureLoaded (signal?: AbortSignal): Promise<void> {
     if (this.#loaded) return
+    const head = await this.#store.get(headKey(this.#shard), signal)
     const entries = await this.#store.list(shardPrefix(this.#shard), signal)
-    const segments = new Map(entries.map(entry => [entry.key, knowSegment(entry)]))
-    this.#head = segments.get(headKey(this.#shard))
-    segments.delete(headKey(this.#shard))
-    this.#full = segments
+    this.#head = head === undefined ? undefined : knowSegment(head)
+    this.#full = new Map(entries.filter(entry => entry.key !== headKey(this.#shard)).map(entry => [entry.key, knowSegment(entry)]))
     this.#loaded = true
   }
 
