Refuse at once what an instance can never hold, and settle starts in a hand-over

Cause: a request larger than the pool waited until its deadline, although another instance may own larger targets; a start on its way to a target without fencing could begin after the hand-over. Change: the former is refused as not run and re-routed; the latter is waited for, for the start-by window and the clock skew.

--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -77,6 +77,9 @@
           logger.info({ target: targetId, reason }, 'a target was lost')
           adoption.onLost(targetId, reason)
         },
+        onHandingOver: async target => {
+          if (!target.features.fencing) await this.#scheduling.starter.awaitStartsSettled(target.id)
+        },
         onSucceeded: targetId => adoption.onSucceeded(targetId),
         onRemovedFromMembers: ref => {
           logger.warn({ incarnation: ref.incarnation }, 'the instance was taken for dead and goes on as a new incarnation')
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -49,6 +49,8 @@
   settle (assignments: readonly Assignment[]): void
   refuse (error: RefusalError): void
   assignments: readonly Assignment[]
+  /** Why the targets of this instance can never hold the request. */
+  neverReason?: string
 }
 
 /** Targets that get one task to find out whether they work again. */
@@ -101,7 +103,8 @@
         if (queue.remove(entry)) this.#refuse(entry, createAborted(signal))
       }, { once: true })
       this.pump()
-      if (waiting.assignments.length === 0) this.#dependencies.onWaiting(request)
+      if (waiting.neverReason !== undefined && queue.remove(entry)) this.#refuse(entry, createNever(waiting.neverReason))
+      else if (waiting.assignments.length === 0) this.#dependencies.onWaiting(request)
     })
   }
 
@@ -189,8 +192,10 @@
     const result = pool.place({ workload: findWorkload(kind), team, size, taskIds, excludeTargets })
     if (result.outcome !== 'placed') {
       this.#refund(taskIds)
-      // Free capacity would not help what no target here could hold.
-      return result.outcome === 'never' ? 'limited' : false
+      if (result.outcome !== 'never') return false
+      // Free capacity would not help what the targets here could not hold even if they were idle.
+      entry.value.neverReason = result.reason
+      return 'limited'
     }
     entry.value.assignments = result.assignments
     for (const assignment of result.assignments) this.#hold(request, assignment)
@@ -238,6 +243,11 @@
   return { team, kind, urgency: findWorkload(kind).urgency, size, tasks: taskIds.length, bytes, deadlineAt, value }
 }
 
+/** Another instance may own larger targets. */
+function createNever (reason: string): RefusalError {
+  return new RefusalError(reason, { code: 'no-capacity', verdict: 'not-run', retryable: true })
+}
+
 function createShed (): RefusalError {
   return new RefusalError('the queue is full', { code: 'shed', verdict: 'not-run' })
 }
--- a/src/instance/schedulingParts.ts
+++ b/src/instance/schedulingParts.ts
@@ -60,6 +60,7 @@
   readonly crossRegion: CrossRegionBudget
   readonly admission: Admission
   readonly dispatcher: Dispatcher
+  readonly starter: TaskStarter
   readonly requests: RequestService
   readonly #options: InstanceOptions
   readonly #configuration: ConfigurationParts
@@ -88,6 +89,7 @@
       return { bytesPerSecond, burstBytes: bytesPerSecond * CROSS_REGION_BURST_S }
     })
     this.admission = this.#createAdmission()
+    this.starter = this.#createStarter()
     this.dispatcher = this.#createDispatcher(this.#createScheduler())
     this.requests = this.#createRequests()
   }
@@ -150,10 +152,10 @@
     })
   }
 
-  #createScheduler (): LocalScheduler {
-    const { clock, targetClient, metrics } = this.#options
-    const { ownership, claims } = this.#authorities
-    const starter = new TaskStarter({
+  #createStarter (): TaskStarter {
+    const { clock, targetClient } = this.#options
+    const { ownership } = this.#authorities
+    return new TaskStarter({
       clock,
       targetClient,
       ownership: {
@@ -167,12 +169,17 @@
       onBreakerChange: (targetId, open) => this.#onBreakerChange(targetId, open),
       onEnded: taskId => this.placements.release(taskId)
     })
+  }
+
+  #createScheduler (): LocalScheduler {
+    const { clock, metrics } = this.#options
+    const { claims } = this.#authorities
     return new LocalScheduler({
       self: this.#options.self,
       clock,
       placements: this.placements,
       claims: { claim: async (team, requestId, holder, deadlineAt) => await claims().claim(team, requestId, holder, deadlineAt) },
-      starter,
+      starter: this.starter,
       tracker: this.tracker,
       estimateSize: (team, request) => this.#estimateSize(team, request),
       observer: {
--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../ports/clock.ts'
 import type { StartResult, TargetClient, TargetRefusal, TaskAnswer } from '../ports/targetClient.ts'
 import type { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
-import { START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
+import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
 import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
 import type { LocalWork } from './localWork.ts'
 import type { TaskEnd, TaskTracker } from './taskTracker.ts'
@@ -41,6 +41,8 @@
 
 export class TaskStarter {
   readonly #dependencies: TaskStarterDependencies
+  /** When the latest start was sent to each target, on the monotonic clock. */
+  readonly #lastSentAt = new Map<string, number>()
 
   constructor (dependencies: TaskStarterDependencies) {
     this.#dependencies = dependencies
@@ -57,6 +59,7 @@
     const ended = tracker.track({ taskId, target, epoch, leaseMs, sentAt: clock.monotonicMs(), startByWallMs })
     ended.then(() => this.#dependencies.onEnded(taskId), () => {})
     work.onStateChange('running', targetId)
+    this.#lastSentAt.set(targetId, clock.monotonicMs())
     const { team, request } = work
     const result = await targetClient.start(target, {
       taskId,
@@ -75,6 +78,15 @@
     return { taskId, target, answer, ended }
   }
 
+  /** Waits until no start that was sent to the target can begin any more; for targets without fencing. */
+  async awaitStartsSettled (targetId: string): Promise<void> {
+    const { clock } = this.#dependencies
+    const settledAt = (this.#lastSentAt.get(targetId) ?? -Infinity) + START_BY_WINDOW_MS + CLOCK_SKEW_MS
+    this.#lastSentAt.delete(targetId)
+    const remainingMs = settledAt - clock.monotonicMs()
+    if (remainingMs > 0) await clock.sleep(remainingMs)
+  }
+
   async #takeResult (work: LocalWork, taskId: string, target: TargetInfo, epoch: number, result: StartResult): Promise<TaskAnswer> {
     const { breaker, ownership, tracker } = this.#dependencies
     switch (result.outcome) {
--- a/src/membership/testing/cluster.ts
+++ b/src/membership/testing/cluster.ts
@@ -150,6 +150,7 @@
       fetchChanges: (address, after) => call(address, to => to.log.fetchChanges(after)),
       run: unused,
       cancel: unused,
+      find: unused,
       transferAllotment: unused,
       claim: unused,
       handOver: unused
