Complete tasks before the end of their answer, and end a drain without successor

A stop without another instance waited 10 s for a successor of targets without tasks; with an open request its lease would not have been renewed. A refusal by the fence was ignored, since the reported epoch was the own one. Change: the task is completed before the end event; targets without tasks need no successor; without a successor open requests end first; the epoch reported is above the refused one. Queue gauges count by kind, and stranded allotment only counts what is wanted elsewhere.

--- a/src/configuration/freshness.ts
+++ b/src/configuration/freshness.ts
@@ -61,7 +61,8 @@
 
   /** Milliseconds since the configuration was certainly current; infinite if it never was. */
   ageMs (): number {
-    return this.#options.clock.monotonicMs() - Math.max(this.#storeReadAt(), this.#allQuietAt())
+    const currentAt = Math.max(this.#storeReadAt(), this.#allQuietAt())
+    return this.#options.clock.monotonicMs() - currentAt
   }
 
   /** Milliseconds since a read of the store, by this or another instance, that found no newer change. */
--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -80,6 +80,7 @@
         onHandingOver: async target => {
           if (!target.features.fencing) await this.#scheduling.starter.awaitStartsSettled(target.id)
         },
+        holdsTasks: targetId => adoption.holdsTasks(targetId),
         onSucceeded: targetId => adoption.onSucceeded(targetId),
         onRemovedFromMembers: ref => {
           logger.warn({ incarnation: ref.incarnation }, 'the instance was taken for dead and goes on as a new incarnation')
--- a/src/instance/entryInstance.ts
+++ b/src/instance/entryInstance.ts
@@ -87,13 +87,25 @@
     if (this.#state === 'draining') return
     this.#state = 'draining'
     this.#options.logger.info('the instance drains')
-    const { placements } = this.scheduling
-    placements.close()
+    this.scheduling.placements.close()
+    // Without a successor nobody would renew the leases of the tasks that callers still wait for.
+    if (!this.#hasSuccessor()) await this.#awaitFlights(signal)
     await this.coordination.handOver(signal)
-    while (this.scheduling.flights.size > 0) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
+    await this.#awaitFlights(signal)
+    while (this.configuration.log.pending) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
     await this.configuration.registry.deregister()
   }
 
+  async #awaitFlights (signal: AbortSignal): Promise<void> {
+    while (this.scheduling.flights.size > 0) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
+  }
+
+  /** Whether another instance of the data centre can take the targets over. */
+  #hasSuccessor (): boolean {
+    return this.configuration.membership.inDataCentre(this.#options.location.dataCentre)
+      .some(({ digest, leaving }) => digest.state === 'serving' && !leaving && !sameInstance(digest.ref, this.self))
+  }
+
   async stop (): Promise<void> {
     for (const { component, error } of await this.#lifecycle.stop()) {
       this.#options.logger.warn({ component, err: error }, 'a component did not stop in order')
--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -1,4 +1,6 @@
 /** The periodic work of an instance: deadlines of waiting requests, use of targets, shares, usage, gauges. */
+import type { InstanceDigest } from '../model/digest.ts'
+import { workloads } from '../workloads/registry.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { sameInstance } from '../model/identity.ts'
 import { addResources, DIMENSIONS, NO_RESOURCES, subtractResources } from '../model/resources.ts'
@@ -69,18 +71,20 @@
       this.#coordination.allotments.setQueuedDemand(team, size)
     }
     preemptor.balanceShares()
-    this.#updateGauges()
+    this.#updateGauges(others)
   }
 
-  #updateGauges (): void {
+  #updateGauges (others: readonly InstanceDigest[]): void {
     const { metrics } = this.#options
     const { ledger, pool, placements } = this.#scheduling
     const { allotments } = this.#coordination
     for (const team of this.#configuration.settings.teams()) {
       metrics.setShare(team, ledger.entitlement(team), ledger.dominantShare(team))
       const spare = allotments.spare(team)
-      metrics.setAllotment(team, addResources(allotments.used(team), spare), spare)
-      metrics.setQueued(team, 'batch', placements.waiting(team).entries)
+      const wantedElsewhere = others.some(({ teams }) => teams.some(entry => entry.team === team && entry.queued > 0))
+      metrics.setAllotment(team, addResources(allotments.used(team), spare), wantedElsewhere ? spare : NO_RESOURCES)
+      const waiting = placements.waiting(team).entries === 0 ? undefined : placements.waitingByKind(team)
+      for (const kind of workloads.keys()) metrics.setQueued(team, kind, waiting?.get(kind) ?? 0)
     }
     const capacity = [...pool.targets()].reduce<Resources>((sum, { info }) => addResources(sum, info.capacity), NO_RESOURCES)
     const used = subtractResources(capacity, [...pool.targets()].reduce<Resources>((sum, { free }) => addResources(sum, free), NO_RESOURCES))
--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -59,8 +59,9 @@
       else yield * this.#runAttached(work, assignments[0]!, size)
     } catch (error) {
       throw markClaimed(error, !work.request.repeatable)
+    } finally {
+      observer.onFinished(work, clock.monotonicMs() - placedAt)
     }
-    observer.onFinished(work, clock.monotonicMs() - placedAt)
   }
 
   /** Without the store a request that must be claimed waits for it, but holds no capacity meanwhile. */
@@ -106,13 +107,14 @@
   async * #runAttached (work: LocalWork, assignment: Assignment, size: Resources): AsyncIterable<RunEvent> {
     const { tracker, starter } = this.#dependencies
     const started = await starter.start(work, assignment.taskId, assignment.targetId, size, false)
-    let complete = false
     try {
-      yield * streamAnswer(started)
-      complete = true
+      for await (const event of streamAnswer(started)) {
+        // Consumers need not come back after the end, so that the task is completed before it is passed on.
+        if (event.type === 'end') tracker.complete(started.taskId, { outcome: 'ended', state: 'finished' })
+        yield event
+      }
     } finally {
-      if (complete) tracker.complete(started.taskId, { outcome: 'ended', state: 'finished' })
-      else tracker.stop(started.taskId).catch(() => {})
+      if (tracker.isTracking(started.taskId)) tracker.stop(started.taskId).catch(() => {})
     }
   }
 
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -113,8 +113,13 @@
     return this.#waiting.get(team) ?? NOTHING_WAITING
   }
 
-  waitingTeams (): Iterable<string> {
-    return this.#waiting.keys()
+  /** Number of the team's waiting requests by kind. */
+  waitingByKind (team: string): ReadonlyMap<KindName, number> {
+    const counts = new Map<KindName, number>()
+    for (const entry of this.#dependencies.queue.entries()) {
+      if (entry.team === team) counts.set(entry.kind, (counts.get(entry.kind) ?? 0) + 1)
+    }
+    return counts
   }
 
   /** Starts everything that fits now. */
--- a/src/instance/targetAdoption.ts
+++ b/src/instance/targetAdoption.ts
@@ -51,11 +51,15 @@
       if (reason === 'delisted') placements.release(taskId)
       else placements.forget(taskId)
     }
-    if (reason === 'handed-over') this.#handedOver.set(targetId, taskIds)
+    if (reason === 'handed-over' && taskIds.length > 0) this.#handedOver.set(targetId, taskIds)
     pool.removeTarget(targetId)
     this.#dependencies.onTargetsChanged()
   }
 
+  holdsTasks (targetId: string): boolean {
+    return this.#dependencies.placements.heldTasks(targetId).length > 0
+  }
+
   onSucceeded (targetId: string): void {
     for (const taskId of this.#handedOver.get(targetId) ?? []) this.#dependencies.allotments.surrender(taskId)
     this.#handedOver.delete(targetId)
--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -96,7 +96,8 @@
         return result.answer
       case 'refused':
         tracker.complete(taskId, { outcome: 'never-started' })
-        if (result.refusal === 'fenced') ownership.reportFenced(target.id, epoch)
+        // The target does not say which epoch it has seen, only that it is a higher one.
+        if (result.refusal === 'fenced') ownership.reportFenced(target.id, epoch + 1)
         throw this.#refuse(taskId, result.refusal === 'fenced' ? 'fenced' : 'no-capacity', REFUSAL_MESSAGES[result.refusal])
       case 'failed':
         if (tracker.takeCheckpointed(taskId)) {
--- a/src/scheduler/ownership/ownedTargets.ts
+++ b/src/scheduler/ownership/ownedTargets.ts
@@ -95,7 +95,7 @@
   #synchroniseOne (targetId: string, target: OwnedTarget, ownership: TargetOwnership | undefined, self: IncarnationKey): void {
     if (ownership?.owner !== self) {
       const handedOver = target.phase.type === 'stopped'
-      if (handedOver) this.#unsucceeded.add(targetId)
+      if (handedOver && this.#events.holdsTasks?.(targetId) !== false) this.#unsucceeded.add(targetId)
       this.#lose(targetId, target, ownership === undefined ? 'delisted' : handedOver ? 'handed-over' : 'taken')
     } else if (ownership.epoch !== target.epoch) {
       target.abort.abort()
--- a/src/scheduler/ownership/ownershipManager.ts
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -30,6 +30,8 @@
   onLost (targetId: string, reason: LossReason): void
   /** No start may be under way to a target without fencing when this resolves. */
   onHandingOver? (target: TargetInfo): Promise<void>
+  /** Whether tasks on the target are charged here; a target without them needs no successor. True if left out. */
+  holdsTasks? (targetId: string): boolean
   /** A successor covers the tasks of a target that this instance handed over: their charges are to be surrendered. */
   onSucceeded? (targetId: string): void
   /** The instance has a new incarnation that owns nothing; every allotment of the old one is void. */
