Start failed services again, and stop running ones on request

Cause: a service whose worker failed stayed down, and a service or gang could neither be found nor cancelled after its answer. Change: the instance that started a repeatable service starts it again after a failure or a lapsed lease; held tasks are indexed by target and by request, so that a wave of cancellations stays linear.

--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -103,7 +103,7 @@
         return epoch === undefined ? [] : [{ target: info, epoch }]
       }),
       checkpoint: async taskId => {
-        const task = placements.findHeld(taskId)
+        const task = placements.held.find(taskId)
         if (task?.repeatable === true) await tracker.checkpoint(taskId)
       }
     })
--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -11,7 +11,7 @@
 import type { LocalWork } from './localWork.ts'
 import type { PlacementQueue } from './placementQueue.ts'
 import type { StartedTask, TaskStarter } from './taskStarter.ts'
-import type { TaskTracker } from './taskTracker.ts'
+import type { TaskEnd, TaskTracker } from './taskTracker.ts'
 
 /** Memory of a waiting request beside its payload. */
 const REQUEST_OVERHEAD_BYTES = 1_024
@@ -34,6 +34,8 @@
   readonly starter: TaskStarter
   readonly tracker: TaskTracker
   readonly observer: SchedulingObserver
+  /** Called for each task that goes on after the answer. */
+  onDetached (work: LocalWork, ended: Promise<TaskEnd>): void
   /** The size to reserve, learned from usage. */
   estimateSize (team: string, work: LocalWork['request']): Resources
 }
@@ -85,7 +87,7 @@
     const { kind, tasks, repeatable } = request
     const taskIds = Array.from({ length: tasks }, (_, index) => tasks === 1 ? work.attemptId : `${work.attemptId}-${index}`)
     const bytes = REQUEST_OVERHEAD_BYTES + JSON.stringify(request.payload ?? null).length
-    return await this.#dependencies.placements.wait({ team, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
+    return await this.#dependencies.placements.wait({ team, requestId: request.id, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
   }
 
   /** Claims the identity of the request; false if the outcome could not be found out, so that nothing may be sent. */
@@ -127,6 +129,7 @@
     const started = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : [])
     if (failures.length > 0) throw await this.#stopPartial(work, started, failures)
     for (const task of started) await drainAnswer(task)
+    for (const { ended } of started) this.#dependencies.onDetached(work, ended)
     const tasks = started.map(({ taskId, target }) => ({ taskId, target: target.id }))
     const body = Buffer.from(JSON.stringify({ id: work.request.id, started: true, tasks }) + '\n')
     yield * createWholeAnswer(tasks.map(({ target }) => target).join(','), 'application/json', body)
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -9,10 +9,13 @@
 import type { Assignment, TargetPool } from '../scheduler/placement/targetPool.ts'
 import type { Acceptance, FairQueue, QueueEntry } from '../scheduler/queue/fairQueue.ts'
 import type { ShareLedger } from '../scheduler/shares/shareLedger.ts'
+import { HeldTasks } from './heldTasks.ts'
+import type { HeldTask } from './heldTasks.ts'
 import { findWorkload } from '../workloads/registry.ts'
 
 export interface PlacementRequest {
   readonly team: string
+  readonly requestId: string
   readonly kind: KindName
   /** Size of each task. */
   readonly size: Resources
@@ -24,18 +27,6 @@
   readonly repeatable: boolean
 }
 
-/** A task whose capacity and allotment are held. */
-export interface HeldTask {
-  readonly taskId: string
-  readonly targetId: string
-  readonly team: string
-  readonly kind: KindName
-  readonly size: Resources
-  readonly repeatable: boolean
-  /** Monotonic time of the placement. */
-  readonly startedAt: number
-}
-
 /** What waits for one team. */
 export interface WaitingSum {
   readonly size: Resources
@@ -72,7 +63,8 @@
 
 export class PlacementQueue {
   readonly #dependencies: PlacementQueueDependencies
-  readonly #held = new Map<string, HeldTask>()
+  /** Tasks that were placed or adopted and have not ended. */
+  readonly held = new HeldTasks()
   readonly #waiting = new Map<string, WaitingSum>()
   #closedReason: RefusalError | undefined
 
@@ -131,21 +123,10 @@
     }
   }
 
-  /** Tasks whose capacity is held, on one target or on all. */
-  heldTasks (targetId?: string): readonly HeldTask[] {
-    const tasks = [...this.#held.values()]
-    return targetId === undefined ? tasks : tasks.filter(task => task.targetId === targetId)
-  }
-
-  findHeld (taskId: string): HeldTask | undefined {
-    return this.#held.get(taskId)
-  }
-
   /** Ends the hold of a task that has certainly ended. */
   release (taskId: string): void {
-    const task = this.#held.get(taskId)
+    const task = this.held.remove(taskId)
     if (task === undefined) return
-    this.#held.delete(taskId)
     this.#dependencies.pool.release(taskId)
     this.#dependencies.ledger.release(task.team, task.size)
     this.#dependencies.allotments.refund(taskId)
@@ -158,16 +139,15 @@
     if (!this.#dependencies.pool.reserve(targetId, taskId, team, size, kind)) {
       throw new Error(`target ${targetId} reports more running than it has: task ${taskId} exceeds its capacity`)
     }
-    this.#held.set(taskId, task)
+    this.held.add(task)
     this.#dependencies.ledger.charge(team, size)
     await this.#dependencies.allotments.adopt(team, taskId, size, previousOwner)
   }
 
   /** Forgets a task that runs on under a successor; its charge stays until `surrender`. */
   forget (taskId: string): void {
-    const task = this.#held.get(taskId)
+    const task = this.held.remove(taskId)
     if (task === undefined) return
-    this.#held.delete(taskId)
     this.#dependencies.pool.release(taskId)
     this.#dependencies.ledger.release(task.team, task.size)
   }
@@ -207,9 +187,9 @@
     return true
   }
 
-  #hold ({ team, kind, size, repeatable }: PlacementRequest, { taskId, targetId }: Assignment): void {
+  #hold ({ team, requestId, kind, size, repeatable }: PlacementRequest, { taskId, targetId }: Assignment): void {
     const { clock, ledger, probes } = this.#dependencies
-    this.#held.set(taskId, { taskId, targetId, team, kind, size, repeatable, startedAt: clock.monotonicMs() })
+    this.held.add({ taskId, targetId, team, requestId, kind, size, repeatable, startedAt: clock.monotonicMs() })
     ledger.charge(team, size)
     probes.onPlaced(targetId, taskId)
   }
--- a/src/instance/preemptor.ts
+++ b/src/instance/preemptor.ts
@@ -4,7 +4,8 @@
 import type { PreemptionCandidate, UrgentNeed } from '../scheduler/shares/preemption.ts'
 import type { ShareLedger } from '../scheduler/shares/shareLedger.ts'
 import { findWorkload } from '../workloads/registry.ts'
-import type { HeldTask, PlacementQueue, PlacementRequest } from './placementQueue.ts'
+import type { HeldTask } from './heldTasks.ts'
+import type { PlacementQueue, PlacementRequest } from './placementQueue.ts'
 import type { TaskTracker } from './taskTracker.ts'
 import type { TeamSettingsSource } from './teamSettingsSource.ts'
 import { NO_RESOURCES } from '../model/resources.ts'
@@ -46,7 +47,7 @@
   /** Only repeatable work is checkpointed: it is started anew elsewhere, which is a second run. */
   #candidates (): readonly PreemptionCandidate[] {
     const views = new Map([...this.#dependencies.pool.targets()].map(view => [view.info.id, view]))
-    return this.#dependencies.placements().heldTasks()
+    return this.#dependencies.placements().held.all()
       .filter(task => task.repeatable && this.#isPreemptible(task) && views.get(task.targetId)?.info.features.checkpoint === true)
       .map(({ taskId, targetId, team, size, startedAt }) =>
         ({ taskId, targetId, team, size, startedAt, checkpointing: this.#checkpointing.has(taskId) }))
--- a/src/instance/requestService.ts
+++ b/src/instance/requestService.ts
@@ -22,6 +22,9 @@
   readonly flights: FlightTable
   readonly peerClient: Pick<PeerClient, 'cancel' | 'find'>
   readonly observer: RequestObserver
+  /** Stops tasks that run here without a flight; says whether there were any. */
+  stopTasks (team: string, requestId: string, attemptId?: string): boolean
+  findTasks (team: string, requestId: string): readonly RequestStatus[]
   /** Addresses of the other instances that are alive. */
   peerAddresses (): readonly string[]
   isDraining (): boolean
@@ -74,8 +77,10 @@
     return answers.includes(true)
   }
 
+  /** Cancels the request's flights, and stops its tasks that go on after their answer. */
   cancelHere (team: string, requestId: string, attemptId?: string): boolean {
-    return this.#dependencies.flights.cancel(team, requestId, attemptId)
+    const cancelled = this.#dependencies.flights.cancel(team, requestId, attemptId)
+    return this.#dependencies.stopTasks(team, requestId, attemptId) || cancelled
   }
 
   async find (key: string | undefined, requestId: string): Promise<readonly RequestStatus[]> {
@@ -85,7 +90,8 @@
   }
 
   findHere (team: string, requestId: string): readonly RequestStatus[] {
-    return this.#dependencies.flights.find(team, requestId)
+    const flights = this.#dependencies.flights.find(team, requestId)
+    return flights.length > 0 ? flights : this.#dependencies.findTasks(team, requestId)
   }
 
   async * #fly (admitted: AdmittedRequest, flightId: string, hops: number, signal: AbortSignal, exclusive: boolean): AsyncIterable<RunEvent> {
--- a/src/instance/schedulingParts.ts
+++ b/src/instance/schedulingParts.ts
@@ -5,6 +5,7 @@
 import type { Resources } from '../model/resources.ts'
 import type { AdmittedRequest, WorkRequest } from '../model/request.ts'
 import type { TargetInfo } from '../model/target.ts'
+import type { RequestStatus } from '../ports/peerClient.ts'
 import { Admission } from '../scheduler/admission/admission.ts'
 import { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
 import type { ClaimClient } from '../scheduler/claims/claimClient.ts'
@@ -28,6 +29,7 @@
 import { Preemptor } from './preemptor.ts'
 import { RequestRouter } from './requestRouter.ts'
 import { RequestService } from './requestService.ts'
+import { ServiceSupervisor } from './serviceSupervisor.ts'
 import { TargetUse } from './targetUse.ts'
 import { TaskStarter } from './taskStarter.ts'
 import { TaskTracker } from './taskTracker.ts'
@@ -61,6 +63,7 @@
   readonly admission: Admission
   readonly dispatcher: Dispatcher
   readonly starter: TaskStarter
+  readonly supervisor: ServiceSupervisor
   readonly requests: RequestService
   readonly #options: InstanceOptions
   readonly #configuration: ConfigurationParts
@@ -91,6 +94,7 @@
     this.admission = this.#createAdmission()
     this.starter = this.#createStarter()
     this.dispatcher = this.#createDispatcher(this.#createScheduler())
+    this.supervisor = this.#createSupervisor()
     this.requests = this.#createRequests()
   }
 
@@ -182,6 +186,7 @@
       starter: this.starter,
       tracker: this.tracker,
       estimateSize: (team, request) => this.#estimateSize(team, request),
+      onDetached: (work, ended) => this.supervisor.watch(work, ended),
       observer: {
         onPlaced: (work, waitedMs) => this.#onPlaced(work, waitedMs),
         onFinished: ({ team, request }, ranMs) => metrics.observeRun(team, request.kind, ranMs)
@@ -219,6 +224,31 @@
     })
   }
 
+  #createSupervisor (): ServiceSupervisor {
+    const { clock, random, logger } = this.#options
+    return new ServiceSupervisor({
+      clock,
+      random,
+      run: context => this.dispatcher.run(context),
+      isDraining: () => this.#authorities.isDraining(),
+      onRestart: ({ team, request }, end) => logger.warn({ team, requestId: request.id, end }, 'a service ended by a failure and is started again')
+    })
+  }
+
+  #stopTasks (team: string, requestId: string, attemptId?: string): boolean {
+    const tasks = this.placements.held.ofRequest(team, requestId)
+      .filter(({ taskId }) => attemptId === undefined || taskId.startsWith(attemptId))
+    if (tasks.some(task => task.kind === 'service')) this.supervisor.cancel(team, requestId)
+    for (const { taskId } of tasks) this.tracker.stop(taskId).catch(() => {})
+    return tasks.length > 0
+  }
+
+  #findTasks (team: string, requestId: string): readonly RequestStatus[] {
+    const instance = this.#options.self.name
+    return this.placements.held.ofRequest(team, requestId)
+      .map(({ taskId, targetId }) => ({ instance, state: 'running', attemptId: taskId, target: targetId }))
+  }
+
   #createRequests (): RequestService {
     const { clock, peerClient } = this.#options
     return new RequestService({
@@ -227,6 +257,8 @@
       dispatcher: this.dispatcher,
       flights: this.flights,
       peerClient,
+      stopTasks: (team, requestId, attemptId) => this.#stopTasks(team, requestId, attemptId),
+      findTasks: (team, requestId) => this.#findTasks(team, requestId),
       peerAddresses: () => this.#configuration.membership.others().map(({ digest }) => digest.peerAddress),
       isDraining: () => this.#authorities.isDraining(),
       observer: {
--- /dev/null
+++ b/src/instance/serviceSupervisor.ts
@@ -0,0 +1,85 @@
+/** Starts services again whose task ended without being stopped, for example because its worker failed. */
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '../ports/clock.ts'
+import type { Random } from '../ports/random.ts'
+import type { RunEvent } from '../ports/peerClient.ts'
+import { computeBackoff } from '../scheduler/retries/backoff.ts'
+import type { DispatchContext } from './dispatcher.ts'
+import type { LocalWork } from './localWork.ts'
+import type { TaskEnd } from './taskTracker.ts'
+
+/** A restart that is not placed by then is tried again. */
+const RESTART_DEADLINE_MS = 60_000
+
+export interface ServiceSupervisorDependencies {
+  readonly clock: Clock
+  readonly random: Random
+  run (context: DispatchContext): AsyncIterable<RunEvent>
+  isDraining (): boolean
+  onRestart (work: LocalWork, end: TaskEnd): void
+}
+
+export class ServiceSupervisor {
+  readonly #dependencies: ServiceSupervisorDependencies
+  /** Services that are followed; false once a caller has cancelled them. */
+  readonly #wanted = new Map<string, boolean>()
+
+  constructor (dependencies: ServiceSupervisorDependencies) {
+    this.#dependencies = dependencies
+  }
+
+  /** Follows the task of a service; only repeatable ones are started again, since that is a second run. */
+  watch (work: LocalWork, ended: Promise<TaskEnd>): void {
+    if (work.request.kind !== 'service' || !work.request.repeatable) return
+    const key = serviceKey(work.team, work.request.id)
+    this.#wanted.set(key, true)
+    ended.then(async end => {
+      if (this.#wanted.get(key) === true && endedByFailure(end)) {
+        this.#dependencies.onRestart(work, end)
+        await this.#restart(work, key)
+      }
+      this.#wanted.delete(key)
+    }).catch(() => {})
+  }
+
+  /** The end of the service's task is then no reason to start it again. */
+  cancel (team: string, requestId: string): void {
+    const key = serviceKey(team, requestId)
+    if (this.#wanted.has(key)) this.#wanted.set(key, false)
+  }
+
+  /** Tries until the service has started; the instance that starts it follows it from then on. */
+  async #restart (work: LocalWork, key: string): Promise<void> {
+    const { clock, random } = this.#dependencies
+    for (let attempt = 1; !this.#dependencies.isDraining() && this.#wanted.get(key) === true; attempt++) {
+      if (await this.#start(work)) return
+      await clock.sleep(computeBackoff(attempt, random))
+    }
+  }
+
+  async #start (work: LocalWork): Promise<boolean> {
+    const { clock } = this.#dependencies
+    const { team, request } = work
+    const context: DispatchContext = {
+      admitted: { team, request, deadlineAt: clock.monotonicMs() + RESTART_DEADLINE_MS },
+      flightId: randomUUID(),
+      hops: 0,
+      signal: new AbortController().signal,
+      onStateChange: () => {}
+    }
+    try {
+      for await (const event of this.#dependencies.run(context)) if (event.type === 'end') return true
+    } catch {
+      // Tried again by the caller of this method.
+    }
+    return false
+  }
+}
+
+function serviceKey (team: string, requestId: string): string {
+  return `${team}\n${requestId}`
+}
+
+function endedByFailure (end: TaskEnd): boolean {
+  return end.outcome === 'ended' && (end.state === 'failed' || end.state === 'lease-ended')
+}
--- a/src/instance/targetAdoption.ts
+++ b/src/instance/targetAdoption.ts
@@ -44,7 +44,7 @@
 
   onLost (targetId: string, reason: LossReason): void {
     const { pool, placements, tracker } = this.#dependencies
-    const taskIds = placements.heldTasks(targetId).map(task => task.taskId)
+    const taskIds = placements.held.onTarget(targetId).map(task => task.taskId)
     for (const taskId of taskIds) {
       tracker.forget(taskId)
       // The tasks of a target that left the list have stopped: the record keeps it for the longest lease.
@@ -57,7 +57,7 @@
   }
 
   holdsTasks (targetId: string): boolean {
-    return this.#dependencies.placements.heldTasks(targetId).length > 0
+    return this.#dependencies.placements.held.onTarget(targetId).length > 0
   }
 
   onSucceeded (targetId: string): void {
@@ -72,9 +72,9 @@
 
   async #adopt (target: TargetInfo, epoch: number, report: TaskReport, previousOwner: InstanceRef | undefined): Promise<void> {
     const { clock, placements, tracker } = this.#dependencies
-    const { taskId, team, kind, size } = report
+    const { taskId, team, requestId, kind, size } = report
     const startedAt = clock.monotonicMs()
-    const task = { taskId, targetId: target.id, team, kind, size, repeatable: false, startedAt }
+    const task = { taskId, targetId: target.id, team, requestId, kind, size, repeatable: false, startedAt }
     const leaseMs = this.#dependencies.leaseMs(report)
     tracker.track({ taskId, target, epoch, leaseMs, sentAt: startedAt, startByWallMs: clock.wallMs() })
       .then(() => placements.release(taskId), () => {})
--- a/src/instance/usageCollector.ts
+++ b/src/instance/usageCollector.ts
@@ -3,7 +3,8 @@
 import { fits, scaleResources } from '../model/resources.ts'
 import type { TargetClient } from '../ports/targetClient.ts'
 import type { UsageEstimator } from '../scheduler/usage/usageEstimator.ts'
-import type { HeldTask, PlacementQueue } from './placementQueue.ts'
+import type { HeldTask } from './heldTasks.ts'
+import type { PlacementQueue } from './placementQueue.ts'
 
 /** Usage above the reservation by this factor is restrained; below it, measurement noise would throttle tasks. */
 const OVERUSE_FACTOR = 1.1
@@ -29,7 +30,7 @@
   /** Reads the usage of each worker that runs something; a target that can't be reached is left out. */
   async collect (): Promise<void> {
     const { placements } = this.#dependencies
-    const held = new Map(placements.heldTasks().map(task => [task.taskId, task]))
+    const held = new Map(placements.held.all().map(task => [task.taskId, task]))
     for (const taskId of this.#throttled) if (!held.has(taskId)) this.#throttled.delete(taskId)
     const busy = new Set([...held.values()].map(task => task.targetId))
     const workers = this.#dependencies.usableTargets().filter(({ target }) => target.type === 'worker' && busy.has(target.id))
