Let tests listen on free ports, and keep address handling in one module

Cause: two tests used fixed ports and failed with EADDRINUSE beside another run; HOST:PORT was split and bound in three places. Change: the servers report the address they listen on; JsonServer and OperatorServer use src/adapters/network.ts.

--- a/src/adapters/caller/callerServer.test.ts
+++ b/src/adapters/caller/callerServer.test.ts
@@ -6,14 +6,13 @@
 import type { RunEvent } from '../../ports/peerClient.ts'
 import { CallerServer } from './callerServer.ts'
 
-let nextPort = 21_500
+const ANY_PORT = '127.0.0.1:0'
 
 async function startServer (events: () => AsyncIterable<RunEvent>): Promise<{ url: string, stop: () => Promise<void>, server: CallerServer }> {
-  const address = `127.0.0.1:${nextPort++}`
   const handler: CallerHandler = { run: events, cancel: async () => false, find: async () => [] }
-  const server = new CallerServer({ address, bodyLimitBytes: 1_000, connectionLimit: 10, requestTimeoutMs: 5_000 }, handler)
+  const server = new CallerServer({ address: ANY_PORT, bodyLimitBytes: 1_000, connectionLimit: 10, requestTimeoutMs: 5_000 }, handler)
   await server.start()
-  return { url: `http://${address}`, server, stop: async () => await server.stop(new AbortController().signal) }
+  return { url: `http://${server.address}`, server, stop: async () => await server.stop(new AbortController().signal) }
 }
 
 async function * answerWith (text: string, announced = Buffer.byteLength(text)): AsyncIterable<RunEvent> {
@@ -80,8 +79,7 @@
 test('a caller that disconnects does not leave its request running', async t => {
   let aborted: () => void = () => {}
   const noticed = new Promise<void>(resolve => { aborted = resolve })
-  const address = `127.0.0.1:${nextPort++}`
-  const server = new CallerServer({ address, bodyLimitBytes: 1_000, connectionLimit: 10, requestTimeoutMs: 5_000 }, {
+  const server = new CallerServer({ address: ANY_PORT, bodyLimitBytes: 1_000, connectionLimit: 10, requestTimeoutMs: 5_000 }, {
     run: async function * (_key, _body, signal) {
       socket.destroy()
       await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve()))
@@ -91,7 +89,7 @@
     find: async () => []
   })
   await server.start()
-  const socket = createConnection(Number(address.split(':')[1]), '127.0.0.1')
+  const socket = createConnection(Number(server.address.split(':')[1]), '127.0.0.1')
   socket.write('POST /v1/requests HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n{}')
   await noticed
   await server.stop(new AbortController().signal)
--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -6,7 +6,7 @@
 import { RefusalError } from '../../model/errors.ts'
 import type { CallerHandler } from '../../ports/callerHandler.ts'
 import type { RunEvent } from '../../ports/peerClient.ts'
-import { listenOn } from '../network.ts'
+import { addressOf, listenOn } from '../network.ts'
 import { REFUSAL_STATUS } from './refusalStatus.ts'
 
 export interface CallerServerOptions {
@@ -39,6 +39,11 @@
     this.#server.on('request', (request, response) => this.#track(this.#answer(request, response)))
   }
 
+  /** Where the server listens; port 0 in the options lets the system choose. */
+  get address (): string {
+    return addressOf(this.#server)
+  }
+
   /** The number of requests that have not been answered completely. */
   get openRequests (): number {
     return this.#open.size
--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -1,10 +1,11 @@
 /** The HTTP server of the stand-ins. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo, Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import { json } from 'node:stream/consumers'
 import { BaseError, InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
+import { addressOf, listenOn } from '../network.ts'
 import { matchRoute } from './routes.ts'
 import type { JsonAnswer, Route, RouteMatch } from './routes.ts'
 
@@ -19,16 +20,6 @@
   readonly onConnection?: (socket: Socket) => void
 }
 
-/** Splits `host:port`. */
-export function parseAddress (address: string): { readonly host: string, readonly port: number } {
-  const separator = address.lastIndexOf(':')
-  const port = Number(address.slice(separator + 1))
-  if (separator < 1 || !Number.isInteger(port) || port < 0 || port > 65_535) {
-    throw new InputError(`the address must be host:port, not ${JSON.stringify(address)}`)
-  }
-  return { host: address.slice(0, separator).replace(/^\[(.*)\]$/, '$1'), port }
-}
-
 /**
  * Serves routes. A handler that throws `InputError` answers 400; after any other error the
  * connection is reset, as when the server fails in the middle of a call.
@@ -49,21 +40,16 @@
 
   /** `host:port` as bound. */
   get address (): string {
-    const bound = this.#server?.address() as AddressInfo | null | undefined
-    if (!bound) throw new BaseError(`${this.name} does not listen`)
-    return bound.family === 'IPv6' ? `[${bound.address}]:${bound.port}` : `${bound.address}:${bound.port}`
+    if (this.#server === undefined) throw new BaseError(`${this.name} does not listen`)
+    return addressOf(this.#server)
   }
 
   async start (): Promise<void> {
-    const { host, port } = parseAddress(this.#options.listen)
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       this.#serve(request, response).catch(() => response.destroy())
     })
     if (this.#options.onConnection !== undefined) server.on('connection', this.#options.onConnection)
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, resolve)
-    })
+    await listenOn(server, this.#options.listen)
     this.#server = server
   }
 
--- a/src/adapters/network.ts
+++ b/src/adapters/network.ts
@@ -23,6 +23,7 @@
 }
 
 interface Listener {
+  address: Server['address']
   listen: Server['listen']
   once: Server['once']
   off: Server['off']
@@ -39,3 +40,10 @@
     })
   })
 }
+
+/** Where a server listens, as HOST:PORT; only while it listens. */
+export function addressOf (server: Pick<Listener, 'address'>): string {
+  const bound = server.address()
+  if (bound === null || typeof bound === 'string') throw new Error('the server does not listen')
+  return bound.family === 'IPv6' ? `[${bound.address}]:${bound.port}` : `${bound.address}:${bound.port}`
+}
--- a/src/adapters/operator/operatorServer.test.ts
+++ b/src/adapters/operator/operatorServer.test.ts
@@ -37,7 +37,7 @@
 async function startServer (t: ExecutionContext, requestTimeoutMs = 10_000): Promise<Fixture> {
   const handler = new RecordingHandler()
   const errors: unknown[] = []
-  const server = new OperatorServer(handler, { host: '127.0.0.1', port: 0, token: TOKEN, requestTimeoutMs, onError: error => { errors.push(error) } })
+  const server = new OperatorServer(handler, { listen: '127.0.0.1:0', token: TOKEN, requestTimeoutMs, onError: error => { errors.push(error) } })
   await server.start()
   t.teardown(async () => { await server.stop(AbortSignal.abort()) })
   return {
--- a/src/adapters/operator/operatorServer.ts
+++ b/src/adapters/operator/operatorServer.ts
@@ -1,17 +1,16 @@
 /** Serves the operators' HTTP interface of one instance. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import { CHANGE_STATUS, OPERATOR_PATHS } from '../../observability/operatorApi.ts'
 import type { HealthReport, OperatorHandler } from '../../observability/operatorApi.ts'
+import { addressOf, listenOn } from '../network.ts'
 import { BodyTooLargeError, checkDrain, checkSubmission, hasToken, LONGEST_WAIT_MS, readJsonBody } from './operatorRequests.ts'
 
 export interface OperatorServerOptions {
-  readonly host: string
-  /** 0 lets the system choose; see `address`. */
-  readonly port: number
+  /** HOST:PORT; port 0 lets the system choose, see `address`. */
+  readonly listen: string
   readonly token: string
   /** Time in which a client must have sent its whole request. */
   readonly requestTimeoutMs: number
@@ -40,7 +39,7 @@
  * The HTTP server for operators. Everything but `/health` and `/ready` requires the operators' token.
  *
  * @example
- * manager.add(new OperatorServer(handler, { host: '127.0.0.1', port: 8001, token, requestTimeoutMs: 15_000, onError }))
+ * manager.add(new OperatorServer(handler, { listen: '127.0.0.1:8001', token, requestTimeoutMs: 15_000, onError }))
  */
 export class OperatorServer implements Component {
   readonly name = 'operator server'
@@ -65,18 +64,11 @@
 
   /** Where the server listens, as HOST:PORT; available after the start. */
   get address (): string {
-    const { address, port, family } = this.#server.address() as AddressInfo
-    return family === 'IPv6' ? `[${address}]:${port}` : `${address}:${port}`
+    return addressOf(this.#server)
   }
 
   async start (): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject)
-      this.#server.listen(this.#options.port, this.#options.host, () => {
-        this.#server.off('error', reject)
-        resolve()
-      })
-    })
+    await listenOn(this.#server, this.#options.listen)
   }
 
   async stop (signal: AbortSignal): Promise<void> {
--- a/src/adapters/peer/connectPeer.test.ts
+++ b/src/adapters/peer/connectPeer.test.ts
@@ -49,9 +49,9 @@
 }
 
 test('nothing of a message is lost between two instances, and a wrong secret is refused', async t => {
-  const address = '127.0.0.1:21601'
-  const server = new ConnectPeerServer(address, 'secret', new EchoHandler())
+  const server = new ConnectPeerServer('127.0.0.1:0', 'secret', new EchoHandler())
   await server.start()
+  const { address } = server
   const client = new ConnectPeerClient('secret')
   t.deepEqual((await client.exchange(address, digest, true)).instances, [digest])
   const events: RunEvent[] = []
@@ -69,8 +69,12 @@
 })
 
 test('a refused connection is told from a lost answer, since only the first means that nothing ran', async t => {
+  const server = new ConnectPeerServer('127.0.0.1:0', 'secret', new EchoHandler())
+  await server.start()
+  const { address } = server
+  await server.stop()
   const client = new ConnectPeerClient('secret')
-  const error = await t.throwsAsync(client.exchange('127.0.0.1:21602', digest, false))
+  const error = await t.throwsAsync(client.exchange(address, digest, false))
   let code: unknown
   for (let cause: unknown = error; cause instanceof Error; cause = cause.cause) code = (cause as NodeJS.ErrnoException).code ?? code
   t.is(code, 'ECONNREFUSED')
--- a/src/adapters/peer/connectPeerServer.ts
+++ b/src/adapters/peer/connectPeerServer.ts
@@ -11,7 +11,7 @@
 import type { WorkRequest } from '../../model/request.ts'
 import type { FetchedChanges, PeerHandler } from '../../ports/peerClient.ts'
 import { decodeDigest, decodeRef, decodeResources, encodeDigest, encodeResources, encodeRunEvent } from './peerCodec.ts'
-import { listenOn } from '../network.ts'
+import { addressOf, listenOn } from '../network.ts'
 
 export const PEER_SECRET_HEADER = 'agategauge-peer-secret'
 
@@ -32,6 +32,12 @@
     this.#handler = handler
   }
 
+  /** Where the server listens; port 0 lets the system choose. */
+  get address (): string {
+    if (this.#server === undefined) throw new Error('the server does not listen')
+    return addressOf(this.#server)
+  }
+
   async start (): Promise<void> {
     const handler = connectNodeAdapter({
       routes: router => this.#addRoutes(router),
--- a/src/commands/program.test.ts
+++ b/src/commands/program.test.ts
@@ -87,7 +87,7 @@
 
 async function startCluster (t: ExecutionContext, ...answers: ReadonlyArray<ChangeAnswer | Error>): Promise<Cluster> {
   const handler = new ScriptedHandler(answers)
-  const server = new OperatorServer(handler, { host: '127.0.0.1', port: 0, token: TOKEN, requestTimeoutMs: 10_000, onError: () => {} })
+  const server = new OperatorServer(handler, { listen: '127.0.0.1:0', token: TOKEN, requestTimeoutMs: 10_000, onError: () => {} })
   await server.start()
   const directory = await mkdtemp(join(tmpdir(), 'agategauge-'))
   t.teardown(async () => {
--- a/src/instance/startInstance.ts
+++ b/src/instance/startInstance.ts
@@ -3,7 +3,6 @@
 import { CallerServer } from '../adapters/caller/callerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { HttpInstanceList } from '../adapters/list/httpInstanceList.ts'
-import { parseAddress } from '../adapters/network.ts'
 import { OperatorServer } from '../adapters/operator/operatorServer.ts'
 import { ConnectPeerClient } from '../adapters/peer/connectPeerClient.ts'
 import { ConnectPeerServer } from '../adapters/peer/connectPeerServer.ts'
@@ -63,7 +62,7 @@
 
 function createOperatorServer (settings: InstanceSettings, instance: EntryInstance, logger: Logger): OperatorServer {
   return new OperatorServer(instance.operators, {
-    ...parseAddress(settings.operatorAddress),
+    listen: settings.operatorAddress,
     token: settings.operatorToken,
     requestTimeoutMs: settings.requestTimeoutMs,
     onError: error => logger.error({ err: error }, 'an operator\'s request failed')
