Run forwarded work only under the configuration it was admitted with

Cause: review. An owner that had not yet seen a new team knew no limit for it, so that forwarded work of the team would have run without one. Change: the owner reads the log up to the version of the forwarded request, or refuses as not run and the request goes elsewhere. Reports to metrics and log are a module of their own.

--- a/src/instance/configurationParts.ts
+++ b/src/instance/configurationParts.ts
@@ -34,6 +34,7 @@
   readonly #options: InstanceOptions
   readonly #hooks: ConfigurationHooks
   #keys: KeyRing
+  #refreshing: Promise<unknown> | undefined
 
   constructor (options: InstanceOptions, hooks: ConfigurationHooks) {
     const { store, clock, random, location, peerClient, list, seeds } = options
@@ -92,6 +93,14 @@
     }
   }
 
+  /** Reads the store until the version is in force here; false if it can't be reached now. */
+  async catchUp (version: number): Promise<boolean> {
+    if (this.log.version >= version) return true
+    this.#refreshing ??= this.log.refresh().finally(() => { this.#refreshing = undefined })
+    await this.#refreshing
+    return this.log.version >= version
+  }
+
   /** Registers the present incarnation as one that accepts changes. */
   async register (): Promise<void> {
     const { location, peerAddress } = this.#options
--- a/src/instance/dispatcher.ts
+++ b/src/instance/dispatcher.ts
@@ -41,7 +41,7 @@
 }
 
 /** Refusals that another instance may not repeat; they cost no retry budget, since nothing was sent to a target. */
-const REROUTED_CODES: ReadonlySet<string> = new Set(['no-capacity', 'draining', 'fenced'])
+const REROUTED_CODES: ReadonlySet<string> = new Set(['no-capacity', 'draining', 'fenced', 'stale-configuration'])
 /** Bounds re-routing, beside the retry budget. */
 const ATTEMPT_LIMIT = 8
 
--- a/src/instance/requestService.ts
+++ b/src/instance/requestService.ts
@@ -28,6 +28,8 @@
   /** Addresses of the other instances that are alive. */
   peerAddresses (): readonly string[]
   isDraining (): boolean
+  /** Brings the configuration to a version; false if that is not possible now. */
+  catchUp (version: number): Promise<boolean>
 }
 
 export class RequestService implements CallerHandler {
@@ -59,6 +61,7 @@
     const deadlineAt = this.#dependencies.clock.monotonicMs() + remainingMs
     let headPassed = false
     try {
+      await this.#catchUp(forwarded.configurationVersion)
       for await (const event of this.#fly({ team, request, deadlineAt }, attemptId, hops, signal, false)) {
         headPassed ||= event.type === 'head'
         yield event
@@ -94,6 +97,14 @@
     return flights.length > 0 ? flights : this.#dependencies.findTasks(team, requestId)
   }
 
+  /** With an older configuration than the first instance had, the team's limit could be unknown here. */
+  async #catchUp (version: number): Promise<void> {
+    if (await this.#dependencies.catchUp(version)) return
+    throw new RefusalError('the instance does not have the configuration under which the request was admitted', {
+      code: 'stale-configuration', verdict: 'not-run', retryable: true
+    })
+  }
+
   async * #fly (admitted: AdmittedRequest, flightId: string, hops: number, signal: AbortSignal, exclusive: boolean): AsyncIterable<RunEvent> {
     const { flights, dispatcher } = this.#dependencies
     const flight = flights.add(admitted.team, admitted.request.id, flightId, exclusive)
--- a/src/instance/schedulingParts.ts
+++ b/src/instance/schedulingParts.ts
@@ -1,9 +1,8 @@
 /** The parts of an instance that place work on its targets and see it through. */
-import { RefusalError } from '../model/errors.ts'
 import type { InstanceRef } from '../model/identity.ts'
 import { maximumResources, NO_RESOURCES } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
-import type { AdmittedRequest, WorkRequest } from '../model/request.ts'
+import type { WorkRequest } from '../model/request.ts'
 import type { TargetInfo } from '../model/target.ts'
 import type { RequestStatus } from '../ports/peerClient.ts'
 import { Admission } from '../scheduler/admission/admission.ts'
@@ -23,12 +22,12 @@
 import { FlightTable } from './flightTable.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
 import { LocalScheduler } from './localScheduler.ts'
-import type { LocalWork } from './localWork.ts'
 import { PlacementQueue } from './placementQueue.ts'
 import type { PlacementRequest, WaitingRequest } from './placementQueue.ts'
 import { Preemptor } from './preemptor.ts'
 import { RequestRouter } from './requestRouter.ts'
 import { RequestService } from './requestService.ts'
+import { SchedulingReport } from './schedulingReport.ts'
 import { ServiceSupervisor } from './serviceSupervisor.ts'
 import { TargetUse } from './targetUse.ts'
 import { TaskStarter } from './taskStarter.ts'
@@ -68,12 +67,14 @@
   readonly #options: InstanceOptions
   readonly #configuration: ConfigurationParts
   readonly #authorities: Authorities
+  readonly #report: SchedulingReport
 
   constructor (options: InstanceOptions, configuration: ConfigurationParts, authorities: Authorities) {
     const { clock, random, targetClient, self } = options
     this.#options = options
     this.#configuration = configuration
     this.#authorities = authorities
+    this.#report = new SchedulingReport(options, this.retryBudget, this.waits)
     this.pool = new TargetPool(random)
     this.breaker = new TargetBreaker(clock)
     this.tracker = new TaskTracker(clock, targetClient)
@@ -176,7 +177,7 @@
   }
 
   #createScheduler (): LocalScheduler {
-    const { clock, metrics } = this.#options
+    const { clock } = this.#options
     const { claims } = this.#authorities
     return new LocalScheduler({
       self: this.#options.self,
@@ -187,10 +188,7 @@
       tracker: this.tracker,
       estimateSize: (team, request) => this.#estimateSize(team, request),
       onDetached: (work, ended) => this.supervisor.watch(work, ended),
-      observer: {
-        onPlaced: (work, waitedMs) => this.#onPlaced(work, waitedMs),
-        onFinished: ({ team, request }, ranMs) => metrics.observeRun(team, request.kind, ranMs)
-      }
+      observer: this.#report
     })
   }
 
@@ -261,10 +259,8 @@
       findTasks: (team, requestId) => this.#findTasks(team, requestId),
       peerAddresses: () => this.#configuration.membership.others().map(({ digest }) => digest.peerAddress),
       isDraining: () => this.#authorities.isDraining(),
-      observer: {
-        onAccepted: admitted => this.#onAccepted(admitted),
-        onRefused: (admitted, refusal) => this.#onRefused(admitted, refusal)
-      }
+      catchUp: async version => await this.#configuration.catchUp(version),
+      observer: this.#report
     })
   }
 
@@ -282,24 +278,4 @@
     const largest = this.#configuration.listedHere().reduce((most, target) => maximumResources(most, target.capacity), NO_RESOURCES)
     return this.estimator.estimate(team, kind, name, size, largest)
   }
-
-  #onPlaced ({ team, request }: LocalWork, waitedMs: number): void {
-    this.waits.record(request.kind, waitedMs)
-    this.#options.metrics.observeWaiting(team, request.kind, waitedMs)
-  }
-
-  #onAccepted ({ team, request }: AdmittedRequest): void {
-    this.retryBudget.recordRequest(team)
-    this.#options.metrics.countRequest(team, request.kind)
-  }
-
-  #onRefused (admitted: AdmittedRequest | undefined, refusal: RefusalError): void {
-    const { metrics, logger } = this.#options
-    const { code, verdict } = refusal
-    const fields = { team: admitted?.team, requestId: admitted?.request.id, code, verdict }
-    logger.info({ ...fields, err: refusal.cause }, refusal.message)
-    if (admitted === undefined) return
-    metrics.countRefusal(admitted.team, admitted.request.kind, code, verdict)
-    if (code === 'shed') metrics.countShed(admitted.team, admitted.request.kind)
-  }
 }
