Bound the amounts in a caller's request

Cause: a size near the largest number passed the schema. Times the tasks of a gang it became infinite, and the sum of a team's waiting sizes NaN once the request left the queue, so that the team asked for no allotment any more. Change: amounts are at most 1e9.

--- a/src/scheduler/admission/requestSchema.ts
+++ b/src/scheduler/admission/requestSchema.ts
@@ -9,7 +9,9 @@
 const DEADLINE_LIMIT_MS = 24 * 60 * 60 * 1_000
 
 const identity = z.string().min(1).max(IDENTITY_LIMIT).regex(/^[\w.:@+-]+$/, 'may hold letters, digits and . : @ + - _ only')
-const amount = z.number().finite().min(0)
+/** Keeps sums over a full queue exact: beyond 2^53, and near the largest number, adding and subtracting loses amounts. */
+const AMOUNT_LIMIT = 1_000_000_000
+const amount = z.number().min(0).max(AMOUNT_LIMIT)
 
 const sizeSchema = z.strictObject({
   slots: amount.int().default(0),
