Answer bad paths and refusals of newer instances

Cause: a path such as // was answered with may-have-run, although nobody had seen the request. A refusal code without a status threw inside the error handler, so that the caller got no answer at all. Change: such a path is invalid and not-run; an unknown code answers 500 with its verdict.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -73,7 +73,7 @@
   }
 
   async #route (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const { pathname } = new URL(request.url ?? '/', 'http://instance')
+    const pathname = readPath(request)
     const key = readKey(request)
     if (pathname === REQUESTS_PATH && request.method === 'POST') return await this.#run(key, request, response)
     const requestId = pathname.startsWith(`${REQUESTS_PATH}/`) ? decodeIdentity(pathname) : ''
@@ -151,7 +151,8 @@
   const { code, message, verdict, claimed } = refusal
   response.setHeader('agategauge-verdict', verdict)
   if (code === 'too-large') response.setHeader('connection', 'close')
-  sendJson(response, REFUSAL_STATUS[code], { error: { code, message, verdict, ...(claimed ? { claimed } : {}) } })
+  // A code of a newer instance has no status here.
+  sendJson(response, REFUSAL_STATUS[code] ?? REFUSAL_STATUS.internal, { error: { code, message, verdict, ...(claimed ? { claimed } : {}) } })
 }
 
 function sendJson (response: ServerResponse, status: number, body: unknown): void {
@@ -160,6 +161,14 @@
   response.end(text)
 }
 
+function readPath ({ url = '/' }: IncomingMessage): string {
+  try {
+    return new URL(url, 'http://instance').pathname
+  } catch {
+    throw new RefusalError('the path is not a URL', { code: 'invalid', verdict: 'not-run' })
+  }
+}
+
 function readKey (request: IncomingMessage): string | undefined {
   const header = request.headers.authorization
   return header === undefined ? undefined : /^Bearer\s+(\S+)$/i.exec(header)?.[1] ?? ''
