Check what peers send before the scheduler uses it

Cause: decoded digests kept NaN and infinite amounts, which made a team's share NaN; a version above 2^53 lost digits; a refusal kept an unknown code; a forwarded request was used without any check, and one without a numbered attempt identity shared its claims with other flights. Change: amounts that can't be true count as nothing and ages as unknown, inexact versions are refused, an unknown code becomes peer-failed. A forwarded request passes the callers' schema or is refused as not-run. In an answer, only an invalid first digest fails the exchange. RefusalCode is derived from the new list REFUSAL_CODES.

--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -13,7 +13,7 @@
   ClaimEntry, ClaimOutcome, ExchangeAnswer, FetchedChanges, ForwardedRequest, PeerClient, RequestStatus, RunEvent
 } from '../../ports/peerClient.ts'
 import { PEER_SECRET_HEADER } from './connectPeerServer.ts'
-import { decodeDigest, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources } from './peerCodec.ts'
+import { decodeDigests, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources } from './peerCodec.ts'
 
 interface Connection {
   readonly sessions: Http2SessionManager
@@ -45,7 +45,7 @@
   async exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer> {
     const answer = await this.#connect(address).exchange(
       create(wire.ExchangeRequestSchema, { sender: encodeDigest(sender), registering }), { signal, timeoutMs: CALL_TIMEOUT_MS })
-    return { instances: answer.instances.map(decodeDigest), acknowledged: answer.acknowledged }
+    return { instances: decodeDigests(answer.instances), acknowledged: answer.acknowledged }
   }
 
   async * run (address: string, forwarded: ForwardedRequest, signal?: AbortSignal): AsyncIterable<RunEvent> {
--- a/src/adapters/peer/connectPeerServer.ts
+++ b/src/adapters/peer/connectPeerServer.ts
@@ -8,9 +8,8 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import * as wire from '../../generated/peer_pb.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import type { WorkRequest } from '../../model/request.ts'
-import type { FetchedChanges, PeerHandler } from '../../ports/peerClient.ts'
-import { decodeDigest, decodeRef, decodeResources, encodeDigest, encodeResources, encodeRunEvent } from './peerCodec.ts'
+import type { FetchedChanges, ForwardedRequest, PeerHandler } from '../../ports/peerClient.ts'
+import { decodeClaims, decodeDigest, decodeForwarded, decodeRef, decodeResources, encodeDigest, encodeResources, encodeRunEvent } from './peerCodec.ts'
 import { listenOn } from '../network.ts'
 
 export const PEER_SECRET_HEADER = 'agategauge-peer-secret'
@@ -85,7 +84,7 @@
           decodeRef(request.receiver), request.team, decodeResources(request.wanted)))
       }),
       claim: async request => create(wire.ClaimResponseSchema, {
-        results: [...await handler.claim(request.entries.map(({ identity, holder }) => ({ identity, holder })))]
+        results: [...await handler.claim(decodeClaims(request))]
       }),
       handOver: async request => {
         await handler.handOver(decodeRef(request.from), request.dataCentre, request.targets)
@@ -95,13 +94,14 @@
   }
 
   async * #run (request: wire.RunRequest, context: HandlerContext): AsyncIterable<wire.RunEvent> {
-    const forwarded = {
-      attemptId: request.attemptId,
-      team: request.team,
-      request: JSON.parse(request.requestJson) as WorkRequest,
-      remainingMs: request.remainingMs,
-      hops: request.hops,
-      configurationVersion: Number(request.configurationVersion)
+    let forwarded: ForwardedRequest
+    try {
+      forwarded = decodeForwarded(request)
+    } catch (error) {
+      // An error would end the stream without a verdict, and the request has certainly not run.
+      const { message } = error as Error
+      yield encodeRunEvent({ type: 'refused', code: 'invalid', message, verdict: 'not-run', claimed: false, retryable: false }, request.attemptId)
+      return
     }
     for await (const event of this.#handler.run(forwarded, context.signal)) yield encodeRunEvent(event, request.attemptId)
   }
--- a/src/adapters/peer/peerCodec.ts
+++ b/src/adapters/peer/peerCodec.ts
@@ -3,21 +3,31 @@
 import type { InstanceDigest, InstanceState } from '../../model/digest.ts'
 import type { RefusalCode } from '../../model/errors.ts'
 import type { InstanceRef } from '../../model/identity.ts'
+import { InputError, REFUSAL_CODES } from '../../model/errors.ts'
 import { NO_RESOURCES } from '../../model/resources.ts'
 import type { Resources } from '../../model/resources.ts'
 import type { Verdict } from '../../model/verdict.ts'
-import type { RunEvent } from '../../ports/peerClient.ts'
+import type { WorkRequest } from '../../model/request.ts'
+import type { ClaimEntry, ForwardedRequest, RunEvent } from '../../ports/peerClient.ts'
+import { completeRequest, parseRequest } from '../../scheduler/admission/requestSchema.ts'
 import * as wire from '../../generated/peer_pb.ts'
 
 /** Stands for an age that is not known, since the wire type has no absent number. */
 const UNKNOWN_AGE = -1
 
+/** Above any fleet's sum; larger amounts would make sums inexact. */
+const MOST_AMOUNT = 1e12
+
+/** A flight and the number of the attempt; claims are held by the flight, so that both parts are needed. */
+const ATTEMPT_ID = /^[^.\n]+\.[^\n]+$/
+const CLAIM_IDENTITY = /^[0-9a-f]+$/
+
 export function encodeRef (ref: InstanceRef): wire.InstanceRef {
   return create(wire.InstanceRefSchema, { name: ref.name, incarnation: ref.incarnation })
 }
 
 export function decodeRef (message: wire.InstanceRef | undefined): InstanceRef {
-  if (message === undefined || message.name === '') throw new Error('a peer message has no instance reference')
+  if (message === undefined || message.name === '') throw new InputError('a peer message has no instance reference')
   return { name: message.name, incarnation: message.incarnation }
 }
 
@@ -28,8 +38,17 @@
 
 export function decodeResources (message: wire.Resources | undefined): Resources {
   if (message === undefined) return NO_RESOURCES
-  const { slots, processors, memory, accelerators } = message
-  return { slots, processors, memory, accelerators }
+  return {
+    slots: decodeAmount(message.slots),
+    processors: decodeAmount(message.processors),
+    memory: decodeAmount(message.memory),
+    accelerators: decodeAmount(message.accelerators)
+  }
+}
+
+/** An amount that can't be true counts as nothing: sums of usage stay finite, and nothing is sent where no room is known. */
+function decodeAmount (amount: number): number {
+  return amount >= 0 && amount <= MOST_AMOUNT ? amount : 0
 }
 
 export function encodeDigest (digest: InstanceDigest): wire.InstanceDigest {
@@ -56,15 +75,15 @@
 }
 
 export function decodeDigest (message: wire.InstanceDigest | undefined): InstanceDigest {
-  if (message === undefined) throw new Error('a peer message has no digest')
+  if (message === undefined) throw new InputError('a peer message has no digest')
   return {
     ref: decodeRef(message.ref),
     dataCentre: message.dataCentre,
     region: message.region,
     peerAddress: message.peerAddress,
     state: decodeState(message.state),
-    configurationVersion: Number(message.configurationVersion),
-    heardAge: Math.max(0, message.heardAge),
+    configurationVersion: decodeVersion(message.configurationVersion),
+    heardAge: decodeAge(message.heardAge) ?? Infinity,
     storeReadAge: decodeAge(message.storeReadAge),
     quietAge: decodeAge(message.quietAge),
     free: decodeResources(message.free),
@@ -79,6 +98,51 @@
   }
 }
 
+/** Decodes an answer to an exchange. The first digest is that of the instance that answered; others that are invalid are dropped. */
+export function decodeDigests (messages: readonly wire.InstanceDigest[]): readonly InstanceDigest[] {
+  const [first, ...others] = messages
+  return [decodeDigest(first), ...others.flatMap(message => decodeIfValid(message) ?? [])]
+}
+
+function decodeIfValid (message: wire.InstanceDigest): InstanceDigest | undefined {
+  try {
+    return decodeDigest(message)
+  } catch {
+    return undefined
+  }
+}
+
+/** Decodes a request that another instance took; throws an error for one that can't be run as it was meant. */
+export function decodeForwarded (message: wire.RunRequest): ForwardedRequest {
+  const { attemptId, team, remainingMs, hops } = message
+  if (!ATTEMPT_ID.test(attemptId) || team === '') throw new InputError('a forwarded request needs a team and an attempt identity')
+  if (!Number.isFinite(remainingMs)) throw new InputError(`a forwarded request can not have ${remainingMs} ms left`)
+  return { attemptId, team, request: decodeRequest(message.requestJson), remainingMs, hops, configurationVersion: decodeVersion(message.configurationVersion) }
+}
+
+function decodeRequest (requestJson: string): WorkRequest {
+  const { size, deadlineMs, ...request } = parseRequest(parseJson(requestJson))
+  if (size === undefined || deadlineMs === undefined) throw new InputError('a forwarded request needs its size and deadline')
+  return completeRequest(request, { size, deadlineMs })
+}
+
+/** Parses JSON in a peer's message. */
+export function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw new InputError('a peer message has a part that is not JSON:', { cause: error })
+  }
+}
+
+/** Decodes claims; throws for an identity without a shard. */
+export function decodeClaims (message: wire.ClaimRequest): readonly ClaimEntry[] {
+  return message.entries.map(({ identity, holder }) => {
+    if (!CLAIM_IDENTITY.test(identity) || holder === '') throw new InputError('a claim needs the hash of an identity and a holder')
+    return { identity, holder }
+  })
+}
+
 export function encodeRunEvent (event: RunEvent, attemptId: string): wire.RunEvent {
   return create(wire.RunEventSchema, { attemptId, event: encodeEventCase(event) })
 }
@@ -114,14 +178,14 @@
     case 'refused':
       return {
         type: 'refused',
-        code: event.value.code as RefusalCode,
+        code: decodeCode(event.value.code),
         message: event.value.message,
         verdict: decodeVerdict(event.value.verdict),
         claimed: event.value.claimed,
         retryable: event.value.retryable
       }
     default:
-      throw new Error('a peer sent an event of an unknown type')
+      throw new InputError('a peer sent an event of an unknown type')
   }
 }
 
@@ -130,10 +194,20 @@
   return verdict === 'not-run' || verdict === 'ran' ? verdict : 'may-have-run'
 }
 
+function decodeCode (code: string): RefusalCode {
+  return REFUSAL_CODES.find(known => known === code) ?? 'peer-failed'
+}
+
+/** Versions must be exact: freshness compares them. */
+function decodeVersion (version: bigint): number {
+  if (version > BigInt(Number.MAX_SAFE_INTEGER)) throw new InputError(`a peer message has the version ${version}`)
+  return Number(version)
+}
+
 function decodeState (state: string): InstanceState {
   return state === 'serving' || state === 'draining' ? state : 'starting'
 }
 
 function decodeAge (age: number): number | undefined {
-  return age < 0 ? undefined : age
+  return age >= 0 && age < Infinity ? age : undefined
 }
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -2,10 +2,13 @@
 import ModernError from 'modern-errors'
 import type { Verdict } from './verdict.ts'
 
-export type RefusalCode =
-  | 'invalid' | 'unauthenticated' | 'forbidden' | 'not-found' | 'duplicate' | 'too-large' | 'never-runnable'
-  | 'limit' | 'shed' | 'stale-configuration' | 'draining' | 'no-capacity' | 'deadline' | 'cancelled'
-  | 'claim-unavailable' | 'target-failed' | 'answer-incomplete' | 'fenced' | 'preempted' | 'peer-failed' | 'internal'
+export const REFUSAL_CODES = [
+  'invalid', 'unauthenticated', 'forbidden', 'not-found', 'duplicate', 'too-large', 'never-runnable',
+  'limit', 'shed', 'stale-configuration', 'draining', 'no-capacity', 'deadline', 'cancelled',
+  'claim-unavailable', 'target-failed', 'answer-incomplete', 'fenced', 'preempted', 'peer-failed', 'internal'
+] as const
+
+export type RefusalCode = typeof REFUSAL_CODES[number]
 
 export const BaseError = ModernError.subclass('AgategaugeError')
 
