Add the simulated cell, its checker and the fault matrix

Seven entry instances in three data centres run on one manual clock with in-process ports; faults strike at the step that a call tells, and the checker judges what targets, callers and operators saw.

--- /dev/null
+++ b/test/matrix/cell.ts
@@ -0,0 +1,274 @@
+/** A cell of seven entry instances in three data centres and two regions, on one manual clock. */
+import { ManualClock } from '../../src/adapters/clock/manualClock.ts'
+import { MemoryInstanceList } from '../../src/adapters/list/memoryInstanceList.ts'
+import { MemoryPeerNetwork, PeerLostError } from '../../src/adapters/peer/memoryPeerNetwork.ts'
+import type { PeerFault } from '../../src/adapters/peer/memoryPeerNetwork.ts'
+import { SeededRandom } from '../../src/adapters/random/seededRandom.ts'
+import { FaultyStore } from '../../src/adapters/store/faultyStore.ts'
+import type { StoreFault } from '../../src/adapters/store/faultyStore.ts'
+import { MemoryStore } from '../../src/adapters/store/memoryStore.ts'
+import { MemoryTargetClient } from '../../src/adapters/target/memoryTargetClient.ts'
+import { StandInTarget } from '../../src/adapters/target/standInTarget.ts'
+import type { ChooseTargetFault } from '../../src/adapters/target/targetFault.ts'
+import type { Operation } from '../../src/model/change.ts'
+import { hashKey } from '../../src/configuration/keys.ts'
+import { RefusalError } from '../../src/model/errors.ts'
+import type { CallerHandler } from '../../src/ports/callerHandler.ts'
+import type { Store } from '../../src/ports/store.ts'
+import type { TargetClient } from '../../src/ports/targetClient.ts'
+import { GridClock } from './gate.ts'
+import type { Phase } from './gate.ts'
+import { ALPHA_LIMIT, createFirstChange, createRequest, createTargets, PLACES, WRONG_KEY } from './layout.ts'
+import type { CallerRequest } from './layout.ts'
+import { Node } from './node.ts'
+import type { CallerRecord, ChangeRecord, Observations, Outcome } from './observations.ts'
+
+export type Step = 'claim' | 'admit' | 'place' | 'send' | 'run' | 'answer' | 'release' | 'hand over' | 'reconfigure' | 'drain'
+
+/** Ports that a test of the checker replaces by broken ones. */
+export interface Breakage {
+  store? (store: Store): Store
+  targetClient? (client: TargetClient): TargetClient
+  callers? (callers: CallerHandler): CallerHandler
+  target? (target: StandInTarget): StandInTarget
+}
+
+const PHASED_STEPS: ReadonlySet<Step> = new Set<Step>(['claim', 'place', 'send', 'hand over', 'reconfigure'])
+const KEY_ID_LENGTH = 16
+const REQUEST_INTERVAL_MS = 100
+const SAMPLE_INTERVAL_MS = 500
+const LIST_LAG_MS = 2_000
+const CROSS_REGION_LATENCY_MS = 20
+/** A task that was just sent is running then. */
+const RUNNING_AFTER_MS = 30
+/** After this time without a fault on its paths an instance must know changes; see the bound of the checker. */
+const CONTACT_MS = 10_000
+
+export class Cell {
+  readonly time = new ManualClock()
+  readonly clock = new GridClock(this.time)
+  readonly random: SeededRandom
+  readonly network = new MemoryPeerNetwork(this.clock)
+  readonly list: MemoryInstanceList
+  readonly targets: readonly StandInTarget[]
+  readonly nodes: readonly Node[]
+  readonly seen: Observations
+  /** Data centres that can't reach any other one, and those that can't reach the store and the list. */
+  readonly cutFromPeers = new Set<string>()
+  readonly cutFromStore = new Set<string>()
+  storeFault: () => StoreFault | undefined = () => undefined
+  peerFault: () => PeerFault | undefined = () => undefined
+  targetFault: ChooseTargetFault = () => undefined
+  onStep: (step: Step, node: Node, phase: Phase) => void = () => {}
+  /** Times on the monotonic clock of the latest fault, or Infinity while one lasts. */
+  disturbedAt = -Infinity
+  readonly #breakage: Breakage
+  #requests = 0
+  #changes = 1
+  #busy = false
+
+  constructor (seed: number, breakage: Breakage = {}) {
+    this.#breakage = breakage
+    this.random = new SeededRandom(seed)
+    const infos = createTargets()
+    this.targets = infos.map(info => breakage.target?.(new StandInTarget(info, this.clock)) ?? new StandInTarget(info, this.clock))
+    const store = new MemoryStore(this.clock)
+    store.put('configuration/change/1', JSON.stringify(createFirstChange()), { expectedVersion: 0 }).catch(() => {})
+    const instances = PLACES.flatMap(({ dataCentre, region, instances: names }) =>
+      names.map(name => ({ name, dataCentre, region, peerAddress: name, leaving: false })))
+    this.list = new MemoryInstanceList(this.clock, { instances, targets: infos }, LIST_LAG_MS)
+    this.network.chooseFault = ({ from, to }) => this.#choosePeerFault(from, to)
+    this.nodes = instances.map(({ name, dataCentre, region }) => this.#createNode(name, { dataCentre, region }, store, instances.map(other => other.name)))
+    this.seen = {
+      targets: this.targets,
+      callers: [],
+      changes: [],
+      versions: [],
+      limits: [{ team: 'alpha', slots: ALPHA_LIMIT, since: 0, acceptedAt: 0 }],
+      withdrawnKeys: new Map([[WRONG_KEY, -Infinity]]),
+      leavingTargets: new Map(),
+      gentle: true,
+      finalChangeIds: [],
+      notRecovered: []
+    }
+  }
+
+  /** Starts every instance and the callers. */
+  async start (settleMs: number): Promise<void> {
+    for (const node of this.nodes) node.start().catch(() => {})
+    this.#repeat(SAMPLE_INTERVAL_MS, () => this.#sampleVersions())
+    await this.time.advance(settleMs)
+    this.#busy = true
+    this.#repeat(REQUEST_INTERVAL_MS, () => { if (this.#busy) this.#submitNext() })
+  }
+
+  quieten (): void {
+    this.#busy = false
+  }
+
+  keyIdOf (key: string): string {
+    return hashKey(key).slice(0, KEY_ID_LENGTH)
+  }
+
+  /** Says whether the step is told by a call, before and after it. */
+  hasPhases (step: Step): boolean {
+    return PHASED_STEPS.has(step)
+  }
+
+  /** Who could not know of a leaving target is judged from now on. */
+  postponeLeaving (): void {
+    for (const target of this.seen.leavingTargets.keys()) this.seen.leavingTargets.set(target, this.clock.wallMs())
+  }
+
+  node (name: string): Node {
+    return this.nodes.find(node => node.name === name)!
+  }
+
+  neighbours (node: Node): readonly Node[] {
+    return this.nodes.filter(other => other !== node && other.location.dataCentre === node.location.dataCentre)
+  }
+
+  /** Sends a request as a caller does, and follows its answer. */
+  async submit (node: Node, { team, key, body }: CallerRequest): Promise<CallerRecord> {
+    const { id, kind, tasks, repeatable } = body
+    const record: CallerRecord = {
+      requestId: id, team, kind, key, tasks, repeatable, instance: node.name, submittedAt: this.clock.wallMs(), outcome: { type: 'open' }
+    }
+    this.seen.callers.push(record)
+    this.onStep('admit', node, 'before')
+    const callers = this.#breakage.callers?.(node.instance.callers) ?? node.instance.callers
+    record.outcome = await this.#follow(node, callers.run(key, body, new AbortController().signal))
+    record.endedAt = this.clock.wallMs()
+    return record
+  }
+
+  /** Submits a change as an operator does. */
+  async change (node: Node, operations: readonly Operation[]): Promise<ChangeRecord> {
+    const id = `change-${++this.#changes}`
+    const { version } = await node.instance.operators.readConfiguration()
+    const record: ChangeRecord = {
+      submission: { id, baseVersion: version, operator: `operator of ${node.name}`, operations }, instance: node.name, submittedAt: this.clock.wallMs()
+    }
+    this.seen.changes.push(record)
+    const limits = operations.flatMap(operation => operation.type === 'set' && operation.path === '/teams/alpha' && typeof operation.values.limitSlots === 'number'
+      ? [{ team: 'alpha', slots: operation.values.limitSlots, since: this.clock.wallMs(), acceptedAt: undefined as number | undefined }]
+      : [])
+    this.seen.limits.push(...limits)
+    const gate = node.gate
+    record.answer = await node.instance.operators.submitChange(record.submission, new AbortController().signal)
+    if (gate.crashed.aborted) return record
+    record.answeredAt = this.clock.wallMs()
+    if (record.answer.outcome === 'accepted') for (const limit of limits) limit.acceptedAt = record.answeredAt
+    return record
+  }
+
+  /** A planned stop; the platform lists the instance as leaving first, and removes it afterwards. */
+  async drain (node: Node): Promise<void> {
+    this.onStep('drain', node, 'before')
+    await node.drain()
+    if (!node.listens) this.setListed(node, false)
+  }
+
+  setListed (node: Node, listed: boolean): void {
+    this.list.update(current => {
+      const others = current.instances.filter(({ name }) => name !== node.name)
+      const entry = { name: node.name, ...node.location, peerAddress: node.name, leaving: false }
+      return { ...current, instances: listed ? [...others, entry] : others }
+    })
+  }
+
+  async #follow (node: Node, events: ReturnType<CallerHandler['run']>): Promise<Outcome> {
+    let headPassed = false
+    let body = ''
+    try {
+      for await (const event of node.gate.serve(events)) {
+        if (event.type === 'refused') throw new RefusalError(event.message, event)
+        if (event.type === 'head') {
+          headPassed = true
+          this.onStep('answer', node, 'before')
+        }
+        if (event.type === 'chunk') body += Buffer.from(event.bytes).toString()
+        if (event.type !== 'end') continue
+        this.onStep('release', node, 'before')
+        return { type: 'answered', body, announcedBytes: event.byteCount }
+      }
+      return { type: 'reset', reason: 'the stream ended early' }
+    } catch (error) {
+      if (error instanceof RefusalError && !headPassed) return { type: 'refused', verdict: error.verdict, code: error.code, message: error.message }
+      return { type: 'reset', reason: String(error) }
+    }
+  }
+
+  #createNode (name: string, location: Node['location'], memory: MemoryStore, seeds: readonly string[]): Node {
+    const { dataCentre } = location
+    const faulty = new FaultyStore(memory, this.clock, () => this.cutFromStore.has(dataCentre) ? { type: 'down' } : this.storeFault())
+    const client = new MemoryTargetClient(this.clock, this.targets, call => this.targetFault(call))
+    const node: Node = new Node(name, location, {
+      clock: this.clock,
+      network: this.network,
+      list: { read: async () => await (this.cutFromStore.has(dataCentre) ? Promise.reject(new Error('the list can not be reached')) : this.list.read()) },
+      store: this.#breakage.store?.(faulty) ?? faulty,
+      targetClient: this.#breakage.targetClient?.(client) ?? client,
+      seeds: seeds.filter(seed => seed !== name),
+      random: this.random,
+      checkPath: peer => { if (this.#isCut(name, peer)) throw new PeerLostError(`${peer} is cut off`) },
+      observe: (method, args, phase) => this.#observe(node, method, args, phase)
+    })
+    return node
+  }
+
+  /** Tells steps by the calls that belong to them. */
+  #observe (node: Node, method: string, args: readonly unknown[], phase: Phase): void {
+    const key = String(args[0])
+    if (method === 'start') {
+      this.onStep('send', node, phase)
+      if (phase === 'before') this.clock.sleep(RUNNING_AFTER_MS).then(() => this.onStep('run', node, phase), () => {})
+    }
+    if (method !== 'put') return
+    if (key.startsWith('claim/')) this.onStep('claim', node, phase)
+    if (key.startsWith('allotment/')) this.onStep('place', node, phase)
+    if (key.startsWith('ownership/')) this.onStep('hand over', node, phase)
+    if (key.startsWith('configuration/change/')) this.onStep('reconfigure', node, phase)
+  }
+
+  #isCut (from: string, to: string): boolean {
+    const [left, right] = [this.node(from).location.dataCentre, this.node(to).location.dataCentre]
+    return left !== right && (this.cutFromPeers.has(left) || this.cutFromPeers.has(right))
+  }
+
+  #choosePeerFault (from: string, to: string): PeerFault | undefined {
+    if (this.#isCut(from, to)) return { type: 'unreachable' }
+    const far = this.node(from).location.region !== this.node(to).location.region
+    return this.peerFault() ?? (far ? { type: 'delay', durationMs: CROSS_REGION_LATENCY_MS } : undefined)
+  }
+
+  #submitNext (): void {
+    const serving = this.nodes.filter(node => node.serves)
+    if (serving.length === 0) return
+    const node = serving[this.random.integer(serving.length)]!
+    const request = createRequest(this.random, `r${++this.#requests}`)
+    this.submit(node, request).catch(() => {})
+    // A caller that did not wait for its answer sends the same request to another instance.
+    if (!request.body.repeatable && this.random.integer(4) === 0) this.submit(serving[this.random.integer(serving.length)]!, request).catch(() => {})
+  }
+
+  async #sampleVersions (): Promise<void> {
+    const now = this.clock.monotonicMs()
+    for (const node of this.nodes) {
+      if (!node.serves) continue
+      const { version } = await node.instance.operators.readConfiguration()
+      const reachable = now > Math.max(node.startedAt, this.disturbedAt) + CONTACT_MS
+      this.seen.versions.push({ at: this.clock.wallMs(), process: node.process, version, reachable })
+    }
+  }
+
+  #repeat (intervalMs: number, action: () => unknown): void {
+    const run = async (): Promise<void> => {
+      for (;;) {
+        await action()
+        await this.clock.sleep(intervalMs)
+      }
+    }
+    run().catch(() => {})
+  }
+}
--- /dev/null
+++ b/test/matrix/gate.ts
@@ -0,0 +1,172 @@
+/** Holds or ends every await of one simulated instance on its ports, and shares wake-ups of the manual clock. */
+import { setMaxListeners } from 'node:events'
+import type { ManualClock } from '../../src/adapters/clock/manualClock.ts'
+import { PeerLostError } from '../../src/adapters/peer/memoryPeerNetwork.ts'
+import type { Clock } from '../../src/ports/clock.ts'
+
+/** Sleeps end on multiples of this, so that one turn of the event loop serves many of them. */
+const GRID_MS = 10
+
+export type Phase = 'before' | 'after'
+export type CallObserver = (method: string, args: readonly unknown[], phase: Phase) => void
+
+/** A clock whose sleepers share the wake-ups of a manual clock. */
+export class GridClock implements Clock {
+  readonly #clock: ManualClock
+  readonly #wakes = new Map<number, { readonly waiting: Set<() => void> }>()
+
+  constructor (clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  monotonicMs (): number {
+    return this.#clock.monotonicMs()
+  }
+
+  wallMs (): number {
+    return this.#clock.wallMs()
+  }
+
+  sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      if (signal?.aborted) return reject(signal.reason)
+      const { waiting } = this.#wakeAt(Math.ceil((this.monotonicMs() + Math.max(durationMs, 1)) / GRID_MS) * GRID_MS)
+      const onAbort = (): void => {
+        waiting.delete(wake)
+        reject(signal?.reason)
+      }
+      const wake = (): void => {
+        signal?.removeEventListener('abort', onAbort)
+        resolve()
+      }
+      signal?.addEventListener('abort', onAbort, { once: true })
+      waiting.add(wake)
+    })
+  }
+
+  #wakeAt (atMs: number): { readonly waiting: Set<() => void> } {
+    const known = this.#wakes.get(atMs)
+    if (known !== undefined) return known
+    const wake = { waiting: new Set<() => void>() }
+    this.#wakes.set(atMs, wake)
+    this.#clock.sleep(atMs - this.monotonicMs()).then(() => {
+      this.#wakes.delete(atMs)
+      for (const resume of wake.waiting) resume()
+    }, () => {})
+    return wake
+  }
+}
+
+export class Gate {
+  readonly #crash = new AbortController()
+  #paused = false
+  #waiting: Array<() => void> = []
+
+  constructor () {
+    // Every open stream listens for the crash.
+    setMaxListeners(0, this.#crash.signal)
+  }
+
+  get paused (): boolean {
+    return this.#paused
+  }
+
+  get crashed (): AbortSignal {
+    return this.#crash.signal
+  }
+
+  pause (): void {
+    this.#paused = true
+  }
+
+  resume (): void {
+    if (this.crashed.aborted) return
+    this.#paused = false
+    const waiting = this.#waiting
+    this.#waiting = []
+    for (const wake of waiting) wake()
+  }
+
+  /** Nothing that waits at the gate goes on any more. */
+  crash (): void {
+    this.#paused = true
+    this.#crash.abort(new PeerLostError('the process ended'))
+  }
+
+  async pass (): Promise<void> {
+    while (this.#paused) await new Promise<void>(resolve => this.#waiting.push(resolve))
+  }
+
+  clock (clock: Clock): Clock {
+    return {
+      monotonicMs: () => clock.monotonicMs(),
+      wallMs: () => clock.wallMs(),
+      sleep: (durationMs, signal) => this.#through(clock.sleep(durationMs, signal))
+    }
+  }
+
+  /** A port whose calls, answers and errors pass the gate; streams are returned by `wrapStream`. */
+  wrap<Port extends object> (port: Port, observe: CallObserver = () => {}): Port {
+    return new Proxy(port, {
+      get: (target, name) => {
+        const member: unknown = Reflect.get(target, name, target)
+        if (typeof member !== 'function' || name === 'run') return typeof member === 'function' ? member.bind(target) : member
+        return async (...args: readonly unknown[]) => {
+          await this.pass()
+          observe(String(name), args, 'before')
+          await this.pass()
+          try {
+            return await (member.apply(target, args) as Promise<unknown>)
+          } finally {
+            observe(String(name), args, 'after')
+            await this.pass()
+          }
+        }
+      }
+    })
+  }
+
+  /** What others read from this instance: it breaks when the instance crashes. */
+  async * serve<Event> (events: AsyncIterable<Event>): AsyncIterable<Event> {
+    const broken = new Promise<never>((_resolve, reject) => {
+      if (this.crashed.aborted) reject(this.crashed.reason)
+      this.crashed.addEventListener('abort', () => reject(this.crashed.reason), { once: true })
+    })
+    broken.catch(() => {})
+    const iterator = events[Symbol.asyncIterator]()
+    try {
+      for (;;) {
+        const next = await Promise.race([this.#next(iterator), broken])
+        if (next.done === true) return
+        yield next.value
+      }
+    } finally {
+      iterator.return?.().catch(() => {})
+    }
+  }
+
+  /** What this instance reads from others: it hangs when the instance is paused or has crashed. */
+  async * read<Event> (events: AsyncIterable<Event>, check: () => void): AsyncIterable<Event> {
+    try {
+      for await (const event of events) {
+        await this.pass()
+        check()
+        yield event
+      }
+    } finally {
+      await this.pass()
+    }
+  }
+
+  async #next<Event> (iterator: AsyncIterator<Event>): Promise<IteratorResult<Event>> {
+    return await this.#through(this.pass().then(async () => await iterator.next()))
+  }
+
+  async #through<Result> (pending: Promise<Result>): Promise<Result> {
+    try {
+      return await pending
+    } finally {
+      await this.pass()
+    }
+  }
+}
--- /dev/null
+++ b/test/matrix/layout.ts
@@ -0,0 +1,102 @@
+/** The cell of the fault matrix: places, targets, teams and the requests of its callers. */
+import { hashKey } from '../../src/configuration/keys.ts'
+import type { Change } from '../../src/model/change.ts'
+import type { Location } from '../../src/model/identity.ts'
+import type { KindName } from '../../src/model/request.ts'
+import { resources } from '../../src/model/resources.ts'
+import type { TargetInfo } from '../../src/model/target.ts'
+import type { Random } from '../../src/ports/random.ts'
+
+export interface Place extends Location {
+  readonly instances: readonly string[]
+}
+
+export const PLACES: readonly Place[] = [
+  { dataCentre: 'attica-a', region: 'attica', instances: ['a1', 'a2', 'a3'] },
+  { dataCentre: 'attica-b', region: 'attica', instances: ['b1', 'b2'] },
+  { dataCentre: 'macedonia-a', region: 'macedonia', instances: ['m1', 'm2'] }
+]
+const RUNNERS = 2
+const WORKERS = 2
+/** Low enough that the team's requests wait for it. */
+export const ALPHA_LIMIT = 6
+export const OPEN_QUEUE = 'counter'
+export const KEYS: Readonly<Record<string, string>> = { alpha: 'agk_alpha', beta: 'agk_beta' }
+/** A second key of beta, which operators withdraw. */
+export const WITHDRAWN_KEY = 'agk_beta-second'
+export const WRONG_KEY = 'agk_never-created'
+const KINDS: readonly KindName[] = ['urgent', 'batch', 'service', 'gang']
+const LONGEST_RUN_MS = 3_000
+const DEADLINE_MS = 8_000
+
+export function createTargets (): readonly TargetInfo[] {
+  const features = { fencing: true, startBy: true, inventory: true, checkpoint: true, remembersEnded: true }
+  return PLACES.flatMap(({ dataCentre, region }) => Array.from({ length: RUNNERS + WORKERS }, (_, index): TargetInfo => {
+    const common = { dataCentre, region, rack: `${dataCentre}-${index % 2}`, address: '', connections: 64, features, leaving: false }
+    return index < RUNNERS
+      ? { ...common, id: `${dataCentre}-runner-${index}`, type: 'runner', capacity: resources({ slots: 8 }) }
+      : { ...common, id: `${dataCentre}-worker-${index}`, type: 'worker', capacity: resources({ processors: 8_000, memory: 16_384 }) }
+  }))
+}
+
+export function createFirstChange (): Change {
+  const keys = [['alpha', KEYS.alpha!], ['beta', KEYS.beta!], ['beta', WITHDRAWN_KEY]] as const
+  return {
+    id: 'change-1',
+    version: 1,
+    baseVersion: 0,
+    operator: 'test',
+    acceptedAt: 0,
+    operations: [
+      { type: 'set', path: '/teams/alpha', values: { share: 1, limitSlots: ALPHA_LIMIT } },
+      { type: 'set', path: '/teams/beta', values: { share: 2 } },
+      { type: 'set', path: '/teams/gamma', values: { share: 1 } },
+      { type: 'set', path: `/queues/${OPEN_QUEUE}`, values: { open: true, team: 'gamma' } },
+      ...keys.map(([team, key]) => ({ type: 'createKey' as const, team, keyId: hashKey(key).slice(0, 16), hash: hashKey(key) }))
+    ]
+  }
+}
+
+/** A caller's request body with the key that comes with it. */
+export interface CallerRequest {
+  readonly team: string
+  readonly key?: string
+  readonly body: {
+    readonly id: string
+    readonly kind: KindName
+    readonly queue?: string
+    readonly size: Record<string, number>
+    readonly tasks: number
+    readonly deadlineMs: number
+    readonly repeatable: boolean
+    readonly payload: unknown
+  }
+}
+
+export function createRequest (random: Random, id: string, given: { readonly kind?: KindName, readonly team?: string, readonly repeatable?: boolean } = {}): CallerRequest {
+  const kind = given.kind ?? KINDS[random.integer(KINDS.length)]!
+  const team = given.team ?? ['alpha', 'beta', 'gamma'][random.integer(3)]!
+  const onRunner = kind === 'urgent' || (kind === 'batch' && random.integer(2) === 0)
+  const size: Record<string, number> = onRunner ? { slots: 1 + random.integer(kind === 'batch' ? 3 : 1) } : { processors: 500 * (1 + random.integer(3)), memory: 512 }
+  return {
+    team,
+    key: keyOf(team, random),
+    body: {
+      id,
+      kind,
+      queue: team === 'gamma' ? OPEN_QUEUE : undefined,
+      size,
+      tasks: kind === 'gang' ? 2 + random.integer(2) : 1,
+      deadlineMs: DEADLINE_MS,
+      repeatable: given.repeatable ?? random.integer(2) === 0,
+      payload: { runMs: random.integer(LONGEST_RUN_MS), answer: { for: id, filler: 'x'.repeat(random.integer(200)) } }
+    }
+  }
+}
+
+function keyOf (team: string, random: Random): string | undefined {
+  if (team === 'gamma') return undefined
+  const draw = random.integer(10)
+  if (draw === 0) return WRONG_KEY
+  return team === 'beta' && draw < 5 ? WITHDRAWN_KEY : KEYS[team]
+}
