Finish open requests before an instance leaves the members record

Cause: a planned stop left the members record before it waited for open requests. Change: the drain waits for open requests first. A record that can not be left then is noted in the log; others remove the entry of a gone instance.

--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -43,10 +43,14 @@
     return [this.claimLog, this.allotments, this.ownership]
   }
 
-  /** Hands targets and allotments over to the other instances and leaves the members. */
+  /** Hands targets and allotments over to the other instances. */
   async handOver (signal: AbortSignal): Promise<void> {
     await this.ownership.handOverAll(signal)
     await this.allotments.releaseAll(signal)
+  }
+
+  /** Leaves the members, after everything was handed over. */
+  async leave (signal: AbortSignal): Promise<void> {
     await this.ownership.leave(signal)
   }
 
--- a/src/instance/entryInstance.ts
+++ b/src/instance/entryInstance.ts
@@ -91,7 +91,14 @@
     placements.close()
     await this.coordination.handOver(signal)
     while (this.scheduling.flights.size > 0) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
-    await this.configuration.registry.deregister()
+    await this.#signOff(signal)
+  }
+
+  /** Leaves the records; others remove what stays there without the store, once the instance is gone. */
+  async #signOff (signal: AbortSignal): Promise<void> {
+    for (const result of await Promise.allSettled([this.coordination.leave(signal), this.configuration.registry.deregister()])) {
+      if (result.status === 'rejected') this.#options.logger.warn({ err: result.reason }, 'the instance stays in a record until others remove it')
+    }
   }
 
   async stop (): Promise<void> {
