--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -43,11 +43,10 @@
     return [this.claimLog, this.allotments, this.ownership]
   }
 
-  /** Hands targets and allotments over to the other instances and leaves the members; false if nobody could take them. */
+  /** Hands targets and allotments over to the other instances; false if nobody could take them. */
   async handOver (signal: AbortSignal): Promise<boolean> {
     if (!await this.ownership.handOverAll(signal)) return false
     await this.allotments.releaseAll(signal)
-    await this.ownership.leave(signal)
     return true
   }
 
@@ -58,6 +57,10 @@
   async release (signal: AbortSignal): Promise<void> {
     if (this.#scheduling.placements.held.all().length === 0) await this.allotments.releaseAll(signal)
     await this.ownership.releaseAll(signal)
+  }
+
+  /** Leaves the members, after everything was handed over or released. */
+  async leave (signal: AbortSignal): Promise<void> {
     await this.ownership.leave(signal)
   }
 
