Refuse records of the store that can't be read

Cause: records were cast without a check. A value that can't be read is an InputError that names the record; it is never written over.

--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -3,9 +3,9 @@
 import { createClient } from '@connectrpc/connect'
 import type { Client, Interceptor } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { checkChange, checkSnapshot } from '../../configuration/recordSchemas.ts'
 import * as wire from '../../generated/peer_pb.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import type { Change, ConfigurationSnapshot } from '../../model/change.ts'
 import type { InstanceDigest } from '../../model/digest.ts'
 import type { InstanceRef } from '../../model/identity.ts'
 import type { Resources } from '../../model/resources.ts'
@@ -13,7 +13,7 @@
   ClaimEntry, ClaimOutcome, ExchangeAnswer, FetchedChanges, ForwardedRequest, PeerClient, RequestStatus, RunEvent
 } from '../../ports/peerClient.ts'
 import { PEER_SECRET_HEADER } from './connectPeerServer.ts'
-import { decodeDigests, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources } from './peerCodec.ts'
+import { decodeDigests, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources, parseJson } from './peerCodec.ts'
 
 interface Connection {
   readonly sessions: Http2SessionManager
@@ -80,8 +80,8 @@
   async fetchChanges (address: string, afterVersion: number, signal?: AbortSignal): Promise<FetchedChanges> {
     const message = create(wire.FetchChangesRequestSchema, { afterVersion: BigInt(afterVersion) })
     const answer = await this.#connect(address).fetchChanges(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
-    if (answer.snapshotJson !== '') return { type: 'snapshot', snapshot: JSON.parse(answer.snapshotJson) as ConfigurationSnapshot }
-    return { type: 'changes', changes: answer.changesJson.map(change => JSON.parse(change) as Change) }
+    if (answer.snapshotJson !== '') return { type: 'snapshot', snapshot: checkSnapshot(parseJson(answer.snapshotJson)) }
+    return { type: 'changes', changes: answer.changesJson.map(change => checkChange(parseJson(change))) }
   }
 
   async transferAllotment (address: string, receiver: InstanceRef, team: string, wanted: Resources, signal?: AbortSignal): Promise<Resources> {
--- a/src/configuration/changeRecords.ts
+++ b/src/configuration/changeRecords.ts
@@ -6,7 +6,10 @@
  * present one was written by a process that had been paused while the key was deleted.
  */
 import type { Change, ConfigurationSnapshot } from '../model/change.ts'
+import { InputError } from '../model/errors.ts'
 import type { Store, StoreEntry, WriteResult } from '../ports/store.ts'
+import { parseRecord } from '../ports/storeRecord.ts'
+import { changeSchema, floorSchema, snapshotSchema } from './recordSchemas.ts'
 
 const CHANGE_PREFIX = 'configuration/change/'
 const SNAPSHOT_KEY = 'configuration/snapshot'
@@ -18,7 +21,18 @@
 const DELETION_MARGIN = 256
 
 function parseChange (entry: StoreEntry | undefined): Change | undefined {
-  return entry === undefined ? undefined : JSON.parse(entry.value) as Change
+  if (entry === undefined) return undefined
+  const change = parseRecord(changeSchema, `record ${entry.key}`, entry.value)
+  if (entry.key !== `${CHANGE_PREFIX}${change.version}`) throw new InputError(`the record ${entry.key} holds version ${change.version}`)
+  return change
+}
+
+function parseSnapshot ({ key, value }: StoreEntry): ConfigurationSnapshot {
+  return parseRecord(snapshotSchema, `record ${key}`, value)
+}
+
+function parseFloor (entry: StoreEntry | undefined): number {
+  return entry === undefined ? 1 : parseRecord(floorSchema, `record ${entry.key}`, entry.value)
 }
 
 export type AppendResult =
@@ -43,12 +57,11 @@
 
   async readSnapshot (signal?: AbortSignal): Promise<ConfigurationSnapshot | undefined> {
     const entry = await this.#store.get(SNAPSHOT_KEY, signal)
-    return entry === undefined ? undefined : JSON.parse(entry.value) as ConfigurationSnapshot
+    return entry === undefined ? undefined : parseSnapshot(entry)
   }
 
   async readFloor (signal?: AbortSignal): Promise<number> {
-    const entry = await this.#store.get(FLOOR_KEY, signal)
-    return entry === undefined ? 1 : Number(entry.value)
+    return parseFloor(await this.#store.get(FLOOR_KEY, signal))
   }
 
   /** Reads the changes after a version; undefined if they may have been deleted, so that the snapshot is needed. */
@@ -74,7 +87,7 @@
   /** Writes a snapshot unless the store's is as new, raises the floor, and deletes changes below it. */
   async compact (snapshot: ConfigurationSnapshot, signal?: AbortSignal): Promise<number> {
     const entry = await this.#store.get(SNAPSHOT_KEY, signal)
-    const stored = entry === undefined ? 0 : (JSON.parse(entry.value) as ConfigurationSnapshot).version
+    const stored = entry === undefined ? 0 : parseSnapshot(entry).version
     if (snapshot.version - stored < SNAPSHOT_INTERVAL) return stored
     const result = await this.#store.put(SNAPSHOT_KEY, JSON.stringify(snapshot), { expectedVersion: entry?.version ?? 0 }, signal)
     if (result.outcome === 'conflict') return stored
@@ -84,7 +97,7 @@
 
   async #deleteBelow (floor: number, signal?: AbortSignal): Promise<void> {
     const entry = await this.#store.get(FLOOR_KEY, signal)
-    if (floor <= Number(entry?.value ?? 1)) return
+    if (floor <= parseFloor(entry)) return
     const raised: WriteResult = await this.#store.put(FLOOR_KEY, String(floor), { expectedVersion: entry?.version ?? 0 }, signal)
     if (raised.outcome === 'conflict') return
     for (const { key, version } of await this.#store.list(CHANGE_PREFIX, signal)) {
--- a/src/configuration/registry.ts
+++ b/src/configuration/registry.ts
@@ -5,7 +5,9 @@
 import type { Clock } from '../ports/clock.ts'
 import type { ListedInstance } from '../ports/instanceList.ts'
 import type { Store } from '../ports/store.ts'
+import { parseRecord } from '../ports/storeRecord.ts'
 import { ListPresence } from './listPresence.ts'
+import { acceptorsSchema } from './recordSchemas.ts'
 
 const REGISTRY_KEY = 'registry'
 const MAX_ATTEMPTS = 16
@@ -173,7 +175,7 @@
   async #read (): Promise<RegistryValue> {
     const entry = await this.#store.get(REGISTRY_KEY)
     if (entry === undefined) return { acceptors: [], version: 0 }
-    return { acceptors: JSON.parse(entry.value) as Acceptor[], version: entry.version }
+    return { acceptors: parseRecord(acceptorsSchema, 'registry', entry.value), version: entry.version }
   }
 
   /** Changes the registry by compare-and-swap; after a lost answer the next read tells the outcome. */
--- a/src/scheduler/claims/claimSegment.ts
+++ b/src/scheduler/claims/claimSegment.ts
@@ -1,7 +1,8 @@
 /** Segments of the claim log: append-only lists of claimed identities, one sequence of segments per shard. */
 import { createHash } from 'node:crypto'
-import { InputError } from '../../model/errors.ts'
+import { z } from 'zod'
 import type { ClaimEntry } from '../../ports/peerClient.ts'
+import { parseRecord } from '../../ports/storeRecord.ts'
 
 export const SHARD_COUNT = 8
 
@@ -25,6 +26,9 @@
   readonly entries: readonly ClaimEntry[]
 }
 
+/** The number, the time of the last write, and pairs of identity and holder. */
+const segmentSchema = z.tuple([z.int().min(0), z.number()], z.tuple([z.string(), z.string()]))
+
 /** Hash of team and request identity. */
 export function hashIdentity (team: string, requestId: string): string {
   return createHash('sha256').update(JSON.stringify([team, requestId])).digest('hex').slice(0, IDENTITY_DIGITS)
@@ -61,9 +65,6 @@
 }
 
 export function parseSegment (value: string): ClaimSegment {
-  const [number, writtenAt, ...entries] = JSON.parse(value) as readonly [number, number, ...ReadonlyArray<readonly [string, string]>]
-  if (typeof number !== 'number' || typeof writtenAt !== 'number') {
-    throw new InputError('claim segment must begin with its number and the time of its last write')
-  }
+  const [number, writtenAt, ...entries] = parseRecord(segmentSchema, 'claim segment', value)
   return { number, writtenAt, entries: entries.map(([identity, holder]) => ({ identity, holder })) }
 }
--- a/src/scheduler/limits/allotmentRecord.ts
+++ b/src/scheduler/limits/allotmentRecord.ts
@@ -1,8 +1,9 @@
 /** The record of one team's limit: what each incarnation holds of it. */
-import { InputError } from '../../model/errors.ts'
+import { z } from 'zod'
 import type { IncarnationKey } from '../../model/identity.ts'
 import { addResources, DIMENSIONS, isEmpty, NO_RESOURCES, subtractResources } from '../../model/resources.ts'
 import type { Dimension, Limit, Resources } from '../../model/resources.ts'
+import { parseRecord } from '../../ports/storeRecord.ts'
 
 export interface AllotmentEntry {
   readonly dataCentre: string
@@ -21,6 +22,15 @@
 
 export const EMPTY_ALLOTMENT: AllotmentRecord = { limit: {}, limitVersion: 0, holders: {} }
 
+const amountSchema = z.number().min(0)
+const vectorSchema = z.looseObject({ slots: amountSchema, processors: amountSchema, memory: amountSchema, accelerators: amountSchema })
+
+const allotmentSchema = z.looseObject({
+  limit: vectorSchema.partial(),
+  limitVersion: z.int().min(0),
+  holders: z.record(z.string(), z.looseObject({ dataCentre: z.string(), amount: vectorSchema, sequence: z.int().min(0) }))
+}) as unknown as z.ZodType<AllotmentRecord>
+
 export const ALLOTMENT_PREFIX = 'allotment/'
 
 export function allotmentKey (team: string): string {
@@ -29,11 +39,7 @@
 
 export function parseAllotment (value: string | undefined): AllotmentRecord {
   if (value === undefined) return EMPTY_ALLOTMENT
-  const parsed = JSON.parse(value) as Partial<AllotmentRecord>
-  if (typeof parsed.holders !== 'object' || typeof parsed.limit !== 'object' || typeof parsed.limitVersion !== 'number') {
-    throw new InputError('allotment record needs limit, limitVersion and holders')
-  }
-  return parsed as AllotmentRecord
+  return parseRecord(allotmentSchema, 'allotment record', value)
 }
 
 export function serialiseAllotment (record: AllotmentRecord): string {
--- a/src/scheduler/limits/allotmentView.ts
+++ b/src/scheduler/limits/allotmentView.ts
@@ -74,7 +74,7 @@
   }
 
   #accept (entry: StoreEntry | undefined): void {
-    this.#entry = entry
     this.#record = parseAllotment(entry?.value)
+    this.#entry = entry
   }
 }
--- a/src/scheduler/limits/deadEntries.ts
+++ b/src/scheduler/limits/deadEntries.ts
@@ -2,7 +2,7 @@
 import { incarnationKey } from '../../model/identity.ts'
 import type { IncarnationKey, InstanceRef } from '../../model/identity.ts'
 import type { Clock } from '../../ports/clock.ts'
-import type { Store } from '../../ports/store.ts'
+import type { Store, StoreEntry } from '../../ports/store.ts'
 import { hasAuthority } from '../ownership/ownershipRecord.ts'
 import type { OwnershipRecord } from '../ownership/ownershipRecord.ts'
 import { RecordUpdater } from '../recordUpdate.ts'
@@ -37,9 +37,9 @@
    */
   async reclaim (signal?: AbortSignal): Promise<number> {
     if (!this.#isResponsible()) return 0
-    const entries = await this.#store.list(ALLOTMENT_PREFIX, signal)
+    const { readable: entries, error } = separateReadable(await this.#store.list(ALLOTMENT_PREFIX, signal))
     const held = new Set(entries.flatMap(entry => this.#localHolders(entry.value)))
-    if ([...held].every(key => hasAuthority(this.#ownership.record, key))) return 0
+    if ([...held].every(key => hasAuthority(this.#ownership.record, key))) return settle(0, error)
     const ownership = await this.#ownership.readRecord(signal)
     const dead = new Set([...held].filter(key => !hasAuthority(ownership, key)))
     let reclaimed = 0
@@ -52,7 +52,7 @@
       }, signal)
       reclaimed++
     }
-    return reclaimed
+    return settle(reclaimed, error)
   }
 
   #isResponsible (): boolean {
@@ -66,3 +66,22 @@
       .map(([key]) => key as IncarnationKey)
   }
 }
+
+/** One team's damaged record must not keep the entries of other teams; its error is reported after their turn. */
+function separateReadable (entries: readonly StoreEntry[]): { readonly readable: readonly StoreEntry[], readonly error: unknown } {
+  let firstError: unknown
+  const readable = entries.filter(({ value }) => {
+    try {
+      return parseAllotment(value) !== undefined
+    } catch (error) {
+      firstError ??= error
+      return false
+    }
+  })
+  return { readable, error: firstError }
+}
+
+function settle (reclaimed: number, error: unknown): number {
+  if (error !== undefined) throw error
+  return reclaimed
+}
--- a/src/scheduler/ownership/ownershipRecord.ts
+++ b/src/scheduler/ownership/ownershipRecord.ts
@@ -1,6 +1,7 @@
 /** The record of who owns the targets of one data centre, and pure changes of it. */
-import { InputError } from '../../model/errors.ts'
+import { z } from 'zod'
 import type { IncarnationKey } from '../../model/identity.ts'
+import { parseRecord } from '../../ports/storeRecord.ts'
 
 export { planAssignment } from './planAssignment.ts'
 
@@ -22,17 +23,26 @@
 
 export const EMPTY_OWNERSHIP: OwnershipRecord = { members: [], targets: {} }
 
+const keySchema = z.string().regex(/.\/./s, 'names no incarnation')
+
+/** An epoch must be exact, since the next one must differ from it. */
+const ownershipSchema = z.looseObject({
+  members: z.array(keySchema),
+  targets: z.record(z.string(), z.looseObject({
+    owner: keySchema.optional(),
+    epoch: z.int().min(0),
+    fenced: z.boolean(),
+    previous: z.array(keySchema)
+  }))
+}) as unknown as z.ZodType<OwnershipRecord>
+
 export function ownershipKey (dataCentre: string): string {
   return `ownership/${dataCentre}`
 }
 
 export function parseOwnership (value: string | undefined): OwnershipRecord {
   if (value === undefined) return EMPTY_OWNERSHIP
-  const parsed = JSON.parse(value) as Partial<OwnershipRecord>
-  if (!Array.isArray(parsed.members) || typeof parsed.targets !== 'object') {
-    throw new InputError('ownership record needs members and targets')
-  }
-  return parsed as OwnershipRecord
+  return parseRecord(ownershipSchema, 'ownership record', value)
 }
 
 export function serialiseOwnership (record: OwnershipRecord): string {
--- a/src/scheduler/ownership/ownershipView.ts
+++ b/src/scheduler/ownership/ownershipView.ts
@@ -80,8 +80,9 @@
 
   #accept (entry: StoreEntry | undefined): void {
     if (entry === undefined || entry.version <= (this.#entry?.version ?? 0)) return
-    this.#entry = entry
+    // A record that can't be read must not pass for the one read before.
     this.#record = parseOwnership(entry.value)
+    this.#entry = entry
     this.wake()
   }
 }
