Keep remembersEnded of listed targets and bound their capacity

Cause: the list's schema dropped the feature, so that no listed target ever settled a lost start as never started, and such requests ended as may-have-run. A capacity of 1e308 was accepted. Change: the feature is read; amounts are at most 1e12.

--- a/src/adapters/list/instanceList.test.ts
+++ b/src/adapters/list/instanceList.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava'
+import fc from 'fast-check'
+import { InputError } from '../../model/errors.ts'
 import type { ListSnapshot } from '../../ports/instanceList.ts'
 import { ManualClock } from '../clock/manualClock.ts'
 import { HttpInstanceList } from './httpInstanceList.ts'
@@ -42,3 +44,41 @@
 test('a list with a bad entry is refused with its place', t => {
   t.throws(() => parseListSnapshot({ instances: [{ name: '' }], targets: [] }, 'list.json'), { message: /list\.json: [^]*instances\[0\]\.name/ })
 })
+
+const listedTarget = {
+  id: 'r-1',
+  type: 'runner',
+  address: '127.0.0.1:1',
+  dataCentre: 'howrah',
+  region: 'Kolkata',
+  rack: '',
+  capacity: { slots: 8 },
+  connections: 64,
+  features: { fencing: true, startBy: true, inventory: true, checkpoint: true, remembersEnded: true },
+  leaving: false
+}
+
+test('a list does not hide that a target remembers ended tasks, on which the verdict not-run rests', t => {
+  t.true(parseListSnapshot({ instances: [], targets: [listedTarget] }, 'the list').targets[0]?.features.remembersEnded)
+})
+
+test('no list with an amount that could poison placement is taken, and none fails without a message', t => {
+  const value = fc.oneof(fc.jsonValue(), fc.constantFrom(-1, 1e308, NaN, Infinity, '', null))
+  const targets = fc.array(fc.constantFrom('capacity', 'connections', 'id', 'features').chain(name =>
+    value.map(value => ({ ...listedTarget, [name]: name === 'capacity' ? { slots: value } : value }))), { maxLength: 2 })
+  const lists = fc.oneof(
+    { arbitrary: targets.map(targets => ({ instances: [], targets })), weight: 4 },
+    fc.record({ instances: fc.jsonValue(), targets: fc.jsonValue() }), fc.jsonValue())
+  let accepted = 0
+  fc.assert(fc.property(lists, list => {
+    try {
+      for (const { id, capacity, connections } of parseListSnapshot(list, 'the list').targets) {
+        accepted++
+        t.true(id !== '' && connections > 0 && Object.values(capacity).every(amount => amount >= 0 && amount <= Number.MAX_SAFE_INTEGER))
+      }
+    } catch (error) {
+      t.true(error instanceof InputError && error.message.startsWith('the list'), String(error))
+    }
+  }), { seed: 72, numRuns: 1_000 })
+  t.true(accepted > 0)
+})
--- a/src/adapters/list/listSchema.ts
+++ b/src/adapters/list/listSchema.ts
@@ -4,7 +4,9 @@
 import type { ListSnapshot } from '../../ports/instanceList.ts'
 import { checkInput } from '../http/checkInput.ts'
 
-const amountSchema = z.number().nonnegative().default(0)
+/** Above any target; larger amounts would make the sums of the fleet inexact. */
+const MOST_AMOUNT = 1e12
+const amountSchema = z.number().nonnegative().max(MOST_AMOUNT).default(0)
 
 const resourcesSchema = z.object({
   slots: amountSchema,
@@ -26,7 +28,8 @@
     fencing: z.boolean(),
     startBy: z.boolean(),
     inventory: z.boolean(),
-    checkpoint: z.boolean()
+    checkpoint: z.boolean(),
+    remembersEnded: z.boolean().optional()
   }),
   leaving: z.boolean().default(false)
 })
