--- a/src/adapters/operator/operatorServer.test.ts
+++ b/src/adapters/operator/operatorServer.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
 import test from 'ava'
+import fc from 'fast-check'
 import type { ExecutionContext } from 'ava'
 import { request } from 'undici'
 import type { ChangeSubmission, OperatorHandler } from '../../observability/operatorApi.ts'
@@ -51,6 +52,20 @@
   }
 }
 
+test('no body of an operator ends in an internal error, and none but a whole submission reaches the handler', async t => {
+  const { call, handler, errors } = await startServer(t)
+  const near = fc.record({ id: fc.oneof(fc.constant(SUBMISSION.id), fc.jsonValue()), baseVersion: fc.oneof(fc.nat(), fc.double()), operator: fc.oneof(fc.constant('asha'), fc.string()), operations: fc.oneof(fc.array(fc.jsonValue()), fc.jsonValue()) })
+  const body = fc.oneof(near.map(value => JSON.stringify(value)), fc.json(), fc.string())
+  await fc.assert(fc.asyncProperty(fc.constantFrom('/v1/changes', '/v1/drain', '/v1/%', '//', '/v1/changes/__proto__'), body, async (path, body) => {
+    t.true([200, 202, 400, 404, 409, 422].includes((await call('POST', path, body)).status))
+  }), { seed: 73, numRuns: 300 })
+  t.deepEqual(errors, [])
+  for (const { id, baseVersion, operator, operations } of handler.submissions) {
+    t.true(id.length >= 8 && Number.isSafeInteger(baseVersion) && baseVersion >= 0 && operator.trim() !== '' && Array.isArray(operations))
+  }
+  t.true(handler.submissions.length > 0)
+})
+
 const SUBMISSION = { id: 'change-0001', baseVersion: 7, operator: 'asha', operations: [{ type: 'withdrawKey', keyId: 'k-1' }] }
 
 test('nothing but the probes is answered without the right token', async t => {
