End the lease of tasks on a target that can't be reached

Cause: each renewal moved the start of the lease to its sending, also when no connection was made. The lease of a task on a crashed target never ended while the list showed the target, and its capacity and allotment stayed held. Change: a renewal that certainly did not arrive does not count. The error class moves to src/model, since the port promises it; the adapter exports it as before.

--- a/src/adapters/target/targetErrors.ts
+++ b/src/adapters/target/targetErrors.ts
@@ -1,8 +1,7 @@
 /** Errors of calls to targets, other than the results that starts report by value. */
 import { BaseError } from '../../model/errors.ts'
 
-/** No connection was made: the target certainly has not seen the call. */
-export const TargetUnreachableError = BaseError.subclass('TargetUnreachableError')
+export { TargetUnreachableError } from '../../model/errors.ts'
 
 /** The call was sent and no whole answer came back: it may have had an effect. */
 export const TargetUnknownError = BaseError.subclass('TargetUnknownError')
--- a/src/instance/taskTracker.ts
+++ b/src/instance/taskTracker.ts
@@ -2,6 +2,7 @@
  * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
  * Capacity and allotment of a task are released only when the task has certainly ended.
  */
+import { TargetUnreachableError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { TargetClient } from '../ports/targetClient.ts'
 import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
@@ -122,12 +123,13 @@
     const { signal } = entry.abort
     while (this.#isTracked(entry) && !signal.aborted) {
       await this.#clock.sleep(task.leaseMs / RENEWALS_PER_LEASE, signal)
-      const sentAt = this.#clock.monotonicMs()
+      const previousRenewalAt = entry.lastRenewalAt
       try {
         // A renewal without an answer may have arrived, so that the lease may run from its sending.
-        entry.lastRenewalAt = sentAt
+        entry.lastRenewalAt = this.#clock.monotonicMs()
         this.#take(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal))
-      } catch {
+      } catch (error) {
+        if (error instanceof TargetUnreachableError) entry.lastRenewalAt = previousRenewalAt
         if (this.#leaseHasEnded(entry)) this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
       }
     }
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -21,6 +21,9 @@
 /** The store may have applied the call: the answer was lost. */
 export const StoreUnknownError = BaseError.subclass('StoreUnknownError')
 
+/** No connection was made: the target certainly has not seen the call. */
+export const TargetUnreachableError = BaseError.subclass('TargetUnreachableError')
+
 export interface RefusalDetails {
   readonly code: RefusalCode
   readonly verdict: Verdict
