Don't take a task that a successor keeps for ended

Cause: a task that was forgotten with its target, or whose stop and renewals the target refused under the successor's epoch, counted as ended once the own lease had passed. A repeatable request was then retried while its first task ran on under the successor, that is, in two places. Waiting for the stop of a forgotten gang task never ended. Change: such a task ends as lost, which is neither retried nor released, and waiting for a stop ends at the request's deadline.

--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -112,7 +112,7 @@
       complete = true
     } finally {
       if (complete) tracker.complete(started.taskId, { outcome: 'ended', state: 'finished' })
-      else tracker.stop(started.taskId).catch(() => {})
+      else tracker.stop(started.taskId)
     }
   }
 
@@ -131,8 +131,8 @@
   }
 
   async #stopPartial (work: LocalWork, started: readonly StartedTask[], failures: readonly unknown[]): Promise<RefusalError> {
-    const { tracker } = this.#dependencies
-    await Promise.all(started.map(async ({ taskId }) => await tracker.stop(taskId)))
+    const { starter } = this.#dependencies
+    await Promise.all(started.map(async task => await starter.stop(work, task)))
     const first = failures[0] instanceof RefusalError
       ? failures[0]
       : new RefusalError(`a task could not be started: ${String(failures[0])}`, { code: 'target-failed', verdict: 'may-have-run' })
--- a/src/instance/targetAdoption.ts
+++ b/src/instance/targetAdoption.ts
@@ -73,7 +73,7 @@
     const task = { taskId, targetId: target.id, team, kind, size, repeatable: false, startedAt }
     const leaseMs = this.#dependencies.leaseMs(report)
     tracker.track({ taskId, target, epoch, leaseMs, sentAt: startedAt, startByWallMs: clock.wallMs() })
-      .then(() => placements.release(taskId), () => {})
+      .then(({ outcome }) => { if (outcome !== 'lost') placements.release(taskId) }, () => {})
     await placements.adopt(task, previousOwner)
   }
 }
--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -24,13 +24,19 @@
   onEnded (taskId: string): void
 }
 
-export interface StartedTask {
+/** A task whose start was sent. */
+export interface SentTask {
   readonly taskId: string
   readonly target: TargetInfo
-  readonly answer: TaskAnswer
   readonly ended: Promise<TaskEnd>
 }
 
+export interface StartedTask extends SentTask {
+  readonly answer: TaskAnswer
+}
+
+export type CertainEnd = Exclude<TaskEnd, { readonly outcome: 'lost' }>
+
 const REFUSAL_MESSAGES: Readonly<Record<TargetRefusal, string>> = {
   'no-capacity': 'the target has no capacity for the task',
   fenced: 'the target has another owner',
@@ -57,7 +63,7 @@
     const leaseMs = this.#dependencies.leaseMs(work)
     const startByWallMs = clock.wallMs() + START_BY_WINDOW_MS
     const ended = tracker.track({ taskId, target, epoch, leaseMs, sentAt: clock.monotonicMs(), startByWallMs })
-    ended.then(() => this.#dependencies.onEnded(taskId), () => {})
+    ended.then(({ outcome }) => { if (outcome !== 'lost') this.#dependencies.onEnded(taskId) }, () => {})
     work.onStateChange('running', targetId)
     this.#lastSentAt.set(targetId, clock.monotonicMs())
     const { team, request } = work
@@ -74,8 +80,20 @@
       leaseMs,
       detached
     }, work.signal).catch((error: unknown): StartResult => ({ outcome: 'unknown', message: describe(error) }))
-    const answer = await this.#takeResult(work, taskId, target, epoch, result)
-    return { taskId, target, answer, ended }
+    const started = { taskId, target, ended }
+    return { ...started, answer: await this.#takeResult(work, started, epoch, result) }
+  }
+
+  /** Stops a task; undefined if it may run on, at the request's deadline or under another instance. */
+  async stop (work: LocalWork, { taskId, ended }: SentTask): Promise<CertainEnd | undefined> {
+    const { clock, tracker } = this.#dependencies
+    tracker.stop(taskId)
+    if (work.signal.aborted) return undefined
+    const waited = new AbortController()
+    const timeout = clock.sleep(Math.max(0, work.deadlineAt - clock.monotonicMs()), waited.signal).then(() => undefined, () => undefined)
+    const end = await Promise.race([ended, timeout])
+    waited.abort()
+    return end?.outcome === 'lost' ? undefined : end
   }
 
   /** Waits until no start that was sent to the target can begin any more; for targets without fencing. */
@@ -87,11 +105,12 @@
     if (remainingMs > 0) await clock.sleep(remainingMs)
   }
 
-  async #takeResult (work: LocalWork, taskId: string, target: TargetInfo, epoch: number, result: StartResult): Promise<TaskAnswer> {
+  async #takeResult (work: LocalWork, sent: SentTask, epoch: number, result: StartResult): Promise<TaskAnswer> {
     const { breaker, ownership, tracker } = this.#dependencies
+    const { taskId, target } = sent
     switch (result.outcome) {
       case 'started':
-        if (result.answer.taskId !== taskId) throw await this.#settleUnknown(work, taskId, 'the target answered for another task')
+        if (result.answer.taskId !== taskId) throw await this.#settleUnknown(work, sent, 'the target answered for another task')
         if (breaker.recordSuccess(target.id) === 'closed') this.#dependencies.onBreakerChange(target.id, false)
         return result.answer
       case 'refused':
@@ -114,7 +133,7 @@
         throw new RefusalError('the target can not be reached', { code: 'target-failed', verdict: 'not-run', retryable: true })
       case 'unknown':
         if (!work.signal.aborted) this.#recordFailure(target.id, taskId)
-        throw await this.#settleUnknown(work, taskId, result.message)
+        throw await this.#settleUnknown(work, sent, result.message)
     }
   }
 
@@ -123,13 +142,8 @@
   }
 
   /** Finds out whether a task without an answer ran; gives up at the request's deadline. */
-  async #settleUnknown (work: LocalWork, taskId: string, message: string): Promise<RefusalError> {
-    const { clock, tracker } = this.#dependencies
-    const settled = tracker.stop(taskId)
-    const waited = new AbortController()
-    const timeout = clock.sleep(Math.max(0, work.deadlineAt - clock.monotonicMs()), waited.signal).then(() => undefined, () => undefined)
-    const end = work.signal.aborted ? undefined : await Promise.race([settled, timeout])
-    waited.abort()
+  async #settleUnknown (work: LocalWork, sent: SentTask, message: string): Promise<RefusalError> {
+    const end = await this.stop(work, sent)
     if (end === undefined) {
       return new RefusalError(`the target gave no answer: ${message}`, { code: 'target-failed', verdict: 'may-have-run' })
     }
--- a/src/instance/taskTracker.ts
+++ b/src/instance/taskTracker.ts
@@ -2,7 +2,7 @@
  * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
  * Capacity and allotment of a task are released only when the task has certainly ended.
  */
-import { TargetUnreachableError } from '../model/errors.ts'
+import { RefusalError, TargetUnreachableError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { TargetClient } from '../ports/targetClient.ts'
 import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
@@ -30,11 +30,12 @@
 export type TaskEnd =
   | { readonly outcome: 'never-started' }
   | { readonly outcome: 'ended', readonly state: TaskState | 'lease-ended' }
+  /** Another instance keeps the task from now on, and it may run on for long. */
+  | { readonly outcome: 'lost' }
 
 interface Entry {
   readonly task: TrackedTask
   readonly abort: AbortController
-  readonly ended: Promise<TaskEnd>
   finish (end: TaskEnd): void
   /** Sending time of the last renewal that may have arrived. */
   lastRenewalAt: number
@@ -67,7 +68,8 @@
   track (task: TrackedTask): Promise<TaskEnd> {
     let finish: (end: TaskEnd) => void = () => {}
     const ended = new Promise<TaskEnd>(resolve => { finish = resolve })
-    const entry: Entry = { task, abort: new AbortController(), ended, finish, lastRenewalAt: task.sentAt }
+    const entry: Entry = { task, abort: new AbortController(), finish, lastRenewalAt: task.sentAt }
+    this.forget(task.taskId)
     this.#entries.set(task.taskId, entry)
     this.#renew(entry).catch(() => {})
     return ended
@@ -84,10 +86,7 @@
 
   /** Stops caring for a task that another instance has taken over. */
   forget (taskId: string): void {
-    const entry = this.#entries.get(taskId)
-    if (entry === undefined) return
-    this.#entries.delete(taskId)
-    entry.abort.abort()
+    this.complete(taskId, { outcome: 'lost' })
   }
 
   /** Says whether the task was checkpointed by `checkpoint`; true at most once for each task. */
@@ -109,13 +108,12 @@
     }
   }
 
-  /** Stops the task and waits until it has certainly ended. */
-  async stop (taskId: string): Promise<TaskEnd> {
+  /** Stops the task; the result of `track` settles when it has certainly ended. */
+  stop (taskId: string): void {
     const entry = this.#entries.get(taskId)
-    if (entry === undefined) return { outcome: 'ended', state: 'stopped' }
+    if (entry === undefined) return
     entry.abort.abort()
     this.#settle(entry).catch(() => {})
-    return await entry.ended
   }
 
   async #renew (entry: Entry): Promise<void> {
@@ -129,6 +127,7 @@
         entry.lastRenewalAt = this.#clock.monotonicMs()
         this.#take(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal))
       } catch (error) {
+        if (isFenced(error)) return this.forget(task.taskId)
         if (error instanceof TargetUnreachableError) entry.lastRenewalAt = previousRenewalAt
         if (this.#leaseHasEnded(entry)) this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
       }
@@ -140,8 +139,9 @@
     while (this.#isTracked(entry)) {
       try {
         this.#take(entry, await this.#client.command(task.target, task.taskId, task.epoch, 'stop'))
-      } catch {
-        // The target can't be reached; its lease decides.
+      } catch (error) {
+        // A successor renews the lease; otherwise, if the target can't be reached, the lease decides.
+        if (isFenced(error)) return this.forget(task.taskId)
       }
       if (!this.#isTracked(entry)) return
       if (this.#leaseHasEnded(entry)) return this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
@@ -178,3 +178,8 @@
     return this.#entries.get(entry.task.taskId) === entry
   }
 }
+
+/** The target has seen a higher epoch: it belongs to a successor, which has adopted the task. */
+function isFenced (error: unknown): boolean {
+  return error instanceof RefusalError && error.code === 'fenced'
+}
