Combine the outcomes of all tasks of a gang

Cause: the verdict of a gang that could not start was that of its first failure. If the first was certain and another was not, the gang was reported as not-run and retried although one of its tasks may have run. A started task that could not be stopped did not keep the gang from being retried. Answers of started tasks were never read, which kept their connections in use. Change: the verdict is the most cautious one, a retry requires that every task has certainly ended, and the answers are read.

--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -2,6 +2,8 @@
 import { RefusalError } from '../model/errors.ts'
 import type { InstanceRef } from '../model/identity.ts'
 import type { Resources } from '../model/resources.ts'
+import { combineVerdicts } from '../model/verdict.ts'
+import type { Verdict } from '../model/verdict.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { RunEvent } from '../ports/peerClient.ts'
 import type { ClaimClient } from '../scheduler/claims/claimClient.ts'
@@ -132,12 +134,15 @@
 
   async #stopPartial (work: LocalWork, started: readonly StartedTask[], failures: readonly unknown[]): Promise<RefusalError> {
     const { starter } = this.#dependencies
-    await Promise.all(started.map(async task => await starter.stop(work, task)))
-    const first = failures[0] instanceof RefusalError
-      ? failures[0]
-      : new RefusalError(`a task could not be started: ${String(failures[0])}`, { code: 'target-failed', verdict: 'may-have-run' })
-    const verdict = started.length > 0 ? 'ran' : first.verdict
-    return new RefusalError(first.message, { code: first.code, verdict, retryable: first.retryable })
+    for (const task of started) drainAnswer(task).catch(() => {})
+    const ends = await Promise.all(started.map(async task => await starter.stop(work, task)))
+    const refusals = failures.map(failure => failure instanceof RefusalError
+      ? failure
+      : new RefusalError(`a task could not be started: ${String(failure)}`, { code: 'target-failed', verdict: 'may-have-run' }))
+    const { message, code } = refusals[0]!
+    const verdict = combineVerdicts([...refusals.map(refusal => refusal.verdict), ...started.map((): Verdict => 'ran')])
+    const retryable = refusals.every(refusal => refusal.retryable) && !ends.includes(undefined)
+    return new RefusalError(message, { code, verdict, retryable })
   }
 
   #releaseAll (assignments: readonly Assignment[]): void {
