Release what a request holds when its reader leaves early

Cause: a reader that closed the stream at the first event, as a peer whose connection breaks, ended the attempt between placement and start. Its capacity, allotment and share were never released. Change: they are released unless the start has begun.

--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -55,12 +55,17 @@
     const assignments = await this.#placeAndClaim(work, size)
     const placedAt = clock.monotonicMs()
     observer.onPlaced(work, placedAt - arrivedAt)
-    yield { type: 'accepted', owner: self }
+    let begun = false
     try {
+      yield { type: 'accepted', owner: self }
+      begun = true
       if (findWorkload(work.request.kind).detached) yield * this.#startDetached(work, assignments, size)
       else yield * this.#runAttached(work, assignments[0]!, size)
     } catch (error) {
       throw markClaimed(error, !work.request.repeatable)
+    } finally {
+      // The reader may have left instead of asking for the next event.
+      if (!begun) this.#releaseAll(assignments)
     }
     observer.onFinished(work, clock.monotonicMs() - placedAt)
   }
