Say that a request may be claimed when it waits again

Cause: a claim without a certain outcome gives the capacity back. If the second wait was refused, the refusal did not say claimed, and the caller's next request under the same identity was refused as a duplicate. Change: a refusal after the first claim says claimed.

--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -73,8 +73,8 @@
   /** Without the store a request that must be claimed waits for it, but holds no capacity meanwhile. */
   async #placeAndClaim (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
     const { clock } = this.#dependencies
-    for (;;) {
-      const assignments = await this.#place(work, size)
+    for (let mayBeClaimed = false; ; mayBeClaimed = true) {
+      const assignments = await this.#place(work, size).catch((error: unknown) => { throw markClaimed(error, mayBeClaimed) })
       if (work.request.repeatable || await this.#claim(work, assignments)) return assignments
       this.#releaseAll(assignments)
       await clock.sleep(Math.min(CLAIM_RETRY_MS, Math.max(0, work.deadlineAt - clock.monotonicMs())), work.signal).catch(() => {})
