Don't count cancelled requests against their target

Cause: a request that was cancelled before its start was written counted as a failed start. Five in a row took a healthy target out of use. Change: only starts whose request was not cancelled count.

--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -129,7 +129,7 @@
         })
       case 'unreachable':
         tracker.complete(taskId, { outcome: 'never-started' })
-        this.#recordFailure(target.id, taskId)
+        if (!work.signal.aborted) this.#recordFailure(target.id, taskId)
         throw new RefusalError('the target can not be reached', { code: 'target-failed', verdict: 'not-run', retryable: true })
       case 'unknown':
         if (!work.signal.aborted) this.#recordFailure(target.id, taskId)
