--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -110,7 +110,10 @@
     const { taskId, target } = sent
     switch (result.outcome) {
       case 'started':
-        if (result.answer.taskId !== taskId) throw await this.#settleUnknown(work, sent, 'the target answered for another task')
+        if (result.answer.taskId !== taskId) {
+          discardAnswer(result.answer).catch(() => {})
+          throw await this.#settleUnknown(work, sent, 'the target answered for another task')
+        }
         if (breaker.recordSuccess(target.id) === 'closed') this.#dependencies.onBreakerChange(target.id, false)
         return result.answer
       case 'refused':
@@ -161,3 +164,8 @@
 function describe (error: unknown): string {
   return error instanceof Error ? error.message : String(error)
 }
+
+/** Frees the connection of an answer that nobody reads. */
+async function discardAnswer ({ body }: TaskAnswer): Promise<void> {
+  for await (const bytes of body) if (bytes.byteLength >= 0) return
+}
