Trust a target's memory of ended tasks only for its length

Cause: a target remembers ended tasks for ten minutes. An instance that was paused for longer took a task that had ended and was forgotten for one that never started, which reports as not-run. Change: after nine minutes an unknown task counts as ended.

--- a/src/instance/taskTracker.ts
+++ b/src/instance/taskTracker.ts
@@ -12,6 +12,8 @@
 const RENEWALS_PER_LEASE = 3
 /** Clocks of instances and targets may differ in rate by this much. */
 const CLOCK_DRIFT_ALLOWANCE = 1.1
+/** Targets that remember ended tasks do so for ten minutes; a minute is left for slow calls. */
+const ENDED_MEMORY_MS = 9 * 60_000
 /** Between attempts to settle a task. */
 const SETTLE_INTERVAL_MS = 250
 
@@ -159,7 +161,8 @@
     }
     if (!this.#startByHasPassed(task)) return
     const { startBy, remembersEnded } = task.target.features
-    this.complete(task.taskId, startBy && remembersEnded === true
+    const isRemembered = this.#clock.monotonicMs() - task.sentAt < ENDED_MEMORY_MS
+    this.complete(task.taskId, startBy && remembersEnded === true && isRemembered
       ? { outcome: 'never-started' }
       : { outcome: 'ended', state: 'stopped' })
   }
