Charge an adopted task once

Cause: an adoption is repeated every 500 ms while the store is down, and each attempt charged the task to the team's share again; one release followed. Change: a task that is held already is not charged again.

--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -153,8 +153,11 @@
     if (!this.#dependencies.pool.reserve(targetId, taskId, team, size, kind)) {
       throw new Error(`target ${targetId} reports more running than it has: task ${taskId} exceeds its capacity`)
     }
-    this.#held.set(taskId, task)
-    this.#dependencies.ledger.charge(team, size)
+    // Repeated while the store is down.
+    if (!this.#held.has(taskId)) {
+      this.#held.set(taskId, task)
+      this.#dependencies.ledger.charge(team, size)
+    }
     await this.#dependencies.allotments.adopt(team, taskId, size, previousOwner)
   }
 
