Remove the queue's listener when a wait ends

Cause: each wait left a listener, with the request it belongs to, on the signal for as long as the signal lives. Change: it is removed when the wait is settled.

--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -92,20 +92,23 @@
     if (this.#closedReason !== undefined) throw this.#closedReason
     if (signal.aborted) throw createAborted(signal)
     const { queue } = this.#dependencies
-    return await new Promise((resolve, reject) => {
+    const settled = new AbortController()
+    return await new Promise<readonly Assignment[]>((resolve, reject) => {
       const waiting: WaitingRequest = { request, settle: resolve, refuse: reject, assignments: [] }
       const entry = createEntry(waiting)
       const { accepted, shed } = queue.push(entry)
       for (const victim of shed) this.#refuse(victim, createShed())
       if (!accepted) return reject(createShed())
       this.#countWaiting(request, 1)
-      signal.addEventListener('abort', () => {
+      const onAbort = (): void => {
         if (queue.remove(entry)) this.#refuse(entry, createAborted(signal))
-      }, { once: true })
+      }
+      signal.addEventListener('abort', onAbort)
+      settled.signal.addEventListener('abort', () => signal.removeEventListener('abort', onAbort))
       this.pump()
       if (waiting.neverReason !== undefined && queue.remove(entry)) this.#refuse(entry, createNever(waiting.neverReason))
       else if (waiting.assignments.length === 0) this.#dependencies.onWaiting(request)
-    })
+    }).finally(() => settled.abort())
   }
 
   /** Sum of the sizes of the team's waiting requests, and their number. */
