--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -3,6 +3,7 @@
 import type { InstanceRef } from '../model/identity.ts'
 import type { Resources } from '../model/resources.ts'
 import { combineVerdicts } from '../model/verdict.ts'
+import type { Verdict } from '../model/verdict.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { RunEvent } from '../ports/peerClient.ts'
 import type { ClaimClient } from '../scheduler/claims/claimClient.ts'
@@ -56,13 +57,17 @@
     const assignments = await this.#placeAndClaim(work, size)
     const placedAt = clock.monotonicMs()
     observer.onPlaced(work, placedAt - arrivedAt)
-    yield { type: 'accepted', owner: self }
+    let begun = false
     try {
+      yield { type: 'accepted', owner: self }
+      begun = true
       if (findWorkload(work.request.kind).detached) yield * this.#startDetached(work, assignments, size)
       else yield * this.#runAttached(work, assignments[0]!, size)
     } catch (error) {
       throw markClaimed(error, !work.request.repeatable)
     } finally {
+      // The reader may have left instead of asking for the next event.
+      if (!begun) this.#releaseAll(assignments)
       observer.onFinished(work, clock.monotonicMs() - placedAt)
     }
   }
@@ -70,8 +75,8 @@
   /** Without the store a request that must be claimed waits for it, but holds no capacity meanwhile. */
   async #placeAndClaim (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
     const { clock } = this.#dependencies
-    for (;;) {
-      const assignments = await this.#place(work, size)
+    for (let mayBeClaimed = false; ; mayBeClaimed = true) {
+      const assignments = await this.#place(work, size).catch((error: unknown) => { throw markClaimed(error, mayBeClaimed) })
       if (work.request.repeatable || await this.#claim(work, assignments)) return assignments
       this.#releaseAll(assignments)
       await clock.sleep(Math.min(CLAIM_RETRY_MS, Math.max(0, work.deadlineAt - clock.monotonicMs())), work.signal).catch(() => {})
@@ -117,7 +122,7 @@
         yield event
       }
     } finally {
-      if (tracker.isTracking(started.taskId)) tracker.stop(started.taskId).catch(() => {})
+      if (tracker.isTracking(started.taskId)) tracker.stop(started.taskId)
     }
   }
 
@@ -137,14 +142,16 @@
   }
 
   async #stopPartial (work: LocalWork, started: readonly StartedTask[], failures: readonly unknown[]): Promise<RefusalError> {
-    const { tracker } = this.#dependencies
-    await Promise.all(started.map(async ({ taskId }) => await tracker.stop(taskId)))
+    const { starter } = this.#dependencies
+    for (const task of started) drainAnswer(task).catch(() => {})
+    const ends = await Promise.all(started.map(async task => await starter.stop(work, task)))
     const refusals = failures.map(failure => failure instanceof RefusalError
       ? failure
       : new RefusalError(`a task could not be started: ${String(failure)}`, { code: 'target-failed', verdict: 'may-have-run' }))
     const { message, code } = refusals[0]!
-    const verdict = combineVerdicts([...started.map(() => 'ran' as const), ...refusals.map(refusal => refusal.verdict)])
-    return new RefusalError(message, { code, verdict, retryable: refusals.every(refusal => refusal.retryable) })
+    const verdict = combineVerdicts([...refusals.map(refusal => refusal.verdict), ...started.map((): Verdict => 'ran')])
+    const retryable = refusals.every(refusal => refusal.retryable) && !ends.includes(undefined)
+    return new RefusalError(message, { code, verdict, retryable })
   }
 
   #releaseAll (assignments: readonly Assignment[]): void {
--- a/src/instance/schedulingParts.ts
+++ b/src/instance/schedulingParts.ts
@@ -237,7 +237,7 @@
     const tasks = this.placements.held.ofRequest(team, requestId)
       .filter(({ taskId }) => attemptId === undefined || taskId.startsWith(attemptId))
     if (tasks.some(task => task.kind === 'service')) this.supervisor.cancel(team, requestId)
-    for (const { taskId } of tasks) this.tracker.stop(taskId).catch(() => {})
+    for (const { taskId } of tasks) this.tracker.stop(taskId)
     return tasks.length > 0
   }
 
--- a/src/instance/taskTracker.ts
+++ b/src/instance/taskTracker.ts
@@ -2,6 +2,7 @@
  * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
  * Capacity and allotment of a task are released only when the task has certainly ended.
  */
+import { RefusalError, TargetUnreachableError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { TargetClient } from '../ports/targetClient.ts'
 import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
@@ -11,6 +12,8 @@
 const RENEWALS_PER_LEASE = 3
 /** Clocks of instances and targets may differ in rate by this much. */
 const CLOCK_DRIFT_ALLOWANCE = 1.1
+/** Targets that remember ended tasks do so for ten minutes; a minute is left for slow calls. */
+const ENDED_MEMORY_MS = 9 * 60_000
 /** Between attempts to settle a task. */
 const SETTLE_INTERVAL_MS = 250
 
@@ -29,11 +32,12 @@
 export type TaskEnd =
   | { readonly outcome: 'never-started' }
   | { readonly outcome: 'ended', readonly state: TaskState | 'lease-ended' }
+  /** Another instance keeps the task from now on, and it may run on for long. */
+  | { readonly outcome: 'lost' }
 
 interface Entry {
   readonly task: TrackedTask
   readonly abort: AbortController
-  readonly ended: Promise<TaskEnd>
   finish (end: TaskEnd): void
   /** Sending time of the last renewal that may have arrived. */
   lastRenewalAt: number
@@ -66,7 +70,8 @@
   track (task: TrackedTask): Promise<TaskEnd> {
     let finish: (end: TaskEnd) => void = () => {}
     const ended = new Promise<TaskEnd>(resolve => { finish = resolve })
-    const entry: Entry = { task, abort: new AbortController(), ended, finish, lastRenewalAt: task.sentAt }
+    const entry: Entry = { task, abort: new AbortController(), finish, lastRenewalAt: task.sentAt }
+    this.forget(task.taskId)
     this.#entries.set(task.taskId, entry)
     this.#renew(entry).catch(() => {})
     return ended
@@ -83,10 +88,7 @@
 
   /** Stops caring for a task that another instance has taken over. */
   forget (taskId: string): void {
-    const entry = this.#entries.get(taskId)
-    if (entry === undefined) return
-    this.#entries.delete(taskId)
-    entry.abort.abort()
+    this.complete(taskId, { outcome: 'lost' })
   }
 
   /** Says whether the task was checkpointed by `checkpoint`; true at most once for each task. */
@@ -108,13 +110,12 @@
     }
   }
 
-  /** Stops the task and waits until it has certainly ended. */
-  async stop (taskId: string): Promise<TaskEnd> {
+  /** Stops the task; the result of `track` settles when it has certainly ended. */
+  stop (taskId: string): void {
     const entry = this.#entries.get(taskId)
-    if (entry === undefined) return { outcome: 'ended', state: 'stopped' }
+    if (entry === undefined) return
     entry.abort.abort()
     this.#settle(entry).catch(() => {})
-    return await entry.ended
   }
 
   async #renew (entry: Entry): Promise<void> {
@@ -122,12 +123,14 @@
     const { signal } = entry.abort
     while (this.#isTracked(entry) && !signal.aborted) {
       await this.#clock.sleep(task.leaseMs / RENEWALS_PER_LEASE, signal)
-      const sentAt = this.#clock.monotonicMs()
+      const previousRenewalAt = entry.lastRenewalAt
       try {
         // A renewal without an answer may have arrived, so that the lease may run from its sending.
-        entry.lastRenewalAt = sentAt
+        entry.lastRenewalAt = this.#clock.monotonicMs()
         this.#take(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal))
-      } catch {
+      } catch (error) {
+        if (isFenced(error)) return this.forget(task.taskId)
+        if (error instanceof TargetUnreachableError) entry.lastRenewalAt = previousRenewalAt
         if (this.#leaseHasEnded(entry)) this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
       }
     }
@@ -138,8 +141,9 @@
     while (this.#isTracked(entry)) {
       try {
         this.#take(entry, await this.#client.command(task.target, task.taskId, task.epoch, 'stop'))
-      } catch {
-        // The target can't be reached; its lease decides.
+      } catch (error) {
+        // A successor renews the lease; otherwise, if the target can't be reached, the lease decides.
+        if (isFenced(error)) return this.forget(task.taskId)
       }
       if (!this.#isTracked(entry)) return
       if (this.#leaseHasEnded(entry)) return this.complete(task.taskId, { outcome: 'ended', state: 'lease-ended' })
@@ -157,7 +161,8 @@
     }
     if (!this.#startByHasPassed(task)) return
     const { startBy, remembersEnded } = task.target.features
-    this.complete(task.taskId, startBy && remembersEnded === true
+    const isRemembered = this.#clock.monotonicMs() - task.sentAt < ENDED_MEMORY_MS
+    this.complete(task.taskId, startBy && remembersEnded === true && isRemembered
       ? { outcome: 'never-started' }
       : { outcome: 'ended', state: 'stopped' })
   }
@@ -176,3 +181,8 @@
     return this.#entries.get(entry.task.taskId) === entry
   }
 }
+
+/** The target has seen a higher epoch: it belongs to a successor, which has adopted the task. */
+function isFenced (error: unknown): boolean {
+  return error instanceof RefusalError && error.code === 'fenced'
+}
