Keep the claim of an earlier attempt in the final refusal

Cause: the refusal of a request told whether its last attempt claimed the identity. If an earlier one had, the caller was not told that it needs a new identity. Change: claimed is true if any attempt says so. Tests of the dispatcher: what is sent again, budget, forwarding, cancellation. Measured: npx ava src/instance/dispatcher.test.ts prints 8 tests passed; the test of the claim failed before.

--- /dev/null
+++ b/src/instance/dispatcher.test.ts
@@ -0,0 +1,169 @@
+import test from 'ava'
+import { MemoryPeerNetwork } from '../adapters/peer/memoryPeerNetwork.ts'
+import type { PeerFault } from '../adapters/peer/memoryPeerNetwork.ts'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { SeededRandom } from '../adapters/random/seededRandom.ts'
+import { RefusalError } from '../model/errors.ts'
+import type { RefusalDetails } from '../model/errors.ts'
+import type { InstanceDigest } from '../model/digest.ts'
+import { NO_RESOURCES, resources } from '../model/resources.ts'
+import type { ForwardedRequest, PeerHandler, RunEvent } from '../ports/peerClient.ts'
+import { RetryBudget } from '../scheduler/retries/retryBudget.ts'
+import { decideRetry } from '../scheduler/retries/retryPolicy.ts'
+import type { Route } from '../scheduler/routing/router.ts'
+import { Dispatcher } from './dispatcher.ts'
+
+type Attempt = RefusalDetails | 'whole' | 'broken' | 'cut'
+
+const PEER: InstanceDigest = {
+  ref: { name: 'entry-2', incarnation: 'b' },
+  dataCentre: 'howrah',
+  region: 'Kolkata',
+  peerAddress: 'entry-2:1',
+  state: 'serving',
+  configurationVersion: 1,
+  heardAge: 0,
+  free: NO_RESOURCES,
+  largestFree: NO_RESOURCES,
+  queued: 0,
+  teams: []
+}
+
+class Bench {
+  readonly clock = new ManualClock()
+  readonly network = new MemoryPeerNetwork(this.clock)
+  readonly budget = new RetryBudget()
+  readonly attemptIds: string[] = []
+  readonly destinations: string[] = []
+  /** Names the destination of each attempt; this instance if left out. */
+  route: (excluded: ReadonlySet<string>) => Route = () => ({ destination: 'local' })
+  readonly #outcomes: Attempt[]
+
+  constructor (...outcomes: readonly Attempt[]) {
+    this.#outcomes = [...outcomes]
+    this.network.join(PEER.peerAddress, { run: (forwarded: ForwardedRequest) => this.#runForwarded(forwarded) } as unknown as PeerHandler)
+  }
+
+  async run ({ repeatable = true, hops = 0, signal = new AbortController().signal, deadlineAt = 60_000 } = {}): Promise<{ readonly events: readonly string[], readonly refusal?: RefusalError }> {
+    const random = new SeededRandom(7)
+    const dispatcher = new Dispatcher({
+      selfName: 'entry-1',
+      clock: this.clock,
+      peerClient: this.network.createClient('entry-1:1'),
+      runLocally: work => this.#runLocally(work.attemptId),
+      chooseRoute: ({ excluded }) => this.route(excluded),
+      decideRetry: question => decideRetry(question, this.budget, random),
+      configurationVersion: () => 1,
+      onRetry: () => {},
+      onCrossRegionBytes: () => {}
+    })
+    const request = { id: 'q', kind: 'urgent' as const, name: 'n', size: resources({ slots: 1 }), tasks: 1, deadlineMs: 60_000, repeatable, payload: null }
+    const events: string[] = []
+    const run = (async () => {
+      try {
+        for await (const event of dispatcher.run({ admitted: { team: 'cooks', request, deadlineAt }, flightId: 'f', hops, signal, onStateChange: () => {} })) events.push(event.type)
+        return { events }
+      } catch (error) {
+        return { events, refusal: error as RefusalError }
+      }
+    })()
+    await this.clock.advance(30_000)
+    return await run
+  }
+
+  async * #runLocally (attemptId: string): AsyncIterable<RunEvent> {
+    this.destinations.push('local')
+    this.attemptIds.push(attemptId)
+    const outcome = this.#outcomes.shift() ?? 'whole'
+    if (typeof outcome === 'object') throw new RefusalError('refused', outcome)
+    if (outcome === 'broken') throw new Error('a fault')
+    yield { type: 'head', target: 'r-1', contentType: 'text/plain' }
+    if (outcome === 'cut') throw new RefusalError('cut', { code: 'answer-incomplete', verdict: 'ran', retryable: true })
+    yield { type: 'end', byteCount: 0 }
+  }
+
+  async * #runForwarded ({ attemptId }: ForwardedRequest): AsyncIterable<RunEvent> {
+    this.destinations.pop()
+    try {
+      yield * this.#runLocally(attemptId)
+    } catch (error) {
+      if (!(error instanceof RefusalError)) return
+      const { code, message, verdict, claimed, retryable } = error
+      yield { type: 'refused', code, message, verdict, claimed, retryable }
+    } finally {
+      this.destinations[this.destinations.length - 1] = 'peer'
+    }
+  }
+}
+
+const notRun: RefusalDetails = { code: 'target-failed', verdict: 'not-run', retryable: true }
+const mayHaveRun: RefusalDetails = { code: 'target-failed', verdict: 'may-have-run' }
+const ended: RefusalDetails = { code: 'target-failed', verdict: 'ran', retryable: true }
+
+test('a request that must not be repeated is sent again only if it has certainly not run', async t => {
+  const again = new Bench(notRun)
+  t.deepEqual((await again.run({ repeatable: false })).events, ['head', 'end'])
+  t.deepEqual(again.attemptIds, ['f.1', 'f.2'])
+  for (const outcome of [mayHaveRun, ended, 'broken', 'cut'] as const) {
+    const bench = new Bench(outcome)
+    const { refusal } = await bench.run({ repeatable: false })
+    t.not(refusal?.verdict, 'not-run')
+    t.deepEqual(bench.attemptIds, ['f.1'], JSON.stringify(outcome))
+  }
+})
+
+test('a repeatable request is not sent again while an earlier attempt may run, nor after its head', async t => {
+  for (const [outcome, sends] of [[ended, 2], [mayHaveRun, 1], ['broken', 1], ['cut', 1]] as const) {
+    const bench = new Bench(outcome)
+    await bench.run()
+    t.is(bench.attemptIds.length, sends, JSON.stringify(outcome))
+  }
+})
+
+test('the verdict is that of all attempts, and a claim of an earlier attempt is not forgotten', async t => {
+  const bench = new Bench(ended, { ...notRun, claimed: true }, { code: 'deadline', verdict: 'not-run' })
+  t.like((await bench.run()).refusal, { code: 'deadline', verdict: 'ran', claimed: true })
+})
+
+test('retries stay within the team\'s budget, and re-routing costs none of it but is bounded', async t => {
+  const bench = new Bench()
+  for (let count = 0; count < 10; count++) t.true(bench.budget.tryTake('cooks'))
+  const spent = new Bench(notRun)
+  Object.assign(spent, { budget: bench.budget })
+  t.like((await spent.run()).refusal, { verdict: 'not-run' })
+  const rerouted = new Bench(...Array.from({ length: 20 }, (): RefusalDetails => ({ code: 'draining', verdict: 'not-run', retryable: true })))
+  Object.assign(rerouted, { budget: bench.budget })
+  t.like((await rerouted.run()).refusal, { code: 'draining', verdict: 'not-run' })
+  t.is(rerouted.attemptIds.length, 8)
+})
+
+const peerFaults: ReadonlyArray<readonly [PeerFault['type'], PeerFault, string, number]> = [
+  ['unreachable', { type: 'unreachable' }, 'none', 1],
+  ['loseAnswer', { type: 'loseAnswer' }, 'may-have-run', 1]
+]
+
+for (const [name, fault, verdict, sends] of peerFaults) {
+  test(`a forwarded request is sent again only if the peer has certainly not seen it: ${name}`, async t => {
+    const bench = new Bench()
+    bench.network.chooseFault = () => fault
+    bench.route = excluded => excluded.has('entry-2') ? { destination: 'local' } : { destination: 'peer', instance: PEER, acrossRegions: false, hops: 1 }
+    const { refusal, events } = await bench.run({ repeatable: false })
+    t.is(refusal?.verdict ?? 'none', verdict)
+    t.is(bench.attemptIds.length, sends)
+    if (verdict === 'none') t.deepEqual(events, ['head', 'end'])
+  })
+}
+
+test('an instance that was forwarded a request leaves the retry to the first one', async t => {
+  const bench = new Bench(notRun)
+  t.like((await bench.run({ hops: 1 })).refusal, { verdict: 'not-run', retryable: true })
+  t.is(bench.attemptIds.length, 1)
+})
+
+test('a request cancelled between two attempts is not sent again and keeps the verdict of the first', async t => {
+  const abort = new AbortController()
+  const bench = new Bench(ended)
+  bench.clock.sleep(0).then(() => abort.abort(new Error('the caller left')), () => {})
+  t.like((await bench.run({ signal: abort.signal })).refusal, { code: 'cancelled', verdict: 'ran' })
+  t.is(bench.attemptIds.length, 1)
+})
--- a/src/instance/dispatcher.ts
+++ b/src/instance/dispatcher.ts
@@ -59,6 +59,7 @@
   async * run (context: DispatchContext): AsyncIterable<RunEvent> {
     const excluded = new Set<string>()
     const attempts: AttemptOutcome[] = []
+    let claimed = false
     for (let attempt = 1; ; attempt++) {
       const route = this.#dependencies.chooseRoute({ ...context.admitted, hops: context.hops, excluded })
       let headPassed = false
@@ -73,10 +74,11 @@
         if (headPassed) throw refusal
         // Only what has certainly ended, or never started, is marked as retryable.
         attempts.push({ verdict: refusal.verdict, stopped: refusal.retryable })
+        claimed ||= refusal.claimed
         if (refusal.verdict === 'not-run') excluded.add(route.destination === 'peer' ? route.instance.ref.name : this.#dependencies.selfName)
         const delayMs = this.#decide(context, refusal, attempts)
-        if (delayMs === undefined) throw withVerdict(refusal, combineAttempts(attempts))
-        await this.#pause(context, delayMs, attempts)
+        if (delayMs === undefined) throw summarize(refusal, attempts, claimed)
+        await this.#pause(context, delayMs, attempts, claimed)
         this.#dependencies.onRetry(context.admitted.team, context.admitted.request.kind)
       }
     }
@@ -94,12 +96,12 @@
     return decision.action === 'retry' ? decision.afterMs : undefined
   }
 
-  async #pause (context: DispatchContext, delayMs: number, attempts: readonly AttemptOutcome[]): Promise<void> {
+  async #pause (context: DispatchContext, delayMs: number, attempts: readonly AttemptOutcome[], claimed: boolean): Promise<void> {
     if (delayMs === 0) return
     try {
       await this.#dependencies.clock.sleep(delayMs, context.signal)
     } catch (error) {
-      throw new RefusalError('the request was cancelled', { code: 'cancelled', verdict: combineAttempts(attempts), cause: error })
+      throw new RefusalError('the request was cancelled', { code: 'cancelled', verdict: combineAttempts(attempts), claimed, cause: error })
     }
   }
 
@@ -158,9 +160,11 @@
   return new RefusalError(reason.message, { code: reason.code, verdict, claimed, cause: refusal })
 }
 
-function withVerdict (refusal: RefusalError, verdict: Verdict): RefusalError {
-  if (refusal.verdict === verdict) return refusal
-  const { code, claimed, retryable } = refusal
+/** The refusal of the last attempt, with what is true of all attempts. */
+function summarize (refusal: RefusalError, attempts: readonly AttemptOutcome[], claimed: boolean): RefusalError {
+  const verdict = combineAttempts(attempts)
+  if (refusal.verdict === verdict && refusal.claimed === claimed) return refusal
+  const { code, retryable } = refusal
   return new RefusalError(refusal.message, { code, verdict, claimed, retryable, cause: refusal })
 }
 
