--- a/src/instance/placementQueue.test.ts
+++ b/src/instance/placementQueue.test.ts
@@ -4,14 +4,14 @@
 import { LocalBench } from './testing/localBench.ts'
 
 function createRequest (taskId: string, change: Partial<PlacementRequest> = {}): PlacementRequest {
-  return { team: 'cooks', kind: 'urgent', size: resources({ slots: 2 }), taskIds: [taskId], deadlineAt: 5_000, bytes: 10, repeatable: true, ...change }
+  return { team: 'cooks', requestId: taskId, kind: 'urgent', size: resources({ slots: 2 }), taskIds: [taskId], deadlineAt: 5_000, bytes: 10, repeatable: true, ...change }
 }
 
 const never = new AbortController().signal
 
 test('an adoption that is repeated while the store is down does not charge the team twice', async t => {
   const bench = new LocalBench()
-  const task = { taskId: 'a', targetId: 'r-1', team: 'cooks', kind: 'service' as const, size: resources({ slots: 1 }), repeatable: false, startedAt: 0 }
+  const task = { taskId: 'a', targetId: 'r-1', team: 'cooks', requestId: 'a', kind: 'service' as const, size: resources({ slots: 1 }), repeatable: false, startedAt: 0 }
   bench.adopt = async () => { throw new Error('the store is down') }
   for (let attempt = 0; attempt < 3; attempt++) await t.throwsAsync(bench.placements.adopt(task, undefined))
   t.is(bench.ledger.used('cooks').slots, 1)
--- a/src/instance/testing/localBench.ts
+++ b/src/instance/testing/localBench.ts
@@ -80,6 +80,7 @@
       },
       starter: this.starter,
       tracker: this.tracker,
+      onDetached: () => {},
       observer: { onPlaced: () => {}, onFinished: () => {} },
       estimateSize: (_team, { size }) => size
     })
@@ -88,7 +89,7 @@
   /** What tasks hold: capacity, allotment and share; empty when nothing leaks. */
   get held (): readonly string[] {
     const slots = [...this.pool.targets()].reduce((sum, { info, free }) => sum + info.capacity.slots - free.slots, 0)
-    return [...this.charged, ...this.placements.heldTasks().map(({ taskId }) => taskId),
+    return [...this.charged, ...this.placements.held.all().map(({ taskId }) => taskId),
       ...slots === 0 ? [] : [`${slots} slots`], ...this.ledger.used('cooks').slots === 0 ? [] : ['share']]
   }
 
@@ -126,7 +127,7 @@
   /** Takes a target from this instance, as a successor that has fenced it does. */
   loseTarget (target: StandInTarget): void {
     target.fence(target.epoch + 1)
-    for (const { taskId } of this.placements.heldTasks(target.info.id)) {
+    for (const { taskId } of this.placements.held.onTarget(target.info.id)) {
       this.tracker.forget(taskId)
       this.placements.forget(taskId)
     }
