--- a/src/adapters/list/httpInstanceListServer.ts
+++ b/src/adapters/list/httpInstanceListServer.ts
@@ -1,6 +1,5 @@
 /** The stand-in for the platform's list over HTTP: `GET /v1/list`, and `PUT /v1/list` to change it. */
 import { BaseError } from '../../model/errors.ts'
-import type { Component } from '../../lifecycle/component.ts'
 import { JsonServer } from '../http/jsonServer.ts'
 import type { Route } from '../http/routes.ts'
 import { parseListSnapshot } from './listSchema.ts'
@@ -13,25 +12,9 @@
  * const server = new HttpInstanceListServer(new MemoryInstanceList(clock, snapshot), '127.0.0.1:0')
  * await server.start()
  */
-export class HttpInstanceListServer implements Component {
-  readonly name = 'instance list stand-in'
-  readonly #server: JsonServer
-
+export class HttpInstanceListServer extends JsonServer {
   constructor (list: MemoryInstanceList, listen: string) {
-    this.#server = new JsonServer({ name: this.name, listen, routes: createRoutes(list) })
-  }
-
-  /** `host:port` as bound. */
-  get address (): string {
-    return this.#server.address
-  }
-
-  start (): Promise<void> {
-    return this.#server.start()
-  }
-
-  stop (): Promise<void> {
-    return this.#server.stop()
+    super({ name: 'instance list stand-in', listen, routes: createRoutes(list) })
   }
 }
 
--- a/src/adapters/store/httpStoreServer.ts
+++ b/src/adapters/store/httpStoreServer.ts
@@ -1,7 +1,6 @@
 /** The stand-in for the platform's store over HTTP. */
 import { z } from 'zod'
 import { StoreUnavailableError } from '../../model/errors.ts'
-import type { Component } from '../../lifecycle/component.ts'
 import type { Store } from '../../ports/store.ts'
 import { checkInput } from '../http/checkInput.ts'
 import { JsonServer } from '../http/jsonServer.ts'
@@ -25,28 +24,12 @@
  * const server = new HttpStoreServer(new MemoryStore(new SystemClock()), '127.0.0.1:0')
  * await server.start()
  */
-export class HttpStoreServer implements Component {
-  readonly name = 'store stand-in'
-  readonly #server: JsonServer
-
+export class HttpStoreServer extends JsonServer {
   /** `GET /v1/calls` answers with the counters, if they are given. */
   constructor (store: Store, listen: string, calls?: Readonly<Record<string, number>>) {
     const callsRoute: Route = { method: 'GET', pattern: '/v1/calls', handle: async () => ({ status: 200, body: calls }) }
     const routes = [...createRoutes(store), ...(calls === undefined ? [] : [callsRoute])]
-    this.#server = new JsonServer({ name: this.name, listen, routes })
-  }
-
-  /** `host:port` as bound. */
-  get address (): string {
-    return this.#server.address
-  }
-
-  start (): Promise<void> {
-    return this.#server.start()
-  }
-
-  stop (): Promise<void> {
-    return this.#server.stop()
+    super({ name: 'store stand-in', listen, routes })
   }
 }
 
