--- a/examples/embedding.ts
+++ b/examples/embedding.ts
@@ -6,8 +6,8 @@
 import {
   ChangeLog, ClaimLog, FairQueue, findSetting, findWorkload, LifecycleManager, ManualClock, MemoryStore, MemoryTargetClient,
   resources, SeededRandom, ShareLedger, StandInTarget, TargetPool
-} from '../src/index.ts'
-import type { TargetInfo } from '../src/index.ts'
+} from 'agategauge'
+import type { TargetInfo } from 'agategauge'
 
 const STOP_TIMEOUT_MS = 1_000
 const LEASE_MS = 15_000
