Tell preempted work from failed work after a lost confirmation

Cause: if the target's confirmation of a checkpoint was lost, the end of the task counted as its failure: against the target's breaker and the team's retry budget, and possibly as the final answer. Change: the task stays marked unless the checkpoint certainly did not happen; the mark ends with the start.

--- a/src/instance/localScheduler.test.ts
+++ b/src/instance/localScheduler.test.ts
@@ -182,6 +182,31 @@
   t.deepEqual(bench.held, [])
 })
 
+test('preempted work is not taken for failed when the target\'s confirmation is lost, and a later failure is not taken for preempted', async t => {
+  const bench = new LocalBench()
+  const request = { kind: 'batch' as const, payload: { runMs: 1_000, fail: 'broken' } }
+  const preempted = bench.run(request)
+  await bench.clock.advance(100)
+  bench.client.chooseFault = call => call.method === 'command' ? { type: 'loseAnswer' } : undefined
+  await t.throwsAsync(bench.tracker.checkpoint('f1.1'))
+  t.like((await bench.finish(preempted)).refusal, { code: 'preempted', verdict: 'ran', retryable: true })
+  const failed = bench.run(request)
+  await bench.clock.advance(100)
+  bench.client.chooseFault = call => call.method === 'command' ? { type: 'unreachable' } : undefined
+  await t.throwsAsync(bench.tracker.checkpoint('f2.1'))
+  t.like((await bench.finish(failed)).refusal, { code: 'target-failed', verdict: 'ran' })
+})
+
+test('a mark of a checkpoint does not outlive its task', async t => {
+  const bench = new LocalBench()
+  const run = bench.run({ kind: 'batch', payload: { runMs: 1_000 } })
+  await bench.clock.advance(100)
+  bench.client.chooseFault = call => call.method === 'command' ? { type: 'loseCall' } : undefined
+  await t.throwsAsync(bench.tracker.checkpoint('f1.1'))
+  t.deepEqual((await bench.finish(run)).events, ['accepted', 'head', 'chunk', 'end'])
+  t.false(bench.tracker.takeCheckpointed('f1.1'))
+})
+
 test('an answer for another task does not keep its connection', async t => {
   const bench = new LocalBench()
   let closed = false
--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -80,8 +80,12 @@
       leaseMs,
       detached
     }, work.signal).catch((error: unknown): StartResult => ({ outcome: 'unknown', message: describe(error) }))
-    const started = { taskId, target, ended }
-    return { ...started, answer: await this.#takeResult(work, started, epoch, result) }
+    const sent = { taskId, target, ended }
+    try {
+      return { ...sent, answer: await this.#takeResult(work, sent, epoch, result) }
+    } finally {
+      tracker.takeCheckpointed(taskId)
+    }
   }
 
   /** Stops a task; undefined if it may run on, at the request's deadline or under another instance. */
--- a/src/instance/taskTracker.ts
+++ b/src/instance/taskTracker.ts
@@ -2,7 +2,7 @@
  * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
  * Capacity and allotment of a task are released only when the task has certainly ended.
  */
-import { RefusalError, TargetUnreachableError } from '../model/errors.ts'
+import { RefusalError, TargetUnknownError, TargetUnreachableError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { TargetClient } from '../ports/targetClient.ts'
 import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
@@ -91,7 +91,7 @@
     this.complete(taskId, { outcome: 'lost' })
   }
 
-  /** Says whether the task was checkpointed by `checkpoint`; true at most once for each task. */
+  /** Says whether the task was, or may have been, checkpointed by `checkpoint`; true at most once for each task. */
   takeCheckpointed (taskId: string): boolean {
     return this.#checkpointed.delete(taskId)
   }
@@ -99,13 +99,14 @@
   /** Asks the target to checkpoint the task, which frees its capacity; rejects if the target can't be reached. */
   async checkpoint (taskId: string): Promise<void> {
     const entry = this.#entries.get(taskId)
-    if (entry === undefined || this.#checkpointed.has(taskId)) return
+    if (entry === undefined) return
     this.#checkpointed.add(taskId)
     try {
       const { task } = entry
       this.#take(entry, await this.#client.command(task.target, taskId, task.epoch, 'checkpoint'))
     } catch (error) {
-      this.#checkpointed.delete(taskId)
+      // After a lost answer the task may have been checkpointed, and its end must not count as a failure.
+      if (!(error instanceof TargetUnknownError)) this.#checkpointed.delete(taskId)
       throw error
     }
   }
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -24,6 +24,9 @@
 /** No connection was made: the target certainly has not seen the call. */
 export const TargetUnreachableError = BaseError.subclass('TargetUnreachableError')
 
+/** The call was sent and no whole answer came back: it may have had an effect. */
+export const TargetUnknownError = BaseError.subclass('TargetUnknownError')
+
 export interface RefusalDetails {
   readonly code: RefusalCode
   readonly verdict: Verdict
--- a/src/ports/targetClient.ts
+++ b/src/ports/targetClient.ts
@@ -48,7 +48,7 @@
 
 export type TaskCommand = 'stop' | 'checkpoint' | 'throttle'
 
-/** Calls reject with `TargetUnreachableError` if the target certainly has not seen them. */
+/** Calls reject with `TargetUnreachableError` if the target certainly has not seen them, with `TargetUnknownError` if it may have. */
 export interface TargetClient {
   /** Raises the target's epoch and returns the tasks that it runs; rejects if the target can't be reached. */
   fence (target: TargetInfo, epoch: number, signal?: AbortSignal): Promise<FenceResult>
