--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -6,14 +6,15 @@
 import { checkChange, checkSnapshot } from '../../configuration/recordSchemas.ts'
 import * as wire from '../../generated/peer_pb.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import type { InstanceDigest } from '../../model/digest.ts'
+import type { ExchangeSender } from '../../model/digest.ts'
 import type { InstanceRef } from '../../model/identity.ts'
 import type { Resources } from '../../model/resources.ts'
 import type {
   ClaimEntry, ClaimOutcome, ExchangeAnswer, FetchedChanges, ForwardedRequest, PeerClient, RequestStatus, RunEvent
 } from '../../ports/peerClient.ts'
 import { PEER_SECRET_HEADER } from './connectPeerServer.ts'
-import { decodeDigests, decodeResources, decodeRunEvent, encodeDigest, encodeRef, encodeResources, parseJson } from './peerCodec.ts'
+import { decodeExchangeAnswer, encodeExchangeRequest } from './exchangeCodec.ts'
+import { decodeResources, decodeRunEvent, encodeRef, encodeResources, parseJson } from './peerCodec.ts'
 
 interface Connection {
   readonly sessions: Http2SessionManager
@@ -46,10 +47,10 @@
     this.#connections.clear()
   }
 
-  async exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer> {
+  async exchange (address: string, sender: ExchangeSender, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer> {
     const answer = await this.#connect(address).exchange(
-      create(wire.ExchangeRequestSchema, { sender: encodeDigest(sender), registering }), { signal, timeoutMs: this.#callTimeoutMs })
-    return { instances: decodeDigests(answer.instances), acknowledged: answer.acknowledged }
+      encodeExchangeRequest(sender, registering), { signal, timeoutMs: this.#callTimeoutMs })
+    return decodeExchangeAnswer(answer)
   }
 
   async * run (address: string, forwarded: ForwardedRequest, signal?: AbortSignal): AsyncIterable<RunEvent> {
--- a/src/adapters/peer/peerCodec.fuzz.test.ts
+++ b/src/adapters/peer/peerCodec.fuzz.test.ts
@@ -5,56 +5,74 @@
 import { FreshnessTracker } from '../../configuration/freshness.ts'
 import * as wire from '../../generated/peer_pb.ts'
 import { MembershipTable } from '../../membership/membershipTable.ts'
-import type { InstanceDigest } from '../../model/digest.ts'
+import { AnswerReader } from '../../membership/answerReader.ts'
+import type { InstanceDigest, NamedUpdate } from '../../model/digest.ts'
 import { InputError, RefusalError } from '../../model/errors.ts'
 import { DIMENSIONS, resources } from '../../model/resources.ts'
 import type { Resources } from '../../model/resources.ts'
 import { ShareLedger } from '../../scheduler/shares/shareLedger.ts'
 import { ManualClock } from '../clock/manualClock.ts'
 import { REFUSAL_STATUS } from '../caller/refusalStatus.ts'
-import { decodeClaims, decodeDigest, decodeDigests, decodeForwarded, decodeRunEvent, encodeDigest } from './peerCodec.ts'
+import { decodeExchangeAnswer, decodeExchangeSender, encodeExchangeAnswer } from './exchangeCodec.ts'
+import { decodeClaims, decodeForwarded, decodeRunEvent } from './peerCodec.ts'
 
 const SELF = { name: 'entry-1', incarnation: 'a' }
 
-const honest: InstanceDigest = {
+const honest: NamedUpdate = {
+  handle: 1,
   ref: { name: 'entry-2', incarnation: 'b' },
-  dataCentre: 'attica-a',
-  region: 'attica',
-  peerAddress: '127.0.0.1:1',
+  place: { dataCentre: 'attica-a', region: 'attica', peerAddress: '127.0.0.1:1' },
   state: 'serving',
   configurationVersion: 7,
   heardAge: 0,
   storeReadAge: 100,
   quietAge: 100,
+  load: { version: 1, free: resources({ slots: 4 }), largestFree: resources({ slots: 4 }), queued: 1 },
+  teams: [{ team: 'weavers', used: resources({ slots: 4 }), spare: resources({ slots: 1 }), queued: 1, version: 1 }]
+}
+
+const OWN: InstanceDigest = {
+  ref: SELF,
+  dataCentre: 'attica-a',
+  region: 'attica',
+  peerAddress: '127.0.0.1:2',
+  state: 'serving',
+  configurationVersion: 7,
+  heardAge: 0,
   free: resources({ slots: 4 }),
   largestFree: resources({ slots: 4 }),
-  queued: 1,
-  teams: [{ team: 'weavers', used: resources({ slots: 4 }), spare: resources({ slots: 1 }), queued: 1 }]
+  queued: 0,
+  teams: []
 }
 
-const number = fc.oneof(fc.double(), fc.constantFrom(NaN, Infinity, -Infinity, -1, 1e308, Number.MAX_VALUE, -0))
-const vector = fc.record({ slots: number, processors: number, memory: number, accelerators: number })
+function encodeUpdates (updates: readonly NamedUpdate[]): wire.ExchangeResponse {
+  return encodeExchangeAnswer({ instances: updates, acknowledged: true, revision: 1 })
+}
 
-/** A digest as its message, with any number in every place. */
-const poisoned = fc.record({
-  version: fc.oneof(fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }), fc.nat().map(BigInt)),
-  heardAge: number,
-  storeReadAge: number,
-  quietAge: number,
-  vector
-}).map(({ version, vector, ...ages }) => {
-  const message = encodeDigest({ ...honest, ref: { name: 'entry-3', incarnation: 'c' } })
-  const amounts = create(wire.ResourcesSchema, vector)
-  Object.assign(message, ages, { configurationVersion: version, free: amounts, largestFree: amounts })
-  for (const team of message.teams) Object.assign(team, { used: amounts, spare: amounts })
-  return message
-})
+/** The ranges of the wire's number types, with their ends. */
+const small = fc.oneof(fc.nat(), fc.constantFrom(0, 2 ** 32 - 1))
+const large = fc.oneof(fc.bigInt({ min: 0n, max: 2n ** 64n - 1n }), fc.constantFrom(0n, 2n ** 53n, 2n ** 64n - 1n))
+const amounts = fc.record({ slots: small, processors: large, memory: large, accelerators: small }).map(given => create(wire.AmountsSchema, given))
+
+/** An entry as its message, with any number in every place. */
+const poisoned = fc.record({ version: large, loadVersion: large, ages: fc.tuple(small, small, small), amounts, queued: small })
+  .map(({ version, loadVersion, ages: [heardAge, storeReadAge, quietAge], amounts, queued }) => {
+    const [message] = encodeUpdates([{ ...honest, handle: 2, ref: { name: 'entry-3', incarnation: 'c' } }]).instances
+    Object.assign(message!, { configurationVersion: version, heardAge, storeReadAge, quietAge })
+    Object.assign(message!.load!, { version: loadVersion, free: amounts, largestFree: amounts, queued })
+    for (const team of message!.teams) Object.assign(team, { used: amounts, spare: amounts, queued, version: loadVersion })
+    return message!
+  })
 
 function isSane (amounts: Resources): boolean {
   return DIMENSIONS.every(dimension => amounts[dimension] >= 0 && amounts[dimension] <= Number.MAX_SAFE_INTEGER)
 }
 
-test('no number in a digest poisons the membership, the ledger or the freshness', t => {
+function readAnswer (message: wire.ExchangeResponse): readonly NamedUpdate[] {
+  return new AnswerReader().read('127.0.0.1:1', undefined, decodeExchangeAnswer(message))
+}
+
+test('no number in an answer poisons the membership, the ledger or the freshness', t => {
   fc.assert(fc.property(fc.array(poisoned, { minLength: 1, maxLength: 3 }), messages => {
     const clock = new ManualClock(100_000)
     const table = new MembershipTable({ clock, self: SELF, dataCentre: 'attica-a' })
@@ -63,10 +81,11 @@
     const tracker = new FreshnessTracker({
       clock, self: SELF, log: { version: 7, pending: false, onRead: () => () => {} }, registry: { acceptors: [], registeredAt: undefined, release: () => {} }
     })
-    const decoded = decodeDigests([encodeDigest(honest), ...messages])
-    table.merge(decoded, clock.monotonicMs())
-    for (const digest of decoded) table.noteRequest(digest)
-    tracker.noteAnswer(decoded, clock.monotonicMs())
+    const answer = encodeUpdates([honest])
+    answer.instances.push(...messages)
+    const updates = readAnswer(answer)
+    table.merge(updates, clock.monotonicMs())
+    tracker.noteAnswer(updates, clock.monotonicMs())
     table.merge([{ ...honest, configurationVersion: 8 }], clock.monotonicMs())
     ledger.observe(table.others().map(({ digest }) => digest))
 
@@ -84,7 +103,7 @@
   const clock = new ManualClock(100_000)
   const table = new MembershipTable({ clock, self: SELF, dataCentre: 'attica-a' })
   for (let second = 0; second < 10; second++) {
-    table.setOwnDigest({ ...honest, ref: SELF })
+    table.setOwnDigest(OWN)
     table.merge([{ ...honest, heardAge: NaN }], clock.monotonicMs())
     await clock.advance(1_000)
   }
@@ -94,7 +113,7 @@
 const bytes = fc.oneof(
   fc.uint8Array({ maxLength: 200 }),
   fc.tuple(fc.nat(), fc.nat(255), fc.nat()).map(([position, value, cut]) => {
-    const valid = toBinary(wire.InstanceDigestSchema, encodeDigest(honest))
+    const valid = toBinary(wire.ExchangeResponseSchema, encodeUpdates([honest]))
     valid[position % valid.length] = value
     return cut % 4 === 0 ? valid.subarray(0, cut % valid.length) : valid
   }))
@@ -115,8 +134,10 @@
         return undefined
       }
     }
-    const digest = read(wire.InstanceDigestSchema, decodeDigest)
-    t.true(digest === undefined || (digest.ref.name !== '' && digest.heardAge >= 0 && isSane(digest.free)))
+    const updates = read(wire.ExchangeResponseSchema, readAnswer) ?? []
+    t.true(updates.every(({ ref, heardAge, load }) => ref.name !== '' && heardAge >= 0 && (load === undefined || isSane(load.free))))
+    const sender = read(wire.ExchangeRequestSchema, decodeExchangeSender)
+    t.true(sender === undefined || (sender.ref.name !== '' && Number.isSafeInteger(sender.configurationVersion)))
     const event = read(wire.RunEventSchema, decodeRunEvent)
     t.true(event?.type !== 'refused' || Object.hasOwn(REFUSAL_STATUS, event.code))
     read(wire.RunRequestSchema, decodeForwarded)
@@ -124,10 +145,12 @@
   }), { seed: 52, numRuns: 2_000 })
 })
 
-test('an invalid digest does not stand in for the instance that answered', t => {
-  const invalid = create(wire.InstanceDigestSchema, {})
-  t.throws(() => decodeDigests([invalid, encodeDigest(honest)]), { message: /reference/ })
-  t.deepEqual(decodeDigests([encodeDigest(honest), invalid]), [honest])
+test('an invalid entry does not stand in for the instance that answered', t => {
+  const invalid = create(wire.InstanceDigestSchema, { handle: 3, ref: create(wire.InstanceRefSchema, {}) })
+  const [valid] = encodeUpdates([honest]).instances
+  t.throws(() => readAnswer(create(wire.ExchangeResponseSchema, { instances: [invalid, valid!] })), { message: /reference/ })
+  t.deepEqual(readAnswer(create(wire.ExchangeResponseSchema, { instances: [valid!, invalid] })), [honest])
+  t.throws(() => readAnswer(create(wire.ExchangeResponseSchema, {})), { message: /does not describe/ })
 })
 
 test('a forwarded request that could run twice or without an end is refused', t => {
--- a/src/adapters/peer/peerCodec.ts
+++ b/src/adapters/peer/peerCodec.ts
@@ -1,6 +1,5 @@
 /** Converts between the domain types and the generated messages of the peer protocol. */
 import { create } from '@bufbuild/protobuf'
-import type { InstanceDigest, InstanceState } from '../../model/digest.ts'
 import type { RefusalCode } from '../../model/errors.ts'
 import type { InstanceRef } from '../../model/identity.ts'
 import { InputError, REFUSAL_CODES } from '../../model/errors.ts'
@@ -12,9 +11,6 @@
 import { completeRequest, parseRequest } from '../../scheduler/admission/requestSchema.ts'
 import * as wire from '../../generated/peer_pb.ts'
 
-/** Stands for an age that is not known, since the wire type has no absent number. */
-const UNKNOWN_AGE = -1
-
 /** Above any fleet's sum; larger amounts would make sums inexact. */
 const MOST_AMOUNT = 1e12
 
@@ -47,71 +43,10 @@
 }
 
 /** An amount that can't be true counts as nothing: sums of usage stay finite, and nothing is sent where no room is known. */
-function decodeAmount (amount: number): number {
+export function decodeAmount (amount: number): number {
   return amount >= 0 && amount <= MOST_AMOUNT ? amount : 0
 }
 
-export function encodeDigest (digest: InstanceDigest): wire.InstanceDigest {
-  return create(wire.InstanceDigestSchema, {
-    ref: encodeRef(digest.ref),
-    dataCentre: digest.dataCentre,
-    region: digest.region,
-    peerAddress: digest.peerAddress,
-    state: digest.state,
-    configurationVersion: BigInt(digest.configurationVersion),
-    heardAge: digest.heardAge,
-    storeReadAge: digest.storeReadAge ?? UNKNOWN_AGE,
-    quietAge: digest.quietAge ?? UNKNOWN_AGE,
-    free: encodeResources(digest.free),
-    largestFree: encodeResources(digest.largestFree),
-    queued: digest.queued,
-    teams: digest.teams.map(team => create(wire.TeamDigestSchema, {
-      team: team.team,
-      used: encodeResources(team.used),
-      spare: encodeResources(team.spare),
-      queued: team.queued
-    }))
-  })
-}
-
-export function decodeDigest (message: wire.InstanceDigest | undefined): InstanceDigest {
-  if (message === undefined) throw new InputError('a peer message has no digest')
-  return {
-    ref: decodeRef(message.ref),
-    dataCentre: message.dataCentre,
-    region: message.region,
-    peerAddress: message.peerAddress,
-    state: decodeState(message.state),
-    configurationVersion: decodeVersion(message.configurationVersion),
-    heardAge: decodeAge(message.heardAge) ?? Infinity,
-    storeReadAge: decodeAge(message.storeReadAge),
-    quietAge: decodeAge(message.quietAge),
-    free: decodeResources(message.free),
-    largestFree: decodeResources(message.largestFree),
-    queued: message.queued,
-    teams: message.teams.map(team => ({
-      team: team.team,
-      used: decodeResources(team.used),
-      spare: decodeResources(team.spare),
-      queued: team.queued
-    }))
-  }
-}
-
-/** Decodes an answer to an exchange. The first digest is that of the instance that answered; others that are invalid are dropped. */
-export function decodeDigests (messages: readonly wire.InstanceDigest[]): readonly InstanceDigest[] {
-  const [first, ...others] = messages
-  return [decodeDigest(first), ...others.flatMap(message => decodeIfValid(message) ?? [])]
-}
-
-function decodeIfValid (message: wire.InstanceDigest): InstanceDigest | undefined {
-  try {
-    return decodeDigest(message)
-  } catch {
-    return undefined
-  }
-}
-
 /** Decodes a request that another instance took; throws an error for one that can't be run as it was meant. */
 export function decodeForwarded (message: wire.RunRequest): ForwardedRequest {
   const { attemptId, team, remainingMs, hops } = message
@@ -199,15 +134,7 @@
 }
 
 /** Versions must be exact: freshness compares them. */
-function decodeVersion (version: bigint): number {
+export function decodeVersion (version: bigint): number {
   if (version > BigInt(Number.MAX_SAFE_INTEGER)) throw new InputError(`a peer message has the version ${version}`)
   return Number(version)
 }
-
-function decodeState (state: string): InstanceState {
-  return state === 'serving' || state === 'draining' ? state : 'starting'
-}
-
-function decodeAge (age: number): number | undefined {
-  return age >= 0 && age < Infinity ? age : undefined
-}
--- a/src/index.ts
+++ b/src/index.ts
@@ -71,7 +71,7 @@
 export { MembershipTable } from './membership/membershipTable.ts'
 export type { Member, MembershipOptions } from './membership/membershipTable.ts'
 export { ExchangeLoop } from './membership/exchangeLoop.ts'
-export type { ControlBytes, ExchangeLoopOptions } from './membership/exchangeLoop.ts'
+export type { ExchangeLoopOptions } from './membership/exchangeLoop.ts'
 export { ListLoop } from './membership/listLoop.ts'
 export type { ListListener, ListLoopOptions } from './membership/listLoop.ts'
 
