Start no task of a gang when one of its targets was handed over

Cause: a gang that is not repeatable waits for its claim with its places reserved. Change: a gang starts only while all of its targets are owned; otherwise it is placed anew, since nothing was sent.

--- a/src/instance/localScheduler.ts
+++ b/src/instance/localScheduler.ts
@@ -120,6 +120,11 @@
   /** Starts every task; if one can't be started, stops the others, so that a gang runs as a whole or not at all. */
   async * #startDetached (work: LocalWork, assignments: readonly Assignment[], size: Resources): AsyncIterable<RunEvent> {
     const { starter } = this.#dependencies
+    // A target may have been lost while the claim was written; some tasks of a gang would then start in vain.
+    if (!assignments.every(({ targetId }) => starter.owns(targetId))) {
+      this.#releaseAll(assignments)
+      throw new RefusalError('a target is not owned any more', { code: 'fenced', verdict: 'not-run', retryable: true })
+    }
     const results = await Promise.allSettled(assignments.map(({ taskId, targetId }) =>
       starter.start(work, taskId, targetId, size, true)))
     const failures = results.flatMap(result => result.status === 'rejected' ? [result.reason as unknown] : [])
--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -78,6 +78,11 @@
     return { taskId, target, answer, ended }
   }
 
+  /** Says whether the target may be used now. */
+  owns (targetId: string): boolean {
+    return this.#dependencies.findTarget(targetId) !== undefined && this.#dependencies.ownership.epochOf(targetId) !== undefined
+  }
+
   /** Waits until no start that was sent to the target can begin any more; for targets without fencing. */
   async awaitStartsSettled (targetId: string): Promise<void> {
     const { clock } = this.#dependencies
