--- a/bench/experiments/packing.ts
+++ b/bench/experiments/packing.ts
@@ -34,7 +34,7 @@
   const memory = processors / 1_000 * MB_PER_CORE[Math.floor(variant / CORES.length)]!
   const part = declareTruly ? 1 : USED_PARTS[variant % USED_PARTS.length]! * (1 - USE_NOISE * random.next())
   const use = resources({ processors: processors * part, memory: memory * part })
-  const { team } = TAMRALIPTA.teams[random.integer(TAMRALIPTA.teams.length)]!
+  const { team } = TAMRALIPTA.teams[variant % TAMRALIPTA.teams.length]!
   return {
     team, kind: 'batch', name: `work-${variant}`, size: { processors, memory }, use, runMs: SHORTEST_RUN_MS + random.integer(RUN_SPREAD_MS), deadlineMs: DEADLINE_MS
   }
--- a/src/membership/exchangeLoop.ts
+++ b/src/membership/exchangeLoop.ts
@@ -173,7 +173,8 @@
       place: statesPlace ? { dataCentre, region, peerAddress } : undefined,
       known,
       unanswered: others.filter(({ digest }) => this.#unanswered.has(digest.peerAddress)).map(({ digest }) => digest.ref.name),
-      withoutLoad: table.hasRecentLoadOf(address)
+      // An answer without load does not count as known, so that the first one would be repeated.
+      withoutLoad: known !== undefined && table.hasRecentLoadOf(address)
     }
   }
 
