Look for an instance until the deadline during a hand-over

Cause: a request that found no instance with targets was refused after 8 tries and 420 ms, although its deadline was seconds away. While targets are handed over after instances join, a whole data centre has none for about a second.

Change: such tries cost no attempt and go on until the deadline, with a delay that doubles up to 500 ms (40 ms for urgent work), for at most 2,000 requests at once; when all instances have refused, they are asked again. A refusal in that pause keeps its claimed flag. The listener for an abort is removed when a wait ends; a request that was tried again gathered one with each try.

--- a/src/instance/dispatcher.ts
+++ b/src/instance/dispatcher.ts
@@ -7,6 +7,7 @@
 import type { PeerClient, RunEvent } from '../ports/peerClient.ts'
 import type { Route } from '../scheduler/routing/router.ts'
 import type { AttemptOutcome, RetryDecision, RetryQuestion } from '../scheduler/retries/retryPolicy.ts'
+import { findWorkload } from '../workloads/registry.ts'
 import type { LocalWork } from './localWork.ts'
 
 export interface RouteQuery extends AdmittedRequest {
@@ -42,14 +43,23 @@
 
 /** Refusals that another instance may not repeat; they cost no retry budget, since nothing was sent to a target. */
 const REROUTED_CODES: ReadonlySet<string> = new Set(['no-capacity', 'draining', 'fenced'])
-/** Bounds re-routing, beside the retry budget. */
+/** Bounds attempts that reached a target, beside the retry budget. */
 const ATTEMPT_LIMIT = 8
 
-/** Lets allotments and ownership settle before an instance is tried again. */
+/** Lets allotments and ownership settle before an instance is tried again; doubles with each round up to the limit. */
 const REROUTE_DELAY_MS = 20
+const LONGEST_REROUTE_DELAY_MS = 500
+/** Urgent work starts within 2 s; with the longer delay, price checks waited up to 2.4 s at overload. */
+const LONGEST_URGENT_REROUTE_DELAY_MS = 40
+/**
+ * Requests that look for an instance at the same time; the same bound as for the queue. A hand-over of targets takes
+ * seconds: with a limit of 8 attempts, requests were refused after 420 ms although their deadline was 10 s away.
+ */
+const REROUTING_LIMIT = 2_000
 
 export class Dispatcher {
   readonly #dependencies: DispatcherDependencies
+  #rerouting = 0
 
   constructor (dependencies: DispatcherDependencies) {
     this.#dependencies = dependencies
@@ -59,6 +69,8 @@
   async * run (context: DispatchContext): AsyncIterable<RunEvent> {
     const excluded = new Set<string>()
     const attempts: AttemptOutcome[] = []
+    let rerouted = 0
+    let claimed = false
     for (let attempt = 1; ; attempt++) {
       const route = this.#dependencies.chooseRoute({ ...context.admitted, hops: context.hops, excluded })
       let headPassed = false
@@ -71,35 +83,64 @@
       } catch (error) {
         const refusal = toRefusal(error, context.signal)
         if (headPassed) throw refusal
+        claimed ||= refusal.claimed
+        if (isRerouted(refusal) && this.#mayReroute(context)) {
+          // When every instance has refused, they are asked again.
+          if (route.destination === 'none') excluded.clear()
+          else excluded.add(this.#nameOf(route))
+          await this.#pauseRerouted(context, rerouted++, attempts, claimed)
+          continue
+        }
         // Only what has certainly ended, or never started, is marked as retryable.
         attempts.push({ verdict: refusal.verdict, stopped: refusal.retryable })
-        if (refusal.verdict === 'not-run') excluded.add(route.destination === 'peer' ? route.instance.ref.name : this.#dependencies.selfName)
+        if (refusal.verdict === 'not-run') excluded.add(this.#nameOf(route))
         const delayMs = this.#decide(context, refusal, attempts)
         if (delayMs === undefined) throw withVerdict(refusal, combineAttempts(attempts))
-        await this.#pause(context, delayMs, attempts)
+        await this.#pause(context, delayMs, attempts, claimed)
         this.#dependencies.onRetry(context.admitted.team, context.admitted.request.kind)
       }
     }
   }
 
+  #nameOf (route: Route): string {
+    return route.destination === 'peer' ? route.instance.ref.name : this.#dependencies.selfName
+  }
+
+  /** A forwarded request goes back to its first instance, which chooses another one. */
+  #mayReroute ({ hops, signal, admitted }: DispatchContext): boolean {
+    return hops === 0 && !signal.aborted && this.#rerouting < REROUTING_LIMIT && this.#dependencies.clock.monotonicMs() < admitted.deadlineAt
+  }
+
+  async #pauseRerouted (context: DispatchContext, rerouted: number, attempts: readonly AttemptOutcome[], claimed: boolean): Promise<void> {
+    this.#rerouting++
+    try {
+      const isUrgent = findWorkload(context.admitted.request.kind).urgency === 0
+      const longestMs = isUrgent ? LONGEST_URGENT_REROUTE_DELAY_MS : LONGEST_REROUTE_DELAY_MS
+      const delayMs = rerouted === 0 ? 0 : Math.min(longestMs, REROUTE_DELAY_MS * 2 ** (rerouted - 1))
+      await this.#pause(context, delayMs, attempts, claimed)
+    } finally {
+      this.#rerouting--
+    }
+  }
+
   #decide (context: DispatchContext, refusal: RefusalError, attempts: readonly AttemptOutcome[]): number | undefined {
     const { team, request, deadlineAt } = context.admitted
     const now = this.#dependencies.clock.monotonicMs()
     if (context.hops > 0 || context.signal.aborted || now >= deadlineAt || attempts.length >= ATTEMPT_LIMIT) return undefined
-    const { retryable, verdict, code } = refusal
+    const { retryable, code } = refusal
     const { repeatable } = request
-    if (retryable && verdict === 'not-run' && REROUTED_CODES.has(code)) return REROUTE_DELAY_MS * (attempts.length - 1)
     if (retryable && repeatable && code === 'preempted') return REROUTE_DELAY_MS
     const decision = this.#dependencies.decideRetry({ team, repeatable, attempts, retryable, now, deadlineAt })
     return decision.action === 'retry' ? decision.afterMs : undefined
   }
 
-  async #pause (context: DispatchContext, delayMs: number, attempts: readonly AttemptOutcome[]): Promise<void> {
+  async #pause (context: DispatchContext, delayMs: number, attempts: readonly AttemptOutcome[], claimed: boolean): Promise<void> {
     if (delayMs === 0) return
     try {
       await this.#dependencies.clock.sleep(delayMs, context.signal)
     } catch (error) {
-      throw new RefusalError('the request was cancelled', { code: 'cancelled', verdict: combineAttempts(attempts), cause: error })
+      const cancelled = new RefusalError('the request was cancelled', { code: 'cancelled', verdict: combineAttempts(attempts), claimed, cause: error })
+      throw toRefusal(cancelled, context.signal)
     }
   }
 
@@ -144,6 +185,10 @@
   }
 }
 
+function isRerouted ({ retryable, verdict, code }: RefusalError): boolean {
+  return retryable && verdict === 'not-run' && REROUTED_CODES.has(code)
+}
+
 function combineAttempts (attempts: readonly AttemptOutcome[]): Verdict {
   return combineVerdicts(attempts.map(attempt => attempt.verdict))
 }
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -46,8 +46,8 @@
 
 export interface WaitingRequest {
   readonly request: PlacementRequest
-  settle (assignments: readonly Assignment[]): void
-  refuse (error: RefusalError): void
+  settle: (assignments: readonly Assignment[]) => void
+  refuse: (error: RefusalError) => void
   assignments: readonly Assignment[]
   /** Why the targets of this instance can never hold the request. */
   neverReason?: string
@@ -99,9 +99,19 @@
       for (const victim of shed) this.#refuse(victim, createShed())
       if (!accepted) return reject(createShed())
       this.#countWaiting(request, 1)
-      signal.addEventListener('abort', () => {
+      const onAbort = (): void => {
         if (queue.remove(entry)) this.#refuse(entry, createAborted(signal))
-      }, { once: true })
+      }
+      // A request that is tried again and again would gather a listener with each try.
+      waiting.settle = assignments => {
+        signal.removeEventListener('abort', onAbort)
+        resolve(assignments)
+      }
+      waiting.refuse = error => {
+        signal.removeEventListener('abort', onAbort)
+        reject(error)
+      }
+      signal.addEventListener('abort', onAbort, { once: true })
       this.pump()
       if (waiting.neverReason !== undefined && queue.remove(entry)) this.#refuse(entry, createNever(waiting.neverReason))
       else if (waiting.assignments.length === 0) this.#dependencies.onWaiting(request)
