Try: hold whole tasks only where a limit is exhausted

Cause: a team limited to 100 cores used 96.0 while it asked for more, since several instances each held a rest smaller than a task of 4 cores.

Change: where the limit is exhausted, an instance wants what it uses and whole tasks of the smallest waiting size, and returns the rest to the pool.

--- a/src/scheduler/limits/allotmentManager.ts
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -118,9 +118,10 @@
     return await this.#team(team).transfer(receiver, wanted, this.#abort.signal)
   }
 
-  setQueuedDemand (team: string, queued: Resources): void {
+  /** Sets the sum of what waits and, if it is known, the smallest waiting task in each dimension. */
+  setQueuedDemand (team: string, queued: Resources, smallest?: Resources): void {
     const allotment = this.#team(team)
-    allotment.setQueued(queued)
+    allotment.setQueued(queued, smallest)
     if (!isEmpty(allotment.unmet)) this.#follow(team, allotment).catch(() => {})
   }
 
--- a/src/scheduler/limits/teamAllotment.ts
+++ b/src/scheduler/limits/teamAllotment.ts
@@ -33,6 +33,7 @@
   #configured: { readonly limit: Limit, readonly version: number } = { limit: {}, version: 0 }
   /** Spendable in sum; the entry in the record is at least this and at least what is used. */
   #held = NO_RESOURCES
+  #smallest = NO_RESOURCES
   #returning = false
   #lowerings = 0
   #rereadUntilMs = 0
@@ -75,8 +76,11 @@
     this.#view.markStale()
   }
 
-  setQueued (queued: Resources): void {
+  /** The smallest waiting task stays as it is if it is not given. */
+  setQueued (queued: Resources, smallest?: Resources): void {
     this.#charges.setQueued(roundSize(queued))
+    if (isEmpty(queued)) this.#smallest = NO_RESOURCES
+    else if (smallest !== undefined) this.#smallest = roundSize(smallest)
   }
 
   markStale (): void {
@@ -217,7 +221,7 @@
   #plan (record: AllotmentRecord, key: IncarnationKey): Adjustment {
     const { used, demand, active } = this.#charges
     const wanted = this.#returning ? used : wantedAmount(demand, active)
-    return planAdjustment(record, key, { used, held: this.#held, wanted, returning: this.#returning })
+    return planAdjustment(record, key, { used, held: this.#held, wanted, smallest: this.#smallest, returning: this.#returning })
   }
 
   #isRereadDue (): boolean {
