--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -63,11 +63,10 @@
     const others = membership.live().map(({ digest }) => digest).filter(({ ref }) => !sameInstance(ref, this.#coordination.ownership.self))
     ledger.setCapacity(this.#configuration.listedTargets().reduce<Resources>((sum, target) => addResources(sum, target.capacity), NO_RESOURCES))
     ledger.observe(others)
-    const smallest = placements.smallestWaiting()
     for (const team of this.#configuration.settings.teams()) {
       const { size, entries } = placements.waiting(team)
       ledger.setWaiting(team, size, entries)
-      this.#coordination.allotments.setQueuedDemand(team, size, smallest.get(team))
+      this.#coordination.allotments.setQueuedDemand(team, size)
     }
     preemptor.balanceShares()
     this.#updateGauges()
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -2,7 +2,7 @@
 import { RefusalError } from '../model/errors.ts'
 import type { InstanceRef } from '../model/identity.ts'
 import type { KindName } from '../model/request.ts'
-import { addResources, minimumResources, NO_RESOURCES, scaleResources } from '../model/resources.ts'
+import { addResources, NO_RESOURCES, scaleResources } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
@@ -123,16 +123,6 @@
     return this.#waiting.get(team) ?? NOTHING_WAITING
   }
 
-  /** The smallest size of a waiting request of each team, dimension by dimension. */
-  smallestWaiting (): ReadonlyMap<string, Resources> {
-    const smallest = new Map<string, Resources>()
-    for (const { team, size, tasks } of this.#dependencies.queue.entries()) {
-      const whole = scaleResources(size, tasks)
-      smallest.set(team, minimumResources(smallest.get(team) ?? whole, whole))
-    }
-    return smallest
-  }
-
   waitingTeams (): Iterable<string> {
     return this.#waiting.keys()
   }
--- a/src/scheduler/limits/allotmentManager.ts
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -118,10 +118,9 @@
     return await this.#team(team).transfer(receiver, wanted, this.#abort.signal)
   }
 
-  /** Sets the sum of what waits and, if it is known, the smallest waiting task in each dimension. */
-  setQueuedDemand (team: string, queued: Resources, smallest?: Resources): void {
+  setQueuedDemand (team: string, queued: Resources): void {
     const allotment = this.#team(team)
-    allotment.setQueued(queued, smallest)
+    allotment.setQueued(queued)
     if (!isEmpty(allotment.unmet)) this.#follow(team, allotment).catch(() => {})
   }
 
--- a/src/scheduler/limits/allotmentPlan.ts
+++ b/src/scheduler/limits/allotmentPlan.ts
@@ -20,8 +20,6 @@
   /** Spendable in sum; may be below `used` after adoptions. */
   readonly held: Resources
   readonly wanted: Resources
-  /** Smallest waiting task in each dimension; zero where none waits. */
-  readonly smallest: Resources
   /** Returns all spare at once. */
   readonly returning: boolean
 }
@@ -48,7 +46,7 @@
  * while the previous owner's entry stands; as long as it is above, nothing more becomes spendable anywhere.
  *
  * @example
- * planAdjustment(record, 'howrah-1/4f', { used, held, wanted, smallest, returning: false }).entry
+ * planAdjustment(record, 'howrah-1/4f', { used, held, wanted, returning: false }).entry
  */
 export function planAdjustment (record: AllotmentRecord, self: IncarnationKey, local: LocalAllotment): Adjustment {
   const own = record.holders[self]?.amount ?? NO_RESOURCES
@@ -56,7 +54,7 @@
   const reachable = buildResources(dimension => own[dimension] + pool[dimension])
   const entry = buildResources(dimension => record.limit[dimension] === undefined
     ? 0
-    : planDimension(own[dimension], pool[dimension], local.used[dimension], chooseWanted(own, pool, local, dimension)))
+    : planDimension(own[dimension], pool[dimension], local.used[dimension], chooseWanted(own, local, dimension)))
   const held = buildResources(dimension => pool[dimension] < 0
     ? Math.min(local.held[dimension], entry[dimension])
     : Math.min(entry[dimension], reachable[dimension]))
@@ -68,16 +66,8 @@
   return Math.max(used, Math.min(wanted, bound))
 }
 
-/**
- * Where the limit is exhausted, only whole tasks are held: rests that are too small for a task on each of several
- * instances add up to a task on one of them.
- */
-function chooseWanted (own: Resources, pool: Resources, local: LocalAllotment, dimension: keyof Resources): number {
+function chooseWanted (own: Resources, local: LocalAllotment, dimension: keyof Resources): number {
   const wanted = local.wanted[dimension]
-  const used = local.used[dimension]
-  const smallest = local.smallest[dimension]
-  const reachable = own[dimension] + Math.max(0, pool[dimension])
-  if (smallest > 0 && reachable < wanted) return used + Math.floor(Math.max(0, reachable - used) / smallest) * smallest
   const keep = wanted > 0 && !local.returning && own[dimension] > wanted &&
     own[dimension] <= wanted * (1 + RETURN_MARGIN) + CHUNK[dimension]
   return keep ? own[dimension] : wanted
--- a/src/scheduler/limits/teamAllotment.ts
+++ b/src/scheduler/limits/teamAllotment.ts
@@ -33,7 +33,6 @@
   #configured: { readonly limit: Limit, readonly version: number } = { limit: {}, version: 0 }
   /** Spendable in sum; the entry in the record is at least this and at least what is used. */
   #held = NO_RESOURCES
-  #smallest = NO_RESOURCES
   #returning = false
   #lowerings = 0
   #rereadUntilMs = 0
@@ -76,11 +75,8 @@
     this.#view.markStale()
   }
 
-  /** The smallest waiting task stays as it is if it is not given. */
-  setQueued (queued: Resources, smallest?: Resources): void {
+  setQueued (queued: Resources): void {
     this.#charges.setQueued(roundSize(queued))
-    if (isEmpty(queued)) this.#smallest = NO_RESOURCES
-    else if (smallest !== undefined) this.#smallest = roundSize(smallest)
   }
 
   markStale (): void {
@@ -221,7 +217,7 @@
   #plan (record: AllotmentRecord, key: IncarnationKey): Adjustment {
     const { used, demand, active } = this.#charges
     const wanted = this.#returning ? used : wantedAmount(demand, active)
-    return planAdjustment(record, key, { used, held: this.#held, wanted, smallest: this.#smallest, returning: this.#returning })
+    return planAdjustment(record, key, { used, held: this.#held, wanted, returning: this.#returning })
   }
 
   #isRereadDue (): boolean {
