--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -37,8 +37,8 @@
 
 export interface WaitingRequest {
   readonly request: PlacementRequest
-  settle (assignments: readonly Assignment[]): void
-  refuse (error: RefusalError): void
+  settle: (assignments: readonly Assignment[]) => void
+  refuse: (error: RefusalError) => void
   assignments: readonly Assignment[]
   /** Why the targets of this instance can never hold the request. */
   neverReason?: string
