--- a/src/membership/cluster.test.ts
+++ b/src/membership/cluster.test.ts
@@ -116,6 +116,19 @@
   t.is(paused.table.inDataCentre('attica-a').length, 3)
 })
 
+test('two instances of a data centre that lost only each other are not suspected and stay fresh without the store', async t => {
+  const cluster = await startCluster(t, { 'attica-a': 3, 'macedonia-a': 1 })
+  const [first, second, third] = cluster.nodes as [ClusterNode, ClusterNode, ClusterNode]
+  const others = [third.ref.name, 'macedonia-a-0']
+  first.reachable = new Set([first.ref.name, ...others])
+  second.reachable = new Set([second.ref.name, ...others])
+  cluster.setStoreDown(true)
+  await cluster.watch(30_000, () => {
+    t.false(first.table.isSuspected(second.ref) || second.table.isSuspected(first.ref))
+    t.true(isFresh(first) && isFresh(second))
+  })
+})
+
 test('a change reaches every instance through its peers and few instances read the store', async t => {
   const cluster = await startCluster(t)
   const calls = (): number => cluster.nodes.reduce((sum, node) => sum + node.client.calls, 0)
