--- a/src/instance/configurationParts.ts
+++ b/src/instance/configurationParts.ts
@@ -65,7 +65,8 @@
       describeSelf: () => hooks.describeSelf(),
       seeds,
       readList: () => this.lists.snapshot,
-      keyGraceMs: () => this.settings.shortestKeyGraceMs()
+      keyGraceMs: () => this.settings.shortestKeyGraceMs(),
+      onError: error => options.logger.error({ err: error }, 'a round of exchanges failed')
     })
   }
 
--- a/src/membership/exchangeLoop.ts
+++ b/src/membership/exchangeLoop.ts
@@ -38,6 +38,8 @@
   readonly readList: () => ListSnapshot | undefined
   /** Shortest grace period of any team. */
   readonly keyGraceMs: () => number
+  /** Receives unexpected errors of a round; the next round goes on. */
+  readonly onError?: (error: unknown) => void
 }
 
 /**
@@ -95,7 +97,11 @@
     const { clock } = this.#options
     while (!signal.aborted) {
       const startedAt = clock.monotonicMs()
-      await step()
+      try {
+        await step()
+      } catch (error) {
+        this.#options.onError?.(error)
+      }
       const rest = Math.max(0, intervalMs() - (clock.monotonicMs() - startedAt))
       await clock.sleep(rest, signal).catch(() => {})
     }
