--- /dev/null
+++ b/test/matrix/answers.ts
@@ -0,0 +1,27 @@
+/** Reads a streamed answer as a caller's connection shows it. */
+import { RefusalError } from '../../src/model/errors.ts'
+import type { RunEvent } from '../../src/ports/peerClient.ts'
+import type { Outcome } from './observations.ts'
+
+/** What the caller knows at the end; a failure after the head is a reset connection. */
+export async function followAnswer (events: AsyncIterable<RunEvent>, onStep: (step: 'answer' | 'release') => void): Promise<Outcome> {
+  let headPassed = false
+  let body = ''
+  try {
+    for await (const event of events) {
+      if (event.type === 'refused') throw new RefusalError(event.message, event)
+      if (event.type === 'head') {
+        headPassed = true
+        onStep('answer')
+      }
+      if (event.type === 'chunk') body += Buffer.from(event.bytes).toString()
+      if (event.type !== 'end') continue
+      onStep('release')
+      return { type: 'answered', body, announcedBytes: event.byteCount }
+    }
+    return { type: 'reset', reason: 'the stream ended early' }
+  } catch (error) {
+    if (error instanceof RefusalError && !headPassed) return { type: 'refused', verdict: error.verdict, code: error.code, message: error.message }
+    return { type: 'reset', reason: String(error) }
+  }
+}
