Drop a target whose start was refused as fenced

Cause: the starter reported its own epoch as the target's highest one, which the ownership ignores as not above its own. Change: it reports an epoch above the refused one, so that the target is dropped, and fenced anew if the record still names this owner.

Before: the last of seven requests, sent ten simulated seconds apart, was refused when all targets had a higher epoch; the new test was seen failing.

--- a/src/instance/taskStarter.ts
+++ b/src/instance/taskStarter.ts
@@ -101,7 +101,8 @@
         return result.answer
       case 'refused':
         tracker.complete(taskId, { outcome: 'never-started' })
-        if (result.refusal === 'fenced') ownership.reportFenced(target.id, epoch)
+        // The refusal does not tell the target's epoch; it is above the one that was refused.
+        if (result.refusal === 'fenced') ownership.reportFenced(target.id, epoch + 1)
         throw this.#refuse(taskId, result.refusal === 'fenced' ? 'fenced' : 'no-capacity', REFUSAL_MESSAGES[result.refusal])
       case 'failed':
         if (tracker.takeCheckpointed(taskId)) {
--- a/test/matrix/regressions.test.ts
+++ b/test/matrix/regressions.test.ts
@@ -60,3 +60,18 @@
   t.is(lost.length, 1)
   t.deepEqual(findViolations(cell.seen), [])
 })
+
+test.serial('an owner whose sends are refused as fenced raises its epoch and uses its targets again', async t => {
+  const cell = new Cell(1)
+  await cell.start(5_000)
+  cell.quieten()
+  for (const target of cell.targets) target.fence(target.epoch + 5)
+  const submit = async (id: string): Promise<string> => {
+    const { body, ...request } = createRequest(cell.random, id, { kind: 'urgent', team: 'gamma', repeatable: true })
+    const answered = cell.submit(cell.nodes[0]!, { ...request, body: { ...body, payload: { for: id } } })
+    await cell.time.advance(10_000)
+    return (await answered).outcome.type
+  }
+  for (let index = 0; index < 6; index++) await submit(`first-${index}`)
+  t.is(await submit('last'), 'answered')
+})
