Keep remembersEnded when the list is read

The schema of the platform's list dropped the target feature remembersEnded, so that an instance that reads the list over HTTP never knew that a target reports ended tasks, and treated an unknown task as one that may have run. The schema now passes it on.

--- a/src/adapters/list/listSchema.ts
+++ b/src/adapters/list/listSchema.ts
@@ -26,7 +26,8 @@
     fencing: z.boolean(),
     startBy: z.boolean(),
     inventory: z.boolean(),
-    checkpoint: z.boolean()
+    checkpoint: z.boolean(),
+    remembersEnded: z.boolean().optional()
   }),
   leaving: z.boolean().default(false)
 })
