Apply the setting peerTimeout

The setting was read and never used: each call of a peer ended after the client's own 2 s, whatever the file said. startInstance passes it on. Claims and transfers of allotments keep 2 s, since the peer writes to the store before it answers; forwarded streams have their own deadlines.

--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -21,7 +21,9 @@
 }
 
 /** A call without an answer by then has failed; streams of forwarded requests have their own deadlines. */
-const CALL_TIMEOUT_MS = 2_000
+const DEFAULT_CALL_TIMEOUT_MS = 2_000
+/** For calls in which the peer writes to the store before it answers. */
+const STORE_CALL_TIMEOUT_MS = 2_000
 /** Finds dead sessions while streams are open. */
 const PING_INTERVAL_MS = 5_000
 const PING_TIMEOUT_MS = 3_000
@@ -29,10 +31,12 @@
 export class ConnectPeerClient implements PeerClient, Component {
   readonly name = 'peer client'
   readonly #secret: string
+  readonly #callTimeoutMs: number
   readonly #connections = new Map<string, Connection>()
 
-  constructor (secret: string) {
+  constructor (secret: string, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS) {
     this.#secret = secret
+    this.#callTimeoutMs = callTimeoutMs
   }
 
   async start (): Promise<void> {}
@@ -44,7 +48,7 @@
 
   async exchange (address: string, sender: InstanceDigest, registering: boolean, signal?: AbortSignal): Promise<ExchangeAnswer> {
     const answer = await this.#connect(address).exchange(
-      create(wire.ExchangeRequestSchema, { sender: encodeDigest(sender), registering }), { signal, timeoutMs: CALL_TIMEOUT_MS })
+      create(wire.ExchangeRequestSchema, { sender: encodeDigest(sender), registering }), { signal, timeoutMs: this.#callTimeoutMs })
     return { instances: answer.instances.map(decodeDigest), acknowledged: answer.acknowledged }
   }
 
@@ -66,20 +70,20 @@
 
   async cancel (address: string, team: string, requestId: string, attemptId: string, signal?: AbortSignal): Promise<boolean> {
     const message = create(wire.CancelRequestSchema, { team, requestId, attemptId })
-    const answer = await this.#connect(address).cancel(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    const answer = await this.#connect(address).cancel(message, { signal, timeoutMs: this.#callTimeoutMs })
     return answer.found
   }
 
   async find (address: string, team: string, requestId: string, signal?: AbortSignal): Promise<readonly RequestStatus[]> {
     const message = create(wire.FindRequestSchema, { team, requestId })
-    const answer = await this.#connect(address).find(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    const answer = await this.#connect(address).find(message, { signal, timeoutMs: this.#callTimeoutMs })
     return answer.statuses.map(({ instance, state, attemptId, target }) =>
       ({ instance, state: state as RequestStatus['state'], attemptId, target }))
   }
 
   async fetchChanges (address: string, afterVersion: number, signal?: AbortSignal): Promise<FetchedChanges> {
     const message = create(wire.FetchChangesRequestSchema, { afterVersion: BigInt(afterVersion) })
-    const answer = await this.#connect(address).fetchChanges(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    const answer = await this.#connect(address).fetchChanges(message, { signal, timeoutMs: this.#callTimeoutMs })
     if (answer.snapshotJson !== '') return { type: 'snapshot', snapshot: JSON.parse(answer.snapshotJson) as ConfigurationSnapshot }
     return { type: 'changes', changes: answer.changesJson.map(change => JSON.parse(change) as Change) }
   }
@@ -88,7 +92,7 @@
     const message = create(wire.TransferAllotmentRequestSchema, {
       receiver: encodeRef(receiver), team, wanted: encodeResources(wanted)
     })
-    const answer = await this.#connect(address).transferAllotment(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    const answer = await this.#connect(address).transferAllotment(message, { signal, timeoutMs: STORE_CALL_TIMEOUT_MS })
     return decodeResources(answer.given)
   }
 
@@ -96,13 +100,13 @@
     const message = create(wire.ClaimRequestSchema, {
       entries: entries.map(entry => create(wire.ClaimEntrySchema, entry))
     })
-    const answer = await this.#connect(address).claim(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    const answer = await this.#connect(address).claim(message, { signal, timeoutMs: STORE_CALL_TIMEOUT_MS })
     return answer.results.map(result => result === 'claimed' || result === 'duplicate' ? result : 'unavailable')
   }
 
   async handOver (address: string, from: InstanceRef, dataCentre: string, targets: readonly string[], signal?: AbortSignal): Promise<void> {
     const message = create(wire.HandOverRequestSchema, { from: encodeRef(from), dataCentre, targets: [...targets] })
-    await this.#connect(address).handOver(message, { signal, timeoutMs: CALL_TIMEOUT_MS })
+    await this.#connect(address).handOver(message, { signal, timeoutMs: this.#callTimeoutMs })
   }
 
   #connect (address: string): Client<typeof wire.PeerService> {
--- a/src/instance/startInstance.ts
+++ b/src/instance/startInstance.ts
@@ -36,7 +36,7 @@
   const store = new HttpStore({ address: settings.storeAddress, callTimeoutMs: settings.storeTimeoutMs, connectTimeoutMs: settings.connectTimeoutMs })
   const list = new HttpInstanceList({ address: settings.listAddress, callTimeoutMs: settings.listTimeoutMs })
   const targetClient = new HttpTargetClient({ connectTimeoutMs: settings.connectTimeoutMs })
-  const peerClient = new ConnectPeerClient(peerSecret)
+  const peerClient = new ConnectPeerClient(peerSecret, settings.peerTimeoutMs)
   const instance = new EntryInstance({
     self: { name, incarnation: randomBytes(INCARNATION_BYTES).toString('hex') },
     location: { dataCentre, region },
