Stop the last instance of a data centre in order

Cause: a draining instance released its targets although no other member could take them, then waited for a successor until stopTimeout. Running tasks were no longer renewed meanwhile, so that they would have ended with their lease. Ruled out: open requests (there were none) and the store (it answered).

Change: without a receiver the targets stay owned, and their tasks renewed, until the open requests have ended; then they are released and the instance leaves the members. The allotment of tasks that still run is reclaimed by the next member, as after a death.

--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -43,11 +43,22 @@
     return [this.claimLog, this.allotments, this.ownership]
   }
 
-  /** Hands targets and allotments over to the other instances and leaves the members. */
-  async handOver (signal: AbortSignal): Promise<void> {
-    await this.ownership.handOverAll(signal)
+  /** Hands targets and allotments over to the other instances and leaves the members; false if nobody could take them. */
+  async handOver (signal: AbortSignal): Promise<boolean> {
+    if (!await this.ownership.handOverAll(signal)) return false
     await this.allotments.releaseAll(signal)
     await this.ownership.leave(signal)
+    return true
+  }
+
+  /**
+   * Gives up what nobody could take, after the open requests have ended. The allotment of tasks that still run stays
+   * until a successor has fenced their targets.
+   */
+  async release (signal: AbortSignal): Promise<void> {
+    if (this.#scheduling.placements.heldTasks().length === 0) await this.allotments.releaseAll(signal)
+    await this.ownership.releaseAll(signal)
+    await this.ownership.leave(signal)
   }
 
   #createOwnership (): OwnershipManager {
--- a/src/instance/entryInstance.ts
+++ b/src/instance/entryInstance.ts
@@ -89,8 +89,9 @@
     this.#options.logger.info('the instance drains')
     const { placements } = this.scheduling
     placements.close()
-    await this.coordination.handOver(signal)
+    const handedOver = await this.coordination.handOver(signal)
     while (this.scheduling.flights.size > 0) await this.#options.clock.sleep(DRAIN_POLL_MS, signal)
+    if (!handedOver) await this.coordination.release(signal)
     await this.configuration.registry.deregister()
   }
 
--- a/src/scheduler/ownership/ownershipManager.ts
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -9,7 +9,7 @@
 import type { TargetClient } from '../../ports/targetClient.ts'
 import { applyChanges } from './ownershipChanges.ts'
 import { OwnershipPlanner } from './ownershipPlanner.ts'
-import type { MembershipView } from './ownershipPlanner.ts'
+import type { DrainPhase, MembershipView } from './ownershipPlanner.ts'
 import { addMember, ownershipKey, removeMembers } from './ownershipRecord.ts'
 import type { OwnershipRecord } from './ownershipRecord.ts'
 import { OwnershipView } from './ownershipView.ts'
@@ -67,7 +67,7 @@
   #self: InstanceRef
   #joined = false
   #givenUp: IncarnationKey | undefined
-  #draining = false
+  #drain: DrainPhase | undefined
   #left = false
   #abort = new AbortController()
   #running: Promise<unknown> = Promise.resolve()
@@ -134,11 +134,25 @@
     return this.#view.record
   }
 
-  /** Hands over every target; settles when successors cover all tasks, rejects when the signal aborts. */
-  async handOverAll (signal: AbortSignal): Promise<void> {
-    this.#draining = true
+  /**
+   * Hands over every target. Resolves with true when successors cover all tasks, with false if no other member is
+   * there to take them; what is left stays owned until `releaseAll`. Rejects when the signal aborts.
+   */
+  async handOverAll (signal: AbortSignal): Promise<boolean> {
+    this.#drain ??= 'hand-over'
     this.#view.wake()
-    while (this.#ownsTargets() || this.#owned.hasUnsucceeded()) await this.#dependencies.clock.sleep(STEP_INTERVAL_MS, signal)
+    while (this.#ownsTargets() || this.#owned.hasUnsucceeded()) {
+      if (!this.#planner.hasReceiver(this.#view.record, incarnationKey(this.#self))) return false
+      await this.#dependencies.clock.sleep(STEP_INTERVAL_MS, signal)
+    }
+    return true
+  }
+
+  /** Gives up the targets that nobody took, so that the next member need not wait for the end of this instance. */
+  async releaseAll (signal: AbortSignal): Promise<void> {
+    this.#drain = 'release'
+    this.#view.wake()
+    while (this.#ownsTargets()) await this.#dependencies.clock.sleep(STEP_INTERVAL_MS, signal)
   }
 
   /** Leaves the members, after `handOverAll` and after the allotments were released. */
@@ -170,7 +184,7 @@
     const listed = this.#dependencies.listedTargets()
     this.#owned.synchronise(this.#view.record, self, listed)
     if (!this.#joined) return
-    const planned = this.#planner.plan(this.#view.record, self, listed, this.#draining)
+    const planned = this.#planner.plan(this.#view.record, self, listed, this.#drain)
     const changes = [...planned.changes, ...this.#owned.pendingChanges(planned.handOvers)]
     if (changes.length > 0) {
       await this.#view.update(record => applyChanges(record, self, changes), signal)
@@ -192,7 +206,7 @@
   #leaveOldIncarnation (): void {
     this.#givenUp = incarnationKey(this.#self)
     this.#joined = false
-    this.#left = this.#draining
+    this.#left = this.#drain !== undefined
     this.#owned.loseAll('removed')
     this.#backoff.noteRemoval()
     const { random, events } = this.#dependencies
--- a/src/scheduler/ownership/ownershipPlanner.ts
+++ b/src/scheduler/ownership/ownershipPlanner.ts
@@ -19,6 +19,9 @@
   isListedGone (ref: InstanceRef): boolean
 }
 
+/** `hand-over`: targets go to other members; `release`: also those that no other member could take. */
+export type DrainPhase = 'hand-over' | 'release'
+
 export interface PlannedChanges {
   readonly changes: readonly OwnershipChange[]
   readonly handOvers: ReadonlyMap<string, IncarnationKey | undefined>
@@ -37,19 +40,24 @@
     this.#membership = membership
   }
 
-  plan (record: OwnershipRecord, self: IncarnationKey, listed: readonly TargetInfo[], draining: boolean): PlannedChanges {
-    const live = this.#liveMembers(record, self, draining)
+  plan (record: OwnershipRecord, self: IncarnationKey, listed: readonly TargetInfo[], drain?: DrainPhase): PlannedChanges {
+    const live = this.#liveMembers(record, self, drain !== undefined)
     const assignment = this.#assign(listed.map(target => target.id), live)
     const changes: OwnershipChange[] = [
       ...this.#takes(record, self, listed, assignment),
       ...this.#forgotten(record, self, new Set(listed.map(target => target.id))),
       ...this.#removedMembers(record, self, live, listed)
     ]
-    const handOvers = this.#handOvers(record, self, assignment, draining)
+    const handOvers = this.#handOvers(record, self, assignment, drain)
     this.#forgetEndedConditions()
     return { changes, handOvers }
   }
 
+  /** Whether another live member could take the targets of an instance that drains. */
+  hasReceiver (record: OwnershipRecord, self: IncarnationKey): boolean {
+    return this.#liveMembers(record, self, true).length > 0
+  }
+
   /** Hashes only when the targets or the live members changed. */
   #assign (targets: readonly string[], live: readonly IncarnationKey[]): ReadonlyMap<string, IncarnationKey> {
     const inputs = JSON.stringify([targets, live])
@@ -114,14 +122,15 @@
   }
 
   #handOvers (record: OwnershipRecord, self: IncarnationKey, assignment: ReadonlyMap<string, IncarnationKey>,
-    draining: boolean): ReadonlyMap<string, IncarnationKey | undefined> {
+    drain: DrainPhase | undefined): ReadonlyMap<string, IncarnationKey | undefined> {
     const handOvers = new Map<string, IncarnationKey | undefined>()
     for (const [targetId, target] of Object.entries(record.targets)) {
       if (target.owner !== self) continue
       const receiver = assignment.get(targetId)
       const misplaced = receiver !== undefined && receiver !== self
       const misplacedForMs = this.#heldForMs(`misplaced ${targetId} ${receiver}`, misplaced)
-      if (draining || (misplacedForMs !== undefined && misplacedForMs >= HAND_OVER_DELAY_MS)) handOvers.set(targetId, receiver)
+      const due = drain === 'release' || (drain === 'hand-over' && receiver !== undefined)
+      if (due || (misplacedForMs !== undefined && misplacedForMs >= HAND_OVER_DELAY_MS)) handOvers.set(targetId, receiver)
     }
     return handOvers
   }
