--- a/src/commands/formatTable.ts
+++ b/src/commands/formatTable.ts
@@ -46,5 +46,5 @@
 const MS_PER_SECOND = 1_000
 
 export function formatAge (ageMs: number | undefined): string {
-  return ageMs === undefined ? 'never' : `${(ageMs / MS_PER_SECOND).toFixed(1)} s ago`
+  return ageMs === undefined ? 'never' : `${(Math.max(0, ageMs) / MS_PER_SECOND).toFixed(1)} s ago`
 }
