Add the demo and the tests of the system as processes

npm run demo starts stand-ins and 7 instances in 3 data centres as processes; the tests share its code (test/processes/cluster.ts). They cover requests of each kind at each instance, keys, duplicates, large forwarded answers, cancels, planned and rolling stops, SIGKILL, SIGSTOP, a store outage, a data centre cut off from store and list, and the binary.

Cuts between data centres are not tested: each instance has one advertised peer address, so that a forwarder can't tell from which data centre a connection comes.

--- /dev/null
+++ b/test/processes/childProcess.ts
@@ -0,0 +1,110 @@
+/** One process that a test or the demo started: its output, its signals and its end. */
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { createInterface } from 'node:readline'
+
+/** Lines of output kept to explain a failure. */
+const KEPT_LINES = 400
+
+export interface ProcessEnd {
+  readonly code: number | null
+  readonly signal: NodeJS.Signals | null
+}
+
+export interface FinishedProcess extends ProcessEnd {
+  readonly output: string
+  readonly errorOutput: string
+}
+
+/** A process that runs until it is told to stop. */
+export class ManagedProcess {
+  readonly name: string
+  /** Resolves when the process has ended, whatever the reason. */
+  readonly ended: Promise<ProcessEnd>
+  readonly #child: ChildProcess
+  readonly #lines: string[] = []
+  readonly #watchers = new Set<(line: string) => void>()
+  #hasEnded = false
+
+  /** A process in a group of its own doesn't get the terminal's Ctrl-C, so that whoever started it can stop all in order. */
+  constructor (name: string, command: readonly string[], ownGroup = false) {
+    this.name = name
+    const [program = '', ...args] = command
+    this.#child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'], detached: ownGroup })
+    this.ended = new Promise((resolve, reject) => {
+      this.#child.once('error', reject)
+      this.#child.once('close', (code, signal) => {
+        this.#hasEnded = true
+        resolve({ code, signal })
+      })
+    })
+    this.ended.catch(() => {})
+    for (const stream of [this.#child.stdout, this.#child.stderr]) {
+      if (stream !== null) createInterface({ input: stream }).on('line', line => this.#keep(line))
+    }
+  }
+
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
+  get lines (): readonly string[] {
+    return this.#lines
+  }
+
+  get hasEnded (): boolean {
+    return this.#hasEnded
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    if (!this.#hasEnded) this.#child.kill(signal)
+  }
+
+  /** The first line of output that matches; rejects if the process ends without it. */
+  async findLine (matches: (line: string) => boolean): Promise<string> {
+    const known = this.#lines.find(matches)
+    if (known !== undefined) return known
+    return await new Promise((resolve, reject) => {
+      const watch = (line: string): void => {
+        if (!matches(line)) return
+        this.#watchers.delete(watch)
+        resolve(line)
+      }
+      this.#watchers.add(watch)
+      this.ended.then(
+        ({ code, signal }) => reject(new Error(`${this.name} ended with ${code ?? signal}:\n${this.#lines.join('\n')}`)), reject)
+    })
+  }
+
+  /** Ends the process at once, even if it is paused. */
+  async kill (): Promise<void> {
+    this.signal('SIGKILL')
+    await this.ended.catch(() => {})
+  }
+
+  /** Asks the process to stop and waits for its end. */
+  async stop (): Promise<ProcessEnd> {
+    this.signal('SIGTERM')
+    return await this.ended
+  }
+
+  #keep (line: string): void {
+    this.#lines.push(line)
+    if (this.#lines.length > KEPT_LINES) this.#lines.shift()
+    for (const watch of [...this.#watchers]) watch(line)
+  }
+}
+
+/** Runs a command to its end. */
+export async function runToEnd (command: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<FinishedProcess> {
+  const [program = '', ...args] = command
+  const child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...environment } })
+  let output = ''
+  let errorOutput = ''
+  child.stdout.setEncoding('utf8').on('data', (text: string) => { output += text })
+  child.stderr.setEncoding('utf8').on('data', (text: string) => { errorOutput += text })
+  return await new Promise((resolve, reject) => {
+    child.once('error', reject)
+    child.once('close', (code, signal) => resolve({ code, signal, output, errorOutput }))
+  })
+}
--- /dev/null
+++ b/test/processes/faults.test.ts
@@ -0,0 +1,193 @@
+import { setMaxListeners } from 'node:events'
+import test from 'ava'
+import { checkLoad, describeFailures } from './checkLoad.ts'
+import { CallerClient } from './callerClient.ts'
+import { Cluster } from './cluster.ts'
+import type { ClusterInstance } from './cluster.ts'
+import { Load } from './load.ts'
+import type { LoadResult } from './load.ts'
+import { createTeam, findRuns, PROGRAM } from './testTeam.ts'
+import { chooseHost, SEVEN_INSTANCES } from './topology.ts'
+import { waitUntil } from './waitUntil.ts'
+
+const SEED = 7_001
+/** Requests before a fault, so that it meets running work. */
+const WARM_UP_REQUESTS = 50
+const LONG_REQUESTS = 6
+const LONG_RUN_MS = 6_000
+/** Below the time after which an instance of the same data centre is suspected. */
+const HEARD_LATELY_MS = 3_500
+/** Below the 56 slots of all runners. */
+const LIMIT_SLOTS = 50
+/** Several exchanges and moves of allotments. */
+const FILL_LIMIT_MS = 20_000
+
+const client = new CallerClient()
+let cluster: Cluster
+let key: string
+
+test.before(async () => {
+  cluster = await Cluster.start({ layout: SEVEN_INSTANCES, host: chooseHost(), program: PROGRAM })
+  key = await createTeam(cluster, 'weavers', ['--slots', String(LIMIT_SLOTS)])
+})
+
+test.after.always(async () => {
+  await client.close()
+  await cluster?.stop()
+})
+
+function startLoad (prefix: string, choose: () => readonly ClusterInstance[] = () => cluster.instances): Load {
+  return new Load({ cluster, client, key, prefix, seed: SEED, choose })
+}
+
+async function sendMore (load: Load, count = WARM_UP_REQUESTS): Promise<void> {
+  const until = load.sent + count
+  await waitUntil(`${until} requests were sent`, () => load.sent >= until)
+}
+
+/** Every instance hears each other one as serving, which the load balancer and the freshness rule wait for. */
+async function awaitAllInContact (): Promise<void> {
+  await waitUntil('every instance hears the others', async () => {
+    const reports = await Promise.all(cluster.instances.map(async instance => await cluster.readStatus(instance)))
+    return reports.every(({ peers, store }) => {
+      // An incarnation that ended without a planned stop stays listed for a while.
+      const heard = peers.filter(({ state, heardAgeMs }) => state === 'serving' && heardAgeMs < HEARD_LATELY_MS)
+      return store.reachable && new Set(heard.map(({ ref }) => ref.name)).size === cluster.instances.length - 1
+    })
+  })
+}
+
+function succeeded (results: readonly LoadResult[]): number {
+  return results.filter(({ answer }) => answer.status === 200).length
+}
+
+test.serial('a planned stop cuts no request that is open', async t => {
+  const instance = cluster.instance('attica-a-entry-1')
+  const running = Array.from({ length: LONG_REQUESTS }, async (_, index) =>
+    await client.run(instance.addresses.caller, key, { id: `open-${index}`, kind: 'batch', size: { slots: 1 }, repeatable: false, deadlineMs: 60_000, payload: { runMs: LONG_RUN_MS, answer: index } }))
+  await waitUntil('all run', async () => (await findRuns(cluster, id => id.startsWith('open-'))).length === LONG_REQUESTS)
+  t.deepEqual(await instance.process.stop(), { code: 0, signal: null })
+  const answers = await Promise.all(running)
+  t.deepEqual(answers.map(({ body }) => body.toString()), answers.map((_, index) => String(index)))
+  t.deepEqual((await findRuns(cluster, id => id.startsWith('open-'))).map(({ ending }) => ending), answers.map(() => 'finished'))
+  await cluster.startAgain(instance)
+  await awaitAllInContact()
+})
+
+test.serial('replacing all instances one by one under load fails no request, except that a draining instance refuses it', async t => {
+  const load = startLoad('rolling')
+  await sendMore(load)
+  for (const instance of cluster.instances) {
+    t.deepEqual(await instance.process.stop(), { code: 0, signal: null })
+    await cluster.startAgain(instance)
+    await cluster.awaitAllOwned(instance.dataCentre)
+  }
+  await sendMore(load)
+  const results = await load.stop()
+  // A stopped process refuses connections; a load balancer sends nothing there.
+  const unexpected = results.filter(({ answer }) => answer.status !== 200 && answer.code !== 'draining' && !isRefusedConnection(answer.error))
+  t.deepEqual(describeFailures(unexpected), [])
+  t.deepEqual(await checkLoad(cluster, results), [])
+})
+
+test.serial('a killed instance leaves no capacity or allotment behind, and nothing runs twice', async t => {
+  const victim = cluster.instance('attica-a-entry-2')
+  const { incarnation } = (await cluster.readStatus(victim)).instance
+  const load = startLoad('killed', () => cluster.instances.filter(({ process }) => !process.hasEnded))
+  await sendMore(load)
+  await victim.process.kill()
+  await cluster.setListed(victim, false)
+  await cluster.awaitAllOwned()
+  await sendMore(load)
+  const results = await load.stop()
+  t.true(succeeded(results) > 0)
+  t.deepEqual(await checkLoad(cluster, results), [])
+  const others = describeFailures(results.filter(({ answer }) => answer.verdict !== 'not-run' && answer.status !== undefined))
+  t.log(`${results.length} requests, ${succeeded(results)} answered, refused with a verdict other than not-run: ${others.length}`)
+  await waitUntil('the entry of the dead incarnation is deleted', async () =>
+    !(await cluster.readStored('allotment/weavers')).includes(incarnation))
+  await cluster.startAgain(victim)
+  await awaitAllInContact()
+})
+
+test.serial('an instance that was paused beyond suspicion neither runs work twice nor keeps what others took', async t => {
+  const victim = cluster.instance('attica-b-entry-1')
+  const before = (await cluster.readStatus(victim)).instance.incarnation
+  let paused = false
+  const load = startLoad('paused', () => cluster.instances.filter(instance => !paused || instance !== victim))
+  await sendMore(load)
+  victim.process.signal('SIGSTOP')
+  paused = true
+  await waitUntil('the others use its targets', async () => {
+    const { targets } = await cluster.readStatus(cluster.instance('attica-b-entry-2'))
+    return targets.filter(({ state }) => state === 'in-use').length === cluster.targets.filter(({ dataCentre }) => dataCentre === 'attica-b').length
+  })
+  victim.process.signal('SIGCONT')
+  paused = false
+  await waitUntil('it has rejoined', async () => (await cluster.readStatus(victim)).instance.incarnation !== before)
+  await sendMore(load)
+  const results = await load.stop()
+  t.deepEqual(await checkLoad(cluster, results), [])
+  await awaitAllInContact()
+  t.true(succeeded(results) > 0)
+})
+
+test.serial('a store outage stops only what needs the store, and is over when the store is back', async t => {
+  const load = startLoad('outage')
+  await sendMore(load)
+  cluster.store.signal('SIGSTOP')
+  try {
+    const refused = await client.run(cluster.instances[0]!.addresses.caller, key, { id: 'outage-once', repeatable: false, deadlineMs: 3_000, payload: { answer: 1 } })
+    t.like(refused, { verdict: 'not-run' }, describeFailures([{ id: 'once', repeatable: false, instance: '', answer: refused }]).join())
+    for (const { addresses } of cluster.instances) {
+      const answer = await client.run(addresses.caller, key, { id: `outage-keyed-${addresses.caller}`, payload: { answer: 1 } })
+      t.is(answer.status, 200, answer.body.toString())
+    }
+  } finally {
+    cluster.store.signal('SIGCONT')
+  }
+  await waitUntil('claims are taken again', async () =>
+    (await client.run(cluster.instances[0]!.addresses.caller, key, { id: `outage-after-${Math.random()}`, repeatable: false })).status === 200)
+  const results = await load.stop()
+  t.deepEqual(await checkLoad(cluster, results), [])
+  t.deepEqual(describeFailures(results.filter(({ repeatable, answer }) => repeatable && answer.status !== 200)), [])
+  t.is((await findRuns(cluster, id => id === 'outage-once')).length, 0)
+  await awaitAllInContact()
+})
+
+test.serial('a data centre that is cut off from the store serves on and does not take a withdrawn key', async t => {
+  const [inside, outside] = [cluster.instance('macedonia-a-entry-1'), cluster.instance('attica-a-entry-1')]
+  const links = cluster.links('macedonia-a')
+  links.store.cut()
+  links.list.cut()
+  const spare = JSON.parse((await cluster.runCommand(outside, 'key', 'create', 'weavers', '--json')).output) as { readonly key: string, readonly keyId: string }
+  await waitUntil('the new key works in the data centre', async () =>
+    (await client.run(inside.addresses.caller, spare.key, { id: `cut-${Math.random()}` })).status === 200)
+  t.is((await cluster.runCommand(outside, 'key', 'withdraw', spare.keyId)).code, 0)
+  for (const { addresses } of cluster.instances) t.is((await client.run(addresses.caller, spare.key, { id: 'cut-withdrawn' })).status, 401)
+  t.is((await client.run(inside.addresses.caller, key, { id: 'cut-valid' })).status, 200)
+  links.store.heal()
+  links.list.heal()
+  await awaitAllInContact()
+  t.is((await client.run(inside.addresses.caller, key, { id: 'cut-healed', repeatable: false })).status, 200)
+})
+
+test.serial('a request that waits at a full instance starts when another instance has room', async t => {
+  const abort = new AbortController()
+  setMaxListeners(LIMIT_SLOTS, abort.signal)
+  const tasks = Array.from({ length: LIMIT_SLOTS }, async (_, index) =>
+    await client.run(cluster.instances[index % cluster.instances.length]!.addresses.caller, key, { id: `fill-${index}`, kind: 'batch', size: { slots: 1 }, deadlineMs: 120_000, payload: { runMs: 120_000 } }, abort.signal))
+  try {
+    await waitUntil('the whole limit is in use', async () =>
+      (await findRuns(cluster, id => id.startsWith('fill-'))).filter(({ ending }) => ending === undefined).length === LIMIT_SLOTS, FILL_LIMIT_MS)
+    t.pass()
+  } finally {
+    abort.abort()
+    await Promise.all(tasks)
+  }
+})
+
+/** The process is not there: nothing was sent. */
+function isRefusedConnection (error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED'
+}
--- /dev/null
+++ b/test/processes/topology.ts
@@ -0,0 +1,94 @@
+/** Data centres, instances and targets of a cluster of processes, and the free addresses that they use. */
+import { once } from 'node:events'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { resources } from '../../src/model/resources.ts'
+import type { TargetInfo } from '../../src/model/target.ts'
+
+export interface DataCentreLayout {
+  readonly name: string
+  readonly region: string
+  readonly instances: number
+  readonly runners: number
+  readonly workers: number
+}
+
+export interface InstancePlace {
+  readonly name: string
+  readonly dataCentre: string
+  readonly region: string
+}
+
+/** Addresses of one instance, as HOST:PORT. */
+export interface InstanceAddresses {
+  readonly caller: string
+  readonly operator: string
+  readonly peer: string
+}
+
+const RUNNER_SLOTS = 8
+const RUNNER_CONNECTIONS = 64
+const WORKER_MILLICORES = 64_000
+const WORKER_MEMORY_MB = 262_144
+
+/** The data centres of one user, with 7 instances. */
+export const SEVEN_INSTANCES: readonly DataCentreLayout[] = [
+  { name: 'attica-a', region: 'attica', instances: 3, runners: 3, workers: 2 },
+  { name: 'attica-b', region: 'attica', instances: 2, runners: 2, workers: 2 },
+  { name: 'macedonia-a', region: 'macedonia', instances: 2, runners: 2, workers: 2 }
+]
+
+/** The same data centres with few processes. */
+export const FOUR_INSTANCES: readonly DataCentreLayout[] = [
+  { name: 'attica-a', region: 'attica', instances: 2, runners: 2, workers: 2 },
+  { name: 'attica-b', region: 'attica', instances: 1, runners: 1, workers: 1 },
+  { name: 'macedonia-a', region: 'macedonia', instances: 1, runners: 1, workers: 1 }
+]
+
+export function listPlaces (layout: readonly DataCentreLayout[]): readonly InstancePlace[] {
+  return layout.flatMap(({ name: dataCentre, region, instances }) =>
+    Array.from({ length: instances }, (_, index) => ({ name: `${dataCentre}-entry-${index + 1}`, dataCentre, region })))
+}
+
+/** Targets of all data centres; each listens on a free port of the host. */
+export function createTargets (layout: readonly DataCentreLayout[], host: string): readonly TargetInfo[] {
+  return layout.flatMap(({ name: dataCentre, region, runners, workers }) => {
+    const common = {
+      address: `${host}:0`,
+      dataCentre,
+      region,
+      connections: RUNNER_CONNECTIONS,
+      features: { fencing: true, startBy: true, inventory: true, checkpoint: true, remembersEnded: true },
+      leaving: false
+    }
+    const create = (type: TargetInfo['type'], index: number, capacity: TargetInfo['capacity']): TargetInfo =>
+      ({ ...common, id: `${dataCentre}-${type}-${index + 1}`, type, rack: `${dataCentre}-rack-${index % 2 + 1}`, capacity })
+    return [
+      ...Array.from({ length: runners }, (_, index) => create('runner', index, resources({ slots: RUNNER_SLOTS }))),
+      ...Array.from({ length: workers }, (_, index) =>
+        create('worker', index, resources({ processors: WORKER_MILLICORES, memory: WORKER_MEMORY_MB })))
+    ]
+  })
+}
+
+/**
+ * A loopback host of this process alone. Outgoing connections come from 127.0.0.1, so that none takes a port between
+ * the moment when it is found free and the moment when a process listens on it.
+ */
+export function chooseHost (): string {
+  const { pid } = process
+  return `127.${100 + (pid >> 15) % 100}.${(pid >> 8) & 0x7f}.${(pid & 0xff) % 254 + 1}`
+}
+
+/** Ports that are free on the host; all are held until the last one is known, so that they differ. */
+export async function findFreeAddresses (host: string, count: number): Promise<readonly string[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    server.listen({ host, port: 0 })
+    await once(server, 'listening')
+    return server
+  }))
+  const addresses = servers.map(server => `${host}:${(server.address() as AddressInfo).port}`)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return addresses
+}
