--- a/test/processes/childProcess.ts
+++ b/test/processes/childProcess.ts
@@ -26,10 +26,11 @@
   readonly #watchers = new Set<(line: string) => void>()
   #hasEnded = false
 
-  constructor (name: string, command: readonly string[]) {
+  /** A process in a group of its own doesn't get the terminal's Ctrl-C, so that whoever started it can stop all in order. */
+  constructor (name: string, command: readonly string[], ownGroup = false) {
     this.name = name
     const [program = '', ...args] = command
-    this.#child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.#child = spawn(program, args, { stdio: ['ignore', 'pipe', 'pipe'], detached: ownGroup })
     this.ended = new Promise((resolve, reject) => {
       this.#child.once('error', reject)
       this.#child.once('close', (code, signal) => {
--- a/test/processes/cluster.ts
+++ b/test/processes/cluster.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
+import { HttpStore } from '../../src/adapters/store/httpStore.ts'
 import type { TargetInfo } from '../../src/model/target.ts'
 import type { TaskHistory } from '../../src/adapters/target/standInTask.ts'
 import type { StatusReport } from '../../src/observability/operatorApi.ts'
@@ -25,6 +26,8 @@
   /** Addresses of the instances; free ports of the host if left out. */
   readonly addressOf?: (place: InstancePlace, index: number) => InstanceAddresses
   readonly stopTimeout?: string
+  /** Keeps the terminal's Ctrl-C from the processes. */
+  readonly ownGroups?: boolean
 }
 
 /** One entry instance; a replacement has the same place and addresses and a process of its own. */
@@ -35,6 +38,7 @@
 
 /** What a stand-in target recorded. */
 export interface TargetRecords {
+  readonly epoch: number
   readonly target: string
   readonly capacity: Readonly<Record<string, number>>
   readonly highestReserved: Readonly<Record<string, number>>
@@ -56,6 +60,7 @@
   #targets: readonly TargetInfo[] = []
   #store!: ManagedProcess
   #listAddress = ''
+  #storeAddress = ''
   #controlAddress = ''
 
   private constructor (options: ClusterOptions, directory: string) {
@@ -122,6 +127,18 @@
     return await callJson(this.#controlAddress, 'GET', '/v1/targets') as readonly TargetRecords[]
   }
 
+  /** The value that the store holds under the key. */
+  async readStored (key: string): Promise<string> {
+    const store = new HttpStore({ address: this.#storeAddress })
+    try {
+      const entry = await store.get(key)
+      if (entry === undefined) throw new Error(`the store has no ${key}`)
+      return entry.value
+    } finally {
+      await store.stop()
+    }
+  }
+
   /** Waits until each target of the data centres is in use by one of their running instances. */
   async awaitAllOwned (dataCentre?: string): Promise<void> {
     const wanted = this.#targets.filter(target => dataCentre === undefined || target.dataCentre === dataCentre).map(({ id }) => id)
@@ -181,24 +198,24 @@
     this.#targets = targets.map(target => ({ ...target, address: started.targets?.[target.id] ?? '' }))
     const listFile = await this.#writeFile('list.json', JSON.stringify(this.#describeList()))
     this.#listAddress = (await this.#startStandIn('list', ...listen, '--instances', listFile)).listening
-    const storeAddress = (await this.#startStandIn('store', ...listen)).listening
+    this.#storeAddress = (await this.#startStandIn('store', ...listen)).listening
     this.#store = this.#standIns.at(-1)!
     for (const { name } of layout) {
-      const links = { store: new TcpForwarder(storeAddress), list: new TcpForwarder(this.#listAddress) }
+      const links = { store: new TcpForwarder(this.#storeAddress), list: new TcpForwarder(this.#listAddress) }
       await Promise.all([links.store.start(host), links.list.start(host)])
       this.#links.set(name, links)
     }
   }
 
   async #startStandIn (part: string, ...args: readonly string[]): Promise<{ readonly listening: string, readonly targets?: Readonly<Record<string, string>> }> {
-    const process = new ManagedProcess(part, [...this.#options.program, 'stand-in', part, ...args])
+    const process = new ManagedProcess(part, [...this.#options.program, 'stand-in', part, ...args], this.#options.ownGroups)
     this.#standIns.push(process)
     return JSON.parse(await process.findLine(line => line.startsWith('{"listening"')))
   }
 
   async #startInstance (instance: ClusterInstance): Promise<void> {
     const file = await this.#writeFile(`${instance.name}.ini`, this.#describeSettings(instance))
-    instance.process = new ManagedProcess(instance.name, [...this.#options.program, 'serve', '--settings', file])
+    instance.process = new ManagedProcess(instance.name, [...this.#options.program, 'serve', '--settings', file], this.#options.ownGroups)
     await instance.process.findLine(line => line.includes('the instance is serving'))
     await waitUntil(`${instance.name} is ready`, async () => {
       const response = await request(`http://${instance.addresses.operator}/ready`)
--- a/test/processes/waitUntil.ts
+++ b/test/processes/waitUntil.ts
@@ -6,8 +6,8 @@
 const LIMIT_MS = 60_000
 
 /** Repeats the question until the answer is neither undefined nor false. */
-export async function waitUntil<Answer> (what: string, ask: () => Promise<Answer | undefined | false> | Answer | undefined | false): Promise<Answer> {
-  const until = Date.now() + LIMIT_MS
+export async function waitUntil<Answer> (what: string, ask: () => Promise<Answer | undefined | false> | Answer | undefined | false, limitMs = LIMIT_MS): Promise<Answer> {
+  const until = Date.now() + limitMs
   let lastError: unknown
   while (Date.now() < until) {
     try {
