Offer waiting requests to instances with room, and leave time for refusals

Change: what has waited for 250 ms goes back to be routed anew when another instance of the region has room; a forwarded request has 50 ms less (150 ms across regions).

--- a/src/instance/dispatcher.ts
+++ b/src/instance/dispatcher.ts
@@ -46,6 +46,10 @@
 /** Bounds attempts that reached a target, beside the retry budget. */
 const ATTEMPT_LIMIT = 8
 
+/** Time for an answer to come back from an instance of the region, and from another region. */
+const FORWARD_MARGIN_MS = 50
+const CROSS_REGION_MARGIN_MS = 150
+
 /** Lets allotments and ownership settle before an instance is tried again; doubles with each round up to the limit. */
 const REROUTE_DELAY_MS = 20
 const LONGEST_REROUTE_DELAY_MS = 500
@@ -151,6 +155,12 @@
     else throw new RefusalError('no instance in reach can take the request', { code: 'no-capacity', verdict: 'not-run', retryable: true })
   }
 
+  /** The other instance's refusal at the deadline has to arrive before the own one ends the stream. */
+  #remainingFor ({ acrossRegions }: PeerRoute, remainingMs: number): number {
+    const marginMs = acrossRegions ? CROSS_REGION_MARGIN_MS : FORWARD_MARGIN_MS
+    return Math.max(remainingMs / 2, remainingMs - marginMs)
+  }
+
   async * #forward (context: DispatchContext, route: PeerRoute, attemptId: string): AsyncIterable<RunEvent> {
     const { clock, peerClient } = this.#dependencies
     const { team, request, deadlineAt } = context.admitted
@@ -158,7 +168,7 @@
       attemptId,
       team,
       request,
-      remainingMs: deadlineAt - clock.monotonicMs(),
+      remainingMs: this.#remainingFor(route, deadlineAt - clock.monotonicMs()),
       hops: route.hops,
       configurationVersion: this.#dependencies.configurationVersion()
     }
--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -8,6 +8,7 @@
 import type { ConfigurationParts } from './configurationParts.ts'
 import type { CoordinationParts } from './coordinationParts.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
+import { PeerRoom } from './peerRoom.ts'
 import { PeriodicTask } from './periodicTask.ts'
 import type { SchedulingParts } from './schedulingParts.ts'
 import { UsageCollector } from './usageCollector.ts'
@@ -15,6 +16,8 @@
 /** Requests whose allotment arrived are started within this time. */
 const QUEUE_INTERVAL_MS = 20
 const TARGET_INTERVAL_MS = 250
+/** Waits below this end by themselves more often than a new route would help. */
+const OFFER_AFTER_MS = 250
 const SHARE_INTERVAL_MS = 1_000
 const USAGE_INTERVAL_MS = 5_000
 
@@ -57,6 +60,18 @@
       if (this.#scheduling.pool.find(target.id) !== undefined) this.#scheduling.pool.addTarget(target)
     }
     this.#scheduling.targetUse.refresh()
+    this.#offerElsewhere()
+  }
+
+  /** A route is chosen once, from digests that are up to a second old; what waits is offered to those that have room now. */
+  #offerElsewhere (): void {
+    const { placements } = this.#scheduling
+    if (placements.length === 0) return
+    const { region } = this.#options.location
+    const digests = this.#configuration.membership.live().filter(({ leaving }) => !leaving).map(({ digest }) => digest)
+      .filter(({ ref, state, region: place }) => state === 'serving' && place === region && !sameInstance(ref, this.#coordination.ownership.self))
+    const room = new PeerRoom(digests)
+    placements.offerElsewhere(request => room.take(request), this.#options.clock.monotonicMs() - OFFER_AFTER_MS)
   }
 
   #balanceShares (): void {
--- /dev/null
+++ b/src/instance/peerRoom.ts
@@ -0,0 +1,33 @@
+/** Free capacity of the other instances of the region, as their digests tell; each look takes what it finds. */
+import type { InstanceDigest } from '../model/digest.ts'
+import { fits, scaleResources, subtractResources } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import { countFitting } from '../scheduler/placement/targetState.ts'
+import type { PlacementRequest } from './placementQueue.ts'
+
+interface Room {
+  readonly largestFree: Resources
+  free: Resources
+}
+
+/**
+ * Used once for each round of offers, so that no more requests are sent away than others have room for.
+ *
+ * @example
+ * const room = new PeerRoom(digests)
+ * placements.offerElsewhere(request => room.take(request), now - 250)
+ */
+export class PeerRoom {
+  readonly #rooms: readonly Room[]
+
+  constructor (digests: readonly InstanceDigest[]) {
+    this.#rooms = digests.filter(({ queued }) => queued === 0).map(({ free, largestFree }) => ({ free, largestFree }))
+  }
+
+  take ({ size, taskIds }: PlacementRequest): boolean {
+    const room = this.#rooms.find(({ free, largestFree }) => fits(size, largestFree) && countFitting(size, free) >= taskIds.length)
+    if (room === undefined) return false
+    room.free = subtractResources(room.free, scaleResources(size, taskIds.length))
+    return true
+  }
+}
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -2,7 +2,7 @@
 import { RefusalError } from '../model/errors.ts'
 import type { InstanceRef } from '../model/identity.ts'
 import type { KindName } from '../model/request.ts'
-import { addResources, NO_RESOURCES, scaleResources } from '../model/resources.ts'
+import { addResources, fits, NO_RESOURCES, scaleResources } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
@@ -37,6 +37,8 @@
 
 export interface WaitingRequest {
   readonly request: PlacementRequest
+  /** Monotonic time at which the wait began. */
+  readonly since: number
   settle: (assignments: readonly Assignment[]) => void
   refuse: (error: RefusalError) => void
   assignments: readonly Assignment[]
@@ -83,10 +85,10 @@
   async wait (request: PlacementRequest, signal: AbortSignal): Promise<readonly Assignment[]> {
     if (this.#closedReason !== undefined) throw this.#closedReason
     if (signal.aborted) throw createAborted(signal)
-    const { queue } = this.#dependencies
+    const { queue, clock } = this.#dependencies
     const settled = new AbortController()
     return await new Promise<readonly Assignment[]>((resolve, reject) => {
-      const waiting: WaitingRequest = { request, settle: resolve, refuse: reject, assignments: [] }
+      const waiting: WaitingRequest = { request, since: clock.monotonicMs(), settle: resolve, refuse: reject, assignments: [] }
       const entry = createEntry(waiting)
       const { accepted, shed } = queue.push(entry)
       for (const victim of shed) this.#refuse(victim, createShed())
@@ -117,6 +119,20 @@
     return counts
   }
 
+  /**
+   * Sends requests that have waited since a time, and for which another instance has room, back to be routed anew.
+   * Those that would fit here wait for an allotment, which another instance has no more of.
+   */
+  offerElsewhere (takeRoom: (request: PlacementRequest) => boolean, waitingSince: number): void {
+    const { queue, pool } = this.#dependencies
+    const largestFree = pool.largestFree()
+    for (const entry of [...queue.entries()]) {
+      const { request, since } = entry.value
+      if (since > waitingSince || fits(request.size, largestFree) || !takeRoom(request)) continue
+      if (queue.remove(entry)) this.#refuse(entry, createRerouted())
+    }
+  }
+
   /** Starts everything that fits now. */
   pump (): void {
     const { queue } = this.#dependencies
@@ -234,6 +250,10 @@
   return { team, kind, urgency: findWorkload(kind).urgency, size, tasks: taskIds.length, bytes, deadlineAt, value }
 }
 
+function createRerouted (): RefusalError {
+  return new RefusalError('another instance has room', { code: 'no-capacity', verdict: 'not-run', retryable: true })
+}
+
 /** Another instance may own larger targets. */
 function createNever (reason: string): RefusalError {
   return new RefusalError(reason, { code: 'no-capacity', verdict: 'not-run', retryable: true })
