Checkpoint nothing for teams that wait because of their limit

Cause: a team at its limit with waiting work counted as owed its share, so that each second other teams' tasks were checkpointed for it in vain.

Change: a team that uses 90% or more of its limit in a dimension has no waiting work in the ledger of shares, neither here nor from the digests.

--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -15,6 +15,8 @@
 const TARGET_INTERVAL_MS = 250
 const SHARE_INTERVAL_MS = 1_000
 const USAGE_INTERVAL_MS = 5_000
+/** Part of a limit above which the team counts as held back by it; digests lag and rests are smaller than a task. */
+const LIMIT_REACHED = 0.9
 
 export class Housekeeping {
   readonly components: readonly Component[]
@@ -62,16 +64,26 @@
     const { membership } = this.#configuration
     const others = membership.live().map(({ digest }) => digest).filter(({ ref }) => !sameInstance(ref, this.#coordination.ownership.self))
     ledger.setCapacity(this.#configuration.listedTargets().reduce<Resources>((sum, target) => addResources(sum, target.capacity), NO_RESOURCES))
-    ledger.observe(others)
+    const atLimit = new Set(this.#configuration.settings.teams().filter(team => this.#isAtLimit(team)))
+    ledger.observe(others.map(digest =>
+      ({ ...digest, teams: digest.teams.map(entry => atLimit.has(entry.team) ? { ...entry, queued: 0 } : entry) })))
     for (const team of this.#configuration.settings.teams()) {
       const { size, entries } = placements.waiting(team)
-      ledger.setWaiting(team, size, entries)
+      if (atLimit.has(team)) ledger.setWaiting(team, NO_RESOURCES, 0)
+      else ledger.setWaiting(team, size, entries)
       this.#coordination.allotments.setQueuedDemand(team, size)
     }
     preemptor.balanceShares()
     this.#updateGauges()
   }
 
+  /** A team that waits because of its limit is owed nothing: checkpointing others' tasks would not start its own. */
+  #isAtLimit (team: string): boolean {
+    const { limit } = this.#configuration.settings.find(team, 'batch')
+    const used = this.#scheduling.ledger.used(team)
+    return DIMENSIONS.some(dimension => used[dimension] > 0 && used[dimension] >= (limit[dimension] ?? Infinity) * LIMIT_REACHED)
+  }
+
   #updateGauges (): void {
     const { metrics } = this.#options
     const { ledger, pool, placements } = this.#scheduling
