--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,6 +9,11 @@
 }
 
 const EXPERIMENTS: readonly Experiment[] = [
+  {
+    name: 'thinPath',
+    summary: 'requests a second and added latency of one instance, over real processes; needs npm run build',
+    run: async () => await (await import('./thinPath.ts')).runThinPathBench()
+  },
   {
     name: 'control',
     summary: 'cost of control per instance at 3, 7, 14 and 31 instances',
