Derive from the list once a reading, not once a request

Each request filtered and reduced every listed target for its size estimate and filtered them again for admission; the gauges walked the queue once for each team. Change: targets of the own data centre and their largest capacity are kept for each reading of the list; admission stops at the first target that fits; one walk counts the queue for all teams. Behaviour is unchanged. The gain was not measured.

--- a/src/instance/configurationParts.ts
+++ b/src/instance/configurationParts.ts
@@ -8,6 +8,8 @@
 import { ListLoop } from '../membership/listLoop.ts'
 import { MembershipTable } from '../membership/membershipTable.ts'
 import type { InstanceRef } from '../model/identity.ts'
+import { maximumResources, NO_RESOURCES } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
 import type { TargetInfo } from '../model/target.ts'
 import type { ListSnapshot } from '../ports/instanceList.ts'
 import { validateOperations } from '../settings/validate.ts'
@@ -23,6 +25,13 @@
   onChanged (): void
 }
 
+/** What follows from one reading of the list. */
+interface ListView {
+  readonly snapshot: ListSnapshot | undefined
+  readonly here: readonly TargetInfo[]
+  readonly largest: Resources
+}
+
 export class ConfigurationParts {
   readonly registry: AcceptorRegistry
   readonly log: ChangeLog
@@ -35,6 +44,7 @@
   readonly #hooks: ConfigurationHooks
   #keys: KeyRing
   #refreshing: Promise<unknown> | undefined
+  #listView: ListView | undefined
 
   constructor (options: InstanceOptions, hooks: ConfigurationHooks) {
     const { store, clock, random, location, peerClient, list, seeds } = options
@@ -79,9 +89,26 @@
     return this.lists.snapshot?.targets ?? []
   }
 
+  /** Targets of the own data centre as last listed. */
   listedHere (): readonly TargetInfo[] {
-    const { dataCentre } = this.#options.location
-    return this.listedTargets().filter(target => target.dataCentre === dataCentre)
+    return this.#viewList().here
+  }
+
+  /** The largest capacity of a target of the own data centre, separately for each dimension. */
+  largestHere (): Resources {
+    return this.#viewList().largest
+  }
+
+  /** Worked out once for each reading of the list, since it is asked for with every request. */
+  #viewList (): ListView {
+    const { snapshot } = this.lists
+    if (this.#listView === undefined || this.#listView.snapshot !== snapshot) {
+      const { dataCentre } = this.#options.location
+      const here = this.listedTargets().filter(target => target.dataCentre === dataCentre)
+      const largest = here.reduce((most, target) => maximumResources(most, target.capacity), NO_RESOURCES)
+      this.#listView = { snapshot, here, largest }
+    }
+    return this.#listView
   }
 
   /** Reads the configuration and registers; what the store can't do now is tried again by the loops. */
--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -116,13 +116,13 @@
     const { metrics } = this.#options
     const { ledger, pool, placements } = this.#scheduling
     const { allotments } = this.#coordination
+    const waiting = placements.waitingByKind()
     for (const team of this.#configuration.settings.teams()) {
       metrics.setShare(team, ledger.entitlement(team), ledger.dominantShare(team))
       const spare = allotments.spare(team)
       const wantedElsewhere = others.some(({ teams }) => teams.some(entry => entry.team === team && entry.queued > 0))
       metrics.setAllotment(team, addResources(allotments.used(team), spare), wantedElsewhere ? spare : NO_RESOURCES)
-      const waiting = placements.waiting(team).entries === 0 ? undefined : placements.waitingByKind(team)
-      for (const kind of workloads.keys()) metrics.setQueued(team, kind, waiting?.get(kind) ?? 0)
+      for (const kind of workloads.keys()) metrics.setQueued(team, kind, waiting.get(team)?.get(kind) ?? 0)
     }
     const capacity = [...pool.targets()].reduce<Resources>((sum, { info }) => addResources(sum, info.capacity), NO_RESOURCES)
     const used = subtractResources(capacity, [...pool.targets()].reduce<Resources>((sum, { free }) => addResources(sum, free), NO_RESOURCES))
--- a/src/instance/placementQueue.ts
+++ b/src/instance/placementQueue.ts
@@ -118,11 +118,13 @@
     return this.#waiting.get(team) ?? NOTHING_WAITING
   }
 
-  /** Number of the team's waiting requests by kind. */
-  waitingByKind (team: string): ReadonlyMap<KindName, number> {
-    const counts = new Map<KindName, number>()
-    for (const entry of this.#dependencies.queue.entries()) {
-      if (entry.team === team) counts.set(entry.kind, (counts.get(entry.kind) ?? 0) + 1)
+  /** Number of waiting requests by team and kind. */
+  waitingByKind (): ReadonlyMap<string, ReadonlyMap<KindName, number>> {
+    const counts = new Map<string, Map<KindName, number>>()
+    for (const { team, kind } of this.#dependencies.queue.entries()) {
+      const kinds = counts.get(team) ?? new Map<KindName, number>()
+      kinds.set(kind, (kinds.get(kind) ?? 0) + 1)
+      counts.set(team, kinds)
     }
     return counts
   }
--- a/src/instance/schedulingParts.ts
+++ b/src/instance/schedulingParts.ts
@@ -1,6 +1,5 @@
 /** The parts of an instance that place work on its targets and see it through. */
 import type { InstanceRef } from '../model/identity.ts'
-import { maximumResources, NO_RESOURCES } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { WorkRequest } from '../model/request.ts'
 import type { TargetInfo } from '../model/target.ts'
@@ -275,7 +274,6 @@
   }
 
   #estimateSize (team: string, { kind, name, size }: WorkRequest): Resources {
-    const largest = this.#configuration.listedHere().reduce((most, target) => maximumResources(most, target.capacity), NO_RESOURCES)
-    return this.estimator.estimate(team, kind, name, size, largest)
+    return this.estimator.estimate(team, kind, name, size, this.#configuration.largestHere())
   }
 }
--- a/src/scheduler/admission/admission.ts
+++ b/src/scheduler/admission/admission.ts
@@ -90,8 +90,10 @@
       }
     }
     const type = findWorkload(kind).targetType(size)
-    const targets = this.#dependencies.listedTargets().filter(target => target.type === type)
-    if (targets.length > 0 && !targets.some(target => fits(size, target.capacity))) {
+    const targets = this.#dependencies.listedTargets()
+    // The first target that fits ends the search, which nearly every request does.
+    if (targets.some(target => target.type === type && fits(size, target.capacity))) return
+    if (targets.some(target => target.type === type)) {
       throw refuse('never-runnable', `a task of this size is larger than every ${type} of the cell`)
     }
   }
