--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,15 +1,17 @@
-/** Bundles the program and writes it into a copy of the node program: dist/agategauge. */
+/** Bundles the program and writes it into a copy of the node program: dist/agategauge, or in the folder given. */
 import { execFileSync } from 'node:child_process'
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { build } from 'esbuild'
 import { inject } from 'postject'
 
-const OUTPUT = 'dist/agategauge'
-const BUNDLE = 'dist/agategauge.cjs'
-const BLOB = 'dist/agategauge.blob'
+const FOLDER = process.argv[2] ?? 'dist'
+const OUTPUT = `${FOLDER}/agategauge`
+const BUNDLE = `${FOLDER}/agategauge.cjs`
+const BLOB = `${FOLDER}/agategauge.blob`
+const SEA_CONFIGURATION = `${FOLDER}/sea.json`
 const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
-mkdirSync('dist', { recursive: true })
+mkdirSync(FOLDER, { recursive: true })
 await build({
   entryPoints: ['src/main.ts'],
   bundle: true,
@@ -23,8 +25,8 @@
   banner: { js: "const __importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;" },
   logLevel: 'warning'
 })
-writeFileSync('dist/sea.json', JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }))
-execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: ['ignore', 'ignore', 'inherit'] })
+writeFileSync(SEA_CONFIGURATION, JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }))
+execFileSync(process.execPath, ['--experimental-sea-config', SEA_CONFIGURATION], { stdio: ['ignore', 'ignore', 'inherit'] })
 copyFileSync(process.execPath, OUTPUT)
 await inject(OUTPUT, 'NODE_SEA_BLOB', readFileSync(BLOB), { sentinelFuse: FUSE })
 chmodSync(OUTPUT, 0o755)
--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -27,6 +27,7 @@
   readonly path: string
   /** Sent as JSON. */
   readonly body?: unknown
+  readonly headers?: Readonly<Record<string, string>>
   /** Limit for the whole call; none if left out. */
   readonly timeoutMs?: number
   readonly signal?: AbortSignal
@@ -87,7 +88,7 @@
   }
 
   /** Resolves with the head of the answer; the body must be read or destroyed. */
-  async call ({ method, path, body, signal }: CallOptions): Promise<HttpResponse> {
+  async call ({ method, path, body, headers, signal }: CallOptions): Promise<HttpResponse> {
     const delivery: Delivery = { sent: false }
     try {
       return await this.#dispatcher.request<Delivery>({
@@ -95,7 +96,7 @@
         path,
         signal,
         opaque: delivery,
-        ...(body === undefined ? {} : { body: JSON.stringify(body), headers: { 'content-type': 'application/json' } })
+        ...(body === undefined ? { headers } : { body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } })
       })
     } catch (error) {
       const ErrorClass = delivery.sent ? NoAnswerError : NotSentError
@@ -105,10 +106,21 @@
 
   /** Resolves with the whole answer. */
   async callJson (options: CallOptions): Promise<JsonResponse> {
+    return await this.#callWhole(options, readJson)
+  }
+
+  /** Resolves with the whole answer, whose body may be empty or not JSON: it is undefined then. */
+  async callLenient (options: CallOptions): Promise<JsonResponse> {
+    return await this.#callWhole(options, readOptionalJson)
+  }
+
+  async #callWhole (
+    options: CallOptions, readBody: (response: HttpResponse, options: CallOptions) => Promise<unknown>
+  ): Promise<JsonResponse> {
     const limit = limitTime(this.#clock, options.timeoutMs, options.signal)
     try {
       const response = await this.call({ ...options, signal: limit.signal })
-      return { status: response.statusCode, body: await readJson(response, options) }
+      return { status: response.statusCode, body: await readBody(response, options) }
     } finally {
       limit.clear()
     }
@@ -128,6 +140,20 @@
   }
 }
 
+async function readOptionalJson (response: HttpResponse, { method, path }: CallOptions): Promise<unknown> {
+  let text: string
+  try {
+    text = await response.body.text()
+  } catch (error) {
+    throw new NoAnswerError(`${method} ${path}: the answer is not whole:`, { cause: error })
+  }
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
 interface TimeLimit {
   /** Aborts when the time is up or the caller's own signal aborts. */
   readonly signal?: AbortSignal
--- a/src/commands/instanceLoader.ts
+++ b/src/commands/instanceLoader.ts
@@ -28,3 +28,9 @@
   const module = await import('../instance/startEmbedded.ts').catch(refuseLoad)
   return module.startEmbedded
 }
+
+/** src/platform/startOnPlatform.ts exports `startOnPlatform`: an instance on the users' platform. */
+export async function loadStartOnPlatform (): Promise<(settingsPath: string) => Promise<RunningInstance>> {
+  const module = await import('../platform/startOnPlatform.ts').catch(refuseLoad)
+  return module.startOnPlatform
+}
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -3,14 +3,18 @@
 import { readInstanceSettings } from '../settings/instanceSettings.ts'
 import type { CommandFactory } from './commandBuilder.ts'
 import { CommandError, errorCode, EXIT_CODES, readNamedFile } from './commandContext.ts'
-import { loadStartEmbedded, loadStartInstance } from './instanceLoader.ts'
+import { loadStartEmbedded, loadStartInstance, loadStartOnPlatform } from './instanceLoader.ts'
 import type { RunningInstance } from './instanceLoader.ts'
 
 interface ServeArguments {
   readonly settings?: string
   readonly embedded: boolean
+  readonly platform: boolean
 }
 
+/** Names the settings file that the platform writes. */
+const PLATFORM_SETTINGS_VARIABLE = 'AGATEGAUGE_CONFIG'
+
 /** Faults of the addresses in the settings, not of the program. */
 const LISTEN_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'ENOTFOUND']
 
@@ -46,13 +50,23 @@
   builder: (parser: Argv) => parser
     .option('settings', { type: 'string', requiresArg: true, describe: 'INI file of this instance; docs/settings.md lists the names' })
     .option('embedded', { type: 'boolean', default: false, describe: 'Run with stand-ins for store, list and targets in this process, to try things out' })
+    .option('platform', { type: 'boolean', default: false, describe: `Run on the users' platform with the settings file that ${PLATFORM_SETTINGS_VARIABLE} names` })
     .example('$0 serve --settings entry-1.ini', 'SIGTERM begins a planned stop')
     .example('$0 serve --embedded', 'Try it without a platform'),
-  handler: async ({ settings, embedded }: ServeArguments) => await run(async () => {
-    if (settings !== undefined && embedded) throw new CommandError('give either --settings or --embedded', EXIT_CODES.wrongUse)
-    if (settings === undefined && !embedded) throw new CommandError('give --settings FILE, or --embedded to try things out', EXIT_CODES.wrongUse)
-    const instance = settings === undefined ? await (await loadStartEmbedded())() : await startFromFile(settings)
+  handler: async (given: ServeArguments) => await run(async () => {
+    const instance = await startChosen(given)
     await waitForStop(instance)
     return EXIT_CODES.done
   })
 })
+
+async function startChosen ({ settings, embedded, platform }: ServeArguments): Promise<RunningInstance> {
+  const chosen = [settings !== undefined, embedded, platform].filter(Boolean).length
+  if (chosen > 1) throw new CommandError('give only one of --settings, --embedded and --platform', EXIT_CODES.wrongUse)
+  if (settings !== undefined) return await startFromFile(settings)
+  if (embedded) return await (await loadStartEmbedded())()
+  if (!platform) throw new CommandError('give --settings FILE, or --embedded to try things out, or --platform', EXIT_CODES.wrongUse)
+  const path = process.env[PLATFORM_SETTINGS_VARIABLE]
+  if (path === undefined || path === '') throw new CommandError(`--platform needs the path of the settings file in ${PLATFORM_SETTINGS_VARIABLE}`, EXIT_CODES.wrongUse)
+  return await (await loadStartOnPlatform())(path)
+}
--- /dev/null
+++ b/src/coordinator/adviceLanes.ts
@@ -0,0 +1,106 @@
+/** Spreads questions to the placement advisor over the instances, since it serves each one in turn. */
+import { BaseError } from '../model/errors.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+
+/** Questions that take longer keep off the first lanes, so that short ones never wait behind them. */
+const LONG_QUESTION_MS = 250
+const MEDIUM_QUESTION_MS = 40
+/** Lanes kept free of long questions, and of medium ones, if there are more. */
+const LANES_WITHOUT_LONG = 2
+const LANES_WITHOUT_MEDIUM = 1
+/** Expected work in one lane: a second short question may be on its way while the first is served. */
+const LANE_BACKLOG_MS = 60
+/** A lane that failed is not used for that long. */
+const LANE_REST_MS = 1_000
+
+interface Waiting {
+  readonly question: AdviceQuestion
+  readonly rank: number
+  readonly resolve: (allowed: readonly AllowedTarget[]) => void
+  readonly reject: (error: unknown) => void
+}
+
+interface Lane {
+  readonly name: string
+  readonly advisor: PlacementAdvisor
+  backlogMs: number
+  restsUntilMs: number
+}
+
+/**
+ * Asks each question through the lane with the least to do.
+ *
+ * @example
+ * lanes.setLanes([{ name: 'entry-1', advisor: own }, { name: 'entry-2', advisor: throughPeer }])
+ * const allowed = await lanes.ask(question, 0)
+ */
+export class AdviceLanes {
+  readonly #clock: Clock
+  #lanes: Lane[] = []
+  #waiting: Waiting[] = []
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  get waitingQuestions (): number {
+    return this.#waiting.length
+  }
+
+  setLanes (lanes: readonly { readonly name: string, readonly advisor: PlacementAdvisor }[]): void {
+    this.#lanes = lanes.map(lane => this.#lanes.find(known => known.name === lane.name) ?? { ...lane, backlogMs: 0, restsUntilMs: 0 })
+    this.#dispatch()
+  }
+
+  /** Questions with a lower rank are asked first. */
+  ask (question: AdviceQuestion, rank: number): Promise<readonly AllowedTarget[]> {
+    return new Promise((resolve, reject) => {
+      this.#waiting.push({ question, rank, resolve, reject })
+      this.#waiting.sort((left, right) => left.rank - right.rank)
+      this.#dispatch()
+    })
+  }
+
+  close (): void {
+    for (const waiting of this.#waiting) waiting.reject(new BaseError('the term has ended'))
+    this.#waiting = []
+  }
+
+  #dispatch (): void {
+    const kept: Waiting[] = []
+    for (const waiting of this.#waiting) {
+      const lane = this.#chooseLane(waiting.question.expectedMs)
+      if (lane === undefined) kept.push(waiting)
+      else void this.#askThrough(lane, waiting)
+    }
+    this.#waiting = kept
+  }
+
+  #chooseLane (expectedMs: number): Lane | undefined {
+    const nowMs = this.#clock.monotonicMs()
+    const reserved = expectedMs > LONG_QUESTION_MS ? LANES_WITHOUT_LONG : expectedMs > MEDIUM_QUESTION_MS ? LANES_WITHOUT_MEDIUM : 0
+    const eligible = this.#lanes.slice(Math.min(reserved, this.#lanes.length - 1))
+    let best: Lane | undefined
+    for (const lane of eligible) {
+      if (lane.restsUntilMs > nowMs || lane.backlogMs > LANE_BACKLOG_MS) continue
+      if (lane.backlogMs > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
+      if (best === undefined || lane.backlogMs < best.backlogMs) best = lane
+    }
+    return best
+  }
+
+  async #askThrough (lane: Lane, { question, resolve, reject }: Waiting): Promise<void> {
+    lane.backlogMs += question.expectedMs
+    try {
+      resolve(await lane.advisor.ask(question))
+    } catch (error) {
+      lane.restsUntilMs = this.#clock.monotonicMs() + LANE_REST_MS
+      this.#clock.sleep(LANE_REST_MS).then(() => this.#dispatch(), () => {})
+      reject(error)
+    } finally {
+      lane.backlogMs -= question.expectedMs
+      this.#dispatch()
+    }
+  }
+}
--- /dev/null
+++ b/src/coordinator/assignment.ts
@@ -0,0 +1,50 @@
+/** A task that has a place on a target. */
+import type { TaskProgress } from '../jobs/stepProgress.ts'
+import type { Resources } from '../model/resources.ts'
+
+/**
+ * `reserved`: room is kept, no order was sent. `unconfirmed`: the order has no answer, and the target
+ * may carry it out at any time. `stopping`: the run is to end and still counts.
+ */
+export type AssignmentState = 'reserved' | 'starting' | 'running' | 'unconfirmed' | 'stopping'
+
+export class Assignment {
+  readonly task: TaskProgress
+  readonly attempt: number
+  /** Room that it takes on the target. */
+  readonly size: Resources
+  readonly createdAtMs: number
+  state: AssignmentState
+  /** Reports of requests that were sent before are too old to say that it does not run. */
+  confirmedAtMs = 0
+  percent = 0
+  percentChangedAtMs: number
+
+  constructor (task: TaskProgress, attempt: number, size: Resources, state: AssignmentState, nowMs: number) {
+    this.task = task
+    this.attempt = attempt
+    this.size = size
+    this.state = state
+    this.createdAtMs = nowMs
+    this.percentChangedAtMs = nowMs
+  }
+
+  get key (): string {
+    return runKey(this.task.name, this.attempt)
+  }
+
+  get team (): string {
+    return this.task.step.job.team
+  }
+
+  noteProgress (percent: number, nowMs: number): void {
+    if (percent === this.percent) return
+    this.percent = percent
+    this.percentChangedAtMs = nowMs
+  }
+}
+
+/** Identifies one run of a task. */
+export function runKey (task: string, attempt: number): string {
+  return `${task}#${attempt}`
+}
--- /dev/null
+++ b/src/coordinator/election.ts
@@ -0,0 +1,229 @@
+/** Elects one instance as the coordinator of jobs, by a key under a lease in the store. */
+import { z } from 'zod'
+import type { Component } from '../lifecycle/component.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { StoredItem, TransactionalStore } from '../ports/transactionalStore.ts'
+
+export const COORDINATOR_KEY = 'agategauge/coordinator'
+
+/** A lost coordinator is replaced after this time; the store grants no shorter lease than a second. */
+const LEASE_MS = 2_000
+const RENEW_INTERVAL_MS = 500
+/**
+ * While nobody answers for the store, nobody can be elected either, and the coordinator goes on that
+ * much longer after its lease. A successor waits as long before it takes over from targets that it
+ * can not reach.
+ */
+export const AUTHORITY_GRACE_MS = 8_000
+/** The wall clock may be ahead of the monotonic one by that much before a suspension is suspected. */
+const SUSPENSION_MS = 400
+const WATCH_MS = 5_000
+const RETRY_DELAY_MS = 150
+/** Candidates wait this many times the store's answer time, so that one near the store wins. */
+const DISTANCE_FACTOR = 4
+const LONGEST_CANDIDATE_DELAY_MS = 400
+
+const recordSchema = z.object({ instance: z.string(), address: z.string() })
+
+export interface CoordinatorInfo {
+  readonly instance: string
+  readonly address: string
+  /** Revision of the election; serves as fencing token and rises with each election. */
+  readonly fence: number
+}
+
+export interface ElectionListener {
+  /** This instance was elected; the authority ends with `onLost`. */
+  onElected (info: CoordinatorInfo): void
+  onLost (reason: string): void
+  /** Another coordinator, or none, is known now. */
+  onChanged (info: CoordinatorInfo | undefined): void
+}
+
+export interface ElectionOptions {
+  readonly store: TransactionalStore
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly instance: string
+  readonly address: string
+  readonly leaseMs?: number
+  readonly listener: ElectionListener
+}
+
+interface Held {
+  readonly info: CoordinatorInfo
+  readonly lease: number
+}
+
+export class Election implements Component {
+  readonly name = 'election'
+  readonly #options: ElectionOptions
+  readonly #stopping = new AbortController()
+  #held: Held | undefined
+  #known: CoordinatorInfo | undefined
+  /** Until when the store is known to keep the election, on the monotonic clock. */
+  #validUntilMs = 0
+  /** Difference of wall and monotonic clock at the last renewal. */
+  #clockGapMs = 0
+  #storeFailing = false
+  #withdrawn = false
+  #running: Promise<void> = Promise.resolve()
+
+  constructor (options: ElectionOptions) {
+    this.#options = options
+  }
+
+  async start (): Promise<void> {
+    this.#running = this.#run()
+  }
+
+  async stop (): Promise<void> {
+    await this.withdraw()
+    this.#stopping.abort()
+    await this.#running
+  }
+
+  get coordinator (): CoordinatorInfo | undefined {
+    return this.#known
+  }
+
+  /** Whether this instance may give orders now. */
+  mayAct (): boolean {
+    if (this.#held === undefined) return false
+    const { clock } = this.#options
+    const nowMs = clock.monotonicMs()
+    if (clock.wallMs() - nowMs - this.#clockGapMs > SUSPENSION_MS) return false
+    return nowMs < this.#validUntilMs + (this.#storeFailing ? AUTHORITY_GRACE_MS : 0)
+  }
+
+  /** Gives the office up and does not stand again; a successor can be elected at once. */
+  async withdraw (): Promise<void> {
+    this.#withdrawn = true
+    await this.resign('the instance stops')
+  }
+
+  /** Gives the office up. */
+  async resign (reason: string): Promise<void> {
+    const held = this.#held
+    if (held === undefined) return
+    this.#lose(reason)
+    try {
+      await this.#options.store.endLease(held.lease)
+    } catch (error) {
+      this.#options.logger.warn({ error: String(error), lease: held.lease }, 'the election lease was not ended; it lapses by itself')
+    }
+  }
+
+  /** Takes over what a peer says of a newer election, for instances that can not read the store. */
+  learn (info: CoordinatorInfo): void {
+    if (this.#held !== undefined || info.fence <= (this.#known?.fence ?? 0)) return
+    this.#setKnown(info)
+  }
+
+  async #run (): Promise<void> {
+    const { signal } = this.#stopping
+    while (!signal.aborted) {
+      try {
+        if (this.#held !== undefined) await this.#renew(this.#held)
+        else await this.#follow()
+      } catch (error) {
+        this.#options.logger.debug({ error: String(error) }, 'the election could not read the store')
+        await this.#sleep(RETRY_DELAY_MS)
+      }
+    }
+  }
+
+  async #follow (): Promise<void> {
+    const { store, clock } = this.#options
+    const askedMs = clock.monotonicMs()
+    const item = await store.get(COORDINATOR_KEY)
+    const answerMs = clock.monotonicMs() - askedMs
+    if (item !== undefined) {
+      this.#noteItem(item)
+      await this.#watch(item.revision)
+      return
+    }
+    this.#setKnown(undefined)
+    if (this.#withdrawn) return await this.#sleep(RETRY_DELAY_MS)
+    await this.#sleep(Math.min(answerMs * DISTANCE_FACTOR, LONGEST_CANDIDATE_DELAY_MS))
+    await this.#stand()
+  }
+
+  async #watch (revision: number): Promise<void> {
+    const { store } = this.#options
+    let after = revision
+    while (!this.#stopping.signal.aborted) {
+      const result = await store.watch(COORDINATOR_KEY, after, WATCH_MS, this.#stopping.signal)
+      if (result.outcome === 'history-lost' || result.changes.length > 0) return
+      after = result.revision
+    }
+  }
+
+  async #stand (): Promise<void> {
+    const { store, clock, instance, address, leaseMs = LEASE_MS } = this.#options
+    const sentMs = clock.monotonicMs()
+    const lease = await store.grantLease(leaseMs)
+    const result = await store.commit({
+      conditions: [{ key: COORDINATOR_KEY, revision: 0 }],
+      writes: [{ key: COORDINATOR_KEY, value: JSON.stringify({ instance, address }), lease }],
+      removes: []
+    })
+    if (result.outcome !== 'committed' || this.#withdrawn) return
+    const info: CoordinatorInfo = { instance, address, fence: result.revision }
+    this.#held = { info, lease }
+    this.#extend(sentMs)
+    this.#setKnown(info)
+    this.#options.listener.onElected(info)
+  }
+
+  async #renew ({ lease }: Held): Promise<void> {
+    const { store, clock, logger } = this.#options
+    await this.#sleep(RENEW_INTERVAL_MS)
+    if (this.#held === undefined) return
+    const sentMs = clock.monotonicMs()
+    try {
+      if (await store.renewLease(lease)) {
+        if (this.#storeFailing) logger.info('the store renews the election again')
+        this.#storeFailing = false
+        this.#extend(sentMs)
+      } else {
+        this.#lose('the lease has ended')
+      }
+    } catch (error) {
+      if (!this.#storeFailing) logger.warn({ error: String(error), validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'the election was not renewed')
+      this.#storeFailing = true
+      if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#lose('the lease could not be renewed')
+    }
+  }
+
+  #extend (sentMs: number): void {
+    const { clock, leaseMs = LEASE_MS } = this.#options
+    this.#validUntilMs = sentMs + leaseMs
+    this.#clockGapMs = clock.wallMs() - clock.monotonicMs()
+  }
+
+  #lose (reason: string): void {
+    if (this.#held === undefined) return
+    this.#held = undefined
+    this.#storeFailing = false
+    this.#setKnown(undefined)
+    this.#options.listener.onLost(reason)
+  }
+
+  #noteItem ({ value, revision }: StoredItem): void {
+    const parsed = recordSchema.safeParse(JSON.parse(value))
+    if (!parsed.success) throw new Error('the record of the coordinator can not be read')
+    this.#setKnown({ ...parsed.data, fence: revision })
+  }
+
+  #setKnown (info: CoordinatorInfo | undefined): void {
+    if (info?.fence === this.#known?.fence) return
+    this.#known = info
+    this.#options.listener.onChanged(info)
+  }
+
+  async #sleep (durationMs: number): Promise<void> {
+    await this.#options.clock.sleep(durationMs, this.#stopping.signal).catch(() => {})
+  }
+}
--- /dev/null
+++ b/src/coordinator/jobCoordinator.ts
@@ -0,0 +1,606 @@
+/** Runs the jobs of the cluster during one term: recovers them, places their tasks and records their ends. */
+import type { DesiredState, QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import { parseTaskName } from '../jobs/job.ts'
+import type { JobProgress } from '../jobs/jobProgress.ts'
+import type { LogRecord, RunEndRecord, TargetDescription } from '../jobs/jobRecords.ts'
+import { targetKey } from '../jobs/jobTable.ts'
+import type { JobTable } from '../jobs/jobTable.ts'
+import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
+import { NO_RESOURCES } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { FinishedRun, JobTargetConnector, RunningTask, StartRefusal } from '../ports/jobTarget.ts'
+import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
+import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import type { AdviceLanes } from './adviceLanes.ts'
+import { Assignment } from './assignment.ts'
+import { AUTHORITY_GRACE_MS, COORDINATOR_KEY } from './election.ts'
+import type { CoordinatorInfo } from './election.ts'
+import { compareRanks, rankStep } from './jobRanking.ts'
+import { readLog } from './logReader.ts'
+import { placeStep, roomOf } from './placeStep.ts'
+import type { TargetRoom } from './placeStep.ts'
+import { RecordLog } from './recordLog.ts'
+import { StepAdvice } from './stepAdvice.ts'
+import { TargetSession } from './targetSession.ts'
+import type { LifeEnd, TargetListener } from './targetSession.ts'
+import { TeamUsage } from './teamUsage.ts'
+
+/** Collects changes before the next placement. */
+const PLACEMENT_DELAY_MS = 5
+/** Between two readings of the target list; a draining target is known well within its 2.5 s. */
+const DIRECTORY_INTERVAL_MS = 500
+/** How long a new coordinator waits for the targets before it places work on those that answered. */
+const JOIN_WAIT_MS = 1_200
+const JOIN_POLL_MS = 20
+/** Targets that failed two tasks in a row get no new ones for that long. */
+const AVOID_FAILING_MS = 4_000
+const RETRY_DELAY_MS = 100
+/** Part of the processors kept free of work that is not urgent, so that urgent work finds room. */
+const URGENT_RESERVE = 0.05
+/** Targets that one question names at most. */
+const TARGETS_PER_QUESTION = 100
+const HOUSEKEEPING_MS = 1_000
+const LONGEST_RECOVERED_AGE_MS = 3_600_000
+
+export interface CoordinatorOptions {
+  readonly store: TransactionalStore
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly info: CoordinatorInfo
+  readonly connect: JobTargetConnector
+  readonly directory: TargetDirectory
+  readonly desiredState: () => DesiredState
+  readonly lanes: AdviceLanes
+  readonly mayAct: () => boolean
+  readonly resign: (reason: string) => void
+  readonly targetLeaseMs: number
+  readonly earlyStartMs: number
+  readonly finishedJobMs: number
+}
+
+export class JobCoordinator implements TargetListener {
+  readonly #options: CoordinatorOptions
+  readonly #clock: Clock
+  readonly #logger: Logger
+  readonly #beganAtMs: number
+  readonly #sessions = new Map<string, TargetSession>()
+  readonly #usage = new TeamUsage()
+  readonly #advice = new Map<StepProgress, StepAdvice>()
+  readonly #failedTargets = new Map<StepProgress, Set<string>>()
+  /** Steps that may have waiting tasks. */
+  readonly #ready = new Set<StepProgress>()
+  readonly #recordedTargets = new Set<string>()
+  readonly #recovered = new Set<string>()
+  readonly #durableQueues = new Map<string, QueueSettings>()
+  #table: JobTable | undefined
+  #log: RecordLog | undefined
+  #placing = false
+  #placementDue = false
+  #closed = false
+
+  constructor (options: CoordinatorOptions) {
+    this.#options = options
+    this.#clock = options.clock
+    this.#logger = options.logger
+    this.#beganAtMs = options.clock.monotonicMs()
+  }
+
+  /** Whether jobs can be accepted and read. */
+  get ready (): boolean {
+    return this.#table !== undefined && !this.#closed
+  }
+
+  get table (): JobTable {
+    if (this.#table === undefined) throw new Error('the coordinator has not read its log yet')
+    return this.#table
+  }
+
+  get info (): CoordinatorInfo {
+    return this.#options.info
+  }
+
+  /** Since when the store refuses records; undefined while it takes them. */
+  get storeFailingSinceMs (): number | undefined {
+    return this.#log?.failingSinceMs
+  }
+
+  /** Recovers what earlier coordinators left, then places work until the term ends. */
+  async open (): Promise<void> {
+    const read = await this.#readLog()
+    if (this.#closed) return
+    const term = read.table.term + 1
+    this.#log = new RecordLog({
+      store: this.#options.store,
+      clock: this.#clock,
+      logger: this.#logger,
+      election: { key: COORDINATOR_KEY, revision: this.info.fence },
+      nextSequence: read.nextSequence,
+      onTermLost: reason => this.#options.resign(reason)
+    })
+    this.#record([{ type: 'term', term }], read.table).catch(() => {})
+    this.#recoverJobs(read.table)
+    this.#table = read.table
+    this.#logger.info({ fence: this.info.fence, term, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#beganAtMs) }, 'the coordinator has read its log')
+    for (const description of read.table.targets.values()) this.#openSession(description, true)
+    void this.#watchDirectory()
+    await this.#awaitJoins()
+    if (this.#closed) return
+    this.#stopPartialGangs()
+    this.#placing = true
+    this.changed()
+    void this.#keepHouse()
+  }
+
+  /** Ends the term; nothing is decided any more. */
+  close (): void {
+    this.#closed = true
+    this.#log?.close()
+    this.#options.lanes.close()
+    for (const session of this.#sessions.values()) session.close()
+  }
+
+  /** Stores records and applies them; resolves when they are durable. */
+  record (records: readonly LogRecord[]): Promise<void> {
+    return this.#record(records, this.table)
+  }
+
+  /** Makes the steps of a new job known to the placement. */
+  admit (job: JobProgress): void {
+    this.#openDueOccurrences(job)
+    for (const step of job.steps) this.#offerStep(step)
+    this.changed()
+  }
+
+  /** Records for a queue whose settings are not in the log yet. */
+  recordsOfQueue (queue: QueueSettings): readonly LogRecord[] {
+    if (JSON.stringify(this.#durableQueues.get(queue.name)) === JSON.stringify(queue)) return []
+    this.#durableQueues.set(queue.name, queue)
+    return [{ type: 'queue', queue }]
+  }
+
+  /** Stops everything of a job that is over, and keeps its outcome. */
+  settle (job: JobProgress, durable: Promise<void>): void {
+    if (job.outcome === undefined) return
+    for (const step of job.steps) {
+      this.#ready.delete(step)
+      this.#advice.delete(step)
+      this.#failedTargets.delete(step)
+    }
+    this.#stopRuns(assignment => assignment.task.step.job === job)
+    durable.then(() => {
+      const { id, queue, team } = job.record
+      this.table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
+      this.#logger.info({ job: id, team, queue, outcome: job.outcome, ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
+    }, () => {})
+  }
+
+  // What targets report.
+
+  adopt (session: TargetSession, running: RunningTask): Assignment | undefined {
+    const name = parseTaskName(running.task)
+    const job = name === undefined ? undefined : this.table.jobs.get(name.job)
+    const step = name === undefined ? undefined : job?.findStep(name.occurrence, name.step)
+    const task = name === undefined ? undefined : step?.tasks[name.index]
+    const fresh = task !== undefined && task.state === 'waiting' && running.attempt >= task.attempt && !task.endedAttempts.includes(running.attempt)
+    if (job === undefined || step === undefined || !fresh || job.outcome !== undefined || (this.#placing && step.definition.gang)) {
+      this.#logger.info({ task: running.task, attempt: running.attempt, target: session.id, known: job !== undefined, state: task?.state }, 'a run that is not wanted is stopped')
+      return undefined
+    }
+    task.attempt = running.attempt
+    task.state = 'assigned'
+    job.markStarted()
+    const assignment = new Assignment(task, running.attempt, roomOf(step.definition), 'running', this.#clock.monotonicMs())
+    this.#usage.add(job.team, step.definition.size)
+    return assignment
+  }
+
+  async runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void> {
+    if (assignment !== undefined) this.#usage.remove(assignment.team, assignment.task.step.definition.size)
+    if (run.end === 'failed' || run.end === 'done') session.noteRunResult(run.end === 'failed', AVOID_FAILING_MS)
+    const name = parseTaskName(run.task)
+    const job = name === undefined ? undefined : this.table.jobs.get(name.job)
+    if (name === undefined || job === undefined) return
+    const record: RunEndRecord = { type: 'run-end', ...name, attempt: run.attempt, end: run.end, checkpoint: run.checkpoint }
+    const step = job.findStep(name.occurrence, name.step)
+    const over = job.outcome !== undefined
+    if (step === undefined || !job.endRun(record)) return
+    if (run.end !== 'done') this.#logger.info({ job: job.id, task: run.task, attempt: run.attempt, end: run.end, target: session.id }, 'a run ended without success')
+    if (run.end === 'failed') this.#noteFailedTarget(step, session)
+    const stored = this.#log?.append([record]) ?? Promise.reject(new Error('the log is closed'))
+    if (!over) this.#continueJob(job, step, run, stored)
+    await stored
+  }
+
+  runLost (session: TargetSession, assignment: Assignment, reason: string): void {
+    const { task } = assignment
+    this.#usage.remove(assignment.team, task.step.definition.size)
+    this.#logger.info({ job: task.step.job.id, task: task.name, attempt: assignment.attempt, target: session.id, state: assignment.state, reason }, 'a run was lost')
+    this.#returnTask(task, assignment.attempt)
+  }
+
+  startRefused (session: TargetSession, assignment: Assignment, refusal: StartRefusal): void {
+    const { task } = assignment
+    this.#usage.remove(assignment.team, task.step.definition.size)
+    this.#logger.info({ job: task.step.job.id, task: task.name, attempt: assignment.attempt, target: session.id, refusal }, 'a target refused a task')
+    if (refusal === 'ticket') this.#advice.get(task.step)?.dropTicket(session.key)
+    if (refusal === 'unhealthy' || refusal === 'no-room') session.noteRunResult(true, RETRY_DELAY_MS)
+    this.#returnTask(task, assignment.attempt)
+  }
+
+  startConfirmed (_session: TargetSession, assignment: Assignment): void {
+    const { job } = assignment.task.step
+    if (job.hasStarted) return
+    job.markStarted()
+    this.#logger.info({ job: job.id, team: job.team, queue: job.queue.name, waitedMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job started')
+  }
+
+  joined (session: TargetSession): void {
+    if (this.#recordedTargets.has(session.key)) return
+    this.record([{ type: 'target', target: session.description }]).then(() => {
+      this.#recordedTargets.add(session.key)
+      this.changed()
+    }, () => {})
+  }
+
+  lifeEnded (session: TargetSession, reason: LifeEnd): void {
+    this.#sessions.delete(session.key)
+    this.#recovered.delete(session.key)
+    if (this.#recordedTargets.delete(session.key)) {
+      const { id, bornMs } = session.description
+      this.record([{ type: 'target-gone', id, bornMs }]).catch(() => {})
+    }
+    this.#logger.info({ target: session.id, reason, unreached: this.#unreached().length }, 'a target is not used any more')
+    this.changed()
+  }
+
+  fenced (session: TargetSession): void {
+    this.#options.resign(`target ${session.id} has seen a newer fencing token`)
+  }
+
+  /** Places waiting tasks soon. */
+  changed (): void {
+    if (!this.#placing || this.#placementDue || this.#closed) return
+    this.#placementDue = true
+    setTimeout(() => {
+      this.#placementDue = false
+      if (!this.#closed) this.#place()
+    }, PLACEMENT_DELAY_MS)
+  }
+
+  async #readLog (): Promise<Awaited<ReturnType<typeof readLog>>> {
+    for (;;) {
+      try {
+        return await readLog(this.#options.store, record => this.#clock.monotonicMs() -
+          Math.min(Math.max(this.#clock.wallMs() - record.acceptedWallMs, 0), LONGEST_RECOVERED_AGE_MS))
+      } catch (error) {
+        if (this.#closed) throw error
+        this.#logger.warn({ error: String(error) }, 'the log could not be read')
+        await this.#clock.sleep(RETRY_DELAY_MS)
+      }
+    }
+  }
+
+  #record (records: readonly LogRecord[], table: JobTable): Promise<void> {
+    for (const record of records) table.apply(record)
+    return this.#log?.append(records) ?? Promise.reject(new Error('the log is closed'))
+  }
+
+  #recoverJobs (table: JobTable): void {
+    for (const job of [...table.jobs.values()]) {
+      if (job.outcome !== undefined) {
+        const { id, queue, team } = job.record
+        table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
+        continue
+      }
+      this.#recovered.add(job.id)
+      this.#durableQueues.set(job.queue.name, job.queue)
+      this.#openDueOccurrences(job)
+      for (const step of job.steps) this.#offerStep(step)
+    }
+  }
+
+  #offerStep (step: StepProgress): void {
+    if (step.job.outcome === undefined && !step.done && step.job.isReady(step)) this.#ready.add(step)
+  }
+
+  #openDueOccurrences (job: JobProgress): void {
+    for (;;) {
+      const dueMs = job.nextDueWallMs
+      if (dueMs === undefined || dueMs > this.#clock.wallMs()) return
+      for (const step of job.openOccurrence(job.openOccurrences)) this.#offerStep(step)
+    }
+  }
+
+  async #awaitJoins (): Promise<void> {
+    const untilMs = this.#clock.monotonicMs() + JOIN_WAIT_MS
+    while (!this.#closed && this.#clock.monotonicMs() < untilMs) {
+      const sessions = [...this.#sessions.values()]
+      if (sessions.length > 0 && sessions.every(session => session.joined)) return
+      await this.#clock.sleep(JOIN_POLL_MS)
+    }
+  }
+
+  /** Gangs that lost members with the earlier coordinator begin again. */
+  #stopPartialGangs (): void {
+    const running = new Map<StepProgress, number>()
+    for (const assignment of this.#allAssignments()) {
+      const { step } = assignment.task
+      if (step.definition.gang) running.set(step, (running.get(step) ?? 0) + 1)
+    }
+    for (const [step, count] of running) {
+      if (count < step.definition.count) this.#stopRuns(assignment => assignment.task.step === step)
+    }
+  }
+
+  async #watchDirectory (): Promise<void> {
+    while (!this.#closed) {
+      try {
+        this.#applyListing(await this.#options.directory.list())
+      } catch (error) {
+        this.#logger.debug({ error: String(error) }, 'the target list could not be read')
+      }
+      await this.#clock.sleep(DIRECTORY_INTERVAL_MS)
+    }
+  }
+
+  #applyListing (listed: readonly ListedTarget[]): void {
+    if (this.#closed) return
+    const byKey = new Map(listed.map(target => [targetKey(target), target]))
+    for (const target of listed) {
+      if (!this.#sessions.has(targetKey(target))) this.#openSession(target, false)
+    }
+    for (const session of this.#sessions.values()) {
+      const entry = byKey.get(session.key)
+      session.noteListing(entry !== undefined, entry?.draining ?? false)
+    }
+    this.changed()
+  }
+
+  #openSession (description: TargetDescription, recorded: boolean): void {
+    const { id, bornMs, address, service, dataCentre, capacity, labels } = description
+    const key = targetKey(description)
+    if (recorded) this.#recordedTargets.add(key)
+    const session = new TargetSession({
+      description: { id, bornMs, address, service, dataCentre, capacity, labels },
+      client: this.#options.connect(address, { id, bornMs }),
+      clock: this.#clock,
+      logger: this.#logger,
+      listener: this,
+      fencingToken: this.info.fence,
+      leaseMs: this.#options.targetLeaseMs,
+      mayAct: this.#options.mayAct,
+      foreignOrdersUntilMs: recorded ? this.#beganAtMs + AUTHORITY_GRACE_MS : -Infinity
+    })
+    this.#sessions.set(key, session)
+    void session.run()
+  }
+
+  async #keepHouse (): Promise<void> {
+    while (!this.#closed) {
+      await this.#clock.sleep(HOUSEKEEPING_MS)
+      this.table.forgetFinished(this.#clock.wallMs() - this.#options.finishedJobMs * 2)
+      for (const job of this.table.jobs.values()) {
+        if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
+      }
+      this.changed()
+    }
+  }
+
+  /** Recorded targets that have not answered in this term: what runs there is not known. */
+  #unreached (): readonly TargetSession[] {
+    return [...this.#sessions.values()].filter(session => !session.joined && this.#recordedTargets.has(session.key))
+  }
+
+  * #allAssignments (): Iterable<Assignment> {
+    for (const session of this.#sessions.values()) yield * session.assignments.values()
+  }
+
+  #stopRuns (matches: (assignment: Assignment) => boolean): void {
+    for (const session of this.#sessions.values()) {
+      for (const assignment of session.assignments.values()) {
+        if (matches(assignment)) void session.stop(assignment)
+      }
+    }
+  }
+
+  #noteFailedTarget (step: StepProgress, session: TargetSession): void {
+    const failed = this.#failedTargets.get(step) ?? new Set()
+    failed.add(session.key)
+    this.#failedTargets.set(step, failed)
+  }
+
+  /** What the end of a run means for the rest of its job. */
+  #continueJob (job: JobProgress, step: StepProgress, run: FinishedRun, stored: Promise<void>): void {
+    if (job.outcome !== undefined) return this.settle(job, stored)
+    if (run.end === 'done') {
+      this.#stopRuns(assignment => assignment.task.step === step && assignment.task.state === 'done' && !step.definition.gang)
+      if (step.done) for (const next of job.steps) this.#offerStep(next)
+    } else {
+      if (step.definition.gang) this.#stopRuns(assignment => assignment.task.step === step)
+      this.#offerStep(step)
+    }
+    this.changed()
+  }
+
+  #returnTask (task: TaskProgress, attempt: number): void {
+    const { step } = task
+    step.loseRun(task, attempt)
+    if (step.definition.gang && step.job.outcome === undefined) this.#stopRuns(assignment => assignment.task.step === step)
+    this.#offerStep(step)
+    this.changed()
+  }
+
+  // Placement.
+
+  #place (): void {
+    if (!this.#options.mayAct()) return
+    const nowMs = this.#clock.monotonicMs()
+    const blocked = this.#unreached().length > 0
+    const ranked: { step: StepProgress, rank: readonly number[] }[] = []
+    for (const step of this.#ready) {
+      if (step.waiting.length === 0) {
+        if (step.done || step.job.outcome !== undefined) this.#ready.delete(step)
+        continue
+      }
+      if (blocked && this.#recovered.has(step.job.id)) continue
+      ranked.push({ step, rank: rankStep(step, nowMs) })
+    }
+    ranked.sort((left, right) => compareRanks(left.rank, right.rank))
+    const state = this.#options.desiredState()
+    for (const { step } of ranked) this.#placeOne(step, state, nowMs)
+  }
+
+  #placeOne (step: StepProgress, state: DesiredState, nowMs: number): void {
+    const { job, definition } = step
+    const queue = state.queues.find(candidate => candidate.name === job.queue.name) ?? job.queue
+    const sessions = this.#usableSessions(queue.service)
+    const waiting = step.waiting
+    const count = this.#allowedCount(step, waiting.length, state, sessions, queue.priority)
+    if (count === 0 || (definition.gang && count < waiting.length)) return
+    if (queue.advice === undefined) {
+      const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
+      for (const assigned of this.#reserve(waiting, placed)) void assigned.session.start(assigned.assignment, undefined)
+      return
+    }
+    this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
+  }
+
+  #placeWithAdvice (
+    step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
+  ): void {
+    const advice = this.#advice.get(step) ?? new StepAdvice()
+    this.#advice.set(step, advice)
+    if (advice.asking || nowMs < advice.restsUntilMs) return
+    const unasked = sessions.filter(session => !advice.wasAsked(session.key))
+    const allowed = sessions.filter(session => advice.allows(session.key))
+    if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
+      void this.#ask(step, queue, advice, unasked)
+      return
+    }
+    const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
+    const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
+    for (const { session, assignment } of this.#reserve(waiting, placed)) void session.start(assignment, advice.ticket(session.key, nowMs))
+    if (placed.length > 0 || withTicket.length === allowed.length) return
+    const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
+    if (planned.length === 0) return
+    void this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned))
+  }
+
+  async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, sessions: readonly TargetSession[]): Promise<void> {
+    const settings = queue.advice
+    if (settings === undefined || sessions.length === 0) return
+    const named = [...sessions].sort((left, right) => right.free.processors - left.free.processors).slice(0, TARGETS_PER_QUESTION)
+    const asked = new Map(named.map(session => [session.id, session.key]))
+    advice.asking = true
+    try {
+      const allowed = await this.#options.lanes.ask({
+        step: step.name,
+        targets: [...asked.keys()],
+        expectedMs: settings.decisionMs + settings.perTargetMs * asked.size
+      }, queue.priority)
+      advice.noteAnswer(asked, allowed, this.#clock.monotonicMs() + settings.ticketValidityMs)
+    } catch (error) {
+      this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'the placement advisor did not answer')
+      advice.restsUntilMs = this.#clock.monotonicMs() + RETRY_DELAY_MS
+    } finally {
+      advice.asking = false
+      this.changed()
+    }
+  }
+
+  /** Room is kept while expired tickets are renewed, since the answer takes up to a second. */
+  async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
+    await this.#ask(step, queue, advice, [...new Set(reserved.map(({ session }) => session))])
+    const nowMs = this.#clock.monotonicMs()
+    const permitted = !this.#closed && step.job.outcome === undefined &&
+      (!step.definition.gang || reserved.every(({ session }) => advice.ticket(session.key, nowMs) !== undefined && !session.over && !session.draining))
+    for (const { session, assignment } of reserved) {
+      if (!session.assignments.has(assignment.key)) continue
+      const ticket = advice.ticket(session.key, nowMs)
+      if (permitted && ticket !== undefined && !session.draining) {
+        void session.start(assignment, ticket)
+        continue
+      }
+      session.release(assignment)
+      this.#usage.remove(assignment.team, step.definition.size)
+      this.#returnTask(assignment.task, assignment.attempt)
+    }
+  }
+
+  #reserve (waiting: readonly TaskProgress[], placed: readonly string[]): readonly Reservation[] {
+    const first = waiting[0]
+    if (first === undefined || placed.length === 0) return []
+    const { step } = first
+    const nowMs = this.#clock.monotonicMs()
+    const gangAttempt = step.nextAttempt(first)
+    const reserved: Reservation[] = []
+    for (const [position, key] of placed.entries()) {
+      const task = waiting[position]
+      const session = this.#sessions.get(key)
+      if (task === undefined || session === undefined) continue
+      const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
+      const assignment = new Assignment(task, attempt, roomOf(step.definition), 'reserved', nowMs)
+      task.attempt = attempt
+      task.state = 'assigned'
+      this.#usage.add(step.job.team, step.definition.size)
+      session.reserve(assignment)
+      reserved.push({ session, assignment })
+    }
+    this.#logger.info({ job: step.job.id, step: step.name, tasks: reserved.map(({ session, assignment }) => [assignment.task.index, assignment.attempt, session.id]) }, 'tasks placed')
+    return reserved
+  }
+
+  #usableSessions (service: string): readonly TargetSession[] {
+    return [...this.#sessions.values()].filter(session =>
+      session.usable && session.description.service === service && this.#recordedTargets.has(session.key))
+  }
+
+  /** How many of the waiting tasks the team's cap and the reserve for urgent work allow. */
+  #allowedCount (step: StepProgress, waiting: number, state: DesiredState, sessions: readonly TargetSession[], priority: number): number {
+    const { size } = step.definition
+    let count = waiting
+    const team = state.teams.find(candidate => candidate.name === step.job.team)
+    if (team !== undefined) count = this.#withinCap(team, size, count)
+    if (priority > 0 && size.processors > 0) {
+      const total = sessions.reduce((sum, session) => sum + session.description.capacity.processors, 0)
+      const free = sessions.reduce((sum, session) => sum + session.free.processors, 0)
+      count = Math.min(count, Math.max(0, Math.floor((free - total * URGENT_RESERVE) / size.processors)))
+    }
+    return count
+  }
+
+  #withinCap (team: TeamSettings, size: Resources, wanted: number): number {
+    const unknown = this.#unreached().map(session => session.description.capacity).reduce((sum, capacity) => ({
+      ...sum,
+      processors: sum.processors + capacity.processors,
+      memory: sum.memory + capacity.memory,
+      accelerators: sum.accelerators + capacity.accelerators
+    }), NO_RESOURCES)
+    let count = wanted
+    while (count > 0 && !this.#usage.fits(team, size, count, unknown)) count -= 1
+    return count
+  }
+
+  #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
+    const { definition } = step
+    const assignments = [...session.assignments.values()]
+    const shares = definition.fillsSpareProcessors || definition.responseTargetMs > 0
+    return {
+      key: session.key,
+      free: session.free,
+      rack: session.rack,
+      labels: session.description.labels,
+      sameStepTasks: definition.tasksPerTarget > 0 ? assignments.filter(({ task }) => task.step === step).length : 0,
+      hasResponseTargets: shares && assignments.some(({ task }) => task.step.definition.responseTargetMs > 0),
+      hasFills: shares && assignments.some(({ task }) => task.step.definition.fillsSpareProcessors),
+      failedHere: this.#failedTargets.get(step)?.has(session.key) ?? false
+    }
+  }
+}
+
+interface Reservation {
+  readonly session: TargetSession
+  readonly assignment: Assignment
+}
--- /dev/null
+++ b/src/coordinator/jobIntake.ts
@@ -0,0 +1,162 @@
+/** Answers callers at the coordinator: accepts, reads and cancels jobs. */
+import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
+import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
+import { findQueue, findTeam } from '../jobs/desiredState.ts'
+import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import type { JobDefinition } from '../jobs/job.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { JobCoordinator } from './jobCoordinator.ts'
+import { ShareBuckets } from './shareBuckets.ts'
+
+/** A refusal is only given on a desired state that was confirmed within this time. */
+const REFUSAL_AGE_MS = 400
+/** While the store has refused records for longer, no job is accepted. */
+const STORE_FAILING_MS = 400
+const RETRY_AFTER_SECONDS = 1
+
+interface Resolved {
+  readonly queue: QueueSettings
+  /** Empty for queues that are open to all. */
+  readonly team: string
+  readonly teamSettings?: TeamSettings
+  /** What follows the queue's path: the identity of a job, or nothing. */
+  readonly id: string
+}
+
+type Refusal = Extract<CallerAnswer, { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }>
+
+export class JobIntake {
+  readonly #coordinator: JobCoordinator
+  readonly #desired: DesiredStateWatcher
+  readonly #clock: Clock
+  readonly #logger: Logger
+  readonly #shares: ShareBuckets
+  /** Jobs whose record is not durable yet. */
+  readonly #pending = new Map<string, Promise<void>>()
+
+  constructor (coordinator: JobCoordinator, desired: DesiredStateWatcher, clock: Clock, logger: Logger) {
+    this.#coordinator = coordinator
+    this.#desired = desired
+    this.#clock = clock
+    this.#logger = logger
+    this.#shares = new ShareBuckets(clock)
+  }
+
+  async handle (call: CallerCall): Promise<CallerAnswer> {
+    if (!this.#coordinator.ready) return unavailable('the coordinator recovers its jobs')
+    if (call.desiredStateVersion > this.#desired.state.version) await this.#desired.refresh(0)
+    let resolved = this.#resolve(call)
+    if ('outcome' in resolved) {
+      await this.#desired.refresh(REFUSAL_AGE_MS)
+      resolved = this.#resolve(call)
+    }
+    if ('outcome' in resolved) {
+      this.#logger.info({ path: call.path, action: call.action, outcome: resolved.outcome, version: this.#desired.state.version, ageMs: Math.round(this.#desired.ageMs) }, 'call refused')
+      return resolved
+    }
+    switch (call.action) {
+      case 'submit': return await this.#submit(resolved, call.definition)
+      case 'read': return resolved.id === '' ? this.#count(resolved.queue) : this.#read(resolved)
+      case 'cancel': return await this.#cancel(resolved)
+    }
+  }
+
+  #resolve ({ host, path, key }: CallerCall): Resolved | Refusal {
+    const { state } = this.#desired
+    const queue = findQueue(state, host, path)
+    if (queue === undefined) return { outcome: 'no-queue' }
+    const teamSettings = findTeam(state, key)
+    if (teamSettings === undefined && !queue.anonymous) return { outcome: 'unauthenticated' }
+    return { queue, team: teamSettings?.name ?? '', teamSettings, id: path.slice(queue.pathPrefix.length) }
+  }
+
+  async #submit ({ queue, team, teamSettings, id }: Resolved, definitionText: string): Promise<CallerAnswer> {
+    if (id === '') return { outcome: 'invalid', message: 'the path names no job' }
+    const { table } = this.#coordinator
+    const pending = this.#pending.get(id)
+    if (pending !== undefined) return await this.#awaitAcceptance(pending)
+    if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
+    if (this.#storeFails()) return unavailable('the store takes no records')
+    const withinShare = teamSettings === undefined || this.#shares.take(team, teamSettings.weight)
+    const durable = this.#coordinator.record([...this.#coordinator.recordsOfQueue(queue), {
+      type: 'job',
+      id,
+      queue: queue.name,
+      team,
+      term: table.term,
+      acceptedWallMs: this.#clock.wallMs(),
+      withinShare,
+      definition: JSON.parse(definitionText) as JobDefinition
+    }])
+    this.#pending.set(id, durable)
+    durable.then(() => this.#admit(id), () => {}).finally(() => this.#pending.delete(id))
+    return await this.#awaitAcceptance(durable)
+  }
+
+  async #awaitAcceptance (durable: Promise<void>): Promise<CallerAnswer> {
+    try {
+      await durable
+      return { outcome: 'accepted' }
+    } catch (error) {
+      return { outcome: 'unknown', message: String(error) }
+    }
+  }
+
+  #admit (id: string): void {
+    const job = this.#coordinator.table.jobs.get(id)
+    if (job === undefined) return
+    this.#logger.info({ job: id, team: job.team, queue: job.queue.name, withinShare: job.record.withinShare, version: this.#desired.state.version, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) }, 'job accepted')
+    this.#coordinator.admit(job)
+  }
+
+  #read ({ id, team, queue }: Resolved): CallerAnswer {
+    const { table } = this.#coordinator
+    const finished = table.finished.get(id)
+    if (finished !== undefined) return isOwner(finished, team, queue) ? { outcome: 'state', state: finished.state } : { outcome: 'no-job' }
+    const job = table.jobs.get(id)
+    if (job === undefined || !isOwner(job.record, team, queue)) return { outcome: 'no-job' }
+    // An outcome is shown when it is stored.
+    return { outcome: 'state', state: job.outcome === undefined ? job.state : 'active' }
+  }
+
+  async #cancel ({ id, team, queue }: Resolved): Promise<CallerAnswer> {
+    const { table } = this.#coordinator
+    const job = table.jobs.get(id)
+    if (job === undefined) {
+      const finished = table.finished.get(id)
+      return finished !== undefined && isOwner(finished, team, queue) ? { outcome: 'cancelled' } : { outcome: 'no-job' }
+    }
+    if (!isOwner(job.record, team, queue)) return { outcome: 'no-job' }
+    try {
+      const open = job.outcome === undefined
+      const durable = this.#coordinator.record([{ type: 'cancelled', job: id, wallMs: this.#clock.wallMs() }])
+      if (open) this.#coordinator.settle(job, durable)
+      await durable
+      return { outcome: 'cancelled' }
+    } catch (error) {
+      return { outcome: 'unknown', message: String(error) }
+    }
+  }
+
+  #count (queue: QueueSettings): CallerAnswer {
+    let pending = 0
+    for (const job of this.#coordinator.table.jobs.values()) {
+      if (job.queue.name === queue.name && !job.hasStarted && job.outcome === undefined && job.definition.repetition === undefined) pending += 1
+    }
+    return { outcome: 'pending', pending }
+  }
+
+  #storeFails (): boolean {
+    const since = this.#coordinator.storeFailingSinceMs
+    return since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS
+  }
+}
+
+function isOwner (job: { readonly team: string, readonly queue: string }, team: string, queue: QueueSettings): boolean {
+  return job.team === team || queue.anonymous
+}
+
+function unavailable (message: string): CallerAnswer {
+  return { outcome: 'unavailable', message, retryAfterSeconds: RETRY_AFTER_SECONDS }
+}
--- /dev/null
+++ b/src/coordinator/jobRanking.ts
@@ -0,0 +1,67 @@
+/** The order in which waiting steps get room. */
+import type { JobProgress } from '../jobs/jobProgress.ts'
+import type { StepProgress } from '../jobs/stepProgress.ts'
+
+/** Up to this many times its objective a late job is still worth something to its caller. */
+const LATE_FACTOR = 3
+/** Extra time that declared run times are given, since they are off by up to a half. */
+const ESTIMATE_MARGIN = 1.2
+
+export interface RankedStep {
+  readonly step: StepProgress
+  readonly rank: readonly number[]
+}
+
+/** Longest chain of the declared run times of a job's steps, milliseconds. */
+export function longestChainMs (job: JobProgress): number {
+  const ends: number[] = []
+  for (const step of job.definition.steps) {
+    const begin = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0))
+    ends.push(begin + step.estimateMs)
+  }
+  return Math.max(0, ...ends)
+}
+
+/** Time from its acceptance within which a job serves its caller well. */
+export function objectiveMs (job: JobProgress): number {
+  return job.queue.stretchFactor * longestChainMs(job) + job.queue.latencyObjectiveMs
+}
+
+/** Core-milliseconds that a job declares. */
+export function declaredWork (job: JobProgress): number {
+  return job.definition.steps.reduce((sum, step) => sum + step.count * step.estimateMs * step.size.processors / 1_000, 0)
+}
+
+/**
+ * Ranks a step; lower comes first. Jobs beyond their team's share come last, then by priority those that
+ * can still meet their objective, those that will be late, and those that are too late to be of use.
+ * Begun jobs and small jobs go first among equals.
+ *
+ * @example
+ * steps.sort((left, right) => compareRanks(rankStep(left, now), rankStep(right, now)))
+ */
+export function rankStep (step: StepProgress, nowMs: number): readonly number[] {
+  const { job } = step
+  const objective = objectiveMs(job)
+  const finishMs = nowMs - job.acceptedAtMs + remainingChainMs(job) * ESTIMATE_MARGIN
+  const tier = finishMs <= objective ? 0 : finishMs <= objective * LATE_FACTOR ? 1 : 2
+  return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, declaredWork(job)]
+}
+
+export function compareRanks (left: readonly number[], right: readonly number[]): number {
+  for (let position = 0; position < left.length; position++) {
+    const difference = (left[position] ?? 0) - (right[position] ?? 0)
+    if (difference !== 0) return difference
+  }
+  return 0
+}
+
+function remainingChainMs (job: JobProgress): number {
+  const ends: number[] = []
+  for (const [position, step] of job.definition.steps.entries()) {
+    const done = job.findStep(Math.max(0, job.openOccurrences - 1), position)?.done ?? false
+    const begin = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0))
+    ends.push(begin + (done ? 0 : step.estimateMs))
+  }
+  return Math.max(0, ...ends)
+}
--- /dev/null
+++ b/src/coordinator/logReader.ts
@@ -0,0 +1,61 @@
+/** Rebuilds the jobs from the snapshot and the log in the store. */
+import { z } from 'zod'
+import type { JobRecord, LogRecord } from '../jobs/jobRecords.ts'
+import { JobTable } from '../jobs/jobTable.ts'
+import { listAll } from '../ports/transactionalStore.ts'
+import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import { LOG_PREFIX, segmentNumber } from './recordLog.ts'
+
+export const SNAPSHOT_HEAD_KEY = 'agategauge/snapshot-head'
+export const SNAPSHOT_PREFIX = 'agategauge/snapshot/'
+
+export const snapshotHeadSchema = z.object({
+  /** Number of the last segment that the snapshot contains. */
+  sequence: z.number(),
+  parts: z.number()
+})
+
+export interface ReadLog {
+  readonly table: JobTable
+  readonly nextSequence: number
+  /** Number of segments after the snapshot. */
+  readonly segments: number
+  readonly bytes: number
+}
+
+/** Key of one part of a snapshot. */
+export function snapshotPartKey (sequence: number, part: number): string {
+  return `${SNAPSHOT_PREFIX}${sequence}/${String(part).padStart(4, '0')}`
+}
+
+/**
+ * Reads everything that earlier coordinators stored. Their writes fail once the reader is elected, so
+ * that nothing changes meanwhile.
+ *
+ * @example
+ * const { table, nextSequence } = await readLog(store, record => clock.monotonicMs())
+ */
+export async function readLog (store: TransactionalStore, acceptedAtMs: (record: JobRecord) => number): Promise<ReadLog> {
+  const table = new JobTable(acceptedAtMs)
+  const headItem = await store.get(SNAPSHOT_HEAD_KEY)
+  const head = headItem === undefined ? undefined : snapshotHeadSchema.parse(JSON.parse(headItem.value))
+  let bytes = 0
+  if (head !== undefined) {
+    for (const item of await listAll(store, `${SNAPSHOT_PREFIX}${head.sequence}/`)) {
+      bytes += item.value.length
+      applyAll(table, item.value)
+    }
+  }
+  const segments = (await listAll(store, LOG_PREFIX)).filter(item => segmentNumber(item.key) > (head?.sequence ?? 0))
+  for (const segment of segments) {
+    bytes += segment.value.length
+    applyAll(table, segment.value)
+  }
+  const last = segments.at(-1)
+  const nextSequence = (last === undefined ? head?.sequence ?? 0 : segmentNumber(last.key)) + 1
+  return { table, nextSequence, segments: segments.length, bytes }
+}
+
+function applyAll (table: JobTable, text: string): void {
+  for (const record of JSON.parse(text) as LogRecord[]) table.apply(record)
+}
--- /dev/null
+++ b/src/coordinator/placeStep.ts
@@ -0,0 +1,104 @@
+/** Chooses targets for the tasks of one step. */
+import type { StepDefinition } from '../jobs/job.ts'
+import type { Resources } from '../model/resources.ts'
+
+type Amount = Pick<Resources, 'processors' | 'memory' | 'accelerators'>
+
+/** What a decision needs of a target. */
+export interface TargetRoom {
+  readonly key: string
+  readonly free: Amount
+  readonly rack: string
+  readonly labels: readonly string[]
+  /** Tasks of the same step there, of the same occurrence. */
+  readonly sameStepTasks: number
+  /** Fills of spare processors and tasks with a response target do not share a target. */
+  readonly hasResponseTargets: boolean
+  readonly hasFills: boolean
+  /** Tasks of the step that failed there; such targets come last. */
+  readonly failedHere: boolean
+}
+
+interface Candidate {
+  readonly room: TargetRoom
+  processors: number
+  memory: number
+  accelerators: number
+  slots: number
+}
+
+/** Room that a task takes on a target: what fills spare processors takes none of them. */
+export function roomOf ({ size, fillsSpareProcessors }: StepDefinition): Resources {
+  return fillsSpareProcessors ? { ...size, processors: 0 } : size
+}
+
+/**
+ * Returns the target of each task that fits, the fullest suitable target first, so that large gaps
+ * stay for large tasks. For a gang all tasks fit or none does.
+ *
+ * @example
+ * placeStep(definition, 4, rooms) // ['target-3', 'target-3', 'target-1', 'target-1']
+ */
+export function placeStep (definition: StepDefinition, count: number, rooms: readonly TargetRoom[]): readonly string[] {
+  const size = roomOf(definition)
+  const candidates = rooms.filter(room => isSuitable(definition, room)).map(room => toCandidate(definition, room))
+  if (definition.sameRack) {
+    const onOneRack = placeOnOneRack(definition, size, count, candidates)
+    if (onOneRack.length === count) return onOneRack
+  }
+  const placed = fill(size, count, order(definition, candidates))
+  return definition.gang && placed.length < count ? [] : placed
+}
+
+/** Whether the target may run the step at all. */
+export function isSuitable (definition: StepDefinition, room: TargetRoom): boolean {
+  if (definition.requiredLabel !== '' && !room.labels.includes(definition.requiredLabel)) return false
+  if (definition.fillsSpareProcessors && room.hasResponseTargets) return false
+  return !(definition.responseTargetMs > 0 && room.hasFills)
+}
+
+function toCandidate (definition: StepDefinition, room: TargetRoom): Candidate {
+  const slots = definition.tasksPerTarget > 0 ? Math.max(0, definition.tasksPerTarget - room.sameStepTasks) : Infinity
+  return { room, ...room.free, slots }
+}
+
+function order (definition: StepDefinition, candidates: readonly Candidate[]): readonly Candidate[] {
+  const distance = ({ room }: Candidate): number => definition.dataRack === '' || room.rack === definition.dataRack ? 0 : 1
+  const failed = ({ room }: Candidate): number => room.failedHere ? 1 : 0
+  return [...candidates].sort((left, right) =>
+    failed(left) - failed(right) || distance(left) - distance(right) || left.processors - right.processors)
+}
+
+function fill (size: Resources, count: number, candidates: readonly Candidate[]): readonly string[] {
+  const placed: string[] = []
+  for (const candidate of candidates) {
+    while (placed.length < count && fits(size, candidate)) {
+      candidate.processors -= size.processors
+      candidate.memory -= size.memory
+      candidate.accelerators -= size.accelerators
+      candidate.slots -= 1
+      placed.push(candidate.room.key)
+    }
+    if (placed.length === count) break
+  }
+  return placed
+}
+
+function fits (size: Resources, candidate: Candidate): boolean {
+  return candidate.slots > 0 && size.processors <= candidate.processors &&
+    size.memory <= candidate.memory && size.accelerators <= candidate.accelerators
+}
+
+function placeOnOneRack (definition: StepDefinition, size: Resources, count: number, candidates: readonly Candidate[]): readonly string[] {
+  const racks = new Map<string, Candidate[]>()
+  for (const candidate of candidates) {
+    const rack = racks.get(candidate.room.rack) ?? []
+    rack.push({ ...candidate })
+    racks.set(candidate.room.rack, rack)
+  }
+  for (const rack of racks.values()) {
+    const placed = fill(size, count, order(definition, rack))
+    if (placed.length === count) return placed
+  }
+  return []
+}
--- /dev/null
+++ b/src/coordinator/targetSession.ts
@@ -0,0 +1,381 @@
+/** One life of a target under the coordinator's fence: what runs there, and the orders to it. */
+import type { TargetDescription } from '../jobs/jobRecords.ts'
+import { targetKey } from '../jobs/jobTable.ts'
+import type { Resources } from '../model/resources.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { FinishedRun, JobTargetClient, RunningTask, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
+import { runKey } from './assignment.ts'
+import type { Assignment } from './assignment.ts'
+
+/** Targets measure leases on clocks that are up to 2% slow; half as much again as a margin. */
+const CLOCK_DRIFT = 1.03
+const LEASE_MARGIN_MS = 300
+/** Longest wait for an end in one call; also the longest age of what is known of a target. */
+const RENEW_WAIT_MS = 1_000
+/** While ends wait to be stored, or orders wait to be seen. */
+const SHORT_WAIT_MS = 100
+const RETRY_DELAY_MS = 150
+/** How long the ends of a report may take to be stored before leases are extended without acknowledging them. */
+const STORE_WAIT_MS = 500
+/** Within this time a target that takes part has answered. */
+const REACHABLE_MS = 2_600
+/** After an order without an answer, until it is withdrawn unless the target reports the run. */
+const CONFIRM_MS = 250
+/** Repeats of orders to stop. */
+const STOP_REPEAT_MS = 400
+
+export type LifeEnd = 'restarted' | 'lease-lapsed' | 'term-ended'
+
+/** Decides on what a target reports. */
+export interface TargetListener {
+  /** First report in this term; returns the runs to keep, which are then in the session. */
+  adopt (session: TargetSession, running: RunningTask): Assignment | undefined
+  /** An end that was not reported before; resolves when it is stored. */
+  runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void>
+  /** The run certainly does not work any more, and its end is not known. */
+  runLost (session: TargetSession, assignment: Assignment, reason: string): void
+  startRefused (session: TargetSession, assignment: Assignment, refusal: StartRefusal): void
+  startConfirmed (session: TargetSession, assignment: Assignment): void
+  joined (session: TargetSession): void
+  lifeEnded (session: TargetSession, reason: LifeEnd): void
+  fenced (session: TargetSession): void
+  changed (): void
+}
+
+export interface TargetSessionOptions {
+  readonly description: TargetDescription
+  readonly client: JobTargetClient
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly listener: TargetListener
+  readonly fencingToken: number
+  readonly leaseMs: number
+  /** Whether the coordinator's authority holds now. */
+  readonly mayAct: () => boolean
+  /** Until when an earlier coordinator may have extended leases there. */
+  readonly foreignOrdersUntilMs: number
+}
+
+export class TargetSession {
+  readonly description: TargetDescription
+  readonly key: string
+  readonly #options: TargetSessionOptions
+  readonly #assignments = new Map<string, Assignment>()
+  readonly #ended = new Set<string>()
+  #joined = false
+  #over = false
+  #draining = false
+  #listed = true
+  #lastNumber = 0
+  #acknowledged = 0
+  #storing = 0
+  /** Lower bound of the target's clock minus this process's. */
+  #clockOffsetMs: number | undefined
+  #lastContactMs = -Infinity
+  #leaseSentMs: number
+  #used: { processors: number, memory: number, accelerators: number } = { processors: 0, memory: 0, accelerators: 0 }
+  /** Failures in a row and the time until which the target is not used for new tasks. */
+  #failuresInRow = 0
+  #avoidUntilMs = 0
+
+  constructor (options: TargetSessionOptions) {
+    this.#options = options
+    this.description = options.description
+    this.key = targetKey(options.description)
+    this.#leaseSentMs = options.foreignOrdersUntilMs
+  }
+
+  get id (): string {
+    return this.description.id
+  }
+
+  get rack (): string {
+    return this.description.labels[1] ?? ''
+  }
+
+  get joined (): boolean {
+    return this.#joined
+  }
+
+  get over (): boolean {
+    return this.#over
+  }
+
+  get assignments (): ReadonlyMap<string, Assignment> {
+    return this.#assignments
+  }
+
+  /** Whether new tasks may be placed here. */
+  get usable (): boolean {
+    const nowMs = this.#options.clock.monotonicMs()
+    return this.#joined && !this.#over && !this.#draining && this.#listed &&
+      nowMs - this.#lastContactMs < REACHABLE_MS && nowMs >= this.#avoidUntilMs
+  }
+
+  get draining (): boolean {
+    return this.#draining
+  }
+
+  get free (): Pick<Resources, 'processors' | 'memory' | 'accelerators'> {
+    const { capacity } = this.description
+    return {
+      processors: capacity.processors - this.#used.processors,
+      memory: capacity.memory - this.#used.memory,
+      accelerators: capacity.accelerators - this.#used.accelerators
+    }
+  }
+
+  /** Applies what the list of targets says. */
+  noteListing (listed: boolean, draining: boolean): void {
+    this.#listed = listed
+    this.#draining = draining
+  }
+
+  /** Keeps new tasks away after failures in a row, longer with each. */
+  noteRunResult (failed: boolean, avoidMs: number): void {
+    this.#failuresInRow = failed ? this.#failuresInRow + 1 : 0
+    if (this.#failuresInRow >= 2) this.#avoidUntilMs = this.#options.clock.monotonicMs() + avoidMs
+  }
+
+  /** Keeps room for a task without an order yet. */
+  reserve (assignment: Assignment): void {
+    this.#assignments.set(assignment.key, assignment)
+    this.#count(assignment, 1)
+  }
+
+  /** Gives up the room of a task for which no order was sent. */
+  release (assignment: Assignment): void {
+    this.#remove(assignment)
+  }
+
+  /** Sends the order for a task whose room is reserved. */
+  async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
+    const { client, clock, listener, fencingToken } = this.#options
+    const leaseUntilTargetMs = this.#leaseUntil()
+    if (this.#over || leaseUntilTargetMs === undefined) return this.#refuse(assignment, 'unhealthy')
+    assignment.state = 'starting'
+    const { task } = assignment
+    const result = await client.start({
+      task: task.name,
+      attempt: assignment.attempt,
+      spec: task.step.job.definition.spec,
+      leaseUntilTargetMs,
+      fencingToken,
+      checkpoint: task.step.checkpointOf(task),
+      ticket
+    })
+    if (!this.#assignments.has(assignment.key)) return
+    assignment.confirmedAtMs = clock.monotonicMs()
+    if (result.outcome === 'started') {
+      if (assignment.state === 'starting') assignment.state = 'running'
+      return listener.startConfirmed(this, assignment)
+    }
+    if (result.outcome === 'refused') {
+      if (result.refusal === 'fenced') return listener.fenced(this)
+      return this.#refuse(assignment, result.refusal)
+    }
+    if (assignment.state === 'starting') assignment.state = 'unconfirmed'
+    await this.#confirm(assignment)
+  }
+
+  /** Ends a run; it counts until the target reports its end. */
+  async stop (assignment: Assignment): Promise<void> {
+    if (assignment.state === 'stopping' || assignment.state === 'reserved') return
+    assignment.state = 'stopping'
+    assignment.confirmedAtMs = Infinity
+    while (this.#assignments.has(assignment.key) && !this.#over) {
+      if (await this.#sendStop(assignment.task.name, assignment.attempt)) {
+        // A stop takes its time, in which the run is still reported.
+        assignment.confirmedAtMs = this.#options.clock.monotonicMs()
+        return
+      }
+      await this.#options.clock.sleep(STOP_REPEAT_MS)
+    }
+  }
+
+  /** Renews leases and reads reports until the life or the term ends. */
+  async run (): Promise<void> {
+    const { clock } = this.#options
+    while (!this.#over) {
+      if (!this.#options.mayAct()) {
+        await clock.sleep(RETRY_DELAY_MS)
+        continue
+      }
+      await this.#renew(this.#waitMs())
+    }
+    await this.#options.client.close()
+  }
+
+  /** Ends the session without deciding anything, because the term has ended. */
+  close (): void {
+    this.#over = true
+  }
+
+  #waitMs (): number {
+    if (!this.#joined) return 0
+    const urgent = this.#storing > 0 || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
+    return urgent ? SHORT_WAIT_MS : RENEW_WAIT_MS
+  }
+
+  async #renew (waitMs: number): Promise<void> {
+    const { client, clock, listener, fencingToken } = this.#options
+    const sentMs = clock.monotonicMs()
+    const result = await client.renew({
+      fencingToken,
+      acknowledged: this.#acknowledged,
+      leaseUntilTargetMs: this.#joined ? this.#leaseUntil() : undefined,
+      waitMs
+    })
+    if (this.#over) return
+    switch (result.outcome) {
+      case 'report':
+        await this.#handleReport(result.report, sentMs)
+        break
+      case 'other-life':
+        this.#end('restarted')
+        break
+      case 'fenced':
+        listener.fenced(this)
+        break
+      case 'failed':
+        if (clock.monotonicMs() > this.#allEndedMs()) this.#end('lease-lapsed')
+        else await clock.sleep(RETRY_DELAY_MS)
+    }
+  }
+
+  async #handleReport (report: TargetReport, sentMs: number): Promise<void> {
+    const { bornMs } = this.description
+    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#end('restarted')
+    const nowMs = this.#options.clock.monotonicMs()
+    this.#lastContactMs = nowMs
+    this.#clockOffsetMs = report.clockMs - nowMs
+    const stored = this.#takeEnds(report.finished)
+    for (const running of report.running) this.#noteRunning(running, nowMs)
+    this.#findLost(report, sentMs)
+    if (!this.#joined) {
+      this.#joined = true
+      this.#options.listener.joined(this)
+    }
+    this.#options.listener.changed()
+    if (stored !== undefined) await Promise.race([stored, this.#options.clock.sleep(STORE_WAIT_MS)])
+  }
+
+  /** Passes new ends on; resolves when they are stored and may be acknowledged. */
+  #takeEnds (finished: readonly FinishedRun[]): Promise<void> | undefined {
+    const fresh = finished.filter(run => run.number > this.#lastNumber)
+    if (fresh.length === 0) return undefined
+    const last = Math.max(...fresh.map(run => run.number))
+    this.#lastNumber = last
+    const stored = fresh.map(async run => await this.#takeEnd(run))
+    this.#storing += 1
+    return Promise.all(stored).then(() => {
+      this.#acknowledged = Math.max(this.#acknowledged, last)
+    }, () => {
+      // The term has ended, so that its successor reads these ends again.
+    }).finally(() => { this.#storing -= 1 })
+  }
+
+  async #takeEnd (run: FinishedRun): Promise<void> {
+    const key = runKey(run.task, run.attempt)
+    const assignment = this.#assignments.get(key)
+    this.#ended.add(key)
+    if (assignment !== undefined) this.#remove(assignment)
+    await this.#options.listener.runEnded(this, run, assignment)
+  }
+
+  #noteRunning (running: RunningTask, nowMs: number): void {
+    const key = runKey(running.task, running.attempt)
+    if (this.#ended.has(key)) return
+    const known = this.#assignments.get(key)
+    if (known === undefined) return this.#noteUnknown(running)
+    if (known.state === 'unconfirmed') {
+      known.state = 'running'
+      known.confirmedAtMs = nowMs
+      this.#options.listener.startConfirmed(this, known)
+    }
+    known.noteProgress(running.percent, nowMs)
+    known.task.step.saveCheckpoint(known.task, running.checkpoint)
+  }
+
+  /** Runs of earlier terms and orders that were carried out late. */
+  #noteUnknown (running: RunningTask): void {
+    const adopted = this.#options.listener.adopt(this, running)
+    if (adopted === undefined) {
+      void this.#sendStop(running.task, running.attempt)
+      return
+    }
+    adopted.confirmedAtMs = this.#options.clock.monotonicMs()
+    this.reserve(adopted)
+  }
+
+  /** Finds runs that a report does not show though it was asked for after they were confirmed. */
+  #findLost (report: TargetReport, sentMs: number): void {
+    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
+    for (const assignment of [...this.#assignments.values()]) {
+      const { state, confirmedAtMs, key } = assignment
+      if ((state !== 'running' && state !== 'stopping') || confirmedAtMs >= sentMs || running.has(key)) continue
+      this.#remove(assignment)
+      this.#ended.add(key)
+      this.#options.listener.runLost(this, assignment, 'not-reported')
+    }
+  }
+
+  async #confirm (assignment: Assignment): Promise<void> {
+    await this.#options.clock.sleep(CONFIRM_MS)
+    if (!this.#assignments.has(assignment.key) || assignment.state !== 'unconfirmed') return
+    await this.stop(assignment)
+  }
+
+  /** True if the run certainly ends, and certainly does not begin any more. */
+  async #sendStop (task: string, attempt: number): Promise<boolean> {
+    const { client, fencingToken, listener, mayAct } = this.#options
+    if (!mayAct()) return false
+    const outcome = await client.stop({ task, attempt, fencingToken })
+    if (outcome === 'fenced') listener.fenced(this)
+    if (outcome === 'other-life') this.#end('restarted')
+    return outcome === 'stopping'
+  }
+
+  #refuse (assignment: Assignment, refusal: StartRefusal): void {
+    this.#remove(assignment)
+    this.#ended.add(assignment.key)
+    this.#options.listener.startRefused(this, assignment, refusal)
+    if (refusal === 'other-life') this.#end('restarted')
+  }
+
+  /** End of the lease on the target's clock; undefined while the coordinator must not give orders. */
+  #leaseUntil (): number | undefined {
+    const { clock, leaseMs, mayAct } = this.#options
+    if (this.#clockOffsetMs === undefined || !mayAct()) return undefined
+    const nowMs = clock.monotonicMs()
+    this.#leaseSentMs = Math.max(this.#leaseSentMs, nowMs)
+    return Math.floor(nowMs + this.#clockOffsetMs + leaseMs)
+  }
+
+  /** When everything on the target has certainly ended if it is never reached again. */
+  #allEndedMs (): number {
+    return this.#leaseSentMs + this.#options.leaseMs * CLOCK_DRIFT + LEASE_MARGIN_MS
+  }
+
+  #end (reason: LifeEnd): void {
+    if (this.#over) return
+    this.#over = true
+    this.#options.logger.info({ target: this.id, reason, runs: this.#assignments.size }, 'a life of a target has ended')
+    for (const assignment of [...this.#assignments.values()]) {
+      this.#remove(assignment)
+      this.#options.listener.runLost(this, assignment, reason)
+    }
+    this.#options.listener.lifeEnded(this, reason)
+  }
+
+  #remove (assignment: Assignment): void {
+    if (this.#assignments.delete(assignment.key)) this.#count(assignment, -1)
+  }
+
+  #count ({ size }: Assignment, sign: 1 | -1): void {
+    this.#used.processors += sign * size.processors
+    this.#used.memory += sign * size.memory
+    this.#used.accelerators += sign * size.accelerators
+  }
+}
--- /dev/null
+++ b/src/entry/callRouter.ts
@@ -0,0 +1,69 @@
+/** Brings a caller's call to the coordinator, and again to its successor if the answer is lost. */
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
+import type { CallerAnswer, CallerCall, CallHandler } from './callerCall.ts'
+import type { JobInstance } from './jobInstance.ts'
+
+/** Longest time in which a call without an answer is sent again; callers wait 3 s. */
+const LONGEST_ROUTING_MS = 1_800
+const RETRY_DELAY_MS = 120
+const RETRY_AFTER_SECONDS = 1
+const REFUSED_CONNECTIONS = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']
+
+export interface CallRouterOptions {
+  readonly instance: JobInstance
+  readonly ownAddress: string
+  readonly peers: CoordinatorPeers
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+export class CallRouter implements CallHandler {
+  readonly #options: CallRouterOptions
+
+  constructor (options: CallRouterOptions) {
+    this.#options = options
+  }
+
+  /** A job keeps its identity, so that a call may be repeated whenever its answer is lost. */
+  async handle (call: CallerCall): Promise<CallerAnswer> {
+    const { clock } = this.#options
+    const untilMs = clock.monotonicMs() + LONGEST_ROUTING_MS
+    let mayHaveRun = false
+    for (;;) {
+      const answer = await this.#tryOnce(call)
+      if (answer.outcome === 'unknown') mayHaveRun = true
+      if (answer.outcome !== 'unknown' && !(answer.outcome === 'unavailable' && mayHaveRun)) return answer
+      if (clock.monotonicMs() + RETRY_DELAY_MS > untilMs) return { outcome: 'unknown', message: answer.message }
+      await clock.sleep(RETRY_DELAY_MS)
+    }
+  }
+
+  async #tryOnce (call: CallerCall): Promise<CallerAnswer> {
+    const { instance, ownAddress, peers, logger } = this.#options
+    const { coordinator } = instance
+    if (coordinator === undefined) return unavailable('no coordinator is known')
+    if (coordinator.address === ownAddress) return await instance.handle(call)
+    try {
+      return await peers.connect(coordinator.address).handle(call)
+    } catch (error) {
+      const refused = wasRefused(error)
+      logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence: coordinator.fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
+      return refused ? unavailable('the coordinator can not be reached') : { outcome: 'unknown', message: 'the coordinator did not answer' }
+    }
+  }
+}
+
+/** Whether no connection was made, so that the call certainly had no effect. */
+function wasRefused (error: unknown): boolean {
+  for (let cause = error; cause instanceof Error; cause = cause.cause) {
+    const { code } = cause as { code?: unknown }
+    if (typeof code === 'string' && REFUSED_CONNECTIONS.includes(code)) return true
+  }
+  return false
+}
+
+function unavailable (message: string): CallerAnswer {
+  return { outcome: 'unavailable', message, retryAfterSeconds: RETRY_AFTER_SECONDS }
+}
--- /dev/null
+++ b/src/entry/callerCall.ts
@@ -0,0 +1,32 @@
+/** A caller's request about a job, and what it is answered. */
+import type { JobState } from '../jobs/job.ts'
+
+export type CallAction = 'submit' | 'read' | 'cancel'
+
+export interface CallerCall {
+  readonly action: CallAction
+  readonly host: string
+  /** Path of the queue, followed by the identity of the job if the call is about one. */
+  readonly path: string
+  readonly key: string
+  /** JSON of the `JobDefinition` of a submission; empty for other calls. */
+  readonly definition: string
+  /** Version of the desired state that the entry instance knows. */
+  readonly desiredStateVersion: number
+}
+
+export type CallerAnswer =
+  | { readonly outcome: 'accepted' }
+  | { readonly outcome: 'cancelled' }
+  | { readonly outcome: 'state', readonly state: JobState }
+  | { readonly outcome: 'pending', readonly pending: number }
+  /** Nothing was done, and nothing will be. */
+  | { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }
+  | { readonly outcome: 'invalid', readonly message: string }
+  | { readonly outcome: 'unavailable', readonly message: string, readonly retryAfterSeconds: number }
+  /** The call may have been carried out; the same call may be sent again. */
+  | { readonly outcome: 'unknown', readonly message: string }
+
+export interface CallHandler {
+  handle (call: CallerCall): Promise<CallerAnswer>
+}
--- /dev/null
+++ b/src/entry/jobInstance.ts
@@ -0,0 +1,221 @@
+/** One instance in the cluster of job schedulers: takes calls, and coordinates while it is elected. */
+import { AdviceLanes } from '../coordinator/adviceLanes.ts'
+import { Election } from '../coordinator/election.ts'
+import type { CoordinatorInfo, ElectionListener } from '../coordinator/election.ts'
+import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
+import { JobIntake } from '../coordinator/jobIntake.ts'
+import type { Component } from '../lifecycle/component.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { CoordinatorPeer, CoordinatorPeers, InstanceReport, ReportAnswer } from '../ports/coordinatorPeer.ts'
+import type { JobTargetConnector } from '../ports/jobTarget.ts'
+import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+import type { TargetDirectory } from '../ports/targetDirectory.ts'
+import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+
+/** Between two heartbeats to the coordinator. */
+const REPORT_INTERVAL_MS = 400
+/** An instance that was silent for longer asks the advisor for nobody. */
+const PEER_SILENCE_MS = 1_500
+/** A peer that was silent for longer is forgotten. */
+const PEER_FORGOTTEN_MS = 60_000
+
+export interface JobInstanceOptions {
+  readonly instance: string
+  /** Where the other instances reach this one. */
+  readonly address: string
+  readonly store: TransactionalStore
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly desired: DesiredStateWatcher
+  readonly directory: TargetDirectory
+  readonly connect: JobTargetConnector
+  readonly advisor: PlacementAdvisor
+  readonly peers: CoordinatorPeers
+  readonly targetLeaseMs: number
+  readonly earlyStartMs: number
+  readonly finishedJobMs: number
+}
+
+interface Term {
+  readonly coordinator: JobCoordinator
+  readonly intake: JobIntake
+}
+
+interface KnownPeer {
+  readonly instance: string
+  readonly seenAtMs: number
+}
+
+export class JobInstance implements Component, CoordinatorPeer, ElectionListener {
+  readonly name = 'job instance'
+  readonly #options: JobInstanceOptions
+  readonly #election: Election
+  readonly #stopping = new AbortController()
+  /** By address. */
+  readonly #peers = new Map<string, KnownPeer>()
+  #term: Term | undefined
+  #lanes: AdviceLanes | undefined
+  #coordinatorSilent = false
+  #reporting: Promise<void> = Promise.resolve()
+
+  constructor (options: JobInstanceOptions) {
+    this.#options = options
+    const { store, clock, logger, instance, address } = options
+    this.#election = new Election({ store, clock, logger, instance, address, listener: this })
+  }
+
+  async start (): Promise<void> {
+    await this.#election.start()
+    this.#reporting = this.#keepReporting()
+  }
+
+  /** Gives the office up first, so that a successor takes over while this instance still answers. */
+  async stop (): Promise<void> {
+    this.#stopping.abort()
+    await this.#election.stop()
+    this.#endTerm()
+    await this.#reporting
+  }
+
+  /** Begins a planned stop: another instance coordinates from now on. */
+  async withdraw (): Promise<void> {
+    await this.#election.withdraw()
+  }
+
+  get coordinator (): CoordinatorInfo | undefined {
+    return this.#election.coordinator
+  }
+
+  /** Whether this instance could serve a call now, as far as it knows. */
+  get connected (): boolean {
+    const { coordinator } = this.#election
+    return coordinator !== undefined && (this.#term !== undefined || !this.#coordinatorSilent)
+  }
+
+  /** Answers a call at the coordinator; others refuse it. */
+  async handle (call: CallerCall): Promise<CallerAnswer> {
+    const term = this.#term
+    if (term === undefined) return { outcome: 'unavailable', message: 'this instance does not coordinate', retryAfterSeconds: 1 }
+    return await term.intake.handle(call)
+  }
+
+  async report ({ instance, address, desiredStateVersion }: InstanceReport): Promise<ReportAnswer> {
+    this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs() })
+    this.#updateLanes()
+    const { text } = this.#options.desired
+    return {
+      coordinator: this.#election.coordinator,
+      ...(text.version > desiredStateVersion ? { desiredState: text } : {}),
+      peers: [...this.#peers.keys(), this.#options.address]
+    }
+  }
+
+  async advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]> {
+    return await this.#options.advisor.ask(question)
+  }
+
+  onElected (info: CoordinatorInfo): void {
+    const options = this.#options
+    const { clock, logger } = options
+    this.#lanes = new AdviceLanes(clock)
+    this.#updateLanes()
+    const coordinator = new JobCoordinator({
+      store: options.store,
+      clock,
+      logger,
+      info,
+      connect: options.connect,
+      directory: options.directory,
+      desiredState: () => options.desired.state,
+      lanes: this.#lanes,
+      mayAct: () => this.#election.mayAct(),
+      resign: reason => { void this.#election.resign(reason) },
+      targetLeaseMs: options.targetLeaseMs,
+      earlyStartMs: options.earlyStartMs,
+      finishedJobMs: options.finishedJobMs
+    })
+    this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger) }
+    logger.info({ fence: info.fence }, 'elected as coordinator')
+    coordinator.open().catch(error => {
+      logger.error({ error: String(error), fence: info.fence }, 'the coordinator could not take over')
+      void this.#election.resign('recovery failed')
+    })
+  }
+
+  onLost (reason: string): void {
+    this.#options.logger.warn({ reason }, 'not the coordinator any more')
+    this.#endTerm()
+  }
+
+  onChanged (info: CoordinatorInfo | undefined): void {
+    this.#coordinatorSilent = false
+    this.#options.logger.info({ coordinator: info?.instance, fence: info?.fence }, info === undefined ? 'no coordinator is known' : 'coordinator known')
+  }
+
+  #endTerm (): void {
+    this.#term?.coordinator.close()
+    this.#term = undefined
+    this.#lanes = undefined
+  }
+
+  /** The coordinator's own lane comes first, since short questions then need no call to a peer. */
+  #updateLanes (): void {
+    const { clock, instance, advisor, peers } = this.#options
+    if (this.#lanes === undefined) return
+    const nowMs = clock.monotonicMs()
+    const alive = [...this.#peers].filter(([, { seenAtMs }]) => nowMs - seenAtMs < PEER_SILENCE_MS)
+    this.#lanes.setLanes([
+      { name: instance, advisor },
+      ...alive.map(([address, peer]) => ({ name: peer.instance, advisor: { ask: async (question: AdviceQuestion) => await peers.connect(address).advise(question) } }))
+    ])
+  }
+
+  async #keepReporting (): Promise<void> {
+    const { clock } = this.#options
+    const { signal } = this.#stopping
+    while (!signal.aborted) {
+      const address = this.#nextListener()
+      if (address !== undefined) await this.#reportTo(address)
+      this.#forgetPeers()
+      await clock.sleep(REPORT_INTERVAL_MS, signal).catch(() => {})
+    }
+  }
+
+  /** The coordinator, or any peer that may know a newer one while it is silent. */
+  #nextListener (): string | undefined {
+    const { coordinator } = this.#election
+    if (coordinator !== undefined && !this.#coordinatorSilent) {
+      return coordinator.address === this.#options.address ? undefined : coordinator.address
+    }
+    this.#coordinatorSilent = false
+    const others = [...this.#peers.keys()].filter(address => address !== this.#options.address)
+    return others[Math.floor(Math.random() * others.length)] ?? coordinator?.address
+  }
+
+  async #reportTo (address: string): Promise<void> {
+    const { peers, instance, desired, logger, clock } = this.#options
+    try {
+      const answer = await peers.connect(address).report({ instance, address: this.#options.address, desiredStateVersion: desired.state.version })
+      if (answer.coordinator !== undefined) this.#election.learn(answer.coordinator)
+      if (answer.desiredState !== undefined) desired.learn(answer.desiredState, address)
+      for (const peer of answer.peers) {
+        if (!this.#peers.has(peer)) this.#peers.set(peer, { instance: peer, seenAtMs: clock.monotonicMs() - PEER_SILENCE_MS })
+      }
+    } catch (error) {
+      const silent = address === this.#election.coordinator?.address
+      if (silent) this.#coordinatorSilent = true
+      logger.info({ address, coordinator: silent, error: error instanceof Error ? error.message : String(error) }, 'a peer did not answer')
+    }
+  }
+
+  #forgetPeers (): void {
+    const beforeMs = this.#options.clock.monotonicMs() - PEER_FORGOTTEN_MS
+    for (const [address, { seenAtMs }] of this.#peers) {
+      if (seenAtMs < beforeMs) this.#peers.delete(address)
+    }
+    this.#updateLanes()
+  }
+}
--- /dev/null
+++ b/src/jobs/jobProgress.ts
@@ -0,0 +1,119 @@
+/** How far a job is. */
+import type { QueueSettings } from './desiredState.ts'
+import type { JobDefinition, JobState } from './job.ts'
+import type { JobRecord, RunEndRecord } from './jobRecords.ts'
+import { StepProgress } from './stepProgress.ts'
+
+/** Attempts that one term of a coordinator may use for a task; later terms number on above them. */
+const ATTEMPTS_PER_TERM = 1_000
+
+export class JobProgress {
+  readonly record: JobRecord
+  readonly queue: QueueSettings
+  readonly #currentTerm: () => number
+  /** Time on this process's clock since which the job counts as waiting. */
+  readonly acceptedAtMs: number
+  /** Steps of all occurrences that have begun; index by occurrence. */
+  readonly #occurrences: StepProgress[][] = []
+  #outcome: 'completed' | 'failed' | 'cancelled' | undefined
+  #startedTask = false
+
+  constructor (record: JobRecord, queue: QueueSettings, currentTerm: () => number, acceptedAtMs: number) {
+    this.record = record
+    this.queue = queue
+    this.#currentTerm = currentTerm
+    this.acceptedAtMs = acceptedAtMs
+    if (record.definition.repetition === undefined) this.openOccurrence(0)
+  }
+
+  get id (): string {
+    return this.record.id
+  }
+
+  /** Number up to which earlier terms may have used attempts. */
+  get attemptFloor (): number {
+    return (this.#currentTerm() - this.record.term) * ATTEMPTS_PER_TERM
+  }
+
+  get team (): string {
+    return this.record.team
+  }
+
+  get definition (): JobDefinition {
+    return this.record.definition
+  }
+
+  get outcome (): 'completed' | 'failed' | 'cancelled' | undefined {
+    return this.#outcome
+  }
+
+  get state (): JobState {
+    return this.#outcome ?? (this.#startedTask ? 'active' : 'queued')
+  }
+
+  get hasStarted (): boolean {
+    return this.#startedTask
+  }
+
+  get openOccurrences (): number {
+    return this.#occurrences.length
+  }
+
+  get steps (): readonly StepProgress[] {
+    return this.#occurrences.flat()
+  }
+
+  markStarted (): void {
+    this.#startedTask = true
+  }
+
+  /** Wall-clock time at which the next occurrence is due; undefined if none follows. */
+  get nextDueWallMs (): number | undefined {
+    const { repetition } = this.definition
+    if (repetition === undefined || this.#outcome !== undefined || this.#occurrences.length >= repetition.count) return undefined
+    return repetition.firstWallMs + this.#occurrences.length * repetition.intervalMs
+  }
+
+  openOccurrence (occurrence: number): readonly StepProgress[] {
+    while (this.#occurrences.length <= occurrence) {
+      const number = this.#occurrences.length
+      this.#occurrences.push(this.definition.steps.map((step, position) => new StepProgress(this, number, position, step)))
+    }
+    return this.#occurrences[occurrence] as StepProgress[]
+  }
+
+  findStep (occurrence: number, step: number): StepProgress | undefined {
+    if (occurrence >= (this.definition.repetition?.count ?? 1)) return undefined
+    return this.openOccurrence(occurrence)[step]
+  }
+
+  /** Whether every step that the step follows is done. */
+  isReady (step: StepProgress): boolean {
+    return step.definition.after.every(earlier => this.findStep(step.occurrence, earlier)?.done ?? false)
+  }
+
+  /** Applies the end of a run; false if it changes nothing. */
+  endRun ({ occurrence, step, index, attempt, end, checkpoint }: RunEndRecord): boolean {
+    const changed = this.findStep(occurrence, step)?.endRun(index, attempt, end, checkpoint) ?? false
+    if (!changed) return false
+    this.#startedTask = true
+    if (this.#outcome === undefined && this.#allDone()) this.#outcome = 'completed'
+    return true
+  }
+
+  fail (): void {
+    this.#outcome ??= 'failed'
+  }
+
+  /** False if the job had ended before. */
+  cancel (): boolean {
+    if (this.#outcome !== undefined) return false
+    this.#outcome = 'cancelled'
+    return true
+  }
+
+  #allDone (): boolean {
+    const expected = this.definition.repetition?.count ?? 1
+    return this.#occurrences.length === expected && this.#occurrences.every(steps => steps.every(step => step.done))
+  }
+}
--- /dev/null
+++ b/src/jobs/jobRecords.ts
@@ -0,0 +1,64 @@
+/** Records of the job log; replaying them in order, also several times, gives the same jobs. */
+import type { RunEnd } from '../ports/jobTarget.ts'
+import type { Resources } from '../model/resources.ts'
+import type { QueueSettings } from './desiredState.ts'
+import type { JobDefinition, JobIdentity, JobState } from './job.ts'
+
+/** A life of a target on which tasks may run. */
+export interface TargetDescription {
+  readonly id: string
+  readonly bornMs: number
+  readonly address: string
+  readonly service: string
+  readonly dataCentre: string
+  readonly capacity: Resources
+  readonly labels: readonly string[]
+}
+
+export interface RunEndRecord {
+  readonly type: 'run-end'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly index: number
+  readonly attempt: number
+  readonly end: RunEnd
+  readonly checkpoint: string
+}
+
+export interface JobRecord extends JobIdentity {
+  readonly type: 'job'
+  /** Term of the coordinator that accepted the job. */
+  readonly term: number
+  readonly acceptedWallMs: number
+  readonly withinShare: boolean
+  readonly definition: JobDefinition
+}
+
+/** One task in a snapshot: whether it is done, its highest attempt, the attempts that ended, its failures and its saved state. */
+export type TaskSnapshot = readonly [done: 0 | 1, attempt: number, endedAttempts: readonly number[], failures: number, checkpoint: string]
+
+export interface StepSnapshot {
+  readonly tasks: readonly TaskSnapshot[]
+  readonly gangFailures: number
+  readonly failedGangAttempt: number
+  readonly gangCheckpoint: string
+}
+
+export type StepRecord = StepSnapshot & {
+  readonly type: 'step'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+}
+
+export type LogRecord =
+  | { readonly type: 'term', readonly term: number }
+  | { readonly type: 'queue', readonly queue: QueueSettings }
+  | JobRecord
+  | RunEndRecord
+  | StepRecord
+  | { readonly type: 'cancelled', readonly job: string, readonly wallMs: number }
+  | { readonly type: 'finished-job', readonly id: string, readonly queue: string, readonly team: string, readonly state: JobState, readonly wallMs: number }
+  | { readonly type: 'target', readonly target: TargetDescription }
+  | { readonly type: 'target-gone', readonly id: string, readonly bornMs: number }
--- /dev/null
+++ b/src/jobs/jobTable.ts
@@ -0,0 +1,131 @@
+/** Every job that is known, by identity; built from the records of the log. */
+import type { QueueSettings } from './desiredState.ts'
+import type { JobState } from './job.ts'
+import { JobProgress } from './jobProgress.ts'
+import type { JobRecord, LogRecord, TargetDescription } from './jobRecords.ts'
+
+/** A job that has ended, without what is only needed to run it. */
+export interface FinishedJob {
+  readonly id: string
+  readonly queue: string
+  readonly team: string
+  readonly state: JobState
+  readonly wallMs: number
+}
+
+/**
+ * Applies records in the order of the log.
+ *
+ * @example
+ * const table = new JobTable(() => clock.monotonicMs())
+ * for (const record of records) table.apply(record)
+ */
+export class JobTable {
+  readonly #jobs = new Map<string, JobProgress>()
+  readonly #finished = new Map<string, FinishedJob>()
+  readonly #queues = new Map<string, QueueSettings>()
+  readonly #targets = new Map<string, TargetDescription>()
+  readonly #acceptedAtMs: (record: JobRecord) => number
+  #term = 0
+
+  /** `acceptedAtMs` gives the time of acceptance on this process's clock. */
+  constructor (acceptedAtMs: (record: JobRecord) => number) {
+    this.#acceptedAtMs = acceptedAtMs
+  }
+
+  /** The newest term in the log. */
+  get term (): number {
+    return this.#term
+  }
+
+  get jobs (): ReadonlyMap<string, JobProgress> {
+    return this.#jobs
+  }
+
+  get finished (): ReadonlyMap<string, FinishedJob> {
+    return this.#finished
+  }
+
+  /** Lives of targets on which tasks may run. */
+  get targets (): ReadonlyMap<string, TargetDescription> {
+    return this.#targets
+  }
+
+  queue (name: string): QueueSettings | undefined {
+    return this.#queues.get(name)
+  }
+
+  apply (record: LogRecord): void {
+    switch (record.type) {
+      case 'term':
+        this.#term = Math.max(this.#term, record.term)
+        break
+      case 'queue':
+        this.#queues.set(record.queue.name, record.queue)
+        break
+      case 'job':
+        this.#addJob(record)
+        break
+      case 'run-end':
+        this.#jobs.get(record.job)?.endRun(record)
+        break
+      case 'step':
+        this.#jobs.get(record.job)?.findStep(record.occurrence, record.step)?.restore(record)
+        break
+      case 'cancelled':
+        this.#jobs.get(record.job)?.cancel()
+        break
+      case 'finished-job':
+        this.finish(record.id, record)
+        break
+      case 'target':
+        this.#targets.set(targetKey(record.target), record.target)
+        break
+      case 'target-gone':
+        this.#targets.delete(targetKey(record))
+        break
+    }
+  }
+
+  /** Keeps only the outcome of a job. */
+  finish (id: string, { queue, team, state, wallMs }: Omit<FinishedJob, 'id'>): void {
+    this.#jobs.delete(id)
+    this.#finished.set(id, { id, queue, team, state, wallMs })
+  }
+
+  /** Forgets jobs that ended before the time. */
+  forgetFinished (beforeWallMs: number): void {
+    for (const [id, job] of this.#finished) {
+      if (job.wallMs < beforeWallMs) this.#finished.delete(id)
+    }
+  }
+
+  /** Returns records that make the same table. */
+  toRecords (): readonly LogRecord[] {
+    const records: LogRecord[] = [{ type: 'term', term: this.#term }]
+    for (const queue of this.#queues.values()) records.push({ type: 'queue', queue })
+    for (const target of this.#targets.values()) records.push({ type: 'target', target })
+    for (const job of this.#finished.values()) records.push({ type: 'finished-job', ...job })
+    for (const job of this.#jobs.values()) records.push(...describeJob(job))
+    return records
+  }
+
+  #addJob (record: JobRecord): void {
+    if (this.#jobs.has(record.id) || this.#finished.has(record.id)) return
+    const queue = this.#queues.get(record.queue)
+    if (queue === undefined) return
+    this.#jobs.set(record.id, new JobProgress(record, queue, () => this.#term, this.#acceptedAtMs(record)))
+  }
+}
+
+/** Identifies one life of a target. */
+export function targetKey ({ id, bornMs }: { readonly id: string, readonly bornMs: number }): string {
+  return `${id}@${bornMs}`
+}
+
+function describeJob (job: JobProgress): LogRecord[] {
+  const records: LogRecord[] = [job.record]
+  for (const step of job.steps) records.push({ type: 'step', job: job.id, occurrence: step.occurrence, step: step.number, ...step.describe() })
+  if (job.outcome === 'cancelled') records.push({ type: 'cancelled', job: job.id, wallMs: 0 })
+  return records
+}
--- /dev/null
+++ b/src/jobs/stepProgress.ts
@@ -0,0 +1,146 @@
+/** How far the tasks of one step are, in one occurrence of its job. */
+import type { RunEnd } from '../ports/jobTarget.ts'
+import { formatTaskName } from './job.ts'
+import type { StepDefinition } from './job.ts'
+import type { JobProgress } from './jobProgress.ts'
+import type { StepSnapshot } from './jobRecords.ts'
+
+export type TaskState = 'waiting' | 'assigned' | 'done'
+
+export class TaskProgress {
+  readonly step: StepProgress
+  readonly index: number
+  readonly name: string
+  state: TaskState = 'waiting'
+  /** Highest attempt known to have been used. */
+  attempt = 0
+  /** Attempts whose ends are known. */
+  endedAttempts: readonly number[] = []
+  failures = 0
+  checkpoint = ''
+
+  constructor (step: StepProgress, index: number) {
+    this.step = step
+    this.index = index
+    this.name = formatTaskName({ job: step.job.id, occurrence: step.occurrence, step: step.number, index })
+  }
+}
+
+export class StepProgress {
+  readonly job: JobProgress
+  readonly occurrence: number
+  readonly number: number
+  readonly definition: StepDefinition
+  readonly tasks: readonly TaskProgress[]
+  /** Tasks that are not done. */
+  #unfinished: number
+  /** Attempts of the gang that failed, by their highest number. */
+  #failedGangAttempt = 0
+  #gangFailures = 0
+  #gangCheckpoint = ''
+
+  constructor (job: JobProgress, occurrence: number, number: number, definition: StepDefinition) {
+    this.job = job
+    this.occurrence = occurrence
+    this.number = number
+    this.definition = definition
+    this.#unfinished = definition.count
+    this.tasks = Array.from({ length: definition.count }, (_, index) => new TaskProgress(this, index))
+  }
+
+  get name (): string {
+    return `${this.job.id}.${this.occurrence}.${this.number}`
+  }
+
+  get done (): boolean {
+    return this.#unfinished === 0
+  }
+
+  /** Tasks that may be placed now: for a gang all of them or none. */
+  get waiting (): readonly TaskProgress[] {
+    const waiting = this.tasks.filter(task => task.state === 'waiting')
+    return this.definition.gang && waiting.length < this.tasks.length ? [] : waiting
+  }
+
+  /** Number for the next start of a task; the members of a gang share it. */
+  nextAttempt (task: TaskProgress): number {
+    const used = this.definition.gang ? Math.max(...this.tasks.map(member => member.attempt)) : task.attempt
+    return Math.max(used, this.job.attemptFloor) + 1
+  }
+
+  /** State from which the next start resumes; any member's state serves the whole gang. */
+  checkpointOf (task: TaskProgress): string {
+    return this.definition.gang ? this.#gangCheckpoint : task.checkpoint
+  }
+
+  saveCheckpoint (task: TaskProgress, checkpoint: string): void {
+    if (checkpoint === '') return
+    task.checkpoint = checkpoint
+    this.#gangCheckpoint = checkpoint
+  }
+
+  /** Applies the end of a run; false if it was known before. */
+  endRun (index: number, attempt: number, end: RunEnd, checkpoint: string): boolean {
+    const task = this.tasks[index]
+    if (task === undefined || task.state === 'done' || task.endedAttempts.includes(attempt)) return false
+    const superseded = attempt < task.attempt
+    task.endedAttempts = [...task.endedAttempts, attempt]
+    task.attempt = Math.max(task.attempt, attempt)
+    if (!superseded) this.saveCheckpoint(task, checkpoint)
+    if (end === 'done' && !this.definition.longRunning) this.#finish(task)
+    else if (!superseded) task.state = 'waiting'
+    if (end === 'failed' && !this.definition.longRunning) this.#countFailure(task, attempt)
+    return true
+  }
+
+  /** A run has certainly stopped without an end that is known. */
+  loseRun (task: TaskProgress, attempt: number): void {
+    if (task.state === 'assigned' && task.attempt === attempt) task.state = 'waiting'
+  }
+
+  describe (): StepSnapshot {
+    return {
+      tasks: this.tasks.map(task => [task.state === 'done' ? 1 : 0, task.attempt, task.endedAttempts, task.failures, task.checkpoint]),
+      gangFailures: this.#gangFailures,
+      failedGangAttempt: this.#failedGangAttempt,
+      gangCheckpoint: this.#gangCheckpoint
+    }
+  }
+
+  restore ({ tasks, gangFailures, failedGangAttempt, gangCheckpoint }: StepSnapshot): void {
+    this.#gangFailures = gangFailures
+    this.#failedGangAttempt = failedGangAttempt
+    this.#gangCheckpoint = gangCheckpoint
+    for (const [index, [done, attempt, endedAttempts, failures, checkpoint]] of tasks.entries()) {
+      const task = this.tasks[index]
+      if (task === undefined) continue
+      Object.assign(task, { attempt, endedAttempts, failures, checkpoint })
+      if (done === 1 && task.state !== 'done') {
+        task.state = 'done'
+        this.#unfinished -= 1
+      }
+    }
+  }
+
+  /** One done member stands for its gang. */
+  #finish (task: TaskProgress): void {
+    const finished = this.definition.gang ? this.tasks : [task]
+    for (const each of finished) {
+      if (each.state === 'done') continue
+      each.state = 'done'
+      this.#unfinished -= 1
+    }
+  }
+
+  #countFailure (task: TaskProgress, attempt: number): void {
+    if (this.definition.gang) {
+      if (attempt <= this.#failedGangAttempt) return
+      this.#failedGangAttempt = attempt
+      this.#gangFailures += 1
+      if (this.#gangFailures >= this.job.queue.maximumFailures) this.job.fail()
+      return
+    }
+    task.failures += 1
+    if (task.failures >= this.job.queue.maximumFailures) this.job.fail()
+  }
+}
--- /dev/null
+++ b/src/platform/callerFrontend.ts
@@ -0,0 +1,143 @@
+/** The HTTP interface towards callers on the platform. */
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { buffer } from 'node:stream/consumers'
+import { listenOn } from '../adapters/network.ts'
+import type { CallAction, CallerAnswer, CallHandler } from '../entry/callerCall.ts'
+import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
+import type { Component } from '../lifecycle/component.ts'
+import { InputError } from '../model/errors.ts'
+import type { Logger } from '../observability/logger.ts'
+import { decodeJobBody } from './jobBody.ts'
+
+const KEY_HEADER = 'x-api-key'
+const KEEP_ALIVE_MS = 60_000
+/** Used until a desired state is known. */
+const DEFAULT_BODY_BYTES = 262_144
+
+const ACTIONS: Readonly<Record<string, CallAction>> = { POST: 'submit', GET: 'read', DELETE: 'cancel' }
+
+interface HttpAnswer {
+  readonly status: number
+  readonly body?: Readonly<Record<string, unknown>>
+  readonly retryAfterSeconds?: number
+}
+
+export interface CallerFrontendOptions {
+  readonly address: string
+  readonly handler: CallHandler
+  readonly desired: DesiredStateWatcher
+  readonly logger: Logger
+  readonly onCall: (action: CallAction, outcome: string, durationMs: number) => void
+}
+
+export class CallerFrontend implements Component {
+  readonly name = 'caller frontend'
+  readonly #options: CallerFrontendOptions
+  #server: Server | undefined
+  #closing = false
+
+  constructor (options: CallerFrontendOptions) {
+    this.#options = options
+  }
+
+  async start (): Promise<void> {
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      this.#serve(request, response).catch(error => {
+        this.#options.logger.warn({ error: String(error), path: request.url }, 'a call could not be answered')
+        response.destroy()
+      })
+    })
+    this.#server = server
+    await listenOn(server, this.#options.address)
+  }
+
+  /** From now on each answer ends its connection. */
+  beginClosing (): void {
+    this.#closing = true
+    this.#server?.closeIdleConnections()
+  }
+
+  async stop (): Promise<void> {
+    const server = this.#server
+    if (server === undefined) return
+    this.#closing = true
+    const closed = new Promise<void>(resolve => server.close(() => resolve()))
+    server.closeIdleConnections()
+    await closed
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const begun = performance.now()
+    const action = ACTIONS[request.method ?? '']
+    const path = (request.url ?? '/').split('?', 1)[0] as string
+    const body = await buffer(request)
+    const answer: CallerAnswer = action === undefined
+      ? { outcome: 'invalid', message: `the method ${request.method} is not supported` }
+      : await this.#answer(action, path, request, body)
+    this.#options.onCall(action ?? 'read', answer.outcome, performance.now() - begun)
+    if (answer.outcome === 'unavailable' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
+      this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desired.state.version, tookMs: Math.round(performance.now() - begun) }, 'call not served')
+    }
+    this.#write(response, encode(answer))
+  }
+
+  async #answer (action: CallAction, path: string, request: IncomingMessage, body: Buffer): Promise<CallerAnswer> {
+    const { desired, handler } = this.#options
+    if (!desired.known) return { outcome: 'unavailable', message: 'no desired state is known yet', retryAfterSeconds: 1 }
+    if (body.length > (desired.state.maximumBodyBytes || DEFAULT_BODY_BYTES)) return { outcome: 'invalid', message: 'the body is too large' }
+    let definition = ''
+    try {
+      if (action === 'submit') definition = JSON.stringify(decodeJobBody(parseJson(body)))
+    } catch (error) {
+      if (!(error instanceof InputError)) throw error
+      return { outcome: 'invalid', message: error.message }
+    }
+    return await handler.handle({
+      action,
+      host: hostName(request.headers.host ?? ''),
+      path,
+      key: String(request.headers[KEY_HEADER] ?? ''),
+      definition,
+      desiredStateVersion: desired.state.version
+    })
+  }
+
+  #write (response: ServerResponse, { status, body, retryAfterSeconds }: HttpAnswer): void {
+    const bytes = Buffer.from(JSON.stringify(body ?? {}))
+    response.writeHead(status, {
+      'content-type': 'application/json',
+      'content-length': bytes.length,
+      ...(retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }),
+      ...(this.#closing ? { connection: 'close' } : {})
+    })
+    response.end(bytes)
+  }
+}
+
+function hostName (header: string): string {
+  return header.replace(/:\d+$/, '').toLowerCase()
+}
+
+function parseJson (body: Buffer): unknown {
+  try {
+    return JSON.parse(body.toString('utf8'))
+  } catch (error) {
+    throw new InputError('the body is not JSON:', { cause: error })
+  }
+}
+
+function encode (answer: CallerAnswer): HttpAnswer {
+  switch (answer.outcome) {
+    case 'accepted':
+    case 'cancelled': return { status: 200 }
+    case 'state': return { status: 200, body: { state: answer.state } }
+    case 'pending': return { status: 200, body: { pending: answer.pending } }
+    case 'unauthenticated': return { status: 401 }
+    case 'no-queue': return { status: 404 }
+    case 'no-job': return { status: 410 }
+    case 'invalid': return { status: 400, body: { message: answer.message } }
+    case 'unavailable': return { status: 503, body: { message: answer.message }, retryAfterSeconds: answer.retryAfterSeconds }
+    case 'unknown': return { status: 504, body: { message: answer.message } }
+  }
+}
--- /dev/null
+++ b/src/platform/platformStore.ts
@@ -0,0 +1,150 @@
+/** The platform's metadata store as a `TransactionalStore`. */
+import { z } from 'zod'
+import { HttpCaller, NotSentError } from '../adapters/http/httpCaller.ts'
+import type { CallOptions, JsonResponse } from '../adapters/http/httpCaller.ts'
+import type { Component } from '../lifecycle/component.ts'
+import { InputError, StoreUnavailableError, StoreUnknownError } from '../model/errors.ts'
+import type { Clock } from '../ports/clock.ts'
+import type {
+  CommitResult, StoreChange, StoredItem, StorePage, Transaction, TransactionalStore, WatchResult
+} from '../ports/transactionalStore.ts'
+
+const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
+const pageSchema = z.object({ items: z.array(itemSchema), has_more: z.boolean(), at: z.number() })
+const eventSchema = z.object({
+  key: z.string(),
+  revision: z.number(),
+  value: z.string().optional(),
+  /** The key was removed, not compacted. */
+  compacted: z.boolean().optional()
+})
+const watchSchema = z.object({ events: z.array(eventSchema), at: z.number() })
+const revisionSchema = z.object({ revision: z.number() })
+const conflictSchema = z.object({ items: z.array(itemSchema) })
+const leaseSchema = z.object({ lease_id: z.number(), ttl_ms: z.number() })
+
+/** The store answers within milliseconds when it is well, and within 400 ms when it is slow. */
+const CALL_TIMEOUT_MS = 1_500
+/** A connection within and between regions takes 41 ms at most. */
+const CONNECT_TIMEOUT_MS = 800
+/** Reads of whole pages cross the link between regions. */
+const PAGE_TIMEOUT_MS = 4_000
+/** Added to the time that a watch may wait. */
+const WATCH_SLACK_MS = 1_500
+/** Longer than any pause between two calls. */
+const IDLE_CONNECTION_MS = 30_000
+
+export class PlatformStore implements TransactionalStore, Component {
+  readonly name = 'store client'
+  readonly #caller: HttpCaller
+
+  constructor (address: string, clock: Clock) {
+    this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
+  }
+
+  async start (): Promise<void> {}
+
+  async stop (): Promise<void> {
+    await this.#caller.close()
+  }
+
+  async get (key: string): Promise<StoredItem | undefined> {
+    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-key?${new URLSearchParams({ key })}`, timeoutMs: CALL_TIMEOUT_MS })
+    if (status === 404) return undefined
+    return decodeItem(parseAnswer(itemSchema, status, body, 'get'))
+  }
+
+  async listPage (prefix: string, after?: string): Promise<StorePage> {
+    const query = new URLSearchParams(after === undefined ? { prefix } : { prefix, after })
+    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-range?${query}`, timeoutMs: PAGE_TIMEOUT_MS })
+    const page = parseAnswer(pageSchema, status, body, 'list')
+    return { items: page.items.map(decodeItem), hasMore: page.has_more, revision: page.at }
+  }
+
+  async watch (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<WatchResult> {
+    const query = new URLSearchParams({ prefix, after: String(afterRevision), wait_ms: String(Math.floor(waitMs)) })
+    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-watch?${query}`, timeoutMs: waitMs + WATCH_SLACK_MS, signal })
+    if (status === 410) return { outcome: 'history-lost' }
+    const answer = parseAnswer(watchSchema, status, body, 'watch')
+    return { outcome: 'changes', changes: answer.events.map(decodeChange), revision: answer.at }
+  }
+
+  async commit ({ conditions, writes, removes }: Transaction): Promise<CommitResult> {
+    const { status, body } = await this.#write({
+      method: 'POST',
+      path: '/-/kv-txn',
+      body: {
+        expected_rev: conditions,
+        write: writes.map(({ key, value, lease }) => ({ key, value: encodeValue(value), ...(lease === undefined ? {} : { lease_id: lease }) })),
+        remove: removes
+      }
+    })
+    if (status === 404) return { outcome: 'lease-ended' }
+    if (status === 412) return { outcome: 'conflict', current: parseAnswer(conflictSchema, 200, body, 'commit').items.map(decodeItem) }
+    return { outcome: 'committed', revision: parseAnswer(revisionSchema, status, body, 'commit').revision }
+  }
+
+  async grantLease (durationMs: number): Promise<number> {
+    const { status, body } = await this.#write({ method: 'POST', path: '/-/kv-lease', body: { ttl_ms: durationMs } })
+    return parseAnswer(leaseSchema, status, body, 'grant').lease_id
+  }
+
+  async renewLease (lease: number): Promise<boolean> {
+    const { status, body } = await this.#write({ method: 'POST', path: `/-/kv-keep/${lease}` })
+    if (status === 404) return false
+    parseAnswer(z.object({}), status, body ?? {}, 'renew')
+    return true
+  }
+
+  async endLease (lease: number): Promise<void> {
+    await this.#write({ method: 'DELETE', path: `/-/kv-lease-end/${lease}` })
+  }
+
+  async #read (options: CallOptions): Promise<JsonResponse> {
+    let answer: JsonResponse
+    try {
+      answer = await this.#caller.callLenient(options)
+    } catch (error) {
+      throw new StoreUnavailableError(`the store did not answer ${options.method} ${options.path}:`, { cause: error })
+    }
+    refuseUnavailable(answer.status, options)
+    return answer
+  }
+
+  async #write (options: CallOptions): Promise<JsonResponse> {
+    let answer: JsonResponse
+    try {
+      answer = await this.#caller.callLenient({ ...options, timeoutMs: CALL_TIMEOUT_MS })
+    } catch (error) {
+      if (error instanceof NotSentError) throw new StoreUnavailableError(`the store can not be reached for ${options.path}:`, { cause: error })
+      throw new StoreUnknownError(`the store's answer to ${options.path} was lost:`, { cause: error })
+    }
+    refuseUnavailable(answer.status, options)
+    return answer
+  }
+}
+
+/** 429 and 503 say that nothing was done. */
+function refuseUnavailable (status: number, { method, path }: CallOptions): void {
+  if (status === 429 || status === 503) throw new StoreUnavailableError(`the store answered ${status} to ${method} ${path}`)
+}
+
+function parseAnswer<T> (schema: z.ZodType<T>, status: number, body: unknown, call: string): T {
+  if (status === 400 || status === 403) throw new InputError(`the store refused the ${call} call: ${status} ${JSON.stringify(body)}`)
+  const parsed = schema.safeParse(body)
+  if (status !== 200 || !parsed.success) throw new StoreUnknownError(`the store's answer to the ${call} call can not be read: ${status}`)
+  return parsed.data
+}
+
+function encodeValue (value: string): string {
+  return Buffer.from(value, 'utf8').toString('base64')
+}
+
+function decodeItem ({ key, value, revision }: z.infer<typeof itemSchema>): StoredItem {
+  return { key, value: Buffer.from(value, 'base64').toString('utf8'), revision }
+}
+
+function decodeChange ({ key, revision, value, compacted }: z.infer<typeof eventSchema>): StoreChange {
+  if (compacted === true || value === undefined) return { type: 'removed', key }
+  return { type: 'written', item: decodeItem({ key, value, revision }) }
+}
--- /dev/null
+++ b/src/platform/platformTarget.ts
@@ -0,0 +1,127 @@
+/** Calls a target that runs tasks of jobs. */
+import { z } from 'zod'
+import { HttpCaller, NotSentError } from '../adapters/http/httpCaller.ts'
+import type { JsonResponse } from '../adapters/http/httpCaller.ts'
+import type { Clock } from '../ports/clock.ts'
+import { RUN_ENDS } from '../ports/jobTarget.ts'
+import type {
+  FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunningTask, StartOutcome, StartRefusal, StopOutcome, TargetLife, TaskOrder
+} from '../ports/jobTarget.ts'
+
+const LIFE_HEADER = 'x-agategauge-expect-instance'
+
+/** Long enough for a slow target in another region; an order without an answer by then is withdrawn. */
+const ORDER_TIMEOUT_MS = 1_000
+const CONNECT_TIMEOUT_MS = 800
+/** Added to the time for which a target may hold the answer back. */
+const RENEW_SLACK_MS = 1_200
+/** A target accepts 64 connections from all instances together. */
+const CONNECTIONS = 10
+const IDLE_CONNECTION_MS = 30_000
+
+const clockSchema = z.object({ clock_ms: z.number() })
+const refusalSchema = z.object({ reason: z.string() })
+const runningSchema = z.tuple([z.string(), z.number(), z.string(), z.number()]).rest(z.unknown())
+const finishedSchema = z.tuple([z.number(), z.string(), z.number(), z.enum(RUN_ENDS), z.string()]).rest(z.unknown())
+const reportSchema = z.object({
+  clock_ms: z.number(),
+  born: z.number().default(0),
+  running: z.array(runningSchema).default([]),
+  finished: z.array(finishedSchema).default([])
+})
+
+const REFUSALS: Readonly<Record<string, StartRefusal>> = {
+  fence: 'fenced', old: 'superseded', late: 'too-late', room: 'no-room', ticket: 'ticket'
+}
+
+export class PlatformTarget implements JobTargetClient {
+  readonly #caller: HttpCaller
+  readonly #life: TargetLife
+
+  constructor (address: string, life: TargetLife, clock: Clock) {
+    this.#caller = new HttpCaller({
+      address, clock, connections: CONNECTIONS, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS
+    })
+    this.#life = life
+  }
+
+  async start (order: TaskOrder): Promise<StartOutcome> {
+    let answer: JsonResponse
+    try {
+      answer = await this.#post('/-/run-start', ORDER_TIMEOUT_MS, {
+        task: order.task,
+        attempt: order.attempt,
+        spec: order.spec,
+        deadline_ms: order.leaseUntilTargetMs,
+        fencing_token: order.fencingToken,
+        ...(order.checkpoint === '' ? {} : { checkpoint: order.checkpoint }),
+        ...(order.ticket === undefined ? {} : { ticket: order.ticket })
+      })
+    } catch (error) {
+      if (error instanceof NotSentError) return { outcome: 'refused', refusal: 'unhealthy' }
+      return { outcome: 'unknown', message: String(error) }
+    }
+    return decodeStart(answer)
+  }
+
+  async stop ({ task, attempt, fencingToken }: { readonly task: string, readonly attempt: number, readonly fencingToken: number }): Promise<StopOutcome> {
+    try {
+      const { status, body } = await this.#post('/-/run-stop', ORDER_TIMEOUT_MS, { task, attempt, fencing_token: fencingToken })
+      if (status === 200) return 'stopping'
+      if (status === 421) return 'other-life'
+      return status === 409 && refusalSchema.safeParse(body).data?.reason === 'fence' ? 'fenced' : 'unknown'
+    } catch {
+      // The caller repeats a stop without an answer.
+      return 'unknown'
+    }
+  }
+
+  async renew ({ fencingToken, acknowledged, leaseUntilTargetMs, waitMs }: RenewOrder): Promise<RenewOutcome> {
+    try {
+      const { status, body } = await this.#post('/-/hold', waitMs + RENEW_SLACK_MS, {
+        fencing_token: fencingToken,
+        acked: acknowledged,
+        ...(leaseUntilTargetMs === undefined ? {} : { deadline_ms: leaseUntilTargetMs }),
+        ...(waitMs > 0 ? { wait_ms: waitMs } : {})
+      })
+      if (status === 421) return { outcome: 'other-life' }
+      if (status === 409) return { outcome: 'fenced' }
+      const parsed = reportSchema.safeParse(body)
+      if (status !== 200 || !parsed.success) return { outcome: 'failed', message: `unexpected answer ${status}` }
+      return { outcome: 'report', report: decodeReport(parsed.data) }
+    } catch (error) {
+      return { outcome: 'failed', message: String(error) }
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#caller.close()
+  }
+
+  async #post (path: string, timeoutMs: number, body: unknown): Promise<JsonResponse> {
+    return await this.#caller.callLenient({ method: 'POST', path, body, timeoutMs, headers: { [LIFE_HEADER]: this.#life.id } })
+  }
+}
+
+function decodeStart ({ status, body }: JsonResponse): StartOutcome {
+  if (status === 200) {
+    const parsed = clockSchema.safeParse(body)
+    return { outcome: 'started', clockMs: parsed.data?.clock_ms ?? 0 }
+  }
+  if (status === 421) return { outcome: 'refused', refusal: 'other-life' }
+  if (status === 429 || status === 503) return { outcome: 'refused', refusal: 'unhealthy' }
+  if (status === 400) return { outcome: 'refused', refusal: 'invalid' }
+  const reason = refusalSchema.safeParse(body).data?.reason
+  const refusal = reason === undefined ? undefined : REFUSALS[reason]
+  if (status === 409 && refusal !== undefined) return { outcome: 'refused', refusal }
+  return { outcome: 'unknown', message: `unexpected answer ${status}` }
+}
+
+function decodeReport (report: z.infer<typeof reportSchema>): { bornMs: number, clockMs: number, running: RunningTask[], finished: FinishedRun[] } {
+  return {
+    bornMs: report.born,
+    clockMs: report.clock_ms,
+    running: report.running.map(([task, attempt, checkpoint, percent]) => ({ task, attempt, checkpoint, percent })),
+    finished: report.finished.map(([number, task, attempt, end, checkpoint]) => ({ number, task, attempt, end, checkpoint }))
+  }
+}
--- /dev/null
+++ b/src/platform/settingsFile.ts
@@ -0,0 +1,107 @@
+/** Reads the settings file of the platform into the settings of an instance. */
+import { readFileSync } from 'node:fs'
+import { parse } from 'smol-toml'
+import { z } from 'zod'
+import { InputError } from '../model/errors.ts'
+
+/** Names are the platform's; unknown ones are ignored. */
+const fileSchema = z.object({
+  node_name: z.string().min(1),
+  ip: z.string().min(1),
+  zone: z.string().min(1),
+  region: z.string().default(''),
+  zones: z.record(z.string(), z.string()).default({}),
+  internal_ports: z.tuple([z.number().int(), z.number().int()]),
+  control_mode: z.string().default('invocation'),
+  recommendation: z.string().default(''),
+  listen_addrs: z.object({ frontend: z.string(), ready: z.string() }),
+  bounds: z.object({
+    grace_s: z.number().positive(),
+    hold_max_ms: z.number().positive(),
+    kill_grace_ms: z.number().nonnegative(),
+    early_ms: z.number().nonnegative().default(0),
+    status_s: z.number().positive().default(120)
+  }),
+  platform: z.object({
+    address: z.string().min(1),
+    ttl_min_ms: z.number().positive().default(1_000)
+  })
+})
+
+/** What an instance learns from the platform at its start. */
+export interface PlatformSettings {
+  readonly instance: string
+  readonly ip: string
+  readonly dataCentre: string
+  readonly region: string
+  /** Region of each data centre. */
+  readonly regions: Readonly<Record<string, string>>
+  readonly peerPort: number
+  readonly metricsPort: number
+  readonly callerAddress: string
+  readonly readinessAddress: string
+  readonly storeAddress: string
+  readonly shortestStoreLeaseMs: number
+  /** Empty if no queue needs advice. */
+  readonly advisorAddress: string
+  /** Time between the signal to stop and the forced end. */
+  readonly stopGraceMs: number
+  readonly longestTargetLeaseMs: number
+  readonly taskStopMs: number
+  readonly earlyStartMs: number
+  /** How long the state of a finished job must be known. */
+  readonly finishedJobMs: number
+}
+
+const MS_PER_SECOND = 1_000
+
+/**
+ * Parses the text of a settings file; throws `InputError` that names each bad field.
+ *
+ * @example
+ * const settings = parseSettings(readFileSync('/etc/agategauge/local.toml', 'utf8'))
+ */
+export function parseSettings (text: string): PlatformSettings {
+  let raw: unknown
+  try {
+    raw = parse(text)
+  } catch (error) {
+    throw new InputError('the settings file is not TOML:', { cause: error })
+  }
+  const parsed = fileSchema.safeParse(raw)
+  if (!parsed.success) throw new InputError(`the settings file can not be used: ${z.prettifyError(parsed.error)}`)
+  const file = parsed.data
+  if (file.control_mode !== 'invocation') {
+    throw new InputError(`control_mode = "${file.control_mode}" is not supported; only "invocation" is`)
+  }
+  return {
+    instance: file.node_name,
+    ip: file.ip,
+    dataCentre: file.zone,
+    region: file.region,
+    regions: file.zones,
+    peerPort: file.internal_ports[0],
+    metricsPort: file.internal_ports[0] + 1,
+    callerAddress: file.listen_addrs.frontend,
+    readinessAddress: file.listen_addrs.ready,
+    storeAddress: file.platform.address,
+    shortestStoreLeaseMs: file.platform.ttl_min_ms,
+    advisorAddress: file.recommendation,
+    stopGraceMs: file.bounds.grace_s * MS_PER_SECOND,
+    longestTargetLeaseMs: file.bounds.hold_max_ms,
+    taskStopMs: file.bounds.kill_grace_ms,
+    earlyStartMs: file.bounds.early_ms,
+    finishedJobMs: file.bounds.status_s * MS_PER_SECOND
+  }
+}
+
+/** Reads and parses a settings file. */
+export function readSettings (path: string): PlatformSettings {
+  let text: string
+  try {
+    text = readFileSync(path, 'utf8')
+  } catch (error) {
+    throw new InputError(`the settings file ${path} can not be read:`, { cause: error })
+  }
+  return parseSettings(text)
+}
--- /dev/null
+++ b/src/platform/startOnPlatform.ts
@@ -0,0 +1,107 @@
+/** Composes an instance on the users' platform. */
+import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
+import { CoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
+import { SystemClock } from '../adapters/clock/systemClock.ts'
+import { TextServer } from '../adapters/http/textServer.ts'
+import { CallRouter } from '../entry/callRouter.ts'
+import { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
+import { JobInstance } from '../entry/jobInstance.ts'
+import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
+import { createLogger } from '../observability/logger.ts'
+import { JobMetrics } from '../observability/jobMetrics.ts'
+import { CallerFrontend } from './callerFrontend.ts'
+import { DESIRED_STATE_KEY, parseDesiredState } from './desiredState.ts'
+import { PlatformAdvisor } from './platformAdvisor.ts'
+import { PlatformStore } from './platformStore.ts'
+import { PlatformTarget } from './platformTarget.ts'
+import { readSettings } from './settingsFile.ts'
+import type { PlatformSettings } from './settingsFile.ts'
+import { StoredTargetDirectory } from './targetEntry.ts'
+
+/** Below the longest lease that targets grant. */
+const LEASE_MARGIN_MS = 500
+/** Time for which a stopping instance goes on answering, so that the balancer and the callers leave it. */
+const LEAVE_MS = 2_500
+/** Left of the platform's grace for closing what is still open. */
+const STOP_MARGIN_MS = 1_000
+const READY_PATH = '/-/readyz'
+const METRICS_PATH = '/metrics'
+
+/** A started instance. */
+export interface PlatformInstance {
+  /** Begins the planned stop; calling it again changes nothing. */
+  stop (): Promise<void>
+  readonly stopped: Promise<void>
+}
+
+/**
+ * Starts an instance with the settings file of the platform.
+ *
+ * @example
+ * const instance = await startOnPlatform('/etc/agategauge/local.toml')
+ */
+export async function startOnPlatform (settingsPath: string): Promise<PlatformInstance> {
+  const settings = readSettings(settingsPath)
+  const clock = new SystemClock()
+  const logger = createLogger({ level: 'info', instance: settings.instance, dataCentre: settings.dataCentre, secrets: [] })
+  const metrics = new JobMetrics()
+  const store = new PlatformStore(settings.storeAddress, clock)
+  const peers = new CoordinatorPeerClient()
+  const desired = new DesiredStateWatcher({ store, key: DESIRED_STATE_KEY, parse: parseDesiredState, clock, logger })
+  const peerAddress = `${settings.ip}:${settings.peerPort}`
+  const instance = new JobInstance({
+    instance: settings.instance,
+    address: peerAddress,
+    store,
+    clock,
+    logger,
+    desired,
+    directory: new StoredTargetDirectory(store, logger),
+    connect: (address, life) => new PlatformTarget(address, life, clock),
+    advisor: new PlatformAdvisor(settings.advisorAddress, clock),
+    peers,
+    targetLeaseMs: settings.longestTargetLeaseMs - LEASE_MARGIN_MS,
+    earlyStartMs: settings.earlyStartMs,
+    finishedJobMs: settings.finishedJobMs
+  })
+  const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
+  const frontend = new CallerFrontend({
+    address: settings.callerAddress,
+    handler: router,
+    desired,
+    logger,
+    onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
+  })
+  let stopping = false
+  const readiness = new TextServer('readiness', settings.readinessAddress, {
+    [READY_PATH]: async () => ({ status: !stopping && desired.known && instance.connected ? 200 : 503, contentType: 'text/plain', text: '' })
+  })
+  const metricsServer = new TextServer('metrics', `${settings.ip}:${settings.metricsPort}`, { [METRICS_PATH]: async () => await metrics.render() })
+
+  const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
+  for (const component of [store, peers, desired, new CoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
+  await manager.start()
+  logger.info({ ...describeSettings(settings) }, 'instance started')
+
+  let finish: () => void = () => {}
+  const stopped = new Promise<void>(resolve => { finish = resolve })
+  return {
+    stopped,
+    async stop () {
+      if (stopping) return
+      stopping = true
+      logger.info({ leaveMs: LEAVE_MS }, 'instance stops')
+      await instance.withdraw()
+      frontend.beginClosing()
+      await clock.sleep(Math.min(LEAVE_MS, settings.stopGraceMs / 2))
+      const failures = await manager.stop()
+      for (const { component, error } of failures) logger.warn({ component, error: String(error) }, 'a component did not stop in time')
+      logger.info('instance stopped')
+      finish()
+    }
+  }
+}
+
+function describeSettings ({ dataCentre, region, storeAddress, callerAddress, peerPort, metricsPort }: PlatformSettings): object {
+  return { dataCentre, region, storeAddress, callerAddress, peerPort, metricsPort }
+}
--- /dev/null
+++ b/src/ports/coordinatorPeer.ts
@@ -0,0 +1,28 @@
+/** Calls between instances about jobs. */
+import type { CoordinatorInfo } from '../coordinator/election.ts'
+import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
+import type { VersionedText } from '../jobs/desiredState.ts'
+import type { AdviceQuestion, AllowedTarget } from './placementAdvisor.ts'
+
+export interface InstanceReport {
+  readonly instance: string
+  readonly address: string
+  readonly desiredStateVersion: number
+}
+
+export interface ReportAnswer {
+  readonly coordinator?: CoordinatorInfo
+  /** Set if the callee's is newer. */
+  readonly desiredState?: VersionedText
+  readonly peers: readonly string[]
+}
+
+export interface CoordinatorPeer {
+  handle (call: CallerCall): Promise<CallerAnswer>
+  report (report: InstanceReport): Promise<ReportAnswer>
+  advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]>
+}
+
+export interface CoordinatorPeers {
+  connect (address: string): CoordinatorPeer
+}
