Round advice timeouts up and log failures of background tasks

Cause: fractional timeouts were refused by the peer transport, so that two of three queues got no advice.

--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -74,7 +74,7 @@
   async advise ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
     const answer = await this.#client.advise(create(wire.AdviseRequestSchema, {
       step, targets: [...targets], expectedMilliseconds: expectedMs
-    }), { timeoutMs: expectedMs + ADVICE_SLACK_MS })
+    }), { timeoutMs: Math.ceil(expectedMs + ADVICE_SLACK_MS) })
     return answer.allowed
   }
 }
--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -72,7 +72,7 @@
     for (const waiting of this.#waiting) {
       const lane = this.#chooseLane(waiting.question.expectedMs)
       if (lane === undefined) kept.push(waiting)
-      else void this.#askThrough(lane, waiting)
+      else this.#askThrough(lane, waiting).catch(waiting.reject)
     }
     this.#waiting = kept
   }
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -26,6 +26,7 @@
 import { TargetSession } from './targetSession.ts'
 import type { LifeEnd, TargetListener } from './targetSession.ts'
 import { TeamUsage } from './teamUsage.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Collects changes before the next placement. */
 const PLACEMENT_DELAY_MS = 5
@@ -124,13 +125,13 @@
     this.#table = read.table
     this.#logger.info({ fence: this.info.fence, term, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#beganAtMs) }, 'the coordinator has read its log')
     for (const description of read.table.targets.values()) this.#openSession(description, true)
-    void this.#watchDirectory()
+    runInBackground(this.#watchDirectory(), this.#logger, 'target directory')
     await this.#awaitJoins()
     if (this.#closed) return
     this.#stopPartialGangs()
     this.#placing = true
     this.changed()
-    void this.#keepHouse()
+    runInBackground(this.#keepHouse(), this.#logger, 'housekeeping')
   }
 
   /** Ends the term; nothing is decided any more. */
@@ -374,7 +375,7 @@
       foreignOrdersUntilMs: recorded ? this.#beganAtMs + AUTHORITY_GRACE_MS : -Infinity
     })
     this.#sessions.set(key, session)
-    void session.run()
+    runInBackground(session.run(), this.#logger, 'target session')
   }
 
   async #keepHouse (): Promise<void> {
@@ -400,7 +401,7 @@
   #stopRuns (matches: (assignment: Assignment) => boolean): void {
     for (const session of this.#sessions.values()) {
       for (const assignment of session.assignments.values()) {
-        if (matches(assignment)) void session.stop(assignment)
+        if (matches(assignment)) runInBackground(session.stop(assignment), this.#logger, 'stop of a run')
       }
     }
   }
@@ -461,7 +462,7 @@
     if (count === 0 || (definition.gang && count < waiting.length)) return
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
-      for (const assigned of this.#reserve(waiting, placed)) void assigned.session.start(assigned.assignment, undefined)
+      for (const { session, assignment } of this.#reserve(waiting, placed)) this.#start(session, assignment, undefined)
       return
     }
     this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
@@ -476,16 +477,16 @@
     const unasked = sessions.filter(session => !advice.wasAsked(session.key))
     const allowed = sessions.filter(session => advice.allows(session.key))
     if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
-      void this.#ask(step, queue, advice, unasked)
+      runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
       return
     }
     const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
     const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
-    for (const { session, assignment } of this.#reserve(waiting, placed)) void session.start(assignment, advice.ticket(session.key, nowMs))
+    for (const { session, assignment } of this.#reserve(waiting, placed)) this.#start(session, assignment, advice.ticket(session.key, nowMs))
     if (placed.length > 0 || withTicket.length === allowed.length) return
     const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
     if (planned.length === 0) return
-    void this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned))
+    runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned)), this.#logger, 'start after renewed advice')
   }
 
   async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, sessions: readonly TargetSession[]): Promise<void> {
@@ -520,7 +521,7 @@
       if (!session.assignments.has(assignment.key)) continue
       const ticket = advice.ticket(session.key, nowMs)
       if (permitted && ticket !== undefined && !session.draining) {
-        void session.start(assignment, ticket)
+        this.#start(session, assignment, ticket)
         continue
       }
       session.release(assignment)
@@ -552,6 +553,10 @@
     return reserved
   }
 
+  #start (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
+    runInBackground(session.start(assignment, ticket), this.#logger, 'start of a run')
+  }
+
   #usableSessions (service: string): readonly TargetSession[] {
     return [...this.#sessions.values()].filter(session =>
       session.usable && session.description.service === service && this.#recordedTargets.has(session.key))
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -4,6 +4,7 @@
 import { BaseError, StoreUnavailableError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CommitResult, TransactionalStore } from '../ports/transactionalStore.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 export const LOG_PREFIX = 'agategauge/log/'
 const SEQUENCE_DIGITS = 12
@@ -69,7 +70,7 @@
     const text = records.map(record => JSON.stringify(record)).join(',')
     return new Promise((resolve, reject) => {
       this.#pending.push({ text, resolve, reject })
-      if (!this.#writing) void this.#write()
+      if (!this.#writing) runInBackground(this.#write(), this.#options.logger, 'record log')
     })
   }
 
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -7,6 +7,7 @@
 import type { FinishedRun, JobTargetClient, RunningTask, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Targets measure leases on clocks that are up to 2% slow; half as much again as a margin. */
 const CLOCK_DRIFT = 1.03
@@ -302,7 +303,7 @@
   #noteUnknown (running: RunningTask): void {
     const adopted = this.#options.listener.adopt(this, running)
     if (adopted === undefined) {
-      void this.#sendStop(running.task, running.attempt)
+      runInBackground(this.#sendStop(running.task, running.attempt), this.#options.logger, 'stop of a run')
       return
     }
     adopted.confirmedAtMs = this.#options.clock.monotonicMs()
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -14,6 +14,7 @@
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
 import type { CallerAnswer, CallerCall } from './callerCall.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Between two heartbeats to the coordinator. */
 const REPORT_INTERVAL_MS = 400
@@ -132,7 +133,7 @@
       desiredState: () => options.desired.state,
       lanes: this.#lanes,
       mayAct: () => this.#election.mayAct(),
-      resign: reason => { void this.#election.resign(reason) },
+      resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs,
       earlyStartMs: options.earlyStartMs,
       finishedJobMs: options.finishedJobMs
@@ -141,7 +142,7 @@
     logger.info({ fence: info.fence }, 'elected as coordinator')
     coordinator.open().catch(error => {
       logger.error({ error: String(error), fence: info.fence }, 'the coordinator could not take over')
-      void this.#election.resign('recovery failed')
+      runInBackground(this.#election.resign('recovery failed'), logger, 'resignation')
     })
   }
 
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -102,6 +102,6 @@
   }
 }
 
-function describeSettings ({ dataCentre, region, storeAddress, callerAddress, peerPort, metricsPort }: PlatformSettings): object {
-  return { dataCentre, region, storeAddress, callerAddress, peerPort, metricsPort }
+function describeSettings ({ region, storeAddress, callerAddress, peerPort, metricsPort }: PlatformSettings): object {
+  return { region, storeAddress, callerAddress, peerPort, metricsPort }
 }
