--- a/src/adapters/peer/coordinatorCodec.ts
+++ b/src/adapters/peer/coordinatorCodec.ts
@@ -40,6 +40,7 @@
     coordinator: coordinator?.instance ?? '',
     address: coordinator?.address ?? '',
     fence: BigInt(coordinator?.fence ?? 0),
+    lease: BigInt(coordinator?.lease ?? 0),
     desiredStateVersion: BigInt(desiredState?.version ?? 0),
     desiredState: desiredState?.text ?? '',
     peers: [...peers]
@@ -47,9 +48,9 @@
 }
 
 export function decodeReportAnswer (response: wire.ReportResponse): ReportAnswer {
-  const { coordinator, address, fence, desiredStateVersion, desiredState, peers } = response
+  const { coordinator, address, fence, lease, desiredStateVersion, desiredState, peers } = response
   return {
-    ...(fence === 0n ? {} : { coordinator: { instance: coordinator, address, fence: Number(fence) } }),
+    ...(fence === 0n ? {} : { coordinator: { instance: coordinator, address, fence: Number(fence), lease: Number(lease) } }),
     ...(desiredState === '' ? {} : { desiredState: { version: Number(desiredStateVersion), text: desiredState } }),
     peers
   }
--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -14,6 +14,8 @@
 /** An acceptance waits for one commit of the store, 80 ms when it is slow. */
 const HANDLE_TIMEOUT_MS = 1_200
 const REPORT_TIMEOUT_MS = 600
+/** The peer makes one call to the store. */
+const RELEASE_TIMEOUT_MS = 1_000
 /** Added to the time that the advisor needs. */
 const ADVICE_SLACK_MS = 1_800
 const KEEP_ALIVE_MS = 5_000
@@ -71,6 +73,10 @@
     }), { timeoutMs: REPORT_TIMEOUT_MS }))
   }
 
+  async release (lease: number): Promise<boolean> {
+    return (await this.#client.release(create(wire.ReleaseRequestSchema, { lease: BigInt(lease) }), { timeoutMs: RELEASE_TIMEOUT_MS })).released
+  }
+
   async advise ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
     const answer = await this.#client.advise(create(wire.AdviseRequestSchema, {
       step, targets: [...targets], expectedMilliseconds: expectedMs
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -56,6 +56,7 @@
       report: async request => encodeReportAnswer(await handler.report({
         instance: request.instance, address: request.address, desiredStateVersion: Number(request.desiredStateVersion)
       })),
+      release: async request => create(wire.ReleaseResponseSchema, { released: await handler.release(Number(request.lease)) }),
       advise: async request => create(wire.AdviseResponseSchema, {
         allowed: (await handler.advise({
           step: request.step, targets: request.targets, expectedMs: request.expectedMilliseconds
--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/assignment.ts
@@ -3,10 +3,11 @@
 import type { Resources } from '../model/resources.ts'
 
 /**
- * `reserved`: room is kept, no order was sent. `unconfirmed`: the order has no answer, and the target
+ * `reserved`: room is kept, no order was sent. `recovering`: an earlier coordinator placed it, and the
+ * target has not reported yet. `unconfirmed`: the order has no answer, and the target
  * may carry it out at any time. `stopping`: the run is to end and still counts.
  */
-export type AssignmentState = 'reserved' | 'starting' | 'running' | 'unconfirmed' | 'stopping'
+export type AssignmentState = 'reserved' | 'recovering' | 'starting' | 'running' | 'unconfirmed' | 'stopping'
 
 export class Assignment {
   readonly task: TaskProgress
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -15,22 +15,26 @@
  * much longer after its lease. A successor waits as long before it takes over from targets that it
  * can not reach.
  */
-export const AUTHORITY_GRACE_MS = 8_000
+export const AUTHORITY_GRACE_MS = 3_000
 /** The wall clock may be ahead of the monotonic one by that much before a suspension is suspected. */
 const SUSPENSION_MS = 400
+/** Failed renewals in a row after which other instances are asked to end the election. */
+const RENEWALS_BEFORE_HANDOVER = 2
 const WATCH_MS = 5_000
 const RETRY_DELAY_MS = 150
 /** Candidates wait this many times the store's answer time, so that one near the store wins. */
 const DISTANCE_FACTOR = 4
 const LONGEST_CANDIDATE_DELAY_MS = 400
 
-const recordSchema = z.object({ instance: z.string(), address: z.string() })
+const recordSchema = z.object({ instance: z.string(), address: z.string(), lease: z.number() })
 
 export interface CoordinatorInfo {
   readonly instance: string
   readonly address: string
   /** Revision of the election; serves as fencing token and rises with each election. */
   readonly fence: number
+  /** Lease of the election in the store. */
+  readonly lease: number
 }
 
 export interface ElectionListener {
@@ -39,6 +43,8 @@
   onLost (reason: string): void
   /** Another coordinator, or none, is known now. */
   onChanged (info: CoordinatorInfo | undefined): void
+  /** Asks other instances to end the election; false if none of them reaches the store. */
+  releaseThroughPeers (lease: number): Promise<boolean>
 }
 
 export interface ElectionOptions {
@@ -51,22 +57,17 @@
   readonly listener: ElectionListener
 }
 
-interface Held {
-  readonly info: CoordinatorInfo
-  readonly lease: number
-}
-
 export class Election implements Component {
   readonly name = 'election'
   readonly #options: ElectionOptions
   readonly #stopping = new AbortController()
-  #held: Held | undefined
+  #held: CoordinatorInfo | undefined
   #known: CoordinatorInfo | undefined
   /** Until when the store is known to keep the election, on the monotonic clock. */
   #validUntilMs = 0
   /** Difference of wall and monotonic clock at the last renewal. */
   #clockGapMs = 0
-  #storeFailing = false
+  #failedRenewals = 0
   #withdrawn = false
   #running: Promise<void> = Promise.resolve()
 
@@ -94,7 +95,7 @@
     const { clock } = this.#options
     const nowMs = clock.monotonicMs()
     if (clock.wallMs() - nowMs - this.#clockGapMs > SUSPENSION_MS) return false
-    return nowMs < this.#validUntilMs + (this.#storeFailing ? AUTHORITY_GRACE_MS : 0)
+    return nowMs < this.#validUntilMs + (this.#failedRenewals > 0 ? AUTHORITY_GRACE_MS : 0)
   }
 
   /** Gives the office up and does not stand again; a successor can be elected at once. */
@@ -115,6 +116,17 @@
     }
   }
 
+  /** Ends the election of a coordinator whose process is gone; fencing keeps this safe if it is not. */
+  async endOf (info: CoordinatorInfo): Promise<void> {
+    if (this.#known?.fence !== info.fence || this.#held !== undefined) return
+    this.#options.logger.warn({ coordinator: info.instance, fence: info.fence }, 'the coordinator refuses connections; its election is ended')
+    try {
+      await this.#options.store.endLease(info.lease)
+    } catch (error) {
+      this.#options.logger.warn({ error: String(error), lease: info.lease }, 'the election lease was not ended; it lapses by itself')
+    }
+  }
+
   /** Takes over what a peer says of a newer election, for instances that can not read the store. */
   learn (info: CoordinatorInfo): void {
     if (this.#held !== undefined || info.fence <= (this.#known?.fence ?? 0)) return
@@ -137,11 +149,13 @@
   async #follow (): Promise<void> {
     const { store, clock } = this.#options
     const askedMs = clock.monotonicMs()
-    const item = await store.get(COORDINATOR_KEY)
+    const { item, revision } = await store.get(COORDINATOR_KEY)
     const answerMs = clock.monotonicMs() - askedMs
     if (item !== undefined) {
-      this.#noteItem(item)
-      await this.#watch(item.revision)
+      const info = this.#noteItem(item)
+      // An earlier life of this instance was elected; nobody acts for it any more.
+      if (info.instance === this.#options.instance) return await store.endLease(info.lease)
+      await this.#watch(revision)
       return
     }
     this.#setKnown(undefined)
@@ -155,7 +169,8 @@
     let after = revision
     while (!this.#stopping.signal.aborted) {
       const result = await store.watch(COORDINATOR_KEY, after, WATCH_MS, this.#stopping.signal)
-      if (result.outcome === 'history-lost' || result.changes.length > 0) return
+      if (result.outcome === 'history-lost') return await this.#sleep(RETRY_DELAY_MS)
+      if (result.changes.length > 0) return
       after = result.revision
     }
   }
@@ -166,33 +181,34 @@
     const lease = await store.grantLease(leaseMs)
     const result = await store.commit({
       conditions: [{ key: COORDINATOR_KEY, revision: 0 }],
-      writes: [{ key: COORDINATOR_KEY, value: JSON.stringify({ instance, address }), lease }],
+      writes: [{ key: COORDINATOR_KEY, value: JSON.stringify({ instance, address, lease }), lease }],
       removes: []
     })
     if (result.outcome !== 'committed' || this.#withdrawn) return
-    const info: CoordinatorInfo = { instance, address, fence: result.revision }
-    this.#held = { info, lease }
+    const info: CoordinatorInfo = { instance, address, fence: result.revision, lease }
+    this.#held = info
     this.#extend(sentMs)
     this.#setKnown(info)
     this.#options.listener.onElected(info)
   }
 
-  async #renew ({ lease }: Held): Promise<void> {
+  async #renew ({ lease }: CoordinatorInfo): Promise<void> {
     const { store, clock, logger } = this.#options
-    await this.#sleep(RENEW_INTERVAL_MS)
+    await this.#sleep(this.#failedRenewals > 0 ? RETRY_DELAY_MS : RENEW_INTERVAL_MS)
     if (this.#held === undefined) return
     const sentMs = clock.monotonicMs()
     try {
       if (await store.renewLease(lease)) {
-        if (this.#storeFailing) logger.info('the store renews the election again')
-        this.#storeFailing = false
+        if (this.#failedRenewals > 0) logger.info({ failed: this.#failedRenewals }, 'the store renews the election again')
+        this.#failedRenewals = 0
         this.#extend(sentMs)
       } else {
         this.#lose('the lease has ended')
       }
     } catch (error) {
-      if (!this.#storeFailing) logger.warn({ error: String(error), validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'the election was not renewed')
-      this.#storeFailing = true
+      if (this.#failedRenewals === 0) logger.warn({ error: String(error), validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'the election was not renewed')
+      this.#failedRenewals += 1
+      if (this.#failedRenewals >= RENEWALS_BEFORE_HANDOVER && await this.#options.listener.releaseThroughPeers(lease)) this.#lose('the store serves other instances only')
       if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#lose('the lease could not be renewed')
     }
   }
@@ -206,15 +222,17 @@
   #lose (reason: string): void {
     if (this.#held === undefined) return
     this.#held = undefined
-    this.#storeFailing = false
+    this.#failedRenewals = 0
     this.#setKnown(undefined)
     this.#options.listener.onLost(reason)
   }
 
-  #noteItem ({ value, revision }: StoredItem): void {
+  #noteItem ({ value, revision }: StoredItem): CoordinatorInfo {
     const parsed = recordSchema.safeParse(JSON.parse(value))
     if (!parsed.success) throw new Error('the record of the coordinator can not be read')
-    this.#setKnown({ ...parsed.data, fence: revision })
+    const info: CoordinatorInfo = { ...parsed.data, fence: revision }
+    this.#setKnown(info)
+    return info
   }
 
   #setKnown (info: CoordinatorInfo | undefined): void {
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -2,15 +2,14 @@
 import type { DesiredState, QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
 import { parseTaskName } from '../jobs/job.ts'
 import type { JobProgress } from '../jobs/jobProgress.ts'
-import type { LogRecord, RunEndRecord, TargetDescription } from '../jobs/jobRecords.ts'
+import type { LogRecord, PlacedRun, RunEndRecord, TargetDescription } from '../jobs/jobRecords.ts'
 import { targetKey } from '../jobs/jobTable.ts'
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
-import { NO_RESOURCES } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
-import type { FinishedRun, JobTargetConnector, RunningTask, StartRefusal } from '../ports/jobTarget.ts'
+import type { FinishedRun, JobTargetConnector, StartRefusal } from '../ports/jobTarget.ts'
 import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
@@ -19,6 +18,7 @@
 import type { CoordinatorInfo } from './election.ts'
 import { compareRanks, rankStep } from './jobRanking.ts'
 import { readLog } from './logReader.ts'
+import { PlacementPass } from './placementPass.ts'
 import { placeStep, roomOf } from './placeStep.ts'
 import type { TargetRoom } from './placeStep.ts'
 import { RecordLog } from './recordLog.ts'
@@ -30,6 +30,9 @@
 
 /** Collects changes before the next placement. */
 const PLACEMENT_DELAY_MS = 5
+/** The next placement waits at least this many times as long as the last one took, so that orders and reports get their turn. */
+const PLACEMENT_REST_FACTOR = 3
+const LONGEST_PLACEMENT_DELAY_MS = 100
 /** Between two readings of the target list; a draining target is known well within its 2.5 s. */
 const DIRECTORY_INTERVAL_MS = 500
 /** How long a new coordinator waits for the targets before it places work on those that answered. */
@@ -73,12 +76,13 @@
   /** Steps that may have waiting tasks. */
   readonly #ready = new Set<StepProgress>()
   readonly #recordedTargets = new Set<string>()
-  readonly #recovered = new Set<string>()
   readonly #durableQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
   #log: RecordLog | undefined
   #placing = false
   #placementDue = false
+  /** Duration of the last placement. */
+  #passMs = 0
   #closed = false
 
   constructor (options: CoordinatorOptions) {
@@ -111,7 +115,6 @@
   async open (): Promise<void> {
     const read = await this.#readLog()
     if (this.#closed) return
-    const term = read.table.term + 1
     this.#log = new RecordLog({
       store: this.#options.store,
       clock: this.#clock,
@@ -120,15 +123,15 @@
       nextSequence: read.nextSequence,
       onTermLost: reason => this.#options.resign(reason)
     })
-    this.#record([{ type: 'term', term }], read.table).catch(() => {})
-    this.#recoverJobs(read.table)
     this.#table = read.table
-    this.#logger.info({ fence: this.info.fence, term, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#beganAtMs) }, 'the coordinator has read its log')
+    this.#recoverJobs(read.table)
+    this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#beganAtMs) }, 'the coordinator has read its log')
     for (const description of read.table.targets.values()) this.#openSession(description, true)
+    this.#recoverRuns(read.table)
+    for (const session of this.#sessions.values()) this.#runSession(session)
     runInBackground(this.#watchDirectory(), this.#logger, 'target directory')
     await this.#awaitJoins()
     if (this.#closed) return
-    this.#stopPartialGangs()
     this.#placing = true
     this.changed()
     runInBackground(this.#keepHouse(), this.#logger, 'housekeeping')
@@ -179,34 +182,16 @@
 
   // What targets report.
 
-  adopt (session: TargetSession, running: RunningTask): Assignment | undefined {
-    const name = parseTaskName(running.task)
-    const job = name === undefined ? undefined : this.table.jobs.get(name.job)
-    const step = name === undefined ? undefined : job?.findStep(name.occurrence, name.step)
-    const task = name === undefined ? undefined : step?.tasks[name.index]
-    const fresh = task !== undefined && task.state === 'waiting' && running.attempt >= task.attempt && !task.endedAttempts.includes(running.attempt)
-    if (job === undefined || step === undefined || !fresh || job.outcome !== undefined || (this.#placing && step.definition.gang)) {
-      this.#logger.info({ task: running.task, attempt: running.attempt, target: session.id, known: job !== undefined, state: task?.state }, 'a run that is not wanted is stopped')
-      return undefined
-    }
-    task.attempt = running.attempt
-    task.state = 'assigned'
-    job.markStarted()
-    const assignment = new Assignment(task, running.attempt, roomOf(step.definition), 'running', this.#clock.monotonicMs())
-    this.#usage.add(job.team, step.definition.size)
-    return assignment
-  }
-
   async runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void> {
     if (assignment !== undefined) this.#usage.remove(assignment.team, assignment.task.step.definition.size)
     if (run.end === 'failed' || run.end === 'done') session.noteRunResult(run.end === 'failed', AVOID_FAILING_MS)
     const name = parseTaskName(run.task)
     const job = name === undefined ? undefined : this.table.jobs.get(name.job)
-    if (name === undefined || job === undefined) return
+    if (name === undefined || job === undefined) return await this.#flushed()
     const record: RunEndRecord = { type: 'run-end', ...name, attempt: run.attempt, end: run.end, checkpoint: run.checkpoint }
     const step = job.findStep(name.occurrence, name.step)
     const over = job.outcome !== undefined
-    if (step === undefined || !job.endRun(record)) return
+    if (step === undefined || !job.endRun(record)) return await this.#flushed()
     if (run.end !== 'done') this.#logger.info({ job: job.id, task: run.task, attempt: run.attempt, end: run.end, target: session.id }, 'a run ended without success')
     if (run.end === 'failed') this.#noteFailedTarget(step, session)
     const stored = this.#log?.append([record]) ?? Promise.reject(new Error('the log is closed'))
@@ -247,12 +232,11 @@
 
   lifeEnded (session: TargetSession, reason: LifeEnd): void {
     this.#sessions.delete(session.key)
-    this.#recovered.delete(session.key)
     if (this.#recordedTargets.delete(session.key)) {
       const { id, bornMs } = session.description
       this.record([{ type: 'target-gone', id, bornMs }]).catch(() => {})
     }
-    this.#logger.info({ target: session.id, reason, unreached: this.#unreached().length }, 'a target is not used any more')
+    this.#logger.info({ target: session.id, reason }, 'a target is not used any more')
     this.changed()
   }
 
@@ -267,7 +251,7 @@
     setTimeout(() => {
       this.#placementDue = false
       if (!this.#closed) this.#place()
-    }, PLACEMENT_DELAY_MS)
+    }, Math.min(Math.max(PLACEMENT_DELAY_MS, this.#passMs * PLACEMENT_REST_FACTOR), LONGEST_PLACEMENT_DELAY_MS))
   }
 
   async #readLog (): Promise<Awaited<ReturnType<typeof readLog>>> {
@@ -283,6 +267,11 @@
     }
   }
 
+  /** What made an end known before may still be on its way to the store. */
+  async #flushed (): Promise<void> {
+    await this.#log?.flushed()
+  }
+
   #record (records: readonly LogRecord[], table: JobTable): Promise<void> {
     for (const record of records) table.apply(record)
     return this.#log?.append(records) ?? Promise.reject(new Error('the log is closed'))
@@ -295,13 +284,33 @@
         table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
         continue
       }
-      this.#recovered.add(job.id)
       this.#durableQueues.set(job.queue.name, job.queue)
       this.#openDueOccurrences(job)
       for (const step of job.steps) this.#offerStep(step)
     }
   }
 
+  /** Runs that earlier coordinators placed count until their targets have reported or are over. */
+  #recoverRuns (table: JobTable): void {
+    for (const job of table.jobs.values()) {
+      for (const step of job.steps) {
+        for (const task of step.tasks) {
+          if (task.state === 'assigned') this.#recoverRun(task)
+        }
+      }
+    }
+  }
+
+  #recoverRun (task: TaskProgress): void {
+    const { step, attempt } = task
+    const session = this.#sessions.get(task.placedOn)
+    if (session === undefined) return step.loseRun(task, attempt)
+    const assignment = new Assignment(task, attempt, roomOf(step.definition), 'recovering', this.#clock.monotonicMs())
+    assignment.confirmedAtMs = -Infinity
+    this.#usage.add(step.job.team, step.definition.size)
+    session.reserve(assignment)
+  }
+
   #offerStep (step: StepProgress): void {
     if (step.job.outcome === undefined && !step.done && step.job.isReady(step)) this.#ready.add(step)
   }
@@ -323,18 +332,6 @@
     }
   }
 
-  /** Gangs that lost members with the earlier coordinator begin again. */
-  #stopPartialGangs (): void {
-    const running = new Map<StepProgress, number>()
-    for (const assignment of this.#allAssignments()) {
-      const { step } = assignment.task
-      if (step.definition.gang) running.set(step, (running.get(step) ?? 0) + 1)
-    }
-    for (const [step, count] of running) {
-      if (count < step.definition.count) this.#stopRuns(assignment => assignment.task.step === step)
-    }
-  }
-
   async #watchDirectory (): Promise<void> {
     while (!this.#closed) {
       try {
@@ -350,7 +347,7 @@
     if (this.#closed) return
     const byKey = new Map(listed.map(target => [targetKey(target), target]))
     for (const target of listed) {
-      if (!this.#sessions.has(targetKey(target))) this.#openSession(target, false)
+      if (!this.#sessions.has(targetKey(target))) this.#runSession(this.#openSession(target, false))
     }
     for (const session of this.#sessions.values()) {
       const entry = byKey.get(session.key)
@@ -359,7 +356,7 @@
     this.changed()
   }
 
-  #openSession (description: TargetDescription, recorded: boolean): void {
+  #openSession (description: TargetDescription, recorded: boolean): TargetSession {
     const { id, bornMs, address, service, dataCentre, capacity, labels } = description
     const key = targetKey(description)
     if (recorded) this.#recordedTargets.add(key)
@@ -375,6 +372,10 @@
       foreignOrdersUntilMs: recorded ? this.#beganAtMs + AUTHORITY_GRACE_MS : -Infinity
     })
     this.#sessions.set(key, session)
+    return session
+  }
+
+  #runSession (session: TargetSession): void {
     runInBackground(session.run(), this.#logger, 'target session')
   }
 
@@ -389,15 +390,6 @@
     }
   }
 
-  /** Recorded targets that have not answered in this term: what runs there is not known. */
-  #unreached (): readonly TargetSession[] {
-    return [...this.#sessions.values()].filter(session => !session.joined && this.#recordedTargets.has(session.key))
-  }
-
-  * #allAssignments (): Iterable<Assignment> {
-    for (const session of this.#sessions.values()) yield * session.assignments.values()
-  }
-
   #stopRuns (matches: (assignment: Assignment) => boolean): void {
     for (const session of this.#sessions.values()) {
       for (const assignment of session.assignments.values()) {
@@ -438,31 +430,32 @@
   #place (): void {
     if (!this.#options.mayAct()) return
     const nowMs = this.#clock.monotonicMs()
-    const blocked = this.#unreached().length > 0
     const ranked: { step: StepProgress, rank: readonly number[] }[] = []
     for (const step of this.#ready) {
       if (step.waiting.length === 0) {
         if (step.done || step.job.outcome !== undefined) this.#ready.delete(step)
         continue
       }
-      if (blocked && this.#recovered.has(step.job.id)) continue
       ranked.push({ step, rank: rankStep(step, nowMs) })
     }
     ranked.sort((left, right) => compareRanks(left.rank, right.rank))
-    const state = this.#options.desiredState()
-    for (const { step } of ranked) this.#placeOne(step, state, nowMs)
+    const pass = new PlacementPass(this.#options.desiredState(), [...this.#sessions.values()].filter(session =>
+      session.usable && this.#recordedTargets.has(session.key)))
+    for (const { step } of ranked) this.#placeOne(step, pass, nowMs)
+    this.#passMs = this.#clock.monotonicMs() - nowMs
   }
 
-  #placeOne (step: StepProgress, state: DesiredState, nowMs: number): void {
+  #placeOne (step: StepProgress, pass: PlacementPass, nowMs: number): void {
     const { job, definition } = step
-    const queue = state.queues.find(candidate => candidate.name === job.queue.name) ?? job.queue
-    const sessions = this.#usableSessions(queue.service)
+    if (this.#advice.get(step)?.asking === true) return
+    const queue = pass.queue(job.queue)
+    const sessions = pass.sessions(queue.service)
     const waiting = step.waiting
-    const count = this.#allowedCount(step, waiting.length, state, sessions, queue.priority)
+    const count = this.#allowedCount(step, waiting.length, pass, queue)
     if (count === 0 || (definition.gang && count < waiting.length)) return
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
-      for (const { session, assignment } of this.#reserve(waiting, placed)) this.#start(session, assignment, undefined)
+      this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
       return
     }
     this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
@@ -482,7 +475,7 @@
     }
     const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
     const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
-    for (const { session, assignment } of this.#reserve(waiting, placed)) this.#start(session, assignment, advice.ticket(session.key, nowMs))
+    this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
     if (placed.length > 0 || withTicket.length === allowed.length) return
     const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
     if (planned.length === 0) return
@@ -513,23 +506,47 @@
 
   /** Room is kept while expired tickets are renewed, since the answer takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
+    const stored = this.#recordPlacement(step, reserved)
     await this.#ask(step, queue, advice, [...new Set(reserved.map(({ session }) => session))])
-    const nowMs = this.#clock.monotonicMs()
-    const permitted = !this.#closed && step.job.outcome === undefined &&
-      (!step.definition.gang || reserved.every(({ session }) => advice.ticket(session.key, nowMs) !== undefined && !session.over && !session.draining))
-    for (const { session, assignment } of reserved) {
+    await stored
+    this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
+  }
+
+  /** Sends the orders when the log says where the tasks are placed, so that a successor finds them. */
+  #startWhenStored (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketSource): void {
+    if (reserved.length === 0) return
+    runInBackground(this.#recordPlacement(step, reserved).then(() => this.#startReserved(step, reserved, ticketFor)), this.#logger, 'start of tasks')
+  }
+
+  /** Resolves when the placement is stored or the term has ended. */
+  async #recordPlacement (step: StepProgress, reserved: readonly Reservation[]): Promise<void> {
+    const runs = reserved.map(({ session, assignment }): PlacedRun => [assignment.task.index, assignment.attempt, session.key])
+    const record: LogRecord = { type: 'placed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }
+    await this.#log?.append([record]).catch(() => {
+      // No order was sent, and none will be.
+    })
+  }
+
+  /** Starts what may still be started; a gang as a whole or not at all. */
+  #startReserved (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketSource): void {
+    if (this.#closed) return
+    const startable = ({ session, assignment }: Reservation): boolean =>
+      session.assignments.has(assignment.key) && !session.over && !session.draining && ticketFor(session) !== undefined
+    const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
+    for (const reservation of reserved) {
+      const { session, assignment } = reservation
       if (!session.assignments.has(assignment.key)) continue
-      const ticket = advice.ticket(session.key, nowMs)
-      if (permitted && ticket !== undefined && !session.draining) {
-        this.#start(session, assignment, ticket)
-        continue
-      }
-      session.release(assignment)
-      this.#usage.remove(assignment.team, step.definition.size)
-      this.#returnTask(assignment.task, assignment.attempt)
+      if (permitted && startable(reservation)) this.#start(session, assignment, ticketFor(session))
+      else this.#giveBack(reservation)
     }
   }
 
+  #giveBack ({ session, assignment }: Reservation): void {
+    session.release(assignment)
+    this.#usage.remove(assignment.team, assignment.task.step.definition.size)
+    this.#returnTask(assignment.task, assignment.attempt)
+  }
+
   #reserve (waiting: readonly TaskProgress[], placed: readonly string[]): readonly Reservation[] {
     const first = waiting[0]
     if (first === undefined || placed.length === 0) return []
@@ -543,8 +560,7 @@
       if (task === undefined || session === undefined) continue
       const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
       const assignment = new Assignment(task, attempt, roomOf(step.definition), 'reserved', nowMs)
-      task.attempt = attempt
-      task.state = 'assigned'
+      step.place(task.index, attempt, key)
       this.#usage.add(step.job.team, step.definition.size)
       session.reserve(assignment)
       reserved.push({ session, assignment })
@@ -554,44 +570,31 @@
   }
 
   #start (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
-    runInBackground(session.start(assignment, ticket), this.#logger, 'start of a run')
-  }
-
-  #usableSessions (service: string): readonly TargetSession[] {
-    return [...this.#sessions.values()].filter(session =>
-      session.usable && session.description.service === service && this.#recordedTargets.has(session.key))
+    runInBackground(session.start(assignment, ticket === '' ? undefined : ticket), this.#logger, 'start of a run')
   }
 
-  /** How many of the waiting tasks the team's cap and the reserve for urgent work allow. */
-  #allowedCount (step: StepProgress, waiting: number, state: DesiredState, sessions: readonly TargetSession[], priority: number): number {
+  /** How many of the waiting tasks the room, the team's cap and the reserve for urgent work allow at most. */
+  #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): number {
     const { size } = step.definition
-    let count = waiting
-    const team = state.teams.find(candidate => candidate.name === step.job.team)
-    if (team !== undefined) count = this.#withinCap(team, size, count)
-    if (priority > 0 && size.processors > 0) {
-      const total = sessions.reduce((sum, session) => sum + session.description.capacity.processors, 0)
-      const free = sessions.reduce((sum, session) => sum + session.free.processors, 0)
-      count = Math.min(count, Math.max(0, Math.floor((free - total * URGENT_RESERVE) / size.processors)))
+    let count = Math.min(waiting, pass.tasksThatFit(queue.service, roomOf(step.definition), waiting))
+    if (queue.priority > 0 && size.processors > 0) {
+      const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE
+      count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
     }
-    return count
+    const team = pass.team(step.job.team)
+    return team === undefined ? count : this.#withinCap(team, size, count)
   }
 
   #withinCap (team: TeamSettings, size: Resources, wanted: number): number {
-    const unknown = this.#unreached().map(session => session.description.capacity).reduce((sum, capacity) => ({
-      ...sum,
-      processors: sum.processors + capacity.processors,
-      memory: sum.memory + capacity.memory,
-      accelerators: sum.accelerators + capacity.accelerators
-    }), NO_RESOURCES)
     let count = wanted
-    while (count > 0 && !this.#usage.fits(team, size, count, unknown)) count -= 1
+    while (count > 0 && !this.#usage.fits(team, size, count)) count -= 1
     return count
   }
 
   #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
     const { definition } = step
-    const assignments = [...session.assignments.values()]
     const shares = definition.fillsSpareProcessors || definition.responseTargetMs > 0
+    const assignments = shares || definition.tasksPerTarget > 0 ? [...session.assignments.values()] : []
     return {
       key: session.key,
       free: session.free,
@@ -605,6 +608,9 @@
   }
 }
 
+/** Returns the permit to start on a target; empty if none is needed, undefined if none is valid. */
+type TicketSource = (session: TargetSession) => string | undefined
+
 interface Reservation {
   readonly session: TargetSession
   readonly assignment: Assignment
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -84,7 +84,6 @@
       id,
       queue: queue.name,
       team,
-      term: table.term,
       acceptedWallMs: this.#clock.wallMs(),
       withinShare,
       definition: JSON.parse(definitionText) as JobDefinition
--- a/src/coordinator/logReader.ts
+++ b/src/coordinator/logReader.ts
@@ -37,7 +37,7 @@
  */
 export async function readLog (store: TransactionalStore, acceptedAtMs: (record: JobRecord) => number): Promise<ReadLog> {
   const table = new JobTable(acceptedAtMs)
-  const headItem = await store.get(SNAPSHOT_HEAD_KEY)
+  const { item: headItem } = await store.get(SNAPSHOT_HEAD_KEY)
   const head = headItem === undefined ? undefined : snapshotHeadSchema.parse(JSON.parse(headItem.value))
   let bytes = 0
   if (head !== undefined) {
--- /dev/null
+++ b/src/coordinator/placementPass.ts
@@ -0,0 +1,65 @@
+/** What one pass over the waiting steps knows of targets, queues and teams. */
+import type { DesiredState, QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import type { Resources } from '../model/resources.ts'
+import type { TargetSession } from './targetSession.ts'
+
+/**
+ * Looks things up once for the whole pass; room is read from the sessions, since each placement changes it.
+ *
+ * @example
+ * const pass = new PlacementPass(state, sessions)
+ * if (pass.tasksThatFit(queue.service, size, 8) === 8) place()
+ */
+export class PlacementPass {
+  readonly #queues: ReadonlyMap<string, QueueSettings>
+  readonly #teams: ReadonlyMap<string, TeamSettings>
+  readonly #sessions = new Map<string, TargetSession[]>()
+
+  constructor (state: DesiredState, usable: readonly TargetSession[]) {
+    this.#queues = new Map(state.queues.map(queue => [queue.name, queue]))
+    this.#teams = new Map(state.teams.map(team => [team.name, team]))
+    for (const session of usable) {
+      const { service } = session.description
+      const sessions = this.#sessions.get(service) ?? []
+      sessions.push(session)
+      this.#sessions.set(service, sessions)
+    }
+  }
+
+  /** The settings in force, or those at the job's acceptance if the queue is gone. */
+  queue (accepted: QueueSettings): QueueSettings {
+    return this.#queues.get(accepted.name) ?? accepted
+  }
+
+  team (name: string): TeamSettings | undefined {
+    return this.#teams.get(name)
+  }
+
+  sessions (service: string): readonly TargetSession[] {
+    return this.#sessions.get(service) ?? []
+  }
+
+  /** Tasks of the size for which the service has room, up to `wanted`. */
+  tasksThatFit (service: string, size: Resources, wanted: number): number {
+    let fitting = 0
+    for (const session of this.sessions(service)) {
+      fitting += tasksWithin(session, size)
+      if (fitting >= wanted) return wanted
+    }
+    return fitting
+  }
+
+  freeProcessors (service: string): number {
+    return this.sessions(service).reduce((sum, session) => sum + session.free.processors, 0)
+  }
+
+  totalProcessors (service: string): number {
+    return this.sessions(service).reduce((sum, session) => sum + session.description.capacity.processors, 0)
+  }
+}
+
+function tasksWithin (session: TargetSession, size: Resources): number {
+  const { free } = session
+  const within = (room: number, each: number): number => each <= 0 ? Infinity : Math.floor(room / each)
+  return Math.max(0, Math.min(within(free.processors, size.processors), within(free.memory, size.memory), within(free.accelerators, size.accelerators)))
+}
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -49,6 +49,7 @@
   #writing = false
   #lost = false
   #failingSinceMs: number | undefined
+  #tail: Promise<void> = Promise.resolve()
 
   constructor (options: RecordLogOptions) {
     this.#options = options
@@ -68,10 +69,16 @@
   append (records: readonly LogRecord[]): Promise<void> {
     if (this.#lost) return Promise.reject(new TermLostError('the election was lost'))
     const text = records.map(record => JSON.stringify(record)).join(',')
-    return new Promise((resolve, reject) => {
+    this.#tail = new Promise((resolve, reject) => {
       this.#pending.push({ text, resolve, reject })
       if (!this.#writing) runInBackground(this.#write(), this.#options.logger, 'record log')
     })
+    return this.#tail
+  }
+
+  /** Resolves when everything that was appended so far is stored. */
+  flushed (): Promise<void> {
+    return this.#lost ? Promise.reject(new TermLostError('the election was lost')) : this.#tail
   }
 
   /** Rejects what is not stored and accepts nothing more. */
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -30,8 +30,6 @@
 
 /** Decides on what a target reports. */
 export interface TargetListener {
-  /** First report in this term; returns the runs to keep, which are then in the session. */
-  adopt (session: TargetSession, running: RunningTask): Assignment | undefined
   /** An end that was not reported before; resolves when it is stored. */
   runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void>
   /** The run certainly does not work any more, and its end is not known. */
@@ -71,6 +69,8 @@
   #lastNumber = 0
   #acknowledged = 0
   #storing = 0
+  /** Resolves when every end that was taken is stored. */
+  #stored: Promise<void> = Promise.resolve()
   /** Lower bound of the target's clock minus this process's. */
   #clockOffsetMs: number | undefined
   #lastContactMs = -Infinity
@@ -270,11 +270,13 @@
     this.#lastNumber = last
     const stored = fresh.map(async run => await this.#takeEnd(run))
     this.#storing += 1
-    return Promise.all(stored).then(() => {
+    // Acknowledging an end acknowledges all before it.
+    this.#stored = Promise.all([this.#stored, ...stored]).then(() => {
       this.#acknowledged = Math.max(this.#acknowledged, last)
-    }, () => {
-      // The term has ended, so that its successor reads these ends again.
     }).finally(() => { this.#storing -= 1 })
+    return this.#stored.catch(() => {
+      // The term has ended, so that its successor reads these ends again.
+    })
   }
 
   async #takeEnd (run: FinishedRun): Promise<void> {
@@ -289,8 +291,8 @@
     const key = runKey(running.task, running.attempt)
     if (this.#ended.has(key)) return
     const known = this.#assignments.get(key)
-    if (known === undefined) return this.#noteUnknown(running)
-    if (known.state === 'unconfirmed') {
+    if (known === undefined) return this.#stopUnknown(running)
+    if (known.state === 'unconfirmed' || known.state === 'recovering') {
       known.state = 'running'
       known.confirmedAtMs = nowMs
       this.#options.listener.startConfirmed(this, known)
@@ -299,15 +301,10 @@
     known.task.step.saveCheckpoint(known.task, running.checkpoint)
   }
 
-  /** Runs of earlier terms and orders that were carried out late. */
-  #noteUnknown (running: RunningTask): void {
-    const adopted = this.#options.listener.adopt(this, running)
-    if (adopted === undefined) {
-      runInBackground(this.#sendStop(running.task, running.attempt), this.#options.logger, 'stop of a run')
-      return
-    }
-    adopted.confirmedAtMs = this.#options.clock.monotonicMs()
-    this.reserve(adopted)
+  /** Orders that were withdrawn and carried out late, and runs of jobs that are over. */
+  #stopUnknown ({ task, attempt }: RunningTask): void {
+    this.#options.logger.info({ task, attempt, target: this.id }, 'a run that is not wanted is stopped')
+    runInBackground(this.#sendStop(task, attempt), this.#options.logger, 'stop of a run')
   }
 
   /** Finds runs that a report does not show though it was asked for after they were confirmed. */
@@ -315,7 +312,8 @@
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
     for (const assignment of [...this.#assignments.values()]) {
       const { state, confirmedAtMs, key } = assignment
-      if ((state !== 'running' && state !== 'stopping') || confirmedAtMs >= sentMs || running.has(key)) continue
+      const visible = state === 'running' || state === 'stopping' || state === 'recovering'
+      if (!visible || confirmedAtMs >= sentMs || running.has(key)) continue
       this.#remove(assignment)
       this.#ended.add(key)
       this.#options.listener.runLost(this, assignment, 'not-reported')
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -11,7 +11,7 @@
  *
  * @example
  * usage.add('weavers', size)
- * usage.fits(team, size, usage.unknown)
+ * usage.fits(team, size, 2)
  */
 export class TeamUsage {
   readonly #used = new Map<string, Amount>()
@@ -28,14 +28,13 @@
     return this.#used.get(team) ?? NOTHING
   }
 
-  /** Whether `count` more tasks keep the team within its cap, if `unknown` is its use on targets that can not be asked. */
-  fits (team: TeamSettings, size: Amount, count: number, unknown: Amount = NOTHING): boolean {
+  /** Whether `count` more tasks keep the team within its cap. */
+  fits (team: TeamSettings, size: Amount, count: number): boolean {
     const used = this.of(team.name)
-    const within = (cap: number, before: number, uncertain: number, each: number): boolean =>
-      cap <= 0 || before + uncertain + each * count <= cap
-    return within(team.cap.processors, used.processors, unknown.processors, size.processors) &&
-      within(team.cap.memory, used.memory, unknown.memory, size.memory) &&
-      within(team.cap.accelerators, used.accelerators, unknown.accelerators, size.accelerators)
+    const within = (cap: number, before: number, each: number): boolean => cap <= 0 || before + each * count <= cap
+    return within(team.cap.processors, used.processors, size.processors) &&
+      within(team.cap.memory, used.memory, size.memory) &&
+      within(team.cap.accelerators, used.accelerators, size.accelerators)
   }
 
   #change (team: string, size: Amount, sign: 1 | -1): void {
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -3,13 +3,13 @@
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import type { CallerAnswer, CallerCall, CallHandler } from './callerCall.ts'
+import { wasRefused } from './connectionRefusal.ts'
 import type { JobInstance } from './jobInstance.ts'
 
 /** Longest time in which a call without an answer is sent again; callers wait 3 s. */
 const LONGEST_ROUTING_MS = 1_800
 const RETRY_DELAY_MS = 120
 const RETRY_AFTER_SECONDS = 1
-const REFUSED_CONNECTIONS = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH']
 
 export interface CallRouterOptions {
   readonly instance: JobInstance
@@ -50,20 +50,12 @@
     } catch (error) {
       const refused = wasRefused(error)
       logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence: coordinator.fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
+      if (refused) instance.noteRefused(coordinator)
       return refused ? unavailable('the coordinator can not be reached') : { outcome: 'unknown', message: 'the coordinator did not answer' }
     }
   }
 }
 
-/** Whether no connection was made, so that the call certainly had no effect. */
-function wasRefused (error: unknown): boolean {
-  for (let cause = error; cause instanceof Error; cause = cause.cause) {
-    const { code } = cause as { code?: unknown }
-    if (typeof code === 'string' && REFUSED_CONNECTIONS.includes(code)) return true
-  }
-  return false
-}
-
 function unavailable (message: string): CallerAnswer {
   return { outcome: 'unavailable', message, retryAfterSeconds: RETRY_AFTER_SECONDS }
 }
--- a/src/entry/desiredStateWatcher.ts
+++ b/src/entry/desiredStateWatcher.ts
@@ -92,11 +92,11 @@
 
   /** Returns the revision after which changes are not known. */
   async #read (): Promise<number> {
-    const item = await this.#options.store.get(this.#options.key)
+    const { item, revision } = await this.#options.store.get(this.#options.key)
     this.#confirm()
     if (item === undefined) return 0
     this.#apply(item.value, 'store')
-    return item.revision
+    return revision
   }
 
   async #watch (revision: number): Promise<void> {
@@ -105,7 +105,7 @@
     let after = revision
     while (!this.#stopping.signal.aborted) {
       const result = await store.watch(key, after, WATCH_MS, this.#stopping.signal)
-      if (result.outcome === 'history-lost') return
+      if (result.outcome === 'history-lost') return await clock.sleep(RETRY_DELAY_MS, this.#stopping.signal).catch(() => {})
       for (const change of result.changes) {
         if (change.type === 'written' && change.item.key === key) this.#apply(change.item.value, 'store')
       }
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -13,6 +13,7 @@
 import type { TargetDirectory } from '../ports/targetDirectory.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
 import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import { wasRefused } from './connectionRefusal.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 
@@ -114,6 +115,37 @@
     }
   }
 
+  async release (lease: number): Promise<boolean> {
+    try {
+      await this.#options.store.endLease(lease)
+      this.#options.logger.info({ lease }, 'ended the election of a coordinator that can not reach the store')
+      return true
+    } catch (error) {
+      this.#options.logger.info({ lease, error: String(error) }, 'could not end an election: the store does not answer here either')
+      return false
+    }
+  }
+
+  async releaseThroughPeers (lease: number): Promise<boolean> {
+    const { peers, clock, logger } = this.#options
+    const alive = [...this.#peers].filter(([, { seenAtMs }]) => clock.monotonicMs() - seenAtMs < PEER_SILENCE_MS)
+    const answers = alive.map(async ([address]) => {
+      if (!await peers.connect(address).release(lease)) throw new Error('not released')
+    })
+    try {
+      await Promise.any(answers)
+      return true
+    } catch {
+      logger.warn({ asked: alive.length, lease }, 'no other instance reaches the store')
+      return false
+    }
+  }
+
+  /** A call to the coordinator found nobody listening there. */
+  noteRefused (info: CoordinatorInfo): void {
+    runInBackground(this.#election.endOf(info), this.#options.logger, 'end of an election')
+  }
+
   async advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]> {
     return await this.#options.advisor.ask(question)
   }
@@ -207,7 +239,9 @@
       }
     } catch (error) {
       const silent = address === this.#election.coordinator?.address
+      const { coordinator } = this.#election
       if (silent) this.#coordinatorSilent = true
+      if (silent && coordinator !== undefined && wasRefused(error)) this.noteRefused(coordinator)
       logger.info({ address, coordinator: silent, error: error instanceof Error ? error.message : String(error) }, 'a peer did not answer')
     }
   }
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,16 +1,12 @@
 /** How far a job is. */
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
-import type { JobRecord, RunEndRecord } from './jobRecords.ts'
+import type { JobRecord, PlacedRecord, RunEndRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
-/** Attempts that one term of a coordinator may use for a task; later terms number on above them. */
-const ATTEMPTS_PER_TERM = 1_000
-
 export class JobProgress {
   readonly record: JobRecord
   readonly queue: QueueSettings
-  readonly #currentTerm: () => number
   /** Time on this process's clock since which the job counts as waiting. */
   readonly acceptedAtMs: number
   /** Steps of all occurrences that have begun; index by occurrence. */
@@ -18,10 +14,9 @@
   #outcome: 'completed' | 'failed' | 'cancelled' | undefined
   #startedTask = false
 
-  constructor (record: JobRecord, queue: QueueSettings, currentTerm: () => number, acceptedAtMs: number) {
+  constructor (record: JobRecord, queue: QueueSettings, acceptedAtMs: number) {
     this.record = record
     this.queue = queue
-    this.#currentTerm = currentTerm
     this.acceptedAtMs = acceptedAtMs
     if (record.definition.repetition === undefined) this.openOccurrence(0)
   }
@@ -30,11 +25,6 @@
     return this.record.id
   }
 
-  /** Number up to which earlier terms may have used attempts. */
-  get attemptFloor (): number {
-    return (this.#currentTerm() - this.record.term) * ATTEMPTS_PER_TERM
-  }
-
   get team (): string {
     return this.record.team
   }
@@ -92,6 +82,13 @@
     return step.definition.after.every(earlier => this.findStep(step.occurrence, earlier)?.done ?? false)
   }
 
+  /** Applies where tasks are about to be started. */
+  place ({ occurrence, step, runs }: PlacedRecord): void {
+    const placed = this.findStep(occurrence, step)
+    for (const [index, attempt, target] of runs) placed?.place(index, attempt, target)
+    this.#startedTask = true
+  }
+
   /** Applies the end of a run; false if it changes nothing. */
   endRun ({ occurrence, step, index, attempt, end, checkpoint }: RunEndRecord): boolean {
     const changed = this.findStep(occurrence, step)?.endRun(index, attempt, end, checkpoint) ?? false
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -28,15 +28,31 @@
 
 export interface JobRecord extends JobIdentity {
   readonly type: 'job'
-  /** Term of the coordinator that accepted the job. */
-  readonly term: number
   readonly acceptedWallMs: number
   readonly withinShare: boolean
   readonly definition: JobDefinition
 }
 
-/** One task in a snapshot: whether it is done, its highest attempt, the attempts that ended, its failures and its saved state. */
-export type TaskSnapshot = readonly [done: 0 | 1, attempt: number, endedAttempts: readonly number[], failures: number, checkpoint: string]
+/** Tasks that are about to be started; stored before the orders are sent. */
+export interface PlacedRecord {
+  readonly type: 'placed'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly runs: readonly PlacedRun[]
+}
+
+export type PlacedRun = readonly [index: number, attempt: number, targetKey: string]
+
+/** One task in a snapshot. */
+export interface TaskSnapshot {
+  readonly done: boolean
+  readonly attempt: number
+  readonly endedAttempts: readonly number[]
+  readonly failures: number
+  readonly checkpoint: string
+  readonly placedOn: string
+}
 
 export interface StepSnapshot {
   readonly tasks: readonly TaskSnapshot[]
@@ -53,9 +69,9 @@
 }
 
 export type LogRecord =
-  | { readonly type: 'term', readonly term: number }
   | { readonly type: 'queue', readonly queue: QueueSettings }
   | JobRecord
+  | PlacedRecord
   | RunEndRecord
   | StepRecord
   | { readonly type: 'cancelled', readonly job: string, readonly wallMs: number }
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -26,18 +26,12 @@
   readonly #queues = new Map<string, QueueSettings>()
   readonly #targets = new Map<string, TargetDescription>()
   readonly #acceptedAtMs: (record: JobRecord) => number
-  #term = 0
 
   /** `acceptedAtMs` gives the time of acceptance on this process's clock. */
   constructor (acceptedAtMs: (record: JobRecord) => number) {
     this.#acceptedAtMs = acceptedAtMs
   }
 
-  /** The newest term in the log. */
-  get term (): number {
-    return this.#term
-  }
-
   get jobs (): ReadonlyMap<string, JobProgress> {
     return this.#jobs
   }
@@ -57,15 +51,15 @@
 
   apply (record: LogRecord): void {
     switch (record.type) {
-      case 'term':
-        this.#term = Math.max(this.#term, record.term)
-        break
       case 'queue':
         this.#queues.set(record.queue.name, record.queue)
         break
       case 'job':
         this.#addJob(record)
         break
+      case 'placed':
+        this.#jobs.get(record.job)?.place(record)
+        break
       case 'run-end':
         this.#jobs.get(record.job)?.endRun(record)
         break
@@ -83,6 +77,7 @@
         break
       case 'target-gone':
         this.#targets.delete(targetKey(record))
+        this.#releaseTasks(targetKey(record))
         break
     }
   }
@@ -102,7 +97,7 @@
 
   /** Returns records that make the same table. */
   toRecords (): readonly LogRecord[] {
-    const records: LogRecord[] = [{ type: 'term', term: this.#term }]
+    const records: LogRecord[] = []
     for (const queue of this.#queues.values()) records.push({ type: 'queue', queue })
     for (const target of this.#targets.values()) records.push({ type: 'target', target })
     for (const job of this.#finished.values()) records.push({ type: 'finished-job', ...job })
@@ -110,11 +105,22 @@
     return records
   }
 
+  /** Nothing runs any more on a life of a target that is over. */
+  #releaseTasks (target: string): void {
+    for (const job of this.#jobs.values()) {
+      for (const step of job.steps) {
+        for (const task of step.tasks) {
+          if (task.placedOn === target) step.loseRun(task, task.attempt)
+        }
+      }
+    }
+  }
+
   #addJob (record: JobRecord): void {
     if (this.#jobs.has(record.id) || this.#finished.has(record.id)) return
     const queue = this.#queues.get(record.queue)
     if (queue === undefined) return
-    this.#jobs.set(record.id, new JobProgress(record, queue, () => this.#term, this.#acceptedAtMs(record)))
+    this.#jobs.set(record.id, new JobProgress(record, queue, this.#acceptedAtMs(record)))
   }
 }
 
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -18,6 +18,8 @@
   endedAttempts: readonly number[] = []
   failures = 0
   checkpoint = ''
+  /** Life of the target on which the highest attempt runs or may run; empty for none. */
+  placedOn = ''
 
   constructor (step: StepProgress, index: number) {
     this.step = step
@@ -65,7 +67,7 @@
   /** Number for the next start of a task; the members of a gang share it. */
   nextAttempt (task: TaskProgress): number {
     const used = this.definition.gang ? Math.max(...this.tasks.map(member => member.attempt)) : task.attempt
-    return Math.max(used, this.job.attemptFloor) + 1
+    return used + 1
   }
 
   /** State from which the next start resumes; any member's state serves the whole gang. */
@@ -88,19 +90,35 @@
     task.attempt = Math.max(task.attempt, attempt)
     if (!superseded) this.saveCheckpoint(task, checkpoint)
     if (end === 'done' && !this.definition.longRunning) this.#finish(task)
-    else if (!superseded) task.state = 'waiting'
+    else if (!superseded) this.#release(task)
     if (end === 'failed' && !this.definition.longRunning) this.#countFailure(task, attempt)
     return true
   }
 
   /** A run has certainly stopped without an end that is known. */
   loseRun (task: TaskProgress, attempt: number): void {
-    if (task.state === 'assigned' && task.attempt === attempt) task.state = 'waiting'
+    if (task.state === 'assigned' && task.attempt === attempt) this.#release(task)
+  }
+
+  /** Notes where an attempt is about to be started; false if a later one is known. */
+  place (index: number, attempt: number, targetKey: string): boolean {
+    const task = this.tasks[index]
+    if (task === undefined || task.state === 'done' || attempt <= task.attempt) return false
+    task.attempt = attempt
+    task.state = 'assigned'
+    task.placedOn = targetKey
+    return true
+  }
+
+  #release (task: TaskProgress): void {
+    task.state = 'waiting'
+    task.placedOn = ''
   }
 
   describe (): StepSnapshot {
     return {
-      tasks: this.tasks.map(task => [task.state === 'done' ? 1 : 0, task.attempt, task.endedAttempts, task.failures, task.checkpoint]),
+      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn }) =>
+        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn })),
       gangFailures: this.#gangFailures,
       failedGangAttempt: this.#failedGangAttempt,
       gangCheckpoint: this.#gangCheckpoint
@@ -111,13 +129,15 @@
     this.#gangFailures = gangFailures
     this.#failedGangAttempt = failedGangAttempt
     this.#gangCheckpoint = gangCheckpoint
-    for (const [index, [done, attempt, endedAttempts, failures, checkpoint]] of tasks.entries()) {
+    for (const [index, { done, ...fields }] of tasks.entries()) {
       const task = this.tasks[index]
       if (task === undefined) continue
-      Object.assign(task, { attempt, endedAttempts, failures, checkpoint })
-      if (done === 1 && task.state !== 'done') {
+      Object.assign(task, fields)
+      if (done && task.state !== 'done') {
         task.state = 'done'
         this.#unfinished -= 1
+      } else if (fields.placedOn !== '') {
+        task.state = 'assigned'
       }
     }
   }
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -6,10 +6,12 @@
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type {
-  CommitResult, StoreChange, StoredItem, StorePage, Transaction, TransactionalStore, WatchResult
+  CommitResult, StoreChange, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult
 } from '../ports/transactionalStore.ts'
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
+const readSchema = itemSchema.extend({ at: z.number() })
+const absentSchema = z.object({ at: z.number() })
 const pageSchema = z.object({ items: z.array(itemSchema), has_more: z.boolean(), at: z.number() })
 const eventSchema = z.object({
   key: z.string(),
@@ -48,10 +50,11 @@
     await this.#caller.close()
   }
 
-  async get (key: string): Promise<StoredItem | undefined> {
+  async get (key: string): Promise<StoreRead> {
     const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-key?${new URLSearchParams({ key })}`, timeoutMs: CALL_TIMEOUT_MS })
-    if (status === 404) return undefined
-    return decodeItem(parseAnswer(itemSchema, status, body, 'get'))
+    if (status === 404) return { revision: absentSchema.safeParse(body).data?.at ?? 0 }
+    const item = parseAnswer(readSchema, status, body, 'get')
+    return { item: decodeItem(item), revision: item.at }
   }
 
   async listPage (prefix: string, after?: string): Promise<StorePage> {
--- a/src/ports/transactionalStore.ts
+++ b/src/ports/transactionalStore.ts
@@ -7,6 +7,13 @@
   readonly revision: number
 }
 
+export interface StoreRead {
+  /** Left out if the key does not exist. */
+  readonly item?: StoredItem
+  /** The store's revision when the key was read; a watch continues from here. 0 if it is not known. */
+  readonly revision: number
+}
+
 export interface StorePage {
   readonly items: readonly StoredItem[]
   readonly hasMore: boolean
@@ -44,7 +51,7 @@
  * `StoreUnknownError` if they may have had one, or may have it later.
  */
 export interface TransactionalStore {
-  get (key: string): Promise<StoredItem | undefined>
+  get (key: string): Promise<StoreRead>
   /** Reads the keys with the prefix that follow `after`. */
   listPage (prefix: string, after?: string): Promise<StorePage>
   /** Waits for changes after the revision; resolves without changes when the time is up. */
