--- /dev/null
+++ b/bench/coordinatorLoad.ts
@@ -0,0 +1,64 @@
+/** Processor time of a coordinator under the calm load of a site: npx tsx bench/coordinatorLoad.ts [JOBS_PER_SECOND] [SECONDS]. */
+import { spawn } from 'node:child_process'
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from '../src/platform/standIn/standInPlatform.ts'
+
+const PORT = 21_400
+const TARGETS = 33
+const TASKS = 4
+const WORK_MS = 900
+const CPU_MILLIS = 3_000
+/** Kernel clock ticks in a second, as in /proc/PID/stat. */
+const TICKS_PER_SECOND = 100
+
+const perSecond = Number(process.argv[2] ?? 38)
+const seconds = Number(process.argv[3] ?? 20)
+const platform = await StandInPlatform.start({ workers: TARGETS, queues: [{ name: 'checks', prefix: '/checks/', adviceMs: 5 }], workMs: () => WORK_MS })
+const folder = mkdtempSync(join(tmpdir(), 'coordinator-load-'))
+const processes = [0, 1].map(number => {
+  const file = join(folder, `${number}.toml`)
+  writeFileSync(file, platform.settingsFor(`entry-${number}`, PORT + number * 20))
+  const profile = process.env['PROFILE'] === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${process.env['PROFILE']}`]
+  return spawn(process.execPath, [...profile, 'dist/agategauge.cjs', 'serve', '--platform'], { env: { ...process.env, AGATEGAUGE_CONFIG: file }, stdio: ['ignore', process.env['LOGS'] === undefined ? 'ignore' : 'inherit', 'inherit'] })
+})
+await delay(2_000)
+const agent = new Agent({ connections: 32 })
+const before = processes.map(child => readTicks(child.pid))
+let failed = 0
+for (let number = 0; number < perSecond * seconds; number++) {
+  submit(number).catch(() => { failed += 1 })
+  await delay(1_000 / perSecond)
+}
+await delay(2_000)
+for (const [position, child] of processes.entries()) {
+  const used = (readTicks(child.pid) - (before[position] ?? 0)) / TICKS_PER_SECOND
+  console.log(`entry-${position}: ${(used / seconds).toFixed(3)} cores, ${(used * 1_000 / (perSecond * seconds)).toFixed(2)} ms of processor a job`)
+}
+console.log(`${platform.events.filter(event => event.type === 'started').length} task starts, ${failed} failed calls, ${platform.store.calls} calls of the store`)
+for (const child of processes) child.kill('SIGTERM')
+await delay(4_500)
+await platform.stop()
+process.exit(0)
+
+async function submit (number: number): Promise<void> {
+  const id = number.toString(16).padStart(16, '0')
+  const headers = { host: STAND_IN_HOST, 'x-api-key': STAND_IN_KEY, 'content-type': 'application/json' }
+  const url = `http://127.0.0.1:${PORT + (number % 2) * 20}/checks/${id}`
+  const body = JSON.stringify({ spec: 'x'.repeat(200), phases: [{ count: TASKS, cpu: CPU_MILLIS, mem_mb: 2_000, estimate_ms: WORK_MS }] })
+  const answer = await request(url, { method: 'POST', headers, body, dispatcher: agent })
+  if (answer.statusCode !== 200) failed += 1
+  await answer.body.dump()
+  for (let poll = 0; poll < 3; poll++) {
+    await delay(500)
+    await (await request(url, { headers, dispatcher: agent })).body.dump()
+  }
+}
+
+function readTicks (pid = 0): number {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
+  return Number(fields[11]) + Number(fields[12])
+}
--- a/src/adapters/clock/manualClock.ts
+++ b/src/adapters/clock/manualClock.ts
@@ -1,5 +1,5 @@
 /** A clock for tests: time passes only by `advance`. */
-import type { Clock } from '../../ports/clock.ts'
+import type { CancelTimer, TimerClock } from '../../ports/clock.ts'
 
 interface Sleeper {
   readonly wakeAt: number
@@ -10,7 +10,7 @@
 /** Turns of the event loop after each wake-up, enough for chained promises of fakes to settle. */
 const SETTLE_TURNS = 3
 
-export class ManualClock implements Clock {
+export class ManualClock implements TimerClock {
   #now: number
   #order = 0
   readonly #wallOffset: number
@@ -49,6 +49,12 @@
     })
   }
 
+  schedule (durationMs: number, action: () => void): CancelTimer {
+    const sleeper: Sleeper = { wakeAt: this.#now + Math.max(0, durationMs), order: this.#order++, wake: action }
+    this.#sleepers.add(sleeper)
+    return () => { this.#sleepers.delete(sleeper) }
+  }
+
   /** Lets time pass, waking sleepers in order of their times. */
   async advance (durationMs: number): Promise<void> {
     const end = this.#now + durationMs
--- a/src/adapters/clock/systemClock.ts
+++ b/src/adapters/clock/systemClock.ts
@@ -1,9 +1,9 @@
 /** The clock of the running process. */
 import { performance } from 'node:perf_hooks'
 import { setTimeout as delay } from 'node:timers/promises'
-import type { Clock } from '../../ports/clock.ts'
+import type { CancelTimer, TimerClock } from '../../ports/clock.ts'
 
-export class SystemClock implements Clock {
+export class SystemClock implements TimerClock {
   monotonicMs (): number {
     return performance.now()
   }
@@ -15,4 +15,9 @@
   async sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
     await delay(durationMs, undefined, { signal })
   }
+
+  schedule (durationMs: number, action: () => void): CancelTimer {
+    const timer = setTimeout(action, durationMs)
+    return () => clearTimeout(timer)
+  }
 }
--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -2,7 +2,7 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { BaseError } from '../../model/errors.ts'
-import type { Clock } from '../../ports/clock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 
 /** No byte of the call was written: the callee certainly has not seen it. */
 export const NotSentError = BaseError.subclass('NotSentError')
@@ -14,7 +14,7 @@
   /** `host:port`. */
   readonly address: string
   /** For the time limits of calls; the time limit of connecting is undici's own. */
-  readonly clock: Clock
+  readonly clock: TimerClock
   /** Connections open at the same time; calls beyond wait. Unlimited if left out. */
   readonly connections?: number
   readonly connectTimeoutMs: number
@@ -70,7 +70,7 @@
  * const { status, body } = await caller.callJson({ method: 'GET', path: '/v1/list' })
  */
 export class HttpCaller {
-  readonly #clock: Clock
+  readonly #clock: TimerClock
   readonly #pool: Pool
   readonly #dispatcher: Dispatcher
 
@@ -106,73 +106,109 @@
 
   /** Resolves with the whole answer. */
   async callJson (options: CallOptions): Promise<JsonResponse> {
-    return await this.#callWhole(options, readJson)
+    const { status, text } = await this.#callWhole(options)
+    try {
+      return { status, body: JSON.parse(text) }
+    } catch (error) {
+      throw new NoAnswerError(`${options.method} ${options.path}: the answer is not whole:`, { cause: error })
+    }
   }
 
   /** Resolves with the whole answer, whose body may be empty or not JSON: it is undefined then. */
   async callLenient (options: CallOptions): Promise<JsonResponse> {
-    return await this.#callWhole(options, readOptionalJson)
-  }
-
-  async #callWhole (
-    options: CallOptions, readBody: (response: HttpResponse, options: CallOptions) => Promise<unknown>
-  ): Promise<JsonResponse> {
-    const limit = limitTime(this.#clock, options.timeoutMs, options.signal)
+    const { status, text } = await this.#callWhole(options)
     try {
-      const response = await this.call({ ...options, signal: limit.signal })
-      return { status: response.statusCode, body: await readBody(response, options) }
-    } finally {
-      limit.clear()
+      return { status, body: JSON.parse(text) }
+    } catch {
+      return { status, body: undefined }
     }
   }
 
+  /** Reads the answer without streams, which small answers do not need. */
+  #callWhole ({ method, path, body, headers, timeoutMs, signal }: CallOptions): Promise<{ readonly status: number, readonly text: string }> {
+    return new Promise((resolve, reject) => {
+      const handler = new WholeAnswerHandler(resolve, (sent, cause) => {
+        const ErrorClass = sent ? NoAnswerError : NotSentError
+        reject(new ErrorClass(`${method} ${path}:`, { cause }))
+      })
+      if (timeoutMs !== undefined) handler.limit(this.#clock.schedule(timeoutMs, () => handler.abort(new BaseError(`no answer within ${timeoutMs} ms`))))
+      if (signal !== undefined) handler.abortWith(signal)
+      this.#pool.dispatch({
+        method,
+        path,
+        ...(body === undefined ? { headers } : { body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } })
+      }, handler)
+    })
+  }
+
   /** Closes every connection; calls in progress fail. */
   async close (): Promise<void> {
     await this.#pool.destroy()
   }
 }
 
-async function readJson (response: HttpResponse, { method, path }: CallOptions): Promise<unknown> {
-  try {
-    return await response.body.json()
-  } catch (error) {
-    throw new NoAnswerError(`${method} ${path}: the answer is not whole:`, { cause: error })
+/** Collects one answer, and ends the call when its time is up. */
+class WholeAnswerHandler implements Dispatcher.DispatchHandler {
+  readonly #resolve: (answer: { readonly status: number, readonly text: string }) => void
+  readonly #reject: (sent: boolean, cause: unknown) => void
+  readonly #chunks: Buffer[] = []
+  #controller: Dispatcher.DispatchController | undefined
+  #status = 0
+  #sent = false
+  #aborted: Error | undefined
+  #release: (() => void)[] = []
+
+  constructor (resolve: (answer: { readonly status: number, readonly text: string }) => void, reject: (sent: boolean, cause: unknown) => void) {
+    this.#resolve = resolve
+    this.#reject = reject
   }
-}
 
-async function readOptionalJson (response: HttpResponse, { method, path }: CallOptions): Promise<unknown> {
-  let text: string
-  try {
-    text = await response.body.text()
-  } catch (error) {
-    throw new NoAnswerError(`${method} ${path}: the answer is not whole:`, { cause: error })
+  /** Cancels the timer when the call has ended. */
+  limit (cancel: () => void): void {
+    this.#release.push(cancel)
   }
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
+
+  abortWith (signal: AbortSignal): void {
+    const onAbort = (): void => this.abort(signal.reason instanceof Error ? signal.reason : new BaseError('the call was aborted'))
+    if (signal.aborted) return onAbort()
+    signal.addEventListener('abort', onAbort, { once: true })
+    this.#release.push(() => signal.removeEventListener('abort', onAbort))
   }
-}
 
-interface TimeLimit {
-  /** Aborts when the time is up or the caller's own signal aborts. */
-  readonly signal?: AbortSignal
-  readonly clear: () => void
-}
+  /** A call that still waits for a connection ends at once and is not written later. */
+  abort (reason: Error): void {
+    if (this.#aborted !== undefined) return
+    this.#aborted = reason
+    this.#controller?.abort(reason)
+    this.#finish(() => this.#reject(this.#sent, reason))
+  }
 
-function limitTime (clock: Clock, timeoutMs?: number, signal?: AbortSignal): TimeLimit {
-  if (timeoutMs === undefined) return { signal, clear: () => {} }
-  const abort = new AbortController()
-  const timer = new AbortController()
-  const onAbort = (): void => abort.abort(signal?.reason)
-  clock.sleep(timeoutMs, timer.signal).then(() => abort.abort(new BaseError(`no answer within ${timeoutMs} ms`)), () => {})
-  if (signal?.aborted) onAbort()
-  signal?.addEventListener('abort', onAbort, { once: true })
-  return {
-    signal: abort.signal,
-    clear: () => {
-      timer.abort()
-      signal?.removeEventListener('abort', onAbort)
-    }
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this.#controller = controller
+    if (this.#aborted !== undefined) controller.abort(this.#aborted)
+    else this.#sent = true
+  }
+
+  onResponseStart (_controller: Dispatcher.DispatchController, statusCode: number): void {
+    this.#status = statusCode
+  }
+
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#chunks.push(chunk)
+  }
+
+  onResponseEnd (): void {
+    const text = this.#chunks.length === 1 ? String(this.#chunks[0]) : Buffer.concat(this.#chunks).toString('utf8')
+    this.#finish(() => this.#resolve({ status: this.#status, text }))
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#finish(() => this.#reject(this.#sent, error))
+  }
+
+  #finish (settle: () => void): void {
+    for (const release of this.#release) release()
+    this.#release = []
+    settle()
   }
 }
--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { json } from 'node:stream/consumers'
+import { text } from 'node:stream/consumers'
 import { BaseError, InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import { addressOf, listenOn } from '../network.ts'
@@ -98,8 +98,10 @@
     request.resume()
     return undefined
   }
+  const content = await text(request)
+  if (content === '') return undefined
   try {
-    return await json(request)
+    return JSON.parse(content)
   } catch (error) {
     if (error instanceof SyntaxError) throw new InputError('the body is not JSON:', { cause: error })
     throw error
--- a/src/adapters/list/httpInstanceList.ts
+++ b/src/adapters/list/httpInstanceList.ts
@@ -2,7 +2,7 @@
 import { BaseError } from '../../model/errors.ts'
 import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import type { Clock } from '../../ports/clock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import type { InstanceList, ListSnapshot } from '../../ports/instanceList.ts'
 import { HttpCaller } from '../http/httpCaller.ts'
 import { parseListSnapshot } from './listSchema.ts'
@@ -14,7 +14,7 @@
   readonly address: string
   readonly callTimeoutMs?: number
   /** The system's clock if left out. */
-  readonly clock?: Clock
+  readonly clock?: TimerClock
 }
 
 /**
--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -1,86 +1,103 @@
-/** Calls other instances about jobs by `connect-es`. */
-import { Agent } from 'node:http'
-import { create } from '@bufbuild/protobuf'
-import { createClient } from '@connectrpc/connect'
-import type { Client } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
+/** Calls other instances about jobs. */
+import { z } from 'zod'
 import type { CallerAnswer, CallerCall } from '../../entry/callerCall.ts'
-import * as wire from '../../generated/coordinator_pb.ts'
+import { JOB_STATES } from '../../jobs/job.ts'
 import type { Component } from '../../lifecycle/component.ts'
+import { BaseError } from '../../model/errors.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import type { CoordinatorPeer, CoordinatorPeers, InstanceReport, ReportAnswer } from '../../ports/coordinatorPeer.ts'
 import type { AdviceQuestion, AllowedTarget } from '../../ports/placementAdvisor.ts'
-import { decodeAnswer, decodeReportAnswer } from './coordinatorCodec.ts'
+import { HttpCaller } from '../http/httpCaller.ts'
+import { PEER_PATHS } from './coordinatorPeerPaths.ts'
 
-/** An acceptance waits for one commit of the store, 80 ms when it is slow. */
+const CONNECT_TIMEOUT_MS = 600
+/** An acceptance waits for one commit of the store, 320 ms when it is slow. */
 const HANDLE_TIMEOUT_MS = 1_200
 const REPORT_TIMEOUT_MS = 600
 /** The peer makes one call to the store. */
 const RELEASE_TIMEOUT_MS = 1_000
 /** Added to the time that the advisor needs. */
 const ADVICE_SLACK_MS = 1_800
-const KEEP_ALIVE_MS = 5_000
+const IDLE_CONNECTION_MS = 30_000
 /** Calls of one instance to another at the same time; more wait for a connection. */
-const CONNECTIONS = 24
+const CONNECTIONS = 32
 
-interface Connection {
-  readonly agent: Agent
-  readonly peer: CoordinatorPeer
-}
+const answerSchema: z.ZodType<CallerAnswer> = z.discriminatedUnion('outcome', [
+  z.object({ outcome: z.enum(['accepted', 'cancelled', 'no-queue', 'no-job', 'unauthenticated']) }),
+  z.object({ outcome: z.literal('state'), state: z.enum(JOB_STATES) }),
+  z.object({ outcome: z.literal('pending'), pending: z.number() }),
+  z.object({ outcome: z.enum(['invalid', 'unknown']), message: z.string() }),
+  z.object({ outcome: z.literal('unavailable'), message: z.string(), retryAfterSeconds: z.number() })
+])
+const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
+  coordinator: z.object({ instance: z.string(), address: z.string(), fence: z.number(), lease: z.number() }).optional(),
+  desiredState: z.object({ version: z.number(), text: z.string() }).optional(),
+  peers: z.array(z.string())
+})
+const releaseAnswerSchema = z.object({ released: z.boolean() })
+const adviceAnswerSchema = z.object({ allowed: z.array(z.object({ target: z.string(), ticket: z.string() })) })
 
 export class CoordinatorPeerClient implements CoordinatorPeers, Component {
   readonly name = 'coordinator peer client'
-  readonly #connections = new Map<string, Connection>()
+  readonly #clock: TimerClock
+  readonly #peers = new Map<string, RemoteInstance>()
+
+  constructor (clock: TimerClock) {
+    this.#clock = clock
+  }
 
   async start (): Promise<void> {}
 
   async stop (): Promise<void> {
-    for (const { agent } of this.#connections.values()) agent.destroy()
-    this.#connections.clear()
+    const peers = [...this.#peers.values()]
+    this.#peers.clear()
+    await Promise.all(peers.map(async peer => await peer.close()))
   }
 
   connect (address: string): CoordinatorPeer {
-    const known = this.#connections.get(address)
-    if (known !== undefined) return known.peer
-    const agent = new Agent({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_MS, maxSockets: CONNECTIONS })
-    const transport = createConnectTransport({ baseUrl: `http://${address}`, httpVersion: '1.1', nodeOptions: { agent } })
-    const peer = new RemoteInstance(createClient(wire.CoordinatorService, transport))
-    this.#connections.set(address, { agent, peer })
+    const known = this.#peers.get(address)
+    if (known !== undefined) return known
+    const peer = new RemoteInstance(address, this.#clock)
+    this.#peers.set(address, peer)
     return peer
   }
 }
 
 class RemoteInstance implements CoordinatorPeer {
-  readonly #client: Client<typeof wire.CoordinatorService>
+  readonly #address: string
+  readonly #caller: HttpCaller
 
-  constructor (client: Client<typeof wire.CoordinatorService>) {
-    this.#client = client
+  constructor (address: string, clock: TimerClock) {
+    this.#address = address
+    this.#caller = new HttpCaller({
+      address, clock, connections: CONNECTIONS, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS
+    })
   }
 
   async handle (call: CallerCall): Promise<CallerAnswer> {
-    return decodeAnswer(await this.#client.handle(create(wire.HandleRequestSchema, {
-      action: call.action,
-      host: call.host,
-      path: call.path,
-      key: call.key,
-      body: Buffer.from(call.definition, 'utf8'),
-      desiredStateVersion: BigInt(call.desiredStateVersion)
-    }), { timeoutMs: HANDLE_TIMEOUT_MS }))
+    return await this.#post(PEER_PATHS.handle, call, HANDLE_TIMEOUT_MS, answerSchema)
   }
 
-  async report ({ instance, address, desiredStateVersion }: InstanceReport): Promise<ReportAnswer> {
-    return decodeReportAnswer(await this.#client.report(create(wire.ReportRequestSchema, {
-      instance, address, desiredStateVersion: BigInt(desiredStateVersion)
-    }), { timeoutMs: REPORT_TIMEOUT_MS }))
+  async report (report: InstanceReport): Promise<ReportAnswer> {
+    return await this.#post(PEER_PATHS.report, report, REPORT_TIMEOUT_MS, reportAnswerSchema)
   }
 
   async release (lease: number): Promise<boolean> {
-    return (await this.#client.release(create(wire.ReleaseRequestSchema, { lease: BigInt(lease) }), { timeoutMs: RELEASE_TIMEOUT_MS })).released
+    return (await this.#post(PEER_PATHS.release, { lease }, RELEASE_TIMEOUT_MS, releaseAnswerSchema)).released
+  }
+
+  async advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]> {
+    return (await this.#post(PEER_PATHS.advise, question, question.expectedMs + ADVICE_SLACK_MS, adviceAnswerSchema)).allowed
+  }
+
+  async close (): Promise<void> {
+    await this.#caller.close()
   }
 
-  async advise ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
-    const answer = await this.#client.advise(create(wire.AdviseRequestSchema, {
-      step, targets: [...targets], expectedMilliseconds: expectedMs
-    }), { timeoutMs: Math.ceil(expectedMs + ADVICE_SLACK_MS) })
-    return answer.allowed
+  async #post<Answer> (path: string, body: unknown, timeoutMs: number, schema: z.ZodType<Answer>): Promise<Answer> {
+    const answer = await this.#caller.callLenient({ method: 'POST', path, body, timeoutMs })
+    const parsed = schema.safeParse(answer.body)
+    if (answer.status !== 200 || !parsed.success) throw new BaseError(`the instance at ${this.#address} answered ${answer.status} to ${path}`)
+    return parsed.data
   }
 }
--- /dev/null
+++ b/src/adapters/peer/coordinatorPeerPaths.ts
@@ -0,0 +1,8 @@
+/** Paths of the calls between instances about jobs. */
+
+export const PEER_PATHS = {
+  handle: '/jobs/handle',
+  report: '/jobs/report',
+  release: '/jobs/release',
+  advise: '/jobs/advise'
+} as const
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -1,67 +1,50 @@
-/** Serves the calls between instances about jobs. */
-import { createServer } from 'node:http'
-import type { Server } from 'node:http'
-import { create } from '@bufbuild/protobuf'
-import type { ConnectRouter } from '@connectrpc/connect'
-import { connectNodeAdapter } from '@connectrpc/connect-node'
-import type { CallAction } from '../../entry/callerCall.ts'
-import * as wire from '../../generated/coordinator_pb.ts'
-import type { Component } from '../../lifecycle/component.ts'
+/** Serves the calls between instances about jobs, as JSON over HTTP. */
+import { z } from 'zod'
+import { InputError } from '../../model/errors.ts'
 import type { CoordinatorPeer } from '../../ports/coordinatorPeer.ts'
-import { listenOn } from '../network.ts'
-import { encodeAnswer, encodeReportAnswer } from './coordinatorCodec.ts'
+import { JsonServer } from '../http/jsonServer.ts'
+import type { Route } from '../http/routes.ts'
+import { PEER_PATHS } from './coordinatorPeerPaths.ts'
 
-/** Bounds one message, so that a faulty peer can't exhaust memory. */
-const MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
-const KEEP_ALIVE_MS = 60_000
+const callSchema = z.object({
+  action: z.enum(['submit', 'read', 'cancel']),
+  host: z.string(),
+  path: z.string(),
+  key: z.string(),
+  definition: z.string(),
+  desiredStateVersion: z.number()
+})
+const reportSchema = z.object({ instance: z.string(), address: z.string(), desiredStateVersion: z.number() })
+const releaseSchema = z.object({ lease: z.number() })
+const questionSchema = z.object({ step: z.string(), targets: z.array(z.string()), expectedMs: z.number() })
 
-export class CoordinatorPeerServer implements Component {
-  readonly name = 'coordinator peer server'
-  readonly #address: string
-  readonly #handler: CoordinatorPeer
-  #server: Server | undefined
-
-  constructor (address: string, handler: CoordinatorPeer) {
-    this.#address = address
-    this.#handler = handler
-  }
-
-  async start (): Promise<void> {
-    const handler = connectNodeAdapter({ routes: router => this.#addRoutes(router), readMaxBytes: MESSAGE_LIMIT_BYTES })
-    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, handler)
-    this.#server = server
-    await listenOn(server, this.#address)
-  }
-
-  async stop (): Promise<void> {
-    const server = this.#server
-    if (server === undefined) return
-    await new Promise<void>(resolve => {
-      server.close(() => resolve())
-      server.closeAllConnections()
-    })
-  }
+/**
+ * Creates the server of an instance.
+ *
+ * @example
+ * const server = createCoordinatorPeerServer('10.1.0.17:7420', instance)
+ * await server.start()
+ */
+export function createCoordinatorPeerServer (address: string, handler: CoordinatorPeer): JsonServer {
+  const route = <Body>(pattern: string, schema: z.ZodType<Body>, handle: (body: Body) => Promise<unknown>): Route => ({
+    method: 'POST',
+    pattern,
+    handle: async ({ body }) => ({ status: 200, body: await handle(check(schema, body)) })
+  })
+  return new JsonServer({
+    name: 'coordinator peer server',
+    listen: address,
+    routes: [
+      route(PEER_PATHS.handle, callSchema, async call => await handler.handle(call)),
+      route(PEER_PATHS.report, reportSchema, async report => await handler.report(report)),
+      route(PEER_PATHS.release, releaseSchema, async ({ lease }) => ({ released: await handler.release(lease) })),
+      route(PEER_PATHS.advise, questionSchema, async question => ({ allowed: await handler.advise(question) }))
+    ]
+  })
+}
 
-  #addRoutes (router: ConnectRouter): void {
-    const handler = this.#handler
-    router.service(wire.CoordinatorService, {
-      handle: async request => encodeAnswer(await handler.handle({
-        action: request.action as CallAction,
-        host: request.host,
-        path: request.path,
-        key: request.key,
-        definition: Buffer.from(request.body).toString('utf8'),
-        desiredStateVersion: Number(request.desiredStateVersion)
-      })),
-      report: async request => encodeReportAnswer(await handler.report({
-        instance: request.instance, address: request.address, desiredStateVersion: Number(request.desiredStateVersion)
-      })),
-      release: async request => create(wire.ReleaseResponseSchema, { released: await handler.release(Number(request.lease)) }),
-      advise: async request => create(wire.AdviseResponseSchema, {
-        allowed: (await handler.advise({
-          step: request.step, targets: request.targets, expectedMs: request.expectedMilliseconds
-        })).map(allowed => create(wire.AllowedTargetSchema, allowed))
-      })
-    })
-  }
+function check<Body> (schema: z.ZodType<Body>, body: unknown): Body {
+  const parsed = schema.safeParse(body)
+  if (!parsed.success) throw new InputError(`a peer's call can not be read: ${z.prettifyError(parsed.error)}`)
+  return parsed.data
 }
--- a/src/adapters/store/httpStore.ts
+++ b/src/adapters/store/httpStore.ts
@@ -3,7 +3,7 @@
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
 import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import type { Clock } from '../../ports/clock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import type { Store, StoreEntry, WriteOptions, WriteResult } from '../../ports/store.ts'
 import { HttpCaller, NotSentError } from '../http/httpCaller.ts'
 import type { CallOptions, JsonResponse } from '../http/httpCaller.ts'
@@ -18,7 +18,7 @@
   readonly callTimeoutMs?: number
   readonly connectTimeoutMs?: number
   /** The system's clock if left out. */
-  readonly clock?: Clock
+  readonly clock?: TimerClock
 }
 
 const entrySchema = z.object({ key: z.string(), value: z.string(), version: z.number().int().positive() })
--- a/src/adapters/target/httpTargetClient.ts
+++ b/src/adapters/target/httpTargetClient.ts
@@ -4,7 +4,7 @@
 import { SystemClock } from '../clock/systemClock.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import type { TargetInfo, TaskReport } from '../../model/target.ts'
-import type { Clock } from '../../ports/clock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import type { FenceResult, StartResult, TargetClient, TaskCommand, TaskStart } from '../../ports/targetClient.ts'
 import { HttpCaller, NotSentError } from '../http/httpCaller.ts'
 import type { CallOptions, JsonResponse } from '../http/httpCaller.ts'
@@ -26,7 +26,7 @@
   readonly callTimeoutMs?: number
   readonly connectTimeoutMs?: number
   /** The system's clock if left out. */
-  readonly clock?: Clock
+  readonly clock?: TimerClock
 }
 
 interface TargetPools {
@@ -53,7 +53,7 @@
 
   readonly #callTimeoutMs: number
   readonly #connectTimeoutMs: number
-  readonly #clock: Clock
+  readonly #clock: TimerClock
   readonly #pools = new Map<string, TargetPools>()
 
   constructor (options: HttpTargetClientOptions = {}) {
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -176,7 +176,7 @@
     durable.then(() => {
       const { id, queue, team } = job.record
       this.table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
-      this.#logger.info({ job: id, team, queue, outcome: job.outcome, ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
+      this.#logger.info({ job: id, team, queue, outcome: job.outcome, waitedMs: job.startedAtMs === undefined ? undefined : Math.round(job.startedAtMs - job.acceptedAtMs), ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
     }, () => {})
   }
 
@@ -218,8 +218,7 @@
   startConfirmed (_session: TargetSession, assignment: Assignment): void {
     const { job } = assignment.task.step
     if (job.hasStarted) return
-    job.markStarted()
-    this.#logger.info({ job: job.id, team: job.team, queue: job.queue.name, waitedMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job started')
+    job.markStarted(this.#clock.monotonicMs())
   }
 
   joined (session: TargetSession): void {
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -45,7 +45,9 @@
   readonly team: string
 }
 
-export type JobState = 'queued' | 'active' | 'completed' | 'failed' | 'cancelled'
+export const JOB_STATES = ['queued', 'active', 'completed', 'failed', 'cancelled'] as const
+
+export type JobState = typeof JOB_STATES[number]
 
 export interface TaskName {
   readonly job: string
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -13,6 +13,7 @@
   readonly #occurrences: StepProgress[][] = []
   #outcome: 'completed' | 'failed' | 'cancelled' | undefined
   #startedTask = false
+  #startedAtMs: number | undefined
 
   constructor (record: JobRecord, queue: QueueSettings, acceptedAtMs: number) {
     this.record = record
@@ -53,8 +54,14 @@
     return this.#occurrences.flat()
   }
 
-  markStarted (): void {
+  /** When a task was first known to run, on this process's clock; undefined if an earlier coordinator saw it. */
+  get startedAtMs (): number | undefined {
+    return this.#startedAtMs
+  }
+
+  markStarted (nowMs: number): void {
     this.#startedTask = true
+    this.#startedAtMs ??= nowMs
   }
 
   /** Wall-clock time at which the next occurrence is due; undefined if none follows. */
--- a/src/observability/logger.ts
+++ b/src/observability/logger.ts
@@ -20,11 +20,16 @@
   /** Values of this process that must not be logged: the peer secret and the operators' token. */
   readonly secrets: readonly string[]
   readonly destination?: DestinationStream
+  /** The process logs no objects of others, so that redaction by field, half of the cost of a line, is left out. */
+  readonly ownFieldsOnly?: boolean
 }
 
 /** Start of every key, by which keys are recognised in text. */
 export const KEY_PREFIX = 'agk_'
 
+/** Lines are dropped while so much waits for a reader that does not keep up. */
+const LONGEST_BACKLOG_BYTES = 4 * 1024 * 1024
+
 const REPLACEMENT = '[redacted]'
 const KEY_TEXT = /agk_[A-Za-z0-9_-]+/g
 const BEARER_TEXT = /\b(bearer)[ \t]+[^\s"\\]+/gi
@@ -47,13 +52,13 @@
  * logger.warn({ team, requestId, verdict: 'not-run', code: 'shed' }, 'refused')
  */
 export function createLogger (options: LoggerOptions): Logger {
-  const target = options.destination ?? pino.destination({ fd: 1, sync: false })
+  const target = options.destination ?? pino.destination({ fd: 1, sync: false, maxLength: LONGEST_BACKLOG_BYTES })
   const redacted: DestinationStream = { write: line => target.write(redactLine(line, options.secrets)) }
   return pino({
     level: options.level,
     base: { instance: options.instance, dataCentre: options.dataCentre },
     timestamp: pino.stdTimeFunctions.isoTime,
     formatters: { level: label => ({ level: label }) },
-    redact: { paths: REDACTED_PATHS, censor: REPLACEMENT }
+    ...(options.ownFieldsOnly === true ? {} : { redact: { paths: REDACTED_PATHS, censor: REPLACEMENT } })
   }, redacted)
 }
--- a/src/platform/platformAdvisor.ts
+++ b/src/platform/platformAdvisor.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import { HttpCaller } from '../adapters/http/httpCaller.ts'
 import { BaseError } from '../model/errors.ts'
-import type { Clock } from '../ports/clock.ts'
+import type { TimerClock } from '../ports/clock.ts'
 import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
 
 const CONNECT_TIMEOUT_MS = 800
@@ -15,7 +15,7 @@
 export class PlatformAdvisor implements PlacementAdvisor {
   readonly #caller: HttpCaller
 
-  constructor (address: string, clock: Clock) {
+  constructor (address: string, clock: TimerClock) {
     this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
   }
 
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -4,7 +4,7 @@
 import type { CallOptions, JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../model/errors.ts'
-import type { Clock } from '../ports/clock.ts'
+import type { TimerClock } from '../ports/clock.ts'
 import type {
   CommitResult, StoreChange, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult
 } from '../ports/transactionalStore.ts'
@@ -40,7 +40,7 @@
   readonly name = 'store client'
   readonly #caller: HttpCaller
 
-  constructor (address: string, clock: Clock) {
+  constructor (address: string, clock: TimerClock) {
     this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
   }
 
--- a/src/platform/platformTarget.ts
+++ b/src/platform/platformTarget.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import { HttpCaller, NotSentError } from '../adapters/http/httpCaller.ts'
 import type { JsonResponse } from '../adapters/http/httpCaller.ts'
-import type { Clock } from '../ports/clock.ts'
+import type { TimerClock } from '../ports/clock.ts'
 import { RUN_ENDS } from '../ports/jobTarget.ts'
 import type {
   FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunningTask, StartOutcome, StartRefusal, StopOutcome, TargetLife, TaskOrder
@@ -38,7 +38,7 @@
   readonly #caller: HttpCaller
   readonly #life: TargetLife
 
-  constructor (address: string, life: TargetLife, clock: Clock) {
+  constructor (address: string, life: TargetLife, clock: TimerClock) {
     this.#caller = new HttpCaller({
       address, clock, connections: CONNECTIONS, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS
     })
--- /dev/null
+++ b/src/platform/standIn/standInPlatform.ts
@@ -0,0 +1,154 @@
+/** Everything that an instance meets on the platform, as stand-ins in one process. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { JsonServer } from '../../adapters/http/jsonServer.ts'
+import { StandInStore } from './standInStore.ts'
+import { StandInWorker } from './standInWorker.ts'
+import type { StandInWorkerOptions, WorkerEvent } from './standInWorker.ts'
+
+export interface StandInQueue {
+  readonly name: string
+  readonly prefix: string
+  readonly priority?: number
+  readonly maximumAttempts?: number
+  /** The queue's policy needs advice that takes this long. */
+  readonly adviceMs?: number
+}
+
+export interface StandInPlatformOptions {
+  readonly workers: number
+  readonly queues: readonly StandInQueue[]
+  readonly teams?: readonly { readonly name: string, readonly key: string, readonly weight?: number, readonly cap?: number }[]
+  readonly workMs?: StandInWorkerOptions['workMs']
+  readonly endOf?: StandInWorkerOptions['endOf']
+}
+
+export const STAND_IN_HOST = 'jobs.example'
+export const STAND_IN_KEY = 'key-of-weavers'
+const SERVICE = 'renders'
+const CORES = 64_000
+const MEMORY_MB = 262_144
+
+/**
+ * Starts the store, the targets and the advisor on ports of their own.
+ *
+ * @example
+ * const platform = await StandInPlatform.start({ workers: 3, queues: [{ name: 'checks', prefix: '/checks/' }] })
+ * const text = platform.settingsFor('entry-1', 7400)
+ */
+export class StandInPlatform {
+  readonly store = new StandInStore()
+  readonly events: WorkerEvent[] = []
+  readonly workers = new Map<string, StandInWorker>()
+  readonly #servers: JsonServer[] = []
+  readonly #options: StandInPlatformOptions
+  #storeAddress = ''
+  #advisorAddress = ''
+  #version = 0
+
+  private constructor (options: StandInPlatformOptions) {
+    this.#options = options
+  }
+
+  static async start (options: StandInPlatformOptions): Promise<StandInPlatform> {
+    const platform = new StandInPlatform(options)
+    platform.#storeAddress = await platform.#serve('store', platform.store.routes)
+    platform.#advisorAddress = await platform.#serve('advisor', [{
+      method: 'POST', pattern: '/-/advise', handle: async ({ body }) => await platform.#advise(body as AdviceBody)
+    }])
+    platform.configure()
+    for (let number = 1; number <= options.workers; number++) await platform.#addWorker(number)
+    return platform
+  }
+
+  /** Writes the desired state, with the options' queues and teams unless others are given. */
+  configure (teams = this.#options.teams ?? [{ name: 'weavers', key: STAND_IN_KEY }], queues = this.#options.queues): void {
+    this.#version += 1
+    this.store.put('op/config', {
+      version: this.#version,
+      routes: queues.map(({ name, prefix, priority = 0, maximumAttempts = 3, adviceMs }) => ({
+        name,
+        host: STAND_IN_HOST,
+        prefix,
+        service: SERVICE,
+        priority,
+        max_attempts: maximumAttempts,
+        stretch_factor: 2,
+        target_latency_ms: 1_000,
+        timeout_ms: 3_000,
+        ...(adviceMs === undefined ? {} : { recommendation: { decision_ms: adviceMs, period_ms: 0.1, validity_ms: 2_000 } })
+      })),
+      services: [{ name: SERVICE }],
+      limits: { max_body_bytes: 262_144 },
+      tenants: teams.map(({ name, key, weight = 100, cap = 0 }) => ({ name, api_keys: [key], weight, cap: { cpu: cap, mem_mb: 0, gpu: 0 } }))
+    })
+  }
+
+  /** The text of a settings file; the instance listens on the port and the ones after it. */
+  settingsFor (instance: string, port: number): string {
+    return [
+      `node_name = "${instance}"`,
+      'ip = "127.0.0.1"',
+      'zone = "attica-a"',
+      `internal_ports = [${port + 2}, ${port + 9}]`,
+      `recommendation = "${this.#advisorAddress}"`,
+      '[listen_addrs]',
+      `frontend = "127.0.0.1:${port}"`,
+      `ready = "127.0.0.1:${port + 1}"`,
+      '[bounds]',
+      'grace_s = 6',
+      'hold_max_ms = 10000',
+      'kill_grace_ms = 200',
+      '[platform]',
+      `address = "${this.#storeAddress}"`
+    ].join('\n')
+  }
+
+  /** Lists a target as leaving. */
+  drain (id: string): void {
+    const entry = this.store.read(`servers/${id}`)[0]
+    if (entry !== undefined) this.store.put(`servers/${id}`, { ...JSON.parse(entry[1]), state: 'draining' })
+  }
+
+  async stop (): Promise<void> {
+    this.store.close()
+    for (const worker of this.workers.values()) worker.close()
+    await Promise.all(this.#servers.map(async server => await server.stop()))
+  }
+
+  async #addWorker (number: number): Promise<void> {
+    const id = `worker-${number}`
+    const bornMs = Date.now()
+    const { workMs = () => 50, endOf } = this.#options
+    const worker = new StandInWorker({ id, bornMs, workMs, endOf, onEvent: event => this.events.push(event) })
+    this.workers.set(id, worker)
+    const address = await this.#serve(id, worker.routes)
+    this.store.put(`servers/${id}`, {
+      service: SERVICE,
+      address,
+      zone: 'attica-a',
+      state: 'ready',
+      capacity: { cpu: CORES, mem_mb: MEMORY_MB, gpu: 0 },
+      labels: ['a', `r-${number % 4}`],
+      born: bornMs,
+      sequence: 1
+    })
+  }
+
+  async #serve (name: string, routes: ConstructorParameters<typeof JsonServer>[0]['routes']): Promise<string> {
+    const server = new JsonServer({ name, listen: '127.0.0.1:0', routes })
+    await server.start()
+    this.#servers.push(server)
+    return server.address
+  }
+
+  async #advise ({ step_id: step, workers }: AdviceBody): Promise<{ status: number, body: unknown }> {
+    const adviceMs = Math.max(0, ...this.#options.queues.map(queue => queue.adviceMs ?? 0))
+    await delay(adviceMs)
+    return { status: 200, body: { allowed: workers.map(worker => [worker, `${step}/${worker}`]), validity_ms: 2_000 } }
+  }
+}
+
+interface AdviceBody {
+  readonly step_id: string
+  readonly workers: readonly string[]
+}
--- /dev/null
+++ b/src/platform/standIn/standInStore.ts
@@ -0,0 +1,194 @@
+/** The platform's store as a stand-in for tests, in memory. */
+import type { JsonAnswer, Route } from '../../adapters/http/routes.ts'
+
+interface Item {
+  readonly key: string
+  readonly value: string
+  readonly revision: number
+  readonly created: number
+  readonly lease: number
+}
+
+interface Lease {
+  readonly durationMs: number
+  timer: NodeJS.Timeout
+}
+
+type Event = { readonly key: string, readonly revision: number, readonly item?: Item }
+
+/** `refusing` answers 503, `losing` carries calls out and answers nothing. */
+export type StoreFault = 'none' | 'refusing' | 'losing'
+
+const PAGE_ITEMS = 500
+const NOT_SERVED: JsonAnswer = { status: 503, body: {} }
+
+export class StandInStore {
+  readonly #items = new Map<string, Item>()
+  readonly #leases = new Map<number, Lease>()
+  readonly #waiting = new Set<() => void>()
+  #events: Event[] = []
+  #revision = 1
+  #compactedBefore = 0
+  #nextLease = 1
+  fault: StoreFault = 'none'
+  calls = 0
+
+  /** Writes a key as the operator or a target does. */
+  put (key: string, value: unknown): void {
+    this.#write(key, Buffer.from(JSON.stringify(value)).toString('base64'), 0)
+  }
+
+  remove (key: string): void {
+    this.#remove(key)
+  }
+
+  /** Keys with the prefix, with decoded values. */
+  read (prefix: string): readonly (readonly [key: string, value: string])[] {
+    return this.#list(prefix).map(({ key, value }) => [key, Buffer.from(value, 'base64').toString('utf8')])
+  }
+
+  /** Drops the history, so that waiting watches end with 410. */
+  compact (): void {
+    this.#compactedBefore = this.#revision
+    this.#events = []
+    this.#wake()
+  }
+
+  close (): void {
+    for (const { timer } of this.#leases.values()) clearTimeout(timer)
+  }
+
+  get routes (): readonly Route[] {
+    return [
+      this.#route('GET', '/-/kv-key', async ({ query }) => this.#get(query.get('key') ?? '')),
+      this.#route('GET', '/-/kv-range', async ({ query }) => this.#range(query.get('prefix') ?? '', query.get('after') ?? '')),
+      this.#route('GET', '/-/kv-watch', async ({ query, signal }) =>
+        await this.#watch(query.get('prefix') ?? '', Number(query.get('after')), Number(query.get('wait_ms')), signal)),
+      this.#route('POST', '/-/kv-txn', async ({ body }) => this.#commit(body as TransactionBody)),
+      this.#route('POST', '/-/kv-lease', async ({ body }) => this.#grant((body as { ttl_ms: number }).ttl_ms)),
+      this.#route('POST', '/-/kv-keep/:id', async ({ parameters }) => this.#keep(Number(parameters['id']))),
+      this.#route('DELETE', '/-/kv-lease-end/:id', async ({ parameters }) => this.#end(Number(parameters['id'])))
+    ]
+  }
+
+  #route (method: Route['method'], pattern: string, handle: Route['handle']): Route {
+    return {
+      method,
+      pattern,
+      handle: async call => {
+        this.calls += 1
+        const { fault } = this
+        if (fault === 'refusing') return NOT_SERVED
+        const answer = await handle(call)
+        if (fault !== 'losing') return answer
+        call.response.destroy()
+        return undefined
+      }
+    }
+  }
+
+  #get (key: string): JsonAnswer {
+    const item = this.#items.get(key)
+    return item === undefined ? { status: 404, body: { at: this.#revision } } : { status: 200, body: { ...describe(item), at: this.#revision } }
+  }
+
+  #list (prefix: string, after = ''): readonly Item[] {
+    return [...this.#items.values()].filter(({ key }) => key.startsWith(prefix) && key > after).sort((left, right) => left.key < right.key ? -1 : 1)
+  }
+
+  #range (prefix: string, after: string): JsonAnswer {
+    const items = this.#list(prefix, after)
+    return { status: 200, body: { items: items.slice(0, PAGE_ITEMS).map(describe), has_more: items.length > PAGE_ITEMS, at: this.#revision } }
+  }
+
+  async #watch (prefix: string, after: number, waitMs: number, signal: AbortSignal): Promise<JsonAnswer> {
+    const untilMs = Date.now() + waitMs
+    for (;;) {
+      if (after < this.#compactedBefore) return { status: 410, body: {} }
+      const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix))
+      if (events.length > 0 || Date.now() >= untilMs || signal.aborted) {
+        return { status: 200, body: { events: events.map(({ key, revision, item }) => item === undefined ? { key, revision, compacted: true } : describe(item)), at: this.#revision } }
+      }
+      await this.#nextChange(untilMs - Date.now())
+    }
+  }
+
+  async #nextChange (waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(done, waitMs)
+      const waiting = this.#waiting
+      function done (): void {
+        clearTimeout(timer)
+        waiting.delete(done)
+        resolve()
+      }
+      waiting.add(done)
+    })
+  }
+
+  #commit ({ expected_rev: expected = [], write = [], remove = [] }: TransactionBody): JsonAnswer {
+    const holds = expected.every(({ key, revision }) => (this.#items.get(key)?.revision ?? 0) === revision)
+    if (!holds) {
+      const items = expected.flatMap(({ key }) => this.#items.get(key) ?? [])
+      return { status: 412, body: { items: items.map(describe) } }
+    }
+    if (write.some(({ lease_id: lease = 0 }) => lease !== 0 && !this.#leases.has(lease))) return { status: 404, body: {} }
+    for (const { key, value, lease_id: lease = 0 } of write) this.#write(key, value, lease)
+    for (const key of remove) this.#remove(key)
+    return { status: 200, body: { revision: this.#revision } }
+  }
+
+  #write (key: string, value: string, lease: number): void {
+    this.#revision += 1
+    const item: Item = { key, value, revision: this.#revision, created: this.#items.get(key)?.created ?? this.#revision, lease }
+    this.#items.set(key, item)
+    this.#events.push({ key, revision: this.#revision, item })
+    this.#wake()
+  }
+
+  #remove (key: string): void {
+    if (!this.#items.delete(key)) return
+    this.#revision += 1
+    this.#events.push({ key, revision: this.#revision })
+    this.#wake()
+  }
+
+  #wake (): void {
+    for (const wake of [...this.#waiting]) wake()
+  }
+
+  #grant (durationMs: number): JsonAnswer {
+    const id = this.#nextLease++
+    this.#leases.set(id, { durationMs, timer: setTimeout(() => this.#end(id), durationMs) })
+    return { status: 200, body: { lease_id: id, ttl_ms: durationMs } }
+  }
+
+  #keep (id: number): JsonAnswer {
+    const lease = this.#leases.get(id)
+    if (lease === undefined) return { status: 404, body: {} }
+    clearTimeout(lease.timer)
+    lease.timer = setTimeout(() => this.#end(id), lease.durationMs)
+    return { status: 200, body: { ttl_ms: lease.durationMs } }
+  }
+
+  #end (id: number): JsonAnswer {
+    const lease = this.#leases.get(id)
+    if (lease === undefined) return { status: 404, body: {} }
+    clearTimeout(lease.timer)
+    this.#leases.delete(id)
+    for (const item of [...this.#items.values()]) {
+      if (item.lease === id) this.#remove(item.key)
+    }
+    return { status: 200, body: {} }
+  }
+}
+
+interface TransactionBody {
+  readonly expected_rev?: readonly { readonly key: string, readonly revision: number }[]
+  readonly write?: readonly { readonly key: string, readonly value: string, readonly lease_id?: number }[]
+  readonly remove?: readonly string[]
+}
+
+function describe ({ key, value, revision, created, lease }: Item): Record<string, unknown> {
+  return { key, value, revision, created, lease_id: lease }
+}
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -1,6 +1,6 @@
 /** Composes an instance on the users' platform. */
 import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
-import { CoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
+import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { TextServer } from '../adapters/http/textServer.ts'
 import { CallRouter } from '../entry/callRouter.ts'
@@ -43,10 +43,10 @@
 export async function startOnPlatform (settingsPath: string): Promise<PlatformInstance> {
   const settings = readSettings(settingsPath)
   const clock = new SystemClock()
-  const logger = createLogger({ level: 'info', instance: settings.instance, dataCentre: settings.dataCentre, secrets: [] })
+  const logger = createLogger({ level: 'info', instance: settings.instance, dataCentre: settings.dataCentre, secrets: [], ownFieldsOnly: true })
   const metrics = new JobMetrics()
   const store = new PlatformStore(settings.storeAddress, clock)
-  const peers = new CoordinatorPeerClient()
+  const peers = new CoordinatorPeerClient(clock)
   const desired = new DesiredStateWatcher({ store, key: DESIRED_STATE_KEY, parse: parseDesiredState, clock, logger })
   const peerAddress = `${settings.ip}:${settings.peerPort}`
   const instance = new JobInstance({
@@ -79,7 +79,7 @@
   const metricsServer = new TextServer('metrics', `${settings.ip}:${settings.metricsPort}`, { [METRICS_PATH]: async () => await metrics.render() })
 
   const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
-  for (const component of [store, peers, desired, new CoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
+  for (const component of [store, peers, desired, createCoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
 
