--- /dev/null
+++ b/src/coordinator/adviceLanes.test.ts
@@ -0,0 +1,74 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+import { AdviceLanes } from './adviceLanes.ts'
+
+/** Serves one question after the other, as the advisor does for each calling instance. */
+class SerialAdvisor implements PlacementAdvisor {
+  readonly #clock: ManualClock
+  #line: Promise<unknown> = Promise.resolve()
+
+  constructor (clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  async ask ({ expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
+    const answer = this.#line.then(async () => await this.#clock.sleep(expectedMs))
+    this.#line = answer
+    await answer
+    return []
+  }
+}
+
+function createLanes (clock: ManualClock, count: number): AdviceLanes {
+  const lanes = new AdviceLanes(clock)
+  lanes.setLanes(Array.from({ length: count }, (_, number) => ({ name: `entry-${number}`, advisor: new SerialAdvisor(clock) })))
+  return lanes
+}
+
+/** Asks at the given times and returns how long each answer took. */
+async function measure (clock: ManualClock, lanes: AdviceLanes, questions: readonly { readonly atMs: number, readonly expectedMs: number, readonly rank: number }[]): Promise<readonly number[]> {
+  const waits: number[] = []
+  for (const [position, { atMs, expectedMs, rank }] of questions.entries()) {
+    await clock.advance(Math.max(0, atMs - clock.monotonicMs()))
+    const askedMs = clock.monotonicMs()
+    lanes.ask({ step: `job-${position}.0.0`, targets: [], expectedMs }, rank).then(() => { waits[position] = clock.monotonicMs() - askedMs }, () => {})
+  }
+  await clock.advance(60_000)
+  return waits
+}
+
+test('burst of long questions: short ones never wait behind them', async t => {
+  const clock = new ManualClock()
+  const long = Array.from({ length: 30 }, (_, position) => ({ atMs: position * 10, expectedMs: 830, rank: 1 }))
+  const short = Array.from({ length: 60 }, (_, position) => ({ atMs: position * 15, expectedMs: 12, rank: 0 }))
+  const questions = [...long, ...short].sort((left, right) => left.atMs - right.atMs)
+  const waits = await measure(clock, createLanes(clock, 7), questions)
+  const slowest = Math.max(...questions.flatMap((question, position) => question.rank === 0 ? [waits[position] ?? Infinity] : []))
+  t.true(slowest <= 40, `slowest short answer after ${slowest} ms`)
+})
+
+test('one caller can not carry the calm load that the lanes carry together', async t => {
+  const calm = Array.from({ length: 20 }, (_, position) => ({ atMs: position * 800, expectedMs: 830, rank: 1 }))
+  const one = await measure(new ManualClock(), createLanes(new ManualClock(), 1), []).then(async () => {
+    const clock = new ManualClock()
+    return await measure(clock, createLanes(clock, 1), calm)
+  })
+  const clock = new ManualClock()
+  const seven = await measure(clock, createLanes(clock, 7), calm)
+  t.true(Math.max(...one) > 1_300)
+  t.true(Math.max(...seven) <= 840)
+})
+
+test('a lane that fails is not asked for a while, and its question is answered with an error', async t => {
+  const clock = new ManualClock()
+  const lanes = new AdviceLanes(clock)
+  let asked = 0
+  lanes.setLanes([{ name: 'entry-1', advisor: { ask: async () => { asked += 1; throw new Error('busy') } } }])
+  await t.throwsAsync(lanes.ask({ step: 'a.0.0', targets: [], expectedMs: 10 }, 0), { message: 'busy' })
+  const second = lanes.ask({ step: 'b.0.0', targets: [], expectedMs: 10 }, 0)
+  await clock.settle()
+  t.is(asked, 1)
+  await Promise.all([t.throwsAsync(second), clock.advance(1_100)])
+  t.is(asked, 2)
+})
--- /dev/null
+++ b/src/coordinator/placeStep.test.ts
@@ -0,0 +1,85 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { StepDefinition } from '../jobs/job.ts'
+import { resources } from '../model/resources.ts'
+import { placeStep } from './placeStep.ts'
+import type { TargetRoom } from './placeStep.ts'
+
+const STEP: StepDefinition = {
+  count: 4,
+  size: resources({ processors: 18_000, memory: 68_000 }),
+  estimateMs: 5_000,
+  after: [],
+  gang: false,
+  sameRack: false,
+  requiredLabel: '',
+  dataRack: '',
+  tasksPerTarget: 0,
+  longRunning: false,
+  fillsSpareProcessors: false,
+  responseTargetMs: 0
+}
+
+function room (key: string, processors: number, given: Partial<TargetRoom> = {}): TargetRoom {
+  return {
+    key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: ['a', 'r-1'], sameStepTasks: 0, hasResponseTargets: false, hasFills: false, failedHere: false, ...given
+  }
+}
+
+test('a wide gang is not begun with a part of its members', t => {
+  const rooms = [room('one', 40_000), room('two', 20_000)]
+  t.deepEqual(placeStep({ ...STEP, gang: true }, 4, rooms), [])
+  t.deepEqual(placeStep({ ...STEP, gang: true }, 3, rooms), ['two', 'one', 'one'])
+  t.deepEqual(placeStep(STEP, 4, rooms), ['two', 'one', 'one'])
+})
+
+test('the limit of tasks on one target holds, also with tasks that run there', t => {
+  const rooms = [room('one', 64_000, { sameStepTasks: 1 }), room('two', 64_000)]
+  t.deepEqual(placeStep({ ...STEP, tasksPerTarget: 2 }, 4, rooms), ['one', 'two', 'two'])
+})
+
+test('a target without the required label, or with the wrong neighbours, gets no task', t => {
+  t.deepEqual(placeStep({ ...STEP, requiredLabel: 'b' }, 1, [room('one', 64_000)]), [])
+  t.deepEqual(placeStep({ ...STEP, fillsSpareProcessors: true }, 1, [room('one', 64_000, { hasResponseTargets: true })]), [])
+  t.deepEqual(placeStep({ ...STEP, responseTargetMs: 50 }, 1, [room('one', 64_000, { hasFills: true })]), [])
+})
+
+test('a task that failed on a target goes to another one while there is room', t => {
+  t.deepEqual(placeStep(STEP, 1, [room('one', 20_000, { failedHere: true }), room('two', 64_000)]), ['two'])
+  t.deepEqual(placeStep(STEP, 1, [room('one', 20_000, { failedHere: true })]), ['one'])
+})
+
+test('tasks that need one rack get one if any has room, and near data the rack of the data', t => {
+  const rooms = [room('one', 18_000, { rack: 'r-1' }), room('two', 64_000, { rack: 'r-2' }), room('three', 20_000, { rack: 'r-3' })]
+  t.deepEqual(placeStep({ ...STEP, sameRack: true }, 3, rooms), ['two', 'two', 'two'])
+  t.deepEqual(placeStep({ ...STEP, dataRack: 'r-2' }, 1, rooms), ['two'])
+})
+
+/** Fills the targets in the order given. */
+function placeNaively (definition: StepDefinition, count: number, rooms: readonly TargetRoom[]): number {
+  let placed = 0
+  for (const { free } of rooms) {
+    let { processors, memory } = free
+    while (placed < count && processors >= definition.size.processors && memory >= definition.size.memory) {
+      processors -= definition.size.processors
+      memory -= definition.size.memory
+      placed += 1
+    }
+  }
+  return placed
+}
+
+test('no target gets more than it has, and as many tasks fit as with a naive placement', t => {
+  const amounts = fc.array(fc.record({ processors: fc.integer({ min: 0, max: 64_000 }), memory: fc.integer({ min: 0, max: 262_144 }) }), { maxLength: 12 })
+  const property = fc.property(amounts, fc.integer({ min: 1, max: 20 }), fc.integer({ min: 500, max: 30_000 }), (frees, count, processors) => {
+    const definition = { ...STEP, size: resources({ processors, memory: 10_000 }) }
+    const rooms = frees.map((free, position) => room(`target-${position}`, 0, { free: { ...free, accelerators: 0 } }))
+    const placed = placeStep(definition, count, rooms)
+    for (const { key, free } of rooms) {
+      const here = placed.filter(target => target === key).length
+      if (here * processors > free.processors || here * 10_000 > free.memory) return false
+    }
+    return placed.length === placeNaively(definition, count, rooms)
+  })
+  t.notThrows(() => fc.assert(property, { seed: 41, numRuns: 300 }))
+})
--- /dev/null
+++ b/src/coordinator/targetSession.test.ts
@@ -0,0 +1,196 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import type { JobRecord } from '../jobs/jobRecords.ts'
+import { JobProgress } from '../jobs/jobProgress.ts'
+import { resources } from '../model/resources.ts'
+import { createLogger } from '../observability/logger.ts'
+import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOutcome, TaskOrder } from '../ports/jobTarget.ts'
+import { Assignment } from './assignment.ts'
+import { TargetSession } from './targetSession.ts'
+import type { TargetListener } from './targetSession.ts'
+
+const LEASE_MS = 9_500
+const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
+
+class FakeTarget implements JobTargetClient {
+  readonly renewals: RenewOrder[] = []
+  readonly stops: string[] = []
+  finished: FinishedRun[] = []
+  running: { task: string, attempt: number, checkpoint: string, percent: number }[] = []
+  reachable = true
+  bornMs = 1
+  startOutcome: StartOutcome = { outcome: 'started', clockMs: 0 }
+  readonly #clock: ManualClock
+
+  constructor (clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  async start (_order: TaskOrder): Promise<StartOutcome> {
+    return this.startOutcome
+  }
+
+  async stop ({ task }: { readonly task: string }): Promise<StopOutcome> {
+    this.stops.push(task)
+    return this.reachable ? 'stopping' : 'unknown'
+  }
+
+  async renew (order: RenewOrder): Promise<RenewOutcome> {
+    await this.#clock.sleep(50)
+    if (!this.reachable) return { outcome: 'failed', message: 'no answer' }
+    this.renewals.push(order)
+    this.finished = this.finished.filter(run => run.number > order.acknowledged)
+    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: this.#clock.monotonicMs(), running: this.running, finished: this.finished } }
+  }
+
+  async close (): Promise<void> {}
+}
+
+class Recorder implements TargetListener {
+  readonly events: string[] = []
+  /** Ends that are not stored yet, by task. */
+  readonly unstored = new Map<string, Promise<void>>()
+
+  async runEnded (_session: TargetSession, run: FinishedRun): Promise<void> {
+    this.events.push(`${run.task} ${run.end}`)
+    await this.unstored.get(run.task)
+  }
+
+  runLost (_session: TargetSession, { task }: Assignment, reason: string): void { this.events.push(`${task.name} lost: ${reason}`) }
+  startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
+  startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
+  joined (): void { this.events.push('joined') }
+  lifeEnded (_session: TargetSession, reason: string): void { this.events.push(`life ended: ${reason}`) }
+  fenced (): void { this.events.push('fenced') }
+  changed (): void {}
+}
+
+function createSession (foreignOrdersUntilMs = -Infinity) {
+  const clock = new ManualClock()
+  const client = new FakeTarget(clock)
+  const listener = new Recorder()
+  const session = new TargetSession({
+    description: { id: 'worker-1', bornMs: 1, address: '', service: 'renders', dataCentre: 'attica-a', capacity: resources({ processors: 64_000, memory: 1_000 }), labels: [] },
+    client, clock, logger, listener, fencingToken: 7, leaseMs: LEASE_MS, mayAct: () => true, foreignOrdersUntilMs
+  })
+  session.run().catch(error => listener.events.push(String(error)))
+  return { clock, client, listener, session }
+}
+
+function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
+  const record: JobRecord = {
+    type: 'job', id, queue: 'checks', team: 'weavers', acceptedWallMs: 0, withinShare: true,
+    definition: {
+      spec: '',
+      steps: [{
+        count: 1, size: resources({ processors: 1_000, memory: 10 }), estimateMs: 100, after: [], gang: false, sameRack: false, requiredLabel: '',
+        dataRack: '', tasksPerTarget: 0, longRunning: false, fillsSpareProcessors: false, responseTargetMs: 0
+      }]
+    }
+  }
+  const queue = { name: 'checks', host: '', pathPrefix: '', service: 'renders', priority: 0, maximumFailures: 2, stretchFactor: 1, latencyObjectiveMs: 1, timeoutMs: 1, anonymous: false }
+  const task = new JobProgress(record, queue, 0).steps[0]?.tasks[0]
+  if (task === undefined) throw new Error('the job has no task')
+  return new Assignment(task, 1, task.step.definition.size, state, 0)
+}
+
+function finishedRun (number: number, task: string): FinishedRun {
+  return { number, task, attempt: 1, end: 'done', checkpoint: '' }
+}
+
+test('an end that needs no record does not acknowledge an earlier one that is not stored', async t => {
+  const { clock, client, listener } = createSession()
+  let store: () => void = () => {}
+  listener.unstored.set('a.0.0.0', new Promise(resolve => { store = resolve }))
+  client.finished = [finishedRun(1, 'a.0.0.0')]
+  await clock.advance(300)
+  client.finished = [...client.finished, finishedRun(2, 'b.0.0.0')]
+  await clock.advance(3_000)
+  t.deepEqual(listener.events, ['a.0.0.0 done', 'joined', 'b.0.0.0 done'])
+  t.is(Math.max(...client.renewals.map(order => order.acknowledged)), 0)
+  store()
+  await clock.advance(1_500)
+  t.is(client.renewals.at(-1)?.acknowledged, 2)
+})
+
+test('leases are not extended before the target has told its clock', async t => {
+  const { clock, client } = createSession()
+  await clock.advance(200)
+  t.is(client.renewals[0]?.leaseUntilTargetMs, undefined)
+  t.true((client.renewals[1]?.leaseUntilTargetMs ?? 0) > LEASE_MS - 200)
+})
+
+test('an order without an answer is withdrawn before its task is free again', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  await clock.advance(200)
+  t.deepEqual(listener.events, ['joined'])
+  await clock.advance(1_500)
+  t.deepEqual(client.stops, [assignment.task.name])
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
+  t.is(session.free.processors, 64_000)
+})
+
+test('an order without an answer that the target reports is kept', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  const assignment = createAssignment()
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 3 }]
+  session.reserve(assignment)
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  await clock.advance(1_500)
+  t.deepEqual(client.stops, [])
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
+  t.is(assignment.state, 'running')
+})
+
+test('a run on a target that is cut off is not given up before every lease on it has ended', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  client.reachable = false
+  await clock.advance(LEASE_MS)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
+  // Leases are extended for 1.5 s of silence, and last 3% and 0.3 s longer on the target's clock.
+  await clock.advance(1_500 + LEASE_MS * 0.03 + 600)
+  t.deepEqual(listener.events.slice(2), [`${assignment.task.name} lost: lease-lapsed`, 'life ended: lease-lapsed'])
+})
+
+test('a run of an earlier coordinator counts until its target is heard or its leases have ended', async t => {
+  const foreignOrdersUntilMs = 3_000
+  const { clock, client, listener, session } = createSession(foreignOrdersUntilMs)
+  client.reachable = false
+  const assignment = createAssignment('job-1', 'recovering')
+  assignment.confirmedAtMs = -Infinity
+  session.reserve(assignment)
+  await clock.advance(foreignOrdersUntilMs + LEASE_MS)
+  t.deepEqual(listener.events, [])
+  t.is(session.free.processors, 63_000)
+  await clock.advance(2_000)
+  t.is(listener.events[0], `${assignment.task.name} lost: lease-lapsed`)
+})
+
+test('what a target runs without being asked by this coordinator is stopped', async t => {
+  const { clock, client } = createSession()
+  client.running = [{ task: 'unknown.0.0.0', attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(100)
+  t.true(client.stops.includes('unknown.0.0.0'))
+})
+
+test('a restart under the same identity ends the runs of the earlier life', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  client.bornMs = 2
+  await clock.advance(1_500)
+  t.deepEqual(listener.events.slice(2), [`${assignment.task.name} lost: restarted`, 'life ended: restarted'])
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -21,6 +21,11 @@
 const STORE_WAIT_MS = 500
 /** Within this time a target that takes part has answered. */
 const REACHABLE_MS = 2_600
+/**
+ * Leases are not extended on a target that was silent for longer: each order that may still arrive would
+ * put off the time at which everything there has certainly ended.
+ */
+const EXTENDABLE_MS = 1_500
 /** After an order without an answer, until it is withdrawn unless the target reports the run. */
 const CONFIRM_MS = 250
 /** Repeats of orders to stop. */
@@ -343,11 +348,12 @@
     if (refusal === 'other-life') this.#end('restarted')
   }
 
-  /** End of the lease on the target's clock; undefined while the coordinator must not give orders. */
+  /** End of the lease on the target's clock; undefined while leases must not be extended. */
   #leaseUntil (): number | undefined {
     const { clock, leaseMs, mayAct } = this.#options
     if (this.#clockOffsetMs === undefined || !mayAct()) return undefined
     const nowMs = clock.monotonicMs()
+    if (nowMs - this.#lastContactMs > EXTENDABLE_MS) return undefined
     this.#leaseSentMs = Math.max(this.#leaseSentMs, nowMs)
     return Math.floor(nowMs + this.#clockOffsetMs + leaseMs)
   }
--- /dev/null
+++ b/src/coordinator/testing/memoryTransactionalStore.ts
@@ -0,0 +1,78 @@
+/** A transactional store in memory for unit tests, with faults at single calls. */
+import { StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
+import type { CommitResult, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult } from '../../ports/transactionalStore.ts'
+
+/** `lost` carries the call out and loses the answer. */
+export type CommitFault = 'none' | 'unavailable' | 'lost'
+
+export class MemoryTransactionalStore implements TransactionalStore {
+  readonly items = new Map<string, StoredItem>()
+  readonly leases = new Map<number, Set<string>>()
+  /** Faults of the next commits, in order. */
+  readonly commitFaults: CommitFault[] = []
+  /** Whether every call is refused. */
+  refusing = false
+  commits = 0
+  #revision = 1
+  #nextLease = 1
+
+  async get (key: string): Promise<StoreRead> {
+    this.#refuse()
+    return { item: this.items.get(key), revision: this.#revision }
+  }
+
+  async listPage (prefix: string, after = ''): Promise<StorePage> {
+    this.#refuse()
+    const items = [...this.items.values()].filter(({ key }) => key.startsWith(prefix) && key > after)
+    return { items: items.sort((left, right) => left.key < right.key ? -1 : 1), hasMore: false, revision: this.#revision }
+  }
+
+  async watch (prefix: string, afterRevision: number): Promise<WatchResult> {
+    this.#refuse()
+    const changed = [...this.items.values()].filter(({ key, revision }) => key.startsWith(prefix) && revision > afterRevision)
+    return { outcome: 'changes', changes: changed.map(item => ({ type: 'written', item })), revision: this.#revision }
+  }
+
+  async commit ({ conditions, writes, removes }: Transaction): Promise<CommitResult> {
+    this.#refuse()
+    const fault = this.commitFaults.shift() ?? 'none'
+    if (fault === 'unavailable') throw new StoreUnavailableError('refused')
+    this.commits += 1
+    const holds = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision)
+    if (holds) {
+      for (const { key, value, lease } of writes) this.put(key, value, lease)
+      for (const key of removes) this.items.delete(key)
+    }
+    if (fault === 'lost') throw new StoreUnknownError('the answer was lost')
+    if (holds) return { outcome: 'committed', revision: this.#revision }
+    return { outcome: 'conflict', current: conditions.flatMap(({ key }) => this.items.get(key) ?? []) }
+  }
+
+  put (key: string, value: string, lease?: number): void {
+    this.#revision += 1
+    this.items.set(key, { key, value, revision: this.#revision })
+    if (lease !== undefined) this.leases.get(lease)?.add(key)
+  }
+
+  async grantLease (): Promise<number> {
+    this.#refuse()
+    const lease = this.#nextLease++
+    this.leases.set(lease, new Set())
+    return lease
+  }
+
+  async renewLease (lease: number): Promise<boolean> {
+    this.#refuse()
+    return this.leases.has(lease)
+  }
+
+  async endLease (lease: number): Promise<void> {
+    this.#refuse()
+    for (const key of this.leases.get(lease) ?? []) this.items.delete(key)
+    this.leases.delete(lease)
+  }
+
+  #refuse (): void {
+    if (this.refusing) throw new StoreUnavailableError('refused')
+  }
+}
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,7 +1,7 @@
 /** How far a job is. */
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
-import type { JobRecord, PlacedRecord, RunEndRecord } from './jobRecords.ts'
+import type { JobRecord, PlacedRecord, RunEndRecord, StepRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
 export class JobProgress {
@@ -92,8 +92,15 @@
   /** Applies where tasks are about to be started. */
   place ({ occurrence, step, runs }: PlacedRecord): void {
     const placed = this.findStep(occurrence, step)
-    for (const [index, attempt, target] of runs) placed?.place(index, attempt, target)
-    this.#startedTask = true
+    for (const [index, attempt, target] of runs) {
+      if (placed?.place(index, attempt, target) === true) this.#startedTask = true
+    }
+  }
+
+  /** Applies a step of a snapshot. */
+  restore (record: StepRecord): void {
+    this.findStep(record.occurrence, record.step)?.restore(record)
+    if (record.tasks.some(task => task.attempt > 0)) this.#startedTask = true
   }
 
   /** Applies the end of a run; false if it changes nothing. */
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -64,7 +64,7 @@
         this.#jobs.get(record.job)?.endRun(record)
         break
       case 'step':
-        this.#jobs.get(record.job)?.findStep(record.occurrence, record.step)?.restore(record)
+        this.#jobs.get(record.job)?.restore(record)
         break
       case 'cancelled':
         this.#jobs.get(record.job)?.cancel()
