Test jobs end to end on stand-ins; refuse jobs at once while the store does not renew the election

Cause: with no record on its way, a coordinator did not know that the store refuses calls, and a new job was held for 1.8 s (test 'while the store refuses calls', 504 instead of 503 before).

--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -98,6 +98,11 @@
     return nowMs < this.#validUntilMs + (this.#failedRenewals > 0 ? AUTHORITY_GRACE_MS : 0)
   }
 
+  /** Whether the last renewal failed. */
+  get storeFails (): boolean {
+    return this.#failedRenewals > 0
+  }
+
   /** Gives the office up and does not stand again; a successor can be elected at once. */
   async withdraw (): Promise<void> {
     this.#withdrawn = true
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -45,6 +45,8 @@
 const URGENT_RESERVE = 0.05
 /** Targets that one question names at most. */
 const TARGETS_PER_QUESTION = 100
+/** While the store has refused records for longer, nothing is accepted. */
+const STORE_FAILING_MS = 400
 const HOUSEKEEPING_MS = 1_000
 const LONGEST_RECOVERED_AGE_MS = 3_600_000
 
@@ -58,6 +60,8 @@
   readonly desiredState: () => DesiredState
   readonly lanes: AdviceLanes
   readonly mayAct: () => boolean
+  /** Whether the store does not renew the election. */
+  readonly storeFails: () => boolean
   readonly resign: (reason: string) => void
   readonly targetLeaseMs: number
   readonly earlyStartMs: number
@@ -106,9 +110,10 @@
     return this.#options.info
   }
 
-  /** Since when the store refuses records; undefined while it takes them. */
-  get storeFailingSinceMs (): number | undefined {
-    return this.#log?.failingSinceMs
+  /** Whether the store is known not to take records now. */
+  get storeFails (): boolean {
+    const since = this.#log?.failingSinceMs
+    return this.#options.storeFails() || (since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS)
   }
 
   /** Recovers what earlier coordinators left, then places work until the term ends. */
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -11,8 +11,6 @@
 
 /** A refusal is only given on a desired state that was confirmed within this time. */
 const REFUSAL_AGE_MS = 400
-/** While the store has refused records for longer, no job is accepted. */
-const STORE_FAILING_MS = 400
 const RETRY_AFTER_SECONDS = 1
 
 interface Resolved {
@@ -77,7 +75,7 @@
     const pending = this.#pending.get(id)
     if (pending !== undefined) return await this.#awaitAcceptance(pending)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
-    if (this.#storeFails()) return unavailable('the store takes no records')
+    if (this.#coordinator.storeFails) return unavailable('the store takes no records')
     const withinShare = teamSettings === undefined || this.#shares.take(team, teamSettings.weight)
     const durable = this.#coordinator.record([...this.#coordinator.recordsOfQueue(queue), {
       type: 'job',
@@ -145,11 +143,6 @@
     }
     return { outcome: 'pending', pending }
   }
-
-  #storeFails (): boolean {
-    const since = this.#coordinator.storeFailingSinceMs
-    return since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS
-  }
 }
 
 function isOwner (job: { readonly team: string, readonly queue: string }, team: string, queue: QueueSettings): boolean {
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -71,7 +71,14 @@
   const listener = new Recorder()
   const session = new TargetSession({
     description: { id: 'worker-1', bornMs: 1, address: '', service: 'renders', dataCentre: 'attica-a', capacity: resources({ processors: 64_000, memory: 1_000 }), labels: [] },
-    client, clock, logger, listener, fencingToken: 7, leaseMs: LEASE_MS, mayAct: () => true, foreignOrdersUntilMs
+    client,
+    clock,
+    logger,
+    listener,
+    fencingToken: 7,
+    leaseMs: LEASE_MS,
+    mayAct: () => true,
+    foreignOrdersUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
   return { clock, client, listener, session }
@@ -79,12 +86,27 @@
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
   const record: JobRecord = {
-    type: 'job', id, queue: 'checks', team: 'weavers', acceptedWallMs: 0, withinShare: true,
+    type: 'job',
+    id,
+    queue: 'checks',
+    team: 'weavers',
+    acceptedWallMs: 0,
+    withinShare: true,
     definition: {
       spec: '',
       steps: [{
-        count: 1, size: resources({ processors: 1_000, memory: 10 }), estimateMs: 100, after: [], gang: false, sameRack: false, requiredLabel: '',
-        dataRack: '', tasksPerTarget: 0, longRunning: false, fillsSpareProcessors: false, responseTargetMs: 0
+        count: 1,
+        size: resources({ processors: 1_000, memory: 10 }),
+        estimateMs: 100,
+        after: [],
+        gang: false,
+        sameRack: false,
+        requiredLabel: '',
+        dataRack: '',
+        tasksPerTarget: 0,
+        longRunning: false,
+        fillsSpareProcessors: false,
+        responseTargetMs: 0
       }]
     }
   }
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -165,6 +165,7 @@
       desiredState: () => options.desired.state,
       lanes: this.#lanes,
       mayAct: () => this.#election.mayAct(),
+      storeFails: () => this.#election.storeFails,
       resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs,
       earlyStartMs: options.earlyStartMs,
--- /dev/null
+++ b/src/platform/decoding.test.ts
@@ -0,0 +1,58 @@
+import test from 'ava'
+import { InputError } from '../model/errors.ts'
+import { parseDesiredState } from './desiredState.ts'
+import { decodeJobBody } from './jobBody.ts'
+import { parseSettings } from './settingsFile.ts'
+import { decodeTargetEntry } from './targetEntry.ts'
+
+const SETTINGS = `
+node_name = "entry-1"
+ip = "10.1.0.17"
+zone = "attica-a"
+internal_ports = [7420, 7435]
+unknown_field = [1, 2]
+[listen_addrs]
+frontend = "10.1.0.17:8183"
+ready = "10.1.0.17:8184"
+[bounds]
+grace_s = 6
+hold_max_ms = 10000
+kill_grace_ms = 200
+[platform]
+address = "10.200.1.7:8182"
+`
+
+test('settings with unknown fields are read, and a missing field is named', t => {
+  t.snapshot(parseSettings(SETTINGS))
+  const error = t.throws(() => parseSettings(SETTINGS.replace('ip = "10.1.0.17"', '')), { instanceOf: InputError })
+  t.regex(error.message, /ip/)
+  t.throws(() => parseSettings('this is not TOML'), { instanceOf: InputError })
+  t.throws(() => parseSettings(`control_mode = "heartbeat"\n${SETTINGS}`), { message: /control_mode = "heartbeat" is not supported/ })
+})
+
+test('a job body is decoded into named fields, and a bad one is refused with its place', t => {
+  t.snapshot(decodeJobBody({ spec: 's', phases: [{ count: 2, cpu: 500, mem_mb: 64, gang: true, anti_affinity: 2 }, { count: 1, after: [0], fill_count: true }] }))
+  const error = t.throws(() => decodeJobBody({ phases: [{ count: 'two' }] }), { instanceOf: InputError })
+  t.regex(error.message, /count/)
+  t.throws(() => decodeJobBody({ phases: [{ count: 1, after: [0] }] }), { message: /depends on a later step/ })
+  t.throws(() => decodeJobBody(null), { instanceOf: InputError })
+})
+
+test('a desired state is decoded, and text that is none is an error and not an empty state', t => {
+  t.snapshot(parseDesiredState(JSON.stringify({
+    version: 7,
+    routes: [{ name: 'r-1', host: 'a.example', prefix: '/x/', service: 's', max_attempts: 2, recommendation: { decision_ms: 5, period_ms: 1, validity_ms: 2_000 } }],
+    services: [{ name: 's' }, { name: 'off', standby: true }],
+    tenants: [{ name: 'weavers', api_keys: ['k'], weight: 27, cap: { cpu: 1_000 } }]
+  })))
+  t.throws(() => parseDesiredState('{}'), { instanceOf: InputError })
+  t.throws(() => parseDesiredState('nonsense'), { instanceOf: InputError })
+})
+
+test('an entry of another writer names no target', t => {
+  const entry = { service: 's', address: '10.128.0.9:8080', zone: 'attica-a', state: 'ready', capacity: { cpu: 16_000, mem_mb: 1, gpu: 0 }, labels: ['a', 'r-1'], born: 5 }
+  const decode = (value: unknown) => decodeTargetEntry({ key: 'servers/i-1', value: typeof value === 'string' ? value : JSON.stringify(value), revision: 1 })
+  t.is(decode(entry)?.id, 'i-1')
+  t.true(decode({ ...entry, state: 'draining' })?.draining)
+  for (const bad of ['\u0000nonsense', { ...entry, state: 'resting' }, { ...entry, address: 7 }, { ...entry, capacity: undefined }, [], null]) t.is(decode(bad), undefined)
+})
--- /dev/null
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -0,0 +1,222 @@
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import test from 'ava'
+import { request } from 'undici'
+import { STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from './standIn/standInPlatform.ts'
+import type { StandInPlatformOptions } from './standIn/standInPlatform.ts'
+import { startOnPlatform } from './startOnPlatform.ts'
+import type { PlatformInstance } from './startOnPlatform.ts'
+
+const PORTS_OF_AN_INSTANCE = 10
+const LONGEST_WAIT_MS = 25_000
+let nextPort = 23_000 + (process.pid % 300) * 100
+
+interface Answer {
+  readonly status: number
+  readonly body: { readonly state?: string, readonly pending?: number }
+}
+
+class Cluster {
+  readonly platform: StandInPlatform
+  readonly ports: readonly number[]
+  readonly instances: PlatformInstance[] = []
+
+  private constructor (platform: StandInPlatform, count: number) {
+    this.platform = platform
+    this.ports = Array.from({ length: count }, () => (nextPort += PORTS_OF_AN_INSTANCE))
+  }
+
+  static async start (count: number, options: Partial<StandInPlatformOptions> = {}): Promise<Cluster> {
+    const platform = await StandInPlatform.start({ workers: 3, queues: [{ name: 'checks', prefix: '/checks/' }], ...options })
+    const cluster = new Cluster(platform, count)
+    for (const number of cluster.ports.keys()) await cluster.startInstance(number)
+    await cluster.until('every instance is ready', async () => (await Promise.all(cluster.ports.map(async port => await cluster.#isReady(port)))).every(Boolean))
+    return cluster
+  }
+
+  async startInstance (number: number): Promise<void> {
+    const file = join(mkdtempSync(join(tmpdir(), 'jobs-')), 'local.toml')
+    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number)))
+    this.instances[number] = await startOnPlatform(file, process.env['LEVEL'] === undefined ? 'silent' : 'info')
+  }
+
+  async call (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, key = STAND_IN_KEY): Promise<Answer> {
+    const answer = await request(`http://127.0.0.1:${this.#port(number)}${path}`, {
+      method,
+      headers: { host: STAND_IN_HOST, 'x-api-key': key, 'content-type': 'application/json' },
+      ...(body === undefined ? {} : { body: JSON.stringify(body) })
+    })
+    return { status: answer.statusCode, body: await answer.body.json() as Answer['body'] }
+  }
+
+  /** Repeats a call until it is served, as callers do. */
+  async serve (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<Answer> {
+    let answer = await this.call(number, method, path, body)
+    const untilMs = Date.now() + LONGEST_WAIT_MS
+    while ((answer.status === 503 || answer.status === 504) && Date.now() < untilMs) {
+      await delay(200)
+      answer = await this.call(number, method, path, body)
+    }
+    return answer
+  }
+
+  async until (what: string, condition: () => Promise<boolean> | boolean): Promise<void> {
+    const untilMs = Date.now() + LONGEST_WAIT_MS
+    while (!await condition()) {
+      if (Date.now() > untilMs) throw new Error(`never came true: ${what}`)
+      await delay(30)
+    }
+  }
+
+  async untilState (number: number, path: string, state: string): Promise<void> {
+    await this.until(`${path} is ${state}`, async () => (await this.call(number, 'GET', path)).body.state === state)
+  }
+
+  starts (job: string): readonly string[] {
+    return this.platform.events.filter(event => event.type === 'started' && event.task.startsWith(job)).map(event => event.task)
+  }
+
+  /** The instance that coordinates, by its number. */
+  coordinator (): number {
+    const text = this.platform.store.read('agategauge/coordinator')[0]?.[1]
+    return text === undefined ? -1 : Number((JSON.parse(text) as { instance: string }).instance.split('-')[1])
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.instances.map(async instance => await instance.stop()))
+    await this.platform.stop()
+  }
+
+  async #isReady (port: number): Promise<boolean> {
+    const answer = await request(`http://127.0.0.1:${port + 1}/-/readyz`).catch(() => undefined)
+    await answer?.body.dump()
+    return answer?.statusCode === 200
+  }
+
+  #port (number: number): number {
+    return this.ports[number] as number
+  }
+}
+
+function job (count: number, ...later: number[]): unknown {
+  const step = { cpu: 1_000, mem_mb: 64, estimate_ms: 50 }
+  return { spec: 'x', phases: [{ count, ...step }, ...later.map((tasks, position) => ({ count: tasks, ...step, after: [position] }))] }
+}
+
+test('a job is accepted at one instance, runs its steps in order and is shown at another', async t => {
+  const cluster = await Cluster.start(2)
+  t.is((await cluster.call(0, 'POST', '/checks/000000000000000a', job(3, 2))).status, 200)
+  await cluster.untilState(1, '/checks/000000000000000a', 'completed')
+  const { events } = cluster.platform
+  const lastOfFirst = events.findLastIndex(event => event.type === 'ended' && event.task.includes('.0.0.'))
+  const firstOfSecond = events.findIndex(event => event.type === 'started' && event.task.includes('.0.1.'))
+  t.true(lastOfFirst < firstOfSecond)
+  t.is(cluster.starts('000000000000000a').length, 5)
+  t.is((await cluster.call(1, 'POST', '/checks/000000000000000a', job(3, 2))).status, 200, 'the same identity again is the same job')
+  t.is((await cluster.call(1, 'GET', '/checks/000000000000000b')).status, 410)
+  t.is((await cluster.call(1, 'GET', '/unknown/000000000000000a')).status, 404)
+  t.is((await cluster.call(1, 'GET', '/checks/000000000000000a', undefined, 'no such key')).status, 401)
+  t.is((await cluster.call(1, 'POST', '/checks/000000000000000c', { phases: [] })).status, 400)
+  t.is((await cluster.call(1, 'GET', '/checks/')).body.pending, 0)
+  await cluster.stop()
+})
+
+test('a job that was accepted right before every instance stopped runs once after they are back', async t => {
+  const cluster = await Cluster.start(2, { workMs: () => 4_000 })
+  t.is((await cluster.call(0, 'POST', '/checks/00000000000000aa', job(4))).status, 200)
+  await Promise.all(cluster.instances.map(async instance => await instance.stop()))
+  for (const number of cluster.ports.keys()) await cluster.startInstance(number)
+  const path = '/checks/00000000000000aa'
+  await cluster.untilState(0, path, 'completed')
+  const starts = cluster.starts('00000000000000aa')
+  t.is(new Set(starts).size, 4)
+  t.is(starts.length, 4, 'no task was started twice')
+  await cluster.stop()
+})
+
+test('a coordinator that alone loses the store hands over, and work goes on', async t => {
+  const cluster = await Cluster.start(2)
+  const first = cluster.coordinator()
+  t.true(first >= 0)
+  const other = 1 - first
+  await cluster.instances[first]?.stop()
+  await cluster.until('the other instance coordinates', () => cluster.coordinator() === other)
+  t.is((await cluster.serve(other, 'POST', '/checks/00000000000000bb', job(2))).status, 200)
+  await cluster.untilState(other, '/checks/00000000000000bb', 'completed')
+  await cluster.stop()
+})
+
+test('while the store refuses calls, a new job is refused at once and one that runs is finished', async t => {
+  const cluster = await Cluster.start(1, { workMs: () => 1_500 })
+  t.is((await cluster.call(0, 'POST', '/checks/00000000000000cc', job(2))).status, 200)
+  await cluster.until('the job runs', () => cluster.starts('00000000000000cc').length === 2)
+  cluster.platform.store.fault = 'refusing'
+  await delay(800)
+  const begun = Date.now()
+  t.is((await cluster.call(0, 'POST', '/checks/00000000000000dd', job(1))).status, 503)
+  t.true(Date.now() - begun < 500)
+  await delay(1_000)
+  cluster.platform.store.fault = 'none'
+  await cluster.until('the job is completed', async () => (await cluster.call(0, 'GET', '/checks/00000000000000cc')).body.state === 'completed')
+  t.is(cluster.starts('00000000000000cc').length, 2)
+  t.is(cluster.starts('00000000000000dd').length, 0)
+  await cluster.stop()
+})
+
+test('an order that a target carries out late does not run a task twice', async t => {
+  const cluster = await Cluster.start(1, { workers: 2, workMs: () => 1_000 })
+  const late = cluster.platform.workers.get('worker-1')
+  if (late !== undefined) late.fault = 'late'
+  await cluster.call(0, 'POST', '/checks/00000000000000ee', job(6))
+  await delay(2_500)
+  if (late !== undefined) late.fault = 'none'
+  await cluster.untilState(0, '/checks/00000000000000ee', 'completed')
+  const running = new Set<string>()
+  const done = new Set<string>()
+  for (const event of cluster.platform.events) {
+    if (event.type === 'started') {
+      t.false(running.has(event.task) || done.has(event.task), `${event.task} was started while it ran or after it was done`)
+      running.add(event.task)
+    } else {
+      running.delete(event.task)
+      if (event.end === 'done') done.add(event.task)
+    }
+  }
+  await cluster.stop()
+})
+
+test('a job that always fails is shown as failed after the attempts that its queue allows, and a cancelled one stops', async t => {
+  const cluster = await Cluster.start(1, {
+    queues: [{ name: 'checks', prefix: '/checks/', maximumAttempts: 2 }, { name: 'renders', prefix: '/renders/', adviceMs: 20 }],
+    workMs: task => task.startsWith('0000000000000a02') ? 60_000 : 50,
+    endOf: task => task.startsWith('0000000000000a01') ? 'failed' : 'done'
+  })
+  await cluster.call(0, 'POST', '/checks/0000000000000a01', job(1))
+  await cluster.untilState(0, '/checks/0000000000000a01', 'failed')
+  t.is(cluster.starts('0000000000000a01').length, 2)
+  await cluster.call(0, 'POST', '/renders/0000000000000a02', job(2))
+  await cluster.until('the job runs', () => cluster.starts('0000000000000a02').length === 2)
+  t.is((await cluster.call(0, 'DELETE', '/renders/0000000000000a02')).status, 200)
+  t.is((await cluster.call(0, 'GET', '/renders/0000000000000a02')).body.state, 'cancelled')
+  await cluster.until('nothing of it runs', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
+  t.is((await cluster.call(0, 'DELETE', '/renders/0000000000000a99')).status, 410)
+  await cluster.stop()
+})
+
+test('no team has more running than its cap, and a new key and a withdrawn one count at once', async t => {
+  const cluster = await Cluster.start(1, { teams: [{ name: 'weavers', key: STAND_IN_KEY, cap: 2_000 }], workMs: () => 300 })
+  await cluster.call(0, 'POST', '/checks/0000000000000b01', job(6))
+  await cluster.untilState(0, '/checks/0000000000000b01', 'completed')
+  let running = 0
+  for (const event of cluster.platform.events) {
+    running += event.type === 'started' ? 1 : -1
+    t.true(running <= 2)
+  }
+  cluster.platform.configure([{ name: 'weavers', key: 'a newer key' }])
+  await delay(300)
+  t.is((await cluster.call(0, 'GET', '/checks/0000000000000b01')).status, 401)
+  t.is((await cluster.call(0, 'GET', '/checks/0000000000000b01', undefined, 'a newer key')).status, 200)
+  await cluster.stop()
+})
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -8,6 +8,7 @@
 import { JobInstance } from '../entry/jobInstance.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
 import { createLogger } from '../observability/logger.ts'
+import type { LoggerOptions } from '../observability/logger.ts'
 import { JobMetrics } from '../observability/jobMetrics.ts'
 import { CallerFrontend } from './callerFrontend.ts'
 import { DESIRED_STATE_KEY, parseDesiredState } from './desiredState.ts'
@@ -27,6 +28,8 @@
 const READY_PATH = '/-/readyz'
 const METRICS_PATH = '/metrics'
 
+type LogLevel = LoggerOptions['level']
+
 /** A started instance. */
 export interface PlatformInstance {
   /** Begins the planned stop; calling it again changes nothing. */
@@ -40,10 +43,10 @@
  * @example
  * const instance = await startOnPlatform('/etc/agategauge/local.toml')
  */
-export async function startOnPlatform (settingsPath: string): Promise<PlatformInstance> {
+export async function startOnPlatform (settingsPath: string, level: LogLevel = 'info'): Promise<PlatformInstance> {
   const settings = readSettings(settingsPath)
   const clock = new SystemClock()
-  const logger = createLogger({ level: 'info', instance: settings.instance, dataCentre: settings.dataCentre, secrets: [], ownFieldsOnly: true })
+  const logger = createLogger({ level, instance: settings.instance, dataCentre: settings.dataCentre, secrets: [], ownFieldsOnly: true })
   const metrics = new JobMetrics()
   const store = new PlatformStore(settings.storeAddress, clock)
   const peers = new CoordinatorPeerClient(clock)
