--- a/bench/coordinatorLoad.ts
+++ b/bench/coordinatorLoad.ts
@@ -15,6 +15,9 @@
 /** Kernel clock ticks in a second, as in /proc/PID/stat. */
 const TICKS_PER_SECOND = 100
 
+/** Options of the runtime to compare. */
+const FLAGS = process.env['FLAGS']?.split(' ') ?? []
+
 const perSecond = Number(process.argv[2] ?? 38)
 const seconds = Number(process.argv[3] ?? 20)
 const platform = await StandInPlatform.start({ workers: TARGETS, queues: [{ name: 'checks', prefix: '/checks/', adviceMs: 5 }], workMs: () => WORK_MS })
@@ -23,7 +26,7 @@
   const file = join(folder, `${number}.toml`)
   writeFileSync(file, platform.settingsFor(`entry-${number}`, PORT + number * 20))
   const profile = process.env['PROFILE'] === undefined ? [] : ['--cpu-prof', `--cpu-prof-dir=${process.env['PROFILE']}`]
-  return spawn(process.execPath, [...profile, 'dist/agategauge.cjs', 'serve', '--platform'], { env: { ...process.env, AGATEGAUGE_CONFIG: file }, stdio: ['ignore', process.env['LOGS'] === undefined ? 'ignore' : 'inherit', 'inherit'] })
+  return spawn(process.execPath, [...profile, ...FLAGS, 'dist/agategauge.cjs', 'serve', '--platform'], { env: { ...process.env, AGATEGAUGE_CONFIG: file }, stdio: ['ignore', process.env['LOGS'] === undefined ? 'ignore' : 'inherit', 'inherit'] })
 })
 await delay(2_000)
 const agent = new Agent({ connections: 32 })
--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -29,6 +29,7 @@
   z.object({ outcome: z.enum(['invalid', 'unknown']), message: z.string() }),
   z.object({ outcome: z.literal('unavailable'), message: z.string(), retryAfterSeconds: z.number() })
 ])
+const answersSchema = z.object({ answers: z.array(answerSchema) })
 const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
   coordinator: z.object({ instance: z.string(), address: z.string(), fence: z.number(), lease: z.number() }).optional(),
   desiredState: z.object({ version: z.number(), text: z.string() }).optional(),
@@ -74,8 +75,8 @@
     })
   }
 
-  async handle (call: CallerCall): Promise<CallerAnswer> {
-    return await this.#post(PEER_PATHS.handle, call, HANDLE_TIMEOUT_MS, answerSchema)
+  async handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]> {
+    return (await this.#post(PEER_PATHS.handle, { calls }, HANDLE_TIMEOUT_MS, answersSchema)).answers
   }
 
   async report (report: InstanceReport): Promise<ReportAnswer> {
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -14,6 +14,7 @@
   definition: z.string(),
   desiredStateVersion: z.number()
 })
+const callsSchema = z.object({ calls: z.array(callSchema) })
 const reportSchema = z.object({ instance: z.string(), address: z.string(), desiredStateVersion: z.number() })
 const releaseSchema = z.object({ lease: z.number() })
 const questionSchema = z.object({ step: z.string(), targets: z.array(z.string()), expectedMs: z.number() })
@@ -35,7 +36,7 @@
     name: 'coordinator peer server',
     listen: address,
     routes: [
-      route(PEER_PATHS.handle, callSchema, async call => await handler.handle(call)),
+      route(PEER_PATHS.handle, callsSchema, async ({ calls }) => ({ answers: await handler.handleAll(calls) })),
       route(PEER_PATHS.report, reportSchema, async report => await handler.report(report)),
       route(PEER_PATHS.release, releaseSchema, async ({ lease }) => ({ released: await handler.release(lease) })),
       route(PEER_PATHS.advise, questionSchema, async question => ({ allowed: await handler.advise(question) }))
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -17,6 +17,8 @@
 /** While ends wait to be stored, or orders wait to be seen. */
 const SHORT_WAIT_MS = 100
 const RETRY_DELAY_MS = 150
+/** Between two reports with ends, so that a burst of short tasks costs few reports. */
+const REPORT_INTERVAL_MS = 60
 /** How long the ends of a report may take to be stored before leases are extended without acknowledging them. */
 const STORE_WAIT_MS = 500
 /** Within this time a target that takes part has answered. */
@@ -264,7 +266,10 @@
       this.#options.listener.joined(this)
     }
     this.#options.listener.changed()
-    if (stored !== undefined) await Promise.race([stored, this.#options.clock.sleep(STORE_WAIT_MS)])
+    if (stored === undefined) return
+    await Promise.race([stored, this.#options.clock.sleep(STORE_WAIT_MS)])
+    const restMs = REPORT_INTERVAL_MS - (this.#options.clock.monotonicMs() - nowMs)
+    if (restMs > 0) await this.#options.clock.sleep(restMs)
   }
 
   /** Passes new ends on; resolves when they are stored and may be acknowledged. */
--- /dev/null
+++ b/src/entry/callBatcher.test.ts
@@ -0,0 +1,59 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { CallBatcher } from './callBatcher.ts'
+import type { CallerAnswer, CallerCall } from './callerCall.ts'
+
+const CALL: CallerCall = { action: 'read', host: 'jobs.example', path: '/checks/', key: 'k', definition: '', desiredStateVersion: 1 }
+
+function callFor (number: number): CallerCall {
+  return { ...CALL, path: `/checks/${number}` }
+}
+
+function answerFor ({ path }: CallerCall): CallerAnswer {
+  return { outcome: 'pending', pending: Number(path.split('/').at(-1)) }
+}
+
+test('burst of calls: the coordinator gets few requests, and each caller its own answer', async t => {
+  const clock = new ManualClock()
+  const sizes: number[] = []
+  const batcher = new CallBatcher(clock, async calls => {
+    sizes.push(calls.length)
+    await clock.sleep(20)
+    return calls.map(answerFor)
+  })
+  const answers: Promise<CallerAnswer>[] = []
+  for (let number = 0; number < 120; number++) {
+    answers.push(batcher.handle(callFor(number)))
+    await clock.advance(5)
+  }
+  await clock.advance(1_000)
+  t.deepEqual(await Promise.all(answers), Array.from({ length: 120 }, (_, pending) => ({ outcome: 'pending', pending })))
+  t.true(sizes.length <= 25, `${sizes.length} requests`)
+})
+
+test('a single call is not held back', async t => {
+  const clock = new ManualClock()
+  const sentMs: number[] = []
+  const batcher = new CallBatcher(clock, async calls => {
+    sentMs.push(clock.monotonicMs())
+    return calls.map(answerFor)
+  })
+  await batcher.handle(callFor(1))
+  await clock.advance(100)
+  await batcher.handle(callFor(2))
+  t.deepEqual(sentMs, [0, 100])
+})
+
+test('calls of a batch that is lost fail, and later calls are sent', async t => {
+  const clock = new ManualClock()
+  let lost = true
+  const batcher = new CallBatcher(clock, async calls => {
+    if (lost) throw new Error('no answer')
+    return calls.map(answerFor)
+  })
+  await t.throwsAsync(batcher.handle(callFor(1)), { message: 'no answer' })
+  lost = false
+  const later = batcher.handle(callFor(2))
+  await clock.advance(100)
+  t.deepEqual(await later, { outcome: 'pending', pending: 2 })
+})
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
+import { CallBatcher } from './callBatcher.ts'
 import type { CallerAnswer, CallerCall, CallHandler } from './callerCall.ts'
 import { wasRefused } from './connectionRefusal.ts'
 import type { JobInstance } from './jobInstance.ts'
@@ -21,11 +22,21 @@
 
 export class CallRouter implements CallHandler {
   readonly #options: CallRouterOptions
+  #batcher: { readonly address: string, readonly batcher: CallBatcher } | undefined
 
   constructor (options: CallRouterOptions) {
     this.#options = options
   }
 
+  /** One batcher for the coordinator in office; an earlier one ends with its calls. */
+  #batcherFor (address: string, peers: CoordinatorPeers): CallBatcher {
+    if (this.#batcher?.address !== address) {
+      const batcher = new CallBatcher(this.#options.clock, async calls => await peers.connect(address).handleAll(calls))
+      this.#batcher = { address, batcher }
+    }
+    return this.#batcher.batcher
+  }
+
   /** A job keeps its identity, so that a call may be repeated whenever its answer is lost. */
   async handle (call: CallerCall): Promise<CallerAnswer> {
     const { clock } = this.#options
@@ -46,7 +57,7 @@
     if (coordinator === undefined) return unavailable('no coordinator is known')
     if (coordinator.address === ownAddress) return await instance.handle(call)
     try {
-      return await peers.connect(coordinator.address).handle(call)
+      return await this.#batcherFor(coordinator.address, peers).handle(call)
     } catch (error) {
       const refused = wasRefused(error)
       logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence: coordinator.fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -104,6 +104,10 @@
     return await term.intake.handle(call)
   }
 
+  async handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]> {
+    return await Promise.all(calls.map(async call => await this.handle(call)))
+  }
+
   async report ({ instance, address, desiredStateVersion }: InstanceReport): Promise<ReportAnswer> {
     this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs() })
     this.#updateLanes()
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -18,7 +18,8 @@
 }
 
 export interface CoordinatorPeer {
-  handle (call: CallerCall): Promise<CallerAnswer>
+  /** Returns the answers in the order of the calls. */
+  handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]>
   report (report: InstanceReport): Promise<ReportAnswer>
   /** Ends the lease of an election for a coordinator that can not reach the store; false if the store did not take it. */
   release (lease: number): Promise<boolean>
