--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -17,6 +17,7 @@
 import { AUTHORITY_GRACE_MS, COORDINATOR_KEY } from './election.ts'
 import type { CoordinatorInfo } from './election.ts'
 import { compareRanks, rankStep } from './jobRanking.ts'
+import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { PlacementPass } from './placementPass.ts'
 import { placeStep, roomOf } from './placeStep.ts'
@@ -48,6 +49,8 @@
 /** While the store has refused records for longer, nothing is accepted. */
 const STORE_FAILING_MS = 400
 const HOUSEKEEPING_MS = 1_000
+/** Read in about a third of a second by a successor, as measured on the bench (1,277 segments in 232 ms). */
+const SEGMENTS_BETWEEN_SNAPSHOTS = 1_500
 const LONGEST_RECOVERED_AGE_MS = 3_600_000
 
 export interface CoordinatorOptions {
@@ -87,6 +90,8 @@
   #placementDue = false
   /** Duration of the last placement. */
   #passMs = 0
+  /** Number of the segment at the last compaction. */
+  #compactedAt = 0
   #closed = false
 
   constructor (options: CoordinatorOptions) {
@@ -124,11 +129,12 @@
       store: this.#options.store,
       clock: this.#clock,
       logger: this.#logger,
-      election: { key: COORDINATOR_KEY, revision: this.info.fence },
+      election: this.#election,
       nextSequence: read.nextSequence,
       onTermLost: reason => this.#options.resign(reason)
     })
     this.#table = read.table
+    this.#compactedAt = read.nextSequence - read.segments
     this.#recoverJobs(read.table)
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#beganAtMs) }, 'the coordinator has read its log')
     for (const description of read.table.targets.values()) this.#openSession(description, true)
@@ -390,10 +396,27 @@
       for (const job of this.table.jobs.values()) {
         if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
       }
+      await this.#compactWhenDue()
       this.changed()
     }
   }
 
+  /** Keeps the log short; a failure is tried again after as many segments. */
+  async #compactWhenDue (): Promise<void> {
+    const log = this.#log
+    if (log === undefined || log.nextSequence - this.#compactedAt < SEGMENTS_BETWEEN_SNAPSHOTS) return
+    this.#compactedAt = log.nextSequence
+    try {
+      await compactLog({ store: this.#options.store, logger: this.#logger, election: this.#election, table: this.table, lastSequence: log.nextSequence - 1 })
+    } catch (error) {
+      this.#logger.warn({ error: String(error), sequence: log.nextSequence }, 'the log was not compacted')
+    }
+  }
+
+  get #election (): { readonly key: string, readonly revision: number } {
+    return { key: COORDINATOR_KEY, revision: this.info.fence }
+  }
+
   #stopRuns (matches: (assignment: Assignment) => boolean): void {
     for (const session of this.#sessions.values()) {
       for (const assignment of session.assignments.values()) {
--- /dev/null
+++ b/src/coordinator/logCompactor.ts
@@ -0,0 +1,62 @@
+/** Replaces the segments of the log by a snapshot, so that the log and the time to take over stay bounded. */
+import type { JobTable } from '../jobs/jobTable.ts'
+import type { LogRecord } from '../jobs/jobRecords.ts'
+import { LARGEST_TRANSACTION, listAll } from '../ports/transactionalStore.ts'
+import type { Transaction, TransactionalStore } from '../ports/transactionalStore.ts'
+import type { Logger } from '../observability/logger.ts'
+import { SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX, snapshotPartKey } from './logReader.ts'
+import { LOG_PREFIX, segmentNumber, TermLostError } from './recordLog.ts'
+
+/** Of one value, well below the store's limit of a megabyte. */
+const LARGEST_PART_BYTES = 300_000
+
+export interface CompactionOptions {
+  readonly store: TransactionalStore
+  readonly logger: Logger
+  readonly election: { readonly key: string, readonly revision: number }
+  readonly table: JobTable
+  /** Number of the last segment that is stored; everything in it is in the table. */
+  readonly lastSequence: number
+}
+
+/**
+ * Writes a snapshot and removes what it replaces. Records after the snapshot may be in it already:
+ * replaying them changes nothing. A compaction that ends early leaves an older snapshot in force.
+ *
+ * @example
+ * await compactLog({ store, logger, election, table, lastSequence: log.nextSequence - 1 })
+ */
+export async function compactLog ({ store, logger, election, table, lastSequence }: CompactionOptions): Promise<void> {
+  const parts = splitRecords(table.toRecords())
+  const commit = async (transaction: Omit<Transaction, 'conditions'>): Promise<void> => {
+    const result = await store.commit({ conditions: [election], ...transaction })
+    if (result.outcome !== 'committed') throw new TermLostError('the election key has changed')
+  }
+  for (const [part, value] of parts.entries()) await commit({ writes: [{ key: snapshotPartKey(lastSequence, part), value }], removes: [] })
+  await commit({ writes: [{ key: SNAPSHOT_HEAD_KEY, value: JSON.stringify({ sequence: lastSequence, parts: parts.length }) }], removes: [] })
+  const outdated = [
+    ...(await listAll(store, LOG_PREFIX)).filter(item => segmentNumber(item.key) <= lastSequence),
+    ...(await listAll(store, SNAPSHOT_PREFIX)).filter(item => !item.key.startsWith(`${SNAPSHOT_PREFIX}${lastSequence}/`))
+  ].map(item => item.key)
+  const perCommit = LARGEST_TRANSACTION - 1
+  for (let begin = 0; begin < outdated.length; begin += perCommit) await commit({ writes: [], removes: outdated.slice(begin, begin + perCommit) })
+  logger.info({ sequence: lastSequence, parts: parts.length, removed: outdated.length }, 'the log was compacted')
+}
+
+function splitRecords (records: readonly LogRecord[]): readonly string[] {
+  const parts: string[] = []
+  let texts: string[] = []
+  let bytes = 0
+  for (const record of records) {
+    const text = JSON.stringify(record)
+    if (bytes > 0 && bytes + text.length > LARGEST_PART_BYTES) {
+      parts.push(`[${texts.join(',')}]`)
+      texts = []
+      bytes = 0
+    }
+    texts.push(text)
+    bytes += text.length
+  }
+  parts.push(`[${texts.join(',')}]`)
+  return parts
+}
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -101,6 +101,7 @@
   restore (record: StepRecord): void {
     this.findStep(record.occurrence, record.step)?.restore(record)
     if (record.tasks.some(task => task.attempt > 0)) this.#startedTask = true
+    if (this.#outcome === undefined && this.#allDone()) this.#outcome = 'completed'
   }
 
   /** Applies the end of a run; false if it changes nothing. */
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -104,7 +104,6 @@
   const property = fc.property(fc.array(recordOf, { maxLength: 25 }), fc.boolean(), (records, gang) => {
     const job = jobRecord('a', [step(3, { gang }), step(2, { after: [0] })])
     const once = build([job, ...records])
-    if (once.jobs.get('a')?.outcome !== undefined) return true
     const twice = build([job, ...records, ...records.filter(record => record.type === 'run-end')])
     const restored = build(once.toRecords())
     return JSON.stringify(describe(once)) === JSON.stringify(describe(restored)) && once.jobs.get('a')?.state === twice.jobs.get('a')?.state
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -140,6 +140,8 @@
         task.state = 'assigned'
       }
     }
+    const { maximumFailures } = this.job.queue
+    if (gangFailures >= maximumFailures || tasks.some(({ failures }) => failures >= maximumFailures)) this.job.fail()
   }
 
   /** One done member stands for its gang. */
