--- a/src/coordinator/adviceLanes.test.ts
+++ b/src/coordinator/adviceLanes.test.ts
@@ -60,6 +60,15 @@
   t.true(Math.max(...seven) <= 840)
 })
 
+test('questions of fractional length do not leave a lane that seems busy', async t => {
+  const clock = new ManualClock()
+  const lanes = createLanes(clock, 1)
+  const short = Array.from({ length: 40 }, (_, position) => ({ atMs: position * 7, expectedMs: 8.1 + position * 0.0123, rank: 0 }))
+  await measure(clock, lanes, short)
+  const [wait] = await measure(clock, lanes, [{ atMs: clock.monotonicMs(), expectedMs: 109.917, rank: 1 }])
+  t.true((wait ?? Infinity) < 200, `answered after ${wait} ms`)
+})
+
 test('a lane that fails is not asked for a while, and its question is answered with an error', async t => {
   const clock = new ManualClock()
   const lanes = new AdviceLanes(clock)
--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -24,6 +24,8 @@
 interface Lane {
   readonly name: string
   readonly advisor: PlacementAdvisor
+  /** Questions without an answer, and the time that they need together. */
+  questions: number
   backlogMs: number
   restsUntilMs: number
 }
@@ -49,7 +51,7 @@
   }
 
   setLanes (lanes: readonly { readonly name: string, readonly advisor: PlacementAdvisor }[]): void {
-    this.#lanes = lanes.map(lane => this.#lanes.find(known => known.name === lane.name) ?? { ...lane, backlogMs: 0, restsUntilMs: 0 })
+    this.#lanes = lanes.map(lane => this.#lanes.find(known => known.name === lane.name) ?? { ...lane, questions: 0, backlogMs: 0, restsUntilMs: 0 })
     this.#dispatch()
   }
 
@@ -84,13 +86,14 @@
     let best: Lane | undefined
     for (const lane of eligible) {
       if (lane.restsUntilMs > nowMs || lane.backlogMs > LANE_BACKLOG_MS) continue
-      if (lane.backlogMs > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
+      if (lane.questions > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
       if (best === undefined || lane.backlogMs < best.backlogMs) best = lane
     }
     return best
   }
 
   async #askThrough (lane: Lane, { question, resolve, reject }: Waiting): Promise<void> {
+    lane.questions += 1
     lane.backlogMs += question.expectedMs
     try {
       resolve(await lane.advisor.ask(question))
@@ -99,7 +102,9 @@
       this.#clock.sleep(LANE_REST_MS).then(() => this.#dispatch(), () => {})
       reject(error)
     } finally {
-      lane.backlogMs -= question.expectedMs
+      lane.questions -= 1
+      // Sums of fractions do not come back to zero.
+      lane.backlogMs = lane.questions === 0 ? 0 : lane.backlogMs - question.expectedMs
       this.#dispatch()
     }
   }
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -68,6 +68,8 @@
   /** Difference of wall and monotonic clock at the last renewal. */
   #clockGapMs = 0
   #failedRenewals = 0
+  /** The last election that this instance ended for its coordinator. */
+  #endedFence = 0
   #withdrawn = false
   #running: Promise<void> = Promise.resolve()
 
@@ -123,7 +125,8 @@
 
   /** Ends the election of a coordinator whose process is gone; fencing keeps this safe if it is not. */
   async endOf (info: CoordinatorInfo): Promise<void> {
-    if (this.#known?.fence !== info.fence || this.#held !== undefined) return
+    if (this.#known?.fence !== info.fence || this.#held !== undefined || this.#endedFence === info.fence) return
+    this.#endedFence = info.fence
     this.#options.logger.warn({ coordinator: info.instance, fence: info.fence }, 'the coordinator refuses connections; its election is ended')
     try {
       await this.#options.store.endLease(info.lease)
