--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -18,7 +18,7 @@
 }
 
 /** Arguments that take several values. */
-const LIST_ARGUMENTS = ['_', 'names', 'settings']
+const LIST_ARGUMENTS = ['_', 'names', 'settings', 'files']
 
 /** An option given twice would otherwise arrive as a list. */
 function checkRepetition (given: Readonly<Record<string, unknown>>): boolean {
--- a/src/commands/registry.ts
+++ b/src/commands/registry.ts
@@ -1,6 +1,7 @@
 /** Every subcommand is registered here. */
 import type { CommandFactory, Subcommand } from './commandBuilder.ts'
 import { createDrainCommand, createUndrainCommand } from './drainCommand.ts'
+import { createExplainCommand } from './explainCommand.ts'
 import { createKeyCommand } from './keyCommand.ts'
 import { createLimitCommand } from './limitCommand.ts'
 import { createPolicyCommand } from './policyCommand.ts'
@@ -22,5 +23,6 @@
   createPolicyCommand,
   createDrainCommand,
   createUndrainCommand,
+  createExplainCommand,
   () => standInCommand as Subcommand
 ]
