Keep a part of each team's cap for its urgent jobs

Change: work that is not urgent leaves a fifth of the team's cap free, unless nothing else of the team runs.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -1,12 +1,11 @@
 /** Runs the jobs of the cluster during one term: recovers them, places their tasks and records their ends. */
-import type { DesiredState, QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import type { DesiredState, QueueSettings } from '../jobs/desiredState.ts'
 import { parseTaskName } from '../jobs/job.ts'
 import type { JobProgress } from '../jobs/jobProgress.ts'
 import type { LogRecord, PlacedRun, RunEndRecord, TargetDescription } from '../jobs/jobRecords.ts'
 import { targetKey } from '../jobs/jobTable.ts'
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
-import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { FinishedRun, JobTargetConnector, StartRefusal } from '../ports/jobTarget.ts'
@@ -609,13 +608,7 @@
       count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
     }
     const team = pass.team(step.job.team)
-    return team === undefined ? count : this.#withinCap(team, size, count)
-  }
-
-  #withinCap (team: TeamSettings, size: Resources, wanted: number): number {
-    let count = wanted
-    while (count > 0 && !this.#usage.fits(team, size, count)) count -= 1
-    return count
+    return team === undefined ? count : this.#usage.allowed(team, size, count, queue.priority === 0)
   }
 
   #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
