--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -69,7 +69,6 @@
   readonly storeFails: () => boolean
   readonly resign: (reason: string) => void
   readonly targetLeaseMs: number
-  readonly earlyStartMs: number
   readonly finishedJobMs: number
 }
 
--- a/src/coordinator/logCompactor.test.ts
+++ b/src/coordinator/logCompactor.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { resources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { LogRecord } from '../jobs/jobRecords.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { LOG_PREFIX, segmentKey, TermLostError } from './recordLog.ts'
@@ -9,20 +9,15 @@
 
 const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
 const ELECTION_KEY = 'coordinator'
-const QUEUE = { name: 'renders', host: '', pathPrefix: '/renders/', service: 'renders', priority: 1, maximumFailures: 2, stretchFactor: 2, latencyObjectiveMs: 1, timeoutMs: 1, anonymous: false }
-const STEP = {
-  count: 2, size: resources({ processors: 1_000, memory: 10 }), estimateMs: 100, after: [], gang: false, sameRack: false, requiredLabel: '', dataRack: '', tasksPerTarget: 0, longRunning: false, fillsSpareProcessors: false, responseTargetMs: 0
-}
-
 function job (id: string): LogRecord {
-  return { type: 'job', id, queue: 'renders', team: 'weavers', acceptedWallMs: 0, withinShare: true, definition: { spec: 'x'.repeat(5_000), steps: [STEP] } }
+  return createJobRecord(id, [createStep(2)], 'x'.repeat(5_000))
 }
 
 function createStore (jobs: number) {
   const store = new MemoryTransactionalStore()
   store.put(ELECTION_KEY, 'entry-1')
   const election = { key: ELECTION_KEY, revision: store.items.get(ELECTION_KEY)?.revision ?? 0 }
-  store.put(segmentKey(1), JSON.stringify([{ type: 'queue', queue: QUEUE }]))
+  store.put(segmentKey(1), JSON.stringify([{ type: 'queue', queue: TEST_QUEUE }]))
   for (let number = 2; number < jobs + 2; number++) {
     const end: LogRecord = { type: 'run-end', job: `job-${number}`, occurrence: 0, step: 0, index: 0, attempt: 1, end: 'failed', checkpoint: '' }
     store.put(segmentKey(number), JSON.stringify([job(`job-${number}`), end]))
--- a/src/coordinator/placeStep.test.ts
+++ b/src/coordinator/placeStep.test.ts
@@ -1,24 +1,12 @@
 import test from 'ava'
 import fc from 'fast-check'
 import type { StepDefinition } from '../jobs/job.ts'
+import { createStep } from '../jobs/testing/definitions.ts'
 import { resources } from '../model/resources.ts'
 import { placeStep } from './placeStep.ts'
 import type { TargetRoom } from './placeStep.ts'
 
-const STEP: StepDefinition = {
-  count: 4,
-  size: resources({ processors: 18_000, memory: 68_000 }),
-  estimateMs: 5_000,
-  after: [],
-  gang: false,
-  sameRack: false,
-  requiredLabel: '',
-  dataRack: '',
-  tasksPerTarget: 0,
-  longRunning: false,
-  fillsSpareProcessors: false,
-  responseTargetMs: 0
-}
+const STEP = createStep(4, { size: resources({ processors: 18_000, memory: 68_000 }), estimateMs: 5_000 })
 
 function room (key: string, processors: number, given: Partial<TargetRoom> = {}): TargetRoom {
   return {
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
-import type { JobRecord } from '../jobs/jobRecords.ts'
 import { JobProgress } from '../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
 import { resources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOutcome, TaskOrder } from '../ports/jobTarget.ts'
@@ -85,33 +85,8 @@
 }
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
-  const record: JobRecord = {
-    type: 'job',
-    id,
-    queue: 'checks',
-    team: 'weavers',
-    acceptedWallMs: 0,
-    withinShare: true,
-    definition: {
-      spec: '',
-      steps: [{
-        count: 1,
-        size: resources({ processors: 1_000, memory: 10 }),
-        estimateMs: 100,
-        after: [],
-        gang: false,
-        sameRack: false,
-        requiredLabel: '',
-        dataRack: '',
-        tasksPerTarget: 0,
-        longRunning: false,
-        fillsSpareProcessors: false,
-        responseTargetMs: 0
-      }]
-    }
-  }
-  const queue = { name: 'checks', host: '', pathPrefix: '', service: 'renders', priority: 0, maximumFailures: 2, stretchFactor: 1, latencyObjectiveMs: 1, timeoutMs: 1, anonymous: false }
-  const task = new JobProgress(record, queue, 0).steps[0]?.tasks[0]
+  const record = createJobRecord(id, [createStep(1)])
+  const task = new JobProgress(record, TEST_QUEUE, 0).steps[0]?.tasks[0]
   if (task === undefined) throw new Error('the job has no task')
   return new Assignment(task, 1, task.step.definition.size, state, 0)
 }
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -37,7 +37,6 @@
   readonly advisor: PlacementAdvisor
   readonly peers: CoordinatorPeers
   readonly targetLeaseMs: number
-  readonly earlyStartMs: number
   readonly finishedJobMs: number
 }
 
@@ -172,7 +171,6 @@
       storeFails: () => this.#election.storeFails,
       resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs,
-      earlyStartMs: options.earlyStartMs,
       finishedJobMs: options.finishedJobMs
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger) }
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -1,25 +1,9 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { resources } from '../model/resources.ts'
 import { RUN_ENDS } from '../ports/jobTarget.ts'
-import type { QueueSettings } from './desiredState.ts'
-import type { StepDefinition } from './job.ts'
-import type { JobRecord, LogRecord } from './jobRecords.ts'
+import type { LogRecord } from './jobRecords.ts'
 import { JobTable } from './jobTable.ts'
-
-const QUEUE: QueueSettings = {
-  name: 'renders', host: 'jobs.example', pathPrefix: '/renders/', service: 'renders', priority: 1, maximumFailures: 2, stretchFactor: 2, latencyObjectiveMs: 1_000, timeoutMs: 3_000, anonymous: false
-}
-
-function step (count: number, given: Partial<StepDefinition> = {}): StepDefinition {
-  return {
-    count, size: resources({ processors: 1_000, memory: 10 }), estimateMs: 100, after: [], gang: false, sameRack: false, requiredLabel: '', dataRack: '', tasksPerTarget: 0, longRunning: false, fillsSpareProcessors: false, responseTargetMs: 0, ...given
-  }
-}
-
-function jobRecord (id: string, steps: readonly StepDefinition[]): JobRecord {
-  return { type: 'job', id, queue: QUEUE.name, team: 'weavers', acceptedWallMs: 0, withinShare: true, definition: { spec: '', steps } }
-}
+import { createJobRecord, createStep, TEST_QUEUE } from './testing/definitions.ts'
 
 function placed (job: string, step: number, index: number, attempt: number, target = 'worker-1@1'): LogRecord {
   return { type: 'placed', job, occurrence: 0, step, runs: [[index, attempt, target]] }
@@ -31,7 +15,7 @@
 
 function build (records: readonly LogRecord[]): JobTable {
   const table = new JobTable(() => 0)
-  for (const record of [{ type: 'queue', queue: QUEUE } as const, ...records]) table.apply(record)
+  for (const record of [{ type: 'queue', queue: TEST_QUEUE } as const, ...records]) table.apply(record)
   return table
 }
 
@@ -40,7 +24,7 @@
 }
 
 test('a step does not become ready before all tasks of the steps before it are done', t => {
-  const table = build([jobRecord('a', [step(2), step(1, { after: [0] })]), placed('a', 0, 0, 1), ended('a', 0, 0, 1, 'done')])
+  const table = build([createJobRecord('a', [createStep(2), createStep(1, { after: [0] })]), placed('a', 0, 0, 1), ended('a', 0, 0, 1, 'done')])
   const job = table.jobs.get('a')
   t.false(job?.isReady(job.steps[1]!))
   table.apply(placed('a', 0, 1, 1))
@@ -52,7 +36,7 @@
 })
 
 test('a job fails after as many failures of one task as its queue allows, counted once each', t => {
-  const table = build([jobRecord('a', [step(2)]), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 1, 1, 'failed')])
+  const table = build([createJobRecord('a', [createStep(2)]), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 1, 1, 'failed')])
   const job = table.jobs.get('a')
   t.is(job?.state, 'active')
   table.apply(ended('a', 0, 0, 2, 'failed'))
@@ -61,12 +45,12 @@
 
 test('runs that were stopped, lapsed or lost their gang do not count as failures', t => {
   const ends = ['stopped', 'lapsed', 'broken', 'alone'] as const
-  const table = build([jobRecord('a', [step(1)]), ...ends.map((end, position) => ended('a', 0, 0, position + 1, end))])
+  const table = build([createJobRecord('a', [createStep(1)]), ...ends.map((end, position) => ended('a', 0, 0, position + 1, end))])
   t.is(table.jobs.get('a')?.state, 'active')
 })
 
 test('a gang fails once for each attempt, and one done member stands for all', t => {
-  const table = build([jobRecord('a', [step(3, { gang: true })]), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 1, 1, 'failed'), ended('a', 0, 2, 1, 'broken')])
+  const table = build([createJobRecord('a', [createStep(3, { gang: true })]), ended('a', 0, 0, 1, 'failed'), ended('a', 0, 1, 1, 'failed'), ended('a', 0, 2, 1, 'broken')])
   const job = table.jobs.get('a')
   t.is(job?.state, 'active')
   t.is(job?.steps[0]?.waiting.length, 3)
@@ -75,20 +59,20 @@
 })
 
 test('the end of an earlier attempt does not free a task that was placed again', t => {
-  const table = build([jobRecord('a', [step(1)]), placed('a', 0, 0, 1), placed('a', 0, 0, 2, 'worker-2@1'), ended('a', 0, 0, 1, 'lapsed')])
+  const table = build([createJobRecord('a', [createStep(1)]), placed('a', 0, 0, 1), placed('a', 0, 0, 2, 'worker-2@1'), ended('a', 0, 0, 1, 'lapsed')])
   t.is(table.jobs.get('a')?.steps[0]?.tasks[0]?.state, 'assigned')
   t.is(table.jobs.get('a')?.steps[0]?.tasks[0]?.placedOn, 'worker-2@1')
 })
 
 test('a task on a target that is gone is free again, with a higher attempt', t => {
-  const table = build([jobRecord('a', [step(1)]), placed('a', 0, 0, 1), { type: 'target-gone', id: 'worker-1', bornMs: 1 }])
+  const table = build([createJobRecord('a', [createStep(1)]), placed('a', 0, 0, 1), { type: 'target-gone', id: 'worker-1', bornMs: 1 }])
   const task = table.jobs.get('a')?.steps[0]?.tasks[0]
   t.is(task?.state, 'waiting')
   t.is(task?.step.nextAttempt(task), 2)
 })
 
 test('a long-running task is restarted however it ends', t => {
-  const table = build([jobRecord('a', [step(1, { longRunning: true })]), placed('a', 0, 0, 1), ended('a', 0, 0, 1, 'done'), placed('a', 0, 0, 2), ended('a', 0, 0, 2, 'failed'), placed('a', 0, 0, 3), ended('a', 0, 0, 3, 'failed')])
+  const table = build([createJobRecord('a', [createStep(1, { longRunning: true })]), placed('a', 0, 0, 1), ended('a', 0, 0, 1, 'done'), placed('a', 0, 0, 2), ended('a', 0, 0, 2, 'failed'), placed('a', 0, 0, 3), ended('a', 0, 0, 3, 'failed')])
   t.is(table.jobs.get('a')?.state, 'active')
   t.is(table.jobs.get('a')?.steps[0]?.waiting.length, 1)
 })
@@ -102,7 +86,7 @@
 
 test('a log that is replayed twice, or from a snapshot, gives the same jobs', t => {
   const property = fc.property(fc.array(recordOf, { maxLength: 25 }), fc.boolean(), (records, gang) => {
-    const job = jobRecord('a', [step(3, { gang }), step(2, { after: [0] })])
+    const job = createJobRecord('a', [createStep(3, { gang }), createStep(2, { after: [0] })])
     const once = build([job, ...records])
     const twice = build([job, ...records, ...records.filter(record => record.type === 'run-end')])
     const restored = build(once.toRecords())
--- /dev/null
+++ b/src/jobs/testing/definitions.ts
@@ -0,0 +1,42 @@
+/** Definitions for tests of jobs: small and complete, with the fields given. */
+import { resources } from '../../model/resources.ts'
+import type { QueueSettings } from '../desiredState.ts'
+import type { StepDefinition } from '../job.ts'
+import type { JobRecord } from '../jobRecords.ts'
+
+export const TEST_QUEUE: QueueSettings = {
+  name: 'renders',
+  host: 'jobs.example',
+  pathPrefix: '/renders/',
+  service: 'renders',
+  priority: 1,
+  maximumFailures: 2,
+  stretchFactor: 2,
+  latencyObjectiveMs: 1_000,
+  timeoutMs: 3_000,
+  anonymous: false
+}
+
+/** A step of plain tasks of one core each. */
+export function createStep (count: number, given: Partial<StepDefinition> = {}): StepDefinition {
+  return {
+    count,
+    size: resources({ processors: 1_000, memory: 10 }),
+    estimateMs: 100,
+    after: [],
+    gang: false,
+    sameRack: false,
+    requiredLabel: '',
+    dataRack: '',
+    tasksPerTarget: 0,
+    longRunning: false,
+    fillsSpareProcessors: false,
+    responseTargetMs: 0,
+    ...given
+  }
+}
+
+/** The record of a job of the test queue. */
+export function createJobRecord (id: string, steps: readonly StepDefinition[], spec = ''): JobRecord {
+  return { type: 'job', id, queue: TEST_QUEUE.name, team: 'weavers', acceptedWallMs: 0, withinShare: true, definition: { spec, steps } }
+}
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -10,7 +10,6 @@
   ip: z.string().min(1),
   zone: z.string().min(1),
   region: z.string().default(''),
-  zones: z.record(z.string(), z.string()).default({}),
   internal_ports: z.tuple([z.number().int(), z.number().int()]),
   control_mode: z.string().default('invocation'),
   recommendation: z.string().default(''),
@@ -18,8 +17,6 @@
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
-    kill_grace_ms: z.number().nonnegative(),
-    early_ms: z.number().nonnegative().default(0),
     status_s: z.number().positive().default(120)
   }),
   platform: z.object({
@@ -34,8 +31,6 @@
   readonly ip: string
   readonly dataCentre: string
   readonly region: string
-  /** Region of each data centre. */
-  readonly regions: Readonly<Record<string, string>>
   readonly peerPort: number
   readonly metricsPort: number
   readonly callerAddress: string
@@ -47,8 +42,6 @@
   /** Time between the signal to stop and the forced end. */
   readonly stopGraceMs: number
   readonly longestTargetLeaseMs: number
-  readonly taskStopMs: number
-  readonly earlyStartMs: number
   /** How long the state of a finished job must be known. */
   readonly finishedJobMs: number
 }
@@ -79,7 +72,6 @@
     ip: file.ip,
     dataCentre: file.zone,
     region: file.region,
-    regions: file.zones,
     peerPort: file.internal_ports[0],
     metricsPort: file.internal_ports[0] + 1,
     callerAddress: file.listen_addrs.frontend,
@@ -89,8 +81,6 @@
     advisorAddress: file.recommendation,
     stopGraceMs: file.bounds.grace_s * MS_PER_SECOND,
     longestTargetLeaseMs: file.bounds.hold_max_ms,
-    taskStopMs: file.bounds.kill_grace_ms,
-    earlyStartMs: file.bounds.early_ms,
     finishedJobMs: file.bounds.status_s * MS_PER_SECOND
   }
 }
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -64,7 +64,6 @@
     advisor: new PlatformAdvisor(settings.advisorAddress, clock),
     peers,
     targetLeaseMs: settings.longestTargetLeaseMs - LEASE_MARGIN_MS,
-    earlyStartMs: settings.earlyStartMs,
     finishedJobMs: settings.finishedJobMs
   })
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
