Remove dead state of the job path and write its repeated pieces once

Progress percentages, creation times, an end reason and a getter were kept and never read; 'unavailable' answers, the choice of live peers, the restart of gangs, the closing of jobs and the append to the log stood twice; a placement pass computed waiting tasks and total processors again for each step. Change: none of behaviour.

--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -46,10 +46,6 @@
     this.#clock = clock
   }
 
-  get waitingQuestions (): number {
-    return this.#waiting.length
-  }
-
   setLanes (lanes: readonly { readonly name: string, readonly advisor: PlacementAdvisor }[]): void {
     this.#lanes = lanes.map(lane => this.#lanes.find(known => known.name === lane.name) ?? { ...lane, questions: 0, backlogMs: 0, restsUntilMs: 0 })
     this.#dispatch()
--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/assignment.ts
@@ -14,20 +14,15 @@
   readonly attempt: number
   /** Room that it takes on the target. */
   readonly size: Resources
-  readonly createdAtMs: number
   state: AssignmentState
   /** Reports of requests that were sent before are too old to say that it does not run. */
   confirmedAtMs = 0
-  percent = 0
-  percentChangedAtMs: number
 
-  constructor (task: TaskProgress, attempt: number, size: Resources, state: AssignmentState, nowMs: number) {
+  constructor (task: TaskProgress, attempt: number, size: Resources, state: AssignmentState) {
     this.task = task
     this.attempt = attempt
     this.size = size
     this.state = state
-    this.createdAtMs = nowMs
-    this.percentChangedAtMs = nowMs
   }
 
   get key (): string {
@@ -37,12 +32,6 @@
   get team (): string {
     return this.task.step.job.team
   }
-
-  noteProgress (percent: number, nowMs: number): void {
-    if (percent === this.percent) return
-    this.percent = percent
-    this.percentChangedAtMs = nowMs
-  }
 }
 
 /** Identifies one run of a task. */
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -6,6 +6,7 @@
 import { targetKey } from '../jobs/jobTable.ts'
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { FinishedRun, JobTargetConnector, StartRefusal } from '../ports/jobTarget.ts'
@@ -26,7 +27,6 @@
 import { TargetSession } from './targetSession.ts'
 import type { LifeEnd, TargetListener } from './targetSession.ts'
 import { TeamUsage } from './teamUsage.ts'
-import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Collects changes before the next placement. */
 const PLACEMENT_DELAY_MS = 5
@@ -159,7 +159,8 @@
 
   /** Stores records and applies them; resolves when they are durable. */
   record (records: readonly LogRecord[]): Promise<void> {
-    return this.#record(records, this.table)
+    for (const record of records) this.table.apply(record)
+    return this.#append(records)
   }
 
   /** Makes the steps of a new job known to the placement. */
@@ -187,7 +188,7 @@
     this.#stopRuns(assignment => assignment.task.step.job === job)
     durable.then(() => {
       const { id, queue, team } = job.record
-      this.table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
+      this.table.finishJob(job, this.#clock.wallMs())
       this.#logger.info({ job: id, team, queue, outcome: job.outcome, waitedMs: job.startedAtMs === undefined ? undefined : Math.round(job.startedAtMs - job.acceptedAtMs), ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
     }, () => {})
   }
@@ -206,7 +207,7 @@
     if (step === undefined || !job.endRun(record)) return await this.#flushed()
     if (run.end !== 'done') this.#logger.info({ job: job.id, task: run.task, attempt: run.attempt, end: run.end, target: session.id }, 'a run ended without success')
     if (run.end === 'failed') this.#noteFailedTarget(step, session)
-    const stored = this.#log?.append([record]) ?? Promise.reject(new Error('the log is closed'))
+    const stored = this.#append([record])
     if (!over) this.#continueJob(job, step, run, stored)
     await stored
   }
@@ -283,16 +284,14 @@
     await this.#log?.flushed()
   }
 
-  #record (records: readonly LogRecord[], table: JobTable): Promise<void> {
-    for (const record of records) table.apply(record)
+  #append (records: readonly LogRecord[]): Promise<void> {
     return this.#log?.append(records) ?? Promise.reject(new Error('the log is closed'))
   }
 
   #recoverJobs (table: JobTable): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
-        const { id, queue, team } = job.record
-        table.finish(id, { queue, team, state: job.state, wallMs: this.#clock.wallMs() })
+        table.finishJob(job, this.#clock.wallMs())
         continue
       }
       this.#durableQueues.set(job.queue.name, job.queue)
@@ -316,7 +315,7 @@
     const { step, attempt } = task
     const session = this.#sessions.get(task.placedOn)
     if (session === undefined) return step.loseRun(task, attempt)
-    const assignment = new Assignment(task, attempt, roomOf(step.definition), 'recovering', this.#clock.monotonicMs())
+    const assignment = new Assignment(task, attempt, roomOf(step.definition), 'recovering')
     assignment.confirmedAtMs = -Infinity
     this.#usage.add(step.job.team, step.definition.size)
     session.reserve(assignment)
@@ -439,17 +438,20 @@
       this.#stopRuns(assignment => assignment.task.step === step && assignment.task.state === 'done' && !step.definition.gang)
       if (step.done) for (const next of job.steps) this.#offerStep(next)
     } else {
-      if (step.definition.gang) this.#stopRuns(assignment => assignment.task.step === step)
-      this.#offerStep(step)
+      this.#retryStep(step)
     }
     this.changed()
   }
 
-  #returnTask (task: TaskProgress, attempt: number): void {
-    const { step } = task
-    step.loseRun(task, attempt)
+  /** Offers a step again that lost a run; a gang begins anew as a whole. */
+  #retryStep (step: StepProgress): void {
     if (step.definition.gang && step.job.outcome === undefined) this.#stopRuns(assignment => assignment.task.step === step)
     this.#offerStep(step)
+  }
+
+  #returnTask (task: TaskProgress, attempt: number): void {
+    task.step.loseRun(task, attempt)
+    this.#retryStep(task.step)
     this.changed()
   }
 
@@ -458,27 +460,27 @@
   #place (): void {
     if (!this.#options.mayAct()) return
     const nowMs = this.#clock.monotonicMs()
-    const ranked: { step: StepProgress, rank: readonly number[] }[] = []
+    const ranked: WaitingStep[] = []
     for (const step of this.#ready) {
-      if (step.waiting.length === 0) {
+      const { waiting } = step
+      if (waiting.length === 0) {
         if (step.done || step.job.outcome !== undefined) this.#ready.delete(step)
         continue
       }
-      ranked.push({ step, rank: rankStep(step, nowMs) })
+      ranked.push({ step, waiting, rank: rankStep(step, nowMs) })
     }
     ranked.sort((left, right) => compareRanks(left.rank, right.rank))
     const pass = new PlacementPass(this.#options.desiredState(), [...this.#sessions.values()].filter(session =>
       session.usable && this.#recordedTargets.has(session.key)))
-    for (const { step } of ranked) this.#placeOne(step, pass, nowMs)
+    for (const waitingStep of ranked) this.#placeOne(waitingStep, pass, nowMs)
     this.#passMs = this.#clock.monotonicMs() - nowMs
   }
 
-  #placeOne (step: StepProgress, pass: PlacementPass, nowMs: number): void {
+  #placeOne ({ step, waiting }: WaitingStep, pass: PlacementPass, nowMs: number): void {
     const { job, definition } = step
     if (this.#advice.get(step)?.asking === true) return
     const queue = pass.queue(job.queue)
     const sessions = pass.sessions(queue.service)
-    const waiting = step.waiting
     const count = this.#allowedCount(step, waiting.length, pass, queue)
     if (count === 0 || (definition.gang && count < waiting.length)) return
     if (queue.advice === undefined) {
@@ -494,7 +496,7 @@
   ): void {
     const advice = this.#advice.get(step) ?? new StepAdvice()
     this.#advice.set(step, advice)
-    if (advice.asking || nowMs < advice.restsUntilMs) return
+    if (nowMs < advice.restsUntilMs) return
     const unasked = sessions.filter(session => !advice.wasAsked(session.key))
     const allowed = sessions.filter(session => advice.allows(session.key))
     if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
@@ -550,7 +552,7 @@
   async #recordPlacement (step: StepProgress, reserved: readonly Reservation[]): Promise<void> {
     const runs = reserved.map(({ session, assignment }): PlacedRun => [assignment.task.index, assignment.attempt, session.key])
     const record: LogRecord = { type: 'placed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }
-    await this.#log?.append([record]).catch(() => {
+    await this.#append([record]).catch(() => {
       // No order was sent, and none will be.
     })
   }
@@ -579,7 +581,6 @@
     const first = waiting[0]
     if (first === undefined || placed.length === 0) return []
     const { step } = first
-    const nowMs = this.#clock.monotonicMs()
     const gangAttempt = step.nextAttempt(first)
     const reserved: Reservation[] = []
     for (const [position, key] of placed.entries()) {
@@ -587,7 +588,7 @@
       const session = this.#sessions.get(key)
       if (task === undefined || session === undefined) continue
       const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
-      const assignment = new Assignment(task, attempt, roomOf(step.definition), 'reserved', nowMs)
+      const assignment = new Assignment(task, attempt, roomOf(step.definition), 'reserved')
       step.place(task.index, attempt, key)
       this.#usage.add(step.job.team, step.definition.size)
       session.reserve(assignment)
@@ -633,6 +634,13 @@
 /** Returns the permit to start on a target; empty if none is needed, undefined if none is valid. */
 type TicketSource = (session: TargetSession) => string | undefined
 
+/** A step with tasks to place, in its rank. */
+interface WaitingStep {
+  readonly step: StepProgress
+  readonly waiting: readonly TaskProgress[]
+  readonly rank: readonly number[]
+}
+
 interface Reservation {
   readonly session: TargetSession
   readonly assignment: Assignment
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -1,4 +1,5 @@
 /** Answers callers at the coordinator: accepts, reads and cancels jobs. */
+import { unavailable } from '../entry/callerCall.ts'
 import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
 import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
 import { findQueue, findTeam } from '../jobs/desiredState.ts'
@@ -11,7 +12,6 @@
 
 /** A refusal is only given on a desired state that was confirmed within this time. */
 const REFUSAL_AGE_MS = 400
-const RETRY_AFTER_SECONDS = 1
 /** Outages of the store last about 5 s, and callers try five times: with this pause they outlast them. */
 const RETRY_AFTER_OUTAGE_SECONDS = 2
 
@@ -150,7 +150,3 @@
 function isOwner (job: { readonly team: string, readonly queue: string }, team: string, queue: QueueSettings): boolean {
   return job.team === team || queue.anonymous
 }
-
-function unavailable (message: string, retryAfterSeconds = RETRY_AFTER_SECONDS): CallerAnswer {
-  return { outcome: 'unavailable', message, retryAfterSeconds }
-}
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -14,15 +14,17 @@
   readonly #queues: ReadonlyMap<string, QueueSettings>
   readonly #teams: ReadonlyMap<string, TeamSettings>
   readonly #sessions = new Map<string, TargetSession[]>()
+  readonly #totalProcessors = new Map<string, number>()
 
   constructor (state: DesiredState, usable: readonly TargetSession[]) {
     this.#queues = new Map(state.queues.map(queue => [queue.name, queue]))
     this.#teams = new Map(state.teams.map(team => [team.name, team]))
     for (const session of usable) {
-      const { service } = session.description
+      const { service, capacity } = session.description
       const sessions = this.#sessions.get(service) ?? []
       sessions.push(session)
       this.#sessions.set(service, sessions)
+      this.#totalProcessors.set(service, this.totalProcessors(service) + capacity.processors)
     }
   }
 
@@ -54,7 +56,7 @@
   }
 
   totalProcessors (service: string): number {
-    return this.sessions(service).reduce((sum, session) => sum + session.description.capacity.processors, 0)
+    return this.#totalProcessors.get(service) ?? 0
   }
 }
 
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -88,7 +88,7 @@
   const record = createJobRecord(id, [createStep(1)])
   const task = new JobProgress(record, TEST_QUEUE, 0).steps[0]?.tasks[0]
   if (task === undefined) throw new Error('the job has no task')
-  return new Assignment(task, 1, task.step.definition.size, state, 0)
+  return new Assignment(task, 1, task.step.definition.size, state)
 }
 
 function finishedRun (number: number, task: string): FinishedRun {
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -1,13 +1,13 @@
 /** One life of a target under the coordinator's fence: what runs there, and the orders to it. */
 import type { TargetDescription } from '../jobs/jobRecords.ts'
 import { targetKey } from '../jobs/jobTable.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
-import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Targets measure leases on clocks that are up to 2% slow; half as much again as a margin. */
 const CLOCK_DRIFT = 1.03
@@ -33,7 +33,7 @@
 /** Repeats of orders to stop. */
 const STOP_REPEAT_MS = 400
 
-export type LifeEnd = 'restarted' | 'lease-lapsed' | 'term-ended'
+export type LifeEnd = 'restarted' | 'lease-lapsed'
 
 /** Decides on what a target reports. */
 export interface TargetListener {
@@ -140,7 +140,7 @@
     this.#draining = draining
   }
 
-  /** Keeps new tasks away after failures in a row, longer with each. */
+  /** Keeps new tasks away for the time given from the second failure in a row on. */
   noteRunResult (failed: boolean, avoidMs: number): void {
     this.#failuresInRow = failed ? this.#failuresInRow + 1 : 0
     if (this.#failuresInRow >= 2) this.#avoidUntilMs = this.#options.clock.monotonicMs() + avoidMs
@@ -307,7 +307,6 @@
       known.confirmedAtMs = nowMs
       this.#options.listener.startConfirmed(this, known)
     }
-    known.noteProgress(running.percent, nowMs)
     known.task.step.saveCheckpoint(known.task, running.checkpoint)
   }
 
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallBatcher } from './callBatcher.ts'
+import { unavailable } from './callerCall.ts'
 import type { CallerAnswer, CallerCall, CallHandler } from './callerCall.ts'
 import { wasRefused } from './connectionRefusal.ts'
 import type { JobInstance } from './jobInstance.ts'
@@ -10,7 +11,6 @@
 /** Longest time in which a call without an answer is sent again; callers wait 3 s. */
 const LONGEST_ROUTING_MS = 1_800
 const RETRY_DELAY_MS = 120
-const RETRY_AFTER_SECONDS = 1
 
 export interface CallRouterOptions {
   readonly instance: JobInstance
@@ -66,7 +66,3 @@
     }
   }
 }
-
-function unavailable (message: string): CallerAnswer {
-  return { outcome: 'unavailable', message, retryAfterSeconds: RETRY_AFTER_SECONDS }
-}
--- a/src/entry/callerCall.ts
+++ b/src/entry/callerCall.ts
@@ -27,6 +27,19 @@
   /** The call may have been carried out; the same call may be sent again. */
   | { readonly outcome: 'unknown', readonly message: string }
 
+/** Time after which a coordinator is in office again. */
+const RETRY_AFTER_SECONDS = 1
+
+/**
+ * The answer to a call that was not carried out and never will be.
+ *
+ * @example
+ * return unavailable('no coordinator is known')
+ */
+export function unavailable (message: string, retryAfterSeconds = RETRY_AFTER_SECONDS): CallerAnswer {
+  return { outcome: 'unavailable', message, retryAfterSeconds }
+}
+
 export interface CallHandler {
   handle (call: CallerCall): Promise<CallerAnswer>
 }
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -5,6 +5,7 @@
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/jobIntake.ts'
 import type { Component } from '../lifecycle/component.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeer, CoordinatorPeers, InstanceReport, ReportAnswer } from '../ports/coordinatorPeer.ts'
@@ -12,10 +13,10 @@
 import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
 import type { TargetDirectory } from '../ports/targetDirectory.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import { unavailable } from './callerCall.ts'
 import type { CallerAnswer, CallerCall } from './callerCall.ts'
 import { wasRefused } from './connectionRefusal.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
-import { runInBackground } from '../lifecycle/runInBackground.ts'
 
 /** Between two heartbeats to the coordinator. */
 const REPORT_INTERVAL_MS = 400
@@ -99,7 +100,7 @@
   /** Answers a call at the coordinator; others refuse it. */
   async handle (call: CallerCall): Promise<CallerAnswer> {
     const term = this.#term
-    if (term === undefined) return { outcome: 'unavailable', message: 'this instance does not coordinate', retryAfterSeconds: 1 }
+    if (term === undefined) return unavailable('this instance does not coordinate')
     return await term.intake.handle(call)
   }
 
@@ -130,8 +131,8 @@
   }
 
   async releaseThroughPeers (lease: number): Promise<boolean> {
-    const { peers, clock, logger } = this.#options
-    const alive = [...this.#peers].filter(([, { seenAtMs }]) => clock.monotonicMs() - seenAtMs < PEER_SILENCE_MS)
+    const { peers, logger } = this.#options
+    const alive = this.#alivePeers()
     const answers = alive.map(async ([address]) => {
       if (!await peers.connect(address).release(lease)) throw new Error('not released')
     })
@@ -199,16 +200,20 @@
 
   /** The coordinator's own lane comes first, since short questions then need no call to a peer. */
   #updateLanes (): void {
-    const { clock, instance, advisor, peers } = this.#options
+    const { instance, advisor, peers } = this.#options
     if (this.#lanes === undefined) return
-    const nowMs = clock.monotonicMs()
-    const alive = [...this.#peers].filter(([, { seenAtMs }]) => nowMs - seenAtMs < PEER_SILENCE_MS)
     this.#lanes.setLanes([
       { name: instance, advisor },
-      ...alive.map(([address, peer]) => ({ name: peer.instance, advisor: { ask: async (question: AdviceQuestion) => await peers.connect(address).advise(question) } }))
+      ...this.#alivePeers().map(([address, peer]) => ({ name: peer.instance, advisor: { ask: async (question: AdviceQuestion) => await peers.connect(address).advise(question) } }))
     ])
   }
 
+  /** Instances that reported lately, by address. */
+  #alivePeers (): readonly (readonly [address: string, peer: KnownPeer])[] {
+    const nowMs = this.#options.clock.monotonicMs()
+    return [...this.#peers].filter(([, { seenAtMs }]) => nowMs - seenAtMs < PEER_SILENCE_MS)
+  }
+
   async #keepReporting (): Promise<void> {
     const { clock } = this.#options
     const { signal } = this.#stopping
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -88,6 +88,12 @@
     this.#finished.set(id, { id, queue, team, state, wallMs })
   }
 
+  /** Keeps only the outcome of a job that is over. */
+  finishJob (job: JobProgress, wallMs: number): void {
+    const { id, queue, team } = job.record
+    this.finish(id, { queue, team, state: job.state, wallMs })
+  }
+
   /** Forgets jobs that ended before the time. */
   forgetFinished (beforeWallMs: number): void {
     for (const [id, job] of this.#finished) {
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { listenOn } from '../adapters/network.ts'
+import { unavailable } from '../entry/callerCall.ts'
 import type { CallAction, CallerAnswer, CallHandler } from '../entry/callerCall.ts'
 import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
 import type { Component } from '../lifecycle/component.ts'
@@ -84,7 +85,7 @@
 
   async #answer (action: CallAction, path: string, request: IncomingMessage, body: Buffer): Promise<CallerAnswer> {
     const { desired, handler } = this.#options
-    if (!desired.known) return { outcome: 'unavailable', message: 'no desired state is known yet', retryAfterSeconds: 1 }
+    if (!desired.known) return unavailable('no desired state is known yet')
     if (body.length > (desired.state.maximumBodyBytes || DEFAULT_BODY_BYTES)) return { outcome: 'invalid', message: 'the body is too large' }
     let definition = ''
     try {
