Use the existing JSON server and one set of connection limits on the platform

Cause: a second small HTTP server repeated the life cycle of the JSON server, three clients repeated the same connection limits, and the caller of whole answers encoded requests and errors as the caller of streams does. Change: readiness and metrics are routes of the JSON server, createPlatformCaller holds the limits, HttpCaller encodes in one place. The readiness answer has the body {} instead of none; its reader passes it over.

--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -88,19 +88,14 @@
   }
 
   /** Resolves with the head of the answer; the body must be read or destroyed. */
-  async call ({ method, path, body, headers, signal }: CallOptions): Promise<HttpResponse> {
+  async call (options: CallOptions): Promise<HttpResponse> {
     const delivery: Delivery = { sent: false }
     try {
       return await this.#dispatcher.request<Delivery>({
-        method,
-        path,
-        signal,
-        opaque: delivery,
-        ...(body === undefined ? { headers } : { body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } })
+        ...encodeRequest(options), signal: options.signal, opaque: delivery
       })
     } catch (error) {
-      const ErrorClass = delivery.sent ? NoAnswerError : NotSentError
-      throw new ErrorClass(`${method} ${path}:`, { cause: error })
+      throw callError(options, delivery.sent, error)
     }
   }
 
@@ -125,19 +120,13 @@
   }
 
   /** Reads the answer without streams, which small answers do not need. */
-  #callWhole ({ method, path, body, headers, timeoutMs, signal }: CallOptions): Promise<{ readonly status: number, readonly text: string }> {
+  #callWhole (options: CallOptions): Promise<WholeAnswer> {
+    const { timeoutMs, signal } = options
     return new Promise((resolve, reject) => {
-      const handler = new WholeAnswerHandler(resolve, (sent, cause) => {
-        const ErrorClass = sent ? NoAnswerError : NotSentError
-        reject(new ErrorClass(`${method} ${path}:`, { cause }))
-      })
+      const handler = new WholeAnswerHandler(resolve, (sent, cause) => reject(callError(options, sent, cause)))
       if (timeoutMs !== undefined) handler.limit(this.#clock.schedule(timeoutMs, () => handler.abort(new BaseError(`no answer within ${timeoutMs} ms`))))
       if (signal !== undefined) handler.abortWith(signal)
-      this.#pool.dispatch({
-        method,
-        path,
-        ...(body === undefined ? { headers } : { body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } })
-      }, handler)
+      this.#pool.dispatch(encodeRequest(options), handler)
     })
   }
 
@@ -147,9 +136,24 @@
   }
 }
 
+interface WholeAnswer {
+  readonly status: number
+  readonly text: string
+}
+
+function encodeRequest ({ method, path, body, headers }: CallOptions): Dispatcher.DispatchOptions {
+  if (body === undefined) return { method, path, headers }
+  return { method, path, body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } }
+}
+
+function callError ({ method, path }: CallOptions, sent: boolean, cause: unknown): Error {
+  const ErrorClass = sent ? NoAnswerError : NotSentError
+  return new ErrorClass(`${method} ${path}:`, { cause })
+}
+
 /** Collects one answer, and ends the call when its time is up. */
 class WholeAnswerHandler implements Dispatcher.DispatchHandler {
-  readonly #resolve: (answer: { readonly status: number, readonly text: string }) => void
+  readonly #resolve: (answer: WholeAnswer) => void
   readonly #reject: (sent: boolean, cause: unknown) => void
   readonly #chunks: Buffer[] = []
   #controller: Dispatcher.DispatchController | undefined
@@ -158,7 +162,7 @@
   #aborted: Error | undefined
   #release: (() => void)[] = []
 
-  constructor (resolve: (answer: { readonly status: number, readonly text: string }) => void, reject: (sent: boolean, cause: unknown) => void) {
+  constructor (resolve: (answer: WholeAnswer) => void, reject: (sent: boolean, cause: unknown) => void) {
     this.#resolve = resolve
     this.#reject = reject
   }
--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -1,4 +1,4 @@
-/** The HTTP server of the stand-ins. */
+/** The HTTP server of stand-ins, peers, readiness and metrics. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of an instance that serves jobs. */
 import { Counter, Histogram, Registry } from 'prom-client'
-import type { TextAnswer } from '../adapters/http/textServer.ts'
+import type { MetricsReport } from './operatorApi.ts'
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
 const MS_PER_SECOND = 1_000
@@ -21,7 +21,7 @@
   }
 
   /** Renders all metrics in the text format of Prometheus. */
-  async render (): Promise<TextAnswer> {
-    return { status: 200, contentType: this.registry.contentType, text: await this.registry.metrics() }
+  async render (): Promise<MetricsReport> {
+    return { contentType: this.registry.contentType, body: await this.registry.metrics() }
   }
 }
--- a/src/platform/platformAdvisor.ts
+++ b/src/platform/platformAdvisor.ts
@@ -1,14 +1,13 @@
 /** Asks the platform's service which targets may run a step. */
 import { z } from 'zod'
-import { HttpCaller } from '../adapters/http/httpCaller.ts'
+import type { HttpCaller } from '../adapters/http/httpCaller.ts'
 import { BaseError } from '../model/errors.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+import { createPlatformCaller } from './platformCaller.ts'
 
-const CONNECT_TIMEOUT_MS = 800
 /** Added to the expected time; covers the way to another region and a call ahead in the line. */
 const ANSWER_SLACK_MS = 1_500
-const IDLE_CONNECTION_MS = 30_000
 
 const adviceSchema = z.object({ allowed: z.array(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
 
@@ -16,7 +15,7 @@
   readonly #caller: HttpCaller
 
   constructor (address: string, clock: TimerClock) {
-    this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
+    this.#caller = createPlatformCaller(address, clock)
   }
 
   async ask ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -1,13 +1,14 @@
 /** The platform's metadata store as a `TransactionalStore`. */
 import { z } from 'zod'
-import { HttpCaller, NotSentError } from '../adapters/http/httpCaller.ts'
-import type { CallOptions, JsonResponse } from '../adapters/http/httpCaller.ts'
+import { NotSentError } from '../adapters/http/httpCaller.ts'
+import type { CallOptions, HttpCaller, JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../model/errors.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type {
   CommitResult, StoreChange, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult
 } from '../ports/transactionalStore.ts'
+import { createPlatformCaller } from './platformCaller.ts'
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
 const readSchema = itemSchema.extend({ at: z.number() })
@@ -27,21 +28,17 @@
 
 /** The store answers within milliseconds when it is well, and within 400 ms when it is slow. */
 const CALL_TIMEOUT_MS = 1_500
-/** A connection within and between regions takes 41 ms at most. */
-const CONNECT_TIMEOUT_MS = 800
 /** Reads of whole pages cross the link between regions. */
 const PAGE_TIMEOUT_MS = 4_000
 /** Added to the time that a watch may wait. */
 const WATCH_SLACK_MS = 1_500
-/** Longer than any pause between two calls. */
-const IDLE_CONNECTION_MS = 30_000
 
 export class PlatformStore implements TransactionalStore, Component {
   readonly name = 'store client'
   readonly #caller: HttpCaller
 
   constructor (address: string, clock: TimerClock) {
-    this.#caller = new HttpCaller({ address, clock, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
+    this.#caller = createPlatformCaller(address, clock)
   }
 
   async start (): Promise<void> {}
--- a/src/platform/platformTarget.ts
+++ b/src/platform/platformTarget.ts
@@ -1,23 +1,22 @@
 /** Calls a target that runs tasks of jobs. */
 import { z } from 'zod'
-import { HttpCaller, NotSentError } from '../adapters/http/httpCaller.ts'
-import type { JsonResponse } from '../adapters/http/httpCaller.ts'
+import { NotSentError } from '../adapters/http/httpCaller.ts'
+import type { HttpCaller, JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import { RUN_ENDS } from '../ports/jobTarget.ts'
 import type {
   FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunningTask, StartOutcome, StartRefusal, StopOutcome, TargetLife, TaskOrder
 } from '../ports/jobTarget.ts'
+import { createPlatformCaller } from './platformCaller.ts'
 
 const LIFE_HEADER = 'x-agategauge-expect-instance'
 
 /** Long enough for a slow target in another region; an order without an answer by then is withdrawn. */
 const ORDER_TIMEOUT_MS = 1_000
-const CONNECT_TIMEOUT_MS = 800
 /** Added to the time for which a target may hold the answer back. */
 const RENEW_SLACK_MS = 1_200
 /** A target accepts 64 connections from all instances together. */
 const CONNECTIONS = 10
-const IDLE_CONNECTION_MS = 30_000
 
 const clockSchema = z.object({ clock_ms: z.number() })
 const refusalSchema = z.object({ reason: z.string() })
@@ -39,9 +38,7 @@
   readonly #life: TargetLife
 
   constructor (address: string, life: TargetLife, clock: TimerClock) {
-    this.#caller = new HttpCaller({
-      address, clock, connections: CONNECTIONS, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS
-    })
+    this.#caller = createPlatformCaller(address, clock, CONNECTIONS)
     this.#life = life
   }
 
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -2,7 +2,7 @@
 import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
 import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
-import { TextServer } from '../adapters/http/textServer.ts'
+import { JsonServer } from '../adapters/http/jsonServer.ts'
 import { CallRouter } from '../entry/callRouter.ts'
 import { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
 import { JobInstance } from '../entry/jobInstance.ts'
@@ -75,10 +75,8 @@
     onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
   })
   let stopping = false
-  const readiness = new TextServer('readiness', settings.readinessAddress, {
-    [READY_PATH]: async () => ({ status: !stopping && desired.known && instance.connected ? 200 : 503, contentType: 'text/plain', text: '' })
-  })
-  const metricsServer = new TextServer('metrics', `${settings.ip}:${settings.metricsPort}`, { [METRICS_PATH]: async () => await metrics.render() })
+  const readiness = createReadinessServer(settings.readinessAddress, () => !stopping && desired.known && instance.connected)
+  const metricsServer = createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics)
 
   const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
   for (const component of [store, peers, desired, createCoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
@@ -104,6 +102,30 @@
   }
 }
 
+function createReadinessServer (listen: string, isReady: () => boolean): JsonServer {
+  return new JsonServer({
+    name: 'readiness',
+    listen,
+    routes: [{ method: 'GET', pattern: READY_PATH, handle: async () => ({ status: isReady() ? 200 : 503, body: {} }) }]
+  })
+}
+
+function createMetricsServer (listen: string, metrics: JobMetrics): JsonServer {
+  return new JsonServer({
+    name: 'metrics',
+    listen,
+    routes: [{
+      method: 'GET',
+      pattern: METRICS_PATH,
+      handle: async ({ response }) => {
+        const { contentType, body } = await metrics.render()
+        response.writeHead(200, { 'content-type': contentType }).end(body)
+        return undefined
+      }
+    }]
+  })
+}
+
 function describeSettings ({ region, storeAddress, callerAddress, peerPort, metricsPort }: PlatformSettings): object {
   return { region, storeAddress, callerAddress, peerPort, metricsPort }
 }
