Serve shares of jobs and bytes between regions by one token bucket

Cause: ShareBuckets repeated the refill of CrossRegionBudget. Change: RateBudget holds the bucket; CrossRegionBudget adds its totals and keeps its interface.

--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -7,14 +7,17 @@
 import type { JobDefinition } from '../jobs/job.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
+import { RateBudget } from '../scheduler/rateBudget.ts'
 import type { JobCoordinator } from './jobCoordinator.ts'
-import { ShareBuckets } from './shareBuckets.ts'
 
 /** A refusal is only given on a desired state that was confirmed within this time. */
 const REFUSAL_AGE_MS = 400
 /** Outages of the store last about 5 s, and callers try five times: with this pause they outlast them. */
 const RETRY_AFTER_OUTAGE_SECONDS = 2
 
+/** A team may save up its share of this time. */
+const SHARE_BURST_SECONDS = 1
+
 interface Resolved {
   readonly queue: QueueSettings
   /** Empty for queues that are open to all. */
@@ -31,7 +34,8 @@
   readonly #desired: DesiredStateWatcher
   readonly #clock: Clock
   readonly #logger: Logger
-  readonly #shares: ShareBuckets
+  /** Jobs that each team is owed. */
+  readonly #shares: RateBudget
   /** Jobs whose record is not durable yet. */
   readonly #pending = new Map<string, Promise<void>>()
 
@@ -40,7 +44,10 @@
     this.#desired = desired
     this.#clock = clock
     this.#logger = logger
-    this.#shares = new ShareBuckets(clock)
+    this.#shares = new RateBudget(clock, team => {
+      const weight = desired.state.teams.find(candidate => candidate.name === team)?.weight ?? 0
+      return { perSecond: weight, burst: Math.max(1, weight * SHARE_BURST_SECONDS) }
+    })
   }
 
   async handle (call: CallerCall): Promise<CallerAnswer> {
@@ -78,7 +85,7 @@
     if (pending !== undefined) return await this.#awaitAcceptance(pending)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return unavailable('the store takes no records', RETRY_AFTER_OUTAGE_SECONDS)
-    const withinShare = teamSettings === undefined || this.#shares.take(team, teamSettings.weight)
+    const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
     const durable = this.#coordinator.record([...this.#coordinator.recordsOfQueue(queue), {
       type: 'job',
       id,
--- a/src/scheduler/routing/crossRegionBudget.ts
+++ b/src/scheduler/routing/crossRegionBudget.ts
@@ -1,17 +1,12 @@
 /** Bytes that each team may send over the link between regions, which is slow and billed by volume. */
 import type { Clock } from '../../ports/clock.ts'
+import { RateBudget } from '../rateBudget.ts'
 
 export interface CrossRegionAllowance {
   readonly bytesPerSecond: number
   readonly burstBytes: number
 }
 
-interface Bucket {
-  bytes: number
-  refilledAt: number
-  totalBytes: number
-}
-
 /**
  * A token bucket of bytes for each team, full at first.
  *
@@ -21,18 +16,19 @@
  * budget.record('cooks', answerBytes)
  */
 export class CrossRegionBudget {
-  readonly #clock: Pick<Clock, 'monotonicMs'>
-  readonly #allowanceOf: (team: string) => CrossRegionAllowance
-  readonly #buckets = new Map<string, Bucket>()
+  readonly #budget: RateBudget
+  readonly #totalBytes = new Map<string, number>()
 
   constructor (clock: Pick<Clock, 'monotonicMs'>, allowanceOf: (team: string) => CrossRegionAllowance) {
-    this.#clock = clock
-    this.#allowanceOf = allowanceOf
+    this.#budget = new RateBudget(clock, team => {
+      const { bytesPerSecond, burstBytes } = allowanceOf(team)
+      return { perSecond: bytesPerSecond, burst: burstBytes }
+    })
   }
 
   /** Bytes that the team may send now; negative while answers that it received exceed its rate. */
   available (team: string): number {
-    return this.#refill(team).bytes
+    return this.#budget.available(team)
   }
 
   /** Takes the bytes of a request; false if the team's budget does not allow them. */
@@ -44,28 +40,18 @@
 
   /** Counts bytes whose number was not known in advance, such as those of an answer. */
   record (team: string, bytes: number): void {
-    const bucket = this.#refill(team)
-    bucket.bytes -= bytes
-    bucket.totalBytes += bytes
+    this.#budget.record(team, bytes)
+    this.#totalBytes.set(team, this.totalBytes(team) + bytes)
   }
 
   /** Bytes of the team since this process started. */
   totalBytes (team: string): number {
-    return this.#buckets.get(team)?.totalBytes ?? 0
+    return this.#totalBytes.get(team) ?? 0
   }
 
   /** Forgets a team that the configuration no longer has. */
   forget (team: string): void {
-    this.#buckets.delete(team)
-  }
-
-  #refill (team: string): Bucket {
-    const now = this.#clock.monotonicMs()
-    const { bytesPerSecond, burstBytes } = this.#allowanceOf(team)
-    const bucket = this.#buckets.get(team) ?? { bytes: burstBytes, refilledAt: now, totalBytes: 0 }
-    this.#buckets.set(team, bucket)
-    bucket.bytes = Math.min(burstBytes, bucket.bytes + bytesPerSecond * (now - bucket.refilledAt) / 1_000)
-    bucket.refilledAt = now
-    return bucket
+    this.#budget.forget(team)
+    this.#totalBytes.delete(team)
   }
 }
