Repeat the target list and reports by the existing PeriodicTask

Cause: two loops of the job path repeated it. Change: PeriodicTask moves from src/instance to src/lifecycle and serves both; pauses end at a stop instead of running out.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -6,6 +6,7 @@
 import { targetKey } from '../jobs/jobTable.ts'
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
+import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
@@ -77,6 +78,7 @@
   readonly #clock: Clock
   readonly #logger: Logger
   readonly #beganAtMs: number
+  readonly #directory: PeriodicTask
   readonly #sessions = new Map<string, TargetSession>()
   readonly #usage = new TeamUsage()
   readonly #advice = new Map<StepProgress, StepAdvice>()
@@ -100,6 +102,9 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#beganAtMs = options.clock.monotonicMs()
+    this.#directory = new PeriodicTask('target directory', options.clock, DIRECTORY_INTERVAL_MS,
+      async () => this.#applyListing(await options.directory.list()),
+      error => options.logger.debug({ error: String(error) }, 'the target list could not be read'))
   }
 
   /** Whether jobs can be accepted and read. */
@@ -141,7 +146,7 @@
     for (const description of read.table.targets.values()) this.#openSession(description, true)
     this.#recoverRuns(read.table)
     for (const session of this.#sessions.values()) this.#runSession(session)
-    runInBackground(this.#watchDirectory(), this.#logger, 'target directory')
+    await this.#directory.start()
     await this.#awaitJoins()
     if (this.#closed) return
     this.#placing = true
@@ -154,6 +159,7 @@
     this.#closed = true
     this.#log?.close()
     this.#options.lanes.close()
+    runInBackground(this.#directory.stop(), this.#logger, 'end of the target directory')
     for (const session of this.#sessions.values()) session.close()
   }
 
@@ -342,17 +348,6 @@
     }
   }
 
-  async #watchDirectory (): Promise<void> {
-    while (!this.#closed) {
-      try {
-        this.#applyListing(await this.#options.directory.list())
-      } catch (error) {
-        this.#logger.debug({ error: String(error) }, 'the target list could not be read')
-      }
-      await this.#clock.sleep(DIRECTORY_INTERVAL_MS)
-    }
-  }
-
   #applyListing (listed: readonly ListedTarget[]): void {
     if (this.#closed) return
     const byKey = new Map(listed.map(target => [targetKey(target), target]))
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -5,6 +5,7 @@
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/jobIntake.ts'
 import type { Component } from '../lifecycle/component.ts'
+import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
@@ -55,31 +56,32 @@
   readonly name = 'job instance'
   readonly #options: JobInstanceOptions
   readonly #election: Election
-  readonly #stopping = new AbortController()
+  readonly #reporting: PeriodicTask
   /** By address. */
   readonly #peers = new Map<string, KnownPeer>()
   #term: Term | undefined
   #lanes: AdviceLanes | undefined
   #coordinatorSilent = false
-  #reporting: Promise<void> = Promise.resolve()
 
   constructor (options: JobInstanceOptions) {
     this.#options = options
     const { store, clock, logger, instance, address } = options
     this.#election = new Election({ store, clock, logger, instance, address, listener: this })
+    this.#reporting = new PeriodicTask('reports', clock, REPORT_INTERVAL_MS, async () => await this.#report(),
+      error => logger.error({ error: String(error) }, 'a report failed'))
   }
 
   async start (): Promise<void> {
     await this.#election.start()
-    this.#reporting = this.#keepReporting()
+    await this.#reporting.start()
   }
 
   /** Gives the office up first, so that a successor takes over while this instance still answers. */
   async stop (): Promise<void> {
-    this.#stopping.abort()
+    const reported = this.#reporting.stop()
     await this.#election.stop()
     this.#endTerm()
-    await this.#reporting
+    await reported
   }
 
   /** Begins a planned stop: another instance coordinates from now on. */
@@ -214,15 +216,10 @@
     return [...this.#peers].filter(([, { seenAtMs }]) => nowMs - seenAtMs < PEER_SILENCE_MS)
   }
 
-  async #keepReporting (): Promise<void> {
-    const { clock } = this.#options
-    const { signal } = this.#stopping
-    while (!signal.aborted) {
-      const address = this.#nextListener()
-      if (address !== undefined) await this.#reportTo(address)
-      this.#forgetPeers()
-      await clock.sleep(REPORT_INTERVAL_MS, signal).catch(() => {})
-    }
+  async #report (): Promise<void> {
+    const address = this.#nextListener()
+    if (address !== undefined) await this.#reportTo(address)
+    this.#forgetPeers()
   }
 
   /** The coordinator, or any peer that may know a newer one while it is silent. */
--- a/src/instance/periodicTask.ts
+++ b/src/lifecycle/periodicTask.ts
@@ -1,6 +1,6 @@
 /** Repeats an action at an interval until it is stopped; one run at a time. */
-import type { Component } from '../lifecycle/component.ts'
 import type { Clock } from '../ports/clock.ts'
+import type { Component } from './component.ts'
 
 export class PeriodicTask implements Component {
   readonly name: string
