Split the coordinator: sessions of targets, placement, and the term itself

Change: TargetFleet holds the sessions and the target list, TaskPlacer the waiting tasks, usage and advice, JobCoordinator the log, recovery and ends of runs. No decision changes.

--- /dev/null
+++ b/src/coordinator/targetFleet.ts
@@ -0,0 +1,156 @@
+/** The sessions of all targets during one term of a coordinator. */
+import { PeriodicTask } from '../lifecycle/periodicTask.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
+import type { TargetDescription } from '../jobs/jobRecords.ts'
+import { targetKey } from '../jobs/jobTable.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { JobTargetConnector } from '../ports/jobTarget.ts'
+import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
+import type { Assignment } from './assignment.ts'
+import { AUTHORITY_GRACE_MS } from './election.ts'
+import { TargetSession } from './targetSession.ts'
+import type { TargetListener } from './targetSession.ts'
+
+/** Between two readings of the target list; a draining target is known well within its 2.5 s. */
+const DIRECTORY_INTERVAL_MS = 500
+/**
+ * How long a new coordinator waits for the targets before it places work on those that answered: the way
+ * to another region and back, three times. Runs on the others count from the log.
+ */
+const JOIN_WAIT_MS = 150
+const JOIN_POLL_MS = 20
+
+export interface TargetFleetOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly connect: JobTargetConnector
+  readonly directory: TargetDirectory
+  readonly listener: TargetListener
+  readonly fencingToken: number
+  readonly targetLeaseMs: number
+  readonly mayAct: () => boolean
+  /** When the term began, on this process's clock. */
+  readonly beganAtMs: number
+}
+
+/**
+ * Opens a session for each recorded and each listed life of a target.
+ *
+ * @example
+ * const fleet = new TargetFleet(options)
+ * fleet.openRecorded(description)
+ * await fleet.start()
+ */
+export class TargetFleet {
+  readonly #options: TargetFleetOptions
+  readonly #sessions = new Map<string, TargetSession>()
+  /** Lives of targets that the log names: only they get tasks. */
+  readonly #recorded = new Set<string>()
+  readonly #directory: PeriodicTask
+  #closed = false
+
+  constructor (options: TargetFleetOptions) {
+    this.#options = options
+    this.#directory = new PeriodicTask('target directory', options.clock, DIRECTORY_INTERVAL_MS,
+      async () => this.#applyListing(await options.directory.list()),
+      error => options.logger.debug({ error: String(error) }, 'the target list could not be read'))
+  }
+
+  get (key: string): TargetSession | undefined {
+    return this.#sessions.get(key)
+  }
+
+  /** Sessions whose targets may get new tasks. */
+  get usable (): readonly TargetSession[] {
+    return [...this.#sessions.values()].filter(session => session.usable && this.#recorded.has(session.key))
+  }
+
+  /** Opens the session of a life that the log names, on which tasks of earlier terms may run. */
+  openRecorded (description: TargetDescription): void {
+    this.#recorded.add(targetKey(description))
+    this.#open(description, this.#options.beganAtMs + AUTHORITY_GRACE_MS)
+  }
+
+  /** Asks every target, and follows the list from now on. */
+  async start (): Promise<void> {
+    for (const session of this.#sessions.values()) this.#run(session)
+    await this.#directory.start()
+  }
+
+  /** Resolves when every target has answered, or after a short time. */
+  async awaitJoins (): Promise<void> {
+    const { clock } = this.#options
+    const untilMs = clock.monotonicMs() + JOIN_WAIT_MS
+    while (!this.#closed && clock.monotonicMs() < untilMs) {
+      const sessions = [...this.#sessions.values()]
+      if (sessions.length > 0 && sessions.every(session => session.joined)) return
+      await clock.sleep(JOIN_POLL_MS)
+    }
+  }
+
+  isRecorded (session: TargetSession): boolean {
+    return this.#recorded.has(session.key)
+  }
+
+  /** The log names the life now. */
+  markRecorded (session: TargetSession): void {
+    this.#recorded.add(session.key)
+  }
+
+  /** Drops a life that is over; true if the log names it. */
+  drop (session: TargetSession): boolean {
+    this.#sessions.delete(session.key)
+    return this.#recorded.delete(session.key)
+  }
+
+  /** Ends the runs that match, where they have begun. */
+  stopRuns (matches: (assignment: Assignment) => boolean): void {
+    for (const session of this.#sessions.values()) {
+      for (const assignment of session.assignments.values()) {
+        if (matches(assignment)) runInBackground(session.stop(assignment), this.#options.logger, 'stop of a run')
+      }
+    }
+  }
+
+  close (): void {
+    this.#closed = true
+    runInBackground(this.#directory.stop(), this.#options.logger, 'end of the target directory')
+    for (const session of this.#sessions.values()) session.close()
+  }
+
+  #applyListing (listed: readonly ListedTarget[]): void {
+    if (this.#closed) return
+    const byKey = new Map(listed.map(target => [targetKey(target), target]))
+    for (const [key, target] of byKey) {
+      if (!this.#sessions.has(key)) this.#run(this.#open(target, -Infinity))
+    }
+    for (const session of this.#sessions.values()) {
+      const entry = byKey.get(session.key)
+      session.noteListing(entry !== undefined, entry?.draining ?? false)
+    }
+    this.#options.listener.changed()
+  }
+
+  #open (target: TargetDescription, foreignOrdersUntilMs: number): TargetSession {
+    const { id, bornMs, address, service, dataCentre, capacity, labels } = target
+    const { clock, logger, connect, listener, fencingToken, targetLeaseMs, mayAct } = this.#options
+    const session = new TargetSession({
+      description: { id, bornMs, address, service, dataCentre, capacity, labels },
+      client: connect(address, { id, bornMs }),
+      clock,
+      logger,
+      listener,
+      fencingToken,
+      leaseMs: targetLeaseMs,
+      mayAct,
+      foreignOrdersUntilMs
+    })
+    this.#sessions.set(session.key, session)
+    return session
+  }
+
+  #run (session: TargetSession): void {
+    runInBackground(session.run(), this.#options.logger, 'target session')
+  }
+}
--- /dev/null
+++ b/src/coordinator/taskPlacer.ts
@@ -0,0 +1,331 @@
+/** Places the waiting tasks of jobs on targets: in which order, where, and with which permit. */
+import type { DesiredState, QueueSettings } from '../jobs/desiredState.ts'
+import type { LogRecord, PlacedRun } from '../jobs/jobRecords.ts'
+import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { AdviceLanes } from './adviceLanes.ts'
+import { Assignment } from './assignment.ts'
+import { compareRanks, rankStep } from './jobRanking.ts'
+import { PlacementPass } from './placementPass.ts'
+import { placeStep, roomOf } from './placeStep.ts'
+import type { TargetRoom } from './placeStep.ts'
+import { StepAdvice } from './stepAdvice.ts'
+import type { TargetFleet } from './targetFleet.ts'
+import type { TargetSession } from './targetSession.ts'
+import { TeamUsage } from './teamUsage.ts'
+
+/** Collects changes before the next placement. */
+const PLACEMENT_DELAY_MS = 5
+/** The next placement waits at least this many times as long as the last one took, so that orders and reports get their turn. */
+const PLACEMENT_REST_FACTOR = 3
+const LONGEST_PLACEMENT_DELAY_MS = 100
+const RETRY_DELAY_MS = 100
+/** Part of the processors kept free of work that is not urgent, so that urgent work finds room. */
+const URGENT_RESERVE = 0.05
+/** Targets that one question names at most. */
+const TARGETS_PER_QUESTION = 100
+
+export interface TaskPlacerOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly fleet: TargetFleet
+  readonly lanes: AdviceLanes
+  readonly desiredState: () => DesiredState
+  readonly mayAct: () => boolean
+  /** Stores records; rejects when the term has ended. */
+  readonly append: (records: readonly LogRecord[]) => Promise<void>
+}
+
+/**
+ * Knows the steps with waiting tasks and what each team uses.
+ *
+ * @example
+ * placer.offerStep(step)
+ * placer.begin()
+ */
+export class TaskPlacer {
+  readonly #options: TaskPlacerOptions
+  readonly #clock: Clock
+  readonly #logger: Logger
+  readonly #fleet: TargetFleet
+  readonly #usage = new TeamUsage()
+  readonly #advice = new Map<StepProgress, StepAdvice>()
+  readonly #failedTargets = new Map<StepProgress, Set<string>>()
+  /** Steps that may have waiting tasks. */
+  readonly #ready = new Set<StepProgress>()
+  #placing = false
+  #placementDue = false
+  /** Duration of the last placement. */
+  #passMs = 0
+  #closed = false
+
+  constructor (options: TaskPlacerOptions) {
+    this.#options = options
+    this.#clock = options.clock
+    this.#logger = options.logger
+    this.#fleet = options.fleet
+  }
+
+  /** Places tasks from now on. */
+  begin (): void {
+    this.#placing = true
+    this.changed()
+  }
+
+  close (): void {
+    this.#closed = true
+    this.#options.lanes.close()
+  }
+
+  /** Places waiting tasks soon. */
+  changed (): void {
+    if (!this.#placing || this.#placementDue || this.#closed) return
+    this.#placementDue = true
+    setTimeout(() => {
+      this.#placementDue = false
+      if (!this.#closed) this.#place()
+    }, Math.min(Math.max(PLACEMENT_DELAY_MS, this.#passMs * PLACEMENT_REST_FACTOR), LONGEST_PLACEMENT_DELAY_MS))
+  }
+
+  /** Makes a step known whose earlier steps are done. */
+  offerStep (step: StepProgress): void {
+    if (step.job.outcome === undefined && !step.done && step.job.isReady(step)) this.#ready.add(step)
+  }
+
+  /** Forgets a step of a job that is over. */
+  forgetStep (step: StepProgress): void {
+    this.#ready.delete(step)
+    this.#advice.delete(step)
+    this.#failedTargets.delete(step)
+  }
+
+  /** Offers a step again that lost a run; a gang begins anew as a whole. */
+  retryStep (step: StepProgress): void {
+    if (step.definition.gang && step.job.outcome === undefined) this.#fleet.stopRuns(assignment => assignment.task.step === step)
+    this.offerStep(step)
+    this.changed()
+  }
+
+  /** A run has certainly ended, or has not begun, without an end that is known. */
+  returnTask (task: TaskProgress, attempt: number): void {
+    task.step.loseRun(task, attempt)
+    this.retryStep(task.step)
+  }
+
+  /** Keeps the room of a run that an earlier coordinator placed. */
+  recoverRun (task: TaskProgress): void {
+    const { step, attempt } = task
+    const session = this.#fleet.get(task.placedOn)
+    if (session === undefined) return step.loseRun(task, attempt)
+    const assignment = new Assignment(task, attempt, roomOf(step.definition), 'recovering')
+    assignment.confirmedAtMs = -Infinity
+    this.#usage.add(step.job.team, step.definition.size)
+    session.reserve(assignment)
+  }
+
+  /** A run does not count any more. */
+  release (assignment: Assignment): void {
+    this.#usage.remove(assignment.team, assignment.task.step.definition.size)
+  }
+
+  /** Other targets come first for the step from now on. */
+  noteFailedTarget (step: StepProgress, session: TargetSession): void {
+    const failed = this.#failedTargets.get(step) ?? new Set()
+    failed.add(session.key)
+    this.#failedTargets.set(step, failed)
+  }
+
+  /** A target did not accept the ticket of a step. */
+  dropTicket (step: StepProgress, session: TargetSession): void {
+    this.#advice.get(step)?.dropTicket(session.key)
+  }
+
+  #place (): void {
+    if (!this.#options.mayAct()) return
+    const nowMs = this.#clock.monotonicMs()
+    const ranked: WaitingStep[] = []
+    for (const step of this.#ready) {
+      const { waiting } = step
+      if (waiting.length === 0) {
+        if (step.done || step.job.outcome !== undefined) this.#ready.delete(step)
+        continue
+      }
+      ranked.push({ step, waiting, rank: rankStep(step, nowMs) })
+    }
+    ranked.sort((left, right) => compareRanks(left.rank, right.rank))
+    const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
+    for (const waitingStep of ranked) this.#placeOne(waitingStep, pass, nowMs)
+    this.#passMs = this.#clock.monotonicMs() - nowMs
+  }
+
+  #placeOne ({ step, waiting }: WaitingStep, pass: PlacementPass, nowMs: number): void {
+    const { job, definition } = step
+    if (this.#advice.get(step)?.asking === true) return
+    const queue = pass.queue(job.queue)
+    const sessions = pass.sessions(queue.service)
+    const count = this.#allowedCount(step, waiting.length, pass, queue)
+    if (count === 0 || (definition.gang && count < waiting.length)) return
+    if (queue.advice === undefined) {
+      const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
+      this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
+      return
+    }
+    this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
+  }
+
+  #placeWithAdvice (
+    step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
+  ): void {
+    const advice = this.#advice.get(step) ?? new StepAdvice()
+    this.#advice.set(step, advice)
+    if (nowMs < advice.restsUntilMs) return
+    const unasked = sessions.filter(session => !advice.wasAsked(session.key))
+    const allowed = sessions.filter(session => advice.allows(session.key))
+    if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
+      runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
+      return
+    }
+    const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
+    const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
+    this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
+    if (placed.length > 0 || withTicket.length === allowed.length) return
+    const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
+    if (planned.length === 0) return
+    runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned)), this.#logger, 'start after renewed advice')
+  }
+
+  async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, sessions: readonly TargetSession[]): Promise<void> {
+    const settings = queue.advice
+    if (settings === undefined || sessions.length === 0) return
+    const named = [...sessions].sort((left, right) => right.free.processors - left.free.processors).slice(0, TARGETS_PER_QUESTION)
+    const asked = new Map(named.map(session => [session.id, session.key]))
+    advice.asking = true
+    try {
+      const allowed = await this.#options.lanes.ask({
+        step: step.name,
+        targets: [...asked.keys()],
+        expectedMs: settings.decisionMs + settings.perTargetMs * asked.size
+      }, queue.priority)
+      advice.noteAnswer(asked, allowed, this.#clock.monotonicMs() + settings.ticketValidityMs)
+    } catch (error) {
+      this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'the placement advisor did not answer')
+      advice.restsUntilMs = this.#clock.monotonicMs() + RETRY_DELAY_MS
+    } finally {
+      advice.asking = false
+      this.changed()
+    }
+  }
+
+  /** Room is kept while expired tickets are renewed, since the answer takes up to a second. */
+  async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
+    const stored = this.#recordPlacement(step, reserved)
+    await this.#ask(step, queue, advice, [...new Set(reserved.map(({ session }) => session))])
+    await stored
+    this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
+  }
+
+  /** Sends the orders when the log says where the tasks are placed, so that a successor finds them. */
+  #startWhenStored (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketSource): void {
+    if (reserved.length === 0) return
+    runInBackground(this.#recordPlacement(step, reserved).then(() => this.#startReserved(step, reserved, ticketFor)), this.#logger, 'start of tasks')
+  }
+
+  /** Resolves when the placement is stored or the term has ended. */
+  async #recordPlacement (step: StepProgress, reserved: readonly Reservation[]): Promise<void> {
+    const runs = reserved.map(({ session, assignment }): PlacedRun => [assignment.task.index, assignment.attempt, session.key])
+    const record: LogRecord = { type: 'placed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }
+    await this.#options.append([record]).catch(() => {
+      // No order was sent, and none will be.
+    })
+  }
+
+  /** Starts what may still be started; a gang as a whole or not at all. */
+  #startReserved (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketSource): void {
+    if (this.#closed) return
+    const startable = ({ session, assignment }: Reservation): boolean =>
+      session.assignments.has(assignment.key) && !session.over && !session.draining && ticketFor(session) !== undefined
+    const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
+    for (const reservation of reserved) {
+      const { session, assignment } = reservation
+      if (!session.assignments.has(assignment.key)) continue
+      if (permitted && startable(reservation)) this.#start(session, assignment, ticketFor(session))
+      else this.#giveBack(reservation)
+    }
+  }
+
+  #giveBack ({ session, assignment }: Reservation): void {
+    session.release(assignment)
+    this.release(assignment)
+    this.returnTask(assignment.task, assignment.attempt)
+  }
+
+  #reserve (waiting: readonly TaskProgress[], placed: readonly string[]): readonly Reservation[] {
+    const first = waiting[0]
+    if (first === undefined || placed.length === 0) return []
+    const { step } = first
+    const gangAttempt = step.nextAttempt(first)
+    const reserved: Reservation[] = []
+    for (const [position, key] of placed.entries()) {
+      const task = waiting[position]
+      const session = this.#fleet.get(key)
+      if (task === undefined || session === undefined) continue
+      const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
+      const assignment = new Assignment(task, attempt, roomOf(step.definition), 'reserved')
+      step.place(task.index, attempt, key)
+      this.#usage.add(step.job.team, step.definition.size)
+      session.reserve(assignment)
+      reserved.push({ session, assignment })
+    }
+    this.#logger.info({ job: step.job.id, step: step.name, tasks: reserved.map(({ session, assignment }) => [assignment.task.index, assignment.attempt, session.id]) }, 'tasks placed')
+    return reserved
+  }
+
+  #start (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
+    runInBackground(session.start(assignment, ticket === '' ? undefined : ticket), this.#logger, 'start of a run')
+  }
+
+  /** How many of the waiting tasks the room, the team's cap and the reserve for urgent work allow at most. */
+  #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): number {
+    const { size } = step.definition
+    let count = Math.min(waiting, pass.tasksThatFit(queue.service, roomOf(step.definition), waiting))
+    if (queue.priority > 0 && size.processors > 0) {
+      const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE
+      count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
+    }
+    const team = pass.team(step.job.team)
+    return team === undefined ? count : this.#usage.allowed(team, size, count, queue.priority === 0)
+  }
+
+  #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
+    const { definition } = step
+    const shares = definition.fillsSpareProcessors || definition.responseTargetMs > 0
+    const assignments = shares || definition.tasksPerTarget > 0 ? [...session.assignments.values()] : []
+    return {
+      key: session.key,
+      free: session.free,
+      rack: session.rack,
+      labels: session.description.labels,
+      sameStepTasks: definition.tasksPerTarget > 0 ? assignments.filter(({ task }) => task.step === step).length : 0,
+      hasResponseTargets: shares && assignments.some(({ task }) => task.step.definition.responseTargetMs > 0),
+      hasFills: shares && assignments.some(({ task }) => task.step.definition.fillsSpareProcessors),
+      failedHere: this.#failedTargets.get(step)?.has(session.key) ?? false
+    }
+  }
+}
+
+/** Returns the permit to start on a target; empty if none is needed, undefined if none is valid. */
+type TicketSource = (session: TargetSession) => string | undefined
+
+/** A step with tasks to place, in its rank. */
+interface WaitingStep {
+  readonly step: StepProgress
+  readonly waiting: readonly TaskProgress[]
+  readonly rank: readonly number[]
+}
+
+interface Reservation {
+  readonly session: TargetSession
+  readonly assignment: Assignment
+}
