Test the hand-over of a coordinator that alone loses the store, draining, and lost history

Cause: the test of that title stopped the coordinator instead; it is named for what it does now, and keeps its assertions. Draining and the watch that was repeated at once on lost history had no test.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -22,6 +22,8 @@
   readonly platform: StandInPlatform
   readonly ports: readonly number[]
   readonly instances: PlatformInstance[] = []
+  /** Instances that the store turns away, by number. */
+  readonly withoutStore = new Set<number>()
 
   private constructor (platform: StandInPlatform, count: number) {
     this.platform = platform
@@ -38,7 +40,8 @@
 
   async startInstance (number: number): Promise<void> {
     const file = join(mkdtempSync(join(tmpdir(), 'jobs-')), 'local.toml')
-    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number)))
+    const storeAddress = await this.platform.openStoreFront(() => this.withoutStore.has(number) ? 'refusing' : 'none')
+    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress))
     this.instances[number] = await startOnPlatform(file, process.env['LEVEL'] === undefined ? 'silent' : 'info')
   }
 
@@ -136,7 +139,7 @@
   await cluster.stop()
 })
 
-test('a coordinator that alone loses the store hands over, and work goes on', async t => {
+test('a coordinator that stops hands over, and work goes on', async t => {
   const cluster = await Cluster.start(2)
   const first = cluster.coordinator()
   t.true(first >= 0)
@@ -148,6 +151,43 @@
   await cluster.stop()
 })
 
+test('a coordinator that alone loses the store hands over, and work goes on', async t => {
+  const cluster = await Cluster.start(2)
+  const first = cluster.coordinator()
+  const begunMs = Date.now()
+  cluster.withoutStore.add(first)
+  await cluster.until('the other instance coordinates', () => cluster.coordinator() === 1 - first)
+  t.true(Date.now() - begunMs < 2_000, `handed over after ${Date.now() - begunMs} ms, not before the lease of 2 s lapsed`)
+  t.is((await cluster.serve(first, 'POST', '/checks/0000000000000bb2', job(2))).status, 200, 'an instance without the store serves through the other')
+  await cluster.untilState(1 - first, '/checks/0000000000000bb2', 'completed')
+  await cluster.stop()
+})
+
+test('a target that drains gets no new task', async t => {
+  const cluster = await Cluster.start(1, { workers: 2 })
+  await cluster.serve(0, 'POST', '/checks/0000000000000d01', job(2))
+  await cluster.untilState(0, '/checks/0000000000000d01', 'completed')
+  cluster.platform.drain('worker-1')
+  await delay(800)
+  await cluster.serve(0, 'POST', '/checks/0000000000000d02', job(6))
+  await cluster.untilState(0, '/checks/0000000000000d02', 'completed')
+  const workers = cluster.platform.events.filter(event => event.task.startsWith('0000000000000d02')).map(event => event.worker)
+  t.deepEqual([...new Set(workers)], ['worker-2'])
+  await cluster.stop()
+})
+
+test('a store that drops its history is not read in a tight loop, and changes still arrive', async t => {
+  const cluster = await Cluster.start(1)
+  cluster.platform.store.compact()
+  const before = cluster.platform.store.calls
+  await delay(1_500)
+  const calls = cluster.platform.store.calls - before
+  t.true(calls < 30, `${calls} calls in 1.5 s`)
+  cluster.platform.configure([{ name: 'weavers', key: 'a newer key' }])
+  await cluster.until('the newer key counts', async () => (await cluster.call(0, 'GET', '/checks/', undefined, 'a newer key')).status === 200)
+  await cluster.stop()
+})
+
 test('a new coordinator places work at once while one of its targets is silent', async t => {
   const cluster = await Cluster.start(2, { workMs: () => 100 })
   await cluster.serve(0, 'POST', '/checks/0000000000000c01', job(9))
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import { JsonServer } from '../../adapters/http/jsonServer.ts'
 import { StandInStore } from './standInStore.ts'
+import type { StoreFault } from './standInStore.ts'
 import { StandInWorker } from './standInWorker.ts'
 import type { StandInWorkerOptions, WorkerEvent } from './standInWorker.ts'
 
@@ -51,7 +52,7 @@
 
   static async start (options: StandInPlatformOptions): Promise<StandInPlatform> {
     const platform = new StandInPlatform(options)
-    platform.#storeAddress = await platform.#serve('store', platform.store.routes)
+    platform.#storeAddress = await platform.#serve('store', platform.store.createRoutes())
     platform.#advisorAddress = await platform.#serve('advisor', [{
       method: 'POST', pattern: '/-/advise', handle: async ({ body }) => await platform.#advise(body as AdviceBody)
     }])
@@ -84,7 +85,7 @@
   }
 
   /** The text of a settings file; the instance listens on the port and the ones after it. */
-  settingsFor (instance: string, port: number): string {
+  settingsFor (instance: string, port: number, storeAddress = this.#storeAddress): string {
     return [
       `node_name = "${instance}"`,
       'ip = "127.0.0.1"',
@@ -99,10 +100,15 @@
       'hold_max_ms = 10000',
       'kill_grace_ms = 200',
       '[platform]',
-      `address = "${this.#storeAddress}"`
+      `address = "${storeAddress}"`
     ].join('\n')
   }
 
+  /** Opens another front of the store, for one instance; its faults do not concern the others. */
+  async openStoreFront (fault: () => StoreFault): Promise<string> {
+    return await this.#serve('store front', this.store.createRoutes(fault))
+  }
+
   /** Lists a target as leaving. */
   drain (id: string): void {
     const entry = this.store.read(`servers/${id}`)[0]
--- a/src/platform/standIn/standInStore.ts
+++ b/src/platform/standIn/standInStore.ts
@@ -58,26 +58,28 @@
     for (const { timer } of this.#leases.values()) clearTimeout(timer)
   }
 
-  get routes (): readonly Route[] {
+  /** Routes of one front of the store, which may have a fault of its own. */
+  createRoutes (ownFault: () => StoreFault = () => 'none'): readonly Route[] {
+    const route = (method: Route['method'], pattern: string, handle: Route['handle']): Route => this.#route(ownFault, method, pattern, handle)
     return [
-      this.#route('GET', '/-/kv-key', async ({ query }) => this.#get(query.get('key') ?? '')),
-      this.#route('GET', '/-/kv-range', async ({ query }) => this.#range(query.get('prefix') ?? '', query.get('after') ?? '')),
-      this.#route('GET', '/-/kv-watch', async ({ query, signal }) =>
+      route('GET', '/-/kv-key', async ({ query }) => this.#get(query.get('key') ?? '')),
+      route('GET', '/-/kv-range', async ({ query }) => this.#range(query.get('prefix') ?? '', query.get('after') ?? '')),
+      route('GET', '/-/kv-watch', async ({ query, signal }) =>
         await this.#watch(query.get('prefix') ?? '', Number(query.get('after')), Number(query.get('wait_ms')), signal)),
-      this.#route('POST', '/-/kv-txn', async ({ body }) => this.#commit(body as TransactionBody)),
-      this.#route('POST', '/-/kv-lease', async ({ body }) => this.#grant((body as { ttl_ms: number }).ttl_ms)),
-      this.#route('POST', '/-/kv-keep/:id', async ({ parameters }) => this.#keep(Number(parameters['id']))),
-      this.#route('DELETE', '/-/kv-lease-end/:id', async ({ parameters }) => this.#end(Number(parameters['id'])))
+      route('POST', '/-/kv-txn', async ({ body }) => this.#commit(body as TransactionBody)),
+      route('POST', '/-/kv-lease', async ({ body }) => this.#grant((body as { ttl_ms: number }).ttl_ms)),
+      route('POST', '/-/kv-keep/:id', async ({ parameters }) => this.#keep(Number(parameters['id']))),
+      route('DELETE', '/-/kv-lease-end/:id', async ({ parameters }) => this.#end(Number(parameters['id'])))
     ]
   }
 
-  #route (method: Route['method'], pattern: string, handle: Route['handle']): Route {
+  #route (ownFault: () => StoreFault, method: Route['method'], pattern: string, handle: Route['handle']): Route {
     return {
       method,
       pattern,
       handle: async call => {
         this.calls += 1
-        const { fault } = this
+        const fault = this.fault === 'none' ? ownFault() : this.fault
         if (fault === 'refusing') return NOT_SERVED
         const answer = await handle(call)
         if (fault !== 'losing') return answer
