--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -157,7 +157,8 @@
   const begunMs = Date.now()
   cluster.withoutStore.add(first)
   await cluster.until('the other instance coordinates', () => cluster.coordinator() === 1 - first)
-  t.true(Date.now() - begunMs < 2_000, `handed over after ${Date.now() - begunMs} ms, not before the lease of 2 s lapsed`)
+  // The lease of 2 s was renewed within the last 0.5 s, so that it can not have lapsed before 1.5 s.
+  t.true(Date.now() - begunMs < 1_500, `handed over after ${Date.now() - begunMs} ms`)
   t.is((await cluster.serve(first, 'POST', '/checks/0000000000000bb2', job(2))).status, 200, 'an instance without the store serves through the other')
   await cluster.untilState(1 - first, '/checks/0000000000000bb2', 'completed')
   await cluster.stop()
@@ -182,7 +183,8 @@
   const before = cluster.platform.store.calls
   await delay(1_500)
   const calls = cluster.platform.store.calls - before
-  t.true(calls < 30, `${calls} calls in 1.5 s`)
+  // Three renewals and three listings in 1.5 s, two watches and one reading anew; as much again as a margin.
+  t.true(calls <= 18, `${calls} calls in 1.5 s`)
   cluster.platform.configure([{ name: 'weavers', key: 'a newer key' }])
   await cluster.until('the newer key counts', async () => (await cluster.call(0, 'GET', '/checks/', undefined, 'a newer key')).status === 200)
   await cluster.stop()
