Stop counting acceptors whose late or leaving exchange asked for an acknowledgement

Cause: an exchange that asks to be acknowledged counts its sender even when that incarnation has ended (a paused process that resumes, a delayed request) or has deregistered (a planned stop goes on exchanging). Such an entry is never seen in the registry, so that no later read of the registry could tell its end, and a list without incarnations went on naming it. Ruled out: slow membership; the unit test reproduces it without processes. Change: a read of the registry that began after the request covers an entry that it does not have; an instance that has deregistered does not ask. Before: the new test counts b1 after 20 s.

--- a/src/configuration/registry.test.ts
+++ b/src/configuration/registry.test.ts
@@ -68,6 +68,35 @@
   t.deepEqual(names(first), ['b1'])
 })
 
+test('an exchange of an ended incarnation that arrives late does not keep it counted for good', async t => {
+  const { clock, store, nodes: [first, second] } = await createNodes('a', 'b')
+  if (first === undefined || second === undefined) return
+  await first.registry.maintain()
+  const successor = createNode(store, clock, 'b', 'howrah', '2')
+  await clock.advance(100)
+  await successor.registry.register(acceptorOf(successor))
+  await first.registry.maintain()
+  first.registry.acknowledge(acceptorOf(second))
+  for (let reading = 0; reading < 20; reading++) {
+    await clock.advance(1_000)
+    // A list that doesn't tell incarnations apart goes on listing the name.
+    first.registry.observeList(listed(first, successor).map(({ incarnation: _, ...entry }) => entry), clock.monotonicMs())
+    await first.registry.maintain()
+    first.registry.release(clock.monotonicMs())
+  }
+  t.deepEqual(names(first), ['b2'])
+})
+
+test('an instance that has deregistered asks for no acknowledgement, which would count it again', async t => {
+  const { clock, nodes: [first, second] } = await createNodes('a', 'b')
+  if (first === undefined || second === undefined) return
+  t.true(second.registry.needsAcknowledgement)
+  second.registry.noteAcknowledged(first.ref, clock.monotonicMs())
+  t.false(second.registry.needsAcknowledgement)
+  await second.registry.deregister()
+  t.false(second.registry.needsAcknowledgement)
+})
+
 test('an instance that ended counts until the log was read after its end', async t => {
   const { clock, nodes: [first, second] } = await createNodes('a', 'b')
   await first?.registry.maintain()
--- a/src/configuration/registry.ts
+++ b/src/configuration/registry.ts
@@ -22,6 +22,8 @@
 
 interface Counted {
   readonly acceptor: Acceptor
+  /** Monotonic time at which it was first counted, or asked to be counted again. */
+  readonly countedAt: number
   /** Version of the newest registry value that had the entry; 0 if it is known from the acceptor only. */
   seenVersion: number
   /** Monotonic time at which the entry was known to be deregistered. */
@@ -80,6 +82,11 @@
       this.#acknowledged.has(incarnationKey(ref)) || !this.#value.acceptors.some(entry => sameInstance(entry.ref, ref)))
   }
 
+  /** Whether others have to be asked to count this instance; one that has deregistered must not be counted again. */
+  get needsAcknowledgement (): boolean {
+    return this.#self !== undefined && !this.mayAccept
+  }
+
   /** Adds this instance; entries of earlier incarnations of its name are replaced. Rejects with the store's errors. */
   async register (self: Acceptor): Promise<void> {
     this.#self = self
@@ -119,7 +126,8 @@
 
   /** Reads the registry, removes entries of instances that are gone, and registers again if that is needed. */
   async maintain (): Promise<void> {
-    this.#learn(await this.#read())
+    const readStartedAt = this.#clock.monotonicMs()
+    this.#learn(await this.#read(), readStartedAt)
     if (this.#self !== undefined && this.#registeredAt === undefined) await this.register(this.#self)
     const isGone = ({ ref }: Acceptor): boolean => !this.#isSelf(ref) && this.#presence.goneSince(ref) !== undefined
     if (this.#value.acceptors.some(isGone)) await this.#update(acceptors => acceptors.filter(entry => !isGone(entry)))
@@ -150,7 +158,7 @@
     const key = incarnationKey(acceptor.ref)
     const counted = this.#counted.get(key)
     if (counted === undefined) {
-      this.#counted.set(key, { acceptor, seenVersion, released: false })
+      this.#counted.set(key, { acceptor, countedAt: this.#clock.monotonicMs(), seenVersion, released: false })
       this.#presence.track(acceptor.ref)
     } else if (seenVersion >= counted.seenVersion) {
       counted.seenVersion = seenVersion
@@ -158,14 +166,16 @@
     }
   }
 
-  #learn (value: RegistryValue): void {
+  /** Takes a value of the registry whose read began at the monotonic time given. */
+  #learn (value: RegistryValue, readStartedAt: number): void {
     if (value.version < this.#value.version) return
     this.#value = value
     for (const acceptor of value.acceptors) this.#count(acceptor, value.version)
     const now = this.#clock.monotonicMs()
     for (const counted of this.#counted.values()) {
-      // An entry that was never seen in the registry may have been added after the read.
-      if (counted.seenVersion > 0 && counted.seenVersion < value.version) counted.deregisteredAt ??= now
+      // An entry that was never seen in the registry may have been added after a read that began before it was asked for.
+      const isCovered = counted.seenVersion > 0 || counted.countedAt < readStartedAt
+      if (isCovered && counted.seenVersion < value.version) counted.deregisteredAt ??= now
     }
     if (this.#registeredAt !== undefined && !value.acceptors.some(({ ref }) => this.#isSelf(ref))) {
       this.#registeredAt = undefined
@@ -181,12 +191,13 @@
   /** Changes the registry by compare-and-swap; after a lost answer the next read tells the outcome. */
   async #update (change: (acceptors: readonly Acceptor[]) => readonly Acceptor[]): Promise<void> {
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const readStartedAt = this.#clock.monotonicMs()
       const { acceptors, version } = await this.#read()
       const changed = change(acceptors)
-      if (JSON.stringify(changed) === JSON.stringify(acceptors)) return this.#learn({ acceptors, version })
+      if (JSON.stringify(changed) === JSON.stringify(acceptors)) return this.#learn({ acceptors, version }, readStartedAt)
       try {
         const result = await this.#store.put(REGISTRY_KEY, JSON.stringify(changed), { expectedVersion: version })
-        if (result.outcome === 'written') return this.#learn({ acceptors: changed, version: result.version })
+        if (result.outcome === 'written') return this.#learn({ acceptors: changed, version: result.version }, readStartedAt)
       } catch (error) {
         if (!(error instanceof StoreUnknownError)) throw error
       }
--- a/src/membership/exchangeLoop.ts
+++ b/src/membership/exchangeLoop.ts
@@ -159,7 +159,7 @@
     const sentAt = clock.monotonicMs()
     try {
       const answer = await withTimeout(clock, EXCHANGE_TIMEOUT_MS,
-        limited => peers.exchange(address, sender, !registry.mayAccept, limited), signal)
+        limited => peers.exchange(address, sender, registry.needsAcknowledgement, limited), signal)
       this.#unanswered.delete(address)
       const updates = this.#reader.read(address, known, answer)
       table.merge(updates, sentAt)
@@ -178,7 +178,7 @@
   #describeSender (address: string, known: KnownAnswer | undefined): ExchangeSender {
     const { table, registry } = this.#options
     const { ref, state, configurationVersion, dataCentre, region, peerAddress } = this.#describe()
-    const statesPlace = known === undefined || !registry.mayAccept
+    const statesPlace = known === undefined || registry.needsAcknowledgement
     const others = this.#unanswered.size === 0 ? [] : table.others()
     return {
       ref,
