Read the settings again on SIGHUP and when the file changes

Cause: SIGHUP was not handled, so that it ended the process, and a file that changed without a signal was not seen. Change: SettingsReloader reads the file on the signal and every 1.5 s; the addresses of store and advisor, the grace, the lease of targets and the time for which finished jobs are kept take effect at once or at the next election.

--- a/src/adapters/http/httpCaller.ts
+++ b/src/adapters/http/httpCaller.ts
@@ -130,6 +130,11 @@
     })
   }
 
+  /** Takes no more calls, and closes when those in progress have ended. */
+  async finish (): Promise<void> {
+    await this.#pool.close()
+  }
+
   /** Closes every connection; calls in progress fail. */
   async close (): Promise<void> {
     await this.#pool.destroy()
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -19,17 +19,22 @@
 const LISTEN_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'ENOTFOUND']
 
 const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const
+/** Without a handler this signal ends the process. */
+const RELOAD_SIGNAL = 'SIGHUP'
 
-/** Stops the instance on a signal, and returns when it has stopped. */
+/** Stops the instance or reads its settings again on a signal, and returns when it has stopped. */
 async function waitForStop (instance: RunningInstance): Promise<void> {
   let onFailure: (error: unknown) => void = () => {}
   const failure = new Promise<never>((_resolve, reject) => { onFailure = reject })
   const stop = (): void => { instance.stop().catch(onFailure) }
+  const reload = (): void => instance.reload?.(RELOAD_SIGNAL)
   for (const signal of STOP_SIGNALS) process.on(signal, stop)
+  if (instance.reload !== undefined) process.on(RELOAD_SIGNAL, reload)
   try {
     await Promise.race([instance.stopped, failure])
   } finally {
     for (const signal of STOP_SIGNALS) process.off(signal, stop)
+    process.off(RELOAD_SIGNAL, reload)
   }
 }
 
@@ -51,7 +56,7 @@
     .option('settings', { type: 'string', requiresArg: true, describe: 'INI file of this instance; docs/settings.md lists the names' })
     .option('embedded', { type: 'boolean', default: false, describe: 'Run with stand-ins for store, list and targets in this process, to try things out' })
     .option('platform', { type: 'boolean', default: false, describe: `Run on the users' platform with the settings file that ${PLATFORM_SETTINGS_VARIABLE} names` })
-    .example('$0 serve --settings entry-1.ini', 'SIGTERM begins a planned stop')
+    .example('$0 serve --settings entry-1.ini', 'SIGTERM begins a planned stop; with --platform, SIGHUP reads the settings again')
     .example('$0 serve --embedded', 'Try it without a platform'),
   handler: async (given: ServeArguments) => await run(async () => {
     const instance = await startChosen(given)
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -38,8 +38,10 @@
   readonly connect: JobTargetConnector
   readonly advisor: PlacementAdvisor
   readonly peers: CoordinatorPeers
-  readonly targetLeaseMs: number
-  readonly finishedJobMs: number
+  /** Read at each election. */
+  readonly targetLeaseMs: () => number
+  /** How long the state of a finished job is known; read at each election. */
+  readonly finishedJobMs: () => number
 }
 
 interface Term {
@@ -173,8 +175,8 @@
       mayAct: () => this.#election.mayAct(),
       storeFails: () => this.#election.storeFails,
       resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
-      targetLeaseMs: options.targetLeaseMs,
-      finishedJobMs: options.finishedJobMs
+      targetLeaseMs: options.targetLeaseMs(),
+      finishedJobMs: options.finishedJobMs()
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger) }
     logger.info({ fence: info.fence }, 'elected as coordinator')
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -21,6 +21,7 @@
 class Cluster {
   readonly platform: StandInPlatform
   readonly ports: readonly number[]
+  readonly #files: string[] = []
   readonly instances: PlatformInstance[] = []
   /** Instances that the store turns away, by number. */
   readonly withoutStore = new Set<number>()
@@ -40,11 +41,21 @@
 
   async startInstance (number: number): Promise<void> {
     const file = join(mkdtempSync(join(tmpdir(), 'jobs-')), 'local.toml')
+    this.#files[number] = file
     const storeAddress = await this.platform.openStoreFront(() => this.withoutStore.has(number) ? 'refusing' : 'none')
     writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress))
     this.instances[number] = await startOnPlatform(file, process.env['LEVEL'] === undefined ? 'silent' : 'info')
   }
 
+  /** The store is reached at another address from now on, and refuses at the one before. */
+  async moveStore (number: number): Promise<void> {
+    const file = this.#files[number] as string
+    const storeAddress = await this.platform.openStoreFront(() => 'none')
+    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress))
+    this.instances[number]?.reload('test')
+    this.withoutStore.add(number)
+  }
+
   async call (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, key = STAND_IN_KEY): Promise<Answer> {
     const answer = await request(`http://127.0.0.1:${this.#port(number)}${path}`, {
       method,
@@ -126,6 +137,15 @@
   await cluster.stop()
 })
 
+test('a settings file that names another store address is in force without a restart', async t => {
+  const cluster = await Cluster.start(1)
+  t.is((await cluster.serve(0, 'POST', '/checks/00000000000000d0', job(1))).status, 200)
+  await cluster.moveStore(0)
+  t.is((await cluster.serve(0, 'POST', '/checks/00000000000000d1', job(1))).status, 200)
+  await cluster.untilState(0, '/checks/00000000000000d1', 'completed')
+  await cluster.stop()
+})
+
 test('a job that was accepted right before every instance stopped runs once after they are back', async t => {
   const cluster = await Cluster.start(2, { workMs: () => 4_000 })
   t.is((await cluster.serve(0, 'POST', '/checks/00000000000000aa', job(4))).status, 200)
--- a/src/platform/platformAdvisor.ts
+++ b/src/platform/platformAdvisor.ts
@@ -12,12 +12,28 @@
 const adviceSchema = z.object({ allowed: z.array(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
 
 export class PlatformAdvisor implements PlacementAdvisor {
-  readonly #caller: HttpCaller
+  readonly #clock: TimerClock
+  #address: string
+  #caller: HttpCaller
 
   constructor (address: string, clock: TimerClock) {
+    this.#clock = clock
+    this.#address = address
     this.#caller = createPlatformCaller(address, clock)
   }
 
+  get address (): string {
+    return this.#address
+  }
+
+  /** Sends further questions to another address; resolves when the earlier ones have ended. */
+  async moveTo (address: string): Promise<void> {
+    const earlier = this.#caller
+    this.#address = address
+    this.#caller = createPlatformCaller(address, this.#clock)
+    await earlier.finish()
+  }
+
   async ask ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
     const { status, body } = await this.#caller.callLenient({
       method: 'POST', path: '/-/advise', body: { step_id: step, workers: targets }, timeoutMs: expectedMs + ANSWER_SLACK_MS
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -35,12 +35,28 @@
 
 export class PlatformStore implements TransactionalStore, Component {
   readonly name = 'store client'
-  readonly #caller: HttpCaller
+  readonly #clock: TimerClock
+  #address: string
+  #caller: HttpCaller
 
   constructor (address: string, clock: TimerClock) {
+    this.#clock = clock
+    this.#address = address
     this.#caller = createPlatformCaller(address, clock)
   }
 
+  get address (): string {
+    return this.#address
+  }
+
+  /** Sends further calls to another address; resolves when the earlier ones have ended. */
+  async moveTo (address: string): Promise<void> {
+    const earlier = this.#caller
+    this.#address = address
+    this.#caller = createPlatformCaller(address, this.#clock)
+    await earlier.finish()
+  }
+
   async start (): Promise<void> {}
 
   async stop (): Promise<void> {
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -7,9 +7,12 @@
 import { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
 import { JobInstance } from '../entry/jobInstance.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 import { createLogger } from '../observability/logger.ts'
-import type { LoggerOptions } from '../observability/logger.ts'
+import type { Logger, LoggerOptions } from '../observability/logger.ts'
 import { JobMetrics } from '../observability/jobMetrics.ts'
+import type { Clock } from '../ports/clock.ts'
+import { SettingsReloader } from '../settings/settingsReloader.ts'
 import { CallerFrontend } from './callerFrontend.ts'
 import { DESIRED_STATE_KEY, parseDesiredState } from './desiredState.ts'
 import { PlatformAdvisor } from './platformAdvisor.ts'
@@ -30,10 +33,15 @@
 
 type LogLevel = LoggerOptions['level']
 
+/** Settings that take effect while the instance runs; the lease of targets from the next election on. */
+const RELOADABLE = ['storeAddress', 'advisorAddress', 'stopGraceMs', 'longestTargetLeaseMs', 'finishedJobMs'] as const
+
 /** A started instance. */
 export interface PlatformInstance {
   /** Begins the planned stop; calling it again changes nothing. */
   stop (): Promise<void>
+  /** Puts a changed settings file in force; `source` says in the log why. */
+  reload (source: string): void
   readonly stopped: Promise<void>
 }
 
@@ -51,6 +59,8 @@
   const store = new PlatformStore(settings.storeAddress, clock)
   const peers = new CoordinatorPeerClient(clock)
   const desired = new DesiredStateWatcher({ store, key: DESIRED_STATE_KEY, parse: parseDesiredState, clock, logger })
+  const advisor = new PlatformAdvisor(settings.advisorAddress, clock)
+  const reloader = createReloader(settingsPath, settings, { store, advisor, clock, logger })
   const peerAddress = `${settings.ip}:${settings.peerPort}`
   const instance = new JobInstance({
     instance: settings.instance,
@@ -61,10 +71,10 @@
     desired,
     directory: new StoredTargetDirectory(store, logger),
     connect: (address, life) => new PlatformTarget(address, life, clock),
-    advisor: new PlatformAdvisor(settings.advisorAddress, clock),
+    advisor,
     peers,
-    targetLeaseMs: settings.longestTargetLeaseMs - LEASE_MARGIN_MS,
-    finishedJobMs: settings.finishedJobMs
+    targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
+    finishedJobMs: () => reloader.current.finishedJobMs
   })
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
   const frontend = new CallerFrontend({
@@ -79,7 +89,7 @@
   const metricsServer = createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics)
 
   const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
-  for (const component of [store, peers, desired, createCoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
+  for (const component of [store, peers, reloader, desired, createCoordinatorPeerServer(peerAddress, instance), instance, readiness, metricsServer, frontend]) manager.add(component)
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
 
@@ -87,13 +97,14 @@
   const stopped = new Promise<void>(resolve => { finish = resolve })
   return {
     stopped,
+    reload: source => reloader.reload(source),
     async stop () {
       if (stopping) return
       stopping = true
       logger.info({ leaveMs: LEAVE_MS }, 'instance stops')
       await instance.withdraw()
       frontend.beginClosing()
-      await clock.sleep(Math.min(LEAVE_MS, settings.stopGraceMs / 2))
+      await clock.sleep(Math.min(LEAVE_MS, reloader.current.stopGraceMs / 2))
       const failures = await manager.stop()
       for (const { component, error } of failures) logger.warn({ component, error: String(error) }, 'a component did not stop in time')
       logger.info('instance stopped')
@@ -102,6 +113,27 @@
   }
 }
 
+interface Reloaded {
+  readonly store: PlatformStore
+  readonly advisor: PlatformAdvisor
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+function createReloader (path: string, initial: PlatformSettings, { store, advisor, clock, logger }: Reloaded): SettingsReloader<PlatformSettings> {
+  return new SettingsReloader<PlatformSettings>({
+    initial,
+    read: () => readSettings(path),
+    reloadable: RELOADABLE,
+    onChanged: ({ storeAddress, advisorAddress }) => {
+      if (storeAddress !== store.address) runInBackground(store.moveTo(storeAddress), logger, 'move to another store')
+      if (advisorAddress !== advisor.address) runInBackground(advisor.moveTo(advisorAddress), logger, 'move to another advisor')
+    },
+    clock,
+    logger
+  })
+}
+
 function createReadinessServer (listen: string, isReady: () => boolean): JsonServer {
   return new JsonServer({
     name: 'readiness',
--- /dev/null
+++ b/src/settings/settingsReloader.ts
@@ -0,0 +1,92 @@
+/** Puts a changed settings file in force while the process runs. */
+import { isDeepStrictEqual } from 'node:util'
+import type { Component } from '../lifecycle/component.ts'
+import { PeriodicTask } from '../lifecycle/periodicTask.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+
+/** Between two readings of the file, which may change without a signal; below the 2.5 s in which a change is to be in force. */
+const READ_INTERVAL_MS = 1_500
+
+export interface SettingsReloaderOptions<Settings extends object> {
+  /** Settings in force at the start. */
+  readonly initial: Settings
+  /** Reads the file; throws if it can not be used. */
+  readonly read: () => Settings
+  /** Names of settings that take effect without a restart. */
+  readonly reloadable: readonly (keyof Settings & string)[]
+  readonly onChanged: (settings: Settings) => void
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+/**
+ * Reads the file on request and at an interval. A file that can not be used changes nothing, and neither do
+ * settings that need a restart; both are logged once for each content.
+ *
+ * @example
+ * const reloader = new SettingsReloader({ initial, read: () => readSettings(path), reloadable: ['storeAddress'], onChanged, clock, logger })
+ * await reloader.start()
+ * process.on('SIGHUP', () => reloader.reload('SIGHUP'))
+ */
+export class SettingsReloader<Settings extends object> implements Component {
+  readonly name = 'settings'
+  readonly #options: SettingsReloaderOptions<Settings>
+  readonly #reading: PeriodicTask
+  #current: Settings
+  /** The last content that was looked at, in force or not. */
+  #seen: Settings
+  #lastError = ''
+
+  constructor (options: SettingsReloaderOptions<Settings>) {
+    this.#options = options
+    this.#current = options.initial
+    this.#seen = options.initial
+    this.#reading = new PeriodicTask('settings', options.clock, READ_INTERVAL_MS, () => this.#readAgain('file'),
+      error => options.logger.error({ error: String(error) }, 'the settings could not be applied'))
+  }
+
+  /** Settings in force. */
+  get current (): Settings {
+    return this.#current
+  }
+
+  async start (): Promise<void> {
+    await this.#reading.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#reading.stop()
+  }
+
+  /** Reads the file now; `source` says in the log why. */
+  reload (source: string): void {
+    this.#options.logger.info({ source }, 'reload of the settings')
+    this.#readAgain(source)
+  }
+
+  #readAgain (source: string): void {
+    const { read, logger } = this.#options
+    let settings: Settings
+    try {
+      settings = read()
+    } catch (error) {
+      if (String(error) !== this.#lastError) logger.error({ source, error: String(error) }, 'the settings can not be used; the earlier ones stay in force')
+      this.#lastError = String(error)
+      return
+    }
+    this.#lastError = ''
+    if (isDeepStrictEqual(settings, this.#seen)) return
+    this.#seen = settings
+    this.#apply(settings, source)
+  }
+
+  #apply (settings: Settings, source: string): void {
+    const { reloadable, onChanged, logger } = this.#options
+    const names = (Object.keys(settings) as (keyof Settings & string)[]).filter(name => !isDeepStrictEqual(settings[name], this.#current[name]))
+    const applied = names.filter(name => reloadable.includes(name))
+    this.#current = { ...this.#current, ...Object.fromEntries(applied.map(name => [name, settings[name]])) }
+    logger.info({ source, applied, needRestart: names.filter(name => !applied.includes(name)) }, 'the settings have changed')
+    if (applied.length > 0) onChanged(this.#current)
+  }
+}
