Add a fault soak on the real program; withdraw orders that a restarted target may carry out

The soak (npm run soak, test/soak) runs instances as processes on the stand-ins, with faulty links before store, targets and callers, signals, restarts of targets, late orders, lost history and clocks that are 2% off, drawn from a seed, and checks what callers and targets saw.

Trace: a start on worker-1 had no answer when the worker started again under its identity; its task was freed at once (state 'starting', 'restarted') and placed on worker-3; the order was then carried out by worker-1's next life, whose fence does not refuse the same term. Now such an order is stopped on the next life, until that refuses it and does not run it, before the task is free; the next life gets no tasks meanwhile.

The handler is installed before the rest of the program is loaded.

--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -47,6 +47,8 @@
   readonly #sessions = new Map<string, TargetSession>()
   /** Lives of targets that the log names: only they get tasks. */
   readonly #recorded = new Set<string>()
+  /** Start of the latest known life, by identity of the target. */
+  readonly #newestLives = new Map<string, number>()
   readonly #directory: PeriodicTask
   #closed = false
 
@@ -63,7 +65,15 @@
 
   /** Sessions whose targets may get new tasks. */
   get usable (): readonly TargetSession[] {
-    return [...this.#sessions.values()].filter(session => session.usable && this.#recorded.has(session.key))
+    const sessions = [...this.#sessions.values()]
+    // Orders to an earlier life may still be carried out by the present one, which then has less room than it shows.
+    const earlier = new Set(sessions.filter(session => session.over || this.#isReplaced(session)).filter(({ hasOrdersOnTheirWay }) => hasOrdersOnTheirWay).map(({ id }) => id))
+    return sessions.filter(session => session.usable && this.#recorded.has(session.key) && !earlier.has(session.id))
+  }
+
+  /** Whether a later life of the same target is known. */
+  #isReplaced ({ id, description }: TargetSession): boolean {
+    return (this.#newestLives.get(id) ?? 0) > description.bornMs
   }
 
   /** Opens the session of a life that the log names, on which tasks of earlier terms may run. */
@@ -101,6 +111,7 @@
   /** Drops a life that is over; true if the log names it. */
   drop (session: TargetSession): boolean {
     this.#sessions.delete(session.key)
+    if (!this.#isReplaced(session)) this.#newestLives.delete(session.id)
     return this.#recorded.delete(session.key)
   }
 
@@ -147,6 +158,7 @@
       foreignOrdersUntilMs
     })
     this.#sessions.set(session.key, session)
+    this.#newestLives.set(id, Math.max(bornMs, this.#newestLives.get(id) ?? 0))
     return session
   }
 
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -20,6 +20,7 @@
   reachable = true
   bornMs = 1
   startOutcome: StartOutcome = { outcome: 'started', clockMs: 0 }
+  startAnswer: Promise<void> = Promise.resolve()
   readonly #clock: ManualClock
 
   constructor (clock: ManualClock) {
@@ -27,6 +28,7 @@
   }
 
   async start (_order: TaskOrder): Promise<StartOutcome> {
+    await this.startAnswer
     return this.startOutcome
   }
 
@@ -191,3 +193,36 @@
   await clock.advance(1_500)
   t.deepEqual(listener.events.slice(2), [`${assignment.task.name} lost: restarted`, 'life ended: restarted'])
 })
+
+test('an order without an answer is withdrawn from the next life under the same identity, which may carry it out late', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const name = assignment.task.name
+  session.reserve(assignment)
+  client.startAnswer = new Promise(() => {})
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  client.bornMs = 2
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(1_500)
+  t.true(client.stops.includes(name))
+  t.deepEqual(listener.events, ['joined'], 'the late run has not ended yet')
+  client.running = []
+  await clock.advance(500)
+  t.deepEqual(listener.events, ['joined', `${name} lost: restarted`, 'life ended: restarted'])
+})
+
+test('a run that the next life under the same identity reports is ended before its task is free', async t => {
+  const { clock, client, listener, session } = createSession(0)
+  const assignment = createAssignment('job-1', 'recovering')
+  assignment.confirmedAtMs = -Infinity
+  const name = assignment.task.name
+  session.reserve(assignment)
+  client.bornMs = 2
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(1_000)
+  t.deepEqual(listener.events, [])
+  client.running = []
+  await clock.advance(500)
+  t.deepEqual(listener.events, [`${name} lost: restarted`, 'life ended: restarted'])
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -32,6 +32,8 @@
 const CONFIRM_MS = 250
 /** Repeats of orders to stop. */
 const STOP_REPEAT_MS = 400
+/** Orders without an answer are carried out up to 12 s later, as the platform's list of troubles says. */
+const LATEST_ORDER_MS = 12_500
 
 export type LifeEnd = 'restarted' | 'lease-lapsed'
 
@@ -71,6 +73,9 @@
   readonly #ended = new Set<string>()
   #joined = false
   #over = false
+  #closed = false
+  /** Resolves when no order of a life that is over can be carried out any more. */
+  #withdrawn: Promise<void> = Promise.resolve()
   #draining = false
   #listed = true
   #lastNumber = 0
@@ -121,6 +126,11 @@
       nowMs - this.#lastContactMs < REACHABLE_MS && nowMs >= this.#avoidUntilMs
   }
 
+  /** Whether an order was sent that the target may still carry out later. */
+  get hasOrdersOnTheirWay (): boolean {
+    return [...this.#assignments.values()].some(isOnItsWay)
+  }
+
   get draining (): boolean {
     return this.#draining
   }
@@ -173,8 +183,9 @@
       checkpoint: task.step.checkpointOf(task),
       ticket
     })
-    if (!this.#assignments.has(assignment.key)) return
+    if (!this.#assignments.has(assignment.key) || this.#over) return
     assignment.confirmedAtMs = clock.monotonicMs()
+    assignment.answered = result.outcome !== 'unknown'
     if (result.outcome === 'started') {
       if (assignment.state === 'starting') assignment.state = 'running'
       return listener.startConfirmed(this, assignment)
@@ -212,12 +223,14 @@
       }
       await this.#renew(this.#waitMs())
     }
+    await this.#withdrawn
     await this.#options.client.close()
   }
 
   /** Ends the session without deciding anything, because the term has ended. */
   close (): void {
     this.#over = true
+    this.#closed = true
   }
 
   #waitMs (): number {
@@ -254,7 +267,7 @@
 
   async #handleReport (report: TargetReport, sentMs: number): Promise<void> {
     const { bornMs } = this.description
-    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#end('restarted')
+    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endRestarted(report)
     const nowMs = this.#options.clock.monotonicMs()
     this.#lastContactMs = nowMs
     this.#clockOffsetMs = report.clockMs - nowMs
@@ -302,6 +315,7 @@
     if (this.#ended.has(key)) return
     const known = this.#assignments.get(key)
     if (known === undefined) return this.#stopUnknown(running)
+    known.answered = true
     if (known.state === 'unconfirmed' || known.state === 'recovering') {
       known.state = 'running'
       known.confirmedAtMs = nowMs
@@ -368,14 +382,59 @@
   }
 
   #end (reason: LifeEnd): void {
-    if (this.#over) return
+    if (!this.#markOver(reason)) return
+    for (const assignment of [...this.#assignments.values()]) this.#loseRun(assignment, reason)
+    this.#options.listener.lifeEnded(this, reason)
+  }
+
+  /**
+   * Ends a life whose target has started again under its identity: the next life would carry out an order that
+   * is still on its way, so that such an order is withdrawn there before its task is free.
+   */
+  #endRestarted (report: TargetReport): void {
+    if (!this.#markOver('restarted')) return
+    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
+    const withdrawals: Promise<void>[] = []
+    for (const assignment of [...this.#assignments.values()]) {
+      const { key } = assignment
+      if (isOnItsWay(assignment) || running.has(key)) withdrawals.push(this.#withdraw(assignment))
+      else this.#loseRun(assignment, 'restarted')
+    }
+    this.#withdrawn = Promise.all(withdrawals).then(() => {
+      if (!this.#closed) this.#options.listener.lifeEnded(this, 'restarted')
+    })
+  }
+
+  /** False if the life was over before. */
+  #markOver (reason: LifeEnd): boolean {
+    if (this.#over) return false
     this.#over = true
     this.#options.logger.info({ target: this.id, reason, runs: this.#assignments.size }, 'a life of a target has ended')
-    for (const assignment of [...this.#assignments.values()]) {
-      this.#remove(assignment)
-      this.#options.listener.runLost(this, assignment, reason)
+    return true
+  }
+
+  /** Stops the run on the next life until that refuses the order and does not run the task, or no order can arrive any more. */
+  async #withdraw (assignment: Assignment): Promise<void> {
+    const { client, clock, fencingToken, logger } = this.#options
+    const { task: { name: task }, attempt, key } = assignment
+    logger.info({ task, attempt, target: this.id }, 'an order without an answer is withdrawn from the next life of its target')
+    const untilMs = clock.monotonicMs() + LATEST_ORDER_MS
+    while (!this.#closed && clock.monotonicMs() < untilMs) {
+      const outcome = await client.stop({ task, attempt, fencingToken })
+      if (outcome === 'other-life') break
+      if (outcome === 'stopping') {
+        const result = await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 })
+        if (result.outcome === 'other-life') break
+        if (result.outcome === 'report' && !result.report.running.some(run => runKey(run.task, run.attempt) === key)) break
+      }
+      await clock.sleep(RETRY_DELAY_MS)
     }
-    this.#options.listener.lifeEnded(this, reason)
+    if (!this.#closed) this.#loseRun(assignment, 'restarted')
+  }
+
+  #loseRun (assignment: Assignment, reason: LifeEnd): void {
+    this.#remove(assignment)
+    this.#options.listener.runLost(this, assignment, reason)
   }
 
   #remove (assignment: Assignment): void {
@@ -388,3 +447,8 @@
     this.#used.accelerators += sign * size.accelerators
   }
 }
+
+/** Orders of earlier coordinators do not count: the target's fence refuses them. */
+function isOnItsWay ({ answered, state }: Assignment): boolean {
+  return !answered && state !== 'reserved' && state !== 'recovering'
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** Entry point of the program. */
+import './earlySignals.ts'
 import { runProgram } from './commands/program.ts'
 
 runProgram(process.argv.slice(2)).then(exitCode => { process.exitCode = exitCode }, error => {
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -33,6 +33,27 @@
 const CORES = 64_000
 const MEMORY_MB = 262_144
 
+/** Steps of a job that follow each other; sizes in thousandths of a core. */
+export interface StandInStep {
+  readonly count: number
+  readonly processors: number
+  readonly estimateMs: number
+}
+
+/** The body with which a caller of the platform submits a job. */
+export function encodeJob (spec: string, steps: readonly StandInStep[]): string {
+  return JSON.stringify({
+    spec,
+    phases: steps.map(({ count, processors, estimateMs }, position) =>
+      ({ count, cpu: processors, mem_mb: 64, estimate_ms: estimateMs, ...(position === 0 ? {} : { after: [position - 1] }) }))
+  })
+}
+
+/** The headers of a call with a key. */
+export function encodeHeaders (key: string): Readonly<Record<string, string>> {
+  return { host: STAND_IN_HOST, 'x-api-key': key, 'content-type': 'application/json' }
+}
+
 /**
  * Starts the store, the targets and the advisor on ports of their own.
  *
@@ -91,16 +112,16 @@
   }
 
   /** The text of a settings file; the instance listens on the port and the ones after it. */
-  settingsFor (instance: string, port: number, storeAddress = this.#storeAddress): string {
+  settingsFor (instance: string, port: number, storeAddress = this.#storeAddress, host = '127.0.0.1'): string {
     return [
       `node_name = "${instance}"`,
-      'ip = "127.0.0.1"',
+      `ip = "${host}"`,
       'zone = "attica-a"',
       `internal_ports = [${port + 2}, ${port + 9}]`,
       `recommendation = "${this.#advisorAddress}"`,
       '[listen_addrs]',
-      `frontend = "127.0.0.1:${port}"`,
-      `ready = "127.0.0.1:${port + 1}"`,
+      `frontend = "${host}:${port}"`,
+      `ready = "${host}:${port + 1}"`,
       '[bounds]',
       'grace_s = 6',
       'hold_max_ms = 10000',
--- /dev/null
+++ b/test/soak/faultPlan.ts
@@ -0,0 +1,87 @@
+/** Draws the faults of one soak run from its seed. */
+import { SeededRandom } from '../../src/adapters/random/seededRandom.ts'
+import { STORE_FAULTS } from '../../src/platform/standIn/standInStore.ts'
+import type { StoreFault } from '../../src/platform/standIn/standInStore.ts'
+import { LINK_FAULTS } from '../processes/tcpForwarder.ts'
+import type { LinkFault } from '../processes/tcpForwarder.ts'
+
+/** `instance`, `worker`: numbers from 0. Durations are in milliseconds. */
+export type Fault =
+  | { readonly type: 'kill', readonly instances: readonly number[], readonly forMs: number }
+  | { readonly type: 'stop', readonly instance: number, readonly forMs: number }
+  | { readonly type: 'pause', readonly instance: number, readonly forMs: number }
+  | { readonly type: 'hangup', readonly instance: number }
+  | { readonly type: 'store', readonly fault: StoreFault, readonly instances: readonly number[], readonly forMs: number }
+  | { readonly type: 'store-link', readonly fault: LinkFault, readonly instance: number, readonly forMs: number }
+  | { readonly type: 'compaction' }
+  | { readonly type: 'caller-link', readonly fault: LinkFault, readonly instance: number, readonly forMs: number }
+  | { readonly type: 'worker-link', readonly fault: LinkFault, readonly worker: number, readonly forMs: number }
+  | { readonly type: 'worker-late', readonly worker: number, readonly forMs: number }
+  | { readonly type: 'worker-crash', readonly worker: number }
+  | { readonly type: 'worker-drain', readonly worker: number }
+  | { readonly type: 'configuration' }
+
+export interface PlannedFault {
+  readonly atMs: number
+  readonly fault: Fault
+}
+
+export interface PlanOptions {
+  readonly seed: number
+  readonly durationMs: number
+  readonly instances: number
+  readonly workers: number
+}
+
+/** Mean time between two faults; each lasts longer, so that they overlap. */
+const MEAN_INTERVAL_MS = 900
+const SHORTEST_MS = 300
+const LONGEST_MS = 5_000
+/** Faults do not begin before the cell has served its first jobs. */
+const WARM_UP_MS = 1_500
+/** Part of the faults that strike the same thing again shortly after. */
+const REPEATED = 0.2
+
+/**
+ * Returns the faults in the order of their times; the same options give the same plan.
+ *
+ * @example
+ * for (const { atMs, fault } of drawPlan({ seed: 7, durationMs: 30_000, instances: 3, workers: 6 })) schedule(atMs, fault)
+ */
+export function drawPlan ({ seed, durationMs, instances, workers }: PlanOptions): readonly PlannedFault[] {
+  const random = new SeededRandom(seed)
+  const plan: PlannedFault[] = []
+  let atMs = WARM_UP_MS
+  let last: Fault | undefined
+  while (atMs < durationMs) {
+    const fault: Fault = last !== undefined && random.next() < REPEATED ? last : drawFault(random, instances, workers)
+    plan.push({ atMs: Math.round(atMs), fault })
+    last = fault
+    atMs += MEAN_INTERVAL_MS * 2 * random.next()
+  }
+  return plan
+}
+
+function drawFault (random: SeededRandom, instances: number, workers: number): Fault {
+  const pick = <T>(values: readonly T[]): T => values[random.integer(values.length)] as T
+  const all = Array.from({ length: instances }, (_, index) => index)
+  const instance = random.integer(instances)
+  const worker = random.integer(workers)
+  const forMs = SHORTEST_MS + random.integer(LONGEST_MS - SHORTEST_MS)
+  const drawn: readonly (() => Fault)[] = [
+    () => ({ type: 'kill', instances: random.integer(4) === 0 ? all : [instance], forMs }),
+    () => ({ type: 'stop', instance, forMs }),
+    () => ({ type: 'pause', instance, forMs }),
+    () => ({ type: 'hangup', instance }),
+    () => ({ type: 'store', fault: pick(STORE_FAULTS), instances: random.integer(2) === 0 ? all : [instance], forMs }),
+    () => ({ type: 'store-link', fault: pick(LINK_FAULTS), instance, forMs }),
+    () => ({ type: 'compaction' }),
+    () => ({ type: 'caller-link', fault: pick(LINK_FAULTS), instance, forMs }),
+    () => ({ type: 'worker-link', fault: pick(LINK_FAULTS), worker, forMs }),
+    () => ({ type: 'worker-late', worker, forMs }),
+    () => ({ type: 'worker-crash', worker }),
+    () => ({ type: 'worker-drain', worker }),
+    () => ({ type: 'configuration' })
+  ]
+  return pick(drawn)()
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,47 @@
+/** Runs the soak by hand: `npm run soak -- --seed 7 --seeds 50 --jobs 4`. */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import yargs from 'yargs'
+import { hideBin } from 'yargs/helpers'
+import { PROGRAM } from '../processes/testTeam.ts'
+import { runSoak } from './runSoak.ts'
+import type { SoakReport } from './runSoak.ts'
+
+const given = await yargs(hideBin(process.argv))
+  .option('seed', { type: 'number', default: Math.floor(Date.now() / 1_000) % 1_000_000, describe: 'First seed; a fresh one if left out' })
+  .option('seeds', { type: 'number', default: 1, describe: 'How many seeds, one after the other' })
+  .option('seconds', { type: 'number', default: 30, describe: 'Duration of the load of each seed' })
+  .option('jobs', { type: 'number', default: 1, describe: 'Seeds that run at the same time' })
+  .option('instances', { type: 'number', default: 3, describe: 'Processes of each seed' })
+  .option('workers', { type: 'number', default: 6, describe: 'Targets of each seed' })
+  .option('logs', { type: 'string', default: 'soak-logs', describe: 'Folder for the logs of seeds that failed' })
+  .strict()
+  .parse()
+
+const waiting = Array.from({ length: given.seeds }, (_, index) => given.seed + index)
+const failed: number[] = []
+const totals = { calls: 0, accepted: 0, starts: 0, faults: 0 }
+
+async function report ({ seed, violations, faults, jobs, accepted, calls, starts, lines }: SoakReport): Promise<void> {
+  totals.calls += calls
+  totals.accepted += accepted
+  totals.starts += starts
+  totals.faults += faults.length
+  console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${calls} calls, ${starts} starts, ${faults.length} faults, ${violations.length} violations`)
+  if (violations.length === 0) return
+  failed.push(seed)
+  for (const violation of violations.slice(0, 12)) console.log(`  ${violation}`)
+  await mkdir(given.logs, { recursive: true })
+  const plan = faults.map(({ atMs, fault }) => `${atMs} ${JSON.stringify(fault)}`)
+  await writeFile(join(given.logs, `seed-${seed}.log`), [...violations, ...plan, ...lines].join('\n'))
+}
+
+async function work (): Promise<void> {
+  for (let seed = waiting.shift(); seed !== undefined; seed = waiting.shift()) {
+    await report(await runSoak({ seed, durationMs: given.seconds * 1_000, program: PROGRAM, instances: given.instances, workers: given.workers }))
+  }
+}
+
+await Promise.all(Array.from({ length: given.jobs }, work))
+console.log(`${given.seeds} seeds: ${totals.accepted} jobs accepted, ${totals.calls} calls, ${totals.starts} starts, ${totals.faults} faults; failed: ${failed.length === 0 ? 'none' : failed.join(' ')}`)
+process.exitCode = failed.length === 0 ? 0 : 1
--- /dev/null
+++ b/test/soak/runSoak.ts
@@ -0,0 +1,92 @@
+/** Plays one seed: load and overlapping faults, then calm until everything has settled, then the checks. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import murmurhash from 'murmurhash'
+import { drawPlan } from './faultPlan.ts'
+import type { Fault } from './faultPlan.ts'
+import { SoakCallers } from './soakCallers.ts'
+import { SoakCell } from './soakCell.ts'
+import { checkSoak } from './soakChecker.ts'
+
+const WORKER_CPU = 64_000
+/** The cap of the second team; the first has none. */
+const CAP = 120_000
+const LONGEST_TASK_MS = 1_500
+/** Clocks of targets may be 2% slow. */
+const CLOCK_DRIFT = 0.02
+/**
+ * Time for the jobs to end after the last fault: the lease of a silent target (10 s, 2% more on its clock), a
+ * take-over, and the work that has piled up.
+ */
+const SETTLE_MS = 30_000
+const TEAMS = [{ name: 'weavers', key: 'key-1' }, { name: 'florists', key: 'key-2', cap: CAP }]
+const QUEUES = [{ name: 'checks', prefix: '/checks/' }, { name: 'renders', prefix: '/renders/', priority: 1, adviceMs: 15 }]
+
+export interface SoakOptions {
+  readonly seed: number
+  readonly durationMs: number
+  readonly program: readonly string[]
+  readonly instances?: number
+  readonly workers?: number
+}
+
+export interface SoakReport {
+  readonly seed: number
+  readonly violations: readonly string[]
+  readonly faults: readonly { readonly atMs: number, readonly fault: Fault }[]
+  readonly jobs: number
+  readonly accepted: number
+  readonly calls: number
+  readonly starts: number
+  /** What the instances wrote. */
+  readonly lines: readonly string[]
+}
+
+/**
+ * Runs the programs under the faults of the seed.
+ *
+ * @example
+ * const { violations } = await runSoak({ seed: 7, durationMs: 30_000, program: ['dist/agategauge'] })
+ */
+export async function runSoak ({ seed, durationMs, program, instances = 3, workers = 6 }: SoakOptions): Promise<SoakReport> {
+  const cell = await SoakCell.start({
+    instances,
+    workers,
+    host: hostOf(seed),
+    program,
+    queues: QUEUES,
+    teams: TEAMS,
+    workMs: (task, attempt) => murmurhash.v3(`${seed} ${task} ${attempt}`) % LONGEST_TASK_MS,
+    clockRate: worker => 1 - CLOCK_DRIFT * (worker % 3 - 1)
+  })
+  const callers = new SoakCallers({ seed, teams: TEAMS, prefixes: QUEUES.map(({ prefix }) => prefix), addresses: () => cell.callerAddresses })
+  const plan = drawPlan({ seed, durationMs, instances, workers })
+  try {
+    const running = callers.run()
+    await Promise.all([sleep(durationMs), ...plan.map(async ({ atMs, fault }) => {
+      await sleep(atMs)
+      await cell.inflict(fault)
+    })])
+    await Promise.all([running, callers.stop(SETTLE_MS)])
+  } finally {
+    await cell.stop()
+  }
+  const { events, acknowledged } = cell.platform
+  const violations = checkSoak({
+    jobs: callers.jobs, events, acknowledged, workerCpu: WORKER_CPU, teamCaps: new Map(TEAMS.map(({ name, cap = 0 }) => [name, cap]))
+  })
+  return {
+    seed,
+    violations: [...cell.faults, ...callers.faults, ...violations],
+    faults: plan,
+    jobs: callers.jobs.size,
+    accepted: [...callers.jobs.values()].filter(({ acceptedAtMs }) => acceptedAtMs !== undefined).length,
+    calls: callers.calls,
+    starts: events.filter(({ type }) => type === 'started').length,
+    lines: cell.lines
+  }
+}
+
+/** A loopback host for each seed of a process, so that runs side by side share no port. */
+function hostOf (seed: number): string {
+  return `127.${10 + process.pid % 90}.${(seed >> 8) & 0xff}.${1 + (seed & 0xff) % 254}`
+}
--- /dev/null
+++ b/test/soak/soak.test.ts
@@ -0,0 +1,18 @@
+import test from 'ava'
+import { PROGRAM } from '../processes/testTeam.ts'
+import { drawPlan } from './faultPlan.ts'
+import { runSoak } from './runSoak.ts'
+
+const SHORT_MS = 12_000
+
+test('no promise is broken by the faults of one seed on the real program', async t => {
+  const { violations, accepted, starts, faults } = await runSoak({ seed: 7, durationMs: SHORT_MS, program: PROGRAM })
+  t.deepEqual(violations, [])
+  t.true(accepted > 0 && starts > 0 && faults.length > 0)
+})
+
+test('a seed always gives the same faults, so that a failed run can be repeated', t => {
+  const options = { seed: 11, durationMs: 30_000, instances: 3, workers: 6 }
+  t.deepEqual(drawPlan(options), drawPlan(options))
+  t.notDeepEqual(drawPlan(options), drawPlan({ ...options, seed: 12 }))
+})
--- /dev/null
+++ b/test/soak/soakCallers.ts
@@ -0,0 +1,167 @@
+/** Callers of the soak: they submit, ask for states, cancel, and try again elsewhere, on connections that stay open. */
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { SeededRandom } from '../../src/adapters/random/seededRandom.ts'
+import { encodeHeaders, encodeJob } from '../../src/platform/standIn/standInPlatform.ts'
+import type { SoakJob } from './soakChecker.ts'
+
+/** The clients' time limit on the users' platform. */
+const CALL_TIMEOUT_MS = 3_000
+const ATTEMPTS = 5
+const RETRY_MS = 400
+const MEAN_INTERVAL_MS = 90
+const POLL_MS = 900
+/** Of the jobs, the part that is cancelled a moment after its acceptance. */
+const CANCELLED = 0.12
+/** Of the calls, the part that shows a key that no desired state ever held. */
+const WRONG_KEYS = 0.03
+const LONGEST_STEP = 6
+const TASK_CPU = 6_000
+const ESTIMATE_MS = 300
+
+export interface SoakTeam {
+  readonly name: string
+  readonly key: string
+}
+
+export interface SoakCallersOptions {
+  readonly seed: number
+  readonly teams: readonly SoakTeam[]
+  readonly prefixes: readonly string[]
+  readonly addresses: () => readonly string[]
+}
+
+/** A job and how its caller behaves. */
+interface PlannedJob extends SoakJob {
+  readonly path: string
+  readonly key: string
+  readonly cancelAfterMs: number | undefined
+}
+
+/** What came back for one call; no status if the channel broke or the time was up. */
+interface Answer {
+  readonly status?: number
+  readonly state?: string
+}
+
+export class SoakCallers {
+  readonly jobs = new Map<string, SoakJob>()
+  /** Calls with a wrong key that were served. */
+  readonly faults: string[] = []
+  calls = 0
+  readonly #options: SoakCallersOptions
+  readonly #random: SeededRandom
+  readonly #agent = new Agent({ pipelining: 1, keepAliveTimeout: 60_000 })
+  readonly #lives: Promise<void>[] = []
+  #stopped = false
+  #settled = false
+
+  constructor (options: SoakCallersOptions) {
+    this.#options = options
+    this.#random = new SeededRandom(options.seed)
+  }
+
+  /** Submits jobs until `stop`. */
+  async run (): Promise<void> {
+    while (!this.#stopped) {
+      const life = this.#live(this.#draw())
+      this.#lives.push(life)
+      await sleep(MEAN_INTERVAL_MS * 2 * this.#random.next())
+    }
+  }
+
+  /** Submits no more; resolves when every accepted job has shown its outcome, or the time is up. */
+  async stop (settleMs: number): Promise<void> {
+    this.#stopped = true
+    const timer = setTimeout(() => { this.#settled = true }, settleMs)
+    await Promise.all(this.#lives)
+    clearTimeout(timer)
+    await this.#agent.destroy()
+  }
+
+  #draw (): PlannedJob {
+    const { teams, prefixes } = this.#options
+    const team = teams[this.#random.integer(teams.length)] as SoakTeam
+    const id = (this.jobs.size + 1).toString(16).padStart(16, '0')
+    const job = {
+      id,
+      team: team.name,
+      key: team.key,
+      path: `${prefixes[this.#random.integer(prefixes.length)]}${id}`,
+      steps: Array.from({ length: 1 + this.#random.integer(2) }, () => 1 + this.#random.integer(LONGEST_STEP)),
+      cpu: TASK_CPU,
+      uncertain: false,
+      cancelSent: false,
+      cancelAfterMs: this.#random.next() < CANCELLED ? this.#random.integer(2_000) : undefined,
+      shown: []
+    }
+    this.jobs.set(id, job)
+    return job
+  }
+
+  async #live (job: PlannedJob): Promise<void> {
+    await this.#submit(job)
+    if (job.acceptedAtMs === undefined) return
+    if (job.cancelAfterMs !== undefined) {
+      await sleep(job.cancelAfterMs)
+      await this.#cancel(job)
+    }
+    while (!this.#settled) {
+      await sleep(POLL_MS)
+      const atMs = Date.now()
+      const { status, state } = await this.#call('GET', job.path, job.key)
+      if (status === 410) job.shown.push({ atMs, state: 'no-job' })
+      if (status === 200 && state !== undefined) job.shown.push({ atMs: Date.now(), state })
+      if (state === 'completed' || state === 'failed' || state === 'cancelled') return
+    }
+  }
+
+  async #submit (job: PlannedJob): Promise<void> {
+    const body = encodeJob(job.id, job.steps.map(count => ({ count, processors: job.cpu, estimateMs: ESTIMATE_MS })))
+    if (this.#random.next() < WRONG_KEYS) {
+      const { status = 0 } = await this.#call('GET', job.path, 'a key of nobody')
+      if (status >= 200 && status < 300) this.faults.push(`ROUTE: a call with an unknown key was answered ${status}`)
+    }
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      const { status } = await this.#call('POST', job.path, job.key, body)
+      if (status === 200) {
+        job.acceptedAtMs = Date.now()
+        return
+      }
+      if (status !== 429 && status !== 503) job.uncertain = true
+      await sleep(RETRY_MS)
+    }
+  }
+
+  async #cancel (job: PlannedJob): Promise<void> {
+    for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
+      job.cancelSent = true
+      const { status } = await this.#call('DELETE', job.path, job.key)
+      if (status === 200) {
+        job.cancelledAtMs = Date.now()
+        return
+      }
+      await sleep(RETRY_MS)
+    }
+  }
+
+  async #call (method: 'GET' | 'POST' | 'DELETE', path: string, key: string, body?: string): Promise<Answer> {
+    const addresses = this.#options.addresses()
+    const address = addresses[this.#random.integer(addresses.length)] as string
+    this.calls += 1
+    try {
+      const answer = await request(`http://${address}${path}`, {
+        method,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        headers: encodeHeaders(key),
+        body
+      })
+      const { state } = await answer.body.json() as { state?: string }
+      return { status: answer.statusCode, state }
+    } catch {
+      // A broken channel or no answer in time: the call may have been carried out.
+      return {}
+    }
+  }
+}
--- /dev/null
+++ b/test/soak/soakCell.ts
@@ -0,0 +1,214 @@
+/** The real program as separate processes on stand-ins of the platform, with a faulty link before each of them. */
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { StandInPlatform } from '../../src/platform/standIn/standInPlatform.ts'
+import type { StandInPlatformOptions } from '../../src/platform/standIn/standInPlatform.ts'
+import type { StoreFault } from '../../src/platform/standIn/standInStore.ts'
+import { ManagedProcess } from '../processes/childProcess.ts'
+import { TcpForwarder } from '../processes/tcpForwarder.ts'
+import type { Fault } from './faultPlan.ts'
+
+/** The platform's `grace_s`: a process that was told to stop and still runs is ended. */
+const GRACE_MS = 6_000
+/** A process that ended by itself starts again after this time. */
+const RESTART_MS = 300
+const FIRST_PORT = 7_400
+const PORTS_OF_AN_INSTANCE = 10
+/** A drained worker serves on for a while before it leaves, and comes back as another life. */
+const DRAIN_MS = 3_000
+
+export interface SoakCellOptions extends StandInPlatformOptions {
+  readonly instances: number
+  /** Loopback host of the instances and links. */
+  readonly host: string
+  /** The program with its leading arguments. */
+  readonly program: readonly string[]
+}
+
+interface Instance {
+  readonly number: number
+  readonly file: string
+  readonly port: number
+  readonly storeLink: TcpForwarder
+  readonly callerLink: TcpForwarder
+  process: ManagedProcess
+  /** How long the process stays away after a signal that ends it; undefined if it got none. */
+  awayMs: number | undefined
+}
+
+export class SoakCell {
+  readonly platform: StandInPlatform
+  /** Ends of processes that nobody asked for, and stops that took too long. */
+  readonly faults: string[] = []
+  readonly #options: SoakCellOptions
+  readonly #directory: string
+  readonly #instances: Instance[] = []
+  readonly #workerLinks: TcpForwarder[]
+  readonly #storeFaults: StoreFault[]
+  readonly #lines: string[] = []
+  #closing = false
+
+  private constructor (options: SoakCellOptions, directory: string, platform: StandInPlatform, workerLinks: TcpForwarder[]) {
+    this.#options = options
+    this.#directory = directory
+    this.platform = platform
+    this.#workerLinks = workerLinks
+    this.#storeFaults = Array.from({ length: options.instances }, () => 'none')
+  }
+
+  /** Starts the stand-ins, then every instance. */
+  static async start (options: SoakCellOptions): Promise<SoakCell> {
+    const workerLinks: TcpForwarder[] = []
+    const platform = await StandInPlatform.start({
+      ...options,
+      exposeWorker: async (_id, address) => {
+        const link = await openLink(address, options.host)
+        workerLinks.push(link)
+        return link.address
+      }
+    })
+    const cell = new SoakCell(options, await mkdtemp(join(tmpdir(), 'agategauge-soak-')), platform, workerLinks)
+    for (let number = 0; number < options.instances; number++) await cell.#addInstance(number)
+    return cell
+  }
+
+  /** Where callers reach the instances. */
+  get callerAddresses (): readonly string[] {
+    return this.#instances.map(({ callerLink }) => callerLink.address)
+  }
+
+  /** The lines that the instances wrote. */
+  get lines (): readonly string[] {
+    return this.#lines
+  }
+
+  /** Brings a fault about; resolves when it is over. */
+  async inflict (fault: Fault): Promise<void> {
+    switch (fault.type) {
+      case 'kill':
+        for (const number of fault.instances) this.#kill(number, fault.forMs)
+        return
+      case 'stop': return await this.#stop(fault.instance, fault.forMs)
+      case 'pause': return await this.#pause(fault.instance, fault.forMs)
+      case 'hangup': return this.#instance(fault.instance).process.signal('SIGHUP')
+      case 'store': return await this.#failStore(fault.fault, fault.instances, fault.forMs)
+      case 'store-link': return await disrupt(this.#instance(fault.instance).storeLink, fault.fault, fault.forMs)
+      case 'caller-link': return await disrupt(this.#instance(fault.instance).callerLink, fault.fault, fault.forMs)
+      case 'worker-link': return await disrupt(this.#workerLinks[fault.worker] as TcpForwarder, fault.fault, fault.forMs)
+      case 'worker-late': return await this.#delayOrders(workerId(fault.worker), fault.forMs)
+      case 'worker-crash': return this.platform.crash(workerId(fault.worker))
+      case 'worker-drain': return await this.#drain(workerId(fault.worker))
+      case 'compaction': return this.platform.store.compact()
+      case 'configuration': return this.platform.configure()
+    }
+  }
+
+  async stop (): Promise<void> {
+    this.#closing = true
+    await Promise.all(this.#instances.map(async ({ process }) => {
+      process.signal('SIGCONT')
+      await process.kill()
+    }))
+    const links = [...this.#workerLinks, ...this.#instances.flatMap(({ storeLink, callerLink }) => [storeLink, callerLink])]
+    await Promise.all(links.map(async link => await link.stop()))
+    await this.platform.stop()
+    await rm(this.#directory, { recursive: true, force: true })
+  }
+
+  #instance (number: number): Instance {
+    return this.#instances[number] as Instance
+  }
+
+  async #addInstance (number: number): Promise<void> {
+    const { host } = this.#options
+    const port = FIRST_PORT + number * PORTS_OF_AN_INSTANCE
+    const front = await this.platform.openStoreFront(() => this.#storeFaults[number] as StoreFault)
+    const storeLink = await openLink(front, host)
+    const callerLink = await openLink(`${host}:${port}`, host)
+    const file = join(this.#directory, `entry-${number}.toml`)
+    await writeFile(file, this.platform.settingsFor(`entry-${number}`, port, storeLink.address, host))
+    const instance: Instance = { number, file, port, storeLink, callerLink, process: this.#launch(number, file), awayMs: undefined }
+    this.#instances.push(instance)
+    this.#keepRunning(instance).catch(error => this.faults.push(`ENDED: entry-${number} could not be started: ${error}`))
+  }
+
+  #launch (number: number, file: string): ManagedProcess {
+    return new ManagedProcess(`entry-${number}`, [...this.#options.program, 'serve', '--platform'], {
+      environment: { AGATEGAUGE_CONFIG: file }, onLine: line => this.#lines.push(line)
+    })
+  }
+
+  /** Starts the process again whenever it has ended; an end that nobody asked for is a fault. */
+  async #keepRunning (instance: Instance): Promise<void> {
+    for (;;) {
+      const { code, signal } = await instance.process.ended
+      if (this.#closing) return
+      if (instance.awayMs === undefined) this.faults.push(`ENDED: entry-${instance.number} ended by itself with ${code ?? signal}`)
+      await sleep(instance.awayMs ?? RESTART_MS)
+      if (this.#closing) return
+      instance.awayMs = undefined
+      instance.process = this.#launch(instance.number, instance.file)
+    }
+  }
+
+  #kill (number: number, forMs: number): void {
+    const instance = this.#instance(number)
+    instance.awayMs = forMs
+    instance.process.signal('SIGKILL')
+  }
+
+  async #stop (number: number, forMs: number): Promise<void> {
+    const instance = this.#instance(number)
+    const { process } = instance
+    instance.awayMs = forMs
+    process.signal('SIGTERM')
+    const inTime = await Promise.race([process.ended.then(() => true), sleep(GRACE_MS, false)])
+    if (!inTime && !process.wasPaused) this.faults.push(`STOP: entry-${number} did not stop within ${GRACE_MS} ms`)
+    process.signal('SIGKILL')
+  }
+
+  async #pause (number: number, forMs: number): Promise<void> {
+    const { process } = this.#instance(number)
+    process.signal('SIGSTOP')
+    await sleep(forMs)
+    process.signal('SIGCONT')
+  }
+
+  async #failStore (fault: StoreFault, instances: readonly number[], forMs: number): Promise<void> {
+    for (const number of instances) this.#storeFaults[number] = fault
+    await sleep(forMs)
+    for (const number of instances) this.#storeFaults[number] = 'none'
+  }
+
+  async #delayOrders (id: string, forMs: number): Promise<void> {
+    const worker = this.platform.workers.get(id)
+    if (worker === undefined) return
+    worker.fault = 'late'
+    await sleep(forMs)
+    worker.fault = 'none'
+  }
+
+  async #drain (id: string): Promise<void> {
+    this.platform.drain(id)
+    await sleep(DRAIN_MS)
+    this.platform.crash(id)
+  }
+}
+
+function workerId (number: number): string {
+  return `worker-${number + 1}`
+}
+
+async function openLink (destination: string, host: string): Promise<TcpForwarder> {
+  const link = new TcpForwarder(destination)
+  await link.start(host)
+  return link
+}
+
+async function disrupt (link: TcpForwarder, fault: Parameters<TcpForwarder['disrupt']>[0], forMs: number): Promise<void> {
+  link.disrupt(fault)
+  await sleep(forMs)
+  link.heal()
+}
--- /dev/null
+++ b/test/soak/soakChecker.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava'
+import type { WorkerEvent } from '../../src/platform/standIn/standInWorker.ts'
+import { checkSoak } from './soakChecker.ts'
+import type { SoakJob } from './soakChecker.ts'
+
+const ID = '0000000000000001'
+
+function event (type: WorkerEvent['type'], task: string, atMs: number, end?: string, attempt = 1, worker = 'worker-1'): WorkerEvent {
+  return { type, task: `${ID}.0.${task}`, atMs, attempt, worker, ...(end === undefined ? {} : { end }) }
+}
+
+function check (events: readonly WorkerEvent[], changes: Partial<SoakJob> = {}, limits: { workerCpu?: number, cap?: number, acknowledged?: boolean } = {}): readonly string[] {
+  const job: SoakJob = { id: ID, team: 'weavers', steps: [1, 1], cpu: 1_000, acceptedAtMs: 0, uncertain: false, cancelSent: false, shown: [{ atMs: 100, state: 'completed' }], ...changes }
+  const { workerCpu = 64_000, cap = 0, acknowledged = true } = limits
+  return checkSoak({
+    jobs: new Map([[ID, job]]),
+    events,
+    acknowledged: new Set(acknowledged ? events.map(({ task, attempt }) => `${task}#${attempt}`) : []),
+    workerCpu,
+    teamCaps: new Map([['weavers', cap]])
+  }).map(fault => fault.split(':', 1)[0] as string)
+}
+
+const GOOD = [event('started', '0.0', 1), event('ended', '0.0', 2, 'done'), event('started', '1.0', 3), event('ended', '1.0', 4, 'done')]
+
+test('the checker of the soak does not report a job that ran as it should, or again after a crash lost its end', t => {
+  t.deepEqual(check(GOOD), [])
+  t.deepEqual(check(GOOD, {}, { acknowledged: false }), [], 'the target crashed after its end was stored and before that was acknowledged')
+  const [start, end] = GOOD as [WorkerEvent, WorkerEvent]
+  t.deepEqual(check([start, end, { ...start, attempt: 2, atMs: 5 }, { ...end, attempt: 2, atMs: 6 }], { steps: [1], shown: [{ atMs: 100, state: 'completed' }] }, { acknowledged: false }), [])
+})
+
+test('the checker of the soak does not miss a broken promise', t => {
+  const [start, end, next] = GOOD as [WorkerEvent, WorkerEvent, WorkerEvent]
+  t.deepEqual(check([start, { ...start, attempt: 2 }, ...GOOD.slice(1)]), ['TWICE'])
+  t.deepEqual(check([...GOOD, { ...start, attempt: 2, atMs: 9 }]), ['TWICE'])
+  t.deepEqual(check([start, next, end, ...GOOD.slice(3)]), ['ORDER'])
+  t.deepEqual(check(GOOD, {}, { workerCpu: 500 }), ['LIMIT'])
+  t.deepEqual(check([start, event('started', '0.1', 1), event('started', '0.2', 1)], { steps: [3], shown: [], cancelSent: true }, { cap: 1_000 }), ['QUOTA'])
+  t.deepEqual(check(GOOD, { acceptedAtMs: undefined, shown: [] }), ['REFUSED', 'REFUSED'])
+  t.deepEqual(check(GOOD.map(each => ({ ...each, atMs: each.atMs + 9_000 })), { cancelledAtMs: 1, cancelSent: true, shown: [] }), ['UNASKED', 'UNASKED'])
+  t.deepEqual(check([{ ...start, task: 'ffffffffffffffff.0.0.0' }], { cancelSent: true, shown: [] }), ['UNASKED'])
+  t.deepEqual(check([start, end]), ['MIXED'])
+  t.deepEqual(check(GOOD, { shown: [{ atMs: 3, state: 'completed' }] }), ['MIXED'])
+  t.deepEqual(check(GOOD, { shown: [{ atMs: 50, state: 'no-job' }, { atMs: 100, state: 'completed' }] }), ['LOST'])
+  t.deepEqual(check(GOOD, { shown: [{ atMs: 100, state: 'active' }] }), ['LOST'])
+  t.deepEqual(check(GOOD, { shown: [{ atMs: 100, state: 'failed' }] }), ['LOST', 'LOST'])
+  t.deepEqual(check(GOOD, { shown: [{ atMs: 100, state: 'cancelled' }] }), ['LOST', 'LOST'])
+})
