Prefer instances with more processors as coordinator, and bound its work for batches and passes

Change: instances report their processors; a smaller candidate waits 0.5 s, and a smaller coordinator hands over once a larger one has reported for 2 s. The interval of batches grows with the instances (350 batches a second together). A pass remembers free processors and sizes that did not fit; ends of tasks scan the sessions only when a later run of the task exists. The tests of jobs on the platform use a loopback host of their own: one run failed with EADDRINUSE, as their ports were in the range of outgoing connections.

--- a/bench/coordinatorLoad.ts
+++ b/bench/coordinatorLoad.ts
@@ -1,4 +1,4 @@
-/** Processor time of a coordinator under the calm load of a site: npx tsx bench/coordinatorLoad.ts [JOBS_PER_SECOND] [SECONDS]. */
+/** Processor time of a coordinator under the calm load of a site: TARGETS=246 TASKS=6 npx tsx bench/coordinatorLoad.ts [JOBS_PER_SECOND] [SECONDS]. */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -8,8 +8,8 @@
 import { STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from '../src/platform/standIn/standInPlatform.ts'
 
 const PORT = 21_400
-const TARGETS = 33
-const TASKS = 4
+const TARGETS = Number(process.env['TARGETS'] ?? 33)
+const TASKS = Number(process.env['TASKS'] ?? 4)
 const WORK_MS = 900
 const CPU_MILLIS = 3_000
 /** Kernel clock ticks in a second, as in /proc/PID/stat. */
--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -33,7 +33,8 @@
 const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
   coordinator: z.object({ instance: z.string(), address: z.string(), fence: z.number(), lease: z.number() }).optional(),
   desiredState: z.object({ version: z.number(), text: z.string() }).optional(),
-  peers: z.array(z.string())
+  peers: z.array(z.string()),
+  largestProcessors: z.number()
 })
 const releaseAnswerSchema = z.object({ released: z.boolean() })
 const adviceAnswerSchema = z.object({ allowed: z.array(z.object({ target: z.string(), ticket: z.string() })) })
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -15,7 +15,9 @@
   desiredStateVersion: z.number()
 })
 const callsSchema = z.object({ calls: z.array(callSchema) })
-const reportSchema = z.object({ instance: z.string(), address: z.string(), desiredStateVersion: z.number() })
+const reportSchema = z.object({
+  instance: z.string(), address: z.string(), desiredStateVersion: z.number(), processors: z.number(), reachesStore: z.boolean()
+})
 const releaseSchema = z.object({ lease: z.number() })
 const questionSchema = z.object({ step: z.string(), targets: z.array(z.string()), expectedMs: z.number() })
 
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -54,6 +54,8 @@
   readonly instance: string
   readonly address: string
   readonly leaseMs?: number
+  /** Time by which this instance lets more suitable ones go first, beside its distance from the store. */
+  readonly candidateDelayMs?: () => number
   readonly listener: ElectionListener
 }
 
@@ -168,7 +170,7 @@
     }
     this.#setKnown(undefined)
     if (this.#withdrawn) return await this.#sleep(RETRY_DELAY_MS)
-    await this.#sleep(Math.min(answerMs * DISTANCE_FACTOR, LONGEST_CANDIDATE_DELAY_MS))
+    await this.#sleep(Math.min(answerMs * DISTANCE_FACTOR, LONGEST_CANDIDATE_DELAY_MS) + (this.#options.candidateDelayMs?.() ?? 0))
     await this.#stand()
   }
 
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -308,6 +308,11 @@
     }
   }
 
+  /** Whether another run of the task was placed after the one that is done. */
+  #hasLaterRun ({ definition, tasks }: StepProgress, { task, attempt }: FinishedRun): boolean {
+    return !definition.gang && tasks.some(({ name, attempt: last }) => name === task && last > attempt)
+  }
+
   get #election (): { readonly key: string, readonly revision: number } {
     return { key: COORDINATOR_KEY, revision: this.info.fence }
   }
@@ -316,7 +321,7 @@
   #continueJob (job: JobProgress, step: StepProgress, run: FinishedRun, stored: Promise<void>): void {
     if (job.outcome !== undefined) return this.settle(job, stored)
     if (run.end === 'done') {
-      this.#fleet.stopRuns(assignment => assignment.task.step === step && assignment.task.state === 'done' && !step.definition.gang)
+      if (this.#hasLaterRun(step, run)) this.#fleet.stopRuns(assignment => assignment.task.step === step && assignment.task.state === 'done')
       if (step.done) for (const next of job.steps) this.#placer.offerStep(next)
     } else {
       this.#placer.retryStep(step)
--- /dev/null
+++ b/src/coordinator/placementPass.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { DesiredState } from '../jobs/desiredState.ts'
+import { resources } from '../model/resources.ts'
+import { PlacementPass } from './placementPass.ts'
+import type { TargetSession } from './targetSession.ts'
+
+const STATE: DesiredState = { version: 1, queues: [], services: ['renders'], teams: [], maximumBodyBytes: 0 }
+const SEED = 11
+
+function session (free: { processors: number, memory: number, accelerators: number }): TargetSession {
+  return { free, description: { service: 'renders', capacity: resources({ processors: 64, memory: 256 }) } } as unknown as TargetSession
+}
+
+const size = fc.record({ processors: fc.integer({ min: 1, max: 80 }), memory: fc.integer({ min: 1, max: 300 }) }).map(given => resources(given))
+
+test('burst of steps: what a pass remembers of sizes that did not fit never hides room that there is', t => {
+  fc.assert(fc.property(fc.array(size, { maxLength: 6 }), fc.array(size, { minLength: 1, maxLength: 20 }), (rooms, wanted) => {
+    const sessions = rooms.map(room => session({ ...room }))
+    const pass = new PlacementPass(STATE, sessions)
+    for (const task of wanted) {
+      const naive = sessions.reduce((sum, { free }) => sum + Math.min(Math.floor(free.processors / task.processors), Math.floor(free.memory / task.memory)), 0)
+      if (pass.tasksThatFit('renders', task, 1_000) !== naive) return false
+      const first = sessions.find(({ free }) => free.processors >= task.processors && free.memory >= task.memory)
+      if (first === undefined) continue
+      const free = first.free as { processors: number, memory: number }
+      free.processors -= task.processors
+      free.memory -= task.memory
+      pass.noteReserved('renders', task, 1)
+      if (pass.freeProcessors('renders') !== sessions.reduce((sum, each) => sum + each.free.processors, 0)) return false
+    }
+    return true
+  }), { seed: SEED })
+  t.pass()
+})
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -15,6 +15,9 @@
   readonly #teams: ReadonlyMap<string, TeamSettings>
   readonly #sessions = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
+  readonly #freeProcessors = new Map<string, number>()
+  /** Sizes of which not one task fits any more, by service. */
+  readonly #tooLarge = new Map<string, Resources[]>()
 
   constructor (state: DesiredState, usable: readonly TargetSession[]) {
     this.#queues = new Map(state.queues.map(queue => [queue.name, queue]))
@@ -25,6 +28,7 @@
       sessions.push(session)
       this.#sessions.set(service, sessions)
       this.#totalProcessors.set(service, this.totalProcessors(service) + capacity.processors)
+      this.#freeProcessors.set(service, this.freeProcessors(service) + session.free.processors)
     }
   }
 
@@ -41,8 +45,16 @@
     return this.#sessions.get(service) ?? []
   }
 
-  /** Tasks of the size for which the service has room, up to `wanted`. */
+  /** Tasks of the size for which the service has room, up to `wanted`. Room only shrinks during a pass. */
   tasksThatFit (service: string, size: Resources, wanted: number): number {
+    const tooLarge = this.#tooLarge.get(service) ?? []
+    if (tooLarge.some(smaller => isAtLeast(size, smaller))) return 0
+    const fitting = this.#countFitting(service, size, wanted)
+    if (fitting === 0) this.#tooLarge.set(service, [...tooLarge.filter(larger => !isAtLeast(larger, size)), size])
+    return fitting
+  }
+
+  #countFitting (service: string, size: Resources, wanted: number): number {
     let fitting = 0
     for (const session of this.sessions(service)) {
       fitting += tasksWithin(session, size)
@@ -52,7 +64,12 @@
   }
 
   freeProcessors (service: string): number {
-    return this.sessions(service).reduce((sum, session) => sum + session.free.processors, 0)
+    return this.#freeProcessors.get(service) ?? 0
+  }
+
+  /** Notes that room for tasks of the size was reserved. */
+  noteReserved (service: string, size: Resources, tasks: number): void {
+    this.#freeProcessors.set(service, this.freeProcessors(service) - size.processors * tasks)
   }
 
   totalProcessors (service: string): number {
@@ -60,6 +77,11 @@
   }
 }
 
+/** Whether a task of the size needs at least as much of everything. */
+function isAtLeast (size: Resources, smaller: Resources): boolean {
+  return size.processors >= smaller.processors && size.memory >= smaller.memory && size.accelerators >= smaller.accelerators
+}
+
 function tasksWithin (session: TargetSession, size: Resources): number {
   const { free } = session
   const within = (room: number, each: number): number => each <= 0 ? Infinity : Math.floor(room / each)
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -169,31 +169,34 @@
     if (count === 0 || (definition.gang && count < waiting.length)) return
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
+      pass.noteReserved(queue.service, roomOf(definition), placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
       return
     }
-    this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
+    pass.noteReserved(queue.service, roomOf(definition), this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs))
   }
 
+  /** Returns for how many tasks room was reserved. */
   #placeWithAdvice (
     step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
-  ): void {
+  ): number {
     const advice = this.#advice.get(step) ?? new StepAdvice()
     this.#advice.set(step, advice)
-    if (nowMs < advice.restsUntilMs) return
+    if (nowMs < advice.restsUntilMs) return 0
     const unasked = sessions.filter(session => !advice.wasAsked(session.key))
     const allowed = sessions.filter(session => advice.allows(session.key))
     if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
       runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
-      return
+      return 0
     }
     const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
     const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
     this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
-    if (placed.length > 0 || withTicket.length === allowed.length) return
+    if (placed.length > 0 || withTicket.length === allowed.length) return placed.length
     const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
-    if (planned.length === 0) return
+    if (planned.length === 0) return 0
     runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned)), this.#logger, 'start after renewed advice')
+    return planned.length
   }
 
   async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, sessions: readonly TargetSession[]): Promise<void> {
--- a/src/entry/callBatcher.test.ts
+++ b/src/entry/callBatcher.test.ts
@@ -20,7 +20,7 @@
     sizes.push(calls.length)
     await clock.sleep(20)
     return calls.map(answerFor)
-  })
+  }, () => 7)
   const answers: Promise<CallerAnswer>[] = []
   for (let number = 0; number < 120; number++) {
     answers.push(batcher.handle(callFor(number)))
@@ -37,7 +37,7 @@
   const batcher = new CallBatcher(clock, async calls => {
     sentMs.push(clock.monotonicMs())
     return calls.map(answerFor)
-  })
+  }, () => 7)
   await batcher.handle(callFor(1))
   await clock.advance(100)
   await batcher.handle(callFor(2))
@@ -50,10 +50,29 @@
   const batcher = new CallBatcher(clock, async calls => {
     if (lost) throw new Error('no answer')
     return calls.map(answerFor)
-  })
+  }, () => 7)
   await t.throwsAsync(batcher.handle(callFor(1)), { message: 'no answer' })
   lost = false
   const later = batcher.handle(callFor(2))
   await clock.advance(100)
   t.deepEqual(await later, { outcome: 'pending', pending: 2 })
 })
+
+test('many instances: their batches together stay within what one coordinator takes', async t => {
+  const clock = new ManualClock()
+  const INSTANCES = 35
+  let batches = 0
+  const batcher = new CallBatcher(clock, async calls => {
+    batches += 1
+    return calls.map(answerFor)
+  }, () => INSTANCES)
+  const answers: Promise<CallerAnswer>[] = []
+  for (let number = 0; number < 280; number++) {
+    answers.push(batcher.handle(callFor(number)))
+    await clock.advance(36)
+  }
+  await clock.advance(1_000)
+  await Promise.all(answers)
+  const seconds = clock.monotonicMs() / 1_000
+  t.true(batches * INSTANCES <= 350 * seconds, `${batches} batches in ${seconds} s`)
+})
--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -2,8 +2,12 @@
 import type { Clock } from '../ports/clock.ts'
 import type { CallerAnswer, CallerCall } from './callerCall.ts'
 
-/** Batches begin at least this far apart: at most 30 requests a second from each instance. */
-const BATCH_INTERVAL_MS = 30
+/** Batches of all instances together that a coordinator takes in a second, at 0.3 ms of processor each. */
+const BATCHES_PER_SECOND = 350
+/** Shortest and longest time between the beginnings of two batches of one instance. */
+const SHORTEST_INTERVAL_MS = 30
+const LONGEST_INTERVAL_MS = 120
+const MS_PER_SECOND = 1_000
 /** Bounds the time that one batch keeps the coordinator from other work. */
 const LARGEST_BATCH = 60
 /** Batches without an answer at the same time; one may wait for the store while others read. */
@@ -18,23 +22,27 @@
 }
 
 /**
- * A call after a pause is sent at once; calls that follow within the interval go together.
+ * A call after a pause is sent at once; calls that follow within the interval go together. The interval grows with
+ * the number of instances, so that the coordinator's work for batches does not.
  *
  * @example
- * const batcher = new CallBatcher(clock, async calls => await peer.handle(calls))
+ * const batcher = new CallBatcher(clock, async calls => await peer.handle(calls), () => 7)
  * const answer = await batcher.handle(call)
  */
 export class CallBatcher {
   readonly #clock: Clock
   readonly #send: SendBatch
+  readonly #instances: () => number
   #waiting: WaitingCall[] = []
   #inFlight = 0
   #nextBatchMs = 0
   #scheduled = false
 
-  constructor (clock: Clock, send: SendBatch) {
+  /** `instances` is the number of instances that send batches. */
+  constructor (clock: Clock, send: SendBatch, instances: () => number) {
     this.#clock = clock
     this.#send = send
+    this.#instances = instances
   }
 
   handle (call: CallerCall): Promise<CallerAnswer> {
@@ -55,11 +63,15 @@
     }, () => {})
   }
 
+  get #intervalMs (): number {
+    return Math.min(Math.max(SHORTEST_INTERVAL_MS, this.#instances() * MS_PER_SECOND / BATCHES_PER_SECOND), LONGEST_INTERVAL_MS)
+  }
+
   #sendNext (): void {
     const batch = this.#waiting.splice(0, LARGEST_BATCH)
     if (batch.length === 0) return
     this.#inFlight += 1
-    this.#nextBatchMs = this.#clock.monotonicMs() + BATCH_INTERVAL_MS
+    this.#nextBatchMs = this.#clock.monotonicMs() + this.#intervalMs
     this.#deliver(batch).finally(() => {
       this.#inFlight -= 1
       this.#schedule()
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -31,7 +31,7 @@
   /** One batcher for the coordinator in office; an earlier one ends with its calls. */
   #batcherFor (address: string, peers: CoordinatorPeers): CallBatcher {
     if (this.#batcher?.address !== address) {
-      const batcher = new CallBatcher(this.#options.clock, async calls => await peers.connect(address).handleAll(calls))
+      const batcher = new CallBatcher(this.#options.clock, async calls => await peers.connect(address).handleAll(calls), () => this.#options.instance.knownInstances)
       this.#batcher = { address, batcher }
     }
     return this.#batcher.batcher
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -4,6 +4,7 @@
 import type { CoordinatorInfo, ElectionListener } from '../coordinator/election.ts'
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/jobIntake.ts'
+import { OfficePreference } from '../coordinator/officePreference.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
@@ -23,6 +24,8 @@
 const REPORT_INTERVAL_MS = 400
 /** An instance that was silent for longer asks the advisor for nobody. */
 const PEER_SILENCE_MS = 1_500
+/** A desired state that was confirmed within this time shows that the store can be reached; one watch, and more. */
+const STORE_REACHED_MS = 2_500
 /** A peer that was silent for longer is forgotten. */
 const PEER_FORGOTTEN_MS = 60_000
 
@@ -30,6 +33,8 @@
   readonly instance: string
   /** Where the other instances reach this one. */
   readonly address: string
+  /** Processors that this instance may use. */
+  readonly processors: number
   readonly store: TransactionalStore
   readonly clock: Clock
   readonly logger: Logger
@@ -59,6 +64,7 @@
   readonly #options: JobInstanceOptions
   readonly #election: Election
   readonly #reporting: PeriodicTask
+  readonly #preference: OfficePreference
   /** By address. */
   readonly #peers = new Map<string, KnownPeer>()
   #term: Term | undefined
@@ -67,8 +73,9 @@
 
   constructor (options: JobInstanceOptions) {
     this.#options = options
-    const { store, clock, logger, instance, address } = options
-    this.#election = new Election({ store, clock, logger, instance, address, listener: this })
+    const { store, clock, logger, instance, address, processors } = options
+    this.#preference = new OfficePreference(clock, processors)
+    this.#election = new Election({ store, clock, logger, instance, address, listener: this, candidateDelayMs: () => this.#preference.candidateDelayMs })
     this.#reporting = new PeriodicTask('reports', clock, REPORT_INTERVAL_MS, async () => await this.#report(),
       error => logger.error({ error: String(error) }, 'a report failed'))
   }
@@ -95,6 +102,11 @@
     return this.#election.coordinator
   }
 
+  /** Instances that are known, with this one. */
+  get knownInstances (): number {
+    return this.#peers.size + (this.#peers.has(this.#options.address) ? 0 : 1)
+  }
+
   /** Whether this instance could serve a call now, as far as it knows. */
   get connected (): boolean {
     const { coordinator } = this.#election
@@ -112,14 +124,16 @@
     return await Promise.all(calls.map(async call => await this.handle(call)))
   }
 
-  async report ({ instance, address, desiredStateVersion }: InstanceReport): Promise<ReportAnswer> {
+  async report ({ instance, address, desiredStateVersion, processors, reachesStore }: InstanceReport): Promise<ReportAnswer> {
+    this.#preference.noteReport(instance, processors, reachesStore)
     this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs() })
     this.#updateLanes()
     const { text } = this.#options.desired
     return {
       coordinator: this.#election.coordinator,
       ...(text.version > desiredStateVersion ? { desiredState: text } : {}),
-      peers: [...this.#peers.keys(), this.#options.address]
+      peers: [...this.#peers.keys(), this.#options.address],
+      largestProcessors: this.#preference.largest
     }
   }
 
@@ -221,6 +235,7 @@
   async #report (): Promise<void> {
     const address = this.#nextListener()
     if (address !== undefined) await this.#reportTo(address)
+    if (this.#term?.coordinator.ready === true && this.#preference.shouldYield()) await this.#election.resign('an instance with more processors is there')
     this.#forgetPeers()
   }
 
@@ -236,10 +251,11 @@
   }
 
   async #reportTo (address: string): Promise<void> {
-    const { peers, instance, desired, logger, clock } = this.#options
+    const { peers, desired, logger, clock } = this.#options
     try {
-      const answer = await peers.connect(address).report({ instance, address: this.#options.address, desiredStateVersion: desired.state.version })
+      const answer = await peers.connect(address).report(this.#describe())
       if (answer.coordinator !== undefined) this.#election.learn(answer.coordinator)
+      this.#preference.learn(answer.largestProcessors)
       if (answer.desiredState !== undefined) desired.learn(answer.desiredState, address)
       for (const peer of answer.peers) {
         if (!this.#peers.has(peer)) this.#peers.set(peer, { instance: peer, seenAtMs: clock.monotonicMs() - PEER_SILENCE_MS })
@@ -253,6 +269,11 @@
     }
   }
 
+  #describe (): InstanceReport {
+    const { instance, address, processors, desired } = this.#options
+    return { instance, address, processors, desiredStateVersion: desired.state.version, reachesStore: desired.ageMs < STORE_REACHED_MS }
+  }
+
   #forgetPeers (): void {
     const beforeMs = this.#options.clock.monotonicMs() - PEER_FORGOTTEN_MS
     for (const [address, { seenAtMs }] of this.#peers) {
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import test from 'ava'
 import { request } from 'undici'
+import { chooseHost } from '../../test/processes/topology.ts'
 import { STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from './standIn/standInPlatform.ts'
 import type { StandInPlatformOptions } from './standIn/standInPlatform.ts'
 import { startOnPlatform } from './startOnPlatform.ts'
@@ -11,7 +12,9 @@
 
 const PORTS_OF_AN_INSTANCE = 10
 const LONGEST_WAIT_MS = 25_000
-let nextPort = 23_000 + (process.pid % 300) * 100
+/** Of this process alone, so that no port of it is taken by another listener or connection. */
+const HOST = chooseHost()
+let nextPort = 23_000
 
 interface Answer {
   readonly status: number
@@ -43,7 +46,7 @@
     const file = join(mkdtempSync(join(tmpdir(), 'jobs-')), 'local.toml')
     this.#files[number] = file
     const storeAddress = await this.platform.openStoreFront(() => this.withoutStore.has(number) ? 'refusing' : 'none')
-    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress))
+    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress, HOST))
     this.instances[number] = await startOnPlatform(file, process.env['LEVEL'] === undefined ? 'silent' : 'info')
   }
 
@@ -51,13 +54,13 @@
   async moveStore (number: number): Promise<void> {
     const file = this.#files[number] as string
     const storeAddress = await this.platform.openStoreFront(() => 'none')
-    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress))
+    writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress, HOST))
     this.instances[number]?.reload('test')
     this.withoutStore.add(number)
   }
 
   async call (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, key = STAND_IN_KEY): Promise<Answer> {
-    const answer = await request(`http://127.0.0.1:${this.#port(number)}${path}`, {
+    const answer = await request(`http://${HOST}:${this.#port(number)}${path}`, {
       method,
       headers: { host: STAND_IN_HOST, 'x-api-key': key, 'content-type': 'application/json' },
       ...(body === undefined ? {} : { body: JSON.stringify(body) })
@@ -104,7 +107,7 @@
   }
 
   async #isReady (port: number): Promise<boolean> {
-    const answer = await request(`http://127.0.0.1:${port + 1}/-/readyz`).catch(() => undefined)
+    const answer = await request(`http://${HOST}:${port + 1}/-/readyz`).catch(() => undefined)
     await answer?.body.dump()
     return answer?.statusCode === 200
   }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -14,6 +14,7 @@
   control_mode: z.string().default('invocation'),
   recommendation: z.string().default(''),
   listen_addrs: z.object({ frontend: z.string(), ready: z.string() }),
+  limits: z.object({ cpu_quota: z.number().positive().default(1), cpu_cores: z.number().positive().default(1) }).default({ cpu_quota: 1, cpu_cores: 1 }),
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
@@ -29,6 +30,8 @@
 export interface PlatformSettings {
   readonly instance: string
   readonly ip: string
+  /** Processors that the instance may use, as whole ones of a common speed. */
+  readonly processors: number
   readonly dataCentre: string
   readonly region: string
   readonly peerPort: number
@@ -70,6 +73,7 @@
   return {
     instance: file.node_name,
     ip: file.ip,
+    processors: file.limits.cpu_quota * file.limits.cpu_cores,
     dataCentre: file.zone,
     region: file.region,
     peerPort: file.internal_ports[0],
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -8,6 +8,10 @@
   readonly instance: string
   readonly address: string
   readonly desiredStateVersion: number
+  /** Processors that the instance may use. */
+  readonly processors: number
+  /** The instance could be elected. */
+  readonly reachesStore: boolean
 }
 
 export interface ReportAnswer {
@@ -15,6 +19,8 @@
   /** Set if the callee's is newer. */
   readonly desiredState?: VersionedText
   readonly peers: readonly string[]
+  /** Most processors of an instance that could coordinate, as far as the callee knows. */
+  readonly largestProcessors: number
 }
 
 export interface CoordinatorPeer {
