Refuse jobs beyond a team's share at once while its jobs wait or the coordinator is busy

Until now every job was accepted; those beyond the share ranked last, and took the coordinator's time for records, passes and states without ever being of use. Test: intakePressure (a flood of six times the share, beside the naive intake).

--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -27,7 +27,7 @@
   z.object({ outcome: z.literal('state'), state: z.enum(JOB_STATES) }),
   z.object({ outcome: z.literal('pending'), pending: z.number() }),
   z.object({ outcome: z.enum(['invalid', 'unknown']), message: z.string() }),
-  z.object({ outcome: z.literal('unavailable'), message: z.string(), retryAfterSeconds: z.number() })
+  z.object({ outcome: z.enum(['unavailable', 'limited']), message: z.string(), retryAfterSeconds: z.number() })
 ])
 const answersSchema = z.object({ answers: z.array(answerSchema) })
 const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
--- /dev/null
+++ b/src/coordinator/intakePressure.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { RateBudget } from '../scheduler/rateBudget.ts'
+import { IntakePressure } from './intakePressure.ts'
+
+const SERVED_PER_SECOND = 30
+const STEP_MS = 100
+
+/**
+ * One team sends six times its share of 10 jobs a second beside one that stays within its 10, at a cell that begins 30
+ * a second, those within a share first. Returns how long the longest accepted job waited and how many were accepted.
+ */
+async function flood (refuses: (pressure: IntakePressure, team: string) => boolean): Promise<{ longestMs: number, accepted: number, waitingWithinShare: number }> {
+  const clock = new ManualClock()
+  const pressure = new IntakePressure(clock)
+  const shares = new RateBudget(clock, () => ({ perSecond: 10, burst: 10 }))
+  const waiting: { team: string, sinceMs: number, withinShare: boolean }[] = []
+  let longestMs = 0
+  let accepted = 0
+  for (let nowMs = 0; nowMs < 20_000; nowMs += STEP_MS) {
+    for (const team of [...Array.from({ length: 6 }, () => 'hot'), 'calm']) {
+      const withinShare = shares.tryTake(team, 1)
+      if (!withinShare && refuses(pressure, team)) continue
+      accepted += 1
+      waiting.push({ team, sinceMs: clock.monotonicMs(), withinShare })
+    }
+    waiting.sort((left, right) => Number(right.withinShare) - Number(left.withinShare) || left.sinceMs - right.sinceMs)
+    const begun = waiting.splice(0, SERVED_PER_SECOND * STEP_MS / 1_000)
+    longestMs = Math.max(longestMs, ...begun.map(({ sinceMs }) => clock.monotonicMs() - sinceMs))
+    pressure.noteWaiting(waiting.map(({ team, sinceMs }) => ({ team, waitedMs: clock.monotonicMs() - sinceMs })))
+    await clock.advance(STEP_MS)
+  }
+  return { longestMs, accepted, waitingWithinShare: waiting.filter(({ withinShare }) => withinShare).length }
+}
+
+test('one team sends many times its share: what would only wait is refused at once, and nothing within a share waits', async t => {
+  const naive = await flood(() => false)
+  const bounded = await flood((pressure, team) => pressure.refuses(team))
+  t.true(naive.longestMs >= bounded.longestMs)
+  t.true(naive.accepted > 1_300, 'without a bound everything is accepted, and most of it waits until it is of no use')
+  t.true(bounded.accepted <= SERVED_PER_SECOND * 20 + 150, `${bounded.accepted} accepted`)
+  t.true(bounded.accepted >= SERVED_PER_SECOND * 20 * 0.9, 'room is not left unused')
+  t.is(bounded.waitingWithinShare, 0)
+})
+
+test('a busy coordinator refuses jobs beyond a share for a while, and a calm one does not', async t => {
+  const clock = new ManualClock()
+  const pressure = new IntakePressure(clock)
+  pressure.noteBusy(0.5)
+  t.false(pressure.refuses('weavers'))
+  pressure.noteBusy(0.95)
+  t.true(pressure.refuses('weavers'))
+  await clock.advance(1_100)
+  t.false(pressure.refuses('weavers'))
+})
+
+test('a team whose jobs wait for its own cap does not make those of another team refused', t => {
+  const pressure = new IntakePressure(new ManualClock())
+  pressure.noteWaiting(Array.from({ length: 20 }, () => ({ team: 'capped', waitedMs: 5_000 })))
+  t.true(pressure.refuses('capped'))
+  t.false(pressure.refuses('weavers'))
+})
+
+test('refused callers do not all return at the same moment', t => {
+  const pressure = new IntakePressure(new ManualClock())
+  t.deepEqual([0, 0.4, 0.99].map(random => pressure.retryAfterSeconds(random)), [2, 3, 4])
+})
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -15,6 +15,7 @@
 import type { Assignment } from './assignment.ts'
 import { COORDINATOR_KEY } from './election.ts'
 import type { CoordinatorInfo } from './election.ts'
+import { IntakePressure } from './intakePressure.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { RecordLog } from './recordLog.ts'
@@ -30,6 +31,8 @@
 /** While the store has refused records for longer, nothing is accepted. */
 const STORE_FAILING_MS = 400
 const HOUSEKEEPING_MS = 1_000
+/** Between two measurements of the busy part of the time; short against the time for which a caller waits. */
+const BUSY_INTERVAL_MS = 400
 /** Read in about a third of a second by a successor, as measured on the bench (1,277 segments in 232 ms). */
 const SEGMENTS_BETWEEN_SNAPSHOTS = 1_500
 const LONGEST_RECOVERED_AGE_MS = 3_600_000
@@ -58,6 +61,7 @@
   readonly #beganAtMs: number
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
+  readonly #pressure: IntakePressure
   /** Settings of queues as the log has them. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
@@ -75,8 +79,9 @@
     this.#fleet = new TargetFleet({
       clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, mayAct, beganAtMs: this.#beganAtMs
     })
+    this.#pressure = new IntakePressure(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, fleet: this.#fleet, lanes, desiredState, mayAct, append: async records => await this.#append(records)
+      clock, logger, pressure: this.#pressure, fleet: this.#fleet, lanes, desiredState, mayAct, append: async records => await this.#append(records)
     })
   }
 
@@ -94,6 +99,11 @@
     return this.#options.info
   }
 
+  /** What waits, and how busy this process is. */
+  get pressure (): IntakePressure {
+    return this.#pressure
+  }
+
   /** Whether the store is known not to take records now. */
   get storeFails (): boolean {
     const since = this.#log?.failingSinceMs
@@ -123,6 +133,7 @@
     if (this.#closed) return
     this.#placer.begin()
     runInBackground(this.#keepHouse(), this.#logger, 'housekeeping')
+    runInBackground(this.#measureBusyPart(), this.#logger, 'measurement of the busy time')
   }
 
   /** Ends the term; nothing is decided any more. */
@@ -296,6 +307,16 @@
     }
   }
 
+  async #measureBusyPart (): Promise<void> {
+    let before = performance.eventLoopUtilization()
+    while (!this.#closed) {
+      await this.#clock.sleep(BUSY_INTERVAL_MS)
+      const now = performance.eventLoopUtilization()
+      this.#pressure.noteBusy(performance.eventLoopUtilization(now, before).utilization)
+      before = now
+    }
+  }
+
   /** Keeps the log short; a failure is tried again after as many segments. */
   async #compactWhenDue (): Promise<void> {
     const log = this.#log
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -9,6 +9,7 @@
 import { Assignment } from './assignment.ts'
 import { compareRanks, rankStep } from './jobRanking.ts'
 import { PlacementPass } from './placementPass.ts'
+import type { IntakePressure } from './intakePressure.ts'
 import { placeStep, roomOf } from './placeStep.ts'
 import type { TargetRoom } from './placeStep.ts'
 import { StepAdvice } from './stepAdvice.ts'
@@ -31,6 +32,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly fleet: TargetFleet
+  /** Learns after each pass what still waits. */
+  readonly pressure: IntakePressure
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredState
   readonly mayAct: () => boolean
@@ -158,6 +161,8 @@
     const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
     for (const waitingStep of ranked) this.#placeOne(waitingStep, pass, nowMs)
     this.#passMs = this.#clock.monotonicMs() - nowMs
+    this.#options.pressure.noteWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
+      .map(({ step: { job } }) => ({ team: job.team, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
   #placeOne ({ step, waiting }: WaitingStep, pass: PlacementPass, nowMs: number): void {
--- a/src/entry/callerCall.ts
+++ b/src/entry/callerCall.ts
@@ -24,6 +24,8 @@
   | { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }
   | { readonly outcome: 'invalid', readonly message: string }
   | { readonly outcome: 'unavailable', readonly message: string, readonly retryAfterSeconds: number }
+  /** Beyond the team's share while there is no room for it; nothing was done, and nothing will be. */
+  | { readonly outcome: 'limited', readonly message: string, readonly retryAfterSeconds: number }
   /** The call may have been carried out; the same call may be sent again. */
   | { readonly outcome: 'unknown', readonly message: string }
 
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -76,7 +76,7 @@
       ? { outcome: 'invalid', message: `the method ${request.method} is not supported` }
       : await this.#answer(action, path, request, body)
     this.#options.onCall(action ?? 'read', answer.outcome, performance.now() - begun)
-    if (answer.outcome === 'unavailable' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
+    if (answer.outcome === 'unavailable' || answer.outcome === 'limited' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
       this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desired.state.version, tookMs: Math.round(performance.now() - begun) }, 'call not served')
     }
     this.#write(response, encode(answer))
@@ -137,6 +137,7 @@
     case 'no-queue': return { status: 404 }
     case 'no-job': return { status: 410 }
     case 'invalid': return { status: 400, body: { message: answer.message } }
+    case 'limited': return { status: 429, body: { message: answer.message }, retryAfterSeconds: answer.retryAfterSeconds }
     case 'unavailable': return { status: 503, body: { message: answer.message }, retryAfterSeconds: answer.retryAfterSeconds }
     case 'unknown': return { status: 504, body: { message: answer.message } }
   }
