Ask about further targets when the allowed ones have no room; place before a job is stored

A gang of 120 tasks of 18 cores needs 40 targets and is allowed 30 of the first 100: it waited for ever. The decision is a module of its own now (advisedPlacement) with tests of this load; a renewal of more than 100 tickets is split. A job looks for places while it is being stored, since placements follow it in the log and orders are sent after them: one commit less before the first start.

--- /dev/null
+++ b/src/coordinator/advisedPlacement.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava'
+import { createStep } from '../jobs/testing/definitions.ts'
+import { resources } from '../model/resources.ts'
+import { decideAdvised, TARGETS_PER_QUESTION } from './advisedPlacement.ts'
+import type { AdvisedDecision } from './advisedPlacement.ts'
+import type { TargetRoom } from './placeStep.ts'
+import { StepAdvice } from './stepAdvice.ts'
+
+const GOOD_PART = 0.3
+const VALID_MS = 2_000
+const TARGETS = Array.from({ length: 246 }, (_, number) => room(`target-${number}`))
+
+function room (key: string, processors = 64_000): TargetRoom {
+  return { key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: [], sameStepTasks: 0, hasResponseTargets: false, hasFills: false, failedHere: false }
+}
+
+/** Answers a question as the advisor does: some of the targets are allowed. */
+function answer (advice: StepAdvice, decision: AdvisedDecision<TargetRoom>, nowMs: number): void {
+  if (decision.action !== 'ask') return
+  const asked = new Map(decision.targets.map(({ key }) => [key, key]))
+  const allowed = decision.targets.slice(0, Math.round(decision.targets.length * GOOD_PART)).map(({ key }) => ({ target: key, ticket: 'ticket' }))
+  advice.noteAnswer(asked, allowed, nowMs + VALID_MS)
+}
+
+/** Follows the decisions until tasks are started or nothing more is asked. */
+function place (count: number, gang: boolean, targets = TARGETS, advice = new StepAdvice()): { questions: number, placed: number } {
+  const definition = createStep(count, { gang, size: resources({ processors: 18_000, memory: 64_000 }) })
+  let questions = 0
+  for (;;) {
+    const decision = decideAdvised({ definition, count, advice, targets, describe: target => target, nowMs: 0 })
+    if (decision.action !== 'ask') return { questions, placed: decision.action === 'wait' ? 0 : decision.placed.length }
+    questions += 1
+    answer(advice, decision, 0)
+  }
+}
+
+test('wide gang: it does not wait for ever when the targets of one question have no room for it', t => {
+  t.deepEqual(place(20, true), { questions: 1, placed: 20 })
+  t.deepEqual(place(120, true), { questions: 2, placed: 120 })
+  t.deepEqual(place(400, true), { questions: 3, placed: 0 }, 'what fits nowhere asks about each target once')
+})
+
+test('a step does not wait while the allowed targets are full and others are not', t => {
+  const advice = new StepAdvice()
+  place(1, false, TARGETS, advice)
+  const busy = TARGETS.map(target => advice.wasAsked(target.key) ? room(target.key, 1_000) : target)
+  t.deepEqual(place(3, false, busy, advice), { questions: 1, placed: 3 })
+})
+
+test('a question names no more targets than the advisor takes, and those with the most room', t => {
+  const targets = TARGETS.map((target, number) => room(target.key, number * 100))
+  const decision = decideAdvised({ definition: createStep(1), count: 1, advice: new StepAdvice(), targets, describe: target => target, nowMs: 0 })
+  t.is(decision.action, 'ask')
+  if (decision.action !== 'ask') return
+  t.is(decision.targets.length, TARGETS_PER_QUESTION)
+  t.is(decision.targets[0]?.key, 'target-245')
+})
+
+test('expired tickets are renewed for the targets that were chosen, not asked for all anew', t => {
+  const advice = new StepAdvice()
+  place(2, false, TARGETS, advice)
+  const definition = createStep(2, { size: resources({ processors: 18_000, memory: 64_000 }) })
+  const decision = decideAdvised({ definition, count: 2, advice, targets: TARGETS, describe: target => target, nowMs: VALID_MS })
+  t.is(decision.action, 'renew')
+})
--- /dev/null
+++ b/src/coordinator/advisedPlacement.ts
@@ -0,0 +1,55 @@
+/** What to do next for a step whose queue needs advice: ask, start with valid tickets, or renew tickets first. */
+import type { StepDefinition } from '../jobs/job.ts'
+import { placeStep } from './placeStep.ts'
+import type { TargetRoom } from './placeStep.ts'
+import type { StepAdvice } from './stepAdvice.ts'
+
+/** Targets that one question names at most. */
+export const TARGETS_PER_QUESTION = 100
+
+interface AdvisedTarget {
+  readonly key: string
+  readonly free: { readonly processors: number }
+}
+
+export type AdvisedDecision<Target> =
+  /** Ask which of the targets may run the step. */
+  | { readonly action: 'ask', readonly targets: readonly Target[] }
+  /** Start tasks on the targets with these keys, one for each task. */
+  | { readonly action: 'start', readonly placed: readonly string[] }
+  /** Keep room for tasks on the targets with these keys, and renew their tickets before the start. */
+  | { readonly action: 'renew', readonly placed: readonly string[] }
+  | { readonly action: 'wait' }
+
+export interface AdvisedRequest<Target> {
+  readonly definition: StepDefinition
+  /** Tasks to place. */
+  readonly count: number
+  readonly advice: StepAdvice
+  /** Targets that may get tasks now. */
+  readonly targets: readonly Target[]
+  readonly describe: (target: Target) => TargetRoom
+  readonly nowMs: number
+}
+
+/**
+ * Decides for one step. Further targets are asked about when those that are allowed have no room: a wide gang
+ * may need more of them than one question names.
+ *
+ * @example
+ * const decision = decideAdvised({ definition, count: 8, advice, targets, describe, nowMs: clock.monotonicMs() })
+ */
+export function decideAdvised<Target extends AdvisedTarget> ({ definition, count, advice, targets, describe, nowMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
+  const allowed = targets.filter(({ key }) => advice.allows(key))
+  if (advice.answered && allowed.length > 0) {
+    const withTicket = allowed.filter(({ key }) => advice.ticket(key, nowMs) !== undefined)
+    const placed = placeStep(definition, count, withTicket.map(describe))
+    if (placed.length > 0) return { action: 'start', placed }
+    const planned = withTicket.length === allowed.length ? [] : placeStep(definition, count, allowed.map(describe))
+    if (planned.length > 0) return { action: 'renew', placed: planned }
+  }
+  const unasked = targets.filter(({ key }) => !advice.wasAsked(key))
+  if (unasked.length === 0) return { action: 'wait' }
+  const named = [...unasked].sort((left, right) => right.free.processors - left.free.processors).slice(0, TARGETS_PER_QUESTION)
+  return { action: 'ask', targets: named }
+}
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -97,7 +97,9 @@
       definition: JSON.parse(definitionText) as JobDefinition
     }])
     this.#pending.set(id, durable)
-    durable.then(() => this.#admit(id), () => {}).finally(() => this.#pending.delete(id))
+    // Placements follow in the log, so that no order is sent before the job is stored.
+    this.#admit(id, durable)
+    durable.catch(() => {}).finally(() => this.#pending.delete(id))
     return await this.#awaitAcceptance(durable)
   }
 
@@ -117,11 +119,17 @@
     }
   }
 
-  #admit (id: string): void {
+  /** Looks for places at once; the acceptance counts when it is stored. */
+  #admit (id: string, durable: Promise<void>): void {
     const job = this.#coordinator.table.jobs.get(id)
     if (job === undefined) return
-    this.#logger.info({ job: id, team: job.team, queue: job.queue.name, withinShare: job.record.withinShare, version: this.#desired.state.version, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) }, 'job accepted')
+    const { version } = this.#desired.state
     this.#coordinator.admit(job)
+    durable.then(() => {
+      this.#logger.info({ job: id, team: job.team, queue: job.queue.name, withinShare: job.record.withinShare, version, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) }, 'job accepted')
+    }, () => {
+      // The term has ended; a successor decides on what was stored.
+    })
   }
 
   #read ({ id, team, queue }: Resolved): CallerAnswer {
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -7,6 +7,7 @@
 import type { Clock } from '../ports/clock.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
 import { Assignment } from './assignment.ts'
+import { decideAdvised, TARGETS_PER_QUESTION } from './advisedPlacement.ts'
 import { compareRanks, rankStep } from './jobRanking.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { IntakePressure } from './intakePressure.ts'
@@ -25,8 +26,6 @@
 const RETRY_DELAY_MS = 100
 /** Part of the processors kept free of work that is not urgent, so that urgent work finds room. */
 const URGENT_RESERVE = 0.05
-/** Targets that one question names at most. */
-const TARGETS_PER_QUESTION = 100
 
 export interface TaskPlacerOptions {
   readonly clock: Clock
@@ -188,26 +187,27 @@
     const advice = this.#advice.get(step) ?? new StepAdvice()
     this.#advice.set(step, advice)
     if (nowMs < advice.restsUntilMs) return 0
-    const unasked = sessions.filter(session => !advice.wasAsked(session.key))
-    const allowed = sessions.filter(session => advice.allows(session.key))
-    if (!advice.answered || (allowed.length === 0 && unasked.length > 0)) {
-      runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
-      return 0
+    const decision = decideAdvised({
+      definition: step.definition, count, advice, targets: sessions, describe: session => this.#describeRoom(step, session), nowMs
+    })
+    switch (decision.action) {
+      case 'ask':
+        runInBackground(this.#ask(step, queue, advice, decision.targets), this.#logger, 'placement advice')
+        return 0
+      case 'start':
+        this.#startWhenStored(step, this.#reserve(waiting, decision.placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
+        return decision.placed.length
+      case 'renew':
+        runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, decision.placed)), this.#logger, 'start after renewed advice')
+        return decision.placed.length
+      case 'wait':
+        return 0
     }
-    const withTicket = allowed.filter(session => advice.ticket(session.key, nowMs) !== undefined)
-    const placed = placeStep(step.definition, count, withTicket.map(session => this.#describeRoom(step, session)))
-    this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
-    if (placed.length > 0 || withTicket.length === allowed.length) return placed.length
-    const planned = placeStep(step.definition, count, allowed.map(session => this.#describeRoom(step, session)))
-    if (planned.length === 0) return 0
-    runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, planned)), this.#logger, 'start after renewed advice')
-    return planned.length
   }
 
-  async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, sessions: readonly TargetSession[]): Promise<void> {
+  async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, named: readonly TargetSession[]): Promise<void> {
     const settings = queue.advice
-    if (settings === undefined || sessions.length === 0) return
-    const named = [...sessions].sort((left, right) => right.free.processors - left.free.processors).slice(0, TARGETS_PER_QUESTION)
+    if (settings === undefined || named.length === 0) return
     const asked = new Map(named.map(session => [session.id, session.key]))
     advice.asking = true
     try {
@@ -229,7 +229,10 @@
   /** Room is kept while expired tickets are renewed, since the answer takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
     const stored = this.#recordPlacement(step, reserved)
-    await this.#ask(step, queue, advice, [...new Set(reserved.map(({ session }) => session))])
+    const sessions = [...new Set(reserved.map(({ session }) => session))]
+    for (let begin = 0; begin < sessions.length; begin += TARGETS_PER_QUESTION) {
+      await this.#ask(step, queue, advice, sessions.slice(begin, begin + TARGETS_PER_QUESTION))
+    }
     await stored
     this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
   }
