--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -86,7 +86,7 @@
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return unavailable('the store takes no records', RETRY_AFTER_OUTAGE_SECONDS)
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
-    if (!withinShare && this.#coordinator.pressure.refuses(team)) return this.#refuseBeyondShare(team, id)
+    if (!withinShare && this.#coordinator.pressure.refuses(team)) return this.#refuseBeyondShare(team)
     const durable = this.#coordinator.record([...this.#coordinator.recordsOfQueue(queue), {
       type: 'job',
       id,
@@ -103,11 +103,11 @@
     return await this.#awaitAcceptance(durable)
   }
 
-  #refuseBeyondShare (team: string, id: string): CallerAnswer {
+  /** The entry instance logs the refusal with its reason; hundreds a second would cost the coordinator's time. */
+  #refuseBeyondShare (team: string): CallerAnswer {
     const { pressure } = this.#coordinator
-    const retryAfterSeconds = pressure.retryAfterSeconds(Math.random())
-    this.#logger.info({ job: id, team, waiting: pressure.waitingOf(team), busy: pressure.busy, version: this.#desired.state.version, retryAfterSeconds }, 'job beyond the share refused')
-    return { outcome: 'limited', message: 'the team has sent more than its share, and its jobs wait', retryAfterSeconds }
+    const reason = `${team} has sent more than its share while ${pressure.waitingOf(team)} of its jobs wait${pressure.busy ? ' and the coordinator is busy' : ''}`
+    return { outcome: 'limited', message: reason, retryAfterSeconds: pressure.retryAfterSeconds(Math.random()) }
   }
 
   async #awaitAcceptance (durable: Promise<void>): Promise<CallerAnswer> {
