--- a/src/platform/platformAdvisor.ts
+++ b/src/platform/platformAdvisor.ts
@@ -1,10 +1,9 @@
 /** Asks the platform's service which targets may run a step. */
 import { z } from 'zod'
-import type { HttpCaller } from '../adapters/http/httpCaller.ts'
 import { BaseError } from '../model/errors.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
-import { createPlatformCaller } from './platformCaller.ts'
+import { PlatformCaller } from './platformCaller.ts'
 
 /** Added to the expected time; covers the way to another region and a call ahead in the line. */
 const ANSWER_SLACK_MS = 1_500
@@ -12,30 +11,23 @@
 const adviceSchema = z.object({ allowed: z.array(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
 
 export class PlatformAdvisor implements PlacementAdvisor {
-  readonly #clock: TimerClock
-  #address: string
-  #caller: HttpCaller
+  readonly #caller: PlatformCaller
 
   constructor (address: string, clock: TimerClock) {
-    this.#clock = clock
-    this.#address = address
-    this.#caller = createPlatformCaller(address, clock)
+    this.#caller = new PlatformCaller(address, clock)
   }
 
   get address (): string {
-    return this.#address
+    return this.#caller.address
   }
 
   /** Sends further questions to another address; resolves when the earlier ones have ended. */
   async moveTo (address: string): Promise<void> {
-    const earlier = this.#caller
-    this.#address = address
-    this.#caller = createPlatformCaller(address, this.#clock)
-    await earlier.finish()
+    await this.#caller.moveTo(address)
   }
 
   async ask ({ step, targets, expectedMs }: AdviceQuestion): Promise<readonly AllowedTarget[]> {
-    const { status, body } = await this.#caller.callLenient({
+    const { status, body } = await this.#caller.call({
       method: 'POST', path: '/-/advise', body: { step_id: step, workers: targets }, timeoutMs: expectedMs + ANSWER_SLACK_MS
     })
     const parsed = adviceSchema.safeParse(body)
--- a/src/platform/platformCaller.ts
+++ b/src/platform/platformCaller.ts
@@ -1,5 +1,6 @@
 /** Connections to the store, the targets and the advisor of the platform. */
 import { HttpCaller } from '../adapters/http/httpCaller.ts'
+import type { CallOptions, JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { TimerClock } from '../ports/clock.ts'
 
 /** A connection within and between regions takes 41 ms at most. */
@@ -8,11 +9,49 @@
 const IDLE_CONNECTION_MS = 30_000
 
 /**
- * Creates the caller of one address; `connections` bounds those open at the same time.
+ * Calls one address at a time; `connections` bounds those open at the same time.
  *
  * @example
- * const caller = createPlatformCaller('10.200.1.7:8182', clock)
+ * const caller = new PlatformCaller('10.200.1.7:8182', clock)
+ * const { status, body } = await caller.call({ method: 'GET', path: '/-/kv-key?key=op%2Fconfig', timeoutMs: 1_500 })
  */
-export function createPlatformCaller (address: string, clock: TimerClock, connections?: number): HttpCaller {
-  return new HttpCaller({ address, clock, connections, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS })
+export class PlatformCaller {
+  readonly #clock: TimerClock
+  readonly #connections: number | undefined
+  #address: string
+  #caller: HttpCaller
+
+  constructor (address: string, clock: TimerClock, connections?: number) {
+    this.#clock = clock
+    this.#connections = connections
+    this.#address = address
+    this.#caller = this.#open()
+  }
+
+  get address (): string {
+    return this.#address
+  }
+
+  /** Resolves with the whole answer; fails with `NotSentError` or `NoAnswerError`. */
+  call (options: CallOptions): Promise<JsonResponse> {
+    return this.#caller.callLenient(options)
+  }
+
+  /** Sends further calls to another address; resolves when the earlier ones have ended. */
+  async moveTo (address: string): Promise<void> {
+    const earlier = this.#caller
+    this.#address = address
+    this.#caller = this.#open()
+    await earlier.finish()
+  }
+
+  async close (): Promise<void> {
+    await this.#caller.close()
+  }
+
+  #open (): HttpCaller {
+    return new HttpCaller({
+      address: this.#address, clock: this.#clock, connections: this.#connections, connectTimeoutMs: CONNECT_TIMEOUT_MS, idleConnectionMs: IDLE_CONNECTION_MS
+    })
+  }
 }
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -1,14 +1,14 @@
 /** The platform's metadata store as a `TransactionalStore`. */
 import { z } from 'zod'
 import { NotSentError } from '../adapters/http/httpCaller.ts'
-import type { CallOptions, HttpCaller, JsonResponse } from '../adapters/http/httpCaller.ts'
+import type { CallOptions, JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError, StoreUnavailableError, StoreUnknownError } from '../model/errors.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type {
   CommitResult, StoreChange, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult
 } from '../ports/transactionalStore.ts'
-import { createPlatformCaller } from './platformCaller.ts'
+import { PlatformCaller } from './platformCaller.ts'
 
 const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() })
 const readSchema = itemSchema.extend({ at: z.number() })
@@ -35,26 +35,19 @@
 
 export class PlatformStore implements TransactionalStore, Component {
   readonly name = 'store client'
-  readonly #clock: TimerClock
-  #address: string
-  #caller: HttpCaller
+  readonly #caller: PlatformCaller
 
   constructor (address: string, clock: TimerClock) {
-    this.#clock = clock
-    this.#address = address
-    this.#caller = createPlatformCaller(address, clock)
+    this.#caller = new PlatformCaller(address, clock)
   }
 
   get address (): string {
-    return this.#address
+    return this.#caller.address
   }
 
   /** Sends further calls to another address; resolves when the earlier ones have ended. */
   async moveTo (address: string): Promise<void> {
-    const earlier = this.#caller
-    this.#address = address
-    this.#caller = createPlatformCaller(address, this.#clock)
-    await earlier.finish()
+    await this.#caller.moveTo(address)
   }
 
   async start (): Promise<void> {}
@@ -119,7 +112,7 @@
   async #read (options: CallOptions): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
-      answer = await this.#caller.callLenient(options)
+      answer = await this.#caller.call(options)
     } catch (error) {
       throw new StoreUnavailableError(`the store did not answer ${options.method} ${options.path}:`, { cause: error })
     }
@@ -130,7 +123,7 @@
   async #write (options: CallOptions): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
-      answer = await this.#caller.callLenient({ ...options, timeoutMs: CALL_TIMEOUT_MS })
+      answer = await this.#caller.call({ ...options, timeoutMs: CALL_TIMEOUT_MS })
     } catch (error) {
       if (error instanceof NotSentError) throw new StoreUnavailableError(`the store can not be reached for ${options.path}:`, { cause: error })
       throw new StoreUnknownError(`the store's answer to ${options.path} was lost:`, { cause: error })
--- a/src/platform/platformTarget.ts
+++ b/src/platform/platformTarget.ts
@@ -1,13 +1,13 @@
 /** Calls a target that runs tasks of jobs. */
 import { z } from 'zod'
 import { NotSentError } from '../adapters/http/httpCaller.ts'
-import type { HttpCaller, JsonResponse } from '../adapters/http/httpCaller.ts'
+import type { JsonResponse } from '../adapters/http/httpCaller.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import { RUN_ENDS } from '../ports/jobTarget.ts'
 import type {
   FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunningTask, StartOutcome, StartRefusal, StopOutcome, TargetLife, TaskOrder
 } from '../ports/jobTarget.ts'
-import { createPlatformCaller } from './platformCaller.ts'
+import { PlatformCaller } from './platformCaller.ts'
 
 const LIFE_HEADER = 'x-agategauge-expect-instance'
 
@@ -34,11 +34,11 @@
 }
 
 export class PlatformTarget implements JobTargetClient {
-  readonly #caller: HttpCaller
+  readonly #caller: PlatformCaller
   readonly #life: TargetLife
 
   constructor (address: string, life: TargetLife, clock: TimerClock) {
-    this.#caller = createPlatformCaller(address, clock, CONNECTIONS)
+    this.#caller = new PlatformCaller(address, clock, CONNECTIONS)
     this.#life = life
   }
 
@@ -96,7 +96,7 @@
   }
 
   async #post (path: string, timeoutMs: number, body: unknown): Promise<JsonResponse> {
-    return await this.#caller.callLenient({ method: 'POST', path, body, timeoutMs, headers: { [LIFE_HEADER]: this.#life.id } })
+    return await this.#caller.call({ method: 'POST', path, body, timeoutMs, headers: { [LIFE_HEADER]: this.#life.id } })
   }
 }
 
