Do not report a repeated call as never carried out while its first try may be

The second copy overtook the first at a busy coordinator and was refused as beyond the share (429, 'never runs'); the first was accepted after it, and its tasks ran. 'unavailable' was already held back in this case, the new 'limited' was not, and neither were 401 and 404. Now no refusal of a submission or cancellation is passed on after a try whose outcome is unknown: the caller gets 504 and may send the same identity again. Also: a step's cap and reserve are looked at before its room, which takes a look at every target.

--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -300,13 +300,15 @@
   /** How many of the waiting tasks the room, the team's cap and the reserve for urgent work allow at most. */
   #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): number {
     const { size } = step.definition
-    let count = Math.min(waiting, pass.tasksThatFit(queue.service, roomOf(step.definition), waiting))
+    let count = waiting
     if (queue.priority > 0 && size.processors > 0) {
       const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE
       count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
     }
     const team = pass.team(step.job.team)
-    return team === undefined ? count : this.#usage.allowed(team, size, count, queue.priority === 0)
+    if (team !== undefined) count = this.#usage.allowed(team, size, count, queue.priority === 0)
+    // Looks at every target, so that it comes last.
+    return count === 0 ? 0 : pass.tasksThatFit(queue.service, roomOf(step.definition), count)
   }
 
   #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -37,16 +37,21 @@
     return this.#batcher.batcher
   }
 
-  /** A job keeps its identity, so that a call may be repeated whenever its answer is lost. */
+  /**
+   * A job keeps its identity, so that a call may be repeated whenever its answer is lost. A refusal of the repeated
+   * call says nothing of the first one, which may still be on its way and be carried out after it.
+   */
   async handle (call: CallerCall): Promise<CallerAnswer> {
     const { clock } = this.#options
     const untilMs = clock.monotonicMs() + LONGEST_ROUTING_MS
     let mayHaveRun = false
     for (;;) {
       const answer = await this.#tryOnce(call)
+      const refusal = refusalOf(call, answer)
+      if (answer.outcome !== 'unknown' && (refusal === undefined || !mayHaveRun)) return answer
       if (answer.outcome === 'unknown') mayHaveRun = true
-      if (answer.outcome !== 'unknown' && !(answer.outcome === 'unavailable' && mayHaveRun)) return answer
-      if (clock.monotonicMs() + RETRY_DELAY_MS > untilMs) return { outcome: 'unknown', message: answer.message }
+      const isTemporary = answer.outcome === 'unknown' || answer.outcome === 'unavailable'
+      if (!isTemporary || clock.monotonicMs() + RETRY_DELAY_MS > untilMs) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
       await clock.sleep(RETRY_DELAY_MS)
     }
   }
@@ -66,3 +71,17 @@
     }
   }
 }
+
+/** Why a call was not carried out; undefined if it was, if that is not known, or if the call changes nothing. */
+function refusalOf ({ action }: CallerCall, answer: CallerAnswer): string | undefined {
+  switch (answer.outcome) {
+    case 'unavailable':
+    case 'limited':
+      return answer.message
+    case 'no-queue':
+    case 'unauthenticated':
+      return action === 'read' ? undefined : answer.outcome
+    default:
+      return undefined
+  }
+}
