Revert "Name fewer targets in questions for advice, and keep targets for the first gang that waits"

A failed try. Fewer renders failed and more were late; nothing shows a gain, and which of the two changes costs the renders their time was not separated.

--- a/src/coordinator/jobRanking.ts
+++ b/src/coordinator/jobRanking.ts
@@ -48,11 +48,6 @@
   return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, declaredWork(job)]
 }
 
-/** Whether a step of the rank is within its team's share and not too late to be of use. */
-export function isUseful (rank: readonly number[]): boolean {
-  return rank[0] === 0 && rank[1] === 0
-}
-
 export function compareRanks (left: readonly number[], right: readonly number[]): number {
   for (let position = 0; position < left.length; position++) {
     const difference = (left[position] ?? 0) - (right[position] ?? 0)
--- a/src/coordinator/placeStep.ts
+++ b/src/coordinator/placeStep.ts
@@ -57,12 +57,6 @@
   return !(definition.responseTargetMs > 0 && room.hasFills)
 }
 
-/** Tasks of the size that fit into the room. */
-export function tasksWithin (free: Amount, size: Amount): number {
-  const within = (room: number, each: number): number => each <= 0 ? Infinity : Math.floor(room / each)
-  return Math.max(0, Math.min(within(free.processors, size.processors), within(free.memory, size.memory), within(free.accelerators, size.accelerators)))
-}
-
 function toCandidate (definition: StepDefinition, room: TargetRoom): Candidate {
   const slots = definition.tasksPerTarget > 0 ? Math.max(0, definition.tasksPerTarget - room.sameStepTasks) : Infinity
   return { room, ...room.free, slots }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -8,8 +8,7 @@
 import type { AdviceLanes } from './adviceLanes.ts'
 import { Assignment } from './assignment.ts'
 import { decideAdvised, TARGETS_PER_QUESTION } from './advisedPlacement.ts'
-import { chooseHeld, HOLD_AFTER_MS } from './gangHold.ts'
-import { compareRanks, isUseful, rankStep } from './jobRanking.ts'
+import { compareRanks, rankStep } from './jobRanking.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { IntakePressure } from './intakePressure.ts'
 import { placeStep, roomOf } from './placeStep.ts'
@@ -25,10 +24,6 @@
 const PLACEMENT_REST_FACTOR = 3
 const LONGEST_PLACEMENT_DELAY_MS = 100
 const RETRY_DELAY_MS = 100
-/** Assumed until a queue has answers; cautious, so that the first questions name enough targets. */
-const FIRST_ALLOWED_PART = 0.3
-/** Of the newest answer in the average; answers about 16 to 100 targets scatter. */
-const ALLOWED_PART_WEIGHT = 0.1
 /** Part of the processors kept free of work that is not urgent, so that urgent work finds room. */
 const URGENT_RESERVE = 0.05
 
@@ -59,8 +54,6 @@
   readonly #fleet: TargetFleet
   readonly #usage = new TeamUsage()
   readonly #advice = new Map<StepProgress, StepAdvice>()
-  /** Part of the targets that was allowed lately, by queue. */
-  readonly #allowedParts = new Map<string, number>()
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps that may have waiting tasks. */
   readonly #ready = new Set<StepProgress>()
@@ -171,35 +164,20 @@
       .map(({ step: { job } }) => ({ team: job.team, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
-  #placeOne (waitingStep: WaitingStep, pass: PlacementPass, nowMs: number): void {
-    const { step, waiting } = waitingStep
+  #placeOne ({ step, waiting }: WaitingStep, pass: PlacementPass, nowMs: number): void {
     const { job, definition } = step
     if (this.#advice.get(step)?.asking === true) return
     const queue = pass.queue(job.queue)
-    const sessions = pass.sessions(queue.service, queue.priority === 0)
+    const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
-    if (count === 0 || (definition.gang && count < waiting.length)) return this.#holdFor(waitingStep, pass, queue, nowMs)
+    if (count === 0 || (definition.gang && count < waiting.length)) return
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
       pass.noteReserved(queue.service, roomOf(definition), placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
       return
     }
-    const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
-    pass.noteReserved(queue.service, roomOf(definition), reserved)
-    if (reserved === 0) this.#holdFor(waitingStep, pass, queue, nowMs)
-  }
-
-  /** Keeps targets for a gang that could still be of use and is not kept from running by its team's cap. */
-  #holdFor ({ step, waiting, rank }: WaitingStep, pass: PlacementPass, queue: QueueSettings, nowMs: number): void {
-    const { job, definition } = step
-    const advice = this.#advice.get(step)
-    if (!definition.gang || !pass.mayHold(queue.service) || !isUseful(rank) || nowMs - job.acceptedAtMs < HOLD_AFTER_MS) return
-    if (queue.advice !== undefined && advice?.answered !== true) return
-    const team = pass.team(job.team)
-    if (team !== undefined && this.#usage.allowed(team, definition.size, waiting.length, queue.priority === 0) < waiting.length) return
-    const allowed = pass.sessions(queue.service, true).filter(session => queue.advice === undefined || advice?.allows(session.key) === true)
-    pass.hold(queue.service, chooseHeld(definition, waiting.length, allowed))
+    pass.noteReserved(queue.service, roomOf(definition), this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs))
   }
 
   /** Returns for how many tasks room was reserved. */
@@ -210,7 +188,7 @@
     this.#advice.set(step, advice)
     if (nowMs < advice.restsUntilMs) return 0
     const decision = decideAdvised({
-      definition: step.definition, count, advice, targets: sessions, describe: session => this.#describeRoom(step, session), allowedPart: this.#allowedParts.get(queue.name) ?? FIRST_ALLOWED_PART, nowMs
+      definition: step.definition, count, advice, targets: sessions, describe: session => this.#describeRoom(step, session), nowMs
     })
     switch (decision.action) {
       case 'ask':
@@ -238,9 +216,6 @@
         targets: [...asked.keys()],
         expectedMs: settings.decisionMs + settings.perTargetMs * asked.size
       }, queue.priority)
-      const part = allowed.length / asked.size
-      const before = this.#allowedParts.get(queue.name) ?? FIRST_ALLOWED_PART
-      this.#allowedParts.set(queue.name, before + (part - before) * ALLOWED_PART_WEIGHT)
       advice.noteAnswer(asked, allowed, this.#clock.monotonicMs() + settings.ticketValidityMs)
     } catch (error) {
       this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'the placement advisor did not answer')
@@ -333,7 +308,7 @@
     const team = pass.team(step.job.team)
     if (team !== undefined) count = this.#usage.allowed(team, size, count, queue.priority === 0)
     // Looks at every target, so that it comes last.
-    return count === 0 ? 0 : pass.tasksThatFit(queue.service, queue.priority === 0, roomOf(step.definition), count)
+    return count === 0 ? 0 : pass.tasksThatFit(queue.service, roomOf(step.definition), count)
   }
 
   #describeRoom (step: StepProgress, session: TargetSession): TargetRoom {
