Take the end of a run that the next life of a target accepted

The report that showed the restart was older than the orders; the runs were taken for ended with the earlier life and started elsewhere. Ruled out: a second delivery of one order. Now only a report of the same life shows that a run is of it: others are stopped on the next life, and an end that this shows is taken and not lost. The log of a failed seed shows now what targets saw of the tasks concerned.

--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/assignment.ts
@@ -15,8 +15,8 @@
   /** Room that it takes on the target. */
   readonly size: Resources
   state: AssignmentState
-  /** The target has said whether it carried the order out, so that the order certainly does not arrive later. */
-  answered = false
+  /** A report of this life of the target showed the run. An answer to the order may come from the next life. */
+  reported = false
   /** Reports of requests that were sent before are too old to say that it does not run. */
   confirmedAtMs = 0
 
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -18,6 +18,8 @@
   finished: FinishedRun[] = []
   running: { task: string, attempt: number, checkpoint: string, percent: number }[] = []
   reachable = true
+  /** Reports that do not show yet what runs. */
+  runningAfterReports = 0
   bornMs = 1
   startOutcome: StartOutcome = { outcome: 'started', clockMs: 0 }
   startAnswer: Promise<void> = Promise.resolve()
@@ -42,10 +44,16 @@
     if (!this.reachable) return { outcome: 'failed', message: 'no answer' }
     this.renewals.push(order)
     this.finished = this.finished.filter(run => run.number > order.acknowledged)
-    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: this.#clock.monotonicMs(), running: this.running, finished: this.finished } }
+    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: this.#clock.monotonicMs(), running: this.#shownRuns(), finished: this.finished } }
   }
 
   async close (): Promise<void> {}
+
+  #shownRuns (): FakeTarget['running'] {
+    if (this.runningAfterReports === 0) return this.running
+    this.runningAfterReports -= 1
+    return []
+  }
 }
 
 class Recorder implements TargetListener {
@@ -226,3 +234,35 @@
   await clock.advance(500)
   t.deepEqual(listener.events, [`${name} lost: restarted`, 'life ended: restarted'])
 })
+
+test('an order that the next life has accepted is not taken for one that ended with the earlier life', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const name = assignment.task.name
+  session.reserve(assignment)
+  // The report that shows the restart was written before the order arrived.
+  client.bornMs = 2
+  await session.start(assignment, undefined)
+  client.runningAfterReports = 1
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(1_500)
+  t.deepEqual(listener.events, ['joined', `${name} started`])
+  t.true(client.stops.includes(name))
+  client.running = []
+  await clock.advance(500)
+  t.deepEqual(listener.events.slice(2), [`${name} lost: restarted`, 'life ended: restarted'])
+})
+
+test('a run that the next life has finished is not started again', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const name = assignment.task.name
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, name)]
+  await clock.advance(1_500)
+  t.deepEqual(listener.events.slice(2), [`${name} done`, 'life ended: restarted'])
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -185,7 +185,6 @@
     })
     if (!this.#assignments.has(assignment.key) || this.#over) return
     assignment.confirmedAtMs = clock.monotonicMs()
-    assignment.answered = result.outcome !== 'unknown'
     if (result.outcome === 'started') {
       if (assignment.state === 'starting') assignment.state = 'running'
       return listener.startConfirmed(this, assignment)
@@ -315,7 +314,7 @@
     if (this.#ended.has(key)) return
     const known = this.#assignments.get(key)
     if (known === undefined) return this.#stopUnknown(running)
-    known.answered = true
+    known.reported = true
     if (known.state === 'unconfirmed' || known.state === 'recovering') {
       known.state = 'running'
       known.confirmedAtMs = nowMs
@@ -413,7 +412,7 @@
     return true
   }
 
-  /** Stops the run on the next life until that refuses the order and does not run the task, or no order can arrive any more. */
+  /** Stops the run on the next life, until that shows its end, or refuses the order and does not run the task. */
   async #withdraw (assignment: Assignment): Promise<void> {
     const { client, clock, fencingToken, logger } = this.#options
     const { task: { name: task }, attempt, key } = assignment
@@ -422,10 +421,12 @@
     while (!this.#closed && clock.monotonicMs() < untilMs) {
       const outcome = await client.stop({ task, attempt, fencingToken })
       if (outcome === 'other-life') break
-      if (outcome === 'stopping') {
-        const result = await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 })
-        if (result.outcome === 'other-life') break
-        if (result.outcome === 'report' && !result.report.running.some(run => runKey(run.task, run.attempt) === key)) break
+      const result = outcome === 'stopping' ? await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 }) : undefined
+      if (result?.outcome === 'other-life') break
+      if (result?.outcome === 'report') {
+        const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
+        if (end !== undefined) return await this.#takeEnd(end)
+        if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) break
       }
       await clock.sleep(RETRY_DELAY_MS)
     }
@@ -449,6 +450,6 @@
 }
 
 /** Orders of earlier coordinators do not count: the target's fence refuses them. */
-function isOnItsWay ({ answered, state }: Assignment): boolean {
-  return !answered && state !== 'reserved' && state !== 'recovering'
+function isOnItsWay ({ reported, state }: Assignment): boolean {
+  return !reported && state !== 'reserved' && state !== 'recovering'
 }
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -22,7 +22,7 @@
 const failed: number[] = []
 const totals = { calls: 0, accepted: 0, starts: 0, faults: 0 }
 
-async function report ({ seed, violations, faults, jobs, accepted, calls, starts, lines }: SoakReport): Promise<void> {
+async function report ({ seed, violations, faults, jobs, accepted, calls, starts, evidence, lines }: SoakReport): Promise<void> {
   totals.calls += calls
   totals.accepted += accepted
   totals.starts += starts
@@ -33,7 +33,7 @@
   for (const violation of violations.slice(0, 12)) console.log(`  ${violation}`)
   await mkdir(given.logs, { recursive: true })
   const plan = faults.map(({ atMs, fault }) => `${atMs} ${JSON.stringify(fault)}`)
-  await writeFile(join(given.logs, `seed-${seed}.log`), [...violations, ...plan, ...lines].join('\n'))
+  await writeFile(join(given.logs, `seed-${seed}.log`), [...violations, ...evidence.map(event => JSON.stringify(event)), ...plan, ...lines].join('\n'))
 }
 
 async function work (): Promise<void> {
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -1,6 +1,7 @@
 /** Plays one seed: load and overlapping faults, then calm until everything has settled, then the checks. */
 import { setTimeout as sleep } from 'node:timers/promises'
 import murmurhash from 'murmurhash'
+import type { WorkerEvent } from '../../src/platform/standIn/standInWorker.ts'
 import { drawPlan } from './faultPlan.ts'
 import type { Fault } from './faultPlan.ts'
 import { SoakCallers } from './soakCallers.ts'
@@ -37,6 +38,8 @@
   readonly accepted: number
   readonly calls: number
   readonly starts: number
+  /** What targets saw of the tasks that the violations name. */
+  readonly evidence: readonly WorkerEvent[]
   /** What the instances wrote. */
   readonly lines: readonly string[]
 }
@@ -82,6 +85,7 @@
     accepted: [...callers.jobs.values()].filter(({ acceptedAtMs }) => acceptedAtMs !== undefined).length,
     calls: callers.calls,
     starts: events.filter(({ type }) => type === 'started').length,
+    evidence: events.filter(({ task }) => violations.some(violation => violation.includes(task))),
     lines: cell.lines
   }
 }
