Confirm the office before a job is denied

Trace: entry-1 was the coordinator with fence 139 until 30.08; its lease had ended and entry-2 was elected with fence 244 at 27.43 and accepted the jobs at 27.6. Meanwhile entry-1 answered questions about them from its own table: 410. Now a coordinator answers 410 only after the store has named it as the one in office; otherwise 503. The store is asked for such answers only.

--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -107,6 +107,19 @@
     return this.#failedRenewals > 0
   }
 
+  /** Whether the store still names this election; false if that can not be told. */
+  async confirm (): Promise<boolean> {
+    const held = this.#held
+    if (held === undefined) return false
+    try {
+      const { item } = await this.#options.store.get(COORDINATOR_KEY)
+      return item?.revision === held.fence && this.#held === held
+    } catch (error) {
+      this.#options.logger.info({ error: String(error), fence: held.fence }, 'the election could not be confirmed')
+      return false
+    }
+  }
+
   /** Gives the office up and does not stand again; a successor can be elected at once. */
   async withdraw (): Promise<void> {
     this.#withdrawn = true
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -49,6 +49,8 @@
   readonly mayAct: () => boolean
   /** Whether the store does not renew the election. */
   readonly storeFails: () => boolean
+  /** Whether the store still names this coordinator; false if that can not be told. */
+  readonly confirmOffice: () => Promise<boolean>
   readonly resign: (reason: string) => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
@@ -110,6 +112,11 @@
     return this.#options.storeFails() || (since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS)
   }
 
+  /** Whether no other coordinator may have accepted jobs that this one does not know. */
+  async confirmOffice (): Promise<boolean> {
+    return await this.#options.confirmOffice()
+  }
+
   /** Recovers what earlier coordinators left, then places work until the term ends. */
   async open (): Promise<void> {
     const read = await this.#readLog()
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -64,11 +64,17 @@
     }
     switch (call.action) {
       case 'submit': return await this.#submit(resolved, call.definition)
-      case 'read': return resolved.id === '' ? this.#count(resolved.queue) : this.#read(resolved)
-      case 'cancel': return await this.#cancel(resolved)
+      case 'read': return resolved.id === '' ? this.#count(resolved.queue) : await this.#confirmAbsence(this.#read(resolved))
+      case 'cancel': return await this.#confirmAbsence(await this.#cancel(resolved))
     }
   }
 
+  /** A successor may have accepted a job that this coordinator does not know, before this one learns of it. */
+  async #confirmAbsence (answer: CallerAnswer): Promise<CallerAnswer> {
+    if (answer.outcome !== 'no-job' || await this.#coordinator.confirmOffice()) return answer
+    return unavailable('another instance may coordinate by now')
+  }
+
   #resolve ({ host, path, key }: CallerCall): Resolved | Refusal {
     const { state } = this.#desired
     const queue = findQueue(state, host, path)
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -188,6 +188,7 @@
       lanes: this.#lanes,
       mayAct: () => this.#election.mayAct(),
       storeFails: () => this.#election.storeFails,
+      confirmOffice: async () => await this.#election.confirm(),
       resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
       finishedJobMs: options.finishedJobMs()
