Take ends that the next life of a target shows before its runs are given up

The trace: worker-2 started again before an order arrived; its next life ran the task and ended it as done; all instances were killed while the order was being withdrawn. The successor saw that the life was another one and looked at what ran there, not at what had ended, and started the task again on worker-4. Now an end in the report that shows the restart is taken like any other. The test of targetSession failed before.

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -266,3 +266,15 @@
   await clock.advance(1_500)
   t.deepEqual(listener.events.slice(2), [`${name} done`, 'life ended: restarted'])
 })
+
+test('a run of an earlier coordinator that the next life has finished is not started again', async t => {
+  const { clock, client, listener, session } = createSession(0)
+  const assignment = createAssignment('job-1', 'recovering')
+  assignment.confirmedAtMs = -Infinity
+  const name = assignment.task.name
+  session.reserve(assignment)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, name)]
+  await clock.advance(1_000)
+  t.deepEqual(listener.events, [`${name} done`, 'life ended: restarted'])
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -388,19 +388,24 @@
 
   /**
    * Ends a life whose target has started again under its identity: the next life would carry out an order that
-   * is still on its way, so that such an order is withdrawn there before its task is free.
+   * is still on its way, so that such an order is withdrawn there before its task is free. What it has finished counts.
    */
   #endRestarted (report: TargetReport): void {
     if (!this.#markOver('restarted')) return
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
+    const ends = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
     const withdrawals: Promise<void>[] = []
     for (const assignment of [...this.#assignments.values()]) {
       const { key } = assignment
-      if (isOnItsWay(assignment) || running.has(key)) withdrawals.push(this.#withdraw(assignment))
+      const end = ends.get(key)
+      if (end !== undefined) withdrawals.push(this.#takeEnd(end))
+      else if (isOnItsWay(assignment) || running.has(key)) withdrawals.push(this.#withdraw(assignment))
       else this.#loseRun(assignment, 'restarted')
     }
     this.#withdrawn = Promise.all(withdrawals).then(() => {
       if (!this.#closed) this.#options.listener.lifeEnded(this, 'restarted')
+    }, () => {
+      // The term has ended, so that its successor reads these ends again.
     })
   }
 
