Do not report a job as accepted after the term has ended

Trace: the coordinator edge-howrah-3 was cut from the store at 4.0 s; a submission waited there for the desired state to be read (1.5 s). Its term ended at 6.23 s, and the record of the job was never stored; the call went on, found the job in the table of the ended term and was answered 200 at 6.52 s. The successor does not know it. Change: a call looks again whether the term is open after it has waited.

--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -62,6 +62,8 @@
       this.#logger.info({ path: call.path, action: call.action, outcome: resolved.outcome, version: this.#desired.state.version, ageMs: Math.round(this.#desired.ageMs) }, 'call refused')
       return resolved
     }
+    // The term may have ended meanwhile; its table may then have jobs that were never stored.
+    if (!this.#coordinator.ready) return unavailable('the term of the coordinator has ended')
     switch (call.action) {
       case 'submit': return await this.#submit(resolved, call.definition)
       case 'read': return resolved.id === '' ? this.#count(resolved.queue) : await this.#confirmAbsence(this.#read(resolved))
