Say whether an answer is a refusal, without a text that nobody reads

Found in the read of the whole change: refusalOf returned messages of which only the presence was used.

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -101,6 +101,14 @@
   return new Assignment(task, 1, task.step.definition.size, state)
 }
 
+/** Keeps room for a run that an earlier coordinator placed. */
+function reserveRecovering (session: TargetSession): Assignment {
+  const assignment = createAssignment('job-1', 'recovering')
+  assignment.confirmedAtMs = -Infinity
+  session.reserve(assignment)
+  return assignment
+}
+
 function finishedRun (number: number, task: string): FinishedRun {
   return { number, task, attempt: 1, end: 'done', checkpoint: '' }
 }
@@ -174,9 +182,7 @@
   const foreignOrdersUntilMs = 3_000
   const { clock, client, listener, session } = createSession(foreignOrdersUntilMs)
   client.reachable = false
-  const assignment = createAssignment('job-1', 'recovering')
-  assignment.confirmedAtMs = -Infinity
-  session.reserve(assignment)
+  const assignment = reserveRecovering(session)
   await clock.advance(foreignOrdersUntilMs + LEASE_MS)
   t.deepEqual(listener.events, [])
   t.is(session.free.processors, 63_000)
@@ -222,10 +228,8 @@
 
 test('a run that the next life under the same identity reports is ended before its task is free', async t => {
   const { clock, client, listener, session } = createSession(0)
-  const assignment = createAssignment('job-1', 'recovering')
-  assignment.confirmedAtMs = -Infinity
+  const assignment = reserveRecovering(session)
   const name = assignment.task.name
-  session.reserve(assignment)
   client.bornMs = 2
   client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
   await clock.advance(1_000)
@@ -269,10 +273,8 @@
 
 test('a run of an earlier coordinator that the next life has finished is not started again', async t => {
   const { clock, client, listener, session } = createSession(0)
-  const assignment = createAssignment('job-1', 'recovering')
-  assignment.confirmedAtMs = -Infinity
+  const assignment = reserveRecovering(session)
   const name = assignment.task.name
-  session.reserve(assignment)
   client.bornMs = 2
   client.finished = [finishedRun(1, name)]
   await clock.advance(1_000)
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -47,8 +47,7 @@
     let mayHaveRun = false
     for (;;) {
       const answer = await this.#tryOnce(call)
-      const refusal = refusalOf(call, answer)
-      if (answer.outcome !== 'unknown' && (refusal === undefined || !mayHaveRun)) return answer
+      if (answer.outcome !== 'unknown' && !(mayHaveRun && isRefusal(call, answer))) return answer
       if (answer.outcome === 'unknown') mayHaveRun = true
       const isTemporary = answer.outcome === 'unknown' || answer.outcome === 'unavailable'
       if (!isTemporary || clock.monotonicMs() + RETRY_DELAY_MS > untilMs) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
@@ -72,16 +71,8 @@
   }
 }
 
-/** Why a call was not carried out; undefined if it was, if that is not known, or if the call changes nothing. */
-function refusalOf ({ action }: CallerCall, answer: CallerAnswer): string | undefined {
-  switch (answer.outcome) {
-    case 'unavailable':
-    case 'limited':
-      return answer.message
-    case 'no-queue':
-    case 'unauthenticated':
-      return action === 'read' ? undefined : answer.outcome
-    default:
-      return undefined
-  }
+/** Whether the answer says that a call was not carried out and never will be; a question that is answered is not refused. */
+function isRefusal ({ action }: CallerCall, { outcome }: CallerAnswer): boolean {
+  if (outcome === 'unavailable' || outcome === 'limited') return true
+  return action !== 'read' && (outcome === 'no-queue' || outcome === 'unauthenticated')
 }
