Give no tasks to a target's next life while a recovered run is being stopped there

The next life of a target that starts again under its identity gets no tasks while orders to the earlier life may still arrive. A run of an earlier coordinator that the next life had accepted was not among them: it was being stopped there without counting, so that new tasks could bring the target over its capacity (LIMIT). Change: what is left of a life that is over counts, whatever its state. Test: fails with the former condition (the getter returned false).

--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -67,7 +67,7 @@
   get usable (): readonly TargetSession[] {
     const sessions = [...this.#sessions.values()]
     // Orders to an earlier life may still be carried out by the present one, which then has less room than it shows.
-    const earlier = new Set(sessions.filter(session => session.over || this.#isReplaced(session)).filter(({ hasOrdersOnTheirWay }) => hasOrdersOnTheirWay).map(({ id }) => id))
+    const earlier = new Set(sessions.filter(session => session.over || this.#isReplaced(session)).filter(({ mayOccupyNextLife }) => mayOccupyNextLife).map(({ id }) => id))
     return sessions.filter(session => session.usable && this.#recorded.has(session.key) && !earlier.has(session.id))
   }
 
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -280,3 +280,16 @@
   await clock.advance(1_000)
   t.deepEqual(listener.events, [`${name} done`, 'life ended: restarted'])
 })
+
+test('the next life gets no tasks while a run of an earlier coordinator is being stopped there', async t => {
+  const { clock, client, session } = createSession(0)
+  const assignment = reserveRecovering(session)
+  client.bornMs = 2
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(1_000)
+  t.true(session.over)
+  t.true(session.mayOccupyNextLife)
+  client.running = []
+  await clock.advance(500)
+  t.false(session.mayOccupyNextLife)
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -126,9 +126,10 @@
       nowMs - this.#lastContactMs < REACHABLE_MS && nowMs >= this.#avoidUntilMs
   }
 
-  /** Whether an order was sent that the target may still carry out later. */
-  get hasOrdersOnTheirWay (): boolean {
-    return [...this.#assignments.values()].some(isOnItsWay)
+  /** Whether the next life of the target may run something that was ordered from this one. */
+  get mayOccupyNextLife (): boolean {
+    // What is left of a life that is over is being stopped on the next one.
+    return this.#over ? this.#assignments.size > 0 : [...this.#assignments.values()].some(isOnItsWay)
   }
 
   get draining (): boolean {
