Take the ports of test clusters from below the ephemeral range, and run process tests one at a time

Cause: `Cluster` found 21 free ports, closed them, and started about 25 listeners on port 0 of the same host before the instances listened on them. Seen in 45 starts of a cluster of 7: "can't listen (EADDRINUSE)" twice, once as "attica-a-entry-3 ended with 1", once as "never came true: attica-a-entry-1 is ready", since the operators' server starts last. Such a run fails all tests of the file. Ruled out: other processes on the host (each has a loopback host of its own), outgoing connections (they come from 127.0.0.1). Change: ports from 20,000 on. The cut of a data centre is healed also when its test fails, so that the tests after it do not fail with it; a wait that fails says what it saw last. The tests with clusters of processes run after all others, one file at a time, since their deadlines are real time.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,8 +5,15 @@
 cd "$(dirname "$0")/.."
 npm run --silent typecheck && npm run --silent lint && npm run --silent build || { echo '0 passed, 1 failed'; exit 1; }
 log=$(mktemp)
-npx ava --tap "$@" > "$log"
-status=$?
+status=0
+run_tests() { npx ava --tap "$@" >> "$log" || status=$?; }
+if [ $# -gt 0 ]; then
+  run_tests "$@"
+else
+  # The clusters of processes come one after the other and after all else, since their deadlines run in real time.
+  run_tests '!test/processes/**' '!test/soak/**'
+  run_tests --concurrency=1 'test/processes/**' 'test/soak/**'
+fi
 grep -E '^(not ok|Bail out)' -A 40 "$log"
 passed=$(grep -c '^ok ' "$log")
 red=$(grep '^not ok ' "$log" | sed -E 's/^not ok [0-9]+ - //; s/^.* › //')
--- a/test/processes/cluster.ts
+++ b/test/processes/cluster.ts
@@ -10,7 +10,7 @@
 import { ManagedProcess, runToEnd } from './childProcess.ts'
 import type { FinishedProcess } from './childProcess.ts'
 import { TcpForwarder } from './tcpForwarder.ts'
-import { createTargets, findFreeAddresses, listPlaces } from './topology.ts'
+import { createTargets, assignAddresses, listPlaces } from './topology.ts'
 import type { DataCentreLayout, InstanceAddresses, InstancePlace } from './topology.ts'
 import { waitUntil } from './waitUntil.ts'
 
@@ -23,7 +23,7 @@
   readonly host: string
   /** The program with its leading arguments, such as `['dist/agategauge']`. */
   readonly program: readonly string[]
-  /** Addresses of the instances; free ports of the host if left out. */
+  /** Addresses of the instances; ports of the host if left out, which no other process may use then. */
   readonly addressOf?: (place: InstancePlace, index: number) => InstanceAddresses
   readonly stopTimeout?: string
   /** Keeps the terminal's Ctrl-C from the processes. */
@@ -77,7 +77,7 @@
   static async start (options: ClusterOptions): Promise<Cluster> {
     const cluster = new Cluster(options, await mkdtemp(join(tmpdir(), 'agategauge-')))
     try {
-      await cluster.#assignAddresses()
+      cluster.#assignAddresses()
       await cluster.#startPlatform()
       for (const instance of cluster.instances) await cluster.#startInstance(instance)
       await cluster.awaitAllOwned()
@@ -178,10 +178,10 @@
     await this.stop()
   }
 
-  async #assignAddresses (): Promise<void> {
+  #assignAddresses (): void {
     const { layout, host, addressOf } = this.#options
     const places = listPlaces(layout)
-    const free = addressOf === undefined ? await findFreeAddresses(host, places.length * 3) : []
+    const free = addressOf === undefined ? assignAddresses(host, places.length * 3) : []
     for (const [index, place] of places.entries()) {
       const [caller = '', operator = '', peer = ''] = free.slice(index * 3, index * 3 + 3)
       const addresses = addressOf?.(place, index) ?? { caller, operator, peer }
--- a/test/processes/faults.test.ts
+++ b/test/processes/faults.test.ts
@@ -108,16 +108,22 @@
 test.serial('a data centre that is cut off from the store serves on and does not take a withdrawn key', async t => {
   const [inside, outside] = [cluster.instance('macedonia-a-entry-1'), cluster.instance('attica-a-entry-1')]
   const links = cluster.links('macedonia-a')
-  links.store.disrupt('silent')
-  links.list.disrupt('silent')
-  const spare = JSON.parse((await cluster.runCommand(outside, 'key', 'create', 'weavers', '--json')).output) as { readonly key: string, readonly keyId: string }
-  await waitUntil('the new key works in the data centre', async () =>
-    (await client.run(inside.addresses.caller, spare.key, { id: `cut-${Math.random()}` })).status === 200)
-  t.is((await cluster.runCommand(outside, 'key', 'withdraw', spare.keyId)).code, 0)
-  for (const { addresses } of cluster.instances) t.is((await client.run(addresses.caller, spare.key, { id: 'cut-withdrawn' })).status, 401)
-  t.is((await client.run(inside.addresses.caller, key, { id: 'cut-valid' })).status, 200)
-  links.store.heal()
-  links.list.heal()
+  try {
+    links.store.disrupt('silent')
+    links.list.disrupt('silent')
+    const spare = JSON.parse((await cluster.runCommand(outside, 'key', 'create', 'weavers', '--json')).output) as { readonly key: string, readonly keyId: string }
+    await waitUntil('the new key works in the data centre', async () => {
+      const answer = await client.run(inside.addresses.caller, spare.key, { id: `cut-${Math.random()}` })
+      if (answer.status !== 200) throw new Error(`answered ${answer.status}: ${answer.body.toString()}`)
+      return true
+    })
+    t.is((await cluster.runCommand(outside, 'key', 'withdraw', spare.keyId)).code, 0)
+    for (const { addresses } of cluster.instances) t.is((await client.run(addresses.caller, spare.key, { id: 'cut-withdrawn' })).status, 401)
+    t.is((await client.run(inside.addresses.caller, key, { id: 'cut-valid' })).status, 200)
+  } finally {
+    links.store.heal()
+    links.list.heal()
+  }
   await awaitAllInContact()
   t.is((await client.run(inside.addresses.caller, key, { id: 'cut-healed', repeatable: false })).status, 200)
 })
--- a/test/processes/topology.ts
+++ b/test/processes/topology.ts
@@ -1,7 +1,4 @@
-/** Data centres, instances and targets of a cluster of processes, and the free addresses that they use. */
-import { once } from 'node:events'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
+/** Data centres, instances and targets of a cluster of processes, and the addresses that they use. */
 import { resources } from '../../src/model/resources.ts'
 import type { TargetInfo } from '../../src/model/target.ts'
 
@@ -26,6 +23,8 @@
   readonly peer: string
 }
 
+/** Below the lowest ephemeral port of common systems, which is 32,768 on Linux. */
+export const FIRST_PORT = 20_000
 const RUNNER_SLOTS = 8
 const RUNNER_CONNECTIONS = 64
 const WORKER_MILLICORES = 64_000
@@ -80,15 +79,10 @@
   return `127.${100 + (pid >> 15) % 100}.${(pid >> 8) & 0x7f}.${(pid & 0xff) % 254 + 1}`
 }
 
-/** Ports that are free on the host; all are held until the last one is known, so that they differ. */
-export async function findFreeAddresses (host: string, count: number): Promise<readonly string[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    server.listen({ host, port: 0 })
-    await once(server, 'listening')
-    return server
-  }))
-  const addresses = servers.map(server => `${host}:${(server.address() as AddressInfo).port}`)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
-  return addresses
+/**
+ * Addresses on a host that no other process uses. The ports lie below the range from which the system serves listeners
+ * that ask for port 0, so that no stand-in takes one before its instance listens on it.
+ */
+export function assignAddresses (host: string, count: number): readonly string[] {
+  return Array.from({ length: count }, (_, index) => `${host}:${FIRST_PORT + index}`)
 }
--- a/test/processes/waitUntil.ts
+++ b/test/processes/waitUntil.ts
@@ -13,10 +13,12 @@
     try {
       const answer = await ask()
       if (answer !== undefined && answer !== false) return answer
+      lastError = undefined
     } catch (error) {
       lastError = error
     }
     await sleep(POLL_MS)
   }
-  throw new Error(`never came true: ${what}`, { cause: lastError })
+  // The TAP reporter prints no causes.
+  throw new Error(`never came true: ${what}${lastError === undefined ? '' : ` (last error: ${String(lastError)})`}`, { cause: lastError })
 }
