--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,7 +11,7 @@
   run_tests "$@"
 else
   # The clusters of processes come one after the other and after all else, since their deadlines run in real time.
-  run_tests '!test/processes/**' '!test/soak/**'
+  run_tests '**/*.test.ts' '!test/processes/**' '!test/soak/**'
   run_tests --concurrency=1 'test/processes/**' 'test/soak/**'
 fi
 grep -E '^(not ok|Bail out)' -A 40 "$log"
