--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -1,6 +1,6 @@
 /** Calls other instances about jobs. */
 import { z } from 'zod'
-import type { CallerAnswer, CallerCall } from '../../entry/callerCall.ts'
+import type { CallerCall, CoordinatorAnswer } from '../../entry/callerCall.ts'
 import { JOB_STATES } from '../../jobs/job.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import { BaseError } from '../../model/errors.ts'
@@ -11,23 +11,23 @@
 import { PEER_PATHS } from './coordinatorPeerPaths.ts'
 
 const CONNECT_TIMEOUT_MS = 600
-/** An acceptance waits for one commit of the store, 320 ms when it is slow. */
+/** What takes longer is answered as under way, after a fifth of a second. */
 const HANDLE_TIMEOUT_MS = 1_200
 const REPORT_TIMEOUT_MS = 600
 /** The peer makes one call to the store. */
-const RELEASE_TIMEOUT_MS = 1_000
+const STORE_CALL_TIMEOUT_MS = 1_000
 /** Added to the time that the advisor needs. */
 const ADVICE_SLACK_MS = 1_800
 const IDLE_CONNECTION_MS = 30_000
 /** Calls of one instance to another at the same time; more wait for a connection. */
 const CONNECTIONS = 32
 
-const answerSchema: z.ZodType<CallerAnswer> = z.discriminatedUnion('outcome', [
-  z.object({ outcome: z.enum(['accepted', 'cancelled', 'no-queue', 'no-job', 'unauthenticated']) }),
+const answerSchema: z.ZodType<CoordinatorAnswer> = z.discriminatedUnion('outcome', [
+  z.object({ outcome: z.enum(['accepted', 'cancelled', 'no-queue', 'no-job', 'unauthenticated', 'underway']) }),
   z.object({ outcome: z.literal('state'), state: z.enum(JOB_STATES) }),
   z.object({ outcome: z.literal('pending'), pending: z.number() }),
   z.object({ outcome: z.enum(['invalid', 'unknown']), message: z.string() }),
-  z.object({ outcome: z.enum(['unavailable', 'limited']), message: z.string(), retryAfterSeconds: z.number() })
+  z.object({ outcome: z.enum(['unavailable', 'limited']), message: z.string(), retryAfterSeconds: z.number(), absent: z.boolean().optional() })
 ])
 const answersSchema = z.object({ answers: z.array(answerSchema) })
 const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
@@ -37,6 +37,7 @@
   largestProcessors: z.number()
 })
 const releaseAnswerSchema = z.object({ released: z.boolean() })
+const reachesStoreSchema = z.object({ reachesStore: z.boolean() })
 const adviceAnswerSchema = z.object({ allowed: z.array(z.object({ target: z.string(), ticket: z.string() })) })
 
 export class CoordinatorPeerClient implements CoordinatorPeers, Component {
@@ -76,8 +77,8 @@
     })
   }
 
-  async handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]> {
-    return (await this.#post(PEER_PATHS.handle, { calls }, HANDLE_TIMEOUT_MS, answersSchema)).answers
+  async handleAll (fence: number, calls: readonly CallerCall[]): Promise<readonly CoordinatorAnswer[]> {
+    return (await this.#post(PEER_PATHS.handle, { fence, calls }, HANDLE_TIMEOUT_MS, answersSchema)).answers
   }
 
   async report (report: InstanceReport): Promise<ReportAnswer> {
@@ -85,7 +86,11 @@
   }
 
   async release (lease: number): Promise<boolean> {
-    return (await this.#post(PEER_PATHS.release, { lease }, RELEASE_TIMEOUT_MS, releaseAnswerSchema)).released
+    return (await this.#post(PEER_PATHS.release, { lease }, STORE_CALL_TIMEOUT_MS, releaseAnswerSchema)).released
+  }
+
+  async reachesStore (): Promise<boolean> {
+    return (await this.#post(PEER_PATHS.reachesStore, {}, STORE_CALL_TIMEOUT_MS, reachesStoreSchema)).reachesStore
   }
 
   async advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]> {
--- a/src/adapters/peer/coordinatorPeerPaths.ts
+++ b/src/adapters/peer/coordinatorPeerPaths.ts
@@ -4,5 +4,6 @@
   handle: '/jobs/handle',
   report: '/jobs/report',
   release: '/jobs/release',
+  reachesStore: '/jobs/reaches-store',
   advise: '/jobs/advise'
 } as const
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -14,7 +14,7 @@
   definition: z.string(),
   desiredStateVersion: z.number()
 })
-const callsSchema = z.object({ calls: z.array(callSchema) })
+const callsSchema = z.object({ fence: z.number(), calls: z.array(callSchema) })
 const reportSchema = z.object({
   instance: z.string(), address: z.string(), desiredStateVersion: z.number(), processors: z.number(), reachesStore: z.boolean()
 })
@@ -38,9 +38,10 @@
     name: 'coordinator peer server',
     listen: address,
     routes: [
-      route(PEER_PATHS.handle, callsSchema, async ({ calls }) => ({ answers: await handler.handleAll(calls) })),
+      route(PEER_PATHS.handle, callsSchema, async ({ fence, calls }) => ({ answers: await handler.handleAll(fence, calls) })),
       route(PEER_PATHS.report, reportSchema, async report => await handler.report(report)),
       route(PEER_PATHS.release, releaseSchema, async ({ lease }) => ({ released: await handler.release(lease) })),
+      route(PEER_PATHS.reachesStore, z.object({}), async () => ({ reachesStore: await handler.reachesStore() })),
       route(PEER_PATHS.advise, questionSchema, async question => ({ allowed: await handler.advise(question) }))
     ]
   })
--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -14,7 +14,7 @@
     logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }),
     instance: 'entry-1',
     address: 'entry-1:1',
-    listener: { onElected: () => resolveElected(), onLost: () => {}, onChanged: () => {}, releaseThroughPeers: async () => false }
+    listener: { onElected: () => resolveElected(), onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false }
   })
   t.false(await election.confirm())
   await election.start()
@@ -27,3 +27,51 @@
   t.false(await election.confirm())
   await election.stop()
 })
+
+/** A coordinator whose store refuses everything, until the peers are asked whether they reach it. */
+async function loseStore (whenPeersAreAsked: (store: MemoryTransactionalStore) => void): Promise<{ readonly releases: number, readonly lost: readonly string[] }> {
+  const store = new MemoryTransactionalStore()
+  const lost: string[] = []
+  let releases = 0
+  let resolveAsked: () => void = () => {}
+  const asked = new Promise<void>(resolve => { resolveAsked = resolve })
+  const election = new Election({
+    store,
+    clock: new SystemClock(),
+    logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }),
+    instance: 'entry-1',
+    address: 'entry-1:1',
+    listener: {
+      onElected: () => { store.refusing = true },
+      onLost: reason => lost.push(reason),
+      onChanged: () => {},
+      peerReachesStore: async () => {
+        whenPeersAreAsked(store)
+        setTimeout(resolveAsked, 50)
+        return true
+      },
+      releaseThroughPeers: async () => {
+        releases += 1
+        return true
+      }
+    }
+  })
+  await election.start()
+  await asked
+  const lostBeforeStop = [...lost]
+  store.refusing = false
+  await election.stop()
+  return { releases, lost: lostBeforeStop }
+}
+
+test('end of a store outage: the office does not change because the store answers another instance first', async t => {
+  const { releases, lost } = await loseStore(store => { store.refusing = false })
+  t.is(releases, 0)
+  t.deepEqual(lost, [])
+})
+
+test('a coordinator that alone does not reach the store hands over', async t => {
+  const { releases, lost } = await loseStore(() => {})
+  t.is(releases, 1)
+  t.deepEqual(lost, ['the store serves other instances only'])
+})
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -20,6 +20,8 @@
 const SUSPENSION_MS = 400
 /** Failed renewals in a row after which other instances are asked to end the election. */
 const RENEWALS_BEFORE_HANDOVER = 2
+/** The store may be back for all; a renewal then takes 4 ms, and 320 ms while the store is slow. */
+const LAST_RENEWAL_MS = 400
 const WATCH_MS = 5_000
 const RETRY_DELAY_MS = 150
 /** Candidates wait this many times the store's answer time, so that one near the store wins. */
@@ -43,6 +45,8 @@
   onLost (reason: string): void
   /** Another coordinator, or none, is known now. */
   onChanged (info: CoordinatorInfo | undefined): void
+  /** Whether the store answers another instance. */
+  peerReachesStore (): Promise<boolean>
   /** Asks other instances to end the election; false if none of them reaches the store. */
   releaseThroughPeers (lease: number): Promise<boolean>
 }
@@ -231,11 +235,24 @@
     } catch (error) {
       if (this.#failedRenewals === 0) logger.warn({ error: String(error), validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'the election was not renewed')
       this.#failedRenewals += 1
-      if (this.#failedRenewals >= RENEWALS_BEFORE_HANDOVER && await this.#options.listener.releaseThroughPeers(lease)) this.#lose('the store serves other instances only')
+      if (this.#failedRenewals >= RENEWALS_BEFORE_HANDOVER && await this.#isAloneWithout(lease) && await this.#options.listener.releaseThroughPeers(lease)) this.#lose('the store serves other instances only')
       if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#lose('the lease could not be renewed')
     }
   }
 
+  /** Whether the store answers other instances and, at the same time, not this one. */
+  async #isAloneWithout (lease: number): Promise<boolean> {
+    const { clock, store, listener } = this.#options
+    if (!await listener.peerReachesStore()) return false
+    const sentMs = clock.monotonicMs()
+    const renewed = store.renewLease(lease).catch(() => false)
+    if (!await Promise.race([renewed, clock.sleep(LAST_RENEWAL_MS).then(() => false)])) return true
+    this.#options.logger.info({ failed: this.#failedRenewals }, 'the store renews the election again')
+    this.#failedRenewals = 0
+    this.#extend(sentMs)
+    return false
+  }
+
   #extend (sentMs: number): void {
     const { clock, leaseMs = LEASE_MS } = this.#options
     this.#validUntilMs = sentMs + leaseMs
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -109,7 +109,7 @@
   /** Whether the store is known not to take records now. */
   get storeFails (): boolean {
     const since = this.#log?.failingSinceMs
-    return this.#options.storeFails() || (since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS)
+    return this.#options.storeFails() || this.#log?.stalled === true || (since !== undefined && this.#clock.monotonicMs() - since > STORE_FAILING_MS)
   }
 
   /** Whether no other coordinator may have accepted jobs that this one does not know. */
@@ -127,7 +127,8 @@
       logger: this.#logger,
       election: this.#election,
       nextSequence: read.nextSequence,
-      onTermLost: reason => this.#options.resign(reason)
+      onTermLost: reason => this.#options.resign(reason),
+      onStalled: () => this.#withdrawUnsentJobs()
     })
     this.#table = read.table
     this.#compactedAt = read.nextSequence - read.segments
@@ -183,6 +184,11 @@
     }, () => {})
   }
 
+  /** Resolves when everything that was recorded so far is stored. */
+  async flushed (): Promise<void> {
+    await this.#log?.flushed()
+  }
+
   // What targets report.
 
   async runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void> {
@@ -190,11 +196,11 @@
     if (run.end === 'failed' || run.end === 'done') session.noteRunResult(run.end === 'failed', AVOID_FAILING_MS)
     const name = parseTaskName(run.task)
     const job = name === undefined ? undefined : this.table.jobs.get(name.job)
-    if (name === undefined || job === undefined) return await this.#flushed()
+    if (name === undefined || job === undefined) return await this.flushed()
     const record: RunEndRecord = { type: 'run-end', ...name, attempt: run.attempt, end: run.end, checkpoint: run.checkpoint }
     const step = job.findStep(name.occurrence, name.step)
     const over = job.outcome !== undefined
-    if (step === undefined || !job.endRun(record)) return await this.#flushed()
+    if (step === undefined || !job.endRun(record)) return await this.flushed()
     if (run.end !== 'done') this.#logger.info({ job: job.id, task: run.task, attempt: run.attempt, end: run.end, target: session.id }, 'a run ended without success')
     if (run.end === 'failed') this.#placer.noteFailedTarget(step, session)
     const stored = this.#append([record])
@@ -262,11 +268,6 @@
     }
   }
 
-  /** What made an end known before may still be on its way to the store. */
-  async #flushed (): Promise<void> {
-    await this.#log?.flushed()
-  }
-
   #append (records: readonly LogRecord[]): Promise<void> {
     return this.#log?.append(records) ?? Promise.reject(new Error('the log is closed'))
   }
@@ -329,6 +330,8 @@
     const log = this.#log
     if (log === undefined || log.nextSequence - this.#compactedAt < SEGMENTS_BETWEEN_SNAPSHOTS) return
     this.#compactedAt = log.nextSequence
+    // The snapshot holds jobs whose records are still to be written.
+    log.keepPending()
     try {
       await compactLog({ store: this.#options.store, logger: this.#logger, election: this.#election, table: this.table, lastSequence: log.nextSequence - 1 })
     } catch (error) {
@@ -336,6 +339,22 @@
     }
   }
 
+  /**
+   * Gives up the jobs that were not sent to the store while it does not answer, so that their callers learn at once that
+   * they have to come back. No order was sent for them: those follow the record of the job in the log.
+   */
+  #withdrawUnsentJobs (): void {
+    const log = this.#log
+    for (const id of log?.unsentJobs ?? []) {
+      const job = this.table.jobs.get(id)
+      if (job === undefined || log?.withdrawJob(id) !== true) continue
+      job.cancel()
+      for (const step of job.steps) this.#placer.forgetStep(step)
+      this.table.forget(id)
+      this.#logger.info({ job: id, team: job.team, queue: job.record.queue, ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job withdrawn before it was stored')
+    }
+  }
+
   /** Whether another run of the task was placed after the one that is done. */
   #hasLaterRun ({ definition, tasks }: StepProgress, { task, attempt }: FinishedRun): boolean {
     return !definition.gang && tasks.some(({ name, attempt: last }) => name === task && last > attempt)
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -9,6 +9,7 @@
 import type { Clock } from '../ports/clock.ts'
 import { RateBudget } from '../scheduler/rateBudget.ts'
 import type { JobCoordinator } from './jobCoordinator.ts'
+import { RecordsWithdrawnError } from './recordLog.ts'
 
 /** A refusal is only given on a desired state that was confirmed within this time. */
 const REFUSAL_AGE_MS = 400
@@ -18,6 +19,9 @@
 /** A team may save up its share of this time. */
 const SHARE_BURST_SECONDS = 1
 
+/** The job is in no log, so that it was not accepted before either. */
+const STORE_TAKES_NO_RECORDS: CallerAnswer = { ...unavailable('the store takes no records', RETRY_AFTER_OUTAGE_SECONDS), absent: true }
+
 interface Resolved {
   readonly queue: QueueSettings
   /** Empty for queues that are open to all. */
@@ -92,7 +96,7 @@
     const pending = this.#pending.get(id)
     if (pending !== undefined) return await this.#awaitAcceptance(pending)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
-    if (this.#coordinator.storeFails) return unavailable('the store takes no records', RETRY_AFTER_OUTAGE_SECONDS)
+    if (this.#coordinator.storeFails) return STORE_TAKES_NO_RECORDS
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
     if (!withinShare && this.#coordinator.pressure.refuses(team)) return this.#refuseBeyondShare(team)
     const durable = this.#coordinator.record([...this.#coordinator.recordsOfQueue(queue), {
@@ -115,7 +119,7 @@
   #refuseBeyondShare (team: string): CallerAnswer {
     const { pressure } = this.#coordinator
     const reason = `${team} has sent more than its share while ${pressure.waitingOf(team)} of its jobs wait${pressure.busy ? ' and the coordinator is busy' : ''}`
-    return { outcome: 'limited', message: reason, retryAfterSeconds: pressure.retryAfterSeconds(Math.random()) }
+    return { outcome: 'limited', message: reason, retryAfterSeconds: pressure.retryAfterSeconds(Math.random()), absent: true }
   }
 
   async #awaitAcceptance (durable: Promise<void>): Promise<CallerAnswer> {
@@ -123,7 +127,7 @@
       await durable
       return { outcome: 'accepted' }
     } catch (error) {
-      return { outcome: 'unknown', message: String(error) }
+      return describeUnstored(error)
     }
   }
 
@@ -159,13 +163,16 @@
     }
     if (!isOwner(job.record, team, queue)) return { outcome: 'no-job' }
     try {
-      const open = job.outcome === undefined
-      const durable = this.#coordinator.record([{ type: 'cancelled', job: id, wallMs: this.#clock.wallMs() }])
-      if (open) this.#coordinator.settle(job, durable)
-      await durable
+      if (job.outcome === undefined) {
+        const durable = this.#coordinator.record([{ type: 'cancelled', job: id, wallMs: this.#clock.wallMs() }])
+        this.#coordinator.settle(job, durable)
+        await durable
+      } else {
+        await this.#coordinator.flushed()
+      }
       return { outcome: 'cancelled' }
     } catch (error) {
-      return { outcome: 'unknown', message: String(error) }
+      return describeUnstored(error)
     }
   }
 
@@ -178,6 +185,10 @@
   }
 }
 
+function describeUnstored (error: unknown): CallerAnswer {
+  return error instanceof RecordsWithdrawnError ? STORE_TAKES_NO_RECORDS : { outcome: 'unknown', message: String(error) }
+}
+
 function isOwner (job: { readonly team: string, readonly queue: string }, team: string, queue: QueueSettings): boolean {
   return job.team === team || queue.anonymous
 }
--- a/src/coordinator/recordLog.test.ts
+++ b/src/coordinator/recordLog.test.ts
@@ -2,7 +2,8 @@
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { LogRecord } from '../jobs/jobRecords.ts'
-import { LOG_PREFIX, RecordLog, TermLostError } from './recordLog.ts'
+import { createJobRecord, createStep } from '../jobs/testing/definitions.ts'
+import { LOG_PREFIX, RecordLog, RecordsWithdrawnError, TermLostError } from './recordLog.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
 
 const ELECTION_KEY = 'coordinator'
@@ -16,13 +17,14 @@
   const store = new MemoryTransactionalStore()
   const clock = new ManualClock()
   const lost: string[] = []
+  const stalls: number[] = []
   store.put(ELECTION_KEY, 'entry-1')
   const revision = store.items.get(ELECTION_KEY)?.revision ?? 0
   const log = new RecordLog({
-    store, clock, logger, election: { key: ELECTION_KEY, revision }, nextSequence: 1, onTermLost: reason => lost.push(reason)
+    store, clock, logger, election: { key: ELECTION_KEY, revision }, nextSequence: 1, onTermLost: reason => lost.push(reason), onStalled: () => stalls.push(clock.monotonicMs())
   })
   const stored = (): string[] => [...store.items].filter(([key]) => key.startsWith(LOG_PREFIX)).map(([, { value }]) => value)
-  return { store, clock, lost, log, stored }
+  return { store, clock, lost, stalls, log, stored }
 }
 
 test('a segment whose answer was lost is not stored twice', async t => {
@@ -73,3 +75,42 @@
   await waiting
   t.true(flushed)
 })
+
+function placed (job: string): LogRecord {
+  return { type: 'placed', job, occurrence: 0, step: 0, runs: [[0, 1, 'worker-1@1']] }
+}
+
+test('outage of the store: a job that no commit holds is withdrawn with all that follows from it, and stored by none', async t => {
+  const { store, clock, stalls, log, stored } = createLog()
+  store.refusing = true
+  const sent = log.append([createJobRecord('job-1', [createStep(1)])])
+  const unsent = log.append([createJobRecord('job-2', [createStep(1)])])
+  const itsPlaces = log.append([placed('job-2')])
+  const other = log.append([cancelled('job-3')])
+  await clock.advance(700)
+  t.deepEqual(stalls, [600])
+  t.true(log.stalled)
+  t.deepEqual(log.unsentJobs, ['job-2'])
+  t.false(log.withdrawJob('job-1'))
+  t.true(log.withdrawJob('job-2'))
+  await t.throwsAsync(unsent, { instanceOf: RecordsWithdrawnError })
+  await t.throwsAsync(itsPlaces, { instanceOf: RecordsWithdrawnError })
+  const flushed = log.flushed()
+  store.refusing = false
+  await clock.advance(200)
+  await Promise.all([sent, other, flushed])
+  t.false(log.stalled)
+  t.deepEqual(stored().flatMap(value => JSON.parse(value)).map(({ id, job }) => id ?? job), ['job-1', 'job-3'])
+})
+
+test('what a snapshot may hold is not withdrawn, since it could be started from there', async t => {
+  const { store, clock, log } = createLog()
+  store.refusing = true
+  log.append([cancelled('job-1')]).catch(() => {})
+  log.append([createJobRecord('job-2', [createStep(1)])]).catch(() => {})
+  await clock.advance(100)
+  log.keepPending()
+  t.deepEqual(log.unsentJobs, [])
+  t.false(log.withdrawJob('job-2'))
+  log.close()
+})
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -12,10 +12,15 @@
 /** The election was lost: what was not committed may still have been written. */
 export const TermLostError = BaseError.subclass('TermLostError')
 
+/** The records were taken back before any commit held them: they are not stored and never will be. */
+export const RecordsWithdrawnError = BaseError.subclass('RecordsWithdrawnError')
+
 /** Between the beginnings of two commits; bounds the calls at 50 a second, an eighth of the store's rate. */
 const COMMIT_INTERVAL_MS = 20
 /** Before a commit is tried again that the store did not take. */
 const RETRY_DELAY_MS = 60
+/** A commit takes 4 ms, and 320 ms while the store is slow; one without success for longer has stalled. */
+const STALLED_MS = 600
 /** Of one value, well below the store's limit of a megabyte. */
 const LARGEST_SEGMENT_BYTES = 300_000
 
@@ -27,12 +32,16 @@
   readonly election: { readonly key: string, readonly revision: number }
   readonly nextSequence: number
   readonly onTermLost: (reason: string) => void
+  /** A commit has had no success for some time; called once for each. */
+  readonly onStalled?: () => void
 }
 
 interface Pending {
-  readonly text: string
+  readonly records: readonly LogRecord[]
   readonly resolve: () => void
   readonly reject: (error: unknown) => void
+  /** False once the records may be stored in another way than by the log. */
+  readonly withdrawable: boolean
 }
 
 /**
@@ -49,7 +58,7 @@
   #writing = false
   #lost = false
   #failingSinceMs: number | undefined
-  #tail: Promise<void> = Promise.resolve()
+  #stalled = false
 
   constructor (options: RecordLogOptions) {
     this.#options = options
@@ -65,20 +74,46 @@
     return this.#failingSinceMs
   }
 
-  /** Resolves when the records are stored; rejects with `TermLostError` when they may never be. */
+  /** Whether the present commit has had no success for some time. */
+  get stalled (): boolean {
+    return this.#stalled
+  }
+
+  /** Resolves when the records are stored; rejects with `TermLostError` when they may never be, or with `RecordsWithdrawnError`. */
   append (records: readonly LogRecord[]): Promise<void> {
     if (this.#lost) return Promise.reject(new TermLostError('the election was lost'))
-    const text = records.map(record => JSON.stringify(record)).join(',')
-    this.#tail = new Promise((resolve, reject) => {
-      this.#pending.push({ text, resolve, reject })
+    return new Promise((resolve, reject) => {
+      this.#pending.push({ records, resolve, reject, withdrawable: true })
       if (!this.#writing) runInBackground(this.#write(), this.#options.logger, 'record log')
     })
-    return this.#tail
   }
 
-  /** Resolves when everything that was appended so far is stored. */
-  flushed (): Promise<void> {
-    return this.#lost ? Promise.reject(new TermLostError('the election was lost')) : this.#tail
+  /** Resolves when everything that was appended so far, and not withdrawn, is stored. */
+  async flushed (): Promise<void> {
+    if (this.#lost) throw new TermLostError('the election was lost')
+    if (this.#writing) await this.append([])
+  }
+
+  /** Jobs whose first record no commit holds yet. */
+  get unsentJobs (): readonly string[] {
+    return this.#pending.flatMap(({ records, withdrawable }) => withdrawable ? records.flatMap(record => record.type === 'job' ? [record.id] : []) : [])
+  }
+
+  /** Takes back everything about a job; false if its first record may have been sent to the store. */
+  withdrawJob (id: string): boolean {
+    if (!this.unsentJobs.includes(id)) return false
+    this.#pending = this.#pending.flatMap(pending => {
+      const kept = pending.records.filter(record => !isAbout(record, id))
+      if (kept.length === pending.records.length) return [pending]
+      pending.reject(new RecordsWithdrawnError(`the records of job ${id} were withdrawn`))
+      return kept.length === 0 ? [] : [{ ...pending, records: kept, resolve: () => {}, reject: () => {} }]
+    })
+    return true
+  }
+
+  /** What was appended so far is about to be stored by other means as well, and can not be withdrawn any more. */
+  keepPending (): void {
+    this.#pending = this.#pending.map(pending => ({ ...pending, withdrawable: false }))
   }
 
   /** Rejects what is not stored and accepts nothing more. */
@@ -93,8 +128,8 @@
     const { clock } = this.#options
     while (this.#pending.length > 0 && !this.#lost) {
       const begunMs = clock.monotonicMs()
-      const batch = this.#takeBatch()
-      const committed = await this.#commitUntilKnown(`[${batch.map(pending => pending.text).join(',')}]`)
+      const { batch, texts } = this.#takeBatch()
+      const committed = texts.length === 0 || await this.#commitUntilKnown(`[${texts.join(',')}]`)
       for (const pending of batch) {
         if (committed) pending.resolve()
         else pending.reject(new TermLostError('the election was lost'))
@@ -105,40 +140,61 @@
     this.#writing = false
   }
 
-  #takeBatch (): readonly Pending[] {
+  #takeBatch (): { readonly batch: readonly Pending[], readonly texts: readonly string[] } {
+    const texts: string[] = []
     let bytes = 0
     let count = 0
-    for (const { text } of this.#pending) {
-      bytes += text.length
+    for (const { records } of this.#pending) {
+      const added = records.map(record => JSON.stringify(record))
+      bytes += added.reduce((sum, text) => sum + text.length, 0)
       if (count > 0 && bytes > LARGEST_SEGMENT_BYTES) break
+      texts.push(...added)
       count += 1
     }
-    return this.#pending.splice(0, count)
+    return { batch: this.#pending.splice(0, count), texts }
   }
 
   async #commitUntilKnown (value: string): Promise<boolean> {
     const { store, clock, election } = this.#options
     const key = segmentKey(this.#nextSequence)
-    while (!this.#lost) {
-      try {
-        const result = await store.commit({
-          conditions: [election, { key, revision: 0 }], writes: [{ key, value }], removes: []
-        })
-        if (this.#isCommitted(result, key, value)) return true
-        this.#lose('the election key has changed')
-        return false
-      } catch (error) {
-        this.#noteFailure(error)
-        await clock.sleep(RETRY_DELAY_MS)
+    const ended = new AbortController()
+    this.#watchStall(ended.signal)
+    try {
+      while (!this.#lost) {
+        try {
+          const result = await store.commit({
+            conditions: [election, { key, revision: 0 }], writes: [{ key, value }], removes: []
+          })
+          if (this.#isCommitted(result, key, value)) return true
+          this.#lose('the election key has changed')
+          return false
+        } catch (error) {
+          this.#noteFailure(String(error), error instanceof StoreUnavailableError)
+          await clock.sleep(RETRY_DELAY_MS)
+        }
       }
+      return false
+    } finally {
+      ended.abort()
     }
-    return false
+  }
+
+  #watchStall (commitEnded: AbortSignal): void {
+    this.#options.clock.sleep(STALLED_MS, commitEnded).then(() => {
+      if (this.#lost) return
+      this.#noteFailure(`no success within ${STALLED_MS} ms`, false)
+      this.#stalled = true
+      this.#options.onStalled?.()
+    }, () => {
+      // The commit ended in time.
+    })
   }
 
   #isCommitted (result: CommitResult, key: string, value: string): boolean {
     const earlier = result.outcome === 'conflict' && result.current.some(item => item.key === key && item.value === value)
     if (result.outcome !== 'committed' && !earlier) return false
     this.#nextSequence += 1
+    this.#stalled = false
     if (this.#failingSinceMs !== undefined) {
       this.#options.logger.info({ failedForMs: Math.round(this.#options.clock.monotonicMs() - this.#failingSinceMs) }, 'the store takes records again')
       this.#failingSinceMs = undefined
@@ -146,11 +202,10 @@
     return true
   }
 
-  #noteFailure (error: unknown): void {
+  #noteFailure (error: string, certain: boolean): void {
     if (this.#failingSinceMs !== undefined) return
     this.#failingSinceMs = this.#options.clock.monotonicMs()
-    const certain = error instanceof StoreUnavailableError
-    this.#options.logger.warn({ error: String(error), certain, sequence: this.#nextSequence }, 'the store does not take records')
+    this.#options.logger.warn({ error, certain, sequence: this.#nextSequence }, 'the store does not take records')
   }
 
   #lose (reason: string): void {
@@ -159,6 +214,10 @@
   }
 }
 
+function isAbout (record: LogRecord, job: string): boolean {
+  return record.type === 'job' ? record.id === job : 'job' in record && record.job === job
+}
+
 /** Key of a segment; keys sort in the order of the log. */
 export function segmentKey (sequence: number): string {
   return `${LOG_PREFIX}${String(sequence).padStart(SEQUENCE_DIGITS, '0')}`
--- a/src/entry/callBatcher.test.ts
+++ b/src/entry/callBatcher.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { CallBatcher } from './callBatcher.ts'
-import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 
 const CALL: CallerCall = { action: 'read', host: 'jobs.example', path: '/checks/', key: 'k', definition: '', desiredStateVersion: 1 }
 
@@ -9,7 +9,7 @@
   return { ...CALL, path: `/checks/${number}` }
 }
 
-function answerFor ({ path }: CallerCall): CallerAnswer {
+function answerFor ({ path }: CallerCall): CoordinatorAnswer {
   return { outcome: 'pending', pending: Number(path.split('/').at(-1)) }
 }
 
@@ -21,7 +21,7 @@
     await clock.sleep(20)
     return calls.map(answerFor)
   }, () => 7)
-  const answers: Promise<CallerAnswer>[] = []
+  const answers: Promise<CoordinatorAnswer>[] = []
   for (let number = 0; number < 120; number++) {
     answers.push(batcher.handle(callFor(number)))
     await clock.advance(5)
@@ -66,7 +66,7 @@
     batches += 1
     return calls.map(answerFor)
   }, () => INSTANCES)
-  const answers: Promise<CallerAnswer>[] = []
+  const answers: Promise<CoordinatorAnswer>[] = []
   for (let number = 0; number < 280; number++) {
     answers.push(batcher.handle(callFor(number)))
     await clock.advance(36)
@@ -76,3 +76,13 @@
   const seconds = clock.monotonicMs() / 1_000
   t.true(batches * INSTANCES <= 350 * seconds, `${batches} batches in ${seconds} s`)
 })
+
+test('calls without an answer fail at once when the coordinator is replaced', async t => {
+  const clock = new ManualClock()
+  const batcher = new CallBatcher(clock, async () => await new Promise(() => {}), () => 7)
+  const sent = batcher.handle(callFor(1))
+  const waiting = batcher.handle(callFor(2))
+  batcher.abandon('replaced')
+  await t.throwsAsync(sent, { message: 'replaced' })
+  await t.throwsAsync(waiting, { message: 'replaced' })
+})
--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -1,6 +1,6 @@
 /** Sends the calls of one instance to the coordinator together, so that bursts cost it few requests. */
 import type { Clock } from '../ports/clock.ts'
-import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 
 /** Batches of all instances together that a coordinator takes in a second, at 0.3 ms of processor each. */
 const BATCHES_PER_SECOND = 350
@@ -13,11 +13,11 @@
 /** Batches without an answer at the same time; one may wait for the store while others read. */
 const BATCHES_IN_FLIGHT = 8
 
-type SendBatch = (calls: readonly CallerCall[]) => Promise<readonly CallerAnswer[]>
+type SendBatch = (calls: readonly CallerCall[]) => Promise<readonly CoordinatorAnswer[]>
 
 interface WaitingCall {
   readonly call: CallerCall
-  readonly resolve: (answer: CallerAnswer) => void
+  readonly resolve: (answer: CoordinatorAnswer) => void
   readonly reject: (error: unknown) => void
 }
 
@@ -34,6 +34,7 @@
   readonly #send: SendBatch
   readonly #instances: () => number
   #waiting: WaitingCall[] = []
+  readonly #sent = new Set<WaitingCall>()
   #inFlight = 0
   #nextBatchMs = 0
   #scheduled = false
@@ -45,13 +46,19 @@
     this.#instances = instances
   }
 
-  handle (call: CallerCall): Promise<CallerAnswer> {
+  handle (call: CallerCall): Promise<CoordinatorAnswer> {
     return new Promise((resolve, reject) => {
       this.#waiting.push({ call, resolve, reject })
       this.#schedule()
     })
   }
 
+  /** Fails all calls that are not answered, without waiting for an answer any more. */
+  abandon (reason: string): void {
+    for (const { reject } of [...this.#sent, ...this.#waiting]) reject(new Error(reason))
+    this.#waiting = []
+  }
+
   #schedule (): void {
     if (this.#scheduled || this.#waiting.length === 0 || this.#inFlight >= BATCHES_IN_FLIGHT) return
     const waitMs = this.#nextBatchMs - this.#clock.monotonicMs()
@@ -80,6 +87,7 @@
   }
 
   async #deliver (batch: readonly WaitingCall[]): Promise<void> {
+    for (const sent of batch) this.#sent.add(sent)
     try {
       const answers = await this.#send(batch.map(({ call }) => call))
       for (const [position, { resolve, reject }] of batch.entries()) {
@@ -89,6 +97,8 @@
       }
     } catch (error) {
       for (const { reject } of batch) reject(error)
+    } finally {
+      for (const sent of batch) this.#sent.delete(sent)
     }
   }
 }
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -1,35 +1,56 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
+import type { CoordinatorInfo } from '../coordinator/election.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallRouter } from './callRouter.ts'
-import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import type { CallerAnswer, CallerCall, CoordinatorAnswer } from './callerCall.ts'
 import type { JobInstance } from './jobInstance.ts'
 
 const SUBMISSION: CallerCall = { action: 'submit', host: 'jobs.example', path: '/checks/1', key: 'k', definition: '{}', desiredStateVersion: 1 }
-const LIMITED: CallerAnswer = { outcome: 'limited', message: 'too many', retryAfterSeconds: 2 }
+const LIMITED: CallerAnswer = { outcome: 'limited', message: 'too many', retryAfterSeconds: 2, absent: true }
 const UNAVAILABLE: CallerAnswer = { outcome: 'unavailable', message: 'no coordinator', retryAfterSeconds: 1 }
+const UNDERWAY: CoordinatorAnswer = { outcome: 'underway' }
 
-/** Routes one call; each answer is that of one try, and undefined is a try without an answer. */
-async function route (answers: readonly (CallerAnswer | undefined)[], call = SUBMISSION): Promise<CallerAnswer> {
+function coordinatorOf (fence: number): CoordinatorInfo {
+  return { instance: `entry-${fence + 1}`, address: `other-${fence}`, fence, lease: fence }
+}
+
+/** A router among coordinators that a test replaces; `handle` answers one call, and undefined is no answer. */
+function createRouter (handle: (fence: number) => Promise<CoordinatorAnswer | undefined>) {
   const clock = new ManualClock()
-  const left = [...answers]
+  const listeners: (() => void)[] = []
+  const instance = { coordinator: coordinatorOf(1) as CoordinatorInfo | undefined, knownInstances: 2, watchCoordinator: (listener: () => void) => listeners.push(listener) }
   const peer = {
-    handleAll: async (calls: readonly CallerCall[]) => {
-      const answer = left.length > 1 ? left.shift() : left[0]
+    handleAll: async (fence: number, calls: readonly CallerCall[]) => {
+      const answer = await handle(fence)
       if (answer === undefined) throw new Error('no answer within 1200 ms')
       return calls.map(() => answer)
     }
   }
   const router = new CallRouter({
-    instance: { coordinator: { instance: 'entry-2', address: 'other', fence: 1, lease: 1 }, knownInstances: 2 } as unknown as JobInstance,
+    instance: instance as unknown as JobInstance,
     ownAddress: 'own',
     peers: { connect: () => peer } as unknown as CoordinatorPeers,
     clock,
     logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] })
   })
+  const replace = (coordinator: CoordinatorInfo | undefined): void => {
+    instance.coordinator = coordinator
+    for (const listener of listeners) listener()
+  }
+  const advance = async (durationMs: number): Promise<void> => {
+    for (let passedMs = 0; passedMs < durationMs; passedMs += 50) await clock.advance(50)
+  }
+  return { clock, router, replace, advance }
+}
+
+/** Routes one call; each answer is that of one try, and undefined is a try without an answer. */
+async function route (answers: readonly (CoordinatorAnswer | undefined)[], call = SUBMISSION): Promise<CallerAnswer> {
+  const left = [...answers]
+  const { router, advance } = createRouter(async () => left.length > 1 ? left.shift() : left[0])
   const answered = router.handle(call)
-  for (let step = 0; step < 100; step++) await clock.advance(50)
+  await advance(5_000)
   return await answered
 }
 
@@ -49,3 +70,50 @@
 test('a question that is answered at the second try gets that answer, since it changes nothing', async t => {
   t.is((await route([undefined, { outcome: 'unauthenticated' }], { ...SUBMISSION, action: 'read' })).outcome, 'unauthenticated')
 })
+
+test('outage of the store: a call that the coordinator has and gives up is refused, and not reported as lost', async t => {
+  t.deepEqual(await route([UNDERWAY, UNDERWAY, LIMITED]), LIMITED)
+})
+
+test('loss of the coordinator: calls that wait for it go to its successor at once', async t => {
+  const { router, replace, advance } = createRouter(async fence => fence === 1 ? await new Promise(() => {}) : { outcome: 'accepted' })
+  const answered = router.handle(SUBMISSION)
+  await advance(400)
+  replace(undefined)
+  await advance(100)
+  replace(coordinatorOf(2))
+  await advance(150)
+  t.deepEqual(await Promise.race([answered, Promise.resolve('not answered')]), { outcome: 'accepted' })
+})
+
+test('loss of the coordinator: its successor may refuse a call whose first try was lost only if its log lacks the job', async t => {
+  const refuse = async (refusal: CallerAnswer): Promise<CallerAnswer> => {
+    const { router, replace, advance } = createRouter(async fence => fence === 1 ? undefined : refusal)
+    const answered = router.handle(SUBMISSION)
+    await advance(50)
+    replace(coordinatorOf(2))
+    await advance(5_000)
+    return await answered
+  }
+  t.deepEqual(await refuse(LIMITED), LIMITED)
+  t.is((await refuse(UNAVAILABLE)).outcome, 'unknown')
+  t.is((await refuse({ outcome: 'no-queue' })).outcome, 'unknown')
+})
+
+test('change of office: a caller waits shortly for the next coordinator instead of being sent away', async t => {
+  const { router, replace, advance } = createRouter(async () => ({ outcome: 'accepted' }))
+  replace(undefined)
+  const answered = router.handle(SUBMISSION)
+  await advance(200)
+  replace(coordinatorOf(2))
+  await advance(150)
+  t.deepEqual(await Promise.race([answered, Promise.resolve('not answered')]), { outcome: 'accepted' })
+})
+
+test('a caller is sent away soon while nobody coordinates', async t => {
+  const { router, replace, advance } = createRouter(async () => undefined)
+  replace(undefined)
+  const answered = router.handle(SUBMISSION)
+  await advance(600)
+  t.is((await answered).outcome, 'unavailable')
+})
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -1,16 +1,19 @@
 /** Brings a caller's call to the coordinator, and again to its successor if the answer is lost. */
+import type { CoordinatorInfo } from '../coordinator/election.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallBatcher } from './callBatcher.ts'
 import { unavailable } from './callerCall.ts'
-import type { CallerAnswer, CallerCall, CallHandler } from './callerCall.ts'
+import type { CallerAnswer, CallerCall, CallHandler, CoordinatorAnswer } from './callerCall.ts'
 import { wasRefused } from './connectionRefusal.ts'
 import type { JobInstance } from './jobInstance.ts'
 
 /** Longest time in which a call without an answer is sent again; callers wait 3 s. */
 const LONGEST_ROUTING_MS = 1_800
-const RETRY_DELAY_MS = 120
+/** A change of office takes about 0.1 s, and 0.4 s with a long log; a caller that is refused returns after a second. */
+const OFFICE_WAIT_MS = 500
+const RETRY_DELAY_MS = 60
 
 export interface CallRouterOptions {
   readonly instance: JobInstance
@@ -20,57 +23,88 @@
   readonly logger: Logger
 }
 
+/** The answer to one try, and the fence of the coordinator to whom it was sent; 0 if it was sent to nobody. */
+interface Try {
+  readonly answer: CoordinatorAnswer
+  readonly fence: number
+}
+
 export class CallRouter implements CallHandler {
   readonly #options: CallRouterOptions
-  #batcher: { readonly address: string, readonly batcher: CallBatcher } | undefined
+  #batcher: { readonly fence: number, readonly batcher: CallBatcher } | undefined
 
   constructor (options: CallRouterOptions) {
     this.#options = options
-  }
-
-  /** One batcher for the coordinator in office; an earlier one ends with its calls. */
-  #batcherFor (address: string, peers: CoordinatorPeers): CallBatcher {
-    if (this.#batcher?.address !== address) {
-      const batcher = new CallBatcher(this.#options.clock, async calls => await peers.connect(address).handleAll(calls), () => this.#options.instance.knownInstances)
-      this.#batcher = { address, batcher }
-    }
-    return this.#batcher.batcher
+    options.instance.watchCoordinator(() => this.#leaveFormerCoordinator())
   }
 
   /**
-   * A job keeps its identity, so that a call may be repeated whenever its answer is lost. A refusal of the repeated
-   * call says nothing of the first one, which may still be on its way and be carried out after it.
+   * A job keeps its identity, so that a call may be repeated whenever its answer is lost. A refusal says nothing of an
+   * earlier try that may still be carried out after it, unless it comes from a later coordinator whose log lacks the job:
+   * an earlier one can not store anything any more.
    */
   async handle (call: CallerCall): Promise<CallerAnswer> {
     const { clock } = this.#options
-    const untilMs = clock.monotonicMs() + LONGEST_ROUTING_MS
-    let mayHaveRun = false
+    const begunMs = clock.monotonicMs()
+    let lostFence = 0
     for (;;) {
-      const answer = await this.#tryOnce(call)
-      if (answer.outcome !== 'unknown' && !(mayHaveRun && isRefusal(call, answer))) return answer
-      if (answer.outcome === 'unknown') mayHaveRun = true
-      const isTemporary = answer.outcome === 'unknown' || answer.outcome === 'unavailable'
-      if (!isTemporary || clock.monotonicMs() + RETRY_DELAY_MS > untilMs) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
-      await clock.sleep(RETRY_DELAY_MS)
+      const { answer, fence } = await this.#tryOnce(call)
+      if (answer.outcome === 'unknown') lostFence = Math.max(lostFence, fence)
+      const waitMs = answer.outcome === 'underway' ? 0 : RETRY_DELAY_MS
+      const passedMs = clock.monotonicMs() + waitMs - begunMs
+      const waitsForOffice = lacksCoordinator(answer) && passedMs < OFFICE_WAIT_MS
+      if (answer.outcome !== 'underway' && !waitsForOffice && mayPassOn(call, answer, fence, lostFence)) return answer
+      if (passedMs > LONGEST_ROUTING_MS) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
+      if (waitMs > 0) await clock.sleep(waitMs)
     }
   }
 
-  async #tryOnce (call: CallerCall): Promise<CallerAnswer> {
-    const { instance, ownAddress, peers, logger } = this.#options
+  async #tryOnce (call: CallerCall): Promise<Try> {
+    const { instance, ownAddress, logger } = this.#options
     const { coordinator } = instance
-    if (coordinator === undefined) return unavailable('no coordinator is known')
-    if (coordinator.address === ownAddress) return await instance.handle(call)
+    if (coordinator === undefined) return { answer: unavailable('no coordinator is known'), fence: 0 }
+    const { fence } = coordinator
     try {
-      return await this.#batcherFor(coordinator.address, peers).handle(call)
+      const [answer] = coordinator.address === ownAddress ? await instance.handleAll(fence, [call]) : [await this.#batcherFor(coordinator).handle(call)]
+      return { answer: answer ?? unavailable('this instance does not coordinate'), fence }
     } catch (error) {
       const refused = wasRefused(error)
-      logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence: coordinator.fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
+      logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
       if (refused) instance.noteRefused(coordinator)
-      return refused ? unavailable('the coordinator can not be reached') : { outcome: 'unknown', message: 'the coordinator did not answer' }
+      return { answer: refused ? unavailable('the coordinator can not be reached') : { outcome: 'unknown', message: 'the coordinator did not answer' }, fence }
+    }
+  }
+
+  /** One batcher for each election. */
+  #batcherFor ({ address, fence }: CoordinatorInfo): CallBatcher {
+    if (this.#batcher?.fence !== fence) {
+      const { clock, peers, instance } = this.#options
+      this.#batcher = { fence, batcher: new CallBatcher(clock, async calls => await peers.connect(address).handleAll(fence, calls), () => instance.knownInstances) }
     }
+    return this.#batcher.batcher
+  }
+
+  /** Calls that wait for a coordinator that was replaced go to its successor at once. */
+  #leaveFormerCoordinator (): void {
+    const former = this.#batcher
+    if (former === undefined || former.fence === this.#options.instance.coordinator?.fence) return
+    this.#batcher = undefined
+    former.batcher.abandon('the coordinator was replaced')
   }
 }
 
+/** Whether nobody is ready to decide on the call. */
+function lacksCoordinator (answer: CoordinatorAnswer): boolean {
+  return answer.outcome === 'unavailable' && answer.absent !== true
+}
+
+/** Whether the answer says what became of the call, with all its tries. */
+function mayPassOn (call: CallerCall, answer: CallerAnswer, fence: number, lostFence: number): boolean {
+  if (answer.outcome === 'unknown') return false
+  if (lostFence === 0 || !isRefusal(call, answer)) return true
+  return fence > lostFence && 'absent' in answer && answer.absent === true
+}
+
 /** Whether the answer says that a call was not carried out and never will be; a question that is answered is not refused. */
 function isRefusal ({ action }: CallerCall, { outcome }: CallerAnswer): boolean {
   if (outcome === 'unavailable' || outcome === 'limited') return true
--- a/src/entry/callerCall.ts
+++ b/src/entry/callerCall.ts
@@ -15,6 +15,14 @@
   readonly desiredStateVersion: number
 }
 
+interface Refusal<Outcome> {
+  readonly outcome: Outcome
+  readonly message: string
+  readonly retryAfterSeconds: number
+  /** The coordinator's log does not hold the job, so that no earlier coordinator has accepted it either. */
+  readonly absent?: boolean
+}
+
 export type CallerAnswer =
   | { readonly outcome: 'accepted' }
   | { readonly outcome: 'cancelled' }
@@ -23,12 +31,18 @@
   /** Nothing was done, and nothing will be. */
   | { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }
   | { readonly outcome: 'invalid', readonly message: string }
-  | { readonly outcome: 'unavailable', readonly message: string, readonly retryAfterSeconds: number }
+  | Refusal<'unavailable'>
   /** Beyond the team's share while there is no room for it; nothing was done, and nothing will be. */
-  | { readonly outcome: 'limited', readonly message: string, readonly retryAfterSeconds: number }
+  | Refusal<'limited'>
   /** The call may have been carried out; the same call may be sent again. */
   | { readonly outcome: 'unknown', readonly message: string }
 
+/** What the coordinator answers another instance. */
+export type CoordinatorAnswer =
+  | CallerAnswer
+  /** The coordinator has the call and answers it when it is sent again. */
+  | { readonly outcome: 'underway' }
+
 /** Time after which a coordinator is in office again. */
 const RETRY_AFTER_SECONDS = 1
 
@@ -38,7 +52,7 @@
  * @example
  * return unavailable('no coordinator is known')
  */
-export function unavailable (message: string, retryAfterSeconds = RETRY_AFTER_SECONDS): CallerAnswer {
+export function unavailable (message: string, retryAfterSeconds = RETRY_AFTER_SECONDS): Refusal<'unavailable'> {
   return { outcome: 'unavailable', message, retryAfterSeconds }
 }
 
--- /dev/null
+++ b/src/entry/collectAnswers.ts
@@ -0,0 +1,22 @@
+/** Answers calls that came together, without letting slow ones hold up the others. */
+import type { Clock } from '../ports/clock.ts'
+import type { CallerAnswer, CoordinatorAnswer } from './callerCall.ts'
+
+/**
+ * Resolves when all answers are known, at the latest after the time; the others are then under way.
+ *
+ * @example
+ * return await collectAnswers(clock, calls.map(async call => await intake.handle(call)), 200)
+ */
+export async function collectAnswers (clock: Clock, answers: readonly Promise<CallerAnswer>[], longestMs: number): Promise<readonly CoordinatorAnswer[]> {
+  const allKnown = new AbortController()
+  const underway = clock.sleep(longestMs, allKnown.signal).then((): CoordinatorAnswer => ({ outcome: 'underway' }))
+  underway.catch(() => {
+    // All were known before.
+  })
+  try {
+    return await Promise.all(answers.map(async answer => await Promise.race([answer, underway])))
+  } finally {
+    allKnown.abort()
+  }
+}
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -1,6 +1,6 @@
 /** One instance in the cluster of job schedulers: takes calls, and coordinates while it is elected. */
 import { AdviceLanes } from '../coordinator/adviceLanes.ts'
-import { Election } from '../coordinator/election.ts'
+import { COORDINATOR_KEY, Election } from '../coordinator/election.ts'
 import type { CoordinatorInfo, ElectionListener } from '../coordinator/election.ts'
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/jobIntake.ts'
@@ -16,12 +16,15 @@
 import type { TargetDirectory } from '../ports/targetDirectory.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
 import { unavailable } from './callerCall.ts'
-import type { CallerAnswer, CallerCall } from './callerCall.ts'
+import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 import { wasRefused } from './connectionRefusal.ts'
+import { collectAnswers } from './collectAnswers.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 
 /** Between two heartbeats to the coordinator. */
 const REPORT_INTERVAL_MS = 400
+/** A calm commit takes a tenth of it; callers of one batch wait that long for each other at most. */
+const LONGEST_ANSWER_MS = 200
 /** An instance that was silent for longer asks the advisor for nobody. */
 const PEER_SILENCE_MS = 1_500
 /** A desired state that was confirmed within this time shows that the store can be reached; one watch, and more. */
@@ -70,6 +73,7 @@
   #term: Term | undefined
   #lanes: AdviceLanes | undefined
   #coordinatorSilent = false
+  readonly #coordinatorListeners: (() => void)[] = []
 
   constructor (options: JobInstanceOptions) {
     this.#options = options
@@ -113,15 +117,15 @@
     return coordinator !== undefined && (this.#term !== undefined || !this.#coordinatorSilent)
   }
 
-  /** Answers a call at the coordinator; others refuse it. */
-  async handle (call: CallerCall): Promise<CallerAnswer> {
-    const term = this.#term
-    if (term === undefined) return unavailable('this instance does not coordinate')
-    return await term.intake.handle(call)
+  /** Calls the listener when another coordinator, or none, is known. */
+  watchCoordinator (listener: () => void): void {
+    this.#coordinatorListeners.push(listener)
   }
 
-  async handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]> {
-    return await Promise.all(calls.map(async call => await this.handle(call)))
+  async handleAll (fence: number, calls: readonly CallerCall[]): Promise<readonly CoordinatorAnswer[]> {
+    const term = this.#term
+    if (term === undefined || term.coordinator.info.fence !== fence) return calls.map(() => unavailable('this instance does not coordinate'))
+    return await collectAnswers(this.#options.clock, calls.map(async call => await term.intake.handle(call)), LONGEST_ANSWER_MS)
   }
 
   async report ({ instance, address, desiredStateVersion, processors, reachesStore }: InstanceReport): Promise<ReportAnswer> {
@@ -148,6 +152,24 @@
     }
   }
 
+  async reachesStore (): Promise<boolean> {
+    try {
+      await this.#options.store.get(COORDINATOR_KEY)
+      return true
+    } catch (error) {
+      this.#options.logger.info({ error: String(error) }, 'the store does not answer here either')
+      return false
+    }
+  }
+
+  async peerReachesStore (): Promise<boolean> {
+    const { peers } = this.#options
+    const answers = this.#alivePeers().map(async ([address]) => {
+      if (!await peers.connect(address).reachesStore()) throw new Error('not reached')
+    })
+    return await Promise.any(answers).then(() => true, () => false)
+  }
+
   async releaseThroughPeers (lease: number): Promise<boolean> {
     const { peers, logger } = this.#options
     const alive = this.#alivePeers()
@@ -208,6 +230,7 @@
 
   onChanged (info: CoordinatorInfo | undefined): void {
     this.#coordinatorSilent = false
+    for (const listener of this.#coordinatorListeners) listener()
     this.#options.logger.info({ coordinator: info?.instance, fence: info?.fence }, info === undefined ? 'no coordinator is known' : 'coordinator known')
   }
 
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -94,6 +94,11 @@
     this.finish(id, { queue, team, state: job.state, wallMs })
   }
 
+  /** Forgets a job that was never stored. */
+  forget (id: string): void {
+    this.#jobs.delete(id)
+  }
+
   /** Forgets jobs that ended before the time. */
   forgetFinished (beforeWallMs: number): void {
     for (const [id, job] of this.#finished) {
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -1,6 +1,6 @@
 /** Calls between instances about jobs. */
 import type { CoordinatorInfo } from '../coordinator/election.ts'
-import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
+import type { CallerCall, CoordinatorAnswer } from '../entry/callerCall.ts'
 import type { VersionedText } from '../jobs/desiredState.ts'
 import type { AdviceQuestion, AllowedTarget } from './placementAdvisor.ts'
 
@@ -24,11 +24,16 @@
 }
 
 export interface CoordinatorPeer {
-  /** Returns the answers in the order of the calls. */
-  handleAll (calls: readonly CallerCall[]): Promise<readonly CallerAnswer[]>
+  /**
+   * Returns the answers in the order of the calls. `fence` is that of the coordinator whom they are meant for: a later
+   * one does not carry them out. What takes long is answered as `underway`, so that it does not hold up the others.
+   */
+  handleAll (fence: number, calls: readonly CallerCall[]): Promise<readonly CoordinatorAnswer[]>
   report (report: InstanceReport): Promise<ReportAnswer>
   /** Ends the lease of an election for a coordinator that can not reach the store; false if the store did not take it. */
   release (lease: number): Promise<boolean>
+  /** Whether the store answers there. */
+  reachesStore (): Promise<boolean>
   advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]>
 }
 
