Leave room to gangs that wait while steps of lower priority have time

Change: while a gang that can still meet its objective finds no room, steps of lower priority with more than 3 s to spare wait, as long as less than 0.4 of the processors is free (GangPrecedence). Also: the usable targets are found in one pass over the sessions. Test: a stream of small steps beside a gang; the naive order never places the gang, with precedence both meet their objectives.

--- /dev/null
+++ b/src/coordinator/gangPrecedence.test.ts
@@ -0,0 +1,93 @@
+import test from 'ava'
+import { JobProgress } from '../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import type { StepProgress } from '../jobs/stepProgress.ts'
+import { resources } from '../model/resources.ts'
+import { GangPrecedence } from './gangPrecedence.ts'
+import type { ServiceRoom } from './gangPrecedence.ts'
+
+const SERVICE = 'renders'
+const TARGETS = 20
+const TARGET_PROCESSORS = 64_000
+const SMALL = { processors: 7_000, runMs: 2_700, queue: { ...TEST_QUEUE, name: 'batches', priority: 2, stretchFactor: 4, latencyObjectiveMs: 3_000 } }
+const GANG = { processors: 18_000, tasks: 12, runMs: 5_000, queue: { ...TEST_QUEUE, stretchFactor: 2.2, latencyObjectiveMs: 1_200 } }
+const TICK_MS = 50
+/** When the small steps fill the cluster. */
+const GANG_AT_MS = 4_000
+
+function createStepOf (id: string, acceptedAtMs: number, { processors, runMs, queue }: typeof SMALL, tasks: number, gang: boolean): StepProgress {
+  const definition = createStep(tasks, { size: resources({ processors }), estimateMs: runMs, gang })
+  return new JobProgress(createJobRecord(id, [definition]), queue, acceptedAtMs).steps[0] as StepProgress
+}
+
+interface Outcome {
+  /** When the gang got its room; undefined if it never did. */
+  readonly gangAtMs: number | undefined
+  /** Longest time that a small step waited. */
+  readonly longestWaitMs: number
+}
+
+/** Small steps fill the cluster and arrive faster than they end; a gang comes when all is full. */
+function simulate (withPrecedence: boolean): Outcome {
+  const free = Array.from({ length: TARGETS }, () => TARGET_PROCESSORS)
+  const ends: { readonly atMs: number, readonly target: number, readonly processors: number }[] = []
+  const waiting: StepProgress[] = []
+  const gang = createStepOf('gang', GANG_AT_MS, GANG, GANG.tasks, true)
+  let gangAtMs: number | undefined
+  let longestWaitMs = 0
+  for (let nowMs = 0; nowMs <= 20_000; nowMs += TICK_MS) {
+    for (const end of ends.filter(({ atMs }) => atMs === nowMs)) free[end.target] = (free[end.target] ?? 0) + end.processors
+    for (let arrival = 0; arrival < 4 && waiting.length < 40; arrival++) waiting.push(createStepOf(`small-${nowMs}-${arrival}`, nowMs, SMALL, 1, false))
+    const room: ServiceRoom = { freeProcessors: () => free.reduce((sum, each) => sum + each, 0), totalProcessors: () => TARGETS * TARGET_PROCESSORS }
+    const precedence = new GangPrecedence(room, nowMs)
+    const place = ({ processors, runMs }: typeof SMALL, count: number): boolean => {
+      const trial = [...free]
+      const targets: number[] = []
+      for (let task = 0; task < count; task++) {
+        const target = trial.findIndex(each => each >= processors)
+        if (target < 0) return false
+        trial[target] = (trial[target] ?? 0) - processors
+        targets.push(target)
+      }
+      for (const target of targets) {
+        free[target] = (free[target] ?? 0) - processors
+        ends.push({ atMs: nowMs + runMs, target, processors })
+      }
+      return true
+    }
+    if (nowMs >= GANG_AT_MS && gangAtMs === undefined) {
+      if (place(GANG, GANG.tasks)) gangAtMs = nowMs
+      else if (withPrecedence) precedence.noteWaiting(gang, SERVICE)
+    }
+    for (const step of [...waiting]) {
+      if (precedence.yields(step, SERVICE) || !place(SMALL, 1)) continue
+      waiting.splice(waiting.indexOf(step), 1)
+      longestWaitMs = Math.max(longestWaitMs, nowMs - step.job.acceptedAtMs)
+    }
+  }
+  return { gangAtMs, longestWaitMs }
+}
+
+test('stream of small steps: a gang gets room in time for its objective, and no small step misses its own', t => {
+  t.is(simulate(false).gangAtMs, undefined, 'the naive order never places the gang')
+  const { gangAtMs = Infinity, longestWaitMs } = simulate(true)
+  const { latencyObjectiveMs, stretchFactor } = GANG.queue
+  t.true(gangAtMs + GANG.runMs <= GANG_AT_MS + latencyObjectiveMs + stretchFactor * GANG.runMs, `the gang has room after ${gangAtMs} ms`)
+  t.true(longestWaitMs <= 3_000 + 3 * SMALL.runMs, `a small step waited for ${longestWaitMs} ms`)
+})
+
+test('a gang that finds no room in a cluster that is half empty keeps nothing from other steps', t => {
+  const room: ServiceRoom = { freeProcessors: () => 500, totalProcessors: () => 1_000 }
+  const precedence = new GangPrecedence(room, 1_000)
+  precedence.noteWaiting(createStepOf('gang', 0, GANG, GANG.tasks, true), SERVICE)
+  t.false(precedence.yields(createStepOf('small', 0, SMALL, 1, false), SERVICE))
+})
+
+test('a step with little time to spare, or of the same priority, goes on beside a gang that waits', t => {
+  const room: ServiceRoom = { freeProcessors: () => 100, totalProcessors: () => 1_000 }
+  const precedence = new GangPrecedence(room, 9_000)
+  precedence.noteWaiting(createStepOf('gang', 8_000, GANG, GANG.tasks, true), SERVICE)
+  t.true(precedence.yields(createStepOf('fresh', 8_500, SMALL, 1, false), SERVICE))
+  t.false(precedence.yields(createStepOf('old', 0, SMALL, 1, false), SERVICE))
+  t.false(precedence.yields(createStepOf('render', 8_500, GANG, 1, false), SERVICE))
+})
--- a/src/coordinator/jobRanking.ts
+++ b/src/coordinator/jobRanking.ts
@@ -48,6 +48,15 @@
   return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, declaredWork(job)]
 }
 
+/** Time by which a job could begin later and still meet its objective; negative if it will be late. */
+export function slackMs (job: JobProgress, nowMs: number): number {
+  return objectiveMs(job) - (nowMs - job.acceptedAtMs + remainingChainMs(job) * ESTIMATE_MARGIN)
+}
+
+export function canMeetObjective (job: JobProgress, nowMs: number): boolean {
+  return slackMs(job, nowMs) >= 0
+}
+
 export function isUrgent ({ job }: StepProgress): boolean {
   return job.queue.priority === 0
 }
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -65,10 +65,17 @@
 
   /** Sessions whose targets may get new tasks. */
   get usable (): readonly TargetSession[] {
-    const sessions = [...this.#sessions.values()]
-    // Orders to an earlier life may still be carried out by the present one, which then has less room than it shows.
-    const earlier = new Set(sessions.filter(session => session.over || this.#isReplaced(session)).filter(({ mayOccupyNextLife }) => mayOccupyNextLife).map(({ id }) => id))
-    return sessions.filter(session => session.usable && this.#recorded.has(session.key) && !earlier.has(session.id))
+    const usable: TargetSession[] = []
+    /** Targets on which something of an earlier life may run, so that the present one has less room than it shows. */
+    const occupied = new Set<string>()
+    for (const session of this.#sessions.values()) {
+      if (session.over || this.#isReplaced(session)) {
+        if (session.mayOccupyNextLife) occupied.add(session.id)
+      } else if (session.usable && this.#recorded.has(session.key)) {
+        usable.push(session)
+      }
+    }
+    return occupied.size === 0 ? usable : usable.filter(({ id }) => !occupied.has(id))
   }
 
   /** Whether a later life of the same target is known. */
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -8,6 +8,7 @@
 import type { AdviceLanes } from './adviceLanes.ts'
 import { Assignment } from './assignment.ts'
 import { decideAdvised, TARGETS_PER_QUESTION } from './advisedPlacement.ts'
+import { GangPrecedence } from './gangPrecedence.ts'
 import { comesFirst, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
 import { PacedPasses } from './pacedPasses.ts'
 import type { PaceLimits } from './pacedPasses.ts'
@@ -151,7 +152,12 @@
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     if (ranked.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
-      for (const waitingStep of ranked) this.#placeOne(waitingStep, pass, nowMs)
+      const precedence = new GangPrecedence(pass, nowMs)
+      for (const { step, waiting } of ranked) {
+        const queue = pass.queue(step.job.queue)
+        if (precedence.yields(step, queue.service)) continue
+        if (!this.#placeOne(step, waiting, queue, pass, nowMs)) precedence.noteWaiting(step, queue.service)
+      }
     }
     if (urgentOnly) return
     this.#options.pressure.noteWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
@@ -173,20 +179,29 @@
     return ranked.sort((left, right) => compareRanks(left.rank, right.rank))
   }
 
-  #placeOne ({ step, waiting }: WaitingStep, pass: PlacementPass, nowMs: number): void {
-    const { job, definition } = step
-    if (this.#advice.get(step)?.asking === true) return
-    const queue = pass.queue(job.queue)
+  /** False if there is no room for the step on the targets that may run it, as far as they are known. */
+  #placeOne (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): boolean {
+    const { definition } = step
+    const advice = this.#advice.get(step)
+    if (advice?.asking === true) return !advice.answered
     const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
-    if (count === 0 || (definition.gang && count < waiting.length)) return
+    if (count === 0 || (definition.gang && count < waiting.length)) return this.#isLimited(step, waiting.length, pass, queue)
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeRoom(step, session)))
       pass.noteReserved(queue.service, roomOf(definition), placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
-      return
+      return placed.length > 0
     }
-    pass.noteReserved(queue.service, roomOf(definition), this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs))
+    const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
+    pass.noteReserved(queue.service, roomOf(definition), reserved)
+    return reserved > 0 || this.#advice.get(step)?.answered !== true
+  }
+
+  /** Whether the team's cap keeps tasks of the step from running, whatever room there is. */
+  #isLimited ({ job, definition }: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): boolean {
+    const team = pass.team(job.team)
+    return team !== undefined && this.#usage.allowed(team, definition.size, waiting, queue.priority === 0) < waiting
   }
 
   /** Returns for how many tasks room was reserved. */
