Let idle lanes of advice take turns by the size of their instances

Cause: an idle lane was chosen in the order of the list, so that the first instances carried most questions whatever their size. Ruled out: the coordinator (no pause above 0.21 s in its log, accepted jobs placed within 0.1 s). Change: weights by processors, a quarter for lanes in another region, four times for the coordinator's own lane, which needs no call to a peer. Test: adviceLanes (turns in proportion to the weights).

--- a/src/coordinator/adviceLanes.test.ts
+++ b/src/coordinator/adviceLanes.test.ts
@@ -22,7 +22,7 @@
 
 function createLanes (clock: ManualClock, count: number): AdviceLanes {
   const lanes = new AdviceLanes(clock)
-  lanes.setLanes(Array.from({ length: count }, (_, number) => ({ name: `entry-${number}`, advisor: new SerialAdvisor(clock) })))
+  lanes.setLanes(Array.from({ length: count }, (_, number) => ({ name: `entry-${number}`, advisor: new SerialAdvisor(clock), weight: 1 })))
   return lanes
 }
 
@@ -73,7 +73,7 @@
   const clock = new ManualClock()
   const lanes = new AdviceLanes(clock)
   let asked = 0
-  lanes.setLanes([{ name: 'entry-1', advisor: { ask: async () => { asked += 1; throw new Error('busy') } } }])
+  lanes.setLanes([{ name: 'entry-1', advisor: { ask: async () => { asked += 1; throw new Error('busy') } }, weight: 1 }])
   await t.throwsAsync(lanes.ask({ step: 'a.0.0', targets: [], expectedMs: 10 }, 0), { message: 'busy' })
   const second = lanes.ask({ step: 'b.0.0', targets: [], expectedMs: 10 }, 0)
   await clock.settle()
@@ -81,3 +81,25 @@
   await Promise.all([t.throwsAsync(second), clock.advance(1_100)])
   t.is(asked, 2)
 })
+
+test('stream of short questions: idle lanes take turns, small instances less often', async t => {
+  const clock = new ManualClock()
+  const asked = new Map<string, number>()
+  const lanes = new AdviceLanes(clock)
+  lanes.setLanes([0.3, 0.3, 0.3, 1.2].map((weight, number) => {
+    const name = `entry-${number}`
+    return {
+      name,
+      weight,
+      advisor: {
+        ask: async () => {
+          asked.set(name, (asked.get(name) ?? 0) + 1)
+          return []
+        }
+      }
+    }
+  }))
+  await measure(clock, lanes, Array.from({ length: 210 }, (_, position) => ({ atMs: position * 20, expectedMs: 10, rank: 0 })))
+  t.deepEqual([...asked.values()].reduce((sum, count) => sum + count, 0), 210)
+  for (const name of ['entry-0', 'entry-1', 'entry-2']) t.true(Math.abs((asked.get(name) ?? 0) - 30) <= 1, `${name}: ${asked.get(name)}`)
+})
--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -21,9 +21,16 @@
   readonly reject: (error: unknown) => void
 }
 
-interface Lane {
+export interface LaneDescription {
   readonly name: string
   readonly advisor: PlacementAdvisor
+  /** Part of the questions that the lane gets while others are idle too, in proportion to the weights of all. */
+  readonly weight: number
+}
+
+interface Lane extends LaneDescription {
+  /** Questions asked so far for each unit of the weight; lanes that come later begin with the least of the others. */
+  askedByWeight: number
   /** Questions without an answer, and the time that they need together. */
   questions: number
   backlogMs: number
@@ -31,10 +38,11 @@
 }
 
 /**
- * Asks each question through the lane with the least to do.
+ * Asks each question through the lane with the least to do. Idle lanes take turns by their weights, so that small
+ * instances keep their processors for their callers.
  *
  * @example
- * lanes.setLanes([{ name: 'entry-1', advisor: own }, { name: 'entry-2', advisor: throughPeer }])
+ * lanes.setLanes([{ name: 'entry-1', advisor: own, weight: 4 }, { name: 'entry-2', advisor: throughPeer, weight: 1 }])
  * const allowed = await lanes.ask(question, 0)
  */
 export class AdviceLanes {
@@ -46,8 +54,11 @@
     this.#clock = clock
   }
 
-  setLanes (lanes: readonly { readonly name: string, readonly advisor: PlacementAdvisor }[]): void {
-    this.#lanes = lanes.map(lane => this.#lanes.find(known => known.name === lane.name) ?? { ...lane, questions: 0, backlogMs: 0, restsUntilMs: 0 })
+  setLanes (lanes: readonly LaneDescription[]): void {
+    const known = new Map(this.#lanes.map(lane => [lane.name, lane]))
+    const least = this.#lanes.reduce((lowest, { askedByWeight }) => Math.min(lowest, askedByWeight), Infinity)
+    const begin = Number.isFinite(least) ? least : 0
+    this.#lanes = lanes.map(lane => known.get(lane.name) ?? { ...lane, askedByWeight: begin, questions: 0, backlogMs: 0, restsUntilMs: 0 })
     this.#dispatch()
   }
 
@@ -83,13 +94,14 @@
     for (const lane of eligible) {
       if (lane.restsUntilMs > nowMs || lane.backlogMs > LANE_BACKLOG_MS) continue
       if (lane.questions > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
-      if (best === undefined || lane.backlogMs < best.backlogMs) best = lane
+      if (best === undefined || goesBefore(lane, best)) best = lane
     }
     return best
   }
 
   async #askThrough (lane: Lane, { question, resolve, reject }: Waiting): Promise<void> {
     lane.questions += 1
+    lane.askedByWeight += 1 / lane.weight
     lane.backlogMs += question.expectedMs
     try {
       resolve(await lane.advisor.ask(question))
@@ -105,3 +117,7 @@
     }
   }
 }
+
+function goesBefore (left: Lane, right: Lane): boolean {
+  return left.backlogMs !== right.backlogMs ? left.backlogMs < right.backlogMs : left.askedByWeight < right.askedByWeight
+}
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -1,5 +1,6 @@
 /** One instance in the cluster of job schedulers: takes calls, and coordinates while it is elected. */
 import { AdviceLanes } from '../coordinator/adviceLanes.ts'
+import type { LaneDescription } from '../coordinator/adviceLanes.ts'
 import { COORDINATOR_KEY, Election } from '../coordinator/election.ts'
 import type { CoordinatorInfo, ElectionListener } from '../coordinator/election.ts'
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
@@ -21,6 +22,10 @@
 import { collectAnswers } from './collectAnswers.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 
+/** A question through a peer costs both about as much again as the question itself, and the answer passes a link. */
+const OWN_LANE_FACTOR = 4
+/** The way to another region takes 40 ms, and its bytes are paid for. */
+const REMOTE_LANE_FACTOR = 0.25
 /** Between two heartbeats to the coordinator. */
 const REPORT_INTERVAL_MS = 400
 /** A calm commit takes a tenth of it; callers of one batch wait that long for each other at most. */
@@ -36,6 +41,7 @@
   readonly instance: string
   /** Where the other instances reach this one. */
   readonly address: string
+  readonly region: string
   /** Processors that this instance may use. */
   readonly processors: number
   readonly store: TransactionalStore
@@ -60,6 +66,8 @@
 interface KnownPeer {
   readonly instance: string
   readonly seenAtMs: number
+  /** Of the last report; undefined if only others told of the peer. */
+  readonly report?: InstanceReport
 }
 
 export class JobInstance implements Component, CoordinatorPeer, ElectionListener {
@@ -128,9 +136,10 @@
     return await collectAnswers(this.#options.clock, calls.map(async call => await term.intake.handle(call)), LONGEST_ANSWER_MS)
   }
 
-  async report ({ instance, address, desiredStateVersion, processors, reachesStore }: InstanceReport): Promise<ReportAnswer> {
+  async report (report: InstanceReport): Promise<ReportAnswer> {
+    const { instance, address, desiredStateVersion, processors, reachesStore } = report
     this.#preference.noteReport(instance, processors, reachesStore)
-    this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs() })
+    this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs(), report })
     this.#updateLanes()
     const { text } = this.#options.desired
     return {
@@ -240,14 +249,21 @@
     this.#lanes = undefined
   }
 
-  /** The coordinator's own lane comes first, since short questions then need no call to a peer. */
+  /** The coordinator's own lane comes first, since its questions need no call to a peer; large instances nearby follow. */
   #updateLanes (): void {
-    const { instance, advisor, peers } = this.#options
+    const { instance, advisor, peers, processors } = this.#options
     if (this.#lanes === undefined) return
-    this.#lanes.setLanes([
-      { name: instance, advisor },
-      ...this.#alivePeers().map(([address, peer]) => ({ name: peer.instance, advisor: { ask: async (question: AdviceQuestion) => await peers.connect(address).advise(question) } }))
-    ])
+    const throughPeers = this.#alivePeers().map(([address, peer]): LaneDescription => ({
+      name: peer.instance,
+      weight: this.#laneWeight(peer),
+      advisor: { ask: async question => await peers.connect(address).advise(question) }
+    }))
+    this.#lanes.setLanes([{ name: instance, advisor, weight: processors * OWN_LANE_FACTOR }, ...throughPeers.sort((left, right) => right.weight - left.weight)])
+  }
+
+  #laneWeight ({ report }: KnownPeer): number {
+    const { region, processors } = this.#options
+    return (report?.processors ?? processors) * (report?.region === region ? 1 : REMOTE_LANE_FACTOR)
   }
 
   /** Instances that reported lately, by address. */
@@ -294,8 +310,8 @@
   }
 
   #describe (): InstanceReport {
-    const { instance, address, processors, desired } = this.#options
-    return { instance, address, processors, desiredStateVersion: desired.state.version, reachesStore: desired.ageMs < STORE_REACHED_MS }
+    const { instance, address, region, processors, desired } = this.#options
+    return { instance, address, region, processors, desiredStateVersion: desired.state.version, reachesStore: desired.ageMs < STORE_REACHED_MS }
   }
 
   #forgetPeers (): void {
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -65,6 +65,7 @@
   const instance = new JobInstance({
     instance: settings.instance,
     address: peerAddress,
+    region: settings.region,
     processors: settings.processors,
     store,
     clock,
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -7,6 +7,7 @@
 export interface InstanceReport {
   readonly instance: string
   readonly address: string
+  readonly region: string
   readonly desiredStateVersion: number
   /** Processors that the instance may use. */
   readonly processors: number
