Do not pass on a refusal of a call that another coordinator had under way

That was passed on as 503, though the record was stored at 9.198 s and the job ran. Change: a try that was under way counts as open. A refusal is passed on only from the coordinator that had it, on its table, or from a later one whose log lacks the job. Tests: two in callRouter, which failed before.

--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -75,6 +75,20 @@
   t.deepEqual(await route([UNDERWAY, UNDERWAY, LIMITED]), LIMITED)
 })
 
+test('a call that was underway is not reported as never carried out by a coordinator that has lost its office meanwhile', async t => {
+  t.is((await route([UNDERWAY, UNAVAILABLE])).outcome, 'unknown')
+  t.is((await route([UNDERWAY, { outcome: 'no-queue' }])).outcome, 'unknown')
+  t.is((await route([UNDERWAY, undefined, LIMITED])).outcome, 'unknown')
+})
+
+test('a caller with little patience is told that nobody coordinates, and not that its call may have been carried out', async t => {
+  const { router, replace, advance } = createRouter(async () => undefined)
+  replace(undefined)
+  const answered = router.handle({ call: SUBMISSION, patienceMs: 100 })
+  await advance(200)
+  t.is((await answered).outcome, 'unavailable')
+})
+
 test('loss of the coordinator: calls that wait for it go to its successor at once', async t => {
   const { router, replace, advance } = createRouter(async fence => fence === 1 ? await new Promise(() => {}) : { outcome: 'accepted' })
   const answered = router.handle({ call: SUBMISSION })
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -31,6 +31,14 @@
   readonly fence: number
 }
 
+/** Tries of a call that may have been carried out, by the latest fence to which they were sent; 0 if there are none. */
+interface OpenTries {
+  /** Without an answer: they may still arrive. */
+  readonly lostFence: number
+  /** Answered as under way: they have arrived. */
+  readonly heldFence: number
+}
+
 export class CallRouter implements CallHandler {
   readonly #options: CallRouterOptions
   #batcher: { readonly fence: number, readonly batcher: CallBatcher } | undefined
@@ -42,21 +50,22 @@
 
   /**
    * A job keeps its identity, so that a call may be repeated whenever its answer is lost. A refusal says nothing of an
-   * earlier try that may still be carried out after it, unless it comes from a later coordinator whose log lacks the job:
-   * an earlier one can not store anything any more.
+   * earlier try that may still be carried out, unless it comes from a later coordinator whose log lacks the job, since an
+   * earlier one can not store anything any more, or from the one that had the call under way and has given it up.
    */
   async handle ({ call, patienceMs }: CallerRequest): Promise<CallerAnswer> {
     const { clock } = this.#options
     const longestMs = patienceMs === undefined ? DEFAULT_ROUTING_MS : patienceMs - ANSWER_MARGIN_MS
     const begunMs = clock.monotonicMs()
-    let lostFence = 0
+    let open: OpenTries = { lostFence: 0, heldFence: 0 }
     for (;;) {
       const { answer, fence } = await this.#tryOnce(call)
-      if (answer.outcome === 'unknown') lostFence = Math.max(lostFence, fence)
+      if (answer.outcome === 'unknown') open = { ...open, lostFence: Math.max(open.lostFence, fence) }
+      if (answer.outcome === 'underway') open = { ...open, heldFence: Math.max(open.heldFence, fence) }
       const waitMs = answer.outcome === 'underway' ? 0 : RETRY_DELAY_MS
       const passedMs = clock.monotonicMs() + waitMs - begunMs
-      const waitsForOffice = lacksCoordinator(answer) && passedMs < OFFICE_WAIT_MS
-      if (answer.outcome !== 'underway' && !waitsForOffice && mayPassOn(call, answer, fence, lostFence)) return answer
+      const waitsForOffice = lacksCoordinator(answer) && passedMs < Math.min(OFFICE_WAIT_MS, longestMs)
+      if (answer.outcome !== 'underway' && !waitsForOffice && mayPassOn(call, answer, fence, open)) return answer
       if (passedMs > longestMs) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
       if (waitMs > 0) await clock.sleep(waitMs)
     }
@@ -102,10 +111,10 @@
 }
 
 /** Whether the answer says what became of the call, with all its tries. */
-function mayPassOn (call: CallerCall, answer: CallerAnswer, fence: number, lostFence: number): boolean {
+function mayPassOn (call: CallerCall, answer: CallerAnswer, fence: number, { lostFence, heldFence }: OpenTries): boolean {
   if (answer.outcome === 'unknown') return false
-  if (lostFence === 0 || !isRefusal(call, answer)) return true
-  return fence > lostFence && 'absent' in answer && answer.absent === true
+  if (!isRefusal(call, answer) || Math.max(lostFence, heldFence) === 0) return true
+  return fence > lostFence && fence >= heldFence && 'absent' in answer && answer.absent === true
 }
 
 /** Whether the answer says that a call was not carried out and never will be; a question that is answered is not refused. */
