--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -2,19 +2,26 @@
 import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { createLogger } from '../observability/logger.ts'
 import { COORDINATOR_KEY, Election } from './election.ts'
+import type { ElectionListener } from './election.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
 
-test('a coordinator that was replaced, or does not reach the store, does not take its office for confirmed', async t => {
-  const store = new MemoryTransactionalStore()
-  let resolveElected: () => void = () => {}
-  const elected = new Promise<void>(resolve => { resolveElected = resolve })
-  const election = new Election({
+function createElection (store: MemoryTransactionalStore, listener: ElectionListener): Election {
+  return new Election({
     store,
     clock: new SystemClock(),
     logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }),
     instance: 'entry-1',
     address: 'entry-1:1',
-    listener: { onElected: () => resolveElected(), onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false }
+    listener
+  })
+}
+
+test('a coordinator that was replaced, or does not reach the store, does not take its office for confirmed', async t => {
+  const store = new MemoryTransactionalStore()
+  let resolveElected: () => void = () => {}
+  const elected = new Promise<void>(resolve => { resolveElected = resolve })
+  const election = createElection(store, {
+    onElected: () => resolveElected(), onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
   })
   t.false(await election.confirm())
   await election.start()
@@ -35,25 +42,18 @@
   let releases = 0
   let resolveAsked: () => void = () => {}
   const asked = new Promise<void>(resolve => { resolveAsked = resolve })
-  const election = new Election({
-    store,
-    clock: new SystemClock(),
-    logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }),
-    instance: 'entry-1',
-    address: 'entry-1:1',
-    listener: {
-      onElected: () => { store.refusing = true },
-      onLost: reason => lost.push(reason),
-      onChanged: () => {},
-      peerReachesStore: async () => {
-        whenPeersAreAsked(store)
-        setTimeout(resolveAsked, 50)
-        return true
-      },
-      releaseThroughPeers: async () => {
-        releases += 1
-        return true
-      }
+  const election = createElection(store, {
+    onElected: () => { store.refusing = true },
+    onLost: reason => lost.push(reason),
+    onChanged: () => {},
+    peerReachesStore: async () => {
+      whenPeersAreAsked(store)
+      setTimeout(resolveAsked, 50)
+      return true
+    },
+    releaseThroughPeers: async () => {
+      releases += 1
+      return true
     }
   })
   await election.start()
