--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -56,8 +56,7 @@
 
   setLanes (lanes: readonly LaneDescription[]): void {
     const known = new Map(this.#lanes.map(lane => [lane.name, lane]))
-    const least = this.#lanes.reduce((lowest, { askedByWeight }) => Math.min(lowest, askedByWeight), Infinity)
-    const begin = Number.isFinite(least) ? least : 0
+    const begin = this.#lanes.length === 0 ? 0 : Math.min(...this.#lanes.map(({ askedByWeight }) => askedByWeight))
     this.#lanes = lanes.map(lane => known.get(lane.name) ?? { ...lane, askedByWeight: begin, questions: 0, backlogMs: 0, restsUntilMs: 0 })
     this.#dispatch()
   }
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -235,14 +235,14 @@
   async #renewOnce (lease: number): Promise<string | undefined> {
     const { store, clock } = this.#options
     const sentMs = clock.monotonicMs()
-    const renewed = store.renewLease(lease).then(renewed => {
+    const answer = store.renewLease(lease).then(renewed => {
       this.#noteRenewal(lease, renewed, sentMs)
       return undefined
     }, error => String(error))
     const answered = new AbortController()
     const silence = clock.sleep(RENEWAL_ANSWER_MS, answered.signal).then(() => `no answer within ${RENEWAL_ANSWER_MS} ms`, () => undefined)
     try {
-      return await Promise.race([renewed, silence])
+      return await Promise.race([answer, silence])
     } finally {
       answered.abort()
     }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -147,7 +147,7 @@
 
   /** Places tasks of the waiting steps in their rank, or only of those that are urgent and come first in any case. */
   #place (urgentOnly: boolean): void {
-    if (this.#closed || !this.#options.mayAct()) return
+    if (!this.#options.mayAct()) return
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     if (ranked.length > 0) {
--- a/src/entry/collectAnswers.ts
+++ b/src/entry/collectAnswers.ts
@@ -1,5 +1,5 @@
 /** Answers calls that came together, without letting slow ones hold up the others. */
-import type { TimerClock } from '../ports/clock.ts'
+import type { CancelTimer, TimerClock } from '../ports/clock.ts'
 import type { CallerAnswer, CoordinatorAnswer } from './callerCall.ts'
 
 /**
@@ -9,22 +9,13 @@
  * return await collectAnswers(clock, calls.map(async call => await intake.handle(call)), 200)
  */
 export async function collectAnswers (clock: TimerClock, answers: readonly Promise<CallerAnswer>[], longestMs: number): Promise<readonly CoordinatorAnswer[]> {
-  return await new Promise((resolve, reject) => {
-    const known: (CallerAnswer | undefined)[] = answers.map(() => undefined)
-    const finish = (): void => resolve(known.map(answer => answer ?? { outcome: 'underway' }))
-    const cancel = clock.schedule(longestMs, finish)
-    let open = answers.length
-    for (const [position, answer] of answers.entries()) {
-      answer.then(value => {
-        known[position] = value
-        open -= 1
-        if (open > 0) return
-        cancel()
-        finish()
-      }, error => {
-        cancel()
-        reject(error instanceof Error ? error : new Error(String(error)))
-      })
-    }
+  let cancel: CancelTimer = () => {}
+  const underway = new Promise<CoordinatorAnswer>(resolve => {
+    cancel = clock.schedule(longestMs, () => resolve({ outcome: 'underway' }))
   })
+  try {
+    return await Promise.all(answers.map(async answer => await Promise.race([answer, underway])))
+  } finally {
+    cancel()
+  }
 }
