Store segments of the log while earlier ones are on their way

A commit whose answer is lost held up all others for the 1.5 s of a call's time limit.

Ruled out: advice and room (placed at once), processor time.

Change: up to four commits are on their way; records count as stored in order. A commit without an answer is tried again beside the first try after three times the time of the last answer. While the store fails, only one commit is sent, so that jobs that it does not hold can still be refused.

Tests with a store that holds its answers failed before (one commit in flight).

--- a/src/coordinator/recordLog.test.ts
+++ b/src/coordinator/recordLog.test.ts
@@ -3,6 +3,7 @@
 import { createLogger } from '../observability/logger.ts'
 import type { LogRecord } from '../jobs/jobRecords.ts'
 import { createJobRecord, createStep } from '../jobs/testing/definitions.ts'
+import { readLog } from './logReader.ts'
 import { LOG_PREFIX, RecordLog, RecordsWithdrawnError, TermLostError } from './recordLog.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
 
@@ -114,3 +115,78 @@
   t.false(log.withdrawJob('job-2'))
   log.close()
 })
+
+/** Answers commits only when the test says so. */
+function holdCommits (store: MemoryTransactionalStore) {
+  const held: (() => void)[] = []
+  const commit = store.commit.bind(store)
+  store.commit = async transaction => {
+    await new Promise<void>(resolve => held.push(resolve))
+    return await commit(transaction)
+  }
+  return held
+}
+
+test('slow store: a placement does not wait until the acceptance before it is stored, and counts as stored after it', async t => {
+  const { store, clock, log, stored } = createLog()
+  const held = holdCommits(store)
+  const order: string[] = []
+  log.append([createJobRecord('job-1', [createStep(1)])]).then(() => order.push('accepted'), () => {})
+  await clock.advance(20)
+  log.append([placed('job-1')]).then(() => order.push('placed'), () => {})
+  await clock.advance(20)
+  t.is(held.length, 2)
+  held[1]?.()
+  await clock.advance(1)
+  t.is(stored().length, 1)
+  t.deepEqual(order, [])
+  t.is(log.nextSequence, 1)
+  held[0]?.()
+  await clock.advance(1)
+  t.deepEqual(order, ['accepted', 'placed'])
+  t.is(log.nextSequence, 3)
+})
+
+test('slow store: a burst does not send a commit for each record', async t => {
+  const { store, clock, log } = createLog()
+  const held = holdCommits(store)
+  for (let number = 0; number < 40; number++) {
+    log.append([cancelled(`job-${number}`)]).catch(() => {})
+    await clock.advance(3)
+  }
+  t.is(held.length, 4)
+  log.close()
+})
+
+test('a commit whose answer is late is tried again beside the first try, and its records are stored once', async t => {
+  const { store, clock, log, stored } = createLog()
+  const held = holdCommits(store)
+  const written = log.append([cancelled('job-1')])
+  await clock.advance(200)
+  t.is(held.length, 2)
+  held[1]?.()
+  await clock.advance(1)
+  await written
+  held[0]?.()
+  await clock.advance(5_000)
+  t.is(held.length, 2)
+  t.deepEqual(stored().map(value => JSON.parse(value)), [[cancelled('job-1')]])
+})
+
+test('a term that ends between two commits leaves a gap, whose later records count for nothing', async t => {
+  const { store, clock, log, stored } = createLog()
+  const held = holdCommits(store)
+  const accepted = log.append([createJobRecord('job-1', [createStep(1)])])
+  await clock.advance(20)
+  const itsPlaces = log.append([placed('job-1')])
+  await clock.advance(20)
+  held[1]?.()
+  await clock.advance(1)
+  store.put(ELECTION_KEY, 'entry-2')
+  held[0]?.()
+  await Promise.all([t.throwsAsync(accepted, { instanceOf: TermLostError }), t.throwsAsync(itsPlaces, { instanceOf: TermLostError }), clock.advance(1)])
+  t.is(stored().length, 1)
+  const { table, nextSequence } = await readLog(store, () => 0)
+  t.is(table.jobs.size, 0)
+  t.is(nextSequence, 3)
+})
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -5,6 +5,7 @@
 import { BaseError, StoreUnavailableError } from '../model/errors.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type { CommitResult, TransactionalStore } from '../ports/transactionalStore.ts'
+import { repeatUntilKnown } from './repeatUntilKnown.ts'
 
 export const LOG_PREFIX = 'agategauge/log/'
 const SEQUENCE_DIGITS = 12
@@ -17,6 +18,16 @@
 
 /** Between the beginnings of two commits; bounds the calls at 50 a second, an eighth of the store's rate. */
 const COMMIT_INTERVAL_MS = 20
+/**
+ * Commits without an answer at the same time. A job needs three in turn (acceptance, placement, end), each of which would
+ * also wait for half of the one before it; with four, a commit begins every 50 ms while the store takes 200 ms.
+ */
+const COMMITS_IN_FLIGHT = 4
+/** A commit without an answer for this many times the last answer's time is tried again beside the first try. */
+const PATIENCE_FACTOR = 3
+/** Bounds of that time: above the way to the other region and back, below the time until a commit has stalled. */
+const SHORTEST_PATIENCE_MS = 150
+const LONGEST_PATIENCE_MS = 500
 /** Before a commit is tried again that the store did not take. */
 const RETRY_DELAY_MS = 60
 /** A commit takes 4 ms, and 320 ms while the store is slow; one without success for longer has stalled. */
@@ -44,29 +55,48 @@
   readonly withdrawable: boolean
 }
 
+/** Records that one segment holds, and their text. */
+interface Batch {
+  readonly pending: readonly Pending[]
+  readonly texts: readonly string[]
+}
+
 /**
  * Writes what was appended since the last commit as one segment. A segment without an answer is
  * written again under the same key, so that it can not appear twice.
  *
+ * Several segments may be on their way. Records count as stored when their segment and all earlier ones are. A term that
+ * ends may leave a gap: what follows it was confirmed to nobody and no order was sent for it, so that a successor may
+ * take it or leave it.
+ *
  * @example
  * await log.append([{ type: 'cancelled', job: '5c0e', wallMs: clock.wallMs() }])
  */
 export class RecordLog {
   readonly #options: RecordLogOptions
   #pending: Pending[] = []
+  /** Of the next segment. */
   #nextSequence: number
-  #writing = false
+  /** Of the first segment that is not known to be stored. */
+  #firstOpenSequence: number
+  #inFlight = 0
+  #nextCommitMs = -Infinity
+  #scheduled = false
+  /** Resolves when all segments that were begun are stored; false if one of them may never be. */
+  #storedSoFar: Promise<boolean> = Promise.resolve(true)
+  #patienceMs = SHORTEST_PATIENCE_MS
   #lost = false
   #failingSinceMs: number | undefined
   #stalled = false
 
   constructor (options: RecordLogOptions) {
     this.#options = options
-    this.#nextSequence = options.nextSequence
+    this.#nextSequence = this.#firstOpenSequence = options.nextSequence
   }
 
+  /** Number after the last segment that is stored together with all earlier ones. */
   get nextSequence (): number {
-    return this.#nextSequence
+    return this.#firstOpenSequence
   }
 
   /** Since when commits fail; undefined while they succeed. */
@@ -84,14 +114,15 @@
     if (this.#lost) return Promise.reject(new TermLostError('the election was lost'))
     return new Promise((resolve, reject) => {
       this.#pending.push({ records, resolve, reject, withdrawable: true })
-      if (!this.#writing) runInBackground(this.#write(), this.#options.logger, 'record log')
+      this.#beginNext()
     })
   }
 
   /** Resolves when everything that was appended so far, and not withdrawn, is stored. */
   async flushed (): Promise<void> {
     if (this.#lost) throw new TermLostError('the election was lost')
-    if (this.#writing) await this.append([])
+    if (this.#inFlight > 0 || this.#pending.length > 0) await this.append([])
+    else await this.#storedSoFar
   }
 
   /** Jobs whose first record no commit holds yet. */
@@ -123,24 +154,46 @@
     this.#pending = []
   }
 
-  async #write (): Promise<void> {
-    this.#writing = true
-    const { clock } = this.#options
-    while (this.#pending.length > 0 && !this.#lost) {
-      const begunMs = clock.monotonicMs()
-      const { batch, texts } = this.#takeBatch()
-      const committed = texts.length === 0 || await this.#commitUntilKnown(`[${texts.join(',')}]`)
-      for (const pending of batch) {
-        if (committed) pending.resolve()
-        else pending.reject(new TermLostError('the election was lost'))
-      }
-      const restMs = COMMIT_INTERVAL_MS - (clock.monotonicMs() - begunMs)
-      if (restMs > 0) await clock.sleep(restMs)
+  /** While the store fails, what is not sent yet stays withdrawable. */
+  get #mayBegin (): boolean {
+    return this.#inFlight === 0 || (this.#inFlight < COMMITS_IN_FLIGHT && this.#failingSinceMs === undefined)
+  }
+
+  #beginNext (): void {
+    if (this.#lost || this.#scheduled || this.#pending.length === 0 || !this.#mayBegin) return
+    const { clock, logger } = this.#options
+    const waitMs = this.#nextCommitMs - clock.monotonicMs()
+    if (waitMs > 0) {
+      this.#scheduled = true
+      clock.schedule(waitMs, () => {
+        this.#scheduled = false
+        this.#beginNext()
+      })
+      return
+    }
+    this.#nextCommitMs = clock.monotonicMs() + COMMIT_INTERVAL_MS
+    runInBackground(this.#store(this.#takeBatch()), logger, 'record log')
+    this.#beginNext()
+  }
+
+  async #store ({ pending, texts }: Batch): Promise<void> {
+    const sequence = texts.length === 0 ? undefined : this.#nextSequence++
+    this.#inFlight += 1
+    const committed = sequence === undefined ? Promise.resolve(true) : this.#commitUntilKnown(segmentKey(sequence), `[${texts.join(',')}]`)
+    const stored = Promise.all([this.#storedSoFar, committed]).then(([before, own]) => before && own)
+    this.#storedSoFar = stored
+    await committed
+    this.#inFlight -= 1
+    this.#beginNext()
+    const isStored = await stored
+    if (isStored && sequence !== undefined) this.#firstOpenSequence = sequence + 1
+    for (const { resolve, reject } of pending) {
+      if (isStored) resolve()
+      else reject(new TermLostError('the election was lost'))
     }
-    this.#writing = false
   }
 
-  #takeBatch (): { readonly batch: readonly Pending[], readonly texts: readonly string[] } {
+  #takeBatch (): Batch {
     const texts: string[] = []
     let bytes = 0
     let count = 0
@@ -151,36 +204,44 @@
       texts.push(...added)
       count += 1
     }
-    return { batch: this.#pending.splice(0, count), texts }
+    return { pending: this.#pending.splice(0, count), texts }
   }
 
-  async #commitUntilKnown (value: string): Promise<boolean> {
-    const { store, clock, election } = this.#options
-    const key = segmentKey(this.#nextSequence)
+  /** False if the term has ended. */
+  async #commitUntilKnown (key: string, value: string): Promise<boolean> {
+    const { clock } = this.#options
     const cancelStall = clock.schedule(STALLED_MS, () => this.#noteStall())
     try {
-      while (!this.#lost) {
-        try {
-          const result = await store.commit({
-            conditions: [election, { key, revision: 0 }], writes: [{ key, value }], removes: []
-          })
-          if (this.#isCommitted(result, key, value)) return true
-          this.#lose('the election key has changed')
-          return false
-        } catch (error) {
-          this.#noteFailure(String(error), error instanceof StoreUnavailableError)
-          await clock.sleep(RETRY_DELAY_MS)
-        }
-      }
-      return false
+      return await repeatUntilKnown(clock, {
+        attempt: async () => await this.#tryCommit(key, value),
+        patienceMs: this.#patienceMs,
+        retryDelayMs: RETRY_DELAY_MS,
+        isOver: () => this.#lost
+      }) ?? false
     } finally {
       cancelStall()
     }
   }
 
+  /** Whether the segment is stored; undefined if that is not known. */
+  async #tryCommit (key: string, value: string): Promise<boolean | undefined> {
+    const { store, clock, election } = this.#options
+    const begunMs = clock.monotonicMs()
+    try {
+      const result = await store.commit({ conditions: [election, { key, revision: 0 }], writes: [{ key, value }], removes: [] })
+      this.#patienceMs = Math.min(Math.max(SHORTEST_PATIENCE_MS, (clock.monotonicMs() - begunMs) * PATIENCE_FACTOR), LONGEST_PATIENCE_MS)
+      if (this.#isCommitted(result, key, value)) return true
+      this.#lose('the election key has changed')
+      return false
+    } catch (error) {
+      this.#noteFailure(key, String(error), error instanceof StoreUnavailableError)
+      return undefined
+    }
+  }
+
   #noteStall (): void {
     if (this.#lost) return
-    this.#noteFailure(`no success within ${STALLED_MS} ms`, false)
+    this.#noteFailure(segmentKey(this.#firstOpenSequence), `no success within ${STALLED_MS} ms`, false)
     this.#stalled = true
     this.#options.onStalled?.()
   }
@@ -188,7 +249,6 @@
   #isCommitted (result: CommitResult, key: string, value: string): boolean {
     const earlier = result.outcome === 'conflict' && result.current.some(item => item.key === key && item.value === value)
     if (result.outcome !== 'committed' && !earlier) return false
-    this.#nextSequence += 1
     this.#stalled = false
     if (this.#failingSinceMs !== undefined) {
       this.#options.logger.info({ failedForMs: Math.round(this.#options.clock.monotonicMs() - this.#failingSinceMs) }, 'the store takes records again')
@@ -197,10 +257,10 @@
     return true
   }
 
-  #noteFailure (error: string, certain: boolean): void {
+  #noteFailure (segment: string, error: string, certain: boolean): void {
     if (this.#failingSinceMs !== undefined) return
     this.#failingSinceMs = this.#options.clock.monotonicMs()
-    this.#options.logger.warn({ error, certain, sequence: this.#nextSequence }, 'the store does not take records')
+    this.#options.logger.warn({ error, certain, segment }, 'the store does not take records')
   }
 
   #lose (reason: string): void {
--- /dev/null
+++ b/src/coordinator/repeatUntilKnown.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { repeatUntilKnown } from './repeatUntilKnown.ts'
+
+/** Records when tries begin; each answers with what the test resolves it with. */
+function createCall (clock: ManualClock) {
+  const begunMs: number[] = []
+  const answers: ((outcome: string | undefined) => void)[] = []
+  let over = false
+  const known = repeatUntilKnown<string>(clock, {
+    attempt: async () => {
+      begunMs.push(clock.monotonicMs())
+      return await new Promise(resolve => answers.push(resolve))
+    },
+    patienceMs: 100,
+    retryDelayMs: 10,
+    isOver: () => over
+  })
+  return { begunMs, answers, known, end: () => { over = true } }
+}
+
+test('a store that is silent is not flooded with tries', async t => {
+  const clock = new ManualClock()
+  const { begunMs, answers, known } = createCall(clock)
+  await clock.advance(1_600)
+  t.deepEqual(begunMs, [0, 100, 300, 700, 1_500])
+  answers[2]?.('stored')
+  t.is(await known, 'stored')
+})
+
+test('a try that fails late does not begin another one after the outcome is known', async t => {
+  const clock = new ManualClock()
+  const { begunMs, answers, known } = createCall(clock)
+  await clock.advance(100)
+  answers[1]?.('stored')
+  t.is(await known, 'stored')
+  answers[0]?.(undefined)
+  await clock.advance(1_000)
+  t.is(begunMs.length, 2)
+})
+
+test('tries end when nobody needs the outcome any more', async t => {
+  const clock = new ManualClock()
+  const { begunMs, answers, known, end } = createCall(clock)
+  answers[0]?.(undefined)
+  await clock.settle()
+  end()
+  await clock.advance(10)
+  t.is(await known, undefined)
+  t.is(begunMs.length, 1)
+})
