Send a coordinator that falls behind fewer and larger batches of calls

After a change of office at 4.3 s the new coordinator, one of the largest instances, does not answer in time until it is killed at 13 s: 500 to 1,100 calls in two seconds run into 1.2 s, and up to 840 can not even connect. It accepts 85 to 170 jobs a second all the while. Its gaps between two log lines are 0.17 s at most, so that no single piece of work blocks it: the 35 instances each keep 8 batches open, time out, close their connections and send the same calls again.

Ruled out: a small successor (it has the most processors), the store (no failed commit in its log).

Change: from three batches without an answer on, an instance sends one only each 0.3 s, so that calls gather. Other connections are still tried within a third of a second when the first ones have gone silent.

The test of a slow coordinator fails before: 24 requests in place of 14 at most.

--- a/src/entry/callBatcher.test.ts
+++ b/src/entry/callBatcher.test.ts
@@ -86,3 +86,37 @@
   await t.throwsAsync(sent, { message: 'replaced' })
   await t.throwsAsync(waiting, { message: 'replaced' })
 })
+
+test('coordinator that falls behind: an instance sends it fewer and larger requests, not more of them', async t => {
+  const clock = new ManualClock()
+  const sizes: number[] = []
+  const batcher = new CallBatcher(clock, async calls => {
+    sizes.push(calls.length)
+    await clock.sleep(1_000)
+    return calls.map(answerFor)
+  }, () => 35)
+  const answers: Promise<CoordinatorAnswer>[] = []
+  for (let number = 0; number < 300; number++) {
+    answers.push(batcher.handle(callFor(number)))
+    await clock.advance(10)
+  }
+  await clock.advance(3_000)
+  t.is((await Promise.all(answers)).length, 300)
+  t.true(sizes.length <= 14, `${sizes.length} requests`)
+})
+
+test('connections that went silent: calls are sent on others within a third of a second', async t => {
+  const clock = new ManualClock()
+  let sent = 0
+  const batcher = new CallBatcher(clock, async calls => {
+    sent += 1
+    if (sent <= 5) await new Promise(() => {})
+    return calls.map(answerFor)
+  }, () => 7)
+  let answeredMs = Infinity
+  for (let number = 0; number < 200; number++) {
+    batcher.handle(callFor(number)).then(() => { answeredMs = Math.min(answeredMs, clock.monotonicMs()) }, () => {})
+    await clock.advance(10)
+  }
+  t.true(answeredMs <= 1_100, `after ${answeredMs} ms`)
+})
--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -10,7 +10,17 @@
 const MS_PER_SECOND = 1_000
 /** Bounds the time that one batch keeps the coordinator from other work. */
 const LARGEST_BATCH = 60
-/** Batches without an answer at the same time; one may wait for the store while others read. */
+/**
+ * From this number of batches without an answer on, the coordinator has fallen behind, or connections have gone silent.
+ * A calm batch is answered within an interval.
+ */
+const BATCHES_ANSWERED_LATE = 3
+/**
+ * Interval of batches from then on: calls gather into fewer and larger batches, which cost the coordinator fewer
+ * connections and less time, and still find out soon that other connections are answered.
+ */
+const LATE_INTERVAL_MS = 300
+/** Batches without an answer at the same time at most. */
 const BATCHES_IN_FLIGHT = 8
 
 type SendBatch = (calls: readonly CallerCall[]) => Promise<readonly CoordinatorAnswer[]>
@@ -36,7 +46,7 @@
   #waiting: WaitingCall[] = []
   readonly #sent = new Set<WaitingCall>()
   #inFlight = 0
-  #nextBatchMs = 0
+  #lastBatchMs = -Infinity
   #scheduled = false
 
   /** `instances` is the number of instances that send batches. */
@@ -60,13 +70,16 @@
   }
 
   #schedule (): void {
-    if (this.#scheduled || this.#waiting.length === 0 || this.#inFlight >= BATCHES_IN_FLIGHT) return
-    const waitMs = this.#nextBatchMs - this.#clock.monotonicMs()
+    if (this.#waiting.length === 0 || this.#inFlight >= BATCHES_IN_FLIGHT) return
+    const intervalMs = this.#inFlight >= BATCHES_ANSWERED_LATE ? LATE_INTERVAL_MS : this.#intervalMs
+    const waitMs = this.#lastBatchMs + intervalMs - this.#clock.monotonicMs()
     if (waitMs <= 0) return this.#sendNext()
+    if (this.#scheduled) return
     this.#scheduled = true
-    this.#clock.sleep(waitMs).then(() => {
+    // An answer may shorten the interval meanwhile.
+    this.#clock.sleep(Math.min(waitMs, this.#intervalMs)).then(() => {
       this.#scheduled = false
-      this.#sendNext()
+      this.#schedule()
     }, () => {})
   }
 
@@ -78,7 +91,7 @@
     const batch = this.#waiting.splice(0, LARGEST_BATCH)
     if (batch.length === 0) return
     this.#inFlight += 1
-    this.#nextBatchMs = this.#clock.monotonicMs() + this.#intervalMs
+    this.#lastBatchMs = this.#clock.monotonicMs()
     this.#deliver(batch).finally(() => {
       this.#inFlight -= 1
       this.#schedule()
