--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -320,7 +320,11 @@
     while (!this.#closed) {
       await this.#clock.sleep(BUSY_INTERVAL_MS)
       const now = performance.eventLoopUtilization()
-      this.#pressure.noteBusy(performance.eventLoopUtilization(now, before).utilization)
+      const admittedBefore = this.#pressure.admittedPart
+      const busyPart = performance.eventLoopUtilization(now, before).utilization
+      this.#pressure.noteBusy(busyPart)
+      const { admittedPart } = this.#pressure
+      if (admittedPart !== admittedBefore) this.#logger.info({ busyPart, admittedPart, fence: this.info.fence }, 'admitted part of the jobs changed')
       before = now
     }
   }
