Revert "Put off work that has time while the coordinator has none"

What is put off is due later in the same flood.

Fewer calls for each task, or other instances that hold the sessions of targets, are what is left.

--- a/src/coordinator/intakePressure.test.ts
+++ b/src/coordinator/intakePressure.test.ts
@@ -54,14 +54,6 @@
   t.false(pressure.refuses('weavers'))
 })
 
-test('a coordinator without time puts work off only as long as it has none', t => {
-  const pressure = new IntakePressure(new ManualClock())
-  t.deepEqual([0.9, 0.99, 0.9].map(part => {
-    pressure.noteBusy(part)
-    return pressure.saturated
-  }), [false, true, false])
-})
-
 test('a team whose jobs wait for its own cap does not make those of another team refused', t => {
   const pressure = new IntakePressure(new ManualClock())
   pressure.noteWaiting(Array.from({ length: 20 }, () => ({ team: 'capped', waitedMs: 5_000 })))
--- a/src/coordinator/intakePressure.ts
+++ b/src/coordinator/intakePressure.ts
@@ -7,8 +7,6 @@
 const WAITING_JOBS = 3
 /** Busy part of the coordinator's time from which on it falls behind in bursts. */
 const BUSY_PART = 0.85
-/** From this busy part of its time on answers wait for the work before them. */
-const SATURATED_PART = 0.95
 /** For how long a busy coordinator refuses; longer than one measurement. */
 const BUSY_MS = 1_000
 /** Refused callers return after 2 to 4 s, spread so that they do not come back in one wave. */
@@ -31,7 +29,6 @@
   readonly #clock: Clock
   #waiting: ReadonlyMap<string, number> = new Map()
   #busyUntilMs = -Infinity
-  #saturated = false
 
   constructor (clock: Clock) {
     this.#clock = clock
@@ -48,7 +45,6 @@
 
   /** Notes the busy part of the coordinator's time since the last note, from 0 to 1. */
   noteBusy (part: number): void {
-    this.#saturated = part >= SATURATED_PART
     if (part >= BUSY_PART) this.#busyUntilMs = this.#clock.monotonicMs() + BUSY_MS
   }
 
@@ -56,11 +52,6 @@
     return this.#clock.monotonicMs() < this.#busyUntilMs
   }
 
-  /** Whether work that has time should wait, since the coordinator has none left. */
-  get saturated (): boolean {
-    return this.#saturated
-  }
-
   /** Jobs of the team that have waited for long. */
   waitingOf (team: string): number {
     return this.#waiting.get(team) ?? 0
--- a/src/coordinator/jobRanking.ts
+++ b/src/coordinator/jobRanking.ts
@@ -4,8 +4,6 @@
 
 /** Up to this many times its objective a late job is still worth something to its caller. */
 const LATE_FACTOR = 3
-/** A step with less time to spare does not wait for a coordinator without time: a measurement, advice and a start take as long. */
-const SPARE_MS = 2_000
 /** Extra time that declared run times are given, since they are off by up to a half. */
 const ESTIMATE_MARGIN = 1.2
 
@@ -59,11 +57,6 @@
   return slackMs(job, nowMs) >= 0
 }
 
-/** Whether a step that is not urgent meets its objective all the same if it waits for a moment. */
-export function canWait (step: StepProgress, nowMs: number): boolean {
-  return !isUrgent(step) && !step.definition.longRunning && slackMs(step.job, nowMs) > SPARE_MS
-}
-
 export function isUrgent ({ job }: StepProgress): boolean {
   return job.queue.priority === 0
 }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -9,7 +9,7 @@
 import { Assignment } from './assignment.ts'
 import { decideAdvised, TARGETS_PER_QUESTION } from './advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
-import { canWait, comesFirst, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
+import { comesFirst, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
 import { PacedPasses } from './pacedPasses.ts'
 import type { PaceLimits } from './pacedPasses.ts'
 import { PlacementPass } from './placementPass.ts'
@@ -154,7 +154,6 @@
       const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
       const precedence = new GangPrecedence(pass, nowMs)
       for (const { step, waiting } of ranked) {
-        if (this.#options.pressure.saturated && canWait(step, nowMs)) continue
         const queue = pass.queue(step.job.queue)
         if (precedence.yields(step, queue.service)) continue
         if (!this.#placeOne(step, waiting, queue, pass, nowMs)) precedence.noteWaiting(step, queue.service)
