Count the suspension of a coordinator from the sending of its renewals

Cause: listed open since the last session: a renewal whose answer is handled after a suspension took the difference of the clocks at that moment, so that a coordinator that had been suspended for longer than its lease gave orders until the next renewal.

Change: the difference is that of the sending, and an older answer does not replace a newer one.

The test fails before and passes after.

--- a/src/adapters/clock/manualClock.ts
+++ b/src/adapters/clock/manualClock.ts
@@ -13,7 +13,7 @@
 export class ManualClock implements TimerClock {
   #now: number
   #order = 0
-  readonly #wallOffset: number
+  #wallOffset: number
   readonly #sleepers = new Set<Sleeper>()
 
   constructor (startMs = 0, wallOffsetMs = 1_700_000_000_000) {
@@ -29,6 +29,11 @@
     return this.#now + this.#wallOffset
   }
 
+  /** Moves the wall clock alone, as a suspension of the machine does. */
+  suspend (durationMs: number): void {
+    this.#wallOffset += durationMs
+  }
+
   sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
       if (signal?.aborted) return reject(signal.reason)
--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -1,14 +1,16 @@
 import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { createLogger } from '../observability/logger.ts'
+import type { TimerClock } from '../ports/clock.ts'
 import { COORDINATOR_KEY, Election } from './election.ts'
 import type { ElectionListener } from './election.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
 
-function createElection (store: MemoryTransactionalStore, listener: ElectionListener): Election {
+function createElection (store: MemoryTransactionalStore, listener: ElectionListener, clock: TimerClock = new SystemClock()): Election {
   return new Election({
     store,
-    clock: new SystemClock(),
+    clock,
     logger: createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }),
     instance: 'entry-1',
     address: 'entry-1:1',
@@ -75,3 +77,30 @@
   t.is(releases, 1)
   t.deepEqual(lost, ['the store serves other instances only'])
 })
+
+test('a coordinator that was suspended gives no orders because of a renewal that it had sent before', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const election = createElection(store, {
+    onElected: () => {}, onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  }, clock)
+  let answer: () => void = () => {}
+  store.renewLease = async () => {
+    await new Promise<void>(resolve => { answer = resolve })
+    return true
+  }
+  await election.start()
+  await clock.advance(500)
+  t.true(election.mayAct())
+  clock.suspend(5_000)
+  answer()
+  await clock.settle()
+  t.false(election.mayAct(), 'its lease may have ended while it was suspended')
+  await clock.advance(400)
+  answer()
+  await clock.settle()
+  t.true(election.mayAct(), 'the store has renewed it since')
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -63,6 +63,12 @@
   readonly listener: ElectionListener
 }
 
+/** One moment on both clocks. */
+interface Moment {
+  readonly monotonicMs: number
+  readonly wallMs: number
+}
+
 export class Election implements Component {
   readonly name = 'election'
   readonly #options: ElectionOptions
@@ -71,7 +77,7 @@
   #known: CoordinatorInfo | undefined
   /** Until when the store is known to keep the election, on the monotonic clock. */
   #validUntilMs = 0
-  /** Difference of wall and monotonic clock at the last renewal. */
+  /** Difference of wall and monotonic clock when the last renewal that was answered was sent. */
   #clockGapMs = 0
   #failedRenewals = 0
   /** The last election that this instance ended for its coordinator. */
@@ -203,8 +209,8 @@
   }
 
   async #stand (): Promise<void> {
-    const { store, clock, instance, address, leaseMs = LEASE_MS } = this.#options
-    const sentMs = clock.monotonicMs()
+    const { store, instance, address, leaseMs = LEASE_MS } = this.#options
+    const sent = this.#readClocks()
     const lease = await store.grantLease(leaseMs)
     const result = await store.commit({
       conditions: [{ key: COORDINATOR_KEY, revision: 0 }],
@@ -214,7 +220,7 @@
     if (result.outcome !== 'committed' || this.#withdrawn) return
     const info: CoordinatorInfo = { instance, address, fence: result.revision, lease }
     this.#held = info
-    this.#extend(sentMs)
+    this.#extend(sent)
     this.#setKnown(info)
     this.#options.listener.onElected(info)
   }
@@ -234,9 +240,9 @@
   /** Returns why the election was not renewed in time, if it was not. */
   async #renewOnce (lease: number): Promise<string | undefined> {
     const { store, clock } = this.#options
-    const sentMs = clock.monotonicMs()
+    const sent = this.#readClocks()
     const answer = store.renewLease(lease).then(renewed => {
-      this.#noteRenewal(lease, renewed, sentMs)
+      this.#noteRenewal(lease, renewed, sent)
       return undefined
     }, error => String(error))
     const answered = new AbortController()
@@ -248,12 +254,12 @@
     }
   }
 
-  #noteRenewal (lease: number, renewed: boolean, sentMs: number): void {
+  #noteRenewal (lease: number, renewed: boolean, sent: Moment): void {
     if (this.#held?.lease !== lease) return
     if (!renewed) return this.#lose('the lease has ended')
     if (this.#failedRenewals > 0) this.#options.logger.info({ failed: this.#failedRenewals }, 'the store renews the election again')
     this.#failedRenewals = 0
-    this.#extend(sentMs)
+    this.#extend(sent)
   }
 
   /** Whether the store answers other instances and, at the same time, not this one. */
@@ -262,10 +268,17 @@
     return await this.#renewOnce(lease) !== undefined && this.#held?.lease === lease
   }
 
-  #extend (sentMs: number): void {
-    const { clock, leaseMs = LEASE_MS } = this.#options
-    this.#validUntilMs = Math.max(this.#validUntilMs, sentMs + leaseMs)
-    this.#clockGapMs = clock.wallMs() - clock.monotonicMs()
+  #readClocks (): Moment {
+    const { clock } = this.#options
+    return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }
+  }
+
+  /** A process that was suspended since the renewal was sent has less time left than its monotonic clock shows. */
+  #extend (sent: Moment): void {
+    const validUntilMs = sent.monotonicMs + (this.#options.leaseMs ?? LEASE_MS)
+    if (validUntilMs < this.#validUntilMs) return
+    this.#validUntilMs = validUntilMs
+    this.#clockGapMs = sent.wallMs - sent.monotonicMs
   }
 
   #lose (reason: string): void {
