--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -21,6 +21,8 @@
 import { wasRefused } from './connectionRefusal.ts'
 import { collectAnswers } from './collectAnswers.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import { PeerDirectory } from './peerDirectory.ts'
+import type { KnownPeer } from './peerDirectory.ts'
 
 /** A question through a peer costs both about as much again as the question itself, and the answer passes a link. */
 const OWN_LANE_FACTOR = 4
@@ -30,12 +32,8 @@
 const REPORT_INTERVAL_MS = 400
 /** A calm commit takes a tenth of it; callers of one batch wait that long for each other at most. */
 const LONGEST_ANSWER_MS = 200
-/** An instance that was silent for longer asks the advisor for nobody. */
-const PEER_SILENCE_MS = 1_500
 /** A desired state that was confirmed within this time shows that the store can be reached; one watch, and more. */
 const STORE_REACHED_MS = 2_500
-/** A peer that was silent for longer is forgotten. */
-const PEER_FORGOTTEN_MS = 60_000
 
 export interface JobInstanceOptions {
   readonly instance: string
@@ -63,21 +61,13 @@
   readonly intake: JobIntake
 }
 
-interface KnownPeer {
-  readonly instance: string
-  readonly seenAtMs: number
-  /** Of the last report; undefined if only others told of the peer. */
-  readonly report?: InstanceReport
-}
-
 export class JobInstance implements Component, CoordinatorPeer, ElectionListener {
   readonly name = 'job instance'
   readonly #options: JobInstanceOptions
   readonly #election: Election
   readonly #reporting: PeriodicTask
   readonly #preference: OfficePreference
-  /** By address. */
-  readonly #peers = new Map<string, KnownPeer>()
+  readonly #peers: PeerDirectory
   #term: Term | undefined
   #lanes: AdviceLanes | undefined
   #coordinatorSilent = false
@@ -86,6 +76,7 @@
   constructor (options: JobInstanceOptions) {
     this.#options = options
     const { store, clock, logger, instance, address, processors } = options
+    this.#peers = new PeerDirectory(clock)
     this.#preference = new OfficePreference(clock, processors)
     this.#election = new Election({ store, clock, logger, instance, address, listener: this, candidateDelayMs: () => this.#preference.candidateDelayMs })
     this.#reporting = new PeriodicTask('reports', clock, REPORT_INTERVAL_MS, async () => await this.#report(),
@@ -116,7 +107,7 @@
 
   /** Instances that are known, with this one. */
   get knownInstances (): number {
-    return this.#peers.size + (this.#peers.has(this.#options.address) ? 0 : 1)
+    return this.#peers.addresses.length + (this.#peers.has(this.#options.address) ? 0 : 1)
   }
 
   /** Whether this instance could serve a call now, as far as it knows. */
@@ -137,15 +128,15 @@
   }
 
   async report (report: InstanceReport): Promise<ReportAnswer> {
-    const { instance, address, desiredStateVersion, processors, reachesStore } = report
+    const { instance, desiredStateVersion, processors, reachesStore } = report
     this.#preference.noteReport(instance, processors, reachesStore)
-    this.#peers.set(address, { instance, seenAtMs: this.#options.clock.monotonicMs(), report })
+    this.#peers.noteReport(report)
     this.#updateLanes()
     const { text } = this.#options.desired
     return {
       coordinator: this.#election.coordinator,
       ...(text.version > desiredStateVersion ? { desiredState: text } : {}),
-      peers: [...this.#peers.keys(), this.#options.address],
+      peers: [...this.#peers.addresses, this.#options.address],
       largestProcessors: this.#preference.largest
     }
   }
@@ -173,7 +164,7 @@
 
   async peerReachesStore (): Promise<boolean> {
     const { peers } = this.#options
-    const answers = this.#alivePeers().map(async ([address]) => {
+    const answers = this.#peers.alive.map(async ({ address }) => {
       if (!await peers.connect(address).reachesStore()) throw new Error('not reached')
     })
     return await Promise.any(answers).then(() => true, () => false)
@@ -181,8 +172,8 @@
 
   async releaseThroughPeers (lease: number): Promise<boolean> {
     const { peers, logger } = this.#options
-    const alive = this.#alivePeers()
-    const answers = alive.map(async ([address]) => {
+    const { alive } = this.#peers
+    const answers = alive.map(async ({ address }) => {
       if (!await peers.connect(address).release(lease)) throw new Error('not released')
     })
     try {
@@ -253,10 +244,10 @@
   #updateLanes (): void {
     const { instance, advisor, peers, processors } = this.#options
     if (this.#lanes === undefined) return
-    const throughPeers = this.#alivePeers().map(([address, peer]): LaneDescription => ({
+    const throughPeers = this.#peers.alive.map((peer): LaneDescription => ({
       name: peer.instance,
       weight: this.#laneWeight(peer),
-      advisor: { ask: async question => await peers.connect(address).advise(question) }
+      advisor: { ask: async question => await peers.connect(peer.address).advise(question) }
     }))
     this.#lanes.setLanes([{ name: instance, advisor, weight: processors * OWN_LANE_FACTOR }, ...throughPeers.sort((left, right) => right.weight - left.weight)])
   }
@@ -266,17 +257,12 @@
     return (report?.processors ?? processors) * (report?.region === region ? 1 : REMOTE_LANE_FACTOR)
   }
 
-  /** Instances that reported lately, by address. */
-  #alivePeers (): readonly (readonly [address: string, peer: KnownPeer])[] {
-    const nowMs = this.#options.clock.monotonicMs()
-    return [...this.#peers].filter(([, { seenAtMs }]) => nowMs - seenAtMs < PEER_SILENCE_MS)
-  }
-
   async #report (): Promise<void> {
     const address = this.#nextListener()
     if (address !== undefined) await this.#reportTo(address)
     if (this.#term?.coordinator.ready === true && this.#preference.shouldYield()) await this.#election.resign('an instance with more processors is there')
-    this.#forgetPeers()
+    this.#peers.forgetSilent()
+    this.#updateLanes()
   }
 
   /** The coordinator, or any peer that may know a newer one while it is silent. */
@@ -286,20 +272,18 @@
       return coordinator.address === this.#options.address ? undefined : coordinator.address
     }
     this.#coordinatorSilent = false
-    const others = [...this.#peers.keys()].filter(address => address !== this.#options.address)
+    const others = this.#peers.addresses.filter(address => address !== this.#options.address)
     return others[Math.floor(Math.random() * others.length)] ?? coordinator?.address
   }
 
   async #reportTo (address: string): Promise<void> {
-    const { peers, desired, logger, clock } = this.#options
+    const { peers, desired, logger } = this.#options
     try {
       const answer = await peers.connect(address).report(this.#describe())
       if (answer.coordinator !== undefined) this.#election.learn(answer.coordinator)
       this.#preference.learn(answer.largestProcessors)
       if (answer.desiredState !== undefined) desired.learn(answer.desiredState, address)
-      for (const peer of answer.peers) {
-        if (!this.#peers.has(peer)) this.#peers.set(peer, { instance: peer, seenAtMs: clock.monotonicMs() - PEER_SILENCE_MS })
-      }
+      this.#peers.learn(answer.peers)
     } catch (error) {
       const silent = address === this.#election.coordinator?.address
       const { coordinator } = this.#election
@@ -313,12 +297,4 @@
     const { instance, address, region, processors, desired } = this.#options
     return { instance, address, region, processors, desiredStateVersion: desired.state.version, reachesStore: desired.ageMs < STORE_REACHED_MS }
   }
-
-  #forgetPeers (): void {
-    const beforeMs = this.#options.clock.monotonicMs() - PEER_FORGOTTEN_MS
-    for (const [address, { seenAtMs }] of this.#peers) {
-      if (seenAtMs < beforeMs) this.#peers.delete(address)
-    }
-    this.#updateLanes()
-  }
 }
--- /dev/null
+++ b/src/entry/peerDirectory.test.ts
@@ -0,0 +1,24 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import type { InstanceReport } from '../ports/coordinatorPeer.ts'
+import { PeerDirectory } from './peerDirectory.ts'
+
+const REPORT: InstanceReport = { instance: 'entry-2', address: 'entry-2:1', region: 'attica', processors: 1, desiredStateVersion: 1, reachesStore: true }
+
+test('a peer that is silent, or that only others told of, is not counted on, and is forgotten in the end', async t => {
+  const clock = new ManualClock()
+  const peers = new PeerDirectory(clock)
+  peers.learn(['entry-3:1'])
+  peers.noteReport(REPORT)
+  t.deepEqual(peers.alive.map(({ instance }) => instance), ['entry-2'])
+  await clock.advance(1_500)
+  t.deepEqual(peers.alive, [])
+  t.deepEqual(peers.addresses, ['entry-3:1', 'entry-2:1'])
+  await clock.advance(58_000)
+  peers.forgetSilent()
+  t.deepEqual(peers.addresses, ['entry-2:1'])
+  peers.learn(['entry-2:1'])
+  await clock.advance(2_000)
+  peers.forgetSilent()
+  t.deepEqual(peers.addresses, [], 'what others tell does not make a peer known for longer')
+})
