--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -43,6 +43,23 @@
   t.is(job?.state, 'failed')
 })
 
+test('a failure whose record was lost in a gap of the log counts when it is reported again, after a later placement', t => {
+  const table = build([createJobRecord('a', [createStep(1)]), placed('a', 0, 0, 1), placed('a', 0, 0, 2, 'worker-2@1')])
+  const step = table.jobs.get('a')?.steps[0]
+  table.apply(ended('a', 0, 0, 1, 'failed'))
+  t.is(step?.tasks[0]?.failures, 1)
+  t.is(step?.tasks[0]?.placedOn, 'worker-2@1', 'the later run still counts')
+  step?.loseRun(step.tasks[0]!, 2)
+  table.apply(placed('a', 0, 0, 3))
+  table.apply(ended('a', 0, 0, 3, 'failed'))
+  t.is(table.jobs.get('a')?.state, 'failed')
+})
+
+test('a placement whose job was lost in a gap of the log starts nothing', t => {
+  const table = build([placed('a', 0, 0, 1), ended('a', 0, 0, 1, 'done')])
+  t.is(table.jobs.size, 0)
+})
+
 test('runs that were stopped, lapsed or lost their gang do not count as failures', t => {
   const ends = ['stopped', 'lapsed', 'broken', 'alone'] as const
   const table = build([createJobRecord('a', [createStep(1)]), ...ends.map((end, position) => ended('a', 0, 0, position + 1, end))])
