--- a/bench/countedPeers.ts
+++ b/bench/countedPeers.ts
@@ -2,29 +2,10 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import type { PeerClient } from '../src/ports/peerClient.ts'
 import { encodeRef, encodeResources } from '../src/adapters/peer/peerCodec.ts'
+import type { ByteCounts } from './byteCounts.ts'
 import { countAnswer, countRequest } from './exchangeMessages.ts'
 import * as wire from '../src/generated/peer_pb.ts'
 
-export class ByteCounts {
-  readonly #bytes = new Map<string, number>()
-
-  add (part: string, bytes: number): void {
-    this.#bytes.set(part, (this.#bytes.get(part) ?? 0) + bytes)
-  }
-
-  get total (): number {
-    return [...this.#bytes.values()].reduce((sum, bytes) => sum + bytes, 0)
-  }
-
-  get parts (): ReadonlyMap<string, number> {
-    return this.#bytes
-  }
-
-  clear (): void {
-    this.#bytes.clear()
-  }
-}
-
 /** Encodes the control messages of a client; forwarded requests are the data path and pass uncounted. */
 export function countBytes (client: PeerClient, counts: ByteCounts): PeerClient {
   return {
--- a/bench/exchangeMessages.ts
+++ b/bench/exchangeMessages.ts
@@ -4,7 +4,7 @@
 import type { ExchangeAnswer } from '../src/ports/peerClient.ts'
 import { encodeExchangeAnswer, encodeExchangeRequest } from '../src/adapters/peer/exchangeCodec.ts'
 import * as wire from '../src/generated/peer_pb.ts'
-import type { ByteCounts } from './countedPeers.ts'
+import type { ByteCounts } from './byteCounts.ts'
 
 export function countRequest (sender: ExchangeSender, registering: boolean, counts: ByteCounts): void {
   counts.add('request', toBinary(wire.ExchangeRequestSchema, encodeExchangeRequest(sender, registering)).length)
