Split the folder of the instance by subject, and break two import cycles

What stays there composes an instance; requests, placement, tasks and reports have folders of their own. The types that the loader and the start of an instance, and the owner of targets and its manager, took from each other have files of their own.

--- a/src/commands/instanceLoader.ts
+++ b/src/commands/instanceLoader.ts
@@ -1,17 +1,8 @@
 /** Loads the composition of an instance only when it is needed, so that other subcommands start fast. */
 import { CommandError, EXIT_CODES } from './commandContext.ts'
+import type { RunningInstance } from '../instance/runningInstance.ts'
 import type { InstanceSettings } from '../settings/instanceSettings.ts'
 
-/** A started instance. */
-export interface RunningInstance {
-  /** Begins the planned stop; calling it again changes nothing. */
-  stop (): Promise<void>
-  /** Puts changed settings in force; left out if the instance reads them at its start only. */
-  reload? (source: string): void
-  /** Resolves when everything has stopped, whatever caused it; rejects if the instance failed. */
-  readonly stopped: Promise<void>
-}
-
 export type StartInstance = (settings: InstanceSettings) => Promise<RunningInstance>
 export type StartEmbedded = () => Promise<RunningInstance>
 
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -4,7 +4,7 @@
 import type { CommandFactory } from './commandBuilder.ts'
 import { CommandError, errorCode, EXIT_CODES, readNamedFile } from './commandContext.ts'
 import { loadStartEmbedded, loadStartInstance, loadStartOnPlatform } from './instanceLoader.ts'
-import type { RunningInstance } from './instanceLoader.ts'
+import type { RunningInstance } from '../instance/runningInstance.ts'
 
 interface ServeArguments {
   readonly settings?: string
--- a/src/index.ts
+++ b/src/index.ts
@@ -45,7 +45,8 @@
 
 // Ownership
 export { OwnershipManager } from './scheduler/ownership/ownershipManager.ts'
-export type { LossReason, MembershipView, OwnershipDependencies, OwnershipEvents } from './scheduler/ownership/ownershipManager.ts'
+export type { LossReason, OwnershipEvents } from './scheduler/ownership/ownershipEvents.ts'
+export type { MembershipView, OwnershipDependencies } from './scheduler/ownership/ownershipManager.ts'
 export { planAssignment } from './scheduler/ownership/planAssignment.ts'
 
 // Limits
--- a/src/instance/configurationParts.ts
+++ b/src/instance/configurationParts.ts
@@ -14,7 +14,7 @@
 import type { ListSnapshot } from '../ports/instanceList.ts'
 import { validateOperations } from '../settings/validate.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
-import type { SelfDescription } from './selfDescription.ts'
+import type { SelfDescription } from './reports/selfDescription.ts'
 import { TeamSettingsSource } from './teamSettingsSource.ts'
 
 export interface ConfigurationHooks {
--- a/src/instance/coordinationParts.ts
+++ b/src/instance/coordinationParts.ts
@@ -13,7 +13,7 @@
 import type { ConfigurationParts } from './configurationParts.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
 import type { SchedulingParts } from './schedulingParts.ts'
-import { TargetAdoption } from './targetAdoption.ts'
+import { TargetAdoption } from './tasks/targetAdoption.ts'
 
 export class CoordinationParts {
   readonly ownership: OwnershipManager
--- a/src/instance/entryInstance.ts
+++ b/src/instance/entryInstance.ts
@@ -11,11 +11,11 @@
 import { CoordinationParts } from './coordinationParts.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
 import { Housekeeping } from './housekeeping.ts'
-import { OperatorService } from './operatorService.ts'
-import { PeerService } from './peerService.ts'
+import { OperatorService } from './reports/operatorService.ts'
+import { PeerService } from './requests/peerService.ts'
 import { SchedulingParts } from './schedulingParts.ts'
-import { describeSelf } from './selfDescription.ts'
-import { describeStatus } from './statusReport.ts'
+import { describeSelf } from './reports/selfDescription.ts'
+import { describeStatus } from './reports/statusReport.ts'
 
 /** Time limit for one component's stop. */
 const COMPONENT_STOP_TIMEOUT_MS = 10_000
--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -9,10 +9,10 @@
 import type { ConfigurationParts } from './configurationParts.ts'
 import type { CoordinationParts } from './coordinationParts.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
-import { PeerRoom } from './peerRoom.ts'
-import type { PlacementRequest } from './placementQueue.ts'
+import { PeerRoom } from './placement/peerRoom.ts'
+import type { PlacementRequest } from './placement/placementQueue.ts'
 import type { SchedulingParts } from './schedulingParts.ts'
-import { UsageCollector } from './usageCollector.ts'
+import { UsageCollector } from './tasks/usageCollector.ts'
 
 /** Requests whose allotment arrived are started within this time. */
 const QUEUE_INTERVAL_MS = 20
--- a/src/instance/localScheduler.test.ts
+++ b/src/instance/placement/localScheduler.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import type { TargetFault } from '../adapters/target/targetFault.ts'
-import { RefusalError } from '../model/errors.ts'
-import type { Verdict } from '../model/verdict.ts'
-import { LEASE_MS, LocalBench } from './testing/localBench.ts'
+import type { TargetFault } from '../../adapters/target/targetFault.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { Verdict } from '../../model/verdict.ts'
+import { LEASE_MS, LocalBench } from '../testing/localBench.ts'
 
 const RUN = { payload: { runMs: 1_000 } }
 
--- a/src/instance/peerRoom.ts
+++ b/src/instance/placement/peerRoom.ts
@@ -1,8 +1,8 @@
 /** Free capacity of the other instances of the region, as their digests tell; each look takes what it finds. */
-import type { InstanceDigest } from '../model/digest.ts'
-import { fits, scaleResources, subtractResources } from '../model/resources.ts'
-import type { Resources } from '../model/resources.ts'
-import { countFitting } from '../scheduler/placement/targetState.ts'
+import type { InstanceDigest } from '../../model/digest.ts'
+import { fits, scaleResources, subtractResources } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+import { countFitting } from '../../scheduler/placement/targetState.ts'
 import type { PlacementRequest } from './placementQueue.ts'
 
 interface Room {
--- a/src/instance/placementQueue.test.ts
+++ b/src/instance/placement/placementQueue.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { resources } from '../model/resources.ts'
+import { resources } from '../../model/resources.ts'
 import type { PlacementRequest } from './placementQueue.ts'
-import { LocalBench } from './testing/localBench.ts'
+import { LocalBench } from '../testing/localBench.ts'
 
 function createRequest (taskId: string, change: Partial<PlacementRequest> = {}): PlacementRequest {
   return { team: 'cooks', requestId: taskId, kind: 'urgent', size: resources({ slots: 2 }), taskIds: [taskId], deadlineAt: 5_000, bytes: 10, repeatable: true, ...change }
--- a/src/instance/preemptor.ts
+++ b/src/instance/placement/preemptor.ts
@@ -1,14 +1,14 @@
 /** Checkpoints running work for urgent requests and for teams that are owed their share. */
-import type { Clock } from '../ports/clock.ts'
-import type { TargetPool } from '../scheduler/placement/targetPool.ts'
-import type { PreemptionCandidate, UrgentNeed } from '../scheduler/shares/preemption.ts'
-import type { ShareLedger } from '../scheduler/shares/shareLedger.ts'
-import { findWorkload } from '../workloads/registry.ts'
-import type { HeldTask } from './heldTasks.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { TargetPool } from '../../scheduler/placement/targetPool.ts'
+import type { PreemptionCandidate, UrgentNeed } from '../../scheduler/shares/preemption.ts'
+import type { ShareLedger } from '../../scheduler/shares/shareLedger.ts'
+import { findWorkload } from '../../workloads/registry.ts'
+import type { HeldTask } from '../tasks/heldTasks.ts'
 import type { PlacementQueue, PlacementRequest } from './placementQueue.ts'
-import type { TaskTracker } from './taskTracker.ts'
-import type { TeamSettingsSource } from './teamSettingsSource.ts'
-import { NO_RESOURCES } from '../model/resources.ts'
+import type { TaskTracker } from '../tasks/taskTracker.ts'
+import type { TeamSettingsSource } from '../teamSettingsSource.ts'
+import { NO_RESOURCES } from '../../model/resources.ts'
 
 export interface PreemptorDependencies {
   readonly clock: Clock
--- a/src/instance/waitEstimator.ts
+++ b/src/instance/placement/waitEstimator.ts
@@ -1,5 +1,5 @@
 /** Estimates how long a request of a kind waits here, from the latest waits. */
-import type { KindName } from '../model/request.ts'
+import type { KindName } from '../../model/request.ts'
 
 /** Weight of the newest wait in the moving average. */
 const NEWEST_WEIGHT = 0.2
--- a/src/instance/operatorService.ts
+++ b/src/instance/reports/operatorService.ts
@@ -1,18 +1,18 @@
 /** Answers operators: changes of the configuration, status, planned stop, metrics. */
-import type { ChangeLog, SubmitResult } from '../configuration/changeLog.ts'
-import { toSnapshot } from '../configuration/configurationState.ts'
-import { summarizeConfirmations } from '../configuration/confirmations.ts'
-import type { Confirmations } from '../configuration/confirmations.ts'
-import type { MembershipTable } from '../membership/membershipTable.ts'
-import type { ConfigurationSnapshot } from '../model/change.ts'
-import type { InstanceDigest, InstanceState } from '../model/digest.ts'
-import { isEmpty } from '../model/resources.ts'
-import type { Resources } from '../model/resources.ts'
+import type { ChangeLog, SubmitResult } from '../../configuration/changeLog.ts'
+import { toSnapshot } from '../../configuration/configurationState.ts'
+import { summarizeConfirmations } from '../../configuration/confirmations.ts'
+import type { Confirmations } from '../../configuration/confirmations.ts'
+import type { MembershipTable } from '../../membership/membershipTable.ts'
+import type { ConfigurationSnapshot } from '../../model/change.ts'
+import type { InstanceDigest, InstanceState } from '../../model/digest.ts'
+import { isEmpty } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
 import type {
   AllotmentAboveLimit, ChangeAnswer, ChangeSubmission, DataCentreConfirmation, DrainAnswer, HealthReport, MetricsReport, OperatorHandler, StatusReport
-} from '../observability/operatorApi.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
+} from '../../observability/operatorApi.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { AllotmentManager } from '../../scheduler/limits/allotmentManager.ts'
 
 /** Between looks at whether the other instances have a change. */
 const CONFIRMATION_INTERVAL_MS = 100
--- a/src/instance/schedulingReport.ts
+++ b/src/instance/reports/schedulingReport.ts
@@ -1,12 +1,12 @@
 /** Reports what becomes of requests to the metrics, the log, the retry budget and the wait estimates. */
-import type { RefusalError } from '../model/errors.ts'
-import type { AdmittedRequest } from '../model/request.ts'
-import type { RetryBudget } from '../scheduler/retries/retryBudget.ts'
-import type { InstanceOptions } from './instanceOptions.ts'
-import type { SchedulingObserver } from './localScheduler.ts'
-import type { LocalWork } from './localWork.ts'
-import type { RequestObserver } from './requestService.ts'
-import type { WaitEstimator } from './waitEstimator.ts'
+import type { RefusalError } from '../../model/errors.ts'
+import type { AdmittedRequest } from '../../model/request.ts'
+import type { RetryBudget } from '../../scheduler/retries/retryBudget.ts'
+import type { InstanceOptions } from '../instanceOptions.ts'
+import type { SchedulingObserver } from '../placement/localScheduler.ts'
+import type { LocalWork } from '../requests/localWork.ts'
+import type { RequestObserver } from '../requests/requestService.ts'
+import type { WaitEstimator } from '../placement/waitEstimator.ts'
 
 export class SchedulingReport implements SchedulingObserver, RequestObserver {
   readonly #options: InstanceOptions
--- a/src/instance/selfDescription.ts
+++ b/src/instance/reports/selfDescription.ts
@@ -1,10 +1,10 @@
 /** Describes this instance for the digests that peers exchange. */
-import type { InstanceDigest, InstanceState, TeamDigest } from '../model/digest.ts'
-import type { InstanceRef, Location } from '../model/identity.ts'
-import { isEmpty } from '../model/resources.ts'
-import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
-import type { TargetPool } from '../scheduler/placement/targetPool.ts'
-import type { PlacementQueue } from './placementQueue.ts'
+import type { InstanceDigest, InstanceState, TeamDigest } from '../../model/digest.ts'
+import type { InstanceRef, Location } from '../../model/identity.ts'
+import { isEmpty } from '../../model/resources.ts'
+import type { AllotmentManager } from '../../scheduler/limits/allotmentManager.ts'
+import type { TargetPool } from '../../scheduler/placement/targetPool.ts'
+import type { PlacementQueue } from '../placement/placementQueue.ts'
 
 export interface SelfDescriptionSource {
   readonly location: Location
--- a/src/instance/statusReport.ts
+++ b/src/instance/reports/statusReport.ts
@@ -1,14 +1,14 @@
 /** Tells operators what this instance knows. */
-import type { InstanceState } from '../model/digest.ts'
-import type { InstanceRef } from '../model/identity.ts'
-import { addResources, NO_RESOURCES } from '../model/resources.ts'
-import type { Resources } from '../model/resources.ts'
-import type { AllotmentAboveLimit, ContactStatus, StatusReport, TargetStatus, TeamStatus } from '../observability/operatorApi.ts'
-import type { TargetView } from '../scheduler/placement/targetPool.ts'
-import type { ConfigurationParts } from './configurationParts.ts'
-import type { CoordinationParts } from './coordinationParts.ts'
-import type { InstanceOptions } from './instanceOptions.ts'
-import type { SchedulingParts } from './schedulingParts.ts'
+import type { InstanceState } from '../../model/digest.ts'
+import type { InstanceRef } from '../../model/identity.ts'
+import { addResources, NO_RESOURCES } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+import type { AllotmentAboveLimit, ContactStatus, StatusReport, TargetStatus, TeamStatus } from '../../observability/operatorApi.ts'
+import type { TargetView } from '../../scheduler/placement/targetPool.ts'
+import type { ConfigurationParts } from '../configurationParts.ts'
+import type { CoordinationParts } from '../coordinationParts.ts'
+import type { InstanceOptions } from '../instanceOptions.ts'
+import type { SchedulingParts } from '../schedulingParts.ts'
 
 export interface StatusSource {
   readonly options: InstanceOptions
--- a/src/instance/dispatcher.ts
+++ b/src/instance/requests/dispatcher.ts
@@ -1,13 +1,13 @@
 /** Chooses an instance for each attempt at a request, forwards it or runs it here, and retries what may be retried. */
-import { RefusalError } from '../model/errors.ts'
-import type { AdmittedRequest, KindName } from '../model/request.ts'
-import { combineVerdicts } from '../model/verdict.ts'
-import type { Verdict } from '../model/verdict.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { PeerClient, RunEvent } from '../ports/peerClient.ts'
-import type { Route } from '../scheduler/routing/router.ts'
-import type { AttemptOutcome, RetryDecision, RetryQuestion } from '../scheduler/retries/retryPolicy.ts'
-import { findWorkload } from '../workloads/registry.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { AdmittedRequest, KindName } from '../../model/request.ts'
+import { combineVerdicts } from '../../model/verdict.ts'
+import type { Verdict } from '../../model/verdict.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { PeerClient, RunEvent } from '../../ports/peerClient.ts'
+import type { Route } from '../../scheduler/routing/router.ts'
+import type { AttemptOutcome, RetryDecision, RetryQuestion } from '../../scheduler/retries/retryPolicy.ts'
+import { findWorkload } from '../../workloads/registry.ts'
 import type { LocalWork } from './localWork.ts'
 
 export interface RouteQuery extends AdmittedRequest {
--- a/src/instance/flightTable.ts
+++ b/src/instance/requests/flightTable.ts
@@ -1,6 +1,6 @@
 /** The callers' requests that this instance is working on, by team and request identity. */
-import { RefusalError } from '../model/errors.ts'
-import type { RequestStatus } from '../ports/peerClient.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { RequestStatus } from '../../ports/peerClient.ts'
 
 export interface Flight {
   readonly team: string
--- a/src/instance/localWork.ts
+++ b/src/instance/requests/localWork.ts
@@ -1,6 +1,6 @@
 /** A request on its way through the scheduler of the instance that owns its targets. */
-import type { WorkRequest } from '../model/request.ts'
-import type { RunEvent } from '../ports/peerClient.ts'
+import type { WorkRequest } from '../../model/request.ts'
+import type { RunEvent } from '../../ports/peerClient.ts'
 
 export interface LocalWork {
   /** Unique for each attempt: `<flight>.<number>`, with another number for each instance that forwards. */
--- a/src/instance/peerService.ts
+++ b/src/instance/requests/peerService.ts
@@ -1,14 +1,14 @@
 /** Answers the other entry instances. */
-import type { ExchangeSender } from '../model/digest.ts'
-import type { InstanceRef } from '../model/identity.ts'
-import type { Resources } from '../model/resources.ts'
+import type { ExchangeSender } from '../../model/digest.ts'
+import type { InstanceRef } from '../../model/identity.ts'
+import type { Resources } from '../../model/resources.ts'
 import type {
   ClaimEntry, ClaimOutcome, ExchangeAnswer, FetchedChanges, ForwardedRequest, PeerHandler, RequestStatus, RunEvent
-} from '../ports/peerClient.ts'
-import type { ClaimLog } from '../scheduler/claims/claimLog.ts'
-import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
-import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
-import type { ConfigurationParts } from './configurationParts.ts'
+} from '../../ports/peerClient.ts'
+import type { ClaimLog } from '../../scheduler/claims/claimLog.ts'
+import type { AllotmentManager } from '../../scheduler/limits/allotmentManager.ts'
+import type { OwnershipManager } from '../../scheduler/ownership/ownershipManager.ts'
+import type { ConfigurationParts } from '../configurationParts.ts'
 import type { RequestService } from './requestService.ts'
 
 export interface PeerServiceDependencies {
--- a/src/instance/requestService.ts
+++ b/src/instance/requests/requestService.ts
@@ -1,11 +1,11 @@
 /** Takes requests from callers and from other instances and sees them through. */
 import { randomUUID } from 'node:crypto'
-import { RefusalError } from '../model/errors.ts'
-import type { AdmittedRequest } from '../model/request.ts'
-import type { CallerHandler } from '../ports/callerHandler.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { ForwardedRequest, PeerClient, RequestStatus, RunEvent } from '../ports/peerClient.ts'
-import type { Admission } from '../scheduler/admission/admission.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { AdmittedRequest } from '../../model/request.ts'
+import type { CallerHandler } from '../../ports/callerHandler.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { ForwardedRequest, PeerClient, RequestStatus, RunEvent } from '../../ports/peerClient.ts'
+import type { Admission } from '../../scheduler/admission/admission.ts'
 import type { DispatchContext, Dispatcher } from './dispatcher.ts'
 import type { Flight, FlightTable } from './flightTable.ts'
 
--- a/src/instance/heldTasks.ts
+++ b/src/instance/tasks/heldTasks.ts
@@ -1,6 +1,6 @@
 /** The tasks whose capacity and allotment an instance holds, found by task, by target and by request. */
-import type { KindName } from '../model/request.ts'
-import type { Resources } from '../model/resources.ts'
+import type { KindName } from '../../model/request.ts'
+import type { Resources } from '../../model/resources.ts'
 
 /** A task whose capacity and allotment are held. */
 export interface HeldTask {
--- a/src/instance/serviceSupervisor.ts
+++ b/src/instance/tasks/serviceSupervisor.ts
@@ -1,11 +1,11 @@
 /** Starts services again whose task ended without being stopped, for example because its worker failed. */
 import { randomUUID } from 'node:crypto'
-import type { Clock } from '../ports/clock.ts'
-import type { Random } from '../ports/random.ts'
-import type { RunEvent } from '../ports/peerClient.ts'
-import { computeBackoff } from '../scheduler/retries/backoff.ts'
-import type { DispatchContext } from './dispatcher.ts'
-import type { LocalWork } from './localWork.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { Random } from '../../ports/random.ts'
+import type { RunEvent } from '../../ports/peerClient.ts'
+import { computeBackoff } from '../../scheduler/retries/backoff.ts'
+import type { DispatchContext } from '../requests/dispatcher.ts'
+import type { LocalWork } from '../requests/localWork.ts'
 import type { TaskEnd } from './taskTracker.ts'
 
 /** A restart that is not placed by then is tried again. */
--- a/src/instance/targetAdoption.ts
+++ b/src/instance/tasks/targetAdoption.ts
@@ -1,11 +1,11 @@
 /** Reacts to changes of ownership: adopts the tasks on acquired targets and lets go of those on lost ones. */
-import type { InstanceRef } from '../model/identity.ts'
-import type { TargetInfo, TaskReport } from '../model/target.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { AllotmentManager } from '../scheduler/limits/allotmentManager.ts'
-import type { LossReason, OwnershipEvents } from '../scheduler/ownership/ownershipManager.ts'
-import type { TargetPool } from '../scheduler/placement/targetPool.ts'
-import type { PlacementQueue } from './placementQueue.ts'
+import type { InstanceRef } from '../../model/identity.ts'
+import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { AllotmentManager } from '../../scheduler/limits/allotmentManager.ts'
+import type { LossReason, OwnershipEvents } from '../../scheduler/ownership/ownershipEvents.ts'
+import type { TargetPool } from '../../scheduler/placement/targetPool.ts'
+import type { PlacementQueue } from '../placement/placementQueue.ts'
 import type { TaskTracker } from './taskTracker.ts'
 
 export interface TargetAdoptionDependencies {
--- a/src/instance/targetUse.ts
+++ b/src/instance/tasks/targetUse.ts
@@ -1,11 +1,11 @@
 /** Decides which owned targets take new work: fenced, not leaving, not drained by an operator, and not set aside. */
-import type { ConfigurationState } from '../configuration/configurationState.ts'
-import { isDraining } from '../configuration/configurationState.ts'
-import type { TargetInfo } from '../model/target.ts'
-import type { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
-import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
-import type { TargetPool } from '../scheduler/placement/targetPool.ts'
-import type { ProbeGate } from './placementQueue.ts'
+import type { ConfigurationState } from '../../configuration/configurationState.ts'
+import { isDraining } from '../../configuration/configurationState.ts'
+import type { TargetInfo } from '../../model/target.ts'
+import type { TargetBreaker } from '../../scheduler/breaker/targetBreaker.ts'
+import type { OwnershipManager } from '../../scheduler/ownership/ownershipManager.ts'
+import type { TargetPool } from '../../scheduler/placement/targetPool.ts'
+import type { ProbeGate } from '../placement/placementQueue.ts'
 
 export interface TargetUseDependencies {
   readonly pool: TargetPool
--- a/src/instance/taskStarter.ts
+++ b/src/instance/tasks/taskStarter.ts
@@ -1,13 +1,13 @@
 /** Sends one placed task to its target and turns what is known of it into a verdict. */
-import { RefusalError } from '../model/errors.ts'
-import type { Resources } from '../model/resources.ts'
-import type { TargetInfo } from '../model/target.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { StartResult, TargetClient, TargetRefusal, TaskAnswer } from '../ports/targetClient.ts'
-import type { TargetBreaker } from '../scheduler/breaker/targetBreaker.ts'
-import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
-import type { OwnershipManager } from '../scheduler/ownership/ownershipManager.ts'
-import type { LocalWork } from './localWork.ts'
+import { RefusalError } from '../../model/errors.ts'
+import type { Resources } from '../../model/resources.ts'
+import type { TargetInfo } from '../../model/target.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { StartResult, TargetClient, TargetRefusal, TaskAnswer } from '../../ports/targetClient.ts'
+import type { TargetBreaker } from '../../scheduler/breaker/targetBreaker.ts'
+import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../../scheduler/ownership/ownershipTiming.ts'
+import type { OwnershipManager } from '../../scheduler/ownership/ownershipManager.ts'
+import type { LocalWork } from '../requests/localWork.ts'
 import type { TaskEnd, TaskTracker } from './taskTracker.ts'
 
 export interface TaskStarterDependencies {
--- a/src/instance/taskTracker.test.ts
+++ b/src/instance/tasks/taskTracker.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { LEASE_MS, LocalBench } from './testing/localBench.ts'
+import { LEASE_MS, LocalBench } from '../testing/localBench.ts'
 
 async function startService (bench: LocalBench): Promise<void> {
   await bench.finish(bench.run({ kind: 'service', payload: { runMs: 600_000 } }))
--- a/src/instance/taskTracker.ts
+++ b/src/instance/tasks/taskTracker.ts
@@ -2,11 +2,11 @@
  * Keeps the leases of the tasks on owned targets and settles those whose fate is unknown.
  * Capacity and allotment of a task are released only when the task has certainly ended.
  */
-import { RefusalError, TargetUnknownError, TargetUnreachableError } from '../model/errors.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { TargetClient } from '../ports/targetClient.ts'
-import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../scheduler/ownership/ownershipTiming.ts'
-import type { TargetInfo, TaskReport, TaskState } from '../model/target.ts'
+import { RefusalError, TargetUnknownError, TargetUnreachableError } from '../../model/errors.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { TargetClient } from '../../ports/targetClient.ts'
+import { CLOCK_SKEW_MS, START_BY_WINDOW_MS } from '../../scheduler/ownership/ownershipTiming.ts'
+import type { TargetInfo, TaskReport, TaskState } from '../../model/target.ts'
 
 /** Renewals are sent each time this part of the lease has passed. */
 const RENEWALS_PER_LEASE = 3
--- a/src/instance/usageCollector.ts
+++ b/src/instance/tasks/usageCollector.ts
@@ -1,10 +1,10 @@
 /** Learns sizes from the usage that workers report, and restrains tasks that use more than was reserved for them. */
-import type { TargetInfo, TaskReport } from '../model/target.ts'
-import { fits, scaleResources } from '../model/resources.ts'
-import type { TargetClient } from '../ports/targetClient.ts'
-import type { UsageEstimator } from '../scheduler/usage/usageEstimator.ts'
+import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import { fits, scaleResources } from '../../model/resources.ts'
+import type { TargetClient } from '../../ports/targetClient.ts'
+import type { UsageEstimator } from '../../scheduler/usage/usageEstimator.ts'
 import type { HeldTask } from './heldTasks.ts'
-import type { PlacementQueue } from './placementQueue.ts'
+import type { PlacementQueue } from '../placement/placementQueue.ts'
 
 /** Usage above the reservation by this factor is restrained; below it, measurement noise would throttle tasks. */
 const OVERUSE_FACTOR = 1.1
--- a/src/instance/testing/localBench.ts
+++ b/src/instance/testing/localBench.ts
@@ -12,12 +12,12 @@
 import { TargetPool } from '../../scheduler/placement/targetPool.ts'
 import { FairQueue } from '../../scheduler/queue/fairQueue.ts'
 import { ShareLedger } from '../../scheduler/shares/shareLedger.ts'
-import { LocalScheduler } from '../localScheduler.ts'
-import type { LocalWork } from '../localWork.ts'
-import { PlacementQueue } from '../placementQueue.ts'
-import type { WaitingRequest } from '../placementQueue.ts'
-import { TaskStarter } from '../taskStarter.ts'
-import { TaskTracker } from '../taskTracker.ts'
+import { LocalScheduler } from '../placement/localScheduler.ts'
+import type { LocalWork } from '../requests/localWork.ts'
+import { PlacementQueue } from '../placement/placementQueue.ts'
+import type { WaitingRequest } from '../placement/placementQueue.ts'
+import { TaskStarter } from '../tasks/taskStarter.ts'
+import { TaskTracker } from '../tasks/taskTracker.ts'
 
 export const LEASE_MS = 15_000
 const SLOTS = 2
--- a/src/scheduler/ownership/ownedTargets.ts
+++ b/src/scheduler/ownership/ownedTargets.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../../ports/clock.ts'
 import type { TargetClient } from '../../ports/targetClient.ts'
 import type { OwnershipChange } from './ownershipChanges.ts'
-import type { LossReason, OwnershipEvents } from './ownershipManager.ts'
+import type { LossReason, OwnershipEvents } from './ownershipEvents.ts'
 import type { OwnershipRecord, TargetOwnership } from './ownershipRecord.ts'
 import { TargetAcquisition } from './targetAcquisition.ts'
 
--- a/src/scheduler/ownership/ownershipManager.ts
+++ b/src/scheduler/ownership/ownershipManager.ts
@@ -1,13 +1,14 @@
 /** Takes, fences, adopts, hands over and releases the targets of one instance. */
 import { incarnationKey } from '../../model/identity.ts'
 import type { IncarnationKey, InstanceRef } from '../../model/identity.ts'
-import type { TargetInfo, TaskReport } from '../../model/target.ts'
+import type { TargetInfo } from '../../model/target.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { Random } from '../../ports/random.ts'
 import type { Store } from '../../ports/store.ts'
 import type { TargetClient } from '../../ports/targetClient.ts'
 import { applyChanges } from './ownershipChanges.ts'
+import type { OwnershipEvents } from './ownershipEvents.ts'
 import { OwnershipPlanner } from './ownershipPlanner.ts'
 import type { DrainPhase, MembershipView } from './ownershipPlanner.ts'
 import { addMember, ownershipKey, removeMembers } from './ownershipRecord.ts'
@@ -19,25 +20,6 @@
 
 export type { MembershipView } from './ownershipPlanner.ts'
 
-export type LossReason = 'fenced' | 'taken' | 'handed-over' | 'removed' | 'delisted'
-
-export interface OwnershipEvents {
-  /** Adopts the tasks and covers them by allotments; the remaining capacity may be used only after it resolves. */
-  onAcquired (target: TargetInfo, epoch: number, tasks: readonly TaskReport[], previousOwner: InstanceRef | undefined,
-    /** Aborts when the target is lost meanwhile: nothing more may be adopted then. */
-    signal: AbortSignal): Promise<void>
-  /** The target may not be used any more. Charges of its tasks stay, see `onSucceeded`. */
-  onLost (targetId: string, reason: LossReason): void
-  /** No start may be under way to a target without fencing when this resolves. */
-  onHandingOver? (target: TargetInfo): Promise<void>
-  /** Whether tasks on the target are charged here; a target without them needs no successor. True if left out. */
-  holdsTasks? (targetId: string): boolean
-  /** A successor covers the tasks of a target that this instance handed over: their charges are to be surrendered. */
-  onSucceeded? (targetId: string): void
-  /** The instance has a new incarnation that owns nothing; every allotment of the old one is void. */
-  onRemovedFromMembers (self: InstanceRef): void
-}
-
 export interface OwnershipDependencies {
   readonly store: Store
   readonly targetClient: Pick<TargetClient, 'fence'>
