--- a/test/processes/faults.test.ts
+++ b/test/processes/faults.test.ts
@@ -25,6 +25,8 @@
 const LIMIT_SLOTS = 50
 /** Within this time a load balancer sends nothing more to an instance that refuses as draining. */
 const BALANCER_MS = 200
+/** Lines that explain why a process ended. */
+const LAST_LINES = 12
 /** Several exchanges and moves of allotments. */
 const FILL_LIMIT_MS = 20_000
 
@@ -54,6 +56,8 @@
 /** Every instance hears each other one as serving, which the load balancer and the freshness rule wait for. */
 async function awaitAllInContact (): Promise<void> {
   await waitUntil('every instance hears the others', async () => {
+    const ended = cluster.instances.find(({ process }) => process.hasEnded)
+    if (ended !== undefined) throw new Error(`${ended.name} has ended by itself: ${ended.process.lines.slice(-LAST_LINES).join('\n')}`)
     const missing = (await Promise.all(cluster.instances.map(async instance => describeMissingContact(await cluster.readStatus(instance))))).flat()
     if (missing.length > 0) throw new Error(missing.join('; '))
     return true
