Let only the coordinator read the desired state

Cause: every instance watched the desired state in the store and was sent the whole text again with the answer to a report while it lacked the version. Ruled out: the job log, which only the coordinator reads.

Change: the watcher belongs to the coordinator's term (follow, pause). A new coordinator handles no call before the store has confirmed the state in its own term. The other instances learn the version and the limit of bodies from the answers to their reports and need nothing else to take calls, so they are ready as soon as a coordinator is known. Whether an instance reaches the store is now told from its watch of the election. The known instances are sent only when their set has changed. The executable carries V8's code cache.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -25,7 +25,8 @@
   banner: { js: "const __importMetaUrl = require('node:url').pathToFileURL(process.execPath).href;" },
   logLevel: 'warning'
 })
-writeFileSync(SEA_CONFIGURATION, JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }))
+// The code cache saves the compilation at each start.
+writeFileSync(SEA_CONFIGURATION, JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true, useCodeCache: true }))
 execFileSync(process.execPath, ['--experimental-sea-config', SEA_CONFIGURATION], { stdio: ['ignore', 'ignore', 'inherit'] })
 copyFileSync(process.execPath, OUTPUT)
 await inject(OUTPUT, 'NODE_SEA_BLOB', readFileSync(BLOB), { sentinelFuse: FUSE })
--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -32,8 +32,9 @@
 const answersSchema = z.object({ answers: z.array(answerSchema) })
 const reportAnswerSchema: z.ZodType<ReportAnswer> = z.object({
   coordinator: z.object({ instance: z.string(), address: z.string(), fence: z.number(), lease: z.number() }).optional(),
-  desiredState: z.object({ version: z.number(), text: z.string() }).optional(),
-  peers: z.array(z.string()),
+  desiredState: z.object({ version: z.number(), maximumBodyBytes: z.number() }),
+  peers: z.array(z.string()).optional(),
+  peersDigest: z.string(),
   largestProcessors: z.number()
 })
 const releaseAnswerSchema = z.object({ released: z.boolean() })
--- a/src/adapters/peer/coordinatorPeerServer.ts
+++ b/src/adapters/peer/coordinatorPeerServer.ts
@@ -16,7 +16,7 @@
 })
 const callsSchema = z.object({ fence: z.number(), calls: z.array(callSchema) })
 const reportSchema = z.object({
-  instance: z.string(), address: z.string(), region: z.string(), desiredStateVersion: z.number(), processors: z.number(), reachesStore: z.boolean()
+  instance: z.string(), address: z.string(), region: z.string(), peersDigest: z.string(), processors: z.number(), reachesStore: z.boolean()
 })
 const releaseSchema = z.object({ lease: z.number() })
 const questionSchema = z.object({ step: z.string(), targets: z.array(z.string()), expectedMs: z.number() })
--- a/src/coordinator/desiredStateWatcher.ts
+++ b/src/coordinator/desiredStateWatcher.ts
@@ -1,6 +1,7 @@
-/** Tracks the newest desired state; its version never decreases during the lifetime of the process. */
-import type { DesiredState, VersionedText } from '../jobs/desiredState.ts'
-import type { Component } from '../lifecycle/component.ts'
+/** Follows the newest desired state while this instance coordinates; its version never decreases during the lifetime of the process. */
+import type { DesiredState } from '../jobs/desiredState.ts'
+import { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
+import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
@@ -19,41 +20,65 @@
 
 const EMPTY_STATE: DesiredState = { version: 0, queues: [], services: [], teams: [], maximumBodyBytes: 0 }
 
-export class DesiredStateWatcher implements Component {
-  readonly name = 'desired state'
+/** The time between `follow` and `pause`. */
+interface Following {
+  readonly stopping: AbortController
+  /** Resolves when the store has confirmed the state, or when following ends. */
+  readonly confirmed: Promise<void>
+  readonly resolveConfirmed: () => void
+}
+
+/**
+ * Only the coordinator decides on the desired state, so only the coordinator reads it: read by every instance, a large
+ * state would fill the link between two regions with copies at each change and at each start of the cluster.
+ *
+ * @example
+ * watcher.follow()
+ * await watcher.confirmed
+ * const queue = watcher.index.findQueue('orders.example', '/stock/5c0e')
+ */
+export class DesiredStateWatcher {
   readonly #options: DesiredStateWatcherOptions
-  readonly #stopping = new AbortController()
   #state: DesiredState = EMPTY_STATE
-  #text = ''
+  #index = new DesiredStateIndex(EMPTY_STATE)
   #confirmedAtMs = -Infinity
   #failing = false
+  #following: Following | undefined
   #refreshing: Promise<void> | undefined
-  #running: Promise<void> = Promise.resolve()
 
   constructor (options: DesiredStateWatcherOptions) {
     this.#options = options
   }
 
-  async start (): Promise<void> {
-    this.#running = this.#run()
+  /** Starts to read and to watch the store. */
+  follow (): void {
+    this.pause()
+    let resolveConfirmed: () => void = () => {}
+    const confirmed = new Promise<void>(resolve => { resolveConfirmed = resolve })
+    const following: Following = { stopping: new AbortController(), confirmed, resolveConfirmed }
+    this.#following = following
+    runInBackground(this.#run(following), this.#options.logger, 'watch of the desired state')
   }
 
-  async stop (): Promise<void> {
-    this.#stopping.abort()
-    await this.#running
+  /** Stops watching; the state stays as it is. */
+  pause (): void {
+    this.#following?.stopping.abort()
+    this.#following?.resolveConfirmed()
+    this.#following = undefined
   }
 
-  /** Whether a desired state has been read or received. */
-  get isLoaded (): boolean {
-    return this.#state.version > 0
+  /** Resolves when the store has confirmed the state since the last `follow`; at once while the watcher is paused. */
+  get confirmed (): Promise<void> {
+    return this.#following?.confirmed ?? Promise.resolve()
   }
 
   get state (): DesiredState {
     return this.#state
   }
 
-  get text (): VersionedText {
-    return { version: this.#state.version, text: this.#text }
+  /** Lookups in the current state. */
+  get index (): DesiredStateIndex {
+    return this.#index
   }
 
   /** Milliseconds since the store last confirmed that the state is the newest. */
@@ -61,11 +86,6 @@
     return this.#options.clock.monotonicMs() - this.#confirmedAtMs
   }
 
-  /** Applies the state that a peer has read if it is newer. */
-  adoptNewer ({ version, text }: VersionedText, source: string): void {
-    if (version > this.#state.version) this.#apply(text, source)
-  }
-
   /** Reads the store unless the state was confirmed within the given time; keeps the state if the read fails. */
   async refresh (maximumAgeMs: number): Promise<void> {
     if (this.ageMs <= maximumAgeMs) return
@@ -75,12 +95,13 @@
     await this.#refreshing
   }
 
-  async #run (): Promise<void> {
+  async #run ({ stopping: { signal }, resolveConfirmed }: Following): Promise<void> {
     const { clock, logger } = this.#options
-    const { signal } = this.#stopping
     while (!signal.aborted) {
       try {
-        await this.#watch(await this.#read())
+        const revision = await this.#read()
+        resolveConfirmed()
+        await this.#watch(revision, signal)
       } catch (error) {
         if (signal.aborted) return
         if (!this.#failing) logger.warn({ error: String(error), version: this.#state.version }, 'the desired state can not be read')
@@ -95,19 +116,19 @@
     const { item, revision } = await this.#options.store.get(this.#options.key)
     this.#markConfirmed()
     if (item === undefined) return 0
-    this.#apply(item.value, 'store')
+    this.#apply(item.value)
     return revision
   }
 
-  async #watch (revision: number): Promise<void> {
+  async #watch (revision: number, signal: AbortSignal): Promise<void> {
     const { store, key, clock } = this.#options
-    if (revision === 0) return await clock.sleep(RETRY_DELAY_MS, this.#stopping.signal).catch(() => {})
+    if (revision === 0) return await clock.sleep(RETRY_DELAY_MS, signal).catch(() => {})
     let after = revision
-    while (!this.#stopping.signal.aborted) {
-      const result = await store.watch(key, after, WATCH_TIMEOUT_MS, this.#stopping.signal)
-      if (result.outcome === 'history-lost') return await clock.sleep(RETRY_DELAY_MS, this.#stopping.signal).catch(() => {})
+    while (!signal.aborted) {
+      const result = await store.watch(key, after, WATCH_TIMEOUT_MS, signal)
+      if (result.outcome === 'history-lost') return await clock.sleep(RETRY_DELAY_MS, signal).catch(() => {})
       for (const change of result.changes) {
-        if (change.type === 'written' && change.item.key === key) this.#apply(change.item.value, 'store')
+        if (change.type === 'written' && change.item.key === key) this.#apply(change.item.value)
       }
       after = result.revision
       this.#markConfirmed()
@@ -120,16 +141,16 @@
     this.#failing = false
   }
 
-  #apply (text: string, source: string): void {
+  #apply (text: string): void {
     const { logger, parse } = this.#options
     try {
       const state = parse(text)
       if (state.version <= this.#state.version) return
       this.#state = state
-      this.#text = text
-      logger.info({ version: state.version, source, queues: state.queues.length, teams: state.teams.length }, 'desired state in force')
+      this.#index = new DesiredStateIndex(state)
+      logger.info({ version: state.version, bytes: text.length, queues: state.queues.length, teams: state.teams.length }, 'desired state in force')
     } catch (error) {
-      logger.error({ error: String(error), source, version: this.#state.version }, 'invalid desired state ignored; the previous version stays in force')
+      logger.error({ error: String(error), version: this.#state.version }, 'invalid desired state ignored; the previous version stays in force')
     }
   }
 }
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -22,7 +22,8 @@
 const SUSPENSION_THRESHOLD_MS = 400
 /** Consecutive failed renewals after which other instances are asked to end the election lease. */
 const FAILED_RENEWALS_BEFORE_HANDOVER = 2
-const WATCH_TIMEOUT_MS = 5_000
+/** A watch that times out confirms that the store is reachable. */
+const WATCH_TIMEOUT_MS = 1_500
 const RETRY_DELAY_MS = 150
 /** Candidates wait this many times the store's response time, so that one close to the store wins. */
 const CANDIDATE_DELAY_FACTOR = 4
@@ -80,6 +81,7 @@
   /** Wall clock minus monotonic clock when the last successful renewal was sent. */
   #clockGapMs = 0
   #failedRenewals = 0
+  #storeAnsweredAtMs = -Infinity
   /** Fencing token of the last election that this instance ended for an unreachable coordinator. */
   #endedFence = 0
   #withdrawn = false
@@ -117,6 +119,11 @@
     return this.#failedRenewals > 0
   }
 
+  /** Milliseconds since the store last answered. */
+  get storeAnswerAgeMs (): number {
+    return this.#options.clock.monotonicMs() - this.#storeAnsweredAtMs
+  }
+
   /** Whether the store still holds this instance's election; false if that cannot be determined. */
   async confirm (): Promise<boolean> {
     const held = this.#ownElection
@@ -183,6 +190,7 @@
     const { store, clock } = this.#options
     const askedMs = clock.monotonicMs()
     const { item, revision } = await store.get(COORDINATOR_KEY)
+    this.#markStoreAnswer()
     const answerMs = clock.monotonicMs() - askedMs
     if (item !== undefined) {
       const info = this.#readItem(item)
@@ -202,6 +210,7 @@
     let after = revision
     while (!this.#stopping.signal.aborted) {
       const result = await store.watch(COORDINATOR_KEY, after, WATCH_TIMEOUT_MS, this.#stopping.signal)
+      this.#markStoreAnswer()
       if (result.outcome === 'history-lost') return await this.#sleep(RETRY_DELAY_MS)
       if (result.changes.length > 0) return
       after = result.revision
@@ -256,6 +265,7 @@
 
   #handleRenewal (lease: number, renewed: boolean, sent: ClockReading): void {
     if (this.#ownElection?.lease !== lease) return
+    this.#markStoreAnswer()
     if (!renewed) return this.#endTerm('the lease has ended')
     if (this.#failedRenewals > 0) this.#options.logger.info({ failed: this.#failedRenewals }, 'election lease renewals succeed again')
     this.#failedRenewals = 0
@@ -268,6 +278,10 @@
     return await this.#renewOnce(lease) !== undefined && this.#ownElection?.lease === lease
   }
 
+  #markStoreAnswer (): void {
+    this.#storeAnsweredAtMs = this.#options.clock.monotonicMs()
+  }
+
   #readClocks (): ClockReading {
     const { clock } = this.#options
     return { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -1,5 +1,5 @@
 /** Runs the cluster's jobs during one term of leadership: recovers them, places their tasks and records their outcomes. */
-import type { DesiredState, QueueSettings } from '../jobs/desiredState.ts'
+import type { QueueSettings } from '../jobs/desiredState.ts'
 import { parseTaskName } from '../jobs/job.ts'
 import type { JobProgress } from '../jobs/jobProgress.ts'
 import type { LogRecord, RunEndRecord } from '../jobs/jobRecords.ts'
@@ -16,6 +16,7 @@
 import { COORDINATOR_KEY } from './election.ts'
 import type { CoordinatorInfo } from './election.ts'
 import { AdmissionControl } from './admissionControl.ts'
+import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { RecordLog } from './recordLog.ts'
@@ -44,7 +45,8 @@
   readonly info: CoordinatorInfo
   readonly connect: JobTargetConnector
   readonly directory: TargetDirectory
-  readonly desiredState: () => DesiredState
+  /** Follows the desired state during the term. */
+  readonly desired: DesiredStateWatcher
   readonly lanes: AdviceLanes
   readonly hasAuthority: () => boolean
   /** Whether the last renewal of the election lease failed. */
@@ -73,7 +75,7 @@
   #closed = false
 
   constructor (options: CoordinatorOptions) {
-    const { clock, logger, connect, directory, info, targetLeaseMs, hasAuthority, lanes, desiredState } = options
+    const { clock, logger, connect, directory, info, targetLeaseMs, hasAuthority, lanes, desired } = options
     this.#options = options
     this.#clock = clock
     this.#logger = logger
@@ -83,7 +85,7 @@
     })
     this.#admission = new AdmissionControl(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -117,9 +119,12 @@
     return await this.#options.confirmLeadership()
   }
 
-  /** Recovers the state of earlier coordinators, then places tasks until the term ends. */
+  /**
+   * Recovers the state of earlier coordinators, then places tasks until the term ends. No call is handled on a desired
+   * state older than the term, since an earlier coordinator may have applied a newer one.
+   */
   async open (): Promise<void> {
-    const read = await this.#readLog()
+    const [read] = await Promise.all([this.#readLog(), this.#options.desired.confirmed])
     if (this.#closed) return
     this.#log = new RecordLog({
       store: this.#options.store,
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -1,13 +1,12 @@
 /** Handles callers' requests at the coordinator: submits, reads and cancels jobs. */
 import { unavailable } from '../entry/callerCall.ts'
 import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
-import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
-import { findQueue, findTeam } from '../jobs/desiredState.ts'
 import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
 import type { JobDefinition } from '../jobs/job.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import { RateBudget } from '../scheduler/rateBudget.ts'
+import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import type { JobCoordinator } from './jobCoordinator.ts'
 import { RecordsWithdrawnError } from './recordLog.ts'
 
@@ -49,7 +48,7 @@
     this.#clock = clock
     this.#logger = logger
     this.#shares = new RateBudget(clock, team => {
-      const weight = desired.state.teams.find(candidate => candidate.name === team)?.weight ?? 0
+      const weight = desired.index.team(team)?.weight ?? 0
       return { perSecond: weight, burst: Math.max(1, weight * SHARE_BURST_SECONDS) }
     })
   }
@@ -57,6 +56,7 @@
   async handle (call: CallerCall): Promise<CallerAnswer> {
     if (!this.#coordinator.ready) return unavailable('the coordinator recovers its jobs')
     if (call.desiredStateVersion > this.#desired.state.version) await this.#desired.refresh(0)
+    if (this.#desired.state.version === 0) return unavailable('no desired state is known yet')
     let resolved = this.#resolve(call)
     if ('outcome' in resolved) {
       await this.#desired.refresh(MAX_STATE_AGE_FOR_REFUSAL_MS)
@@ -82,10 +82,10 @@
   }
 
   #resolve ({ host, path, key }: CallerCall): ResolvedCall | Refusal {
-    const { state } = this.#desired
-    const queue = findQueue(state, host, path)
+    const { index } = this.#desired
+    const queue = index.findQueue(host, path)
     if (queue === undefined) return { outcome: 'no-queue' }
-    const teamSettings = findTeam(state, key)
+    const teamSettings = index.findTeam(key)
     if (teamSettings === undefined && !queue.anonymous) return { outcome: 'unauthenticated' }
     return { queue, team: teamSettings?.name ?? '', teamSettings, id: path.slice(queue.pathPrefix.length) }
   }
--- a/src/coordinator/placementPass.test.ts
+++ b/src/coordinator/placementPass.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava'
 import fc from 'fast-check'
-import type { DesiredState } from '../jobs/desiredState.ts'
+import { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import { resources } from '../model/resources.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { TargetSession } from './targetSession.ts'
 
-const STATE: DesiredState = { version: 1, queues: [], services: ['renders'], teams: [], maximumBodyBytes: 0 }
+const SETTINGS = new DesiredStateIndex({ version: 1, queues: [], services: ['renders'], teams: [], maximumBodyBytes: 0 })
 const SEED = 11
 
 function session (free: { processors: number, memory: number, accelerators: number }): TargetSession {
@@ -17,7 +17,7 @@
 test('caching sizes that did not fit does not change the number of tasks that fit', t => {
   fc.assert(fc.property(fc.array(size, { maxLength: 6 }), fc.array(size, { minLength: 1, maxLength: 20 }), (freeResources, wanted) => {
     const sessions = freeResources.map(free => session({ ...free }))
-    const pass = new PlacementPass(STATE, sessions)
+    const pass = new PlacementPass(SETTINGS, sessions)
     for (const task of wanted) {
       const expected = sessions.reduce((sum, { free }) => sum + Math.min(Math.floor(free.processors / task.processors), Math.floor(free.memory / task.memory)), 0)
       if (pass.tasksThatFit('renders', task, 1_000) !== expected) return false
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -1,28 +1,26 @@
 /** Lookups of targets, queues and teams for one pass over the waiting steps. */
-import type { DesiredState, QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
+import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import type { Resources } from '../model/resources.ts'
 import type { TargetSession } from './targetSession.ts'
 
 /**
- * Indexes queues, teams and sessions once per pass; free capacity is read from the sessions, since each placement
- * changes it.
+ * Indexes the sessions once per pass; free capacity is read from the sessions, since each placement changes it.
  *
  * @example
- * const pass = new PlacementPass(state, sessions)
+ * const pass = new PlacementPass(watcher.index, sessions)
  * if (pass.tasksThatFit(queue.service, size, 8) === 8) place()
  */
 export class PlacementPass {
-  readonly #queues: ReadonlyMap<string, QueueSettings>
-  readonly #teams: ReadonlyMap<string, TeamSettings>
+  readonly #settings: DesiredStateIndex
   readonly #sessions = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
   readonly #freeProcessors = new Map<string, number>()
   /** Minimal task sizes that no longer fit on any target, by service. */
   readonly #unplaceableSizes = new Map<string, Resources[]>()
 
-  constructor (state: DesiredState, usable: readonly TargetSession[]) {
-    this.#queues = new Map(state.queues.map(queue => [queue.name, queue]))
-    this.#teams = new Map(state.teams.map(team => [team.name, team]))
+  constructor (settings: DesiredStateIndex, usable: readonly TargetSession[]) {
+    this.#settings = settings
     for (const session of usable) {
       const { service, capacity } = session.description
       const sessions = this.#sessions.get(service) ?? []
@@ -35,11 +33,11 @@
 
   /** The settings in force, or those at the job's acceptance if the queue is gone. */
   queue (accepted: QueueSettings): QueueSettings {
-    return this.#queues.get(accepted.name) ?? accepted
+    return this.#settings.queue(accepted.name) ?? accepted
   }
 
   team (name: string): TeamSettings | undefined {
-    return this.#teams.get(name)
+    return this.#settings.team(name)
   }
 
   sessions (service: string): readonly TargetSession[] {
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -1,5 +1,6 @@
 /** Places waiting tasks on targets: decides their order, their targets and the tickets they start with. */
-import type { DesiredState, QueueSettings } from '../jobs/desiredState.ts'
+import type { QueueSettings } from '../jobs/desiredState.ts'
+import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import type { LogRecord, PlacedRun } from '../jobs/jobRecords.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
@@ -34,7 +35,7 @@
   /** Updated with the waiting jobs after each full pass. */
   readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
-  readonly desiredState: () => DesiredState
+  readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
   /** Stores records; rejects when the term has ended. */
   readonly append: (records: readonly LogRecord[]) => Promise<void>
--- /dev/null
+++ b/src/entry/jobInstance.test.ts
@@ -0,0 +1,177 @@
+import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
+import { MemoryTransactionalStore } from '../coordinator/testing/memoryTransactionalStore.ts'
+import type { DesiredState, TeamSettings } from '../jobs/desiredState.ts'
+import { TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import { resources } from '../model/resources.ts'
+import { createLogger } from '../observability/logger.ts'
+import type { CoordinatorPeer } from '../ports/coordinatorPeer.ts'
+import type { TransactionalStore, WatchResult } from '../ports/transactionalStore.ts'
+import { JobInstance } from './jobInstance.ts'
+
+const KEY = 'operators/desired-state'
+const WATCH_POLL_MS = 20
+const FAR_INSTANCES = 51
+const TEAM: TeamSettings = { name: 'weavers', keys: ['k'], weight: 1, cap: resources({}) }
+
+/** A store whose watches wait for changes; counts the bytes that leave the store's region. */
+class RegionalStore extends MemoryTransactionalStore {
+  readonly #clock: ManualClock
+  /** Bytes of values read from each region. */
+  readonly bytesRead = new Map<string, number>()
+  /** Delay of reads of the desired state. */
+  readDelayMs = 0
+
+  constructor (clock: ManualClock) {
+    super()
+    this.#clock = clock
+  }
+
+  /** The store as instances of the region see it. */
+  seenFrom (region: string): TransactionalStore {
+    const count = (values: readonly (string | undefined)[]): void => {
+      const bytes = values.reduce((sum, value) => sum + (value?.length ?? 0), 0)
+      this.bytesRead.set(region, (this.bytesRead.get(region) ?? 0) + bytes)
+    }
+    return {
+      get: async key => {
+        if (key === KEY) await this.#clock.sleep(this.readDelayMs)
+        const read = await this.get(key)
+        count([read.item?.value])
+        return read
+      },
+      watch: async (prefix, after, waitMs, signal) => {
+        const result = await this.#awaitChanges(prefix, after, waitMs, signal)
+        if (result.outcome === 'changes') count(result.changes.map(change => change.type === 'written' ? change.item.value : undefined))
+        return result
+      },
+      listPage: async (prefix, after) => await this.listPage(prefix, after),
+      commit: async transaction => await this.commit(transaction),
+      grantLease: async () => await this.grantLease(),
+      renewLease: async lease => await this.renewLease(lease),
+      endLease: async lease => await this.endLease(lease)
+    }
+  }
+
+  async #awaitChanges (key: string, after: number, waitMs: number, signal?: AbortSignal): Promise<WatchResult> {
+    const untilMs = this.#clock.monotonicMs() + waitMs
+    const existed = this.items.has(key)
+    for (;;) {
+      const result = await this.watch(key, after)
+      if (result.outcome === 'history-lost' || result.changes.length > 0) return result
+      if (existed && !this.items.has(key)) return { ...result, changes: [{ type: 'removed', key }] }
+      if (this.#clock.monotonicMs() >= untilMs) return result
+      await this.#clock.sleep(WATCH_POLL_MS, signal)
+    }
+  }
+}
+
+function createDesiredState (version: number, queues: number): string {
+  const state: DesiredState = {
+    version, services: [], teams: [TEAM], maximumBodyBytes: 1_000, queues: Array.from({ length: queues }, (_, number) => ({ ...TEST_QUEUE, name: `queue-${number}` }))
+  }
+  return JSON.stringify(state)
+}
+
+/** Instances in one process whose calls to each other are counted in bytes, by region of the caller. */
+class Cluster {
+  readonly clock = new ManualClock()
+  readonly store = new RegionalStore(this.clock)
+  readonly instances = new Map<string, JobInstance>()
+  readonly bytesReceived = new Map<string, number>()
+  readonly watchers = new Map<string, DesiredStateWatcher>()
+
+  async start (name: string, region: string): Promise<void> {
+    const store = this.store.seenFrom(region)
+    const logger = createLogger({ level: 'silent', instance: name, dataCentre: region, secrets: [] })
+    const { clock } = this
+    const desired = new DesiredStateWatcher({ store, key: KEY, parse: text => JSON.parse(text) as DesiredState, clock, logger })
+    this.watchers.set(name, desired)
+    const instance = new JobInstance({
+      instance: name,
+      address: name,
+      region,
+      processors: 1,
+      store,
+      clock,
+      logger,
+      desired,
+      directory: { list: async () => [] },
+      connect: () => { throw new Error('no target is listed') },
+      advisor: { ask: async () => [] },
+      peers: { connect: address => this.#connect(address, region) },
+      targetLeaseMs: () => 5_000,
+      finishedJobMs: () => 60_000
+    })
+    this.instances.set(name, instance)
+    await instance.start()
+  }
+
+  async stop (): Promise<void> {
+    const stopped = Promise.all([...this.instances.values()].map(async instance => await instance.stop()))
+    await this.clock.advance(10_000)
+    await stopped
+  }
+
+  #connect (address: string, region: string): CoordinatorPeer {
+    const peer = this.instances.get(address) as JobInstance
+    return {
+      report: async report => {
+        const answer = await peer.report(report)
+        this.bytesReceived.set(region, (this.bytesReceived.get(region) ?? 0) + JSON.stringify(answer).length)
+        return answer
+      },
+      handleAll: async (fence, calls) => await peer.handleAll(fence, calls),
+      release: async lease => await peer.release(lease),
+      reachesStore: async () => await peer.reachesStore(),
+      advise: async question => await peer.advise(question)
+    }
+  }
+}
+
+test('a start of the whole cluster, or a large change, does not fill the link to a region far from the store with copies of the desired state', async t => {
+  const cluster = new Cluster()
+  const text = createDesiredState(1, 1_500)
+  cluster.store.put(KEY, text)
+  await cluster.start('near', 'attica')
+  await cluster.clock.advance(100)
+  for (let number = 0; number < FAR_INSTANCES; number++) await cluster.start(`far-${number}`, 'macedonia')
+  await cluster.clock.advance(1_000)
+  const far = [...cluster.instances].filter(([name]) => name !== 'near').map(([, instance]) => instance)
+  t.true(far.every(instance => instance.canServeCalls && instance.desiredState.version === 1 && instance.desiredState.maximumBodyBytes === 1_000))
+  cluster.store.put(KEY, createDesiredState(2, 1_600))
+  await cluster.clock.advance(1_000)
+  t.true(far.every(instance => instance.desiredState.version === 2))
+  const crossed = (cluster.store.bytesRead.get('macedonia') ?? 0) + (cluster.bytesReceived.get('macedonia') ?? 0)
+  t.true(crossed < text.length, `${crossed} bytes crossed the link; the desired state has ${text.length}`)
+  await cluster.stop()
+})
+
+test('a new coordinator decides on no desired state older than its term, even if its predecessor had applied a newer one', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  await cluster.start('first', 'attica')
+  await cluster.clock.advance(500)
+  await cluster.start('second', 'attica')
+  // The second instance has read the first version in an earlier term.
+  cluster.watchers.get('second')?.follow()
+  await cluster.clock.advance(500)
+  cluster.watchers.get('second')?.pause()
+  cluster.store.put(KEY, createDesiredState(2, 0))
+  await cluster.clock.advance(500)
+  cluster.store.readDelayMs = 400
+  const second = cluster.instances.get('second') as JobInstance
+  await cluster.instances.get('first')?.stepDown()
+  const answered = (async () => {
+    for (;;) {
+      const fence = second.coordinator?.fence ?? 0
+      const [answer] = await second.handleAll(fence, [{ action: 'read', host: TEST_QUEUE.host, path: TEST_QUEUE.pathPrefix, key: 'k', definition: '', desiredStateVersion: 0 }])
+      if (answer !== undefined && answer.outcome !== 'unavailable' && answer.outcome !== 'underway') return answer.outcome
+      await cluster.clock.sleep(5)
+    }
+  })()
+  await cluster.clock.advance(3_000)
+  t.is(await answered, 'no-queue', 'the queue was removed in the second version')
+  await cluster.stop()
+})
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -6,6 +6,8 @@
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/jobIntake.ts'
 import { CoordinatorPreference } from '../coordinator/coordinatorPreference.ts'
+import type { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
+import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
@@ -20,7 +22,6 @@
 import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 import { isConnectionRefused } from './connectionRefusal.ts'
 import { collectAnswers } from './collectAnswers.ts'
-import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import { PeerDirectory } from './peerDirectory.ts'
 import type { KnownPeer } from './peerDirectory.ts'
 
@@ -35,7 +36,7 @@
 const REPORT_INTERVAL_MS = 400
 /** Limits the time for which the calls of a batch wait for each other; a commit without load takes a tenth of it. */
 const BATCH_ANSWER_TIMEOUT_MS = 200
-/** The store counts as reachable if it confirmed the desired state within this time, which exceeds one watch. */
+/** The store counts as reachable if it has answered within this time, which exceeds one watch. */
 const STORE_REACHABLE_MS = 2_500
 
 export interface JobInstanceOptions {
@@ -74,6 +75,10 @@
   #term: Term | undefined
   #lanes: AdviceLanes | undefined
   #coordinatorUnresponsive = false
+  /** Newest summary received from another instance. */
+  #receivedDesiredState: DesiredStateSummary = { version: 0, maximumBodyBytes: 0 }
+  /** `peersDigest` of the last answer that contained the known instances. */
+  #receivedPeersDigest = ''
   readonly #coordinatorListeners: (() => void)[] = []
 
   constructor (options: JobInstanceOptions) {
@@ -108,6 +113,12 @@
     return this.#election.coordinator
   }
 
+  /** What is known of the desired state; its version never decreases. */
+  get desiredState (): DesiredStateSummary {
+    const { version, maximumBodyBytes } = this.#options.desired.state
+    return version > this.#receivedDesiredState.version ? { version, maximumBodyBytes } : this.#receivedDesiredState
+  }
+
   /** Number of known instances, including this one. */
   get knownInstanceCount (): number {
     return this.#peers.addresses.length + (this.#peers.has(this.#options.address) ? 0 : 1)
@@ -131,15 +142,15 @@
   }
 
   async report (report: InstanceReport): Promise<ReportAnswer> {
-    const { instance, desiredStateVersion, processors, reachesStore } = report
+    const { instance, processors, reachesStore } = report
     this.#preference.recordReport(instance, processors, reachesStore)
-    this.#peers.recordReport(report)
-    this.#updateLanes()
-    const { text } = this.#options.desired
+    if (this.#peers.recordReport(report)) this.#updateLanes()
+    const { addresses, digest } = this.#peers
     return {
       coordinator: this.#election.coordinator,
-      ...(text.version > desiredStateVersion ? { desiredState: text } : {}),
-      peers: [...this.#peers.addresses, this.#options.address],
+      desiredState: this.desiredState,
+      ...(digest === report.peersDigest ? {} : { peers: [...addresses, this.#options.address] }),
+      peersDigest: digest,
       largestProcessors: this.#preference.largest
     }
   }
@@ -202,6 +213,7 @@
     const { clock, logger } = options
     this.#lanes = new AdviceLanes(clock)
     this.#updateLanes()
+    options.desired.follow()
     const coordinator = new JobCoordinator({
       store: options.store,
       clock,
@@ -209,7 +221,7 @@
       info,
       connect: options.connect,
       directory: options.directory,
-      desiredState: () => options.desired.state,
+      desired: options.desired,
       lanes: this.#lanes,
       hasAuthority: () => this.#election.hasAuthority(),
       storeFails: () => this.#election.storeFails,
@@ -240,6 +252,7 @@
   #endTerm (): void {
     this.#term?.coordinator.close()
     this.#term = undefined
+    this.#options.desired.pause()
     this.#lanes = undefined
   }
 
@@ -264,7 +277,8 @@
     const address = this.#selectReportRecipient()
     if (address !== undefined) await this.#sendReportTo(address)
     if (this.#term?.coordinator.ready === true && this.#preference.shouldHandOver()) await this.#election.resign('an instance with more processors is available')
-    this.#peers.evictSilent()
+    // An empty digest makes the next answer contain the known instances, among them those that were removed here only.
+    if (this.#peers.evictSilent()) this.#receivedPeersDigest = ''
     this.#updateLanes()
   }
 
@@ -280,13 +294,14 @@
   }
 
   async #sendReportTo (address: string): Promise<void> {
-    const { peers, desired, logger } = this.#options
+    const { peers, logger } = this.#options
     try {
       const answer = await peers.connect(address).report(this.#createReport())
       if (answer.coordinator !== undefined) this.#election.updateFromPeer(answer.coordinator)
       this.#preference.updateLargestKnown(answer.largestProcessors)
-      if (answer.desiredState !== undefined) desired.adoptNewer(answer.desiredState, address)
-      this.#peers.addAddresses(answer.peers)
+      if (answer.desiredState.version > this.#receivedDesiredState.version) this.#receivedDesiredState = answer.desiredState
+      if (answer.peers !== undefined) this.#peers.addAddresses(answer.peers)
+      this.#receivedPeersDigest = answer.peersDigest
     } catch (error) {
       const isCoordinator = address === this.#election.coordinator?.address
       const { coordinator } = this.#election
@@ -297,7 +312,7 @@
   }
 
   #createReport (): InstanceReport {
-    const { instance, address, region, processors, desired } = this.#options
-    return { instance, address, region, processors, desiredStateVersion: desired.state.version, reachesStore: desired.ageMs < STORE_REACHABLE_MS }
+    const { instance, address, region, processors } = this.#options
+    return { instance, address, region, processors, peersDigest: this.#receivedPeersDigest, reachesStore: this.#election.storeAnswerAgeMs < STORE_REACHABLE_MS }
   }
 }
--- a/src/jobs/desiredState.ts
+++ b/src/jobs/desiredState.ts
@@ -43,28 +43,9 @@
   readonly maximumBodyBytes: number
 }
 
-/** The desired state as stored, for distribution to instances that can not read the store. */
-export interface VersionedText {
+/** What an instance that does not coordinate knows of the desired state. */
+export interface DesiredStateSummary {
+  /** 0 if no desired state is known. */
   readonly version: number
-  readonly text: string
-}
-
-/**
- * Returns the queue of the host whose prefix is the longest match for the path.
- *
- * @example
- * findQueue(state, 'orders.example', '/stock/5c0e')
- */
-export function findQueue (state: DesiredState, host: string, path: string): QueueSettings | undefined {
-  let best: QueueSettings | undefined
-  for (const queue of state.queues) {
-    if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue
-    if (best === undefined || queue.pathPrefix.length > best.pathPrefix.length) best = queue
-  }
-  return best
-}
-
-/** Returns the team that the key belongs to. */
-export function findTeam (state: DesiredState, key: string): TeamSettings | undefined {
-  return state.teams.find(team => team.keys.includes(key))
+  readonly maximumBodyBytes: number
 }
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -3,9 +3,8 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { buffer } from 'node:stream/consumers'
 import { listenOn } from '../adapters/network.ts'
-import { unavailable } from '../entry/callerCall.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallHandler } from '../entry/callerCall.ts'
-import type { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
+import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError } from '../model/errors.ts'
 import type { Logger } from '../observability/logger.ts'
@@ -15,7 +14,7 @@
 /** Time in milliseconds for which the caller waits for the response. */
 const CALLER_TIMEOUT_HEADER = 'x-agategauge-deadline-ms'
 const KEEP_ALIVE_TIMEOUT_MS = 60_000
-/** Used if the desired state sets no limit. */
+/** Used while no limit is known. */
 const DEFAULT_MAX_BODY_BYTES = 262_144
 
 const ACTION_BY_METHOD: Readonly<Record<string, CallAction>> = { POST: 'submit', GET: 'read', DELETE: 'cancel' }
@@ -29,7 +28,7 @@
 export interface CallerFrontendOptions {
   readonly address: string
   readonly handler: CallHandler
-  readonly desired: DesiredStateWatcher
+  readonly desiredState: () => DesiredStateSummary
   readonly logger: Logger
   readonly onCall: (action: CallAction, outcome: string, durationMs: number) => void
 }
@@ -79,15 +78,15 @@
       : await this.#answer(action, path, request, body)
     this.#options.onCall(action ?? 'read', answer.outcome, performance.now() - startedAtMs)
     if (answer.outcome === 'unavailable' || answer.outcome === 'limited' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
-      this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desired.state.version, tookMs: Math.round(performance.now() - startedAtMs) }, 'call not served')
+      this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desiredState().version, tookMs: Math.round(performance.now() - startedAtMs) }, 'call not served')
     }
     this.#write(response, encodeAnswer(answer))
   }
 
   async #answer (action: CallAction, path: string, request: IncomingMessage, body: Buffer): Promise<CallerAnswer> {
-    const { desired, handler } = this.#options
-    if (!desired.isLoaded) return unavailable('no desired state is known yet')
-    if (body.length > (desired.state.maximumBodyBytes || DEFAULT_MAX_BODY_BYTES)) return { outcome: 'invalid', message: 'the body is too large' }
+    const { handler } = this.#options
+    const { version, maximumBodyBytes } = this.#options.desiredState()
+    if (body.length > (maximumBodyBytes || DEFAULT_MAX_BODY_BYTES)) return { outcome: 'invalid', message: 'the body is too large' }
     let definition = ''
     try {
       if (action === 'submit') definition = JSON.stringify(decodeJobBody(parseJson(body)))
@@ -101,7 +100,7 @@
       path,
       key: String(request.headers[KEY_HEADER] ?? ''),
       definition,
-      desiredStateVersion: desired.state.version
+      desiredStateVersion: version
     }
     return await handler.handle({ call, callerTimeoutMs: parseCallerTimeout(request.headers[CALLER_TIMEOUT_HEADER]) })
   }
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -3,8 +3,8 @@
 import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
 import { JsonServer } from '../adapters/http/jsonServer.ts'
+import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
 import { CallRouter } from '../entry/callRouter.ts'
-import { DesiredStateWatcher } from '../entry/desiredStateWatcher.ts'
 import { JobInstance } from '../entry/jobInstance.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
@@ -82,15 +82,15 @@
   const frontend = new CallerFrontend({
     address: settings.callerAddress,
     handler: router,
-    desired,
+    desiredState: () => instance.desiredState,
     logger,
     onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
   })
   let stopping = false
-  const readinessServer = createReadinessServer(settings.readinessAddress, () => !stopping && desired.isLoaded && instance.canServeCalls)
+  const readinessServer = createReadinessServer(settings.readinessAddress, () => !stopping && instance.canServeCalls)
 
   const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
-  for (const component of [store, peers, reloader, desired, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
+  for (const component of [store, peers, reloader, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
 
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -1,14 +1,15 @@
 /** Calls between instances that coordinate or forward jobs. */
 import type { CoordinatorInfo } from '../coordinator/election.ts'
 import type { CallerCall, CoordinatorAnswer } from '../entry/callerCall.ts'
-import type { VersionedText } from '../jobs/desiredState.ts'
+import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { AdviceQuestion, AllowedTarget } from './placementAdvisor.ts'
 
 export interface InstanceReport {
   readonly instance: string
   readonly address: string
   readonly region: string
-  readonly desiredStateVersion: number
+  /** `peersDigest` of the last answer that contained the known instances; empty if there was none. */
+  readonly peersDigest: string
   /** Number of processors that the instance may use. */
   readonly processors: number
   /** Whether the instance reaches the store, and so could be elected coordinator. */
@@ -17,9 +18,10 @@
 
 export interface ReportAnswer {
   readonly coordinator?: CoordinatorInfo
-  /** Set if the callee's desired state is newer than the reporting instance's. */
-  readonly desiredState?: VersionedText
-  readonly peers: readonly string[]
+  readonly desiredState: DesiredStateSummary
+  /** Addresses of the instances that the callee knows; absent if they are those of the reported digest. */
+  readonly peers?: readonly string[]
+  readonly peersDigest: string
   /** Largest processor count known to the callee among the instances that could become coordinator. */
   readonly largestProcessors: number
 }
