Keep an instance running after an unexpected error, and targets that left out of use

Found by looking for what went wrong at operators of similar systems.

One unexpected error took a whole process down: `serve` had no listener for uncaught exceptions and unhandled rejections, so that Node.js ended the process with code 1 (as an instance of faults.test.ts did under load, whose cause is not known yet: it is logged now). An error of a listener ended the session of a target, after which its leases lapsed and all its tasks were killed, and one of the housekeeping ended the compaction of the log. Now they are logged and the work goes on. Tests: runUntilStopped.test, targetSession.test.

After a restart a server that had left was in use again: a new coordinator took each target of the log for listed and not draining until it had read the list, and could start tasks on one that drained. It gets none before the list is read. Test: "change of coordinator: a target in the log gets no task before the target list shows that it has not left", which failed.

A planned stop refused connections: an instance without open requests stopped listening as soon as its targets were handed over, before its load balancer took it out of use (faults.test.ts, rolling restart: two calls with ECONNREFUSED in one run of the untouched code at a load of about 5). It now keeps listening for the new setting leaveDelay, 1 s, refusing as draining.

Checked: type check, lint, the tests of commands, settings, coordinator and jobsOnPlatform.

--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -3,6 +3,7 @@
 import { readInstanceSettings } from '../settings/instanceSettings.ts'
 import type { CommandFactory } from './commandBuilder.ts'
 import { CommandError, errorCode, EXIT_CODES, readInputFile } from './commandContext.ts'
+import { runUntilStopped } from './runUntilStopped.ts'
 import { loadStartEmbedded, loadStartInstance, loadStartOnPlatform } from './instanceLoader.ts'
 import type { RunningInstance } from '../instance/runningInstance.ts'
 
@@ -18,26 +19,6 @@
 /** Error codes caused by the addresses in the settings, not by the program. */
 const LISTEN_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'ENOTFOUND']
 
-const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const
-/** The default action of this signal ends the process. */
-const RELOAD_SIGNAL = 'SIGHUP'
-
-/** Handles stop and reload signals until the instance has stopped. */
-async function waitForStop (instance: RunningInstance): Promise<void> {
-  let onFailure: (error: unknown) => void = () => {}
-  const failure = new Promise<never>((_resolve, reject) => { onFailure = reject })
-  const stop = (): void => { instance.stop().catch(onFailure) }
-  const reload = (): void => instance.reload?.(RELOAD_SIGNAL)
-  for (const signal of STOP_SIGNALS) process.on(signal, stop)
-  if (instance.reload !== undefined) process.on(RELOAD_SIGNAL, reload)
-  try {
-    await Promise.race([instance.stopped, failure])
-  } finally {
-    for (const signal of STOP_SIGNALS) process.off(signal, stop)
-    process.off(RELOAD_SIGNAL, reload)
-  }
-}
-
 async function startFromFile (file: string): Promise<RunningInstance> {
   const settings = readInstanceSettings(file, await readInputFile(file))
   const startInstance = await loadStartInstance()
@@ -60,7 +41,7 @@
     .example('$0 serve --embedded', 'Run without a platform'),
   handler: async (args: ServeArguments) => await run(async () => {
     const instance = await startInMode(args)
-    await waitForStop(instance)
+    await runUntilStopped(instance, process)
     return EXIT_CODES.done
   })
 })
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -311,15 +311,23 @@
   async #runHousekeeping (): Promise<void> {
     while (!this.#closed) {
       await this.#clock.sleep(HOUSEKEEPING_INTERVAL_MS)
-      this.table.evictFinished(this.#clock.wallMs() - this.#options.finishedJobMs * 2)
-      for (const job of this.table.jobs.values()) {
-        if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
+      try {
+        await this.#runHousekeepingOnce()
+      } catch (error) {
+        this.#logger.error({ error: error instanceof Error ? error.stack : String(error) }, 'housekeeping failed')
       }
-      await this.#compactIfDue()
-      this.stateChanged()
     }
   }
 
+  async #runHousekeepingOnce (): Promise<void> {
+    this.table.evictFinished(this.#clock.wallMs() - this.#options.finishedJobMs * 2)
+    for (const job of this.table.jobs.values()) {
+      if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
+    }
+    await this.#compactIfDue()
+    this.stateChanged()
+  }
+
   async #monitorUtilization (): Promise<void> {
     let previous = performance.eventLoopUtilization()
     while (!this.#closed) {
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -293,3 +293,27 @@
   await clock.advance(500)
   t.false(session.mayHaveRunsOnNextIncarnation)
 })
+
+test('change of coordinator: a target in the log gets no task before the target list shows that it has not left', async t => {
+  const { clock, session } = createSession()
+  await clock.advance(500)
+  t.true(session.joined)
+  t.false(session.usable, 'it may be draining')
+  session.updateListing(true, true)
+  t.false(session.usable)
+  session.updateListing(true, false)
+  t.true(session.usable)
+  session.updateListing(false, false)
+  t.false(session.usable)
+})
+
+test('an unexpected error while a report is handled does not end the renewals of the leases', async t => {
+  const { clock, client, listener } = createSession()
+  await clock.advance(300)
+  listener.stateChanged = () => { throw new Error('a bug') }
+  await clock.advance(2_000)
+  const renewals = client.renewals.length
+  listener.stateChanged = () => {}
+  await clock.advance(2_000)
+  t.true(client.renewals.length > renewals)
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -77,7 +77,8 @@
   /** Resolves when no request sent to an ended incarnation can be executed any more. */
   #allWithdrawn: Promise<void> = Promise.resolve()
   #draining = false
-  #listed = true
+  /** False until the target list has been read: a target in the log may have left since. */
+  #listed = false
   #lastFinishedNumber = 0
   #lastAcknowledgedNumber = 0
   #pendingStores = 0
@@ -214,13 +215,19 @@
 
   /** Renews leases and handles reports until the incarnation or the term ends. */
   async run (): Promise<void> {
-    const { clock } = this.#options
+    const { clock, logger } = this.#options
     while (!this.#hasEnded) {
       if (!this.#options.hasAuthority()) {
         await clock.sleep(RETRY_DELAY_MS)
         continue
       }
-      await this.#renew(this.#renewWaitMs())
+      try {
+        await this.#renew(this.#renewWaitMs())
+      } catch (error) {
+        // The leases of all runs on the target would lapse if the session ended here.
+        logger.error({ target: this.id, error: error instanceof Error ? error.stack : String(error) }, 'failed to handle a report of the target')
+        await clock.sleep(RETRY_DELAY_MS)
+      }
     }
     await this.#allWithdrawn
     await this.#options.client.close()
--- a/src/instance/runningInstance.ts
+++ b/src/instance/runningInstance.ts
@@ -4,6 +4,8 @@
   stop (): Promise<void>
   /** Applies changed settings; omitted if the instance reads its settings only at startup. */
   reload? (source: string): void
+  /** Logs an error that no part of the program handled; the instance keeps running. */
+  logUnexpectedError (error: unknown): void
   /** Resolves when everything has stopped, whatever caused it; rejects if the instance failed. */
   readonly stopped: Promise<void>
 }
--- a/src/instance/startEmbedded.ts
+++ b/src/instance/startEmbedded.ts
@@ -52,7 +52,7 @@
   await manager.start()
   const instance = await startInstance(createSettings())
   process.stdout.write(JSON.stringify({ callers: EMBEDDED_CALLER_ADDRESS, operators: EMBEDDED_OPERATOR_ADDRESS, token: EMBEDDED_OPERATOR_TOKEN }) + '\n')
-  return { stop: async () => await instance.stop(), stopped: instance.stopped.then(async () => { await manager.stop() }) }
+  return { ...instance, stopped: instance.stopped.then(async () => { await manager.stop() }) }
 }
 
 function createFirstChange (): Change {
@@ -105,6 +105,7 @@
     storeTimeoutMs: 2_000,
     listTimeoutMs: 2_000,
     peerTimeoutMs: 1_000,
-    stopTimeoutMs: STOP_TIMEOUT_MS
+    stopTimeoutMs: STOP_TIMEOUT_MS,
+    leaveDelayMs: 0
   }
 }
--- a/src/instance/startInstance.ts
+++ b/src/instance/startInstance.ts
@@ -10,6 +10,8 @@
 import { HttpStore } from '../adapters/store/httpStore.ts'
 import { HttpTargetClient } from '../adapters/target/httpTargetClient.ts'
 import type { RunningInstance } from './runningInstance.ts'
+import type { Clock } from '../ports/clock.ts'
+import { logUnexpectedError } from '../observability/unexpectedErrors.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { Logger } from '../observability/logger.ts'
@@ -28,7 +30,7 @@
  * await running.stopped
  */
 export async function startInstance (settings: InstanceSettings): Promise<RunningInstance> {
-  const { name, dataCentre, region, peerAddress, peerSecret, operatorToken, stopTimeoutMs } = settings
+  const { name, dataCentre, region, peerAddress, peerSecret, operatorToken, stopTimeoutMs, leaveDelayMs } = settings
   const clock = new SystemClock()
   const logger = createLogger({ level: settings.logLevel, instance: name, dataCentre, secrets: [peerSecret, operatorToken] })
   const metrics = new Metrics()
@@ -57,7 +59,7 @@
   manager.add(createOperatorServer(settings, instance, logger))
   manager.add(createCallerServer(settings, instance))
   await manager.start()
-  return createRunningInstance(instance, manager, logger, stopTimeoutMs)
+  return createRunningInstance({ instance, manager, logger, clock, stopTimeoutMs, leaveDelayMs })
 }
 
 function createOperatorServer (settings: InstanceSettings, instance: EntryInstance, logger: Logger): OperatorServer {
@@ -74,14 +76,26 @@
   return new CallerServer({ address, bodyLimitBytes, connectionLimit, requestTimeoutMs }, instance.callers)
 }
 
-/** On shutdown, readiness turns false, targets and allotments are handed over, open requests end, and then the components stop. */
-function createRunningInstance (instance: EntryInstance, manager: LifecycleManager, logger: Logger, stopTimeoutMs: number): RunningInstance {
+interface RunningInstanceOptions {
+  readonly instance: EntryInstance
+  readonly manager: LifecycleManager
+  readonly logger: Logger
+  readonly clock: Clock
+  readonly stopTimeoutMs: number
+  readonly leaveDelayMs: number
+}
+
+/**
+ * On shutdown, readiness turns false, targets and allotments are handed over, open requests end, and then the components
+ * stop. The instance keeps listening for `leaveDelayMs` at least, because the load balancer still sends it connections.
+ */
+function createRunningInstance ({ instance, manager, logger, clock, stopTimeoutMs, leaveDelayMs }: RunningInstanceOptions): RunningInstance {
   let stopping: Promise<void> | undefined
   let markStopped: () => void = () => {}
   const stopped = new Promise<void>(resolve => { markStopped = resolve })
   const stopOnce = async (): Promise<void> => {
     try {
-      await instance.drain(AbortSignal.timeout(stopTimeoutMs))
+      await Promise.all([instance.drain(AbortSignal.timeout(stopTimeoutMs)), clock.sleep(leaveDelayMs)])
     } catch (error) {
       logger.warn({ err: error }, 'graceful shutdown timed out; aborting the open requests')
     }
@@ -94,5 +108,5 @@
     await stopping
   }
   instance.drainRequested.then(stop).catch((error: unknown) => logger.error({ err: error }, 'graceful shutdown failed'))
-  return { stop, stopped }
+  return { stop, stopped, logUnexpectedError: error => logUnexpectedError(logger, error) }
 }
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -12,6 +12,7 @@
 import type { Logger, LoggerOptions } from '../observability/logger.ts'
 import { JobMetrics } from '../observability/jobMetrics.ts'
 import type { Clock } from '../ports/clock.ts'
+import { logUnexpectedError } from '../observability/unexpectedErrors.ts'
 import { SettingsReloader } from '../settings/settingsReloader.ts'
 import { CallerFrontend } from './callerFrontend.ts'
 import { DESIRED_STATE_KEY, parseDesiredState } from './desiredState.ts'
@@ -42,6 +43,7 @@
   stop (): Promise<void>
   /** Reloads the settings file and applies its changes; `source` is logged as the trigger. */
   reload (source: string): void
+  logUnexpectedError (error: unknown): void
   readonly stopped: Promise<void>
 }
 
@@ -94,14 +96,35 @@
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
 
-  let resolveStopped: () => void = () => {}
-  const stopped = new Promise<void>(resolve => { resolveStopped = resolve })
+  const stopSequence = createStopSequence({ manager, instance, frontend, reloader, clock, logger })
   return {
-    stopped,
+    stopped: stopSequence.done,
     reload: source => reloader.reload(source),
+    logUnexpectedError: error => logUnexpectedError(logger, error),
     async stop () {
       if (stopping) return
       stopping = true
+      await stopSequence.run()
+    }
+  }
+}
+
+interface StopDependencies {
+  readonly manager: LifecycleManager
+  readonly instance: JobInstance
+  readonly frontend: CallerFrontend
+  readonly reloader: SettingsReloader<PlatformSettings>
+  readonly clock: Clock
+  readonly logger: Logger
+}
+
+/** Hands over, keeps serving while the load balancer takes the instance out of use, then stops the components. */
+function createStopSequence ({ manager, instance, frontend, reloader, clock, logger }: StopDependencies): { readonly done: Promise<void>, run (): Promise<void> } {
+  let resolveDone: () => void = () => {}
+  const done = new Promise<void>(resolve => { resolveDone = resolve })
+  return {
+    done,
+    async run () {
       logger.info({ leaveMs: LEAVE_DELAY_MS }, 'instance stops')
       await instance.stepDown()
       frontend.beginClosing()
@@ -109,7 +132,7 @@
       const failures = await manager.stop()
       for (const { component, error } of failures) logger.warn({ component, error: String(error) }, 'a component did not stop in time')
       logger.info('instance stopped')
-      resolveStopped()
+      resolveDone()
     }
   }
 }
--- a/src/settings/instanceFields.ts
+++ b/src/settings/instanceFields.ts
@@ -38,7 +38,8 @@
   { name: 'storeTimeout', ...TIMEOUT, defaultText: '2 s', description: 'Timeout for one call to the store.' },
   { name: 'listTimeout', ...TIMEOUT, defaultText: '2 s', description: 'Timeout for one read of the instance list.' },
   { name: 'peerTimeout', ...TIMEOUT, defaultText: '1 s', description: 'Timeout for one call to a peer; forwarded requests have their own deadline.' },
-  { name: 'stopTimeout', ...TIMEOUT, defaultText: '30 s', description: 'Timeout for a graceful shutdown; requests still running after it are aborted.' }
+  { name: 'stopTimeout', ...TIMEOUT, defaultText: '30 s', description: 'Timeout for a graceful shutdown; requests still running after it are aborted.' },
+  { name: 'leaveDelay', unit: 'duration', defaultText: '1 s', minimum: 0, maximum: 60_000, description: 'Minimum time for which a stopping instance keeps listening, refusing new requests, so that the load balancer can take it out of use.' }
 ] as const satisfies readonly InstanceField[]
 
 export type InstanceFieldName = typeof INSTANCE_FIELDS[number]['name']
--- a/src/settings/instanceSettings.ts
+++ b/src/settings/instanceSettings.ts
@@ -33,6 +33,7 @@
   readonly listTimeoutMs: number
   readonly peerTimeoutMs: number
   readonly stopTimeoutMs: number
+  readonly leaveDelayMs: number
 }
 
 type FieldValue = string | number | readonly string[]
@@ -140,7 +141,8 @@
     storeTimeoutMs: getField('storeTimeout'),
     listTimeoutMs: getField('listTimeout'),
     peerTimeoutMs: getField('peerTimeout'),
-    stopTimeoutMs: getField('stopTimeout')
+    stopTimeoutMs: getField('stopTimeout'),
+    leaveDelayMs: getField('leaveDelay')
   }
 }
 
