Name as many targets in a question to the advisor as the step is likely to need

Cause: each question named 100 targets. The latency objective of a job includes a question of 30 targets.

Change: adviceQuestion learns for each queue which share of the targets its policy allows, and names as many targets, those with the most free processors first, as are likely to hold the tasks: the expected capacity less two standard deviations; 30 at least, 100 at most. countFitting stands once, in placeStep.

--- a/src/coordinator/advisedPlacement.ts
+++ b/src/coordinator/advisedPlacement.ts
@@ -1,12 +1,10 @@
 /** Decides the next action for a step whose queue needs advice: ask, start with valid tickets, or renew tickets first. */
 import type { StepDefinition } from '../jobs/job.ts'
-import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
+import { countTargetsToName } from './adviceQuestion.ts'
+import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from './stepAdvice.ts'
 
-/** Maximum number of targets in one question. */
-export const MAX_TARGETS_PER_QUESTION = 100
-
 interface AdvisedTarget {
   readonly key: string
   readonly free: ComputeResources
@@ -26,6 +24,8 @@
   /** Number of tasks to place. */
   readonly count: number
   readonly advice: StepAdvice
+  /** Share of the targets that the queue's policy is expected to allow, from 0 to 1. */
+  readonly allowedShare: number
   /** Targets that may get tasks now. */
   readonly targets: readonly Target[]
   readonly describe: (target: Target) => TargetAvailability
@@ -33,14 +33,14 @@
 }
 
 /**
- * Decides for one step. Asks about further targets when the allowed ones have no capacity: a wide gang may need more
+ * Decides for one step. Asks about the targets with the most free processors, and about further targets when the allowed ones have no capacity: a wide gang may need more
  * targets than fit in one question. After the first answer only targets with capacity for one of the step's tasks are
  * considered: under overload, hundreds of steps compete for the few targets that are not full.
  *
  * @example
  * const decision = decideAdvisedPlacement({ definition, count: 8, advice, targets, describe, nowMs: clock.monotonicMs() })
  */
-export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, targets, describe, nowMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
+export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
   const size = requiredResources(definition)
   const candidates = advice.answered ? targets.filter(({ free }) => fitsWithin(size, free)) : targets
   const allowed = candidates.filter(({ key }) => advice.allows(key))
@@ -53,6 +53,7 @@
   }
   const unasked = candidates.filter(({ key }) => !advice.wasAsked(key))
   if (unasked.length === 0) return { action: 'wait' }
-  const targetsToAsk = [...unasked].sort((left, right) => right.free.processors - left.free.processors).slice(0, MAX_TARGETS_PER_QUESTION)
-  return { action: 'ask', targets: targetsToAsk }
+  const freest = [...unasked].sort((left, right) => right.free.processors - left.free.processors)
+  const capacities = freest.map(({ free }) => Math.min(countFitting(size, free), definition.tasksPerTarget || Infinity))
+  return { action: 'ask', targets: freest.slice(0, countTargetsToName(count, capacities, allowedShare)) }
 }
--- a/src/coordinator/placeStep.ts
+++ b/src/coordinator/placeStep.ts
@@ -89,6 +89,12 @@
   return candidate.slots > 0 && fitsWithin(size, candidate)
 }
 
+/** Number of tasks of the size that fit into the free resources. */
+export function countFitting (size: ComputeResources, free: ComputeResources): number {
+  const within = (available: number, required: number): number => required <= 0 ? Infinity : Math.floor(available / required)
+  return Math.max(0, Math.min(within(free.processors, size.processors), within(free.memory, size.memory), within(free.accelerators, size.accelerators)))
+}
+
 /** Whether one task of the size fits into the free resources. */
 export function fitsWithin (size: ComputeResources, free: ComputeResources): boolean {
   return size.processors <= free.processors && size.memory <= free.memory && size.accelerators <= free.accelerators
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -2,6 +2,7 @@
 import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import type { Resources } from '../model/resources.ts'
+import { countFitting } from './placeStep.ts'
 import type { TargetSession } from './targetSession.ts'
 
 /**
@@ -56,7 +57,7 @@
   #countFitting (service: string, size: Resources, wanted: number): number {
     let fitting = 0
     for (const session of this.sessions(service)) {
-      fitting += countFittingTasks(session, size)
+      fitting += countFitting(size, session.free)
       if (fitting >= wanted) return wanted
     }
     return fitting
@@ -80,9 +81,3 @@
 function needsAtLeast (size: Resources, smaller: Resources): boolean {
   return size.processors >= smaller.processors && size.memory >= smaller.memory && size.accelerators >= smaller.accelerators
 }
-
-function countFittingTasks (session: TargetSession, size: Resources): number {
-  const { free } = session
-  const tasksWithin = (available: number, required: number): number => required <= 0 ? Infinity : Math.floor(available / required)
-  return Math.max(0, Math.min(tasksWithin(free.processors, size.processors), tasksWithin(free.memory, size.memory), tasksWithin(free.accelerators, size.accelerators)))
-}
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -8,7 +8,8 @@
 import type { TimerClock } from '../ports/clock.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
 import { Assignment } from './assignment.ts'
-import { decideAdvisedPlacement, MAX_TARGETS_PER_QUESTION } from './advisedPlacement.ts'
+import { AllowedShare, MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
+import { decideAdvisedPlacement } from './advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
@@ -55,6 +56,8 @@
   readonly #fleet: TargetFleet
   readonly #usage = new TeamUsage()
   readonly #advice = new Map<StepProgress, StepAdvice>()
+  /** By queue name. */
+  readonly #allowedShares = new Map<string, AllowedShare>()
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -213,7 +216,7 @@
     this.#advice.set(step, advice)
     if (nowMs < advice.backoffUntilMs) return 0
     const decision = decideAdvisedPlacement({
-      definition: step.definition, count, advice, targets: sessions, describe: session => this.#describeTarget(step, session), nowMs
+      definition: step.definition, count, advice, allowedShare: this.#allowedShare(queue).value, targets: sessions, describe: session => this.#describeTarget(step, session), nowMs
     })
     switch (decision.action) {
       case 'ask':
@@ -234,6 +237,7 @@
     const settings = queue.advice
     if (settings === undefined || targets.length === 0) return
     const keysById = new Map(targets.map(session => [session.id, session.key]))
+    const isFirst = !advice.answered
     const askedMs = this.#clock.monotonicMs()
     advice.asking = true
     try {
@@ -244,6 +248,8 @@
       }, queue.priority)
       const answeredMs = this.#clock.monotonicMs()
       advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
+      // Later questions are also about targets that are known to be allowed.
+      if (isFirst) this.#allowedShare(queue).recordAnswer(keysById.size, allowed.length)
       this.#logger.info({ job: step.job.id, step: step.name, named: keysById.size, allowed: allowed.length, tookMs: Math.round(answeredMs - askedMs) }, 'placement advice received')
     } catch (error) {
       this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'placement advisor request failed')
@@ -254,6 +260,12 @@
     }
   }
 
+  #allowedShare ({ name }: QueueSettings): AllowedShare {
+    const share = this.#allowedShares.get(name) ?? new AllowedShare()
+    this.#allowedShares.set(name, share)
+    return share
+  }
+
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
     const stored = this.#recordPlacement(step, reserved)
