Renew the election at once when a commit has failed

Cause: while the store refuses the coordinator alone (platform_down, leader), the election noticed only at its next regular renewal.

Change: the record log reports when commits begin to fail, and the election then renews without waiting for its interval. Retries of a failed renewal keep their interval.

Test without network: the role is handed over within 160 ms of the refused commit. Without the change the constants give 450 ms (not run).

--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -104,3 +104,26 @@
   await clock.advance(5_000)
   await stopped
 })
+
+test('a coordinator whom alone the store refuses does not wait for its next regular renewal to hand over', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const lost: string[] = []
+  const election = createElection(store, {
+    onElected: () => {}, onLost: reason => lost.push(reason), onChanged: () => {}, peerReachesStore: async () => true, releaseThroughPeers: async () => true
+  }, clock)
+  await election.start()
+  await clock.advance(10)
+  t.true(election.hasAuthority())
+  store.refusing = true
+  election.renewNow()
+  await clock.advance(0)
+  t.true(election.storeFails, 'the failed commit has started a renewal')
+  election.renewNow()
+  await clock.advance(160)
+  t.deepEqual(lost, ['the store serves other instances only'])
+  store.refusing = false
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -85,6 +85,8 @@
   /** Fencing token of the last election that this instance ended for an unreachable coordinator. */
   #endedFence = 0
   #withdrawn = false
+  /** Ends the wait for the next regular renewal. */
+  #endRenewalWait: () => void = () => {}
   #running: Promise<void> = Promise.resolve()
 
   constructor (options: ElectionOptions) {
@@ -98,6 +100,7 @@
   async stop (): Promise<void> {
     await this.withdraw()
     this.#stopping.abort()
+    this.#endRenewalWait()
     await this.#running
   }
 
@@ -137,6 +140,14 @@
     }
   }
 
+  /**
+   * Renews the lease now instead of after the interval: another call to the store has failed, and if the store refuses
+   * this instance only, others should take over soon.
+   */
+  renewNow (): void {
+    this.#endRenewalWait()
+  }
+
   /** Resigns and does not become a candidate again; a successor can be elected at once. */
   async withdraw (): Promise<void> {
     this.#withdrawn = true
@@ -236,7 +247,7 @@
 
   async #renew ({ lease }: CoordinatorInfo): Promise<void> {
     const { clock, logger } = this.#options
-    await this.#sleep(this.#failedRenewals > 0 ? RETRY_DELAY_MS : RENEW_INTERVAL_MS)
+    await this.#awaitRenewal()
     if (this.#ownElection === undefined) return
     const failure = await this.#renewOnce(lease)
     if (failure === undefined || this.#ownElection === undefined) return
@@ -246,6 +257,15 @@
     if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#endTerm('the lease could not be renewed')
   }
 
+  /** Failed renewals are retried at a fixed interval. */
+  async #awaitRenewal (): Promise<void> {
+    if (this.#failedRenewals > 0) return await this.#sleep(RETRY_DELAY_MS)
+    const waiting = new AbortController()
+    this.#endRenewalWait = () => waiting.abort()
+    await this.#options.clock.sleep(RENEW_INTERVAL_MS, waiting.signal).catch(() => {})
+    this.#endRenewalWait = () => {}
+  }
+
   /** Returns the reason if the election was not renewed in time. */
   async #renewOnce (lease: number): Promise<string | undefined> {
     const { store, clock } = this.#options
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -54,6 +54,8 @@
   /** Whether the store still names this instance as coordinator; false if that cannot be determined. */
   readonly confirmLeadership: () => Promise<boolean>
   readonly resign: (reason: string) => void
+  /** Renews the election at once. */
+  readonly renewElection: () => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
 }
@@ -133,6 +135,7 @@
       election: this.#election,
       nextSequence: read.nextSequence,
       onTermLost: reason => this.#options.resign(reason),
+      onFailing: () => this.#options.renewElection(),
       onStalled: () => this.#withdrawUnsentJobs()
     })
     this.#table = read.table
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -43,6 +43,8 @@
   readonly election: { readonly key: string, readonly revision: number }
   readonly nextSequence: number
   readonly onTermLost: (reason: string) => void
+  /** Called when commits begin to fail. */
+  readonly onFailing?: () => void
   /** Called once for each commit that stalls. */
   readonly onStalled?: () => void
 }
@@ -261,6 +263,7 @@
     if (this.#failingSinceMs !== undefined) return
     this.#failingSinceMs = this.#options.clock.monotonicMs()
     this.#options.logger.warn({ error, certain, segment }, 'commit to the store failed')
+    this.#options.onFailing?.()
   }
 
   #endTerm (reason: string): void {
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -226,6 +226,7 @@
       hasAuthority: () => this.#election.hasAuthority(),
       storeFails: () => this.#election.storeFails,
       confirmLeadership: async () => await this.#election.confirm(),
+      renewElection: () => this.#election.renewNow(),
       resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
       finishedJobMs: options.finishedJobMs()
