--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,8 +15,8 @@
 await build({
   entryPoints: ['src/main.ts'],
   bundle: true,
-  minify: true,
-  keepNames: true,
+  minifySyntax: true,
+  minifyWhitespace: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
