--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -34,8 +34,8 @@
 const HOUSEKEEPING_INTERVAL_MS = 1_000
 /** Interval between event loop utilization samples; short compared with the time that a caller waits. */
 const UTILIZATION_INTERVAL_MS = 400
-/** A successor reads this many segments in about a third of a second (benchmark: 1,277 segments in 232 ms). */
-const SEGMENTS_BETWEEN_SNAPSHOTS = 1_500
+/** Bounds what a successor reads before it accepts jobs: one page of the store. */
+const SEGMENTS_BETWEEN_SNAPSHOTS = 400
 const MAX_RECOVERED_AGE_MS = 3_600_000
 
 export interface CoordinatorOptions {
