Ask eight instances for help with the store instead of all

Change: eight are asked, chosen at random, those first that reached the store at their last report; a retry chooses others.

Test without network: with a third of 52 instances refused, one that reaches the store coordinates within a second, after at most 16 questions.

--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -4,6 +4,7 @@
 import { MemoryTransactionalStore } from '../coordinator/testing/memoryTransactionalStore.ts'
 import type { DesiredState, TeamSettings } from '../jobs/desiredState.ts'
 import { TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import { StoreUnavailableError } from '../model/errors.ts'
 import { resources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { CoordinatorPeer } from '../ports/coordinatorPeer.ts'
@@ -29,13 +30,15 @@
   }
 
   /** The store as instances of the region see it. */
-  seenFrom (region: string): TransactionalStore {
+  seenFrom (region: string, refuses: () => boolean): TransactionalStore {
     const count = (values: readonly (string | undefined)[]): void => {
       const bytes = values.reduce((sum, value) => sum + (value?.length ?? 0), 0)
       this.bytesRead.set(region, (this.bytesRead.get(region) ?? 0) + bytes)
     }
+    const refuse = (): void => { if (refuses()) throw new StoreUnavailableError('refused') }
     return {
       get: async key => {
+        refuse()
         if (key === KEY) await this.#clock.sleep(this.readDelayMs)
         const read = await this.get(key)
         count([read.item?.value])
@@ -49,8 +52,14 @@
       listPage: async (prefix, after) => await this.listPage(prefix, after),
       commit: async transaction => await this.commit(transaction),
       grantLease: async () => await this.grantLease(),
-      renewLease: async lease => await this.renewLease(lease),
-      endLease: async lease => await this.endLease(lease)
+      renewLease: async lease => {
+        refuse()
+        return await this.renewLease(lease)
+      },
+      endLease: async lease => {
+        refuse()
+        await this.endLease(lease)
+      }
     }
   }
 
@@ -80,10 +89,14 @@
   readonly store = new RegionalStore(this.clock)
   readonly instances = new Map<string, JobInstance>()
   readonly bytesReceived = new Map<string, number>()
+  /** Questions to peers whether they reach the store. */
+  storeQuestions = 0
+  /** Instances that the store refuses. */
+  readonly refused = new Set<string>()
   readonly watchers = new Map<string, DesiredStateWatcher>()
 
   async start (name: string, region: string): Promise<void> {
-    const store = this.store.seenFrom(region)
+    const store = this.store.seenFrom(region, () => this.refused.has(name))
     const logger = createLogger({ level: 'silent', instance: name, dataCentre: region, secrets: [] })
     const { clock } = this
     const desired = new DesiredStateWatcher({ store, key: KEY, parse: text => JSON.parse(text) as DesiredState, clock, logger })
@@ -124,7 +137,10 @@
       },
       handleAll: async (fence, calls) => await peer.handleAll(fence, calls),
       release: async lease => await peer.release(lease),
-      reachesStore: async () => await peer.reachesStore(),
+      reachesStore: async () => {
+        this.storeQuestions += 1
+        return await peer.reachesStore()
+      },
       advise: async question => await peer.advise(question)
     }
   }
@@ -175,3 +191,21 @@
   t.is(await answered, 'no-queue', 'the queue was removed in the second version')
   await cluster.stop()
 })
+
+test('a coordinator that the store refuses hands over without asking every instance of a large cluster', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  await cluster.start('first', 'attica')
+  await cluster.clock.advance(100)
+  for (let number = 0; number < FAR_INSTANCES; number++) await cluster.start(`other-${number}`, 'attica')
+  await cluster.clock.advance(1_000)
+  cluster.refused.add('first')
+  for (let number = 0; number < FAR_INSTANCES; number += 3) cluster.refused.add(`other-${number}`)
+  await cluster.clock.advance(1_000)
+  const coordinators = new Set([...cluster.instances.values()].map(instance => instance.coordinator?.instance))
+  t.is(coordinators.size, 1)
+  t.false([...coordinators].some(name => name === undefined || cluster.refused.has(name)), [...coordinators].join())
+  t.true(cluster.storeQuestions <= 16, `${cluster.storeQuestions} questions`)
+  cluster.refused.clear()
+  await cluster.stop()
+})
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -38,6 +38,8 @@
 const BATCH_ANSWER_TIMEOUT_MS = 200
 /** The store counts as reachable if it has answered within this time, which exceeds one watch. */
 const STORE_REACHABLE_MS = 2_500
+/** Peers that are asked for help with the store at a time; a retry asks others. */
+const MAX_ASKED_PEERS = 8
 
 export interface JobInstanceOptions {
   readonly instance: string
@@ -178,7 +180,7 @@
 
   async peerReachesStore (): Promise<boolean> {
     const { peers } = this.#options
-    const answers = this.#peers.alive.map(async ({ address }) => {
+    const answers = this.#choosePeersWithStore().map(async ({ address }) => {
       if (!await peers.connect(address).reachesStore()) throw new Error('not reached')
     })
     return await Promise.any(answers).then(() => true, () => false)
@@ -186,19 +188,26 @@
 
   async releaseThroughPeers (lease: number): Promise<boolean> {
     const { peers, logger } = this.#options
-    const { alive } = this.#peers
-    const answers = alive.map(async ({ address }) => {
+    const asked = this.#choosePeersWithStore()
+    const answers = asked.map(async ({ address }) => {
       if (!await peers.connect(address).release(lease)) throw new Error('not released')
     })
     try {
       await Promise.any(answers)
       return true
     } catch {
-      logger.warn({ asked: alive.length, lease }, 'no other instance can reach the store')
+      logger.warn({ asked: asked.length, lease }, 'no other instance can reach the store')
       return false
     }
   }
 
+  /** Chooses at random, those first that reached the store at their last report. */
+  #choosePeersWithStore (): readonly KnownPeer[] {
+    const order = ({ report }: KnownPeer): number => (report?.reachesStore === true ? 0 : 1) + Math.random()
+    const ordered = this.#peers.alive.map(peer => ({ peer, position: order(peer) })).sort((left, right) => left.position - right.position)
+    return ordered.slice(0, MAX_ASKED_PEERS).map(({ peer }) => peer)
+  }
+
   /** Ends the election of a coordinator whose address refused a connection. */
   handleConnectionRefused (info: CoordinatorInfo): void {
     runInBackground(this.#election.endElectionOf(info), this.#options.logger, 'end of an election')
