Stop only the attempt that is meant, and ask a replaced instance at its new address

A stop of attempt 1 of a request matched its tasks by prefix and stopped those of attempts 10 to 19 as well.

A lane of advice kept the weight and the address of the instance's first description: after an instance was replaced under its name, its questions went to the old address, failed and held the lane back for a second each. Test: "an instance that was replaced at another address is not asked at the old one".

--- a/src/coordinator/adviceLanes.test.ts
+++ b/src/coordinator/adviceLanes.test.ts
@@ -103,3 +103,14 @@
   t.deepEqual([...asked.values()].reduce((sum, count) => sum + count, 0), 210)
   for (const name of ['entry-0', 'entry-1', 'entry-2']) t.true(Math.abs((asked.get(name) ?? 0) - 30) <= 1, `${name}: ${asked.get(name)}`)
 })
+
+test('an instance that was replaced at another address is not asked at the old one', async t => {
+  const lanes = new AdviceLanes(new ManualClock())
+  const asked: string[] = []
+  const lane = (address: string) => ({ name: 'entry-1', weight: 1, advisor: { ask: async () => { asked.push(address); return [] } } })
+  for (const address of ['old', 'new']) {
+    lanes.setLanes([lane(address)])
+    await lanes.ask({ step: 'a.0.0', targets: [], expectedMs: 10 }, 0)
+  }
+  t.deepEqual(asked, ['old', 'new'])
+})
--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -28,7 +28,11 @@
   readonly weight: number
 }
 
-interface Lane extends LaneDescription {
+interface Lane {
+  readonly name: string
+  /** Of the last description, since an instance may be replaced at another address. */
+  advisor: PlacementAdvisor
+  weight: number
   /** Questions asked so far divided by the weight; a lane added later starts at the minimum of the others. */
   askedPerWeight: number
   /** Outstanding questions, and their total expected time. */
@@ -58,7 +62,13 @@
   setLanes (lanes: readonly LaneDescription[]): void {
     const known = new Map(this.#lanes.map(lane => [lane.name, lane]))
     const minAskedPerWeight = this.#lanes.length === 0 ? 0 : Math.min(...this.#lanes.map(({ askedPerWeight }) => askedPerWeight))
-    this.#lanes = lanes.map(lane => known.get(lane.name) ?? { ...lane, askedPerWeight: minAskedPerWeight, questions: 0, backlogMs: 0, backoffUntilMs: 0 })
+    this.#lanes = lanes.map(({ name, advisor, weight }) => {
+      const lane = known.get(name)
+      if (lane === undefined) return { name, advisor, weight, askedPerWeight: minAskedPerWeight, questions: 0, backlogMs: 0, backoffUntilMs: 0 }
+      lane.advisor = advisor
+      lane.weight = weight
+      return lane
+    })
     this.#dispatch()
   }
 
--- a/src/instance/placement/localScheduler.ts
+++ b/src/instance/placement/localScheduler.ts
@@ -12,6 +12,7 @@
 import { claimHolder, createCompleteAnswer } from '../requests/localWork.ts'
 import type { LocalWork } from '../requests/localWork.ts'
 import type { PlacementQueue } from './placementQueue.ts'
+import { createTaskIds } from './taskIds.ts'
 import type { StartedTask, TaskStarter } from '../tasks/taskStarter.ts'
 import type { TaskEnd, TaskTracker } from '../tasks/taskTracker.ts'
 
@@ -91,7 +92,7 @@
   async #place (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
     const { team, request, deadlineAt, signal } = work
     const { kind, tasks, repeatable } = request
-    const taskIds = Array.from({ length: tasks }, (_, index) => tasks === 1 ? work.attemptId : `${work.attemptId}-${index}`)
+    const taskIds = createTaskIds(work.attemptId, tasks)
     const bytes = REQUEST_OVERHEAD_BYTES + JSON.stringify(request.payload ?? null).length
     return await this.#dependencies.placements.wait({ team, requestId: request.id, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
   }
--- a/src/instance/schedulingSubsystem.ts
+++ b/src/instance/schedulingSubsystem.ts
@@ -31,6 +31,7 @@
 import { TargetAvailability } from './tasks/targetAvailability.ts'
 import { TaskStarter } from './tasks/taskStarter.ts'
 import { TaskTracker } from './tasks/taskTracker.ts'
+import { isTaskOfAttempt } from './placement/taskIds.ts'
 import { WaitEstimator } from './placement/waitEstimator.ts'
 
 /** Burst allowance for a team's cross-region traffic, in seconds of its rate. */
@@ -234,7 +235,7 @@
 
   #stopTasks (team: string, requestId: string, attemptId?: string): boolean {
     const tasks = this.placements.held.ofRequest(team, requestId)
-      .filter(({ taskId }) => attemptId === undefined || taskId.startsWith(attemptId))
+      .filter(({ taskId }) => attemptId === undefined || isTaskOfAttempt(taskId, attemptId))
     if (tasks.some(task => task.kind === 'service')) this.supervisor.cancel(team, requestId)
     for (const { taskId } of tasks) this.tracker.stop(taskId)
     return tasks.length > 0
