Read the bodies of requests without a Blob, and stop at the limit

Cause: stream/consumers creates a Blob and transferable objects for each body (2% of the coordinator's profile), and a body beyond the limit was read whole before it was refused.

Change: readRequestBody collects the chunks, and resolves as soon as the limit is passed. Answers are written as text, together with their headers.

--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -2,10 +2,10 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { text } from 'node:stream/consumers'
 import { BaseError, InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import { getBoundAddress, listenOn } from '../network.ts'
+import { readRequestBody } from './readRequestBody.ts'
 import { matchRoute } from './routes.ts'
 import type { RouteResponse, Route, RouteMatch } from './routes.ts'
 
@@ -109,7 +109,7 @@
     request.resume()
     return undefined
   }
-  const content = await text(request)
+  const content = String(await readRequestBody(request))
   if (content === '') return undefined
   try {
     return JSON.parse(content)
@@ -120,7 +120,8 @@
 }
 
 function writeJson (response: ServerResponse, { status, body }: RouteResponse): void {
-  const bytes = Buffer.from(JSON.stringify(body))
-  response.writeHead(status, { 'content-type': 'application/json', 'content-length': bytes.length })
-  response.end(bytes)
+  // A string is written together with the headers.
+  const text = JSON.stringify(body)
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(text) })
+  response.end(text)
 }
--- /dev/null
+++ b/src/adapters/http/readRequestBody.test.ts
@@ -0,0 +1,38 @@
+import { createServer, request as startRequest } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import test from 'ava'
+import { readRequestBody } from './readRequestBody.ts'
+
+const LIMIT = 1_000
+
+/** Sends a request whose body is written by `send`, and returns what the server read of it. */
+async function read (send: (write: (bytes: number) => void, finish: () => void, breakOff: () => void) => void): Promise<number | string> {
+  return await new Promise(resolve => {
+    const server = createServer((request, response) => {
+      readRequestBody(request, LIMIT).then(body => resolve(body === undefined ? 'too large' : body.length), error => resolve(String(error)))
+        .finally(() => {
+          response.end()
+          server.close()
+        })
+    })
+    server.listen(0, '127.0.0.1', () => {
+      const outgoing = startRequest({ port: (server.address() as AddressInfo).port, host: '127.0.0.1', method: 'POST' })
+      outgoing.on('error', () => {})
+      outgoing.on('response', response => response.resume())
+      send(bytes => outgoing.write('x'.repeat(bytes)), () => outgoing.end(), () => outgoing.destroy())
+    })
+  })
+}
+
+test('a body is read whole, whatever its parts', async t => {
+  t.is(await read((_write, finish) => finish()), 0)
+  t.is(await read((write, finish) => { write(300); write(700); finish() }), 1_000)
+})
+
+test('a body beyond the limit is refused at once, before its end', async t => {
+  t.is(await read(write => { write(600); write(600) }), 'too large')
+})
+
+test('a request that breaks off is not taken for a whole one', async t => {
+  t.regex(String(await read((write, _finish, breakOff) => { write(300); setTimeout(breakOff, 20) })), /closed|aborted/)
+})
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers on the platform. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { buffer } from 'node:stream/consumers'
+import { readRequestBody } from '../adapters/http/readRequestBody.ts'
 import { listenOn } from '../adapters/network.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallHandler } from '../entry/callerCall.ts'
 import type { DesiredStateSummary } from '../jobs/desiredState.ts'
@@ -72,10 +72,8 @@
     const startedAtMs = performance.now()
     const action = ACTION_BY_METHOD[request.method ?? '']
     const path = (request.url ?? '/').split('?', 1)[0] as string
-    const body = await buffer(request)
-    const answer: CallerAnswer = action === undefined
-      ? { outcome: 'invalid', message: `the method ${request.method} is not supported` }
-      : await this.#answer(action, path, request, body)
+    const body = await readRequestBody(request, this.#options.desiredState().maximumBodyBytes || DEFAULT_MAX_BODY_BYTES)
+    const answer = await this.#answer(action, path, request, body)
     this.#options.onCall(action ?? 'read', answer.outcome, performance.now() - startedAtMs)
     if (answer.outcome === 'unavailable' || answer.outcome === 'limited' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
       this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desiredState().version, tookMs: Math.round(performance.now() - startedAtMs) }, 'call not served')
@@ -83,10 +81,10 @@
     this.#write(response, encodeAnswer(answer))
   }
 
-  async #answer (action: CallAction, path: string, request: IncomingMessage, body: Buffer): Promise<CallerAnswer> {
-    const { handler } = this.#options
-    const { version, maximumBodyBytes } = this.#options.desiredState()
-    if (body.length > (maximumBodyBytes || DEFAULT_MAX_BODY_BYTES)) return { outcome: 'invalid', message: 'the body is too large' }
+  async #answer (action: CallAction | undefined, path: string, request: IncomingMessage, body: Buffer | undefined): Promise<CallerAnswer> {
+    const { handler, desiredState } = this.#options
+    if (action === undefined) return { outcome: 'invalid', message: `the method ${request.method} is not supported` }
+    if (body === undefined) return { outcome: 'invalid', message: 'the body is too large' }
     let definition = ''
     try {
       if (action === 'submit') definition = JSON.stringify(decodeJobBody(parseJson(body)))
@@ -100,20 +98,20 @@
       path,
       key: String(request.headers[KEY_HEADER] ?? ''),
       definition,
-      desiredStateVersion: version
+      desiredStateVersion: desiredState().version
     }
     return await handler.handle({ call, callerTimeoutMs: parseCallerTimeout(request.headers[CALLER_TIMEOUT_HEADER]) })
   }
 
   #write (response: ServerResponse, { status, body, retryAfterSeconds }: HttpAnswer): void {
-    const bytes = Buffer.from(JSON.stringify(body ?? {}))
+    const text = JSON.stringify(body ?? {})
     response.writeHead(status, {
       'content-type': 'application/json',
-      'content-length': bytes.length,
+      'content-length': Buffer.byteLength(text),
       ...(retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }),
       ...(this.#closing ? { connection: 'close' } : {})
     })
-    response.end(bytes)
+    response.end(text)
   }
 }
 
