Keep a coordinator with a slow link from holding the cluster without a log

After a kill of all processes edge-pl-east-8, with a link of 7 Mbit/s, was the first candidate. A page of the job log (297 segments, 2.8 MB) did not arrive within 4 s, so that it read the log from the beginning again and again, for 23 s, while its renewals succeeded; and it handed over to a larger instance only once it had recovered.

--- a/src/coordinator/coordinatorPreference.ts
+++ b/src/coordinator/coordinatorPreference.ts
@@ -8,6 +8,13 @@
  * ones be elected first.
  */
 const SMALLER_CANDIDATE_DELAY_MS = 500
+/** Size of the job log that a new coordinator reads under load. */
+const TYPICAL_LOG_MEGABITS = 24
+/** An instance leaves this part of its reading time to those with faster links, up to a limit for clusters without any. */
+const LINK_DELAY_FACTOR = 0.25
+const MAX_LINK_DELAY_MS = 600
+const MS_PER_SECOND = 1_000
+
 /** A larger instance must have been reporting for this long before leadership is handed over to it. */
 const STABLE_REPORTS_MS = 2_000
 /** Older reports are ignored; five report intervals. */
@@ -32,15 +39,17 @@
 export class CoordinatorPreference {
   readonly #clock: Clock
   readonly #processors: number
+  readonly #linkDelayMs: number
   readonly #reports = new Map<string, ReportedProcessors>()
   /** Most processors of any instance known to the coordinator. */
   #largestKnownToCoordinator = 0
   #lastHandOverMs = -Infinity
 
-  /** `processors` are those of this instance. */
-  constructor (clock: Clock, processors: number) {
+  /** `processors` and `bandwidthMbps` are those of this instance. */
+  constructor (clock: Clock, processors: number, bandwidthMbps: number) {
     this.#clock = clock
     this.#processors = processors
+    this.#linkDelayMs = Math.min(MAX_LINK_DELAY_MS, TYPICAL_LOG_MEGABITS / bandwidthMbps * MS_PER_SECOND * LINK_DELAY_FACTOR)
   }
 
   /** Records an instance's report; an instance that cannot reach the store cannot be elected and is ignored. */
@@ -62,9 +71,9 @@
     return Math.max(this.#processors, ...reported)
   }
 
-  /** Election delay that lets larger instances be elected first. */
+  /** Election delay that lets larger instances and those with faster links be elected first. */
   get candidateDelayMs (): number {
-    return Math.max(this.#largestKnownToCoordinator, this.largest) >= this.#processors * LARGER_RATIO ? SMALLER_CANDIDATE_DELAY_MS : 0
+    return this.#linkDelayMs + (Math.max(this.#largestKnownToCoordinator, this.largest) >= this.#processors * LARGER_RATIO ? SMALLER_CANDIDATE_DELAY_MS : 0)
   }
 
   /** Whether this instance should hand over leadership now; true at most once per `HAND_OVER_INTERVAL_MS`. */
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -36,6 +36,8 @@
 const UTILIZATION_INTERVAL_MS = 400
 /** Bounds what a successor reads before it accepts jobs: one page of the store. */
 const SEGMENTS_BETWEEN_SNAPSHOTS = 400
+/** The same for wide jobs, whose segments are large. */
+const LOG_BYTES_BETWEEN_SNAPSHOTS = 1_000_000
 const MAX_RECOVERED_AGE_MS = 3_600_000
 
 export interface CoordinatorOptions {
@@ -74,6 +76,8 @@
   #log: RecordLog | undefined
   /** Sequence number of the log at the last compaction. */
   #lastCompactedSequence = 0
+  /** Bytes of the segments since the last compaction that were stored before this term. */
+  #recoveredLogBytes = 0
   #closed = false
 
   constructor (options: CoordinatorOptions) {
@@ -140,6 +144,7 @@
     })
     this.#table = read.table
     this.#lastCompactedSequence = read.nextSequence - read.segments
+    this.#recoveredLogBytes = read.segmentBytes
     this.#recoverJobs(read.table)
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#termStartedAtMs) }, 'job log recovered')
     for (const description of read.table.targets.values()) this.#fleet.openRecorded(description)
@@ -238,6 +243,14 @@
     job.markStarted(this.#clock.monotonicMs())
   }
 
+  /** Stops the other members of a gang, which would only wait until the missing one has certainly ended. */
+  startUnanswered (session: TargetSession, assignment: Assignment): void {
+    const { step } = assignment.task
+    if (!step.definition.gang) return
+    this.#logger.info({ job: step.job.id, step: step.name, attempt: assignment.attempt, target: session.id }, 'stopping a gang: the start of a member was not answered')
+    this.#fleet.stopRuns(other => other !== assignment && other.task.step === step && other.attempt === assignment.attempt)
+  }
+
   joined (session: TargetSession): void {
     if (this.#fleet.isRecorded(session)) return
     this.applyAndAppend([{ type: 'target', target: session.description }]).then(() => {
@@ -264,10 +277,18 @@
   }
 
   async #readLog (): Promise<Awaited<ReturnType<typeof readLog>>> {
+    const { store } = this.#options
+    return await readLog({
+      get: async key => await this.#readUntilAnswered(async () => await store.get(key)),
+      listPage: async (prefix, after) => await this.#readUntilAnswered(async () => await store.listPage(prefix, after))
+    }, record => this.#clock.monotonicMs() - Math.min(Math.max(this.#clock.wallMs() - record.acceptedWallMs, 0), MAX_RECOVERED_AGE_MS))
+  }
+
+  /** Repeats a read of the log; pages that have been read are not read again, since the log does not change meanwhile. */
+  async #readUntilAnswered<Answer> (read: () => Promise<Answer>): Promise<Answer> {
     for (;;) {
       try {
-        return await readLog(this.#options.store, record => this.#clock.monotonicMs() -
-          Math.min(Math.max(this.#clock.wallMs() - record.acceptedWallMs, 0), MAX_RECOVERED_AGE_MS))
+        return await read()
       } catch (error) {
         if (this.#closed) throw error
         this.#logger.warn({ error: String(error) }, 'failed to read the job log; retrying')
@@ -341,11 +362,15 @@
     }
   }
 
-  /** Compacts the log after `SEGMENTS_BETWEEN_SNAPSHOTS` segments; a failed compaction is retried after as many more. */
+  /** A failed compaction is retried when the log has grown as much again. */
   async #compactIfDue (): Promise<void> {
     const log = this.#log
-    if (log === undefined || log.nextSequence - this.#lastCompactedSequence < SEGMENTS_BETWEEN_SNAPSHOTS) return
+    if (log === undefined) return
+    const isLong = log.nextSequence - this.#lastCompactedSequence >= SEGMENTS_BETWEEN_SNAPSHOTS
+    if (!isLong && this.#recoveredLogBytes + log.bytesSinceCompaction < LOG_BYTES_BETWEEN_SNAPSHOTS) return
     this.#lastCompactedSequence = log.nextSequence
+    this.#recoveredLogBytes = 0
+    log.resetBytesSinceCompaction()
     // The snapshot contains jobs whose records have not been committed yet.
     log.preventWithdrawal()
     try {
--- a/src/coordinator/logReader.ts
+++ b/src/coordinator/logReader.ts
@@ -20,7 +20,9 @@
   readonly nextSequence: number
   /** Number of segments after the snapshot. */
   readonly segments: number
+  /** Length of the snapshot and of the segments after it. */
   readonly bytes: number
+  readonly segmentBytes: number
 }
 
 /** Returns the key of one part of a snapshot. */
@@ -35,7 +37,7 @@
  * @example
  * const { table, nextSequence } = await readLog(store, record => clock.monotonicMs())
  */
-export async function readLog (store: TransactionalStore, acceptedAtMs: (record: JobRecord) => number): Promise<ReadLog> {
+export async function readLog (store: Pick<TransactionalStore, 'get' | 'listPage'>, acceptedAtMs: (record: JobRecord) => number): Promise<ReadLog> {
   const table = new JobTable(acceptedAtMs)
   const { item: headItem } = await store.get(SNAPSHOT_HEAD_KEY)
   const head = headItem === undefined ? undefined : snapshotHeadSchema.parse(JSON.parse(headItem.value))
@@ -47,13 +49,14 @@
     }
   }
   const segments = (await listAll(store, LOG_PREFIX)).filter(item => segmentNumber(item.key) > (head?.sequence ?? 0))
+  const snapshotBytes = bytes
   for (const segment of segments) {
     bytes += segment.value.length
     applyAll(table, segment.value)
   }
   const last = segments.at(-1)
   const nextSequence = (last === undefined ? head?.sequence ?? 0 : segmentNumber(last.key)) + 1
-  return { table, nextSequence, segments: segments.length, bytes }
+  return { table, nextSequence, segments: segments.length, bytes, segmentBytes: bytes - snapshotBytes }
 }
 
 function applyAll (table: JobTable, text: string): void {
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -90,6 +90,7 @@
   #closed = false
   #failingSinceMs: number | undefined
   #stalled = false
+  #bytesSinceCompaction = 0
 
   constructor (options: RecordLogOptions) {
     this.#options = options
@@ -106,6 +107,15 @@
     return this.#failingSinceMs
   }
 
+  /** Length of the segments sent since the last call of `resetBytesSinceCompaction`. */
+  get bytesSinceCompaction (): number {
+    return this.#bytesSinceCompaction
+  }
+
+  resetBytesSinceCompaction (): void {
+    this.#bytesSinceCompaction = 0
+  }
+
   /** Whether a commit has stalled and none has succeeded since. */
   get stalled (): boolean {
     return this.#stalled
@@ -181,6 +191,7 @@
   async #store ({ pending, texts }: Batch): Promise<void> {
     const sequence = texts.length === 0 ? undefined : this.#nextSequence++
     this.#inFlight += 1
+    this.#bytesSinceCompaction += texts.reduce((sum, text) => sum + text.length, 0)
     const committed = sequence === undefined ? Promise.resolve(true) : this.#commitUntilKnown(segmentKey(sequence), `[${texts.join(',')}]`)
     const stored = Promise.all([this.#allStored, committed]).then(([before, own]) => before && own)
     this.#allStored = stored
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -58,6 +58,7 @@
 
 class Recorder implements TargetListener {
   readonly events: string[] = []
+  readonly unanswered: string[] = []
   /** Run ends that are not stored yet, by task. */
   readonly unstored = new Map<string, Promise<void>>()
 
@@ -69,6 +70,7 @@
   runLost (_session: TargetSession, { task }: Assignment, reason: string): void { this.events.push(`${task.name} lost: ${reason}`) }
   startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
   startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
+  startUnanswered (_session: TargetSession, { task }: Assignment): void { this.unanswered.push(task.name) }
   joined (): void { this.events.push('joined') }
   incarnationEnded (_session: TargetSession, reason: string): void { this.events.push(`incarnation ended: ${reason}`) }
   fenced (): void { this.events.push('fenced') }
@@ -146,6 +148,7 @@
   t.deepEqual(listener.events, ['joined'])
   await clock.advance(1_500)
   t.deepEqual(client.stops, [assignment.task.name])
+  t.deepEqual(listener.unanswered, [assignment.task.name])
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
   t.is(session.free.processors, 64_000)
 })
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -45,6 +45,8 @@
   runLost (session: TargetSession, assignment: Assignment, reason: string): void
   startRefused (session: TargetSession, assignment: Assignment, refusal: StartRefusal): void
   startConfirmed (session: TargetSession, assignment: Assignment): void
+  /** A start request was not answered, and the run is being stopped because the target does not report it. */
+  startUnanswered (session: TargetSession, assignment: Assignment): void
   joined (session: TargetSession): void
   incarnationEnded (session: TargetSession, reason: IncarnationEndReason): void
   fenced (session: TargetSession): void
@@ -352,6 +354,7 @@
   async #stopUnlessConfirmed (assignment: Assignment): Promise<void> {
     await this.#options.clock.sleep(CONFIRMATION_DELAY_MS)
     if (!this.#assignments.has(assignment.key) || assignment.state !== 'unconfirmed') return
+    this.#options.listener.startUnanswered(this, assignment)
     await this.stop(assignment)
   }
 
--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -23,6 +23,8 @@
   readonly bytesRead = new Map<string, number>()
   /** Delay of reads of the desired state. */
   readDelayMs = 0
+  /** Pages of the job log are not answered in time. */
+  failsPages = false
 
   constructor (clock: ManualClock) {
     super()
@@ -49,7 +51,11 @@
         if (result.outcome === 'changes') count(result.changes.map(change => change.type === 'written' ? change.item.value : undefined))
         return result
       },
-      listPage: async (prefix, after) => await this.listPage(prefix, after),
+      listPage: async (prefix, after) => {
+        if (!this.failsPages) return await this.listPage(prefix, after)
+        await this.#clock.sleep(4_000)
+        throw new StoreUnavailableError('no answer within 4000 ms')
+      },
       commit: async transaction => await this.commit(transaction),
       grantLease: async () => await this.grantLease(),
       renewLease: async lease => {
@@ -93,6 +99,8 @@
   storeQuestions = 0
   /** Instances that the store refuses. */
   readonly refused = new Set<string>()
+  /** By instance; 1 by default. */
+  readonly processors = new Map<string, number>()
   readonly watchers = new Map<string, DesiredStateWatcher>()
 
   async start (name: string, region: string): Promise<void> {
@@ -105,7 +113,8 @@
       instance: name,
       address: name,
       region,
-      processors: 1,
+      processors: this.processors.get(name) ?? 1,
+      bandwidthMbps: 1_000,
       store,
       clock,
       logger,
@@ -209,3 +218,18 @@
   cluster.refused.clear()
   await cluster.stop()
 })
+
+test('a small coordinator whose link is too slow for the job log hands over to a larger instance instead of reading it again and again', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  cluster.processors.set('small', 0.3)
+  cluster.store.failsPages = true
+  await cluster.start('small', 'attica')
+  await cluster.clock.advance(200)
+  await cluster.start('large', 'attica')
+  await cluster.clock.advance(3_500)
+  const { coordinator } = cluster.instances.get('large') as JobInstance
+  t.is(coordinator?.instance, 'large')
+  cluster.store.failsPages = false
+  await cluster.stop()
+})
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -48,6 +48,8 @@
   readonly region: string
   /** Processors that this instance may use. */
   readonly processors: number
+  /** Bandwidth of this instance's link, in megabits per second. */
+  readonly bandwidthMbps: number
   readonly store: TransactionalStore
   readonly clock: TimerClock
   readonly logger: Logger
@@ -85,9 +87,9 @@
 
   constructor (options: JobInstanceOptions) {
     this.#options = options
-    const { store, clock, logger, instance, address, processors } = options
+    const { store, clock, logger, instance, address, processors, bandwidthMbps } = options
     this.#peers = new PeerDirectory(clock)
-    this.#preference = new CoordinatorPreference(clock, processors)
+    this.#preference = new CoordinatorPreference(clock, processors, bandwidthMbps)
     this.#election = new Election({ store, clock, logger, instance, address, listener: this, candidateDelayMs: () => this.#preference.candidateDelayMs })
     this.#reporting = new PeriodicTask('reports', clock, REPORT_INTERVAL_MS, async () => await this.#sendReport(),
       error => logger.error({ error: String(error) }, 'reporting to the coordinator failed'))
@@ -286,7 +288,7 @@
   async #sendReport (): Promise<void> {
     const address = this.#selectReportRecipient()
     if (address !== undefined) await this.#sendReportTo(address)
-    if (this.#term?.coordinator.ready === true && this.#preference.shouldHandOver()) await this.#election.resign('an instance with more processors is available')
+    if (this.#term !== undefined && this.#preference.shouldHandOver()) await this.#election.resign('an instance with more processors is available')
     // An empty digest makes the next answer contain the known instances, among them those that were removed here only.
     if (this.#peers.evictSilent()) this.#receivedPeersDigest = ''
     this.#updateLanes()
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -267,6 +267,25 @@
   await cluster.stop()
 })
 
+test('a gang does not hold its targets while the start of one member stays unanswered', async t => {
+  // Each of the two workers has capacity for one member.
+  const cluster = await Cluster.start(1, { workers: 2, workMs: () => 60_000 })
+  const member = { cpu: 40_000, mem_mb: 64, estimate_ms: 50, gang: true }
+  const both = { spec: 'x', phases: [{ count: 2, cpu: 40_000, mem_mb: 64, estimate_ms: 50 }] }
+  await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f00', both)
+  await cluster.waitUntil('both workers have joined', () => cluster.startedTasks('0000000000000f00').length === 2)
+  await cluster.call(0, 'DELETE', '/checks/0000000000000f00')
+  await cluster.waitUntil('both are free', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
+  const silent = cluster.platform.workers.get('worker-2')
+  if (silent !== undefined) silent.fault = 'silent'
+  await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f01', { spec: 'x', phases: [{ count: 2, ...member }] })
+  await cluster.waitUntil('one member runs', () => cluster.startedTasks('0000000000000f01').length === 1)
+  const startedAtMs = Date.now()
+  await cluster.waitUntil('it is stopped', () => cluster.platform.workers.get('worker-1')?.running.length === 0)
+  t.true(Date.now() - startedAtMs < 3_000, `stopped after ${Date.now() - startedAtMs} ms; leases on the silent worker end after 10 s`)
+  await cluster.stop()
+})
+
 test('a job that always fails is reported as failed after the attempts that its queue allows, and a cancelled job stops running', async t => {
   const cluster = await Cluster.start(1, {
     queues: [{ name: 'checks', prefix: '/checks/', maximumAttempts: 2 }, { name: 'renders', prefix: '/renders/', adviceMs: 20 }],
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -14,7 +14,7 @@
   control_mode: z.string().default('invocation'),
   recommendation: z.string().default(''),
   listen_addrs: z.object({ frontend: z.string(), ready: z.string() }),
-  limits: z.object({ cpu_quota: z.number().positive().default(1), cpu_cores: z.number().positive().default(1) }).default({ cpu_quota: 1, cpu_cores: 1 }),
+  limits: z.object({ cpu_quota: z.number().positive().default(1), cpu_cores: z.number().positive().default(1), bandwidth_mbps: z.number().positive().default(1_000) }).default({ cpu_quota: 1, cpu_cores: 1, bandwidth_mbps: 1_000 }),
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
@@ -32,6 +32,8 @@
   readonly ip: string
   /** Processors that the instance may use, expressed as full processors of a common speed. */
   readonly processors: number
+  /** Bandwidth of the instance's link, in megabits per second. */
+  readonly bandwidthMbps: number
   readonly dataCentre: string
   readonly region: string
   readonly peerPort: number
@@ -74,6 +76,7 @@
     instance: file.node_name,
     ip: file.ip,
     processors: file.limits.cpu_quota * file.limits.cpu_cores,
+    bandwidthMbps: file.limits.bandwidth_mbps,
     dataCentre: file.zone,
     region: file.region,
     peerPort: file.internal_ports[0],
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -69,6 +69,7 @@
     address: peerAddress,
     region: settings.region,
     processors: settings.processors,
+    bandwidthMbps: settings.bandwidthMbps,
     store,
     clock,
     logger,
--- a/src/ports/transactionalStore.ts
+++ b/src/ports/transactionalStore.ts
@@ -69,7 +69,7 @@
  * @example
  * const items = await listAll(store, 'agategauge/log/')
  */
-export async function listAll (store: TransactionalStore, prefix: string): Promise<readonly StoredItem[]> {
+export async function listAll (store: Pick<TransactionalStore, 'listPage'>, prefix: string): Promise<readonly StoredItem[]> {
   const items: StoredItem[] = []
   let after: string | undefined
   for (;;) {
