Print what the test runner said when it fails outside of a test

What it had said was deleted with its log, so that the cause is not known. The script prints the end of that log now.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,7 +22,12 @@
 expected=$(grep -c . <<< "$failed")
 expected=$((expected - unexpected))
 # A run that was aborted, or that failed outside of a test, always counts as a failure.
-if [ "$status" -ne 0 ] && { [ -z "$failed" ] || grep -q '^Bail out' "$log"; }; then unexpected=$((unexpected + 1)); fi
+if [ "$status" -ne 0 ] && { [ -z "$failed" ] || grep -q '^Bail out' "$log"; }; then
+  unexpected=$((unexpected + 1))
+  echo "ava exited with code $status without a failed test; the end of its output, and its comments:"
+  tail -n 60 "$log"
+  grep '^# ' "$log"
+fi
 rm -f "$log"
 if [ -s KNOWN-RED.txt ]; then echo "$expected known failures, from KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
 echo "$passed passed, $unexpected failed"
