Do not adopt an election again that has ended

The old coordinator, which knew of none after its hand-over, reported to a random peer; if that one was refused by the store as well and still took it for the coordinator, it adopted its own ended election from the answer, reported to nobody any more, and answered the others that it is the coordinator. Instances that the store refuses then sent their calls to it for as long as the outage lasted; each was answered 503.

Change: an instance keeps the highest fencing token that it has known of, and adopts only newer elections from peers.

--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -76,6 +76,8 @@
   readonly #stopping = new AbortController()
   #ownElection: CoordinatorInfo | undefined
   #coordinator: CoordinatorInfo | undefined
+  /** Fencing token of the newest election that this instance has known of. */
+  #newestFence = 0
   /** Time on the monotonic clock until which the lease is known to be valid. */
   #validUntilMs = 0
   /** Wall clock minus monotonic clock when the last successful renewal was sent. */
@@ -178,9 +180,9 @@
     }
   }
 
-  /** Adopts a newer election reported by a peer, for instances that cannot read the store. */
+  /** Adopts a newer election reported by a peer, for instances that cannot read the store; an ended one is not adopted again. */
   updateFromPeer (info: CoordinatorInfo): void {
-    if (this.#ownElection !== undefined || info.fence <= (this.#coordinator?.fence ?? 0)) return
+    if (this.#ownElection !== undefined || info.fence <= this.#newestFence) return
     this.#setCoordinator(info)
   }
 
@@ -334,6 +336,7 @@
   #setCoordinator (info: CoordinatorInfo | undefined): void {
     if (info?.fence === this.#coordinator?.fence) return
     this.#coordinator = info
+    this.#newestFence = Math.max(this.#newestFence, info?.fence ?? 0)
     this.#options.listener.onChanged(info)
   }
 
