Close the unfinished request of a test that kept its process alive

Ruled out: process.exit in a test, an unhandled rejection (both would print "not ok").

Change: the test closes the connections of its server; the test script says what an exit code without a failed test can mean.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,7 +24,7 @@
 # A run that was aborted, or that failed outside of a test, always counts as a failure.
 if [ "$status" -ne 0 ] && { [ -z "$failed" ] || grep -q '^Bail out' "$log"; }; then
   unexpected=$((unexpected + 1))
-  echo "ava exited with code $status without a failed test; the end of its output, and its comments:"
+  echo "ava exited with code $status without a failed test; a test file whose process did not exit after its tests has this effect ('npx ava FILE' names it). The end of its output, and its comments:"
   tail -n 60 "$log"
   grep '^# ' "$log"
 fi
--- a/src/adapters/http/readRequestBody.test.ts
+++ b/src/adapters/http/readRequestBody.test.ts
@@ -13,6 +13,8 @@
         .finally(() => {
           response.end()
           server.close()
+          // A request without an end would keep the test process alive for as long as the server waits for its rest.
+          server.closeAllConnections()
         })
     })
     server.listen(0, '127.0.0.1', () => {
