Execute a batch that a later one has overtaken, and leave slow relays

Five starts to one target never had an outcome and counted as unanswered 3.6 s later; one member of their gang had waited its 4 s by then. Exchanges travel on several connections, so that a batch can overtake an earlier one; the relay took the numbers of the earlier one, which were lower than the highest that it had seen, for orders received twice. Ruled out: the targets (none was impaired) and the coordinator (its orders left within 6 ms).

Change: a relay remembers the numbers received instead of the highest; an order without an outcome counts as unanswered after 1.7 s instead of 3.5 s, before any gang gives up; a relay that let an order expire gets none for 3 s.

Tests: relayLink "a batch that is overtaken by a later one ... is executed too" failed before; "an order whose outcome a relay never gives ...", and the test of paused relays checks that they get no further orders.

--- a/src/relay/relayChannel.ts
+++ b/src/relay/relayChannel.ts
@@ -7,10 +7,15 @@
 /** Outcomes that are returned without waiting for more. */
 const FULL_ANSWER = 60
 
+/** More than the orders of all batches that can be on their way at once. */
+const REMEMBERED_NUMBERS = 2_000
+
 /** At most one exchange waits at a time: a newer one answers its predecessor at once. */
 export class RelayChannel {
   readonly #clock: TimerClock
   #outcomes: RelayOutcome[] = []
+  /** Numbers of the orders received, within `REMEMBERED_NUMBERS` of the highest. */
+  readonly #received = new Set<number>()
   #highestNumber = 0
   #lastUsedMs: number
   #release: (() => void) | undefined
@@ -26,14 +31,25 @@
     return this.#clock.monotonicMs() - this.#lastUsedMs
   }
 
-  /** Returns the orders that were not received before. */
+  /** Returns the orders that were not received before. Batches on different connections may overtake each other. */
   takeNew (orders: readonly NumberedOrder[]): readonly NumberedOrder[] {
     this.#lastUsedMs = this.#clock.monotonicMs()
-    const newOrders = orders.filter(({ number }) => number > this.#highestNumber)
-    for (const { number } of newOrders) this.#highestNumber = Math.max(this.#highestNumber, number)
+    const newOrders = orders.filter(({ number }) => number > this.#highestNumber - REMEMBERED_NUMBERS && !this.#received.has(number))
+    for (const { number } of newOrders) {
+      this.#received.add(number)
+      this.#highestNumber = Math.max(this.#highestNumber, number)
+    }
+    this.#forgetOldNumbers()
     return newOrders
   }
 
+  #forgetOldNumbers (): void {
+    for (const number of this.#received) {
+      if (this.#received.size <= REMEMBERED_NUMBERS) return
+      this.#received.delete(number)
+    }
+  }
+
   add (outcome: RelayOutcome): void {
     this.#outcomes.push(outcome)
     this.#onOutcome?.()
--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -41,6 +41,18 @@
   t.deepEqual(harness.target.orders, ['start once#1 text'])
 })
 
+test('a batch that is overtaken by a later one on another connection is executed too', async t => {
+  const harness = await RelayHarness.open()
+  harness.delaysMs.push(30, 1)
+  const overtaken = submitStart(harness, 'first')
+  await harness.clock.advance(15)
+  const later = submitStart(harness, 'second')
+  await harness.clock.advance(100)
+  t.deepEqual(harness.target.orders, ['start second#1 text', 'start first#1 text'])
+  t.like(overtaken.result, { type: 'start' })
+  t.like(later.result, { type: 'start' })
+})
+
 test('after the answer to a batch was lost, a start that ran is not reported as never sent', async t => {
   const harness = await RelayHarness.open()
   harness.losesAnswers = true
@@ -51,6 +63,15 @@
   t.true(harness.link.ended)
 })
 
+test('an order whose outcome a relay never gives is reported as unanswered before a gang waits for its members in vain', async t => {
+  const harness = await RelayHarness.open()
+  harness.target.answerMs = 60_000
+  const start = submitStart(harness, 'silent')
+  await harness.clock.advance(2_100)
+  t.like(start.result, { type: 'unanswered' })
+  t.true(harness.link.usable)
+})
+
 test('the loss of a relay is noticed within 1.1 s, and orders submitted after it are not queued', async t => {
   const harness = await RelayHarness.open()
   harness.delayMs = Infinity
@@ -73,6 +94,7 @@
     await harness.clock.advance(900)
     t.deepEqual(harness.target.orders, [], 'nothing reaches the target')
     t.like(start.result, { type: 'not-sent', reason: 'the order has expired' })
+    t.true(harness.link.retired, 'a relay that is too slow gets no further orders')
   }
 })
 
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -11,8 +11,8 @@
 const MAX_EXCHANGES_IN_FLIGHT = 6
 /** Orders may be sent to targets until this long after they left the coordinator, on the relay's clocks. */
 const ORDER_VALIDITY_MS = 700
-/** Longer than any call of a relay to a target. */
-const OUTCOME_TIMEOUT_MS = 3_500
+/** Added to the time for which a target may wait; longer than the time limits of calls to targets, and than two exchanges. */
+const OUTCOME_TIMEOUT_MS = 1_700
 
 export interface RelayLinkOptions {
   readonly relay: string
@@ -67,7 +67,12 @@
     return this.#offset !== undefined && this.#acceptsOrders
   }
 
-  /** Whether the link has failed or has finished its orders after `finish`. */
+  /** Whether the link takes no orders any more; the outstanding ones may still have outcomes. */
+  get retired (): boolean {
+    return !this.#acceptsOrders
+  }
+
+  /** Whether the link has failed, or has finished its orders. */
   get ended (): boolean {
     return this.#ended
   }
@@ -140,7 +145,9 @@
       return this.#options.onSuperseded()
     }
     this.#settleOverdue()
-    if (state === 'closing' || !this.#acceptsOrders) this.finish()
+    const isTooSlow = outcomes.some(({ result }) => result.type === 'not-sent')
+    if (isTooSlow && this.#acceptsOrders) this.#options.logger.warn({ relay: this.#options.relay, fence: this.#options.fence }, 'a relay did not send an order in time')
+    if (state === 'closing' || isTooSlow || !this.#acceptsOrders) this.finish()
     this.#scheduleFlush()
   }
 
@@ -150,10 +157,10 @@
   }
 
   #settleOverdue (): void {
-    const beforeMs = this.#nowMs - OUTCOME_TIMEOUT_MS
-    for (const { order: { number }, submittedAtMs } of this.#sent.values()) {
-      if (submittedAtMs > beforeMs) return
-      this.#settle({ number, result: { type: 'unanswered', reason: 'the relay gave no outcome in time' } })
+    for (const { order, submittedAtMs } of this.#sent.values()) {
+      const waitMs = order.type === 'renew' ? order.order.waitMs : 0
+      if (this.#nowMs - submittedAtMs < waitMs + OUTCOME_TIMEOUT_MS) continue
+      this.#settle({ number: order.number, result: { type: 'unanswered', reason: 'the relay gave no outcome in time' } })
     }
   }
 
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -12,8 +12,8 @@
 const MAX_EXCHANGES_PER_SECOND = 350
 const MIN_EXCHANGE_INTERVAL_MS = 12
 const MS_PER_SECOND = 1_000
-/** How long an instance whose link failed is not used as a relay. */
-const AVOID_AFTER_FAILURE_MS = 3_000
+/** How long an instance is not used as a relay after its link failed, was too slow or was closed by it. */
+const AVOID_RETIRED_MS = 3_000
 
 export interface RelayPoolOptions {
   readonly instance: string
@@ -42,7 +42,7 @@
   readonly #options: RelayPoolOptions
   readonly #targetsByRegion = new Map<string, number>()
   readonly #relays = new Map<string, UsedRelay>()
-  readonly #failedAtMs = new Map<string, number>()
+  readonly #retiredAtMs = new Map<string, number>()
   #linksOpened = 0
   #closed = false
 
@@ -69,8 +69,8 @@
   /** Opens and finishes links after a change of the targets or of the instances that can relay. */
   update (candidates: readonly RelayCandidate[]): void {
     if (this.#closed) return
-    this.#removeFailedLinks()
-    const eligible = candidates.filter(({ address }) => !this.#failedAtMs.has(address))
+    this.#removeRetiredLinks()
+    const eligible = candidates.filter(({ address }) => !this.#retiredAtMs.has(address))
     const selected = new Map(selectRelays(this.#targetsByRegion, eligible, new Set(this.#relays.keys())).map(relay => [relay.address, relay]))
     for (const [address, { link }] of this.#relays) {
       if (selected.has(address)) continue
@@ -106,15 +106,15 @@
     link.open()
   }
 
-  #removeFailedLinks (): void {
+  #removeRetiredLinks (): void {
     const nowMs = this.#options.clock.monotonicMs()
-    for (const [address, failedAtMs] of this.#failedAtMs) {
-      if (nowMs - failedAtMs > AVOID_AFTER_FAILURE_MS) this.#failedAtMs.delete(address)
+    for (const [address, retiredAtMs] of this.#retiredAtMs) {
+      if (nowMs - retiredAtMs > AVOID_RETIRED_MS) this.#retiredAtMs.delete(address)
     }
     for (const [address, { link }] of this.#relays) {
-      if (!link.ended) continue
+      if (!link.retired) continue
       this.#relays.delete(address)
-      this.#failedAtMs.set(address, nowMs)
+      this.#retiredAtMs.set(address, nowMs)
     }
   }
 
--- a/src/relay/testing/relayHarness.ts
+++ b/src/relay/testing/relayHarness.ts
@@ -54,6 +54,8 @@
   latestFence = FENCE
   /** Delay of batches on their way to the relay; Infinity loses them. */
   delayMs = ONE_WAY_MS
+  /** Delays of the next batches, before `delayMs` applies again. */
+  readonly delaysMs: number[] = []
   /** Loses the answers of the relay. */
   losesAnswers = false
   /** Delivers each batch twice. */
@@ -81,7 +83,7 @@
   }
 
   async #carry (batch: RelayBatch): Promise<RelayAnswer> {
-    await this.clock.sleep(Math.min(this.delayMs, 1e9))
+    await this.clock.sleep(Math.min(this.delaysMs.shift() ?? this.delayMs, 1e9))
     if (this.duplicates) this.relay.exchange(batch).catch(() => {})
     const answer = await this.relay.exchange(batch)
     await this.clock.sleep(this.losesAnswers ? 1e9 : ONE_WAY_MS)
