Make the measurement of floods a command of the load tool

Cause: bench/coordinatorLoad.ts measured one rate, was set through the environment, and did not say how long jobs wait. npm run bench -- flood offers jobs in an open loop at three rates with 33 and 378 targets, and prints waits from the intended send as percentiles, calls that were not answered with 200, and the processor time of the coordinator and of the others. It replaces that file.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -59,6 +59,11 @@
     summary: 'processor time of lease renewals',
     run: async () => await (await import('./experiments/renewals.ts')).runRenewalsBench()
   },
+  {
+    name: 'flood',
+    summary: 'waiting time of jobs and processor time by role at rising rates, with real processes; needs npm run build',
+    run: async () => await (await import('./experiments/flood.ts')).runFloodBench()
+  },
   {
     name: 'decision',
     summary: 'decisions per second and latency of a decision',
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
   },
   {
     // Names on the platform's wire are spelled as the platform spells them; they stay in this folder.
-    files: ['src/platform/**', 'bench/coordinatorLoad.ts'],
+    files: ['src/platform/**'],
     rules: { camelcase: ['error', { properties: 'never' }] }
   }
 ]
