Give no tasks to a target that is too silent to extend its leases

Tasks were placed there, written to the log, refused and placed again, for 1.1 s of each silence. Ruled out: that the target itself refuses them (the refusals come from the session).

A target that leaves a start request unanswered for 0.4 s, a few times the way to another region and back, comes last among the candidates until it reports: tasks sent there may be lost until their leases have expired.

Tests: two in targetSession, both failed before; placeStep's test of targets that come last covers the order.

--- a/src/coordinator/advisedPlacement.test.ts
+++ b/src/coordinator/advisedPlacement.test.ts
@@ -12,7 +12,7 @@
 const TARGETS = Array.from({ length: 246 }, (_, number) => createTarget(`target-${number}`))
 
 function createTarget (key: string, processors = 64_000): TargetAvailability {
-  return { key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, hasFailedTasks: false }
+  return { key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false }
 }
 
 /** Records an advisor's answer that allows `ALLOWED_FRACTION` of the targets asked about. */
--- a/src/coordinator/placeStep.test.ts
+++ b/src/coordinator/placeStep.test.ts
@@ -10,7 +10,7 @@
 
 function createTarget (key: string, processors: number, given: Partial<TargetAvailability> = {}): TargetAvailability {
   return {
-    key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: ['a', 'r-1'], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, hasFailedTasks: false, ...given
+    key, free: { processors, memory: 262_144, accelerators: 0 }, rack: 'r-1', labels: ['a', 'r-1'], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false, ...given
   }
 }
 
@@ -33,8 +33,8 @@
 })
 
 test('targets on which a task of the step failed are used only when no other has capacity', t => {
-  t.deepEqual(placeStep(STEP, 1, [createTarget('one', 20_000, { hasFailedTasks: true }), createTarget('two', 64_000)]), ['two'])
-  t.deepEqual(placeStep(STEP, 1, [createTarget('one', 20_000, { hasFailedTasks: true })]), ['one'])
+  t.deepEqual(placeStep(STEP, 1, [createTarget('one', 20_000, { isUnreliable: true }), createTarget('two', 64_000)]), ['two'])
+  t.deepEqual(placeStep(STEP, 1, [createTarget('one', 20_000, { isUnreliable: true })]), ['one'])
 })
 
 test('tasks that need the same rack share one if any has capacity, and tasks that need data prefer its rack', t => {
--- a/src/coordinator/placeStep.ts
+++ b/src/coordinator/placeStep.ts
@@ -16,8 +16,8 @@
   /** Tasks with a response target never share a target with tasks that fill spare processors. */
   readonly hasResponseTargetTasks: boolean
   readonly hasSpareFillingTasks: boolean
-  /** Whether a task of the step failed on the target; such targets come last. */
-  readonly hasFailedTasks: boolean
+  /** Whether a task of the step failed on the target, or the target leaves start requests unanswered; such targets come last. */
+  readonly isUnreliable: boolean
 }
 
 interface Candidate {
@@ -65,9 +65,9 @@
 
 function sortCandidates (definition: StepDefinition, candidates: readonly Candidate[]): readonly Candidate[] {
   const distance = ({ target }: Candidate): number => definition.dataRack === '' || target.rack === definition.dataRack ? 0 : 1
-  const failed = ({ target }: Candidate): number => target.hasFailedTasks ? 1 : 0
+  const unreliable = ({ target }: Candidate): number => target.isUnreliable ? 1 : 0
   return [...candidates].sort((left, right) =>
-    failed(left) - failed(right) || distance(left) - distance(right) || left.processors - right.processors)
+    unreliable(left) - unreliable(right) || distance(left) - distance(right) || left.processors - right.processors)
 }
 
 function fillCandidates (size: Resources, count: number, candidates: readonly Candidate[]): readonly string[] {
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -310,6 +310,39 @@
   t.false(session.usable)
 })
 
+test('late orders: a target that is silent for too long to extend its leases gets no task, since the start would be refused', async t => {
+  const { clock, client, session } = createSession()
+  session.updateListing(true, false)
+  await clock.advance(500)
+  t.true(session.usable)
+  client.reachable = false
+  await clock.advance(1_700)
+  t.false(session.usable)
+  client.reachable = true
+  await clock.advance(300)
+  t.true(session.usable)
+})
+
+test('late orders: a target that leaves a start unanswered is the last choice for further tasks until it reports', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(500)
+  let answer: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answer = resolve })
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  await clock.advance(300)
+  t.false(session.leavesStartsUnanswered, 'the answer may be on its way from another region')
+  await clock.advance(200)
+  t.true(session.leavesStartsUnanswered)
+  answer()
+  await clock.advance(0)
+  t.true(session.leavesStartsUnanswered, 'the request is given up, and the target may execute it late')
+  await clock.advance(300)
+  t.false(session.leavesStartsUnanswered, 'the target has reported since')
+})
+
 test('an unexpected error while a report is handled does not end the renewals of the leases', async t => {
   const { clock, client, listener } = createSession()
   await clock.advance(300)
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -21,13 +21,13 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/** A target that has not answered within this time gets no new tasks. */
-const CONTACT_TIMEOUT_MS = 2_600
 /**
  * Leases are not extended on a target that has been silent for longer: each request that may still arrive would
- * postpone the time by which all its runs have certainly ended.
+ * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
+/** Several times as long as a start request and its answer take to another region and back. */
+const MAX_START_ANSWER_MS = 400
 /** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
 const CONFIRMATION_DELAY_MS = 250
 /** Delay between repeated stop requests. */
@@ -92,6 +92,10 @@
   #lastLeaseExtensionMs: number
   /** Capacity for new tasks; negative if recovered runs need more than the target has. */
   readonly #free: { processors: number, memory: number, accelerators: number }
+  /** Sending times of the start requests that are being answered, by assignment; the oldest comes first. */
+  readonly #startsSentMs = new Map<Assignment, number>()
+  /** When the last start request was given up without an answer; undefined once the target has reported since. */
+  #startUnansweredAtMs: number | undefined
   /** Consecutive failures, and the time until which the target gets no new tasks. */
   #consecutiveFailures = 0
   #avoidUntilMs = 0
@@ -129,7 +133,13 @@
   get usable (): boolean {
     const nowMs = this.#options.clock.monotonicMs()
     return this.#joined && !this.#hasEnded && !this.#draining && this.#listed &&
-      nowMs - this.#lastContactMs < CONTACT_TIMEOUT_MS && nowMs >= this.#avoidUntilMs
+      nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs >= this.#avoidUntilMs
+  }
+
+  /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
+  get leavesStartsUnanswered (): boolean {
+    const [oldestSentMs = Infinity] = this.#startsSentMs.values()
+    return this.#startUnansweredAtMs !== undefined || this.#options.clock.monotonicMs() - oldestSentMs > MAX_START_ANSWER_MS
   }
 
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
@@ -177,6 +187,7 @@
     if (this.#hasEnded || leaseUntilTargetMs === undefined) return this.#handleRefusal(assignment, 'unhealthy')
     assignment.state = 'starting'
     const { task } = assignment
+    this.#startsSentMs.set(assignment, clock.monotonicMs())
     const result = await client.start({
       task: task.name,
       attempt: assignment.attempt,
@@ -186,6 +197,8 @@
       checkpoint: task.step.checkpointOf(task),
       ticket
     })
+    this.#startsSentMs.delete(assignment)
+    if (result.outcome === 'unknown') this.#startUnansweredAtMs = clock.monotonicMs()
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
     assignment.confirmedAtMs = clock.monotonicMs()
     if (result.outcome === 'started') {
@@ -278,6 +291,7 @@
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report)
     const nowMs = this.#options.clock.monotonicMs()
     this.#lastContactMs = nowMs
+    if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
     this.#clockOffsetMs = report.clockMs - nowMs
     const stored = this.#handleFinishedRuns(report.finished)
     for (const running of report.running) this.#handleRunningTask(running, nowMs)
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -363,7 +363,7 @@
       sameStepTasks: definition.tasksPerTarget > 0 ? assignments.filter(({ task }) => task.step === step).length : 0,
       hasResponseTargetTasks: restrictsSharing && assignments.some(({ task }) => task.step.definition.responseTargetMs > 0),
       hasSpareFillingTasks: restrictsSharing && assignments.some(({ task }) => task.step.definition.fillsSpareProcessors),
-      hasFailedTasks: this.#failedTargets.get(step)?.has(session.key) ?? false
+      isUnreliable: session.leavesStartsUnanswered || (this.#failedTargets.get(step)?.has(session.key) ?? false)
     }
   }
 }
