--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -40,6 +40,7 @@
   coordinator: coordinatorSchema.optional(),
   desiredState: z.object({ version: z.number(), maximumBodyBytes: z.number() }),
   peers: z.array(z.string()).optional(),
+  relayCandidates: z.array(z.object({ address: z.string(), region: z.string(), processors: z.number() })).optional(),
   peersDigest: z.string(),
   largestProcessors: z.number()
 })
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -46,6 +46,8 @@
   readonly logger: Logger
   readonly info: CoordinatorInfo
   readonly connect: PlacedTargetConnector
+  /** Resolves when the targets connected so far can be called at a low cost; called before their sessions begin. */
+  readonly prepareConnections: () => Promise<void>
   readonly directory: TargetDirectory
   /** Follows the desired state during the term. */
   readonly desired: DesiredStateWatcher
@@ -149,6 +151,8 @@
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#termStartedAtMs) }, 'job log recovered')
     for (const description of read.table.targets.values()) this.#fleet.openRecorded(description)
     this.#recoverRuns(read.table)
+    await this.#options.prepareConnections()
+    if (this.#closed) return
     await this.#fleet.start()
     await this.#fleet.awaitJoins()
     if (this.#closed) return
--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -7,7 +7,7 @@
 import { StoreUnavailableError } from '../model/errors.ts'
 import { resources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
-import type { CoordinatorPeer } from '../ports/coordinatorPeer.ts'
+import type { CoordinatorPeer, InstanceReport } from '../ports/coordinatorPeer.ts'
 import type { TransactionalStore, WatchResult } from '../ports/transactionalStore.ts'
 import { JobInstance } from './jobInstance.ts'
 
@@ -245,6 +245,23 @@
   await cluster.stop()
 })
 
+test('change of coordinator: a successor knows large instances of each region before they report to it, instead of calling every target itself', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  for (let number = 0; number < 6; number++) {
+    const name = `entry-${number}`
+    cluster.processors.set(name, number < 4 ? 1 : 0.3)
+    await cluster.start(name, number % 2 === 0 ? 'attica' : 'macedonia')
+    await cluster.clock.advance(100)
+  }
+  await cluster.clock.advance(1_500)
+  const report: InstanceReport = { instance: 'entry-5', address: 'entry-5', region: 'macedonia', processors: 0.3, peersDigest: '', reachesStore: true }
+  const answers = await Promise.all([...cluster.instances.values()].map(async instance => await instance.report(report)))
+  const named = new Set(answers.map(({ relayCandidates = [] }) => relayCandidates.map(({ address, region, processors }) => `${address} ${region} ${processors}`).sort().join(', ')))
+  t.deepEqual([...named], ['entry-0 attica 1, entry-1 macedonia 1, entry-2 attica 1, entry-3 macedonia 1, entry-4 attica 0.3, entry-5 macedonia 0.3'])
+  await cluster.stop()
+})
+
 test('a small coordinator whose link is too slow for the job log hands over to a larger instance instead of reading it again and again', async t => {
   const cluster = new Cluster()
   cluster.store.put(KEY, createDesiredState(1, 1))
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -1,4 +1,5 @@
 /** One instance of the job scheduler cluster: handles calls, and acts as the coordinator while it is elected. */
+import murmurhash from 'murmurhash'
 import { AdviceLanes } from '../coordinator/adviceLanes.ts'
 import type { LaneDescription } from '../coordinator/adviceLanes.ts'
 import { COORDINATOR_KEY, Election } from '../coordinator/election.ts'
@@ -23,6 +24,8 @@
 import { isConnectionRefused } from './connectionRefusal.ts'
 import { collectAnswers } from './collectAnswers.ts'
 import { RelayPool } from '../relay/relayPool.ts'
+import { nameCandidates } from '../relay/selectRelays.ts'
+import type { RelayCandidate } from '../relay/selectRelays.ts'
 import { TargetRelay } from '../relay/targetRelay.ts'
 import type { RelayAnswer, RelayBatch } from '../relay/relayMessages.ts'
 import { PeerDirectory } from './peerDirectory.ts'
@@ -90,6 +93,8 @@
   #receivedDesiredState: DesiredStateSummary = { version: 0, maximumBodyBytes: 0 }
   /** `peersDigest` of the last answer that contained the known instances. */
   #receivedPeersDigest = ''
+  /** Own view as the coordinator, or that of the last answer that contained it. */
+  #relayCandidates: readonly RelayCandidate[] = []
   readonly #coordinatorListeners: (() => void)[] = []
 
   constructor (options: JobInstanceOptions) {
@@ -159,11 +164,11 @@
     const { instance, processors, reachesStore } = report
     this.#preference.recordReport(instance, processors, reachesStore)
     if (this.#peers.recordReport(report)) this.#updateLanes()
-    const { addresses, digest } = this.#peers
+    const digest = this.#peersDigest
     return {
       coordinator: this.#election.coordinator,
       desiredState: this.desiredState,
-      ...(digest === report.peersDigest ? {} : { peers: [...addresses, this.#options.address] }),
+      ...(digest === report.peersDigest ? {} : { peers: [...this.#peers.addresses, this.#options.address], relayCandidates: this.#relayCandidates }),
       peersDigest: digest,
       largestProcessors: this.#preference.largest
     }
@@ -251,6 +256,7 @@
       logger,
       info,
       connect: relays.connect,
+      prepareConnections: async () => await relays.prepare(),
       directory: options.directory,
       desired: options.desired,
       lanes: this.#lanes,
@@ -293,7 +299,7 @@
   #createRelayPool ({ fence }: CoordinatorInfo): RelayPool {
     const { instance, clock, logger, connect, regionOf, peers } = this.#options
     return new RelayPool({
-      instance, fence, clock, logger, connect, regionOf, exchange: async (address, batch) => await peers.connect(address).relay(batch), onSuperseded: () => this.#election.renewNow()
+      instance, fence, clock, logger, connect, regionOf, expected: this.#relayCandidates.filter(({ address }) => address !== this.#options.address), exchange: async (address, batch) => await peers.connect(address).relay(batch), onSuperseded: () => this.#election.renewNow()
     })
   }
 
@@ -314,10 +320,17 @@
       weight: this.#laneWeight(peer),
       advisor: { ask: async question => await peers.connect(peer.address).advise(question) }
     }))
-    this.#term?.relays.update(this.#peers.alive.flatMap(({ address, report }) => report === undefined ? [] : { address, region: report.region, processors: report.processors }))
+    const candidates = this.#peers.alive.flatMap(({ address, report }): readonly RelayCandidate[] => report === undefined ? [] : [{ address, region: report.region, processors: report.processors }])
+    this.#term?.relays.update(candidates)
+    this.#relayCandidates = nameCandidates([...candidates, { address: this.#options.address, region: this.#options.region, processors }])
     this.#lanes.setLanes([{ name: instance, advisor, weight: processors * LOCAL_LANE_FACTOR }, ...throughPeers.sort((left, right) => right.weight - left.weight)])
   }
 
+  /** Identifies the known instances and those named as relays, so that an answer repeats them only after a change. */
+  get #peersDigest (): string {
+    return `${this.#peers.digest}-${murmurhash.v3(this.#relayCandidates.map(({ address }) => address).join(' '))}`
+  }
+
   #laneWeight ({ report }: KnownPeer): number {
     const { region, processors } = this.#options
     return (report?.processors ?? processors) * (report?.region === region ? 1 : REMOTE_REGION_LANE_FACTOR)
@@ -351,6 +364,7 @@
       this.#preference.updateLargestKnown(answer.largestProcessors)
       if (answer.desiredState.version > this.#receivedDesiredState.version) this.#receivedDesiredState = answer.desiredState
       if (answer.peers !== undefined) this.#peers.addAddresses(answer.peers)
+      if (answer.relayCandidates !== undefined && this.#term === undefined) this.#relayCandidates = answer.relayCandidates
       this.#receivedPeersDigest = answer.peersDigest
     } catch (error) {
       const isCoordinator = address === this.#election.coordinator?.address
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -3,6 +3,7 @@
 import type { CallerCall, CoordinatorAnswer } from '../entry/callerCall.ts'
 import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { RelayAnswer, RelayBatch } from '../relay/relayMessages.ts'
+import type { RelayCandidate } from '../relay/selectRelays.ts'
 import type { AdviceQuestion, AllowedTarget } from './placementAdvisor.ts'
 
 export interface InstanceReport {
@@ -22,6 +23,9 @@
   readonly desiredState: DesiredStateSummary
   /** Addresses of the instances that the callee knows; absent if they are those of the reported digest. */
   readonly peers?: readonly string[]
+  /** Largest instances of each region, which can relay the orders of a new coordinator; sent with `peers`. */
+  readonly relayCandidates?: readonly RelayCandidate[]
+  /** Identifies `peers` and `relayCandidates`. */
   readonly peersDigest: string
   /** Largest processor count known to the callee among the instances that could become coordinator. */
   readonly largestProcessors: number
--- a/src/relay/relayPool.test.ts
+++ b/src/relay/relayPool.test.ts
@@ -2,6 +2,7 @@
 import type { RelayAnswer, RelayBatch } from './relayMessages.ts'
 import { RelayPool } from './relayPool.ts'
 import { DIRECT_TARGETS } from './selectRelays.ts'
+import type { RelayCandidate } from './selectRelays.ts'
 import { TargetRelay } from './targetRelay.ts'
 import { createStart, FENCE, logger, RecordingTarget } from './testing/relayHarness.ts'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
@@ -10,19 +11,19 @@
 const RELAYS = [{ address: 'entry-2', region: 'attica', processors: 1 }, { address: 'entry-3', region: 'attica', processors: 0.5 }]
 
 /** A pool with as many targets as need a relay, of which the first is returned. */
-async function createPool () {
+async function createPool ({ expected = [] as readonly RelayCandidate[], candidates = RELAYS, lostRelays = [] as readonly string[] } = {}) {
   const clock = new ManualClock()
   const direct = new RecordingTarget(clock)
   const relayed = new RecordingTarget(clock)
-  const lost = new Set<string>()
+  const lost = new Set(lostRelays)
   const relay = new TargetRelay({ clock, logger, connect: () => relayed, latestFence: () => FENCE })
   const exchange = async (address: string, batch: RelayBatch): Promise<RelayAnswer> => {
     if (lost.has(address)) throw new Error('connection refused')
     return await relay.exchange(batch)
   }
-  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', exchange, onSuperseded: () => {} })
+  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', expected, exchange, onSuperseded: () => {} })
   const targets = Array.from({ length: DIRECT_TARGETS + 1 }, (_, number): JobTargetClient => pool.connect('10.1.7.3:8400', { id: `worker-${number}`, bornMs: 1 }, 'attica-a'))
-  pool.update(RELAYS)
+  pool.update(candidates)
   await clock.advance(20)
   return { clock, direct, relayed, lost, pool, target: targets[0] as JobTargetClient }
 }
@@ -69,3 +70,26 @@
   t.like(await next, { outcome: 'report' })
   t.deepEqual(relayed.orders, ['renew'])
 })
+
+test('change of coordinator: the sessions of many targets begin through the relays that the predecessor named, not with a connection each', async t => {
+  const { clock, direct, relayed, pool, target } = await createPool({ expected: RELAYS, candidates: [] })
+  const prepared = pool.prepare()
+  await clock.advance(20)
+  await prepared
+  const renewed = target.renew({ fencingToken: FENCE, acknowledged: 0, waitMs: 0 })
+  await clock.advance(50)
+  t.like(await renewed, { outcome: 'report' })
+  t.deepEqual([relayed.orders.length, direct.orders.length], [1, 0])
+})
+
+test('change of coordinator: a named relay that is gone too delays the sessions by a tenth of a second at most, and is replaced', async t => {
+  const { clock, pool } = await createPool({ expected: RELAYS, candidates: [], lostRelays: ['entry-2'] })
+  const prepared = pool.prepare()
+  await clock.advance(125)
+  await prepared
+  pool.update([{ address: 'entry-4', region: 'attica', processors: 0.3 }])
+  t.deepEqual(pool.relays, ['entry-3'])
+  await clock.advance(2_000)
+  pool.update([{ address: 'entry-4', region: 'attica', processors: 0.3 }])
+  t.deepEqual(pool.relays, ['entry-4'], 'an instance that has not reported by now is not expected any more')
+})
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -12,6 +12,11 @@
 const MAX_EXCHANGES_PER_SECOND = 350
 const MIN_EXCHANGE_INTERVAL_MS = 12
 const MS_PER_SECOND = 1_000
+/** By then, every instance has reported to a new coordinator; five report intervals. */
+const EXPECTED_CANDIDATES_MS = 2_000
+/** Maximum wait for the first answers of the relays: two round trips to another region, for the connection and the exchange. */
+const PREPARATION_WAIT_MS = 120
+const PREPARATION_POLL_MS = 5
 /** How long an instance is not used as a relay after its link failed, was too slow or was closed by it. */
 const AVOID_RETIRED_MS = 3_000
 
@@ -22,6 +27,8 @@
   readonly logger: Logger
   readonly connect: JobTargetConnector
   readonly regionOf: (dataCentre: string) => string
+  /** Instances that the previous coordinator named; they count as candidates until they can have reported. */
+  readonly expected: readonly RelayCandidate[]
   readonly exchange: (address: string, batch: RelayBatch) => Promise<RelayAnswer>
   readonly onSuperseded: () => void
 }
@@ -43,11 +50,15 @@
   readonly #targetsByRegion = new Map<string, number>()
   readonly #relays = new Map<string, UsedRelay>()
   readonly #retiredAtMs = new Map<string, number>()
+  readonly #startedAtMs: number
+  /** Of the last update. */
+  #candidates: readonly RelayCandidate[] = []
   #linksOpened = 0
   #closed = false
 
   constructor (options: RelayPoolOptions) {
     this.#options = options
+    this.#startedAtMs = options.clock.monotonicMs()
   }
 
   /** Addresses of the relays in use. */
@@ -66,11 +77,25 @@
     })
   }
 
+  /**
+   * Connects to the expected relays of the targets known so far. Resolves when all of them can take orders, or after
+   * 120 ms: a new coordinator would otherwise open hundreds of connections to targets before it answers a call.
+   */
+  async prepare (): Promise<void> {
+    const { clock } = this.#options
+    this.update(this.#candidates)
+    const untilMs = clock.monotonicMs() + PREPARATION_WAIT_MS
+    while (!this.#closed && clock.monotonicMs() < untilMs && [...this.#relays.values()].some(({ link }) => !link.usable && !link.ended)) {
+      await clock.sleep(PREPARATION_POLL_MS)
+    }
+  }
+
   /** Opens and finishes links after a change of the targets or of the instances that can relay. */
   update (candidates: readonly RelayCandidate[]): void {
     if (this.#closed) return
+    this.#candidates = candidates
     this.#removeRetiredLinks()
-    const eligible = candidates.filter(({ address }) => !this.#retiredAtMs.has(address))
+    const eligible = this.#withExpected(candidates).filter(({ address }) => !this.#retiredAtMs.has(address))
     const selected = new Map(selectRelays(this.#targetsByRegion, eligible, new Set(this.#relays.keys())).map(relay => [relay.address, relay]))
     for (const [address, { link }] of this.#relays) {
       if (selected.has(address)) continue
@@ -88,6 +113,13 @@
     this.#relays.clear()
   }
 
+  #withExpected (candidates: readonly RelayCandidate[]): readonly RelayCandidate[] {
+    const { clock, expected } = this.#options
+    if (clock.monotonicMs() - this.#startedAtMs > EXPECTED_CANDIDATES_MS) return candidates
+    const known = new Set(candidates.map(({ address }) => address))
+    return [...candidates, ...expected.filter(({ address }) => !known.has(address))]
+  }
+
   #open (relay: RelayCandidate): void {
     const { instance, fence, clock, logger, exchange, onSuperseded } = this.#options
     this.#linksOpened += 1
--- a/src/relay/selectRelays.test.ts
+++ b/src/relay/selectRelays.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { chooseRelay, DIRECT_TARGETS, selectRelays, TARGETS_PER_RELAY } from './selectRelays.ts'
+import { chooseRelay, DIRECT_TARGETS, nameCandidates, selectRelays, TARGETS_PER_RELAY } from './selectRelays.ts'
 import type { RelayCandidate } from './selectRelays.ts'
 
 function candidate (address: string, region: string, processors: number): RelayCandidate {
@@ -44,3 +44,9 @@
   t.true(counts.every(count => count > 70), `shares ${counts}`)
   t.is(chooseRelay('i-1', []), undefined)
 })
+
+test('a coordinator names few instances to the others, so that a large cluster does not exchange a list of all sizes', t => {
+  const named = nameCandidates(CANDIDATES)
+  t.deepEqual(named.map(({ region }) => region), [...Array<string>(4).fill('attica'), ...Array<string>(4).fill('macedonia')])
+  t.true(named.every(({ processors }) => processors === 1.35))
+})
--- a/src/relay/selectRelays.ts
+++ b/src/relay/selectRelays.ts
@@ -7,6 +7,8 @@
 export const TARGETS_PER_RELAY = 100
 /** Bounds the exchanges of the coordinator with its relays. */
 const MAX_RELAYS = 16
+/** Instances of each region that a coordinator names to the others, so that its successor can use them at once. */
+const NAMED_CANDIDATES_PER_REGION = 4
 /** A relay in use is replaced only by an instance with this many times its processors. */
 const REPLACEMENT_RATIO = 1.5
 
@@ -29,12 +31,26 @@
   if (targets <= DIRECT_TARGETS) return []
   const targetsPerRelay = Math.max(TARGETS_PER_RELAY, Math.ceil(targets / MAX_RELAYS))
   const weight = ({ address, processors }: RelayCandidate): number => processors * (inUse.has(address) ? REPLACEMENT_RATIO : 1)
-  return [...targetsByRegion].flatMap(([region, count]) => candidates
-    .filter(candidate => candidate.region === region)
-    .sort((left, right) => weight(right) - weight(left) || (left.address < right.address ? -1 : 1))
+  return [...targetsByRegion].flatMap(([region, count]) => sortByWeight(candidates.filter(candidate => candidate.region === region), weight)
     .slice(0, Math.ceil(count / targetsPerRelay)))
 }
 
+/**
+ * Returns the instances with the most processors of each region.
+ *
+ * @example
+ * const named = nameCandidates(peers)
+ */
+export function nameCandidates (candidates: readonly RelayCandidate[]): readonly RelayCandidate[] {
+  const regions = [...new Set(candidates.map(({ region }) => region))].sort()
+  return regions.flatMap(region => sortByWeight(candidates.filter(candidate => candidate.region === region), ({ processors }) => processors)
+    .slice(0, NAMED_CANDIDATES_PER_REGION))
+}
+
+function sortByWeight (candidates: readonly RelayCandidate[], weight: (candidate: RelayCandidate) => number): readonly RelayCandidate[] {
+  return [...candidates].sort((left, right) => weight(right) - weight(left) || (left.address < right.address ? -1 : 1))
+}
+
 /**
  * Chooses the relay of a target by rendezvous hashing: when a relay is lost, only its targets move.
  *
