Ask the advisor about all targets with capacity at once for slow policies

A question names the targets with the most capacity, which those of other renders name too; when its answer comes, their capacity is taken, and the next question costs another decision of 0.69 s. Ruled out: the lanes (95, of which some 25 are busy), the priority (batches yield), the caps of the teams (the questions name targets with capacity).

Change: where a policy takes 0.25 s or longer for a decision, a step asks about all targets with capacity for one of its tasks, with questions of 30 targets through different lanes, and at most a quarter of the idle lanes. Tasks start as soon as enough answers are there. Other policies, and clusters with few lanes, ask as before.

--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/adviceLanes.ts
@@ -72,6 +72,13 @@
     this.#dispatch()
   }
 
+  /** Number of lanes that would ask a long question at once. */
+  get idleForLongQuestions (): number {
+    if (this.#queue.length > 0) return 0
+    const nowMs = this.#clock.monotonicMs()
+    return this.#eligibleLanes(Infinity).filter(lane => lane.questions === 0 && lane.backoffUntilMs <= nowMs).length
+  }
+
   /** Questions with a lower rank are asked first. */
   ask (question: AdviceQuestion, rank: number): Promise<readonly AllowedTarget[]> {
     return new Promise((resolve, reject) => {
@@ -98,10 +105,8 @@
 
   #chooseLane (expectedMs: number): Lane | undefined {
     const nowMs = this.#clock.monotonicMs()
-    const reserved = expectedMs > LONG_QUESTION_MS ? LANES_WITHOUT_LONG : expectedMs > MEDIUM_QUESTION_MS ? LANES_WITHOUT_MEDIUM : 0
-    const eligible = this.#lanes.slice(Math.min(reserved, this.#lanes.length - 1))
     let best: Lane | undefined
-    for (const lane of eligible) {
+    for (const lane of this.#eligibleLanes(expectedMs)) {
       if (lane.backoffUntilMs > nowMs || lane.backlogMs > MAX_LANE_BACKLOG_MS) continue
       if (lane.questions > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
       if (best === undefined || isPreferred(lane, best)) best = lane
@@ -109,6 +114,11 @@
     return best
   }
 
+  #eligibleLanes (expectedMs: number): readonly Lane[] {
+    const reserved = expectedMs > LONG_QUESTION_MS ? LANES_WITHOUT_LONG : expectedMs > MEDIUM_QUESTION_MS ? LANES_WITHOUT_MEDIUM : 0
+    return this.#lanes.slice(Math.min(reserved, this.#lanes.length - 1))
+  }
+
   async #askThrough (lane: Lane, { question, resolve, reject }: QueuedQuestion): Promise<void> {
     lane.questions += 1
     lane.askedPerWeight += 1 / lane.weight
--- a/src/coordinator/adviceQuestion.ts
+++ b/src/coordinator/adviceQuestion.ts
@@ -1,4 +1,4 @@
-/** Decides how many targets a question to the placement advisor names, since each one makes the answer later. */
+/** Decides how many questions to the placement advisor a step asks, and how many targets each names, since each one makes the answer later. */
 
 /** Maximum number of targets in one question. */
 export const MAX_TARGETS_PER_QUESTION = 100
@@ -6,6 +6,15 @@
 const MIN_TARGETS_PER_QUESTION = 30
 /** Expected capacity minus this many standard deviations must cover the tasks, so that few steps need a second question. */
 const SAFETY_DEVIATIONS = 2
+/**
+ * A further question costs this much again, however few targets it names, so a step asks several at once when its
+ * policy takes as long for a decision.
+ */
+const LONG_DECISION_MS = 250
+/** Targets in each of several questions asked at once: naming more would make the answers later by a quarter or more. */
+const TARGETS_PER_PARALLEL_QUESTION = 30
+/** Share of the idle lanes that one step may use, so that steps which arrive at the same time are asked about too. */
+const LANE_SHARE = 0.25
 /** Until an answer shows more, few of the named targets are expected to be allowed. */
 const INITIAL_SHARE = 0.3
 /** Weight of the targets named so far; bounded, so that a changed policy is noticed. */
@@ -58,3 +67,34 @@
   }
   return named
 }
+
+/** A step whose next questions are planned. */
+export interface QuestionPlanInput {
+  readonly tasks: number
+  /** Number of tasks that each target can hold, for the targets in the order in which they are named. */
+  readonly capacities: readonly number[]
+  /** Share of the targets that the policy is expected to allow, from 0 to 1. */
+  readonly allowedShare: number
+  /** Time of an answer without any target, in milliseconds. */
+  readonly decisionMs: number
+  /** Number of lanes that could ask a question now. */
+  readonly idleLanes: number
+}
+
+/**
+ * Returns the numbers of targets in the questions to ask at once. A step with a slow policy asks about all targets with
+ * capacity if there are lanes for it: while it waits for one answer after the other, other steps take the capacity that
+ * it was told of, and each further question delays it by another decision.
+ *
+ * @example
+ * planQuestions({ tasks: 20, capacities, allowedShare: 0.3, decisionMs: 686, idleLanes: 90 }) // [28, 28, 28, 28]
+ */
+export function planQuestions ({ tasks, capacities, allowedShare, decisionMs, idleLanes }: QuestionPlanInput): readonly number[] {
+  const needed = countTargetsToName(tasks, capacities, allowedShare)
+  const lanes = decisionMs < LONG_DECISION_MS ? 1 : Math.max(1, Math.floor(idleLanes * LANE_SHARE))
+  if (lanes === 1) return needed === 0 ? [] : [needed]
+  const holding = capacities.filter(capacity => capacity > 0).length
+  const named = Math.max(needed, Math.min(holding, lanes * TARGETS_PER_PARALLEL_QUESTION))
+  const questions = Math.min(lanes, Math.ceil(named / TARGETS_PER_PARALLEL_QUESTION))
+  return Array.from({ length: questions }, (_, question) => Math.floor(named * (question + 1) / questions) - Math.floor(named * question / questions))
+}
--- a/src/coordinator/advisedPlacement.ts
+++ b/src/coordinator/advisedPlacement.ts
@@ -1,6 +1,6 @@
 /** Decides the next action for a step whose queue needs advice: ask, start with valid tickets, or renew tickets first. */
 import type { StepDefinition } from '../jobs/job.ts'
-import { countTargetsToName } from './adviceQuestion.ts'
+import { planQuestions } from './adviceQuestion.ts'
 import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from './stepAdvice.ts'
@@ -11,8 +11,8 @@
 }
 
 export type AdvisedDecision<Target> =
-  /** Ask which of the targets may run the step. */
-  | { readonly action: 'ask', readonly targets: readonly Target[] }
+  /** Ask which of the targets may run the step, with one question for each group. */
+  | { readonly action: 'ask', readonly questions: readonly (readonly Target[])[] }
   /** Start tasks on the targets with these keys, one for each task. */
   | { readonly action: 'start', readonly placed: readonly string[] }
   /** Reserve capacity on the targets with these keys, one for each task, and renew their tickets before the start. */
@@ -30,6 +30,10 @@
   readonly targets: readonly Target[]
   readonly describe: (target: Target) => TargetAvailability
   readonly nowMs: number
+  /** Time that the queue's policy takes for a decision, in milliseconds. */
+  readonly decisionMs: number
+  /** Number of lanes that could ask a question now. */
+  readonly idleLanes: number
 }
 
 /**
@@ -38,9 +42,9 @@
  * considered: under overload, hundreds of steps compete for the few targets that are not full.
  *
  * @example
- * const decision = decideAdvisedPlacement({ definition, count: 8, advice, targets, describe, nowMs: clock.monotonicMs() })
+ * const decision = decideAdvisedPlacement({ definition, count: 8, advice, allowedShare, targets, describe, nowMs: clock.monotonicMs(), decisionMs: 686, idleLanes: 90 })
  */
-export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
+export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs, decisionMs, idleLanes }: AdvisedRequest<Target>): AdvisedDecision<Target> {
   const size = requiredResources(definition)
   const candidates = advice.answered ? targets.filter(({ free }) => fitsWithin(size, free)) : targets
   const allowed = candidates.filter(({ key }) => advice.allows(key))
@@ -48,12 +52,24 @@
     const withTicket = allowed.filter(({ key }) => advice.ticket(key, nowMs) !== undefined)
     const placed = placeStep(definition, count, withTicket.map(describe))
     if (placed.length > 0) return { action: 'start', placed }
+    if (advice.openQuestions > 0) return { action: 'wait' }
     const planned = withTicket.length === allowed.length ? [] : placeStep(definition, count, allowed.map(describe))
     if (planned.length > 0) return { action: 'renew', placed: planned }
   }
+  // The answers to open questions may make further ones needless.
+  if (advice.openQuestions > 0) return { action: 'wait' }
   const unasked = candidates.filter(({ key }) => !advice.wasAsked(key))
   if (unasked.length === 0) return { action: 'wait' }
   const freest = [...unasked].sort((left, right) => right.free.processors - left.free.processors)
   const capacities = freest.map(({ free }) => Math.min(countFitting(size, free), definition.tasksPerTarget || Infinity))
-  return { action: 'ask', targets: freest.slice(0, countTargetsToName(count, capacities, allowedShare)) }
+  return { action: 'ask', questions: takeGroups(freest, planQuestions({ tasks: count, capacities, allowedShare, decisionMs, idleLanes })) }
+}
+
+/** Returns groups of the given sizes, from the first item on. */
+function takeGroups<Item> (items: readonly Item[], sizes: readonly number[]): readonly (readonly Item[])[] {
+  let begin = 0
+  return sizes.map(size => {
+    begin += size
+    return items.slice(begin - size, begin)
+  })
 }
--- a/src/coordinator/stepAdvice.ts
+++ b/src/coordinator/stepAdvice.ts
@@ -13,7 +13,8 @@
   /** By key of the target incarnation; the allowed targets do not change, but their tickets expire. */
   readonly #permits = new Map<string, Permit>()
   #asked = new Set<string>()
-  asking = false
+  /** Number of questions that have not been answered. */
+  openQuestions = 0
   /** No question is asked before this time, after one that failed. */
   backoffUntilMs = 0
 
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -171,7 +171,7 @@
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
     const ranked: WaitingStep[] = []
     for (const step of this.#queuedSteps) {
-      if (urgentOnly && (!isUrgent(step) || this.#advice.get(step)?.asking === true)) continue
+      if (urgentOnly && (!isUrgent(step) || (this.#advice.get(step)?.openQuestions ?? 0) > 0)) continue
       const { waiting } = step
       if (waiting.length === 0) {
         if (step.done || step.job.outcome !== undefined) this.#queuedSteps.delete(step)
@@ -187,7 +187,7 @@
   #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): boolean {
     const { definition } = step
     const advice = this.#advice.get(step)
-    if (advice?.asking === true) return !advice.answered
+    if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return true
     const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
     if (count === 0 || (definition.gang && count < waiting.length)) return this.#isCapped(step, waiting.length, pass, queue)
@@ -216,11 +216,19 @@
     this.#advice.set(step, advice)
     if (nowMs < advice.backoffUntilMs) return 0
     const decision = decideAdvisedPlacement({
-      definition: step.definition, count, advice, allowedShare: this.#allowedShare(queue).value, targets: sessions, describe: session => this.#describeTarget(step, session), nowMs
+      definition: step.definition,
+      count,
+      advice,
+      allowedShare: this.#allowedShare(queue).value,
+      targets: sessions,
+      describe: session => this.#describeTarget(step, session),
+      nowMs,
+      decisionMs: queue.advice?.decisionMs ?? 0,
+      idleLanes: this.#options.lanes.idleForLongQuestions
     })
     switch (decision.action) {
       case 'ask':
-        runInBackground(this.#ask(step, queue, advice, decision.targets), this.#logger, 'placement advice')
+        for (const targets of decision.questions) runInBackground(this.#ask(step, queue, advice, targets), this.#logger, 'placement advice')
         return 0
       case 'start':
         this.#startWhenStored(step, this.#reserve(waiting, decision.placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
@@ -239,7 +247,7 @@
     const keysById = new Map(targets.map(session => [session.id, session.key]))
     const isFirst = !advice.answered
     const askedMs = this.#clock.monotonicMs()
-    advice.asking = true
+    advice.openQuestions += 1
     try {
       const allowed = await this.#options.lanes.ask({
         step: step.name,
@@ -255,7 +263,7 @@
       this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'placement advisor request failed')
       advice.backoffUntilMs = this.#clock.monotonicMs() + RETRY_DELAY_MS
     } finally {
-      advice.asking = false
+      advice.openQuestions -= 1
       this.schedulePass()
     }
   }
