Do not refuse a team's urgent jobs because its wide jobs wait

Change: a job beyond its team's share is refused while three jobs of its team that would be placed before or with it have waited for 1.5 s. A job of a lower priority does not count.

--- a/src/coordinator/admissionControl.ts
+++ b/src/coordinator/admissionControl.ts
@@ -3,7 +3,7 @@
 
 /** A job not started after this time is waiting for capacity, for its team's cap or for the coordinator. */
 const LONG_WAIT_MS = 1_500
-/** With this many long-waiting jobs of a team, its next job would wait as well. */
+/** With this many long-waiting jobs of a team that would be placed first, its next job would wait as well. */
 const MAX_WAITING_JOBS = 3
 /** Event loop utilization above which the coordinator falls behind in bursts. */
 const BUSY_UTILIZATION = 0.85
@@ -15,6 +15,8 @@
 
 export interface WaitingJob {
   readonly team: string
+  /** Of the queue; 0 is placed first. */
+  readonly priority: number
   readonly waitedMs: number
 }
 
@@ -23,11 +25,12 @@
  *
  * @example
  * admission.updateWaiting(jobs)
- * if (!withinShare && admission.refuses('weavers')) return limited(admission.retryAfterSeconds(random))
+ * if (!withinShare && admission.refuses('weavers', queue.priority)) return limited(admission.retryAfterSeconds(random))
  */
 export class AdmissionControl {
   readonly #clock: Clock
-  #waiting: ReadonlyMap<string, number> = new Map()
+  /** Priorities of the long-waiting jobs, by team. */
+  #waiting: ReadonlyMap<string, readonly number[]> = new Map()
   #busyUntilMs = -Infinity
 
   constructor (clock: Clock) {
@@ -36,9 +39,12 @@
 
   /** Replaces the set of jobs that have not started. */
   updateWaiting (jobs: Iterable<WaitingJob>): void {
-    const waiting = new Map<string, number>()
-    for (const { team, waitedMs } of jobs) {
-      if (waitedMs >= LONG_WAIT_MS) waiting.set(team, (waiting.get(team) ?? 0) + 1)
+    const waiting = new Map<string, number[]>()
+    for (const { team, priority, waitedMs } of jobs) {
+      if (waitedMs < LONG_WAIT_MS) continue
+      const priorities = waiting.get(team) ?? []
+      priorities.push(priority)
+      waiting.set(team, priorities)
     }
     this.#waiting = waiting
   }
@@ -52,14 +58,14 @@
     return this.#clock.monotonicMs() < this.#busyUntilMs
   }
 
-  /** Number of the team's jobs that have waited longer than `LONG_WAIT_MS`. */
-  waitingJobs (team: string): number {
-    return this.#waiting.get(team) ?? 0
+  /** Number of the team's jobs that have waited longer than `LONG_WAIT_MS` and would be placed before or with a job of the priority. */
+  waitingJobs (team: string, priority: number): number {
+    return (this.#waiting.get(team) ?? []).filter(waiting => waiting <= priority).length
   }
 
-  /** Whether jobs of the team beyond its share are refused now. */
-  refuses (team: string): boolean {
-    return this.busy || this.waitingJobs(team) >= MAX_WAITING_JOBS
+  /** Whether jobs of the team and priority beyond its share are refused now. */
+  refuses (team: string, priority: number): boolean {
+    return this.busy || this.waitingJobs(team, priority) >= MAX_WAITING_JOBS
   }
 
   /** `random` is in [0, 1). */
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -98,7 +98,7 @@
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return STORE_UNAVAILABLE_ANSWER
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
-    if (!withinShare && this.#coordinator.admission.refuses(team)) return this.#refuseBeyondShare(team)
+    if (!withinShare && this.#coordinator.admission.refuses(team, queue.priority)) return this.#refuseBeyondShare(team, queue)
     const durable = this.#coordinator.applyAndAppend([...this.#coordinator.missingQueueRecords(queue), {
       type: 'job',
       id,
@@ -116,9 +116,9 @@
   }
 
   /** Not logged here, since hundreds of refusals per second would load the coordinator; the entry instance logs the reason. */
-  #refuseBeyondShare (team: string): CallerAnswer {
+  #refuseBeyondShare (team: string, { priority }: QueueSettings): CallerAnswer {
     const { admission } = this.#coordinator
-    const reason = `${team} has sent more than its share while ${admission.waitingJobs(team)} of its jobs wait${admission.busy ? ' and the coordinator is busy' : ''}`
+    const reason = `${team} has sent more than its share while ${admission.waitingJobs(team, priority)} of its jobs wait${admission.busy ? ' and the coordinator is busy' : ''}`
     return { outcome: 'limited', message: reason, retryAfterSeconds: admission.retryAfterSeconds(Math.random()), absent: true }
   }
 
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -165,7 +165,7 @@
     }
     if (urgentOnly) return
     this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
-      .map(({ step: { job } }) => ({ team: job.team, waitedMs: nowMs - job.acceptedAtMs })))
+      .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
