Start the service on the platform without the command-line parser

Ruled out: compilation, which the code cache saves.

Change: the exact arguments of the platform's service lead past the parser and the other commands; the HTTP client loads undici's pool only.

--- a/src/adapters/http/httpClient.ts
+++ b/src/adapters/http/httpClient.ts
@@ -1,8 +1,8 @@
 /** An HTTP client on `undici` that distinguishes requests that were never sent from requests whose response was lost. */
-import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import { BaseError } from '../../model/errors.ts'
 import type { TimerClock } from '../../ports/clock.ts'
+import { Pool } from './undiciPool.ts'
 
 /** No byte of the request was written, so the server has certainly not seen it. */
 export const NotSentError = BaseError.subclass('NotSentError')
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -4,7 +4,8 @@
 import type { CommandFactory } from './commandBuilder.ts'
 import { CommandError, errorCode, EXIT_CODES, readInputFile } from './commandContext.ts'
 import { runUntilStopped } from './runUntilStopped.ts'
-import { loadStartEmbedded, loadStartInstance, loadStartOnPlatform } from './instanceLoader.ts'
+import { loadStartEmbedded, loadStartInstance } from './instanceLoader.ts'
+import { PLATFORM_SETTINGS_VARIABLE, serveOnPlatform } from './serveOnPlatform.ts'
 import type { RunningInstance } from '../instance/runningInstance.ts'
 
 interface ServeArguments {
@@ -13,9 +14,6 @@
   readonly platform: boolean
 }
 
-/** Environment variable with the path of the settings file that the platform writes. */
-const PLATFORM_SETTINGS_VARIABLE = 'AGATEGAUGE_CONFIG'
-
 /** Error codes caused by the addresses in the settings, not by the program. */
 const LISTEN_ERRORS = ['EADDRINUSE', 'EADDRNOTAVAIL', 'EACCES', 'ENOTFOUND']
 
@@ -30,7 +28,7 @@
   }
 }
 
-export const createServeCommand: CommandFactory = ({ run }) => ({
+export const createServeCommand: CommandFactory = ({ run, context }) => ({
   command: 'serve',
   describe: 'Run an entry instance',
   builder: (parser: Argv) => parser
@@ -40,19 +38,16 @@
     .example('$0 serve --settings entry-1.ini', 'SIGTERM starts a planned stop; with --platform, SIGHUP reloads the settings')
     .example('$0 serve --embedded', 'Run without a platform'),
   handler: async (args: ServeArguments) => await run(async () => {
-    const instance = await startInMode(args)
+    requireOneMode(args)
+    if (args.platform) return await serveOnPlatform(context.environment)
+    const instance = args.settings === undefined ? await (await loadStartEmbedded())() : await startFromFile(args.settings)
     await runUntilStopped(instance, process)
     return EXIT_CODES.done
   })
 })
 
-async function startInMode ({ settings, embedded, platform }: ServeArguments): Promise<RunningInstance> {
+function requireOneMode ({ settings, embedded, platform }: ServeArguments): void {
   const modeCount = [settings !== undefined, embedded, platform].filter(Boolean).length
   if (modeCount > 1) throw new CommandError('give only one of --settings, --embedded and --platform', EXIT_CODES.usageError)
-  if (settings !== undefined) return await startFromFile(settings)
-  if (embedded) return await (await loadStartEmbedded())()
-  if (!platform) throw new CommandError('give --settings FILE, --embedded (for evaluation) or --platform', EXIT_CODES.usageError)
-  const path = process.env[PLATFORM_SETTINGS_VARIABLE]
-  if (path === undefined || path === '') throw new CommandError(`--platform needs the path of the settings file in ${PLATFORM_SETTINGS_VARIABLE}`, EXIT_CODES.usageError)
-  return await (await loadStartOnPlatform())(path)
+  if (modeCount === 0) throw new CommandError('give --settings FILE, --embedded (for evaluation) or --platform', EXIT_CODES.usageError)
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,8 +1,21 @@
 /** Entry point of the command-line program. */
 import './earlySignals.ts'
-import { runProgram } from './commands/program.ts'
+import { createProcessContext } from './commands/commandContext.ts'
 
-runProgram(process.argv.slice(2)).then(exitCode => { process.exitCode = exitCode }, error => {
+/** Arguments of the service on the users' platform, which restarts often and on small processors. */
+const PLATFORM_SERVICE = ['serve', '--platform']
+
+/** Starts the platform's service without the parser and the other commands, whose loading takes longer than the rest of its start. */
+async function run (args: readonly string[]): Promise<number> {
+  if (args.length === PLATFORM_SERVICE.length && PLATFORM_SERVICE.every((argument, position) => args[position] === argument)) {
+    const { runOnPlatform } = await import('./commands/serveOnPlatform.ts')
+    return await runOnPlatform(createProcessContext())
+  }
+  const { runProgram } = await import('./commands/program.ts')
+  return await runProgram(args)
+}
+
+run(process.argv.slice(2)).then(exitCode => { process.exitCode = exitCode }, error => {
   console.error(error)
   process.exitCode = 70
 })
