Wait for the first relays after a loss of all instances, and report soon

It accepts its first job at 37.0 s and 12 in each tenth of a second until 37.5 s; reports of instances that started with it are not answered within 600 ms (50), so that it has its first relay at 37.2 s.

Change: a new coordinator with many targets waits up to 0.3 s for a relay in each region before it opens sessions, while it accepts jobs. An instance that learns of a coordinator reports within 0.1 s instead of 0.4 s.

Tests: relayPool "loss of all instances: the sessions wait for the first relays ...", "a named relay that is gone too is replaced at once" (the wait until then had no bound of its own to test any more).

--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -40,6 +40,8 @@
 const REMOTE_REGION_LANE_FACTOR = 0.25
 /** Interval of the heartbeats to the coordinator. */
 const REPORT_INTERVAL_MS = 400
+/** Time over which the instances spread their first reports to a new coordinator, which takes its relays from these. */
+const FIRST_REPORT_SPREAD_MS = 100
 /** Limits the time for which the calls of a batch wait for each other; a commit without load takes a tenth of it. */
 const BATCH_ANSWER_TIMEOUT_MS = 200
 /** The store counts as reachable if it has answered within this time, which exceeds one watch. */
@@ -284,6 +286,7 @@
   onChanged (info: CoordinatorInfo | undefined): void {
     this.#coordinatorUnresponsive = false
     for (const listener of this.#coordinatorListeners) listener()
+    if (info !== undefined) runInBackground(this.#reportSoon(), this.#options.logger, 'report to a new coordinator')
     this.#options.logger.info({ coordinator: info?.instance, fence: info?.fence }, info === undefined ? 'no coordinator is known' : 'coordinator known')
   }
 
@@ -336,6 +339,11 @@
     return (report?.processors ?? processors) * (report?.region === region ? 1 : REMOTE_REGION_LANE_FACTOR)
   }
 
+  async #reportSoon (): Promise<void> {
+    await this.#options.clock.sleep(Math.random() * FIRST_REPORT_SPREAD_MS)
+    this.#reporting.runNow()
+  }
+
   async #sendReport (): Promise<void> {
     const address = this.#selectReportRecipient()
     if (address !== undefined) await this.#sendReportTo(address)
--- a/src/lifecycle/periodicTask.ts
+++ b/src/lifecycle/periodicTask.ts
@@ -10,6 +10,7 @@
   readonly #onError: (error: unknown) => void
   readonly #stopping = new AbortController()
   #running: Promise<void> = Promise.resolve()
+  #endWait: () => void = () => {}
 
   constructor (name: string, clock: Clock, intervalMs: number, action: () => void | Promise<void>, onError: (error: unknown) => void) {
     this.name = name
@@ -28,6 +29,11 @@
     await this.#running
   }
 
+  /** Ends the wait for the next run; without effect during a run. */
+  runNow (): void {
+    this.#endWait()
+  }
+
   async #run (): Promise<void> {
     const { signal } = this.#stopping
     while (!signal.aborted) {
@@ -36,7 +42,9 @@
       } catch (error) {
         this.#onError(error)
       }
-      await this.#clock.sleep(this.#intervalMs, signal).catch(() => {})
+      const waiting = new AbortController()
+      this.#endWait = () => waiting.abort()
+      await this.#clock.sleep(this.#intervalMs, AbortSignal.any([signal, waiting.signal])).catch(() => {})
     }
   }
 }
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -5,7 +5,7 @@
 import { RelayedTarget } from './relayedTarget.ts'
 import { RelayLink } from './relayLink.ts'
 import type { RelayAnswer, RelayBatch } from './relayMessages.ts'
-import { chooseRelay, selectRelays } from './selectRelays.ts'
+import { chooseRelay, needsRelays, selectRelays } from './selectRelays.ts'
 import type { RelayCandidate } from './selectRelays.ts'
 
 /** Exchanges that the coordinator begins with all its relays together; each takes about 0.3 ms of processor time. */
@@ -14,9 +14,12 @@
 const MS_PER_SECOND = 1_000
 /** By then, every instance has reported to a new coordinator; five report intervals. */
 const EXPECTED_CANDIDATES_MS = 2_000
-/** Maximum wait for the first answers of the relays: two round trips to another region, for the connection and the exchange. */
-const PREPARATION_WAIT_MS = 120
-const PREPARATION_POLL_MS = 5
+/**
+ * Maximum wait of a new coordinator for its first relays: a named one answers after two round trips, and instances that
+ * started at the same time have reported by then.
+ */
+const PREPARATION_WAIT_MS = 300
+const PREPARATION_POLL_MS = 10
 /** How long an instance is not used as a relay after its link failed, was too slow or was closed by it. */
 const AVOID_RETIRED_MS = 3_000
 
@@ -78,15 +81,16 @@
   }
 
   /**
-   * Connects to the expected relays of the targets known so far. Resolves when all of them can take orders, or after
-   * 120 ms: a new coordinator would otherwise open hundreds of connections to targets before it answers a call.
+   * Connects to relays for the targets known so far. Resolves when each region has one that takes orders, or after
+   * 300 ms: a new coordinator would otherwise open hundreds of connections to targets before it answers a call.
    */
   async prepare (): Promise<void> {
     const { clock } = this.#options
-    this.update(this.#candidates)
     const untilMs = clock.monotonicMs() + PREPARATION_WAIT_MS
-    while (!this.#closed && clock.monotonicMs() < untilMs && [...this.#relays.values()].some(({ link }) => !link.usable && !link.ended)) {
+    this.update(this.#candidates)
+    while (!this.#closed && clock.monotonicMs() < untilMs && this.#lacksRelays()) {
       await clock.sleep(PREPARATION_POLL_MS)
+      this.update(this.#candidates)
     }
   }
 
@@ -113,6 +117,13 @@
     this.#relays.clear()
   }
 
+  /** Whether the targets need relays and those of a region have none that takes orders. */
+  #lacksRelays (): boolean {
+    if (!needsRelays(this.#targetsByRegion)) return false
+    const relays = [...this.#relays.values()]
+    return [...this.#targetsByRegion].some(([region, count]) => count > 0 && !relays.some(relay => relay.region === region && relay.link.usable))
+  }
+
   #withExpected (candidates: readonly RelayCandidate[]): readonly RelayCandidate[] {
     const { clock, expected } = this.#options
     if (clock.monotonicMs() - this.#startedAtMs > EXPECTED_CANDIDATES_MS) return candidates
--- a/src/relay/selectRelays.ts
+++ b/src/relay/selectRelays.ts
@@ -27,14 +27,23 @@
  * const relays = selectRelays(new Map([['attica', 189]]), candidates, new Set(['10.1.0.15:7600']))
  */
 export function selectRelays (targetsByRegion: ReadonlyMap<string, number>, candidates: readonly RelayCandidate[], inUse: ReadonlySet<string>): readonly RelayCandidate[] {
-  const targets = [...targetsByRegion.values()].reduce((sum, count) => sum + count, 0)
-  if (targets <= DIRECT_TARGETS) return []
+  if (!needsRelays(targetsByRegion)) return []
+  const targets = countTargets(targetsByRegion)
   const targetsPerRelay = Math.max(TARGETS_PER_RELAY, Math.ceil(targets / MAX_RELAYS))
   const weight = ({ address, processors }: RelayCandidate): number => processors * (inUse.has(address) ? REPLACEMENT_RATIO : 1)
   return [...targetsByRegion].flatMap(([region, count]) => sortByWeight(candidates.filter(candidate => candidate.region === region), weight)
     .slice(0, Math.ceil(count / targetsPerRelay)))
 }
 
+/** Whether there are too many targets for the coordinator to call them itself. */
+export function needsRelays (targetsByRegion: ReadonlyMap<string, number>): boolean {
+  return countTargets(targetsByRegion) > DIRECT_TARGETS
+}
+
+function countTargets (targetsByRegion: ReadonlyMap<string, number>): number {
+  return [...targetsByRegion.values()].reduce((sum, count) => sum + count, 0)
+}
+
 /**
  * Returns the instances with the most processors of each region.
  *
