Check the authority of orders again when their batch leaves

Change: a link without authority rejects what is queued as not sent.

Tests: relayLink "a coordinator that was paused while orders waited for their batch ..." failed before (the start was executed).

--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -302,7 +302,16 @@
   #createRelayPool ({ fence }: CoordinatorInfo): RelayPool {
     const { instance, clock, logger, connect, regionOf, peers } = this.#options
     return new RelayPool({
-      instance, fence, clock, logger, connect, regionOf, expected: this.#relayCandidates.filter(({ address }) => address !== this.#options.address), exchange: async (address, batch) => await peers.connect(address).relay(batch), onSuperseded: () => this.#election.renewNow()
+      instance,
+      fence,
+      clock,
+      logger,
+      connect,
+      regionOf,
+      expected: this.#relayCandidates.filter(({ address }) => address !== this.#options.address),
+      exchange: async (address, batch) => await peers.connect(address).relay(batch),
+      onSuperseded: () => this.#election.renewNow(),
+      hasAuthority: () => this.#election.hasAuthority()
     })
   }
 
--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -120,3 +120,18 @@
   t.like(await renewed, { type: 'renew', outcome: { outcome: 'report' } })
   t.true(harness.link.ended)
 })
+
+test('a coordinator that was paused while orders waited for their batch does not send them after its authority has ended', async t => {
+  const harness = await RelayHarness.open()
+  submitStart(harness, 'before')
+  await harness.clock.advance(0)
+  const start = submitStart(harness, 'queued')
+  harness.hasAuthority = false
+  await harness.clock.advance(400)
+  t.deepEqual(start.result, { type: 'not-sent', reason: 'the coordinator has no authority any more' })
+  t.false(harness.target.orders.some(order => order.includes('queued')))
+  harness.hasAuthority = true
+  const later = submitStart(harness, 'later')
+  await harness.clock.advance(40)
+  t.like(later.result, { type: 'start' }, 'authority that is regained is used')
+})
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -24,6 +24,8 @@
   readonly exchange: (batch: RelayBatch) => Promise<RelayAnswer>
   readonly clock: TimerClock
   readonly logger: Logger
+  /** Whether the coordinator may send orders now. */
+  readonly hasAuthority: () => boolean
   /** Called when a later coordinator exists, according to the relay. */
   readonly onSuperseded: () => void
 }
@@ -115,6 +117,7 @@
 
   /** Sends what is queued; without orders, an exchange is kept open for the outcomes of earlier ones. */
   #flush (): void {
+    if (!this.#options.hasAuthority()) this.#rejectQueued()
     const batch = this.#queued.splice(0, MAX_BATCH_SIZE)
     if (batch.length === 0 && this.#exchangesInFlight > 0) return
     for (const outstanding of batch) this.#sent.set(outstanding.order.number, outstanding)
@@ -122,6 +125,11 @@
     if (this.#queued.length > 0) this.#scheduleFlush()
   }
 
+  /** The process may have been paused since the orders were submitted, and their authority checked. */
+  #rejectQueued (): void {
+    for (const { settle } of this.#queued.splice(0)) settle({ type: 'not-sent', reason: 'the coordinator has no authority any more' })
+  }
+
   #exchange (orders: readonly NumberedOrder[]): void {
     const { fence, channel, exchange } = this.#options
     const opening = this.#offset === undefined
--- a/src/relay/relayPool.test.ts
+++ b/src/relay/relayPool.test.ts
@@ -21,7 +21,7 @@
     if (lost.has(address)) throw new Error('connection refused')
     return await relay.exchange(batch)
   }
-  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', expected, exchange, onSuperseded: () => {} })
+  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', expected, exchange, hasAuthority: () => true, onSuperseded: () => {} })
   const targets = Array.from({ length: DIRECT_TARGETS + 1 }, (_, number): JobTargetClient => pool.connect('10.1.7.3:8400', { id: `worker-${number}`, bornMs: 1 }, 'attica-a'))
   pool.update(candidates)
   await clock.advance(20)
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -33,6 +33,8 @@
   /** Instances that the previous coordinator named; they count as candidates until they can have reported. */
   readonly expected: readonly RelayCandidate[]
   readonly exchange: (address: string, batch: RelayBatch) => Promise<RelayAnswer>
+  /** Whether the coordinator may send orders now. */
+  readonly hasAuthority: () => boolean
   readonly onSuperseded: () => void
 }
 
@@ -132,7 +134,7 @@
   }
 
   #open (relay: RelayCandidate): void {
-    const { instance, fence, clock, logger, exchange, onSuperseded } = this.#options
+    const { instance, fence, clock, logger, exchange, hasAuthority, onSuperseded } = this.#options
     this.#linksOpened += 1
     const link = new RelayLink({
       relay: relay.address,
@@ -142,6 +144,7 @@
       exchange: async batch => await exchange(relay.address, batch),
       clock,
       logger,
+      hasAuthority,
       onSuperseded
     })
     this.#relays.set(relay.address, { ...relay, link })
--- a/src/relay/testing/relayHarness.ts
+++ b/src/relay/testing/relayHarness.ts
@@ -61,12 +61,13 @@
   /** Delivers each batch twice. */
   duplicates = false
   superseded = 0
+  hasAuthority = true
 
   constructor () {
     const { clock } = this
     this.relay = new TargetRelay({ clock, logger, connect: () => this.target, latestFence: () => this.latestFence })
     this.link = new RelayLink({
-      relay: 'entry-2', fence: FENCE, channel: 'entry-1/7/1', intervalMs: () => 12, clock, logger, exchange: async batch => await this.#deliver(batch), onSuperseded: () => { this.superseded += 1 }
+      relay: 'entry-2', fence: FENCE, channel: 'entry-1/7/1', intervalMs: () => 12, clock, logger, exchange: async batch => await this.#deliver(batch), onSuperseded: () => { this.superseded += 1 }, hasAuthority: () => this.hasAuthority
     })
   }
 
