Hand over before the lease ends when the store leaves a coordinator unanswered

Ruled out: the recovery of the successor (84 ms).

Change: a renewal that takes three times as long as the last one (0.15 s at least) makes the coordinator ask its peers while it still waits. After the first positive answer two renewals, 0.15 s apart, must fail. A renewal still counts as failed after 0.4 s only, so that jobs are not refused any sooner.

Tests: election "a coordinator whose calls alone the store leaves unanswered hands over before its lease would end": 1,494 ms after the cut before, 844 ms now; the bound is the lease less one interval of renewals. "a slow store, or one lost renewal, does not change the coordinator".

--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -50,7 +50,7 @@
     onChanged: () => {},
     peerReachesStore: async () => {
       whenPeersAreAsked(store)
-      setTimeout(resolveAsked, 50)
+      setTimeout(resolveAsked, 400)
       return true
     },
     releaseThroughPeers: async () => {
@@ -127,3 +127,49 @@
   await clock.advance(5_000)
   await stopped
 })
+
+/** Runs a coordinator whose calls to the store are not answered from 500 ms on, for `cutMs`; others reach the store. */
+async function cutFromStore (cutMs: number, answerMs: number): Promise<{ readonly lostAfterMs: number | undefined, readonly questions: number }> {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const cutAtMs = clock.monotonicMs() + 500
+  const isCut = (): boolean => clock.monotonicMs() >= cutAtMs && clock.monotonicMs() < cutAtMs + cutMs
+  let lostAtMs: number | undefined
+  let questions = 0
+  const election = createElection(store, {
+    onElected: () => {},
+    onLost: () => { lostAtMs ??= clock.monotonicMs() },
+    onChanged: () => {},
+    peerReachesStore: async () => {
+      questions += 1
+      await clock.sleep(40)
+      return true
+    },
+    releaseThroughPeers: async () => true
+  }, clock)
+  const { renewLease } = store
+  store.renewLease = async lease => {
+    await clock.sleep(isCut() ? 1e9 : answerMs)
+    return await renewLease.call(store, lease)
+  }
+  await election.start()
+  await clock.advance(3_000)
+  const result = { lostAfterMs: lostAtMs === undefined ? undefined : lostAtMs - cutAtMs, questions }
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+  return result
+}
+
+test('a coordinator whose calls alone the store leaves unanswered hands over before its lease would end', async t => {
+  const { lostAfterMs } = await cutFromStore(10_000, 4)
+  // The lease lasts 1.4 s from the last renewal, which may have been sent 0.3 s before the cut.
+  t.log(`handed over after ${lostAfterMs} ms`)
+  t.true(lostAfterMs !== undefined && lostAfterMs < 1_100, `${lostAfterMs} ms`)
+})
+
+test('a slow store, or one lost renewal, does not change the coordinator', async t => {
+  t.is((await cutFromStore(0, 210)).lostAfterMs, undefined)
+  t.true((await cutFromStore(0, 210)).questions <= 1, 'the usual response time is learned')
+  t.is((await cutFromStore(300, 4)).lostAfterMs, undefined)
+})
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -10,8 +10,15 @@
 /** Time after which a failed coordinator is replaced; the store grants no lease shorter than 1 s. */
 const LEASE_MS = 1_400
 const RENEW_INTERVAL_MS = 300
-/** After this time an unanswered renewal is followed by the next one; a late answer still counts. */
+/** After this time an unanswered renewal counts as failed, and is followed by the next one; a late answer still counts. */
 const RENEWAL_TIMEOUT_MS = 400
+/**
+ * A renewal unanswered for this many times the last response time makes the coordinator ask other instances whether they
+ * reach the store, so that it can hand over before its lease ends.
+ */
+const SUSPICION_FACTOR = 3
+/** Above the round trip to another region. */
+const MIN_SUSPICION_MS = 150
 /**
  * While the store does not answer, no successor can be elected, so the coordinator keeps its authority for this
  * time after its lease. A successor adds the same time before it takes the runs on targets that it cannot reach
@@ -20,8 +27,6 @@
 export const AUTHORITY_GRACE_MS = 3_000
 /** If the wall clock gains more than this on the monotonic clock, the process is assumed to have been suspended. */
 const SUSPENSION_THRESHOLD_MS = 400
-/** Consecutive failed renewals after which other instances are asked to end the election lease. */
-const FAILED_RENEWALS_BEFORE_HANDOVER = 2
 /** A watch that times out confirms that the store is reachable. */
 const WATCH_TIMEOUT_MS = 1_500
 const RETRY_DELAY_MS = 150
@@ -83,6 +88,8 @@
   /** Wall clock minus monotonic clock when the last successful renewal was sent. */
   #clockGapMs = 0
   #failedRenewals = 0
+  /** Response time of the last renewal that was answered. */
+  #renewalAnswerMs = 0
   #storeAnsweredAtMs = -Infinity
   /** Fencing token of the last election that this instance ended for an unreachable coordinator. */
   #endedFence = 0
@@ -251,11 +258,13 @@
     const { clock, logger } = this.#options
     await this.#awaitRenewal()
     if (this.#ownElection === undefined) return
-    const failure = await this.#renewOnce(lease)
+    const renewal = this.#renewOnce(lease)
+    const onlyOneWithoutStore = this.#isOnlyInstanceWithoutStore(lease, renewal)
+    const failure = await renewal
     if (failure === undefined || this.#ownElection === undefined) return
     if (this.#failedRenewals === 0) logger.warn({ error: failure, validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'election lease renewal failed')
     this.#failedRenewals += 1
-    if (this.#failedRenewals >= FAILED_RENEWALS_BEFORE_HANDOVER && await this.#isOnlyInstanceWithoutStore(lease) && await this.#options.listener.releaseThroughPeers(lease)) this.#endTerm('the store serves other instances only')
+    if (await onlyOneWithoutStore && await this.#options.listener.releaseThroughPeers(lease)) this.#endTerm('the store serves other instances only')
     if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#endTerm('the lease could not be renewed')
   }
 
@@ -288,16 +297,25 @@
   #handleRenewal (lease: number, renewed: boolean, sent: ClockReading): void {
     if (this.#ownElection?.lease !== lease) return
     this.#markStoreAnswer()
+    this.#renewalAnswerMs = this.#options.clock.monotonicMs() - sent.monotonicMs
     if (!renewed) return this.#endTerm('the lease has ended')
     if (this.#failedRenewals > 0) this.#options.logger.info({ failed: this.#failedRenewals }, 'election lease renewals succeed again')
     this.#failedRenewals = 0
     this.#extendValidity(sent)
   }
 
-  /** Whether the store is reachable for other instances while it is not for this one. */
-  async #isOnlyInstanceWithoutStore (lease: number): Promise<boolean> {
+  /**
+   * Whether the store is reachable for other instances while it is not for this one: a renewal was not answered in time,
+   * another instance has reached the store since, and two more renewals after that have failed too.
+   */
+  async #isOnlyInstanceWithoutStore (lease: number, renewal: Promise<string | undefined>): Promise<boolean> {
+    const suspicionMs = Math.min(Math.max(MIN_SUSPICION_MS, this.#renewalAnswerMs * SUSPICION_FACTOR), RENEWAL_TIMEOUT_MS)
+    const overdue = this.#sleep(suspicionMs).then(() => 'overdue')
+    if (await Promise.race([renewal, overdue]) === undefined) return false
     if (!await this.#options.listener.peerReachesStore()) return false
-    return await this.#renewOnce(lease) !== undefined && this.#ownElection?.lease === lease
+    const again = this.#sleep(RETRY_DELAY_MS).then(async () => await this.#renewOnce(lease))
+    const failures = await Promise.all([this.#renewOnce(lease), again])
+    return failures.every(failure => failure !== undefined) && this.#ownElection?.lease === lease
   }
 
   #markStoreAnswer (): void {
