--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -101,7 +101,7 @@
     if (this.#closed) return
     this.#candidates = candidates
     this.#removeRetiredLinks()
-    const eligible = this.#withExpected(candidates).filter(({ address }) => !this.#retiredAtMs.has(address))
+    const eligible = this.#withKnown(candidates).filter(({ address }) => !this.#retiredAtMs.has(address))
     const selected = new Map(selectRelays(this.#targetsByRegion, eligible, new Set(this.#relays.keys())).map(relay => [relay.address, relay]))
     for (const [address, { link }] of this.#relays) {
       if (selected.has(address)) continue
@@ -126,11 +126,16 @@
     return [...this.#targetsByRegion].some(([region, count]) => count > 0 && !relays.some(relay => relay.region === region && relay.link.usable))
   }
 
-  #withExpected (candidates: readonly RelayCandidate[]): readonly RelayCandidate[] {
+  /**
+   * Adds the expected instances, and the relays in use: while their links answer, a busy coordinator may only have missed
+   * their reports.
+   */
+  #withKnown (candidates: readonly RelayCandidate[]): readonly RelayCandidate[] {
     const { clock, expected } = this.#options
-    if (clock.monotonicMs() - this.#startedAtMs > EXPECTED_CANDIDATES_MS) return candidates
-    const known = new Set(candidates.map(({ address }) => address))
-    return [...candidates, ...expected.filter(({ address }) => !known.has(address))]
+    const isExpected = clock.monotonicMs() - this.#startedAtMs <= EXPECTED_CANDIDATES_MS
+    const known = [...this.#relays.values(), ...(isExpected ? expected : [])]
+    const byAddress = new Map([...known, ...candidates].map(({ address, region, processors }) => [address, { address, region, processors }]))
+    return [...byAddress.values()]
   }
 
   #open (relay: RelayCandidate): void {
