--- a/src/adapters/http/undiciPool.ts
+++ b/src/adapters/http/undiciPool.ts
@@ -1,4 +1,4 @@
-/** The connection pool of undici. Its index also loads `fetch`, cookies and mocks, which take a fifth of the processor time of a start. */
+/** The connection pool of undici, without its index, which also loads `fetch`, cookies and mocks at each start of the program. */
 import api from 'undici/lib/api/index.js'
 import Dispatcher from 'undici/lib/dispatcher/dispatcher.js'
 import Pool from 'undici/lib/dispatcher/pool.js'
--- a/src/coordinator/admissionControl.ts
+++ b/src/coordinator/admissionControl.ts
@@ -3,7 +3,7 @@
 
 /** A job not started after this time is waiting for capacity, for its team's cap or for the coordinator. */
 const LONG_WAIT_MS = 1_500
-/** With this many long-waiting jobs of a team that would be placed first, its next job would wait as well. */
+/** With this many long-waiting jobs of a team and of at least the same priority, its next job would wait as well. */
 const MAX_WAITING_JOBS = 3
 /** Event loop utilization above which the coordinator falls behind in bursts. */
 const BUSY_UTILIZATION = 0.85
@@ -58,7 +58,7 @@
     return this.#clock.monotonicMs() < this.#busyUntilMs
   }
 
-  /** Number of the team's jobs that have waited longer than `LONG_WAIT_MS` and would be placed before or with a job of the priority. */
+  /** Number of the team's jobs of this or a more urgent priority that have waited longer than `LONG_WAIT_MS`. */
   waitingJobs (team: string, priority: number): number {
     return (this.#waiting.get(team) ?? []).filter(waiting => waiting <= priority).length
   }
--- a/src/coordinator/adviceQuestion.ts
+++ b/src/coordinator/adviceQuestion.ts
@@ -11,7 +11,7 @@
  * policy takes as long for a decision.
  */
 const LONG_DECISION_MS = 250
-/** Targets in each of several questions asked at once: naming more would make the answers later by a quarter or more. */
+/** Targets in each of several questions asked at once; as many as the latency objective includes for one question. */
 const TARGETS_PER_PARALLEL_QUESTION = 30
 /** Share of the idle lanes that one step may use, so that steps which arrive at the same time are asked about too. */
 const LANE_SHARE = 0.25
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -20,7 +20,7 @@
  */
 const JOIN_WAIT_MS = 150
 const JOIN_POLL_MS = 20
-/** Sessions that are opened at a time, so that callers are answered in between; 378 sessions take 0.2 s. */
+/** Sessions that are opened at a time, so that callers are answered in between. */
 const SESSIONS_AT_A_TIME = 30
 const SESSION_START_INTERVAL_MS = 15
 
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -92,7 +92,7 @@
   #lastLeaseExtensionMs: number
   /** Capacity for new tasks; negative if recovered runs need more than the target has. */
   readonly #free: { processors: number, memory: number, accelerators: number }
-  /** Sending times of the start requests that are being answered, by assignment; the oldest comes first. */
+  /** Sending times of the start requests without an answer yet, the oldest first. */
   readonly #startsSentMs = new Map<Assignment, number>()
   /** When the last start request was given up without an answer; undefined once the target has reported since. */
   #startUnansweredAtMs: number | undefined
@@ -134,7 +134,7 @@
     return this.isUsableAt(this.#options.clock.monotonicMs())
   }
 
-  /** The same at the current time, which a caller that examines hundreds of sessions reads only once. */
+  /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
     return this.#joined && !this.#hasEnded && !this.#draining && this.#listed &&
       nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs >= this.#avoidUntilMs
--- a/src/main.ts
+++ b/src/main.ts
@@ -5,7 +5,7 @@
 /** Arguments of the service on the users' platform, which restarts often and on small processors. */
 const PLATFORM_SERVICE = ['serve', '--platform']
 
-/** Starts the platform's service without the parser and the other commands, whose loading takes longer than the rest of its start. */
+/** Starts the platform's service without the parser and the other commands, whose loading would delay its first call. */
 async function run (args: readonly string[]): Promise<number> {
   if (args.length === PLATFORM_SERVICE.length && PLATFORM_SERVICE.every((argument, position) => args[position] === argument)) {
     const { runOnPlatform } = await import('./commands/serveOnPlatform.ts')
