--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -145,8 +145,7 @@
       if (!this.#sessions.has(key)) this.#run(this.#open(target, -Infinity))
     }
     for (const session of this.#sessions.values()) {
-      const entry = byKey.get(session.key)
-      session.updateListing(entry !== undefined, entry?.draining ?? false)
+      session.updateListing(byKey.get(session.key))
     }
     this.#options.listener.stateChanged()
   }
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -10,6 +10,8 @@
 import type { TargetListener } from './targetSession.ts'
 
 const LEASE_MS = 9_500
+const CAPACITY = resources({ processors: 64_000, memory: 1_000 })
+const LISTED = { draining: false, capacity: CAPACITY }
 const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
 
 class FakeTarget implements JobTargetClient {
@@ -82,7 +84,7 @@
   const client = new FakeTarget(clock)
   const listener = new Recorder()
   const session = new TargetSession({
-    description: { id: 'worker-1', bornMs: 1, address: '', service: 'renders', dataCentre: 'attica-a', capacity: resources({ processors: 64_000, memory: 1_000 }), labels: [] },
+    description: { id: 'worker-1', bornMs: 1, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
     client,
     clock,
     logger,
@@ -302,17 +304,17 @@
   await clock.advance(500)
   t.true(session.joined)
   t.false(session.usable, 'it may be draining')
-  session.updateListing(true, true)
+  session.updateListing({ ...LISTED, draining: true })
   t.false(session.usable)
-  session.updateListing(true, false)
+  session.updateListing(LISTED)
   t.true(session.usable)
-  session.updateListing(false, false)
+  session.updateListing(undefined)
   t.false(session.usable)
 })
 
 test('late orders: a target that is silent for too long to extend its leases gets no task, since the start would be refused', async t => {
   const { clock, client, session } = createSession()
-  session.updateListing(true, false)
+  session.updateListing(LISTED)
   await clock.advance(500)
   t.true(session.usable)
   client.reachable = false
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -2,10 +2,12 @@
 import type { TargetDescription } from '../jobs/jobRecords.ts'
 import { targetKey } from '../jobs/jobTable.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
+import { DIMENSIONS } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
+import type { ListedTarget } from '../ports/targetDirectory.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
 
@@ -53,6 +55,9 @@
   stateChanged (): void
 }
 
+/** What the target list says about a target that may change while it runs. */
+export type TargetListing = Pick<ListedTarget, 'draining' | 'capacity'>
+
 export interface TargetSessionOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
@@ -81,6 +86,8 @@
   #draining = false
   /** False until the target list has been read: a target in the log may have left since. */
   #listed = false
+  /** The target's capacity by its latest entry in the target list. */
+  #listedCapacity: Resources
   #lastFinishedNumber = 0
   #lastAcknowledgedNumber = 0
   #pendingStores = 0
@@ -104,7 +111,7 @@
     this.#options = options
     this.description = options.description
     this.key = targetKey(options.description)
-    const { processors, memory, accelerators } = options.description.capacity
+    const { processors, memory, accelerators } = this.#listedCapacity = options.description.capacity
     this.#free = { processors, memory, accelerators }
     this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
   }
@@ -161,10 +168,18 @@
     return this.#free
   }
 
-  /** Applies the target's entry in the target list. */
-  updateListing (listed: boolean, draining: boolean): void {
-    this.#listed = listed
-    this.#draining = draining
+  /** Applies the target's entry in the target list; undefined if it has none. */
+  updateListing (entry: TargetListing | undefined): void {
+    this.#listed = entry !== undefined
+    this.#draining = entry?.draining ?? false
+    if (entry !== undefined) this.#logCapacityChange(entry.capacity)
+  }
+
+  #logCapacityChange (capacity: Resources): void {
+    const previous = this.#listedCapacity
+    this.#listedCapacity = capacity
+    if (DIMENSIONS.every(dimension => previous[dimension] === capacity[dimension])) return
+    this.#options.logger.info({ target: this.id, previous, capacity, free: this.#free, runs: this.#assignments.size }, 'target capacity changed')
   }
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
@@ -338,7 +353,10 @@
 
   #handleRunningTask (running: RunningTask, nowMs: number): void {
     const key = runKey(running.task, running.attempt)
-    if (this.#endedRuns.has(key)) return
+    if (this.#endedRuns.has(key)) {
+      this.#options.logger.info({ task: running.task, attempt: running.attempt, target: this.id, free: this.#free }, 'the target shows a run that was taken as ended')
+      return
+    }
     const assignment = this.#assignments.get(key)
     if (assignment === undefined) return this.#stopUnexpectedRun(running)
     assignment.reported = true
@@ -352,7 +370,7 @@
 
   /** Stops runs whose start request was withdrawn but executed late, and runs of finished jobs. */
   #stopUnexpectedRun ({ task, attempt }: RunningTask): void {
-    this.#options.logger.info({ task, attempt, target: this.id }, 'stopping an unexpected run')
+    this.#options.logger.info({ task, attempt, target: this.id, free: this.#free }, 'stopping an unexpected run')
     runInBackground(this.#sendStop(task, attempt), this.#options.logger, 'stop of a run')
   }
 
