Count unexpected runs of a target against its capacity until they have ended

Cause: a coordinator counted only runs that it had reserved capacity for. A successor keeps no record of jobs that had ended, so their runs, which take up to the target's kill grace to stop, were stopped as unexpected but held no capacity. The traces show the stop, then a placement on the same target within 0.2 s, then LIMIT.

Change: what a target shows holds capacity until it no longer shows it (TargetCapacity). While the size of such a run is not known, the target gets no tasks. Reports are asked for at the short interval meanwhile.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -19,6 +19,8 @@
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
+import { requiredResources } from './placeStep.ts'
+import type { ComputeResources } from './placeStep.ts'
 import { RecordLog } from './recordLog.ts'
 import { TargetFleet } from './targetFleet.ts'
 import type { IncarnationEndReason, TargetListener, TargetSession } from './targetSession.ts'
@@ -280,6 +282,12 @@
     this.#placer.schedulePass()
   }
 
+  sizeOfRun (task: string): ComputeResources | undefined {
+    const name = parseTaskName(task)
+    const step = name === undefined ? undefined : this.table.jobs.get(name.job)?.definition.steps[name.step]
+    return step === undefined ? undefined : requiredResources(step)
+  }
+
   async #readLog (): Promise<Awaited<ReturnType<typeof readLog>>> {
     const { store } = this.#options
     return await readLog({
--- a/src/coordinator/placementPass.test.ts
+++ b/src/coordinator/placementPass.test.ts
@@ -9,7 +9,7 @@
 const SEED = 11
 
 function session (free: { processors: number, memory: number, accelerators: number }): TargetSession {
-  return { free, description: { service: 'renders', capacity: resources({ processors: 64, memory: 256 }) } } as unknown as TargetSession
+  return { free, capacity: { total: resources({ processors: 64, memory: 256 }) }, description: { service: 'renders' } } as unknown as TargetSession
 }
 
 const size = fc.record({ processors: fc.integer({ min: 1, max: 80 }), memory: fc.integer({ min: 1, max: 300 }) }).map(given => resources(given))
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -23,11 +23,11 @@
   constructor (settings: DesiredStateIndex, usable: readonly TargetSession[]) {
     this.#settings = settings
     for (const session of usable) {
-      const { service, capacity } = session.description
+      const { service } = session.description
       const sessions = this.#sessions.get(service) ?? []
       sessions.push(session)
       this.#sessions.set(service, sessions)
-      this.#totalProcessors.set(service, this.totalProcessors(service) + capacity.processors)
+      this.#totalProcessors.set(service, this.totalProcessors(service) + session.capacity.total.processors)
       this.#freeProcessors.set(service, this.freeProcessors(service) + session.free.processors)
     }
   }
--- /dev/null
+++ b/src/coordinator/targetCapacity.ts
@@ -0,0 +1,65 @@
+/** Tracks the capacity of one target that new tasks may use. */
+import type { Resources } from '../model/resources.ts'
+import type { ComputeResources } from './placeStep.ts'
+
+/**
+ * Capacity is held by the runs that the coordinator reserved it for, and by unexpected runs that the target shows, until
+ * the target no longer shows them.
+ *
+ * @example
+ * const capacity = new TargetCapacity(description.capacity)
+ * capacity.reserve(assignment.size)
+ * capacity.free.processors
+ */
+export class TargetCapacity {
+  #total: Resources
+  readonly #free: { processors: number, memory: number, accelerators: number }
+  /** Resources of the unexpected runs, by run; undefined if not known. */
+  #unexpectedRuns: ReadonlyMap<string, ComputeResources | undefined> = new Map()
+
+  constructor (total: Resources) {
+    this.#total = total
+    const { processors, memory, accelerators } = total
+    this.#free = { processors, memory, accelerators }
+  }
+
+  /** Capacity of the target as a whole. */
+  get total (): Resources {
+    return this.#total
+  }
+
+  /** Live view of the unassigned capacity; negative if the runs need more than the target has. */
+  get free (): ComputeResources {
+    return this.#free
+  }
+
+  get hasUnexpectedRuns (): boolean {
+    return this.#unexpectedRuns.size > 0
+  }
+
+  /** Whether an unexpected run holds capacity of unknown size, so that `free` is too high. */
+  get hasRunsOfUnknownSize (): boolean {
+    return [...this.#unexpectedRuns.values()].includes(undefined)
+  }
+
+  reserve (size: ComputeResources): void {
+    this.#subtract(size, 1)
+  }
+
+  release (size: ComputeResources): void {
+    this.#subtract(size, -1)
+  }
+
+  /** Replaces the runs that the target shows although nothing is reserved for them. */
+  setUnexpectedRuns (runs: ReadonlyMap<string, ComputeResources | undefined>): void {
+    for (const size of this.#unexpectedRuns.values()) if (size !== undefined) this.release(size)
+    for (const size of runs.values()) if (size !== undefined) this.reserve(size)
+    this.#unexpectedRuns = runs
+  }
+
+  #subtract (size: ComputeResources, sign: 1 | -1): void {
+    this.#free.processors -= sign * size.processors
+    this.#free.memory -= sign * size.memory
+    this.#free.accelerators -= sign * size.accelerators
+  }
+}
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -3,6 +3,7 @@
 import { JobProgress } from '../jobs/jobProgress.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
 import { resources } from '../model/resources.ts'
+import type { Resources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOutcome, TaskOrder } from '../ports/jobTarget.ts'
 import { Assignment } from './assignment.ts'
@@ -61,6 +62,8 @@
 class Recorder implements TargetListener {
   readonly events: string[] = []
   readonly unanswered: string[] = []
+  /** Resources of known tasks. */
+  readonly runSizes = new Map<string, Resources>()
   /** Run ends that are not stored yet, by task. */
   readonly unstored = new Map<string, Promise<void>>()
 
@@ -69,6 +72,7 @@
     await this.unstored.get(run.task)
   }
 
+  sizeOfRun (task: string): Resources | undefined { return this.runSizes.get(task) }
   runLost (_session: TargetSession, { task }: Assignment, reason: string): void { this.events.push(`${task.name} lost: ${reason}`) }
   startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
   startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
@@ -355,3 +359,28 @@
   await clock.advance(2_000)
   t.true(client.renewals.length > renewals)
 })
+
+test('change of coordinator: a run of a job that its predecessor cancelled holds its capacity until the target no longer shows it', async t => {
+  const { clock, client, listener, session } = createSession()
+  session.updateListing(LISTED)
+  listener.runSizes.set('cancelled.0.0.0', resources({ processors: 60_000, memory: 100 }))
+  client.running = [{ task: 'cancelled.0.0.0', attempt: 1, checkpoint: '', percent: 50 }]
+  await clock.advance(500)
+  t.true(client.stops.includes('cancelled.0.0.0'))
+  t.is(session.free.processors, 4_000)
+  client.running = []
+  await clock.advance(500)
+  t.is(session.free.processors, 64_000)
+})
+
+test('change of coordinator: a target gets no task while it shows a run of a job that is not known any more', async t => {
+  const { clock, client, session } = createSession()
+  session.updateListing(LISTED)
+  client.running = [{ task: 'evicted.0.0.0', attempt: 1, checkpoint: '', percent: 50 }]
+  await clock.advance(500)
+  t.true(session.joined)
+  t.false(session.usable)
+  client.running = []
+  await clock.advance(500)
+  t.true(session.usable)
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -10,6 +10,8 @@
 import type { ListedTarget } from '../ports/targetDirectory.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
+import type { ComputeResources } from './placeStep.ts'
+import { TargetCapacity } from './targetCapacity.ts'
 
 /** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
 const CLOCK_DRIFT_FACTOR = 1.03
@@ -53,6 +55,8 @@
   incarnationEnded (session: TargetSession, reason: IncarnationEndReason): void
   fenced (session: TargetSession): void
   stateChanged (): void
+  /** Resources that a run of the task holds; undefined if the task is not known. */
+  sizeOfRun (task: string): ComputeResources | undefined
 }
 
 /** What the target list says about a target that may change while it runs. */
@@ -97,8 +101,7 @@
   #clockOffsetMs: number | undefined
   #lastContactMs = -Infinity
   #lastLeaseExtensionMs: number
-  /** Capacity for new tasks; negative if recovered runs need more than the target has. */
-  readonly #free: { processors: number, memory: number, accelerators: number }
+  readonly capacity: TargetCapacity
   /** Sending times of the start requests without an answer yet, the oldest first. */
   readonly #startsSentMs = new Map<Assignment, number>()
   /** When the last start request was given up without an answer; undefined once the target has reported since. */
@@ -111,8 +114,8 @@
     this.#options = options
     this.description = options.description
     this.key = targetKey(options.description)
-    const { processors, memory, accelerators } = this.#listedCapacity = options.description.capacity
-    this.#free = { processors, memory, accelerators }
+    this.#listedCapacity = options.description.capacity
+    this.capacity = new TargetCapacity(options.description.capacity)
     this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
   }
 
@@ -143,7 +146,7 @@
 
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
-    return this.#joined && !this.#hasEnded && !this.#draining && this.#listed &&
+    return this.#joined && !this.#hasEnded && !this.#draining && this.#listed && !this.capacity.hasRunsOfUnknownSize &&
       nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs >= this.#avoidUntilMs
   }
 
@@ -164,8 +167,8 @@
   }
 
   /** Live view of the unassigned capacity. */
-  get free (): Pick<Resources, 'processors' | 'memory' | 'accelerators'> {
-    return this.#free
+  get free (): ComputeResources {
+    return this.capacity.free
   }
 
   /** Applies the target's entry in the target list; undefined if it has none. */
@@ -179,7 +182,7 @@
     const previous = this.#listedCapacity
     this.#listedCapacity = capacity
     if (DIMENSIONS.every(dimension => previous[dimension] === capacity[dimension])) return
-    this.#options.logger.info({ target: this.id, previous, capacity, free: this.#free, runs: this.#assignments.size }, 'target capacity changed')
+    this.#options.logger.info({ target: this.id, previous, capacity, free: this.free, runs: this.#assignments.size }, 'target capacity changed')
   }
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
@@ -191,7 +194,7 @@
   /** Reserves capacity for a task whose start has not been requested yet. */
   reserve (assignment: Assignment): void {
     this.#assignments.set(assignment.key, assignment)
-    this.#adjustFree(assignment, 1)
+    this.capacity.reserve(assignment.size)
   }
 
   /** Frees the capacity reserved for a task whose start was never requested. */
@@ -275,7 +278,7 @@
 
   #renewWaitMs (): number {
     if (!this.#joined) return 0
-    const awaitsConfirmation = this.#pendingStores > 0 || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
+    const awaitsConfirmation = this.#pendingStores > 0 || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
@@ -313,7 +316,7 @@
     if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
     this.#clockOffsetMs = report.clockMs - nowMs
     const stored = this.#handleFinishedRuns(report.finished)
-    for (const running of report.running) this.#handleRunningTask(running, nowMs)
+    this.#handleRunningTasks(report.running, nowMs)
     this.#detectLostRuns(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
@@ -351,14 +354,19 @@
     await this.#options.listener.runEnded(this, run, assignment)
   }
 
-  #handleRunningTask (running: RunningTask, nowMs: number): void {
-    const key = runKey(running.task, running.attempt)
-    if (this.#endedRuns.has(key)) {
-      this.#options.logger.info({ task: running.task, attempt: running.attempt, target: this.id, free: this.#free }, 'the target shows a run that was taken as ended')
-      return
+  #handleRunningTasks (running: readonly RunningTask[], nowMs: number): void {
+    const unexpected = new Map<string, ComputeResources | undefined>()
+    for (const run of running) {
+      const key = runKey(run.task, run.attempt)
+      const assignment = this.#assignments.get(key)
+      if (assignment !== undefined) this.#handleExpectedRun(assignment, run, nowMs)
+      else if (this.#endedRuns.has(key)) this.#options.logger.info({ task: run.task, attempt: run.attempt, target: this.id, free: this.free }, 'the target shows a run that was taken as ended')
+      else unexpected.set(key, this.#stopUnexpectedRun(run))
     }
-    const assignment = this.#assignments.get(key)
-    if (assignment === undefined) return this.#stopUnexpectedRun(running)
+    this.capacity.setUnexpectedRuns(unexpected)
+  }
+
+  #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
     assignment.reported = true
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
       assignment.state = 'running'
@@ -368,10 +376,11 @@
     assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
   }
 
-  /** Stops runs whose start request was withdrawn but executed late, and runs of finished jobs. */
-  #stopUnexpectedRun ({ task, attempt }: RunningTask): void {
-    this.#options.logger.info({ task, attempt, target: this.id, free: this.#free }, 'stopping an unexpected run')
+  /** Stops a run whose start request was withdrawn but executed late, or a run of a finished job; returns its resources if they are known. */
+  #stopUnexpectedRun ({ task, attempt }: RunningTask): ComputeResources | undefined {
+    this.#options.logger.info({ task, attempt, target: this.id, free: this.free }, 'stopping an unexpected run')
     runInBackground(this.#sendStop(task, attempt), this.#options.logger, 'stop of a run')
+    return this.#options.listener.sizeOfRun(task)
   }
 
   /** Detects confirmed runs that are missing from a report requested after their confirmation. */
@@ -491,13 +500,7 @@
   }
 
   #removeAssignment (assignment: Assignment): void {
-    if (this.#assignments.delete(assignment.key)) this.#adjustFree(assignment, -1)
-  }
-
-  #adjustFree ({ size }: Assignment, sign: 1 | -1): void {
-    this.#free.processors -= sign * size.processors
-    this.#free.memory -= sign * size.memory
-    this.#free.accelerators -= sign * size.accelerators
+    if (this.#assignments.delete(assignment.key)) this.capacity.release(assignment.size)
   }
 }
 
