Hold the capacity of a run until its stop is confirmed, not its start

What callers saw: a target given more than it has, and a task that could run twice, where the start and the stop of a run both have no answer: a gang whose members' starts are unanswered, or a job that is cancelled while its tasks start.

Cause: the answer to a start request, or its time-out, set the time from which reports count as showing that the run is over, also when a stop was on its way and not confirmed. The next report released the run, the stop was not repeated, and the target could still execute the start.

Change: while a run is being stopped only the confirmation of the stop sets that time. The test failed before (lost: not-reported).

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -21,6 +21,7 @@
   finished: FinishedRun[] = []
   running: { task: string, attempt: number, checkpoint: string, percent: number }[] = []
   reachable = true
+  answersStops = true
   /** Number of next reports that omit the running tasks. */
   runningAfterReports = 0
   bornMs = 1
@@ -39,7 +40,7 @@
 
   async stop ({ task }: { readonly task: string }): Promise<StopOutcome> {
     this.stops.push(task)
-    return this.reachable ? 'stopping' : 'unknown'
+    return this.reachable && this.answersStops ? 'stopping' : 'unknown'
   }
 
   async renew (order: RenewOrder): Promise<RenewOutcome> {
@@ -384,3 +385,23 @@
   await clock.advance(500)
   t.true(session.usable)
 })
+
+test('late orders: a run whose start and stop are both unanswered holds its capacity until a stop is confirmed', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  let answerStart: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answerStart = resolve })
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  client.answersStops = false
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.stop(assignment).catch(error => listener.events.push(String(error)))
+  answerStart()
+  await clock.advance(2_000)
+  t.deepEqual(listener.events, ['joined'], 'the target may still execute the start')
+  t.is(session.free.processors, 63_000)
+  client.answersStops = true
+  await clock.advance(1_500)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -6,7 +6,7 @@
 import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
-import type { FinishedRun, JobTargetClient, RunningTask, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
+import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
 import type { ListedTarget } from '../ports/targetDirectory.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
@@ -204,7 +204,7 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { client, clock, listener, fencingToken } = this.#options
+    const { client, clock, fencingToken } = this.#options
     const leaseUntilTargetMs = this.#extendLease()
     if (this.#hasEnded || leaseUntilTargetMs === undefined) return this.#handleRefusal(assignment, 'unhealthy')
     assignment.state = 'starting'
@@ -220,9 +220,15 @@
       ticket
     })
     this.#startsSentMs.delete(assignment)
+    await this.#handleStartOutcome(assignment, result)
+  }
+
+  async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
+    const { clock, listener } = this.#options
     if (result.outcome === 'unknown') this.#startUnansweredAtMs = clock.monotonicMs()
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
-    assignment.confirmedAtMs = clock.monotonicMs()
+    // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
+    if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
     if (result.outcome === 'started') {
       if (assignment.state === 'starting') assignment.state = 'running'
       return listener.startConfirmed(this, assignment)
