Stop and count a run that a target shows after it was taken as over

A run that was refused or taken as lost and that the target shows later was ignored in every report: it was not stopped, ran beside its next attempt, and held capacity that was not counted.

Cause: the keys of ended runs were kept for the whole session, and a report that showed one of them was taken as old. Reports of a session are asked for one after another, so a report cannot be older than an end that is known; the set also grew by each run for as long as the session lasted.

Change: the set is gone, and such a run is an unexpected one. The test failed before (no stop was sent).

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -405,3 +405,18 @@
   await clock.advance(1_500)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
 })
+
+test('late orders: a run that a target shows after it was taken as lost is stopped and holds its capacity', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const { name } = assignment.task
+  listener.runSizes.set(name, assignment.size)
+  session.reserve(assignment)
+  client.startOutcome = { outcome: 'refused', refusal: 'unhealthy' }
+  await session.start(assignment, undefined)
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(500)
+  t.true(client.stops.includes(name))
+  t.is(session.free.processors, 63_000)
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -81,7 +81,6 @@
   readonly key: string
   readonly #options: TargetSessionOptions
   readonly #assignments = new Map<string, Assignment>()
-  readonly #endedRuns = new Set<string>()
   #joined = false
   #hasEnded = false
   #closed = false
@@ -355,7 +354,6 @@
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
     const assignment = this.#assignments.get(key)
-    this.#endedRuns.add(key)
     if (assignment !== undefined) this.#removeAssignment(assignment)
     await this.#options.listener.runEnded(this, run, assignment)
   }
@@ -366,7 +364,6 @@
       const key = runKey(run.task, run.attempt)
       const assignment = this.#assignments.get(key)
       if (assignment !== undefined) this.#handleExpectedRun(assignment, run, nowMs)
-      else if (this.#endedRuns.has(key)) this.#options.logger.info({ task: run.task, attempt: run.attempt, target: this.id, free: this.free }, 'the target shows a run that was taken as ended')
       else unexpected.set(key, this.#stopUnexpectedRun(run))
     }
     this.capacity.setUnexpectedRuns(unexpected)
@@ -397,7 +394,6 @@
       const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
       if (!expectedInReport || confirmedAtMs >= sentMs || running.has(key)) continue
       this.#removeAssignment(assignment)
-      this.#endedRuns.add(key)
       this.#options.listener.runLost(this, assignment, 'not-reported')
     }
   }
@@ -421,7 +417,6 @@
 
   #handleRefusal (assignment: Assignment, refusal: StartRefusal): void {
     this.#removeAssignment(assignment)
-    this.#endedRuns.add(assignment.key)
     this.#options.listener.startRefused(this, assignment, refusal)
     if (refusal === 'other-life') this.#endIncarnation('restarted')
   }
