Withdraw stopped starts from a target's next incarnation as well

What callers saw: a task could run twice, and a target be given more than it has, where a start has no answer, is stopped, and the target restarts before the request arrives.

Cause: a stop makes a target refuse the start when it arrives later, but only that incarnation; the next one knows neither the stop nor a fencing token that it would have to refuse. Starts that were stopped already were forgotten when the incarnation ended; only those that were not stopped yet were withdrawn from the next one.

Change: a session keeps starts without an answer for as long as they may be in transit, and withdraws them too; until that is confirmed the next incarnation gets no tasks. Withdrawal is a module of its own.

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -420,3 +420,27 @@
   t.true(client.stops.includes(name))
   t.is(session.free.processors, 63_000)
 })
+
+test('late orders: a start that was stopped before a restart is stopped on the next incarnation, which may execute it', async t => {
+  const { clock, client, listener, session } = createSession()
+  session.updateListing(LISTED)
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const { name } = assignment.task
+  session.reserve(assignment)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  await clock.advance(1_500)
+  t.deepEqual(listener.events, ['joined', `${name} lost: not-reported`])
+  client.stops.length = 0
+  client.answersStops = false
+  client.bornMs = 2
+  await clock.advance(1_500)
+  t.true(session.ended)
+  t.true(client.stops.includes(name))
+  t.true(session.mayHaveRunsOnNextIncarnation, 'the next incarnation has not confirmed the stop')
+  client.answersStops = true
+  await clock.advance(500)
+  t.false(session.mayHaveRunsOnNextIncarnation)
+  t.deepEqual(listener.events.slice(2), ['incarnation ended: restarted'], 'the task was released once')
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -12,6 +12,7 @@
 import type { Assignment } from './assignment.ts'
 import type { ComputeResources } from './placeStep.ts'
 import { TargetCapacity } from './targetCapacity.ts'
+import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
 
 /** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
 const CLOCK_DRIFT_FACTOR = 1.03
@@ -36,8 +37,6 @@
 const CONFIRMATION_DELAY_MS = 250
 /** Delay between repeated stop requests. */
 const STOP_RETRY_DELAY_MS = 400
-/** An unanswered request may be executed up to 12 s later, according to the platform's list of faults. */
-const MAX_REQUEST_DELAY_MS = 12_500
 
 export type IncarnationEndReason = 'restarted' | 'lease-lapsed'
 
@@ -103,6 +102,11 @@
   readonly capacity: TargetCapacity
   /** Sending times of the start requests without an answer yet, the oldest first. */
   readonly #startsSentMs = new Map<Assignment, number>()
+  /**
+   * Starts without an answer that this incarnation will not execute, since they were stopped; the next one would. Until
+   * the given time they may still be in transit.
+   */
+  readonly #stoppedStarts = new Map<Assignment, number>()
   /** When the last start request was given up without an answer; undefined once the target has reported since. */
   #startUnansweredAtMs: number | undefined
   /** Consecutive failures, and the time until which the target gets no new tasks. */
@@ -157,6 +161,8 @@
 
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
   get mayHaveRunsOnNextIncarnation (): boolean {
+    this.#removeExpiredStoppedStarts()
+    if (this.#stoppedStarts.size > 0) return true
     // Remaining assignments of an ended incarnation are being stopped on the next one.
     return this.#hasEnded ? this.#assignments.size > 0 : [...this.#assignments.values()].some(startMayStillArrive)
   }
@@ -208,6 +214,7 @@
     if (this.#hasEnded || leaseUntilTargetMs === undefined) return this.#handleRefusal(assignment, 'unhealthy')
     assignment.state = 'starting'
     const { task } = assignment
+    assignment.startAnswered = false
     this.#startsSentMs.set(assignment, clock.monotonicMs())
     const result = await client.start({
       task: task.name,
@@ -224,7 +231,9 @@
 
   async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
     const { clock, listener } = this.#options
-    if (result.outcome === 'unknown') this.#startUnansweredAtMs = clock.monotonicMs()
+    assignment.startAnswered = result.outcome !== 'unknown'
+    if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
+    else this.#startUnansweredAtMs = clock.monotonicMs()
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
@@ -459,6 +468,8 @@
       else if (startMayStillArrive(assignment) || running.has(key)) withdrawals.push(this.#withdrawFromNextIncarnation(assignment))
       else this.#reportRunLost(assignment, 'restarted')
     }
+    this.#removeExpiredStoppedStarts()
+    for (const assignment of this.#stoppedStarts.keys()) withdrawals.push(this.#withdrawStoppedStart(assignment))
     this.#allWithdrawn = Promise.all(withdrawals).then(() => {
       if (!this.#closed) this.#options.listener.incarnationEnded(this, 'restarted')
     }, () => {
@@ -474,25 +485,22 @@
     return true
   }
 
-  /** Stops the run on the next incarnation until that reports its end, or no longer shows it after a stop. */
   async #withdrawFromNextIncarnation (assignment: Assignment): Promise<void> {
+    const end = await this.#withdrawStart(assignment)
+    if (this.#closed) return
+    if (end !== undefined) return await this.#handleFinishedRun(end)
+    this.#reportRunLost(assignment, 'restarted')
+  }
+
+  /** The task of such a start has been released already, so that only the run has to be prevented. */
+  async #withdrawStoppedStart (assignment: Assignment): Promise<void> {
+    await this.#withdrawStart(assignment)
+    this.#stoppedStarts.delete(assignment)
+  }
+
+  async #withdrawStart ({ task, attempt }: Assignment): Promise<FinishedRun | undefined> {
     const { client, clock, fencingToken, logger } = this.#options
-    const { task: { name: task }, attempt, key } = assignment
-    logger.info({ task, attempt, target: this.id }, 'withdrawing an unconfirmed start from the next target incarnation')
-    const deadlineMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-    while (!this.#closed && clock.monotonicMs() < deadlineMs) {
-      const outcome = await client.stop({ task, attempt, fencingToken })
-      if (outcome === 'other-life') break
-      const result = outcome === 'stopping' ? await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 }) : undefined
-      if (result?.outcome === 'other-life') break
-      if (result?.outcome === 'report') {
-        const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
-        if (end !== undefined) return await this.#handleFinishedRun(end)
-        if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) break
-      }
-      await clock.sleep(RETRY_DELAY_MS)
-    }
-    if (!this.#closed) this.#reportRunLost(assignment, 'restarted')
+    return await withdrawStart({ client, clock, logger, fencingToken, target: this.id, isClosed: () => this.#closed }, { task: task.name, attempt })
   }
 
   #reportRunLost (assignment: Assignment, reason: IncarnationEndReason): void {
@@ -501,7 +509,17 @@
   }
 
   #removeAssignment (assignment: Assignment): void {
-    if (this.#assignments.delete(assignment.key)) this.capacity.release(assignment.size)
+    if (!this.#assignments.delete(assignment.key)) return
+    this.capacity.release(assignment.size)
+    if (this.#hasEnded || assignment.startAnswered || assignment.reported) return
+    this.#stoppedStarts.set(assignment, this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
+  }
+
+  #removeExpiredStoppedStarts (): void {
+    if (this.#hasEnded) return
+    for (const [assignment, untilMs] of this.#stoppedStarts) {
+      if (untilMs < this.#options.clock.monotonicMs()) this.#stoppedStarts.delete(assignment)
+    }
   }
 }
 
--- /dev/null
+++ b/src/coordinator/withdrawStart.ts
@@ -0,0 +1,46 @@
+/** Withdraws a start request that a target may still execute after it has restarted under the same identity. */
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { FinishedRun, JobTargetClient } from '../ports/jobTarget.ts'
+import { runKey } from './assignment.ts'
+
+/** An unanswered request may be executed up to 12 s later, according to the platform's list of faults. */
+export const MAX_REQUEST_DELAY_MS = 12_500
+const RETRY_DELAY_MS = 150
+
+export interface WithdrawalOptions {
+  readonly client: JobTargetClient
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly fencingToken: number
+  /** Identity of the target, for the log. */
+  readonly target: string
+  /** Whether the term has ended, so that nothing more is sent. */
+  readonly isClosed: () => boolean
+}
+
+/**
+ * Stops the run on the target's next incarnation until that reports the run's end, or no longer shows the run after a
+ * stop. Resolves with the end if the run was executed there.
+ *
+ * @example
+ * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
+ */
+export async function withdrawStart ({ client, clock, logger, fencingToken, target, isClosed }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
+  const key = runKey(task, attempt)
+  logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
+  const deadlineMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
+  while (!isClosed() && clock.monotonicMs() < deadlineMs) {
+    const outcome = await client.stop({ task, attempt, fencingToken })
+    if (outcome === 'other-life') return undefined
+    const result = outcome === 'stopping' ? await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 }) : undefined
+    if (result?.outcome === 'other-life') return undefined
+    if (result?.outcome === 'report') {
+      const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
+      if (end !== undefined) return end
+      if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) return undefined
+    }
+    await clock.sleep(RETRY_DELAY_MS)
+  }
+  return undefined
+}
