Follow the capacity of targets that shrink and grow while they run

A target that had shrunk was given as many tasks as before (LIMIT).

Cause: a session took the size of its target once, from the entry in the target list or from the log of an earlier coordinator; later entries of the same incarnation changed only presence and draining.

Change: each listing applies the capacity of its entry. Runs keep what they hold, and free capacity may be negative; a reservation that no longer fits when its start is due is cancelled. A target whose entry was not read for 4 s gets no tasks, since nothing else shows its size.

Stand-ins: a target can be resized, and a stopped run can take time to end, as on the platform (the soak's targets ended stopped runs at once, which is why it never met the uncounted runs). The soak shrinks targets by a plan of its own, so that the other faults of a seed stay the same.

--- a/src/coordinator/targetCapacity.ts
+++ b/src/coordinator/targetCapacity.ts
@@ -1,4 +1,5 @@
 /** Tracks the capacity of one target that new tasks may use. */
+import { DIMENSIONS } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { ComputeResources } from './placeStep.ts'
 
@@ -42,6 +43,22 @@
     return [...this.#unexpectedRuns.values()].includes(undefined)
   }
 
+  /** Whether a run with reserved resources of the size may be started: the target may have shrunk since they were reserved. */
+  covers (size: ComputeResources): boolean {
+    const { processors, memory, accelerators } = this.#free
+    return (processors >= 0 || size.processors === 0) && (memory >= 0 || size.memory === 0) && (accelerators >= 0 || size.accelerators === 0)
+  }
+
+  /** Applies a capacity that has shrunk or grown; runs keep what they hold. Returns false if it is the same. */
+  resize (total: Resources): boolean {
+    const previous = this.#total
+    if (DIMENSIONS.every(dimension => previous[dimension] === total[dimension])) return false
+    this.#total = total
+    this.reserve(previous)
+    this.release(total)
+    return true
+  }
+
   reserve (size: ComputeResources): void {
     this.#subtract(size, 1)
   }
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -2,8 +2,6 @@
 import type { TargetDescription } from '../jobs/jobRecords.ts'
 import { targetKey } from '../jobs/jobTable.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
-import { DIMENSIONS } from '../model/resources.ts'
-import type { Resources } from '../model/resources.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../ports/jobTarget.ts'
@@ -33,6 +31,8 @@
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
+/** A target whose entry in the target list is older may have shrunk, or be draining. */
+const MAX_LISTING_AGE_MS = 4_000
 /** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
 const CONFIRMATION_DELAY_MS = 250
 /** Delay between repeated stop requests. */
@@ -88,8 +88,7 @@
   #draining = false
   /** False until the target list has been read: a target in the log may have left since. */
   #listed = false
-  /** The target's capacity by its latest entry in the target list. */
-  #listedCapacity: Resources
+  #listedAtMs = -Infinity
   #lastFinishedNumber = 0
   #lastAcknowledgedNumber = 0
   #pendingStores = 0
@@ -117,7 +116,6 @@
     this.#options = options
     this.description = options.description
     this.key = targetKey(options.description)
-    this.#listedCapacity = options.description.capacity
     this.capacity = new TargetCapacity(options.description.capacity)
     this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
   }
@@ -150,7 +148,7 @@
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
     return this.#joined && !this.#hasEnded && !this.#draining && this.#listed && !this.capacity.hasRunsOfUnknownSize &&
-      nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs >= this.#avoidUntilMs
+      nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS && nowMs >= this.#avoidUntilMs
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
@@ -180,14 +178,11 @@
   updateListing (entry: TargetListing | undefined): void {
     this.#listed = entry !== undefined
     this.#draining = entry?.draining ?? false
-    if (entry !== undefined) this.#logCapacityChange(entry.capacity)
-  }
-
-  #logCapacityChange (capacity: Resources): void {
-    const previous = this.#listedCapacity
-    this.#listedCapacity = capacity
-    if (DIMENSIONS.every(dimension => previous[dimension] === capacity[dimension])) return
-    this.#options.logger.info({ target: this.id, previous, capacity, free: this.free, runs: this.#assignments.size }, 'target capacity changed')
+    if (entry === undefined) return
+    this.#listedAtMs = this.#options.clock.monotonicMs()
+    const previous = this.capacity.total
+    if (!this.capacity.resize(entry.capacity)) return
+    this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.#assignments.size }, 'target capacity changed')
   }
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -304,7 +304,7 @@
   #startReserved (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketLookup): void {
     if (this.#closed) return
     const startable = ({ session, assignment }: Reservation): boolean =>
-      session.assignments.has(assignment.key) && !session.ended && !session.draining && ticketFor(session) !== undefined
+      session.assignments.has(assignment.key) && !session.ended && !session.draining && session.capacity.covers(assignment.size) && ticketFor(session) !== undefined
     const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
     for (const reservation of reserved) {
       const { session, assignment } = reservation
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -333,3 +333,36 @@
   t.is((await cluster.call(0, 'GET', '/checks/0000000000000b01', undefined, 'a newer key')).status, 200)
   await cluster.stop()
 })
+
+test('a target that has shrunk is not given more tasks than it holds, also by the next coordinator', async t => {
+  const cluster = await Cluster.start(2, { workers: 1, workMs: () => 150 })
+  const first = cluster.coordinator()
+  await cluster.callUntilServed(first, 'POST', '/checks/0000000000000d11', job(1))
+  await cluster.waitForState(first, '/checks/0000000000000d11', 'completed')
+  cluster.platform.resize('worker-1', 2_000)
+  await delay(800)
+  await cluster.callUntilServed(first, 'POST', '/checks/0000000000000d12', job(6))
+  await cluster.waitForState(first, '/checks/0000000000000d12', 'completed')
+  await cluster.instances[first]?.stop()
+  await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d13', job(6))
+  await cluster.waitForState(1 - first, '/checks/0000000000000d13', 'completed')
+  t.is(cluster.platform.mostRunning('worker-1'), 2)
+  await cluster.stop()
+})
+
+test('a new coordinator gives a target no more tasks than it holds while runs of cancelled jobs are being stopped there', async t => {
+  const cluster = await Cluster.start(2, { workers: 1, workMs: () => 20_000, stopMs: 900 })
+  const first = cluster.coordinator()
+  cluster.platform.resize('worker-1', 4_000)
+  await delay(800)
+  const cancelled = '/checks/0000000000000d21'
+  await cluster.callUntilServed(first, 'POST', cancelled, job(4))
+  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d21').length === 4)
+  t.is((await cluster.call(first, 'DELETE', cancelled)).status, 200)
+  const stopping = cluster.instances[first]?.stop()
+  await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d22', job(4))
+  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d22').length === 4)
+  t.is(cluster.platform.mostRunning('worker-1'), 4)
+  await stopping
+  await cluster.stop()
+})
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -21,6 +21,7 @@
   readonly teams?: readonly { readonly name: string, readonly key: string, readonly weight?: number, readonly cap?: number }[]
   readonly workMs?: StandInWorkerOptions['workMs']
   readonly endOf?: StandInWorkerOptions['endOf']
+  readonly stopMs?: StandInWorkerOptions['stopMs']
   /** Clock rate of each worker, by its number. */
   readonly clockRate?: (worker: number) => number
   readonly shortestLeaseMs?: number
@@ -31,8 +32,15 @@
 export const STAND_IN_HOST = 'jobs.example'
 export const STAND_IN_KEY = 'key-of-weavers'
 const SERVICE = 'renders'
-const WORKER_MILLICORES = 64_000
-const WORKER_MEMORY_MB = 262_144
+/** In the platform's format. */
+const WORKER_CAPACITY = { cpu: 64_000, mem_mb: 262_144, gpu: 0 }
+
+/** A change of a target's capacity, in millicores. */
+export interface CapacityChange {
+  readonly worker: string
+  readonly atMs: number
+  readonly processors: number
+}
 
 /** One of a job's consecutive steps; `processors` is in millicores. */
 export interface StandInStep {
@@ -65,6 +73,7 @@
 export class StandInPlatform {
   readonly store = new StandInStore()
   readonly events: WorkerEvent[] = []
+  readonly capacityChanges: CapacityChange[] = []
   /** Acknowledged finished runs, as TASK#ATTEMPT. */
   readonly acknowledged = new Set<string>()
   readonly workers = new Map<string, StandInWorker>()
@@ -140,17 +149,36 @@
 
   /** Marks a target as draining. */
   drain (id: string): void {
-    const entry = this.store.read(`servers/${id}`)[0]
-    if (entry !== undefined) this.store.put(`servers/${id}`, { ...JSON.parse(entry[1]), state: 'draining' })
+    this.#updateEntry(id, { state: 'draining' })
+  }
+
+  /** Changes the capacity of a target, in millicores, while it runs. */
+  resize (id: string, processors: number): void {
+    this.capacityChanges.push({ worker: id, atMs: Date.now(), processors })
+    this.#updateEntry(id, { capacity: { ...WORKER_CAPACITY, cpu: processors } })
   }
 
   /** Crashes a worker and restarts it under the same id. */
   crash (id: string): void {
     const worker = this.workers.get(id)
-    const entry = this.store.read(`servers/${id}`)[0]
-    if (worker === undefined || entry === undefined) return
+    if (worker === undefined) return
     worker.crash()
-    this.store.put(`servers/${id}`, { ...JSON.parse(entry[1]), state: 'ready', born: worker.bornMs })
+    this.#updateEntry(id, { state: 'ready', born: worker.bornMs })
+  }
+
+  /** Overwrites fields of a target's entry, as the target would. */
+  #updateEntry (id: string, fields: object): void {
+    const entry = this.store.read(`servers/${id}`)[0]
+    if (entry !== undefined) this.store.put(`servers/${id}`, { ...JSON.parse(entry[1]), ...fields })
+  }
+
+  /** Highest number of tasks that ran on a target at the same time. */
+  mostRunning (id: string): number {
+    let running = 0
+    return this.events.filter(({ worker }) => worker === id).reduce((most, { type }) => {
+      running += type === 'started' ? 1 : -1
+      return Math.max(most, running)
+    }, 0)
   }
 
   async stop (): Promise<void> {
@@ -162,8 +190,8 @@
   async #addWorker (number: number): Promise<void> {
     const id = `worker-${number}`
     const bornMs = Date.now()
-    const { workMs = () => 50, endOf, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
-    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), workMs, endOf, onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
+    const { workMs = () => 50, endOf, stopMs, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
+    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), workMs, endOf, stopMs, onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
     this.workers.set(id, worker)
     const address = await exposeWorker(id, await this.#serve(id, worker.routes))
     this.store.put(`servers/${id}`, {
@@ -171,7 +199,7 @@
       address,
       zone: 'attica-a',
       state: 'ready',
-      capacity: { cpu: WORKER_MILLICORES, mem_mb: WORKER_MEMORY_MB, gpu: 0 },
+      capacity: WORKER_CAPACITY,
       labels: ['a', `r-${number % 4}`],
       born: bornMs,
       sequence: 1
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -7,6 +7,7 @@
   readonly endsAtMs: number
   readonly startedAtMs: number
   timer: NodeJS.Timeout
+  stopping: boolean
 }
 
 interface FinishedRun {
@@ -42,6 +43,8 @@
   readonly workMs: (task: string, attempt: number) => number
   /** How a run ends if it is not stopped. */
   readonly endOf?: (task: string, attempt: number) => 'done' | 'failed'
+  /** Time that a stopped run takes to end, in milliseconds; it ends at once by default. */
+  readonly stopMs?: number
   readonly onEvent: (event: WorkerEvent) => void
   /** Called for each finished run that was acknowledged and will not be reported again. */
   readonly onAcknowledged?: (task: string, attempt: number) => void
@@ -153,7 +156,7 @@
     const { workMs, endOf } = this.#options
     const durationMs = workMs(task, attempt)
     const timer = setTimeout(() => this.#endRun(task, endOf?.(task, attempt) ?? 'done'), durationMs)
-    this.#runs.set(task, { task, attempt, startedAtMs: Date.now(), endsAtMs: Date.now() + durationMs, timer })
+    this.#runs.set(task, { task, attempt, startedAtMs: Date.now(), endsAtMs: Date.now() + durationMs, timer, stopping: false })
     this.#emit('started', { task, attempt })
     return this.#accepted
   }
@@ -161,10 +164,20 @@
   #stop ({ task = '', attempt = 0, fencing_token: token }: Body): RouteResponse {
     if (!this.#acceptFencingToken(token)) return this.#refuse('fence')
     this.#lastEndedAttempts.set(task, Math.max(attempt, this.#lastEndedAttempts.get(task) ?? 0))
-    if (this.#runs.get(task)?.attempt === attempt) this.#endRun(task, 'stopped')
+    if (this.#runs.get(task)?.attempt === attempt) this.#stopRun(task)
     return this.#accepted
   }
 
+  #stopRun (task: string): void {
+    const { stopMs = 0 } = this.#options
+    const run = this.#runs.get(task)
+    if (stopMs === 0 || run === undefined) return this.#endRun(task, 'stopped')
+    if (run.stopping) return
+    clearTimeout(run.timer)
+    run.stopping = true
+    run.timer = setTimeout(() => this.#endRun(task, 'stopped'), stopMs)
+  }
+
   async #renew ({ fencing_token: token, acked = 0, deadline_ms: deadlineMs, wait_ms: waitMs = 0 }: Body): Promise<RouteResponse> {
     if (!this.#acceptFencingToken(token)) return this.#refuse('fence')
     for (const { number, task, attempt } of this.#finishedRuns) {
--- a/test/soak/faultPlan.ts
+++ b/test/soak/faultPlan.ts
@@ -20,6 +20,7 @@
   | { readonly type: 'worker-crash', readonly worker: number }
   | { readonly type: 'worker-drain', readonly worker: number }
   | { readonly type: 'configuration' }
+  | { readonly type: 'worker-shrink', readonly worker: number, readonly processors: number, readonly forMs: number }
 
 export interface PlannedFault {
   readonly atMs: number
@@ -41,6 +42,12 @@
 const WARM_UP_MS = 1_500
 /** Probability that the previous fault is repeated on the same component. */
 const REPEAT_PROBABILITY = 0.2
+/** Targets shrink for longer than a coordinator may take to notice. */
+const MEAN_SHRINKING_INTERVAL_MS = 3_000
+const MIN_SHRINKING_MS = 7_000
+/** Capacity in millicores; room for one to four tasks of the load. */
+const SMALLEST_CAPACITY = 9_000
+const SHRINKING_SEED_OFFSET = 1_000_000_007
 
 /**
  * Returns the faults in chronological order; the same options produce the same plan.
@@ -59,6 +66,18 @@
     previous = fault
     atMs += MEAN_INTERVAL_MS * 2 * random.next()
   }
+  return [...plan, ...createShrinkingPlan({ seed, durationMs, workers })].sort((left, right) => left.atMs - right.atMs)
+}
+
+/** Drawn apart from the other faults, so that these stay the same for a seed. */
+function createShrinkingPlan ({ seed, durationMs, workers }: Omit<PlanOptions, 'instances'>): readonly PlannedFault[] {
+  const random = new SeededRandom(seed + SHRINKING_SEED_OFFSET)
+  const plan: PlannedFault[] = []
+  for (let atMs = WARM_UP_MS; atMs < durationMs; atMs += MEAN_SHRINKING_INTERVAL_MS * 2 * random.next()) {
+    const processors = SMALLEST_CAPACITY + random.integer(SMALLEST_CAPACITY * 2)
+    const forMs = MIN_SHRINKING_MS + random.integer(MIN_SHRINKING_MS)
+    plan.push({ atMs: Math.round(atMs), fault: { type: 'worker-shrink', worker: random.integer(workers), processors, forMs } })
+  }
   return plan
 }
 
--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -21,6 +21,8 @@
 
 export interface SoakCellOptions extends StandInPlatformOptions {
   readonly instances: number
+  /** Capacity of each target, in millicores. */
+  readonly workerCpu: number
   /** Loopback host of the instances and links. */
   readonly host: string
   /** The program with its leading arguments. */
@@ -102,6 +104,7 @@
       case 'worker-drain': return await this.#drain(workerId(fault.worker))
       case 'compaction': return this.platform.store.compact()
       case 'configuration': return this.platform.configure()
+      case 'worker-shrink': return await this.#shrink(workerId(fault.worker), fault.processors, fault.forMs)
     }
   }
 
@@ -190,6 +193,12 @@
     worker.fault = 'none'
   }
 
+  async #shrink (id: string, processors: number, forMs: number): Promise<void> {
+    this.platform.resize(id, processors)
+    await sleep(forMs)
+    this.platform.resize(id, this.#options.workerCpu)
+  }
+
   async #drain (id: string): Promise<void> {
     this.platform.drain(id)
     await sleep(DRAIN_DURATION_MS)
