Count the runs of ended jobs against caps and targets after a hand-over

Cause: a successor dropped jobs that had ended before it reserved what they run. Their runs then held no part of the team's cap, and capacity of the target only from its first report on.

Change: it reserves every run that the log shows as placed, whether or not its job has ended, and stops those of ended jobs when a target shows them.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -149,10 +149,11 @@
     this.#table = read.table
     this.#lastCompactedSequence = read.nextSequence - read.segments
     this.#recoveredLogBytes = read.segmentBytes
+    const jobs = [...read.table.jobs.values()]
     this.#recoverJobs(read.table)
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#termStartedAtMs) }, 'job log recovered')
     for (const description of read.table.targets.values()) this.#fleet.openRecorded(description)
-    this.#recoverRuns(read.table)
+    this.#recoverRuns(jobs)
     await this.#options.prepareConnections()
     if (this.#closed) return
     await this.#fleet.start()
@@ -230,7 +231,8 @@
   runLost (session: TargetSession, assignment: Assignment, reason: string): void {
     const { task } = assignment
     this.#placer.releaseUsage(assignment)
-    this.#logger.info({ job: task.step.job.id, task: task.name, attempt: assignment.attempt, target: session.id, state: assignment.state, reason }, 'run lost')
+    const { job } = task.step
+    if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, state: assignment.state, reason }, 'run lost')
     this.#placer.requeueTask(task, assignment.attempt)
   }
 
@@ -243,8 +245,9 @@
     this.#placer.requeueTask(task, assignment.attempt)
   }
 
-  startConfirmed (_session: TargetSession, assignment: Assignment): void {
+  startConfirmed (session: TargetSession, assignment: Assignment): void {
     const { job } = assignment.task.step
+    if (job.outcome !== undefined) return runInBackground(session.stop(assignment), this.#logger, 'stop of a run')
     if (job.hasStarted) return
     job.markStarted(this.#clock.monotonicMs())
   }
@@ -325,9 +328,12 @@
     }
   }
 
-  /** Runs placed by earlier coordinators hold their resources until their targets report or their leases expire. */
-  #recoverRuns (table: JobTable): void {
-    for (const job of table.jobs.values()) {
+  /**
+   * Runs placed by earlier coordinators hold their resources until their targets report or their leases expire. Those of
+   * jobs that have ended may still be being stopped.
+   */
+  #recoverRuns (jobs: readonly JobProgress[]): void {
+    for (const job of jobs) {
       for (const step of job.steps) {
         for (const task of step.tasks) {
           if (task.state === 'assigned') this.#placer.recoverRun(task)
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -366,3 +366,19 @@
   await stopping
   await cluster.stop()
 })
+
+test('a new coordinator lets no team exceed its cap while runs of the team\'s cancelled jobs are being stopped', async t => {
+  const capMillicores = 4_000
+  const cluster = await Cluster.start(2, { teams: [{ name: 'weavers', key: STAND_IN_KEY, cap: capMillicores }], workMs: () => 20_000, stopMs: 900 })
+  const first = cluster.coordinator()
+  const cancelled = '/checks/0000000000000d31'
+  await cluster.callUntilServed(first, 'POST', cancelled, job(4))
+  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d31').length === 4)
+  t.is((await cluster.call(first, 'DELETE', cancelled)).status, 200)
+  const stopping = cluster.instances[first]?.stop()
+  await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d32', job(4))
+  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d32').length === 4)
+  t.is(cluster.platform.mostRunning(), 4)
+  await stopping
+  await cluster.stop()
+})
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -172,10 +172,10 @@
     if (entry !== undefined) this.store.put(`servers/${id}`, { ...JSON.parse(entry[1]), ...fields })
   }
 
-  /** Highest number of tasks that ran on a target at the same time. */
-  mostRunning (id: string): number {
+  /** Highest number of tasks that ran at the same time, on one target or on all. */
+  mostRunning (id?: string): number {
     let running = 0
-    return this.events.filter(({ worker }) => worker === id).reduce((most, { type }) => {
+    return this.events.filter(({ worker }) => id === undefined || worker === id).reduce((most, { type }) => {
       running += type === 'started' ? 1 : -1
       return Math.max(most, running)
     }, 0)
