Give up tasks whose own runs show that they crash their targets

Cause: a run that was lost with its target was released without a trace; nothing counted crashes, in memory or in the log.

Change: - A crash is recorded for each run in the log before its task is placed again, with what it shows: shared, suspected (started last), lone (no run of another job explains it), or cleared (a lasting task that had worked for long). Crashes of a rack or of several targets at the same time are never lone ones, unless these were kept for other suspects. - A suspected task, or one with two crashes, runs next on a target that is kept for its job: the others there end first, and no new ones come. - Two lone crashes give the job up, at the third start as a rule. Crashes that a task shared never do, however many there are.

Failing before: the three tests of jobsOnPlatform with a task, a gang and a lasting task across a change of coordinator. The test of a rack that crashes again and again guards the new rule.

--- /dev/null
+++ b/src/coordinator/isolation.test.ts
@@ -0,0 +1,118 @@
+import test from 'ava'
+import type { StepDefinition } from '../jobs/job.ts'
+import { resources } from '../model/resources.ts'
+import type { Assignment } from './assignment.ts'
+import { Isolation } from './isolation.ts'
+import type { IsolatedPlaces } from './isolation.ts'
+import type { TargetAvailability } from './placeStep.ts'
+import { TargetCapacity } from './targetCapacity.ts'
+import type { TargetSession } from './targetSession.ts'
+import { createAssignments } from './testing/assignments.ts'
+
+interface FakeTarget {
+  readonly key: string
+  readonly assignments: Map<string, Assignment>
+  readonly capacity: TargetCapacity
+  ended: boolean
+}
+
+const NOW_MS = 100_000
+
+function createTargets (count: number): readonly FakeTarget[] {
+  return Array.from({ length: count }, (_, number) => ({
+    key: `t-${number}@1`, assignments: new Map(), capacity: new TargetCapacity(resources({ processors: 4_000, memory: 1_000 })), ended: false
+  }))
+}
+
+function run (target: FakeTarget | undefined, assignments: readonly Assignment[]): readonly Assignment[] {
+  for (const assignment of assignments) target?.assignments.set(assignment.key, assignment)
+  return assignments
+}
+
+/** Creates the tasks of a step that may crash its targets. */
+function createSuspects (id: string, count = 1, overrides: Partial<StepDefinition> = {}): readonly Assignment[] {
+  const assignments = createAssignments(id, count, overrides, 'reserved')
+  for (const { task } of assignments) task.step.recordCrash(task.index, 1, 'suspected')
+  return assignments
+}
+
+function prepare (isolation: Isolation, [suspect]: readonly Assignment[], targets: readonly FakeTarget[], permitted: readonly FakeTarget[] = targets): IsolatedPlaces {
+  if (suspect === undefined) throw new Error('the step has no task')
+  const describe = ({ key }: TargetSession): TargetAvailability => ({
+    key, free: resources({}), rack: '', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false
+  })
+  return isolation.prepare({
+    step: suspect.task.step,
+    targets: targets as unknown as readonly TargetSession[],
+    permits: target => permitted.includes(target as unknown as FakeTarget),
+    describe
+  })
+}
+
+function keys ({ ready }: IsolatedPlaces): readonly string[] {
+  return ready.map(({ key }) => key)
+}
+
+function holds (isolation: Isolation, targets: readonly FakeTarget[]): readonly boolean[] {
+  return targets.map(target => isolation.holds(target as unknown as TargetSession))
+}
+
+test('a suspected task starts on a target only when the runs of other jobs there have ended, and the target takes no others', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  for (const [number, target] of targets.entries()) run(target, createAssignments(`other-${number}`, number === 2 ? 1 : 3))
+  const suspects = createSuspects('a')
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), [])
+  t.deepEqual(holds(isolation, targets), [false, false, true, false], 'the one with the least work')
+  targets[2]?.assignments.clear()
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), ['t-2@1'])
+})
+
+test('a target is open to all tasks again when the suspected task is done, and a lasting one when it has worked for long', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  const [suspect] = createSuspects('a')
+  const [lasting] = createSuspects('b', 1, { longRunning: true })
+  if (suspect === undefined || lasting === undefined) return t.fail()
+  prepare(isolation, [suspect], targets)
+  isolation.releaseUnneeded(NOW_MS)
+  t.true(holds(isolation, targets).includes(true), 'the task waits')
+  suspect.task.state = 'done'
+  isolation.releaseUnneeded(NOW_MS)
+  t.false(holds(isolation, targets).includes(true))
+  prepare(isolation, [lasting], targets)
+  run(targets.find((_, number) => holds(isolation, targets)[number] === true), [lasting])
+  Object.assign(lasting, { reported: true, firstReportedAtMs: NOW_MS })
+  lasting.task.state = 'assigned'
+  isolation.releaseUnneeded(NOW_MS + 5_000)
+  t.true(holds(isolation, targets).includes(true))
+  isolation.releaseUnneeded(NOW_MS + 10_000)
+  t.false(holds(isolation, targets).includes(true))
+})
+
+test('where every target runs a lasting task, a suspected task still starts', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  for (const [number, target] of targets.entries()) run(target, createAssignments(`service-${number}`, 1, { longRunning: true }))
+  t.is(prepare(isolation, createSuspects('a'), targets).ready.length, 1)
+})
+
+test('two gangs never hold a part of the targets that each of them needs', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  for (const [number, target] of targets.entries()) run(target, createAssignments(`other-${number}`))
+  const [first, second] = [createSuspects('a', 12, { gang: true }), createSuspects('b', 12, { gang: true })]
+  prepare(isolation, first, targets)
+  t.is(holds(isolation, targets).filter(Boolean).length, 3)
+  t.deepEqual(keys(prepare(isolation, second, targets)), [])
+  for (const target of targets) target.assignments.clear()
+  t.is(prepare(isolation, first, targets).ready.length, 3)
+  t.deepEqual(keys(prepare(isolation, second, targets)), [])
+})
+
+test('a step that the permitted targets cannot hold says so, and keeps none of them', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  t.true(prepare(isolation, createSuspects('a', 12, { gang: true }), targets, targets.slice(0, 2)).insufficient)
+  t.false(holds(isolation, targets).includes(true))
+})
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -2,7 +2,7 @@
 import type { QueueSettings } from '../jobs/desiredState.ts'
 import { parseTaskName } from '../jobs/job.ts'
 import type { JobProgress } from '../jobs/jobProgress.ts'
-import type { LogRecord, RunEndRecord } from '../jobs/jobRecords.ts'
+import type { CrashRecord, LogRecord, RunEndRecord } from '../jobs/jobRecords.ts'
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress } from '../jobs/stepProgress.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
@@ -16,6 +16,8 @@
 import { COORDINATOR_KEY } from './election.ts'
 import type { CoordinatorInfo } from './election.ts'
 import { AdmissionControl } from './admissionControl.ts'
+import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './crashEvidence.ts'
+import type { Outage } from './crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
@@ -31,6 +33,8 @@
 /** The same after two consecutive refused starts. */
 const AVOID_AFTER_REFUSALS_MS = 100
 const RETRY_DELAY_MS = 100
+/** How long the crash of a target waits for those of others, before it counts against the runs that were lost. */
+const COINCIDENCE_WAIT_MS = 300
 /** New jobs are refused once the store has rejected records for longer than this. */
 const STORE_FAILURE_THRESHOLD_MS = 400
 const HOUSEKEEPING_INTERVAL_MS = 1_000
@@ -74,6 +78,7 @@
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
+  readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
@@ -268,6 +273,32 @@
     }, () => {})
   }
 
+  /** Records what the crash shows about each run, before their tasks are placed again, and gives up jobs that caused it. */
+  async targetCrashed (session: TargetSession, outage: Outage, runs: readonly Assignment[]): Promise<void> {
+    this.#outages.record(outage)
+    // Failures of other targets with the same cause may be noticed a little later.
+    if (runs.length > 0) await this.#clock.sleep(COINCIDENCE_WAIT_MS)
+    if (this.#closed) return
+    const coincident = this.#outages.findCoincident(outage, this.#fleet.outages)
+    const hasOtherCause = hasCommonCause(outage, coincident) || session.capacity.hasUnexpectedRuns
+    const evidence = [...classifyCrash({ runs, lastAnswerMs: outage.afterMs, hasOtherCause })]
+    this.#logger.info({ target: session.id, hasOtherCause, coincident: coincident.map(({ target }) => target), windowMs: Math.round(outage.byMs - outage.afterMs), runs: evidence.map(([{ key }, each]) => [key, each]) }, 'target crashed')
+    this.#applyCrash(session, createCrashRecords(evidence.filter(([{ task }]) => task.step.job.outcome === undefined)))
+  }
+
+  #applyCrash (session: TargetSession, records: readonly CrashRecord[]): void {
+    if (records.length === 0) return
+    const stored = this.applyAndAppend(records)
+    stored.catch(() => {
+      // The term has ended; the successor learns of the crash from the target.
+    })
+    for (const job of new Set(records.map(record => this.table.jobs.get(record.job)))) {
+      if (job?.outcome === undefined) continue
+      this.#logger.warn({ job: job.id, team: job.team, target: session.id }, 'job given up: the targets that start one of its tasks crash')
+      this.finalizeJob(job, stored)
+    }
+  }
+
   incarnationEnded (session: TargetSession, reason: IncarnationEndReason): void {
     if (this.#fleet.remove(session)) {
       const { id, bornMs } = session.description
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -8,6 +8,7 @@
 import type { PlacedTargetConnector } from '../ports/jobTarget.ts'
 import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
 import type { Assignment } from './assignment.ts'
+import type { Outage } from './crashEvidence.ts'
 import { AUTHORITY_GRACE_MS } from './election.ts'
 import { TargetSession } from './targetSession.ts'
 import type { TargetListener } from './targetSession.ts'
@@ -79,6 +80,11 @@
     return occupied.size === 0 ? usable : usable.filter(({ id }) => !occupied.has(id))
   }
 
+  /** Outages of the targets that do not answer now. */
+  get outages (): readonly Outage[] {
+    return [...this.#sessions.values()].flatMap(({ outage }) => outage ?? [])
+  }
+
   /** Whether a later incarnation of the same target is known. */
   #isReplaced ({ id, description }: TargetSession): boolean {
     return (this.#latestIncarnations.get(id) ?? 0) > description.bornMs
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -78,6 +78,7 @@
   startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
   startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
   startUnanswered (_session: TargetSession, { task }: Assignment): void { this.unanswered.push(task.name) }
+  async targetCrashed (): Promise<void> {}
   joined (): void { this.events.push('joined') }
   incarnationEnded (_session: TargetSession, reason: string): void { this.events.push(`incarnation ended: ${reason}`) }
   fenced (): void { this.events.push('fenced') }
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -8,6 +8,8 @@
 import type { ListedTarget } from '../ports/targetDirectory.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
+import { areIsolated } from './crashEvidence.ts'
+import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from './placeStep.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
@@ -51,6 +53,8 @@
   /** A start request was not answered, and the run is being stopped because the target does not report it. */
   startUnanswered (session: TargetSession, assignment: Assignment): void
   joined (session: TargetSession): void
+  /** The target has restarted without a planned shutdown. Its runs are reported as lost once this has resolved; it never rejects. */
+  targetCrashed (session: TargetSession, outage: Outage, runs: readonly Assignment[]): Promise<void>
   incarnationEnded (session: TargetSession, reason: IncarnationEndReason): void
   fenced (session: TargetSession): void
   stateChanged (): void
@@ -97,6 +101,10 @@
   /** Lower bound of the target's clock minus this process's. */
   #clockOffsetMs: number | undefined
   #lastContactMs = -Infinity
+  /** Time of the last answer, also to a start request, or of the beginning of the session. */
+  #lastAnswerMs: number
+  /** When the first renewal since the last report failed; undefined while the target answers. */
+  #unansweredSinceMs: number | undefined
   #lastLeaseExtensionMs: number
   readonly capacity: TargetCapacity
   /** Sending times of the start requests without an answer yet, the oldest first. */
@@ -118,6 +126,7 @@
     this.key = targetKey(options.description)
     this.capacity = new TargetCapacity(options.description.capacity)
     this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
+    this.#lastAnswerMs = options.clock.monotonicMs()
   }
 
   get id (): string {
@@ -165,6 +174,11 @@
     return this.#hasEnded ? this.#assignments.size > 0 : [...this.#assignments.values()].some(startMayStillArrive)
   }
 
+  /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
+  get outage (): Outage | undefined {
+    return this.#unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(this.#unansweredSinceMs)
+  }
+
   get draining (): boolean {
     return this.#draining
   }
@@ -229,6 +243,7 @@
     assignment.startAnswered = result.outcome !== 'unknown'
     if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
     else this.#startUnansweredAtMs = clock.monotonicMs()
+    if (result.outcome === 'started' && this.#unansweredSinceMs === undefined) this.#lastAnswerMs = clock.monotonicMs()
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
@@ -312,6 +327,7 @@
         listener.fenced(this)
         break
       case 'failed':
+        this.#unansweredSinceMs ??= clock.monotonicMs()
         if (clock.monotonicMs() > this.#allLeasesEndedMs()) this.#endIncarnation('lease-lapsed')
         else await clock.sleep(RETRY_DELAY_MS)
     }
@@ -321,7 +337,8 @@
     const { bornMs } = this.description
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report)
     const nowMs = this.#options.clock.monotonicMs()
-    this.#lastContactMs = nowMs
+    this.#lastContactMs = this.#lastAnswerMs = nowMs
+    this.#unansweredSinceMs = undefined
     if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
     this.#clockOffsetMs = report.clockMs - nowMs
     const stored = this.#handleFinishedRuns(report.finished)
@@ -374,6 +391,7 @@
   }
 
   #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
+    if (!assignment.reported) assignment.firstReportedAtMs = nowMs
     assignment.reported = true
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
       assignment.state = 'running'
@@ -442,6 +460,13 @@
 
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
+    if (reason === 'lease-lapsed') return this.#releaseAll(reason)
+    this.#allWithdrawn = this.#reportCrash().then(() => {
+      if (!this.#closed) this.#releaseAll(reason)
+    })
+  }
+
+  #releaseAll (reason: IncarnationEndReason): void {
     for (const assignment of [...this.#assignments.values()]) this.#reportRunLost(assignment, reason)
     this.#options.listener.incarnationEnded(this, reason)
   }
@@ -456,12 +481,13 @@
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
     const finishedRuns = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
     const withdrawals: Promise<void>[] = []
+    const crashReported = this.#reportCrash()
     for (const assignment of [...this.#assignments.values()]) {
       const { key } = assignment
       const end = finishedRuns.get(key)
+      const mayRun = startMayStillArrive(assignment) || running.has(key)
       if (end !== undefined) withdrawals.push(this.#handleFinishedRun(end))
-      else if (startMayStillArrive(assignment) || running.has(key)) withdrawals.push(this.#withdrawFromNextIncarnation(assignment))
-      else this.#reportRunLost(assignment, 'restarted')
+      else withdrawals.push(this.#releaseAfterRestart(assignment, mayRun, crashReported))
     }
     this.#removeExpiredStoppedStarts()
     for (const assignment of this.#stoppedStarts.keys()) withdrawals.push(this.#withdrawStoppedStart(assignment))
@@ -472,6 +498,10 @@
     })
   }
 
+  #describeOutage (byMs: number): Outage {
+    return { target: this.id, rack: this.rack, afterMs: this.#lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.#assignments.values()]) }
+  }
+
   /** Returns false if the incarnation had already ended. */
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
@@ -480,8 +510,8 @@
     return true
   }
 
-  async #withdrawFromNextIncarnation (assignment: Assignment): Promise<void> {
-    const end = await this.#withdrawStart(assignment)
+  async #releaseAfterRestart (assignment: Assignment, mayRun: boolean, crashReported: Promise<void>): Promise<void> {
+    const [end] = await Promise.all([mayRun ? this.#withdrawStart(assignment) : undefined, crashReported])
     if (this.#closed) return
     if (end !== undefined) return await this.#handleFinishedRun(end)
     this.#reportRunLost(assignment, 'restarted')
@@ -498,6 +528,13 @@
     return await withdrawStart({ client, clock, logger, fencingToken, target: this.id, isClosed: () => this.#closed }, { task: task.name, attempt })
   }
 
+  async #reportCrash (): Promise<void> {
+    // A session without runs that was never answered was opened from an entry of the target list that is out of date.
+    if (this.#draining || (!this.#joined && this.#assignments.size === 0)) return
+    const outage = this.#describeOutage(this.#unansweredSinceMs ?? this.#options.clock.monotonicMs())
+    await this.#options.listener.targetCrashed(this, outage, [...this.#assignments.values()].filter(({ state }) => state !== 'reserved'))
+  }
+
   #reportRunLost (assignment: Assignment, reason: IncarnationEndReason): void {
     this.#removeAssignment(assignment)
     this.#options.listener.runLost(this, assignment, reason)
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -1,4 +1,5 @@
 /** Places waiting tasks on targets: decides their order, their targets and the tickets they start with. */
+import { requiresIsolation } from '../jobs/crashHistory.ts'
 import type { QueueSettings } from '../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import type { LogRecord, PlacedRun } from '../jobs/jobRecords.ts'
@@ -11,6 +12,7 @@
 import { AllowedShare, MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
 import { decideAdvisedPlacement } from './advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
+import { Isolation } from './isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
@@ -58,6 +60,7 @@
   readonly #advice = new Map<StepProgress, StepAdvice>()
   /** By queue name. */
   readonly #allowedShares = new Map<string, AllowedShare>()
+  readonly #isolation = new Isolation()
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -154,11 +157,15 @@
     if (!this.#options.hasAuthority()) return
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
+    this.#isolation.releaseUnneeded(nowMs)
     if (ranked.length > 0) {
-      const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
+      const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable, session => this.#isolation.holds(session))
       const precedence = new GangPrecedence(pass, nowMs)
-      for (const { step, waiting } of ranked) {
+      for (const { step, waiting: allWaiting } of ranked) {
         const queue = pass.queue(step.job.queue)
+        const waiting = allWaiting.filter(task => !requiresIsolation(step.crashHistoryOf(task)))
+        if (waiting.length < allWaiting.length) this.#placeIsolated(step, allWaiting.filter(task => !waiting.includes(task)), queue, pass, nowMs)
+        if (waiting.length === 0) continue
         if (precedence.yields(step, queue.service)) continue
         if (!this.#placeWaitingTasks(step, waiting, queue, pass, nowMs)) precedence.recordWaitingGang(step, queue.service)
       }
@@ -202,6 +209,32 @@
     return reserved > 0 || this.#advice.get(step)?.answered !== true
   }
 
+  /** Places tasks that may crash their targets, on targets that run nothing else. */
+  #placeIsolated (step: StepProgress, tasks: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): void {
+    const advice = queue.advice === undefined ? undefined : this.#adviceOf(step)
+    if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
+    const team = pass.team(step.job.team)
+    const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition.size, tasks.length, queue.priority === 0)
+    if (count === 0 || (step.definition.gang && count < tasks.length)) return
+    const targets = pass.allSessions(queue.service)
+    const { ready, insufficient } = this.#isolation.prepare({
+      step, targets, permits: session => advice?.allows(session.key) ?? true, describe: session => this.#describeTarget(step, session)
+    })
+    if (insufficient && advice !== undefined) {
+      const unasked = targets.filter(session => !advice.wasAsked(session.key)).slice(0, MAX_TARGETS_PER_QUESTION)
+      runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
+    }
+    if (ready.length === 0) return
+    if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
+    else this.#startWhenStored(step, this.#reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => '')
+  }
+
+  #adviceOf (step: StepProgress): StepAdvice {
+    const advice = this.#advice.get(step) ?? new StepAdvice()
+    this.#advice.set(step, advice)
+    return advice
+  }
+
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
   #isCapped ({ job, definition }: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): boolean {
     const team = pass.team(job.team)
@@ -212,8 +245,7 @@
   #placeWithAdvice (
     step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
   ): number {
-    const advice = this.#advice.get(step) ?? new StepAdvice()
-    this.#advice.set(step, advice)
+    const advice = this.#adviceOf(step)
     if (nowMs < advice.backoffUntilMs) return 0
     const decision = decideAdvisedPlacement({
       definition: step.definition,
--- /dev/null
+++ b/src/coordinator/testing/assignments.ts
@@ -0,0 +1,13 @@
+/** Assignments for unit tests. */
+import type { StepDefinition } from '../../jobs/job.ts'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
+import { Assignment } from '../assignment.ts'
+import type { AssignmentState } from '../assignment.ts'
+
+/** Creates one assignment for each task of a new job's step. */
+export function createAssignments (id: string, count = 1, overrides: Partial<StepDefinition> = {}, state: AssignmentState = 'running'): readonly Assignment[] {
+  const [step] = new JobProgress(createJobRecord(id, [createStep(count, overrides)]), TEST_QUEUE, 0).steps
+  if (step === undefined) throw new Error('the job has no step')
+  return step.tasks.map(task => new Assignment(task, 1, step.definition.size, state))
+}
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,7 +1,7 @@
 /** Progress of one job, built from the records of the log. */
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
-import type { JobRecord, PlacedRecord, RunEndRecord, StepRecord } from './jobRecords.ts'
+import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StepRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
 export class JobProgress {
@@ -113,6 +113,12 @@
     return true
   }
 
+  /** Applies the crash of a target under runs of one step; fails the job if they show that it is the cause. */
+  applyCrash ({ occurrence, step, runs }: CrashRecord): void {
+    const crashed = this.findStep(occurrence, step)
+    for (const [index, attempt, evidence] of runs) crashed?.recordCrash(index, attempt, evidence)
+  }
+
   fail (): void {
     this.#finalState ??= 'failed'
   }
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -1,4 +1,5 @@
 /** Records of the job log. Replay in order is idempotent: repeating it results in the same jobs. */
+import type { CrashEvidence, CrashHistory } from './crashHistory.ts'
 import type { RunEnd } from '../ports/jobTarget.ts'
 import type { Resources } from '../model/resources.ts'
 import type { QueueSettings } from './desiredState.ts'
@@ -44,6 +45,17 @@
 
 export type PlacedRun = readonly [index: number, attempt: number, targetKey: string]
 
+/** Runs of one step that were lost in the crash of their target; stored before their tasks are placed again. */
+export interface CrashRecord {
+  readonly type: 'crashed'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly runs: readonly CrashedRun[]
+}
+
+export type CrashedRun = readonly [index: number, attempt: number, evidence: CrashEvidence]
+
 /** State of one task in a snapshot. */
 export interface TaskSnapshot {
   readonly done: boolean
@@ -52,6 +64,8 @@
   readonly failures: number
   readonly checkpoint: string
   readonly placedOn: string
+  /** Absent if no target crashed under the task. */
+  readonly crashHistory?: CrashHistory
 }
 
 export interface StepSnapshot {
@@ -59,6 +73,8 @@
   readonly gangFailures: number
   readonly failedGangAttempt: number
   readonly gangCheckpoint: string
+  /** Absent if no target crashed under the gang. */
+  readonly gangCrashHistory?: CrashHistory
 }
 
 export type StepRecord = StepSnapshot & {
@@ -73,6 +89,7 @@
   | JobRecord
   | PlacedRecord
   | RunEndRecord
+  | CrashRecord
   | StepRecord
   | { readonly type: 'cancelled', readonly job: string, readonly wallMs: number }
   | { readonly type: 'finished-job', readonly id: string, readonly queue: string, readonly team: string, readonly state: JobState, readonly wallMs: number }
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { RUN_ENDS } from '../ports/jobTarget.ts'
+import { CRASH_EVIDENCE } from './crashHistory.ts'
+import type { CrashEvidence } from './crashHistory.ts'
 import type { LogRecord } from './jobRecords.ts'
 import { JobTable } from './jobTable.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from './testing/definitions.ts'
@@ -13,6 +15,10 @@
   return { type: 'run-end', job, occurrence: 0, step, index, attempt, end, checkpoint }
 }
 
+function crashed (job: string, step: number, index: number, attempt: number, evidence: CrashEvidence): LogRecord {
+  return { type: 'crashed', job, occurrence: 0, step, runs: [[index, attempt, evidence]] }
+}
+
 function createTable (records: readonly LogRecord[]): JobTable {
   const table = new JobTable(() => 0)
   for (const record of [{ type: 'queue', queue: TEST_QUEUE } as const, ...records]) table.apply(record)
@@ -94,11 +100,31 @@
   t.is(table.jobs.get('a')?.steps[0]?.waiting.length, 1)
 })
 
+test('a job is given up when lone crashes show that one of its tasks, or its gang, crashes the targets that start it', t => {
+  const table = createTable([createJobRecord('a', [createStep(2)]), createJobRecord('b', [createStep(2, { gang: true })]), createJobRecord('c', [createStep(1, { longRunning: true })])])
+  const state = (id: string): unknown => table.jobs.get(id)?.state
+  table.apply(crashed('a', 0, 0, 1, 'lone'))
+  table.apply(crashed('a', 0, 1, 1, 'lone'))
+  t.not(state('a'), 'failed', 'each of two tasks lost one target')
+  table.apply(crashed('a', 0, 1, 2, 'lone'))
+  t.is(state('a'), 'failed')
+  table.apply(crashed('b', 0, 0, 1, 'lone'))
+  table.apply(crashed('b', 0, 1, 1, 'lone'))
+  t.not(state('b'), 'failed', 'two members of one attempt lost their targets')
+  table.apply(crashed('b', 0, 1, 2, 'lone'))
+  t.is(state('b'), 'failed')
+  table.apply(crashed('c', 0, 0, 1, 'lone'))
+  table.apply(crashed('c', 0, 0, 2, 'lone'))
+  t.is(state('c'), 'failed', 'also a task that lasts')
+})
+
 const anyRecord: fc.Arbitrary<LogRecord> = fc.oneof(
   fc.record({ step: fc.integer({ min: 0, max: 1 }), index: fc.integer({ min: 0, max: 2 }), attempt: fc.integer({ min: 1, max: 4 }), end: fc.constantFrom(...RUN_ENDS) })
     .map(({ step, index, attempt, end }) => ended('a', step, index, attempt, end, end === 'stopped' ? `saved-${attempt}` : '')),
   fc.record({ step: fc.integer({ min: 0, max: 1 }), index: fc.integer({ min: 0, max: 2 }), attempt: fc.integer({ min: 1, max: 5 }) })
-    .map(({ step, index, attempt }) => placed('a', step, index, attempt))
+    .map(({ step, index, attempt }) => placed('a', step, index, attempt)),
+  fc.record({ step: fc.integer({ min: 0, max: 1 }), index: fc.integer({ min: 0, max: 2 }), attempt: fc.integer({ min: 1, max: 5 }), evidence: fc.constantFrom(...CRASH_EVIDENCE) })
+    .map(({ step, index, attempt, evidence }) => crashed('a', step, index, attempt, evidence))
 )
 
 test('replaying a snapshot, or the ends of runs twice, gives the same jobs', t => {
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -63,6 +63,9 @@
       case 'run-end':
         this.#jobs.get(record.job)?.applyRunEnd(record)
         break
+      case 'crashed':
+        this.#jobs.get(record.job)?.applyCrash(record)
+        break
       case 'step':
         this.#jobs.get(record.job)?.restore(record)
         break
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -1,4 +1,6 @@
 /** Progress of the tasks of one step in one occurrence of its job. */
+import { isCulprit, NO_CRASHES, recordCrash } from './crashHistory.ts'
+import type { CrashEvidence, CrashHistory } from './crashHistory.ts'
 import type { RunEnd } from '../ports/jobTarget.ts'
 import { formatTaskName } from './job.ts'
 import type { StepDefinition } from './job.ts'
@@ -20,6 +22,7 @@
   checkpoint = ''
   /** Key of the target incarnation on which the highest attempt runs or may run; empty for none. */
   placedOn = ''
+  crashHistory: CrashHistory = NO_CRASHES
 
   constructor (step: StepProgress, index: number) {
     this.step = step
@@ -40,6 +43,7 @@
   #failedGangAttempt = 0
   #gangFailures = 0
   #gangCheckpoint = ''
+  #gangCrashHistory: CrashHistory = NO_CRASHES
 
   constructor (job: JobProgress, occurrence: number, number: number, definition: StepDefinition) {
     this.job = job
@@ -113,6 +117,21 @@
     return true
   }
 
+  /** The crashes of targets under the task's runs; the members of a gang share them. */
+  crashHistoryOf (task: TaskProgress): CrashHistory {
+    return this.definition.gang ? this.#gangCrashHistory : task.crashHistory
+  }
+
+  /** Records that a target crashed under a run. The run itself is released like any other that is lost. */
+  recordCrash (index: number, attempt: number, evidence: CrashEvidence): void {
+    const task = this.tasks[index]
+    if (task === undefined || task.state === 'done') return
+    const history = recordCrash(this.crashHistoryOf(task), attempt, evidence)
+    if (this.definition.gang) this.#gangCrashHistory = history
+    else task.crashHistory = history
+    if (isCulprit(history)) this.job.fail()
+  }
+
   #release (task: TaskProgress): void {
     task.state = 'waiting'
     task.placedOn = ''
@@ -120,18 +139,20 @@
 
   toSnapshot (): StepSnapshot {
     return {
-      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn }) =>
-        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn })),
+      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn, crashHistory }) =>
+        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn, ...(crashHistory === NO_CRASHES ? {} : { crashHistory }) })),
       gangFailures: this.#gangFailures,
       failedGangAttempt: this.#failedGangAttempt,
-      gangCheckpoint: this.#gangCheckpoint
+      gangCheckpoint: this.#gangCheckpoint,
+      ...(this.#gangCrashHistory === NO_CRASHES ? {} : { gangCrashHistory: this.#gangCrashHistory })
     }
   }
 
-  restore ({ tasks, gangFailures, failedGangAttempt, gangCheckpoint }: StepSnapshot): void {
+  restore ({ tasks, gangFailures, failedGangAttempt, gangCheckpoint, gangCrashHistory = NO_CRASHES }: StepSnapshot): void {
     this.#gangFailures = gangFailures
     this.#failedGangAttempt = failedGangAttempt
     this.#gangCheckpoint = gangCheckpoint
+    this.#gangCrashHistory = gangCrashHistory
     for (const [index, { done, ...fields }] of tasks.entries()) {
       const task = this.tasks[index]
       if (task === undefined) continue
@@ -143,6 +164,7 @@
         task.state = 'assigned'
       }
     }
+    if (isCulprit(gangCrashHistory) || this.tasks.some(({ crashHistory }) => isCulprit(crashHistory))) this.job.fail()
     const { maximumFailures } = this.job.queue
     if (gangFailures >= maximumFailures || tasks.some(({ failures }) => failures >= maximumFailures)) this.job.fail()
   }
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -382,3 +382,40 @@
   await stopping
   await cluster.stop()
 })
+
+/** Starts of a task that crashes each target: users allow two after the third crash. */
+const MAX_CRASHING_STARTS = 5
+
+for (const [kind, step] of Object.entries({ 'a task': {}, 'a member of a gang': { gang: true }, 'a task that lasts': { long_running: true } })) {
+  test(`${kind} that crashes its targets is given up also after a change of coordinator, and the jobs that crashed with it complete`, async t => {
+    const deadly = '0000000000000e40'
+    const innocent = ['0000000000000e41', '0000000000000e42', '0000000000000e43']
+    const crashing = `${deadly}.0.0.0`
+    const cluster = await Cluster.start(2, { workers: 3, workMs: () => 1_500, crashesWorker: task => task === crashing })
+    const first = cluster.coordinator()
+    const starts = (): number => cluster.startedTasks(deadly).filter(task => task === crashing).length
+    for (const id of innocent) await cluster.callUntilServed(first, 'POST', `/checks/${id}`, job(8))
+    await cluster.callUntilServed(first, 'POST', `/checks/${deadly}`, { spec: 'x', phases: [{ count: 2, cpu: 1_000, mem_mb: 64, estimate_ms: 50, ...step }] })
+    await cluster.waitUntil('the task has crashed two targets', () => starts() === 2)
+    await cluster.instances[first]?.stop()
+    const path = `/checks/${deadly}`
+    await cluster.waitForState(1 - first, path, 'failed')
+    for (const id of innocent) await cluster.waitForState(1 - first, `/checks/${id}`, 'completed')
+    t.true(starts() <= MAX_CRASHING_STARTS, `${starts()} starts`)
+    await cluster.stop()
+  })
+}
+
+test('a job is not given up because all targets of its rack crash again and again', async t => {
+  const cluster = await Cluster.start(1, { workers: 8, workMs: () => 2_500 })
+  const id = '0000000000000e50'
+  await cluster.callUntilServed(0, 'POST', `/checks/${id}`, { spec: 'x', phases: [{ count: 1, cpu: 60_000, mem_mb: 64, estimate_ms: 50 }] })
+  for (let crashes = 1; crashes <= 3; crashes++) {
+    await cluster.waitUntil('the task runs', () => cluster.startedTasks(id).length === crashes)
+    await delay(300)
+    for (const worker of cluster.platform.workers.keys()) cluster.platform.crash(worker, 500)
+  }
+  await cluster.waitForState(0, `/checks/${id}`, 'completed')
+  t.is(cluster.startedTasks(id).length, 4)
+  await cluster.stop()
+})
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -22,6 +22,7 @@
   readonly workMs?: StandInWorkerOptions['workMs']
   readonly endOf?: StandInWorkerOptions['endOf']
   readonly stopMs?: StandInWorkerOptions['stopMs']
+  readonly crashesWorker?: StandInWorkerOptions['crashesWorker']
   /** Clock rate of each worker, by its number. */
   readonly clockRate?: (worker: number) => number
   readonly shortestLeaseMs?: number
@@ -32,6 +33,8 @@
 export const STAND_IN_HOST = 'jobs.example'
 export const STAND_IN_KEY = 'key-of-weavers'
 const SERVICE = 'renders'
+/** How long a target is down after a task has crashed it. */
+const CRASH_DOWNTIME_MS = 600
 /** In the platform's format. */
 const WORKER_CAPACITY = { cpu: 64_000, mem_mb: 262_144, gpu: 0 }
 
@@ -158,12 +161,17 @@
     this.#updateEntry(id, { capacity: { ...WORKER_CAPACITY, cpu: processors } })
   }
 
-  /** Crashes a worker and restarts it under the same id. */
-  crash (id: string): void {
+  /** Crashes a worker and restarts it under the same id, at once or after a downtime in milliseconds. */
+  crash (id: string, downMs = 0): void {
     const worker = this.workers.get(id)
     if (worker === undefined) return
     worker.crash()
-    this.#updateEntry(id, { state: 'ready', born: worker.bornMs })
+    if (downMs === 0) return this.#updateEntry(id, { state: 'ready', born: worker.bornMs })
+    worker.fault = 'refusing'
+    setTimeout(() => {
+      worker.fault = 'none'
+      this.#updateEntry(id, { state: 'ready', born: worker.bornMs })
+    }, downMs).unref()
   }
 
   /** Overwrites fields of a target's entry, as the target would. */
@@ -190,8 +198,8 @@
   async #addWorker (number: number): Promise<void> {
     const id = `worker-${number}`
     const bornMs = Date.now()
-    const { workMs = () => 50, endOf, stopMs, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
-    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), workMs, endOf, stopMs, onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
+    const { workMs = () => 50, endOf, stopMs, crashesWorker, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
+    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), workMs, endOf, stopMs, crashesWorker, onCrash: () => this.crash(id, CRASH_DOWNTIME_MS), onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
     this.workers.set(id, worker)
     const address = await exposeWorker(id, await this.#serve(id, worker.routes))
     this.store.put(`servers/${id}`, {
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -28,11 +28,13 @@
   readonly end?: string
 }
 
-/** `silent` accepts calls without answering; `late` executes starts after a delay without answering. */
-export type WorkerFault = 'none' | 'silent' | 'late'
+/** `silent` accepts calls without answering; `late` executes starts after a delay without answering; `refusing` answers 503. */
+export type WorkerFault = 'none' | 'silent' | 'late' | 'refusing'
 
 const MAX_LEASE_MS = 10_000
 const LATE_START_DELAY_MS = 600
+/** Time from the start of a task that crashes its target to the crash. */
+const CRASH_DELAY_MS = 10
 
 export interface StandInWorkerOptions {
   readonly id: string
@@ -43,6 +45,10 @@
   readonly workMs: (task: string, attempt: number) => number
   /** How a run ends if it is not stopped. */
   readonly endOf?: (task: string, attempt: number) => 'done' | 'failed'
+  /** Whether the task crashes the worker soon after its start. */
+  readonly crashesWorker?: (task: string) => boolean
+  /** Called when a task crashes the worker. */
+  readonly onCrash?: () => void
   /** Time that a stopped run takes to end, in milliseconds; it ends at once by default. */
   readonly stopMs?: number
   readonly onEvent: (event: WorkerEvent) => void
@@ -115,6 +121,7 @@
       pattern,
       handle: async ({ body, signal }) => {
         const { fault } = this
+        if (fault === 'refusing') return { status: 503, body: {} }
         if (fault === 'late' && pattern === '/-/run-start') setTimeout(() => { this.#start(body as Body) }, LATE_START_DELAY_MS)
         if (fault === 'silent' || (fault === 'late' && pattern === '/-/run-start')) {
           await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
@@ -158,6 +165,7 @@
     const timer = setTimeout(() => this.#endRun(task, endOf?.(task, attempt) ?? 'done'), durationMs)
     this.#runs.set(task, { task, attempt, startedAtMs: Date.now(), endsAtMs: Date.now() + durationMs, timer, stopping: false })
     this.#emit('started', { task, attempt })
+    if (this.#options.crashesWorker?.(task) === true) setTimeout(() => this.#options.onCrash?.(), CRASH_DELAY_MS)
     return this.#accepted
   }
 
