Give no tasks to a target whose last renewal failed until it answers

Cause: a target counted as reachable for 1.5 s after its last report, although its connections were refused already.

Change: a failed renewal takes it out of use until the next report, which is asked for without waiting for a run to end. The test failed before.

--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -473,3 +473,18 @@
   session.updateListing(LISTED)
   t.true(session.usable)
 })
+
+test('crashed targets: a target whose last renewal failed gets no task until it answers, and is asked again without delay', async t => {
+  const { clock, client, session } = createSession()
+  session.updateListing(LISTED)
+  await clock.advance(300)
+  t.true(session.usable)
+  client.reachable = false
+  await clock.advance(100)
+  t.false(session.usable, 'its connections were refused or reset')
+  client.reachable = true
+  const answered = client.renewals.length
+  await clock.advance(250)
+  t.true(session.usable)
+  t.is(client.renewals[answered]?.waitMs, 0, 'its answer does not wait for a run to end')
+})
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -156,8 +156,9 @@
 
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
-    return this.#joined && !this.#hasEnded && !this.#draining && this.#listed && !this.capacity.hasRunsOfUnknownSize &&
-      nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS && nowMs >= this.#avoidUntilMs
+    const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
+    const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
+    return answers && isOffered && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
@@ -301,7 +302,7 @@
   }
 
   #renewWaitMs (): number {
-    if (!this.#joined) return 0
+    if (!this.#joined || this.#unansweredSinceMs !== undefined) return 0
     const awaitsConfirmation = this.#pendingStores > 0 || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
