Ignore entries of the target list whose numbers or address cannot be right

What operators of similar systems reported: another writer left one odd entry among those of the targets, very deeply nested, with a number too large, or with a port out of range, and the machines that read the list ended again and again, or stopped following it.

Found here: no process ended. Accepted as targets were: entries with a port out of range, a host that is no address, a capacity of 1e300 or below zero, a start time of 1e300 or a fraction, an empty identity, and a deeply nested unknown field. With capacities that follow the entry, an odd one under the identity of a running target would have made it as large as it says; a late start time would have hidden the running incarnation for as long as the entry stands; and sessions were opened anew every 0.5 s.

--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -1,9 +1,11 @@
 import test from 'ava'
+import { MemoryTransactionalStore } from '../coordinator/testing/memoryTransactionalStore.ts'
 import { InputError } from '../model/errors.ts'
+import { createLogger } from '../observability/logger.ts'
 import { parseDesiredState } from './desiredState.ts'
 import { decodeJobBody } from './jobBody.ts'
 import { parseSettings } from './settingsFile.ts'
-import { decodeTargetEntry } from './targetEntry.ts'
+import { decodeTargetEntry, StoredTargetDirectory } from './targetEntry.ts'
 
 const SETTINGS = `
 node_name = "entry-1"
@@ -56,3 +58,21 @@
   t.true(decode({ ...entry, state: 'draining' })?.draining)
   for (const bad of ['\u0000nonsense', { ...entry, state: 'resting' }, { ...entry, address: 7 }, { ...entry, capacity: undefined }, [], null]) t.is(decode(bad), undefined)
 })
+
+test('odd entries: one among those of the targets is ignored, and neither ends the process nor hides or resizes other targets', async t => {
+  const entry = { service: 's', address: '10.128.0.9:8080', zone: 'attica-a', state: 'ready', capacity: { cpu: 16_000, mem_mb: 1, gpu: 0 }, labels: ['a', 'r-1'], born: 5 }
+  const deep = (levels: number): string => '['.repeat(levels) + ']'.repeat(levels)
+  const withField = (field: string, text: string): string => JSON.stringify({ ...entry, [field]: 0 }).replace(`"${field}":0`, `"${field}":${text}`)
+  const odd = [
+    withField('unknown', deep(200_000)), withField('labels', deep(200_000)), deep(300_000),
+    ...['1e999', '1e300', '-5.5', '"64000"', 'null'].map(cpu => withField('capacity', `{"cpu":${cpu},"mem_mb":1}`)),
+    ...['1e999', '1e300', '-1', '1.5', '"5"'].map(born => withField('born', born)),
+    ...['10.128.0.9:99999', '10.128.0.9:0', '10.128.0.999:80', 'localhost:80', '10.128.0.9:80/x', 'a@10.128.0.9:80', ':80'].map(address => withField('address', JSON.stringify(address)))
+  ]
+  const store = new MemoryTransactionalStore()
+  store.put('servers/i-1', JSON.stringify(entry))
+  for (const [number, value] of odd.entries()) store.put(`servers/odd-${number}`, value)
+  store.put('servers/', JSON.stringify(entry))
+  const directory = new StoredTargetDirectory(store, createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] }))
+  t.deepEqual((await directory.list()).map(({ id }) => id), ['i-1'])
+})
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -76,7 +76,7 @@
     desired,
     directory: new StoredTargetDirectory(store, logger),
     connect: (address, incarnation) => new PlatformTarget(address, incarnation, clock),
-    regionOf: dataCentre => settings.regionsByDataCentre[dataCentre] ?? settings.region,
+    regionOf: dataCentre => findRegion(settings, dataCentre),
     advisor,
     peers,
     targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
@@ -111,6 +111,11 @@
   }
 }
 
+/** The data centre comes from the entry of a target, which may name none that is known. */
+function findRegion ({ regionsByDataCentre, region }: PlatformSettings, dataCentre: string): string {
+  return (Object.hasOwn(regionsByDataCentre, dataCentre) ? regionsByDataCentre[dataCentre] : undefined) ?? region
+}
+
 interface StopDependencies {
   readonly manager: LifecycleManager
   readonly instance: JobInstance
--- a/src/platform/targetEntry.ts
+++ b/src/platform/targetEntry.ts
@@ -1,4 +1,5 @@
 /** Decodes the entries by which targets register themselves in the store. */
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 import type { Logger } from '../observability/logger.ts'
 import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
@@ -8,19 +9,36 @@
 
 export const TARGET_PREFIX = 'servers/'
 
+/** An entry has a few hundred characters; longer ones are not parsed. */
+const MAX_ENTRY_LENGTH = 65_536
+/** Far beyond any machine, so that no sum of capacities loses its precision. */
+const MAX_CAPACITY = 1e9
+const MAX_PORT = 65_535
+/** Identities are sent in a header. */
+const ID_PATTERN = /^[\x21-\x7e]+$/
+
+const capacitySchema = resourcesSchema.refine(capacity => Object.values(capacity).every(amount => amount <= MAX_CAPACITY))
+
 const entrySchema = z.object({
   service: z.string(),
-  address: z.string().regex(/^[^\s:]+:\d+$/),
+  address: z.string().refine(isAddress),
   zone: z.string(),
   state: z.enum(['ready', 'draining']),
-  capacity: resourcesSchema,
+  capacity: capacitySchema,
   /** Machine type, followed by the rack. */
   labels: z.array(z.string()).default([]),
-  born: z.number().default(0)
+  born: z.number().int().nonnegative().default(0)
 })
 
+function isAddress (text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':')
+  return rest.length === 0 && isIPv4(host) && /^\d{1,5}$/.test(port) && Number(port) > 0 && Number(port) <= MAX_PORT
+}
+
 /** Decodes an entry; returns undefined if it does not describe a target. */
 export function decodeTargetEntry ({ key, value }: StoredItem): ListedTarget | undefined {
+  const id = key.slice(TARGET_PREFIX.length)
+  if (!ID_PATTERN.test(id) || value.length > MAX_ENTRY_LENGTH) return undefined
   let raw: unknown
   try {
     raw = JSON.parse(value)
@@ -31,7 +49,7 @@
   if (!parsed.success) return undefined
   const entry = parsed.data
   return {
-    id: key.slice(TARGET_PREFIX.length),
+    id,
     bornMs: entry.born,
     service: entry.service,
     address: entry.address,
