Refuse jobs with more tasks than a coordinator can hold

What callers could do: one submission with a count of 1e9, or with 1e12 occurrences, made the coordinator create that many tasks before anything was stored; it ended, and the retries reached the next one. Found while looking for one malformed message that takes a process down.

Cause: counts of steps and occurrences had no upper limit.

Change: more than 20,000 tasks in all steps and occurrences are a 400 that says so. The test failed before (the body was accepted).

--- a/src/platform/decoding.test.ts
+++ b/src/platform/decoding.test.ts
@@ -76,3 +76,11 @@
   const directory = new StoredTargetDirectory(store, createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] }))
   t.deepEqual((await directory.list()).map(({ id }) => id), ['i-1'])
 })
+
+test('a job body whose sizes or counts no cluster could hold is refused with an error that names them', t => {
+  const body = (step: object, rest: object = {}): unknown => ({ spec: 's', phases: [{ count: 1, cpu: 500, ...step }], ...rest })
+  for (const [bad, field] of [[body({ cpu: -1 }), /cpu/], [body({ count: 1e15 }), /tasks/], [body({ count: 50_000 }), /tasks/], [body({}, { repeat_count: 1e12 }), /tasks/]] as const) {
+    t.regex(t.throws(() => decodeJobBody(bad), { instanceOf: InputError }).message, field)
+  }
+  t.is(decodeJobBody(body({ count: 5_000, cpu: 1e9 })).steps[0]?.count, 5_000, 'a job that does not fit now may fit later')
+})
--- a/src/platform/jobBody.ts
+++ b/src/platform/jobBody.ts
@@ -18,6 +18,9 @@
   target_ms: z.number().default(0)
 })
 
+/** Tasks of all steps and occurrences; each takes memory at the coordinator from the acceptance of its job on. */
+const MAX_TASKS_PER_JOB = 20_000
+
 const bodySchema = z.object({
   spec: z.string().default(''),
   phases: z.array(stepSchema).min(1),
@@ -36,6 +39,8 @@
   const parsed = bodySchema.safeParse(body)
   if (!parsed.success) throw new InputError(`the job can not be read: ${z.prettifyError(parsed.error)}`)
   const job = parsed.data
+  const tasks = job.phases.reduce((sum, { count }) => sum + count, 0) * Math.max(1, job.repeat_count)
+  if (tasks > MAX_TASKS_PER_JOB) throw new InputError(`the job has ${tasks} tasks; at most ${MAX_TASKS_PER_JOB} are possible`)
   const steps = job.phases.map((step, position) => {
     if (step.after.some(earlier => earlier >= position)) throw new InputError(`step ${position} of the job depends on a later step`)
     return {
