--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -1,5 +1,4 @@
 /** Keeps targets to themselves for jobs of which a task may crash the targets that start it. */
-import { requiresIsolation } from '../jobs/crashHistory.ts'
 import type { JobProgress } from '../jobs/jobProgress.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
 import type { Assignment } from './assignment.ts'
@@ -80,12 +79,8 @@
 }
 
 function needsTarget (job: JobProgress, target: TargetSession, nowMs: number): boolean {
-  const needsIt = (task: TaskProgress): boolean => {
-    if (!requiresIsolation(task.step.crashHistoryOf(task)) || task.state === 'done') return false
-    if (task.state === 'waiting') return true
-    return [...target.assignments.values()].some(run => run.task === task && !isSettled(run, nowMs))
-  }
-  return job.steps.some(step => step.tasks.some(needsIt))
+  const isUnsettledHere = (task: TaskProgress): boolean => [...target.assignments.values()].some(run => run.task === task && !isSettled(run, nowMs))
+  return job.steps.some(step => step.suspectedTasks.some(task => task.state === 'waiting' || (task.state === 'assigned' && isUnsettledHere(task))))
 }
 
 /** A lasting task that has been at work for long did not crash its target, and others may join it. */
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -25,7 +25,8 @@
 import type { ComputeResources } from './placeStep.ts'
 import { RecordLog } from './recordLog.ts'
 import { TargetFleet } from './targetFleet.ts'
-import type { IncarnationEndReason, TargetListener, TargetSession } from './targetSession.ts'
+import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
+import type { TargetSession } from './targetSession.ts'
 import { TaskPlacer } from './taskPlacer.ts'
 
 /** How long a target gets no new tasks after two consecutive failed tasks. */
--- /dev/null
+++ b/src/coordinator/stepAdvisor.ts
@@ -0,0 +1,92 @@
+/** Keeps the placement advisor's answers for the waiting steps, and asks its questions. */
+import type { QueueSettings } from '../jobs/desiredState.ts'
+import type { StepProgress } from '../jobs/stepProgress.ts'
+import type { Logger } from '../observability/logger.ts'
+import type { Clock } from '../ports/clock.ts'
+import type { AdviceLanes } from './adviceLanes.ts'
+import { AllowedShare } from './adviceQuestion.ts'
+import { StepAdvice } from './stepAdvice.ts'
+
+const RETRY_DELAY_MS = 100
+
+/** A target that a question may name. */
+interface AdvisedTarget {
+  readonly id: string
+  readonly key: string
+}
+
+export interface StepAdvisorOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly lanes: AdviceLanes
+  /** Called after each question, answered or not. */
+  readonly onAnswered: () => void
+}
+
+/**
+ * @example
+ * await advisor.ask(step, queue, sessions)
+ * const allowed = advisor.adviceOf(step).allows(session.key)
+ */
+export class StepAdvisor {
+  readonly #options: StepAdvisorOptions
+  readonly #advice = new Map<StepProgress, StepAdvice>()
+  /** By queue name. */
+  readonly #allowedShares = new Map<string, AllowedShare>()
+
+  constructor (options: StepAdvisorOptions) {
+    this.#options = options
+  }
+
+  /** Returns undefined if nothing was asked about the step. */
+  findAdvice (step: StepProgress): StepAdvice | undefined {
+    return this.#advice.get(step)
+  }
+
+  adviceOf (step: StepProgress): StepAdvice {
+    const advice = this.#advice.get(step) ?? new StepAdvice()
+    this.#advice.set(step, advice)
+    return advice
+  }
+
+  remove (step: StepProgress): void {
+    this.#advice.delete(step)
+  }
+
+  /** Share of the targets that the queue's policy allows, learned from its answers. */
+  allowedShare ({ name }: QueueSettings): AllowedShare {
+    const share = this.#allowedShares.get(name) ?? new AllowedShare()
+    this.#allowedShares.set(name, share)
+    return share
+  }
+
+  /** Asks which of the targets may run the step; resolves also if there is no answer. */
+  async ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[]): Promise<void> {
+    const { clock, logger, lanes, onAnswered } = this.#options
+    const settings = queue.advice
+    if (settings === undefined || targets.length === 0) return
+    const advice = this.adviceOf(step)
+    const keysById = new Map(targets.map(({ id, key }) => [id, key]))
+    const isFirst = !advice.answered
+    const askedMs = clock.monotonicMs()
+    advice.openQuestions += 1
+    try {
+      const allowed = await lanes.ask({
+        step: step.name,
+        targets: [...keysById.keys()],
+        expectedMs: settings.decisionMs + settings.perTargetMs * keysById.size
+      }, queue.priority)
+      const answeredMs = clock.monotonicMs()
+      advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
+      // Later questions are also about targets that are known to be allowed.
+      if (isFirst) this.allowedShare(queue).recordAnswer(keysById.size, allowed.length)
+      logger.info({ job: step.job.id, step: step.name, named: keysById.size, allowed: allowed.length, tookMs: Math.round(answeredMs - askedMs) }, 'placement advice received')
+    } catch (error) {
+      logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'placement advisor request failed')
+      advice.backoffUntilMs = clock.monotonicMs() + RETRY_DELAY_MS
+    } finally {
+      advice.openQuestions -= 1
+      onAnswered()
+    }
+  }
+}
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -10,8 +10,8 @@
 import type { Assignment } from './assignment.ts'
 import type { Outage } from './crashEvidence.ts'
 import { AUTHORITY_GRACE_MS } from './election.ts'
+import type { TargetListener } from './targetListener.ts'
 import { TargetSession } from './targetSession.ts'
-import type { TargetListener } from './targetSession.ts'
 
 /** Interval between reads of the target list; a draining target is noticed well within its 2.5 s. */
 const DIRECTORY_INTERVAL_MS = 500
--- a/src/coordinator/targetSession.test.ts
+++ b/src/coordinator/targetSession.test.ts
@@ -7,8 +7,8 @@
 import { createLogger } from '../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOutcome, TaskOrder } from '../ports/jobTarget.ts'
 import { Assignment } from './assignment.ts'
+import type { TargetListener } from './targetListener.ts'
 import { TargetSession } from './targetSession.ts'
-import type { TargetListener } from './targetSession.ts'
 
 const LEASE_MS = 9_500
 const CAPACITY = resources({ processors: 64_000, memory: 1_000 })
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -1,5 +1,4 @@
 /** Places waiting tasks on targets: decides their order, their targets and the tickets they start with. */
-import { requiresIsolation } from '../jobs/crashHistory.ts'
 import type { QueueSettings } from '../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import type { LogRecord, PlacedRun } from '../jobs/jobRecords.ts'
@@ -9,7 +8,7 @@
 import type { TimerClock } from '../ports/clock.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
 import { Assignment } from './assignment.ts'
-import { AllowedShare, MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
+import { MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
 import { decideAdvisedPlacement } from './advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import { Isolation } from './isolation.ts'
@@ -20,14 +19,14 @@
 import type { AdmissionControl } from './admissionControl.ts'
 import { placeStep, requiredResources } from './placeStep.ts'
 import type { TargetAvailability } from './placeStep.ts'
-import { StepAdvice } from './stepAdvice.ts'
+import type { StepAdvice } from './stepAdvice.ts'
+import { StepAdvisor } from './stepAdvisor.ts'
 import type { TargetFleet } from './targetFleet.ts'
 import type { TargetSession } from './targetSession.ts'
 import { TeamUsage } from './teamUsage.ts'
 
 /** Batches changes for a short time and leaves three quarters of the processor to requests and reports. */
 const PASS_THROTTLE_LIMITS: ThrottleLimits = { minDelayMs: 5, maxDelayMs: 250, idleFactor: 3 }
-const RETRY_DELAY_MS = 100
 /** Fraction of the processors reserved for urgent tasks. */
 const URGENT_RESERVE_RATIO = 0.05
 
@@ -57,9 +56,7 @@
   readonly #logger: Logger
   readonly #fleet: TargetFleet
   readonly #usage = new TeamUsage()
-  readonly #advice = new Map<StepProgress, StepAdvice>()
-  /** By queue name. */
-  readonly #allowedShares = new Map<string, AllowedShare>()
+  readonly #advisor: StepAdvisor
   readonly #isolation = new Isolation()
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
@@ -75,6 +72,7 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#fleet = options.fleet
+    this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
@@ -107,7 +105,7 @@
   /** Removes a step of a finished job. */
   removeStep (step: StepProgress): void {
     this.#queuedSteps.delete(step)
-    this.#advice.delete(step)
+    this.#advisor.remove(step)
     this.#failedTargets.delete(step)
   }
 
@@ -149,7 +147,7 @@
 
   /** Invalidates a ticket that a target did not accept. */
   invalidateTicket (step: StepProgress, session: TargetSession): void {
-    this.#advice.get(step)?.invalidateTicket(session.key)
+    this.#advisor.findAdvice(step)?.invalidateTicket(session.key)
   }
 
   /** Places tasks of the waiting steps by rank; with `urgentOnly`, only urgent steps within their team's share that are still of use. */
@@ -163,8 +161,7 @@
       const precedence = new GangPrecedence(pass, nowMs)
       for (const { step, waiting: allWaiting } of ranked) {
         const queue = pass.queue(step.job.queue)
-        const waiting = allWaiting.filter(task => !requiresIsolation(step.crashHistoryOf(task)))
-        if (waiting.length < allWaiting.length) this.#placeIsolated(step, allWaiting.filter(task => !waiting.includes(task)), queue, pass, nowMs)
+        const waiting = this.#placeSuspected(step, allWaiting, queue, pass, nowMs)
         if (waiting.length === 0) continue
         if (precedence.yields(step, queue.service)) continue
         if (!this.#placeWaitingTasks(step, waiting, queue, pass, nowMs)) precedence.recordWaitingGang(step, queue.service)
@@ -178,7 +175,7 @@
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
     const ranked: WaitingStep[] = []
     for (const step of this.#queuedSteps) {
-      if (urgentOnly && (!isUrgent(step) || (this.#advice.get(step)?.openQuestions ?? 0) > 0)) continue
+      if (urgentOnly && (!isUrgent(step) || (this.#advisor.findAdvice(step)?.openQuestions ?? 0) > 0)) continue
       const { waiting } = step
       if (waiting.length === 0) {
         if (step.done || step.job.outcome !== undefined) this.#queuedSteps.delete(step)
@@ -193,7 +190,7 @@
   /** Returns false if none of the targets known to be allowed has capacity for the step. */
   #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): boolean {
     const { definition } = step
-    const advice = this.#advice.get(step)
+    const advice = this.#advisor.findAdvice(step)
     if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return true
     const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
@@ -206,12 +203,20 @@
     }
     const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
     pass.recordReservation(queue.service, requiredResources(definition), reserved)
-    return reserved > 0 || this.#advice.get(step)?.answered !== true
+    return reserved > 0 || this.#advisor.findAdvice(step)?.answered !== true
+  }
+
+  /** Places the tasks that may crash their targets apart from others; returns the rest. */
+  #placeSuspected (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): readonly TaskProgress[] {
+    const { suspectedTasks } = step
+    if (suspectedTasks.length === 0) return waiting
+    const suspected = waiting.filter(task => suspectedTasks.includes(task))
+    if (suspected.length > 0) this.#placeIsolated(step, suspected, queue, pass, nowMs)
+    return waiting.filter(task => !suspectedTasks.includes(task))
   }
 
-  /** Places tasks that may crash their targets, on targets that run nothing else. */
   #placeIsolated (step: StepProgress, tasks: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): void {
-    const advice = queue.advice === undefined ? undefined : this.#adviceOf(step)
+    const advice = queue.advice === undefined ? undefined : this.#advisor.adviceOf(step)
     if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
     const team = pass.team(step.job.team)
     const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition.size, tasks.length, queue.priority === 0)
@@ -222,19 +227,13 @@
     })
     if (insufficient && advice !== undefined) {
       const unasked = targets.filter(session => !advice.wasAsked(session.key)).slice(0, MAX_TARGETS_PER_QUESTION)
-      runInBackground(this.#ask(step, queue, advice, unasked), this.#logger, 'placement advice')
+      runInBackground(this.#advisor.ask(step, queue, unasked), this.#logger, 'placement advice')
     }
     if (ready.length === 0) return
     if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
     else this.#startWhenStored(step, this.#reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => '')
   }
 
-  #adviceOf (step: StepProgress): StepAdvice {
-    const advice = this.#advice.get(step) ?? new StepAdvice()
-    this.#advice.set(step, advice)
-    return advice
-  }
-
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
   #isCapped ({ job, definition }: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): boolean {
     const team = pass.team(job.team)
@@ -245,13 +244,13 @@
   #placeWithAdvice (
     step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
   ): number {
-    const advice = this.#adviceOf(step)
+    const advice = this.#advisor.adviceOf(step)
     if (nowMs < advice.backoffUntilMs) return 0
     const decision = decideAdvisedPlacement({
       definition: step.definition,
       count,
       advice,
-      allowedShare: this.#allowedShare(queue).value,
+      allowedShare: this.#advisor.allowedShare(queue).value,
       targets: sessions,
       describe: session => this.#describeTarget(step, session),
       nowMs,
@@ -260,7 +259,7 @@
     })
     switch (decision.action) {
       case 'ask':
-        for (const targets of decision.questions) runInBackground(this.#ask(step, queue, advice, targets), this.#logger, 'placement advice')
+        for (const targets of decision.questions) runInBackground(this.#advisor.ask(step, queue, targets), this.#logger, 'placement advice')
         return 0
       case 'start':
         this.#startWhenStored(step, this.#reserve(waiting, decision.placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
@@ -273,45 +272,12 @@
     }
   }
 
-  async #ask (step: StepProgress, queue: QueueSettings, advice: StepAdvice, targets: readonly TargetSession[]): Promise<void> {
-    const settings = queue.advice
-    if (settings === undefined || targets.length === 0) return
-    const keysById = new Map(targets.map(session => [session.id, session.key]))
-    const isFirst = !advice.answered
-    const askedMs = this.#clock.monotonicMs()
-    advice.openQuestions += 1
-    try {
-      const allowed = await this.#options.lanes.ask({
-        step: step.name,
-        targets: [...keysById.keys()],
-        expectedMs: settings.decisionMs + settings.perTargetMs * keysById.size
-      }, queue.priority)
-      const answeredMs = this.#clock.monotonicMs()
-      advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
-      // Later questions are also about targets that are known to be allowed.
-      if (isFirst) this.#allowedShare(queue).recordAnswer(keysById.size, allowed.length)
-      this.#logger.info({ job: step.job.id, step: step.name, named: keysById.size, allowed: allowed.length, tookMs: Math.round(answeredMs - askedMs) }, 'placement advice received')
-    } catch (error) {
-      this.#logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'placement advisor request failed')
-      advice.backoffUntilMs = this.#clock.monotonicMs() + RETRY_DELAY_MS
-    } finally {
-      advice.openQuestions -= 1
-      this.schedulePass()
-    }
-  }
-
-  #allowedShare ({ name }: QueueSettings): AllowedShare {
-    const share = this.#allowedShares.get(name) ?? new AllowedShare()
-    this.#allowedShares.set(name, share)
-    return share
-  }
-
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
     const stored = this.#recordPlacement(step, reserved)
     const sessions = [...new Set(reserved.map(({ session }) => session))]
     for (let offset = 0; offset < sessions.length; offset += MAX_TARGETS_PER_QUESTION) {
-      await this.#ask(step, queue, advice, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
+      await this.#advisor.ask(step, queue, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
     }
     await stored
     this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -1,5 +1,5 @@
 /** Progress of the tasks of one step in one occurrence of its job. */
-import { isCulprit, NO_CRASHES, recordCrash } from './crashHistory.ts'
+import { isCulprit, NO_CRASHES, recordCrash, requiresIsolation } from './crashHistory.ts'
 import type { CrashEvidence, CrashHistory } from './crashHistory.ts'
 import type { RunEnd } from '../ports/jobTarget.ts'
 import { formatTaskName } from './job.ts'
@@ -44,6 +44,7 @@
   #gangFailures = 0
   #gangCheckpoint = ''
   #gangCrashHistory: CrashHistory = NO_CRASHES
+  #hasCrashes = false
 
   constructor (job: JobProgress, occurrence: number, number: number, definition: StepDefinition) {
     this.job = job
@@ -117,6 +118,11 @@
     return true
   }
 
+  /** Tasks whose next run must have its target to itself. */
+  get suspectedTasks (): readonly TaskProgress[] {
+    return this.#hasCrashes ? this.tasks.filter(task => requiresIsolation(this.crashHistoryOf(task))) : []
+  }
+
   /** The crashes of targets under the task's runs; the members of a gang share them. */
   crashHistoryOf (task: TaskProgress): CrashHistory {
     return this.definition.gang ? this.#gangCrashHistory : task.crashHistory
@@ -126,6 +132,7 @@
   recordCrash (index: number, attempt: number, evidence: CrashEvidence): void {
     const task = this.tasks[index]
     if (task === undefined || task.state === 'done') return
+    this.#hasCrashes = true
     const history = recordCrash(this.crashHistoryOf(task), attempt, evidence)
     if (this.definition.gang) this.#gangCrashHistory = history
     else task.crashHistory = history
@@ -153,6 +160,7 @@
     this.#failedGangAttempt = failedGangAttempt
     this.#gangCheckpoint = gangCheckpoint
     this.#gangCrashHistory = gangCrashHistory
+    this.#hasCrashes = gangCrashHistory !== NO_CRASHES || tasks.some(({ crashHistory }) => crashHistory !== undefined)
     for (const [index, { done, ...fields }] of tasks.entries()) {
       const task = this.tasks[index]
       if (task === undefined) continue
