Place suspected tasks before others, so that these find their targets closed

What callers could see: a task was placed, in the same pass, on the target on which a suspected task had just got its place; the next crash would have taken it along and proved nothing. Read in the code: no play and no test shows it, since urgent tasks have passes of their own.

Change: suspected tasks are placed first in each pass; the others then see only targets that are not kept. A test on the stand-ins guards that runs of other jobs are lost with such a task once only; it passed before.

--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -15,21 +15,15 @@
 export class PlacementPass {
   readonly #settings: DesiredStateIndex
   readonly #sessions = new Map<string, TargetSession[]>()
-  readonly #isolated = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
   readonly #freeProcessors = new Map<string, number>()
   /** Minimal task sizes that no longer fit on any target, by service. */
   readonly #unplaceableSizes = new Map<string, Resources[]>()
 
-  /** Isolated targets count neither as places nor as capacity for other tasks. */
-  constructor (settings: DesiredStateIndex, usable: readonly TargetSession[], isIsolated: (session: TargetSession) => boolean = () => false) {
+  constructor (settings: DesiredStateIndex, usable: readonly TargetSession[]) {
     this.#settings = settings
     for (const session of usable) {
       const { service } = session.description
-      if (isIsolated(session)) {
-        this.#isolated.set(service, [...this.#isolated.get(service) ?? [], session])
-        continue
-      }
       const sessions = this.#sessions.get(service) ?? []
       sessions.push(session)
       this.#sessions.set(service, sessions)
@@ -51,11 +45,6 @@
     return this.#sessions.get(service) ?? []
   }
 
-  /** Targets of the service, isolated or not. */
-  allSessions (service: string): readonly TargetSession[] {
-    return [...this.sessions(service), ...this.#isolated.get(service) ?? []]
-  }
-
   /** Number of tasks of the size that fit, up to `wanted`. Cached misses stay valid, since free capacity only shrinks during a pass. */
   tasksThatFit (service: string, size: Resources, wanted: number): number {
     const unplaceable = this.#unplaceableSizes.get(service) ?? []
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -156,13 +156,13 @@
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#isolation.releaseUnneeded(nowMs)
-    if (ranked.length > 0) {
-      const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable, session => this.#isolation.holds(session))
+    this.#placeSuspectedTasks(ranked, nowMs)
+    const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
+    if (unsuspected.length > 0) {
+      const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable.filter(session => !this.#isolation.holds(session)))
       const precedence = new GangPrecedence(pass, nowMs)
-      for (const { step, waiting: allWaiting } of ranked) {
+      for (const { step, waiting } of unsuspected) {
         const queue = pass.queue(step.job.queue)
-        const waiting = this.#placeSuspected(step, allWaiting, queue, pass, nowMs)
-        if (waiting.length === 0) continue
         if (precedence.yields(step, queue.service)) continue
         if (!this.#placeWaitingTasks(step, waiting, queue, pass, nowMs)) precedence.recordWaitingGang(step, queue.service)
       }
@@ -182,7 +182,9 @@
         continue
       }
       const rank = rankStep(step, nowMs)
-      if (!urgentOnly || isWithinShareAndUseful(rank)) ranked.push({ step, waiting, rank })
+      if (urgentOnly && !isWithinShareAndUseful(rank)) continue
+      const suspected = step.suspectedTasks.filter(task => task.state === 'waiting')
+      ranked.push({ step, waiting: suspected.length === 0 ? waiting : waiting.filter(task => !suspected.includes(task)), suspected: waiting.filter(task => suspected.includes(task)), rank })
     }
     return ranked.sort((left, right) => compareRanks(left.rank, right.rank))
   }
@@ -206,22 +208,22 @@
     return reserved > 0 || this.#advisor.findAdvice(step)?.answered !== true
   }
 
-  /** Places the tasks that may crash their targets apart from others; returns the rest. */
-  #placeSuspected (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): readonly TaskProgress[] {
-    const { suspectedTasks } = step
-    if (suspectedTasks.length === 0) return waiting
-    const suspected = waiting.filter(task => suspectedTasks.includes(task))
-    if (suspected.length > 0) this.#placeIsolated(step, suspected, queue, pass, nowMs)
-    return waiting.filter(task => !suspectedTasks.includes(task))
+  /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
+  #placeSuspectedTasks (ranked: readonly WaitingStep[], nowMs: number): void {
+    const withSuspects = ranked.filter(({ suspected }) => suspected.length > 0)
+    if (withSuspects.length === 0) return
+    const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
+    for (const { step, suspected } of withSuspects) this.#placeIsolated(step, suspected, pass, nowMs)
   }
 
-  #placeIsolated (step: StepProgress, tasks: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): void {
+  #placeIsolated (step: StepProgress, tasks: readonly TaskProgress[], pass: PlacementPass, nowMs: number): void {
+    const queue = pass.queue(step.job.queue)
     const advice = queue.advice === undefined ? undefined : this.#advisor.adviceOf(step)
     if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
     const team = pass.team(step.job.team)
     const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition.size, tasks.length, queue.priority === 0)
     if (count === 0 || (step.definition.gang && count < tasks.length)) return
-    const targets = pass.allSessions(queue.service)
+    const targets = pass.sessions(queue.service)
     const { ready, insufficient } = this.#isolation.prepare({
       step, targets, permits: session => advice?.allows(session.key) ?? true, describe: session => this.#describeTarget(step, session)
     })
@@ -381,6 +383,8 @@
 interface WaitingStep {
   readonly step: StepProgress
   readonly waiting: readonly TaskProgress[]
+  /** Waiting tasks that may crash their targets; not contained in `waiting`. */
+  readonly suspected: readonly TaskProgress[]
   readonly rank: readonly number[]
 }
 
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -419,3 +419,19 @@
   t.is(cluster.startedTasks(id).length, 4)
   await cluster.stop()
 })
+
+test('a task that crashes its target takes the tasks of other jobs with it only once', async t => {
+  const deadly = '0000000000000e60'
+  const innocent = ['0000000000000e61', '0000000000000e62']
+  const crashing = `${deadly}.0.0.0`
+  const queues = [{ name: 'checks', prefix: '/checks/' }, { name: 'batches', prefix: '/batches/', priority: 1 }]
+  const cluster = await Cluster.start(1, { workers: 1, queues, workMs: () => 800, crashesWorker: task => task === crashing })
+  for (const id of innocent) await cluster.callUntilServed(0, 'POST', `/batches/${id}`, job(3))
+  // The queue of higher priority is placed first.
+  await cluster.callUntilServed(0, 'POST', `/checks/${deadly}`, job(1))
+  await cluster.waitForState(0, `/checks/${deadly}`, 'failed')
+  for (const id of innocent) await cluster.waitForState(0, `/batches/${id}`, 'completed')
+  const crashed = cluster.platform.events.filter(({ end, task }) => end === 'crashed' && !task.startsWith(deadly)).map(({ task }) => task)
+  t.is(new Set(crashed).size, crashed.length, crashed.join(' '))
+  await cluster.stop()
+})
