--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -14,6 +14,7 @@
   .option('jobs', { type: 'number', default: 1, describe: 'Number of seeds to run in parallel' })
   .option('instances', { type: 'number', default: 3, describe: 'Number of instance processes for each seed' })
   .option('workers', { type: 'number', default: 6, describe: 'Number of targets for each seed' })
+  .option('deadly', { type: 'number', default: 0, describe: 'Fraction of the jobs that crash each target that starts them' })
   .option('logs', { type: 'string', default: 'soak-logs', describe: 'Directory for the logs of failed seeds' })
   .strict()
   .parse()
@@ -38,7 +39,7 @@
 
 async function runSeeds (): Promise<void> {
   for (let seed = pendingSeeds.shift(); seed !== undefined; seed = pendingSeeds.shift()) {
-    await recordResult(await runSoak({ seed, durationMs: options.seconds * 1_000, program: PROGRAM, instances: options.instances, workers: options.workers }))
+    await recordResult(await runSoak({ seed, durationMs: options.seconds * 1_000, program: PROGRAM, instances: options.instances, workers: options.workers, deadlyFraction: options.deadly }))
   }
 }
 
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -9,6 +9,8 @@
 import { checkSoak } from './soakChecker.ts'
 
 const WORKER_CPU = 64_000
+const FIRST_TASK = '.0.0.0'
+const HASH_STEPS = 1_000
 /** Cap of the second team in thousandths of a core; the first team has none. */
 const TEAM_CAP_CPU = 120_000
 const MAX_TASK_MS = 1_500
@@ -30,6 +32,8 @@
   readonly program: readonly string[]
   readonly instances?: number
   readonly workers?: number
+  /** Fraction of the jobs whose first task crashes each target that starts it; none by default. */
+  readonly deadlyFraction?: number
 }
 
 export interface SoakReport {
@@ -52,7 +56,8 @@
  * @example
  * const { violations } = await runSoak({ seed: 7, durationMs: 30_000, program: ['dist/agategauge'] })
  */
-export async function runSoak ({ seed, durationMs, program, instances = 3, workers = 6 }: SoakOptions): Promise<SoakReport> {
+export async function runSoak ({ seed, durationMs, program, instances = 3, workers = 6, deadlyFraction = 0 }: SoakOptions): Promise<SoakReport> {
+  const isDeadly = (job: string): boolean => murmurhash.v3(`${seed} deadly ${job}`) % HASH_STEPS < deadlyFraction * HASH_STEPS
   const cell = await SoakCell.start({
     instances,
     workers,
@@ -62,10 +67,11 @@
     program,
     queues: QUEUES,
     teams: TEAMS,
+    crashesWorker: task => task.endsWith(FIRST_TASK) && isDeadly(task.slice(0, -FIRST_TASK.length)),
     workMs: (task, attempt) => murmurhash.v3(`${seed} ${task} ${attempt}`) % MAX_TASK_MS,
     clockRate: worker => 1 - CLOCK_DRIFT * (worker % 3 - 1)
   })
-  const callers = new SoakCallers({ seed, teams: TEAMS, prefixes: QUEUES.map(({ prefix }) => prefix), addresses: () => cell.callerAddresses })
+  const callers = new SoakCallers({ seed, teams: TEAMS, prefixes: QUEUES.map(({ prefix }) => prefix), addresses: () => cell.callerAddresses, isDeadly })
   const plan = createFaultPlan({ seed, durationMs, instances, workers })
   try {
     const running = callers.run()
--- a/test/soak/soakCallers.ts
+++ b/test/soak/soakCallers.ts
@@ -29,6 +29,8 @@
   readonly teams: readonly SoakTeam[]
   readonly prefixes: readonly string[]
   readonly addresses: () => readonly string[]
+  /** Whether the first task of the job crashes its targets. */
+  readonly isDeadly: (job: string) => boolean
 }
 
 /** A job and the planned behaviour of its caller. */
@@ -90,6 +92,7 @@
       path: `${prefixes[this.#random.integer(prefixes.length)]}${id}`,
       steps: Array.from({ length: 1 + this.#random.integer(2) }, () => 1 + this.#random.integer(MAX_TASKS_PER_STEP)),
       cpu: TASK_CPU,
+      deadly: this.#options.isDeadly(id),
       outcomeUnknown: false,
       cancelSent: false,
       cancelAfterMs: this.#random.next() < CANCELLED_FRACTION ? this.#random.integer(2_000) : undefined,
--- a/test/soak/soakChecker.test.ts
+++ b/test/soak/soakChecker.test.ts
@@ -58,3 +58,13 @@
   t.deepEqual(check(events, { shownStates }, { capacityChanges: [shrink(1_000)] }), ['LIMIT'])
   t.deepEqual(check(events, { shownStates }, { capacityChanges: [shrink(1_000), { ...shrink(9_000), processors: 1_000 }] }), [])
 })
+
+test('the soak checker lets only a job that crashes its targets fail, and limits its starts', t => {
+  const starts = (count: number): readonly WorkerEvent[] => Array.from({ length: count }, (_, position) =>
+    [event('started', '0.0', position * 2, undefined, position + 1), event('ended', '0.0', position * 2 + 1, 'crashed', position + 1)]).flat()
+  const shownStates = [{ atMs: 100, state: 'failed' }]
+  t.deepEqual(check(starts(5), { deadly: true, shownStates }), [])
+  t.deepEqual(check(starts(6), { deadly: true, shownStates }), ['BUDGET'])
+  t.deepEqual(check(starts(3), { deadly: true, shownStates: [{ atMs: 100, state: 'active' }] }), ['LOST'])
+  t.deepEqual(check(starts(3), { shownStates }), ['LOST', 'LOST'])
+})
--- a/test/soak/soakChecker.ts
+++ b/test/soak/soakChecker.ts
@@ -1,5 +1,6 @@
 /** Compares the answers that callers received with the events of the targets, and returns one line per violation. */
 import { parseTaskName } from '../../src/jobs/job.ts'
+import type { TaskName } from '../../src/jobs/job.ts'
 import type { CapacityChange } from '../../src/platform/standIn/standInPlatform.ts'
 import type { WorkerEvent } from '../../src/platform/standIn/standInWorker.ts'
 
@@ -11,6 +12,8 @@
   readonly steps: readonly number[]
   /** Thousandths of a core per task. */
   readonly cpu: number
+  /** Whether the first task crashes each target that starts it. */
+  readonly deadly?: boolean
   /** When the submission was answered with 2xx. */
   acceptedAtMs?: number
   /** Whether an attempt was neither accepted nor rejected as never to run. */
@@ -41,6 +44,8 @@
 const LATE_ORDER_MS = 1_000
 /** The platform's `contact_ms` and one check-in of a target. */
 const SHRINK_NOTICE_MS = 5_500
+/** Two starts after the third crash. */
+const MAX_DEADLY_STARTS = 5
 /** The platform's `quota_overrun`, as a fraction of the cap. */
 const CAP_OVERRUN = 0.1
 
@@ -63,6 +68,7 @@
   const done = new Set<string>()
   const usedByWorker = new Map<string, number>()
   const usedByTeam = new Map<string, number>()
+  const deadlyStarts = new Map<string, number>()
   for (const event of events) {
     const name = parseTaskName(event.task)
     const job = name === undefined ? undefined : jobs.get(name.job)
@@ -88,6 +94,8 @@
     const cap = teamCaps.get(job.team) ?? 0
     if (cap > 0 && team > cap * (1 + CAP_OVERRUN) + job.cpu) violations.push(`QUOTA: ${job.team} ran ${team} of ${cap}`)
     if (name.step > 0 && countDone(ended, job, name.step - 1) < (job.steps[name.step - 1] ?? 0)) violations.push(`ORDER: ${event.task} was started before step ${name.step - 1} was done`)
+    const starts = job.deadly === true ? addTo(deadlyStarts, event.task, 1) : 0
+    if (isFirstTask(name) && starts > MAX_DEADLY_STARTS) violations.push(`BUDGET: ${event.task} was started ${starts} times`)
     if (job.acceptedAtMs === undefined && !job.outcomeUnknown) violations.push(`REFUSED: ${event.task} was started though its job was refused`)
     if (job.cancelledAtMs !== undefined && event.atMs > job.cancelledAtMs + CANCEL_MS + LATE_ORDER_MS) violations.push(`UNASKED: ${event.task} was started ${event.atMs - job.cancelledAtMs} ms after the cancellation`)
   }
@@ -110,16 +118,20 @@
     const ends = firstDoneTimes.get(job.id) ?? new Map()
     for (const { atMs, state } of job.shownStates) {
       if (state === 'completed' && (ends.size < total || Math.max(...ends.values()) > atMs)) violations.push(`MIXED: ${job.id} was reported as completed with ${ends.size} of ${total} tasks done`)
-      if (state === 'failed') violations.push(`LOST: ${job.id} was reported as failed, but none of its tasks failed`)
+      if (state === 'failed' && job.deadly !== true) violations.push(`LOST: ${job.id} was reported as failed, but none of its tasks failed`)
       if (state === 'cancelled' && !job.cancelSent) violations.push(`LOST: ${job.id} was reported as cancelled, but no cancellation was sent`)
       if (state === 'no-job' && job.acceptedAtMs !== undefined && atMs > job.acceptedAtMs) violations.push(`LOST: ${job.id} was accepted but is unknown`)
     }
     const last = job.shownStates.at(-1)?.state
-    if (job.acceptedAtMs !== undefined && !job.cancelSent && last !== 'completed') violations.push(`LOST: ${job.id} was accepted but is ${last ?? 'not reported'} at the end`)
+    if (job.acceptedAtMs !== undefined && !job.cancelSent && last !== (job.deadly === true ? 'failed' : 'completed')) violations.push(`LOST: ${job.id} was accepted but is ${last ?? 'not reported'} at the end`)
   }
   return violations
 }
 
+function isFirstTask ({ occurrence, step, index }: TaskName): boolean {
+  return occurrence === 0 && step === 0 && index === 0
+}
+
 function addTo (sums: Map<string, number>, key: string, amount: number): number {
   const sum = (sums.get(key) ?? 0) + amount
   sums.set(key, sum)
