Count lone crashes only on different targets

Its target crashed five times within 4 s by itself; three tasks of the job were alone there twice, and these were taken for two proofs.

Cause: lone crashes were counted by number, so that one target that crashes again and again could give a job up.

Change: crashes of one target count once, and a suspected task is isolated on a target that has not crashed under it, if there is one. Where there is only one, five crashes give the job up, which users allow.

--- a/src/coordinator/crashEvidence.ts
+++ b/src/coordinator/crashEvidence.ts
@@ -113,9 +113,9 @@
   return task.step.job
 }
 
-/** Returns one record for each step with runs in the crash. */
-export function createCrashRecords (evidence: readonly (readonly [Assignment, CrashEvidence])[]): readonly CrashRecord[] {
+/** Returns one record for each step with runs in the crash of the target. */
+export function createCrashRecords (target: string, evidence: readonly (readonly [Assignment, CrashEvidence])[]): readonly CrashRecord[] {
   const records = new Map<StepProgress, CrashedRun[]>()
   for (const [{ task, attempt }, each] of evidence) records.set(task.step, [...records.get(task.step) ?? [], [task.index, attempt, each]])
-  return [...records].map(([step, runs]) => ({ type: 'crashed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }))
+  return [...records].map(([step, runs]) => ({ type: 'crashed', job: step.job.id, occurrence: step.occurrence, step: step.number, target, runs }))
 }
--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -10,6 +10,7 @@
 import { createAssignments } from './testing/assignments.ts'
 
 interface FakeTarget {
+  readonly id: string
   readonly key: string
   readonly assignments: Map<string, Assignment>
   readonly capacity: TargetCapacity
@@ -20,7 +21,7 @@
 
 function createTargets (count: number): readonly FakeTarget[] {
   return Array.from({ length: count }, (_, number) => ({
-    key: `t-${number}@1`, assignments: new Map(), capacity: new TargetCapacity(resources({ processors: 4_000, memory: 1_000 })), ended: false
+    id: `t-${number}`, key: `t-${number}@1`, assignments: new Map(), capacity: new TargetCapacity(resources({ processors: 4_000, memory: 1_000 })), ended: false
   }))
 }
 
@@ -32,7 +33,7 @@
 /** Creates the tasks of a step that may crash its targets. */
 function createSuspects (id: string, count = 1, overrides: Partial<StepDefinition> = {}): readonly Assignment[] {
   const assignments = createAssignments(id, count, overrides, 'reserved')
-  for (const { task } of assignments) task.step.recordCrash(task.index, 1, 'suspected')
+  for (const { task } of assignments) task.step.recordCrash(task.index, 1, 'suspected', 't-0')
   return assignments
 }
 
@@ -116,3 +117,11 @@
   t.true(prepare(isolation, createSuspects('a', 12, { gang: true }), targets, targets.slice(0, 2)).insufficient)
   t.false(holds(isolation, targets).includes(true))
 })
+
+test('a suspected task gets another target than the one that crashed under it', t => {
+  const isolation = new Isolation()
+  const targets = createTargets(4)
+  for (const target of targets.slice(1)) run(target, createAssignments(`other-${target.id}`))
+  prepare(isolation, createSuspects('a'), targets)
+  t.deepEqual(holds(isolation, targets), [false, true, false, false], 'although the one that crashed is vacant')
+})
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -50,7 +50,10 @@
     }
   }
 
-  /** Keeps as many targets for the job as the step needs, those first that will be vacant soonest. */
+  /**
+   * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
+   * crash of the same target proves nothing, and of these the ones that will be vacant soonest.
+   */
   prepare ({ step, targets, permits, describe }: IsolationRequest): IsolatedPlaces {
     const { job, definition } = step
     const size = requiredResources(definition)
@@ -59,8 +62,9 @@
     const kept = usable.filter(target => this.#jobs.get(target) === job)
     let missing = (definition.gang ? definition.count : 1) - kept.reduce((sum, target) => sum + places(target), 0)
     const added: TargetSession[] = []
+    const crashed = new Set(step.suspectedTasks.flatMap(task => step.crashHistoryOf(task).targets))
     const open = usable.filter(target => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns)
-    for (const target of open.sort((left, right) => compareWork(left, right, job))) {
+    for (const target of open.sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || compareWork(left, right, job))) {
       if (missing <= 0) break
       added.push(target)
       missing -= places(target)
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -284,7 +284,7 @@
     const hasOtherCause = hasCommonCause(outage, coincident) || session.capacity.hasUnexpectedRuns
     const evidence = [...classifyCrash({ runs, lastAnswerMs: outage.afterMs, hasOtherCause })]
     this.#logger.info({ target: session.id, hasOtherCause, coincident: coincident.map(({ target }) => target), windowMs: Math.round(outage.byMs - outage.afterMs), runs: evidence.map(([{ key }, each]) => [key, each]) }, 'target crashed')
-    this.#applyCrash(session, createCrashRecords(evidence.filter(([{ task }]) => task.step.job.outcome === undefined)))
+    this.#applyCrash(session, createCrashRecords(session.id, evidence.filter(([{ task }]) => task.step.job.outcome === undefined)))
   }
 
   #applyCrash (session: TargetSession, records: readonly CrashRecord[]): void {
--- a/src/jobs/crashHistory.test.ts
+++ b/src/jobs/crashHistory.test.ts
@@ -6,7 +6,7 @@
 const MAX_CRASHES_ALLOWED = 5
 
 function historyOf (...evidence: readonly CrashEvidence[]): CrashHistory {
-  return evidence.reduce((history, each, position) => recordCrash(history, position + 1, each), NO_CRASHES)
+  return evidence.reduce((history, each, position) => recordCrash(history, position + 1, each, `worker-${position}`), NO_CRASHES)
 }
 
 test('a task that only shared the crashes of its targets is never given up, however many there were', t => {
@@ -37,5 +37,14 @@
 })
 
 test('a crash that is recorded twice counts once', t => {
-  t.is(recordCrash(historyOf('lone'), 1, 'lone').loneCrashes, 1)
+  t.is(recordCrash(historyOf('lone'), 1, 'lone', 'worker-9').loneTargets.length, 1)
+})
+
+test('a target that crashes again and again does not prove that its task is the cause before the last start that users allow', t => {
+  const crashes = (count: number): CrashHistory => Array.from({ length: count }).reduce<CrashHistory>((history, _, position) => recordCrash(history, position + 1, 'lone', 'worker-1'), NO_CRASHES)
+  t.false(isCulprit(crashes(MAX_CRASHES_ALLOWED - 1)))
+  t.true(isCulprit(crashes(MAX_CRASHES_ALLOWED)))
+  t.true(isCulprit(recordCrash(crashes(2), 3, 'lone', 'worker-2')))
+  const suspectedFirst = Array.from({ length: 4 }).reduce<CrashHistory>((history, _, position) => recordCrash(history, position + 2, 'lone', 'worker-1'), recordCrash(NO_CRASHES, 1, 'suspected', 'worker-1'))
+  t.true(isCulprit(suspectedFirst), 'where there is only one target')
 })
--- a/src/jobs/crashHistory.ts
+++ b/src/jobs/crashHistory.ts
@@ -11,18 +11,20 @@
 export interface CrashHistory {
   /** Number of targets that crashed under a run. */
   readonly crashes: number
-  /** Those that nothing else explains. */
-  readonly loneCrashes: number
+  /** Identities of the targets that crashed. */
+  readonly targets: readonly string[]
+  /** Those with a crash that nothing else explains; one that crashes again may be to blame itself, and counts once. */
+  readonly loneTargets: readonly string[]
   readonly suspected: boolean
   /** Highest attempt under which a target crashed. */
   readonly lastAttempt: number
 }
 
-export const NO_CRASHES: CrashHistory = { crashes: 0, loneCrashes: 0, suspected: false, lastAttempt: 0 }
+export const NO_CRASHES: CrashHistory = { crashes: 0, targets: [], loneTargets: [], suspected: false, lastAttempt: 0 }
 
 /** From this number of crashes on, only runs without others on the target can tell whether the task is the cause. */
 const CRASHES_BEFORE_ISOLATION = 2
-const LONE_CRASHES_OF_CULPRIT = 2
+const LONE_TARGETS_OF_CULPRIT = 2
 /** Users allow five: two starts after the third crash. The last one needs a lone crash as well. */
 const MAX_CRASHES = 5
 
@@ -30,14 +32,15 @@
  * Adds the crash of a target; returns the same history if the crash is known.
  *
  * @example
- * recordCrash(NO_CRASHES, 1, 'suspected') // { crashes: 1, loneCrashes: 0, suspected: true, lastAttempt: 1 }
+ * recordCrash(NO_CRASHES, 1, 'suspected', 'worker-1') // { crashes: 1, targets: ['worker-1'], loneTargets: [], suspected: true, lastAttempt: 1 }
  */
-export function recordCrash (history: CrashHistory, attempt: number, evidence: CrashEvidence): CrashHistory {
+export function recordCrash (history: CrashHistory, attempt: number, evidence: CrashEvidence, target: string): CrashHistory {
   if (attempt <= history.lastAttempt) return history
   if (evidence === 'cleared') return { ...NO_CRASHES, lastAttempt: attempt }
   return {
     crashes: history.crashes + 1,
-    loneCrashes: history.loneCrashes + (evidence === 'lone' ? 1 : 0),
+    targets: [...new Set([...history.targets, target])],
+    loneTargets: evidence === 'lone' ? [...new Set([...history.loneTargets, target])] : history.loneTargets,
     suspected: history.suspected || evidence !== 'shared',
     lastAttempt: attempt
   }
@@ -49,6 +52,6 @@
 }
 
 /** Whether the task's own runs show that it crashes the targets that start it. */
-export function isCulprit ({ crashes, loneCrashes }: CrashHistory): boolean {
-  return loneCrashes >= LONE_CRASHES_OF_CULPRIT || (loneCrashes > 0 && crashes >= MAX_CRASHES)
+export function isCulprit ({ crashes, loneTargets }: CrashHistory): boolean {
+  return loneTargets.length >= LONE_TARGETS_OF_CULPRIT || (loneTargets.length > 0 && crashes >= MAX_CRASHES)
 }
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -114,9 +114,9 @@
   }
 
   /** Applies the crash of a target under runs of one step; fails the job if they show that it is the cause. */
-  applyCrash ({ occurrence, step, runs }: CrashRecord): void {
+  applyCrash ({ occurrence, step, target, runs }: CrashRecord): void {
     const crashed = this.findStep(occurrence, step)
-    for (const [index, attempt, evidence] of runs) crashed?.recordCrash(index, attempt, evidence)
+    for (const [index, attempt, evidence] of runs) crashed?.recordCrash(index, attempt, evidence, target)
   }
 
   fail (): void {
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -51,6 +51,8 @@
   readonly job: string
   readonly occurrence: number
   readonly step: number
+  /** Identity of the target. */
+  readonly target: string
   readonly runs: readonly CrashedRun[]
 }
 
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -16,7 +16,7 @@
 }
 
 function crashed (job: string, step: number, index: number, attempt: number, evidence: CrashEvidence): LogRecord {
-  return { type: 'crashed', job, occurrence: 0, step, runs: [[index, attempt, evidence]] }
+  return { type: 'crashed', job, occurrence: 0, step, target: `worker-${attempt}`, runs: [[index, attempt, evidence]] }
 }
 
 function createTable (records: readonly LogRecord[]): JobTable {
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -129,11 +129,11 @@
   }
 
   /** Records that a target crashed under a run. The run itself is released like any other that is lost. */
-  recordCrash (index: number, attempt: number, evidence: CrashEvidence): void {
+  recordCrash (index: number, attempt: number, evidence: CrashEvidence, target: string): void {
     const task = this.tasks[index]
     if (task === undefined || task.state === 'done') return
     this.#hasCrashes = true
-    const history = recordCrash(this.crashHistoryOf(task), attempt, evidence)
+    const history = recordCrash(this.crashHistoryOf(task), attempt, evidence, target)
     if (this.definition.gang) this.#gangCrashHistory = history
     else task.crashHistory = history
     if (isCulprit(history)) this.job.fail()
