--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -173,8 +173,10 @@
 
   /** SIGKILL; the platform restarts the process after `downMs`. */
   kill (instance, downMs) {
+    if (instance.process === undefined) return
     this.record(`${instance.name}: SIGKILL`)
     instance.process.kill('SIGKILL')
+    instance.process = undefined
     setTimeout(() => this.#spawn(instance), downMs)
   }
 
