--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -18,6 +18,7 @@
 const PROGRAM = join(ROOT, 'target', 'agategauge')
 const ZONES = ['attica-a', 'attica-b', 'macedonia-a']
 const RACK_SIZE = 8
+const PORTS_PER_INSTANCE = 20
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
 
@@ -36,6 +37,8 @@
   #heartbeats = []
   #agent = new Agent({ keepAlive: true, maxSockets: 256 })
   #version = 0
+  /** Of the instances: a loopback address of its own, so that deployments that run at the same time don't share ports. */
+  #host = `127.${randomByte()}.${randomByte()}.${randomByte()}`
   #onRun = []
 
   /** `runners`: number; `queues`: name, prefix, priority, maxAttempts; `tenants`: name, key, weight, cpuCap; `labels(n)`. */
@@ -151,12 +154,12 @@
   }
 
   async #addInstance (number, advisorAddress) {
-    const base = await findFreePorts(20)
+    const base = await findFreePorts(this.#host, PORTS_PER_INSTANCE)
     const name = `edge-${ZONES[(number - 1) % ZONES.length]}-${number}`
-    const frontend = `127.0.0.1:${base}`
-    const ready = `127.0.0.1:${base + 1}`
+    const frontend = `${this.#host}:${base}`
+    const ready = `${this.#host}:${base + 1}`
     const path = join(this.#folder, `${name}.toml`)
-    writeFileSync(path, settingsText({ name, zone: ZONES[(number - 1) % ZONES.length], base, frontend, ready, store: this.store.address, advisor: advisorAddress }))
+    writeFileSync(path, settingsText({ name, host: this.#host, zone: ZONES[(number - 1) % ZONES.length], base, frontend, ready, store: this.store.address, advisor: advisorAddress }))
     const instance = { name, frontend, ready, path, log: join(this.#folder, `${name}.log`), process: undefined }
     this.instances.push(instance)
     this.#spawn(instance)
@@ -294,30 +297,34 @@
   return PREFIX + nextId.toString(16).padStart(8, '0')
 }
 
-async function findFreePorts (count) {
+function randomByte () {
+  return 1 + Math.floor(Math.random() * 250)
+}
+
+async function findFreePorts (host, count) {
   for (let attempt = 0; attempt < 100; attempt++) {
     const base = 20_000 + Math.floor(Math.random() * 500) * count
-    const free = await Promise.all(Array.from({ length: count }, (_, offset) => isFree(base + offset)))
+    const free = await Promise.all(Array.from({ length: count }, (_, offset) => isFree(host, base + offset)))
     if (free.every(Boolean)) return base
   }
   throw new CannotRun('no free ports')
 }
 
-async function isFree (port) {
+async function isFree (host, port) {
   const server = createTcpServer()
   return await new Promise(resolve => {
     server.once('error', () => resolve(false))
-    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+    server.listen(port, host, () => server.close(() => resolve(true)))
   })
 }
 
 /** The settings file of DEPLOY.md, with the figures of the small site. */
-function settingsText ({ name, zone, base, frontend, ready, store, advisor }) {
+function settingsText ({ name, host, zone, base, frontend, ready, store, advisor }) {
   return `node_name = "${name}"
 role = "entry"
 machine_class = "edge"
 serves = ["edge"]
-ip = "127.0.0.1"
+ip = "${host}"
 zone = "${zone}"
 region = "${zone.split('-')[0]}"
 internal_ports = [${base + 2}, ${base + 17}]
