--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -16,14 +16,17 @@
     tenants: [{ name: 'weavers', key: KEY }]
   },
   async play (deployment, trouble) {
+    /** Times at which the lease of a runner lapsed. */
+    const lapses = []
     /** By task: the runs that began, and the times at which runs ended `done`. */
     const tasks = new Map()
     deployment.onRun(({ type, task, attempt, how, runner, atMs }) => {
-      const seen = tasks.get(task) ?? { starts: [], done: [], acked: new Set() }
+      if (type === 'lease lapsed') return lapses.push({ runner, atMs })
+      const seen = tasks.get(task) ?? { starts: [], done: [], acked: new Map() }
       tasks.set(task, seen)
       if (type === 'started') seen.starts.push({ attempt, runner, atMs })
       if (type === 'ended' && how === 'done') seen.done.push({ attempt, runner, atMs })
-      if (type === 'acked' && how === 'done') seen.acked.add(attempt)
+      if (type === 'acked' && how === 'done') seen.acked.set(attempt, atMs)
     })
     const paths = Array.from({ length: SUBMISSIONS }, () => `/batches/${newId()}`)
     const body = submission({ ms: WORK_MS, count: TASKS, cpu: 100, memory: 64 })
@@ -43,7 +46,9 @@
     deployment.store.comeBack()
     await awaitCompleted(deployment, paths)
     await sleep(2_000)
-    const twice = [...tasks].filter(([, { starts, done, acked }]) => done.some(end => acked.has(end.attempt) && starts.some(start => start.atMs > end.atMs)))
+    // An end is taken note of when `acked` reaches it, unless the runner's lease lapsed between the two.
+    const isNoted = (end, acked) => acked.has(end.attempt) && !lapses.some(({ runner, atMs }) => runner === end.runner && atMs >= end.atMs && atMs <= acked.get(end.attempt))
+    const twice = [...tasks].filter(([, { starts, done, acked }]) => done.some(end => isNoted(end, acked) && starts.some(start => start.atMs > end.atMs)))
     const [task, seen] = twice[0] ?? []
     if (twice.length === 0) return []
     return [`${twice.length} of ${tasks.size} tasks were started after a run had ended done, which was taken note of; first ${task}: ${JSON.stringify(seen.starts)}, done ${JSON.stringify(seen.done)}`]
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -11,6 +11,9 @@
 /** Does not fit beside a large one. */
 const SMALL_CPU = 15_000
 const CPU = 30_000
+const CAPACITY = 64_000
+/** For so long nothing of the submission may run, by the rule. */
+const LEFT_MS = 3_000
 const WORK_MS = 8_000
 const DOWN_MS = 4_500
 /** Lasting tasks have been at work for this long before the crash. */
@@ -27,8 +30,10 @@
   },
   async play (deployment, trouble) {
     const begun = new Map()
+    const cpuOf = new Map()
     deployment.onRun(({ type, task, atMs, runner }) => { if (type === 'started') begun.set(task.split('.')[0], { atMs, runner }) })
     const submit = async (id, step) => {
+      cpuOf.set(id, step.cpu)
       const ok = await deployment.submit(`/renders/${id}`, { key: KEY, body: submission({ label: LABEL, ...step }) })
       if (!ok) throw new Error('a submission was not accepted')
       while (!begun.has(id)) await sleep(20)
@@ -47,16 +52,31 @@
       await sleep(2_000)
       deployment.crash(deployment.runners.find(runner => runner.id === first.runner), DOWN_MS)
     }
-    const untilMs = deployment.nowMs + WAIT_MS
+    const endMs = deployment.nowMs
+    const used = ({ running }) => running.reduce((sum, { task }) => sum + cpuOf.get(task.split('.')[0]), 0)
+    /** Whether nothing of the submission runs, with capacity for it twice over and under half of the service in use. */
+    const isLeft = () => {
+      const up = deployment.runners.filter(runner => runner.up)
+      const places = up.filter(({ labels }) => labels[0] === LABEL).reduce((sum, runner) => sum + Math.floor((CAPACITY - used(runner)) / CPU), 0)
+      const runs = up.some(({ running }) => running.some(({ task }) => task.startsWith(id)))
+      return !runs && places >= 2 && up.reduce((sum, runner) => sum + used(runner), 0) < RUNNERS * CAPACITY / 2
+    }
+    let leftSinceMs
     let state
-    while (deployment.nowMs < untilMs) {
+    while (deployment.nowMs < endMs + WAIT_MS) {
       const { body } = await deployment.call(deployment.instances[0], 'GET', `/renders/${id}`, { key: KEY })
       state = body?.state
       if (state === 'completed') return []
-      await sleep(500)
+      // Asked for from `finish_s` after the end of the traffic on.
+      for (let look = 0; look < 10; look++) {
+        const nowMs = deployment.nowMs
+        leftSinceMs = nowMs > endMs + BOUNDS.finishMs && isLeft() ? leftSinceMs ?? nowMs : undefined
+        await sleep(50)
+      }
     }
     describe()
-    const again = begun.get(id) !== first
-    return [`${WAIT_MS} ms after the crash the submission is ${state}; ${again ? 'it was started again' : 'it was not started again'}`]
+    const leftMs = leftSinceMs === undefined ? 0 : Math.round(deployment.nowMs - leftSinceMs)
+    if (leftMs < LEFT_MS) return []
+    return [`${WAIT_MS} ms after the crash the submission is ${state}; for ${leftMs} ms nothing of it ran, with room for it twice over and under half of the service in use; ${begun.get(id) !== first ? 'it was started again' : 'it was not started again'}`]
   }
 })
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -182,6 +182,7 @@
     this.#leaseUntilMs = untilMs
     clearTimeout(this.#leaseTimer)
     this.#leaseTimer = setTimeout(() => {
+      this.#options.onEvent({ type: 'lease lapsed', runner: this.id, task: '-', attempt: 0 })
       for (const run of this.running) this.#finish(run, 'lapsed')
     }, untilMs - this.#clockMs)
   }
