Count what lasting tasks keep when a target is isolated for a task

Cause: after the crash the task starts only on a target that is kept for its job. The places of a target were counted by its whole capacity, so that one was kept of which a lasting task of another job leaves too little; since it counted as two places, no other one was ever kept. The logs did not say which targets are kept; they do now.

Change: a target has as many places for a step as its capacity less the lasting tasks that stay can hold, and as the step allows on one target. A kept target without a place for a waiting task of its job is given back.

--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import type { StepDefinition } from '../jobs/job.ts'
 import { resources } from '../model/resources.ts'
+import { createLogger } from '../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { Isolation } from './isolation.ts'
 import type { IsolatedPlaces } from './isolation.ts'
@@ -19,6 +20,12 @@
 
 const NOW_MS = 100_000
 
+function createIsolation (): Isolation {
+  return new Isolation((_step, { key }): TargetAvailability => ({
+    key, free: resources({}), rack: '', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false
+  }), createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] }))
+}
+
 function createTargets (count: number): readonly FakeTarget[] {
   return Array.from({ length: count }, (_, number) => ({
     id: `t-${number}`, key: `t-${number}@1`, assignments: new Map(), capacity: new TargetCapacity(resources({ processors: 4_000, memory: 1_000 })), ended: false
@@ -39,14 +46,10 @@
 
 function prepare (isolation: Isolation, [suspect]: readonly Assignment[], targets: readonly FakeTarget[], permitted: readonly FakeTarget[] = targets): IsolatedPlaces {
   if (suspect === undefined) throw new Error('the step has no task')
-  const describe = ({ key }: TargetSession): TargetAvailability => ({
-    key, free: resources({}), rack: '', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false
-  })
   return isolation.prepare({
     step: suspect.task.step,
     targets: targets as unknown as readonly TargetSession[],
-    permits: target => permitted.includes(target as unknown as FakeTarget),
-    describe
+    permits: target => permitted.includes(target as unknown as FakeTarget)
   })
 }
 
@@ -59,7 +62,7 @@
 }
 
 test('a suspected task starts on a target only when the runs of other jobs there have ended, and the target takes no others', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   for (const [number, target] of targets.entries()) run(target, createAssignments(`other-${number}`, number === 2 ? 1 : 3))
   const suspects = createSuspects('a')
@@ -70,7 +73,7 @@
 })
 
 test('a target is open to all tasks again when the suspected task is done, and a lasting one when it has worked for long', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   const [suspect] = createSuspects('a')
   const [lasting] = createSuspects('b', 1, { longRunning: true })
@@ -92,14 +95,14 @@
 })
 
 test('where every target runs a lasting task, a suspected task still starts', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   for (const [number, target] of targets.entries()) run(target, createAssignments(`service-${number}`, 1, { longRunning: true }))
   t.is(prepare(isolation, createSuspects('a'), targets).ready.length, 1)
 })
 
 test('two gangs never hold a part of the targets that each of them needs', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   for (const [number, target] of targets.entries()) run(target, createAssignments(`other-${number}`))
   const [first, second] = [createSuspects('a', 12, { gang: true }), createSuspects('b', 12, { gang: true })]
@@ -112,16 +115,54 @@
 })
 
 test('a step that the permitted targets cannot hold says so, and keeps none of them', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   t.true(prepare(isolation, createSuspects('a', 12, { gang: true }), targets, targets.slice(0, 2)).insufficient)
   t.false(holds(isolation, targets).includes(true))
 })
 
 test('a suspected task gets another target than the one that crashed under it', t => {
-  const isolation = new Isolation()
+  const isolation = createIsolation()
   const targets = createTargets(4)
   for (const target of targets.slice(1)) run(target, createAssignments(`other-${target.id}`))
   prepare(isolation, createSuspects('a'), targets)
   t.deepEqual(holds(isolation, targets), [false, true, false, false], 'although the one that crashed is vacant')
 })
+
+// Guards against a suspected task that waits for ever on a target that lasting tasks leave too little of.
+test('a suspected task gets a target that can hold it beside the lasting tasks there, although another one has fewer runs', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const target of targets) run(target, createAssignments(`large-${target.id}`, 1, { longRunning: true, size: resources({ processors: 3_500, memory: 10 }) }))
+  targets[2]?.assignments.clear()
+  run(targets[2], createAssignments('small', 2, { longRunning: true }))
+  t.deepEqual(keys(prepare(isolation, createSuspects('a', 1, { size: resources({ processors: 2_000, memory: 10 }) }), targets)), ['t-2@1'])
+})
+
+// Guards against a gang that waits for ever since fewer targets are kept for it than it needs.
+test('a gang gets as many targets as it needs beside the lasting tasks there', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(6)
+  for (const target of targets) run(target, createAssignments(`service-${target.id}`, 1, { longRunning: true }))
+  const gang = createSuspects('a', 3, { gang: true, size: resources({ processors: 2_000, memory: 10 }) })
+  t.is(prepare(isolation, gang, targets).ready.length, 3)
+})
+
+// Guards against a lasting task that waits for ever on the target of another one of its step, which must not take both.
+test('a suspected lasting task gets another target than one that holds as many tasks of its step as it may', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(2)
+  const [first, second] = createSuspects('a', 2, { longRunning: true, tasksPerTarget: 1 })
+  if (first === undefined || second === undefined) return t.fail()
+  prepare(isolation, [first], targets)
+  const target = targets.find((_, number) => holds(isolation, targets)[number] === true)
+  run(target, [first])
+  Object.assign(first, { reported: true, firstReportedAtMs: NOW_MS })
+  first.task.state = 'assigned'
+  isolation.releaseUnneeded(NOW_MS + 1_000)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1, 'the target is still kept for the first')
+  const { ready } = prepare(isolation, [second], targets)
+  t.deepEqual([ready.length, ready.some(({ key }) => key === target?.key)], [1, false])
+  isolation.releaseUnneeded(NOW_MS + 10_000)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1, 'the first has worked for long')
+})
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -1,6 +1,8 @@
 /** Keeps targets to themselves for jobs of which a task may crash the targets that start it. */
 import type { JobProgress } from '../jobs/jobProgress.ts'
 import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
+import { subtractResources } from '../model/resources.ts'
+import type { Logger } from '../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { CLEARING_TIME_MS } from './crashEvidence.ts'
 import { countFitting, isSuitable, requiredResources } from './placeStep.ts'
@@ -18,7 +20,6 @@
   readonly targets: readonly TargetSession[]
   /** Whether the queue's policy is known to allow the target for the step. */
   readonly permits: (target: TargetSession) => boolean
-  readonly describe: (target: TargetSession) => TargetAvailability
 }
 
 export interface IsolatedPlaces {
@@ -33,11 +34,19 @@
  * ended: if it crashes then, nothing else explains it.
  *
  * @example
- * const { ready } = isolation.prepare({ step, targets, permits, describe })
+ * const isolation = new Isolation(describe, logger)
+ * const { ready } = isolation.prepare({ step, targets, permits })
  */
 export class Isolation {
+  readonly #describe: (step: StepProgress, target: TargetSession) => TargetAvailability
+  readonly #logger: Logger
   readonly #jobs = new Map<TargetSession, JobProgress>()
 
+  constructor (describe: (step: StepProgress, target: TargetSession) => TargetAvailability, logger: Logger) {
+    this.#describe = describe
+    this.#logger = logger
+  }
+
   /** Whether the target is kept for a job. */
   holds (target: TargetSession): boolean {
     return this.#jobs.has(target)
@@ -46,7 +55,7 @@
   /** Opens targets to all tasks again whose job no longer needs them. */
   releaseUnneeded (nowMs: number): void {
     for (const [target, job] of this.#jobs) {
-      if (target.ended || job.outcome !== undefined || !needsTarget(job, target, nowMs)) this.#jobs.delete(target)
+      if (target.ended || job.outcome !== undefined || !this.#needsTarget(job, target, nowMs)) this.#release(target, job)
     }
   }
 
@@ -54,11 +63,10 @@
    * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
    * crash of the same target proves nothing, and of these the ones that will be vacant soonest.
    */
-  prepare ({ step, targets, permits, describe }: IsolationRequest): IsolatedPlaces {
+  prepare ({ step, targets, permits }: IsolationRequest): IsolatedPlaces {
     const { job, definition } = step
-    const size = requiredResources(definition)
-    const places = (target: TargetSession): number => Math.min(countFitting(size, target.capacity.total), definition.tasksPerTarget || Infinity)
-    const usable = targets.filter(target => permits(target) && isSuitable(definition, describe(target)) && places(target) > 0)
+    const places = (target: TargetSession): number => this.#countPlaces(step, target)
+    const usable = targets.filter(target => permits(target) && places(target) > 0)
     const kept = usable.filter(target => this.#jobs.get(target) === job)
     let missing = (definition.gang ? definition.count : 1) - kept.reduce((sum, target) => sum + places(target), 0)
     const added: TargetSession[] = []
@@ -71,20 +79,45 @@
     }
     if (missing > 0) return { ready: [], insufficient: true }
     const maximumRatio = added.every(target => isVacant(target, job)) ? MAX_ISOLATED_RATIO_OF_IDLE : MAX_ISOLATED_RATIO
-    if (this.#mayAdd(added.length, kept.length, targets, maximumRatio)) for (const target of added) this.#jobs.set(target, job)
+    if (this.#mayAdd(added.length, job, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target))
     return { ready: usable.filter(target => this.#jobs.get(target) === job && isVacant(target, job)), insufficient: false }
   }
 
   /** All targets of a gang are added at once, so that two gangs cannot hold a part each and wait for the other. */
-  #mayAdd (added: number, kept: number, targets: readonly TargetSession[], maximumRatio: number): boolean {
-    const held = targets.filter(target => this.#jobs.has(target)).length
-    return held === kept || held + added <= targets.length * maximumRatio
+  #mayAdd (added: number, job: JobProgress, targets: readonly TargetSession[], maximumRatio: number): boolean {
+    const held = targets.filter(target => this.#jobs.has(target))
+    return held.every(target => this.#jobs.get(target) === job) || held.length + added <= targets.length * maximumRatio
+  }
+
+  #keep (target: TargetSession, { job, name }: StepProgress, places: number): void {
+    this.#jobs.set(target, job)
+    this.#logger.info({ job: job.id, step: name, target: target.id, places, runs: target.assignments.size }, 'keeping a target for a job that may crash it')
+  }
+
+  #release (target: TargetSession, job: JobProgress): void {
+    this.#jobs.delete(target)
+    this.#logger.info({ job: job.id, target: target.id }, 'target is open to all jobs again')
   }
-}
 
-function needsTarget (job: JobProgress, target: TargetSession, nowMs: number): boolean {
-  const isUnsettledHere = (task: TaskProgress): boolean => [...target.assignments.values()].some(run => run.task === task && !isSettled(run, nowMs))
-  return job.steps.some(step => step.suspectedTasks.some(task => task.state === 'waiting' || (task.state === 'assigned' && isUnsettledHere(task))))
+  #needsTarget (job: JobProgress, target: TargetSession, nowMs: number): boolean {
+    const isUnsettledHere = (task: TaskProgress): boolean => [...target.assignments.values()].some(run => run.task === task && !isSettled(run, nowMs))
+    const isNeededFor = (step: StepProgress): boolean => {
+      const suspected = step.suspectedTasks
+      if (suspected.some(task => task.state === 'assigned' && isUnsettledHere(task))) return true
+      return suspected.some(task => task.state === 'waiting') && this.#countPlaces(step, target) > 0
+    }
+    return job.steps.some(isNeededFor)
+  }
+
+  /** Number of the step's tasks that the target can hold once all runs that will end have ended. */
+  #countPlaces (step: StepProgress, target: TargetSession): number {
+    const { definition } = step
+    if (!isSuitable(definition, this.#describe(step, target))) return 0
+    const staying = [...target.assignments.values()].filter(willStay)
+    const free = staying.reduce((left, { size }) => subtractResources(left, size), target.capacity.total)
+    const slots = definition.tasksPerTarget === 0 ? Infinity : definition.tasksPerTarget - staying.filter(({ task }) => task.step === step).length
+    return Math.max(0, Math.min(slots, countFitting(requiredResources(definition), free)))
+  }
 }
 
 /** A lasting task that has been at work for long did not crash its target, and others may join it. */
@@ -105,6 +138,11 @@
   return countPassing(left, job) - countPassing(right, job) || left.assignments.size - right.assignments.size
 }
 
+/** Whether the run holds its resources until its job is cancelled. */
+function willStay (run: Assignment): boolean {
+  return isLasting(run) && run.state !== 'stopping'
+}
+
 function isLasting ({ task }: Assignment): boolean {
   return task.step.definition.longRunning
 }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -57,7 +57,7 @@
   readonly #fleet: TargetFleet
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
-  readonly #isolation = new Isolation()
+  readonly #isolation: Isolation
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -72,6 +72,7 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#fleet = options.fleet
+    this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
@@ -224,9 +225,7 @@
     const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition.size, tasks.length, queue.priority === 0)
     if (count === 0 || (step.definition.gang && count < tasks.length)) return
     const targets = pass.sessions(queue.service)
-    const { ready, insufficient } = this.#isolation.prepare({
-      step, targets, permits: session => advice?.allows(session.key) ?? true, describe: session => this.#describeTarget(step, session)
-    })
+    const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true })
     if (insufficient && advice !== undefined) {
       const unasked = targets.filter(session => !advice.wasAsked(session.key)).slice(0, MAX_TARGETS_PER_QUESTION)
       runInBackground(this.#advisor.ask(step, queue, unasked), this.#logger, 'placement advice')
