Exchange a busy target kept for a suspected task for a vacant one

What callers would see: a task whose target crashed waits until the last run of another job on its kept target has ended, also if that run is slow or stands still, while other targets have become vacant.

Change: a kept target that waits for runs of other jobs, and has none of its own job, is exchanged for a vacant one with as many places that has not crashed under the task.

Result: the new test of isolation failed before (no target is ready) and passes now.

--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -166,3 +166,18 @@
   isolation.releaseUnneeded(NOW_MS + 10_000)
   t.is(holds(isolation, targets).filter(Boolean).length, 1, 'the first has worked for long')
 })
+
+// Guards against a suspected task that waits for a run that stands still, although it could start elsewhere.
+test('a suspected task gets a vacant target as soon as there is one, instead of the busy one that was kept for it', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const target of targets) run(target, createAssignments(`other-${target.id}`))
+  const suspects = createSuspects('a')
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), [])
+  t.deepEqual(holds(isolation, targets), [false, true, false, false])
+  targets[0]?.assignments.clear()
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), [], 'the one that crashed under it')
+  targets[3]?.assignments.clear()
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), ['t-3@1'])
+  t.deepEqual(holds(isolation, targets), [false, false, false, true], 'the other one is open to all jobs again')
+})
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -67,11 +67,13 @@
     const { job, definition } = step
     const places = (target: TargetSession): number => this.#countPlaces(step, target)
     const usable = targets.filter(target => permits(target) && places(target) > 0)
-    const kept = usable.filter(target => this.#jobs.get(target) === job)
+    const crashed = new Set(step.suspectedTasks.flatMap(task => step.crashHistoryOf(task).targets))
+    const isOpen = (target: TargetSession): boolean => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns
+    const vacant = usable.filter(target => isOpen(target) && isVacant(target, job) && !crashed.has(target.id))
+    const kept = this.#exchangeBusy(step, usable.filter(target => this.#jobs.get(target) === job), vacant)
     let missing = (definition.gang ? definition.count : 1) - kept.reduce((sum, target) => sum + places(target), 0)
     const added: TargetSession[] = []
-    const crashed = new Set(step.suspectedTasks.flatMap(task => step.crashHistoryOf(task).targets))
-    const open = usable.filter(target => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns)
+    const open = usable.filter(isOpen)
     for (const target of open.sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || compareWork(left, right, job))) {
       if (missing <= 0) break
       added.push(target)
@@ -83,6 +85,22 @@
     return { ready: usable.filter(target => this.#jobs.get(target) === job && isVacant(target, job)), insufficient: false }
   }
 
+  /** Exchanges kept targets that wait for runs of other jobs for vacant ones with as many places; returns those kept now. */
+  #exchangeBusy (step: StepProgress, kept: readonly TargetSession[], vacant: readonly TargetSession[]): readonly TargetSession[] {
+    const { job } = step
+    const replacements = [...vacant]
+    return kept.map(target => {
+      if (isVacant(target, job) || hasRunsOf(target, job)) return target
+      const places = this.#countPlaces(step, target)
+      const position = replacements.findIndex(other => this.#countPlaces(step, other) >= places)
+      const [replacement] = position === -1 ? [] : replacements.splice(position, 1)
+      if (replacement === undefined) return target
+      this.#release(target, job)
+      this.#keep(replacement, step, this.#countPlaces(step, replacement))
+      return replacement
+    })
+  }
+
   /** All targets of a gang are added at once, so that two gangs cannot hold a part each and wait for the other. */
   #mayAdd (added: number, job: JobProgress, targets: readonly TargetSession[], maximumRatio: number): boolean {
     const held = targets.filter(target => this.#jobs.has(target))
@@ -129,6 +147,10 @@
   return !target.capacity.hasUnexpectedRuns && countPassing(target, job) === 0
 }
 
+function hasRunsOf (target: TargetSession, job: JobProgress): boolean {
+  return [...target.assignments.values()].some(run => run.task.step.job === job)
+}
+
 /** Number of runs of other jobs that will end. */
 function countPassing (target: TargetSession, job: JobProgress): number {
   return [...target.assignments.values()].filter(run => run.task.step.job !== job && !isLasting(run)).length
