--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -253,7 +253,7 @@
   await cluster.stop()
 })
 
-test('a new coordinator lets no team exceed its cap while runs of the team\'s cancelled jobs are being stopped', async t => {
+test("a new coordinator lets no team exceed its cap while runs of the team's cancelled jobs are being stopped", async t => {
   const capMillicores = 4_000
   const cluster = await Cluster.start(2, { teams: [{ name: 'weavers', key: STAND_IN_KEY, cap: capMillicores }], workMs: () => 20_000, stopMs: 900 })
   const first = cluster.coordinator()
