Start tasks that fit under the cap of their team but not beside its reserve

Callers saw accepted jobs of which nothing ever ran (LOST), though their team used less than half of its cap and targets were free.

Cause: non-urgent work could use 0.8 of a cap unless its team had nothing running at all. A task, or a gang, that fits between 0.8 and 1.0 beside other work of its team waited for that work to end: for ever beside lasting tasks, and as long as it is never all over beside a stream of jobs. The reserve of a resource also held back tasks that need none of it.

Change: the reserve limits what runs before a task starts, no longer what runs with it: one task, or one gang, may reach into the reserve, and the next one waits. Work that lasts reduces the reserve, which could not be regained from it. So a task that fits under the cap starts at the latest when no work of its team runs but lasting work, and under half of the cap the reserve holds nothing back. A team that is idle may still use its whole cap, and urgent jobs find the reserve free but for one task or gang.

--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -130,13 +130,13 @@
     if (session === undefined) return step.releaseLostRun(task, attempt)
     const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'recovering')
     assignment.confirmedAtMs = -Infinity
-    this.#usage.add(step.job.team, step.definition.size)
+    this.#usage.add(step.job.team, step.definition)
     session.reserve(assignment)
   }
 
   /** Subtracts a run from its team's usage. */
   releaseUsage (assignment: Assignment): void {
-    this.#usage.remove(assignment.team, assignment.task.step.definition.size)
+    this.#usage.remove(assignment.team, assignment.task.step.definition)
   }
 
   /** Makes placement of the step prefer other targets from now on. */
@@ -222,7 +222,7 @@
     const advice = queue.advice === undefined ? undefined : this.#advisor.adviceOf(step)
     if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
     const team = pass.team(step.job.team)
-    const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition.size, tasks.length, queue.priority === 0)
+    const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition, tasks.length, queue.priority === 0)
     if (count === 0 || (step.definition.gang && count < tasks.length)) return
     const targets = pass.sessions(queue.service)
     const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true })
@@ -238,7 +238,7 @@
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
   #isCapped ({ job, definition }: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): boolean {
     const team = pass.team(job.team)
-    return team !== undefined && this.#usage.allowedCount(team, definition.size, waiting, queue.priority === 0) < waiting
+    return team !== undefined && this.#usage.allowedCount(team, definition, waiting, queue.priority === 0) < waiting
   }
 
   /** Returns the number of tasks for which capacity was reserved. */
@@ -332,7 +332,7 @@
       const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
       const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'reserved')
       step.recordPlacement(task.index, attempt, key)
-      this.#usage.add(step.job.team, step.definition.size)
+      this.#usage.add(step.job.team, step.definition)
       session.reserve(assignment)
       reserved.push({ session, assignment })
     }
@@ -353,7 +353,7 @@
       count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
     }
     const team = pass.team(step.job.team)
-    if (team !== undefined) count = this.#usage.allowedCount(team, size, count, queue.priority === 0)
+    if (team !== undefined) count = this.#usage.allowedCount(team, step.definition, count, queue.priority === 0)
     // Checked last, since it scans all targets.
     return count === 0 ? 0 : pass.tasksThatFit(queue.service, requiredResources(step.definition), count)
   }
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -1,64 +1,77 @@
 /** Tracks the resources that each team uses, against its cap over all targets. */
 import type { TeamSettings } from '../jobs/desiredState.ts'
+import type { StepDefinition } from '../jobs/job.ts'
 import type { Resources } from '../model/resources.ts'
 
 /** Fraction of a cap reserved for urgent jobs, which are 14% of the work at the sites' normal rates and up to 25% in bursts. */
 const URGENT_CAP_RESERVE = 0.2
 
 type ComputeResources = Pick<Resources, 'processors' | 'memory' | 'accelerators'>
+/** What decides how much of a cap the tasks of a step use, and for how long. */
+type StepUsage = Pick<StepDefinition, 'size' | 'gang' | 'longRunning'>
 
+const COMPUTE_DIMENSIONS = ['processors', 'memory', 'accelerators'] as const
 const NO_USAGE: ComputeResources = { processors: 0, memory: 0, accelerators: 0 }
 
 /**
  * Counts everything that may run: reserved, starting, running and stopping tasks.
  *
  * @example
- * usage.add('weavers', size)
- * usage.fits(team, size, 2)
+ * usage.add('weavers', definition)
+ * usage.allowedCount(team, definition, 2, false)
  */
 export class TeamUsage {
   readonly #used = new Map<string, ComputeResources>()
+  /** The part of `#used` that lasting tasks use. */
+  readonly #lasting = new Map<string, ComputeResources>()
 
-  add (team: string, size: ComputeResources): void {
-    this.#change(team, size, 1)
+  add (team: string, step: StepUsage): void {
+    this.#change(team, step, 1)
   }
 
-  remove (team: string, size: ComputeResources): void {
-    this.#change(team, size, -1)
-  }
-
-  usageOf (team: string): ComputeResources {
-    return this.#used.get(team) ?? NO_USAGE
-  }
-
-  /** Whether the team stays within `capFraction` (0 to 1) of its cap with `count` more tasks. */
-  fits (team: TeamSettings, size: ComputeResources, count: number, capFraction = 1): boolean {
-    const used = this.usageOf(team.name)
-    const within = (cap: number, usedAmount: number, taskAmount: number): boolean => cap <= 0 || usedAmount + taskAmount * count <= cap * capFraction
-    return within(team.cap.processors, used.processors, size.processors) &&
-      within(team.cap.memory, used.memory, size.memory) &&
-      within(team.cap.accelerators, used.accelerators, size.accelerators)
+  remove (team: string, step: StepUsage): void {
+    this.#change(team, step, -1)
   }
 
   /**
    * Number of tasks that the cap allows. Non-urgent work leaves part of the cap free, so that a team's wide steps do not
-   * delay its urgent jobs. While the team is idle a step may use the whole cap, since it may need more than the unreserved part.
+   * delay its urgent jobs. While the team is idle a step may use the whole cap. Otherwise one task, or one gang, may
+   * reach into the reserve, since it may need more than the unreserved part; the next one waits for work that ends.
    */
-  allowedCount (team: TeamSettings, size: ComputeResources, wanted: number, urgent: boolean): number {
-    const used = this.usageOf(team.name)
-    const idle = used.processors === 0 && used.memory === 0 && used.accelerators === 0
-    const capFraction = urgent || idle ? 1 : 1 - URGENT_CAP_RESERVE
+  allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean): number {
+    const used = this.#used.get(team.name) ?? NO_USAGE
+    const idle = COMPUTE_DIMENSIONS.every(dimension => used[dimension] === 0)
+    const unit = step.gang ? wanted : 1
+    const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
     let count = wanted
-    while (count > 0 && !this.fits(team, size, count, capFraction)) count -= 1
+    while (count > 0 && !permits(count)) count -= 1
     return count
   }
 
-  #change (team: string, size: ComputeResources, sign: 1 | -1): void {
-    const used = this.usageOf(team)
-    this.#used.set(team, {
-      processors: used.processors + sign * size.processors,
-      memory: used.memory + sign * size.memory,
-      accelerators: used.accelerators + sign * size.accelerators
+  #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
+    const used = this.#used.get(name) ?? NO_USAGE
+    return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] + size[dimension] * count <= cap[dimension])
+  }
+
+  /** Whether the team's reserve is untouched with `count` more tasks. Lasting tasks reduce it: it could not be regained from them. */
+  #leavesReserve ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
+    const used = this.#used.get(name) ?? NO_USAGE
+    const lasting = this.#lasting.get(name) ?? NO_USAGE
+    return COMPUTE_DIMENSIONS.every(dimension => {
+      if (cap[dimension] <= 0 || size[dimension] === 0) return true
+      const passing = used[dimension] - lasting[dimension] + size[dimension] * count
+      return passing < (cap[dimension] - lasting[dimension]) * (1 - URGENT_CAP_RESERVE)
     })
   }
+
+  #change (team: string, { size, longRunning }: StepUsage, sign: 1 | -1): void {
+    for (const usage of longRunning ? [this.#used, this.#lasting] : [this.#used]) {
+      const used = usage.get(team) ?? NO_USAGE
+      usage.set(team, {
+        processors: used.processors + sign * size.processors,
+        memory: used.memory + sign * size.memory,
+        accelerators: used.accelerators + sign * size.accelerators
+      })
+    }
+  }
 }
