--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -423,10 +423,11 @@
     log.resetBytesSinceCompaction()
     // The snapshot contains jobs whose records have not been committed yet.
     log.preventWithdrawal()
+    const lastSequence = log.nextSequence - 1
     try {
-      await compactLog({ store: this.#options.store, logger: this.#logger, election: this.#election, table: this.table, lastSequence: log.nextSequence - 1 })
+      await compactLog({ store: this.#options.store, logger: this.#logger, election: this.#election, table: this.table, lastSequence })
     } catch (error) {
-      this.#logger.warn({ error: String(error), sequence: log.nextSequence }, 'log compaction failed')
+      this.#logger.warn({ error: String(error), sequence: lastSequence }, 'log compaction failed')
     }
   }
 
--- a/src/coordinator/logCompactor.ts
+++ b/src/coordinator/logCompactor.ts
@@ -1,6 +1,7 @@
 /** Compacts the log into a snapshot, which bounds its size and the recovery time of a successor. */
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { LogRecord } from '../jobs/jobRecords.ts'
+import { StoreUnknownError } from '../model/errors.ts'
 import { MAX_TRANSACTION_OPERATIONS, listAll } from '../ports/transactionalStore.ts'
 import type { Transaction, TransactionalStore } from '../ports/transactionalStore.ts'
 import type { Logger } from '../observability/logger.ts'
@@ -28,18 +29,23 @@
  */
 export async function compactLog ({ store, logger, election, table, lastSequence }: CompactionOptions): Promise<void> {
   const parts = splitRecords(table.toRecords())
-  const commit = async (transaction: Omit<Transaction, 'conditions'>): Promise<void> => {
-    const result = await store.commit({ conditions: [election], ...transaction })
-    if (result.outcome !== 'committed') throw new TermLostError('the election key has changed')
+  const commit = async (write: string, transaction: Omit<Transaction, 'conditions'>): Promise<void> => {
+    try {
+      const result = await store.commit({ conditions: [election], ...transaction })
+      if (result.outcome !== 'committed') throw new TermLostError('the election key has changed')
+    } catch (error) {
+      logger.warn({ write, sequence: lastSequence, parts: parts.length, certain: !(error instanceof StoreUnknownError), error: String(error) }, 'write of a log compaction failed')
+      throw error
+    }
   }
-  for (const [part, value] of parts.entries()) await commit({ writes: [{ key: snapshotPartKey(lastSequence, part), value }], removes: [] })
-  await commit({ writes: [{ key: SNAPSHOT_HEAD_KEY, value: JSON.stringify({ sequence: lastSequence, parts: parts.length }) }], removes: [] })
+  for (const [part, value] of parts.entries()) await commit(`part ${part}`, { writes: [{ key: snapshotPartKey(lastSequence, part), value }], removes: [] })
+  await commit('head', { writes: [{ key: SNAPSHOT_HEAD_KEY, value: JSON.stringify({ sequence: lastSequence, parts: parts.length }) }], removes: [] })
   const outdated = [
     ...(await listAll(store, LOG_PREFIX)).filter(item => segmentNumber(item.key) <= lastSequence),
     ...(await listAll(store, SNAPSHOT_PREFIX)).filter(item => !item.key.startsWith(`${SNAPSHOT_PREFIX}${lastSequence}/`))
   ].map(item => item.key)
   const perCommit = MAX_TRANSACTION_OPERATIONS - 1
-  for (let offset = 0; offset < outdated.length; offset += perCommit) await commit({ writes: [], removes: outdated.slice(offset, offset + perCommit) })
+  for (let offset = 0; offset < outdated.length; offset += perCommit) await commit('removal', { writes: [], removes: outdated.slice(offset, offset + perCommit) })
   logger.info({ sequence: lastSequence, parts: parts.length, removed: outdated.length }, 'log compacted')
 }
 
