--- a/src/coordinator/logReader.ts
+++ b/src/coordinator/logReader.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import type { JobRecord, LogRecord } from '../jobs/jobRecords.ts'
 import { JobTable } from '../jobs/jobTable.ts'
+import { BaseError } from '../model/errors.ts'
 import { listAll } from '../ports/transactionalStore.ts'
 import type { TransactionalStore } from '../ports/transactionalStore.ts'
 import { LOG_PREFIX, segmentNumber } from './recordLog.ts'
@@ -12,9 +13,16 @@
 export const snapshotHeadSchema = z.object({
   /** Sequence number of the last segment contained in the snapshot. */
   sequence: z.number(),
-  parts: z.number()
+  parts: z.number(),
+  /** Unique for each compaction; absent in heads of earlier versions. */
+  id: z.string().optional()
 })
 
+export type SnapshotHead = Readonly<z.infer<typeof snapshotHeadSchema>>
+
+/** Parts of the snapshot in effect are missing, so that the jobs that it contains are unknown. */
+export const SnapshotIncompleteError = BaseError.subclass('SnapshotIncompleteError')
+
 export interface ReadLog {
   readonly table: JobTable
   readonly nextSequence: number
@@ -25,14 +33,19 @@
   readonly segmentBytes: number
 }
 
+/** Returns the prefix of the keys of a snapshot. */
+export function snapshotPrefix ({ sequence, id }: SnapshotHead): string {
+  return id === undefined ? `${SNAPSHOT_PREFIX}${sequence}/` : `${SNAPSHOT_PREFIX}${sequence}/${id}/`
+}
+
 /** Returns the key of one part of a snapshot. */
-export function snapshotPartKey (sequence: number, part: number): string {
-  return `${SNAPSHOT_PREFIX}${sequence}/${String(part).padStart(4, '0')}`
+export function snapshotPartKey (head: SnapshotHead, part: number): string {
+  return `${snapshotPrefix(head)}${String(part).padStart(4, '0')}`
 }
 
 /**
  * Reads the records stored by earlier coordinators. Their commits fail once the reader is elected, so the log does not
- * change while it is read.
+ * change while it is read. Rejects with `SnapshotIncompleteError` rather than returning a table without accepted jobs.
  *
  * @example
  * const { table, nextSequence } = await readLog(store, record => clock.monotonicMs())
@@ -43,9 +56,9 @@
   const head = headItem === undefined ? undefined : snapshotHeadSchema.parse(JSON.parse(headItem.value))
   let bytes = 0
   if (head !== undefined) {
-    for (const item of await listAll(store, `${SNAPSHOT_PREFIX}${head.sequence}/`)) {
-      bytes += item.value.length
-      applyAll(table, item.value)
+    for (const value of await readParts(store, head)) {
+      bytes += value.length
+      applyAll(table, value)
     }
   }
   const segments = (await listAll(store, LOG_PREFIX)).filter(item => segmentNumber(item.key) > (head?.sequence ?? 0))
@@ -59,6 +72,14 @@
   return { table, nextSequence, segments: segments.length, bytes, segmentBytes: bytes - snapshotBytes }
 }
 
+async function readParts (store: Pick<TransactionalStore, 'listPage'>, head: SnapshotHead): Promise<readonly string[]> {
+  const stored = new Map((await listAll(store, snapshotPrefix(head))).map(({ key, value }) => [key, value]))
+  const parts = Array.from({ length: head.parts }, (_, part) => stored.get(snapshotPartKey(head, part)))
+  const found = parts.filter(value => value !== undefined)
+  if (found.length < head.parts) throw new SnapshotIncompleteError(`the snapshot ${snapshotPrefix(head)} has ${found.length} of ${head.parts} parts`)
+  return found
+}
+
 function applyAll (table: JobTable, text: string): void {
   for (const record of JSON.parse(text) as LogRecord[]) table.apply(record)
 }
--- a/src/coordinator/testing/memoryTransactionalStore.ts
+++ b/src/coordinator/testing/memoryTransactionalStore.ts
@@ -2,8 +2,8 @@
 import { StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
 import type { CommitResult, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult } from '../../ports/transactionalStore.ts'
 
-/** `lost` executes the commit and loses the response. */
-export type CommitFault = 'none' | 'unavailable' | 'lost'
+/** `lost` executes the commit and loses the response; `late` does so when `executeLate` is called. */
+export type CommitFault = 'none' | 'unavailable' | 'lost' | 'late'
 
 export class MemoryTransactionalStore implements TransactionalStore {
   readonly items = new Map<string, StoredItem>()
@@ -13,6 +13,7 @@
   /** Whether all calls fail as unavailable. */
   refusing = false
   commits = 0
+  readonly #lateCommits: Transaction[] = []
   #revision = 1
   #nextLease = 1
 
@@ -33,19 +34,29 @@
     return { outcome: 'changes', changes: changed.map(item => ({ type: 'written', item })), revision: this.#revision }
   }
 
-  async commit ({ conditions, writes, removes }: Transaction): Promise<CommitResult> {
+  /** Executes the oldest late commit. */
+  executeLate (): void {
+    const transaction = this.#lateCommits.shift()
+    if (transaction !== undefined) this.#execute(transaction)
+  }
+
+  async commit (transaction: Transaction): Promise<CommitResult> {
     this.#refuse()
     const fault = this.commitFaults.shift() ?? 'none'
     if (fault === 'unavailable') throw new StoreUnavailableError('refused')
     this.commits += 1
+    if (fault === 'late') this.#lateCommits.push(transaction)
+    const result = fault === 'late' ? undefined : this.#execute(transaction)
+    if (result === undefined || fault === 'lost') throw new StoreUnknownError('the answer was lost')
+    return result
+  }
+
+  #execute ({ conditions, writes, removes }: Transaction): CommitResult {
     const holds = conditions.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision)
-    if (holds) {
-      for (const { key, value, lease } of writes) this.put(key, value, lease)
-      for (const key of removes) this.items.delete(key)
-    }
-    if (fault === 'lost') throw new StoreUnknownError('the answer was lost')
-    if (holds) return { outcome: 'committed', revision: this.#revision }
-    return { outcome: 'conflict', current: conditions.flatMap(({ key }) => this.items.get(key) ?? []) }
+    if (!holds) return { outcome: 'conflict', current: conditions.flatMap(({ key }) => this.items.get(key) ?? []) }
+    for (const { key, value, lease } of writes) this.put(key, value, lease)
+    for (const key of removes) this.items.delete(key)
+    return { outcome: 'committed', revision: this.#revision }
   }
 
   put (key: string, value: string, lease?: number): void {
