Read what has arrived before a planned stop closes connections

What callers saw: at the end of the leave delay, requests were cut with ECONNRESET although they had been sent long before.

Cause: `stop` ran in the timers phase of the event loop and closed the listener and the idle connections before the event loop had looked for input. Closing resets connections that wait to be accepted (Node.js accepts one per turn) and sockets with unread data. Connections that callers had opened in advance and never used do not count as idle in Node.js, so the stop waited for them until its time-out of 5 s.

Change: GracefulServerClose lets the event loop turn until nothing arrives any more, closes the listener, and then closes connections once they are idle, used or not. An abort of the stop closes the rest.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -7,6 +7,7 @@
 import { RefusalError } from '../../model/errors.ts'
 import type { CallerHandler } from '../../ports/callerHandler.ts'
 import type { RunEvent } from '../../ports/peerClient.ts'
+import { GracefulServerClose } from '../http/gracefulServerClose.ts'
 import { getBoundAddress, listenOn } from '../network.ts'
 import { REFUSAL_STATUS } from './refusalStatus.ts'
 
@@ -31,6 +32,7 @@
   readonly #options: CallerServerOptions
   readonly #handler: CallerHandler
   readonly #server: Server
+  readonly #gracefulClose: GracefulServerClose
   readonly #openResponses = new Set<Promise<void>>()
   #stopping = false
 
@@ -41,6 +43,7 @@
       requestTimeout: options.requestTimeoutMs,
       headersTimeout: Math.min(HEADERS_TIMEOUT_MS, options.requestTimeoutMs)
     })
+    this.#gracefulClose = new GracefulServerClose(this.#server)
     this.#server.maxConnections = options.connectionLimit
     this.#server.on('request', (request, response) => this.#track(this.#respond(request, response)))
   }
@@ -67,11 +70,7 @@
         // The stop timed out; the remaining connections are closed below.
       })
     }
-    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
-    signal.addEventListener('abort', () => this.#server.closeAllConnections(), { once: true })
-    await Promise.all(this.#openResponses)
-    this.#server.closeIdleConnections()
-    await closed
+    await this.#gracefulClose.close(signal)
   }
 
   async #hasConnections (): Promise<boolean> {
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers on the platform. */
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { GracefulServerClose } from '../adapters/http/gracefulServerClose.ts'
 import { readRequestBody } from '../adapters/http/readRequestBody.ts'
 import { listenOn } from '../adapters/network.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallHandler } from '../entry/callerCall.ts'
@@ -36,7 +37,7 @@
 export class CallerFrontend implements Component {
   readonly name = 'caller frontend'
   readonly #options: CallerFrontendOptions
-  #server: Server | undefined
+  #gracefulClose: GracefulServerClose | undefined
   #closing = false
 
   constructor (options: CallerFrontendOptions) {
@@ -50,7 +51,7 @@
         response.destroy()
       })
     })
-    this.#server = server
+    this.#gracefulClose = new GracefulServerClose(server)
     await listenOn(server, this.#options.address)
   }
 
@@ -59,13 +60,9 @@
     this.#closing = true
   }
 
-  async stop (): Promise<void> {
-    const server = this.#server
-    if (server === undefined) return
+  async stop (signal: AbortSignal): Promise<void> {
     this.#closing = true
-    const closed = new Promise<void>(resolve => server.close(() => resolve()))
-    server.closeIdleConnections()
-    await closed
+    await this.#gracefulClose?.close(signal)
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
