--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -354,7 +354,7 @@
         table.finishJob(job, this.#clock.wallMs())
         continue
       }
-      this.#recordedQueues.set(job.queue.name, job.queue)
+      this.#recordedQueues.set(job.queue.name, table.queue(job.queue.name) ?? job.queue)
       this.#openDueOccurrences(job)
       for (const step of job.steps) this.#placer.enqueueStep(step)
     }
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -146,6 +146,7 @@
   fc.record({ occurrence: fc.nat(1), attempt: fc.integer({ min: 1, max: 3 }), end: fc.constantFrom(...RUN_ENDS) })
     .map(({ occurrence, attempt, end }): LogRecord => ({ type: 'run-end', job: 'r', occurrence, step: 0, index: 0, attempt, end, checkpoint: '' })),
   fc.constantFrom('a', 'g', 'r').map((id): LogRecord => ({ type: 'cancelled', job: id, wallMs: 0 })),
+  fc.integer({ min: 1, max: 3 }).map((maximumFailures): LogRecord => ({ type: 'queue', queue: { ...TEST_QUEUE, maximumFailures } })),
   fc.constantFrom(...JOBS),
   fc.constantFrom<LogRecord>({ type: 'target-gone', id: 'worker-9', bornMs: 1 }),
   fc.nat(2).map(index => placed('a', 0, index, 1, 'worker-9@1'))
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -112,10 +112,20 @@
   /** Returns records from which an equal table can be built. */
   toRecords (): readonly LogRecord[] {
     const records: LogRecord[] = []
-    for (const queue of this.#queues.values()) records.push({ type: 'queue', queue })
     for (const target of this.#targets.values()) records.push({ type: 'target', target })
     for (const job of this.#finished.values()) records.push({ type: 'finished-job', ...job })
-    for (const job of this.#jobs.values()) records.push(...toJobRecords(job))
+    // Jobs keep the settings that their queue had when they were accepted, such as the number of failures allowed.
+    const written = new Map<string, QueueSettings>()
+    const writeQueue = (queue: QueueSettings): void => {
+      if (written.get(queue.name) === queue) return
+      written.set(queue.name, queue)
+      records.push({ type: 'queue', queue })
+    }
+    for (const job of this.#jobs.values()) {
+      writeQueue(job.queue)
+      records.push(...toJobRecords(job))
+    }
+    for (const queue of this.#queues.values()) writeQueue(queue)
     return records
   }
 
