Keep finished jobs for their retention period when the time of day jumps

A finished job could be answered 410 before its retention period had passed: the coordinator compared the time of day at its end, read by the coordinator of that time, with its own. A coordinator whose time of day jumped ahead by more than twice the period evicted all finished jobs within a second, and a successor those that had ended while the time of day of its predecessor was behind by as much.

Now a term takes the time of day from its start and the monotonic clock, and counts jobs that ended in earlier terms as ended at most one period ago, and not in the future. Each job stays known for at least one period in each term, and usually for two.

Not seen in a run of real processes, whose time of day could not be changed.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -19,6 +19,7 @@
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './crashEvidence.ts'
 import type { Outage } from './crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import { FinishedJobRetention } from './finishedJobRetention.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { requiredResources } from './placeStep.ts'
@@ -84,6 +85,7 @@
   readonly #recordedQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
   #log: RecordLog | undefined
+  #retention: FinishedJobRetention | undefined
   /** Sequence number of the log at the last compaction. */
   #lastCompactedSequence = 0
   /** Bytes of the segments since the last compaction that were stored before this term. */
@@ -156,7 +158,8 @@
     this.#lastCompactedSequence = read.nextSequence - read.segments
     this.#recoveredLogBytes = read.segmentBytes
     const jobs = [...read.table.jobs.values()]
-    this.#recoverJobs(read.table)
+    const retention = this.#retention = new FinishedJobRetention(this.#clock, read.table, this.#options.finishedJobMs)
+    this.#recoverJobs(read.table, retention)
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#termStartedAtMs) }, 'job log recovered')
     for (const description of read.table.targets.values()) this.#fleet.openRecorded(description)
     this.#recoverRuns(jobs)
@@ -205,7 +208,7 @@
     this.#fleet.stopRuns(assignment => assignment.task.step.job === job)
     durable.then(() => {
       const { id, queue, team } = job.record
-      this.table.finishJob(job, this.#clock.wallMs())
+      this.#retention?.finish(job)
       this.#logger.info({ job: id, team, queue, outcome: job.outcome, waitedMs: job.startedAtMs === undefined ? undefined : Math.round(job.startedAtMs - job.acceptedAtMs), ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
     }, () => {})
   }
@@ -348,10 +351,10 @@
     return this.#log?.append(records) ?? Promise.reject(new Error('the job log is not open'))
   }
 
-  #recoverJobs (table: JobTable): void {
+  #recoverJobs (table: JobTable, retention: FinishedJobRetention): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
-        table.finishJob(job, this.#clock.wallMs())
+        retention.finish(job)
         continue
       }
       this.#recordedQueues.set(job.queue.name, table.queue(job.queue.name) ?? job.queue)
@@ -394,7 +397,7 @@
   }
 
   async #runHousekeepingOnce (): Promise<void> {
-    this.table.evictFinished(this.#clock.wallMs() - this.#options.finishedJobMs * 2)
+    this.#retention?.evict()
     for (const job of this.table.jobs.values()) {
       if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
     }
