Do not resign a new term for a failure of an earlier one

A coordinator whose term had ended could end the next term of the same instance: commits of the earlier term, answered up to 1.5 s later with a conflict, and a recovery that failed because its term had ended, made the instance resign whatever election it held by then. Each such change costs callers 503 and a recovery.

A resignation names the election that it is about. The test elects an instance again and resigns for the first election: before, the second one ended.

--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/election.test.ts
@@ -37,6 +37,35 @@
   await election.stop()
 })
 
+// Guards against changes of coordinator one after another: answers of the store to the commits of a term come after its end.
+test('a failure of an earlier term does not end the next term of the same instance', async t => {
+  const store = new MemoryTransactionalStore()
+  const fences: number[] = []
+  const lost: string[] = []
+  let resolveElected: () => void = () => {}
+  const election = createElection(store, {
+    onElected: ({ fence }) => {
+      fences.push(fence)
+      resolveElected()
+    },
+    onLost: reason => lost.push(reason),
+    onChanged: () => {},
+    peerReachesStore: async () => false,
+    releaseThroughPeers: async () => false
+  })
+  const awaitElected = (): Promise<void> => new Promise(resolve => { resolveElected = resolve })
+  const first = awaitElected()
+  await election.start()
+  await first
+  const second = awaitElected()
+  await election.resign('the log could not be written', fences[0])
+  await second
+  await election.resign('the log could not be written', fences[0])
+  t.deepEqual(lost, ['the log could not be written'])
+  t.true(election.hasAuthority())
+  await election.stop()
+})
+
 /** Runs a coordinator whose store refuses all calls, until the peers are asked whether they reach the store. */
 async function loseStore (whenPeersAreAsked: (store: MemoryTransactionalStore) => void): Promise<{ readonly releases: number, readonly lost: readonly string[] }> {
   const store = new MemoryTransactionalStore()
--- a/src/coordinator/election.ts
+++ b/src/coordinator/election.ts
@@ -163,10 +163,10 @@
     await this.resign('the instance is stopping')
   }
 
-  /** Resigns as coordinator and ends the election lease. */
-  async resign (reason: string): Promise<void> {
+  /** Resigns as coordinator and ends the election lease; has no effect on an election other than the given one. */
+  async resign (reason: string, fence = this.#ownElection?.fence): Promise<void> {
     const held = this.#ownElection
-    if (held === undefined) return
+    if (held === undefined || held.fence !== fence) return
     this.#endTerm(reason)
     try {
       await this.#options.store.endLease(held.lease)
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -266,7 +266,7 @@
       storeFails: () => this.#election.storeFails,
       confirmLeadership: async () => await this.#election.confirm(),
       renewElection: () => this.#election.renewNow(),
-      resign: reason => runInBackground(this.#election.resign(reason), logger, 'resignation'),
+      resign: reason => runInBackground(this.#election.resign(reason, info.fence), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
       finishedJobMs: options.finishedJobMs()
     })
@@ -274,7 +274,7 @@
     logger.info({ fence: info.fence }, 'elected as coordinator')
     coordinator.open().catch(error => {
       logger.error({ error: String(error), fence: info.fence }, 'start of the coordinator failed; resigning')
-      runInBackground(this.#election.resign('recovery failed'), logger, 'resignation')
+      runInBackground(this.#election.resign('recovery failed', info.fence), logger, 'resignation')
     })
   }
 
