Plan the whole stop from the signal, and answer every open call in it

Cause: the steps of the stop each had a time of their own, one after the other: the hand-over (a call to the store, up to 1.5 s), the leave delay of 2.5 s, and 5 s for each component. Answers carried `connection: close` only after the hand-over. An open call was bounded only by what its caller had asked for.

Change: all times count from the signal. Connections begin to close at once, the hand-over runs beside the leave delay, a call that is still open at 5/6 of the grace period is answered with 504, one that arrives later with 503, and the components share what is left until 11/12 of it.

--- a/src/lifecycle/lifecycleManager.test.ts
+++ b/src/lifecycle/lifecycleManager.test.ts
@@ -47,3 +47,15 @@
   t.deepEqual(failures.map(failure => failure.component), ['server', 'peers'])
   t.deepEqual(events, ['start store', 'start peers', 'start server', 'stop store'])
 })
+
+// Guards against time-outs of the single components that add up beyond the time after which the platform kills the process.
+test('components that hang share the time of the whole stop', async t => {
+  const events: string[] = []
+  const manager = new LifecycleManager(60_000)
+  for (const name of ['store', 'peers']) manager.add(createRecordingComponent(name, events, 'hang'))
+  manager.add(createRecordingComponent('server', events))
+  await manager.start()
+  const failures = await manager.stop(20)
+  t.deepEqual(failures.map(failure => failure.component), ['peers', 'store'])
+  t.true(events.includes('stop server'))
+})
--- a/src/lifecycle/lifecycleManager.ts
+++ b/src/lifecycle/lifecycleManager.ts
@@ -41,12 +41,16 @@
     }
   }
 
-  /** Stops the started components in reverse order and returns the failures. */
-  async stop (): Promise<readonly StopFailure[]> {
+  /**
+   * Stops the started components in reverse order and returns the failures. `totalMs` limits the time that all take
+   * together; components that it leaves no time are stopped without waiting for them.
+   */
+  async stop (totalMs = Infinity): Promise<readonly StopFailure[]> {
     const failures: StopFailure[] = []
+    const startedAtMs = performance.now()
     for (let component = this.#started.pop(); component !== undefined; component = this.#started.pop()) {
       try {
-        await this.#stopComponent(component)
+        await this.#stopComponent(component, Math.min(this.#stopTimeoutMs, Math.max(0, startedAtMs + totalMs - performance.now())))
       } catch (error) {
         failures.push({ component: component.name, error })
       }
@@ -54,11 +58,11 @@
     return failures
   }
 
-  async #stopComponent (component: Component): Promise<void> {
+  async #stopComponent (component: Component, timeoutMs: number): Promise<void> {
     const abort = new AbortController()
     const timer = setTimeout(
-      () => abort.abort(new Error(`component ${component.name} did not stop within ${this.#stopTimeoutMs} ms`)),
-      this.#stopTimeoutMs)
+      () => abort.abort(new Error(`component ${component.name} did not stop within ${Math.round(timeoutMs)} ms`)),
+      timeoutMs)
     const aborted = new Promise<never>((_resolve, reject) => {
       abort.signal.addEventListener('abort', () => reject(abort.signal.reason), { once: true })
     })
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -4,7 +4,8 @@
 import { GracefulServerClose } from '../adapters/http/gracefulServerClose.ts'
 import { readRequestBody } from '../adapters/http/readRequestBody.ts'
 import { listenOn } from '../adapters/network.ts'
-import type { CallAction, CallerAnswer, CallerCall, CallHandler } from '../entry/callerCall.ts'
+import { unavailable } from '../entry/callerCall.ts'
+import type { CallAction, CallerAnswer, CallerCall, CallerRequest, CallHandler } from '../entry/callerCall.ts'
 import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError } from '../model/errors.ts'
@@ -17,6 +18,7 @@
 const KEEP_ALIVE_TIMEOUT_MS = 60_000
 /** Used while no limit is known. */
 const DEFAULT_MAX_BODY_BYTES = 262_144
+const STOPPING_MESSAGE = 'the instance is stopping'
 
 const ACTION_BY_METHOD: Readonly<Record<string, CallAction>> = { POST: 'submit', GET: 'read', DELETE: 'cancel' }
 
@@ -39,6 +41,10 @@
   readonly #options: CallerFrontendOptions
   #gracefulClose: GracefulServerClose | undefined
   #closing = false
+  /** Settle the calls that have no answer yet. */
+  readonly #openCalls = new Set<(answer: CallerAnswer) => void>()
+  #answersExpired = false
+  #answerTimer: NodeJS.Timeout | undefined
 
   constructor (options: CallerFrontendOptions) {
     this.#options = options
@@ -55,14 +61,19 @@
     await listenOn(server, this.#options.address)
   }
 
-  /** Closes each connection after its next answer. Idle connections stay open, since a request may already be in transit. */
-  beginClosing (): void {
+  /**
+   * Closes each connection after its next answer. Idle connections stay open, since a request may already be in transit.
+   * Calls that have no answer after `answerMs` are answered as `unknown`.
+   */
+  beginClosing (answerMs: number): void {
     this.#closing = true
+    this.#answerTimer ??= setTimeout(() => this.#expireAnswers(), answerMs)
   }
 
   async stop (signal: AbortSignal): Promise<void> {
     this.#closing = true
     await this.#gracefulClose?.close(signal)
+    clearTimeout(this.#answerTimer)
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -79,7 +90,7 @@
   }
 
   async #answer (action: CallAction | undefined, path: string, request: IncomingMessage, body: Buffer | undefined): Promise<CallerAnswer> {
-    const { handler, desiredState } = this.#options
+    const { desiredState } = this.#options
     if (action === undefined) return { outcome: 'invalid', message: `the method ${request.method} is not supported` }
     if (body === undefined) return { outcome: 'invalid', message: 'the body is too large' }
     let definition = ''
@@ -97,7 +108,21 @@
       definition,
       desiredStateVersion: desiredState().version
     }
-    return await handler.handle({ call, callerTimeoutMs: parseCallerTimeout(request.headers[CALLER_TIMEOUT_HEADER]) })
+    return await this.#handle({ call, callerTimeoutMs: parseCallerTimeout(request.headers[CALLER_TIMEOUT_HEADER]) })
+  }
+
+  #handle (request: CallerRequest): Promise<CallerAnswer> {
+    if (this.#answersExpired) return Promise.resolve(unavailable(STOPPING_MESSAGE))
+    return new Promise((resolve, reject) => {
+      this.#openCalls.add(resolve)
+      this.#options.handler.handle(request).then(resolve, reject).finally(() => this.#openCalls.delete(resolve))
+    })
+  }
+
+  #expireAnswers (): void {
+    this.#answersExpired = true
+    if (this.#openCalls.size > 0) this.#options.logger.warn({ calls: this.#openCalls.size }, 'answering open calls as unknown, since the stop leaves them no more time')
+    for (const resolve of this.#openCalls) resolve({ outcome: 'unknown', message: STOPPING_MESSAGE })
   }
 
   #write (response: ServerResponse, { status, body, retryAfterSeconds }: HttpAnswer): void {
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -27,8 +27,9 @@
 const LEASE_MARGIN_MS = 500
 /** Time for which a stopping instance keeps serving, so that the load balancer and the callers can switch to other instances. */
 const LEAVE_DELAY_MS = 2_500
-/** Part of the platform's stop grace period that is reserved for closing what is still open. */
-const STOP_MARGIN_MS = 1_000
+/** Parts of the platform's stop grace period, from the signal on: until the last open call is answered, and for the whole stop. */
+const ANSWER_SHARE = 5 / 6
+const STOP_SHARE = 11 / 12
 const READY_PATH = '/-/readyz'
 const METRICS_PATH = '/metrics'
 
@@ -93,7 +94,7 @@
   let stopping = false
   const readinessServer = createReadinessServer(settings.readinessAddress, () => !stopping && instance.canServeCalls)
 
-  const manager = new LifecycleManager(settings.stopGraceMs - STOP_MARGIN_MS)
+  const manager = new LifecycleManager(settings.stopGraceMs * STOP_SHARE)
   for (const component of [store, peers, reloader, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
@@ -125,18 +126,23 @@
   readonly logger: Logger
 }
 
-/** Hands over, keeps serving while the load balancer takes the instance out of use, then stops the components. */
+/**
+ * Hands over and keeps serving while the load balancer takes the instance out of use, then stops the components. All times
+ * count from the signal, whatever one step takes, since the platform then kills the process.
+ */
 function createStopSequence ({ manager, instance, frontend, reloader, clock, logger }: StopDependencies): { readonly done: Promise<void>, run (): Promise<void> } {
   let resolveDone: () => void = () => {}
   const done = new Promise<void>(resolve => { resolveDone = resolve })
   return {
     done,
     async run () {
+      const { stopGraceMs } = reloader.current
+      const startedAtMs = clock.monotonicMs()
       logger.info({ leaveMs: LEAVE_DELAY_MS }, 'instance stops')
-      await instance.stepDown()
-      frontend.beginClosing()
-      await clock.sleep(Math.min(LEAVE_DELAY_MS, reloader.current.stopGraceMs / 2))
-      const failures = await manager.stop()
+      frontend.beginClosing(stopGraceMs * ANSWER_SHARE)
+      runInBackground(instance.stepDown(), logger, 'hand-over')
+      await clock.sleep(Math.min(LEAVE_DELAY_MS, stopGraceMs / 2))
+      const failures = await manager.stop(startedAtMs + stopGraceMs * STOP_SHARE - clock.monotonicMs())
       for (const { component, error } of failures) logger.warn({ component, error: String(error) }, 'a component did not stop in time')
       logger.info('instance stopped')
       resolveDone()
