Answer a call that fails unexpectedly as unknown instead of resetting it

What callers would see: an error that nobody expects, thrown while a whole request is handled, ended the connection without an answer, which breaks the rule LOST around planned work; the log line had no stack.

Change: a request that was read whole is answered with 504, which claims nothing about its effect; the log line has the stack and says whether the request was complete. Requests that broke off end as before.

Evidence: the test failed before ("fetch failed"). No input was found that throws here: nine bodies with extreme nesting, sizes and types were all decoded or refused as invalid.

--- a/src/platform/callerFrontend.test.ts
+++ b/src/platform/callerFrontend.test.ts
@@ -14,6 +14,12 @@
   return { frontend, call: async () => (await fetch(`http://${address}/checks/0000000000000001`)).status }
 }
 
+// Guards against a connection that ends without an answer after the request was read.
+test('a call that fails unexpectedly is answered as unknown', async t => {
+  const { call } = await startFrontend(t, 23_910, async () => { throw new Error('a bug') })
+  t.is(await call(), 504)
+})
+
 // Guards against calls that are still open when the platform kills the stopping process.
 test('calls that the stop leaves no time are answered: open ones as unknown, later ones as refused', async t => {
   const { frontend, call } = await startFrontend(t, 23_920, async () => await new Promise(() => {}))
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -53,8 +53,9 @@
   async start (): Promise<void> {
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (request, response) => {
       this.#serve(request, response).catch(error => {
-        this.#options.logger.warn({ error: String(error), path: request.url }, 'failed to answer a call')
-        response.destroy()
+        this.#options.logger.error({ error: error instanceof Error ? error.stack : String(error), path: request.url, complete: request.complete }, 'failed to answer a call')
+        if (!request.complete || response.headersSent) response.destroy()
+        else this.#write(response, encodeAnswer({ outcome: 'unknown', message: 'internal error of the instance' }))
       })
     })
     this.#gracefulClose = new GracefulServerClose(server)
