Handle signals and unexpected errors from before the start to the end of the process

Cause: runUntilStopped got an instance that had already been started, and removed all handlers at the end of the stop.

Change: runUntilStopped starts the instance itself. The handlers are there before and stay until the process ends, except when the instance fails, so that signals can still end a process in which something is left open. A stop signal during the start takes effect after it. An error during the start is printed and does not end the process.

The assertion that nothing is left on the process after a stop stated the fault, and now holds after a failure; the two new tests failed before.

--- a/src/commands/runUntilStopped.test.ts
+++ b/src/commands/runUntilStopped.test.ts
@@ -1,8 +1,10 @@
 import { EventEmitter } from 'node:events'
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import test from 'ava'
+import type { RunningInstance } from '../instance/runningInstance.ts'
 import { runUntilStopped } from './runUntilStopped.ts'
 
-function createInstance (): { readonly calls: string[], readonly instance: Parameters<typeof runUntilStopped>[0] } {
+function createInstance (): { readonly calls: string[], readonly instance: RunningInstance } {
   const calls: string[] = []
   let resolveStopped: () => void = () => {}
   const stopped = new Promise<void>(resolve => { resolveStopped = resolve })
@@ -23,20 +25,47 @@
 test('an unexpected error is logged and does not end the process', async t => {
   const events = new EventEmitter()
   const { calls, instance } = createInstance()
-  const running = runUntilStopped(instance, events)
+  const running = runUntilStopped(async () => instance, events)
+  await nextTurn()
   t.true(events.emit('uncaughtException', new Error('a bug')), 'without a listener, Node.js ends the process')
   t.true(events.emit('unhandledRejection', new Error('another bug')))
   events.emit('SIGHUP')
   events.emit('SIGTERM')
   await running
   t.deepEqual(calls, ['error: Error: a bug', 'error: Error: another bug', 'reload: SIGHUP', 'stop'])
-  t.deepEqual(events.eventNames(), [], 'nothing is left on the process')
+})
+
+// Guards against exit codes other than 0 from signals and errors between the end of a stop and the end of the process.
+test('signals and errors after the stop do not end the process by their default action', async t => {
+  const events = new EventEmitter()
+  const { calls, instance } = createInstance()
+  const running = runUntilStopped(async () => instance, events)
+  await nextTurn()
+  events.emit('SIGTERM')
+  await running
+  for (const event of ['SIGTERM', 'SIGINT', 'SIGHUP', 'unhandledRejection', 'uncaughtException']) t.true(events.emit(event), event)
+  t.true(calls.includes('error: undefined'))
+})
+
+// Guards against a process that ends with a signal or with code 1 because it was told to stop, or met an error, while starting.
+test('a stop signal during the start takes effect after it, and an error during the start does not end the process', async t => {
+  const events = new EventEmitter()
+  const { calls, instance } = createInstance()
+  const running = runUntilStopped(async () => {
+    t.true(events.emit('SIGTERM'))
+    t.true(events.emit('unhandledRejection', new Error('a bug')))
+    return instance
+  }, events)
+  await running
+  t.deepEqual(calls, ['stop'])
 })
 
 test('a stop that fails is reported to the command instead of leaving the process running', async t => {
   const events = new EventEmitter()
   const { instance } = createInstance()
-  const running = runUntilStopped({ ...instance, stop: async () => { throw new Error('the stop failed') } }, events)
+  const running = runUntilStopped(async () => ({ ...instance, stop: async () => { throw new Error('the stop failed') } }), events)
+  await nextTurn()
   events.emit('SIGINT')
   await t.throwsAsync(running, { message: 'the stop failed' })
+  t.deepEqual(events.eventNames(), [], 'signals end a process in which something is left open')
 })
--- a/src/commands/runUntilStopped.ts
+++ b/src/commands/runUntilStopped.ts
@@ -1,4 +1,4 @@
-/** Connects a running instance to the events of its process. */
+/** Connects an instance to the events of its process. */
 import type { EventEmitter } from 'node:events'
 import type { RunningInstance } from '../instance/runningInstance.ts'
 
@@ -9,25 +9,36 @@
 const ERROR_EVENTS = ['uncaughtException', 'unhandledRejection'] as const
 
 /**
- * Handles stop and reload signals and unexpected errors until the instance has stopped.
+ * Starts the instance, and handles stop and reload signals and unexpected errors from before its start until the process
+ * ends: a signal or an error that comes between the end of the stop and the end of the process must not change its exit
+ * code. A stop signal during the start takes effect after it.
  *
  * @example
- * await runUntilStopped(instance, process)
+ * await runUntilStopped(async () => await startOnPlatform(path), process)
  */
-export async function runUntilStopped (instance: RunningInstance, events: EventEmitter): Promise<void> {
+export async function runUntilStopped (start: () => Promise<RunningInstance>, events: EventEmitter): Promise<void> {
+  let instance: RunningInstance | undefined
+  let stopRequested = false
   let onFailure: (error: unknown) => void = () => {}
   const failure = new Promise<never>((_resolve, reject) => { onFailure = reject })
-  const stop = (): void => { instance.stop().catch(onFailure) }
-  const reload = (): void => instance.reload?.(RELOAD_SIGNAL)
-  const logError = (error: unknown): void => instance.logUnexpectedError(error)
+  const stop = (): void => {
+    stopRequested = true
+    instance?.stop().catch(onFailure)
+  }
+  const reload = (): void => instance?.reload?.(RELOAD_SIGNAL)
+  const logError = (error: unknown): void => instance === undefined ? console.error('unexpected error during the start:', error) : instance.logUnexpectedError(error)
   for (const signal of STOP_SIGNALS) events.on(signal, stop)
   for (const event of ERROR_EVENTS) events.on(event, logError)
-  if (instance.reload !== undefined) events.on(RELOAD_SIGNAL, reload)
   try {
+    instance = await start()
+    if (instance.reload !== undefined) events.on(RELOAD_SIGNAL, reload)
+    if (stopRequested) stop()
     await Promise.race([instance.stopped, failure])
-  } finally {
+  } catch (error) {
+    // What is left open keeps the process running, so that signals need their default action.
     for (const signal of STOP_SIGNALS) events.off(signal, stop)
     for (const event of ERROR_EVENTS) events.off(event, logError)
     events.off(RELOAD_SIGNAL, reload)
+    throw error
   }
 }
--- a/src/commands/serveCommand.ts
+++ b/src/commands/serveCommand.ts
@@ -40,8 +40,8 @@
   handler: async (args: ServeArguments) => await run(async () => {
     requireOneMode(args)
     if (args.platform) return await serveOnPlatform(context.environment)
-    const instance = args.settings === undefined ? await (await loadStartEmbedded())() : await startFromFile(args.settings)
-    await runUntilStopped(instance, process)
+    const { settings } = args
+    await runUntilStopped(settings === undefined ? await loadStartEmbedded() : async () => await startFromFile(settings), process)
     return EXIT_CODES.done
   })
 })
--- a/src/commands/serveOnPlatform.ts
+++ b/src/commands/serveOnPlatform.ts
@@ -17,7 +17,7 @@
   const path = environment[PLATFORM_SETTINGS_VARIABLE]
   if (path === undefined || path === '') throw new CommandError(`--platform needs the path of the settings file in ${PLATFORM_SETTINGS_VARIABLE}`, EXIT_CODES.usageError)
   const startOnPlatform = await loadStartOnPlatform()
-  await runUntilStopped(await startOnPlatform(path), process)
+  await runUntilStopped(async () => await startOnPlatform(path), process)
   return EXIT_CODES.done
 }
 
