Test that no task stays assigned or waiting for ever

The coordinator's book was suspected to keep tasks that nothing runs (LOST): assignments that are reserved, being stopped or of an earlier coordinator, members of gangs, and steps that leave the queue. No test showed what happens to them once the faults have ended.

The new test runs whole coordinators with their log, their placement and their advice on a manual clock, beside targets that follow the platform's protocol: orders that are lost, executed without an answer, or executed up to 11 s late, refusals, restarts, targets that leave the list, commits that fail or whose answer is lost, and changes of coordinator, with single, wide, large, chained, gang and lasting steps on urgent, batch and advised queues under a cap. A minute after the faults have ended, every accepted job must be completed and every lasting task must run.

--- /dev/null
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -0,0 +1,69 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { QueueSettings } from '../jobs/desiredState.ts'
+import type { StepDefinition } from '../jobs/job.ts'
+import { createStep } from '../jobs/testing/definitions.ts'
+import { resources } from '../model/resources.ts'
+import type { CommitFault } from './testing/memoryTransactionalStore.ts'
+import { QUEUES, SimulatedCluster } from './testing/simulatedCluster.ts'
+import { TARGET_FAULTS } from './testing/simulatedTarget.ts'
+import type { TargetFault } from './testing/simulatedTarget.ts'
+
+const TARGETS = 4
+const SEED = 37
+const RUNS = 20
+
+const STEPS: Readonly<Record<string, readonly StepDefinition[]>> = {
+  single: [createStep(1)],
+  wide: [createStep(6)],
+  large: [createStep(1, { size: resources({ processors: 7_000, memory: 10 }) })],
+  chain: [createStep(2), createStep(2, { after: [0] }), createStep(1, { after: [1], gang: true })],
+  gang: [createStep(5, { gang: true, size: resources({ processors: 2_000, memory: 10 }) })],
+  lasting: [createStep(1, { longRunning: true })]
+}
+
+type Step =
+  | { readonly type: 'submit', readonly kind: string, readonly queue: number }
+  | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault }
+  | { readonly type: 'restart', readonly target: number }
+  | { readonly type: 'unlist', readonly target: number, readonly listed: boolean }
+  | { readonly type: 'store', readonly faults: readonly CommitFault[] }
+  | { readonly type: 'successor', readonly gapMs: number }
+  | { readonly type: 'wait', readonly ms: number }
+
+const target = fc.integer({ min: 0, max: TARGETS - 1 })
+const anyStep: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('submit' as const), kind: fc.constantFrom(...Object.keys(STEPS)), queue: fc.integer({ min: 0, max: QUEUES.length - 1 }) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 3_000 }) }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('fault' as const), target, fault: fc.constantFrom(...TARGET_FAULTS) }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('restart' as const), target }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('unlist' as const), target, listed: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('store' as const), faults: fc.array(fc.constantFrom<CommitFault[]>('none', 'unavailable', 'lost'), { maxLength: 5 }) }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('successor' as const), gapMs: fc.integer({ min: 0, max: 3_000 }) }) }
+)
+
+async function apply (cluster: SimulatedCluster, step: Step): Promise<void> {
+  switch (step.type) {
+    case 'submit': cluster.submit(step.kind, QUEUES[step.queue] as QueueSettings, STEPS[step.kind] ?? []); return
+    case 'fault': cluster.target(step.target).fault = step.fault; return
+    case 'restart': return cluster.restartTarget(step.target)
+    case 'unlist': cluster.target(step.target).listed = step.listed; return
+    case 'store': return cluster.failCommits(step.faults)
+    case 'successor': return await cluster.startSuccessor(step.gapMs)
+    case 'wait': return await cluster.clock.advance(step.ms)
+  }
+}
+
+// Guards against tasks that no longer run though they could, after orders, reports or coordinators were lost.
+test('once all faults have ended, every accepted job is completed and every lasting task runs', async t => {
+  const property = fc.asyncProperty(fc.array(anyStep, { minLength: 5, maxLength: 25 }), fc.integer({ min: 100, max: 11_000 }), fc.boolean(), async (steps, lateMs, failing) => {
+    const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs, failing })
+    await cluster.elect()
+    await cluster.clock.advance(1_000)
+    for (const step of steps) await apply(cluster, step)
+    const stuck = await cluster.findStuckJobs()
+    cluster.close()
+    if (stuck.length > 0) throw new Error(stuck.join('; '))
+  })
+  await t.notThrowsAsync(async () => await fc.assert(property, { seed: SEED, numRuns: RUNS }))
+})
--- /dev/null
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -0,0 +1,174 @@
+/** A coordinator with its log and targets on a manual clock, for model-based tests. */
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import type { DesiredState, QueueSettings } from '../../jobs/desiredState.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import { createJobRecord, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
+import { createLogger } from '../../observability/logger.ts'
+import { AdviceLanes } from '../adviceLanes.ts'
+import { DesiredStateWatcher } from '../desiredStateWatcher.ts'
+import { COORDINATOR_KEY } from '../election.ts'
+import { JobCoordinator } from '../jobCoordinator.ts'
+import { MemoryTransactionalStore } from './memoryTransactionalStore.ts'
+import type { CommitFault } from './memoryTransactionalStore.ts'
+import { SimulatedTarget } from './simulatedTarget.ts'
+
+const CAPACITY = resources({ processors: 8_000, memory: 8_000 })
+export const URGENT: QueueSettings = { ...TEST_QUEUE, name: 'checks', pathPrefix: '/checks/', priority: 0, maximumFailures: 100 }
+export const BATCH: QueueSettings = { ...TEST_QUEUE, maximumFailures: 100, stretchFactor: 50 }
+export const ADVISED: QueueSettings = { ...BATCH, name: 'advised', pathPrefix: '/advised/', advice: { decisionMs: 20, perTargetMs: 1, ticketValidityMs: 2_000 } }
+export const QUEUES: readonly QueueSettings[] = [URGENT, BATCH, ADVISED]
+const WORK_MS = 700
+/** Longer than withdrawals of late orders and the expiry of leases take, with time for the work itself. */
+const RECOVERY_MS = 60_000
+const DESIRED_KEY = 'desired'
+
+export interface SimulatedClusterOptions {
+  readonly targets: number
+  /** Processors that the team may use. */
+  readonly cap: number
+  /** Delay of orders that are executed late. */
+  readonly lateMs: number
+  /** Whether each first run of a task fails. */
+  readonly failing: boolean
+}
+
+/** A store whose calls take time, and whose watches end without a change. */
+class SlowStore extends MemoryTransactionalStore {
+  readonly #clock: ManualClock
+
+  constructor (clock: ManualClock) {
+    super()
+    this.#clock = clock
+  }
+
+  override async commit (...[transaction]: Parameters<MemoryTransactionalStore['commit']>): ReturnType<MemoryTransactionalStore['commit']> {
+    await this.#clock.sleep(5)
+    return await super.commit(transaction)
+  }
+
+  override async watch (...[prefix, after]: Parameters<MemoryTransactionalStore['watch']>): ReturnType<MemoryTransactionalStore['watch']> {
+    await this.#clock.sleep(1_000)
+    return await super.watch(prefix, after)
+  }
+}
+
+export class SimulatedCluster {
+  readonly clock = new ManualClock()
+  readonly #store = new SlowStore(this.clock)
+  readonly #logger = createLogger({ level: process.env['LEVEL'] === undefined ? 'silent' : 'info', instance: 'test', dataCentre: 'test', secrets: [] })
+  readonly #targets: readonly SimulatedTarget[]
+  /** Kind of each accepted job, by id. */
+  readonly accepted = new Map<string, string>()
+  #submittedJobs = 0
+  #hasRestarts = false
+  #coordinator: JobCoordinator | undefined
+
+  constructor ({ targets, cap, lateMs, failing }: SimulatedClusterOptions) {
+    const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
+    this.#store.put(DESIRED_KEY, JSON.stringify(state))
+    this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
+      id: `worker-${number}`,
+      clock: this.clock,
+      workMs: task => task.startsWith('lasting') ? Infinity : WORK_MS,
+      endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
+      lateMs
+    }))
+  }
+
+  get coordinator (): JobCoordinator {
+    if (this.#coordinator === undefined) throw new Error('there is no coordinator')
+    return this.#coordinator
+  }
+
+  /** Ends the term of the coordinator and starts the next one. */
+  async elect (): Promise<void> {
+    const { clock } = this
+    this.#coordinator?.close()
+    this.#store.put(COORDINATOR_KEY, '')
+    const fence = this.#store.items.get(COORDINATOR_KEY)?.revision ?? 0
+    const desired = new DesiredStateWatcher({ store: this.#store, key: DESIRED_KEY, parse: text => JSON.parse(text) as DesiredState, clock, logger: this.#logger })
+    desired.follow()
+    const lanes = new AdviceLanes(clock)
+    lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: 'ticket' }))) }, weight: 1 }])
+    let hasAuthority = true
+    const coordinator: JobCoordinator = new JobCoordinator({
+      store: this.#store,
+      clock,
+      logger: this.#logger,
+      info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
+      connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
+      prepareConnections: async () => {},
+      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: '', capacity: CAPACITY, labels: [], draining: false }] : []) },
+      desired,
+      lanes,
+      hasAuthority: () => hasAuthority && this.#coordinator === coordinator,
+      storeFails: () => false,
+      confirmLeadership: async () => true,
+      resign: () => { hasAuthority = false },
+      renewElection: () => {},
+      targetLeaseMs: 9_500,
+      finishedJobMs: 600_000
+    })
+    this.#coordinator = coordinator
+    const opened = coordinator.open()
+    await clock.advance(500)
+    await opened
+  }
+
+  async startSuccessor (gapMs: number): Promise<void> {
+    this.coordinator.close()
+    await this.clock.advance(gapMs)
+    await this.elect()
+  }
+
+  restartTarget (number: number): void {
+    this.#hasRestarts = true
+    this.target(number).restart()
+  }
+
+  target (number: number): SimulatedTarget {
+    const target = this.#targets[number]
+    if (target === undefined) throw new Error(`there is no target ${number}`)
+    return target
+  }
+
+  failCommits (faults: readonly CommitFault[]): void {
+    this.#store.commitFaults.push(...faults)
+  }
+
+  /** Submits a job that counts as accepted when it is durable. */
+  submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[]): string {
+    const id = `${kind}-${this.#submittedJobs++}`
+    const { coordinator } = this
+    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...createJobRecord(id, steps), queue: queue.name }])
+    const job = coordinator.table.jobs.get(id)
+    if (job !== undefined) coordinator.enqueueJob(job)
+    durable.then(() => this.accepted.set(id, kind), () => {})
+    return id
+  }
+
+  /** Ends all faults, and returns the accepted jobs that are not what they should be a while later. */
+  async findStuckJobs (): Promise<readonly string[]> {
+    for (const each of this.#targets) {
+      each.fault = 'none'
+      each.listed = true
+    }
+    await this.clock.advance(RECOVERY_MS)
+    const { table } = this.coordinator
+    const running = this.#targets.flatMap(each => each.running)
+    return [...this.accepted].filter(([id, kind]) => {
+      const state = table.finished.get(id)?.state
+      // A job under which targets crashed may have been given up.
+      if (state === 'failed' && this.#hasRestarts) return false
+      return kind === 'lasting' ? !running.includes(`${id}.0.0.0`) : state !== 'completed'
+    }).map(([id]) => {
+      const tasks = table.jobs.get(id)?.steps.flatMap(step => step.tasks.map(task => `${task.name} ${task.state} ${task.attempt} ${task.placedOn}`)) ?? []
+      return `${id}: ${tasks.join(', ')}`
+    })
+  }
+
+  close (): void {
+    this.#coordinator?.close()
+  }
+}
--- /dev/null
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -0,0 +1,135 @@
+/** A target on a manual clock that follows the platform's protocol, for model-based tests. */
+import type { ManualClock } from '../../adapters/clock/manualClock.ts'
+import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunEnd, StartOutcome, StopOrder, StopOutcome, TargetIncarnation, TaskOrder } from '../../ports/jobTarget.ts'
+
+const TRANSIT_MS = 3
+const ORDER_TIMEOUT_MS = 1_000
+const STOP_MS = 120
+
+/** `cut` loses orders, `deaf` executes them and loses the answers, `late` executes them seconds later; `refusing` answers 503. */
+export const TARGET_FAULTS = ['none', 'cut', 'deaf', 'late', 'refusing'] as const
+export type TargetFault = typeof TARGET_FAULTS[number]
+
+export interface SimulatedTargetOptions {
+  readonly id: string
+  readonly clock: ManualClock
+  /** Duration of a run in milliseconds; infinite for lasting tasks. */
+  readonly workMs: (task: string) => number
+  readonly endOf: (task: string, attempt: number) => RunEnd
+  readonly lateMs: number
+}
+
+interface Run { readonly task: string, readonly attempt: number, stopping: boolean }
+
+export class SimulatedTarget {
+  readonly #options: SimulatedTargetOptions
+  bornMs = 1
+  fault: TargetFault = 'none'
+  listed = true
+  #fence = 0
+  #runs = new Map<string, Run>()
+  #finished: FinishedRun[] = []
+  #nextNumber = 1
+  #endedAttempts = new Map<string, number>()
+  #leaseUntilMs = 0
+
+  constructor (options: SimulatedTargetOptions) {
+    this.#options = options
+  }
+
+  get running (): readonly string[] {
+    return [...this.#runs.keys()]
+  }
+
+  /** Loses all runs, and starts a new incarnation under the same id. */
+  restart (): void {
+    this.bornMs += 1
+    this.#fence = this.#leaseUntilMs = 0
+    this.#nextNumber = 1
+    this.#runs = new Map()
+    this.#finished = []
+    this.#endedAttempts = new Map()
+  }
+
+  connect (_incarnation: TargetIncarnation): JobTargetClient {
+    return {
+      start: async order => await this.#receive<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
+      stop: async order => await this.#receive<StopOutcome>(() => this.#stop(order), 'unknown', 'unknown'),
+      renew: async order => await this.#renew(order),
+      close: async () => {}
+    }
+  }
+
+  async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
+    const { clock, lateMs } = this.#options
+    await clock.sleep(TRANSIT_MS)
+    if (this.fault === 'none') return execute()
+    if (this.fault === 'refusing') return refused
+    if (this.fault === 'deaf') execute()
+    if (this.fault === 'late') clock.schedule(lateMs, execute)
+    await clock.sleep(ORDER_TIMEOUT_MS)
+    return unanswered
+  }
+
+  #start ({ task, attempt, leaseUntilTargetMs, fencingToken }: TaskOrder): StartOutcome {
+    const { clock, workMs, endOf } = this.#options
+    const clockMs = clock.monotonicMs()
+    if (fencingToken < this.#fence) return { outcome: 'refused', refusal: 'fenced' }
+    this.#fence = fencingToken
+    if (leaseUntilTargetMs < clockMs) return { outcome: 'refused', refusal: 'too-late' }
+    this.#extendLease(leaseUntilTargetMs)
+    if (this.#runs.get(task)?.attempt === attempt) return { outcome: 'started', clockMs }
+    if (attempt <= (this.#endedAttempts.get(task) ?? 0) || this.#runs.has(task)) return { outcome: 'refused', refusal: 'superseded' }
+    const run: Run = { task, attempt, stopping: false }
+    this.#runs.set(task, run)
+    const durationMs = workMs(task)
+    if (Number.isFinite(durationMs)) clock.schedule(durationMs, () => { if (!run.stopping) this.#end(run, endOf(task, attempt)) })
+    return { outcome: 'started', clockMs }
+  }
+
+  #stop ({ task, attempt, fencingToken }: StopOrder): StopOutcome {
+    if (fencingToken < this.#fence) return 'fenced'
+    this.#fence = fencingToken
+    this.#endedAttempts.set(task, Math.max(attempt, this.#endedAttempts.get(task) ?? 0))
+    const run = this.#runs.get(task)
+    if (run === undefined || run.attempt > attempt || run.stopping) return 'stopping'
+    run.stopping = true
+    this.#options.clock.schedule(STOP_MS, () => this.#end(run, 'stopped'))
+    return 'stopping'
+  }
+
+  async #renew ({ fencingToken, acknowledged, leaseUntilTargetMs, waitMs }: RenewOrder): Promise<RenewOutcome> {
+    const { clock } = this.#options
+    const accepted = await this.#receive<boolean | undefined>(() => {
+      if (fencingToken < this.#fence) return false
+      this.#fence = fencingToken
+      this.#finished = this.#finished.filter(({ number }) => number > acknowledged)
+      if (leaseUntilTargetMs !== undefined) this.#extendLease(leaseUntilTargetMs)
+      return true
+    }, undefined, undefined)
+    if (accepted === undefined) return { outcome: 'failed', message: 'no answer' }
+    if (!accepted) return { outcome: 'fenced' }
+    const untilMs = clock.monotonicMs() + waitMs
+    const { bornMs } = this
+    while (this.#finished.length === 0 && this.bornMs === bornMs && clock.monotonicMs() < untilMs) await clock.sleep(50)
+    if (this.fault !== 'none' || this.bornMs !== bornMs) return { outcome: 'failed', message: 'no answer' }
+    const running = [...this.#runs.values()].map(({ task, attempt }) => ({ task, attempt, checkpoint: '', percent: 0 }))
+    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: clock.monotonicMs(), running, finished: this.#finished.slice(0, 500), mayOmitFinished: this.#finished.length >= 500 } }
+  }
+
+  #extendLease (untilMs: number): void {
+    const { clock } = this.#options
+    if (untilMs <= this.#leaseUntilMs) return
+    this.#leaseUntilMs = untilMs
+    clock.schedule(untilMs - clock.monotonicMs(), () => {
+      if (this.#leaseUntilMs === untilMs) for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
+    })
+  }
+
+  #end (run: Run, end: RunEnd): void {
+    if (this.#runs.get(run.task) !== run) return
+    this.#runs.delete(run.task)
+    this.#endedAttempts.set(run.task, Math.max(run.attempt, this.#endedAttempts.get(run.task) ?? 0))
+    this.#finished.push({ number: this.#nextNumber++, task: run.task, attempt: run.attempt, end, checkpoint: '' })
+  }
+}
