Keep no processors for urgent tasks that only lasting tasks could free

Callers would see a job of which nothing runs for as long as lasting tasks do, though a target is free for it.

Cause: 5% of a service's processors are kept from non-urgent tasks, whatever runs. A task that needs more than the other 95%, or more than lasting tasks and the reserve leave, never starts: on a service of one target a task as large as the target does not start even if nothing else runs.

Change: the reserve holds while something runs in the service that will end. Then it delays a task, as it is meant to; beside nothing or only lasting tasks it would keep the task out for ever, and does not apply.

--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -63,6 +63,11 @@
     return fitting
   }
 
+  /** Whether nothing that will end runs on the service's targets. */
+  hasOnlyLastingRuns (service: string): boolean {
+    return this.sessions(service).every(({ assignments }) => [...assignments.values()].every(({ task }) => task.step.definition.longRunning))
+  }
+
   freeProcessors (service: string): number {
     return this.#freeProcessors.get(service) ?? 0
   }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -350,7 +350,9 @@
     let count = waiting
     if (queue.priority > 0 && size.processors > 0) {
       const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE_RATIO
-      count = Math.min(count, Math.max(0, Math.floor(spare / size.processors)))
+      const unreserved = Math.max(0, Math.floor(spare / size.processors))
+      // The reserve could not be regained from lasting tasks, and would be kept for ever from a task that needs it.
+      if (unreserved < count && !pass.hasOnlyLastingRuns(queue.service)) count = unreserved
     }
     const team = pass.team(step.job.team)
     if (team !== undefined) count = this.#usage.allowedCount(team, step.definition, count, queue.priority === 0)
