Log why a step has nothing running

The coordinator now logs "a step has nothing running" at its housekeeping, for steps of which nothing has run for 3 s or more (for lasting steps: of which a task does not run): the team, the queue and the reason with its figures. The reasons are the team's cap, capacity, isolation, advice that is awaited or that allows no target with capacity, precedence of a gang, and tasks that are assigned, with their targets, the states of their assignments and how long those have lasted. At most three lines are logged in 5 s, and steps about which there are fewer lines come first.

--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/assignment.ts
@@ -17,6 +17,8 @@
   state: AssignmentState
   /** Whether a report of this incarnation showed the run; an answer to the start request may come from the next one. */
   reported = false
+  /** When the capacity was reserved by this coordinator. */
+  reservedAtMs = 0
   /** When a report first showed the run. */
   firstReportedAtMs = Infinity
   /** False while a start request is on its way, and after one without an answer, which the target may execute later. */
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -398,6 +398,7 @@
     for (const job of this.table.jobs.values()) {
       if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
     }
+    this.#placer.reportWaits()
     await this.#compactIfDue()
     this.stateChanged()
   }
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targetFleet.ts
@@ -12,6 +12,7 @@
 import { AUTHORITY_GRACE_MS } from './election.ts'
 import type { TargetListener } from './targetListener.ts'
 import { TargetSession } from './targetSession.ts'
+import type { PlacedAssignment } from './waitReport.ts'
 
 /** Interval between reads of the target list; a draining target is noticed well within its 2.5 s. */
 const DIRECTORY_INTERVAL_MS = 500
@@ -80,6 +81,11 @@
     return occupied.size === 0 ? usable : usable.filter(({ id }) => !occupied.has(id))
   }
 
+  /** All assignments with their sessions. */
+  get placed (): readonly PlacedAssignment[] {
+    return [...this.#sessions.values()].flatMap(session => [...session.assignments.values()].map(assignment => ({ session, assignment })))
+  }
+
   /** Outages of the targets that do not answer now. */
   get outages (): readonly Outage[] {
     return [...this.#sessions.values()].flatMap(({ outage }) => outage ?? [])
--- a/src/coordinator/targetSession.ts
+++ b/src/coordinator/targetSession.ts
@@ -187,6 +187,7 @@
 
   /** Reserves capacity for a task whose start has not been requested yet. */
   reserve (assignment: Assignment): void {
+    assignment.reservedAtMs = this.#options.clock.monotonicMs()
     this.#assignments.set(assignment.key, assignment)
     this.capacity.reserve(assignment.size)
   }
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -17,13 +17,15 @@
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from './admissionControl.ts'
-import { placeStep, requiredResources } from './placeStep.ts'
+import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
 import type { TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from './stepAdvice.ts'
 import { StepAdvisor } from './stepAdvisor.ts'
 import type { TargetFleet } from './targetFleet.ts'
 import type { TargetSession } from './targetSession.ts'
 import { TeamUsage } from './teamUsage.ts'
+import { WaitReport } from './waitReport.ts'
+import type { WaitExplanation } from './waitReport.ts'
 
 /** Batches changes for a short time and leaves three quarters of the processor to requests and reports. */
 const PASS_THROTTLE_LIMITS: ThrottleLimits = { minDelayMs: 5, maxDelayMs: 250, idleFactor: 3 }
@@ -61,6 +63,9 @@
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
+  /** Steps that left capacity to a waiting gang in the last full pass. */
+  #yieldingSteps: ReadonlySet<StepProgress> = new Set()
+  readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
   /** Throttled separately: few steps are urgent, so these passes are short and need not wait out the idle time of a long one. */
   readonly #urgentPassThrottle: AdaptiveThrottle
@@ -74,6 +79,7 @@
     this.#fleet = options.fleet
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
+    this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
@@ -98,6 +104,11 @@
     this.#passThrottle.request()
   }
 
+  /** Logs the steps that have had nothing running for longest; called regularly. */
+  reportWaits (): void {
+    if (this.#enabled && !this.#closed) this.#waitReport.update(this.#queuedSteps, this.#fleet.placed)
+  }
+
   /** Adds a step for placement if all steps that it depends on are done. */
   enqueueStep (step: StepProgress): void {
     if (step.job.outcome === undefined && !step.done && step.job.isReady(step)) this.#queuedSteps.add(step)
@@ -158,17 +169,22 @@
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#isolation.releaseUnneeded(nowMs)
     this.#placeSuspectedTasks(ranked, nowMs)
+    const yielding = new Set<StepProgress>()
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable.filter(session => !this.#isolation.holds(session)))
       const precedence = new GangPrecedence(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const queue = pass.queue(step.job.queue)
-        if (precedence.yields(step, queue.service)) continue
+        if (precedence.yields(step, queue.service)) {
+          yielding.add(step)
+          continue
+        }
         if (!this.#placeWaitingTasks(step, waiting, queue, pass, nowMs)) precedence.recordWaitingGang(step, queue.service)
       }
     }
     if (urgentOnly) return
+    this.#yieldingSteps = yielding
     this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
@@ -360,6 +376,28 @@
     return count === 0 ? 0 : pass.tasksThatFit(queue.service, requiredResources(step.definition), count)
   }
 
+  #explainWait (step: StepProgress): WaitExplanation {
+    const { definition, waiting, job } = step
+    if (waiting.length === 0) return { reason: 'assigned' }
+    const usable = this.#fleet.usable
+    const open = usable.filter(session => !this.#isolation.holds(session))
+    const pass = new PlacementPass(this.#options.desiredState(), open)
+    const queue = pass.queue(job.queue)
+    const needed = definition.gang ? waiting.length : 1
+    const targets = { targets: pass.sessions(queue.service).length, keptTargets: usable.length - open.length }
+    if (this.#isCapped(step, needed, pass, queue)) return { reason: 'cap', details: { used: this.#usage.usageOf(job.team), cap: pass.team(job.team)?.cap } }
+    if (step.suspectedTasks.some(task => task.state === 'waiting')) return { reason: 'isolation', details: targets }
+    if (this.#allowedCount(step, needed, pass, queue) < needed) {
+      return { reason: 'capacity', details: { ...targets, freeProcessors: pass.freeProcessors(queue.service), totalProcessors: pass.totalProcessors(queue.service) } }
+    }
+    const advice = this.#advisor.findAdvice(step)
+    if (this.#yieldingSteps.has(step)) return { reason: 'gang-precedence', details: targets }
+    if (queue.advice === undefined) return { reason: 'next-pass', details: targets }
+    if (advice?.answered !== true || advice.openQuestions > 0) return { reason: 'advice-awaited', details: { ...targets, openQuestions: advice?.openQuestions ?? 0 } }
+    const allowed = pass.sessions(queue.service).filter(session => advice.allows(session.key))
+    return { reason: 'advice', details: { ...targets, allowed: allowed.length, allowedWithCapacity: allowed.filter(({ free }) => fitsWithin(requiredResources(definition), free)).length } }
+  }
+
   #describeTarget (step: StepProgress, session: TargetSession): TargetAvailability {
     const { definition } = step
     const restrictsSharing = definition.fillsSpareProcessors || definition.responseTargetMs > 0
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -33,13 +33,17 @@
     this.#change(team, step, -1)
   }
 
+  usageOf (team: string): ComputeResources {
+    return this.#used.get(team) ?? NO_USAGE
+  }
+
   /**
    * Number of tasks that the cap allows. Non-urgent work leaves part of the cap free, so that a team's wide steps do not
    * delay its urgent jobs. While the team is idle a step may use the whole cap. Otherwise one task, or one gang, may
    * reach into the reserve, since it may need more than the unreserved part; the next one waits for work that ends.
    */
   allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean): number {
-    const used = this.#used.get(team.name) ?? NO_USAGE
+    const used = this.usageOf(team.name)
     const idle = COMPUTE_DIMENSIONS.every(dimension => used[dimension] === 0)
     const unit = step.gang ? wanted : 1
     const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
@@ -49,13 +53,13 @@
   }
 
   #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
-    const used = this.#used.get(name) ?? NO_USAGE
+    const used = this.usageOf(name)
     return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] + size[dimension] * count <= cap[dimension])
   }
 
   /** Whether the team's reserve is untouched with `count` more tasks. Lasting tasks reduce it: it could not be regained from them. */
   #leavesReserve ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
-    const used = this.#used.get(name) ?? NO_USAGE
+    const used = this.usageOf(name)
     const lasting = this.#lasting.get(name) ?? NO_USAGE
     return COMPUTE_DIMENSIONS.every(dimension => {
       if (cap[dimension] <= 0 || size[dimension] === 0) return true
