Start lasting tasks in a full service while the reserve for urgent tasks is free

Cause: 5% of a service's processors are kept from non-urgent tasks. In a service that other work keeps full that share is always free, and a lasting task that has to be started again finds nothing else: other tasks, which rank before a job that was accepted long ago, take all that ends. A lasting step also left capacity to waiting gangs for as long as its slack allowed, which is as long as its declared run time says, and nothing for a task that has none.

Change: the reserve and the precedence of gangs no longer hold lasting tasks back. The work that ends gives the reserve back, since it may not start before that much is free again.

--- a/src/coordinator/gangPrecedence.test.ts
+++ b/src/coordinator/gangPrecedence.test.ts
@@ -91,3 +91,12 @@
   t.false(precedence.yields(createTestStep('old', 0, SMALL, 1, false), SERVICE))
   t.false(precedence.yields(createTestStep('render', 8_500, GANG, 1, false), SERVICE))
 })
+
+// Guards against lasting tasks that do not run although there is capacity: how long a gang waits for more is not bounded for them.
+test('a lasting step does not yield to a waiting gang', t => {
+  const capacity: ServiceCapacity = { freeProcessors: () => 100, totalProcessors: () => 1_000 }
+  const precedence = new GangPrecedence(capacity, 9_000)
+  precedence.recordWaitingGang(createTestStep('gang', 8_000, GANG, GANG.tasks, true), SERVICE)
+  const lasting = new JobProgress(createJobRecord('lasting', [createStep(1, { longRunning: true, estimateMs: 60_000 })]), SMALL.queue, 8_500).steps[0] as StepProgress
+  t.false(precedence.yields(lasting, SERVICE))
+})
--- a/src/coordinator/gangPrecedence.ts
+++ b/src/coordinator/gangPrecedence.ts
@@ -41,10 +41,10 @@
     this.#waiting.set(service, Math.min(this.#waiting.get(service) ?? Infinity, job.queue.priority))
   }
 
-  /** Whether the step must leave capacity to a waiting gang. */
-  yields ({ job }: StepProgress, service: string): boolean {
+  /** Whether the step must leave capacity to a waiting gang. Lasting steps have no objective that bounds their wait. */
+  yields ({ job, definition }: StepProgress, service: string): boolean {
     const priority = this.#waiting.get(service)
-    if (priority === undefined || job.queue.priority <= priority || slackMs(job, this.#nowMs) <= MIN_SLACK_MS) return false
+    if (priority === undefined || definition.longRunning || job.queue.priority <= priority || slackMs(job, this.#nowMs) <= MIN_SLACK_MS) return false
     return this.#capacity.freeProcessors(service) <= this.#capacity.totalProcessors(service) * MAX_FREE_RATIO
   }
 }
--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -15,3 +15,16 @@
     cluster.close()
   }
 })
+
+// Guards against lasting tasks that do not run in a full service, although the processors reserved for urgent tasks are free.
+test('a lasting task starts in a service that other work keeps full but for the reserve for urgent tasks', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  cluster.submit('wide', BATCH, [createStep(1_000)])
+  await cluster.clock.advance(2_000)
+  const lasting = cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  await cluster.clock.advance(3_000)
+  t.true(cluster.running.length >= 30, `${cluster.running.length} of 32 processors are in use`)
+  t.true(cluster.running.some(task => task.startsWith(lasting)))
+  cluster.close()
+})
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -362,13 +362,15 @@
 
   /** Upper bound on the tasks to place, given free capacity, the team's cap and the reserve for urgent tasks. */
   #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): number {
-    const { size } = step.definition
+    const { size, gang, longRunning } = step.definition
     let count = waiting
-    if (queue.priority > 0 && size.processors > 0) {
+    // In a full service a lasting task would be kept out for ever; work that ends gives the reserve back.
+    if (queue.priority > 0 && size.processors > 0 && !longRunning) {
       const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE_RATIO
       const unreserved = Math.max(0, Math.floor(spare / size.processors))
-      // The reserve could not be regained from lasting tasks, and would be kept for ever from a task that needs it.
-      if (unreserved < count && !pass.hasOnlyLastingRuns(queue.service)) count = unreserved
+      // The reserve could not be regained from lasting tasks, and would be kept for ever from a task or gang that needs it.
+      const unit = gang ? waiting : 1
+      if (unreserved < count) count = unreserved < unit && pass.hasOnlyLastingRuns(queue.service) ? unit : unreserved
     }
     const team = pass.team(step.job.team)
     if (team !== undefined) count = this.#usage.allowedCount(team, step.definition, count, queue.priority === 0)
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -133,6 +133,10 @@
     return target
   }
 
+  get running (): readonly string[] {
+    return this.#targets.flatMap(target => target.running)
+  }
+
   failCommits (faults: readonly CommitFault[]): void {
     this.#store.commitFaults.push(...faults)
   }
@@ -156,7 +160,7 @@
     }
     await this.clock.advance(RECOVERY_MS)
     const { table } = this.coordinator
-    const running = this.#targets.flatMap(each => each.running)
+    const { running } = this
     return [...this.accepted].filter(([id, kind]) => {
       const state = table.finished.get(id)?.state
       // A job under which targets crashed may have been given up.
