--- /dev/null
+++ b/src/coordinator/taskPlacer.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava'
+import { createStep } from '../jobs/testing/definitions.ts'
+import { resources } from '../model/resources.ts'
+import { BATCH, SimulatedCluster } from './testing/simulatedCluster.ts'
+
+// Guards against tasks that never start, since the processors reserved for urgent tasks are kept from them for ever.
+test('a task that needs all processors of its service, or all that lasting tasks leave, is started', async t => {
+  for (const lasting of [0, 1_000]) {
+    const cluster = new SimulatedCluster({ targets: 1, cap: 0, lateMs: 0, failing: false })
+    await cluster.elect()
+    if (lasting > 0) cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true, size: resources({ processors: lasting }) })])
+    await cluster.clock.advance(1_000)
+    cluster.submit('whole', BATCH, [createStep(1, { size: resources({ processors: 8_000 - lasting }) })])
+    t.deepEqual(await cluster.findStuckJobs(), [])
+    cluster.close()
+  }
+})
+
+// Guards against lasting tasks that do not run in a full service, although the processors reserved for urgent tasks are free.
+test('a lasting task starts in a service that other work keeps full but for the reserve for urgent tasks', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  cluster.submit('wide', BATCH, [createStep(1_000)])
+  await cluster.clock.advance(2_000)
+  const lasting = cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  await cluster.clock.advance(3_000)
+  t.true(cluster.running.length >= 30, `${cluster.running.length} of 32 processors are in use`)
+  t.true(cluster.running.some(task => task.startsWith(lasting)))
+  cluster.close()
+})
