Count the crashes of targets for each member of a gang

What callers saw: an accepted job whose step is a gang was shown as failed (LOST) after two single, unrelated crashes of targets, at other times and under different members.

Cause: the members of a gang shared one crash history. Each task had lost one target, but the gang had two lone crashes of different targets, which give a job up. Users allow that for a task under which two targets have crashed. The wider a gang, the more often it meets unrelated crashes, and once it is isolated each of them is a lone one.

Evidence: with ten targets and a gang of four, crashes of single targets under members 0 and 1 gave the job up in the new test ("job given up" in the log, both crashes "lone", none coincident).

A member that crashes its targets is given up as before, since each of its crashes counts for it.

--- a/src/coordinator/crashEvidence.ts
+++ b/src/coordinator/crashEvidence.ts
@@ -1,6 +1,5 @@
 /** Finds out what the crash of a target says about each run that was lost with it. */
 import type { CrashEvidence } from '../jobs/crashHistory.ts'
-import { requiresIsolation } from '../jobs/crashHistory.ts'
 import type { CrashedRun, CrashRecord } from '../jobs/jobRecords.ts'
 import type { StepProgress } from '../jobs/stepProgress.ts'
 import type { Assignment } from './assignment.ts'
@@ -62,7 +61,7 @@
 /** Whether a target with these runs was kept for a suspected job. */
 export function areIsolated (runs: readonly Assignment[]): boolean {
   const suspects = runs.filter(run => !isBystander(run))
-  return new Set(suspects.map(jobOf)).size === 1 && suspects.some(({ task }) => requiresIsolation(task.step.crashHistoryOf(task)))
+  return new Set(suspects.map(jobOf)).size === 1 && suspects.some(({ task }) => task.step.isSuspected(task))
 }
 
 export interface Crash {
@@ -102,7 +101,7 @@
 
 /** A lasting task that worked on the target before the others came; it may stay where a suspected task is isolated. */
 function isBystander (run: Assignment): boolean {
-  return isLasting(run) && run.reported && !requiresIsolation(run.task.step.crashHistoryOf(run.task))
+  return isLasting(run) && run.reported && !run.task.step.isSuspected(run.task)
 }
 
 function isLasting ({ task }: Assignment): boolean {
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -67,7 +67,7 @@
     const { job, definition } = step
     const places = (target: TargetSession): number => this.#countPlaces(step, target)
     const usable = targets.filter(target => permits(target) && places(target) > 0)
-    const crashed = new Set(step.suspectedTasks.flatMap(task => step.crashHistoryOf(task).targets))
+    const crashed = new Set(step.suspectedTasks.flatMap(({ crashHistory }) => crashHistory.targets))
     const isOpen = (target: TargetSession): boolean => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns
     const vacant = usable.filter(target => isOpen(target) && isVacant(target, job) && !crashed.has(target.id))
     const kept = this.#exchangeBusy(step, usable.filter(target => this.#jobs.get(target) === job), vacant)
--- a/src/jobs/crashHistory.ts
+++ b/src/jobs/crashHistory.ts
@@ -1,4 +1,4 @@
-/** What the crashes of targets under the runs of a task, or of a gang, show about it. */
+/** What the crashes of targets under the runs of a task show about it. */
 
 /**
  * How a run was involved when its target crashed. `cleared`: it had been at work there for long, so it is not the cause.
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -75,8 +75,6 @@
   readonly gangFailures: number
   readonly failedGangAttempt: number
   readonly gangCheckpoint: string
-  /** Absent if no target crashed under the gang. */
-  readonly gangCrashHistory?: CrashHistory
 }
 
 export type StepRecord = StepSnapshot & {
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -100,6 +100,16 @@
   t.is(table.jobs.get('a')?.steps[0]?.waiting.length, 1)
 })
 
+// A gang on many targets meets unrelated crashes; they must not add up to the proof that one member is the cause.
+test('a gang is not given up for lone crashes under different members, but is isolated as a whole', t => {
+  const table = createTable([createJobRecord('a', [createStep(3, { gang: true })])])
+  for (const index of [0, 1, 2]) table.apply(crashed('a', 0, index, index + 1, 'lone'))
+  t.is(table.jobs.get('a')?.outcome, undefined)
+  t.is(createTable(table.toRecords()).jobs.get('a')?.steps[0]?.suspectedTasks.length, 3, 'also from a snapshot')
+  table.apply(crashed('a', 0, 0, 4, 'lone'))
+  t.is(table.jobs.get('a')?.outcome, 'failed')
+})
+
 test('a job is given up when lone crashes show that one of its tasks, or its gang, crashes the targets that start it', t => {
   const table = createTable([createJobRecord('a', [createStep(2)]), createJobRecord('b', [createStep(2, { gang: true })]), createJobRecord('c', [createStep(1, { longRunning: true })])])
   const state = (id: string): unknown => table.jobs.get(id)?.state
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -306,6 +306,23 @@
   await cluster.stop()
 })
 
+// Each crash hits another member; a gang that spans many targets meets such crashes by chance.
+test('a gang is not given up because its targets crash one after another under different members', async t => {
+  const cluster = await Cluster.start(1, { workers: 10, workMs: () => 2_500 })
+  const id = '0000000000000e70'
+  const path = `/checks/${id}`
+  await cluster.callUntilServed(0, 'POST', path, { spec: 'x', phases: [{ count: 4, cpu: 60_000, mem_mb: 64, estimate_ms: 50, gang: true }] })
+  for (let member = 0; member < 3; member++) {
+    await cluster.waitUntil('the gang runs', () => cluster.startedTasks(id).length === 4 * (member + 1))
+    await delay(300)
+    const run = cluster.platform.events.findLast(event => event.type === 'started' && event.task === `${id}.0.0.${member}`)
+    cluster.platform.crash(run?.worker ?? '', 500)
+  }
+  await cluster.waitForState(0, path, 'completed')
+  t.is(cluster.startedTasks(id).length, 16)
+  await cluster.stop()
+})
+
 test('a task that crashes its target takes the tasks of other jobs with it only once', async t => {
   const deadly = '0000000000000e60'
   const innocent = ['0000000000000e61', '0000000000000e62']
