Log what decided that a job failed

A job shown as failed could not be traced: the lines about its runs and crashes are spread over the logs of all coordinators, and a job that is recovered as ended left none. 'job ended', 'job given up' and the new 'job recovered as ended' carry the cause: the task or gang with its failed attempts and the limit of its queue, or the targets that crashed under the task and which of these crashes were lone ones.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -206,7 +206,7 @@
     durable.then(() => {
       const { id, queue, team } = job.record
       this.table.finishJob(job, this.#clock.wallMs())
-      this.#logger.info({ job: id, team, queue, outcome: job.outcome, waitedMs: job.startedAtMs === undefined ? undefined : Math.round(job.startedAtMs - job.acceptedAtMs), ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
+      this.#logger.info({ job: id, team, queue, outcome: job.outcome, cause: job.failureCause, waitedMs: job.startedAtMs === undefined ? undefined : Math.round(job.startedAtMs - job.acceptedAtMs), ageMs: Math.round(this.#clock.monotonicMs() - job.acceptedAtMs) }, 'job ended')
     }, () => {})
   }
 
@@ -295,7 +295,7 @@
     })
     for (const job of new Set(records.map(record => this.table.jobs.get(record.job)))) {
       if (job?.outcome === undefined) continue
-      this.#logger.warn({ job: job.id, team: job.team, target: session.id }, 'job given up: the targets that start one of its tasks crash')
+      this.#logger.warn({ job: job.id, team: job.team, target: session.id, cause: job.failureCause }, 'job given up: the targets that start one of its tasks crash')
       this.finalizeJob(job, stored)
     }
   }
@@ -351,6 +351,7 @@
   #recoverJobs (table: JobTable): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
+        this.#logger.info({ job: job.id, team: job.team, queue: job.record.queue, outcome: job.outcome, cause: job.failureCause }, 'job recovered as ended')
         table.finishJob(job, this.#clock.wallMs())
         continue
       }
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -1,9 +1,22 @@
 /** Progress of one job, built from the records of the log. */
+import type { CrashHistory } from './crashHistory.ts'
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
 import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StepRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
+/** What decided that a job failed, for the log. */
+export interface FailureCause {
+  /** The task, or the step of a gang. */
+  readonly name: string
+  /** Attempts that ended as failed, if these decided it, and how many the queue allows. */
+  readonly failures?: number
+  readonly maximumFailures?: number
+  readonly endedAttempts?: readonly number[]
+  /** Crashes of targets under the task, if these decided it. */
+  readonly crashes?: CrashHistory
+}
+
 export class JobProgress {
   readonly record: JobRecord
   readonly queue: QueueSettings
@@ -12,6 +25,7 @@
   /** Steps of the occurrences that have begun, indexed by occurrence. */
   readonly #occurrences: StepProgress[][] = []
   #finalState: 'completed' | 'failed' | 'cancelled' | undefined
+  #failureCause: FailureCause | undefined
   #hasStarted = false
   #startedAtMs: number | undefined
 
@@ -38,6 +52,11 @@
     return this.#finalState
   }
 
+  /** Undefined unless the job has failed. */
+  get failureCause (): FailureCause | undefined {
+    return this.#failureCause
+  }
+
   get state (): JobState {
     return this.#finalState ?? (this.#hasStarted ? 'active' : 'queued')
   }
@@ -119,8 +138,10 @@
     for (const [index, attempt, evidence] of runs) crashed?.recordCrash(index, attempt, evidence, target)
   }
 
-  fail (): void {
-    this.#finalState ??= 'failed'
+  fail (cause: FailureCause): void {
+    if (this.#finalState !== undefined) return
+    this.#finalState = 'failed'
+    this.#failureCause = cause
   }
 
   /** Cancels the job; returns false if it had already ended. */
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -47,6 +47,7 @@
   t.is(job?.state, 'active')
   table.apply(ended('a', 0, 0, 2, 'failed'))
   t.is(job?.state, 'failed')
+  t.deepEqual(job?.failureCause, { name: 'a.0.0.0', failures: 2, maximumFailures: 2, endedAttempts: [1, 2] })
 })
 
 test('a failure whose record is missing in a log gap counts when it is reported again after a later placement', t => {
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -139,7 +139,7 @@
     if (task === undefined || task.state === 'done') return
     this.#hasCrashes = true
     task.crashHistory = recordCrash(task.crashHistory, attempt, evidence, target)
-    if (isCulprit(task.crashHistory)) this.job.fail()
+    this.#failIfCulprit(task)
   }
 
   #release (task: TaskProgress): void {
@@ -173,9 +173,10 @@
         task.state = 'assigned'
       }
     }
-    if (this.tasks.some(({ crashHistory }) => isCulprit(crashHistory))) this.job.fail()
-    const { maximumFailures } = this.job.queue
-    if (gangFailures >= maximumFailures || tasks.some(({ failures }) => failures >= maximumFailures)) this.job.fail()
+    for (const task of this.tasks) {
+      this.#failIfCulprit(task)
+      this.#failIfExhausted(task)
+    }
   }
 
   /** Marks the task as done; one done member completes its whole gang. */
@@ -193,10 +194,20 @@
       if (attempt <= this.#failedGangAttempt) return
       this.#failedGangAttempt = attempt
       this.#gangFailures += 1
-      if (this.#gangFailures >= this.job.queue.maximumFailures) this.job.fail()
-      return
+    } else {
+      task.failures += 1
     }
-    task.failures += 1
-    if (task.failures >= this.job.queue.maximumFailures) this.job.fail()
+    this.#failIfExhausted(task)
+  }
+
+  #failIfCulprit ({ name, crashHistory }: TaskProgress): void {
+    if (isCulprit(crashHistory)) this.job.fail({ name, crashes: crashHistory })
+  }
+
+  /** Fails the job if the task, or its gang, has failed as often as the queue allows. */
+  #failIfExhausted ({ name, failures: ofTask, endedAttempts }: TaskProgress): void {
+    const { maximumFailures } = this.job.queue
+    const failures = this.definition.gang ? this.#gangFailures : ofTask
+    if (failures >= maximumFailures) this.job.fail({ name: this.definition.gang ? this.name : name, failures, maximumFailures, endedAttempts })
   }
 }
