Store the records of other jobs that were appended with one of a withdrawn job

When a job was withdrawn because the store did not respond, each append that contained a record of it was reported as withdrawn, also the part about other jobs, which is stored nevertheless. The crash of a target is recorded for all jobs that it concerns in one append: a job that it gave up was then never ended by this coordinator, and shown as active until the next take-over. Now such an append resolves when the rest is stored; the append of the withdrawn job itself is still rejected. Found by reading; the test failed before with RecordsWithdrawnError.

--- a/src/coordinator/recordLog.test.ts
+++ b/src/coordinator/recordLog.test.ts
@@ -104,6 +104,22 @@
   t.deepEqual(stored().flatMap(value => JSON.parse(value)).map(({ id, job }) => id ?? job), ['job-1', 'job-3'])
 })
 
+// Guards against a job that stays active although it was given up, because its record was appended with one of a withdrawn job.
+test('store outage: a record of another job that was appended with one of a withdrawn job is stored', async t => {
+  const { store, clock, log, stored } = createLog()
+  store.refusing = true
+  const sent = log.append([cancelled('job-1')])
+  const unsent = log.append([createJobRecord('job-2', [createStep(1)])])
+  const both = log.append([cancelled('job-2'), cancelled('job-3')])
+  await clock.advance(700)
+  t.true(log.withdrawJob('job-2'))
+  await t.throwsAsync(unsent, { instanceOf: RecordsWithdrawnError })
+  store.refusing = false
+  await clock.advance(200)
+  await Promise.all([sent, both])
+  t.deepEqual(stored().flatMap(value => JSON.parse(value)), [cancelled('job-1'), cancelled('job-3')])
+})
+
 test('records that a snapshot may contain are not withdrawn, since a successor could start their job', async t => {
   const { store, clock, log } = createLog()
   store.refusing = true
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/recordLog.ts
@@ -148,6 +148,8 @@
     this.#pending = this.#pending.flatMap(pending => {
       const kept = pending.records.filter(record => !isAbout(record, id))
       if (kept.length === pending.records.length) return [pending]
+      // Records of other jobs that were appended with later ones of this job are stored nevertheless.
+      if (kept.length > 0 && !pending.records.some(record => record.type === 'job' && record.id === id)) return [{ ...pending, records: kept }]
       pending.reject(new RecordsWithdrawnError(`the records of job ${id} were withdrawn`))
       return kept.length === 0 ? [] : [{ ...pending, records: kept, resolve: () => {}, reject: () => {} }]
     })
