--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -351,7 +351,7 @@
   #recoverJobs (table: JobTable): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
-        this.#logger.info({ job: job.id, team: job.team, queue: job.record.queue, outcome: job.outcome, cause: job.failureCause }, 'job recovered as ended')
+        if (job.outcome === 'failed') this.#logger.info({ job: job.id, team: job.team, queue: job.record.queue, cause: job.failureCause }, 'job recovered as failed')
         table.finishJob(job, this.#clock.wallMs())
         continue
       }
