Start a lasting task again while long runs keep its isolated target busy

Cause: after the crash of a target the tasks that it may be due to start only on a target that is kept for them, once the runs of other jobs there have ended. Where every target has work that takes long, the kept one becomes vacant only with the end of the shortest of the runs, and no other is used meanwhile.

Evidence: a coordinator on a manual clock, four targets with a run of 25 s each on 5 of 8 processors; one of them restarts, which takes a lasting task of one processor with it. The task is down for 24 s; the other three targets run one task each.

Change: a lasting task waits 2 s for its kept target to become vacant and then starts there, beside the runs that are left, which get no company. For that it prefers targets that can hold it at once. After a second crash it waits for a vacant target as before, since only a crash there proves that the task is the cause; so a task that does crash its targets is started once more than before, at most, and takes the runs of others with it at most once more.

Result: in the same run the lasting task is back within 4 s. Two tests fail before the change and pass with it.

--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -44,12 +44,13 @@
   return assignments
 }
 
-function prepare (isolation: Isolation, [suspect]: readonly Assignment[], targets: readonly FakeTarget[], permitted: readonly FakeTarget[] = targets): IsolatedPlaces {
+function prepare (isolation: Isolation, [suspect]: readonly Assignment[], targets: readonly FakeTarget[], permitted: readonly FakeTarget[] = targets, nowMs = NOW_MS): IsolatedPlaces {
   if (suspect === undefined) throw new Error('the step has no task')
   return isolation.prepare({
     step: suspect.task.step,
     targets: targets as unknown as readonly TargetSession[],
-    permits: target => permitted.includes(target as unknown as FakeTarget)
+    permits: target => permitted.includes(target as unknown as FakeTarget),
+    nowMs
   })
 }
 
@@ -181,3 +182,17 @@
   t.deepEqual(keys(prepare(isolation, suspects, targets)), ['t-3@1'])
   t.deepEqual(holds(isolation, targets), [false, false, false, true], 'the other one is open to all jobs again')
 })
+
+// Guards against lasting tasks that stay down for as long as the runs of others on the targets take.
+test('a lasting task waits only a while for other runs on its target to end, until a second target has crashed under it', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const [index, target] of targets.entries()) run(target, createAssignments(`long-${index}`))
+  const suspects = createSuspects('service', 1, { longRunning: true })
+  t.deepEqual(keys(prepare(isolation, suspects, targets)), [])
+  t.deepEqual(keys(prepare(isolation, suspects, targets, targets, NOW_MS + 1_900)), [])
+  t.deepEqual(keys(prepare(isolation, suspects, targets, targets, NOW_MS + 2_000)), ['t-1@1'])
+  const task = suspects[0]?.task
+  task?.step.recordCrash(0, 2, 'suspected', 't-1')
+  t.deepEqual(keys(prepare(isolation, suspects, targets, targets, NOW_MS + 60_000)), [])
+})
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -13,6 +13,8 @@
 const MAX_ISOLATED_RATIO = 0.25
 /** The same if the added targets have nothing else to do. */
 const MAX_ISOLATED_RATIO_OF_IDLE = 0.6
+/** A lasting task is needed all the time, and the runs of other jobs on its target may take much longer than this to end. */
+const MAX_VACATING_MS_FOR_LASTING = 2_000
 
 export interface IsolationRequest {
   readonly step: StepProgress
@@ -20,10 +22,11 @@
   readonly targets: readonly TargetSession[]
   /** Whether the queue's policy is known to allow the target for the step. */
   readonly permits: (target: TargetSession) => boolean
+  readonly nowMs: number
 }
 
 export interface IsolatedPlaces {
-  /** Targets that run nothing but tasks of the job, and lasting tasks that will not end. */
+  /** Targets that run nothing but tasks of the job, and lasting tasks that will not end; for a lasting task after its first crash also others, after a while. */
   readonly ready: readonly TargetSession[]
   /** Whether all permitted targets together are too few for the step. */
   readonly insufficient: boolean
@@ -35,12 +38,13 @@
  *
  * @example
  * const isolation = new Isolation(describe, logger)
- * const { ready } = isolation.prepare({ step, targets, permits })
+ * const { ready } = isolation.prepare({ step, targets, permits, nowMs })
  */
 export class Isolation {
   readonly #describe: (step: StepProgress, target: TargetSession) => TargetAvailability
   readonly #logger: Logger
   readonly #jobs = new Map<TargetSession, JobProgress>()
+  readonly #keptSinceMs = new Map<TargetSession, number>()
 
   constructor (describe: (step: StepProgress, target: TargetSession) => TargetAvailability, logger: Logger) {
     this.#describe = describe
@@ -61,32 +65,42 @@
 
   /**
    * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
-   * crash of the same target proves nothing, and of these the ones that will be vacant soonest.
+   * crash of the same target proves nothing, and of these the ones that will be vacant soonest. A lasting task prefers
+   * those that can hold it now, since after its first crash it does not wait for long runs of others to end.
    */
-  prepare ({ step, targets, permits }: IsolationRequest): IsolatedPlaces {
+  prepare ({ step, targets, permits, nowMs }: IsolationRequest): IsolatedPlaces {
     const { job, definition } = step
     const places = (target: TargetSession): number => this.#countPlaces(step, target)
     const usable = targets.filter(target => permits(target) && places(target) > 0)
     const crashed = new Set(step.suspectedTasks.flatMap(task => step.crashHistoryOf(task).targets))
     const isOpen = (target: TargetSession): boolean => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns
     const vacant = usable.filter(target => isOpen(target) && isVacant(target, job) && !crashed.has(target.id))
-    const kept = this.#exchangeBusy(step, usable.filter(target => this.#jobs.get(target) === job), vacant)
+    const kept = this.#exchangeBusy(step, usable.filter(target => this.#jobs.get(target) === job), vacant, nowMs)
     let missing = (definition.gang ? definition.count : 1) - kept.reduce((sum, target) => sum + places(target), 0)
     const added: TargetSession[] = []
     const open = usable.filter(isOpen)
-    for (const target of open.sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || compareWork(left, right, job))) {
+    const holdsNow = (target: TargetSession): number => Number(definition.longRunning && countFitting(requiredResources(definition), this.#describe(step, target).free) > 0)
+    for (const target of open.sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || holdsNow(right) - holdsNow(left) || compareWork(left, right, job))) {
       if (missing <= 0) break
       added.push(target)
       missing -= places(target)
     }
     if (missing > 0) return { ready: [], insufficient: true }
     const maximumRatio = added.every(target => isVacant(target, job)) ? MAX_ISOLATED_RATIO_OF_IDLE : MAX_ISOLATED_RATIO
-    if (this.#mayAdd(added.length, job, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target))
-    return { ready: usable.filter(target => this.#jobs.get(target) === job && isVacant(target, job)), insufficient: false }
+    if (this.#mayAdd(added.length, job, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target), nowMs)
+    const mayStart = (target: TargetSession): boolean => isVacant(target, job) || this.#mayShare(step, target, nowMs)
+    return { ready: usable.filter(target => this.#jobs.get(target) === job && mayStart(target)), insufficient: false }
+  }
+
+  /** Whether the step may start beside runs of other jobs, whose end it has awaited. Later crashes need the proof of a vacant target. */
+  #mayShare (step: StepProgress, target: TargetSession, nowMs: number): boolean {
+    if (!step.definition.longRunning || target.capacity.hasUnexpectedRuns) return false
+    const isFirstCrash = step.suspectedTasks.every(task => step.crashHistoryOf(task).crashes <= 1)
+    return isFirstCrash && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
   }
 
   /** Exchanges kept targets that wait for runs of other jobs for vacant ones with as many places; returns those kept now. */
-  #exchangeBusy (step: StepProgress, kept: readonly TargetSession[], vacant: readonly TargetSession[]): readonly TargetSession[] {
+  #exchangeBusy (step: StepProgress, kept: readonly TargetSession[], vacant: readonly TargetSession[], nowMs: number): readonly TargetSession[] {
     const { job } = step
     const replacements = [...vacant]
     return kept.map(target => {
@@ -96,7 +110,7 @@
       const [replacement] = position === -1 ? [] : replacements.splice(position, 1)
       if (replacement === undefined) return target
       this.#release(target, job)
-      this.#keep(replacement, step, this.#countPlaces(step, replacement))
+      this.#keep(replacement, step, this.#countPlaces(step, replacement), nowMs)
       return replacement
     })
   }
@@ -107,13 +121,15 @@
     return held.every(target => this.#jobs.get(target) === job) || held.length + added <= targets.length * maximumRatio
   }
 
-  #keep (target: TargetSession, { job, name }: StepProgress, places: number): void {
+  #keep (target: TargetSession, { job, name }: StepProgress, places: number, nowMs: number): void {
     this.#jobs.set(target, job)
+    this.#keptSinceMs.set(target, nowMs)
     this.#logger.info({ job: job.id, step: name, target: target.id, places, runs: target.assignments.size }, 'keeping a target for a job that may crash it')
   }
 
   #release (target: TargetSession, job: JobProgress): void {
     this.#jobs.delete(target)
+    this.#keptSinceMs.delete(target)
     this.#logger.info({ job: job.id, target: target.id }, 'target is open to all jobs again')
   }
 
--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -28,3 +28,20 @@
   t.true(cluster.running.some(task => task.startsWith(lasting)))
   cluster.close()
 })
+
+// Guards against lasting tasks that stay down after the crash of their target, although other targets have room.
+test('a lasting task whose target crashed runs again within seconds, however long other runs take', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  for (let number = 0; number < 4; number++) cluster.submit('long', BATCH, [createStep(1, { size: resources({ processors: 5_000, memory: 10 }) })])
+  await cluster.clock.advance(1_000)
+  const lasting = cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  const isRunning = (): boolean => cluster.running.some(task => task.startsWith(lasting))
+  await cluster.clock.advance(1_000)
+  t.true(isRunning())
+  cluster.restartTarget([0, 1, 2, 3].findIndex(number => cluster.target(number).running.some(task => task.startsWith(lasting))))
+  t.false(isRunning())
+  await cluster.clock.advance(4_000)
+  t.true(isRunning())
+  cluster.close()
+})
--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -241,7 +241,7 @@
     const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition, tasks.length, queue.priority === 0)
     if (count === 0 || (step.definition.gang && count < tasks.length)) return
     const targets = pass.sessions(queue.service)
-    const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true })
+    const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true, nowMs })
     if (insufficient && advice !== undefined) {
       const unasked = targets.filter(session => !advice.wasAsked(session.key)).slice(0, MAX_TARGETS_PER_QUESTION)
       runInBackground(this.#advisor.ask(step, queue, unasked), this.#logger, 'placement advice')
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -19,6 +19,7 @@
 export const ADVISED: QueueSettings = { ...BATCH, name: 'advised', pathPrefix: '/advised/', advice: { decisionMs: 20, perTargetMs: 1, ticketValidityMs: 2_000 } }
 export const QUEUES: readonly QueueSettings[] = [URGENT, BATCH, ADVISED]
 const WORK_MS = 700
+const LONG_WORK_MS = 25_000
 /** Longer than withdrawals of late orders and the expiry of leases take, with time for the work itself. */
 const RECOVERY_MS = 60_000
 const DESIRED_KEY = 'desired'
@@ -70,7 +71,7 @@
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
-      workMs: task => task.startsWith('lasting') ? Infinity : WORK_MS,
+      workMs: task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS,
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs
     }))
