--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -95,7 +95,7 @@
   /** Whether the step may start beside runs of other jobs, whose end it has awaited. Later crashes need the proof of a vacant target. */
   #mayShare (step: StepProgress, target: TargetSession, nowMs: number): boolean {
     if (!step.definition.longRunning || target.capacity.hasUnexpectedRuns) return false
-    const isFirstCrash = step.suspectedTasks.every(task => step.crashHistoryOf(task).crashes <= 1)
+    const isFirstCrash = step.suspectedTasks.every(({ crashHistory }) => crashHistory.crashes <= 1)
     return isFirstCrash && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
   }
 
