--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -50,14 +50,16 @@
   readonly count: number
   readonly processors: number
   readonly estimateMs: number
+  readonly gang?: boolean
+  readonly lasting?: boolean
 }
 
 /** Encodes the request body with which a caller submits a job. */
 export function encodeJob (spec: string, steps: readonly StandInStep[]): string {
   return JSON.stringify({
     spec,
-    phases: steps.map(({ count, processors, estimateMs }, position) =>
-      ({ count, cpu: processors, mem_mb: 64, estimate_ms: estimateMs, ...(position === 0 ? {} : { after: [position - 1] }) }))
+    phases: steps.map(({ count, processors, estimateMs, gang = false, lasting = false }, position) =>
+      ({ count, cpu: processors, mem_mb: 64, estimate_ms: estimateMs, ...(gang ? { gang } : {}), ...(lasting ? { long_running: true } : {}), ...(position === 0 ? {} : { after: [position - 1] }) }))
   })
 }
 
--- a/src/platform/standIn/standInStore.ts
+++ b/src/platform/standIn/standInStore.ts
@@ -24,7 +24,7 @@
 export const STORE_FAULTS = ['refusing', 'silent', 'losing', 'late', 'slow'] as const
 export type StoreFault = 'none' | typeof STORE_FAULTS[number]
 
-const LATE_WRITE_DELAY_MS = 1_500
+const SHORTEST_LATE_WRITE_MS = 1_500
 const SLOW_ANSWER_DELAY_MS = 240
 
 const PAGE_SIZE = 500
@@ -41,6 +41,8 @@
   fault: StoreFault = 'none'
   /** Minimum duration of a granted lease; shorter requests are extended to it, as the protocol allows. */
   shortestLeaseMs = 0
+  /** Maximum delay of a write under the fault `late`. */
+  longestLateWriteMs = SHORTEST_LATE_WRITE_MS
   calls = 0
 
   /** Writes a key as an operator or a target would. */
@@ -112,7 +114,7 @@
         return undefined
       case 'late':
         if (method === 'GET') return await handle(call)
-        setTimeout(() => { handle(call).catch(() => {}) }, LATE_WRITE_DELAY_MS)
+        setTimeout(() => { handle(call).catch(() => {}) }, SHORTEST_LATE_WRITE_MS + Math.random() * (this.longestLateWriteMs - SHORTEST_LATE_WRITE_MS))
         return await untilAborted(call.signal)
     }
   }
@@ -135,7 +137,7 @@
     const untilMs = Date.now() + waitMs
     for (;;) {
       if (after < this.#compactedBefore) return { status: 410, body: {} }
-      const events = this.#events.filter(event => event.revision > after && event.key.startsWith(prefix))
+      const events = this.#eventsAfter(after).filter(event => event.key.startsWith(prefix))
       if (events.length > 0 || Date.now() >= untilMs || signal.aborted) {
         return { status: 200, body: { events: events.map(({ key, revision, item }) => item === undefined ? { key, revision, compacted: true } : encodeItem(item)), at: this.#revision } }
       }
@@ -143,6 +145,13 @@
     }
   }
 
+  /** Revisions rise, so that the search starts at the latest event; many watches wait at the size of a large site. */
+  #eventsAfter (revision: number): readonly StoreEvent[] {
+    let first = this.#events.length
+    while (first > 0 && (this.#events[first - 1] as StoreEvent).revision > revision) first -= 1
+    return this.#events.slice(first)
+  }
+
   async #waitForChange (waitMs: number): Promise<void> {
     await new Promise<void>(resolve => {
       const timer = setTimeout(done, waitMs)
--- a/test/soak/faultPlan.ts
+++ b/test/soak/faultPlan.ts
@@ -11,7 +11,7 @@
   | { readonly type: 'stop', readonly instance: number, readonly forMs: number }
   | { readonly type: 'pause', readonly instance: number, readonly forMs: number }
   | { readonly type: 'hangup', readonly instance: number }
-  | { readonly type: 'store', readonly fault: StoreFault, readonly instances: readonly number[], readonly forMs: number }
+  | { readonly type: 'store', readonly fault: StoreFault, readonly instances: readonly number[], readonly forMs: number, readonly share?: number }
   | { readonly type: 'store-link', readonly fault: LinkFault, readonly instance: number, readonly forMs: number }
   | { readonly type: 'compaction' }
   | { readonly type: 'caller-link', readonly fault: LinkFault, readonly instance: number, readonly forMs: number }
@@ -20,6 +20,9 @@
   | { readonly type: 'worker-crash', readonly worker: number }
   | { readonly type: 'worker-drain', readonly worker: number }
   | { readonly type: 'configuration' }
+  | { readonly type: 'terminate-again', readonly instance: number }
+  | { readonly type: 'caps', readonly factor: number }
+  | { readonly type: 'coordinator', readonly how: 'kill' | 'pause', readonly forMs: number }
   | { readonly type: 'worker-shrink', readonly worker: number, readonly processors: number, readonly forMs: number }
 
 export interface PlannedFault {
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -4,6 +4,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { PROGRAM } from '../processes/testTeam.ts'
+import { runDeployment } from './runDeployment.ts'
 import { runSoak } from './runSoak.ts'
 import type { SoakReport } from './runSoak.ts'
 
@@ -16,6 +17,9 @@
   .option('workers', { type: 'number', default: 6, describe: 'Number of targets for each seed' })
   .option('deadly', { type: 'number', default: 0, describe: 'Fraction of the jobs that crash each target that starts them' })
   .option('logs', { type: 'string', default: 'soak-logs', describe: 'Directory for the logs of failed seeds' })
+  .option('program', { type: 'string', default: PROGRAM[0] as string, describe: 'Program of the instances' })
+  .option('deployment', { type: 'boolean', default: false, describe: 'Whether to run the load and the disruptions of a large deployment' })
+  .option('rate', { type: 'number', default: 12, describe: 'Submissions per second with --deployment' })
   .strict()
   .parse()
 
@@ -37,9 +41,21 @@
   await writeFile(join(options.logs, `seed-${seed}.log`), [...violations, ...relatedEvents.map(event => JSON.stringify(event)), ...plan, ...lines].join('\n'))
 }
 
+async function runDeploymentSeed (seed: number): Promise<void> {
+  await mkdir(options.logs, { recursive: true })
+  const logFile = join(options.logs, `deployment-${seed}.log`)
+  const violations = await runDeployment({ seed, durationMs: options.seconds * 1_000, program: [options.program], instances: options.instances, workers: options.workers, perSecond: options.rate, logFile })
+  if (violations.length > 0) failed.push(seed)
+  for (const violation of violations.slice(0, 12)) console.log(`  ${violation}`)
+}
+
 async function runSeeds (): Promise<void> {
   for (let seed = pendingSeeds.shift(); seed !== undefined; seed = pendingSeeds.shift()) {
-    await recordResult(await runSoak({ seed, durationMs: options.seconds * 1_000, program: PROGRAM, instances: options.instances, workers: options.workers, deadlyFraction: options.deadly }))
+    if (options.deployment) {
+      await runDeploymentSeed(seed)
+      continue
+    }
+    await recordResult(await runSoak({ seed, durationMs: options.seconds * 1_000, program: [options.program], instances: options.instances, workers: options.workers, deadlyFraction: options.deadly }))
   }
 }
 
--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -27,14 +27,25 @@
   readonly host: string
   /** The program with its leading arguments. */
   readonly program: readonly string[]
+  /** Whether all components are reached without links; faults of links have no effect then. */
+  readonly direct?: boolean
+}
+
+/** A disruption of one instance, or of all without `instance`; `untilMs` is the end of its immediate effect. */
+export interface Disruption {
+  readonly planned: boolean
+  readonly what: string
+  readonly instance?: number
+  readonly atMs: number
+  untilMs: number
 }
 
 interface Instance {
   readonly number: number
   readonly file: string
   readonly port: number
-  readonly storeLink: TcpForwarder
-  readonly callerLink: TcpForwarder
+  readonly storeLink: TcpForwarder | undefined
+  readonly callerLink: TcpForwarder | undefined
   process: ManagedProcess
   /** Delay before the restart after a requested termination; undefined if none was requested. */
   restartDelayMs: number | undefined
@@ -44,11 +55,15 @@
   readonly platform: StandInPlatform
   /** Unexpected exits of processes, and stops that exceeded the grace period. */
   readonly violations: string[] = []
+  readonly disruptions: Disruption[] = []
   readonly #options: SoakCellOptions
   readonly #directory: string
   readonly #instances: Instance[] = []
   readonly #workerLinks: TcpForwarder[]
   readonly #storeFaults: StoreFault[]
+  /** Share of the store's calls that the current fault affects. */
+  #storeFaultShare = 1
+  #coordinator = 0
   readonly #lines: string[] = []
   #closing = false
 
@@ -66,6 +81,7 @@
     const platform = await StandInPlatform.start({
       ...options,
       exposeWorker: async (_id, address) => {
+        if (options.direct === true) return address
         const link = await openLink(address, options.host)
         workerLinks.push(link)
         return link.address
@@ -78,7 +94,7 @@
 
   /** Addresses at which callers reach the instances. */
   get callerAddresses (): readonly string[] {
-    return this.#instances.map(({ callerLink }) => callerLink.address)
+    return this.#instances.map(({ port, callerLink }) => callerLink?.address ?? `${this.#options.host}:${port}`)
   }
 
   /** Output lines of the instances. */
@@ -92,18 +108,23 @@
       case 'kill':
         for (const number of fault.instances) this.#kill(number, fault.forMs)
         return
+      case 'coordinator':
+        if (fault.how === 'pause') return await this.#pause(this.#coordinator, fault.forMs)
+        return this.#kill(this.#coordinator, fault.forMs)
+      case 'terminate-again': return this.#instance(fault.instance).process.signal('SIGTERM')
+      case 'caps': return this.#scaleCaps(fault.factor)
       case 'stop': return await this.#stop(fault.instance, fault.forMs)
       case 'pause': return await this.#pause(fault.instance, fault.forMs)
-      case 'hangup': return this.#instance(fault.instance).process.signal('SIGHUP')
-      case 'store': return await this.#failStore(fault.fault, fault.instances, fault.forMs)
+      case 'hangup': return this.#hangUp(fault.instance)
+      case 'store': return await this.#failStore(fault.fault, fault.instances, fault.forMs, fault.share)
       case 'store-link': return await disruptLink(this.#instance(fault.instance).storeLink, fault.fault, fault.forMs)
       case 'caller-link': return await disruptLink(this.#instance(fault.instance).callerLink, fault.fault, fault.forMs)
-      case 'worker-link': return await disruptLink(this.#workerLinks[fault.worker] as TcpForwarder, fault.fault, fault.forMs)
+      case 'worker-link': return await disruptLink(this.#workerLinks[fault.worker], fault.fault, fault.forMs)
       case 'worker-late': return await this.#delayOrders(workerId(fault.worker), fault.forMs)
       case 'worker-crash': return this.platform.crash(workerId(fault.worker))
       case 'worker-drain': return await this.#drain(workerId(fault.worker))
       case 'compaction': return this.platform.store.compact()
-      case 'configuration': return this.platform.configure()
+      case 'configuration': return this.#scaleCaps(1)
       case 'worker-shrink': return await this.#shrink(workerId(fault.worker), fault.processors, fault.forMs)
     }
   }
@@ -115,7 +136,7 @@
       await process.kill()
     }))
     const links = [...this.#workerLinks, ...this.#instances.flatMap(({ storeLink, callerLink }) => [storeLink, callerLink])]
-    await Promise.all(links.map(async link => await link.stop()))
+    await Promise.all(links.map(async link => await link?.stop()))
     await this.platform.stop()
     await rm(this.#directory, { recursive: true, force: true })
   }
@@ -127,11 +148,10 @@
   async #addInstance (number: number): Promise<void> {
     const { host } = this.#options
     const port = FIRST_PORT + number * PORTS_PER_INSTANCE
-    const front = await this.platform.openStoreEndpoint(() => this.#storeFaults[number] as StoreFault)
-    const storeLink = await openLink(front, host)
-    const callerLink = await openLink(`${host}:${port}`, host)
+    const front = await this.platform.openStoreEndpoint(() => Math.random() < this.#storeFaultShare ? this.#storeFaults[number] as StoreFault : 'none')
+    const [storeLink, callerLink] = this.#options.direct === true ? [] : [await openLink(front, host), await openLink(`${host}:${port}`, host)]
     const file = join(this.#directory, `entry-${number}.toml`)
-    await writeFile(file, this.platform.settingsFor(`entry-${number}`, port, storeLink.address, host))
+    await writeFile(file, this.platform.settingsFor(`entry-${number}`, port, storeLink?.address ?? front, host))
     const instance: Instance = { number, file, port, storeLink, callerLink, process: this.#launch(number, file), restartDelayMs: undefined }
     this.#instances.push(instance)
     this.#superviseInstance(instance).catch(error => this.violations.push(`ENDED: entry-${number} could not be started: ${error}`))
@@ -139,10 +159,30 @@
 
   #launch (number: number, file: string): ManagedProcess {
     return new ManagedProcess(`entry-${number}`, [...this.#options.program, 'serve', '--platform'], {
-      environment: { AGATEGAUGE_CONFIG: file }, onLine: line => this.#lines.push(line)
+      environment: { AGATEGAUGE_CONFIG: file }, onLine: line => this.#recordLine(number, line)
     })
   }
 
+  #recordLine (number: number, line: string): void {
+    this.#lines.push(line)
+    if (line.includes('"elected as coordinator"')) this.#coordinator = number
+  }
+
+  #recordDisruption (planned: boolean, what: string, instance: number | undefined, forMs: number): void {
+    const atMs = Date.now()
+    this.disruptions.push({ planned, what, instance, atMs, untilMs: atMs + forMs })
+  }
+
+  #hangUp (number: number): void {
+    this.#recordDisruption(true, 'SIGHUP', number, 0)
+    this.#instance(number).process.signal('SIGHUP')
+  }
+
+  #scaleCaps (factor: number): void {
+    this.#recordDisruption(true, 'desired state', undefined, 0)
+    this.platform.configure(this.#options.teams?.map(team => ({ ...team, cap: (team.cap ?? 0) * factor })))
+  }
+
   /** Restarts the process whenever it exits; an exit that was not requested is a violation. */
   async #superviseInstance (instance: Instance): Promise<void> {
     for (;;) {
@@ -158,6 +198,7 @@
 
   #kill (number: number, forMs: number): void {
     const instance = this.#instance(number)
+    this.#recordDisruption(false, 'kill', number, forMs)
     instance.restartDelayMs = forMs
     instance.process.signal('SIGKILL')
   }
@@ -165,6 +206,7 @@
   async #stop (number: number, forMs: number): Promise<void> {
     const instance = this.#instance(number)
     const { process } = instance
+    this.#recordDisruption(true, 'SIGTERM', number, 0)
     instance.restartDelayMs = forMs
     process.signal('SIGTERM')
     const inTime = await Promise.race([process.ended.then(() => true), sleep(GRACE_MS, false)])
@@ -174,12 +216,15 @@
 
   async #pause (number: number, forMs: number): Promise<void> {
     const { process } = this.#instance(number)
+    this.#recordDisruption(false, 'pause', number, forMs)
     process.signal('SIGSTOP')
     await sleep(forMs)
     process.signal('SIGCONT')
   }
 
-  async #failStore (fault: StoreFault, instances: readonly number[], forMs: number): Promise<void> {
+  async #failStore (fault: StoreFault, instances: readonly number[], forMs: number, share = 1): Promise<void> {
+    this.#recordDisruption(false, `store ${fault}`, instances.length === 1 ? instances[0] : undefined, forMs)
+    this.#storeFaultShare = share
     for (const number of instances) this.#storeFaults[number] = fault
     await sleep(forMs)
     for (const number of instances) this.#storeFaults[number] = 'none'
@@ -216,8 +261,8 @@
   return link
 }
 
-async function disruptLink (link: TcpForwarder, fault: Parameters<TcpForwarder['startFault']>[0], forMs: number): Promise<void> {
-  link.startFault(fault)
+async function disruptLink (link: TcpForwarder | undefined, fault: Parameters<TcpForwarder['startFault']>[0], forMs: number): Promise<void> {
+  link?.startFault(fault)
   await sleep(forMs)
-  link.clearFault()
+  link?.clearFault()
 }
--- a/test/soak/soakChecker.ts
+++ b/test/soak/soakChecker.ts
@@ -14,6 +14,8 @@
   readonly cpu: number
   /** Whether the first task crashes each target that starts it. */
   readonly deadly?: boolean
+  /** Whether the tasks run until the job is cancelled. */
+  readonly lasting?: boolean
   /** When the submission was answered with 2xx. */
   acceptedAtMs?: number
   /** Whether an attempt was neither accepted nor rejected as never to run. */
@@ -36,6 +38,8 @@
   /** Changes of the capacity of targets, in chronological order. */
   readonly capacityChanges?: readonly CapacityChange[]
   readonly teamCaps: ReadonlyMap<string, number>
+  /** Whether jobs that are not done at the end are judged elsewhere. */
+  readonly allowsUnfinished?: boolean
 }
 
 /** The platform's `cancel_ms`: time after the acknowledged cancellation of a job within which its tasks may still start. */
@@ -110,7 +114,7 @@
 }
 
 /** Checks the callers' answers: no accepted job is lost, and every reported outcome is correct. */
-function checkAnswers ({ jobs, events }: SoakRecord): readonly string[] {
+function checkAnswers ({ jobs, events, allowsUnfinished = false }: SoakRecord): readonly string[] {
   const violations: string[] = []
   const firstDoneTimes = findFirstDoneTimes(events)
   for (const job of jobs.values()) {
@@ -123,7 +127,7 @@
       if (state === 'no-job' && job.acceptedAtMs !== undefined && atMs > job.acceptedAtMs) violations.push(`LOST: ${job.id} was accepted but is unknown`)
     }
     const last = job.shownStates.at(-1)?.state
-    if (job.acceptedAtMs !== undefined && !job.cancelSent && last !== (job.deadly === true ? 'failed' : 'completed')) violations.push(`LOST: ${job.id} was accepted but is ${last ?? 'not reported'} at the end`)
+    if (!allowsUnfinished && job.acceptedAtMs !== undefined && !job.cancelSent && last !== (job.deadly === true ? 'failed' : 'completed')) violations.push(`LOST: ${job.id} was accepted but is ${last ?? 'not reported'} at the end`)
   }
   return violations
 }
