--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -64,6 +64,7 @@
   /** Share of the store's calls that the current fault affects. */
   #storeFaultShare = 1
   #coordinator = 0
+  #capFactor = 1
   readonly #lines: string[] = []
   #closing = false
 
@@ -97,6 +98,11 @@
     return this.#instances.map(({ port, callerLink }) => callerLink?.address ?? `${this.#options.host}:${port}`)
   }
 
+  /** Latest factor of the teams' caps. */
+  get capFactor (): number {
+    return this.#capFactor
+  }
+
   /** Output lines of the instances. */
   get lines (): readonly string[] {
     return this.#lines
@@ -180,6 +186,7 @@
 
   #scaleCaps (factor: number): void {
     this.#recordDisruption(true, 'desired state', undefined, 0)
+    this.#capFactor = factor
     this.platform.configure(this.#options.teams?.map(team => ({ ...team, cap: (team.cap ?? 0) * factor })))
   }
 
