Do not count time in which the process stands still as time to accept connections

Cause: the wait for quiet turns ended after 500 ms by the clock. An instance that does not run for most of these 500 ms closes its listener with connections in its queue.

Change: the wait is limited by turns of the event loop, not by time (the abort of the stop still ends it), and a turn that took 50 ms or more does not count as quiet, since what arrived in it may not have been read.

--- a/src/adapters/http/gracefulServerClose.test.ts
+++ b/src/adapters/http/gracefulServerClose.test.ts
@@ -63,3 +63,13 @@
   abort.abort()
   await closed
 })
+
+// Guards against counting time in which the process did not run as time in which connections could be accepted.
+test('connections that wait to be accepted are served when the process stands still after the close has begun', async t => {
+  const { open, close } = await startServer(t)
+  const closed = close()
+  const sockets = Array.from({ length: 5 }, () => open().on('connect', function (this: Socket) { this.write(REQUEST) }))
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 600)
+  for (const answer of await Promise.all(sockets.map(text))) t.regex(answer, /served$/)
+  await closed
+})
--- a/src/adapters/http/gracefulServerClose.ts
+++ b/src/adapters/http/gracefulServerClose.ts
@@ -5,10 +5,12 @@
 import type { Socket } from 'node:net'
 import { setImmediate as endOfTurn, setTimeout as sleep } from 'node:timers/promises'
 
-/** Limits the wait for turns without a new connection, which may not come while callers keep reconnecting. */
-const ACCEPT_TIMEOUT_MS = 500
+/** Limits the wait for quiet turns, which may not come while callers keep reconnecting. Time would also pass while the process does not run. */
+const MAX_ACCEPT_TURNS = 500
 /** Turns of the event loop without an arrival. The first may end before the event loop looks for input. */
 const QUIET_TURNS = 2
+/** What arrived in a longer turn may not have been read. */
+const SHORT_TURN_MS = 50
 /** Interval at which connections that have become idle are closed. */
 const IDLE_CHECK_INTERVAL_MS = 20
 
@@ -42,7 +44,7 @@
 
   /** Stops listening, and closes each connection once it is idle; resolves when none is left. An abort closes all at once. */
   async close (signal: AbortSignal): Promise<void> {
-    await this.#waitForQuiet(signal, ACCEPT_TIMEOUT_MS)
+    await this.#waitForQuiet(signal, MAX_ACCEPT_TURNS)
     const closed = new AbortController()
     // The method of the HTTP server would also close the idle connections.
     NetServer.prototype.close.call(this.#server, () => closed.abort())
@@ -55,12 +57,14 @@
     if (!closed.signal.aborted) await once(closed.signal, 'abort')
   }
 
-  async #waitForQuiet (signal: AbortSignal, timeoutMs: number): Promise<void> {
-    const startedAtMs = performance.now()
-    for (let quietTurns = 0; quietTurns < QUIET_TURNS && !signal.aborted && performance.now() - startedAtMs < timeoutMs;) {
+  async #waitForQuiet (signal: AbortSignal, maxTurns: number): Promise<void> {
+    let quietTurns = 0
+    for (let turn = 0; turn < maxTurns && quietTurns < QUIET_TURNS && !signal.aborted; turn++) {
       const known = this.#arrivals
+      const startedAtMs = performance.now()
       await endOfTurn()
-      quietTurns = this.#arrivals === known ? quietTurns + 1 : 0
+      const isQuiet = this.#arrivals === known && performance.now() - startedAtMs < SHORT_TURN_MS
+      quietTurns = isQuiet ? quietTurns + 1 : 0
     }
   }
 
