Give waiting connections more time to be accepted when the listener closes

What was seen: in a series of stops with callers that keep reconnecting, on a machine at a load above 40 on 8 cores, 9 of 1,113 requests were reset 3.0 s after they were sent. That they waited to be accepted is inferred, not logged: the event loop accepts one connection per turn, and 500 ms were over before a quiet turn came.

Change: 1.5 s, which still leaves a second until the last answers of a stop.

--- a/src/adapters/http/gracefulServerClose.ts
+++ b/src/adapters/http/gracefulServerClose.ts
@@ -6,7 +6,7 @@
 import { setImmediate as endOfTurn, setTimeout as sleep } from 'node:timers/promises'
 
 /** Limits the wait for turns without a new connection, which may not come while callers keep reconnecting. */
-const ACCEPT_TIMEOUT_MS = 500
+const ACCEPT_TIMEOUT_MS = 1_500
 /** Turns of the event loop without an arrival. The first may end before the event loop looks for input. */
 const QUIET_TURNS = 2
 /** Interval at which connections that have become idle are closed. */
