Count the grace period from the signal also when it came during the start

What was seen: on a machine at a load of 53 on 8 cores, an instance that was told to stop soon after its restart began to stop 3.3 s later, took the whole leave delay from then on, and was killed 6.0 s after the signal; at least 10 calls that had been sent 0.3 s before were cut.

Cause: a signal that arrives while the instance starts takes effect when the start has ended, and the stop was planned from then. Whether the start or a process that got no processor time delayed it in that play is not known; the latter can not be measured by the process.

Change: runUntilStopped passes on the time since the first signal, and the stop is planned from it; `instance stops` logs it.

Evidence: the changed test failed before ("stop" instead of "late stop"). Not shown with a real process.

--- a/src/commands/runUntilStopped.test.ts
+++ b/src/commands/runUntilStopped.test.ts
@@ -1,9 +1,11 @@
 import { EventEmitter } from 'node:events'
-import { setImmediate as nextTurn } from 'node:timers/promises'
+import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises'
 import test from 'ava'
 import type { RunningInstance } from '../instance/runningInstance.ts'
 import { runUntilStopped } from './runUntilStopped.ts'
 
+const START_MS = 100
+
 function createInstance (): { readonly calls: string[], readonly instance: RunningInstance } {
   const calls: string[] = []
   let resolveStopped: () => void = () => {}
@@ -12,8 +14,8 @@
     calls,
     instance: {
       stopped,
-      stop: async () => {
-        calls.push('stop')
+      stop: async (elapsedMs = 0) => {
+        calls.push(elapsedMs < START_MS / 2 ? 'stop' : 'late stop')
         resolveStopped()
       },
       reload: source => calls.push(`reload: ${source}`),
@@ -54,10 +56,11 @@
   const running = runUntilStopped(async () => {
     t.true(events.emit('SIGTERM'))
     t.true(events.emit('unhandledRejection', new Error('a bug')))
+    await delay(START_MS)
     return instance
   }, events)
   await running
-  t.deepEqual(calls, ['stop'])
+  t.deepEqual(calls, ['late stop'], 'the time since the signal counts')
 })
 
 test('a stop that fails is reported to the command instead of leaving the process running', async t => {
--- a/src/commands/runUntilStopped.ts
+++ b/src/commands/runUntilStopped.ts
@@ -18,12 +18,12 @@
  */
 export async function runUntilStopped (start: () => Promise<RunningInstance>, events: EventEmitter): Promise<void> {
   let instance: RunningInstance | undefined
-  let stopRequested = false
+  let stopRequestedAtMs: number | undefined
   let onFailure: (error: unknown) => void = () => {}
   const failure = new Promise<never>((_resolve, reject) => { onFailure = reject })
   const stop = (): void => {
-    stopRequested = true
-    instance?.stop().catch(onFailure)
+    stopRequestedAtMs ??= performance.now()
+    instance?.stop(performance.now() - stopRequestedAtMs).catch(onFailure)
   }
   const reload = (): void => instance?.reload?.(RELOAD_SIGNAL)
   const logError = (error: unknown): void => instance === undefined ? console.error('unexpected error during the start:', error) : instance.logUnexpectedError(error)
@@ -32,7 +32,7 @@
   try {
     instance = await start()
     if (instance.reload !== undefined) events.on(RELOAD_SIGNAL, reload)
-    if (stopRequested) stop()
+    if (stopRequestedAtMs !== undefined) stop()
     await Promise.race([instance.stopped, failure])
   } catch (error) {
     // What is left open keeps the process running, so that signals need their default action.
--- a/src/instance/runningInstance.ts
+++ b/src/instance/runningInstance.ts
@@ -1,7 +1,7 @@
 /** A started instance. */
 export interface RunningInstance {
-  /** Starts the graceful shutdown; further calls have no effect. */
-  stop (): Promise<void>
+  /** Starts the graceful shutdown, `elapsedMs` after the signal arrived; further calls have no effect. */
+  stop (elapsedMs?: number): Promise<void>
   /** Applies changed settings; omitted if the instance reads its settings only at startup. */
   reload? (source: string): void
   /** Logs an error that no part of the program handled; the instance keeps running. */
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -40,8 +40,8 @@
 
 /** A running instance. */
 export interface PlatformInstance {
-  /** Starts the planned shutdown; further calls have no effect. */
-  stop (): Promise<void>
+  /** Starts the planned shutdown, `elapsedMs` after the signal arrived; further calls have no effect. */
+  stop (elapsedMs?: number): Promise<void>
   /** Reloads the settings file and applies its changes; `source` is logged as the trigger. */
   reload (source: string): void
   logUnexpectedError (error: unknown): void
@@ -104,10 +104,10 @@
     stopped: stopSequence.done,
     reload: source => reloader.reload(source),
     logUnexpectedError: error => logUnexpectedError(logger, error),
-    async stop () {
+    async stop (elapsedMs = 0) {
       if (stopping) return
       stopping = true
-      await stopSequence.run()
+      await stopSequence.run(elapsedMs)
     }
   }
 }
@@ -130,19 +130,19 @@
  * Hands over and keeps serving while the load balancer takes the instance out of use, then stops the components. All times
  * count from the signal, whatever one step takes, since the platform then kills the process.
  */
-function createStopSequence ({ manager, instance, frontend, reloader, clock, logger }: StopDependencies): { readonly done: Promise<void>, run (): Promise<void> } {
+function createStopSequence ({ manager, instance, frontend, reloader, clock, logger }: StopDependencies): { readonly done: Promise<void>, run (elapsedMs: number): Promise<void> } {
   let resolveDone: () => void = () => {}
   const done = new Promise<void>(resolve => { resolveDone = resolve })
   return {
     done,
-    async run () {
+    async run (elapsedMs) {
       const { stopGraceMs } = reloader.current
-      const startedAtMs = clock.monotonicMs()
-      logger.info({ leaveMs: LEAVE_DELAY_MS }, 'instance stops')
-      frontend.beginClosing(stopGraceMs * ANSWER_SHARE)
+      const signalAtMs = clock.monotonicMs() - elapsedMs
+      logger.info({ leaveMs: LEAVE_DELAY_MS, elapsedMs: Math.round(elapsedMs) }, 'instance stops')
+      frontend.beginClosing(Math.max(0, stopGraceMs * ANSWER_SHARE - elapsedMs))
       runInBackground(instance.stepDown(), logger, 'hand-over')
-      await clock.sleep(Math.min(LEAVE_DELAY_MS, stopGraceMs / 2))
-      const failures = await manager.stop(startedAtMs + stopGraceMs * STOP_SHARE - clock.monotonicMs())
+      await clock.sleep(Math.max(0, Math.min(LEAVE_DELAY_MS, stopGraceMs / 2) - elapsedMs))
+      const failures = await manager.stop(signalAtMs + stopGraceMs * STOP_SHARE - clock.monotonicMs())
       for (const { component, error } of failures) logger.warn({ component, error: String(error) }, 'a component did not stop in time')
       logger.info('instance stopped')
       resolveDone()
