Wait before another instance repeats a recovery that failed

When stored records could not be read, the elected coordinator resigned at once, and the next one failed on the same records: with three instances and a segment that holds no records, 47 elections in 15 s, each with three writes to the store and a report of every instance. Callers got 503 or 504, never 410, and all 20 jobs were known again once the segment was removed. The coordinator now resigns 2 s after a failed recovery. Calls are refused meanwhile as before; the test covers both.

--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
+import { segmentKey } from '../coordinator/recordLog.ts'
 import { MemoryTransactionalStore } from '../coordinator/testing/memoryTransactionalStore.ts'
 import type { DesiredState, TeamSettings } from '../jobs/desiredState.ts'
 import { TEST_QUEUE } from '../jobs/testing/definitions.ts'
@@ -11,11 +12,13 @@
 import type { JobTargetClient } from '../ports/jobTarget.ts'
 import type { ListedTarget } from '../ports/targetDirectory.ts'
 import type { TransactionalStore, WatchResult } from '../ports/transactionalStore.ts'
+import type { CallerCall } from './callerCall.ts'
 import { JobInstance } from './jobInstance.ts'
 
 const KEY = 'operators/desired-state'
 const WATCH_POLL_MS = 20
 const FAR_INSTANCES = 51
+const READ: CallerCall = { action: 'read', host: TEST_QUEUE.host, path: TEST_QUEUE.pathPrefix, key: 'k', definition: '', desiredStateVersion: 0 }
 const TEAM: TeamSettings = { name: 'weavers', keys: ['k'], weight: 1, cap: resources({}) }
 
 /** A store whose watches wait for changes; counts the bytes that leave the store's region. */
@@ -212,7 +215,7 @@
   const answered = (async () => {
     for (;;) {
       const fence = second.coordinator?.fence ?? 0
-      const [answer] = await second.handleAll(fence, [{ action: 'read', host: TEST_QUEUE.host, path: TEST_QUEUE.pathPrefix, key: 'k', definition: '', desiredStateVersion: 0 }])
+      const [answer] = await second.handleAll(fence, [READ])
       if (answer !== undefined && answer.outcome !== 'unavailable' && answer.outcome !== 'underway') return answer.outcome
       await cluster.clock.sleep(5)
     }
@@ -315,3 +318,25 @@
   cluster.store.failsPages = false
   await cluster.stop()
 })
+
+// Guards against jobs that are answered as unknown, and against elections in quick succession, when stored records can not be read.
+test('while the job log can not be read, calls are refused and the coordinator changes every few seconds', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  cluster.store.put(segmentKey(1), 'no records')
+  await cluster.start('first', 'attica')
+  await cluster.start('second', 'attica')
+  const fences = new Set<number>()
+  const outcomes = new Set<string>()
+  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 100) {
+    await cluster.clock.advance(100)
+    for (const instance of cluster.instances.values()) {
+      if (instance.coordinator === undefined) continue
+      fences.add(instance.coordinator.fence)
+      for (const { outcome } of await instance.handleAll(instance.coordinator.fence, [READ])) outcomes.add(outcome)
+    }
+  }
+  t.deepEqual([...outcomes], ['unavailable'])
+  t.true(fences.size >= 2 && fences.size <= 5, `${fences.size} elections`)
+  await cluster.stop()
+})
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -46,6 +46,8 @@
 const BATCH_ANSWER_TIMEOUT_MS = 200
 /** The store counts as reachable if it has answered within this time, which exceeds one watch. */
 const STORE_REACHABLE_MS = 2_500
+/** Delay before another instance tries a recovery that failed; reads that the store does not answer are repeated before. */
+const FAILED_RECOVERY_DELAY_MS = 2_000
 /** Peers that are asked for help with the store at a time; a retry asks others. */
 const MAX_ASKED_PEERS = 8
 
@@ -274,10 +276,15 @@
     logger.info({ fence: info.fence }, 'elected as coordinator')
     coordinator.open().catch(error => {
       logger.error({ error: String(error), fence: info.fence }, 'start of the coordinator failed; resigning')
-      runInBackground(this.#election.resign('recovery failed', info.fence), logger, 'resignation')
+      runInBackground(this.#resignLater(info.fence), logger, 'resignation')
     })
   }
 
+  async #resignLater (fence: number): Promise<void> {
+    await this.#options.clock.sleep(FAILED_RECOVERY_DELAY_MS)
+    await this.#election.resign('recovery failed', fence)
+  }
+
   onLost (reason: string): void {
     this.#options.logger.warn({ reason }, 'not the coordinator any more')
     this.#endTerm()
