List a test of lasting tasks that come back too late after two crashes

The test shows a fault that is not mended: lasting tasks of eight jobs run on one of four targets, which restarts, and the target that they run on then restarts 4 s later. Two crashes make all of them suspects, each needs a target to itself until it has worked there for 10 s, and one of four targets may be kept at a time.

--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -45,3 +45,18 @@
   t.true(isRunning())
   cluster.close()
 })
+
+// Guards against lasting tasks that come back one after the other, each when the one before has worked on its isolated target for long.
+test('lasting tasks of several jobs run again within seconds after two targets crashed under them', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  for (let number = 0; number < 8; number++) cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  for (let crash = 0; crash < 2; crash++) {
+    await cluster.clock.advance(4_000)
+    const runs = [0, 1, 2, 3].map(number => cluster.target(number).running.length)
+    cluster.restartTarget(runs.indexOf(Math.max(...runs)))
+  }
+  await cluster.clock.advance(9_000)
+  t.is(cluster.running.length, 8)
+  cluster.close()
+})
