--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -117,7 +117,7 @@
       case 'coordinator':
         if (fault.how === 'pause') return await this.#pause(this.#coordinator, fault.forMs)
         return this.#kill(this.#coordinator, fault.forMs)
-      case 'terminate-again': return this.#instance(fault.instance).process.signal('SIGTERM')
+      case 'terminate-again': return this.#terminateAgain(fault.instance)
       case 'caps': return this.#scaleCaps(fault.factor)
       case 'stop': return await this.#stop(fault.instance, fault.forMs)
       case 'pause': return await this.#pause(fault.instance, fault.forMs)
@@ -179,6 +179,12 @@
     this.disruptions.push({ planned, what, instance, atMs, untilMs: atMs + forMs })
   }
 
+  /** Only a stop that goes on gets a second signal; a process that has been started since would end unasked. */
+  #terminateAgain (number: number): void {
+    const { process, restartDelayMs } = this.#instance(number)
+    if (restartDelayMs !== undefined) process.signal('SIGTERM')
+  }
+
   #hangUp (number: number): void {
     this.#recordDisruption(true, 'SIGHUP', number, 0)
     this.#instance(number).process.signal('SIGHUP')
