Open due occurrences while a compaction of the log waits for the store

Callers would see a repeated job of which nothing runs although an occurrence is due (LOST), for as long as a compaction waits for the store.

Cause: the housekeeping opens due occurrences, and awaited the compaction after that. A compaction makes a call for each part, each page and each 30 removed keys; with a slow store these add up to seconds. Since each write whose answer is lost is repeated up to four times, each of 1.5 s, a silent store adds 6 s for a single write.

Change: the compaction runs beside the housekeeping, one at a time.

Found by reading; not seen in a run of real processes.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -90,6 +90,7 @@
   #lastCompactedSequence = 0
   /** Bytes of the segments since the last compaction that were stored before this term. */
   #recoveredLogBytes = 0
+  #compacting = false
   #closed = false
 
   constructor (options: CoordinatorOptions) {
@@ -390,20 +391,21 @@
     while (!this.#closed) {
       await this.#clock.sleep(HOUSEKEEPING_INTERVAL_MS)
       try {
-        await this.#runHousekeepingOnce()
+        this.#runHousekeepingOnce()
       } catch (error) {
         this.#logger.error({ error: error instanceof Error ? error.stack : String(error) }, 'housekeeping failed')
       }
     }
   }
 
-  async #runHousekeepingOnce (): Promise<void> {
+  #runHousekeepingOnce (): void {
     this.#retention?.evict()
     for (const job of this.table.jobs.values()) {
       if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
     }
     this.#placer.reportWaits()
-    await this.#compactIfDue()
+    // Not awaited: occurrences become due while the store is slow, and one compaction takes many calls.
+    runInBackground(this.#compactIfDue(), this.#logger, 'log compaction')
     this.stateChanged()
   }
 
@@ -420,7 +422,7 @@
   /** A failed compaction is retried when the log has grown as much again. */
   async #compactIfDue (): Promise<void> {
     const log = this.#log
-    if (log === undefined) return
+    if (log === undefined || this.#compacting) return
     const isLong = log.nextSequence - this.#lastCompactedSequence >= SEGMENTS_BETWEEN_SNAPSHOTS
     if (!isLong && this.#recoveredLogBytes + log.bytesSinceCompaction < LOG_BYTES_BETWEEN_SNAPSHOTS) return
     this.#lastCompactedSequence = log.nextSequence
@@ -429,10 +431,13 @@
     // The snapshot contains jobs whose records have not been committed yet.
     log.preventWithdrawal()
     const lastSequence = log.nextSequence - 1
+    this.#compacting = true
     try {
       await compactLog({ store: this.#options.store, logger: this.#logger, election: this.#election, table: this.table, lastSequence })
     } catch (error) {
       this.#logger.warn({ error: String(error), sequence: lastSequence }, 'log compaction failed')
+    } finally {
+      this.#compacting = false
     }
   }
 
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -1,7 +1,7 @@
 /** A coordinator with its log and targets on a manual clock, for model-based tests. */
 import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import type { DesiredState, QueueSettings } from '../../jobs/desiredState.ts'
-import type { StepDefinition } from '../../jobs/job.ts'
+import type { JobDefinition, StepDefinition } from '../../jobs/job.ts'
 import { createJobRecord, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { resources } from '../../model/resources.ts'
 import { createLogger } from '../../observability/logger.ts'
@@ -9,6 +9,7 @@
 import { DesiredStateWatcher } from '../desiredStateWatcher.ts'
 import { COORDINATOR_KEY } from '../election.ts'
 import { JobCoordinator } from '../jobCoordinator.ts'
+import { SNAPSHOT_PREFIX } from '../logReader.ts'
 import { MemoryTransactionalStore } from './memoryTransactionalStore.ts'
 import type { CommitFault } from './memoryTransactionalStore.ts'
 import { SimulatedTarget } from './simulatedTarget.ts'
@@ -35,6 +36,8 @@
 
 /** A store whose calls take time, and whose watches end without a change. */
 class SlowStore extends MemoryTransactionalStore {
+  /** Additional time of each write of a snapshot. */
+  snapshotDelayMs = 0
   readonly #clock: ManualClock
 
   constructor (clock: ManualClock) {
@@ -43,7 +46,8 @@
   }
 
   override async commit (...[transaction]: Parameters<MemoryTransactionalStore['commit']>): ReturnType<MemoryTransactionalStore['commit']> {
-    await this.#clock.sleep(5)
+    const isSnapshot = transaction.writes.some(({ key }) => key.startsWith(SNAPSHOT_PREFIX))
+    await this.#clock.sleep(5 + (isSnapshot ? this.snapshotDelayMs : 0))
     return await super.commit(transaction)
   }
 
@@ -141,11 +145,16 @@
     this.#store.commitFaults.push(...faults)
   }
 
+  delaySnapshots (delayMs: number): void {
+    this.#store.snapshotDelayMs = delayMs
+  }
+
   /** Submits a job that counts as accepted when it is durable. */
-  submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[]): string {
+  submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[], overrides: Partial<JobDefinition> = {}): string {
     const id = `${kind}-${this.#submittedJobs++}`
     const { coordinator } = this
-    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...createJobRecord(id, steps), queue: queue.name }])
+    const record = createJobRecord(id, steps)
+    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, definition: { ...record.definition, ...overrides } }])
     const job = coordinator.table.jobs.get(id)
     if (job !== undefined) coordinator.enqueueJob(job)
     durable.then(() => this.accepted.set(id, kind), () => {})
