Take a reload signal that comes during the start as a request to reload

What callers would see: an instance that gets SIGHUP while it starts ends by the default action of the signal, with the connections that it has just accepted.

Cause: SIGHUP is handled only after the start, unlike the signals to stop. The listeners are open before the start returns.

Change: the signal is handled from before the start, and the settings are read again after it. An instance that cannot reload is stopped for it, and keeps the default action afterwards, as before.

Evidence: both new tests failed before (the signal had no listener). Not seen in a run of real processes.

--- a/src/commands/runUntilStopped.test.ts
+++ b/src/commands/runUntilStopped.test.ts
@@ -69,3 +69,29 @@
   await t.throwsAsync(running, { message: 'the stop failed' })
   t.deepEqual(events.eventNames(), [], 'signals end a process in which something is left open')
 })
+
+// Guards against a process that ends by the default action of SIGHUP, and against changed settings that it does not read.
+test('a reload signal during the start takes effect after it', async t => {
+  const events = new EventEmitter()
+  const { calls, instance } = createInstance()
+  const running = runUntilStopped(async () => {
+    t.true(events.emit('SIGHUP'))
+    return instance
+  }, events)
+  await nextTurn()
+  events.emit('SIGTERM')
+  await running
+  t.deepEqual(calls, ['reload: SIGHUP', 'stop'])
+})
+
+// Guards against an instance without reload that keeps running after its terminal was closed during the start.
+test('a reload signal during the start stops an instance that can not reload, and is left to the default action later', async t => {
+  const events = new EventEmitter()
+  const { calls, instance: { stopped, stop, logUnexpectedError } } = createInstance()
+  await runUntilStopped(async () => {
+    t.true(events.emit('SIGHUP'))
+    return { stopped, stop, logUnexpectedError }
+  }, events)
+  t.deepEqual(calls, ['stop'])
+  t.is(events.listenerCount('SIGHUP'), 0)
+})
--- a/src/commands/runUntilStopped.ts
+++ b/src/commands/runUntilStopped.ts
@@ -11,7 +11,7 @@
 /**
  * Starts the instance, and handles stop and reload signals and unexpected errors from before its start until the process
  * ends: a signal or an error that comes between the end of the stop and the end of the process must not change its exit
- * code. A stop signal during the start takes effect after it.
+ * code. A signal during the start takes effect after it.
  *
  * @example
  * await runUntilStopped(async () => await startOnPlatform(path), process)
@@ -19,20 +19,27 @@
 export async function runUntilStopped (start: () => Promise<RunningInstance>, events: EventEmitter): Promise<void> {
   let instance: RunningInstance | undefined
   let stopRequested = false
+  let reloadRequested = false
   let onFailure: (error: unknown) => void = () => {}
   const failure = new Promise<never>((_resolve, reject) => { onFailure = reject })
   const stop = (): void => {
     stopRequested = true
     instance?.stop().catch(onFailure)
   }
-  const reload = (): void => instance?.reload?.(RELOAD_SIGNAL)
+  const reload = (): void => {
+    reloadRequested = true
+    instance?.reload?.(RELOAD_SIGNAL)
+  }
   const logError = (error: unknown): void => instance === undefined ? console.error('unexpected error during the start:', error) : instance.logUnexpectedError(error)
   for (const signal of STOP_SIGNALS) events.on(signal, stop)
+  events.on(RELOAD_SIGNAL, reload)
   for (const event of ERROR_EVENTS) events.on(event, logError)
   try {
     instance = await start()
-    if (instance.reload !== undefined) events.on(RELOAD_SIGNAL, reload)
-    if (stopRequested) stop()
+    if (instance.reload === undefined) events.off(RELOAD_SIGNAL, reload)
+    else if (reloadRequested) reload()
+    // Without a reload, the signal is to end the process.
+    if (stopRequested || (reloadRequested && instance.reload === undefined)) stop()
     await Promise.race([instance.stopped, failure])
   } catch (error) {
     // What is left open keeps the process running, so that signals need their default action.
