Handle signals while the modules of the service are loaded

Callers would see an instance that ends by the default action of a signal between the start of its process and the start of the service, and operators an exit that no line explains. Cause: the modules were loaded before the signals were handled, and loading takes most of a start, longer on a busy machine. They are loaded by the start function now. Found by the review; read, not seen in a run and without a test of its own: the signal has to arrive during an import.

--- a/src/commands/serveOnPlatform.ts
+++ b/src/commands/serveOnPlatform.ts
@@ -16,8 +16,8 @@
 export async function serveOnPlatform (environment: CommandContext['environment']): Promise<ExitCode> {
   const path = environment[PLATFORM_SETTINGS_VARIABLE]
   if (path === undefined || path === '') throw new CommandError(`--platform needs the path of the settings file in ${PLATFORM_SETTINGS_VARIABLE}`, EXIT_CODES.usageError)
-  const startOnPlatform = await loadStartOnPlatform()
-  await runUntilStopped(async () => await startOnPlatform(path), process)
+  // Loading the modules takes most of the start, and signals are handled meanwhile.
+  await runUntilStopped(async () => await (await loadStartOnPlatform())(path), process)
   return EXIT_CODES.done
 }
 
