Test that a stored job is known to a successor at every later moment

A property over random appends, answers that are lost or late, refused commits, withdrawals and compactions (seed 37, 500 runs): at every moment a successor knows each job whose append has resolved, and none whose append was rejected as withdrawn.

--- a/src/coordinator/recordLog.test.ts
+++ b/src/coordinator/recordLog.test.ts
@@ -1,11 +1,15 @@
 import test from 'ava'
+import fc from 'fast-check'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { LogRecord } from '../jobs/jobRecords.ts'
-import { createJobRecord, createStep } from '../jobs/testing/definitions.ts'
+import { JobTable } from '../jobs/jobTable.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
 import { LOG_PREFIX, RecordLog, RecordsWithdrawnError, TermLostError } from './recordLog.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
+import type { CommitFault } from './testing/memoryTransactionalStore.ts'
 
 const ELECTION_KEY = 'coordinator'
 const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
@@ -206,3 +210,45 @@
   t.is(table.jobs.size, 0)
   t.is(nextSequence, 3)
 })
+
+const anyStep = fc.oneof(
+  fc.record({ type: fc.constant('append' as const), jobs: fc.integer({ min: 1, max: 3 }) }),
+  fc.record({ type: fc.constant('advance' as const), durationMs: fc.constantFrom(5, 30, 200, 800) }),
+  fc.record({ type: fc.constant('faults' as const), faults: fc.array(fc.constantFrom<CommitFault>('none', 'lost', 'late', 'unavailable'), { maxLength: 8 }) }),
+  fc.constantFrom({ type: 'execute-late' } as const, { type: 'withdraw' } as const, { type: 'compact' } as const)
+)
+
+// Guards against a job that was confirmed to its caller and is not known after the loss of all instances.
+test('a job that counts as stored is known to a successor at every later moment, and a withdrawn one is not', async t => {
+  const property = fc.asyncProperty(fc.array(anyStep, { minLength: 5, maxLength: 40 }), async steps => {
+    const { store, clock, log } = createLog()
+    const election = { key: ELECTION_KEY, revision: store.items.get(ELECTION_KEY)?.revision ?? 0 }
+    const table = new JobTable(() => 0)
+    const [stored, withdrawn] = [new Set<string>(), new Set<string>()]
+    let count = 0
+    for (const step of steps) {
+      if (step.type === 'append') {
+        for (let number = 0; number < step.jobs; number++) {
+          const record = createJobRecord(`job-${++count}`, [createStep(1)])
+          const records: LogRecord[] = [{ type: 'queue', queue: TEST_QUEUE }, record]
+          for (const each of records) table.apply(each)
+          log.append(records).then(() => stored.add(record.id), () => withdrawn.add(record.id))
+        }
+      }
+      if (step.type === 'advance') await clock.advance(step.durationMs)
+      if (step.type === 'faults') store.commitFaults.splice(0, Infinity, ...step.faults)
+      if (step.type === 'execute-late') store.executeLate()
+      if (step.type === 'withdraw') for (const id of log.unsentJobs) if (log.withdrawJob(id)) table.discard(id)
+      if (step.type === 'compact') {
+        log.preventWithdrawal()
+        await compactLog({ store, logger, election, table, lastSequence: log.nextSequence - 1 }).catch(() => {})
+      }
+      await clock.advance(0)
+      const { table: successor } = await readLog(store, () => 0)
+      if ([...stored].some(id => !successor.jobs.has(id)) || [...withdrawn].some(id => successor.jobs.has(id))) return false
+    }
+    log.close()
+    return true
+  })
+  await t.notThrowsAsync(fc.assert(property, { seed: 37, numRuns: 500 }))
+})
