--- a/src/coordinator/logCompactor.test.ts
+++ b/src/coordinator/logCompactor.test.ts
@@ -4,7 +4,7 @@
 import type { LogRecord } from '../jobs/jobRecords.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
 import { compactLog } from './logCompactor.ts'
-import { readLog, SNAPSHOT_PREFIX, SnapshotIncompleteError } from './logReader.ts'
+import { readLog, SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX, SnapshotIncompleteError } from './logReader.ts'
 import { LOG_PREFIX, segmentKey, TermLostError } from './recordLog.ts'
 import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
 import type { CommitFault } from './testing/memoryTransactionalStore.ts'
@@ -117,3 +117,13 @@
   store.items.delete([...store.items.keys()].findLast(key => key.startsWith(SNAPSHOT_PREFIX)) ?? '')
   await t.throwsAsync(readLog(store, () => 0), { instanceOf: SnapshotIncompleteError, message: /has 2 of 3 parts/ })
 })
+
+// Guards against jobs that are unknown after an update of the program, and against parts that an interrupted compaction left.
+test('a snapshot of an earlier version is read without the parts that its head does not count', async t => {
+  const store = new MemoryTransactionalStore()
+  store.put(SNAPSHOT_HEAD_KEY, JSON.stringify({ sequence: 3, parts: 1 }))
+  store.put(`${SNAPSHOT_PREFIX}3/0000`, JSON.stringify([{ type: 'queue', queue: TEST_QUEUE }, job('kept')]))
+  store.put(`${SNAPSHOT_PREFIX}3/0001`, JSON.stringify([job('left-over')]))
+  const { table, nextSequence } = await readLog(store, () => 0)
+  t.deepEqual([[...table.jobs.keys()], nextSequence], [['kept'], 4])
+})
