--- a/src/coordinator/logReader.ts
+++ b/src/coordinator/logReader.ts
@@ -33,12 +33,22 @@
   readonly segmentBytes: number
 }
 
-/** Returns the prefix of the keys of a snapshot. */
+/**
+ * Returns the prefix of the keys of a snapshot.
+ *
+ * @example
+ * snapshotPrefix({ sequence: 7, parts: 1, id: 'a1' }) // 'agategauge/snapshot/7/a1/'
+ */
 export function snapshotPrefix ({ sequence, id }: SnapshotHead): string {
   return id === undefined ? `${SNAPSHOT_PREFIX}${sequence}/` : `${SNAPSHOT_PREFIX}${sequence}/${id}/`
 }
 
-/** Returns the key of one part of a snapshot. */
+/**
+ * Returns the key of one part of a snapshot.
+ *
+ * @example
+ * snapshotPartKey({ sequence: 7, parts: 1, id: 'a1' }, 0) // 'agategauge/snapshot/7/a1/0000'
+ */
 export function snapshotPartKey (head: SnapshotHead, part: number): string {
   return `${snapshotPrefix(head)}${String(part).padStart(4, '0')}`
 }
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placementPass.ts
@@ -63,7 +63,7 @@
     return fitting
   }
 
-  /** Whether nothing that will end runs on the service's targets. */
+  /** Whether nothing runs on the service's targets, or only tasks that last. */
   hasOnlyLastingRuns (service: string): boolean {
     return this.sessions(service).every(({ assignments }) => [...assignments.values()].every(({ task }) => task.step.definition.longRunning))
   }
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -45,6 +45,7 @@
   allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean): number {
     const used = this.usageOf(team.name)
     const idle = COMPUTE_DIMENSIONS.every(dimension => used[dimension] === 0)
+    // What is started as a whole.
     const unit = step.gang ? wanted : 1
     const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
     let count = wanted
@@ -63,8 +64,8 @@
     const lasting = this.#lasting.get(name) ?? NO_USAGE
     return COMPUTE_DIMENSIONS.every(dimension => {
       if (cap[dimension] <= 0 || size[dimension] === 0) return true
-      const passing = used[dimension] - lasting[dimension] + size[dimension] * count
-      return passing < (cap[dimension] - lasting[dimension]) * (1 - URGENT_CAP_RESERVE)
+      const temporary = used[dimension] - lasting[dimension] + size[dimension] * count
+      return temporary < (cap[dimension] - lasting[dimension]) * (1 - URGENT_CAP_RESERVE)
     })
   }
 
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -61,7 +61,7 @@
 export class SimulatedCluster {
   readonly clock = new ManualClock()
   readonly #store = new SlowStore(this.clock)
-  readonly #logger = createLogger({ level: process.env['LEVEL'] === undefined ? 'silent' : 'info', instance: 'test', dataCentre: 'test', secrets: [] })
+  readonly #logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
   readonly #targets: readonly SimulatedTarget[]
   /** Kind of each accepted job, by id. */
   readonly accepted = new Map<string, string>()
--- a/src/lifecycle/lifecycleManager.ts
+++ b/src/lifecycle/lifecycleManager.ts
@@ -43,7 +43,7 @@
 
   /**
    * Stops the started components in reverse order and returns the failures. `totalMs` limits the time that all take
-   * together; components that it leaves no time are stopped without waiting for them.
+   * together; once it is used up, the remaining components are told to stop without waiting for them.
    */
   async stop (totalMs = Infinity): Promise<readonly StopFailure[]> {
     const failures: StopFailure[] = []
