Let suspected lasting tasks share the targets that are kept for them

Cause: each suspected lasting task gets a target to itself until it has worked there for 10 s, and only a quarter of the targets (six tenths of idle ones) may be kept, so that the others wait in turn.

Change: until three targets have crashed under it, a suspected lasting task that can not get a target of its own starts on one that is kept for other lasting tasks. From the third crash on it needs its own, since users allow two more starts, which have to show whether it is the cause. A shared target stays closed to other work until all that share it have worked there for 10 s. Lasting tasks may always keep one target, however many are kept for tasks that end, as long as one stays open. The outage of a shared target counts as explained by its suspects, as that of an unshared one.

--- a/src/coordinator/crashEvidence.ts
+++ b/src/coordinator/crashEvidence.ts
@@ -58,10 +58,12 @@
   return left.afterMs <= right.byMs + OVERLAP_TOLERANCE_MS && right.afterMs <= left.byMs + OVERLAP_TOLERANCE_MS
 }
 
-/** Whether a target with these runs was kept for a suspected job. */
+/** Whether a target with these runs was kept for suspected jobs, of which only lasting tasks share one. */
 export function areIsolated (runs: readonly Assignment[]): boolean {
   const suspects = runs.filter(run => !isBystander(run))
-  return new Set(suspects.map(jobOf)).size === 1 && suspects.some(({ task }) => task.step.isSuspected(task))
+  const isSuspected = ({ task }: Assignment): boolean => task.step.isSuspected(task)
+  if (new Set(suspects.map(jobOf)).size === 1) return suspects.some(isSuspected)
+  return suspects.length > 0 && suspects.every(run => isLasting(run) && isSuspected(run))
 }
 
 export interface Crash {
--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { StepDefinition } from '../jobs/job.ts'
-import { resources } from '../model/resources.ts'
+import { resources, subtractResources } from '../model/resources.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { Isolation } from './isolation.ts'
@@ -21,8 +21,8 @@
 const NOW_MS = 100_000
 
 function createIsolation (): Isolation {
-  return new Isolation((_step, { key }): TargetAvailability => ({
-    key, free: resources({}), rack: '', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false
+  return new Isolation((_step, { key, capacity, assignments }): TargetAvailability => ({
+    key, free: [...assignments.values()].reduce((free, { size }) => subtractResources(free, size), capacity.total), rack: '', labels: [], sameStepTasks: 0, hasResponseTargetTasks: false, hasSpareFillingTasks: false, isUnreliable: false
   }), createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] }))
 }
 
@@ -196,3 +196,58 @@
   task?.step.recordCrash(0, 2, 'suspected', 't-1')
   t.deepEqual(keys(prepare(isolation, suspects, targets, targets, NOW_MS + 60_000)), [])
 })
+
+/** Marks the run as one that the target has shown since the given time. */
+function report (assignment: Assignment, sinceMs: number): void {
+  Object.assign(assignment, { reported: true, firstReportedAtMs: sinceMs })
+  assignment.task.state = 'assigned'
+}
+
+// Guards against lasting tasks that come back one after the other, each when the one before has worked on its target for long.
+test('lasting tasks share the target that may be kept, until three targets have crashed under one of them', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const target of targets) run(target, target.id === 't-1' ? [] : createAssignments(`other-${target.id}`))
+  const [first, second] = ['a', 'b'].flatMap(id => createSuspects(id, 1, { longRunning: true }))
+  if (first === undefined || second === undefined) return t.fail()
+  t.deepEqual(keys(prepare(isolation, [first], targets)), ['t-1@1'])
+  run(targets[1], [first])
+  report(first, NOW_MS)
+  second.task.step.recordCrash(0, 2, 'shared', 't-2')
+  t.deepEqual(keys(prepare(isolation, [second], targets)), ['t-1@1'])
+  t.deepEqual(holds(isolation, targets), [false, true, false, false], 'other work keeps its targets')
+  second.task.step.recordCrash(0, 3, 'shared', 't-3')
+  t.deepEqual(keys(prepare(isolation, [second], targets)), [], 'only a target of its own shows whether it is the cause')
+})
+
+// Guards against other tasks beside a lasting one that may crash its target, because the task that the target was kept for has left.
+test('a shared target stays closed until all lasting tasks that share it have worked there for long', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(2)
+  const [first, second] = ['a', 'b'].flatMap(id => createSuspects(id, 1, { longRunning: true }))
+  if (first === undefined || second === undefined) return t.fail()
+  run(targets[1], [first])
+  prepare(isolation, [first], targets)
+  const [kept] = targets.filter((_, number) => holds(isolation, targets)[number] === true)
+  report(first, NOW_MS)
+  t.deepEqual(keys(prepare(isolation, [second], targets)), [kept?.key])
+  run(kept, [second])
+  report(second, NOW_MS + 5_000)
+  isolation.releaseUnneeded(NOW_MS + 10_000)
+  t.true(holds(isolation, targets).includes(true), 'the second has worked there for half of the time')
+  isolation.releaseUnneeded(NOW_MS + 15_000)
+  t.false(holds(isolation, targets).includes(true))
+})
+
+// Guards against lasting tasks that stay down for as long as tasks that end keep all targets that may be kept.
+test('a lasting task gets a target also while others are kept for as many tasks that end as allowed', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const target of targets) run(target, createAssignments(`other-${target.id}`))
+  prepare(isolation, createSuspects('a'), targets)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1)
+  prepare(isolation, createSuspects('b'), targets)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1, 'no more for a second task that ends')
+  prepare(isolation, createSuspects('c', 1, { longRunning: true }), targets)
+  t.is(holds(isolation, targets).filter(Boolean).length, 2)
+})
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -13,6 +13,11 @@
 const MAX_ISOLATED_RATIO = 0.25
 /** The same if the added targets have nothing else to do. */
 const MAX_ISOLATED_RATIO_OF_IDLE = 0.6
+/**
+ * Until this number of crashes, a lasting task may share its kept target with others. Users allow two starts after the
+ * third crash, and these have to show whether the task is the cause.
+ */
+const MAX_CRASHES_FOR_SHARING = 2
 /** A lasting task is needed all the time, and the runs of other jobs on its target may take much longer than this to end. */
 const MAX_VACATING_MS_FOR_LASTING = 2_000
 
@@ -26,7 +31,10 @@
 }
 
 export interface IsolatedPlaces {
-  /** Targets that run nothing but tasks of the job, and lasting tasks that will not end; for a lasting task after its first crash also others, after a while. */
+  /**
+   * Targets that run nothing but tasks of the job, and lasting tasks that will not end; for a lasting task after its first
+   * crash also others, after a while.
+   */
   readonly ready: readonly TargetSession[]
   /** Whether all permitted targets together are too few for the step. */
   readonly insufficient: boolean
@@ -56,19 +64,30 @@
     return this.#jobs.has(target)
   }
 
-  /** Opens targets to all tasks again whose job no longer needs them. */
+  /** Opens targets to all tasks again that no job needs any longer. */
   releaseUnneeded (nowMs: number): void {
     for (const [target, job] of this.#jobs) {
-      if (target.ended || job.outcome !== undefined || !this.#needsTarget(job, target, nowMs)) this.#release(target, job)
+      if (!target.ended && job.outcome === undefined && this.#needsTarget(job, target, nowMs)) continue
+      const sharing = target.ended ? undefined : findUnsettledSuspect(target, nowMs)
+      if (sharing === undefined) this.#release(target, job)
+      else this.#jobs.set(target, sharing.task.step.job)
     }
   }
 
   /**
    * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
    * crash of the same target proves nothing, and of these the ones that will be vacant soonest. A lasting task prefers
-   * those that can hold it now, since after its first crash it does not wait for long runs of others to end.
+   * those that can hold it now, since after its first crash it does not wait for long runs of others to end. If no more
+   * targets may be kept, it starts on one that is kept for other lasting tasks.
    */
-  prepare ({ step, targets, permits, nowMs }: IsolationRequest): IsolatedPlaces {
+  prepare (request: IsolationRequest): IsolatedPlaces {
+    const places = this.#prepareOwn(request)
+    if (places.ready.length > 0 || this.#hasTarget(request.step.job)) return places
+    const shared = this.#findShared(request)
+    return shared === undefined ? places : { ready: [shared], insufficient: false }
+  }
+
+  #prepareOwn ({ step, targets, permits, nowMs }: IsolationRequest): IsolatedPlaces {
     const { job, definition } = step
     const places = (target: TargetSession): number => this.#countPlaces(step, target)
     const usable = targets.filter(target => permits(target) && places(target) > 0)
@@ -87,7 +106,7 @@
     }
     if (missing > 0) return { ready: [], insufficient: true }
     const maximumRatio = added.every(target => isVacant(target, job)) ? MAX_ISOLATED_RATIO_OF_IDLE : MAX_ISOLATED_RATIO
-    if (this.#mayAdd(added.length, job, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target), nowMs)
+    if (this.#mayAdd(added.length, step, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target), nowMs)
     const mayStart = (target: TargetSession): boolean => isVacant(target, job) || this.#mayShare(step, target, nowMs)
     return { ready: usable.filter(target => this.#jobs.get(target) === job && mayStart(target)), insufficient: false }
   }
@@ -115,10 +134,33 @@
     })
   }
 
-  /** All targets of a gang are added at once, so that two gangs cannot hold a part each and wait for the other. */
-  #mayAdd (added: number, job: JobProgress, targets: readonly TargetSession[], maximumRatio: number): boolean {
-    const held = targets.filter(target => this.#jobs.has(target))
-    return held.every(target => this.#jobs.get(target) === job) || held.length + added <= targets.length * maximumRatio
+  #hasTarget (job: JobProgress): boolean {
+    return [...this.#jobs.values()].includes(job)
+  }
+
+  /** Returns the target with the fewest runs among those that lasting tasks share, or undefined if the step may not share one. */
+  #findShared ({ step, targets, permits, nowMs }: IsolationRequest): TargetSession | undefined {
+    if (!maySuspectsShare(step.job)) return undefined
+    const isShared = (target: TargetSession): boolean => {
+      const keeper = this.#jobs.get(target)
+      return keeper !== undefined && maySuspectsShare(keeper) && (isVacant(target, step.job) || this.#mayShare(step, target, nowMs))
+    }
+    const holdsOne = (target: TargetSession): boolean => {
+      const availability = this.#describe(step, target)
+      return isSuitable(step.definition, availability) && countFitting(requiredResources(step.definition), availability.free) > 0
+    }
+    const candidates = targets.filter(target => permits(target) && isShared(target) && holdsOne(target))
+    return candidates.sort((left, right) => left.assignments.size - right.assignments.size)[0]
+  }
+
+  /**
+   * All targets of a gang are added at once, so that two gangs cannot hold a part each and wait for the other. Lasting
+   * tasks may always keep one target, however many are kept for tasks that end, as long as one remains open.
+   */
+  #mayAdd (added: number, { job }: StepProgress, targets: readonly TargetSession[], maximumRatio: number): boolean {
+    const keepers = targets.flatMap(target => this.#jobs.get(target) ?? [])
+    if (keepers.every(keeper => keeper === job) || keepers.length + added <= targets.length * maximumRatio) return true
+    return maySuspectsShare(job) && !keepers.some(maySuspectsShare) && added === 1 && keepers.length + 1 < targets.length
   }
 
   #keep (target: TargetSession, { job, name }: StepProgress, places: number, nowMs: number): void {
@@ -154,6 +196,17 @@
   }
 }
 
+/** Whether the suspected tasks of the job may share their targets: they last, and have crashes left to show which of them is the cause. */
+function maySuspectsShare (job: JobProgress): boolean {
+  const suspects = job.steps.flatMap(step => step.suspectedTasks)
+  return suspects.length > 0 && suspects.every(({ step, crashHistory }) => step.definition.longRunning && !step.definition.gang && crashHistory.crashes <= MAX_CRASHES_FOR_SHARING)
+}
+
+/** Returns a run of a suspected lasting task that has not yet worked on the target for long. */
+function findUnsettledSuspect (target: TargetSession, nowMs: number): Assignment | undefined {
+  return [...target.assignments.values()].find(run => isLasting(run) && run.task.step.isSuspected(run.task) && run.task.step.job.outcome === undefined && !isSettled(run, nowMs))
+}
+
 /** A lasting task that has been at work for long did not crash its target, and others may join it. */
 function isSettled (run: Assignment, nowMs: number): boolean {
   return isLasting(run) && nowMs - run.firstReportedAtMs >= CLEARING_TIME_MS
--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -60,3 +60,24 @@
   t.is(cluster.running.length, 8)
   cluster.close()
 })
+
+// Guards against sharing that hides which lasting task crashes its targets, so that it is started without end (BUDGET).
+test('a lasting task that crashes its targets is given up within five starts, and those that shared targets with it run on', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  const innocent = Array.from({ length: 6 }, () => cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })]))
+  await cluster.clock.advance(1_000)
+  const deadly = cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  let crashes = 0
+  for (let step = 0; step < 400; step++) {
+    await cluster.clock.advance(500)
+    const number = [0, 1, 2, 3].find(each => cluster.target(each).running.some(task => task.startsWith(deadly)))
+    if (number === undefined) continue
+    cluster.restartTarget(number)
+    crashes++
+  }
+  t.true(crashes <= 5, `${crashes} targets crashed`)
+  t.is(cluster.coordinator.table.finished.get(deadly)?.state, 'failed')
+  t.deepEqual(innocent.filter(id => !cluster.running.some(task => task.startsWith(id))), [])
+  cluster.close()
+})
