Let tests of gangs fall silent at the start, and count its starts exactly

"a gang does not hold its targets while the start of one member stays unanswered" made its target silent before the gang was placed. The stand-in can fall silent with the next start now. The bound is unchanged.

"a gang is not given up because its targets crash one after another ..." expected 16 starts and was eased to 16 or more after two failures beside load, on a cause that was read and not traced. If it fails again, its message has every start and end, which shows where further starts come from.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -119,7 +119,7 @@
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000c01', job(9))
   await cluster.waitForState(0, '/checks/0000000000000c01', 'completed')
   const silent = cluster.platform.workers.get('worker-2')
-  if (silent !== undefined) silent.fault = 'silent'
+  if (silent !== undefined) silent.fault = 'silent-from-start'
   const first = cluster.coordinator()
   const stopping = cluster.instances[first]?.stop()
   await cluster.waitUntil('the other instance coordinates', () => cluster.coordinator() === 1 - first)
@@ -177,7 +177,7 @@
   await cluster.call(0, 'DELETE', '/checks/0000000000000f00')
   await cluster.waitUntil('both are free', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
   const silent = cluster.platform.workers.get('worker-2')
-  if (silent !== undefined) silent.fault = 'silent'
+  if (silent !== undefined) silent.fault = 'silent-from-start'
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f01', { spec: 'x', phases: [{ count: 2, ...member }] })
   await cluster.waitUntil('one member runs', () => cluster.startedTasks('0000000000000f01').length === 1)
   const startedAtMs = Date.now()
@@ -312,7 +312,7 @@
     cluster.platform.crash(run?.worker ?? '', 500)
   }
   await cluster.waitForState(0, path, 'completed')
-  t.true(cluster.startedTasks(id).length >= 16, 'each crash has restarted the whole gang')
+  t.is(cluster.startedTasks(id).length, 16, `each crash has restarted the whole gang: ${JSON.stringify(cluster.platform.events)}`)
 })
 
 test('a task that crashes its target takes the tasks of other jobs with it only once', async t => {
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -28,8 +28,11 @@
   readonly end?: string
 }
 
-/** `silent` accepts calls without answering; `late` executes starts after a delay without answering; `refusing` answers 503. */
-export type WorkerFault = 'none' | 'silent' | 'late' | 'refusing'
+/**
+ * `silent` accepts calls without answering, `silent-from-start` from the next start on; `late` executes starts after a
+ * delay without answering; `refusing` answers 503.
+ */
+export type WorkerFault = 'none' | 'silent' | 'silent-from-start' | 'late' | 'refusing'
 
 const MAX_LEASE_MS = 10_000
 /** Later finished runs are listed when earlier ones have been acknowledged. */
@@ -122,6 +125,7 @@
       method: 'POST',
       pattern,
       handle: async ({ body, signal }) => {
+        if (this.fault === 'silent-from-start' && pattern === '/-/run-start') this.fault = 'silent'
         const { fault } = this
         if (fault === 'refusing') return { status: 503, body: {} }
         if (fault === 'late' && pattern === '/-/run-start') setTimeout(() => { this.#start(body as Body) }, LATE_START_DELAY_MS)
