Soak: give instances a share of a processor, and judge calls cut once their work began

`--shares 0.33` stops and continues each instance within each tenth of a second, as the small machines of the users' platform behave, while callers and stand-ins keep their speed. Several shares are given to the instances in turn.

Rule LOST also counts a request that is cut sooner than 200 ms after its last byte if it has been passed on. The checker passed over these; it reports a submission now of which a task had been started before the cut.

--- a/test/processes/childProcess.ts
+++ b/test/processes/childProcess.ts
@@ -74,6 +74,15 @@
     if (!this.#hasEnded) this.#child.kill(signal)
   }
 
+  /** Stops the process for a moment that is part of its usual speed, unlike a pause. */
+  suspend (): void {
+    if (!this.#hasEnded) this.#child.kill('SIGSTOP')
+  }
+
+  resume (): void {
+    if (!this.#hasEnded) this.#child.kill('SIGCONT')
+  }
+
   /** Returns the first output line that matches; rejects if the process exits without one. */
   async waitForLine (matches: (line: string) => boolean): Promise<string> {
     const known = this.#lines.find(matches)
--- a/test/soak/deploymentChecker.test.ts
+++ b/test/soak/deploymentChecker.test.ts
@@ -9,10 +9,20 @@
 
 // Guards against a soak that passes over requests which a planned stop has cut.
 test('a call that is cut around planned work is reported, unless its caller gave up or a fault was near', t => {
-  t.is(findCutCalls([CALL], [STOP]).length, 1)
-  t.deepEqual(findCutCalls([{ ...CALL, endedAtMs: 10_200 }, { ...CALL, failure: 'time-out' }, { ...CALL, instance: 2 }, { ...CALL, sentAtMs: undefined }], [STOP]), [])
-  t.deepEqual(findCutCalls([CALL], [STOP, { planned: false, what: 'kill', instance: 1, atMs: 5_000, untilMs: 6_000 }]), [])
-  t.deepEqual(findCutCalls([CALL], [{ ...STOP, atMs: 3_000 }]), [])
+  t.is(findCutCalls([CALL], [STOP], []).length, 1)
+  t.deepEqual(findCutCalls([{ ...CALL, endedAtMs: 10_200 }, { ...CALL, failure: 'time-out' }, { ...CALL, instance: 2 }, { ...CALL, sentAtMs: undefined }], [STOP], []), [])
+  t.deepEqual(findCutCalls([CALL], [STOP, { planned: false, what: 'kill', instance: 1, atMs: 5_000, untilMs: 6_000 }], []), [])
+  t.deepEqual(findCutCalls([CALL], [{ ...STOP, atMs: 3_000 }], []), [])
+})
+
+// Guards against a soak that passes over submissions whose answers a planned stop has cut although their work was handed out.
+test('a submission that is cut soon after its last byte is reported if a task of it had been started by then', t => {
+  const submission: CallRecord = { ...CALL, method: 'POST', endedAtMs: 10_100 }
+  const start = { type: 'started' as const, atMs: 10_050, task: '1.0.0.0', attempt: 1, worker: 'worker-1' }
+  t.is(findCutCalls([submission], [STOP], [start]).length, 1)
+  t.deepEqual(findCutCalls([submission], [STOP], [{ ...start, atMs: 10_150 }]), [])
+  t.deepEqual(findCutCalls([submission], [STOP], [{ ...start, atMs: 9_000 }]), [], 'an earlier attempt of the caller had submitted it')
+  t.deepEqual(findCutCalls([{ ...submission, method: 'GET' }], [STOP], [start]), [])
 })
 
 // Guards against a soak that passes over accepted jobs which wait although there is room.
--- a/test/soak/deploymentChecker.ts
+++ b/test/soak/deploymentChecker.ts
@@ -22,15 +22,25 @@
 }
 
 /**
- * Returns the calls that were cut around planned work, later than `LOSS_SLACK_MS` after their last byte was sent, without
- * an unplanned disruption near.
+ * Returns the calls that were cut around planned work, without an unplanned disruption near: later than `LOSS_SLACK_MS`
+ * after their last byte was sent, or sooner if a task of the submission that they carried had been started.
  *
  * @example
- * t.deepEqual(findCutCalls(callers.unanswered, cell.disruptions), [])
+ * t.deepEqual(findCutCalls(callers.unanswered, cell.disruptions, cell.platform.events), [])
  */
-export function findCutCalls (calls: readonly CallRecord[], disruptions: readonly Disruption[]): readonly string[] {
-  return calls.flatMap(({ instance, method, path, reusedConnection, sentAtMs, endedAtMs, failure }) => {
-    if (sentAtMs === undefined || failure === 'time-out' || endedAtMs - sentAtMs <= LOSS_SLACK_MS) return []
+export function findCutCalls (calls: readonly CallRecord[], disruptions: readonly Disruption[], events: readonly WorkerEvent[]): readonly string[] {
+  const firstStartMs = new Map<string, number>()
+  for (const { type, task, atMs } of events) {
+    const job = task.split('.')[0] as string
+    if (type === 'started' && !firstStartMs.has(job)) firstStartMs.set(job, atMs)
+  }
+  const hasStartedWork = ({ method, path, startedAtMs, endedAtMs }: CallRecord): boolean => {
+    const startMs = firstStartMs.get(path.split('/').at(-1) as string) ?? Infinity
+    return method === 'POST' && startMs >= startedAtMs && startMs <= endedAtMs
+  }
+  return calls.flatMap(call => {
+    const { instance, method, path, reusedConnection, sentAtMs, endedAtMs, failure } = call
+    if (sentAtMs === undefined || failure === 'time-out' || (endedAtMs - sentAtMs <= LOSS_SLACK_MS && !hasStartedWork(call))) return []
     const concerning = disruptions.filter(disruption => disruption.instance === undefined || disruption.instance === instance)
     if (concerning.some(({ planned, atMs, untilMs }) => !planned && atMs <= endedAtMs + LOSS_SLACK_MS && untilMs >= sentAtMs - CONTACT_MS)) return []
     const work = concerning.filter(({ planned, what, atMs }) => planned && atMs <= endedAtMs && endedAtMs < atMs + (what === 'SIGTERM' ? STOP_WINDOW_MS : CHANGE_WINDOW_MS))
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -20,6 +20,7 @@
   .option('program', { type: 'string', default: PROGRAM[0] as string, describe: 'Program of the instances' })
   .option('deployment', { type: 'boolean', default: false, describe: 'Whether to run the load and the disruptions of a large deployment' })
   .option('rate', { type: 'number', default: 12, describe: 'Submissions per second with --deployment' })
+  .option('shares', { type: 'number', array: true, default: [1], describe: 'Shares of a processor that the instances have in turn, with --deployment' })
   .strict()
   .parse()
 
@@ -44,7 +45,7 @@
 async function runDeploymentSeed (seed: number): Promise<void> {
   await mkdir(options.logs, { recursive: true })
   const logFile = join(options.logs, `deployment-${seed}.log`)
-  const violations = await runDeployment({ seed, durationMs: options.seconds * 1_000, program: [options.program], instances: options.instances, workers: options.workers, perSecond: options.rate, logFile })
+  const violations = await runDeployment({ seed, durationMs: options.seconds * 1_000, program: [options.program], instances: options.instances, workers: options.workers, perSecond: options.rate, processorShares: options.shares, logFile })
   if (violations.length > 0) failed.push(seed)
   for (const violation of violations.slice(0, 12)) console.log(`  ${violation}`)
 }
--- a/test/soak/runDeployment.ts
+++ b/test/soak/runDeployment.ts
@@ -18,6 +18,8 @@
 const TEAM_CAP_CPU_PER_WORKER = 3_000
 const ADVICE_MS = 15
 const STARTUP_MS_PER_INSTANCE = 150
+/** Processor time of the start of an instance. */
+const START_PROCESSOR_MS = 1_000
 const WORK_SPREAD = 0.4
 const HASH_STEPS = 1_000
 /** Times of the users' days: the loss of all instances, traffic after it, and the time to finish. */
@@ -35,6 +37,8 @@
   readonly instances: number
   readonly workers: number
   readonly perSecond: number
+  /** Shares of a processor that the instances have in turn. */
+  readonly processorShares?: readonly number[]
   /** File that receives everything that is known about the run if it has violations. */
   readonly logFile: string
 }
@@ -45,12 +49,13 @@
  * @example
  * const violations = await runDeployment({ seed: 7, durationMs: 30_000, program: ['dist/agategauge'], instances: 35, workers: 246, perSecond: 97, logFile: 'seed-7.log' })
  */
-export async function runDeployment ({ seed, durationMs, program, instances, workers, perSecond, logFile }: DeploymentOptions): Promise<readonly string[]> {
+export async function runDeployment ({ seed, durationMs, program, instances, workers, perSecond, processorShares = [1], logFile }: DeploymentOptions): Promise<readonly string[]> {
   const profile = PROFILES[seed % PROFILES.length] as typeof PROFILES[number]
   const teams = Array.from({ length: TEAMS }, (_, index) => ({ name: `team-${index}`, key: `key-${index}`, cap: index % 4 === 3 ? TEAM_CAP_CPU_PER_WORKER * workers : 0 }))
   const hash = (text: string): number => murmurhash.v3(`${seed} ${text}`)
   const cell = await SoakCell.start({
     direct: true,
+    processorShares,
     instances,
     workers,
     workerCpu: WORKER_CPU,
@@ -69,7 +74,7 @@
   let silent: readonly string[] = []
   let finishedAtMs = 0
   try {
-    finishedAtMs = await playDisruptions({ cell, callers, plan, durationMs, instances, downMs: SHORTEST_LOSS_MS + hash('loss') % (LONGEST_LOSS_MS - SHORTEST_LOSS_MS) })
+    finishedAtMs = await playDisruptions({ cell, callers, plan, durationMs, instances, slowStartMs: START_PROCESSOR_MS * (1 / Math.min(...processorShares) - 1), downMs: SHORTEST_LOSS_MS + hash('loss') % (LONGEST_LOSS_MS - SHORTEST_LOSS_MS) })
     silent = await callers.askForAll()
   } finally {
     await cell.stop()
@@ -82,7 +87,7 @@
       .filter(violation => !isOfGang(violation, callers.jobs)),
     ...silent.map(id => `LOST (B): nobody answered for ${id} at the end`),
     ...findStuckJobs({ jobs, events, atMs: finishedAtMs, capacity: WORKER_CPU * workers, caps: new Map(teams.map(({ name, cap }) => [name, cap * cell.capFactor])) }),
-    ...findCutCalls(callers.unanswered, cell.disruptions)
+    ...findCutCalls(callers.unanswered, cell.disruptions, events)
   ]
   const accepted = jobs.filter(({ acceptedAtMs }) => acceptedAtMs !== undefined)
   const unfinished = accepted.filter(job => job.lasting !== true && !job.cancelSent && job.shownStates.at(-1)?.state !== 'completed')
@@ -107,11 +112,13 @@
   readonly durationMs: number
   readonly instances: number
   readonly downMs: number
+  /** Additional time for the start of instances with a small share of a processor. */
+  readonly slowStartMs: number
 }
 
 /** Returns the time at which the jobs have finished, or had time to. */
-async function playDisruptions ({ cell, callers, plan, durationMs, instances, downMs }: Play): Promise<number> {
-  await sleep(instances * STARTUP_MS_PER_INSTANCE)
+async function playDisruptions ({ cell, callers, plan, durationMs, instances, downMs, slowStartMs }: Play): Promise<number> {
+  await sleep(instances * STARTUP_MS_PER_INSTANCE + slowStartMs)
   const running = callers.run()
   const faults = plan.map(async ({ atMs, fault }) => {
     await sleep(atMs)
--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -9,6 +9,7 @@
 import { ManagedProcess } from '../processes/childProcess.ts'
 import { TcpForwarder } from '../processes/tcpForwarder.ts'
 import type { Fault } from './faultPlan.ts'
+import { ProcessorShare } from './processorShare.ts'
 
 /** The platform's `grace_s`: time after SIGTERM at which a process that still runs is killed. */
 const GRACE_MS = 6_000
@@ -29,6 +30,8 @@
   readonly program: readonly string[]
   /** Whether all components are reached without links; faults of links have no effect then. */
   readonly direct?: boolean
+  /** Shares of a processor that the instances have in turn; all of it by default. */
+  readonly processorShares?: readonly number[]
 }
 
 /** A disruption of one instance, or of all without `instance`; `untilMs` is the end of its immediate effect. */
@@ -67,6 +70,8 @@
   #capFactor = 1
   readonly #lines: string[] = []
   #closing = false
+  readonly #paused = new Set<number>()
+  readonly #share: ProcessorShare
 
   private constructor (options: SoakCellOptions, directory: string, platform: StandInPlatform, workerLinks: TcpForwarder[]) {
     this.#options = options
@@ -74,6 +79,11 @@
     this.platform = platform
     this.#workerLinks = workerLinks
     this.#storeFaults = Array.from({ length: options.instances }, () => 'none')
+    const { processorShares = [1] } = options
+    this.#share = new ProcessorShare({
+      shares: Array.from({ length: options.instances }, (_, number) => processorShares[number % processorShares.length] as number),
+      processes: () => this.#instances.map(({ number, process }) => this.#paused.has(number) ? undefined : process)
+    })
   }
 
   /** Starts the stand-ins, then every instance. */
@@ -90,6 +100,7 @@
     })
     const cell = new SoakCell(options, await mkdtemp(join(tmpdir(), 'agategauge-soak-')), platform, workerLinks)
     for (let number = 0; number < options.instances; number++) await cell.#addInstance(number)
+    cell.#share.start()
     return cell
   }
 
@@ -137,6 +148,7 @@
 
   async stop (): Promise<void> {
     this.#closing = true
+    this.#share.stop()
     await Promise.all(this.#instances.map(async ({ process }) => {
       process.signal('SIGCONT')
       await process.kill()
@@ -230,9 +242,11 @@
   async #pause (number: number, forMs: number): Promise<void> {
     const { process } = this.#instance(number)
     this.#recordDisruption(false, 'pause', number, forMs)
+    this.#paused.add(number)
     process.signal('SIGSTOP')
     await sleep(forMs)
     process.signal('SIGCONT')
+    this.#paused.delete(number)
   }
 
   async #failStore (fault: StoreFault, instances: readonly number[], forMs: number, share = 1): Promise<void> {
