Start tasks and gangs that need more than the whole cap of their team

Callers see an accepted job stay queued for ever with the service nearly idle (LOST): one of its tasks, or its gang, needs more than the cap of its team.

Cause: a start had to fit under the cap without exception, while the users' rule allows a start that exceeds the cap by one task.

Change: what needs more than the whole cap starts while at least half of the cap is free and all but one of its tasks fit. Nothing else of the team starts until it has ended. What fits under the cap is placed as before. The tenth by which users let caps be exceeded besides stays unused. A gang that needs more than its cap and one task still waits until the cap is raised: users allow no start of it.

Two of the three new tests fail with the old code; the third guards against a cap that is exceeded for good.

--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -81,3 +81,17 @@
   t.deepEqual(innocent.filter(id => !cluster.running.some(task => task.startsWith(id))), [])
   cluster.close()
 })
+
+// Guards against jobs that are accepted and never run, since one task or gang of theirs needs more than the cap of its team.
+test('a task and a gang that need more than the cap of their team complete beside a stream of small jobs', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 3_000, lateMs: 0, failing: false })
+  await cluster.elect()
+  cluster.submit('task', BATCH, [createStep(1, { size: resources({ processors: 4_000 }) })])
+  cluster.submit('gang', BATCH, [createStep(4, { gang: true })])
+  for (let number = 0; number < 20; number++) {
+    cluster.submit('small', BATCH, [createStep(1)])
+    await cluster.clock.advance(500)
+  }
+  t.deepEqual(await cluster.findStuckJobs(), [])
+  cluster.close()
+})
--- a/src/coordinator/teamUsage.test.ts
+++ b/src/coordinator/teamUsage.test.ts
@@ -73,3 +73,26 @@
   t.is(usage.allowedCount(TEAM, sized(1_000), 1, false), 1)
   t.is(usage.allowedCount(TEAM, CHECK, 1, false), 0)
 })
+
+// Guards against tasks and gangs that never start, since they need more than a cap that was lowered after their acceptance.
+test('a task, or a gang, that needs more than the whole cap starts while half of it is free, and exceeds it by one task at most', t => {
+  const usage = new TeamUsage()
+  const [task, gang] = [sized(1_200_000), sized(300_000, { gang: true })]
+  t.is(usage.allowedCount(TEAM, task, 3, false), 1)
+  t.is(usage.allowedCount(TEAM, gang, 4, false), 4)
+  t.is(usage.allowedCount(TEAM, gang, 5, false), 3, 'it would exceed the cap by more than one task')
+  usage.add('weavers', sized(100_000))
+  t.is(usage.allowedCount(TEAM, gang, 4, false), 4)
+  usage.add('weavers', sized(1_000))
+  t.is(usage.allowedCount(TEAM, gang, 4, false), 2, 'three of four members do not fit beside other work')
+  t.is(usage.allowedCount(TEAM, task, 1, false), 1)
+  usage.add('weavers', sized(400_000))
+  t.is(usage.allowedCount(TEAM, task, 1, false), 0, 'less than half is free')
+})
+
+// Guards against a cap that is exceeded for good: what exceeds it holds back all other work of the team until it has ended.
+test('nothing else of a team starts beside a task that exceeds its cap', t => {
+  const usage = new TeamUsage()
+  usage.add('weavers', sized(1_200_000))
+  t.deepEqual([usage.allowedCount(TEAM, sized(1_200_000), 1, true), usage.allowedCount(TEAM, CHECK, 1, true)], [0, 0])
+})
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -41,6 +41,8 @@
    * Number of tasks that the cap allows. Non-urgent work leaves part of the cap free, so that a team's wide steps do not
    * delay its urgent jobs. While the team is idle a step may use the whole cap. Otherwise one task, or one gang, may
    * reach into the reserve, since it may need more than the unreserved part; the next one waits for work that ends.
+   * A task or gang that needs more than the whole cap, which may have been lowered since it was accepted, may exceed it by
+   * one task while at least half of the cap is free, as the platform allows; it could never start otherwise.
    */
   allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean): number {
     const used = this.usageOf(team.name)
@@ -50,7 +52,15 @@
     const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
     let count = wanted
     while (count > 0 && !permits(count)) count -= 1
-    return count
+    return count < unit && this.#mayExceed(team, step, unit) ? unit : count
+  }
+
+  #mayExceed (team: TeamSettings, step: StepUsage, unit: number): boolean {
+    const { name, cap } = team
+    const needsMore = COMPUTE_DIMENSIONS.some(dimension => cap[dimension] > 0 && step.size[dimension] * unit > cap[dimension])
+    const used = this.usageOf(name)
+    const isHalfFree = COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || step.size[dimension] === 0 || used[dimension] <= cap[dimension] / 2)
+    return needsMore && isHalfFree && this.#fits(team, step, unit - 1)
   }
 
   #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
