Answer for jobs that were accepted before their queue required a key

Callers would be answered 410 for an accepted job (LOST) once its queue no longer takes calls without a key: the job has no team, and each caller's key names one. Such jobs can be read and cancelled with any key of the queue's teams, as they could be by anyone before. The test fails with the old code ('no-job' for the first of four).

--- a/src/coordinator/jobIntake.test.ts
+++ b/src/coordinator/jobIntake.test.ts
@@ -49,3 +49,16 @@
   t.is(await submit('/renders/2'), 'limited')
   t.is(await submit('/checks/3'), 'accepted')
 })
+
+// Guards against accepted jobs that are answered as unknown, since their queue requires a key by now.
+test('a job that was accepted without a key can be read with one, and those of other teams can not', async t => {
+  const jobs = new Map([['1', ''], ['2', 'weavers'], ['3', 'dyers']].map(([id = '', team]) => [id, { state: 'active', queue: TEST_QUEUE, record: { team, queue: TEST_QUEUE.name } }]))
+  const coordinator = { ready: true, storeFails: false, table: { jobs, finished: new Map() }, confirmLeadership: async () => true, applyAndAppend: async () => {} }
+  const state = { version: 1, queues: [TEST_QUEUE], services: [], teams: [{ name: 'weavers', keys: ['k'], weight: 1, cap: resources({}) }], maximumBodyBytes: 0 }
+  const desired = { state, index: new DesiredStateIndex(state), refresh: async () => {} }
+  const intake = new JobIntake(coordinator as unknown as JobCoordinator, desired as unknown as DesiredStateWatcher, new ManualClock(),
+    createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }))
+  const read = async (id: string): Promise<string> =>
+    (await intake.handle({ action: 'read', host: TEST_QUEUE.host, path: `${TEST_QUEUE.pathPrefix}${id}`, key: 'k', definition: '', desiredStateVersion: 1 })).outcome
+  t.deepEqual([await read('1'), await read('2'), await read('3'), await read('4')], ['state', 'state', 'no-job', 'no-job'])
+})
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/jobIntake.ts
@@ -189,6 +189,7 @@
   return error instanceof RecordsWithdrawnError ? STORE_UNAVAILABLE_ANSWER : { outcome: 'unknown', message: String(error) }
 }
 
+/** A job without a team was accepted while its queue took calls without a key. */
 function canAccess (job: { readonly team: string, readonly queue: string }, team: string, queue: QueueSettings): boolean {
-  return job.team === team || queue.anonymous
+  return job.team === team || job.team === '' || queue.anonymous
 }
