--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/taskPlacer.test.ts
@@ -95,3 +95,20 @@
   t.deepEqual(await cluster.findStuckJobs(), [])
   cluster.close()
 })
+
+// Guards against gangs that never start, since narrower steps of their team always take what becomes free of its cap.
+test('a gang that needs most of the cap of its team starts within half a minute beside a stream of narrow jobs of the team', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 10_000, lateMs: 0, failing: false })
+  await cluster.elect()
+  let gang = ''
+  let startedAfterMs = Infinity
+  for (let elapsedMs = 0; elapsedMs < 60_000 && startedAfterMs === Infinity; elapsedMs += 200) {
+    cluster.submit('narrow', BATCH, [createStep(2)])
+    if (elapsedMs === 2_000) gang = cluster.submit('gang', BATCH, [createStep(8, { gang: true })])
+    await cluster.clock.advance(200)
+    if (gang !== '' && cluster.running.some(task => task.startsWith(gang))) startedAfterMs = elapsedMs - 2_000
+  }
+  t.true(startedAfterMs <= 30_000, `started after ${startedAfterMs} ms`)
+  t.deepEqual(await cluster.findStuckJobs(), [])
+  cluster.close()
+})
