Revert "Let the cap of a team drain for a gang that it has kept waiting"

A mend has to start the gang without leaving the team under half of its cap for 3 s while anything of it waits: by the tenth by which users let caps be exceeded, or by stopping runs of the team. Neither was tried.

--- a/src/coordinator/taskPlacer.ts
+++ b/src/coordinator/taskPlacer.ts
@@ -10,7 +10,6 @@
 import { Assignment } from './assignment.ts'
 import { MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
 import { decideAdvisedPlacement } from './advisedPlacement.ts'
-import { CapPrecedence } from './capPrecedence.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import { Isolation } from './isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
@@ -61,11 +60,10 @@
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
   readonly #isolation: Isolation
-  readonly #capPrecedence = new CapPrecedence()
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
-  /** Steps that left capacity, or the cap of their team, to a waiting gang in the last full pass. */
+  /** Steps that left capacity to a waiting gang in the last full pass. */
   #yieldingSteps: ReadonlySet<StepProgress> = new Set()
   readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
@@ -173,13 +171,12 @@
     this.#placeSuspectedTasks(ranked, nowMs)
     const yielding = new Set<StepProgress>()
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
-    if (!urgentOnly) this.#capPrecedence.startPass(unsuspected.map(({ step }) => step), nowMs)
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable.filter(session => !this.#isolation.holds(session)))
       const precedence = new GangPrecedence(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const queue = pass.queue(step.job.queue)
-        if (precedence.yields(step, queue.service) || this.#capPrecedence.yields(step)) {
+        if (precedence.yields(step, queue.service)) {
           yielding.add(step)
           continue
         }
@@ -216,11 +213,7 @@
     if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return true
     const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
-    if (count === 0 || (definition.gang && count < waiting.length)) {
-      const isCapped = this.#isCapped(step, waiting.length, pass, queue)
-      if (isCapped && definition.gang && this.#couldHoldGang(step, waiting.length, pass)) this.#capPrecedence.recordCapped(step, nowMs)
-      return isCapped
-    }
+    if (count === 0 || (definition.gang && count < waiting.length)) return this.#isCapped(step, waiting.length, pass, queue)
     if (queue.advice === undefined) {
       const placed = placeStep(definition, count, sessions.map(session => this.#describeTarget(step, session)))
       pass.recordReservation(queue.service, requiredResources(definition), placed.length)
@@ -264,11 +257,6 @@
     return team !== undefined && this.#usage.allowedCount(team, definition, waiting, queue.priority === 0) < waiting
   }
 
-  #couldHoldGang ({ job, definition }: StepProgress, count: number, pass: PlacementPass): boolean {
-    const team = pass.team(job.team)
-    return team !== undefined && this.#usage.couldHoldGang(team, definition, count)
-  }
-
   /** Returns the number of tasks for which capacity was reserved. */
   #placeWithAdvice (
     step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
--- a/src/coordinator/teamUsage.test.ts
+++ b/src/coordinator/teamUsage.test.ts
@@ -96,13 +96,3 @@
   usage.add('weavers', sized(1_200_000))
   t.deepEqual([usage.allowedCount(TEAM, sized(1_200_000), 1, true), usage.allowedCount(TEAM, CHECK, 1, true)], [0, 0])
 })
-
-// Guards against a team whose other work waits for a gang that its cap can never hold.
-test('a gang could be held by a cap unless the lasting tasks of its team leave too little of it', t => {
-  const usage = new TeamUsage()
-  const gang = sized(150_000, { gang: true })
-  usage.add('weavers', CHECK)
-  t.deepEqual([usage.couldHoldGang(TEAM, gang, 6), usage.couldHoldGang(TEAM, gang, 7), usage.couldHoldGang(TEAM, gang, 8)], [true, true, false])
-  usage.add('weavers', sized(400_000, { longRunning: true }))
-  t.deepEqual([usage.couldHoldGang(TEAM, gang, 4), usage.couldHoldGang(TEAM, gang, 5)], [true, false])
-})
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -55,20 +55,16 @@
     return count < unit && this.#mayExceed(team, step, unit) ? unit : count
   }
 
-  /** Whether a gang of `count` tasks could start if only the lasting tasks of the team ran. */
-  couldHoldGang (team: TeamSettings, step: StepUsage, count: number): boolean {
-    const lasting = this.#lasting.get(team.name) ?? NO_USAGE
-    return this.#fits(team, step, count, lasting) || this.#mayExceed(team, step, count, lasting)
-  }
-
-  #mayExceed (team: TeamSettings, step: StepUsage, unit: number, used = this.usageOf(team.name)): boolean {
-    const { cap } = team
+  #mayExceed (team: TeamSettings, step: StepUsage, unit: number): boolean {
+    const { name, cap } = team
     const needsMore = COMPUTE_DIMENSIONS.some(dimension => cap[dimension] > 0 && step.size[dimension] * unit > cap[dimension])
+    const used = this.usageOf(name)
     const isHalfFree = COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || step.size[dimension] === 0 || used[dimension] <= cap[dimension] / 2)
-    return needsMore && isHalfFree && this.#fits(team, step, unit - 1, used)
+    return needsMore && isHalfFree && this.#fits(team, step, unit - 1)
   }
 
-  #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number, used = this.usageOf(name)): boolean {
+  #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
+    const used = this.usageOf(name)
     return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] + size[dimension] * count <= cap[dimension])
   }
 
