--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -119,7 +119,7 @@
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000c01', job(9))
   await cluster.waitForState(0, '/checks/0000000000000c01', 'completed')
   const silent = cluster.platform.workers.get('worker-2')
-  if (silent !== undefined) silent.fault = 'silent-from-start'
+  if (silent !== undefined) silent.fault = 'silent'
   const first = cluster.coordinator()
   const stopping = cluster.instances[first]?.stop()
   await cluster.waitUntil('the other instance coordinates', () => cluster.coordinator() === 1 - first)
