Start no task beyond a cap when none is wanted

Since a task that needs more than the cap of its team was allowed also if the reserve for urgent tasks left it no processors (none wanted). Found on reading the diff; the new line of the test fails without the change.

--- a/src/coordinator/teamUsage.test.ts
+++ b/src/coordinator/teamUsage.test.ts
@@ -79,6 +79,7 @@
   const usage = new TeamUsage()
   const [task, gang] = [sized(1_200_000), sized(300_000, { gang: true })]
   t.is(usage.allowedCount(TEAM, task, 3, false), 1)
+  t.is(usage.allowedCount(TEAM, task, 0, false), 0, 'none is wanted, for example since the service has no room')
   t.is(usage.allowedCount(TEAM, gang, 4, false), 4)
   t.is(usage.allowedCount(TEAM, gang, 5, false), 3, 'it would exceed the cap by more than one task')
   usage.add('weavers', sized(100_000))
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/teamUsage.ts
@@ -52,7 +52,7 @@
     const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
     let count = wanted
     while (count > 0 && !permits(count)) count -= 1
-    return count < unit && this.#mayExceed(team, step, unit) ? unit : count
+    return count < unit && wanted >= unit && this.#mayExceed(team, step, unit) ? unit : count
   }
 
   #mayExceed (team: TeamSettings, step: StepUsage, unit: number): boolean {
