Let a lasting task share a target while its own one is busy

It may start on a target that is kept for another lasting task now, as it does when it has no target of its own.

--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/isolation.test.ts
@@ -220,6 +220,23 @@
   t.deepEqual(keys(prepare(isolation, [second], targets)), [], 'only a target of its own shows whether it is the cause')
 })
 
+// Guards against lasting tasks that stay down for as long as long runs keep their target busy, although another may be shared.
+test('a lasting task shares a target while runs of other jobs keep its own one busy', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(12)
+  for (const target of targets) run(target, createAssignments(`long-${target.id}`))
+  const [first, second] = ['a', 'b'].flatMap(id => createSuspects(id, 1, { longRunning: true }))
+  if (first === undefined || second === undefined) return t.fail()
+  second.task.step.recordCrash(0, 2, 'shared', 't-2')
+  t.deepEqual([prepare(isolation, [first], targets).ready.length, prepare(isolation, [second], targets).ready.length], [0, 0])
+  const [own, other] = targets.filter((_, number) => holds(isolation, targets)[number] === true)
+  t.deepEqual([own?.key, other?.key], ['t-1@1', 't-3@1'])
+  own?.assignments.clear()
+  run(own, [first])
+  report(first, NOW_MS)
+  t.deepEqual(keys(prepare(isolation, [second], targets)), ['t-1@1'])
+})
+
 // Guards against other tasks beside a lasting one that may crash its target, because the task that the target was kept for has left.
 test('a shared target stays closed until all lasting tasks that share it have worked there for long', t => {
   const isolation = createIsolation()
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/isolation.ts
@@ -77,12 +77,12 @@
   /**
    * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
    * crash of the same target proves nothing, and of these the ones that will be vacant soonest. A lasting task prefers
-   * those that can hold it now, since after its first crash it does not wait for long runs of others to end. If no more
-   * targets may be kept, it starts on one that is kept for other lasting tasks.
+   * those that can hold it now, since after its first crash it does not wait for long runs of others to end. While
+   * it has no target of its own, or that one is not vacant, it may start on one that is kept for other lasting tasks.
    */
   prepare (request: IsolationRequest): IsolatedPlaces {
     const places = this.#prepareOwn(request)
-    if (places.ready.length > 0 || this.#hasTarget(request.step.job)) return places
+    if (places.ready.length > 0) return places
     const shared = this.#findShared(request)
     return shared === undefined ? places : { ready: [shared], insufficient: false }
   }
@@ -134,10 +134,6 @@
     })
   }
 
-  #hasTarget (job: JobProgress): boolean {
-    return [...this.#jobs.values()].includes(job)
-  }
-
   /** Returns the target with the fewest runs among those that lasting tasks share, or undefined if the step may not share one. */
   #findShared ({ step, targets, permits, nowMs }: IsolationRequest): TargetSession | undefined {
     if (!maySuspectsShare(step.job)) return undefined
