--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -21,6 +21,10 @@
   .option('deployment', { type: 'boolean', default: false, describe: 'Whether to run the load and the disruptions of a large deployment' })
   .option('rate', { type: 'number', default: 12, describe: 'Submissions per second with --deployment' })
   .option('shares', { type: 'number', array: true, default: [1], describe: 'Shares of a processor that the instances have in turn, with --deployment' })
+  .check(({ shares }) => {
+    if (shares.every(share => share > 0)) return true
+    throw new Error('--shares: each share must be a number greater than 0')
+  })
   .strict()
   .parse()
 
--- a/test/soak/runDeployment.ts
+++ b/test/soak/runDeployment.ts
@@ -18,7 +18,7 @@
 const TEAM_CAP_CPU_PER_WORKER = 3_000
 const ADVICE_MS = 15
 const STARTUP_MS_PER_INSTANCE = 150
-/** Processor time of the start of an instance. */
+/** More than the processor time that an instance needs until it serves. */
 const START_PROCESSOR_MS = 1_000
 const WORK_SPREAD = 0.4
 const HASH_STEPS = 1_000
@@ -74,7 +74,7 @@
   let silent: readonly string[] = []
   let finishedAtMs = 0
   try {
-    finishedAtMs = await playDisruptions({ cell, callers, plan, durationMs, instances, slowStartMs: START_PROCESSOR_MS * (1 / Math.min(...processorShares) - 1), downMs: SHORTEST_LOSS_MS + hash('loss') % (LONGEST_LOSS_MS - SHORTEST_LOSS_MS) })
+    finishedAtMs = await playDisruptions({ cell, callers, plan, durationMs, instances, slowStartMs: START_PROCESSOR_MS * (1 / Math.min(1, ...processorShares) - 1), downMs: SHORTEST_LOSS_MS + hash('loss') % (LONGEST_LOSS_MS - SHORTEST_LOSS_MS) })
     silent = await callers.askForAll()
   } finally {
     await cell.stop()
