--- a/src/coordinator/crashEvidence.test.ts
+++ b/src/coordinator/crashEvidence.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { Assignment } from './assignment.ts'
-import { classifyCrash, CLEARING_TIME_MS, hasCommonCause, OutageHistory } from './crashEvidence.ts'
+import { CLEARING_TIME_MS, OutageHistory, areIsolated, classifyCrash, hasCommonCause } from './crashEvidence.ts'
 import type { Crash, Outage } from './crashEvidence.ts'
 import { createAssignments } from './testing/assignments.ts'
 
@@ -51,3 +51,11 @@
   history.record(outage('t-2', 900, 1_010, 'r-1'))
   t.true(causeWith(), 'the other target has restarted already')
 })
+
+// Guards against crashes of shared targets that count as a common cause for others, so that no task is ever found to be the cause.
+test('a target that suspected lasting tasks of several jobs share counts as isolated, one with other work does not', t => {
+  const suspects = ['a', 'b'].flatMap(id => createAssignments(id, 1, { longRunning: true }))
+  for (const { task } of suspects) task.step.recordCrash(0, 1, 'suspected', 't-0')
+  t.true(areIsolated(suspects))
+  t.false(areIsolated([...suspects, ...createAssignments('c')]))
+})
