Give the parts of the coordinator folders of their own

Cause: src/coordinator held 55 files in one folder, so that the tree did not show where a rule lives, and new parts would have had no place. No behaviour changes.

--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -1,6 +1,6 @@
 /** An HTTP client for the job calls between instances. */
 import { z } from 'zod'
-import type { CoordinatorInfo } from '../../coordinator/election.ts'
+import type { CoordinatorInfo } from '../../coordinator/log/election.ts'
 import type { CallerCall, CoordinatorAnswer } from '../../entry/callerCall.ts'
 import { JOB_STATES } from '../../jobs/job.ts'
 import type { Component } from '../../lifecycle/component.ts'
--- a/src/coordinator/admissionControl.test.ts
+++ b/src/coordinator/admission/admissionControl.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import { RateBudget } from '../scheduler/rateBudget.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import { RateBudget } from '../../scheduler/rateBudget.ts'
 import { AdmissionControl } from './admissionControl.ts'
 
 const STARTS_PER_SECOND = 30
--- a/src/coordinator/admissionControl.ts
+++ b/src/coordinator/admission/admissionControl.ts
@@ -1,5 +1,5 @@
 /** Admission control: decides when jobs beyond a team's share are refused, because they would only wait. */
-import type { Clock } from '../ports/clock.ts'
+import type { Clock } from '../../ports/clock.ts'
 
 /** A job not started after this time is waiting for capacity, for its team's cap or for the coordinator. */
 const LONG_WAIT_MS = 1_500
--- a/src/coordinator/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -1,14 +1,14 @@
 /** Handles callers' requests at the coordinator: submits, reads and cancels jobs. */
-import { unavailable } from '../entry/callerCall.ts'
-import type { CallerAnswer, CallerCall } from '../entry/callerCall.ts'
-import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
-import type { JobDefinition } from '../jobs/job.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
-import { RateBudget } from '../scheduler/rateBudget.ts'
-import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
-import type { JobCoordinator } from './jobCoordinator.ts'
-import { RecordsWithdrawnError } from './recordLog.ts'
+import { unavailable } from '../../entry/callerCall.ts'
+import type { CallerAnswer, CallerCall } from '../../entry/callerCall.ts'
+import type { QueueSettings, TeamSettings } from '../../jobs/desiredState.ts'
+import type { JobDefinition } from '../../jobs/job.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import { RateBudget } from '../../scheduler/rateBudget.ts'
+import type { DesiredStateWatcher } from '../desiredStateWatcher.ts'
+import type { JobCoordinator } from '../jobCoordinator.ts'
+import { RecordsWithdrawnError } from '../log/recordLog.ts'
 
 /** Maximum age of the desired state on which a request is refused; an older one is refreshed first. */
 const MAX_STATE_AGE_FOR_REFUSAL_MS = 400
--- a/src/coordinator/adviceLanes.test.ts
+++ b/src/coordinator/advice/adviceLanes.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../../ports/placementAdvisor.ts'
 import { AdviceLanes } from './adviceLanes.ts'
 
 /** Serves questions serially, as the advisor does for each calling instance. */
--- a/src/coordinator/adviceLanes.ts
+++ b/src/coordinator/advice/adviceLanes.ts
@@ -1,7 +1,7 @@
 /** Distributes placement advisor requests over the instances, since the advisor serves those of one instance serially. */
-import { BaseError } from '../model/errors.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../ports/placementAdvisor.ts'
+import { BaseError } from '../../model/errors.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../../ports/placementAdvisor.ts'
 
 /** Questions expected to take longer than these are kept off the first lanes, so that short ones never wait behind them. */
 const LONG_QUESTION_MS = 250
--- a/src/coordinator/adviceQuestion.test.ts
+++ b/src/coordinator/advice/adviceQuestion.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { SeededRandom } from '../adapters/random/seededRandom.ts'
+import { SeededRandom } from '../../adapters/random/seededRandom.ts'
 import { AllowedShare, countTargetsToName, MAX_TARGETS_PER_QUESTION, planQuestions } from './adviceQuestion.ts'
 
 const SEED = 17
--- a/src/coordinator/advisedPlacement.test.ts
+++ b/src/coordinator/advice/advisedPlacement.test.ts
@@ -1,10 +1,10 @@
 import test from 'ava'
-import { createStep } from '../jobs/testing/definitions.ts'
-import { resources } from '../model/resources.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
 import { MAX_TARGETS_PER_QUESTION } from './adviceQuestion.ts'
 import { decideAdvisedPlacement } from './advisedPlacement.ts'
 import type { AdvisedDecision } from './advisedPlacement.ts'
-import type { TargetAvailability } from './placeStep.ts'
+import type { TargetAvailability } from '../placement/placeStep.ts'
 import { StepAdvice } from './stepAdvice.ts'
 
 const ALLOWED_FRACTION = 0.3
--- a/src/coordinator/advisedPlacement.ts
+++ b/src/coordinator/advice/advisedPlacement.ts
@@ -1,8 +1,8 @@
 /** Decides the next action for a step whose queue needs advice: ask, start with valid tickets, or renew tickets first. */
-import type { StepDefinition } from '../jobs/job.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
 import { planQuestions } from './adviceQuestion.ts'
-import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
-import type { ComputeResources, TargetAvailability } from './placeStep.ts'
+import { countFitting, fitsWithin, placeStep, requiredResources } from '../placement/placeStep.ts'
+import type { ComputeResources, TargetAvailability } from '../placement/placeStep.ts'
 import type { StepAdvice } from './stepAdvice.ts'
 
 interface AdvisedTarget {
--- a/src/coordinator/stepAdvice.ts
+++ b/src/coordinator/advice/stepAdvice.ts
@@ -1,5 +1,5 @@
 /** The placement advisor's answers for one step. */
-import type { AllowedTarget } from '../ports/placementAdvisor.ts'
+import type { AllowedTarget } from '../../ports/placementAdvisor.ts'
 
 interface Permit {
   readonly ticket: string
--- a/src/coordinator/stepAdvisor.ts
+++ b/src/coordinator/advice/stepAdvisor.ts
@@ -1,8 +1,8 @@
 /** Keeps the placement advisor's answers for the waiting steps, and asks its questions. */
-import type { QueueSettings } from '../jobs/desiredState.ts'
-import type { StepProgress } from '../jobs/stepProgress.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
+import type { QueueSettings } from '../../jobs/desiredState.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
 import { AllowedShare } from './adviceQuestion.ts'
 import { StepAdvice } from './stepAdvice.ts'
--- a/src/coordinator/coordinatorPreference.test.ts
+++ b/src/coordinator/log/coordinatorPreference.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import { CoordinatorPreference } from './coordinatorPreference.ts'
 
 const REPORT_INTERVAL_MS = 400
--- a/src/coordinator/coordinatorPreference.ts
+++ b/src/coordinator/log/coordinatorPreference.ts
@@ -1,5 +1,5 @@
 /** Makes an instance with more processors the preferred coordinator when instances differ in size. */
-import type { Clock } from '../ports/clock.ts'
+import type { Clock } from '../../ports/clock.ts'
 
 /** Minimum ratio of processors for an instance to count as larger. */
 const LARGER_RATIO = 1.2
--- a/src/coordinator/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import { SystemClock } from '../adapters/clock/systemClock.ts'
-import { createLogger } from '../observability/logger.ts'
-import type { TimerClock } from '../ports/clock.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import { SystemClock } from '../../adapters/clock/systemClock.ts'
+import { createLogger } from '../../observability/logger.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import { COORDINATOR_KEY, Election } from './election.ts'
 import type { ElectionListener } from './election.ts'
-import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
+import { MemoryTransactionalStore } from '../testing/memoryTransactionalStore.ts'
 
 function createElection (store: MemoryTransactionalStore, listener: ElectionListener, clock: TimerClock = new SystemClock()): Election {
   return new Election({
--- a/src/coordinator/election.ts
+++ b/src/coordinator/log/election.ts
@@ -1,9 +1,9 @@
 /** Leader election: the coordinator of jobs is the instance that holds a leased key in the store. */
 import { z } from 'zod'
-import type { Component } from '../lifecycle/component.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { StoredItem, TransactionalStore } from '../ports/transactionalStore.ts'
+import type { Component } from '../../lifecycle/component.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { StoredItem, TransactionalStore } from '../../ports/transactionalStore.ts'
 
 export const COORDINATOR_KEY = 'agategauge/coordinator'
 
--- a/src/coordinator/finishedJobRetention.test.ts
+++ b/src/coordinator/log/finishedJobRetention.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import { JobTable } from '../jobs/jobTable.ts'
-import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import { JobTable } from '../../jobs/jobTable.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { FinishedJobRetention } from './finishedJobRetention.ts'
 
 const PERIOD_MS = 120_000
--- a/src/coordinator/finishedJobRetention.ts
+++ b/src/coordinator/log/finishedJobRetention.ts
@@ -1,7 +1,7 @@
 /** Keeps the states of finished jobs for the retention period, whatever the time of day does. */
-import type { JobProgress } from '../jobs/jobProgress.ts'
-import type { JobTable } from '../jobs/jobTable.ts'
-import type { Clock } from '../ports/clock.ts'
+import type { JobProgress } from '../../jobs/jobProgress.ts'
+import type { JobTable } from '../../jobs/jobTable.ts'
+import type { Clock } from '../../ports/clock.ts'
 
 /** States are kept for this many retention periods; a change of coordinator may shorten that by one. */
 const RETENTION_FACTOR = 2
--- a/src/coordinator/logCompactor.test.ts
+++ b/src/coordinator/log/logCompactor.test.ts
@@ -1,13 +1,13 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { createLogger } from '../observability/logger.ts'
-import type { LogRecord } from '../jobs/jobRecords.ts'
-import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
+import { createLogger } from '../../observability/logger.ts'
+import type { LogRecord } from '../../jobs/jobRecords.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog, SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX, SnapshotIncompleteError } from './logReader.ts'
 import { LOG_PREFIX, segmentKey, TermLostError } from './recordLog.ts'
-import { MemoryTransactionalStore } from './testing/memoryTransactionalStore.ts'
-import type { CommitFault } from './testing/memoryTransactionalStore.ts'
+import { MemoryTransactionalStore } from '../testing/memoryTransactionalStore.ts'
+import type { CommitFault } from '../testing/memoryTransactionalStore.ts'
 
 const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
 const ELECTION_KEY = 'coordinator'
--- a/src/coordinator/logReader.ts
+++ b/src/coordinator/log/logReader.ts
@@ -1,10 +1,10 @@
 /** Rebuilds the job table from the snapshot and the log in the store. */
 import { z } from 'zod'
-import type { JobRecord, LogRecord } from '../jobs/jobRecords.ts'
-import { JobTable } from '../jobs/jobTable.ts'
-import { BaseError } from '../model/errors.ts'
-import { listAll } from '../ports/transactionalStore.ts'
-import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import type { JobRecord, LogRecord } from '../../jobs/jobRecords.ts'
+import { JobTable } from '../../jobs/jobTable.ts'
+import { BaseError } from '../../model/errors.ts'
+import { listAll } from '../../ports/transactionalStore.ts'
+import type { TransactionalStore } from '../../ports/transactionalStore.ts'
 import { LOG_PREFIX, segmentNumber } from './recordLog.ts'
 
 export const SNAPSHOT_HEAD_KEY = 'agategauge/snapshot-head'
--- a/src/coordinator/recordLog.ts
+++ b/src/coordinator/log/recordLog.ts
@@ -1,10 +1,10 @@
 /** Appends records to the log in the store; each commit is conditional on the coordinator's election. */
-import { runInBackground } from '../lifecycle/runInBackground.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { LogRecord } from '../jobs/jobRecords.ts'
-import { BaseError, StoreUnavailableError } from '../model/errors.ts'
-import type { TimerClock } from '../ports/clock.ts'
-import type { CommitResult, TransactionalStore } from '../ports/transactionalStore.ts'
+import { runInBackground } from '../../lifecycle/runInBackground.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { LogRecord } from '../../jobs/jobRecords.ts'
+import { BaseError, StoreUnavailableError } from '../../model/errors.ts'
+import type { TimerClock } from '../../ports/clock.ts'
+import type { CommitResult, TransactionalStore } from '../../ports/transactionalStore.ts'
 import { retryUntilKnown } from './retryUntilKnown.ts'
 
 export const LOG_PREFIX = 'agategauge/log/'
--- a/src/coordinator/retryUntilKnown.test.ts
+++ b/src/coordinator/log/retryUntilKnown.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import { retryUntilKnown } from './retryUntilKnown.ts'
 
 /** Records when attempts start; each is resolved by the test. */
--- a/src/coordinator/retryUntilKnown.ts
+++ b/src/coordinator/log/retryUntilKnown.ts
@@ -1,5 +1,5 @@
 /** Retries a call in parallel with its unanswered attempts, until one of them returns a known outcome. */
-import type { CancelTimer, TimerClock } from '../ports/clock.ts'
+import type { CancelTimer, TimerClock } from '../../ports/clock.ts'
 
 export interface RetriedCall<Outcome> {
   /** One attempt; resolves with undefined if it failed with an unknown outcome. Must be idempotent. */
--- a/src/coordinator/adaptiveThrottle.test.ts
+++ b/src/coordinator/placement/adaptiveThrottle.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import type { TimerClock } from '../ports/clock.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 
 const LIMITS = { minDelayMs: 5, maxDelayMs: 100, idleFactor: 3 }
--- a/src/coordinator/adaptiveThrottle.ts
+++ b/src/coordinator/placement/adaptiveThrottle.ts
@@ -1,5 +1,5 @@
 /** Throttles a repeated action: it runs soon after a request, after a delay that grows with its last duration. */
-import type { TimerClock } from '../ports/clock.ts'
+import type { TimerClock } from '../../ports/clock.ts'
 
 export interface ThrottleLimits {
   /** Requests within this time share one run. */
--- a/src/coordinator/gangPrecedence.test.ts
+++ b/src/coordinator/placement/gangPrecedence.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import { JobProgress } from '../jobs/jobProgress.ts'
-import { createJobRecord, createStep, TEST_QUEUE } from '../jobs/testing/definitions.ts'
-import type { StepProgress } from '../jobs/stepProgress.ts'
-import { resources } from '../model/resources.ts'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
+import { resources } from '../../model/resources.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import type { ServiceCapacity } from './gangPrecedence.ts'
 
--- a/src/coordinator/gangPrecedence.ts
+++ b/src/coordinator/placement/gangPrecedence.ts
@@ -1,5 +1,5 @@
 /** Prevents starvation of gangs: steps with enough slack leave freed capacity to waiting gangs. */
-import type { StepProgress } from '../jobs/stepProgress.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
 import { canMeetObjective, slackMs } from './jobRanking.ts'
 
 /** Minimum wait before a gang gets precedence; until then it may find capacity by itself. */
--- a/src/coordinator/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -1,6 +1,6 @@
 /** Ranks the waiting steps for placement. */
-import type { JobProgress } from '../jobs/jobProgress.ts'
-import type { StepProgress } from '../jobs/stepProgress.ts'
+import type { JobProgress } from '../../jobs/jobProgress.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
 
 /** A late job is still useful to its caller up to this multiple of its objective. */
 const LATE_OBJECTIVE_FACTOR = 3
--- a/src/coordinator/placeStep.test.ts
+++ b/src/coordinator/placement/placeStep.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
 import fc from 'fast-check'
-import type { StepDefinition } from '../jobs/job.ts'
-import { createStep } from '../jobs/testing/definitions.ts'
-import { resources } from '../model/resources.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
 import { placeStep } from './placeStep.ts'
 import type { TargetAvailability } from './placeStep.ts'
 
--- a/src/coordinator/placeStep.ts
+++ b/src/coordinator/placement/placeStep.ts
@@ -1,6 +1,6 @@
 /** Chooses targets for the tasks of one step. */
-import type { StepDefinition } from '../jobs/job.ts'
-import type { Resources } from '../model/resources.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import type { Resources } from '../../model/resources.ts'
 
 /** The resources that placement checks on each target; slots are not considered. */
 export type ComputeResources = Pick<Resources, 'processors' | 'memory' | 'accelerators'>
--- a/src/coordinator/placementPass.test.ts
+++ b/src/coordinator/placement/placementPass.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
-import { resources } from '../model/resources.ts'
+import { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
+import { resources } from '../../model/resources.ts'
 import { PlacementPass } from './placementPass.ts'
-import type { TargetSession } from './targetSession.ts'
+import type { TargetSession } from '../targets/targetSession.ts'
 
 const SETTINGS = new DesiredStateIndex({ version: 1, queues: [], services: ['renders'], teams: [], maximumBodyBytes: 0 })
 const SEED = 11
--- a/src/coordinator/placementPass.ts
+++ b/src/coordinator/placement/placementPass.ts
@@ -1,9 +1,9 @@
 /** Lookups of targets, queues and teams for one pass over the waiting steps. */
-import type { QueueSettings, TeamSettings } from '../jobs/desiredState.ts'
-import type { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
-import type { Resources } from '../model/resources.ts'
+import type { QueueSettings, TeamSettings } from '../../jobs/desiredState.ts'
+import type { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
+import type { Resources } from '../../model/resources.ts'
 import { countFitting } from './placeStep.ts'
-import type { TargetSession } from './targetSession.ts'
+import type { TargetSession } from '../targets/targetSession.ts'
 
 /**
  * Indexes the sessions once per pass; free capacity is read from the sessions, since each placement changes it.
--- a/src/coordinator/taskPlacer.test.ts
+++ b/src/coordinator/placement/taskPlacer.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { createStep } from '../jobs/testing/definitions.ts'
-import { resources } from '../model/resources.ts'
-import { BATCH, SimulatedCluster } from './testing/simulatedCluster.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
+import { BATCH, SimulatedCluster } from '../testing/simulatedCluster.ts'
 
 // Guards against tasks that never start, since the processors reserved for urgent tasks are kept from them for ever.
 test('a task that needs all processors of its service, or all that lasting tasks leave, is started', async t => {
--- a/src/coordinator/teamUsage.test.ts
+++ b/src/coordinator/placement/teamUsage.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import type { TeamSettings } from '../jobs/desiredState.ts'
-import type { StepDefinition } from '../jobs/job.ts'
-import { createStep } from '../jobs/testing/definitions.ts'
-import { resources } from '../model/resources.ts'
+import type { TeamSettings } from '../../jobs/desiredState.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
 import { TeamUsage } from './teamUsage.ts'
 
 const TEAM: TeamSettings = { name: 'weavers', keys: [], weight: 27, cap: resources({ processors: 1_000_000, memory: 4_000_000 }) }
--- a/src/coordinator/teamUsage.ts
+++ b/src/coordinator/placement/teamUsage.ts
@@ -1,7 +1,7 @@
 /** Tracks the resources that each team uses, against its cap over all targets. */
-import type { TeamSettings } from '../jobs/desiredState.ts'
-import type { StepDefinition } from '../jobs/job.ts'
-import type { Resources } from '../model/resources.ts'
+import type { TeamSettings } from '../../jobs/desiredState.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import type { Resources } from '../../model/resources.ts'
 
 /** Fraction of a cap reserved for urgent jobs, which are 14% of the work at the sites' normal rates and up to 25% in bursts. */
 const URGENT_CAP_RESERVE = 0.2
--- a/src/coordinator/waitReport.test.ts
+++ b/src/coordinator/placement/waitReport.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import { ManualClock } from '../adapters/clock/manualClock.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { TargetSession } from './targetSession.ts'
-import { createAssignments } from './testing/assignments.ts'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { TargetSession } from '../targets/targetSession.ts'
+import { createAssignments } from '../testing/assignments.ts'
 import { WaitReport } from './waitReport.ts'
 
 // Guards against accepted work that does not run and of which no log line says why.
--- a/src/coordinator/waitReport.ts
+++ b/src/coordinator/placement/waitReport.ts
@@ -1,9 +1,9 @@
 /** Logs why steps have nothing running, for the few that have waited longest. */
-import type { StepProgress } from '../jobs/stepProgress.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { Assignment } from './assignment.ts'
-import type { TargetSession } from './targetSession.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { Assignment } from '../targets/assignment.ts'
+import type { TargetSession } from '../targets/targetSession.ts'
 
 /** Placement, advice and a start take less; a longer wait has a reason that is worth a line. */
 const MIN_WAIT_MS = 3_000
--- a/src/coordinator/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -1,6 +1,6 @@
 /** A task assigned to a target. */
-import type { TaskProgress } from '../jobs/stepProgress.ts'
-import type { Resources } from '../model/resources.ts'
+import type { TaskProgress } from '../../jobs/stepProgress.ts'
+import type { Resources } from '../../model/resources.ts'
 
 /**
  * `reserved`: capacity is reserved, no start was requested. `recovering`: placed by an earlier coordinator, and the
--- a/src/coordinator/crashEvidence.test.ts
+++ b/src/coordinator/targets/crashEvidence.test.ts
@@ -2,7 +2,7 @@
 import type { Assignment } from './assignment.ts'
 import { CLEARING_TIME_MS, OutageHistory, areIsolated, classifyCrash, hasCommonCause } from './crashEvidence.ts'
 import type { Crash, Outage } from './crashEvidence.ts'
-import { createAssignments } from './testing/assignments.ts'
+import { createAssignments } from '../testing/assignments.ts'
 
 function classify (runs: readonly Assignment[], changes: Partial<Crash> = {}): readonly unknown[] {
   const evidence = classifyCrash({ runs, lastAnswerMs: 60_000, hasOtherCause: false, ...changes })
--- a/src/coordinator/crashEvidence.ts
+++ b/src/coordinator/targets/crashEvidence.ts
@@ -1,7 +1,7 @@
 /** Finds out what the crash of a target says about each run that was lost with it. */
-import type { CrashEvidence } from '../jobs/crashHistory.ts'
-import type { CrashedRun, CrashRecord } from '../jobs/jobRecords.ts'
-import type { StepProgress } from '../jobs/stepProgress.ts'
+import type { CrashEvidence } from '../../jobs/crashHistory.ts'
+import type { CrashedRun, CrashRecord } from '../../jobs/jobRecords.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
 import type { Assignment } from './assignment.ts'
 
 /** A lasting task that has been at work on its target for this long did not crash it. */
--- a/src/coordinator/isolation.test.ts
+++ b/src/coordinator/targets/isolation.test.ts
@@ -1,14 +1,14 @@
 import test from 'ava'
-import type { StepDefinition } from '../jobs/job.ts'
-import { resources, subtractResources } from '../model/resources.ts'
-import { createLogger } from '../observability/logger.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
+import { resources, subtractResources } from '../../model/resources.ts'
+import { createLogger } from '../../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { Isolation } from './isolation.ts'
 import type { IsolatedPlaces } from './isolation.ts'
-import type { TargetAvailability } from './placeStep.ts'
+import type { TargetAvailability } from '../placement/placeStep.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import type { TargetSession } from './targetSession.ts'
-import { createAssignments } from './testing/assignments.ts'
+import { createAssignments } from '../testing/assignments.ts'
 
 interface FakeTarget {
   readonly id: string
--- a/src/coordinator/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -1,12 +1,12 @@
 /** Keeps targets to themselves for jobs of which a task may crash the targets that start it. */
-import type { JobProgress } from '../jobs/jobProgress.ts'
-import type { StepProgress, TaskProgress } from '../jobs/stepProgress.ts'
-import { subtractResources } from '../model/resources.ts'
-import type { Logger } from '../observability/logger.ts'
+import type { JobProgress } from '../../jobs/jobProgress.ts'
+import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
+import { subtractResources } from '../../model/resources.ts'
+import type { Logger } from '../../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { CLEARING_TIME_MS } from './crashEvidence.ts'
-import { countFitting, isSuitable, requiredResources } from './placeStep.ts'
-import type { TargetAvailability } from './placeStep.ts'
+import { countFitting, isSuitable, requiredResources } from '../placement/placeStep.ts'
+import type { TargetAvailability } from '../placement/placeStep.ts'
 import type { TargetSession } from './targetSession.ts'
 
 /** Part of a service's targets that may be isolated at the same time; a gang that needs more has to be the only one. */
--- a/src/coordinator/targetCapacity.ts
+++ b/src/coordinator/targets/targetCapacity.ts
@@ -1,7 +1,7 @@
 /** Tracks the capacity of one target that new tasks may use. */
-import { DIMENSIONS } from '../model/resources.ts'
-import type { Resources } from '../model/resources.ts'
-import type { ComputeResources } from './placeStep.ts'
+import { DIMENSIONS } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
+import type { ComputeResources } from '../placement/placeStep.ts'
 
 /**
  * Capacity is held by the runs that the coordinator reserved it for, and by unexpected runs that the target shows, until
--- a/src/coordinator/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -1,18 +1,18 @@
 /** Manages the sessions of all targets during one term of a coordinator. */
-import { PeriodicTask } from '../lifecycle/periodicTask.ts'
-import { runInBackground } from '../lifecycle/runInBackground.ts'
-import type { TargetDescription } from '../jobs/jobRecords.ts'
-import { targetKey } from '../jobs/jobTable.ts'
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { PlacedTargetConnector } from '../ports/jobTarget.ts'
-import type { ListedTarget, TargetDirectory } from '../ports/targetDirectory.ts'
+import { PeriodicTask } from '../../lifecycle/periodicTask.ts'
+import { runInBackground } from '../../lifecycle/runInBackground.ts'
+import type { TargetDescription } from '../../jobs/jobRecords.ts'
+import { targetKey } from '../../jobs/jobTable.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { PlacedTargetConnector } from '../../ports/jobTarget.ts'
+import type { ListedTarget, TargetDirectory } from '../../ports/targetDirectory.ts'
 import type { Assignment } from './assignment.ts'
 import type { Outage } from './crashEvidence.ts'
-import { AUTHORITY_GRACE_MS } from './election.ts'
+import { AUTHORITY_GRACE_MS } from '../log/election.ts'
 import type { TargetListener } from './targetListener.ts'
 import { TargetSession } from './targetSession.ts'
-import type { PlacedAssignment } from './waitReport.ts'
+import type { PlacedAssignment } from '../placement/waitReport.ts'
 
 /** Interval between reads of the target list; a draining target is noticed well within its 2.5 s. */
 const DIRECTORY_INTERVAL_MS = 500
--- a/src/coordinator/targetListener.ts
+++ b/src/coordinator/targets/targetListener.ts
@@ -1,8 +1,8 @@
 /** The events that a target session reports to the coordinator. */
-import type { FinishedRun, StartRefusal } from '../ports/jobTarget.ts'
+import type { FinishedRun, StartRefusal } from '../../ports/jobTarget.ts'
 import type { Assignment } from './assignment.ts'
 import type { Outage } from './crashEvidence.ts'
-import type { ComputeResources } from './placeStep.ts'
+import type { ComputeResources } from '../placement/placeStep.ts'
 import type { TargetSession } from './targetSession.ts'
 
 export type IncarnationEndReason = 'restarted' | 'lease-lapsed'
--- a/src/coordinator/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -1,7 +1,7 @@
 /** Withdraws a start request that a target may still execute after it has restarted under the same identity. */
-import type { Logger } from '../observability/logger.ts'
-import type { Clock } from '../ports/clock.ts'
-import type { FinishedRun, JobTargetClient } from '../ports/jobTarget.ts'
+import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import type { FinishedRun, JobTargetClient } from '../../ports/jobTarget.ts'
 import { runKey } from './assignment.ts'
 
 /** An unanswered request may be executed up to 12 s later, according to the platform's list of faults. */
--- a/src/coordinator/testing/assignments.ts
+++ b/src/coordinator/testing/assignments.ts
@@ -2,8 +2,8 @@
 import type { StepDefinition } from '../../jobs/job.ts'
 import { JobProgress } from '../../jobs/jobProgress.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
-import { Assignment } from '../assignment.ts'
-import type { AssignmentState } from '../assignment.ts'
+import { Assignment } from '../targets/assignment.ts'
+import type { AssignmentState } from '../targets/assignment.ts'
 
 /** Creates one assignment for each task of a new job's step. */
 export function createAssignments (id: string, count = 1, overrides: Partial<StepDefinition> = {}, state: AssignmentState = 'running'): readonly Assignment[] {
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
-import type { CoordinatorInfo } from '../coordinator/election.ts'
+import type { CoordinatorInfo } from '../coordinator/log/election.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallRouter } from './callRouter.ts'
--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
-import { segmentKey } from '../coordinator/recordLog.ts'
+import { segmentKey } from '../coordinator/log/recordLog.ts'
 import { MemoryTransactionalStore } from '../coordinator/testing/memoryTransactionalStore.ts'
 import type { DesiredState, TeamSettings } from '../jobs/desiredState.ts'
 import { TEST_QUEUE } from '../jobs/testing/definitions.ts'
--- a/src/ports/coordinatorPeer.ts
+++ b/src/ports/coordinatorPeer.ts
@@ -1,5 +1,5 @@
 /** Calls between instances that coordinate or forward jobs. */
-import type { CoordinatorInfo } from '../coordinator/election.ts'
+import type { CoordinatorInfo } from '../coordinator/log/election.ts'
 import type { CallerCall, CoordinatorAnswer } from '../entry/callerCall.ts'
 import type { DesiredStateSummary } from '../jobs/desiredState.ts'
 import type { RelayAnswer, RelayBatch } from '../relay/relayMessages.ts'
