Ask the advisor nothing about steps that need no answer any more

Questions of cancelled, finished or fully placed steps were asked when their turn came, and each dispatch searched all lanes for each queued question (14% of the coordinator's processor time in a local profile under load). Change: a queued question is dropped when its step has ended or has no waiting task; renewals of tickets are kept. A dispatch stops searching for a length of question once no lane is free for it, and a question is inserted in order instead of sorting the queue. Result: the new test fails without the drop; tests of advice pass.

--- a/src/coordinator/advice/adviceLanes.test.ts
+++ b/src/coordinator/advice/adviceLanes.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import type { AdviceQuestion, AllowedTarget, PlacementAdvisor } from '../../ports/placementAdvisor.ts'
-import { AdviceLanes } from './adviceLanes.ts'
+import { AdviceLanes, QuestionNotNeededError } from './adviceLanes.ts'
 
 /** Serves questions serially, as the advisor does for each calling instance. */
 class SerialAdvisor implements PlacementAdvisor {
@@ -114,3 +114,24 @@
   }
   t.deepEqual(asked, ['old', 'new'])
 })
+
+// Guards against lanes that are taken by questions about jobs that have ended, while hundreds of jobs wait for advice.
+test('flood of cancelled jobs: the advisor is not asked about those that ended while their questions waited', async t => {
+  const clock = new ManualClock()
+  const asked: string[] = []
+  const lanes = new AdviceLanes(clock)
+  const advisor: PlacementAdvisor = {
+    async ask ({ step, expectedMs }) {
+      asked.push(step)
+      await clock.sleep(expectedMs)
+      return []
+    }
+  }
+  lanes.setLanes([{ name: 'entry-1', advisor, weight: 1 }])
+  const outcomes = Array.from({ length: 100 }, async (_, job) =>
+    await lanes.ask({ step: `job-${job}.0.0`, targets: [], expectedMs: 600 }, 1, () => job === 99 || clock.monotonicMs() < 300)
+      .then(() => 'answered', error => error instanceof QuestionNotNeededError ? 'not needed' : String(error)))
+  await clock.advance(5_000)
+  t.deepEqual(asked, ['job-0.0.0', 'job-99.0.0'])
+  t.deepEqual([...new Set(await Promise.all(outcomes))], ['answered', 'not needed'])
+})
--- a/src/coordinator/advice/adviceLanes.ts
+++ b/src/coordinator/advice/adviceLanes.ts
@@ -7,16 +7,21 @@
 const LONG_QUESTION_MS = 250
 const MEDIUM_QUESTION_MS = 40
 /** Number of lanes kept free of long questions, and of medium ones, if there are more lanes than that. */
-const LANES_WITHOUT_LONG = 2
-const LANES_WITHOUT_MEDIUM = 1
+const LANES_WITHOUT: Readonly<Record<QuestionLength, number>> = { long: 2, medium: 1, short: 0 }
 /** Maximum expected work queued in one lane: allows a second short question in transit while the first is served. */
 const MAX_LANE_BACKLOG_MS = 60
 /** Time for which a failed lane is not used. */
 const LANE_BACKOFF_MS = 1_000
 
+type QuestionLength = 'long' | 'medium' | 'short'
+
+/** The question was not asked, since its step has ended or has no waiting tasks any more. */
+export const QuestionNotNeededError = BaseError.subclass('QuestionNotNeededError')
+
 interface QueuedQuestion {
   readonly question: AdviceQuestion
   readonly rank: number
+  readonly isNeeded: () => boolean
   readonly resolve: (allowed: readonly AllowedTarget[]) => void
   readonly reject: (error: unknown) => void
 }
@@ -76,14 +81,17 @@
   get idleForLongQuestions (): number {
     if (this.#queue.length > 0) return 0
     const nowMs = this.#clock.monotonicMs()
-    return this.#eligibleLanes(Infinity).filter(lane => lane.questions === 0 && lane.backoffUntilMs <= nowMs).length
+    return this.#eligibleLanes('long').filter(lane => lane.questions === 0 && lane.backoffUntilMs <= nowMs).length
   }
 
-  /** Questions with a lower rank are asked first. */
-  ask (question: AdviceQuestion, rank: number): Promise<readonly AllowedTarget[]> {
+  /**
+   * Questions with a lower rank are asked first. One that is not needed any more when its turn comes is not asked, and the
+   * promise rejects with a `QuestionNotNeededError`.
+   */
+  ask (question: AdviceQuestion, rank: number, isNeeded: () => boolean = () => true): Promise<readonly AllowedTarget[]> {
     return new Promise((resolve, reject) => {
-      this.#queue.push({ question, rank, resolve, reject })
-      this.#queue.sort((left, right) => left.rank - right.rank)
+      const behind = this.#queue.findIndex(queued => queued.rank > rank)
+      this.#queue.splice(behind === -1 ? this.#queue.length : behind, 0, { question, rank, isNeeded, resolve, reject })
       this.#dispatch()
     })
   }
@@ -93,30 +101,38 @@
     this.#queue = []
   }
 
+  /** Lanes are chosen by the length of a question alone, so that one without a lane shows that none is free for its length. */
   #dispatch (): void {
     const kept: QueuedQuestion[] = []
+    const withoutLane = new Set<QuestionLength>()
     for (const waiting of this.#queue) {
-      const lane = this.#chooseLane(waiting.question.expectedMs)
-      if (lane === undefined) kept.push(waiting)
-      else this.#askThrough(lane, waiting).catch(waiting.reject)
+      const length = classifyLength(waiting.question.expectedMs)
+      const lane = withoutLane.has(length) ? undefined : this.#chooseLane(length)
+      if (lane === undefined) {
+        withoutLane.add(length)
+        kept.push(waiting)
+      } else if (waiting.isNeeded()) {
+        this.#askThrough(lane, waiting).catch(waiting.reject)
+      } else {
+        waiting.reject(new QuestionNotNeededError('the question is not needed any more'))
+      }
     }
     this.#queue = kept
   }
 
-  #chooseLane (expectedMs: number): Lane | undefined {
+  #chooseLane (length: QuestionLength): Lane | undefined {
     const nowMs = this.#clock.monotonicMs()
     let best: Lane | undefined
-    for (const lane of this.#eligibleLanes(expectedMs)) {
+    for (const lane of this.#eligibleLanes(length)) {
       if (lane.backoffUntilMs > nowMs || lane.backlogMs > MAX_LANE_BACKLOG_MS) continue
-      if (lane.questions > 0 && expectedMs > MEDIUM_QUESTION_MS) continue
+      if (lane.questions > 0 && length !== 'short') continue
       if (best === undefined || isPreferred(lane, best)) best = lane
     }
     return best
   }
 
-  #eligibleLanes (expectedMs: number): readonly Lane[] {
-    const reserved = expectedMs > LONG_QUESTION_MS ? LANES_WITHOUT_LONG : expectedMs > MEDIUM_QUESTION_MS ? LANES_WITHOUT_MEDIUM : 0
-    return this.#lanes.slice(Math.min(reserved, this.#lanes.length - 1))
+  #eligibleLanes (length: QuestionLength): readonly Lane[] {
+    return this.#lanes.slice(Math.min(LANES_WITHOUT[length], this.#lanes.length - 1))
   }
 
   async #askThrough (lane: Lane, { question, resolve, reject }: QueuedQuestion): Promise<void> {
@@ -141,3 +157,7 @@
 function isPreferred (left: Lane, right: Lane): boolean {
   return left.backlogMs !== right.backlogMs ? left.backlogMs < right.backlogMs : left.askedPerWeight < right.askedPerWeight
 }
+
+function classifyLength (expectedMs: number): QuestionLength {
+  return expectedMs > LONG_QUESTION_MS ? 'long' : expectedMs > MEDIUM_QUESTION_MS ? 'medium' : 'short'
+}
--- a/src/coordinator/advice/stepAdvisor.ts
+++ b/src/coordinator/advice/stepAdvisor.ts
@@ -3,6 +3,7 @@
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
+import { QuestionNotNeededError } from './adviceLanes.ts'
 import type { AdviceLanes } from './adviceLanes.ts'
 import { AllowedShare } from './adviceQuestion.ts'
 import { StepAdvice } from './stepAdvice.ts'
@@ -60,8 +61,17 @@
     return share
   }
 
-  /** Asks which of the targets may run the step; resolves also if there is no answer. */
+  /** Asks on which of the targets waiting tasks of the step may run; resolves also if there is no answer. */
   async ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[]): Promise<void> {
+    await this.#ask(step, queue, targets, () => step.job.outcome === undefined && step.waiting.length > 0)
+  }
+
+  /** Asks for new tickets of the targets on which tasks of the step are about to be started; resolves also if there is no answer. */
+  async renew (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[]): Promise<void> {
+    await this.#ask(step, queue, targets, () => step.job.outcome === undefined)
+  }
+
+  async #ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[], isNeeded: () => boolean): Promise<void> {
     const { clock, logger, lanes, onAnswered } = this.#options
     const settings = queue.advice
     if (settings === undefined || targets.length === 0) return
@@ -75,13 +85,14 @@
         step: step.name,
         targets: [...keysById.keys()],
         expectedMs: settings.decisionMs + settings.perTargetMs * keysById.size
-      }, queue.priority)
+      }, queue.priority, isNeeded)
       const answeredMs = clock.monotonicMs()
       advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
       // Later questions are also about targets that are known to be allowed.
       if (isFirst) this.allowedShare(queue).recordAnswer(keysById.size, allowed.length)
       logger.info({ job: step.job.id, step: step.name, named: keysById.size, allowed: allowed.length, tookMs: Math.round(answeredMs - askedMs) }, 'placement advice received')
     } catch (error) {
+      if (error instanceof QuestionNotNeededError) return
       logger.info({ job: step.job.id, step: step.name, error: String(error) }, 'placement advisor request failed')
       advice.backoffUntilMs = clock.monotonicMs() + RETRY_DELAY_MS
     } finally {
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -294,7 +294,7 @@
     const stored = this.#recordPlacement(step, reserved)
     const sessions = [...new Set(reserved.map(({ session }) => session))]
     for (let offset = 0; offset < sessions.length; offset += MAX_TARGETS_PER_QUESTION) {
-      await this.#advisor.ask(step, queue, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
+      await this.#advisor.renew(step, queue, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
     }
     await stored
     this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
