Evacuate data centres at the request of the platform's operator

The operator of the platform could not keep new tasks from the targets of a data centre.

The watch of the desired state now covers all keys under op/, with one listing at the start and when history is lost. The names under op/evacuate/ are immutable data in the watcher; a target session asks it before each start, reservations and queued relay orders for an evacuated data centre are given back, and placement leaves its targets out. A successor places nothing before the listing. Runs that are there continue.

In jobInstance.test.ts the delay and the byte count of reads of the desired state move to the listing, which now reads it; failsPages applies to the pages of the log, as its comment says.

--- a/src/coordinator/desiredStateWatcher.ts
+++ b/src/coordinator/desiredStateWatcher.ts
@@ -1,10 +1,14 @@
-/** Follows the newest desired state while this instance coordinates; its version never decreases during the lifetime of the process. */
+/**
+ * Follows the newest desired state and the evacuations while this instance coordinates; the version of the desired state
+ * never decreases during the lifetime of the process.
+ */
 import type { DesiredState } from '../jobs/desiredState.ts'
 import { DesiredStateIndex } from '../jobs/desiredStateIndex.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
-import type { TransactionalStore } from '../ports/transactionalStore.ts'
+import type { StoreChange, StoredItem, TransactionalStore } from '../ports/transactionalStore.ts'
+import { Evacuations } from './targets/evacuations.ts'
 
 /** A change ends the watch within milliseconds; a watch that times out confirms that there was none. */
 const WATCH_TIMEOUT_MS = 1_500
@@ -12,7 +16,12 @@
 
 export interface DesiredStateWatcherOptions {
   readonly store: TransactionalStore
+  /** Prefix of all keys of the operator, which are listed and watched together. */
+  readonly prefix: string
+  /** Key of the desired state. */
   readonly key: string
+  /** Prefix of the keys of evacuations, followed by the name of a data centre. Their values do not matter. */
+  readonly evacuationPrefix: string
   readonly parse: (text: string) => DesiredState
   readonly clock: Clock
   readonly logger: Logger
@@ -41,6 +50,8 @@
   readonly #options: DesiredStateWatcherOptions
   #state: DesiredState = EMPTY_STATE
   #index = new DesiredStateIndex(EMPTY_STATE)
+  #evacuations = Evacuations.NONE
+  readonly #evacuationListeners = new Set<() => void>()
   #confirmedAtMs = -Infinity
   #failing = false
   #following: Following | undefined
@@ -67,7 +78,7 @@
     this.#following = undefined
   }
 
-  /** Resolves when the store has confirmed the state since the last `follow`; at once while the watcher is paused. */
+  /** Resolves when the store has confirmed the state and the evacuations since the last `follow`; at once while the watcher is paused. */
   get confirmed (): Promise<void> {
     return this.#following?.confirmed ?? Promise.resolve()
   }
@@ -81,6 +92,17 @@
     return this.#index
   }
 
+  /** The evacuations in force; those read last while the store does not answer. */
+  get evacuations (): Evacuations {
+    return this.#evacuations
+  }
+
+  /** Calls the listener after each change of the evacuations; returns a function that ends this. */
+  onEvacuationsChanged (listener: () => void): () => void {
+    this.#evacuationListeners.add(listener)
+    return () => { this.#evacuationListeners.delete(listener) }
+  }
+
   /** Milliseconds since the store last confirmed that the state is the newest. */
   get ageMs (): number {
     return this.#options.clock.monotonicMs() - this.#confirmedAtMs
@@ -99,7 +121,7 @@
     const { clock, logger } = this.#options
     while (!signal.aborted) {
       try {
-        const revision = await this.#read()
+        const revision = await this.#list(signal)
         resolveConfirmed()
         await this.#watch(revision, signal)
       } catch (error) {
@@ -111,30 +133,73 @@
     }
   }
 
-  /** Returns the revision of the store to watch from; 0 if there is no desired state. */
-  async #read (): Promise<number> {
-    const { item, revision } = await this.#options.store.get(this.#options.key)
+  async #read (): Promise<void> {
+    const { item } = await this.#options.store.get(this.#options.key)
+    this.#markConfirmed()
+    if (item !== undefined) this.#apply(item.value)
+  }
+
+  /**
+   * Reads all keys of the operator. Returns the revision of the store to watch from, which is that of the first page:
+   * changes between two pages may be in none of them.
+   */
+  async #list (signal: AbortSignal): Promise<number> {
+    const { store, prefix } = this.#options
+    const items: StoredItem[] = []
+    let page = await store.listPage(prefix)
+    const { revision } = page
+    for (;;) {
+      if (signal.aborted) throw new Error('the term has ended')
+      items.push(...page.items)
+      const after = page.items.at(-1)?.key
+      if (!page.hasMore || after === undefined) break
+      page = await store.listPage(prefix, after)
+    }
     this.#markConfirmed()
-    if (item === undefined) return 0
-    this.#apply(item.value)
+    let evacuations = Evacuations.NONE
+    for (const { key, value, revision: written } of items) {
+      if (key === this.#options.key) this.#apply(value)
+      const name = this.#evacuatedName(key)
+      if (name !== undefined) evacuations = evacuations.with(name, written)
+    }
+    this.#updateEvacuations(evacuations)
     return revision
   }
 
   async #watch (revision: number, signal: AbortSignal): Promise<void> {
-    const { store, key, clock } = this.#options
-    if (revision === 0) return await clock.sleep(RETRY_DELAY_MS, signal).catch(() => {})
+    const { store, prefix, clock } = this.#options
     let after = revision
     while (!signal.aborted) {
-      const result = await store.watch(key, after, WATCH_TIMEOUT_MS, signal)
+      const result = await store.watch(prefix, after, WATCH_TIMEOUT_MS, signal)
+      if (signal.aborted) return
       if (result.outcome === 'history-lost') return await clock.sleep(RETRY_DELAY_MS, signal).catch(() => {})
-      for (const change of result.changes) {
-        if (change.type === 'written' && change.item.key === key) this.#apply(change.item.value)
-      }
+      this.#updateEvacuations(result.changes.reduce((evacuations, change) => this.#applyChange(evacuations, change), this.#evacuations))
       after = result.revision
       this.#markConfirmed()
     }
   }
 
+  /** Returns the evacuations after the change; applies a new desired state at once. */
+  #applyChange (evacuations: Evacuations, change: StoreChange): Evacuations {
+    const key = change.type === 'written' ? change.item.key : change.key
+    if (change.type === 'written' && key === this.#options.key) this.#apply(change.item.value)
+    const name = this.#evacuatedName(key)
+    if (name === undefined) return evacuations
+    return change.type === 'written' ? evacuations.with(name, change.item.revision) : evacuations.without(name)
+  }
+
+  /** Returns undefined if the key is not that of an evacuation. */
+  #evacuatedName (key: string): string | undefined {
+    const { evacuationPrefix } = this.#options
+    return key.startsWith(evacuationPrefix) && key.length > evacuationPrefix.length ? key.slice(evacuationPrefix.length) : undefined
+  }
+
+  #updateEvacuations (evacuations: Evacuations): void {
+    const hasChanged = !evacuations.hasSameNames(this.#evacuations)
+    this.#evacuations = evacuations
+    if (hasChanged) for (const listener of [...this.#evacuationListeners]) listener()
+  }
+
   #markConfirmed (): void {
     this.#confirmedAtMs = this.#options.clock.monotonicMs()
     if (this.#failing) this.#options.logger.info({ version: this.#state.version }, 'the desired state can be read again')
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -6,6 +6,7 @@
 import type { JobTable } from '../jobs/jobTable.ts'
 import type { StepProgress } from '../jobs/stepProgress.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
+import { JobMetrics } from '../observability/jobMetrics.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type { FinishedRun, PlacedTargetConnector, StartRefusal } from '../ports/jobTarget.ts'
@@ -25,6 +26,7 @@
 import { requiredResources } from './placement/placeStep.ts'
 import type { ComputeResources } from './placement/placeStep.ts'
 import { RecordLog } from './log/recordLog.ts'
+import { EvacuationReport } from './targets/evacuationReport.ts'
 import { TargetFleet } from './targets/targetFleet.ts'
 import type { IncarnationEndReason, TargetListener } from './targets/targetListener.ts'
 import type { TargetSession } from './targets/targetSession.ts'
@@ -52,6 +54,8 @@
   readonly store: TransactionalStore
   readonly clock: TimerClock
   readonly logger: Logger
+  /** Shows what this coordinator decides; of its own if omitted. */
+  readonly metrics?: JobMetrics
   readonly info: CoordinatorInfo
   readonly connect: PlacedTargetConnector
   /** Resolves when the targets connected so far can be called at a low cost; called before their sessions begin. */
@@ -80,6 +84,9 @@
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
+  readonly #metrics: JobMetrics
+  readonly #evacuationReport: EvacuationReport
+  #stopFollowingEvacuations: () => void = () => {}
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -99,12 +106,14 @@
     this.#clock = clock
     this.#logger = logger
     this.#termStartedAtMs = clock.monotonicMs()
+    this.#metrics = options.metrics ?? new JobMetrics()
+    this.#evacuationReport = new EvacuationReport(logger, this.#metrics)
     this.#fleet = new TargetFleet({
-      clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, termStartedAtMs: this.#termStartedAtMs
+      clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, evacuations: () => desired.evacuations, termStartedAtMs: this.#termStartedAtMs
     })
     this.#admission = new AdmissionControl(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, metrics: this.#metrics, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -170,6 +179,8 @@
     await this.#fleet.awaitJoins()
     if (this.#closed) return
     this.#placer.start()
+    this.#stopFollowingEvacuations = this.#options.desired.onEvacuationsChanged(() => this.#handleEvacuations())
+    this.#handleEvacuations()
     runInBackground(this.#runHousekeeping(), this.#logger, 'housekeeping')
     runInBackground(this.#monitorUtilization(), this.#logger, 'event loop utilization monitor')
   }
@@ -177,6 +188,8 @@
   /** Ends the term; no further decisions are made. */
   close (): void {
     this.#closed = true
+    this.#stopFollowingEvacuations()
+    this.#evacuationReport.close()
     this.#log?.close()
     this.#placer.close()
     this.#fleet.close()
@@ -251,7 +264,9 @@
     this.#placer.releaseUsage(assignment)
     this.#logger.info({ job: task.step.job.id, task: task.name, attempt: assignment.attempt, target: session.id, refusal }, 'target refused a task')
     if (refusal === 'ticket') this.#placer.invalidateTicket(task.step, session)
-    if (refusal === 'unhealthy' || refusal === 'no-room') session.recordRunResult(true, AVOID_AFTER_REFUSALS_MS)
+    // A relayed start that was held back says nothing about the target, which gets work as soon as the evacuation ends.
+    if (session.evacuated && refusal === 'unhealthy') this.#metrics.countStartsGivenBack(1)
+    else if (refusal === 'unhealthy' || refusal === 'no-room') session.recordRunResult(true, AVOID_AFTER_REFUSALS_MS)
     this.#placer.requeueTask(task, assignment.attempt)
   }
 
@@ -466,6 +481,12 @@
     return { key: COORDINATOR_KEY, revision: this.info.fence }
   }
 
+  /** Places waiting tasks at once, elsewhere or again in data centres that are no longer evacuated. */
+  #handleEvacuations (): void {
+    this.#evacuationReport.update(this.#options.desired.evacuations, this.#fleet.sessions)
+    this.stateChanged()
+  }
+
   /** Advances a job after one of its runs has ended. */
   #continueJob (job: JobProgress, step: StepProgress, run: FinishedRun, stored: Promise<void>): void {
     if (job.outcome !== undefined) return this.finalizeJob(job, stored)
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -4,6 +4,7 @@
 import type { LogRecord, PlacedRun } from '../../jobs/jobRecords.ts'
 import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
+import type { JobMetrics } from '../../observability/jobMetrics.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { TimerClock } from '../../ports/clock.ts'
 import type { AdviceLanes } from '../advice/adviceLanes.ts'
@@ -35,6 +36,7 @@
 export interface TaskPlacerOptions {
   readonly clock: TimerClock
   readonly logger: Logger
+  readonly metrics: JobMetrics
   readonly fleet: TargetFleet
   /** Updated with the waiting jobs after each full pass. */
   readonly admission: AdmissionControl
@@ -319,8 +321,9 @@
   #startReserved (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketLookup): void {
     if (this.#closed) return
     const startable = ({ session, assignment }: Reservation): boolean =>
-      session.assignments.has(assignment.key) && !session.ended && !session.draining && session.capacity.covers(assignment.size) && ticketFor(session) !== undefined
+      session.assignments.has(assignment.key) && !session.ended && !session.draining && !session.evacuated && session.capacity.covers(assignment.size) && ticketFor(session) !== undefined
     const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
+    this.#reportEvacuated(step, reserved)
     for (const reservation of reserved) {
       const { session, assignment } = reservation
       if (!session.assignments.has(assignment.key)) continue
@@ -329,6 +332,14 @@
     }
   }
 
+  /** Counts reserved tasks that are given back since the data centre of their target has been evacuated since. */
+  #reportEvacuated (step: StepProgress, reserved: readonly Reservation[]): void {
+    const evacuated = reserved.filter(({ session, assignment }) => session.evacuated && session.assignments.has(assignment.key))
+    if (evacuated.length === 0) return
+    this.#options.metrics.countStartsGivenBack(evacuated.length)
+    this.#logger.info({ job: step.job.id, step: step.name, tasks: evacuated.map(({ session, assignment }) => [assignment.task.index, assignment.attempt, session.id]) }, 'starts given back: the data centre is evacuated')
+  }
+
   #cancelReservation ({ session, assignment }: Reservation): void {
     session.cancelReservation(assignment)
     this.releaseUsage(assignment)
@@ -386,7 +397,7 @@
     const pass = new PlacementPass(this.#options.desiredState(), open)
     const queue = pass.queue(job.queue)
     const needed = definition.gang ? waiting.length : 1
-    const targets = { targets: pass.sessions(queue.service).length, keptTargets: usable.length - open.length }
+    const targets = { targets: pass.sessions(queue.service).length, keptTargets: usable.length - open.length, evacuatedTargets: this.#fleet.countEvacuated(queue.service) }
     if (this.#isCapped(step, needed, pass, queue)) return { reason: 'cap', details: { used: this.#usage.usageOf(job.team), cap: pass.team(job.team)?.cap } }
     if (step.suspectedTasks.some(task => task.state === 'waiting')) return { reason: 'isolation', details: targets }
     if (this.#allowedCount(step, needed, pass, queue) < needed) {
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -11,6 +11,7 @@
 import type { Outage } from './crashEvidence.ts'
 import { AUTHORITY_GRACE_MS } from '../log/election.ts'
 import type { TargetListener } from './targetListener.ts'
+import type { Evacuations } from './evacuations.ts'
 import { TargetSession } from './targetSession.ts'
 import type { PlacedAssignment } from '../placement/waitReport.ts'
 
@@ -32,6 +33,8 @@
   readonly fencingToken: number
   readonly targetLeaseMs: number
   readonly hasAuthority: () => boolean
+  /** The evacuations in force now. */
+  readonly evacuations: () => Evacuations
   /** Start of the term, on this process's clock. */
   readonly termStartedAtMs: number
 }
@@ -81,6 +84,15 @@
     return occupied.size === 0 ? usable : usable.filter(({ id }) => !occupied.has(id))
   }
 
+  get sessions (): readonly TargetSession[] {
+    return [...this.#sessions.values()]
+  }
+
+  /** Number of the service's targets in evacuated data centres. */
+  countEvacuated (service: string): number {
+    return this.sessions.filter(session => !session.ended && session.evacuated && session.description.service === service).length
+  }
+
   /** All assignments with their sessions. */
   get placed (): readonly PlacedAssignment[] {
     return [...this.#sessions.values()].flatMap(session => [...session.assignments.values()].map(assignment => ({ session, assignment })))
@@ -164,7 +176,7 @@
 
   #open (target: TargetDescription, priorLeasesExtendedUntilMs: number): TargetSession {
     const { id, bornMs, address, service, dataCentre, capacity, labels } = target
-    const { clock, logger, connect, listener, fencingToken, targetLeaseMs, hasAuthority } = this.#options
+    const { clock, logger, connect, listener, fencingToken, targetLeaseMs, hasAuthority, evacuations } = this.#options
     const session = new TargetSession({
       description: { id, bornMs, address, service, dataCentre, capacity, labels },
       client: connect(address, { id, bornMs }, dataCentre),
@@ -174,6 +186,7 @@
       fencingToken,
       leaseMs: targetLeaseMs,
       hasAuthority,
+      isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
     this.#sessions.set(session.key, session)
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -102,6 +102,7 @@
     fencingToken: 7,
     leaseMs: LEASE_MS,
     hasAuthority: () => true,
+    isEvacuated: () => false,
     priorLeasesExtendedUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -54,6 +54,8 @@
   readonly leaseMs: number
   /** Whether this coordinator may send requests now. */
   readonly hasAuthority: () => boolean
+  /** Whether the target's data centre is evacuated now, so that no task may be started here. */
+  readonly isEvacuated: () => boolean
   /** Latest time at which an earlier coordinator may have extended leases on the target. */
   readonly priorLeasesExtendedUntilMs: number
 }
@@ -137,7 +139,7 @@
   isUsableAt (nowMs: number): boolean {
     const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
     const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
-    return answers && isOffered && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
+    return answers && isOffered && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
@@ -163,6 +165,11 @@
     return this.#draining
   }
 
+  /** Whether nothing more may be sent to the target's data centre; runs that are there continue. */
+  get evacuated (): boolean {
+    return this.#options.isEvacuated()
+  }
+
   /** Live view of the unassigned capacity. */
   get free (): ComputeResources {
     return this.capacity.free
@@ -201,7 +208,7 @@
   async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
     const { client, clock, fencingToken } = this.#options
     const leaseUntilTargetMs = this.#extendLease()
-    if (this.#hasEnded || leaseUntilTargetMs === undefined) return this.#handleRefusal(assignment, 'unhealthy')
+    if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
     assignment.state = 'starting'
     const { task } = assignment
     assignment.startAnswered = false
--- a/src/coordinator/testing/memoryTransactionalStore.ts
+++ b/src/coordinator/testing/memoryTransactionalStore.ts
@@ -1,6 +1,6 @@
 /** In-memory transactional store for unit tests, with fault injection per call. */
 import { StoreUnavailableError, StoreUnknownError } from '../../model/errors.ts'
-import type { CommitResult, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult } from '../../ports/transactionalStore.ts'
+import type { CommitResult, StoreChange, StoredItem, StorePage, StoreRead, Transaction, TransactionalStore, WatchResult } from '../../ports/transactionalStore.ts'
 
 /** `lost` executes the commit and loses the response; `late` does so when `executeLate` is called. */
 export type CommitFault = 'none' | 'unavailable' | 'lost' | 'late'
@@ -13,6 +13,8 @@
   /** Whether all calls fail as unavailable. */
   refusing = false
   commits = 0
+  /** Store revision of each key's removal by `remove`. */
+  readonly #removals = new Map<string, number>()
   readonly #lateCommits: Transaction[] = []
   #revision = 1
   #nextLease = 1
@@ -31,7 +33,9 @@
   async watch (prefix: string, afterRevision: number): Promise<WatchResult> {
     this.#refuse()
     const changed = [...this.items.values()].filter(({ key, revision }) => key.startsWith(prefix) && revision > afterRevision)
-    return { outcome: 'changes', changes: changed.map(item => ({ type: 'written', item })), revision: this.#revision }
+    const removed = [...this.#removals].filter(([key, revision]) => key.startsWith(prefix) && revision > afterRevision && !this.items.has(key))
+    const changes: StoreChange[] = [...changed.map((item): StoreChange => ({ type: 'written', item })), ...removed.map(([key]): StoreChange => ({ type: 'removed', key }))]
+    return { outcome: 'changes', changes, revision: this.#revision }
   }
 
   /** Executes the oldest late commit. */
@@ -65,6 +69,13 @@
     if (lease !== undefined) this.leases.get(lease)?.add(key)
   }
 
+  /** Removes a key as an operator would; watches report it. */
+  remove (key: string): void {
+    if (!this.items.delete(key)) return
+    this.#revision += 1
+    this.#removals.set(key, this.#revision)
+  }
+
   async grantLease (): Promise<number> {
     this.#refuse()
     const lease = this.#nextLease++
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -4,6 +4,7 @@
 import type { JobDefinition, StepDefinition } from '../../jobs/job.ts'
 import { createJobRecord, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { resources } from '../../model/resources.ts'
+import { JobMetrics } from '../../observability/jobMetrics.ts'
 import { createLogger } from '../../observability/logger.ts'
 import { AdviceLanes } from '../advice/adviceLanes.ts'
 import { DesiredStateWatcher } from '../desiredStateWatcher.ts'
@@ -23,7 +24,9 @@
 const LONG_WORK_MS = 25_000
 /** Longer than withdrawals of late orders and the expiry of leases take, with time for the work itself. */
 const RECOVERY_MS = 60_000
-const DESIRED_KEY = 'desired'
+const OPERATOR_PREFIX = 'operator/'
+const DESIRED_KEY = 'operator/desired'
+const EVACUATION_PREFIX = 'operator/evacuate/'
 
 export interface SimulatedClusterOptions {
   readonly targets: number
@@ -33,12 +36,17 @@
   readonly lateMs: number
   /** Whether each first run of a task fails. */
   readonly failing: boolean
+  /** Data centre of each target, by its number; without a name by default. */
+  readonly dataCentreOf?: (number: number) => string
 }
 
-/** A store whose calls take time, and whose watches end without a change. */
+/** A store whose calls take time, and whose watches end without a change unless `wake` is called. */
 class SlowStore extends MemoryTransactionalStore {
   /** Additional time of each write of a snapshot. */
   snapshotDelayMs = 0
+  /** Additional time of each write. */
+  commitDelayMs = 0
+  #waking = new AbortController()
   readonly #clock: ManualClock
 
   constructor (clock: ManualClock) {
@@ -48,14 +56,20 @@
 
   override async commit (...[transaction]: Parameters<MemoryTransactionalStore['commit']>): ReturnType<MemoryTransactionalStore['commit']> {
     const isSnapshot = transaction.writes.some(({ key }) => key.startsWith(SNAPSHOT_PREFIX))
-    await this.#clock.sleep(5 + (isSnapshot ? this.snapshotDelayMs : 0))
+    await this.#clock.sleep(5 + this.commitDelayMs + (isSnapshot ? this.snapshotDelayMs : 0))
     return await super.commit(transaction)
   }
 
   override async watch (...[prefix, after]: Parameters<MemoryTransactionalStore['watch']>): ReturnType<MemoryTransactionalStore['watch']> {
-    await this.#clock.sleep(1_000)
+    await this.#clock.sleep(1_000, this.#waking.signal).catch(() => {})
     return await super.watch(prefix, after)
   }
+
+  /** Ends the watches that wait, as a change does. */
+  wake (): void {
+    this.#waking.abort()
+    this.#waking = new AbortController()
+  }
 }
 
 export class SimulatedCluster {
@@ -68,9 +82,13 @@
   #submittedJobs = 0
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
+  #desired: DesiredStateWatcher | undefined
+  readonly #dataCentreOf: (number: number) => string
+  readonly metrics = new JobMetrics()
 
-  constructor ({ targets, cap, lateMs, failing }: SimulatedClusterOptions) {
+  constructor ({ targets, cap, lateMs, failing, dataCentreOf = () => '' }: SimulatedClusterOptions) {
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
+    this.#dataCentreOf = dataCentreOf
     this.#store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
@@ -92,7 +110,9 @@
     this.#coordinator?.close()
     this.#store.put(COORDINATOR_KEY, '')
     const fence = this.#store.items.get(COORDINATOR_KEY)?.revision ?? 0
-    const desired = new DesiredStateWatcher({ store: this.#store, key: DESIRED_KEY, parse: text => JSON.parse(text) as DesiredState, clock, logger: this.#logger })
+    const desired = new DesiredStateWatcher({ store: this.#store, prefix: OPERATOR_PREFIX, key: DESIRED_KEY, evacuationPrefix: EVACUATION_PREFIX, parse: text => JSON.parse(text) as DesiredState, clock, logger: this.#logger })
+    this.#desired?.pause()
+    this.#desired = desired
     desired.follow()
     const lanes = new AdviceLanes(clock)
     lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: 'ticket' }))) }, weight: 1 }])
@@ -101,10 +121,11 @@
       store: this.#store,
       clock,
       logger: this.#logger,
+      metrics: this.metrics,
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
       connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
       prepareConnections: async () => {},
-      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: '', capacity: CAPACITY, labels: [], draining: false }] : []) },
+      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#dataCentreOf(number), capacity: CAPACITY, labels: [], draining: false }] : []) },
       desired,
       lanes,
       hasAuthority: () => hasAuthority && this.#coordinator === coordinator,
@@ -146,6 +167,23 @@
     this.#store.commitFaults.push(...faults)
   }
 
+  /** Requests or takes back the evacuation of a data centre, as the operator of the platform does. */
+  evacuate (dataCentre: string, isEvacuated = true): void {
+    if (isEvacuated) this.#store.put(`${EVACUATION_PREFIX}${dataCentre}`, '{}')
+    else this.#store.remove(`${EVACUATION_PREFIX}${dataCentre}`)
+    this.#store.wake()
+  }
+
+  /** Adds to the time of each write of the store. */
+  delayCommits (delayMs: number): void {
+    this.#store.commitDelayMs = delayMs
+  }
+
+  /** Lets all calls to the store fail. */
+  refuseStoreCalls (isRefusing: boolean): void {
+    this.#store.refusing = isRefusing
+  }
+
   delaySnapshots (delayMs: number): void {
     this.#store.snapshotDelayMs = delayMs
   }
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -26,6 +26,8 @@
   bornMs = 1
   fault: TargetFault = 'none'
   listed = true
+  /** Number of runs that were started, in all incarnations. */
+  starts = 0
   #fence = 0
   #runs = new Map<string, Run>()
   #finished: FinishedRun[] = []
@@ -82,6 +84,7 @@
     if (attempt <= (this.#endedAttempts.get(task) ?? 0) || this.#runs.has(task)) return { outcome: 'refused', refusal: 'superseded' }
     const run: Run = { task, attempt, stopping: false }
     this.#runs.set(task, run)
+    this.starts += 1
     const durationMs = workMs(task)
     if (Number.isFinite(durationMs)) clock.schedule(durationMs, () => { if (!run.stopping) this.#end(run, endOf(task, attempt)) })
     return { outcome: 'started', clockMs }
--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -15,6 +15,7 @@
 import type { CallerCall } from './callerCall.ts'
 import { JobInstance } from './jobInstance.ts'
 
+const PREFIX = 'operators/'
 const KEY = 'operators/desired-state'
 const WATCH_POLL_MS = 20
 const FAR_INSTANCES = 51
@@ -57,6 +58,13 @@
         return result
       },
       listPage: async (prefix, after) => {
+        if (prefix === PREFIX) {
+          refuse()
+          await this.#clock.sleep(this.readDelayMs)
+          const page = await this.listPage(prefix, after)
+          count(page.items.map(({ value }) => value))
+          return page
+        }
         if (!this.failsPages) return await this.listPage(prefix, after)
         await this.#clock.sleep(4_000)
         throw new StoreUnavailableError('no answer within 4000 ms')
@@ -115,7 +123,7 @@
     const store = this.store.seenFrom(region, () => this.refused.has(name))
     const logger = createLogger({ level: 'silent', instance: name, dataCentre: region, secrets: [] })
     const { clock } = this
-    const desired = new DesiredStateWatcher({ store, key: KEY, parse: text => JSON.parse(text) as DesiredState, clock, logger })
+    const desired = new DesiredStateWatcher({ store, prefix: PREFIX, key: KEY, evacuationPrefix: `${PREFIX}evacuate/`, parse: text => JSON.parse(text) as DesiredState, clock, logger })
     this.watchers.set(name, desired)
     const instance = new JobInstance({
       instance: name,
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -12,6 +12,7 @@
 import type { Component } from '../lifecycle/component.ts'
 import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
+import type { JobMetrics } from '../observability/jobMetrics.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { TimerClock } from '../ports/clock.ts'
 import type { CoordinatorPeer, CoordinatorPeers, InstanceReport, ReportAnswer } from '../ports/coordinatorPeer.ts'
@@ -63,6 +64,7 @@
   readonly store: TransactionalStore
   readonly clock: TimerClock
   readonly logger: Logger
+  readonly metrics?: JobMetrics
   readonly desired: DesiredStateWatcher
   readonly directory: TargetDirectory
   readonly connect: JobTargetConnector
@@ -258,6 +260,7 @@
       store: options.store,
       clock,
       logger,
+      ...(options.metrics === undefined ? {} : { metrics: options.metrics }),
       info,
       connect: relays.connect,
       prepareConnections: async () => await relays.prepare(),
@@ -318,7 +321,8 @@
       expected: this.#relayCandidates.filter(({ address }) => address !== this.#options.address),
       exchange: async (address, batch) => await peers.connect(address).relay(batch),
       onSuperseded: () => this.#election.renewNow(),
-      hasAuthority: () => this.#election.hasAuthority()
+      hasAuthority: () => this.#election.hasAuthority(),
+      isEvacuated: dataCentre => this.#options.desired.evacuations.covers(dataCentre)
     })
   }
 
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -1,5 +1,5 @@
 /** Metrics of an instance that serves jobs. */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { MetricsReport } from './operatorApi.ts'
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
@@ -15,6 +15,22 @@
     name: 'agategauge_call_seconds', help: 'Time until a call was answered', labelNames: ['action'], buckets: CALL_BUCKETS_S, registers: [this.registry]
   })
 
+  readonly #evacuatedDataCentres = new Gauge({
+    name: 'agategauge_evacuated_data_centres', help: 'Data centres to which the coordinator sends no tasks, as the operator of the platform requested; 0 on other instances', registers: [this.registry]
+  })
+
+  readonly #startsGivenBack = new Counter({
+    name: 'agategauge_starts_given_back_total', help: 'Starts that were decided and not sent, since the data centre of their target was evacuated', registers: [this.registry]
+  })
+
+  setEvacuatedDataCentres (count: number): void {
+    this.#evacuatedDataCentres.set(count)
+  }
+
+  countStartsGivenBack (count: number): void {
+    this.#startsGivenBack.inc(count)
+  }
+
   observeCall (action: string, outcome: string, durationMs: number): void {
     this.#calls.inc({ action, outcome })
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
--- a/src/platform/desiredState.ts
+++ b/src/platform/desiredState.ts
@@ -4,7 +4,11 @@
 import { InputError } from '../model/errors.ts'
 import { resourcesSchema, decodeResources } from './resources.ts'
 
+/** Prefix of all keys that the operator of the platform writes. */
+export const OPERATOR_PREFIX = 'op/'
 export const DESIRED_STATE_KEY = 'op/config'
+/** Followed by the name of a data centre to which nothing more is to be sent. */
+export const EVACUATION_PREFIX = 'op/evacuate/'
 
 const routeSchema = z.object({
   name: z.string(),
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -15,7 +15,7 @@
 import { logUnexpectedError } from '../observability/unexpectedErrors.ts'
 import { SettingsReloader } from '../settings/settingsReloader.ts'
 import { CallerFrontend } from './callerFrontend.ts'
-import { DESIRED_STATE_KEY, parseDesiredState } from './desiredState.ts'
+import { DESIRED_STATE_KEY, EVACUATION_PREFIX, OPERATOR_PREFIX, parseDesiredState } from './desiredState.ts'
 import { PlatformAdvisor } from './platformAdvisor.ts'
 import { PlatformStore } from './platformStore.ts'
 import { PlatformTarget } from './platformTarget.ts'
@@ -61,7 +61,7 @@
   const metrics = new JobMetrics()
   const store = new PlatformStore(settings.storeAddress, clock)
   const peers = new CoordinatorPeerClient(clock)
-  const desired = new DesiredStateWatcher({ store, key: DESIRED_STATE_KEY, parse: parseDesiredState, clock, logger })
+  const desired = new DesiredStateWatcher({ store, prefix: OPERATOR_PREFIX, key: DESIRED_STATE_KEY, evacuationPrefix: EVACUATION_PREFIX, parse: parseDesiredState, clock, logger })
   const advisor = new PlatformAdvisor(settings.advisorAddress, clock)
   const reloader = createReloader(settingsPath, settings, { store, advisor, clock, logger })
   const peerAddress = `${settings.ip}:${settings.peerPort}`
@@ -74,6 +74,7 @@
     store,
     clock,
     logger,
+    metrics,
     desired,
     directory: new StoredTargetDirectory(store, logger),
     connect: (address, incarnation) => new PlatformTarget(address, incarnation, clock),
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -33,6 +33,7 @@
 interface OutstandingOrder {
   readonly order: NumberedOrder
   readonly submittedAtMs: number
+  readonly maySend: () => boolean
   readonly settle: (result: RelayResult) => void
 }
 
@@ -83,11 +84,11 @@
     this.#exchange([])
   }
 
-  /** Resolves with the result of the order at its target; never rejects. */
-  submit (target: RelayTarget, order: TargetOrder): Promise<RelayResult> {
+  /** Resolves with the result of the order at its target; never rejects. `maySend` is asked again when a queued order is sent. */
+  submit (target: RelayTarget, order: TargetOrder, maySend: () => boolean = () => true): Promise<RelayResult> {
     if (!this.usable) return Promise.resolve({ type: 'not-sent', reason: 'the relay takes no orders' })
     return new Promise(resolve => {
-      this.#queued.push({ order: { ...order, number: this.#nextNumber++, target }, submittedAtMs: this.#nowMs, settle: resolve })
+      this.#queued.push({ order: { ...order, number: this.#nextNumber++, target }, submittedAtMs: this.#nowMs, maySend, settle: resolve })
       this.#scheduleFlush()
     })
   }
@@ -118,13 +119,27 @@
   /** Sends what is queued; without orders, an exchange is kept open for the outcomes of earlier ones. */
   #flush (): void {
     if (!this.#options.hasAuthority()) this.#rejectQueued()
-    const batch = this.#queued.splice(0, MAX_BATCH_SIZE)
+    const batch = this.#takeBatch()
     if (batch.length === 0 && this.#exchangesInFlight > 0) return
     for (const outstanding of batch) this.#sent.set(outstanding.order.number, outstanding)
     this.#exchange(batch.map(({ order }) => order))
     if (this.#queued.length > 0) this.#scheduleFlush()
   }
 
+  /** Takes queued orders for the next exchange, and settles those that may not be sent any more. */
+  #takeBatch (): readonly OutstandingOrder[] {
+    const batch: OutstandingOrder[] = []
+    let taken = 0
+    for (const outstanding of this.#queued) {
+      if (batch.length >= MAX_BATCH_SIZE) break
+      taken += 1
+      if (outstanding.maySend()) batch.push(outstanding)
+      else outstanding.settle({ type: 'not-sent', reason: 'the order was taken back' })
+    }
+    this.#queued.splice(0, taken)
+    return batch
+  }
+
   /** The process may have been paused since the orders were submitted, and their authority checked. */
   #rejectQueued (): void {
     for (const { settle } of this.#queued.splice(0)) settle({ type: 'not-sent', reason: 'the coordinator has no authority any more' })
--- a/src/relay/relayPool.test.ts
+++ b/src/relay/relayPool.test.ts
@@ -16,16 +16,17 @@
   const direct = new RecordingTarget(clock)
   const relayed = new RecordingTarget(clock)
   const lost = new Set(lostRelays)
+  const evacuated = new Set<string>()
   const relay = new TargetRelay({ clock, logger, connect: () => relayed, latestFence: () => FENCE })
   const exchange = async (address: string, batch: RelayBatch): Promise<RelayAnswer> => {
     if (lost.has(address)) throw new Error('connection refused')
     return await relay.exchange(batch)
   }
-  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', expected, exchange, hasAuthority: () => true, onSuperseded: () => {} })
+  const pool = new RelayPool({ instance: 'entry-1', fence: FENCE, clock, logger, connect: () => direct, regionOf: () => 'attica', expected, exchange, hasAuthority: () => true, isEvacuated: dataCentre => evacuated.has(dataCentre), onSuperseded: () => {} })
   const targets = Array.from({ length: DIRECT_TARGETS + 1 }, (_, number): JobTargetClient => pool.connect('10.1.7.3:8400', { id: `worker-${number}`, bornMs: 1 }, 'attica-a'))
   pool.update(candidates)
   await clock.advance(20)
-  return { clock, direct, relayed, lost, pool, target: targets[0] as JobTargetClient }
+  return { clock, direct, relayed, lost, evacuated, pool, target: targets[0] as JobTargetClient }
 }
 
 test('orders are sent directly while no relay has answered, and through a relay afterwards', async t => {
@@ -42,6 +43,25 @@
   t.deepEqual(direct.orders, ['start task-2#1 text'])
 })
 
+// Guards against starts that wait for their batch and reach a data centre after its evacuation; a stop is sent, and so is a start afterwards.
+test('a start that waits for its batch is not sent when the data centre of its target is evacuated meanwhile', async t => {
+  const { clock, relayed, evacuated, target } = await createPool()
+  const first = target.start(createStart('task-1'))
+  await clock.advance(50)
+  const late = target.start(createStart('task-2'))
+  const stopped = target.stop({ task: 'task-1', attempt: 1, fencingToken: FENCE })
+  evacuated.add('attica-a')
+  await clock.advance(50)
+  t.like(await first, { outcome: 'started' })
+  t.deepEqual(await late, { outcome: 'refused', refusal: 'unhealthy' })
+  t.is(await stopped, 'stopping')
+  evacuated.clear()
+  const after = target.start(createStart('task-3'))
+  await clock.advance(50)
+  t.like(await after, { outcome: 'started' })
+  t.deepEqual(relayed.orders, ['start task-1#1 text', 'stop task-1#1', 'start task-3#1 text'])
+})
+
 test('a start whose relay was lost is reported as unknown and is not sent a second time', async t => {
   const { clock, direct, lost, target } = await createPool()
   lost.add('entry-2')
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -35,6 +35,8 @@
   readonly exchange: (address: string, batch: RelayBatch) => Promise<RelayAnswer>
   /** Whether the coordinator may send orders now. */
   readonly hasAuthority: () => boolean
+  /** Whether the data centre is evacuated now, so that starts for its targets are not sent. */
+  readonly isEvacuated: (dataCentre: string) => boolean
   readonly onSuperseded: () => void
 }
 
@@ -78,6 +80,7 @@
       target: { address, ...incarnation },
       direct: this.#options.connect(address, incarnation),
       selectLink: () => this.#selectLink(region, incarnation.id),
+      mayStart: () => !this.#options.isEvacuated(dataCentre),
       onClose: () => this.#countTarget(region, -1)
     })
   }
--- a/src/relay/relayedTarget.ts
+++ b/src/relay/relayedTarget.ts
@@ -8,6 +8,8 @@
   readonly direct: JobTargetClient
   /** The link for the next order; undefined if it is sent directly. */
   readonly selectLink: () => RelayLink | undefined
+  /** Whether a start may still be sent. */
+  readonly mayStart: () => boolean
   readonly onClose: () => void
 }
 
@@ -23,7 +25,7 @@
   }
 
   async start (order: TaskOrder): Promise<StartOutcome> {
-    const result = await this.#relay({ type: 'start', order })
+    const result = await this.#relay({ type: 'start', order }, this.#options.mayStart)
     if (result === undefined) return await this.#options.direct.start(order)
     if (result.type === 'start') return result.outcome
     if (result.type === 'not-sent') return { outcome: 'refused', refusal: 'unhealthy' }
@@ -47,9 +49,9 @@
     await this.#options.direct.close()
   }
 
-  async #relay (order: TargetOrder): Promise<RelayResult | undefined> {
+  async #relay (order: TargetOrder, maySend?: () => boolean): Promise<RelayResult | undefined> {
     const { selectLink, target } = this.#options
-    return await selectLink()?.submit(target, order)
+    return await selectLink()?.submit(target, order, maySend)
   }
 }
 
