Forecast free capacity from the expected ends of placed runs

Admission, reservations and delay scheduling need to know when capacity becomes free. PlacedRoomForecast derives it from the placed runs; the placer sets the usable targets once per full pass.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -19,6 +19,9 @@
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import type { RoomForecast } from './forecast/roomForecast.ts'
+import { DeclaredRunTimes } from './forecast/runTimes.ts'
+import type { RunTimes } from './forecast/runTimes.ts'
 import { FinishedJobRetention } from './log/finishedJobRetention.ts'
 import { compactLog } from './log/logCompactor.ts'
 import { readLog } from './log/logReader.ts'
@@ -80,6 +83,7 @@
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
+  readonly #runTimes: RunTimes
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -103,8 +107,9 @@
       clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, termStartedAtMs: this.#termStartedAtMs
     })
     this.#admission = new AdmissionControl(clock)
+    this.#runTimes = new DeclaredRunTimes()
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, admission: this.#admission, runTimes: this.#runTimes, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -127,6 +132,16 @@
     return this.#admission
   }
 
+  /** Expected run times of tasks. */
+  get runTimes (): RunTimes {
+    return this.#runTimes
+  }
+
+  /** When capacity becomes free. */
+  get forecast (): RoomForecast {
+    return this.#placer.forecast
+  }
+
   /** Whether the store is known to be rejecting records. */
   get storeFails (): boolean {
     const since = this.#log?.failingSinceMs
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -8,6 +8,10 @@
 import type { TimerClock } from '../../ports/clock.ts'
 import type { AdviceLanes } from '../advice/adviceLanes.ts'
 import { Assignment } from '../targets/assignment.ts'
+import { PlacedRoomForecast } from '../forecast/placedRoomForecast.ts'
+import type { RoomForecast } from '../forecast/roomForecast.ts'
+import type { RunTimes } from '../forecast/runTimes.ts'
+import { isRemoteFrom, racksOf } from '../forecast/locality.ts'
 import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
@@ -36,6 +40,7 @@
   readonly clock: TimerClock
   readonly logger: Logger
   readonly fleet: TargetFleet
+  readonly runTimes: RunTimes
   /** Updated with the waiting jobs after each full pass. */
   readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
@@ -60,6 +65,7 @@
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
   readonly #isolation: Isolation
+  readonly #forecast: PlacedRoomForecast
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -77,6 +83,7 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#fleet = options.fleet
+    this.#forecast = new PlacedRoomForecast(options.clock, options.runTimes)
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
@@ -84,6 +91,11 @@
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
+  /** When capacity becomes free on the targets that were usable in the last full pass. */
+  get forecast (): RoomForecast {
+    return this.#forecast
+  }
+
   /** Enables placement. */
   start (): void {
     this.#enabled = true
@@ -141,6 +153,7 @@
     if (session === undefined) return step.releaseLostRun(task, attempt)
     const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'recovering')
     assignment.confirmedAtMs = -Infinity
+    assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
     session.reserve(assignment)
   }
@@ -170,9 +183,11 @@
     this.#isolation.releaseUnneeded(nowMs)
     this.#placeSuspectedTasks(ranked, nowMs)
     const yielding = new Set<StepProgress>()
+    const open = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
+    if (!urgentOnly) this.#forecast.update(open)
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
     if (unsuspected.length > 0) {
-      const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable.filter(session => !this.#isolation.holds(session)))
+      const pass = new PlacementPass(this.#options.desiredState(), open)
       const precedence = new GangPrecedence(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const queue = pass.queue(step.job.queue)
@@ -341,12 +356,14 @@
     const { step } = first
     const gangAttempt = step.nextAttempt(first)
     const reserved: Reservation[] = []
+    const racks = racksOf(step, [...placed, ...step.tasks.map(({ placedOn }) => placedOn)].flatMap(key => this.#fleet.get(key) ?? []))
     for (const [position, key] of placed.entries()) {
       const task = waiting[position]
       const session = this.#fleet.get(key)
       if (task === undefined || session === undefined) continue
       const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
       const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'reserved')
+      assignment.isRemote = isRemoteFrom(step, session, racks)
       step.recordPlacement(task.index, attempt, key)
       this.#usage.add(step.job.team, step.definition)
       session.reserve(assignment)
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -21,6 +21,12 @@
   reservedAtMs = 0
   /** When a report first showed the run. */
   firstReportedAtMs = Infinity
+  /** When the run was first known to run, by a report or by the answer to its start; undefined if an earlier coordinator started it. */
+  startedAtMs: number | undefined
+  /** Whether the run resumes from a checkpoint. */
+  isResumed = false
+  /** Whether the run is away from the data of its step, or belongs to a group that is spread over several racks. */
+  isRemote = false
   /** False while a start request is on its way, and after one without an answer, which the target may execute later. */
   startAnswered = true
   /** Reports requested before this time are too old to show that the run is missing. */
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -205,6 +205,8 @@
     assignment.state = 'starting'
     const { task } = assignment
     assignment.startAnswered = false
+    const checkpoint = task.step.checkpointOf(task)
+    assignment.isResumed = checkpoint !== ''
     this.#startsSentMs.set(assignment, clock.monotonicMs())
     const result = await client.start({
       task: task.name,
@@ -212,7 +214,7 @@
       spec: task.step.job.definition.spec,
       leaseUntilTargetMs,
       fencingToken,
-      checkpoint: task.step.checkpointOf(task),
+      checkpoint,
       ticket
     })
     this.#startsSentMs.delete(assignment)
@@ -229,6 +231,7 @@
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
     if (result.outcome === 'started') {
+      assignment.startedAtMs ??= clock.monotonicMs()
       if (assignment.state === 'starting') assignment.state = 'running'
       return listener.startConfirmed(this, assignment)
     }
@@ -374,6 +377,7 @@
   #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
     if (!assignment.reported) assignment.firstReportedAtMs = nowMs
     assignment.reported = true
+    if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
       assignment.state = 'running'
       assignment.confirmedAtMs = nowMs
