Ask the advisor a further question only where its answer pays

From 46 s on most of the service was free, but answers of the advisor took 1.7 to 7.5 s: about 200 waiting steps asked about each target with a little capacity, 1 to 3 targets a question, each of which takes 0.6 s of a lane. Gangs of 4 tasks asked about single targets. The two tasks named had 9 to 12 allowed targets and asked 3 to 7 further questions in 50 s. Ruled out: isolation (the named tasks were not suspected), the change of coordinator (one election). Change: a step with an answer asks further questions only if these are expected to be answered before its allowed targets have capacity, by the forecast, or after twice the time of an answer; a gang only if the named targets could hold it. Renewals of tickets, for which capacity is reserved, go ahead of other questions of their priority.

--- a/src/coordinator/advice/adviceLanes.test.ts
+++ b/src/coordinator/advice/adviceLanes.test.ts
@@ -135,3 +135,15 @@
   t.deepEqual(asked, ['job-0.0.0', 'job-99.0.0'])
   t.deepEqual([...new Set(await Promise.all(outcomes))], ['answered', 'not needed'])
 })
+
+// Guards against a step that asks a further question although the answer comes long after capacity does.
+test('the expected wait for a lane counts the questions ahead, and is zero while a lane is idle', async t => {
+  const clock = new ManualClock()
+  const lanes = createLanes(clock, 3)
+  const waits = [lanes.expectedWaitMs(600, 1)]
+  for (let job = 0; job < 5; job++) lanes.ask({ step: `job-${job}.0.0`, targets: [], expectedMs: 600 }, 1).catch(() => {})
+  waits.push(lanes.expectedWaitMs(600, 1), lanes.expectedWaitMs(600, 0), lanes.expectedWaitMs(12, 0))
+  t.deepEqual(waits, [0, 3_000, 600, 0])
+  await clock.advance(10_000)
+  t.is(lanes.expectedWaitMs(600, 1), 0)
+})
--- a/src/coordinator/advice/adviceLanes.ts
+++ b/src/coordinator/advice/adviceLanes.ts
@@ -84,6 +84,14 @@
     return this.#eligibleLanes('long').filter(lane => lane.questions === 0 && lane.backoffUntilMs <= nowMs).length
   }
 
+  /** Expected milliseconds until a question of the length and rank would be asked, behind those that wait or are being answered. */
+  expectedWaitMs (expectedMs: number, rank: number): number {
+    const lanes = this.#eligibleLanes(classifyLength(expectedMs))
+    if (lanes.length === 0 || lanes.some(({ questions }) => questions === 0)) return 0
+    const ahead = this.#queue.reduce((sum, queued) => sum + (queued.rank <= rank ? queued.question.expectedMs : 0), 0)
+    return (ahead + lanes.reduce((sum, { backlogMs }) => sum + backlogMs, 0)) / lanes.length
+  }
+
   /**
    * Questions with a lower rank are asked first. One that is not needed any more when its turn comes is not asked, and the
    * promise rejects with a `QuestionNotNeededError`.
--- a/src/coordinator/advice/advisedPlacement.test.ts
+++ b/src/coordinator/advice/advisedPlacement.test.ts
@@ -27,11 +27,14 @@
 }
 
 /** Applies decisions until tasks are started or no further question is asked. */
+/** No question waits for a lane, and the allowed targets never have capacity. */
+const ALWAYS_WORTH_ASKING = { expectedAnswerMs: () => 0, timeUntilAllowedMs: () => Infinity }
+
 function place (count: number, gang: boolean, targets = TARGETS, advice = new StepAdvice(), idleLanes = 0): { questions: number, placed: number } {
   const definition = createStep(count, { gang, size: resources({ processors: 18_000, memory: 64_000 }) })
   let questions = 0
   for (;;) {
-    const decision = decideAdvisedPlacement({ definition, count, advice, allowedShare: ALLOWED_FRACTION, targets, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes })
+    const decision = decideAdvisedPlacement({ definition, count, advice, allowedShare: ALLOWED_FRACTION, targets, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes, ...ALWAYS_WORTH_ASKING })
     if (decision.action !== 'ask') return { questions, placed: decision.action === 'wait' ? 0 : decision.placed.length }
     questions += decision.questions.length
     answer(advice, decision, 0)
@@ -53,7 +56,7 @@
 
 test('a question is limited to the maximum number of targets, those with the most free processors first', t => {
   const targets = TARGETS.map((target, number) => createTarget(target.key, number * 100))
-  const decision = decideAdvisedPlacement({ definition: createStep(100_000), count: 100_000, advice: new StepAdvice(), allowedShare: ALLOWED_FRACTION, targets, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0 })
+  const decision = decideAdvisedPlacement({ definition: createStep(100_000), count: 100_000, advice: new StepAdvice(), allowedShare: ALLOWED_FRACTION, targets, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0, ...ALWAYS_WORTH_ASKING })
   t.is(decision.action, 'ask')
   if (decision.action !== 'ask') return
   t.deepEqual(decision.questions.map(({ length }) => length), [MAX_TARGETS_PER_QUESTION])
@@ -64,7 +67,7 @@
   const advice = new StepAdvice()
   place(2, false, TARGETS, advice)
   const definition = createStep(2, { size: resources({ processors: 18_000, memory: 64_000 }) })
-  const decision = decideAdvisedPlacement({ definition, count: 2, advice, targets: TARGETS, allowedShare: ALLOWED_FRACTION, describe: target => target, nowMs: VALID_MS, decisionMs: DECISION_MS, idleLanes: 0 })
+  const decision = decideAdvisedPlacement({ definition, count: 2, advice, targets: TARGETS, allowedShare: ALLOWED_FRACTION, describe: target => target, nowMs: VALID_MS, decisionMs: DECISION_MS, idleLanes: 0, ...ALWAYS_WORTH_ASKING })
   t.is(decision.action, 'renew')
 })
 
@@ -74,7 +77,7 @@
   const full = TARGETS.map((target, number) => createTarget(target.key, number < 3 ? 20_000 : 1_000))
   let describeCalls = 0
   const definition = createStep(4, { size: resources({ processors: 18_000, memory: 64_000 }) })
-  const decision = decideAdvisedPlacement({ definition, count: 4, advice, targets: full, allowedShare: ALLOWED_FRACTION, describe: target => { describeCalls += 1; return target }, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0 })
+  const decision = decideAdvisedPlacement({ definition, count: 4, advice, targets: full, allowedShare: ALLOWED_FRACTION, describe: target => { describeCalls += 1; return target }, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0, ...ALWAYS_WORTH_ASKING })
   t.is(decision.action, 'start')
   t.is(describeCalls, 3)
 })
@@ -84,13 +87,13 @@
   place(1, false, TARGETS, advice)
   const full = TARGETS.map(target => createTarget(target.key, 1_000))
   const definition = createStep(1, { size: resources({ processors: 18_000, memory: 64_000 }) })
-  t.is(decideAdvisedPlacement({ definition, count: 1, advice, targets: full, allowedShare: ALLOWED_FRACTION, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0 }).action, 'wait')
+  t.is(decideAdvisedPlacement({ definition, count: 1, advice, targets: full, allowedShare: ALLOWED_FRACTION, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 0, ...ALWAYS_WORTH_ASKING }).action, 'wait')
 })
 
 test('a gang on a busy cluster asks about all targets with capacity at once, each target once, and starts with the first answers that suffice', t => {
   const advice = new StepAdvice()
   const definition = createStep(20, { gang: true, size: resources({ processors: 18_000, memory: 64_000 }) })
-  const decide = () => decideAdvisedPlacement({ definition, count: 20, advice, allowedShare: ALLOWED_FRACTION, targets: TARGETS, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 90 })
+  const decide = () => decideAdvisedPlacement({ definition, count: 20, advice, allowedShare: ALLOWED_FRACTION, targets: TARGETS, describe: target => target, nowMs: 0, decisionMs: DECISION_MS, idleLanes: 90, ...ALWAYS_WORTH_ASKING })
   const decision = decide()
   t.is(decision.action, 'ask')
   if (decision.action !== 'ask') return
--- a/src/coordinator/advice/advisedPlacement.ts
+++ b/src/coordinator/advice/advisedPlacement.ts
@@ -3,6 +3,7 @@
 import { planQuestions } from './adviceQuestion.ts'
 import { countFitting, fitsWithin, placeStep, requiredResources } from '../placement/placeStep.ts'
 import type { ComputeResources, TargetAvailability } from '../placement/placeStep.ts'
+import { isWorthAsking } from './questionWorth.ts'
 import type { StepAdvice } from './stepAdvice.ts'
 
 interface AdvisedTarget {
@@ -34,6 +35,10 @@
   readonly decisionMs: number
   /** Number of lanes that could ask a question now. */
   readonly idleLanes: number
+  /** Expected time until a question that names so many targets is answered. */
+  readonly expectedAnswerMs: (targets: number) => number
+  /** Expected time until the allowed targets have capacity for one task, or for the whole gang. */
+  readonly timeUntilAllowedMs: () => number
 }
 
 /**
@@ -42,9 +47,9 @@
  * considered: under overload, hundreds of steps compete for the few targets that are not full.
  *
  * @example
- * const decision = decideAdvisedPlacement({ definition, count: 8, advice, allowedShare, targets, describe, nowMs: clock.monotonicMs(), decisionMs: 686, idleLanes: 90 })
+ * const decision = decideAdvisedPlacement({ definition, count: 8, advice, allowedShare, targets, describe, nowMs: clock.monotonicMs(), decisionMs: 686, idleLanes: 90, expectedAnswerMs, timeUntilAllowedMs })
  */
-export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs, decisionMs, idleLanes }: AdvisedRequest<Target>): AdvisedDecision<Target> {
+export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs, decisionMs, idleLanes, expectedAnswerMs, timeUntilAllowedMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
   const size = requiredResources(definition)
   const candidates = advice.answered ? targets.filter(({ free }) => fitsWithin(size, free)) : targets
   const allowed = candidates.filter(({ key }) => advice.allows(key))
@@ -62,7 +67,18 @@
   if (unasked.length === 0) return { action: 'wait' }
   const freest = [...unasked].sort((left, right) => right.free.processors - left.free.processors)
   const capacities = freest.map(({ free }) => Math.min(countFitting(size, free), definition.tasksPerTarget || Infinity))
-  return { action: 'ask', questions: takeGroups(freest, planQuestions({ tasks: count, capacities, allowedShare, decisionMs, idleLanes })) }
+  const sizes = planQuestions({ tasks: count, capacities, allowedShare, decisionMs, idleLanes })
+  const named = sizes.reduce((sum, targetsInQuestion) => sum + targetsInQuestion, 0)
+  const pays = !advice.answered || isWorthAsking({
+    definition,
+    count,
+    allowedCapacity: allowed.reduce((sum, { free }) => sum + countFitting(size, free), 0),
+    namedCapacity: capacities.slice(0, named).reduce((sum, capacity) => sum + capacity, 0),
+    answerMs: expectedAnswerMs(sizes[0] ?? 0),
+    timeUntilAllowedMs,
+    waitedMs: nowMs - advice.answeredAtMs
+  })
+  return pays ? { action: 'ask', questions: takeGroups(freest, sizes) } : { action: 'wait' }
 }
 
 /** Returns groups of the given sizes, from the first item on. */
--- a/src/coordinator/advice/stepAdvice.ts
+++ b/src/coordinator/advice/stepAdvice.ts
@@ -17,6 +17,8 @@
   openQuestions = 0
   /** No question is asked before this time, after one that failed. */
   backoffUntilMs = 0
+  /** When the last answer was received, on the coordinator's clock. */
+  answeredAtMs = -Infinity
 
   get answered (): boolean {
     return this.#asked.size > 0
--- a/src/coordinator/advice/stepAdvisor.ts
+++ b/src/coordinator/advice/stepAdvisor.ts
@@ -9,6 +9,8 @@
 import { StepAdvice } from './stepAdvice.ts'
 
 const RETRY_DELAY_MS = 100
+/** Less than the difference between two priorities. */
+const RENEWAL_PRECEDENCE = 0.5
 
 /** A target that a question may name. */
 interface AdvisedTarget {
@@ -63,15 +65,24 @@
 
   /** Asks on which of the targets waiting tasks of the step may run; resolves also if there is no answer. */
   async ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[]): Promise<void> {
-    await this.#ask(step, queue, targets, () => step.job.outcome === undefined && step.waiting.length > 0)
+    await this.#ask(step, queue, targets, queue.priority, () => step.job.outcome === undefined && step.waiting.length > 0)
   }
 
-  /** Asks for new tickets of the targets on which tasks of the step are about to be started; resolves also if there is no answer. */
+  /**
+   * Asks for new tickets of the targets on which tasks of the step are about to be started, ahead of other questions of the
+   * priority, since capacity stays reserved meanwhile; resolves also if there is no answer.
+   */
   async renew (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[]): Promise<void> {
-    await this.#ask(step, queue, targets, () => step.job.outcome === undefined)
+    await this.#ask(step, queue, targets, queue.priority - RENEWAL_PRECEDENCE, () => step.job.outcome === undefined)
   }
 
-  async #ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[], isNeeded: () => boolean): Promise<void> {
+  /** Expected milliseconds until a further question about the step, which names that many targets, is answered. */
+  expectedAnswerMs ({ advice, priority }: QueueSettings, targets: number): number {
+    const durationMs = advice === undefined ? 0 : advice.decisionMs + advice.perTargetMs * targets
+    return this.#options.lanes.expectedWaitMs(durationMs, priority) + durationMs
+  }
+
+  async #ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[], rank: number, isNeeded: () => boolean): Promise<void> {
     const { clock, logger, lanes, onAnswered } = this.#options
     const settings = queue.advice
     if (settings === undefined || targets.length === 0) return
@@ -85,8 +96,9 @@
         step: step.name,
         targets: [...keysById.keys()],
         expectedMs: settings.decisionMs + settings.perTargetMs * keysById.size
-      }, queue.priority, isNeeded)
+      }, rank, isNeeded)
       const answeredMs = clock.monotonicMs()
+      advice.answeredAtMs = answeredMs
       advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
       // Later questions are also about targets that are known to be allowed.
       if (isFirst) this.allowedShare(queue).recordAnswer(keysById.size, allowed.length)
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -289,7 +289,11 @@
       describe: session => this.#describeTarget(step, session),
       nowMs,
       decisionMs: queue.advice?.decisionMs ?? 0,
-      idleLanes: this.#options.lanes.idleForLongQuestions
+      idleLanes: this.#options.lanes.idleForLongQuestions,
+      expectedAnswerMs: targets => this.#advisor.expectedAnswerMs(queue, targets),
+      timeUntilAllowedMs: () => this.#forecast.timeUntilRoomMs({
+        service: queue.service, size: requiredResources(step.definition), tasks: step.definition.gang ? count : 1, permits: session => advice.allows(session.key)
+      })
     })
     switch (decision.action) {
       case 'ask':
