Learn run times from the runs that end, and rank jobs by them

LearnedRunTimes learns the ratio of actual to declared time by queue, position of the step, and gang or not, in decaying histograms that are bounded in number. Ranks use it without the margin factor once there are ten samples.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -20,8 +20,7 @@
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
 import type { RoomForecast } from './forecast/roomForecast.ts'
-import { DeclaredRunTimes } from './forecast/runTimes.ts'
-import type { RunTimes } from './forecast/runTimes.ts'
+import { findExtremes, LearnedRunTimes } from './forecast/learnedRunTimes.ts'
 import { FinishedJobRetention } from './log/finishedJobRetention.ts'
 import { compactLog } from './log/logCompactor.ts'
 import { readLog } from './log/logReader.ts'
@@ -49,6 +48,8 @@
 const SEGMENTS_BETWEEN_SNAPSHOTS = 400
 /** The same for wide jobs, whose segments are large. */
 const LOG_BYTES_BETWEEN_SNAPSHOTS = 1_000_000
+/** Bounds the writes of learned run times. */
+const RUN_TIMES_RECORD_INTERVAL_MS = 5_000
 const MAX_RECOVERED_AGE_MS = 3_600_000
 
 export interface CoordinatorOptions {
@@ -73,6 +74,8 @@
   readonly renewElection: () => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
+  /** Factor by which a run takes longer away from its data until it has been learned; 1 if missing. */
+  readonly remoteFactor?: number
 }
 
 export class JobCoordinator implements TargetListener {
@@ -83,7 +86,7 @@
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
-  readonly #runTimes: RunTimes
+  readonly #runTimes: LearnedRunTimes
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -95,6 +98,7 @@
   /** Bytes of the segments since the last compaction that were stored before this term. */
   #recoveredLogBytes = 0
   #compacting = false
+  #runTimesRecordedAtMs = -Infinity
   #closed = false
 
   constructor (options: CoordinatorOptions) {
@@ -107,7 +111,7 @@
       clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, termStartedAtMs: this.#termStartedAtMs
     })
     this.#admission = new AdmissionControl(clock)
-    this.#runTimes = new DeclaredRunTimes()
+    this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
     this.#placer = new TaskPlacer({
       clock, logger, admission: this.#admission, runTimes: this.#runTimes, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
@@ -133,7 +137,7 @@
   }
 
   /** Expected run times of tasks. */
-  get runTimes (): RunTimes {
+  get runTimes (): LearnedRunTimes {
     return this.#runTimes
   }
 
@@ -173,6 +177,7 @@
     this.#table = read.table
     this.#lastCompactedSequence = read.nextSequence - read.segments
     this.#recoveredLogBytes = read.segmentBytes
+    this.#runTimes.restore(read.table.runTimeModels, this.#clock.monotonicMs())
     const jobs = [...read.table.jobs.values()]
     const retention = this.#retention = new FinishedJobRetention(this.#clock, read.table, this.#options.finishedJobMs)
     this.#recoverJobs(read.table, retention)
@@ -247,6 +252,7 @@
     const jobHadEnded = job.outcome !== undefined
     if (step === undefined || !job.applyRunEnd(record)) return await this.flushed()
     if (run.end !== 'done') this.#logger.info({ job: job.id, task: run.task, attempt: run.attempt, end: run.end, target: session.id }, 'run ended without success')
+    if (run.end === 'done' && assignment !== undefined) this.#learnRunTime(step, assignment)
     if (run.end === 'failed') this.#placer.recordFailedTarget(step, session)
     const stored = this.#append([record])
     if (!jobHadEnded) this.#continueJob(job, step, run, stored)
@@ -419,11 +425,32 @@
       if (job.definition.repetition !== undefined) this.#openDueOccurrences(job)
     }
     this.#placer.reportWaits()
+    this.#recordRunTimes()
     // Not awaited: occurrences become due while the store is slow, and one compaction takes many calls.
     runInBackground(this.#compactIfDue(), this.#logger, 'log compaction')
     this.stateChanged()
   }
 
+  /** Called for one member of a gang, since its members end together. */
+  #learnRunTime (step: StepProgress, { startedAtMs, isResumed, isRemote }: Assignment): void {
+    if (startedAtMs === undefined || isResumed) return
+    const nowMs = this.#clock.monotonicMs()
+    this.#runTimes.learn({ step, durationMs: nowMs - startedAtMs, isRemote, nowMs })
+  }
+
+  /** Stores the learned run times that have changed, so that a successor starts with them. */
+  #recordRunTimes (): void {
+    const nowMs = this.#clock.monotonicMs()
+    if (this.storeFails || nowMs - this.#runTimesRecordedAtMs < RUN_TIMES_RECORD_INTERVAL_MS) return
+    const record = this.#runTimes.takeChanges()
+    if (record === undefined) return
+    this.#runTimesRecordedAtMs = nowMs
+    this.#logger.info({ models: record.models.length, ...this.#runTimes.status, ...findExtremes(record) }, 'learned run times recorded')
+    this.applyAndAppend([record]).catch(() => {
+      // The term has ended; the successor continues with the models of the last record.
+    })
+  }
+
   async #monitorUtilization (): Promise<void> {
     let previous = performance.eventLoopUtilization()
     while (!this.#closed) {
--- a/src/coordinator/placement/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -1,6 +1,8 @@
 /** Ranks the waiting steps for placement. */
 import type { JobProgress } from '../../jobs/jobProgress.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
+import { DeclaredRunTimes } from '../forecast/runTimes.ts'
+import type { RunTimes } from '../forecast/runTimes.ts'
 
 /** A late job is still useful to its caller up to this multiple of its objective. */
 const LATE_OBJECTIVE_FACTOR = 3
@@ -12,24 +14,27 @@
   readonly rank: readonly number[]
 }
 
-/** Critical path of a job: longest chain of its steps' declared run times, in milliseconds. */
-export function criticalPathMs (job: JobProgress): number {
-  const ends: number[] = []
-  for (const step of job.definition.steps) {
-    const startMs = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0))
-    ends.push(startMs + step.estimateMs)
-  }
-  return Math.max(0, ...ends)
+/** Run times that tell for which steps they were learned; these need no margin. */
+export type RankingRunTimes = RunTimes & { readonly isLearned?: (step: StepProgress) => boolean }
+
+const DECLARED: RankingRunTimes = new DeclaredRunTimes()
+
+/** Critical path of a job: longest chain of its steps' expected run times, in milliseconds. */
+export function criticalPathMs (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
+  return longestChainMs(job, step => step === undefined ? undefined : runTimes.expectedMs(step))
 }
 
 /** Latency objective of a job, measured from its acceptance. */
-export function objectiveMs (job: JobProgress): number {
-  return job.queue.stretchFactor * criticalPathMs(job) + job.queue.latencyObjectiveMs
+export function objectiveMs (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
+  return job.queue.stretchFactor * criticalPathMs(job, runTimes) + job.queue.latencyObjectiveMs
 }
 
-/** Declared work of a job, in core-milliseconds. */
-export function declaredWork (job: JobProgress): number {
-  return job.definition.steps.reduce((sum, step) => sum + step.count * step.estimateMs * step.size.processors / 1_000, 0)
+/** Expected work of a job, in core-milliseconds. */
+export function expectedWork (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
+  return job.definition.steps.reduce((sum, { count, estimateMs, size }, position) => {
+    const step = currentStep(job, position)
+    return sum + count * (step === undefined ? estimateMs : runTimes.expectedMs(step)) * size.processors / 1_000
+  }, 0)
 }
 
 /**
@@ -38,23 +43,23 @@
  * Among equals, started jobs and then small jobs come first.
  *
  * @example
- * steps.sort((left, right) => compareRanks(rankStep(left, now), rankStep(right, now)))
+ * steps.sort((left, right) => compareRanks(rankStep(left, now, runTimes), rankStep(right, now, runTimes)))
  */
-export function rankStep (step: StepProgress, nowMs: number): readonly number[] {
+export function rankStep (step: StepProgress, nowMs: number, runTimes: RankingRunTimes = DECLARED): readonly number[] {
   const { job } = step
-  const objective = objectiveMs(job)
-  const finishMs = nowMs - job.acceptedAtMs + remainingCriticalPathMs(job) * ESTIMATE_MARGIN
+  const objective = objectiveMs(job, runTimes)
+  const finishMs = nowMs - job.acceptedAtMs + remainingCriticalPathMs(job, runTimes)
   const tier = finishMs <= objective ? 0 : finishMs <= objective * LATE_OBJECTIVE_FACTOR ? 1 : 2
-  return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, declaredWork(job)]
+  return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, expectedWork(job, runTimes)]
 }
 
 /** Time by which a job can be delayed and still meet its objective; negative if it will be late. */
-export function slackMs (job: JobProgress, nowMs: number): number {
-  return objectiveMs(job) - (nowMs - job.acceptedAtMs + remainingCriticalPathMs(job) * ESTIMATE_MARGIN)
+export function slackMs (job: JobProgress, nowMs: number, runTimes: RankingRunTimes = DECLARED): number {
+  return objectiveMs(job, runTimes) - (nowMs - job.acceptedAtMs + remainingCriticalPathMs(job, runTimes))
 }
 
-export function canMeetObjective (job: JobProgress, nowMs: number): boolean {
-  return slackMs(job, nowMs) >= 0
+export function canMeetObjective (job: JobProgress, nowMs: number, runTimes: RankingRunTimes = DECLARED): boolean {
+  return slackMs(job, nowMs, runTimes) >= 0
 }
 
 export function isUrgent ({ job }: StepProgress): boolean {
@@ -74,12 +79,26 @@
   return 0
 }
 
-function remainingCriticalPathMs (job: JobProgress): number {
+/** Expected time from now to the end of a job's critical path, if its steps start without delay; with a margin for steps whose run times are not learned. */
+export function remainingCriticalPathMs (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
+  return longestChainMs(job, step => {
+    if (step === undefined) return undefined
+    if (step.done) return 0
+    return runTimes.expectedMs(step) * (runTimes.isLearned?.(step) === true ? 1 : ESTIMATE_MARGIN)
+  })
+}
+
+/** `timeOf` returns the time of a step; the declared time applies where it is undefined. */
+function longestChainMs (job: JobProgress, timeOf: (step: StepProgress | undefined) => number | undefined): number {
   const ends: number[] = []
-  for (const [position, step] of job.definition.steps.entries()) {
-    const done = job.findStep(Math.max(0, job.openOccurrences - 1), position)?.done ?? false
-    const startMs = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0))
-    ends.push(startMs + (done ? 0 : step.estimateMs))
+  for (const [position, { after, estimateMs }] of job.definition.steps.entries()) {
+    const startMs = Math.max(0, ...after.map(earlier => ends[earlier] ?? 0))
+    ends.push(startMs + (timeOf(currentStep(job, position)) ?? estimateMs))
   }
   return Math.max(0, ...ends)
 }
+
+/** The step of the latest occurrence; undefined before the first one has begun. */
+function currentStep (job: JobProgress, position: number): StepProgress | undefined {
+  return job.openOccurrences === 0 ? undefined : job.findStep(job.openOccurrences - 1, position)
+}
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -10,13 +10,13 @@
 import { Assignment } from '../targets/assignment.ts'
 import { PlacedRoomForecast } from '../forecast/placedRoomForecast.ts'
 import type { RoomForecast } from '../forecast/roomForecast.ts'
-import type { RunTimes } from '../forecast/runTimes.ts'
 import { isRemoteFrom, racksOf } from '../forecast/locality.ts'
 import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import { Isolation } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
+import type { RankingRunTimes } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
 import { PlacementPass } from './placementPass.ts'
@@ -40,7 +40,7 @@
   readonly clock: TimerClock
   readonly logger: Logger
   readonly fleet: TargetFleet
-  readonly runTimes: RunTimes
+  readonly runTimes: RankingRunTimes
   /** Updated with the waiting jobs after each full pass. */
   readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
@@ -188,7 +188,7 @@
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), open)
-      const precedence = new GangPrecedence(pass, nowMs)
+      const precedence = new GangPrecedence(pass, nowMs, this.#options.runTimes)
       for (const { step, waiting } of unsuspected) {
         const queue = pass.queue(step.job.queue)
         if (precedence.yields(step, queue.service)) {
@@ -213,7 +213,7 @@
         if (step.done || step.job.outcome !== undefined) this.#queuedSteps.delete(step)
         continue
       }
-      const rank = rankStep(step, nowMs)
+      const rank = rankStep(step, nowMs, this.#options.runTimes)
       if (urgentOnly && !isWithinShareAndUseful(rank)) continue
       const suspected = step.suspectedTasks.filter(task => task.state === 'waiting')
       ranked.push({ step, waiting: suspected.length === 0 ? waiting : waiting.filter(task => !suspected.includes(task)), suspected: waiting.filter(task => suspected.includes(task)), rank })
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -84,6 +84,25 @@
   readonly step: number
 }
 
+/** Learned ratios of actual to declared run times for similar steps. */
+export interface RunTimeModelSummary {
+  /** Name of the queue; empty for the ratios of remote to near run times. */
+  readonly queue: string
+  readonly position: number
+  readonly gang: boolean
+  /** Whether it was learned from runs near their data. */
+  readonly near: boolean
+  readonly count: number
+  readonly mean: number
+  readonly points: readonly number[]
+}
+
+/** Models that have changed; later records replace single models of earlier ones. */
+export interface RunTimesRecord {
+  readonly type: 'run-times'
+  readonly models: readonly RunTimeModelSummary[]
+}
+
 export type LogRecord =
   | { readonly type: 'queue', readonly queue: QueueSettings }
   | JobRecord
@@ -91,6 +110,7 @@
   | RunEndRecord
   | CrashRecord
   | StepRecord
+  | RunTimesRecord
   | { readonly type: 'cancelled', readonly job: string, readonly wallMs: number }
   | { readonly type: 'finished-job', readonly id: string, readonly queue: string, readonly team: string, readonly state: JobState, readonly wallMs: number }
   | { readonly type: 'target', readonly target: TargetDescription }
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -2,7 +2,8 @@
 import type { QueueSettings } from './desiredState.ts'
 import type { JobState } from './job.ts'
 import { JobProgress } from './jobProgress.ts'
-import type { JobRecord, LogRecord, TargetDescription } from './jobRecords.ts'
+import { RunTimeModels } from './runTimeModels.ts'
+import type { JobRecord, LogRecord, RunTimeModelSummary, TargetDescription } from './jobRecords.ts'
 
 /** The outcome of an ended job, without the data that is needed only to run it. */
 export interface FinishedJob {
@@ -25,6 +26,7 @@
   readonly #finished = new Map<string, FinishedJob>()
   readonly #queues = new Map<string, QueueSettings>()
   readonly #targets = new Map<string, TargetDescription>()
+  readonly #runTimeModels = new RunTimeModels()
   readonly #acceptedAtMs: (record: JobRecord) => number
 
   /** `acceptedAtMs` returns the time of acceptance on this process's clock. */
@@ -45,6 +47,11 @@
     return this.#targets
   }
 
+  /** Learned run times. */
+  get runTimeModels (): Iterable<RunTimeModelSummary> {
+    return this.#runTimeModels.all
+  }
+
   queue (name: string): QueueSettings | undefined {
     return this.#queues.get(name)
   }
@@ -69,6 +76,9 @@
       case 'step':
         this.#jobs.get(record.job)?.restore(record)
         break
+      case 'run-times':
+        this.#runTimeModels.apply(record)
+        break
       case 'cancelled':
         this.#jobs.get(record.job)?.cancel()
         break
@@ -113,6 +123,8 @@
   toRecords (): readonly LogRecord[] {
     const records: LogRecord[] = []
     for (const target of this.#targets.values()) records.push({ type: 'target', target })
+    const models = [...this.#runTimeModels.all]
+    if (models.length > 0) records.push({ type: 'run-times', models })
     for (const job of this.#finished.values()) records.push({ type: 'finished-job', ...job })
     // Jobs keep the settings that their queue had when they were accepted, such as the number of failures allowed.
     const written = new Map<string, QueueSettings>()
