--- a/src/coordinator/forecast/decayingHistogram.ts
+++ b/src/coordinator/forecast/decayingHistogram.ts
@@ -12,7 +12,7 @@
 const MIN_GENERATION_SAMPLES = 16
 /** The summary is computed again after this time, or when the first samples have grown by this factor. */
 const SUMMARY_MS = 1_000
-const SUMMARY_GROWTH = 1.25
+const SUMMARY_GROWTH = 1.1
 /** Points of a summary; the last one shows a tail of 3 in 100 samples. */
 export const SUMMARY_POINTS = 20
 /** Samples that a restored summary counts for at most, so that it is soon outweighed by new ones. */
