--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -19,6 +19,7 @@
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import { SlowTargets } from './forecast/slowTargets.ts'
 import type { RoomForecast } from './forecast/roomForecast.ts'
 import { findExtremes, LearnedRunTimes } from './forecast/learnedRunTimes.ts'
 import { FinishedJobRetention } from './log/finishedJobRetention.ts'
@@ -50,6 +51,7 @@
 const LOG_BYTES_BETWEEN_SNAPSHOTS = 1_000_000
 /** Bounds the writes of learned run times. */
 const RUN_TIMES_RECORD_INTERVAL_MS = 5_000
+const MAX_LOGGED_TARGETS = 10
 const MAX_RECOVERED_AGE_MS = 3_600_000
 
 export interface CoordinatorOptions {
@@ -87,6 +89,7 @@
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
   readonly #runTimes: LearnedRunTimes
+  readonly #slowTargets: SlowTargets
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -112,8 +115,9 @@
     })
     this.#admission = new AdmissionControl(clock)
     this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
+    this.#slowTargets = new SlowTargets(this.#runTimes)
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, runTimes: this.#runTimes, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, admission: this.#admission, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -243,6 +247,7 @@
 
   async runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void> {
     if (assignment !== undefined) this.#placer.releaseUsage(assignment)
+    if (run.end === 'done' && assignment !== undefined) this.#slowTargets.recordEnd(session.key, assignment, this.#clock.monotonicMs())
     if (run.end === 'failed' || run.end === 'done') session.recordRunResult(run.end === 'failed', AVOID_AFTER_FAILURES_MS)
     const name = parseTaskName(run.task)
     const job = name === undefined ? undefined : this.table.jobs.get(name.job)
@@ -426,6 +431,7 @@
     }
     this.#placer.reportWaits()
     this.#recordRunTimes()
+    this.#updateSlowTargets()
     // Not awaited: occurrences become due while the store is slow, and one compaction takes many calls.
     runInBackground(this.#compactIfDue(), this.#logger, 'log compaction')
     this.stateChanged()
@@ -451,6 +457,12 @@
     })
   }
 
+  #updateSlowTargets (): void {
+    const changed = this.#slowTargets.update(this.#fleet.usable, this.#clock.monotonicMs())
+    const { slow } = this.#slowTargets
+    if (changed) this.#logger.info({ count: slow.size, targets: [...slow].slice(0, MAX_LOGGED_TARGETS) }, 'slow targets changed')
+  }
+
   async #monitorUtilization (): Promise<void> {
     let previous = performance.eventLoopUtilization()
     while (!this.#closed) {
--- a/src/coordinator/placement/placeStep.ts
+++ b/src/coordinator/placement/placeStep.ts
@@ -16,7 +16,7 @@
   /** Tasks with a response target never share a target with tasks that fill spare processors. */
   readonly hasResponseTargetTasks: boolean
   readonly hasSpareFillingTasks: boolean
-  /** Whether a task of the step failed on the target, or the target leaves start requests unanswered; such targets come last. */
+  /** Whether a task of the step failed on the target, or the target is slow or leaves start requests unanswered; such targets come last. */
   readonly isUnreliable: boolean
 }
 
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -41,6 +41,8 @@
   readonly logger: Logger
   readonly fleet: TargetFleet
   readonly runTimes: RankingRunTimes
+  /** Whether runs on the target take longer than elsewhere; such targets come last. */
+  readonly isSlow: (session: TargetSession) => boolean
   /** Updated with the waiting jobs after each full pass. */
   readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
@@ -429,7 +431,7 @@
       sameStepTasks: definition.tasksPerTarget > 0 ? assignments.filter(({ task }) => task.step === step).length : 0,
       hasResponseTargetTasks: restrictsSharing && assignments.some(({ task }) => task.step.definition.responseTargetMs > 0),
       hasSpareFillingTasks: restrictsSharing && assignments.some(({ task }) => task.step.definition.fillsSpareProcessors),
-      isUnreliable: session.leavesStartsUnanswered || (this.#failedTargets.get(step)?.has(session.key) ?? false)
+      isUnreliable: session.leavesStartsUnanswered || this.#options.isSlow(session) || (this.#failedTargets.get(step)?.has(session.key) ?? false)
     }
   }
 }
