Reserve places for gangs and large tasks instead of letting steps yield

Cause: a gang took precedence for as long as it waited, over steps of lower priority with slack only, and never under the cap of its team. Change: a step that can not start gets places by the expected ends of runs, or a part of the cap, for a bounded time.

--- a/src/coordinator/placement/placementPass.ts
+++ b/src/coordinator/placement/placementPass.ts
@@ -3,6 +3,9 @@
 import type { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
 import type { Resources } from '../../model/resources.ts'
 import { countFitting } from './placeStep.ts'
+import type { ComputeResources } from './placeStep.ts'
+import { addCompute, ALL_ROOM, scaleCompute } from './roomView.ts'
+import type { RoomView } from './roomView.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
 
 /**
@@ -17,7 +20,7 @@
   readonly #sessions = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
   readonly #freeProcessors = new Map<string, number>()
-  /** Minimal task sizes that no longer fit on any target, by service. */
+  /** Minimal task sizes that no longer fit on any target, by service and view. */
   readonly #unplaceableSizes = new Map<string, Resources[]>()
 
   constructor (settings: DesiredStateIndex, usable: readonly TargetSession[]) {
@@ -45,19 +48,27 @@
     return this.#sessions.get(service) ?? []
   }
 
+  /** Capacity of the service's targets divided by their number. */
+  meanCapacity (service: string): ComputeResources {
+    const sessions = this.sessions(service)
+    const total = sessions.reduce((sum: ComputeResources, { capacity }) => addCompute(sum, capacity.total), { processors: 0, memory: 0, accelerators: 0 })
+    return scaleCompute(total, 1 / Math.max(1, sessions.length))
+  }
+
   /** Number of tasks of the size that fit, up to `wanted`. Cached misses stay valid, since free capacity only shrinks during a pass. */
-  tasksThatFit (service: string, size: Resources, wanted: number): number {
-    const unplaceable = this.#unplaceableSizes.get(service) ?? []
+  tasksThatFit (service: string, size: Resources, wanted: number, room: RoomView = ALL_ROOM): number {
+    const key = `${service} ${room.key}`
+    const unplaceable = this.#unplaceableSizes.get(key) ?? []
     if (unplaceable.some(smaller => needsAtLeast(size, smaller))) return 0
-    const fitting = this.#countFitting(service, size, wanted)
-    if (fitting === 0) this.#unplaceableSizes.set(service, [...unplaceable.filter(larger => !needsAtLeast(larger, size)), size])
+    const fitting = this.#countFitting(service, size, wanted, room)
+    if (fitting === 0) this.#unplaceableSizes.set(key, [...unplaceable.filter(larger => !needsAtLeast(larger, size)), size])
     return fitting
   }
 
-  #countFitting (service: string, size: Resources, wanted: number): number {
+  #countFitting (service: string, size: Resources, wanted: number, room: RoomView): number {
     let fitting = 0
     for (const session of this.sessions(service)) {
-      fitting += countFitting(size, session.free)
+      fitting += countFitting(size, room.free(session))
       if (fitting >= wanted) return wanted
     }
     return fitting
@@ -68,8 +79,9 @@
     return this.sessions(service).every(({ assignments }) => [...assignments.values()].every(({ task }) => task.step.definition.longRunning))
   }
 
-  freeProcessors (service: string): number {
-    return this.#freeProcessors.get(service) ?? 0
+  /** Free processors of the service, less those that the view leaves out. */
+  freeProcessors (service: string, room: RoomView = ALL_ROOM): number {
+    return (this.#freeProcessors.get(service) ?? 0) - room.heldProcessors
   }
 
   /** Subtracts reserved tasks from the service's free processors. */
--- /dev/null
+++ b/src/coordinator/placement/reservationPlanner.ts
@@ -0,0 +1,86 @@
+/** Chooses the places that a gang or a large task waits for, by when the runs there are expected to end. */
+import type { StepDefinition } from '../../jobs/job.ts'
+import { countFitting, isSuitable } from './placeStep.ts'
+import type { ComputeResources, TargetAvailability } from './placeStep.ts'
+import { addCompute } from './roomView.ts'
+
+/** Resources that are expected to be released. */
+export interface ExpectedRelease {
+  /** Milliseconds from now; `Infinity` if they are not released. */
+  readonly inMs: number
+  readonly size: ComputeResources
+}
+
+/** A target, or the cap of a team, on which capacity can be reserved. */
+export interface ReservableRoom {
+  readonly key: string
+  /** Unassigned capacity that no other reservation holds. */
+  readonly free: ComputeResources
+  /** Maximum number of the tasks, regardless of capacity. */
+  readonly slots: number
+  /** Read only if what is free does not suffice. */
+  readonly releases: () => readonly ExpectedRelease[]
+}
+
+export interface ReservationPlan {
+  /** Number of tasks by key of the room. */
+  readonly places: ReadonlyMap<string, number>
+  /** Milliseconds until the last place is expected to be free, if nothing else is placed there. */
+  readonly startInMs: number
+}
+
+interface Place {
+  readonly key: string
+  readonly inMs: number
+}
+
+/**
+ * Returns the places that are expected to be free first, or undefined if the rooms would not hold all the tasks when the
+ * runs that end have ended.
+ *
+ * @example
+ * planReservation(size, 20, rooms)?.startInMs // 800
+ */
+export function planReservation (size: ComputeResources, count: number, rooms: readonly ReservableRoom[]): ReservationPlan | undefined {
+  const places: Place[] = []
+  for (const { key, free, slots } of rooms) {
+    const fitting = Math.min(countFitting(size, free), slots, count - places.length)
+    for (let place = 0; place < fitting; place++) places.push({ key, inMs: 0 })
+    if (places.length === count) return createPlan(places)
+  }
+  const later = rooms.flatMap(room => findLaterPlaces(size, count, room)).sort((left, right) => left.inMs - right.inMs)
+  const all = [...places, ...later.slice(0, count - places.length)]
+  return all.length < count ? undefined : createPlan(all)
+}
+
+/** Returns the targets that may run the step as rooms, without those that the step must not use. */
+export function listRooms<Target extends { readonly key: string }> (
+  definition: StepDefinition, targets: readonly Target[], describe: (target: Target) => TargetAvailability, releases: (target: Target) => readonly ExpectedRelease[]
+): readonly ReservableRoom[] {
+  return targets.flatMap(target => {
+    const availability = describe(target)
+    if (!isSuitable(definition, availability)) return []
+    const slots = definition.tasksPerTarget > 0 ? Math.max(0, definition.tasksPerTarget - availability.sameStepTasks) : Infinity
+    return [{ key: target.key, free: availability.free, slots, releases: () => releases(target) }]
+  })
+}
+
+function findLaterPlaces (size: ComputeResources, count: number, { key, free, slots, releases }: ReservableRoom): readonly Place[] {
+  const places: Place[] = []
+  const maximum = Math.min(slots, count)
+  let fitting = Math.min(countFitting(size, free), maximum)
+  if (fitting === maximum) return places
+  let expected: ComputeResources = free
+  for (const { inMs, size: released } of [...releases()].sort((left, right) => left.inMs - right.inMs)) {
+    if (inMs === Infinity || fitting === maximum) break
+    expected = addCompute(expected, released)
+    for (const then = Math.min(countFitting(size, expected), maximum); fitting < then; fitting++) places.push({ key, inMs })
+  }
+  return places
+}
+
+function createPlan (places: readonly Place[]): ReservationPlan {
+  const tasks = new Map<string, number>()
+  for (const { key } of places) tasks.set(key, (tasks.get(key) ?? 0) + 1)
+  return { places: tasks, startInMs: Math.max(0, ...places.map(({ inMs }) => inMs)) }
+}
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -10,7 +10,8 @@
 import { Assignment } from '../targets/assignment.ts'
 import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
-import { GangPrecedence } from './gangPrecedence.ts'
+import { DeclaredRunTimes } from '../forecast/runTimes.ts'
+import { ElapsedRunForecast } from './elapsedRunForecast.ts'
 import { Isolation } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
@@ -18,7 +19,11 @@
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from '../admission/admissionControl.ts'
 import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
-import type { TargetAvailability } from './placeStep.ts'
+import { PlacementReservations } from './placementReservations.ts'
+import type { ReservationEnd } from './placementReservations.ts'
+import { ALL_ROOM } from './roomView.ts'
+import type { RoomView } from './roomView.ts'
+import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
@@ -41,6 +46,8 @@
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
+  /** Called when a step with reserved places was started, or has lost them. */
+  readonly onReservationEnded?: (end: ReservationEnd, heldMs: number) => void
   /** Stores records; rejects when the term has ended. */
   readonly append: (records: readonly LogRecord[]) => Promise<void>
 }
@@ -63,8 +70,7 @@
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
-  /** Steps that left capacity to a waiting gang in the last full pass. */
-  #yieldingSteps: ReadonlySet<StepProgress> = new Set()
+  readonly #reservations: PlacementReservations
   readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
   /** Throttled separately: few steps are urgent, so these passes are short and need not wait out the idle time of a long one. */
@@ -79,11 +85,26 @@
     this.#fleet = options.fleet
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
+    this.#reservations = this.#createReservations()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
+  #createReservations (): PlacementReservations {
+    const runTimes = new DeclaredRunTimes()
+    return new PlacementReservations({
+      logger: this.#logger,
+      runTimes,
+      forecast: new ElapsedRunForecast(this.#clock, runTimes),
+      usage: this.#usage,
+      describe: (step, session) => this.#describeTarget(step, session),
+      permits: (step, session) => step.job.queue.advice === undefined || (this.#advisor.findAdvice(step)?.allows(session.key) ?? false),
+      placed: () => this.#fleet.placed,
+      onEnded: (end, heldMs) => this.#options.onReservationEnded?.(end, heldMs)
+    })
+  }
+
   /** Enables placement. */
   start (): void {
     this.#enabled = true
@@ -169,22 +190,16 @@
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#isolation.releaseUnneeded(nowMs)
     this.#placeSuspectedTasks(ranked, nowMs)
-    const yielding = new Set<StepProgress>()
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable.filter(session => !this.#isolation.holds(session)))
-      const precedence = new GangPrecedence(pass, nowMs)
+      if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
-        const queue = pass.queue(step.job.queue)
-        if (precedence.yields(step, queue.service)) {
-          yielding.add(step)
-          continue
-        }
-        if (!this.#placeWaitingTasks(step, waiting, queue, pass, nowMs)) precedence.recordWaitingGang(step, queue.service)
+        const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
+        if (!urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
       }
     }
     if (urgentOnly) return
-    this.#yieldingSteps = yielding
     this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
@@ -206,23 +221,37 @@
     return ranked.sort((left, right) => compareRanks(left.rank, right.rank))
   }
 
-  /** Returns false if none of the targets known to be allowed has capacity for the step. */
-  #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): boolean {
+  #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], pass: PlacementPass, nowMs: number): PlacementOutcome {
     const { definition } = step
+    const queue = pass.queue(step.job.queue)
     const advice = this.#advisor.findAdvice(step)
-    if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return true
+    if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return 'awaits-advice'
+    const room = this.#reservations.roomOf(step, queue.service, nowMs)
+    const count = this.#allowedCount(step, waiting.length, pass, queue, room, this.#reservations.heldShare(step, nowMs))
+    const needed = definition.gang ? waiting.length : 1
+    if (count < needed) return this.#isCapped(step, needed, pass, queue) ? 'capped' : 'no-room'
     const sessions = pass.sessions(queue.service)
-    const count = this.#allowedCount(step, waiting.length, pass, queue)
-    if (count === 0 || (definition.gang && count < waiting.length)) return this.#isCapped(step, waiting.length, pass, queue)
+    const size = requiredResources(definition)
     if (queue.advice === undefined) {
-      const placed = placeStep(definition, count, sessions.map(session => this.#describeTarget(step, session)))
-      pass.recordReservation(queue.service, requiredResources(definition), placed.length)
+      const placed = placeStep(definition, count, sessions.map(session => this.#describeTarget(step, session, room)))
+      pass.recordReservation(queue.service, size, placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
-      return placed.length > 0
+      return placed.length > 0 ? 'placed' : 'no-room'
     }
-    const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
-    pass.recordReservation(queue.service, requiredResources(definition), reserved)
-    return reserved > 0 || this.#advisor.findAdvice(step)?.answered !== true
+    const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs, room)
+    pass.recordReservation(queue.service, size, reserved)
+    if (reserved > 0) return 'placed'
+    return this.#advisor.findAdvice(step)?.answered === true ? 'no-room' : 'awaits-advice'
+  }
+
+  #updateReservations (step: StepProgress, waiting: number, outcome: PlacementOutcome, pass: PlacementPass, nowMs: number): void {
+    if (outcome === 'placed') return this.#reservations.recordStart(step, nowMs)
+    if (outcome === 'awaits-advice') return
+    const queue = pass.queue(step.job.queue)
+    const needed = step.definition.gang ? waiting : 1
+    const isHeldBack = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM || this.#reservations.heldShare(step, nowMs) !== undefined
+    if (isHeldBack && this.#allowedCount(step, needed, pass, queue) >= needed) return this.#reservations.recordBlocked(step, nowMs)
+    this.#reservations.request(step, outcome === 'capped' ? 'cap' : 'targets', pass, nowMs)
   }
 
   /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
@@ -259,7 +288,7 @@
 
   /** Returns the number of tasks for which capacity was reserved. */
   #placeWithAdvice (
-    step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number
+    step: StepProgress, queue: QueueSettings, waiting: readonly TaskProgress[], count: number, sessions: readonly TargetSession[], nowMs: number, room: RoomView = ALL_ROOM
   ): number {
     const advice = this.#advisor.adviceOf(step)
     if (nowMs < advice.backoffUntilMs) return 0
@@ -268,8 +297,8 @@
       count,
       advice,
       allowedShare: this.#advisor.allowedShare(queue).value,
-      targets: sessions,
-      describe: session => this.#describeTarget(step, session),
+      targets: sessions.map(session => ({ id: session.id, key: session.key, free: room.free(session), session })),
+      describe: ({ session }) => this.#describeTarget(step, session, room),
       nowMs,
       decisionMs: queue.advice?.decisionMs ?? 0,
       idleLanes: this.#options.lanes.idleForLongQuestions
@@ -361,21 +390,21 @@
   }
 
   /** Upper bound on the tasks to place, given free capacity, the team's cap and the reserve for urgent tasks. */
-  #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings): number {
+  #allowedCount (step: StepProgress, waiting: number, pass: PlacementPass, queue: QueueSettings, room = ALL_ROOM, heldShare?: ComputeResources): number {
     const { size, gang, longRunning } = step.definition
     let count = waiting
     // In a full service a lasting task would be kept out for ever; work that ends gives the reserve back.
     if (queue.priority > 0 && size.processors > 0 && !longRunning) {
-      const spare = pass.freeProcessors(queue.service) - pass.totalProcessors(queue.service) * URGENT_RESERVE_RATIO
+      const spare = pass.freeProcessors(queue.service, room) - pass.totalProcessors(queue.service) * URGENT_RESERVE_RATIO
       const unreserved = Math.max(0, Math.floor(spare / size.processors))
       // The reserve could not be regained from lasting tasks, and would be kept for ever from a task or gang that needs it.
       const unit = gang ? waiting : 1
       if (unreserved < count) count = unreserved < unit && pass.hasOnlyLastingRuns(queue.service) ? unit : unreserved
     }
     const team = pass.team(step.job.team)
-    if (team !== undefined) count = this.#usage.allowedCount(team, step.definition, count, queue.priority === 0)
+    if (team !== undefined) count = this.#usage.allowedCount(team, step.definition, count, queue.priority === 0, heldShare)
     // Checked last, since it scans all targets.
-    return count === 0 ? 0 : pass.tasksThatFit(queue.service, requiredResources(step.definition), count)
+    return count === 0 ? 0 : pass.tasksThatFit(queue.service, requiredResources(step.definition), count, room)
   }
 
   #explainWait (step: StepProgress): WaitExplanation {
@@ -393,20 +422,21 @@
       return { reason: 'capacity', details: { ...targets, freeProcessors: pass.freeProcessors(queue.service), totalProcessors: pass.totalProcessors(queue.service) } }
     }
     const advice = this.#advisor.findAdvice(step)
-    if (this.#yieldingSteps.has(step)) return { reason: 'gang-precedence', details: targets }
+    const blocked = this.#reservations.explainBlocked(step, this.#clock.monotonicMs())
+    if (blocked !== undefined) return { reason: 'reservation', details: { ...targets, ...blocked } }
     if (queue.advice === undefined) return { reason: 'next-pass', details: targets }
     if (advice?.answered !== true || advice.openQuestions > 0) return { reason: 'advice-awaited', details: { ...targets, openQuestions: advice?.openQuestions ?? 0 } }
     const allowed = pass.sessions(queue.service).filter(session => advice.allows(session.key))
     return { reason: 'advice', details: { ...targets, allowed: allowed.length, allowedWithCapacity: allowed.filter(({ free }) => fitsWithin(requiredResources(definition), free)).length } }
   }
 
-  #describeTarget (step: StepProgress, session: TargetSession): TargetAvailability {
+  #describeTarget (step: StepProgress, session: TargetSession, room = ALL_ROOM): TargetAvailability {
     const { definition } = step
     const restrictsSharing = definition.fillsSpareProcessors || definition.responseTargetMs > 0
     const assignments = restrictsSharing || definition.tasksPerTarget > 0 ? [...session.assignments.values()] : []
     return {
       key: session.key,
-      free: session.free,
+      free: room.free(session),
       rack: session.rack,
       labels: session.description.labels,
       sameStepTasks: definition.tasksPerTarget > 0 ? assignments.filter(({ task }) => task.step === step).length : 0,
@@ -417,6 +447,9 @@
   }
 }
 
+/** `awaits-advice`: the first answer is outstanding. `capped`: the cap of the team prevents it. `no-room`: no target that may be used has capacity. */
+type PlacementOutcome = 'placed' | 'awaits-advice' | 'capped' | 'no-room'
+
 /** Returns the ticket for starting on a target; empty if none is needed, undefined if none is valid. */
 type TicketLookup = (session: TargetSession) => string | undefined
 
--- a/src/coordinator/placement/teamUsage.ts
+++ b/src/coordinator/placement/teamUsage.ts
@@ -43,16 +43,17 @@
    * reach into the reserve, since it may need more than the unreserved part; the next one waits for work that ends.
    * A task or gang that needs more than the whole cap, which may have been lowered since it was accepted, may exceed it by
    * one task while at least half of the cap is free, as the platform allows; it could never start otherwise.
+   * `held` is the part of the cap that is reserved for another step of the team.
    */
-  allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean): number {
+  allowedCount (team: TeamSettings, step: StepUsage, wanted: number, urgent: boolean, held: ComputeResources = NO_USAGE): number {
     const used = this.usageOf(team.name)
     const idle = COMPUTE_DIMENSIONS.every(dimension => used[dimension] === 0)
     // What is started as a whole.
     const unit = step.gang ? wanted : 1
-    const permits = (count: number): boolean => this.#fits(team, step, count) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
+    const permits = (count: number): boolean => this.#fits(team, step, count, held) && (urgent || idle || this.#leavesReserve(team, step, count - unit))
     let count = wanted
     while (count > 0 && !permits(count)) count -= 1
-    return count < unit && wanted >= unit && this.#mayExceed(team, step, unit) ? unit : count
+    return count < unit && wanted >= unit && held === NO_USAGE && this.#mayExceed(team, step, unit) ? unit : count
   }
 
   #mayExceed (team: TeamSettings, step: StepUsage, unit: number): boolean {
@@ -60,12 +61,12 @@
     const needsMore = COMPUTE_DIMENSIONS.some(dimension => cap[dimension] > 0 && step.size[dimension] * unit > cap[dimension])
     const used = this.usageOf(name)
     const isHalfFree = COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || step.size[dimension] === 0 || used[dimension] <= cap[dimension] / 2)
-    return needsMore && isHalfFree && this.#fits(team, step, unit - 1)
+    return needsMore && isHalfFree && this.#fits(team, step, unit - 1, NO_USAGE)
   }
 
-  #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number): boolean {
+  #fits ({ name, cap }: TeamSettings, { size }: StepUsage, count: number, held: ComputeResources): boolean {
     const used = this.usageOf(name)
-    return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] + size[dimension] * count <= cap[dimension])
+    return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] + held[dimension] + size[dimension] * count <= cap[dimension])
   }
 
   /** Whether the team's reserve is untouched with `count` more tasks. Lasting tasks reduce it: it could not be regained from them. */
