Let the cap of a team drain for a gang for a bounded time

Cause: a gang that needs most of its cap never started beside narrow jobs of the team. Change: after a missed expected start no more work goes ahead, and the renewed one is at least as far away as the first.

--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -1,5 +1,6 @@
 /** Reservations of places for gangs and large tasks, which steps with small tasks would keep from starting otherwise. */
 import type { TeamSettings } from '../../jobs/desiredState.ts'
+import type { JobProgress } from '../../jobs/jobProgress.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { RunTimes } from '../forecast/runTimes.ts'
@@ -22,8 +23,11 @@
 const MAX_HELD_RATIO = 1 / 3
 /** A task that needs more than this part of the mean target, or of its team's cap, is kept from starting by smaller ones. */
 const LARGE_TASK_RATIO = 0.5
-/** Longest expected wait for which the cap of a team drains; its narrow jobs have nothing running meanwhile. */
-const MAX_CAP_DRAIN_MS = 5_000
+/**
+ * Longest expected wait for which the cap of a team drains, since its narrow jobs have nothing running meanwhile. Places
+ * on targets are reserved for longer if the job is of use then.
+ */
+const MAX_DRAIN_MS = 3_000
 /** A report, a commit and a pass later than the last end of a run, the step is started. */
 const START_DELAY_MS = 350
 /** Part of the runs of a step that end before the expected start, if it uses reserved places. Urgent runs are short, so that their mean is used. */
@@ -137,9 +141,9 @@
     for (const [key, reservation] of this.#reservations) if (reservation.step === step) this.#end(key, reservation, 'started', nowMs)
   }
 
-  /** Records that a step could have started if nothing were held for others. */
-  recordBlocked (step: StepProgress, nowMs: number): void {
-    this.#blockedInPass.set(step, this.#blockedSinceMs.get(step) ?? nowMs)
+  /** Records that a step could have started if nothing were held for others; the time counts if its wait is to be bounded. */
+  recordBlocked (step: StepProgress, nowMs: number, counts: boolean): void {
+    this.#blockedInPass.set(step, counts ? this.#blockedSinceMs.get(step) ?? nowMs : nowMs)
   }
 
   /** The reservations that the step waits behind. */
@@ -165,7 +169,9 @@
     if (nowMs <= reservation.deadlineMs) return
     if (reservation.renewed || !isWorthWaiting(reservation, nowMs)) return this.#end(key, reservation, 'given-up', nowMs)
     reservation.renewed = true
-    reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
+    // The first estimate was too low, so that the runs are likely to take at least as long again.
+    const startMs = Math.max(reservation.expectedStartMs, nowMs + Math.min(nowMs - reservation.createdAtMs, MAX_DRAIN_MS))
+    reservation.deadlineMs = startMs + START_DELAY_MS
   }
 
   /** Chooses the places, which may be others than before; returns false if there are none. */
@@ -225,7 +231,7 @@
 
   /**
    * Whether the step leaves the reserved places to their holder. It doesn't if its runs are expected to end before, if it
-   * is of a more urgent class and can not wait that long, or if it has waited for too long.
+   * has waited for too long, or if it is of more use than the holder, or more urgent, and can not wait that long.
    */
   #binds (reservation: Reservation, step: StepProgress, nowMs: number): boolean {
     const { step: holder, expectedStartMs } = reservation
@@ -234,9 +240,11 @@
     const leftMs = Math.max(0, expectedStartMs - nowMs)
     const { runTimes } = this.#options
     const runMs = (isUrgent(step) ? runTimes.expectedMs(step) : runTimes.quantileMs(step, BACKFILL_QUANTILE)) * runTimes.remoteFactor(step)
-    if (runMs <= leftMs) return false
-    const isMoreUrgent = step.job.record.withinShare && step.job.queue.priority < holder.job.queue.priority
-    return !(isMoreUrgent && slackMs(step.job, nowMs) < leftMs)
+    // Once an expected start has passed, the run times are known to be too low, and further runs would postpone the next one too.
+    if (runMs <= leftMs && (!reservation.renewed || isUrgent(step))) return false
+    if (!isOfUse(step, nowMs)) return true
+    const precedes = step.job.queue.priority < holder.job.queue.priority || !isOfUse(holder, nowMs)
+    return !precedes || slackMs(step.job, nowMs) >= leftMs
   }
 
   #end (key: string, { step, scope, service, createdAtMs, deadlineMs, places }: Reservation, end: ReservationEnd, nowMs: number): void {
@@ -263,12 +271,17 @@
   return definition.gang ? definition.count : 1
 }
 
-/** Whether the start would still be of use, and the cap drains for a bounded time. */
+/** Time until the job is too late to be of use, which it is at three times its objective; negative afterwards. */
+function usefulMs (job: JobProgress, nowMs: number): number {
+  return slackMs(job, nowMs) + 2 * objectiveMs(job)
+}
+
+function isOfUse ({ job }: StepProgress, nowMs: number): boolean {
+  return job.record.withinShare && usefulMs(job, nowMs) >= 0
+}
+
 function isWorthWaiting ({ step: { job }, scope, expectedStartMs }: Reservation, nowMs: number): boolean {
-  const waitMs = expectedStartMs - nowMs
-  if (scope === 'cap' && waitMs > MAX_CAP_DRAIN_MS) return false
-  // A job is late, but of some use, until three times its objective.
-  return waitMs <= slackMs(job, nowMs) + 2 * objectiveMs(job)
+  return expectedStartMs - nowMs <= (scope === 'cap' ? MAX_DRAIN_MS : Math.max(MAX_DRAIN_MS, usefulMs(job, nowMs)))
 }
 
 function isLarge (size: ComputeResources, total: ComputeResources): boolean {
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -249,8 +249,12 @@
     if (outcome === 'awaits-advice') return
     const queue = pass.queue(step.job.queue)
     const needed = step.definition.gang ? waiting : 1
-    const isHeldBack = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM || this.#reservations.heldShare(step, nowMs) !== undefined
-    if (isHeldBack && this.#allowedCount(step, needed, pass, queue) >= needed) return this.#reservations.recordBlocked(step, nowMs)
+    const lacksPlaces = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM
+    const lacksShare = this.#reservations.heldShare(step, nowMs) !== undefined
+    if ((lacksPlaces || lacksShare) && this.#allowedCount(step, needed, pass, queue) >= needed) {
+      const team = pass.team(step.job.team)
+      return this.#reservations.recordBlocked(step, nowMs, lacksPlaces || team === undefined || this.#usage.isBelowHalf(team))
+    }
     this.#reservations.request(step, outcome === 'capped' ? 'cap' : 'targets', pass, nowMs)
   }
 
--- a/src/coordinator/placement/teamUsage.ts
+++ b/src/coordinator/placement/teamUsage.ts
@@ -56,6 +56,12 @@
     return count < unit && wanted >= unit && held === NO_USAGE && this.#mayExceed(team, step, unit) ? unit : count
   }
 
+  /** Whether the team uses less than half of its cap in every dimension. */
+  isBelowHalf ({ name, cap }: TeamSettings): boolean {
+    const used = this.usageOf(name)
+    return COMPUTE_DIMENSIONS.every(dimension => cap[dimension] <= 0 || used[dimension] < cap[dimension] / 2)
+  }
+
   #mayExceed (team: TeamSettings, step: StepUsage, unit: number): boolean {
     const { name, cap } = team
     const needsMore = COMPUTE_DIMENSIONS.some(dimension => cap[dimension] > 0 && step.size[dimension] * unit > cap[dimension])
