Test reservations beside run times that are off, lost targets and advice

Cause: places moved in each pass, so that a large task never got a whole target; a step in a full service was never asked about, so that it got no places. Change: held places are preferred, and advice is asked for before there is room.

--- /dev/null
+++ b/src/coordinator/placement/placementReservations.test.ts
@@ -0,0 +1,143 @@
+import test from 'ava'
+import type { QueueSettings } from '../../jobs/desiredState.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
+import { ADVISED, BATCH, SimulatedCluster, URGENT } from '../testing/simulatedCluster.ts'
+
+const LOW: QueueSettings = { ...BATCH, name: 'low', pathPrefix: '/low/', priority: 2 }
+const DECLARED_MS = 1_000
+const TARGETS = 12
+const GANG = createStep(8, { gang: true, estimateMs: DECLARED_MS, size: resources({ processors: 3_000, memory: 10 }) })
+const LARGE = createStep(1, { estimateMs: DECLARED_MS, size: resources({ processors: 7_000, memory: 10 }) })
+const NARROW = createStep(2, { estimateMs: DECLARED_MS })
+const URGENT_NARROW = createStep(2, { estimateMs: 200 })
+
+/** Run times between 0.1 and 1.9 of the declared one, and seven times as long in 3 runs of 100; the same in each test run. */
+function createRunTimes (): (task: string) => number {
+  let state = 7
+  const next = (): number => {
+    state = (state * 48_271) % 2_147_483_647
+    return state / 2_147_483_647
+  }
+  return task => (task.startsWith('urgent') ? 0.2 : 1) * DECLARED_MS * (next() < 0.03 ? 7 : 0.1 + 1.8 * next())
+}
+
+interface Stream {
+  readonly durationMs: number
+  /** Narrow jobs submitted each tenth of a second. */
+  readonly narrowJobs: number
+  /** Submits a job every two seconds, after the narrow ones have filled the targets. */
+  readonly submit: () => string
+  readonly onTick?: (elapsedMs: number) => void
+}
+
+interface Waits {
+  /** Times until a task of each submitted job ran; `Infinity` if none has. */
+  readonly startMs: readonly number[]
+  /** Smallest number of narrow tasks that ran at the same time. */
+  readonly narrowTasks: number
+}
+
+async function runStream (cluster: SimulatedCluster, narrowQueue: QueueSettings, { durationMs, narrowJobs, submit, onTick }: Stream): Promise<Waits> {
+  const submitted = new Map<string, number>()
+  const startMs = new Map<string, number>()
+  let narrowTasks = Infinity
+  for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+    for (let job = 0; job < narrowJobs; job++) cluster.submit('narrow', narrowQueue, [NARROW])
+    if (elapsedMs >= 4_000 && elapsedMs % 2_000 === 0) submitted.set(submit(), elapsedMs)
+    onTick?.(elapsedMs)
+    await cluster.clock.advance(100)
+    const running = new Set(cluster.running.map(task => task.split('.')[0]))
+    for (const [id, atMs] of submitted) if (!startMs.has(id) && running.has(id)) startMs.set(id, elapsedMs + 100 - atMs)
+    if (elapsedMs > 3_000) narrowTasks = Math.min(narrowTasks, cluster.running.filter(task => task.startsWith('narrow')).length)
+  }
+  return { startMs: [...submitted.keys()].map(id => startMs.get(id) ?? Infinity), narrowTasks }
+}
+
+async function startCluster (targets = TARGETS, cap = 0): Promise<SimulatedCluster> {
+  const cluster = new SimulatedCluster({ targets, cap, lateMs: 0, failing: false, workMs: createRunTimes() })
+  await cluster.elect()
+  return cluster
+}
+
+// Guards against gangs and large tasks that starve: without reservations none of them starts in the whole time.
+for (const [kind, definition] of [['gang', GANG], ['large', LARGE]] as const) {
+  for (const [queueName, narrowQueue] of [['the same', BATCH], ['lower', LOW]] as const) {
+    test(`a ${kind} job starts within three seconds beside too many narrow jobs of ${queueName} priority, whose run times are off, and they keep running`, async t => {
+      const cluster = await startCluster()
+      const { startMs, narrowTasks } = await runStream(cluster, narrowQueue, { durationMs: 12_000, narrowJobs: 5, submit: () => cluster.submit(kind, BATCH, [definition]) })
+      t.true(Math.max(...startMs) <= 3_000, startMs.join(' '))
+      t.true(narrowTasks >= TARGETS * 8 * 0.5, `${narrowTasks} narrow tasks`)
+      cluster.close()
+    })
+  }
+}
+
+// Guards against urgent jobs that are late because of places that are reserved for a gang of lower priority.
+test('urgent jobs start within a second while gangs of lower priority have reservations', async t => {
+  const cluster = await startCluster()
+  let gangs = 0
+  const { startMs } = await runStream(cluster, BATCH, {
+    durationMs: 12_000, narrowJobs: 5, submit: () => cluster.submit('urgent', URGENT, [URGENT_NARROW]), onTick: elapsedMs => { if (elapsedMs % 500 === 0) cluster.submit(`gang${gangs++}`, BATCH, [GANG]) }
+  })
+  t.true(Math.max(...startMs) <= 1_000, startMs.join(' '))
+  cluster.close()
+})
+
+// Guards against a reservation that keeps waiting for targets that are gone.
+test('a gang starts within four seconds although targets are lost while it has a reservation', async t => {
+  const cluster = await startCluster()
+  const { startMs } = await runStream(cluster, BATCH, {
+    durationMs: 14_000,
+    narrowJobs: 5,
+    submit: () => cluster.submit('gang', BATCH, [GANG]),
+    onTick: elapsedMs => {
+      const lost = [1, 4, 7][(elapsedMs - 4_400) / 2_000]
+      if (lost !== undefined) cluster.target(lost).listed = false
+      if (lost === 4) cluster.target(lost).fault = 'cut'
+    }
+  })
+  t.true(Math.max(...startMs.slice(0, 4)) <= 4_000, startMs.join(' '))
+  cluster.close()
+})
+
+// Guards against gangs that a successor has forgotten: reservations are not in the log.
+test('a successor makes the reservations of a gang anew', async t => {
+  const cluster = await startCluster()
+  for (let job = 0; job < 100; job++) cluster.submit('narrow', BATCH, [NARROW])
+  await cluster.clock.advance(500)
+  const gang = cluster.submit('gang', BATCH, [GANG])
+  await cluster.clock.advance(400)
+  await cluster.startSuccessor(100)
+  for (let tick = 0; tick < 30; tick++) {
+    for (let job = 0; job < 5; job++) cluster.submit('narrow', BATCH, [NARROW])
+    await cluster.clock.advance(100)
+  }
+  t.true((cluster.coordinator.table.jobs.get(gang)?.hasStarted ?? true), 'the gang has not started')
+  cluster.close()
+})
+
+// Guards against reservations on targets that the queue's policy does not allow, which the step can never use.
+test('a gang whose queue needs advice starts within three seconds on allowed targets', async t => {
+  const cluster = await startCluster()
+  const { startMs } = await runStream(cluster, BATCH, { durationMs: 12_000, narrowJobs: 5, submit: () => cluster.submit('gang', ADVISED, [GANG]), onTick: () => t.false(cluster.target(1).running.some(task => task.startsWith('gang'))) })
+  t.true(Math.max(...startMs) <= 3_000, startMs.join(' '))
+  cluster.close()
+})
+
+// Guards against jobs with nothing running beside free capacity that is held for a gang whose expected start never comes.
+test('a narrow job starts within three seconds behind a gang that waits for runs that take far longer than declared', async t => {
+  const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  for (let job = 0; job < 4; job++) cluster.submit('long', BATCH, [createStep(1, { estimateMs: 2_000, size: resources({ processors: 5_000, memory: 10 }) })])
+  await cluster.clock.advance(1_000)
+  cluster.submit('gang', BATCH, [createStep(2, { gang: true, size: resources({ processors: 4_000, memory: 10 }) })])
+  const narrow: string[] = []
+  for (let tick = 0; tick < 40; tick++) {
+    if (tick < 10) narrow.push(cluster.submit('narrow', BATCH, [createStep(1, { estimateMs: 8_000, size: resources({ processors: 3_000, memory: 10 }) })]))
+    await cluster.clock.advance(500)
+    t.true(narrow.filter(id => cluster.coordinator.table.jobs.get(id)?.hasStarted === false).length <= 6, `tick ${tick}`)
+  }
+  t.deepEqual(await cluster.findStuckJobs(), [])
+  cluster.close()
+})
--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -122,18 +122,23 @@
     return reservation === undefined || isUrgent(step) || !this.#binds(reservation, step, nowMs) ? undefined : reservation.share
   }
 
-  /** Makes a reservation for a step that can not start, if it is eligible and no other step has one in its place. */
-  request (step: StepProgress, scope: Scope, pass: PlacementPass, nowMs: number): void {
+  /**
+   * Makes a reservation for a step that can not start, if it is eligible and no other step has one in its place. Returns
+   * false if the permitted targets would not hold the step even if they were empty.
+   */
+  request (step: StepProgress, scope: Scope, pass: PlacementPass, nowMs: number): boolean {
     const { job } = step
     const { service } = pass.queue(job.queue)
     const key = scope === 'cap' ? teamKey(step) : classKey(step, service)
-    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return
+    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
     const reservation: Reservation = {
       id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false
     }
-    if (!this.#plan(reservation, pass, nowMs) || !isWorthWaiting(reservation, nowMs)) return
+    if (!this.#plan(reservation, pass, nowMs)) return false
+    if (!isWorthWaiting(reservation, nowMs)) return true
     reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
     this.#reservations.set(key, reservation)
+    return true
   }
 
   /** Ends the reservations of a step of which tasks were placed. */
@@ -188,7 +193,7 @@
     const others = [...this.#reservations.values()].filter(other => other !== reservation && other.scope === 'targets' && other.service === service)
     const room = others.length === 0 ? ALL_ROOM : new UnheldRoom(others)
     const targets = new Map(pass.sessions(service).filter(target => this.#options.permits(step, target)).map(target => [target.key, target]))
-    const rooms = listRooms(definition, [...targets.values()], target => ({ ...this.#options.describe(step, target), free: room.free(target) }), target => this.#releasesOf(target))
+    const rooms = listRooms(definition, [...targets.values()], target => ({ ...this.#options.describe(step, target), free: room.free(target) }), target => reservation.places.has(target), target => this.#releasesOf(target))
     const size = requiredResources(definition)
     const plan = planReservation(size, neededTasks(step), rooms)
     if (plan === undefined) return undefined
@@ -218,7 +223,7 @@
     const free = subtractFromCap(team, this.#options.usage.usageOf(team.name))
     const releases = (): readonly ExpectedRelease[] => this.#options.placed().filter(({ assignment }) => assignment.team === team.name)
       .map(({ session, assignment }) => ({ inMs: this.#options.forecast.remainingMs(session, assignment.key), size: assignment.task.step.definition.size }))
-    return planReservation(size, count, [{ key: team.name, free, slots: count, releases }])
+    return planReservation(size, count, [{ key: team.name, free, slots: count, held: true, releases }])
   }
 
   #releasesOf (target: TargetSession): readonly ExpectedRelease[] {
--- a/src/coordinator/placement/reservationPlanner.ts
+++ b/src/coordinator/placement/reservationPlanner.ts
@@ -4,6 +4,9 @@
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import { addCompute } from './roomView.ts'
 
+/** Another room has to be free this much sooner than one that is held already, so that what was released there is not given up for a guess. */
+const HELD_TIME_FACTOR = 0.5
+
 /** Resources that are expected to be released. */
 export interface ExpectedRelease {
   /** Milliseconds from now; `Infinity` if they are not released. */
@@ -18,6 +21,8 @@
   readonly free: ComputeResources
   /** Maximum number of the tasks, regardless of capacity. */
   readonly slots: number
+  /** Whether the reservation holds places there already. */
+  readonly held: boolean
   /** Read only if what is free does not suffice. */
   readonly releases: () => readonly ExpectedRelease[]
 }
@@ -32,6 +37,8 @@
 interface Place {
   readonly key: string
   readonly inMs: number
+  /** Smaller ones are chosen first. */
+  readonly rank: number
 }
 
 /**
@@ -45,27 +52,27 @@
   const places: Place[] = []
   for (const { key, free, slots } of rooms) {
     const fitting = Math.min(countFitting(size, free), slots, count - places.length)
-    for (let place = 0; place < fitting; place++) places.push({ key, inMs: 0 })
+    for (let place = 0; place < fitting; place++) places.push({ key, inMs: 0, rank: 0 })
     if (places.length === count) return createPlan(places)
   }
-  const later = rooms.flatMap(room => findLaterPlaces(size, count, room)).sort((left, right) => left.inMs - right.inMs)
+  const later = rooms.flatMap(room => findLaterPlaces(size, count, room)).sort((left, right) => left.rank - right.rank)
   const all = [...places, ...later.slice(0, count - places.length)]
   return all.length < count ? undefined : createPlan(all)
 }
 
 /** Returns the targets that may run the step as rooms, without those that the step must not use. */
 export function listRooms<Target extends { readonly key: string }> (
-  definition: StepDefinition, targets: readonly Target[], describe: (target: Target) => TargetAvailability, releases: (target: Target) => readonly ExpectedRelease[]
+  definition: StepDefinition, targets: readonly Target[], describe: (target: Target) => TargetAvailability, isHeld: (target: Target) => boolean, releases: (target: Target) => readonly ExpectedRelease[]
 ): readonly ReservableRoom[] {
   return targets.flatMap(target => {
     const availability = describe(target)
     if (!isSuitable(definition, availability)) return []
     const slots = definition.tasksPerTarget > 0 ? Math.max(0, definition.tasksPerTarget - availability.sameStepTasks) : Infinity
-    return [{ key: target.key, free: availability.free, slots, releases: () => releases(target) }]
+    return [{ key: target.key, free: availability.free, slots, held: isHeld(target), releases: () => releases(target) }]
   })
 }
 
-function findLaterPlaces (size: ComputeResources, count: number, { key, free, slots, releases }: ReservableRoom): readonly Place[] {
+function findLaterPlaces (size: ComputeResources, count: number, { key, free, slots, held, releases }: ReservableRoom): readonly Place[] {
   const places: Place[] = []
   const maximum = Math.min(slots, count)
   let fitting = Math.min(countFitting(size, free), maximum)
@@ -74,7 +81,7 @@
   for (const { inMs, size: released } of [...releases()].sort((left, right) => left.inMs - right.inMs)) {
     if (inMs === Infinity || fitting === maximum) break
     expected = addCompute(expected, released)
-    for (const then = Math.min(countFitting(size, expected), maximum); fitting < then; fitting++) places.push({ key, inMs })
+    for (const then = Math.min(countFitting(size, expected), maximum); fitting < then; fitting++) places.push({ key, inMs, rank: held ? inMs * HELD_TIME_FACTOR : inMs })
   }
   return places
 }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -8,7 +8,7 @@
 import type { TimerClock } from '../../ports/clock.ts'
 import type { AdviceLanes } from '../advice/adviceLanes.ts'
 import { Assignment } from '../targets/assignment.ts'
-import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
+import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { DeclaredRunTimes } from '../forecast/runTimes.ts'
 import { ElapsedRunForecast } from './elapsedRunForecast.ts'
@@ -18,7 +18,7 @@
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from '../admission/admissionControl.ts'
-import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
+import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
 import type { ReservationEnd } from './placementReservations.ts'
 import { ALL_ROOM } from './roomView.ts'
@@ -255,7 +255,21 @@
       const team = pass.team(step.job.team)
       return this.#reservations.recordBlocked(step, nowMs, lacksPlaces || team === undefined || this.#usage.isBelowHalf(team))
     }
-    this.#reservations.request(step, outcome === 'capped' ? 'cap' : 'targets', pass, nowMs)
+    const isPlaceable = this.#reservations.request(step, outcome === 'capped' ? 'cap' : 'targets', pass, nowMs)
+    if (!isPlaceable && outcome === 'no-room') this.#askForReservation(step, waiting, queue, pass, nowMs)
+  }
+
+  /** Asks about targets without capacity, on which places can be reserved once they are known to be allowed. */
+  #askForReservation (step: StepProgress, waiting: number, queue: QueueSettings, pass: PlacementPass, nowMs: number): void {
+    if (queue.advice === undefined) return
+    const advice = this.#advisor.adviceOf(step)
+    if (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs) return
+    const { definition } = step
+    const size = requiredResources(definition)
+    const unasked = pass.sessions(queue.service).filter(session => !advice.wasAsked(session.key)).sort((left, right) => right.free.processors - left.free.processors)
+    const capacities = unasked.map(({ capacity }) => Math.min(countFitting(size, capacity.total), definition.tasksPerTarget || Infinity))
+    const named = countTargetsToName(definition.gang ? waiting : 1, capacities, this.#advisor.allowedShare(queue).value)
+    runInBackground(this.#advisor.ask(step, queue, unasked.slice(0, named)), this.#logger, 'placement advice')
   }
 
   /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -33,6 +33,8 @@
   readonly lateMs: number
   /** Whether each first run of a task fails. */
   readonly failing: boolean
+  /** Duration of the runs of a task, by its name; by the kind of its job if missing. */
+  readonly workMs?: (task: string) => number
 }
 
 /** A store whose calls take time, and whose watches end without a change. */
@@ -69,13 +71,13 @@
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
 
-  constructor ({ targets, cap, lateMs, failing }: SimulatedClusterOptions) {
+  constructor ({ targets, cap, lateMs, failing, workMs }: SimulatedClusterOptions) {
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
     this.#store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
-      workMs: task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS,
+      workMs: workMs ?? (task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS),
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs
     }))
@@ -155,7 +157,7 @@
     const id = `${kind}-${this.#submittedJobs++}`
     const { coordinator } = this
     const record = createJobRecord(id, steps)
-    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, definition: { ...record.definition, ...overrides } }])
+    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, acceptedWallMs: this.clock.wallMs(), definition: { ...record.definition, ...overrides } }])
     const job = coordinator.table.jobs.get(id)
     if (job !== undefined) coordinator.enqueueJob(job)
     durable.then(() => this.accepted.set(id, kind), () => {})
