Ask about vacant targets for a suspected task that waits for runs of others

Cause: a task under which two targets crashed kept one of the targets that the advice allows and waited for the runs of others there to end, while targets that were not asked about were vacant. Change: they are asked about. Result: the test starts the task again within 4 s; before, it waited for a run of 60 s.

--- a/src/coordinator/placement/taskPlacer.test.ts
+++ b/src/coordinator/placement/taskPlacer.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { createStep } from '../../jobs/testing/definitions.ts'
 import { resources } from '../../model/resources.ts'
-import { BATCH, SimulatedCluster } from '../testing/simulatedCluster.ts'
+import { ADVISED, BATCH, SimulatedCluster } from '../testing/simulatedCluster.ts'
 
 // Guards against tasks that never start, since the processors reserved for urgent tasks are kept from them for ever.
 test('a task that needs all processors of its service, or all that lasting tasks leave, is started', async t => {
@@ -112,3 +112,21 @@
   t.deepEqual(await cluster.findStuckJobs(), [])
   cluster.close()
 })
+
+// Guards against a suspected task that waits for long runs of others on the few targets that were asked about, while others are vacant.
+test('a task under which two targets crashed runs again within seconds if a target that was not asked about is vacant', async t => {
+  const cluster = new SimulatedCluster({ targets: 40, cap: 0, lateMs: 0, failing: false, workMs: task => task.startsWith('long') ? 60_000 : 20_000 })
+  await cluster.elect()
+  const advised = cluster.submit('advised', ADVISED, [createStep(1)])
+  await cluster.clock.advance(500)
+  cluster.submit('long', BATCH, [createStep(30, { tasksPerTarget: 1 })])
+  await cluster.clock.advance(1_000)
+  const isRunning = (): boolean => cluster.running.some(task => task.startsWith(advised))
+  for (let crash = 0; crash < 2; crash++) {
+    t.true(isRunning())
+    cluster.restartTarget(Array.from({ length: 40 }, (_, number) => number).findIndex(number => cluster.target(number).running.some(task => task.startsWith(advised))))
+    await cluster.clock.advance(4_000)
+  }
+  t.true(isRunning())
+  cluster.close()
+})
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -289,9 +289,10 @@
     if (count === 0 || (step.definition.gang && count < tasks.length)) return
     const targets = pass.sessions(queue.service)
     const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true, nowMs })
-    if (insufficient && advice !== undefined) {
-      const unasked = targets.filter(session => !advice.wasAsked(session.key)).slice(0, MAX_TARGETS_PER_QUESTION)
-      runInBackground(this.#advisor.ask(step, queue, unasked), this.#logger, 'placement advice')
+    if (ready.length === 0 && advice !== undefined) {
+      // Runs on the permitted targets may take long, while a target without runs is permitted too but was not asked about.
+      const unasked = targets.filter(session => !advice.wasAsked(session.key) && (insufficient || this.#isolation.isOpenAndVacant(session, step.job)))
+      runInBackground(this.#advisor.ask(step, queue, unasked.slice(0, MAX_TARGETS_PER_QUESTION)), this.#logger, 'placement advice')
     }
     if (ready.length === 0) return
     if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -64,6 +64,11 @@
     return this.#jobs.has(target)
   }
 
+  /** Whether the target could be kept for the job, and nothing else runs there that will end. */
+  isOpenAndVacant (target: TargetSession, job: JobProgress): boolean {
+    return !this.#jobs.has(target) && isVacant(target, job)
+  }
+
   /** Opens targets to all tasks again that no job needs any longer. */
   releaseUnneeded (nowMs: number): void {
     for (const [target, job] of this.#jobs) {
