--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -38,6 +38,8 @@
   readonly failing: boolean
   /** Data centre of each target, by its number; without a name by default. */
   readonly dataCentreOf?: (number: number) => string
+  /** Duration of the runs of a task, by its name; by the kind of its job if missing. */
+  readonly workMs?: (task: string) => number
 }
 
 /** A store whose calls take time, and whose watches end without a change unless `wake` is called. */
@@ -86,14 +88,14 @@
   readonly #dataCentreOf: (number: number) => string
   readonly metrics = new JobMetrics()
 
-  constructor ({ targets, cap, lateMs, failing, dataCentreOf = () => '' }: SimulatedClusterOptions) {
+  constructor ({ targets, cap, lateMs, failing, dataCentreOf = () => '', workMs }: SimulatedClusterOptions) {
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
     this.#dataCentreOf = dataCentreOf
     this.#store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
-      workMs: task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS,
+      workMs: workMs ?? (task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS),
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs
     }))
@@ -193,7 +195,7 @@
     const id = `${kind}-${this.#submittedJobs++}`
     const { coordinator } = this
     const record = createJobRecord(id, steps)
-    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, definition: { ...record.definition, ...overrides } }])
+    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, acceptedWallMs: this.clock.wallMs(), definition: { ...record.definition, ...overrides } }])
     const job = coordinator.table.jobs.get(id)
     if (job !== undefined) coordinator.enqueueJob(job)
     durable.then(() => this.accepted.set(id, kind), () => {})
