Show run times and slow targets in metrics, and read the remote factor

The factor for runs away from their data comes from bounds.remote_factor of the platform settings file (optional, 1 where it is not set) until it has been learned. Metrics show the number of learned models, by how much declared and expected run times are off, the remote factors and the number of slow targets.

--- a/src/coordinator/forecast/decayingHistogram.ts
+++ b/src/coordinator/forecast/decayingHistogram.ts
@@ -10,6 +10,11 @@
 const GENERATION_MS = 10_000
 /** A generation with fewer samples goes on, since a slow queue would otherwise never have an estimate. */
 const MIN_GENERATION_SAMPLES = 16
+/**
+ * There is no summary of fewer samples: the mean of ten is off by a fifth for run times that are off by up to 0.9, and the
+ * library takes ten times as long for the quantiles of very few.
+ */
+export const MIN_SAMPLES = 10
 /** The summary is computed again after this time, or when the first samples have grown by this factor. */
 const SUMMARY_MS = 1_000
 const SUMMARY_GROWTH = 1.1
@@ -28,6 +33,15 @@
 
 const EMPTY: DistributionSummary = { count: 0, mean: 1, points: [] }
 
+interface Generation {
+  readonly histogram: Histogram
+  /** Of the recorded values: the library computes a mean in 0.4 ms, by scanning all counts. */
+  sum: number
+}
+
+/** Reused for all summaries, since the allocation takes longer than the sum. */
+const merged = createHistogram()
+
 /**
  * Records samples in two generations of histograms.
  *
@@ -37,8 +51,8 @@
  * ratios.summary.mean
  */
 export class DecayingHistogram {
-  #current = createHistogram()
-  #previous: Histogram | undefined
+  #current: Generation = { histogram: createHistogram(), sum: 0 }
+  #previous: Generation | undefined
   #generationStartedAtMs: number | undefined
   #summary = EMPTY
   #summarizedAtMs = -Infinity
@@ -48,20 +62,24 @@
   static restore ({ count, points }: DistributionSummary): DecayingHistogram {
     const restored = new DecayingHistogram()
     const weight = Math.max(1, Math.round(Math.min(count, MAX_RESTORED_SAMPLES) / SUMMARY_POINTS))
-    for (const point of points) restored.#current.recordValueWithCount(toUnits(point), weight)
+    for (const point of points) restored.#current.histogram.recordValueWithCount(toUnits(point), weight)
+    restored.#current.sum = points.reduce((sum, point) => sum + toUnits(point) * weight, 0)
     restored.#summarize()
     return restored
   }
 
-  /** At most a second old. */
+  /** At most a second old; empty with too few samples. */
   get summary (): DistributionSummary {
     return this.#summary
   }
 
   record (value: number, nowMs: number): void {
     this.#startGenerationIfDue(nowMs)
-    this.#current.recordValue(toUnits(value))
+    const units = toUnits(value)
+    this.#current.histogram.recordValue(units)
+    this.#current.sum += units
     this.#count += 1
+    if (this.#count < MIN_SAMPLES) return
     const isDue = nowMs - this.#summarizedAtMs >= SUMMARY_MS || this.#count >= SUMMARY_GROWTH * this.#summary.count
     if (!isDue) return
     this.#summarizedAtMs = nowMs
@@ -70,22 +88,23 @@
 
   #startGenerationIfDue (nowMs: number): void {
     this.#generationStartedAtMs ??= nowMs
-    if (nowMs - this.#generationStartedAtMs < GENERATION_MS || this.#current.totalCount < MIN_GENERATION_SAMPLES) return
-    const reused = this.#previous ?? createHistogram()
-    reused.reset()
+    if (nowMs - this.#generationStartedAtMs < GENERATION_MS || this.#current.histogram.totalCount < MIN_GENERATION_SAMPLES) return
+    const histogram = this.#previous?.histogram ?? createHistogram()
+    histogram.reset()
     this.#previous = this.#current
-    this.#current = reused
+    this.#current = { histogram, sum: 0 }
     this.#generationStartedAtMs = nowMs
   }
 
   #summarize (): void {
-    const merged = createHistogram()
-    merged.add(this.#current)
-    if (this.#previous !== undefined) merged.add(this.#previous)
+    merged.reset()
+    merged.add(this.#current.histogram)
+    if (this.#previous !== undefined) merged.add(this.#previous.histogram)
     const points: number[] = []
     for (let point = 0; point < SUMMARY_POINTS; point++) points.push(merged.getValueAtPercentile((point + 0.5) * 100 / SUMMARY_POINTS) / UNIT)
+    const sum = this.#current.sum + (this.#previous?.sum ?? 0)
     this.#count = merged.totalCount
-    this.#summary = { count: merged.totalCount, mean: Math.round(merged.mean) / UNIT, points }
+    this.#summary = { count: merged.totalCount, mean: Math.round(sum / merged.totalCount) / UNIT, points }
   }
 }
 
--- a/src/coordinator/forecast/learnedRunTimes.ts
+++ b/src/coordinator/forecast/learnedRunTimes.ts
@@ -1,12 +1,10 @@
 /** Learns run times from the runs that have ended. Handles queues whose declared run times are off by up to nine tenths. */
 import type { RunTimeModelSummary, RunTimesRecord } from '../../jobs/jobRecords.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
-import { DecayingHistogram, fractionBelow, quantileOf } from './decayingHistogram.ts'
+import { DecayingHistogram, fractionBelow, MIN_SAMPLES, quantileOf } from './decayingHistogram.ts'
 import type { DistributionSummary } from './decayingHistogram.ts'
 import type { RunTimes } from './runTimes.ts'
 
-/** With fewer samples the declared run time applies: the mean of ten is off by a fifth for times that are off by up to 0.9. */
-const MIN_SAMPLES = 10
 /** The factor varies as much as the times themselves, and one estimate serves all queues. */
 const MIN_REMOTE_SAMPLES = 20
 const MAX_REMOTE_FACTOR = 4
@@ -20,6 +18,8 @@
 const MIN_STORED_CHANGE = 0.05
 /** Bounds the size of one record to 16 kB. */
 const MAX_STORED_MODELS = 100
+/** Weight of one run in the typical errors, which follow the last few hundred runs. */
+const ERROR_WEIGHT = 0.01
 /** Models of remote runs have names of their own in the record; no queue has an empty name. */
 const REMOTE_KINDS = ['data', 'group'] as const
 type RemoteKind = typeof REMOTE_KINDS[number]
@@ -50,6 +50,9 @@
   /** Models with enough samples. */
   readonly learnedModels: number
   readonly remoteFactors: Readonly<Record<RemoteKind, number>>
+  /** Typical factors by which declared and expected run times were off lately; 1 is exact. */
+  readonly declaredErrorFactor: number
+  readonly expectedErrorFactor: number
 }
 
 /**
@@ -69,6 +72,10 @@
   readonly #remote: Record<RemoteKind, DecayingHistogram> = { data: new DecayingHistogram(), group: new DecayingHistogram() }
   readonly #storedRemote: Partial<Record<RemoteKind, DistributionSummary>> = {}
 
+  /** Mean absolute logarithms of the ratios of estimated to actual run time. */
+  #declaredError = 0
+  #expectedError = 0
+
   constructor ({ defaultRemoteFactor }: { readonly defaultRemoteFactor: number }) {
     this.#defaultRemoteFactor = defaultRemoteFactor
   }
@@ -104,6 +111,7 @@
   learn ({ step, durationMs, isRemote, nowMs }: EndedRun): void {
     const { estimateMs, longRunning } = step.definition
     if (longRunning || !(estimateMs > 0) || !(durationMs >= 0)) return
+    this.#recordErrors(step, durationMs / (isRemote ? this.remoteFactor(step) : 1))
     const model = this.#modelOf(step) ?? this.#addModel(step, nowMs)
     model.updatedAtMs = nowMs
     const ratio = durationMs / estimateMs
@@ -122,7 +130,9 @@
   get status (): RunTimesStatus {
     return {
       learnedModels: this.#allModels().filter(({ ratios }) => ratios.summary.count >= MIN_SAMPLES).length,
-      remoteFactors: { data: this.#factorOf('data'), group: this.#factorOf('group') }
+      remoteFactors: { data: this.#factorOf('data'), group: this.#factorOf('group') },
+      declaredErrorFactor: Math.exp(this.#declaredError),
+      expectedErrorFactor: Math.exp(this.#expectedError)
     }
   }
 
@@ -161,6 +171,12 @@
     }
   }
 
+  #recordErrors (step: StepProgress, durationMs: number): void {
+    const errorOf = (estimateMs: number): number => Math.abs(Math.log(estimateMs / Math.max(durationMs, 1)))
+    this.#declaredError += (errorOf(step.definition.estimateMs) - this.#declaredError) * ERROR_WEIGHT
+    this.#expectedError += (errorOf(this.expectedMs(step)) - this.#expectedError) * ERROR_WEIGHT
+  }
+
   #factorOf (kind: RemoteKind): number {
     const { count, mean } = this.#remote[kind].summary
     return count < MIN_REMOTE_SAMPLES ? this.#defaultRemoteFactor : Math.min(Math.max(mean, 1), MAX_REMOTE_FACTOR)
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -19,6 +19,7 @@
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import type { RunTimesStatus } from './forecast/learnedRunTimes.ts'
 import { SlowTargets } from './forecast/slowTargets.ts'
 import type { RoomForecast } from './forecast/roomForecast.ts'
 import { findExtremes, LearnedRunTimes } from './forecast/learnedRunTimes.ts'
@@ -80,6 +81,12 @@
   readonly remoteFactor?: number
 }
 
+/** Figures of the run times and the forecast. */
+export type ForecastStatus = RunTimesStatus & {
+  /** Targets that get tasks last, since runs take longer there. */
+  readonly slowTargets: number
+}
+
 export class JobCoordinator implements TargetListener {
   readonly #options: CoordinatorOptions
   readonly #clock: TimerClock
@@ -145,6 +152,11 @@
     return this.#runTimes
   }
 
+  /** Figures of the run times and the forecast, for metrics. */
+  get forecastStatus (): ForecastStatus {
+    return { ...this.#runTimes.status, slowTargets: this.#slowTargets.slow.size }
+  }
+
   /** When capacity becomes free. */
   get forecast (): RoomForecast {
     return this.#placer.forecast
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -5,6 +5,7 @@
 import { COORDINATOR_KEY, Election } from '../coordinator/log/election.ts'
 import type { CoordinatorInfo, ElectionListener } from '../coordinator/log/election.ts'
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
+import type { ForecastStatus } from '../coordinator/jobCoordinator.ts'
 import { JobIntake } from '../coordinator/admission/jobIntake.ts'
 import { CoordinatorPreference } from '../coordinator/log/coordinatorPreference.ts'
 import type { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
@@ -74,6 +75,8 @@
   readonly targetLeaseMs: () => number
   /** Retention period of the states of finished jobs; read at each election. */
   readonly finishedJobMs: () => number
+  /** Factor for runs away from their data until it has been learned; read at each election, 1 if missing. */
+  readonly remoteFactor?: () => number
 }
 
 interface Term {
@@ -238,6 +241,11 @@
     return await this.#options.advisor.ask(question)
   }
 
+  /** Figures of the run times and the forecast; undefined while another instance coordinates. */
+  get forecastStatus (): ForecastStatus | undefined {
+    return this.#term?.coordinator.forecastStatus
+  }
+
   async relay (batch: RelayBatch): Promise<RelayAnswer> {
     return await this.#relay.exchange(batch)
   }
@@ -270,7 +278,8 @@
       renewElection: () => this.#election.renewNow(),
       resign: reason => runInBackground(this.#election.resign(reason, info.fence), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
-      finishedJobMs: options.finishedJobMs()
+      finishedJobMs: options.finishedJobMs(),
+      remoteFactor: options.remoteFactor?.() ?? 1
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger), relays }
     logger.info({ fence: info.fence }, 'elected as coordinator')
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -1,10 +1,19 @@
 /** Metrics of an instance that serves jobs. */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import type { MetricsReport } from './operatorApi.ts'
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
 const MS_PER_SECOND = 1_000
 
+/** Figures of a coordinator's run times and forecast. */
+export interface ForecastFigures {
+  readonly learnedModels: number
+  readonly remoteFactors: Readonly<Record<string, number>>
+  readonly declaredErrorFactor: number
+  readonly expectedErrorFactor: number
+  readonly slowTargets: number
+}
+
 export class JobMetrics {
   readonly registry = new Registry()
   readonly #calls = new Counter({
@@ -20,6 +29,28 @@
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
   }
 
+  /** Shows the figures of the run times and the forecast; an instance that does not coordinate shows none. */
+  showForecast (figures: () => ForecastFigures | undefined): void {
+    const gauge = (name: string, help: string, values: (shown: ForecastFigures) => Readonly<Record<string, number>>, label?: string): void => {
+      const registered: Gauge = new Gauge({
+        name,
+        help,
+        labelNames: label === undefined ? [] : [label],
+        registers: [this.registry],
+        collect: () => {
+          const shown = figures()
+          // A reset sets a metric without labels to 0.
+          if (shown === undefined) return label === undefined ? registered.remove() : registered.reset()
+          for (const [value, amount] of Object.entries(values(shown))) registered.set(label === undefined ? {} : { [label]: value }, amount)
+        }
+      })
+    }
+    gauge('agategauge_run_time_models', 'Groups of similar steps whose run times are learned', ({ learnedModels }) => ({ '': learnedModels }))
+    gauge('agategauge_run_time_error_factor', 'Typical factor by which run times were off lately, as declared and as expected', ({ declaredErrorFactor, expectedErrorFactor }) => ({ declared: declaredErrorFactor, expected: expectedErrorFactor }), 'estimate')
+    gauge('agategauge_remote_run_time_factor', 'Factor by which runs take longer away from their data, or in a group on several racks', ({ remoteFactors }) => remoteFactors, 'kind')
+    gauge('agategauge_slow_targets', 'Targets that get tasks last, since runs take longer there', ({ slowTargets }) => ({ '': slowTargets }))
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render (): Promise<MetricsReport> {
     return { contentType: this.registry.contentType, body: await this.registry.metrics() }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -19,7 +19,8 @@
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
-    status_s: z.number().positive().default(120)
+    status_s: z.number().positive().default(120),
+    remote_factor: z.number().positive().default(1)
   }),
   platform: z.object({
     address: z.string().min(1),
@@ -52,6 +53,8 @@
   readonly longestTargetLeaseMs: number
   /** How long the state of a finished job must remain available. */
   readonly finishedJobMs: number
+  /** Factor by which a run is expected to take longer away from its data, or for a group on several racks, until that has been learned. */
+  readonly remoteFactor: number
 }
 
 const MS_PER_SECOND = 1_000
@@ -92,7 +95,8 @@
     advisorAddress: file.recommendation,
     stopGraceMs: file.bounds.grace_s * MS_PER_SECOND,
     longestTargetLeaseMs: file.bounds.hold_max_ms,
-    finishedJobMs: file.bounds.status_s * MS_PER_SECOND
+    finishedJobMs: file.bounds.status_s * MS_PER_SECOND,
+    remoteFactor: Math.max(1, file.bounds.remote_factor)
   }
 }
 
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -81,8 +81,10 @@
     advisor,
     peers,
     targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
-    finishedJobMs: () => reloader.current.finishedJobMs
+    finishedJobMs: () => reloader.current.finishedJobMs,
+    remoteFactor: () => reloader.current.remoteFactor
   })
+  metrics.showForecast(() => instance.forecastStatus)
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
   const frontend = new CallerFrontend({
     address: settings.callerAddress,
