--- a/src/settings/reference.ts
+++ b/src/settings/reference.ts
@@ -1,4 +1,6 @@
 /** Generates docs/settings.md from the schemas. */
+import { OPTIONAL_SETTINGS } from '../platform/optionalSettings.ts'
+import type { OptionalSetting } from '../platform/optionalSettings.ts'
 import type { SettingMeta } from './definition.ts'
 import { SETTING_NAMES, defaultValue, settingMeta } from './schema.ts'
 import type { SettingName } from './schema.ts'
@@ -39,6 +41,11 @@
 These settings are read from the INI file given to \`agategauge serve --settings FILE\`, which has no sections. Changes take effect at the next start. As for settings of the cluster, the file must be UTF-8 and end with a newline, and a file with any error is rejected as a whole.
 `
 
+const PLATFORM_INTRODUCTION = `## Optional settings on the platform
+
+The platform's settings file, which \`AGATEGAUGE_CONFIG\` names for \`agategauge serve --platform\`, may contain these fields.
+`
+
 function formatDefault (name: SettingName, meta: SettingMeta): string {
   const kinds = Object.keys(meta.kindDefaults ?? {}).map(kind => `${kind}: ${formatValue(defaultValue(name, kind), meta)}`)
   return [formatValue(defaultValue(name), meta), ...kinds].join('; ')
@@ -70,6 +77,10 @@
   return [`### ${field.name}`, field.description, `- ${requirement}\n- units: ${describeUnit(field)}`].join('\n\n')
 }
 
+function describeOptionalSetting ({ name, unit, defaultText, description }: OptionalSetting): string {
+  return [`### ${name}`, description, `- default: ${defaultText}\n- units: ${unit}`].join('\n\n')
+}
+
 /**
  * Renders the reference of all settings as Markdown.
  *
@@ -81,6 +92,8 @@
     INTRODUCTION.trim(),
     ...SETTING_NAMES.map(describeSetting),
     INSTANCE_INTRODUCTION.trim(),
-    ...INSTANCE_FIELDS.map(describeField)
+    ...INSTANCE_FIELDS.map(describeField),
+    PLATFORM_INTRODUCTION.trim(),
+    ...OPTIONAL_SETTINGS.map(describeOptionalSetting)
   ].join('\n\n') + '\n'
 }
