Evacuate: describe evacuations, and test them on the stand-in platform

Isolation keeps a target for a suspected task through an evacuation, as before, since placement leaves it out anyway.

--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -176,7 +176,7 @@
     const isNeededFor = (step: StepProgress): boolean => {
       const suspected = step.suspectedTasks
       if (suspected.some(task => task.state === 'assigned' && isUnsettledHere(task))) return true
-      return !target.evacuated && suspected.some(task => task.state === 'waiting') && this.#countPlaces(step, target) > 0
+      return suspected.some(task => task.state === 'waiting') && this.#countPlaces(step, target) > 0
     }
     return job.steps.some(isNeededFor)
   }
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -46,6 +46,8 @@
   snapshotDelayMs = 0
   /** Additional time of each write. */
   commitDelayMs = 0
+  /** Additional time of reads of the operator's keys. */
+  operatorDelayMs = 0
   #waking = new AbortController()
   readonly #clock: ManualClock
 
@@ -60,6 +62,11 @@
     return await super.commit(transaction)
   }
 
+  override async listPage (...[prefix, after]: Parameters<MemoryTransactionalStore['listPage']>): ReturnType<MemoryTransactionalStore['listPage']> {
+    if (prefix === OPERATOR_PREFIX && this.operatorDelayMs > 0) await this.#clock.sleep(this.operatorDelayMs)
+    return await super.listPage(prefix, after)
+  }
+
   override async watch (...[prefix, after]: Parameters<MemoryTransactionalStore['watch']>): ReturnType<MemoryTransactionalStore['watch']> {
     await this.#clock.sleep(1_000, this.#waking.signal).catch(() => {})
     return await super.watch(prefix, after)
@@ -179,6 +186,11 @@
     this.#store.commitDelayMs = delayMs
   }
 
+  /** Adds to the time of each read of the operator's keys. */
+  delayOperatorKeys (delayMs: number): void {
+    this.#store.operatorDelayMs = delayMs
+  }
+
   /** Lets all calls to the store fail. */
   refuseStoreCalls (isRefusing: boolean): void {
     this.#store.refusing = isRefusing
--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -102,6 +102,21 @@
   t.deepEqual([...new Set(workers)], ['worker-2'])
 })
 
+// Guards against keys of the operator that are read or decoded otherwise than the platform writes them.
+test('a target whose data centre is evacuated gets no new task until the key is removed, and its runs complete', async t => {
+  const cluster = await startCluster(t, 1, { workMs: () => 1_000 })
+  await cluster.callUntilServed(0, 'POST', '/checks/0000000000000d11', job(2))
+  await cluster.waitUntil('the first job runs', () => cluster.startedTasks('0000000000000d11').length === 2)
+  cluster.platform.store.put('op/evacuate/attica-a', {})
+  cluster.platform.store.put('op/evacuate/nowhere', {})
+  await delay(300)
+  await cluster.callUntilServed(0, 'POST', '/checks/0000000000000d12', job(2))
+  await cluster.waitForState(0, '/checks/0000000000000d11', 'completed')
+  t.deepEqual(cluster.startedTasks('0000000000000d12'), [])
+  cluster.platform.store.remove('op/evacuate/attica-a')
+  await cluster.waitForState(0, '/checks/0000000000000d12', 'completed')
+})
+
 test('after the store discards its history it is not polled in a tight loop, and changes are still received', async t => {
   const cluster = await startCluster(t, 1)
   cluster.platform.store.compact()
