Let tasks wait for a place near their data while that is expected to pay off

Tasks were started far from their data, or groups on several racks, whenever there was no place near at that moment, also when one would have become free long before the longer run ends.

A task now waits while the expected time until there is a place near is shorter than the run time that it saves there. All waits of a step end within the gain since the first one, within 2 s, and while the job can still meet its objective elsewhere; no more tasks wait for a rack than it will have places for. Without a remote factor above 1, or without a forecast, nothing changes. The placer takes both as options.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -16,6 +16,8 @@
 import type { Assignment } from './targets/assignment.ts'
 import { COORDINATOR_KEY } from './log/election.ts'
 import type { CoordinatorInfo } from './log/election.ts'
+import type { RoomForecast } from './forecast/roomForecast.ts'
+import type { RunTimes } from './forecast/runTimes.ts'
 import { AdmissionControl } from './admission/admissionControl.ts'
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
@@ -74,6 +76,9 @@
   readonly renewElection: () => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
+  /** Without them, no task waits for a place near its data. */
+  readonly runTimes?: RunTimes
+  readonly forecast?: RoomForecast
 }
 
 export class JobCoordinator implements TargetListener {
@@ -113,7 +118,7 @@
     })
     this.#admission = new AdmissionControl(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, metrics: this.#metrics, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, metrics: this.#metrics, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records), ...(options.runTimes === undefined ? {} : { runTimes: options.runTimes }), ...(options.forecast === undefined ? {} : { forecast: options.forecast })
     })
   }
 
--- a/src/coordinator/placement/placeStep.ts
+++ b/src/coordinator/placement/placeStep.ts
@@ -107,7 +107,8 @@
     rack.push({ ...candidate })
     racks.set(candidate.target.rack, rack)
   }
-  for (const rack of racks.values()) {
+  const holdsData = (rack: string): boolean => definition.dataRack !== '' && rack === definition.dataRack
+  for (const [, rack] of [...racks].sort(([left], [right]) => Number(holdsData(right)) - Number(holdsData(left)))) {
     const placed = fillCandidates(size, count, sortCandidates(definition, rack))
     if (placed.length === count) return placed
   }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -2,6 +2,7 @@
 import type { QueueSettings } from '../../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
 import type { LogRecord, PlacedRun } from '../../jobs/jobRecords.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
 import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { JobMetrics } from '../../observability/jobMetrics.ts'
@@ -11,14 +12,19 @@
 import { Assignment } from '../targets/assignment.ts'
 import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
+import type { RoomForecast } from '../forecast/roomForecast.ts'
+import { DeclaredRunTimes } from '../forecast/runTimes.ts'
+import type { RunTimes } from '../forecast/runTimes.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
 import { Isolation } from '../targets/isolation.ts'
-import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
+import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep, slackMs } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
+import { LocalityReport } from './localityReport.ts'
+import { LocalityWait } from './localityWait.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from '../admission/admissionControl.ts'
-import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
+import { fitsWithin, isSuitable, placeStep, requiredResources } from './placeStep.ts'
 import type { TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
@@ -43,6 +49,10 @@
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
+  /** Declared run times without a remote factor if missing, with which no task waits for locality. */
+  readonly runTimes?: RunTimes
+  /** Without one, no task waits for locality. */
+  readonly forecast?: RoomForecast
   /** Stores records; rejects when the term has ended. */
   readonly append: (records: readonly LogRecord[]) => Promise<void>
 }
@@ -62,6 +72,7 @@
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
   readonly #isolation: Isolation
+  readonly #locality: LocalityWait
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -81,11 +92,18 @@
     this.#fleet = options.fleet
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
+    this.#locality = this.#createLocalityWait()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
+  #createLocalityWait (): LocalityWait {
+    const { clock, logger, metrics, runTimes = new DeclaredRunTimes(), forecast = NO_FORECAST } = this.#options
+    const report = new LocalityReport({ clock, logger, metrics })
+    return new LocalityWait({ runTimes, forecast, onBegin: () => report.recordBegin(), onEnd: wait => report.recordEnd(wait) })
+  }
+
   /** Enables placement. */
   start (): void {
     this.#enabled = true
@@ -170,6 +188,7 @@
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#isolation.releaseUnneeded(nowMs)
+    this.#locality.beginPass()
     this.#placeSuspectedTasks(ranked, nowMs)
     const yielding = new Set<StepProgress>()
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
@@ -187,7 +206,8 @@
     }
     if (urgentOnly) return
     this.#yieldingSteps = yielding
-    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
+    // A step that waits for a place near its data has room elsewhere.
+    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0 && !this.#locality.isWaiting(step))
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
@@ -211,20 +231,22 @@
   /** Returns false if none of the targets known to be allowed has capacity for the step. */
   #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], queue: QueueSettings, pass: PlacementPass, nowMs: number): boolean {
     const { definition } = step
+    this.#locality.reconsider(step)
     const advice = this.#advisor.findAdvice(step)
     if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return true
     const sessions = pass.sessions(queue.service)
     const count = this.#allowedCount(step, waiting.length, pass, queue)
     if (count === 0 || (definition.gang && count < waiting.length)) return this.#isCapped(step, waiting.length, pass, queue)
     if (queue.advice === undefined) {
-      const placed = placeStep(definition, count, sessions.map(session => this.#describeTarget(step, session)))
+      const local = this.#withRunningRack(step)
+      const placed = this.#withoutWaiting(step, local, queue, placeStep(local, count, sessions.map(session => this.#describeTarget(step, session))), sessions, nowMs)
       pass.recordReservation(queue.service, requiredResources(definition), placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
-      return placed.length > 0
+      return placed.length > 0 || this.#locality.isWaiting(step)
     }
     const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs)
     pass.recordReservation(queue.service, requiredResources(definition), reserved)
-    return reserved > 0 || this.#advisor.findAdvice(step)?.answered !== true
+    return reserved > 0 || this.#locality.isWaiting(step) || this.#advisor.findAdvice(step)?.answered !== true
   }
 
   /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
@@ -265,8 +287,9 @@
   ): number {
     const advice = this.#advisor.adviceOf(step)
     if (nowMs < advice.backoffUntilMs) return 0
+    const local = this.#withRunningRack(step)
     const decision = decideAdvisedPlacement({
-      definition: step.definition,
+      definition: local,
       count,
       advice,
       allowedShare: this.#advisor.allowedShare(queue).value,
@@ -280,17 +303,52 @@
       case 'ask':
         for (const targets of decision.questions) runInBackground(this.#advisor.ask(step, queue, targets), this.#logger, 'placement advice')
         return 0
-      case 'start':
-        this.#startWhenStored(step, this.#reserve(waiting, decision.placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
-        return decision.placed.length
-      case 'renew':
-        runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, decision.placed)), this.#logger, 'start after renewed advice')
-        return decision.placed.length
+      case 'start': {
+        const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
+        this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
+        return placed.length
+      }
+      case 'renew': {
+        const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
+        if (placed.length > 0) runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, placed)), this.#logger, 'start after renewed advice')
+        return placed.length
+      }
       case 'wait':
         return 0
     }
   }
 
+  /** The step's definition; for a group of which tasks run on one rack, with that rack as the one to be near to. */
+  #withRunningRack ({ definition, tasks }: StepProgress): StepDefinition {
+    if (!definition.sameRack || definition.dataRack !== '') return definition
+    const racks = new Set(tasks.flatMap(({ placedOn }) => placedOn === '' ? [] : this.#fleet.get(placedOn)?.rack ?? []))
+    const [rack = ''] = racks
+    // Once the group is spread, no place makes its runs faster.
+    return racks.size > 1 ? { ...definition, sameRack: false } : { ...definition, dataRack: rack }
+  }
+
+  /** Leaves out the tasks that wait for a place near their data, or for one rack. */
+  #withoutWaiting (step: StepProgress, definition: StepDefinition, queue: QueueSettings, placed: readonly string[], sessions: readonly TargetSession[], nowMs: number): readonly string[] {
+    if (placed.length === 0 || (definition.dataRack === '' && !definition.sameRack)) return placed
+    const advice = queue.advice === undefined ? undefined : this.#advisor.findAdvice(step)
+    const started = this.#locality.decide({
+      step,
+      definition,
+      service: queue.service,
+      racks: placed.map(key => this.#fleet.get(key)?.rack ?? ''),
+      findTargets: () => sessions.filter(session => (advice?.allows(session.key) ?? true) && this.#isUsefulFor(definition, this.#describeTarget(step, session))),
+      slackMs: slackMs(step.job, nowMs),
+      nowMs
+    })
+    return started.map(position => placed[position] as string)
+  }
+
+  /** Whether tasks may wait for room on the target. */
+  #isUsefulFor (definition: StepDefinition, target: TargetAvailability): boolean {
+    const hasSlot = definition.tasksPerTarget === 0 || target.sameStepTasks < definition.tasksPerTarget
+    return hasSlot && !target.isUnreliable && isSuitable(definition, target)
+  }
+
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
     const stored = this.#recordPlacement(step, reserved)
@@ -404,6 +462,7 @@
       return { reason: 'capacity', details: { ...targets, freeProcessors: pass.freeProcessors(queue.service), totalProcessors: pass.totalProcessors(queue.service) } }
     }
     const advice = this.#advisor.findAdvice(step)
+    if (this.#locality.isWaiting(step)) return { reason: 'locality', details: targets }
     if (this.#yieldingSteps.has(step)) return { reason: 'gang-precedence', details: targets }
     if (queue.advice === undefined) return { reason: 'next-pass', details: targets }
     if (advice?.answered !== true || advice.openQuestions > 0) return { reason: 'advice-awaited', details: { ...targets, openQuestions: advice?.openQuestions ?? 0 } }
@@ -428,6 +487,9 @@
   }
 }
 
+/** Expects no place to become free. */
+const NO_FORECAST: RoomForecast = { timeUntilRoomMs: () => Infinity, processorsWithin: () => 0, remainingMs: () => Infinity }
+
 /** Returns the ticket for starting on a target; empty if none is needed, undefined if none is valid. */
 type TicketLookup = (session: TargetSession) => string | undefined
 
--- a/src/coordinator/placement/waitReport.ts
+++ b/src/coordinator/placement/waitReport.ts
@@ -11,7 +11,7 @@
 const MAX_STEPS_PER_REPORT = 3
 const MAX_RUNS_PER_STEP = 3
 
-export type WaitReason = 'assigned' | 'isolation' | 'cap' | 'capacity' | 'advice-awaited' | 'advice' | 'gang-precedence' | 'next-pass'
+export type WaitReason = 'assigned' | 'isolation' | 'cap' | 'capacity' | 'advice-awaited' | 'advice' | 'gang-precedence' | 'locality' | 'next-pass'
 
 export interface WaitExplanation {
   readonly reason: WaitReason
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -8,6 +8,8 @@
 import { createLogger } from '../../observability/logger.ts'
 import { AdviceLanes } from '../advice/adviceLanes.ts'
 import { DesiredStateWatcher } from '../desiredStateWatcher.ts'
+import type { RoomForecast } from '../forecast/roomForecast.ts'
+import type { RunTimes } from '../forecast/runTimes.ts'
 import { COORDINATOR_KEY } from '../log/election.ts'
 import { JobCoordinator } from '../jobCoordinator.ts'
 import { SNAPSHOT_PREFIX } from '../log/logReader.ts'
@@ -38,6 +40,10 @@
   readonly failing: boolean
   /** Data centre of each target, by its number; without a name by default. */
   readonly dataCentreOf?: (number: number) => string
+  /** Rack of each target, by its number; unknown by default. */
+  readonly rackOf?: (number: number) => string
+  readonly runTimes?: RunTimes
+  readonly forecast?: RoomForecast
 }
 
 /** A store whose calls take time, and whose watches end without a change unless `wake` is called. */
@@ -90,12 +96,12 @@
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
   #desired: DesiredStateWatcher | undefined
-  readonly #dataCentreOf: (number: number) => string
+  readonly #options: SimulatedClusterOptions
   readonly metrics = new JobMetrics()
 
-  constructor ({ targets, cap, lateMs, failing, dataCentreOf = () => '' }: SimulatedClusterOptions) {
+  constructor (options: SimulatedClusterOptions) {
+    const { targets, cap, lateMs, failing } = this.#options = options
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
-    this.#dataCentreOf = dataCentreOf
     this.#store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
@@ -132,8 +138,10 @@
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
       connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
       prepareConnections: async () => {},
-      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#dataCentreOf(number), capacity: CAPACITY, labels: [], draining: false }] : []) },
+      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#options.dataCentreOf?.(number) ?? '', capacity: CAPACITY, labels: this.#options.rackOf === undefined ? [] : ['a', this.#options.rackOf(number)], draining: false }] : []) },
       desired,
+      ...(this.#options.runTimes === undefined ? {} : { runTimes: this.#options.runTimes }),
+      ...(this.#options.forecast === undefined ? {} : { forecast: this.#options.forecast }),
       lanes,
       hasAuthority: () => hasAuthority && this.#coordinator === coordinator,
       storeFails: () => false,
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -23,6 +23,33 @@
     name: 'agategauge_starts_given_back_total', help: 'Starts that were decided and not sent, since the data centre of their target was evacuated', registers: [this.registry]
   })
 
+  readonly #localityWaits = new Counter({
+    name: 'agategauge_locality_waits_total', help: 'Steps of which tasks began to wait for a place near their data, or for one rack', registers: [this.registry]
+  })
+
+  readonly #localityStarts = new Counter({
+    name: 'agategauge_locality_starts_total', help: 'Tasks that were started after such a wait, near or far from their data', labelNames: ['place'], registers: [this.registry]
+  })
+
+  readonly #localityWaited = new Counter({
+    name: 'agategauge_locality_waited_seconds_total', help: 'Time that these tasks had waited; what those that started far had waited is lost', labelNames: ['place'], registers: [this.registry]
+  })
+
+  readonly #localitySaved = new Counter({
+    name: 'agategauge_locality_saved_seconds_total', help: 'Expected run time that these tasks save near their data, without the wait', registers: [this.registry]
+  })
+
+  countLocalityWait (): void {
+    this.#localityWaits.inc()
+  }
+
+  /** Counts tasks that were started after a wait; `savedMs` is the expected run time that each of them saves. */
+  observeLocalityStarts (place: 'near' | 'far', tasks: number, waitedMs: number, savedMs: number): void {
+    this.#localityStarts.inc({ place }, tasks)
+    this.#localityWaited.inc({ place }, tasks * waitedMs / MS_PER_SECOND)
+    this.#localitySaved.inc(tasks * savedMs / MS_PER_SECOND)
+  }
+
   setEvacuatedDataCentres (count: number): void {
     this.#evacuatedDataCentres.set(count)
   }
