--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -2,6 +2,7 @@
 import type { QueueSettings } from '../../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
 import type { LogRecord, PlacedRun } from '../../jobs/jobRecords.ts'
+import type { StepDefinition } from '../../jobs/job.ts'
 import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { JobMetrics } from '../../observability/jobMetrics.ts'
@@ -15,13 +16,15 @@
 import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { Isolation } from '../targets/isolation.ts'
-import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep } from './jobRanking.ts'
+import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep, slackMs } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
+import { LocalityReport } from './localityReport.ts'
+import { LocalityWait } from './localityWait.ts'
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from '../admission/admissionControl.ts'
-import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
+import { countFitting, fitsWithin, isSuitable, placeStep, requiredResources } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
 import type { ReservationEnd } from './placementReservations.ts'
 import { ALL_ROOM } from './roomView.ts'
@@ -75,6 +78,7 @@
   readonly #advisor: StepAdvisor
   readonly #isolation: Isolation
   readonly #forecast: PlacedRoomForecast
+  readonly #locality: LocalityWait
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -95,6 +99,7 @@
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#reservations = this.#createReservations()
+    this.#locality = this.#createLocalityWait()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
@@ -118,6 +123,12 @@
     })
   }
 
+  #createLocalityWait (): LocalityWait {
+    const { clock, logger, metrics, runTimes } = this.#options
+    const report = new LocalityReport({ clock, logger, metrics })
+    return new LocalityWait({ runTimes, forecast: this.#forecast, onBegin: () => report.recordBegin(), onEnd: wait => report.recordEnd(wait) })
+  }
+
   /** Enables placement. */
   start (): void {
     this.#enabled = true
@@ -203,6 +214,7 @@
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#isolation.releaseUnneeded(nowMs)
+    this.#locality.beginPass()
     this.#placeSuspectedTasks(ranked, nowMs)
     const open = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
     if (!urgentOnly) this.#forecast.update(open)
@@ -216,7 +228,8 @@
       }
     }
     if (urgentOnly) return
-    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
+    // A step that waits for a place near its data has room elsewhere.
+    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0 && !this.#locality.isWaiting(step))
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
@@ -240,6 +253,7 @@
   #placeWaitingTasks (step: StepProgress, waiting: readonly TaskProgress[], pass: PlacementPass, nowMs: number): PlacementOutcome {
     const { definition } = step
     const queue = pass.queue(step.job.queue)
+    this.#locality.reconsider(step)
     const advice = this.#advisor.findAdvice(step)
     if (advice !== undefined && advice.openQuestions > 0 && !advice.answered) return 'awaits-advice'
     const room = this.#reservations.roomOf(step, queue.service, nowMs)
@@ -249,20 +263,22 @@
     const sessions = pass.sessions(queue.service)
     const size = requiredResources(definition)
     if (queue.advice === undefined) {
-      const placed = placeStep(definition, count, sessions.map(session => this.#describeTarget(step, session, room)))
+      const local = this.#withRunningRack(step)
+      const placed = this.#withoutWaiting(step, local, queue, placeStep(local, count, sessions.map(session => this.#describeTarget(step, session, room))), sessions, nowMs)
       pass.recordReservation(queue.service, size, placed.length)
       this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
-      return placed.length > 0 ? 'placed' : 'no-room'
+      return placed.length > 0 ? 'placed' : this.#locality.isWaiting(step) ? 'awaits-locality' : 'no-room'
     }
     const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs, room)
     pass.recordReservation(queue.service, size, reserved)
     if (reserved > 0) return 'placed'
+    if (this.#locality.isWaiting(step)) return 'awaits-locality'
     return this.#advisor.findAdvice(step)?.answered === true ? 'no-room' : 'awaits-advice'
   }
 
   #updateReservations (step: StepProgress, waiting: number, outcome: PlacementOutcome, pass: PlacementPass, nowMs: number): void {
     if (outcome === 'placed') return this.#reservations.recordStart(step, nowMs)
-    if (outcome === 'awaits-advice') return
+    if (outcome === 'awaits-advice' || outcome === 'awaits-locality') return
     const queue = pass.queue(step.job.queue)
     const needed = step.definition.gang ? waiting : 1
     const lacksPlaces = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM
@@ -327,8 +343,9 @@
   ): number {
     const advice = this.#advisor.adviceOf(step)
     if (nowMs < advice.backoffUntilMs) return 0
+    const local = this.#withRunningRack(step)
     const decision = decideAdvisedPlacement({
-      definition: step.definition,
+      definition: local,
       count,
       advice,
       allowedShare: this.#advisor.allowedShare(queue).value,
@@ -346,17 +363,52 @@
       case 'ask':
         for (const targets of decision.questions) runInBackground(this.#advisor.ask(step, queue, targets), this.#logger, 'placement advice')
         return 0
-      case 'start':
-        this.#startWhenStored(step, this.#reserve(waiting, decision.placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
-        return decision.placed.length
-      case 'renew':
-        runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, decision.placed)), this.#logger, 'start after renewed advice')
-        return decision.placed.length
+      case 'start': {
+        const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
+        this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
+        return placed.length
+      }
+      case 'renew': {
+        const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
+        if (placed.length > 0) runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, placed)), this.#logger, 'start after renewed advice')
+        return placed.length
+      }
       case 'wait':
         return 0
     }
   }
 
+  /** The step's definition; for a group of which tasks run on one rack, with that rack as the one to be near to. */
+  #withRunningRack ({ definition, tasks }: StepProgress): StepDefinition {
+    if (!definition.sameRack || definition.dataRack !== '') return definition
+    const racks = new Set(tasks.flatMap(({ placedOn }) => placedOn === '' ? [] : this.#fleet.get(placedOn)?.rack ?? []))
+    const [rack = ''] = racks
+    // Once the group is spread, no place makes its runs faster.
+    return racks.size > 1 ? { ...definition, sameRack: false } : { ...definition, dataRack: rack }
+  }
+
+  /** Leaves out the tasks that wait for a place near their data, or for one rack. */
+  #withoutWaiting (step: StepProgress, definition: StepDefinition, queue: QueueSettings, placed: readonly string[], sessions: readonly TargetSession[], nowMs: number): readonly string[] {
+    if (placed.length === 0 || (definition.dataRack === '' && !definition.sameRack)) return placed
+    const advice = queue.advice === undefined ? undefined : this.#advisor.findAdvice(step)
+    const started = this.#locality.decide({
+      step,
+      definition,
+      service: queue.service,
+      racks: placed.map(key => this.#fleet.get(key)?.rack ?? ''),
+      findTargets: () => sessions.filter(session => (advice?.allows(session.key) ?? true) && this.#isUsefulFor(definition, this.#describeTarget(step, session))),
+      slackMs: slackMs(step.job, nowMs),
+      nowMs
+    })
+    return started.map(position => placed[position] as string)
+  }
+
+  /** Whether tasks may wait for room on the target. */
+  #isUsefulFor (definition: StepDefinition, target: TargetAvailability): boolean {
+    const hasSlot = definition.tasksPerTarget === 0 || target.sameStepTasks < definition.tasksPerTarget
+    return hasSlot && !target.isUnreliable && isSuitable(definition, target)
+  }
+
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
     const stored = this.#recordPlacement(step, reserved)
@@ -472,6 +524,7 @@
       return { reason: 'capacity', details: { ...targets, freeProcessors: pass.freeProcessors(queue.service), totalProcessors: pass.totalProcessors(queue.service) } }
     }
     const advice = this.#advisor.findAdvice(step)
+    if (this.#locality.isWaiting(step)) return { reason: 'locality', details: targets }
     const blocked = this.#reservations.explainBlocked(step, this.#clock.monotonicMs())
     if (blocked !== undefined) return { reason: 'reservation', details: { ...targets, ...blocked } }
     if (queue.advice === undefined) return { reason: 'next-pass', details: targets }
@@ -497,8 +550,11 @@
   }
 }
 
-/** `awaits-advice`: the first answer is outstanding. `capped`: the cap of the team prevents it. `no-room`: no target that may be used has capacity. */
-type PlacementOutcome = 'placed' | 'awaits-advice' | 'capped' | 'no-room'
+/**
+ * `awaits-advice`: the first answer is outstanding. `awaits-locality`: a place near its data is expected soon. `capped`: the cap
+ * of the team prevents it. `no-room`: no target that may be used has capacity.
+ */
+type PlacementOutcome = 'placed' | 'awaits-advice' | 'awaits-locality' | 'capped' | 'no-room'
 
 /** Returns the ticket for starting on a target; empty if none is needed, undefined if none is valid. */
 type TicketLookup = (session: TargetSession) => string | undefined
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -40,6 +40,10 @@
   readonly dataCentreOf?: (number: number) => string
   /** Duration of the runs of a task, by its name; by the kind of its job if missing. */
   readonly workMs?: (task: string) => number
+  /** Rack of each target, by its number; unknown by default. */
+  readonly rackOf?: (number: number) => string
+  /** Factor by which runs are expected to take longer away from their data. */
+  readonly remoteFactor?: number
 }
 
 /** A store whose calls take time, and whose watches end without a change unless `wake` is called. */
@@ -48,6 +52,8 @@
   snapshotDelayMs = 0
   /** Additional time of each write. */
   commitDelayMs = 0
+  /** Additional time of reads of the operator's keys. */
+  operatorDelayMs = 0
   #waking = new AbortController()
   readonly #clock: ManualClock
 
@@ -62,6 +68,11 @@
     return await super.commit(transaction)
   }
 
+  override async listPage (...[prefix, after]: Parameters<MemoryTransactionalStore['listPage']>): ReturnType<MemoryTransactionalStore['listPage']> {
+    if (prefix === OPERATOR_PREFIX && this.operatorDelayMs > 0) await this.#clock.sleep(this.operatorDelayMs)
+    return await super.listPage(prefix, after)
+  }
+
   override async watch (...[prefix, after]: Parameters<MemoryTransactionalStore['watch']>): ReturnType<MemoryTransactionalStore['watch']> {
     await this.#clock.sleep(1_000, this.#waking.signal).catch(() => {})
     return await super.watch(prefix, after)
@@ -85,12 +96,12 @@
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
   #desired: DesiredStateWatcher | undefined
-  readonly #dataCentreOf: (number: number) => string
+  readonly #options: SimulatedClusterOptions
   readonly metrics = new JobMetrics()
 
-  constructor ({ targets, cap, lateMs, failing, dataCentreOf = () => '', workMs }: SimulatedClusterOptions) {
+  constructor (options: SimulatedClusterOptions) {
+    const { targets, cap, lateMs, failing, workMs } = this.#options = options
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
-    this.#dataCentreOf = dataCentreOf
     this.#store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
@@ -127,8 +138,9 @@
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
       connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
       prepareConnections: async () => {},
-      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#dataCentreOf(number), capacity: CAPACITY, labels: [], draining: false }] : []) },
+      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#options.dataCentreOf?.(number) ?? '', capacity: CAPACITY, labels: this.#options.rackOf === undefined ? [] : ['a', this.#options.rackOf(number)], draining: false }] : []) },
       desired,
+      ...(this.#options.remoteFactor === undefined ? {} : { remoteFactor: this.#options.remoteFactor }),
       lanes,
       hasAuthority: () => hasAuthority && this.#coordinator === coordinator,
       storeFails: () => false,
@@ -181,6 +193,11 @@
     this.#store.commitDelayMs = delayMs
   }
 
+  /** Adds to the time of each read of the operator's keys. */
+  delayOperatorKeys (delayMs: number): void {
+    this.#store.operatorDelayMs = delayMs
+  }
+
   /** Lets all calls to the store fail. */
   refuseStoreCalls (isRefusing: boolean): void {
     this.#store.refusing = isRefusing
