Plan reservations at a lower cost

Change: releases are sorted once for all reservations of a pass, and only places that can be among the first are collected.

--- a/src/coordinator/placement/placeStep.ts
+++ b/src/coordinator/placement/placeStep.ts
@@ -91,8 +91,11 @@
 
 /** Number of tasks of the size that fit into the free resources. */
 export function countFitting (size: ComputeResources, free: ComputeResources): number {
-  const within = (available: number, required: number): number => required <= 0 ? Infinity : Math.floor(available / required)
-  return Math.max(0, Math.min(within(free.processors, size.processors), within(free.memory, size.memory), within(free.accelerators, size.accelerators)))
+  return Math.max(0, Math.min(countWithin(free.processors, size.processors), countWithin(free.memory, size.memory), countWithin(free.accelerators, size.accelerators)))
+}
+
+function countWithin (available: number, required: number): number {
+  return required <= 0 ? Infinity : Math.floor(available / required)
 }
 
 /** Whether one task of the size fits into the free resources. */
--- a/src/coordinator/placement/placementPass.ts
+++ b/src/coordinator/placement/placementPass.ts
@@ -20,6 +20,8 @@
   readonly #sessions = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
   readonly #freeProcessors = new Map<string, number>()
+  /** Target on which a task was last found to fit, by service and view; most steps need no other one to be examined. */
+  readonly #lastFitting = new Map<string, TargetSession>()
   /** Minimal task sizes that no longer fit on any target, by service and view. */
   readonly #unplaceableSizes = new Map<string, Resources[]>()
 
@@ -66,9 +68,14 @@
   }
 
   #countFitting (service: string, size: Resources, wanted: number, room: RoomView): number {
+    const key = `${service} ${room.key}`
+    const likely = this.#lastFitting.get(key)
+    if (likely !== undefined && countFitting(size, room.free(likely)) >= wanted) return wanted
     let fitting = 0
     for (const session of this.sessions(service)) {
-      fitting += countFitting(size, room.free(session))
+      const here = countFitting(size, room.free(session))
+      fitting += here
+      if (here > 0) this.#lastFitting.set(key, session)
       if (fitting >= wanted) return wanted
     }
     return fitting
--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -67,6 +67,8 @@
   /** When the start is overdue. */
   deadlineMs: number
   renewed: boolean
+  /** Whether the holder was of use in the last full pass. */
+  isOfUse: boolean
 }
 
 const NOTHING: ComputeResources = { processors: 0, memory: 0, accelerators: 0 }
@@ -94,6 +96,8 @@
   #blockedInPass = new Map<StepProgress, number>()
   /** Expected releases of the targets, read once in a pass. */
   #releases = new Map<TargetSession, readonly ExpectedRelease[]>()
+  /** Views of the room, by the reservations that they leave out; valid until the next full pass chooses the places again. */
+  readonly #views = new Map<string, RoomView>()
   #nextId = 1
 
   constructor (options: PlacementReservationsOptions) {
@@ -103,6 +107,7 @@
   /** Updates all reservations to the targets and runs of a full pass. */
   renew (pass: PlacementPass, nowMs: number): void {
     this.#releases = new Map()
+    this.#views.clear()
     this.#blockedSinceMs = this.#blockedInPass
     this.#blockedInPass = new Map()
     for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
@@ -111,9 +116,16 @@
 
   /** What the step may use of the free capacity of its service. */
   roomOf (step: StepProgress, service: string, nowMs: number): RoomView {
-    if (this.#reservations.size === 0) return ALL_ROOM
-    const binding = [...this.#reservations.values()].filter(each => each.scope === 'targets' && each.service === service && this.#binds(each, step, nowMs))
-    return binding.length === 0 ? ALL_ROOM : new UnheldRoom(binding)
+    const binding: Reservation[] = []
+    for (const each of this.#reservations.values()) if (each.scope === 'targets' && each.service === service && this.#binds(each, step, nowMs)) binding.push(each)
+    return binding.length === 0 ? ALL_ROOM : this.#viewWithout(binding)
+  }
+
+  #viewWithout (held: readonly Reservation[]): RoomView {
+    const key = held.map(({ id }) => id).join(' ')
+    const view = this.#views.get(key) ?? new UnheldRoom(held)
+    this.#views.set(key, view)
+    return view
   }
 
   /** Part of the cap of its team that the step may not use; undefined if there is none. */
@@ -132,7 +144,7 @@
     const key = scope === 'cap' ? teamKey(step) : classKey(step, service)
     if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
     const reservation: Reservation = {
-      id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false
+      id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false, isOfUse: isOfUse(step, nowMs)
     }
     if (!this.#plan(reservation, pass, nowMs)) return false
     if (!isWorthWaiting(reservation, nowMs)) return true
@@ -184,6 +196,7 @@
     const plan = reservation.scope === 'cap' ? this.#planShare(reservation, pass) : this.#planPlaces(reservation, pass)
     if (plan === undefined) return false
     reservation.expectedStartMs = nowMs + plan.startInMs
+    reservation.isOfUse = isOfUse(reservation.step, nowMs)
     return true
   }
 
@@ -222,14 +235,14 @@
     reservation.share = scaleCompute(size, count)
     const free = subtractFromCap(team, this.#options.usage.usageOf(team.name))
     const releases = (): readonly ExpectedRelease[] => this.#options.placed().filter(({ assignment }) => assignment.team === team.name)
-      .map(({ session, assignment }) => ({ inMs: this.#options.forecast.remainingMs(session, assignment.key), size: assignment.task.step.definition.size }))
+      .map(({ session, assignment }) => ({ inMs: this.#options.forecast.remainingMs(session, assignment.key), size: assignment.task.step.definition.size })).sort(compareReleases)
     return planReservation(size, count, [{ key: team.name, free, slots: count, held: true, releases }])
   }
 
   #releasesOf (target: TargetSession): readonly ExpectedRelease[] {
     const known = this.#releases.get(target)
     if (known !== undefined) return known
-    const releases = [...target.assignments.values()].map(({ key, size }) => ({ inMs: this.#options.forecast.remainingMs(target, key), size }))
+    const releases = [...target.assignments.values()].map(({ key, size }) => ({ inMs: this.#options.forecast.remainingMs(target, key), size })).sort(compareReleases)
     this.#releases.set(target, releases)
     return releases
   }
@@ -247,9 +260,8 @@
     const runMs = (isUrgent(step) ? runTimes.expectedMs(step) : runTimes.quantileMs(step, BACKFILL_QUANTILE)) * runTimes.remoteFactor(step)
     // Once an expected start has passed, the run times are known to be too low, and further runs would postpone the next one too.
     if (runMs <= leftMs && (!reservation.renewed || isUrgent(step))) return false
-    if (!isOfUse(step, nowMs)) return true
-    const precedes = step.job.queue.priority < holder.job.queue.priority || !isOfUse(holder, nowMs)
-    return !precedes || slackMs(step.job, nowMs) >= leftMs
+    const precedes = step.job.queue.priority < holder.job.queue.priority || !reservation.isOfUse
+    return !precedes || slackMs(step.job, nowMs) >= leftMs || !isOfUse(step, nowMs)
   }
 
   #end (key: string, { step, scope, service, createdAtMs, deadlineMs, places }: Reservation, end: ReservationEnd, nowMs: number): void {
@@ -263,6 +275,10 @@
   }
 }
 
+function compareReleases (left: ExpectedRelease, right: ExpectedRelease): number {
+  return left.inMs - right.inMs
+}
+
 function classKey ({ job }: StepProgress, service: string): string {
   return `service ${service} ${job.queue.priority}`
 }
--- a/src/coordinator/placement/reservationPlanner.ts
+++ b/src/coordinator/placement/reservationPlanner.ts
@@ -23,7 +23,7 @@
   readonly slots: number
   /** Whether the reservation holds places there already. */
   readonly held: boolean
-  /** Read only if what is free does not suffice. */
+  /** The earliest first; read only if what is free does not suffice. */
   readonly releases: () => readonly ExpectedRelease[]
 }
 
@@ -55,11 +55,27 @@
     for (let place = 0; place < fitting; place++) places.push({ key, inMs: 0, rank: 0 })
     if (places.length === count) return createPlan(places)
   }
-  const later = rooms.flatMap(room => findLaterPlaces(size, count, room)).sort((left, right) => left.rank - right.rank)
-  const all = [...places, ...later.slice(0, count - places.length)]
+  const all = [...places, ...findLaterPlaces(size, count, count - places.length, rooms)]
   return all.length < count ? undefined : createPlan(all)
 }
 
+/** Returns the places that are free first, of those that are not free now. */
+function findLaterPlaces (size: ComputeResources, count: number, missing: number, rooms: readonly ReservableRoom[]): readonly Place[] {
+  let best: Place[] = []
+  /** Rank that a further place must be below. */
+  let limit = Infinity
+  const keepBest = (): void => {
+    best = best.sort((left, right) => left.rank - right.rank).slice(0, missing)
+    if (best.length === missing) limit = best[missing - 1]?.rank ?? limit
+  }
+  for (const room of rooms) {
+    addLaterPlaces(size, count, room, limit, best)
+    if (best.length >= missing * 2) keepBest()
+  }
+  keepBest()
+  return best
+}
+
 /** Returns the targets that may run the step as rooms, without those that the step must not use. */
 export function listRooms<Target extends { readonly key: string }> (
   definition: StepDefinition, targets: readonly Target[], describe: (target: Target) => TargetAvailability, isHeld: (target: Target) => boolean, releases: (target: Target) => readonly ExpectedRelease[]
@@ -72,18 +88,17 @@
   })
 }
 
-function findLaterPlaces (size: ComputeResources, count: number, { key, free, slots, held, releases }: ReservableRoom): readonly Place[] {
-  const places: Place[] = []
+function addLaterPlaces (size: ComputeResources, count: number, { key, free, slots, held, releases }: ReservableRoom, limit: number, places: Place[]): void {
   const maximum = Math.min(slots, count)
   let fitting = Math.min(countFitting(size, free), maximum)
-  if (fitting === maximum) return places
+  if (fitting === maximum) return
   let expected: ComputeResources = free
-  for (const { inMs, size: released } of [...releases()].sort((left, right) => left.inMs - right.inMs)) {
-    if (inMs === Infinity || fitting === maximum) break
+  for (const { inMs, size: released } of releases()) {
+    const rank = held ? inMs * HELD_TIME_FACTOR : inMs
+    if (rank >= limit || fitting === maximum) return
     expected = addCompute(expected, released)
-    for (const then = Math.min(countFitting(size, expected), maximum); fitting < then; fitting++) places.push({ key, inMs, rank: held ? inMs * HELD_TIME_FACTOR : inMs })
+    for (const then = Math.min(countFitting(size, expected), maximum); fitting < then; fitting++) places.push({ key, inMs, rank })
   }
-  return places
 }
 
 function createPlan (places: readonly Place[]): ReservationPlan {
--- a/src/coordinator/placement/roomView.ts
+++ b/src/coordinator/placement/roomView.ts
@@ -29,23 +29,27 @@
  */
 export class UnheldRoom implements RoomView {
   readonly key: string
-  readonly #held: readonly HeldRoom[]
+  readonly #held = new Map<TargetSession, ComputeResources>()
 
   constructor (held: readonly HeldRoom[]) {
-    this.#held = held
     this.key = held.map(({ id }) => id).join(' ')
+    for (const { places } of held) {
+      for (const [target, size] of places) {
+        const other = this.#held.get(target)
+        this.#held.set(target, other === undefined ? size : addCompute(other, size))
+      }
+    }
   }
 
   get heldProcessors (): number {
-    const targets = new Set(this.#held.flatMap(({ places }) => [...places.keys()]))
-    return [...targets].reduce((sum, target) => sum + Math.max(0, target.free.processors) - Math.max(0, this.free(target).processors), 0)
+    let sum = 0
+    for (const [target, { processors }] of this.#held) sum += Math.max(0, Math.min(target.free.processors, processors))
+    return sum
   }
 
   free (target: TargetSession): ComputeResources {
-    return this.#held.reduce((left: ComputeResources, { places }) => {
-      const held = places.get(target)
-      return held === undefined ? left : subtractCompute(left, held)
-    }, target.free)
+    const held = this.#held.get(target)
+    return held === undefined ? target.free : subtractCompute(target.free, held)
   }
 }
 
@@ -58,5 +62,5 @@
 }
 
 function subtractCompute (left: ComputeResources, right: ComputeResources): ComputeResources {
-  return addCompute(left, scaleCompute(right, -1))
+  return { processors: left.processors - right.processors, memory: left.memory - right.memory, accelerators: left.accelerators - right.accelerators }
 }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -87,7 +87,7 @@
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#reservations = this.#createReservations()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
-    this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
+    this.#passThrottle = new AdaptiveThrottle(this.#clock, { ...PASS_THROTTLE_LIMITS, minDelayMs: 25 }, () => { const b = performance.now(); this.#runPass(false); (globalThis as any).passes?.push(performance.now() - b) })
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
