Bound the wait behind a reservation also when nothing else happens

Cause: waits and reservations end in a pass, and in a quiet service the next one came with the next report, up to a second later. Change: a pass runs every 250 ms while there are reservations. Result: the blocked job of the test starts after 2.0 s; with the bound switched off it does not start in 2.5 s.

--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -114,6 +114,11 @@
     for (const [key, reservation] of this.#reservations) this.#renew(key, reservation, pass, nowMs)
   }
 
+  /** Whether there are reservations. */
+  get active (): boolean {
+    return this.#reservations.size > 0
+  }
+
   /** What the step may use of the free capacity of its service. */
   roomOf (step: StepProgress, service: string, nowMs: number): RoomView {
     const binding: Reservation[] = []
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -37,6 +37,9 @@
 /** Fraction of the processors reserved for urgent tasks. */
 const URGENT_RESERVE_RATIO = 0.05
 
+/** Longest time between passes while there are reservations. */
+const RENEWAL_INTERVAL_MS = 250
+
 export interface TaskPlacerOptions {
   readonly clock: TimerClock
   readonly logger: Logger
@@ -71,6 +74,7 @@
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
   readonly #reservations: PlacementReservations
+  #cancelRenewal: (() => void) | undefined
   readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
   /** Throttled separately: few steps are urgent, so these passes are short and need not wait out the idle time of a long one. */
@@ -113,6 +117,7 @@
 
   close (): void {
     this.#closed = true
+    this.#cancelRenewal?.()
     this.#passThrottle.close()
     this.#urgentPassThrottle.close()
     this.#options.lanes.close()
@@ -200,10 +205,17 @@
       }
     }
     if (urgentOnly) return
+    this.#scheduleRenewal()
     this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
+  /** Reservations and the waits behind them end in a pass, which nothing else may request for a second. */
+  #scheduleRenewal (): void {
+    this.#cancelRenewal?.()
+    this.#cancelRenewal = this.#reservations.active ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
+  }
+
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
     const ranked: WaitingStep[] = []
     for (const step of this.#queuedSteps) {
