--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -70,6 +70,8 @@
   readonly renewElection: () => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
+  /** Called when a reservation of places for a step has ended, with how it did and how long it was held. */
+  readonly onReservationEnded?: ((end: string, heldMs: number) => void) | undefined
 }
 
 export class JobCoordinator implements TargetListener {
@@ -104,7 +106,7 @@
     })
     this.#admission = new AdmissionControl(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records), onReservationEnded: options.onReservationEnded
     })
   }
 
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -50,7 +50,7 @@
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
   /** Called when a step with reserved places was started, or has lost them. */
-  readonly onReservationEnded?: (end: ReservationEnd, heldMs: number) => void
+  readonly onReservationEnded?: ((end: ReservationEnd, heldMs: number) => void) | undefined
   /** Stores records; rejects when the term has ended. */
   readonly append: (records: readonly LogRecord[]) => Promise<void>
 }
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -74,6 +74,8 @@
   readonly targetLeaseMs: () => number
   /** Retention period of the states of finished jobs; read at each election. */
   readonly finishedJobMs: () => number
+  /** Called when a reservation of places for a step has ended, with how it did and how long it was held. */
+  readonly onReservationEnded?: (end: string, heldMs: number) => void
 }
 
 interface Term {
@@ -270,7 +272,8 @@
       renewElection: () => this.#election.renewNow(),
       resign: reason => runInBackground(this.#election.resign(reason, info.fence), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
-      finishedJobMs: options.finishedJobMs()
+      finishedJobMs: options.finishedJobMs(),
+      onReservationEnded: options.onReservationEnded
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger), relays }
     logger.info({ fence: info.fence }, 'elected as coordinator')
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -3,6 +3,7 @@
 import type { MetricsReport } from './operatorApi.ts'
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
+const RESERVATION_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 4, 8, 16]
 const MS_PER_SECOND = 1_000
 
 export class JobMetrics {
@@ -15,11 +16,19 @@
     name: 'agategauge_call_seconds', help: 'Time until a call was answered', labelNames: ['action'], buckets: CALL_BUCKETS_S, registers: [this.registry]
   })
 
+  readonly #reservations = new Histogram({
+    name: 'agategauge_reservation_seconds', help: 'Time for which places were reserved for a step, by how the reservation ended', labelNames: ['end'], buckets: RESERVATION_BUCKETS_S, registers: [this.registry]
+  })
+
   observeCall (action: string, outcome: string, durationMs: number): void {
     this.#calls.inc({ action, outcome })
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
   }
 
+  observeReservation (end: string, heldMs: number): void {
+    this.#reservations.observe({ end }, heldMs / MS_PER_SECOND)
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render (): Promise<MetricsReport> {
     return { contentType: this.registry.contentType, body: await this.registry.metrics() }
