--- a/src/coordinator/placement/placementReservations.test.ts
+++ b/src/coordinator/placement/placementReservations.test.ts
@@ -125,14 +125,30 @@
   cluster.close()
 })
 
-// Guards against jobs with nothing running beside free capacity that is held for a task whose expected start is far away.
-test('a job that would run beyond the expected start of a large task waits behind its reservation for less than three seconds', async t => {
+// Guards against narrow jobs that are late because of gangs in a service that is not full.
+test('beside a gang every two seconds, narrow jobs start within two seconds while the load is below the capacity', async t => {
+  const cluster = await startCluster()
+  await runStream(cluster, LOW, { durationMs: 10_000, narrowJobs: 2, submit: () => cluster.submit('gang', BATCH, [GANG]) })
+  const nowMs = cluster.clock.monotonicMs()
+  const waiting = [...cluster.coordinator.table.jobs.values()].filter(job => !job.hasStarted)
+  t.true(Math.max(0, ...waiting.map(({ acceptedAtMs }) => nowMs - acceptedAtMs)) <= 2_000)
+  cluster.close()
+})
+
+/** Starts a cluster with runs of 25 s that leave 4 processors of the first target, and a large task that waits for 5 of them. */
+async function startWithReservation (): Promise<SimulatedCluster> {
   const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
   await cluster.elect()
   for (const processors of [8_000, 8_000, 8_000, 4_000]) cluster.submit('long', BATCH, [createStep(1, { estimateMs: 25_000, size: resources({ processors, memory: 10 }) })])
   await cluster.clock.advance(1_000)
   cluster.submit('large', BATCH, [createStep(1, { estimateMs: 1_000, size: resources({ processors: 5_000, memory: 10 }) })])
   await cluster.clock.advance(1_000)
+  return cluster
+}
+
+// Guards against jobs with nothing running beside free capacity that is held for a task whose expected start is far away.
+test('a job that would run beyond the expected start of a large task waits behind its reservation for less than three seconds', async t => {
+  const cluster = await startWithReservation()
   const narrow = cluster.submit('narrow', BATCH, [createStep(1, { estimateMs: 30_000, size: resources({ processors: 2_000, memory: 10 }) })])
   await cluster.clock.advance(1_500)
   t.false(cluster.running.some(task => task.startsWith(narrow)), 'the place is not held')
@@ -140,3 +156,14 @@
   t.true(cluster.running.some(task => task.startsWith(narrow)))
   cluster.close()
 })
+
+// Guards against reservations that keep their places idle for as long as their holder waits.
+test('a lasting task, and a job that ends before the expected start of a large task, use its places at once', async t => {
+  for (const definition of [createStep(1, { longRunning: true, estimateMs: 60_000 }), createStep(1, { estimateMs: 3_000 })]) {
+    const cluster = await startWithReservation()
+    const id = cluster.submit(definition.longRunning ? 'lasting' : 'narrow', BATCH, [definition])
+    await cluster.clock.advance(200)
+    t.true(cluster.running.some(task => task.startsWith(id)))
+    cluster.close()
+  }
+})
