End a reservation in the urgent pass that starts its holder

Cause: places of an urgent gang that had started stayed reserved until the next full pass. Change: the start is recorded in both kinds of passes; the mean capacity is computed once in a pass.

--- a/src/coordinator/placement/placementPass.ts
+++ b/src/coordinator/placement/placementPass.ts
@@ -19,6 +19,7 @@
   readonly #settings: DesiredStateIndex
   readonly #sessions = new Map<string, TargetSession[]>()
   readonly #totalProcessors = new Map<string, number>()
+  readonly #meanCapacity = new Map<string, ComputeResources>()
   readonly #freeProcessors = new Map<string, number>()
   /** Target on which a task was last found to fit, by service and view; most steps need no other one to be examined. */
   readonly #lastFitting = new Map<string, TargetSession>()
@@ -52,9 +53,13 @@
 
   /** Capacity of the service's targets divided by their number. */
   meanCapacity (service: string): ComputeResources {
+    const known = this.#meanCapacity.get(service)
+    if (known !== undefined) return known
     const sessions = this.sessions(service)
     const total = sessions.reduce((sum: ComputeResources, { capacity }) => addCompute(sum, capacity.total), { processors: 0, memory: 0, accelerators: 0 })
-    return scaleCompute(total, 1 / Math.max(1, sessions.length))
+    const mean = scaleCompute(total, 1 / Math.max(1, sessions.length))
+    this.#meanCapacity.set(service, mean)
+    return mean
   }
 
   /** Number of tasks of the size that fit, up to `wanted`. Cached misses stay valid, since free capacity only shrinks during a pass. */
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -201,7 +201,8 @@
       if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
-        if (!urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
+        if (outcome === 'placed') this.#reservations.recordStart(step, nowMs)
+        else if (outcome !== 'awaits-advice' && !urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
       }
     }
     if (urgentOnly) return
@@ -256,9 +257,8 @@
     return this.#advisor.findAdvice(step)?.answered === true ? 'no-room' : 'awaits-advice'
   }
 
-  #updateReservations (step: StepProgress, waiting: number, outcome: PlacementOutcome, pass: PlacementPass, nowMs: number): void {
-    if (outcome === 'placed') return this.#reservations.recordStart(step, nowMs)
-    if (outcome === 'awaits-advice') return
+  /** Reserves places for a step that could not start, unless it only waits for places that are reserved for others. */
+  #updateReservations (step: StepProgress, waiting: number, outcome: 'capped' | 'no-room', pass: PlacementPass, nowMs: number): void {
     const queue = pass.queue(step.job.queue)
     const needed = step.definition.gang ? waiting : 1
     const lacksPlaces = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM
