--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -26,7 +26,6 @@
 import type { AdmissionControl } from '../admission/admissionControl.ts'
 import { countFitting, fitsWithin, isSuitable, placeStep, requiredResources } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
-import type { ReservationEnd } from './placementReservations.ts'
 import { ALL_ROOM } from './roomView.ts'
 import type { RoomView } from './roomView.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
@@ -43,6 +42,9 @@
 /** Fraction of the processors reserved for urgent tasks. */
 const URGENT_RESERVE_RATIO = 0.05
 
+/** Longest time between passes while there are reservations. */
+const RENEWAL_INTERVAL_MS = 250
+
 export interface TaskPlacerOptions {
   readonly clock: TimerClock
   readonly logger: Logger
@@ -56,8 +58,6 @@
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
-  /** Called when a step with reserved places was started, or has lost them. */
-  readonly onReservationEnded?: (end: ReservationEnd, heldMs: number) => void
   /** Stores records; rejects when the term has ended. */
   readonly append: (records: readonly LogRecord[]) => Promise<void>
 }
@@ -83,6 +83,7 @@
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
   readonly #reservations: PlacementReservations
+  #cancelRenewal: (() => void) | undefined
   readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
   /** Throttled separately: few steps are urgent, so these passes are short and need not wait out the idle time of a long one. */
@@ -119,7 +120,7 @@
       describe: (step, session) => this.#describeTarget(step, session),
       permits: (step, session) => step.job.queue.advice === undefined || (this.#advisor.findAdvice(step)?.allows(session.key) ?? false),
       placed: () => this.#fleet.placed,
-      onEnded: (end, heldMs) => this.#options.onReservationEnded?.(end, heldMs)
+      onEnded: (end, heldMs) => this.#options.metrics.observeReservation(end, heldMs)
     })
   }
 
@@ -137,6 +138,7 @@
 
   close (): void {
     this.#closed = true
+    this.#cancelRenewal?.()
     this.#passThrottle.close()
     this.#urgentPassThrottle.close()
     this.#options.lanes.close()
@@ -224,15 +226,23 @@
       if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
-        if (!urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
+        if (outcome === 'placed') this.#reservations.recordStart(step, nowMs)
+        else if (outcome !== 'awaits-advice' && outcome !== 'awaits-locality' && !urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
       }
     }
     if (urgentOnly) return
+    this.#scheduleRenewal()
     // A step that waits for a place near its data has room elsewhere.
     this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0 && !this.#locality.isWaiting(step))
       .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
   }
 
+  /** Reservations and the waits behind them end in a pass, which nothing else may request for a second. */
+  #scheduleRenewal (): void {
+    this.#cancelRenewal?.()
+    this.#cancelRenewal = this.#reservations.active ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
+  }
+
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
     const ranked: WaitingStep[] = []
     for (const step of this.#queuedSteps) {
@@ -276,9 +286,8 @@
     return this.#advisor.findAdvice(step)?.answered === true ? 'no-room' : 'awaits-advice'
   }
 
-  #updateReservations (step: StepProgress, waiting: number, outcome: PlacementOutcome, pass: PlacementPass, nowMs: number): void {
-    if (outcome === 'placed') return this.#reservations.recordStart(step, nowMs)
-    if (outcome === 'awaits-advice' || outcome === 'awaits-locality') return
+  /** Reserves places for a step that could not start, unless it only waits for places that are reserved for others. */
+  #updateReservations (step: StepProgress, waiting: number, outcome: 'capped' | 'no-room', pass: PlacementPass, nowMs: number): void {
     const queue = pass.queue(step.job.queue)
     const needed = step.definition.gang ? waiting : 1
     const lacksPlaces = this.#reservations.roomOf(step, queue.service, nowMs) !== ALL_ROOM
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -3,6 +3,7 @@
 import type { MetricsReport } from './operatorApi.ts'
 
 const CALL_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4]
+const RESERVATION_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 4, 8, 16]
 const MS_PER_SECOND = 1_000
 
 /** Figures of a coordinator's run times and forecast. */
@@ -67,6 +68,10 @@
     this.#startsGivenBack.inc(count)
   }
 
+  readonly #reservations = new Histogram({
+    name: 'agategauge_reservation_seconds', help: 'Time for which places were reserved for a step, by how the reservation ended', labelNames: ['end'], buckets: RESERVATION_BUCKETS_S, registers: [this.registry]
+  })
+
   observeCall (action: string, outcome: string, durationMs: number): void {
     this.#calls.inc({ action, outcome })
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
@@ -94,6 +99,10 @@
     gauge('agategauge_slow_targets', 'Targets that get tasks last, since runs take longer there', ({ slowTargets }) => ({ '': slowTargets }))
   }
 
+  observeReservation (end: string, heldMs: number): void {
+    this.#reservations.observe({ end }, heldMs / MS_PER_SECOND)
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render (): Promise<MetricsReport> {
     return { contentType: this.registry.contentType, body: await this.registry.metrics() }
