--- a/src/coordinator/forecast/placedRoomForecast.ts
+++ b/src/coordinator/forecast/placedRoomForecast.ts
@@ -1,8 +1,7 @@
 /** Forecasts room on targets from the runs that are placed there. Handles full services, where each start waits for an end. */
-import type { ClockReader } from './remainingTime.ts'
+import type { ClockReader, SurveyedRunTimes } from './remainingTime.ts'
 import { expectedEndMs } from './remainingTime.ts'
 import type { RoomForecast, RoomRequest } from './roomForecast.ts'
-import type { RunTimes } from './runTimes.ts'
 import { countFitting } from '../placement/placeStep.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
@@ -50,7 +49,8 @@
  */
 export class PlacedRoomForecast implements RoomForecast {
   readonly #clock: ClockReader
-  readonly #runTimes: RunTimes
+  readonly #runTimes: SurveyedRunTimes
+  #usable: readonly TargetSession[] = []
   #sessions = new Map<string, TargetSession[]>()
   #targets = new WeakMap<TargetSession, TargetReleases>()
   readonly #services = new Map<string, ServiceReleases>()
@@ -58,13 +58,15 @@
   readonly #openings = new Map<string, readonly Opening[]>()
   #openingsFromMs = -Infinity
 
-  constructor (clock: ClockReader, runTimes: RunTimes) {
+  constructor (clock: ClockReader, runTimes: SurveyedRunTimes) {
     this.#clock = clock
     this.#runTimes = runTimes
   }
 
   /** Sets the targets on which tasks may be placed; called once in each full pass. */
   update (usable: readonly TargetSession[]): void {
+    if (usable.length === this.#usable.length && usable.every((session, index) => session === this.#usable[index])) return
+    this.#usable = usable
     this.#sessions = new Map()
     for (const session of usable) {
       const { service } = session.description
--- a/src/coordinator/forecast/remainingTime.ts
+++ b/src/coordinator/forecast/remainingTime.ts
@@ -6,6 +6,9 @@
 
 export type ClockReader = Pick<TimerClock, 'monotonicMs'>
 
+/** Run times that may tell which fraction of the runs does not last longer than a given time, without a search. */
+export type SurveyedRunTimes = RunTimes & { readonly fractionWithin?: (step: StepProgress, durationMs: number) => number | undefined }
+
 /** A run that is being stopped ends within a stop request, its answer and a report. */
 const STOP_MS = 500
 /** Of a run with an unknown start, half of its time is over on average. */
@@ -22,7 +25,7 @@
  * @example
  * const remainingMs = expectedEndMs(assignment, runTimes, nowMs) - nowMs
  */
-export function expectedEndMs (assignment: Assignment, runTimes: RunTimes, nowMs: number): number {
+export function expectedEndMs (assignment: Assignment, runTimes: SurveyedRunTimes, nowMs: number): number {
   const { task: { step }, state, startedAtMs, reservedAtMs, isRemote } = assignment
   if (step.definition.longRunning) return Infinity
   const factor = isRemote ? runTimes.remoteFactor(step) : 1
@@ -41,9 +44,15 @@
  * @example
  * remainingTimeMs(step, 0, runTimes) // runTimes.quantileMs(step, 0.5)
  */
-export function remainingTimeMs (step: StepProgress, elapsedMs: number, runTimes: RunTimes): number {
+export function remainingTimeMs (step: StepProgress, elapsedMs: number, runTimes: SurveyedRunTimes): number {
   if (elapsedMs <= runTimes.quantileMs(step, 0)) return runTimes.quantileMs(step, 0.5) - elapsedMs
-  // The fraction of the runs that end within the elapsed time.
+  const ended = runTimes.fractionWithin?.(step, elapsedMs) ?? findFraction(step, elapsedMs, runTimes)
+  const remainingMs = runTimes.quantileMs(step, (1 + ended) / 2) - elapsedMs
+  return remainingMs > 0 ? remainingMs : elapsedMs * OUTLIER_FRACTION
+}
+
+/** Returns the fraction of the runs that end within the elapsed time. */
+function findFraction (step: StepProgress, elapsedMs: number, runTimes: RunTimes): number {
   let ended = 0
   let notEnded = 1
   for (let count = 0; count < SEARCH_STEPS; count++) {
@@ -51,6 +60,5 @@
     if (runTimes.quantileMs(step, middle) <= elapsedMs) ended = middle
     else notEnded = middle
   }
-  const remainingMs = runTimes.quantileMs(step, (1 + ended) / 2) - elapsedMs
-  return remainingMs > 0 ? remainingMs : elapsedMs * OUTLIER_FRACTION
+  return ended
 }
