Use the actual run times of steps that are done in objectives

A job whose first step took longer than expected was ranked as late by an objective that did not contain that time, though objectives are measured by actual run times.

--- a/src/coordinator/forecast/learnedRunTimes.test.ts
+++ b/src/coordinator/forecast/learnedRunTimes.test.ts
@@ -1,6 +1,8 @@
 import test from 'ava'
 import { generateDurations, stepOf } from './testing/runs.ts'
 import { LearnedRunTimes } from './learnedRunTimes.ts'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { JobTable } from '../../jobs/jobTable.ts'
 import type { LogRecord } from '../../jobs/jobRecords.ts'
 import { objectiveMs, rankStep } from '../placement/jobRanking.ts'
@@ -20,6 +22,19 @@
   t.deepEqual([0, 900, 1_100, 4_900, 5_100].map(tier), [0, 0, 1, 1, 2])
 })
 
+test('a job whose first step took longer than expected is not ranked as late for that', t => {
+  const runTimes = new LearnedRunTimes({ defaultRemoteFactor: 1 })
+  const steps = [createStep(1, { estimateMs: 1_000 }), createStep(1, { estimateMs: 1_000, after: [0] })]
+  const job = new JobProgress(createJobRecord('job', steps), { ...TEST_QUEUE, stretchFactor: 1, latencyObjectiveMs: 2_000 }, 0)
+  const [first, second] = job.steps
+  if (first === undefined || second === undefined) return t.fail()
+  runTimes.learn({ step: first, durationMs: 4_000, isRemote: false, nowMs: 4_000 })
+  t.is(objectiveMs(job, runTimes), 4_000, 'the step still runs')
+  first.applyRunEnd(0, 1, 'done', '')
+  t.is(objectiveMs(job, runTimes), 7_000)
+  t.deepEqual([4_500, 6_500].map(nowMs => rankStep(second, nowMs, runTimes)[3]), [0, 1])
+})
+
 test('a queue with few ended runs keeps its declared times', t => {
   const runTimes = new LearnedRunTimes({ defaultRemoteFactor: 1 })
   learnAll(runTimes, [9_000, 9_000, 9_000, 9_000])
--- a/src/coordinator/forecast/learnedRunTimes.ts
+++ b/src/coordinator/forecast/learnedRunTimes.ts
@@ -72,6 +72,8 @@
   readonly #remote: Record<RemoteKind, DecayingHistogram> = { data: new DecayingHistogram(), group: new DecayingHistogram() }
   readonly #storedRemote: Partial<Record<RemoteKind, DistributionSummary>> = {}
 
+  /** Longest run of each step whose run times were learned from. */
+  readonly #actualMs = new WeakMap<StepProgress, number>()
   /** Mean absolute logarithms of the ratios of estimated to actual run time. */
   #declaredError = 0
   #expectedError = 0
@@ -96,6 +98,11 @@
     return this.#factorOf(kindOf(step))
   }
 
+  /** The longest run of the step that has ended; undefined if none is known. */
+  actualMs (step: StepProgress): number | undefined {
+    return this.#actualMs.get(step)
+  }
+
   /** Whether enough runs have ended for an estimate that is not the declared time. */
   isLearned (step: StepProgress): boolean {
     return this.#learned(step) !== undefined
@@ -112,6 +119,7 @@
     const { estimateMs, longRunning } = step.definition
     if (longRunning || !(estimateMs > 0) || !(durationMs >= 0)) return
     this.#recordErrors(step, durationMs / (isRemote ? this.remoteFactor(step) : 1))
+    this.#actualMs.set(step, Math.max(durationMs, this.#actualMs.get(step) ?? 0))
     const model = this.#modelOf(step) ?? this.#addModel(step, nowMs)
     model.updatedAtMs = nowMs
     const ratio = durationMs / estimateMs
@@ -145,7 +153,8 @@
       this.#storedRemote[kind] = summary
       models.push({ queue: '', position: REMOTE_KINDS.indexOf(kind), gang: false, near: false, ...summary })
     }
-    for (const model of this.#allModels()) {
+    // New models first, so that those that change all the time do not keep them out of the record.
+    for (const model of [...this.#allModels()].sort((left, right) => Number(left.stored !== undefined) - Number(right.stored !== undefined))) {
       const { queue, position, gang, ratios: { summary } } = model
       if (models.length >= MAX_STORED_MODELS) break
       if (summary.count < MIN_SAMPLES || !hasChanged(summary, model.stored)) continue
--- a/src/coordinator/forecast/locality.ts
+++ b/src/coordinator/forecast/locality.ts
@@ -6,18 +6,11 @@
   readonly rack: string
 }
 
-/** Returns the racks of a group's targets; empty for a step that is no group. */
-export function racksOf ({ definition }: StepProgress, targets: Iterable<RackedTarget>): ReadonlySet<string> {
-  const racks = new Set<string>()
-  if (definition.sameRack) for (const { rack } of targets) racks.add(rack)
-  return racks
-}
-
 /**
- * Whether a run of the step on the target takes longer than near its data and on one rack.
+ * Whether a run of the step on the target takes longer than near its data and on one rack. `racks` are those of its group.
  *
  * @example
- * isRemoteFrom(step, session, racksOf(step, sessions))
+ * isRemoteFrom(step, session, new Set(['rack-1', 'rack-2'])) // true
  */
 export function isRemoteFrom ({ definition }: StepProgress, { rack }: RackedTarget, racks: ReadonlySet<string> = new Set()): boolean {
   return (definition.dataRack !== '' && rack !== definition.dataRack) || racks.size > 1
--- a/src/coordinator/placement/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -14,14 +14,20 @@
   readonly rank: readonly number[]
 }
 
-/** Run times that tell for which steps they were learned; these need no margin. */
-export type RankingRunTimes = RunTimes & { readonly isLearned?: (step: StepProgress) => boolean }
+/** Run times that tell for which steps they were learned, which need no margin, and how long the runs of a step took. */
+export type RankingRunTimes = RunTimes & {
+  readonly isLearned?: (step: StepProgress) => boolean
+  readonly actualMs?: (step: StepProgress) => number | undefined
+}
 
 const DECLARED: RankingRunTimes = new DeclaredRunTimes()
 
-/** Critical path of a job: longest chain of its steps' expected run times, in milliseconds. */
+/** Critical path of a job: longest chain of its steps' run times, as they were or else as expected, in milliseconds. */
 export function criticalPathMs (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
-  return longestChainMs(job, step => step === undefined ? undefined : runTimes.expectedMs(step))
+  return longestChainMs(job, step => {
+    if (step === undefined) return undefined
+    return (step.done ? runTimes.actualMs?.(step) : undefined) ?? runTimes.expectedMs(step)
+  })
 }
 
 /** Latency objective of a job, measured from its acceptance. */
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -10,7 +10,7 @@
 import { Assignment } from '../targets/assignment.ts'
 import { PlacedRoomForecast } from '../forecast/placedRoomForecast.ts'
 import type { RoomForecast } from '../forecast/roomForecast.ts'
-import { isRemoteFrom, racksOf } from '../forecast/locality.ts'
+import { isRemoteFrom } from '../forecast/locality.ts'
 import { MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { GangPrecedence } from './gangPrecedence.ts'
@@ -358,7 +358,7 @@
     const { step } = first
     const gangAttempt = step.nextAttempt(first)
     const reserved: Reservation[] = []
-    const racks = racksOf(step, [...placed, ...step.tasks.map(({ placedOn }) => placedOn)].flatMap(key => this.#fleet.get(key) ?? []))
+    const racks = this.#racksOfGroup(step, placed)
     for (const [position, key] of placed.entries()) {
       const task = waiting[position]
       const session = this.#fleet.get(key)
@@ -375,6 +375,13 @@
     return reserved
   }
 
+  /** Racks of the step's tasks with those about to be placed; undefined for a step that is no group. */
+  #racksOfGroup (step: StepProgress, placed: readonly string[]): ReadonlySet<string> | undefined {
+    if (!step.definition.sameRack) return undefined
+    const keys = new Set([...placed, ...step.tasks.map(({ placedOn }) => placedOn)])
+    return new Set([...keys].flatMap(key => this.#fleet.get(key)?.rack ?? []))
+  }
+
   #start (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
     runInBackground(session.start(assignment, ticket === '' ? undefined : ticket), this.#logger, 'start of a run')
   }
