--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -201,7 +201,7 @@
     const plan = reservation.scope === 'cap' ? this.#planShare(reservation, pass) : this.#planPlaces(reservation, pass)
     if (plan === undefined) return false
     reservation.expectedStartMs = nowMs + plan.startInMs
-    reservation.isOfUse = isOfUse(reservation.step, nowMs)
+    reservation.isOfUse = isOfUse(reservation.step, nowMs, this.#options.runTimes)
     return true
   }
 
