Admit jobs by what can still end in time

In bursts on a full service nearly every caller was served late: refusals came only after three jobs of a team had waited for 1.5 s.

Each submission is now judged at once from an outlook that is computed once per full placement pass (free and released processors, caps, waiting work by place in placement order), the jobs accepted since, and the capacity that was promised to refused callers. Jobs beyond a share are refused when their objective can't be met, those within it when three times the objective can't. Retry-After says when capacity is expected; a fifth of it is promised to callers who return. Estimates are corrected by observed waits, within a factor of two. Refusals are logged in summary and counted in metrics.

Callers who are refused during a store outage return spread over 2 to 4 s, also when no coordinator is known for 2 s. A call that was certainly not sent to a coordinator, and a read, are answered 503 instead of 504.

--- a/src/adapters/peer/coordinatorPeerClient.ts
+++ b/src/adapters/peer/coordinatorPeerClient.ts
@@ -4,12 +4,12 @@
 import type { CallerCall, CoordinatorAnswer } from '../../entry/callerCall.ts'
 import { JOB_STATES } from '../../jobs/job.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import { BaseError } from '../../model/errors.ts'
+import { BaseError, CallNotSentError } from '../../model/errors.ts'
 import type { TimerClock } from '../../ports/clock.ts'
 import type { CoordinatorPeer, CoordinatorPeers, InstanceReport, ReportAnswer } from '../../ports/coordinatorPeer.ts'
 import type { AdviceQuestion, AllowedTarget } from '../../ports/placementAdvisor.ts'
 import type { RelayAnswer, RelayBatch } from '../../relay/relayMessages.ts'
-import { HttpClient } from '../http/httpClient.ts'
+import { HttpClient, NotSentError } from '../http/httpClient.ts'
 import { coordinatorSchema, PEER_PATHS } from './coordinatorPeerPaths.ts'
 import { encodeRelayBatch, relayAnswerSchema } from './relayCodec.ts'
 
@@ -86,7 +86,12 @@
   }
 
   async handleAll (fence: number, calls: readonly CallerCall[]): Promise<readonly CoordinatorAnswer[]> {
-    return (await this.#post(PEER_PATHS.handle, { fence, calls }, HANDLE_TIMEOUT_MS, answersSchema)).answers
+    try {
+      return (await this.#post(PEER_PATHS.handle, { fence, calls }, HANDLE_TIMEOUT_MS, answersSchema)).answers
+    } catch (error) {
+      if (error instanceof NotSentError) throw new CallNotSentError('the coordinator can not be reached:', { cause: error })
+      throw error
+    }
   }
 
   async report (report: InstanceReport): Promise<ReportAnswer> {
--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -3,24 +3,30 @@
 import type { CallerAnswer, CallerCall } from '../../entry/callerCall.ts'
 import type { QueueSettings, TeamSettings } from '../../jobs/desiredState.ts'
 import type { JobDefinition } from '../../jobs/job.ts'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import type { JobRecord } from '../../jobs/jobRecords.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
 import { RateBudget } from '../../scheduler/rateBudget.ts'
 import type { DesiredStateWatcher } from '../desiredStateWatcher.ts'
 import type { JobCoordinator } from '../jobCoordinator.ts'
 import { RecordsWithdrawnError } from '../log/recordLog.ts'
+import { describeRequest } from './admissionRequest.ts'
+import type { AdmissionRequest } from './admissionRequest.ts'
+import type { AdmissionDecision, RefusalDecision } from './feasibilityAdmission.ts'
+import { RefusalReport } from './refusalReport.ts'
+import type { Refusal } from './refusalReport.ts'
 
 /** Maximum age of the desired state on which a request is refused; an older one is refreshed first. */
 const MAX_STATE_AGE_FOR_REFUSAL_MS = 400
 /** Store outages last about 5 s and callers make five attempts: with this delay their attempts outlast an outage. */
 const RETRY_AFTER_OUTAGE_SECONDS = 2
+/** Retry-After has whole seconds: with these three values callers return over more than 2 s, not all at once. */
+const OUTAGE_SPREAD_SECONDS = 3
 
 /** Time over which a team may accumulate unused share. */
 const SHARE_BURST_SECONDS = 1
 
-/** `absent`: the job is not in the log, so it was not accepted by an earlier request either. */
-const STORE_UNAVAILABLE_ANSWER: CallerAnswer = { ...unavailable('the store takes no records', RETRY_AFTER_OUTAGE_SECONDS), absent: true }
-
 interface ResolvedCall {
   readonly queue: QueueSettings
   /** Empty for anonymous callers. */
@@ -30,7 +36,12 @@
   readonly id: string
 }
 
-type Refusal = Extract<CallerAnswer, { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }>
+type CallRefusal = Extract<CallerAnswer, { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }>
+
+interface EstimatedJob {
+  readonly request: AdmissionRequest
+  readonly decision: AdmissionDecision
+}
 
 export class JobIntake {
   readonly #coordinator: JobCoordinator
@@ -39,6 +50,7 @@
   readonly #logger: Logger
   /** Rate of jobs within each team's share. */
   readonly #shares: RateBudget
+  readonly #refusals: RefusalReport
   /** Jobs whose record is not durable yet, by identity. */
   readonly #pending = new Map<string, Promise<void>>()
 
@@ -47,6 +59,7 @@
     this.#desired = desired
     this.#clock = clock
     this.#logger = logger
+    this.#refusals = new RefusalReport(clock, logger)
     this.#shares = new RateBudget(clock, team => {
       const weight = desired.index.team(team)?.weight ?? 0
       return { perSecond: weight, burst: Math.max(1, weight * SHARE_BURST_SECONDS) }
@@ -81,7 +94,7 @@
     return unavailable('another instance may coordinate by now')
   }
 
-  #resolve ({ host, path, key }: CallerCall): ResolvedCall | Refusal {
+  #resolve ({ host, path, key }: CallerCall): ResolvedCall | CallRefusal {
     const { index } = this.#desired
     const queue = index.findQueue(host, path)
     if (queue === undefined) return { outcome: 'no-queue' }
@@ -94,12 +107,12 @@
     if (id === '') return { outcome: 'invalid', message: 'the path names no job' }
     const { table } = this.#coordinator
     const pending = this.#pending.get(id)
-    if (pending !== undefined) return await this.#awaitAcceptance(pending)
+    if (pending !== undefined) return await this.#awaitAcceptance(pending, queue)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
-    if (this.#coordinator.storeFails) return STORE_UNAVAILABLE_ANSWER
+    if (this.#coordinator.storeFails) return this.#refuseUnstored(queue)
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
-    if (!withinShare && this.#coordinator.admission.refuses(team, queue.priority)) return this.#refuseBeyondShare(team, queue)
-    const durable = this.#coordinator.applyAndAppend([...this.#coordinator.missingQueueRecords(queue), {
+    if (!withinShare && this.#coordinator.admission.busy) return this.#refuseWhileBusy(team, queue)
+    const record: JobRecord = {
       type: 'job',
       id,
       queue: queue.name,
@@ -107,38 +120,81 @@
       acceptedWallMs: this.#clock.wallMs(),
       withinShare,
       definition: JSON.parse(definitionText) as JobDefinition
-    }])
+    }
+    const estimated = this.#estimate(record, queue)
+    if (estimated?.decision.action === 'refuse') {
+      // The job did not use the share that was taken for it.
+      if (withinShare) this.#shares.record(team, -1)
+      return this.#refuse(estimated.request, estimated.decision, record)
+    }
+    const durable = this.#coordinator.applyAndAppend([...this.#coordinator.missingQueueRecords(queue), record])
     this.#pending.set(id, durable)
     // Placement records follow in the log, so that no start request is sent before the job is stored.
-    this.#admit(id, durable)
+    this.#admit(id, durable, estimated)
     durable.catch(() => {}).finally(() => this.#pending.delete(id))
-    return await this.#awaitAcceptance(durable)
+    return await this.#awaitAcceptance(durable, queue)
+  }
+
+  /** Whether the job can end in time; undefined for jobs whose time can't be estimated. */
+  #estimate (record: JobRecord, queue: QueueSettings): EstimatedJob | undefined {
+    const { feasibility, runTimes } = this.#coordinator
+    const nowMs = this.#clock.monotonicMs()
+    const request = describeRequest(new JobProgress(record, queue, nowMs), runTimes, nowMs)
+    return request === undefined ? undefined : { request, decision: feasibility.decide(record.id, request, Math.random()) }
   }
 
-  /** Not logged here, since hundreds of refusals per second would load the coordinator; the entry instance logs the reason. */
-  #refuseBeyondShare (team: string, { priority }: QueueSettings): CallerAnswer {
-    const { admission } = this.#coordinator
-    const reason = `${team} has sent more than its share while ${admission.waitingJobs(team, priority)} of its jobs wait${admission.busy ? ' and the coordinator is busy' : ''}`
-    return { outcome: 'limited', message: reason, retryAfterSeconds: admission.retryAfterSeconds(Math.random()), absent: true }
+  /** Refusals are logged in summary only, since hundreds per second would load the coordinator; the entry instance logs each reason. */
+  #refuse (request: AdmissionRequest, decision: RefusalDecision, { id, queue }: JobRecord): CallerAnswer {
+    this.#coordinator.feasibility.recordRefusal(id, request, decision)
+    const { reason, retryAfterSeconds, expectedStartMs } = decision
+    this.#reportRefusal({ reason, queue, retryAfterSeconds, expectedStartMs })
+    const wait = Number.isFinite(expectedStartMs) ? `it could start in ${Math.round(expectedStartMs)} ms` : 'no start is foreseen'
+    const message = reason === 'late'
+      ? `${request.team} has sent more than its share, and the job can not meet its objective: ${wait}`
+      : `the job can not end within three times its objective: ${wait}`
+    return { outcome: 'limited', message, retryAfterSeconds, absent: true }
   }
 
-  async #awaitAcceptance (durable: Promise<void>): Promise<CallerAnswer> {
+  #refuseWhileBusy (team: string, { name }: QueueSettings): CallerAnswer {
+    const retryAfterSeconds = this.#coordinator.admission.retryAfterSeconds(Math.random())
+    this.#reportRefusal({ reason: 'busy', queue: name, retryAfterSeconds })
+    return { outcome: 'limited', message: `${team} has sent more than its share and the coordinator is busy`, retryAfterSeconds, absent: true }
+  }
+
+  /** `absent`: the job is not in the log, so it was not accepted by an earlier request either. */
+  #refuseUnstored ({ name }: QueueSettings): CallerAnswer {
+    const retryAfterSeconds = RETRY_AFTER_OUTAGE_SECONDS + Math.floor(Math.random() * OUTAGE_SPREAD_SECONDS)
+    this.#reportRefusal({ reason: 'store', queue: name, retryAfterSeconds })
+    return { ...unavailable('the store takes no records', retryAfterSeconds), absent: true }
+  }
+
+  #reportRefusal (refusal: Refusal): void {
+    this.#refusals.record(refusal)
+    this.#coordinator.admissionObserver?.observeRefusal(refusal.reason, refusal.retryAfterSeconds)
+  }
+
+  async #awaitAcceptance (durable: Promise<void>, queue: QueueSettings): Promise<CallerAnswer> {
     try {
       await durable
       return { outcome: 'accepted' }
     } catch (error) {
-      return answerUnstored(error)
+      return this.#answerUnstored(error, queue)
     }
   }
 
+  #answerUnstored (error: unknown, queue: QueueSettings): CallerAnswer {
+    return error instanceof RecordsWithdrawnError ? this.#refuseUnstored(queue) : { outcome: 'unknown', message: String(error) }
+  }
+
   /** Starts placement at once; the job counts as accepted only when it is durable. */
-  #admit (id: string, durable: Promise<void>): void {
+  #admit (id: string, durable: Promise<void>, estimated: EstimatedJob | undefined): void {
     const job = this.#coordinator.table.jobs.get(id)
     if (job === undefined) return
+    if (estimated?.decision.action === 'accept') this.#coordinator.feasibility.recordAcceptance(job, estimated.request, estimated.decision.expectedStartMs)
     const { version } = this.#desired.state
     this.#coordinator.enqueueJob(job)
     durable.then(() => {
-      this.#logger.info({ job: id, team: job.team, queue: job.queue.name, withinShare: job.record.withinShare, version, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) }, 'job accepted')
+      this.#logger.info({ job: id, team: job.team, queue: job.queue.name, withinShare: job.record.withinShare, expectedStartMs: expectedStartOf(estimated), version, tasks: job.steps.reduce((sum, step) => sum + step.tasks.length, 0) }, 'job accepted')
     }, () => {
       // The term has ended or the job was withdrawn; a successor recovers what was stored.
     })
@@ -172,7 +228,7 @@
       }
       return { outcome: 'cancelled' }
     } catch (error) {
-      return answerUnstored(error)
+      return this.#answerUnstored(error, queue)
     }
   }
 
@@ -185,8 +241,9 @@
   }
 }
 
-function answerUnstored (error: unknown): CallerAnswer {
-  return error instanceof RecordsWithdrawnError ? STORE_UNAVAILABLE_ANSWER : { outcome: 'unknown', message: String(error) }
+function expectedStartOf (estimated: EstimatedJob | undefined): number | undefined {
+  const startMs = estimated?.decision.expectedStartMs
+  return startMs === undefined || !Number.isFinite(startMs) ? undefined : Math.round(startMs)
 }
 
 /** A job without a team was accepted while its queue took calls without a key. */
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -16,9 +16,13 @@
 import { COORDINATOR_KEY } from './log/election.ts'
 import type { CoordinatorInfo } from './log/election.ts'
 import { AdmissionControl } from './admission/admissionControl.ts'
+import type { AdmissionObserver } from './admission/admissionObserver.ts'
+import { FeasibilityAdmission } from './admission/feasibilityAdmission.ts'
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
+import { DeclaredRunTimes } from './forecast/runTimes.ts'
+import type { RunTimes } from './forecast/runTimes.ts'
 import { FinishedJobRetention } from './log/finishedJobRetention.ts'
 import { compactLog } from './log/logCompactor.ts'
 import { readLog } from './log/logReader.ts'
@@ -70,6 +74,8 @@
   readonly renewElection: () => void
   readonly targetLeaseMs: number
   readonly finishedJobMs: number
+  /** Counts refusals and waits; none by default. */
+  readonly admissionObserver?: AdmissionObserver
 }
 
 export class JobCoordinator implements TargetListener {
@@ -80,6 +86,8 @@
   readonly #fleet: TargetFleet
   readonly #placer: TaskPlacer
   readonly #admission: AdmissionControl
+  readonly #feasibility: FeasibilityAdmission
+  readonly #runTimes: RunTimes = new DeclaredRunTimes()
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -103,8 +111,17 @@
       clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, termStartedAtMs: this.#termStartedAtMs
     })
     this.#admission = new AdmissionControl(clock)
+    this.#feasibility = new FeasibilityAdmission(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, admission: this.#admission, fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock,
+      logger,
+      feasibility: this.#feasibility,
+      runTimes: this.#runTimes,
+      fleet: this.#fleet,
+      lanes,
+      desiredState: () => desired.index,
+      hasAuthority,
+      append: async records => await this.#append(records)
     })
   }
 
@@ -122,11 +139,24 @@
     return this.#options.info
   }
 
-  /** Tracks waiting jobs and the load of this process. */
+  /** Tracks the load of this process. */
   get admission (): AdmissionControl {
     return this.#admission
   }
 
+  /** Decides which jobs can still end in time. */
+  get feasibility (): FeasibilityAdmission {
+    return this.#feasibility
+  }
+
+  get runTimes (): RunTimes {
+    return this.#runTimes
+  }
+
+  get admissionObserver (): AdmissionObserver | undefined {
+    return this.#options.admissionObserver
+  }
+
   /** Whether the store is known to be rejecting records. */
   get storeFails (): boolean {
     const since = this.#log?.failingSinceMs
@@ -260,6 +290,8 @@
     if (job.outcome !== undefined) return runInBackground(session.stop(assignment), this.#logger, 'stop of a run')
     if (job.hasStarted) return
     job.markStarted(this.#clock.monotonicMs())
+    const expectedMs = this.#feasibility.recordStart(job)
+    if (expectedMs !== undefined) this.#options.admissionObserver?.observeStart(job.queue.priority, expectedMs, this.#clock.monotonicMs() - job.acceptedAtMs)
   }
 
   /** Stops the other members of a gang, which would only wait until the missing one has certainly ended. */
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -16,7 +16,11 @@
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
 import { PlacementPass } from './placementPass.ts'
-import type { AdmissionControl } from '../admission/admissionControl.ts'
+import { createOutlook } from '../admission/admissionOutlook.ts'
+import { AssignmentForecast } from '../admission/assignmentForecast.ts'
+import type { FeasibilityAdmission } from '../admission/feasibilityAdmission.ts'
+import type { RoomForecast } from '../forecast/roomForecast.ts'
+import type { RunTimes } from '../forecast/runTimes.ts'
 import { fitsWithin, placeStep, requiredResources } from './placeStep.ts'
 import type { TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
@@ -36,8 +40,9 @@
   readonly clock: TimerClock
   readonly logger: Logger
   readonly fleet: TargetFleet
-  /** Updated with the waiting jobs after each full pass. */
-  readonly admission: AdmissionControl
+  /** Gets the outlook after each full pass. */
+  readonly feasibility: FeasibilityAdmission
+  readonly runTimes: RunTimes
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
@@ -60,6 +65,7 @@
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
   readonly #isolation: Isolation
+  readonly #forecast: RoomForecast
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
@@ -77,6 +83,7 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#fleet = options.fleet
+    this.#forecast = new AssignmentForecast(() => this.#fleet.usable, options.runTimes, () => this.#clock.monotonicMs())
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
@@ -185,8 +192,9 @@
     }
     if (urgentOnly) return
     this.#yieldingSteps = yielding
-    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0)
-      .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
+    const { feasibility, runTimes, desiredState } = this.#options
+    const sessions = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
+    feasibility.update(createOutlook({ nowMs, sessions, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
   }
 
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
--- a/src/coordinator/placement/teamUsage.ts
+++ b/src/coordinator/placement/teamUsage.ts
@@ -4,7 +4,7 @@
 import type { Resources } from '../../model/resources.ts'
 
 /** Fraction of a cap reserved for urgent jobs, which are 14% of the work at the sites' normal rates and up to 25% in bursts. */
-const URGENT_CAP_RESERVE = 0.2
+export const URGENT_CAP_RESERVE = 0.2
 
 type ComputeResources = Pick<Resources, 'processors' | 'memory' | 'accelerators'>
 /** What decides how much of a cap the tasks of a step use, and for how long. */
--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -1,4 +1,5 @@
 /** Batches the calls of one instance to the coordinator, so that bursts take few requests. */
+import { CallNotSentError } from '../model/errors.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 
@@ -64,7 +65,8 @@
 
   /** Rejects all unanswered calls, both sent and queued. */
   rejectAll (reason: string): void {
-    for (const { reject } of [...this.#sentCalls, ...this.#queuedCalls]) reject(new Error(reason))
+    for (const { reject } of this.#sentCalls) reject(new Error(reason))
+    for (const { reject } of this.#queuedCalls) reject(new CallNotSentError(reason))
     this.#queuedCalls = []
   }
 
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import type { CoordinatorInfo } from '../coordinator/log/election.ts'
+import { CallNotSentError } from '../model/errors.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallRouter } from './callRouter.ts'
@@ -67,6 +68,28 @@
   t.is((await route([undefined, { outcome: 'accepted' }])).outcome, 'accepted')
 })
 
+test('a call that was never sent, and a read without an answer, are refused, not reported as unknown', async t => {
+  const fail = async (error: Error, call = SUBMISSION): Promise<CallerAnswer> => {
+    const { router, advance } = createRouter(async () => { throw error })
+    const answered = router.handle({ call })
+    await advance(5_000)
+    return await answered
+  }
+  t.is((await fail(new CallNotSentError('no connection'))).outcome, 'unavailable')
+  t.is((await fail(new Error('no answer'), { ...SUBMISSION, action: 'read' })).outcome, 'unavailable')
+  t.is((await fail(new Error('no answer'), { ...SUBMISSION, action: 'cancel' })).outcome, 'unknown')
+})
+
+test('store outage: callers who find no coordinator for seconds are told to return spread over more than 2 s', async t => {
+  const { router, replace, advance } = createRouter(async () => undefined)
+  replace(undefined)
+  await advance(2_500)
+  const answers = Array.from({ length: 100 }, async () => await router.handle({ call: SUBMISSION }))
+  await advance(600)
+  const told = (await Promise.all(answers)).flatMap(answer => answer.outcome === 'unavailable' ? [answer.retryAfterSeconds] : [])
+  t.deepEqual([...new Set(told)].sort(), [2, 3, 4])
+})
+
 test('a read returns the answer to its second attempt, since reads have no effect', async t => {
   t.is((await route([undefined, { outcome: 'unauthenticated' }], { ...SUBMISSION, action: 'read' })).outcome, 'unauthenticated')
 })
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -1,5 +1,6 @@
 /** Routes calls to the coordinator and retries them, at its successor if it is replaced, while the outcome is unknown. */
 import type { CoordinatorInfo } from '../coordinator/log/election.ts'
+import { CallNotSentError } from '../model/errors.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
@@ -16,6 +17,11 @@
 /** A change of coordinator takes about 0.1 s, and 0.4 s with a long log; a refused caller retries only after a second. */
 const ELECTION_WAIT_MS = 500
 const RETRY_DELAY_MS = 60
+/** Without a coordinator for longer than an election takes, the store is away for all: its outages last about 5 s. */
+const LONG_ABSENCE_MS = 2_000
+/** Callers are then told to return after 2 to 4 s, spread, so that they do not all come back at the same moment. */
+const LONG_ABSENCE_RETRY_SECONDS = 2
+const LONG_ABSENCE_SPREAD_SECONDS = 3
 
 export interface CallRouterOptions {
   readonly instance: JobInstance
@@ -25,7 +31,7 @@
   readonly logger: Logger
 }
 
-/** One attempt's answer, and the fencing token of the coordinator that it was sent to; 0 if it was not sent. */
+/** One attempt's answer, and the fencing token of the coordinator that it was sent to; 0 if it was certainly not sent. */
 interface Attempt {
   readonly answer: CoordinatorAnswer
   readonly fence: number
@@ -41,18 +47,24 @@
 
 export class CallRouter implements CallHandler {
   readonly #options: CallRouterOptions
+  /** Undefined while a coordinator is known. */
+  #noCoordinatorSinceMs: number | undefined
   #batcher: { readonly fence: number, readonly batcher: CallBatcher } | undefined
 
   constructor (options: CallRouterOptions) {
     this.#options = options
-    options.instance.onCoordinatorChange(() => this.#rejectCallsToReplacedCoordinator())
+    options.instance.onCoordinatorChange(() => {
+      this.#noCoordinatorSinceMs = options.instance.coordinator === undefined ? this.#noCoordinatorSinceMs ?? options.clock.monotonicMs() : undefined
+      this.#rejectCallsToReplacedCoordinator()
+    })
   }
 
   /**
    * Calls are idempotent by the identity of the job, so a call is retried whenever its answer is lost. A refusal does not
    * settle an earlier attempt that may still take effect, unless it comes from a later coordinator whose log lacks the
    * job, since earlier coordinators can no longer write to the store, or from the coordinator that reported the call as
-   * `underway` and has dropped it since.
+   * `underway` and has dropped it since. A call of which no attempt was sent, and a read, certainly had no effect: if they
+   * get no answer in time, the answer is `unavailable`, not `unknown`.
    */
   async handle ({ call, callerTimeoutMs }: CallerRequest): Promise<CallerAnswer> {
     const { clock } = this.#options
@@ -67,7 +79,10 @@
       const elapsedMs = clock.monotonicMs() + waitMs - startedAtMs
       const waitsForElection = reportsNoCoordinator(answer) && elapsedMs < Math.min(ELECTION_WAIT_MS, timeoutMs)
       if (answer.outcome !== 'underway' && !waitsForElection && isConclusive(call, answer, fence, unresolved)) return answer
-      if (elapsedMs > timeoutMs) return { outcome: 'unknown', message: 'message' in answer ? answer.message : answer.outcome }
+      if (elapsedMs > timeoutMs) {
+        const message = 'message' in answer ? answer.message : answer.outcome
+        return mayHaveEffect(call, unresolved) ? { outcome: 'unknown', message } : unavailable(message)
+      }
       if (waitMs > 0) await clock.sleep(waitMs)
     }
   }
@@ -75,7 +90,7 @@
   async #attempt (call: CallerCall): Promise<Attempt> {
     const { instance, ownAddress, logger } = this.#options
     const { coordinator } = instance
-    if (coordinator === undefined) return { answer: unavailable('no coordinator is known'), fence: 0 }
+    if (coordinator === undefined) return { answer: unavailable('no coordinator is known', this.#retryAfterAbsence()), fence: 0 }
     const { fence } = coordinator
     try {
       const [answer] = coordinator.address === ownAddress ? await instance.handleAll(fence, [call]) : [await this.#batcherFor(coordinator).handle(call)]
@@ -84,10 +99,18 @@
       const refused = isConnectionRefused(error)
       logger.info({ path: call.path, action: call.action, coordinator: coordinator.instance, fence, refused, error: error instanceof Error ? error.message : String(error) }, 'the coordinator did not answer')
       if (refused) instance.handleConnectionRefused(coordinator)
-      return { answer: refused ? unavailable('the coordinator can not be reached') : { outcome: 'unknown', message: 'the coordinator did not answer' }, fence }
+      if (refused) return { answer: unavailable('the coordinator can not be reached'), fence }
+      return { answer: { outcome: 'unknown', message: 'the coordinator did not answer' }, fence: error instanceof CallNotSentError ? 0 : fence }
     }
   }
 
+  /** Undefined for the usual time. */
+  #retryAfterAbsence (): number | undefined {
+    const sinceMs = this.#noCoordinatorSinceMs
+    if (sinceMs === undefined || this.#options.clock.monotonicMs() - sinceMs < LONG_ABSENCE_MS) return undefined
+    return LONG_ABSENCE_RETRY_SECONDS + Math.floor(Math.random() * LONG_ABSENCE_SPREAD_SECONDS)
+  }
+
   /** Returns the batcher of the current election; each election has its own. */
   #batcherFor ({ address, fence }: CoordinatorInfo): CallBatcher {
     if (this.#batcher?.fence !== fence) {
@@ -111,6 +134,11 @@
   return answer.outcome === 'unavailable' && answer.absent !== true
 }
 
+/** Whether one of the attempts may have taken effect, or may still do so. */
+function mayHaveEffect ({ action }: CallerCall, { unansweredFence, underwayFence }: UnresolvedAttempts): boolean {
+  return action !== 'read' && Math.max(unansweredFence, underwayFence) > 0
+}
+
 /** Whether the answer settles the outcome of the call, including its earlier attempts. */
 function isConclusive (call: CallerCall, answer: CallerAnswer, fence: number, { unansweredFence, underwayFence }: UnresolvedAttempts): boolean {
   if (answer.outcome === 'unknown') return false
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -5,6 +5,7 @@
 import { COORDINATOR_KEY, Election } from '../coordinator/log/election.ts'
 import type { CoordinatorInfo, ElectionListener } from '../coordinator/log/election.ts'
 import { JobCoordinator } from '../coordinator/jobCoordinator.ts'
+import type { AdmissionObserver } from '../coordinator/admission/admissionObserver.ts'
 import { JobIntake } from '../coordinator/admission/jobIntake.ts'
 import { CoordinatorPreference } from '../coordinator/log/coordinatorPreference.ts'
 import type { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
@@ -74,6 +75,8 @@
   readonly targetLeaseMs: () => number
   /** Retention period of the states of finished jobs; read at each election. */
   readonly finishedJobMs: () => number
+  /** Counts what the coordinator refuses; none by default. */
+  readonly admissionObserver?: AdmissionObserver
 }
 
 interface Term {
@@ -270,7 +273,8 @@
       renewElection: () => this.#election.renewNow(),
       resign: reason => runInBackground(this.#election.resign(reason, info.fence), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
-      finishedJobMs: options.finishedJobMs()
+      finishedJobMs: options.finishedJobMs(),
+      admissionObserver: options.admissionObserver
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger), relays }
     logger.info({ fence: info.fence }, 'elected as coordinator')
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -81,7 +81,8 @@
     advisor,
     peers,
     targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
-    finishedJobMs: () => reloader.current.finishedJobMs
+    finishedJobMs: () => reloader.current.finishedJobMs,
+    admissionObserver: metrics
   })
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
   const frontend = new CallerFrontend({
