Count as free only what tasks of the size can take, and describe admission

On a service full of tasks of 4.5 processors each target of 16 keeps 2.5 free, so that a further such job seemed to have room. The supply for a job now excludes parts that are too small for its tasks. An acceptance into free room counts as an expected wait of 0 for the correction.

--- a/src/coordinator/admission/admissionOutlook.ts
+++ b/src/coordinator/admission/admissionOutlook.ts
@@ -3,7 +3,7 @@
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 import type { RoomForecast } from '../forecast/roomForecast.ts'
 import type { RunTimes } from '../forecast/runTimes.ts'
-import { requiredResources } from '../placement/placeStep.ts'
+import { countFitting, requiredResources } from '../placement/placeStep.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import type { TeamUsage } from '../placement/teamUsage.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
@@ -40,6 +40,8 @@
   readonly backlog: Backlog
   /** Milliseconds until one target has room for a task of the size. */
   readonly timeUntilTargetMs: (service: string, size: ComputeResources) => number
+  /** Processors that tasks of the size can take now; what is left on a target that is too small for one does not count. */
+  readonly fittingProcessors: (service: string, size: ComputeResources) => number
 }
 
 /** Work ahead of a job, at each of `HORIZON_TIMES_MS`. */
@@ -59,6 +61,7 @@
   readonly state: OutlookState
   #ahead = new Map<string, { readonly order: number, readonly ahead: WorkAhead }>()
   readonly #targetTimes = new Map<string, number>()
+  readonly #curves = new Map<string, SupplyCurve>()
 
   constructor (state: OutlookState) {
     this.state = state
@@ -94,13 +97,30 @@
   }
 
   timeUntilTargetMs (service: string, size: ComputeResources): number {
-    const key = `${size.processors} ${size.memory} ${size.accelerators} ${service}`
-    const known = this.#targetTimes.get(key)
-    if (known !== undefined) return known
-    const timeMs = this.state.timeUntilTargetMs(service, size)
-    this.#targetTimes.set(key, timeMs)
-    return timeMs
+    return getOrCompute(this.#targetTimes, keyOf(service, size), () => this.state.timeUntilTargetMs(service, size))
   }
+
+  /** What tasks of the size can take of the service's processors. */
+  curveFor (name: string, { curve, totalProcessors, largestTarget }: ServiceOutlook, size: ComputeResources): SupplyCurve {
+    return getOrCompute(this.#curves, keyOf(name, size), () => {
+      const free = curve.processors[0] ?? 0
+      const fitting = Math.min(free, this.state.fittingProcessors(name, size))
+      const usable = totalProcessors * Math.floor(largestTarget / size.processors) * size.processors / largestTarget
+      return new SupplyCurve(curve.processors.map(each => Math.min(Math.max(usable, fitting), fitting + each - free)))
+    })
+  }
+}
+
+function keyOf (service: string, { processors, memory, accelerators }: ComputeResources): string {
+  return `${processors} ${memory} ${accelerators} ${service}`
+}
+
+function getOrCompute<Value> (known: Map<string, Value>, key: string, compute: () => Value): Value {
+  const existing = known.get(key)
+  if (existing !== undefined) return existing
+  const value = compute()
+  known.set(key, value)
+  return value
 }
 
 export interface OutlookSource {
@@ -115,6 +135,13 @@
   readonly runTimes: RunTimes
 }
 
+interface ServiceTotals {
+  total: number
+  largest: number
+  /** Free resources of each target. */
+  readonly free: ComputeResources[]
+}
+
 /**
  * Computes the outlook after a placement pass. Its cost grows with the targets and their runs, and with the waiting steps
  * that the pass has ranked.
@@ -123,12 +150,17 @@
  * admission.update(createOutlook({ nowMs, sessions, waiting: ranked, settings, usage, forecast, runTimes, urgentReserveRatio }))
  */
 export function createOutlook ({ nowMs, urgentReserveRatio, sessions, waiting, settings, usage, forecast, runTimes }: OutlookSource): AdmissionOutlook {
-  const totals = new Map<string, { total: number, largest: number }>()
+  const totals = new Map<string, ServiceTotals>()
   const releases = new Map<string, number[]>()
   for (const session of sessions) {
     const { processors } = session.capacity.total
-    const { total, largest } = totals.get(session.description.service) ?? { total: 0, largest: 0 }
-    totals.set(session.description.service, { total: total + processors, largest: Math.max(largest, processors) })
+    const { service } = session.description
+    const totalsOfService = totals.get(service) ?? { total: 0, largest: 0, free: [] }
+    totals.set(service, totalsOfService)
+    totalsOfService.total += processors
+    totalsOfService.largest = Math.max(totalsOfService.largest, processors)
+    // A copy: what is placed until the next pass counts as ahead, and must not count as taken in addition.
+    totalsOfService.free.push({ ...session.free })
     for (const { key, size, team } of session.assignments.values()) addRelease(releases, team, size.processors, forecast.remainingMs(session, key))
   }
   const backlog = new Backlog()
@@ -152,10 +184,10 @@
       const cap = settings.team(name)?.cap.processors ?? 0
       if (cap <= 0) return []
       const used = usage.usageOf(name).processors
-      const released = releases.get(name)
-      return [[name, { cap, idle: used === 0, curve: new SupplyCurve(HORIZON_TIMES_MS.map((_, index) => Math.max(0, cap - used + (released?.[index] ?? 0)))) }] as const]
+      return [[name, { cap, idle: used === 0, curve: curveOfCap(cap - used, releases.get(name)) }] as const]
     })),
-    timeUntilTargetMs: (service, size) => forecast.timeUntilRoomMs({ service, size, tasks: 1 })
+    timeUntilTargetMs: (service, size) => forecast.timeUntilRoomMs({ service, size, tasks: 1 }),
+    fittingProcessors: (service, size) => (totals.get(service)?.free ?? []).reduce((sum, free) => sum + countFitting(size, free) * size.processors, 0)
   })
 }
 
@@ -171,7 +203,18 @@
 }
 
 function addRelease (releases: Map<string, number[]>, team: string, processors: number, remainingMs: number): void {
+  const index = HORIZON_TIMES_MS.findIndex(timeMs => timeMs >= remainingMs)
+  if (index < 0) return
   const released = releases.get(team) ?? HORIZON_TIMES_MS.map(() => 0)
   releases.set(team, released)
-  for (const [index, timeMs] of HORIZON_TIMES_MS.entries()) if (timeMs >= remainingMs) released[index] = (released[index] ?? 0) + processors
+  released[index] = (released[index] ?? 0) + processors
+}
+
+/** What is left of a cap, and is released by each time. */
+function curveOfCap (left: number, released: readonly number[] = []): SupplyCurve {
+  let sum = left
+  return new SupplyCurve(HORIZON_TIMES_MS.map((_, index) => {
+    sum += released[index] ?? 0
+    return Math.max(0, sum)
+  }))
 }
--- a/src/coordinator/admission/feasibilityAdmission.test.ts
+++ b/src/coordinator/admission/feasibilityAdmission.test.ts
@@ -1,9 +1,12 @@
 import test from 'ava'
 import { ManualClock } from '../../adapters/clock/manualClock.ts'
-import type { JobProgress } from '../../jobs/jobProgress.ts'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
+import { DeclaredRunTimes } from '../forecast/runTimes.ts'
 import { SimulatedService } from '../testing/simulatedAdmission.ts'
 import type { SimulatedJob, SimulatedServiceOptions } from '../testing/simulatedAdmission.ts'
 import { AdmissionOutlook } from './admissionOutlook.ts'
+import { describeRequest } from './admissionRequest.ts'
 import type { AdmissionRequest } from './admissionRequest.ts'
 import { Backlog } from './backlog.ts'
 import { FeasibilityAdmission } from './feasibilityAdmission.ts'
@@ -107,9 +110,9 @@
 }
 
 /** An outlook in which nothing becomes free for the given time, and then all at once. */
-function outlookOf (freeInMs: number, largestTarget = 16): AdmissionOutlook {
+function outlookOf (freeInMs: number, largestTarget = 16, fitting = Infinity): AdmissionOutlook {
   const curve = SupplyCurve.from(withinMs => withinMs >= freeInMs ? 100 : 0)
-  return new AdmissionOutlook({ atMs: 0, urgentReserveRatio: 0, services: new Map([['renders', { curve, totalProcessors: 100, largestTarget }]]), teams: new Map(), backlog: new Backlog(), timeUntilTargetMs: () => 0 })
+  return new AdmissionOutlook({ atMs: 0, urgentReserveRatio: 0, services: new Map([['renders', { curve, totalProcessors: 100, largestTarget }]]), teams: new Map(), backlog: new Backlog(), timeUntilTargetMs: () => 0, fittingProcessors: () => fitting })
 }
 
 test('a job is not refused while nothing is known about its service, or when no target is large enough to judge it by', t => {
@@ -122,6 +125,25 @@
   t.is(admission.decide('1', REQUEST, 0).action, 'accept')
 })
 
+// Guards against acceptance of everything on a full service, because each target has a rest that is too small for a task.
+test('processors that are free in parts too small for a task do not count as free', t => {
+  const admission = new FeasibilityAdmission(new ManualClock())
+  admission.update(outlookOf(0))
+  t.is(admission.decide('1', REQUEST, 0).action, 'accept')
+  admission.update(outlookOf(0, 16, 0))
+  t.is(admission.decide('1', REQUEST, 0).action, 'refuse')
+})
+
+test('jobs whose time can not be estimated are not judged: lasting ones, repeated ones, and those without a declared run time or with a label', t => {
+  const describe = (overrides: Parameters<typeof createStep>[1], definition = {}): unknown => {
+    const record = createJobRecord('1', [createStep(2, overrides)])
+    return describeRequest(new JobProgress({ ...record, definition: { ...record.definition, ...definition } }, TEST_QUEUE, 0), new DeclaredRunTimes(), 0)
+  }
+  t.not(describe({}), undefined)
+  for (const overrides of [{ longRunning: true }, { estimateMs: 0 }, { requiredLabel: 'accelerated' }, { fillsSpareProcessors: true }]) t.is(describe(overrides), undefined)
+  t.is(describe({}, { repetition: { count: 2, firstWallMs: 0, intervalMs: 1_000 } }), undefined)
+})
+
 test('a job within its share is refused only when it would end after three times its objective', t => {
   const admission = new FeasibilityAdmission(new ManualClock())
   admission.update(outlookOf(2_000))
--- a/src/coordinator/admission/feasibilityAdmission.ts
+++ b/src/coordinator/admission/feasibilityAdmission.ts
@@ -71,8 +71,6 @@
   readonly allProcessors: number
   /** What jobs with precedence are expected to bring in a millisecond. */
   readonly arriving: Amount
-  /** Part of the processors that tasks of this size can use. */
-  readonly packing: number
 }
 
 /**
@@ -117,7 +115,7 @@
     const isUseless = ageMs > 0 && !endsWithin(NO_WAIT, request.lateObjectiveMs)
     const hasRoom = estimate.spareProcessors >= (isUseless ? service.totalProcessors * USELESS_HEADROOM : 0)
     if (hasRoom || endsWithin(estimate, promisedSecond === undefined ? request.objectiveMs : request.lateObjectiveMs)) {
-      return { action: 'accept', expectedStartMs: estimate.firstMs }
+      return { action: 'accept', expectedStartMs: hasRoom ? 0 : estimate.firstMs }
     }
     if (request.withinShare) {
       // Once the job is late, all jobs of its priority that are in time have precedence, also later ones.
@@ -191,12 +189,11 @@
     const reserve = request.priority === 0 ? 0 : service.totalProcessors * state.urgentReserveRatio
     const waits: Queueing[] = [{
       account: `service ${request.service}`,
-      curve: service.curve,
+      curve: outlook.curveFor(request.service, service, largestTask),
       ahead: outlook.ahead(request.service, order),
       firstProcessors: Math.min(unitProcessors + reserve, service.totalProcessors),
       allProcessors: processors + reserve,
-      arriving: this.#rates.before(request.service, arrivingBefore, nowMs),
-      packing: packingOf(largestTask.processors, service.largestTarget)
+      arriving: this.#rates.before(request.service, arrivingBefore, nowMs)
     }]
     const capped = state.teams.get(team)
     if (capped !== undefined) waits.push(queueingForCap(request, capped, outlook, order))
@@ -218,11 +215,11 @@
    * bounds are optimistic; the earlier one counts.
    */
   #startOf (request: AdmissionRequest, wait: Queueing, outlook: AdmissionOutlook, order: number, promisedSecond: number | undefined): StartEstimate {
-    const { account, curve, ahead, firstProcessors, allProcessors, arriving, packing } = wait
+    const { account, curve, ahead, firstProcessors, allProcessors, arriving } = wait
     const booked = this.#returns.booked(account, order, HORIZON_TIMES_MS.map(timeMs => outlook.state.atMs + timeMs), promisedSecond)
     const demand = (kind: keyof Amount, index: number): number => (ahead[kind][index] ?? 0) + (booked[index]?.[kind] ?? 0) + arriving[kind] * (HORIZON_TIMES_MS[index] ?? 0)
     const processorsAhead = HORIZON_TIMES_MS.map((_, index) => demand('processors', index))
-    const workAhead = HORIZON_TIMES_MS.map((_, index) => demand('work', index) / packing)
+    const workAhead = HORIZON_TIMES_MS.map((_, index) => demand('work', index))
     const roomMs = curve.timeUntilProcessors(NOTHING_AHEAD, firstProcessors)
     const byWork = (extra: number): number => Math.max(roomMs, curve.timeUntilWork(workAhead, extra))
     return {
@@ -230,7 +227,7 @@
       curve,
       spareProcessors: (curve.processors[0] ?? 0) - (ahead.processors[0] ?? 0) - firstProcessors,
       firstMs: Math.min(curve.timeUntilProcessors(processorsAhead, firstProcessors), byWork(1)),
-      lastMs: Math.min(curve.timeUntilProcessors(processorsAhead, allProcessors), byWork(1 + workBeforeLastTask(request) / packing))
+      lastMs: Math.min(curve.timeUntilProcessors(processorsAhead, allProcessors), byWork(1 + workBeforeLastTask(request)))
     }
   }
 
@@ -254,16 +251,10 @@
     ahead: { processors: HORIZON_TIMES_MS.map(() => ahead.processors), work: HORIZON_TIMES_MS.map(() => ahead.work) },
     firstProcessors: Math.min(cap, Math.max(unitProcessors, reserve)),
     allProcessors: Math.max(processors, reserve + processors - unitProcessors),
-    arriving: NO_AMOUNT,
-    packing: 1
+    arriving: NO_AMOUNT
   }
 }
 
 function workBeforeLastTask ({ firstWork, unitProcessors, processors }: AdmissionRequest): number {
   return firstWork * (1 - unitProcessors / processors)
 }
-
-/** Part of a target's processors that tasks of one size can use. */
-function packingOf (taskProcessors: number, targetProcessors: number): number {
-  return taskProcessors <= 0 ? 1 : Math.floor(targetProcessors / taskProcessors) * taskProcessors / targetProcessors
-}
--- a/src/coordinator/testing/simulatedAdmission.ts
+++ b/src/coordinator/testing/simulatedAdmission.ts
@@ -154,7 +154,7 @@
     }))
     const curve = SupplyCurve.from(withinMs => processors - this.#used() + this.#releasedWithin(withinMs))
     const services = new Map([['renders', { curve, totalProcessors: processors, largestTarget: TARGET_PROCESSORS }]])
-    this.#admission.update(new AdmissionOutlook({ atMs: this.#clock.monotonicMs(), urgentReserveRatio: 0, backlog, teams, services, timeUntilTargetMs: () => 0 }))
+    this.#admission.update(new AdmissionOutlook({ atMs: this.#clock.monotonicMs(), urgentReserveRatio: 0, backlog, teams, services, timeUntilTargetMs: () => 0, fittingProcessors: () => Infinity }))
   }
 
   #orderOf ({ job, request }: Submission): number {
--- a/src/entry/callerCall.ts
+++ b/src/entry/callerCall.ts
@@ -39,7 +39,7 @@
   | { readonly outcome: 'no-queue' | 'no-job' | 'unauthenticated' }
   | { readonly outcome: 'invalid', readonly message: string }
   | Refusal<'unavailable'>
-  /** The team is above its share and there is no spare capacity; the call has no effect, now or later. */
+  /** The job could not end in time, or the team is above its share and the coordinator is busy; the call has no effect, now or later. */
   | Refusal<'limited'>
   /** The call may have taken effect; it is safe to repeat it. */
   | { readonly outcome: 'unknown', readonly message: string }
