Keep the promise to a refused caller who returns too soon

Callers who retry before their Retry-After were judged by three times their objective, as if their promise were due, and overtook those who wait.

--- a/src/coordinator/admission/feasibilityAdmission.test.ts
+++ b/src/coordinator/admission/feasibilityAdmission.test.ts
@@ -10,6 +10,7 @@
 import type { AdmissionRequest } from './admissionRequest.ts'
 import { Backlog } from './backlog.ts'
 import { FeasibilityAdmission } from './feasibilityAdmission.ts'
+import type { AdmissionDecision } from './feasibilityAdmission.ts'
 import { SupplyCurve } from './supplyCurve.ts'
 
 const URGENT = { priority: 0, tasks: 3, taskProcessors: 2.5, runMs: 800, objectiveMs: 1_700 }
@@ -153,6 +154,26 @@
   t.is(admission.decide('3', { ...REQUEST, withinShare: true }, 0).action, 'refuse')
 })
 
+// Guards against callers who do not wait for their Retry-After and are served before those who do.
+test('a caller who returns before the promised time is told the rest of it, and is accepted then', async t => {
+  const clock = new ManualClock()
+  const admission = new FeasibilityAdmission(clock)
+  admission.update(outlookOf(1_500))
+  const request = { ...REQUEST, lateObjectiveMs: 8_000 }
+  const submit = (): AdmissionDecision => {
+    const decision = admission.decide('1', request, 0)
+    if (decision.action === 'refuse') admission.recordRefusal('1', request, decision)
+    return decision
+  }
+  t.like(submit(), { action: 'refuse', retryAfterSeconds: 2 })
+  await clock.advance(300)
+  t.like(submit(), { action: 'refuse', retryAfterSeconds: 2, keepsPromise: true })
+  await clock.advance(1_000)
+  t.like(submit(), { action: 'refuse', retryAfterSeconds: 1, keepsPromise: true })
+  await clock.advance(1_000)
+  t.is(submit().action, 'accept')
+})
+
 test('later callers are told later times, and none more than 10 s', t => {
   const admission = new FeasibilityAdmission(new ManualClock())
   admission.update(outlookOf(1_500))
--- a/src/coordinator/admission/feasibilityAdmission.ts
+++ b/src/coordinator/admission/feasibilityAdmission.ts
@@ -47,8 +47,10 @@
   readonly reason: RefusalReason
   readonly retryAfterSeconds: number
   readonly expectedStartMs: number
-  /** The capacity that is kept for the job's return; undefined if none is. */
+  /** The capacity that is kept for the job's return; undefined if none is newly kept. */
   readonly promisedBy?: Account
+  /** Whether an earlier promise to the job, which has returned too soon, stays in force. */
+  readonly keepsPromise?: boolean
 }
 
 /** When the first and the last task of a job's first steps can start, and which capacity delays them longest. */
@@ -107,6 +109,8 @@
     const nowMs = this.#clock.monotonicMs()
     const returning = this.#returns.find(id, nowMs)
     const promisedSecond = returning?.promised === true ? returning.second : undefined
+    const promisedInMs = promisedSecond === undefined ? 0 : promisedSecond * MS_PER_SECOND - nowMs
+    const promiseIsDue = promisedSecond !== undefined && promisedInMs <= 0
     const ageMs = returning === undefined ? 0 : Math.max(0, nowMs - returning.firstAttemptMs)
     const place = priorityOfOrder(request.order)
     const estimate = this.#estimate(request, outlook, service, request.order, place, promisedSecond)
@@ -114,7 +118,7 @@
     const endsWithin = ({ lastMs }: Pick<StartEstimate, 'lastMs'>, limitMs: number): boolean => lastMs + request.criticalPathMs <= Math.max(limitMs, ownMs) - ageMs
     const isUseless = ageMs > 0 && !endsWithin(NO_WAIT, request.lateObjectiveMs)
     const hasRoom = estimate.spareProcessors >= (isUseless ? service.totalProcessors * USELESS_HEADROOM : 0)
-    if (hasRoom || endsWithin(estimate, promisedSecond === undefined ? request.objectiveMs : request.lateObjectiveMs)) {
+    if (hasRoom || endsWithin(estimate, promiseIsDue ? request.lateObjectiveMs : request.objectiveMs)) {
       return { action: 'accept', expectedStartMs: hasRoom ? 0 : estimate.firstMs }
     }
     if (request.withinShare) {
@@ -123,6 +127,7 @@
       if (endsWithin(late, request.lateObjectiveMs)) return { action: 'accept', expectedStartMs: late.firstMs }
     }
     const reason = request.withinShare ? 'useless' : 'late'
+    if (promisedInMs > 0) return { action: 'refuse', reason, retryAfterSeconds: Math.ceil(promisedInMs / MS_PER_SECOND), expectedStartMs: estimate.firstMs, keepsPromise: true }
     // At its return the job may have to wait as long as any other that is accepted then.
     const promisedSeconds = this.#findPromise(request, estimate, outlook, request.lateObjectiveMs - Math.max(request.objectiveMs, ownMs) - ageMs)
     if (promisedSeconds !== undefined) return { action: 'refuse', reason, retryAfterSeconds: promisedSeconds, expectedStartMs: estimate.firstMs, promisedBy: estimate.account }
@@ -139,7 +144,8 @@
   }
 
   /** Records when the job's caller was told to return, and the capacity promised to it. */
-  recordRefusal (id: string, request: AdmissionRequest, { promisedBy, retryAfterSeconds }: RefusalDecision): void {
+  recordRefusal (id: string, request: AdmissionRequest, { promisedBy, retryAfterSeconds, keepsPromise }: RefusalDecision): void {
+    if (keepsPromise === true) return
     const nowMs = this.#clock.monotonicMs()
     const returning = this.#returns.find(id, nowMs)
     this.#releasePromise(returning, request)
