--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -124,7 +124,7 @@
     const estimated = this.#estimate(record, queue)
     if (estimated?.decision.action === 'refuse') {
       // The job did not use the share that was taken for it.
-      if (withinShare) this.#shares.record(team, -1)
+      if (teamSettings !== undefined && withinShare) this.#shares.record(team, -1)
       return this.#refuse(estimated.request, estimated.decision, record)
     }
     const durable = this.#coordinator.applyAndAppend([...this.#coordinator.missingQueueRecords(queue), record])
