--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -18,6 +18,8 @@
 import type { CoordinatorInfo } from './log/election.ts'
 import type { RoomForecast } from './forecast/roomForecast.ts'
 import { AdmissionControl } from './admission/admissionControl.ts'
+import type { AdmissionObserver } from './admission/admissionObserver.ts'
+import { FeasibilityAdmission } from './admission/feasibilityAdmission.ts'
 import { classifyCrash, createCrashRecords, hasCommonCause, OutageHistory } from './targets/crashEvidence.ts'
 import type { Outage } from './targets/crashEvidence.ts'
 import type { DesiredStateWatcher } from './desiredStateWatcher.ts'
@@ -104,6 +106,7 @@
   #stopFollowingEvacuations: () => void = () => {}
   readonly #runTimes: LearnedRunTimes
   readonly #slowTargets: SlowTargets
+  readonly #feasibility: FeasibilityAdmission
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -132,8 +135,9 @@
     this.#admission = new AdmissionControl(clock)
     this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
     this.#slowTargets = new SlowTargets(this.#runTimes)
+    this.#feasibility = new FeasibilityAdmission(clock)
     this.#placer = new TaskPlacer({
-      clock, logger, metrics: this.#metrics, admission: this.#admission, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, metrics: this.#metrics, feasibility: this.#feasibility, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -151,7 +155,7 @@
     return this.#options.info
   }
 
-  /** Tracks waiting jobs and the load of this process. */
+  /** Tracks the load of this process. */
   get admission (): AdmissionControl {
     return this.#admission
   }
@@ -171,6 +175,15 @@
     return this.#placer.forecast
   }
 
+  /** Decides which jobs can still end in time. */
+  get feasibility (): FeasibilityAdmission {
+    return this.#feasibility
+  }
+
+  get admissionObserver (): AdmissionObserver {
+    return this.#metrics
+  }
+
   /** Whether the store is known to be rejecting records. */
   get storeFails (): boolean {
     const since = this.#log?.failingSinceMs
@@ -313,6 +326,8 @@
     if (job.outcome !== undefined) return runInBackground(session.stop(assignment), this.#logger, 'stop of a run')
     if (job.hasStarted) return
     job.markStarted(this.#clock.monotonicMs())
+    const expectedMs = this.#feasibility.recordStart(job)
+    if (expectedMs !== undefined) this.#metrics.observeStart(job.queue.priority, expectedMs, this.#clock.monotonicMs() - job.acceptedAtMs)
   }
 
   /** Stops the other members of a gang, which would only wait until the missing one has certainly ended. */
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -23,7 +23,8 @@
 import { LocalityReport } from './localityReport.ts'
 import { LocalityWait } from './localityWait.ts'
 import { PlacementPass } from './placementPass.ts'
-import type { AdmissionControl } from '../admission/admissionControl.ts'
+import { createOutlook } from '../admission/admissionOutlook.ts'
+import type { FeasibilityAdmission } from '../admission/feasibilityAdmission.ts'
 import { countFitting, fitsWithin, isSuitable, placeStep, requiredResources } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
 import { ALL_ROOM } from './roomView.ts'
@@ -53,8 +54,8 @@
   readonly runTimes: RankingRunTimes
   /** Whether runs on the target take longer than elsewhere; such targets come last. */
   readonly isSlow: (session: TargetSession) => boolean
-  /** Updated with the waiting jobs after each full pass. */
-  readonly admission: AdmissionControl
+  /** Gets the outlook after each full pass. */
+  readonly feasibility: FeasibilityAdmission
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
@@ -232,9 +233,10 @@
     }
     if (urgentOnly) return
     this.#scheduleRenewal()
-    // A step that waits for a place near its data has room elsewhere.
-    this.#options.admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0 && !this.#locality.isWaiting(step))
-      .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
+    // Read after placement, since sums that were computed during the pass lack what it has placed.
+    this.#forecast.update(open)
+    const { feasibility, runTimes, desiredState } = this.#options
+    feasibility.update(createOutlook({ nowMs, sessions: open, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
   }
 
   /** Reservations and the waits behind them end in a pass, which nothing else may request for a second. */
