--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -19,11 +19,11 @@
 import { PlacementPass } from './placementPass.ts'
 import type { AdmissionControl } from '../admission/admissionControl.ts'
 import { countFitting, fitsWithin, placeStep, requiredResources } from './placeStep.ts'
+import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
 import type { ReservationEnd } from './placementReservations.ts'
 import { ALL_ROOM } from './roomView.ts'
 import type { RoomView } from './roomView.ts'
-import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
@@ -36,7 +36,6 @@
 const PASS_THROTTLE_LIMITS: ThrottleLimits = { minDelayMs: 5, maxDelayMs: 250, idleFactor: 3 }
 /** Fraction of the processors reserved for urgent tasks. */
 const URGENT_RESERVE_RATIO = 0.05
-
 /** Longest time between passes while there are reservations. */
 const RENEWAL_INTERVAL_MS = 250
 
@@ -91,7 +90,7 @@
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#reservations = this.#createReservations()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
-    this.#passThrottle = new AdaptiveThrottle(this.#clock, { ...PASS_THROTTLE_LIMITS, minDelayMs: 25 }, () => { const b = performance.now(); this.#runPass(false); (globalThis as any).passes?.push(performance.now() - b) })
+    this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
