Count what waits for locality save for all tasks together

The time that a run saves now counts in full while the near tasks of the rack leave part of it to others, or the service is nearly full, and less otherwise.

--- a/src/coordinator/placement/localityWait.ts
+++ b/src/coordinator/placement/localityWait.ts
@@ -13,6 +13,12 @@
 const MAX_WAIT_MS = 2_000
 /** A pass may come 250 ms after the last one, and a start takes a few round trips. */
 const SLACK_MARGIN_MS = 300
+/** Demand of the last seconds; long against runs, and short enough to follow a burst. */
+const DEMAND_WINDOW_MS = 10_000
+/** With a larger part of its processors free, a service does not lack those that longer runs far away take from others. */
+const AMPLE_FREE_SHARE = 0.2
+/** Waits lose little until the near tasks of a rack use nearly all of it; see the comparison in docs/design/locality-wait.md. */
+const DEMAND_EXPONENT = 4
 /** Racks that are examined for a group without data; bounds the work to a few scans of the targets. */
 const MAX_RACKS = 4
 
@@ -50,6 +56,12 @@
   readonly onEnd: (wait: EndedWait) => void
 }
 
+/** Work of tasks that are near on a rack, decayed over `DEMAND_WINDOW_MS`, in millicore-milliseconds. */
+interface Demand {
+  work: number
+  atMs: number
+}
+
 interface WaitState {
   readonly firstAtMs: number
   readonly gainMs: number
@@ -62,7 +74,10 @@
 }
 
 /**
- * A task waits while the expected time until there is a place near is shorter than what the run then saves. All waits of
+ * A task waits while the expected time until there is a place near is shorter than what the run then saves. On a rack that
+ * is filled by tasks with data there, the place would go to the next of them anyway, so that waits cost time and save
+ * none: there only a part of the saving counts, unless the service is so full that longer runs elsewhere take the
+ * capacity from others. All waits of
  * a step end before the time saved has passed since the first one, and while the job can still meet its objective
  * elsewhere. A waiting task holds no capacity.
  *
@@ -74,6 +89,8 @@
 export class LocalityWait {
   readonly #options: LocalityWaitOptions
   readonly #states = new WeakMap<StepProgress, WaitState>()
+  /** By service and rack; without a rack for groups that may run on any one. */
+  readonly #demands = new Map<string, Demand>()
   /** Resources for which steps wait that were decided on earlier in the pass, by service and rack. */
   readonly #claims = new Map<string, { processors: number, tasks: number }>()
 
@@ -106,6 +123,7 @@
     // Those that wait are the last choice of placement.
     const waitingPositions = new Set(far.slice(far.length - waiting))
     const started = racks.flatMap((_, position) => waitingPositions.has(position) ? [] : [position])
+    this.#recordDemand(question, started.length)
     this.#record(question, waiting, started.filter(position => near[position]).length, started.filter(position => !near[position]).length)
     return started
   }
@@ -121,7 +139,8 @@
     if (gainMs <= 0 || definition.longRunning) return 0
     const targets = question.findTargets()
     const racks = findNearRacks(definition, targets, far)
-    const mayWait = (tasks: number): string | undefined => racks.find(rack => this.#paysOff(question, gainMs, this.#timeUntilRoomMs(question, targets, rack, near + tasks)))
+    const expectedGainMs = gainMs * this.#commonShare(question, targets)
+    const mayWait = (tasks: number): string | undefined => racks.find(rack => this.#paysOff(question, gainMs, expectedGainMs, this.#timeUntilRoomMs(question, targets, rack, near + tasks)))
     const smallest = this.#isGroup(definition) ? far : 1
     let rack = mayWait(smallest)
     if (rack === undefined) return 0
@@ -147,17 +166,44 @@
     return factor > 1 ? runTimes.expectedMs(step) * (factor - 1) : 0
   }
 
-  #paysOff ({ step, slackMs, nowMs }: LocalityQuestion, gainMs: number, waitMs: number): boolean {
+  #paysOff ({ step, slackMs, nowMs }: LocalityQuestion, gainMs: number, expectedGainMs: number, waitMs: number): boolean {
     // With room now, it is something else that keeps the tasks from the place.
     if (waitMs <= 0) return false
     const state = this.#states.get(step)
     const waitedMs = nowMs - (state?.firstAtMs ?? nowMs)
-    if (waitedMs + waitMs >= Math.min(gainMs, state?.gainMs ?? gainMs, MAX_WAIT_MS)) return false
+    if (waitedMs + waitMs >= Math.min(expectedGainMs, state?.gainMs ?? expectedGainMs, MAX_WAIT_MS)) return false
     const isLateElsewhere = slackMs < gainMs
     if (isLateElsewhere) return state?.metObjective !== true
     return waitMs + gainMs + SLACK_MARGIN_MS <= slackMs
   }
 
+  /** Part of the run time saved near that is saved for all tasks together; from 0 to 1. */
+  #commonShare ({ definition, service, nowMs }: LocalityQuestion, targets: readonly TargetSession[]): number {
+    const demand = this.#demands.get(claimKey(service, definition.dataRack))
+    if (demand === undefined) return 1
+    let near = 0
+    let total = 0
+    let free = 0
+    for (const target of targets) {
+      const { processors } = target.capacity.total
+      if (definition.dataRack === '' || target.rack === definition.dataRack) near += processors
+      total += processors
+      free += target.free.processors
+    }
+    if (near <= 0 || total <= 0) return 0
+    const used = demand.work * decay(nowMs - demand.atMs) / DEMAND_WINDOW_MS
+    return Math.max(0, 1 - (used / near) ** DEMAND_EXPONENT, 1 - free / total / AMPLE_FREE_SHARE)
+  }
+
+  /** Counts tasks that start, near or far, for the rack that they prefer. */
+  #recordDemand ({ step, definition, service, nowMs }: LocalityQuestion, tasks: number): void {
+    if (tasks === 0) return
+    const key = claimKey(service, definition.dataRack)
+    const demand = this.#demands.get(key)
+    const work = tasks * requiredResources(definition).processors * this.#options.runTimes.expectedMs(step)
+    this.#demands.set(key, { work: work + (demand === undefined ? 0 : demand.work * decay(nowMs - demand.atMs)), atMs: nowMs })
+  }
+
   #timeUntilRoomMs ({ definition, service }: LocalityQuestion, targets: readonly TargetSession[], rack: string, tasks: number): number {
     const size = requiredResources(definition)
     const inRack = new Set(targets.filter(target => target.rack === rack))
@@ -213,6 +259,10 @@
   return [...racks].filter(([, { total }]) => total >= needed).sort(([, left], [, right]) => right.free - left.free).slice(0, MAX_RACKS).map(([rack]) => rack)
 }
 
+function decay (elapsedMs: number): number {
+  return Math.exp(-elapsedMs / DEMAND_WINDOW_MS)
+}
+
 function claimKey (service: string, rack: string): string {
   return `${service} ${rack}`
 }
