--- a/src/coordinator/placement/localityWait.test.ts
+++ b/src/coordinator/placement/localityWait.test.ts
@@ -24,8 +24,8 @@
 }
 
 /** One target on each rack. */
-function createTargets (racks: readonly string[]): readonly TargetSession[] {
-  return racks.map(rack => ({ rack, free: resources({}), capacity: { total: resources({ processors: 16_000 }) } }) as unknown as TargetSession)
+function createTargets (racks: readonly string[], freeProcessors = 0): readonly TargetSession[] {
+  return racks.map(rack => ({ rack, free: resources({ processors: freeProcessors }), capacity: { total: resources({ processors: 16_000 }) } }) as unknown as TargetSession)
 }
 
 /** Racks of targets whose places become free at given times. */
@@ -159,6 +159,22 @@
   t.is(next.length, 4)
 })
 
+// Guards against waits for places that the next task would use near its data anyway, and against runs far away that fill a service.
+test('for a rack that its near tasks fill no task waits, unless the service has no capacity to spare for longer runs elsewhere', t => {
+  const scene = new Scene()
+  scene.targets = createTargets(['near', 'far', 'other'], 8_000)
+  for (; scene.nowMs < 30_000; scene.nowMs += PASS_MS) scene.decide(createStepProgress(), ['near'])
+  scene.freeAtMs.set('near', [scene.nowMs + 100])
+  t.is(scene.decide(createStepProgress(), ['far']), 1, 'sixteen processors, of which the tasks use sixteen')
+  scene.targets = createTargets(['near', 'far', 'other'])
+  t.is(scene.decide(createStepProgress(), ['far']), 0, 'the service is full')
+  scene.targets = createTargets(['near', 'far', 'other'], 8_000)
+  scene.wait.beginPass()
+  scene.nowMs += 20_000
+  scene.freeAtMs.set('near', [scene.nowMs + 100])
+  t.is(scene.decide(createStepProgress(), ['far']), 0, 'the demand has ended')
+})
+
 // Guards against tasks that wait for a place that is gone.
 test('when the targets of the rack are lost, drain or are evacuated, the task starts elsewhere at once', t => {
   const scene = new Scene()
