Limit what clients can occupy at the front ends

Cause: bodies that stay open, pipelined requests and unread answers took memory without a limit, and short requests and chunks took the event loop for seconds.

A shared guard (src/adapters/http) charges bodies, unparsed input and unread answers to a budget that follows the instance's memory, and refuses or closes the client that has held the most for the longest time. It stops parsing a connection while its answers are unsent or unread, bounds the work for clients in one turn of the event loop, and limits the connections and the times for heads, bodies and answers. Both front ends use it. Each limit has a setting.

The tests now show why a call got no answer; their checks are the same.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -7,11 +7,15 @@
 import { RefusalError } from '../../model/errors.ts'
 import type { CallerHandler } from '../../ports/callerHandler.ts'
 import type { RunEvent } from '../../ports/peerClient.ts'
+import { FrontEndBusyError, FrontEndGuard } from '../http/frontEndGuard.ts'
+import type { FrontEndGuardOptions } from '../http/frontEndGuard.ts'
+import { DEFAULT_FRONT_END_LIMITS, deriveClientShare } from '../http/frontEndLimits.ts'
+import type { FrontEndLimits } from '../http/frontEndLimits.ts'
 import { GracefulServerClose } from '../http/gracefulServerClose.ts'
 import { getBoundAddress, listenOn } from '../network.ts'
 import { REFUSAL_STATUS } from './refusalStatus.ts'
 
-export interface CallerServerOptions {
+export interface CallerServerOptions extends Partial<Omit<FrontEndLimits, 'connections' | 'bodyTimeoutMs'>>, Omit<FrontEndGuardOptions, 'limits'> {
   readonly address: string
   readonly bodyLimitBytes: number
   readonly connectionLimit: number
@@ -21,6 +25,8 @@
 
 const REQUESTS_PATH = '/v1/requests'
 const HEADERS_TIMEOUT_MS = 10_000
+/** Sent with a refusal for want of memory. */
+const RETRY_AFTER_SECONDS = 1
 /**
  * How long open connections still accept requests during a planned stop; each response then carries
  * `connection: close`. Busy callers send several requests in this time, so that few connections are closed without it.
@@ -32,6 +38,7 @@
   readonly #options: CallerServerOptions
   readonly #handler: CallerHandler
   readonly #server: Server
+  readonly #guard: FrontEndGuard
   readonly #gracefulClose: GracefulServerClose
   readonly #openResponses = new Set<Promise<void>>()
   #stopping = false
@@ -39,12 +46,10 @@
   constructor (options: CallerServerOptions, handler: CallerHandler) {
     this.#options = options
     this.#handler = handler
-    this.#server = createServer({
-      requestTimeout: options.requestTimeoutMs,
-      headersTimeout: Math.min(HEADERS_TIMEOUT_MS, options.requestTimeoutMs)
-    })
+    // A request without a host is answered here: answers of the HTTP server itself are not counted as open requests.
+    this.#server = createServer({ requireHostHeader: false })
+    this.#guard = new FrontEndGuard(this.#server, { limits: createLimits(options), onRefused: options.onRefused, onSummary: options.onSummary })
     this.#gracefulClose = new GracefulServerClose(this.#server)
-    this.#server.maxConnections = options.connectionLimit
     this.#server.on('request', (request, response) => this.#track(this.#respond(request, response)))
   }
 
@@ -95,6 +100,10 @@
   }
 
   async #route (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      response.shouldKeepAlive = false
+      throw new RefusalError('the host header is missing', { code: 'invalid', verdict: 'not-run' })
+    }
     const pathname = readPath(request)
     const key = readApiKey(request)
     if (pathname === REQUESTS_PATH && request.method === 'POST') return await this.#run(key, request, response)
@@ -111,8 +120,30 @@
     throw createNotFoundError(`${request.method} is not supported at ${pathname}`)
   }
 
+  async #readJson (request: IncomingMessage, response: ServerResponse): Promise<unknown> {
+    const { bodyLimitBytes } = this.#options
+    const text = await this.#readText(request, response)
+    if (text === undefined) throw new RefusalError(`the request body is larger than ${bodyLimitBytes} bytes`, { code: 'too-large', verdict: 'not-run' })
+    try {
+      return JSON.parse(text)
+    } catch (error) {
+      throw new RefusalError(`the request body is not valid JSON: ${(error as Error).message}`, { code: 'invalid', verdict: 'not-run' })
+    }
+  }
+
+  async #readText (request: IncomingMessage, response: ServerResponse): Promise<string | undefined> {
+    try {
+      return await this.#guard.readBody(request, this.#options.bodyLimitBytes)
+    } catch (error) {
+      if (!(error instanceof FrontEndBusyError)) throw error
+      response.setHeader('connection', 'close')
+      response.setHeader('retry-after', String(RETRY_AFTER_SECONDS))
+      throw new RefusalError(error.message, { code: 'shed', verdict: 'not-run' })
+    }
+  }
+
   async #run (key: string | undefined, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readJson(request, this.#options.bodyLimitBytes)
+    const body = await this.#readJson(request, response)
     const abort = new AbortController()
     response.on('close', () => {
       if (!response.writableFinished) abort.abort(new Error('the caller closed the connection'))
@@ -121,6 +152,19 @@
   }
 }
 
+function createLimits (options: CallerServerOptions): FrontEndLimits {
+  const { connectionLimit, requestTimeoutMs, memoryBytes, headerTimeoutMs, answerTimeoutMs, idleTimeoutMs, pipelinedRequests } = options
+  return {
+    memoryBytes: memoryBytes ?? deriveClientShare().memoryBytes,
+    connections: connectionLimit,
+    headerTimeoutMs: Math.min(headerTimeoutMs ?? HEADERS_TIMEOUT_MS, requestTimeoutMs),
+    bodyTimeoutMs: requestTimeoutMs,
+    answerTimeoutMs: answerTimeoutMs ?? DEFAULT_FRONT_END_LIMITS.answerTimeoutMs,
+    idleTimeoutMs: idleTimeoutMs ?? DEFAULT_FRONT_END_LIMITS.idleTimeoutMs,
+    pipelinedRequests: pipelinedRequests ?? DEFAULT_FRONT_END_LIMITS.pipelinedRequests
+  }
+}
+
 /** Writes the events as a response; an answer without a valid end event resets the connection. */
 async function writeAnswer (response: ServerResponse, events: AsyncIterable<RunEvent>): Promise<void> {
   let written = 0
@@ -203,20 +247,3 @@
     throw new RefusalError(`${pathname} is not correctly percent-encoded`, { code: 'invalid', verdict: 'not-run' })
   }
 }
-
-async function readJson (request: IncomingMessage, limitBytes: number): Promise<unknown> {
-  const chunks: Buffer[] = []
-  let size = 0
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.byteLength
-    if (size > limitBytes) {
-      throw new RefusalError(`the request body is larger than ${limitBytes} bytes`, { code: 'too-large', verdict: 'not-run' })
-    }
-    chunks.push(chunk)
-  }
-  try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8'))
-  } catch (error) {
-    throw new RefusalError(`the request body is not valid JSON: ${(error as Error).message}`, { code: 'invalid', verdict: 'not-run' })
-  }
-}
--- /dev/null
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -0,0 +1,96 @@
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { text } from 'node:stream/consumers'
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { getBoundAddress, listenOn, parseAddress } from '../network.ts'
+import { FrontEndGuard } from './frontEndGuard.ts'
+import { DEFAULT_FRONT_END_LIMITS } from './frontEndLimits.ts'
+import type { FrontEndLimits } from './frontEndLimits.ts'
+
+const GET = 'GET / HTTP/1.1\r\nhost: test\r\n\r\n'
+const LAST_GET = 'GET / HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n'
+const POST = 'POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 5\r\n\r\nab\n\nc'
+
+async function startServer (t: ExecutionContext, limits: Partial<FrontEndLimits>, handle: (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse) => void): Promise<{ readonly guard: FrontEndGuard, open (input: string): Socket }> {
+  const server = createServer((request, response) => handle(guard, request, response))
+  const guard = new FrontEndGuard(server, { limits: { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 1_000_000, connections: 10, ...limits } })
+  await listenOn(server, '127.0.0.1:0')
+  t.teardown(() => server.close().closeAllConnections())
+  return {
+    guard,
+    open (input) {
+      const socket = connect(parseAddress(getBoundAddress(server)))
+      socket.on('error', () => {}).write(input)
+      return socket
+    }
+  }
+}
+
+async function echo (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  try {
+    response.end(`[${await guard.readBody(request, 100_000)}]`)
+  } catch {
+    response.writeHead(503, { connection: 'close' }).end()
+  }
+}
+
+test('pipelined requests beyond the limit wait for the answers before them, and all are answered in order', async t => {
+  let mostOpen = 0
+  const open: ServerResponse[] = []
+  const server = await startServer(t, { pipelinedRequests: 3 }, (_guard, _request, response) => {
+    open.push(response)
+    mostOpen = Math.max(mostOpen, open.length)
+    setImmediate(() => open.shift()?.end('served'))
+  })
+  const answers = await text(server.open(GET.repeat(50) + LAST_GET))
+  t.is(answers.split('served').length - 1, 51)
+  t.true(mostOpen <= 4, `${mostOpen} open requests`)
+})
+
+test('a request in pieces of one byte, also one between others, is read whole', async t => {
+  const server = await startServer(t, {}, (guard, request, response) => { echo(guard, request, response) })
+  const socket = server.open('')
+  const answers = text(socket)
+  for (const byte of `\r\n${POST}${POST}${LAST_GET}`) {
+    socket.write(byte)
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  t.is((await answers).match(/\[.*\]|\[ab\n\nc\]/g)?.join(' '), '[ab\n\nc] [ab\n\nc] []')
+})
+
+test('open bodies beyond the memory are refused with 503 and closed, and a small request is served meanwhile', async t => {
+  const server = await startServer(t, { memoryBytes: 100_000 }, (guard, request, response) => { echo(guard, request, response) })
+  const part = `POST / HTTP/1.1\r\nhost: test\r\ntransfer-encoding: chunked\r\n\r\n${'a000\r\n' + 'x'.repeat(0xa000) + '\r\n'}`
+  const refused = Promise.race([server.open(part), server.open(part), server.open(part)].map(async socket => await text(socket)))
+  t.regex(await refused, /^HTTP\/1\.1 503 /)
+  t.true(server.guard.heldBytes <= 100_000)
+  t.regex(await text(server.open(POST.replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'))), /\[ab\n\nc\]$/)
+})
+
+test('a connection whose answers are not read takes no further requests, and delays no other connection', async t => {
+  let served = 0
+  const server = await startServer(t, {}, (_guard, request, response) => {
+    if (request.url === '/') served += 1
+    response.end(Buffer.alloc(100_000))
+  })
+  const unread = server.open(GET.repeat(1_000))
+  unread.pause()
+  await once(unread, 'connect')
+  t.true((await text(server.open(LAST_GET.replace(' / ', ' /other ')))).length > 100_000)
+  t.true(served < 500, `${served} served`)
+  t.true(server.guard.heldBytes > 0)
+  unread.destroy()
+})
+
+test('beyond the limit of connections, the newest is closed, and the others are served', async t => {
+  const server = await startServer(t, { connections: 2 }, (_guard, _request, response) => { response.end('served') })
+  const [first, second] = [server.open(GET), server.open(GET)]
+  await Promise.all([once(first, 'data'), once(second, 'data')])
+  t.is(await text(server.open(LAST_GET)).catch(() => ''), '')
+  first.write(LAST_GET)
+  t.regex(await text(first), /served$/)
+})
--- /dev/null
+++ b/src/adapters/http/frontEndGuard.ts
@@ -0,0 +1,425 @@
+/** Protects an HTTP server from clients that send more than they read, or that keep requests open. */
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { BaseError } from '../../model/errors.ts'
+import type { FrontEndLimits } from './frontEndLimits.ts'
+import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
+import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
+import { RequestInput } from './requestInput.ts'
+
+/** Time-outs are checked, and what was refused is reported, at this interval. */
+const CHECK_INTERVAL_MS = 1_000
+/** A client may be closed in favour of a new one if its request has been incomplete, or its answer unread, for this time. */
+const STALLED_MS = 1_000
+/** Time for the requests of all connections in one turn of the event loop. Timers and answers of other servers wait meanwhile. */
+const TURN_MS = 10
+/** Time for the requests of one connection in a turn, after which others have theirs. */
+const CONNECTION_TURN_MS = 2
+/** Heads beyond this size go to the parser at once, which refuses them. */
+const MAX_HELD_HEAD_BYTES = 16_384
+/** Charged for each request of a connection beyond the first. */
+const REQUEST_BYTES = 4_096
+/** Connections that are accepted beyond the limit in order to choose the one that is closed. */
+const SPARE_CONNECTIONS = 16
+/** The platform's pages allow connections that are idle for this time, so they are not closed in favour of new ones. */
+const ALLOWED_IDLE_MS = 15_000
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
+
+/** What was refused or closed within one interval. */
+export interface OverloadSummary {
+  readonly counts: Readonly<Partial<Record<OverloadReason, number>>>
+  readonly connections: number
+  readonly heldBytes: number
+}
+
+export interface FrontEndGuardOptions {
+  readonly limits: FrontEndLimits
+  /** Called for each refused request or closed connection. */
+  readonly onRefused?: (reason: OverloadReason) => void
+  /** Called at most once a second. */
+  readonly onSummary?: (summary: OverloadSummary) => void
+}
+
+/** There is no memory for the body of a request. The request has had no effect. */
+export const FrontEndBusyError = BaseError.subclass('FrontEndBusyError')
+
+/**
+ * Limits the memory, the time and the connections of the clients of a server. While the answers of a connection are
+ * unsent or unread, its further requests are not parsed. Must be created after the server and before it listens.
+ *
+ * @example
+ * const guard = new FrontEndGuard(server, { limits, onSummary: summary => logger.warn(summary, 'front end overloaded') })
+ * const body = await guard.readBody(request, 262_144)
+ */
+export class FrontEndGuard {
+  readonly #options: FrontEndGuardOptions
+  readonly #budget: MemoryBudget
+  readonly #connections = new Map<Socket, GuardedConnection>()
+  #counts: Partial<Record<OverloadReason, number>> = {}
+  /** Connections with input that wait for the next turn of the event loop. */
+  #waiting = new Set<GuardedConnection>()
+  #turnMs = 0
+  #isTurnScheduled = false
+
+  constructor (server: Server, options: FrontEndGuardOptions) {
+    this.#options = options
+    const { limits } = options
+    this.#budget = new MemoryBudget(limits.memoryBytes, () => performance.now())
+    // The guard measures these times, because the server counts a connection opened in advance as an incomplete request.
+    server.headersTimeout = 0
+    server.requestTimeout = 0
+    server.maxConnections = limits.connections + SPARE_CONNECTIONS
+    server.on('drop', () => this.refused('connections'))
+    server.on('connection', (socket: Socket) => this.#accept(socket))
+    // Before the listener of the server, so that a body is never read from a request that is not counted.
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => this.#connections.get(request.socket)?.begin(request, response))
+    const timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref()
+    server.once('close', () => clearInterval(timer))
+  }
+
+  get limits (): FrontEndLimits {
+    return this.#options.limits
+  }
+
+  get heldBytes (): number {
+    return this.#budget.usedBytes
+  }
+
+  /**
+   * Resolves with the body, or with undefined as soon as it is longer than the limit in bytes. Rejects with
+   * `FrontEndBusyError` if there is no memory for it, and with another error if the request breaks off. The memory stays
+   * charged until the request is answered if `keepCharge` is set, for a handler that keeps the body while it waits.
+   */
+  readBody (request: IncomingMessage, maximumBytes: number, keepCharge = false): Promise<string | undefined> {
+    const connection = this.#connections.get(request.socket)
+    if (connection === undefined) return Promise.reject(new BaseError('the connection is closed'))
+    return connection.readBody(request, maximumBytes, keepCharge)
+  }
+
+  /** Whether requests may be parsed in this turn of the event loop. */
+  get hasTime (): boolean {
+    return this.#turnMs < TURN_MS
+  }
+
+  /** Counts the time that requests have taken in this turn. */
+  spend (durationMs: number): void {
+    this.#turnMs += durationMs
+    this.#scheduleTurn()
+  }
+
+  /** Feeds the connection in a later turn. */
+  wait (connection: GuardedConnection): void {
+    this.#waiting.add(connection)
+    this.#scheduleTurn()
+  }
+
+  #scheduleTurn (): void {
+    if (this.#isTurnScheduled) return
+    this.#isTurnScheduled = true
+    setImmediate(() => {
+      this.#isTurnScheduled = false
+      this.#turnMs = 0
+      for (const connection of this.#waiting) {
+        if (!this.hasTime) break
+        this.#waiting.delete(connection)
+        connection.feed()
+      }
+      if (this.#waiting.size > 0) this.#scheduleTurn()
+    })
+  }
+
+  refused (reason: OverloadReason): void {
+    this.#counts[reason] = (this.#counts[reason] ?? 0) + 1
+    this.#options.onRefused?.(reason)
+  }
+
+  #accept (socket: Socket): void {
+    if (this.#connections.size >= this.limits.connections && !this.#closeStalled()) {
+      this.refused('connections')
+      socket.destroy()
+      return
+    }
+    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget))
+    socket.once('close', () => {
+      this.#connections.get(socket)?.forget()
+      this.#connections.delete(socket)
+    })
+  }
+
+  /** Closes the connection that has been stalled for longest, if there is one. */
+  #closeStalled (): boolean {
+    const nowMs = performance.now()
+    let stalled: GuardedConnection | undefined
+    let longestMs = STALLED_MS
+    for (const connection of this.#connections.values()) {
+      const stalledMs = connection.stalledMs(nowMs)
+      if (stalledMs > longestMs) [stalled, longestMs] = [connection, stalledMs]
+    }
+    stalled?.close('connections')
+    return stalled !== undefined
+  }
+
+  #check (): void {
+    const nowMs = performance.now()
+    for (const connection of this.#connections.values()) connection.check(nowMs)
+    if (Object.keys(this.#counts).length === 0) return
+    const counts = this.#counts
+    this.#counts = {}
+    this.#options.onSummary?.({ counts, connections: this.#connections.size, heldBytes: this.heldBytes })
+  }
+}
+
+type Deliver = (this: Socket, chunk: Buffer) => void
+
+/** One connection: gives its input to the parser of the server part by part. */
+class GuardedConnection implements BudgetHolder {
+  readonly #socket: Socket
+  readonly #guard: FrontEndGuard
+  readonly #budget: MemoryBudget
+  readonly #account: BudgetAccount
+  readonly #deliver: Deliver | undefined
+  readonly #input = new RequestInput()
+  readonly #openedMs = performance.now()
+  #chargedInputBytes = 0
+  #chargedAnswerBytes = 0
+  #openRequests = 0
+  #last: IncomingMessage | undefined
+  #lastMs = 0
+  #answeredMs = 0
+  /** When the first byte of the next request arrived; undefined if none has. */
+  #headMs: number | undefined
+  /** Whether the parser has been given a part of that request. */
+  #headBegun = false
+  #writtenBytes = 0
+  #writtenMs = 0
+  #isFeeding = false
+  #isPaused = false
+  /** Whether input waits only because its time in this turn is used up. */
+  #waitsForTurn = false
+  /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
+  readonly #openBodies = new Set<(error: Error) => void>()
+  /** Charges of bodies that are kept until their requests are answered. */
+  readonly #pinnedBytes = new Map<IncomingMessage, number>()
+
+  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget) {
+    this.#socket = socket
+    this.#guard = guard
+    this.#budget = budget
+    this.#account = budget.open(this)
+    // The listener by which the server feeds its parser. It is called for one part after another instead.
+    this.#deliver = socket.listeners('data')[0] as Deliver | undefined
+    if (this.#deliver === undefined) return
+    socket.removeListener('data', this.#deliver)
+    socket.on('data', (chunk: Buffer) => this.#receive(chunk))
+    socket.on('drain', () => this.feed())
+  }
+
+  begin (request: IncomingMessage, response: ServerResponse): void {
+    this.#last = request
+    this.#lastMs = performance.now()
+    this.#headMs = undefined
+    this.#headBegun = false
+    this.#openRequests += 1
+    const isFurther = this.#openRequests > 1
+    if (isFurther) this.#account.chargeAnyway(REQUEST_BYTES)
+    response.once('close', () => {
+      this.#openRequests -= 1
+      this.#answeredMs = performance.now()
+      this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
+      this.#pinnedBytes.delete(request)
+      if (isFurther) this.#account.release(REQUEST_BYTES)
+      // A body that nobody reads would stop the input of the connection.
+      if (!request.complete) request.resume()
+      this.feed()
+    })
+  }
+
+  readBody (request: IncomingMessage, maximumBytes: number, keepCharge: boolean): Promise<string | undefined> {
+    return new Promise((resolve, reject) => {
+      const body = new BodyCollector(this.#budget, this.#account)
+      const fail = (error: Error): void => {
+        if (!this.#openBodies.delete(fail)) return
+        body.discard()
+        reject(error)
+      }
+      this.#openBodies.add(fail)
+      request.on('data', (chunk: Buffer) => {
+        if (!this.#openBodies.has(fail)) return
+        if (body.length + chunk.length > maximumBytes) {
+          this.#openBodies.delete(fail)
+          body.discard()
+          resolve(undefined)
+        } else if (!body.add(chunk)) {
+          this.#refuseBodies()
+        }
+      })
+      request.once('end', () => {
+        if (!this.#openBodies.delete(fail)) return
+        const { chargedBytes } = body
+        resolve(body.takeText())
+        if (!keepCharge) return this.#account.release(chargedBytes)
+        this.#account.pin(chargedBytes)
+        this.#pinnedBytes.set(request, chargedBytes)
+      })
+      request.once('error', fail)
+      request.once('close', () => { if (!request.complete) fail(createBrokenError()) })
+    })
+  }
+
+  /** Refuses the body that is being read, or closes the connection if the memory is held by something else. */
+  evict (): void {
+    if (this.#openBodies.size > 0 && this.#chargedInputBytes === 0 && this.#chargedAnswerBytes === 0) this.#refuseBodies()
+    else this.close('memory')
+  }
+
+  /** For how long the client has left a request incomplete or an answer unread. */
+  stalledMs (nowMs: number): number {
+    if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
+    if (this.#headMs !== undefined) return nowMs - this.#headMs
+    if (this.#last === undefined) return nowMs - this.#openedMs - ALLOWED_IDLE_MS
+    if (!this.#last.complete) return nowMs - this.#lastMs
+    return this.#openRequests > 0 ? 0 : nowMs - this.#answeredMs - ALLOWED_IDLE_MS
+  }
+
+  check (nowMs: number): void {
+    const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
+    this.#chargeAnswers(nowMs)
+    if (this.#socket.destroyed) return
+    if (this.#socket.writableLength > 0) {
+      if (nowMs - this.#writtenMs > answerTimeoutMs) this.close('unread-answer')
+    } else if (this.#last !== undefined && !this.#last.complete) {
+      if (nowMs - this.#lastMs > bodyTimeoutMs) this.close('body-timeout')
+    } else if (this.#headMs !== undefined) {
+      if (nowMs - this.#headMs > headerTimeoutMs && this.#openRequests === 0) this.close('header-timeout')
+    } else if (this.#last === undefined && nowMs - this.#openedMs > idleTimeoutMs) {
+      this.close('idle')
+    }
+    this.feed()
+  }
+
+  close (reason: OverloadReason): void {
+    if (this.#socket.destroyed) return
+    this.#guard.refused(reason)
+    if ((reason === 'header-timeout' && this.#openRequests === 0) || (reason === 'body-timeout' && this.#openRequests === 1)) this.#socket.write(TIMEOUT_ANSWER)
+    this.#socket.destroy()
+    this.forget()
+  }
+
+  /** Gives back everything that the connection holds. */
+  forget (): void {
+    for (const fail of this.#openBodies) fail(createBrokenError())
+    this.#input.clear()
+    this.#chargedInputBytes = 0
+    this.#chargedAnswerBytes = 0
+    this.#budget.close(this.#account)
+  }
+
+  #refuseBodies (): void {
+    this.#guard.refused('memory')
+    for (const fail of this.#openBodies) fail(new FrontEndBusyError('the instance has no memory left for bodies of requests'))
+  }
+
+  #receive (chunk: Buffer): void {
+    this.#input.append(chunk)
+    this.feed()
+  }
+
+  /** Gives waiting input to the parser, as far as the open requests of the connection and the time of this turn allow. */
+  feed (): void {
+    if (this.#isFeeding) return
+    this.#isFeeding = true
+    const startedMs = performance.now()
+    let spentMs = 0
+    try {
+      while (this.#hasParsableInput) {
+        if (spentMs >= CONNECTION_TURN_MS || !this.#guard.hasTime) {
+          if (!this.#isInBody && !this.#headBegun) this.#beginHead()
+          this.#waitsForTurn = true
+          this.#guard.wait(this)
+          break
+        }
+        this.#waitsForTurn = false
+        if (this.#isInBody || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES) this.#deliverPart(this.#input.take())
+        else this.#beginHead()
+        spentMs = performance.now() - startedMs
+      }
+    } finally {
+      this.#isFeeding = false
+      this.#guard.spend(spentMs)
+    }
+    this.#settleInput()
+  }
+
+  get #hasParsableInput (): boolean {
+    if (this.#input.isEmpty || this.#isEnding || this.#mustHold) return false
+    return this.#isInBody || !this.#headBegun || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES
+  }
+
+  /** The server closes the connection, or has closed it. */
+  get #isEnding (): boolean {
+    return this.#socket.destroyed || this.#socket.writableEnded
+  }
+
+  get #isInBody (): boolean {
+    return this.#last !== undefined && !this.#last.complete
+  }
+
+  /** Whether the parser must not get more input now. The rest of a body is always given to it, since its request may be the one that is waited for. */
+  get #mustHold (): boolean {
+    // Set by the HTTP server while it does not want to be given input.
+    if ((this.#socket as { _paused?: boolean })._paused === true) return true
+    if (this.#isInBody) return false
+    return this.#openRequests >= this.#guard.limits.pipelinedRequests || this.#socket.writableNeedDrain
+  }
+
+  /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
+  #beginHead (): void {
+    const first = this.#input.takeBytes(1)
+    this.#headMs ??= performance.now()
+    this.#headBegun = first[0] !== CARRIAGE_RETURN && first[0] !== LINE_FEED
+    this.#deliverPart(first)
+  }
+
+  #deliverPart (part: Buffer): void {
+    this.#deliver?.call(this.#socket, part)
+  }
+
+  /** Pauses or resumes the socket, and charges what waits. */
+  #settleInput (): void {
+    if (this.#isEnding) this.#input.clear()
+    if (this.#input.isEmpty) this.#waitsForTurn = false
+    const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
+    if (mustPause) this.#socket.pause()
+    else if (this.#isPaused) this.#socket.resume()
+    this.#isPaused = mustPause
+    const { heldBytes } = this.#input
+    const added = heldBytes - this.#chargedInputBytes
+    this.#chargedInputBytes = heldBytes
+    if (added <= 0) {
+      this.#account.release(-added)
+    } else if (!this.#account.charge(added)) {
+      this.#chargedInputBytes -= added
+      this.close('memory')
+    }
+  }
+
+  /** Notes whether the client reads, and charges what it has not read. */
+  #chargeAnswers (nowMs: number): void {
+    const unreadBytes = this.#socket.writableLength
+    const writtenBytes = this.#socket.bytesWritten - unreadBytes
+    if (unreadBytes === 0 || writtenBytes !== this.#writtenBytes) {
+      this.#writtenBytes = writtenBytes
+      this.#writtenMs = nowMs
+    }
+    const added = unreadBytes - this.#chargedAnswerBytes
+    this.#chargedAnswerBytes = unreadBytes
+    if (added > 0) this.#account.chargeAnyway(added)
+    else this.#account.release(-added)
+  }
+}
+
+function createBrokenError (): Error {
+  return new BaseError('the connection was closed before the whole body had arrived')
+}
--- /dev/null
+++ b/src/adapters/http/frontEndLimits.ts
@@ -0,0 +1,45 @@
+/** The limits that protect an instance from its clients. */
+
+export interface FrontEndLimits {
+  /** Bytes that open bodies, unread requests and unread answers may occupy, over all connections. */
+  readonly memoryBytes: number
+  readonly connections: number
+  /** Time for the headers of a request, from its first byte on. */
+  readonly headerTimeoutMs: number
+  /** Time for the body of a request, from its headers on. */
+  readonly bodyTimeoutMs: number
+  /** Time for which a client may read nothing of an answer. */
+  readonly answerTimeoutMs: number
+  /** Time for which a connection without any request stays open. */
+  readonly idleTimeoutMs: number
+  /** Requests of one connection without a written answer; reading from it pauses at this number. */
+  readonly pipelinedRequests: number
+}
+
+export const DEFAULT_FRONT_END_LIMITS: Omit<FrontEndLimits, 'memoryBytes' | 'connections'> = {
+  // The platform's pages allow 3 s; a busy instance may read late.
+  headerTimeoutMs: 6_000,
+  bodyTimeoutMs: 30_000,
+  answerTimeoutMs: 30_000,
+  idleTimeoutMs: 60_000,
+  pipelinedRequests: 16
+}
+
+const BYTES_PER_MB = 1_048_576
+/** A process of this program has about 80 MB resident without clients, and garbage of the size of its live data. */
+const MEMORY_SHARE = 0.1
+/** Of the smallest known instances. */
+const DEFAULT_MEMORY_MB = 160
+const DEFAULT_DESCRIPTORS = 4_100
+/** The rest is for targets, other instances and the store. */
+const DESCRIPTOR_SHARE = 0.75
+
+/**
+ * Returns the memory and the connections that clients may use of an instance's.
+ *
+ * @example
+ * deriveClientShare(160, 4_100) // { memoryBytes: 16_777_216, connections: 3_075 }
+ */
+export function deriveClientShare (memoryMb = DEFAULT_MEMORY_MB, descriptors = DEFAULT_DESCRIPTORS): Pick<FrontEndLimits, 'memoryBytes' | 'connections'> {
+  return { memoryBytes: Math.floor(memoryMb * MEMORY_SHARE * BYTES_PER_MB), connections: Math.floor(descriptors * DESCRIPTOR_SHARE) }
+}
--- a/src/instance/startInstance.ts
+++ b/src/instance/startInstance.ts
@@ -57,7 +57,7 @@
   manager.add(new ConnectPeerServer(peerAddress, peerSecret, instance.peers))
   manager.add({ name: 'entry instance', start: async () => await instance.start(), stop: async () => await instance.stop() })
   manager.add(createOperatorServer(settings, instance, logger))
-  manager.add(createCallerServer(settings, instance))
+  manager.add(createCallerServer(settings, instance, { logger, metrics }))
   await manager.start()
   return createRunningInstance({ instance, manager, logger, clock, stopTimeoutMs, leaveDelayMs })
 }
@@ -71,9 +71,15 @@
   })
 }
 
-function createCallerServer (settings: InstanceSettings, instance: EntryInstance): CallerServer {
-  const { callerAddress: address, bodyLimitBytes, connectionLimit, requestTimeoutMs } = settings
-  return new CallerServer({ address, bodyLimitBytes, connectionLimit, requestTimeoutMs }, instance.callers)
+function createCallerServer (settings: InstanceSettings, instance: EntryInstance, { logger, metrics }: { readonly logger: Logger, readonly metrics: Metrics }): CallerServer {
+  const { callerAddress: address, clientMemoryBytes: memoryBytes } = settings
+  return new CallerServer({
+    ...settings,
+    address,
+    memoryBytes,
+    onRefused: reason => metrics.countRefusedClient(reason),
+    onSummary: summary => logger.warn(summary, 'clients refused or closed to protect the instance')
+  }, instance.callers)
 }
 
 interface RunningInstanceOptions {
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -15,11 +15,19 @@
     name: 'agategauge_call_seconds', help: 'Time until a call was answered', labelNames: ['action'], buckets: CALL_BUCKETS_S, registers: [this.registry]
   })
 
+  readonly #refusedClients = new Counter({
+    name: 'agategauge_refused_clients_total', help: 'Requests refused and connections closed to protect the instance', labelNames: ['reason'], registers: [this.registry]
+  })
+
   observeCall (action: string, outcome: string, durationMs: number): void {
     this.#calls.inc({ action, outcome })
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
   }
 
+  countRefusedClient (reason: string): void {
+    this.#refusedClients.inc({ reason })
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render (): Promise<MetricsReport> {
     return { contentType: this.registry.contentType, body: await this.registry.metrics() }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -37,6 +37,7 @@
   readonly #retries = this.#counter('retries_total', 'Attempts after the first', ['team', 'kind'])
   readonly #shed = this.#counter('shed_total', 'Requests shed from a full queue', ['team', 'kind'])
   readonly #crossRegion = this.#counter('cross_region_bytes_total', 'Bytes over the link between regions', ['team'])
+  readonly #refusedClients = this.#counter('refused_clients_total', 'Requests refused and connections closed to protect the instance', ['reason'])
   readonly #storeCalls = this.#counter('store_calls_total', 'Calls of the store', ['method', 'outcome'])
   readonly #control = this.#counter('control_bytes_total', 'Bytes of control traffic', ['channel', 'direction'])
   readonly #queued = this.#gauge('queue_entries', 'Waiting requests', ['team', 'kind'])
@@ -84,6 +85,10 @@
     this.#crossRegion.inc({ team: this.#teams.labelFor(team) }, bytes)
   }
 
+  countRefusedClient (reason: string): void {
+    this.#refusedClients.inc({ reason })
+  }
+
   countStoreCall (method: StoreMethod, outcome: StoreOutcome): void {
     this.#storeCalls.inc({ method, outcome })
   }
--- a/src/platform/callerFrontend.test.ts
+++ b/src/platform/callerFrontend.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { chooseHost } from '../../test/processes/topology.ts'
+import { DEFAULT_FRONT_END_LIMITS, deriveClientShare } from '../adapters/http/frontEndLimits.ts'
 import type { CallHandler } from '../entry/callerCall.ts'
 import { createLogger } from '../observability/logger.ts'
 import { CallerFrontend } from './callerFrontend.ts'
@@ -8,7 +9,7 @@
 async function startFrontend (t: ExecutionContext, port: number, handle: CallHandler['handle']): Promise<{ frontend: CallerFrontend, call (): Promise<number> }> {
   const address = `${chooseHost()}:${port}`
   const logger = createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'test', secrets: [] })
-  const frontend = new CallerFrontend({ address, handler: { handle }, desiredState: () => ({ version: 1, maximumBodyBytes: 0 }), logger, onCall: () => {} })
+  const frontend = new CallerFrontend({ address, handler: { handle }, desiredState: () => ({ version: 1, maximumBodyBytes: 0 }), logger, limits: { ...DEFAULT_FRONT_END_LIMITS, ...deriveClientShare() }, onRefused: () => {}, onCall: () => {} })
   await frontend.start()
   t.teardown(async () => await frontend.stop(AbortSignal.abort()))
   return { frontend, call: async () => (await fetch(`http://${address}/checks/0000000000000001`)).status }
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -1,8 +1,10 @@
 /** HTTP server for callers on the platform. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { FrontEndBusyError, FrontEndGuard } from '../adapters/http/frontEndGuard.ts'
+import type { FrontEndLimits } from '../adapters/http/frontEndLimits.ts'
 import { GracefulServerClose } from '../adapters/http/gracefulServerClose.ts'
-import { readRequestBody } from '../adapters/http/readRequestBody.ts'
+import type { OverloadReason } from '../adapters/http/memoryBudget.ts'
 import { listenOn } from '../adapters/network.ts'
 import { unavailable } from '../entry/callerCall.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallerRequest, CallHandler } from '../entry/callerCall.ts'
@@ -18,6 +20,9 @@
 const KEEP_ALIVE_TIMEOUT_MS = 60_000
 /** Used while no limit is known. */
 const DEFAULT_MAX_BODY_BYTES = 262_144
+/** Lines about calls that are not served, in one second. A client can cause thousands. */
+const MAX_REFUSAL_LINES = 50
+const LOG_INTERVAL_MS = 1_000
 const STOPPING_MESSAGE = 'the instance is stopping'
 
 const ACTION_BY_METHOD: Readonly<Record<string, CallAction>> = { POST: 'submit', GET: 'read', DELETE: 'cancel' }
@@ -33,6 +38,9 @@
   readonly handler: CallHandler
   readonly desiredState: () => DesiredStateSummary
   readonly logger: Logger
+  readonly limits: FrontEndLimits
+  /** Called for each request refused, and each connection closed, to protect the instance. */
+  readonly onRefused: (reason: OverloadReason) => void
   readonly onCall: (action: CallAction, outcome: string, durationMs: number) => void
 }
 
@@ -40,6 +48,9 @@
   readonly name = 'caller frontend'
   readonly #options: CallerFrontendOptions
   #gracefulClose: GracefulServerClose | undefined
+  #guard: FrontEndGuard | undefined
+  #linesSinceMs = 0
+  #lines = 0
   #closing = false
   /** Settle the calls that have no answer yet. */
   readonly #openCalls = new Set<(answer: CallerAnswer) => void>()
@@ -51,13 +62,17 @@
   }
 
   async start (): Promise<void> {
-    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS }, (request, response) => {
+    // A request without a host is answered here: answers of the HTTP server itself are not counted as open requests.
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requireHostHeader: false }, (request, response) => {
       this.#serve(request, response).catch(error => {
-        this.#options.logger.error({ error: error instanceof Error ? error.stack : String(error), path: request.url, complete: request.complete }, 'failed to answer a call')
-        if (!request.complete || response.headersSent) response.destroy()
+        if (!request.complete) return response.destroy()
+        this.#options.logger.error({ error: error instanceof Error ? error.stack : String(error), path: request.url }, 'failed to answer a call')
+        if (response.headersSent) response.destroy()
         else this.#write(response, encodeAnswer({ outcome: 'unknown', message: 'internal error of the instance' }))
       })
     })
+    const { limits, onRefused, logger } = this.#options
+    this.#guard = new FrontEndGuard(server, { limits, onRefused, onSummary: summary => logger.warn(summary, 'clients refused or closed to protect the instance') })
     this.#gracefulClose = new GracefulServerClose(server)
     await listenOn(server, this.#options.address)
   }
@@ -81,16 +96,38 @@
     const startedAtMs = performance.now()
     const action = ACTION_BY_METHOD[request.method ?? '']
     const path = (request.url ?? '/').split('?', 1)[0] as string
-    const body = await readRequestBody(request, this.#options.desiredState().maximumBodyBytes || DEFAULT_MAX_BODY_BYTES)
-    const answer = await this.#answer(action, path, request, body)
+    const answer = await this.#readAndAnswer(action, path, request, response)
     this.#options.onCall(action ?? 'read', answer.outcome, performance.now() - startedAtMs)
-    if (answer.outcome === 'unavailable' || answer.outcome === 'limited' || answer.outcome === 'unknown' || answer.outcome === 'invalid') {
+    if ((answer.outcome === 'unavailable' || answer.outcome === 'limited' || answer.outcome === 'unknown' || answer.outcome === 'invalid') && this.#mayLog(startedAtMs)) {
       this.#options.logger.info({ path, action, outcome: answer.outcome, reason: answer.message, version: this.#options.desiredState().version, tookMs: Math.round(performance.now() - startedAtMs) }, 'call not served')
     }
     this.#write(response, encodeAnswer(answer))
   }
 
-  async #answer (action: CallAction | undefined, path: string, request: IncomingMessage, body: Buffer | undefined): Promise<CallerAnswer> {
+  async #readAndAnswer (action: CallAction | undefined, path: string, request: IncomingMessage, response: ServerResponse): Promise<CallerAnswer> {
+    const { desiredState } = this.#options
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      response.shouldKeepAlive = false
+      return { outcome: 'invalid', message: 'the host header is missing' }
+    }
+    let body: string | undefined
+    try {
+      body = await this.#guard?.readBody(request, desiredState().maximumBodyBytes || DEFAULT_MAX_BODY_BYTES, true)
+    } catch (error) {
+      if (!(error instanceof FrontEndBusyError)) throw error
+      response.shouldKeepAlive = false
+      return unavailable(error.message)
+    }
+    return await this.#answer(action, path, request, body)
+  }
+
+  #mayLog (nowMs: number): boolean {
+    if (nowMs - this.#linesSinceMs >= LOG_INTERVAL_MS) [this.#linesSinceMs, this.#lines] = [nowMs, 0]
+    this.#lines += 1
+    return this.#lines <= MAX_REFUSAL_LINES
+  }
+
+  async #answer (action: CallAction | undefined, path: string, request: IncomingMessage, body: string | undefined): Promise<CallerAnswer> {
     const { desiredState } = this.#options
     if (action === undefined) return { outcome: 'invalid', message: `the method ${request.method} is not supported` }
     if (body === undefined) return { outcome: 'invalid', message: 'the body is too large' }
@@ -148,9 +185,9 @@
   return header.replace(/:\d+$/, '').toLowerCase()
 }
 
-function parseJson (body: Buffer): unknown {
+function parseJson (body: string): unknown {
   try {
-    return JSON.parse(body.toString('utf8'))
+    return JSON.parse(body)
   } catch (error) {
     throw new InputError('the body is not JSON:', { cause: error })
   }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -2,6 +2,8 @@
 import { readFileSync } from 'node:fs'
 import { parse } from 'smol-toml'
 import { z } from 'zod'
+import { DEFAULT_FRONT_END_LIMITS, deriveClientShare } from '../adapters/http/frontEndLimits.ts'
+import type { FrontEndLimits } from '../adapters/http/frontEndLimits.ts'
 import { InputError } from '../model/errors.ts'
 
 /** Field names are defined by the platform; unknown fields are ignored. */
@@ -15,7 +17,22 @@
   control_mode: z.string().default('invocation'),
   recommendation: z.string().default(''),
   listen_addrs: z.object({ frontend: z.string(), ready: z.string() }),
-  limits: z.object({ cpu_quota: z.number().positive().default(1), cpu_cores: z.number().positive().default(1), bandwidth_mbps: z.number().positive().default(1_000) }).default({ cpu_quota: 1, cpu_cores: 1, bandwidth_mbps: 1_000 }),
+  limits: z.object({
+    cpu_quota: z.number().positive().default(1),
+    cpu_cores: z.number().positive().default(1),
+    bandwidth_mbps: z.number().positive().default(1_000),
+    memory_mb: z.number().positive().optional(),
+    max_fds: z.number().positive().optional()
+  }).default({ cpu_quota: 1, cpu_cores: 1, bandwidth_mbps: 1_000 }),
+  front_end: z.object({
+    memory_mb: z.number().positive().optional(),
+    connections: z.number().int().positive().optional(),
+    header_timeout_ms: z.number().positive().optional(),
+    body_timeout_ms: z.number().positive().optional(),
+    answer_timeout_ms: z.number().positive().optional(),
+    idle_timeout_ms: z.number().positive().optional(),
+    pipelined_requests: z.number().int().positive().optional()
+  }).default({}),
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
@@ -35,6 +52,8 @@
   readonly processors: number
   /** Bandwidth of the instance's link, in megabits per second. */
   readonly bandwidthMbps: number
+  /** Limits that protect the instance from its clients. */
+  readonly frontEnd: FrontEndLimits
   readonly dataCentre: string
   readonly region: string
   /** Regions of the data centres, by name. */
@@ -55,6 +74,7 @@
 }
 
 const MS_PER_SECOND = 1_000
+const BYTES_PER_MB = 1_048_576
 
 /**
  * Parses the text of a settings file; throws an `InputError` that names each invalid field.
@@ -80,6 +100,7 @@
     ip: file.ip,
     processors: file.limits.cpu_quota * file.limits.cpu_cores,
     bandwidthMbps: file.limits.bandwidth_mbps,
+    frontEnd: decodeFrontEndLimits(file),
     dataCentre: file.zone,
     region: file.region,
     regionsByDataCentre: file.zones,
@@ -96,6 +117,20 @@
   }
 }
 
+function decodeFrontEndLimits ({ limits, front_end: own }: z.infer<typeof fileSchema>): FrontEndLimits {
+  const share = deriveClientShare(limits.memory_mb, limits.max_fds)
+  const defaults = DEFAULT_FRONT_END_LIMITS
+  return {
+    memoryBytes: own.memory_mb === undefined ? share.memoryBytes : own.memory_mb * BYTES_PER_MB,
+    connections: own.connections ?? share.connections,
+    headerTimeoutMs: own.header_timeout_ms ?? defaults.headerTimeoutMs,
+    bodyTimeoutMs: own.body_timeout_ms ?? defaults.bodyTimeoutMs,
+    answerTimeoutMs: own.answer_timeout_ms ?? defaults.answerTimeoutMs,
+    idleTimeoutMs: own.idle_timeout_ms ?? defaults.idleTimeoutMs,
+    pipelinedRequests: own.pipelined_requests ?? defaults.pipelinedRequests
+  }
+}
+
 /** Reads and parses a settings file. */
 export function readSettings (path: string): PlatformSettings {
   let text: string
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -89,6 +89,8 @@
     handler: router,
     desiredState: () => instance.desiredState,
     logger,
+    limits: settings.frontEnd,
+    onRefused: reason => metrics.countRefusedClient(reason),
     onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
   })
   let stopping = false
--- a/src/settings/instanceSettings.ts
+++ b/src/settings/instanceSettings.ts
@@ -28,6 +28,12 @@
   readonly bodyLimitBytes: number
   readonly connectionLimit: number
   readonly requestTimeoutMs: number
+  /** Memory that callers can occupy with what is incomplete or unread. */
+  readonly clientMemoryBytes: number
+  readonly headerTimeoutMs: number
+  readonly answerTimeoutMs: number
+  readonly idleTimeoutMs: number
+  readonly pipelinedRequests: number
   readonly connectTimeoutMs: number
   readonly storeTimeoutMs: number
   readonly listTimeoutMs: number
@@ -137,6 +143,11 @@
     bodyLimitBytes: getField('bodyLimit'),
     connectionLimit: getField('connectionLimit'),
     requestTimeoutMs: getField('requestTimeout'),
+    clientMemoryBytes: getField('clientMemory'),
+    headerTimeoutMs: getField('headerTimeout'),
+    answerTimeoutMs: getField('answerTimeout'),
+    idleTimeoutMs: getField('idleTimeout'),
+    pipelinedRequests: getField('pipelinedRequests'),
     connectTimeoutMs: getField('connectTimeout'),
     storeTimeoutMs: getField('storeTimeout'),
     listTimeoutMs: getField('listTimeout'),
--- a/src/settings/reference.ts
+++ b/src/settings/reference.ts
@@ -39,6 +39,19 @@
 These settings are read from the INI file given to \`agategauge serve --settings FILE\`, which has no sections. Changes take effect at the next start. As for settings of the cluster, the file must be UTF-8 and end with a newline, and a file with any error is rejected as a whole.
 `
 
+const PLATFORM_REFERENCE = `## Settings on the platform
+
+With \`serve --platform\`, the settings file of the platform may have a section \`[front_end]\` with limits that protect the instance from its clients (docs/design/front-end-overload.md). Changes take effect at the next start. The defaults do not affect a client that stays within the limits that the platform documents.
+
+- \`memory_mb\`: memory for incomplete bodies, unread requests and unread answers of all clients together, and for bodies of calls in progress; default: a tenth of \`limits.memory_mb\`, or of 160 MB if that is missing
+- \`connections\`: concurrent connections of clients; default: three quarters of \`limits.max_fds\`, or of 4,100 if that is missing
+- \`header_timeout_ms\`: time for the headers of a request, from their first byte on; default: 6000
+- \`body_timeout_ms\`: time for the body of a request, from its headers on; default: 30000
+- \`answer_timeout_ms\`: time for which a client may read nothing of an answer; default: 30000
+- \`idle_timeout_ms\`: time for which a connection without any request stays open; default: 60000
+- \`pipelined_requests\`: requests of one connection without a written answer, at which reading from it pauses; default: 16
+`
+
 function formatDefault (name: SettingName, meta: SettingMeta): string {
   const kinds = Object.keys(meta.kindDefaults ?? {}).map(kind => `${kind}: ${formatValue(defaultValue(name, kind), meta)}`)
   return [formatValue(defaultValue(name), meta), ...kinds].join('; ')
@@ -81,6 +94,7 @@
     INTRODUCTION.trim(),
     ...SETTING_NAMES.map(describeSetting),
     INSTANCE_INTRODUCTION.trim(),
-    ...INSTANCE_FIELDS.map(describeField)
+    ...INSTANCE_FIELDS.map(describeField),
+    PLATFORM_REFERENCE.trim()
   ].join('\n\n') + '\n'
 }
--- a/test/processes/frontEndOverload.test.ts
+++ b/test/processes/frontEndOverload.test.ts
@@ -59,8 +59,8 @@
   readonly address: string
   /** Path of requests that a route has. */
   readonly path: string
-  /** Sends one request and returns the status of its answer. */
-  call (signal?: AbortSignal): Promise<number | undefined>
+  /** Sends one request and returns the status of its answer, or why there is none. */
+  call (signal?: AbortSignal): Promise<number | string>
 }
 
 async function startEmbedded (t: ExecutionContext): Promise<Frontend> {
@@ -71,7 +71,11 @@
     await process.kill()
   })
   const { callers: address } = JSON.parse(await process.waitForLine(line => line.startsWith('{"callers"'))) as { readonly callers: string }
-  return { bounds: EMBEDDED_BOUNDS, process, address, path: '/v1/requests', call: async signal => (await client.run(address, undefined, { id: randomUUID(), queue: 'demo' }, signal)).status }
+  const call: Frontend['call'] = async signal => {
+    const { status, error } = await client.run(address, undefined, { id: randomUUID(), queue: 'demo' }, signal)
+    return status ?? String(error)
+  }
+  return { bounds: EMBEDDED_BOUNDS, process, address, path: '/v1/requests', call }
 }
 
 async function startOnPlatform (t: ExecutionContext): Promise<Frontend> {
