Limit the clients of the readiness and metrics servers

Cause: the servers that probes and scrapers reach had no limit of connections or of pipelined requests.

They use the guard of the front ends with small limits.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -171,6 +171,16 @@
   }
 }
 
+/**
+ * Applies the limits to a server that reads no bodies from its clients.
+ *
+ * @example
+ * guardFrontEnd(server, { limits: PROBE_LIMITS })
+ */
+export function guardFrontEnd (server: Server, options: FrontEndGuardOptions): FrontEndGuard {
+  return new FrontEndGuard(server, options)
+}
+
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
--- a/src/adapters/http/frontEndLimits.ts
+++ b/src/adapters/http/frontEndLimits.ts
@@ -25,6 +25,9 @@
   pipelinedRequests: 16
 }
 
+/** For the load balancer's probes and the scrapers of metrics, which are few. */
+export const PROBE_LIMITS: FrontEndLimits = { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 2_097_152, connections: 256 }
+
 const BYTES_PER_MB = 1_048_576
 /** A process of this program has about 80 MB resident without clients, and garbage of the size of its live data. */
 const MEMORY_SHARE = 0.1
--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -5,6 +5,8 @@
 import { BaseError, InputError } from '../../model/errors.ts'
 import type { Component } from '../../lifecycle/component.ts'
 import { getBoundAddress, listenOn } from '../network.ts'
+import { guardFrontEnd } from './frontEndGuard.ts'
+import type { FrontEndLimits } from './frontEndLimits.ts'
 import { readRequestBody } from './readRequestBody.ts'
 import { matchRoute } from './routes.ts'
 import type { RouteResponse, Route, RouteMatch } from './routes.ts'
@@ -18,6 +20,8 @@
   readonly listen: string
   readonly routes: readonly Route[]
   readonly onConnection?: (socket: Socket) => void
+  /** Limits for clients that are not under control; none by default. Bodies are not counted. */
+  readonly limits?: FrontEndLimits
 }
 
 /**
@@ -45,9 +49,11 @@
   }
 
   async start (): Promise<void> {
-    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+    const { limits } = this.#options
+    const server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requireHostHeader: limits === undefined }, (request, response) => {
       this.#serve(request, response).catch(() => response.destroy())
     })
+    if (limits !== undefined) guardFrontEnd(server, { limits })
     if (this.#options.onConnection !== undefined) server.on('connection', this.#options.onConnection)
     await listenOn(server, this.#options.listen)
     this.#server = server
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -2,6 +2,7 @@
 import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
 import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
+import { PROBE_LIMITS } from '../adapters/http/frontEndLimits.ts'
 import { JsonServer } from '../adapters/http/jsonServer.ts'
 import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
 import { CallRouter } from '../entry/callRouter.ts'
@@ -177,6 +178,7 @@
   return new JsonServer({
     name: 'readiness',
     listen,
+    limits: PROBE_LIMITS,
     routes: [{ method: 'GET', pattern: READY_PATH, handle: async () => ({ status: isReady() ? 200 : 503, body: {} }) }]
   })
 }
@@ -185,6 +187,7 @@
   return new JsonServer({
     name: 'metrics',
     listen,
+    limits: PROBE_LIMITS,
     routes: [{
       method: 'GET',
       pattern: METRICS_PATH,
