--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -90,6 +90,10 @@
     name: 'agategauge_admission_actual_wait_seconds', help: 'Actual wait of the same jobs', labelNames: ['priority'], buckets: WAIT_BUCKETS_S, registers: [this.registry]
   })
 
+  readonly #refusedClients = new Counter({
+    name: 'agategauge_refused_clients_total', help: 'Requests refused and connections closed to protect the instance', labelNames: ['reason'], registers: [this.registry]
+  })
+
   observeCall (action: string, outcome: string, durationMs: number): void {
     this.#calls.inc({ action, outcome })
     this.#duration.observe({ action }, durationMs / MS_PER_SECOND)
@@ -131,6 +135,10 @@
     this.#actualWait.observe({ priority }, actualMs / MS_PER_SECOND)
   }
 
+  countRefusedClient (reason: string): void {
+    this.#refusedClients.inc({ reason })
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   async render (): Promise<MetricsReport> {
     return { contentType: this.registry.contentType, body: await this.registry.metrics() }
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -2,6 +2,7 @@
 import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
 import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
+import { PROBE_LIMITS } from '../adapters/http/frontEndLimits.ts'
 import { JsonServer } from '../adapters/http/jsonServer.ts'
 import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
 import { CallRouter } from '../entry/callRouter.ts'
@@ -92,6 +93,8 @@
     handler: router,
     desiredState: () => instance.desiredState,
     logger,
+    limits: settings.frontEnd,
+    onRefused: reason => metrics.countRefusedClient(reason),
     onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
   })
   let stopping = false
@@ -178,6 +181,7 @@
   return new JsonServer({
     name: 'readiness',
     listen,
+    limits: PROBE_LIMITS,
     routes: [{ method: 'GET', pattern: READY_PATH, handle: async () => ({ status: isReady() ? 200 : 503, body: {} }) }]
   })
 }
@@ -186,6 +190,7 @@
   return new JsonServer({
     name: 'metrics',
     listen,
+    limits: PROBE_LIMITS,
     routes: [{
       method: 'GET',
       pattern: METRICS_PATH,
--- a/src/settings/reference.ts
+++ b/src/settings/reference.ts
@@ -41,9 +41,17 @@
 These settings are read from the INI file given to \`agategauge serve --settings FILE\`, which has no sections. Changes take effect at the next start. As for settings of the cluster, the file must be UTF-8 and end with a newline, and a file with any error is rejected as a whole.
 `
 
-const PLATFORM_INTRODUCTION = `## Optional settings on the platform
+const PLATFORM_REFERENCE = `## Settings on the platform
 
-The platform's settings file, which \`AGATEGAUGE_CONFIG\` names for \`agategauge serve --platform\`, may contain these fields.
+With \`serve --platform\`, the settings file of the platform may have a section \`[front_end]\` with limits that protect the instance from its clients (docs/design/front-end-overload.md). Changes take effect at the next start. The defaults do not affect a client that stays within the limits that the platform documents.
+
+- \`memory_mb\`: memory for incomplete bodies, unread requests and unread answers of all clients together, and for bodies of calls in progress; default: a tenth of \`limits.memory_mb\`, or of 160 MB if that is missing
+- \`connections\`: concurrent connections of clients; default: three quarters of \`limits.max_fds\`, or of 4,100 if that is missing
+- \`header_timeout_ms\`: time for the headers of a request, from their first byte on; default: 6000
+- \`body_timeout_ms\`: time for the body of a request, from its headers on; default: 30000
+- \`answer_timeout_ms\`: time for which a client may read nothing of an answer; default: 30000
+- \`idle_timeout_ms\`: time for which a connection without any request stays open; default: 60000
+- \`pipelined_requests\`: requests of one connection without a written answer, at which reading from it pauses; default: 16
 `
 
 function formatDefault (name: SettingName, meta: SettingMeta): string {
@@ -93,7 +101,7 @@
     ...SETTING_NAMES.map(describeSetting),
     INSTANCE_INTRODUCTION.trim(),
     ...INSTANCE_FIELDS.map(describeField),
-    PLATFORM_INTRODUCTION.trim(),
+    PLATFORM_REFERENCE.trim(),
     ...OPTIONAL_SETTINGS.map(describeOptionalSetting)
   ].join('\n\n') + '\n'
 }
