--- a/src/coordinator/admission/jobIntake.test.ts
+++ b/src/coordinator/admission/jobIntake.test.ts
@@ -96,7 +96,7 @@
 test('store outage: jobs are refused at once, and their callers return spread over more than 2 s', async t => {
   const state = { version: 1, queues: [TEST_QUEUE], services: [], teams: [{ name: 'weavers', keys: ['k'], weight: 1, cap: resources({}) }], maximumBodyBytes: 0 }
   const desired = { state, index: new DesiredStateIndex(state), refresh: async () => {} }
-  const coordinator = { ready: true, storeFails: true, table: { jobs: new Map(), finished: new Map() } }
+  const coordinator = { ready: true, storeFails: true, table: { jobs: new Map(), finished: new Map() }, admissionObserver: { observeRefusal: () => {}, observeStart: () => {} } }
   const intake = new JobIntake(coordinator as unknown as JobCoordinator, desired as unknown as DesiredStateWatcher, new ManualClock(),
     createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'howrah', secrets: [] }))
   const told = new Set<number>()
