Stop the handle of a socket whose input waits

Cause: a paused socket reads one more buffer of up to 64 KB, which the memory budget of the front end does not count.

The guard stops and starts the handle as Node.js itself does.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -181,6 +181,13 @@
   return new FrontEndGuard(server, options)
 }
 
+/** The handle of a socket, as far as Node.js itself uses it to pause sockets. */
+interface ReadHandle {
+  reading: boolean
+  readStart (): void
+  readStop (): void
+}
+
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
@@ -401,9 +408,7 @@
     if (this.#isEnding) this.#input.clear()
     if (this.#input.isEmpty) this.#waitsForTurn = false
     const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
-    if (mustPause) this.#socket.pause()
-    else if (this.#isPaused) this.#socket.resume()
-    this.#isPaused = mustPause
+    if (mustPause || this.#isPaused) this.#setPaused(mustPause)
     const { heldBytes } = this.#input
     const added = heldBytes - this.#chargedInputBytes
     this.#chargedInputBytes = heldBytes
@@ -415,6 +420,19 @@
     }
   }
 
+  /** A paused socket reads one more buffer of up to 64 KB, which the budget would not count, unless its handle is stopped. */
+  #setPaused (isPaused: boolean): void {
+    this.#isPaused = isPaused
+    if (isPaused) this.#socket.pause()
+    const handle = (this.#socket as { _handle?: ReadHandle | null })._handle
+    if (handle != null && handle.reading === isPaused) {
+      handle.reading = !isPaused
+      if (isPaused) handle.readStop()
+      else handle.readStart()
+    }
+    if (!isPaused) this.#socket.resume()
+  }
+
   /** Notes whether the client reads, and charges what it has not read. */
   #chargeAnswers (nowMs: number): void {
     const unreadBytes = this.#socket.writableLength
