--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -87,7 +87,7 @@
 
 export class SimulatedCluster {
   readonly clock = new ManualClock()
-  readonly #store = new SlowStore(this.clock)
+  readonly store = new SlowStore(this.clock)
   readonly #logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
   readonly #targets: readonly SimulatedTarget[]
   /** Kind of each accepted job, by id. */
@@ -102,7 +102,7 @@
   constructor (options: SimulatedClusterOptions) {
     const { targets, cap, lateMs, failing } = this.#options = options
     const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
-    this.#store.put(DESIRED_KEY, JSON.stringify(state))
+    this.store.put(DESIRED_KEY, JSON.stringify(state))
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
@@ -121,9 +121,9 @@
   async elect (): Promise<void> {
     const { clock } = this
     this.#coordinator?.close()
-    this.#store.put(COORDINATOR_KEY, '')
-    const fence = this.#store.items.get(COORDINATOR_KEY)?.revision ?? 0
-    const desired = new DesiredStateWatcher({ store: this.#store, prefix: OPERATOR_PREFIX, key: DESIRED_KEY, evacuationPrefix: EVACUATION_PREFIX, parse: text => JSON.parse(text) as DesiredState, clock, logger: this.#logger })
+    this.store.put(COORDINATOR_KEY, '')
+    const fence = this.store.items.get(COORDINATOR_KEY)?.revision ?? 0
+    const desired = new DesiredStateWatcher({ store: this.store, prefix: OPERATOR_PREFIX, key: DESIRED_KEY, evacuationPrefix: EVACUATION_PREFIX, parse: text => JSON.parse(text) as DesiredState, clock, logger: this.#logger })
     this.#desired?.pause()
     this.#desired = desired
     desired.follow()
@@ -131,7 +131,7 @@
     lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: 'ticket' }))) }, weight: 1 }])
     let hasAuthority = true
     const coordinator: JobCoordinator = new JobCoordinator({
-      store: this.#store,
+      store: this.store,
       clock,
       logger: this.#logger,
       metrics: this.metrics,
@@ -179,33 +179,18 @@
   }
 
   failCommits (faults: readonly CommitFault[]): void {
-    this.#store.commitFaults.push(...faults)
+    this.store.commitFaults.push(...faults)
   }
 
   /** Requests or takes back the evacuation of a data centre, as the operator of the platform does. */
   evacuate (dataCentre: string, isEvacuated = true): void {
-    if (isEvacuated) this.#store.put(`${EVACUATION_PREFIX}${dataCentre}`, '{}')
-    else this.#store.remove(`${EVACUATION_PREFIX}${dataCentre}`)
-    this.#store.wake()
-  }
-
-  /** Adds to the time of each write of the store. */
-  delayCommits (delayMs: number): void {
-    this.#store.commitDelayMs = delayMs
-  }
-
-  /** Adds to the time of each read of the operator's keys. */
-  delayOperatorKeys (delayMs: number): void {
-    this.#store.operatorDelayMs = delayMs
-  }
-
-  /** Lets all calls to the store fail. */
-  refuseStoreCalls (isRefusing: boolean): void {
-    this.#store.refusing = isRefusing
+    if (isEvacuated) this.store.put(`${EVACUATION_PREFIX}${dataCentre}`, '{}')
+    else this.store.remove(`${EVACUATION_PREFIX}${dataCentre}`)
+    this.store.wake()
   }
 
   delaySnapshots (delayMs: number): void {
-    this.#store.snapshotDelayMs = delayMs
+    this.store.snapshotDelayMs = delayMs
   }
 
   /** Submits a job that counts as accepted when it is durable. */
