Give a renewed reservation at least three seconds

Cause: a large task whose target kept one run of the tail was given up after 2.4 s, and then got no reservation for as long. Change: the renewed expected start is at least 3 s away.

--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -25,7 +25,8 @@
 const LARGE_TASK_RATIO = 0.5
 /**
  * Longest expected wait for which the cap of a team drains, since its narrow jobs have nothing running meanwhile. Places
- * on targets are reserved for longer if the job is of use then.
+ * on targets are reserved for longer if the job is of use then. The renewed expected start is at least as far away: with
+ * only as long again as the first wait, some large tasks beside run times that are off did not start within 7 s.
  */
 const MAX_DRAIN_MS = 3_000
 /** A report, a commit and a pass later than the last end of a run, the step is started. */
@@ -191,8 +192,8 @@
     if (nowMs <= reservation.deadlineMs) return
     if (reservation.renewed || !isWorthWaiting(reservation, nowMs)) return this.#end(key, reservation, 'given-up', nowMs)
     reservation.renewed = true
-    // The first estimate was too low, so that the runs are likely to take at least as long again.
-    const startMs = Math.max(reservation.expectedStartMs, nowMs + Math.min(nowMs - reservation.createdAtMs, MAX_DRAIN_MS))
+    // The first estimate was too low, so that another target may have to be emptied from the beginning.
+    const startMs = Math.max(reservation.expectedStartMs, nowMs + MAX_DRAIN_MS)
     reservation.deadlineMs = startMs + START_DELAY_MS
   }
 
