Bound the plans for new reservations in a pass

Cause: each waiting gang without a plan had all targets examined in each pass (read, not measured). Change: two plans a pass for each service and priority, and 250 ms until the next one for the same step.

--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -31,6 +31,10 @@
 const MAX_DRAIN_MS = 3_000
 /** A report, a commit and a pass later than the last end of a run, the step is started. */
 const START_DELAY_MS = 350
+/** A plan examines all targets, and many steps may wait that can not get places. */
+const MAX_ATTEMPTS_PER_PASS = 2
+/** The next attempts are those of other steps. */
+const RETRY_DELAY_MS = 250
 /** Part of the runs of a step that end before the expected start, if it uses reserved places. Urgent runs are short, so that their mean is used. */
 const BACKFILL_QUANTILE = 0.9
 /**
@@ -90,7 +94,9 @@
   readonly #options: PlacementReservationsOptions
   /** By service and priority, or by team. */
   readonly #reservations = new Map<string, Reservation>()
-  /** Steps that gave a reservation up, and until when they get no other one. */
+  /** Plans made in this pass for steps without a reservation, by service and priority, or by team. */
+  readonly #attempts = new Map<string, number>()
+  /** Steps that gave a reservation up or could not get one, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
   /** Since when steps have waited for capacity that is held for others. */
   #blockedSinceMs: ReadonlyMap<StepProgress, number> = new Map()
@@ -109,6 +115,7 @@
   renew (pass: PlacementPass, nowMs: number): void {
     this.#releases = new Map()
     this.#views.clear()
+    this.#attempts.clear()
     this.#blockedSinceMs = this.#blockedInPass
     this.#blockedInPass = new Map()
     for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
@@ -152,8 +159,14 @@
     const reservation: Reservation = {
       id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false, isOfUse: isOfUse(step, nowMs)
     }
-    if (!this.#plan(reservation, pass, nowMs)) return false
-    if (!isWorthWaiting(reservation, nowMs)) return true
+    const attempts = this.#attempts.get(key) ?? 0
+    if (attempts >= MAX_ATTEMPTS_PER_PASS) return true
+    this.#attempts.set(key, attempts + 1)
+    const isPlanned = this.#plan(reservation, pass, nowMs)
+    if (!isPlanned || !isWorthWaiting(reservation, nowMs)) {
+      this.#suspendedUntilMs.set(step, nowMs + RETRY_DELAY_MS)
+      return isPlanned
+    }
     reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
     this.#reservations.set(key, reservation)
     return true
