--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -25,11 +25,16 @@
 const LARGE_TASK_RATIO = 0.5
 /**
  * Longest expected wait for which the cap of a team drains, since its narrow jobs have nothing running meanwhile. Places
- * on targets are reserved for longer if the job is of use then.
+ * on targets are reserved for longer if the job is of use then. The renewed expected start is at least as far away: with
+ * only as long again as the first wait, some large tasks beside run times that are off did not start within 7 s.
  */
 const MAX_DRAIN_MS = 3_000
 /** A report, a commit and a pass later than the last end of a run, the step is started. */
 const START_DELAY_MS = 350
+/** A plan examines all targets, and many steps may wait that can not get places. */
+const MAX_ATTEMPTS_PER_PASS = 2
+/** The next attempts are those of other steps. */
+const RETRY_DELAY_MS = 250
 /** Part of the runs of a step that end before the expected start, if it uses reserved places. Urgent runs are short, so that their mean is used. */
 const BACKFILL_QUANTILE = 0.9
 /**
@@ -89,7 +94,9 @@
   readonly #options: PlacementReservationsOptions
   /** By service and priority, or by team. */
   readonly #reservations = new Map<string, Reservation>()
-  /** Steps that gave a reservation up, and until when they get no other one. */
+  /** Plans made in this pass for steps without a reservation, by service and priority, or by team. */
+  readonly #attempts = new Map<string, number>()
+  /** Steps that gave a reservation up or could not get one, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
   /** Since when steps have waited for capacity that is held for others. */
   #blockedSinceMs: ReadonlyMap<StepProgress, number> = new Map()
@@ -108,6 +115,7 @@
   renew (pass: PlacementPass, nowMs: number): void {
     this.#releases = new Map()
     this.#views.clear()
+    this.#attempts.clear()
     this.#blockedSinceMs = this.#blockedInPass
     this.#blockedInPass = new Map()
     for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
@@ -151,8 +159,14 @@
     const reservation: Reservation = {
       id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false, isOfUse: isOfUse(step, nowMs, this.#options.runTimes)
     }
-    if (!this.#plan(reservation, pass, nowMs)) return false
-    if (!isWorthWaiting(reservation, nowMs, this.#options.runTimes)) return true
+    const attempts = this.#attempts.get(key) ?? 0
+    if (attempts >= MAX_ATTEMPTS_PER_PASS) return true
+    this.#attempts.set(key, attempts + 1)
+    const isPlanned = this.#plan(reservation, pass, nowMs)
+    if (!isPlanned || !isWorthWaiting(reservation, nowMs, this.#options.runTimes)) {
+      this.#suspendedUntilMs.set(step, nowMs + RETRY_DELAY_MS)
+      return isPlanned
+    }
     reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
     this.#reservations.set(key, reservation)
     return true
@@ -191,8 +205,8 @@
     if (nowMs <= reservation.deadlineMs) return
     if (reservation.renewed || !isWorthWaiting(reservation, nowMs, this.#options.runTimes)) return this.#end(key, reservation, 'given-up', nowMs)
     reservation.renewed = true
-    // The first estimate was too low, so that the runs are likely to take at least as long again.
-    const startMs = Math.max(reservation.expectedStartMs, nowMs + Math.min(nowMs - reservation.createdAtMs, MAX_DRAIN_MS))
+    // The first estimate was too low, so that another target may have to be emptied from the beginning.
+    const startMs = Math.max(reservation.expectedStartMs, nowMs + MAX_DRAIN_MS)
     reservation.deadlineMs = startMs + START_DELAY_MS
   }
 
