Ask freely while a lane of the advisor is idle

Cause: the rule of 'Ask the advisor a further question only where its answer pays' also held questions back while no other step wanted the lanes. Change: the rule applies only while the expected wait for a lane is above zero. Result: unit tests of advice pass.

--- a/src/coordinator/advice/advisedPlacement.test.ts
+++ b/src/coordinator/advice/advisedPlacement.test.ts
@@ -28,7 +28,7 @@
 
 /** Applies decisions until tasks are started or no further question is asked. */
 /** No question waits for a lane, and the allowed targets never have capacity. */
-const ALWAYS_WORTH_ASKING = { expectedAnswerMs: () => 0, timeUntilAllowedMs: () => Infinity }
+const ALWAYS_WORTH_ASKING = { expectQuestion: () => ({ laneWaitMs: 0, decisionMs: 0 }), timeUntilAllowedMs: () => Infinity }
 
 function place (count: number, gang: boolean, targets = TARGETS, advice = new StepAdvice(), idleLanes = 0): { questions: number, placed: number } {
   const definition = createStep(count, { gang, size: resources({ processors: 18_000, memory: 64_000 }) })
--- a/src/coordinator/advice/advisedPlacement.ts
+++ b/src/coordinator/advice/advisedPlacement.ts
@@ -35,8 +35,8 @@
   readonly decisionMs: number
   /** Number of lanes that could ask a question now. */
   readonly idleLanes: number
-  /** Expected time until a question that names so many targets is answered. */
-  readonly expectedAnswerMs: (targets: number) => number
+  /** Expected times of a question that names so many targets. */
+  readonly expectQuestion: (targets: number) => { readonly laneWaitMs: number, readonly decisionMs: number }
   /** Expected time until the allowed targets have capacity for one task, or for the whole gang. */
   readonly timeUntilAllowedMs: () => number
 }
@@ -47,9 +47,9 @@
  * considered: under overload, hundreds of steps compete for the few targets that are not full.
  *
  * @example
- * const decision = decideAdvisedPlacement({ definition, count: 8, advice, allowedShare, targets, describe, nowMs: clock.monotonicMs(), decisionMs: 686, idleLanes: 90, expectedAnswerMs, timeUntilAllowedMs })
+ * const decision = decideAdvisedPlacement({ definition, count: 8, advice, allowedShare, targets, describe, nowMs: clock.monotonicMs(), decisionMs: 686, idleLanes: 90, expectQuestion, timeUntilAllowedMs })
  */
-export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs, decisionMs, idleLanes, expectedAnswerMs, timeUntilAllowedMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
+export function decideAdvisedPlacement<Target extends AdvisedTarget> ({ definition, count, advice, allowedShare, targets, describe, nowMs, decisionMs, idleLanes, expectQuestion, timeUntilAllowedMs }: AdvisedRequest<Target>): AdvisedDecision<Target> {
   const size = requiredResources(definition)
   const candidates = advice.answered ? targets.filter(({ free }) => fitsWithin(size, free)) : targets
   const allowed = candidates.filter(({ key }) => advice.allows(key))
@@ -74,7 +74,7 @@
     count,
     allowedCapacity: allowed.reduce((sum, { free }) => sum + countFitting(size, free), 0),
     namedCapacity: capacities.slice(0, named).reduce((sum, capacity) => sum + capacity, 0),
-    answerMs: expectedAnswerMs(sizes[0] ?? 0),
+    ...expectQuestion(sizes[0] ?? 0),
     timeUntilAllowedMs,
     waitedMs: nowMs - advice.answeredAtMs
   })
--- a/src/coordinator/advice/questionWorth.ts
+++ b/src/coordinator/advice/questionWorth.ts
@@ -16,8 +16,10 @@
   readonly allowedCapacity: number
   /** Free capacity of the targets that the question would name. */
   readonly namedCapacity: number
-  /** Expected time until the question is answered, including its wait for a lane. */
-  readonly answerMs: number
+  /** Expected time until a lane is free for the question; 0 if one is idle. */
+  readonly laneWaitMs: number
+  /** Time of the answer from then on. */
+  readonly decisionMs: number
   /** Expected time until the allowed targets have capacity; `Infinity` if they never will. */
   readonly timeUntilAllowedMs: () => number
   /** Time since the last answer about the step. */
@@ -25,17 +27,19 @@
 }
 
 /**
- * A question occupies a lane for as long as the policy takes to decide, however few targets it names. It does not pay if the
- * allowed targets are expected to have capacity before it is answered, nor for a gang that could not start if all
+ * A question occupies a lane for as long as the policy takes to decide, however few targets it names. While others wait for
+ * the lanes, it does not pay if the allowed targets are expected to have capacity before it is answered, nor for a gang that could not start if all
  * the named targets were allowed. Without this rule, steps that wait for capacity ask about each target that gets a little,
  * until every answer takes seconds and the free capacity of the service is not used.
  *
  * @example
- * if (isWorthAsking({ definition, count: 4, allowedCapacity: 1, namedCapacity: 2, answerMs: 900, timeUntilAllowedMs, waitedMs: 0 })) ask()
+ * if (isWorthAsking({ definition, count: 4, allowedCapacity: 1, namedCapacity: 2, laneWaitMs: 800, decisionMs: 600, timeUntilAllowedMs, waitedMs: 0 })) ask()
  */
-export function isWorthAsking ({ definition, count, allowedCapacity, namedCapacity, answerMs, timeUntilAllowedMs, waitedMs }: FurtherQuestion): boolean {
+export function isWorthAsking ({ definition, count, allowedCapacity, namedCapacity, laneWaitMs, decisionMs, timeUntilAllowedMs, waitedMs }: FurtherQuestion): boolean {
+  if (laneWaitMs <= 0) return true
   const untilAllowedMs = timeUntilAllowedMs()
   if (untilAllowedMs === Infinity) return true
   if (definition.gang && allowedCapacity + namedCapacity < count) return false
+  const answerMs = laneWaitMs + decisionMs
   return answerMs < untilAllowedMs || waitedMs >= MAX_WAIT_IN_ANSWERS * answerMs
 }
--- a/src/coordinator/advice/stepAdvisor.ts
+++ b/src/coordinator/advice/stepAdvisor.ts
@@ -76,10 +76,10 @@
     await this.#ask(step, queue, targets, queue.priority - RENEWAL_PRECEDENCE, () => step.job.outcome === undefined)
   }
 
-  /** Expected milliseconds until a further question about the step, which names that many targets, is answered. */
-  expectedAnswerMs ({ advice, priority }: QueueSettings, targets: number): number {
-    const durationMs = advice === undefined ? 0 : advice.decisionMs + advice.perTargetMs * targets
-    return this.#options.lanes.expectedWaitMs(durationMs, priority) + durationMs
+  /** Expected milliseconds until a lane is free for a further question, and from then on until its answer. */
+  expectQuestion ({ advice, priority }: QueueSettings, targets: number): { readonly laneWaitMs: number, readonly decisionMs: number } {
+    const decisionMs = advice === undefined ? 0 : advice.decisionMs + advice.perTargetMs * targets
+    return { laneWaitMs: this.#options.lanes.expectedWaitMs(decisionMs, priority), decisionMs }
   }
 
   async #ask (step: StepProgress, queue: QueueSettings, targets: readonly AdvisedTarget[], rank: number, isNeeded: () => boolean): Promise<void> {
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -365,7 +365,7 @@
       nowMs,
       decisionMs: queue.advice?.decisionMs ?? 0,
       idleLanes: this.#options.lanes.idleForLongQuestions,
-      expectedAnswerMs: targets => this.#advisor.expectedAnswerMs(queue, targets),
+      expectQuestion: targets => this.#advisor.expectQuestion(queue, targets),
       timeUntilAllowedMs: () => this.#forecast.timeUntilRoomMs({
         service: queue.service, size: requiredResources(step.definition), tasks: step.definition.gang ? count : 1, permits: session => advice.allows(session.key)
       })
