--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -408,7 +408,7 @@
       service: queue.service,
       racks: placed.map(key => this.#fleet.get(key)?.rack ?? ''),
       findTargets: () => sessions.filter(session => (advice?.allows(session.key) ?? true) && this.#isUsefulFor(definition, this.#describeTarget(step, session))),
-      slackMs: slackMs(step.job, nowMs),
+      slackMs: slackMs(step.job, nowMs, this.#options.runTimes),
       nowMs
     })
     return started.map(position => placed[position] as string)
