Move the starts of placed tasks out of the placer

Change: reservation of capacity, the record of a placement and the start requests are a class of their own; no behaviour changes.

--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -1,7 +1,7 @@
 /** Places waiting tasks on targets: decides their order, their targets and the tickets they start with. */
 import type { QueueSettings } from '../../jobs/desiredState.ts'
 import type { DesiredStateIndex } from '../../jobs/desiredStateIndex.ts'
-import type { LogRecord, PlacedRun } from '../../jobs/jobRecords.ts'
+import type { LogRecord } from '../../jobs/jobRecords.ts'
 import type { StepDefinition } from '../../jobs/job.ts'
 import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
@@ -34,6 +34,8 @@
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
+import { TaskStarts } from './taskStarts.ts'
+import type { ReservedStart } from './taskStarts.ts'
 import { TeamUsage } from './teamUsage.ts'
 import { WaitReport } from './waitReport.ts'
 import type { WaitExplanation } from './waitReport.ts'
@@ -84,6 +86,7 @@
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
   readonly #reservations: PlacementReservations
+  readonly #starts: TaskStarts
   #cancelRenewal: (() => void) | undefined
   readonly #waitReport: WaitReport
   readonly #passThrottle: AdaptiveThrottle
@@ -101,6 +104,14 @@
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#reservations = this.#createReservations()
+    this.#starts = new TaskStarts({
+      logger: this.#logger,
+      metrics: options.metrics,
+      fleet: this.#fleet,
+      usage: this.#usage,
+      append: options.append,
+      onGivenBack: (task, attempt) => this.requeueTask(task, attempt)
+    })
     this.#locality = this.#createLocalityWait()
     this.#waitReport = new WaitReport({ clock: this.#clock, logger: this.#logger, explain: step => this.#explainWait(step) })
     this.#passThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(false))
@@ -139,6 +150,7 @@
 
   close (): void {
     this.#closed = true
+    this.#starts.close()
     this.#cancelRenewal?.()
     this.#passThrottle.close()
     this.#urgentPassThrottle.close()
@@ -278,7 +290,7 @@
       const local = this.#withRunningRack(step)
       const placed = this.#withoutWaiting(step, local, queue, placeStep(local, count, sessions.map(session => this.#describeTarget(step, session, room))), sessions, nowMs)
       pass.recordReservation(queue.service, size, placed.length)
-      this.#startWhenStored(step, this.#reserve(waiting, placed), () => '')
+      this.#starts.startWhenStored(step, this.#starts.reserve(waiting, placed), () => '')
       return placed.length > 0 ? 'placed' : this.#locality.isWaiting(step) ? 'awaits-locality' : 'no-room'
     }
     const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs, room)
@@ -339,7 +351,7 @@
     }
     if (ready.length === 0) return
     if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
-    else this.#startWhenStored(step, this.#reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => '')
+    else this.#starts.startWhenStored(step, this.#starts.reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => '')
   }
 
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
@@ -376,12 +388,12 @@
         return 0
       case 'start': {
         const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
-        this.#startWhenStored(step, this.#reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
+        this.#starts.startWhenStored(step, this.#starts.reserve(waiting, placed), session => advice.ticket(session.key, this.#clock.monotonicMs()))
         return placed.length
       }
       case 'renew': {
         const placed = this.#withoutWaiting(step, local, queue, decision.placed, sessions, nowMs)
-        if (placed.length > 0) runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#reserve(waiting, placed)), this.#logger, 'start after renewed advice')
+        if (placed.length > 0) runInBackground(this.#startAfterRenewedAdvice(step, queue, advice, this.#starts.reserve(waiting, placed)), this.#logger, 'start after renewed advice')
         return placed.length
       }
       case 'wait':
@@ -421,92 +433,14 @@
   }
 
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
-  async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly Reservation[]): Promise<void> {
-    const stored = this.#recordPlacement(step, reserved)
+  async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly ReservedStart[]): Promise<void> {
+    const stored = this.#starts.record(step, reserved)
     const sessions = [...new Set(reserved.map(({ session }) => session))]
     for (let offset = 0; offset < sessions.length; offset += MAX_TARGETS_PER_QUESTION) {
       await this.#advisor.renew(step, queue, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
     }
     await stored
-    this.#startReserved(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
-  }
-
-  /** Sends the start requests after the placement is in the log, so that a successor finds the runs. */
-  #startWhenStored (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketLookup): void {
-    if (reserved.length === 0) return
-    runInBackground(this.#recordPlacement(step, reserved).then(() => this.#startReserved(step, reserved, ticketFor)), this.#logger, 'start of tasks')
-  }
-
-  /** Resolves when the placement is stored or the term has ended. */
-  async #recordPlacement (step: StepProgress, reserved: readonly Reservation[]): Promise<void> {
-    const runs = reserved.map(({ session, assignment }): PlacedRun => [assignment.task.index, assignment.attempt, session.key])
-    const record: LogRecord = { type: 'placed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }
-    await this.#options.append([record]).catch(() => {
-      // No start request was sent, and none will be.
-    })
-  }
-
-  /** Starts the reserved tasks that may still be started; a gang starts as a whole or not at all. */
-  #startReserved (step: StepProgress, reserved: readonly Reservation[], ticketFor: TicketLookup): void {
-    if (this.#closed) return
-    const startable = ({ session, assignment }: Reservation): boolean =>
-      session.assignments.has(assignment.key) && !session.ended && !session.draining && !session.evacuated && session.capacity.covers(assignment.size) && ticketFor(session) !== undefined
-    const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
-    this.#reportEvacuated(step, reserved)
-    for (const reservation of reserved) {
-      const { session, assignment } = reservation
-      if (!session.assignments.has(assignment.key)) continue
-      if (permitted && startable(reservation)) this.#start(session, assignment, ticketFor(session))
-      else this.#cancelReservation(reservation)
-    }
-  }
-
-  /** Counts reserved tasks that are given back since the data centre of their target has been evacuated since. */
-  #reportEvacuated (step: StepProgress, reserved: readonly Reservation[]): void {
-    const evacuated = reserved.filter(({ session, assignment }) => session.evacuated && session.assignments.has(assignment.key))
-    if (evacuated.length === 0) return
-    this.#options.metrics.countStartsGivenBack(evacuated.length)
-    this.#logger.info({ job: step.job.id, step: step.name, tasks: evacuated.map(({ session, assignment }) => [assignment.task.index, assignment.attempt, session.id]) }, 'starts given back: the data centre is evacuated')
-  }
-
-  #cancelReservation ({ session, assignment }: Reservation): void {
-    session.cancelReservation(assignment)
-    this.releaseUsage(assignment)
-    this.requeueTask(assignment.task, assignment.attempt)
-  }
-
-  #reserve (waiting: readonly TaskProgress[], placed: readonly string[]): readonly Reservation[] {
-    const first = waiting[0]
-    if (first === undefined || placed.length === 0) return []
-    const { step } = first
-    const gangAttempt = step.nextAttempt(first)
-    const reserved: Reservation[] = []
-    const racks = this.#racksOfGroup(step, placed)
-    for (const [position, key] of placed.entries()) {
-      const task = waiting[position]
-      const session = this.#fleet.get(key)
-      if (task === undefined || session === undefined) continue
-      const attempt = step.definition.gang ? gangAttempt : step.nextAttempt(task)
-      const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'reserved')
-      assignment.isRemote = isRemoteFrom(step, session, racks)
-      step.recordPlacement(task.index, attempt, key)
-      this.#usage.add(step.job.team, step.definition)
-      session.reserve(assignment)
-      reserved.push({ session, assignment })
-    }
-    this.#logger.info({ job: step.job.id, step: step.name, tasks: reserved.map(({ session, assignment }) => [assignment.task.index, assignment.attempt, session.id]) }, 'tasks placed')
-    return reserved
-  }
-
-  /** Racks of the step's tasks with those about to be placed; undefined for a step that is no group. */
-  #racksOfGroup (step: StepProgress, placed: readonly string[]): ReadonlySet<string> | undefined {
-    if (!step.definition.sameRack) return undefined
-    const keys = new Set([...placed, ...step.tasks.map(({ placedOn }) => placedOn)])
-    return new Set([...keys].flatMap(key => this.#fleet.get(key)?.rack ?? []))
-  }
-
-  #start (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
-    runInBackground(session.start(assignment, ticket === '' ? undefined : ticket), this.#logger, 'start of a run')
+    this.#starts.start(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
   }
 
   /** Upper bound on the tasks to place, given free capacity, the team's cap and the reserve for urgent tasks. */
@@ -574,9 +508,6 @@
  */
 type PlacementOutcome = 'placed' | 'awaits-advice' | 'awaits-locality' | 'capped' | 'no-room'
 
-/** Returns the ticket for starting on a target; empty if none is needed, undefined if none is valid. */
-type TicketLookup = (session: TargetSession) => string | undefined
-
 /** A step with tasks to place, and its rank. */
 interface WaitingStep {
   readonly step: StepProgress
@@ -585,8 +516,3 @@
   readonly suspected: readonly TaskProgress[]
   readonly rank: readonly number[]
 }
-
-interface Reservation {
-  readonly session: TargetSession
-  readonly assignment: Assignment
-}
