Refuse no job that an idle service would start

Cause: found in review. The urgent reserve was demanded from capacity reduced by fragmentation, which placement does not; the headroom kept from late jobs was compared with the smaller of service and cap; runs on targets that get no tasks were counted as used and never as released; an older refusal of a job hid its newer promise. Change: as placement does; the headroom counts on the service only; releases of all placed runs; the latest refusal counts. Result: 22 tests of admission pass; two new ones fail before (one target of 16 with a task of 9: 429; a late return of a team with a small cap: 429).

--- a/src/coordinator/admission/admissionOutlook.ts
+++ b/src/coordinator/admission/admissionOutlook.ts
@@ -6,6 +6,7 @@
 import { countFitting, requiredResources } from '../placement/placeStep.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import type { TeamUsage } from '../placement/teamUsage.ts'
+import type { PlacedAssignment } from '../placement/waitReport.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
 import { orderOfRank } from './admissionRequest.ts'
 import type { AdmissionRequest } from './admissionRequest.ts'
@@ -128,6 +129,8 @@
   readonly urgentReserveRatio: number
   /** Targets that may get new tasks. */
   readonly sessions: readonly TargetSession[]
+  /** Runs on all targets: those on targets that get no tasks also release part of a team's cap. */
+  readonly placed: readonly PlacedAssignment[]
   readonly waiting: readonly { readonly step: StepProgress, readonly rank: readonly number[] }[]
   readonly settings: DesiredStateIndex
   readonly usage: TeamUsage
@@ -147,9 +150,9 @@
  * that the pass has ranked.
  *
  * @example
- * admission.update(createOutlook({ nowMs, sessions, waiting: ranked, settings, usage, forecast, runTimes, urgentReserveRatio }))
+ * admission.update(createOutlook({ nowMs, sessions, placed, waiting: ranked, settings, usage, forecast, runTimes, urgentReserveRatio }))
  */
-export function createOutlook ({ nowMs, urgentReserveRatio, sessions, waiting, settings, usage, forecast, runTimes }: OutlookSource): AdmissionOutlook {
+export function createOutlook ({ nowMs, urgentReserveRatio, sessions, placed, waiting, settings, usage, forecast, runTimes }: OutlookSource): AdmissionOutlook {
   const totals = new Map<string, ServiceTotals>()
   const releases = new Map<string, number[]>()
   for (const session of sessions) {
@@ -161,8 +164,8 @@
     totalsOfService.largest = Math.max(totalsOfService.largest, processors)
     // A copy: what is placed until the next pass counts as ahead, and must not count as taken in addition.
     totalsOfService.free.push({ ...session.free })
-    for (const { key, size, team } of session.assignments.values()) addRelease(releases, team, size.processors, forecast.remainingMs(session, key))
   }
+  for (const { session, assignment: { key, size, team } } of placed) addRelease(releases, team, size.processors, forecast.remainingMs(session, key))
   const backlog = new Backlog()
   const teamNames = new Set(releases.keys())
   for (const { step, rank } of waiting) {
--- a/src/coordinator/admission/feasibilityAdmission.test.ts
+++ b/src/coordinator/admission/feasibilityAdmission.test.ts
@@ -203,3 +203,30 @@
     await clock.advance(60_000)
   }
 })
+
+// Guards against refusals on an idle service: placement gives the reserve for urgent work up for a task that could not start otherwise.
+test('a task or gang that the reserve for urgent work would leave too little for is accepted on an idle service', t => {
+  for (const [targets, tasks] of [[1, 1], [8, 8]] as const) {
+    const total = 16 * targets
+    const admission = new FeasibilityAdmission(new ManualClock())
+    admission.update(new AdmissionOutlook({
+      atMs: 0, urgentReserveRatio: 0.05, services: new Map([['renders', { curve: SupplyCurve.from(() => total), totalProcessors: total, largestTarget: 16 }]]), teams: new Map(), backlog: new Backlog(), timeUntilTargetMs: () => 0, fittingProcessors: () => 9 * targets
+    }))
+    const request = { ...REQUEST, priority: 1, unitProcessors: 9 * tasks, processors: 9 * tasks, largestTask: { processors: 9, memory: 0, accelerators: 0 } }
+    t.is(admission.decide('1', request, 0).action, 'accept')
+  }
+})
+
+// Guards against a caller who is refused at each return, since its team's cap is smaller than the capacity that is kept from late jobs.
+test('a caller who returns late to an idle service is accepted, however small its team\'s cap is', async t => {
+  const clock = new ManualClock()
+  const admission = new FeasibilityAdmission(clock)
+  admission.update(outlookOf(Infinity))
+  const decision = admission.decide('1', REQUEST, 0)
+  if (decision.action !== 'refuse') return t.fail('the full service refuses the job')
+  admission.recordRefusal('1', REQUEST, decision)
+  await clock.advance(decision.retryAfterSeconds * 1_000)
+  const { state } = outlookOf(0)
+  admission.update(new AdmissionOutlook({ ...state, atMs: clock.monotonicMs(), teams: new Map([['weavers', { curve: SupplyCurve.from(() => 5), cap: 5, idle: true }]]) }))
+  t.is(admission.decide('1', REQUEST, 0).action, 'accept')
+})
--- a/src/coordinator/admission/feasibilityAdmission.ts
+++ b/src/coordinator/admission/feasibilityAdmission.ts
@@ -63,6 +63,11 @@
   readonly curve: SupplyCurve
 }
 
+interface JobEstimate extends StartEstimate {
+  /** `spareProcessors` without regard to the team's cap. */
+  readonly spareOfService: number
+}
+
 /** What a job has to wait for. */
 interface Queueing {
   readonly account: Account
@@ -117,7 +122,7 @@
     const ownMs = request.criticalPathMs + this.#ownWaitMs(request, outlook, service)
     const endsWithin = ({ lastMs }: Pick<StartEstimate, 'lastMs'>, limitMs: number): boolean => lastMs + request.criticalPathMs <= Math.max(limitMs, ownMs) - ageMs
     const isUseless = ageMs > 0 && !endsWithin(NO_WAIT, request.lateObjectiveMs)
-    const hasRoom = estimate.spareProcessors >= (isUseless ? service.totalProcessors * USELESS_HEADROOM : 0)
+    const hasRoom = estimate.spareProcessors >= 0 && (!isUseless || estimate.spareOfService >= service.totalProcessors * USELESS_HEADROOM)
     if (hasRoom || endsWithin(estimate, promiseIsDue ? request.lateObjectiveMs : request.objectiveMs)) {
       return { action: 'accept', expectedStartMs: hasRoom ? 0 : estimate.firstMs }
     }
@@ -188,14 +193,16 @@
     return undefined
   }
 
-  #estimate (request: AdmissionRequest, outlook: AdmissionOutlook, service: ServiceOutlook, order: number, arrivingBefore: number, promisedSecond: number | undefined): StartEstimate {
+  #estimate (request: AdmissionRequest, outlook: AdmissionOutlook, service: ServiceOutlook, order: number, arrivingBefore: number, promisedSecond: number | undefined): JobEstimate {
     const nowMs = this.#clock.monotonicMs()
     const { state } = outlook
     const { team, unitProcessors, processors, largestTask } = request
-    const reserve = request.priority === 0 ? 0 : service.totalProcessors * state.urgentReserveRatio
+    const curve = outlook.curveFor(request.service, service, largestTask)
+    // Placement gives the reserve up for a task or gang that could not start otherwise.
+    const reserve = request.priority === 0 ? 0 : Math.min(service.totalProcessors * state.urgentReserveRatio, Math.max(0, (curve.processors.at(-1) ?? 0) - unitProcessors))
     const waits: Queueing[] = [{
       account: `service ${request.service}`,
-      curve: outlook.curveFor(request.service, service, largestTask),
+      curve,
       ahead: outlook.ahead(request.service, order),
       firstProcessors: Math.min(unitProcessors + reserve, service.totalProcessors),
       allProcessors: processors + reserve,
@@ -213,7 +220,7 @@
     const elapsedMs = nowMs - state.atMs
     const corrected = (startMs: number): number => Math.max(0, startMs - elapsedMs) * factor
     const longest = starts.reduce((left, right) => right.firstMs > left.firstMs ? right : left)
-    return { ...longest, spareProcessors: Math.min(...starts.map(({ spareProcessors }) => spareProcessors)), firstMs: corrected(longest.firstMs), lastMs: corrected(Math.max(...starts.map(({ lastMs }) => lastMs))) }
+    return { ...longest, spareOfService: starts[0]?.spareProcessors ?? 0, spareProcessors: Math.min(...starts.map(({ spareProcessors }) => spareProcessors)), firstMs: corrected(longest.firstMs), lastMs: corrected(Math.max(...starts.map(({ lastMs }) => lastMs))) }
   }
 
   /**
--- a/src/coordinator/admission/returnSchedule.ts
+++ b/src/coordinator/admission/returnSchedule.ts
@@ -84,7 +84,8 @@
     this.#expire(nowMs)
     if (this.#buckets.length === 0) return undefined
     const bits = bitsOf(id)
-    for (const { second, promised, unpromised } of this.#buckets) {
+    // The latest refusal counts.
+    for (const { second, promised, unpromised } of [...this.#buckets].reverse()) {
       for (const identities of [promised, unpromised]) {
         if (identities.count > 0 && bits.every(bit => ((identities.filter[bit >>> 5] ?? 0) & 1 << (bit & 31)) !== 0)) {
           return { second, promised: identities === promised, firstAttemptMs: identities.firstAttemptSumMs / identities.count }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -248,7 +248,7 @@
     // Read after placement, since sums that were computed during the pass lack what it has placed.
     this.#forecast.update(open)
     const { feasibility, runTimes, desiredState } = this.#options
-    feasibility.update(createOutlook({ nowMs, sessions: open, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
+    feasibility.update(createOutlook({ nowMs, sessions: open, placed: this.#fleet.placed, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
   }
 
   /** Reservations and the waits behind them end in a pass, which nothing else may request for a second. */
