Bound waits behind reservations and questions, and build evacuations in one step

Cause: found in review. Change: the time goes on for a second; the bound comes first; one map for a listing.

--- a/src/coordinator/advice/questionWorth.test.ts
+++ b/src/coordinator/advice/questionWorth.test.ts
@@ -27,4 +27,5 @@
   t.false(isWorthAsking({ ...WAITING, waitedMs: 7_999 }))
   t.true(isWorthAsking({ ...WAITING, waitedMs: 8_000 }))
   t.true(isWorthAsking({ ...WAITING, definition: { gang: true }, namedCapacity: 1, timeUntilAllowedMs: () => Infinity }))
+  t.true(isWorthAsking({ ...WAITING, definition: { gang: true }, namedCapacity: 1, waitedMs: 8_000 }), 'a gang too wide for one question')
 })
--- a/src/coordinator/advice/questionWorth.ts
+++ b/src/coordinator/advice/questionWorth.ts
@@ -39,7 +39,7 @@
   if (laneWaitMs <= 0) return true
   const untilAllowedMs = timeUntilAllowedMs()
   if (untilAllowedMs === Infinity) return true
-  if (definition.gang && allowedCapacity + namedCapacity < count) return false
   const answerMs = laneWaitMs + decisionMs
-  return answerMs < untilAllowedMs || waitedMs >= MAX_WAIT_IN_ANSWERS * answerMs
+  if (waitedMs >= MAX_WAIT_IN_ANSWERS * answerMs) return true
+  return answerMs < untilAllowedMs && !(definition.gang && allowedCapacity + namedCapacity < count)
 }
--- a/src/coordinator/desiredStateWatcher.ts
+++ b/src/coordinator/desiredStateWatcher.ts
@@ -156,13 +156,13 @@
       page = await store.listPage(prefix, after)
     }
     this.#markConfirmed()
-    let evacuations = Evacuations.NONE
+    const evacuated = new Map<string, number>()
     for (const { key, value, revision: written } of items) {
       if (key === this.#options.key) this.#apply(value)
       const name = this.#evacuatedName(key)
-      if (name !== undefined) evacuations = evacuations.with(name, written)
+      if (name !== undefined) evacuated.set(name, written)
     }
-    this.#updateEvacuations(evacuations)
+    this.#updateEvacuations(Evacuations.of(evacuated))
     return revision
   }
 
--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -42,6 +42,8 @@
  * step that has waited behind reservations for this long uses reserved places.
  */
 const MAX_BLOCKED_MS = 2_000
+/** A step may wait for another reason in between, such as a place near its data; its time goes on for so long. */
+const BLOCKED_RETENTION_MS = 1_000
 
 export type ReservationEnd = 'started' | 'given-up' | 'not-needed'
 
@@ -98,9 +100,8 @@
   readonly #attempts = new Map<string, number>()
   /** Steps that gave a reservation up or could not get one, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
-  /** Since when steps have waited for capacity that is held for others. */
-  #blockedSinceMs: ReadonlyMap<StepProgress, number> = new Map()
-  #blockedInPass = new Map<StepProgress, number>()
+  /** Since when, and until when, steps have waited for capacity that is held for others. */
+  readonly #blocked = new Map<StepProgress, { readonly sinceMs: number, readonly lastMs: number }>()
   /** Expected releases of the targets, read once in a pass. */
   #releases = new Map<TargetSession, readonly ExpectedRelease[]>()
   /** Views of the room, by the reservations that they leave out; valid until the next full pass chooses the places again. */
@@ -116,8 +117,7 @@
     this.#releases = new Map()
     this.#views.clear()
     this.#attempts.clear()
-    this.#blockedSinceMs = this.#blockedInPass
-    this.#blockedInPass = new Map()
+    for (const [step, { lastMs }] of this.#blocked) if (nowMs - lastMs > BLOCKED_RETENTION_MS || step.job.outcome !== undefined) this.#blocked.delete(step)
     for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
     for (const [key, reservation] of this.#reservations) this.#renew(key, reservation, pass, nowMs)
   }
@@ -174,17 +174,18 @@
 
   /** Ends the reservations of a step of which tasks were placed. */
   recordStart (step: StepProgress, nowMs: number): void {
+    this.#blocked.delete(step)
     for (const [key, reservation] of this.#reservations) if (reservation.step === step) this.#end(key, reservation, 'started', nowMs)
   }
 
   /** Records that a step could have started if nothing were held for others; the time counts if its wait is to be bounded. */
   recordBlocked (step: StepProgress, nowMs: number, counts: boolean): void {
-    this.#blockedInPass.set(step, counts ? this.#blockedSinceMs.get(step) ?? nowMs : nowMs)
+    this.#blocked.set(step, { sinceMs: counts ? this.#blocked.get(step)?.sinceMs ?? nowMs : nowMs, lastMs: nowMs })
   }
 
   /** The reservations that the step waits behind. */
   explainBlocked (step: StepProgress, nowMs: number): Readonly<Record<string, unknown>> | undefined {
-    if (!this.#blockedInPass.has(step) && !this.#blockedSinceMs.has(step)) return undefined
+    if (!this.#blocked.has(step)) return undefined
     const binding = [...this.#reservations.values()].filter(each => this.#binds(each, step, nowMs))
     return { reservedFor: binding.map(each => [each.step.name, each.scope, Math.round(each.expectedStartMs - nowMs)]) }
   }
@@ -273,7 +274,7 @@
   #binds (reservation: Reservation, step: StepProgress, nowMs: number): boolean {
     const { step: holder, expectedStartMs } = reservation
     if (holder === step || step.definition.longRunning) return false
-    if (nowMs - (this.#blockedSinceMs.get(step) ?? nowMs) >= MAX_BLOCKED_MS) return false
+    if (nowMs - (this.#blocked.get(step)?.sinceMs ?? nowMs) >= MAX_BLOCKED_MS) return false
     const leftMs = Math.max(0, expectedStartMs - nowMs)
     const { runTimes } = this.#options
     const runMs = (isUrgent(step) ? runTimes.expectedMs(step) : runTimes.quantileMs(step, BACKFILL_QUANTILE)) * runTimes.remoteFactor(step)
--- a/src/coordinator/targets/evacuations.ts
+++ b/src/coordinator/targets/evacuations.ts
@@ -16,6 +16,11 @@
     this.#revisions = revisions
   }
 
+  /** Revisions by name, as listed. */
+  static of (revisions: ReadonlyMap<string, number>): Evacuations {
+    return revisions.size === 0 ? Evacuations.NONE : new Evacuations(revisions)
+  }
+
   /** Names in the order in which they were written. */
   get names (): readonly string[] {
     return [...this.#revisions].sort(([, left], [, right]) => left - right).map(([name]) => name)
