Reserve places as soon as the advice about a step is known

A gang or large task that needs advice is asked about when it could not get a reservation, and was suspended for 250 ms although the answer takes 40 ms. Now the answer ends this delay; the suspension after a reservation that was given up is separate and stays. Nothing is asked, and the delay stays, when all targets have been asked about.

--- a/src/coordinator/placement/placementReservations.test.ts
+++ b/src/coordinator/placement/placementReservations.test.ts
@@ -144,13 +144,13 @@
 })
 
 /** Starts a cluster with runs of 25 s that leave 4 processors of the first target, and a large task that waits for 5 of them. */
-async function startWithReservation (): Promise<SimulatedCluster> {
+async function startWithReservation (queue = BATCH, waitMs = 1_000): Promise<SimulatedCluster> {
   const cluster = new SimulatedCluster({ targets: 4, cap: 0, lateMs: 0, failing: false })
   await cluster.elect()
   for (const processors of [8_000, 8_000, 8_000, 4_000]) cluster.submit('long', BATCH, [createStep(1, { estimateMs: 25_000, size: resources({ processors, memory: 10 }) })])
   await cluster.clock.advance(1_000)
-  cluster.submit('large', BATCH, [createStep(1, { estimateMs: 1_000, size: resources({ processors: 5_000, memory: 10 }) })])
-  await cluster.clock.advance(1_000)
+  cluster.submit('large', queue, [createStep(1, { estimateMs: 1_000, size: resources({ processors: 5_000, memory: 10 }) })])
+  await cluster.clock.advance(waitMs)
   return cluster
 }
 
@@ -165,6 +165,18 @@
   cluster.close()
 })
 
+// Guards against capacity that is lost between the answer of the advisor and the next regular attempt at a reservation.
+test('a large task whose queue needs advice holds a place as soon as the advice is known', async t => {
+  const cluster = await startWithReservation(ADVISED, 310)
+  // Causes the pass in which the large task has waited for long enough.
+  cluster.submit('short', BATCH, [createStep(1, { estimateMs: 1_000, size: resources({ processors: 1_000, memory: 10 }) })])
+  await cluster.clock.advance(100)
+  const narrow = cluster.submit('narrow', BATCH, [createStep(1, { estimateMs: 30_000, size: resources({ processors: 1_000, memory: 10 }) })])
+  await cluster.clock.advance(100)
+  t.false(cluster.running.some(task => task.startsWith(narrow)), 'the place is not held')
+  cluster.close()
+})
+
 // Guards against reservations that keep their places idle for as long as their holder waits.
 test('a lasting task, and a job that ends before the expected start of a large task, use its places at once', async t => {
   for (const definition of [createStep(1, { longRunning: true, estimateMs: 60_000 }), createStep(1, { estimateMs: 3_000 })]) {
--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -96,8 +96,10 @@
   readonly #reservations = new Map<string, Reservation>()
   /** Plans made in this pass for steps without a reservation, by service and priority, or by team. */
   readonly #attempts = new Map<string, number>()
-  /** Steps that gave a reservation up or could not get one, and until when they get no other one. */
+  /** Steps that gave a reservation up, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
+  /** Steps that could not get a reservation, and when the next attempt is made. */
+  readonly #retryAtMs = new Map<StepProgress, number>()
   /** Since when steps have waited for capacity that is held for others. */
   #blockedSinceMs: ReadonlyMap<StepProgress, number> = new Map()
   #blockedInPass = new Map<StepProgress, number>()
@@ -118,7 +120,7 @@
     this.#attempts.clear()
     this.#blockedSinceMs = this.#blockedInPass
     this.#blockedInPass = new Map()
-    for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
+    for (const delays of [this.#suspendedUntilMs, this.#retryAtMs]) for (const [step, untilMs] of delays) if (nowMs >= untilMs || step.job.outcome !== undefined) delays.delete(step)
     for (const [key, reservation] of this.#reservations) this.#renew(key, reservation, pass, nowMs)
   }
 
@@ -155,7 +157,7 @@
     const { job } = step
     const { service } = pass.queue(job.queue)
     const key = scope === 'cap' ? teamKey(step) : classKey(step, service)
-    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
+    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || this.#retryAtMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
     const reservation: Reservation = {
       id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false, isOfUse: isOfUse(step, nowMs, this.#options.runTimes)
     }
@@ -164,7 +166,7 @@
     this.#attempts.set(key, attempts + 1)
     const isPlanned = this.#plan(reservation, pass, nowMs)
     if (!isPlanned || !isWorthWaiting(reservation, nowMs, this.#options.runTimes)) {
-      this.#suspendedUntilMs.set(step, nowMs + RETRY_DELAY_MS)
+      this.#retryAtMs.set(step, nowMs + RETRY_DELAY_MS)
       return isPlanned
     }
     reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
@@ -172,6 +174,11 @@
     return true
   }
 
+  /** Lets a step that could not get a reservation try again in the next pass, since further targets may be permitted. */
+  retry (step: StepProgress): void {
+    this.#retryAtMs.delete(step)
+  }
+
   /** Ends the reservations of a step of which tasks were placed. */
   recordStart (step: StepProgress, nowMs: number): void {
     for (const [key, reservation] of this.#reservations) if (reservation.step === step) this.#end(key, reservation, 'started', nowMs)
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -310,9 +310,10 @@
     const { definition } = step
     const size = requiredResources(definition)
     const unasked = pass.sessions(queue.service).filter(session => !advice.wasAsked(session.key)).sort((left, right) => right.free.processors - left.free.processors)
+    if (unasked.length === 0) return
     const capacities = unasked.map(({ capacity }) => Math.min(countFitting(size, capacity.total), definition.tasksPerTarget || Infinity))
     const named = countTargetsToName(definition.gang ? waiting : 1, capacities, this.#advisor.allowedShare(queue).value)
-    runInBackground(this.#advisor.ask(step, queue, unasked.slice(0, named)), this.#logger, 'placement advice')
+    runInBackground(this.#advisor.ask(step, queue, unasked.slice(0, named)).then(() => this.#reservations.retry(step)), this.#logger, 'placement advice')
   }
 
   /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
