--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -8,7 +8,7 @@
 import { isUrgent, objectiveMs, slackMs } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
 import type { PlacementPass } from './placementPass.ts'
-import { requiredResources } from './placeStep.ts'
+import { countFitting, requiredResources } from './placeStep.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
 import { listRooms, planReservation } from './reservationPlanner.ts'
 import type { ExpectedRelease, ReservationPlan } from './reservationPlanner.ts'
@@ -98,10 +98,12 @@
   readonly #reservations = new Map<string, Reservation>()
   /** Plans made in this pass for steps without a reservation, by service and priority, or by team. */
   readonly #attempts = new Map<string, number>()
-  /** Steps that gave a reservation up or could not get one, and until when they get no other one. */
+  /** Steps that gave a reservation up, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
   /** Since when, and until when, steps have waited for capacity that is held for others. */
   readonly #blocked = new Map<StepProgress, { readonly sinceMs: number, readonly lastMs: number }>()
+  /** Steps that could not get a reservation, and when the next attempt is made. */
+  readonly #retryAtMs = new Map<StepProgress, number>()
   /** Expected releases of the targets, read once in a pass. */
   #releases = new Map<TargetSession, readonly ExpectedRelease[]>()
   /** Views of the room, by the reservations that they leave out; valid until the next full pass chooses the places again. */
@@ -118,7 +120,7 @@
     this.#views.clear()
     this.#attempts.clear()
     for (const [step, { lastMs }] of this.#blocked) if (nowMs - lastMs > BLOCKED_RETENTION_MS || step.job.outcome !== undefined) this.#blocked.delete(step)
-    for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
+    for (const delays of [this.#suspendedUntilMs, this.#retryAtMs]) for (const [step, untilMs] of delays) if (nowMs >= untilMs || step.job.outcome !== undefined) delays.delete(step)
     for (const [key, reservation] of this.#reservations) this.#renew(key, reservation, pass, nowMs)
   }
 
@@ -155,7 +157,7 @@
     const { job } = step
     const { service } = pass.queue(job.queue)
     const key = scope === 'cap' ? teamKey(step) : classKey(step, service)
-    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
+    if (this.#reservations.has(key) || this.#suspendedUntilMs.has(step) || this.#retryAtMs.has(step) || nowMs - job.acceptedAtMs < MIN_WAIT_MS || !this.#isEligible(step, scope, pass)) return true
     const reservation: Reservation = {
       id: this.#nextId++, step, scope, service, createdAtMs: nowMs, places: new Map(), share: NOTHING, expectedStartMs: nowMs, deadlineMs: Infinity, renewed: false, isOfUse: isOfUse(step, nowMs, this.#options.runTimes)
     }
@@ -164,7 +166,7 @@
     this.#attempts.set(key, attempts + 1)
     const isPlanned = this.#plan(reservation, pass, nowMs)
     if (!isPlanned || !isWorthWaiting(reservation, nowMs, this.#options.runTimes)) {
-      this.#suspendedUntilMs.set(step, nowMs + RETRY_DELAY_MS)
+      this.#retryAtMs.set(step, nowMs + RETRY_DELAY_MS)
       return isPlanned
     }
     reservation.deadlineMs = reservation.expectedStartMs + START_DELAY_MS
@@ -172,6 +174,11 @@
     return true
   }
 
+  /** Lets a step that could not get a reservation try again in the next pass, since further targets may be permitted. */
+  retry (step: StepProgress): void {
+    this.#retryAtMs.delete(step)
+  }
+
   /** Ends the reservations of a step of which tasks were placed. */
   recordStart (step: StepProgress, nowMs: number): void {
     this.#blocked.delete(step)
@@ -226,8 +233,9 @@
     const others = [...this.#reservations.values()].filter(other => other !== reservation && other.scope === 'targets' && other.service === service)
     const room = others.length === 0 ? ALL_ROOM : new UnheldRoom(others)
     const targets = new Map(pass.sessions(service).filter(target => this.#options.permits(step, target)).map(target => [target.key, target]))
-    const rooms = listRooms(definition, [...targets.values()], target => ({ ...this.#options.describe(step, target), free: room.free(target) }), target => reservation.places.has(target), target => this.#releasesOf(target))
     const size = requiredResources(definition)
+    const countHeld = (target: TargetSession): number => countFitting(size, reservation.places.get(target) ?? NOTHING)
+    const rooms = listRooms(definition, [...targets.values()], target => ({ ...this.#options.describe(step, target), free: room.free(target) }), countHeld, target => this.#releasesOf(target))
     const plan = planReservation(size, neededTasks(step), rooms)
     if (plan === undefined) return undefined
     const held = others.reduce((sum, { places }) => sum + sumProcessors(places), 0)
@@ -256,7 +264,7 @@
     const free = subtractFromCap(team, this.#options.usage.usageOf(team.name))
     const releases = (): readonly ExpectedRelease[] => this.#options.placed().filter(({ assignment }) => assignment.team === team.name)
       .map(({ session, assignment }) => ({ inMs: this.#options.forecast.remainingMs(session, assignment.key), size: assignment.task.step.definition.size })).sort(compareReleases)
-    return planReservation(size, count, [{ key: team.name, free, slots: count, held: true, releases }])
+    return planReservation(size, count, [{ key: team.name, free, slots: count, held: count, releases }])
   }
 
   #releasesOf (target: TargetSession): readonly ExpectedRelease[] {
