Keep a failing rank of one step from ending placement passes

The critical path was computed with the dependencies of a step spread into the arguments of Math.max, which throws a RangeError from about 100,000 entries on. A list of dependencies is not bounded and may repeat entries, so that one accepted job ended every placement pass, also at a successor.

The critical path is computed in a loop, repeated dependencies are removed when a job is decoded, and a step whose rank can not be computed is logged once and left out of the pass. Unit tests cover the three.

--- /dev/null
+++ b/src/coordinator/placement/jobRanking.test.ts
@@ -0,0 +1,29 @@
+import test from 'ava'
+import { pino } from 'pino'
+import { JobProgress } from '../../jobs/jobProgress.ts'
+import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
+import { criticalPathMs, StepRanking } from './jobRanking.ts'
+
+// Guards against a RangeError of one accepted job, which ends each placement pass.
+test('the critical path of a job whose step lists 300,000 dependencies is computed', t => {
+  const steps = [createStep(1, { estimateMs: 20 }), createStep(1, { estimateMs: 10, after: new Array<number>(300_000).fill(0) })]
+  t.is(criticalPathMs(new JobProgress(createJobRecord('job', steps), TEST_QUEUE, 0)), 30)
+})
+
+// Guards against a fault of one job that stops the placement of all others, or that fills the log.
+test('a step that can not be ranked is left out and logged once', t => {
+  const lines: string[] = []
+  const [broken, sound] = ['broken', 'sound'].map(id => new JobProgress(createJobRecord(id, [createStep(1)]), TEST_QUEUE, 0).steps[0] as StepProgress) as [StepProgress, StepProgress]
+  const expectedMs = (step: StepProgress): number => {
+    if (step === broken) throw new RangeError('too large')
+    return 10
+  }
+  const ranking = new StepRanking({ logger: pino({}, { write: line => { lines.push(line) } }), runTimes: { expectedMs, quantileMs: expectedMs, remoteFactor: () => 1 } })
+  for (const nowMs of [0, 10]) {
+    t.is(ranking.rank(broken, nowMs), undefined)
+    t.true(Array.isArray(ranking.rank(sound, nowMs)))
+  }
+  t.is(lines.length, 1)
+  t.regex(lines[0] ?? '', /broken.*too large|too large.*broken/)
+})
--- a/src/coordinator/placement/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -1,6 +1,7 @@
 /** Ranks the waiting steps for placement. */
 import type { JobProgress } from '../../jobs/jobProgress.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
+import type { Logger } from '../../observability/logger.ts'
 import { DeclaredRunTimes } from '../forecast/runTimes.ts'
 import type { RunTimes } from '../forecast/runTimes.ts'
 
@@ -62,6 +63,37 @@
   return [job.record.withinShare ? 0 : 1, tier === 2 ? 1 : 0, job.queue.priority, tier, job.hasStarted ? 0 : 1, expectedWork(job, runTimes)]
 }
 
+/**
+ * Ranks the waiting steps of each pass. Leaves out steps whose rank can not be computed, which would otherwise end the
+ * pass for all others.
+ *
+ * @example
+ * const ranking = new StepRanking({ logger, runTimes })
+ * const ranks = steps.map(step => ranking.rank(step, nowMs))
+ */
+export class StepRanking {
+  readonly #logger: Logger
+  readonly #runTimes: RankingRunTimes
+  /** Steps whose failure was logged. */
+  readonly #failed = new WeakSet<StepProgress>()
+
+  constructor ({ logger, runTimes }: { readonly logger: Logger, readonly runTimes: RankingRunTimes }) {
+    this.#logger = logger
+    this.#runTimes = runTimes
+  }
+
+  /** Undefined if the rank can not be computed, which is logged once for each step. */
+  rank (step: StepProgress, nowMs: number): readonly number[] | undefined {
+    try {
+      return rankStep(step, nowMs, this.#runTimes)
+    } catch (error) {
+      if (!this.#failed.has(step)) this.#logger.error({ err: error, step: step.name }, 'step can not be ranked and is not placed')
+      this.#failed.add(step)
+      return undefined
+    }
+  }
+}
+
 /** Time by which a job can be delayed and still meet its objective; negative if it will be late. */
 export function slackMs (job: JobProgress, nowMs: number, runTimes: RankingRunTimes = DECLARED): number {
   return objectiveMs(job, runTimes) - (nowMs - job.acceptedAtMs + remainingCriticalPathMs(job, runTimes))
@@ -100,11 +132,16 @@
 /** `timeOf` returns the time of a step; the declared time applies where it is undefined. */
 function longestChainMs (job: JobProgress, timeOf: (step: StepProgress | undefined) => number | undefined): number {
   const ends: number[] = []
+  let longestMs = 0
   for (const [position, { after, estimateMs }] of job.definition.steps.entries()) {
-    const startMs = Math.max(0, ...after.map(earlier => ends[earlier] ?? 0))
-    ends.push(startMs + (timeOf(currentStep(job, position)) ?? estimateMs))
+    // Not spread into the arguments of one call, which fails from about 100,000 entries on.
+    let startMs = 0
+    for (const earlier of after) startMs = Math.max(startMs, ends[earlier] ?? 0)
+    const endMs = startMs + (timeOf(currentStep(job, position)) ?? estimateMs)
+    ends.push(endMs)
+    longestMs = Math.max(longestMs, endMs)
   }
-  return Math.max(0, ...ends)
+  return longestMs
 }
 
 /** The step of the latest occurrence; undefined before the first one has begun. */
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -16,7 +16,7 @@
 import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { Isolation } from '../targets/isolation.ts'
-import { isWithinShareAndUseful, compareRanks, isUrgent, rankStep, slackMs } from './jobRanking.ts'
+import { isWithinShareAndUseful, compareRanks, isUrgent, slackMs, StepRanking } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
@@ -85,6 +85,7 @@
   readonly #failedTargets = new Map<StepProgress, Set<string>>()
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
+  readonly #ranking: StepRanking
   readonly #reservations: PlacementReservations
   readonly #starts: TaskStarts
   #cancelRenewal: (() => void) | undefined
@@ -100,6 +101,7 @@
     this.#clock = options.clock
     this.#logger = options.logger
     this.#fleet = options.fleet
+    this.#ranking = new StepRanking(options)
     this.#forecast = new PlacedRoomForecast(options.clock, options.runTimes)
     this.#isolation = new Isolation((step, session) => this.#describeTarget(step, session), this.#logger)
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
@@ -266,7 +268,8 @@
         if (step.done || step.job.outcome !== undefined) this.#queuedSteps.delete(step)
         continue
       }
-      const rank = rankStep(step, nowMs, this.#options.runTimes)
+      const rank = this.#ranking.rank(step, nowMs)
+      if (rank === undefined) continue
       if (urgentOnly && !isWithinShareAndUseful(rank)) continue
       const suspected = step.suspectedTasks.filter(task => task.state === 'waiting')
       ranked.push({ step, waiting: suspected.length === 0 ? waiting : waiting.filter(task => !suspected.includes(task)), suspected: waiting.filter(task => suspected.includes(task)), rank })
--- a/src/platform/jobBody.ts
+++ b/src/platform/jobBody.ts
@@ -47,7 +47,7 @@
       count: step.count,
       size: decodeResources(step),
       estimateMs: step.estimate_ms,
-      after: step.after,
+      after: [...new Set(step.after)],
       gang: step.gang,
       sameRack: step.rack_local,
       requiredLabel: step.constraints,
