Rank the steps of a job once per placement pass

All steps of a job have the same rank, and computing it walks through all steps of the job, so that a ranking took time with the square of the steps of a job. Each pass now computes the rank once per job. A unit test counts the estimates asked for and compares the ranks with those of single steps.

--- a/src/coordinator/placement/jobRanking.test.ts
+++ b/src/coordinator/placement/jobRanking.test.ts
@@ -3,7 +3,7 @@
 import { JobProgress } from '../../jobs/jobProgress.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
-import { criticalPathMs, StepRanking } from './jobRanking.ts'
+import { criticalPathMs, rankStep, StepRanking } from './jobRanking.ts'
 
 // Guards against a RangeError of one accepted job, which ends each placement pass.
 test('the critical path of a job whose step lists 300,000 dependencies is computed', t => {
@@ -21,9 +21,31 @@
   }
   const ranking = new StepRanking({ logger: pino({}, { write: line => { lines.push(line) } }), runTimes: { expectedMs, quantileMs: expectedMs, remoteFactor: () => 1 } })
   for (const nowMs of [0, 10]) {
-    t.is(ranking.rank(broken, nowMs), undefined)
-    t.true(Array.isArray(ranking.rank(sound, nowMs)))
+    ranking.beginPass(nowMs)
+    t.is(ranking.rank(broken), undefined)
+    t.true(Array.isArray(ranking.rank(sound)))
   }
   t.is(lines.length, 1)
   t.regex(lines[0] ?? '', /broken.*too large|too large.*broken/)
 })
+
+// Guards against passes of seconds, since the rank of each waiting step takes a walk through all steps of its job.
+test('the steps of a job are walked through once per pass, and ranked as each by itself', t => {
+  const { steps } = new JobProgress(createJobRecord('job', Array.from({ length: 50 }, () => createStep(1, { estimateMs: 100 }))), TEST_QUEUE, 0)
+  let calls = 0
+  const expectedMs = ({ definition }: StepProgress): number => {
+    calls += 1
+    return definition.estimateMs
+  }
+  const runTimes = { expectedMs, quantileMs: expectedMs, remoteFactor: () => 1 }
+  const ranking = new StepRanking({ logger: pino({ level: 'silent' }), runTimes })
+  const ranksAt = (nowMs: number): readonly unknown[] => {
+    ranking.beginPass(nowMs)
+    return steps.map(step => ranking.rank(step))
+  }
+  const first = ranksAt(0)
+  t.true(calls <= 3 * steps.length, `${calls} calls`)
+  t.deepEqual(first, steps.map(step => rankStep(step, 0, runTimes)))
+  t.deepEqual(ranksAt(1e9), steps.map(step => rankStep(step, 1e9, runTimes)))
+  t.notDeepEqual(ranksAt(1e9), first)
+})
--- a/src/coordinator/placement/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -64,31 +64,47 @@
 }
 
 /**
- * Ranks the waiting steps of each pass. Leaves out steps whose rank can not be computed, which would otherwise end the
+ * Ranks the waiting steps of each pass; all steps of a job have one rank, which takes a walk through all of them. Leaves out steps whose rank can not be computed, which would otherwise end the
  * pass for all others.
  *
  * @example
  * const ranking = new StepRanking({ logger, runTimes })
- * const ranks = steps.map(step => ranking.rank(step, nowMs))
+ * ranking.beginPass(nowMs)
+ * const ranks = steps.map(step => ranking.rank(step))
  */
 export class StepRanking {
   readonly #logger: Logger
   readonly #runTimes: RankingRunTimes
-  /** Steps whose failure was logged. */
-  readonly #failed = new WeakSet<StepProgress>()
+  /** Ranks of this pass; undefined for jobs whose rank can not be computed. */
+  readonly #ranks = new Map<JobProgress, readonly number[] | undefined>()
+  /** Jobs whose failure was logged. */
+  readonly #failed = new WeakSet<JobProgress>()
+  #nowMs = 0
 
   constructor ({ logger, runTimes }: { readonly logger: Logger, readonly runTimes: RankingRunTimes }) {
     this.#logger = logger
     this.#runTimes = runTimes
   }
 
-  /** Undefined if the rank can not be computed, which is logged once for each step. */
-  rank (step: StepProgress, nowMs: number): readonly number[] | undefined {
+  /** Forgets the ranks of the last pass. */
+  beginPass (nowMs: number): void {
+    this.#ranks.clear()
+    this.#nowMs = nowMs
+  }
+
+  /** Undefined if the rank can not be computed, which is logged once for each job. */
+  rank (step: StepProgress): readonly number[] | undefined {
+    const { job } = step
+    if (!this.#ranks.has(job)) this.#ranks.set(job, this.#compute(step))
+    return this.#ranks.get(job)
+  }
+
+  #compute (step: StepProgress): readonly number[] | undefined {
     try {
-      return rankStep(step, nowMs, this.#runTimes)
+      return rankStep(step, this.#nowMs, this.#runTimes)
     } catch (error) {
-      if (!this.#failed.has(step)) this.#logger.error({ err: error, step: step.name }, 'step can not be ranked and is not placed')
-      this.#failed.add(step)
+      if (!this.#failed.has(step.job)) this.#logger.error({ err: error, step: step.name }, 'job can not be ranked and is not placed')
+      this.#failed.add(step.job)
       return undefined
     }
   }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -261,6 +261,7 @@
 
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
     const ranked: WaitingStep[] = []
+    this.#ranking.beginPass(nowMs)
     for (const step of this.#queuedSteps) {
       if (urgentOnly && (!isUrgent(step) || (this.#advisor.findAdvice(step)?.openQuestions ?? 0) > 0)) continue
       const { waiting } = step
@@ -268,7 +269,7 @@
         if (step.done || step.job.outcome !== undefined) this.#queuedSteps.delete(step)
         continue
       }
-      const rank = this.#ranking.rank(step, nowMs)
+      const rank = this.#ranking.rank(step)
       if (rank === undefined) continue
       if (urgentOnly && !isWithinShareAndUseful(rank)) continue
       const suspected = step.suspectedTasks.filter(task => task.state === 'waiting')
