Bound the demands of racks that are kept

The decayed demand was kept for each service and rack for the rest of the term, and callers choose the names of racks of their data freely, at any length.

--- a/src/coordinator/placement/localityWait.ts
+++ b/src/coordinator/placement/localityWait.ts
@@ -8,13 +8,12 @@
 import type { RunTimes } from '../forecast/runTimes.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
 import { requiredResources } from './placeStep.ts'
+import { RackDemands } from './rackDemands.ts'
 
 /** While there is room for a task it does not wait for 3 s with nothing running; advice and the start need the rest. */
 const MAX_WAIT_MS = 2_000
 /** A pass may come 250 ms after the last one, and a start takes a few round trips. */
 const SLACK_MARGIN_MS = 300
-/** Demand of the last seconds; long against runs, and short enough to follow a burst. */
-const DEMAND_WINDOW_MS = 10_000
 /** With a larger part of its processors free, a service does not lack those that longer runs far away take from others. */
 const AMPLE_FREE_SHARE = 0.2
 /** Waits lose little until the near tasks of a rack use nearly all of it; see the comparison in docs/design/locality-wait.md. */
@@ -56,12 +55,6 @@
   readonly onEnd: (wait: EndedWait) => void
 }
 
-/** Work of tasks that are near on a rack, decayed over `DEMAND_WINDOW_MS`, in millicore-milliseconds. */
-interface Demand {
-  work: number
-  atMs: number
-}
-
 interface WaitState {
   readonly firstAtMs: number
   readonly gainMs: number
@@ -90,7 +83,7 @@
   readonly #options: LocalityWaitOptions
   readonly #states = new WeakMap<StepProgress, WaitState>()
   /** By service and rack; without a rack for groups that may run on any one. */
-  readonly #demands = new Map<string, Demand>()
+  readonly #demands = new RackDemands()
   /** Resources for which steps wait that were decided on earlier in the pass, by service and rack. */
   readonly #claims = new Map<string, { processors: number, tasks: number }>()
 
@@ -179,8 +172,8 @@
 
   /** Part of the run time saved near that is saved for all tasks together; from 0 to 1. */
   #commonShare ({ definition, service, nowMs }: LocalityQuestion, targets: readonly TargetSession[]): number {
-    const demand = this.#demands.get(claimKey(service, definition.dataRack))
-    if (demand === undefined) return 1
+    const used = this.#demands.processors(claimKey(service, definition.dataRack), nowMs)
+    if (used === undefined) return 1
     let near = 0
     let total = 0
     let free = 0
@@ -191,17 +184,14 @@
       free += target.free.processors
     }
     if (near <= 0 || total <= 0) return 0
-    const used = demand.work * decay(nowMs - demand.atMs) / DEMAND_WINDOW_MS
     return Math.max(0, 1 - (used / near) ** DEMAND_EXPONENT, 1 - free / total / AMPLE_FREE_SHARE)
   }
 
   /** Counts tasks that start, near or far, for the rack that they prefer. */
   #recordDemand ({ step, definition, service, nowMs }: LocalityQuestion, tasks: number): void {
     if (tasks === 0) return
-    const key = claimKey(service, definition.dataRack)
-    const demand = this.#demands.get(key)
     const work = tasks * requiredResources(definition).processors * this.#options.runTimes.expectedMs(step)
-    this.#demands.set(key, { work: work + (demand === undefined ? 0 : demand.work * decay(nowMs - demand.atMs)), atMs: nowMs })
+    this.#demands.record(claimKey(service, definition.dataRack), work, nowMs)
   }
 
   #timeUntilRoomMs ({ definition, service }: LocalityQuestion, targets: readonly TargetSession[], rack: string, tasks: number): number {
@@ -259,10 +249,6 @@
   return [...racks].filter(([, { total }]) => total >= needed).sort(([, left], [, right]) => right.free - left.free).slice(0, MAX_RACKS).map(([rack]) => rack)
 }
 
-function decay (elapsedMs: number): number {
-  return Math.exp(-elapsedMs / DEMAND_WINDOW_MS)
-}
-
 function claimKey (service: string, rack: string): string {
   return `${service} ${rack}`
 }
