Do not learn from runs whose starts were not seen

A run that an earlier coordinator placed gets its time of start from the first report to its successor, which may be long after its start. Its run time was learned too short, and compared with others to find slow targets. Such runs are now marked when they are recovered and skipped by both; the time of start stays for estimates of the remaining time. Without the mark, the new test sees 2,859 ms learned for a run of 3,000 ms.

--- a/src/coordinator/forecast/learning.test.ts
+++ b/src/coordinator/forecast/learning.test.ts
@@ -35,6 +35,23 @@
   cluster.close()
 })
 
+// Guards against run times that are learned too short, since a recovered run is first reported long after its start.
+test('a run that an earlier coordinator started is not learned from', async t => {
+  const cluster = new SimulatedCluster({ targets: 2, cap: 0, lateMs: 0, failing: false, workMs: () => 3_000 })
+  await cluster.elect()
+  const id = cluster.submit('short', BATCH, [createStep(1, { estimateMs: DECLARED_MS })])
+  await cluster.clock.advance(200)
+  t.is(cluster.running.length, 1)
+  await cluster.startSuccessor(0)
+  const { coordinator, clock } = cluster
+  const step = coordinator.table.jobs.get(id)?.findStep(0, 0)
+  if (step === undefined) return t.fail('the job has ended')
+  await clock.advance(5_000)
+  t.true(step.done)
+  t.is(coordinator.runTimes.actualMs(step), undefined)
+  cluster.close()
+})
+
 /** Half as much again as the eight targets can run. */
 const JOBS_PER_SECOND = 30
 const LOAD_MS = 15_000
--- a/src/coordinator/forecast/slowTargets.test.ts
+++ b/src/coordinator/forecast/slowTargets.test.ts
@@ -67,3 +67,12 @@
   slowTargets.update(targets, 20_000)
   t.is(slowTargets.slow.size, 0)
 })
+
+// Guards against verdicts by the time since a hand-over, which is not the run time.
+test('runs whose starts were not seen are not compared', t => {
+  const slowTargets = new SlowTargets(learnedTimes())
+  const targets = createTargets(10)
+  for (let index = 0; index < 8; index++) slowTargets.recordEnd('renders-0', Object.assign(startRun(`job-${index}`, 0), { isStartSeen: false }), 9_000)
+  slowTargets.update(targets, 9_000)
+  t.is(slowTargets.slow.size, 0)
+})
--- a/src/coordinator/forecast/slowTargets.ts
+++ b/src/coordinator/forecast/slowTargets.ts
@@ -127,8 +127,8 @@
     return overdueMs > 0 && overdueMs < EVIDENCE_MS ? this.#compare(assignment, nowMs) : undefined
   }
 
-  #compare ({ startedAtMs, isResumed, isRemote, task: { step } }: Assignment, nowMs: number): Comparison | undefined {
-    if (startedAtMs === undefined || isResumed || step.definition.longRunning) return undefined
+  #compare ({ startedAtMs, isStartSeen, isResumed, isRemote, task: { step } }: Assignment, nowMs: number): Comparison | undefined {
+    if (startedAtMs === undefined || !isStartSeen || isResumed || step.definition.longRunning) return undefined
     const durationMs = (nowMs - startedAtMs) / (isRemote ? this.#runTimes.remoteFactor(step) : 1)
     const rank = this.#runTimes.fractionWithin(step, durationMs)
     return rank === undefined ? undefined : { job: step.job.id, rank, logSlowdown: Math.log(Math.max(durationMs, 1) / this.#runTimes.expectedMs(step)) }
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -480,8 +480,8 @@
   }
 
   /** Called for one member of a gang, since its members end together. */
-  #learnRunTime (step: StepProgress, { startedAtMs, isResumed, isRemote }: Assignment): void {
-    if (startedAtMs === undefined || isResumed) return
+  #learnRunTime (step: StepProgress, { startedAtMs, isStartSeen, isResumed, isRemote }: Assignment): void {
+    if (startedAtMs === undefined || !isStartSeen || isResumed) return
     const nowMs = this.#clock.monotonicMs()
     this.#runTimes.learn({ step, durationMs: nowMs - startedAtMs, isRemote, nowMs })
   }
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -203,6 +203,7 @@
     if (session === undefined) return step.releaseLostRun(task, attempt)
     const assignment = new Assignment(task, attempt, requiredResources(step.definition), 'recovering')
     assignment.confirmedAtMs = -Infinity
+    assignment.isStartSeen = false
     assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
     session.reserve(assignment)
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -21,8 +21,10 @@
   reservedAtMs = 0
   /** When a report first showed the run. */
   firstReportedAtMs = Infinity
-  /** When the run was first known to run, by a report or by the answer to its start; undefined if an earlier coordinator started it. */
+  /** When the run was first known to run, by a report or by the answer to its start; long after its start if that was not seen. */
   startedAtMs: number | undefined
+  /** False for a run that an earlier coordinator placed; the time since `startedAtMs` is then too short for its run time. */
+  isStartSeen = true
   /** Whether the run resumes from a checkpoint. */
   isResumed = false
   /** Whether the run is away from the data of its step, or belongs to a group that is spread over several racks. */
