Bound run times to 0 to 7 days

Any finite number was taken as the declared run time. One of 1e306 made sums of admission infinite and later NaN for the rest of the term, and a negative one ranked its job first. Declared run times are bounded when a job is decoded, and again, for jobs that are in the log already, where expected run times and ranks are computed from them. Arrival rates and the correction of starts ignore amounts that are not finite. Unit tests cover each bound.

--- a/src/coordinator/admission/arrivalRates.ts
+++ b/src/coordinator/admission/arrivalRates.ts
@@ -21,6 +21,8 @@
   readonly #services = new Map<string, Map<number, DecayingSum>>()
 
   record (service: string, order: number, { processors, work }: Amount, nowMs: number): void {
+    // The sums would never become finite again.
+    if (!Number.isFinite(processors) || !Number.isFinite(work)) return
     const sums = this.#services.get(service) ?? new Map<number, DecayingSum>()
     this.#services.set(service, sums)
     const place = priorityOfOrder(order)
--- a/src/coordinator/admission/startCorrection.ts
+++ b/src/coordinator/admission/startCorrection.ts
@@ -27,6 +27,8 @@
   readonly #byPriority = new Map<number, Observations>()
 
   record (priority: number, estimatedMs: number, actualMs: number, nowMs: number): void {
+    // The averages would never become finite again.
+    if (!Number.isFinite(estimatedMs) || !Number.isFinite(actualMs)) return
     const { estimatedMs: estimated, actualMs: actual } = this.#decayed(priority, nowMs)
     this.#byPriority.set(priority, {
       estimatedMs: estimated + Math.max(estimatedMs, INSIGNIFICANT_WAIT_MS),
--- a/src/coordinator/forecast/learnedRunTimes.test.ts
+++ b/src/coordinator/forecast/learnedRunTimes.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { generateDurations, stepOf } from './testing/runs.ts'
 import { LearnedRunTimes } from './learnedRunTimes.ts'
+import { DeclaredRunTimes } from './runTimes.ts'
 import { JobProgress } from '../../jobs/jobProgress.ts'
 import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { JobTable } from '../../jobs/jobTable.ts'
@@ -104,3 +105,16 @@
   table.apply({ type: 'run-times', models: [{ ...model, queue: 7 }, model] } as unknown as LogRecord)
   t.deepEqual([...table.runTimeModels], [model])
 })
+
+// Guards against jobs of an older log, whose estimates were not bounded when they were decoded.
+test('expected run times are from 0 to 7 days, whatever was declared', t => {
+  const learned = new LearnedRunTimes({ defaultRemoteFactor: 1 })
+  for (const runTimes of [new DeclaredRunTimes(), learned]) {
+    for (const [estimateMs, boundedMs] of [[1e306, 604_800_000], [-1e9, 0], [50, 50]] as const) {
+      const step = stepOf({ estimateMs })
+      t.deepEqual([runTimes.expectedMs(step), runTimes.quantileMs(step, 0.5)], [boundedMs, boundedMs])
+    }
+  }
+  learnAll(learned, Array.from({ length: 20 }, () => 9_000))
+  t.is(learned.expectedMs(stepOf({ estimateMs: 1e306 })), 604_800_000)
+})
--- a/src/coordinator/forecast/learnedRunTimes.ts
+++ b/src/coordinator/forecast/learnedRunTimes.ts
@@ -1,4 +1,5 @@
 /** Learns run times from the runs that have ended. Handles queues whose declared run times are off by up to nine tenths. */
+import { boundRunTimeMs } from '../../jobs/job.ts'
 import type { RunTimeModelSummary, RunTimesRecord } from '../../jobs/jobRecords.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 import { DecayingHistogram, fractionBelow, MIN_SAMPLES, quantileOf } from './decayingHistogram.ts'
@@ -84,12 +85,12 @@
 
   expectedMs (step: StepProgress): number {
     const learned = this.#learned(step)
-    return step.definition.estimateMs * (learned?.mean ?? 1)
+    return boundRunTimeMs(boundRunTimeMs(step.definition.estimateMs) * (learned?.mean ?? 1))
   }
 
   quantileMs (step: StepProgress, fraction: number): number {
     const learned = this.#learned(step)
-    return step.definition.estimateMs * (learned === undefined ? 1 : quantileOf(learned, fraction))
+    return boundRunTimeMs(boundRunTimeMs(step.definition.estimateMs) * (learned === undefined ? 1 : quantileOf(learned, fraction)))
   }
 
   remoteFactor (step: StepProgress): number {
@@ -111,12 +112,13 @@
   /** The fraction of the runs of such steps that do not last longer than the given time near their data; undefined without samples. */
   fractionWithin (step: StepProgress, durationMs: number): number | undefined {
     const learned = this.#learned(step)
-    return learned === undefined ? undefined : fractionBelow(learned, durationMs / step.definition.estimateMs)
+    return learned === undefined ? undefined : fractionBelow(learned, durationMs / boundRunTimeMs(step.definition.estimateMs))
   }
 
   /** Learns from a run that ended as done, without having resumed from a checkpoint. */
   learn ({ step, durationMs, isRemote, nowMs }: EndedRun): void {
-    const { estimateMs, longRunning } = step.definition
+    const { longRunning } = step.definition
+    const estimateMs = boundRunTimeMs(step.definition.estimateMs)
     if (longRunning || !(estimateMs > 0) || !(durationMs >= 0)) return
     this.#recordErrors(step, durationMs / (isRemote ? this.remoteFactor(step) : 1))
     this.#actualMs.set(step, Math.max(durationMs, this.#actualMs.get(step) ?? 0))
@@ -182,7 +184,7 @@
 
   #recordErrors (step: StepProgress, durationMs: number): void {
     const errorOf = (estimateMs: number): number => Math.abs(Math.log(estimateMs / Math.max(durationMs, 1)))
-    this.#declaredError += (errorOf(step.definition.estimateMs) - this.#declaredError) * ERROR_WEIGHT
+    this.#declaredError += (errorOf(boundRunTimeMs(step.definition.estimateMs)) - this.#declaredError) * ERROR_WEIGHT
     this.#expectedError += (errorOf(this.expectedMs(step)) - this.#expectedError) * ERROR_WEIGHT
   }
 
--- a/src/coordinator/forecast/runTimes.ts
+++ b/src/coordinator/forecast/runTimes.ts
@@ -1,4 +1,5 @@
 /** Expected run times of tasks. */
+import { boundRunTimeMs } from '../../jobs/job.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 
 /**
@@ -16,14 +17,14 @@
   remoteFactor (step: StepProgress): number
 }
 
-/** Takes the declared run times as they are. */
+/** Takes the declared run times as they are, but for bounds, which jobs of an older log may exceed. */
 export class DeclaredRunTimes implements RunTimes {
   expectedMs ({ definition }: StepProgress): number {
-    return definition.estimateMs
+    return boundRunTimeMs(definition.estimateMs)
   }
 
   quantileMs ({ definition }: StepProgress): number {
-    return definition.estimateMs
+    return boundRunTimeMs(definition.estimateMs)
   }
 
   remoteFactor (): number {
--- a/src/coordinator/placement/jobRanking.ts
+++ b/src/coordinator/placement/jobRanking.ts
@@ -1,4 +1,5 @@
 /** Ranks the waiting steps for placement. */
+import { boundRunTimeMs } from '../../jobs/job.ts'
 import type { JobProgress } from '../../jobs/jobProgress.ts'
 import type { StepProgress } from '../../jobs/stepProgress.ts'
 import type { Logger } from '../../observability/logger.ts'
@@ -43,7 +44,7 @@
 export function expectedWork (job: JobProgress, runTimes: RankingRunTimes = DECLARED): number {
   return job.definition.steps.reduce((sum, { count, estimateMs, size }, position) => {
     const step = currentStep(job, position)
-    return sum + count * (step === undefined ? estimateMs : runTimes.expectedMs(step)) * size.processors / 1_000
+    return sum + count * (step === undefined ? boundRunTimeMs(estimateMs) : runTimes.expectedMs(step)) * size.processors / 1_000
   }, 0)
 }
 
@@ -153,7 +154,7 @@
     // Not spread into the arguments of one call, which fails from about 100,000 entries on.
     let startMs = 0
     for (const earlier of after) startMs = Math.max(startMs, ends[earlier] ?? 0)
-    const endMs = startMs + (timeOf(currentStep(job, position)) ?? estimateMs)
+    const endMs = startMs + (timeOf(currentStep(job, position)) ?? boundRunTimeMs(estimateMs))
     ends.push(endMs)
     longestMs = Math.max(longestMs, endMs)
   }
--- a/src/jobs/job.ts
+++ b/src/jobs/job.ts
@@ -26,6 +26,19 @@
   readonly responseTargetMs: number
 }
 
+/** Longer run times make sums of work infinite, which then stay so. */
+const MAX_RUN_TIME_MS = 7 * 24 * 3_600_000
+
+/**
+ * Returns the nearest run time from 0 to 7 days; 0 if it is not a number.
+ *
+ * @example
+ * boundRunTimeMs(1e306) // 604800000
+ */
+export function boundRunTimeMs (runTimeMs: number): number {
+  return Number.isNaN(runTimeMs) ? 0 : Math.min(Math.max(runTimeMs, 0), MAX_RUN_TIME_MS)
+}
+
 export interface Repetition {
   readonly count: number
   readonly firstWallMs: number
--- a/src/platform/jobBody.ts
+++ b/src/platform/jobBody.ts
@@ -1,5 +1,6 @@
 /** Decodes the request body with which a caller submits a job. */
 import { z } from 'zod'
+import { boundRunTimeMs } from '../jobs/job.ts'
 import type { JobDefinition } from '../jobs/job.ts'
 import { InputError } from '../model/errors.ts'
 import { decodeResources, resourcesSchema } from './resources.ts'
@@ -46,7 +47,7 @@
     return {
       count: step.count,
       size: decodeResources(step),
-      estimateMs: step.estimate_ms,
+      estimateMs: boundRunTimeMs(step.estimate_ms),
       after: [...new Set(step.after)],
       gang: step.gang,
       sameRack: step.rack_local,
