Do not compare runs without a declared time to find slow targets

The ratio of a run time to an expected time of 0 is infinite, so that a few such runs made a healthy target count as slow. They are skipped; a unit test covers it.

--- a/src/coordinator/forecast/slowTargets.test.ts
+++ b/src/coordinator/forecast/slowTargets.test.ts
@@ -14,8 +14,8 @@
   return runTimes
 }
 
-function startRun (job: string, startedAtMs: number): Assignment {
-  const [assignment] = createAssignments(job, 1, { estimateMs: 1_000 })
+function startRun (job: string, startedAtMs: number, estimateMs = 1_000): Assignment {
+  const [assignment] = createAssignments(job, 1, { estimateMs })
   if (assignment === undefined) throw new Error('there is no run')
   assignment.startedAtMs = startedAtMs
   return assignment
@@ -76,3 +76,12 @@
   slowTargets.update(targets, 9_000)
   t.is(slowTargets.slow.size, 0)
 })
+
+// Guards against healthy targets that are avoided, since runs take infinitely longer than a declared time of 0.
+test('runs without a declared time are not compared', t => {
+  const slowTargets = new SlowTargets(learnedTimes())
+  const targets = createTargets(10)
+  for (let index = 0; index < 8; index++) slowTargets.recordEnd('renders-0', startRun(`job-${index}`, 0, 0), 100)
+  slowTargets.update(targets, 100)
+  t.is(slowTargets.slow.size, 0)
+})
--- a/src/coordinator/forecast/slowTargets.ts
+++ b/src/coordinator/forecast/slowTargets.ts
@@ -129,6 +129,8 @@
 
   #compare ({ startedAtMs, isStartSeen, isResumed, isRemote, task: { step } }: Assignment, nowMs: number): Comparison | undefined {
     if (startedAtMs === undefined || !isStartSeen || isResumed || step.definition.longRunning) return undefined
+    // Any run takes infinitely longer than a declared time of 0.
+    if (!(step.definition.estimateMs > 0)) return undefined
     const durationMs = (nowMs - startedAtMs) / (isRemote ? this.#runTimes.remoteFactor(step) : 1)
     const rank = this.#runTimes.fractionWithin(step, durationMs)
     return rank === undefined ? undefined : { job: step.job.id, rank, logSlowdown: Math.log(Math.max(durationMs, 1) / this.#runTimes.expectedMs(step)) }
