--- a/src/platform/jobBody.ts
+++ b/src/platform/jobBody.ts
@@ -1,5 +1,6 @@
 /** Decodes the request body with which a caller submits a job. */
 import { z } from 'zod'
+import { boundRunTimeMs } from '../jobs/job.ts'
 import type { JobDefinition } from '../jobs/job.ts'
 import { InputError } from '../model/errors.ts'
 import { decodeResources, resourcesSchema } from './resources.ts'
@@ -46,8 +47,8 @@
     return {
       count: step.count,
       size: decodeResources(step),
-      estimateMs: step.estimate_ms,
-      after: step.after,
+      estimateMs: boundRunTimeMs(step.estimate_ms),
+      after: [...new Set(step.after)],
       gang: step.gang,
       sameRack: step.rack_local,
       requiredLabel: step.constraints,
