Don't close requests that the instance itself reads late

Cause: input that waited for a turn of the event loop, or that arrived while the loop was blocked, was counted as an incomplete head or body, so that its connection was closed with 408 or chosen as stalled. Change: a connection that waits for a turn is neither late nor stalled, and the wait is not counted; a check that is more than a second late moves the start of all times by the delay. The clock can be injected for the tests.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -10,18 +10,44 @@
 import { FrontEndGuard } from './frontEndGuard.ts'
 import { DEFAULT_FRONT_END_LIMITS } from './frontEndLimits.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
+import type { OverloadReason } from './memoryBudget.ts'
 
 const GET = 'GET / HTTP/1.1\r\nhost: test\r\n\r\n'
 const LAST_GET = 'GET / HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n'
 const POST = 'POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 5\r\n\r\nab\n\nc'
 
-async function startServer (t: ExecutionContext, limits: Partial<FrontEndLimits>, handle: (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse) => void): Promise<{ readonly guard: FrontEndGuard, open (input: string): Socket }> {
+/** Time that is advanced within one turn of the event loop, as a blocked loop sees it. */
+class TestClock {
+  nowMs = 60_000
+
+  monotonicMs (): number {
+    return this.nowMs
+  }
+
+  /** Advances the time by seconds, with the checks that a loop that is not blocked makes. */
+  runChecks (guard: FrontEndGuard, seconds: number): void {
+    for (let second = 0; second < seconds; second++) {
+      this.nowMs += 1_000
+      guard.check()
+    }
+  }
+}
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve))
+}
+
+async function startServer (t: ExecutionContext, limits: Partial<FrontEndLimits>, handle: (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse) => void): Promise<{ readonly guard: FrontEndGuard, readonly clock: TestClock, readonly refused: OverloadReason[], open (input: string): Socket }> {
+  const clock = new TestClock()
+  const refused: OverloadReason[] = []
   const server = createServer((request, response) => handle(guard, request, response))
-  const guard = new FrontEndGuard(server, { limits: { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 1_000_000, connections: 10, ...limits } })
+  const guard = new FrontEndGuard(server, { limits: { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 1_000_000, connections: 10, ...limits }, clock, onRefused: reason => refused.push(reason) })
   await listenOn(server, '127.0.0.1:0')
   t.teardown(() => server.close().closeAllConnections())
   return {
     guard,
+    clock,
+    refused,
     open (input) {
       const socket = connect(parseAddress(getBoundAddress(server)))
       socket.on('error', () => {}).write(input)
@@ -94,3 +120,32 @@
   first.write(LAST_GET)
   t.regex(await text(first), /served$/)
 })
+
+test('a request that has arrived in full and waits for a turn is not closed with 408', async t => {
+  const server = await startServer(t, {}, (guard, request, response) => {
+    const endMs = performance.now() + 15
+    while (performance.now() < endMs);
+    response.end('served')
+    if (request.headers.connection === undefined) response.once('close', () => server.clock.runChecks(guard, 10))
+  })
+  t.is((await text(server.open(GET + LAST_GET))).split('served').length - 1, 2)
+  t.deepEqual(server.refused, [])
+})
+
+test('a request whose rest was not read because the event loop was blocked is not closed with 408', async t => {
+  const server = await startServer(t, {}, (_guard, _request, response) => { response.end('served') })
+  const socket = server.open(LAST_GET.slice(0, 20))
+  await waitUntil(() => server.guard.heldBytes > 0)
+  server.clock.nowMs += 10_000
+  server.guard.check()
+  socket.write(LAST_GET.slice(20))
+  t.regex(await text(socket), /served$/)
+})
+
+test('a request that stays incomplete is still closed with 408', async t => {
+  const server = await startServer(t, {}, (_guard, _request, response) => { response.end('served') })
+  const socket = server.open(LAST_GET.slice(0, 20))
+  await waitUntil(() => server.guard.heldBytes > 0)
+  server.clock.runChecks(server.guard, 7)
+  t.regex(await text(socket), /^HTTP\/1\.1 408 /)
+})
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { BaseError } from '../../model/errors.ts'
+import type { Clock } from '../../ports/clock.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
@@ -9,6 +10,8 @@
 
 /** Time-outs are checked, and what was refused is reported, at this interval. */
 const CHECK_INTERVAL_MS = 1_000
+/** A check that is later than this means that the event loop was blocked, and that input may have arrived without being read. */
+const LATE_CHECK_MS = 1_000
 /** A client may be closed in favour of a new one if its request has been incomplete, or its answer unread, for this time. */
 const STALLED_MS = 1_000
 /** Time for the requests of all connections in one turn of the event loop. Timers and answers of other servers wait meanwhile. */
@@ -40,6 +43,8 @@
   readonly onRefused?: (reason: OverloadReason) => void
   /** Called at most once a second. */
   readonly onSummary?: (summary: OverloadSummary) => void
+  /** For the time-outs; the time of the process unless set. */
+  readonly clock?: Pick<Clock, 'monotonicMs'>
 }
 
 /** There is no memory for the body of a request. The request has had no effect. */
@@ -62,11 +67,13 @@
   #waiting = new Set<GuardedConnection>()
   #turnMs = 0
   #isTurnScheduled = false
+  #checkedMs: number
 
   constructor (server: Server, options: FrontEndGuardOptions) {
     this.#options = options
     const { limits } = options
     this.#budget = new MemoryBudget(limits.memoryBytes, () => performance.now())
+    this.#checkedMs = this.nowMs
     // The guard measures these times, because the server counts a connection opened in advance as an incomplete request.
     server.headersTimeout = 0
     server.requestTimeout = 0
@@ -75,7 +82,7 @@
     server.on('connection', (socket: Socket) => this.#accept(socket))
     // Before the listener of the server, so that a body is never read from a request that is not counted.
     server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => this.#connections.get(request.socket)?.begin(request, response))
-    const timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS).unref()
+    const timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref()
     server.once('close', () => clearInterval(timer))
   }
 
@@ -83,6 +90,10 @@
     return this.#options.limits
   }
 
+  get nowMs (): number {
+    return this.#options.clock?.monotonicMs() ?? performance.now()
+  }
+
   get heldBytes (): number {
     return this.#budget.usedBytes
   }
@@ -150,7 +161,8 @@
 
   /** Closes the connection that has been stalled for longest, if there is one. */
   #closeStalled (): boolean {
-    const nowMs = performance.now()
+    const { nowMs } = this
+    this.#allowForDelay(nowMs)
     let stalled: GuardedConnection | undefined
     let longestMs = STALLED_MS
     for (const connection of this.#connections.values()) {
@@ -161,8 +173,19 @@
     return stalled !== undefined
   }
 
-  #check (): void {
-    const nowMs = performance.now()
+  /** Time during which the event loop was blocked is not counted against the clients. */
+  #allowForDelay (nowMs: number): void {
+    const delayMs = nowMs - this.#checkedMs - CHECK_INTERVAL_MS
+    if (delayMs <= LATE_CHECK_MS) return
+    this.#checkedMs = nowMs
+    for (const connection of this.#connections.values()) connection.postpone(delayMs, nowMs)
+  }
+
+  /** Closes the connections whose time is over, and reports what was refused. Called once a second. */
+  check (): void {
+    const { nowMs } = this
+    this.#allowForDelay(nowMs)
+    this.#checkedMs = nowMs
     for (const connection of this.#connections.values()) connection.check(nowMs)
     if (Object.keys(this.#counts).length === 0) return
     const counts = this.#counts
@@ -198,7 +221,7 @@
   readonly #account: BudgetAccount
   readonly #deliver: Deliver | undefined
   readonly #input = new RequestInput()
-  readonly #openedMs = performance.now()
+  #openedMs: number
   #chargedInputBytes = 0
   #chargedAnswerBytes = 0
   #openRequests = 0
@@ -215,6 +238,7 @@
   #isPaused = false
   /** Whether input waits only because its time in this turn is used up. */
   #waitsForTurn = false
+  #waitsSinceMs = 0
   /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
   readonly #openBodies = new Set<(error: Error) => void>()
   /** Charges of bodies that are kept until their requests are answered. */
@@ -223,6 +247,7 @@
   constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget) {
     this.#socket = socket
     this.#guard = guard
+    this.#openedMs = guard.nowMs
     this.#budget = budget
     this.#account = budget.open(this)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
@@ -235,7 +260,7 @@
 
   begin (request: IncomingMessage, response: ServerResponse): void {
     this.#last = request
-    this.#lastMs = performance.now()
+    this.#lastMs = this.#guard.nowMs
     this.#headMs = undefined
     this.#headBegun = false
     this.#openRequests += 1
@@ -243,7 +268,7 @@
     if (isFurther) this.#account.chargeAnyway(REQUEST_BYTES)
     response.once('close', () => {
       this.#openRequests -= 1
-      this.#answeredMs = performance.now()
+      this.#answeredMs = this.#guard.nowMs
       this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
       this.#pinnedBytes.delete(request)
       if (isFurther) this.#account.release(REQUEST_BYTES)
@@ -291,9 +316,21 @@
     else this.close('memory')
   }
 
+  /** Moves the start of all times of the connection, because the instance was late by the duration. */
+  postpone (durationMs: number, nowMs: number): void {
+    const move = (timeMs: number): number => Math.min(nowMs, timeMs + durationMs)
+    this.#openedMs = move(this.#openedMs)
+    this.#lastMs = move(this.#lastMs)
+    this.#answeredMs = move(this.#answeredMs)
+    this.#writtenMs = move(this.#writtenMs)
+    this.#waitsSinceMs = move(this.#waitsSinceMs)
+    if (this.#headMs !== undefined) this.#headMs = move(this.#headMs)
+  }
+
   /** For how long the client has left a request incomplete or an answer unread. */
   stalledMs (nowMs: number): number {
     if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
+    if (this.#waitsForTurn) return 0
     if (this.#headMs !== undefined) return nowMs - this.#headMs
     if (this.#last === undefined) return nowMs - this.#openedMs - ALLOWED_IDLE_MS
     if (!this.#last.complete) return nowMs - this.#lastMs
@@ -306,6 +343,8 @@
     if (this.#socket.destroyed) return
     if (this.#socket.writableLength > 0) {
       if (nowMs - this.#writtenMs > answerTimeoutMs) this.close('unread-answer')
+    } else if (this.#waitsForTurn) {
+      // The input has arrived and is not read because of the load of the instance.
     } else if (this.#last !== undefined && !this.#last.complete) {
       if (nowMs - this.#lastMs > bodyTimeoutMs) this.close('body-timeout')
     } else if (this.#headMs !== undefined) {
@@ -353,11 +392,12 @@
       while (this.#hasParsableInput) {
         if (spentMs >= CONNECTION_TURN_MS || !this.#guard.hasTime) {
           if (!this.#isInBody && !this.#headBegun) this.#beginHead()
+          if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
           this.#waitsForTurn = true
           this.#guard.wait(this)
           break
         }
-        this.#waitsForTurn = false
+        this.#endWait()
         if (this.#isInBody || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES) this.#deliverPart(this.#input.take())
         else this.#beginHead()
         spentMs = performance.now() - startedMs
@@ -369,6 +409,16 @@
     this.#settleInput()
   }
 
+  /** The time for which input waited for a turn is not counted against the client. */
+  #endWait (): void {
+    if (!this.#waitsForTurn) return
+    this.#waitsForTurn = false
+    const { nowMs } = this.#guard
+    const waitedMs = nowMs - this.#waitsSinceMs
+    if (this.#headMs !== undefined) this.#headMs += waitedMs
+    if (this.#isInBody) this.#lastMs += waitedMs
+  }
+
   get #hasParsableInput (): boolean {
     if (this.#input.isEmpty || this.#isEnding || this.#mustHold) return false
     return this.#isInBody || !this.#headBegun || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES
@@ -394,7 +444,7 @@
   /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
   #beginHead (): void {
     const first = this.#input.takeBytes(1)
-    this.#headMs ??= performance.now()
+    this.#headMs ??= this.#guard.nowMs
     this.#headBegun = first[0] !== CARRIAGE_RETURN && first[0] !== LINE_FEED
     this.#deliverPart(first)
   }
@@ -406,7 +456,7 @@
   /** Pauses or resumes the socket, and charges what waits. */
   #settleInput (): void {
     if (this.#isEnding) this.#input.clear()
-    if (this.#input.isEmpty) this.#waitsForTurn = false
+    if (this.#input.isEmpty) this.#endWait()
     const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
     if (mustPause || this.#isPaused) this.#setPaused(mustPause)
     const { heldBytes } = this.#input
