Don't close clients that read their answers as not reading

Cause: progress was noted only once a second, and the initial time was 0, so that the first incomplete write of a young connection in a process older than 30 s was closed as unread. A single long write showed no progress at all. Change: the time starts with the connection and whenever an answer becomes unread; it is also noted when a stalled connection is looked for, and when the queue of the handle shrinks. Result: the test of the first answer fails without the change and passes with it; the one of the slow reader did not end without it and passes with it.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -149,3 +149,32 @@
   server.clock.runChecks(server.guard, 7)
   t.regex(await text(socket), /^HTTP\/1\.1 408 /)
 })
+
+test('a client of an old process that has just begun to read its first answer is neither closed nor stalled', async t => {
+  const server = await startServer(t, { connections: 1, memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(20_000_000)) })
+  const socket = server.open(LAST_GET)
+  await once(socket, 'readable')
+  server.clock.nowMs += 1
+  server.open('').resume()
+  await waitUntil(() => server.refused.length > 0)
+  server.guard.check()
+  t.deepEqual(server.refused, ['connections'])
+  t.true((await text(socket)).length > 20_000_000)
+})
+
+test('a client that reads a long answer slowly is not closed, and one that stops reading is', async t => {
+  const server = await startServer(t, { memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(40_000_000)) })
+  const socket = server.open(GET)
+  await once(socket, 'readable')
+  for (let part = 0; part < 3; part++) {
+    server.clock.runChecks(server.guard, 29)
+    const end = socket.bytesRead + 8_000_000
+    while (socket.bytesRead < end && !socket.destroyed) {
+      socket.read()
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+  t.deepEqual(server.refused, [])
+  server.clock.runChecks(server.guard, 32)
+  t.deepEqual(server.refused, ['unread-answer'])
+})
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -204,8 +204,9 @@
   return new FrontEndGuard(server, options)
 }
 
-/** The handle of a socket, as far as Node.js itself uses it to pause sockets. */
-interface ReadHandle {
+/** The handle of a socket, as far as Node.js itself uses it to pause sockets and to see whether a long write proceeds. */
+interface SocketHandle {
+  readonly writeQueueSize: number
   reading: boolean
   readStart (): void
   readStop (): void
@@ -233,7 +234,11 @@
   /** Whether the parser has been given a part of that request. */
   #headBegun = false
   #writtenBytes = 0
-  #writtenMs = 0
+  /** Bytes that were unread, and those of them that were with the handle of the socket, when progress was last noted. */
+  #unreadBytes = 0
+  #queuedBytes = 0
+  /** When the client was last seen to have read something, or to have nothing to read. */
+  #writtenMs: number
   #isFeeding = false
   #isPaused = false
   /** Whether input waits only because its time in this turn is used up. */
@@ -248,6 +253,7 @@
     this.#socket = socket
     this.#guard = guard
     this.#openedMs = guard.nowMs
+    this.#writtenMs = this.#openedMs
     this.#budget = budget
     this.#account = budget.open(this)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
@@ -329,6 +335,7 @@
 
   /** For how long the client has left a request incomplete or an answer unread. */
   stalledMs (nowMs: number): number {
+    this.#noteProgress(nowMs)
     if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
     if (this.#waitsForTurn) return 0
     if (this.#headMs !== undefined) return nowMs - this.#headMs
@@ -474,7 +481,7 @@
   #setPaused (isPaused: boolean): void {
     this.#isPaused = isPaused
     if (isPaused) this.#socket.pause()
-    const handle = (this.#socket as { _handle?: ReadHandle | null })._handle
+    const handle = (this.#socket as { _handle?: SocketHandle | null })._handle
     if (handle != null && handle.reading === isPaused) {
       handle.reading = !isPaused
       if (isPaused) handle.readStop()
@@ -483,14 +490,22 @@
     if (!isPaused) this.#socket.resume()
   }
 
-  /** Notes whether the client reads, and charges what it has not read. */
-  #chargeAnswers (nowMs: number): void {
+  /** Notes whether the client reads. An answer that was not there at the last time starts a new measurement. */
+  #noteProgress (nowMs: number): void {
     const unreadBytes = this.#socket.writableLength
     const writtenBytes = this.#socket.bytesWritten - unreadBytes
-    if (unreadBytes === 0 || writtenBytes !== this.#writtenBytes) {
-      this.#writtenBytes = writtenBytes
-      this.#writtenMs = nowMs
-    }
+    // Shrinks while a single long write is being read, during which the other numbers stay the same.
+    const queuedBytes = (this.#socket as { _handle?: SocketHandle | null })._handle?.writeQueueSize ?? 0
+    if (this.#unreadBytes === 0 || unreadBytes === 0 || writtenBytes !== this.#writtenBytes || queuedBytes < this.#queuedBytes) this.#writtenMs = nowMs
+    this.#unreadBytes = unreadBytes
+    this.#writtenBytes = writtenBytes
+    this.#queuedBytes = queuedBytes
+  }
+
+  /** Charges what the client has not read. */
+  #chargeAnswers (nowMs: number): void {
+    this.#noteProgress(nowMs)
+    const unreadBytes = this.#socket.writableLength
     const added = unreadBytes - this.#chargedAnswerBytes
     this.#chargedAnswerBytes = unreadBytes
     if (added > 0) this.#account.chargeAnyway(added)
