Don't count slow uploads and calls in progress as stalled

Cause: at the limit of connections a body was measured from its head, and a connection with an open call from the first byte of its next request, so that both could be closed in favour of a new connection. Change: a body is measured from the last chunk that was received; a connection with an open call whose answer is not waiting to be read is not stalled. The time-out of whole bodies is unchanged.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -178,3 +178,26 @@
   server.clock.runChecks(server.guard, 32)
   t.deepEqual(server.refused, ['unread-answer'])
 })
+
+test('at the limit of connections, a slow upload and a call in progress are not closed in favour of a new connection', async t => {
+  const open: ServerResponse[] = []
+  const server = await startServer(t, { connections: 2 }, (guard, request, response) => {
+    if (request.method === 'GET') open.push(response)
+    else echo(guard, request, response)
+  })
+  const call = server.open(GET)
+  const upload = server.open(POST.slice(0, -4).replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'))
+  await waitUntil(() => open.length === 1 && server.guard.heldBytes > 0)
+  call.write(LAST_GET.slice(0, 10))
+  server.clock.runChecks(server.guard, 2)
+  const heldBytes = server.guard.heldBytes
+  upload.write('b\n')
+  await waitUntil(() => server.guard.heldBytes > heldBytes)
+  server.open('').resume()
+  await waitUntil(() => server.refused.length > 0)
+  upload.write('\nc')
+  t.regex(await text(upload), /\[ab\n\nc\]$/)
+  open[0]?.end('served')
+  t.regex(String(await once(call, 'data')), /served$/)
+  t.deepEqual(server.refused, ['connections'])
+})
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -228,6 +228,8 @@
   #openRequests = 0
   #last: IncomingMessage | undefined
   #lastMs = 0
+  /** When the client last sent anything. */
+  #receivedMs = 0
   #answeredMs = 0
   /** When the first byte of the next request arrived; undefined if none has. */
   #headMs: number | undefined
@@ -327,6 +329,7 @@
     const move = (timeMs: number): number => Math.min(nowMs, timeMs + durationMs)
     this.#openedMs = move(this.#openedMs)
     this.#lastMs = move(this.#lastMs)
+    this.#receivedMs = move(this.#receivedMs)
     this.#answeredMs = move(this.#answeredMs)
     this.#writtenMs = move(this.#writtenMs)
     this.#waitsSinceMs = move(this.#waitsSinceMs)
@@ -338,10 +341,11 @@
     this.#noteProgress(nowMs)
     if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
     if (this.#waitsForTurn) return 0
+    if (this.#isInBody) return nowMs - this.#receivedMs
+    // A call in progress is not given up because the next request has begun.
+    if (this.#openRequests > 0) return 0
     if (this.#headMs !== undefined) return nowMs - this.#headMs
-    if (this.#last === undefined) return nowMs - this.#openedMs - ALLOWED_IDLE_MS
-    if (!this.#last.complete) return nowMs - this.#lastMs
-    return this.#openRequests > 0 ? 0 : nowMs - this.#answeredMs - ALLOWED_IDLE_MS
+    return nowMs - (this.#last === undefined ? this.#openedMs : this.#answeredMs) - ALLOWED_IDLE_MS
   }
 
   check (nowMs: number): void {
@@ -385,6 +389,7 @@
   }
 
   #receive (chunk: Buffer): void {
+    this.#receivedMs = this.#guard.nowMs
     this.#input.append(chunk)
     this.feed()
   }
@@ -424,6 +429,7 @@
     const waitedMs = nowMs - this.#waitsSinceMs
     if (this.#headMs !== undefined) this.#headMs += waitedMs
     if (this.#isInBody) this.#lastMs += waitedMs
+    this.#receivedMs += waitedMs
   }
 
   get #hasParsableInput (): boolean {
