Don't answer an empty line after a body with 408

Cause: a CR or LF between requests was taken for the first byte of a head, so that the connection got an unsolicited 408 in its idle time. Change: only another byte starts the time of a head. Since the server stops its own idle time-out at such a line, the guard closes the connection after its idle time. The test of slow uploads waits for the bytes at the server, because the held bytes don't show reliably that they arrived.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -181,18 +181,21 @@
 
 test('at the limit of connections, a slow upload and a call in progress are not closed in favour of a new connection', async t => {
   const open: ServerResponse[] = []
+  let uploading: Socket | undefined
   const server = await startServer(t, { connections: 2 }, (guard, request, response) => {
-    if (request.method === 'GET') open.push(response)
-    else echo(guard, request, response)
+    if (request.method === 'GET') return open.push(response)
+    uploading = request.socket
+    echo(guard, request, response)
   })
   const call = server.open(GET)
   const upload = server.open(POST.slice(0, -4).replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'))
-  await waitUntil(() => open.length === 1 && server.guard.heldBytes > 0)
+  await waitUntil(() => open.length === 1 && uploading !== undefined)
   call.write(LAST_GET.slice(0, 10))
+  await waitUntil(() => open[0]?.req.socket.bytesRead === GET.length + 10)
   server.clock.runChecks(server.guard, 2)
-  const heldBytes = server.guard.heldBytes
+  const uploadBytes = uploading?.bytesRead ?? 0
   upload.write('b\n')
-  await waitUntil(() => server.guard.heldBytes > heldBytes)
+  await waitUntil(() => uploading?.bytesRead === uploadBytes + 2)
   server.open('').resume()
   await waitUntil(() => server.refused.length > 0)
   upload.write('\nc')
@@ -201,3 +204,19 @@
   t.regex(String(await once(call, 'data')), /served$/)
   t.deepEqual(server.refused, ['connections'])
 })
+
+test('a connection with an empty line after a body is not closed with 408, and is closed once it has been idle', async t => {
+  let received: Socket | undefined
+  const server = await startServer(t, {}, (guard, request, response) => {
+    received = request.socket
+    echo(guard, request, response)
+  })
+  const socket = server.open(POST)
+  await once(socket, 'data')
+  socket.write('\r\n')
+  await waitUntil(() => received?.bytesRead === POST.length + 2)
+  server.clock.runChecks(server.guard, 50)
+  t.deepEqual(server.refused, [])
+  server.clock.runChecks(server.guard, 12)
+  t.deepEqual(server.refused, ['idle'])
+})
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -231,6 +231,8 @@
   /** When the client last sent anything. */
   #receivedMs = 0
   #answeredMs = 0
+  /** Since when the connection has had no request and the server no time-out for that; undefined if it has one. */
+  #idleMs: number | undefined
   /** When the first byte of the next request arrived; undefined if none has. */
   #headMs: number | undefined
   /** Whether the parser has been given a part of that request. */
@@ -256,6 +258,7 @@
     this.#guard = guard
     this.#openedMs = guard.nowMs
     this.#writtenMs = this.#openedMs
+    this.#idleMs = this.#openedMs
     this.#budget = budget
     this.#account = budget.open(this)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
@@ -271,12 +274,14 @@
     this.#lastMs = this.#guard.nowMs
     this.#headMs = undefined
     this.#headBegun = false
+    this.#idleMs = undefined
     this.#openRequests += 1
     const isFurther = this.#openRequests > 1
     if (isFurther) this.#account.chargeAnyway(REQUEST_BYTES)
     response.once('close', () => {
       this.#openRequests -= 1
       this.#answeredMs = this.#guard.nowMs
+      if (this.#idleMs !== undefined) this.#idleMs = this.#answeredMs
       this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
       this.#pinnedBytes.delete(request)
       if (isFurther) this.#account.release(REQUEST_BYTES)
@@ -334,6 +339,7 @@
     this.#writtenMs = move(this.#writtenMs)
     this.#waitsSinceMs = move(this.#waitsSinceMs)
     if (this.#headMs !== undefined) this.#headMs = move(this.#headMs)
+    if (this.#idleMs !== undefined) this.#idleMs = move(this.#idleMs)
   }
 
   /** For how long the client has left a request incomplete or an answer unread. */
@@ -360,7 +366,7 @@
       if (nowMs - this.#lastMs > bodyTimeoutMs) this.close('body-timeout')
     } else if (this.#headMs !== undefined) {
       if (nowMs - this.#headMs > headerTimeoutMs && this.#openRequests === 0) this.close('header-timeout')
-    } else if (this.#last === undefined && nowMs - this.#openedMs > idleTimeoutMs) {
+    } else if (this.#openRequests === 0 && this.#idleMs !== undefined && nowMs - this.#idleMs > idleTimeoutMs) {
       this.close('idle')
     }
     this.feed()
@@ -457,8 +463,10 @@
   /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
   #beginHead (): void {
     const first = this.#input.takeBytes(1)
-    this.#headMs ??= this.#guard.nowMs
     this.#headBegun = first[0] !== CARRIAGE_RETURN && first[0] !== LINE_FEED
+    // Some clients send an empty line after a body. It begins no request, but the server stops its time-out of idle connections.
+    if (this.#headBegun) this.#headMs ??= this.#guard.nowMs
+    else this.#idleMs ??= this.#guard.nowMs
     this.#deliverPart(first)
   }
 
