--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -10,18 +10,44 @@
 import { FrontEndGuard } from './frontEndGuard.ts'
 import { DEFAULT_FRONT_END_LIMITS } from './frontEndLimits.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
+import type { OverloadReason } from './memoryBudget.ts'
 
 const GET = 'GET / HTTP/1.1\r\nhost: test\r\n\r\n'
 const LAST_GET = 'GET / HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n'
 const POST = 'POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 5\r\n\r\nab\n\nc'
 
-async function startServer (t: ExecutionContext, limits: Partial<FrontEndLimits>, handle: (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse) => void): Promise<{ readonly guard: FrontEndGuard, open (input: string): Socket }> {
+/** Time that is advanced within one turn of the event loop, as a blocked loop sees it. */
+class TestClock {
+  nowMs = 60_000
+
+  monotonicMs (): number {
+    return this.nowMs
+  }
+
+  /** Advances the time by seconds, with the checks that a loop that is not blocked makes. */
+  runChecks (guard: FrontEndGuard, seconds: number): void {
+    for (let second = 0; second < seconds; second++) {
+      this.nowMs += 1_000
+      guard.check()
+    }
+  }
+}
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise(resolve => setImmediate(resolve))
+}
+
+async function startServer (t: ExecutionContext, limits: Partial<FrontEndLimits>, handle: (guard: FrontEndGuard, request: IncomingMessage, response: ServerResponse) => void): Promise<{ readonly guard: FrontEndGuard, readonly clock: TestClock, readonly refused: OverloadReason[], open (input: string): Socket }> {
+  const clock = new TestClock()
+  const refused: OverloadReason[] = []
   const server = createServer((request, response) => handle(guard, request, response))
-  const guard = new FrontEndGuard(server, { limits: { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 1_000_000, connections: 10, ...limits } })
+  const guard = new FrontEndGuard(server, { limits: { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 1_000_000, connections: 10, ...limits }, clock, onRefused: reason => refused.push(reason) })
   await listenOn(server, '127.0.0.1:0')
   t.teardown(() => server.close().closeAllConnections())
   return {
     guard,
+    clock,
+    refused,
     open (input) {
       const socket = connect(parseAddress(getBoundAddress(server)))
       socket.on('error', () => {}).write(input)
@@ -94,3 +120,103 @@
   first.write(LAST_GET)
   t.regex(await text(first), /served$/)
 })
+
+test('a request that has arrived in full and waits for a turn is not closed with 408', async t => {
+  const server = await startServer(t, {}, (guard, request, response) => {
+    const endMs = performance.now() + 15
+    while (performance.now() < endMs);
+    response.end('served')
+    if (request.headers.connection === undefined) response.once('close', () => server.clock.runChecks(guard, 10))
+  })
+  t.is((await text(server.open(GET + LAST_GET))).split('served').length - 1, 2)
+  t.deepEqual(server.refused, [])
+})
+
+test('a request whose rest was not read because the event loop was blocked is not closed with 408', async t => {
+  const server = await startServer(t, {}, (_guard, _request, response) => { response.end('served') })
+  const socket = server.open(LAST_GET.slice(0, 20))
+  await waitUntil(() => server.guard.heldBytes > 0)
+  server.clock.nowMs += 10_000
+  server.guard.check()
+  socket.write(LAST_GET.slice(20))
+  t.regex(await text(socket), /served$/)
+})
+
+test('a request that stays incomplete is still closed with 408', async t => {
+  const server = await startServer(t, {}, (_guard, _request, response) => { response.end('served') })
+  const socket = server.open(LAST_GET.slice(0, 20))
+  await waitUntil(() => server.guard.heldBytes > 0)
+  server.clock.runChecks(server.guard, 7)
+  t.regex(await text(socket), /^HTTP\/1\.1 408 /)
+})
+
+test('a client of an old process that has just begun to read its first answer is neither closed nor stalled', async t => {
+  const server = await startServer(t, { connections: 1, memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(20_000_000)) })
+  const socket = server.open(LAST_GET)
+  await once(socket, 'readable')
+  server.clock.nowMs += 1
+  server.open('').resume()
+  await waitUntil(() => server.refused.length > 0)
+  server.guard.check()
+  t.deepEqual(server.refused, ['connections'])
+  t.true((await text(socket)).length > 20_000_000)
+})
+
+test('a client that reads a long answer slowly is not closed, and one that stops reading is', async t => {
+  const server = await startServer(t, { memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(40_000_000)) })
+  const socket = server.open(GET)
+  await once(socket, 'readable')
+  for (let part = 0; part < 3; part++) {
+    server.clock.runChecks(server.guard, 29)
+    const end = socket.bytesRead + 8_000_000
+    while (socket.bytesRead < end && !socket.destroyed) {
+      socket.read()
+      await new Promise(resolve => setImmediate(resolve))
+    }
+  }
+  t.deepEqual(server.refused, [])
+  server.clock.runChecks(server.guard, 32)
+  t.deepEqual(server.refused, ['unread-answer'])
+})
+
+test('at the limit of connections, a slow upload and a call in progress are not closed in favour of a new connection', async t => {
+  const open: ServerResponse[] = []
+  let uploading: Socket | undefined
+  const server = await startServer(t, { connections: 2 }, (guard, request, response) => {
+    if (request.method === 'GET') return open.push(response)
+    uploading = request.socket
+    echo(guard, request, response)
+  })
+  const call = server.open(GET)
+  const upload = server.open(POST.slice(0, -4).replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'))
+  await waitUntil(() => open.length === 1 && uploading !== undefined)
+  call.write(LAST_GET.slice(0, 10))
+  await waitUntil(() => open[0]?.req.socket.bytesRead === GET.length + 10)
+  server.clock.runChecks(server.guard, 2)
+  const uploadBytes = uploading?.bytesRead ?? 0
+  upload.write('b\n')
+  await waitUntil(() => uploading?.bytesRead === uploadBytes + 2)
+  server.open('').resume()
+  await waitUntil(() => server.refused.length > 0)
+  upload.write('\nc')
+  t.regex(await text(upload), /\[ab\n\nc\]$/)
+  open[0]?.end('served')
+  t.regex(String(await once(call, 'data')), /served$/)
+  t.deepEqual(server.refused, ['connections'])
+})
+
+test('a connection with an empty line after a body is not closed with 408, and is closed once it has been idle', async t => {
+  let received: Socket | undefined
+  const server = await startServer(t, {}, (guard, request, response) => {
+    received = request.socket
+    echo(guard, request, response)
+  })
+  const socket = server.open(POST)
+  await once(socket, 'data')
+  socket.write('\r\n')
+  await waitUntil(() => received?.bytesRead === POST.length + 2)
+  server.clock.runChecks(server.guard, 50)
+  t.deepEqual(server.refused, [])
+  server.clock.runChecks(server.guard, 12)
+  t.deepEqual(server.refused, ['idle'])
+})
