Judge submissions by their expected end only where a deployment asks for it

Change: admission.by_expected_end in the platform's settings file, off by default; without it the rule of before applies again, with its tests, and no outlook is computed. The tests of the decision switch it on.

--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -111,7 +111,7 @@
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return this.#refuseUnstored(queue)
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
-    if (!withinShare && this.#coordinator.admission.busy) return this.#refuseWhileBusy(team, queue)
+    if (!withinShare && this.#coordinator.admission.refuses(team, queue.priority)) return this.#refuseBeyondShare(team, queue)
     const record: JobRecord = {
       type: 'job',
       id,
@@ -138,6 +138,7 @@
   /** Whether the job can end in time; undefined for jobs whose time can't be estimated. */
   #estimate (record: JobRecord, queue: QueueSettings): EstimatedJob | undefined {
     const { feasibility, runTimes } = this.#coordinator
+    if (feasibility === undefined) return undefined
     const nowMs = this.#clock.monotonicMs()
     const request = describeRequest(new JobProgress(record, queue, nowMs), runTimes, nowMs)
     return request === undefined ? undefined : { request, decision: feasibility.decide(record.id, request, Math.random()) }
@@ -145,7 +146,7 @@
 
   /** Refusals are logged in summary only, since hundreds per second would load the coordinator; the entry instance logs each reason. */
   #refuse (request: AdmissionRequest, decision: RefusalDecision, { id, queue }: JobRecord): CallerAnswer {
-    this.#coordinator.feasibility.recordRefusal(id, request, decision)
+    this.#coordinator.feasibility?.recordRefusal(id, request, decision)
     const { reason, retryAfterSeconds, expectedStartMs } = decision
     this.#reportRefusal({ reason, queue, retryAfterSeconds, expectedStartMs })
     const wait = Number.isFinite(expectedStartMs) ? `it could start in ${Math.round(expectedStartMs)} ms` : 'no start is foreseen'
@@ -155,10 +156,12 @@
     return { outcome: 'limited', message, retryAfterSeconds, absent: true }
   }
 
-  #refuseWhileBusy (team: string, { name }: QueueSettings): CallerAnswer {
-    const retryAfterSeconds = this.#coordinator.admission.retryAfterSeconds(Math.random())
-    this.#reportRefusal({ reason: 'busy', queue: name, retryAfterSeconds })
-    return { outcome: 'limited', message: `${team} has sent more than its share and the coordinator is busy`, retryAfterSeconds, absent: true }
+  #refuseBeyondShare (team: string, { name, priority }: QueueSettings): CallerAnswer {
+    const { admission } = this.#coordinator
+    const retryAfterSeconds = admission.retryAfterSeconds(Math.random())
+    this.#reportRefusal({ reason: admission.busy ? 'busy' : 'waiting', queue: name, retryAfterSeconds })
+    const message = `${team} has sent more than its share while ${admission.waitingJobs(team, priority)} of its jobs wait${admission.busy ? ' and the coordinator is busy' : ''}`
+    return { outcome: 'limited', message, retryAfterSeconds, absent: true }
   }
 
   /** `absent`: the job is not in the log, so it was not accepted by an earlier request either. */
@@ -190,7 +193,7 @@
   #admit (id: string, durable: Promise<void>, estimated: EstimatedJob | undefined): void {
     const job = this.#coordinator.table.jobs.get(id)
     if (job === undefined) return
-    if (estimated?.decision.action === 'accept') this.#coordinator.feasibility.recordAcceptance(job, estimated.request, estimated.decision.expectedStartMs)
+    if (estimated?.decision.action === 'accept') this.#coordinator.feasibility?.recordAcceptance(job, estimated.request, estimated.decision.expectedStartMs)
     const { version } = this.#desired.state
     this.#coordinator.enqueueJob(job)
     durable.then(() => {
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -85,6 +85,8 @@
   readonly finishedJobMs: number
   /** Factor by which a run takes longer away from its data until it has been learned; 1 if missing. */
   readonly remoteFactor?: number
+  /** Whether submissions are judged by when they could end; otherwise by how many jobs of their team wait. */
+  readonly admitsByExpectedEnd?: boolean
 }
 
 /** Figures of the run times and the forecast. */
@@ -106,7 +108,7 @@
   #stopFollowingEvacuations: () => void = () => {}
   readonly #runTimes: LearnedRunTimes
   readonly #slowTargets: SlowTargets
-  readonly #feasibility: FeasibilityAdmission
+  readonly #feasibility: FeasibilityAdmission | undefined
   readonly #outages = new OutageHistory()
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
@@ -135,9 +137,9 @@
     this.#admission = new AdmissionControl(clock)
     this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
     this.#slowTargets = new SlowTargets(this.#runTimes)
-    this.#feasibility = new FeasibilityAdmission(clock)
+    this.#feasibility = options.admitsByExpectedEnd === true ? new FeasibilityAdmission(clock) : undefined
     this.#placer = new TaskPlacer({
-      clock, logger, metrics: this.#metrics, feasibility: this.#feasibility, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, metrics: this.#metrics, admission: this.#admission, feasibility: this.#feasibility, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
@@ -175,8 +177,8 @@
     return this.#placer.forecast
   }
 
-  /** Decides which jobs can still end in time. */
-  get feasibility (): FeasibilityAdmission {
+  /** Decides which jobs can still end in time; undefined if submissions are not judged by that. */
+  get feasibility (): FeasibilityAdmission | undefined {
     return this.#feasibility
   }
 
@@ -326,7 +328,7 @@
     if (job.outcome !== undefined) return runInBackground(session.stop(assignment), this.#logger, 'stop of a run')
     if (job.hasStarted) return
     job.markStarted(this.#clock.monotonicMs())
-    const expectedMs = this.#feasibility.recordStart(job)
+    const expectedMs = this.#feasibility?.recordStart(job)
     if (expectedMs !== undefined) this.#metrics.observeStart(job.queue.priority, expectedMs, this.#clock.monotonicMs() - job.acceptedAtMs)
   }
 
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -24,6 +24,7 @@
 import { LocalityWait } from './localityWait.ts'
 import { PlacementPass } from './placementPass.ts'
 import { createOutlook } from '../admission/admissionOutlook.ts'
+import type { AdmissionControl } from '../admission/admissionControl.ts'
 import type { FeasibilityAdmission } from '../admission/feasibilityAdmission.ts'
 import { countFitting, fitsWithin, isSuitable, placeStep, requiredResources } from './placeStep.ts'
 import { PlacementReservations } from './placementReservations.ts'
@@ -56,8 +57,10 @@
   readonly runTimes: RankingRunTimes
   /** Whether runs on the target take longer than elsewhere; such targets come last. */
   readonly isSlow: (session: TargetSession) => boolean
-  /** Gets the outlook after each full pass. */
-  readonly feasibility: FeasibilityAdmission
+  /** Gets the outlook after each full pass; undefined if submissions are not judged by it. */
+  readonly feasibility: FeasibilityAdmission | undefined
+  /** Gets the waiting jobs after each full pass otherwise. */
+  readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
@@ -248,9 +251,18 @@
     }
     if (urgentOnly) return
     this.#scheduleRenewal()
+    this.#updateAdmission(ranked, open, nowMs)
+  }
+
+  #updateAdmission (ranked: readonly WaitingStep[], open: readonly TargetSession[], nowMs: number): void {
+    const { admission, feasibility, runTimes, desiredState } = this.#options
+    if (feasibility === undefined) {
+      // A step that waits for a place near its data has room elsewhere.
+      return admission.updateWaiting(ranked.filter(({ step }) => !step.job.hasStarted && step.waiting.length > 0 && !this.#locality.isWaiting(step))
+        .map(({ step: { job } }) => ({ team: job.team, priority: job.queue.priority, waitedMs: nowMs - job.acceptedAtMs })))
+    }
     // Read after placement, since sums that were computed during the pass lack what it has placed.
     this.#forecast.update(open)
-    const { feasibility, runTimes, desiredState } = this.#options
     feasibility.update(createOutlook({ nowMs, sessions: open, placed: this.#fleet.placed, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
   }
 
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -135,6 +135,7 @@
       clock,
       logger: this.#logger,
       metrics: this.metrics,
+      admitsByExpectedEnd: true,
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
       connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
       prepareConnections: async () => {},
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -79,6 +79,8 @@
   readonly finishedJobMs: () => number
   /** Factor for runs away from their data until it has been learned; read at each election, 1 if missing. */
   readonly remoteFactor?: () => number
+  /** Whether submissions are judged by when they could end; read at each election, false if missing. */
+  readonly admitsByExpectedEnd?: () => boolean
 }
 
 interface Term {
@@ -282,7 +284,8 @@
       resign: reason => runInBackground(this.#election.resign(reason, info.fence), logger, 'resignation'),
       targetLeaseMs: options.targetLeaseMs(),
       finishedJobMs: options.finishedJobMs(),
-      remoteFactor: options.remoteFactor?.() ?? 1
+      remoteFactor: options.remoteFactor?.() ?? 1,
+      admitsByExpectedEnd: options.admitsByExpectedEnd?.() ?? false
     })
     this.#term = { coordinator, intake: new JobIntake(coordinator, options.desired, clock, logger), relays }
     logger.info({ fence: info.fence }, 'elected as coordinator')
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -33,6 +33,7 @@
     idle_timeout_ms: z.number().positive().optional(),
     pipelined_requests: z.number().int().positive().optional()
   }).default({}),
+  admission: z.object({ by_expected_end: z.boolean().default(false) }).default({ by_expected_end: false }),
   bounds: z.object({
     grace_s: z.number().positive(),
     hold_max_ms: z.number().positive(),
@@ -74,6 +75,8 @@
   readonly finishedJobMs: number
   /** Factor by which a run is expected to take longer away from its data, or for a group on several racks, until that has been learned. */
   readonly remoteFactor: number
+  /** Whether submissions are judged by when they could end; otherwise by how many jobs of their team wait. */
+  readonly admitsByExpectedEnd: boolean
 }
 
 const MS_PER_SECOND = 1_000
@@ -117,7 +120,8 @@
     stopGraceMs: file.bounds.grace_s * MS_PER_SECOND,
     longestTargetLeaseMs: file.bounds.hold_max_ms,
     finishedJobMs: file.bounds.status_s * MS_PER_SECOND,
-    remoteFactor: Math.max(1, file.bounds.remote_factor)
+    remoteFactor: Math.max(1, file.bounds.remote_factor),
+    admitsByExpectedEnd: file.admission.by_expected_end
   }
 }
 
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -7,6 +7,7 @@
 import { DesiredStateWatcher } from '../coordinator/desiredStateWatcher.ts'
 import { CallRouter } from '../entry/callRouter.ts'
 import { JobInstance } from '../entry/jobInstance.ts'
+import type { JobInstanceOptions } from '../entry/jobInstance.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 import { createLogger } from '../observability/logger.ts'
@@ -37,7 +38,7 @@
 type LogLevel = LoggerOptions['level']
 
 /** Settings that can be reloaded while the instance runs. A changed target lease takes effect from the next election. */
-const RELOADABLE_SETTINGS = ['storeAddress', 'advisorAddress', 'stopGraceMs', 'longestTargetLeaseMs', 'finishedJobMs'] as const
+const RELOADABLE_SETTINGS = ['storeAddress', 'advisorAddress', 'stopGraceMs', 'longestTargetLeaseMs', 'finishedJobMs', 'admitsByExpectedEnd'] as const
 
 /** A running instance. */
 export interface PlatformInstance {
@@ -82,9 +83,7 @@
     regionOf: dataCentre => findRegion(settings, dataCentre),
     advisor,
     peers,
-    targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
-    finishedJobMs: () => reloader.current.finishedJobMs,
-    remoteFactor: () => reloader.current.remoteFactor
+    ...readTermSettings(reloader)
   })
   metrics.showForecast(() => instance.forecastStatus)
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
@@ -118,6 +117,16 @@
   }
 }
 
+/** Settings that apply from the next election on. */
+function readTermSettings (reloader: SettingsReloader<PlatformSettings>): Pick<JobInstanceOptions, 'targetLeaseMs' | 'finishedJobMs' | 'remoteFactor' | 'admitsByExpectedEnd'> {
+  return {
+    targetLeaseMs: () => reloader.current.longestTargetLeaseMs - LEASE_MARGIN_MS,
+    finishedJobMs: () => reloader.current.finishedJobMs,
+    remoteFactor: () => reloader.current.remoteFactor,
+    admitsByExpectedEnd: () => reloader.current.admitsByExpectedEnd
+  }
+}
+
 /** The data centre comes from the entry of a target, which may name none that is known. */
 function findRegion ({ regionsByDataCentre, region }: PlatformSettings, dataCentre: string): string {
   return (Object.hasOwn(regionsByDataCentre, dataCentre) ? regionsByDataCentre[dataCentre] : undefined) ?? region
