--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -1,5 +1,5 @@
 /** Batches the calls of one instance to the coordinator, so that bursts take few requests. */
-import { CallNotSentError } from '../model/errors.ts'
+import { CallNotSentError } from './callNotSentError.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import type { CoordinatorInfo } from '../coordinator/log/election.ts'
-import { CallNotSentError } from '../model/errors.ts'
+import { CallNotSentError } from './callNotSentError.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
 import { CallRouter } from './callRouter.ts'
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -1,6 +1,6 @@
 /** Routes calls to the coordinator and retries them, at its successor if it is replaced, while the outcome is unknown. */
 import type { CoordinatorInfo } from '../coordinator/log/election.ts'
-import { CallNotSentError } from '../model/errors.ts'
+import { CallNotSentError } from './callNotSentError.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
--- a/src/model/errors.ts
+++ b/src/model/errors.ts
@@ -21,9 +21,6 @@
 /** The answer was lost, so the store may have applied the call. */
 export const StoreUnknownError = BaseError.subclass('StoreUnknownError')
 
-/** The call was never sent to the coordinator, which has certainly not seen it. */
-export const CallNotSentError = BaseError.subclass('CallNotSentError')
-
 /** No connection was established, so the target cannot have received the call. */
 export const TargetUnreachableError = BaseError.subclass('TargetUnreachableError')
 
