--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -351,6 +351,7 @@
     const newRuns = finished.filter(run => run.number > this.#lastFinishedNumber)
     if (newRuns.length === 0) return undefined
     const last = Math.max(...newRuns.map(run => run.number))
+    this.#reportMissingEnds(Math.min(...newRuns.map(run => run.number)))
     this.#lastFinishedNumber = last
     const stored = newRuns.map(async run => await this.#handleFinishedRun(run))
     this.#pendingStores += 1
@@ -363,6 +364,14 @@
     })
   }
 
+  /** Ends that the target discarded before they were read may belong to tasks that are done and will be started again. */
+  #reportMissingEnds (firstNumber: number): void {
+    const expected = this.#lastFinishedNumber + 1
+    const mayBeOfEarlierTerm = this.#lastFinishedNumber === 0 && this.#options.priorLeasesExtendedUntilMs !== -Infinity
+    if (firstNumber === expected || mayBeOfEarlierTerm) return
+    this.#options.logger.warn({ target: this.id, bornMs: this.description.bornMs, expected, firstNumber }, 'run ends are missing from the reports of a target')
+  }
+
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
     const assignment = this.#assignments.get(key)
@@ -471,6 +480,7 @@
    */
   #endAfterRestart (report: TargetReport): void {
     if (!this.#markEnded('restarted')) return
+    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number }, 'first report of the next target incarnation')
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
     const finishedRuns = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
     const withdrawals: Promise<void>[] = []
@@ -499,7 +509,7 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    this.#options.logger.info({ target: this.id, reason, runs: this.#assignments.size }, 'target incarnation ended')
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, acknowledged: this.#lastAcknowledgedNumber }, 'target incarnation ended')
     return true
   }
 
