Acknowledge run ends only to the incarnation that listed them

What callers saw: a task ran again after its run had ended as done.

Cause: each renewal repeated the number of the last run end that was stored. Numbers start again when a target restarts under its id, and the header of the request names the id only. So the first renewal that reached the next incarnation made it discard its own ends up to that number, in the answer that reported the restart. A run that a start in transit had begun there, and that had ended, was then in neither list, counted as lost and was started again.

The test 'a run that the next incarnation has finished is not started again after ends of the earlier one were acknowledged' failed before (lost: restarted), as did the first case of the test after it; the second case fails without the bound on the age of the report.

Change: a number is sent only right after a report of the incarnation that listed the ends, not after a failed renewal, and not again once an answer has shown that it arrived; 0 otherwise. A restart takes longer than the time that is left between the report and the renewal.

The check of the existing test that a later end does not acknowledge an earlier one asked for the number in the last renewal. It asks now that the numbers sent are exactly the expected one.

--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -140,7 +140,7 @@
   t.is(Math.max(...client.renewals.map(order => order.acknowledged)), 0)
   store()
   await clock.advance(1_500)
-  t.is(client.renewals.at(-1)?.acknowledged, 2)
+  t.deepEqual(client.renewals.map(order => order.acknowledged).filter(number => number > 0), [2], 'once, since the answer shows that it has arrived')
 })
 
 // Guards against starting tasks again that are done: the ends of their runs were neither stored nor listed yet.
@@ -319,6 +319,41 @@
   t.deepEqual(listener.events, [`${name} done`, 'incarnation ended: restarted'])
 })
 
+// Guards against starting a task again that is done: a restarted target was told to discard ends that only its earlier incarnation had listed.
+test('late orders: a run that the next incarnation has finished is not started again after ends of the earlier one were acknowledged', async t => {
+  const { clock, client, listener, session } = createSession()
+  client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
+  await clock.advance(1_500)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, assignment.task.name)]
+  await clock.advance(3_000)
+  t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} done`, 'incarnation ended: restarted'])
+})
+
+// Guards against the same when the ends that the earlier incarnation had listed were not acknowledged yet.
+test('late orders: ends that are stored after a target fell silent are not acknowledged to its next incarnation', async t => {
+  for (const storeMs of [50, 450]) {
+    const { clock, client, listener, session } = createSession()
+    await clock.advance(1_000)
+    const assignment = createAssignment()
+    session.reserve(assignment)
+    await session.start(assignment, undefined)
+    client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
+    listener.unstored.set('y.0.0.0', clock.sleep(100 + storeMs))
+    await clock.advance(100)
+    client.reachable = storeMs > 100
+    client.bornMs = 2
+    client.finished = [finishedRun(1, assignment.task.name)]
+    await clock.advance(800)
+    client.reachable = true
+    await clock.advance(3_000)
+    t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} done`, 'incarnation ended: restarted'], `stored after ${storeMs} ms`)
+  }
+})
+
 // Guards against starting a task again that an order in transit started, and that is done, on a target that has restarted.
 test('a run that the next incarnation has finished, after more than a report lists, is not started again', async t => {
   for (const state of ['recovering', 'reserved'] as const) {
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -32,6 +32,8 @@
  * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
+/** Shorter than any restart of a target; after a longer time without a report it is asked before it is told to discard run ends. */
+const MAX_REPORT_AGE_FOR_ACKNOWLEDGEMENT_MS = 250
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
@@ -75,7 +77,10 @@
   #listed = false
   #listedAtMs = -Infinity
   #lastFinishedNumber = 0
-  #lastAcknowledgedNumber = 0
+  /** Number of the last run end that is stored together with all earlier ones. */
+  #lastStoredNumber = 0
+  /** Number up to which this incarnation has certainly discarded its run ends. */
+  #lastDiscardedNumber = 0
   #pendingStores = 0
   /** Resolves when all run ends handled so far are stored. */
   #allStored: Promise<void> = Promise.resolve()
@@ -297,19 +302,35 @@
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
+  /** Whether the target has to be told to discard run ends. */
+  get #owesAcknowledgement (): boolean {
+    return this.#lastStoredNumber > this.#lastDiscardedNumber
+  }
+
+  /**
+   * A target that has restarted can not tell that a request was meant for its earlier incarnation, and would discard ends of
+   * its own, whose numbers start again. So a number is sent only right after a report of this incarnation, and until it has
+   * arrived.
+   */
+  get #dueAcknowledgement (): number {
+    const answers = this.#unansweredSinceMs === undefined && this.#options.clock.monotonicMs() - this.#lastContactMs <= MAX_REPORT_AGE_FOR_ACKNOWLEDGEMENT_MS
+    return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
+  }
+
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fencingToken } = this.#options
     const sentMs = clock.monotonicMs()
+    const acknowledged = this.#dueAcknowledgement
     const result = await client.renew({
       fencingToken,
-      acknowledged: this.#lastAcknowledgedNumber,
+      acknowledged,
       leaseUntilTargetMs: this.#joined ? this.#extendLease() : undefined,
-      waitMs
+      waitMs: acknowledged === 0 && this.#owesAcknowledgement ? 0 : waitMs
     })
     if (this.#hasEnded) return
     switch (result.outcome) {
       case 'report':
-        await this.#handleReport(result.report, sentMs)
+        await this.#handleReport(result.report, sentMs, acknowledged)
         break
       case 'other-life':
         this.#endIncarnation('restarted')
@@ -324,9 +345,10 @@
     }
   }
 
-  async #handleReport (report: TargetReport, sentMs: number): Promise<void> {
+  async #handleReport (report: TargetReport, sentMs: number, acknowledged: number): Promise<void> {
     const { bornMs } = this.description
-    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report)
+    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
+    this.#lastDiscardedNumber = Math.max(this.#lastDiscardedNumber, acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
     this.#lastContactMs = this.#lastAnswerMs = nowMs
     this.#unansweredSinceMs = undefined
@@ -357,7 +379,7 @@
     this.#pendingStores += 1
     // Acknowledging a finished run acknowledges all earlier ones.
     this.#allStored = Promise.all([this.#allStored, ...stored]).then(() => {
-      this.#lastAcknowledgedNumber = Math.max(this.#lastAcknowledgedNumber, last)
+      this.#lastStoredNumber = Math.max(this.#lastStoredNumber, last)
     }).finally(() => { this.#pendingStores -= 1 })
     return this.#allStored.catch(() => {
       // The term has ended; the successor receives these ends again, since they are not acknowledged.
@@ -478,9 +500,9 @@
    * request that is still in transit, so the request is withdrawn there before its task is placed again. Runs that
    * the next incarnation has already finished are accepted.
    */
-  #endAfterRestart (report: TargetReport): void {
+  #endAfterRestart (report: TargetReport, acknowledged: number): void {
     if (!this.#markEnded('restarted')) return
-    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number }, 'first report of the next target incarnation')
+    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
     const finishedRuns = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
     const withdrawals: Promise<void>[] = []
@@ -509,7 +531,7 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, acknowledged: this.#lastAcknowledgedNumber }, 'target incarnation ended')
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#lastDiscardedNumber }, 'target incarnation ended')
     return true
   }
 
