--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -389,8 +389,8 @@
   /** Ends that the target discarded before they were read may belong to tasks that are done and will be started again. */
   #reportMissingEnds (firstNumber: number): void {
     const expected = this.#lastFinishedNumber + 1
-    const mayBeOfEarlierTerm = this.#lastFinishedNumber === 0 && this.#options.priorLeasesExtendedUntilMs !== -Infinity
-    if (firstNumber === expected || mayBeOfEarlierTerm) return
+    // An earlier session of the same incarnation may have read the first ends.
+    if (firstNumber === expected || this.#lastFinishedNumber === 0) return
     this.#options.logger.warn({ target: this.id, bornMs: this.description.bornMs, expected, firstNumber }, 'run ends are missing from the reports of a target')
   }
 
