Let the session of an earlier incarnation only ask its target

A renewal that waits on a dead connection is given up after up to 2.2 s. Meanwhile the target list shows the next incarnation, whose own session starts tasks. What the earlier session sends then acts on these runs: its start requests take capacity that the later one counts as free, and its leases, whose end is a time of another clock, last up to 10 s from their arrival, which is longer than the later session counts on.

Once a later incarnation is listed, the earlier session sends leases and starts only within 250 ms of a report of its own incarnation. An entry that is wrong thus ends no run of a target that answers.

Tests: 'the session of an earlier incarnation neither extends leases nor starts tasks once a later one is listed' failed before (started).

--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -75,7 +75,7 @@
     const occupied = new Set<string>()
     const nowMs = this.#options.clock.monotonicMs()
     for (const session of this.#sessions.values()) {
-      if (session.ended || this.#isReplaced(session)) {
+      if (session.ended || this.#isReplaced(session.id, session.description.bornMs)) {
         if (session.mayHaveRunsOnNextIncarnation) occupied.add(session.id)
       } else if (session.isUsableAt(nowMs) && this.#recorded.has(session.key)) {
         usable.push(session)
@@ -104,8 +104,8 @@
   }
 
   /** Whether a later incarnation of the same target is known. */
-  #isReplaced ({ id, description }: TargetSession): boolean {
-    return (this.#latestIncarnations.get(id) ?? 0) > description.bornMs
+  #isReplaced (id: string, bornMs: number): boolean {
+    return (this.#latestIncarnations.get(id) ?? 0) > bornMs
   }
 
   /** Opens the session of an incarnation recorded in the log, on which tasks of earlier terms may run. */
@@ -143,7 +143,7 @@
   /** Removes an ended incarnation; returns true if it is recorded in the log. */
   remove (session: TargetSession): boolean {
     this.#sessions.delete(session.key)
-    if (!this.#isReplaced(session)) this.#latestIncarnations.delete(session.id)
+    if (!this.#isReplaced(session.id, session.description.bornMs)) this.#latestIncarnations.delete(session.id)
     return this.#recorded.delete(session.key)
   }
 
@@ -186,6 +186,7 @@
       fencingToken,
       leaseMs: targetLeaseMs,
       hasAuthority,
+      isReplaced: () => this.#isReplaced(id, bornMs),
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -45,9 +45,10 @@
     return this.reachable && this.answersStops ? 'stopping' : 'unknown'
   }
 
-  async renew (order: RenewOrder): Promise<RenewOutcome> {
+  async renew (order: RenewOrder, beforeExecution = () => {}): Promise<RenewOutcome> {
     await this.#clock.sleep(50)
     if (!this.reachable) return { outcome: 'failed', message: 'no answer' }
+    beforeExecution()
     this.renewals.push(order)
     this.finished = this.finished.filter(run => run.number > order.acknowledged)
     const finished = this.finished.slice(0, this.finishedPerReport)
@@ -89,12 +90,16 @@
   stateChanged (): void {}
 }
 
-function createSession (priorLeasesExtendedUntilMs = -Infinity) {
+function createContext () {
   const clock = new ManualClock()
-  const client = new FakeTarget(clock)
-  const listener = new Recorder()
+  return { clock, client: new FakeTarget(clock), listener: new Recorder() }
+}
+
+function createSession<Client extends JobTargetClient = FakeTarget> (priorLeasesExtendedUntilMs = -Infinity, context: { clock: ManualClock, client: Client, listener: Recorder } = createContext() as never, bornMs = 1) {
+  const { clock, client, listener } = context
+  let isReplaced = false
   const session = new TargetSession({
-    description: { id: 'worker-1', bornMs: 1, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
+    description: { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
     client,
     clock,
     logger,
@@ -102,11 +107,12 @@
     fencingToken: 7,
     leaseMs: LEASE_MS,
     hasAuthority: () => true,
+    isReplaced: () => isReplaced,
     isEvacuated: () => false,
     priorLeasesExtendedUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
-  return { clock, client, listener, session }
+  return { clock, client, listener, session, replace: () => { isReplaced = true } }
 }
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
@@ -354,6 +360,58 @@
   }
 })
 
+// Guards against starting a task again that is done: the session of the earlier incarnation made the next one discard the end.
+test('restarted targets: the session of an earlier incarnation does not acknowledge ends that the next one has listed to its own', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  const assignment = createAssignment()
+  let isHung = false
+  const endRun = (): void => {
+    if (client.running.length === 0) return
+    client.running = []
+    client.finished = [finishedRun(1, assignment.task.name)]
+  }
+  const ownClient: JobTargetClient = {
+    start: async order => await client.start(order),
+    stop: async order => await client.stop(order),
+    renew: async order => isHung ? await clock.sleep(2_000).then(() => ({ outcome: 'failed', message: 'no answer' })) : await client.renew(order, endRun),
+    close: async () => {}
+  }
+  createSession(-Infinity, { ...context, client: ownClient })
+  client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
+  await clock.advance(1_000)
+  isHung = true
+  await clock.advance(100)
+  client.bornMs = 2
+  const { session } = createSession(-Infinity, context, 2)
+  await clock.advance(1_500)
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 10 }]
+  isHung = false
+  await clock.advance(3_000)
+  t.deepEqual(listener.events.filter(event => event.startsWith(assignment.task.name)), [`${assignment.task.name} started`, `${assignment.task.name} done`])
+})
+
+// Guards against runs of the next incarnation that outlast the leases which its own session has given.
+test('restarted targets: the session of an earlier incarnation neither extends leases nor starts tasks once a later one is listed', async t => {
+  const { clock, client, listener, session, replace } = createSession()
+  await clock.advance(500)
+  replace()
+  client.reachable = false
+  await clock.advance(400)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  await session.start(assignment, undefined)
+  t.deepEqual(listener.events.slice(1), [`${assignment.task.name} refused: unhealthy`])
+  client.renewals.length = 0
+  client.reachable = true
+  await clock.advance(400)
+  const [first, ...others] = client.renewals.map(order => order.leaseUntilTargetMs)
+  t.is(first, undefined, 'the next incarnation may answer')
+  t.true(others.some(untilMs => untilMs !== undefined), 'an entry of the list does not end the runs of a target that answers')
+})
+
 // Guards against starting a task again that an order in transit started, and that is done, on a target that has restarted.
 test('a run that the next incarnation has finished, after more than a report lists, is not started again', async t => {
   for (const state of ['recovering', 'reserved'] as const) {
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -32,8 +32,8 @@
  * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** Shorter than any restart of a target; after a longer time without a report it is asked before it is told to discard run ends. */
-const MAX_REPORT_AGE_FOR_ACKNOWLEDGEMENT_MS = 250
+/** Shorter than any restart of a target. After a longer time without a report, the next incarnation may answer. */
+const MAX_CERTAIN_REPORT_AGE_MS = 250
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
@@ -56,6 +56,8 @@
   readonly leaseMs: number
   /** Whether this coordinator may send requests now. */
   readonly hasAuthority: () => boolean
+  /** Whether the target list has shown a later incarnation of the target. */
+  readonly isReplaced: () => boolean
   /** Whether the target's data centre is evacuated now, so that no task may be started here. */
   readonly isEvacuated: () => boolean
   /** Latest time at which an earlier coordinator may have extended leases on the target. */
@@ -313,7 +315,7 @@
    * arrived.
    */
   get #dueAcknowledgement (): number {
-    const answers = this.#unansweredSinceMs === undefined && this.#options.clock.monotonicMs() - this.#lastContactMs <= MAX_REPORT_AGE_FOR_ACKNOWLEDGEMENT_MS
+    const answers = this.#unansweredSinceMs === undefined && this.#options.clock.monotonicMs() - this.#lastContactMs <= MAX_CERTAIN_REPORT_AGE_MS
     return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
   }
 
@@ -469,10 +471,12 @@
 
   /** Extends the lease and returns its end on the target's clock; undefined while leases must not be extended. */
   #extendLease (): number | undefined {
-    const { clock, leaseMs, hasAuthority } = this.#options
+    const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
     if (this.#clockOffsetMs === undefined || !hasAuthority()) return undefined
     const nowMs = clock.monotonicMs()
-    if (nowMs - this.#lastContactMs > MAX_SILENCE_FOR_EXTENSION_MS) return undefined
+    // The next incarnation would take the time of the earlier one's clock for a time of its own.
+    const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
+    if (nowMs - this.#lastContactMs > maximumSilenceMs) return undefined
     this.#lastLeaseExtensionMs = Math.max(this.#lastLeaseExtensionMs, nowMs)
     return Math.floor(nowMs + this.#clockOffsetMs + leaseMs)
   }
