Raise the fencing token of a target above requests in transit

A call without an answer may be executed up to 12 s later, and so by the next incarnation of the target, which has seen no fencing token. An acknowledgement in transit could therefore still remove ends of that incarnation, a lease could outlast what its session counts on, and a start could begin a run after the withdrawal had looked for it.

Each target has a fence now that the sessions of all its incarnations share. Its token rises, to the last revision of the store that this coordinator has written, with the first request of a new session and with the first request after an acknowledgement. A start that follows an acknowledgement thus makes the target refuse it, whichever incarnation executes the start, and the next incarnation refuses all of the earlier one's requests from the first contact of its own session on. Revisions that this coordinator has written under its election are lower than the token of each later coordinator, so that hand-overs work as before, also with an older program.

A target may now refuse a request that a later one of the same coordinator has overtaken. Such a start has not been executed and is sent again, a stop is repeated as without an answer, and only the refusal of the latest token shows a later coordinator.

Not covered: a start that was sent before the acknowledgement, if both are in transit when the target crashes and the run ends between them.

Tests: the two 'late orders' tests of targetSession failed before (lost: restarted; the late stop was accepted); with the token kept after an acknowledgement the first fails again. 'a start that a later request of the same coordinator has overtaken is sent again' guards the new refusal.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -132,7 +132,7 @@
     this.#metrics = options.metrics ?? new JobMetrics()
     this.#evacuationReport = new EvacuationReport(logger, this.#metrics)
     this.#fleet = new TargetFleet({
-      clock, logger, connect, directory, listener: this, fencingToken: info.fence, targetLeaseMs, hasAuthority, evacuations: () => desired.evacuations, termStartedAtMs: this.#termStartedAtMs
+      clock, logger, connect, directory, listener: this, fencingToken: info.fence, latestRevision: () => this.#log?.lastRevision ?? info.fence, targetLeaseMs, hasAuthority, evacuations: () => desired.evacuations, termStartedAtMs: this.#termStartedAtMs
     })
     this.#admission = new AdmissionControl(clock)
     this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
--- a/src/coordinator/log/recordLog.test.ts
+++ b/src/coordinator/log/recordLog.test.ts
@@ -43,6 +43,23 @@
   t.is(log.nextSequence, 2)
 })
 
+// Guards against fencing tokens that a later coordinator does not exceed.
+test('the last revision is one at which the log itself has written, also when an answer was lost', async t => {
+  const { store, clock, log } = createLog()
+  const ownRevision = (): number => Math.max(...[...store.items.values()].map(({ revision }) => revision))
+  t.is(log.lastRevision, ownRevision(), 'that of the election')
+  store.commitFaults.push('lost')
+  const written = log.append([cancelled('job-1')])
+  await clock.advance(1_000)
+  await written
+  const revision = ownRevision()
+  t.is(log.lastRevision, revision)
+  store.put(ELECTION_KEY, 'entry-2')
+  log.append([cancelled('job-2')]).catch(() => {})
+  await clock.advance(1_000)
+  t.is(log.lastRevision, revision)
+})
+
 test('records wait for a store that refuses them, in order', async t => {
   const { store, clock, log, stored } = createLog()
   store.commitFaults.push('unavailable', 'unavailable')
--- a/src/coordinator/log/recordLog.ts
+++ b/src/coordinator/log/recordLog.ts
@@ -91,9 +91,11 @@
   #failingSinceMs: number | undefined
   #stalled = false
   #bytesSinceCompaction = 0
+  #lastRevision: number
 
   constructor (options: RecordLogOptions) {
     this.#options = options
+    this.#lastRevision = options.election.revision
     this.#nextSequence = this.#firstUnstoredSequence = options.nextSequence
   }
 
@@ -102,6 +104,11 @@
     return this.#firstUnstoredSequence
   }
 
+  /** Highest revision of the store at which this log is known to have written; each later election has a higher one. */
+  get lastRevision (): number {
+    return this.#lastRevision
+  }
+
   /** Time since which commits have been failing; undefined while they succeed. */
   get failingSinceMs (): number | undefined {
     return this.#failingSinceMs
@@ -262,8 +269,10 @@
   }
 
   #isCommitted (result: CommitResult, key: string, value: string): boolean {
-    const earlier = result.outcome === 'conflict' && result.current.some(item => item.key === key && item.value === value)
-    if (result.outcome !== 'committed' && !earlier) return false
+    const earlier = result.outcome === 'conflict' ? result.current.find(item => item.key === key && item.value === value) : undefined
+    const revision = result.outcome === 'committed' ? result.revision : earlier?.revision
+    if (revision === undefined) return false
+    this.#lastRevision = Math.max(this.#lastRevision, revision)
     this.#stalled = false
     if (this.#failingSinceMs !== undefined) {
       this.#options.logger.info({ failedForMs: Math.round(this.#options.clock.monotonicMs() - this.#failingSinceMs) }, 'commits to the store succeed again')
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -12,6 +12,7 @@
 import { AUTHORITY_GRACE_MS } from '../log/election.ts'
 import type { TargetListener } from './targetListener.ts'
 import type { Evacuations } from './evacuations.ts'
+import { TargetFence } from './targetFence.ts'
 import { TargetSession } from './targetSession.ts'
 import type { PlacedAssignment } from '../placement/waitReport.ts'
 
@@ -31,6 +32,8 @@
   readonly directory: TargetDirectory
   readonly listener: TargetListener
   readonly fencingToken: number
+  /** Highest revision of the store that this coordinator is known to have written. */
+  readonly latestRevision: () => number
   readonly targetLeaseMs: number
   readonly hasAuthority: () => boolean
   /** The evacuations in force now. */
@@ -54,6 +57,8 @@
   readonly #recorded = new Set<string>()
   /** Start time of the latest known incarnation, by target identity. */
   readonly #latestIncarnations = new Map<string, number>()
+  /** Fences of the targets that have sessions, by target identity. */
+  readonly #fences = new Map<string, TargetFence>()
   readonly #directory: PeriodicTask
   #closed = false
 
@@ -144,6 +149,7 @@
   remove (session: TargetSession): boolean {
     this.#sessions.delete(session.key)
     if (!this.#isReplaced(session.id, session.description.bornMs)) this.#latestIncarnations.delete(session.id)
+    if (![...this.#sessions.values()].some(({ id }) => id === session.id)) this.#fences.delete(session.id)
     return this.#recorded.delete(session.key)
   }
 
@@ -176,14 +182,14 @@
 
   #open (target: TargetDescription, priorLeasesExtendedUntilMs: number): TargetSession {
     const { id, bornMs, address, service, dataCentre, capacity, labels } = target
-    const { clock, logger, connect, listener, fencingToken, targetLeaseMs, hasAuthority, evacuations } = this.#options
+    const { clock, logger, connect, listener, targetLeaseMs, hasAuthority, evacuations } = this.#options
     const session = new TargetSession({
       description: { id, bornMs, address, service, dataCentre, capacity, labels },
       client: connect(address, { id, bornMs }, dataCentre),
       clock,
       logger,
       listener,
-      fencingToken,
+      fence: this.#openFence(id),
       leaseMs: targetLeaseMs,
       hasAuthority,
       isReplaced: () => this.#isReplaced(id, bornMs),
@@ -195,6 +201,15 @@
     return session
   }
 
+  /** The sessions of earlier incarnations have sent requests that the next one must refuse. */
+  #openFence (id: string): TargetFence {
+    const { fencingToken, latestRevision } = this.#options
+    const fence = this.#fences.get(id) ?? new TargetFence(Math.max(fencingToken, latestRevision()), latestRevision)
+    this.#fences.set(id, fence)
+    fence.supersede()
+    return fence
+  }
+
   #run (session: TargetSession): void {
     runInBackground(session.run(), this.#options.logger, 'target session')
   }
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -5,9 +5,10 @@
 import { resources } from '../../model/resources.ts'
 import type { Resources } from '../../model/resources.ts'
 import { createLogger } from '../../observability/logger.ts'
-import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOutcome, TaskOrder } from '../../ports/jobTarget.ts'
+import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOrder, StopOutcome, TaskOrder } from '../../ports/jobTarget.ts'
 import { Assignment } from './assignment.ts'
 import type { TargetListener } from './targetListener.ts'
+import { TargetFence } from './targetFence.ts'
 import { TargetSession } from './targetSession.ts'
 
 const LEASE_MS = 9_500
@@ -16,6 +17,7 @@
 const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
 
 class FakeTarget implements JobTargetClient {
+  readonly starts: TaskOrder[] = []
   readonly renewals: RenewOrder[] = []
   readonly stops: string[] = []
   finished: FinishedRun[] = []
@@ -26,7 +28,9 @@
   runningAfterReports = 0
   /** Number of finished runs in a report, the oldest first. */
   finishedPerReport = 500
-  bornMs = 1
+  /** Highest fencing token that this incarnation has received. */
+  #fencingToken = 0
+  #bornMs = 1
   startOutcome: StartOutcome = { outcome: 'started', clockMs: 0 }
   startAnswer: Promise<void> = Promise.resolve()
   readonly #clock: ManualClock
@@ -35,12 +39,31 @@
     this.#clock = clock
   }
 
-  async start (_order: TaskOrder): Promise<StartOutcome> {
+  get bornMs (): number {
+    return this.#bornMs
+  }
+
+  /** Restarts the target if the value is another one. */
+  set bornMs (bornMs: number) {
+    this.#bornMs = bornMs
+    this.#fencingToken = 0
+  }
+
+  #accepts (fencingToken: number): boolean {
+    if (fencingToken < this.#fencingToken) return false
+    this.#fencingToken = fencingToken
+    return true
+  }
+
+  async start (order: TaskOrder): Promise<StartOutcome> {
+    this.starts.push(order)
     await this.startAnswer
+    if (!this.#accepts(order.fencingToken)) return { outcome: 'refused', refusal: 'fenced' }
     return this.startOutcome
   }
 
-  async stop ({ task }: { readonly task: string }): Promise<StopOutcome> {
+  async stop ({ task, fencingToken }: StopOrder): Promise<StopOutcome> {
+    if (!this.#accepts(fencingToken)) return 'fenced'
     this.stops.push(task)
     return this.reachable && this.answersStops ? 'stopping' : 'unknown'
   }
@@ -49,6 +72,7 @@
     await this.#clock.sleep(50)
     if (!this.reachable) return { outcome: 'failed', message: 'no answer' }
     beforeExecution()
+    if (!this.#accepts(order.fencingToken)) return { outcome: 'fenced' }
     this.renewals.push(order)
     this.finished = this.finished.filter(run => run.number > order.acknowledged)
     const finished = this.finished.slice(0, this.finishedPerReport)
@@ -92,19 +116,19 @@
 
 function createContext () {
   const clock = new ManualClock()
-  return { clock, client: new FakeTarget(clock), listener: new Recorder() }
+  return { clock, client: new FakeTarget(clock), listener: new Recorder(), fence: new TargetFence(7, () => 7 + clock.monotonicMs()) }
 }
 
-function createSession<Client extends JobTargetClient = FakeTarget> (priorLeasesExtendedUntilMs = -Infinity, context: { clock: ManualClock, client: Client, listener: Recorder } = createContext() as never, bornMs = 1) {
-  const { clock, client, listener } = context
+function createSession (priorLeasesExtendedUntilMs = -Infinity, context = createContext(), bornMs = 1, connect: (target: FakeTarget) => JobTargetClient = target => target) {
+  const { clock, client, listener, fence } = context
   let isReplaced = false
   const session = new TargetSession({
     description: { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
-    client,
+    client: connect(client),
     clock,
     logger,
     listener,
-    fencingToken: 7,
+    fence,
     leaseMs: LEASE_MS,
     hasAuthority: () => true,
     isReplaced: () => isReplaced,
@@ -112,7 +136,7 @@
     priorLeasesExtendedUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
-  return { clock, client, listener, session, replace: () => { isReplaced = true } }
+  return { ...context, session, replace: () => { isReplaced = true } }
 }
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
@@ -371,13 +395,12 @@
     client.running = []
     client.finished = [finishedRun(1, assignment.task.name)]
   }
-  const ownClient: JobTargetClient = {
-    start: async order => await client.start(order),
-    stop: async order => await client.stop(order),
-    renew: async order => isHung ? await clock.sleep(2_000).then(() => ({ outcome: 'failed', message: 'no answer' })) : await client.renew(order, endRun),
+  createSession(-Infinity, context, 1, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => isHung ? await clock.sleep(2_000).then(() => ({ outcome: 'failed', message: 'no answer' })) : await target.renew(order, endRun),
     close: async () => {}
-  }
-  createSession(-Infinity, { ...context, client: ownClient })
+  }))
   client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
   await clock.advance(1_000)
   isHung = true
@@ -393,6 +416,61 @@
   t.deepEqual(listener.events.filter(event => event.startsWith(assignment.task.name)), [`${assignment.task.name} started`, `${assignment.task.name} done`])
 })
 
+// Guards against starting a task again that is done: an acknowledgement in transit reached the next incarnation after its end.
+test('late orders: an acknowledgement to an earlier incarnation is refused by the next one once that has executed a later start', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
+  await clock.advance(300)
+  const late = client.renewals.find(({ acknowledged }) => acknowledged === 2)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  client.bornMs = 2
+  await session.start(assignment, undefined)
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  const endRun = (): void => {
+    client.running = []
+    client.finished = [finishedRun(1, assignment.task.name)]
+  }
+  client.renew(late as RenewOrder, endRun).catch(error => t.fail(String(error)))
+  await clock.advance(3_000)
+  t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} done`, 'incarnation ended: restarted'])
+})
+
+test('late orders: what was sent to an earlier incarnation is refused by the next one once its own session has reached it', async t => {
+  const earlier = createSession()
+  const { clock, client } = earlier
+  await clock.advance(200)
+  const late = client.renewals.at(-1) as RenewOrder
+  client.bornMs = 2
+  earlier.fence.supersede()
+  createSession(-Infinity, earlier, 2)
+  await clock.advance(200)
+  const assignment = createAssignment()
+  t.is(await client.stop({ task: assignment.task.name, attempt: 1, fencingToken: late.fencingToken }), 'fenced')
+})
+
+// Guards against an instance that gives up its term because its own requests overtake each other.
+test('a start that a later request of the same coordinator has overtaken is sent again', async t => {
+  const { clock, client, listener, session, fence } = createSession()
+  await clock.advance(200)
+  let deliver: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { deliver = resolve })
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  fence.supersede()
+  await clock.advance(100)
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  deliver()
+  await clock.advance(100)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
+  t.is(client.starts.length, 2)
+  client.renew({ fencingToken: 1e9, acknowledged: 0, waitMs: 0 }).catch(error => t.fail(String(error)))
+  await clock.advance(200)
+  t.is(listener.events.at(-1), 'fenced', 'a later coordinator is known to the target')
+})
+
 // Guards against runs of the next incarnation that outlast the leases which its own session has given.
 test('restarted targets: the session of an earlier incarnation neither extends leases nor starts tasks once a later one is listed', async t => {
   const { clock, client, listener, session, replace } = createSession()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -12,6 +12,7 @@
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { TargetCapacity } from './targetCapacity.ts'
+import type { TargetFence } from './targetFence.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
 import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
 
@@ -52,7 +53,8 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly listener: TargetListener
-  readonly fencingToken: number
+  /** Shared by the sessions of all incarnations of the target. */
+  readonly fence: TargetFence
   readonly leaseMs: number
   /** Whether this coordinator may send requests now. */
   readonly hasAuthority: () => boolean
@@ -213,26 +215,32 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { client, clock, fencingToken } = this.#options
-    const leaseUntilTargetMs = this.#extendLease()
-    if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
-    assignment.state = 'starting'
+    const { clock, fence } = this.#options
     const { task } = assignment
-    assignment.startAnswered = false
     const checkpoint = task.step.checkpointOf(task)
-    assignment.isResumed = checkpoint !== ''
-    this.#startsSentMs.set(assignment, clock.monotonicMs())
-    const result = await client.start({
-      task: task.name,
-      attempt: assignment.attempt,
-      spec: task.step.job.definition.spec,
-      leaseUntilTargetMs,
-      fencingToken,
-      checkpoint,
-      ticket
-    })
-    this.#startsSentMs.delete(assignment)
-    await this.#handleStartOutcome(assignment, result)
+    for (;;) {
+      const leaseUntilTargetMs = this.#extendLease()
+      if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
+      const fencingToken = fence.use()
+      assignment.state = 'starting'
+      assignment.startAnswered = false
+      assignment.isResumed = checkpoint !== ''
+      this.#startsSentMs.set(assignment, clock.monotonicMs())
+      const result = await this.#options.client.start({
+        task: task.name,
+        attempt: assignment.attempt,
+        spec: task.step.job.definition.spec,
+        leaseUntilTargetMs,
+        fencingToken,
+        checkpoint,
+        ticket
+      })
+      this.#startsSentMs.delete(assignment)
+      const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
+      if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
+      this.#options.logger.info({ task: task.name, attempt: assignment.attempt, target: this.id }, 'a later request has overtaken a start, which the target refused')
+      if (isStopping(assignment) || !this.#assignments.has(assignment.key)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
+    }
   }
 
   async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
@@ -320,9 +328,12 @@
   }
 
   async #renew (waitMs: number): Promise<void> {
-    const { client, clock, listener, fencingToken } = this.#options
+    const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
     const acknowledged = this.#dueAcknowledgement
+    const fencingToken = fence.use()
+    // Starts that are sent from now on make the next incarnation refuse this acknowledgement.
+    if (acknowledged > 0) fence.supersede()
     const result = await client.renew({
       fencingToken,
       acknowledged,
@@ -338,7 +349,7 @@
         this.#endIncarnation('restarted')
         break
       case 'fenced':
-        listener.fenced(this)
+        if (fence.isLatest(fencingToken)) listener.fenced(this)
         break
       case 'failed':
         this.#unansweredSinceMs ??= clock.monotonicMs()
@@ -455,10 +466,11 @@
 
   /** Returns true if the target will certainly end the run, or never start it. */
   async #sendStop (task: string, attempt: number): Promise<boolean> {
-    const { client, fencingToken, listener, hasAuthority } = this.#options
+    const { client, fence, listener, hasAuthority } = this.#options
     if (!hasAuthority()) return false
+    const fencingToken = fence.use()
     const outcome = await client.stop({ task, attempt, fencingToken })
-    if (outcome === 'fenced') listener.fenced(this)
+    if (outcome === 'fenced' && fence.isLatest(fencingToken)) listener.fenced(this)
     if (outcome === 'other-life') this.#endIncarnation('restarted')
     return outcome === 'stopping'
   }
@@ -553,8 +565,8 @@
   }
 
   async #withdrawStart ({ task, attempt }: Assignment): Promise<FinishedRun | undefined> {
-    const { client, clock, fencingToken, logger } = this.#options
-    return await withdrawStart({ client, clock, logger, fencingToken, target: this.id, isClosed: () => this.#closed }, { task: task.name, attempt })
+    const { client, clock, fence, logger } = this.#options
+    return await withdrawStart({ client, clock, logger, fence, target: this.id, isClosed: () => this.#closed }, { task: task.name, attempt })
   }
 
   async #reportCrash (): Promise<void> {
@@ -584,6 +596,11 @@
   }
 }
 
+/** A function, since the state may change while a request is in progress. */
+function isStopping ({ state }: Assignment): boolean {
+  return state === 'stopping'
+}
+
 /** Whether a start request may still reach the target. Those of earlier coordinators cannot: the target's fence refuses them. */
 function startMayStillArrive ({ reported, state }: Assignment): boolean {
   return !reported && state !== 'reserved' && state !== 'recovering'
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -3,6 +3,7 @@
 import type { Clock } from '../../ports/clock.ts'
 import type { FinishedRun, JobTargetClient } from '../../ports/jobTarget.ts'
 import { runKey } from './assignment.ts'
+import type { TargetFence } from './targetFence.ts'
 
 /** An unanswered request may be executed up to 12 s later, according to the platform's list of faults. */
 export const MAX_REQUEST_DELAY_MS = 12_500
@@ -12,7 +13,7 @@
   readonly client: JobTargetClient
   readonly clock: Clock
   readonly logger: Logger
-  readonly fencingToken: number
+  readonly fence: TargetFence
   /** Identity of the target, for the log. */
   readonly target: string
   /** Whether the term has ended, so that nothing more is sent. */
@@ -26,14 +27,14 @@
  * @example
  * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
  */
-export async function withdrawStart ({ client, clock, logger, fencingToken, target, isClosed }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
+export async function withdrawStart ({ client, clock, logger, fence, target, isClosed }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
   const key = runKey(task, attempt)
   logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
   let deadlineMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
   while (!isClosed() && clock.monotonicMs() < deadlineMs) {
-    const outcome = await client.stop({ task, attempt, fencingToken })
+    const outcome = await client.stop({ task, attempt, fencingToken: fence.use() })
     if (outcome === 'other-life') return undefined
-    const result = outcome === 'stopping' ? await client.renew({ fencingToken, acknowledged: 0, waitMs: 0 }) : undefined
+    const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.use(), acknowledged: 0, waitMs: 0 }) : undefined
     if (result?.outcome === 'other-life') return undefined
     if (result?.outcome === 'report') {
       const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
