Check in model tests that no task runs twice after restarts

The simulated target kept one clock across restarts, accepted leases of any length, and nobody compared the runs on different targets, so that no model test could show a call that the next incarnation of a target executes.

Its clock now starts at 0 with each incarnation, a lease ends at most 10 s after the call that extends it, and the delay of late calls can be chosen per fault. RunRecorder keeps the starts, ends and acknowledgements on all targets. SimulatedCluster reports a start while another run of the task is in progress, and one after an end as done that is acknowledged before the target's lease lapses or the target restarts.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -25,7 +25,7 @@
 
 type Step =
   | { readonly type: 'submit', readonly kind: string, readonly queue: number }
-  | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault }
+  | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault, readonly lateMs?: number }
   | { readonly type: 'restart', readonly target: number }
   | { readonly type: 'unlist', readonly target: number, readonly listed: boolean }
   | { readonly type: 'store', readonly faults: readonly CommitFault[] }
@@ -46,7 +46,12 @@
 async function apply (cluster: SimulatedCluster, step: Step): Promise<void> {
   switch (step.type) {
     case 'submit': cluster.submit(step.kind, QUEUES[step.queue] as QueueSettings, STEPS[step.kind] ?? []); return
-    case 'fault': cluster.target(step.target).fault = step.fault; return
+    case 'fault': {
+      const faulty = cluster.target(step.target)
+      faulty.fault = step.fault
+      faulty.lateMs = step.lateMs ?? faulty.lateMs
+      return
+    }
     case 'restart': return cluster.restartTarget(step.target)
     case 'unlist': cluster.target(step.target).listed = step.listed; return
     case 'store': return cluster.failCommits(step.faults)
@@ -68,3 +73,30 @@
   })
   await t.notThrowsAsync(async () => await fc.assert(property, { seed: SEED, numRuns: RUNS }))
 })
+
+const MAX_LATE_MS = 12_000
+const TRANSIT_RUNS = 100
+const anyTransitStep: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('submit' as const), kind: fc.constantFrom('single', 'wide'), queue: fc.constantFrom(0, 1) }) },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 1, max: 1_500 }) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 1_500, max: MAX_LATE_MS }) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('fault' as const), target, fault: fc.constantFrom<TargetFault[]>('none', 'cut', 'deaf', 'late', 'late'), lateMs: fc.oneof(fc.integer({ min: 1, max: 1_500 }), fc.integer({ min: 1_500, max: MAX_LATE_MS })) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('restart' as const), target }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('successor' as const), gapMs: fc.integer({ min: 0, max: 3_000 }) }) }
+)
+
+// Guards against a second run of a task after the next incarnation of a target executed calls intended for the earlier one.
+test('no task runs again while it runs or once it is done, whichever incarnation of a target executes a delayed call', async t => {
+  const property = fc.asyncProperty(fc.array(anyTransitStep, { minLength: 3, maxLength: 30 }), fc.oneof(fc.integer({ min: 5, max: 100 }), fc.integer({ min: 100, max: 4_000 })), async (steps, workMs) => {
+    const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs })
+    await cluster.elect()
+    await cluster.clock.advance(1_000)
+    for (const step of steps) await apply(cluster, step)
+    cluster.endFaults()
+    await cluster.clock.advance(MAX_LATE_MS * 2)
+    const repeated = cluster.findRepeatedRuns()
+    cluster.close()
+    if (repeated.length > 0) throw new Error(repeated.join('; '))
+  })
+  await t.notThrowsAsync(async () => await fc.assert(property, { seed: SEED, numRuns: TRANSIT_RUNS, includeErrorInReport: true }))
+})
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -13,6 +13,7 @@
 import { SNAPSHOT_PREFIX } from '../log/logReader.ts'
 import { MemoryTransactionalStore } from './memoryTransactionalStore.ts'
 import type { CommitFault } from './memoryTransactionalStore.ts'
+import { RunRecorder } from './runRecorder.ts'
 import { SimulatedTarget } from './simulatedTarget.ts'
 
 const CAPACITY = resources({ processors: 8_000, memory: 8_000 })
@@ -89,6 +90,7 @@
   readonly clock = new ManualClock()
   readonly store = new SlowStore(this.clock)
   readonly #logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
+  readonly #recorder = new RunRecorder(this.clock)
   readonly #targets: readonly SimulatedTarget[]
   /** Kind of each accepted job, by id. */
   readonly accepted = new Map<string, string>()
@@ -108,7 +110,8 @@
       clock: this.clock,
       workMs: workMs ?? (task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS),
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
-      lateMs
+      lateMs,
+      recorder: this.#recorder
     }))
   }
 
@@ -205,12 +208,21 @@
     return id
   }
 
-  /** Ends all faults, and returns the accepted jobs that are not what they should be a while later. */
-  async findStuckJobs (): Promise<readonly string[]> {
+  endFaults (): void {
     for (const each of this.#targets) {
       each.fault = 'none'
       each.listed = true
     }
+  }
+
+  /** Runs so far that must not have been started, on any target. */
+  findRepeatedRuns (): readonly string[] {
+    return this.#recorder.findRepeatedRuns()
+  }
+
+  /** Ends all faults, and returns the accepted jobs that are not what they should be a while later. */
+  async findStuckJobs (): Promise<readonly string[]> {
+    this.endFaults()
     await this.clock.advance(RECOVERY_MS)
     const { table } = this.coordinator
     const { running } = this
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -1,12 +1,14 @@
 /** A target on a manual clock that follows the platform's protocol, for model-based tests. */
 import type { ManualClock } from '../../adapters/clock/manualClock.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunEnd, StartOutcome, StopOrder, StopOutcome, TargetIncarnation, TaskOrder } from '../../ports/jobTarget.ts'
+import type { RecordedRun, RunRecorder } from './runRecorder.ts'
 
 const TRANSIT_MS = 3
 const ORDER_TIMEOUT_MS = 1_000
 const STOP_MS = 120
+const MAX_LEASE_MS = 10_000
 
-/** `cut` loses orders, `deaf` executes them and loses the answers, `late` executes them seconds later; `refusing` answers 503. */
+/** `cut` loses orders, `deaf` executes them and loses the answers, `late` executes them seconds later, on the incarnation that is up then; `refusing` answers 503. */
 export const TARGET_FAULTS = ['none', 'cut', 'deaf', 'late', 'refusing'] as const
 export type TargetFault = typeof TARGET_FAULTS[number]
 
@@ -17,14 +19,18 @@
   readonly workMs: (task: string) => number
   readonly endOf: (task: string, attempt: number) => RunEnd
   readonly lateMs: number
+  /** Records the runs of all targets. */
+  readonly recorder: RunRecorder
 }
 
-interface Run { readonly task: string, readonly attempt: number, stopping: boolean }
+interface Run { readonly task: string, readonly attempt: number, readonly record: RecordedRun, stopping: boolean }
 
 export class SimulatedTarget {
   readonly #options: SimulatedTargetOptions
   bornMs = 1
   fault: TargetFault = 'none'
+  /** Delay of orders that arrive during the fault `late`. */
+  lateMs: number
   listed = true
   /** Number of runs that were started, in all incarnations. */
   starts = 0
@@ -33,19 +39,33 @@
   #finished: FinishedRun[] = []
   #nextNumber = 1
   #endedAttempts = new Map<string, number>()
+  /** On the clock of this incarnation. */
   #leaseUntilMs = 0
+  #startedAtMs: number
+  /** Records of the finished runs, by number, whose acknowledgement would be final. */
+  #acknowledgeable = new Map<number, RecordedRun>()
 
   constructor (options: SimulatedTargetOptions) {
     this.#options = options
+    this.lateMs = options.lateMs
+    this.#startedAtMs = options.clock.monotonicMs()
+  }
+
+  get #clockMs (): number {
+    return this.#options.clock.monotonicMs() - this.#startedAtMs
   }
 
   get running (): readonly string[] {
     return [...this.#runs.keys()]
   }
 
-  /** Loses all runs, and starts a new incarnation under the same id. */
+  /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit. */
   restart (): void {
+    const { clock, recorder } = this.#options
+    for (const { record } of this.#runs.values()) recorder.end(record, 'crashed')
     this.bornMs += 1
+    this.#startedAtMs = clock.monotonicMs()
+    this.#acknowledgeable = new Map()
     this.#fence = this.#leaseUntilMs = 0
     this.#nextNumber = 1
     this.#runs = new Map()
@@ -63,26 +83,26 @@
   }
 
   async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
-    const { clock, lateMs } = this.#options
+    const { clock } = this.#options
     await clock.sleep(TRANSIT_MS)
     if (this.fault === 'none') return execute()
     if (this.fault === 'refusing') return refused
     if (this.fault === 'deaf') execute()
-    if (this.fault === 'late') clock.schedule(lateMs, execute)
+    if (this.fault === 'late') clock.schedule(this.lateMs, execute)
     await clock.sleep(ORDER_TIMEOUT_MS)
     return unanswered
   }
 
   #start ({ task, attempt, leaseUntilTargetMs, fencingToken }: TaskOrder): StartOutcome {
-    const { clock, workMs, endOf } = this.#options
-    const clockMs = clock.monotonicMs()
+    const { id, clock, workMs, endOf, recorder } = this.#options
+    const clockMs = this.#clockMs
     if (fencingToken < this.#fence) return { outcome: 'refused', refusal: 'fenced' }
     this.#fence = fencingToken
     if (leaseUntilTargetMs < clockMs) return { outcome: 'refused', refusal: 'too-late' }
     this.#extendLease(leaseUntilTargetMs)
     if (this.#runs.get(task)?.attempt === attempt) return { outcome: 'started', clockMs }
     if (attempt <= (this.#endedAttempts.get(task) ?? 0) || this.#runs.has(task)) return { outcome: 'refused', refusal: 'superseded' }
-    const run: Run = { task, attempt, stopping: false }
+    const run: Run = { task, attempt, record: recorder.start(task, attempt, `${id}/${this.bornMs}`), stopping: false }
     this.#runs.set(task, run)
     this.starts += 1
     const durationMs = workMs(task)
@@ -106,7 +126,7 @@
     const accepted = await this.#receive<boolean | undefined>(() => {
       if (fencingToken < this.#fence) return false
       this.#fence = fencingToken
-      this.#finished = this.#finished.filter(({ number }) => number > acknowledged)
+      this.#acknowledge(acknowledged)
       if (leaseUntilTargetMs !== undefined) this.#extendLease(leaseUntilTargetMs)
       return true
     }, undefined, undefined)
@@ -117,22 +137,41 @@
     while (this.#finished.length === 0 && this.bornMs === bornMs && clock.monotonicMs() < untilMs) await clock.sleep(50)
     if (this.fault !== 'none' || this.bornMs !== bornMs) return { outcome: 'failed', message: 'no answer' }
     const running = [...this.#runs.values()].map(({ task, attempt }) => ({ task, attempt, checkpoint: '', percent: 0 }))
-    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: clock.monotonicMs(), running, finished: this.#finished.slice(0, 500), mayOmitFinished: this.#finished.length >= 500 } }
+    return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: this.#clockMs, running, finished: this.#finished.slice(0, 500), mayOmitFinished: this.#finished.length >= 500 } }
   }
 
-  #extendLease (untilMs: number): void {
-    const { clock } = this.#options
+  #acknowledge (acknowledged: number): void {
+    this.#finished = this.#finished.filter(({ number }) => number > acknowledged)
+    for (const [number, record] of this.#acknowledgeable) {
+      if (number > acknowledged) continue
+      this.#options.recorder.acknowledge(record)
+      this.#acknowledgeable.delete(number)
+    }
+  }
+
+  /** Accepts a deadline on the clock of an earlier incarnation as well, since nothing tells them apart. */
+  #extendLease (deadlineMs: number): void {
+    const untilMs = Math.min(deadlineMs, this.#clockMs + MAX_LEASE_MS)
     if (untilMs <= this.#leaseUntilMs) return
     this.#leaseUntilMs = untilMs
-    clock.schedule(untilMs - clock.monotonicMs(), () => {
-      if (this.#leaseUntilMs === untilMs) for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
+    const { bornMs } = this
+    this.#options.clock.schedule(untilMs - this.#clockMs, () => {
+      if (this.#leaseUntilMs === untilMs && this.bornMs === bornMs) this.#lapse()
     })
   }
 
+  #lapse (): void {
+    for (const run of [...this.#runs.values()]) this.#end(run, 'lapsed')
+    this.#acknowledgeable.clear()
+  }
+
   #end (run: Run, end: RunEnd): void {
-    if (this.#runs.get(run.task) !== run) return
-    this.#runs.delete(run.task)
-    this.#endedAttempts.set(run.task, Math.max(run.attempt, this.#endedAttempts.get(run.task) ?? 0))
-    this.#finished.push({ number: this.#nextNumber++, task: run.task, attempt: run.attempt, end, checkpoint: '' })
+    const { task, attempt, record } = run
+    if (this.#runs.get(task) !== run) return
+    this.#runs.delete(task)
+    this.#endedAttempts.set(task, Math.max(attempt, this.#endedAttempts.get(task) ?? 0))
+    this.#options.recorder.end(record, end)
+    this.#acknowledgeable.set(this.#nextNumber, record)
+    this.#finished.push({ number: this.#nextNumber++, task, attempt, end, checkpoint: '' })
   }
 }
