Delay every order in the stand-in of a target, past a crash

The fault `late` of StandInWorker delayed starts only, and a crash lost the calls that were open, so that no test could show a hold or a stop which the next incarnation executes.

`late` now delays starts, stops and holds by `lateMs` (600 ms unless chosen), and the incarnation that is up then executes them. `crashDark` answers no call until the next incarnation is up, which then executes those that arrived. `onAcknowledged` is no longer called for an end after which the lease has lapsed. The fault `late-starts` is the former `late`; the test of a start that is executed late uses it, so that holds are still answered there.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -164,7 +164,7 @@
 test('a start order that a target executes late does not run a task twice', async t => {
   const cluster = await startCluster(t, 1, { workers: 2, workMs: () => 1_000 })
   const late = cluster.platform.workers.get('worker-1')
-  if (late !== undefined) late.fault = 'late'
+  if (late !== undefined) late.fault = 'late-starts'
   await cluster.callUntilServed(0, 'POST', '/checks/00000000000000ee', job(6))
   await delay(2_500)
   if (late !== undefined) late.fault = 'none'
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -176,6 +176,13 @@
     }, downMs).unref()
   }
 
+  /** Crashes a worker silently; its next incarnation executes the calls that arrive until it is up. Resolves when it is up. */
+  async crashDark (id: string, darkMs: number): Promise<void> {
+    const worker = this.workers.get(id)
+    await worker?.crashDark(darkMs)
+    this.#updateEntry(id, { state: 'ready', born: worker?.bornMs })
+  }
+
   /** Overwrites fields of a target's entry, as the target would. */
   #updateEntry (id: string, fields: object): void {
     const entry = this.store.read(`servers/${id}`)[0]
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -1,4 +1,5 @@
 /** Stand-in for a target of the platform, for tests. Simulates runs with timers under a lease. */
+import { setTimeout as delay } from 'node:timers/promises'
 import type { RouteResponse, Route } from '../../adapters/http/routes.ts'
 
 interface Run {
@@ -15,6 +16,8 @@
   readonly task: string
   readonly attempt: number
   readonly end: string
+  /** Whether the lease has lapsed since the end, so that an acknowledgement is no longer final. */
+  hasLapsed: boolean
 }
 
 /** The start or end of a run, as reported to tests. */
@@ -29,15 +32,16 @@
 }
 
 /**
- * `silent` accepts calls without answering, `silent-from-start` from the next start on; `late` executes starts after a
- * delay without answering; `refusing` answers 503.
+ * `silent` accepts calls without answering, `silent-from-start` from the next start on; `late` executes calls after a
+ * delay without answering, on the incarnation that is up then, and `late-starts` only starts; `refusing` answers 503.
  */
-export type WorkerFault = 'none' | 'silent' | 'silent-from-start' | 'late' | 'refusing'
+export type WorkerFault = 'none' | 'silent' | 'silent-from-start' | 'late' | 'late-starts' | 'refusing'
 
 const MAX_LEASE_MS = 10_000
 /** Later finished runs are listed when earlier ones have been acknowledged. */
 const MAX_FINISHED_PER_ANSWER = 500
-const LATE_START_DELAY_MS = 600
+/** Delay of calls during the fault `late`, unless another is chosen. */
+export const DEFAULT_LATE_MS = 600
 /** Time from the start of a task that crashes its target to the crash. */
 const CRASH_DELAY_MS = 10
 
@@ -57,7 +61,7 @@
   /** Time that a stopped run takes to end, in milliseconds; it ends at once by default. */
   readonly stopMs?: number
   readonly onEvent: (event: WorkerEvent) => void
-  /** Called for each finished run that was acknowledged and will not be reported again. */
+  /** Called for each finished run that was acknowledged before the lease lapsed, by whichever call. */
   readonly onAcknowledged?: (task: string, attempt: number) => void
 }
 
@@ -74,7 +78,13 @@
   #fencingToken = 0
   #leaseUntilMs = 0
   #leaseTimer: NodeJS.Timeout | undefined
+  /** Calls that the next incarnation executes once it is up; undefined while the worker is up. */
+  #heldCalls: (() => void)[] | undefined
+  #darkCrashes = 0
+  #isClosed = false
   fault: WorkerFault = 'none'
+  /** Delay of calls that arrive during the fault `late` or `late-starts`, in milliseconds. */
+  lateMs = DEFAULT_LATE_MS
 
   constructor (options: StandInWorkerOptions) {
     this.#options = options
@@ -91,12 +101,35 @@
   }
 
   close (): void {
+    this.#isClosed = true
     clearTimeout(this.#leaseTimer)
     for (const { timer } of this.#runs.values()) clearTimeout(timer)
   }
 
   /** Loses all runs and state, and starts a new incarnation under the same id. */
   crash (): void {
+    this.#loseState()
+    this.#beginIncarnation()
+  }
+
+  /**
+   * Crashes without closing connections. Calls that are open or arrive before the next incarnation is up get no answer;
+   * it executes those that arrive. Resolves when it is up.
+   *
+   * @example
+   * await worker.crashDark(600)
+   */
+  async crashDark (darkMs: number): Promise<void> {
+    this.#loseState()
+    this.#darkCrashes += 1
+    this.#heldCalls ??= []
+    const crash = this.#darkCrashes
+    await delay(darkMs)
+    // Another crash may have begun or ended the darkness.
+    if (this.#darkCrashes === crash && this.#heldCalls !== undefined) this.#beginIncarnation()
+  }
+
+  #loseState (): void {
     for (const run of this.#runs.values()) {
       clearTimeout(run.timer)
       this.#emit('ended', run, 'crashed')
@@ -108,8 +141,21 @@
     this.#nextFinishedNumber = 1
     this.#fencingToken = 0
     this.#leaseUntilMs = 0
+  }
+
+  #beginIncarnation (): void {
     this.#startedAtMs = Date.now()
     this.#bornMs = Math.max(this.#bornMs + 1, this.#startedAtMs)
+    const calls = this.#heldCalls ?? []
+    this.#heldCalls = undefined
+    for (const call of calls) call()
+  }
+
+  /** Executes a call without an answer, on the next incarnation if none is up. */
+  #executeUnanswered (call: () => void): void {
+    if (this.#isClosed) return
+    if (this.#heldCalls !== undefined) this.#heldCalls.push(call)
+    else call()
   }
 
   get routes (): readonly Route[] {
@@ -120,20 +166,21 @@
     ]
   }
 
-  #route (pattern: string, handle: (body: Body) => Promise<RouteResponse>): Route {
+  #route (pattern: string, handle: (body: Body) => Promise<RouteResponse | undefined>): Route {
+    const isStart = pattern === '/-/run-start'
     return {
       method: 'POST',
       pattern,
       handle: async ({ body, signal }) => {
-        if (this.fault === 'silent-from-start' && pattern === '/-/run-start') this.fault = 'silent'
+        if (this.fault === 'silent-from-start' && isStart) this.fault = 'silent'
         const { fault } = this
         if (fault === 'refusing') return { status: 503, body: {} }
-        if (fault === 'late' && pattern === '/-/run-start') setTimeout(() => { this.#start(body as Body) }, LATE_START_DELAY_MS)
-        if (fault === 'silent' || (fault === 'late' && pattern === '/-/run-start')) {
-          await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
-          return undefined
-        }
-        return await handle(body as Body)
+        const isLate = fault === 'late' || (fault === 'late-starts' && isStart)
+        if (fault !== 'silent' && !isLate && this.#heldCalls === undefined) return await handle(body as Body) ?? await leaveUnanswered(signal)
+        const execute = (): void => { handle({ ...body as Body, wait_ms: 0 }).catch(() => {}) }
+        if (isLate) setTimeout(() => this.#executeUnanswered(execute), this.lateMs).unref()
+        else if (fault !== 'silent') this.#executeUnanswered(execute)
+        return await leaveUnanswered(signal)
       }
     }
   }
@@ -192,14 +239,16 @@
     run.timer = setTimeout(() => this.#endRun(task, 'stopped'), stopMs)
   }
 
-  async #renew ({ fencing_token: token, acked = 0, deadline_ms: deadlineMs, wait_ms: waitMs = 0 }: Body): Promise<RouteResponse> {
+  async #renew ({ fencing_token: token, acked = 0, deadline_ms: deadlineMs, wait_ms: waitMs = 0 }: Body): Promise<RouteResponse | undefined> {
+    const darkCrashes = this.#darkCrashes
     if (!this.#acceptFencingToken(token)) return this.#refuse('fence')
-    for (const { number, task, attempt } of this.#finishedRuns) {
-      if (number <= acked) this.#options.onAcknowledged?.(task, attempt)
+    for (const { number, task, attempt, hasLapsed } of this.#finishedRuns) {
+      if (number <= acked && !hasLapsed) this.#options.onAcknowledged?.(task, attempt)
     }
     this.#finishedRuns = this.#finishedRuns.filter(({ number }) => number > acked)
     if (deadlineMs !== undefined) this.#extendLease(deadlineMs)
     if (this.#finishedRuns.length === 0 && waitMs > 0) await this.#waitForFinishedRun(waitMs)
+    if (this.#darkCrashes !== darkCrashes) return undefined
     return {
       status: 200,
       body: {
@@ -228,6 +277,7 @@
     this.#leaseUntilMs = Math.max(this.#leaseUntilMs, Math.min(deadlineMs, this.#clockMs + MAX_LEASE_MS))
     clearTimeout(this.#leaseTimer)
     this.#leaseTimer = setTimeout(() => {
+      for (const run of this.#finishedRuns) run.hasLapsed = true
       for (const task of [...this.#runs.keys()]) this.#endRun(task, 'lapsed')
     }, (this.#leaseUntilMs - this.#clockMs) / (this.#options.clockRate ?? 1))
   }
@@ -238,7 +288,7 @@
     clearTimeout(run.timer)
     this.#runs.delete(task)
     this.#lastEndedAttempts.set(task, Math.max(run.attempt, this.#lastEndedAttempts.get(task) ?? 0))
-    this.#finishedRuns.push({ number: this.#nextFinishedNumber++, task, attempt: run.attempt, end })
+    this.#finishedRuns.push({ number: this.#nextFinishedNumber++, task, attempt: run.attempt, end, hasLapsed: false })
     this.#emit('ended', run, end)
     for (const wake of [...this.#waiters]) wake()
   }
@@ -253,6 +303,12 @@
   readonly wait_ms?: number
 }
 
+/** Waits until the caller gives up. */
+async function leaveUnanswered (signal: AbortSignal): Promise<undefined> {
+  if (!signal.aborted) await new Promise<void>(resolve => signal.addEventListener('abort', () => resolve(), { once: true }))
+  return undefined
+}
+
 function percentOf ({ startedAtMs, endsAtMs }: Run): number {
   const total = Math.max(1, endsAtMs - startedAtMs)
   return Math.min(100, Math.round((Date.now() - startedAtMs) / total * 100))
