Hold a start in transit for the lease of the next incarnation

Found by the model test of restarts and by review: a target that restarts and stays silent may execute a start up to 12 s after it was sent, and gives it a lease of 10 s of its own clock. The session released all tasks of a silent target when the leases of the earlier incarnation had ended, and gave up the withdrawal of a start 12.5 s after a restart.

A start that got no answer is now withdrawn after a lapse, too, until no such lease can be in force any more, as long as the target list shows the target; without an entry it has gone, and its tasks are released as before. A start that was answered and never reported waits for a lease from its answer. Withdrawals after a restart last longer by the same lease under the same condition. Runs that a report has shown are released as before.

--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -60,6 +60,8 @@
   /** Fences of the targets that have sessions, by target identity. */
   readonly #fences = new Map<string, TargetFence>()
   readonly #directory: PeriodicTask
+  /** Identities in the last answer of the target list. */
+  #listed: ReadonlySet<string> = new Set()
   #closed = false
 
   constructor (options: TargetFleetOptions) {
@@ -170,6 +172,7 @@
 
   #applyListing (listed: readonly ListedTarget[]): void {
     if (this.#closed) return
+    this.#listed = new Set(listed.map(({ id }) => id))
     const byKey = new Map(listed.map(target => [targetKey(target), target]))
     for (const [key, target] of byKey) {
       if (!this.#sessions.has(key)) this.#run(this.#open(target, -Infinity))
@@ -193,6 +196,7 @@
       leaseMs: targetLeaseMs,
       hasAuthority,
       isReplaced: () => this.#isReplaced(id, bornMs),
+      isListed: () => this.#listed.has(id),
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -122,6 +122,7 @@
 function createSession (priorLeasesExtendedUntilMs = -Infinity, context = createContext(), bornMs = 1, connect: (target: FakeTarget) => JobTargetClient = target => target) {
   const { clock, client, listener, fence } = context
   let isReplaced = false
+  let isListed = true
   const session = new TargetSession({
     description: { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
     client: connect(client),
@@ -132,11 +133,12 @@
     leaseMs: LEASE_MS,
     hasAuthority: () => true,
     isReplaced: () => isReplaced,
+    isListed: () => isListed,
     isEvacuated: () => false,
     priorLeasesExtendedUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
-  return { ...context, session, replace: () => { isReplaced = true } }
+  return { ...context, session, replace: () => { isReplaced = true }, unlist: () => { isListed = false } }
 }
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
@@ -450,6 +452,66 @@
   t.is(await client.stop({ task: assignment.task.name, attempt: 1, fencingToken: late.fencingToken }), 'fenced')
 })
 
+// Guards against a second run while the first goes on: a silent target restarted, and executed a start in transit.
+test('late orders: a start that the next incarnation of a silent target may execute holds its task beyond the leases, while the target is listed', async t => {
+  for (const isListed of [true, false]) {
+    const { clock, client, listener, session, unlist } = createSession()
+    await clock.advance(200)
+    const [reported, unreported] = [createAssignment(), createAssignment('job-2')]
+    session.reserve(reported)
+    await session.start(reported, undefined)
+    client.running = [{ task: reported.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+    await clock.advance(200)
+    client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+    client.reachable = false
+    session.reserve(unreported)
+    session.start(unreported, undefined).catch(error => listener.events.push(String(error)))
+    if (!isListed) unlist()
+    // A start or a lease may arrive 12 s after it was sent, and the next incarnation gives a lease of 10 s, on a clock that is 2% slow.
+    await clock.advance(12_000 + 10_200)
+    const lost = listener.events.filter(event => event.includes('lost'))
+    t.is(lost.includes(`${unreported.task.name} lost: lease-lapsed`), !isListed)
+    t.true(lost.includes(`${reported.task.name} lost: lease-lapsed`))
+    await clock.advance(3_000)
+    t.true(listener.events.includes(`${unreported.task.name} lost: lease-lapsed`))
+    t.is(listener.events.at(-1), 'incarnation ended: lease-lapsed')
+  }
+})
+
+test('late orders: a start that the next incarnation of a silent target has answered holds its task for the lease of that incarnation', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(500)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  let answer: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answer = resolve })
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  client.reachable = false
+  client.answersStops = false
+  await clock.advance(1_900)
+  answer()
+  await clock.advance(10_200)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
+  await clock.advance(1_000)
+  t.is(listener.events[2], `${assignment.task.name} lost: lease-lapsed`)
+})
+
+test('late orders: a start that the next incarnation may have executed holds its task while that is silent', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  client.startAnswer = new Promise(() => {})
+  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  client.bornMs = 2
+  client.answersStops = false
+  await clock.advance(12_000 + 10_200)
+  t.true(session.ended)
+  t.deepEqual(listener.events, ['joined'])
+  await clock.advance(3_000)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: restarted`, 'incarnation ended: restarted'])
+})
+
 // Guards against an instance that gives up its term because its own requests overtake each other.
 test('a start that a later request of the same coordinator has overtaken is sent again', async t => {
   const { clock, client, listener, session, fence } = createSession()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -19,6 +19,8 @@
 /** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
 const CLOCK_DRIFT_FACTOR = 1.03
 const LEASE_MARGIN_MS = 300
+/** The next incarnation shortens a lease of the earlier one's clock to the longest that targets give, half a second more than is asked for. */
+const NEXT_INCARNATION_LEASE_FACTOR = 1.1
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
 /** Used while run ends are being stored, or while starts and stops are unconfirmed. */
@@ -34,7 +36,7 @@
  */
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
 /** Shorter than any restart of a target. After a longer time without a report, the next incarnation may answer. */
-const MAX_CERTAIN_REPORT_AGE_MS = 250
+const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
@@ -60,6 +62,8 @@
   readonly hasAuthority: () => boolean
   /** Whether the target list has shown a later incarnation of the target. */
   readonly isReplaced: () => boolean
+  /** Whether the target list shows the target, in whichever incarnation. */
+  readonly isListed: () => boolean
   /** Whether the target's data centre is evacuated now, so that no task may be started here. */
   readonly isEvacuated: () => boolean
   /** Latest time at which an earlier coordinator may have extended leases on the target. */
@@ -500,12 +504,44 @@
 
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
-    if (reason === 'lease-lapsed') return this.#releaseAll(reason)
+    if (reason === 'lease-lapsed') return this.#endAfterLapse()
     this.#allWithdrawn = this.#reportCrash().then(() => {
       if (!this.#closed) this.#releaseAll(reason)
     })
   }
 
+  /**
+   * The target may have restarted while it was silent. The next incarnation then has the run of a start that it has answered,
+   * or that is in transit, and ends it only with a lease of its own clock.
+   */
+  #endAfterLapse (): void {
+    const withdrawn = [...this.#assignments.values()].filter(startMayStillArrive)
+    if (withdrawn.length === 0) return this.#releaseAll('lease-lapsed')
+    for (const assignment of [...this.#assignments.values()]) {
+      if (!withdrawn.includes(assignment)) this.#reportRunLost(assignment, 'lease-lapsed')
+    }
+    this.#allWithdrawn = Promise.all(withdrawn.map(async assignment => await this.#releaseAfterLapse(assignment))).then(() => {
+      if (!this.#closed) this.#options.listener.incarnationEnded(this, 'lease-lapsed')
+    }, () => {
+      // The term has ended; the successor receives these ends again, since they are not acknowledged.
+    })
+  }
+
+  async #releaseAfterLapse (assignment: Assignment): Promise<void> {
+    const nowMs = this.#options.clock.monotonicMs()
+    const { startAnswered, startedAtMs = nowMs } = assignment
+    const earliestEndMs = startAnswered ? startedAtMs + this.#longestLeaseMs : nowMs
+    const latestEndMs = startAnswered ? earliestEndMs : this.#lastLeaseExtensionMs + MAX_REQUEST_DELAY_MS + this.#longestLeaseMs
+    const end = await this.#withdrawStart(assignment, earliestEndMs, latestEndMs)
+    if (this.#closed) return
+    if (end !== undefined) return await this.#handleFinishedRun(end)
+    this.#reportRunLost(assignment, 'lease-lapsed')
+  }
+
+  get #longestLeaseMs (): number {
+    return this.#options.leaseMs * NEXT_INCARNATION_LEASE_FACTOR
+  }
+
   #releaseAll (reason: IncarnationEndReason): void {
     for (const assignment of [...this.#assignments.values()]) this.#reportRunLost(assignment, reason)
     this.#options.listener.incarnationEnded(this, reason)
@@ -552,7 +588,7 @@
   }
 
   async #releaseAfterRestart (assignment: Assignment, mayRun: boolean, crashReported: Promise<void>): Promise<void> {
-    const [end] = await Promise.all([mayRun ? this.#withdrawStart(assignment) : undefined, crashReported])
+    const [end] = await Promise.all([mayRun ? this.#withdrawStartInTransit(assignment) : undefined, crashReported])
     if (this.#closed) return
     if (end !== undefined) return await this.#handleFinishedRun(end)
     this.#reportRunLost(assignment, 'restarted')
@@ -560,13 +596,21 @@
 
   /** The task of such a start has been released already, so that only the run has to be prevented. */
   async #withdrawStoppedStart (assignment: Assignment): Promise<void> {
-    await this.#withdrawStart(assignment)
+    await this.#withdrawStartInTransit(assignment)
     this.#stoppedStarts.delete(assignment)
   }
 
-  async #withdrawStart ({ task, attempt }: Assignment): Promise<FinishedRun | undefined> {
-    const { client, clock, fence, logger } = this.#options
-    return await withdrawStart({ client, clock, logger, fence, target: this.id, isClosed: () => this.#closed }, { task: task.name, attempt })
+  async #withdrawStart ({ task, attempt }: Assignment, earliestEndMs: number, latestEndMs: number): Promise<FinishedRun | undefined> {
+    const { client, clock, fence, logger, isListed } = this.#options
+    return await withdrawStart({
+      client, clock, logger, fence, target: this.id, isClosed: () => this.#closed, isListed, longestLeaseMs: this.#longestLeaseMs, earliestEndMs, latestEndMs
+    }, { task: task.name, attempt })
+  }
+
+  /** After a restart, a start is withdrawn until it can not be in transit any more, and until its run has ended. */
+  async #withdrawStartInTransit (assignment: Assignment): Promise<FinishedRun | undefined> {
+    const earliestEndMs = this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS
+    return await this.#withdrawStart(assignment, earliestEndMs, earliestEndMs + this.#longestLeaseMs)
   }
 
   async #reportCrash (): Promise<void> {
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -18,6 +18,13 @@
   readonly target: string
   /** Whether the term has ended, so that nothing more is sent. */
   readonly isClosed: () => boolean
+  /** Whether the target list shows the target, in whichever incarnation. */
+  readonly isListed: () => boolean
+  /** Longest time for which the target keeps a run alive that it has begun, in milliseconds. */
+  readonly longestLeaseMs: number
+  /** Times until which the withdrawal of a target that does not answer goes on, at least, and while it is listed. */
+  readonly earliestEndMs: number
+  readonly latestEndMs: number
 }
 
 /**
@@ -27,11 +34,11 @@
  * @example
  * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
  */
-export async function withdrawStart ({ client, clock, logger, fence, target, isClosed }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
+export async function withdrawStart ({ client, clock, logger, fence, target, isClosed, isListed, longestLeaseMs, ...options }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
   const key = runKey(task, attempt)
   logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
-  let deadlineMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-  while (!isClosed() && clock.monotonicMs() < deadlineMs) {
+  let { earliestEndMs, latestEndMs } = options
+  while (!isClosed() && clock.monotonicMs() < (isListed() ? latestEndMs : earliestEndMs)) {
     const outcome = await client.stop({ task, attempt, fencingToken: fence.use() })
     if (outcome === 'other-life') return undefined
     const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.use(), acknowledged: 0, waitMs: 0 }) : undefined
@@ -40,8 +47,10 @@
       const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
       if (end !== undefined) return end
       // The end may still be listed, unless the target then stays silent until all its leases have expired.
-      if (result.report.mayOmitFinished) deadlineMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-      else if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) return undefined
+      if (result.report.mayOmitFinished) {
+        earliestEndMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
+        latestEndMs = earliestEndMs + longestLeaseMs
+      } else if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) return undefined
     }
     await clock.sleep(RETRY_DELAY_MS)
   }
