Acknowledge run ends of a busy target while the store is slow

The session now waits for the store only if no acknowledgement is due, so that one follows each report with earlier ends that are stored.

--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -386,6 +386,22 @@
   }
 })
 
+// Guards against targets whose ends are listed again and again, up to the 500 that a report holds, since each report is old when they are stored.
+test('slow store: the ends of a target that is busy are acknowledged within seconds', async t => {
+  for (const [storeMs, intervalMs] of [[320, 20], [320, 100], [400, 200], [700, 100]] as const) {
+    const { clock, client, listener } = createSession()
+    listener.runEnded = async () => { await clock.sleep(storeMs) }
+    let ended = 0
+    for (let elapsedMs = 0; elapsedMs < 12_000; elapsedMs += intervalMs) {
+      client.finished = [...client.finished, finishedRun(++ended, `x-${ended}.0.0.0`)]
+      await clock.advance(intervalMs)
+      const unacknowledgedMs = client.finished.length * intervalMs
+      t.true(unacknowledgedMs < 2_500, `${client.finished.length} ends after ${elapsedMs} ms, ${storeMs} ms to store, each ${intervalMs} ms`)
+    }
+    t.true(client.renewals.length < 12_000 / 50, `${client.renewals.length} renewals`)
+  }
+})
+
 // Guards against starting a task again that is done: the session of the earlier incarnation made the next one discard the end.
 test('restarted targets: the session of an earlier incarnation does not acknowledge ends that the next one has listed to its own', async t => {
   const context = createContext()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -327,7 +327,8 @@
    * arrived.
    */
   get #dueAcknowledgement (): number {
-    const answers = this.#unansweredSinceMs === undefined && this.#options.clock.monotonicMs() - this.#lastContactMs <= MAX_CERTAIN_REPORT_AGE_MS
+    const reportAgeMs = this.#options.clock.monotonicMs() - this.#lastContactMs
+    const answers = this.#unansweredSinceMs === undefined && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
     return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
   }
 
@@ -379,8 +380,11 @@
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
+    // An acknowledgement that is due must not wait until the report is too old for it.
+    if (this.#pendingStores > 0 && !this.#owesAcknowledgement) {
+      await Promise.race([this.#allStored.catch(() => {}), this.#options.clock.sleep(stored === undefined ? SHORT_RENEW_WAIT_MS : STORE_WAIT_MS)])
+    }
     if (stored === undefined) return
-    await Promise.race([stored, this.#options.clock.sleep(STORE_WAIT_MS)])
     const remainingMs = REPORT_INTERVAL_MS - (this.#options.clock.monotonicMs() - nowMs)
     if (remainingMs > 0) await this.#options.clock.sleep(remainingMs)
   }
