Take fencing tokens only from commits under the own election

Found by review: a commit of a coordinator that has been replaced conflicts with a segment of the same text that its successor wrote under the same number, and was taken for its own. Its last revision, from which fencing tokens are taken, then exceeded the token of the successor, whose requests targets would have refused. The revision counts now only if the conflict shows the own election. The test failed before.

--- a/src/coordinator/log/recordLog.test.ts
+++ b/src/coordinator/log/recordLog.test.ts
@@ -7,7 +7,7 @@
 import { createJobRecord, createStep, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { compactLog } from './logCompactor.ts'
 import { readLog } from './logReader.ts'
-import { LOG_PREFIX, RecordLog, RecordsWithdrawnError, TermLostError } from './recordLog.ts'
+import { LOG_PREFIX, RecordLog, RecordsWithdrawnError, segmentKey, TermLostError } from './recordLog.ts'
 import { MemoryTransactionalStore } from '../testing/memoryTransactionalStore.ts'
 import type { CommitFault } from '../testing/memoryTransactionalStore.ts'
 
@@ -60,6 +60,18 @@
   t.is(log.lastRevision, revision)
 })
 
+test('the last revision is below the election of a successor that has written the same segment', async t => {
+  const { store, clock, log } = createLog()
+  store.commitFaults.push('late')
+  log.append([cancelled('job-1')]).catch(() => {})
+  await clock.advance(10)
+  store.put(ELECTION_KEY, 'entry-2')
+  const successor = store.items.get(ELECTION_KEY)?.revision ?? 0
+  store.put(segmentKey(1), JSON.stringify([cancelled('job-1')]))
+  await clock.advance(1_000)
+  t.true(log.lastRevision < successor)
+})
+
 test('records wait for a store that refuses them, in order', async t => {
   const { store, clock, log, stored } = createLog()
   store.commitFaults.push('unavailable', 'unavailable')
--- a/src/coordinator/log/recordLog.ts
+++ b/src/coordinator/log/recordLog.ts
@@ -269,9 +269,13 @@
   }
 
   #isCommitted (result: CommitResult, key: string, value: string): boolean {
-    const earlier = result.outcome === 'conflict' ? result.current.find(item => item.key === key && item.value === value) : undefined
-    const revision = result.outcome === 'committed' ? result.revision : earlier?.revision
-    if (revision === undefined) return false
+    const { election } = this.#options
+    const current = result.outcome === 'conflict' ? result.current : []
+    const earlier = current.find(item => item.key === key && item.value === value)
+    if (result.outcome !== 'committed' && earlier === undefined) return false
+    // A successor may have written the same segment, at a revision above its own election.
+    const isElected = current.some(item => item.key === election.key && item.revision === election.revision)
+    const revision = result.outcome === 'committed' ? result.revision : isElected ? earlier?.revision ?? 0 : 0
     this.#lastRevision = Math.max(this.#lastRevision, revision)
     this.#stalled = false
     if (this.#failingSinceMs !== undefined) {
