Keep the fence of a target for the whole term

Found by review: the fence was dropped with the last session of a target and opened again with a higher token when the target was listed again. A stop of the ended session that arrived then was refused, and since its own fence had seen no higher token, the coordinator took the refusal for a sign of a successor and resigned. Fences are kept for the term, one small object a target, and the stop of a session that has ended resigns no more.

The new tests of the fleet also guard how it connects sessions to fences: without the rise for a new session the first one fails.

--- /dev/null
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -0,0 +1,163 @@
+import test from 'ava'
+import { ManualClock } from '../../adapters/clock/manualClock.ts'
+import { resources } from '../../model/resources.ts'
+import { createLogger } from '../../observability/logger.ts'
+import type { JobTargetClient, RenewOrder, RunningTask, TargetIncarnation } from '../../ports/jobTarget.ts'
+import type { ListedTarget } from '../../ports/targetDirectory.ts'
+import { Evacuations } from './evacuations.ts'
+import { TargetFleet } from './targetFleet.ts'
+import type { TargetSession } from './targetSession.ts'
+
+const ELECTION_REVISION = 10
+const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
+
+function listIncarnation (bornMs: number): ListedTarget {
+  return { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'a', capacity: resources({ processors: 1_000, memory: 1_000 }), labels: [], draining: false }
+}
+
+interface Renewal {
+  readonly atMs: number
+  readonly order: RenewOrder
+}
+
+/** One target in all of its incarnations. */
+class FakeTarget {
+  readonly #clock: ManualClock
+  bornMs = 1
+  running: readonly RunningTask[] = []
+  /** Renewals that were sent, by the incarnation that they were meant for. */
+  readonly renewals = new Map<number, Renewal[]>()
+  /** Incarnations whose sessions get no answer, and after which time they notice. */
+  readonly unansweredMs = new Map<number, number>()
+  stopAnswer: Promise<void> = Promise.resolve()
+  #fencingToken = 0
+
+  constructor (clock: ManualClock) {
+    this.#clock = clock
+  }
+
+  restart (): void {
+    this.bornMs += 1
+    this.#fencingToken = 0
+    this.running = []
+  }
+
+  accepts (token: number): boolean {
+    if (token < this.#fencingToken) return false
+    this.#fencingToken = token
+    return true
+  }
+
+  connect ({ bornMs }: TargetIncarnation): JobTargetClient {
+    const clock = this.#clock
+    return {
+      start: async () => ({ outcome: 'started', clockMs: 0 }),
+      stop: async ({ fencingToken }) => {
+        await this.stopAnswer
+        return this.accepts(fencingToken) ? 'stopping' : 'fenced'
+      },
+      renew: async order => {
+        this.renewals.set(bornMs, [...this.renewals.get(bornMs) ?? [], { atMs: clock.monotonicMs(), order }])
+        await clock.sleep(20)
+        const unansweredMs = this.unansweredMs.get(bornMs)
+        if (unansweredMs !== undefined) return await clock.sleep(unansweredMs).then(() => ({ outcome: 'failed', message: 'no answer' }))
+        if (!this.accepts(order.fencingToken)) return { outcome: 'fenced' }
+        await clock.sleep(order.waitMs)
+        return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: clock.monotonicMs(), running: this.running, finished: [], mayOmitFinished: false } }
+      },
+      close: async () => {}
+    }
+  }
+}
+
+async function startFleet () {
+  const clock = new ManualClock()
+  const target = new FakeTarget(clock)
+  const events: string[] = []
+  let listed: readonly ListedTarget[] = [listIncarnation(1)]
+  let revision = ELECTION_REVISION
+  const fleet: TargetFleet = new TargetFleet({
+    clock,
+    logger,
+    connect: (_address, incarnation) => target.connect(incarnation),
+    directory: { list: async () => listed },
+    listener: {
+      runEnded: async () => {},
+      runLost: () => {},
+      startRefused: () => {},
+      startConfirmed: () => {},
+      startUnanswered: () => {},
+      targetCrashed: async () => {},
+      joined: session => {
+        fleet.markRecorded(session)
+        revision += 1
+      },
+      incarnationEnded: (session: TargetSession, reason) => {
+        events.push(`${session.description.bornMs} ended: ${reason}`)
+        fleet.remove(session)
+      },
+      fenced: () => { events.push('fenced') },
+      stateChanged: () => {},
+      sizeOfRun: () => undefined
+    },
+    fencingToken: ELECTION_REVISION,
+    latestRevision: () => revision,
+    targetLeaseMs: 9_500,
+    hasAuthority: () => true,
+    evacuations: () => Evacuations.NONE,
+    termStartedAtMs: 0
+  })
+  await fleet.start()
+  await clock.advance(1_000)
+  return { clock, target, fleet, events, list: (...bornMs: readonly number[]) => { listed = bornMs.map(listIncarnation) } }
+}
+
+// Guards against calls of an earlier incarnation that its next one executes.
+test('restarted targets: the first request to the next incarnation has a higher token than all to the earlier one', async t => {
+  const { clock, target, events, list } = await startFleet()
+  target.unansweredMs.set(1, 2_000)
+  list(2)
+  target.restart()
+  await clock.advance(600)
+  const tokens = (bornMs: number): readonly number[] => target.renewals.get(bornMs)?.map(({ order }) => order.fencingToken) ?? []
+  t.true((tokens(2)[0] ?? 0) > Math.max(...tokens(1).slice(0, -1)))
+  t.is(tokens(1)[0], ELECTION_REVISION)
+  target.unansweredMs.clear()
+  await clock.advance(3_000)
+  t.deepEqual(events, ['1 ended: restarted'], 'the earlier session uses the higher token, too')
+})
+
+// Guards against an end of the term, and of the runs of a healthy target, because of an entry that is wrong.
+test('the leases of a target are extended while the list shows a later incarnation that does not exist', async t => {
+  const { clock, target, events, list } = await startFleet()
+  list(1, 9)
+  await clock.advance(12_000)
+  const extended = target.renewals.get(1)?.filter(({ order }) => order.leaseUntilTargetMs !== undefined).map(({ atMs }) => atMs) ?? []
+  t.true(Math.max(...extended.slice(1).map((atMs, index) => atMs - (extended[index] ?? 0))) < 3_000)
+  t.false(events.includes('fenced'))
+})
+
+// Guards against an instance that resigns because of a stop that it sent itself, to an incarnation that has ended.
+test('a stop of an ended session that the next incarnation refuses does not end the term', async t => {
+  const { clock, target, events, list } = await startFleet()
+  let deliver: () => void = () => {}
+  target.stopAnswer = new Promise(resolve => { deliver = resolve })
+  target.running = [{ task: 'x.0.0.0', attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(1_100)
+  target.restart()
+  list()
+  await clock.advance(200)
+  list(2)
+  await clock.advance(600)
+  t.deepEqual(events, ['1 ended: restarted'])
+  deliver()
+  await clock.advance(100)
+  t.false(events.includes('fenced'))
+})
+
+test('a target that refuses the highest token that this coordinator has used ends its term', async t => {
+  const { clock, target, events } = await startFleet()
+  target.accepts(1_000)
+  await clock.advance(1_200)
+  t.true(events.includes('fenced'))
+})
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -57,7 +57,7 @@
   readonly #recorded = new Set<string>()
   /** Start time of the latest known incarnation, by target identity. */
   readonly #latestIncarnations = new Map<string, number>()
-  /** Fences of the targets that have sessions, by target identity. */
+  /** By target identity. Kept for the whole term, since requests of ended sessions may still be answered. */
   readonly #fences = new Map<string, TargetFence>()
   readonly #directory: PeriodicTask
   /** Identities in the last answer of the target list. */
@@ -151,7 +151,6 @@
   remove (session: TargetSession): boolean {
     this.#sessions.delete(session.key)
     if (!this.#isReplaced(session.id, session.description.bornMs)) this.#latestIncarnations.delete(session.id)
-    if (![...this.#sessions.values()].some(({ id }) => id === session.id)) this.#fences.delete(session.id)
     return this.#recorded.delete(session.key)
   }
 
@@ -208,7 +207,7 @@
   /** The sessions of earlier incarnations have sent requests that the next one must refuse. */
   #openFence (id: string): TargetFence {
     const { fencingToken, latestRevision } = this.#options
-    const fence = this.#fences.get(id) ?? new TargetFence(Math.max(fencingToken, latestRevision()), latestRevision)
+    const fence = this.#fences.get(id) ?? new TargetFence(fencingToken, latestRevision)
     this.#fences.set(id, fence)
     fence.supersede()
     return fence
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -478,7 +478,7 @@
     if (!hasAuthority()) return false
     const fencingToken = fence.use()
     const outcome = await client.stop({ task, attempt, fencingToken })
-    if (outcome === 'fenced' && fence.isLatest(fencingToken)) listener.fenced(this)
+    if (outcome === 'fenced' && fence.isLatest(fencingToken) && !this.#hasEnded) listener.fenced(this)
     if (outcome === 'other-life') this.#endIncarnation('restarted')
     return outcome === 'stopping'
   }
