Take the latest incarnation of a target from the target list

Found by review: whether a later incarnation exists was known from its session. A session of a target that refuses connections ends with its first renewal, and until the next reading of the list the session of the earlier incarnation gave leases again, up to 1.4 s after its last report. The last answer of the list decides now, together with the sessions. The new test failed before.

--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -127,6 +127,19 @@
   t.deepEqual(events, ['1 ended: restarted'], 'the earlier session uses the higher token, too')
 })
 
+// Guards against leases in the time of another clock, after the session of the next incarnation has failed and is opened again.
+test('restarted targets: the session of an earlier incarnation gives no leases while a later one is listed and does not answer', async t => {
+  const { clock, target, list } = await startFleet()
+  target.unansweredMs.set(1, 0)
+  target.unansweredMs.set(2, 0)
+  list(2)
+  const listedMs = clock.monotonicMs() + 500
+  await clock.advance(2_000)
+  const later = target.renewals.get(1)?.filter(({ atMs }) => atMs > listedMs) ?? []
+  t.true(later.length > 0)
+  t.deepEqual(later.filter(({ order }) => order.leaseUntilTargetMs !== undefined), [])
+})
+
 // Guards against an end of the term, and of the runs of a healthy target, because of an entry that is wrong.
 test('the leases of a target are extended while the list shows a later incarnation that does not exist', async t => {
   const { clock, target, events, list } = await startFleet()
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -55,13 +55,13 @@
   readonly #sessions = new Map<string, TargetSession>()
   /** Keys of the target incarnations recorded in the log; only these get tasks. */
   readonly #recorded = new Set<string>()
-  /** Start time of the latest known incarnation, by target identity. */
+  /** Start time of the latest incarnation that has a session, by target identity. */
   readonly #latestIncarnations = new Map<string, number>()
   /** By target identity. Kept for the whole term, since requests of ended sessions may still be answered. */
   readonly #fences = new Map<string, TargetFence>()
   readonly #directory: PeriodicTask
-  /** Identities in the last answer of the target list. */
-  #listed: ReadonlySet<string> = new Set()
+  /** Start time of the latest incarnation in the last answer of the target list, by target identity. */
+  #listedIncarnations: ReadonlyMap<string, number> = new Map()
   #closed = false
 
   constructor (options: TargetFleetOptions) {
@@ -112,7 +112,7 @@
 
   /** Whether a later incarnation of the same target is known. */
   #isReplaced (id: string, bornMs: number): boolean {
-    return (this.#latestIncarnations.get(id) ?? 0) > bornMs
+    return Math.max(this.#latestIncarnations.get(id) ?? 0, this.#listedIncarnations.get(id) ?? 0) > bornMs
   }
 
   /** Opens the session of an incarnation recorded in the log, on which tasks of earlier terms may run. */
@@ -171,7 +171,7 @@
 
   #applyListing (listed: readonly ListedTarget[]): void {
     if (this.#closed) return
-    this.#listed = new Set(listed.map(({ id }) => id))
+    this.#listedIncarnations = findLatestIncarnations(listed)
     const byKey = new Map(listed.map(target => [targetKey(target), target]))
     for (const [key, target] of byKey) {
       if (!this.#sessions.has(key)) this.#run(this.#open(target, -Infinity))
@@ -195,7 +195,7 @@
       leaseMs: targetLeaseMs,
       hasAuthority,
       isReplaced: () => this.#isReplaced(id, bornMs),
-      isListed: () => this.#listed.has(id),
+      isListed: () => this.#listedIncarnations.has(id),
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
@@ -217,3 +217,9 @@
     runInBackground(session.run(), this.#options.logger, 'target session')
   }
 }
+
+function findLatestIncarnations (listed: readonly ListedTarget[]): ReadonlyMap<string, number> {
+  const latest = new Map<string, number>()
+  for (const { id, bornMs } of listed) latest.set(id, Math.max(bornMs, latest.get(id) ?? 0))
+  return latest
+}
