--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -99,7 +99,9 @@
   [[lateFor(905), SUBMIT, waitFor(500), RESTART, waitFor(10_000)], 5],
   // The next incarnation executes a start after the session has taken the lease for lapsed: while the task runs, and once it is done.
   [[lateFor(11_000), SUBMIT, waitFor(500), RESTART, waitFor(20_000)], 4_000],
-  [[lateFor(11_900), SUBMIT, waitFor(3_500), RESTART, waitFor(20_000)], 5]
+  [[lateFor(11_900), SUBMIT, waitFor(3_500), RESTART, waitFor(20_000)], 5],
+  // The second incarnation confirms the stop of a late start, and the third executes the start.
+  [[lateFor(8_000), SUBMIT, waitFor(500), RESTART, { type: 'fault', target: 0, fault: 'none' }, waitFor(2_500), RESTART], 5]
 ]
 
 // Guards against a second run of a task after the next incarnation of a target executed calls intended for the earlier one.
