Soak: crash targets whose next incarnations execute the open calls

`worker-dark-crash` crashes one target or about half of them. Calls get no answer until the next incarnation is up after 0.3 to 3 s, which executes them; in half of the crashes those of the last 0.4 s are delayed by 0.6 to 12 s, and in half the targets are partitioned for 3 to 11 s soon after. The checker's margin for late orders follows the longest delay of the plan.

--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import murmurhash from 'murmurhash'
 import type { WorkerEvent } from '../../src/platform/standIn/standInWorker.ts'
-import { createFaultPlan } from './faultPlan.ts'
+import { createFaultPlan, findLongestDelay } from './faultPlan.ts'
 import type { Fault } from './faultPlan.ts'
 import { SoakCallers } from './soakCallers.ts'
 import { SoakCell } from './soakCell.ts'
@@ -85,7 +85,7 @@
   }
   const { events, acknowledged, capacityChanges } = cell.platform
   const violations = checkSoak({
-    jobs: callers.jobs, events, acknowledged, workerCpu: WORKER_CPU, capacityChanges, teamCaps: new Map(TEAMS.map(({ name, cap = 0 }) => [name, cap]))
+    jobs: callers.jobs, events, acknowledged, workerCpu: WORKER_CPU, capacityChanges, longestDelayMs: findLongestDelay(plan), teamCaps: new Map(TEAMS.map(({ name, cap = 0 }) => [name, cap]))
   })
   return {
     seed,
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
+import { DEFAULT_LATE_MS } from '../../src/platform/standIn/standInWorker.ts'
 import { PROGRAM } from '../processes/testTeam.ts'
-import { createFaultPlan } from './faultPlan.ts'
+import { createFaultPlan, findLongestDelay } from './faultPlan.ts'
 import { runSoak } from './runSoak.ts'
 
 const SHORT_MS = 12_000
@@ -16,3 +17,9 @@
   t.deepEqual(createFaultPlan(options), createFaultPlan(options))
   t.notDeepEqual(createFaultPlan(options), createFaultPlan({ ...options, seed: 12 }))
 })
+
+test('the margin for late orders follows the longest delay of the plan', t => {
+  const plan = createFaultPlan({ seed: 4501, durationMs: 30_000, instances: 3, workers: 6 })
+  t.is(findLongestDelay(plan.filter(({ fault }) => fault.type !== 'worker-dark-crash')), DEFAULT_LATE_MS)
+  t.is(findLongestDelay([{ atMs: 0, fault: { type: 'worker-dark-crash', workers: [0], darkMs: 500, lateMs: 9_000 } }]), 9_500)
+})
--- a/test/soak/soakCell.ts
+++ b/test/soak/soakCell.ts
@@ -6,9 +6,10 @@
 import { StandInPlatform } from '../../src/platform/standIn/standInPlatform.ts'
 import type { StandInPlatformOptions } from '../../src/platform/standIn/standInPlatform.ts'
 import type { StoreFault } from '../../src/platform/standIn/standInStore.ts'
+import { DEFAULT_LATE_MS } from '../../src/platform/standIn/standInWorker.ts'
 import { ManagedProcess } from '../processes/childProcess.ts'
 import { TcpForwarder } from '../processes/tcpForwarder.ts'
-import type { Fault } from './faultPlan.ts'
+import type { DarkCrash, Fault } from './faultPlan.ts'
 import { ProcessorShare } from './processorShare.ts'
 
 /** The platform's `grace_s`: time after SIGTERM at which a process that still runs is killed. */
@@ -19,6 +20,8 @@
 const PORTS_PER_INSTANCE = 10
 /** Time for which a draining worker keeps serving before it leaves; it returns under a new incarnation. */
 const DRAIN_DURATION_MS = 3_000
+/** Time before a dark crash in which calls become late; several holds and, under load, several starts. */
+const LATE_BEFORE_CRASH_MS = 400
 
 export interface SoakCellOptions extends StandInPlatformOptions {
   readonly instances: number
@@ -139,6 +142,10 @@
       case 'worker-link': return await disruptLink(this.#workerLinks[fault.worker], fault.fault, fault.forMs)
       case 'worker-late': return await this.#delayOrders(workerId(fault.worker), fault.forMs)
       case 'worker-crash': return this.platform.crash(workerId(fault.worker))
+      case 'worker-dark-crash': {
+        await Promise.all(fault.workers.map(async worker => await this.#crashDark(worker, fault)))
+        return
+      }
       case 'worker-drain': return await this.#drain(workerId(fault.worker))
       case 'compaction': return this.platform.store.compact()
       case 'configuration': return this.#scaleCaps(1)
@@ -265,6 +272,19 @@
     worker.fault = 'none'
   }
 
+  async #crashDark (number: number, { darkMs, lateMs, partition }: DarkCrash): Promise<void> {
+    const worker = this.platform.workers.get(workerId(number))
+    if (worker !== undefined && lateMs !== undefined) {
+      worker.lateMs = lateMs
+      await this.#delayOrders(workerId(number), LATE_BEFORE_CRASH_MS)
+      worker.lateMs = DEFAULT_LATE_MS
+    }
+    await this.platform.crashDark(workerId(number), darkMs)
+    if (partition === undefined) return
+    await sleep(partition.afterMs)
+    await disruptLink(this.#workerLinks[number], 'silent', partition.forMs)
+  }
+
   async #shrink (id: string, processors: number, forMs: number): Promise<void> {
     this.platform.resize(id, processors)
     await sleep(forMs)
--- a/test/soak/soakChecker.ts
+++ b/test/soak/soakChecker.ts
@@ -2,6 +2,7 @@
 import { parseTaskName } from '../../src/jobs/job.ts'
 import type { TaskName } from '../../src/jobs/job.ts'
 import type { CapacityChange } from '../../src/platform/standIn/standInPlatform.ts'
+import { DEFAULT_LATE_MS } from '../../src/platform/standIn/standInWorker.ts'
 import type { WorkerEvent } from '../../src/platform/standIn/standInWorker.ts'
 
 /** One job of the load and the answers that its caller received. */
@@ -38,14 +39,16 @@
   /** Changes of the capacity of targets, in chronological order. */
   readonly capacityChanges?: readonly CapacityChange[]
   readonly teamCaps: ReadonlyMap<string, number>
+  /** Longest time by which the stand-in delays orders. */
+  readonly longestDelayMs?: number
   /** Whether jobs that are not done at the end are judged elsewhere. */
   readonly allowsUnfinished?: boolean
 }
 
 /** The platform's `cancel_ms`: time after the acknowledged cancellation of a job within which its tasks may still start. */
 const CANCEL_MS = 3_000
-/** Margin for orders in transit: the longest delay of late orders by the stand-in, and its answer. */
-const LATE_ORDER_MS = 1_000
+/** Margin for the answer to an order, in addition to the longest delay by the stand-in. */
+const ORDER_ANSWER_MS = 400
 /** The platform's `contact_ms` and one check-in of a target. */
 const SHRINK_NOTICE_MS = 5_500
 /** Two starts after the third crash. */
@@ -64,7 +67,7 @@
 }
 
 /** Checks the target events: no task runs twice, no target or team exceeds its limit, steps run in order, and nothing runs without a submission. */
-function checkRuns ({ jobs, events, acknowledged, workerCpu, capacityChanges = [], teamCaps }: SoakRecord): readonly string[] {
+function checkRuns ({ jobs, events, acknowledged, workerCpu, capacityChanges = [], teamCaps, longestDelayMs = DEFAULT_LATE_MS }: SoakRecord): readonly string[] {
   const violations: string[] = []
   const running = new Map<string, WorkerEvent>()
   /** `ended`: tasks that ended as done; `done`: those of them whose end was acknowledged and is final. */
@@ -101,7 +104,7 @@
     const starts = job.deadly === true ? addTo(deadlyStarts, event.task, 1) : 0
     if (isFirstTask(name) && starts > MAX_DEADLY_STARTS) violations.push(`BUDGET: ${event.task} was started ${starts} times`)
     if (job.acceptedAtMs === undefined && !job.outcomeUnknown) violations.push(`REFUSED: ${event.task} was started though its job was refused`)
-    if (job.cancelledAtMs !== undefined && event.atMs > job.cancelledAtMs + CANCEL_MS + LATE_ORDER_MS) violations.push(`UNASKED: ${event.task} was started ${event.atMs - job.cancelledAtMs} ms after the cancellation`)
+    if (job.cancelledAtMs !== undefined && event.atMs > job.cancelledAtMs + CANCEL_MS + longestDelayMs + ORDER_ANSWER_MS) violations.push(`UNASKED: ${event.task} was started ${event.atMs - job.cancelledAtMs} ms after the cancellation`)
   }
   return violations
 }
