Notice a restarted target by the clock in the answer to a start

The answer to a start has the time of the target's clock, which starts anew with each incarnation. If it is more than 1.5 s off, the session sends no acknowledgement, lease or start before the next report, and asks for one at once. The new test fails without the comparison of clocks: the session stays usable.

--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -434,6 +434,41 @@
   t.deepEqual(listener.events.filter(event => event.startsWith(assignment.task.name)), [`${assignment.task.name} started`, `${assignment.task.name} done`])
 })
 
+// Guards against requests to the next incarnation for as long as a renewal waits on a dead connection.
+test('restarted targets: a start that is answered with another clock shows the restart at once', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  let isHung = false
+  const { session } = createSession(-Infinity, context, 1, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => isHung && order.waitMs > 0 ? await clock.sleep(2_000).then(() => ({ outcome: 'failed', message: 'no answer' })) : await target.renew(order),
+    close: async () => {}
+  }))
+  session.updateListing(LISTED)
+  await clock.advance(1_000)
+  isHung = true
+  await clock.advance(100)
+  client.bornMs = 2
+  client.startOutcome = { outcome: 'started', clockMs: 1 }
+  client.finished = [finishedRun(1, 'job-2.0.0.0')]
+  const [first, second] = [createAssignment(), createAssignment('job-2')]
+  for (const assignment of [first, second]) {
+    session.reserve(assignment)
+    await session.start(assignment, undefined)
+  }
+  t.deepEqual(listener.events.slice(1), [`${first.task.name} started`, `${second.task.name} started`])
+  t.true(session.usable, 'clocks may differ by the time of an answer')
+  client.startOutcome = { outcome: 'started', clockMs: 9_000 }
+  const third = createAssignment('job-3')
+  session.reserve(third)
+  await session.start(third, undefined)
+  t.false(session.usable)
+  await clock.advance(200)
+  t.true(session.ended)
+  t.true(listener.events.includes(`${second.task.name} done`))
+})
+
 // Guards against starting a task again that is done: an acknowledgement in transit reached the next incarnation after its end.
 test('late orders: an acknowledgement to an earlier incarnation is refused by the next one once that has executed a later start', async t => {
   const { clock, client, listener, session } = createSession()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -37,6 +37,8 @@
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
 /** Shorter than any restart of a target. After a longer time without a report, the next incarnation may answer. */
 const MAX_CERTAIN_REPORT_AGE_MS = 150
+/** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
+const MAX_CLOCK_DIFFERENCE_MS = 1_500
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
@@ -95,6 +97,8 @@
   /** Lower bound of the target's clock minus this process's. */
   #clockOffsetMs: number | undefined
   #lastContactMs = -Infinity
+  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one. */
+  #mayHaveRestarted = false
   /** Time of the last answer, also to a start request, or of the beginning of the session. */
   #lastAnswerMs: number
   /** When the first renewal since the last report failed; undefined while the target answers. */
@@ -150,7 +154,7 @@
 
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
-    const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
+    const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
     const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
     return answers && isOffered && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
   }
@@ -253,6 +257,7 @@
     if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
     else this.#startUnansweredAtMs = clock.monotonicMs()
     if (result.outcome === 'started' && this.#unansweredSinceMs === undefined) this.#lastAnswerMs = clock.monotonicMs()
+    if (result.outcome === 'started') this.#compareClock(result.clockMs)
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
@@ -269,6 +274,16 @@
     await this.#stopUnlessConfirmed(assignment)
   }
 
+  /** Asks the target at once if its clock has changed, since a renewal may wait on a dead connection for seconds. */
+  #compareClock (clockMs: number): void {
+    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#hasEnded || this.#mayHaveRestarted) return
+    const differenceMs = clockMs - this.#clockOffsetMs - this.#options.clock.monotonicMs()
+    if (Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, differenceMs: Math.round(differenceMs) }, 'the clock of a target suggests that it has restarted')
+    this.#mayHaveRestarted = true
+    runInBackground(this.#renew(0), this.#options.logger, 'check for a restart')
+  }
+
   /** Stops a run; it holds its capacity until the target reports its end. */
   async stop (assignment: Assignment): Promise<void> {
     if (assignment.state === 'stopping' || assignment.state === 'reserved') return
@@ -328,7 +343,7 @@
    */
   get #dueAcknowledgement (): number {
     const reportAgeMs = this.#options.clock.monotonicMs() - this.#lastContactMs
-    const answers = this.#unansweredSinceMs === undefined && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
+    const answers = this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
     return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
   }
 
@@ -370,6 +385,7 @@
     const nowMs = this.#options.clock.monotonicMs()
     this.#lastContactMs = this.#lastAnswerMs = nowMs
     this.#unansweredSinceMs = undefined
+    this.#mayHaveRestarted = false
     if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
     this.#clockOffsetMs = report.clockMs - nowMs
     const stored = this.#handleFinishedRuns(report.finished)
@@ -492,7 +508,7 @@
   /** Extends the lease and returns its end on the target's clock; undefined while leases must not be extended. */
   #extendLease (): number | undefined {
     const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
-    if (this.#clockOffsetMs === undefined || !hasAuthority()) return undefined
+    if (this.#clockOffsetMs === undefined || this.#mayHaveRestarted || !hasAuthority()) return undefined
     const nowMs = clock.monotonicMs()
     // The next incarnation would take the time of the earlier one's clock for a time of its own.
     const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
--- a/src/ports/jobTarget.ts
+++ b/src/ports/jobTarget.ts
@@ -26,6 +26,7 @@
 export type StartRefusal = typeof START_REFUSALS[number]
 
 export type StartOutcome =
+  /** `clockMs` is the time of the target's clock, which starts anew with each incarnation; 0 if it is not known. */
   | { readonly outcome: 'started', readonly clockMs: number }
   /** The target has not started the task and will not start it. */
   | { readonly outcome: 'refused', readonly refusal: StartRefusal }
