Test loads with a valid key and loads on the readiness path

Clients that hold a valid key, and clients of the readiness path, were not among the loads of the test. Adds pipelined reads of a job (300 connections), cancels and listings of a queue (100 each), reads without a key (300), and on the readiness path pipelined probes with and without headers (100) and bodies that stay open (600 with large chunks, 150 with chunks of one byte). After these loads one probe of the readiness path is answered 200, too. The highest number of descriptors is sampled during each load.

--- a/test/processes/frontEndOverload.test.ts
+++ b/test/processes/frontEndOverload.test.ts
@@ -8,7 +8,7 @@
 import { encodeHeaders, encodeJob, STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from '../../src/platform/standIn/standInPlatform.ts'
 import { ManagedProcess } from './childProcess.ts'
 import { CallerClient } from './callerClient.ts'
-import { chunkedHead, chunks, startOverload } from './overloadClients.ts'
+import { chunkedHead, chunks, encodeLines, startOverload } from './overloadClients.ts'
 import type { OverloadClients } from './overloadClients.ts'
 import { PROGRAM } from './testTeam.ts'
 import { chooseHost } from './topology.ts'
@@ -31,17 +31,23 @@
 /** Long enough that a busy machine does not fail a test. */
 const ANSWER_TIMEOUT_MS = 90_000
 
+const SAMPLE_INTERVAL_MS = 200
+
 type Load = Pick<OverloadClients, 'connections' | 'part' | 'repetitions' | 'unread'> & { readonly head: string }
 
+const QUEUE_PATH = '/checks/'
+/** Of a job that was never submitted. */
+const JOB_PATH = `${QUEUE_PATH}00000000000fffff`
+const READINESS_PATH = '/-/readyz'
 const UNKNOWN_PATH = '/no/such/path'
 const HEADERS = encodeHeaders(STAND_IN_KEY)
 
 function openBodies (path: string, connections: number, part: Buffer, repetitions: number): Load {
-  return { connections, head: chunkedHead(path, HEADERS), part, repetitions, unread: false }
+  return { connections, head: chunkedHead('POST', path, HEADERS), part, repetitions, unread: false }
 }
 
-function pipelinedRequests (method: string, path: string, headers: string): Load {
-  return { connections: 100, head: '', part: Buffer.from(`${method} ${path} HTTP/1.1\r\n${headers}\r\n`.repeat(200)), repetitions: 100, unread: true }
+function pipelinedRequests (method: string, path: string, headers: string, connections = 100): Load {
+  return { connections, head: '', part: Buffer.from(`${method} ${path} HTTP/1.1\r\n${headers}\r\n`.repeat(200)), repetitions: 100, unread: true }
 }
 
 const LOADS: Readonly<Record<string, (path: string) => Load>> = {
@@ -53,6 +59,25 @@
   'bodies in chunks of one byte at an unknown path': () => openBodies(UNKNOWN_PATH, 150, chunks(1, 10_000), 6)
 }
 
+const HOST_LINE = `host: ${STAND_IN_HOST}\r\n`
+const KEY_LINES = encodeLines(HEADERS)
+
+/** Loads on the front end of the platform, by what the clients ask for. */
+const CALL_LOADS: Readonly<Record<string, Load>> = {
+  'pipelined reads of a job with a valid key': pipelinedRequests('GET', JOB_PATH, KEY_LINES, 300),
+  'pipelined cancels of a job with a valid key': pipelinedRequests('DELETE', JOB_PATH, KEY_LINES),
+  'pipelined listings of a queue with a valid key': pipelinedRequests('GET', QUEUE_PATH, KEY_LINES),
+  'pipelined reads of a job without a key': pipelinedRequests('GET', JOB_PATH, HOST_LINE, 300)
+}
+
+/** Loads on the path by which the load balancer asks whether the instance is ready. */
+const READINESS_LOADS: Readonly<Record<string, Load>> = {
+  'pipelined probes': pipelinedRequests('GET', READINESS_PATH, HOST_LINE),
+  'pipelined probes without headers': pipelinedRequests('GET', READINESS_PATH, ''),
+  'probes with bodies in large chunks that stay open': { ...openBodies(READINESS_PATH, 600, chunks(62_500, 1), 4), head: chunkedHead('GET', READINESS_PATH, { host: STAND_IN_HOST }) },
+  'probes with bodies in chunks of one byte that stay open': { ...openBodies(READINESS_PATH, 150, chunks(1, 10_000), 6), head: chunkedHead('GET', READINESS_PATH, { host: STAND_IN_HOST }) }
+}
+
 interface Frontend {
   readonly bounds: Bounds
   readonly process: ManagedProcess
@@ -63,6 +88,12 @@
   call (signal?: AbortSignal): Promise<number | string>
 }
 
+interface PlatformFrontend extends Frontend {
+  readonly readinessAddress: string
+}
+
+type Outcome = Awaited<ReturnType<typeof applyOverload>>
+
 async function startEmbedded (t: ExecutionContext): Promise<Frontend> {
   const process = new ManagedProcess('embedded', [...PROGRAM, 'serve', '--embedded'], { environment: limitHeap(EMBEDDED_BOUNDS) })
   const client = new CallerClient()
@@ -78,7 +109,7 @@
   return { bounds: EMBEDDED_BOUNDS, process, address, path: '/v1/requests', call }
 }
 
-async function startOnPlatform (t: ExecutionContext): Promise<Frontend> {
+async function startOnPlatform (t: ExecutionContext): Promise<PlatformFrontend> {
   const platform = await StandInPlatform.start({ workers: 3, queues: [{ name: 'checks', prefix: '/checks/' }] })
   const directory = await mkdtemp(join(tmpdir(), 'overload-'))
   const file = join(directory, 'local.toml')
@@ -96,9 +127,10 @@
     bounds: PLATFORM_BOUNDS,
     process,
     address,
-    path: '/checks/00000000000fffff',
+    readinessAddress: `${host}:${PORT + 1}`,
+    path: JOB_PATH,
     async call (signal) {
-      const answer = await request(`http://${address}/checks/${String(++jobs).padStart(16, '0')}`, {
+      const answer = await request(`http://${address}${QUEUE_PATH}${String(++jobs).padStart(16, '0')}`, {
         method: 'POST', signal, headers: encodeHeaders(STAND_IN_KEY), body: encodeJob('x', [{ count: 1, processors: 100, estimateMs: 50 }])
       })
       await answer.body.dump()
@@ -109,21 +141,58 @@
 
 /** Applies the load, sends one ordinary request, and checks what does not depend on the speed of the machine. */
 async function checkOverload (t: ExecutionContext, frontend: Frontend, load: Load): Promise<void> {
-  const { process, address, bounds } = frontend
-  await waitUntil('the process serves', async () => await frontend.call() === 200)
+  checkOutcome(t, frontend, await applyOverload(frontend, { ...load, address: frontend.address }))
+}
+
+/** Checks in addition that one probe of the readiness path is answered 200. */
+async function checkPlatformOverload (t: ExecutionContext, frontend: PlatformFrontend, clients: OverloadClients): Promise<void> {
+  const { readinessAddress } = frontend
+  const outcome = await applyOverload(frontend, clients, async () => await probe(readinessAddress))
+  checkOutcome(t, frontend, outcome)
+  t.is(outcome.probed, 200)
+}
+
+async function applyOverload ({ process, call }: Frontend, clients: OverloadClients, probeReadiness?: () => Promise<number | string>) {
+  await waitUntil('the process serves', async () => await call() === 200)
   await resetPeakResident(process.pid)
-  const overload = await startOverload({ ...load, address })
-  const descriptors = (await readdir(`/proc/${process.pid}/fd`).catch(() => [])).length
-  const status = await frontend.call(AbortSignal.timeout(ANSWER_TIMEOUT_MS)).catch((error: unknown) => String(error))
+  let descriptors = 0
+  const sample = async (): Promise<void> => { descriptors = Math.max(descriptors, await countDescriptors(process.pid)) }
+  const timer = setInterval(() => { sample().catch(() => {}) }, SAMPLE_INTERVAL_MS)
+  const overload = await startOverload(clients)
+  clearInterval(timer)
+  await sample()
+  const status = await call(AbortSignal.timeout(ANSWER_TIMEOUT_MS)).catch((error: unknown) => String(error))
+  const probed = await probeReadiness?.()
   const residentMb = await readPeakResidentMb(process.pid)
   overload.close()
-  t.log({ status, residentMb, descriptors, ended: process.hasEnded })
-  t.false(process.hasEnded, process.lines.slice(-10).join('\n'))
+  return { status, probed, residentMb, descriptors, ended: process.hasEnded }
+}
+
+function checkOutcome (t: ExecutionContext, { process, bounds }: Frontend, outcome: Outcome): void {
+  const { status, residentMb, descriptors, ended } = outcome
+  t.log(outcome)
+  t.false(ended, process.lines.slice(-10).join('\n'))
   t.is(status, 200)
   t.true(residentMb > 0 && residentMb <= bounds.residentMb, `${residentMb} MB resident`)
   t.true(descriptors <= MAX_DESCRIPTORS, `${descriptors} descriptors`)
 }
 
+/** Returns the status of a probe of the readiness path, or why there is none. */
+async function probe (address: string): Promise<number | string> {
+  try {
+    const answer = await request(`http://${address}${READINESS_PATH}`, { signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS) })
+    await answer.body.dump()
+    return answer.statusCode
+  } catch (error) {
+    return String(error)
+  }
+}
+
+/** 0 if the process has ended. */
+async function countDescriptors (pid: number): Promise<number> {
+  return (await readdir(`/proc/${pid}/fd`).catch(() => [])).length
+}
+
 function limitHeap ({ heapMb }: Bounds): Readonly<Record<string, string>> {
   return { NODE_OPTIONS: `--max-old-space-size=${heapMb}` }
 }
@@ -151,3 +220,19 @@
     await checkOverload(t, frontend, createLoad(frontend.path))
   })
 }
+
+// Guards against calls in progress that exhaust the memory, the descriptors or the connections to the store.
+for (const [name, load] of Object.entries(CALL_LOADS)) {
+  test.serial(`an instance on the platform lives and serves others under ${name}`, async t => {
+    const frontend = await startOnPlatform(t)
+    await checkPlatformOverload(t, frontend, { ...load, address: frontend.address })
+  })
+}
+
+// Guards against an instance that the load balancer takes out of use because of clients of the readiness path.
+for (const [name, load] of Object.entries(READINESS_LOADS)) {
+  test.serial(`an instance on the platform lives and answers the load balancer under ${name}`, async t => {
+    const frontend = await startOnPlatform(t)
+    await checkPlatformOverload(t, frontend, { ...load, address: frontend.readinessAddress })
+  })
+}
--- a/test/processes/overloadClients.ts
+++ b/test/processes/overloadClients.ts
@@ -22,10 +22,14 @@
   readonly unread: boolean
 }
 
-/** Headers of a request with a chunked body. */
-export function chunkedHead (path: string, headers: Readonly<Record<string, string>>): string {
-  const lines = Object.entries({ ...headers, 'transfer-encoding': 'chunked' }).map(([name, value]) => `${name}: ${value}\r\n`)
-  return `POST ${path} HTTP/1.1\r\n${lines.join('')}\r\n`
+/** Head of a request with a chunked body. */
+export function chunkedHead (method: string, path: string, headers: Readonly<Record<string, string>>): string {
+  return `${method} ${path} HTTP/1.1\r\n${encodeLines({ ...headers, 'transfer-encoding': 'chunked' })}\r\n`
+}
+
+/** Encodes headers as lines of a request. */
+export function encodeLines (headers: Readonly<Record<string, string>>): string {
+  return Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
 }
 
 /** Encodes `count` chunks of `bytes` bytes each. */
