Share the reads that confirm that a job does not exist

What callers saw: under pipelined reads of an unknown job with a valid key (300 connections), the process ended out of memory, or an ordinary call was answered 503.

Cause: each answer "no such job" made a read of the store of its own (Election.confirm), thousands at once, each with a connection, a timer and a buffer.

Change: confirmations share reads. At most one is in flight, and a call uses only a read that began after it, so calls that arrive meanwhile share the next one. A failed read refuses its own callers.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -1,3 +1,4 @@
+import { setImmediate } from 'node:timers/promises'
 import test from 'ava'
 import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import { SystemClock } from '../../adapters/clock/systemClock.ts'
@@ -37,6 +38,45 @@
   await election.stop()
 })
 
+// Guards against as many reads of the store as clients ask for jobs that do not exist.
+test('confirmations share a read that began after each of their calls', async t => {
+  const store = new MemoryTransactionalStore()
+  let resolveElected: () => void = () => {}
+  const elected = new Promise<void>(resolve => { resolveElected = resolve })
+  const election = createElection(store, {
+    onElected: () => resolveElected(), onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  })
+  await election.start()
+  await elected
+  const answers: (() => void)[] = []
+  const get = store.get.bind(store)
+  store.get = async key => {
+    // The store reads when the call arrives; only its answer is late.
+    const read = await get(key)
+    await new Promise<void>(resolve => answers.push(resolve))
+    return read
+  }
+  const awaitRead = async (count: number): Promise<void> => { while (answers.length < count) await setImmediate() }
+  const confirm = (): Promise<readonly boolean[]> => Promise.all(Array.from({ length: 50 }, async () => await election.confirm()))
+
+  const first = election.confirm()
+  await awaitRead(1)
+  const during = confirm()
+  await store.commit({ conditions: [], writes: [{ key: COORDINATOR_KEY, value: JSON.stringify({ instance: 'entry-2', address: 'entry-2:1', lease: 99 }) }], removes: [] })
+  await setImmediate()
+  t.is(answers.length, 1, 'the others wait for the next read')
+  answers[0]?.()
+  t.true(await first)
+  await awaitRead(2)
+  store.refusing = true
+  const afterwards = confirm()
+  answers[1]?.()
+  t.deepEqual([...new Set(await during)], [false], 'the first read began before their calls')
+  t.deepEqual([...new Set(await afterwards)], [false], 'a failed read refuses its callers')
+  t.is(answers.length, 2)
+  await election.stop()
+})
+
 // Guards against changes of coordinator one after another: answers of the store to the commits of a term come after its end.
 test('a failure of an earlier term does not end the next term of the same instance', async t => {
   const store = new MemoryTransactionalStore()
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -3,7 +3,8 @@
 import type { Component } from '../../lifecycle/component.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
-import type { StoredItem, TransactionalStore } from '../../ports/transactionalStore.ts'
+import type { StoredItem, StoreRead, TransactionalStore } from '../../ports/transactionalStore.ts'
+import { SharedRead } from './sharedRead.ts'
 
 export const COORDINATOR_KEY = 'agategauge/coordinator'
 
@@ -79,6 +80,7 @@
   readonly name = 'election'
   readonly #options: ElectionOptions
   readonly #stopping = new AbortController()
+  readonly #confirmation: SharedRead<StoreRead>
   #ownElection: CoordinatorInfo | undefined
   #coordinator: CoordinatorInfo | undefined
   /** Fencing token of the newest election that this instance has known of. */
@@ -100,6 +102,7 @@
 
   constructor (options: ElectionOptions) {
     this.#options = options
+    this.#confirmation = new SharedRead(async () => await options.store.get(COORDINATOR_KEY))
   }
 
   async start (): Promise<void> {
@@ -136,12 +139,15 @@
     return this.#options.clock.monotonicMs() - this.#storeAnsweredAtMs
   }
 
-  /** Whether the store still holds this instance's election; false if that cannot be determined. */
+  /**
+   * Whether the store still holds this instance's election; false if that cannot be determined. Calls share reads of the
+   * store, since clients can cause any number of them; each gets one that began after its call.
+   */
   async confirm (): Promise<boolean> {
     const held = this.#ownElection
     if (held === undefined) return false
     try {
-      const { item } = await this.#options.store.get(COORDINATOR_KEY)
+      const { item } = await this.#confirmation.read()
       return item?.revision === held.fence && this.#ownElection === held
     } catch (error) {
       this.#options.logger.info({ error: String(error), fence: held.fence }, 'failed to confirm the election')
