Bound the connections to the store and the placement advisor

What callers saw: under calls beyond the limits, an instance had up to 1,946 connections to the store, and its coordinator lost its election while its renewals waited behind reads on behalf of callers.

Cause: PlatformStore, PlatformAdvisor, HttpStore and HttpInstanceList opened as many connections as there were calls.

Change: the stores have separate connections for reads, watches, writes and leases (PlatformStore 16, 8, 16, 16; HttpStore 32, 8, 32, 8), so that renewals, watches and commits never wait behind reads. PlatformAdvisor has 64, HttpInstanceList 4. The other clients have limits already: PlatformTarget, HttpTargetClient, CoordinatorPeerClient, OperatorClient; ConnectPeerClient has one session for each peer. A call that gets no connection within its time-out counts as not sent. The metric agategauge_calls_waiting_for_connection shows calls that wait.

--- a/src/adapters/http/httpClient.ts
+++ b/src/adapters/http/httpClient.ts
@@ -84,6 +84,11 @@
     this.#options = options
   }
 
+  /** Calls that wait for a connection because of the limit. */
+  get waitingCalls (): number {
+    return this.#opened?.pool.stats.queued ?? 0
+  }
+
   /** Resolves when the response headers arrive; the body must be consumed or destroyed. */
   async call (options: CallOptions): Promise<HttpResponse> {
     const delivery: Delivery = { sent: false }
--- a/src/adapters/list/httpInstanceList.ts
+++ b/src/adapters/list/httpInstanceList.ts
@@ -8,6 +8,8 @@
 import { parseListSnapshot } from './listSchema.ts'
 
 const DEFAULT_CALL_TIMEOUT_MS = 2_000
+/** The list is read from time to time, by one caller at a time. */
+const MAX_CONNECTIONS = 4
 
 export interface HttpInstanceListOptions {
   /** `host:port`. */
@@ -30,7 +32,7 @@
 
   constructor ({ address, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS, clock = new SystemClock() }: HttpInstanceListOptions) {
     this.#callTimeoutMs = callTimeoutMs
-    this.#client = new HttpClient({ address, clock, connectTimeoutMs: callTimeoutMs })
+    this.#client = new HttpClient({ address, clock, connections: MAX_CONNECTIONS, connectTimeoutMs: callTimeoutMs })
   }
 
   async start (): Promise<void> {}
--- a/src/adapters/store/httpStore.ts
+++ b/src/adapters/store/httpStore.ts
@@ -11,6 +11,12 @@
 const DEFAULT_CALL_TIMEOUT_MS = 2_000
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 
+/** Calls of one kind never wait for a connection behind those of another. */
+type CallKind = 'read' | 'write' | 'lease' | 'watch'
+
+/** An instance follows few keys, renews one lease, and writes the claims of many requests together. */
+const MAX_CONNECTIONS: Readonly<Record<CallKind, number>> = { read: 32, write: 32, lease: 8, watch: 8 }
+
 export interface HttpStoreOptions {
   /** `host:port`. */
   readonly address: string
@@ -32,7 +38,7 @@
 ])
 
 /**
- * Calls the store. A failed read throws `StoreUnavailableError`; a write that was sent but has no
+ * Calls the store, with separate connections for reads, writes, leases and watches. A failed read throws `StoreUnavailableError`; a write that was sent but has no
  * complete response throws `StoreUnknownError`.
  *
  * @example
@@ -41,70 +47,67 @@
  */
 export class HttpStore implements Store, Component {
   readonly name = 'store client'
-  readonly #client: HttpClient
+  readonly #clients: Readonly<Record<CallKind, HttpClient>>
   readonly #callTimeoutMs: number
 
-  constructor (options: HttpStoreOptions) {
-    this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
-    this.#client = new HttpClient({
-      address: options.address,
-      clock: options.clock ?? new SystemClock(),
-      connectTimeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS
-    })
+  constructor ({ address, clock = new SystemClock(), callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS, connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS }: HttpStoreOptions) {
+    this.#callTimeoutMs = callTimeoutMs
+    const open = (kind: CallKind): HttpClient => new HttpClient({ address, clock, connectTimeoutMs, connections: MAX_CONNECTIONS[kind] })
+    this.#clients = { read: open('read'), write: open('write'), lease: open('lease'), watch: open('watch') }
   }
 
   async start (): Promise<void> {}
 
   /** Closes the connections; calls in progress fail. */
   async stop (): Promise<void> {
-    await this.#client.close()
+    await Promise.all(Object.values(this.#clients).map(async client => await client.close()))
   }
 
   async get (key: string, signal?: AbortSignal): Promise<StoreEntry | undefined> {
-    return (await this.#read(entryPath(key), entryResponseSchema, this.#callTimeoutMs, signal)).entry
+    return (await this.#read('read', entryPath(key), entryResponseSchema, this.#callTimeoutMs, signal)).entry
   }
 
   async list (prefix: string, signal?: AbortSignal): Promise<readonly StoreEntry[]> {
     const query = new URLSearchParams({ prefix })
-    return (await this.#read(`/v1/entries?${query}`, listResponseSchema, this.#callTimeoutMs, signal)).entries
+    return (await this.#read('read', `/v1/entries?${query}`, listResponseSchema, this.#callTimeoutMs, signal)).entries
   }
 
   async put (key: string, value: string, { expectedVersion, lease }: WriteOptions, signal?: AbortSignal): Promise<WriteResult> {
     const body = { value, expectedVersion, lease }
-    return await this.#write({ method: 'PUT', path: entryPath(key), body, signal }, writeResponseSchema)
+    return await this.#write('write', { method: 'PUT', path: entryPath(key), body, signal }, writeResponseSchema)
   }
 
   async delete (key: string, expectedVersion: number, signal?: AbortSignal): Promise<WriteResult> {
     const path = `${entryPath(key)}?expectedVersion=${expectedVersion}`
-    return await this.#write({ method: 'DELETE', path, signal }, writeResponseSchema)
+    return await this.#write('write', { method: 'DELETE', path, signal }, writeResponseSchema)
   }
 
   async grantLease (durationMs: number, signal?: AbortSignal): Promise<string> {
-    return (await this.#write({ method: 'POST', path: '/v1/leases', body: { durationMs }, signal }, leaseResponseSchema)).lease
+    return (await this.#write('lease', { method: 'POST', path: '/v1/leases', body: { durationMs }, signal }, leaseResponseSchema)).lease
   }
 
   async renewLease (lease: string, signal?: AbortSignal): Promise<boolean> {
     const path = `/v1/leases/${encodeURIComponent(lease)}/renew`
-    return (await this.#write({ method: 'POST', path, body: {}, signal }, renewResponseSchema)).renewed
+    return (await this.#write('lease', { method: 'POST', path, body: {}, signal }, renewResponseSchema)).renewed
   }
 
   async watch (key: string, afterVersion: number, timeoutMs: number, signal?: AbortSignal): Promise<StoreEntry | undefined> {
     const path = `/v1/watch/${encodeURIComponent(key)}?afterVersion=${afterVersion}&timeoutMs=${timeoutMs}`
-    return (await this.#read(path, entryResponseSchema, timeoutMs + this.#callTimeoutMs, signal)).entry
+    return (await this.#read('watch', path, entryResponseSchema, timeoutMs + this.#callTimeoutMs, signal)).entry
   }
 
-  async #read<T> (path: string, schema: z.ZodType<T>, timeoutMs: number, signal?: AbortSignal): Promise<T> {
+  async #read<T> (kind: CallKind, path: string, schema: z.ZodType<T>, timeoutMs: number, signal?: AbortSignal): Promise<T> {
     const options: CallOptions = { method: 'GET', path, timeoutMs, signal }
     try {
-      return parseResponse(await this.#client.callJson(options), schema, options)
+      return parseResponse(await this.#clients[kind].callJson(options), schema, options)
     } catch (error) {
       throw error instanceof InputError ? error : createUnavailableError(options, error)
     }
   }
 
-  async #write<T> (options: CallOptions, schema: z.ZodType<T>): Promise<T> {
+  async #write<T> (kind: CallKind, options: CallOptions, schema: z.ZodType<T>): Promise<T> {
     try {
-      return parseResponse(await this.#client.callJson({ ...options, timeoutMs: this.#callTimeoutMs }), schema, options)
+      return parseResponse(await this.#clients[kind].callJson({ ...options, timeoutMs: this.#callTimeoutMs }), schema, options)
     } catch (error) {
       if (error instanceof InputError || error instanceof StoreUnavailableError) throw error
       if (error instanceof NotSentError) throw createUnavailableError(options, error)
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -121,6 +121,17 @@
     gauge('agategauge_slow_targets', 'Targets that get tasks last, since runs take longer there', ({ slowTargets }) => ({ '': slowTargets }))
   }
 
+  /** Shows how many calls to other services wait for a connection, by kind of call. */
+  showWaitingCalls (counts: () => Readonly<Record<string, number>>): void {
+    const gauge: Gauge = new Gauge({
+      name: 'agategauge_calls_waiting_for_connection',
+      help: 'Calls that wait for one of the connections to the store or to the placement advisor',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect: () => { for (const [kind, count] of Object.entries(counts())) gauge.set({ kind }, count) }
+    })
+  }
+
   observeReservation (end: string, heldMs: number): void {
     this.#reservations.observe({ end }, heldMs / MS_PER_SECOND)
   }
--- a/src/platform/platformAdvisor.ts
+++ b/src/platform/platformAdvisor.ts
@@ -8,19 +8,27 @@
 /** Added to the expected response time; covers the latency to another region and one call queued ahead. */
 const ADVICE_TIMEOUT_MARGIN_MS = 1_500
 
+/** The coordinator keeps at most 60 ms of expected work with one instance, so questions of 1 ms and more never wait for a connection. */
+const MAX_CONNECTIONS = 64
+
 const adviceSchema = z.object({ allowed: z.array(z.tuple([z.string(), z.string()]).rest(z.unknown())) })
 
 export class PlatformAdvisor implements PlacementAdvisor {
   readonly #client: PlatformHttpClient
 
   constructor (address: string, clock: TimerClock) {
-    this.#client = new PlatformHttpClient(address, clock)
+    this.#client = new PlatformHttpClient(address, clock, MAX_CONNECTIONS)
   }
 
   get address (): string {
     return this.#client.address
   }
 
+  /** Questions that wait for a connection. */
+  get waitingCalls (): number {
+    return this.#client.waitingCalls
+  }
+
   /** Sends new questions to another address; resolves when those to the previous one have ended. */
   async moveTo (address: string): Promise<void> {
     await this.#client.moveTo(address)
--- a/src/platform/platformHttpClient.ts
+++ b/src/platform/platformHttpClient.ts
@@ -9,19 +9,20 @@
 const IDLE_CONNECTION_TIMEOUT_MS = 30_000
 
 /**
- * Sends calls to one address, which can be changed; `maxConnections` limits the number of open connections.
+ * Sends calls to one address, which can be changed. Further calls than `maxConnections` wait for a connection; one that
+ * gets none within its time-out rejects with `NotSentError`.
  *
  * @example
- * const client = new PlatformHttpClient('10.200.1.7:8182', clock)
+ * const client = new PlatformHttpClient('10.200.1.7:8182', clock, 16)
  * const { status, body } = await client.call({ method: 'GET', path: '/-/kv-key?key=op%2Fconfig', timeoutMs: 1_500 })
  */
 export class PlatformHttpClient {
   readonly #clock: TimerClock
-  readonly #maxConnections: number | undefined
+  readonly #maxConnections: number
   #address: string
   #client: HttpClient
 
-  constructor (address: string, clock: TimerClock, maxConnections?: number) {
+  constructor (address: string, clock: TimerClock, maxConnections: number) {
     this.#clock = clock
     this.#maxConnections = maxConnections
     this.#address = address
@@ -32,6 +33,11 @@
     return this.#address
   }
 
+  /** Calls that wait for a connection. */
+  get waitingCalls (): number {
+    return this.#client.waitingCalls
+  }
+
   /** Resolves with the complete answer; rejects with `NotSentError` or `NoAnswerError`. */
   call (options: CallOptions): Promise<JsonResponse> {
     return this.#client.callOptionalJson(options)
--- a/src/platform/platformStore.ts
+++ b/src/platform/platformStore.ts
@@ -33,32 +33,51 @@
 /** Added to the waiting time of a watch. */
 const WATCH_TIMEOUT_MARGIN_MS = 1_500
 
-/** The platform's metadata store as a `TransactionalStore`. */
+/**
+ * Connections for each kind of call. The coordinator has at most about six reads, five commits and five renewals under
+ * way, even while the store leaves calls unanswered until their time-out; the rest is for the questions of other instances.
+ */
+const MAX_CONNECTIONS: Readonly<Record<StoreCallKind, number>> = { read: 16, watch: 8, commit: 16, lease: 16 }
+
+/** Calls of one kind never wait for a connection behind those of another. */
+export type StoreCallKind = 'read' | 'watch' | 'commit' | 'lease'
+
+/**
+ * The platform's metadata store as a `TransactionalStore`. The renewal of the election, the watches and the commits have
+ * connections of their own, so that no number of reads delays them.
+ */
 export class PlatformStore implements TransactionalStore, Component {
   readonly name = 'store client'
-  readonly #client: PlatformHttpClient
+  readonly #clients: Readonly<Record<StoreCallKind, PlatformHttpClient>>
 
   constructor (address: string, clock: TimerClock) {
-    this.#client = new PlatformHttpClient(address, clock)
+    const open = (kind: StoreCallKind): PlatformHttpClient => new PlatformHttpClient(address, clock, MAX_CONNECTIONS[kind])
+    this.#clients = { read: open('read'), watch: open('watch'), commit: open('commit'), lease: open('lease') }
   }
 
   get address (): string {
-    return this.#client.address
+    return this.#clients.read.address
+  }
+
+  /** Calls that wait for a connection, by kind. */
+  get waitingCalls (): Readonly<Record<StoreCallKind, number>> {
+    const { read, watch, commit, lease } = this.#clients
+    return { read: read.waitingCalls, watch: watch.waitingCalls, commit: commit.waitingCalls, lease: lease.waitingCalls }
   }
 
   /** Sends new calls to another address; resolves when the calls to the previous one have ended. */
   async moveTo (address: string): Promise<void> {
-    await this.#client.moveTo(address)
+    await Promise.all(Object.values(this.#clients).map(async client => await client.moveTo(address)))
   }
 
   async start (): Promise<void> {}
 
   async stop (): Promise<void> {
-    await this.#client.close()
+    await Promise.all(Object.values(this.#clients).map(async client => await client.close()))
   }
 
   async get (key: string): Promise<StoreRead> {
-    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-key?${new URLSearchParams({ key })}`, timeoutMs: CALL_TIMEOUT_MS })
+    const { status, body } = await this.#read('read', { method: 'GET', path: `/-/kv-key?${new URLSearchParams({ key })}`, timeoutMs: CALL_TIMEOUT_MS })
     if (status === 404) return { revision: absentSchema.safeParse(body).data?.at ?? 0 }
     const item = parseAnswer(readSchema, status, body, 'get')
     return { item: decodeItem(item), revision: item.at }
@@ -66,21 +85,21 @@
 
   async listPage (prefix: string, after?: string): Promise<StorePage> {
     const query = new URLSearchParams(after === undefined ? { prefix } : { prefix, after })
-    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-range?${query}`, timeoutMs: PAGE_TIMEOUT_MS })
+    const { status, body } = await this.#read('read', { method: 'GET', path: `/-/kv-range?${query}`, timeoutMs: PAGE_TIMEOUT_MS })
     const page = parseAnswer(pageSchema, status, body, 'list')
     return { items: page.items.map(decodeItem), hasMore: page.has_more, revision: page.at }
   }
 
   async watch (prefix: string, afterRevision: number, waitMs: number, signal?: AbortSignal): Promise<WatchResult> {
     const query = new URLSearchParams({ prefix, after: String(afterRevision), wait_ms: String(Math.floor(waitMs)) })
-    const { status, body } = await this.#read({ method: 'GET', path: `/-/kv-watch?${query}`, timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal })
+    const { status, body } = await this.#read('watch', { method: 'GET', path: `/-/kv-watch?${query}`, timeoutMs: waitMs + WATCH_TIMEOUT_MARGIN_MS, signal })
     if (status === 410) return { outcome: 'history-lost' }
     const answer = parseAnswer(watchSchema, status, body, 'watch')
     return { outcome: 'changes', changes: answer.events.map(decodeChange), revision: answer.at }
   }
 
   async commit ({ conditions, writes, removes }: Transaction): Promise<CommitResult> {
-    const { status, body } = await this.#write({
+    const { status, body } = await this.#write('commit', {
       method: 'POST',
       path: '/-/kv-txn',
       body: {
@@ -95,25 +114,25 @@
   }
 
   async grantLease (durationMs: number): Promise<number> {
-    const { status, body } = await this.#write({ method: 'POST', path: '/-/kv-lease', body: { ttl_ms: durationMs } })
+    const { status, body } = await this.#write('lease', { method: 'POST', path: '/-/kv-lease', body: { ttl_ms: durationMs } })
     return parseAnswer(leaseSchema, status, body, 'grant').lease_id
   }
 
   async renewLease (lease: number): Promise<boolean> {
-    const { status, body } = await this.#write({ method: 'POST', path: `/-/kv-keep/${lease}` })
+    const { status, body } = await this.#write('lease', { method: 'POST', path: `/-/kv-keep/${lease}` })
     if (status === 404) return false
     parseAnswer(z.object({}), status, body ?? {}, 'renew')
     return true
   }
 
   async endLease (lease: number): Promise<void> {
-    await this.#write({ method: 'DELETE', path: `/-/kv-lease-end/${lease}` })
+    await this.#write('lease', { method: 'DELETE', path: `/-/kv-lease-end/${lease}` })
   }
 
-  async #read (options: CallOptions): Promise<JsonResponse> {
+  async #read (kind: StoreCallKind, options: CallOptions): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
-      answer = await this.#client.call(options)
+      answer = await this.#clients[kind].call(options)
     } catch (error) {
       throw new StoreUnavailableError(`the store did not answer ${options.method} ${options.path}:`, { cause: error })
     }
@@ -121,10 +140,10 @@
     return answer
   }
 
-  async #write (options: CallOptions): Promise<JsonResponse> {
+  async #write (kind: StoreCallKind, options: CallOptions): Promise<JsonResponse> {
     let answer: JsonResponse
     try {
-      answer = await this.#client.call({ ...options, timeoutMs: CALL_TIMEOUT_MS })
+      answer = await this.#clients[kind].call({ ...options, timeoutMs: CALL_TIMEOUT_MS })
     } catch (error) {
       if (error instanceof NotSentError) throw new StoreUnavailableError(`the store cannot be reached for ${options.path}:`, { cause: error })
       throw new StoreUnknownError(`the store's answer to ${options.path} was lost:`, { cause: error })
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -86,6 +86,7 @@
     ...readTermSettings(reloader)
   })
   metrics.showForecast(() => instance.forecastStatus)
+  metrics.showWaitingCalls(() => ({ ...store.waitingCalls, advice: advisor.waitingCalls }))
   const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
   const frontend = new CallerFrontend({
     address: settings.callerAddress,
