Close probes with a body after their answer

What callers saw: while 600 clients sent probes with bodies that they did not end, the load balancer's probe of the readiness path was reset.

Cause: the answer was sent, but the connection stayed open for the rest of the body, and counted among the 256 that the server accepts.

Change: the servers for readiness and metrics answer a request with a body and close its connection. Probes have no body.

--- a/src/adapters/http/jsonServer.ts
+++ b/src/adapters/http/jsonServer.ts
@@ -20,7 +20,7 @@
   readonly listen: string
   readonly routes: readonly Route[]
   readonly onConnection?: (socket: Socket) => void
-  /** Limits for clients that are not under control; none by default. Bodies are not counted. */
+  /** Limits for clients that are not under control; none by default. Bodies are not counted: after a request with one, the connection is closed. */
   readonly limits?: FrontEndLimits
 }
 
@@ -71,6 +71,8 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    // Probes have no body. One that stays open would hold one of the few connections, so that other probes are refused.
+    if (this.#options.limits !== undefined && announcesBody(request)) response.shouldKeepAlive = false
     const url = new URL(request.url ?? '/', 'http://localhost')
     const match = matchRoute(this.#options.routes, request.method ?? '', url.pathname)
     if (match === undefined) {
@@ -110,6 +112,10 @@
   }
 }
 
+function announcesBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
+
 async function readBody (request: IncomingMessage): Promise<unknown> {
   if (request.method === 'GET' || request.method === 'DELETE') {
     request.resume()
