Limit the calls about unknown jobs that wait for the store

What callers would see: while the store does not answer, each read or cancel of an unknown job waits at the coordinator for up to two reads, and its entry instance repeats it every 200 ms, from all instances together without a limit.

Change: at most 2,000 such calls wait at the coordinator. Further ones are answered at once with 503 and Retry-After, and a log line at most once a second says how many.

Measured in the unit test, 5,000 calls with a store that does not answer: none was refused at once before; 3,000 are refused now, and the others get their answer.

--- a/src/coordinator/admission/jobIntake.test.ts
+++ b/src/coordinator/admission/jobIntake.test.ts
@@ -119,3 +119,32 @@
     (await intake.handle({ action: 'read', host: TEST_QUEUE.host, path: `${TEST_QUEUE.pathPrefix}${id}`, key: 'k', definition: '', desiredStateVersion: 1 })).outcome
   t.deepEqual([await read('1'), await read('2'), await read('3'), await read('4')], ['state', 'state', 'no-job', 'no-job'])
 })
+
+// Guards against calls about unknown jobs that pile up at the coordinator while the store does not answer.
+test('calls about unknown jobs that wait for the store have a limit, beyond which they are refused at once', async t => {
+  const lines: string[] = []
+  let answerStore: (isLeader: boolean) => void = () => {}
+  const confirmed = new Promise<boolean>(resolve => { answerStore = resolve })
+  const coordinator = { ready: true, storeFails: false, table: { jobs: new Map(), finished: new Map() }, confirmLeadership: async () => await confirmed }
+  const state = { version: 1, queues: [TEST_QUEUE], services: [], teams: [{ name: 'weavers', keys: ['k'], weight: 1, cap: resources({}) }], maximumBodyBytes: 0 }
+  const desired = { state, index: new DesiredStateIndex(state), refresh: async () => {} }
+  const logger = { warn: (_fields: object, line: string) => lines.push(line) }
+  const intake = new JobIntake(coordinator as unknown as JobCoordinator, desired as unknown as DesiredStateWatcher, new ManualClock(), logger as unknown as Logger)
+  const call = async (number: number): Promise<CallerAnswer> =>
+    await intake.handle({ action: number % 2 === 0 ? 'read' : 'cancel', host: TEST_QUEUE.host, path: `${TEST_QUEUE.pathPrefix}${number}`, key: 'k', definition: '', desiredStateVersion: 1 })
+  let settled = 0
+  const answers = Array.from({ length: 5_000 }, async (_, number) => {
+    const answer = await call(number)
+    settled += 1
+    return answer
+  })
+  await new Promise(resolve => setImmediate(resolve))
+  const refused = settled
+  t.true(refused >= 2_500, `${refused} refused at once`)
+  answerStore(true)
+  const outcomes = (await Promise.all(answers)).map(({ outcome }) => outcome)
+  t.is(outcomes.filter(outcome => outcome === 'unavailable').length, refused)
+  t.is(outcomes.filter(outcome => outcome === 'no-job').length, 5_000 - refused)
+  t.is((await call(1)).outcome, 'no-job')
+  t.is(lines.length, 1)
+})
--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -24,6 +24,13 @@
 /** Retry-After has whole seconds: with these three values callers return over more than 2 s, not all at once. */
 const OUTAGE_SPREAD_SECONDS = 3
 
+/**
+ * Calls about jobs that do not exist, which wait for the election to be confirmed. A confirmation normally takes less than
+ * 0.1 s, so this is reached at 20,000 such calls a second, or while the store does not answer.
+ */
+const MAX_UNCONFIRMED_CALLS = 2_000
+const UNCONFIRMED_LOG_INTERVAL_MS = 1_000
+
 /** Time over which a team may accumulate unused share. */
 const SHARE_BURST_SECONDS = 1
 
@@ -53,6 +60,9 @@
   readonly #refusals: RefusalReport
   /** Jobs whose record is not durable yet, by identity. */
   readonly #pending = new Map<string, Promise<void>>()
+  #unconfirmedCalls = 0
+  #refusedUnconfirmed = 0
+  #unconfirmedLoggedMs = -Infinity
 
   constructor (coordinator: JobCoordinator, desired: DesiredStateWatcher, clock: Clock, logger: Logger) {
     this.#coordinator = coordinator
@@ -90,8 +100,26 @@
 
   /** Confirms leadership before reporting a missing job: an unnoticed successor may have accepted it. */
   async #confirmAbsence (answer: CallerAnswer): Promise<CallerAnswer> {
-    if (answer.outcome !== 'no-job' || await this.#coordinator.confirmLeadership()) return answer
-    return unavailable('another instance may coordinate by now')
+    if (answer.outcome !== 'no-job') return answer
+    if (this.#unconfirmedCalls >= MAX_UNCONFIRMED_CALLS) return this.#refuseUnconfirmed()
+    this.#unconfirmedCalls += 1
+    try {
+      return await this.#coordinator.confirmLeadership() ? answer : unavailable('another instance may coordinate by now')
+    } finally {
+      this.#unconfirmedCalls -= 1
+    }
+  }
+
+  /** `absent` makes the entry instance return the refusal at once. The call has no effect: this log has no job that it could affect. */
+  #refuseUnconfirmed (): CallerAnswer {
+    this.#refusedUnconfirmed += 1
+    const nowMs = this.#clock.monotonicMs()
+    if (nowMs - this.#unconfirmedLoggedMs >= UNCONFIRMED_LOG_INTERVAL_MS) {
+      this.#logger.warn({ refused: this.#refusedUnconfirmed, waiting: this.#unconfirmedCalls }, 'calls about unknown jobs refused: too many wait for the store')
+      this.#unconfirmedLoggedMs = nowMs
+      this.#refusedUnconfirmed = 0
+    }
+    return { ...unavailable('too many calls about unknown jobs wait for the store'), absent: true }
   }
 
   #resolve ({ host, path, key }: CallerCall): ResolvedCall | CallRefusal {
