Give up calls whose callers no longer wait

What callers would see: behind an overloaded coordinator, calls whose callers had given up were still sent and delayed the others. A caller that stated a time-out of hours had its call retried for as long.

Cause: CallBatcher did not know the time of a call, and CallRouter took any time-out from the header.

A call is retried for at most 30 s.

--- a/src/entry/callBatcher.test.ts
+++ b/src/entry/callBatcher.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { ManualClock } from '../adapters/clock/manualClock.ts'
 import { CallBatcher } from './callBatcher.ts'
+import { CallNotSentError } from './callNotSentError.ts'
 import type { CallerCall, CoordinatorAnswer } from './callerCall.ts'
 
 const CALL: CallerCall = { action: 'read', host: 'jobs.example', path: '/checks/', key: 'k', definition: '', desiredStateVersion: 1 }
@@ -120,3 +121,20 @@
   }
   t.true(answeredMs <= 1_100, `after ${answeredMs} ms`)
 })
+
+// Guards against an overloaded coordinator that works on calls whose callers have given up.
+test('calls whose callers no longer wait are not sent', async t => {
+  const clock = new ManualClock()
+  const sent: string[] = []
+  const batcher = new CallBatcher(clock, async calls => {
+    sent.push(...calls.map(({ path }) => path))
+    await clock.sleep(1_200)
+    throw new Error('no answer within 1200 ms')
+  }, () => 7)
+  const errors = Array.from({ length: 1_000 }, async (_, number) => await batcher.handle(callFor(number), 1_800).catch((error: unknown) => error))
+  for (let passedMs = 0; passedMs < 5_000; passedMs += 50) await clock.advance(50)
+  const notSent = (await Promise.all(errors)).filter(error => error instanceof CallNotSentError).length
+  t.is(sent.length + notSent, 1_000)
+  t.true(notSent > 0)
+  t.is(new Set(sent).size, sent.length)
+})
--- a/src/entry/callBatcher.ts
+++ b/src/entry/callBatcher.ts
@@ -27,6 +27,7 @@
 
 interface PendingCall {
   readonly call: CallerCall
+  readonly expiresAtMs: number
   readonly resolve: (answer: CoordinatorAnswer) => void
   readonly reject: (error: unknown) => void
 }
@@ -56,9 +57,10 @@
     this.#instanceCount = instanceCount
   }
 
-  handle (call: CallerCall): Promise<CoordinatorAnswer> {
+  /** A call that waits until `expiresAtMs` rejects with `CallNotSentError`: its caller no longer waits, and it would delay others. */
+  handle (call: CallerCall, expiresAtMs = Infinity): Promise<CoordinatorAnswer> {
     return new Promise((resolve, reject) => {
-      this.#queuedCalls.push({ call, resolve, reject })
+      this.#queuedCalls.push({ call, expiresAtMs, resolve, reject })
       this.#schedule()
     })
   }
@@ -89,6 +91,7 @@
   }
 
   #sendNext (): void {
+    this.#dropExpired()
     const batch = this.#queuedCalls.splice(0, MAX_BATCH_SIZE)
     if (batch.length === 0) return
     this.#batchesInFlight += 1
@@ -100,6 +103,14 @@
     this.#schedule()
   }
 
+  #dropExpired (): void {
+    const nowMs = this.#clock.monotonicMs()
+    const expired = this.#queuedCalls.filter(({ expiresAtMs }) => expiresAtMs <= nowMs)
+    if (expired.length === 0) return
+    this.#queuedCalls = this.#queuedCalls.filter(({ expiresAtMs }) => expiresAtMs > nowMs)
+    for (const { reject } of expired) reject(new CallNotSentError('the time of the caller has passed before the call was sent'))
+  }
+
   async #deliver (batch: readonly PendingCall[]): Promise<void> {
     for (const sent of batch) this.#sentCalls.add(sent)
     try {
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -163,3 +163,17 @@
   t.is(outcome, 'unknown')
   t.true(atMs > 700 && atMs <= 850, `after ${atMs} ms`)
 })
+
+// Guards against calls that take memory for as long as their callers ask for.
+test('a call is retried for at most 30 s, whatever time-out its caller states', async t => {
+  let attempts = 0
+  const { clock, router, advance } = createRouter(async () => {
+    attempts += 1
+    await clock.sleep(200)
+    return UNDERWAY
+  })
+  const answered = router.handle({ call: { ...SUBMISSION, action: 'read' }, callerTimeoutMs: 1e12 })
+  await advance(31_000)
+  t.is((await answered).outcome, 'unavailable')
+  t.true(attempts > 1)
+})
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -12,6 +12,8 @@
 
 /** Time for which a call is retried if the caller states no time-out. */
 const DEFAULT_CALL_TIMEOUT_MS = 1_800
+/** A caller may state any time, during which its call would take memory. Callers of the platform wait for about 3 s. */
+const MAX_CALL_TIMEOUT_MS = 30_000
 /** Part of the caller's time-out that is reserved for returning the answer. */
 const ANSWER_MARGIN_MS = 150
 /** A change of coordinator takes about 0.1 s, and 0.4 s with a long log; a refused caller retries only after a second. */
@@ -68,11 +70,12 @@
    */
   async handle ({ call, callerTimeoutMs }: CallerRequest): Promise<CallerAnswer> {
     const { clock } = this.#options
-    const timeoutMs = callerTimeoutMs === undefined ? DEFAULT_CALL_TIMEOUT_MS : callerTimeoutMs - ANSWER_MARGIN_MS
+    const waitsMs = callerTimeoutMs === undefined ? DEFAULT_CALL_TIMEOUT_MS + ANSWER_MARGIN_MS : Math.min(callerTimeoutMs, MAX_CALL_TIMEOUT_MS)
+    const timeoutMs = waitsMs - ANSWER_MARGIN_MS
     const startedAtMs = clock.monotonicMs()
     let unresolved: UnresolvedAttempts = { unansweredFence: 0, underwayFence: 0 }
     for (;;) {
-      const { answer, fence } = await this.#attempt(call)
+      const { answer, fence } = await this.#attempt(call, startedAtMs + waitsMs)
       if (answer.outcome === 'unknown') unresolved = { ...unresolved, unansweredFence: Math.max(unresolved.unansweredFence, fence) }
       if (answer.outcome === 'underway') unresolved = { ...unresolved, underwayFence: Math.max(unresolved.underwayFence, fence) }
       const waitMs = answer.outcome === 'underway' ? 0 : RETRY_DELAY_MS
@@ -87,13 +90,13 @@
     }
   }
 
-  async #attempt (call: CallerCall): Promise<Attempt> {
+  async #attempt (call: CallerCall, expiresAtMs: number): Promise<Attempt> {
     const { instance, ownAddress, logger } = this.#options
     const { coordinator } = instance
     if (coordinator === undefined) return { answer: unavailable('no coordinator is known', this.#retryAfterAbsence()), fence: 0 }
     const { fence } = coordinator
     try {
-      const [answer] = coordinator.address === ownAddress ? await instance.handleAll(fence, [call]) : [await this.#batcherFor(coordinator).handle(call)]
+      const [answer] = coordinator.address === ownAddress ? await instance.handleAll(fence, [call]) : [await this.#batcherFor(coordinator).handle(call, expiresAtMs)]
       return { answer: answer ?? unavailable('this instance does not coordinate'), fence }
     } catch (error) {
       const refused = isConnectionRefused(error)
