Answer all calls that have begun before closing a connection

What callers saw: a call that was pipelined behind an answer with "connection: close" (a planned stop, a missing Host header) ran and got no answer.

Change: once a connection is to be closed, no further request of it is parsed, and only the answer to the newest one that has begun carries the header. If that one was answered before, the guard closes the connection after the last answer.

--- a/src/adapters/caller/callerServer.ts
+++ b/src/adapters/caller/callerServer.ts
@@ -91,7 +91,7 @@
   }
 
   async #respond (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    if (this.#stopping) response.setHeader('connection', 'close')
+    if (this.#stopping && this.#guard.endAfter(request)) response.setHeader('connection', 'close')
     try {
       await this.#route(request, response)
     } catch (error) {
@@ -101,6 +101,7 @@
 
   async #route (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      this.#guard.endAfter(request)
       response.shouldKeepAlive = false
       throw new RefusalError('the host header is missing', { code: 'invalid', verdict: 'not-run' })
     }
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -161,6 +161,18 @@
     this.#busyConnections += change
   }
 
+  /**
+   * Takes no request of the connection after those that have begun, since its next answers close it. Returns whether the
+   * request is the newest: only then may its answer carry `connection: close`, or the answers behind it would be lost.
+   * The guard closes the connection if the newest request has been answered before.
+   *
+   * @example
+   * if (guard.endAfter(request)) response.setHeader('connection', 'close')
+   */
+  endAfter (request: IncomingMessage): boolean {
+    return this.#connections.get(request.socket)?.endAfter(request) ?? true
+  }
+
   /** Whether requests may be parsed in this turn of the event loop. */
   get hasTime (): boolean {
     return this.#turnMs < TURN_MS
@@ -281,6 +293,8 @@
   /** Whether the guard counts the connection as one with an open request. */
   #isBusy = false
   #isForgotten = false
+  /** Whether the connection takes no further request. */
+  #isLeaving = false
   #last: IncomingMessage | undefined
   #lastMs = 0
   /** When the client last sent anything. */
@@ -344,10 +358,16 @@
       if (isFurther) this.#account.release(REQUEST_BYTES)
       // A body that nobody reads would stop the input of the connection.
       if (!request.complete) request.resume()
+      if (this.#isLeaving && this.#openRequests === 0) this.#socket.destroySoon()
       this.feed()
     })
   }
 
+  endAfter (request: IncomingMessage): boolean {
+    this.#isLeaving = true
+    return this.#last === request
+  }
+
   #noteBusy (): void {
     const isBusy = this.#openRequests > 0 && !this.#isForgotten
     if (isBusy === this.#isBusy) return
@@ -523,7 +543,7 @@
     // Set by the HTTP server while it does not want to be given input.
     if ((this.#socket as { _paused?: boolean })._paused === true) return true
     if (this.#isInBody) return false
-    return this.#openRequests >= this.#guard.requestsPerConnection || this.#socket.writableNeedDrain
+    return this.#isLeaving || this.#openRequests >= this.#guard.requestsPerConnection || this.#socket.writableNeedDrain
   }
 
   /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
--- a/src/platform/callerFrontend.test.ts
+++ b/src/platform/callerFrontend.test.ts
@@ -1,19 +1,27 @@
+import { connect } from 'node:net'
+import { text } from 'node:stream/consumers'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { chooseHost } from '../../test/processes/topology.ts'
 import { DEFAULT_FRONT_END_LIMITS, deriveClientShare } from '../adapters/http/frontEndLimits.ts'
+import { parseAddress } from '../adapters/network.ts'
 import type { CallHandler } from '../entry/callerCall.ts'
 import { createLogger } from '../observability/logger.ts'
 import { CallerFrontend } from './callerFrontend.ts'
 
-async function startFrontend (t: ExecutionContext, port: number, handle: CallHandler['handle'], calls?: number): Promise<{ frontend: CallerFrontend, send (): Promise<Response>, call (): Promise<number> }> {
+async function startFrontend (t: ExecutionContext, port: number, handle: CallHandler['handle'], calls?: number): Promise<{ frontend: CallerFrontend, send (): Promise<Response>, open (input: string): Promise<string>, call (): Promise<number> }> {
   const address = `${chooseHost()}:${port}`
   const logger = createLogger({ level: 'silent', instance: 'entry-1', dataCentre: 'test', secrets: [] })
   const frontend = new CallerFrontend({ address, handler: { handle }, desiredState: () => ({ version: 1, maximumBodyBytes: 0 }), logger, limits: { ...DEFAULT_FRONT_END_LIMITS, ...deriveClientShare(), ...(calls === undefined ? {} : { calls }) }, onRefused: () => {}, onCall: () => {} })
   await frontend.start()
   t.teardown(async () => await frontend.stop(AbortSignal.abort()))
   const send = async (): Promise<Response> => await fetch(`http://${address}/checks/0000000000000001`)
-  return { frontend, send, call: async () => (await send()).status }
+  const open = async (input: string): Promise<string> => {
+    const socket = connect(parseAddress(address))
+    socket.write(input)
+    return await text(socket)
+  }
+  return { frontend, send, open, call: async () => (await send()).status }
 }
 
 // Guards against a connection that ends without an answer after the request was read.
@@ -47,3 +55,32 @@
   waiting[0]?.()
   t.is(await served, 410)
 })
+
+/** Sends requests on one connection, of which the handler answers none before `answer` is called. */
+async function pipeline (t: ExecutionContext, port: number, requests: readonly string[], begun: number): Promise<{ frontend: CallerFrontend, answers: Promise<string>, answer: () => void }> {
+  const waiting: (() => void)[] = []
+  const { frontend, open } = await startFrontend(t, port, async () => await new Promise(resolve => waiting.push(() => resolve({ outcome: 'no-job' }))))
+  const answers = open(requests.join(''))
+  while (waiting.length < begun) await new Promise(resolve => setImmediate(resolve))
+  return { frontend, answers, answer: () => { for (const settle of waiting) settle() } }
+}
+
+const GET = 'GET /checks/1 HTTP/1.1\r\nhost: test\r\n\r\n'
+
+// Guards against calls that have run and get no answer, since an answer before theirs closes the connection.
+test('a planned stop answers all calls of a connection that have begun, and closes it after the last', async t => {
+  const { frontend, answers, answer } = await pipeline(t, 23_930, [GET, GET, GET], 3)
+  frontend.beginClosing(60_000)
+  answer()
+  const received = await answers
+  t.is(received.split('HTTP/1.1 410').length - 1, 3)
+  t.is(received.split(/connection: close/i).length - 1, 1)
+})
+
+test('a call behind a request that closes the connection is not begun', async t => {
+  const { frontend, answers, answer } = await pipeline(t, 23_935, [GET, GET.replace('host: test\r\n', ''), GET], 1)
+  for (let turn = 0; turn < 20; turn++) await new Promise(resolve => setImmediate(resolve))
+  t.is(frontend.callsInProgress, 1)
+  answer()
+  t.deepEqual((await answers).match(/HTTP\/1\.1 \d+/g), ['HTTP/1.1 410', 'HTTP/1.1 400'])
+})
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -114,6 +114,7 @@
   async #readAndAnswer (action: CallAction | undefined, path: string, request: IncomingMessage, response: ServerResponse): Promise<CallerAnswer> {
     const { desiredState } = this.#options
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      this.#guard?.endAfter(request)
       response.shouldKeepAlive = false
       return { outcome: 'invalid', message: 'the host header is missing' }
     }
@@ -180,7 +181,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
       ...(retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }),
-      ...(this.#closing ? { connection: 'close' } : {})
+      ...(this.#closing && this.#guard?.endAfter(response.req) !== false ? { connection: 'close' } : {})
     })
     response.end(text)
   }
