Limit the time of a head that begins in the packet of a body's end

What an operator saw: a connection whose client sent the end of a body and the start of the next head in one packet stayed open without a time-out until more bytes came.

Cause: the guard gives the rest of a body to the parser as it comes, and noted the start of a head only for input that it held itself.

Change: after the part that ended a body, the guard asks the parser whether a message has begun, and starts the time for its head.

The unit test got 408 after 7 s of its clock; before the change it did not.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -177,6 +177,23 @@
   t.regex(await text(socket), /^HTTP\/1\.1 408 /)
 })
 
+// Guards against connections that stay open without a limit, since the start of a head came with the end of a body.
+test('the start of a head in one packet with the end of a body has the time of a head', async t => {
+  let bodies = 0
+  const server = await startServer(t, {}, (guard, request, response) => {
+    bodies += 1
+    echo(guard, request, response)
+  })
+  const socket = server.open(POST.slice(0, -2))
+  const received = text(socket)
+  await waitUntil(() => bodies === 1)
+  socket.write(POST.slice(-2) + LAST_GET.slice(0, 20))
+  await once(socket, 'readable')
+  server.clock.runChecks(server.guard, 7)
+  t.regex(await received, /\[ab\n\nc\].*408 /s)
+  t.deepEqual(server.refused, ['header-timeout'])
+})
+
 test('a client of an old process that has just begun to read its first answer is neither closed nor stalled', async t => {
   const server = await startServer(t, { connections: 1, memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(20_000_000)) })
   const socket = server.open(LAST_GET)
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -276,6 +276,12 @@
   readStop (): void
 }
 
+/** The parser of a socket, as far as Node.js itself uses it to find requests whose time has passed. */
+interface MessageParser {
+  /** Milliseconds since the start of the message that is being parsed; 0 after the end of one. */
+  duration? (): number
+}
+
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
@@ -557,7 +563,17 @@
   }
 
   #deliverPart (part: Buffer): void {
+    const wasInBody = this.#isInBody
     this.#deliver?.call(this.#socket, part)
+    if (wasInBody && !this.#isInBody) this.#noteHeadAfterBody()
+  }
+
+  /** The part that ended a body may have given the parser the start of the next head, for which the time counts, too. */
+  #noteHeadAfterBody (): void {
+    const { parser } = this.#socket as { parser?: MessageParser | null }
+    if (this.#isEnding || this.#headBegun || (parser?.duration?.() ?? 0) === 0) return
+    this.#headBegun = true
+    this.#headMs ??= this.#guard.nowMs
   }
 
   /** Pauses or resumes the socket, and charges what waits. */
