Serve connections with few requests before busy ones

What callers saw: each busy connection may use 2 ms of a turn of the event loop, and an ordinary call waited for its turn behind all of them, 2 s behind 1,000.

Cause: connections wait for a turn in order of arrival, whatever time they have had.

Change: connections that have had their 2 ms in the last seconds wait behind the others. One of them has its time in each turn, so that they are served, however many others there are.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -194,6 +194,31 @@
   t.deepEqual(server.refused, ['header-timeout'])
 })
 
+// Guards against a thousand busy connections that each have their time before a client with one request.
+test('a connection with one request is served before connections that have used up their time', async t => {
+  const HOARDS = 100
+  const sockets = new Set<Socket>()
+  let served = 0
+  let singleServed = -1
+  const server = await startServer(t, { connections: 200 }, (_guard, request, response) => {
+    const endMs = performance.now() + 3
+    while (performance.now() < endMs);
+    if (request.url === '/single') singleServed = served
+    served += 1
+    sockets.add(request.socket)
+    response.end('served')
+  })
+  const hoards = Array.from({ length: HOARDS }, () => server.open(GET.repeat(200)).resume())
+  await waitUntil(() => sockets.size === HOARDS)
+  const single = server.open('')
+  await once(single, 'connect')
+  const before = served
+  single.write(LAST_GET.replace(' / ', ' /single '))
+  t.regex(await text(single), /served$/)
+  t.log(singleServed - before); t.true(singleServed - before < HOARDS / 2, `${singleServed - before} requests were served before it`)
+  for (const socket of hoards) socket.destroy()
+})
+
 test('a client of an old process that has just begun to read its first answer is neither closed nor stalled', async t => {
   const server = await startServer(t, { connections: 1, memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(20_000_000)) })
   const socket = server.open(LAST_GET)
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -69,6 +69,8 @@
   #counts: Partial<Record<OverloadReason, number>> = {}
   /** Connections with input that wait for the next turn of the event loop. */
   #waiting = new Set<GuardedConnection>()
+  /** Those of them that have had their time in the last seconds. They wait behind the others. */
+  #waitingBusy = new Set<GuardedConnection>()
   #callsInProgress = 0
   /** Connections with an open request. */
   #busyConnections = 0
@@ -184,9 +186,10 @@
     this.#scheduleTurn()
   }
 
-  /** Feeds the connection in a later turn. */
-  wait (connection: GuardedConnection): void {
-    this.#waiting.add(connection)
+  /** Feeds the connection in a later turn; one that has had its time waits behind those that have not. */
+  wait (connection: GuardedConnection, hasHadTime: boolean): void {
+    if (hasHadTime) this.#waitingBusy.add(connection)
+    else this.#waiting.add(connection)
     this.#scheduleTurn()
   }
 
@@ -196,15 +199,23 @@
     setImmediate(() => {
       this.#isTurnScheduled = false
       this.#turnMs = 0
-      for (const connection of this.#waiting) {
-        if (!this.hasTime) break
-        this.#waiting.delete(connection)
-        connection.feed()
-      }
-      if (this.#waiting.size > 0) this.#scheduleTurn()
+      // One of the busy connections has time in each turn, however many others there are.
+      this.#feedNext(this.#waitingBusy)
+      while (this.hasTime && this.#feedNext(this.#waiting));
+      while (this.hasTime && this.#feedNext(this.#waitingBusy));
+      if (this.#waiting.size + this.#waitingBusy.size > 0) this.#scheduleTurn()
     })
   }
 
+  /** Feeds the connection that has waited for longest; returns whether there was one. */
+  #feedNext (waiting: Set<GuardedConnection>): boolean {
+    const [connection] = waiting
+    if (connection === undefined) return false
+    waiting.delete(connection)
+    connection.feed()
+    return true
+  }
+
   refused (reason: OverloadReason): void {
     this.#counts[reason] = (this.#counts[reason] ?? 0) + 1
     this.#options.onRefused?.(reason)
@@ -323,6 +334,8 @@
   /** Whether input waits only because its time in this turn is used up. */
   #waitsForTurn = false
   #waitsSinceMs = 0
+  /** Time that the requests of the connection have taken, halved at each check: connections that stay busy keep waiting behind others. */
+  #recentMs = 0
   /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
   readonly #openBodies = new Set<(error: Error) => void>()
   /** Charges of bodies that are kept until their requests are answered. */
@@ -446,6 +459,7 @@
 
   check (nowMs: number): void {
     const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
+    this.#recentMs /= 2
     this.#chargeAnswers(nowMs)
     if (this.#socket.destroyed) return
     if (this.#socket.writableLength > 0) {
@@ -504,7 +518,7 @@
           if (!this.#isInBody && !this.#headBegun) this.#beginHead()
           if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
           this.#waitsForTurn = true
-          this.#guard.wait(this)
+          this.#guard.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
           break
         }
         this.#endWait()
@@ -514,6 +528,7 @@
       }
     } finally {
       this.#isFeeding = false
+      this.#recentMs += spentMs
       this.#guard.spend(spentMs)
     }
     this.#settleInput()
