--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -77,6 +77,33 @@
   t.true(mostOpen <= 4, `${mostOpen} open requests`)
 })
 
+// Guards against calls in progress that exhaust the memory, and against a client that waits behind those with thousands of requests.
+test('beyond the calls in progress, pipelined requests wait, and a connection with one request does not', async t => {
+  const begun: ServerResponse[] = []
+  const outcomes = new Map<string, boolean[]>([['/', []], ['/single', []]])
+  const server = await startServer(t, { calls: 8 }, (guard, request, response) => {
+    const isBegun = guard.beginCall()
+    outcomes.get(request.url ?? '')?.push(isBegun)
+    if (isBegun) begun.push(response)
+    else response.end('refused')
+  })
+  const hoards = Array.from({ length: 4 }, async () => await text(server.open(GET.repeat(20) + LAST_GET)))
+  await waitUntil(() => begun.length >= 4)
+  const single = text(server.open(LAST_GET.replace(' / ', ' /single ')))
+  await waitUntil(() => outcomes.get('/single')?.length === 1)
+  t.deepEqual(outcomes.get('/single'), [true], 'begun while no other call has ended')
+  const answering = setInterval(() => {
+    for (const response of begun.splice(0)) {
+      response.end('served')
+      server.guard.endCall()
+    }
+  }, 1)
+  t.regex(await single, /served$/)
+  for (const answers of await Promise.all(hoards)) t.is(answers.split('served').length - 1, 21)
+  clearInterval(answering)
+  t.is(server.guard.callsInProgress, 0)
+})
+
 test('a request in pieces of one byte, also one between others, is read whole', async t => {
   const server = await startServer(t, {}, (guard, request, response) => { echo(guard, request, response) })
   const socket = server.open('')
@@ -150,6 +177,48 @@
   t.regex(await text(socket), /^HTTP\/1\.1 408 /)
 })
 
+// Guards against connections that stay open without a limit, since the start of a head came with the end of a body.
+test('the start of a head in one packet with the end of a body has the time of a head', async t => {
+  let bodies = 0
+  const server = await startServer(t, {}, (guard, request, response) => {
+    bodies += 1
+    echo(guard, request, response)
+  })
+  const socket = server.open(POST.slice(0, -2))
+  const received = text(socket)
+  await waitUntil(() => bodies === 1)
+  socket.write(POST.slice(-2) + LAST_GET.slice(0, 20))
+  await once(socket, 'readable')
+  server.clock.runChecks(server.guard, 7)
+  t.regex(await received, /\[ab\n\nc\].*408 /s)
+  t.deepEqual(server.refused, ['header-timeout'])
+})
+
+// Guards against a thousand busy connections that each have their time before a client with one request.
+test('a connection with one request is served before connections that have used up their time', async t => {
+  const HOARDS = 100
+  const sockets = new Set<Socket>()
+  let served = 0
+  let singleServed = -1
+  const server = await startServer(t, { connections: 200 }, (_guard, request, response) => {
+    const endMs = performance.now() + 3
+    while (performance.now() < endMs);
+    if (request.url === '/single') singleServed = served
+    served += 1
+    sockets.add(request.socket)
+    response.end('served')
+  })
+  const hoards = Array.from({ length: HOARDS }, () => server.open(GET.repeat(200)).resume())
+  await waitUntil(() => sockets.size === HOARDS)
+  const single = server.open('')
+  await once(single, 'connect')
+  const before = served
+  single.write(LAST_GET.replace(' / ', ' /single '))
+  t.regex(await text(single), /served$/)
+  t.log(singleServed - before); t.true(singleServed - before < HOARDS / 2, `${singleServed - before} requests were served before it`)
+  for (const socket of hoards) socket.destroy()
+})
+
 test('a client of an old process that has just begun to read its first answer is neither closed nor stalled', async t => {
   const server = await startServer(t, { connections: 1, memoryBytes: 100_000_000 }, (_guard, _request, response) => { response.end(Buffer.alloc(20_000_000)) })
   const socket = server.open(LAST_GET)
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import { BaseError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
+import { deriveCallLimit } from './frontEndLimits.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
@@ -26,6 +27,8 @@
 const SPARE_CONNECTIONS = 16
 /** The platform's pages allow connections that are idle for this time, so they are not closed in favour of new ones. */
 const ALLOWED_IDLE_MS = 15_000
+/** Part of the calls in progress that further requests of connections may use. The rest is for connections with one request. */
+const FURTHER_CALLS_SHARE = 0.5
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
@@ -34,6 +37,7 @@
 export interface OverloadSummary {
   readonly counts: Readonly<Partial<Record<OverloadReason, number>>>
   readonly connections: number
+  readonly calls: number
   readonly heldBytes: number
 }
 
@@ -65,6 +69,11 @@
   #counts: Partial<Record<OverloadReason, number>> = {}
   /** Connections with input that wait for the next turn of the event loop. */
   #waiting = new Set<GuardedConnection>()
+  /** Those of them that have had their time in the last seconds. They wait behind the others. */
+  #waitingBusy = new Set<GuardedConnection>()
+  #callsInProgress = 0
+  /** Connections with an open request. */
+  #busyConnections = 0
   #turnMs = 0
   #isTurnScheduled = false
   #checkedMs: number
@@ -109,6 +118,63 @@
     return connection.readBody(request, maximumBytes, keepCharge)
   }
 
+  get callsInProgress (): number {
+    return this.#callsInProgress
+  }
+
+  /**
+   * Counts a call that a handler begins, whose promises, timers and messages take memory until it has ended, whether or
+   * not its client is still there. Returns false if there are too many; the call must then be refused. Each `true` must
+   * be followed by one `endCall`.
+   *
+   * @example
+   * if (!guard.beginCall()) return refuse()
+   * try { return await handle(call) } finally { guard.endCall() }
+   */
+  beginCall (): boolean {
+    if (this.#callsInProgress >= this.#callLimit) {
+      this.refused('calls')
+      return false
+    }
+    this.#callsInProgress += 1
+    return true
+  }
+
+  endCall (): void {
+    this.#callsInProgress -= 1
+  }
+
+  get #callLimit (): number {
+    return this.limits.calls ?? deriveCallLimit(this.limits.memoryBytes)
+  }
+
+  /**
+   * Requests that one connection may have open: an equal part of the calls that are meant for further requests, and at
+   * least one, so that a client with a single request never waits for those with thousands.
+   */
+  get requestsPerConnection (): number {
+    const furtherCalls = this.#callLimit * FURTHER_CALLS_SHARE
+    if (this.#callsInProgress >= furtherCalls) return 1
+    return Math.max(1, Math.min(this.limits.pipelinedRequests, Math.floor(furtherCalls / Math.max(1, this.#busyConnections))))
+  }
+
+  /** Counts the connections with an open request. */
+  changeBusyConnections (change: 1 | -1): void {
+    this.#busyConnections += change
+  }
+
+  /**
+   * Takes no request of the connection after those that have begun, since its next answers close it. Returns whether the
+   * request is the newest: only then may its answer carry `connection: close`, or the answers behind it would be lost.
+   * The guard closes the connection if the newest request has been answered before.
+   *
+   * @example
+   * if (guard.endAfter(request)) response.setHeader('connection', 'close')
+   */
+  endAfter (request: IncomingMessage): boolean {
+    return this.#connections.get(request.socket)?.endAfter(request) ?? true
+  }
+
   /** Whether requests may be parsed in this turn of the event loop. */
   get hasTime (): boolean {
     return this.#turnMs < TURN_MS
@@ -120,9 +186,10 @@
     this.#scheduleTurn()
   }
 
-  /** Feeds the connection in a later turn. */
-  wait (connection: GuardedConnection): void {
-    this.#waiting.add(connection)
+  /** Feeds the connection in a later turn; one that has had its time waits behind those that have not. */
+  wait (connection: GuardedConnection, hasHadTime: boolean): void {
+    if (hasHadTime) this.#waitingBusy.add(connection)
+    else this.#waiting.add(connection)
     this.#scheduleTurn()
   }
 
@@ -132,15 +199,23 @@
     setImmediate(() => {
       this.#isTurnScheduled = false
       this.#turnMs = 0
-      for (const connection of this.#waiting) {
-        if (!this.hasTime) break
-        this.#waiting.delete(connection)
-        connection.feed()
-      }
-      if (this.#waiting.size > 0) this.#scheduleTurn()
+      // One of the busy connections has time in each turn, however many others there are.
+      this.#feedNext(this.#waitingBusy)
+      while (this.hasTime && this.#feedNext(this.#waiting));
+      while (this.hasTime && this.#feedNext(this.#waitingBusy));
+      if (this.#waiting.size + this.#waitingBusy.size > 0) this.#scheduleTurn()
     })
   }
 
+  /** Feeds the connection that has waited for longest; returns whether there was one. */
+  #feedNext (waiting: Set<GuardedConnection>): boolean {
+    const [connection] = waiting
+    if (connection === undefined) return false
+    waiting.delete(connection)
+    connection.feed()
+    return true
+  }
+
   refused (reason: OverloadReason): void {
     this.#counts[reason] = (this.#counts[reason] ?? 0) + 1
     this.#options.onRefused?.(reason)
@@ -190,7 +265,7 @@
     if (Object.keys(this.#counts).length === 0) return
     const counts = this.#counts
     this.#counts = {}
-    this.#options.onSummary?.({ counts, connections: this.#connections.size, heldBytes: this.heldBytes })
+    this.#options.onSummary?.({ counts, connections: this.#connections.size, calls: this.#callsInProgress, heldBytes: this.heldBytes })
   }
 }
 
@@ -212,6 +287,12 @@
   readStop (): void
 }
 
+/** The parser of a socket, as far as Node.js itself uses it to find requests whose time has passed. */
+interface MessageParser {
+  /** Milliseconds since the start of the message that is being parsed; 0 after the end of one. */
+  duration? (): number
+}
+
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
@@ -226,6 +307,11 @@
   #chargedInputBytes = 0
   #chargedAnswerBytes = 0
   #openRequests = 0
+  /** Whether the guard counts the connection as one with an open request. */
+  #isBusy = false
+  #isForgotten = false
+  /** Whether the connection takes no further request. */
+  #isLeaving = false
   #last: IncomingMessage | undefined
   #lastMs = 0
   /** When the client last sent anything. */
@@ -248,6 +334,8 @@
   /** Whether input waits only because its time in this turn is used up. */
   #waitsForTurn = false
   #waitsSinceMs = 0
+  /** Time that the requests of the connection have taken, halved at each check: connections that stay busy keep waiting behind others. */
+  #recentMs = 0
   /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
   readonly #openBodies = new Set<(error: Error) => void>()
   /** Charges of bodies that are kept until their requests are answered. */
@@ -276,10 +364,12 @@
     this.#headBegun = false
     this.#idleMs = undefined
     this.#openRequests += 1
+    this.#noteBusy()
     const isFurther = this.#openRequests > 1
     if (isFurther) this.#account.chargeAnyway(REQUEST_BYTES)
     response.once('close', () => {
       this.#openRequests -= 1
+      this.#noteBusy()
       this.#answeredMs = this.#guard.nowMs
       if (this.#idleMs !== undefined) this.#idleMs = this.#answeredMs
       this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
@@ -287,10 +377,23 @@
       if (isFurther) this.#account.release(REQUEST_BYTES)
       // A body that nobody reads would stop the input of the connection.
       if (!request.complete) request.resume()
+      if (this.#isLeaving && this.#openRequests === 0) this.#socket.destroySoon()
       this.feed()
     })
   }
 
+  endAfter (request: IncomingMessage): boolean {
+    this.#isLeaving = true
+    return this.#last === request
+  }
+
+  #noteBusy (): void {
+    const isBusy = this.#openRequests > 0 && !this.#isForgotten
+    if (isBusy === this.#isBusy) return
+    this.#isBusy = isBusy
+    this.#guard.changeBusyConnections(isBusy ? 1 : -1)
+  }
+
   readBody (request: IncomingMessage, maximumBytes: number, keepCharge: boolean): Promise<string | undefined> {
     return new Promise((resolve, reject) => {
       const body = new BodyCollector(this.#budget, this.#account)
@@ -356,6 +459,7 @@
 
   check (nowMs: number): void {
     const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
+    this.#recentMs /= 2
     this.#chargeAnswers(nowMs)
     if (this.#socket.destroyed) return
     if (this.#socket.writableLength > 0) {
@@ -382,6 +486,8 @@
 
   /** Gives back everything that the connection holds. */
   forget (): void {
+    this.#isForgotten = true
+    this.#noteBusy()
     for (const fail of this.#openBodies) fail(createBrokenError())
     this.#input.clear()
     this.#chargedInputBytes = 0
@@ -412,7 +518,7 @@
           if (!this.#isInBody && !this.#headBegun) this.#beginHead()
           if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
           this.#waitsForTurn = true
-          this.#guard.wait(this)
+          this.#guard.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
           break
         }
         this.#endWait()
@@ -422,6 +528,7 @@
       }
     } finally {
       this.#isFeeding = false
+      this.#recentMs += spentMs
       this.#guard.spend(spentMs)
     }
     this.#settleInput()
@@ -457,7 +564,7 @@
     // Set by the HTTP server while it does not want to be given input.
     if ((this.#socket as { _paused?: boolean })._paused === true) return true
     if (this.#isInBody) return false
-    return this.#openRequests >= this.#guard.limits.pipelinedRequests || this.#socket.writableNeedDrain
+    return this.#isLeaving || this.#openRequests >= this.#guard.requestsPerConnection || this.#socket.writableNeedDrain
   }
 
   /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
@@ -471,7 +578,17 @@
   }
 
   #deliverPart (part: Buffer): void {
+    const wasInBody = this.#isInBody
     this.#deliver?.call(this.#socket, part)
+    if (wasInBody && !this.#isInBody) this.#noteHeadAfterBody()
+  }
+
+  /** The part that ended a body may have given the parser the start of the next head, for which the time counts, too. */
+  #noteHeadAfterBody (): void {
+    const { parser } = this.#socket as { parser?: MessageParser | null }
+    if (this.#isEnding || this.#headBegun || (parser?.duration?.() ?? 0) === 0) return
+    this.#headBegun = true
+    this.#headMs ??= this.#guard.nowMs
   }
 
   /** Pauses or resumes the socket, and charges what waits. */
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -23,6 +23,8 @@
 /** Lines about calls that are not served, in one second. A client can cause thousands. */
 const MAX_REFUSAL_LINES = 50
 const LOG_INTERVAL_MS = 1_000
+/** Refused callers return over 3 s, not all at once. */
+const BUSY_RETRY_SPREAD_SECONDS = 3
 const STOPPING_MESSAGE = 'the instance is stopping'
 
 const ACTION_BY_METHOD: Readonly<Record<string, CallAction>> = { POST: 'submit', GET: 'read', DELETE: 'cancel' }
@@ -61,6 +63,11 @@
     this.#options = options
   }
 
+  /** Calls that wait for their answer, including those whose client has left. */
+  get callsInProgress (): number {
+    return this.#guard?.callsInProgress ?? 0
+  }
+
   async start (): Promise<void> {
     // A request without a host is answered here: answers of the HTTP server itself are not counted as open requests.
     const server = createServer({ keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS, requireHostHeader: false }, (request, response) => {
@@ -107,6 +114,7 @@
   async #readAndAnswer (action: CallAction | undefined, path: string, request: IncomingMessage, response: ServerResponse): Promise<CallerAnswer> {
     const { desiredState } = this.#options
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      this.#guard?.endAfter(request)
       response.shouldKeepAlive = false
       return { outcome: 'invalid', message: 'the host header is missing' }
     }
@@ -151,9 +159,13 @@
 
   #handle (request: CallerRequest): Promise<CallerAnswer> {
     if (this.#answersExpired) return Promise.resolve(unavailable(STOPPING_MESSAGE))
+    if (this.#guard?.beginCall() !== true) return Promise.resolve(unavailable('too many calls are in progress', 1 + Math.floor(Math.random() * BUSY_RETRY_SPREAD_SECONDS)))
     return new Promise((resolve, reject) => {
       this.#openCalls.add(resolve)
-      this.#options.handler.handle(request).then(resolve, reject).finally(() => this.#openCalls.delete(resolve))
+      this.#options.handler.handle(request).then(resolve, reject).finally(() => {
+        this.#openCalls.delete(resolve)
+        this.#guard?.endCall()
+      })
     })
   }
 
@@ -169,7 +181,7 @@
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
       ...(retryAfterSeconds === undefined ? {} : { 'retry-after': String(retryAfterSeconds) }),
-      ...(this.#closing ? { connection: 'close' } : {})
+      ...(this.#closing && this.#guard?.endAfter(response.req) !== false ? { connection: 'close' } : {})
     })
     response.end(text)
   }
