--- a/src/coordinator/targets/targetFence.ts
+++ b/src/coordinator/targets/targetFence.ts
@@ -10,35 +10,35 @@
  *
  * @example
  * const fence = new TargetFence(info.fence, () => log.lastRevision)
- * await client.renew({ fencingToken: fence.use(), acknowledged: 12, waitMs: 0 })
- * fence.supersede()
+ * await client.renew({ fencingToken: fence.nextToken(), acknowledged: 12, waitMs: 0 })
+ * fence.raiseBeforeNextRequest()
  */
 export class TargetFence {
   readonly #latestRevision: () => number
   #token: number
-  #isSuperseded = false
+  #mustRaise = false
 
   constructor (token: number, latestRevision: () => number) {
     this.#token = token
     this.#latestRevision = latestRevision
   }
 
-  /** Returns the token for a request that is sent now. */
-  use (): number {
+  /** Returns the token for a request that is sent now, after raising it if that is due and the coordinator has written since. */
+  nextToken (): number {
     const latest = this.#latestRevision()
-    if (this.#isSuperseded && latest > this.#token) {
+    if (this.#mustRaise && latest > this.#token) {
       this.#token = latest
-      this.#isSuperseded = false
+      this.#mustRaise = false
     }
     return this.#token
   }
 
-  /** Gives later requests a higher token than those sent until now. */
-  supersede (): void {
-    this.#isSuperseded = true
+  /** Gives later requests a higher token than those sent until now, as soon as the coordinator has written to the store. */
+  raiseBeforeNextRequest (): void {
+    this.#mustRaise = true
   }
 
-  /** Whether no request has had a higher token. A target that refuses such a token knows a later coordinator. */
+  /** Whether no request has had a higher token. A target that refuses the latest token knows a later coordinator. */
   isLatest (token: number): boolean {
     return token === this.#token
   }
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -209,7 +209,7 @@
     const { fencingToken, latestRevision } = this.#options
     const fence = this.#fences.get(id) ?? new TargetFence(fencingToken, latestRevision)
     this.#fences.set(id, fence)
-    fence.supersede()
+    fence.raiseBeforeNextRequest()
     return fence
   }
 
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -496,7 +496,7 @@
   await clock.advance(200)
   const late = client.renewals.at(-1) as RenewOrder
   client.bornMs = 2
-  earlier.fence.supersede()
+  earlier.fence.raiseBeforeNextRequest()
   createSession(-Infinity, earlier, 2)
   await clock.advance(200)
   const assignment = createAssignment()
@@ -572,7 +572,7 @@
   const assignment = createAssignment()
   session.reserve(assignment)
   session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
-  fence.supersede()
+  fence.raiseBeforeNextRequest()
   await clock.advance(100)
   client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
   deliver()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -35,7 +35,7 @@
  * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** Shorter than any restart of a target. After a longer time without a report, the next incarnation may answer. */
+/** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
 const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
@@ -229,7 +229,7 @@
     for (;;) {
       const leaseUntilTargetMs = this.#extendLease()
       if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
-      const fencingToken = fence.use()
+      const fencingToken = fence.nextToken()
       assignment.state = 'starting'
       assignment.startAnswered = false
       assignment.isResumed = checkpoint !== ''
@@ -351,9 +351,9 @@
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
     const acknowledged = this.#dueAcknowledgement
-    const fencingToken = fence.use()
-    // Starts that are sent from now on make the next incarnation refuse this acknowledgement.
-    if (acknowledged > 0) fence.supersede()
+    const fencingToken = fence.nextToken()
+    // A start with a higher token makes the next incarnation refuse this acknowledgement.
+    if (acknowledged > 0) fence.raiseBeforeNextRequest()
     const result = await client.renew({
       fencingToken,
       acknowledged,
@@ -492,7 +492,7 @@
   async #sendStop (task: string, attempt: number): Promise<boolean> {
     const { client, fence, listener, hasAuthority } = this.#options
     if (!hasAuthority()) return false
-    const fencingToken = fence.use()
+    const fencingToken = fence.nextToken()
     const outcome = await client.stop({ task, attempt, fencingToken })
     if (outcome === 'fenced' && fence.isLatest(fencingToken) && !this.#hasEnded) listener.fenced(this)
     if (outcome === 'other-life') this.#endIncarnation('restarted')
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -39,9 +39,9 @@
   logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
   let { earliestEndMs, latestEndMs } = options
   while (!isClosed() && clock.monotonicMs() < (isListed() ? latestEndMs : earliestEndMs)) {
-    const outcome = await client.stop({ task, attempt, fencingToken: fence.use() })
+    const outcome = await client.stop({ task, attempt, fencingToken: fence.nextToken() })
     if (outcome === 'other-life') return undefined
-    const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.use(), acknowledged: 0, waitMs: 0 }) : undefined
+    const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.nextToken(), acknowledged: 0, waitMs: 0 }) : undefined
     if (result?.outcome === 'other-life') return undefined
     if (result?.outcome === 'report') {
       const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
