Begin the stop of a test once its open call has arrived

In a whole run at a load of 25 the open call of the test arrived more than 100 ms after the stop had begun, and was answered as a later one. The test now waits until the call is in progress; its checks are the same.

--- a/src/platform/callerFrontend.test.ts
+++ b/src/platform/callerFrontend.test.ts
@@ -34,6 +34,7 @@
 test('calls that the stop leaves no time are answered: open ones as unknown, later ones as refused', async t => {
   const { frontend, call } = await startFrontend(t, 23_920, async () => await new Promise(() => {}))
   const open = call()
+  while (frontend.callsInProgress === 0) await new Promise(resolve => setImmediate(resolve))
   frontend.beginClosing(100)
   t.is(await open, 504)
   t.is(await call(), 503)
