Print the titles that fail a test run at its end

The known failures are printed first now, then the failures, then the titles that are not listed, then the totals.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,11 +14,11 @@
   run_tests '**/*.test.ts' '!test/processes/**' '!test/soak/**'
   run_tests --concurrency=1 'test/processes/**' 'test/soak/**'
 fi
-grep -E '^(not ok|Bail out)' -A 40 "$log"
 passed=$(grep -c '^ok ' "$log")
 failed=$(grep '^not ok ' "$log" | sed -E 's/^not ok [0-9]+ - //; s/^.* › //')
 known=$([ -f KNOWN-RED.txt ] && sed -n 's/^test: //p' KNOWN-RED.txt)
-unexpected=$(grep -vxF -e "$known" <<< "$failed" | grep -c .)
+unexpected_titles=$(grep -vxF -e "$known" <<< "$failed")
+unexpected=$(grep -c . <<< "$unexpected_titles")
 expected=$(grep -c . <<< "$failed")
 expected=$((expected - unexpected))
 # A run that was aborted, or that failed outside of a test, always counts as a failure.
@@ -28,7 +28,10 @@
   tail -n 60 "$log"
   grep '^# ' "$log"
 fi
-rm -f "$log"
+# A long output is cut in its middle where it is kept, so the failures come last, and the titles that fail the run at the very end.
 if [ -s KNOWN-RED.txt ]; then echo "$expected known failures, from KNOWN-RED.txt:"; cat KNOWN-RED.txt; fi
+grep -E '^(not ok|Bail out)' -A 40 "$log"
+rm -f "$log"
+if [ -n "$unexpected_titles" ]; then echo 'Failed, and not in KNOWN-RED.txt:'; echo "$unexpected_titles"; fi
 echo "$passed passed, $unexpected failed"
 [ "$unexpected" -eq 0 ]
