Close idle connections to the readiness port in favour of probes

What the load balancer saw: with 256 idle connections to the readiness port, a probe was closed without an answer for up to 16 s, since the guard keeps idle connections for the 15 s that the platform's pages allow to callers. The instance could be taken out of use.

Change: how long an idle connection is kept at the limit of connections is a limit (keptIdleMs); the servers for readiness and metrics keep none, so that one that has been idle for 1 s gives way.

The new test fails without the change (the probe gets no answer).

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -8,7 +8,7 @@
 import type { ExecutionContext } from 'ava'
 import { getBoundAddress, listenOn, parseAddress } from '../network.ts'
 import { FrontEndGuard } from './frontEndGuard.ts'
-import { DEFAULT_FRONT_END_LIMITS } from './frontEndLimits.ts'
+import { DEFAULT_FRONT_END_LIMITS, PROBE_LIMITS } from './frontEndLimits.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import type { OverloadReason } from './memoryBudget.ts'
 
@@ -159,6 +159,15 @@
   t.regex(await text(first), /served$/)
 })
 
+// Guards against a load balancer that takes an instance out of use because others hold connections to its readiness port.
+test('at the limit of connections for probes, one that has been idle for a second is closed in favour of a new one', async t => {
+  const server = await startServer(t, { ...PROBE_LIMITS, connections: 2 }, (_guard, _request, response) => { response.end('served') })
+  await Promise.all([server.open(GET), server.open(GET)].map(async socket => await once(socket, 'data')))
+  server.clock.nowMs += 1_001
+  t.regex(await text(server.open(LAST_GET)).catch(() => ''), /served$/)
+  t.deepEqual(server.refused, ['connections'])
+})
+
 test('a request that has arrived in full and waits for a turn is not closed with 408', async t => {
   const server = await startServer(t, {}, (guard, request, response) => {
     const endMs = performance.now() + 15
--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import { BaseError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
-import { deriveCallLimit } from './frontEndLimits.ts'
+import { DEFAULT_KEPT_IDLE_MS, deriveCallLimit } from './frontEndLimits.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
@@ -25,8 +25,6 @@
 const REQUEST_BYTES = 4_096
 /** Connections that are accepted beyond the limit in order to choose the one that is closed. */
 const SPARE_CONNECTIONS = 16
-/** The platform's pages allow connections that are idle for this time, so they are not closed in favour of new ones. */
-const ALLOWED_IDLE_MS = 15_000
 /** Part of the calls in progress that further requests of connections may use. The rest is for connections with one request. */
 const FURTHER_CALLS_SHARE = 0.5
 const LINE_FEED = 0x0a
@@ -461,7 +459,8 @@
     // A call in progress is not given up because the next request has begun.
     if (this.#openRequests > 0) return 0
     if (this.#headMs !== undefined) return nowMs - this.#headMs
-    return nowMs - (this.#last === undefined ? this.#openedMs : this.#answeredMs) - ALLOWED_IDLE_MS
+    const { keptIdleMs = DEFAULT_KEPT_IDLE_MS } = this.#guard.limits
+    return nowMs - (this.#last === undefined ? this.#openedMs : this.#answeredMs) - keptIdleMs
   }
 
   check (nowMs: number): void {
--- a/src/adapters/http/frontEndLimits.ts
+++ b/src/adapters/http/frontEndLimits.ts
@@ -12,12 +12,17 @@
   readonly answerTimeoutMs: number
   /** Time for which a connection without any request stays open. */
   readonly idleTimeoutMs: number
+  /** Time for which an idle connection is not closed in favour of a new one; `DEFAULT_KEPT_IDLE_MS` unless set. */
+  readonly keptIdleMs?: number
   /** Requests of one connection without a written answer; reading from it pauses at this number. */
   readonly pipelinedRequests: number
   /** Calls in progress over all connections; derived from `memoryBytes` unless set. */
   readonly calls?: number
 }
 
+/** The platform's pages allow callers connections that are idle for this time. */
+export const DEFAULT_KEPT_IDLE_MS = 15_000
+
 export const DEFAULT_FRONT_END_LIMITS: Omit<FrontEndLimits, 'memoryBytes' | 'connections'> = {
   // The platform's pages allow 3 s; a busy instance may read late.
   headerTimeoutMs: 6_000,
@@ -27,8 +32,8 @@
   pipelinedRequests: 16
 }
 
-/** For the load balancer's probes and the scrapers of metrics, which are few. */
-export const PROBE_LIMITS: FrontEndLimits = { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 2_097_152, connections: 256 }
+/** For the load balancer's probes and the scrapers of metrics, which are few. A probe must not wait for idle connections. */
+export const PROBE_LIMITS: FrontEndLimits = { ...DEFAULT_FRONT_END_LIMITS, memoryBytes: 2_097_152, connections: 256, keptIdleMs: 0 }
 
 /**
  * Memory of a call that waits for its answer. Measured with 1,000 connections: 11 KB on the heap for each with one call;
