Make host names, edit distance and the schema of the state reusable

The check of a desired state needs the rule by which the host of a call is read, the distance of names, and the schema and decoder of the state. hostName and editDistance move to files of their own; the decoder is split into parsing and decoding.

--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -9,6 +9,7 @@
 import { unavailable } from '../entry/callerCall.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallerRequest, CallHandler } from '../entry/callerCall.ts'
 import type { DesiredStateSummary } from '../jobs/desiredState.ts'
+import { hostName } from '../jobs/hostName.ts'
 import type { Component } from '../lifecycle/component.ts'
 import { InputError } from '../model/errors.ts'
 import type { Logger } from '../observability/logger.ts'
@@ -193,10 +194,6 @@
   return Number.isFinite(durationMs) && durationMs > 0 ? durationMs : undefined
 }
 
-function hostName (header: string): string {
-  return header.replace(/:\d+$/, '').toLowerCase()
-}
-
 function parseJson (body: string): unknown {
   try {
     return JSON.parse(body)
--- a/src/platform/desiredState.ts
+++ b/src/platform/desiredState.ts
@@ -24,7 +24,7 @@
   recommendation: z.object({ decision_ms: z.number(), period_ms: z.number(), validity_ms: z.number() }).nullish()
 })
 
-const configSchema = z.object({
+export const desiredStateSchema = z.object({
   version: z.number(),
   routes: z.array(routeSchema).default([]),
   services: z.array(z.object({ name: z.string(), standby: z.boolean().default(false) })).default([]),
@@ -50,9 +50,12 @@
   } catch (error) {
     throw new InputError('the desired state is not valid JSON:', { cause: error })
   }
-  const parsed = configSchema.safeParse(raw)
+  const parsed = desiredStateSchema.safeParse(raw)
   if (!parsed.success) throw new InputError(`the desired state is invalid: ${z.prettifyError(parsed.error)}`)
-  const { version, routes, services, limits, tenants } = parsed.data
+  return decodeDesiredState(parsed.data)
+}
+
+export function decodeDesiredState ({ version, routes, services, limits, tenants }: z.infer<typeof desiredStateSchema>): DesiredState {
   return {
     version,
     queues: routes.map(decodeQueue),
--- a/src/settings/values.ts
+++ b/src/settings/values.ts
@@ -1,5 +1,6 @@
 /** Validates single values against the schema, and converts them from and to text. */
 import type { SettingValue } from '../model/change.ts'
+import { editDistance } from './editDistance.ts'
 import type { Branch } from './paths.ts'
 import { NAME_PATTERN, NAME_RULE } from './definition.ts'
 import type { BranchLevel, SettingMeta } from './definition.ts'
@@ -38,19 +39,6 @@
 /** Maximum edit distance at which an unknown name is treated as a misspelling. */
 const MAX_SPELLING_DISTANCE = 3
 
-function editDistance (left: string, right: string): number {
-  let previous = Array.from({ length: right.length + 1 }, (_, index) => index)
-  for (let row = 1; row <= left.length; row++) {
-    const current = [row]
-    for (let column = 1; column <= right.length; column++) {
-      const substitution = (previous[column - 1] ?? 0) + (left[row - 1] === right[column - 1] ? 0 : 1)
-      current.push(Math.min(substitution, (previous[column] ?? 0) + 1, (current[column - 1] ?? 0) + 1))
-    }
-    previous = current
-  }
-  return previous[right.length] ?? 0
-}
-
 /** Suggests the closest known name, or lists all known names if none is close. */
 export function suggestName (name: string, known: readonly string[]): string {
   const lower = name.slice(0, 64).toLowerCase()
