--- a/src/commands/program.test.ts
+++ b/src/commands/program.test.ts
@@ -82,7 +82,7 @@
 interface Cluster {
   readonly handler: ScriptedHandler
   readonly runCommand: (...args: readonly string[]) => Promise<Result>
-  readonly writeFile: (text: string) => Promise<string>
+  readonly writeFile: (text: string, name?: string) => Promise<string>
 }
 
 async function startCluster (t: ExecutionContext, ...answers: ReadonlyArray<ChangeAnswer | Error>): Promise<Cluster> {
@@ -100,8 +100,8 @@
       const result = await run(args, { AGATEGAUGE_OPERATOR: server.address, AGATEGAUGE_TOKEN: TOKEN })
       return { ...result, errors: result.errors.replaceAll(server.address, 'HOST:PORT') }
     },
-    async writeFile (text) {
-      const file = join(directory, 'cell.ini')
+    async writeFile (text, name = 'cell.ini') {
+      const file = join(directory, name)
       await writeFile(file, text)
       return file
     }
@@ -127,7 +127,8 @@
     ['limit', 'weavers', '--memory', '64'], ['limit', 'weaver', '--slots', '4'], ['share', 'weavers', 'much'], ['team', 'create', 'weavers'], ['team', 'create', 'Weavers!'], ['team', 'remove', 'spinners'],
     ['team', 'remove', 'dyers'], ['key', 'withdraw', 'nobody-1'], ['key', 'create', 'spinners'], ['policy', '/kinds/render', 'share=1'], ['policy', '/kinds/batch', 'share=1'], ['policy', '/teams/weavers', 'keyGrace'],
     ['policy', '/teams/weavers', 'share=1', 'share=2'], ['status', '--token', 'x', '--token', 'y'], ['share', 'weavers', '3', '--wait', '1 s', '--wait', '2 s'], ['settings', 'explain', 'keyGrase', '--team', 'weavers'], ['settings', 'explain', '--team', 'weaver'], ['status', '--address', 'nowhere'],
-    ['status', '--token', 'wrong'], ['status', '--address', '127.0.0.1:1'], ['share', 'weavers', '3', '--wait', '5'], ['share', 'weavers', '3', '--wait', '1 h'], ['serve'], ['settings', 'check', 'missing.ini']]
+    ['status', '--token', 'wrong'], ['status', '--address', '127.0.0.1:1'], ['share', 'weavers', '3', '--wait', '5'], ['share', 'weavers', '3', '--wait', '1 h'], ['serve'], ['settings', 'check', 'missing.ini'],
+    ['settings', 'check', 'missing.json', '--desired-state'], ['settings', 'check', 'next.json', '--strict'], ['settings', 'check', 'next.json', '--desired-state', '--instance'], ['settings', 'check', 'next.json', '--desired-state', '--format', 'xml']]
   for (const args of invalidCommands) {
     const { exitCode, errors } = await runCommand(...args)
     t.true([1, 2, 4].includes(exitCode), `${args.join(' ')}: ${exitCode}`)
@@ -155,6 +156,28 @@
   t.deepEqual(JSON.parse((await runCommand('status', '--json')).output), STATUS)
 })
 
+test('the check of a desired state lists findings and differences, shows no key, and its exit code says whether to write it', async t => {
+  const { writeFile } = await startCluster(t)
+  const route = (name: string, timeoutMs: number): string => `{"name": "${name}", "host": "orders.example", "prefix": "/${name}/", "service": "stock", "timeout_ms": ${timeoutMs}}`
+  const team = (name: string, rest: string): string => `{"name": "${name}", ${rest}}`
+  const state = (version: number, routes: readonly string[], teams: readonly string[]): string => `{"version": ${version}, "routes": [${routes.join()}], "services": [{"name": "stock"}], "tenants": [${teams.join()}]}`
+  const [batch, weavers] = [route('stock-batch', 2_000), team('weavers', '"api_keys": ["agk_kept"]')]
+  const files: Readonly<Record<string, string>> = {
+    now: await writeFile(state(7, [route('stock-batch', 3_000), route('gone', 3_000)], [team('weavers', '"api_keys": ["agk_kept", "agk_withdrawn"]')]), 'now.json'),
+    next: await writeFile(state(8, [batch], [weavers]), 'next.json'),
+    doubtful: await writeFile(state(8, [batch], [weavers, team('dyers', '"wieght": 2')]), 'doubtful.json'),
+    wrong: await writeFile(state(6, [batch], [weavers, team('dyers', '"api_keys": ["agk_kept"], "weight": 0')]), 'wrong.json'),
+    broken: await writeFile('{"version": 8', 'broken.json')
+  }
+  const cases: ReadonlyArray<readonly [number, string]> = [[0, 'next --against now'], [0, 'next --format json --against now'], [0, 'doubtful'], [1, 'doubtful --strict'], [1, 'wrong --against now'], [1, 'wrong --format json'], [1, 'broken'], [1, 'next --against broken'], [2, 'next --against missing']]
+  for (const [expected, args] of cases) {
+    const { exitCode, output, errors } = await run(['settings', 'check', '--desired-state', ...args.split(' ').map(word => files[word] ?? word)])
+    t.is(exitCode, expected, args)
+    t.notRegex(output + errors, /agk_/, args)
+    t.snapshot((output + errors).replaceAll(/[^\s"\\]*\/agategauge-[^/]*\//g, ''), args)
+  }
+})
+
 test('apply distinguishes acceptance, conflicts, missing confirmations and outages', async t => {
   const partlyConfirmed: ChangeAnswer = {
     outcome: 'accepted',
