--- a/src/platform/desiredStateFile.ts
+++ b/src/platform/desiredStateFile.ts
@@ -30,8 +30,13 @@
   'cap.accelerators': 'cap.gpu'
 }
 
-/** Fields that the platform defines and instances do not read. */
-const UNREAD_FIELDS = ['limits.max_header_bytes', 'limits.header_timeout_ms', 'limits.idle_timeout_ms']
+/** Fields that the platform defines and instances do not read, by the path of the object that has them. */
+const UNREAD_FIELDS: Readonly<Record<string, readonly string[]>> = {
+  routes: ['kind', 'allowed_regions'],
+  services: ['health_path', 'max_conns', 'protocol', 'tls', 'admission_control', 'cold_start_s', 'cold_per_s'],
+  limits: ['max_header_bytes', 'header_timeout_ms', 'idle_timeout_ms'],
+  tenants: ['priority', 'rate_per_s', 'burst']
+}
 
 /** Maximum edit distance at which an unknown field is treated as a misspelling. */
 const MAX_SPELLING_DISTANCE = 2
@@ -101,7 +106,7 @@
   return Object.keys(value).flatMap(name => {
     const place = [...path, name]
     if (Object.hasOwn(shape, name)) return findUnknownFields(shape[name], value[name], place)
-    if (UNREAD_FIELDS.includes(place.join('.'))) return []
+    if (UNREAD_FIELDS[path.filter(step => typeof step === 'string').join('.')]?.includes(name) === true) return []
     return [{ severity: 'warning', code: 'unknown-field', place, message: describeUnknownField(name, Object.keys(shape)) }]
   })
 }
