Pass on requests that wait for an allotment where the store does not answer

Seen: "a data centre partitioned from the store keeps serving and rejects a withdrawn key" failed with 504 "the deadline passed" for every call of 60 s, in about 1 of 5 runs of the whole file.

Cause: an instance that can't take an allotment passes its waiting requests on after 1 s, but only if the limit of the team, as last read, had room. The copy of the record is not read again while nothing waits. After the store outage of the preceding test, whose backlog lets the instances hold all 50 slots, the copy can show the limit as used up (logs: held 50 of 50). When the last chunk of the instance is returned after 30 s, or the limit was in use elsewhere when the link broke, every request waits for its deadline, although other instances hold free allotments.

Change: a request is passed on as well if the record was not read since the request began to wait. With a store that answers, the record is read as soon as a request waits, so that a limit in use is still waited for.

The new test of allotmentManager.test.ts fails with the old rule.

--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -4,13 +4,12 @@
 import type { Component } from '../lifecycle/component.ts'
 import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { sameInstance } from '../model/identity.ts'
-import { addResources, DIMENSIONS, NO_RESOURCES, subtractResources } from '../model/resources.ts'
+import { addResources, DIMENSIONS, NO_RESOURCES, scaleResources, subtractResources } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { ConfigurationSubsystem } from './configurationSubsystem.ts'
 import type { CoordinationSubsystem } from './coordinationSubsystem.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
 import { PeerCapacity } from './placement/peerCapacity.ts'
-import type { PlacementRequest } from './placement/placementQueue.ts'
 import type { SchedulingSubsystem } from './schedulingSubsystem.ts'
 import { UsageCollector } from './tasks/usageCollector.ts'
 
@@ -77,19 +76,10 @@
       .filter(({ ref, state, region: digestRegion }) => state === 'serving' && digestRegion === region && !sameInstance(ref, this.#coordination.ownership.self))
     const peerCapacity = new PeerCapacity(digests)
     placements.rerouteWaiting(({ request, fitsLocally, waitedMs }) => fitsLocally
-      ? waitedMs >= ALLOTMENT_REROUTE_AFTER_MS && this.#isAllotmentUnavailable(request)
+      ? waitedMs >= ALLOTMENT_REROUTE_AFTER_MS && this.#coordination.allotments.mayFitElsewhere(request.team, scaleResources(request.size, request.taskIds.length), waitedMs)
       : waitedMs >= REROUTE_AFTER_MS && peerCapacity.tryReserve(request))
   }
 
-  /**
-   * True if the team's limit, as last read, leaves room for the request, or was never read. The request then waits only
-   * because this instance can't take an allotment without the store, while other instances may hold some.
-   */
-  #isAllotmentUnavailable ({ team, size, taskIds }: PlacementRequest): boolean {
-    const { limit, held } = this.#coordination.allotments.status(team)
-    return DIMENSIONS.every(dimension => held[dimension] + size[dimension] * taskIds.length <= (limit[dimension] ?? Infinity))
-  }
-
   #balanceShares (): void {
     const { ledger, placements, preemptor } = this.#scheduling
     const { membership } = this.#configuration
--- a/src/scheduler/limits/allotmentManager.test.ts
+++ b/src/scheduler/limits/allotmentManager.test.ts
@@ -144,3 +144,26 @@
   t.false(first.trySpend(TEAM, 'task-1', resources({ slots: 6 })))
   await cell.stop()
 })
+
+// Guards against requests that wait until their deadline at an instance without the store, whose copy of the record still
+// shows the limit as used up, although other instances have free allotments.
+test('a request may fit elsewhere if the record, as last read, is full and was not read since the request began to wait', async t => {
+  const cell = new AllotmentCell()
+  const [first, second] = [cell.add(), cell.add()]
+  await Promise.all([first.start(), second.start()])
+  second.setQueuedDemand(TEAM, resources({ slots: LIMIT }))
+  await cell.clock.advance(3_000)
+  t.true(second.trySpend(TEAM, 'task-1', resources({ slots: LIMIT })))
+  first.setQueuedDemand(TEAM, resources({ slots: 1 }))
+  await cell.clock.advance(3_000)
+  t.is(first.status(TEAM).held.slots, LIMIT)
+  t.false(first.mayFitElsewhere(TEAM, resources({ slots: 1 }), 2_500), 'the limit is in use')
+  cell.faults[0]?.setDown('store', true)
+  second.refund('task-1')
+  second.setQueuedDemand(TEAM, resources({}))
+  await cell.clock.advance(2_000)
+  t.true(second.spare(TEAM).slots > 0, 'the other instance has a free allotment')
+  t.is(first.status(TEAM).held.slots, LIMIT, 'the record is not read again')
+  t.true(first.mayFitElsewhere(TEAM, resources({ slots: 1 }), 1_000))
+  await cell.stop()
+})
--- a/src/scheduler/limits/allotmentManager.ts
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -1,7 +1,7 @@
 /** Keeps each team's usage on this instance within the instance's allotment of the team's limit. */
 import type { InstanceRef } from '../../model/identity.ts'
 import type { Component } from '../../lifecycle/component.ts'
-import { addResources, isEmpty, NO_RESOURCES } from '../../model/resources.ts'
+import { addResources, DIMENSIONS, isEmpty, NO_RESOURCES } from '../../model/resources.ts'
 import type { Limit, Resources } from '../../model/resources.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { PeerClient } from '../../ports/peerClient.ts'
@@ -150,6 +150,17 @@
     return this.status(team)
   }
 
+  /**
+   * Whether a request that has waited for `waitedMs` may wait only because this instance can't take an allotment without
+   * the store, while other instances may hold some: the record leaves room for the amount, or it was not read since the
+   * request began to wait, so that amounts which it lists may have been returned.
+   */
+  mayFitElsewhere (team: string, amount: Resources, waitedMs: number): boolean {
+    if (this.#team(team).recordAgeMs > waitedMs) return true
+    const { limit, held } = this.status(team)
+    return DIMENSIONS.every(dimension => held[dimension] + amount[dimension] <= (limit[dimension] ?? Infinity))
+  }
+
   /** Discards all allotments after the instance was removed from the members; other members reclaim the old entries. */
   reset (): void {
     this.#teamOfTask.clear()
--- a/src/scheduler/limits/allotmentView.ts
+++ b/src/scheduler/limits/allotmentView.ts
@@ -16,6 +16,7 @@
   #entry: StoreEntry | undefined
   #record: AllotmentRecord = EMPTY_ALLOTMENT
   #stale = true
+  #currentAtMs = -Infinity
   #nextWriteMs = 0
   #tail: Promise<unknown> = Promise.resolve()
 
@@ -35,14 +36,21 @@
     return this.#stale
   }
 
+  /** Monotonic time at which the record was last known to be current; negative infinity if the store never answered. */
+  get currentAtMs (): number {
+    return this.#currentAtMs
+  }
+
   markStale (): void {
     this.#stale = true
   }
 
   async read (signal?: AbortSignal): Promise<void> {
     this.#stale = false
+    const startedAtMs = this.#clock.monotonicMs()
     try {
       this.#storeEntry(await this.#store.get(this.#key, signal))
+      this.#currentAtMs = startedAtMs
     } catch (error) {
       this.#stale = true
       throw error
@@ -50,12 +58,17 @@
   }
 
   async update (change: (record: AllotmentRecord) => AllotmentRecord | undefined, signal?: AbortSignal): Promise<void> {
+    const startedAtMs = this.#clock.monotonicMs()
+    const known = this.#entry
     try {
-      this.#storeEntry(await this.#updater.update(this.#key, this.#entry, value => {
+      const entry = await this.#updater.update(this.#key, known, value => {
         const next = change(parseAllotment(value))
         if (next !== undefined) this.#nextWriteMs = this.#clock.monotonicMs() + WRITE_INTERVAL_MS
         return next === undefined ? undefined : serialiseAllotment(next)
-      }, signal))
+      }, signal)
+      this.#storeEntry(entry)
+      // The known entry is returned if nothing had to be changed, without a call to the store.
+      if (entry !== known) this.#currentAtMs = startedAtMs
     } catch (error) {
       this.#stale = true
       throw error
--- a/src/scheduler/limits/teamAllotment.ts
+++ b/src/scheduler/limits/teamAllotment.ts
@@ -50,6 +50,11 @@
     return this.#view.record
   }
 
+  /** Time since the record was last known to be current; infinite if the store never answered. */
+  get recordAgeMs (): number {
+    return this.#dependencies.clock.monotonicMs() - this.#view.currentAtMs
+  }
+
   /** The configured limit or the limit in the record, whichever has the higher version. */
   get limit (): Limit {
     return this.record.limitVersion > this.#configured.version ? this.record.limit : this.#configured.limit
--- a/test/processes/faults.test.ts
+++ b/test/processes/faults.test.ts
@@ -23,6 +23,8 @@
 const RECENT_CONTACT_MS = 3_500
 /** Below the 56 slots of all runners. */
 const LIMIT_SLOTS = 50
+/** Of a second team, whose limit a test uses up. */
+const SMALL_LIMIT_SLOTS = 3
 /** Time within which a load balancer stops sending to an instance that refuses requests as draining. */
 const LOAD_BALANCER_DELAY_MS = 200
 /** Output lines printed for a process that exited unexpectedly. */
@@ -144,6 +146,34 @@
   t.is((await client.run(inside.addresses.caller, key, { id: 'cut-healed', repeatable: false })).status, 200)
 })
 
+// Guards against requests that wait until their deadline at an instance cut off from the store, which last saw the limit
+// of their team in use, while other instances have free allotments.
+test.serial('a data centre partitioned from the store does not hold back requests of a team whose limit it last saw in use', async t => {
+  const [inside, outside] = [cluster.instance('macedonia-a-entry-1'), cluster.instance('attica-a-entry-1')]
+  const links = cluster.links('macedonia-a')
+  const carders = await createTeam(cluster, 'carders', ['--slots', String(SMALL_LIMIT_SLOTS)])
+  const abort = new AbortController()
+  const tasks = Array.from({ length: SMALL_LIMIT_SLOTS }, async (_, index) =>
+    await client.run(outside.addresses.caller, carders, { id: `held-${index}`, kind: 'batch', size: { slots: 1 }, deadlineMs: 120_000, payload: { runMs: 120_000 } }, abort.signal))
+  try {
+    await waitUntil('the limit of the team is in use', async () => (await findRuns(cluster, id => id.startsWith('held-'))).length === SMALL_LIMIT_SLOTS)
+    // While this request waits, its instance reads the record and finds the limit in use.
+    t.like(await client.run(inside.addresses.caller, carders, { id: 'held-back', deadlineMs: 3_000 }), { status: 504, verdict: 'not-run' })
+    links.store.startFault('silent')
+    links.list.startFault('silent')
+    abort.abort()
+    await Promise.all(tasks)
+    await waitUntil('the limit is free', async () => (await findRuns(cluster, id => id.startsWith('held-'))).every(({ ending }) => ending !== undefined))
+    const answer = await client.run(inside.addresses.caller, carders, { id: 'held-no-longer', deadlineMs: 60_000 })
+    t.is(answer.status, 200, answer.body.toString())
+  } finally {
+    abort.abort()
+    links.store.clearFault()
+    links.list.clearFault()
+  }
+  await awaitAllInContact()
+})
+
 test.serial('a request that waits at a full instance starts when another instance has free capacity', async t => {
   const abort = new AbortController()
   setMaxListeners(LIMIT_SLOTS, abort.signal)
