Replace sessions to peers without blocking later calls or uncaught errors

Cause, two faults of Http2SessionManager (@connectrpc/connect-node 2.1.2) that its pings expose: - A ping that times out, as happens in a process that did not run for 3 s, destroys the session, whose error follows only when its socket has closed. A call in between replaces the session, for which the manager removes its listener. The error is then an uncaught exception, with which Node.js ends a process with code 1. - A session that its peer closes while it is pinged before its next use leaves the ping without an end. Every later call to that peer that follows on 5 s without an answer waits for this ping for ever, until the instance is restarted.

Change: PeerSessions pings itself and turns off the pings of the manager. It keeps a listener for errors on each session, ends a verification when the session closes, and reads what has arrived before it takes a ping for unanswered.

--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -2,7 +2,7 @@
 import { create } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Client, Interceptor } from '@connectrpc/connect'
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import { checkChange, checkSnapshot } from '../../configuration/recordSchemas.ts'
 import * as wire from '../../generated/peer_pb.ts'
 import type { Component } from '../../lifecycle/component.ts'
@@ -15,9 +15,10 @@
 import { PEER_SECRET_HEADER } from './connectPeerServer.ts'
 import { decodeExchangeAnswer, encodeExchangeRequest } from './exchangeCodec.ts'
 import { decodeResources, decodeRunEvent, encodeRef, encodeResources, parseJson } from './peerCodec.ts'
+import { PeerSessions } from './peerSessions.ts'
 
 interface Connection {
-  readonly sessions: Http2SessionManager
+  readonly sessions: PeerSessions
   readonly client: Client<typeof wire.PeerService>
 }
 
@@ -114,7 +115,7 @@
     const existing = this.#connections.get(address)
     if (existing !== undefined) return existing.client
     const baseUrl = `http://${address}`
-    const sessions = new Http2SessionManager(baseUrl, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS })
+    const sessions = new PeerSessions(baseUrl, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS })
     const authenticate: Interceptor = next => async request => {
       request.header.set(PEER_SECRET_HEADER, this.#secret)
       return await next(request)
--- /dev/null
+++ b/src/adapters/peer/peerSessions.ts
@@ -0,0 +1,131 @@
+/** HTTP/2 sessions to one peer, with detection of sessions that no longer answer. */
+import { constants } from 'node:http2'
+import type { ClientHttp2Session, ClientHttp2Stream, ClientSessionRequestOptions, OutgoingHttpHeaders } from 'node:http2'
+import { setImmediate as endOfTurn } from 'node:timers/promises'
+import { Code, ConnectError } from '@connectrpc/connect'
+import { Http2SessionManager } from '@connectrpc/connect-node'
+
+export interface PeerSessionOptions {
+  /** Time without a sign of life after which a session with open streams, or one that is to be used again, is pinged. */
+  readonly pingIntervalMs: number
+  /** Time for the answer to a ping. */
+  readonly pingTimeoutMs: number
+}
+
+/**
+ * Opens a session when it is needed, and replaces one that was closed or does not answer. The pings of `Http2SessionManager`
+ * are not used: a session that its peer closes while it is pinged before its next use blocks all later requests, and one
+ * that is replaced while it closes emits an `error` event without a listener, which is an uncaught exception.
+ *
+ * @example
+ * const sessions = new PeerSessions('http://10.1.0.7:7400', { pingIntervalMs: 5_000, pingTimeoutMs: 3_000 })
+ * const transport = createConnectTransport({ baseUrl: sessions.authority, httpVersion: '2', sessionManager: sessions })
+ */
+export class PeerSessions {
+  readonly #options: PeerSessionOptions
+  readonly #manager: Http2SessionManager
+  #current: WatchedSession | undefined
+
+  constructor (baseUrl: string, options: PeerSessionOptions) {
+    this.#options = options
+    this.#manager = new Http2SessionManager(baseUrl, { pingIntervalMs: Infinity })
+  }
+
+  get authority (): string {
+    return this.#manager.authority
+  }
+
+  async request (method: string, path: string, headers: OutgoingHttpHeaders, options: Omit<ClientSessionRequestOptions, 'signal'>): Promise<ClientHttp2Stream> {
+    await this.#current?.verify()
+    const stream = await this.#manager.request(method, path, headers, options)
+    this.#watch(stream)
+    return stream
+  }
+
+  notifyResponseByteRead (stream: ClientHttp2Stream): void {
+    this.#manager.notifyResponseByteRead(stream)
+    if (stream.session === this.#current?.session) this.#current?.noteAlive()
+  }
+
+  /** Closes the session and its streams. */
+  abort (): void {
+    this.#manager.abort()
+  }
+
+  #watch (stream: ClientHttp2Stream): void {
+    const session = stream.session as ClientHttp2Session | undefined
+    if (session === undefined) return
+    if (this.#current?.session !== session) this.#current = new WatchedSession(session, this.#options)
+    this.#current.addStream(stream)
+  }
+}
+
+class WatchedSession {
+  readonly session: ClientHttp2Session
+  readonly #options: PeerSessionOptions
+  #aliveAtMs = performance.now()
+  #streamCount = 0
+  #timer: NodeJS.Timeout | undefined
+  #verifying: Promise<void> | undefined
+
+  constructor (session: ClientHttp2Session, options: PeerSessionOptions) {
+    this.session = session
+    this.#options = options
+    // The manager removes its own listener when it replaces the session, which may report an error later.
+    session.on('error', () => {})
+    session.once('close', () => clearTimeout(this.#timer))
+  }
+
+  addStream (stream: ClientHttp2Stream): void {
+    this.#streamCount++
+    stream.once('response', () => this.noteAlive())
+    stream.once('close', () => { this.#streamCount-- })
+    if (this.#timer === undefined) this.#schedule()
+  }
+
+  noteAlive (): void {
+    this.#aliveAtMs = performance.now()
+  }
+
+  /** Pings the session if there was no sign of life lately; resolves when it has answered or is closed. */
+  async verify (): Promise<void> {
+    if (this.session.closed || this.session.destroyed || this.#untilPingMs() > 0) return
+    this.#verifying ??= this.#ping().finally(() => { this.#verifying = undefined })
+    await this.#verifying
+  }
+
+  #untilPingMs (): number {
+    return this.#aliveAtMs + this.#options.pingIntervalMs - performance.now()
+  }
+
+  /** Verifies the session regularly as long as it has streams. */
+  #schedule (): void {
+    this.#timer = setTimeout(async () => {
+      if (this.#streamCount > 0) await this.verify()
+      this.#timer = undefined
+      if (this.#streamCount > 0 && !this.session.destroyed) this.#schedule()
+    }, Math.max(0, this.#untilPingMs())).unref()
+  }
+
+  async #ping (): Promise<void> {
+    await new Promise<void>(resolve => {
+      let answered = false
+      const timer = setTimeout(async () => {
+        // After a time in which this process did not run, the answer may have arrived without having been read.
+        await endOfTurn()
+        if (!answered) this.session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
+      }, this.#options.pingTimeoutMs)
+      const settle = (): void => {
+        clearTimeout(timer)
+        this.session.off('close', settle)
+        resolve()
+      }
+      this.session.once('close', settle)
+      this.session.ping(error => {
+        answered = true
+        if (error === null) this.noteAlive()
+        settle()
+      })
+    })
+  }
+}
