Extract the numbers of run ends from the target session

TargetSession held the numbers of received, stored and discarded run ends among the state of six other subjects, so that the rule of what may be acknowledged was spread over the file. RunEndNumbers holds them now; the session tells it whether its incarnation is certain to get the number.

No change of behaviour.

--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -11,6 +11,7 @@
 import { areIsolated } from './crashEvidence.ts'
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
+import { RunEndNumbers } from './runEndNumbers.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import type { TargetFence } from './targetFence.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
@@ -86,14 +87,7 @@
   /** False until the target list has been read: a target in the log may have left since. */
   #listed = false
   #listedAtMs = -Infinity
-  #lastFinishedNumber = 0
-  /** Number of the last run end that is stored together with all earlier ones. */
-  #lastStoredNumber = 0
-  /** Number up to which this incarnation has certainly discarded its run ends. */
-  #lastDiscardedNumber = 0
-  #pendingStores = 0
-  /** Resolves when all run ends handled so far are stored. */
-  #allStored: Promise<void> = Promise.resolve()
+  readonly #ends: RunEndNumbers
   /** Lower bound of the target's clock minus this process's. */
   #clockOffsetMs: number | undefined
   #lastContactMs = -Infinity
@@ -123,6 +117,7 @@
     this.description = options.description
     this.key = targetKey(options.description)
     this.capacity = new TargetCapacity(options.description.capacity)
+    this.#ends = new RunEndNumbers(options.description, options.logger)
     this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
     this.#lastAnswerMs = options.clock.monotonicMs()
   }
@@ -327,24 +322,13 @@
 
   #renewWaitMs (): number {
     if (!this.#joined || this.#unansweredSinceMs !== undefined) return 0
-    const awaitsConfirmation = this.#pendingStores > 0 || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
+    const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
-  /** Whether the target has to be told to discard run ends. */
-  get #owesAcknowledgement (): boolean {
-    return this.#lastStoredNumber > this.#lastDiscardedNumber
-  }
-
-  /**
-   * A target that has restarted can not tell that a request was meant for its earlier incarnation, and would discard ends of
-   * its own, whose numbers start again. So a number is sent only right after a report of this incarnation, and until it has
-   * arrived.
-   */
   get #dueAcknowledgement (): number {
     const reportAgeMs = this.#options.clock.monotonicMs() - this.#lastContactMs
-    const answers = this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
-    return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
+    return this.#ends.dueAcknowledgement(this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS)
   }
 
   async #renew (waitMs: number): Promise<void> {
@@ -358,7 +342,7 @@
       fencingToken,
       acknowledged,
       leaseUntilTargetMs: this.#joined ? this.#extendLease() : undefined,
-      waitMs: acknowledged === 0 && this.#owesAcknowledgement ? 0 : waitMs
+      waitMs: acknowledged === 0 && this.#ends.owesAcknowledgement ? 0 : waitMs
     })
     if (this.#hasEnded) return
     switch (result.outcome) {
@@ -381,14 +365,14 @@
   async #handleReport (report: TargetReport, sentMs: number, acknowledged: number): Promise<void> {
     const { bornMs } = this.description
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
-    this.#lastDiscardedNumber = Math.max(this.#lastDiscardedNumber, acknowledged)
+    this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
     this.#lastContactMs = this.#lastAnswerMs = nowMs
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
     this.#clockOffsetMs = report.clockMs - nowMs
-    const stored = this.#handleFinishedRuns(report.finished)
+    const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#handleRunningTasks(report.running, nowMs)
     this.#detectLostRuns(report, sentMs)
     if (!this.#joined) {
@@ -397,40 +381,14 @@
     }
     this.#options.listener.stateChanged()
     // An acknowledgement that is due must not wait until the report is too old for it.
-    if (this.#pendingStores > 0 && !this.#owesAcknowledgement) {
-      await Promise.race([this.#allStored.catch(() => {}), this.#options.clock.sleep(stored === undefined ? SHORT_RENEW_WAIT_MS : STORE_WAIT_MS)])
+    if (this.#ends.hasPendingStores && !this.#ends.owesAcknowledgement) {
+      await Promise.race([this.#ends.allStored.catch(() => {}), this.#options.clock.sleep(stored === undefined ? SHORT_RENEW_WAIT_MS : STORE_WAIT_MS)])
     }
     if (stored === undefined) return
     const remainingMs = REPORT_INTERVAL_MS - (this.#options.clock.monotonicMs() - nowMs)
     if (remainingMs > 0) await this.#options.clock.sleep(remainingMs)
   }
 
-  /** Handles newly finished runs; resolves when they are stored and may be acknowledged. */
-  #handleFinishedRuns (finished: readonly FinishedRun[]): Promise<void> | undefined {
-    const newRuns = finished.filter(run => run.number > this.#lastFinishedNumber)
-    if (newRuns.length === 0) return undefined
-    const last = Math.max(...newRuns.map(run => run.number))
-    this.#reportMissingEnds(Math.min(...newRuns.map(run => run.number)))
-    this.#lastFinishedNumber = last
-    const stored = newRuns.map(async run => await this.#handleFinishedRun(run))
-    this.#pendingStores += 1
-    // Acknowledging a finished run acknowledges all earlier ones.
-    this.#allStored = Promise.all([this.#allStored, ...stored]).then(() => {
-      this.#lastStoredNumber = Math.max(this.#lastStoredNumber, last)
-    }).finally(() => { this.#pendingStores -= 1 })
-    return this.#allStored.catch(() => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
-  }
-
-  /** Ends that the target discarded before they were read may belong to tasks that are done and will be started again. */
-  #reportMissingEnds (firstNumber: number): void {
-    const expected = this.#lastFinishedNumber + 1
-    // An earlier session of the same incarnation may have read the first ends.
-    if (firstNumber === expected || this.#lastFinishedNumber === 0) return
-    this.#options.logger.warn({ target: this.id, bornMs: this.description.bornMs, expected, firstNumber }, 'run ends are missing from the reports of a target')
-  }
-
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
     const assignment = this.#assignments.get(key)
@@ -603,7 +561,7 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#lastDiscardedNumber }, 'target incarnation ended')
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
     return true
   }
 
