Extract the contact and the leases of a target from its session

TargetContact records the answers of one incarnation; TargetLease decides on leases by them. They are two classes, because contact also decides on acknowledgements, on new tasks and on the time of a crash.

No change of behaviour.

--- /dev/null
+++ b/src/coordinator/targets/targetContact.ts
@@ -0,0 +1,99 @@
+/** Tracks when one target incarnation answered, and what its clock shows. */
+import type { Clock } from '../../ports/clock.ts'
+
+/**
+ * Leases are not extended on a target that has been silent for longer: each request that may still arrive would
+ * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
+ */
+export const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
+/** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
+export const MAX_CERTAIN_REPORT_AGE_MS = 150
+/** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
+const MAX_CLOCK_DIFFERENCE_MS = 1_500
+
+/**
+ * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation, whose clock differs.
+ *
+ * @example
+ * const contact = new TargetContact(clock)
+ * contact.recordReport(report.clockMs, clock.monotonicMs())
+ * contact.isAnsweringAt(clock.monotonicMs()) // true
+ */
+export class TargetContact {
+  readonly #clock: Clock
+  #clockOffsetMs: number | undefined
+  #lastReportMs = -Infinity
+  #lastAnswerMs: number
+  #mayHaveRestarted = false
+  #unansweredSinceMs: number | undefined
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+    this.#lastAnswerMs = clock.monotonicMs()
+  }
+
+  /** Lower bound of the target's clock minus this process's; undefined before its first report. */
+  get clockOffsetMs (): number | undefined {
+    return this.#clockOffsetMs
+  }
+
+  /** Time of the last answer, also to a start request, or of the beginning of the session. */
+  get lastAnswerMs (): number {
+    return this.#lastAnswerMs
+  }
+
+  /** When the first renewal since the last report failed; undefined while the target answers. */
+  get unansweredSinceMs (): number | undefined {
+    return this.#unansweredSinceMs
+  }
+
+  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one. */
+  get mayHaveRestarted (): boolean {
+    return this.#mayHaveRestarted
+  }
+
+  reportAgeMs (nowMs: number): number {
+    return nowMs - this.#lastReportMs
+  }
+
+  /** Whether the target answers, so that tasks may be started there. */
+  isAnsweringAt (nowMs: number): boolean {
+    return this.#isUndoubted && this.reportAgeMs(nowMs) < MAX_SILENCE_FOR_EXTENSION_MS
+  }
+
+  /** Whether a request that is sent now certainly reaches this incarnation, and not the next one. */
+  get isIncarnationCertain (): boolean {
+    const reportAgeMs = this.reportAgeMs(this.#clock.monotonicMs())
+    return this.#isUndoubted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
+  }
+
+  get #isUndoubted (): boolean {
+    return this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted
+  }
+
+  /** Records a report of this incarnation. */
+  recordReport (clockMs: number, nowMs: number): void {
+    this.#lastReportMs = this.#lastAnswerMs = nowMs
+    this.#unansweredSinceMs = undefined
+    this.#mayHaveRestarted = false
+    this.#clockOffsetMs = clockMs - nowMs
+  }
+
+  /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
+  recordStarted (): void {
+    if (this.#unansweredSinceMs === undefined) this.#lastAnswerMs = this.#clock.monotonicMs()
+  }
+
+  recordFailedRenewal (): void {
+    this.#unansweredSinceMs ??= this.#clock.monotonicMs()
+  }
+
+  /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
+  findRestart (clockMs: number): number | undefined {
+    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return undefined
+    const differenceMs = clockMs - this.#clockOffsetMs - this.#clock.monotonicMs()
+    if (Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return undefined
+    this.#mayHaveRestarted = true
+    return differenceMs
+  }
+}
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -3,7 +3,6 @@
 import { targetKey } from '../../jobs/jobTable.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
-import type { Clock } from '../../ports/clock.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../../ports/jobTarget.ts'
 import type { ListedTarget } from '../../ports/targetDirectory.ts'
 import { runKey } from './assignment.ts'
@@ -13,15 +12,13 @@
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
 import { TargetCapacity } from './targetCapacity.ts'
+import { TargetContact } from './targetContact.ts'
 import type { TargetFence } from './targetFence.ts'
+import { TargetLease } from './targetLease.ts'
+import type { TargetLeaseOptions } from './targetLease.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
 import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
 
-/** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
-const CLOCK_DRIFT_FACTOR = 1.03
-const LEASE_MARGIN_MS = 300
-/** The next incarnation shortens a lease of the earlier one's clock to the longest that targets give, half a second more than is asked for. */
-const NEXT_INCARNATION_LEASE_FACTOR = 1.1
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
 /** Used while run ends are being stored, or while starts and stops are unconfirmed. */
@@ -31,15 +28,6 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/**
- * Leases are not extended on a target that has been silent for longer: each request that may still arrive would
- * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
- */
-const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
-const MAX_CERTAIN_REPORT_AGE_MS = 150
-/** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
-const MAX_CLOCK_DIFFERENCE_MS = 1_500
 /** Several times as long as a start request and its answer take to another region and back. */
 const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
@@ -52,25 +40,17 @@
 /** What the target list says about a target that may change while it runs. */
 export type TargetListing = Pick<ListedTarget, 'draining' | 'capacity'>
 
-export interface TargetSessionOptions {
+export interface TargetSessionOptions extends TargetLeaseOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
-  readonly clock: Clock
   readonly logger: Logger
   readonly listener: TargetListener
   /** Shared by the sessions of all incarnations of the target. */
   readonly fence: TargetFence
-  readonly leaseMs: number
-  /** Whether this coordinator may send requests now. */
-  readonly hasAuthority: () => boolean
-  /** Whether the target list has shown a later incarnation of the target. */
-  readonly isReplaced: () => boolean
   /** Whether the target list shows the target, in whichever incarnation. */
   readonly isListed: () => boolean
   /** Whether the target's data centre is evacuated now, so that no task may be started here. */
   readonly isEvacuated: () => boolean
-  /** Latest time at which an earlier coordinator may have extended leases on the target. */
-  readonly priorLeasesExtendedUntilMs: number
 }
 
 export class TargetSession {
@@ -88,16 +68,8 @@
   #listed = false
   #listedAtMs = -Infinity
   readonly #ends: RunEndNumbers
-  /** Lower bound of the target's clock minus this process's. */
-  #clockOffsetMs: number | undefined
-  #lastContactMs = -Infinity
-  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one. */
-  #mayHaveRestarted = false
-  /** Time of the last answer, also to a start request, or of the beginning of the session. */
-  #lastAnswerMs: number
-  /** When the first renewal since the last report failed; undefined while the target answers. */
-  #unansweredSinceMs: number | undefined
-  #lastLeaseExtensionMs: number
+  readonly #contact: TargetContact
+  readonly #lease: TargetLease
   readonly capacity: TargetCapacity
   /** Sending times of the start requests without an answer yet, the oldest first. */
   readonly #startsSentMs = new Map<Assignment, number>()
@@ -118,8 +90,8 @@
     this.key = targetKey(options.description)
     this.capacity = new TargetCapacity(options.description.capacity)
     this.#ends = new RunEndNumbers(options.description, options.logger)
-    this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
-    this.#lastAnswerMs = options.clock.monotonicMs()
+    this.#contact = new TargetContact(options.clock)
+    this.#lease = new TargetLease(options, this.#contact)
   }
 
   get id (): string {
@@ -149,7 +121,7 @@
 
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
-    const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
+    const answers = this.#joined && !this.#hasEnded && this.#contact.isAnsweringAt(nowMs)
     const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
     return answers && isOffered && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
   }
@@ -170,7 +142,8 @@
 
   /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
   get outage (): Outage | undefined {
-    return this.#unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(this.#unansweredSinceMs)
+    const { unansweredSinceMs } = this.#contact
+    return unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(unansweredSinceMs)
   }
 
   get draining (): boolean {
@@ -222,7 +195,7 @@
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     for (;;) {
-      const leaseUntilTargetMs = this.#extendLease()
+      const leaseUntilTargetMs = this.#lease.extend()
       if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
       const fencingToken = fence.nextToken()
       assignment.state = 'starting'
@@ -251,8 +224,10 @@
     assignment.startAnswered = result.outcome !== 'unknown'
     if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
     else this.#startUnansweredAtMs = clock.monotonicMs()
-    if (result.outcome === 'started' && this.#unansweredSinceMs === undefined) this.#lastAnswerMs = clock.monotonicMs()
-    if (result.outcome === 'started') this.#compareClock(result.clockMs)
+    if (result.outcome === 'started') {
+      this.#contact.recordStarted()
+      this.#compareClock(result.clockMs)
+    }
     if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
@@ -271,11 +246,9 @@
 
   /** Asks the target at once if its clock has changed, since a renewal may wait on a dead connection for seconds. */
   #compareClock (clockMs: number): void {
-    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#hasEnded || this.#mayHaveRestarted) return
-    const differenceMs = clockMs - this.#clockOffsetMs - this.#options.clock.monotonicMs()
-    if (Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return
+    const differenceMs = this.#hasEnded ? undefined : this.#contact.findRestart(clockMs)
+    if (differenceMs === undefined) return
     this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, differenceMs: Math.round(differenceMs) }, 'the clock of a target suggests that it has restarted')
-    this.#mayHaveRestarted = true
     runInBackground(this.#renew(0), this.#options.logger, 'check for a restart')
   }
 
@@ -321,27 +294,22 @@
   }
 
   #renewWaitMs (): number {
-    if (!this.#joined || this.#unansweredSinceMs !== undefined) return 0
+    if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
     const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
-  get #dueAcknowledgement (): number {
-    const reportAgeMs = this.#options.clock.monotonicMs() - this.#lastContactMs
-    return this.#ends.dueAcknowledgement(this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS)
-  }
-
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
-    const acknowledged = this.#dueAcknowledgement
+    const acknowledged = this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
     const fencingToken = fence.nextToken()
     // A start with a higher token makes the next incarnation refuse this acknowledgement.
     if (acknowledged > 0) fence.raiseBeforeNextRequest()
     const result = await client.renew({
       fencingToken,
       acknowledged,
-      leaseUntilTargetMs: this.#joined ? this.#extendLease() : undefined,
+      leaseUntilTargetMs: this.#joined ? this.#lease.extend() : undefined,
       waitMs: acknowledged === 0 && this.#ends.owesAcknowledgement ? 0 : waitMs
     })
     if (this.#hasEnded) return
@@ -356,8 +324,8 @@
         if (fence.isLatest(fencingToken)) listener.fenced(this)
         break
       case 'failed':
-        this.#unansweredSinceMs ??= clock.monotonicMs()
-        if (clock.monotonicMs() > this.#allLeasesEndedMs()) this.#endIncarnation('lease-lapsed')
+        this.#contact.recordFailedRenewal()
+        if (clock.monotonicMs() > this.#lease.allEndedMs) this.#endIncarnation('lease-lapsed')
         else await clock.sleep(RETRY_DELAY_MS)
     }
   }
@@ -367,11 +335,8 @@
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
-    this.#lastContactMs = this.#lastAnswerMs = nowMs
-    this.#unansweredSinceMs = undefined
-    this.#mayHaveRestarted = false
+    this.#contact.recordReport(report.clockMs, nowMs)
     if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
-    this.#clockOffsetMs = report.clockMs - nowMs
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#handleRunningTasks(report.running, nowMs)
     this.#detectLostRuns(report, sentMs)
@@ -463,23 +428,6 @@
     if (refusal === 'other-life') this.#endIncarnation('restarted')
   }
 
-  /** Extends the lease and returns its end on the target's clock; undefined while leases must not be extended. */
-  #extendLease (): number | undefined {
-    const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
-    if (this.#clockOffsetMs === undefined || this.#mayHaveRestarted || !hasAuthority()) return undefined
-    const nowMs = clock.monotonicMs()
-    // The next incarnation would take the time of the earlier one's clock for a time of its own.
-    const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
-    if (nowMs - this.#lastContactMs > maximumSilenceMs) return undefined
-    this.#lastLeaseExtensionMs = Math.max(this.#lastLeaseExtensionMs, nowMs)
-    return Math.floor(nowMs + this.#clockOffsetMs + leaseMs)
-  }
-
-  /** Time by which all leases on the target have certainly expired if it is never reached again. */
-  #allLeasesEndedMs (): number {
-    return this.#lastLeaseExtensionMs + this.#options.leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
-  }
-
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
     if (reason === 'lease-lapsed') return this.#endAfterLapse()
@@ -508,18 +456,14 @@
   async #releaseAfterLapse (assignment: Assignment): Promise<void> {
     const nowMs = this.#options.clock.monotonicMs()
     const { startAnswered, startedAtMs = nowMs } = assignment
-    const earliestEndMs = startAnswered ? startedAtMs + this.#longestLeaseMs : nowMs
-    const latestEndMs = startAnswered ? earliestEndMs : this.#lastLeaseExtensionMs + MAX_REQUEST_DELAY_MS + this.#longestLeaseMs
+    const earliestEndMs = startAnswered ? startedAtMs + this.#lease.longestOnNextIncarnationMs : nowMs
+    const latestEndMs = startAnswered ? earliestEndMs : this.#lease.lastExtensionMs + MAX_REQUEST_DELAY_MS + this.#lease.longestOnNextIncarnationMs
     const end = await this.#withdrawStart(assignment, earliestEndMs, latestEndMs)
     if (this.#closed) return
     if (end !== undefined) return await this.#handleFinishedRun(end)
     this.#reportRunLost(assignment, 'lease-lapsed')
   }
 
-  get #longestLeaseMs (): number {
-    return this.#options.leaseMs * NEXT_INCARNATION_LEASE_FACTOR
-  }
-
   #releaseAll (reason: IncarnationEndReason): void {
     for (const assignment of [...this.#assignments.values()]) this.#reportRunLost(assignment, reason)
     this.#options.listener.incarnationEnded(this, reason)
@@ -554,7 +498,7 @@
   }
 
   #describeOutage (byMs: number): Outage {
-    return { target: this.id, rack: this.rack, afterMs: this.#lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.#assignments.values()]) }
+    return { target: this.id, rack: this.rack, afterMs: this.#contact.lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.#assignments.values()]) }
   }
 
   /** Returns false if the incarnation had already ended. */
@@ -581,20 +525,20 @@
   async #withdrawStart ({ task, attempt }: Assignment, earliestEndMs: number, latestEndMs: number): Promise<FinishedRun | undefined> {
     const { client, clock, fence, logger, isListed } = this.#options
     return await withdrawStart({
-      client, clock, logger, fence, target: this.id, isClosed: () => this.#closed, isListed, longestLeaseMs: this.#longestLeaseMs, earliestEndMs, latestEndMs
+      client, clock, logger, fence, target: this.id, isClosed: () => this.#closed, isListed, longestLeaseMs: this.#lease.longestOnNextIncarnationMs, earliestEndMs, latestEndMs
     }, { task: task.name, attempt })
   }
 
   /** After a restart, a start is withdrawn until it can not be in transit any more, and until its run has ended. */
   async #withdrawStartInTransit (assignment: Assignment): Promise<FinishedRun | undefined> {
     const earliestEndMs = this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-    return await this.#withdrawStart(assignment, earliestEndMs, earliestEndMs + this.#longestLeaseMs)
+    return await this.#withdrawStart(assignment, earliestEndMs, earliestEndMs + this.#lease.longestOnNextIncarnationMs)
   }
 
   async #reportCrash (): Promise<void> {
     // A session without runs that was never answered was opened from an entry of the target list that is out of date.
     if (this.#draining || (!this.#joined && this.#assignments.size === 0)) return
-    const outage = this.#describeOutage(this.#unansweredSinceMs ?? this.#options.clock.monotonicMs())
+    const outage = this.#describeOutage(this.#contact.unansweredSinceMs ?? this.#options.clock.monotonicMs())
     await this.#options.listener.targetCrashed(this, outage, [...this.#assignments.values()].filter(({ state }) => state !== 'reserved'))
   }
 
