Extract the starts in transit from the target session

Which start requests are unanswered, and which may still be executed by the next incarnation of a target, were three fields of TargetSession that eight of its methods changed. StartsInTransit holds them now.

No change of behaviour.

--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -11,6 +11,7 @@
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
+import { startMayStillArrive, StartsInTransit } from './startsInTransit.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import { TargetContact } from './targetContact.ts'
 import type { TargetFence } from './targetFence.ts'
@@ -28,8 +29,6 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/** Several times as long as a start request and its answer take to another region and back. */
-const MAX_START_ANSWER_MS = 400
 /** A target whose entry in the target list is older may have shrunk, or be draining. */
 const MAX_LISTING_AGE_MS = 4_000
 /** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
@@ -71,15 +70,7 @@
   readonly #contact: TargetContact
   readonly #lease: TargetLease
   readonly capacity: TargetCapacity
-  /** Sending times of the start requests without an answer yet, the oldest first. */
-  readonly #startsSentMs = new Map<Assignment, number>()
-  /**
-   * Starts without an answer that this incarnation will not execute, since they were stopped; the next one would. Until
-   * the given time they may still be in transit.
-   */
-  readonly #stoppedStarts = new Map<Assignment, number>()
-  /** When the last start request was given up without an answer; undefined once the target has reported since. */
-  #startUnansweredAtMs: number | undefined
+  readonly #starts: StartsInTransit
   /** Consecutive failures, and the time until which the target gets no new tasks. */
   #consecutiveFailures = 0
   #avoidUntilMs = 0
@@ -91,6 +82,7 @@
     this.capacity = new TargetCapacity(options.description.capacity)
     this.#ends = new RunEndNumbers(options.description, options.logger)
     this.#contact = new TargetContact(options.clock)
+    this.#starts = new StartsInTransit(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
   }
 
@@ -128,14 +120,12 @@
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
   get leavesStartsUnanswered (): boolean {
-    const [oldestSentMs = Infinity] = this.#startsSentMs.values()
-    return this.#startUnansweredAtMs !== undefined || this.#options.clock.monotonicMs() - oldestSentMs > MAX_START_ANSWER_MS
+    return this.#starts.isAnswerOverdue
   }
 
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
   get mayHaveRunsOnNextIncarnation (): boolean {
-    this.#removeExpiredStoppedStarts()
-    if (this.#stoppedStarts.size > 0) return true
+    if (this.#starts.stopped.length > 0) return true
     // Remaining assignments of an ended incarnation are being stopped on the next one.
     return this.#hasEnded ? this.#assignments.size > 0 : [...this.#assignments.values()].some(startMayStillArrive)
   }
@@ -191,7 +181,7 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { clock, fence } = this.#options
+    const { fence } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     for (;;) {
@@ -201,7 +191,7 @@
       assignment.state = 'starting'
       assignment.startAnswered = false
       assignment.isResumed = checkpoint !== ''
-      this.#startsSentMs.set(assignment, clock.monotonicMs())
+      this.#starts.recordSent(assignment)
       const result = await this.#options.client.start({
         task: task.name,
         attempt: assignment.attempt,
@@ -211,7 +201,7 @@
         checkpoint,
         ticket
       })
-      this.#startsSentMs.delete(assignment)
+      this.#starts.recordReturned(assignment)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       this.#options.logger.info({ task: task.name, attempt: assignment.attempt, target: this.id }, 'a later request has overtaken a start, which the target refused')
@@ -222,8 +212,7 @@
   async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
     const { clock, listener } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
-    if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
-    else this.#startUnansweredAtMs = clock.monotonicMs()
+    this.#starts.recordOutcome(assignment)
     if (result.outcome === 'started') {
       this.#contact.recordStarted()
       this.#compareClock(result.clockMs)
@@ -290,6 +279,7 @@
   /** Ends the session at the end of the term, without deciding on its runs. */
   close (): void {
     this.#hasEnded = true
+    this.#starts.endIncarnation()
     this.#closed = true
   }
 
@@ -336,7 +326,7 @@
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
     this.#contact.recordReport(report.clockMs, nowMs)
-    if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
+    this.#starts.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#handleRunningTasks(report.running, nowMs)
     this.#detectLostRuns(report, sentMs)
@@ -488,8 +478,7 @@
       if (end !== undefined) withdrawals.push(this.#handleFinishedRun(end))
       else withdrawals.push(this.#releaseAfterRestart(assignment, mayRun, crashReported))
     }
-    this.#removeExpiredStoppedStarts()
-    for (const assignment of this.#stoppedStarts.keys()) withdrawals.push(this.#withdrawStoppedStart(assignment))
+    for (const assignment of this.#starts.stopped) withdrawals.push(this.#withdrawStoppedStart(assignment))
     this.#allWithdrawn = Promise.all(withdrawals).then(() => {
       if (!this.#closed) this.#options.listener.incarnationEnded(this, 'restarted')
     }, () => {
@@ -505,6 +494,7 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
+    this.#starts.endIncarnation()
     this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
     return true
   }
@@ -519,7 +509,7 @@
   /** The task of such a start has been released already, so that only the run has to be prevented. */
   async #withdrawStoppedStart (assignment: Assignment): Promise<void> {
     await this.#withdrawStartInTransit(assignment)
-    this.#stoppedStarts.delete(assignment)
+    this.#starts.recordWithdrawn(assignment)
   }
 
   async #withdrawStart ({ task, attempt }: Assignment, earliestEndMs: number, latestEndMs: number): Promise<FinishedRun | undefined> {
@@ -550,15 +540,7 @@
   #removeAssignment (assignment: Assignment): void {
     if (!this.#assignments.delete(assignment.key)) return
     this.capacity.release(assignment.size)
-    if (this.#hasEnded || assignment.startAnswered || assignment.reported) return
-    this.#stoppedStarts.set(assignment, this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
-  }
-
-  #removeExpiredStoppedStarts (): void {
-    if (this.#hasEnded) return
-    for (const [assignment, untilMs] of this.#stoppedStarts) {
-      if (untilMs < this.#options.clock.monotonicMs()) this.#stoppedStarts.delete(assignment)
-    }
+    this.#starts.recordStopped(assignment)
   }
 }
 
@@ -566,8 +548,3 @@
 function isStopping ({ state }: Assignment): boolean {
   return state === 'stopping'
 }
-
-/** Whether a start request may still reach the target. Those of earlier coordinators cannot: the target's fence refuses them. */
-function startMayStillArrive ({ reported, state }: Assignment): boolean {
-  return !reported && state !== 'reserved' && state !== 'recovering'
-}
