Extract the end of a target incarnation from its session

What becomes of the runs after a restart or a lapse, and the withdrawal of their starts from the next incarnation, were ten methods of TargetSession between those for reports and those for assignments. IncarnationEnd has them now; the session still decides when an incarnation has ended, and passes the events on to its listener.

No change of behaviour: the same log lines and calls, in the same order.

--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -10,6 +10,7 @@
 import { areIsolated } from './crashEvidence.ts'
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
+import { IncarnationEnd } from './incarnationEnd.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
 import { startMayStillArrive, StartsInTransit } from './startsInTransit.ts'
 import { TargetCapacity } from './targetCapacity.ts'
@@ -18,7 +19,6 @@
 import { TargetLease } from './targetLease.ts'
 import type { TargetLeaseOptions } from './targetLease.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
-import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
 
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
@@ -60,8 +60,6 @@
   #joined = false
   #hasEnded = false
   #closed = false
-  /** Resolves when no request sent to an ended incarnation can be executed any more. */
-  #allWithdrawn: Promise<void> = Promise.resolve()
   #draining = false
   /** False until the target list has been read: a target in the log may have left since. */
   #listed = false
@@ -71,6 +69,7 @@
   readonly #lease: TargetLease
   readonly capacity: TargetCapacity
   readonly #starts: StartsInTransit
+  readonly #end: IncarnationEnd
   /** Consecutive failures, and the time until which the target gets no new tasks. */
   #consecutiveFailures = 0
   #avoidUntilMs = 0
@@ -84,6 +83,27 @@
     this.#contact = new TargetContact(options.clock)
     this.#starts = new StartsInTransit(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
+    this.#end = this.#createEnd()
+  }
+
+  #createEnd (): IncarnationEnd {
+    const { client, clock, logger, fence, isListed, listener } = this.#options
+    return new IncarnationEnd({
+      target: this.id,
+      client,
+      clock,
+      logger,
+      fence,
+      lease: this.#lease,
+      starts: this.#starts,
+      assignments: this.#assignments,
+      isListed,
+      isClosed: () => this.#closed,
+      reportCrash: () => this.#reportCrash(),
+      handleEnd: run => this.#handleFinishedRun(run),
+      reportLost: (assignment, reason) => this.#reportRunLost(assignment, reason),
+      reportEnded: reason => listener.incarnationEnded(this, reason)
+    })
   }
 
   get id (): string {
@@ -272,7 +292,7 @@
         await clock.sleep(RETRY_DELAY_MS)
       }
     }
-    await this.#allWithdrawn
+    await this.#end.allWithdrawn
     await this.#options.client.close()
   }
 
@@ -420,70 +440,14 @@
 
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
-    if (reason === 'lease-lapsed') return this.#endAfterLapse()
-    this.#allWithdrawn = this.#reportCrash().then(() => {
-      if (!this.#closed) this.#releaseAll(reason)
-    })
-  }
-
-  /**
-   * The target may have restarted while it was silent. The next incarnation then has the run of a start that it has answered,
-   * or that is in transit, and ends it only with a lease of its own clock.
-   */
-  #endAfterLapse (): void {
-    const withdrawn = [...this.#assignments.values()].filter(startMayStillArrive)
-    if (withdrawn.length === 0) return this.#releaseAll('lease-lapsed')
-    for (const assignment of [...this.#assignments.values()]) {
-      if (!withdrawn.includes(assignment)) this.#reportRunLost(assignment, 'lease-lapsed')
-    }
-    this.#allWithdrawn = Promise.all(withdrawn.map(async assignment => await this.#releaseAfterLapse(assignment))).then(() => {
-      if (!this.#closed) this.#options.listener.incarnationEnded(this, 'lease-lapsed')
-    }, () => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
-  }
-
-  async #releaseAfterLapse (assignment: Assignment): Promise<void> {
-    const nowMs = this.#options.clock.monotonicMs()
-    const { startAnswered, startedAtMs = nowMs } = assignment
-    const earliestEndMs = startAnswered ? startedAtMs + this.#lease.longestOnNextIncarnationMs : nowMs
-    const latestEndMs = startAnswered ? earliestEndMs : this.#lease.lastExtensionMs + MAX_REQUEST_DELAY_MS + this.#lease.longestOnNextIncarnationMs
-    const end = await this.#withdrawStart(assignment, earliestEndMs, latestEndMs)
-    if (this.#closed) return
-    if (end !== undefined) return await this.#handleFinishedRun(end)
-    this.#reportRunLost(assignment, 'lease-lapsed')
-  }
-
-  #releaseAll (reason: IncarnationEndReason): void {
-    for (const assignment of [...this.#assignments.values()]) this.#reportRunLost(assignment, reason)
-    this.#options.listener.incarnationEnded(this, reason)
+    if (reason === 'lease-lapsed') this.#end.afterLapse()
+    else this.#end.afterRestart()
   }
 
-  /**
-   * Ends the incarnation of a target that restarted under the same identity. The next incarnation would execute a
-   * request that is still in transit, so the request is withdrawn there before its task is placed again. Runs that
-   * the next incarnation has already finished are accepted.
-   */
   #endAfterRestart (report: TargetReport, acknowledged: number): void {
     if (!this.#markEnded('restarted')) return
     this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
-    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
-    const finishedRuns = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
-    const withdrawals: Promise<void>[] = []
-    const crashReported = this.#reportCrash()
-    for (const assignment of [...this.#assignments.values()]) {
-      const { key } = assignment
-      const end = finishedRuns.get(key)
-      const mayRun = startMayStillArrive(assignment) || running.has(key) || report.mayOmitFinished
-      if (end !== undefined) withdrawals.push(this.#handleFinishedRun(end))
-      else withdrawals.push(this.#releaseAfterRestart(assignment, mayRun, crashReported))
-    }
-    for (const assignment of this.#starts.stopped) withdrawals.push(this.#withdrawStoppedStart(assignment))
-    this.#allWithdrawn = Promise.all(withdrawals).then(() => {
-      if (!this.#closed) this.#options.listener.incarnationEnded(this, 'restarted')
-    }, () => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
+    this.#end.afterRestartSeenIn(report)
   }
 
   #describeOutage (byMs: number): Outage {
@@ -499,32 +463,6 @@
     return true
   }
 
-  async #releaseAfterRestart (assignment: Assignment, mayRun: boolean, crashReported: Promise<void>): Promise<void> {
-    const [end] = await Promise.all([mayRun ? this.#withdrawStartInTransit(assignment) : undefined, crashReported])
-    if (this.#closed) return
-    if (end !== undefined) return await this.#handleFinishedRun(end)
-    this.#reportRunLost(assignment, 'restarted')
-  }
-
-  /** The task of such a start has been released already, so that only the run has to be prevented. */
-  async #withdrawStoppedStart (assignment: Assignment): Promise<void> {
-    await this.#withdrawStartInTransit(assignment)
-    this.#starts.recordWithdrawn(assignment)
-  }
-
-  async #withdrawStart ({ task, attempt }: Assignment, earliestEndMs: number, latestEndMs: number): Promise<FinishedRun | undefined> {
-    const { client, clock, fence, logger, isListed } = this.#options
-    return await withdrawStart({
-      client, clock, logger, fence, target: this.id, isClosed: () => this.#closed, isListed, longestLeaseMs: this.#lease.longestOnNextIncarnationMs, earliestEndMs, latestEndMs
-    }, { task: task.name, attempt })
-  }
-
-  /** After a restart, a start is withdrawn until it can not be in transit any more, and until its run has ended. */
-  async #withdrawStartInTransit (assignment: Assignment): Promise<FinishedRun | undefined> {
-    const earliestEndMs = this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-    return await this.#withdrawStart(assignment, earliestEndMs, earliestEndMs + this.#lease.longestOnNextIncarnationMs)
-  }
-
   async #reportCrash (): Promise<void> {
     // A session without runs that was never answered was opened from an entry of the target list that is out of date.
     if (this.#draining || (!this.#joined && this.#assignments.size === 0)) return
