Extract the assigned runs of a target from its session

The comparison of the assignments of a target with the runs that its reports show changed the same map as starts, stops and reservations in TargetSession. AssignedRuns holds the map, the capacity that goes with it and the comparison.

No change of behaviour.

--- /dev/null
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -0,0 +1,94 @@
+/** Holds the tasks assigned to one target incarnation, and compares them with the runs that its reports show. */
+import type { RunningTask, TargetReport } from '../../ports/jobTarget.ts'
+import type { ComputeResources } from '../placement/placeStep.ts'
+import { runKey } from './assignment.ts'
+import type { Assignment } from './assignment.ts'
+import type { StartsInTransit } from './startsInTransit.ts'
+import type { TargetCapacity } from './targetCapacity.ts'
+
+export interface AssignedRunsListener {
+  /** A report showed a run whose start was not confirmed before. */
+  startConfirmed (assignment: Assignment): void
+  /** A run that is assigned to the target is missing from a complete report. */
+  runMissing (assignment: Assignment): void
+  /** A report showed a run that is not assigned to the target; returns its resources if they are known. */
+  unexpectedRun (run: RunningTask): ComputeResources | undefined
+}
+
+/**
+ * An assignment holds its capacity until it is removed.
+ *
+ * @example
+ * const runs = new AssignedRuns(capacity, starts, listener)
+ * runs.add(assignment)
+ * runs.compareRunning(report.running, clock.monotonicMs())
+ * runs.detectMissing(report, sentMs)
+ */
+export class AssignedRuns {
+  readonly #assignments = new Map<string, Assignment>()
+  readonly #capacity: TargetCapacity
+  readonly #starts: StartsInTransit
+  readonly #listener: AssignedRunsListener
+
+  constructor (capacity: TargetCapacity, starts: StartsInTransit, listener: AssignedRunsListener) {
+    this.#capacity = capacity
+    this.#starts = starts
+    this.#listener = listener
+  }
+
+  get byKey (): ReadonlyMap<string, Assignment> {
+    return this.#assignments
+  }
+
+  has ({ key }: Assignment): boolean {
+    return this.#assignments.has(key)
+  }
+
+  add (assignment: Assignment): void {
+    this.#assignments.set(assignment.key, assignment)
+    this.#capacity.reserve(assignment.size)
+  }
+
+  remove (assignment: Assignment): void {
+    if (!this.#assignments.delete(assignment.key)) return
+    this.#capacity.release(assignment.size)
+    this.#starts.recordStopped(assignment)
+  }
+
+  /** Applies the running tasks of a report that arrived at the given time. */
+  compareRunning (running: readonly RunningTask[], nowMs: number): void {
+    const unexpected = new Map<string, ComputeResources | undefined>()
+    for (const run of running) {
+      const key = runKey(run.task, run.attempt)
+      const assignment = this.#assignments.get(key)
+      if (assignment !== undefined) this.#handleExpectedRun(assignment, run, nowMs)
+      else unexpected.set(key, this.#listener.unexpectedRun(run))
+    }
+    this.#capacity.setUnexpectedRuns(unexpected)
+  }
+
+  #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
+    if (!assignment.reported) assignment.firstReportedAtMs = nowMs
+    assignment.reported = true
+    if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
+    if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
+      assignment.state = 'running'
+      assignment.confirmedAtMs = nowMs
+      this.#listener.startConfirmed(assignment)
+    }
+    assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
+  }
+
+  /** Removes confirmed runs that are missing from a complete report requested after their confirmation. */
+  detectMissing (report: TargetReport, requestedMs: number): void {
+    if (report.mayOmitFinished) return
+    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
+    for (const assignment of [...this.#assignments.values()]) {
+      const { state, confirmedAtMs, key } = assignment
+      const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
+      if (!expectedInReport || confirmedAtMs >= requestedMs || running.has(key)) continue
+      this.remove(assignment)
+      this.#listener.runMissing(assignment)
+    }
+  }
+}
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -5,6 +5,7 @@
 import type { Logger } from '../../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../../ports/jobTarget.ts'
 import type { ListedTarget } from '../../ports/targetDirectory.ts'
+import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
 import { areIsolated } from './crashEvidence.ts'
@@ -56,7 +57,6 @@
   readonly description: TargetDescription
   readonly key: string
   readonly #options: TargetSessionOptions
-  readonly #assignments = new Map<string, Assignment>()
   #joined = false
   #hasEnded = false
   #closed = false
@@ -69,6 +69,7 @@
   readonly #lease: TargetLease
   readonly capacity: TargetCapacity
   readonly #starts: StartsInTransit
+  readonly #runs: AssignedRuns
   readonly #end: IncarnationEnd
   /** Consecutive failures, and the time until which the target gets no new tasks. */
   #consecutiveFailures = 0
@@ -83,6 +84,11 @@
     this.#contact = new TargetContact(options.clock)
     this.#starts = new StartsInTransit(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
+    this.#runs = new AssignedRuns(this.capacity, this.#starts, {
+      startConfirmed: assignment => options.listener.startConfirmed(this, assignment),
+      runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
+      unexpectedRun: run => this.#stopUnexpectedRun(run)
+    })
     this.#end = this.#createEnd()
   }
 
@@ -96,7 +102,7 @@
       fence,
       lease: this.#lease,
       starts: this.#starts,
-      assignments: this.#assignments,
+      assignments: this.assignments,
       isListed,
       isClosed: () => this.#closed,
       reportCrash: () => this.#reportCrash(),
@@ -123,7 +129,7 @@
   }
 
   get assignments (): ReadonlyMap<string, Assignment> {
-    return this.#assignments
+    return this.#runs.byKey
   }
 
   /** Whether new tasks may be placed here. */
@@ -147,7 +153,7 @@
   get mayHaveRunsOnNextIncarnation (): boolean {
     if (this.#starts.stopped.length > 0) return true
     // Remaining assignments of an ended incarnation are being stopped on the next one.
-    return this.#hasEnded ? this.#assignments.size > 0 : [...this.#assignments.values()].some(startMayStillArrive)
+    return this.#hasEnded ? this.assignments.size > 0 : [...this.assignments.values()].some(startMayStillArrive)
   }
 
   /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
@@ -178,7 +184,7 @@
     this.#listedAtMs = this.#options.clock.monotonicMs()
     const previous = this.capacity.total
     if (!this.capacity.resize(entry.capacity)) return
-    this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.#assignments.size }, 'target capacity changed')
+    this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.assignments.size }, 'target capacity changed')
   }
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
@@ -190,13 +196,12 @@
   /** Reserves capacity for a task whose start has not been requested yet. */
   reserve (assignment: Assignment): void {
     assignment.reservedAtMs = this.#options.clock.monotonicMs()
-    this.#assignments.set(assignment.key, assignment)
-    this.capacity.reserve(assignment.size)
+    this.#runs.add(assignment)
   }
 
   /** Frees the capacity reserved for a task whose start was never requested. */
   cancelReservation (assignment: Assignment): void {
-    this.#removeAssignment(assignment)
+    this.#runs.remove(assignment)
   }
 
   /** Sends the start request for a task with reserved capacity. */
@@ -225,7 +230,7 @@
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       this.#options.logger.info({ task: task.name, attempt: assignment.attempt, target: this.id }, 'a later request has overtaken a start, which the target refused')
-      if (isStopping(assignment) || !this.#assignments.has(assignment.key)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
+      if (isStopping(assignment) || !this.#runs.has(assignment)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
     }
   }
 
@@ -237,7 +242,7 @@
       this.#contact.recordStarted()
       this.#compareClock(result.clockMs)
     }
-    if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
+    if (!this.#runs.has(assignment) || this.#hasEnded) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
     if (result.outcome === 'started') {
@@ -266,7 +271,7 @@
     if (assignment.state === 'stopping' || assignment.state === 'reserved') return
     assignment.state = 'stopping'
     assignment.confirmedAtMs = Infinity
-    while (this.#assignments.has(assignment.key) && !this.#hasEnded) {
+    while (this.#runs.has(assignment) && !this.#hasEnded) {
       if (await this.#sendStop(assignment.task.name, assignment.attempt)) {
         // Reports requested before this time may still show the run.
         assignment.confirmedAtMs = this.#options.clock.monotonicMs()
@@ -305,7 +310,7 @@
 
   #renewWaitMs (): number {
     if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
-    const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
+    const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
@@ -348,8 +353,8 @@
     this.#contact.recordReport(report.clockMs, nowMs)
     this.#starts.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
-    this.#handleRunningTasks(report.running, nowMs)
-    this.#detectLostRuns(report, sentMs)
+    this.#runs.compareRunning(report.running, nowMs)
+    this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
       this.#options.listener.joined(this)
@@ -366,34 +371,11 @@
 
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
-    const assignment = this.#assignments.get(key)
-    if (assignment !== undefined) this.#removeAssignment(assignment)
+    const assignment = this.assignments.get(key)
+    if (assignment !== undefined) this.#runs.remove(assignment)
     await this.#options.listener.runEnded(this, run, assignment)
   }
 
-  #handleRunningTasks (running: readonly RunningTask[], nowMs: number): void {
-    const unexpected = new Map<string, ComputeResources | undefined>()
-    for (const run of running) {
-      const key = runKey(run.task, run.attempt)
-      const assignment = this.#assignments.get(key)
-      if (assignment !== undefined) this.#handleExpectedRun(assignment, run, nowMs)
-      else unexpected.set(key, this.#stopUnexpectedRun(run))
-    }
-    this.capacity.setUnexpectedRuns(unexpected)
-  }
-
-  #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
-    if (!assignment.reported) assignment.firstReportedAtMs = nowMs
-    assignment.reported = true
-    if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
-    if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
-      assignment.state = 'running'
-      assignment.confirmedAtMs = nowMs
-      this.#options.listener.startConfirmed(this, assignment)
-    }
-    assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
-  }
-
   /** Stops a run whose start request was withdrawn but executed late, or a run of a finished job; returns its resources if they are known. */
   #stopUnexpectedRun ({ task, attempt }: RunningTask): ComputeResources | undefined {
     this.#options.logger.info({ task, attempt, target: this.id, free: this.free }, 'stopping an unexpected run')
@@ -401,22 +383,9 @@
     return this.#options.listener.sizeOfRun(task)
   }
 
-  /** Detects confirmed runs that are missing from a complete report requested after their confirmation. */
-  #detectLostRuns (report: TargetReport, sentMs: number): void {
-    if (report.mayOmitFinished) return
-    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
-    for (const assignment of [...this.#assignments.values()]) {
-      const { state, confirmedAtMs, key } = assignment
-      const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
-      if (!expectedInReport || confirmedAtMs >= sentMs || running.has(key)) continue
-      this.#removeAssignment(assignment)
-      this.#options.listener.runLost(this, assignment, 'not-reported')
-    }
-  }
-
   async #stopUnlessConfirmed (assignment: Assignment): Promise<void> {
     await this.#options.clock.sleep(CONFIRMATION_DELAY_MS)
-    if (!this.#assignments.has(assignment.key) || assignment.state !== 'unconfirmed') return
+    if (!this.#runs.has(assignment) || assignment.state !== 'unconfirmed') return
     this.#options.listener.startUnanswered(this, assignment)
     await this.stop(assignment)
   }
@@ -433,7 +402,7 @@
   }
 
   #handleRefusal (assignment: Assignment, refusal: StartRefusal): void {
-    this.#removeAssignment(assignment)
+    this.#runs.remove(assignment)
     this.#options.listener.startRefused(this, assignment, refusal)
     if (refusal === 'other-life') this.#endIncarnation('restarted')
   }
@@ -451,7 +420,7 @@
   }
 
   #describeOutage (byMs: number): Outage {
-    return { target: this.id, rack: this.rack, afterMs: this.#contact.lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.#assignments.values()]) }
+    return { target: this.id, rack: this.rack, afterMs: this.#contact.lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.assignments.values()]) }
   }
 
   /** Returns false if the incarnation had already ended. */
@@ -459,27 +428,21 @@
     if (this.#hasEnded) return false
     this.#hasEnded = true
     this.#starts.endIncarnation()
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
     return true
   }
 
   async #reportCrash (): Promise<void> {
     // A session without runs that was never answered was opened from an entry of the target list that is out of date.
-    if (this.#draining || (!this.#joined && this.#assignments.size === 0)) return
+    if (this.#draining || (!this.#joined && this.assignments.size === 0)) return
     const outage = this.#describeOutage(this.#contact.unansweredSinceMs ?? this.#options.clock.monotonicMs())
-    await this.#options.listener.targetCrashed(this, outage, [...this.#assignments.values()].filter(({ state }) => state !== 'reserved'))
+    await this.#options.listener.targetCrashed(this, outage, [...this.assignments.values()].filter(({ state }) => state !== 'reserved'))
   }
 
   #reportRunLost (assignment: Assignment, reason: IncarnationEndReason): void {
-    this.#removeAssignment(assignment)
+    this.#runs.remove(assignment)
     this.#options.listener.runLost(this, assignment, reason)
   }
-
-  #removeAssignment (assignment: Assignment): void {
-    if (!this.#assignments.delete(assignment.key)) return
-    this.capacity.release(assignment.size)
-    this.#starts.recordStopped(assignment)
-  }
 }
 
 /** A function, since the state may change while a request is in progress. */
