Extract the offer of a target for new tasks from its session

The age of the entry in the target list, draining and the pause after repeated failures were five fields of TargetSession that only placement reads. TargetOffer holds them.

No change of behaviour. The tests of src/coordinator/targets pass unchanged (66).

--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -4,7 +4,6 @@
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../../ports/jobTarget.ts'
-import type { ListedTarget } from '../../ports/targetDirectory.ts'
 import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
@@ -20,6 +19,8 @@
 import { TargetLease } from './targetLease.ts'
 import type { TargetLeaseOptions } from './targetLease.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
+import { TargetOffer } from './targetOffer.ts'
+import type { TargetListing } from './targetOffer.ts'
 
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
@@ -30,16 +31,11 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/** A target whose entry in the target list is older may have shrunk, or be draining. */
-const MAX_LISTING_AGE_MS = 4_000
 /** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
 const CONFIRMATION_DELAY_MS = 250
 /** Delay between repeated stop requests. */
 const STOP_RETRY_DELAY_MS = 400
 
-/** What the target list says about a target that may change while it runs. */
-export type TargetListing = Pick<ListedTarget, 'draining' | 'capacity'>
-
 export interface TargetSessionOptions extends TargetLeaseOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
@@ -60,20 +56,14 @@
   #joined = false
   #hasEnded = false
   #closed = false
-  #draining = false
-  /** False until the target list has been read: a target in the log may have left since. */
-  #listed = false
-  #listedAtMs = -Infinity
   readonly #ends: RunEndNumbers
   readonly #contact: TargetContact
+  readonly #offer: TargetOffer
   readonly #lease: TargetLease
   readonly capacity: TargetCapacity
   readonly #starts: StartsInTransit
   readonly #runs: AssignedRuns
   readonly #end: IncarnationEnd
-  /** Consecutive failures, and the time until which the target gets no new tasks. */
-  #consecutiveFailures = 0
-  #avoidUntilMs = 0
 
   constructor (options: TargetSessionOptions) {
     this.#options = options
@@ -82,6 +72,7 @@
     this.capacity = new TargetCapacity(options.description.capacity)
     this.#ends = new RunEndNumbers(options.description, options.logger)
     this.#contact = new TargetContact(options.clock)
+    this.#offer = new TargetOffer(options.clock)
     this.#starts = new StartsInTransit(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
     this.#runs = new AssignedRuns(this.capacity, this.#starts, {
@@ -140,8 +131,7 @@
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
     const answers = this.#joined && !this.#hasEnded && this.#contact.isAnsweringAt(nowMs)
-    const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
-    return answers && isOffered && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
+    return answers && this.#offer.isOfferedAt(nowMs) && !this.evacuated && !this.capacity.hasRunsOfUnknownSize
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
@@ -163,7 +153,7 @@
   }
 
   get draining (): boolean {
-    return this.#draining
+    return this.#offer.draining
   }
 
   /** Whether nothing more may be sent to the target's data centre; runs that are there continue. */
@@ -178,10 +168,8 @@
 
   /** Applies the target's entry in the target list; undefined if it has none. */
   updateListing (entry: TargetListing | undefined): void {
-    this.#listed = entry !== undefined
-    this.#draining = entry?.draining ?? false
+    this.#offer.updateListing(entry)
     if (entry === undefined) return
-    this.#listedAtMs = this.#options.clock.monotonicMs()
     const previous = this.capacity.total
     if (!this.capacity.resize(entry.capacity)) return
     this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.assignments.size }, 'target capacity changed')
@@ -189,8 +177,7 @@
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
   recordRunResult (failed: boolean, avoidMs: number): void {
-    this.#consecutiveFailures = failed ? this.#consecutiveFailures + 1 : 0
-    if (this.#consecutiveFailures >= 2) this.#avoidUntilMs = this.#options.clock.monotonicMs() + avoidMs
+    this.#offer.recordRunResult(failed, avoidMs)
   }
 
   /** Reserves capacity for a task whose start has not been requested yet. */
@@ -434,7 +421,7 @@
 
   async #reportCrash (): Promise<void> {
     // A session without runs that was never answered was opened from an entry of the target list that is out of date.
-    if (this.#draining || (!this.#joined && this.assignments.size === 0)) return
+    if (this.draining || (!this.#joined && this.assignments.size === 0)) return
     const outage = this.#describeOutage(this.#contact.unansweredSinceMs ?? this.#options.clock.monotonicMs())
     await this.#options.listener.targetCrashed(this, outage, [...this.assignments.values()].filter(({ state }) => state !== 'reserved'))
   }
