Extract the turns of connections from the front-end guard

FrontEndGuard kept the queues of connections that wait for the parser beside the limits of connections, calls and times, and offered them as public methods that only its connections use. TurnSchedule holds the order and the time of a turn.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -8,6 +8,8 @@
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
 import { RequestInput } from './requestInput.ts'
+import { TurnSchedule } from './turnSchedule.ts'
+import type { TurnTaker } from './turnSchedule.ts'
 
 /** Time-outs are checked, and what was refused is reported, at this interval. */
 const CHECK_INTERVAL_MS = 1_000
@@ -15,8 +17,6 @@
 const LATE_CHECK_MS = 1_000
 /** A client may be closed in favour of a new one if its request has been incomplete, or its answer unread, for this time. */
 const STALLED_MS = 1_000
-/** Time for the requests of all connections in one turn of the event loop. Timers and answers of other servers wait meanwhile. */
-const TURN_MS = 10
 /** Time for the requests of one connection in a turn, after which others have theirs. */
 const CONNECTION_TURN_MS = 2
 /** Heads beyond this size go to the parser at once, which refuses them. */
@@ -65,17 +65,12 @@
 export class FrontEndGuard {
   readonly #options: FrontEndGuardOptions
   readonly #budget: MemoryBudget
+  readonly #turns = new TurnSchedule()
   readonly #connections = new Map<Socket, GuardedConnection>()
   #counts: Partial<Record<OverloadReason, number>> = {}
-  /** Connections with input that wait for the next turn of the event loop. */
-  #waiting = new Set<GuardedConnection>()
-  /** Those of them that have had their time in the last seconds. They wait behind the others. */
-  #waitingBusy = new Set<GuardedConnection>()
   #callsInProgress = 0
   /** Connections with an open request. */
   #busyConnections = 0
-  #turnMs = 0
-  #isTurnScheduled = false
   #checkedMs: number
 
   constructor (server: Server, options: FrontEndGuardOptions) {
@@ -175,47 +170,6 @@
     return this.#connections.get(request.socket)?.endAfter(request) ?? true
   }
 
-  /** Whether requests may be parsed in this turn of the event loop. */
-  get hasTime (): boolean {
-    return this.#turnMs < TURN_MS
-  }
-
-  /** Counts the time that requests have taken in this turn. */
-  spend (durationMs: number): void {
-    this.#turnMs += durationMs
-    this.#scheduleTurn()
-  }
-
-  /** Feeds the connection in a later turn; one that has had its time waits behind those that have not. */
-  wait (connection: GuardedConnection, hasHadTime: boolean): void {
-    if (hasHadTime) this.#waitingBusy.add(connection)
-    else this.#waiting.add(connection)
-    this.#scheduleTurn()
-  }
-
-  #scheduleTurn (): void {
-    if (this.#isTurnScheduled) return
-    this.#isTurnScheduled = true
-    setImmediate(() => {
-      this.#isTurnScheduled = false
-      this.#turnMs = 0
-      // One of the busy connections has time in each turn, however many others there are.
-      this.#feedNext(this.#waitingBusy)
-      while (this.hasTime && this.#feedNext(this.#waiting));
-      while (this.hasTime && this.#feedNext(this.#waitingBusy));
-      if (this.#waiting.size + this.#waitingBusy.size > 0) this.#scheduleTurn()
-    })
-  }
-
-  /** Feeds the connection that has waited for longest; returns whether there was one. */
-  #feedNext (waiting: Set<GuardedConnection>): boolean {
-    const [connection] = waiting
-    if (connection === undefined) return false
-    waiting.delete(connection)
-    connection.feed()
-    return true
-  }
-
   refused (reason: OverloadReason): void {
     this.#counts[reason] = (this.#counts[reason] ?? 0) + 1
     this.#options.onRefused?.(reason)
@@ -227,7 +181,7 @@
       socket.destroy()
       return
     }
-    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget))
+    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget, this.#turns))
     socket.once('close', () => {
       this.#connections.get(socket)?.forget()
       this.#connections.delete(socket)
@@ -296,10 +250,11 @@
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
-class GuardedConnection implements BudgetHolder {
+class GuardedConnection implements BudgetHolder, TurnTaker {
   readonly #socket: Socket
   readonly #guard: FrontEndGuard
   readonly #budget: MemoryBudget
+  readonly #turns: TurnSchedule
   readonly #account: BudgetAccount
   readonly #deliver: Deliver | undefined
   readonly #input = new RequestInput()
@@ -341,13 +296,14 @@
   /** Charges of bodies that are kept until their requests are answered. */
   readonly #pinnedBytes = new Map<IncomingMessage, number>()
 
-  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget) {
+  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget, turns: TurnSchedule) {
     this.#socket = socket
     this.#guard = guard
     this.#openedMs = guard.nowMs
     this.#writtenMs = this.#openedMs
     this.#idleMs = this.#openedMs
     this.#budget = budget
+    this.#turns = turns
     this.#account = budget.open(this)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
     this.#deliver = socket.listeners('data')[0] as Deliver | undefined
@@ -514,11 +470,11 @@
     let spentMs = 0
     try {
       while (this.#hasParsableInput) {
-        if (spentMs >= CONNECTION_TURN_MS || !this.#guard.hasTime) {
+        if (spentMs >= CONNECTION_TURN_MS || !this.#turns.hasTime) {
           if (!this.#isInBody && !this.#headBegun) this.#beginHead()
           if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
           this.#waitsForTurn = true
-          this.#guard.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
+          this.#turns.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
           break
         }
         this.#endWait()
@@ -529,7 +485,7 @@
     } finally {
       this.#isFeeding = false
       this.#recentMs += spentMs
-      this.#guard.spend(spentMs)
+      this.#turns.spend(spentMs)
     }
     this.#settleInput()
   }
