Extract the calls in progress from the front-end guard

The number of calls and its division between connections were methods of FrontEndGuard among those for connections and times, public only because its connections use them. CallsInProgress holds the count and the rule.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import { BaseError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
-import { deriveCallLimit } from './frontEndLimits.ts'
+import { CallsInProgress } from './callsInProgress.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
@@ -27,8 +27,6 @@
 const SPARE_CONNECTIONS = 16
 /** The platform's pages allow connections that are idle for this time, so they are not closed in favour of new ones. */
 const ALLOWED_IDLE_MS = 15_000
-/** Part of the calls in progress that further requests of connections may use. The rest is for connections with one request. */
-const FURTHER_CALLS_SHARE = 0.5
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
@@ -66,17 +64,16 @@
   readonly #options: FrontEndGuardOptions
   readonly #budget: MemoryBudget
   readonly #turns = new TurnSchedule()
+  readonly #calls: CallsInProgress
   readonly #connections = new Map<Socket, GuardedConnection>()
   #counts: Partial<Record<OverloadReason, number>> = {}
-  #callsInProgress = 0
-  /** Connections with an open request. */
-  #busyConnections = 0
   #checkedMs: number
 
   constructor (server: Server, options: FrontEndGuardOptions) {
     this.#options = options
     const { limits } = options
     this.#budget = new MemoryBudget(limits.memoryBytes, () => performance.now())
+    this.#calls = new CallsInProgress(limits)
     this.#checkedMs = this.nowMs
     // The guard measures these times, because the server counts a connection opened in advance as an incomplete request.
     server.headersTimeout = 0
@@ -114,7 +111,7 @@
   }
 
   get callsInProgress (): number {
-    return this.#callsInProgress
+    return this.#calls.count
   }
 
   /**
@@ -127,35 +124,13 @@
    * try { return await handle(call) } finally { guard.endCall() }
    */
   beginCall (): boolean {
-    if (this.#callsInProgress >= this.#callLimit) {
-      this.refused('calls')
-      return false
-    }
-    this.#callsInProgress += 1
-    return true
+    const isBegun = this.#calls.begin()
+    if (!isBegun) this.refused('calls')
+    return isBegun
   }
 
   endCall (): void {
-    this.#callsInProgress -= 1
-  }
-
-  get #callLimit (): number {
-    return this.limits.calls ?? deriveCallLimit(this.limits.memoryBytes)
-  }
-
-  /**
-   * Requests that one connection may have open: an equal part of the calls that are meant for further requests, and at
-   * least one, so that a client with a single request never waits for those with thousands.
-   */
-  get requestsPerConnection (): number {
-    const furtherCalls = this.#callLimit * FURTHER_CALLS_SHARE
-    if (this.#callsInProgress >= furtherCalls) return 1
-    return Math.max(1, Math.min(this.limits.pipelinedRequests, Math.floor(furtherCalls / Math.max(1, this.#busyConnections))))
-  }
-
-  /** Counts the connections with an open request. */
-  changeBusyConnections (change: 1 | -1): void {
-    this.#busyConnections += change
+    this.#calls.end()
   }
 
   /**
@@ -181,7 +156,7 @@
       socket.destroy()
       return
     }
-    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget, this.#turns))
+    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget, this.#turns, this.#calls))
     socket.once('close', () => {
       this.#connections.get(socket)?.forget()
       this.#connections.delete(socket)
@@ -219,7 +194,7 @@
     if (Object.keys(this.#counts).length === 0) return
     const counts = this.#counts
     this.#counts = {}
-    this.#options.onSummary?.({ counts, connections: this.#connections.size, calls: this.#callsInProgress, heldBytes: this.heldBytes })
+    this.#options.onSummary?.({ counts, connections: this.#connections.size, calls: this.#calls.count, heldBytes: this.heldBytes })
   }
 }
 
@@ -255,6 +230,7 @@
   readonly #guard: FrontEndGuard
   readonly #budget: MemoryBudget
   readonly #turns: TurnSchedule
+  readonly #calls: CallsInProgress
   readonly #account: BudgetAccount
   readonly #deliver: Deliver | undefined
   readonly #input = new RequestInput()
@@ -296,7 +272,7 @@
   /** Charges of bodies that are kept until their requests are answered. */
   readonly #pinnedBytes = new Map<IncomingMessage, number>()
 
-  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget, turns: TurnSchedule) {
+  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget, turns: TurnSchedule, calls: CallsInProgress) {
     this.#socket = socket
     this.#guard = guard
     this.#openedMs = guard.nowMs
@@ -304,6 +280,7 @@
     this.#idleMs = this.#openedMs
     this.#budget = budget
     this.#turns = turns
+    this.#calls = calls
     this.#account = budget.open(this)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
     this.#deliver = socket.listeners('data')[0] as Deliver | undefined
@@ -347,7 +324,7 @@
     const isBusy = this.#openRequests > 0 && !this.#isForgotten
     if (isBusy === this.#isBusy) return
     this.#isBusy = isBusy
-    this.#guard.changeBusyConnections(isBusy ? 1 : -1)
+    this.#calls.changeBusyConnections(isBusy ? 1 : -1)
   }
 
   readBody (request: IncomingMessage, maximumBytes: number, keepCharge: boolean): Promise<string | undefined> {
@@ -520,7 +497,7 @@
     // Set by the HTTP server while it does not want to be given input.
     if ((this.#socket as { _paused?: boolean })._paused === true) return true
     if (this.#isInBody) return false
-    return this.#isLeaving || this.#openRequests >= this.#guard.requestsPerConnection || this.#socket.writableNeedDrain
+    return this.#isLeaving || this.#openRequests >= this.#calls.requestsPerConnection || this.#socket.writableNeedDrain
   }
 
   /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
