Extract the undocumented parts of sockets from the front-end guard

The guard read the handle, the parser and the pause flag of sockets by casts in four methods of GuardedConnection. socketInternals.ts is the one place that knows these parts of Node.js, which a later version may change.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -8,6 +8,7 @@
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
 import { RequestInput } from './requestInput.ts'
+import { countQueuedBytes, isParsingMessage, isPausedByServer, setPaused } from './socketInternals.ts'
 import { TurnSchedule } from './turnSchedule.ts'
 import type { TurnTaker } from './turnSchedule.ts'
 
@@ -208,20 +209,6 @@
   return new FrontEndGuard(server, options)
 }
 
-/** The handle of a socket, as far as Node.js itself uses it to pause sockets and to see whether a long write proceeds. */
-interface SocketHandle {
-  readonly writeQueueSize: number
-  reading: boolean
-  readStart (): void
-  readStop (): void
-}
-
-/** The parser of a socket, as far as Node.js itself uses it to find requests whose time has passed. */
-interface MessageParser {
-  /** Milliseconds since the start of the message that is being parsed; 0 after the end of one. */
-  duration? (): number
-}
-
 type Deliver = (this: Socket, chunk: Buffer) => void
 
 /** One connection: gives its input to the parser of the server part by part. */
@@ -494,8 +481,7 @@
 
   /** Whether the parser must not get more input now. The rest of a body is always given to it, since its request may be the one that is waited for. */
   get #mustHold (): boolean {
-    // Set by the HTTP server while it does not want to be given input.
-    if ((this.#socket as { _paused?: boolean })._paused === true) return true
+    if (isPausedByServer(this.#socket)) return true
     if (this.#isInBody) return false
     return this.#isLeaving || this.#openRequests >= this.#calls.requestsPerConnection || this.#socket.writableNeedDrain
   }
@@ -518,8 +504,7 @@
 
   /** The part that ended a body may have given the parser the start of the next head, for which the time counts, too. */
   #noteHeadAfterBody (): void {
-    const { parser } = this.#socket as { parser?: MessageParser | null }
-    if (this.#isEnding || (parser?.duration?.() ?? 0) === 0) return
+    if (this.#isEnding || !isParsingMessage(this.#socket)) return
     // The rest of the head may be the line end alone, which would not be taken for the end of a head.
     this.#headMs ??= this.#guard.nowMs
   }
@@ -529,7 +514,10 @@
     if (this.#isEnding) this.#input.clear()
     if (this.#input.isEmpty) this.#endWait()
     const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
-    if (mustPause || this.#isPaused) this.#setPaused(mustPause)
+    if (mustPause || this.#isPaused) {
+      this.#isPaused = mustPause
+      setPaused(this.#socket, mustPause)
+    }
     const { heldBytes } = this.#input
     const added = heldBytes - this.#chargedInputBytes
     this.#chargedInputBytes = heldBytes
@@ -541,25 +529,12 @@
     }
   }
 
-  /** A paused socket reads one more buffer of up to 64 KB, which the budget would not count, unless its handle is stopped. */
-  #setPaused (isPaused: boolean): void {
-    this.#isPaused = isPaused
-    if (isPaused) this.#socket.pause()
-    const handle = (this.#socket as { _handle?: SocketHandle | null })._handle
-    if (handle != null && handle.reading === isPaused) {
-      handle.reading = !isPaused
-      if (isPaused) handle.readStop()
-      else handle.readStart()
-    }
-    if (!isPaused) this.#socket.resume()
-  }
-
   /** Notes whether the client reads. An answer that was not there at the last time starts a new measurement. */
   #noteProgress (nowMs: number): void {
     const unreadBytes = this.#socket.writableLength
     const writtenBytes = this.#socket.bytesWritten - unreadBytes
-    // Shrinks while a single long write is being read, during which the other numbers stay the same.
-    const queuedBytes = (this.#socket as { _handle?: SocketHandle | null })._handle?.writeQueueSize ?? 0
+    // The other numbers stay the same while a single long write is being read.
+    const queuedBytes = countQueuedBytes(this.#socket)
     if (this.#unreadBytes === 0 || unreadBytes === 0 || writtenBytes !== this.#writtenBytes || queuedBytes < this.#queuedBytes) this.#writtenMs = nowMs
     this.#unreadBytes = unreadBytes
     this.#writtenBytes = writtenBytes
