Extract the unread answers of a connection from the front-end guard

GuardedConnection measured in two methods and five fields, beside its input and its times, what a client has not read. UnreadAnswers holds the measurement and the charge.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -8,9 +8,10 @@
 import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
 import { RequestInput } from './requestInput.ts'
-import { countQueuedBytes, isParsingMessage, isPausedByServer, setPaused } from './socketInternals.ts'
+import { isParsingMessage, isPausedByServer, setPaused } from './socketInternals.ts'
 import { TurnSchedule } from './turnSchedule.ts'
 import type { TurnTaker } from './turnSchedule.ts'
+import { UnreadAnswers } from './unreadAnswers.ts'
 
 /** Time-outs are checked, and what was refused is reported, at this interval. */
 const CHECK_INTERVAL_MS = 1_000
@@ -221,9 +222,9 @@
   readonly #account: BudgetAccount
   readonly #deliver: Deliver | undefined
   readonly #input = new RequestInput()
+  readonly #answers: UnreadAnswers
   #openedMs: number
   #chargedInputBytes = 0
-  #chargedAnswerBytes = 0
   #openRequests = 0
   /** Whether the guard counts the connection as one with an open request. */
   #isBusy = false
@@ -241,12 +242,6 @@
   #headMs: number | undefined
   /** Whether the parser has been given a part of that request. */
   #headBegun = false
-  #writtenBytes = 0
-  /** Bytes that were unread, and those of them that were with the handle of the socket, when progress was last noted. */
-  #unreadBytes = 0
-  #queuedBytes = 0
-  /** When the client was last seen to have read something, or to have nothing to read. */
-  #writtenMs: number
   #isFeeding = false
   #isPaused = false
   /** Whether input waits only because its time in this turn is used up. */
@@ -263,12 +258,12 @@
     this.#socket = socket
     this.#guard = guard
     this.#openedMs = guard.nowMs
-    this.#writtenMs = this.#openedMs
     this.#idleMs = this.#openedMs
     this.#budget = budget
     this.#turns = turns
     this.#calls = calls
     this.#account = budget.open(this)
+    this.#answers = new UnreadAnswers(socket, this.#account, this.#openedMs)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
     this.#deliver = socket.listeners('data')[0] as Deliver | undefined
     if (this.#deliver === undefined) return
@@ -348,7 +343,7 @@
 
   /** Refuses the body that is being read, or closes the connection if the memory is held by something else. */
   evict (): void {
-    if (this.#openBodies.size > 0 && this.#chargedInputBytes === 0 && this.#chargedAnswerBytes === 0) this.#refuseBodies()
+    if (this.#openBodies.size > 0 && this.#chargedInputBytes === 0 && this.#answers.chargedBytes === 0) this.#refuseBodies()
     else this.close('memory')
   }
 
@@ -359,7 +354,7 @@
     this.#lastMs = move(this.#lastMs)
     this.#receivedMs = move(this.#receivedMs)
     this.#answeredMs = move(this.#answeredMs)
-    this.#writtenMs = move(this.#writtenMs)
+    this.#answers.postpone(durationMs, nowMs)
     this.#waitsSinceMs = move(this.#waitsSinceMs)
     if (this.#headMs !== undefined) this.#headMs = move(this.#headMs)
     if (this.#idleMs !== undefined) this.#idleMs = move(this.#idleMs)
@@ -367,8 +362,8 @@
 
   /** For how long the client has left a request incomplete or an answer unread. */
   stalledMs (nowMs: number): number {
-    this.#noteProgress(nowMs)
-    if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
+    this.#answers.noteProgress(nowMs)
+    if (this.#answers.isUnread) return this.#answers.unreadMs(nowMs)
     if (this.#waitsForTurn) return 0
     if (this.#isInBody) return nowMs - this.#receivedMs
     // A call in progress is not given up because the next request has begun.
@@ -380,10 +375,10 @@
   check (nowMs: number): void {
     const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
     this.#recentMs /= 2
-    this.#chargeAnswers(nowMs)
+    this.#answers.charge(nowMs)
     if (this.#socket.destroyed) return
-    if (this.#socket.writableLength > 0) {
-      if (nowMs - this.#writtenMs > answerTimeoutMs) this.close('unread-answer')
+    if (this.#answers.isUnread) {
+      if (this.#answers.unreadMs(nowMs) > answerTimeoutMs) this.close('unread-answer')
     } else if (this.#waitsForTurn) {
       // The input has arrived and is not read because of the load of the instance.
     } else if (this.#last !== undefined && !this.#last.complete) {
@@ -411,7 +406,7 @@
     for (const fail of this.#openBodies) fail(createBrokenError())
     this.#input.clear()
     this.#chargedInputBytes = 0
-    this.#chargedAnswerBytes = 0
+    this.#answers.forget()
     this.#budget.close(this.#account)
   }
 
@@ -528,28 +523,6 @@
       this.close('memory')
     }
   }
-
-  /** Notes whether the client reads. An answer that was not there at the last time starts a new measurement. */
-  #noteProgress (nowMs: number): void {
-    const unreadBytes = this.#socket.writableLength
-    const writtenBytes = this.#socket.bytesWritten - unreadBytes
-    // The other numbers stay the same while a single long write is being read.
-    const queuedBytes = countQueuedBytes(this.#socket)
-    if (this.#unreadBytes === 0 || unreadBytes === 0 || writtenBytes !== this.#writtenBytes || queuedBytes < this.#queuedBytes) this.#writtenMs = nowMs
-    this.#unreadBytes = unreadBytes
-    this.#writtenBytes = writtenBytes
-    this.#queuedBytes = queuedBytes
-  }
-
-  /** Charges what the client has not read. */
-  #chargeAnswers (nowMs: number): void {
-    this.#noteProgress(nowMs)
-    const unreadBytes = this.#socket.writableLength
-    const added = unreadBytes - this.#chargedAnswerBytes
-    this.#chargedAnswerBytes = unreadBytes
-    if (added > 0) this.#account.chargeAnyway(added)
-    else this.#account.release(-added)
-  }
 }
 
 function createBrokenError (): Error {
