Extract the bodies of requests from the front-end guard

GuardedConnection read bodies, kept their charges and failed them, among its input and its times. RequestBodies does this for one connection, and FrontEndBusyError, with which it refuses, moves with it.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -5,8 +5,9 @@
 import type { Clock } from '../../ports/clock.ts'
 import { CallsInProgress } from './callsInProgress.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
-import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
+import { MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
+import { RequestBodies } from './requestBodies.ts'
 import { RequestInput } from './requestInput.ts'
 import { isParsingMessage, isPausedByServer, setPaused } from './socketInternals.ts'
 import { TurnSchedule } from './turnSchedule.ts'
@@ -51,9 +52,6 @@
   readonly clock?: Pick<Clock, 'monotonicMs'>
 }
 
-/** There is no memory for the body of a request. The request has had no effect. */
-export const FrontEndBusyError = BaseError.subclass('FrontEndBusyError')
-
 /**
  * Limits the memory, the time and the connections of the clients of a server. While the answers of a connection are
  * unsent or unread, its further requests are not parsed. Must be created after the server and before it listens.
@@ -223,6 +221,7 @@
   readonly #deliver: Deliver | undefined
   readonly #input = new RequestInput()
   readonly #answers: UnreadAnswers
+  readonly #bodies: RequestBodies
   #openedMs: number
   #chargedInputBytes = 0
   #openRequests = 0
@@ -249,11 +248,6 @@
   #waitsSinceMs = 0
   /** Time that the requests of the connection have taken, halved at each check: connections that stay busy keep waiting behind others. */
   #recentMs = 0
-  /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
-  readonly #openBodies = new Set<(error: Error) => void>()
-  /** Charges of bodies that are kept until their requests are answered. */
-  readonly #pinnedBytes = new Map<IncomingMessage, number>()
-
   constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget, turns: TurnSchedule, calls: CallsInProgress) {
     this.#socket = socket
     this.#guard = guard
@@ -263,6 +257,7 @@
     this.#turns = turns
     this.#calls = calls
     this.#account = budget.open(this)
+    this.#bodies = new RequestBodies(budget, this.#account, () => guard.refused('memory'))
     this.#answers = new UnreadAnswers(socket, this.#account, this.#openedMs)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
     this.#deliver = socket.listeners('data')[0] as Deliver | undefined
@@ -287,8 +282,7 @@
       this.#noteBusy()
       this.#answeredMs = this.#guard.nowMs
       if (this.#idleMs !== undefined) this.#idleMs = this.#answeredMs
-      this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
-      this.#pinnedBytes.delete(request)
+      this.#bodies.releaseKept(request)
       if (isFurther) this.#account.release(REQUEST_BYTES)
       // A body that nobody reads would stop the input of the connection.
       if (!request.complete) request.resume()
@@ -310,40 +304,12 @@
   }
 
   readBody (request: IncomingMessage, maximumBytes: number, keepCharge: boolean): Promise<string | undefined> {
-    return new Promise((resolve, reject) => {
-      const body = new BodyCollector(this.#budget, this.#account)
-      const fail = (error: Error): void => {
-        if (!this.#openBodies.delete(fail)) return
-        body.discard()
-        reject(error)
-      }
-      this.#openBodies.add(fail)
-      request.on('data', (chunk: Buffer) => {
-        if (!this.#openBodies.has(fail)) return
-        if (body.length + chunk.length > maximumBytes) {
-          this.#openBodies.delete(fail)
-          body.discard()
-          resolve(undefined)
-        } else if (!body.add(chunk)) {
-          this.#refuseBodies()
-        }
-      })
-      request.once('end', () => {
-        if (!this.#openBodies.delete(fail)) return
-        const { chargedBytes } = body
-        resolve(body.takeText())
-        if (!keepCharge) return this.#account.release(chargedBytes)
-        this.#account.pin(chargedBytes)
-        this.#pinnedBytes.set(request, chargedBytes)
-      })
-      request.once('error', fail)
-      request.once('close', () => { if (!request.complete) fail(createBrokenError()) })
-    })
+    return this.#bodies.read(request, maximumBytes, keepCharge)
   }
 
   /** Refuses the body that is being read, or closes the connection if the memory is held by something else. */
   evict (): void {
-    if (this.#openBodies.size > 0 && this.#chargedInputBytes === 0 && this.#answers.chargedBytes === 0) this.#refuseBodies()
+    if (this.#bodies.isReading && this.#chargedInputBytes === 0 && this.#answers.chargedBytes === 0) this.#bodies.refuse()
     else this.close('memory')
   }
 
@@ -403,18 +369,13 @@
   forget (): void {
     this.#isForgotten = true
     this.#noteBusy()
-    for (const fail of this.#openBodies) fail(createBrokenError())
+    this.#bodies.breakOff()
     this.#input.clear()
     this.#chargedInputBytes = 0
     this.#answers.forget()
     this.#budget.close(this.#account)
   }
 
-  #refuseBodies (): void {
-    this.#guard.refused('memory')
-    for (const fail of this.#openBodies) fail(new FrontEndBusyError('the instance has no memory left for bodies of requests'))
-  }
-
   #receive (chunk: Buffer): void {
     this.#receivedMs = this.#guard.nowMs
     this.#input.append(chunk)
@@ -524,7 +485,3 @@
     }
   }
 }
-
-function createBrokenError (): Error {
-  return new BaseError('the connection was closed before the whole body had arrived')
-}
--- a/src/platform/callerFrontend.ts
+++ b/src/platform/callerFrontend.ts
@@ -1,10 +1,11 @@
 /** HTTP server for callers on the platform. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { FrontEndBusyError, FrontEndGuard } from '../adapters/http/frontEndGuard.ts'
+import { FrontEndGuard } from '../adapters/http/frontEndGuard.ts'
 import type { FrontEndLimits } from '../adapters/http/frontEndLimits.ts'
 import { GracefulServerClose } from '../adapters/http/gracefulServerClose.ts'
 import type { OverloadReason } from '../adapters/http/memoryBudget.ts'
+import { FrontEndBusyError } from '../adapters/http/requestBodies.ts'
 import { listenOn } from '../adapters/network.ts'
 import { unavailable } from '../entry/callerCall.ts'
 import type { CallAction, CallerAnswer, CallerCall, CallerRequest, CallHandler } from '../entry/callerCall.ts'
