Extract the times of a connection from the front-end guard

Eight times of GuardedConnection decide when a client is stalled and when a time limit is over, and nine of its methods changed them. ConnectionTimes holds them and both rules; the connection tells it what has happened.

No change of behaviour.

--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -4,6 +4,8 @@
 import { BaseError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
 import { CallsInProgress } from './callsInProgress.ts'
+import { ConnectionTimes } from './connectionTimes.ts'
+import type { ConnectionActivity } from './connectionTimes.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
 import { MemoryBudget } from './memoryBudget.ts'
 import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
@@ -28,8 +30,6 @@
 const REQUEST_BYTES = 4_096
 /** Connections that are accepted beyond the limit in order to choose the one that is closed. */
 const SPARE_CONNECTIONS = 16
-/** The platform's pages allow connections that are idle for this time, so they are not closed in favour of new ones. */
-const ALLOWED_IDLE_MS = 15_000
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
@@ -222,7 +222,7 @@
   readonly #input = new RequestInput()
   readonly #answers: UnreadAnswers
   readonly #bodies: RequestBodies
-  #openedMs: number
+  readonly #times: ConnectionTimes
   #chargedInputBytes = 0
   #openRequests = 0
   /** Whether the guard counts the connection as one with an open request. */
@@ -231,34 +231,22 @@
   /** Whether the connection takes no further request. */
   #isLeaving = false
   #last: IncomingMessage | undefined
-  #lastMs = 0
-  /** When the client last sent anything. */
-  #receivedMs = 0
-  #answeredMs = 0
-  /** Since when the connection has had no request and the server no time-out for that; undefined if it has one. */
-  #idleMs: number | undefined
-  /** When the first byte of the next request arrived; undefined if none has. */
-  #headMs: number | undefined
-  /** Whether the parser has been given a part of that request. */
+  /** Whether the parser has been given a part of the next request. */
   #headBegun = false
   #isFeeding = false
   #isPaused = false
-  /** Whether input waits only because its time in this turn is used up. */
-  #waitsForTurn = false
-  #waitsSinceMs = 0
   /** Time that the requests of the connection have taken, halved at each check: connections that stay busy keep waiting behind others. */
   #recentMs = 0
   constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget, turns: TurnSchedule, calls: CallsInProgress) {
     this.#socket = socket
     this.#guard = guard
-    this.#openedMs = guard.nowMs
-    this.#idleMs = this.#openedMs
+    this.#times = new ConnectionTimes(() => guard.nowMs)
     this.#budget = budget
     this.#turns = turns
     this.#calls = calls
     this.#account = budget.open(this)
     this.#bodies = new RequestBodies(budget, this.#account, () => guard.refused('memory'))
-    this.#answers = new UnreadAnswers(socket, this.#account, this.#openedMs)
+    this.#answers = new UnreadAnswers(socket, this.#account, guard.nowMs)
     // The listener by which the server feeds its parser. It is called for one part after another instead.
     this.#deliver = socket.listeners('data')[0] as Deliver | undefined
     if (this.#deliver === undefined) return
@@ -269,10 +257,8 @@
 
   begin (request: IncomingMessage, response: ServerResponse): void {
     this.#last = request
-    this.#lastMs = this.#guard.nowMs
-    this.#headMs = undefined
+    this.#times.recordRequest()
     this.#headBegun = false
-    this.#idleMs = undefined
     this.#openRequests += 1
     this.#noteBusy()
     const isFurther = this.#openRequests > 1
@@ -280,8 +266,7 @@
     response.once('close', () => {
       this.#openRequests -= 1
       this.#noteBusy()
-      this.#answeredMs = this.#guard.nowMs
-      if (this.#idleMs !== undefined) this.#idleMs = this.#answeredMs
+      this.#times.recordAnswer()
       this.#bodies.releaseKept(request)
       if (isFurther) this.#account.release(REQUEST_BYTES)
       // A body that nobody reads would stop the input of the connection.
@@ -315,48 +300,36 @@
 
   /** Moves the start of all times of the connection, because the instance was late by the duration. */
   postpone (durationMs: number, nowMs: number): void {
-    const move = (timeMs: number): number => Math.min(nowMs, timeMs + durationMs)
-    this.#openedMs = move(this.#openedMs)
-    this.#lastMs = move(this.#lastMs)
-    this.#receivedMs = move(this.#receivedMs)
-    this.#answeredMs = move(this.#answeredMs)
+    this.#times.postpone(durationMs, nowMs)
     this.#answers.postpone(durationMs, nowMs)
-    this.#waitsSinceMs = move(this.#waitsSinceMs)
-    if (this.#headMs !== undefined) this.#headMs = move(this.#headMs)
-    if (this.#idleMs !== undefined) this.#idleMs = move(this.#idleMs)
   }
 
   /** For how long the client has left a request incomplete or an answer unread. */
   stalledMs (nowMs: number): number {
     this.#answers.noteProgress(nowMs)
     if (this.#answers.isUnread) return this.#answers.unreadMs(nowMs)
-    if (this.#waitsForTurn) return 0
-    if (this.#isInBody) return nowMs - this.#receivedMs
-    // A call in progress is not given up because the next request has begun.
-    if (this.#openRequests > 0) return 0
-    if (this.#headMs !== undefined) return nowMs - this.#headMs
-    return nowMs - (this.#last === undefined ? this.#openedMs : this.#answeredMs) - ALLOWED_IDLE_MS
+    return this.#times.stalledMs(nowMs, this.#activity)
   }
 
   check (nowMs: number): void {
-    const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
     this.#recentMs /= 2
     this.#answers.charge(nowMs)
     if (this.#socket.destroyed) return
-    if (this.#answers.isUnread) {
-      if (this.#answers.unreadMs(nowMs) > answerTimeoutMs) this.close('unread-answer')
-    } else if (this.#waitsForTurn) {
-      // The input has arrived and is not read because of the load of the instance.
-    } else if (this.#last !== undefined && !this.#last.complete) {
-      if (nowMs - this.#lastMs > bodyTimeoutMs) this.close('body-timeout')
-    } else if (this.#headMs !== undefined) {
-      if (nowMs - this.#headMs > headerTimeoutMs && this.#openRequests === 0) this.close('header-timeout')
-    } else if (this.#openRequests === 0 && this.#idleMs !== undefined && nowMs - this.#idleMs > idleTimeoutMs) {
-      this.close('idle')
-    }
+    const reason = this.#findOverdue(nowMs)
+    if (reason !== undefined) this.close(reason)
     this.feed()
   }
 
+  #findOverdue (nowMs: number): OverloadReason | undefined {
+    const { limits } = this.#guard
+    if (this.#answers.isUnread) return this.#answers.unreadMs(nowMs) > limits.answerTimeoutMs ? 'unread-answer' : undefined
+    return this.#times.findOverdue(nowMs, limits, this.#activity)
+  }
+
+  get #activity (): ConnectionActivity {
+    return { isInBody: this.#isInBody, openRequests: this.#openRequests }
+  }
+
   close (reason: OverloadReason): void {
     if (this.#socket.destroyed) return
     this.#guard.refused(reason)
@@ -377,7 +350,7 @@
   }
 
   #receive (chunk: Buffer): void {
-    this.#receivedMs = this.#guard.nowMs
+    this.#times.recordInput()
     this.#input.append(chunk)
     this.feed()
   }
@@ -392,12 +365,11 @@
       while (this.#hasParsableInput) {
         if (spentMs >= CONNECTION_TURN_MS || !this.#turns.hasTime) {
           if (!this.#isInBody && !this.#headBegun) this.#beginHead()
-          if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
-          this.#waitsForTurn = true
+          this.#times.beginWait()
           this.#turns.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
           break
         }
-        this.#endWait()
+        this.#times.endWait(this.#isInBody)
         if (this.#isInBody || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES) this.#deliverPart(this.#input.take())
         else this.#beginHead()
         spentMs = performance.now() - startedMs
@@ -410,17 +382,6 @@
     this.#settleInput()
   }
 
-  /** The time for which input waited for a turn is not counted against the client. */
-  #endWait (): void {
-    if (!this.#waitsForTurn) return
-    this.#waitsForTurn = false
-    const { nowMs } = this.#guard
-    const waitedMs = nowMs - this.#waitsSinceMs
-    if (this.#headMs !== undefined) this.#headMs += waitedMs
-    if (this.#isInBody) this.#lastMs += waitedMs
-    this.#receivedMs += waitedMs
-  }
-
   get #hasParsableInput (): boolean {
     if (this.#input.isEmpty || this.#isEnding || this.#mustHold) return false
     return this.#isInBody || !this.#headBegun || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES
@@ -447,8 +408,8 @@
     const first = this.#input.takeBytes(1)
     this.#headBegun = first[0] !== CARRIAGE_RETURN && first[0] !== LINE_FEED
     // Some clients send an empty line after a body. It begins no request, but the server stops its time-out of idle connections.
-    if (this.#headBegun) this.#headMs ??= this.#guard.nowMs
-    else this.#idleMs ??= this.#guard.nowMs
+    if (this.#headBegun) this.#times.recordHead()
+    else this.#times.recordEmptyLine()
     this.#deliverPart(first)
   }
 
@@ -462,14 +423,14 @@
   #noteHeadAfterBody (): void {
     if (this.#isEnding || !isParsingMessage(this.#socket)) return
     // The rest of the head may be the line end alone, which would not be taken for the end of a head.
-    this.#headMs ??= this.#guard.nowMs
+    this.#times.recordHead()
   }
 
   /** Pauses or resumes the socket, and charges what waits. */
   #settleInput (): void {
     if (this.#isEnding) this.#input.clear()
-    if (this.#input.isEmpty) this.#endWait()
-    const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
+    if (this.#input.isEmpty) this.#times.endWait(this.#isInBody)
+    const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#times.waitsForTurn)
     if (mustPause || this.#isPaused) {
       this.#isPaused = mustPause
       setPaused(this.#socket, mustPause)
