Extract the start and stop requests from the target session

RunRequests sends the requests for runs; TargetSession keeps renewals, reports and the decision that an incarnation has ended.

No change of behaviour.

--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -3,7 +3,7 @@
 import { targetKey } from '../../jobs/jobTable.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
-import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../../ports/jobTarget.ts'
+import type { FinishedRun, JobTargetClient, RunningTask, TargetReport } from '../../ports/jobTarget.ts'
 import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
@@ -12,6 +12,7 @@
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { IncarnationEnd } from './incarnationEnd.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
+import { RunRequests } from './runRequests.ts'
 import { startMayStillArrive, StartsInTransit } from './startsInTransit.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import { TargetContact } from './targetContact.ts'
@@ -31,11 +32,6 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
-const CONFIRMATION_DELAY_MS = 250
-/** Delay between repeated stop requests. */
-const STOP_RETRY_DELAY_MS = 400
-
 export interface TargetSessionOptions extends TargetLeaseOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
@@ -63,6 +59,7 @@
   readonly capacity: TargetCapacity
   readonly #starts: StartsInTransit
   readonly #runs: AssignedRuns
+  readonly #requests: RunRequests
   readonly #end: IncarnationEnd
 
   constructor (options: TargetSessionOptions) {
@@ -80,21 +77,38 @@
       runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
       unexpectedRun: run => this.#stopUnexpectedRun(run)
     })
+    this.#requests = this.#createRequests()
     this.#end = this.#createEnd()
   }
 
+  #createRequests (): RunRequests {
+    const { listener, logger } = this.#options
+    return new RunRequests({
+      ...this.#options,
+      contact: this.#contact,
+      lease: this.#lease,
+      starts: this.#starts,
+      runs: this.#runs,
+      hasEnded: () => this.#hasEnded,
+      listener: {
+        startConfirmed: assignment => listener.startConfirmed(this, assignment),
+        startRefused: (assignment, refusal) => listener.startRefused(this, assignment, refusal),
+        startUnanswered: assignment => listener.startUnanswered(this, assignment),
+        fenced: () => listener.fenced(this),
+        restarted: () => this.#endIncarnation('restarted'),
+        restartSuspected: () => runInBackground(this.#renew(0), logger, 'check for a restart')
+      }
+    })
+  }
+
   #createEnd (): IncarnationEnd {
-    const { client, clock, logger, fence, isListed, listener } = this.#options
+    const { listener } = this.#options
     return new IncarnationEnd({
+      ...this.#options,
       target: this.id,
-      client,
-      clock,
-      logger,
-      fence,
       lease: this.#lease,
       starts: this.#starts,
       assignments: this.assignments,
-      isListed,
       isClosed: () => this.#closed,
       reportCrash: () => this.#reportCrash(),
       handleEnd: run => this.#handleFinishedRun(run),
@@ -192,80 +206,13 @@
   }
 
   /** Sends the start request for a task with reserved capacity. */
-  async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { fence } = this.#options
-    const { task } = assignment
-    const checkpoint = task.step.checkpointOf(task)
-    for (;;) {
-      const leaseUntilTargetMs = this.#lease.extend()
-      if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
-      const fencingToken = fence.nextToken()
-      assignment.state = 'starting'
-      assignment.startAnswered = false
-      assignment.isResumed = checkpoint !== ''
-      this.#starts.recordSent(assignment)
-      const result = await this.#options.client.start({
-        task: task.name,
-        attempt: assignment.attempt,
-        spec: task.step.job.definition.spec,
-        leaseUntilTargetMs,
-        fencingToken,
-        checkpoint,
-        ticket
-      })
-      this.#starts.recordReturned(assignment)
-      const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
-      if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
-      this.#options.logger.info({ task: task.name, attempt: assignment.attempt, target: this.id }, 'a later request has overtaken a start, which the target refused')
-      if (isStopping(assignment) || !this.#runs.has(assignment)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
-    }
-  }
-
-  async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
-    const { clock, listener } = this.#options
-    assignment.startAnswered = result.outcome !== 'unknown'
-    this.#starts.recordOutcome(assignment)
-    if (result.outcome === 'started') {
-      this.#contact.recordStarted()
-      this.#compareClock(result.clockMs)
-    }
-    if (!this.#runs.has(assignment) || this.#hasEnded) return
-    // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
-    if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
-    if (result.outcome === 'started') {
-      assignment.startedAtMs ??= clock.monotonicMs()
-      if (assignment.state === 'starting') assignment.state = 'running'
-      return listener.startConfirmed(this, assignment)
-    }
-    if (result.outcome === 'refused') {
-      if (result.refusal === 'fenced') return listener.fenced(this)
-      return this.#handleRefusal(assignment, result.refusal)
-    }
-    if (assignment.state === 'starting') assignment.state = 'unconfirmed'
-    await this.#stopUnlessConfirmed(assignment)
-  }
-
-  /** Asks the target at once if its clock has changed, since a renewal may wait on a dead connection for seconds. */
-  #compareClock (clockMs: number): void {
-    const differenceMs = this.#hasEnded ? undefined : this.#contact.findRestart(clockMs)
-    if (differenceMs === undefined) return
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, differenceMs: Math.round(differenceMs) }, 'the clock of a target suggests that it has restarted')
-    runInBackground(this.#renew(0), this.#options.logger, 'check for a restart')
+  start (assignment: Assignment, ticket: string | undefined): Promise<void> {
+    return this.#requests.start(assignment, ticket)
   }
 
   /** Stops a run; it holds its capacity until the target reports its end. */
-  async stop (assignment: Assignment): Promise<void> {
-    if (assignment.state === 'stopping' || assignment.state === 'reserved') return
-    assignment.state = 'stopping'
-    assignment.confirmedAtMs = Infinity
-    while (this.#runs.has(assignment) && !this.#hasEnded) {
-      if (await this.#sendStop(assignment.task.name, assignment.attempt)) {
-        // Reports requested before this time may still show the run.
-        assignment.confirmedAtMs = this.#options.clock.monotonicMs()
-        return
-      }
-      await this.#options.clock.sleep(STOP_RETRY_DELAY_MS)
-    }
+  stop (assignment: Assignment): Promise<void> {
+    return this.#requests.stop(assignment)
   }
 
   /** Renews leases and handles reports until the incarnation or the term ends. */
@@ -366,34 +313,10 @@
   /** Stops a run whose start request was withdrawn but executed late, or a run of a finished job; returns its resources if they are known. */
   #stopUnexpectedRun ({ task, attempt }: RunningTask): ComputeResources | undefined {
     this.#options.logger.info({ task, attempt, target: this.id, free: this.free }, 'stopping an unexpected run')
-    runInBackground(this.#sendStop(task, attempt), this.#options.logger, 'stop of a run')
+    runInBackground(this.#requests.sendStop(task, attempt), this.#options.logger, 'stop of a run')
     return this.#options.listener.sizeOfRun(task)
   }
 
-  async #stopUnlessConfirmed (assignment: Assignment): Promise<void> {
-    await this.#options.clock.sleep(CONFIRMATION_DELAY_MS)
-    if (!this.#runs.has(assignment) || assignment.state !== 'unconfirmed') return
-    this.#options.listener.startUnanswered(this, assignment)
-    await this.stop(assignment)
-  }
-
-  /** Returns true if the target will certainly end the run, or never start it. */
-  async #sendStop (task: string, attempt: number): Promise<boolean> {
-    const { client, fence, listener, hasAuthority } = this.#options
-    if (!hasAuthority()) return false
-    const fencingToken = fence.nextToken()
-    const outcome = await client.stop({ task, attempt, fencingToken })
-    if (outcome === 'fenced' && fence.isLatest(fencingToken) && !this.#hasEnded) listener.fenced(this)
-    if (outcome === 'other-life') this.#endIncarnation('restarted')
-    return outcome === 'stopping'
-  }
-
-  #handleRefusal (assignment: Assignment, refusal: StartRefusal): void {
-    this.#runs.remove(assignment)
-    this.#options.listener.startRefused(this, assignment, refusal)
-    if (refusal === 'other-life') this.#endIncarnation('restarted')
-  }
-
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
     if (reason === 'lease-lapsed') this.#end.afterLapse()
@@ -431,8 +354,3 @@
     this.#options.listener.runLost(this, assignment, reason)
   }
 }
-
-/** A function, since the state may change while a request is in progress. */
-function isStopping ({ state }: Assignment): boolean {
-  return state === 'stopping'
-}
