--- a/src/adapters/http/frontEndGuard.ts
+++ b/src/adapters/http/frontEndGuard.ts
@@ -3,11 +3,13 @@
 import type { Socket } from 'node:net'
 import { BaseError } from '../../model/errors.ts'
 import type { Clock } from '../../ports/clock.ts'
-import { DEFAULT_KEPT_IDLE_MS, deriveCallLimit } from './frontEndLimits.ts'
+import { CallsInProgress } from './callsInProgress.ts'
 import type { FrontEndLimits } from './frontEndLimits.ts'
-import { BodyCollector, MemoryBudget } from './memoryBudget.ts'
-import type { BudgetAccount, BudgetHolder, OverloadReason } from './memoryBudget.ts'
-import { RequestInput } from './requestInput.ts'
+import { GuardedConnection } from './guardedConnection.ts'
+import type { ConnectionOptions } from './guardedConnection.ts'
+import { MemoryBudget } from './memoryBudget.ts'
+import type { OverloadReason } from './memoryBudget.ts'
+import { TurnSchedule } from './turnSchedule.ts'
 
 /** Time-outs are checked, and what was refused is reported, at this interval. */
 const CHECK_INTERVAL_MS = 1_000
@@ -15,21 +17,8 @@
 const LATE_CHECK_MS = 1_000
 /** A client may be closed in favour of a new one if its request has been incomplete, or its answer unread, for this time. */
 const STALLED_MS = 1_000
-/** Time for the requests of all connections in one turn of the event loop. Timers and answers of other servers wait meanwhile. */
-const TURN_MS = 10
-/** Time for the requests of one connection in a turn, after which others have theirs. */
-const CONNECTION_TURN_MS = 2
-/** Heads beyond this size go to the parser at once, which refuses them. */
-const MAX_HELD_HEAD_BYTES = 16_384
-/** Charged for each request of a connection beyond the first. */
-const REQUEST_BYTES = 4_096
 /** Connections that are accepted beyond the limit in order to choose the one that is closed. */
 const SPARE_CONNECTIONS = 16
-/** Part of the calls in progress that further requests of connections may use. The rest is for connections with one request. */
-const FURTHER_CALLS_SHARE = 0.5
-const LINE_FEED = 0x0a
-const CARRIAGE_RETURN = 0x0d
-const TIMEOUT_ANSWER = 'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n\r\n'
 
 /** What was refused or closed within one interval. */
 export interface OverloadSummary {
@@ -49,9 +38,6 @@
   readonly clock?: Pick<Clock, 'monotonicMs'>
 }
 
-/** There is no memory for the body of a request. The request has had no effect. */
-export const FrontEndBusyError = BaseError.subclass('FrontEndBusyError')
-
 /**
  * Limits the memory, the time and the connections of the clients of a server. While the answers of a connection are
  * unsent or unread, its further requests are not parsed. Must be created after the server and before it listens.
@@ -63,29 +49,31 @@
 export class FrontEndGuard {
   readonly #options: FrontEndGuardOptions
   readonly #budget: MemoryBudget
+  readonly #calls: CallsInProgress
+  readonly #connectionOptions: ConnectionOptions
   readonly #connections = new Map<Socket, GuardedConnection>()
   #counts: Partial<Record<OverloadReason, number>> = {}
-  /** Connections with input that wait for the next turn of the event loop. */
-  #waiting = new Set<GuardedConnection>()
-  /** Those of them that have had their time in the last seconds. They wait behind the others. */
-  #waitingBusy = new Set<GuardedConnection>()
-  #callsInProgress = 0
-  /** Connections with an open request. */
-  #busyConnections = 0
-  #turnMs = 0
-  #isTurnScheduled = false
   #checkedMs: number
 
   constructor (server: Server, options: FrontEndGuardOptions) {
     this.#options = options
     const { limits } = options
     this.#budget = new MemoryBudget(limits.memoryBytes, () => performance.now())
-    this.#checkedMs = this.nowMs
+    this.#calls = new CallsInProgress(limits)
+    this.#connectionOptions = {
+      limits,
+      budget: this.#budget,
+      turns: new TurnSchedule(),
+      calls: this.#calls,
+      nowMs: () => this.#nowMs,
+      onRefused: reason => this.#refused(reason)
+    }
+    this.#checkedMs = this.#nowMs
     // The guard measures these times, because the server counts a connection opened in advance as an incomplete request.
     server.headersTimeout = 0
     server.requestTimeout = 0
     server.maxConnections = limits.connections + SPARE_CONNECTIONS
-    server.on('drop', () => this.refused('connections'))
+    server.on('drop', () => this.#refused('connections'))
     server.on('connection', (socket: Socket) => this.#accept(socket))
     // Before the listener of the server, so that a body is never read from a request that is not counted.
     server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => this.#connections.get(request.socket)?.begin(request, response))
@@ -93,11 +81,7 @@
     server.once('close', () => clearInterval(timer))
   }
 
-  get limits (): FrontEndLimits {
-    return this.#options.limits
-  }
-
-  get nowMs (): number {
+  get #nowMs (): number {
     return this.#options.clock?.monotonicMs() ?? performance.now()
   }
 
@@ -117,7 +101,7 @@
   }
 
   get callsInProgress (): number {
-    return this.#callsInProgress
+    return this.#calls.count
   }
 
   /**
@@ -130,35 +114,13 @@
    * try { return await handle(call) } finally { guard.endCall() }
    */
   beginCall (): boolean {
-    if (this.#callsInProgress >= this.#callLimit) {
-      this.refused('calls')
-      return false
-    }
-    this.#callsInProgress += 1
-    return true
+    const isBegun = this.#calls.begin()
+    if (!isBegun) this.#refused('calls')
+    return isBegun
   }
 
   endCall (): void {
-    this.#callsInProgress -= 1
-  }
-
-  get #callLimit (): number {
-    return this.limits.calls ?? deriveCallLimit(this.limits.memoryBytes)
-  }
-
-  /**
-   * Requests that one connection may have open: an equal part of the calls that are meant for further requests, and at
-   * least one, so that a client with a single request never waits for those with thousands.
-   */
-  get requestsPerConnection (): number {
-    const furtherCalls = this.#callLimit * FURTHER_CALLS_SHARE
-    if (this.#callsInProgress >= furtherCalls) return 1
-    return Math.max(1, Math.min(this.limits.pipelinedRequests, Math.floor(furtherCalls / Math.max(1, this.#busyConnections))))
-  }
-
-  /** Counts the connections with an open request. */
-  changeBusyConnections (change: 1 | -1): void {
-    this.#busyConnections += change
+    this.#calls.end()
   }
 
   /**
@@ -173,59 +135,18 @@
     return this.#connections.get(request.socket)?.endAfter(request) ?? true
   }
 
-  /** Whether requests may be parsed in this turn of the event loop. */
-  get hasTime (): boolean {
-    return this.#turnMs < TURN_MS
-  }
-
-  /** Counts the time that requests have taken in this turn. */
-  spend (durationMs: number): void {
-    this.#turnMs += durationMs
-    this.#scheduleTurn()
-  }
-
-  /** Feeds the connection in a later turn; one that has had its time waits behind those that have not. */
-  wait (connection: GuardedConnection, hasHadTime: boolean): void {
-    if (hasHadTime) this.#waitingBusy.add(connection)
-    else this.#waiting.add(connection)
-    this.#scheduleTurn()
-  }
-
-  #scheduleTurn (): void {
-    if (this.#isTurnScheduled) return
-    this.#isTurnScheduled = true
-    setImmediate(() => {
-      this.#isTurnScheduled = false
-      this.#turnMs = 0
-      // One of the busy connections has time in each turn, however many others there are.
-      this.#feedNext(this.#waitingBusy)
-      while (this.hasTime && this.#feedNext(this.#waiting));
-      while (this.hasTime && this.#feedNext(this.#waitingBusy));
-      if (this.#waiting.size + this.#waitingBusy.size > 0) this.#scheduleTurn()
-    })
-  }
-
-  /** Feeds the connection that has waited for longest; returns whether there was one. */
-  #feedNext (waiting: Set<GuardedConnection>): boolean {
-    const [connection] = waiting
-    if (connection === undefined) return false
-    waiting.delete(connection)
-    connection.feed()
-    return true
-  }
-
-  refused (reason: OverloadReason): void {
+  #refused (reason: OverloadReason): void {
     this.#counts[reason] = (this.#counts[reason] ?? 0) + 1
     this.#options.onRefused?.(reason)
   }
 
   #accept (socket: Socket): void {
-    if (this.#connections.size >= this.limits.connections && !this.#closeStalled()) {
-      this.refused('connections')
+    if (this.#connections.size >= this.#options.limits.connections && !this.#closeStalled()) {
+      this.#refused('connections')
       socket.destroy()
       return
     }
-    this.#connections.set(socket, new GuardedConnection(socket, this, this.#budget))
+    this.#connections.set(socket, new GuardedConnection(socket, this.#connectionOptions))
     socket.once('close', () => {
       this.#connections.get(socket)?.forget()
       this.#connections.delete(socket)
@@ -234,7 +155,7 @@
 
   /** Closes the connection that has been stalled for longest, if there is one. */
   #closeStalled (): boolean {
-    const { nowMs } = this
+    const nowMs = this.#nowMs
     this.#allowForDelay(nowMs)
     let stalled: GuardedConnection | undefined
     let longestMs = STALLED_MS
@@ -256,14 +177,14 @@
 
   /** Closes the connections whose time is over, and reports what was refused. Called once a second. */
   check (): void {
-    const { nowMs } = this
+    const nowMs = this.#nowMs
     this.#allowForDelay(nowMs)
     this.#checkedMs = nowMs
     for (const connection of this.#connections.values()) connection.check(nowMs)
     if (Object.keys(this.#counts).length === 0) return
     const counts = this.#counts
     this.#counts = {}
-    this.#options.onSummary?.({ counts, connections: this.#connections.size, calls: this.#callsInProgress, heldBytes: this.heldBytes })
+    this.#options.onSummary?.({ counts, connections: this.#connections.size, calls: this.#calls.count, heldBytes: this.heldBytes })
   }
 }
 
@@ -276,380 +197,3 @@
 export function guardFrontEnd (server: Server, options: FrontEndGuardOptions): FrontEndGuard {
   return new FrontEndGuard(server, options)
 }
-
-/** The handle of a socket, as far as Node.js itself uses it to pause sockets and to see whether a long write proceeds. */
-interface SocketHandle {
-  readonly writeQueueSize: number
-  reading: boolean
-  readStart (): void
-  readStop (): void
-}
-
-/** The parser of a socket, as far as Node.js itself uses it to find requests whose time has passed. */
-interface MessageParser {
-  /** Milliseconds since the start of the message that is being parsed; 0 after the end of one. */
-  duration? (): number
-}
-
-type Deliver = (this: Socket, chunk: Buffer) => void
-
-/** One connection: gives its input to the parser of the server part by part. */
-class GuardedConnection implements BudgetHolder {
-  readonly #socket: Socket
-  readonly #guard: FrontEndGuard
-  readonly #budget: MemoryBudget
-  readonly #account: BudgetAccount
-  readonly #deliver: Deliver | undefined
-  readonly #input = new RequestInput()
-  #openedMs: number
-  #chargedInputBytes = 0
-  #chargedAnswerBytes = 0
-  #openRequests = 0
-  /** Whether the guard counts the connection as one with an open request. */
-  #isBusy = false
-  #isForgotten = false
-  /** Whether the connection takes no further request. */
-  #isLeaving = false
-  #last: IncomingMessage | undefined
-  #lastMs = 0
-  /** When the client last sent anything. */
-  #receivedMs = 0
-  #answeredMs = 0
-  /** Since when the connection has had no request and the server no time-out for that; undefined if it has one. */
-  #idleMs: number | undefined
-  /** When the first byte of the next request arrived; undefined if none has. */
-  #headMs: number | undefined
-  /** Whether the parser has been given a part of that request. */
-  #headBegun = false
-  #writtenBytes = 0
-  /** Bytes that were unread, and those of them that were with the handle of the socket, when progress was last noted. */
-  #unreadBytes = 0
-  #queuedBytes = 0
-  /** When the client was last seen to have read something, or to have nothing to read. */
-  #writtenMs: number
-  #isFeeding = false
-  #isPaused = false
-  /** Whether input waits only because its time in this turn is used up. */
-  #waitsForTurn = false
-  #waitsSinceMs = 0
-  /** Time that the requests of the connection have taken, halved at each check: connections that stay busy keep waiting behind others. */
-  #recentMs = 0
-  /** Fail the bodies that are being read. The end of a body may be reported after the start of the next request. */
-  readonly #openBodies = new Set<(error: Error) => void>()
-  /** Charges of bodies that are kept until their requests are answered. */
-  readonly #pinnedBytes = new Map<IncomingMessage, number>()
-
-  constructor (socket: Socket, guard: FrontEndGuard, budget: MemoryBudget) {
-    this.#socket = socket
-    this.#guard = guard
-    this.#openedMs = guard.nowMs
-    this.#writtenMs = this.#openedMs
-    this.#idleMs = this.#openedMs
-    this.#budget = budget
-    this.#account = budget.open(this)
-    // The listener by which the server feeds its parser. It is called for one part after another instead.
-    this.#deliver = socket.listeners('data')[0] as Deliver | undefined
-    if (this.#deliver === undefined) return
-    socket.removeListener('data', this.#deliver)
-    socket.on('data', (chunk: Buffer) => this.#receive(chunk))
-    socket.on('drain', () => this.feed())
-    this.#stopReadingAhead(socket)
-  }
-
-  /** A paused stream reads one more buffer of up to 64 KB, which the budget would not count. */
-  #stopReadingAhead (socket: Socket): void {
-    const read = socket._read.bind(socket)
-    socket._read = size => { if (!this.#isPaused) read(size) }
-  }
-
-  begin (request: IncomingMessage, response: ServerResponse): void {
-    this.#last = request
-    this.#lastMs = this.#guard.nowMs
-    this.#headMs = undefined
-    this.#headBegun = false
-    this.#idleMs = undefined
-    this.#openRequests += 1
-    this.#noteBusy()
-    const isFurther = this.#openRequests > 1
-    if (isFurther) this.#account.chargeAnyway(REQUEST_BYTES)
-    response.once('close', () => {
-      this.#openRequests -= 1
-      this.#noteBusy()
-      this.#answeredMs = this.#guard.nowMs
-      if (this.#idleMs !== undefined) this.#idleMs = this.#answeredMs
-      this.#account.releasePinned(this.#pinnedBytes.get(request) ?? 0)
-      this.#pinnedBytes.delete(request)
-      if (isFurther) this.#account.release(REQUEST_BYTES)
-      // A body that nobody reads would stop the input of the connection.
-      if (!request.complete) request.resume()
-      if (this.#isLeaving && this.#openRequests === 0) this.#socket.destroySoon()
-      this.feed()
-    })
-  }
-
-  endAfter (request: IncomingMessage): boolean {
-    this.#isLeaving = true
-    return this.#last === request
-  }
-
-  #noteBusy (): void {
-    const isBusy = this.#openRequests > 0 && !this.#isForgotten
-    if (isBusy === this.#isBusy) return
-    this.#isBusy = isBusy
-    this.#guard.changeBusyConnections(isBusy ? 1 : -1)
-  }
-
-  readBody (request: IncomingMessage, maximumBytes: number, keepCharge: boolean): Promise<string | undefined> {
-    return new Promise((resolve, reject) => {
-      const body = new BodyCollector(this.#budget, this.#account)
-      const fail = (error: Error): void => {
-        if (!this.#openBodies.delete(fail)) return
-        body.discard()
-        reject(error)
-      }
-      this.#openBodies.add(fail)
-      request.on('data', (chunk: Buffer) => {
-        if (!this.#openBodies.has(fail)) return
-        if (body.length + chunk.length > maximumBytes) {
-          this.#openBodies.delete(fail)
-          body.discard()
-          resolve(undefined)
-        } else if (!body.add(chunk)) {
-          this.#refuseBodies()
-        }
-      })
-      request.once('end', () => {
-        if (!this.#openBodies.delete(fail)) return
-        const { chargedBytes } = body
-        resolve(body.takeText())
-        if (!keepCharge) return this.#account.release(chargedBytes)
-        this.#account.pin(chargedBytes)
-        this.#pinnedBytes.set(request, chargedBytes)
-      })
-      request.once('error', fail)
-      request.once('close', () => { if (!request.complete) fail(createBrokenError()) })
-    })
-  }
-
-  /** Refuses the body that is being read, or closes the connection if the memory is held by something else. */
-  evict (): void {
-    if (this.#openBodies.size > 0 && this.#chargedInputBytes === 0 && this.#chargedAnswerBytes === 0) this.#refuseBodies()
-    else this.close('memory')
-  }
-
-  /** Moves the start of all times of the connection, because the instance was late by the duration. */
-  postpone (durationMs: number, nowMs: number): void {
-    const move = (timeMs: number): number => Math.min(nowMs, timeMs + durationMs)
-    this.#openedMs = move(this.#openedMs)
-    this.#lastMs = move(this.#lastMs)
-    this.#receivedMs = move(this.#receivedMs)
-    this.#answeredMs = move(this.#answeredMs)
-    this.#writtenMs = move(this.#writtenMs)
-    this.#waitsSinceMs = move(this.#waitsSinceMs)
-    if (this.#headMs !== undefined) this.#headMs = move(this.#headMs)
-    if (this.#idleMs !== undefined) this.#idleMs = move(this.#idleMs)
-  }
-
-  /** For how long the client has left a request incomplete or an answer unread. */
-  stalledMs (nowMs: number): number {
-    this.#noteProgress(nowMs)
-    if (this.#socket.writableLength > 0) return nowMs - this.#writtenMs
-    if (this.#waitsForTurn) return 0
-    if (this.#isInBody) return nowMs - this.#receivedMs
-    // A call in progress is not given up because the next request has begun.
-    if (this.#openRequests > 0) return 0
-    if (this.#headMs !== undefined) return nowMs - this.#headMs
-    const { keptIdleMs = DEFAULT_KEPT_IDLE_MS } = this.#guard.limits
-    return nowMs - (this.#last === undefined ? this.#openedMs : this.#answeredMs) - keptIdleMs
-  }
-
-  check (nowMs: number): void {
-    const { headerTimeoutMs, bodyTimeoutMs, answerTimeoutMs, idleTimeoutMs } = this.#guard.limits
-    this.#recentMs /= 2
-    this.#chargeAnswers(nowMs)
-    if (this.#socket.destroyed) return
-    if (this.#socket.writableLength > 0) {
-      if (nowMs - this.#writtenMs > answerTimeoutMs) this.close('unread-answer')
-    } else if (this.#waitsForTurn) {
-      // The input has arrived and is not read because of the load of the instance.
-    } else if (this.#last !== undefined && !this.#last.complete) {
-      if (nowMs - this.#lastMs > bodyTimeoutMs) this.close('body-timeout')
-    } else if (this.#headMs !== undefined) {
-      if (nowMs - this.#headMs > headerTimeoutMs && this.#openRequests === 0) this.close('header-timeout')
-    } else if (this.#openRequests === 0 && this.#idleMs !== undefined && nowMs - this.#idleMs > idleTimeoutMs) {
-      this.close('idle')
-    }
-    this.feed()
-  }
-
-  close (reason: OverloadReason): void {
-    if (this.#socket.destroyed) return
-    this.#guard.refused(reason)
-    if ((reason === 'header-timeout' && this.#openRequests === 0) || (reason === 'body-timeout' && this.#openRequests === 1)) this.#socket.write(TIMEOUT_ANSWER)
-    this.#socket.destroy()
-    this.forget()
-  }
-
-  /** Gives back everything that the connection holds. */
-  forget (): void {
-    this.#isForgotten = true
-    this.#noteBusy()
-    for (const fail of this.#openBodies) fail(createBrokenError())
-    this.#input.clear()
-    this.#chargedInputBytes = 0
-    this.#chargedAnswerBytes = 0
-    this.#budget.close(this.#account)
-  }
-
-  #refuseBodies (): void {
-    this.#guard.refused('memory')
-    for (const fail of this.#openBodies) fail(new FrontEndBusyError('the instance has no memory left for bodies of requests'))
-  }
-
-  #receive (chunk: Buffer): void {
-    this.#receivedMs = this.#guard.nowMs
-    this.#input.append(chunk)
-    this.feed()
-  }
-
-  /** Gives waiting input to the parser, as far as the open requests of the connection and the time of this turn allow. */
-  feed (): void {
-    if (this.#isFeeding) return
-    this.#isFeeding = true
-    const startedMs = performance.now()
-    let spentMs = 0
-    try {
-      while (this.#hasParsableInput) {
-        if (spentMs >= CONNECTION_TURN_MS || !this.#guard.hasTime) {
-          if (!this.#isInBody && !this.#headBegun) this.#beginHead()
-          if (!this.#waitsForTurn) this.#waitsSinceMs = this.#guard.nowMs
-          this.#waitsForTurn = true
-          this.#guard.wait(this, this.#recentMs + spentMs >= CONNECTION_TURN_MS)
-          break
-        }
-        this.#endWait()
-        if (this.#isInBody || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES) this.#deliverPart(this.#input.take())
-        else this.#beginHead()
-        spentMs = performance.now() - startedMs
-      }
-    } finally {
-      this.#isFeeding = false
-      this.#recentMs += spentMs
-      this.#guard.spend(spentMs)
-    }
-    this.#settleInput()
-  }
-
-  /** The time for which input waited for a turn is not counted against the client. */
-  #endWait (): void {
-    if (!this.#waitsForTurn) return
-    this.#waitsForTurn = false
-    const { nowMs } = this.#guard
-    const waitedMs = nowMs - this.#waitsSinceMs
-    if (this.#headMs !== undefined) this.#headMs += waitedMs
-    if (this.#isInBody) this.#lastMs += waitedMs
-    this.#receivedMs += waitedMs
-  }
-
-  get #hasParsableInput (): boolean {
-    if (this.#input.isEmpty || this.#isEnding || this.#mustHold) return false
-    return this.#isInBody || !this.#headBegun || this.#input.hasPart || this.#input.length > MAX_HELD_HEAD_BYTES
-  }
-
-  /** The server closes the connection, or has closed it. */
-  get #isEnding (): boolean {
-    return this.#socket.destroyed || this.#socket.writableEnded
-  }
-
-  get #isInBody (): boolean {
-    return this.#last !== undefined && !this.#last.complete
-  }
-
-  /** Whether the parser must not get more input now. The rest of a body is always given to it, since its request may be the one that is waited for. */
-  get #mustHold (): boolean {
-    // Set by the HTTP server while it does not want to be given input.
-    if ((this.#socket as { _paused?: boolean })._paused === true) return true
-    if (this.#isInBody) return false
-    return this.#isLeaving || this.#openRequests >= this.#guard.requestsPerConnection || this.#socket.writableNeedDrain
-  }
-
-  /** Gives the parser the first byte of an incomplete head, by which the server knows that the connection is not idle. The rest waits here, where it costs its bytes only. */
-  #beginHead (): void {
-    const first = this.#input.takeBytes(1)
-    this.#headBegun = first[0] !== CARRIAGE_RETURN && first[0] !== LINE_FEED
-    // Some clients send an empty line after a body. It begins no request, but the server stops its time-out of idle connections.
-    if (this.#headBegun) this.#headMs ??= this.#guard.nowMs
-    else this.#idleMs ??= this.#guard.nowMs
-    this.#deliverPart(first)
-  }
-
-  #deliverPart (part: Buffer): void {
-    const wasInBody = this.#isInBody
-    this.#deliver?.call(this.#socket, part)
-    if (wasInBody && !this.#isInBody) this.#noteHeadAfterBody()
-  }
-
-  /** The part that ended a body may have given the parser the start of the next head, for which the time counts, too. */
-  #noteHeadAfterBody (): void {
-    const { parser } = this.#socket as { parser?: MessageParser | null }
-    if (this.#isEnding || (parser?.duration?.() ?? 0) === 0) return
-    // The rest of the head may be the line end alone, which would not be taken for the end of a head.
-    this.#headMs ??= this.#guard.nowMs
-  }
-
-  /** Pauses or resumes the socket, and charges what waits. */
-  #settleInput (): void {
-    if (this.#isEnding) this.#input.clear()
-    if (this.#input.isEmpty) this.#endWait()
-    const mustPause = !this.#input.isEmpty && (this.#mustHold || this.#waitsForTurn)
-    if (mustPause || this.#isPaused) this.#setPaused(mustPause)
-    const { heldBytes } = this.#input
-    const added = heldBytes - this.#chargedInputBytes
-    this.#chargedInputBytes = heldBytes
-    if (added <= 0) {
-      this.#account.release(-added)
-    } else if (!this.#account.charge(added)) {
-      this.#chargedInputBytes -= added
-      this.close('memory')
-    }
-  }
-
-  /** The handle of a paused socket goes on reading unless it is stopped. */
-  #setPaused (isPaused: boolean): void {
-    this.#isPaused = isPaused
-    if (isPaused) this.#socket.pause()
-    const handle = (this.#socket as { _handle?: SocketHandle | null })._handle
-    if (handle != null && handle.reading === isPaused) {
-      handle.reading = !isPaused
-      if (isPaused) handle.readStop()
-      else handle.readStart()
-    }
-    if (!isPaused) this.#socket.resume()
-  }
-
-  /** Notes whether the client reads. An answer that was not there at the last time starts a new measurement. */
-  #noteProgress (nowMs: number): void {
-    const unreadBytes = this.#socket.writableLength
-    const writtenBytes = this.#socket.bytesWritten - unreadBytes
-    // Shrinks while a single long write is being read, during which the other numbers stay the same.
-    const queuedBytes = (this.#socket as { _handle?: SocketHandle | null })._handle?.writeQueueSize ?? 0
-    if (this.#unreadBytes === 0 || unreadBytes === 0 || writtenBytes !== this.#writtenBytes || queuedBytes < this.#queuedBytes) this.#writtenMs = nowMs
-    this.#unreadBytes = unreadBytes
-    this.#writtenBytes = writtenBytes
-    this.#queuedBytes = queuedBytes
-  }
-
-  /** Charges what the client has not read. */
-  #chargeAnswers (nowMs: number): void {
-    this.#noteProgress(nowMs)
-    const unreadBytes = this.#socket.writableLength
-    const added = unreadBytes - this.#chargedAnswerBytes
-    this.#chargedAnswerBytes = unreadBytes
-    if (added > 0) this.#account.chargeAnyway(added)
-    else this.#account.release(-added)
-  }
-}
-
-function createBrokenError (): Error {
-  return new BaseError('the connection was closed before the whole body had arrived')
-}
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -3,24 +3,26 @@
 import { targetKey } from '../../jobs/jobTable.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
-import type { Clock } from '../../ports/clock.ts'
-import type { FinishedRun, JobTargetClient, RunningTask, StartOutcome, StartRefusal, TargetReport } from '../../ports/jobTarget.ts'
-import type { ListedTarget } from '../../ports/targetDirectory.ts'
+import type { FinishedRun, JobTargetClient, RunningTask, TargetReport } from '../../ports/jobTarget.ts'
+import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
 import { areIsolated } from './crashEvidence.ts'
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
+import { IncarnationEnd } from './incarnationEnd.ts'
+import { RunEndNumbers } from './runEndNumbers.ts'
+import { RunRequests } from './runRequests.ts'
+import { startMayStillArrive, StartsInTransit } from './startsInTransit.ts'
 import { TargetCapacity } from './targetCapacity.ts'
+import { TargetContact } from './targetContact.ts'
 import type { TargetFence } from './targetFence.ts'
+import { TargetLease } from './targetLease.ts'
+import type { TargetLeaseOptions } from './targetLease.ts'
 import type { IncarnationEndReason, TargetListener } from './targetListener.ts'
-import { MAX_REQUEST_DELAY_MS, withdrawStart } from './withdrawStart.ts'
+import { TargetOffer } from './targetOffer.ts'
+import type { TargetListing } from './targetOffer.ts'
 
-/** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
-const CLOCK_DRIFT_FACTOR = 1.03
-const LEASE_MARGIN_MS = 300
-/** The next incarnation shortens a lease of the earlier one's clock to the longest that targets give, half a second more than is asked for. */
-const NEXT_INCARNATION_LEASE_FACTOR = 1.1
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
 /** Used while run ends are being stored, or while starts and stops are unconfirmed. */
@@ -30,101 +32,89 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
-/**
- * Leases are not extended on a target that has been silent for longer: each request that may still arrive would
- * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
- */
-const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
-const MAX_CERTAIN_REPORT_AGE_MS = 150
-/** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
-const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/** Several times as long as a start request and its answer take to another region and back. */
-const MAX_START_ANSWER_MS = 400
-/** A target whose entry in the target list is older may have shrunk, or be draining. */
-const MAX_LISTING_AGE_MS = 4_000
-/** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
-const CONFIRMATION_DELAY_MS = 250
-/** Delay between repeated stop requests. */
-const STOP_RETRY_DELAY_MS = 400
-
-/** What the target list says about a target that may change while it runs. */
-export type TargetListing = Pick<ListedTarget, 'draining' | 'capacity'>
-
-export interface TargetSessionOptions {
+export interface TargetSessionOptions extends TargetLeaseOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
-  readonly clock: Clock
   readonly logger: Logger
   readonly listener: TargetListener
   /** Shared by the sessions of all incarnations of the target. */
   readonly fence: TargetFence
-  readonly leaseMs: number
-  /** Whether this coordinator may send requests now. */
-  readonly hasAuthority: () => boolean
-  /** Whether the target list has shown a later incarnation of the target. */
-  readonly isReplaced: () => boolean
   /** Whether the target list shows the target, in whichever incarnation. */
   readonly isListed: () => boolean
   /** Whether the target's data centre is evacuated now, so that no task may be started here. */
   readonly isEvacuated: () => boolean
-  /** Latest time at which an earlier coordinator may have extended leases on the target. */
-  readonly priorLeasesExtendedUntilMs: number
 }
 
 export class TargetSession {
   readonly description: TargetDescription
   readonly key: string
   readonly #options: TargetSessionOptions
-  readonly #assignments = new Map<string, Assignment>()
   #joined = false
   #hasEnded = false
   #closed = false
-  /** Resolves when no request sent to an ended incarnation can be executed any more. */
-  #allWithdrawn: Promise<void> = Promise.resolve()
-  #draining = false
-  /** False until the target list has been read: a target in the log may have left since. */
-  #listed = false
-  #listedAtMs = -Infinity
-  #lastFinishedNumber = 0
-  /** Number of the last run end that is stored together with all earlier ones. */
-  #lastStoredNumber = 0
-  /** Number up to which this incarnation has certainly discarded its run ends. */
-  #lastDiscardedNumber = 0
-  #pendingStores = 0
-  /** Resolves when all run ends handled so far are stored. */
-  #allStored: Promise<void> = Promise.resolve()
-  /** Lower bound of the target's clock minus this process's. */
-  #clockOffsetMs: number | undefined
-  #lastContactMs = -Infinity
-  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one. */
-  #mayHaveRestarted = false
-  /** Time of the last answer, also to a start request, or of the beginning of the session. */
-  #lastAnswerMs: number
-  /** When the first renewal since the last report failed; undefined while the target answers. */
-  #unansweredSinceMs: number | undefined
-  #lastLeaseExtensionMs: number
+  readonly #ends: RunEndNumbers
+  readonly #contact: TargetContact
+  readonly #offer: TargetOffer
+  readonly #lease: TargetLease
   readonly capacity: TargetCapacity
-  /** Sending times of the start requests without an answer yet, the oldest first. */
-  readonly #startsSentMs = new Map<Assignment, number>()
-  /**
-   * Starts without an answer that this incarnation will not execute, since they were stopped; the next one would. Until
-   * the given time they may still be in transit.
-   */
-  readonly #stoppedStarts = new Map<Assignment, number>()
-  /** When the last start request was given up without an answer; undefined once the target has reported since. */
-  #startUnansweredAtMs: number | undefined
-  /** Consecutive failures, and the time until which the target gets no new tasks. */
-  #consecutiveFailures = 0
-  #avoidUntilMs = 0
+  readonly #starts: StartsInTransit
+  readonly #runs: AssignedRuns
+  readonly #requests: RunRequests
+  readonly #end: IncarnationEnd
 
   constructor (options: TargetSessionOptions) {
     this.#options = options
     this.description = options.description
     this.key = targetKey(options.description)
     this.capacity = new TargetCapacity(options.description.capacity)
-    this.#lastLeaseExtensionMs = options.priorLeasesExtendedUntilMs
-    this.#lastAnswerMs = options.clock.monotonicMs()
+    this.#ends = new RunEndNumbers(options.description, options.logger)
+    this.#contact = new TargetContact(options.clock)
+    this.#offer = new TargetOffer(options.clock)
+    this.#starts = new StartsInTransit(options.clock)
+    this.#lease = new TargetLease(options, this.#contact)
+    this.#runs = new AssignedRuns(this.capacity, this.#starts, {
+      startConfirmed: assignment => options.listener.startConfirmed(this, assignment),
+      runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
+      unexpectedRun: run => this.#stopUnexpectedRun(run)
+    })
+    this.#requests = this.#createRequests()
+    this.#end = this.#createEnd()
+  }
+
+  #createRequests (): RunRequests {
+    const { listener, logger } = this.#options
+    return new RunRequests({
+      ...this.#options,
+      contact: this.#contact,
+      lease: this.#lease,
+      starts: this.#starts,
+      runs: this.#runs,
+      hasEnded: () => this.#hasEnded,
+      listener: {
+        startConfirmed: assignment => listener.startConfirmed(this, assignment),
+        startRefused: (assignment, refusal) => listener.startRefused(this, assignment, refusal),
+        startUnanswered: assignment => listener.startUnanswered(this, assignment),
+        fenced: () => listener.fenced(this),
+        restarted: () => this.#endIncarnation('restarted'),
+        restartSuspected: () => runInBackground(this.#renew(0), logger, 'check for a restart')
+      }
+    })
+  }
+
+  #createEnd (): IncarnationEnd {
+    const { listener } = this.#options
+    return new IncarnationEnd({
+      ...this.#options,
+      target: this.id,
+      lease: this.#lease,
+      starts: this.#starts,
+      assignments: this.assignments,
+      isClosed: () => this.#closed,
+      reportCrash: () => this.#reportCrash(),
+      handleEnd: run => this.#handleFinishedRun(run),
+      reportLost: (assignment, reason) => this.#reportRunLost(assignment, reason),
+      reportEnded: reason => listener.incarnationEnded(this, reason)
+    })
   }
 
   get id (): string {
@@ -144,7 +134,7 @@
   }
 
   get assignments (): ReadonlyMap<string, Assignment> {
-    return this.#assignments
+    return this.#runs.byKey
   }
 
   /** Whether new tasks may be placed here. */
@@ -154,32 +144,30 @@
 
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
-    const answers = this.#joined && !this.#hasEnded && this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && nowMs - this.#lastContactMs < MAX_SILENCE_FOR_EXTENSION_MS
-    const isOffered = this.#listed && !this.#draining && nowMs - this.#listedAtMs < MAX_LISTING_AGE_MS
-    return answers && isOffered && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && nowMs >= this.#avoidUntilMs
+    const answers = this.#joined && !this.#hasEnded && this.#contact.isAnsweringAt(nowMs)
+    return answers && this.#offer.isOfferedAt(nowMs) && !this.evacuated && !this.capacity.hasRunsOfUnknownSize
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
   get leavesStartsUnanswered (): boolean {
-    const [oldestSentMs = Infinity] = this.#startsSentMs.values()
-    return this.#startUnansweredAtMs !== undefined || this.#options.clock.monotonicMs() - oldestSentMs > MAX_START_ANSWER_MS
+    return this.#starts.isAnswerOverdue
   }
 
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
   get mayHaveRunsOnNextIncarnation (): boolean {
-    this.#removeExpiredStoppedStarts()
-    if (this.#stoppedStarts.size > 0) return true
+    if (this.#starts.stopped.length > 0) return true
     // Remaining assignments of an ended incarnation are being stopped on the next one.
-    return this.#hasEnded ? this.#assignments.size > 0 : [...this.#assignments.values()].some(startMayStillArrive)
+    return this.#hasEnded ? this.assignments.size > 0 : [...this.assignments.values()].some(startMayStillArrive)
   }
 
   /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
   get outage (): Outage | undefined {
-    return this.#unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(this.#unansweredSinceMs)
+    const { unansweredSinceMs } = this.#contact
+    return unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(unansweredSinceMs)
   }
 
   get draining (): boolean {
-    return this.#draining
+    return this.#offer.draining
   }
 
   /** Whether nothing more may be sent to the target's data centre; runs that are there continue. */
@@ -194,109 +182,37 @@
 
   /** Applies the target's entry in the target list; undefined if it has none. */
   updateListing (entry: TargetListing | undefined): void {
-    this.#listed = entry !== undefined
-    this.#draining = entry?.draining ?? false
+    this.#offer.updateListing(entry)
     if (entry === undefined) return
-    this.#listedAtMs = this.#options.clock.monotonicMs()
     const previous = this.capacity.total
     if (!this.capacity.resize(entry.capacity)) return
-    this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.#assignments.size }, 'target capacity changed')
+    this.#options.logger.info({ target: this.id, previous, capacity: entry.capacity, free: this.free, runs: this.assignments.size }, 'target capacity changed')
   }
 
   /** Suspends new tasks for `avoidMs` from the second consecutive failure on. */
   recordRunResult (failed: boolean, avoidMs: number): void {
-    this.#consecutiveFailures = failed ? this.#consecutiveFailures + 1 : 0
-    if (this.#consecutiveFailures >= 2) this.#avoidUntilMs = this.#options.clock.monotonicMs() + avoidMs
+    this.#offer.recordRunResult(failed, avoidMs)
   }
 
   /** Reserves capacity for a task whose start has not been requested yet. */
   reserve (assignment: Assignment): void {
     assignment.reservedAtMs = this.#options.clock.monotonicMs()
-    this.#assignments.set(assignment.key, assignment)
-    this.capacity.reserve(assignment.size)
+    this.#runs.add(assignment)
   }
 
   /** Frees the capacity reserved for a task whose start was never requested. */
   cancelReservation (assignment: Assignment): void {
-    this.#removeAssignment(assignment)
+    this.#runs.remove(assignment)
   }
 
   /** Sends the start request for a task with reserved capacity. */
-  async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { clock, fence } = this.#options
-    const { task } = assignment
-    const checkpoint = task.step.checkpointOf(task)
-    for (;;) {
-      const leaseUntilTargetMs = this.#extendLease()
-      if (this.#hasEnded || leaseUntilTargetMs === undefined || this.evacuated) return this.#handleRefusal(assignment, 'unhealthy')
-      const fencingToken = fence.nextToken()
-      assignment.state = 'starting'
-      assignment.startAnswered = false
-      assignment.isResumed = checkpoint !== ''
-      this.#startsSentMs.set(assignment, clock.monotonicMs())
-      const result = await this.#options.client.start({
-        task: task.name,
-        attempt: assignment.attempt,
-        spec: task.step.job.definition.spec,
-        leaseUntilTargetMs,
-        fencingToken,
-        checkpoint,
-        ticket
-      })
-      this.#startsSentMs.delete(assignment)
-      const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
-      if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
-      this.#options.logger.info({ task: task.name, attempt: assignment.attempt, target: this.id }, 'a later request has overtaken a start, which the target refused')
-      if (isStopping(assignment) || !this.#assignments.has(assignment.key)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
-    }
-  }
-
-  async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
-    const { clock, listener } = this.#options
-    assignment.startAnswered = result.outcome !== 'unknown'
-    if (assignment.startAnswered) this.#stoppedStarts.delete(assignment)
-    else this.#startUnansweredAtMs = clock.monotonicMs()
-    if (result.outcome === 'started' && this.#unansweredSinceMs === undefined) this.#lastAnswerMs = clock.monotonicMs()
-    if (result.outcome === 'started') this.#compareClock(result.clockMs)
-    if (!this.#assignments.has(assignment.key) || this.#hasEnded) return
-    // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
-    if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
-    if (result.outcome === 'started') {
-      assignment.startedAtMs ??= clock.monotonicMs()
-      if (assignment.state === 'starting') assignment.state = 'running'
-      return listener.startConfirmed(this, assignment)
-    }
-    if (result.outcome === 'refused') {
-      if (result.refusal === 'fenced') return listener.fenced(this)
-      return this.#handleRefusal(assignment, result.refusal)
-    }
-    if (assignment.state === 'starting') assignment.state = 'unconfirmed'
-    await this.#stopUnlessConfirmed(assignment)
-  }
-
-  /** Asks the target at once if its clock has changed, since a renewal may wait on a dead connection for seconds. */
-  #compareClock (clockMs: number): void {
-    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#hasEnded || this.#mayHaveRestarted) return
-    const differenceMs = clockMs - this.#clockOffsetMs - this.#options.clock.monotonicMs()
-    if (Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, differenceMs: Math.round(differenceMs) }, 'the clock of a target suggests that it has restarted')
-    this.#mayHaveRestarted = true
-    runInBackground(this.#renew(0), this.#options.logger, 'check for a restart')
+  start (assignment: Assignment, ticket: string | undefined): Promise<void> {
+    return this.#requests.start(assignment, ticket)
   }
 
   /** Stops a run; it holds its capacity until the target reports its end. */
-  async stop (assignment: Assignment): Promise<void> {
-    if (assignment.state === 'stopping' || assignment.state === 'reserved') return
-    assignment.state = 'stopping'
-    assignment.confirmedAtMs = Infinity
-    while (this.#assignments.has(assignment.key) && !this.#hasEnded) {
-      if (await this.#sendStop(assignment.task.name, assignment.attempt)) {
-        // Reports requested before this time may still show the run.
-        assignment.confirmedAtMs = this.#options.clock.monotonicMs()
-        return
-      }
-      await this.#options.clock.sleep(STOP_RETRY_DELAY_MS)
-    }
+  stop (assignment: Assignment): Promise<void> {
+    return this.#requests.stop(assignment)
   }
 
   /** Renews leases and handles reports until the incarnation or the term ends. */
@@ -315,50 +231,35 @@
         await clock.sleep(RETRY_DELAY_MS)
       }
     }
-    await this.#allWithdrawn
+    await this.#end.allWithdrawn
     await this.#options.client.close()
   }
 
   /** Ends the session at the end of the term, without deciding on its runs. */
   close (): void {
     this.#hasEnded = true
+    this.#starts.endIncarnation()
     this.#closed = true
   }
 
   #renewWaitMs (): number {
-    if (!this.#joined || this.#unansweredSinceMs !== undefined) return 0
-    const awaitsConfirmation = this.#pendingStores > 0 || this.capacity.hasUnexpectedRuns || [...this.#assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
+    if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
+    const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
     return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
   }
 
-  /** Whether the target has to be told to discard run ends. */
-  get #owesAcknowledgement (): boolean {
-    return this.#lastStoredNumber > this.#lastDiscardedNumber
-  }
-
-  /**
-   * A target that has restarted can not tell that a request was meant for its earlier incarnation, and would discard ends of
-   * its own, whose numbers start again. So a number is sent only right after a report of this incarnation, and until it has
-   * arrived.
-   */
-  get #dueAcknowledgement (): number {
-    const reportAgeMs = this.#options.clock.monotonicMs() - this.#lastContactMs
-    const answers = this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
-    return answers && this.#owesAcknowledgement ? this.#lastStoredNumber : 0
-  }
-
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
-    const acknowledged = this.#dueAcknowledgement
+    const acknowledged = this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
     const fencingToken = fence.nextToken()
     // A start with a higher token makes the next incarnation refuse this acknowledgement.
     if (acknowledged > 0) fence.raiseBeforeNextRequest()
     const result = await client.renew({
       fencingToken,
       acknowledged,
-      leaseUntilTargetMs: this.#joined ? this.#extendLease() : undefined,
-      waitMs: acknowledged === 0 && this.#owesAcknowledgement ? 0 : waitMs
+      leaseUntilTargetMs: this.#joined ? this.#lease.extend() : undefined,
+      waitMs: acknowledged === 0 && this.#ends.owesAcknowledgement ? 0 : waitMs
     })
     if (this.#hasEnded) return
     switch (result.outcome) {
@@ -372,8 +273,8 @@
         if (fence.isLatest(fencingToken)) listener.fenced(this)
         break
       case 'failed':
-        this.#unansweredSinceMs ??= clock.monotonicMs()
-        if (clock.monotonicMs() > this.#allLeasesEndedMs()) this.#endIncarnation('lease-lapsed')
+        this.#contact.recordFailedRenewal()
+        if (clock.monotonicMs() > this.#lease.allEndedMs) this.#endIncarnation('lease-lapsed')
         else await clock.sleep(RETRY_DELAY_MS)
     }
   }
@@ -381,291 +282,75 @@
   async #handleReport (report: TargetReport, sentMs: number, acknowledged: number): Promise<void> {
     const { bornMs } = this.description
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
-    this.#lastDiscardedNumber = Math.max(this.#lastDiscardedNumber, acknowledged)
+    this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
-    this.#lastContactMs = this.#lastAnswerMs = nowMs
-    this.#unansweredSinceMs = undefined
-    this.#mayHaveRestarted = false
-    if (this.#startUnansweredAtMs !== undefined && sentMs >= this.#startUnansweredAtMs) this.#startUnansweredAtMs = undefined
-    this.#clockOffsetMs = report.clockMs - nowMs
-    const stored = this.#handleFinishedRuns(report.finished)
-    this.#handleRunningTasks(report.running, nowMs)
-    this.#detectLostRuns(report, sentMs)
+    this.#contact.recordReport(report.clockMs, nowMs)
+    this.#starts.recordReport(sentMs)
+    const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
+    this.#runs.compareRunning(report.running, nowMs)
+    this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
     // An acknowledgement that is due must not wait until the report is too old for it.
-    if (this.#pendingStores > 0 && !this.#owesAcknowledgement) {
-      await Promise.race([this.#allStored.catch(() => {}), this.#options.clock.sleep(stored === undefined ? SHORT_RENEW_WAIT_MS : STORE_WAIT_MS)])
+    if (this.#ends.hasPendingStores && !this.#ends.owesAcknowledgement) {
+      await Promise.race([this.#ends.allStored.catch(() => {}), this.#options.clock.sleep(stored === undefined ? SHORT_RENEW_WAIT_MS : STORE_WAIT_MS)])
     }
     if (stored === undefined) return
     const remainingMs = REPORT_INTERVAL_MS - (this.#options.clock.monotonicMs() - nowMs)
     if (remainingMs > 0) await this.#options.clock.sleep(remainingMs)
   }
 
-  /** Handles newly finished runs; resolves when they are stored and may be acknowledged. */
-  #handleFinishedRuns (finished: readonly FinishedRun[]): Promise<void> | undefined {
-    const newRuns = finished.filter(run => run.number > this.#lastFinishedNumber)
-    if (newRuns.length === 0) return undefined
-    const last = Math.max(...newRuns.map(run => run.number))
-    this.#reportMissingEnds(Math.min(...newRuns.map(run => run.number)))
-    this.#lastFinishedNumber = last
-    const stored = newRuns.map(async run => await this.#handleFinishedRun(run))
-    this.#pendingStores += 1
-    // Acknowledging a finished run acknowledges all earlier ones.
-    this.#allStored = Promise.all([this.#allStored, ...stored]).then(() => {
-      this.#lastStoredNumber = Math.max(this.#lastStoredNumber, last)
-    }).finally(() => { this.#pendingStores -= 1 })
-    return this.#allStored.catch(() => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
-  }
-
-  /** Ends that the target discarded before they were read may belong to tasks that are done and will be started again. */
-  #reportMissingEnds (firstNumber: number): void {
-    const expected = this.#lastFinishedNumber + 1
-    // An earlier session of the same incarnation may have read the first ends.
-    if (firstNumber === expected || this.#lastFinishedNumber === 0) return
-    this.#options.logger.warn({ target: this.id, bornMs: this.description.bornMs, expected, firstNumber }, 'run ends are missing from the reports of a target')
-  }
-
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
-    const assignment = this.#assignments.get(key)
-    if (assignment !== undefined) this.#removeAssignment(assignment)
+    const assignment = this.assignments.get(key)
+    if (assignment !== undefined) this.#runs.remove(assignment)
     await this.#options.listener.runEnded(this, run, assignment)
   }
 
-  #handleRunningTasks (running: readonly RunningTask[], nowMs: number): void {
-    const unexpected = new Map<string, ComputeResources | undefined>()
-    for (const run of running) {
-      const key = runKey(run.task, run.attempt)
-      const assignment = this.#assignments.get(key)
-      if (assignment !== undefined) this.#handleExpectedRun(assignment, run, nowMs)
-      else unexpected.set(key, this.#stopUnexpectedRun(run))
-    }
-    this.capacity.setUnexpectedRuns(unexpected)
-  }
-
-  #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
-    if (!assignment.reported) assignment.firstReportedAtMs = nowMs
-    assignment.reported = true
-    if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
-    if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
-      assignment.state = 'running'
-      assignment.confirmedAtMs = nowMs
-      this.#options.listener.startConfirmed(this, assignment)
-    }
-    assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
-  }
-
   /** Stops a run whose start request was withdrawn but executed late, or a run of a finished job; returns its resources if they are known. */
   #stopUnexpectedRun ({ task, attempt }: RunningTask): ComputeResources | undefined {
     this.#options.logger.info({ task, attempt, target: this.id, free: this.free }, 'stopping an unexpected run')
-    runInBackground(this.#sendStop(task, attempt), this.#options.logger, 'stop of a run')
+    runInBackground(this.#requests.sendStop(task, attempt), this.#options.logger, 'stop of a run')
     return this.#options.listener.sizeOfRun(task)
   }
 
-  /** Detects confirmed runs that are missing from a complete report requested after their confirmation. */
-  #detectLostRuns (report: TargetReport, sentMs: number): void {
-    if (report.mayOmitFinished) return
-    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
-    for (const assignment of [...this.#assignments.values()]) {
-      const { state, confirmedAtMs, key } = assignment
-      const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
-      if (!expectedInReport || confirmedAtMs >= sentMs || running.has(key)) continue
-      this.#removeAssignment(assignment)
-      this.#options.listener.runLost(this, assignment, 'not-reported')
-    }
-  }
-
-  async #stopUnlessConfirmed (assignment: Assignment): Promise<void> {
-    await this.#options.clock.sleep(CONFIRMATION_DELAY_MS)
-    if (!this.#assignments.has(assignment.key) || assignment.state !== 'unconfirmed') return
-    this.#options.listener.startUnanswered(this, assignment)
-    await this.stop(assignment)
-  }
-
-  /** Returns true if the target will certainly end the run, or never start it. */
-  async #sendStop (task: string, attempt: number): Promise<boolean> {
-    const { client, fence, listener, hasAuthority } = this.#options
-    if (!hasAuthority()) return false
-    const fencingToken = fence.nextToken()
-    const outcome = await client.stop({ task, attempt, fencingToken })
-    if (outcome === 'fenced' && fence.isLatest(fencingToken) && !this.#hasEnded) listener.fenced(this)
-    if (outcome === 'other-life') this.#endIncarnation('restarted')
-    return outcome === 'stopping'
-  }
-
-  #handleRefusal (assignment: Assignment, refusal: StartRefusal): void {
-    this.#removeAssignment(assignment)
-    this.#options.listener.startRefused(this, assignment, refusal)
-    if (refusal === 'other-life') this.#endIncarnation('restarted')
-  }
-
-  /** Extends the lease and returns its end on the target's clock; undefined while leases must not be extended. */
-  #extendLease (): number | undefined {
-    const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
-    if (this.#clockOffsetMs === undefined || this.#mayHaveRestarted || !hasAuthority()) return undefined
-    const nowMs = clock.monotonicMs()
-    // The next incarnation would take the time of the earlier one's clock for a time of its own.
-    const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
-    if (nowMs - this.#lastContactMs > maximumSilenceMs) return undefined
-    this.#lastLeaseExtensionMs = Math.max(this.#lastLeaseExtensionMs, nowMs)
-    return Math.floor(nowMs + this.#clockOffsetMs + leaseMs)
-  }
-
-  /** Time by which all leases on the target have certainly expired if it is never reached again. */
-  #allLeasesEndedMs (): number {
-    return this.#lastLeaseExtensionMs + this.#options.leaseMs * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
-  }
-
   #endIncarnation (reason: IncarnationEndReason): void {
     if (!this.#markEnded(reason)) return
-    if (reason === 'lease-lapsed') return this.#endAfterLapse()
-    this.#allWithdrawn = this.#reportCrash().then(() => {
-      if (!this.#closed) this.#releaseAll(reason)
-    })
+    if (reason === 'lease-lapsed') this.#end.afterLapse()
+    else this.#end.afterRestart()
   }
 
-  /**
-   * The target may have restarted while it was silent. The next incarnation then has the run of a start that it has answered,
-   * or that is in transit, and ends it only with a lease of its own clock.
-   */
-  #endAfterLapse (): void {
-    const withdrawn = [...this.#assignments.values()].filter(startMayStillArrive)
-    if (withdrawn.length === 0) return this.#releaseAll('lease-lapsed')
-    for (const assignment of [...this.#assignments.values()]) {
-      if (!withdrawn.includes(assignment)) this.#reportRunLost(assignment, 'lease-lapsed')
-    }
-    this.#allWithdrawn = Promise.all(withdrawn.map(async assignment => await this.#releaseAfterLapse(assignment))).then(() => {
-      if (!this.#closed) this.#options.listener.incarnationEnded(this, 'lease-lapsed')
-    }, () => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
-  }
-
-  async #releaseAfterLapse (assignment: Assignment): Promise<void> {
-    const nowMs = this.#options.clock.monotonicMs()
-    const { startAnswered, startedAtMs = nowMs } = assignment
-    const earliestEndMs = startAnswered ? startedAtMs + this.#longestLeaseMs : nowMs
-    const latestEndMs = startAnswered ? earliestEndMs : this.#lastLeaseExtensionMs + MAX_REQUEST_DELAY_MS + this.#longestLeaseMs
-    const end = await this.#withdrawStart(assignment, earliestEndMs, latestEndMs)
-    if (this.#closed) return
-    if (end !== undefined) return await this.#handleFinishedRun(end)
-    this.#reportRunLost(assignment, 'lease-lapsed')
-  }
-
-  get #longestLeaseMs (): number {
-    return this.#options.leaseMs * NEXT_INCARNATION_LEASE_FACTOR
-  }
-
-  #releaseAll (reason: IncarnationEndReason): void {
-    for (const assignment of [...this.#assignments.values()]) this.#reportRunLost(assignment, reason)
-    this.#options.listener.incarnationEnded(this, reason)
-  }
-
-  /**
-   * Ends the incarnation of a target that restarted under the same identity. The next incarnation would execute a
-   * request that is still in transit, so the request is withdrawn there before its task is placed again. Runs that
-   * the next incarnation has already finished are accepted.
-   */
   #endAfterRestart (report: TargetReport, acknowledged: number): void {
     if (!this.#markEnded('restarted')) return
     this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
-    const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
-    const finishedRuns = new Map(report.finished.map(run => [runKey(run.task, run.attempt), run]))
-    const withdrawals: Promise<void>[] = []
-    const crashReported = this.#reportCrash()
-    for (const assignment of [...this.#assignments.values()]) {
-      const { key } = assignment
-      const end = finishedRuns.get(key)
-      const mayRun = startMayStillArrive(assignment) || running.has(key) || report.mayOmitFinished
-      if (end !== undefined) withdrawals.push(this.#handleFinishedRun(end))
-      else withdrawals.push(this.#releaseAfterRestart(assignment, mayRun, crashReported))
-    }
-    this.#removeExpiredStoppedStarts()
-    for (const assignment of this.#stoppedStarts.keys()) withdrawals.push(this.#withdrawStoppedStart(assignment))
-    this.#allWithdrawn = Promise.all(withdrawals).then(() => {
-      if (!this.#closed) this.#options.listener.incarnationEnded(this, 'restarted')
-    }, () => {
-      // The term has ended; the successor receives these ends again, since they are not acknowledged.
-    })
+    this.#end.afterRestartSeenIn(report)
   }
 
   #describeOutage (byMs: number): Outage {
-    return { target: this.id, rack: this.rack, afterMs: this.#lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.#assignments.values()]) }
+    return { target: this.id, rack: this.rack, afterMs: this.#contact.lastAnswerMs, byMs, hasIsolatedRuns: areIsolated([...this.assignments.values()]) }
   }
 
   /** Returns false if the incarnation had already ended. */
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.#assignments.size, discarded: this.#lastDiscardedNumber }, 'target incarnation ended')
+    this.#starts.endIncarnation()
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
     return true
   }
 
-  async #releaseAfterRestart (assignment: Assignment, mayRun: boolean, crashReported: Promise<void>): Promise<void> {
-    const [end] = await Promise.all([mayRun ? this.#withdrawStartInTransit(assignment) : undefined, crashReported])
-    if (this.#closed) return
-    if (end !== undefined) return await this.#handleFinishedRun(end)
-    this.#reportRunLost(assignment, 'restarted')
-  }
-
-  /** The task of such a start has been released already, so that only the run has to be prevented. */
-  async #withdrawStoppedStart (assignment: Assignment): Promise<void> {
-    await this.#withdrawStartInTransit(assignment)
-    this.#stoppedStarts.delete(assignment)
-  }
-
-  async #withdrawStart ({ task, attempt }: Assignment, earliestEndMs: number, latestEndMs: number): Promise<FinishedRun | undefined> {
-    const { client, clock, fence, logger, isListed } = this.#options
-    return await withdrawStart({
-      client, clock, logger, fence, target: this.id, isClosed: () => this.#closed, isListed, longestLeaseMs: this.#longestLeaseMs, earliestEndMs, latestEndMs
-    }, { task: task.name, attempt })
-  }
-
-  /** After a restart, a start is withdrawn until it can not be in transit any more, and until its run has ended. */
-  async #withdrawStartInTransit (assignment: Assignment): Promise<FinishedRun | undefined> {
-    const earliestEndMs = this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-    return await this.#withdrawStart(assignment, earliestEndMs, earliestEndMs + this.#longestLeaseMs)
-  }
-
   async #reportCrash (): Promise<void> {
     // A session without runs that was never answered was opened from an entry of the target list that is out of date.
-    if (this.#draining || (!this.#joined && this.#assignments.size === 0)) return
-    const outage = this.#describeOutage(this.#unansweredSinceMs ?? this.#options.clock.monotonicMs())
-    await this.#options.listener.targetCrashed(this, outage, [...this.#assignments.values()].filter(({ state }) => state !== 'reserved'))
+    if (this.draining || (!this.#joined && this.assignments.size === 0)) return
+    const outage = this.#describeOutage(this.#contact.unansweredSinceMs ?? this.#options.clock.monotonicMs())
+    await this.#options.listener.targetCrashed(this, outage, [...this.assignments.values()].filter(({ state }) => state !== 'reserved'))
   }
 
   #reportRunLost (assignment: Assignment, reason: IncarnationEndReason): void {
-    this.#removeAssignment(assignment)
+    this.#runs.remove(assignment)
     this.#options.listener.runLost(this, assignment, reason)
   }
-
-  #removeAssignment (assignment: Assignment): void {
-    if (!this.#assignments.delete(assignment.key)) return
-    this.capacity.release(assignment.size)
-    if (this.#hasEnded || assignment.startAnswered || assignment.reported) return
-    this.#stoppedStarts.set(assignment, this.#options.clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
-  }
-
-  #removeExpiredStoppedStarts (): void {
-    if (this.#hasEnded) return
-    for (const [assignment, untilMs] of this.#stoppedStarts) {
-      if (untilMs < this.#options.clock.monotonicMs()) this.#stoppedStarts.delete(assignment)
-    }
-  }
-}
-
-/** A function, since the state may change while a request is in progress. */
-function isStopping ({ state }: Assignment): boolean {
-  return state === 'stopping'
-}
-
-/** Whether a start request may still reach the target. Those of earlier coordinators cannot: the target's fence refuses them. */
-function startMayStillArrive ({ reported, state }: Assignment): boolean {
-  return !reported && state !== 'reserved' && state !== 'recovering'
 }
