Find the few peers that reach the store when the coordinator does not

A coordinator that lost the store asked 8 of its peers at random whether they reach it, and then 8 others at random to end its lease. With 3 of 51 peers able to do so, each of the two steps missed all of them in 6 of 10 attempts, although a peer had just answered yes before the second step. The reports of the peers do not help at first: they state that the store was reached within the last 2.5 s.

Peers are now asked in groups of 8, 16 and 32; the next group follows when the previous one has answered no, or after 150 ms without an answer. Those that have just answered yes are asked first to end the lease. Peers that were asked without success within the last second are asked again only in the first group, so that retries during an outage for everyone do not ask every peer each time, and a search ends after 1 s.

--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -32,6 +32,7 @@
 import type { RelayAnswer, RelayBatch } from '../relay/relayMessages.ts'
 import { PeerDirectory } from './peerDirectory.ts'
 import type { KnownPeer } from './peerDirectory.ts'
+import { PeersWithStore } from './peersWithStore.ts'
 
 /**
  * Asking the advisor through a peer costs both instances about as much again as the question itself, and the answer
@@ -50,8 +51,6 @@
 const STORE_REACHABLE_MS = 2_500
 /** Delay before another instance tries a recovery that failed; reads that the store does not answer are repeated before. */
 const FAILED_RECOVERY_DELAY_MS = 2_000
-/** Peers that are asked for help with the store at a time; a retry asks others. */
-const MAX_ASKED_PEERS = 8
 
 export interface JobInstanceOptions {
   readonly instance: string
@@ -96,6 +95,7 @@
   readonly #reporting: PeriodicTask
   readonly #preference: CoordinatorPreference
   readonly #peers: PeerDirectory
+  readonly #peersWithStore: PeersWithStore
   readonly #relay: TargetRelay
   #term: Term | undefined
   #lanes: AdviceLanes | undefined
@@ -112,6 +112,7 @@
     this.#options = options
     const { store, clock, logger, instance, address, processors, bandwidthMbps } = options
     this.#peers = new PeerDirectory(clock)
+    this.#peersWithStore = new PeersWithStore({ clock, candidates: () => this.#peers.alive, connect: address => options.peers.connect(address) })
     this.#relay = new TargetRelay({ clock, logger, connect: options.connect, latestFence: () => this.#election.coordinator?.fence ?? 0 })
     this.#preference = new CoordinatorPreference(clock, processors, bandwidthMbps)
     this.#election = new Election({ store, clock, logger, instance, address, listener: this, candidateDelayMs: () => this.#preference.candidateDelayMs })
@@ -207,33 +208,13 @@
   }
 
   async peerReachesStore (): Promise<boolean> {
-    const { peers } = this.#options
-    const answers = this.#choosePeersWithStore().map(async ({ address }) => {
-      if (!await peers.connect(address).reachesStore()) throw new Error('not reached')
-    })
-    return await Promise.any(answers).then(() => true, () => false)
+    return await this.#peersWithStore.reachesStore()
   }
 
   async releaseThroughPeers (lease: number): Promise<boolean> {
-    const { peers, logger } = this.#options
-    const asked = this.#choosePeersWithStore()
-    const answers = asked.map(async ({ address }) => {
-      if (!await peers.connect(address).release(lease)) throw new Error('not released')
-    })
-    try {
-      await Promise.any(answers)
-      return true
-    } catch {
-      logger.warn({ asked: asked.length, lease }, 'no other instance can reach the store')
-      return false
-    }
-  }
-
-  /** Chooses at random, those first that reached the store at their last report. */
-  #choosePeersWithStore (): readonly KnownPeer[] {
-    const order = ({ report }: KnownPeer): number => (report?.reachesStore === true ? 0 : 1) + Math.random()
-    const ordered = this.#peers.alive.map(peer => ({ peer, position: order(peer) })).sort((left, right) => left.position - right.position)
-    return ordered.slice(0, MAX_ASKED_PEERS).map(({ peer }) => peer)
+    const released = await this.#peersWithStore.release(lease)
+    if (!released) this.#options.logger.warn({ lease }, 'no other instance can reach the store')
+    return released
   }
 
   /** Ends the election of a coordinator whose address refused a connection. */
