End a term without the store once a peer reports a newer election

A coordinator without the store keeps its authority for 3 s after its lease. If no peer ended the lease on its behalf, another instance was elected when the lease had ended by itself, but the old coordinator ignored the announcement: calls of its own callers stayed with it, where nothing can be stored, until the 3 s were over.

A coordinator whose renewals fail now ends its term when a peer reports an election with a higher fencing token. One whose renewals succeed only renews at once, so that the store decides.

The test store of jobInstance.test.ts can end leases that are not renewed.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -239,3 +239,30 @@
   t.true((await cutFromStore(0, 210)).questions <= 1, 'the usual response time is learned')
   t.is((await cutFromStore(300, 4)).lostAfterMs, undefined)
 })
+
+test('the report of a newer election ends the term of a coordinator without the store, but not of one that the store confirms', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const lost: string[] = []
+  const election = createElection(store, {
+    onElected: () => {}, onLost: reason => lost.push(reason), onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  }, clock)
+  await election.start()
+  await clock.advance(500)
+  const newer = { instance: 'entry-2', address: 'entry-2:1', fence: 1_000, lease: 99 }
+  election.updateFromPeer(newer)
+  await clock.advance(500)
+  t.true(election.hasAuthority())
+  t.deepEqual(lost, [])
+  store.refusing = true
+  await clock.advance(500)
+  t.true(election.hasAuthority(), 'without the store, and without a successor')
+  election.updateFromPeer(newer)
+  t.false(election.hasAuthority())
+  t.deepEqual(lost, ['another instance was elected'])
+  t.deepEqual(election.coordinator, newer)
+  store.refusing = false
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -198,9 +198,14 @@
     }
   }
 
-  /** Adopts a newer election reported by a peer, for instances that cannot read the store; an ended one is not adopted again. */
+  /**
+   * Adopts a newer election reported by a peer, for instances that cannot read the store; an ended one is not adopted
+   * again. A coordinator that reaches the store lets the store decide.
+   */
   updateFromPeer (info: CoordinatorInfo): void {
-    if (this.#ownElection !== undefined || info.fence <= this.#newestFence) return
+    if (info.fence <= this.#newestFence) return
+    if (this.#ownElection !== undefined && !this.storeFails) return this.renewNow()
+    this.#endTerm('another instance was elected')
     this.#setCoordinator(info)
   }
 
--- a/src/entry/jobInstance.test.ts
+++ b/src/entry/jobInstance.test.ts
@@ -31,6 +31,10 @@
   readDelayMs = 0
   /** Pages of the job log are not answered in time. */
   failsPages = false
+  /** Whether leases that are not renewed end after the time for which they were granted. */
+  expiresLeases = false
+  /** Time at which each lease ends, and the time for which it was granted. */
+  readonly #leaseTimes = new Map<number, { readonly untilMs: number, readonly grantedMs: number }>()
 
   constructor (clock: ManualClock) {
     super()
@@ -70,9 +74,16 @@
         throw new StoreUnavailableError('no answer within 4000 ms')
       },
       commit: async transaction => await this.commit(transaction),
-      grantLease: async () => await this.grantLease(),
+      grantLease: async grantedMs => {
+        const lease = await this.grantLease()
+        this.#extendLease(lease, grantedMs)
+        return lease
+      },
       renewLease: async lease => {
         refuse()
+        await this.#endExpiredLeases()
+        const grantedMs = this.#leaseTimes.get(lease)?.grantedMs
+        if (grantedMs !== undefined) this.#extendLease(lease, grantedMs)
         return await this.renewLease(lease)
       },
       endLease: async lease => {
@@ -82,10 +93,24 @@
     }
   }
 
+  #extendLease (lease: number, grantedMs: number): void {
+    this.#leaseTimes.set(lease, { grantedMs, untilMs: this.#clock.monotonicMs() + grantedMs })
+  }
+
+  async #endExpiredLeases (): Promise<void> {
+    if (!this.expiresLeases) return
+    for (const [lease, { untilMs }] of this.#leaseTimes) {
+      if (untilMs > this.#clock.monotonicMs()) continue
+      this.#leaseTimes.delete(lease)
+      await this.endLease(lease)
+    }
+  }
+
   async #awaitChanges (key: string, after: number, waitMs: number, signal?: AbortSignal): Promise<WatchResult> {
     const untilMs = this.#clock.monotonicMs() + waitMs
     const existed = this.items.has(key)
     for (;;) {
+      await this.#endExpiredLeases()
       const result = await this.watch(key, after)
       if (result.outcome === 'history-lost' || result.changes.length > 0) return result
       if (existed && !this.items.has(key)) return { ...result, changes: [{ type: 'removed', key }] }
@@ -110,6 +135,8 @@
   readonly bytesReceived = new Map<string, number>()
   /** Questions to peers whether they reach the store. */
   storeQuestions = 0
+  /** Whether peers answer questions about the store, and requests to end a lease. */
+  answersAboutStore = true
   /** Instances that the store refuses. */
   readonly refused = new Set<string>()
   /** By instance; 1 by default. */
@@ -175,9 +202,13 @@
         return answer
       },
       handleAll: async (fence, calls) => await peer.handleAll(fence, calls),
-      release: async lease => await peer.release(lease),
+      release: async lease => {
+        if (!this.answersAboutStore) throw new Error('no answer')
+        return await peer.release(lease)
+      },
       reachesStore: async () => {
         this.storeQuestions += 1
+        if (!this.answersAboutStore) throw new Error('no answer')
         return await peer.reachesStore()
       },
       advise: async question => await peer.advise(question),
@@ -274,6 +305,28 @@
   await cluster.stop()
 })
 
+// Guards against a coordinator that keeps the calls of its callers until its authority ends, 3 s after the election of another.
+test('change of coordinator: if no peer ends the lease of a coordinator without the store, all instances know its successor soon after the lease has ended', async t => {
+  const cluster = new Cluster()
+  cluster.store.put(KEY, createDesiredState(1, 1))
+  cluster.store.expiresLeases = true
+  await cluster.start('first', 'attica')
+  await cluster.clock.advance(100)
+  for (let number = 0; number < FAR_INSTANCES; number++) await cluster.start(`other-${number}`, 'attica')
+  await cluster.clock.advance(1_000)
+  cluster.answersAboutStore = false
+  cluster.refused.add('first')
+  for (let number = 3; number < FAR_INSTANCES; number++) cluster.refused.add(`other-${number}`)
+  // The lease lasts 1.4 s from its last renewal; an election takes less than 0.2 s.
+  await cluster.clock.advance(1_600)
+  const known = [...cluster.instances.values()].map(({ coordinator }) => coordinator?.instance)
+  const [elected, ...others] = new Set(known)
+  t.deepEqual(others, [])
+  t.true(['other-0', 'other-1', 'other-2'].includes(elected ?? ''), elected)
+  cluster.refused.clear()
+  await cluster.stop()
+})
+
 test('change of coordinator: a successor knows large instances of each region before they report to it, instead of calling every target itself', async t => {
   const cluster = new Cluster()
   cluster.store.put(KEY, createDesiredState(1, 1))
