Stop without waiting for a read of the election that has no answer

While the store is silent, the election of an instance that does not coordinate nearly always has a read in progress, which times out after 1.5 s. A planned stop waited for it until its whole time (11/12 of the grace period) was used up, although the open calls had been answered 0.5 s earlier: "component job instance did not stop within 490 ms". On a busy machine the rest of the grace period could be too short for the process to end, and it was killed. The stop now ends the wait for this read; a read has no effect that it would have to wait for.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -266,3 +266,19 @@
   await clock.advance(5_000)
   await stopped
 })
+
+// Guards against a planned stop that takes its whole grace period because the store has fallen silent.
+test('a stop does not wait for a read that the store leaves unanswered', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  store.get = async () => await new Promise(() => {})
+  const election = createElection(store, {
+    onElected: () => {}, onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  }, clock)
+  await election.start()
+  await clock.advance(100)
+  let hasStopped = false
+  election.stop().then(() => { hasStopped = true }, () => {})
+  await clock.settle()
+  t.true(hasStopped)
+})
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -98,6 +98,8 @@
   #withdrawn = false
   /** Ends the wait for the next regular renewal. */
   #endRenewalWait: () => void = () => {}
+  /** Rejects the read of the coordinator that is in progress. */
+  #endRead: (error: Error) => void = () => {}
   #running: Promise<void> = Promise.resolve()
 
   constructor (options: ElectionOptions) {
@@ -113,6 +115,7 @@
     await this.withdraw()
     this.#stopping.abort()
     this.#endRenewalWait()
+    this.#endRead(new Error('the instance is stopping'))
     await this.#running
   }
 
@@ -225,7 +228,7 @@
   async #follow (): Promise<void> {
     const { store, clock } = this.#options
     const askedMs = clock.monotonicMs()
-    const { item, revision } = await store.get(COORDINATOR_KEY)
+    const { item, revision } = await this.#readCoordinator()
     this.#markStoreAnswer()
     const answerMs = clock.monotonicMs() - askedMs
     if (item !== undefined) {
@@ -241,6 +244,12 @@
     await this.#campaign()
   }
 
+  /** A read that the store leaves unanswered must not delay the stop. */
+  async #readCoordinator (): Promise<StoreRead> {
+    const stopping = new Promise<never>((_resolve, reject) => { this.#endRead = reject })
+    return await Promise.race([this.#options.store.get(COORDINATOR_KEY), stopping])
+  }
+
   async #watch (revision: number): Promise<void> {
     const { store } = this.#options
     let after = revision
