Wait for a coordinator in the tests of jobs on the platform

Cause: the tests read the coordinator's number from the store and use it as an index. A cluster whose instances were all ready may have no coordinator a moment later: when the process gets too little processor time, a renewal is late and the lease of 1.4 s ends. The number is then -1, so calls go to a port "undefined" (TypeError: Invalid URL), and a wait for instance 2, which does not exist, never ends.

Change: the tests wait until an instance coordinates. A call to an instance that does not exist fails with its number instead of an invalid URL. The check that the number is not negative is part of the wait.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -37,7 +37,7 @@
 test('with many targets, a job runs through a relay, and once a relay has stopped, later jobs run too and no task runs twice', async t => {
   const cluster = await startCluster(t, 3, { workers: DIRECT_TARGETS + 1 })
   t.is((await cluster.callUntilServed(0, 'POST', '/checks/0000000000000e00', job(1))).status, 200)
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   const relay = cluster.ports.findIndex((_port, number) => number !== first)
   // The caller stays with an instance that is not stopped: on a busy machine there may be no coordinator, or another one.
   const caller = cluster.ports.findIndex((_port, number) => number !== relay)
@@ -71,8 +71,7 @@
 
 test('a coordinator that stops hands over to another instance, which accepts and completes jobs', async t => {
   const cluster = await startCluster(t, 2)
-  const first = cluster.coordinator()
-  t.true(first >= 0)
+  const first = await cluster.awaitCoordinator()
   const other = 1 - first
   await cluster.instances[first]?.stop()
   await cluster.waitUntil('the other instance coordinates', () => cluster.coordinator() === other)
@@ -83,7 +82,7 @@
 test('a coordinator that is the only instance to lose the store hands over, and jobs are still accepted and completed', async t => {
   // Leases outlast the test, so that only a hand-over can end the coordinator's term.
   const cluster = await startCluster(t, 2, { shortestLeaseMs: 600_000 })
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   cluster.withoutStore.add(first)
   await cluster.waitUntil('the other instance coordinates', () => cluster.coordinator() === 1 - first)
   t.is((await cluster.callUntilServed(first, 'POST', '/checks/0000000000000bb2', job(2))).status, 200, 'an instance that cannot reach the store forwards the call to the other instance')
@@ -135,7 +134,7 @@
   await cluster.waitForState(0, '/checks/0000000000000c01', 'completed')
   const silent = cluster.platform.workers.get('worker-2')
   if (silent !== undefined) silent.fault = 'silent'
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   const stopping = cluster.instances[first]?.stop()
   await cluster.waitUntil('the other instance coordinates', () => cluster.coordinator() === 1 - first)
   const startedAtMs = Date.now()
@@ -234,7 +233,7 @@
 
 test('a target that has shrunk is not given more tasks than it holds, also by the next coordinator', async t => {
   const cluster = await startCluster(t, 2, { workers: 1, workMs: () => 150 })
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   await cluster.callUntilServed(first, 'POST', '/checks/0000000000000d11', job(1))
   await cluster.waitForState(first, '/checks/0000000000000d11', 'completed')
   cluster.platform.resize('worker-1', 2_000)
@@ -249,7 +248,7 @@
 
 test('a new coordinator gives a target no more tasks than it holds while runs of cancelled jobs are being stopped there', async t => {
   const cluster = await startCluster(t, 2, { workers: 1, workMs: () => 20_000, stopMs: 900 })
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   cluster.platform.resize('worker-1', 4_000)
   await delay(800)
   const cancelled = '/checks/0000000000000d21'
@@ -266,7 +265,7 @@
 test("a new coordinator lets no team exceed its cap while runs of the team's cancelled jobs are being stopped", async t => {
   const capMillicores = 4_000
   const cluster = await startCluster(t, 2, { teams: [{ name: 'weavers', key: STAND_IN_KEY, cap: capMillicores }], workMs: () => 20_000, stopMs: 900 })
-  const first = cluster.coordinator()
+  const first = await cluster.awaitCoordinator()
   const cancelled = '/checks/0000000000000d31'
   await cluster.callUntilServed(first, 'POST', cancelled, job(4))
   await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d31').length === 4)
@@ -287,7 +286,7 @@
     const innocent = ['0000000000000e41', '0000000000000e42', '0000000000000e43']
     const crashing = `${deadly}.0.0.0`
     const cluster = await startCluster(t, 2, { workers: 3, workMs: () => 1_500, crashesWorker: task => task === crashing })
-    const first = cluster.coordinator()
+    const first = await cluster.awaitCoordinator()
     const starts = (): number => cluster.startedTasks(deadly).filter(task => task === crashing).length
     for (const id of innocent) await cluster.callUntilServed(first, 'POST', `/checks/${id}`, job(8))
     await cluster.callUntilServed(first, 'POST', `/checks/${deadly}`, { spec: 'x', phases: [{ count: 2, cpu: 1_000, mem_mb: 64, estimate_ms: 50, ...step }] })
--- a/src/platform/testing/cluster.ts
+++ b/src/platform/testing/cluster.ts
@@ -101,6 +101,15 @@
     return text === undefined ? -1 : Number((JSON.parse(text) as { instance: string }).instance.split('-')[1])
   }
 
+  /**
+   * Waits until an instance is coordinator and returns its number. Instances that were ready may be without a coordinator
+   * since: on a busy machine an election ends when its renewal is late.
+   */
+  async awaitCoordinator (): Promise<number> {
+    await this.waitUntil('an instance coordinates', () => this.coordinator() >= 0)
+    return this.coordinator()
+  }
+
   async stop (): Promise<void> {
     await Promise.all(this.instances.map(async instance => await instance.stop()))
     await this.platform.stop()
@@ -113,6 +122,8 @@
   }
 
   #port (number: number): number {
-    return this.ports[number] as number
+    const port = this.ports[number]
+    if (port === undefined) throw new Error(`the cluster has no instance ${number}`)
+    return port
   }
 }
