Limit the clusters that run at a time in the tests of jobs

Cause: ava starts all 24 tests of the file at once, so 38 instances, their stores and their targets share one event loop. When the process gets less than half a processor, the loop is late by more than the time-outs of the product: a start unanswered for 1 s is stopped and made again ("no task was started twice", with events that show each second start after an end `stopped`), renewals are late, calls end with 503 or 504, and the first start takes 1.0 to 2.2 s instead of at most 1,000 ms. The last needs only 166 to 246 ms when its test is alone in the process, also with an eighth of a processor.

Change: five tests that check stated times, that count starts or that have many targets run serially, before the others. The others take one of four slots. All bounds and checks are unchanged.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -4,16 +4,33 @@
 import { DIRECT_TARGETS } from '../relay/selectRelays.ts'
 import { STAND_IN_KEY } from './standIn/standInPlatform.ts'
 import { Cluster } from './testing/cluster.ts'
+import { Slots } from './testing/slots.ts'
 
 function job (count: number, ...followingCounts: number[]): unknown {
   const step = { cpu: 1_000, mem_mb: 64, estimate_ms: 50 }
   return { spec: 'x', phases: [{ count, ...step }, ...followingCounts.map((tasks, position) => ({ count: tasks, ...step, after: [position] }))] }
 }
 
-/** Starts a cluster that is stopped after the test, also if it fails: instances that are left keep the process running. */
+/**
+ * The clusters share the event loop of this process. With all of them at a time, it is late by more than the time-outs of
+ * a start or of an election as soon as the process gets less than half a processor.
+ * Serial tests run before, each alone: they check times that are stated for calm conditions, or count starts, or have
+ * more targets than all others together.
+ */
+const clusterSlots = new Slots(4)
+
+/**
+ * Starts a cluster that is stopped after the test, also if it fails: instances that are left keep the process running. A
+ * stop mostly waits, so the next cluster may start meanwhile.
+ */
 async function startCluster (t: ExecutionContext, ...options: Parameters<typeof Cluster.start>): Promise<Cluster> {
+  const release = await clusterSlots.take()
+  t.teardown(release)
   const cluster = await Cluster.start(...options)
-  t.teardown(async () => await cluster.stop())
+  t.teardown(async () => {
+    release()
+    await cluster.stop()
+  })
   return cluster
 }
 
@@ -34,7 +51,7 @@
   t.is((await cluster.call(1, 'GET', '/checks/')).body.pending, 0)
 })
 
-test('with many targets, a job runs through a relay, and once a relay has stopped, later jobs run too and no task runs twice', async t => {
+test.serial('with many targets, a job runs through a relay, and once a relay has stopped, later jobs run too and no task runs twice', async t => {
   const cluster = await startCluster(t, 3, { workers: DIRECT_TARGETS + 1 })
   t.is((await cluster.callUntilServed(0, 'POST', '/checks/0000000000000e00', job(1))).status, 200)
   const first = await cluster.awaitCoordinator()
@@ -57,7 +74,7 @@
   await cluster.waitForState(0, '/checks/00000000000000d1', 'completed')
 })
 
-test('a job accepted right before all instances stop runs exactly once after they restart', async t => {
+test.serial('a job accepted right before all instances stop runs exactly once after they restart', async t => {
   const cluster = await startCluster(t, 2, { workMs: () => 4_000 })
   t.is((await cluster.callUntilServed(0, 'POST', '/checks/00000000000000aa', job(4))).status, 200)
   await Promise.all(cluster.instances.map(async instance => await instance.stop()))
@@ -128,7 +145,7 @@
   await cluster.waitUntil('the newer key is accepted', async () => (await cluster.call(0, 'GET', '/checks/', undefined, 'a newer key')).status === 200)
 })
 
-test('a new coordinator places work without delay while one of its targets does not answer', async t => {
+test.serial('a new coordinator places work without delay while one of its targets does not answer', async t => {
   const cluster = await startCluster(t, 2, { workMs: () => 100 })
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000c01', job(9))
   await cluster.waitForState(0, '/checks/0000000000000c01', 'completed')
@@ -144,7 +161,7 @@
   await stopping
 })
 
-test('while the store refuses calls, a new job is refused immediately and a running job completes', async t => {
+test.serial('while the store refuses calls, a new job is refused immediately and a running job completes', async t => {
   const cluster = await startCluster(t, 1, { workMs: () => 1_500 })
   t.is((await cluster.callUntilServed(0, 'POST', '/checks/00000000000000cc', job(2))).status, 200)
   await cluster.waitUntil('the job runs', () => cluster.startedTasks('00000000000000cc').length === 2)
@@ -181,7 +198,7 @@
   }
 })
 
-test('a gang does not hold its targets while the start of one member stays unanswered', async t => {
+test.serial('a gang does not hold its targets while the start of one member stays unanswered', async t => {
   // Each of the two workers has capacity for one member.
   const cluster = await startCluster(t, 1, { workers: 2, workMs: () => 60_000 })
   const member = { cpu: 40_000, mem_mb: 64, estimate_ms: 50, gang: true }
