Repeat calls that get 503 or 504 in the tests of jobs, as callers do

Cause: after an election that ended late, an instance answers 503 or 504 for a moment, which settles nothing. Eight checks of other answers (410, 404, 401, 400, a cancelled job) took the first answer for the result.

Change: they repeat the call until it is served, as the other calls of the tests do; the answers that are expected are unchanged. A repeated cancellation is answered 200, as the interface promises.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -44,11 +44,11 @@
   t.true(lastOfFirst < firstOfSecond)
   t.is(cluster.startedTasks('000000000000000a').length, 5)
   t.is((await cluster.callUntilServed(1, 'POST', '/checks/000000000000000a', job(3, 2))).status, 200, 'submitting the same id again is accepted as the same job')
-  t.is((await cluster.call(1, 'GET', '/checks/000000000000000b')).status, 410)
-  t.is((await cluster.call(1, 'GET', '/unknown/000000000000000a')).status, 404)
-  t.is((await cluster.call(1, 'GET', '/checks/000000000000000a', undefined, 'no such key')).status, 401)
-  t.is((await cluster.call(1, 'POST', '/checks/000000000000000c', { phases: [] })).status, 400)
-  t.is((await cluster.call(1, 'GET', '/checks/')).body.pending, 0)
+  t.is((await cluster.callUntilServed(1, 'GET', '/checks/000000000000000b')).status, 410)
+  t.is((await cluster.callUntilServed(1, 'GET', '/unknown/000000000000000a')).status, 404)
+  t.is((await cluster.callUntilServed(1, 'GET', '/checks/000000000000000a', undefined, 'no such key')).status, 401)
+  t.is((await cluster.callUntilServed(1, 'POST', '/checks/000000000000000c', { phases: [] })).status, 400)
+  t.is((await cluster.callUntilServed(1, 'GET', '/checks/')).body.pending, 0)
 })
 
 test.serial('with many targets, a job runs through a relay, and once a relay has stopped, later jobs run too and no task runs twice', async t => {
@@ -205,7 +205,7 @@
   const both = { spec: 'x', phases: [{ count: 2, cpu: 40_000, mem_mb: 64, estimate_ms: 50 }] }
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f00', both)
   await cluster.waitUntil('both workers have joined', () => cluster.startedTasks('0000000000000f00').length === 2)
-  await cluster.call(0, 'DELETE', '/checks/0000000000000f00')
+  await cluster.callUntilServed(0, 'DELETE', '/checks/0000000000000f00')
   await cluster.waitUntil('both are free', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
   const silent = cluster.platform.workers.get('worker-2')
   if (silent !== undefined) silent.fault = 'silent-from-start'
@@ -227,10 +227,10 @@
   t.is(cluster.startedTasks('0000000000000a01').length, 2)
   await cluster.callUntilServed(0, 'POST', '/renders/0000000000000a02', job(2))
   await cluster.waitUntil('the job runs', () => cluster.startedTasks('0000000000000a02').length === 2)
-  t.is((await cluster.call(0, 'DELETE', '/renders/0000000000000a02')).status, 200)
-  t.is((await cluster.call(0, 'GET', '/renders/0000000000000a02')).body.state, 'cancelled')
+  t.is((await cluster.callUntilServed(0, 'DELETE', '/renders/0000000000000a02')).status, 200)
+  t.is((await cluster.callUntilServed(0, 'GET', '/renders/0000000000000a02')).body.state, 'cancelled')
   await cluster.waitUntil('none of its tasks runs', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
-  t.is((await cluster.call(0, 'DELETE', '/renders/0000000000000a99')).status, 410)
+  t.is((await cluster.callUntilServed(0, 'DELETE', '/renders/0000000000000a99')).status, 410)
 })
 
 test('no team exceeds its cap, and new and withdrawn keys take effect immediately', async t => {
@@ -244,8 +244,8 @@
   }
   cluster.platform.configure([{ name: 'weavers', key: 'a newer key' }])
   await delay(300)
-  t.is((await cluster.call(0, 'GET', '/checks/0000000000000b01')).status, 401)
-  t.is((await cluster.call(0, 'GET', '/checks/0000000000000b01', undefined, 'a newer key')).status, 200)
+  t.is((await cluster.callUntilServed(0, 'GET', '/checks/0000000000000b01')).status, 401)
+  t.is((await cluster.callUntilServed(0, 'GET', '/checks/0000000000000b01', undefined, 'a newer key')).status, 200)
 })
 
 test('a target that has shrunk is not given more tasks than it holds, also by the next coordinator', async t => {
@@ -271,7 +271,7 @@
   const cancelled = '/checks/0000000000000d21'
   await cluster.callUntilServed(first, 'POST', cancelled, job(4))
   await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d21').length === 4)
-  t.is((await cluster.call(first, 'DELETE', cancelled)).status, 200)
+  t.is((await cluster.callUntilServed(first, 'DELETE', cancelled)).status, 200)
   const stopping = cluster.instances[first]?.stop()
   await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d22', job(4))
   await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d22').length === 4)
@@ -286,7 +286,7 @@
   const cancelled = '/checks/0000000000000d31'
   await cluster.callUntilServed(first, 'POST', cancelled, job(4))
   await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d31').length === 4)
-  t.is((await cluster.call(first, 'DELETE', cancelled)).status, 200)
+  t.is((await cluster.callUntilServed(first, 'DELETE', cancelled)).status, 200)
   const stopping = cluster.instances[first]?.stop()
   await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d32', job(4))
   await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d32').length === 4)
--- a/src/platform/testing/cluster.ts
+++ b/src/platform/testing/cluster.ts
@@ -68,13 +68,13 @@
     return { status: answer.statusCode, body: await answer.body.json() as Answer['body'] }
   }
 
-  /** Repeats a call until it is served, as callers would. */
-  async callUntilServed (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown): Promise<Answer> {
-    let answer = await this.call(number, method, path, body)
+  /** Repeats a call until it is served, as callers would: there may be no coordinator for a moment, so 503 and 504 settle nothing. */
+  async callUntilServed (number: number, method: 'GET' | 'POST' | 'DELETE', path: string, body?: unknown, key = STAND_IN_KEY): Promise<Answer> {
+    let answer = await this.call(number, method, path, body, key)
     const untilMs = Date.now() + WAIT_TIMEOUT_MS
     while ((answer.status === 503 || answer.status === 504) && Date.now() < untilMs) {
       await delay(200)
-      answer = await this.call(number, method, path, body)
+      answer = await this.call(number, method, path, body, key)
     }
     return answer
   }
