Let runs outlast the crashes in the tests of crashing targets

Cause: the runs of two tests end after 2.5 s. One done member completes its gang, by design. When the process is late, the other members end before the stop reaches them, so the third crash does not restart the gang and 12 starts are counted instead of 16 (the events of five failures show the others `done` 0.2 to 3.3 s after the last crash). In the test of a rack a run may end before its target crashes, and the next start never comes.

Change: a run ends only if it started after the last crash. The number of crashes and starts that are checked is unchanged.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -316,13 +316,22 @@
   })
 }
 
+const MAX_CRASHES = 3
+
+/** Run time that lets a run end only if it started after the last crash: one that ends before its stop arrives completes its job. */
+function endsAfterCrashes (crashes: number): number {
+  return crashes < MAX_CRASHES ? 60_000 : 500
+}
+
 test('a job is not given up because all targets of its rack crash again and again', async t => {
-  const cluster = await startCluster(t, 1, { workers: 8, workMs: () => 2_500 })
+  let crashes = 0
+  const cluster = await startCluster(t, 1, { workers: 8, workMs: () => endsAfterCrashes(crashes) })
   const id = '0000000000000e50'
   await cluster.callUntilServed(0, 'POST', `/checks/${id}`, { spec: 'x', phases: [{ count: 1, cpu: 60_000, mem_mb: 64, estimate_ms: 50 }] })
-  for (let crashes = 1; crashes <= 3; crashes++) {
-    await cluster.waitUntil('the task runs', () => cluster.startedTasks(id).length === crashes)
+  while (crashes < MAX_CRASHES) {
+    await cluster.waitUntil('the task runs', () => cluster.startedTasks(id).length === crashes + 1)
     await delay(300)
+    crashes += 1
     for (const worker of cluster.platform.workers.keys()) cluster.platform.crash(worker, 500)
   }
   await cluster.waitForState(0, `/checks/${id}`, 'completed')
@@ -331,15 +340,17 @@
 
 // Each crash hits another member; a gang that spans many targets meets such crashes by chance.
 test('a gang is not given up because its targets crash one after another under different members', async t => {
-  const cluster = await startCluster(t, 1, { workers: 10, workMs: () => 2_500 })
+  let crashes = 0
+  const cluster = await startCluster(t, 1, { workers: 10, workMs: () => endsAfterCrashes(crashes) })
   const id = '0000000000000e70'
   const path = `/checks/${id}`
   const runningMembers = (): number => [...cluster.platform.workers.values()].flatMap(({ running }) => running).filter(task => task.startsWith(id)).length
   await cluster.callUntilServed(0, 'POST', path, { spec: 'x', phases: [{ count: 4, cpu: 60_000, mem_mb: 64, estimate_ms: 50, gang: true }] })
-  for (let member = 0; member < 3; member++) {
+  while (crashes < MAX_CRASHES) {
     await cluster.waitUntil('the gang runs', () => runningMembers() === 4)
     await delay(300)
-    const run = cluster.platform.events.findLast(event => event.type === 'started' && event.task === `${id}.0.0.${member}`)
+    const run = cluster.platform.events.findLast(event => event.type === 'started' && event.task === `${id}.0.0.${crashes}`)
+    crashes += 1
     cluster.platform.crash(run?.worker ?? '', 500)
   }
   await cluster.waitForState(0, path, 'completed')
