Accept repeated starts in the waits for the first runs of a test

Cause: the waits ask every 30 ms whether exactly so many starts were made. A start that is not answered within 1 s is stopped and made again, and a late process asks rarely. The count may then pass the number between two questions, and the wait does not end. Read in the code; the logs of the time-outs do not tell them from a slow process.

Change: the waits end at this number of starts or more, and one asks whether each worker runs one task. The checks that follow are unchanged.

--- a/src/platform/jobsOnPlatform.test.ts
+++ b/src/platform/jobsOnPlatform.test.ts
@@ -122,7 +122,7 @@
 test('a target whose data centre is evacuated gets no new task until the key is removed, and its runs complete', async t => {
   const cluster = await startCluster(t, 1, { workMs: () => 1_000 })
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000d11', job(2))
-  await cluster.waitUntil('the first job runs', () => cluster.startedTasks('0000000000000d11').length === 2)
+  await cluster.waitUntil('the first job runs', () => cluster.startedTasks('0000000000000d11').length >= 2)
   cluster.platform.store.put('op/evacuate/attica-a', {})
   cluster.platform.store.put('op/evacuate/nowhere', {})
   await delay(300)
@@ -204,13 +204,13 @@
   const member = { cpu: 40_000, mem_mb: 64, estimate_ms: 50, gang: true }
   const both = { spec: 'x', phases: [{ count: 2, cpu: 40_000, mem_mb: 64, estimate_ms: 50 }] }
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f00', both)
-  await cluster.waitUntil('both workers have joined', () => cluster.startedTasks('0000000000000f00').length === 2)
+  await cluster.waitUntil('both workers have joined', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 1))
   await cluster.callUntilServed(0, 'DELETE', '/checks/0000000000000f00')
   await cluster.waitUntil('both are free', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
   const silent = cluster.platform.workers.get('worker-2')
   if (silent !== undefined) silent.fault = 'silent-from-start'
   await cluster.callUntilServed(0, 'POST', '/checks/0000000000000f01', { spec: 'x', phases: [{ count: 2, ...member }] })
-  await cluster.waitUntil('one member runs', () => cluster.startedTasks('0000000000000f01').length === 1)
+  await cluster.waitUntil('one member runs', () => cluster.startedTasks('0000000000000f01').length >= 1)
   const startedAtMs = Date.now()
   await cluster.waitUntil('it is stopped', () => cluster.platform.workers.get('worker-1')?.running.length === 0)
   t.true(Date.now() - startedAtMs < 3_000, `stopped after ${Date.now() - startedAtMs} ms; leases on the silent worker end after 10 s`)
@@ -226,7 +226,7 @@
   await cluster.waitForState(0, '/checks/0000000000000a01', 'failed')
   t.is(cluster.startedTasks('0000000000000a01').length, 2)
   await cluster.callUntilServed(0, 'POST', '/renders/0000000000000a02', job(2))
-  await cluster.waitUntil('the job runs', () => cluster.startedTasks('0000000000000a02').length === 2)
+  await cluster.waitUntil('the job runs', () => cluster.startedTasks('0000000000000a02').length >= 2)
   t.is((await cluster.callUntilServed(0, 'DELETE', '/renders/0000000000000a02')).status, 200)
   t.is((await cluster.callUntilServed(0, 'GET', '/renders/0000000000000a02')).body.state, 'cancelled')
   await cluster.waitUntil('none of its tasks runs', () => [...cluster.platform.workers.values()].every(worker => worker.running.length === 0))
@@ -270,11 +270,11 @@
   await delay(800)
   const cancelled = '/checks/0000000000000d21'
   await cluster.callUntilServed(first, 'POST', cancelled, job(4))
-  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d21').length === 4)
+  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d21').length >= 4)
   t.is((await cluster.callUntilServed(first, 'DELETE', cancelled)).status, 200)
   const stopping = cluster.instances[first]?.stop()
   await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d22', job(4))
-  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d22').length === 4)
+  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d22').length >= 4)
   t.is(cluster.platform.mostRunning('worker-1'), 4)
   await stopping
 })
@@ -285,11 +285,11 @@
   const first = await cluster.awaitCoordinator()
   const cancelled = '/checks/0000000000000d31'
   await cluster.callUntilServed(first, 'POST', cancelled, job(4))
-  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d31').length === 4)
+  await cluster.waitUntil('the tasks run', () => cluster.startedTasks('0000000000000d31').length >= 4)
   t.is((await cluster.callUntilServed(first, 'DELETE', cancelled)).status, 200)
   const stopping = cluster.instances[first]?.stop()
   await cluster.callUntilServed(1 - first, 'POST', '/checks/0000000000000d32', job(4))
-  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d32').length === 4)
+  await cluster.waitUntil('the tasks of the next job run', () => cluster.startedTasks('0000000000000d32').length >= 4)
   t.is(cluster.platform.mostRunning(), 4)
   await stopping
 })
@@ -307,7 +307,7 @@
     const starts = (): number => cluster.startedTasks(deadly).filter(task => task === crashing).length
     for (const id of innocent) await cluster.callUntilServed(first, 'POST', `/checks/${id}`, job(8))
     await cluster.callUntilServed(first, 'POST', `/checks/${deadly}`, { spec: 'x', phases: [{ count: 2, cpu: 1_000, mem_mb: 64, estimate_ms: 50, ...step }] })
-    await cluster.waitUntil('the task has crashed two targets', () => starts() === 2)
+    await cluster.waitUntil('the task has crashed two targets', () => starts() >= 2)
     await cluster.instances[first]?.stop()
     const path = `/checks/${deadly}`
     await cluster.waitForState(1 - first, path, 'failed')
