Start an instance of a test again only once its ports are free

Cause: a stop that has used up its 5.5 s resolves without waiting for the last listeners, since the process ends then in production. The test that starts all instances again does so in the same process and at once, so the listener for callers may still be there (EADDRINUSE).

Change: before an instance of a cluster is started, its four ports are asked for until they are free. No other process uses the host.

--- a/src/platform/testing/cluster.ts
+++ b/src/platform/testing/cluster.ts
@@ -1,9 +1,11 @@
 /** A cluster of instances in this process, on the stand-ins of the platform, for tests. */
 import { mkdtempSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
+import { listenOn } from '../../adapters/network.ts'
 import { chooseHost } from '../../../test/processes/topology.ts'
 import { STAND_IN_HOST, STAND_IN_KEY, StandInPlatform } from '../standIn/standInPlatform.ts'
 import type { StandInPlatformOptions } from '../standIn/standInPlatform.ts'
@@ -11,6 +13,8 @@
 import type { PlatformInstance } from '../startOnPlatform.ts'
 
 const PORTS_PER_INSTANCE = 10
+/** The ports for callers, readiness, peers and metrics. */
+const USED_PORTS_PER_INSTANCE = 4
 const WAIT_TIMEOUT_MS = 25_000
 /** Host address that only this process uses, so that its ports are not taken by other listeners or connections. */
 const HOST = chooseHost()
@@ -47,6 +51,7 @@
     this.#settingsFiles[number] = file
     const storeAddress = await this.platform.openStoreEndpoint(() => this.withoutStore.has(number) ? 'refusing' : 'none')
     writeFileSync(file, this.platform.settingsFor(`entry-${number}`, this.#port(number), storeAddress, HOST))
+    await this.waitUntil(`the ports of instance ${number} are free`, async () => await this.#hasFreePorts(number))
     this.instances[number] = await startOnPlatform(file, process.env['LEVEL'] === undefined ? 'silent' : 'info')
   }
 
@@ -121,9 +126,22 @@
     return answer?.statusCode === 200
   }
 
+  /** False while listeners of the previous process of an instance remain: a stop that has used up its time does not wait for them. */
+  async #hasFreePorts (number: number): Promise<boolean> {
+    const listeners = Array.from({ length: USED_PORTS_PER_INSTANCE }, (_, offset) => canListen(this.#port(number) + offset))
+    return (await Promise.all(listeners)).every(Boolean)
+  }
+
   #port (number: number): number {
     const port = this.ports[number]
     if (port === undefined) throw new Error(`the cluster has no instance ${number}`)
     return port
   }
 }
+
+async function canListen (port: number): Promise<boolean> {
+  const server = createServer()
+  const listens = await listenOn(server, `${HOST}:${port}`).then(() => true, () => false)
+  if (listens) await new Promise(resolve => server.close(resolve))
+  return listens
+}
