Ask the other instances on to end a lease that outlived its term

Cause: a coordinator that loses the store hands over by asking other instances to end its lease. If they answer too late for 4.4 s, its term ends ("the lease could not be renewed") and nobody asks again. A store may grant a longer lease than was requested, as that of the test does: until it ends, no instance can be elected, although all others reach the store.

Change: after such a term the instance repeats the question every second, until a lease is ended, the store answers it, or it knows a coordinator.

Measured: the new test fails before (0 releases instead of 1).

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -144,6 +144,42 @@
   t.deepEqual(lost, ['the store serves other instances only'])
 })
 
+// Guards against a cluster without a coordinator for as long as the lease lasts: stores may grant a longer one than was requested.
+test('a coordinator whose term has ended without the store asks the other instances until one of them ends its lease', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const lost: string[] = []
+  let peersAnswer = false
+  let questions = 0
+  let releases = 0
+  const election = createElection(store, {
+    onElected: () => {},
+    onLost: reason => lost.push(reason),
+    onChanged: () => {},
+    peerReachesStore: async () => peersAnswer,
+    releaseThroughPeers: async () => {
+      questions += 1
+      if (peersAnswer) releases += 1
+      return peersAnswer
+    }
+  }, clock)
+  await election.start()
+  await clock.advance(500)
+  t.true(election.hasAuthority())
+  store.refusing = true
+  await clock.advance(10_000)
+  t.deepEqual(lost, ['the lease could not be renewed'])
+  t.true(questions <= 6, `${questions} questions in about 5 s`)
+  peersAnswer = true
+  await clock.advance(2_000)
+  t.is(releases, 1)
+  await clock.advance(5_000)
+  t.is(releases, 1, 'a lease that was ended is not ended again')
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
+
 test('a suspended coordinator gains no authority from a renewal sent before its suspension', async t => {
   const clock = new ManualClock()
   const store = new MemoryTransactionalStore()
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -31,6 +31,8 @@
 /** A watch that times out confirms that the store is reachable. */
 const WATCH_TIMEOUT_MS = 1_500
 const RETRY_DELAY_MS = 150
+/** Interval at which other instances are asked to end the lease of a term that ended without the store. */
+const RELEASE_INTERVAL_MS = 1_000
 /** Candidates wait this many times the store's response time, so that one close to the store wins. */
 const CANDIDATE_DELAY_FACTOR = 4
 const MAX_CANDIDATE_DELAY_MS = 400
@@ -95,6 +97,10 @@
   #storeAnsweredAtMs = -Infinity
   /** Fencing token of the last election that this instance ended for an unreachable coordinator. */
   #endedFence = 0
+  /** Lease of a term that ended without the store. The store may have extended it, so no successor can be elected until it is ended. */
+  #unreleasedLease: number | undefined
+  /** When the other instances may be asked again to end that lease; infinite while they are asked. */
+  #nextReleaseMs = -Infinity
   #withdrawn = false
   /** Ends the wait for the next regular renewal. */
   #endRenewalWait: () => void = () => {}
@@ -212,16 +218,31 @@
         else await this.#follow()
       } catch (error) {
         this.#options.logger.debug({ error: String(error) }, 'election request to the store failed; retrying')
+        this.#releaseLeaseOfEndedTerm()
         await this.#sleep(RETRY_DELAY_MS)
       }
     }
   }
 
+  #releaseLeaseOfEndedTerm (): void {
+    const { clock, listener } = this.#options
+    const lease = this.#unreleasedLease
+    if (lease === undefined || clock.monotonicMs() < this.#nextReleaseMs) return
+    this.#nextReleaseMs = Infinity
+    const settle = (ended: boolean): void => {
+      if (ended && this.#unreleasedLease === lease) this.#unreleasedLease = undefined
+      this.#nextReleaseMs = clock.monotonicMs() + RELEASE_INTERVAL_MS
+    }
+    listener.releaseThroughPeers(lease).then(settle, () => settle(false))
+  }
+
   async #follow (): Promise<void> {
     const { store, clock } = this.#options
     const askedMs = clock.monotonicMs()
     const { item, revision } = await store.get(COORDINATOR_KEY)
     this.#markStoreAnswer()
+    // The election in the store is ended below if it is still this instance's.
+    this.#unreleasedLease = undefined
     const answerMs = clock.monotonicMs() - askedMs
     if (item !== undefined) {
       const info = this.#readItem(item)
@@ -276,7 +297,9 @@
     if (this.#failedRenewals === 0) logger.warn({ error: failure, validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'election lease renewal failed')
     this.#failedRenewals += 1
     if (await onlyOneWithoutStore && await this.#options.listener.releaseThroughPeers(lease)) this.#endTerm('the store serves other instances only')
-    if (clock.monotonicMs() > this.#validUntilMs + AUTHORITY_GRACE_MS) this.#endTerm('the lease could not be renewed')
+    if (this.#ownElection === undefined || clock.monotonicMs() <= this.#validUntilMs + AUTHORITY_GRACE_MS) return
+    this.#unreleasedLease = lease
+    this.#endTerm('the lease could not be renewed')
   }
 
   /** Failed renewals are retried at a fixed interval. */
@@ -365,6 +388,7 @@
   #setCoordinator (info: CoordinatorInfo | undefined): void {
     if (info?.fence === this.#coordinator?.fence) return
     this.#coordinator = info
+    if (info !== undefined) this.#unreleasedLease = undefined
     this.#newestFence = Math.max(this.#newestFence, info?.fence ?? 0)
     this.#options.listener.onChanged(info)
   }
