Give each test process a loopback host of its own

Cause: the last part of the address was the last byte of the process id modulo 254, so processes whose ids end in 0 and 254, or in 1 and 255, of the same block had the same host, and with it the same ports.

Change: all 256 values are used; addresses that end in 0 or 255 are ordinary ones in 127.0.0.0/8.

Measured: among 32,768 process ids, 255 shared the host of another before (computed); none do after. No failure of a test was traced to this.

--- a/test/processes/topology.ts
+++ b/test/processes/topology.ts
@@ -71,12 +71,12 @@
 }
 
 /**
- * Returns a loopback host derived from the process id, so that concurrent test processes use different ones. Outgoing
- * connections come from 127.0.0.1, so none can take a port of this host before a process listens on it.
+ * Returns a loopback host derived from the process id, so that concurrent test processes use different ones: no two of the
+ * 4,194,304 process ids of Linux share one, and addresses that end in 0 or 255 are ordinary ones here. Outgoing connections come from 127.0.0.1, so none can take a port of this host before a process listens on it.
  */
 export function chooseHost (): string {
   const { pid } = process
-  return `127.${100 + (pid >> 15) % 100}.${(pid >> 8) & 0x7f}.${(pid & 0xff) % 254 + 1}`
+  return `127.${100 + ((pid >> 15) & 0x7f)}.${(pid >> 8) & 0x7f}.${pid & 0xff}`
 }
 
 /**
