Wait for the listing of the targets in the tests of jobs

Cause: three waits of 800 ms stood for "the coordinator has read the changed entry of a target", which it does every 500 ms when the process is on time.

Change: the stand-in of the store counts reads of ranges, and the tests wait until the second listing after the change begins, by which the first one has been applied. From then on the checks are as before.

None was traced to these waits before.

--- a/src/platform/standIn/standInStore.ts
+++ b/src/platform/standIn/standInStore.ts
@@ -44,6 +44,8 @@
   /** Maximum delay of a write under the fault `late`. */
   longestLateWriteMs = SHORTEST_LATE_WRITE_MS
   calls = 0
+  /** Reads of a range of keys, by prefix. */
+  readonly rangeReads = new Map<string, number>()
 
   /** Writes a key as an operator or a target would. */
   put (key: string, value: unknown): void {
@@ -129,6 +131,7 @@
   }
 
   #range (prefix: string, after: string): RouteResponse {
+    this.rangeReads.set(prefix, (this.rangeReads.get(prefix) ?? 0) + 1)
     const items = this.#list(prefix, after)
     return { status: 200, body: { items: items.slice(0, PAGE_SIZE).map(encodeItem), has_more: items.length > PAGE_SIZE, at: this.#revision } }
   }
--- a/src/platform/testing/cluster.ts
+++ b/src/platform/testing/cluster.ts
@@ -11,6 +11,7 @@
 import type { StandInPlatformOptions } from '../standIn/standInPlatform.ts'
 import { startOnPlatform } from '../startOnPlatform.ts'
 import type { PlatformInstance } from '../startOnPlatform.ts'
+import { TARGET_PREFIX } from '../targetEntry.ts'
 
 const PORTS_PER_INSTANCE = 10
 /** The ports for callers, readiness, peers and metrics. */
@@ -115,6 +116,13 @@
     return this.coordinator()
   }
 
+  /** Waits until the coordinator has applied the present entries of the targets: it has, once its second listing from now on begins. */
+  async awaitTargetListing (): Promise<void> {
+    const count = (): number => this.platform.store.rangeReads.get(TARGET_PREFIX) ?? 0
+    const before = count()
+    await this.waitUntil('the coordinator has listed the targets', () => count() >= before + 2)
+  }
+
   async stop (): Promise<void> {
     await Promise.all(this.instances.map(async instance => await instance.stop()))
     await this.platform.stop()
