Notice clients that leave while their further requests wait

The calls of a client that had left went on to their end, and kept their places.

Change: a connection with less than 16 KB of waiting input reads ahead as before, and what lies in the buffer of its socket is charged. One with more does not; its 64 KB were what exceeded the memory.

--- a/src/adapters/http/frontEndGuard.test.ts
+++ b/src/adapters/http/frontEndGuard.test.ts
@@ -88,6 +88,22 @@
   t.true(server.guard.heldBytes > 0)
 })
 
+// Guards against calls that go on, and take the place of others, after their clients have left.
+test('the end of a connection is noticed while its further requests wait', async t => {
+  let closed = 0
+  const begun: ServerResponse[] = []
+  const server = await startServer(t, { pipelinedRequests: 1 }, (_guard, _request, response) => {
+    begun.push(response)
+    response.once('close', () => { closed += 1 })
+  })
+  const clients = [server.open(GET.repeat(3)), server.open(GET.repeat(3))]
+  await waitUntil(() => begun.length === clients.length)
+  clients[0]?.resetAndDestroy()
+  clients[1]?.end()
+  await waitUntil(() => closed === clients.length)
+  t.is(begun.length, clients.length)
+})
+
 // Guards against calls in progress that exhaust the memory, and against a client that waits behind those with thousands of requests.
 test('beyond the calls in progress, pipelined requests wait, and a connection with one request does not', async t => {
   const begun: ServerResponse[] = []
--- a/src/adapters/http/guardedConnection.ts
+++ b/src/adapters/http/guardedConnection.ts
@@ -8,7 +8,7 @@
 import type { BudgetAccount, BudgetHolder, MemoryBudget, OverloadReason } from './memoryBudget.ts'
 import { RequestBodies } from './requestBodies.ts'
 import { RequestInput } from './requestInput.ts'
-import { isParsingMessage, isPausedByServer, preventReadingAhead, setPaused } from './socketInternals.ts'
+import { isParsingMessage, isPausedByServer, limitReadingAhead, setPaused } from './socketInternals.ts'
 import type { TurnSchedule, TurnTaker } from './turnSchedule.ts'
 import { UnreadAnswers } from './unreadAnswers.ts'
 
@@ -16,6 +16,8 @@
 const CONNECTION_TURN_MS = 2
 /** Heads beyond this size go to the parser at once, which refuses them. */
 const MAX_HELD_HEAD_BYTES = 16_384
+/** A paused connection that holds less reads on, so that it notices when the client leaves. */
+const READ_AHEAD_BYTES = 16_384
 /** Time after which a request counts half as much of what makes its connection a busy one. */
 const RECENT_HALF_LIFE_MS = 1_000
 /** Charged for each request of a connection beyond the first. */
@@ -82,7 +84,7 @@
     socket.removeListener('data', this.#deliver)
     socket.on('data', (chunk: Buffer) => this.#receive(chunk))
     socket.on('drain', () => this.feed())
-    preventReadingAhead(socket, () => this.#isPaused)
+    limitReadingAhead(socket, () => !this.#isPaused || this.#waitingBytes < READ_AHEAD_BYTES)
   }
 
   begin (request: IncomingMessage, response: ServerResponse): void {
@@ -257,6 +259,11 @@
     this.#times.recordHead()
   }
 
+  /** Memory of the input that waits here and in the buffer of the socket. */
+  get #waitingBytes (): number {
+    return this.#input.heldBytes + this.#socket.readableLength
+  }
+
   /** Pauses or resumes the socket, and charges what waits. */
   #settleInput (): void {
     if (this.#isEnding) this.#input.clear()
@@ -266,9 +273,9 @@
       this.#isPaused = mustPause
       setPaused(this.#socket, mustPause)
     }
-    const { heldBytes } = this.#input
-    const added = heldBytes - this.#chargedInputBytes
-    this.#chargedInputBytes = heldBytes
+    const waitingBytes = this.#waitingBytes
+    const added = waitingBytes - this.#chargedInputBytes
+    this.#chargedInputBytes = waitingBytes
     if (added <= 0) {
       this.#account.release(-added)
     } else if (!this.#account.charge(added)) {
--- a/src/adapters/http/socketInternals.ts
+++ b/src/adapters/http/socketInternals.ts
@@ -38,12 +38,12 @@
 }
 
 /**
- * Stops a socket from reading ahead while it is paused. After each chunk, paused or not, a stream asks its socket to read
- * on, which would put up to 64 KB into its buffer, where the budget does not count it.
+ * Lets a socket read only while `mayRead`. After each chunk, paused or not, a stream asks its socket to read on, which puts
+ * up to 64 KB into its buffer.
  */
-export function preventReadingAhead (socket: Socket, isPaused: () => boolean): void {
+export function limitReadingAhead (socket: Socket, mayRead: () => boolean): void {
   const read = socket._read.bind(socket)
-  socket._read = size => { if (!isPaused()) read(size) }
+  socket._read = size => { if (mayRead()) read(size) }
 }
 
 /** The handle of a paused socket goes on reading unless it is stopped. */
