Keep the report of a newer election until a renewal is answered

Found in review: a coordinator that loses the store and hears of its successor before its first failed renewal only renewed at once, and forgot the report. Successors announce themselves once, so it kept its authority for 4.2 s beside the successor; fences protect the log and the targets, but its callers waited.

Change: the report is kept until a renewal sent after it succeeds; a failed renewal ends the term. The new test fails without the change.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -318,3 +318,25 @@
   await clock.settle()
   t.true(hasStopped)
 })
+
+// Guards against an instance that acts for seconds beside its successor, which announces itself only once.
+test('the report of a newer election that comes before the first failed renewal ends the term with that renewal', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const lost: string[] = []
+  const election = createElection(store, {
+    onElected: () => {}, onLost: reason => lost.push(reason), onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  }, clock)
+  await election.start()
+  await clock.advance(500)
+  store.refusing = true
+  election.updateFromPeer({ instance: 'entry-2', address: 'entry-2:1', fence: 1_000, lease: 99 })
+  t.true(election.hasAuthority())
+  await clock.advance(10)
+  t.false(election.hasAuthority())
+  t.deepEqual(lost, ['another instance was elected'])
+  store.refusing = false
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -101,6 +101,8 @@
   #unreleasedLease: number | undefined
   /** When the other instances may be asked again to end that lease; infinite while they are asked. */
   #nextReleaseMs = -Infinity
+  /** A newer election that a peer has reported, until the store has confirmed this instance's after that. */
+  #reported: { readonly info: CoordinatorInfo, readonly atMs: number } | undefined
   #withdrawn = false
   /** Ends the wait for the next regular renewal. */
   #endRenewalWait: () => void = () => {}
@@ -213,7 +215,10 @@
    */
   updateFromPeer (info: CoordinatorInfo): void {
     if (info.fence <= this.#newestFence) return
-    if (this.#ownElection !== undefined && !this.storeFails) return this.renewNow()
+    if (this.#ownElection !== undefined && !this.storeFails) {
+      this.#reported = { info, atMs: this.#options.clock.monotonicMs() }
+      return this.renewNow()
+    }
     this.#endTerm('another instance was elected')
     this.#setCoordinator(info)
   }
@@ -310,6 +315,7 @@
     if (failure === undefined || this.#ownElection === undefined) return
     if (this.#failedRenewals === 0) logger.warn({ error: failure, validForMs: Math.round(this.#validUntilMs - clock.monotonicMs()) }, 'election lease renewal failed')
     this.#failedRenewals += 1
+    if (this.#reported !== undefined) return this.updateFromPeer(this.#reported.info)
     if (await onlyOneWithoutStore && await this.#options.listener.releaseThroughPeers(lease)) this.#endTerm('the store serves other instances only')
     if (this.#ownElection === undefined || clock.monotonicMs() <= this.#validUntilMs + AUTHORITY_GRACE_MS) return
     this.#unreleasedLease = lease
@@ -349,6 +355,7 @@
     if (!renewed) return this.#endTerm('the lease has ended')
     if (this.#failedRenewals > 0) this.#options.logger.info({ failed: this.#failedRenewals }, 'election lease renewals succeed again')
     this.#failedRenewals = 0
+    if (this.#reported !== undefined && sent.monotonicMs >= this.#reported.atMs) this.#reported = undefined
     this.#extendValidity(sent)
   }
 
@@ -387,6 +394,7 @@
     if (this.#ownElection === undefined) return
     this.#ownElection = undefined
     this.#failedRenewals = 0
+    this.#reported = undefined
     this.#setCoordinator(undefined)
     this.#options.listener.onLost(reason)
   }
