Do not take an ended election for the own one after a late answer

Found in review: if the answer to the commit of an election takes longer than its lease, another instance may have been elected and announced meanwhile. The new test fails without the change.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -340,3 +340,31 @@
   await clock.advance(5_000)
   await stopped
 })
+
+// Guards against an instance that takes an election for its own which has ended, and gains authority without the store.
+test('the late answer to a commit does not replace a newer election that was announced meanwhile', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  const commit = store.commit.bind(store)
+  const elected: number[] = []
+  store.commit = async transaction => {
+    const result = await commit(transaction)
+    await clock.sleep(1_450)
+    return result
+  }
+  const election = createElection(store, {
+    onElected: ({ fence }) => elected.push(fence), onLost: () => {}, onChanged: () => {}, peerReachesStore: async () => false, releaseThroughPeers: async () => false
+  }, clock)
+  await election.start()
+  await clock.advance(1_420)
+  const newer = { instance: 'entry-2', address: 'entry-2:1', fence: 1_000, lease: 99 }
+  election.updateFromPeer(newer)
+  store.refusing = true
+  await clock.advance(4_000)
+  t.deepEqual(elected, [])
+  t.deepEqual(election.coordinator, newer)
+  store.refusing = false
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -299,6 +299,8 @@
     })
     if (result.outcome !== 'committed' || this.#withdrawn) return
     const info: CoordinatorInfo = { instance, address, fence: result.revision, lease }
+    // The answer took longer than the lease, and another instance has been elected since.
+    if ((this.#coordinator?.fence ?? 0) > info.fence) return
     this.#ownElection = info
     this.#extendValidity(sent)
     this.#setCoordinator(info)
