Go on asking to end a lease until it has ended

Found in review: one successful read of the own ended election made the instance forget its lease, also if ending it then failed. No instance was asked any more while the store was away again (0 questions in 10 s). The new test fails without the change.

--- a/src/coordinator/log/election.test.ts
+++ b/src/coordinator/log/election.test.ts
@@ -368,3 +368,35 @@
   await clock.advance(5_000)
   await stopped
 })
+
+test('an instance that reads its ended election once, and can not end its lease, goes on asking the other instances', async t => {
+  const clock = new ManualClock()
+  const store = new MemoryTransactionalStore()
+  let questions = 0
+  const election = createElection(store, {
+    onElected: () => {},
+    onLost: () => {},
+    onChanged: () => {},
+    peerReachesStore: async () => false,
+    releaseThroughPeers: async () => {
+      questions += 1
+      return false
+    }
+  }, clock)
+  await election.start()
+  await clock.advance(500)
+  const { get, renewLease, endLease } = store
+  const refuse = async (): Promise<never> => { throw new Error('refused') }
+  Object.assign(store, { get: refuse, renewLease: refuse, endLease: refuse })
+  await clock.advance(8_000)
+  store.get = get
+  await clock.advance(160)
+  store.get = refuse
+  questions = 0
+  await clock.advance(5_000)
+  t.true(questions >= 4 && questions <= 6, `${questions} questions in 5 s`)
+  Object.assign(store, { get, renewLease, endLease })
+  const stopped = election.stop()
+  await clock.advance(5_000)
+  await stopped
+})
--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -254,22 +254,28 @@
     const askedMs = clock.monotonicMs()
     const { item, revision } = await this.#readCoordinator()
     this.#markStoreAnswer()
-    // The election in the store is ended below if it is still this instance's.
-    this.#unreleasedLease = undefined
     const answerMs = clock.monotonicMs() - askedMs
     if (item !== undefined) {
       const info = this.#readItem(item)
       // An earlier process of this instance was elected and no longer runs.
-      if (info.instance === this.#options.instance) return await store.endLease(info.lease)
+      if (info.instance === this.#options.instance) return await this.#endOwnLease(info.lease)
       await this.#watch(revision)
       return
     }
+    this.#unreleasedLease = undefined
     this.#setCoordinator(undefined)
     if (this.#withdrawn) return await this.#sleep(RETRY_DELAY_MS)
     await this.#sleep(Math.min(answerMs * CANDIDATE_DELAY_FACTOR, MAX_CANDIDATE_DELAY_MS) + (this.#options.candidateDelayMs?.() ?? 0))
     await this.#campaign()
   }
 
+  /** The other instances are asked if the store does not answer. */
+  async #endOwnLease (lease: number): Promise<void> {
+    this.#unreleasedLease = lease
+    await this.#options.store.endLease(lease)
+    this.#unreleasedLease = undefined
+  }
+
   /** A read that the store leaves unanswered must not delay the stop. */
   async #readCoordinator (): Promise<StoreRead> {
     const stopping = new Promise<never>((_resolve, reject) => { this.#endRead = reject })
