--- a/src/entry/peersWithStore.ts
+++ b/src/entry/peersWithStore.ts
@@ -78,7 +78,8 @@
     const askedAtMs = clock.monotonicMs()
     this.#answers.set(address, { reached: false, askedAtMs })
     const reached = await ask(connect(address)).catch(() => false)
-    this.#answers.set(address, { reached, askedAtMs })
+    // A later question may have been answered before this one.
+    if ((this.#answers.get(address)?.askedAtMs ?? askedAtMs) <= askedAtMs) this.#answers.set(address, { reached, askedAtMs })
     return reached
   }
 
