--- a/src/coordinator/log/election.ts
+++ b/src/coordinator/log/election.ts
@@ -250,7 +250,7 @@
   }
 
   async #follow (): Promise<void> {
-    const { store, clock } = this.#options
+    const { clock } = this.#options
     const askedMs = clock.monotonicMs()
     const { item, revision } = await this.#readCoordinator()
     this.#markStoreAnswer()
