Offer waiting requests to instances of other regions

Cause: an outdated digest sends requests to a full instance of another region. Waiting requests were rerouted only if an instance of the same region had room, so these waited there, with part of the team's limit, while targets of their own region were free.

Change: WaitingRerouter (taken out of Housekeeping) also offers what has waited longer than the round trip plus crossRegionWait to other regions, after its own region. A request of this region must fit the team's byte budget; one that came from another region returns as a refusal, without that condition. The instance that received the request from its caller routes it anew, to its own targets first unless it refused it before. Room of another region counts as taken for 5 s after an offer, because its digest may be as old.

--- a/src/instance/housekeeping.ts
+++ b/src/instance/housekeeping.ts
@@ -4,22 +4,18 @@
 import type { Component } from '../lifecycle/component.ts'
 import { PeriodicTask } from '../lifecycle/periodicTask.ts'
 import { sameInstance } from '../model/identity.ts'
-import { addResources, DIMENSIONS, NO_RESOURCES, scaleResources, subtractResources } from '../model/resources.ts'
+import { addResources, DIMENSIONS, NO_RESOURCES, subtractResources } from '../model/resources.ts'
 import type { Resources } from '../model/resources.ts'
 import type { ConfigurationSubsystem } from './configurationSubsystem.ts'
 import type { CoordinationSubsystem } from './coordinationSubsystem.ts'
 import type { InstanceOptions } from './instanceOptions.ts'
-import { PeerCapacity } from './placement/peerCapacity.ts'
+import { WaitingRerouter } from './placement/waitingRerouter.ts'
 import type { SchedulingSubsystem } from './schedulingSubsystem.ts'
 import { UsageCollector } from './tasks/usageCollector.ts'
 
 /** Bounds the delay between the arrival of an allotment and the start of the requests that wait for it. */
 const QUEUE_CHECK_INTERVAL_MS = 20
 const TARGET_INTERVAL_MS = 250
-/** Shorter waits usually end before rerouting would help. */
-const REROUTE_AFTER_MS = 250
-/** Taking an allotment needs one store round trip; after this time the store is assumed to be unreachable. */
-const ALLOTMENT_REROUTE_AFTER_MS = 1_000
 const SHARE_INTERVAL_MS = 1_000
 const USAGE_INTERVAL_MS = 5_000
 /** Fraction of a limit above which a team counts as limited: digests lag, and the remainder may be too small for a task. */
@@ -32,6 +28,7 @@
   readonly #scheduling: SchedulingSubsystem
   readonly #coordination: CoordinationSubsystem
   readonly #usage: UsageCollector
+  readonly #rerouter: WaitingRerouter
 
   constructor (options: InstanceOptions, configuration: ConfigurationSubsystem, scheduling: SchedulingSubsystem, coordination: CoordinationSubsystem) {
     this.#options = options
@@ -39,6 +36,7 @@
     this.#scheduling = scheduling
     this.#coordination = coordination
     this.#usage = this.#createUsageCollector()
+    this.#rerouter = this.#createRerouter()
     this.components = [
       this.#createPeriodicTask('queue', QUEUE_CHECK_INTERVAL_MS, () => this.#processQueue()),
       this.#createPeriodicTask('target availability', TARGET_INTERVAL_MS, () => this.#refreshTargetAvailability()),
@@ -64,20 +62,22 @@
       if (this.#scheduling.pool.find(target.id) !== undefined) this.#scheduling.pool.addTarget(target)
     }
     this.#scheduling.targetAvailability.refresh()
-    this.#rerouteWaiting()
+    this.#rerouter.run()
   }
 
-  /** Routes are chosen from digests up to 1 s old, so waiting requests are rerouted if another instance has capacity now. */
-  #rerouteWaiting (): void {
-    const { placements } = this.#scheduling
-    if (placements.length === 0) return
-    const { region } = this.#options.location
-    const digests = this.#configuration.membership.live().filter(({ leaving }) => !leaving).map(({ digest }) => digest)
-      .filter(({ ref, state, region: digestRegion }) => state === 'serving' && digestRegion === region && !sameInstance(ref, this.#coordination.ownership.self))
-    const peerCapacity = new PeerCapacity(digests)
-    placements.rerouteWaiting(({ request, fitsLocally, waitedMs }) => fitsLocally
-      ? waitedMs >= ALLOTMENT_REROUTE_AFTER_MS && this.#coordination.allotments.mayFitElsewhere(request.team, scaleResources(request.size, request.taskIds.length), waitedMs)
-      : waitedMs >= REROUTE_AFTER_MS && peerCapacity.tryReserve(request))
+  #createRerouter (): WaitingRerouter {
+    const { placements, crossRegion } = this.#scheduling
+    const { membership, settings } = this.#configuration
+    return new WaitingRerouter({
+      clock: this.#options.clock,
+      location: this.#options.location,
+      placements,
+      settings,
+      budget: crossRegion,
+      allotments: this.#coordination.allotments,
+      peers: () => membership.live().filter(({ leaving }) => !leaving).map(({ digest }) => digest)
+        .filter(({ ref, state }) => state === 'serving' && !sameInstance(ref, this.#coordination.ownership.self))
+    })
   }
 
   #balanceShares (): void {
--- a/src/instance/placement/localScheduler.ts
+++ b/src/instance/placement/localScheduler.ts
@@ -90,11 +90,11 @@
   }
 
   async #place (work: LocalWork, size: Resources): Promise<readonly Assignment[]> {
-    const { team, request, deadlineAt, signal } = work
+    const { team, request, hops, deadlineAt, signal } = work
     const { kind, tasks, repeatable } = request
     const taskIds = createTaskIds(work.attemptId, tasks)
     const bytes = REQUEST_OVERHEAD_BYTES + JSON.stringify(request.payload ?? null).length
-    return await this.#dependencies.placements.wait({ team, requestId: request.id, kind, size, taskIds, deadlineAt, bytes, repeatable }, signal)
+    return await this.#dependencies.placements.wait({ team, requestId: request.id, kind, size, taskIds, deadlineAt, bytes, repeatable, hops }, signal)
   }
 
   /** Claims the request ID; false if the outcome is unknown, in which case nothing may be sent. */
--- a/src/instance/placement/placementQueue.test.ts
+++ b/src/instance/placement/placementQueue.test.ts
@@ -4,7 +4,7 @@
 import { LocalSchedulerHarness } from '../testing/localSchedulerHarness.ts'
 
 function createRequest (taskId: string, change: Partial<PlacementRequest> = {}): PlacementRequest {
-  return { team: 'cooks', requestId: taskId, kind: 'urgent', size: resources({ slots: 2 }), taskIds: [taskId], deadlineAt: 5_000, bytes: 10, repeatable: true, ...change }
+  return { team: 'cooks', requestId: taskId, kind: 'urgent', size: resources({ slots: 2 }), taskIds: [taskId], deadlineAt: 5_000, bytes: 10, repeatable: true, hops: 0, ...change }
 }
 
 const never = new AbortController().signal
--- a/src/instance/placement/placementQueue.ts
+++ b/src/instance/placement/placementQueue.ts
@@ -25,6 +25,8 @@
   readonly bytes: number
   /** Only repeatable work is sent to a target that is being probed. */
   readonly repeatable: boolean
+  /** Hops that the request has taken, as counted by the router. */
+  readonly hops: number
 }
 
 /** A waiting request that another instance may be able to start. */
--- a/src/instance/requests/dispatcher.test.ts
+++ b/src/instance/requests/dispatcher.test.ts
@@ -10,6 +10,7 @@
 import type { ForwardedRequest, PeerHandler, RunEvent } from '../../ports/peerClient.ts'
 import { RetryBudget } from '../../scheduler/retries/retryBudget.ts'
 import { decideRetry } from '../../scheduler/retries/retryPolicy.ts'
+import { chooseInstance, CrossRegionBudget, HOP_ACROSS_REGIONS } from '../../scheduler/routing/router.ts'
 import type { Route } from '../../scheduler/routing/router.ts'
 import { Dispatcher } from './dispatcher.ts'
 
@@ -168,3 +169,34 @@
   t.like((await harness.run({ signal: abort.signal })).refusal, { code: 'cancelled', verdict: 'ran' })
   t.is(harness.attemptIds.length, 1)
 })
+
+// Guards against a request that full instances of two regions, each with an outdated digest of the other, exchange without end.
+test('a request that instances of two regions refuse in turn goes to each once before a pause, and ends at its deadline as not-run', async t => {
+  const noCapacity: RefusalDetails = { code: 'no-capacity', verdict: 'not-run', retryable: true }
+  const outcomes = Array.from({ length: 2_000 }, () => noCapacity)
+  const size = resources({ slots: 1 })
+  const peer: InstanceDigest = { ...PEER, region: 'Mumbai', dataCentre: 'matigara', free: size, largestFree: size }
+  const here = { ref: { name: 'entry-1', incarnation: 'a' }, dataCentre: 'howrah', region: 'Kolkata', fitsNow: false, waitMs: 0 }
+  const createHarness = (hops: number): { readonly harness: DispatcherHarness, readonly routes: Array<Route['destination']> } => {
+    const harness = new DispatcherHarness(...outcomes)
+    const budget = new CrossRegionBudget(harness.clock, () => ({ bytesPerSecond: 1e6, burstBytes: 1e6 }))
+    const context = { random: new SeededRandom(7), budget, crossRegionRoundTripMs: 40, crossRegionWaitMs: 500 }
+    const routes: Array<Route['destination']> = []
+    harness.route = excluded => {
+      const request = { team: 'cooks', size, tasks: 1, bytes: 100, hops, excluded }
+      const route = chooseInstance(request, { ...here, mayWait: !excluded.has('entry-1') }, [peer], context)
+      routes.push(route.destination)
+      return route
+    }
+    return { harness, routes }
+  }
+
+  const { harness, routes } = createHarness(0)
+  t.like((await harness.run({ deadlineAt: 10_000 })).refusal, { code: 'no-capacity', verdict: 'not-run' })
+  t.true(routes.length < 300, `${routes.length} routes`)
+  t.deepEqual(routes, routes.map((_, index) => (['local', 'peer', 'none'] as const)[index % 3]))
+
+  const receiver = createHarness(HOP_ACROSS_REGIONS)
+  t.like((await receiver.harness.run({ hops: HOP_ACROSS_REGIONS })).refusal, { code: 'no-capacity', verdict: 'not-run', retryable: true })
+  t.deepEqual(receiver.routes, ['local'], 'the receiver returns the request instead of sending it on')
+})
--- a/src/instance/requests/dispatcher.ts
+++ b/src/instance/requests/dispatcher.ts
@@ -150,9 +150,9 @@
   }
 
   async * #attempt (context: DispatchContext, route: Route, attemptId: string): AsyncIterable<RunEvent> {
-    const { admitted, signal, onStateChange } = context
+    const { admitted, hops, signal, onStateChange } = context
     if (route.destination === 'peer') yield * this.#forward(context, route, attemptId)
-    else if (route.destination === 'local') yield * this.#dependencies.runLocally({ ...admitted, attemptId, signal, onStateChange })
+    else if (route.destination === 'local') yield * this.#dependencies.runLocally({ ...admitted, attemptId, hops, signal, onStateChange })
     else throw new RefusalError('no reachable instance can run the request', { code: 'no-capacity', verdict: 'not-run', retryable: true })
   }
 
--- a/src/instance/requests/localWork.ts
+++ b/src/instance/requests/localWork.ts
@@ -7,6 +7,8 @@
   readonly attemptId: string
   readonly team: string
   readonly request: WorkRequest
+  /** Hops that the request has taken, as counted by the router. */
+  readonly hops: number
   /** Monotonic time of the deadline. */
   readonly deadlineAt: number
   readonly signal: AbortSignal
--- a/src/instance/requests/requestRouter.ts
+++ b/src/instance/requests/requestRouter.ts
@@ -6,7 +6,7 @@
 import type { Random } from '../../ports/random.ts'
 import { countFitting } from '../../scheduler/placement/targetState.ts'
 import type { TargetPool } from '../../scheduler/placement/targetPool.ts'
-import { chooseInstance } from '../../scheduler/routing/router.ts'
+import { chooseInstance, CROSS_REGION_ROUND_TRIP_MS } from '../../scheduler/routing/router.ts'
 import type { CrossRegionBudget, LocalView, Route } from '../../scheduler/routing/router.ts'
 import { findWorkload } from '../../workloads/registry.ts'
 import type { RouteQuery } from './dispatcher.ts'
@@ -14,8 +14,6 @@
 import type { TeamSettingsSource } from '../teamSettingsSource.ts'
 import type { WaitEstimator } from '../placement/waitEstimator.ts'
 
-/** Round-trip time between regions; the specification gives 20 ms one way. */
-export const CROSS_REGION_ROUND_TRIP_MS = 40
 /** Size of the headers and framing of a forwarded request. */
 const FORWARDING_OVERHEAD_BYTES = 300
 
--- a/src/instance/tasks/serviceSupervisor.test.ts
+++ b/src/instance/tasks/serviceSupervisor.test.ts
@@ -14,7 +14,7 @@
   const request: WorkRequest = {
     id: 's1', kind: 'service', name: 'default', size: resources({ processors: 1_000 }), tasks: 1, deadlineMs: 1_000, repeatable: true, payload: null, ...change
   }
-  return { attemptId: 'f.1', team: 'weavers', request, deadlineAt: 1_000, signal: new AbortController().signal, onStateChange: () => {} }
+  return { attemptId: 'f.1', team: 'weavers', request, hops: 0, deadlineAt: 1_000, signal: new AbortController().signal, onStateChange: () => {} }
 }
 
 function createSupervisor (failures: number): { readonly clock: ManualClock, readonly supervisor: ServiceSupervisor, readonly starts: string[] } {
--- a/src/instance/testing/localSchedulerHarness.ts
+++ b/src/instance/testing/localSchedulerHarness.ts
@@ -99,6 +99,7 @@
       attemptId,
       team: 'cooks',
       request: { id: attemptId, kind: 'urgent', name: 'n', size: resources({ slots: 1 }), tasks: 1, deadlineMs, repeatable: true, payload: null, ...request },
+      hops: 0,
       deadlineAt: this.clock.monotonicMs() + deadlineMs,
       signal,
       onStateChange: () => {}
--- a/src/scheduler/routing/router.ts
+++ b/src/scheduler/routing/router.ts
@@ -19,6 +19,9 @@
 /** Digests from other data centres are fetched from one remote instance at a time in rotation, so they are older. */
 export const MAXIMUM_REMOTE_DIGEST_AGE_MS = 15_000
 
+/** Round-trip time between regions; the specification gives 20 ms one way. */
+export const CROSS_REGION_ROUND_TRIP_MS = 40
+
 /** Defaults of the `crossRegionWait` setting: the saving in waiting time that justifies use of the link between regions. */
 export const CROSS_REGION_WAIT_MS = 500
 export const URGENT_CROSS_REGION_WAIT_MS = 50
--- a/test/matrix/regressions.test.ts
+++ b/test/matrix/regressions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { resources } from '../../src/model/resources.ts'
 import { Cell } from './cell.ts'
 import { findViolations } from './checker.ts'
 import { createRequest } from './layout.ts'
@@ -75,3 +76,45 @@
   for (let index = 0; index < 6; index++) await submit(`first-${index}`)
   t.is(await submit('last'), 'answered')
 })
+
+test.serial('a request that an outdated digest sent to a full instance of another region runs once, in its own region', async t => {
+  let outdated = false
+  const cell = new Cell(1, {
+    // While the digest is outdated, m1 considers its own region full and a1 free.
+    node: ({ self, configuration, scheduling }) => {
+      if (self.name !== 'm1') return
+      const { membership } = configuration
+      const live = membership.live.bind(membership)
+      const largestFree = scheduling.pool.largestFree.bind(scheduling.pool)
+      const free = resources({ slots: 4 })
+      membership.live = () => outdated
+        ? live().filter(({ digest }) => digest.ref.name === 'a1').map(member => ({ ...member, digest: { ...member.digest, free, largestFree: free, queued: 0 } }))
+        : live()
+      scheduling.pool.largestFree = () => outdated ? resources({}) : largestFree()
+      scheduling.waitEstimator.estimate = () => outdated ? 60_000 : 0
+    }
+  })
+  await cell.start(10_000)
+  cell.stopRequests()
+  await cell.time.advance(20_000)
+  const submit = (node: string, id: string, slots: number, runMs: number): void => {
+    const { body, ...request } = createRequest(cell.random, id, { kind: 'batch', team: 'gamma', repeatable: true })
+    cell.submit(cell.node(node), { ...request, body: { ...body, size: { slots }, deadlineMs: 60_000, payload: { runMs, answer: { for: id } } } }).catch(() => {})
+  }
+  const findTargets = (id: string): readonly string[] =>
+    cell.targets.flatMap(({ info, history }) => history.filter(({ requestId }) => requestId === id).map(() => info.dataCentre))
+  for (const [index, node] of ['a1', 'a2', 'b1', 'b2'].entries()) {
+    submit(node, `fill-${index}`, 4, 50_000)
+    await cell.time.advance(2_000)
+  }
+  t.deepEqual(['fill-0', 'fill-1', 'fill-2', 'fill-3'].flatMap(findTargets).sort(), ['attica-a', 'attica-a', 'attica-b', 'attica-b'])
+  outdated = true
+  submit('m1', 'misrouted', 1, 100)
+  await cell.time.advance(200)
+  outdated = false
+  const waiting = cell.nodes.filter(({ instance }) => instance.scheduling.placements.length > 0).map(({ location }) => location.region)
+  t.deepEqual(waiting, ['attica'], 'the request waits in the full region')
+  await cell.time.advance(5_000)
+  t.deepEqual(findTargets('misrouted'), ['macedonia-a'])
+  t.deepEqual(findViolations(cell.observations), [])
+})
