Check a session to a peer at the interval after a GOAWAY while its streams go on

Cause: after a GOAWAY without an error the session is closed but not destroyed. It was never pinged again, its last sign of life stayed older than the interval, and so its timer fired every millisecond until the last stream ended. A peer that died after its GOAWAY was not found. Data read on a session that was replaced did not count as a sign of life.

Change: a session is checked as long as it has streams, whether closed or not. Signs of life are noted for each session that has streams.

--- a/src/adapters/peer/peerSessions.test.ts
+++ b/src/adapters/peer/peerSessions.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
-import { createServer } from 'node:http2'
+import { constants, createServer } from 'node:http2'
+import type { ClientHttp2Stream, ServerHttp2Session } from 'node:http2'
 import { connect, createServer as createTcpServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -15,12 +16,14 @@
 /** A peer behind a link that can drop data and close its connections. */
 class Peer {
   readonly connections = new Set<Socket>()
+  readonly sessions: ServerHttp2Session[] = []
   silent = false
   #link!: Server
 
   static async start (t: ExecutionContext): Promise<Peer> {
     const peer = new Peer()
     const server = createServer((request, response) => { if (request.url !== '/open') response.end() })
+    server.on('session', session => peer.sessions.push(session))
     await once(server.listen(0, '127.0.0.1'), 'listening')
     peer.#link = createTcpServer({ allowHalfOpen: true }, incoming => peer.#forward(incoming, (server.address() as AddressInfo).port))
     await once(peer.#link.listen(0, '127.0.0.1'), 'listening')
@@ -56,6 +59,63 @@
   return headers[':status']
 }
 
+/** Opens a stream on a session that its peer then closes with GOAWAY, and a second session that replaces it. */
+async function openOnClosedSession (peer: Peer, sessions: PeerSessions): Promise<ClientHttp2Stream> {
+  const open = await sessions.request('GET', '/open', {}, {})
+  await call(sessions)
+  const goaway = once(open.session!, 'goaway')
+  peer.sessions[0]!.goaway(constants.NGHTTP2_NO_ERROR)
+  await goaway
+  await call(sessions)
+  return open
+}
+
+/** Runs the action and returns how often it called `setTimeout`. Only for serial tests. */
+async function countTimers (action: () => Promise<unknown>): Promise<number> {
+  const { setTimeout: original } = globalThis
+  let count = 0
+  globalThis.setTimeout = ((...parameters: Parameters<typeof setTimeout>) => {
+    count++
+    return original(...parameters)
+  }) as typeof setTimeout
+  try {
+    await action()
+  } finally {
+    globalThis.setTimeout = original
+  }
+  return count
+}
+
+// Guards against a timer every millisecond while a stream goes on after a GOAWAY.
+test.serial('a session that its peer closed is checked at the interval while a stream goes on', async t => {
+  const peer = await Peer.start(t)
+  const sessions = new PeerSessions(peer.url, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: LONG_MS })
+  t.teardown(() => sessions.abort())
+  const open = await openOnClosedSession(peer, sessions)
+  open.on('error', () => {})
+  t.true(open.session?.closed)
+  let checks = 0
+  // Node.js can send no PING on such a session, so that it is checked with SETTINGS frames.
+  peer.sessions[0]!.on('remoteSettings', () => { checks++ })
+  const timers = await countTimers(() => sleep(10 * PING_INTERVAL_MS))
+  // Each check takes a timer for its interval, one for its time-out, and a third if the first fires early by a part of 1 ms.
+  t.true(timers <= 40, `${timers} timers in 10 intervals`)
+  t.true(checks > 0 && checks <= 10, `${checks} checks in 10 intervals`)
+  t.false(open.destroyed)
+})
+
+// Guards against a stream that waits until its deadline for a dead peer that had closed the session before.
+test('a session that its peer closed and that no longer answers ends its streams', async t => {
+  const peer = await Peer.start(t)
+  const sessions = new PeerSessions(peer.url, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: SHORT_MS })
+  t.teardown(() => sessions.abort())
+  const open = await openOnClosedSession(peer, sessions)
+  const failed = once(open, 'error')
+  peer.silent = true
+  const [outcome] = await Promise.race([failed.catch((error: unknown) => [error]), sleep(5_000, ['no error within 5 s'])])
+  t.regex(String(outcome), /PING timed out|cancel/i)
+})
+
 // Guards against an instance that never reaches a peer again which closed an idle session while it was pinged.
 test('a session that the peer closes while it is pinged is replaced', async t => {
   const peer = await Peer.start(t)
--- a/src/adapters/peer/peerSessions.ts
+++ b/src/adapters/peer/peerSessions.ts
@@ -24,6 +24,8 @@
 export class PeerSessions {
   readonly #options: PeerSessionOptions
   readonly #manager: Http2SessionManager
+  /** Includes sessions that were replaced after a GOAWAY and whose streams go on. */
+  readonly #watched = new WeakMap<ClientHttp2Session, WatchedSession>()
   #current: WatchedSession | undefined
 
   constructor (baseUrl: string, options: PeerSessionOptions) {
@@ -44,7 +46,8 @@
 
   notifyResponseByteRead (stream: ClientHttp2Stream): void {
     this.#manager.notifyResponseByteRead(stream)
-    if (stream.session === this.#current?.session) this.#current?.noteAlive()
+    const session = stream.session as ClientHttp2Session | undefined
+    if (session !== undefined) this.#watched.get(session)?.noteAlive()
   }
 
   /** Closes the session and its streams. */
@@ -55,13 +58,15 @@
   #watch (stream: ClientHttp2Stream): void {
     const session = stream.session as ClientHttp2Session | undefined
     if (session === undefined) return
-    if (this.#current?.session !== session) this.#current = new WatchedSession(session, this.#options)
-    this.#current.addStream(stream)
+    const watched = this.#watched.get(session) ?? new WatchedSession(session, this.#options)
+    this.#watched.set(session, watched)
+    this.#current = watched
+    watched.addStream(stream)
   }
 }
 
 class WatchedSession {
-  readonly session: ClientHttp2Session
+  readonly #session: ClientHttp2Session
   readonly #options: PeerSessionOptions
   #aliveAtMs = performance.now()
   #streamCount = 0
@@ -69,7 +74,7 @@
   #verifying: Promise<void> | undefined
 
   constructor (session: ClientHttp2Session, options: PeerSessionOptions) {
-    this.session = session
+    this.#session = session
     this.#options = options
     // The manager removes its own listener when it replaces the session, which may report an error later.
     session.on('error', () => {})
@@ -87,9 +92,13 @@
     this.#aliveAtMs = performance.now()
   }
 
-  /** Pings the session if there was no sign of life lately; resolves when it has answered or is closed. */
+  /** Pings a session that is to be used again if there was no sign of life lately; resolves when it has answered or is closed. */
   async verify (): Promise<void> {
-    if (this.session.closed || this.session.destroyed || this.#untilPingMs() > 0) return
+    if (!this.#session.closed) await this.#check()
+  }
+
+  async #check (): Promise<void> {
+    if (this.#session.destroyed || this.#untilPingMs() > 0) return
     this.#verifying ??= this.#ping().finally(() => { this.#verifying = undefined })
     await this.#verifying
   }
@@ -98,12 +107,12 @@
     return this.#aliveAtMs + this.#options.pingIntervalMs - performance.now()
   }
 
-  /** Verifies the session regularly as long as it has streams. */
+  /** Checks the session regularly as long as it has streams, also after a GOAWAY, which closes it but lets its streams go on. */
   #schedule (): void {
     this.#timer = setTimeout(async () => {
-      if (this.#streamCount > 0) await this.verify()
+      if (this.#streamCount > 0) await this.#check()
       this.#timer = undefined
-      if (this.#streamCount > 0 && !this.session.destroyed) this.#schedule()
+      if (this.#streamCount > 0 && !this.#session.destroyed) this.#schedule()
     }, Math.max(0, this.#untilPingMs())).unref()
   }
 
@@ -113,19 +122,22 @@
       const timer = setTimeout(async () => {
         // After a time in which this process did not run, the answer may have arrived without having been read.
         await endOfTurn()
-        if (!answered) this.session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
+        if (!answered) this.#session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
       }, this.#options.pingTimeoutMs)
       const settle = (): void => {
         clearTimeout(timer)
-        this.session.off('close', settle)
+        this.#session.off('close', settle)
         resolve()
       }
-      this.session.once('close', settle)
-      this.session.ping(error => {
+      this.#session.once('close', settle)
+      const settleWith = (error: Error | null): void => {
         answered = true
         if (error === null) this.noteAlive()
         settle()
-      })
+      }
+      // Node.js sends no PING on a closed session. A SETTINGS frame without settings changes nothing and must be acknowledged.
+      if (this.#session.closed) this.#session.settings({}, settleWith)
+      else this.#session.ping(settleWith)
     })
   }
 }
