Do not take an old record for a full limit while the allotment covers the demand

Cause: a request was passed on after 1 s if the record of allotments was not read since it began to wait. The record is not read either while nothing of the demand of the team is unmet, although the store works. A request that waits for another reason than its allotment was then passed on to instances that hold nothing of the limit.

Change: the age of the record counts only while part of the demand of the team is unmet.

Measured: the new test fails before and holds after; the 4 older tests of the file hold. In a scratch test, a request that the allotment covers was passed on at each of 5 checks from 1 s to 5 s before, and at none after.

--- a/src/scheduler/limits/allotmentManager.test.ts
+++ b/src/scheduler/limits/allotmentManager.test.ts
@@ -167,3 +167,22 @@
   t.true(first.mayFitElsewhere(TEAM, resources({ slots: 1 }), 1_000))
   await cell.stop()
 })
+
+// Guards against requests that wait for another reason than the allotment of their instance, such as the size of a free
+// target, and are passed on to instances that hold nothing of the limit.
+test('a request may not fit elsewhere because of an old record while the allotment covers the demand of the team', async t => {
+  const cell = new AllotmentCell()
+  const first = cell.add()
+  await first.start()
+  first.setQueuedDemand(TEAM, resources({ slots: LIMIT }))
+  await cell.clock.advance(3_000)
+  t.true(first.trySpend(TEAM, 'task-1', resources({ slots: LIMIT - 2 })))
+  first.setQueuedDemand(TEAM, resources({ slots: 2 }))
+  await cell.clock.advance(1_000)
+  const { storeCalls } = first
+  await cell.clock.advance(2_000)
+  t.is(first.status(TEAM).held.slots, LIMIT)
+  t.is(first.storeCalls, storeCalls, 'the record is not read while nothing is unmet')
+  t.false(first.mayFitElsewhere(TEAM, resources({ slots: 2 }), 1_000))
+  await cell.stop()
+})
--- a/src/scheduler/limits/allotmentManager.ts
+++ b/src/scheduler/limits/allotmentManager.ts
@@ -153,10 +153,12 @@
   /**
    * Whether a request that has waited for `waitedMs` may wait only because this instance can't take an allotment without
    * the store, while other instances may hold some: the record leaves room for the amount, or it was not read since the
-   * request began to wait, so that amounts which it lists may have been returned.
+   * request began to wait, so that amounts which it lists may have been returned. The age says nothing while the allotment
+   * covers the demand of the team: the record is then not read, and the request waits for another reason.
    */
   mayFitElsewhere (team: string, amount: Resources, waitedMs: number): boolean {
-    if (this.#team(team).recordAgeMs > waitedMs) return true
+    const { recordAgeMs, unmet } = this.#team(team)
+    if (recordAgeMs > waitedMs && !isEmpty(unmet)) return true
     const { limit, held } = this.status(team)
     return DIMENSIONS.every(dimension => held[dimension] + amount[dimension] <= (limit[dimension] ?? Infinity))
   }
