Keep a session to a peer whose answers arrive while its ping waits

Cause: a session was destroyed, with all its streams, if a ping was not answered in time, even if other data had arrived since. A ping is sent after the data that an upload has already handed to the connection, and may be late.

Change: a sign of life ends the wait for a ping. The next ping is due an interval later; it is not sent while an earlier one is unanswered, since Node.js limits their number, but waits for any sign of life as before.

--- a/src/adapters/peer/peerSessions.test.ts
+++ b/src/adapters/peer/peerSessions.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { constants, createServer } from 'node:http2'
-import type { ClientHttp2Stream, ServerHttp2Session } from 'node:http2'
+import type { ClientHttp2Stream, Http2ServerResponse, ServerHttp2Session } from 'node:http2'
 import { connect, createServer as createTcpServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -17,12 +17,19 @@
 class Peer {
   readonly connections = new Set<Socket>()
   readonly sessions: ServerHttp2Session[] = []
+  /** Answers to the requests for `/open`, which the peer does not end. */
+  readonly openResponses: Http2ServerResponse[] = []
   silent = false
+  /** Holds back what the client sends, like a link that is busy with an upload. */
+  uplinkBusy = false
   #link!: Server
 
   static async start (t: ExecutionContext): Promise<Peer> {
     const peer = new Peer()
-    const server = createServer((request, response) => { if (request.url !== '/open') response.end() })
+    const server = createServer((request, response) => {
+      if (request.url === '/open') peer.openResponses.push(response)
+      else response.end()
+    })
     server.on('session', session => peer.sessions.push(session))
     await once(server.listen(0, '127.0.0.1'), 'listening')
     peer.#link = createTcpServer({ allowHalfOpen: true }, incoming => peer.#forward(incoming, (server.address() as AddressInfo).port))
@@ -43,7 +50,7 @@
     const outgoing = connect(port, '127.0.0.1')
     this.connections.add(incoming)
     for (const [from, to] of [[incoming, outgoing], [outgoing, incoming]] as const) {
-      from.on('data', data => { if (!this.silent) to.write(data) })
+      from.on('data', data => { if (!this.silent && !(this.uplinkBusy && from === incoming)) to.write(data) })
       from.on('error', () => {})
       from.on('close', () => to.destroy())
     }
@@ -116,6 +123,37 @@
   t.regex(String(outcome), /PING timed out|cancel/i)
 })
 
+// Guards against an upload that delays the answer to a ping and thereby ends all streams to a peer whose answers arrive.
+for (const [name, openStream] of [
+  ['a session', async (peer: Peer, sessions: PeerSessions) => await sessions.request('GET', '/open', {}, {})],
+  ['a session that its peer closed', openOnClosedSession]
+] as const) {
+  test(`${name} is kept while answers arrive although its pings are not answered, and no longer`, async t => {
+    const peer = await Peer.start(t)
+    const sessions = new PeerSessions(peer.url, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: 500 })
+    t.teardown(() => sessions.abort())
+    const open = await openStream(peer, sessions)
+    let error: unknown
+    open.on('error', reason => { error = reason })
+    let bytes = 0
+    open.on('data', (data: Buffer) => {
+      bytes += data.length
+      sessions.notifyResponseByteRead(open)
+    })
+    await call(sessions)
+    peer.uplinkBusy = true
+    for (let sent = 1; sent <= 4; sent++) {
+      await sleep(250)
+      peer.openResponses[0]!.write('.')
+    }
+    await sleep(100)
+    t.is(error, undefined)
+    t.is(bytes, 4)
+    await Promise.race([new Promise(resolve => open.once('close', resolve)), sleep(5_000)])
+    t.regex(String(error), /PING timed out|cancel/i)
+  })
+}
+
 // Guards against an instance that never reaches a peer again which closed an idle session while it was pinged.
 test('a session that the peer closes while it is pinged is replaced', async t => {
   const peer = await Peer.start(t)
--- a/src/adapters/peer/peerSessions.ts
+++ b/src/adapters/peer/peerSessions.ts
@@ -72,6 +72,8 @@
   #streamCount = 0
   #timer: NodeJS.Timeout | undefined
   #verifying: Promise<void> | undefined
+  #pingUnanswered = false
+  #endPing: (() => void) | undefined
 
   constructor (session: ClientHttp2Session, options: PeerSessionOptions) {
     this.#session = session
@@ -88,8 +90,10 @@
     if (this.#timer === undefined) this.#schedule()
   }
 
+  /** Also ends the wait for the answer to a ping, which may be delayed by an upload that was sent before it. */
   noteAlive (): void {
     this.#aliveAtMs = performance.now()
+    this.#endPing?.()
   }
 
   /** Pings a session that is to be used again if there was no sign of life lately; resolves when it has answered or is closed. */
@@ -116,28 +120,39 @@
     }, Math.max(0, this.#untilPingMs())).unref()
   }
 
+  /** Resolves at the next sign of life, or when the session is closed; destroys the session if there is none in time. */
   async #ping (): Promise<void> {
     await new Promise<void>(resolve => {
-      let answered = false
+      let ended = false
       const timer = setTimeout(async () => {
         // After a time in which this process did not run, the answer may have arrived without having been read.
         await endOfTurn()
-        if (!answered) this.#session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
+        if (!ended) this.#session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
       }, this.#options.pingTimeoutMs)
-      const settle = (): void => {
+      const end = (): void => {
+        ended = true
         clearTimeout(timer)
-        this.#session.off('close', settle)
+        this.#session.off('close', end)
+        this.#endPing = undefined
         resolve()
       }
-      this.#session.once('close', settle)
-      const settleWith = (error: Error | null): void => {
-        answered = true
-        if (error === null) this.noteAlive()
-        settle()
-      }
-      // Node.js sends no PING on a closed session. A SETTINGS frame without settings changes nothing and must be acknowledged.
-      if (this.#session.closed) this.#session.settings({}, settleWith)
-      else this.#session.ping(settleWith)
+      this.#endPing = end
+      this.#session.once('close', end)
+      this.#sendPing()
     })
   }
+
+  /** Sends nothing while an earlier ping is unanswered, since Node.js limits the number of unanswered pings. */
+  #sendPing (): void {
+    if (this.#pingUnanswered) return
+    this.#pingUnanswered = true
+    const onAnswer = (error: Error | null): void => {
+      this.#pingUnanswered = false
+      if (error === null) this.noteAlive()
+      else if (this.#session.destroyed) this.#endPing?.()
+    }
+    // Node.js sends no PING on a closed session. A SETTINGS frame without settings changes nothing and must be acknowledged.
+    if (this.#session.closed) this.#session.settings({}, onAnswer)
+    else this.#session.ping(onAnswer)
+  }
 }
