Refuse requests to peers after their sessions were closed

Cause: a request that verified its session when abort() was called opened a new session afterwards, which nothing closed. Its ping kept the process alive until the time-out. ConnectPeerClient opened new sessions after its stop as well.

Change: PeerSessions refuses requests after abort(), and ConnectPeerClient refuses calls after stop(), which startInstance calls last of all users of the client and never follows by a start. The timer of a ping does not keep the process alive; while a request waits for a ping, its session does.

--- a/src/adapters/peer/connectPeer.test.ts
+++ b/src/adapters/peer/connectPeer.test.ts
@@ -105,3 +105,16 @@
   t.is(code, 'ECONNREFUSED')
   await client.stop()
 })
+
+// Guards against sessions that are opened after the client was stopped, which nothing closes.
+test('a stopped client refuses calls', async t => {
+  const handler = new RecordingHandler()
+  const server = new ConnectPeerServer('127.0.0.1:0', 'secret', handler)
+  await server.start()
+  const client = new ConnectPeerClient('secret')
+  await client.exchange(server.address, sender, true)
+  await client.stop()
+  await t.throwsAsync(client.exchange(server.address, sender, true), { message: /stopped/ })
+  t.is(handler.senders.length, 1)
+  await server.stop()
+})
--- a/src/adapters/peer/connectPeerClient.ts
+++ b/src/adapters/peer/connectPeerClient.ts
@@ -1,6 +1,6 @@
 /** A client for the peer protocol on `connect-es`, with one HTTP/2 session for each peer address. */
 import { create } from '@bufbuild/protobuf'
-import { createClient } from '@connectrpc/connect'
+import { Code, ConnectError, createClient } from '@connectrpc/connect'
 import type { Client, Interceptor } from '@connectrpc/connect'
 import { createConnectTransport } from '@connectrpc/connect-node'
 import { checkChange, checkSnapshot } from '../../configuration/recordSchemas.ts'
@@ -35,6 +35,7 @@
   readonly #secret: string
   readonly #callTimeoutMs: number
   readonly #connections = new Map<string, Connection>()
+  #stopped = false
 
   constructor (secret: string, callTimeoutMs = DEFAULT_CALL_TIMEOUT_MS) {
     this.#secret = secret
@@ -43,7 +44,9 @@
 
   async start (): Promise<void> {}
 
+  /** Ends all calls; later ones are refused, since nothing would close their sessions. */
   async stop (): Promise<void> {
+    this.#stopped = true
     for (const { sessions } of this.#connections.values()) sessions.abort()
     this.#connections.clear()
   }
@@ -112,6 +115,7 @@
   }
 
   #connect (address: string): Client<typeof wire.PeerService> {
+    if (this.#stopped) throw new ConnectError('the peer client was stopped', Code.Canceled)
     const existing = this.#connections.get(address)
     if (existing !== undefined) return existing.client
     const baseUrl = `http://${address}`
--- a/src/adapters/peer/peerSessions.test.ts
+++ b/src/adapters/peer/peerSessions.test.ts
@@ -111,6 +111,22 @@
   t.false(open.destroyed)
 })
 
+// Guards against a process that is kept by the ping of a session that nothing uses any more.
+test.serial('a ping does not keep the process alive', async t => {
+  const peer = await Peer.start(t)
+  const sessions = new PeerSessions(peer.url, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: LONG_MS })
+  t.teardown(() => sessions.abort())
+  const countReferenced = (): number => process.getActiveResourcesInfo().filter(type => type === 'Timeout').length
+  const open = await sessions.request('GET', '/open', {}, {})
+  open.on('error', () => {})
+  await call(sessions)
+  const before = countReferenced()
+  peer.silent = true
+  t.true(await countTimers(() => sleep(3 * PING_INTERVAL_MS)) > 0, 'a ping is sent')
+  open.close()
+  t.is(countReferenced(), before)
+})
+
 // Guards against a stream that waits until its deadline for a dead peer that had closed the session before.
 test('a session that its peer closed and that no longer answers ends its streams', async t => {
   const peer = await Peer.start(t)
@@ -154,6 +170,22 @@
   })
 }
 
+// Guards against a stopped process that opens a session again for a request that was still verifying the last one.
+test('a request that verifies its session when the sessions are closed is refused, as are later ones', async t => {
+  const peer = await Peer.start(t)
+  const sessions = new PeerSessions(peer.url, { pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: LONG_MS })
+  await call(sessions)
+  await sleep(2 * PING_INTERVAL_MS)
+  peer.silent = true
+  const verifying = call(sessions)
+  await sleep(PING_INTERVAL_MS)
+  sessions.abort()
+  peer.silent = false
+  await t.throwsAsync(verifying, { message: /were closed/ })
+  await t.throwsAsync(call(sessions), { message: /were closed/ })
+  t.is(peer.connections.size, 1)
+})
+
 // Guards against an instance that never reaches a peer again which closed an idle session while it was pinged.
 test('a session that the peer closes while it is pinged is replaced', async t => {
   const peer = await Peer.start(t)
--- a/src/adapters/peer/peerSessions.ts
+++ b/src/adapters/peer/peerSessions.ts
@@ -27,6 +27,7 @@
   /** Includes sessions that were replaced after a GOAWAY and whose streams go on. */
   readonly #watched = new WeakMap<ClientHttp2Session, WatchedSession>()
   #current: WatchedSession | undefined
+  #aborted = false
 
   constructor (baseUrl: string, options: PeerSessionOptions) {
     this.#options = options
@@ -39,6 +40,7 @@
 
   async request (method: string, path: string, headers: OutgoingHttpHeaders, options: Omit<ClientSessionRequestOptions, 'signal'>): Promise<ClientHttp2Stream> {
     await this.#current?.verify()
+    if (this.#aborted) throw new ConnectError('the sessions to the peer were closed', Code.Canceled)
     const stream = await this.#manager.request(method, path, headers, options)
     this.#watch(stream)
     return stream
@@ -50,8 +52,9 @@
     if (session !== undefined) this.#watched.get(session)?.noteAlive()
   }
 
-  /** Closes the session and its streams. */
+  /** Closes the session and its streams; requests are refused from then on. */
   abort (): void {
+    this.#aborted = true
     this.#manager.abort()
   }
 
@@ -128,15 +131,18 @@
         // After a time in which this process did not run, the answer may have arrived without having been read.
         await endOfTurn()
         if (!ended) this.#session.destroy(new ConnectError('PING timed out', Code.Unavailable), constants.NGHTTP2_CANCEL)
-      }, this.#options.pingTimeoutMs)
+      }, this.#options.pingTimeoutMs).unref()
       const end = (): void => {
         ended = true
         clearTimeout(timer)
         this.#session.off('close', end)
         this.#endPing = undefined
+        if (this.#streamCount === 0 && !this.#session.destroyed) this.#session.unref()
         resolve()
       }
       this.#endPing = end
+      // A session without streams does not keep the process alive, but a request that waits for this ping must.
+      this.#session.ref()
       this.#session.once('close', end)
       this.#sendPing()
     })
