Make the tests of peer sessions independent of the speed of the machine

12 copies of peerSessions.test.ts at a time on two processors: the test of a request that is refused when the sessions are closed failed in 4, where the request was refused by the library, with another message and the same code; the test checks the code now, and still that no session is opened. The ping time-out of two tests is 1 s instead of 0.1 s, in which a busy machine may not answer (one such failure at a load of 30).

--- a/src/adapters/peer/peerSessions.test.ts
+++ b/src/adapters/peer/peerSessions.test.ts
@@ -11,7 +11,7 @@
 const PING_INTERVAL_MS = 50
 /** Longer than the test unless a ping is to time out. */
 const LONG_MS = 60_000
-const SHORT_MS = 100
+const SHORT_MS = 1_000
 
 /** A peer behind a link that can drop data and close its connections. */
 class Peer {
@@ -181,8 +181,8 @@
   await sleep(PING_INTERVAL_MS)
   sessions.abort()
   peer.silent = false
-  await t.throwsAsync(verifying, { message: /were closed/ })
-  await t.throwsAsync(call(sessions), { message: /were closed/ })
+  await t.throwsAsync(verifying, { message: /^\[canceled\]/ })
+  await t.throwsAsync(call(sessions), { message: /^\[canceled\]/ })
   t.is(peer.connections.size, 1)
 })
 
