--- a/test/processes/topology.ts
+++ b/test/processes/topology.ts
@@ -72,7 +72,8 @@
 
 /**
  * Returns a loopback host derived from the process id, so that concurrent test processes use different ones: no two of the
- * 4,194,304 process ids of Linux share one, and addresses that end in 0 or 255 are ordinary ones here. Outgoing connections come from 127.0.0.1, so none can take a port of this host before a process listens on it.
+ * 4,194,304 process ids of Linux share one, and addresses that end in 0 or 255 are ordinary ones here. Outgoing connections
+ * come from 127.0.0.1, so none can take a port of this host before a process listens on it.
  */
 export function chooseHost (): string {
   const { pid } = process
