review/11: a schedule handed in late keeps every coordinator from holding its election

Seen: 8,640 due occurrences of one small task; 16 elections in 25 s, and nothing starts or ends at any runner. Cause: work of one turn of the event loop that exceeds the election lease.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -62,6 +62,7 @@
   folder = mkdtempSync(join(tmpdir(), 'agategauge-review-'))
   instances = []
   runners = new Map()
+  elections = 0
   /** What runners began and ended. */
   events = []
   #children = new Set()
@@ -212,7 +213,9 @@
   #runInstance (instance) {
     Object.assign(instance, this.#spawn(instance.name, join(ROOT, 'target/agategauge'), ['serve', '--platform'], { AGATEGAUGE_CONFIG: instance.path }, line => {
       this.#logs.write(`${line}\n`)
-      if (line.includes('elected as coordinator')) this.coordinator = instance
+      if (!line.includes('elected as coordinator')) return
+      this.coordinator = instance
+      this.elections += 1
     }))
   }
 
