--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -1,7 +1,7 @@
 /* eslint camelcase: ["error", { properties: "never" }] */
 // Starts a small deployment as separate processes: the store, runners, and instances of target/agategauge. Used by the scripts.
 import { spawn } from 'node:child_process'
-import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, createWriteStream, mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { request as httpRequest } from 'node:http'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -92,6 +92,8 @@
   #spawn (name, command, args, env, onLine) {
     const child = spawn(command, args, { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME ?? '/', LANG: 'C', ...env }, stdio: ['ignore', 'pipe', 'pipe'] })
     this.#children.add(child)
+    // Read by run.sh if this process is killed.
+    if (process.env.PIDS !== undefined) appendFileSync(process.env.PIDS, `${child.pid}\n`)
     const gone = new Promise(resolve => child.once('exit', (code, signal) => {
       this.#children.delete(child)
       if (!this.#closing) this.note(`process ${name} ended: ${signal ?? code}`)
@@ -274,6 +276,13 @@
 export async function runCase (caseFolder, play) {
   const deployment = new Deployment(caseFolder)
   let code = 2
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+    process.on(signal, async () => {
+      deployment.note(`the case could not run: ${signal}`)
+      await deployment.close()
+      process.exit(2)
+    })
+  }
   process.on('uncaughtException', async error => {
     deployment.note(`the case could not run: ${error.stack}`)
     await deployment.close()
