--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -89,7 +89,9 @@
 
 const SUBMIT: Step = { type: 'submit', kind: 'single', queue: 0 }
 const RESTART: Step = { type: 'restart', target: 0 }
+const SUCCESSOR: Step = { type: 'successor', gapMs: 0 }
 const lateFor = (lateMs: number): Step => ({ type: 'fault', target: 0, fault: 'late', lateMs })
+const setFault = (fault: TargetFault): Step => ({ type: 'fault', target: 0, fault })
 const waitFor = (ms: number): Step => ({ type: 'wait', ms })
 /** The shortest sequences that have led to a second run, with the failure that each guards against, and the duration of a run. */
 const TRANSIT_EXAMPLES: readonly (readonly [string, readonly Step[], number])[] = [
@@ -97,7 +99,10 @@
   ['leases are taken for lapsed before the run of a start that the next incarnation executed late has lost its own', [lateFor(905), SUBMIT, waitFor(500), RESTART, waitFor(10_000)], 5],
   ['the next incarnation executes a late start after the lapse of the leases, while its task runs elsewhere', [lateFor(11_000), SUBMIT, waitFor(500), RESTART, waitFor(20_000)], 4_000],
   ['the next incarnation executes a late start after the lapse of the leases, once its task is done elsewhere', [lateFor(11_900), SUBMIT, waitFor(3_500), RESTART, waitFor(20_000)], 5],
-  ['the next incarnation confirms the stop of a late start, and the one after it executes the start', [lateFor(8_000), SUBMIT, waitFor(500), RESTART, { type: 'fault', target: 0, fault: 'none' }, waitFor(2_500), RESTART], 5]
+  ['the next incarnation confirms the stop of a late start, and the one after it executes the start', [lateFor(8_000), SUBMIT, waitFor(500), RESTART, setFault('none'), waitFor(2_500), RESTART], 5],
+  ['the next incarnation executes a start and then an acknowledgement that were both in transit at the restart', [SUBMIT, waitFor(700), SUBMIT, waitFor(72), SUBMIT, lateFor(200), RESTART, waitFor(231), lateFor(200)], 5],
+  ['the next incarnation executes a start of an earlier coordinator before the successor has reached it', [SUBMIT, waitFor(700), lateFor(501), SUBMIT, waitFor(28), setFault('none'), SUCCESSOR, RESTART, setFault('cut'), waitFor(2)], 100],
+  ['the second incarnation after a start confirms its stop, and the third executes the start', [SUBMIT, waitFor(700), lateFor(204), SUBMIT, waitFor(28), setFault('none'), RESTART, waitFor(203), RESTART, setFault('cut'), waitFor(72)], 5]
 ]
 
 async function findRepeatedRuns (steps: readonly Step[], workMs: number): Promise<readonly string[]> {
