Log the calls in transit at the end of a target incarnation

`target incarnation ended` now has `unansweredStarts` and `unansweredAcknowledgement`. No decision changes.

--- a/src/coordinator/targets/runEndNumbers.ts
+++ b/src/coordinator/targets/runEndNumbers.ts
@@ -19,6 +19,7 @@
   /** Number of the last run end that is stored together with all earlier ones. */
   #lastStored = 0
   #lastDiscarded = 0
+  #lastSent = 0
   #pendingStores = 0
   #allStored: Promise<void> = Promise.resolve()
 
@@ -32,6 +33,11 @@
     return this.#lastDiscarded
   }
 
+  /** Number of the last acknowledgement that was sent and not answered; it may still be executed, also by a later incarnation. */
+  get unanswered (): number | undefined {
+    return this.#lastSent > this.#lastDiscarded ? this.#lastSent : undefined
+  }
+
   get hasPendingStores (): boolean {
     return this.#pendingStores > 0
   }
@@ -55,6 +61,11 @@
     return isIncarnationCertain && this.owesAcknowledgement ? this.#lastStored : 0
   }
 
+  /** Records that a request that acknowledges the number is sent. */
+  recordSent (acknowledged: number): void {
+    this.#lastSent = Math.max(this.#lastSent, acknowledged)
+  }
+
   /** Records that a report of this incarnation answered a request that acknowledged the number. */
   recordDiscarded (acknowledged: number): void {
     this.#lastDiscarded = Math.max(this.#lastDiscarded, acknowledged)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -252,6 +252,7 @@
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
     const acknowledged = this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
+    this.#ends.recordSent(acknowledged)
     const fencingToken = fence.nextToken()
     // A start with a higher token makes the next incarnation refuse this acknowledgement.
     if (acknowledged > 0) fence.raiseBeforeNextRequest()
@@ -338,7 +339,8 @@
     if (this.#hasEnded) return false
     this.#hasEnded = true
     this.#starts.endIncarnation()
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded }, 'target incarnation ended')
+    const unansweredStarts = [...this.assignments.values()].filter(({ startAnswered, reported }) => !startAnswered && !reported).length
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
   }
 
