--- a/src/coordinator/advice/advisedPlacement.test.ts
+++ b/src/coordinator/advice/advisedPlacement.test.ts
@@ -22,7 +22,7 @@
   for (const targets of decision.questions) {
     const asked = new Map(targets.map(({ key }) => [key, key]))
     const allowed = targets.slice(0, Math.round(targets.length * ALLOWED_FRACTION)).map(({ key }) => ({ target: key, ticket: 'ticket' }))
-    advice.recordAnswer(asked, allowed, nowMs + VALID_MS)
+    advice.recordAnswer(asked, allowed, nowMs, VALID_MS)
   }
 }
 
--- a/src/coordinator/advice/stepAdvice.ts
+++ b/src/coordinator/advice/stepAdvice.ts
@@ -1,17 +1,14 @@
 /** The placement advisor's answers for one step. */
 import type { AllowedTarget } from '../../ports/placementAdvisor.ts'
-
-interface Permit {
-  readonly ticket: string
-  readonly validUntilMs: number
-}
+import { createTicket } from './startTicket.ts'
+import type { StartTicket } from './startTicket.ts'
 
 /** Transit time of the advisor's answer and of the start request to a target in another region. */
 const TICKET_MARGIN_MS = 150
 
 export class StepAdvice {
   /** By key of the target incarnation; the allowed targets do not change, but their tickets expire. */
-  readonly #permits = new Map<string, Permit>()
+  readonly #permits = new Map<string, StartTicket>()
   #asked = new Set<string>()
   /** Number of questions that have not been answered. */
   openQuestions = 0
@@ -33,17 +30,17 @@
   }
 
   /** Returns the ticket if it will still be valid when a start request arrives. */
-  ticket (targetKey: string, nowMs: number): string | undefined {
+  ticket (targetKey: string, nowMs: number): StartTicket | undefined {
     const permit = this.#permits.get(targetKey)
-    return permit !== undefined && nowMs < permit.validUntilMs - TICKET_MARGIN_MS ? permit.ticket : undefined
+    return permit !== undefined && nowMs < permit.validUntilMs - TICKET_MARGIN_MS ? permit : undefined
   }
 
-  /** Records an answer; `asked` maps target identities to the keys of their incarnations. */
-  recordAnswer (asked: ReadonlyMap<string, string>, allowed: readonly AllowedTarget[], validUntilMs: number): void {
+  /** Records an answer received at the given time; `asked` maps target identities to the keys of their incarnations. */
+  recordAnswer (asked: ReadonlyMap<string, string>, allowed: readonly AllowedTarget[], receivedMs: number, validityMs: number): void {
     for (const key of asked.values()) this.#asked.add(key)
     for (const { target, ticket } of allowed) {
       const key = asked.get(target)
-      if (key !== undefined) this.#permits.set(key, { ticket, validUntilMs })
+      if (key !== undefined) this.#permits.set(key, createTicket(ticket, receivedMs, validityMs))
     }
   }
 
--- a/src/coordinator/advice/stepAdvisor.ts
+++ b/src/coordinator/advice/stepAdvisor.ts
@@ -99,7 +99,7 @@
       }, rank, isNeeded)
       const answeredMs = clock.monotonicMs()
       advice.answeredAtMs = answeredMs
-      advice.recordAnswer(keysById, allowed, answeredMs + settings.ticketValidityMs)
+      advice.recordAnswer(keysById, allowed, answeredMs, settings.ticketValidityMs)
       // Later questions are also about targets that are known to be allowed.
       if (isFirst) this.allowedShare(queue).recordAnswer(keysById.size, allowed.length)
       logger.info({ job: step.job.id, step: step.name, named: keysById.size, allowed: allowed.length, tookMs: Math.round(answeredMs - askedMs) }, 'placement advice received')
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -31,6 +31,7 @@
 import { ALL_ROOM } from './roomView.ts'
 import type { RoomView } from './roomView.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
+import { NO_TICKET_NEEDED } from '../advice/startTicket.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
@@ -209,7 +210,7 @@
     assignment.isStartSeen = false
     assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
-    session.reserve(assignment)
+    session.recover(assignment, this.#clock.monotonicMs())
   }
 
   /** Subtracts a run from its team's usage. */
@@ -307,7 +308,7 @@
       const local = this.#withRunningRack(step)
       const placed = this.#withoutWaiting(step, local, queue, placeStep(local, count, sessions.map(session => this.#describeTarget(step, session, room))), sessions, nowMs)
       pass.recordReservation(queue.service, size, placed.length)
-      this.#starts.startWhenStored(step, this.#starts.reserve(waiting, placed), () => '')
+      this.#starts.startWhenStored(step, this.#starts.reserve(waiting, placed), () => NO_TICKET_NEEDED)
       return placed.length > 0 ? 'placed' : this.#locality.isWaiting(step) ? 'awaits-locality' : 'no-room'
     }
     const reserved = this.#placeWithAdvice(step, queue, waiting, count, sessions, nowMs, room)
@@ -369,7 +370,7 @@
     }
     if (ready.length === 0) return
     if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
-    else this.#starts.startWhenStored(step, this.#starts.reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => '')
+    else this.#starts.startWhenStored(step, this.#starts.reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => NO_TICKET_NEEDED)
   }
 
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
--- a/src/coordinator/placement/taskStarts.ts
+++ b/src/coordinator/placement/taskStarts.ts
@@ -4,6 +4,7 @@
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { JobMetrics } from '../../observability/jobMetrics.ts'
 import type { Logger } from '../../observability/logger.ts'
+import type { StartTicket } from '../advice/startTicket.ts'
 import { isRemoteFrom } from '../forecast/locality.ts'
 import { Assignment } from '../targets/assignment.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
@@ -11,8 +12,8 @@
 import { requiredResources } from './placeStep.ts'
 import type { TeamUsage } from './teamUsage.ts'
 
-/** Returns the ticket for starting on a target; empty if none is needed, undefined if none is valid. */
-export type TicketLookup = (session: TargetSession) => string | undefined
+/** Returns the ticket for starting on a target; undefined if none is valid. */
+export type TicketLookup = (session: TargetSession) => StartTicket | undefined
 
 /** A task for which capacity is reserved. */
 export interface ReservedStart {
@@ -74,7 +75,8 @@
     for (const reservation of reserved) {
       const { session, assignment } = reservation
       if (!session.assignments.has(assignment.key)) continue
-      if (permitted && startable(reservation)) this.#send(session, assignment, ticketFor(session))
+      const ticket = permitted && startable(reservation) ? ticketFor(session) : undefined
+      if (ticket !== undefined) this.#send(session, assignment, ticket)
       else this.#cancelReservation(reservation)
     }
   }
@@ -124,7 +126,7 @@
     return new Set([...keys].flatMap(key => this.#options.fleet.get(key)?.rack ?? []))
   }
 
-  #send (session: TargetSession, assignment: Assignment, ticket: string | undefined): void {
-    runInBackground(session.start(assignment, ticket === '' ? undefined : ticket), this.#options.logger, 'start of a run')
+  #send (session: TargetSession, assignment: Assignment, ticket: StartTicket): void {
+    runInBackground(session.start(assignment, ticket), this.#options.logger, 'start of a run')
   }
 }
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -52,7 +52,7 @@
   remove (assignment: Assignment): void {
     if (!this.#assignments.delete(assignment.key)) return
     this.#capacity.release(assignment.size)
-    this.#starts.recordStopped(assignment)
+    this.#starts.recordSettled(assignment)
   }
 
   /** Applies the running tasks of a report that arrived at the given time. */
@@ -69,7 +69,8 @@
 
   #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
     if (!assignment.reported) assignment.firstReportedAtMs = nowMs
-    assignment.reported = true
+    assignment.reported = assignment.isRunHere = true
+    this.#starts.recordSettled(assignment)
     if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
       assignment.state = 'running'
@@ -79,14 +80,14 @@
     assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
   }
 
-  /** Removes confirmed runs that are missing from a complete report requested after their confirmation. */
+  /** Removes confirmed runs that are missing from a complete report requested after their confirmation, and when their starts could not be executed any more. */
   detectMissing (report: TargetReport, requestedMs: number): void {
     if (report.mayOmitFinished) return
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
     for (const assignment of [...this.#assignments.values()]) {
       const { state, confirmedAtMs, key } = assignment
       const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
-      if (!expectedInReport || confirmedAtMs >= requestedMs || running.has(key)) continue
+      if (!expectedInReport || confirmedAtMs >= requestedMs || this.#starts.latestExecutionMs(assignment) >= requestedMs || running.has(key)) continue
       this.remove(assignment)
       this.#listener.runMissing(assignment)
     }
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -15,8 +15,10 @@
   /** Resources reserved on the target. */
   readonly size: Resources
   state: AssignmentState
-  /** Whether a report of this incarnation showed the run; an answer to the start request may come from the next one. */
+  /** Whether a report of this incarnation showed the run. */
   reported = false
+  /** Whether this incarnation certainly executed the start: a report shows the run, or the answer carries its clock. */
+  isRunHere = false
   /** When the capacity was reserved by this coordinator. */
   reservedAtMs = 0
   /** When a report first showed the run. */
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -3,8 +3,10 @@
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { JobTargetClient, StartOutcome, StartRefusal } from '../../ports/jobTarget.ts'
+import type { StartTicket } from '../advice/startTicket.ts'
 import type { AssignedRuns } from './assignedRuns.ts'
 import type { Assignment } from './assignment.ts'
+import type { OverdueAnswers } from './overdueAnswers.ts'
 import type { StartsInTransit } from './startsInTransit.ts'
 import type { TargetContact } from './targetContact.ts'
 import type { TargetFence } from './targetFence.ts'
@@ -37,6 +39,7 @@
   readonly contact: TargetContact
   readonly lease: TargetLease
   readonly starts: StartsInTransit
+  readonly answers: OverdueAnswers
   readonly runs: AssignedRuns
   /** Whether this coordinator may send requests now. */
   readonly hasAuthority: () => boolean
@@ -50,7 +53,7 @@
 /**
  * @example
  * const requests = new RunRequests(options)
- * await requests.start(assignment, undefined)
+ * await requests.start(assignment, NO_TICKET_NEEDED)
  * await requests.stop(assignment)
  */
 export class RunRequests {
@@ -61,8 +64,8 @@
   }
 
   /** Sends the start request for a task with reserved capacity. */
-  async start (assignment: Assignment, ticket: string | undefined): Promise<void> {
-    const { description, client, logger, fence, lease, starts, runs, isEvacuated, hasEnded } = this.#options
+  async start (assignment: Assignment, ticket: StartTicket): Promise<void> {
+    const { description, client, clock, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     for (;;) {
@@ -73,6 +76,8 @@
       assignment.startAnswered = false
       assignment.isResumed = checkpoint !== ''
       starts.recordSent(assignment)
+      answers.recordSent(assignment)
+      const sentMs = clock.monotonicMs()
       const result = await client.start({
         task: task.name,
         attempt: assignment.attempt,
@@ -80,9 +85,9 @@
         leaseUntilTargetMs,
         fencingToken,
         checkpoint,
-        ticket
+        ...(ticket.text === '' ? {} : { ticket: ticket.text })
       })
-      starts.recordReturned(assignment)
+      this.#recordOutcome(assignment, ticket, sentMs, result)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
@@ -90,14 +95,21 @@
     }
   }
 
-  async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
-    const { clock, contact, starts, runs, hasEnded, listener } = this.#options
+  #recordOutcome (assignment: Assignment, { expiredByMs }: StartTicket, sentMs: number, result: StartOutcome): void {
+    const { contact, starts, answers } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
-    starts.recordOutcome(assignment)
-    if (result.outcome === 'started') {
-      contact.recordStarted()
-      this.#compareClock(result.clockMs)
-    }
+    answers.recordReturned(assignment, assignment.startAnswered)
+    if (result.outcome === 'unknown') return starts.recordUnanswered(assignment, expiredByMs)
+    if (result.outcome === 'refused') return starts.recordSettled(assignment)
+    if (contact.isAnswerOfIncarnation(result.clockMs, sentMs)) assignment.isRunHere = true
+    if (assignment.isRunHere) starts.recordSettled(assignment)
+    else starts.recordExecuted(assignment)
+    contact.recordStarted()
+    this.#compareClock(result.clockMs)
+  }
+
+  async #handleStartOutcome (assignment: Assignment, result: StartOutcome): Promise<void> {
+    const { clock, runs, hasEnded, listener } = this.#options
     if (!runs.has(assignment) || hasEnded()) return
     // Until a stop is confirmed, the start may still be executed, whatever became of its answer.
     if (assignment.state !== 'stopping') assignment.confirmedAtMs = clock.monotonicMs()
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -1,91 +1,86 @@
-/** Tracks the start requests that a target, or its next incarnation, may still execute. */
+/** Tracks the start requests to one target that any of its incarnations may still execute. */
 import type { Clock } from '../../ports/clock.ts'
 import type { Assignment } from './assignment.ts'
-import { MAX_REQUEST_DELAY_MS } from './withdrawStart.ts'
 
-/** Several times as long as a start request and its answer take to another region and back. */
-const MAX_START_ANSWER_MS = 400
+/**
+ * Longest time from when a request was given up until a target executes it: 12 s at the target according to the platform's
+ * list of faults, after 0.7 s in a relay and the 2.2 s for which the longest call waits.
+ */
+export const MAX_REQUEST_DELAY_MS = 15_000
+/** Longest time until a request is answered or given up, also through a relay. */
+const MAX_CALL_MS = 3_000
+
+interface StartInTransit {
+  /** Latest time at which the start may be executed. */
+  latestExecutionMs: number
+  /** Latest time at which a renewal that was sent after the start may extend the leases of its target. */
+  latestExtensionMs: number
+}
 
 /**
+ * A start is in transit until it is answered, until a report shows its run, or until it can not be executed any more.
+ * Shared by the sessions of all incarnations of a target, since a target that restarts executes requests that were meant
+ * for its earlier incarnation. Its assignment must not be released meanwhile: the run may begin at any time.
+ *
  * @example
  * const starts = new StartsInTransit(clock)
  * starts.recordSent(assignment)
  * const { outcome } = await client.start(order)
- * starts.recordReturned(assignment)
+ * if (outcome === 'unknown') starts.recordUnanswered(assignment, ticket.expiredByMs)
+ * else starts.recordSettled(assignment)
  */
 export class StartsInTransit {
   readonly #clock: Clock
-  /** Sending times of the start requests that are in progress, the oldest first. */
-  readonly #sentMs = new Map<Assignment, number>()
-  /**
-   * Starts without an answer that this incarnation will not execute, since they were stopped; the next one would. Until
-   * the given time they may still be in transit.
-   */
-  readonly #stopped = new Map<Assignment, number>()
-  /** When the last start request was given up without an answer; undefined once the target has reported since. */
-  #unansweredAtMs: number | undefined
-  #hasIncarnationEnded = false
+  readonly #starts = new Map<Assignment, StartInTransit>()
 
   constructor (clock: Clock) {
     this.#clock = clock
   }
 
-  /** Whether the answer to a start request is overdue. */
-  get isAnswerOverdue (): boolean {
-    const [oldestSentMs = Infinity] = this.#sentMs.values()
-    return this.#unansweredAtMs !== undefined || this.#clock.monotonicMs() - oldestSentMs > MAX_START_ANSWER_MS
-  }
-
-  /** Stopped starts that the next incarnation may still execute. */
-  get stopped (): readonly Assignment[] {
-    this.#removeExpired()
-    return [...this.#stopped.keys()]
-  }
-
   recordSent (assignment: Assignment): void {
-    this.#sentMs.set(assignment, this.#clock.monotonicMs())
+    this.#starts.set(assignment, { latestExecutionMs: this.#latestExecutionOfNextMs, latestExtensionMs: -Infinity })
   }
 
-  /** Records that a start request was answered or given up. */
-  recordReturned (assignment: Assignment): void {
-    this.#sentMs.delete(assignment)
+  /** Records a start that an earlier coordinator may have sent, and that can not be executed after the given time. */
+  recordRecovered (assignment: Assignment, latestExecutionMs: number): void {
+    this.#starts.set(assignment, { latestExecutionMs, latestExtensionMs: -Infinity })
   }
 
-  /** Applies the outcome of the last start request of an assignment. */
-  recordOutcome (assignment: Assignment): void {
-    if (assignment.startAnswered) this.#stopped.delete(assignment)
-    else this.#unansweredAtMs = this.#clock.monotonicMs()
+  /** Records that a start was given up without an answer; a target refuses it once its ticket has expired. */
+  recordUnanswered (assignment: Assignment, ticketExpiredByMs = Infinity): void {
+    const start = this.#starts.get(assignment)
+    if (start !== undefined) start.latestExecutionMs = Math.min(this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS, ticketExpiredByMs)
   }
 
-  /** Records a report of this incarnation that was requested at the given time. */
-  recordReport (requestedMs: number): void {
-    if (this.#unansweredAtMs !== undefined && requestedMs >= this.#unansweredAtMs) this.#unansweredAtMs = undefined
+  /** Records that a start was executed, possibly by a later incarnation than the one that it was meant for. */
+  recordExecuted (assignment: Assignment): void {
+    const start = this.#starts.get(assignment)
+    if (start !== undefined) start.latestExecutionMs = Math.min(start.latestExecutionMs, this.#clock.monotonicMs())
   }
 
-  /** Records that this incarnation will not execute the start of an assignment any more. */
-  recordStopped (assignment: Assignment): void {
-    if (this.#hasIncarnationEnded || assignment.startAnswered || assignment.reported) return
-    this.#stopped.set(assignment, this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
+  /** Records that a start was refused, or that its run is known. */
+  recordSettled (assignment: Assignment): void {
+    this.#starts.delete(assignment)
   }
 
-  recordWithdrawn (assignment: Assignment): void {
-    this.#stopped.delete(assignment)
+  /** Records that a request is sent which extends the leases of the target, and thereby of a run that has been started meanwhile. */
+  recordLeaseExtension (): void {
+    for (const start of this.#starts.values()) start.latestExtensionMs = this.#latestExecutionOfNextMs
   }
 
-  /** From now on, stopped starts are kept until they are withdrawn from the next incarnation. */
-  endIncarnation (): void {
-    this.#hasIncarnationEnded = true
+  /** Latest time at which a request that is sent now may be executed. */
+  get #latestExecutionOfNextMs (): number {
+    return this.#clock.monotonicMs() + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
   }
 
-  #removeExpired (): void {
-    if (this.#hasIncarnationEnded) return
-    for (const [assignment, untilMs] of this.#stopped) {
-      if (untilMs < this.#clock.monotonicMs()) this.#stopped.delete(assignment)
-    }
+  /** Latest time at which the start may be executed; in the past if it is not in transit. */
+  latestExecutionMs (assignment: Assignment): number {
+    return this.#starts.get(assignment)?.latestExecutionMs ?? -Infinity
   }
-}
 
-/** Whether the start request of an assignment may still reach the target. Those of earlier coordinators cannot: the target's fence refuses them. */
-export function startMayStillArrive ({ reported, state }: Assignment): boolean {
-  return !reported && state !== 'reserved' && state !== 'recovering'
+  /** Latest time at which the lease of a run of the start may be extended, by the start itself or by a request sent after it. */
+  latestExtensionMs (assignment: Assignment): number {
+    const start = this.#starts.get(assignment)
+    return start === undefined ? -Infinity : Math.max(start.latestExecutionMs, start.latestExtensionMs)
+  }
 }
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -10,6 +10,10 @@
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
+/** A target that has been up for longer can not have restarted and show a clock that it could have without: requests are given up sooner. */
+const MIN_DISTINCT_CLOCK_MS = 3_000
+/** Clocks of targets run up to 2% slow; half as much again is added as a margin. */
+const MIN_CLOCK_RATE = 0.97
 
 /**
  * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation, whose clock differs.
@@ -88,6 +92,17 @@
     this.#unansweredSinceMs ??= this.#clock.monotonicMs()
   }
 
+  /**
+   * Whether the clock in the answer to a request shows that this incarnation has executed it. The clock of a later one
+   * started anew, and is below what this incarnation's clock was when the request was sent.
+   */
+  isAnswerOfIncarnation (clockMs: number, sentMs: number): boolean {
+    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return false
+    const clockAtReportMs = this.#clockOffsetMs + this.#lastReportMs
+    const earliestClockMs = clockAtReportMs + Math.max(0, sentMs - this.#lastReportMs) * MIN_CLOCK_RATE
+    return clockAtReportMs >= MIN_DISTINCT_CLOCK_MS && clockMs >= Math.floor(earliestClockMs)
+  }
+
   /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
   findRestart (clockMs: number): number | undefined {
     if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return undefined
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -12,6 +12,7 @@
 import { AUTHORITY_GRACE_MS } from '../log/election.ts'
 import type { TargetListener } from './targetListener.ts'
 import type { Evacuations } from './evacuations.ts'
+import { StartsInTransit } from './startsInTransit.ts'
 import { TargetFence } from './targetFence.ts'
 import { TargetSession } from './targetSession.ts'
 import type { PlacedAssignment } from '../placement/waitReport.ts'
@@ -59,6 +60,7 @@
   readonly #latestIncarnations = new Map<string, number>()
   /** By target identity. Kept for the whole term, since requests of ended sessions may still be answered. */
   readonly #fences = new Map<string, TargetFence>()
+  readonly #starts = new Map<string, StartsInTransit>()
   readonly #directory: PeriodicTask
   /** Start time of the latest incarnation in the last answer of the target list, by target identity. */
   #listedIncarnations: ReadonlyMap<string, number> = new Map()
@@ -192,10 +194,10 @@
       logger,
       listener,
       fence: this.#openFence(id),
+      starts: this.#openStarts(id),
       leaseMs: targetLeaseMs,
       hasAuthority,
       isReplaced: () => this.#isReplaced(id, bornMs),
-      isListed: () => this.#listedIncarnations.has(id),
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
@@ -213,6 +215,12 @@
     return fence
   }
 
+  #openStarts (id: string): StartsInTransit {
+    const starts = this.#starts.get(id) ?? new StartsInTransit(this.#options.clock)
+    this.#starts.set(id, starts)
+    return starts
+  }
+
   #run (session: TargetSession): void {
     runInBackground(session.run(), this.#options.logger, 'target session')
   }
--- a/src/coordinator/targets/targetLease.ts
+++ b/src/coordinator/targets/targetLease.ts
@@ -36,10 +36,6 @@
     this.#lastExtensionMs = options.priorLeasesExtendedUntilMs
   }
 
-  get lastExtensionMs (): number {
-    return this.#lastExtensionMs
-  }
-
   /** Extends the lease and returns its end on the target's clock; undefined while leases must not be extended. */
   extend (): number | undefined {
     const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -6,7 +6,9 @@
 import type { Resources } from '../../model/resources.ts'
 import { createLogger } from '../../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, StartOutcome, StopOrder, StopOutcome, TaskOrder } from '../../ports/jobTarget.ts'
+import { createTicket, NO_TICKET_NEEDED } from '../advice/startTicket.ts'
 import { Assignment } from './assignment.ts'
+import { StartsInTransit } from './startsInTransit.ts'
 import type { TargetListener } from './targetListener.ts'
 import { TargetFence } from './targetFence.ts'
 import { TargetSession } from './targetSession.ts'
@@ -116,13 +118,12 @@
 
 function createContext () {
   const clock = new ManualClock()
-  return { clock, client: new FakeTarget(clock), listener: new Recorder(), fence: new TargetFence(7, () => 7 + clock.monotonicMs()) }
+  return { clock, client: new FakeTarget(clock), listener: new Recorder(), fence: new TargetFence(7, () => 7 + clock.monotonicMs()), starts: new StartsInTransit(clock) }
 }
 
 function createSession (priorLeasesExtendedUntilMs = -Infinity, context = createContext(), bornMs = 1, connect: (target: FakeTarget) => JobTargetClient = target => target) {
-  const { clock, client, listener, fence } = context
+  const { clock, client, listener, fence, starts } = context
   let isReplaced = false
-  let isListed = true
   const session = new TargetSession({
     description: { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'attica-a', capacity: CAPACITY, labels: [] },
     client: connect(client),
@@ -130,15 +131,15 @@
     logger,
     listener,
     fence,
+    starts,
     leaseMs: LEASE_MS,
     hasAuthority: () => true,
     isReplaced: () => isReplaced,
-    isListed: () => isListed,
     isEvacuated: () => false,
     priorLeasesExtendedUntilMs
   })
   session.run().catch(error => listener.events.push(String(error)))
-  return { ...context, session, replace: () => { isReplaced = true }, unlist: () => { isListed = false } }
+  return { ...context, session, replace: () => { isReplaced = true } }
 }
 
 function createAssignment (id = 'job-1', state: Assignment['state'] = 'reserved'): Assignment {
@@ -152,7 +153,7 @@
 function reserveRecovering (session: TargetSession): Assignment {
   const assignment = createAssignment('job-1', 'recovering')
   assignment.confirmedAtMs = -Infinity
-  session.reserve(assignment)
+  session.recover(assignment, 0)
   return assignment
 }
 
@@ -186,7 +187,7 @@
   await clock.advance(200)
   t.deepEqual(listener.events, ['a.0.0.0 done', 'b.0.0.0 done', 'joined'], 'the first report of the target to a new coordinator')
   session.reserve(second)
-  await session.start(second, undefined)
+  await session.start(second, NO_TICKET_NEEDED)
   client.finished.push(finishedRun(4, second.task.name))
   await clock.advance(2_000)
   t.deepEqual(listener.events.slice(3), [`${second.task.name} started`])
@@ -204,22 +205,41 @@
   t.true((client.renewals[1]?.leaseUntilTargetMs ?? 0) > LEASE_MS - 200)
 })
 
-test('an unanswered start is stopped before its task can be placed again', async t => {
+// Guards against a second run: a later incarnation of the target does not know of a stop that an earlier one has confirmed.
+test('an unanswered start is stopped, and holds its task until no incarnation of the target can execute it', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(200)
   client.startOutcome = { outcome: 'unknown', message: 'no answer' }
   const assignment = createAssignment()
   session.reserve(assignment)
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   await clock.advance(200)
   t.deepEqual(listener.events, ['joined'])
   await clock.advance(1_500)
   t.deepEqual(client.stops, [assignment.task.name])
   t.deepEqual(listener.unanswered, [assignment.task.name])
+  await clock.advance(12_000)
+  t.deepEqual(listener.events, ['joined'])
+  t.is(session.free.processors, 63_000)
+  await clock.advance(3_000)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
   t.is(session.free.processors, 64_000)
 })
 
+test('an unanswered start with a ticket holds its task until the ticket has expired', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  session.start(assignment, createTicket('ticket', 100, 2_000)).catch(error => listener.events.push(String(error)))
+  await clock.advance(1_900)
+  t.deepEqual(client.stops, [assignment.task.name])
+  t.deepEqual(listener.events, ['joined'])
+  await clock.advance(300)
+  t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
+})
+
 test('an unanswered start that the target reports as running is kept', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(200)
@@ -227,7 +247,7 @@
   const assignment = createAssignment()
   client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 3 }]
   session.reserve(assignment)
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   await clock.advance(1_500)
   t.deepEqual(client.stops, [])
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
@@ -239,7 +259,9 @@
   await clock.advance(200)
   const assignment = createAssignment()
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(100)
   client.reachable = false
   await clock.advance(LEASE_MS)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
@@ -272,7 +294,7 @@
   await clock.advance(200)
   const assignment = createAssignment()
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.bornMs = 2
   await clock.advance(1_500)
   t.deepEqual(listener.events.slice(2), [`${assignment.task.name} lost: restarted`, 'incarnation ended: restarted'])
@@ -285,7 +307,7 @@
   const name = assignment.task.name
   session.reserve(assignment)
   client.startAnswer = new Promise(() => {})
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   client.bornMs = 2
   client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
   await clock.advance(1_500)
@@ -317,7 +339,7 @@
   session.reserve(assignment)
   // The report that shows the restart was created before the start request arrived.
   client.bornMs = 2
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.runningAfterReports = 1
   client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
   await clock.advance(1_500)
@@ -334,7 +356,7 @@
   const assignment = createAssignment()
   const name = assignment.task.name
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.bornMs = 2
   client.finished = [finishedRun(1, name)]
   await clock.advance(1_500)
@@ -358,7 +380,7 @@
   await clock.advance(1_500)
   const assignment = createAssignment()
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.bornMs = 2
   client.finished = [finishedRun(1, assignment.task.name)]
   await clock.advance(3_000)
@@ -372,7 +394,7 @@
     await clock.advance(1_000)
     const assignment = createAssignment()
     session.reserve(assignment)
-    await session.start(assignment, undefined)
+    await session.start(assignment, NO_TICKET_NEEDED)
     client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
     listener.unstored.set('y.0.0.0', clock.sleep(100 + storeMs))
     await clock.advance(100)
@@ -427,7 +449,7 @@
   const { session } = createSession(-Infinity, context, 2)
   await clock.advance(1_500)
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 10 }]
   isHung = false
   await clock.advance(3_000)
@@ -455,14 +477,14 @@
   const [first, second] = [createAssignment(), createAssignment('job-2')]
   for (const assignment of [first, second]) {
     session.reserve(assignment)
-    await session.start(assignment, undefined)
+    await session.start(assignment, NO_TICKET_NEEDED)
   }
   t.deepEqual(listener.events.slice(1), [`${first.task.name} started`, `${second.task.name} started`])
   t.true(session.usable, 'clocks may differ by the time of an answer')
   client.startOutcome = { outcome: 'started', clockMs: 9_000 }
   const third = createAssignment('job-3')
   session.reserve(third)
-  await session.start(third, undefined)
+  await session.start(third, NO_TICKET_NEEDED)
   t.false(session.usable)
   await clock.advance(200)
   t.true(session.ended)
@@ -479,7 +501,7 @@
   const assignment = createAssignment()
   session.reserve(assignment)
   client.bornMs = 2
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
   const endRun = (): void => {
     client.running = []
@@ -504,46 +526,43 @@
 })
 
 // Guards against a second run while the first goes on: a silent target restarted, and executed a start in transit.
-test('late orders: a start that the next incarnation of a silent target may execute holds its task beyond the leases, while the target is listed', async t => {
-  for (const isListed of [true, false]) {
-    const { clock, client, listener, session, unlist } = createSession()
-    await clock.advance(200)
-    const [reported, unreported] = [createAssignment(), createAssignment('job-2')]
-    session.reserve(reported)
-    await session.start(reported, undefined)
-    client.running = [{ task: reported.task.name, attempt: 1, checkpoint: '', percent: 0 }]
-    await clock.advance(200)
-    client.startOutcome = { outcome: 'unknown', message: 'no answer' }
-    client.reachable = false
-    session.reserve(unreported)
-    session.start(unreported, undefined).catch(error => listener.events.push(String(error)))
-    if (!isListed) unlist()
-    // A start or a lease may arrive 12 s after it was sent, and the next incarnation gives a lease of 10 s, on a clock that is 2% slow.
-    await clock.advance(12_000 + 10_200)
-    const lost = listener.events.filter(event => event.includes('lost'))
-    t.is(lost.includes(`${unreported.task.name} lost: lease-lapsed`), !isListed)
-    t.true(lost.includes(`${reported.task.name} lost: lease-lapsed`))
-    await clock.advance(3_000)
-    t.true(listener.events.includes(`${unreported.task.name} lost: lease-lapsed`))
-    t.is(listener.events.at(-1), 'incarnation ended: lease-lapsed')
-  }
+test('late orders: a start that the next incarnation of a silent target may execute holds its task beyond the leases', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const [reported, unreported] = [createAssignment(), createAssignment('job-2')]
+  session.reserve(reported)
+  await session.start(reported, NO_TICKET_NEEDED)
+  client.running = [{ task: reported.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(200)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  client.reachable = false
+  session.reserve(unreported)
+  session.start(unreported, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
+  // A start or a lease may arrive 12 s after it was sent, and the next incarnation gives a lease of 10 s, on a clock that is 2% slow.
+  await clock.advance(12_000 + 10_200)
+  const lost = listener.events.filter(event => event.includes('lost'))
+  t.deepEqual(lost, [`${reported.task.name} lost: lease-lapsed`])
+  await clock.advance(8_000)
+  t.true(listener.events.includes(`${unreported.task.name} lost: lease-lapsed`))
+  t.is(listener.events.at(-1), 'incarnation ended: lease-lapsed')
 })
 
-test('late orders: a start that the next incarnation of a silent target has answered holds its task for the lease of that incarnation', async t => {
+test('late orders: a start that the next incarnation of a silent target has answered holds its task while renewals that followed it may extend its lease', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(500)
   const assignment = createAssignment()
   session.reserve(assignment)
   let answer: () => void = () => {}
   client.startAnswer = new Promise(resolve => { answer = resolve })
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   client.reachable = false
   client.answersStops = false
   await clock.advance(1_900)
   answer()
-  await clock.advance(10_200)
+  // The last renewal is sent 1.5 s after the last report.
+  await clock.advance(12_000 + 10_200)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} started`])
-  await clock.advance(1_000)
+  await clock.advance(7_000)
   t.is(listener.events[2], `${assignment.task.name} lost: lease-lapsed`)
 })
 
@@ -553,13 +572,13 @@
   const assignment = createAssignment()
   session.reserve(assignment)
   client.startAnswer = new Promise(() => {})
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   client.bornMs = 2
   client.answersStops = false
   await clock.advance(12_000 + 10_200)
   t.true(session.ended)
   t.deepEqual(listener.events, ['joined'])
-  await clock.advance(3_000)
+  await clock.advance(7_000)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: restarted`, 'incarnation ended: restarted'])
 })
 
@@ -571,7 +590,7 @@
   client.startAnswer = new Promise(resolve => { deliver = resolve })
   const assignment = createAssignment()
   session.reserve(assignment)
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   fence.raiseBeforeNextRequest()
   await clock.advance(100)
   client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
@@ -593,7 +612,7 @@
   await clock.advance(400)
   const assignment = createAssignment()
   session.reserve(assignment)
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   t.deepEqual(listener.events.slice(1), [`${assignment.task.name} refused: unhealthy`])
   client.renewals.length = 0
   client.reachable = true
@@ -609,8 +628,9 @@
     const { clock, client, listener, session } = createSession(0)
     const assignment = createAssignment('job-1', state)
     if (state === 'reserved') await clock.advance(200)
-    session.reserve(assignment)
-    if (state === 'reserved') await session.start(assignment, undefined)
+    if (state === 'recovering') session.recover(assignment, 0)
+    else session.reserve(assignment)
+    if (state === 'reserved') await session.start(assignment, NO_TICKET_NEEDED)
     listener.events.length = 0
     client.bornMs = 2
     client.finishedPerReport = 1
@@ -670,7 +690,7 @@
   client.startOutcome = { outcome: 'unknown', message: 'no answer' }
   const assignment = createAssignment()
   session.reserve(assignment)
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   await clock.advance(300)
   t.false(session.leavesStartsUnanswered, 'the answer may be on its way from another region')
   await clock.advance(200)
@@ -718,7 +738,7 @@
   t.true(session.usable)
 })
 
-test('late orders: a run whose start and stop are both unanswered holds its capacity until a stop is confirmed', async t => {
+test('late orders: a run whose start and stop are both unanswered holds its capacity until a stop is confirmed and the start can not be executed', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(200)
   const assignment = createAssignment()
@@ -727,12 +747,14 @@
   client.startAnswer = new Promise(resolve => { answerStart = resolve })
   client.startOutcome = { outcome: 'unknown', message: 'no answer' }
   client.answersStops = false
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   session.stop(assignment).catch(error => listener.events.push(String(error)))
   answerStart()
   await clock.advance(2_000)
   t.deepEqual(listener.events, ['joined'], 'the target may still execute the start')
   t.is(session.free.processors, 63_000)
+  await clock.advance(15_000)
+  t.deepEqual(listener.events, ['joined'], 'no stop is confirmed')
   client.answersStops = true
   await clock.advance(1_500)
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: not-reported`])
@@ -746,7 +768,7 @@
   listener.runSizes.set(name, assignment.size)
   session.reserve(assignment)
   client.startOutcome = { outcome: 'refused', refusal: 'unhealthy' }
-  await session.start(assignment, undefined)
+  await session.start(assignment, NO_TICKET_NEEDED)
   client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
   await clock.advance(500)
   t.true(client.stops.includes(name))
@@ -761,9 +783,9 @@
   const { name } = assignment.task
   session.reserve(assignment)
   client.startOutcome = { outcome: 'unknown', message: 'no answer' }
-  session.start(assignment, undefined).catch(error => listener.events.push(String(error)))
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
   await clock.advance(1_500)
-  t.deepEqual(listener.events, ['joined', `${name} lost: not-reported`])
+  t.true(client.stops.includes(name))
   client.stops.length = 0
   client.answersStops = false
   client.bornMs = 2
@@ -774,7 +796,11 @@
   client.answersStops = true
   await clock.advance(500)
   t.false(session.mayHaveRunsOnNextIncarnation)
-  t.deepEqual(listener.events.slice(2), ['incarnation ended: restarted'], 'the task was released once')
+  client.bornMs = 3
+  await clock.advance(8_000)
+  t.deepEqual(listener.events, ['joined'], 'an incarnation that starts later may still execute the start')
+  await clock.advance(5_000)
+  t.deepEqual(listener.events.slice(1), [`${name} lost: restarted`, 'incarnation ended: restarted'], 'the task was released once')
 })
 
 test('shrinking targets: new tasks get only what a target that has shrunk has left, and what it has after it has grown', async t => {
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -4,6 +4,7 @@
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
 import type { FinishedRun, JobTargetClient, RunningTask, TargetReport } from '../../ports/jobTarget.ts'
+import type { StartTicket } from '../advice/startTicket.ts'
 import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
@@ -11,9 +12,10 @@
 import type { Outage } from './crashEvidence.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { IncarnationEnd } from './incarnationEnd.ts'
+import { OverdueAnswers } from './overdueAnswers.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
 import { RunRequests } from './runRequests.ts'
-import { startMayStillArrive, StartsInTransit } from './startsInTransit.ts'
+import type { StartsInTransit } from './startsInTransit.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import { TargetContact } from './targetContact.ts'
 import type { TargetFence } from './targetFence.ts'
@@ -39,8 +41,8 @@
   readonly listener: TargetListener
   /** Shared by the sessions of all incarnations of the target. */
   readonly fence: TargetFence
-  /** Whether the target list shows the target, in whichever incarnation. */
-  readonly isListed: () => boolean
+  /** Shared by the sessions of all incarnations of the target. */
+  readonly starts: StartsInTransit
   /** Whether the target's data centre is evacuated now, so that no task may be started here. */
   readonly isEvacuated: () => boolean
 }
@@ -58,6 +60,7 @@
   readonly #lease: TargetLease
   readonly capacity: TargetCapacity
   readonly #starts: StartsInTransit
+  readonly #answers: OverdueAnswers
   readonly #runs: AssignedRuns
   readonly #requests: RunRequests
   readonly #end: IncarnationEnd
@@ -70,7 +73,8 @@
     this.#ends = new RunEndNumbers(options.description, options.logger)
     this.#contact = new TargetContact(options.clock)
     this.#offer = new TargetOffer(options.clock)
-    this.#starts = new StartsInTransit(options.clock)
+    this.#starts = options.starts
+    this.#answers = new OverdueAnswers(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
     this.#runs = new AssignedRuns(this.capacity, this.#starts, {
       startConfirmed: assignment => options.listener.startConfirmed(this, assignment),
@@ -87,7 +91,7 @@
       ...this.#options,
       contact: this.#contact,
       lease: this.#lease,
-      starts: this.#starts,
+      answers: this.#answers,
       runs: this.#runs,
       hasEnded: () => this.#hasEnded,
       listener: {
@@ -107,7 +111,6 @@
       ...this.#options,
       target: this.id,
       lease: this.#lease,
-      starts: this.#starts,
       assignments: this.assignments,
       isClosed: () => this.#closed,
       reportCrash: () => this.#reportCrash(),
@@ -150,14 +153,13 @@
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
   get leavesStartsUnanswered (): boolean {
-    return this.#starts.isAnswerOverdue
+    return this.#answers.any
   }
 
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
   get mayHaveRunsOnNextIncarnation (): boolean {
-    if (this.#starts.stopped.length > 0) return true
-    // Remaining assignments of an ended incarnation are being stopped on the next one.
-    return this.#hasEnded ? this.assignments.size > 0 : [...this.assignments.values()].some(startMayStillArrive)
+    if (this.#hasEnded) return this.#end.mayHaveRunsOnNextIncarnation
+    return [...this.assignments.values()].some(({ isRunHere, state }) => !isRunHere && state !== 'reserved')
   }
 
   /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
@@ -200,13 +202,19 @@
     this.#runs.add(assignment)
   }
 
+  /** Reserves the capacity of a run whose start an earlier coordinator may have sent, and that can not be executed after the given time. */
+  recover (assignment: Assignment, latestExecutionMs: number): void {
+    this.#starts.recordRecovered(assignment, latestExecutionMs)
+    this.reserve(assignment)
+  }
+
   /** Frees the capacity reserved for a task whose start was never requested. */
   cancelReservation (assignment: Assignment): void {
     this.#runs.remove(assignment)
   }
 
   /** Sends the start request for a task with reserved capacity. */
-  start (assignment: Assignment, ticket: string | undefined): Promise<void> {
+  start (assignment: Assignment, ticket: StartTicket): Promise<void> {
     return this.#requests.start(assignment, ticket)
   }
 
@@ -238,14 +246,21 @@
   /** Ends the session at the end of the term, without deciding on its runs. */
   close (): void {
     this.#hasEnded = true
-    this.#starts.endIncarnation()
     this.#closed = true
   }
 
   #renewWaitMs (): number {
     if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
-    const awaitsConfirmation = this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns || [...this.assignments.values()].some(({ state }) => state === 'unconfirmed' || state === 'stopping')
-    return awaitsConfirmation ? SHORT_RENEW_WAIT_MS : RENEW_WAIT_MS
+    if (this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns) return SHORT_RENEW_WAIT_MS
+    const nowMs = this.#options.clock.monotonicMs()
+    let waitMs = RENEW_WAIT_MS
+    for (const assignment of this.assignments.values()) {
+      const { state } = assignment
+      if (state === 'unconfirmed') return SHORT_RENEW_WAIT_MS
+      // A report is evidence that the run is missing from when its start can not be executed any more.
+      if (state === 'stopping') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, this.#starts.latestExecutionMs(assignment) - nowMs + 1))
+    }
+    return waitMs
   }
 
   async #renew (waitMs: number): Promise<void> {
@@ -256,10 +271,12 @@
     const fencingToken = fence.nextToken()
     // A start with a higher token makes the next incarnation refuse this acknowledgement.
     if (acknowledged > 0) fence.raiseBeforeNextRequest()
+    const leaseUntilTargetMs = this.#joined ? this.#lease.extend() : undefined
+    if (leaseUntilTargetMs !== undefined) this.#starts.recordLeaseExtension()
     const result = await client.renew({
       fencingToken,
       acknowledged,
-      leaseUntilTargetMs: this.#joined ? this.#lease.extend() : undefined,
+      leaseUntilTargetMs,
       waitMs: acknowledged === 0 && this.#ends.owesAcknowledgement ? 0 : waitMs
     })
     if (this.#hasEnded) return
@@ -286,7 +303,7 @@
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
     this.#contact.recordReport(report.clockMs, nowMs)
-    this.#starts.recordReport(sentMs)
+    this.#answers.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#runs.compareRunning(report.running, nowMs)
     this.#runs.detectMissing(report, sentMs)
@@ -338,7 +355,6 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    this.#starts.endIncarnation()
     const unansweredStarts = [...this.assignments.values()].filter(({ startAnswered, reported }) => !startAnswered && !reported).length
     this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -1,13 +1,14 @@
-/** Withdraws a start request that a target may still execute after it has restarted under the same identity. */
+/** Withdraws a start request that a later incarnation of its target may have executed, or may still execute. */
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { FinishedRun, JobTargetClient } from '../../ports/jobTarget.ts'
 import { runKey } from './assignment.ts'
+import { MAX_REQUEST_DELAY_MS } from './startsInTransit.ts'
 import type { TargetFence } from './targetFence.ts'
 
-/** An unanswered request may be executed up to 12 s later, according to the platform's list of faults. */
-export const MAX_REQUEST_DELAY_MS = 12_500
 const RETRY_DELAY_MS = 150
+/** Interval at which the target is asked while it does not show the run, but the start may still be executed. */
+const RECHECK_INTERVAL_MS = 1_000
 
 export interface WithdrawalOptions {
   readonly client: JobTargetClient
@@ -18,41 +19,54 @@
   readonly target: string
   /** Whether the term has ended, so that nothing more is sent. */
   readonly isClosed: () => boolean
-  /** Whether the target list shows the target, in whichever incarnation. */
-  readonly isListed: () => boolean
+  /** Latest time at which the start may be executed. */
+  readonly latestExecutionMs: () => number
+  /** Time by which no incarnation keeps a run of the start alive, unless it is asked again. */
+  readonly latestRunMs: () => number
   /** Longest time for which the target keeps a run alive that it has begun, in milliseconds. */
   readonly longestLeaseMs: number
-  /** Times until which the withdrawal of a target that does not answer goes on, at least, and while it is listed. */
-  readonly earliestEndMs: number
-  readonly latestEndMs: number
+  /** Called when a report shows that the start was executed. */
+  readonly onExecuted: () => void
+  /** Called when the incarnation that is up does not run the task, and will not execute the start. */
+  readonly onRefused: () => void
 }
 
 /**
- * Stops the run on the target's next incarnation until that reports the run's end, or no longer shows the run in a
- * complete report after a stop. Resolves with the end if the run was executed there.
+ * Stops the run on the target's current incarnation until that reports the run's end, or until a complete report that was
+ * requested when the start could not be executed any more does not show the run. Resolves with the end if the run was
+ * executed. A confirmed stop is not enough: an incarnation that starts later does not know of it.
  *
  * @example
  * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
  */
-export async function withdrawStart ({ client, clock, logger, fence, target, isClosed, isListed, longestLeaseMs, ...options }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
+export async function withdrawStart ({ client, clock, logger, fence, target, longestLeaseMs, ...options }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
   const key = runKey(task, attempt)
   logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
-  let { earliestEndMs, latestEndMs } = options
-  while (!isClosed() && clock.monotonicMs() < (isListed() ? latestEndMs : earliestEndMs)) {
+  /** The end of the run may have been listed beyond the ends that a report returned at this time. */
+  let hiddenUntilMs = -Infinity
+  while (!options.isClosed() && clock.monotonicMs() <= Math.max(options.latestRunMs(), hiddenUntilMs)) {
     const outcome = await client.stop({ task, attempt, fencingToken: fence.nextToken() })
     if (outcome === 'other-life') return undefined
+    const requestedMs = clock.monotonicMs()
     const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.nextToken(), acknowledged: 0, waitMs: 0 }) : undefined
     if (result?.outcome === 'other-life') return undefined
+    let delayMs = RETRY_DELAY_MS
     if (result?.outcome === 'report') {
-      const end = result.report.finished.find(run => runKey(run.task, run.attempt) === key)
+      const { finished, running, mayOmitFinished } = result.report
+      const end = finished.find(run => runKey(run.task, run.attempt) === key)
       if (end !== undefined) return end
-      // The end may still be listed, unless the target then stays silent until all its leases have expired.
-      if (result.report.mayOmitFinished) {
-        earliestEndMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS
-        latestEndMs = earliestEndMs + longestLeaseMs
-      } else if (!result.report.running.some(run => runKey(run.task, run.attempt) === key)) return undefined
+      if (running.some(run => runKey(run.task, run.attempt) === key)) {
+        options.onExecuted()
+      } else if (mayOmitFinished) {
+        hiddenUntilMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS + longestLeaseMs
+      } else {
+        const remainingMs = options.latestExecutionMs() - requestedMs
+        if (remainingMs < 0) return undefined
+        options.onRefused()
+        delayMs = Math.min(Math.max(remainingMs + 1, RETRY_DELAY_MS), RECHECK_INTERVAL_MS)
+      }
     }
-    await clock.sleep(RETRY_DELAY_MS)
+    await clock.sleep(delayMs)
   }
   return undefined
 }
