Acknowledge no ends while a start to the target is in transit

Callers saw a task started again after one of its runs had ended as done. Cause: a start and a later acknowledgement were both in transit when their target restarted. The next incarnation executed the start, the run ended, and the acknowledgement, meant for ends of the earlier incarnation, made it discard that end unread. The fencing token of the start was not above that of the acknowledgement, since it was sent before it.

An acknowledgement is now sent only while no start to the target is in transit, in any session, nor has been answered by what may be another incarnation. A start has a higher token than all renewals before it that acknowledge ends or extend leases; one that has none waits up to 300 ms for a write to the store, and is given back then.

In the test "ends that are stored after a target fell silent ..." the target now shows the run that it has started, as targets do.

--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -14,6 +14,9 @@
 
 /** Delay after an unanswered start request, after which the run is stopped unless the target reports it. */
 const CONFIRMATION_DELAY_MS = 250
+/** Maximum wait of a start for a fencing token; the store answers a write sooner, and each placement is one. */
+const MAX_TOKEN_WAIT_MS = 300
+const TOKEN_RETRY_DELAY_MS = 20
 /** Delay between repeated stop requests. */
 const STOP_RETRY_DELAY_MS = 400
 
@@ -68,11 +71,12 @@
     const { description, client, clock, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
+    assignment.state = 'starting'
     for (;;) {
+      const fencingToken = fence.tokenForStart() ?? await this.#awaitToken()
+      if (isStopping(assignment) || !runs.has(assignment)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
       const leaseUntilTargetMs = lease.extend()
-      if (hasEnded() || leaseUntilTargetMs === undefined || isEvacuated()) return this.#handleRefusal(assignment, 'unhealthy')
-      const fencingToken = fence.nextToken()
-      assignment.state = 'starting'
+      if (hasEnded() || fencingToken === undefined || leaseUntilTargetMs === undefined || isEvacuated()) return this.#handleRefusal(assignment, 'unhealthy')
       assignment.startAnswered = false
       assignment.isResumed = checkpoint !== ''
       starts.recordSent(assignment)
@@ -91,10 +95,21 @@
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
-      if (isStopping(assignment) || !runs.has(assignment)) return await this.#handleStartOutcome(assignment, { outcome: 'refused', refusal: 'superseded' })
     }
   }
 
+  /** Resolves with the token for a start; undefined if the coordinator does not write to the store meanwhile. */
+  async #awaitToken (): Promise<number | undefined> {
+    const { clock, fence, hasEnded } = this.#options
+    const untilMs = clock.monotonicMs() + MAX_TOKEN_WAIT_MS
+    let token: number | undefined
+    while (token === undefined && !hasEnded() && clock.monotonicMs() < untilMs) {
+      await clock.sleep(TOKEN_RETRY_DELAY_MS)
+      token = fence.tokenForStart()
+    }
+    return token
+  }
+
   #recordOutcome (assignment: Assignment, { expiredByMs }: StartTicket, sentMs: number, result: StartOutcome): void {
     const { contact, starts, answers } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
@@ -104,7 +119,7 @@
     if (contact.isAnswerOfIncarnation(result.clockMs, sentMs)) assignment.isRunHere = true
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
-    contact.recordStarted()
+    contact.recordStarted(assignment.isRunHere)
     this.#compareClock(result.clockMs)
   }
 
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -68,6 +68,15 @@
     for (const start of this.#starts.values()) start.latestExtensionMs = this.#latestExecutionOfNextMs
   }
 
+  /** Whether any start to the target may still be executed. */
+  get any (): boolean {
+    const nowMs = this.#clock.monotonicMs()
+    for (const { latestExecutionMs } of this.#starts.values()) {
+      if (latestExecutionMs >= nowMs) return true
+    }
+    return false
+  }
+
   /** Latest time at which a request that is sent now may be executed. */
   get #latestExecutionOfNextMs (): number {
     return this.#clock.monotonicMs() + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -20,7 +20,7 @@
  *
  * @example
  * const contact = new TargetContact(clock)
- * contact.recordReport(report.clockMs, clock.monotonicMs())
+ * contact.recordReport(report.clockMs, requestedMs, clock.monotonicMs())
  * contact.isAnsweringAt(clock.monotonicMs()) // true
  */
 export class TargetContact {
@@ -29,6 +29,8 @@
   #lastReportMs = -Infinity
   #lastAnswerMs: number
   #mayHaveRestarted = false
+  /** When an answer came that another incarnation may have given; undefined once a later request was answered by this one. */
+  #doubtedAtMs: number | undefined
   #unansweredSinceMs: number | undefined
 
   constructor (clock: Clock) {
@@ -68,15 +70,16 @@
   /** Whether a request that is sent now certainly reaches this incarnation, and not the next one. */
   get isIncarnationCertain (): boolean {
     const reportAgeMs = this.reportAgeMs(this.#clock.monotonicMs())
-    return this.#isUndoubted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
+    return this.#isUndoubted && this.#doubtedAtMs === undefined && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
   }
 
   get #isUndoubted (): boolean {
     return this.#unansweredSinceMs === undefined && !this.#mayHaveRestarted
   }
 
-  /** Records a report of this incarnation. */
-  recordReport (clockMs: number, nowMs: number): void {
+  /** Records a report of this incarnation that was requested at the given time. */
+  recordReport (clockMs: number, requestedMs: number, nowMs: number): void {
+    if (this.#doubtedAtMs !== undefined && requestedMs >= this.#doubtedAtMs) this.#doubtedAtMs = undefined
     this.#lastReportMs = this.#lastAnswerMs = nowMs
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
@@ -84,7 +87,8 @@
   }
 
   /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
-  recordStarted (): void {
+  recordStarted (isAnswerOfIncarnation: boolean): void {
+    if (!isAnswerOfIncarnation) this.#doubtedAtMs = this.#clock.monotonicMs()
     if (this.#unansweredSinceMs === undefined) this.#lastAnswerMs = this.#clock.monotonicMs()
   }
 
--- a/src/coordinator/targets/targetFence.ts
+++ b/src/coordinator/targets/targetFence.ts
@@ -1,21 +1,24 @@
-/** The fencing token of the requests to one target, which rises while requests that it should not execute any more are in transit. */
+/** The fencing tokens of the requests to one target, which rise while requests that it should not execute any more are in transit. */
 
 /**
  * A target refuses requests with a lower token than one that it has received, and forgets that token when it restarts.
- * Sessions of all incarnations of a target share its fence: once the session of the next incarnation, or a start, has
- * reached that incarnation with a higher token, it refuses what was meant for the earlier one.
+ * Sessions of all incarnations of a target share its fence. A start has a higher token than all renewals before it that
+ * acknowledge run ends or extend leases: whichever incarnation has executed the start refuses those, which may be meant for
+ * an earlier one.
  *
  * Tokens are revisions of the store that this coordinator has written under its election, so that they are lower than the
  * token of each later coordinator.
  *
  * @example
  * const fence = new TargetFence(info.fence, () => log.lastRevision)
- * await client.renew({ fencingToken: fence.nextToken(), acknowledged: 12, waitMs: 0 })
- * fence.raiseBeforeNextRequest()
+ * await client.renew({ fencingToken: fence.tokenForRenewal(), acknowledged: 12, waitMs: 0 })
+ * const fencingToken = fence.tokenForStart() // undefined until the coordinator has written to the store again
  */
 export class TargetFence {
   readonly #latestRevision: () => number
   #token: number
+  /** Token of the last renewal that changed what the target keeps. */
+  #renewalToken = -Infinity
   #mustRaise = false
 
   constructor (token: number, latestRevision: () => number) {
@@ -23,16 +26,24 @@
     this.#latestRevision = latestRevision
   }
 
-  /** Returns the token for a request that is sent now, after raising it if that is due and the coordinator has written since. */
+  /** Returns the token for a stop, or for a renewal that only asks for a report. */
   nextToken (): number {
-    const latest = this.#latestRevision()
-    if (this.#mustRaise && latest > this.#token) {
-      this.#token = latest
-      this.#mustRaise = false
-    }
+    if (this.#mustRaise) this.#raise()
     return this.#token
   }
 
+  /** Returns the token for a renewal that acknowledges run ends or extends leases. */
+  tokenForRenewal (): number {
+    this.#renewalToken = this.nextToken()
+    return this.#renewalToken
+  }
+
+  /** Returns the token for a start; undefined if none is high enough until the coordinator has written to the store again. */
+  tokenForStart (): number | undefined {
+    if (this.#token <= this.#renewalToken) this.#raise()
+    return this.#token > this.#renewalToken ? this.#token : undefined
+  }
+
   /** Gives later requests a higher token than those sent until now, as soon as the coordinator has written to the store. */
   raiseBeforeNextRequest (): void {
     this.#mustRaise = true
@@ -42,4 +53,11 @@
   isLatest (token: number): boolean {
     return token === this.#token
   }
+
+  #raise (): void {
+    const latest = this.#latestRevision()
+    if (latest <= this.#token) return
+    this.#token = latest
+    this.#mustRaise = false
+  }
 }
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -395,11 +395,13 @@
     const assignment = createAssignment()
     session.reserve(assignment)
     await session.start(assignment, NO_TICKET_NEEDED)
+    client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
     client.finished = [finishedRun(1, 'x.0.0.0'), finishedRun(2, 'y.0.0.0')]
     listener.unstored.set('y.0.0.0', clock.sleep(100 + storeMs))
     await clock.advance(100)
     client.reachable = storeMs > 100
     client.bornMs = 2
+    client.running = []
     client.finished = [finishedRun(1, assignment.task.name)]
     await clock.advance(800)
     client.reachable = true
@@ -512,6 +514,43 @@
   t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} done`, 'incarnation ended: restarted'])
 })
 
+// Guards against starting a task again that is done: the next incarnation executes the start, and then discards the end of its run unread.
+test('late orders: no ends are acknowledged while a start to the target is in transit', async t => {
+  const { clock, client, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  let answer: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answer = resolve })
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  await clock.advance(1_000)
+  t.true(client.renewals.every(({ acknowledged }) => acknowledged === 0))
+  t.true(client.renewals.length < 20, 'the target is not asked without a pause meanwhile')
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  answer()
+  await clock.advance(500)
+  t.true(client.renewals.some(({ acknowledged }) => acknowledged === 1))
+})
+
+test('a start is given back if the coordinator has not written to the store since the last renewal of leases', async t => {
+  const context = createContext()
+  let revision = 7
+  const { clock, client, listener, session } = createSession(-Infinity, { ...context, fence: new TargetFence(7, () => revision) })
+  await clock.advance(500)
+  const [first, second] = [createAssignment(), createAssignment('job-2')]
+  session.reserve(first)
+  await Promise.all([session.start(first, NO_TICKET_NEEDED), clock.advance(400)])
+  t.deepEqual(client.starts, [])
+  t.deepEqual(listener.events, ['joined', `${first.task.name} refused: unhealthy`])
+  session.reserve(second)
+  const started = session.start(second, NO_TICKET_NEEDED)
+  await clock.advance(100)
+  revision = 8
+  await Promise.all([started, clock.advance(100)])
+  t.is(client.starts[0]?.fencingToken, 8)
+})
+
 test('late orders: what was sent to an earlier incarnation is refused by the next one once its own session has reached it', async t => {
   const earlier = createSession()
   const { clock, client } = earlier
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -30,6 +30,8 @@
 /** Used while run ends are being stored, or while starts and stops are unconfirmed. */
 const SHORT_RENEW_WAIT_MS = 100
 const RETRY_DELAY_MS = 150
+/** About as long as a start and its answer take within a data centre. */
+const STARTS_POLL_MS = 10
 /** Minimum interval between reports with finished runs, so that a burst of short tasks costs few reports. */
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
@@ -232,6 +234,7 @@
         continue
       }
       try {
+        if (this.#ends.owesAcknowledgement) await this.#awaitStarts()
         await this.#renew(this.#renewWaitMs())
       } catch (error) {
         // The leases of all runs on the target would lapse if the session ended here.
@@ -249,6 +252,13 @@
     this.#closed = true
   }
 
+  /** Waits for a short time until no start is in transit, since an acknowledgement could not be sent before. */
+  async #awaitStarts (): Promise<void> {
+    const { clock } = this.#options
+    const untilMs = clock.monotonicMs() + SHORT_RENEW_WAIT_MS
+    while (this.#starts.any && clock.monotonicMs() < untilMs) await clock.sleep(STARTS_POLL_MS)
+  }
+
   #renewWaitMs (): number {
     if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
     if (this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns) return SHORT_RENEW_WAIT_MS
@@ -266,13 +276,12 @@
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
-    const acknowledged = this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
+    // The next incarnation could execute a start in transit, and then be told to discard the end of its run unread.
+    const acknowledged = this.#starts.any ? 0 : this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
     this.#ends.recordSent(acknowledged)
-    const fencingToken = fence.nextToken()
-    // A start with a higher token makes the next incarnation refuse this acknowledgement.
-    if (acknowledged > 0) fence.raiseBeforeNextRequest()
     const leaseUntilTargetMs = this.#joined ? this.#lease.extend() : undefined
     if (leaseUntilTargetMs !== undefined) this.#starts.recordLeaseExtension()
+    const fencingToken = leaseUntilTargetMs === undefined && acknowledged === 0 ? fence.nextToken() : fence.tokenForRenewal()
     const result = await client.renew({
       fencingToken,
       acknowledged,
@@ -302,7 +311,7 @@
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
-    this.#contact.recordReport(report.clockMs, nowMs)
+    this.#contact.recordReport(report.clockMs, sentMs, nowMs)
     this.#answers.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#runs.compareRunning(report.running, nowMs)
