Hold recovered placements until their starts can not be executed any more

Callers saw a task started again after one of its runs had ended as done. Cause: a successor took starts of the earlier coordinator for refused as soon as it had reached their target, which knows its fencing token then. A target that restarts after that does not, and executes them.

Since a task keeps its placement while its start is in transit, the log shows all starts that may be. The successor holds each until its target shows the run or the start can not be executed: on a queue with an advisor one ticket validity after the term began, since a start now carries the ticket that was valid when its placement was recorded; otherwise 18 s after the 3 s for which an earlier coordinator may act. A step whose tickets have expired renews them before its placement is recorded, not meanwhile.

Two model tests fail without the hold and pass with it: "... executes a start of an earlier coordinator before the successor has reached it" (attempt 2 done and acknowledged, attempt 1 from 2729) and the new "... a successor has reached a target before that restarts and executes a start of the earlier coordinator" (attempt 2 done at 2352, attempt 1 from 5228).

--- a/src/coordinator/advice/stepAdvice.ts
+++ b/src/coordinator/advice/stepAdvice.ts
@@ -1,11 +1,8 @@
 /** The placement advisor's answers for one step. */
 import type { AllowedTarget } from '../../ports/placementAdvisor.ts'
-import { createTicket } from './startTicket.ts'
+import { createTicket, isUsableTicket } from './startTicket.ts'
 import type { StartTicket } from './startTicket.ts'
 
-/** Transit time of the advisor's answer and of the start request to a target in another region. */
-const TICKET_MARGIN_MS = 150
-
 export class StepAdvice {
   /** By key of the target incarnation; the allowed targets do not change, but their tickets expire. */
   readonly #permits = new Map<string, StartTicket>()
@@ -32,7 +29,7 @@
   /** Returns the ticket if it will still be valid when a start request arrives. */
   ticket (targetKey: string, nowMs: number): StartTicket | undefined {
     const permit = this.#permits.get(targetKey)
-    return permit !== undefined && nowMs < permit.validUntilMs - TICKET_MARGIN_MS ? permit : undefined
+    return permit !== undefined && isUsableTicket(permit, nowMs) ? permit : undefined
   }
 
   /** Records an answer received at the given time; `asked` maps target identities to the keys of their incarnations. */
--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -102,6 +102,7 @@
   ['the next incarnation confirms the stop of a late start, and the one after it executes the start', [lateFor(8_000), SUBMIT, waitFor(500), RESTART, setFault('none'), waitFor(2_500), RESTART], 5],
   ['the next incarnation executes a start and then an acknowledgement that were both in transit at the restart', [SUBMIT, waitFor(700), SUBMIT, waitFor(72), SUBMIT, lateFor(200), RESTART, waitFor(231), lateFor(200)], 5],
   ['the next incarnation executes a start of an earlier coordinator before the successor has reached it', [SUBMIT, waitFor(700), lateFor(501), SUBMIT, waitFor(28), setFault('none'), SUCCESSOR, RESTART, setFault('cut'), waitFor(2)], 100],
+  ['a successor has reached a target before that restarts and executes a start of the earlier coordinator', [SUBMIT, waitFor(700), lateFor(3_000), SUBMIT, waitFor(28), setFault('none'), SUCCESSOR, waitFor(300), RESTART, setFault('cut'), waitFor(3_000)], 5],
   ['the second incarnation after a start confirms its stop, and the third executes the start', [SUBMIT, waitFor(700), lateFor(204), SUBMIT, waitFor(28), setFault('none'), RESTART, waitFor(203), RESTART, setFault('cut'), waitFor(72)], 5]
 ]
 
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -139,7 +139,7 @@
     this.#slowTargets = new SlowTargets(this.#runTimes)
     this.#feasibility = options.admitsByExpectedEnd === true ? new FeasibilityAdmission(clock) : undefined
     this.#placer = new TaskPlacer({
-      clock, logger, metrics: this.#metrics, admission: this.#admission, feasibility: this.#feasibility, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
+      clock, logger, metrics: this.#metrics, admission: this.#admission, feasibility: this.#feasibility, runTimes: this.#runTimes, isSlow: ({ key }) => this.#slowTargets.isSlow(key), fleet: this.#fleet, lanes, termStartedAtMs: this.#termStartedAtMs, desiredState: () => desired.index, hasAuthority, append: async records => await this.#append(records)
     })
   }
 
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -31,9 +31,11 @@
 import { ALL_ROOM } from './roomView.ts'
 import type { RoomView } from './roomView.ts'
 import type { ComputeResources, TargetAvailability } from './placeStep.ts'
-import { NO_TICKET_NEEDED } from '../advice/startTicket.ts'
+import { latestTicketUseMs, NO_TICKET_NEEDED } from '../advice/startTicket.ts'
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
+import { AUTHORITY_GRACE_MS } from '../log/election.ts'
+import { latestExecutionMs } from '../targets/startsInTransit.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
 import { TaskStarts } from './taskStarts.ts'
@@ -63,6 +65,8 @@
   /** Gets the waiting jobs after each full pass otherwise. */
   readonly admission: AdmissionControl
   readonly lanes: AdviceLanes
+  /** Start of the term, on this process's clock. */
+  readonly termStartedAtMs: number
   readonly desiredState: () => DesiredStateIndex
   readonly hasAuthority: () => boolean
   /** Stores records; rejects when the term has ended. */
@@ -111,6 +115,7 @@
     this.#advisor = new StepAdvisor({ clock: this.#clock, logger: this.#logger, lanes: options.lanes, onAnswered: () => this.schedulePass() })
     this.#reservations = this.#createReservations()
     this.#starts = new TaskStarts({
+      clock: options.clock,
       logger: this.#logger,
       metrics: options.metrics,
       fleet: this.#fleet,
@@ -210,7 +215,15 @@
     assignment.isStartSeen = false
     assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
-    session.recover(assignment, this.#clock.monotonicMs())
+    session.recover(assignment, this.#latestExecutionOfRecoveredMs(step))
+  }
+
+  /** Latest time at which a start that an earlier coordinator sent may be executed; its ticket was issued before the term. */
+  #latestExecutionOfRecoveredMs ({ job }: StepProgress): number {
+    const { termStartedAtMs, desiredState } = this.#options
+    const { advice } = desiredState().queue(job.queue.name) ?? job.queue
+    if (advice !== undefined) return latestTicketUseMs(termStartedAtMs, advice.ticketValidityMs)
+    return latestExecutionMs(termStartedAtMs + AUTHORITY_GRACE_MS)
   }
 
   /** Subtracts a run from its team's usage. */
@@ -453,13 +466,11 @@
 
   /** Keeps capacity reserved while expired tickets are renewed, which takes up to a second. */
   async #startAfterRenewedAdvice (step: StepProgress, queue: QueueSettings, advice: StepAdvice, reserved: readonly ReservedStart[]): Promise<void> {
-    const stored = this.#starts.record(step, reserved)
     const sessions = [...new Set(reserved.map(({ session }) => session))]
     for (let offset = 0; offset < sessions.length; offset += MAX_TARGETS_PER_QUESTION) {
       await this.#advisor.renew(step, queue, sessions.slice(offset, offset + MAX_TARGETS_PER_QUESTION))
     }
-    await stored
-    this.#starts.start(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
+    this.#starts.startWhenStored(step, reserved, session => advice.ticket(session.key, this.#clock.monotonicMs()))
   }
 
   /** Upper bound on the tasks to place, given free capacity, the team's cap and the reserve for urgent tasks. */
--- a/src/coordinator/placement/taskStarts.ts
+++ b/src/coordinator/placement/taskStarts.ts
@@ -4,6 +4,8 @@
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { JobMetrics } from '../../observability/jobMetrics.ts'
 import type { Logger } from '../../observability/logger.ts'
+import type { Clock } from '../../ports/clock.ts'
+import { isUsableTicket } from '../advice/startTicket.ts'
 import type { StartTicket } from '../advice/startTicket.ts'
 import { isRemoteFrom } from '../forecast/locality.ts'
 import { Assignment } from '../targets/assignment.ts'
@@ -22,6 +24,7 @@
 }
 
 export interface TaskStartsOptions {
+  readonly clock: Clock
   readonly logger: Logger
   readonly metrics: JobMetrics
   readonly fleet: TargetFleet
@@ -50,14 +53,18 @@
     this.#closed = true
   }
 
-  /** Sends the start requests after the placement is in the log, so that a successor finds the runs. */
+  /**
+   * Sends the start requests after the placement is in the log, so that a successor finds the runs. They carry the tickets
+   * of this moment: a successor knows from the time of its election until when those may be accepted.
+   */
   startWhenStored (step: StepProgress, reserved: readonly ReservedStart[], ticketFor: TicketLookup): void {
     if (reserved.length === 0) return
-    runInBackground(this.record(step, reserved).then(() => this.start(step, reserved, ticketFor)), this.#options.logger, 'start of tasks')
+    const tickets = new Map(reserved.map(({ session }) => [session, ticketFor(session)]))
+    runInBackground(this.#record(step, reserved).then(() => this.#start(step, reserved, tickets)), this.#options.logger, 'start of tasks')
   }
 
   /** Resolves when the placement is stored or the term has ended. */
-  async record (step: StepProgress, reserved: readonly ReservedStart[]): Promise<void> {
+  async #record (step: StepProgress, reserved: readonly ReservedStart[]): Promise<void> {
     const runs = reserved.map(({ session, assignment }): PlacedRun => [assignment.task.index, assignment.attempt, session.key])
     const record: LogRecord = { type: 'placed', job: step.job.id, occurrence: step.occurrence, step: step.number, runs }
     await this.#options.append([record]).catch(() => {
@@ -66,8 +73,13 @@
   }
 
   /** Starts the reserved tasks that may still be started; a gang starts as a whole or not at all. */
-  start (step: StepProgress, reserved: readonly ReservedStart[], ticketFor: TicketLookup): void {
+  #start (step: StepProgress, reserved: readonly ReservedStart[], tickets: ReadonlyMap<TargetSession, StartTicket | undefined>): void {
     if (this.#closed) return
+    const nowMs = this.#options.clock.monotonicMs()
+    const ticketFor = (session: TargetSession): StartTicket | undefined => {
+      const ticket = tickets.get(session)
+      return ticket !== undefined && isUsableTicket(ticket, nowMs) ? ticket : undefined
+    }
     const startable = ({ session, assignment }: ReservedStart): boolean =>
       session.assignments.has(assignment.key) && !session.ended && !session.draining && !session.evacuated && session.capacity.covers(assignment.size) && ticketFor(session) !== undefined
     const permitted = step.job.outcome === undefined && (!step.definition.gang || reserved.every(startable))
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -10,6 +10,11 @@
 /** Longest time until a request is answered or given up, also through a relay. */
 const MAX_CALL_MS = 3_000
 
+/** Latest time at which a request that is sent at the given time may be executed. */
+export function latestExecutionMs (sentMs: number): number {
+  return sentMs + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
+}
+
 interface StartInTransit {
   /** Latest time at which the start may be executed. */
   latestExecutionMs: number
@@ -77,9 +82,8 @@
     return false
   }
 
-  /** Latest time at which a request that is sent now may be executed. */
   get #latestExecutionOfNextMs (): number {
-    return this.#clock.monotonicMs() + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
+    return latestExecutionMs(this.#clock.monotonicMs())
   }
 
   /** Latest time at which the start may be executed; in the past if it is not in transit. */
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -682,6 +682,21 @@
   }
 })
 
+// Guards against a second run: a target that restarts executes a start of the earlier coordinator, whose token it does not know.
+test('change of coordinator: a placement that its target does not show holds its task until its start can not be executed', async t => {
+  const { clock, client, listener, session } = createSession(0)
+  const assignment = createAssignment('job-1', 'recovering')
+  assignment.confirmedAtMs = -Infinity
+  session.recover(assignment, 2_000)
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  await clock.advance(1_900)
+  t.deepEqual(listener.events, ['x.0.0.0 done', 'joined'])
+  t.true(client.renewals.every(({ acknowledged }) => acknowledged === 0))
+  await clock.advance(400)
+  t.deepEqual(listener.events.slice(2), [`${assignment.task.name} lost: not-reported`])
+  t.true(client.renewals.some(({ acknowledged }) => acknowledged === 1))
+})
+
 test('the next incarnation gets no tasks while a run of an earlier coordinator is being stopped there', async t => {
   const { clock, client, session } = createSession(0)
   const assignment = reserveRecovering(session)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -268,7 +268,7 @@
       const { state } = assignment
       if (state === 'unconfirmed') return SHORT_RENEW_WAIT_MS
       // A report is evidence that the run is missing from when its start can not be executed any more.
-      if (state === 'stopping') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, this.#starts.latestExecutionMs(assignment) - nowMs + 1))
+      if (state === 'stopping' || state === 'recovering') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, this.#starts.latestExecutionMs(assignment) - nowMs + 1))
     }
     return waitMs
   }
