End the session of an incarnation when a later one has reported

Cause: a report of the earlier incarnation that arrives late, up to 2.2 s after it was created, let its session extend leases, in the time of its own clock, with the token in use. The next incarnation executes that, and its runs outlast the leases that its own session counts on.

Change: a session ends once a later incarnation of its target has reported. Its runs are then released at once, instead of when its renewal on the dead connection is given up.

The new test of targetFleet fails without it: leases were extended after the later incarnation had reported.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -341,6 +341,7 @@
   }
 
   joined (session: TargetSession): void {
+    this.#fleet.endEarlierIncarnations(session)
     if (this.#fleet.isRecorded(session)) return
     this.applyAndAppend([{ type: 'target', target: session.description }]).then(() => {
       this.#fleet.markRecorded(session)
--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -29,6 +29,8 @@
   readonly renewals = new Map<number, Renewal[]>()
   /** Incarnations whose sessions get no answer, and after which time they notice. */
   readonly unansweredMs = new Map<number, number>()
+  /** Incarnations whose reports arrive late, and how much. */
+  readonly reportDelayMs = new Map<number, number>()
   stopAnswer: Promise<void> = Promise.resolve()
   #fencingToken = 0
 
@@ -63,7 +65,9 @@
         if (unansweredMs !== undefined) return await clock.sleep(unansweredMs).then(() => ({ outcome: 'failed', message: 'no answer' }))
         if (!this.accepts(order.fencingToken)) return { outcome: 'fenced' }
         await clock.sleep(order.waitMs)
-        return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: clock.monotonicMs(), running: this.running, finished: [], mayOmitFinished: false } }
+        const report = { bornMs: this.bornMs, clockMs: clock.monotonicMs(), running: this.running, finished: [], mayOmitFinished: false }
+        await clock.sleep(this.reportDelayMs.get(bornMs) ?? 0)
+        return { outcome: 'report', report }
       },
       close: async () => {}
     }
@@ -89,6 +93,7 @@
       startUnanswered: () => {},
       targetCrashed: async () => {},
       joined: session => {
+        fleet.endEarlierIncarnations(session)
         fleet.markRecorded(session)
         revision += 1
       },
@@ -127,6 +132,23 @@
   t.deepEqual(events, ['1 ended: restarted'], 'the earlier session uses the higher token, too')
 })
 
+// Guards against leases in the time of another clock: a report of the earlier incarnation arrives after the next one has reported.
+test('restarted targets: the session of an earlier incarnation ends when a later one has reported', async t => {
+  const { clock, target, events, list } = await startFleet()
+  target.reportDelayMs.set(1, 700)
+  await clock.advance(2_500)
+  const { atMs: requestedMs, order } = target.renewals.get(1)?.at(-1) as Renewal
+  await clock.advance(requestedMs + order.waitMs + 30 - clock.monotonicMs())
+  target.restart()
+  list(2)
+  await clock.advance(600)
+  const joinedMs = clock.monotonicMs()
+  await clock.advance(2_000)
+  t.deepEqual(events, ['1 ended: restarted'])
+  t.true(target.renewals.has(2))
+  t.deepEqual(target.renewals.get(1)?.filter(({ atMs, order }) => atMs > joinedMs && order.leaseUntilTargetMs !== undefined), [])
+})
+
 // Guards against leases in the time of another clock, after the session of the next incarnation has failed and is opened again.
 test('restarted targets: the session of an earlier incarnation gives no leases while a later one is listed and does not answer', async t => {
   const { clock, target, list } = await startFleet()
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -144,6 +144,13 @@
     return this.#recorded.has(session.key)
   }
 
+  /** Ends the sessions of earlier incarnations of a target that has reported: what they send, the reported one would execute. */
+  endEarlierIncarnations ({ id, description: { bornMs } }: TargetSession): void {
+    for (const session of this.#sessions.values()) {
+      if (session.id === id && session.description.bornMs < bornMs) session.endReplaced()
+    }
+  }
+
   /** Marks the incarnation as recorded in the log. */
   markRecorded (session: TargetSession): void {
     this.#recorded.add(session.key)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -246,6 +246,11 @@
     await this.#options.client.close()
   }
 
+  /** Ends the incarnation, since a later one of the target has reported. */
+  endReplaced (): void {
+    this.#endIncarnation('restarted')
+  }
+
   /** Ends the session at the end of the term, without deciding on its runs. */
   close (): void {
     this.#hasEnded = true
