Check tickets in the simulated target

The target executed delayed starts of queues with an advisor however old their tickets were, and on any incarnation, which a real target refuses. The simulated advisor issues tickets that name the target's incarnation and the time of issue; the target checks them when a start is executed.

--- a/src/coordinator/testing/runRecorder.test.ts
+++ b/src/coordinator/testing/runRecorder.test.ts
@@ -7,11 +7,12 @@
 const TRANSIT_MS = 4
 const LATE_MS = 2_000
 const WORK_MS = 100
+const TICKET_VALIDITY_MS = 500
 
 function setUp (): { readonly clock: ManualClock, readonly recorder: RunRecorder, readonly target: SimulatedTarget, readonly client: JobTargetClient, readonly start: (attempt: number) => void, readonly renew: (acknowledged: number) => void } {
   const clock = new ManualClock(5_000)
   const recorder = new RunRecorder(clock)
-  const target = new SimulatedTarget({ id: 'worker-1', clock, workMs: task => task === 'lasting' ? Infinity : WORK_MS, endOf: () => 'done', lateMs: LATE_MS, recorder })
+  const target = new SimulatedTarget({ id: 'worker-1', clock, workMs: task => task === 'lasting' ? Infinity : WORK_MS, endOf: () => 'done', lateMs: LATE_MS, recorder, ticketValidityMs: task => task.startsWith('advised') ? TICKET_VALIDITY_MS : undefined })
   const client = target.connect({ id: 'worker-1', bornMs: 1 })
   const order = { spec: '', leaseUntilTargetMs: 60_000, fencingToken: 1, checkpoint: '' }
   return {
@@ -67,6 +68,35 @@
   t.deepEqual(target.running, [])
 })
 
+// Guards against a simulation in which a delayed start is executed after its ticket has expired, or by the next incarnation.
+test('a simulated target refuses starts without a ticket of its incarnation that is valid when they are executed', async t => {
+  const { clock, target, client } = setUp()
+  const order = { spec: '', leaseUntilTargetMs: 60_000, fencingToken: 1, checkpoint: '', attempt: 1 }
+  const start = async (task: string, ticket?: string): Promise<string> => {
+    const outcome = client.start({ ...order, task, ...(ticket === undefined ? {} : { ticket }) })
+    await clock.advance(TRANSIT_MS)
+    const result = await outcome
+    return result.outcome === 'refused' ? result.refusal : result.outcome
+  }
+  t.is(await start('advised-1'), 'ticket', 'missing')
+  const ticket = target.issueTicket()
+  await clock.advance(TICKET_VALIDITY_MS - TRANSIT_MS)
+  t.is(await start('advised-1', ticket), 'started')
+  t.is(await start('advised-2', ticket), 'ticket', 'expired')
+  t.is(await start('task', ticket), 'started', 'a task that needs none')
+  const earlier = target.issueTicket()
+  target.restart()
+  t.is(await start('advised-3', earlier), 'ticket', 'of the earlier incarnation')
+  target.fault = 'late'
+  target.lateMs = TICKET_VALIDITY_MS
+  client.start({ ...order, task: 'advised-4', ticket: target.issueTicket() }).catch(() => {})
+  await clock.advance(TRANSIT_MS)
+  target.lateMs = TICKET_VALIDITY_MS / 2
+  client.start({ ...order, task: 'advised-5', ticket: target.issueTicket() }).catch(() => {})
+  await clock.advance(TICKET_VALIDITY_MS + TRANSIT_MS)
+  t.is(target.starts, 3, 'delayed starts, one of them until after the validity')
+})
+
 test('a run is reported as repeated if an earlier one is in progress or its end as done is acknowledged, but not after a crash or a lapsed lease', async t => {
   const { clock, recorder, target, start, renew } = setUp()
   start(1)
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -94,6 +94,8 @@
   readonly #targets: readonly SimulatedTarget[]
   /** Kind of each accepted job, by id. */
   readonly accepted = new Map<string, string>()
+  /** Validity of the tickets of each submitted job whose queue has an advisor, by job id. */
+  readonly #ticketValidities = new Map<string, number>()
   #submittedJobs = 0
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
@@ -111,7 +113,8 @@
       workMs: workMs ?? (task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS),
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs,
-      recorder: this.#recorder
+      recorder: this.#recorder,
+      ticketValidityMs: task => this.#ticketValidities.get(task.slice(0, task.indexOf('.')))
     }))
   }
 
@@ -131,7 +134,7 @@
     this.#desired = desired
     desired.follow()
     const lanes = new AdviceLanes(clock)
-    lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: 'ticket' }))) }, weight: 1 }])
+    lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: this.#targetOf(id).issueTicket() }))) }, weight: 1 }])
     let hasAuthority = true
     const coordinator: JobCoordinator = new JobCoordinator({
       store: this.store,
@@ -177,6 +180,10 @@
     return target
   }
 
+  #targetOf (id: string): SimulatedTarget {
+    return this.target(Number(id.slice('worker-'.length)))
+  }
+
   get running (): readonly string[] {
     return this.#targets.flatMap(target => target.running)
   }
@@ -200,6 +207,7 @@
   submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[], overrides: Partial<JobDefinition> = {}): string {
     const id = `${kind}-${this.#submittedJobs++}`
     const { coordinator } = this
+    if (queue.advice !== undefined) this.#ticketValidities.set(id, queue.advice.ticketValidityMs)
     const record = createJobRecord(id, steps)
     const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, acceptedWallMs: this.clock.wallMs(), definition: { ...record.definition, ...overrides } }])
     const job = coordinator.table.jobs.get(id)
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -21,6 +21,8 @@
   readonly lateMs: number
   /** Records the runs of all targets. */
   readonly recorder: RunRecorder
+  /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
+  readonly ticketValidityMs?: (task: string) => number | undefined
 }
 
 interface Run { readonly task: string, readonly attempt: number, readonly record: RecordedRun, stopping: boolean }
@@ -73,6 +75,16 @@
     this.#endedAttempts = new Map()
   }
 
+  /**
+   * Issues a ticket for starts on the current incarnation.
+   *
+   * @example
+   * await client.start({ ...order, ticket: target.issueTicket() })
+   */
+  issueTicket (): string {
+    return `${this.bornMs}@${this.#clockMs}`
+  }
+
   connect (_incarnation: TargetIncarnation): JobTargetClient {
     return {
       start: async order => await this.#receive<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
@@ -93,12 +105,13 @@
     return unanswered
   }
 
-  #start ({ task, attempt, leaseUntilTargetMs, fencingToken }: TaskOrder): StartOutcome {
+  #start ({ task, attempt, leaseUntilTargetMs, fencingToken, ticket }: TaskOrder): StartOutcome {
     const { id, clock, workMs, endOf, recorder } = this.#options
     const clockMs = this.#clockMs
     if (fencingToken < this.#fence) return { outcome: 'refused', refusal: 'fenced' }
     this.#fence = fencingToken
     if (leaseUntilTargetMs < clockMs) return { outcome: 'refused', refusal: 'too-late' }
+    if (!this.#acceptsTicket(task, ticket)) return { outcome: 'refused', refusal: 'ticket' }
     this.#extendLease(leaseUntilTargetMs)
     if (this.#runs.get(task)?.attempt === attempt) return { outcome: 'started', clockMs }
     if (attempt <= (this.#endedAttempts.get(task) ?? 0) || this.#runs.has(task)) return { outcome: 'refused', refusal: 'superseded' }
@@ -110,6 +123,13 @@
     return { outcome: 'started', clockMs }
   }
 
+  #acceptsTicket (task: string, ticket: string | undefined): boolean {
+    const validityMs = this.#options.ticketValidityMs?.(task)
+    if (validityMs === undefined) return true
+    const [bornMs, issuedMs] = (ticket ?? '').split('@').map(Number)
+    return bornMs === this.bornMs && issuedMs !== undefined && this.#clockMs <= issuedMs + validityMs
+  }
+
   #stop ({ task, attempt, fencingToken }: StopOrder): StopOutcome {
     if (fencingToken < this.#fence) return 'fenced'
     this.#fence = fencingToken
