Let calls to simulated targets take different times

All calls took the same time, so that neither requests nor answers ever overtook earlier ones. A step of the model sets the transit times of a target; the defaults are those of before (3 ms, answers at once).

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -26,6 +26,7 @@
 type Step =
   | { readonly type: 'submit', readonly kind: string, readonly queue: number }
   | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault, readonly lateMs?: number }
+  | { readonly type: 'transit', readonly target: number, readonly requestMs: number, readonly answerMs: number }
   | { readonly type: 'restart', readonly target: number }
   | { readonly type: 'unlist', readonly target: number, readonly listed: boolean }
   | { readonly type: 'store', readonly faults: readonly CommitFault[] }
@@ -52,6 +53,7 @@
       faulty.lateMs = step.lateMs ?? faulty.lateMs
       return
     }
+    case 'transit': cluster.target(step.target).transit = step; return
     case 'restart': return cluster.restartTarget(step.target)
     case 'unlist': cluster.target(step.target).listed = step.listed; return
     case 'store': return cluster.failCommits(step.faults)
--- a/src/coordinator/testing/runRecorder.test.ts
+++ b/src/coordinator/testing/runRecorder.test.ts
@@ -97,6 +97,36 @@
   t.is(target.starts, 3, 'delayed starts, one of them until after the validity')
 })
 
+// Guards against a simulation in which all calls of a target take the same time, so that none overtakes another.
+test('requests and answers of a simulated target overtake earlier ones, and those that take longer than the time limit are unanswered', async t => {
+  const { clock, target, client } = setUp()
+  const order = { spec: '', leaseUntilTargetMs: 60_000, fencingToken: 1, checkpoint: '', attempt: 1 }
+  const events: string[] = []
+  const start = (task: string, requestMs: number, answerMs: number): void => {
+    target.transit = { requestMs, answerMs }
+    client.start({ ...order, task }).then(({ outcome }) => events.push(`${task} ${outcome} at ${clock.monotonicMs() - 5_000}`), () => {})
+  }
+  start('lasting', 20, 0)
+  start('task', 10, 0)
+  await clock.advance(15)
+  t.deepEqual(target.running, ['task'], 'the later request')
+  target.transit = { requestMs: 0, answerMs: 100 }
+  await clock.advance(10)
+  t.deepEqual(target.running, ['task', 'lasting'])
+  start('third', 0, 5)
+  await clock.advance(200)
+  t.deepEqual(events, ['task started at 10', 'third started at 30', 'lasting started at 120'], 'the later answer')
+  start('fourth', 1_100, 0)
+  start('fifth', 600, 500)
+  await clock.advance(1_200)
+  t.deepEqual(events.slice(3), ['fourth unknown at 1225', 'fifth unknown at 1225'])
+  t.is(target.starts, 5, 'unanswered requests are executed')
+  target.transit = { requestMs: 100, answerMs: 1_500 }
+  const renewal = client.renew({ fencingToken: 1, acknowledged: 0, leaseUntilTargetMs: 60_000, waitMs: 0 })
+  await clock.advance(1_201)
+  t.deepEqual(await renewal, { outcome: 'failed', message: 'no answer' })
+})
+
 test('a run is reported as repeated if an earlier one is in progress or its end as done is acknowledged, but not after a crash or a lapsed lease', async t => {
   const { clock, recorder, target, start, renew } = setUp()
   start(1)
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -217,10 +217,7 @@
   }
 
   endFaults (): void {
-    for (const each of this.#targets) {
-      each.fault = 'none'
-      each.listed = true
-    }
+    for (const each of this.#targets) each.endFaults()
   }
 
   /** Runs so far that must not have been started, on any target. */
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -3,8 +3,11 @@
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunEnd, StartOutcome, StopOrder, StopOutcome, TargetIncarnation, TaskOrder } from '../../ports/jobTarget.ts'
 import type { RecordedRun, RunRecorder } from './runRecorder.ts'
 
-const TRANSIT_MS = 3
+/** Transit time of a request, and of an answer, unless a test sets others. */
+const DEFAULT_TRANSIT: CallTransit = { requestMs: 3, answerMs: 0 }
 const ORDER_TIMEOUT_MS = 1_000
+/** Time limit of a renewal in addition to the time for which the target may delay its answer. */
+const RENEWAL_MARGIN_MS = 1_200
 const STOP_MS = 120
 const MAX_LEASE_MS = 10_000
 
@@ -12,6 +15,12 @@
 export const TARGET_FAULTS = ['none', 'cut', 'deaf', 'late', 'refusing'] as const
 export type TargetFault = typeof TARGET_FAULTS[number]
 
+/** Applies to requests that are sent, and to answers that are given, from then on: later ones may overtake earlier ones. */
+export interface CallTransit {
+  readonly requestMs: number
+  readonly answerMs: number
+}
+
 export interface SimulatedTargetOptions {
   readonly id: string
   readonly clock: ManualClock
@@ -33,6 +42,7 @@
   fault: TargetFault = 'none'
   /** Delay of orders that arrive during the fault `late`. */
   lateMs: number
+  transit: CallTransit = DEFAULT_TRANSIT
   listed = true
   /** Number of runs that were started, in all incarnations. */
   starts = 0
@@ -87,22 +97,57 @@
 
   connect (_incarnation: TargetIncarnation): JobTargetClient {
     return {
-      start: async order => await this.#receive<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
-      stop: async order => await this.#receive<StopOutcome>(() => this.#stop(order), 'unknown', 'unknown'),
+      start: async order => await this.#call<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
+      stop: async order => await this.#call<StopOutcome>(() => this.#stop(order), 'unknown', 'unknown'),
       renew: async order => await this.#renew(order),
       close: async () => {}
     }
   }
 
-  async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
+  endFaults (): void {
+    this.fault = 'none'
+    this.transit = DEFAULT_TRANSIT
+    this.listed = true
+  }
+
+  async #call<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
+    const limitMs = this.#options.clock.monotonicMs() + ORDER_TIMEOUT_MS
+    const outcome = await this.#receive(execute, unanswered, refused, limitMs)
+    return outcome === unanswered || await this.#answer(limitMs) ? outcome : unanswered
+  }
+
+  /** Returns the outcome when the target gives its answer, or `unanswered` once the sender has given up. */
+  async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome, limitMs: number): Promise<Outcome> {
     const { clock } = this.#options
-    await clock.sleep(TRANSIT_MS)
+    const { requestMs } = this.transit
+    if (clock.monotonicMs() + requestMs >= limitMs) {
+      clock.schedule(requestMs, () => { this.#execute(execute, refused) })
+      await clock.sleep(limitMs - clock.monotonicMs())
+      return unanswered
+    }
+    await clock.sleep(requestMs)
+    const outcome = this.#execute(execute, refused)
+    if (outcome !== undefined) return outcome
+    await clock.sleep(ORDER_TIMEOUT_MS)
+    return unanswered
+  }
+
+  /** Executes a request that arrives now, at once or late; returns undefined if it will not be answered. */
+  #execute<Outcome> (execute: () => Outcome, refused: Outcome): Outcome | undefined {
     if (this.fault === 'none') return execute()
     if (this.fault === 'refusing') return refused
     if (this.fault === 'deaf') execute()
-    if (this.fault === 'late') clock.schedule(this.lateMs, execute)
-    await clock.sleep(ORDER_TIMEOUT_MS)
-    return unanswered
+    if (this.fault === 'late') this.#options.clock.schedule(this.lateMs, execute)
+    return undefined
+  }
+
+  /** Resolves when the answer that is given now arrives, or the sender has given up; returns whether it has arrived. */
+  async #answer (limitMs: number): Promise<boolean> {
+    const { clock } = this.#options
+    const { answerMs } = this.transit
+    const waitMs = limitMs - clock.monotonicMs()
+    if (answerMs > 0) await clock.sleep(Math.min(answerMs, waitMs))
+    return answerMs <= waitMs
   }
 
   #start ({ task, attempt, leaseUntilTargetMs, fencingToken, ticket }: TaskOrder): StartOutcome {
@@ -143,15 +188,21 @@
 
   async #renew ({ fencingToken, acknowledged, leaseUntilTargetMs, waitMs }: RenewOrder): Promise<RenewOutcome> {
     const { clock } = this.#options
+    const limitMs = clock.monotonicMs() + waitMs + RENEWAL_MARGIN_MS
     const accepted = await this.#receive<boolean | undefined>(() => {
       if (fencingToken < this.#fence) return false
       this.#fence = fencingToken
       this.#acknowledge(acknowledged)
       if (leaseUntilTargetMs !== undefined) this.#extendLease(leaseUntilTargetMs)
       return true
-    }, undefined, undefined)
+    }, undefined, undefined, limitMs)
     if (accepted === undefined) return { outcome: 'failed', message: 'no answer' }
-    if (!accepted) return { outcome: 'fenced' }
+    const outcome: RenewOutcome = accepted ? await this.#waitForReport(waitMs) : { outcome: 'fenced' }
+    return outcome.outcome === 'failed' || await this.#answer(limitMs) ? outcome : { outcome: 'failed', message: 'no answer' }
+  }
+
+  async #waitForReport (waitMs: number): Promise<RenewOutcome> {
+    const { clock } = this.#options
     const untilMs = clock.monotonicMs() + waitMs
     const { bornMs } = this
     while (this.#finished.length === 0 && this.bornMs === bornMs && clock.monotonicMs() < untilMs) await clock.sleep(50)
