--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -3,8 +3,13 @@
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunEnd, StartOutcome, StopOrder, StopOutcome, TargetIncarnation, TaskOrder } from '../../ports/jobTarget.ts'
 import type { RecordedRun, RunRecorder } from './runRecorder.ts'
 
-const TRANSIT_MS = 3
+/** Transit time of a request, and of an answer, unless a test sets others. */
+const DEFAULT_TRANSIT: CallTransit = { requestMs: 3, answerMs: 0 }
 const ORDER_TIMEOUT_MS = 1_000
+/** Time limit of a renewal in addition to the time for which the target may delay its answer. */
+const RENEWAL_MARGIN_MS = 1_200
+/** Interval at which a delayed report looks for the end of a run. */
+const REPORT_CHECK_INTERVAL_MS = 50
 const STOP_MS = 120
 const MAX_LEASE_MS = 10_000
 
@@ -12,6 +17,12 @@
 export const TARGET_FAULTS = ['none', 'cut', 'deaf', 'late', 'refusing'] as const
 export type TargetFault = typeof TARGET_FAULTS[number]
 
+/** Applies to requests that are sent, and to answers that are given, from then on: later ones may overtake earlier ones. */
+export interface CallTransit {
+  readonly requestMs: number
+  readonly answerMs: number
+}
+
 export interface SimulatedTargetOptions {
   readonly id: string
   readonly clock: ManualClock
@@ -21,6 +32,8 @@
   readonly lateMs: number
   /** Records the runs of all targets. */
   readonly recorder: RunRecorder
+  /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
+  readonly ticketValidityMs?: (task: string) => number | undefined
 }
 
 interface Run { readonly task: string, readonly attempt: number, readonly record: RecordedRun, stopping: boolean }
@@ -31,6 +44,7 @@
   fault: TargetFault = 'none'
   /** Delay of orders that arrive during the fault `late`. */
   lateMs: number
+  transit: CallTransit = DEFAULT_TRANSIT
   listed = true
   /** Number of runs that were started, in all incarnations. */
   starts = 0
@@ -42,6 +56,8 @@
   /** On the clock of this incarnation. */
   #leaseUntilMs = 0
   #startedAtMs: number
+  /** Renewals that wait for a change. */
+  readonly #waiting = new Set<() => void>()
   /** Records of the finished runs, by number, whose acknowledgement would be final. */
   #acknowledgeable = new Map<number, RecordedRun>()
 
@@ -71,34 +87,81 @@
     this.#runs = new Map()
     this.#finished = []
     this.#endedAttempts = new Map()
+    this.#wake()
+  }
+
+  /**
+   * Issues a ticket for starts on the current incarnation.
+   *
+   * @example
+   * await client.start({ ...order, ticket: target.issueTicket() })
+   */
+  issueTicket (): string {
+    return `${this.bornMs}@${this.#clockMs}`
   }
 
   connect (_incarnation: TargetIncarnation): JobTargetClient {
     return {
-      start: async order => await this.#receive<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
-      stop: async order => await this.#receive<StopOutcome>(() => this.#stop(order), 'unknown', 'unknown'),
+      start: async order => await this.#call<StartOutcome>(() => this.#start(order), { outcome: 'unknown', message: 'no answer' }, { outcome: 'refused', refusal: 'unhealthy' }),
+      stop: async order => await this.#call<StopOutcome>(() => this.#stop(order), 'unknown', 'unknown'),
       renew: async order => await this.#renew(order),
       close: async () => {}
     }
   }
 
-  async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
+  endFaults (): void {
+    this.fault = 'none'
+    this.transit = DEFAULT_TRANSIT
+    this.listed = true
+  }
+
+  async #call<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome): Promise<Outcome> {
+    const limitMs = this.#options.clock.monotonicMs() + ORDER_TIMEOUT_MS
+    const outcome = await this.#receive(execute, unanswered, refused, limitMs)
+    return outcome === unanswered || await this.#answer(limitMs) ? outcome : unanswered
+  }
+
+  /** Returns the outcome when the target gives its answer, or `unanswered` once the sender has given up. */
+  async #receive<Outcome> (execute: () => Outcome, unanswered: Outcome, refused: Outcome, limitMs: number): Promise<Outcome> {
     const { clock } = this.#options
-    await clock.sleep(TRANSIT_MS)
+    const { requestMs } = this.transit
+    if (clock.monotonicMs() + requestMs >= limitMs) {
+      clock.schedule(requestMs, () => { this.#execute(execute, refused) })
+      await clock.sleep(limitMs - clock.monotonicMs())
+      return unanswered
+    }
+    await clock.sleep(requestMs)
+    const outcome = this.#execute(execute, refused)
+    if (outcome !== undefined) return outcome
+    await clock.sleep(ORDER_TIMEOUT_MS)
+    return unanswered
+  }
+
+  /** Executes a request that arrives now, at once or late; returns undefined if it will not be answered. */
+  #execute<Outcome> (execute: () => Outcome, refused: Outcome): Outcome | undefined {
     if (this.fault === 'none') return execute()
     if (this.fault === 'refusing') return refused
     if (this.fault === 'deaf') execute()
-    if (this.fault === 'late') clock.schedule(this.lateMs, execute)
-    await clock.sleep(ORDER_TIMEOUT_MS)
-    return unanswered
+    if (this.fault === 'late') this.#options.clock.schedule(this.lateMs, execute)
+    return undefined
   }
 
-  #start ({ task, attempt, leaseUntilTargetMs, fencingToken }: TaskOrder): StartOutcome {
+  /** Resolves when the answer that is given now arrives, or the sender has given up; returns whether it has arrived. */
+  async #answer (limitMs: number): Promise<boolean> {
+    const { clock } = this.#options
+    const { answerMs } = this.transit
+    const waitMs = limitMs - clock.monotonicMs()
+    if (answerMs > 0) await clock.sleep(Math.min(answerMs, waitMs))
+    return answerMs <= waitMs
+  }
+
+  #start ({ task, attempt, leaseUntilTargetMs, fencingToken, ticket }: TaskOrder): StartOutcome {
     const { id, clock, workMs, endOf, recorder } = this.#options
     const clockMs = this.#clockMs
     if (fencingToken < this.#fence) return { outcome: 'refused', refusal: 'fenced' }
     this.#fence = fencingToken
     if (leaseUntilTargetMs < clockMs) return { outcome: 'refused', refusal: 'too-late' }
+    if (!this.#acceptsTicket(task, ticket)) return { outcome: 'refused', refusal: 'ticket' }
     this.#extendLease(leaseUntilTargetMs)
     if (this.#runs.get(task)?.attempt === attempt) return { outcome: 'started', clockMs }
     if (attempt <= (this.#endedAttempts.get(task) ?? 0) || this.#runs.has(task)) return { outcome: 'refused', refusal: 'superseded' }
@@ -110,6 +173,13 @@
     return { outcome: 'started', clockMs }
   }
 
+  #acceptsTicket (task: string, ticket: string | undefined): boolean {
+    const validityMs = this.#options.ticketValidityMs?.(task)
+    if (validityMs === undefined) return true
+    const [bornMs, issuedMs] = (ticket ?? '').split('@').map(Number)
+    return bornMs === this.bornMs && issuedMs !== undefined && this.#clockMs <= issuedMs + validityMs
+  }
+
   #stop ({ task, attempt, fencingToken }: StopOrder): StopOutcome {
     if (fencingToken < this.#fence) return 'fenced'
     this.#fence = fencingToken
@@ -123,23 +193,49 @@
 
   async #renew ({ fencingToken, acknowledged, leaseUntilTargetMs, waitMs }: RenewOrder): Promise<RenewOutcome> {
     const { clock } = this.#options
+    const limitMs = clock.monotonicMs() + waitMs + RENEWAL_MARGIN_MS
     const accepted = await this.#receive<boolean | undefined>(() => {
       if (fencingToken < this.#fence) return false
       this.#fence = fencingToken
       this.#acknowledge(acknowledged)
       if (leaseUntilTargetMs !== undefined) this.#extendLease(leaseUntilTargetMs)
       return true
-    }, undefined, undefined)
+    }, undefined, undefined, limitMs)
     if (accepted === undefined) return { outcome: 'failed', message: 'no answer' }
-    if (!accepted) return { outcome: 'fenced' }
+    const outcome: RenewOutcome = accepted ? await this.#waitForReport(waitMs) : { outcome: 'fenced' }
+    return outcome.outcome === 'failed' || await this.#answer(limitMs) ? outcome : { outcome: 'failed', message: 'no answer' }
+  }
+
+  async #waitForReport (waitMs: number): Promise<RenewOutcome> {
+    const { clock } = this.#options
     const untilMs = clock.monotonicMs() + waitMs
     const { bornMs } = this
-    while (this.#finished.length === 0 && this.bornMs === bornMs && clock.monotonicMs() < untilMs) await clock.sleep(50)
+    while (this.#finished.length === 0 && this.bornMs === bornMs && clock.monotonicMs() < untilMs) await this.#waitForChange(untilMs)
     if (this.fault !== 'none' || this.bornMs !== bornMs) return { outcome: 'failed', message: 'no answer' }
     const running = [...this.#runs.values()].map(({ task, attempt }) => ({ task, attempt, checkpoint: '', percent: 0 }))
     return { outcome: 'report', report: { bornMs: this.bornMs, clockMs: this.#clockMs, running, finished: this.#finished.slice(0, 500), mayOmitFinished: this.#finished.length >= 500 } }
   }
 
+  /** Resolves at the next check after a run has ended or the target has restarted, or at the given time. */
+  async #waitForChange (untilMs: number): Promise<void> {
+    const { clock } = this.#options
+    const sinceMs = clock.monotonicMs()
+    await new Promise<void>(resolve => {
+      const wake = (): void => {
+        cancel()
+        this.#waiting.delete(wake)
+        const elapsedMs = clock.monotonicMs() - sinceMs
+        clock.schedule(Math.ceil(elapsedMs / REPORT_CHECK_INTERVAL_MS) * REPORT_CHECK_INTERVAL_MS - elapsedMs, resolve)
+      }
+      const cancel = clock.schedule(untilMs - sinceMs, wake)
+      this.#waiting.add(wake)
+    })
+  }
+
+  #wake (): void {
+    for (const wake of [...this.#waiting]) wake()
+  }
+
   #acknowledge (acknowledged: number): void {
     this.#finished = this.#finished.filter(({ number }) => number > acknowledged)
     for (const [number, record] of this.#acknowledgeable) {
@@ -173,5 +269,6 @@
     this.#options.recorder.end(record, end)
     this.#acknowledgeable.set(this.#nextNumber, record)
     this.#finished.push({ number: this.#nextNumber++, task, attempt, end, checkpoint: '' })
+    this.#wake()
   }
 }
