Do not send a call whose timeout has passed while it waited for a connection

Cause: the timeout of a call was enforced by its timer only. After a pause of the process, Node.js handles sockets that have become ready (a connection that was established, an answer that frees a connection, the check of an idle connection) before timers that are due, so that the call was written after any pause, although its timeout had passed. A relay that was paused between its check of validUntil and the write thus sent a start long after the coordinator had given it up.

Change: HttpClient compares both clocks with the timeout immediately before undici writes the request, and rejects the call with NotSentError.

--- a/src/adapters/clock/manualClock.ts
+++ b/src/adapters/clock/manualClock.ts
@@ -34,6 +34,11 @@
     this.#wallOffset += durationMs
   }
 
+  /** Advances both clocks without firing timers, as they appear to a process that was paused. */
+  pause (durationMs: number): void {
+    this.#now += durationMs
+  }
+
   sleep (durationMs: number, signal?: AbortSignal): Promise<void> {
     return new Promise((resolve, reject) => {
       if (signal?.aborted) return reject(signal.reason)
@@ -70,7 +75,7 @@
       next.fire()
       await this.settle()
     }
-    this.#now = end
+    this.#now = Math.max(this.#now, end)
   }
 
   /** Runs pending promise callbacks without advancing the time. */
--- a/src/adapters/http/httpClient.ts
+++ b/src/adapters/http/httpClient.ts
@@ -124,6 +124,7 @@
   /** Buffers the response without a stream, which small responses do not need. */
   #callBuffered (options: CallOptions): Promise<BufferedResponse> {
     const { timeoutMs, signal } = options
+    const { clock } = this.#options
     let pool: Pool
     try {
       pool = this.#open().pool
@@ -132,7 +133,12 @@
     }
     return new Promise((resolve, reject) => {
       const handler = new BufferedResponseHandler(resolve, (sent, cause) => reject(createCallError(options, sent, cause)))
-      if (timeoutMs !== undefined) handler.addCleanup(this.#options.clock.schedule(timeoutMs, () => handler.abort(new BaseError(`no answer within ${timeoutMs} ms`))))
+      if (timeoutMs !== undefined) {
+        const abort = (): void => handler.abort(new BaseError(`no answer within ${timeoutMs} ms`))
+        const hasPassed = startMeasurement(clock)
+        handler.addCleanup(clock.schedule(timeoutMs, abort))
+        handler.beforeSending(() => { if (hasPassed(timeoutMs)) abort() })
+      }
       if (signal !== undefined) handler.abortOn(signal)
       pool.dispatch(encodeRequest(options), handler)
     })
@@ -173,6 +179,16 @@
   readonly text: string
 }
 
+/**
+ * Returns a function that tells whether a duration has passed since now on either clock: a suspended machine stops the
+ * monotonic one.
+ */
+function startMeasurement (clock: TimerClock): (durationMs: number) => boolean {
+  const startedMonotonicMs = clock.monotonicMs()
+  const startedWallMs = clock.wallMs()
+  return durationMs => Math.max(clock.monotonicMs() - startedMonotonicMs, clock.wallMs() - startedWallMs) >= durationMs
+}
+
 function encodeRequest ({ method, path, body, headers }: CallOptions): Dispatcher.DispatchOptions {
   if (body === undefined) return { method, path, headers }
   return { method, path, body: JSON.stringify(body), headers: { 'content-type': 'application/json', ...headers } }
@@ -193,6 +209,7 @@
   #sent = false
   #aborted: Error | undefined
   #cleanups: (() => void)[] = []
+  #beforeSending: (() => void) | undefined
 
   constructor (resolve: (answer: BufferedResponse) => void, reject: (sent: boolean, cause: unknown) => void) {
     this.#resolve = resolve
@@ -204,6 +221,14 @@
     this.#cleanups.push(cancel)
   }
 
+  /**
+   * Sets a function that runs immediately before the request is written, and may abort it. After a pause of the process,
+   * Node.js handles connections that have become ready before timers that are due.
+   */
+  beforeSending (check: () => void): void {
+    this.#beforeSending = check
+  }
+
   abortOn (signal: AbortSignal): void {
     const onAbort = (): void => this.abort(signal.reason instanceof Error ? signal.reason : new BaseError('the call was aborted'))
     if (signal.aborted) return onAbort()
@@ -221,6 +246,7 @@
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this.#controller = controller
+    this.#beforeSending?.()
     if (this.#aborted !== undefined) controller.abort(this.#aborted)
     else this.#sent = true
   }
