Compute the validity of a batch before the authority to send it is checked

Cause: RelayLink checked the authority of the coordinator and computed validUntil afterwards. A coordinator that was paused between the two sent orders that were valid for 0.7 s after the pause, whatever had become of its term.

Change: validUntil is computed first, so that a pause shortens the validity.

--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -135,3 +135,13 @@
   await harness.clock.advance(40)
   t.like(later.result, { type: 'start' }, 'authority that is regained is used')
 })
+
+// Guards against orders that are valid on the relay after the term of a coordinator that was paused before it sent them.
+test('a coordinator that was paused after the check of its authority sends orders that have expired', async t => {
+  const harness = await RelayHarness.open()
+  const start = submitStart(harness, 'paused')
+  harness.pauseAfterCheckMs = 750
+  await harness.clock.advance(900)
+  t.deepEqual(harness.target.orders, [])
+  t.like(start.result, { type: 'not-sent', reason: 'the order has expired' })
+})
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -81,7 +81,7 @@
   }
 
   open (): void {
-    this.#exchange([])
+    this.#exchange([], undefined)
   }
 
   /** Resolves with the result of the order at its target; never rejects. `maySend` is asked again when a queued order is sent. */
@@ -118,11 +118,13 @@
 
   /** Sends what is queued; without orders, an exchange is kept open for the outcomes of earlier ones. */
   #flush (): void {
+    // Computed before the authority is checked, so that a pause between the two shortens the validity.
+    const validUntil = this.#validUntil()
     if (!this.#options.hasAuthority()) this.#rejectQueued()
     const batch = this.#takeBatch()
     if (batch.length === 0 && this.#exchangesInFlight > 0) return
     for (const outstanding of batch) this.#sent.set(outstanding.order.number, outstanding)
-    this.#exchange(batch.map(({ order }) => order))
+    this.#exchange(batch.map(({ order }) => order), validUntil)
     if (this.#queued.length > 0) this.#scheduleFlush()
   }
 
@@ -145,12 +147,12 @@
     for (const { settle } of this.#queued.splice(0)) settle({ type: 'not-sent', reason: 'the coordinator has no authority any more' })
   }
 
-  #exchange (orders: readonly NumberedOrder[]): void {
+  #exchange (orders: readonly NumberedOrder[], validUntil: RelayTime | undefined): void {
     const { fence, channel, exchange } = this.#options
-    const opening = this.#offset === undefined
+    const opening = validUntil === undefined
     this.#exchangesInFlight += 1
     this.#lastSentAtMs = this.#nowMs
-    exchange({ fence, channel, orders, waitMs: opening ? 0 : POLL_MS, ...(opening ? {} : { validUntil: this.#validUntil() }) }).then(answer => {
+    exchange({ fence, channel, orders, waitMs: opening ? 0 : POLL_MS, ...(opening ? {} : { validUntil }) }).then(answer => {
       this.#exchangesInFlight -= 1
       this.#handleAnswer(answer)
     }, error => {
--- a/src/relay/testing/relayHarness.ts
+++ b/src/relay/testing/relayHarness.ts
@@ -62,12 +62,14 @@
   duplicates = false
   superseded = 0
   hasAuthority = true
+  /** Pause of the coordinator after the next check of its authority. */
+  pauseAfterCheckMs = 0
 
   constructor () {
     const { clock } = this
     this.relay = new TargetRelay({ clock, logger, connect: () => this.target, latestFence: () => this.latestFence })
     this.link = new RelayLink({
-      relay: 'entry-2', fence: FENCE, channel: 'entry-1/7/1', intervalMs: () => 12, clock, logger, exchange: async batch => await this.#deliver(batch), onSuperseded: () => { this.superseded += 1 }, hasAuthority: () => this.hasAuthority
+      relay: 'entry-2', fence: FENCE, channel: 'entry-1/7/1', intervalMs: () => 12, clock, logger, exchange: async batch => await this.#deliver(batch), onSuperseded: () => { this.superseded += 1 }, hasAuthority: () => this.#checkAuthority()
     })
   }
 
@@ -78,6 +80,13 @@
     return harness
   }
 
+  #checkAuthority (): boolean {
+    const { hasAuthority, pauseAfterCheckMs } = this
+    this.pauseAfterCheckMs = 0
+    this.clock.pause(pauseAfterCheckMs)
+    return hasAuthority
+  }
+
   async #deliver (batch: RelayBatch): Promise<RelayAnswer> {
     this.batches.push(batch)
     return await Promise.race([this.#carry(batch), this.#timeOut(batch.waitMs + EXCHANGE_MARGIN_MS)])
