Test how long after it was given up an order can reach its target through a relay

Guards against a longer time than the coordinator allows for, and against a start that is reported as not sent and then arrives. Both pass on the present code: a batch that arrives 690 ms after it was sent is executed, one that arrives after 710 ms is not.

--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -3,6 +3,8 @@
 import type { RelayResult } from './relayMessages.ts'
 
 const OTHER_TARGETS = 40
+/** The first order after the link was opened is sent after this time. */
+const BATCH_WAIT_MS = 5
 
 /** Submits a start, and returns its result once it is known. */
 function submitStart ({ link }: RelayHarness, task: string): { result?: RelayResult } {
@@ -145,3 +147,31 @@
   t.deepEqual(harness.target.orders, [])
   t.like(start.result, { type: 'not-sent', reason: 'the order has expired' })
 })
+
+// Guards against a longer time in relays than the coordinator allows for when it decides that a call can not be executed any more.
+test('an order that was given up when its batch had just been sent reaches its target within 0.7 s or not at all', async t => {
+  for (const [delayMs, orders] of [[690, ['start given-up#1 text']], [710, []]] as const) {
+    const harness = await RelayHarness.open()
+    harness.delayMs = delayMs
+    const start = submitStart(harness, 'given-up')
+    await harness.clock.advance(BATCH_WAIT_MS)
+    harness.link.close()
+    await harness.clock.advance(0)
+    t.is(start.result?.type, 'unanswered')
+    await harness.clock.advance(60_000)
+    t.deepEqual(harness.target.orders, orders, `after ${delayMs} ms`)
+  }
+})
+
+// Guards against a start that is taken for refused, and then arrives.
+test('an order that was reported as not sent when the link ended, while it waited for its batch, does not reach its target', async t => {
+  const harness = await RelayHarness.open()
+  submitStart(harness, 'sent')
+  await harness.clock.advance(BATCH_WAIT_MS)
+  const queued = submitStart(harness, 'queued')
+  harness.link.close()
+  await harness.clock.advance(0)
+  t.like(queued.result, { type: 'not-sent' })
+  await harness.clock.advance(60_000)
+  t.deepEqual(harness.target.orders, ['start sent#1 text'])
+})
