--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -6,6 +6,7 @@
 import { resources } from '../../model/resources.ts'
 import { JobMetrics } from '../../observability/jobMetrics.ts'
 import { createLogger } from '../../observability/logger.ts'
+import type { JobTargetConnector, PlacedTargetConnector } from '../../ports/jobTarget.ts'
 import { AdviceLanes } from '../advice/adviceLanes.ts'
 import { DesiredStateWatcher } from '../desiredStateWatcher.ts'
 import { COORDINATOR_KEY } from '../log/election.ts'
@@ -29,6 +30,13 @@
 const DESIRED_KEY = 'operator/desired'
 const EVACUATION_PREFIX = 'operator/evacuate/'
 
+export interface SimulatedTerm {
+  readonly fence: number
+  readonly clock: ManualClock
+  /** Whether the coordinator of this term may send requests now. */
+  readonly hasAuthority: () => boolean
+}
+
 export interface SimulatedClusterOptions {
   readonly targets: number
   /** Processors that the team may use. */
@@ -45,6 +53,8 @@
   readonly rackOf?: (number: number) => string
   /** Factor by which runs are expected to take longer away from their data. */
   readonly remoteFactor?: number
+  /** Wraps the connector of the targets in each term, for example to send requests through relays; direct by default. */
+  readonly wrapConnector?: (connect: JobTargetConnector, term: SimulatedTerm) => PlacedTargetConnector
 }
 
 /** A store whose calls take time, and whose watches end without a change unless `wake` is called. */
@@ -133,6 +143,8 @@
     const lanes = new AdviceLanes(clock)
     lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: 'ticket' }))) }, weight: 1 }])
     let hasAuthority = true
+    const mayAct = (): boolean => hasAuthority && this.#coordinator === coordinator
+    const connect: JobTargetConnector = (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation)
     const coordinator: JobCoordinator = new JobCoordinator({
       store: this.store,
       clock,
@@ -140,13 +152,13 @@
       metrics: this.metrics,
       admitsByExpectedEnd: true,
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
-      connect: (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation),
+      connect: this.#options.wrapConnector?.(connect, { fence, clock, hasAuthority: mayAct }) ?? connect,
       prepareConnections: async () => {},
       directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#options.dataCentreOf?.(number) ?? '', capacity: CAPACITY, labels: this.#options.rackOf === undefined ? [] : ['a', this.#options.rackOf(number)], draining: false }] : []) },
       desired,
       ...(this.#options.remoteFactor === undefined ? {} : { remoteFactor: this.#options.remoteFactor }),
       lanes,
-      hasAuthority: () => hasAuthority && this.#coordinator === coordinator,
+      hasAuthority: mayAct,
       storeFails: () => false,
       confirmLeadership: async () => true,
       resign: () => { hasAuthority = false },
