Do not send orders that have waited for their batch for more than a second

Cause: the time in the queue of a RelayLink was not bounded. With six exchanges in flight, or after a pause of the process, an order was sent whatever its age, was reported as unanswered with the next answer, and reached its target afterwards. Leases on a target count as extended at the time of submission, so that they could be extended later than assumed.

Change: an order that has waited for more than 1 s is settled as not sent. It leaves a relay at most 1.7 s after it was submitted, which is also when an order without an outcome is reported as unanswered.

--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -175,3 +175,25 @@
   await harness.clock.advance(60_000)
   t.deepEqual(harness.target.orders, ['start sent#1 text'])
 })
+
+// Guards against an order that is decided on by what was known seconds ago, and whose lease is extended later than the coordinator allows for.
+test('an order that waited for its batch for more than a second, on a relay that falls behind or in a paused process, is not sent', async t => {
+  const harness = await RelayHarness.open()
+  const paused = submitStart(harness, 'paused')
+  harness.clock.pause(1_500)
+  await harness.clock.advance(1_000)
+  t.deepEqual(paused.result, { type: 'not-sent', reason: 'the order waited too long' })
+  t.deepEqual(harness.target.orders, [])
+  const slow = await RelayHarness.open()
+  slow.delayMs = 600
+  const submittedMs = slow.clock.monotonicMs()
+  const starts = Array.from({ length: 4_000 }, (_, number) => submitStart(slow, `task-${number}`))
+  const arrivals: number[] = []
+  for (let waitedMs = 0; waitedMs < 6_000; waitedMs += 50) {
+    await slow.clock.advance(50)
+    if (slow.target.orders.length > arrivals.length) arrivals.push(...Array.from({ length: slow.target.orders.length - arrivals.length }, () => slow.clock.monotonicMs() - submittedMs))
+  }
+  t.true(arrivals.length > 0 && Math.max(...arrivals) <= 1_750, `${arrivals.length} orders, the last after ${Math.max(...arrivals)} ms`)
+  const notSent = starts.filter(({ result }) => result?.type === 'not-sent').length
+  t.is(notSent + arrivals.length, starts.length)
+})
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -11,6 +11,11 @@
 const MAX_EXCHANGES_IN_FLIGHT = 6
 /** Orders may be sent to targets until this long after they left the coordinator, on the relay's clocks. */
 const ORDER_VALIDITY_MS = 700
+/**
+ * Orders that have waited for their batch for longer are not sent; as long as an exchange may take. Together with the
+ * validity, it bounds the time after which an order can be sent to its target, also if this process was paused.
+ */
+const MAX_QUEUED_MS = 1_000
 /** Added to the time for which a target may wait; longer than the time limits of calls to targets, and than two exchanges. */
 const OUTCOME_TIMEOUT_MS = 1_700
 
@@ -130,12 +135,14 @@
 
   /** Takes queued orders for the next exchange, and settles those that may not be sent any more. */
   #takeBatch (): readonly OutstandingOrder[] {
+    const nowMs = this.#nowMs
     const batch: OutstandingOrder[] = []
     let taken = 0
     for (const outstanding of this.#queued) {
       if (batch.length >= MAX_BATCH_SIZE) break
       taken += 1
-      if (outstanding.maySend()) batch.push(outstanding)
+      if (nowMs - outstanding.submittedAtMs > MAX_QUEUED_MS) outstanding.settle({ type: 'not-sent', reason: 'the order waited too long' })
+      else if (outstanding.maySend()) batch.push(outstanding)
       else outstanding.settle({ type: 'not-sent', reason: 'the order was taken back' })
     }
     this.#queued.splice(0, taken)
