Count a lease from before the authority to extend it is checked

Cause: TargetLease.extend checked the authority of the coordinator and read the clock afterwards. A coordinator that was paused between the two gave a lease that lasted for the length of the pause longer than its successor counts on.

The new test failed before (a lease until 10,500 ms instead of 9,500 ms after a pause of 1 s) and passes.

--- a/src/coordinator/targets/targetLease.ts
+++ b/src/coordinator/targets/targetLease.ts
@@ -40,8 +40,9 @@
   extend (): number | undefined {
     const { clock, leaseMs, hasAuthority, isReplaced } = this.#options
     const { clockOffsetMs, mayHaveRestarted } = this.#contact
-    if (clockOffsetMs === undefined || mayHaveRestarted || !hasAuthority()) return undefined
+    // Read before the authority is checked, so that a pause between the two shortens the lease.
     const nowMs = clock.monotonicMs()
+    if (clockOffsetMs === undefined || mayHaveRestarted || !hasAuthority()) return undefined
     // The next incarnation would take the time of the earlier one's clock for a time of its own.
     const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
     if (this.#contact.reportAgeMs(nowMs) > maximumSilenceMs) return undefined
