Move the timing of renewals out of TargetSession

RenewalTiming decides when the next renewal is sent and how long the target may delay its answer. Ends that the first report of the next incarnation lists are handled at once again, not only after the crash has been counted.

--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -83,7 +83,9 @@
     const { assignments, isClosed, handleEnd, reportLost, reportEnded } = this.#options
     const ends = new Map(report?.finished.map(run => [runKey(run.task, run.attempt), run]))
     const releases = [...assignments.values()].map(async assignment => {
-      const [end] = await Promise.all([ends.get(assignment.key) ?? this.#withdrawUnlessRunHere(assignment), crashReported])
+      const known = ends.get(assignment.key)
+      if (known !== undefined) return await handleEnd(known)
+      const [end] = await Promise.all([this.#withdrawUnlessRunHere(assignment), crashReported])
       if (isClosed()) return
       if (end !== undefined) await handleEnd(end)
       // A start that could not be repeated has released its run meanwhile.
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -13,6 +13,7 @@
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { IncarnationEnd } from './incarnationEnd.ts'
 import { OverdueAnswers } from './overdueAnswers.ts'
+import { RenewalTiming, SHORT_RENEW_WAIT_MS } from './renewalTiming.ts'
 import { RunEndNumbers } from './runEndNumbers.ts'
 import { RunRequests } from './runRequests.ts'
 import type { StartsInTransit } from './startsInTransit.ts'
@@ -25,13 +26,7 @@
 import { TargetOffer } from './targetOffer.ts'
 import type { TargetListing } from './targetOffer.ts'
 
-/** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
-const RENEW_WAIT_MS = 1_000
-/** Used while run ends are being stored, or while starts and stops are unconfirmed. */
-const SHORT_RENEW_WAIT_MS = 100
 const RETRY_DELAY_MS = 150
-/** About as long as a start and its answer take within a data centre. */
-const STARTS_POLL_MS = 10
 /** Minimum interval between reports with finished runs, so that a burst of short tasks costs few reports. */
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
@@ -64,6 +59,7 @@
   readonly #starts: StartsInTransit
   readonly #answers: OverdueAnswers
   readonly #runs: AssignedRuns
+  readonly #timing: RenewalTiming
   readonly #requests: RunRequests
   readonly #end: IncarnationEnd
 
@@ -83,6 +79,7 @@
       runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
       unexpectedRun: run => this.#stopUnexpectedRun(run)
     })
+    this.#timing = new RenewalTiming({ clock: options.clock, ends: this.#ends, starts: this.#starts, capacity: this.capacity, assignments: this.#runs.byKey })
     this.#requests = this.#createRequests()
     this.#end = this.#createEnd()
   }
@@ -234,7 +231,7 @@
         continue
       }
       try {
-        if (this.#ends.owesAcknowledgement) await this.#awaitStarts()
+        await this.#timing.untilDue()
         await this.#renew(this.#renewWaitMs())
       } catch (error) {
         // The leases of all runs on the target would lapse if the session ended here.
@@ -257,25 +254,8 @@
     this.#closed = true
   }
 
-  /** Waits for a short time until no start is in transit, since an acknowledgement could not be sent before. */
-  async #awaitStarts (): Promise<void> {
-    const { clock } = this.#options
-    const untilMs = clock.monotonicMs() + SHORT_RENEW_WAIT_MS
-    while (this.#starts.any && clock.monotonicMs() < untilMs) await clock.sleep(STARTS_POLL_MS)
-  }
-
   #renewWaitMs (): number {
-    if (!this.#joined || this.#contact.unansweredSinceMs !== undefined) return 0
-    if (this.#ends.hasPendingStores || this.capacity.hasUnexpectedRuns) return SHORT_RENEW_WAIT_MS
-    const nowMs = this.#options.clock.monotonicMs()
-    let waitMs = RENEW_WAIT_MS
-    for (const assignment of this.assignments.values()) {
-      const { state } = assignment
-      if (state === 'unconfirmed') return SHORT_RENEW_WAIT_MS
-      // A report is evidence that the run is missing from when its start can not be executed any more.
-      if (state === 'stopping' || state === 'recovering') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, this.#starts.latestExecutionMs(assignment) - nowMs + 1))
-    }
-    return waitMs
+    return !this.#joined || this.#contact.unansweredSinceMs !== undefined ? 0 : this.#timing.waitMs()
   }
 
   async #renew (waitMs: number): Promise<void> {
