--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -75,9 +75,13 @@
 
   /** Whether any start to the target may still be executed. */
   get any (): boolean {
-    const nowMs = this.#clock.monotonicMs()
+    return this.mayBeExecutedSince(this.#clock.monotonicMs())
+  }
+
+  /** Whether a start to the target may have been executed at the given time or later, by an incarnation that is not known. */
+  mayBeExecutedSince (timeMs: number): boolean {
     for (const { latestExecutionMs } of this.#starts.values()) {
-      if (latestExecutionMs >= nowMs) return true
+      if (latestExecutionMs >= timeMs) return true
     }
     return false
   }
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -27,6 +27,7 @@
   readonly #clock: Clock
   #clockOffsetMs: number | undefined
   #lastReportMs = -Infinity
+  #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
   #mayHaveRestarted = false
   /** When an answer came that another incarnation may have given; undefined once a later request was answered by this one. */
@@ -43,6 +44,11 @@
     return this.#clockOffsetMs
   }
 
+  /** When the last report was requested; it may arrive much later than it was given. */
+  get lastReportRequestedMs (): number {
+    return this.#lastReportRequestedMs
+  }
+
   /** Time of the last answer, also to a start request, or of the beginning of the session. */
   get lastAnswerMs (): number {
     return this.#lastAnswerMs
@@ -81,6 +87,7 @@
   recordReport (clockMs: number, requestedMs: number, nowMs: number): void {
     if (this.#doubtedAtMs !== undefined && requestedMs >= this.#doubtedAtMs) this.#doubtedAtMs = undefined
     this.#lastReportMs = this.#lastAnswerMs = nowMs
+    this.#lastReportRequestedMs = requestedMs
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -899,3 +899,47 @@
   t.true(session.usable)
   t.is(client.renewals[answered]?.waitMs, 0, 'its answer does not wait for a run to end')
 })
+
+// Guards against a task that is started again after its run was done: an earlier session's start was executed by an incarnation
+// later than the one whose report, delivered late, let its session acknowledge an end, which discards that of the run unread.
+test('no end is acknowledged on a report that was requested before another session\'s start was executed', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  const { session: first } = createSession(-Infinity, context)
+  await clock.advance(500)
+  const assignment = createAssignment()
+  first.reserve(assignment)
+  let execute: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { execute = resolve })
+  const started = first.start(assignment, NO_TICKET_NEEDED)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  let reportDelayMs = 0
+  const { session: second } = createSession(-Infinity, context, 2, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => {
+      const outcome = await target.renew(order)
+      await clock.sleep(reportDelayMs)
+      return outcome
+    },
+    close: async () => {}
+  }))
+  await clock.advance(60)
+  first.endReplaced()
+  await clock.advance(1_000)
+  t.true(second.joined)
+  // A report that the second incarnation gave arrives after the third has executed the start.
+  reportDelayMs = 1_000
+  client.bornMs = 3
+  client.finished = []
+  client.renewals.length = 0
+  execute()
+  await started
+  await clock.advance(40)
+  client.finished = [finishedRun(1, assignment.task.name)]
+  await clock.advance(5_000)
+  t.deepEqual(client.renewals.filter(({ acknowledged }) => acknowledged > 0), [])
+  t.true(listener.events.includes(`${assignment.task.name} done`))
+  t.false(listener.events.some(event => event.startsWith(`${assignment.task.name} lost`)))
+})
