Tell the clock of the next incarnation apart after a delayed report

Cause: a start counted as executed by the incarnation whose clock its answer could have come from, if that had been up for 3 s. But a report may arrive 2.7 s after it was given and a start may be executed 1.7 s after it was sent (2.2 s and 1 s without a relay), so that a target which restarted right after its report could show such a clock. The run would be released with the earlier incarnation while it continued.

Change: the incarnation must have been up for 5 s.

--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -10,8 +10,11 @@
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/** A target that has been up for longer can not have restarted and show a clock that it could have without: requests are given up sooner. */
-const MIN_DISTINCT_CLOCK_MS = 3_000
+/**
+ * A target that has been up for longer can not have restarted and show a clock that it could have without: a report arrives at
+ * most 2.7 s after it was given (a renewal that waits 1 s, through a relay), and a start is answered at most 1.7 s after it was sent.
+ */
+const MIN_DISTINCT_CLOCK_MS = 5_000
 /** Clocks of targets run up to 2% slow; half as much again is added as a margin. */
 const MIN_CLOCK_RATE = 0.97
 
