--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -10,8 +10,11 @@
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/** A target that has been up for longer can not have restarted and show a clock that it could have without: requests are given up sooner. */
-const MIN_DISTINCT_CLOCK_MS = 3_000
+/**
+ * A target that has been up for longer can not have restarted and show a clock that it could have without: a report arrives at
+ * most 2.7 s after it was given (a renewal that waits 1 s, through a relay), and a start is answered at most 1.7 s after it was sent.
+ */
+const MIN_DISTINCT_CLOCK_MS = 5_000
 /** Clocks of targets run up to 2% slow; half as much again is added as a margin. */
 const MIN_CLOCK_RATE = 0.97
 
@@ -27,6 +30,7 @@
   readonly #clock: Clock
   #clockOffsetMs: number | undefined
   #lastReportMs = -Infinity
+  #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
   #mayHaveRestarted = false
   /** When an answer came that another incarnation may have given; undefined once a later request was answered by this one. */
@@ -43,6 +47,11 @@
     return this.#clockOffsetMs
   }
 
+  /** When the last report was requested; it may arrive much later than it was given. */
+  get lastReportRequestedMs (): number {
+    return this.#lastReportRequestedMs
+  }
+
   /** Time of the last answer, also to a start request, or of the beginning of the session. */
   get lastAnswerMs (): number {
     return this.#lastAnswerMs
@@ -81,6 +90,7 @@
   recordReport (clockMs: number, requestedMs: number, nowMs: number): void {
     if (this.#doubtedAtMs !== undefined && requestedMs >= this.#doubtedAtMs) this.#doubtedAtMs = undefined
     this.#lastReportMs = this.#lastAnswerMs = nowMs
+    this.#lastReportRequestedMs = requestedMs
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
