Take a recovered start for one without a ticket if its queue had no advisor

Cause: a successor took the bound of recovered starts from the present settings of their queue. A start that was sent while the queue had no advisor carries no ticket, and may be executed long after one ticket validity.

Change: the bound is that of a ticket only if the queue had an advisor when the job was accepted as well, with the longer of the two validities.

An advisor that is removed and added again between two elections is not covered: the log does not say which starts had a ticket.

--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -218,12 +218,14 @@
     session.recover(assignment, this.#latestExecutionOfRecoveredMs(step))
   }
 
-  /** Latest time at which a start that an earlier coordinator sent may be executed; its ticket was issued before the term. */
+  /**
+   * Latest time at which a start that an earlier coordinator sent may be executed. Its ticket was issued before the term; it
+   * has none if the queue had no advisor when the job was accepted, or has none now.
+   */
   #latestExecutionOfRecoveredMs ({ job }: StepProgress): number {
     const { termStartedAtMs, desiredState } = this.#options
-    const { advice } = desiredState().queue(job.queue.name) ?? job.queue
-    if (advice !== undefined) return latestTicketUseMs(termStartedAtMs, advice.ticketValidityMs)
-    return latestExecutionMs(termStartedAtMs + AUTHORITY_GRACE_MS)
+    const validities = [job.queue, desiredState().queue(job.queue.name) ?? job.queue].map(({ advice }) => advice?.ticketValidityMs ?? Infinity)
+    return Math.min(latestTicketUseMs(termStartedAtMs, Math.max(...validities)), latestExecutionMs(termStartedAtMs + AUTHORITY_GRACE_MS))
   }
 
   /** Subtracts a run from its team's usage. */
