Let the targets of the reservation tests have been up for a minute

"a large job starts within 5 seconds beside too many narrow jobs ..." failed since a target has to be up for 5 s, and not 3 s, until answers to starts show its incarnation. Not caused by the reservations: acknowledgements come a report later in the first seconds of the simulation, which changes which target gets a run of the tail (7 times as long), and one such run delays a large job beyond the bound.

--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -30,6 +30,8 @@
   readonly workMs: (task: string) => number
   readonly endOf: (task: string, attempt: number) => RunEnd
   readonly lateMs: number
+  /** How long the first incarnation has been up at the beginning, in milliseconds; 0 by default. */
+  readonly uptimeMs?: number
   /** Records the runs of all targets. */
   readonly recorder: RunRecorder
   /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
@@ -64,7 +66,7 @@
   constructor (options: SimulatedTargetOptions) {
     this.#options = options
     this.lateMs = options.lateMs
-    this.#startedAtMs = options.clock.monotonicMs()
+    this.#startedAtMs = options.clock.monotonicMs() - (options.uptimeMs ?? 0)
   }
 
   get #clockMs (): number {
