Drop the doubt about answers to starts, which the bound of the start covers

Since an acknowledgement needs a report that was requested after the latest time at which any start may have been executed, an answer of unknown origin blocks it already, in all sessions of the target.

--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -119,7 +119,7 @@
     if (contact.isAnswerOfIncarnation(result.clockMs, sentMs)) assignment.isRunHere = true
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
-    contact.recordStarted(assignment.isRunHere)
+    contact.recordStarted()
     this.#compareClock(result.clockMs)
   }
 
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -33,8 +33,6 @@
   #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
   #mayHaveRestarted = false
-  /** When an answer came that another incarnation may have given; undefined once a later request was answered by this one. */
-  #doubtedAtMs: number | undefined
   #unansweredSinceMs: number | undefined
 
   constructor (clock: Clock) {
@@ -79,7 +77,7 @@
   /** Whether a request that is sent now certainly reaches this incarnation, and not the next one. */
   get isIncarnationCertain (): boolean {
     const reportAgeMs = this.reportAgeMs(this.#clock.monotonicMs())
-    return this.#isUndoubted && this.#doubtedAtMs === undefined && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
+    return this.#isUndoubted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
   }
 
   get #isUndoubted (): boolean {
@@ -88,7 +86,6 @@
 
   /** Records a report of this incarnation that was requested at the given time. */
   recordReport (clockMs: number, requestedMs: number, nowMs: number): void {
-    if (this.#doubtedAtMs !== undefined && requestedMs >= this.#doubtedAtMs) this.#doubtedAtMs = undefined
     this.#lastReportMs = this.#lastAnswerMs = nowMs
     this.#lastReportRequestedMs = requestedMs
     this.#unansweredSinceMs = undefined
@@ -97,8 +94,7 @@
   }
 
   /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
-  recordStarted (isAnswerOfIncarnation: boolean): void {
-    if (!isAnswerOfIncarnation) this.#doubtedAtMs = this.#clock.monotonicMs()
+  recordStarted (): void {
     if (this.#unansweredSinceMs === undefined) this.#lastAnswerMs = this.#clock.monotonicMs()
   }
 
