Tell the clock of the next incarnation apart after a delayed report

Cause: a start counted as executed by the incarnation whose clock its answer could have come from, if that had been up for 3 s. But a report may arrive 2.2 s after it was given (2.7 s through a relay), and a start may be executed 1 s (1.7 s) after it was sent, so that a target which restarted right after its report could show such a clock. The run would be released with the earlier incarnation while it continued.

Change: the clock must also be above the time since the last report was requested, which a later incarnation can not have been up for.

--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -10,7 +10,7 @@
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/** A target that has been up for longer can not have restarted and show a clock that it could have without: requests are given up sooner. */
+/** An incarnation that has been up for a shorter time is told apart by its reports only. */
 const MIN_DISTINCT_CLOCK_MS = 3_000
 /** Clocks of targets run up to 2% slow; half as much again is added as a margin. */
 const MIN_CLOCK_RATE = 0.97
@@ -105,13 +105,15 @@
 
   /**
    * Whether the clock in the answer to a request shows that this incarnation has executed it. The clock of a later one
-   * started anew, and is below what this incarnation's clock was when the request was sent.
+   * started anew, and is below what this incarnation's clock was when the request was sent, unless reports arrive late: it
+   * started after the last report of this one was requested.
    */
   isAnswerOfIncarnation (clockMs: number, sentMs: number): boolean {
     if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return false
     const clockAtReportMs = this.#clockOffsetMs + this.#lastReportMs
     const earliestClockMs = clockAtReportMs + Math.max(0, sentMs - this.#lastReportMs) * MIN_CLOCK_RATE
-    return clockAtReportMs >= MIN_DISTINCT_CLOCK_MS && clockMs >= Math.floor(earliestClockMs)
+    const longestClockOfNextMs = this.#clock.monotonicMs() - this.#lastReportRequestedMs
+    return clockAtReportMs >= MIN_DISTINCT_CLOCK_MS && clockMs >= Math.floor(earliestClockMs) && clockMs > longestClockOfNextMs
   }
 
   /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
