Raise the token of a start after the session of a next incarnation is opened

Cause: tokenForStart raised the token only above renewals, so that a start to the next incarnation could have the token of an earlier session's start that is in transit. The next incarnation then executed that one too, and extended its leases beyond the time by which the session takes them for lapsed.

Change: tokenForStart raises the token as nextToken does, if the store has been written since.

--- a/src/coordinator/targets/targetFence.ts
+++ b/src/coordinator/targets/targetFence.ts
@@ -40,7 +40,7 @@
 
   /** Returns the token for a start; undefined if none is high enough until the coordinator has written to the store again. */
   tokenForStart (): number | undefined {
-    if (this.#token <= this.#renewalToken) this.#raise()
+    if (this.#mustRaise || this.#token <= this.#renewalToken) this.#raise()
     return this.#token > this.#renewalToken ? this.#token : undefined
   }
 
