Test a successor's bound for a start without a ticket on a queue that has got an advisor

The test fails: a coordinator starts a task while its queue has no advisor, so that the start carries no ticket and may be executed 12 s late. The queue gets an advisor, and a successor is elected, which takes the start for expired one ticket validity (2.06 s) after the beginning of its term. It assumes that the target does not refuse the start for want of a ticket.

The record of a placement does not say with which validity its tickets were issued, if any.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -5,7 +5,7 @@
 import { createStep } from '../jobs/testing/definitions.ts'
 import { resources } from '../model/resources.ts'
 import type { CommitFault } from './testing/memoryTransactionalStore.ts'
-import { QUEUES, SimulatedCluster } from './testing/simulatedCluster.ts'
+import { ADVISED, BATCH, QUEUES, SimulatedCluster } from './testing/simulatedCluster.ts'
 import { TARGET_FAULTS } from './testing/simulatedTarget.ts'
 import type { TargetFault } from './testing/simulatedTarget.ts'
 
@@ -126,6 +126,20 @@
   })
 }
 
+// Guards against a successor that holds the starts of a queue for the validity of tickets which they do not carry.
+test('no task runs twice when its queue has got an advisor and a successor since its start, which carries no ticket', async t => {
+  const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => 5 })
+  await cluster.elect()
+  await cluster.clock.advance(1_000)
+  cluster.submit('single', BATCH, [createStep(1)])
+  await cluster.clock.advance(700)
+  for (const step of [lateFor(8_000), { type: 'submit', kind: 'single', queue: QUEUES.indexOf(BATCH) }, waitFor(100), setFault('none')] as const) await apply(cluster, step)
+  cluster.setQueues(QUEUES.map(queue => queue === BATCH && ADVISED.advice !== undefined ? { ...BATCH, advice: ADVISED.advice } : queue))
+  for (const step of [SUCCESSOR, waitFor(4_000), RESTART, setFault('cut'), waitFor(20_000)]) await apply(cluster, step)
+  t.deepEqual(cluster.findRepeatedRuns(), [])
+  cluster.close()
+})
+
 // Guards against a second run of a task after the next incarnation of a target executed calls intended for the earlier one.
 test('no task runs again while it runs or once it is done, whichever incarnation of a target executes a delayed call', async t => {
   const property = fc.asyncProperty(fc.array(anyTransitStep, { minLength: 3, maxLength: 30 }), fc.oneof(fc.integer({ min: 5, max: 100 }), fc.integer({ min: 100, max: 4_000 })), async (steps, workMs) => {
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -97,6 +97,7 @@
   /** Validity of the tickets of each submitted job whose queue has an advisor, by job id. */
   readonly #ticketValidities = new Map<string, number>()
   #submittedJobs = 0
+  #desiredVersion = 0
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
   #desired: DesiredStateWatcher | undefined
@@ -104,9 +105,8 @@
   readonly metrics = new JobMetrics()
 
   constructor (options: SimulatedClusterOptions) {
-    const { targets, cap, lateMs, failing, workMs } = this.#options = options
-    const state: DesiredState = { version: 1, queues: QUEUES, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
-    this.store.put(DESIRED_KEY, JSON.stringify(state))
+    const { targets, lateMs, failing, workMs } = this.#options = options
+    this.setQueues(QUEUES)
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
@@ -118,6 +118,13 @@
     }))
   }
 
+  /** Changes the settings of the queues, as the operator of the platform does. */
+  setQueues (queues: readonly QueueSettings[]): void {
+    this.#desiredVersion += 1
+    const state: DesiredState = { version: this.#desiredVersion, queues, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: this.#options.cap }) }], maximumBodyBytes: 1_000 }
+    this.store.put(DESIRED_KEY, JSON.stringify(state))
+  }
+
   get coordinator (): JobCoordinator {
     if (this.#coordinator === undefined) throw new Error('there is no coordinator')
     return this.#coordinator
