Withdraw starts from a lapsed incarnation that lists as many ends as a report holds

Cause: no end is acknowledged while a start is in transit, so that a busy target may list 500 ends when it falls silent for longer than its leases. Its session then withdraws the start until a report leaves out no ends, but no session acknowledges any until that one has ended. The task waited, and the target got no tasks, until the end of the term.

Change: ends that the incarnation itself leaves out are not awaited after its leases have expired. All its runs have ended by then, and it refuses the start, since the deadline that it carries has passed.

The new test of targetSession failed before (nothing released 120 s after the target had returned) and passes. The 75 tests of src/coordinator/targets pass.

--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -13,6 +13,8 @@
 export interface IncarnationEndOptions {
   /** Identity of the target, for the log. */
   readonly target: string
+  /** Start time of the incarnation; 0 if it is not known. */
+  readonly bornMs: number
   readonly client: JobTargetClient
   readonly clock: Clock
   readonly logger: Logger
@@ -83,7 +85,7 @@
     const { assignments, isClosed, handleEnd, reportLost, reportEnded } = this.#options
     const ends = new Map(report?.finished.map(run => [runKey(run.task, run.attempt), run]))
     const releases = [...assignments.values()].map(async assignment => {
-      const [end] = await Promise.all([ends.get(assignment.key) ?? this.#withdrawUnlessRunHere(assignment), crashReported])
+      const [end] = await Promise.all([ends.get(assignment.key) ?? this.#withdrawUnlessRunHere(assignment, reason), crashReported])
       if (isClosed()) return
       if (end !== undefined) await handleEnd(end)
       // A start that could not be repeated has released its run meanwhile.
@@ -96,22 +98,23 @@
     })
   }
 
-  async #withdrawUnlessRunHere (assignment: Assignment): Promise<FinishedRun | undefined> {
+  async #withdrawUnlessRunHere (assignment: Assignment, reason: IncarnationEndReason): Promise<FinishedRun | undefined> {
     if (assignment.isRunHere || assignment.state === 'reserved') return undefined
     this.#possibleRuns.add(assignment)
-    const end = await this.#withdrawStart(assignment)
+    const end = await this.#withdrawStart(assignment, reason)
     this.#possibleRuns.delete(assignment)
     return end
   }
 
-  async #withdrawStart (assignment: Assignment): Promise<FinishedRun | undefined> {
-    const { target, client, clock, logger, fence, lease, starts, isClosed } = this.#options
+  async #withdrawStart (assignment: Assignment, reason: IncarnationEndReason): Promise<FinishedRun | undefined> {
+    const { target, bornMs, client, clock, logger, fence, lease, starts, isClosed } = this.#options
     return await withdrawStart({
       client,
       clock,
       logger,
       fence,
       target,
+      lapsedBornMs: reason === 'lease-lapsed' && bornMs !== 0 ? bornMs : undefined,
       isClosed,
       latestExecutionMs: () => starts.latestExecutionMs(assignment),
       latestRunMs: () => starts.latestExtensionMs(assignment) + lease.longestOnNextIncarnationMs,
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -943,3 +943,21 @@
   t.true(listener.events.includes(`${assignment.task.name} done`))
   t.false(listener.events.some(event => event.startsWith(`${assignment.task.name} lost`)))
 })
+
+// Guards against a target that gets no tasks for ever: nothing is acknowledged to it while the session of its incarnation withdraws starts.
+test('a start is given up although the target that lapsed lists as many ends as a report holds', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => listener.events.push(String(error)))
+  client.finishedPerReport = 2
+  client.finished = [finishedRun(1, 'a.0.0.0'), finishedRun(2, 'b.0.0.0'), finishedRun(3, 'c.0.0.0')]
+  await clock.advance(500)
+  client.reachable = false
+  await clock.advance(13_000)
+  client.reachable = true
+  await clock.advance(120_000)
+  t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} lost: lease-lapsed`, 'incarnation ended: lease-lapsed'])
+})
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -112,6 +112,7 @@
     return new IncarnationEnd({
       ...this.#options,
       target: this.id,
+      bornMs: this.description.bornMs,
       lease: this.#lease,
       assignments: this.assignments,
       isClosed: () => this.#closed,
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -17,6 +17,8 @@
   readonly fence: TargetFence
   /** Identity of the target, for the log. */
   readonly target: string
+  /** Start time of the incarnation on which all leases have expired, if it may still be up; its runs have all ended. */
+  readonly lapsedBornMs: number | undefined
   /** Whether the term has ended, so that nothing more is sent. */
   readonly isClosed: () => boolean
   /** Latest time at which the start may be executed. */
@@ -34,7 +36,9 @@
 /**
  * Stops the run on the target's current incarnation until that reports the run's end, or until a complete report that was
  * requested when the start could not be executed any more does not show the run. Resolves with the end if the run was
- * executed. A confirmed stop is not enough: an incarnation that starts later does not know of it.
+ * executed. A confirmed stop is not enough: an incarnation that starts later does not know of it. Ends that an
+ * incarnation whose leases have expired leaves out of its reports are not awaited: none of those listed is acknowledged before
+ * the start is withdrawn.
  *
  * @example
  * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
@@ -52,12 +56,12 @@
     if (result?.outcome === 'other-life') return undefined
     let delayMs = RETRY_DELAY_MS
     if (result?.outcome === 'report') {
-      const { finished, running, mayOmitFinished } = result.report
+      const { bornMs, finished, running, mayOmitFinished } = result.report
       const end = finished.find(run => runKey(run.task, run.attempt) === key)
       if (end !== undefined) return end
       if (running.some(run => runKey(run.task, run.attempt) === key)) {
         options.onExecuted()
-      } else if (mayOmitFinished) {
+      } else if (mayOmitFinished && bornMs !== options.lapsedBornMs) {
         hiddenUntilMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS + longestLeaseMs
       } else {
         const remainingMs = options.latestExecutionMs() - requestedMs
