Judge whether a task never started by when its target was asked

Cause: a task that was unknown to its target counted as never started if its start-by time had passed when the answer arrived. A renewal or a checkpoint command that was executed before a start in transit, and whose answer came after the start-by time, thus ended the tracking of a task that runs; the caller was told that the request may be repeated. A stop prevents the start, and was not affected.

Change: the start-by time must have passed when the target was asked.

--- a/src/instance/tasks/taskTracker.test.ts
+++ b/src/instance/tasks/taskTracker.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
+import type { TargetClient } from '../../ports/targetClient.ts'
 import { LEASE_MS, LocalSchedulerHarness } from '../testing/localSchedulerHarness.ts'
+import { TaskTracker } from './taskTracker.ts'
 
 async function startService (harness: LocalSchedulerHarness): Promise<void> {
   await harness.finish(harness.run({ kind: 'service', payload: { runMs: 600_000 } }))
@@ -39,3 +41,24 @@
   harness.tracker.stop('old')
   t.deepEqual(await harness.finish(ended), { outcome: 'ended', state: 'stopped' })
 })
+
+// Guards against a task that is reported as never started while it runs: its start arrived after the command, whose answer was late.
+test('a target does not show that a task never started if it was asked before the start could not arrive any more', async t => {
+  const harness = new LocalSchedulerHarness({ type: 'worker' })
+  const { clock } = harness
+  let answered = 0
+  const command = async (): Promise<undefined> => {
+    answered += 1
+    await clock.sleep(3_000)
+  }
+  const tracker = new TaskTracker(clock, { command } as unknown as TargetClient)
+  let end: unknown
+  tracker.track({ taskId: 'early', target: harness.targets[0]!.info, epoch: 1, leaseMs: 600_000, sentAt: clock.monotonicMs(), startByWallMs: clock.wallMs() + 2_000 }).then(ended => { end = ended }, () => {})
+  tracker.checkpoint('early').catch(() => {})
+  await clock.advance(3_100)
+  t.is(answered, 1)
+  t.is(end, undefined)
+  tracker.checkpoint('early').catch(() => {})
+  await clock.advance(3_100)
+  t.not(end, undefined)
+})
--- a/src/instance/tasks/taskTracker.ts
+++ b/src/instance/tasks/taskTracker.ts
@@ -103,7 +103,8 @@
     this.#checkpointMarks.add(taskId)
     try {
       const { task } = entry
-      this.#applyReport(entry, await this.#client.command(task.target, taskId, task.epoch, 'checkpoint'))
+      const requestedWallMs = this.#clock.wallMs()
+      this.#applyReport(entry, await this.#client.command(task.target, taskId, task.epoch, 'checkpoint'), requestedWallMs)
     } catch (error) {
       // If the answer was lost, the task may have been checkpointed, and its end must not count as a failure.
       if (!(error instanceof TargetUnknownError)) this.#checkpointMarks.delete(taskId)
@@ -125,10 +126,11 @@
     while (this.#isTracked(entry) && !signal.aborted) {
       await this.#clock.sleep(task.leaseMs / RENEWALS_PER_LEASE, signal)
       const previousRenewalAt = entry.lastRenewalAt
+      const requestedWallMs = this.#clock.wallMs()
       try {
         // Recorded before the call, since a renewal without an answer may still have extended the lease.
         entry.lastRenewalAt = this.#clock.monotonicMs()
-        this.#applyReport(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal))
+        this.#applyReport(entry, await this.#client.renew(task.target, task.taskId, task.epoch, task.leaseMs, signal), requestedWallMs)
       } catch (error) {
         if (isFenced(error)) return this.forget(task.taskId)
         if (error instanceof TargetUnreachableError) entry.lastRenewalAt = previousRenewalAt
@@ -140,8 +142,9 @@
   async #settle (entry: TrackedEntry): Promise<void> {
     const { task } = entry
     while (this.#isTracked(entry)) {
+      const requestedWallMs = this.#clock.wallMs()
       try {
-        this.#applyReport(entry, await this.#client.command(task.target, task.taskId, task.epoch, 'stop'))
+        this.#applyReport(entry, await this.#client.command(task.target, task.taskId, task.epoch, 'stop'), requestedWallMs)
       } catch (error) {
         // If fenced, a successor renews the lease. After other errors the stop is retried until the lease has ended.
         if (isFenced(error)) return this.forget(task.taskId)
@@ -152,15 +155,18 @@
     }
   }
 
-  /** Applies a target's report. A task that is unknown to the target may still start until its start-by time has passed. */
-  #applyReport (entry: TrackedEntry, report: TaskReport | undefined): void {
+  /**
+   * Applies a target's report. A task that was unknown to the target when it was asked may have started since, until its
+   * start-by time has passed.
+   */
+  #applyReport (entry: TrackedEntry, report: TaskReport | undefined, requestedWallMs: number): void {
     const { task } = entry
     if (report !== undefined) {
       this.#onReport(report)
       if (FINAL_STATES.has(report.state)) this.complete(task.taskId, { outcome: 'ended', state: report.state })
       return
     }
-    if (!this.#startByHasPassed(task)) return
+    if (!startByHasPassed(task, requestedWallMs)) return
     const { startBy, remembersEnded } = task.target.features
     const isWithinRetention = this.#clock.monotonicMs() - task.sentAt < ENDED_TASK_RETENTION_MS
     this.complete(task.taskId, startBy && remembersEnded === true && isWithinRetention
@@ -171,11 +177,7 @@
   #leaseHasEnded (entry: TrackedEntry): boolean {
     const longestLease = entry.task.leaseMs * CLOCK_DRIFT_ALLOWANCE
     // A start request in transit can begin a lease as late as the start-by time.
-    return this.#startByHasPassed(entry.task) && this.#clock.monotonicMs() > entry.lastRenewalAt + longestLease + START_BY_WINDOW_MS
-  }
-
-  #startByHasPassed (task: TrackedTask): boolean {
-    return this.#clock.wallMs() > task.startByWallMs + CLOCK_SKEW_MS
+    return startByHasPassed(entry.task, this.#clock.wallMs()) && this.#clock.monotonicMs() > entry.lastRenewalAt + longestLease + START_BY_WINDOW_MS
   }
 
   #isTracked (entry: TrackedEntry): boolean {
@@ -183,6 +185,10 @@
   }
 }
 
+function startByHasPassed ({ startByWallMs }: TrackedTask, wallMs: number): boolean {
+  return wallMs > startByWallMs + CLOCK_SKEW_MS
+}
+
 /** Whether the target has seen a higher epoch, so that a successor owns it and has adopted the task. */
 function isFenced (error: unknown): boolean {
   return error instanceof RefusalError && error.code === 'fenced'
