Tell the clock of the next incarnation apart by when a report was requested

Cause: a start counted as executed by the incarnation whose clock its answer could have come from, if that had been up for 3 s. But a report may arrive 2.7 s after it was given, and a start may be executed 1.7 s after it was sent, so that a target which restarted right after its report could show such a clock. The run would be released with the earlier incarnation while it continued.

Change: the clock must be above the time since the last report was requested, which a later incarnation can not have been up for. This needs no minimum of 5 s, for which two tests of placementReservations had failed; they pass again as they were.

The new test of targetContact failed before (a clock of 3089 ms was accepted after one of 3000 ms at the last report) and passes.

--- a/src/coordinator/placement/placementReservations.test.ts
+++ b/src/coordinator/placement/placementReservations.test.ts
@@ -7,8 +7,6 @@
 const LOW: QueueSettings = { ...BATCH, name: 'low', pathPrefix: '/low/', priority: 2 }
 const DECLARED_MS = 1_000
 const TARGETS = 9
-/** Longer than the time for which an answer to a start may come from the next incarnation of its target. */
-const UPTIME_MS = 60_000
 const GANG = createStep(5, { gang: true, estimateMs: DECLARED_MS, size: resources({ processors: 3_000, memory: 10 }) })
 const LARGE = createStep(1, { estimateMs: DECLARED_MS, size: resources({ processors: 7_000, memory: 10 }) })
 const NARROW = createStep(2, { estimateMs: DECLARED_MS })
@@ -63,7 +61,7 @@
 
 async function startCluster (targets = TARGETS, cap = 0): Promise<SimulatedCluster> {
   const started = new Set<string>()
-  const cluster = new SimulatedCluster({ targets, cap, lateMs: 0, uptimeMs: UPTIME_MS, failing: false, workMs: createRunTimes(started) })
+  const cluster = new SimulatedCluster({ targets, cap, lateMs: 0, failing: false, workMs: createRunTimes(started) })
   startedJobs.set(cluster, started)
   await cluster.elect()
   return cluster
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -68,7 +68,7 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: StartTicket): Promise<void> {
-    const { description, client, clock, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
+    const { description, client, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     assignment.state = 'starting'
@@ -81,7 +81,6 @@
       assignment.isResumed = checkpoint !== ''
       starts.recordSent(assignment)
       answers.recordSent(assignment)
-      const sentMs = clock.monotonicMs()
       const result = await client.start({
         task: task.name,
         attempt: assignment.attempt,
@@ -91,7 +90,7 @@
         checkpoint,
         ...(ticket.text === '' ? {} : { ticket: ticket.text })
       })
-      this.#recordOutcome(assignment, ticket, sentMs, result)
+      this.#recordOutcome(assignment, ticket, result)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
@@ -110,13 +109,13 @@
     return token
   }
 
-  #recordOutcome (assignment: Assignment, { expiredByMs }: StartTicket, sentMs: number, result: StartOutcome): void {
+  #recordOutcome (assignment: Assignment, { expiredByMs }: StartTicket, result: StartOutcome): void {
     const { contact, starts, answers } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment, expiredByMs)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
-    if (contact.isAnswerOfIncarnation(result.clockMs, sentMs)) assignment.isRunHere = true
+    if (contact.isAnswerOfIncarnation(result.clockMs)) assignment.isRunHere = true
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
     contact.recordStarted()
--- a/src/coordinator/targets/targetContact.test.ts
+++ b/src/coordinator/targets/targetContact.test.ts
@@ -11,8 +11,8 @@
   const reportedMs = clock.monotonicMs()
   await clock.advance(2_190)
   contact.recordReport(3_000, reportedMs - 10, clock.monotonicMs())
-  const sentMs = clock.monotonicMs()
   await clock.advance(900)
   const clockOfNextMs = clock.monotonicMs() - reportedMs - 1
-  t.false(contact.isAnswerOfIncarnation(clockOfNextMs, sentMs))
+  t.false(contact.isAnswerOfIncarnation(clockOfNextMs))
+  t.true(contact.isAnswerOfIncarnation(clockOfNextMs + 3_000))
 })
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -10,13 +10,8 @@
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
 /** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/**
- * A target that has been up for longer can not have restarted and show a clock that it could have without: a report arrives at
- * most 2.7 s after it was given (a renewal that waits 1 s, through a relay), and a start is answered at most 1.7 s after it was sent.
- */
-const MIN_DISTINCT_CLOCK_MS = 5_000
-/** Clocks of targets run up to 2% slow; half as much again is added as a margin. */
-const MIN_CLOCK_RATE = 0.97
+/** Clocks of targets may be off by 2%; half as much again is added as a margin. */
+const MAX_CLOCK_RATE = 1.03
 
 /**
  * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation, whose clock differs.
@@ -103,14 +98,11 @@
   }
 
   /**
-   * Whether the clock in the answer to a request shows that this incarnation has executed it. The clock of a later one
-   * started anew, and is below what this incarnation's clock was when the request was sent.
+   * Whether the clock in the answer to a request shows that this incarnation has executed it: a later one has started after
+   * the last report of this one was requested, and its clock with it.
    */
-  isAnswerOfIncarnation (clockMs: number, sentMs: number): boolean {
-    if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return false
-    const clockAtReportMs = this.#clockOffsetMs + this.#lastReportMs
-    const earliestClockMs = clockAtReportMs + Math.max(0, sentMs - this.#lastReportMs) * MIN_CLOCK_RATE
-    return clockAtReportMs >= MIN_DISTINCT_CLOCK_MS && clockMs >= Math.floor(earliestClockMs)
+  isAnswerOfIncarnation (clockMs: number): boolean {
+    return !this.#mayHaveRestarted && clockMs > (this.#clock.monotonicMs() - this.#lastReportRequestedMs) * MAX_CLOCK_RATE
   }
 
   /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -43,8 +43,6 @@
   readonly cap: number
   /** Delay of orders that are executed late. */
   readonly lateMs: number
-  /** How long the targets have been up at the beginning; 0 by default. */
-  readonly uptimeMs?: number
   /** Whether each first run of a task fails. */
   readonly failing: boolean
   /** Data centre of each target, by its number; without a name by default. */
@@ -125,7 +123,6 @@
       workMs: workMs ?? (task => task.startsWith('lasting') ? Infinity : task.startsWith('long') ? LONG_WORK_MS : WORK_MS),
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs,
-      uptimeMs: this.#options.uptimeMs ?? 0,
       recorder: this.#recorder,
       ticketValidityMs: task => this.#ticketValidities.get(task.slice(0, task.indexOf('.')))
     }))
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -30,8 +30,6 @@
   readonly workMs: (task: string) => number
   readonly endOf: (task: string, attempt: number) => RunEnd
   readonly lateMs: number
-  /** How long the first incarnation has been up at the beginning, in milliseconds; 0 by default. */
-  readonly uptimeMs?: number
   /** Records the runs of all targets. */
   readonly recorder: RunRecorder
   /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
@@ -66,7 +64,7 @@
   constructor (options: SimulatedTargetOptions) {
     this.#options = options
     this.lateMs = options.lateMs
-    this.#startedAtMs = options.clock.monotonicMs() - (options.uptimeMs ?? 0)
+    this.#startedAtMs = options.clock.monotonicMs()
   }
 
   get #clockMs (): number {
