Count the leases of later starts for a start that may still be executed

Cause: a start extends the leases of its target, as a renewal does, but only renewals counted for how long the next incarnation keeps the run of an earlier, unanswered start alive. A later start may be executed up to 1.5 s after the time counted on.

The new test of startsInTransit fails without it (2000 ms instead of 3000 ms).

--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -79,7 +79,7 @@
       if (hasEnded() || fencingToken === undefined || leaseUntilTargetMs === undefined || isEvacuated()) return this.#handleRefusal(assignment, 'unhealthy')
       assignment.startAnswered = false
       assignment.isResumed = checkpoint !== ''
-      starts.recordSent(assignment)
+      starts.recordSent(assignment, ticket.expiredByMs)
       answers.recordSent(assignment)
       const result = await client.start({
         task: task.name,
@@ -90,7 +90,7 @@
         checkpoint,
         ...(ticket.text === '' ? {} : { ticket: ticket.text })
       })
-      this.#recordOutcome(assignment, ticket, result)
+      this.#recordOutcome(assignment, result)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
@@ -109,11 +109,11 @@
     return token
   }
 
-  #recordOutcome (assignment: Assignment, { expiredByMs }: StartTicket, result: StartOutcome): void {
+  #recordOutcome (assignment: Assignment, result: StartOutcome): void {
     const { contact, starts, answers } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
-    if (result.outcome === 'unknown') return starts.recordUnanswered(assignment, expiredByMs)
+    if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
     if (contact.isAnswerOfIncarnation(result.clockMs)) assignment.isRunHere = true
     if (assignment.isRunHere) starts.recordSettled(assignment)
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -18,7 +18,7 @@
 interface StartInTransit {
   /** Latest time at which the start may be executed. */
   latestExecutionMs: number
-  /** Latest time at which a renewal that was sent after the start may extend the leases of its target. */
+  /** Latest time at which a request that was sent after the start may extend the leases of its target. */
   latestExtensionMs: number
 }
 
@@ -29,9 +29,9 @@
  *
  * @example
  * const starts = new StartsInTransit(clock)
- * starts.recordSent(assignment)
+ * starts.recordSent(assignment, ticket.expiredByMs)
  * const { outcome } = await client.start(order)
- * if (outcome === 'unknown') starts.recordUnanswered(assignment, ticket.expiredByMs)
+ * if (outcome === 'unknown') starts.recordUnanswered(assignment)
  * else starts.recordSettled(assignment)
  */
 export class StartsInTransit {
@@ -42,8 +42,11 @@
     this.#clock = clock
   }
 
-  recordSent (assignment: Assignment): void {
-    this.#starts.set(assignment, { latestExecutionMs: this.#latestExecutionOfNextMs, latestExtensionMs: -Infinity })
+  /** Records that a start is sent, which extends the leases of the target like a renewal; a target refuses it once its ticket has expired. */
+  recordSent (assignment: Assignment, ticketExpiredByMs = Infinity): void {
+    const latestMs = Math.min(this.#latestExecutionOfNextMs, ticketExpiredByMs)
+    this.#recordExtension(latestMs)
+    this.#starts.set(assignment, { latestExecutionMs: latestMs, latestExtensionMs: -Infinity })
   }
 
   /** Records a start that an earlier coordinator may have sent, and that can not be executed after the given time. */
@@ -51,10 +54,10 @@
     this.#starts.set(assignment, { latestExecutionMs, latestExtensionMs: -Infinity })
   }
 
-  /** Records that a start was given up without an answer; a target refuses it once its ticket has expired. */
-  recordUnanswered (assignment: Assignment, ticketExpiredByMs = Infinity): void {
+  /** Records that a start was given up without an answer. */
+  recordUnanswered (assignment: Assignment): void {
     const start = this.#starts.get(assignment)
-    if (start !== undefined) start.latestExecutionMs = Math.min(this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS, ticketExpiredByMs)
+    if (start !== undefined) start.latestExecutionMs = Math.min(start.latestExecutionMs, this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
   }
 
   /** Records that a start was executed, possibly by a later incarnation than the one that it was meant for. */
@@ -70,7 +73,7 @@
 
   /** Records that a request is sent which extends the leases of the target, and thereby of a run that has been started meanwhile. */
   recordLeaseExtension (): void {
-    for (const start of this.#starts.values()) start.latestExtensionMs = this.#latestExecutionOfNextMs
+    this.#recordExtension(this.#latestExecutionOfNextMs)
   }
 
   /** Whether any start to the target may still be executed. */
@@ -86,6 +89,10 @@
     return false
   }
 
+  #recordExtension (latestMs: number): void {
+    for (const start of this.#starts.values()) start.latestExtensionMs = Math.max(start.latestExtensionMs, latestMs)
+  }
+
   get #latestExecutionOfNextMs (): number {
     return latestExecutionMs(this.#clock.monotonicMs())
   }
