Let acknowledgements go before starts on targets that list many ends

Cause: no end is acknowledged while a start is in transit.

Change: a target that lists more than 250 ends gets no starts until they are acknowledged.

--- a/src/coordinator/targets/runEndNumbers.ts
+++ b/src/coordinator/targets/runEndNumbers.ts
@@ -3,6 +3,9 @@
 import type { Logger } from '../../observability/logger.ts'
 import type { FinishedRun } from '../../ports/jobTarget.ts'
 
+/** Half of the run ends that a report lists. With more, the target gets no starts, so that it can be told to discard them. */
+const MAX_LISTED_ENDS = 250
+
 /**
  * A target numbers its run ends, and lists each until an acknowledgement has reached its number. Acknowledging an end
  * acknowledges all earlier ones, so that a number is due only once all ends up to it are stored.
@@ -16,6 +19,8 @@
   readonly #description: TargetDescription
   readonly #logger: Logger
   #lastReceived = 0
+  /** Number of run ends in the last report. */
+  #listed = 0
   /** Number of the last run end that is stored together with all earlier ones. */
   #lastStored = 0
   #lastDiscarded = 0
@@ -47,6 +52,11 @@
     return this.#allStored
   }
 
+  /** Whether the target lists so many run ends that acknowledging them goes before further starts, while which none is acknowledged. */
+  get isAcknowledgementOverdue (): boolean {
+    return this.#listed > MAX_LISTED_ENDS && this.owesAcknowledgement
+  }
+
   /** Whether the target has to be told to discard run ends. */
   get owesAcknowledgement (): boolean {
     return this.#lastStored > this.#lastDiscarded
@@ -73,6 +83,7 @@
 
   /** Passes each new run end of a report to `store`; resolves when they are stored and may be acknowledged. Undefined if none is new. */
   receive (finished: readonly FinishedRun[], store: (run: FinishedRun) => Promise<void>): Promise<void> | undefined {
+    this.#listed = finished.length
     const newRuns = finished.filter(run => run.number > this.#lastReceived)
     if (newRuns.length === 0) return undefined
     const last = Math.max(...newRuns.map(run => run.number))
--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -172,6 +172,16 @@
   t.false(events.includes('fenced'))
 })
 
+// Guards against runs that are given up on a healthy target which does not say when it started, because of an entry that is wrong.
+test('a report that names no incarnation does not end the session of an earlier one', async t => {
+  const { clock, target, events, list } = await startFleet()
+  target.bornMs = 0
+  list(1, 9)
+  await clock.advance(3_000)
+  t.true(target.renewals.has(9))
+  t.deepEqual(events, [])
+})
+
 // Guards against an instance that resigns because of a stop that it sent itself, to an incarnation that has ended.
 test('a stop of an ended session that the next incarnation refuses does not end the term', async t => {
   const { clock, target, events, list } = await startFleet()
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -533,6 +533,28 @@
   t.true(client.renewals.some(({ acknowledged }) => acknowledged === 1))
 })
 
+// Guards against ends beyond those that a report lists, while starts follow each other so closely that none can be acknowledged.
+test('a target that lists many ends gets no starts until they are acknowledged', async t => {
+  const { clock, client, session } = createSession()
+  session.updateListing(LISTED)
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  let answer: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answer = resolve })
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
+  client.finished = Array.from({ length: 250 }, (_, index) => finishedRun(index + 1, `x-${index}.0.0.0`))
+  await clock.advance(300)
+  t.true(session.usable)
+  client.finished.push(finishedRun(251, 'y.0.0.0'))
+  await clock.advance(300)
+  t.false(session.usable)
+  client.running = [{ task: assignment.task.name, attempt: 1, checkpoint: '', percent: 0 }]
+  answer()
+  await clock.advance(500)
+  t.true(session.usable)
+})
+
 test('a start is given back if the coordinator has not written to the store since the last renewal of leases', async t => {
   const context = createContext()
   let revision = 7
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -49,6 +49,7 @@
   readonly key: string
   readonly #options: TargetSessionOptions
   #joined = false
+  #isIncarnationShown = false
   #hasEnded = false
   #closed = false
   readonly #ends: RunEndNumbers
@@ -132,6 +133,11 @@
     return this.#joined
   }
 
+  /** Whether a report named this incarnation, so that earlier ones have ended. */
+  get isIncarnationShown (): boolean {
+    return this.#isIncarnationShown
+  }
+
   get ended (): boolean {
     return this.#hasEnded
   }
@@ -148,7 +154,7 @@
   /** `usable` at a time that a caller with many sessions reads once. */
   isUsableAt (nowMs: number): boolean {
     const answers = this.#joined && !this.#hasEnded && this.#contact.isAnsweringAt(nowMs)
-    return answers && this.#offer.isOfferedAt(nowMs) && !this.evacuated && !this.capacity.hasRunsOfUnknownSize
+    return answers && this.#offer.isOfferedAt(nowMs) && !this.evacuated && !this.capacity.hasRunsOfUnknownSize && !this.#ends.isAcknowledgementOverdue
   }
 
   /** Whether a start request is overdue; tasks sent here now may be lost until their leases have expired. */
@@ -305,6 +311,7 @@
     this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
+      this.#isIncarnationShown = report.bornMs !== 0
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
