Record which runs have begun, so that a successor holds only starts in transit

Cause: a successor held every recovered placement whose target had restarted until its start could not be executed any more, 21 s without an advisor, although most of these runs had been seen long before.

The new test of jobCoordinator fails if the record is not used.

--- a/src/coordinator/jobCoordinator.test.ts
+++ b/src/coordinator/jobCoordinator.test.ts
@@ -18,3 +18,20 @@
   cluster.close()
   t.true(cluster.running.some(task => task.startsWith(id)))
 })
+
+// Guards against work that waits for the longest delay of a start after each change of coordinator during which its target crashed.
+test('a successor places a run again at once that its predecessor had seen on a target that has restarted since', async t => {
+  const cluster = new SimulatedCluster({ targets: 2, cap: 0, lateMs: 0, failing: false })
+  await cluster.elect()
+  await cluster.clock.advance(1_000)
+  cluster.submit('lasting', BATCH, [createStep(1, { longRunning: true })])
+  await cluster.clock.advance(2_500)
+  const [first, second] = [0, 1].map(number => cluster.target(number).running.length)
+  t.is((first ?? 0) + (second ?? 0), 1)
+  cluster.restartTarget(first === 1 ? 0 : 1)
+  t.deepEqual(cluster.running, [])
+  await cluster.startSuccessor(0)
+  await cluster.clock.advance(2_500)
+  t.is(cluster.running.length, 1)
+  cluster.close()
+})
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -32,6 +32,7 @@
 import { requiredResources } from './placement/placeStep.ts'
 import type { ComputeResources } from './placement/placeStep.ts'
 import { RecordLog } from './log/recordLog.ts'
+import { StartedRuns } from './log/startedRuns.ts'
 import { EvacuationReport } from './targets/evacuationReport.ts'
 import { TargetFleet } from './targets/targetFleet.ts'
 import type { IncarnationEndReason, TargetListener } from './targets/targetListener.ts'
@@ -110,6 +111,7 @@
   readonly #slowTargets: SlowTargets
   readonly #feasibility: FeasibilityAdmission | undefined
   readonly #outages = new OutageHistory()
+  readonly #startedRuns: StartedRuns
   /** Latest queue settings appended to the log, by queue name. */
   readonly #recordedQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
@@ -134,6 +136,7 @@
     this.#fleet = new TargetFleet({
       clock, logger, connect, directory, listener: this, fencingToken: info.fence, latestRevision: () => this.#log?.lastRevision ?? info.fence, targetLeaseMs, hasAuthority, evacuations: () => desired.evacuations, termStartedAtMs: this.#termStartedAtMs
     })
+    this.#startedRuns = new StartedRuns(clock)
     this.#admission = new AdmissionControl(clock)
     this.#runTimes = new LearnedRunTimes({ defaultRemoteFactor: options.remoteFactor ?? 1 })
     this.#slowTargets = new SlowTargets(this.#runTimes)
@@ -332,6 +335,10 @@
     if (expectedMs !== undefined) this.#metrics.observeStart(job.queue.priority, expectedMs, this.#clock.monotonicMs() - job.acceptedAtMs)
   }
 
+  runBegun ({ task, attempt }: Assignment): void {
+    this.#startedRuns.add(task, attempt)
+  }
+
   /** Stops the other members of a gang, which would only wait until the missing one has certainly ended. */
   startUnanswered (session: TargetSession, assignment: Assignment): void {
     const { step } = assignment.task
@@ -420,7 +427,18 @@
   }
 
   #append (records: readonly LogRecord[]): Promise<void> {
-    return this.#log?.append(records) ?? Promise.reject(new Error('the job log is not open'))
+    const appended = this.#log?.append(records) ?? Promise.reject(new Error('the job log is not open'))
+    this.#recordStartedRuns()
+    return appended
+  }
+
+  /** Appended apart, since other records may be withdrawn; both are in one segment. */
+  #recordStartedRuns (): void {
+    const records = this.#startedRuns.takeDue()
+    if (records.length === 0) return
+    this.#log?.append(records).catch(() => {
+      // The term has ended; the successor takes these starts for ones in transit.
+    })
   }
 
   #recoverJobs (table: JobTable, retention: FinishedJobRetention): void {
@@ -476,6 +494,7 @@
     }
     this.#placer.reportWaits()
     this.#recordRunTimes()
+    this.#recordStartedRuns()
     this.#updateSlowTargets()
     // Not awaited: occurrences become due while the store is slow, and one compaction takes many calls.
     runInBackground(this.#compactIfDue(), this.#logger, 'log compaction')
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -215,7 +215,8 @@
     assignment.isStartSeen = false
     assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
-    session.recover(assignment, this.#latestExecutionOfRecoveredMs(step))
+    if (task.isStarted) session.reserveStarted(assignment)
+    else session.recover(assignment, this.#latestExecutionOfRecoveredMs(step))
   }
 
   /**
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -7,6 +7,8 @@
 import type { TargetCapacity } from './targetCapacity.ts'
 
 export interface AssignedRunsListener {
+  /** A report showed a run that the incarnation was not known to have begun. */
+  runBegun (assignment: Assignment): void
   /** A report showed a run whose start was not confirmed before. */
   startConfirmed (assignment: Assignment): void
   /** A run that is assigned to the target is missing from a complete report. */
@@ -69,8 +71,12 @@
 
   #handleExpectedRun (assignment: Assignment, running: RunningTask, nowMs: number): void {
     if (!assignment.reported) assignment.firstReportedAtMs = nowMs
-    assignment.reported = assignment.isRunHere = true
-    this.#starts.recordSettled(assignment)
+    assignment.reported = true
+    if (!assignment.isRunHere) {
+      assignment.isRunHere = true
+      this.#starts.recordSettled(assignment)
+      this.#listener.runBegun(assignment)
+    }
     if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
       assignment.state = 'running'
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -21,6 +21,8 @@
 const STOP_RETRY_DELAY_MS = 400
 
 export interface RunRequestsListener {
+  /** The answer to a start carries the clock of the incarnation. */
+  runBegun (assignment: Assignment): void
   startConfirmed (assignment: Assignment): void
   startRefused (assignment: Assignment, refusal: StartRefusal): void
   /** A start request was not answered, and the run is being stopped because the target does not report it. */
@@ -110,12 +112,15 @@
   }
 
   #recordOutcome (assignment: Assignment, result: StartOutcome): void {
-    const { contact, starts, answers } = this.#options
+    const { contact, starts, answers, listener } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
-    if (contact.isAnswerOfIncarnation(result.clockMs)) assignment.isRunHere = true
+    if (!assignment.isRunHere && contact.isAnswerOfIncarnation(result.clockMs)) {
+      assignment.isRunHere = true
+      listener.runBegun(assignment)
+    }
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
     contact.recordStarted()
--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -90,6 +90,7 @@
       runLost: () => {},
       startRefused: () => {},
       startConfirmed: () => {},
+      runBegun: () => {},
       startUnanswered: () => {},
       targetCrashed: async () => {},
       joined: session => {
--- a/src/coordinator/targets/targetListener.ts
+++ b/src/coordinator/targets/targetListener.ts
@@ -15,6 +15,8 @@
   runLost (session: TargetSession, assignment: Assignment, reason: string): void
   startRefused (session: TargetSession, assignment: Assignment, refusal: StartRefusal): void
   startConfirmed (session: TargetSession, assignment: Assignment): void
+  /** The incarnation has certainly begun the run, so that its start is not in transit any more. */
+  runBegun (assignment: Assignment): void
   /** A start request was not answered, and the run is being stopped because the target does not report it. */
   startUnanswered (session: TargetSession, assignment: Assignment): void
   joined (session: TargetSession): void
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -108,6 +108,7 @@
   runLost (_session: TargetSession, { task }: Assignment, reason: string): void { this.events.push(`${task.name} lost: ${reason}`) }
   startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
   startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
+  runBegun (): void {}
   startUnanswered (_session: TargetSession, { task }: Assignment): void { this.unanswered.push(task.name) }
   async targetCrashed (): Promise<void> {}
   joined (): void { this.events.push('joined') }
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -76,6 +76,7 @@
     this.#answers = new OverdueAnswers(options.clock)
     this.#lease = new TargetLease(options, this.#contact)
     this.#runs = new AssignedRuns(this.capacity, this.#starts, {
+      runBegun: assignment => options.listener.runBegun(assignment),
       startConfirmed: assignment => options.listener.startConfirmed(this, assignment),
       runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
       unexpectedRun: run => this.#stopUnexpectedRun(run)
@@ -95,6 +96,7 @@
       runs: this.#runs,
       hasEnded: () => this.#hasEnded,
       listener: {
+        runBegun: assignment => listener.runBegun(assignment),
         startConfirmed: assignment => listener.startConfirmed(this, assignment),
         startRefused: (assignment, refusal) => listener.startRefused(this, assignment, refusal),
         startUnanswered: assignment => listener.startUnanswered(this, assignment),
@@ -208,6 +210,12 @@
     this.#runs.add(assignment)
   }
 
+  /** Reserves the capacity of a run that an earlier coordinator has seen on this incarnation. */
+  reserveStarted (assignment: Assignment): void {
+    assignment.isRunHere = true
+    this.reserve(assignment)
+  }
+
   /** Reserves the capacity of a run whose start an earlier coordinator may have sent, and that can not be executed after the given time. */
   recover (assignment: Assignment, latestExecutionMs: number): void {
     this.#starts.recordRecovered(assignment, latestExecutionMs)
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -2,7 +2,7 @@
 import type { CrashHistory } from './crashHistory.ts'
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
-import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StepRecord } from './jobRecords.ts'
+import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StartedRecord, StepRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
 /** What decided that a job failed, for the log. */
@@ -116,6 +116,12 @@
     }
   }
 
+  /** Applies a record of runs that their targets have begun. */
+  applyStart ({ occurrence, step, runs }: StartedRecord): void {
+    const started = this.findStep(occurrence, step)
+    for (const [index, attempt] of runs) started?.recordStart(index, attempt)
+  }
+
   /** Applies the record of one step in a snapshot. */
   restore (record: StepRecord): void {
     this.findStep(record.occurrence, record.step)?.restore(record)
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -45,6 +45,17 @@
 
 export type PlacedRun = readonly [index: number, attempt: number, targetKey: string]
 
+/** Runs that the targets on which they were placed have begun: their starts are not in transit any more. */
+export interface StartedRecord {
+  readonly type: 'started'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly runs: readonly StartedRun[]
+}
+
+export type StartedRun = readonly [index: number, attempt: number]
+
 /** Runs of one step that were lost in the crash of their target; stored before their tasks are placed again. */
 export interface CrashRecord {
   readonly type: 'crashed'
@@ -66,6 +77,8 @@
   readonly failures: number
   readonly checkpoint: string
   readonly placedOn: string
+  /** Absent if the target is not known to have begun the run. */
+  readonly started?: true
   /** Absent if no target crashed under the task. */
   readonly crashHistory?: CrashHistory
 }
@@ -107,6 +120,7 @@
   | { readonly type: 'queue', readonly queue: QueueSettings }
   | JobRecord
   | PlacedRecord
+  | StartedRecord
   | RunEndRecord
   | CrashRecord
   | StepRecord
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -180,3 +180,10 @@
   })
   t.notThrows(() => fc.assert(property, { seed: 37, numRuns: 3_000 }))
 })
+
+// Guards against starts that a successor takes for ones in transit, or no longer does although their task was placed again.
+test('a snapshot keeps which of the placed runs have begun', t => {
+  const started = (index: number, attempt: number): LogRecord => ({ type: 'started', job: 'a', occurrence: 0, step: 0, runs: [[index, attempt]] })
+  const table = createTable([createJobRecord('a', [createStep(3)]), placed('a', 0, 0, 1), placed('a', 0, 1, 1), placed('a', 0, 2, 1), started(0, 1), started(1, 1), started(2, 2), placed('a', 0, 1, 2, 'worker-2@1')])
+  for (const each of [table, createTable(table.toRecords())]) t.deepEqual(each.jobs.get('a')?.steps[0]?.tasks.map(({ isStarted }) => isStarted), [true, false, false])
+})
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -67,6 +67,9 @@
       case 'placed':
         this.#jobs.get(record.job)?.applyPlacement(record)
         break
+      case 'started':
+        this.#jobs.get(record.job)?.applyStart(record)
+        break
       case 'run-end':
         this.#jobs.get(record.job)?.applyRunEnd(record)
         break
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -22,6 +22,8 @@
   checkpoint = ''
   /** Key of the target incarnation on which the highest attempt runs or may run; empty for none. */
   placedOn = ''
+  /** Whether that incarnation has certainly begun the run of the highest attempt, so that its start is not in transit any more. */
+  isStarted = false
   crashHistory: CrashHistory = NO_CRASHES
 
   constructor (step: StepProgress, index: number) {
@@ -114,6 +116,15 @@
     task.attempt = attempt
     task.state = 'assigned'
     task.placedOn = targetKey
+    task.isStarted = false
+    return true
+  }
+
+  /** Records that the target has begun the run of the attempt; returns false if that is not the one that is placed. */
+  recordStart (index: number, attempt: number): boolean {
+    const task = this.tasks[index]
+    if (task?.state !== 'assigned' || task.attempt !== attempt) return false
+    task.isStarted = true
     return true
   }
 
@@ -145,12 +156,13 @@
   #release (task: TaskProgress): void {
     task.state = 'waiting'
     task.placedOn = ''
+    task.isStarted = false
   }
 
   toSnapshot (): StepSnapshot {
     return {
-      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn, crashHistory }) =>
-        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn, ...(crashHistory === NO_CRASHES ? {} : { crashHistory }) })),
+      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn, isStarted, crashHistory }) =>
+        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn, ...(isStarted && state === 'assigned' ? { started: true as const } : {}), ...(crashHistory === NO_CRASHES ? {} : { crashHistory }) })),
       gangFailures: this.#gangFailures,
       failedGangAttempt: this.#failedGangAttempt,
       gangCheckpoint: this.#gangCheckpoint
@@ -162,10 +174,11 @@
     this.#failedGangAttempt = failedGangAttempt
     this.#gangCheckpoint = gangCheckpoint
     this.#hasCrashes = tasks.some(({ crashHistory }) => crashHistory !== undefined)
-    for (const [index, { done, ...fields }] of tasks.entries()) {
+    for (const [index, { done, started, ...fields }] of tasks.entries()) {
       const task = this.tasks[index]
       if (task === undefined) continue
       Object.assign(task, fields)
+      task.isStarted = started === true
       if (done && task.state !== 'done') {
         task.state = 'done'
         this.#remainingTasks -= 1
