Let the stand-in targets check tickets

Cause: the stand-in targets executed starts whatever their ticket, and the stand-in advisor issued the same one at all times.

Change: a ticket names the incarnation and the time of its issue, and is refused by another incarnation or after 2 s. The new test of standInWorker fails without it.

--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -3,7 +3,7 @@
 import { JsonServer } from '../../adapters/http/jsonServer.ts'
 import { StandInStore } from './standInStore.ts'
 import type { StoreFault } from './standInStore.ts'
-import { StandInWorker } from './standInWorker.ts'
+import { StandInWorker, TICKET_VALIDITY_MS } from './standInWorker.ts'
 import type { StandInWorkerOptions, WorkerEvent } from './standInWorker.ts'
 
 export interface StandInQueue {
@@ -119,7 +119,7 @@
         stretch_factor: 2,
         target_latency_ms: 1_000,
         timeout_ms: 3_000,
-        ...(adviceMs === undefined ? {} : { recommendation: { decision_ms: adviceMs, period_ms: 0.1, validity_ms: 2_000 } })
+        ...(adviceMs === undefined ? {} : { recommendation: { decision_ms: adviceMs, period_ms: 0.1, validity_ms: TICKET_VALIDITY_MS } })
       })),
       services: [{ name: SERVICE }],
       limits: { max_body_bytes: 262_144 },
@@ -230,14 +230,13 @@
     return server.address
   }
 
-  async #advise ({ step_id: step, workers }: AdviceBody): Promise<{ status: number, body: unknown }> {
+  async #advise ({ workers }: AdviceBody): Promise<{ status: number, body: unknown }> {
     const adviceMs = Math.max(0, ...this.#options.queues.map(queue => queue.adviceMs ?? 0))
     await delay(adviceMs)
-    return { status: 200, body: { allowed: workers.map(worker => [worker, `${step}/${worker}`]), validity_ms: 2_000 } }
+    return { status: 200, body: { allowed: workers.map(id => [id, this.workers.get(id)?.issueTicket() ?? '']), validity_ms: TICKET_VALIDITY_MS } }
   }
 }
 
 interface AdviceBody {
-  readonly step_id: string
   readonly workers: readonly string[]
 }
--- a/src/platform/standIn/standInWorker.test.ts
+++ b/src/platform/standIn/standInWorker.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import type { RouteRequest } from '../../adapters/http/routes.ts'
-import { StandInWorker } from './standInWorker.ts'
+import { StandInWorker, TICKET_VALIDITY_MS } from './standInWorker.ts'
 import type { StandInWorkerOptions } from './standInWorker.ts'
 
 const WORK_MS = 20
@@ -44,6 +44,18 @@
   t.like(await call('hold', {}), { running: [], finished: [[2, 'task', 1, 'done', '']] }, 'start')
 })
 
+// Guards against a stand-in that executes starts which targets refuse, long after their tickets have expired.
+test('a worker refuses a start whose ticket was issued for another incarnation or has expired when it is executed', async t => {
+  const { worker, call } = setUp(t)
+  const start = async (task: string, ticket: string): Promise<unknown> => await call('run-start', { task, attempt: 1, deadline_ms: 9_000, ticket })
+  const [bornMs, issuedAtMs] = worker.issueTicket().split('/').map(Number)
+  t.like(await start('expired', `${bornMs}/${(issuedAtMs ?? 0) - TICKET_VALIDITY_MS - 1}`), { reason: 'ticket' })
+  const ticket = worker.issueTicket()
+  t.is((await start('valid', ticket) as { reason?: string }).reason, undefined)
+  worker.crash()
+  t.like(await start('earlier', ticket), { reason: 'ticket' })
+})
+
 test('calls during a dark crash get no answer and are executed by the next incarnation', async t => {
   const { worker, call, start } = setUp(t, () => 5_000)
   await start(1, 'lost')
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -38,6 +38,8 @@
 export type WorkerFault = 'none' | 'silent' | 'silent-from-start' | 'late' | 'late-starts' | 'refusing'
 
 const MAX_LEASE_MS = 10_000
+/** How long a ticket of the placement advisor is accepted. */
+export const TICKET_VALIDITY_MS = 2_000
 /** Later finished runs are listed when earlier ones have been acknowledged. */
 const MAX_FINISHED_PER_ANSWER = 500
 /** Delay of calls during the fault `late`, unless another is chosen. */
@@ -96,6 +98,18 @@
     return this.#bornMs
   }
 
+  /** Issues a ticket, with which tasks may be started on the current incarnation for a while. */
+  issueTicket (): string {
+    return `${this.#bornMs}/${Date.now()}`
+  }
+
+  /** Accepts starts without a ticket, since the worker does not know which queues have an advisor. */
+  #acceptsTicket (ticket: string | undefined): boolean {
+    if (ticket === undefined) return true
+    const [bornMs, issuedAtMs = 0] = ticket.split('/').map(Number)
+    return bornMs === this.#bornMs && Date.now() <= issuedAtMs + TICKET_VALIDITY_MS
+  }
+
   get running (): readonly string[] {
     return [...this.#runs.keys()]
   }
@@ -207,9 +221,10 @@
     return true
   }
 
-  #start ({ task = '', attempt = 0, deadline_ms: deadlineMs = 0, fencing_token: token }: Body): RouteResponse {
+  #start ({ task = '', attempt = 0, deadline_ms: deadlineMs = 0, fencing_token: token, ticket }: Body): RouteResponse {
     if (!this.#acceptFencingToken(token)) return this.#refuse('fence')
     if (deadlineMs < this.#clockMs) return this.#refuse('late')
+    if (!this.#acceptsTicket(ticket)) return this.#refuse('ticket')
     this.#extendLease(deadlineMs)
     if (this.#runs.get(task)?.attempt === attempt) return this.#accepted
     if (attempt <= (this.#lastEndedAttempts.get(task) ?? 0)) return this.#refuse('old')
@@ -301,6 +316,7 @@
   readonly fencing_token?: number
   readonly acked?: number
   readonly wait_ms?: number
+  readonly ticket?: string
 }
 
 /** Waits until the caller gives up. */
