Free the capacity of a start that its target's incarnation will not execute

Cause: an unanswered start whose stop was confirmed held not only its task until it could not be executed any more, but also its capacity on the target and its part of the team's cap, although the incarnation refuses it.

Change: once a report of the incarnation does not show the run, the assignment is held without capacity, as a state of its own, and is released when no later incarnation can begin it.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -307,9 +307,15 @@
     await stored
   }
 
+  runHeld (session: TargetSession, assignment: Assignment): void {
+    const { task, attempt } = assignment
+    this.#placer.releaseUsage(assignment)
+    this.#logger.info({ job: task.step.job.id, task: task.name, attempt, target: session.id }, 'a task waits until its unanswered start can not be executed any more')
+  }
+
   runLost (session: TargetSession, assignment: Assignment, reason: string): void {
     const { task } = assignment
-    this.#placer.releaseUsage(assignment)
+    if (assignment.state !== 'held') this.#placer.releaseUsage(assignment)
     const { job } = task.step
     if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, state: assignment.state, startAnswered: assignment.startAnswered, reported: assignment.reported, reason }, 'run lost')
     this.#placer.requeueTask(task, assignment.attempt)
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -11,8 +11,10 @@
   runBegun (assignment: Assignment): void
   /** A report showed a run whose start was not confirmed before. */
   startConfirmed (assignment: Assignment): void
-  /** A run that is assigned to the target is missing from a complete report. */
+  /** A run that is assigned to the target is missing from a complete report, and no incarnation will begin it. */
   runMissing (assignment: Assignment): void
+  /** A run is missing from a complete report, but a later incarnation may begin it. */
+  runHeld (assignment: Assignment): void
   /** A report showed a run that is not assigned to the target; returns its resources if they are known. */
   unexpectedRun (run: RunningTask): ComputeResources | undefined
 }
@@ -28,6 +30,7 @@
  */
 export class AssignedRuns {
   readonly #assignments = new Map<string, Assignment>()
+  readonly #held = new Set<Assignment>()
   readonly #capacity: TargetCapacity
   readonly #starts: StartsInTransit
   readonly #listener: AssignedRunsListener
@@ -42,6 +45,11 @@
     return this.#assignments
   }
 
+  /** Assignments without capacity, whose starts a later incarnation may execute. */
+  get held (): ReadonlySet<Assignment> {
+    return this.#held
+  }
+
   has ({ key }: Assignment): boolean {
     return this.#assignments.has(key)
   }
@@ -51,10 +59,26 @@
     this.#capacity.reserve(assignment.size)
   }
 
-  remove (assignment: Assignment): void {
-    if (!this.#assignments.delete(assignment.key)) return
-    this.#capacity.release(assignment.size)
+  /** Returns false if the assignment had been removed before. */
+  remove (assignment: Assignment): boolean {
+    if (this.#assignments.delete(assignment.key)) this.#capacity.release(assignment.size)
+    else if (!this.#held.delete(assignment)) return false
     this.#starts.recordSettled(assignment)
+    return true
+  }
+
+  /** Releases the capacity of an assignment whose start this incarnation will not execute. */
+  #hold (assignment: Assignment): void {
+    this.#assignments.delete(assignment.key)
+    this.#capacity.release(assignment.size)
+    this.#held.add(assignment)
+    assignment.state = 'held'
+    this.#listener.runHeld(assignment)
+  }
+
+  /** Finds the assignment of a run, also one without capacity. */
+  find (key: string): Assignment | undefined {
+    return this.#assignments.get(key) ?? [...this.#held].find(held => held.key === key)
   }
 
   /** Applies the running tasks of a report that arrived at the given time. */
@@ -86,16 +110,20 @@
     assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
   }
 
-  /** Removes confirmed runs that are missing from a complete report requested after their confirmation, and when their starts could not be executed any more. */
+  /** Handles confirmed runs that are missing from a complete report requested after their confirmation; removes them if their starts could not be executed any more. */
   detectMissing (report: TargetReport, requestedMs: number): void {
     if (report.mayOmitFinished) return
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
-    for (const assignment of [...this.#assignments.values()]) {
+    for (const assignment of [...this.#assignments.values(), ...this.#held]) {
       const { state, confirmedAtMs, key } = assignment
-      const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering'
-      if (!expectedInReport || confirmedAtMs >= requestedMs || this.#starts.latestExecutionMs(assignment) >= requestedMs || running.has(key)) continue
-      this.remove(assignment)
-      this.#listener.runMissing(assignment)
+      const expectedInReport = state === 'running' || state === 'stopping' || state === 'recovering' || state === 'held'
+      if (!expectedInReport || confirmedAtMs >= requestedMs || running.has(key)) continue
+      if (this.#starts.latestExecutionMs(assignment) < requestedMs) {
+        this.remove(assignment)
+        this.#listener.runMissing(assignment)
+      } else if (state !== 'held') {
+        this.#hold(assignment)
+      }
     }
   }
 }
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -5,9 +5,10 @@
 /**
  * `reserved`: capacity is reserved, no start was requested. `recovering`: placed by an earlier coordinator, and the
  * target has not reported yet. `unconfirmed`: the start request was not answered, and the target may execute it at any
- * time. `stopping`: the run is being stopped and still holds its capacity.
+ * time. `stopping`: the run is being stopped and still holds its capacity. `held`: this incarnation will not execute the
+ * start, so that the capacity is free, but a later one may, so that the task is not placed again.
  */
-export type AssignmentState = 'reserved' | 'recovering' | 'starting' | 'running' | 'unconfirmed' | 'stopping'
+export type AssignmentState = 'reserved' | 'recovering' | 'starting' | 'running' | 'unconfirmed' | 'stopping' | 'held'
 
 export class Assignment {
   readonly task: TaskProgress
--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '../../observability/logger.ts'
 import type { Clock } from '../../ports/clock.ts'
 import type { FinishedRun, JobTargetClient, TargetReport } from '../../ports/jobTarget.ts'
+import type { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
 import type { StartsInTransit } from './startsInTransit.ts'
@@ -22,7 +23,7 @@
   readonly lease: TargetLease
   readonly starts: StartsInTransit
   /** The runs of the incarnation that have not been released. */
-  readonly assignments: ReadonlyMap<string, Assignment>
+  readonly runs: AssignedRuns
   /** Whether the term has ended, so that nothing more is decided. */
   readonly isClosed: () => boolean
   /** Resolves when the crash of the target is counted against its runs. */
@@ -82,16 +83,16 @@
    * placed again.
    */
   #releaseAll (reason: IncarnationEndReason, crashReported: Promise<void>, report?: TargetReport): void {
-    const { assignments, isClosed, handleEnd, reportLost, reportEnded } = this.#options
+    const { runs, isClosed, handleEnd, reportLost, reportEnded } = this.#options
     const ends = new Map(report?.finished.map(run => [runKey(run.task, run.attempt), run]))
-    const releases = [...assignments.values()].map(async assignment => {
+    const releases = [...runs.byKey.values(), ...runs.held].map(async assignment => {
       const known = ends.get(assignment.key)
       if (known !== undefined) return await handleEnd(known)
       const [end] = await Promise.all([this.#withdrawUnlessRunHere(assignment, reason), crashReported])
       if (isClosed()) return
       if (end !== undefined) await handleEnd(end)
       // A start that could not be repeated has released its run meanwhile.
-      else if (assignments.has(assignment.key)) reportLost(assignment, reason)
+      else if (runs.find(assignment.key) !== undefined) reportLost(assignment, reason)
     })
     this.#allWithdrawn = Promise.all(releases).then(() => {
       if (!isClosed()) reportEnded(reason)
--- a/src/coordinator/targets/renewalTiming.ts
+++ b/src/coordinator/targets/renewalTiming.ts
@@ -1,6 +1,6 @@
 /** Decides when the next renewal of a target session is sent, and how long the target may delay its answer. */
 import type { Clock } from '../../ports/clock.ts'
-import type { Assignment } from './assignment.ts'
+import type { AssignedRuns } from './assignedRuns.ts'
 import type { RunEndNumbers } from './runEndNumbers.ts'
 import type { StartsInTransit } from './startsInTransit.ts'
 import type { TargetCapacity } from './targetCapacity.ts'
@@ -17,7 +17,7 @@
   readonly ends: RunEndNumbers
   readonly starts: StartsInTransit
   readonly capacity: TargetCapacity
-  readonly assignments: ReadonlyMap<string, Assignment>
+  readonly runs: AssignedRuns
 }
 
 /**
@@ -42,15 +42,15 @@
 
   /** How long the target may delay its answer, in milliseconds. */
   waitMs (): number {
-    const { clock, ends, starts, capacity, assignments } = this.#options
+    const { clock, ends, starts, capacity, runs } = this.#options
     if (ends.hasPendingStores || capacity.hasUnexpectedRuns) return SHORT_RENEW_WAIT_MS
     const nowMs = clock.monotonicMs()
     let waitMs = RENEW_WAIT_MS
-    for (const assignment of assignments.values()) {
+    for (const assignment of [...runs.byKey.values(), ...runs.held]) {
       const { state } = assignment
       if (state === 'unconfirmed') return SHORT_RENEW_WAIT_MS
       // A report is evidence that the run is missing from when its start can not be executed any more.
-      if (state === 'stopping' || state === 'recovering') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, starts.latestExecutionMs(assignment) - nowMs + 1))
+      if (state === 'stopping' || state === 'recovering' || state === 'held') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, starts.latestExecutionMs(assignment) - nowMs + 1))
     }
     return waitMs
   }
--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -88,6 +88,7 @@
     listener: {
       runEnded: async () => {},
       runLost: () => {},
+      runHeld: () => {},
       startRefused: () => {},
       startConfirmed: () => {},
       runBegun: () => {},
--- a/src/coordinator/targets/targetListener.ts
+++ b/src/coordinator/targets/targetListener.ts
@@ -13,6 +13,8 @@
   runEnded (session: TargetSession, run: FinishedRun, assignment: Assignment | undefined): Promise<void>
   /** The run has certainly stopped, and its outcome is unknown. */
   runLost (session: TargetSession, assignment: Assignment, reason: string): void
+  /** The incarnation will not execute the start of the run, whose resources are free; a later incarnation may. */
+  runHeld (session: TargetSession, assignment: Assignment): void
   startRefused (session: TargetSession, assignment: Assignment, refusal: StartRefusal): void
   startConfirmed (session: TargetSession, assignment: Assignment): void
   /** The incarnation has certainly begun the run, so that its start is not in transit any more. */
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -79,9 +79,10 @@
       runBegun: assignment => options.listener.runBegun(assignment),
       startConfirmed: assignment => options.listener.startConfirmed(this, assignment),
       runMissing: assignment => options.listener.runLost(this, assignment, 'not-reported'),
+      runHeld: assignment => options.listener.runHeld(this, assignment),
       unexpectedRun: run => this.#stopUnexpectedRun(run)
     })
-    this.#timing = new RenewalTiming({ clock: options.clock, ends: this.#ends, starts: this.#starts, capacity: this.capacity, assignments: this.#runs.byKey })
+    this.#timing = new RenewalTiming({ clock: options.clock, ends: this.#ends, starts: this.#starts, capacity: this.capacity, runs: this.#runs })
     this.#requests = this.#createRequests()
     this.#end = this.#createEnd()
   }
@@ -114,7 +115,7 @@
       target: this.id,
       bornMs: this.description.bornMs,
       lease: this.#lease,
-      assignments: this.assignments,
+      runs: this.#runs,
       isClosed: () => this.#closed,
       reportCrash: () => this.#reportCrash(),
       handleEnd: run => this.#handleFinishedRun(run),
@@ -167,7 +168,7 @@
   /** Whether the target's next incarnation may run tasks that were requested from this one. */
   get mayHaveRunsOnNextIncarnation (): boolean {
     if (this.#hasEnded) return this.#end.mayHaveRunsOnNextIncarnation
-    return [...this.assignments.values()].some(({ isRunHere, state }) => !isRunHere && state !== 'reserved')
+    return this.#runs.held.size > 0 || [...this.assignments.values()].some(({ isRunHere, state }) => !isRunHere && state !== 'reserved')
   }
 
   /** The time during which the target stopped answering; undefined while it answers, and when its incarnation has ended. */
@@ -335,7 +336,8 @@
   async #handleFinishedRun (run: FinishedRun): Promise<void> {
     const key = runKey(run.task, run.attempt)
     const assignment = this.assignments.get(key)
-    if (assignment !== undefined) this.#runs.remove(assignment)
+    const known = this.#runs.find(key)
+    if (known !== undefined) this.#runs.remove(known)
     await this.#options.listener.runEnded(this, run, assignment)
   }
 
