--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -35,7 +35,7 @@
 import type { StepAdvice } from '../advice/stepAdvice.ts'
 import { StepAdvisor } from '../advice/stepAdvisor.ts'
 import { AUTHORITY_GRACE_MS } from '../log/election.ts'
-import { latestExecutionMs } from '../targets/startsInTransit.ts'
+import { latestExecutionIfSentAt } from '../targets/startsInTransit.ts'
 import type { TargetFleet } from '../targets/targetFleet.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
 import { TaskStarts } from './taskStarts.ts'
@@ -226,7 +226,7 @@
   #latestExecutionOfRecoveredMs ({ job }: StepProgress): number {
     const { termStartedAtMs, desiredState } = this.#options
     const validities = [job.queue, desiredState().queue(job.queue.name) ?? job.queue].map(({ advice }) => advice?.ticketValidityMs ?? Infinity)
-    return Math.min(latestTicketUseMs(termStartedAtMs, Math.max(...validities)), latestExecutionMs(termStartedAtMs + AUTHORITY_GRACE_MS))
+    return Math.min(latestTicketUseMs(termStartedAtMs, Math.max(...validities)), latestExecutionIfSentAt(termStartedAtMs + AUTHORITY_GRACE_MS))
   }
 
   /** Subtracts a run from its team's usage. */
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * An assignment holds its capacity until it is removed.
+ * An assignment occupies its capacity until it is held or removed.
  *
  * @example
  * const runs = new AssignedRuns(capacity, starts, listener)
@@ -59,12 +59,11 @@
     this.#capacity.reserve(assignment.size)
   }
 
-  /** Returns false if the assignment had been removed before. */
-  remove (assignment: Assignment): boolean {
+  /** Removes an assignment whose run has ended or will not begin on any incarnation. */
+  remove (assignment: Assignment): void {
     if (this.#assignments.delete(assignment.key)) this.#capacity.release(assignment.size)
-    else if (!this.#held.delete(assignment)) return false
+    else this.#held.delete(assignment)
     this.#starts.recordSettled(assignment)
-    return true
   }
 
   /** Releases the capacity of an assignment whose start this incarnation will not execute. */
@@ -110,7 +109,10 @@
     assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
   }
 
-  /** Handles confirmed runs that are missing from a complete report requested after their confirmation; removes them if their starts could not be executed any more. */
+  /**
+   * Removes confirmed runs that are missing from a complete report requested after their confirmation; holds those whose
+   * starts a later incarnation may still execute.
+   */
   detectMissing (report: TargetReport, requestedMs: number): void {
     if (report.mayOmitFinished) return
     const running = new Set(report.running.map(({ task, attempt }) => runKey(task, attempt)))
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -10,8 +10,8 @@
 /** Longest time until a request is answered or given up, also through a relay. */
 const MAX_CALL_MS = 3_000
 
-/** Latest time at which a request that is sent at the given time may be executed. */
-export function latestExecutionMs (sentMs: number): number {
+/** Latest time at which a request may be executed that is sent at the given time. */
+export function latestExecutionIfSentAt (sentMs: number): number {
   return sentMs + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
 }
 
@@ -24,8 +24,8 @@
 
 /**
  * A start is in transit until it is answered, until a report shows its run, or until it can not be executed any more.
- * Shared by the sessions of all incarnations of a target, since a target that restarts executes requests that were meant
- * for its earlier incarnation. Its assignment must not be released meanwhile: the run may begin at any time.
+ * Its task must not be placed again meanwhile, since the run may begin at any time. Shared by the sessions of all
+ * incarnations of a target: one that restarts executes requests that were meant for its earlier incarnation.
  *
  * @example
  * const starts = new StartsInTransit(clock)
@@ -94,7 +94,7 @@
   }
 
   get #latestExecutionOfNextMs (): number {
-    return latestExecutionMs(this.#clock.monotonicMs())
+    return latestExecutionIfSentAt(this.#clock.monotonicMs())
   }
 
   /** Latest time at which the start may be executed; in the past if it is not in transit. */
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -277,8 +277,8 @@
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     const sentMs = clock.monotonicMs()
-    // The next incarnation could execute a start in transit, and then be told to discard the end of its run unread. One that
-    // was executed after the last report was requested, for whichever session, may have been executed by the next incarnation.
+    // A start that was executed after this incarnation was asked for its last report may have been executed by the next one,
+    // which would be told to discard the end of its run unread.
     const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
     this.#ends.recordSent(acknowledged)
     const leaseUntilTargetMs = this.#joined ? this.#lease.extend() : undefined
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -36,9 +36,10 @@
 /**
  * Stops the run on the target's current incarnation until that reports the run's end, or until a complete report that was
  * requested when the start could not be executed any more does not show the run. Resolves with the end if the run was
- * executed. A confirmed stop is not enough: an incarnation that starts later does not know of it. Ends that an
- * incarnation whose leases have expired leaves out of its reports are not awaited: none of those listed is acknowledged before
- * the start is withdrawn.
+ * executed. A confirmed stop is not enough, since an incarnation that starts later does not know of it.
+ *
+ * Ends that an incarnation whose leases have expired leaves out of its reports are not awaited: those that it lists are not
+ * acknowledged before the start is withdrawn.
  *
  * @example
  * const end = await withdrawStart(options, { task: '5c0e.0.0.1', attempt: 2 })
