Release targets kept for a gang that can not start

Cause: a target is kept if all that has to start together fits, but it stayed kept as long as a suspected task waited and the target could hold one task. Ruled out: that the departure is handled wrongly. In the simulated cluster a lowered cap, and an advisor that does not allow one of the targets, have the same effect; and prepare, in which the case's claim looks for it, is not reached while the cap or advice keeps the gang from starting.

Change: each pass decides about what is kept by the condition of its beginning: the cap allows the step, the targets together hold it, and the policy allows each. Targets are released after 1 s without that, and after 5 s if nothing runs there and the step still does not start, as without tickets; the job then gets none for 5 s. A target that was replaced while it was away is released when it is back. While targets are kept there is a pass at least every 250 ms. The predicates about runs on a target moved to suspectedRuns.

The calls of releaseUnneeded in isolation.test.ts get a lookup of requests as a further argument; what they check is unchanged.

--- /dev/null
+++ b/src/coordinator/placement/suspectedGang.test.ts
@@ -0,0 +1,71 @@
+/** What others get while targets are kept for a gang that may have crashed one. */
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { createStep } from '../../jobs/testing/definitions.ts'
+import { resources } from '../../model/resources.ts'
+import { ADVISED, BATCH, QUEUES, SimulatedCluster, URGENT } from '../testing/simulatedCluster.ts'
+
+const TARGETS = 4
+/** Longest time for which a job may have nothing running while there is room. */
+const MAX_IDLE_MS = 3_000
+
+const SMALL = resources({ processors: 500, memory: 10 })
+
+const createGang = () => createStep(TARGETS, { gang: true, size: resources({ processors: 7_000, memory: 10 }) })
+
+/**
+ * A gang with a member on each target, and tasks of 7 s beside three of them, is interrupted by the crash of the fourth target.
+ * All targets are kept for it then, and it waits until the tasks beside it have ended.
+ */
+async function startSuspectedGang (cap: number): Promise<SimulatedCluster> {
+  const cluster = new SimulatedCluster({
+    targets: TARGETS, cap, lateMs: 0, failing: false, rackOf: number => `r${number}`, workMs: task => task.startsWith('gang') ? 20_000 : task.startsWith('beside') ? 7_000 : 300
+  })
+  await cluster.elect()
+  cluster.submit('gang', BATCH, [createGang()])
+  await cluster.clock.advance(1_000)
+  for (let number = 1; number < TARGETS; number++) cluster.submit('beside', BATCH, [createStep(1, { requiredLabel: `r${number}`, size: SMALL })])
+  await cluster.clock.advance(1_000)
+  cluster.restartTarget(0)
+  await cluster.clock.advance(2_000)
+  return cluster
+}
+
+/** Submits small urgent jobs when all runs have ended, and checks that each of them completes. */
+async function assertUrgentJobsComplete (t: ExecutionContext, cluster: SimulatedCluster): Promise<void> {
+  await cluster.clock.advance(8_000)
+  t.deepEqual(cluster.running, [])
+  const urgent = Array.from({ length: 4 }, () => cluster.submit('urgent', URGENT, [createStep(1, { size: SMALL })]))
+  await cluster.clock.advance(MAX_IDLE_MS)
+  t.deepEqual(urgent.map(id => cluster.coordinator.table.finished.get(id)?.state), urgent.map(() => 'completed'))
+  cluster.close()
+}
+
+test('a gang that may have crashed its target starts again once the other runs on its targets have ended', async t => {
+  const cluster = await startSuspectedGang(0)
+  t.is(cluster.running.filter(task => task.startsWith('gang')).length, 0)
+  await cluster.clock.advance(8_000)
+  t.is(cluster.running.filter(task => task.startsWith('gang')).length, TARGETS)
+  cluster.close()
+})
+
+// Guards against targets that stay closed to all others for a gang that does not fit on what is left of them.
+test('targets that were kept for a suspected gang take other work after one of them has left', async t => {
+  const cluster = await startSuspectedGang(0)
+  cluster.target(1).listed = false
+  await assertUrgentJobsComplete(t, cluster)
+})
+
+// Guards against targets that stay closed to all others for a gang that its team may not run any more.
+test('targets that were kept for a suspected gang take other work after the cap of its team has fallen below what it needs', async t => {
+  const cluster = await startSuspectedGang(40_000)
+  cluster.setQueues(QUEUES, 14_000)
+  await assertUrgentJobsComplete(t, cluster)
+})
+
+// Guards against targets that stay closed to all others for a gang that its queue does not allow on all of them.
+test('targets that were kept for a suspected gang take other work after its queue has got an advisor that does not allow one of them', async t => {
+  const cluster = await startSuspectedGang(0)
+  cluster.setQueues([URGENT, { ...BATCH, ...(ADVISED.advice === undefined ? {} : { advice: ADVISED.advice }) }])
+  await assertUrgentJobsComplete(t, cluster)
+})
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -16,6 +16,7 @@
 import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
 import { Isolation } from '../targets/isolation.ts'
+import type { IsolationRequest } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, slackMs, StepRanking } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
@@ -49,7 +50,7 @@
 /** Fraction of the processors reserved for urgent tasks. */
 const URGENT_RESERVE_RATIO = 0.05
 
-/** Longest time between passes while there are reservations. */
+/** Longest time between passes while there are reservations or targets are kept. */
 const RENEWAL_INTERVAL_MS = 250
 
 export interface TaskPlacerOptions {
@@ -251,7 +252,6 @@
     if (!this.#options.hasAuthority()) return
     const nowMs = this.#clock.monotonicMs()
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
-    this.#isolation.releaseUnneeded(nowMs)
     this.#locality.beginPass()
     this.#placeSuspectedTasks(ranked, nowMs)
     const open = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
@@ -283,10 +283,10 @@
     feasibility.update(createOutlook({ nowMs, sessions: open, placed: this.#fleet.placed, waiting: ranked, settings: desiredState(), usage: this.#usage, forecast: this.#forecast, runTimes, urgentReserveRatio: URGENT_RESERVE_RATIO }))
   }
 
-  /** Reservations and the waits behind them end in a pass, which nothing else may request for a second. */
+  /** Reservations, kept targets and the waits behind them end in a pass, which nothing else may request for a second. */
   #scheduleRenewal (): void {
     this.#cancelRenewal?.()
-    this.#cancelRenewal = this.#reservations.active ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
+    this.#cancelRenewal = this.#reservations.active || this.#isolation.active ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
   }
 
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
@@ -365,20 +365,37 @@
   /** Places tasks that may crash their targets before all others, so that these find the isolated targets closed. */
   #placeSuspectedTasks (ranked: readonly WaitingStep[], nowMs: number): void {
     const withSuspects = ranked.filter(({ suspected }) => suspected.length > 0)
-    if (withSuspects.length === 0) return
+    if (withSuspects.length === 0 && !this.#isolation.active) return
     const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
+    this.#isolation.releaseUnneeded(step => this.#isolationRequest(step, pass, nowMs), nowMs)
     for (const { step, suspected } of withSuspects) this.#placeIsolated(step, suspected, pass, nowMs)
   }
 
+  /** Undefined if the cap of the team does not allow suspected tasks of the step to start, or members of a gang have not ended. */
+  #isolationRequest (step: StepProgress, pass: PlacementPass, nowMs: number): IsolationRequest | undefined {
+    const suspected = step.waiting.filter(task => step.isSuspected(task)).length
+    const queue = pass.queue(step.job.queue)
+    if (suspected === 0 || this.#allowedIsolated(step, suspected, pass, queue) === 0) return undefined
+    const isAdvised = queue.advice !== undefined
+    return { step, targets: pass.sessions(queue.service), permits: ({ key }) => !isAdvised || this.#advisor.findAdvice(step)?.allows(key) === true, nowMs }
+  }
+
+  /** Number of the suspected tasks that may start now as far as the cap of the team decides it. */
+  #allowedIsolated ({ definition, job }: StepProgress, suspected: number, pass: PlacementPass, queue: QueueSettings): number {
+    const team = pass.team(job.team)
+    const count = team === undefined ? suspected : this.#usage.allowedCount(team, definition, suspected, queue.priority === 0)
+    return definition.gang && count < suspected ? 0 : count
+  }
+
   #placeIsolated (step: StepProgress, tasks: readonly TaskProgress[], pass: PlacementPass, nowMs: number): void {
     const queue = pass.queue(step.job.queue)
     const advice = queue.advice === undefined ? undefined : this.#advisor.adviceOf(step)
     if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
-    const team = pass.team(step.job.team)
-    const count = team === undefined ? tasks.length : this.#usage.allowedCount(team, step.definition, tasks.length, queue.priority === 0)
-    if (count === 0 || (step.definition.gang && count < tasks.length)) return
-    const targets = pass.sessions(queue.service)
-    const { ready, insufficient } = this.#isolation.prepare({ step, targets, permits: session => advice?.allows(session.key) ?? true, nowMs })
+    const count = this.#allowedIsolated(step, tasks.length, pass, queue)
+    const request = this.#isolationRequest(step, pass, nowMs)
+    if (request === undefined) return
+    const { targets } = request
+    const { ready, insufficient } = this.#isolation.prepare(request)
     if (ready.length === 0 && advice !== undefined) {
       // Runs on the permitted targets may take long, while a target without runs is permitted too but was not asked about.
       const unasked = targets.filter(session => !advice.wasAsked(session.key) && (insufficient || this.#isolation.isOpenAndVacant(session, step.job)))
--- a/src/coordinator/targets/isolation.test.ts
+++ b/src/coordinator/targets/isolation.test.ts
@@ -54,6 +54,12 @@
   })
 }
 
+/** Requests are those of all steps with waiting suspected tasks. */
+function releaseUnneeded (isolation: Isolation, targets: readonly FakeTarget[], nowMs: number): void {
+  const sessions = targets as unknown as readonly TargetSession[]
+  isolation.releaseUnneeded(step => step.waiting.some(task => step.isSuspected(task)) ? { step, targets: sessions, permits: () => true, nowMs } : undefined, nowMs)
+}
+
 function keys ({ ready }: IsolatedPlaces): readonly string[] {
   return ready.map(({ key }) => key)
 }
@@ -80,18 +86,18 @@
   const [lasting] = createSuspects('b', 1, { longRunning: true })
   if (suspect === undefined || lasting === undefined) return t.fail()
   prepare(isolation, [suspect], targets)
-  isolation.releaseUnneeded(NOW_MS)
+  releaseUnneeded(isolation, targets, NOW_MS)
   t.true(holds(isolation, targets).includes(true), 'the task waits')
   suspect.task.state = 'done'
-  isolation.releaseUnneeded(NOW_MS)
+  releaseUnneeded(isolation, targets, NOW_MS)
   t.false(holds(isolation, targets).includes(true))
   prepare(isolation, [lasting], targets)
   run(targets.find((_, number) => holds(isolation, targets)[number] === true), [lasting])
   Object.assign(lasting, { reported: true, firstReportedAtMs: NOW_MS })
   lasting.task.state = 'assigned'
-  isolation.releaseUnneeded(NOW_MS + 5_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 5_000)
   t.true(holds(isolation, targets).includes(true))
-  isolation.releaseUnneeded(NOW_MS + 10_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 10_000)
   t.false(holds(isolation, targets).includes(true))
 })
 
@@ -160,11 +166,11 @@
   run(target, [first])
   Object.assign(first, { reported: true, firstReportedAtMs: NOW_MS })
   first.task.state = 'assigned'
-  isolation.releaseUnneeded(NOW_MS + 1_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 1_000)
   t.is(holds(isolation, targets).filter(Boolean).length, 1, 'the target is still kept for the first')
   const { ready } = prepare(isolation, [second], targets)
   t.deepEqual([ready.length, ready.some(({ key }) => key === target?.key)], [1, false])
-  isolation.releaseUnneeded(NOW_MS + 10_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 10_000)
   t.is(holds(isolation, targets).filter(Boolean).length, 1, 'the first has worked for long')
 })
 
@@ -250,9 +256,9 @@
   t.deepEqual(keys(prepare(isolation, [second], targets)), [kept?.key])
   run(kept, [second])
   report(second, NOW_MS + 5_000)
-  isolation.releaseUnneeded(NOW_MS + 10_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 10_000)
   t.true(holds(isolation, targets).includes(true), 'the second has worked there for half of the time')
-  isolation.releaseUnneeded(NOW_MS + 15_000)
+  releaseUnneeded(isolation, targets, NOW_MS + 15_000)
   t.false(holds(isolation, targets).includes(true))
 })
 
@@ -268,3 +274,70 @@
   prepare(isolation, createSuspects('c', 1, { longRunning: true }), targets)
   t.is(holds(isolation, targets).filter(Boolean).length, 2)
 })
+
+// Guards against targets that stay closed for a gang that fits no more, and against a gang that loses them all when one of them is avoided for a moment.
+test('targets are open to all tasks again one second after those that are left have become too few for the gang', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  for (const target of targets) run(target, createAssignments(`other-${target.id}`))
+  prepare(isolation, createSuspects('a', 16, { gang: true }), targets)
+  const countHeldWith = (usable: number, nowMs: number): number => {
+    releaseUnneeded(isolation, targets.slice(0, usable), nowMs)
+    return holds(isolation, targets).filter(Boolean).length
+  }
+  t.deepEqual([countHeldWith(4, NOW_MS), countHeldWith(3, NOW_MS + 500), countHeldWith(4, NOW_MS + 900)], [4, 4, 4], 'one of them is back in time')
+  t.deepEqual([countHeldWith(3, NOW_MS + 1_000), countHeldWith(3, NOW_MS + 1_899), countHeldWith(3, NOW_MS + 1_900)], [4, 4, 0])
+})
+
+// Guards against a target that stays closed after another one has taken its place while it was not usable.
+test('a target that comes back after it was replaced is open to all tasks', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const suspects = createSuspects('a')
+  prepare(isolation, suspects, targets)
+  const others = targets.filter((_, number) => holds(isolation, targets)[number] !== true)
+  prepare(isolation, suspects, others)
+  t.is(holds(isolation, targets).filter(Boolean).length, 2)
+  releaseUnneeded(isolation, others, NOW_MS)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1)
+})
+
+// Guards against two gangs that each keep a part of the targets, of which neither suffices after some have left.
+test('of two gangs that have each lost a target, one gets what both need', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(20)
+  const gangs = ['a', 'b'].map(id => createSuspects(id, 16, { gang: true }))
+  for (const gang of gangs) t.is(prepare(isolation, gang, targets).ready.length, 4)
+  const left = targets.filter((_, number) => holds(isolation, targets)[number] === true).filter((_, number) => number % 4 !== 0)
+  t.deepEqual(gangs.map(gang => prepare(isolation, gang, left).ready.length), [0, 0])
+  for (const elapsedMs of [0, 1_000]) releaseUnneeded(isolation, left, NOW_MS + elapsedMs)
+  t.deepEqual(gangs.map(gang => prepare(isolation, gang, left).ready.length), [4, 0])
+})
+
+// Guards against targets that stay closed for a task that gets no ticket.
+test('targets that nothing runs on are open to all tasks after five seconds without a start, and kept again five seconds later', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const suspects = createSuspects('a')
+  const countHeldAt = (elapsedMs: number): number => {
+    releaseUnneeded(isolation, targets, NOW_MS + elapsedMs)
+    prepare(isolation, suspects, targets, targets, NOW_MS + elapsedMs)
+    return holds(isolation, targets).filter(Boolean).length
+  }
+  t.deepEqual([0, 1, 5_000, 5_001, 10_000, 10_001, 10_002].map(countHeldAt), [1, 1, 1, 0, 0, 1, 1])
+})
+
+// Guards against targets that stay closed while the start of one member of the gang is not answered, so that none of it can start.
+test('targets of a gang of which one member has not ended are open to all tasks after a second', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const gang = createSuspects('a', 16, { gang: true })
+  prepare(isolation, gang, targets)
+  const [unanswered] = run(targets[0], gang.slice(0, 1))
+  if (unanswered === undefined) return t.fail()
+  unanswered.task.state = 'assigned'
+  for (const [elapsedMs, expected] of [[0, 4], [999, 4], [1_000, 1]] as const) {
+    releaseUnneeded(isolation, targets, NOW_MS + elapsedMs)
+    t.is(holds(isolation, targets).filter(Boolean).length, expected)
+  }
+})
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -1,25 +1,28 @@
 /** Keeps targets to themselves for jobs of which a task may crash the targets that start it. */
 import type { JobProgress } from '../../jobs/jobProgress.ts'
-import type { StepProgress, TaskProgress } from '../../jobs/stepProgress.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
 import { subtractResources } from '../../model/resources.ts'
 import type { Logger } from '../../observability/logger.ts'
-import type { Assignment } from './assignment.ts'
-import { CLEARING_TIME_MS } from './crashEvidence.ts'
 import { countFitting, isSuitable, requiredResources } from '../placement/placeStep.ts'
 import type { TargetAvailability } from '../placement/placeStep.ts'
+import { compareWork, crashedTargets, findUnsettledSuspect, hasRunsOf, hasUnsettledSuspect, isVacant, maySuspectsShare, willStay } from './suspectedRuns.ts'
 import type { TargetSession } from './targetSession.ts'
 
 /** Part of a service's targets that may be isolated at the same time; a gang that needs more has to be the only one. */
 const MAX_ISOLATED_RATIO = 0.25
 /** The same if the added targets have nothing else to do. */
 const MAX_ISOLATED_RATIO_OF_IDLE = 0.6
-/**
- * Until this number of crashes, a lasting task may share its kept target with others. Users allow two starts after the
- * third crash, and these have to show whether the task is the cause.
- */
-const MAX_CRASHES_FOR_SHARING = 2
 /** A lasting task is needed all the time, and the runs of other jobs on its target may take much longer than this to end. */
 const MAX_VACATING_MS_FOR_LASTING = 2_000
+/**
+ * Targets stay kept for this long after what the step can get has become too little. A target that gives no answer, or is
+ * avoided after failures, is usually back by then.
+ */
+const MAX_SHORTFALL_MS = 1_000
+/** Targets that nothing runs on stay kept for this long while the step does not start, since its tickets have to be renewed. */
+const MAX_READY_MS = 5_000
+/** After that time the targets are open to others for as long. */
+const SUSPENSION_MS = 5_000
 
 export interface IsolationRequest {
   readonly step: StepProgress
@@ -40,12 +43,49 @@
   readonly insufficient: boolean
 }
 
+/** Returns what the step may use now; undefined if its suspected tasks must not start, whatever targets there are. */
+export type IsolationRequestLookup = (step: StepProgress) => IsolationRequest | undefined
+
+/** A step with suspected tasks that wait. */
+interface WaitingStep {
+  readonly step: StepProgress
+  readonly request: IsolationRequest | undefined
+  /** The targets kept for its job that it may use now. */
+  readonly kept: readonly TargetSession[]
+  /** Whether these hold the step. */
+  readonly isComplete: boolean
+}
+
+/** Why a target is not kept any more; `too-few-targets` and `not-started` while its job still waits. */
+type IsolationEnd = 'not-needed' | 'exchanged' | 'too-few-targets' | 'not-started'
+
+interface ReviewedWait {
+  /** The steps for which targets may stay kept. */
+  readonly waiting: readonly WaitingStep[]
+  /** Why other targets are not kept any more. */
+  readonly end: IsolationEnd
+}
+
+/** The wait of a job for the targets that are kept for it. */
+interface IsolationWait {
+  /** When the permitted targets last sufficed for one of its steps, or none of its suspected tasks waited. */
+  sufficientAtMs: number
+  /** Since when the kept targets suffice and nothing runs there; undefined while they don't. */
+  readySinceMs: number | undefined
+}
+
 /**
  * A target that is kept for a job gets no other tasks, and the job's suspected tasks start there once the others have
  * ended: if it crashes then, nothing else explains it.
  *
+ * A target stays kept only for a run of a suspected task, or for a step that may start and that the permitted targets can
+ * hold together, which is what it takes to keep it in the first place. The wait for other runs to end is bounded by these
+ * runs, all other waits by `MAX_SHORTFALL_MS` and `MAX_READY_MS`. What is kept is state of one process: a successor keeps
+ * targets anew.
+ *
  * @example
  * const isolation = new Isolation(describe, logger)
+ * isolation.releaseUnneeded(step => ({ step, targets, permits, nowMs }), nowMs)
  * const { ready } = isolation.prepare({ step, targets, permits, nowMs })
  */
 export class Isolation {
@@ -53,6 +93,10 @@
   readonly #logger: Logger
   readonly #jobs = new Map<TargetSession, JobProgress>()
   readonly #keptSinceMs = new Map<TargetSession, number>()
+  /** Of the jobs for which targets are kept. */
+  readonly #waits = new Map<JobProgress, IsolationWait>()
+  /** Jobs that get no targets, and until when. */
+  readonly #suspendedUntilMs = new Map<JobProgress, number>()
 
   constructor (describe: (step: StepProgress, target: TargetSession) => TargetAvailability, logger: Logger) {
     this.#describe = describe
@@ -69,16 +113,69 @@
     return !this.#jobs.has(target) && isVacant(target, job)
   }
 
-  /** Opens targets to all tasks again that no job needs any longer. */
-  releaseUnneeded (nowMs: number): void {
+  /** Whether targets are kept, so that the time for which they are has to be checked. */
+  get active (): boolean {
+    return this.#jobs.size > 0
+  }
+
+  /** Opens targets to all tasks again that no job needs any longer; called in each pass. */
+  releaseUnneeded (findRequest: IsolationRequestLookup, nowMs: number): void {
+    for (const [job, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || job.outcome !== undefined) this.#suspendedUntilMs.delete(job)
+    const keepers = new Set(this.#jobs.values())
+    for (const job of this.#waits.keys()) if (!keepers.has(job)) this.#waits.delete(job)
+    const waits = new Map([...keepers].map(job => [job, this.#reviewWait(job, findRequest, nowMs)]))
     for (const [target, job] of this.#jobs) {
-      if (!target.ended && job.outcome === undefined && this.#needsTarget(job, target, nowMs)) continue
+      const { waiting, end } = waits.get(job) ?? { waiting: [], end: 'not-needed' }
+      const isNeeded = (): boolean => hasUnsettledSuspect(target, job, nowMs) || waiting.some(step => this.#mayHold(step, target))
+      if (!target.ended && job.outcome === undefined && isNeeded()) continue
       const sharing = target.ended ? undefined : findUnsettledSuspect(target, nowMs)
-      if (sharing === undefined) this.#release(target, job)
+      if (sharing === undefined) this.#release(target, job, end, nowMs)
       else this.#jobs.set(target, sharing.task.step.job)
     }
   }
 
+  /** Finds the steps of the job for which targets may stay kept although no suspected task runs there; none once the wait has lasted too long. */
+  #reviewWait (job: JobProgress, findRequest: IsolationRequestLookup, nowMs: number): ReviewedWait {
+    const wait = this.#waits.get(job) ?? { sufficientAtMs: nowMs, readySinceMs: undefined }
+    this.#waits.set(job, wait)
+    const waiting = job.steps.filter(step => step.suspectedTasks.some(({ state }) => state === 'waiting')).map(step => this.#describeWait(step, findRequest(step)))
+    if (waiting.length === 0 || waiting.some(step => this.#isSufficient(step))) wait.sufficientAtMs = nowMs
+    wait.readySinceMs = waiting.some(step => this.#isReady(step)) ? wait.readySinceMs ?? nowMs : undefined
+    if (nowMs - wait.sufficientAtMs >= MAX_SHORTFALL_MS) return { waiting: [], end: 'too-few-targets' }
+    if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return { waiting, end: 'not-needed' }
+    this.#suspendedUntilMs.set(job, nowMs + SUSPENSION_MS)
+    return { waiting: [], end: 'not-started' }
+  }
+
+  #describeWait (step: StepProgress, request: IsolationRequest | undefined): WaitingStep {
+    const kept = request === undefined ? [] : this.#keptFor(request)
+    return { step, request, kept, isComplete: this.#countMissing(step, kept) <= 0 }
+  }
+
+  /** Whether the targets kept for the job and those that could be added hold the step. */
+  #isSufficient ({ request, kept, isComplete }: WaitingStep): boolean {
+    if (isComplete || request === undefined) return isComplete
+    const { added, isEnough } = this.#findAdditional(request, kept)
+    return isEnough && this.#mayAdd(added, request)
+  }
+
+  /** Whether the targets kept for the job hold the step, and nothing runs there that will end. */
+  #isReady ({ step: { job }, kept, isComplete }: WaitingStep): boolean {
+    return isComplete && kept.every(target => isVacant(target, job) && !hasRunsOf(target, job))
+  }
+
+  /** Whether the target may stay kept for the waiting step. One that is not usable now is awaited until others replace it. */
+  #mayHold ({ step, request, isComplete }: WaitingStep, target: TargetSession): boolean {
+    if (this.#countPlaces(step, target) === 0) return false
+    if (request === undefined) return true
+    return request.permits(target) && (request.targets.includes(target) || !isComplete)
+  }
+
+  /** The targets kept for the job of the step that it may use now. */
+  #keptFor ({ step, targets, permits }: IsolationRequest): readonly TargetSession[] {
+    return targets.filter(target => this.#jobs.get(target) === step.job && permits(target) && this.#countPlaces(step, target) > 0)
+  }
+
   /**
    * Keeps as many targets for the job as the step needs: those first that have not crashed under it, since a further
    * crash of the same target proves nothing, and of these the ones that will be vacant soonest. A lasting task prefers
@@ -92,28 +189,46 @@
     return shared === undefined ? places : { ready: [shared], insufficient: false }
   }
 
-  #prepareOwn ({ step, targets, permits, nowMs }: IsolationRequest): IsolatedPlaces {
+  #prepareOwn (request: IsolationRequest): IsolatedPlaces {
+    const { step, nowMs } = request
+    const { job } = step
+    if (this.#suspendedUntilMs.has(job)) return { ready: [], insufficient: false }
+    const crashed = crashedTargets(step)
+    const vacant = this.#findOpen(request).filter(target => isVacant(target, job) && !crashed.has(target.id))
+    const kept = this.#exchangeBusy(step, this.#keptFor(request), vacant, nowMs)
+    const { added, isEnough } = this.#findAdditional(request, kept)
+    if (!isEnough) return { ready: [], insufficient: true }
+    if (this.#mayAdd(added, request)) for (const target of added) this.#keep(target, step, this.#countPlaces(step, target), nowMs)
+    const mayStart = (target: TargetSession): boolean => isVacant(target, job) || this.#mayShare(step, target, nowMs)
+    return { ready: this.#keptFor(request).filter(mayStart), insufficient: false }
+  }
+
+  /** The permitted targets that can hold a task of the step and may be kept for it. */
+  #findOpen ({ step, targets, permits }: IsolationRequest): TargetSession[] {
+    return targets.filter(target => permits(target) && !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns && this.#countPlaces(step, target) > 0)
+  }
+
+  /** Number of tasks that have to start together and that the targets can not hold; not above 0 if they hold all. */
+  #countMissing (step: StepProgress, targets: readonly TargetSession[]): number {
+    const { gang, count } = step.definition
+    return (gang ? count : 1) - targets.reduce((sum, target) => sum + this.#countPlaces(step, target), 0)
+  }
+
+  /** Chooses the targets that the step needs beside those that are kept for its job. */
+  #findAdditional (request: IsolationRequest, kept: readonly TargetSession[]): { readonly added: readonly TargetSession[], readonly isEnough: boolean } {
+    const { step } = request
     const { job, definition } = step
-    const places = (target: TargetSession): number => this.#countPlaces(step, target)
-    const usable = targets.filter(target => permits(target) && places(target) > 0)
-    const crashed = new Set(step.suspectedTasks.flatMap(({ crashHistory }) => crashHistory.targets))
-    const isOpen = (target: TargetSession): boolean => !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns
-    const vacant = usable.filter(target => isOpen(target) && isVacant(target, job) && !crashed.has(target.id))
-    const kept = this.#exchangeBusy(step, usable.filter(target => this.#jobs.get(target) === job), vacant, nowMs)
-    let missing = (definition.gang ? definition.count : 1) - kept.reduce((sum, target) => sum + places(target), 0)
+    let missing = this.#countMissing(step, kept)
     const added: TargetSession[] = []
-    const open = usable.filter(isOpen)
+    if (missing <= 0) return { added, isEnough: true }
+    const crashed = crashedTargets(step)
     const holdsNow = (target: TargetSession): number => Number(definition.longRunning && countFitting(requiredResources(definition), this.#describe(step, target).free) > 0)
-    for (const target of open.sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || holdsNow(right) - holdsNow(left) || compareWork(left, right, job))) {
+    for (const target of this.#findOpen(request).sort((left, right) => Number(crashed.has(left.id)) - Number(crashed.has(right.id)) || holdsNow(right) - holdsNow(left) || compareWork(left, right, job))) {
       if (missing <= 0) break
       added.push(target)
-      missing -= places(target)
+      missing -= this.#countPlaces(step, target)
     }
-    if (missing > 0) return { ready: [], insufficient: true }
-    const maximumRatio = added.every(target => isVacant(target, job)) ? MAX_ISOLATED_RATIO_OF_IDLE : MAX_ISOLATED_RATIO
-    if (this.#mayAdd(added.length, step, targets, maximumRatio)) for (const target of added) this.#keep(target, step, places(target), nowMs)
-    const mayStart = (target: TargetSession): boolean => isVacant(target, job) || this.#mayShare(step, target, nowMs)
-    return { ready: usable.filter(target => this.#jobs.get(target) === job && mayStart(target)), insufficient: false }
+    return { added, isEnough: missing <= 0 }
   }
 
   /** Whether the step may start beside runs of other jobs, whose end it has awaited. Later crashes need the proof of a vacant target. */
@@ -133,7 +248,7 @@
       const position = replacements.findIndex(other => this.#countPlaces(step, other) >= places)
       const [replacement] = position === -1 ? [] : replacements.splice(position, 1)
       if (replacement === undefined) return target
-      this.#release(target, job)
+      this.#release(target, job, 'exchanged', nowMs)
       this.#keep(replacement, step, this.#countPlaces(step, replacement), nowMs)
       return replacement
     })
@@ -158,10 +273,11 @@
    * All targets of a gang are added at once, so that two gangs cannot hold a part each and wait for the other. Lasting
    * tasks may always keep one target, however many are kept for tasks that end, as long as one remains open.
    */
-  #mayAdd (added: number, { job }: StepProgress, targets: readonly TargetSession[], maximumRatio: number): boolean {
+  #mayAdd (added: readonly TargetSession[], { step: { job }, targets }: IsolationRequest): boolean {
+    const maximumRatio = added.every(target => isVacant(target, job)) ? MAX_ISOLATED_RATIO_OF_IDLE : MAX_ISOLATED_RATIO
     const keepers = targets.flatMap(target => this.#jobs.get(target) ?? [])
-    if (keepers.every(keeper => keeper === job) || keepers.length + added <= targets.length * maximumRatio) return true
-    return maySuspectsShare(job) && !keepers.some(maySuspectsShare) && added === 1 && keepers.length + 1 < targets.length
+    if (keepers.every(keeper => keeper === job) || keepers.length + added.length <= targets.length * maximumRatio) return true
+    return maySuspectsShare(job) && !keepers.some(maySuspectsShare) && added.length === 1 && keepers.length + 1 < targets.length
   }
 
   #keep (target: TargetSession, { job, name }: StepProgress, places: number, nowMs: number): void {
@@ -170,20 +286,11 @@
     this.#logger.info({ job: job.id, step: name, target: target.id, places, runs: target.assignments.size }, 'keeping a target for a job that may crash it')
   }
 
-  #release (target: TargetSession, job: JobProgress): void {
+  #release (target: TargetSession, job: JobProgress, end: IsolationEnd, nowMs: number): void {
+    const keptMs = Math.round(nowMs - (this.#keptSinceMs.get(target) ?? nowMs))
     this.#jobs.delete(target)
     this.#keptSinceMs.delete(target)
-    this.#logger.info({ job: job.id, target: target.id }, 'target is open to all jobs again')
-  }
-
-  #needsTarget (job: JobProgress, target: TargetSession, nowMs: number): boolean {
-    const isUnsettledHere = (task: TaskProgress): boolean => [...target.assignments.values()].some(run => run.task === task && !isSettled(run, nowMs))
-    const isNeededFor = (step: StepProgress): boolean => {
-      const suspected = step.suspectedTasks
-      if (suspected.some(task => task.state === 'assigned' && isUnsettledHere(task))) return true
-      return suspected.some(task => task.state === 'waiting') && this.#countPlaces(step, target) > 0
-    }
-    return job.steps.some(isNeededFor)
+    this.#logger.info({ job: job.id, target: target.id, end, keptMs }, 'target is open to all jobs again')
   }
 
   /** Number of the step's tasks that the target can hold once all runs that will end have ended. */
@@ -196,45 +303,3 @@
     return Math.max(0, Math.min(slots, countFitting(requiredResources(definition), free)))
   }
 }
-
-/** Whether the suspected tasks of the job may share their targets: they last, and have crashes left to show which of them is the cause. */
-function maySuspectsShare (job: JobProgress): boolean {
-  const suspects = job.steps.flatMap(step => step.suspectedTasks)
-  return suspects.length > 0 && suspects.every(({ step, crashHistory }) => step.definition.longRunning && !step.definition.gang && crashHistory.crashes <= MAX_CRASHES_FOR_SHARING)
-}
-
-/** Returns a run of a suspected lasting task that has not yet worked on the target for long. */
-function findUnsettledSuspect (target: TargetSession, nowMs: number): Assignment | undefined {
-  return [...target.assignments.values()].find(run => isLasting(run) && run.task.step.isSuspected(run.task) && run.task.step.job.outcome === undefined && !isSettled(run, nowMs))
-}
-
-/** A lasting task that has been at work for long did not crash its target, and others may join it. */
-function isSettled (run: Assignment, nowMs: number): boolean {
-  return isLasting(run) && nowMs - run.firstReportedAtMs >= CLEARING_TIME_MS
-}
-
-function isVacant (target: TargetSession, job: JobProgress): boolean {
-  return !target.capacity.hasUnexpectedRuns && countPassing(target, job) === 0
-}
-
-function hasRunsOf (target: TargetSession, job: JobProgress): boolean {
-  return [...target.assignments.values()].some(run => run.task.step.job === job)
-}
-
-/** Number of runs of other jobs that will end. */
-function countPassing (target: TargetSession, job: JobProgress): number {
-  return [...target.assignments.values()].filter(run => run.task.step.job !== job && !isLasting(run)).length
-}
-
-function compareWork (left: TargetSession, right: TargetSession, job: JobProgress): number {
-  return countPassing(left, job) - countPassing(right, job) || left.assignments.size - right.assignments.size
-}
-
-/** Whether the run holds its resources until its job is cancelled. */
-function willStay (run: Assignment): boolean {
-  return isLasting(run) && run.state !== 'stopping'
-}
-
-function isLasting ({ task }: Assignment): boolean {
-  return task.step.definition.longRunning
-}
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -128,10 +128,10 @@
     }))
   }
 
-  /** Changes the settings of the queues, as the operator of the platform does. */
-  setQueues (queues: readonly QueueSettings[]): void {
+  /** Changes the settings of the queues, and the processors that the team may use, as the operator of the platform does. */
+  setQueues (queues: readonly QueueSettings[], cap = this.#options.cap): void {
     this.#desiredVersion += 1
-    const state: DesiredState = { version: this.#desiredVersion, queues, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: this.#options.cap }) }], maximumBodyBytes: 1_000 }
+    const state: DesiredState = { version: this.#desiredVersion, queues, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
     this.store.put(DESIRED_KEY, JSON.stringify(state))
   }
 
