End reservations that the cap or a new advisor makes useless

Other steps went on waiting up to 2 s each behind places for a gang that could not start, until its expected start had passed twice.

Change: the renewal in each pass gives a reservation up if the cap of the team no longer allows all but one of the tasks that start together, and permits looks at the settings of the queue in force.

Measured: the two new tests of placementReservations failed before (no reservation had ended 2 s after the change) and pass.

--- a/src/coordinator/placement/placementReservations.test.ts
+++ b/src/coordinator/placement/placementReservations.test.ts
@@ -2,7 +2,7 @@
 import type { QueueSettings } from '../../jobs/desiredState.ts'
 import { createStep } from '../../jobs/testing/definitions.ts'
 import { resources } from '../../model/resources.ts'
-import { ADVISED, BATCH, SimulatedCluster, URGENT } from '../testing/simulatedCluster.ts'
+import { ADVISED, BATCH, QUEUES, SimulatedCluster, URGENT } from '../testing/simulatedCluster.ts'
 
 const LOW: QueueSettings = { ...BATCH, name: 'low', pathPrefix: '/low/', priority: 2 }
 const DECLARED_MS = 1_000
@@ -187,3 +187,24 @@
     cluster.close()
   }
 })
+
+// Guards against places that stay reserved until the expected start of a gang that can not start there any more.
+for (const [change, apply] of [
+  ['the cap of its team has fallen below what it needs', (cluster: SimulatedCluster) => cluster.setQueues(QUEUES, 20_000)],
+  ['its queue has got an advisor', (cluster: SimulatedCluster) => cluster.setQueues([URGENT, { ...ADVISED, ...BATCH, advice: ADVISED.advice }])]
+] as const) {
+  test(`the reservation of a gang ends soon after ${change}`, async t => {
+    const cluster = new SimulatedCluster({ targets: 4, cap: 60_000, lateMs: 0, failing: false, workMs: () => 25_000 })
+    const ended: string[] = []
+    cluster.metrics.observeReservation = end => ended.push(end)
+    await cluster.elect()
+    cluster.submit('long', BATCH, [createStep(4, { tasksPerTarget: 1, estimateMs: 25_000, size: resources({ processors: 4_000, memory: 10 }) })])
+    await cluster.clock.advance(1_000)
+    cluster.submit('gang', BATCH, [createStep(4, { gang: true, estimateMs: 5_000, size: resources({ processors: 7_000, memory: 10 }) })])
+    await cluster.clock.advance(2_000)
+    apply(cluster)
+    await cluster.clock.advance(2_000)
+    t.is(ended.length, 1)
+    cluster.close()
+  })
+}
--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -209,7 +209,7 @@
   #renew (key: string, reservation: Reservation, pass: PlacementPass, nowMs: number): void {
     const { step } = reservation
     if (step.job.outcome !== undefined || step.waiting.length === 0 || step.suspectedTasks.length > 0) return this.#end(key, reservation, 'not-needed', nowMs)
-    if (!this.#plan(reservation, pass, nowMs)) return this.#end(key, reservation, 'given-up', nowMs)
+    if (!mayEverStart(step, pass) || !this.#plan(reservation, pass, nowMs)) return this.#end(key, reservation, 'given-up', nowMs)
     if (nowMs <= reservation.deadlineMs) return
     if (reservation.renewed || !isWorthWaiting(reservation, nowMs, this.#options.runTimes)) return this.#end(key, reservation, 'given-up', nowMs)
     reservation.renewed = true
@@ -333,6 +333,12 @@
   return expectedStartMs - nowMs <= (scope === 'cap' ? MAX_DRAIN_MS : Math.max(MAX_DRAIN_MS, usefulMs(job, nowMs, runTimes)))
 }
 
+/** Whether the cap of the team allows what is started together, which may exceed it by one task, while nothing else of the team runs. */
+function mayEverStart (step: StepProgress, pass: PlacementPass): boolean {
+  const team = pass.team(step.job.team)
+  return team === undefined || fitsCap(scaleCompute(requiredResources(step.definition), neededTasks(step) - 1), team)
+}
+
 function isLarge (size: ComputeResources, total: ComputeResources): boolean {
   const exceeds = (needed: number, available: number): boolean => available > 0 && needed > available * LARGE_TASK_RATIO
   return exceeds(size.processors, total.processors) || exceeds(size.memory, total.memory) || exceeds(size.accelerators, total.accelerators)
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -142,7 +142,7 @@
       forecast: this.#forecast,
       usage: this.#usage,
       describe: (step, session) => this.#describeTarget(step, session),
-      permits: (step, session) => step.job.queue.advice === undefined || (this.#advisor.findAdvice(step)?.allows(session.key) ?? false),
+      permits: (step, session) => this.#permits(step, this.#options.desiredState().queue(step.job.queue.name) ?? step.job.queue, session),
       placed: () => this.#fleet.placed,
       onEnded: (end, heldMs) => this.#options.metrics.observeReservation(end, heldMs)
     })
@@ -376,8 +376,12 @@
     const suspected = step.waiting.filter(task => step.isSuspected(task)).length
     const queue = pass.queue(step.job.queue)
     if (suspected === 0 || this.#allowedIsolated(step, suspected, pass, queue) === 0) return undefined
-    const isAdvised = queue.advice !== undefined
-    return { step, targets: pass.sessions(queue.service), permits: ({ key }) => !isAdvised || this.#advisor.findAdvice(step)?.allows(key) === true, nowMs }
+    return { step, targets: pass.sessions(queue.service), permits: session => this.#permits(step, queue, session), nowMs }
+  }
+
+  /** Whether the policy of the queue is known to allow the target for the step. */
+  #permits (step: StepProgress, queue: QueueSettings, { key }: TargetSession): boolean {
+    return queue.advice === undefined || this.#advisor.findAdvice(step)?.allows(key) === true
   }
 
   /** Number of the suspected tasks that may start now as far as the cap of the team decides it. */
