Remember cancels of jobs that have not been submitted

Cause: the coordinator kept nothing of a cancel without a job, so that the submission was new to it. That the instance does not look whether the client has left is true as well, but not sufficient to change: submissions also wait in batches, retries and at the coordinator, and who cancels need not have closed the channel.

Change: such a cancel is recorded in the log (cancelled-early) before its 410. A submission of the same team and queue that arrives then is accepted as a cancelled job and never runs. Records are kept for 60 to 120 s, 1,000 for each team and for all callers without a key together, 8,000 in all; beyond that a cancel gets 503, which promises nothing. An instance that may have been paused for more than 20 s refuses the submissions that it reads then, so that none is older than what is remembered. FinishedJobRetention becomes OutcomeRetention and keeps both.

Test changed: the fake coordinator of the limit on waiting calls in jobIntake.test.ts has a real table and appends, since cancels use them; what is checked is the same.

--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -2,6 +2,7 @@
 import { unavailable } from '../../entry/callerCall.ts'
 import type { CallerAnswer, CallerCall } from '../../entry/callerCall.ts'
 import type { QueueSettings, TeamSettings } from '../../jobs/desiredState.ts'
+import type { EarlyCancellationKey } from '../../jobs/earlyCancellations.ts'
 import type { JobDefinition } from '../../jobs/job.ts'
 import { JobProgress } from '../../jobs/jobProgress.ts'
 import type { JobRecord } from '../../jobs/jobRecords.ts'
@@ -13,6 +14,7 @@
 import { RecordsWithdrawnError } from '../log/recordLog.ts'
 import { describeRequest } from './admissionRequest.ts'
 import type { AdmissionRequest } from './admissionRequest.ts'
+import { EarlyCancels } from './earlyCancels.ts'
 import type { AdmissionDecision, RefusalDecision } from './feasibilityAdmission.ts'
 import { RefusalReport } from './refusalReport.ts'
 import type { Refusal } from './refusalReport.ts'
@@ -58,6 +60,7 @@
   /** Rate of jobs within each team's share. */
   readonly #shares: RateBudget
   readonly #refusals: RefusalReport
+  readonly #earlyCancels: EarlyCancels
   /** Jobs whose record is not durable yet, by identity. */
   readonly #pending = new Map<string, Promise<void>>()
   #unconfirmedCalls = 0
@@ -70,6 +73,7 @@
     this.#clock = clock
     this.#logger = logger
     this.#refusals = new RefusalReport(clock, logger)
+    this.#earlyCancels = new EarlyCancels(coordinator, clock, logger)
     this.#shares = new RateBudget(clock, team => {
       const weight = desired.index.team(team)?.weight ?? 0
       return { perSecond: weight, burst: Math.max(1, weight * SHARE_BURST_SECONDS) }
@@ -94,17 +98,22 @@
     switch (call.action) {
       case 'submit': return await this.#submit(resolved, call.definition)
       case 'read': return resolved.id === '' ? this.#countPending(resolved.queue) : await this.#confirmAbsence(this.#read(resolved))
-      case 'cancel': return await this.#confirmAbsence(await this.#cancel(resolved))
+      case 'cancel': return await this.#cancel(resolved)
     }
   }
 
   /** Confirms leadership before reporting a missing job: an unnoticed successor may have accepted it. */
   async #confirmAbsence (answer: CallerAnswer): Promise<CallerAnswer> {
     if (answer.outcome !== 'no-job') return answer
+    return await this.#awaitStore(async () => await this.#coordinator.confirmLeadership() ? answer : unavailable('another instance may coordinate by now'))
+  }
+
+  /** Handles a call about an unknown job, which waits for the store, unless too many do. */
+  async #awaitStore (handle: () => Promise<CallerAnswer>): Promise<CallerAnswer> {
     if (this.#unconfirmedCalls >= MAX_UNCONFIRMED_CALLS) return this.#refuseUnconfirmed()
     this.#unconfirmedCalls += 1
     try {
-      return await this.#coordinator.confirmLeadership() ? answer : unavailable('another instance may coordinate by now')
+      return await handle()
     } finally {
       this.#unconfirmedCalls -= 1
     }
@@ -138,6 +147,7 @@
     if (pending !== undefined) return await this.#awaitAcceptance(pending, queue)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return this.#refuseUnstored(queue)
+    if (this.#earlyCancels.has({ id, queue: queue.name, team })) return await this.#awaitPending(id, this.#earlyCancels.acceptCancelled({ id, queue: queue.name, team }), queue)
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
     if (!withinShare && this.#coordinator.admission.refuses(team, queue.priority)) return this.#refuseBeyondShare(team, queue)
     const record: JobRecord = {
@@ -156,9 +166,13 @@
       return this.#refuse(estimated.request, estimated.decision, record)
     }
     const durable = this.#coordinator.applyAndAppend([...this.#coordinator.missingQueueRecords(queue), record])
-    this.#pending.set(id, durable)
     // Placement records follow in the log, so that no start request is sent before the job is stored.
     this.#admit(id, durable, estimated)
+    return await this.#awaitPending(id, durable, queue)
+  }
+
+  async #awaitPending (id: string, durable: Promise<void>, queue: QueueSettings): Promise<CallerAnswer> {
+    this.#pending.set(id, durable)
     durable.catch(() => {}).finally(() => this.#pending.delete(id))
     return await this.#awaitAcceptance(durable, queue)
   }
@@ -244,11 +258,11 @@
   async #cancel ({ id, team, queue }: ResolvedCall): Promise<CallerAnswer> {
     const { table } = this.#coordinator
     const job = table.jobs.get(id)
-    if (job === undefined) {
-      const finished = table.finished.get(id)
-      return finished !== undefined && canAccess(finished, team, queue) ? { outcome: 'cancelled' } : { outcome: 'no-job' }
+    if (job === undefined || !canAccess(job.record, team, queue)) {
+      const finished = job === undefined ? table.finished.get(id) : undefined
+      if (finished !== undefined && canAccess(finished, team, queue)) return { outcome: 'cancelled' }
+      return id === '' ? await this.#confirmAbsence({ outcome: 'no-job' }) : await this.#cancelEarly({ id, queue: queue.name, team }, queue)
     }
-    if (!canAccess(job.record, team, queue)) return { outcome: 'no-job' }
     try {
       if (job.outcome === undefined) {
         const durable = this.#coordinator.applyAndAppend([{ type: 'cancelled', job: id, wallMs: this.#clock.wallMs() }])
@@ -263,6 +277,16 @@
     }
   }
 
+  async #cancelEarly (key: EarlyCancellationKey, queue: QueueSettings): Promise<CallerAnswer> {
+    return await this.#awaitStore(async () => {
+      try {
+        return await this.#earlyCancels.cancel(key)
+      } catch (error) {
+        return this.#answerUnstored(error, queue)
+      }
+    })
+  }
+
   #countPending (queue: QueueSettings): CallerAnswer {
     let pending = 0
     for (const job of this.#coordinator.table.jobs.values()) {
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -26,7 +26,7 @@
 import type { RunTimesStatus } from './forecast/learnedRunTimes.ts'
 import { SlowTargets } from './forecast/slowTargets.ts'
 import { findExtremes, LearnedRunTimes } from './forecast/learnedRunTimes.ts'
-import { FinishedJobRetention } from './log/finishedJobRetention.ts'
+import { OutcomeRetention } from './log/outcomeRetention.ts'
 import { compactLog } from './log/logCompactor.ts'
 import { readLog } from './log/logReader.ts'
 import { requiredResources } from './placement/placeStep.ts'
@@ -116,7 +116,7 @@
   readonly #recordedQueues = new Map<string, QueueSettings>()
   #table: JobTable | undefined
   #log: RecordLog | undefined
-  #retention: FinishedJobRetention | undefined
+  #retention: OutcomeRetention | undefined
   /** Sequence number of the log at the last compaction. */
   #lastCompactedSequence = 0
   /** Bytes of the segments since the last compaction that were stored before this term. */
@@ -170,6 +170,11 @@
     return this.#runTimes
   }
 
+  /** The time of day for records of outcomes, which does not jump during the term. */
+  get outcomeWallMs (): number {
+    return this.#retention?.nowMs ?? this.#clock.wallMs()
+  }
+
   /** Figures of the run times and the forecast, for metrics. */
   get forecastStatus (): ForecastStatus {
     return { ...this.#runTimes.status, slowTargets: this.#slowTargets.slow.size }
@@ -222,7 +227,7 @@
     this.#recoveredLogBytes = read.segmentBytes
     this.#runTimes.restore(read.table.runTimeModels, this.#clock.monotonicMs())
     const jobs = [...read.table.jobs.values()]
-    const retention = this.#retention = new FinishedJobRetention(this.#clock, read.table, this.#options.finishedJobMs)
+    const retention = this.#retention = new OutcomeRetention(this.#clock, read.table, this.#options.finishedJobMs)
     this.#recoverJobs(read.table, retention)
     this.#logger.info({ fence: this.info.fence, segments: read.segments, bytes: read.bytes, jobs: read.table.jobs.size, targets: read.table.targets.size, tookMs: Math.round(this.#clock.monotonicMs() - this.#termStartedAtMs) }, 'job log recovered')
     for (const description of read.table.targets.values()) this.#fleet.openRecorded(description)
@@ -447,7 +452,7 @@
     })
   }
 
-  #recoverJobs (table: JobTable, retention: FinishedJobRetention): void {
+  #recoverJobs (table: JobTable, retention: OutcomeRetention): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
         if (job.outcome === 'failed') this.#logger.info({ job: job.id, team: job.team, queue: job.record.queue, cause: job.failureCause }, 'job recovered as failed')
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -1,6 +1,7 @@
 /** Routes calls to the coordinator and retries them, at its successor if it is replaced, while the outcome is unknown. */
 import type { CoordinatorInfo } from '../coordinator/log/election.ts'
 import { CallNotSentError } from './callNotSentError.ts'
+import { EARLY_CANCELLATION_PERIOD_MS } from '../jobs/earlyCancellations.ts'
 import type { Logger } from '../observability/logger.ts'
 import type { Clock } from '../ports/clock.ts'
 import type { CoordinatorPeers } from '../ports/coordinatorPeer.ts'
@@ -14,6 +15,13 @@
 const DEFAULT_CALL_TIMEOUT_MS = 1_800
 /** A caller may state any time, during which its call would take memory. Callers of the platform wait for about 3 s. */
 const MAX_CALL_TIMEOUT_MS = 30_000
+/** Time until the last attempt at a call has certainly arrived at the coordinator. */
+const ARRIVAL_MARGIN_MS = 10_000
+/**
+ * A submission that may have been sent longer ago than this is not handed in: its cancel, or its outcome, may have been
+ * forgotten before the last attempt at it.
+ */
+const MAX_SUBMISSION_AGE_MS = EARLY_CANCELLATION_PERIOD_MS - MAX_CALL_TIMEOUT_MS - ARRIVAL_MARGIN_MS
 /** Part of the caller's time-out that is reserved for returning the answer. */
 const ANSWER_MARGIN_MS = 150
 /** A change of coordinator takes about 0.1 s, and 0.4 s with a long log; a refused caller retries only after a second. */
@@ -31,6 +39,8 @@
   readonly peers: CoordinatorPeers
   readonly clock: Clock
   readonly logger: Logger
+  /** Longest time in milliseconds for which a call that is read now may have waited in this process; 0 if it was not paused. */
+  readonly inputAgeMs: () => number
 }
 
 /** One attempt's answer, and the fencing token of the coordinator that it was sent to; 0 if it was certainly not sent. */
@@ -69,7 +79,12 @@
    * get no answer in time, the answer is `unavailable`, not `unknown`.
    */
   async handle ({ call, callerTimeoutMs }: CallerRequest): Promise<CallerAnswer> {
-    const { clock } = this.#options
+    const { clock, inputAgeMs, logger } = this.#options
+    const ageMs = inputAgeMs()
+    if (call.action === 'submit' && ageMs > MAX_SUBMISSION_AGE_MS) {
+      logger.info({ path: call.path, ageMs: Math.round(ageMs) }, 'submission refused: this process was paused, and it may be too old')
+      return unavailable('the instance was paused, and the submission may have been cancelled meanwhile')
+    }
     const waitsMs = callerTimeoutMs === undefined ? DEFAULT_CALL_TIMEOUT_MS + ANSWER_MARGIN_MS : Math.min(callerTimeoutMs, MAX_CALL_TIMEOUT_MS)
     const timeoutMs = waitsMs - ANSWER_MARGIN_MS
     const startedAtMs = clock.monotonicMs()
--- a/src/entry/jobInstance.ts
+++ b/src/entry/jobInstance.ts
@@ -222,6 +222,12 @@
     runInBackground(this.#election.endElectionOf(info), this.#options.logger, 'end of an election')
   }
 
+  /** Number of jobs that were cancelled before they were submitted; undefined while another instance coordinates. */
+  get earlyCancellations (): number | undefined {
+    const coordinator = this.#term?.coordinator
+    return coordinator?.ready === true ? coordinator.table.earlyCancellations.size : undefined
+  }
+
   async advise (question: AdviceQuestion): Promise<readonly AllowedTarget[]> {
     return await this.#options.advisor.ask(question)
   }
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -2,6 +2,7 @@
 import type { CrashEvidence, CrashHistory } from './crashHistory.ts'
 import type { RunEnd } from '../ports/jobTarget.ts'
 import type { Resources } from '../model/resources.ts'
+import type { EarlyCancellation } from './earlyCancellations.ts'
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobIdentity, JobState } from './job.ts'
 
@@ -126,6 +127,8 @@
   | StepRecord
   | RunTimesRecord
   | { readonly type: 'cancelled', readonly job: string, readonly wallMs: number }
+  /** The cancel of a job that was not known; its submission must not run if it arrives later. */
+  | EarlyCancellation & { readonly type: 'cancelled-early' }
   | { readonly type: 'finished-job', readonly id: string, readonly queue: string, readonly team: string, readonly state: JobState, readonly wallMs: number }
   | { readonly type: 'target', readonly target: TargetDescription }
   | { readonly type: 'target-gone', readonly id: string, readonly bornMs: number }
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -2,6 +2,7 @@
 import type { QueueSettings } from './desiredState.ts'
 import type { JobState } from './job.ts'
 import { JobProgress } from './jobProgress.ts'
+import { EarlyCancellations } from './earlyCancellations.ts'
 import { RunTimeModels } from './runTimeModels.ts'
 import type { JobRecord, LogRecord, RunTimeModelSummary, TargetDescription } from './jobRecords.ts'
 
@@ -27,6 +28,7 @@
   readonly #queues = new Map<string, QueueSettings>()
   readonly #targets = new Map<string, TargetDescription>()
   readonly #runTimeModels = new RunTimeModels()
+  readonly earlyCancellations = new EarlyCancellations()
   readonly #acceptedAtMs: (record: JobRecord) => number
 
   /** `acceptedAtMs` returns the time of acceptance on this process's clock. */
@@ -85,6 +87,9 @@
       case 'cancelled':
         this.#jobs.get(record.job)?.cancel()
         break
+      case 'cancelled-early':
+        this.earlyCancellations.add(record)
+        break
       case 'finished-job':
         this.finish(record.id, record)
         break
@@ -129,6 +134,7 @@
     const models = [...this.#runTimeModels.all]
     if (models.length > 0) records.push({ type: 'run-times', models })
     for (const job of this.#finished.values()) records.push({ type: 'finished-job', ...job })
+    for (const cancellation of this.earlyCancellations.all) records.push({ type: 'cancelled-early', ...cancellation })
     // Jobs keep the settings that their queue had when they were accepted, such as the number of failures allowed.
     const written = new Map<string, QueueSettings>()
     const writeQueue = (queue: QueueSettings): void => {
--- a/src/observability/jobMetrics.ts
+++ b/src/observability/jobMetrics.ts
@@ -132,6 +132,20 @@
     })
   }
 
+  /** Shows the cancels of jobs that had not been submitted; undefined on an instance that does not coordinate, which shows none. */
+  showEarlyCancellations (count: () => number | undefined): void {
+    const gauge: Gauge = new Gauge({
+      name: 'agategauge_early_cancellations',
+      help: 'Jobs that were cancelled before they were submitted, and that are not run if they arrive',
+      registers: [this.registry],
+      collect: () => {
+        const shown = count()
+        if (shown === undefined) gauge.remove()
+        else gauge.set(shown)
+      }
+    })
+  }
+
   showCallsInProgress (count: () => number): void {
     const gauge: Gauge = new Gauge({
       name: 'agategauge_calls_in_progress', help: 'Calls of callers that wait for their answer', registers: [this.registry], collect: () => gauge.set(count())
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -9,6 +9,7 @@
 import { JobInstance } from '../entry/jobInstance.ts'
 import type { JobInstanceOptions } from '../entry/jobInstance.ts'
 import { LifecycleManager } from '../lifecycle/lifecycleManager.ts'
+import { PauseMonitor } from '../lifecycle/pauseMonitor.ts'
 import { runInBackground } from '../lifecycle/runInBackground.ts'
 import { createLogger } from '../observability/logger.ts'
 import type { Logger, LoggerOptions } from '../observability/logger.ts'
@@ -85,9 +86,8 @@
     peers,
     ...readTermSettings(reloader)
   })
-  metrics.showForecast(() => instance.forecastStatus)
-  metrics.showWaitingCalls(() => ({ ...store.waitingCalls, advice: advisor.waitingCalls }))
-  const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger })
+  const pauses = new PauseMonitor(clock)
+  const router = new CallRouter({ instance, ownAddress: peerAddress, peers, clock, logger, inputAgeMs: () => pauses.inputAgeMs })
   const frontend = new CallerFrontend({
     address: settings.callerAddress,
     handler: router,
@@ -97,12 +97,12 @@
     onRefused: reason => metrics.countRefusedClient(reason),
     onCall: (action, outcome, durationMs) => metrics.observeCall(action, outcome, durationMs)
   })
-  metrics.showCallsInProgress(() => frontend.callsInProgress)
+  showStatus(metrics, { instance, store, advisor, frontend })
   let stopping = false
   const readinessServer = createReadinessServer(settings.readinessAddress, () => !stopping && instance.canServeCalls)
 
   const manager = new LifecycleManager(settings.stopGraceMs * STOP_SHARE)
-  for (const component of [store, peers, reloader, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
+  for (const component of [pauses, store, peers, reloader, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
   await manager.start()
   logger.info({ ...describeSettings(settings) }, 'instance started')
 
@@ -119,6 +119,21 @@
   }
 }
 
+interface ShownComponents {
+  readonly instance: JobInstance
+  readonly store: PlatformStore
+  readonly advisor: PlatformAdvisor
+  readonly frontend: CallerFrontend
+}
+
+/** Shows the state of the components as metrics. */
+function showStatus (metrics: JobMetrics, { instance, store, advisor, frontend }: ShownComponents): void {
+  metrics.showForecast(() => instance.forecastStatus)
+  metrics.showEarlyCancellations(() => instance.earlyCancellations)
+  metrics.showWaitingCalls(() => ({ ...store.waitingCalls, advice: advisor.waitingCalls }))
+  metrics.showCallsInProgress(() => frontend.callsInProgress)
+}
+
 /** Settings that apply from the next election on. */
 function readTermSettings (reloader: SettingsReloader<PlatformSettings>): Pick<JobInstanceOptions, 'targetLeaseMs' | 'finishedJobMs' | 'remoteFactor' | 'admitsByExpectedEnd'> {
   return {
