Keep targets for each waiting step only as far as it needs them

(1) The time without enough targets counted from the last pass in which there were enough, so that a coordinator that made no pass for a second, as after a pause, released everything in the next one. (2) It counted for the whole job, and a step that could use a target kept it: a single suspected task that waits would have kept all targets of a gang of its job that can not start.

Change: the times are those of each step, count from the first pass in which the condition is seen, and a waiting step keeps only the targets that suffice for it.

--- a/src/coordinator/targets/isolation.test.ts
+++ b/src/coordinator/targets/isolation.test.ts
@@ -1,14 +1,16 @@
 import test from 'ava'
 import type { StepDefinition } from '../../jobs/job.ts'
+import type { StepProgress } from '../../jobs/stepProgress.ts'
+import { createStep } from '../../jobs/testing/definitions.ts'
 import { resources, subtractResources } from '../../model/resources.ts'
 import { createLogger } from '../../observability/logger.ts'
 import type { Assignment } from './assignment.ts'
 import { Isolation } from './isolation.ts'
-import type { IsolatedPlaces } from './isolation.ts'
+import type { IsolatedPlaces, IsolationRequest } from './isolation.ts'
 import type { TargetAvailability } from '../placement/placeStep.ts'
 import { TargetCapacity } from './targetCapacity.ts'
 import type { TargetSession } from './targetSession.ts'
-import { createAssignments } from '../testing/assignments.ts'
+import { createAssignments, createJob } from '../testing/assignments.ts'
 
 interface FakeTarget {
   readonly id: string
@@ -54,10 +56,13 @@
   })
 }
 
+function requestOf (step: StepProgress, targets: readonly FakeTarget[], nowMs: number): IsolationRequest {
+  return { step, targets: targets as unknown as readonly TargetSession[], permits: () => true, nowMs }
+}
+
 /** Requests are those of all steps with waiting suspected tasks. */
 function releaseUnneeded (isolation: Isolation, targets: readonly FakeTarget[], nowMs: number): void {
-  const sessions = targets as unknown as readonly TargetSession[]
-  isolation.releaseUnneeded(step => step.waiting.some(task => step.isSuspected(task)) ? { step, targets: sessions, permits: () => true, nowMs } : undefined, nowMs)
+  isolation.releaseUnneeded(step => step.waiting.some(task => step.isSuspected(task)) ? requestOf(step, targets, nowMs) : undefined, nowMs)
 }
 
 function keys ({ ready }: IsolatedPlaces): readonly string[] {
@@ -286,7 +291,7 @@
     return holds(isolation, targets).filter(Boolean).length
   }
   t.deepEqual([countHeldWith(4, NOW_MS), countHeldWith(3, NOW_MS + 500), countHeldWith(4, NOW_MS + 900)], [4, 4, 4], 'one of them is back in time')
-  t.deepEqual([countHeldWith(3, NOW_MS + 1_000), countHeldWith(3, NOW_MS + 1_899), countHeldWith(3, NOW_MS + 1_900)], [4, 4, 0])
+  t.deepEqual([countHeldWith(3, NOW_MS + 5_000), countHeldWith(3, NOW_MS + 5_999), countHeldWith(3, NOW_MS + 6_000)], [4, 4, 0], 'also if nothing was checked for a while before')
 })
 
 // Guards against a target that stays closed after another one has taken its place while it was not usable.
@@ -341,3 +346,19 @@
     t.is(holds(isolation, targets).filter(Boolean).length, expected)
   }
 })
+
+// Guards against targets that stay closed for a gang that fits no more, since another step of its job could use one of them.
+test('a task that waits does not keep the targets that a gang of its job can not use any more', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const job = createJob('a', [createStep(16, { gang: true }), createStep(1)])
+  const [gang, single] = job.steps
+  if (gang === undefined || single === undefined) return t.fail()
+  for (const { tasks } of job.steps) for (const { index, step } of tasks) step.recordCrash(index, 1, 'suspected', 't-0')
+  isolation.prepare(requestOf(gang, targets, NOW_MS))
+  t.is(holds(isolation, targets).filter(Boolean).length, 4)
+  const left = targets.slice(1)
+  for (const target of left) run(target, createAssignments(`other-${target.id}`))
+  for (const elapsedMs of [0, 1_000]) releaseUnneeded(isolation, left, NOW_MS + elapsedMs)
+  t.is(holds(isolation, targets).filter(Boolean).length, 1)
+})
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -52,24 +52,24 @@
   readonly request: IsolationRequest | undefined
   /** The targets kept for its job that it may use now. */
   readonly kept: readonly TargetSession[]
-  /** Whether these hold the step. */
-  readonly isComplete: boolean
+  /** Those of them that suffice for it; undefined if all together do not. */
+  readonly needed: readonly TargetSession[] | undefined
 }
 
 /** Why a target is not kept any more; `too-few-targets` and `not-started` while its job still waits. */
 type IsolationEnd = 'not-needed' | 'exchanged' | 'too-few-targets' | 'not-started'
 
-interface ReviewedWait {
+interface ReviewedWaits {
   /** The steps for which targets may stay kept. */
   readonly waiting: readonly WaitingStep[]
   /** Why other targets are not kept any more. */
   readonly end: IsolationEnd
 }
 
-/** The wait of a job for the targets that are kept for it. */
+/** The wait of a step for the targets that are kept for its job. */
 interface IsolationWait {
-  /** When the permitted targets last sufficed for one of its steps, or none of its suspected tasks waited. */
-  sufficientAtMs: number
+  /** Since when the permitted targets are known not to suffice; undefined while they do. */
+  insufficientSinceMs: number | undefined
   /** Since when the kept targets suffice and nothing runs there; undefined while they don't. */
   readySinceMs: number | undefined
 }
@@ -93,10 +93,10 @@
   readonly #logger: Logger
   readonly #jobs = new Map<TargetSession, JobProgress>()
   readonly #keptSinceMs = new Map<TargetSession, number>()
-  /** Of the jobs for which targets are kept. */
-  readonly #waits = new Map<JobProgress, IsolationWait>()
-  /** Jobs that get no targets, and until when. */
-  readonly #suspendedUntilMs = new Map<JobProgress, number>()
+  /** Of the waiting steps of jobs for which targets are kept. */
+  readonly #waits = new Map<StepProgress, IsolationWait>()
+  /** Steps that get no targets, and until when. */
+  readonly #suspendedUntilMs = new Map<StepProgress, number>()
 
   constructor (describe: (step: StepProgress, target: TargetSession) => TargetAvailability, logger: Logger) {
     this.#describe = describe
@@ -120,10 +120,10 @@
 
   /** Opens targets to all tasks again that no job needs any longer; called in each pass. */
   releaseUnneeded (findRequest: IsolationRequestLookup, nowMs: number): void {
-    for (const [job, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || job.outcome !== undefined) this.#suspendedUntilMs.delete(job)
+    for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
     const keepers = new Set(this.#jobs.values())
-    for (const job of this.#waits.keys()) if (!keepers.has(job)) this.#waits.delete(job)
-    const waits = new Map([...keepers].map(job => [job, this.#reviewWait(job, findRequest, nowMs)]))
+    for (const { job } of this.#waits.keys()) if (!keepers.has(job)) this.#forgetWaits(job)
+    const waits = new Map([...keepers].map(job => [job, this.#reviewWaits(job, findRequest, nowMs)]))
     for (const [target, job] of this.#jobs) {
       const { waiting, end } = waits.get(job) ?? { waiting: [], end: 'not-needed' }
       const isNeeded = (): boolean => hasUnsettledSuspect(target, job, nowMs) || waiting.some(step => this.#mayHold(step, target))
@@ -134,41 +134,69 @@
     }
   }
 
-  /** Finds the steps of the job for which targets may stay kept although no suspected task runs there; none once the wait has lasted too long. */
-  #reviewWait (job: JobProgress, findRequest: IsolationRequestLookup, nowMs: number): ReviewedWait {
-    const wait = this.#waits.get(job) ?? { sufficientAtMs: nowMs, readySinceMs: undefined }
-    this.#waits.set(job, wait)
-    const waiting = job.steps.filter(step => step.suspectedTasks.some(({ state }) => state === 'waiting')).map(step => this.#describeWait(step, findRequest(step)))
-    if (waiting.length === 0 || waiting.some(step => this.#isSufficient(step))) wait.sufficientAtMs = nowMs
-    wait.readySinceMs = waiting.some(step => this.#isReady(step)) ? wait.readySinceMs ?? nowMs : undefined
-    if (nowMs - wait.sufficientAtMs >= MAX_SHORTFALL_MS) return { waiting: [], end: 'too-few-targets' }
-    if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return { waiting, end: 'not-needed' }
-    this.#suspendedUntilMs.set(job, nowMs + SUSPENSION_MS)
-    return { waiting: [], end: 'not-started' }
+  /** Finds the steps of the job for which targets may stay kept although no suspected task runs there: those whose wait has not lasted too long. */
+  #reviewWaits (job: JobProgress, findRequest: IsolationRequestLookup, nowMs: number): ReviewedWaits {
+    const waiting: WaitingStep[] = []
+    let end: IsolationEnd = 'not-needed'
+    for (const step of job.steps) {
+      if (!step.suspectedTasks.some(({ state }) => state === 'waiting')) {
+        this.#waits.delete(step)
+        continue
+      }
+      const described = this.#describeWait(step, findRequest(step))
+      const ended = this.#reviewWait(described, nowMs)
+      if (ended === undefined) waiting.push(described)
+      else end = ended
+    }
+    return { waiting, end }
+  }
+
+  /** Returns why the wait of the step ends; undefined if it goes on. */
+  #reviewWait (waiting: WaitingStep, nowMs: number): IsolationEnd | undefined {
+    const { step } = waiting
+    const wait = this.#waits.get(step) ?? { insufficientSinceMs: undefined, readySinceMs: undefined }
+    this.#waits.set(step, wait)
+    wait.insufficientSinceMs = this.#isSufficient(waiting) ? undefined : wait.insufficientSinceMs ?? nowMs
+    wait.readySinceMs = this.#isReady(waiting) ? wait.readySinceMs ?? nowMs : undefined
+    if (nowMs - (wait.insufficientSinceMs ?? nowMs) >= MAX_SHORTFALL_MS) return 'too-few-targets'
+    if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
+    this.#suspendedUntilMs.set(step, nowMs + SUSPENSION_MS)
+    return 'not-started'
+  }
+
+  #forgetWaits ({ steps }: JobProgress): void {
+    for (const step of steps) this.#waits.delete(step)
   }
 
   #describeWait (step: StepProgress, request: IsolationRequest | undefined): WaitingStep {
-    const kept = request === undefined ? [] : this.#keptFor(request)
-    return { step, request, kept, isComplete: this.#countMissing(step, kept) <= 0 }
+    if (request === undefined) return { step, request, kept: [], needed: undefined }
+    const kept = this.#keptFor(request)
+    const needed: TargetSession[] = []
+    let missing = this.#countMissing(step, [])
+    for (const target of [...kept].sort((left, right) => compareWork(left, right, step.job))) {
+      if (missing <= 0) break
+      needed.push(target)
+      missing -= this.#countPlaces(step, target)
+    }
+    return { step, request, kept, needed: missing <= 0 ? needed : undefined }
   }
 
   /** Whether the targets kept for the job and those that could be added hold the step. */
-  #isSufficient ({ request, kept, isComplete }: WaitingStep): boolean {
-    if (isComplete || request === undefined) return isComplete
+  #isSufficient ({ request, kept, needed }: WaitingStep): boolean {
+    if (needed !== undefined || request === undefined) return needed !== undefined
     const { added, isEnough } = this.#findAdditional(request, kept)
     return isEnough && this.#mayAdd(added, request)
   }
 
   /** Whether the targets kept for the job hold the step, and nothing runs there that will end. */
-  #isReady ({ step: { job }, kept, isComplete }: WaitingStep): boolean {
-    return isComplete && kept.every(target => isVacant(target, job) && !hasRunsOf(target, job))
+  #isReady ({ step: { job }, kept, needed }: WaitingStep): boolean {
+    return needed !== undefined && kept.every(target => isVacant(target, job) && !hasRunsOf(target, job))
   }
 
   /** Whether the target may stay kept for the waiting step. One that is not usable now is awaited until others replace it. */
-  #mayHold ({ step, request, isComplete }: WaitingStep, target: TargetSession): boolean {
-    if (this.#countPlaces(step, target) === 0) return false
-    if (request === undefined) return true
-    return request.permits(target) && (request.targets.includes(target) || !isComplete)
+  #mayHold ({ step, request, needed }: WaitingStep, target: TargetSession): boolean {
+    if (needed !== undefined) return needed.includes(target)
+    return this.#countPlaces(step, target) > 0 && (request === undefined || request.permits(target))
   }
 
   /** The targets kept for the job of the step that it may use now. */
@@ -192,7 +220,7 @@
   #prepareOwn (request: IsolationRequest): IsolatedPlaces {
     const { step, nowMs } = request
     const { job } = step
-    if (this.#suspendedUntilMs.has(job)) return { ready: [], insufficient: false }
+    if (this.#suspendedUntilMs.has(step)) return { ready: [], insufficient: false }
     const crashed = crashedTargets(step)
     const vacant = this.#findOpen(request).filter(target => isVacant(target, job) && !crashed.has(target.id))
     const kept = this.#exchangeBusy(step, this.#keptFor(request), vacant, nowMs)
