Log refused submissions after a pause only where calls are logged

The router wrote a line for each submission that it refused after a pause, thousands at once with full buffers; the caller front end logs calls that are not served with their reason, 50 lines a second at most. The count of suspected tasks that wait no longer asks each member of a gang about all others.

--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -147,7 +147,8 @@
     if (pending !== undefined) return await this.#awaitAcceptance(pending, queue)
     if (table.jobs.has(id) || table.finished.has(id)) return { outcome: 'accepted' }
     if (this.#coordinator.storeFails) return this.#refuseUnstored(queue)
-    if (this.#earlyCancels.has({ id, queue: queue.name, team })) return await this.#awaitPending(id, this.#earlyCancels.acceptCancelled({ id, queue: queue.name, team }), queue)
+    const key: EarlyCancellationKey = { id, queue: queue.name, team }
+    if (this.#earlyCancels.has(key)) return await this.#awaitPending(id, this.#earlyCancels.acceptCancelled(key), queue)
     const withinShare = teamSettings === undefined || this.#shares.tryTake(team, 1)
     if (!withinShare && this.#coordinator.admission.refuses(team, queue.priority)) return this.#refuseBeyondShare(team, queue)
     const record: JobRecord = {
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -373,7 +373,7 @@
 
   /** Undefined if the cap of the team does not allow suspected tasks of the step to start, or members of a gang have not ended. */
   #isolationRequest (step: StepProgress, pass: PlacementPass, nowMs: number): IsolationRequest | undefined {
-    const suspected = step.waiting.filter(task => step.isSuspected(task)).length
+    const suspected = step.waiting.length === 0 ? 0 : step.suspectedTasks.filter(({ state }) => state === 'waiting').length
     const queue = pass.queue(step.job.queue)
     if (suspected === 0 || this.#allowedIsolated(step, suspected, pass, queue) === 0) return undefined
     return { step, targets: pass.sessions(queue.service), permits: session => this.#permits(step, queue, session), nowMs }
@@ -395,9 +395,9 @@
     const queue = pass.queue(step.job.queue)
     const advice = queue.advice === undefined ? undefined : this.#advisor.adviceOf(step)
     if (advice !== undefined && (advice.openQuestions > 0 || nowMs < advice.backoffUntilMs)) return
-    const count = this.#allowedIsolated(step, tasks.length, pass, queue)
     const request = this.#isolationRequest(step, pass, nowMs)
     if (request === undefined) return
+    const count = this.#allowedIsolated(step, tasks.length, pass, queue)
     const { targets } = request
     const { ready, insufficient } = this.#isolation.prepare(request)
     if (ready.length === 0 && advice !== undefined) {
--- a/src/entry/callRouter.ts
+++ b/src/entry/callRouter.ts
@@ -79,12 +79,8 @@
    * get no answer in time, the answer is `unavailable`, not `unknown`.
    */
   async handle ({ call, callerTimeoutMs }: CallerRequest): Promise<CallerAnswer> {
-    const { clock, inputAgeMs, logger } = this.#options
-    const ageMs = inputAgeMs()
-    if (call.action === 'submit' && ageMs > MAX_SUBMISSION_AGE_MS) {
-      logger.info({ path: call.path, ageMs: Math.round(ageMs) }, 'submission refused: this process was paused, and it may be too old')
-      return unavailable('the instance was paused, and the submission may have been cancelled meanwhile')
-    }
+    const { clock, inputAgeMs } = this.#options
+    if (call.action === 'submit' && inputAgeMs() > MAX_SUBMISSION_AGE_MS) return unavailable('the instance was paused, and the submission may have been cancelled meanwhile')
     const waitsMs = callerTimeoutMs === undefined ? DEFAULT_CALL_TIMEOUT_MS + ANSWER_MARGIN_MS : Math.min(callerTimeoutMs, MAX_CALL_TIMEOUT_MS)
     const timeoutMs = waitsMs - ANSWER_MARGIN_MS
     const startedAtMs = clock.monotonicMs()
