Tell answers of a restarted target apart by a clock that starts anywhere

A start that was in transit when its target crashed was answered by the next incarnation; the run counted as lost with the earlier one and its task was placed elsewhere while it went on.

Change: the clock must also continue that of the last report. The clocks of stand-in targets start anywhere, and the model plays its sequences with clocks that start far from 0 and behind the earlier ones.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -30,7 +30,7 @@
   | { readonly type: 'submit', readonly kind: string, readonly queue: number }
   | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault, readonly lateMs?: number }
   | { readonly type: 'transit', readonly target: number, readonly requestMs: number, readonly answerMs: number }
-  | { readonly type: 'restart', readonly target: number }
+  | { readonly type: 'restart', readonly target: number, readonly clockMs?: number }
   | { readonly type: 'unlist', readonly target: number, readonly listed: boolean }
   | { readonly type: 'store', readonly faults: readonly CommitFault[] }
   | { readonly type: 'commitDelay', readonly ms: number }
@@ -58,7 +58,7 @@
       return
     }
     case 'transit': cluster.target(step.target).transit = step; return
-    case 'restart': return cluster.restartTarget(step.target)
+    case 'restart': return cluster.restartTarget(step.target, step.clockMs)
     case 'unlist': cluster.target(step.target).listed = step.listed; return
     case 'store': return cluster.failCommits(step.faults)
     case 'commitDelay': cluster.store.commitDelayMs = step.ms; return
@@ -98,6 +98,9 @@
 const SUBMIT_ADVISED: Step = { ...SUBMIT, queue: 2 }
 const LEAVE: Step = { type: 'unlist', target: 0, listed: false }
 const RESTART: Step = { type: 'restart', target: 0 }
+const INITIAL_CLOCK_MS = 2_000_000
+/** The clock of the next incarnation starts behind the earlier one's, and far from 0. */
+const RESTART_BEHIND: Step = { ...RESTART, clockMs: 1_000_000 }
 const SUCCESSOR: Step = { type: 'successor', gapMs: 0 }
 const lateFor = (lateMs: number): Step => ({ type: 'fault', target: 0, fault: 'late', lateMs })
 const setFault = (fault: TargetFault): Step => ({ type: 'fault', target: 0, fault })
@@ -121,20 +124,21 @@
   ['the next incarnation executes a start and then an acknowledgement of an earlier coordinator', [SUBMIT, waitFor(59), RESTART, SUBMIT, lateFor(400), waitFor(150), SUCCESSOR], 5],
   ['the run of a start whose stop was confirmed by the next incarnation is done on the one after it before the start is withdrawn', [SUBMIT, lateFor(251), waitFor(25), RESTART, SUBMIT, waitFor(3), setFault('none'), waitFor(250), RESTART], 5],
   ['the next incarnation of a target that has left the list executes a late start shortly before the leases are taken for lapsed', [SUBMIT, lateFor(10_000), LEAVE, RESTART, waitFor(10_000)], 40],
+  ['the next incarnation answers a start that was in transit at the restart, and works on the run for long', [SUBMIT, waitFor(700), setTransit(100, 0), SUBMIT, waitFor(30), RESTART, waitFor(1_000)], 1_000],
   ['a target that has left the list keeps the end of a late start beyond the time at which the leases are taken for lapsed', [lateFor(1_400), SUBMIT, RESTART, waitFor(2_000), LEAVE, waitFor(8_357)], 40]
 ]
 
 /** Executes the steps on a new cluster. */
-async function play (steps: readonly Step[], workMs: number, targets: number): Promise<SimulatedCluster> {
-  const cluster = new SimulatedCluster({ targets, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs })
+async function play (steps: readonly Step[], workMs: number, targets: number, initialClockMs = 0): Promise<SimulatedCluster> {
+  const cluster = new SimulatedCluster({ targets, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs, initialClockMs })
   await cluster.elect()
   await cluster.clock.advance(1_000)
   for (const step of steps) await apply(cluster, step)
   return cluster
 }
 
-async function findRepeatedRuns (steps: readonly Step[], workMs: number, targets = TARGETS): Promise<readonly string[]> {
-  const cluster = await play(steps, workMs, targets)
+async function findRepeatedRuns (steps: readonly Step[], workMs: number, targets = TARGETS, initialClockMs = 0): Promise<readonly string[]> {
+  const cluster = await play(steps, workMs, targets, initialClockMs)
   cluster.endFaults()
   await cluster.clock.advance(MAX_LATE_MS * 2)
   const repeated = cluster.findRepeatedRuns()
@@ -146,6 +150,11 @@
   test(`no task runs twice when ${failure}`, async t => {
     t.deepEqual(await findRepeatedRuns(steps, workMs), [])
   })
+
+  // Guards against runs of the next incarnation that are taken for those of the earlier one, since clocks were expected to start with 0.
+  test(`no task runs twice, with a clock that starts anywhere, when ${failure}`, async t => {
+    t.deepEqual(await findRepeatedRuns(steps.map(step => step.type === 'restart' ? RESTART_BEHIND : step), workMs, TARGETS, INITIAL_CLOCK_MS), [])
+  })
 }
 
 // Guards against a successor that holds the starts of a queue for the validity of tickets which they do not carry.
@@ -185,6 +194,8 @@
 }
 
 interface DirectedSequence extends DirectedTimes {
+  /** Whether the clocks of targets start anywhere, not with 0. */
+  readonly anyClock: boolean
   readonly steps: readonly DirectedStep[]
 }
 
@@ -227,6 +238,7 @@
 const directedSequence: fc.Arbitrary<DirectedSequence> = fc.record({
   steps: fc.tuple(sometimes(50, fc.tuple(submission)), fc.array(burst, { minLength: 1, maxLength: 3 })).map(([first, bursts]) => limitRestarts([...first, ...bursts.flat()])),
   delayMs,
+  anyClock: fc.boolean(),
   workMs: fc.oneof({ weight: 3, arbitrary: fc.integer({ min: 5, max: 40 }) }, { weight: 1, arbitrary: fc.integer({ min: 40, max: 400 }) }, { weight: 1, arbitrary: fc.integer({ min: 400, max: 4_000 }) })
 })
 
@@ -235,9 +247,10 @@
   return steps.filter(each => each.step.type !== 'restart' || restarts.includes(each))
 }
 
-function expandSequence ({ steps, ...times }: DirectedSequence): readonly Step[] {
+function expandSequence ({ steps, anyClock, ...times }: DirectedSequence): readonly Step[] {
   return steps.flatMap(({ step, base, offsetMs }) => {
     const ms = (typeof base === 'number' ? base : times[base]) + offsetMs
+    if (anyClock && step.type === 'restart') return [RESTART_BEHIND, ...ms > 0 ? [waitFor(ms)] : []]
     return [step.type === 'fault' && step.fault === 'late' ? { lateMs: times.delayMs, ...step } : step, ...ms > 0 ? [waitFor(ms)] : []]
   })
 }
@@ -245,7 +258,7 @@
 // Guards against a second run of a task after calls in transit, restarts and a successor have met in a rare order.
 test('directed search: no task runs again while it runs or once it is done', async t => {
   const property = fc.asyncProperty(directedSequence, async sequence => {
-    const repeated = await findRepeatedRuns(expandSequence(sequence), sequence.workMs, DIRECTED_TARGETS)
+    const repeated = await findRepeatedRuns(expandSequence(sequence), sequence.workMs, DIRECTED_TARGETS, sequence.anyClock ? INITIAL_CLOCK_MS : 0)
     if (repeated.length > 0) throw new Error(`${repeated.join('; ')}, run of ${sequence.workMs} ms: ${JSON.stringify(expandSequence(sequence))}`)
   })
   await t.notThrowsAsync(async () => await fc.assert(property, { seed: DIRECTED_SEED, numRuns: DIRECTED_RUNS, includeErrorInReport: true }))
@@ -254,7 +267,7 @@
 // Guards against tasks that are held for ever, since a call that they wait for is never known to be answered or out of transit.
 test('directed search: once all faults have ended, every accepted job is completed', async t => {
   const property = fc.asyncProperty(directedSequence, async sequence => {
-    const cluster = await play(expandSequence(sequence), sequence.workMs, DIRECTED_TARGETS)
+    const cluster = await play(expandSequence(sequence), sequence.workMs, DIRECTED_TARGETS, sequence.anyClock ? INITIAL_CLOCK_MS : 0)
     const stuck = await cluster.findStuckJobs()
     cluster.close()
     if (stuck.length > 0) throw new Error(`${stuck.join('; ')}, run of ${sequence.workMs} ms: ${JSON.stringify(expandSequence(sequence))}`)
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -70,7 +70,7 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: StartTicket): Promise<void> {
-    const { description, client, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
+    const { clock, description, client, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     assignment.state = 'starting'
@@ -83,6 +83,7 @@
       assignment.isResumed = checkpoint !== ''
       starts.recordSent(assignment, ticket.expiredByMs)
       answers.recordSent(assignment)
+      const sentMs = clock.monotonicMs()
       const result = await client.start({
         task: task.name,
         attempt: assignment.attempt,
@@ -92,7 +93,7 @@
         checkpoint,
         ...(ticket.text === '' ? {} : { ticket: ticket.text })
       })
-      this.#recordOutcome(assignment, result)
+      this.#recordOutcome(assignment, result, sentMs)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
@@ -111,13 +112,13 @@
     return token
   }
 
-  #recordOutcome (assignment: Assignment, result: StartOutcome): void {
+  #recordOutcome (assignment: Assignment, result: StartOutcome, sentMs: number): void {
     const { contact, starts, answers, listener } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
-    if (!assignment.isRunHere && contact.isAnswerOfIncarnation(result.clockMs)) {
+    if (!assignment.isRunHere && contact.isAnswerOfIncarnation(result.clockMs, sentMs)) {
       assignment.isRunHere = true
       listener.runBegun(assignment)
     }
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -12,6 +12,8 @@
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
 /** Clocks of targets may be off by 2%; half as much again is added as a margin. */
 const MAX_CLOCK_RATE = 1.03
+/** Clocks are given in whole milliseconds. */
+const CLOCK_ROUNDING_MS = 1
 
 /**
  * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation, whose clock differs.
@@ -24,6 +26,7 @@
 export class TargetContact {
   readonly #clock: Clock
   #clockOffsetMs: number | undefined
+  #lastReportClockMs = 0
   #lastReportMs = -Infinity
   #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
@@ -86,6 +89,7 @@
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
+    this.#lastReportClockMs = clockMs
   }
 
   /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
@@ -98,11 +102,20 @@
   }
 
   /**
-   * Whether the clock in the answer to a request shows that this incarnation has executed it: a later one has started after
-   * the last report of this one was requested, and its clock with it.
+   * Whether the clock in the answer to a request that was sent at the given time shows that this incarnation has executed
+   * it. A later one has started after the last report of this one was requested. Its clock may start with 0, or anywhere:
+   * then it hardly continues this one's.
    */
-  isAnswerOfIncarnation (clockMs: number): boolean {
-    return !this.#mayHaveRestarted && clockMs > (this.#clock.monotonicMs() - this.#lastReportRequestedMs) * MAX_CLOCK_RATE
+  isAnswerOfIncarnation (clockMs: number, sentMs: number): boolean {
+    if (this.#mayHaveRestarted || this.#clockOffsetMs === undefined) return false
+    const sinceRequestMs = (this.#clock.monotonicMs() - this.#lastReportRequestedMs) * MAX_CLOCK_RATE
+    return clockMs > sinceRequestMs && clockMs >= this.#earliestClockMs(sentMs) && clockMs <= this.#lastReportClockMs + sinceRequestMs + CLOCK_ROUNDING_MS
+  }
+
+  /** Lower bound of this incarnation's clock when it executes a request that was sent at the given time. */
+  #earliestClockMs (sentMs: number): number {
+    const sinceReportMs = sentMs - this.#lastReportMs
+    return this.#lastReportClockMs + (sinceReportMs > 0 ? sinceReportMs / MAX_CLOCK_RATE : sinceReportMs * MAX_CLOCK_RATE) - CLOCK_ROUNDING_MS
   }
 
   /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -53,6 +53,8 @@
   readonly rackOf?: (number: number) => string
   /** Factor by which runs are expected to take longer away from their data. */
   readonly remoteFactor?: number
+  /** What the clocks of the first incarnations of the targets show at their start; 0 by default. */
+  readonly initialClockMs?: number
   /** Wraps the connector of the targets in each term, for example to send requests through relays; direct by default. */
   readonly wrapConnector?: (connect: JobTargetConnector, term: SimulatedTerm) => PlacedTargetConnector
 }
@@ -124,6 +126,7 @@
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs,
       recorder: this.#recorder,
+      initialClockMs: options.initialClockMs ?? 0,
       ticketValidityMs: task => this.#ticketValidities.get(task.slice(0, task.indexOf('.')))
     }))
   }
@@ -188,9 +191,10 @@
     await this.elect()
   }
 
-  restartTarget (number: number): void {
+  /** `clockMs` is what the clock of the next incarnation shows at its start. */
+  restartTarget (number: number, clockMs = 0): void {
     this.#hasRestarts = true
-    this.target(number).restart()
+    this.target(number).restart(clockMs)
   }
 
   target (number: number): SimulatedTarget {
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -34,6 +34,8 @@
   readonly recorder: RunRecorder
   /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
   readonly ticketValidityMs?: (task: string) => number | undefined
+  /** What the clock of the first incarnation shows at its start; 0 by default. */
+  readonly initialClockMs?: number
 }
 
 interface Run { readonly task: string, readonly attempt: number, readonly record: RecordedRun, stopping: boolean }
@@ -56,6 +58,8 @@
   /** On the clock of this incarnation. */
   #leaseUntilMs = 0
   #startedAtMs: number
+  /** What the clock of this incarnation showed at its start. */
+  #initialClockMs: number
   /** Renewals that wait for a change. */
   readonly #waiting = new Set<() => void>()
   /** Records of the finished runs, by number, whose acknowledgement would be final. */
@@ -65,22 +69,24 @@
     this.#options = options
     this.lateMs = options.lateMs
     this.#startedAtMs = options.clock.monotonicMs()
+    this.#initialClockMs = options.initialClockMs ?? 0
   }
 
   get #clockMs (): number {
-    return this.#options.clock.monotonicMs() - this.#startedAtMs
+    return this.#options.clock.monotonicMs() - this.#startedAtMs + this.#initialClockMs
   }
 
   get running (): readonly string[] {
     return [...this.#runs.keys()]
   }
 
-  /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit. */
-  restart (): void {
+  /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit; its clock starts with `clockMs`. */
+  restart (clockMs = 0): void {
     const { clock, recorder } = this.#options
     for (const { record } of this.#runs.values()) recorder.end(record, 'crashed')
     this.bornMs += 1
     this.#startedAtMs = clock.monotonicMs()
+    this.#initialClockMs = clockMs
     this.#acknowledgeable = new Map()
     this.#fence = this.#leaseUntilMs = 0
     this.#nextNumber = 1
--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -35,6 +35,9 @@
 const SERVICE = 'renders'
 /** How long a target is down after a task has crashed it. */
 const CRASH_DOWNTIME_MS = 600
+/** Spreads the initial clocks of targets that start at nearly the same time. */
+const CLOCK_SPREAD_FACTOR = 7_919
+const MAX_INITIAL_CLOCK_MS = 2_000_000
 /** In the platform's format. */
 const WORKER_CAPACITY = { cpu: 64_000, mem_mb: 262_144, gpu: 0 }
 
@@ -208,7 +211,7 @@
     const id = `worker-${number}`
     const bornMs = Date.now()
     const { workMs = () => 50, endOf, stopMs, crashesWorker, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
-    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), workMs, endOf, stopMs, crashesWorker, onCrash: () => this.crash(id, CRASH_DOWNTIME_MS), onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
+    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), initialClockMs, workMs, endOf, stopMs, crashesWorker, onCrash: () => this.crash(id, CRASH_DOWNTIME_MS), onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
     this.workers.set(id, worker)
     const address = await exposeWorker(id, await this.#serve(id, worker.routes))
     this.store.put(`servers/${id}`, {
@@ -240,3 +243,8 @@
 interface AdviceBody {
   readonly workers: readonly string[]
 }
+
+/** The clock of a later incarnation may start ahead of the earlier one's or behind it. */
+function initialClockMs (bornMs: number): number {
+  return bornMs * CLOCK_SPREAD_FACTOR % MAX_INITIAL_CLOCK_MS
+}
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -52,6 +52,8 @@
   readonly bornMs: number
   /** Speed of the clock that measures leases, relative to real time; 1 is exact. */
   readonly clockRate?: number
+  /** What the clock of an incarnation shows at its start; 0 by default. */
+  readonly initialClockMs?: (bornMs: number) => number
   /** Duration of a run, in milliseconds. */
   readonly workMs: (task: string, attempt: number) => number
   /** How a run ends if it is not stopped. */
@@ -200,7 +202,7 @@
   }
 
   get #clockMs (): number {
-    return (Date.now() - this.#startedAtMs) * (this.#options.clockRate ?? 1)
+    return (this.#options.initialClockMs?.(this.#bornMs) ?? 0) + (Date.now() - this.#startedAtMs) * (this.#options.clockRate ?? 1)
   }
 
   #emit (type: WorkerEvent['type'], { task, attempt }: { readonly task: string, readonly attempt: number }, end?: string): void {
