--- a/bench/regress/regressionList.ts
+++ b/bench/regress/regressionList.ts
@@ -15,6 +15,8 @@
   /** Name of a standard day, `mix`, or a file with a day. */
   day: z.string().min(1),
   seed: z.number().int().optional(),
+  /** Whether times and figures of the day are varied by the seed, as in a hunt. */
+  vary: z.boolean().optional(),
   /** What went wrong when the seed was first played. */
   cause: z.string().min(1)
 })
--- a/bench/regress/regressionRun.ts
+++ b/bench/regress/regressionRun.ts
@@ -46,7 +46,7 @@
       deployment,
       kind: 'seed',
       seed,
-      arguments: ['run', file, seed.day, ...(seed.seed === undefined ? [] : ['--seed', String(seed.seed)]), '--why', `regression run of ${name}: ${seed.cause}`]
+      arguments: ['run', file, seed.day, ...(seed.vary === true ? ['--vary'] : []), ...(seed.seed === undefined ? [] : ['--seed', String(seed.seed)]), '--why', `regression run of ${name}: ${seed.cause}`]
     }))
     if (quick) return [score, ...played]
     return [score, ...played, ...(huntDays === 0 ? [] : [{ deployment, kind: 'hunt' as const, arguments: ['hunt', file, '--days', String(huntDays), ...common] }])]
