Bound the time for which a suspected gang closes most of a service

What callers saw: a gang that may have crashed a target keeps all the targets that it needs until the runs of other jobs there have ended. With one long run beside it, its service started nothing else for as long as that run took, so that one team could close the service to all others.

Cause: the wait for other runs had no bound but these runs, also when the kept targets were nearly all of the service.

Change: if more than half of the targets that may get tasks are kept, the runs there have to end within 2 s. Otherwise only those with the longest runs stay kept, a quarter at most, and the others are kept again when these have been drained, after 5 s at the earliest. The end of the wait is logged as 'waited-too-long'.

--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '../../observability/logger.ts'
 import { countFitting, isSuitable, requiredResources } from '../placement/placeStep.ts'
 import type { TargetAvailability } from '../placement/placeStep.ts'
-import { compareWork, crashedTargets, findUnsettledSuspect, hasRunsOf, hasUnsettledSuspect, isVacant, maySuspectsShare, willStay } from './suspectedRuns.ts'
+import { compareAge, compareWork, crashedTargets, findUnsettledSuspect, hasRunsOf, hasUnsettledSuspect, isVacant, maySuspectsShare, willStay } from './suspectedRuns.ts'
 import type { TargetSession } from './targetSession.ts'
 
 /** Part of a service's targets that may be isolated at the same time; a gang that needs more has to be the only one. */
@@ -21,8 +21,12 @@
 const MAX_SHORTFALL_MS = 1_000
 /** Targets that nothing runs on stay kept for this long while the step does not start, since its tickets have to be renewed. */
 const MAX_READY_MS = 5_000
-/** After that time the targets are open to others for as long. */
+/** After a wait that has ended, the targets are open to others for as long. */
 const SUSPENSION_MS = 5_000
+/** Part of a service's targets that others can do without for as long as the runs there take. */
+const MAX_UNBOUNDED_RATIO = 0.5
+/** If more are kept, the runs there have to end within this time. Others must not wait longer than 3 s. */
+const MAX_WIDE_WAIT_MS = 2_000
 
 export interface IsolationRequest {
   readonly step: StepProgress
@@ -56,8 +60,8 @@
   readonly needed: readonly TargetSession[] | undefined
 }
 
-/** Why a target is not kept any more; `too-few-targets` and `not-started` while its job still waits. */
-type IsolationEnd = 'not-needed' | 'exchanged' | 'too-few-targets' | 'not-started'
+/** Why a target is not kept any more; while its job still waits, `too-few-targets`, `not-started` and `waited-too-long`. */
+type IsolationEnd = 'not-needed' | 'exchanged' | 'too-few-targets' | 'not-started' | 'waited-too-long'
 
 interface ReviewedWaits {
   /** The steps for which targets may stay kept. */
@@ -72,6 +76,10 @@
   insufficientSinceMs: number | undefined
   /** Since when the kept targets suffice and nothing runs there; undefined while they don't. */
   readySinceMs: number | undefined
+  /** Since when more targets are kept than others can do without, while runs there have to end; undefined otherwise. */
+  wideSinceMs: number | undefined
+  /** Whether the runs on the targets that are kept have to end before others are added, since the wait was wide for too long. */
+  isDraining: boolean
 }
 
 /**
@@ -79,9 +87,10 @@
  * ended: if it crashes then, nothing else explains it.
  *
  * A target stays kept only for a run of a suspected task, or for a step that may start and that the permitted targets can
- * hold together, which is what it takes to keep it in the first place. The wait for other runs to end is bounded by these
- * runs, all other waits by `MAX_SHORTFALL_MS` and `MAX_READY_MS`. What is kept is state of one process: a successor keeps
- * targets anew.
+ * hold together, which is what it takes to keep it in the first place. Half of the targets may be kept for as long as
+ * other runs there take; if it is more, they have to end within `MAX_WIDE_WAIT_MS`, and else the targets with the longest
+ * runs are drained first. All other waits are bounded by `MAX_SHORTFALL_MS` and `MAX_READY_MS`. What is kept is state of
+ * one process: a successor keeps targets anew.
  *
  * @example
  * const isolation = new Isolation(describe, logger)
@@ -147,6 +156,7 @@
       const ended = this.#reviewWait(described, nowMs)
       if (ended === undefined) waiting.push(described)
       else end = ended
+      if (ended === 'waited-too-long') waiting.push({ ...described, needed: findLongestBusy(described) })
     }
     return { waiting, end }
   }
@@ -154,14 +164,18 @@
   /** Returns why the wait of the step ends; undefined if it goes on. */
   #reviewWait (waiting: WaitingStep, nowMs: number): IsolationEnd | undefined {
     const { step } = waiting
-    const wait = this.#waits.get(step) ?? { insufficientSinceMs: undefined, readySinceMs: undefined }
+    const wait = this.#waits.get(step) ?? { insufficientSinceMs: undefined, readySinceMs: undefined, wideSinceMs: undefined, isDraining: false }
     this.#waits.set(step, wait)
+    const isReady = this.#isReady(waiting)
     wait.insufficientSinceMs = this.#isSufficient(waiting) ? undefined : wait.insufficientSinceMs ?? nowMs
-    wait.readySinceMs = this.#isReady(waiting) ? wait.readySinceMs ?? nowMs : undefined
+    wait.readySinceMs = isReady ? wait.readySinceMs ?? nowMs : undefined
+    wait.wideSinceMs = !isReady && isWide(waiting) ? wait.wideSinceMs ?? nowMs : undefined
     if (nowMs - (wait.insufficientSinceMs ?? nowMs) >= MAX_SHORTFALL_MS) return 'too-few-targets'
-    if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
+    const isWideForTooLong = nowMs - (wait.wideSinceMs ?? nowMs) >= MAX_WIDE_WAIT_MS
+    if (!isWideForTooLong && nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
     this.#suspendedUntilMs.set(step, nowMs + SUSPENSION_MS)
-    return 'not-started'
+    wait.isDraining = isWideForTooLong
+    return isWideForTooLong ? 'waited-too-long' : 'not-started'
   }
 
   #forgetWaits ({ steps }: JobProgress): void {
@@ -224,6 +238,7 @@
     const crashed = crashedTargets(step)
     const vacant = this.#findOpen(request).filter(target => isVacant(target, job) && !crashed.has(target.id))
     const kept = this.#exchangeBusy(step, this.#keptFor(request), vacant, nowMs)
+    if (this.#mustDrain(step, kept)) return { ready: [], insufficient: false }
     const { added, isEnough } = this.#findAdditional(request, kept)
     if (!isEnough) return { ready: [], insufficient: true }
     if (this.#mayAdd(added, request)) for (const target of added) this.#keep(target, step, this.#countPlaces(step, target), nowMs)
@@ -231,6 +246,14 @@
     return { ready: this.#keptFor(request).filter(mayStart), insufficient: false }
   }
 
+  /** Whether the runs on the kept targets have to end before others are added. */
+  #mustDrain (step: StepProgress, kept: readonly TargetSession[]): boolean {
+    const wait = this.#waits.get(step)
+    if (wait === undefined || !wait.isDraining) return false
+    wait.isDraining = kept.some(target => !isVacant(target, step.job))
+    return wait.isDraining
+  }
+
   /** The permitted targets that can hold a task of the step and may be kept for it. */
   #findOpen ({ step, targets, permits }: IsolationRequest): TargetSession[] {
     return targets.filter(target => permits(target) && !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns && this.#countPlaces(step, target) > 0)
@@ -331,3 +354,14 @@
     return Math.max(0, Math.min(slots, countFitting(requiredResources(definition), free)))
   }
 }
+
+/** Whether so many targets are kept that others can not do without them for long. One target is always allowed. */
+function isWide ({ request, kept }: WaitingStep): boolean {
+  return request !== undefined && kept.length > Math.max(1, request.targets.length * MAX_UNBOUNDED_RATIO)
+}
+
+/** Finds the kept targets whose runs have been at work for longest, as many as may be kept for any job. */
+function findLongestBusy ({ step: { job }, request, kept }: WaitingStep): readonly TargetSession[] {
+  const busy = kept.filter(target => !isVacant(target, job))
+  return busy.sort((left, right) => compareAge(left, right, job)).slice(0, Math.floor((request?.targets.length ?? 0) * MAX_ISOLATED_RATIO))
+}
--- a/src/coordinator/targets/suspectedRuns.ts
+++ b/src/coordinator/targets/suspectedRuns.ts
@@ -42,7 +42,7 @@
 
 /** Whether nothing runs on the target but tasks of the job, and lasting tasks of others. */
 export function isVacant (target: TargetSession, job: JobProgress): boolean {
-  return !target.capacity.hasUnexpectedRuns && countPassing(target, job) === 0
+  return !target.capacity.hasUnexpectedRuns && findPassing(target, job).length === 0
 }
 
 /** Whether a task of the job runs on the target, or may begin to. */
@@ -50,14 +50,23 @@
   return [...target.assignments.values()].some(run => run.task.step.job === job)
 }
 
-/** Number of runs of other jobs that will end. */
-function countPassing (target: TargetSession, job: JobProgress): number {
-  return [...target.assignments.values()].filter(run => run.task.step.job !== job && !isLasting(run)).length
+/** Runs of other jobs that will end. */
+function findPassing (target: TargetSession, job: JobProgress): readonly Assignment[] {
+  return [...target.assignments.values()].filter(run => run.task.step.job !== job && !isLasting(run))
 }
 
 /** Orders targets by the runs of other jobs that have to end first. */
 export function compareWork (left: TargetSession, right: TargetSession, job: JobProgress): number {
-  return countPassing(left, job) - countPassing(right, job) || left.assignments.size - right.assignments.size
+  return findPassing(left, job).length - findPassing(right, job).length || left.assignments.size - right.assignments.size
+}
+
+/** Orders targets by the time since when a run of another job has been at work: a long run tends to take longer still. */
+export function compareAge (left: TargetSession, right: TargetSession, job: JobProgress): number {
+  return findEarliestReportMs(left, job) - findEarliestReportMs(right, job) || compareWork(right, left, job)
+}
+
+function findEarliestReportMs (target: TargetSession, job: JobProgress): number {
+  return Math.min(...findPassing(target, job).map(({ firstReportedAtMs }) => firstReportedAtMs))
 }
 
 /** Whether the run holds its resources until its job is cancelled. */
