Record how long starts may still be executed, so that waits do not add up

What callers saw: a task whose start was not answered waits until no incarnation of its target can execute it, for 21 s after a change of coordinator without an advisor. Each further change began that wait anew, so that with a coordinator every 6 s the task was not started again at all.

Cause: the log says that a start may be in transit, but not for how much longer; a successor has to take it for one that was sent at the end of the earlier term. What it waits for can no longer come by then.

Change: the coordinator records once a second for how long the starts that it has given up, or has recovered, may still be executed. A successor counts that time from when it reads the record, which is later than the record, so that no clocks are compared. The time for which leases may be extended by earlier coordinators is counted as before.

Changed tests: the calls of TargetSession.recover name the latest extension of leases, with the value that it had.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -125,6 +125,7 @@
   ['the run of a start whose stop was confirmed by the next incarnation is done on the one after it before the start is withdrawn', [SUBMIT, lateFor(251), waitFor(25), RESTART, SUBMIT, waitFor(3), setFault('none'), waitFor(250), RESTART], 5],
   ['the next incarnation of a target that has left the list executes a late start shortly before the leases are taken for lapsed', [SUBMIT, lateFor(10_000), LEAVE, RESTART, waitFor(10_000)], 40],
   ['the next incarnation answers a start that was in transit at the restart, and works on the run for long', [SUBMIT, waitFor(700), setTransit(100, 0), SUBMIT, waitFor(30), RESTART, waitFor(1_000)], 1_000],
+  ['a target restarts after two changes of coordinator and executes a start of the first one', [SUBMIT, waitFor(700), lateFor(11_900), SUBMIT, waitFor(28), setFault('none'), SUCCESSOR, waitFor(5_000), SUCCESSOR, waitFor(5_000), RESTART, setFault('cut'), waitFor(3_000)], 5],
   ['a target that has left the list keeps the end of a late start beyond the time at which the leases are taken for lapsed', [lateFor(1_400), SUBMIT, RESTART, waitFor(2_000), LEAVE, waitFor(8_357)], 40]
 ]
 
@@ -222,6 +223,8 @@
 ), WITHIN_DELAY)
 const restart = then(fc.constant(RESTART), ANY_TIME)
 const successor = then(fc.record({ type: fc.constant('successor' as const), gapMs: fc.oneof(fc.integer({ min: 0, max: 30 }), fc.integer({ min: 0, max: 3_000 })) }), ANY_TIME)
+/** After terms in which records about the starts of earlier ones are stored. */
+const laterSuccessor = then(fc.record({ type: fc.constant('successor' as const), gapMs: fc.integer({ min: 0, max: 3_000 }) }), ['delayMs', 1_000, 2_000, 5_000])
 const absence = then(fc.boolean().map(listed => ({ type: 'unlist', target: 0, listed })), ANY_TIME)
 const slowStore = then(fc.oneof(fc.constant(0), fc.integer({ min: 10, max: 400 }), fc.integer({ min: 400, max: 3_000 })).map(ms => ({ type: 'commitDelay', ms })), CLOSE)
 
@@ -232,7 +235,8 @@
   fc.array(submission, { maxLength: 3 }),
   sometimes(70, fc.tuple(callsInTransit)),
   sometimes(10, fc.tuple(fc.oneof(absence, slowStore))),
-  fc.oneof({ weight: 5, arbitrary: fc.tuple(restart) }, { weight: 2, arbitrary: fc.tuple(successor) }, { weight: 1, arbitrary: fc.constant([]) })
+  fc.oneof({ weight: 5, arbitrary: fc.tuple(restart) }, { weight: 2, arbitrary: fc.tuple(successor) }, { weight: 1, arbitrary: fc.constant([]) }),
+  sometimes(15, fc.array(laterSuccessor, { minLength: 1, maxLength: 3 }))
 ).map(groups => groups.flat())
 
 const directedSequence: fc.Arbitrary<DirectedSequence> = fc.record({
--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -29,6 +29,7 @@
 import { OutcomeRetention } from './log/outcomeRetention.ts'
 import { compactLog } from './log/logCompactor.ts'
 import { readLog } from './log/logReader.ts'
+import { createStartExpiryRecords } from './log/startExpiries.ts'
 import { requiredResources } from './placement/placeStep.ts'
 import type { ComputeResources } from './placement/placeStep.ts'
 import { RecordLog } from './log/recordLog.ts'
@@ -452,6 +453,15 @@
     })
   }
 
+  #recordStartExpiries (): void {
+    if (this.storeFails) return
+    const records = createStartExpiryRecords(this.#fleet.expiringStarts, this.#clock.monotonicMs())
+    if (records.length === 0) return
+    this.applyAndAppend(records).catch(() => {
+      // The term has ended; the successor waits for these starts as long as the earlier records say.
+    })
+  }
+
   #recoverJobs (table: JobTable, retention: OutcomeRetention): void {
     for (const job of [...table.jobs.values()]) {
       if (job.outcome !== undefined) {
@@ -506,6 +516,7 @@
     this.#placer.reportWaits()
     this.#recordRunTimes()
     this.#recordStartedRuns()
+    this.#recordStartExpiries()
     this.#updateSlowTargets()
     // Not awaited: occurrences become due while the store is slow, and one compaction takes many calls.
     runInBackground(this.#compactIfDue(), this.#logger, 'log compaction')
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -217,7 +217,14 @@
     assignment.isRemote = isRemoteFrom(step, session)
     this.#usage.add(step.job.team, step.definition)
     if (task.isStarted) session.reserveStarted(assignment)
-    else session.recover(assignment, this.#latestExecutionOfRecoveredMs(step))
+    else this.#recoverStart(session, assignment)
+  }
+
+  /** The time that an earlier coordinator recorded for the start counts from its record, which is older than this read of it. */
+  #recoverStart (session: TargetSession, assignment: Assignment): void {
+    const { step, startExpiresInMs } = assignment.task
+    const latestMs = this.#latestExecutionOfRecoveredMs(step)
+    session.recover(assignment, Math.min(latestMs, this.#clock.monotonicMs() + startExpiresInMs), latestMs)
   }
 
   /**
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -15,9 +15,17 @@
   return sentMs + MAX_CALL_MS + MAX_REQUEST_DELAY_MS
 }
 
+/** A start that no coordinator will send again, and that may still be executed. */
+export interface ExpiringStartRequest {
+  readonly assignment: Assignment
+  readonly latestExecutionMs: number
+}
+
 interface StartInTransit {
   /** Latest time at which the start may be executed. */
-  latestExecutionMs: number
+  readonly latestExecutionMs: number
+  /** Whether the start has not been answered yet, nor given up. */
+  readonly isAwaited: boolean
   /** Latest time at which a request that was sent after the start may extend the leases of its target. */
   latestExtensionMs: number
 }
@@ -46,24 +54,35 @@
   recordSent (assignment: Assignment, ticketExpiredByMs = Infinity): void {
     const latestMs = Math.min(this.#latestExecutionOfNextMs, ticketExpiredByMs)
     this.#recordExtension(latestMs)
-    this.#starts.set(assignment, { latestExecutionMs: latestMs, latestExtensionMs: -Infinity })
+    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: -Infinity })
   }
 
-  /** Records a start that an earlier coordinator may have sent, and that can not be executed after the given time. */
-  recordRecovered (assignment: Assignment, latestExecutionMs: number): void {
-    this.#starts.set(assignment, { latestExecutionMs, latestExtensionMs: -Infinity })
+  /**
+   * Records a start that an earlier coordinator may have sent, and that can not be executed after the given time. Up to
+   * `latestExtensionMs`, requests of earlier coordinators may extend the leases of its target.
+   */
+  recordRecovered (assignment: Assignment, latestExecutionMs: number, latestExtensionMs: number): void {
+    this.#starts.set(assignment, { latestExecutionMs, isAwaited: false, latestExtensionMs })
   }
 
   /** Records that a start was given up without an answer. */
   recordUnanswered (assignment: Assignment): void {
-    const start = this.#starts.get(assignment)
-    if (start !== undefined) start.latestExecutionMs = Math.min(start.latestExecutionMs, this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
+    this.#limitExecution(assignment, this.#clock.monotonicMs() + MAX_REQUEST_DELAY_MS)
   }
 
   /** Records that a start was executed, possibly by a later incarnation than the one that it was meant for. */
   recordExecuted (assignment: Assignment): void {
+    this.#limitExecution(assignment, this.#clock.monotonicMs())
+  }
+
+  #limitExecution (assignment: Assignment, latestMs: number): void {
     const start = this.#starts.get(assignment)
-    if (start !== undefined) start.latestExecutionMs = Math.min(start.latestExecutionMs, this.#clock.monotonicMs())
+    if (start !== undefined) this.#starts.set(assignment, { ...start, latestExecutionMs: Math.min(start.latestExecutionMs, latestMs), isAwaited: false })
+  }
+
+  /** The starts that were given up, or that earlier coordinators may have sent. */
+  get expiring (): readonly ExpiringStartRequest[] {
+    return [...this.#starts].flatMap(([assignment, { isAwaited, latestExecutionMs }]) => isAwaited ? [] : { assignment, latestExecutionMs })
   }
 
   /** Records that a start was refused, or that its run is known. */
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -13,6 +13,7 @@
 import type { TargetListener } from './targetListener.ts'
 import type { Evacuations } from './evacuations.ts'
 import { StartsInTransit } from './startsInTransit.ts'
+import type { ExpiringStartRequest } from './startsInTransit.ts'
 import { TargetFence } from './targetFence.ts'
 import { TargetSession } from './targetSession.ts'
 import type { PlacedAssignment } from '../placement/waitReport.ts'
@@ -107,6 +108,11 @@
     return [...this.#sessions.values()].flatMap(session => [...session.assignments.values()].map(assignment => ({ session, assignment })))
   }
 
+  /** The starts that were given up, or that earlier coordinators may have sent, and that may still be executed. */
+  get expiringStarts (): readonly ExpiringStartRequest[] {
+    return [...this.#starts.values()].flatMap(({ expiring }) => expiring)
+  }
+
   /** Outages of the targets that do not answer now. */
   get outages (): readonly Outage[] {
     return [...this.#sessions.values()].flatMap(({ outage }) => outage ?? [])
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -155,7 +155,7 @@
 function reserveRecovering (session: TargetSession): Assignment {
   const assignment = createAssignment('job-1', 'recovering')
   assignment.confirmedAtMs = -Infinity
-  session.recover(assignment, 0)
+  session.recover(assignment, 0, 0)
   return assignment
 }
 
@@ -691,7 +691,7 @@
     const { clock, client, listener, session } = createSession(0)
     const assignment = createAssignment('job-1', state)
     if (state === 'reserved') await clock.advance(200)
-    if (state === 'recovering') session.recover(assignment, 0)
+    if (state === 'recovering') session.recover(assignment, 0, 0)
     else session.reserve(assignment)
     if (state === 'reserved') await session.start(assignment, NO_TICKET_NEEDED)
     listener.events.length = 0
@@ -711,7 +711,7 @@
   const { clock, client, listener, session } = createSession(0)
   const assignment = createAssignment('job-1', 'recovering')
   assignment.confirmedAtMs = -Infinity
-  session.recover(assignment, 2_000)
+  session.recover(assignment, 2_000, 2_000)
   client.finished = [finishedRun(1, 'x.0.0.0')]
   await clock.advance(1_900)
   t.deepEqual(listener.events, ['x.0.0.0 done', `${assignment.task.name} held`, 'joined'])
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -217,9 +217,12 @@
     this.reserve(assignment)
   }
 
-  /** Reserves the capacity of a run whose start an earlier coordinator may have sent, and that can not be executed after the given time. */
-  recover (assignment: Assignment, latestExecutionMs: number): void {
-    this.#starts.recordRecovered(assignment, latestExecutionMs)
+  /**
+   * Reserves the capacity of a run whose start an earlier coordinator may have sent. The start can not be executed after the
+   * one time, nor a request of such a coordinator that extends leases after the other.
+   */
+  recover (assignment: Assignment, latestExecutionMs: number, latestExtensionMs: number): void {
+    this.#starts.recordRecovered(assignment, latestExecutionMs, latestExtensionMs)
     this.reserve(assignment)
   }
 
--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -2,7 +2,7 @@
 import type { CrashHistory } from './crashHistory.ts'
 import type { QueueSettings } from './desiredState.ts'
 import type { JobDefinition, JobState } from './job.ts'
-import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StartedRecord, StepRecord } from './jobRecords.ts'
+import type { CrashRecord, JobRecord, PlacedRecord, RunEndRecord, StartedRecord, StartExpiryRecord, StepRecord } from './jobRecords.ts'
 import { StepProgress } from './stepProgress.ts'
 
 /** What decided that a job failed, for the log. */
@@ -122,6 +122,12 @@
     for (const [index, attempt] of runs) started?.recordStart(index, attempt)
   }
 
+  /** Applies a record of starts that may still be executed. */
+  applyStartExpiry ({ occurrence, step, runs }: StartExpiryRecord): void {
+    const expiring = this.findStep(occurrence, step)
+    for (const [index, attempt, remainingMs] of runs) expiring?.recordStartExpiry(index, attempt, remainingMs)
+  }
+
   /** Applies the record of one step in a snapshot. */
   restore (record: StepRecord): void {
     this.findStep(record.occurrence, record.step)?.restore(record)
--- a/src/jobs/jobRecords.ts
+++ b/src/jobs/jobRecords.ts
@@ -57,6 +57,18 @@
 
 export type StartedRun = readonly [index: number, attempt: number]
 
+/** Starts that may still be executed, and that no coordinator will send again. */
+export interface StartExpiryRecord {
+  readonly type: 'start-expiry'
+  readonly job: string
+  readonly occurrence: number
+  readonly step: number
+  readonly runs: readonly ExpiringStart[]
+}
+
+/** `remainingMs`: time after the record from which on the start can not be executed any more. */
+export type ExpiringStart = readonly [index: number, attempt: number, remainingMs: number]
+
 /** Runs of one step that were lost in the crash of their target; stored before their tasks are placed again. */
 export interface CrashRecord {
   readonly type: 'crashed'
@@ -80,6 +92,8 @@
   readonly placedOn: string
   /** Absent if the target is not known to have begun the run. */
   readonly started?: true
+  /** Of the last `StartExpiryRecord`; absent if there was none. */
+  readonly startExpiresInMs?: number
   /** Absent if no target crashed under the task. */
   readonly crashHistory?: CrashHistory
 }
@@ -122,6 +136,7 @@
   | JobRecord
   | PlacedRecord
   | StartedRecord
+  | StartExpiryRecord
   | RunEndRecord
   | CrashRecord
   | StepRecord
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -187,3 +187,10 @@
   const table = createTable([createJobRecord('a', [createStep(3)]), placed('a', 0, 0, 1), placed('a', 0, 1, 1), placed('a', 0, 2, 1), started(0, 1), started(1, 1), started(2, 2), placed('a', 0, 1, 2, 'worker-2@1')])
   for (const each of [table, createTable(table.toRecords())]) t.deepEqual(each.jobs.get('a')?.steps[0]?.tasks.map(({ isStarted }) => isStarted), [true, false, false])
 })
+
+// Guards against a task that is placed again while its start may still be executed, because an earlier record was about another attempt.
+test('a snapshot keeps for how long the starts of the placed runs may still be executed', t => {
+  const expiry = (index: number, attempt: number, remainingMs: number): LogRecord => ({ type: 'start-expiry', job: 'a', occurrence: 0, step: 0, runs: [[index, attempt, remainingMs]] })
+  const table = createTable([createJobRecord('a', [createStep(3)]), placed('a', 0, 0, 1), placed('a', 0, 1, 1), placed('a', 0, 2, 1), expiry(0, 1, 9_000), expiry(0, 1, 3_000), expiry(1, 1, 2_000), placed('a', 0, 1, 2, 'worker-2@1'), expiry(1, 1, 1_000)])
+  for (const each of [table, createTable([...table.toRecords(), expiry(0, 1, 9_000)])]) t.deepEqual(each.jobs.get('a')?.steps[0]?.tasks.map(({ startExpiresInMs }) => startExpiresInMs), [3_000, Infinity, Infinity])
+})
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -72,6 +72,9 @@
       case 'started':
         this.#jobs.get(record.job)?.applyStart(record)
         break
+      case 'start-expiry':
+        this.#jobs.get(record.job)?.applyStartExpiry(record)
+        break
       case 'run-end':
         this.#jobs.get(record.job)?.applyRunEnd(record)
         break
--- a/src/jobs/stepProgress.ts
+++ b/src/jobs/stepProgress.ts
@@ -24,6 +24,8 @@
   placedOn = ''
   /** Whether that incarnation has certainly begun the run of the highest attempt, so that its start is not in transit any more. */
   isStarted = false
+  /** How long after the last record about it the start of the highest attempt may be executed, in milliseconds; infinite without one. */
+  startExpiresInMs = Infinity
   crashHistory: CrashHistory = NO_CRASHES
 
   constructor (step: StepProgress, index: number) {
@@ -117,6 +119,7 @@
     task.state = 'assigned'
     task.placedOn = targetKey
     task.isStarted = false
+    task.startExpiresInMs = Infinity
     return true
   }
 
@@ -128,6 +131,12 @@
     return true
   }
 
+  /** Records for how long the start of the attempt may still be executed; no effect if that is not the one that is placed. */
+  recordStartExpiry (index: number, attempt: number, remainingMs: number): void {
+    const task = this.tasks[index]
+    if (task?.state === 'assigned' && task.attempt === attempt) task.startExpiresInMs = Math.min(task.startExpiresInMs, remainingMs)
+  }
+
   /** Tasks whose next run must have its target to itself. */
   get suspectedTasks (): readonly TaskProgress[] {
     if (!this.#hasCrashes) return []
@@ -161,8 +170,17 @@
 
   toSnapshot (): StepSnapshot {
     return {
-      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn, isStarted, crashHistory }) =>
-        ({ done: state === 'done', attempt, endedAttempts, failures, checkpoint, placedOn, ...(isStarted && state === 'assigned' ? { started: true as const } : {}), ...(crashHistory === NO_CRASHES ? {} : { crashHistory }) })),
+      tasks: this.tasks.map(({ state, attempt, endedAttempts, failures, checkpoint, placedOn, isStarted, startExpiresInMs, crashHistory }) => ({
+        done: state === 'done',
+        attempt,
+        endedAttempts,
+        failures,
+        checkpoint,
+        placedOn,
+        ...(isStarted && state === 'assigned' ? { started: true as const } : {}),
+        ...(startExpiresInMs < Infinity && state === 'assigned' ? { startExpiresInMs } : {}),
+        ...(crashHistory === NO_CRASHES ? {} : { crashHistory })
+      })),
       gangFailures: this.#gangFailures,
       failedGangAttempt: this.#failedGangAttempt,
       gangCheckpoint: this.#gangCheckpoint
