Count a job as started when one of its runs has begun, not when it is placed

What callers saw: twenty submissions need a target that answers each start with 503.

The coordinator that places a task marks its job by the answer of the target.

Change: a record of a started run or of the end of a run marks the job.

--- a/src/jobs/jobProgress.ts
+++ b/src/jobs/jobProgress.ts
@@ -111,13 +111,12 @@
   /** Applies a record of the targets on which tasks are about to be started. */
   applyPlacement ({ occurrence, step, runs }: PlacedRecord): void {
     const placed = this.findStep(occurrence, step)
-    for (const [index, attempt, target] of runs) {
-      if (placed?.recordPlacement(index, attempt, target) === true) this.#hasStarted = true
-    }
+    for (const [index, attempt, target] of runs) placed?.recordPlacement(index, attempt, target)
   }
 
-  /** Applies a record of runs that their targets have begun. */
+  /** Applies a record of runs that their targets have begun; there may be none that goes on. */
   applyStart ({ occurrence, step, runs }: StartedRecord): void {
+    this.#hasStarted = true
     const started = this.findStep(occurrence, step)
     for (const [index, attempt] of runs) started?.recordStart(index, attempt)
   }
@@ -131,7 +130,7 @@
   /** Applies the record of one step in a snapshot. */
   restore (record: StepRecord): void {
     this.findStep(record.occurrence, record.step)?.restore(record)
-    if (record.tasks.some(task => task.attempt > 0)) this.#hasStarted = true
+    if (record.tasks.some(({ started, endedAttempts }) => started === true || endedAttempts.length > 0)) this.#hasStarted = true
     if (this.#finalState === undefined && this.#allDone()) this.#finalState = 'completed'
   }
 
--- a/src/jobs/jobTable.test.ts
+++ b/src/jobs/jobTable.test.ts
@@ -194,3 +194,15 @@
   const table = createTable([createJobRecord('a', [createStep(3)]), placed('a', 0, 0, 1), placed('a', 0, 1, 1), placed('a', 0, 2, 1), expiry(0, 1, 9_000), expiry(0, 1, 3_000), expiry(1, 1, 2_000), placed('a', 0, 1, 2, 'worker-2@1'), expiry(1, 1, 1_000)])
   for (const each of [table, createTable([...table.toRecords(), expiry(0, 1, 9_000)])]) t.deepEqual(each.jobs.get('a')?.steps[0]?.tasks.map(({ startExpiresInMs }) => startExpiresInMs), [3_000, Infinity, Infinity])
 })
+
+// Guards against a successor that shows jobs as active, and no longer as pending, whose tasks were placed on a target that starts nothing.
+test('a job is active once one of its runs has begun, also after that run was lost, and not by its placement', t => {
+  const started: LogRecord = { type: 'started', job: 'a', occurrence: 0, step: 0, runs: [[0, 1]] }
+  const table = createTable([createJobRecord('a', [createStep(1)]), placed('a', 0, 0, 1)])
+  const states = (): readonly unknown[] => [table, createTable(table.toRecords())].map(each => each.jobs.get('a')?.state)
+  t.deepEqual(states(), ['queued', 'queued'])
+  table.apply(started)
+  t.deepEqual(states(), ['active', 'active'])
+  table.apply({ type: 'target-gone', id: 'worker-1', bornMs: 1 })
+  t.deepEqual(states(), ['active', 'active'])
+})
--- a/src/jobs/jobTable.ts
+++ b/src/jobs/jobTable.ts
@@ -181,6 +181,7 @@
   const records: LogRecord[] = [job.record]
   // First, since the steps of a cancelled job may all be done or have failed afterwards.
   if (job.outcome === 'cancelled') records.push({ type: 'cancelled', job: job.id, wallMs: 0 })
+  if (job.hasStarted) records.push({ type: 'started', job: job.id, occurrence: 0, step: 0, runs: [] })
   for (const step of job.steps) records.push({ type: 'step', job: job.id, occurrence: step.occurrence, step: step.number, ...step.toSnapshot() })
   return records
 }
