Close most of a service for a suspected gang only while that makes others wait

Where runs of 3 s or more follow each other, the gang could not start at all.

Change: the time counts only while other steps find no room, and doubles with each wait in vain, from 2 s to 10 s. The targets are open to others for three times as long after each, but for the drained ones.

The title of a test of callRouter named another time than it checks.

--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -88,6 +88,8 @@
   readonly #fleet: TargetFleet
   readonly #usage = new TeamUsage()
   readonly #advisor: StepAdvisor
+  /** In which steps found no place in the last pass over all steps. */
+  #servicesWithoutRoom: ReadonlySet<string> = new Set()
   readonly #isolation: Isolation
   readonly #forecast: PlacedRoomForecast
   readonly #locality: LocalityWait
@@ -264,16 +266,19 @@
     const open = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
     if (!urgentOnly) this.#forecast.update(open)
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
+    const servicesWithoutRoom = new Set<string>()
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), open)
       if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
         const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
+        if (outcome !== 'placed' && outcome !== 'capped') servicesWithoutRoom.add(pass.queue(step.job.queue).service)
         if (outcome === 'placed') this.#reservations.recordStart(step, nowMs)
         else if (outcome !== 'awaits-advice' && outcome !== 'awaits-locality' && !urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
       }
     }
     if (urgentOnly) return
+    this.#servicesWithoutRoom = servicesWithoutRoom
     this.#scheduleRenewal()
     this.#updateAdmission(ranked, open, nowMs)
   }
@@ -383,7 +388,7 @@
     const suspected = step.waiting.length === 0 ? 0 : step.suspectedTasks.filter(({ state }) => state === 'waiting').length
     const queue = pass.queue(step.job.queue)
     if (suspected === 0 || this.#allowedIsolated(step, suspected, pass, queue) === 0) return undefined
-    return { step, targets: pass.sessions(queue.service), permits: session => this.#permits(step, queue, session), nowMs }
+    return { step, targets: pass.sessions(queue.service), permits: session => this.#permits(step, queue, session), othersWait: this.#servicesWithoutRoom.has(queue.service), nowMs }
   }
 
   /** Whether the policy of the queue is known to allow the target for the step. */
--- a/src/coordinator/targets/isolation.test.ts
+++ b/src/coordinator/targets/isolation.test.ts
@@ -52,12 +52,13 @@
     step: suspect.task.step,
     targets: targets as unknown as readonly TargetSession[],
     permits: target => permitted.includes(target as unknown as FakeTarget),
+    othersWait: true,
     nowMs
   })
 }
 
 function requestOf (step: StepProgress, targets: readonly FakeTarget[], nowMs: number): IsolationRequest {
-  return { step, targets: targets as unknown as readonly TargetSession[], permits: () => true, nowMs }
+  return { step, targets: targets as unknown as readonly TargetSession[], permits: () => true, othersWait: true, nowMs }
 }
 
 /** Requests are those of all steps with waiting suspected tasks. */
@@ -295,7 +296,7 @@
 })
 
 // Guards against a gang that closes more than half of the targets for as long as the runs of others there take.
-test('of many targets whose runs do not end within two seconds, only those with the longest runs stay kept, until these have ended', t => {
+test('of many targets whose runs do not end while others wait for two seconds, only those with the longest runs stay kept, until these have ended', t => {
   const isolation = createIsolation()
   const targets = createTargets(8)
   for (const [number, target] of targets.entries()) for (const other of run(target, createAssignments(`other-${number}`))) report(other, NOW_MS - number % 4)
@@ -307,7 +308,7 @@
   }
   t.deepEqual([0, 1, 2_000, 2_001, 7_000, 9_000].map(holdsAt), ['11111111', '11111111', '11111111', '00010001', '00010001', '00010001'])
   for (const number of [3, 7]) targets[number]?.assignments.clear()
-  t.deepEqual([9_001, 9_002, 11_002].map(holdsAt), ['11111111', '11111111', '00100010'])
+  t.deepEqual([9_001, 9_002, 13_001, 13_002].map(holdsAt), ['11111111', '11111111', '11111111', '00100010'], 'for twice as long')
 })
 
 // Guards against a target that stays closed after another one has taken its place while it was not usable.
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -25,8 +25,14 @@
 const SUSPENSION_MS = 5_000
 /** Part of a service's targets that others can do without for as long as the runs there take. */
 const MAX_UNBOUNDED_RATIO = 0.5
-/** If more are kept, the runs there have to end within this time. Others must not wait longer than 3 s. */
-const MAX_WIDE_WAIT_MS = 2_000
+/**
+ * If more are kept, others wait no longer than this for the runs there to end. It doubles with each wait in vain, so that the
+ * gang starts in the end.
+ */
+const MIN_WIDE_WAIT_MS = 2_000
+const MAX_WIDE_WAIT_MS = 10_000
+/** After that wait the targets are open to others for this many times as long. */
+const OPEN_TIME_FACTOR = 3
 
 export interface IsolationRequest {
   readonly step: StepProgress
@@ -34,6 +40,8 @@
   readonly targets: readonly TargetSession[]
   /** Whether the queue's policy is known to allow the target for the step. */
   readonly permits: (target: TargetSession) => boolean
+  /** Whether other steps have found no room on the service's targets. */
+  readonly othersWait: boolean
   readonly nowMs: number
 }
 
@@ -76,10 +84,12 @@
   insufficientSinceMs: number | undefined
   /** Since when the kept targets suffice and nothing runs there; undefined while they don't. */
   readySinceMs: number | undefined
-  /** Since when more targets are kept than others can do without, while runs there have to end; undefined otherwise. */
+  /** Since when others wait because more targets are kept than they can do without, and runs there have to end; undefined otherwise. */
   wideSinceMs: number | undefined
-  /** Whether the runs on the targets that are kept have to end before others are added, since the wait was wide for too long. */
-  isDraining: boolean
+  /** How often the runs there have not ended in time. */
+  wideWaitsInVain: number
+  /** Until when no targets are added. */
+  suspendedUntilMs: number
 }
 
 /**
@@ -88,9 +98,10 @@
  *
  * A target stays kept only for a run of a suspected task, or for a step that may start and that the permitted targets can
  * hold together, which is what it takes to keep it in the first place. Half of the targets may be kept for as long as
- * other runs there take; if it is more, they have to end within `MAX_WIDE_WAIT_MS`, and else the targets with the longest
- * runs are drained first. All other waits are bounded by `MAX_SHORTFALL_MS` and `MAX_READY_MS`. What is kept is state of
- * one process: a successor keeps targets anew.
+ * other runs there take; if it is more, others wait for `MIN_WIDE_WAIT_MS` at first and `MAX_WIDE_WAIT_MS` later. After
+ * that the targets with the longest runs are drained, while the rest is open to others, before it is tried again. All
+ * other waits are bounded by `MAX_SHORTFALL_MS` and `MAX_READY_MS`. What is kept is state of one process: a successor keeps
+ * targets anew.
  *
  * @example
  * const isolation = new Isolation(describe, logger)
@@ -102,10 +113,8 @@
   readonly #logger: Logger
   readonly #jobs = new Map<TargetSession, JobProgress>()
   readonly #keptSinceMs = new Map<TargetSession, number>()
-  /** Of the waiting steps of jobs for which targets are kept. */
+  /** Of the steps with suspected tasks that wait, since targets were first kept for them. */
   readonly #waits = new Map<StepProgress, IsolationWait>()
-  /** Steps that get no targets, and until when. */
-  readonly #suspendedUntilMs = new Map<StepProgress, number>()
 
   constructor (describe: (step: StepProgress, target: TargetSession) => TargetAvailability, logger: Logger) {
     this.#describe = describe
@@ -129,13 +138,15 @@
 
   /** Opens targets to all tasks again that no job needs any longer; called in each pass. */
   releaseUnneeded (findRequest: IsolationRequestLookup, nowMs: number): void {
-    for (const [step, untilMs] of this.#suspendedUntilMs) if (nowMs >= untilMs || step.job.outcome !== undefined) this.#suspendedUntilMs.delete(step)
     const keepers = new Set(this.#jobs.values())
-    for (const { job } of this.#waits.keys()) if (!keepers.has(job)) this.#forgetWaits(job)
+    for (const [step, wait] of this.#waits) {
+      if (step.job.outcome !== undefined || !hasWaitingSuspects(step)) this.#waits.delete(step)
+      else if (!keepers.has(step.job)) wait.insufficientSinceMs = wait.readySinceMs = wait.wideSinceMs = undefined
+    }
     const waits = new Map([...keepers].map(job => [job, this.#reviewWaits(job, findRequest, nowMs)]))
     for (const [target, job] of this.#jobs) {
       const { waiting, end } = waits.get(job) ?? { waiting: [], end: 'not-needed' }
-      const isNeeded = (): boolean => hasUnsettledSuspect(target, job, nowMs) || waiting.some(step => this.#mayHold(step, target))
+      const isNeeded = (): boolean => hasUnsettledSuspect(target, job, nowMs) || waiting.some(step => this.#mayHold(step, target, nowMs))
       if (!target.ended && job.outcome === undefined && isNeeded()) continue
       const sharing = target.ended ? undefined : findUnsettledSuspect(target, nowMs)
       if (sharing === undefined) this.#release(target, job, end, nowMs)
@@ -148,10 +159,7 @@
     const waiting: WaitingStep[] = []
     let end: IsolationEnd = 'not-needed'
     for (const step of job.steps) {
-      if (!step.suspectedTasks.some(({ state }) => state === 'waiting')) {
-        this.#waits.delete(step)
-        continue
-      }
+      if (!hasWaitingSuspects(step)) continue
       const described = this.#describeWait(step, findRequest(step))
       const ended = this.#reviewWait(described, nowMs)
       if (ended === undefined) waiting.push(described)
@@ -163,23 +171,27 @@
 
   /** Returns why the wait of the step ends; undefined if it goes on. */
   #reviewWait (waiting: WaitingStep, nowMs: number): IsolationEnd | undefined {
-    const { step } = waiting
-    const wait = this.#waits.get(step) ?? { insufficientSinceMs: undefined, readySinceMs: undefined, wideSinceMs: undefined, isDraining: false }
-    this.#waits.set(step, wait)
+    const wait = this.#waitOf(waiting.step)
     const isReady = this.#isReady(waiting)
     wait.insufficientSinceMs = this.#isSufficient(waiting) ? undefined : wait.insufficientSinceMs ?? nowMs
     wait.readySinceMs = isReady ? wait.readySinceMs ?? nowMs : undefined
-    wait.wideSinceMs = !isReady && isWide(waiting) ? wait.wideSinceMs ?? nowMs : undefined
+    wait.wideSinceMs = waiting.request?.othersWait === true && !isReady && isWide(waiting.request, waiting.kept) ? wait.wideSinceMs ?? nowMs : undefined
     if (nowMs - (wait.insufficientSinceMs ?? nowMs) >= MAX_SHORTFALL_MS) return 'too-few-targets'
-    const isWideForTooLong = nowMs - (wait.wideSinceMs ?? nowMs) >= MAX_WIDE_WAIT_MS
-    if (!isWideForTooLong && nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
-    this.#suspendedUntilMs.set(step, nowMs + SUSPENSION_MS)
-    wait.isDraining = isWideForTooLong
-    return isWideForTooLong ? 'waited-too-long' : 'not-started'
+    const wideWaitMs = Math.min(MIN_WIDE_WAIT_MS * 2 ** wait.wideWaitsInVain, MAX_WIDE_WAIT_MS)
+    if (nowMs - (wait.wideSinceMs ?? nowMs) >= wideWaitMs) {
+      wait.wideWaitsInVain += 1
+      wait.suspendedUntilMs = nowMs + wideWaitMs * OPEN_TIME_FACTOR
+      return 'waited-too-long'
+    }
+    if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
+    wait.suspendedUntilMs = nowMs + SUSPENSION_MS
+    return 'not-started'
   }
 
-  #forgetWaits ({ steps }: JobProgress): void {
-    for (const step of steps) this.#waits.delete(step)
+  #waitOf (step: StepProgress): IsolationWait {
+    const wait = this.#waits.get(step) ?? { insufficientSinceMs: undefined, readySinceMs: undefined, wideSinceMs: undefined, wideWaitsInVain: 0, suspendedUntilMs: -Infinity }
+    this.#waits.set(step, wait)
+    return wait
   }
 
   #describeWait (step: StepProgress, request: IsolationRequest | undefined): WaitingStep {
@@ -208,7 +220,8 @@
   }
 
   /** Whether the target may stay kept for the waiting step. One that is not usable now is awaited until others replace it. */
-  #mayHold ({ step, request, needed }: WaitingStep, target: TargetSession): boolean {
+  #mayHold ({ step, request, needed }: WaitingStep, target: TargetSession, nowMs: number): boolean {
+    if (nowMs < this.#waitOf(step).suspendedUntilMs && isVacant(target, step.job)) return false
     if (needed !== undefined) return needed.includes(target)
     return this.#countPlaces(step, target) > 0 && (request === undefined || request.permits(target))
   }
@@ -234,11 +247,13 @@
   #prepareOwn (request: IsolationRequest): IsolatedPlaces {
     const { step, nowMs } = request
     const { job } = step
-    if (this.#suspendedUntilMs.has(step)) return { ready: [], insufficient: false }
+    const wait = this.#waits.get(step)
+    if (wait !== undefined && nowMs < wait.suspendedUntilMs) return { ready: [], insufficient: false }
     const crashed = crashedTargets(step)
     const vacant = this.#findOpen(request).filter(target => isVacant(target, job) && !crashed.has(target.id))
     const kept = this.#exchangeBusy(step, this.#keptFor(request), vacant, nowMs)
-    if (this.#mustDrain(step, kept)) return { ready: [], insufficient: false }
+    const mustDrain = wait !== undefined && wait.wideWaitsInVain > 0 && !isWide(request, kept)
+    if (mustDrain && kept.some(target => !isVacant(target, job))) return { ready: [], insufficient: false }
     const { added, isEnough } = this.#findAdditional(request, kept)
     if (!isEnough) return { ready: [], insufficient: true }
     if (this.#mayAdd(added, request)) for (const target of added) this.#keep(target, step, this.#countPlaces(step, target), nowMs)
@@ -246,14 +261,6 @@
     return { ready: this.#keptFor(request).filter(mayStart), insufficient: false }
   }
 
-  /** Whether the runs on the kept targets have to end before others are added. */
-  #mustDrain (step: StepProgress, kept: readonly TargetSession[]): boolean {
-    const wait = this.#waits.get(step)
-    if (wait === undefined || !wait.isDraining) return false
-    wait.isDraining = kept.some(target => !isVacant(target, step.job))
-    return wait.isDraining
-  }
-
   /** The permitted targets that can hold a task of the step and may be kept for it. */
   #findOpen ({ step, targets, permits }: IsolationRequest): TargetSession[] {
     return targets.filter(target => permits(target) && !this.#jobs.has(target) && !target.capacity.hasUnexpectedRuns && this.#countPlaces(step, target) > 0)
@@ -356,12 +363,16 @@
 }
 
 /** Whether so many targets are kept that others can not do without them for long. One target is always allowed. */
-function isWide ({ request, kept }: WaitingStep): boolean {
+function isWide (request: IsolationRequest | undefined, kept: readonly TargetSession[]): boolean {
   return request !== undefined && kept.length > Math.max(1, request.targets.length * MAX_UNBOUNDED_RATIO)
 }
 
-/** Finds the kept targets whose runs have been at work for longest, as many as may be kept for any job. */
+/** Finds the kept targets whose runs have been at work for longest, as many as may be kept for any job, and one at least. */
 function findLongestBusy ({ step: { job }, request, kept }: WaitingStep): readonly TargetSession[] {
   const busy = kept.filter(target => !isVacant(target, job))
-  return busy.sort((left, right) => compareAge(left, right, job)).slice(0, Math.floor((request?.targets.length ?? 0) * MAX_ISOLATED_RATIO))
+  return busy.sort((left, right) => compareAge(left, right, job)).slice(0, Math.max(1, Math.floor((request?.targets.length ?? 0) * MAX_ISOLATED_RATIO)))
+}
+
+function hasWaitingSuspects (step: StepProgress): boolean {
+  return step.suspectedTasks.some(({ state }) => state === 'waiting')
 }
--- a/src/entry/callRouter.test.ts
+++ b/src/entry/callRouter.test.ts
@@ -180,7 +180,7 @@
 })
 
 // Guards against a submission that is older than what the coordinator knows of its cancel.
-test('a submission that may have waited for longer than half a minute in a paused process is refused, and other calls are not', async t => {
+test('a submission that may have waited for longer than 20 seconds in a paused process is refused, and other calls are not', async t => {
   const outcomes: string[] = []
   for (const [action, inputAgeMs] of [['submit', 20_000], ['submit', 20_001], ['read', 60_000], ['cancel', 60_000]] as const) {
     const { router } = createRouter(async () => ({ outcome: 'accepted' }), inputAgeMs)
