Free the cap of starts that the next incarnation of their target has refused

Cause: a start without an answer is held without capacity or cap once the target refuses it. That was not done when the start was withdrawn from the next incarnation, although it had confirmed the stop: the placement kept the cap of its team until no incarnation could execute the start.

Change: the assignment is held then as well. Its task waits as before.

--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -66,9 +66,9 @@
     this.#starts.recordSettled(assignment)
   }
 
-  /** Releases the capacity of an assignment whose start this incarnation will not execute. */
-  #hold (assignment: Assignment): void {
-    this.#assignments.delete(assignment.key)
+  /** Releases the capacity of an assignment whose start the incarnation that is up will not execute. */
+  hold (assignment: Assignment): void {
+    if (!this.#assignments.delete(assignment.key)) return
     this.#capacity.release(assignment.size)
     this.#held.add(assignment)
     assignment.state = 'held'
@@ -124,7 +124,7 @@
         this.remove(assignment)
         this.#listener.runMissing(assignment)
       } else if (state !== 'held') {
-        this.#hold(assignment)
+        this.hold(assignment)
       }
     }
   }
--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -110,7 +110,7 @@
   }
 
   async #withdrawStart (assignment: Assignment, reason: IncarnationEndReason): Promise<FinishedRun | undefined> {
-    const { target, bornMs, client, clock, logger, fence, lease, starts, isClosed } = this.#options
+    const { target, bornMs, client, clock, logger, fence, lease, starts, runs, isClosed } = this.#options
     return await withdrawStart({
       client,
       clock,
@@ -123,7 +123,10 @@
       latestRunMs: () => starts.latestExtensionMs(assignment) + lease.longestOnNextIncarnationMs,
       longestLeaseMs: lease.longestOnNextIncarnationMs,
       onExecuted: () => starts.recordExecuted(assignment),
-      onRefused: () => this.#possibleRuns.delete(assignment)
+      onRefused: () => {
+        this.#possibleRuns.delete(assignment)
+        runs.hold(assignment)
+      }
     }, { task: assignment.task.name, attempt: assignment.attempt })
   }
 }
