--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -105,8 +105,8 @@
  *
  * @example
  * const isolation = new Isolation(describe, logger)
- * isolation.releaseUnneeded(step => ({ step, targets, permits, nowMs }), nowMs)
- * const { ready } = isolation.prepare({ step, targets, permits, nowMs })
+ * isolation.releaseUnneeded(step => ({ step, targets, permits, othersWait, nowMs }), nowMs)
+ * const { ready } = isolation.prepare({ step, targets, permits, othersWait, nowMs })
  */
 export class Isolation {
   readonly #describe: (step: StepProgress, target: TargetSession) => TargetAvailability
