Log by which evidence a run is attributed to a target incarnation

'run lost' and 'stopping an unexpected run' name the incarnation, and the former the evidence (answer, report, log); 'withdrawal of a start ended' says why, and by whose report; 'first report of the next target incarnation' shows what the clock of the earlier one would show; 'target incarnation ended' counts the answered starts that nothing proves.

No decision changes.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -323,7 +323,7 @@
     const { task } = assignment
     if (assignment.state !== 'held') this.#placer.releaseUsage(assignment)
     const { job } = task.step
-    if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, state: assignment.state, startAnswered: assignment.startAnswered, reported: assignment.reported, reason }, 'run lost')
+    if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, bornMs: session.description.bornMs, state: assignment.state, startAnswered: assignment.startAnswered, reported: assignment.reported, evidence: assignment.evidence, reason }, 'run lost')
     this.#placer.requeueTask(task, assignment.attempt)
   }
 
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -96,7 +96,7 @@
     if (!assignment.reported) assignment.firstReportedAtMs = nowMs
     assignment.reported = true
     if (!assignment.isRunHere) {
-      assignment.isRunHere = true
+      assignment.evidence = 'report'
       this.#starts.recordSettled(assignment)
       this.#listener.runBegun(assignment)
     }
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -10,6 +10,9 @@
  */
 export type AssignmentState = 'reserved' | 'recovering' | 'starting' | 'running' | 'unconfirmed' | 'stopping' | 'held'
 
+/** How it became known that an incarnation has executed a start: `answer`, by the clock in the answer; `report`, by a report that shows the run; `log`, by an earlier coordinator. */
+export type RunEvidence = 'answer' | 'report' | 'log'
+
 export class Assignment {
   readonly task: TaskProgress
   readonly attempt: number
@@ -18,8 +21,8 @@
   state: AssignmentState
   /** Whether a report of this incarnation showed the run. */
   reported = false
-  /** Whether this incarnation certainly executed the start: a report shows the run, or the answer carries its clock. */
-  isRunHere = false
+  /** How it is known that this incarnation executed the start; undefined while it is not. */
+  evidence: RunEvidence | undefined
   /** When the capacity was reserved by this coordinator. */
   reservedAtMs = 0
   /** When a report first showed the run. */
@@ -48,6 +51,11 @@
     return runKey(this.task.name, this.attempt)
   }
 
+  /** Whether this incarnation certainly executed the start: a report shows the run, or the answer carries its clock. */
+  get isRunHere (): boolean {
+    return this.evidence !== undefined
+  }
+
   get team (): string {
     return this.task.step.job.team
   }
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -119,7 +119,7 @@
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
     if (!assignment.isRunHere && contact.isAnswerOfIncarnation(result.clockMs, sentMs)) {
-      assignment.isRunHere = true
+      assignment.evidence = 'answer'
       listener.runBegun(assignment)
     }
     if (assignment.isRunHere) starts.recordSettled(assignment)
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -43,6 +43,11 @@
     return this.#clockOffsetMs
   }
 
+  /** What the clock of this incarnation shows now; undefined before its first report. */
+  get expectedClockMs (): number | undefined {
+    return this.#clockOffsetMs === undefined ? undefined : Math.round(this.#clockOffsetMs + this.#clock.monotonicMs())
+  }
+
   /** When the last report was requested; it may arrive much later than it was given. */
   get lastReportRequestedMs (): number {
     return this.#lastReportRequestedMs
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -213,7 +213,7 @@
 
   /** Reserves the capacity of a run that an earlier coordinator has seen on this incarnation. */
   reserveStarted (assignment: Assignment): void {
-    assignment.isRunHere = true
+    assignment.evidence = 'log'
     this.reserve(assignment)
   }
 
@@ -346,7 +346,7 @@
 
   /** Stops a run whose start request was withdrawn but executed late, or a run of a finished job; returns its resources if they are known. */
   #stopUnexpectedRun ({ task, attempt }: RunningTask): ComputeResources | undefined {
-    this.#options.logger.info({ task, attempt, target: this.id, free: this.free }, 'stopping an unexpected run')
+    this.#options.logger.info({ task, attempt, target: this.id, bornMs: this.description.bornMs, free: this.free }, 'stopping an unexpected run')
     runInBackground(this.#requests.sendStop(task, attempt), this.#options.logger, 'stop of a run')
     return this.#options.listener.sizeOfRun(task)
   }
@@ -359,7 +359,7 @@
 
   #endAfterRestart (report: TargetReport, acknowledged: number): void {
     if (!this.#markEnded('restarted')) return
-    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
+    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, earlierBornMs: this.description.bornMs, earlierClockMs: this.#contact.expectedClockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
     this.#end.afterRestartSeenIn(report)
   }
 
@@ -371,8 +371,10 @@
   #markEnded (reason: IncarnationEndReason): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
-    const unansweredStarts = [...this.assignments.values()].filter(({ startAnswered, reported }) => !startAnswered && !reported).length
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
+    const assignments = [...this.assignments.values()]
+    const unansweredStarts = assignments.filter(({ startAnswered, reported }) => !startAnswered && !reported).length
+    const unprovenStarts = assignments.filter(({ startAnswered, isRunHere, state }) => startAnswered && !isRunHere && (state === 'running' || state === 'stopping')).length
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unprovenStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
   }
 
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -33,6 +33,12 @@
   readonly onRefused: () => void
 }
 
+/**
+ * `run-ended`: a report lists the end of the run. `not-shown`: a report that was requested after the latest execution time does
+ * not show the run. `lapsed`: no incarnation keeps the run alive. `other-target`: the address belongs to another target now.
+ */
+type WithdrawalOutcome = 'run-ended' | 'not-shown' | 'lapsed' | 'other-target' | 'term-ended'
+
 /**
  * Stops the run on the target's current incarnation until that reports the run's end, or until a complete report that was
  * requested when the start could not be executed any more does not show the run. Resolves with the end if the run was
@@ -46,32 +52,38 @@
  */
 export async function withdrawStart ({ client, clock, logger, fence, target, longestLeaseMs, ...options }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
   const key = runKey(task, attempt)
+  const conclude = (outcome: WithdrawalOutcome, bornMs?: number): undefined => {
+    logger.info({ task, attempt, target, outcome, bornMs }, 'withdrawal of a start ended')
+  }
   logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
   /** The end of the run may have been listed beyond the ends that a report returned at this time. */
   let hiddenUntilMs = -Infinity
   while (!options.isClosed() && clock.monotonicMs() <= Math.max(options.latestRunMs(), hiddenUntilMs)) {
     const outcome = await client.stop({ task, attempt, fencingToken: fence.nextToken() })
-    if (outcome === 'other-life') return undefined
+    if (outcome === 'other-life') return conclude('other-target')
     const requestedMs = clock.monotonicMs()
     const result = outcome === 'stopping' ? await client.renew({ fencingToken: fence.nextToken(), acknowledged: 0, waitMs: 0 }) : undefined
-    if (result?.outcome === 'other-life') return undefined
+    if (result?.outcome === 'other-life') return conclude('other-target')
     let delayMs = RETRY_DELAY_MS
     if (result?.outcome === 'report') {
       const { bornMs, finished, running, mayOmitFinished } = result.report
       const end = finished.find(run => runKey(run.task, run.attempt) === key)
-      if (end !== undefined) return end
+      if (end !== undefined) {
+        conclude('run-ended', bornMs)
+        return end
+      }
       if (running.some(run => runKey(run.task, run.attempt) === key)) {
         options.onExecuted()
       } else if (mayOmitFinished && bornMs !== options.lapsedBornMs) {
         hiddenUntilMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS + longestLeaseMs
       } else {
         const remainingMs = options.latestExecutionMs() - requestedMs
-        if (remainingMs < 0) return undefined
+        if (remainingMs < 0) return conclude('not-shown', bornMs)
         options.onRefused()
         delayMs = Math.min(Math.max(remainingMs + 1, RETRY_DELAY_MS), RECHECK_INTERVAL_MS)
       }
     }
     await clock.sleep(delayMs)
   }
-  return undefined
+  return conclude(options.isClosed() ? 'term-ended' : 'lapsed')
 }
