--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -158,6 +158,13 @@
   })
 }
 
+// Guards against an answer of the next incarnation that is taken for one of the earlier incarnation, since its clock by chance continues the earlier one's.
+test('no task runs twice when the next incarnation, whose clock continues the earlier one, answers a start that was sent to it', async t => {
+  const continued: Step = { ...RESTART, clockMs: 2_002_889 }
+  const steps = [SUBMIT, waitFor(700), setFault('none'), SUBMIT, waitFor(340), SUBMIT, setFault('cut'), continued, setFault('deaf')]
+  t.deepEqual(await findRepeatedRuns(steps, 1_397, TARGETS, INITIAL_CLOCK_MS), [])
+})
+
 // Guards against a successor that holds the starts of a queue for the validity of tickets which they do not carry.
 test('no task runs twice when its queue has got an advisor and a successor since its start, which carries no ticket', async t => {
   const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => 5 })
