Attribute a start to a target incarnation by its reports alone

What callers saw: a task of theirs ran twice at the same time (TWICE).

Cause: an answer to a start does not name the incarnation that gave it. It counted as one of the incarnation that the start was sent to if its clock continued that of the last report, which the clock of the next incarnation can do by chance. The run was then released with the earlier incarnation and its task placed elsewhere, while it went on.

Change: one rule. A start was executed by an incarnation if one of its reports shows the run, or if it was answered between two reports of that incarnation, the second requested after the answer had arrived. Otherwise it is withdrawn from the next incarnation. The comparison of clocks is removed; a clock that differs only makes the coordinator ask for a report. An answer that arrives after the session has ended no longer ends the withdrawal of its start, which happened with such a clock as well.

In their place, tests of the session show that no clock of an answer is evidence (seven clocks, among them the two kinds of the earlier tests), and what is.

--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -2,12 +2,12 @@
 import type { RunningTask, TargetReport } from '../../ports/jobTarget.ts'
 import type { ComputeResources } from '../placement/placeStep.ts'
 import { runKey } from './assignment.ts'
-import type { Assignment } from './assignment.ts'
+import type { Assignment, RunEvidence } from './assignment.ts'
 import type { StartsInTransit } from './startsInTransit.ts'
 import type { TargetCapacity } from './targetCapacity.ts'
 
 export interface AssignedRunsListener {
-  /** A report showed a run that the incarnation was not known to have begun. */
+  /** The incarnation is now known to have begun a run. */
   runBegun (assignment: Assignment): void
   /** A report showed a run whose start was not confirmed before. */
   startConfirmed (assignment: Assignment): void
@@ -26,6 +26,7 @@
  * const runs = new AssignedRuns(capacity, starts, listener)
  * runs.add(assignment)
  * runs.compareRunning(report.running, clock.monotonicMs())
+ * runs.recordReportRequestedAt(sentMs)
  * runs.detectMissing(report, sentMs)
  */
 export class AssignedRuns {
@@ -96,9 +97,7 @@
     if (!assignment.reported) assignment.firstReportedAtMs = nowMs
     assignment.reported = true
     if (!assignment.isRunHere) {
-      assignment.evidence = 'report'
-      this.#starts.recordSettled(assignment)
-      this.#listener.runBegun(assignment)
+      this.#recordBegun(assignment, 'shown')
     }
     if (assignment.state !== 'recovering') assignment.startedAtMs ??= assignment.firstReportedAtMs
     if (assignment.state === 'unconfirmed' || assignment.state === 'recovering') {
@@ -109,6 +108,23 @@
     assignment.task.step.saveCheckpoint(assignment.task, running.checkpoint)
   }
 
+  /**
+   * Applies that a report of this incarnation was requested at the given time. An answer to a start does not say which incarnation
+   * gave it, and the clocks of two may agree. But one that was up before a start was sent and after it was answered has executed it.
+   */
+  recordReportRequestedAt (requestedMs: number): void {
+    for (const assignment of this.#assignments.values()) {
+      const { isRunHere, executedByMs = Infinity } = assignment
+      if (!isRunHere && executedByMs < requestedMs) this.#recordBegun(assignment, 'answered')
+    }
+  }
+
+  #recordBegun (assignment: Assignment, evidence: RunEvidence): void {
+    assignment.evidence = evidence
+    this.#starts.recordSettled(assignment)
+    this.#listener.runBegun(assignment)
+  }
+
   /**
    * Removes confirmed runs that are missing from a complete report requested after their confirmation; holds those whose
    * starts a later incarnation may still execute.
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -10,8 +10,11 @@
  */
 export type AssignmentState = 'reserved' | 'recovering' | 'starting' | 'running' | 'unconfirmed' | 'stopping' | 'held'
 
-/** How it became known that an incarnation has executed a start: `answer`, by the clock in the answer; `report`, by a report that shows the run; `log`, by an earlier coordinator. */
-export type RunEvidence = 'answer' | 'report' | 'log'
+/**
+ * How it is known that an incarnation has executed a start. `shown`: one of its reports shows the run. `answered`: the start was
+ * answered between two of its reports. `recorded`: an earlier coordinator knew it.
+ */
+export type RunEvidence = 'shown' | 'answered' | 'recorded'
 
 export class Assignment {
   readonly task: TaskProgress
@@ -37,6 +40,8 @@
   isRemote = false
   /** False while a start request is on its way, and after one without an answer, which the target may execute later. */
   startAnswered = true
+  /** When the answer arrived that the run was started, by this incarnation or by a later one; undefined without one. */
+  executedByMs: number | undefined
   /** Reports requested before this time are too old to show that the run is missing. */
   confirmedAtMs = 0
 
@@ -51,7 +56,7 @@
     return runKey(this.task.name, this.attempt)
   }
 
-  /** Whether this incarnation certainly executed the start: a report shows the run, or the answer carries its clock. */
+  /** Whether this incarnation certainly executed the start. */
   get isRunHere (): boolean {
     return this.evidence !== undefined
   }
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -21,8 +21,6 @@
 const STOP_RETRY_DELAY_MS = 400
 
 export interface RunRequestsListener {
-  /** The answer to a start carries the clock of the incarnation. */
-  runBegun (assignment: Assignment): void
   startConfirmed (assignment: Assignment): void
   startRefused (assignment: Assignment, refusal: StartRefusal): void
   /** A start request was not answered, and the run is being stopped because the target does not report it. */
@@ -70,7 +68,7 @@
 
   /** Sends the start request for a task with reserved capacity. */
   async start (assignment: Assignment, ticket: StartTicket): Promise<void> {
-    const { clock, description, client, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
+    const { description, client, logger, fence, lease, starts, answers, runs, isEvacuated, hasEnded } = this.#options
     const { task } = assignment
     const checkpoint = task.step.checkpointOf(task)
     assignment.state = 'starting'
@@ -83,7 +81,6 @@
       assignment.isResumed = checkpoint !== ''
       starts.recordSent(assignment, ticket.expiredByMs)
       answers.recordSent(assignment)
-      const sentMs = clock.monotonicMs()
       const result = await client.start({
         task: task.name,
         attempt: assignment.attempt,
@@ -93,7 +90,7 @@
         checkpoint,
         ...(ticket.text === '' ? {} : { ticket: ticket.text })
       })
-      this.#recordOutcome(assignment, result, sentMs)
+      this.#recordOutcome(assignment, result)
       const wasOvertaken = result.outcome === 'refused' && result.refusal === 'fenced' && !fence.isLatest(fencingToken)
       if (!wasOvertaken) return await this.#handleStartOutcome(assignment, result)
       logger.info({ task: task.name, attempt: assignment.attempt, target: description.id }, 'a later request has overtaken a start, which the target refused')
@@ -112,16 +109,13 @@
     return token
   }
 
-  #recordOutcome (assignment: Assignment, result: StartOutcome, sentMs: number): void {
-    const { contact, starts, answers, listener } = this.#options
+  #recordOutcome (assignment: Assignment, result: StartOutcome): void {
+    const { clock, contact, starts, answers } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
-    if (!assignment.isRunHere && contact.isAnswerOfIncarnation(result.clockMs, sentMs)) {
-      assignment.evidence = 'answer'
-      listener.runBegun(assignment)
-    }
+    assignment.executedByMs = clock.monotonicMs()
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
     contact.recordStarted()
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -8,15 +8,12 @@
 export const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
 /** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
 export const MAX_CERTAIN_REPORT_AGE_MS = 150
-/** A start that is answered with a clock further from the expected one was executed by another incarnation; requests are given up sooner. */
+/** An answer with a clock further from the expected one suggests another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
-/** Clocks of targets may be off by 2%; half as much again is added as a margin. */
-const MAX_CLOCK_RATE = 1.03
-/** Clocks are given in whole milliseconds. */
-const CLOCK_ROUNDING_MS = 1
 
 /**
- * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation, whose clock differs.
+ * Reports show that the incarnation is alive. Answers to starts may come from the next incarnation. A clock that differs is a
+ * reason to ask the target; one that agrees proves nothing.
  *
  * @example
  * const contact = new TargetContact(clock)
@@ -26,7 +23,6 @@
 export class TargetContact {
   readonly #clock: Clock
   #clockOffsetMs: number | undefined
-  #lastReportClockMs = 0
   #lastReportMs = -Infinity
   #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
@@ -94,7 +90,6 @@
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
-    this.#lastReportClockMs = clockMs
   }
 
   /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
@@ -106,23 +101,6 @@
     this.#unansweredSinceMs ??= this.#clock.monotonicMs()
   }
 
-  /**
-   * Whether the clock in the answer to a request that was sent at the given time shows that this incarnation has executed
-   * it. A later one has started after the last report of this one was requested. Its clock may start with 0, or anywhere:
-   * then it hardly continues this one's.
-   */
-  isAnswerOfIncarnation (clockMs: number, sentMs: number): boolean {
-    if (this.#mayHaveRestarted || this.#clockOffsetMs === undefined) return false
-    const sinceRequestMs = (this.#clock.monotonicMs() - this.#lastReportRequestedMs) * MAX_CLOCK_RATE
-    return clockMs > sinceRequestMs && clockMs >= this.#earliestClockMs(sentMs) && clockMs <= this.#lastReportClockMs + sinceRequestMs + CLOCK_ROUNDING_MS
-  }
-
-  /** Lower bound of this incarnation's clock when it executes a request that was sent at the given time. */
-  #earliestClockMs (sentMs: number): number {
-    const sinceReportMs = sentMs - this.#lastReportMs
-    return this.#lastReportClockMs + (sinceReportMs > 0 ? sinceReportMs / MAX_CLOCK_RATE : sinceReportMs * MAX_CLOCK_RATE) - CLOCK_ROUNDING_MS
-  }
-
   /** Compares the clock of an answer to a start; returns the difference if it is the first to suggest that the target has restarted. */
   findRestart (clockMs: number): number | undefined {
     if (clockMs === 0 || this.#clockOffsetMs === undefined || this.#mayHaveRestarted) return undefined
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -94,6 +94,7 @@
 class Recorder implements TargetListener {
   readonly events: string[] = []
   readonly unanswered: string[] = []
+  readonly begun: string[] = []
   /** Resources of known tasks. */
   readonly runSizes = new Map<string, Resources>()
   /** Run ends that are not stored yet, by task. */
@@ -108,7 +109,7 @@
   runLost (_session: TargetSession, { task }: Assignment, reason: string): void { this.events.push(`${task.name} lost: ${reason}`) }
   startRefused (_session: TargetSession, { task }: Assignment, refusal: string): void { this.events.push(`${task.name} refused: ${refusal}`) }
   startConfirmed (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} started`) }
-  runBegun (): void {}
+  runBegun ({ task }: Assignment): void { this.begun.push(task.name) }
   runHeld (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} held`) }
   startUnanswered (_session: TargetSession, { task }: Assignment): void { this.unanswered.push(task.name) }
   async targetCrashed (): Promise<void> {}
@@ -352,6 +353,65 @@
   t.deepEqual(listener.events.slice(2), [`${name} lost: restarted`, 'incarnation ended: restarted'])
 })
 
+// Guards against a run of the next incarnation that is taken for one of the earlier incarnation, and released with it while it continues, since a clock seems to tell them apart.
+test('restarted targets: no clock of an answer proves that the earlier incarnation has executed a start', async t => {
+  const expectedMs = 300
+  for (const clockMs of [0, 1, expectedMs - 20, expectedMs, expectedMs + 20, expectedMs + 1_400, 900_000]) {
+    const { clock, client, listener, session } = createSession()
+    await clock.advance(expectedMs)
+    const assignment = createAssignment()
+    const name = assignment.task.name
+    session.reserve(assignment)
+    client.bornMs = 2
+    client.startOutcome = { outcome: 'started', clockMs }
+    client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+    await session.start(assignment, NO_TICKET_NEEDED)
+    await clock.advance(1_500)
+    t.deepEqual(listener.events, ['joined', `${name} started`], `a clock of ${clockMs}`)
+    t.true(client.stops.includes(name))
+    t.deepEqual(listener.begun, [])
+    client.running = []
+    await clock.advance(500)
+    t.deepEqual(listener.events.slice(2), [`${name} lost: restarted`, 'incarnation ended: restarted'])
+    session.close()
+  }
+})
+
+// Guards against the same if a report that was requested before the answer to a start is taken as evidence, and against doubt about each answered start.
+test('restarted targets: an answered start was executed by the incarnation if one of its reports shows the run, or was requested later', async t => {
+  for (const isShown of [true, false]) {
+    const context = createContext()
+    const { clock, client, listener } = context
+    // Waits with the report, like a target on which no run ends.
+    const { session } = createSession(-Infinity, context, 1, target => ({
+      start: async order => await target.start(order),
+      stop: async order => await target.stop(order),
+      renew: async order => {
+        const result = await target.renew(order)
+        await clock.sleep(50)
+        return result.outcome === 'report' && isShown ? { ...result, report: { ...result.report, running: client.running } } : result
+      },
+      close: async () => {}
+    }))
+    await clock.advance(180)
+    const assignment = createAssignment()
+    const name = assignment.task.name
+    session.reserve(assignment)
+    await session.start(assignment, NO_TICKET_NEEDED)
+    client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+    await clock.advance(30)
+    t.deepEqual([client.renewals.length, listener.begun], [2, isShown ? [name] : []], 'after the report that was requested before the answer')
+    client.running = []
+    // The run may have ended beyond the ends that the report lists.
+    client.finishedPerReport = 0
+    await clock.advance(100)
+    t.deepEqual([client.renewals.length, listener.begun], [3, [name]], 'after the next report')
+    client.bornMs = 2
+    await clock.advance(200)
+    t.deepEqual([client.stops, listener.events.slice(2)], [[], [`${name} lost: restarted`, 'incarnation ended: restarted']], 'the run has ended with its incarnation')
+  }
+})
+
 test('a run that the next incarnation has finished is not started again', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(200)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -97,7 +97,6 @@
       runs: this.#runs,
       hasEnded: () => this.#hasEnded,
       listener: {
-        runBegun: assignment => listener.runBegun(assignment),
         startConfirmed: assignment => listener.startConfirmed(this, assignment),
         startRefused: (assignment, refusal) => listener.startRefused(this, assignment, refusal),
         startUnanswered: assignment => listener.startUnanswered(this, assignment),
@@ -213,7 +212,7 @@
 
   /** Reserves the capacity of a run that an earlier coordinator has seen on this incarnation. */
   reserveStarted (assignment: Assignment): void {
-    assignment.evidence = 'log'
+    assignment.evidence = 'recorded'
     this.reserve(assignment)
   }
 
@@ -320,6 +319,7 @@
     this.#answers.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#runs.compareRunning(report.running, nowMs)
+    this.#runs.recordReportRequestedAt(sentMs)
     this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
@@ -373,7 +373,7 @@
     this.#hasEnded = true
     const assignments = [...this.assignments.values()]
     const unansweredStarts = assignments.filter(({ startAnswered, reported }) => !startAnswered && !reported).length
-    const unprovenStarts = assignments.filter(({ startAnswered, isRunHere, state }) => startAnswered && !isRunHere && (state === 'running' || state === 'stopping')).length
+    const unprovenStarts = assignments.filter(({ executedByMs, isRunHere }) => executedByMs !== undefined && !isRunHere).length
     this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unprovenStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
   }
