Send nothing for a target incarnation whose session has ended meanwhile

What callers could see: a task that is done runs again.

Cause: a session that owes an acknowledgement waits up to 100 ms for starts in transit before it sends its next renewal, and did not look whether the incarnation had ended meanwhile. Such a renewal acknowledges ends and extends leases with the token of the starts of the next incarnation, which accepts it. Only the age of the last report, at most 150 ms, stood in the way of the acknowledgement.

Change: the renewal is not sent.

Measured: the new test failed before (a lease extension 40 ms after the end of the session) and passes, with the other 49 of its file.

--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -576,6 +576,23 @@
   t.deepEqual(listener.events.slice(-2), [`${assignment.task.name} done`, 'incarnation ended: restarted'])
 })
 
+// Guards against a request of the earlier incarnation's session that the next one accepts, since it carries the token of the next one's own starts.
+test('restarted targets: a session that ends while a renewal waits to be sent neither acknowledges ends nor extends leases any more', async t => {
+  const { clock, client, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  client.startAnswer = new Promise(() => {})
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  await clock.advance(170)
+  client.renewals.length = 0
+  session.endReplaced()
+  await clock.advance(1_000)
+  t.true(client.renewals.length > 0, 'the withdrawal of the start asks for reports')
+  t.deepEqual(client.renewals.filter(({ acknowledged, leaseUntilTargetMs }) => acknowledged > 0 || leaseUntilTargetMs !== undefined), [])
+})
+
 // Guards against starting a task again that is done: the next incarnation executes the start, and then discards the end of its run unread.
 test('late orders: no ends are acknowledged while a start to the target is in transit', async t => {
   const { clock, client, session } = createSession()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -278,6 +278,7 @@
 
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
+    if (this.#hasEnded) return
     const sentMs = clock.monotonicMs()
     // A start that was executed after this incarnation was asked for its last report may have been executed by the next one,
     // which would be told to discard the end of its run unread.
