Ignore entries and reports of targets that do not name their incarnation

Cause: an entry or a report without 'born' was decoded as incarnation 0, and 0 matched any incarnation, so that a report of the next one counted as one of the earlier one. The platform always gives 'born', as a whole number; an entry without it comes from another writer and names no target to use.

Change: such an entry is ignored, with the log line for unreadable entries; a report without 'born' is a failed renewal. The cases for 0 are removed from the sessions.

The test 'a report that names no incarnation does not end the session of an earlier one' gave the fleet such a report, which the decoder does not pass on any more. It now gives what the decoder makes of it, a failed renewal, and expects the same of the session of the healthy incarnation: it goes on.

Measured: the new test of platformTarget and the extended ones of decoding failed before (3 of 5 reports, and the entries without or with 0, were accepted) and pass.

--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -14,7 +14,7 @@
 export interface IncarnationEndOptions {
   /** Identity of the target, for the log. */
   readonly target: string
-  /** Start time of the incarnation; 0 if it is not known. */
+  /** Start time of the incarnation. */
   readonly bornMs: number
   readonly client: JobTargetClient
   readonly clock: Clock
@@ -117,7 +117,7 @@
       logger,
       fence,
       target,
-      lapsedBornMs: reason === 'lease-lapsed' && bornMs !== 0 ? bornMs : undefined,
+      lapsedBornMs: reason === 'lease-lapsed' ? bornMs : undefined,
       isClosed,
       latestExecutionMs: () => starts.latestExecutionMs(assignment),
       latestRunMs: () => starts.latestExtensionMs(assignment) + lease.longestOnNextIncarnationMs,
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -151,8 +151,7 @@
   }
 
   /** Ends the sessions of earlier incarnations of a target that has reported: what they send, the reported one would execute. */
-  endEarlierIncarnations ({ id, isIncarnationShown, description: { bornMs } }: TargetSession): void {
-    if (!isIncarnationShown) return
+  endEarlierIncarnations ({ id, description: { bornMs } }: TargetSession): void {
     for (const session of this.#sessions.values()) {
       if (session.id === id && session.description.bornMs < bornMs) session.endReplaced()
     }
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -49,7 +49,6 @@
   readonly key: string
   readonly #options: TargetSessionOptions
   #joined = false
-  #isIncarnationShown = false
   #hasEnded = false
   #closed = false
   readonly #ends: RunEndNumbers
@@ -131,15 +130,11 @@
     return this.description.labels[1] ?? ''
   }
 
+  /** Whether this incarnation has given a report. */
   get joined (): boolean {
     return this.#joined
   }
 
-  /** Whether a report named this incarnation, so that earlier ones have ended. */
-  get isIncarnationShown (): boolean {
-    return this.#isIncarnationShown
-  }
-
   get ended (): boolean {
     return this.#hasEnded
   }
@@ -312,8 +307,7 @@
   }
 
   async #handleReport (report: TargetReport, sentMs: number, acknowledged: number): Promise<void> {
-    const { bornMs } = this.description
-    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) return this.#endAfterRestart(report, acknowledged)
+    if (report.bornMs !== this.description.bornMs) return this.#endAfterRestart(report, acknowledged)
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
     this.#contact.recordReport(report.clockMs, sentMs, nowMs)
@@ -324,7 +318,6 @@
     this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
-      this.#isIncarnationShown = report.bornMs !== 0
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
--- a/src/platform/platformTarget.ts
+++ b/src/platform/platformTarget.ts
@@ -26,7 +26,7 @@
 const finishedSchema = z.tuple([z.number(), z.string(), z.number(), z.enum(RUN_ENDS), z.string()]).rest(z.unknown())
 const reportSchema = z.object({
   clock_ms: z.number(),
-  born: z.number().default(0),
+  born: z.number().int().positive(),
   running: z.array(runningSchema).default([]),
   finished: z.array(finishedSchema).default([])
 })
--- a/src/platform/targetEntry.ts
+++ b/src/platform/targetEntry.ts
@@ -27,7 +27,7 @@
   capacity: capacitySchema,
   /** Machine type, followed by the rack. */
   labels: z.array(z.string()).default([]),
-  born: z.number().int().nonnegative().default(0)
+  born: z.number().int().positive()
 })
 
 function isAddress (text: string): boolean {
--- a/src/ports/jobTarget.ts
+++ b/src/ports/jobTarget.ts
@@ -3,7 +3,7 @@
 /** One incarnation of a target; a restart starts a new one, even under the same id. */
 export interface TargetIncarnation {
   readonly id: string
-  /** Wall-clock time at which the target started, in milliseconds; 0 if the target does not report it. */
+  /** Wall-clock time at which the incarnation started, in milliseconds, by which incarnations of a target are told apart. */
   readonly bornMs: number
 }
 
