Give the first start to a target incarnation a token of its own

What callers could see: a task that runs is started again elsewhere.

Cause: the token of a target is raised when the session of an incarnation is opened. A start that the session of the earlier incarnation sends after that has the raised token, as has the first start of the next session if no lease was extended between. The incarnation that has executed the latter then accepts the former when it arrives seconds late, and with it a lease beyond the time at which its session takes all leases for lapsed. Also, a token that was to be raised was used as it was if the coordinator had not written to the store since.

Change: the token is raised at the first report of an incarnation as well, and a start waits for it, as for a token after a renewal.

--- a/src/coordinator/targets/targetFence.test.ts
+++ b/src/coordinator/targets/targetFence.test.ts
@@ -13,3 +13,16 @@
   t.is(earlier, 11)
   t.is(fence.tokenForStart(), 12)
 })
+
+// Guards against the same where the coordinator has not written to the store since.
+test('a start waits for a token that is higher than those of the earlier incarnation', t => {
+  let revision = 11
+  const fence = new TargetFence(10, () => revision)
+  t.is(fence.tokenForStart(), 10)
+  fence.raiseBeforeNextRequest()
+  t.is(fence.tokenForStart(), 11)
+  fence.raiseBeforeNextRequest()
+  t.is(fence.tokenForStart(), undefined)
+  revision = 12
+  t.is(fence.tokenForStart(), 12)
+})
--- a/src/coordinator/targets/targetFence.ts
+++ b/src/coordinator/targets/targetFence.ts
@@ -41,7 +41,7 @@
   /** Returns the token for a start; undefined if none is high enough until the coordinator has written to the store again. */
   tokenForStart (): number | undefined {
     if (this.#mustRaise || this.#token <= this.#renewalToken) this.#raise()
-    return this.#token > this.#renewalToken ? this.#token : undefined
+    return !this.#mustRaise && this.#token > this.#renewalToken ? this.#token : undefined
   }
 
   /** Gives later requests a higher token than those sent until now, as soon as the coordinator has written to the store. */
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -723,6 +723,27 @@
 })
 
 // Guards against an instance that gives up its term because its own requests overtake each other.
+// Guards against a run beyond the time at which its leases are taken for lapsed: a late start of the earlier session extends them.
+test('late orders: the first start to the next incarnation has a higher token than a start that the earlier session sent meanwhile', async t => {
+  const context = createContext()
+  const { clock, client, listener, fence } = context
+  const { session: earlier } = createSession(-Infinity, context)
+  await clock.advance(200)
+  fence.raiseBeforeNextRequest()
+  const { session: next } = createSession(-Infinity, context, 2)
+  const [first, second] = [createAssignment('job-1'), createAssignment('job-2')]
+  earlier.reserve(first)
+  await earlier.start(first, NO_TICKET_NEEDED)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  while (!next.joined) await clock.advance(1)
+  next.reserve(second)
+  await next.start(second, NO_TICKET_NEEDED)
+  t.deepEqual(listener.events.filter(event => event.endsWith(' started')).length, 2)
+  const [earlierToken, nextToken] = client.starts.map(({ fencingToken }) => fencingToken)
+  t.true((nextToken ?? 0) > (earlierToken ?? Infinity), `${nextToken} and ${earlierToken}`)
+})
+
 test('a start that a later request of the same coordinator has overtaken is sent again', async t => {
   const { clock, client, listener, session, fence } = createSession()
   await clock.advance(200)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -318,6 +318,8 @@
     this.#runs.detectMissing(report, sentMs)
     if (!this.#joined) {
       this.#joined = true
+      // The session of the earlier incarnation may have sent a start since this one was opened, which extends leases like a renewal.
+      this.#options.fence.raiseBeforeNextRequest()
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
