Order the incarnations of a target by their reports

What callers could see: tasks wait although a target is idle.

Cause: the later of two incarnations was the one with the higher 'born', a wall clock, which may be set back over a restart. Then the session of the earlier incarnation was not ended by a report of the later one, and the target got no task until it was removed. No run was found to happen twice by it.

Change: an incarnation is later than another if it has reported on a request that was sent after the last report of the other one had arrived; its reports end the session of the other one. An entry of the list outdates an incarnation that has not reported on a request sent after the list was read. 'born' only tells incarnations apart. While the order is not known, neither gets tasks.

--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -359,8 +359,11 @@
     this.#fleet.stopRuns(other => other !== assignment && other.task.step === step && other.attempt === assignment.attempt)
   }
 
-  joined (session: TargetSession): void {
+  reported (session: TargetSession): void {
     this.#fleet.endEarlierIncarnations(session)
+  }
+
+  joined (session: TargetSession): void {
     if (this.#fleet.isRecorded(session)) return
     this.applyAndAppend([{ type: 'target', target: session.description }]).then(() => {
       this.#fleet.markRecorded(session)
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -49,6 +49,11 @@
     return this.#lastReportRequestedMs
   }
 
+  /** When the last report arrived. */
+  get lastReportMs (): number {
+    return this.#lastReportMs
+  }
+
   /** Time of the last answer, also to a start request, or of the beginning of the session. */
   get lastAnswerMs (): number {
     return this.#lastAnswerMs
@@ -86,7 +91,7 @@
   /** Records a report of this incarnation that was requested at the given time. */
   recordReport (clockMs: number, requestedMs: number, nowMs: number): void {
     this.#lastReportMs = this.#lastAnswerMs = nowMs
-    this.#lastReportRequestedMs = requestedMs
+    this.#lastReportRequestedMs = Math.max(this.#lastReportRequestedMs, requestedMs)
     this.#unansweredSinceMs = undefined
     this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -38,8 +38,8 @@
     this.#clock = clock
   }
 
-  restart (): void {
-    this.bornMs += 1
+  restart (bornMs = this.bornMs + 1): void {
+    this.bornMs = bornMs
     this.#fencingToken = 0
     this.running = []
   }
@@ -74,11 +74,12 @@
   }
 }
 
-async function startFleet () {
+async function startFleet (firstBornMs = 1) {
   const clock = new ManualClock()
   const target = new FakeTarget(clock)
+  target.bornMs = firstBornMs
   const events: string[] = []
-  let listed: readonly ListedTarget[] = [listIncarnation(1)]
+  let listed: readonly ListedTarget[] = [listIncarnation(firstBornMs)]
   let revision = ELECTION_REVISION
   const fleet: TargetFleet = new TargetFleet({
     clock,
@@ -94,8 +95,8 @@
       runBegun: () => {},
       startUnanswered: () => {},
       targetCrashed: async () => {},
+      reported: session => fleet.endEarlierIncarnations(session),
       joined: session => {
-        fleet.endEarlierIncarnations(session)
         fleet.markRecorded(session)
         revision += 1
       },
@@ -151,6 +152,21 @@
   t.deepEqual(target.renewals.get(1)?.filter(({ atMs, order }) => atMs > joinedMs && order.leaseUntilTargetMs !== undefined), [])
 })
 
+// Guards against a target without work for as long as its earlier incarnation has a session, since incarnations were ordered by the times at which they started.
+test('restarted targets: the session of an earlier incarnation ends although the wall clock of the later one was set back', async t => {
+  const { clock, target, fleet, events, list } = await startFleet(9)
+  target.reportDelayMs.set(9, 700)
+  await clock.advance(2_500)
+  const { atMs: requestedMs, order } = target.renewals.get(9)?.at(-1) as Renewal
+  await clock.advance(requestedMs + order.waitMs + 30 - clock.monotonicMs())
+  target.restart(4)
+  list(4)
+  await clock.advance(600)
+  t.deepEqual([events, fleet.usable.map(({ description }) => description.bornMs)], [['9 ended: restarted'], [4]])
+  await clock.advance(2_000)
+  t.deepEqual([events, fleet.usable.map(({ description }) => description.bornMs)], [['9 ended: restarted'], [4]], 'a report of the earlier incarnation has arrived')
+})
+
 // Guards against leases in the time of another clock, after the session of the next incarnation has failed and is opened again.
 test('restarted targets: the session of an earlier incarnation gives no leases while a later one is listed and does not answer', async t => {
   const { clock, target, list } = await startFleet()
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -44,6 +44,13 @@
   readonly termStartedAtMs: number
 }
 
+/** An answer of the target list. */
+interface Listing {
+  readonly requestedMs: number
+  /** Start times of the listed incarnations, by target identity. */
+  readonly incarnations: ReadonlyMap<string, ReadonlySet<number>>
+}
+
 /**
  * Opens a session for each recorded and each listed incarnation of a target.
  *
@@ -55,22 +62,23 @@
 export class TargetFleet {
   readonly #options: TargetFleetOptions
   readonly #sessions = new Map<string, TargetSession>()
+  readonly #sessionsById = new Map<string, readonly TargetSession[]>()
   /** Keys of the target incarnations recorded in the log; only these get tasks. */
   readonly #recorded = new Set<string>()
-  /** Start time of the latest incarnation that has a session, by target identity. */
-  readonly #latestIncarnations = new Map<string, number>()
   /** By target identity. Kept for the whole term, since requests of ended sessions may still be answered. */
   readonly #fences = new Map<string, TargetFence>()
   readonly #starts = new Map<string, StartsInTransit>()
   readonly #directory: PeriodicTask
-  /** Start time of the latest incarnation in the last answer of the target list, by target identity. */
-  #listedIncarnations: ReadonlyMap<string, number> = new Map()
+  #listing: Listing = { requestedMs: -Infinity, incarnations: new Map() }
   #closed = false
 
   constructor (options: TargetFleetOptions) {
     this.#options = options
     this.#directory = new PeriodicTask('target directory', options.clock, DIRECTORY_INTERVAL_MS,
-      async () => this.#applyListing(await options.directory.list()),
+      async () => {
+        const requestedMs = options.clock.monotonicMs()
+        this.#applyListing(await options.directory.list(), requestedMs)
+      },
       error => options.logger.debug({ error: String(error) }, 'failed to read the target list'))
   }
 
@@ -85,7 +93,7 @@
     const occupied = new Set<string>()
     const nowMs = this.#options.clock.monotonicMs()
     for (const session of this.#sessions.values()) {
-      if (session.ended || this.#isReplaced(session.id, session.description.bornMs)) {
+      if (session.ended || this.#isReplaced(session)) {
         if (session.mayHaveRunsOnNextIncarnation) occupied.add(session.id)
       } else if (session.isUsableAt(nowMs) && this.#recorded.has(session.key)) {
         usable.push(session)
@@ -118,9 +126,20 @@
     return [...this.#sessions.values()].flatMap(({ outage }) => outage ?? [])
   }
 
-  /** Whether a later incarnation of the same target is known. */
-  #isReplaced (id: string, bornMs: number): boolean {
-    return Math.max(this.#latestIncarnations.get(id) ?? 0, this.#listedIncarnations.get(id) ?? 0) > bornMs
+  /**
+   * Whether another incarnation of the same target may be later. Incarnations are ordered by their reports: one that reported on a
+   * request sent after a report of the other had arrived is the later one. The times at which they started come from a wall clock.
+   */
+  #isReplaced (session: TargetSession): boolean {
+    const { id, description: { bornMs }, lastReport: { requestedMs } } = session
+    const listed = this.#listing.incarnations.get(id)
+    if (listed !== undefined && !listed.has(bornMs) && requestedMs < this.#listing.requestedMs) return true
+    return this.#otherSessions(session).some(other => !other.ended && other.lastReport.arrivedMs >= requestedMs && other.joined)
+  }
+
+  #otherSessions (session: TargetSession): readonly TargetSession[] {
+    const sessions = this.#sessionsById.get(session.id) ?? []
+    return sessions.length > 1 ? sessions.filter(other => other !== session) : []
   }
 
   /** Opens the session of an incarnation recorded in the log, on which tasks of earlier terms may run. */
@@ -150,10 +169,14 @@
     return this.#recorded.has(session.key)
   }
 
-  /** Ends the sessions of earlier incarnations of a target that has reported: what they send, the reported one would execute. */
-  endEarlierIncarnations ({ id, description: { bornMs } }: TargetSession): void {
-    for (const session of this.#sessions.values()) {
-      if (session.id === id && session.description.bornMs < bornMs) session.endReplaced()
+  /**
+   * Ends the sessions of earlier incarnations of a target that has reported: what they send, the reported one would execute. A
+   * recorded incarnation has reported to an earlier coordinator.
+   */
+  endEarlierIncarnations (session: TargetSession): void {
+    const { requestedMs } = session.lastReport
+    for (const other of this.#otherSessions(session)) {
+      if (other.joined ? other.lastReport.arrivedMs < requestedMs : this.isRecorded(other)) other.endReplaced()
     }
   }
 
@@ -165,7 +188,9 @@
   /** Removes an ended incarnation; returns true if it is recorded in the log. */
   remove (session: TargetSession): boolean {
     this.#sessions.delete(session.key)
-    if (!this.#isReplaced(session.id, session.description.bornMs)) this.#latestIncarnations.delete(session.id)
+    const others = this.#otherSessions(session)
+    if (others.length === 0) this.#sessionsById.delete(session.id)
+    else this.#sessionsById.set(session.id, others)
     return this.#recorded.delete(session.key)
   }
 
@@ -184,9 +209,9 @@
     for (const session of this.#sessions.values()) session.close()
   }
 
-  #applyListing (listed: readonly ListedTarget[]): void {
+  #applyListing (listed: readonly ListedTarget[], requestedMs: number): void {
     if (this.#closed) return
-    this.#listedIncarnations = findLatestIncarnations(listed)
+    this.#listing = { requestedMs, incarnations: groupIncarnations(listed) }
     const byKey = new Map(listed.map(target => [targetKey(target), target]))
     for (const [key, target] of byKey) {
       if (!this.#sessions.has(key)) this.#run(this.#open(target, -Infinity))
@@ -200,7 +225,7 @@
   #open (target: TargetDescription, priorLeasesExtendedUntilMs: number): TargetSession {
     const { id, bornMs, address, service, dataCentre, capacity, labels } = target
     const { clock, logger, connect, listener, targetLeaseMs, hasAuthority, evacuations } = this.#options
-    const session = new TargetSession({
+    const session: TargetSession = new TargetSession({
       description: { id, bornMs, address, service, dataCentre, capacity, labels },
       client: connect(address, { id, bornMs }, dataCentre),
       clock,
@@ -210,12 +235,12 @@
       starts: this.#openStarts(id),
       leaseMs: targetLeaseMs,
       hasAuthority,
-      isReplaced: () => this.#isReplaced(id, bornMs),
+      isReplaced: () => this.#isReplaced(session),
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
     this.#sessions.set(session.key, session)
-    this.#latestIncarnations.set(id, Math.max(bornMs, this.#latestIncarnations.get(id) ?? 0))
+    this.#sessionsById.set(id, [...this.#sessionsById.get(id) ?? [], session])
     return session
   }
 
@@ -239,8 +264,8 @@
   }
 }
 
-function findLatestIncarnations (listed: readonly ListedTarget[]): ReadonlyMap<string, number> {
-  const latest = new Map<string, number>()
-  for (const { id, bornMs } of listed) latest.set(id, Math.max(bornMs, latest.get(id) ?? 0))
-  return latest
+function groupIncarnations (listed: readonly ListedTarget[]): Listing['incarnations'] {
+  const incarnations = new Map<string, Set<number>>()
+  for (const { id, bornMs } of listed) incarnations.set(id, (incarnations.get(id) ?? new Set()).add(bornMs))
+  return incarnations
 }
--- a/src/coordinator/targets/targetListener.ts
+++ b/src/coordinator/targets/targetListener.ts
@@ -21,6 +21,8 @@
   runBegun (assignment: Assignment): void
   /** A start request was not answered, and the run is being stopped because the target does not report it. */
   startUnanswered (session: TargetSession, assignment: Assignment): void
+  /** The target has reported as the incarnation of the session; called before `joined`. */
+  reported (session: TargetSession): void
   joined (session: TargetSession): void
   /** The target has restarted without a planned shutdown. Its runs are reported as lost once this has resolved; it never rejects. */
   targetCrashed (session: TargetSession, outage: Outage, runs: readonly Assignment[]): Promise<void>
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -113,6 +113,7 @@
   runHeld (_session: TargetSession, { task }: Assignment): void { this.events.push(`${task.name} held`) }
   startUnanswered (_session: TargetSession, { task }: Assignment): void { this.unanswered.push(task.name) }
   async targetCrashed (): Promise<void> {}
+  reported (): void {}
   joined (): void { this.events.push('joined') }
   incarnationEnded (_session: TargetSession, reason: string): void { this.events.push(`incarnation ended: ${reason}`) }
   fenced (): void { this.events.push('fenced') }
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -135,6 +135,11 @@
     return this.#joined
   }
 
+  /** When the last report of this incarnation was requested, and when it arrived; `-Infinity` before the first. */
+  get lastReport (): { readonly requestedMs: number, readonly arrivedMs: number } {
+    return { requestedMs: this.#contact.lastReportRequestedMs, arrivedMs: this.#contact.lastReportMs }
+  }
+
   get ended (): boolean {
     return this.#hasEnded
   }
@@ -316,6 +321,7 @@
     this.#runs.compareRunning(report.running, nowMs)
     this.#runs.recordReportRequestedAt(sentMs)
     this.#runs.detectMissing(report, sentMs)
+    this.#options.listener.reported(this)
     if (!this.#joined) {
       this.#joined = true
       // The session of the earlier incarnation may have sent a start since this one was opened, which extends leases like a renewal.
