Log sessions, withdrawals and relays of a target

A withdrawal logs whether the run was shown, and how long the start may be executed and its run be alive. A relay link logs outcomes that match no outstanding order, and orders without an outcome in time, one line for each answer.

--- a/src/coordinator/targets/targetFleet.test.ts
+++ b/src/coordinator/targets/targetFleet.test.ts
@@ -9,7 +9,6 @@
 import type { TargetSession } from './targetSession.ts'
 
 const ELECTION_REVISION = 10
-const logger = createLogger({ level: 'silent', instance: 'test', dataCentre: 'test', secrets: [] })
 
 function listIncarnation (bornMs: number): ListedTarget {
   return { id: 'worker-1', bornMs, address: '', service: 'renders', dataCentre: 'a', capacity: resources({ processors: 1_000, memory: 1_000 }), labels: [], draining: false }
@@ -78,6 +77,8 @@
   const clock = new ManualClock()
   const target = new FakeTarget(clock)
   const events: string[] = []
+  const lines: string[] = []
+  const logger = createLogger({ level: 'info', instance: 'test', dataCentre: 'test', secrets: [], destination: { write: line => lines.push(line) } })
   let listed: readonly ListedTarget[] = [listIncarnation(1)]
   let revision = ELECTION_REVISION
   const fleet: TargetFleet = new TargetFleet({
@@ -116,7 +117,8 @@
   })
   await fleet.start()
   await clock.advance(1_000)
-  return { clock, target, fleet, events, list: (...bornMs: readonly number[]) => { listed = bornMs.map(listIncarnation) } }
+  const findLine = (message: string): Record<string, unknown> | undefined => lines.map(line => JSON.parse(line)).find(({ msg }) => msg === message)
+  return { clock, target, fleet, events, findLine, list: (...bornMs: readonly number[]) => { listed = bornMs.map(listIncarnation) } }
 }
 
 // Guards against calls of an earlier incarnation that its next one executes.
@@ -151,6 +153,21 @@
   t.deepEqual(target.renewals.get(1)?.filter(({ atMs, order }) => atMs > joinedMs && order.leaseUntilTargetMs !== undefined), [])
 })
 
+// Guards against a report of one incarnation in the session of another, or two open sessions of a target, without a trace in the log.
+test('restarted targets: the log names the open sessions of a target, and the report that arrives in an ended one', async t => {
+  const { clock, target, findLine, list } = await startFleet()
+  target.reportDelayMs.set(1, 700)
+  await clock.advance(2_500)
+  const { atMs: requestedMs, order } = target.renewals.get(1)?.at(-1) as Renewal
+  await clock.advance(requestedMs + order.waitMs + 30 - clock.monotonicMs())
+  target.restart()
+  list(2)
+  await clock.advance(2_600)
+  t.like(findLine('opening another session of a target'), { target: 'worker-1', bornMs: 2, listedBornMs: 2, open: [{ bornMs: 1, joined: true, runs: 0 }] })
+  t.like(findLine('target incarnation ended'), { bornMs: 1, reason: 'restarted', shownBy: 'other-session' })
+  t.like(findLine('ignoring a report in the session of an ended target incarnation'), { target: 'worker-1', bornMs: 1, endedBornMs: 1 })
+})
+
 // Guards against leases in the time of another clock, after the session of the next incarnation has failed and is opened again.
 test('restarted targets: the session of an earlier incarnation gives no leases while a later one is listed and does not answer', async t => {
   const { clock, target, list } = await startFleet()
--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -215,11 +215,18 @@
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
+    this.#logOpenSessions(session)
     this.#sessions.set(session.key, session)
     this.#latestIncarnations.set(id, Math.max(bornMs, this.#latestIncarnations.get(id) ?? 0))
     return session
   }
 
+  #logOpenSessions ({ id, description: { bornMs } }: TargetSession): void {
+    if (!this.#latestIncarnations.has(id)) return
+    const open = this.sessions.filter(session => session.id === id && !session.ended).map(session => ({ bornMs: session.description.bornMs, joined: session.joined, runs: session.assignments.size }))
+    if (open.length > 0) this.#options.logger.info({ target: id, bornMs, listedBornMs: this.#listedIncarnations.get(id), open }, 'opening another session of a target')
+  }
+
   /** The sessions of earlier incarnations have sent requests that the next one must refuse. */
   #openFence (id: string): TargetFence {
     const { fencingToken, latestRevision } = this.#options
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -3,7 +3,7 @@
 import { targetKey } from '../../jobs/jobTable.ts'
 import { runInBackground } from '../../lifecycle/runInBackground.ts'
 import type { Logger } from '../../observability/logger.ts'
-import type { FinishedRun, JobTargetClient, RunningTask, TargetReport } from '../../ports/jobTarget.ts'
+import type { FinishedRun, JobTargetClient, RenewOutcome, RunningTask, TargetReport } from '../../ports/jobTarget.ts'
 import type { StartTicket } from '../advice/startTicket.ts'
 import { AssignedRuns } from './assignedRuns.ts'
 import { runKey } from './assignment.ts'
@@ -31,6 +31,10 @@
 const REPORT_INTERVAL_MS = 60
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
+
+/** By what the end of an incarnation became known: `report`, of another incarnation in this session; `other-session`, one in another session. */
+type EndEvidence = 'report' | 'other-session' | 'refusal' | 'silence'
+
 export interface TargetSessionOptions extends TargetLeaseOptions {
   readonly description: TargetDescription
   readonly client: JobTargetClient
@@ -102,7 +106,7 @@
         startRefused: (assignment, refusal) => listener.startRefused(this, assignment, refusal),
         startUnanswered: assignment => listener.startUnanswered(this, assignment),
         fenced: () => listener.fenced(this),
-        restarted: () => this.#endIncarnation('restarted'),
+        restarted: () => this.#endIncarnation('restarted', 'refusal'),
         restartSuspected: () => runInBackground(this.#renew(0), logger, 'check for a restart')
       }
     })
@@ -177,6 +181,11 @@
     return unansweredSinceMs === undefined || this.#hasEnded ? undefined : this.#describeOutage(unansweredSinceMs)
   }
 
+  /** What a decision on a run of this incarnation rests on, for the log. */
+  get evidence (): object {
+    return { bornMs: this.description.bornMs, reportRequestedAgoMs: Math.round(this.#options.clock.monotonicMs() - this.#contact.lastReportRequestedMs), routes: this.#options.client.routes }
+  }
+
   get draining (): boolean {
     return this.#offer.draining
   }
@@ -264,7 +273,7 @@
 
   /** Ends the incarnation, since a later one of the target has reported. */
   endReplaced (): void {
-    this.#endIncarnation('restarted')
+    this.#endIncarnation('restarted', 'other-session')
   }
 
   /** Ends the session at the end of the term, without deciding on its runs. */
@@ -293,20 +302,20 @@
       leaseUntilTargetMs,
       waitMs: acknowledged === 0 && this.#ends.owesAcknowledgement ? 0 : waitMs
     })
-    if (this.#hasEnded) return
+    if (this.#hasEnded) return this.#logIgnored(result, sentMs)
     switch (result.outcome) {
       case 'report':
         await this.#handleReport(result.report, sentMs, acknowledged)
         break
       case 'other-life':
-        this.#endIncarnation('restarted')
+        this.#endIncarnation('restarted', 'refusal')
         break
       case 'fenced':
         if (fence.isLatest(fencingToken)) listener.fenced(this)
         break
       case 'failed':
         this.#contact.recordFailedRenewal()
-        if (clock.monotonicMs() > this.#lease.allEndedMs) this.#endIncarnation('lease-lapsed')
+        if (clock.monotonicMs() > this.#lease.allEndedMs) this.#endIncarnation('lease-lapsed', 'silence')
         else await clock.sleep(RETRY_DELAY_MS)
     }
   }
@@ -324,6 +333,7 @@
     if (!this.#joined) {
       this.#joined = true
       this.#isIncarnationShown = report.bornMs !== 0
+      if (bornMs === 0 || report.bornMs === 0) this.#options.logger.info({ target: this.id, bornMs, reportedBornMs: report.bornMs }, 'the incarnation of a target is not known')
       this.#options.listener.joined(this)
     }
     this.#options.listener.stateChanged()
@@ -351,15 +361,22 @@
     return this.#options.listener.sizeOfRun(task)
   }
 
-  #endIncarnation (reason: IncarnationEndReason): void {
-    if (!this.#markEnded(reason)) return
+  /** A report that arrives after a later incarnation has reported, or the first one of that incarnation on a second request. */
+  #logIgnored (result: RenewOutcome, sentMs: number): void {
+    if (this.#closed || result.outcome !== 'report') return
+    const { bornMs, clockMs, running } = result.report
+    this.#options.logger.info({ target: this.id, bornMs, targetClockMs: clockMs, running: running.length, endedBornMs: this.description.bornMs, requestedAgoMs: Math.round(this.#options.clock.monotonicMs() - sentMs), routes: this.#options.client.routes }, 'ignoring a report in the session of an ended target incarnation')
+  }
+
+  #endIncarnation (reason: IncarnationEndReason, shownBy: EndEvidence): void {
+    if (!this.#markEnded(reason, shownBy)) return
     if (reason === 'lease-lapsed') this.#end.afterLapse()
     else this.#end.afterRestart()
   }
 
   #endAfterRestart (report: TargetReport, acknowledged: number): void {
-    if (!this.#markEnded('restarted')) return
-    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, earlierBornMs: this.description.bornMs, earlierClockMs: this.#contact.expectedClockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged }, 'first report of the next target incarnation')
+    if (!this.#markEnded('restarted', 'report')) return
+    this.#options.logger.info({ target: this.id, bornMs: report.bornMs, targetClockMs: report.clockMs, earlierBornMs: this.description.bornMs, earlierClockMs: this.#contact.expectedClockMs, running: report.running.length, listedEnds: report.finished.length, firstListedEnd: report.finished[0]?.number, acknowledged, routes: this.#options.client.routes }, 'first report of the next target incarnation')
     this.#end.afterRestartSeenIn(report)
   }
 
@@ -368,13 +385,13 @@
   }
 
   /** Returns false if the incarnation had already ended. */
-  #markEnded (reason: IncarnationEndReason): boolean {
+  #markEnded (reason: IncarnationEndReason, shownBy: EndEvidence): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
     const assignments = [...this.assignments.values()]
     const unansweredStarts = assignments.filter(({ startAnswered, reported }) => !startAnswered && !reported).length
     const unprovenStarts = assignments.filter(({ startAnswered, isRunHere, state }) => startAnswered && !isRunHere && (state === 'running' || state === 'stopping')).length
-    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unprovenStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
+    this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, shownBy, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unprovenStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
   }
 
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -52,10 +52,13 @@
  */
 export async function withdrawStart ({ client, clock, logger, fence, target, longestLeaseMs, ...options }: WithdrawalOptions, { task, attempt }: { readonly task: string, readonly attempt: number }): Promise<FinishedRun | undefined> {
   const key = runKey(task, attempt)
+  let wasShown = false
+  /** How long the start may still be executed, and its run be kept alive. */
+  const describeTimes = (): object => ({ executableForMs: Math.round(options.latestExecutionMs() - clock.monotonicMs()), aliveForMs: Math.round(options.latestRunMs() - clock.monotonicMs()) })
   const conclude = (outcome: WithdrawalOutcome, bornMs?: number): undefined => {
-    logger.info({ task, attempt, target, outcome, bornMs }, 'withdrawal of a start ended')
+    logger.info({ task, attempt, target, outcome, bornMs, wasShown, ...describeTimes() }, 'withdrawal of a start ended')
   }
-  logger.info({ task, attempt, target }, 'withdrawing an unconfirmed start from the next target incarnation')
+  logger.info({ task, attempt, target, ...describeTimes() }, 'withdrawing an unconfirmed start from the next target incarnation')
   /** The end of the run may have been listed beyond the ends that a report returned at this time. */
   let hiddenUntilMs = -Infinity
   while (!options.isClosed() && clock.monotonicMs() <= Math.max(options.latestRunMs(), hiddenUntilMs)) {
@@ -73,6 +76,7 @@
         return end
       }
       if (running.some(run => runKey(run.task, run.attempt) === key)) {
+        wasShown = true
         options.onExecuted()
       } else if (mayOmitFinished && bornMs !== options.lapsedBornMs) {
         hiddenUntilMs = clock.monotonicMs() + MAX_REQUEST_DELAY_MS + longestLeaseMs
--- a/src/ports/jobTarget.ts
+++ b/src/ports/jobTarget.ts
@@ -91,6 +91,8 @@
 }
 
 export interface JobTargetClient {
+  /** How the latest orders travelled, for the log: addresses of relays, or `direct`, the latest last. */
+  readonly routes?: readonly string[]
   start (order: TaskOrder): Promise<StartOutcome>
   stop (order: StopOrder): Promise<StopOutcome>
   /** Raises the target's fencing token, extends leases, acknowledges finished runs, and returns the running and finished runs. */
--- a/src/relay/relayLink.test.ts
+++ b/src/relay/relayLink.test.ts
@@ -1,6 +1,9 @@
 import test from 'ava'
+import { ManualClock } from '../adapters/clock/manualClock.ts'
+import { createLogger } from '../observability/logger.ts'
+import { RelayLink } from './relayLink.ts'
 import { createStart, FENCE, RelayHarness, TARGET } from './testing/relayHarness.ts'
-import type { RelayResult } from './relayMessages.ts'
+import type { RelayOutcome, RelayResult } from './relayMessages.ts'
 
 const OTHER_TARGETS = 40
 /** The first order after the link was opened is sent after this time. */
@@ -65,6 +68,35 @@
   t.true(harness.link.ended)
 })
 
+// Guards against an outcome that counts for an order to another target or incarnation without a trace in the log.
+test('an outcome of another type than its order, or without one, is logged with the relay, the channel and the incarnation', async t => {
+  const clock = new ManualClock()
+  const lines: string[] = []
+  const logger = createLogger({ level: 'info', instance: 'test', dataCentre: 'test', secrets: [], destination: { write: line => lines.push(line) } })
+  const outcomes: RelayOutcome[] = [{ number: 1, result: { type: 'stop', outcome: 'stopping' } }, { number: 9, result: { type: 'stop', outcome: 'stopping' } }]
+  const link = new RelayLink({
+    relay: 'entry-2',
+    fence: FENCE,
+    channel: 'entry-1/7/1',
+    intervalMs: () => 12,
+    clock,
+    logger,
+    hasAuthority: () => true,
+    onSuperseded: () => {},
+    exchange: async ({ orders, waitMs }) => {
+      await clock.sleep(orders.length > 0 ? 1 : waitMs)
+      return { state: 'open', time: { monotonicMs: clock.monotonicMs(), wallMs: clock.wallMs() }, outcomes: orders.length > 0 ? outcomes : [] }
+    }
+  })
+  link.open()
+  await clock.advance(20)
+  link.submit(TARGET, { type: 'start', order: createStart('task') }).catch(() => {})
+  await clock.advance(50)
+  link.close()
+  t.is(lines.length, 1)
+  t.like(JSON.parse(lines[0] ?? ''), { relay: 'entry-2', channel: 'entry-1/7/1', outcomes: 2, number: 1, type: 'stop', orderType: 'start', target: TARGET.id, bornMs: TARGET.bornMs })
+})
+
 test('an order whose outcome a relay never gives is reported as unanswered before a gang waits for its members in vain', async t => {
   const harness = await RelayHarness.open()
   harness.target.answerMs = 60_000
--- a/src/relay/relayLink.ts
+++ b/src/relay/relayLink.ts
@@ -70,6 +70,11 @@
     this.#options = options
   }
 
+  /** Address of the relay. */
+  get relay (): string {
+    return this.#options.relay
+  }
+
   /** Whether orders can be submitted now. */
   get usable (): boolean {
     return this.#offset !== undefined && this.#acceptsOrders
@@ -85,6 +90,11 @@
     return this.#ended
   }
 
+  /** Number of orders whose outcomes are not known yet. */
+  get outstanding (): number {
+    return this.#sent.size + this.#queued.length
+  }
+
   open (): void {
     this.#exchange([], undefined)
   }
@@ -171,6 +181,7 @@
   #handleAnswer ({ state, time, outcomes }: RelayAnswer): void {
     if (this.#ended) return
     this.#updateOffset(time)
+    this.#logUnmatched(outcomes)
     for (const outcome of outcomes) this.#settle(outcome)
     if (state === 'superseded') {
       this.#fail('the relay knows a later coordinator')
@@ -183,17 +194,32 @@
     this.#scheduleFlush()
   }
 
+  /** An outcome that matches no order would count for another target or incarnation, unless its order was given up before. */
+  #logUnmatched (outcomes: readonly RelayOutcome[]): void {
+    const unmatched = outcomes.filter(({ number, result }) => !('reason' in result) && this.#sent.get(number)?.order.type !== result.type)
+    const [first] = unmatched
+    if (first === undefined) return
+    const { relay, channel, logger } = this.#options
+    const order = this.#sent.get(first.number)?.order
+    logger.info({ relay, channel, outcomes: unmatched.length, number: first.number, type: first.result.type, orderType: order?.type, target: order?.target.id, bornMs: order?.target.bornMs }, 'a relay returned outcomes that match no outstanding order')
+  }
+
   #settle ({ number, result }: RelayOutcome): void {
     this.#sent.get(number)?.settle(result)
     this.#sent.delete(number)
   }
 
   #settleOverdue (): void {
-    for (const { order, submittedAtMs } of this.#sent.values()) {
+    const overdue = [...this.#sent.values()].filter(({ order, submittedAtMs }) => {
       const waitMs = order.type === 'renew' ? order.order.waitMs : 0
-      if (this.#nowMs - submittedAtMs < waitMs + OUTCOME_TIMEOUT_MS) continue
-      this.#settle({ number: order.number, result: { type: 'unanswered', reason: 'the relay gave no outcome in time' } })
-    }
+      return this.#nowMs - submittedAtMs >= waitMs + OUTCOME_TIMEOUT_MS
+    })
+    const [first] = overdue
+    if (first === undefined) return
+    const { relay, channel, logger } = this.#options
+    const { number, type, target } = first.order
+    logger.info({ relay, channel, orders: overdue.length, number, type, target: target.id, bornMs: target.bornMs }, 'a relay gave no outcome in time')
+    for (const { order } of overdue) this.#settle({ number: order.number, result: { type: 'unanswered', reason: 'the relay gave no outcome in time' } })
   }
 
   #updateOffset ({ monotonicMs, wallMs }: RelayTime): void {
@@ -207,8 +233,8 @@
 
   #fail (reason: string): void {
     if (this.#ended) return
-    const { logger, relay, fence } = this.#options
-    logger.warn({ relay, fence, outstanding: this.#sent.size, queued: this.#queued.length, reason }, 'connection to a relay lost')
+    const { logger, relay, fence, channel } = this.#options
+    logger.warn({ relay, fence, channel, outstanding: this.#sent.size, queued: this.#queued.length, reason }, 'connection to a relay lost')
     this.#end(reason)
   }
 
--- a/src/relay/relayPool.test.ts
+++ b/src/relay/relayPool.test.ts
@@ -43,6 +43,26 @@
   t.deepEqual(direct.orders, ['start task-2#1 text'])
 })
 
+// Guards against logs that don't show which relay carried an order whose answer is attributed to the wrong incarnation.
+test('a target names the routes of its latest orders, the latest last', async t => {
+  const { clock, lost, pool, target } = await createPool()
+  const renew = async (): Promise<void> => {
+    target.renew({ fencingToken: FENCE, acknowledged: 0, waitMs: 0 }).catch(() => {})
+    await clock.advance(50)
+  }
+  await renew()
+  t.deepEqual(target.routes, ['entry-2'])
+  lost.add('entry-2')
+  await clock.advance(400)
+  await renew()
+  t.deepEqual(target.routes, ['entry-2', 'direct'])
+  pool.update(RELAYS)
+  await clock.advance(20)
+  await renew()
+  await renew()
+  t.deepEqual(target.routes, ['entry-2', 'direct', 'entry-3'])
+})
+
 // Guards against starts that wait for their batch and reach a data centre after its evacuation; a stop is sent, and so is a start afterwards.
 test('a start that waits for its batch is not sent when the data centre of its target is evacuated meanwhile', async t => {
   const { clock, relayed, evacuated, target } = await createPool()
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -108,6 +108,7 @@
     const selected = new Map(selectRelays(this.#targetsByRegion, eligible, new Set(this.#relays.keys())).map(relay => [relay.address, relay]))
     for (const [address, { link }] of this.#relays) {
       if (selected.has(address)) continue
+      this.#options.logger.info({ relay: address, outstanding: link.outstanding }, 'no more orders are sent through a relay')
       link.finish()
       this.#relays.delete(address)
     }
@@ -144,10 +145,11 @@
   #open (relay: RelayCandidate): void {
     const { instance, fence, clock, logger, exchange, hasAuthority, onSuperseded } = this.#options
     this.#linksOpened += 1
+    const channel = `${instance}/${fence}/${this.#linksOpened}`
     const link = new RelayLink({
       relay: relay.address,
       fence,
-      channel: `${instance}/${fence}/${this.#linksOpened}`,
+      channel,
       intervalMs: () => Math.max(MIN_EXCHANGE_INTERVAL_MS, this.#relays.size * MS_PER_SECOND / MAX_EXCHANGES_PER_SECOND),
       exchange: async batch => await exchange(relay.address, batch),
       clock,
@@ -156,7 +158,7 @@
       onSuperseded
     })
     this.#relays.set(relay.address, { ...relay, link })
-    logger.info({ relay: relay.address, region: relay.region, processors: relay.processors, fence }, 'orders to targets are relayed')
+    logger.info({ relay: relay.address, region: relay.region, processors: relay.processors, fence, channel }, 'orders to targets are relayed')
     link.open()
   }
 
--- a/src/relay/relayedTarget.ts
+++ b/src/relay/relayedTarget.ts
@@ -3,6 +3,9 @@
 import type { RelayLink } from './relayLink.ts'
 import type { RelayResult, RelayTarget, TargetOrder } from './relayMessages.ts'
 
+const DIRECT_ROUTE = 'direct'
+const MAX_ROUTES = 3
+
 export interface RelayedTargetOptions {
   readonly target: RelayTarget
   readonly direct: JobTargetClient
@@ -19,11 +22,16 @@
  */
 export class RelayedTarget implements JobTargetClient {
   readonly #options: RelayedTargetOptions
+  #routes: readonly string[] = []
 
   constructor (options: RelayedTargetOptions) {
     this.#options = options
   }
 
+  get routes (): readonly string[] {
+    return this.#routes
+  }
+
   async start (order: TaskOrder): Promise<StartOutcome> {
     const result = await this.#relay({ type: 'start', order }, this.#options.mayStart)
     if (result === undefined) return await this.#options.direct.start(order)
@@ -51,7 +59,14 @@
 
   async #relay (order: TargetOrder, maySend?: () => boolean): Promise<RelayResult | undefined> {
     const { selectLink, target } = this.#options
-    return await selectLink()?.submit(target, order, maySend)
+    const link = selectLink()
+    this.#recordRoute(link?.relay ?? DIRECT_ROUTE)
+    return await link?.submit(target, order, maySend)
+  }
+
+  #recordRoute (route: string): void {
+    if (this.#routes.at(-1) === route) return
+    this.#routes = [...this.#routes.filter(other => other !== route), route].slice(-MAX_ROUTES)
   }
 }
 
