Give stand-in targets the platform's answers and all kinds of clocks

The stand-in targets answered starts and stops with born, which the platform sends in reports only, so that a test could have relied on it.

Answers to starts and stops carry clock_ms, and a refusal its reason. The soak passes its seed.

--- a/src/platform/standIn/standInPlatform.ts
+++ b/src/platform/standIn/standInPlatform.ts
@@ -1,6 +1,9 @@
 /** Stand-ins for all platform services that an instance uses, in one process. */
 import { setTimeout as delay } from 'node:timers/promises'
+import murmurhash from 'murmurhash'
 import { JsonServer } from '../../adapters/http/jsonServer.ts'
+import { SeededRandom } from '../../adapters/random/seededRandom.ts'
+import { IncarnationClocks } from './incarnationClocks.ts'
 import { StandInStore } from './standInStore.ts'
 import type { StoreFault } from './standInStore.ts'
 import { StandInWorker, TICKET_VALIDITY_MS } from './standInWorker.ts'
@@ -28,6 +31,8 @@
   readonly shortestLeaseMs?: number
   /** Returns the address at which instances reach a worker; defaults to the worker's own address. */
   readonly exposeWorker?: (id: string, address: string) => Promise<string>
+  /** From which the clocks of the workers' incarnations are drawn. */
+  readonly seed?: number
 }
 
 export const STAND_IN_HOST = 'jobs.example'
@@ -35,9 +40,6 @@
 const SERVICE = 'renders'
 /** How long a target is down after a task has crashed it. */
 const CRASH_DOWNTIME_MS = 600
-/** Spreads the initial clocks of targets that start at nearly the same time. */
-const CLOCK_SPREAD_FACTOR = 7_919
-const MAX_INITIAL_CLOCK_MS = 2_000_000
 /** In the platform's format. */
 const WORKER_CAPACITY = { cpu: 64_000, mem_mb: 262_144, gpu: 0 }
 
@@ -210,8 +212,9 @@
   async #addWorker (number: number): Promise<void> {
     const id = `worker-${number}`
     const bornMs = Date.now()
-    const { workMs = () => 50, endOf, stopMs, crashesWorker, clockRate = () => 1, exposeWorker = async (_id, address) => address } = this.#options
-    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), initialClockMs, workMs, endOf, stopMs, crashesWorker, onCrash: () => this.crash(id, CRASH_DOWNTIME_MS), onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
+    const { workMs = () => 50, endOf, stopMs, crashesWorker, clockRate = () => 1, exposeWorker = async (_id, address) => address, seed = 0 } = this.#options
+    const clocks = new IncarnationClocks(new SeededRandom(murmurhash.v3(`${seed} clocks ${id}`)))
+    const worker = new StandInWorker({ id, bornMs, clockRate: clockRate(number), initialClockMs: earlierMs => clocks.draw(earlierMs), workMs, endOf, stopMs, crashesWorker, onCrash: () => this.crash(id, CRASH_DOWNTIME_MS), onEvent: event => this.events.push(event), onAcknowledged: (task, attempt) => this.acknowledged.add(`${task}#${attempt}`) })
     this.workers.set(id, worker)
     const address = await exposeWorker(id, await this.#serve(id, worker.routes))
     this.store.put(`servers/${id}`, {
@@ -243,8 +246,3 @@
 interface AdviceBody {
   readonly workers: readonly string[]
 }
-
-/** The clock of a later incarnation may start ahead of the earlier one's or behind it. */
-function initialClockMs (bornMs: number): number {
-  return bornMs * CLOCK_SPREAD_FACTOR % MAX_INITIAL_CLOCK_MS
-}
--- a/src/platform/standIn/standInWorker.test.ts
+++ b/src/platform/standIn/standInWorker.test.ts
@@ -44,6 +44,43 @@
   t.like(await call('hold', {}), { running: [], finished: [[2, 'task', 1, 'done', '']] }, 'start')
 })
 
+// Guards against a coordinator that distinguishes incarnations by what the platform does not say.
+test('only reports name the incarnation; answers to starts and stops carry the clock, and the reason of a refusal', async t => {
+  const { call, start } = setUp(t)
+  const keysOf = async (answer: Promise<unknown>): Promise<readonly string[]> => Object.keys(await answer as object).sort()
+  t.deepEqual(await keysOf(start(2)), ['clock_ms'])
+  t.deepEqual(await keysOf(call('run-stop', { task: 'task', attempt: 2 })), ['clock_ms'])
+  t.deepEqual(await keysOf(start(1)), ['clock_ms', 'reason'])
+  t.deepEqual(await keysOf(call('hold', {})), ['born', 'clock_ms', 'finished', 'running'])
+})
+
+test('the clock of an incarnation starts where it is drawn, given what the earlier one would show', async t => {
+  const given: (number | undefined)[] = []
+  const worker = new StandInWorker({
+    id: 'worker-1',
+    bornMs: Date.now(),
+    clockRate: 2,
+    workMs: () => WORK_MS,
+    onEvent: () => {},
+    initialClockMs: earlierMs => {
+      given.push(earlierMs)
+      return earlierMs === undefined ? 500_000 : earlierMs + 2_000
+    }
+  })
+  t.teardown(() => worker.close())
+  const hold = worker.routes.find(({ pattern }) => pattern === '/-/hold')
+  const readClock = async (): Promise<number> => {
+    const response = await hold?.handle({ body: {}, signal: AbortSignal.timeout(5_000) } as unknown as RouteRequest)
+    return (response?.body as { readonly clock_ms: number }).clock_ms
+  }
+  const firstMs = await readClock()
+  t.true(firstMs >= 500_000 && firstMs < 501_000, String(firstMs))
+  await worker.crashDark(LATE_MS)
+  t.is(given.length, 2)
+  t.true((given[1] ?? 0) >= 500_000 + LATE_MS * 2 - 4, String(given[1]))
+  t.true(await readClock() >= (given[1] ?? Infinity) + 2_000)
+})
+
 // Guards against a stand-in that executes starts which targets refuse, long after their tickets have expired.
 test('a worker refuses a start whose ticket was issued for another incarnation or has expired when it is executed', async t => {
   const { worker, call } = setUp(t)
--- a/src/platform/standIn/standInWorker.ts
+++ b/src/platform/standIn/standInWorker.ts
@@ -37,7 +37,7 @@
  */
 export type WorkerFault = 'none' | 'silent' | 'silent-from-start' | 'late' | 'late-starts' | 'refusing'
 
-const MAX_LEASE_MS = 10_000
+export const MAX_LEASE_MS = 10_000
 /** How long a ticket of the placement advisor is accepted. */
 export const TICKET_VALIDITY_MS = 2_000
 /** Later finished runs are listed when earlier ones have been acknowledged. */
@@ -52,8 +52,8 @@
   readonly bornMs: number
   /** Speed of the clock that measures leases, relative to real time; 1 is exact. */
   readonly clockRate?: number
-  /** What the clock of an incarnation shows at its start; 0 by default. */
-  readonly initialClockMs?: (bornMs: number) => number
+  /** What the clock of an incarnation shows at its start, given what the earlier one's would show then; 0 by default. */
+  readonly initialClockMs?: (earlierClockMs?: number) => number
   /** Duration of a run, in milliseconds. */
   readonly workMs: (task: string, attempt: number) => number
   /** How a run ends if it is not stopped. */
@@ -76,6 +76,7 @@
   readonly #lastEndedAttempts = new Map<string, number>()
   readonly #waiters = new Set<() => void>()
   #startedAtMs = Date.now()
+  #initialClockMs: number
   #bornMs: number
   #finishedRuns: FinishedRun[] = []
   #nextFinishedNumber = 1
@@ -93,6 +94,7 @@
   constructor (options: StandInWorkerOptions) {
     this.#options = options
     this.#bornMs = options.bornMs
+    this.#initialClockMs = options.initialClockMs?.() ?? 0
   }
 
   /** Start time of the current incarnation, in milliseconds since the Unix epoch. */
@@ -160,6 +162,7 @@
   }
 
   #beginIncarnation (): void {
+    this.#initialClockMs = this.#options.initialClockMs?.(this.#clockMs) ?? 0
     this.#startedAtMs = Date.now()
     this.#bornMs = Math.max(this.#bornMs + 1, this.#startedAtMs)
     const calls = this.#heldCalls ?? []
@@ -202,7 +205,7 @@
   }
 
   get #clockMs (): number {
-    return (this.#options.initialClockMs?.(this.#bornMs) ?? 0) + (Date.now() - this.#startedAtMs) * (this.#options.clockRate ?? 1)
+    return this.#initialClockMs + (Date.now() - this.#startedAtMs) * (this.#options.clockRate ?? 1)
   }
 
   #emit (type: WorkerEvent['type'], { task, attempt }: { readonly task: string, readonly attempt: number }, end?: string): void {
@@ -210,11 +213,12 @@
   }
 
   #refuse (reason: string): RouteResponse {
-    return { status: 409, body: { clock_ms: Math.floor(this.#clockMs), born: this.#bornMs, reason } }
+    return { status: 409, body: { clock_ms: Math.floor(this.#clockMs), reason } }
   }
 
+  /** Like the platform's, an answer to a start or a stop does not name the incarnation. */
   get #accepted (): RouteResponse {
-    return { status: 200, body: { clock_ms: Math.floor(this.#clockMs), born: this.#bornMs } }
+    return { status: 200, body: { clock_ms: Math.floor(this.#clockMs) } }
   }
 
   #acceptFencingToken (token = 0): boolean {
--- a/test/soak/runDeployment.ts
+++ b/test/soak/runDeployment.ts
@@ -54,6 +54,7 @@
   const teams = Array.from({ length: TEAMS }, (_, index) => ({ name: `team-${index}`, key: `key-${index}`, cap: index % 4 === 3 ? TEAM_CAP_CPU_PER_WORKER * workers : 0 }))
   const hash = (text: string): number => murmurhash.v3(`${seed} ${text}`)
   const cell = await SoakCell.start({
+    seed,
     direct: true,
     processorShares,
     instances,
--- a/test/soak/runSoak.ts
+++ b/test/soak/runSoak.ts
@@ -59,6 +59,7 @@
 export async function runSoak ({ seed, durationMs, program, instances = 3, workers = 6, deadlyFraction = 0 }: SoakOptions): Promise<SoakReport> {
   const isDeadly = (job: string): boolean => murmurhash.v3(`${seed} deadly ${job}`) % HASH_STEPS < deadlyFraction * HASH_STEPS
   const cell = await SoakCell.start({
+    seed,
     instances,
     workers,
     workerCpu: WORKER_CPU,
