--- a/src/coordinator/admission/earlyCancels.test.ts
+++ b/src/coordinator/admission/earlyCancels.test.ts
@@ -122,6 +122,20 @@
   callers.cluster.close()
 })
 
+// Guards against a cancel that is acknowledged and then forgotten, of a job that is recorded as cancelled when its submission arrives (UNASKED).
+test('a cancel of a job whose submission arrived after an earlier cancel is not acknowledged before it is stored', async t => {
+  const callers = await createCallers()
+  callers.cluster.store.commitDelayMs = 60_000
+  const outcomes: string[] = []
+  callers.call('cancel', 'a').catch(() => {})
+  callers.call('submit', 'a').catch(() => {})
+  await callers.cluster.clock.advance(100)
+  callers.call('cancel', 'a').then(({ outcome }) => outcomes.push(outcome), () => {})
+  await callers.cluster.clock.advance(300)
+  t.deepEqual(outcomes, [])
+  callers.cluster.close()
+})
+
 // Guards against a team, or clients without a key, that take all memory for cancels, and against cancels that are acknowledged and forgotten.
 test('cancels of unknown jobs beyond the limit of a team are refused until earlier ones have expired, and those of other teams are acknowledged', async t => {
   const callers = await createCallers()
