--- a/src/coordinator/targets/targetFleet.ts
+++ b/src/coordinator/targets/targetFleet.ts
@@ -239,11 +239,18 @@
       isEvacuated: () => evacuations().covers(dataCentre),
       priorLeasesExtendedUntilMs
     })
+    this.#logOpenSessions(session)
     this.#sessions.set(session.key, session)
     this.#sessionsById.set(id, [...this.#sessionsById.get(id) ?? [], session])
     return session
   }
 
+  #logOpenSessions ({ id, description: { bornMs } }: TargetSession): void {
+    const open = (this.#sessionsById.get(id) ?? []).filter(({ ended }) => !ended).map(session => ({ bornMs: session.description.bornMs, joined: session.joined, runs: session.assignments.size }))
+    if (open.length === 0) return
+    this.#options.logger.info({ target: id, bornMs, listedBornMs: [...this.#listing.incarnations.get(id) ?? []], open }, 'opening another session of a target')
+  }
+
   /** The sessions of earlier incarnations have sent requests that the next one must refuse. */
   #openFence (id: string): TargetFence {
     const { fencingToken, latestRevision } = this.#options
