Let restarts in the model begin with clocks of all kinds

Restarts in the model began with a clock of 0 or an absolute value, at one rate, and with a start time that only rises.

A restart can now state its clock as a difference to what the earlier incarnation's shows, its clock rate, and a start time that steps back; the first incarnations can have any rate and start time. restartClocks.ts generates these, by kind. A second directed search, of one target whose restarts have such clocks, checks that every accepted job is completed. MODEL_CLOCKS selects one kind by hand.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -5,9 +5,11 @@
 import { createStep } from '../jobs/testing/definitions.ts'
 import { resources } from '../model/resources.ts'
 import type { CommitFault } from './testing/memoryTransactionalStore.ts'
+import { INITIAL_BORN_MS, INITIAL_CLOCK_MS, initialClockRateOf, restartsOf } from './testing/restartClocks.ts'
 import { ADVISED, BATCH, QUEUES, SimulatedCluster } from './testing/simulatedCluster.ts'
+import type { SimulatedClusterOptions } from './testing/simulatedCluster.ts'
 import { TARGET_FAULTS } from './testing/simulatedTarget.ts'
-import type { TargetFault } from './testing/simulatedTarget.ts'
+import type { IncarnationStart, TargetFault } from './testing/simulatedTarget.ts'
 
 const TARGETS = 4
 const SEED = 37
@@ -30,7 +32,7 @@
   | { readonly type: 'submit', readonly kind: string, readonly queue: number }
   | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault, readonly lateMs?: number }
   | { readonly type: 'transit', readonly target: number, readonly requestMs: number, readonly answerMs: number }
-  | { readonly type: 'restart', readonly target: number, readonly clockMs?: number }
+  | { readonly type: 'restart', readonly target: number } & IncarnationStart
   | { readonly type: 'unlist', readonly target: number, readonly listed: boolean }
   | { readonly type: 'store', readonly faults: readonly CommitFault[] }
   | { readonly type: 'commitDelay', readonly ms: number }
@@ -58,7 +60,7 @@
       return
     }
     case 'transit': cluster.target(step.target).transit = step; return
-    case 'restart': return cluster.restartTarget(step.target, step.clockMs)
+    case 'restart': return cluster.restartTarget(step.target, step)
     case 'unlist': cluster.target(step.target).listed = step.listed; return
     case 'store': return cluster.failCommits(step.faults)
     case 'commitDelay': cluster.store.commitDelayMs = step.ms; return
@@ -98,7 +100,6 @@
 const SUBMIT_ADVISED: Step = { ...SUBMIT, queue: 2 }
 const LEAVE: Step = { type: 'unlist', target: 0, listed: false }
 const RESTART: Step = { type: 'restart', target: 0 }
-const INITIAL_CLOCK_MS = 2_000_000
 /** The clock of the next incarnation starts behind the earlier one's, and far from 0. */
 const RESTART_BEHIND: Step = { ...RESTART, clockMs: 1_000_000 }
 const SUCCESSOR: Step = { type: 'successor', gapMs: 0 }
@@ -130,16 +131,16 @@
 ]
 
 /** Executes the steps on a new cluster. */
-async function play (steps: readonly Step[], workMs: number, targets: number, initialClockMs = 0): Promise<SimulatedCluster> {
-  const cluster = new SimulatedCluster({ targets, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs, initialClockMs })
+async function play (steps: readonly Step[], workMs: number, targets: number, initialClockMs = 0, options: Partial<SimulatedClusterOptions> = {}): Promise<SimulatedCluster> {
+  const cluster = new SimulatedCluster({ targets, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs, initialClockMs, ...options })
   await cluster.elect()
   await cluster.clock.advance(1_000)
   for (const step of steps) await apply(cluster, step)
   return cluster
 }
 
-async function findRepeatedRuns (steps: readonly Step[], workMs: number, targets = TARGETS, initialClockMs = 0): Promise<readonly string[]> {
-  const cluster = await play(steps, workMs, targets, initialClockMs)
+async function findRepeatedRuns (steps: readonly Step[], workMs: number, targets = TARGETS, initialClockMs = 0, options: Partial<SimulatedClusterOptions> = {}): Promise<readonly string[]> {
+  const cluster = await play(steps, workMs, targets, initialClockMs, options)
   cluster.endFaults()
   await cluster.clock.advance(MAX_LATE_MS * 2)
   const repeated = cluster.findRepeatedRuns()
@@ -236,7 +237,7 @@
 const slowStore = then(fc.oneof(fc.constant(0), fc.integer({ min: 10, max: 400 }), fc.integer({ min: 400, max: 3_000 })).map(ms => ({ type: 'commitDelay', ms })), CLOSE)
 
 /** Calls of one or two tasks and what becomes of them, up to the loss of their target or of their coordinator. */
-const burst = fc.tuple(
+const createBurst = (restart: fc.Arbitrary<DirectedStep>): fc.Arbitrary<readonly DirectedStep[]> => fc.tuple(
   sometimes(10, fc.tuple(fc.oneof(absence, slowStore))),
   sometimes(30, fc.tuple(callsInTransit)),
   fc.array(submission, { maxLength: 3 }),
@@ -247,7 +248,7 @@
 ).map(groups => groups.flat())
 
 const directedSequence: fc.Arbitrary<DirectedSequence> = fc.record({
-  steps: fc.tuple(sometimes(50, fc.tuple(submission)), fc.array(burst, { minLength: 1, maxLength: 3 })).map(([first, bursts]) => limitRestarts([...first, ...bursts.flat()])),
+  steps: fc.tuple(sometimes(50, fc.tuple(submission)), fc.array(createBurst(restart), { minLength: 1, maxLength: 3 })).map(([first, bursts]) => limitRestarts([...first, ...bursts.flat()])),
   delayMs,
   anyClock: fc.boolean(),
   workMs: fc.oneof({ weight: 3, arbitrary: fc.integer({ min: 5, max: 40 }) }, { weight: 1, arbitrary: fc.integer({ min: 40, max: 400 }) }, { weight: 1, arbitrary: fc.integer({ min: 400, max: 4_000 }) })
@@ -285,3 +286,49 @@
   })
   await t.notThrowsAsync(async () => await fc.assert(property, { seed: DIRECTED_SEED, numRuns: Math.ceil(DIRECTED_RUNS / 4), includeErrorInReport: true }))
 })
+
+/** Sequences by hand with one kind of clock: MODEL_CLOCKS=continued MODEL_SEED=1 MODEL_RUNS=5000 npx ava --timeout 30m --match 'directed search*whatever the clocks*' src/coordinator/jobCoordinator.model.test.ts */
+const RESTART_RUNS = Number(process.env.MODEL_RUNS ?? 150)
+
+interface RestartSequence extends DirectedTimes {
+  readonly initialClockRate: number
+  readonly steps: readonly DirectedStep[]
+}
+
+const clockedRestart = then(restartsOf(process.env.MODEL_CLOCKS).map(start => ({ ...RESTART, ...start })), ANY_TIME)
+/** Most tasks need no ticket, since a start with the ticket of one incarnation is refused by the next one. */
+const unadvisedSubmission = then(fc.record({ type: fc.constant('submit' as const), kind: fc.constantFrom('single', 'single', 'wide'), queue: fc.constantFrom(0, 0, 1, 2) }), CLOSE)
+const lossAfterRestart = then(fc.constantFrom<Step[]>(setFault('deaf'), setFault('cut'), setFault('late'), setFault('none')), WITHIN_DELAY)
+/** Starts that are sent shortly before and after a restart, and what becomes of the answers and reports of the next incarnation. */
+const startsAroundRestart = fc.tuple(
+  sometimes(40, fc.tuple(callsInTransit)),
+  fc.array(unadvisedSubmission, { maxLength: 2 }),
+  sometimes(20, fc.tuple(callsInTransit)),
+  fc.tuple(clockedRestart),
+  sometimes(50, fc.tuple(unadvisedSubmission)),
+  sometimes(50, fc.tuple(lossAfterRestart)),
+  sometimes(10, fc.tuple(slowStore)),
+  sometimes(15, fc.tuple(successor))
+).map(groups => groups.flat())
+
+const restartSequence: fc.Arbitrary<RestartSequence> = fc.record({
+  steps: fc.tuple(sometimes(50, fc.tuple(submission)), fc.array(fc.oneof({ weight: 2, arbitrary: startsAroundRestart }, { weight: 1, arbitrary: createBurst(clockedRestart) }), { minLength: 1, maxLength: 3 }))
+    .map(([first, bursts]) => limitRestarts([...first, ...bursts.flat()])),
+  delayMs,
+  initialClockRate: initialClockRateOf(process.env.MODEL_CLOCKS),
+  workMs: fc.oneof({ weight: 2, arbitrary: fc.integer({ min: 5, max: 100 }) }, { weight: 1, arbitrary: fc.integer({ min: 100, max: 700 }) }, { weight: 2, arbitrary: fc.integer({ min: 700, max: 4_000 }) })
+})
+
+const expandRestarts = ({ steps, delayMs, workMs }: RestartSequence): readonly Step[] => expandSequence({ steps, delayMs, workMs, anyClock: false })
+
+// Guards against tasks and targets that wait for ever, since the clock or the start time of an incarnation contradicts what is expected.
+test('directed search: once all faults have ended, every accepted job is completed, whatever the clocks of restarted targets show', async t => {
+  const property = fc.asyncProperty(restartSequence, async sequence => {
+    const { workMs, initialClockRate } = sequence
+    const cluster = await play(expandRestarts(sequence), workMs, DIRECTED_TARGETS, INITIAL_CLOCK_MS, { initialClockRate, initialBornMs: INITIAL_BORN_MS })
+    const stuck = await cluster.findStuckJobs()
+    cluster.close()
+    if (stuck.length > 0) throw new Error(`${stuck.join('; ')}, run of ${workMs} ms, clock rate ${initialClockRate}: ${JSON.stringify(expandRestarts(sequence))}`)
+  })
+  await t.notThrowsAsync(async () => await fc.assert(property, { seed: DIRECTED_SEED, numRuns: Math.ceil(RESTART_RUNS / 4), includeErrorInReport: true }))
+})
--- a/src/coordinator/relayedCoordinator.model.test.ts
+++ b/src/coordinator/relayedCoordinator.model.test.ts
@@ -2,9 +2,10 @@
 import fc from 'fast-check'
 import { createStep } from '../jobs/testing/definitions.ts'
 import { BATCH, SimulatedCluster, URGENT } from './testing/simulatedCluster.ts'
+import type { SimulatedClusterOptions } from './testing/simulatedCluster.ts'
 import { RELAY_FAULTS, SimulatedRelays } from './testing/simulatedRelay.ts'
 import type { RelayFault } from './testing/simulatedRelay.ts'
-import type { TargetFault } from './testing/simulatedTarget.ts'
+import type { IncarnationStart, TargetFault } from './testing/simulatedTarget.ts'
 
 const TARGETS = 4
 const SEED = 37
@@ -16,7 +17,7 @@
 type Step =
   | { readonly type: 'submit', readonly tasks: number, readonly urgent: boolean }
   | { readonly type: 'fault', readonly target: number, readonly fault: TargetFault, readonly lateMs: number }
-  | { readonly type: 'restart', readonly target: number }
+  | { readonly type: 'restart', readonly target: number } & IncarnationStart
   /** Concerns both relays in use if none is named. */
   | { readonly type: 'relay', readonly relay?: number, readonly fault: RelayFault, readonly delayMs: number }
   | { readonly type: 'pause', readonly relay: number, readonly ms: number }
@@ -42,7 +43,7 @@
 const cutStep: fc.Arbitrary<Step> = fc.record({ type: fc.constant('fault' as const), target: fc.constant(0), fault: fc.constantFrom<TargetFault[]>('cut', 'deaf'), lateMs: fc.constant(0) })
 const successorStep: fc.Arbitrary<Step> = fc.record({ type: fc.constant('successor' as const), gapMs: fc.constantFrom(0, 0, 100) })
 /** Restarts of a target, and possibly a successor, while relays hold back starts and acknowledgements. */
-const heldBackSteps: fc.Arbitrary<readonly Step[]> = fc.tuple(
+const createHeldBackSteps = (restartStep: fc.Arbitrary<Step>): fc.Arbitrary<readonly Step[]> => fc.tuple(
   submitStep, fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 500, max: 800 }) }),
   fc.array(fc.oneof({ weight: 4, arbitrary: delayStep }, { weight: 3, arbitrary: submitStep }, { weight: 5, arbitrary: shortWait }), { minLength: 2, maxLength: 7 }), restartStep,
   fc.array(fc.oneof({ weight: 3, arbitrary: delayStep }, { weight: 1, arbitrary: submitStep }, { weight: 5, arbitrary: shortWait }, { weight: 2, arbitrary: restartStep }, { weight: 1, arbitrary: cutStep }, { weight: 1, arbitrary: successorStep }), { maxLength: 7 })
@@ -57,7 +58,7 @@
       faulty.lateMs = step.lateMs
       return
     }
-    case 'restart': return cluster.restartTarget(step.target)
+    case 'restart': return cluster.restartTarget(step.target, step)
     case 'relay': {
       for (const relay of step.relay === undefined ? [0, 1] : [step.relay]) relays.setFault(relay, step.fault, step.delayMs)
       return
@@ -70,9 +71,9 @@
   }
 }
 
-async function findRepeatedRuns (steps: readonly Step[], workMs: number): Promise<readonly string[]> {
+async function findRepeatedRuns (steps: readonly Step[], workMs: number, options: Partial<SimulatedClusterOptions> = {}): Promise<readonly string[]> {
   const relays = new SimulatedRelays()
-  const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs, wrapConnector: relays.wrapConnector })
+  const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => workMs, wrapConnector: relays.wrapConnector, ...options })
   await cluster.elect()
   await cluster.clock.advance(1_000)
   for (const step of steps) await apply(cluster, relays, step)
@@ -104,9 +105,9 @@
 
 const workTime = fc.oneof(fc.integer({ min: 5, max: 100 }), fc.integer({ min: 100, max: 4_000 }))
 
-function createProperty (sequences: fc.Arbitrary<readonly Step[]>): fc.IAsyncPropertyWithHooks<[readonly Step[], number]> {
+function createProperty (sequences: fc.Arbitrary<readonly Step[]>, options: Partial<SimulatedClusterOptions> = {}): fc.IAsyncPropertyWithHooks<[readonly Step[], number]> {
   return fc.asyncProperty(sequences, workTime, async (steps, workMs) => {
-    const repeated = await findRepeatedRuns(steps, workMs)
+    const repeated = await findRepeatedRuns(steps, workMs, options)
     if (repeated.length > 0) throw new Error(repeated.join('; '))
   })
 }
@@ -119,7 +120,7 @@
 
 // Guards against the same in sequences that rarely arise at random: requests held back by a relay while their target restarts.
 test('no task runs again while it runs or once it is done, whichever incarnation executes what a relay has held back', async t => {
-  await t.notThrowsAsync(async () => await fc.assert(createProperty(heldBackSteps), { seed: SEED, numRuns: HELD_BACK_RUNS, includeErrorInReport: true }))
+  await t.notThrowsAsync(async () => await fc.assert(createProperty(createHeldBackSteps(restartStep)), { seed: SEED, numRuns: HELD_BACK_RUNS, includeErrorInReport: true }))
 })
 
 // Guards against a model whose relays are not used, so that the other tests would show nothing about them.
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -16,6 +16,7 @@
 import type { CommitFault } from './memoryTransactionalStore.ts'
 import { RunRecorder } from './runRecorder.ts'
 import { SimulatedTarget } from './simulatedTarget.ts'
+import type { IncarnationStart } from './simulatedTarget.ts'
 
 const CAPACITY = resources({ processors: 8_000, memory: 8_000 })
 export const URGENT: QueueSettings = { ...TEST_QUEUE, name: 'checks', pathPrefix: '/checks/', priority: 0, maximumFailures: 100 }
@@ -55,6 +56,10 @@
   readonly remoteFactor?: number
   /** What the clocks of the first incarnations of the targets show at their start; 0 by default. */
   readonly initialClockMs?: number
+  /** Speed of the clocks of the first incarnations; 1 by default. */
+  readonly initialClockRate?: number
+  /** `born` of the first incarnations; 1 by default. */
+  readonly initialBornMs?: number
   /** Wraps the connector of the targets in each term, for example to send requests through relays; direct by default. */
   readonly wrapConnector?: (connect: JobTargetConnector, term: SimulatedTerm) => PlacedTargetConnector
 }
@@ -127,6 +132,8 @@
       lateMs,
       recorder: this.#recorder,
       initialClockMs: options.initialClockMs ?? 0,
+      initialClockRate: options.initialClockRate ?? 1,
+      initialBornMs: options.initialBornMs ?? 1,
       ticketValidityMs: task => this.#ticketValidities.get(task.slice(0, task.indexOf('.')))
     }))
   }
@@ -191,10 +198,9 @@
     await this.elect()
   }
 
-  /** `clockMs` is what the clock of the next incarnation shows at its start. */
-  restartTarget (number: number, clockMs = 0): void {
+  restartTarget (number: number, start: IncarnationStart = {}): void {
     this.#hasRestarts = true
-    this.target(number).restart(clockMs)
+    this.target(number).restart(start)
   }
 
   target (number: number): SimulatedTarget {
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -23,6 +23,18 @@
   readonly answerMs: number
 }
 
+/** How the next incarnation of a target begins. */
+export interface IncarnationStart {
+  /** What its clock shows at its start; 0 by default. */
+  readonly clockMs?: number
+  /** What its clock shows at its start minus what the clock of the earlier incarnation shows then; replaces `clockMs`. */
+  readonly clockDifferenceMs?: number
+  /** Speed of its clock; 1 by default. */
+  readonly clockRate?: number
+  /** Its `born` minus that of the earlier incarnation; 1 by default. A value that an earlier one has had is passed over. */
+  readonly bornDifferenceMs?: number
+}
+
 export interface SimulatedTargetOptions {
   readonly id: string
   readonly clock: ManualClock
@@ -36,13 +48,17 @@
   readonly ticketValidityMs?: (task: string) => number | undefined
   /** What the clock of the first incarnation shows at its start; 0 by default. */
   readonly initialClockMs?: number
+  /** Speed of the clock of the first incarnation; 1 by default. */
+  readonly initialClockRate?: number
+  /** `born` of the first incarnation; 1 by default. */
+  readonly initialBornMs?: number
 }
 
 interface Run { readonly task: string, readonly attempt: number, readonly record: RecordedRun, stopping: boolean }
 
 export class SimulatedTarget {
   readonly #options: SimulatedTargetOptions
-  bornMs = 1
+  bornMs: number
   fault: TargetFault = 'none'
   /** Delay of orders that arrive during the fault `late`. */
   lateMs: number
@@ -60,6 +76,9 @@
   #startedAtMs: number
   /** What the clock of this incarnation showed at its start. */
   #initialClockMs: number
+  #clockRate: number
+  /** `born` of all incarnations until now. */
+  readonly #usedBornMs = new Set<number>()
   /** Renewals that wait for a change. */
   readonly #waiting = new Set<() => void>()
   /** Records of the finished runs, by number, whose acknowledgement would be final. */
@@ -70,23 +89,28 @@
     this.lateMs = options.lateMs
     this.#startedAtMs = options.clock.monotonicMs()
     this.#initialClockMs = options.initialClockMs ?? 0
+    this.#clockRate = options.initialClockRate ?? 1
+    this.bornMs = options.initialBornMs ?? 1
+    this.#usedBornMs.add(this.bornMs)
   }
 
   get #clockMs (): number {
-    return this.#options.clock.monotonicMs() - this.#startedAtMs + this.#initialClockMs
+    return Math.floor((this.#options.clock.monotonicMs() - this.#startedAtMs) * this.#clockRate) + this.#initialClockMs
   }
 
   get running (): readonly string[] {
     return [...this.#runs.keys()]
   }
 
-  /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit; its clock starts with `clockMs`. */
-  restart (clockMs = 0): void {
+  /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit. */
+  restart ({ clockMs = 0, clockDifferenceMs, clockRate = 1, bornDifferenceMs = 1 }: IncarnationStart = {}): void {
     const { clock, recorder } = this.#options
+    const initialClockMs = clockDifferenceMs === undefined ? clockMs : Math.max(0, this.#clockMs + clockDifferenceMs)
     for (const { record } of this.#runs.values()) recorder.end(record, 'crashed')
-    this.bornMs += 1
+    this.bornMs = this.#nextBornMs(bornDifferenceMs)
     this.#startedAtMs = clock.monotonicMs()
-    this.#initialClockMs = clockMs
+    this.#initialClockMs = initialClockMs
+    this.#clockRate = clockRate
     this.#acknowledgeable = new Map()
     this.#fence = this.#leaseUntilMs = 0
     this.#nextNumber = 1
@@ -96,6 +120,13 @@
     this.#wake()
   }
 
+  #nextBornMs (differenceMs: number): number {
+    let bornMs = this.bornMs + differenceMs
+    while (this.#usedBornMs.has(bornMs)) bornMs += Math.sign(differenceMs) || 1
+    this.#usedBornMs.add(bornMs)
+    return bornMs
+  }
+
   /**
    * Issues a ticket for starts on the current incarnation.
    *
@@ -257,7 +288,7 @@
     if (untilMs <= this.#leaseUntilMs) return
     this.#leaseUntilMs = untilMs
     const { bornMs } = this
-    this.#options.clock.schedule(untilMs - this.#clockMs, () => {
+    this.#options.clock.schedule(Math.ceil((untilMs - this.#clockMs) / this.#clockRate), () => {
       if (this.#leaseUntilMs === untilMs && this.bornMs === bornMs) this.#lapse()
     })
   }
