Test runs of restarted targets with clocks of all kinds

The existing search restarts targets only with clocks from 0 or far behind, and does not see this.

Add the directed search for repeated runs over restarts with clocks of all kinds, direct and through relays, and the shortest sequences found as examples.

Three examples show another fault: where the start time of a target steps back, a late report of the earlier incarnation ends the session of the later one (TargetFleet.endEarlierIncarnations compares start times), and its runs, also those it has reported, are placed again.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -166,6 +166,42 @@
   t.deepEqual(await findRepeatedRuns(steps, 1_397, TARGETS, INITIAL_CLOCK_MS), [])
 })
 
+/** A target with faults, and another, so that most tasks are placed on the former. */
+const DIRECTED_TARGETS = 2
+const RESTART_EQUAL: Step = { ...RESTART, clockDifferenceMs: 0 }
+/** The shortest sequences that have led to a second run because the clock of the next incarnation continues the earlier one's. */
+const RESTART_EXAMPLES: readonly (readonly [string, readonly Step[], number])[] = [
+  ['the next incarnation, whose clock shows what the earlier one\'s would, answers a start that was in transit at the restart', [SUBMIT, RESTART_EQUAL], 700],
+  ['the run of a start that was in transit at the restart is done on the next incarnation, whose clock shows what the earlier one\'s would', [SUBMIT, RESTART_EQUAL], 140],
+  ['the next incarnation, whose start time is set back and whose clock shows what the earlier one\'s would, answers a start that was in transit at the restart', [SUBMIT, { ...RESTART_EQUAL, bornDifferenceMs: -1 }], 700]
+]
+
+/** The start time of each next incarnation is set back, and its clock far behind. */
+const RESTART_SET_BACK: Step = { ...RESTART, clockDifferenceMs: -500_000, bornDifferenceMs: -1 }
+const SLOW_STORE: Step = { type: 'commitDelay', ms: 402 }
+/** The slow store delays the end of the first session, so that the start time of its incarnation does not count any more once the third one reports. */
+const LATE_REPORT_STEPS: readonly Step[] = [RESTART_SET_BACK, waitFor(242), SLOW_STORE, waitFor(76), setTransit(34, 764), waitFor(194)]
+/** A run of the later incarnation, which is up when a late report of the earlier one arrives. */
+const LATE_REPORT_EXAMPLES: readonly (readonly [string, readonly Step[], number])[] = [
+  ['has been reported and is done', [SUBMIT_ADVISED, waitFor(22), SUBMIT, ...LATE_REPORT_STEPS, SUBMIT_ADVISED, RESTART_SET_BACK], 95],
+  ['has been answered and is done', [SUBMIT, waitFor(22), ...LATE_REPORT_STEPS, SUBMIT, RESTART_SET_BACK], 300],
+  ['has been answered and lasts', [SUBMIT, waitFor(22), ...LATE_REPORT_STEPS, SUBMIT, RESTART_SET_BACK], 1_000]
+]
+
+for (const [run, steps, workMs] of LATE_REPORT_EXAMPLES) {
+  // Guards against a late report that ends the session of a later incarnation, whose start time is lower, so that its runs count as lost.
+  test(`no task runs twice when the start time is set back and a late report of the earlier incarnation arrives after a run of the later one ${run}`, async t => {
+    t.deepEqual(await findRepeatedRuns(steps, workMs, DIRECTED_TARGETS, INITIAL_CLOCK_MS, { initialBornMs: INITIAL_BORN_MS }), [])
+  })
+}
+
+for (const [failure, steps, workMs] of RESTART_EXAMPLES) {
+  // Guards against a start that the next incarnation has executed, but that ends with the earlier one, so that its task is placed again.
+  test(`no task runs twice when ${failure}`, async t => {
+    t.deepEqual(await findRepeatedRuns(steps, workMs, TARGETS, INITIAL_CLOCK_MS, { initialBornMs: INITIAL_BORN_MS }), [])
+  })
+}
+
 // Guards against a successor that holds the starts of a queue for the validity of tickets which they do not carry.
 test('no task runs twice when its queue has got an advisor and a successor since its start, which carries no ticket', async t => {
   const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => 5 })
@@ -208,8 +244,6 @@
   readonly steps: readonly DirectedStep[]
 }
 
-/** A target with faults, and another, so that most tasks are placed on the former. */
-const DIRECTED_TARGETS = 2
 const MAX_RESTARTS = 3
 const CLOSE = [0, 0, 0, 20, 40, 'workMs'] as const
 const WITHIN_DELAY = [...CLOSE, 70, 150, 250, 'delayMs'] as const
@@ -321,6 +355,16 @@
 
 const expandRestarts = ({ steps, delayMs, workMs }: RestartSequence): readonly Step[] => expandSequence({ steps, delayMs, workMs, anyClock: false })
 
+// Guards against a run of one incarnation that is attributed to another one, because a clock or a start time happens to fit.
+test('directed search: no task runs again while it runs or once it is done, whatever the clocks of restarted targets show', async t => {
+  const property = fc.asyncProperty(restartSequence, async sequence => {
+    const { workMs, initialClockRate } = sequence
+    const repeated = await findRepeatedRuns(expandRestarts(sequence), workMs, DIRECTED_TARGETS, INITIAL_CLOCK_MS, { initialClockRate, initialBornMs: INITIAL_BORN_MS })
+    if (repeated.length > 0) throw new Error(`${repeated.join('; ')}, run of ${workMs} ms, clock rate ${initialClockRate}: ${JSON.stringify(expandRestarts(sequence))}`)
+  })
+  await t.notThrowsAsync(async () => await fc.assert(property, { seed: DIRECTED_SEED, numRuns: RESTART_RUNS, includeErrorInReport: true }))
+})
+
 // Guards against tasks and targets that wait for ever, since the clock or the start time of an incarnation contradicts what is expected.
 test('directed search: once all faults have ended, every accepted job is completed, whatever the clocks of restarted targets show', async t => {
   const property = fc.asyncProperty(restartSequence, async sequence => {
--- a/src/coordinator/relayedCoordinator.model.test.ts
+++ b/src/coordinator/relayedCoordinator.model.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { createStep } from '../jobs/testing/definitions.ts'
+import { INITIAL_BORN_MS, INITIAL_CLOCK_MS, restartsOf } from './testing/restartClocks.ts'
 import { BATCH, SimulatedCluster, URGENT } from './testing/simulatedCluster.ts'
 import type { SimulatedClusterOptions } from './testing/simulatedCluster.ts'
 import { RELAY_FAULTS, SimulatedRelays } from './testing/simulatedRelay.ts'
@@ -11,6 +12,9 @@
 const SEED = 37
 const RUNS = 60
 const HELD_BACK_RUNS = 100
+/** Other sequences by hand: MODEL_CLOCKS=continued MODEL_SEED=1 MODEL_RUNS=5000 npx ava --timeout 30m --match '*whatever the clocks*' src/coordinator/relayedCoordinator.model.test.ts */
+const RESTART_SEED = Number(process.env.MODEL_SEED ?? SEED)
+const RESTART_RUNS = Number(process.env.MODEL_RUNS ?? 60)
 const MAX_LATE_MS = 12_000
 const MAX_RELAY_DELAY_MS = 1_500
 
@@ -103,6 +107,12 @@
   })
 }
 
+// Guards against a start that the next incarnation has executed, but that ends with the earlier one, so that its task is placed again.
+test('no task runs twice when the next incarnation, whose clock shows what the earlier one\'s would, answers a start through a relay', async t => {
+  const steps: readonly Step[] = [SUBMIT, waitFor(500), SUBMIT, { ...RESTART, clockDifferenceMs: 0 }]
+  t.deepEqual(await findRepeatedRuns(steps, 700, { initialClockMs: INITIAL_CLOCK_MS, initialBornMs: INITIAL_BORN_MS }), [])
+})
+
 const workTime = fc.oneof(fc.integer({ min: 5, max: 100 }), fc.integer({ min: 100, max: 4_000 }))
 
 function createProperty (sequences: fc.Arbitrary<readonly Step[]>, options: Partial<SimulatedClusterOptions> = {}): fc.IAsyncPropertyWithHooks<[readonly Step[], number]> {
@@ -123,6 +133,14 @@
   await t.notThrowsAsync(async () => await fc.assert(createProperty(createHeldBackSteps(restartStep)), { seed: SEED, numRuns: HELD_BACK_RUNS, includeErrorInReport: true }))
 })
 
+const clockedRestartStep: fc.Arbitrary<Step> = fc.tuple(restartStep, restartsOf(process.env.MODEL_CLOCKS)).map(([step, start]) => ({ ...step, ...start }))
+
+// Guards against a run of one incarnation that is attributed to another one, because a clock or a start time in an answer or report through a relay happens to fit.
+test('no task runs again while it runs or once it is done, whatever the clocks of targets show that restart behind a relay', async t => {
+  const property = createProperty(createHeldBackSteps(clockedRestartStep), { initialClockMs: INITIAL_CLOCK_MS, initialBornMs: INITIAL_BORN_MS })
+  await t.notThrowsAsync(async () => await fc.assert(property, { seed: RESTART_SEED, numRuns: RESTART_RUNS, includeErrorInReport: true }))
+})
+
 // Guards against a model whose relays are not used, so that the other tests would show nothing about them.
 test('requests travel through the relays of the model', async t => {
   const relays = new SimulatedRelays()
