Request a report soon after a start was answered

What callers see: a shorter wait after a crash or a change of coordinator.

Cause: by the rule on evidence an answered start is proven by a report, and a renewal may wait for 1 s. A target that crashes meanwhile, or a coordinator that is replaced before the run is recorded as started, leaves the task waiting for the withdrawal of the start.

Change: 100 ms after an answered start a report is requested, unless one has shown the run or was requested since; a renewal that is sent while it is not known which incarnation executed a start waits 100 ms at most.

--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -61,6 +61,11 @@
     return this.evidence !== undefined
   }
 
+  /** Whether the start was answered, and it is not known by which incarnation. */
+  get isExecutorUnknown (): boolean {
+    return this.executedByMs !== undefined && !this.isRunHere
+  }
+
   get team (): string {
     return this.task.step.job.team
   }
--- a/src/coordinator/targets/renewalTiming.ts
+++ b/src/coordinator/targets/renewalTiming.ts
@@ -7,7 +7,7 @@
 
 /** Longest time a renewal waits for a run to end; also bounds the age of a target's state. */
 const RENEW_WAIT_MS = 1_000
-/** Used while run ends are being stored, or while starts and stops are unconfirmed. */
+/** Used while run ends are being stored, while starts and stops are unconfirmed, or while it is not known which incarnation executed a start. */
 export const SHORT_RENEW_WAIT_MS = 100
 /** About as long as a start and its answer take within a data centre. */
 const STARTS_POLL_MS = 10
@@ -48,7 +48,7 @@
     let waitMs = RENEW_WAIT_MS
     for (const assignment of [...runs.byKey.values(), ...runs.held]) {
       const { state } = assignment
-      if (state === 'unconfirmed') return SHORT_RENEW_WAIT_MS
+      if (state === 'unconfirmed' || assignment.isExecutorUnknown) return SHORT_RENEW_WAIT_MS
       // A report is evidence that the run is missing from when its start can not be executed any more.
       if (state === 'stopping' || state === 'recovering' || state === 'held') waitMs = Math.min(waitMs, Math.max(SHORT_RENEW_WAIT_MS, starts.latestExecutionMs(assignment) - nowMs + 1))
     }
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -29,6 +29,8 @@
   fenced (): void
   /** The target has refused a request, since another incarnation has replaced the one that it was meant for. */
   restarted (): void
+  /** A start was answered, and it is not known by which incarnation. */
+  executorUnknown (): void
   /** The clock of an answer suggests that the target has restarted. */
   restartSuspected (): void
 }
@@ -110,7 +112,7 @@
   }
 
   #recordOutcome (assignment: Assignment, result: StartOutcome): void {
-    const { clock, contact, starts, answers } = this.#options
+    const { clock, contact, starts, answers, listener } = this.#options
     assignment.startAnswered = result.outcome !== 'unknown'
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
@@ -118,6 +120,7 @@
     assignment.executedByMs = clock.monotonicMs()
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
+    if (assignment.isExecutorUnknown) listener.executorUnknown()
     contact.recordStarted()
     this.#compareClock(result.clockMs)
   }
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -413,6 +413,61 @@
   }
 })
 
+// Guards against tasks that wait for the withdrawal of a start which was answered long before its target crashed, or its coordinator was replaced.
+test('restarted targets: a report is requested soon after a start was answered, although a renewal waits for the end of a run', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  const requested: RenewOrder[] = []
+  const { session } = createSession(-Infinity, context, 1, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => {
+      requested.push(order)
+      await clock.sleep(order.waitMs)
+      return await target.renew(order)
+    },
+    close: async () => {}
+  }))
+  await clock.advance(300)
+  t.is(requested.at(-1)?.waitMs, 1_000)
+  const assignments = [createAssignment('job-1'), createAssignment('job-2')]
+  const before = requested.length
+  for (const assignment of assignments) {
+    session.reserve(assignment)
+    await session.start(assignment, NO_TICKET_NEEDED)
+    await clock.advance(50)
+  }
+  client.running = assignments.map(({ task }) => ({ task: task.name, attempt: 1, checkpoint: '', percent: 0 }))
+  await clock.advance(60)
+  t.deepEqual(listener.begun, assignments.map(({ task }) => task.name))
+  t.deepEqual(requested.slice(before).map(({ waitMs, acknowledged, leaseUntilTargetMs }) => [waitMs, acknowledged, leaseUntilTargetMs]), [[0, 0, undefined]], 'one report for both')
+})
+
+// Guards against a withdrawal that ends at once, while the run goes on, since the answer to its start arrives after the session has ended.
+test('restarted targets: an answer that arrives while its start is withdrawn does not end the withdrawal', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignment = createAssignment()
+  const name = assignment.task.name
+  session.reserve(assignment)
+  let answer: () => void = () => {}
+  client.startAnswer = new Promise(resolve => { answer = resolve })
+  client.startOutcome = { outcome: 'started', clockMs: 600 }
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
+  client.bornMs = 2
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  client.answersStops = false
+  await clock.advance(400)
+  t.true(session.ended)
+  answer()
+  await clock.advance(5_000)
+  t.deepEqual([listener.events, listener.begun], [['joined'], []])
+  client.answersStops = true
+  client.running = []
+  await clock.advance(500)
+  t.deepEqual(listener.events.slice(1), [`${name} lost: restarted`, 'incarnation ended: restarted'])
+})
+
 test('a run that the next incarnation has finished is not started again', async t => {
   const { clock, client, listener, session } = createSession()
   await clock.advance(200)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -29,6 +29,8 @@
 const RETRY_DELAY_MS = 150
 /** Minimum interval between reports with finished runs, so that a burst of short tasks costs few reports. */
 const REPORT_INTERVAL_MS = 60
+/** Delay after an answered start until a report is requested as evidence, unless one has shown the run; starts often follow each other closely. */
+const EVIDENCE_DELAY_MS = 100
 /** Maximum wait for the finished runs of a report to be stored; leases are then renewed without acknowledging them. */
 const STORE_WAIT_MS = 500
 
@@ -55,6 +57,8 @@
   #joined = false
   #hasEnded = false
   #closed = false
+  #isEvidenceScheduled = false
+  #lastReportRequestMs = -Infinity
   readonly #ends: RunEndNumbers
   readonly #contact: TargetContact
   readonly #offer: TargetOffer
@@ -105,6 +109,7 @@
         startUnanswered: assignment => listener.startUnanswered(this, assignment),
         fenced: () => listener.fenced(this),
         restarted: () => this.#endIncarnation('restarted', 'refusal'),
+        executorUnknown: () => this.#scheduleEvidence(),
         restartSuspected: () => runInBackground(this.#renew(0), logger, 'check for a restart')
       }
     })
@@ -288,7 +293,7 @@
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     if (this.#hasEnded) return
-    const sentMs = clock.monotonicMs()
+    const sentMs = this.#lastReportRequestMs = clock.monotonicMs()
     // A start that was executed after this incarnation was asked for its last report may have been executed by the next one,
     // which would be told to discard the end of its run unread.
     const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
@@ -320,6 +325,23 @@
     }
   }
 
+  /** A renewal may wait for 1 s. If the target crashed meanwhile, or the coordinator, the task of the start would have to wait. */
+  #scheduleEvidence (): void {
+    if (this.#isEvidenceScheduled) return
+    this.#isEvidenceScheduled = true
+    runInBackground(this.#requestEvidence(), this.#options.logger, 'request of a report')
+  }
+
+  async #requestEvidence (): Promise<void> {
+    const { client, clock, fence, hasAuthority } = this.#options
+    await clock.sleep(EVIDENCE_DELAY_MS)
+    this.#isEvidenceScheduled = false
+    if (this.#hasEnded || !hasAuthority() || !this.#runs.hasUnknownExecutorSince(this.#lastReportRequestMs)) return
+    const sentMs = this.#lastReportRequestMs = clock.monotonicMs()
+    const result = await client.renew({ fencingToken: fence.nextToken(), acknowledged: 0, waitMs: 0 })
+    if (!this.#hasEnded && result.outcome === 'report') await this.#handleReport(result.report, sentMs, 0)
+  }
+
   async #handleReport (report: TargetReport, sentMs: number, acknowledged: number): Promise<void> {
     if (report.bornMs !== this.description.bornMs) return this.#endAfterRestart(report, acknowledged)
     this.#ends.recordDiscarded(acknowledged)
@@ -391,7 +413,7 @@
     this.#hasEnded = true
     const assignments = [...this.assignments.values()]
     const unansweredStarts = assignments.filter(({ startAnswered, reported }) => !startAnswered && !reported).length
-    const unprovenStarts = assignments.filter(({ executedByMs, isRunHere }) => executedByMs !== undefined && !isRunHere).length
+    const unprovenStarts = assignments.filter(({ isExecutorUnknown }) => isExecutorUnknown).length
     this.#options.logger.info({ target: this.id, bornMs: this.description.bornMs, reason, shownBy, runs: this.assignments.size, discarded: this.#ends.lastDiscarded, unansweredStarts, unprovenStarts, unansweredAcknowledgement: this.#ends.unanswered }, 'target incarnation ended')
     return true
   }
