Acknowledge a cancel of a finished job only once its outcome is stored

Cause: a submission whose cancel is remembered is put into the table of finished jobs as cancelled. A further cancel of it was acknowledged from that table at once, while the record was not stored yet; the store lost the record, and the next coordinator ran the job.

Change: such a cancel is acknowledged once all records so far are stored, like that of a job whose outcome is being stored.

--- a/src/coordinator/admission/jobIntake.ts
+++ b/src/coordinator/admission/jobIntake.ts
@@ -259,17 +259,18 @@
   async #cancel ({ id, team, queue }: ResolvedCall): Promise<CallerAnswer> {
     const { table } = this.#coordinator
     const job = table.jobs.get(id)
-    if (job === undefined || !canAccess(job.record, team, queue)) {
-      const finished = job === undefined ? table.finished.get(id) : undefined
-      if (finished !== undefined && canAccess(finished, team, queue)) return { outcome: 'cancelled' }
+    const finished = job === undefined ? table.finished.get(id) : undefined
+    const isFinished = finished !== undefined && canAccess(finished, team, queue)
+    if (!isFinished && (job === undefined || !canAccess(job.record, team, queue))) {
       return id === '' ? await this.#confirmAbsence({ outcome: 'no-job' }) : await this.#cancelEarly({ id, queue: queue.name, team }, queue)
     }
     try {
-      if (job.outcome === undefined) {
+      if (job !== undefined && job.outcome === undefined) {
         const durable = this.#coordinator.applyAndAppend([{ type: 'cancelled', job: id, wallMs: this.#clock.wallMs() }])
         this.#coordinator.finalizeJob(job, durable)
         await durable
       } else {
+        // The record of the outcome may not be stored yet.
         await this.#coordinator.flushed()
       }
       return { outcome: 'cancelled' }
