Keep the suspicion of a restart until a later report ends it

What remained of decisions by clocks and ages: a report that was requested before an answer suggested a restart ended the suspicion, so that starts and leases went on. And isIncarnationCertain, a report at most 150 ms old, read like a proof; acknowledgements do not depend on it. It is called hasRecentReport now, and its comments say so.

--- a/src/coordinator/targets/runEndNumbers.ts
+++ b/src/coordinator/targets/runEndNumbers.ts
@@ -13,7 +13,7 @@
  * @example
  * const ends = new RunEndNumbers(description, logger)
  * const stored = ends.receive(report.finished, async run => await store(run))
- * const acknowledged = ends.dueAcknowledgement(isIncarnationCertain)
+ * const acknowledged = ends.dueAcknowledgement(hasRecentReport)
  */
 export class RunEndNumbers {
   readonly #description: TargetDescription
@@ -64,11 +64,11 @@
 
   /**
    * Returns the number to acknowledge, or 0. A target that has restarted can not tell that a request was meant for its
-   * earlier incarnation, and would discard ends of its own, whose numbers start again. So a number is sent only while it is
-   * certain that this incarnation gets it, and until it has arrived.
+   * earlier incarnation, and would discard ends of its own, whose numbers start again. So a number is sent only soon after a
+   * report of this incarnation, and until it has arrived; the caller sees to it that no start is in transit.
    */
-  dueAcknowledgement (isIncarnationCertain: boolean): number {
-    return isIncarnationCertain && this.owesAcknowledgement ? this.#lastStored : 0
+  dueAcknowledgement (hasRecentReport: boolean): number {
+    return hasRecentReport && this.owesAcknowledgement ? this.#lastStored : 0
   }
 
   /** Records that a request that acknowledges the number is sent. */
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -6,8 +6,8 @@
  * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 export const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** A target needs longer to restart and to end a run. After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
-export const MAX_CERTAIN_REPORT_AGE_MS = 150
+/** After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
+export const RECENT_REPORT_AGE_MS = 150
 /** An answer with a clock further from the expected one suggests another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
 
@@ -27,6 +27,8 @@
   #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
   #mayHaveRestarted = false
+  /** When an answer last suggested a restart. */
+  #suspectedAtMs = -Infinity
   #unansweredSinceMs: number | undefined
 
   constructor (clock: Clock) {
@@ -64,7 +66,7 @@
     return this.#unansweredSinceMs
   }
 
-  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one. */
+  /** Whether an answer suggests that another incarnation has executed a request; false again after a report of this one that was requested later. */
   get mayHaveRestarted (): boolean {
     return this.#mayHaveRestarted
   }
@@ -78,10 +80,10 @@
     return this.#isUndoubted && this.reportAgeMs(nowMs) < MAX_SILENCE_FOR_EXTENSION_MS
   }
 
-  /** Whether a request that is sent now certainly reaches this incarnation, and not the next one. */
-  get isIncarnationCertain (): boolean {
+  /** Whether a request that is sent now very likely reaches this incarnation. That it can do no harm to the next one does not depend on it. */
+  get hasRecentReport (): boolean {
     const reportAgeMs = this.reportAgeMs(this.#clock.monotonicMs())
-    return this.#isUndoubted && reportAgeMs <= MAX_CERTAIN_REPORT_AGE_MS
+    return this.#isUndoubted && reportAgeMs <= RECENT_REPORT_AGE_MS
   }
 
   get #isUndoubted (): boolean {
@@ -93,7 +95,7 @@
     this.#lastReportMs = this.#lastAnswerMs = nowMs
     this.#lastReportRequestedMs = Math.max(this.#lastReportRequestedMs, requestedMs)
     this.#unansweredSinceMs = undefined
-    this.#mayHaveRestarted = false
+    if (requestedMs > this.#suspectedAtMs) this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
   }
 
@@ -112,6 +114,7 @@
     const differenceMs = clockMs - this.#clockOffsetMs - this.#clock.monotonicMs()
     if (Math.abs(differenceMs) <= MAX_CLOCK_DIFFERENCE_MS) return undefined
     this.#mayHaveRestarted = true
+    this.#suspectedAtMs = this.#clock.monotonicMs()
     return differenceMs
   }
 }
--- a/src/coordinator/targets/targetLease.ts
+++ b/src/coordinator/targets/targetLease.ts
@@ -1,6 +1,6 @@
 /** Decides when the leases on a target may be extended, and when all of them have ended. */
 import type { Clock } from '../../ports/clock.ts'
-import { MAX_CERTAIN_REPORT_AGE_MS, MAX_SILENCE_FOR_EXTENSION_MS } from './targetContact.ts'
+import { RECENT_REPORT_AGE_MS, MAX_SILENCE_FOR_EXTENSION_MS } from './targetContact.ts'
 import type { TargetContact } from './targetContact.ts'
 
 /** Target clocks, by which leases are measured, run up to 2% slow; half as much again is added as a margin. */
@@ -44,7 +44,7 @@
     const nowMs = clock.monotonicMs()
     if (clockOffsetMs === undefined || mayHaveRestarted || !hasAuthority()) return undefined
     // The next incarnation would take the time of the earlier one's clock for a time of its own.
-    const maximumSilenceMs = isReplaced() ? MAX_CERTAIN_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
+    const maximumSilenceMs = isReplaced() ? RECENT_REPORT_AGE_MS : MAX_SILENCE_FOR_EXTENSION_MS
     if (this.#contact.reportAgeMs(nowMs) > maximumSilenceMs) return undefined
     this.#lastExtensionMs = Math.max(this.#lastExtensionMs, nowMs)
     return Math.floor(nowMs + clockOffsetMs + leaseMs)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -296,7 +296,7 @@
     const sentMs = this.#lastReportRequestMs = clock.monotonicMs()
     // A start that was executed after this incarnation was asked for its last report may have been executed by the next one,
     // which would be told to discard the end of its run unread.
-    const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.isIncarnationCertain)
+    const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.hasRecentReport)
     this.#ends.recordSent(acknowledged)
     const leaseUntilTargetMs = this.#joined ? this.#lease.extend() : undefined
     if (leaseUntilTargetMs !== undefined) this.#starts.recordLeaseExtension()
