Count the starts sent before a start as requests that may extend its lease

Cause: a start that the next incarnation has answered is given up once no request can keep its run alive. Requests sent after the start were counted, and those sent before it were expected to be refused, since a start has a higher fencing token than the renewals before it. Starts that follow each other have the same token: one that was sent before, and is executed seconds later, extends the leases of all runs on its target.

Change: the latest execution times of the starts in transit count when a start is sent.

The sequence of the model and the test of startsInTransit failed before and pass, with 99 tests of the targets and 47 sequences of the model.

--- a/src/coordinator/jobCoordinator.model.test.ts
+++ b/src/coordinator/jobCoordinator.model.test.ts
@@ -202,6 +202,12 @@
   })
 }
 
+// Guards against a run beyond the time at which its lease is taken for lapsed, which a start that was sent before its own extends.
+test('no task runs twice when the next incarnation answers a start, and executes an earlier one seconds later, while it is cut off', async t => {
+  const steps = [SUBMIT, waitFor(700), lateFor(6_000), SUBMIT, waitFor(30), setFault('none'), setTransit(20, 10), SUBMIT, waitFor(30), RESTART, waitFor(25), setFault('cut'), waitFor(25_000)]
+  t.deepEqual(await findRepeatedRuns(steps, 14_000, DIRECTED_TARGETS, INITIAL_CLOCK_MS, { initialBornMs: INITIAL_BORN_MS }), [])
+})
+
 // Guards against a successor that holds the starts of a queue for the validity of tickets which they do not carry.
 test('no task runs twice when its queue has got an advisor and a successor since its start, which carries no ticket', async t => {
   const cluster = new SimulatedCluster({ targets: TARGETS, cap: 14_000, lateMs: MAX_LATE_MS, failing: false, workMs: () => 5 })
--- a/src/coordinator/targets/startsInTransit.test.ts
+++ b/src/coordinator/targets/startsInTransit.test.ts
@@ -11,6 +11,21 @@
   return new Assignment(task, 1, task.step.definition.size, 'starting')
 }
 
+// Guards against a second run: the next incarnation executes a start after a later one, whose run goes on with the lease of the earlier.
+test('an earlier start may extend the lease of a later one', async t => {
+  const clock = new ManualClock()
+  const starts = new StartsInTransit(clock)
+  const [first, second] = [createAssignment('first'), createAssignment('second')]
+  const beganMs = clock.monotonicMs()
+  starts.recordSent(first)
+  await clock.advance(100)
+  starts.recordSent(second)
+  await clock.advance(10)
+  starts.recordExecuted(second)
+  t.is(starts.latestExecutionMs(second) - beganMs, 110)
+  t.is(starts.latestExtensionMs(second) - beganMs, 18_000)
+})
+
 // Guards against a second run: the next incarnation executes two unanswered starts, and the lease of the later one keeps both runs alive.
 test('a later start may extend the lease of an unanswered one', async t => {
   const clock = new ManualClock()
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -26,7 +26,7 @@
   readonly latestExecutionMs: number
   /** Whether the start has not been answered yet, nor given up. */
   readonly isAwaited: boolean
-  /** Latest time at which a request that was sent after the start may extend the leases of its target. */
+  /** Latest time at which another request that may be executed after the start may extend the leases of its target. */
   latestExtensionMs: number
 }
 
@@ -54,7 +54,9 @@
   recordSent (assignment: Assignment, ticketExpiredByMs = Infinity): void {
     const latestMs = Math.min(this.#latestExecutionOfNextMs, ticketExpiredByMs)
     this.#recordExtension(latestMs)
-    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: -Infinity })
+    // Starts that were sent before may be executed after this one, with the same fencing token.
+    const latestOfEarlierMs = Math.max(-Infinity, ...[...this.#starts.values()].map(({ latestExecutionMs }) => latestExecutionMs))
+    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: latestOfEarlierMs })
   }
 
   /**
@@ -121,7 +123,7 @@
     return this.#starts.get(assignment)?.latestExecutionMs ?? -Infinity
   }
 
-  /** Latest time at which the lease of a run of the start may be extended, by the start itself or by a request sent after it. */
+  /** Latest time at which the lease of a run of the start may be extended, by the start itself or by another request. */
   latestExtensionMs (assignment: Assignment): number {
     const start = this.#starts.get(assignment)
     return start === undefined ? -Infinity : Math.max(start.latestExecutionMs, start.latestExtensionMs)
