Raise the fencing token when the session of an incarnation ends

Cause: the token was raised when a session is opened and at its first report. Where a late report of the earlier incarnation arrived meanwhile, its session stays open for a report longer, and may send a start with the token of the next session's starts, which the next incarnation accepts after those. It extends the leases of their runs beyond the time at which they are taken for lapsed.

Change: the token is raised when a session ends as well, before another one of the target sends a start. A start of the ended session that is overtaken by its withdrawal is refused, and was not executed.

--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -445,13 +445,24 @@
 
 // Guards against a withdrawal that ends at once, while the run goes on, since the answer to its start arrives after the session has ended.
 test('restarted targets: an answer that arrives while its start is withdrawn does not end the withdrawal', async t => {
-  const { clock, client, listener, session } = createSession()
+  const context = createContext()
+  const { clock, client, listener } = context
+  let answer: () => void = () => {}
+  const answered = new Promise<void>(resolve => { answer = resolve })
+  const { session } = createSession(-Infinity, context, 1, target => ({
+    start: async order => {
+      const outcome = await target.start(order)
+      await answered
+      return outcome
+    },
+    stop: async order => await target.stop(order),
+    renew: async order => await target.renew(order),
+    close: async () => {}
+  }))
   await clock.advance(200)
   const assignment = createAssignment()
   const name = assignment.task.name
   session.reserve(assignment)
-  let answer: () => void = () => {}
-  client.startAnswer = new Promise(resolve => { answer = resolve })
   client.startOutcome = { outcome: 'started', clockMs: 600 }
   session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
   client.bornMs = 2
@@ -778,7 +789,6 @@
   t.deepEqual(listener.events, ['joined', `${assignment.task.name} lost: restarted`, 'incarnation ended: restarted'])
 })
 
-// Guards against an instance that gives up its term because its own requests overtake each other.
 // Guards against a run beyond the time at which its leases are taken for lapsed: a late start of the earlier session extends them.
 test('late orders: the first start to the next incarnation has a higher token than a start that the earlier session sent meanwhile', async t => {
   const context = createContext()
@@ -800,6 +810,36 @@
   t.true((nextToken ?? 0) > (earlierToken ?? Infinity), `${nextToken} and ${earlierToken}`)
 })
 
+// Guards against the same where the earlier session sends a start after the next incarnation has given its first report.
+test('late orders: a start to the next incarnation has a higher token than all requests of an earlier session that has ended', async t => {
+  const context = createContext()
+  const { clock, client } = context
+  let isHung = false
+  const { session: earlier } = createSession(-Infinity, context, 1, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => isHung ? await new Promise(() => {}) : await target.renew(order),
+    close: async () => {}
+  }))
+  await clock.advance(200)
+  isHung = true
+  await clock.advance(51)
+  client.bornMs = 2
+  client.finished = [finishedRun(1, 'x.0.0.0')]
+  const { session: next } = createSession(-Infinity, context, 2)
+  while (!next.joined) await clock.advance(1)
+  const [first, second] = [createAssignment('job-1'), createAssignment('job-2')]
+  earlier.reserve(first)
+  await earlier.start(first, NO_TICKET_NEEDED)
+  await clock.advance(1)
+  earlier.endReplaced()
+  next.reserve(second)
+  await next.start(second, NO_TICKET_NEEDED)
+  const [earlierToken, nextToken] = client.starts.map(({ fencingToken }) => fencingToken)
+  t.true((nextToken ?? 0) > (earlierToken ?? Infinity), `${nextToken} and ${earlierToken}`)
+})
+
+// Guards against an instance that gives up its term because its own requests overtake each other.
 test('a start that a later request of the same coordinator has overtaken is sent again', async t => {
   const { clock, client, listener, session, fence } = createSession()
   await clock.advance(200)
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -411,6 +411,8 @@
   #markEnded (reason: IncarnationEndReason, shownBy: EndEvidence): boolean {
     if (this.#hasEnded) return false
     this.#hasEnded = true
+    // Its starts may be executed by the next incarnation, and extend leases like renewals.
+    this.#options.fence.raiseBeforeNextRequest()
     const assignments = [...this.assignments.values()]
     const unansweredStarts = assignments.filter(({ startAnswered, reported }) => !startAnswered && !reported).length
     const unprovenStarts = assignments.filter(({ isExecutorUnknown }) => isExecutorUnknown).length
