Ignore what a report says that a newer one has overtaken

Cause: two reports of a target may be requested beside each other: at the suspicion of a restart, and now after an answered start. They were applied in the order of their arrival, so that one that was given earlier stopped a run that had ended, kept room for it until the next report, and took a checkpoint back.

Change: within one incarnation, whose clock never goes back, a report with a lower clock than the last one counts only as evidence that the incarnation was up after it was requested.

--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -23,6 +23,7 @@
 export class TargetContact {
   readonly #clock: Clock
   #clockOffsetMs: number | undefined
+  #lastReportClockMs = -Infinity
   #lastReportMs = -Infinity
   #lastReportRequestedMs = -Infinity
   #lastAnswerMs: number
@@ -46,6 +47,11 @@
     return this.#clockOffsetMs === undefined ? undefined : Math.round(this.#clockOffsetMs + this.#clock.monotonicMs())
   }
 
+  /** What the clock of this incarnation showed in its last report; `-Infinity` before the first. */
+  get lastReportClockMs (): number {
+    return this.#lastReportClockMs
+  }
+
   /** When the last report was requested; it may arrive much later than it was given. */
   get lastReportRequestedMs (): number {
     return this.#lastReportRequestedMs
@@ -97,6 +103,7 @@
     this.#unansweredSinceMs = undefined
     if (requestedMs > this.#suspectedAtMs) this.#mayHaveRestarted = false
     this.#clockOffsetMs = clockMs - nowMs
+    this.#lastReportClockMs = clockMs
   }
 
   /** Records an answer to a start request, by which a crash is dated unless renewals have failed. */
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -443,6 +443,39 @@
   t.deepEqual(requested.slice(before).map(({ waitMs, acknowledged, leaseUntilTargetMs }) => [waitMs, acknowledged, leaseUntilTargetMs]), [[0, 0, undefined]], 'one report for both')
 })
 
+// Guards against stops of runs that have ended, and room kept for them, since an older report arrives after a newer one.
+test('a report that was given before the last one is not taken for news', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  // Waits with the report, which then takes 380 ms to arrive.
+  const { session } = createSession(-Infinity, context, 1, target => ({
+    start: async order => await target.start(order),
+    stop: async order => await target.stop(order),
+    renew: async order => {
+      const result = await target.renew(order)
+      if (order.waitMs === 0 || result.outcome !== 'report') return result
+      await clock.sleep(20)
+      const report = { ...result.report, clockMs: clock.monotonicMs(), running: client.running }
+      await clock.sleep(380)
+      return { outcome: 'report', report }
+    },
+    close: async () => {}
+  }))
+  await clock.advance(560)
+  const assignment = createAssignment()
+  const name = assignment.task.name
+  session.reserve(assignment)
+  await session.start(assignment, NO_TICKET_NEEDED)
+  client.running = [{ task: name, attempt: 1, checkpoint: '', percent: 0 }]
+  await clock.advance(15)
+  client.running = []
+  client.finished = [finishedRun(1, name)]
+  await clock.advance(150)
+  t.deepEqual(listener.events.slice(1), [`${name} started`, `${name} done`])
+  await clock.advance(2_000)
+  t.deepEqual([client.stops, session.free.processors], [[], 64_000])
+})
+
 // Guards against a withdrawal that ends at once, while the run goes on, since the answer to its start arrives after the session has ended.
 test('restarted targets: an answer that arrives while its start is withdrawn does not end the withdrawal', async t => {
   const context = createContext()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -346,6 +346,8 @@
     if (report.bornMs !== this.description.bornMs) return this.#endAfterRestart(report, acknowledged)
     this.#ends.recordDiscarded(acknowledged)
     const nowMs = this.#options.clock.monotonicMs()
+    // Reports that were requested beside each other may overtake each other. The clock of one incarnation never goes back.
+    if (report.clockMs < this.#contact.lastReportClockMs) return this.#runs.recordReportRequestedAt(sentMs)
     this.#contact.recordReport(report.clockMs, sentMs, nowMs)
     this.#answers.recordReport(sentMs)
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
