--- a/src/coordinator/jobCoordinator.ts
+++ b/src/coordinator/jobCoordinator.ts
@@ -316,14 +316,14 @@
   runHeld (session: TargetSession, assignment: Assignment): void {
     const { task, attempt } = assignment
     this.#placer.releaseUsage(assignment)
-    this.#logger.info({ job: task.step.job.id, task: task.name, attempt, target: session.id, ...session.evidence }, 'a task waits until its unanswered start can not be executed any more')
+    this.#logger.info({ job: task.step.job.id, task: task.name, attempt, target: session.id, ...session.logFields }, 'a task waits until its unanswered start can not be executed any more')
   }
 
   runLost (session: TargetSession, assignment: Assignment, reason: string): void {
     const { task } = assignment
     if (assignment.state !== 'held') this.#placer.releaseUsage(assignment)
     const { job } = task.step
-    if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, ...session.evidence, state: assignment.state, confirmedAgoMs: Math.round(this.#clock.monotonicMs() - assignment.confirmedAtMs), startAnswered: assignment.startAnswered, reported: assignment.reported, evidence: assignment.evidence, reason }, 'run lost')
+    if (job.outcome === undefined) this.#logger.info({ job: job.id, task: task.name, attempt: assignment.attempt, target: session.id, ...session.logFields, state: assignment.state, confirmedAgoMs: Math.round(this.#clock.monotonicMs() - assignment.confirmedAtMs), startAnswered: assignment.startAnswered, reported: assignment.reported, evidence: assignment.evidence, reason }, 'run lost')
     this.#placer.requeueTask(task, assignment.attempt)
   }
 
--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -114,14 +114,14 @@
    */
   recordReportRequestedAt (requestedMs: number): void {
     for (const assignment of this.#assignments.values()) {
-      const { isExecutorUnknown, executedByMs = Infinity } = assignment
-      if (isExecutorUnknown && executedByMs < requestedMs) this.#recordBegun(assignment, 'answered')
+      const { isExecutorUnknown, answeredAtMs = Infinity } = assignment
+      if (isExecutorUnknown && answeredAtMs < requestedMs) this.#recordBegun(assignment, 'answered')
     }
   }
 
   /** Whether a run was answered as started at the given time or later, and it is not known by which incarnation. */
   hasUnknownExecutorSince (timeMs: number): boolean {
-    return [...this.#assignments.values()].some(({ isExecutorUnknown, executedByMs = -Infinity }) => isExecutorUnknown && executedByMs >= timeMs)
+    return [...this.#assignments.values()].some(({ isExecutorUnknown, answeredAtMs = -Infinity }) => isExecutorUnknown && answeredAtMs >= timeMs)
   }
 
   #recordBegun (assignment: Assignment, evidence: RunEvidence): void {
--- a/src/coordinator/targets/assignment.ts
+++ b/src/coordinator/targets/assignment.ts
@@ -41,7 +41,7 @@
   /** False while a start request is on its way, and after one without an answer, which the target may execute later. */
   startAnswered = true
   /** When the answer arrived that the run was started, by this incarnation or by a later one; undefined without one. */
-  executedByMs: number | undefined
+  answeredAtMs: number | undefined
   /** Reports requested before this time are too old to show that the run is missing. */
   confirmedAtMs = 0
 
@@ -63,7 +63,7 @@
 
   /** Whether the start was answered, and it is not known by which incarnation. */
   get isExecutorUnknown (): boolean {
-    return this.executedByMs !== undefined && !this.isRunHere
+    return this.answeredAtMs !== undefined && !this.isRunHere
   }
 
   get team (): string {
--- a/src/coordinator/targets/runRequests.ts
+++ b/src/coordinator/targets/runRequests.ts
@@ -117,7 +117,7 @@
     answers.recordReturned(assignment, assignment.startAnswered)
     if (result.outcome === 'unknown') return starts.recordUnanswered(assignment)
     if (result.outcome === 'refused') return starts.recordSettled(assignment)
-    assignment.executedByMs = clock.monotonicMs()
+    assignment.answeredAtMs = clock.monotonicMs()
     if (assignment.isRunHere) starts.recordSettled(assignment)
     else starts.recordExecuted(assignment)
     if (assignment.isExecutorUnknown) listener.executorUnknown()
--- a/src/coordinator/targets/targetContact.ts
+++ b/src/coordinator/targets/targetContact.ts
@@ -6,7 +6,7 @@
  * postpone the time by which all its runs have certainly ended. It gets no new tasks either, since a start extends them.
  */
 export const MAX_SILENCE_FOR_EXTENSION_MS = 1_500
-/** After a longer time without a report, ends are not acknowledged, and leases not extended once a later incarnation is listed. */
+/** After a longer time without a report, ends are not acknowledged, and leases not extended while another incarnation may be later. */
 export const RECENT_REPORT_AGE_MS = 150
 /** An answer with a clock further from the expected one suggests another incarnation; requests are given up sooner. */
 const MAX_CLOCK_DIFFERENCE_MS = 1_500
--- a/src/coordinator/targets/targetFence.test.ts
+++ b/src/coordinator/targets/targetFence.test.ts
@@ -14,7 +14,7 @@
   t.is(fence.tokenForStart(), 12)
 })
 
-// Guards against the same where the coordinator has not written to the store since.
+// Guards against a start with a token that the earlier incarnation's requests have, since the coordinator has not written to the store.
 test('a start waits for a token that is higher than those of the earlier incarnation', t => {
   let revision = 11
   const fence = new TargetFence(10, () => revision)
--- a/src/coordinator/targets/targetLease.ts
+++ b/src/coordinator/targets/targetLease.ts
@@ -14,7 +14,7 @@
   readonly leaseMs: number
   /** Whether this coordinator may send requests now. */
   readonly hasAuthority: () => boolean
-  /** Whether the target list has shown a later incarnation of the target. */
+  /** Whether another incarnation of the target may be later. */
   readonly isReplaced: () => boolean
   /** Latest time at which an earlier coordinator may have extended leases on the target. */
   readonly priorLeasesExtendedUntilMs: number
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -378,7 +378,7 @@
   }
 })
 
-// Guards against the same if a report that was requested before the answer to a start is taken as evidence, and against doubt about each answered start.
+// Guards against a run of the next incarnation that a report from before the answer attributes to the earlier one, and against doubt about each answered start.
 test('restarted targets: an answered start was executed by the incarnation if one of its reports shows the run, or was requested later', async t => {
   for (const isShown of [true, false]) {
     const context = createContext()
@@ -843,7 +843,7 @@
   t.true((nextToken ?? 0) > (earlierToken ?? Infinity), `${nextToken} and ${earlierToken}`)
 })
 
-// Guards against the same where the earlier session sends a start after the next incarnation has given its first report.
+// Guards against a run beyond the time at which its leases are taken for lapsed: the earlier session sends a start after the next incarnation has given its first report.
 test('late orders: a start to the next incarnation has a higher token than all requests of an earlier session that has ended', async t => {
   const context = createContext()
   const { clock, client } = context
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -58,7 +58,7 @@
   #hasEnded = false
   #closed = false
   #isEvidenceScheduled = false
-  #lastReportRequestMs = -Infinity
+  #lastRenewalSentMs = -Infinity
   readonly #ends: RunEndNumbers
   readonly #contact: TargetContact
   readonly #offer: TargetOffer
@@ -186,7 +186,7 @@
   }
 
   /** What a decision on a run of this incarnation rests on, for the log. */
-  get evidence (): object {
+  get logFields (): object {
     return { bornMs: this.description.bornMs, reportRequestedAgoMs: Math.round(this.#options.clock.monotonicMs() - this.#contact.lastReportRequestedMs), routes: this.#options.client.routes }
   }
 
@@ -293,7 +293,7 @@
   async #renew (waitMs: number): Promise<void> {
     const { client, clock, listener, fence } = this.#options
     if (this.#hasEnded) return
-    const sentMs = this.#lastReportRequestMs = clock.monotonicMs()
+    const sentMs = this.#lastRenewalSentMs = clock.monotonicMs()
     // A start that was executed after this incarnation was asked for its last report may have been executed by the next one,
     // which would be told to discard the end of its run unread.
     const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.hasRecentReport)
@@ -336,8 +336,8 @@
     const { client, clock, fence, hasAuthority } = this.#options
     await clock.sleep(EVIDENCE_DELAY_MS)
     this.#isEvidenceScheduled = false
-    if (this.#hasEnded || !hasAuthority() || !this.#runs.hasUnknownExecutorSince(this.#lastReportRequestMs)) return
-    const sentMs = this.#lastReportRequestMs = clock.monotonicMs()
+    if (this.#hasEnded || !hasAuthority() || !this.#runs.hasUnknownExecutorSince(this.#lastRenewalSentMs)) return
+    const sentMs = this.#lastRenewalSentMs = clock.monotonicMs()
     const result = await client.renew({ fencingToken: fence.nextToken(), acknowledged: 0, waitMs: 0 })
     if (!this.#hasEnded && result.outcome === 'report') await this.#handleReport(result.report, sentMs, 0)
   }
--- a/src/relay/relayPool.ts
+++ b/src/relay/relayPool.ts
@@ -50,7 +50,7 @@
  * @example
  * const pool = new RelayPool(options)
  * pool.update([{ address: '10.1.0.16:7600', region: 'attica', processors: 1.35 }])
- * const client = pool.connect('10.1.7.3:8400', { id: 'i-524754753b', bornMs: 0 }, 'attica-a')
+ * const client = pool.connect('10.1.7.3:8400', { id: 'i-524754753b', bornMs: 1776820173600 }, 'attica-a')
  */
 export class RelayPool {
   readonly #options: RelayPoolOptions
