End the withdrawal of a start by reports to any session of its target

What callers could see: a task that waits, and a target without work, for as long as the target runs.

Cause: a start is withdrawn by requests to the address of the earlier incarnation, until no request can keep its run alive. If the target is back under its id at another address, and nothing answers at the earlier one, each renewal of the next session moves that time on.

Change: a complete report to any session of the target, requested after the start could be executed last, that does not show its run ends the withdrawal.

--- a/src/coordinator/targets/incarnationEnd.ts
+++ b/src/coordinator/targets/incarnationEnd.ts
@@ -119,6 +119,7 @@
       target,
       lapsedBornMs: reason === 'lease-lapsed' ? bornMs : undefined,
       isClosed,
+      isRuledOut: () => starts.isRuledOut(assignment),
       latestExecutionMs: () => starts.latestExecutionMs(assignment),
       latestRunMs: () => starts.latestExtensionMs(assignment) + lease.longestOnNextIncarnationMs,
       longestLeaseMs: lease.longestOnNextIncarnationMs,
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -1,5 +1,7 @@
 /** Tracks the start requests to one target that any of its incarnations may still execute. */
 import type { Clock } from '../../ports/clock.ts'
+import type { TargetReport } from '../../ports/jobTarget.ts'
+import { runKey } from './assignment.ts'
 import type { Assignment } from './assignment.ts'
 
 /**
@@ -28,6 +30,8 @@
   readonly isAwaited: boolean
   /** Latest time at which another request that may be executed after the start may extend the leases of its target. */
   latestExtensionMs: number
+  /** Whether a report has shown that the start has no run, and will have none. */
+  isRuledOut: boolean
 }
 
 /**
@@ -56,7 +60,7 @@
     this.#recordExtension(latestMs)
     // Starts that were sent before may be executed after this one, with the same fencing token.
     const latestOfEarlierMs = Math.max(-Infinity, ...[...this.#starts.values()].map(({ latestExecutionMs }) => latestExecutionMs))
-    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: latestOfEarlierMs })
+    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: latestOfEarlierMs, isRuledOut: false })
   }
 
   /**
@@ -64,7 +68,7 @@
    * `latestExtensionMs`, requests of earlier coordinators may extend the leases of its target.
    */
   recordRecovered (assignment: Assignment, latestExecutionMs: number, latestExtensionMs: number): void {
-    this.#starts.set(assignment, { latestExecutionMs, isAwaited: false, latestExtensionMs })
+    this.#starts.set(assignment, { latestExecutionMs, isAwaited: false, latestExtensionMs, isRuledOut: false })
   }
 
   /** Records that a start was given up without an answer. */
@@ -87,6 +91,23 @@
     return [...this.#starts].flatMap(([assignment, { isAwaited, latestExecutionMs }]) => isAwaited ? [] : { assignment, latestExecutionMs })
   }
 
+  /**
+   * Records a report of any incarnation that was requested at the given time. A start that could not be executed any more by then,
+   * and whose run it does not show, has no run on that incarnation, nor on a later one.
+   */
+  recordReport ({ running, finished, mayOmitFinished }: TargetReport, requestedMs: number): void {
+    if (this.#starts.size === 0 || mayOmitFinished) return
+    const shown = new Set([...running, ...finished].map(({ task, attempt }) => runKey(task, attempt)))
+    for (const [assignment, start] of this.#starts) {
+      if (!start.isAwaited && start.latestExecutionMs < requestedMs && !shown.has(assignment.key)) start.isRuledOut = true
+    }
+  }
+
+  /** Whether a report has shown that the start has no run, and will have none. */
+  isRuledOut (assignment: Assignment): boolean {
+    return this.#starts.get(assignment)?.isRuledOut === true
+  }
+
   /** Records that a start was refused, or that its run is known. */
   recordSettled (assignment: Assignment): void {
     this.#starts.delete(assignment)
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -912,6 +912,27 @@
   t.true(others.some(untilMs => untilMs !== undefined), 'an entry of the list does not end the runs of a target that answers')
 })
 
+// Guards against a task, and a target, that wait without a bound: the withdrawal of a start gets no answer at the address of the earlier incarnation.
+test('restarted targets: a start is given up although the target is back at another address, and nothing answers at the earlier one', async t => {
+  const context = createContext()
+  const { clock, client, listener } = context
+  const { session } = createSession(-Infinity, context)
+  await clock.advance(200)
+  const assignment = createAssignment()
+  session.reserve(assignment)
+  client.startOutcome = { outcome: 'unknown', message: 'no answer' }
+  session.start(assignment, NO_TICKET_NEEDED).catch(error => t.fail(String(error)))
+  client.reachable = client.answersStops = false
+  const moved = new FakeTarget(clock)
+  moved.bornMs = 2
+  const { session: next } = createSession(-Infinity, context, 2, () => moved)
+  await clock.advance(100)
+  session.endReplaced()
+  // The start can not be executed for longer than 18 s, and reports of the next incarnation do not show its run.
+  await clock.advance(30_000)
+  t.deepEqual([next.joined, listener.events.includes(`${assignment.task.name} lost: restarted`)], [true, true])
+})
+
 // Guards against starting a task again that an order in transit started, and that is done, on a target that has restarted.
 test('a run that the next incarnation has finished, after more than a report lists, is not started again', async t => {
   for (const state of ['recovering', 'reserved'] as const) {
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -353,6 +353,7 @@
     const stored = this.#ends.receive(report.finished, async run => await this.#handleFinishedRun(run))
     this.#runs.compareRunning(report.running, nowMs)
     this.#runs.recordReportRequestedAt(sentMs)
+    this.#starts.recordReport(report, sentMs)
     this.#runs.detectMissing(report, sentMs)
     this.#options.listener.reported(this)
     if (!this.#joined) {
--- a/src/coordinator/targets/withdrawStart.ts
+++ b/src/coordinator/targets/withdrawStart.ts
@@ -21,6 +21,8 @@
   readonly lapsedBornMs: number | undefined
   /** Whether the term has ended, so that nothing more is sent. */
   readonly isClosed: () => boolean
+  /** Whether a report to another session of the target has shown that the start has no run, and will have none. */
+  readonly isRuledOut: () => boolean
   /** Latest time at which the start may be executed. */
   readonly latestExecutionMs: () => number
   /** Time by which no incarnation keeps a run of the start alive, unless it is asked again. */
@@ -61,7 +63,7 @@
   logger.info({ task, attempt, target, ...describeTimes() }, 'withdrawing an unconfirmed start from the next target incarnation')
   /** The end of the run may have been listed beyond the ends that a report returned at this time. */
   let hiddenUntilMs = -Infinity
-  while (!options.isClosed() && clock.monotonicMs() <= Math.max(options.latestRunMs(), hiddenUntilMs)) {
+  while (!options.isClosed() && !options.isRuledOut() && clock.monotonicMs() <= Math.max(options.latestRunMs(), hiddenUntilMs)) {
     const outcome = await client.stop({ task, attempt, fencingToken: fence.nextToken() })
     if (outcome === 'other-life') return conclude('other-target')
     const requestedMs = clock.monotonicMs()
@@ -89,5 +91,5 @@
     }
     await clock.sleep(delayMs)
   }
-  return conclude(options.isClosed() ? 'term-ended' : 'lapsed')
+  return conclude(options.isClosed() ? 'term-ended' : options.isRuledOut() ? 'not-shown' : 'lapsed')
 }
