Extend no lease by renewals while it is not known who executed a start

Cause: by the rule on evidence such a start is withdrawn, and given up once no incarnation can keep its run alive. Renewals and other starts that were sent meanwhile count for that time with the 18 s for which they may be in transit.

Other starts count with the latest time at which they may still be executed, which is that of their answer once they are answered, and not the one from when they were sent.

--- a/src/coordinator/targets/assignedRuns.ts
+++ b/src/coordinator/targets/assignedRuns.ts
@@ -119,8 +119,8 @@
     }
   }
 
-  /** Whether a run was answered as started at the given time or later, and it is not known by which incarnation. */
-  hasUnknownExecutorSince (timeMs: number): boolean {
+  /** Whether a run was answered as started, at the given time or later, and it is not known by which incarnation. */
+  hasUnknownExecutorSince (timeMs = -Infinity): boolean {
     return [...this.#assignments.values()].some(({ isExecutorUnknown, answeredAtMs = -Infinity }) => isExecutorUnknown && answeredAtMs >= timeMs)
   }
 
--- a/src/coordinator/targets/startsInTransit.ts
+++ b/src/coordinator/targets/startsInTransit.ts
@@ -28,7 +28,7 @@
   readonly latestExecutionMs: number
   /** Whether the start has not been answered yet, nor given up. */
   readonly isAwaited: boolean
-  /** Latest time at which another request that may be executed after the start may extend the leases of its target. */
+  /** Latest time at which a renewal, or a start that is settled, may extend the leases of its target after the start was executed. */
   latestExtensionMs: number
   /** Whether a report has shown that the start has no run, and will have none. */
   isRuledOut: boolean
@@ -57,10 +57,7 @@
   /** Records that a start is sent, which extends the leases of the target like a renewal; a target refuses it once its ticket has expired. */
   recordSent (assignment: Assignment, ticketExpiredByMs = Infinity): void {
     const latestMs = Math.min(this.#latestExecutionOfNextMs, ticketExpiredByMs)
-    this.#recordExtension(latestMs)
-    // Starts that were sent before may be executed after this one, with the same fencing token.
-    const latestOfEarlierMs = Math.max(-Infinity, ...[...this.#starts.values()].map(({ latestExecutionMs }) => latestExecutionMs))
-    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: latestOfEarlierMs, isRuledOut: false })
+    this.#starts.set(assignment, { latestExecutionMs: latestMs, isAwaited: true, latestExtensionMs: -Infinity, isRuledOut: false })
   }
 
   /**
@@ -110,7 +107,9 @@
 
   /** Records that a start was refused, or that its run is known. */
   recordSettled (assignment: Assignment): void {
+    const settled = this.#starts.get(assignment)
     this.#starts.delete(assignment)
+    if (settled !== undefined) this.#recordExtension(settled.latestExecutionMs)
   }
 
   /** Records that a request is sent which extends the leases of the target, and thereby of a run that has been started meanwhile. */
@@ -147,6 +146,8 @@
   /** Latest time at which the lease of a run of the start may be extended, by the start itself or by another request. */
   latestExtensionMs (assignment: Assignment): number {
     const start = this.#starts.get(assignment)
-    return start === undefined ? -Infinity : Math.max(start.latestExecutionMs, start.latestExtensionMs)
+    if (start === undefined) return -Infinity
+    // Starts share a fencing token, so that each may be executed after the others, whichever was sent first.
+    return Math.max(start.latestExtensionMs, ...[...this.#starts.values()].map(({ latestExecutionMs }) => latestExecutionMs))
   }
 }
--- a/src/coordinator/targets/targetSession.test.ts
+++ b/src/coordinator/targets/targetSession.test.ts
@@ -912,6 +912,23 @@
   t.true(others.some(untilMs => untilMs !== undefined), 'an entry of the list does not end the runs of a target that answers')
 })
 
+// Guards against tasks that wait for longer than leases last (LOST), since renewals go on after a start that nothing proves, and may extend its lease late.
+test('starts that were answered just before their target is gone are given up when their leases have expired', async t => {
+  const { clock, client, listener, session } = createSession()
+  await clock.advance(200)
+  const assignments = [createAssignment('job-1'), createAssignment('job-2')]
+  for (const assignment of assignments) {
+    session.reserve(assignment)
+    await session.start(assignment, NO_TICKET_NEEDED)
+    await clock.advance(10)
+  }
+  client.reachable = client.answersStops = false
+  await clock.advance(LEASE_MS * 1.1)
+  t.false(listener.events.some(event => event.includes('lost')))
+  await clock.advance(1_500)
+  t.deepEqual(listener.events.slice(3), [...assignments.map(({ task }) => `${task.name} lost: lease-lapsed`), 'incarnation ended: lease-lapsed'])
+})
+
 // Guards against a task, and a target, that wait without a bound: the withdrawal of a start gets no answer at the address of the earlier incarnation.
 test('restarted targets: a start is given up although the target is back at another address, and nothing answers at the earlier one', async t => {
   const context = createContext()
--- a/src/coordinator/targets/targetSession.ts
+++ b/src/coordinator/targets/targetSession.ts
@@ -298,7 +298,8 @@
     // which would be told to discard the end of its run unread.
     const acknowledged = this.#starts.mayBeExecutedSince(this.#contact.lastReportRequestedMs) ? 0 : this.#ends.dueAcknowledgement(this.#contact.hasRecentReport)
     this.#ends.recordSent(acknowledged)
-    const leaseUntilTargetMs = this.#joined ? this.#lease.extend() : undefined
+    // The lease of a run on an unknown incarnation is not extended, so that its task does not wait for long if the target is gone.
+    const leaseUntilTargetMs = this.#joined && !this.#runs.hasUnknownExecutorSince() ? this.#lease.extend() : undefined
     if (leaseUntilTargetMs !== undefined) this.#starts.recordLeaseExtension()
     const fencingToken = leaseUntilTargetMs === undefined && acknowledged === 0 ? fence.nextToken() : fence.tokenForRenewal()
     const result = await client.renew({
