Let a job that has waited behind kept targets use them

What callers saw: small jobs of other teams had nothing running for the whole time that a suspected gang worked on all targets of its service (20 s in the test), or waited 4 s, 8 s and 10 s for targets that were kept in vain, while more than half of the service was free.

Cause: what is kept for a suspected job was bounded by the waits of that job (too few targets, not started, too many kept), never by those of the jobs that wait behind it. The wait for targets that are kept in vain doubles up to 10 s, and a suspected gang that works keeps its targets until it ends.

Change: a step that could start on all targets of its service, kept or not, is recorded in each pass. After 2 s it is placed on kept targets as well, if less than half of the service is in use and its team uses less than half of its cap; otherwise keepers are served as before. The time is the one that already ended waits behind reservations (BlockedSteps, taken out of PlacementReservations), so that both waits count together. TaskPlacer.keptCapacity tells what is kept on which target, for which job and until when, whoever keeps it; "a step has nothing running" and the new line on steps that use kept targets log it.

Evidence: "targets on which a suspected gang works alone take the tasks of a job that has waited for them" fails on (the job waits for 20 s) and passes; the tests of isolation, reservations and suspected gangs pass (42).

--- a/src/coordinator/placement/placementReservations.ts
+++ b/src/coordinator/placement/placementReservations.ts
@@ -5,6 +5,8 @@
 import type { Logger } from '../../observability/logger.ts'
 import type { RoomForecast } from '../forecast/roomForecast.ts'
 import type { TargetSession } from '../targets/targetSession.ts'
+import type { BlockedSteps } from './blockedSteps.ts'
+import type { KeptCapacity } from './keptCapacity.ts'
 import { isUrgent, objectiveMs, slackMs } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
 import type { PlacementPass } from './placementPass.ts'
@@ -37,13 +39,6 @@
 const RETRY_DELAY_MS = 250
 /** Part of the runs of a step that end before the expected start, if it uses reserved places. Urgent runs are short, so that their mean is used. */
 const BACKFILL_QUANTILE = 0.9
-/**
- * A job may have nothing running for 3 s at most, while there is room and its team uses less than half of its cap. A
- * step that has waited behind reservations for this long uses reserved places.
- */
-const MAX_BLOCKED_MS = 2_000
-/** A step may wait for another reason in between, such as a place near its data; its time goes on for so long. */
-const BLOCKED_RETENTION_MS = 1_000
 
 export type ReservationEnd = 'started' | 'given-up' | 'not-needed'
 
@@ -52,6 +47,8 @@
   readonly runTimes: RankingRunTimes
   readonly forecast: Pick<RoomForecast, 'remainingMs'>
   readonly usage: TeamUsage
+  /** The steps that wait behind reservations or kept targets. */
+  readonly blocked: BlockedSteps
   readonly describe: (step: StepProgress, target: TargetSession) => TargetAvailability
   /** Whether the step may run on the target as far as is known; false until advice that it needs has been given. */
   readonly permits: (step: StepProgress, target: TargetSession) => boolean
@@ -100,8 +97,6 @@
   readonly #attempts = new Map<string, number>()
   /** Steps that gave a reservation up, and until when they get no other one. */
   readonly #suspendedUntilMs = new Map<StepProgress, number>()
-  /** Since when, and until when, steps have waited for capacity that is held for others. */
-  readonly #blocked = new Map<StepProgress, { readonly sinceMs: number, readonly lastMs: number }>()
   /** Steps that could not get a reservation, and when the next attempt is made. */
   readonly #retryAtMs = new Map<StepProgress, number>()
   /** Expected releases of the targets, read once in a pass. */
@@ -119,7 +114,6 @@
     this.#releases = new Map()
     this.#views.clear()
     this.#attempts.clear()
-    for (const [step, { lastMs }] of this.#blocked) if (nowMs - lastMs > BLOCKED_RETENTION_MS || step.job.outcome !== undefined) this.#blocked.delete(step)
     for (const delays of [this.#suspendedUntilMs, this.#retryAtMs]) for (const [step, untilMs] of delays) if (nowMs >= untilMs || step.job.outcome !== undefined) delays.delete(step)
     for (const [key, reservation] of this.#reservations) this.#renew(key, reservation, pass, nowMs)
   }
@@ -129,6 +123,12 @@
     return this.#reservations.size > 0
   }
 
+  /** The targets with reserved places, and for whom and until when they are reserved. */
+  listKept (nowMs: number): readonly KeptCapacity[] {
+    return [...this.#reservations.values()].flatMap(({ step, places, createdAtMs, deadlineMs }) =>
+      [...places.keys()].map((target): KeptCapacity => ({ keeper: 'reservation', target: target.id, job: step.job.id, keptMs: Math.round(nowMs - createdAtMs), endsInMs: Math.round(deadlineMs - nowMs) })))
+  }
+
   /** What the step may use of the free capacity of its service. */
   roomOf (step: StepProgress, service: string, nowMs: number): RoomView {
     const binding: Reservation[] = []
@@ -181,18 +181,12 @@
 
   /** Ends the reservations of a step of which tasks were placed. */
   recordStart (step: StepProgress, nowMs: number): void {
-    this.#blocked.delete(step)
     for (const [key, reservation] of this.#reservations) if (reservation.step === step) this.#end(key, reservation, 'started', nowMs)
   }
 
-  /** Records that a step could have started if nothing were held for others; the time counts if its wait is to be bounded. */
-  recordBlocked (step: StepProgress, nowMs: number, counts: boolean): void {
-    this.#blocked.set(step, { sinceMs: counts ? this.#blocked.get(step)?.sinceMs ?? nowMs : nowMs, lastMs: nowMs })
-  }
-
   /** The reservations that the step waits behind. */
   explainBlocked (step: StepProgress, nowMs: number): Readonly<Record<string, unknown>> | undefined {
-    if (!this.#blocked.has(step)) return undefined
+    if (!this.#options.blocked.has(step)) return undefined
     const binding = [...this.#reservations.values()].filter(each => this.#binds(each, step, nowMs))
     return { reservedFor: binding.map(each => [each.step.name, each.scope, Math.round(each.expectedStartMs - nowMs)]) }
   }
@@ -282,7 +276,7 @@
   #binds (reservation: Reservation, step: StepProgress, nowMs: number): boolean {
     const { step: holder, expectedStartMs } = reservation
     if (holder === step || step.definition.longRunning) return false
-    if (nowMs - (this.#blocked.get(step)?.sinceMs ?? nowMs) >= MAX_BLOCKED_MS) return false
+    if (this.#options.blocked.isOverdue(step, nowMs)) return false
     const leftMs = Math.max(0, expectedStartMs - nowMs)
     const { runTimes } = this.#options
     const runMs = (isUrgent(step) ? runTimes.expectedMs(step) : runTimes.quantileMs(step, BACKFILL_QUANTILE)) * runTimes.remoteFactor(step)
--- a/src/coordinator/placement/suspectedGang.test.ts
+++ b/src/coordinator/placement/suspectedGang.test.ts
@@ -17,12 +17,12 @@
  * A gang with a member on each target, and tasks of the given duration beside three of them, is interrupted by the crash of
  * the fourth target. All targets are kept for it then, and it waits until the tasks beside it have ended.
  */
-async function startSuspectedGang (cap: number, besideMs = 7_000): Promise<SimulatedCluster> {
+async function startSuspectedGang (cap: number, besideMs = 7_000, gang = createGang()): Promise<SimulatedCluster> {
   const cluster = new SimulatedCluster({
     targets: TARGETS, cap, lateMs: 0, failing: false, rackOf: number => `r${number}`, workMs: task => task.startsWith('gang') ? 20_000 : task.startsWith('beside') ? besideMs : 300
   })
   await cluster.elect()
-  cluster.submit('gang', BATCH, [createGang()])
+  cluster.submit('gang', BATCH, [gang])
   await cluster.clock.advance(1_000)
   for (let number = 1; number < TARGETS; number++) cluster.submit('beside', BATCH, [createStep(1, { requiredLabel: `r${number}`, size: SMALL })])
   await cluster.clock.advance(1_000)
@@ -41,12 +41,16 @@
   cluster.close()
 }
 
+function countGangRuns (cluster: SimulatedCluster): number {
+  return cluster.running.filter(task => task.startsWith('gang')).length
+}
+
 // Guards against targets that are opened to others although nobody waits for them, so that the gang starts seconds later.
 test('a gang that may have crashed its target starts again once the other runs on its targets have ended, if no others wait', async t => {
   const cluster = await startSuspectedGang(0)
-  t.is(cluster.running.filter(task => task.startsWith('gang')).length, 0)
+  t.is(countGangRuns(cluster), 0)
   await cluster.clock.advance(5_500)
-  t.is(cluster.running.filter(task => task.startsWith('gang')).length, TARGETS)
+  t.is(countGangRuns(cluster), TARGETS)
   cluster.close()
 })
 
@@ -71,6 +75,17 @@
   await assertUrgentJobsComplete(t, cluster)
 })
 
+// Guards against targets that are mostly free and closed to all others for as long as a suspected gang works there.
+test('targets on which a suspected gang works alone take the tasks of a job that has waited for them', async t => {
+  const cluster = await startSuspectedGang(0, 100, createStep(TARGETS, { gang: true, tasksPerTarget: 1, size: resources({ processors: 3_000, memory: 10 }) }))
+  t.is(countGangRuns(cluster), TARGETS)
+  const urgent = cluster.submit('urgent', URGENT, [createStep(1, { size: SMALL })])
+  await cluster.clock.advance(MAX_IDLE_MS)
+  t.is(cluster.coordinator.table.finished.get(urgent)?.state, 'completed')
+  t.is(countGangRuns(cluster), TARGETS)
+  cluster.close()
+})
+
 // Guards against a gang that closes its whole service for as long as a run of another job takes.
 test('targets that are kept for a suspected gang take other work while long runs there go on, and the gang starts after these', async t => {
   const longMs = 40_000
@@ -83,6 +98,6 @@
   }
   t.deepEqual(outcomes, outcomes.map(() => 'completed'))
   await cluster.clock.advance(20_000)
-  t.is(cluster.running.filter(task => task.startsWith('gang')).length, TARGETS)
+  t.is(countGangRuns(cluster), TARGETS)
   cluster.close()
 })
--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -19,8 +19,10 @@
 import type { IsolationRequest } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, slackMs, StepRanking } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
+import { BlockedSteps } from './blockedSteps.ts'
 import { AdaptiveThrottle } from './adaptiveThrottle.ts'
 import type { ThrottleLimits } from './adaptiveThrottle.ts'
+import type { KeptCapacity } from './keptCapacity.ts'
 import { LocalityReport } from './localityReport.ts'
 import { LocalityWait } from './localityWait.ts'
 import { PlacementPass } from './placementPass.ts'
@@ -52,6 +54,7 @@
 
 /** Longest time between passes while there are reservations or targets are kept. */
 const RENEWAL_INTERVAL_MS = 250
+const MAX_LOGGED_KEPT = 5
 
 export interface TaskPlacerOptions {
   readonly clock: TimerClock
@@ -97,6 +100,7 @@
   /** Steps whose dependencies are done and that may have waiting tasks. */
   readonly #queuedSteps = new Set<StepProgress>()
   readonly #ranking: StepRanking
+  readonly #blocked = new BlockedSteps()
   readonly #reservations: PlacementReservations
   readonly #starts: TaskStarts
   #cancelRenewal: (() => void) | undefined
@@ -132,6 +136,12 @@
     this.#urgentPassThrottle = new AdaptiveThrottle(this.#clock, PASS_THROTTLE_LIMITS, () => this.#runPass(true))
   }
 
+  /** All capacity that is kept for steps which do not use it yet, whoever keeps it. */
+  get keptCapacity (): readonly KeptCapacity[] {
+    const nowMs = this.#clock.monotonicMs()
+    return [...this.#isolation.listKept(nowMs), ...this.#reservations.listKept(nowMs)]
+  }
+
   /** When capacity becomes free on the targets that were usable in the last full pass. */
   get forecast (): RoomForecast {
     return this.#forecast
@@ -143,6 +153,7 @@
       runTimes: this.#options.runTimes,
       forecast: this.#forecast,
       usage: this.#usage,
+      blocked: this.#blocked,
       describe: (step, session) => this.#describeTarget(step, session),
       permits: (step, session) => this.#permits(step, this.#options.desiredState().queue(step.job.queue.name) ?? step.job.queue, session),
       placed: () => this.#fleet.placed,
@@ -263,18 +274,23 @@
     const ranked = this.#rankWaiting(nowMs, urgentOnly)
     this.#locality.beginPass()
     this.#placeSuspectedTasks(ranked, nowMs)
-    const open = this.#fleet.usable.filter(session => !this.#isolation.holds(session))
-    if (!urgentOnly) this.#forecast.update(open)
     const unsuspected = ranked.filter(({ waiting }) => waiting.length > 0)
+    const overdue = this.#placeOverdueTasks(unsuspected, nowMs)
+    const usable = this.#fleet.usable
+    const open = usable.filter(session => !this.#isolation.holds(session))
+    if (!urgentOnly) this.#forecast.update(open)
     const servicesWithoutRoom = new Set<string>()
     if (unsuspected.length > 0) {
       const pass = new PlacementPass(this.#options.desiredState(), open)
+      const passWithKept = open.length === usable.length ? undefined : new PlacementPass(this.#options.desiredState(), usable)
       if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
+        if (overdue.has(step)) continue
         const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
         if (outcome !== 'placed' && outcome !== 'capped') servicesWithoutRoom.add(pass.queue(step.job.queue).service)
-        if (outcome === 'placed') this.#reservations.recordStart(step, nowMs)
+        if (outcome === 'placed') this.#recordPlaced(step, nowMs)
         else if (outcome !== 'awaits-advice' && outcome !== 'awaits-locality' && !urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
+        if (outcome === 'no-room' && passWithKept !== undefined) this.#recordIfBlocked(step, waiting.length, passWithKept, nowMs)
       }
     }
     if (urgentOnly) return
@@ -283,6 +299,42 @@
     this.#updateAdmission(ranked, open, nowMs)
   }
 
+  /** Places tasks of the steps that have waited for long enough behind kept targets, also on these; returns these steps. */
+  #placeOverdueTasks (waiting: readonly WaitingStep[], nowMs: number): ReadonlySet<StepProgress> {
+    this.#blocked.expire(nowMs)
+    if (!this.#isolation.active || !this.#blocked.any) return new Set()
+    const overdue = waiting.filter(({ step }) => this.#blocked.isOverdue(step, nowMs))
+    if (overdue.length === 0) return new Set()
+    const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
+    const placed = overdue.filter(({ step, waiting }) => this.#placeWaitingTasks(step, waiting, pass, nowMs) === 'placed').map(({ step }) => step)
+    for (const step of placed) this.#recordPlaced(step, nowMs)
+    if (placed.length > 0) this.#logger.info({ steps: placed.map(({ name }) => name), kept: this.keptCapacity.slice(0, MAX_LOGGED_KEPT) }, 'steps use kept targets: they have waited behind them for too long')
+    return new Set(placed)
+  }
+
+  #recordPlaced (step: StepProgress, nowMs: number): void {
+    this.#blocked.recordStart(step)
+    this.#reservations.recordStart(step, nowMs)
+  }
+
+  /** Records that the step waits if it could start on all targets of its service, kept or not, of which less than half is in use. */
+  #recordIfBlocked (step: StepProgress, waiting: number, pass: PlacementPass, nowMs: number): void {
+    const queue = pass.queue(step.job.queue)
+    if (!this.#isBounded(step, pass)) return
+    const needed = step.definition.gang ? waiting : 1
+    if (this.#allowedCount(step, needed, pass, queue) < needed) return
+    const advice = queue.advice === undefined ? undefined : this.#advisor.findAdvice(step)
+    const permitted = pass.sessions(queue.service).filter(({ key }) => advice === undefined || advice.allows(key) || !advice.wasAsked(key))
+    if (placeStep(step.definition, needed, permitted.map(session => this.#describeTarget(step, session))).length >= needed) this.#blocked.record(step, nowMs, true)
+  }
+
+  /** Whether the step must not wait for long while there is room: less than half of its service is in use, and of the cap of its team. */
+  #isBounded ({ job }: StepProgress, pass: PlacementPass): boolean {
+    const { service } = pass.queue(job.queue)
+    const team = pass.team(job.team)
+    return pass.freeProcessors(service) * 2 > pass.totalProcessors(service) && (team === undefined || this.#usage.isBelowHalf(team))
+  }
+
   #updateAdmission (ranked: readonly WaitingStep[], open: readonly TargetSession[], nowMs: number): void {
     const { admission, feasibility, runTimes, desiredState } = this.#options
     if (feasibility === undefined) {
@@ -298,7 +350,7 @@
   /** Reservations, kept targets and the waits behind them end in a pass, which nothing else may request for a second. */
   #scheduleRenewal (): void {
     this.#cancelRenewal?.()
-    this.#cancelRenewal = this.#reservations.active || this.#isolation.active ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
+    this.#cancelRenewal = this.#reservations.active || this.#isolation.active || this.#blocked.any ? this.#clock.schedule(RENEWAL_INTERVAL_MS, () => this.schedulePass()) : undefined
   }
 
   #rankWaiting (nowMs: number, urgentOnly: boolean): readonly WaitingStep[] {
@@ -354,7 +406,7 @@
     const lacksShare = this.#reservations.heldShare(step, nowMs) !== undefined
     if ((lacksPlaces || lacksShare) && this.#allowedCount(step, needed, pass, queue) >= needed) {
       const team = pass.team(step.job.team)
-      return this.#reservations.recordBlocked(step, nowMs, lacksPlaces || team === undefined || this.#usage.isBelowHalf(team))
+      return this.#blocked.record(step, nowMs, lacksPlaces || team === undefined || this.#usage.isBelowHalf(team))
     }
     const isPlaceable = this.#reservations.request(step, outcome === 'capped' ? 'cap' : 'targets', pass, nowMs)
     if (!isPlaceable && outcome === 'no-room') this.#askForReservation(step, waiting, queue, pass, nowMs)
@@ -528,6 +580,13 @@
   }
 
   #explainWait (step: StepProgress): WaitExplanation {
+    const { reason, details } = this.#findWaitReason(step)
+    const kept = this.keptCapacity
+    if (kept.length === 0) return { reason, ...(details === undefined ? {} : { details }) }
+    return { reason, details: { ...details, kept: kept.slice(0, MAX_LOGGED_KEPT), usesKeptInMs: this.#blocked.remainingMs(step, this.#clock.monotonicMs()) } }
+  }
+
+  #findWaitReason (step: StepProgress): WaitExplanation {
     const { definition, waiting, job } = step
     if (waiting.length === 0) return { reason: 'assigned' }
     const usable = this.#fleet.usable
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -4,6 +4,7 @@
 import { subtractResources } from '../../model/resources.ts'
 import type { Logger } from '../../observability/logger.ts'
 import { countFitting, isSuitable, requiredResources } from '../placement/placeStep.ts'
+import type { KeptCapacity } from '../placement/keptCapacity.ts'
 import type { TargetAvailability } from '../placement/placeStep.ts'
 import { compareAge, compareWork, crashedTargets, findUnsettledSuspect, hasRunsOf, hasUnsettledSuspect, isVacant, maySuspectsShare, willStay } from './suspectedRuns.ts'
 import type { TargetSession } from './targetSession.ts'
@@ -177,10 +178,10 @@
     wait.readySinceMs = isReady ? wait.readySinceMs ?? nowMs : undefined
     wait.wideSinceMs = waiting.request?.othersWait === true && !isReady && isWide(waiting.request, waiting.kept) ? wait.wideSinceMs ?? nowMs : undefined
     if (nowMs - (wait.insufficientSinceMs ?? nowMs) >= MAX_SHORTFALL_MS) return 'too-few-targets'
-    const wideWaitMs = Math.min(MIN_WIDE_WAIT_MS * 2 ** wait.wideWaitsInVain, MAX_WIDE_WAIT_MS)
-    if (nowMs - (wait.wideSinceMs ?? nowMs) >= wideWaitMs) {
+    const maximumWideMs = wideWaitMs(wait)
+    if (nowMs - (wait.wideSinceMs ?? nowMs) >= maximumWideMs) {
       wait.wideWaitsInVain += 1
-      wait.suspendedUntilMs = nowMs + wideWaitMs * OPEN_TIME_FACTOR
+      wait.suspendedUntilMs = nowMs + maximumWideMs * OPEN_TIME_FACTOR
       return 'waited-too-long'
     }
     if (nowMs - (wait.readySinceMs ?? nowMs) < MAX_READY_MS) return undefined
@@ -244,6 +245,25 @@
     return shared === undefined ? places : { ready: [shared], insufficient: false }
   }
 
+  /** The kept targets, and for whom and until when they are kept. */
+  listKept (nowMs: number): readonly KeptCapacity[] {
+    return [...this.#jobs].map(([target, job]) => ({ keeper: 'isolation', target: target.id, job: job.id, keptMs: this.#keptForMs(target, nowMs), endsInMs: this.#endsInMs(job, nowMs) }))
+  }
+
+  #keptForMs (target: TargetSession, nowMs: number): number {
+    return Math.round(nowMs - (this.#keptSinceMs.get(target) ?? nowMs))
+  }
+
+  /** Time until the first of the bounded waits of the job ends; undefined if none is in progress. */
+  #endsInMs (job: JobProgress, nowMs: number): number | undefined {
+    const ends = job.steps.flatMap(step => {
+      const wait = this.#waits.get(step)
+      return wait === undefined ? [] : [(wait.insufficientSinceMs ?? Infinity) + MAX_SHORTFALL_MS, (wait.readySinceMs ?? Infinity) + MAX_READY_MS, (wait.wideSinceMs ?? Infinity) + wideWaitMs(wait)]
+    })
+    const endMs = Math.min(...ends)
+    return Number.isFinite(endMs) ? Math.round(endMs - nowMs) : undefined
+  }
+
   #prepareOwn (request: IsolationRequest): IsolatedPlaces {
     const { step, nowMs } = request
     const { job } = step
@@ -345,7 +365,7 @@
   }
 
   #release (target: TargetSession, job: JobProgress, end: IsolationEnd, nowMs: number): void {
-    const keptMs = Math.round(nowMs - (this.#keptSinceMs.get(target) ?? nowMs))
+    const keptMs = this.#keptForMs(target, nowMs)
     this.#jobs.delete(target)
     this.#keptSinceMs.delete(target)
     this.#logger.info({ job: job.id, target: target.id, end, keptMs }, 'target is open to all jobs again')
@@ -362,6 +382,11 @@
   }
 }
 
+/** Longest time for which others wait now because more targets are kept than they can do without. */
+function wideWaitMs ({ wideWaitsInVain }: IsolationWait): number {
+  return Math.min(MIN_WIDE_WAIT_MS * 2 ** wideWaitsInVain, MAX_WIDE_WAIT_MS)
+}
+
 /** Whether so many targets are kept that others can not do without them for long. One target is always allowed. */
 function isWide (request: IsolationRequest | undefined, kept: readonly TargetSession[]): boolean {
   return request !== undefined && kept.length > Math.max(1, request.targets.length * MAX_UNBOUNDED_RATIO)
