Start a suspected task beside others when it has waited too long

What callers saw: a task that was lost with its target had nothing running for as long as other jobs' runs took (25 s in the search), beside idle targets.

Cause: a suspected task starts only on a target of its own. Without a vacant one it waits for the runs there, and of a small service only one of three targets may be kept at a time, so that it waits for the run of another suspected task. Nothing bounded either wait. Lasting tasks had a bound after their first crash; tasks that end had none.

Change: a step without a second crash of any task that has waited for 2 s, while less than half of its service is in use, starts on the targets with the fewest runs of others; targets kept for it are opened. A crash there counts as "suspected" and leads to a target of its own, so that a task that crashes its targets is found after four crashes instead of three, of the five that users allow.

The check leaves out jobs with two crashes, which users accept to be given up, and for 30 s tasks whose start may be in transit.

--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -15,7 +15,7 @@
 import { isRemoteFrom } from '../forecast/locality.ts'
 import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
-import { Isolation } from '../targets/isolation.ts'
+import { hasFirstCrash, Isolation } from '../targets/isolation.ts'
 import type { IsolationRequest } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, slackMs, StepRanking } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
@@ -463,15 +463,38 @@
     if (request === undefined) return
     const count = this.#allowedIsolated(step, tasks.length, pass, queue)
     const { targets } = request
+    const mayShare = hasFirstCrash(step)
+    if (mayShare && this.#blocked.isOverdue(step, nowMs) && this.#placeBesideOthers(step, tasks, request, pass, nowMs)) return
     const { ready, insufficient } = this.#isolation.prepare(request)
     if (ready.length === 0 && advice !== undefined) {
       // Runs on the permitted targets may take long, while a target without runs is permitted too but was not asked about.
       const unasked = targets.filter(session => !advice.wasAsked(session.key) && (insufficient || this.#isolation.isOpenAndVacant(session, step.job)))
       runInBackground(this.#advisor.ask(step, queue, unasked.slice(0, MAX_TARGETS_PER_QUESTION)), this.#logger, 'placement advice')
     }
-    if (ready.length === 0) return
-    if (advice !== undefined) this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
-    else this.#starts.startWhenStored(step, this.#starts.reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session)))), () => NO_TICKET_NEEDED)
+    const placed = ready.length === 0 ? 0 : this.#placeSuspected(step, queue, tasks, count, ready, nowMs)
+    if (placed > 0) this.#blocked.recordStart(step)
+    else if (mayShare) this.#recordIfBlocked(step, tasks.length, pass, nowMs)
+  }
+
+  /** Starts suspected tasks that have waited for too long for targets of their own; returns whether any was placed. */
+  #placeBesideOthers (step: StepProgress, tasks: readonly TaskProgress[], request: IsolationRequest, pass: PlacementPass, nowMs: number): boolean {
+    const queue = pass.queue(step.job.queue)
+    const startedBefore = this.#isolation.findStarted(step.job, nowMs)
+    const targets = this.#isolation.findLeastBusy(request)
+    const placed = targets.length === 0 ? 0 : this.#placeSuspected(step, queue, tasks, this.#allowedIsolated(step, tasks.length, pass, queue), targets, nowMs)
+    if (placed === 0) return false
+    this.#logger.info({ step: step.name, targets: targets.map(({ id }) => id) }, 'suspected tasks start beside other runs: they have waited for too long for targets of their own')
+    this.#blocked.recordStart(step)
+    this.#isolation.releaseShared(step, startedBefore, nowMs)
+    return true
+  }
+
+  /** Returns the number of tasks for which capacity was reserved. */
+  #placeSuspected (step: StepProgress, queue: QueueSettings, tasks: readonly TaskProgress[], count: number, ready: readonly TargetSession[], nowMs: number): number {
+    if (queue.advice !== undefined) return this.#placeWithAdvice(step, queue, tasks, count, ready, nowMs)
+    const reserved = this.#starts.reserve(tasks, placeStep(step.definition, count, ready.map(session => this.#describeTarget(step, session))))
+    this.#starts.startWhenStored(step, reserved, () => NO_TICKET_NEEDED)
+    return reserved.length
   }
 
   /** Whether the team's cap prevents tasks of the step from running, regardless of free capacity. */
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -69,8 +69,11 @@
   readonly needed: readonly TargetSession[] | undefined
 }
 
-/** Why a target is not kept any more; while its job still waits, `too-few-targets`, `not-started` and `waited-too-long`. */
-type IsolationEnd = 'not-needed' | 'exchanged' | 'too-few-targets' | 'not-started' | 'waited-too-long'
+/**
+ * Why a target is not kept any more; while its job still waits, `too-few-targets`, `not-started` and `waited-too-long`.
+ * `shared`: the job has started beside other runs.
+ */
+type IsolationEnd = 'not-needed' | 'exchanged' | 'shared' | 'too-few-targets' | 'not-started' | 'waited-too-long'
 
 interface ReviewedWaits {
   /** The steps for which targets may stay kept. */
@@ -245,6 +248,42 @@
     return shared === undefined ? places : { ready: [shared], insufficient: false }
   }
 
+  /**
+   * Finds targets that can hold the step now, kept or not, for a step that has waited for too long: open ones first, and of these
+   * the ones with the fewest runs of other jobs. Empty if there are not enough.
+   */
+  findLeastBusy ({ step, targets, permits }: IsolationRequest): readonly TargetSession[] {
+    const { job, definition } = step
+    const { gang, count } = definition
+    const isOthers = (target: TargetSession): number => Number(this.#jobs.has(target) && this.#jobs.get(target) !== job)
+    const placesNow = (target: TargetSession): number => {
+      const availability = this.#describe(step, target)
+      if (!isSuitable(definition, availability)) return 0
+      const slots = definition.tasksPerTarget === 0 ? Infinity : definition.tasksPerTarget - availability.sameStepTasks
+      return Math.max(0, Math.min(slots, countFitting(requiredResources(definition), availability.free)))
+    }
+    const found: TargetSession[] = []
+    let missing = gang ? count : 1
+    for (const target of targets.filter(permits).sort((left, right) => isOthers(left) - isOthers(right) || compareWork(left, right, job))) {
+      if (missing <= 0) break
+      const places = placesNow(target)
+      if (places === 0) continue
+      found.push(target)
+      missing -= places
+    }
+    return missing <= 0 ? found : []
+  }
+
+  /** Opens the targets that are kept for the job of a step which has started beside other runs, but those on which suspected tasks ran before. */
+  releaseShared ({ job }: StepProgress, startedBefore: ReadonlySet<TargetSession>, nowMs: number): void {
+    for (const [target, keeper] of this.#jobs) if (keeper === job && !startedBefore.has(target)) this.#release(target, job, 'shared', nowMs)
+  }
+
+  /** The targets that are kept for the job and on which a suspected task of it runs. */
+  findStarted (job: JobProgress, nowMs: number): ReadonlySet<TargetSession> {
+    return new Set([...this.#jobs].flatMap(([target, keeper]) => keeper === job && hasUnsettledSuspect(target, job, nowMs) ? [target] : []))
+  }
+
   /** The kept targets, and for whom and until when they are kept. */
   listKept (nowMs: number): readonly KeptCapacity[] {
     return [...this.#jobs].map(([target, job]) => ({ keeper: 'isolation', target: target.id, job: job.id, keptMs: this.#keptForMs(target, nowMs), endsInMs: this.#endsInMs(job, nowMs) }))
@@ -312,8 +351,7 @@
   /** Whether the step may start beside runs of other jobs, whose end it has awaited. Later crashes need the proof of a vacant target. */
   #mayShare (step: StepProgress, target: TargetSession, nowMs: number): boolean {
     if (!step.definition.longRunning || target.capacity.hasUnexpectedRuns) return false
-    const isFirstCrash = step.suspectedTasks.every(({ crashHistory }) => crashHistory.crashes <= 1)
-    return isFirstCrash && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
+    return hasFirstCrash(step) && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
   }
 
   /** Exchanges kept targets that wait for runs of other jobs for vacant ones with as many places; returns those kept now. */
@@ -382,6 +420,11 @@
   }
 }
 
+/** Whether no task of the step has crashes but one, so that it may share targets when it has waited for too long. */
+export function hasFirstCrash (step: StepProgress): boolean {
+  return step.suspectedTasks.every(({ crashHistory }) => crashHistory.crashes <= 1)
+}
+
 /** Longest time for which others wait now because more targets are kept than they can do without. */
 function wideWaitMs ({ wideWaitsInVain }: IsolationWait): number {
   return Math.min(MIN_WIDE_WAIT_MS * 2 ** wideWaitsInVain, MAX_WIDE_WAIT_MS)
--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -1,9 +1,11 @@
 /** A coordinator with its log and targets on a manual clock, for model-based tests. */
 import { ManualClock } from '../../adapters/clock/manualClock.ts'
 import type { DesiredState, QueueSettings } from '../../jobs/desiredState.ts'
+import { parseTaskName } from '../../jobs/job.ts'
 import type { JobDefinition, StepDefinition } from '../../jobs/job.ts'
 import { createJobRecord, TEST_QUEUE } from '../../jobs/testing/definitions.ts'
 import { resources } from '../../model/resources.ts'
+import type { Resources } from '../../model/resources.ts'
 import { JobMetrics } from '../../observability/jobMetrics.ts'
 import { createLogger } from '../../observability/logger.ts'
 import type { JobTargetConnector, PlacedTargetConnector } from '../../ports/jobTarget.ts'
@@ -15,18 +17,22 @@
 import { MemoryTransactionalStore } from './memoryTransactionalStore.ts'
 import type { CommitFault } from './memoryTransactionalStore.ts'
 import { RunRecorder } from './runRecorder.ts'
+import { SimulatedGangs } from './simulatedGangs.ts'
 import { SimulatedTarget } from './simulatedTarget.ts'
 import type { IncarnationStart } from './simulatedTarget.ts'
 
-const CAPACITY = resources({ processors: 8_000, memory: 8_000 })
 export const URGENT: QueueSettings = { ...TEST_QUEUE, name: 'checks', pathPrefix: '/checks/', priority: 0, maximumFailures: 100 }
 export const BATCH: QueueSettings = { ...TEST_QUEUE, maximumFailures: 100, stretchFactor: 50 }
 export const ADVISED: QueueSettings = { ...BATCH, name: 'advised', pathPrefix: '/advised/', advice: { decisionMs: 20, perTargetMs: 1, ticketValidityMs: 2_000 } }
 export const QUEUES: readonly QueueSettings[] = [URGENT, BATCH, ADVISED]
+/** A team without a cap. */
+export const OTHER_TEAM = 'counter'
 const WORK_MS = 700
 const LONG_WORK_MS = 25_000
 /** Longer than withdrawals of late orders and the expiry of leases take, with time for the work itself. */
 const RECOVERY_MS = 60_000
+/** The advisor allows no task on it. */
+const FORBIDDEN_TARGET = 1
 const OPERATOR_PREFIX = 'operator/'
 const DESIRED_KEY = 'operator/desired'
 const EVACUATION_PREFIX = 'operator/evacuate/'
@@ -38,6 +44,14 @@
   readonly hasAuthority: () => boolean
 }
 
+export interface OfferedTarget {
+  readonly number: number
+  /** Names of the tasks that run there. */
+  readonly running: readonly string[]
+  readonly capacity: Resources
+  readonly labels: readonly string[]
+}
+
 export interface SimulatedClusterOptions {
   readonly targets: number
   /** Processors that the team may use. */
@@ -60,6 +74,10 @@
   readonly initialClockRate?: number
   /** `born` of the first incarnations; 1 by default. */
   readonly initialBornMs?: number
+  /** Whether the members of a gang work and end together; each works for itself by default. */
+  readonly joinsGangs?: boolean
+  /** Whether the target is in the target list from the beginning, by its number; all are by default. */
+  readonly isListed?: (number: number) => boolean
   /** Wraps the connector of the targets in each term, for example to send requests through relays; direct by default. */
   readonly wrapConnector?: (connect: JobTargetConnector, term: SimulatedTerm) => PlacedTargetConnector
 }
@@ -113,8 +131,14 @@
   readonly accepted = new Map<string, string>()
   /** Validity of the tickets of each submitted job whose queue has an advisor, by job id. */
   readonly #ticketValidities = new Map<string, number>()
+  /** Steps of each submitted job, by job id. */
+  readonly #definitions = new Map<string, readonly StepDefinition[]>()
   #submittedJobs = 0
   #desiredVersion = 0
+  #queues: readonly QueueSettings[] = QUEUES
+  #cap = 0
+  /** Team of each submitted job, by job id. */
+  readonly #teams = new Map<string, string>()
   #hasRestarts = false
   #coordinator: JobCoordinator | undefined
   #desired: DesiredStateWatcher | undefined
@@ -124,6 +148,10 @@
   constructor (options: SimulatedClusterOptions) {
     const { targets, lateMs, failing, workMs } = this.#options = options
     this.setQueues(QUEUES)
+    const gangs = new SimulatedGangs(this.clock, task => {
+      const definition = this.definitionOf(task)
+      return definition?.gang === true ? definition.count : undefined
+    })
     this.#targets = Array.from({ length: targets }, (_, number) => new SimulatedTarget({
       id: `worker-${number}`,
       clock: this.clock,
@@ -131,17 +159,27 @@
       endOf: (_task, attempt) => failing && attempt % 2 === 1 ? 'failed' : 'done',
       lateMs,
       recorder: this.#recorder,
+      ...(options.joinsGangs === true ? { gangs } : {}),
       initialClockMs: options.initialClockMs ?? 0,
       initialClockRate: options.initialClockRate ?? 1,
       initialBornMs: options.initialBornMs ?? 1,
       ticketValidityMs: task => this.#ticketValidities.get(task.slice(0, task.indexOf('.')))
     }))
+    for (const [number, target] of this.#targets.entries()) target.listed = options.isListed?.(number) ?? true
+  }
+
+  /** Definition of the step of a task, by the name of the task. */
+  definitionOf (task: string): StepDefinition | undefined {
+    const name = parseTaskName(task)
+    return name === undefined ? undefined : this.#definitions.get(name.job)?.[name.step]
   }
 
   /** Changes the settings of the queues, and the processors that the team may use, as the operator of the platform does. */
   setQueues (queues: readonly QueueSettings[], cap = this.#options.cap): void {
     this.#desiredVersion += 1
-    const state: DesiredState = { version: this.#desiredVersion, queues, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }], maximumBodyBytes: 1_000 }
+    this.#queues = queues
+    this.#cap = cap
+    const state: DesiredState = { version: this.#desiredVersion, queues, services: [TEST_QUEUE.service], teams: [{ name: 'weavers', keys: [], weight: 1_000, cap: resources({ processors: cap }) }, { name: OTHER_TEAM, keys: [], weight: 1_000, cap: resources({}) }], maximumBodyBytes: 1_000 }
     this.store.put(DESIRED_KEY, JSON.stringify(state))
   }
 
@@ -161,7 +199,7 @@
     this.#desired = desired
     desired.follow()
     const lanes = new AdviceLanes(clock)
-    lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== 'worker-1').map(id => ({ target: id, ticket: this.#targetOf(id).issueTicket() }))) }, weight: 1 }])
+    lanes.setLanes([{ name: 'own', advisor: { ask: async ({ targets }) => await clock.sleep(30).then(() => targets.filter(id => id !== `worker-${FORBIDDEN_TARGET}`).map(id => ({ target: id, ticket: this.#targetOf(id).issueTicket() }))) }, weight: 1 }])
     let hasAuthority = true
     const mayAct = (): boolean => hasAuthority && this.#coordinator === coordinator
     const connect: JobTargetConnector = (address, incarnation) => (this.#targets[Number(address)] as SimulatedTarget).connect(incarnation)
@@ -174,7 +212,7 @@
       info: { instance: `entry-${fence}`, address: '', fence, lease: 1 },
       connect: this.#options.wrapConnector?.(connect, { fence, clock, hasAuthority: mayAct }) ?? connect,
       prepareConnections: async () => {},
-      directory: { list: async () => this.#targets.flatMap(({ listed, bornMs }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#options.dataCentreOf?.(number) ?? '', capacity: CAPACITY, labels: this.#options.rackOf === undefined ? [] : ['a', this.#options.rackOf(number)], draining: false }] : []) },
+      directory: { list: async () => this.#targets.flatMap(({ listed, draining, bornMs, capacity }, number) => listed ? [{ id: `worker-${number}`, bornMs, address: String(number), service: TEST_QUEUE.service, dataCentre: this.#options.dataCentreOf?.(number) ?? '', capacity, labels: this.#labelsOf(number), draining }] : []) },
       desired,
       ...(this.#options.remoteFactor === undefined ? {} : { remoteFactor: this.#options.remoteFactor }),
       lanes,
@@ -213,6 +251,30 @@
     return this.target(Number(id.slice('worker-'.length)))
   }
 
+  /** The targets that are listed, not draining and without a fault. */
+  get offeredTargets (): readonly OfferedTarget[] {
+    return this.#targets.flatMap(({ listed, draining, fault, running, capacity }, number) => listed && !draining && fault === 'none' ? [{ number, running, capacity, labels: this.#labelsOf(number) }] : [])
+  }
+
+  #labelsOf (number: number): readonly string[] {
+    return this.#options.rackOf === undefined ? [] : ['a', this.#options.rackOf(number)]
+  }
+
+  /** Whether the advisor of the queue, if it has one now, allows the target. */
+  permits (queue: string, number: number): boolean {
+    return this.#queues.find(({ name }) => name === queue)?.advice === undefined || number !== FORBIDDEN_TARGET
+  }
+
+  /** Processors that the team may use; 0 without a limit. */
+  capOf (team: string): number {
+    return team === OTHER_TEAM ? 0 : this.#cap
+  }
+
+  /** Team of the job of a task, by the name of the task. */
+  teamOf (task: string): string | undefined {
+    return this.#teams.get(task.slice(0, task.indexOf('.')))
+  }
+
   get running (): readonly string[] {
     return this.#targets.flatMap(target => target.running)
   }
@@ -233,12 +295,14 @@
   }
 
   /** Submits a job that counts as accepted when it is durable. */
-  submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[], overrides: Partial<JobDefinition> = {}): string {
+  submit (kind: string, queue: QueueSettings, steps: readonly StepDefinition[], overrides: Partial<JobDefinition> = {}, team = 'weavers'): string {
     const id = `${kind}-${this.#submittedJobs++}`
     const { coordinator } = this
+    this.#definitions.set(id, steps)
+    this.#teams.set(id, team)
     if (queue.advice !== undefined) this.#ticketValidities.set(id, queue.advice.ticketValidityMs)
     const record = createJobRecord(id, steps)
-    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, queue: queue.name, acceptedWallMs: this.clock.wallMs(), definition: { ...record.definition, ...overrides } }])
+    const durable = coordinator.applyAndAppend([...coordinator.missingQueueRecords(queue), { ...record, team, queue: queue.name, acceptedWallMs: this.clock.wallMs(), definition: { ...record.definition, ...overrides } }])
     const job = coordinator.table.jobs.get(id)
     if (job !== undefined) coordinator.enqueueJob(job)
     durable.then(() => this.accepted.set(id, kind), () => {})
--- a/src/coordinator/testing/simulatedTarget.ts
+++ b/src/coordinator/testing/simulatedTarget.ts
@@ -1,8 +1,11 @@
 /** A target on a manual clock that follows the platform's protocol, for model-based tests. */
 import type { ManualClock } from '../../adapters/clock/manualClock.ts'
+import { resources } from '../../model/resources.ts'
 import type { FinishedRun, JobTargetClient, RenewOrder, RenewOutcome, RunEnd, StartOutcome, StopOrder, StopOutcome, TargetIncarnation, TaskOrder } from '../../ports/jobTarget.ts'
 import type { RecordedRun, RunRecorder } from './runRecorder.ts'
+import type { SimulatedGangs } from './simulatedGangs.ts'
 
+export const TARGET_CAPACITY = resources({ processors: 8_000, memory: 8_000 })
 /** Transit time of a request, and of an answer, unless a test sets others. */
 const DEFAULT_TRANSIT: CallTransit = { requestMs: 3, answerMs: 0 }
 const ORDER_TIMEOUT_MS = 1_000
@@ -44,6 +47,8 @@
   readonly lateMs: number
   /** Records the runs of all targets. */
   readonly recorder: RunRecorder
+  /** Lets the members of gangs on all targets work and end together; without it they work each for itself. */
+  readonly gangs?: SimulatedGangs
   /** Validity of the tickets that a task needs, in milliseconds; undefined for tasks that need none, as all do by default. */
   readonly ticketValidityMs?: (task: string) => number | undefined
   /** What the clock of the first incarnation shows at its start; 0 by default. */
@@ -64,6 +69,8 @@
   lateMs: number
   transit: CallTransit = DEFAULT_TRANSIT
   listed = true
+  draining = false
+  capacity = TARGET_CAPACITY
   /** Number of runs that were started, in all incarnations. */
   starts = 0
   #fence = 0
@@ -104,9 +111,12 @@
 
   /** Loses all runs, and starts a new incarnation under the same id, which executes the orders in transit. */
   restart ({ clockMs = 0, clockDifferenceMs, clockRate = 1, bornDifferenceMs = 1 }: IncarnationStart = {}): void {
-    const { clock, recorder } = this.#options
+    const { clock, recorder, gangs } = this.#options
     const initialClockMs = clockDifferenceMs === undefined ? clockMs : Math.max(0, this.#clockMs + clockDifferenceMs)
-    for (const { record } of this.#runs.values()) recorder.end(record, 'crashed')
+    for (const { record, task, attempt } of this.#runs.values()) {
+      recorder.end(record, 'crashed')
+      gangs?.leave(task, attempt)
+    }
     this.bornMs = this.#nextBornMs(bornDifferenceMs)
     this.#startedAtMs = clock.monotonicMs()
     this.#initialClockMs = initialClockMs
@@ -193,7 +203,7 @@
   }
 
   #start ({ task, attempt, leaseUntilTargetMs, fencingToken, ticket }: TaskOrder): StartOutcome {
-    const { id, clock, workMs, endOf, recorder } = this.#options
+    const { id, clock, workMs, endOf, recorder, gangs } = this.#options
     const clockMs = this.#clockMs
     if (fencingToken < this.#fence) return { outcome: 'refused', refusal: 'fenced' }
     this.#fence = fencingToken
@@ -205,8 +215,11 @@
     const run: Run = { task, attempt, record: recorder.start(task, attempt, `${id}/${this.bornMs}`), stopping: false }
     this.#runs.set(task, run)
     this.starts += 1
-    const durationMs = workMs(task)
-    if (Number.isFinite(durationMs)) clock.schedule(durationMs, () => { if (!run.stopping) this.#end(run, endOf(task, attempt)) })
+    const work = (): void => {
+      const durationMs = workMs(task)
+      if (Number.isFinite(durationMs)) clock.schedule(durationMs, () => { if (!run.stopping) this.#end(run, endOf(task, attempt)) })
+    }
+    if (gangs?.join({ task, attempt, begin: work, end: how => this.#end(run, how) }) !== true) work()
     return { outcome: 'started', clockMs }
   }
 
@@ -304,6 +317,7 @@
     this.#runs.delete(task)
     this.#endedAttempts.set(task, Math.max(attempt, this.#endedAttempts.get(task) ?? 0))
     this.#options.recorder.end(record, end)
+    if (end !== 'done') this.#options.gangs?.leave(task, attempt)
     this.#acknowledgeable.set(this.#nextNumber, record)
     this.#finished.push({ number: this.#nextNumber++, task, attempt, end, checkpoint: '' })
     this.#wake()
