--- a/src/commands/program.ts
+++ b/src/commands/program.ts
@@ -1,6 +1,7 @@
 /** Command-line parser of the program. */
 import yargs from 'yargs'
 import metadata from '../../package.json' with { type: 'json' }
+import { BUILD_ID } from '../buildId.ts'
 import { CommandError, createProcessContext, EXIT_CODES, EXIT_CODE_HELP, reportError } from './commandContext.ts'
 import type { CommandContext, ExitCode } from './commandContext.ts'
 import type { CommandDependencies } from './commandBuilder.ts'
@@ -53,7 +54,7 @@
     .strict()
     .demandCommand(1, 'Give a command.')
     .check(rejectRepeatedOptions)
-    .version(metadata.version)
+    .version(`${metadata.version} (build ${BUILD_ID})`)
     .recommendCommands()
     .exitProcess(false)
     .fail(handleParseFailure)
--- a/src/platform/startOnPlatform.ts
+++ b/src/platform/startOnPlatform.ts
@@ -1,4 +1,5 @@
 /** Composes and starts an instance on the users' platform. */
+import { BUILD_ID } from '../buildId.ts'
 import { CoordinatorPeerClient } from '../adapters/peer/coordinatorPeerClient.ts'
 import { createCoordinatorPeerServer } from '../adapters/peer/coordinatorPeerServer.ts'
 import { SystemClock } from '../adapters/clock/systemClock.ts'
@@ -104,7 +105,7 @@
   const manager = new LifecycleManager(settings.stopGraceMs * STOP_SHARE)
   for (const component of [pauses, store, peers, reloader, createCoordinatorPeerServer(peerAddress, instance), instance, readinessServer, createMetricsServer(`${settings.ip}:${settings.metricsPort}`, metrics), frontend]) manager.add(component)
   await manager.start()
-  logger.info({ ...describeSettings(settings) }, 'instance started')
+  logger.info({ build: BUILD_ID, ...describeSettings(settings) }, 'instance started')
 
   const stopSequence = createStopSequence({ manager, instance, frontend, reloader, clock, logger })
   return {
