Place a step that has waited behind kept targets once in a pass

A step that was placed on all targets and found no room was placed again on the open ones, which could ask for advice twice. Its outcome counts now.

--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -285,8 +285,7 @@
       const passWithKept = open.length === usable.length ? undefined : new PlacementPass(this.#options.desiredState(), usable)
       if (!urgentOnly) this.#reservations.renew(pass, nowMs)
       for (const { step, waiting } of unsuspected) {
-        if (overdue.has(step)) continue
-        const outcome = this.#placeWaitingTasks(step, waiting, pass, nowMs)
+        const outcome = overdue.get(step) ?? this.#placeWaitingTasks(step, waiting, pass, nowMs)
         if (outcome !== 'placed' && outcome !== 'capped') servicesWithoutRoom.add(pass.queue(step.job.queue).service)
         if (outcome === 'placed') this.#recordPlaced(step, nowMs)
         else if (outcome !== 'awaits-advice' && outcome !== 'awaits-locality' && !urgentOnly) this.#updateReservations(step, waiting.length, outcome, pass, nowMs)
@@ -299,17 +298,17 @@
     this.#updateAdmission(ranked, open, nowMs)
   }
 
-  /** Places tasks of the steps that have waited for long enough behind kept targets, also on these; returns these steps. */
-  #placeOverdueTasks (waiting: readonly WaitingStep[], nowMs: number): ReadonlySet<StepProgress> {
+  /** Places tasks of the steps that have waited for long enough behind kept targets, also on these; returns what became of them. */
+  #placeOverdueTasks (waiting: readonly WaitingStep[], nowMs: number): ReadonlyMap<StepProgress, PlacementOutcome> {
     this.#blocked.expire(nowMs)
-    if (!this.#isolation.active || !this.#blocked.any) return new Set()
+    if (!this.#isolation.active || !this.#blocked.any) return new Map()
     const overdue = waiting.filter(({ step }) => this.#blocked.isOverdue(step, nowMs))
-    if (overdue.length === 0) return new Set()
+    if (overdue.length === 0) return new Map()
     const pass = new PlacementPass(this.#options.desiredState(), this.#fleet.usable)
-    const placed = overdue.filter(({ step, waiting }) => this.#placeWaitingTasks(step, waiting, pass, nowMs) === 'placed').map(({ step }) => step)
-    for (const step of placed) this.#recordPlaced(step, nowMs)
-    if (placed.length > 0) this.#logger.info({ steps: placed.map(({ name }) => name), kept: this.keptCapacity.slice(0, MAX_LOGGED_KEPT) }, 'steps use kept targets: they have waited behind them for too long')
-    return new Set(placed)
+    const outcomes = overdue.map(({ step, waiting }) => [step, this.#placeWaitingTasks(step, waiting, pass, nowMs)] as const)
+    const placed = outcomes.flatMap(([{ name }, outcome]) => outcome === 'placed' ? [name] : [])
+    if (placed.length > 0) this.#logger.info({ steps: placed, kept: this.keptCapacity.slice(0, MAX_LOGGED_KEPT) }, 'steps use kept targets: they have waited behind them for too long')
+    return new Map(outcomes)
   }
 
   #recordPlaced (step: StepProgress, nowMs: number): void {
