--- a/src/coordinator/testing/waitCheck.ts
+++ b/src/coordinator/testing/waitCheck.ts
@@ -8,8 +8,11 @@
 const MAX_WAIT_MS = 3_000
 /** After a disturbance of targets or of the coordinator, waits count again from this time on. */
 const SETTLE_MS = 4_000
-/** The same for tasks whose start may have been lost. It may be executed for 18 s, and its run lasts as long as a lease. */
-export const TRANSIT_MS = 30_000
+/**
+ * The same for tasks whose start may have been lost. It may be executed for 18 s after the predecessor of a coordinator has certainly
+ * ended, and its run lasts as long as the longest lease.
+ */
+export const TRANSIT_MS = 33_000
 const SAMPLE_INTERVAL_MS = 250
 
 /**
