--- a/src/coordinator/placement/taskPlacer.ts
+++ b/src/coordinator/placement/taskPlacer.ts
@@ -15,7 +15,7 @@
 import { isRemoteFrom } from '../forecast/locality.ts'
 import { countTargetsToName, MAX_TARGETS_PER_QUESTION } from '../advice/adviceQuestion.ts'
 import { decideAdvisedPlacement } from '../advice/advisedPlacement.ts'
-import { hasFirstCrash, Isolation } from '../targets/isolation.ts'
+import { hasAtMostOneCrash, Isolation } from '../targets/isolation.ts'
 import type { IsolationRequest } from '../targets/isolation.ts'
 import { isWithinShareAndUseful, compareRanks, isUrgent, slackMs, StepRanking } from './jobRanking.ts'
 import type { RankingRunTimes } from './jobRanking.ts'
@@ -54,6 +54,7 @@
 
 /** Longest time between passes while there are reservations or targets are kept. */
 const RENEWAL_INTERVAL_MS = 250
+/** Bounds the length of log lines that list kept capacity. */
 const MAX_LOGGED_KEPT = 5
 
 export interface TaskPlacerOptions {
@@ -319,7 +320,7 @@
   /** Records that the step waits if it could start on all targets of its service, kept or not, of which less than half is in use. */
   #recordIfBlocked (step: StepProgress, waiting: number, pass: PlacementPass, nowMs: number): void {
     const queue = pass.queue(step.job.queue)
-    if (!this.#isBounded(step, pass)) return
+    if (!this.#mustStartSoon(step, pass)) return
     const needed = step.definition.gang ? waiting : 1
     if (this.#allowedCount(step, needed, pass, queue) < needed) return
     const advice = queue.advice === undefined ? undefined : this.#advisor.findAdvice(step)
@@ -328,7 +329,7 @@
   }
 
   /** Whether the step must not wait for long while there is room: less than half of its service is in use, and of the cap of its team. */
-  #isBounded ({ job }: StepProgress, pass: PlacementPass): boolean {
+  #mustStartSoon ({ job }: StepProgress, pass: PlacementPass): boolean {
     const { service } = pass.queue(job.queue)
     const team = pass.team(job.team)
     return pass.freeProcessors(service) * 2 > pass.totalProcessors(service) && (team === undefined || this.#usage.isBelowHalf(team))
@@ -462,7 +463,8 @@
     if (request === undefined) return
     const count = this.#allowedIsolated(step, tasks.length, pass, queue)
     const { targets } = request
-    const mayShare = hasFirstCrash(step)
+    // A further crash beside other runs would prove nothing about a task with two.
+    const mayShare = hasAtMostOneCrash(step)
     if (mayShare && this.#blocked.isOverdue(step, nowMs) && this.#placeBesideOthers(step, tasks, request, pass, nowMs)) return
     const { ready, insufficient } = this.#isolation.prepare(request)
     if (ready.length === 0 && advice !== undefined) {
@@ -478,13 +480,13 @@
   /** Starts suspected tasks that have waited for too long for targets of their own; returns whether any was placed. */
   #placeBesideOthers (step: StepProgress, tasks: readonly TaskProgress[], request: IsolationRequest, pass: PlacementPass, nowMs: number): boolean {
     const queue = pass.queue(step.job.queue)
-    const startedBefore = this.#isolation.findStarted(step.job, nowMs)
+    const targetsOfSuspects = this.#isolation.findTargetsOfSuspects(step.job, nowMs)
     const targets = this.#isolation.findLeastBusy(request)
     const placed = targets.length === 0 ? 0 : this.#placeSuspected(step, queue, tasks, this.#allowedIsolated(step, tasks.length, pass, queue), targets, nowMs)
     if (placed === 0) return false
     this.#logger.info({ step: step.name, targets: targets.map(({ id }) => id) }, 'suspected tasks start beside other runs: they have waited for too long for targets of their own')
     this.#blocked.recordStart(step)
-    this.#isolation.releaseShared(step, startedBefore, nowMs)
+    this.#isolation.openSharedTargets(step.job, targetsOfSuspects, nowMs)
     return true
   }
 
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -274,13 +274,13 @@
     return missing <= 0 ? found : []
   }
 
-  /** Opens the targets that are kept for the job of a step which has started beside other runs, but those on which suspected tasks ran before. */
-  releaseShared ({ job }: StepProgress, startedBefore: ReadonlySet<TargetSession>, nowMs: number): void {
-    for (const [target, keeper] of this.#jobs) if (keeper === job && !startedBefore.has(target)) this.#release(target, job, 'shared', nowMs)
+  /** Opens the targets that are kept for a job which has started beside other runs, but those on which suspected tasks of it ran before. */
+  openSharedTargets (job: JobProgress, targetsOfSuspects: ReadonlySet<TargetSession>, nowMs: number): void {
+    for (const [target, keeper] of this.#jobs) if (keeper === job && !targetsOfSuspects.has(target)) this.#release(target, job, 'shared', nowMs)
   }
 
   /** The targets that are kept for the job and on which a suspected task of it runs. */
-  findStarted (job: JobProgress, nowMs: number): ReadonlySet<TargetSession> {
+  findTargetsOfSuspects (job: JobProgress, nowMs: number): ReadonlySet<TargetSession> {
     return new Set([...this.#jobs].flatMap(([target, keeper]) => keeper === job && hasUnsettledSuspect(target, job, nowMs) ? [target] : []))
   }
 
@@ -351,7 +351,7 @@
   /** Whether the step may start beside runs of other jobs, whose end it has awaited. Later crashes need the proof of a vacant target. */
   #mayShare (step: StepProgress, target: TargetSession, nowMs: number): boolean {
     if (!step.definition.longRunning || target.capacity.hasUnexpectedRuns) return false
-    return hasFirstCrash(step) && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
+    return hasAtMostOneCrash(step) && nowMs - (this.#keptSinceMs.get(target) ?? nowMs) >= MAX_VACATING_MS_FOR_LASTING
   }
 
   /** Exchanges kept targets that wait for runs of other jobs for vacant ones with as many places; returns those kept now. */
@@ -420,8 +420,8 @@
   }
 }
 
-/** Whether no task of the step has crashes but one, so that it may share targets when it has waited for too long. */
-export function hasFirstCrash (step: StepProgress): boolean {
+/** Whether no more than one target has crashed under each task of the step, so that it may share targets when it has waited for too long. */
+export function hasAtMostOneCrash (step: StepProgress): boolean {
   return step.suspectedTasks.every(({ crashHistory }) => crashHistory.crashes <= 1)
 }
 
