--- a/src/coordinator/targets/isolation.test.ts
+++ b/src/coordinator/targets/isolation.test.ts
@@ -379,3 +379,32 @@
   for (const elapsedMs of [0, 1_000]) releaseUnneeded(isolation, left, NOW_MS + elapsedMs)
   t.is(holds(isolation, targets).filter(Boolean).length, 1)
 })
+
+// Guards against kept targets of which nobody can tell for whom and until when they are kept.
+test('the list of kept targets names their job, how long they have been kept, and when a bounded wait ends', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const suspects = createSuspects('a', 2, { gang: true, size: resources({ processors: 4_000, memory: 10 }) })
+  prepare(isolation, suspects, targets)
+  releaseUnneeded(isolation, targets, NOW_MS + 500)
+  t.deepEqual(isolation.listKept(NOW_MS + 1_500), ['t-1', 't-2'].map(target => ({ keeper: 'isolation', target, job: 'a', keptMs: 1_500, endsInMs: 4_000 })))
+  releaseUnneeded(isolation, targets.slice(1, 2), NOW_MS + 1_500)
+  t.deepEqual(isolation.listKept(NOW_MS + 1_600).map(({ endsInMs }) => endsInMs), [900, 900], 'the targets have become too few')
+  releaseUnneeded(isolation, targets.slice(0, 2), NOW_MS + 1_700)
+  t.deepEqual(isolation.listKept(NOW_MS + 1_700).map(({ endsInMs }) => endsInMs), [undefined, undefined], 'another target can be kept instead')
+})
+
+// Guards against a task that waits for the target of another suspected task although others have room for it now.
+test('the least busy targets for a step are those that nobody keeps, then those with the fewest runs of other jobs', t => {
+  const isolation = createIsolation()
+  const targets = createTargets(4)
+  const size = resources({ processors: 1_000, memory: 10 })
+  prepare(isolation, createSuspects('a'), targets.slice(0, 1))
+  run(targets[1], createAssignments('other-1', 2, { size }))
+  run(targets[2], createAssignments('other-2', 1, { size }))
+  run(targets[3], createAssignments('other-3', 4, { size }))
+  const findFor = (suspects: readonly Assignment[]): readonly string[] => suspects.slice(0, 1).flatMap(({ task }) => isolation.findLeastBusy(requestOf(task.step, targets, NOW_MS)).map(({ id }) => id))
+  t.deepEqual(findFor(createSuspects('b', 1, { size })), ['t-2'])
+  t.deepEqual(findFor(createSuspects('c', 6, { gang: true, size })), ['t-2', 't-1', 't-0'])
+  t.deepEqual(findFor(createSuspects('d', 10, { gang: true, size })), [], 'too few places')
+})
