--- a/src/coordinator/testing/simulatedCluster.ts
+++ b/src/coordinator/testing/simulatedCluster.ts
@@ -88,6 +88,8 @@
   snapshotDelayMs = 0
   /** Additional time of each write. */
   commitDelayMs = 0
+  /** Transit time of the answer to each write, which is executed before. */
+  commitAnswerMs = 0
   /** Additional time of reads of the operator's keys. */
   operatorDelayMs = 0
   #waking = new AbortController()
@@ -101,7 +103,9 @@
   override async commit (...[transaction]: Parameters<MemoryTransactionalStore['commit']>): ReturnType<MemoryTransactionalStore['commit']> {
     const isSnapshot = transaction.writes.some(({ key }) => key.startsWith(SNAPSHOT_PREFIX))
     await this.#clock.sleep(5 + this.commitDelayMs + (isSnapshot ? this.snapshotDelayMs : 0))
-    return await super.commit(transaction)
+    const result = await super.commit(transaction)
+    if (this.commitAnswerMs > 0) await this.#clock.sleep(this.commitAnswerMs)
+    return result
   }
 
   override async listPage (...[prefix, after]: Parameters<MemoryTransactionalStore['listPage']>): ReturnType<MemoryTransactionalStore['listPage']> {
