--- a/src/coordinator/placement/blockedSteps.ts
+++ b/src/coordinator/placement/blockedSteps.ts
@@ -16,6 +16,8 @@
 }
 
 /**
+ * `TaskPlacer` and `PlacementReservations` use the time; which waits count is decided by the caller of `record`.
+ *
  * One time for each step, whatever the capacity is kept by: a step that waits behind a reservation and then behind a kept
  * target does not wait twice as long.
  *
--- a/src/coordinator/targets/isolation.ts
+++ b/src/coordinator/targets/isolation.ts
@@ -98,7 +98,9 @@
 
 /**
  * A target that is kept for a job gets no other tasks, and the job's suspected tasks start there once the others have
- * ended: if it crashes then, nothing else explains it.
+ * ended: if it crashes then, nothing else explains it. The exceptions are those of `TaskPlacer`, in a service of which less
+ * than half is in use: steps that have waited behind kept targets for too long use them, and a suspected step that has waited
+ * for too long, without a second crash, starts on the targets that `findLeastBusy` returns.
  *
  * A target stays kept only for a run of a suspected task, or for a step that may start and that the permitted targets can
  * hold together, which is what it takes to keep it in the first place. Half of the targets may be kept for as long as
